--- /dev/null
+++ b/src/runtime/activation/types.ts
@@ -0,0 +1,42 @@
+import type {
+    CopyAssignment,
+    CopyPhase,
+    EngineOrder,
+    EngineState,
+    FencingToken,
+    Milliseconds,
+    Offset,
+} from "../../types/index.js";
+
+/** Input of `planOrders`. */
+export interface ActivationInput {
+    /** The copy that this instance has to hold; undefined if none. */
+    readonly assignment: CopyAssignment | undefined;
+    /** False if the hold has lapsed. */
+    readonly held: boolean;
+    /** Newest state that was read from the engine after the last order; undefined if it has to be read. */
+    readonly engine: EngineState | undefined;
+    /** True if every chunk of the assigned set is staged and verified by this agent process. */
+    readonly setComplete: boolean;
+    readonly chunksTotal: number;
+    /** Requests in progress on the active set. */
+    readonly requestsInProgress: number;
+    /** Monotonic time at which the agent started. */
+    readonly startedAt: Milliseconds;
+    /** Time that an order may be on its way. */
+    readonly orderTimeLimit: Milliseconds;
+    /** Token of the last order that this agent process gave. */
+    readonly lastToken: FencingToken;
+    /** Epoch to use when nothing is assigned any more: that of the newest placement record known. */
+    readonly newestEpoch: Offset;
+    readonly now: Milliseconds;
+}
+
+/** Result of `planOrders`. */
+export interface ActivationDecision {
+    readonly phase: CopyPhase;
+    readonly order: EngineOrder | undefined;
+    /** True if the agent has to read the engine's state before it gives an order. */
+    readonly readState: boolean;
+    readonly reason: string;
+}
--- /dev/null
+++ b/src/runtime/routing/types.ts
@@ -0,0 +1,97 @@
+import type {
+    AvailabilityZone,
+    CopyPhase,
+    DeploymentName,
+    InstanceId,
+    ManifestDigest,
+    Milliseconds,
+    RandomSource,
+    Region,
+} from "../../types/index.js";
+
+/** Options of the routing decision. */
+export interface RoutingOptions {
+    /** Most runners of a deployment that one entry instance follows. Default: 32. */
+    readonly subsetSize: number;
+    /** Time in which the weight of a load report halves. Default: 1,000 ms. */
+    readonly loadHalfLife: Milliseconds;
+    /** Time after which a runner without a load report is no candidate. Default: 5,000 ms. */
+    readonly reportExpiry: Milliseconds;
+    /** Load above the subset's mean, as a factor, up to which prefix affinity wins. Default: 1.25. */
+    readonly affinityLoadFactor: number;
+    /** Load added to the affinity bound, in requests. Default: 1. */
+    readonly affinityLoadSlack: number;
+    /** Score added for a runner in another availability zone of the region, in requests. Default: 0.5. */
+    readonly zonePenalty: number;
+    /** Score added for a runner in another region, in requests. Default: 2. */
+    readonly regionPenalty: number;
+    /** Successive failures after which a runner is ejected. Default: 3. */
+    readonly failuresUntilEjected: number;
+    /** Time for which a runner is ejected; doubled with each ejection up to eight times. Default: 2,000 ms. */
+    readonly ejectionDuration: Milliseconds;
+    /** Share of ejected runners above which ejection is ignored. Default: 0.5. */
+    readonly panicShare: number;
+}
+
+/** Runner that an entry instance follows. */
+export interface RunnerRow {
+    readonly instance: InstanceId;
+    readonly deployment: DeploymentName;
+    readonly zone: AvailabilityZone;
+    readonly region: Region;
+    /** Set that the runner serves; undefined for plain services and before the first report. */
+    manifestDigest: ManifestDigest | undefined;
+    phase: CopyPhase;
+    draining: boolean;
+    /** Requests that this entry instance has in progress on the runner. */
+    outstanding: number;
+    /** Requests running and queued as last reported, without this entry instance's own at that time. */
+    reportedLoad: number;
+    capacity: number;
+    /** Monotonic time to which the report refers. */
+    reportedAt: Milliseconds;
+    cachedPrefixes: Set<string>;
+    successiveFailures: number;
+    ejections: number;
+    ejectedUntil: Milliseconds;
+}
+
+/** Runners of one deployment that an entry instance follows. */
+export interface RunnerSubset {
+    readonly deployment: DeploymentName;
+    readonly runners: RunnerRow[];
+}
+
+/** Input of `selectRunner`. */
+export interface RoutingInput {
+    readonly subset: RunnerSubset;
+    readonly zone: AvailabilityZone;
+    readonly region: Region;
+    /** Set that must answer; undefined for plain services. */
+    readonly manifestDigest: ManifestDigest | undefined;
+    readonly prefix: string | undefined;
+    /** Runners that this request has already failed on. */
+    readonly excluded: ReadonlySet<InstanceId>;
+    readonly now: Milliseconds;
+    readonly random: RandomSource;
+    readonly options: RoutingOptions;
+}
+
+/** Why a runner was chosen. */
+export type RoutingReason = "least-loaded-of-two" | "only-candidate" | "prefix-affinity" | "panic";
+
+/** Result of `selectRunner`. */
+export type RoutingDecision =
+    | {
+        readonly kind: "selected";
+        readonly runner: RunnerRow;
+        readonly reason: RoutingReason;
+        /** Runners that could have been chosen. */
+        readonly candidates: number;
+    }
+    | {
+        readonly kind: "none";
+        readonly reason: "no-runner" | "not-serving" | "draining";
+        readonly candidates: 0;
+        readonly retryAfterSeconds: number;
+    };
--- /dev/null
+++ b/src/types/errors.ts
@@ -0,0 +1,69 @@
+/** Kinds of failures that cross a module's boundary. */
+export type ErrorCode =
+    | "SETTINGS_INVALID"
+    | "DECLARATION_INVALID"
+    | "LOG_UNREACHABLE"
+    | "LOG_TRUNCATED"
+    | "APPEND_AMBIGUOUS"
+    | "CONFIGURATION_CONFLICT"
+    | "INSTANCE_LIST_UNREACHABLE"
+    | "ORIGIN_UNREACHABLE"
+    | "MANIFEST_INVALID"
+    | "CHUNK_CORRUPT"
+    | "CHUNK_REFUSED"
+    | "TRANSFER_STALLED"
+    | "ENGINE_UNREACHABLE"
+    | "ENGINE_REFUSED"
+    | "ENGINE_CRASHED"
+    | "ORDER_AMBIGUOUS"
+    | "PEER_UNREACHABLE"
+    | "STREAM_BROKEN"
+    | "REQUEST_REFUSED"
+    | "USAGE_INVALID";
+
+/** Failure with the step and the peer at which it arose. */
+export interface GoldcrestpointError {
+    readonly code: ErrorCode;
+    /** Operation in progress, for example `append configuration record`. */
+    readonly step: string;
+    /** `host:port`, instance id or file name of the other side; `local` if there is none. */
+    readonly peer: string;
+    readonly message: string;
+    /** True if the operation may have taken effect although it failed. */
+    readonly mayHaveTakenEffect: boolean;
+    readonly cause?: unknown;
+}
+
+/** Options of {@link createError}. */
+export interface ErrorDetails {
+    /** Default: false. */
+    readonly mayHaveTakenEffect?: boolean;
+    readonly cause?: unknown;
+}
+
+/**
+ * Creates an error value for a `Result`.
+ *
+ * @param code - kind of failure
+ * @param step - operation in progress
+ * @param peer - other side of the operation
+ * @param message - what went wrong, in one sentence
+ * @param details - further details
+ * @returns the error value
+ */
+export function createError(
+    code: ErrorCode,
+    step: string,
+    peer: string,
+    message: string,
+    details: ErrorDetails = {},
+): GoldcrestpointError {
+    return {
+        code,
+        step,
+        peer,
+        message,
+        mayHaveTakenEffect: details.mayHaveTakenEffect ?? false,
+        ...(details.cause === undefined ? {} : { cause: details.cause }),
+    };
+}
--- /dev/null
+++ b/src/types/requests.ts
@@ -0,0 +1,73 @@
+import type {
+    ClientAccount,
+    DeploymentName,
+    Fingerprint,
+    ManifestDigest,
+    Milliseconds,
+    Offset,
+    RequestId,
+} from "./identifiers.js";
+
+/** Whether a refused request may have run. */
+export type RanState = "no" | "unknown";
+
+/** Why a request was refused; part of the machine-readable refusal. */
+export type RefusalReason =
+    | "no-deployment"
+    | "no-runner"
+    | "not-serving"
+    | "draining"
+    | "hold-lapsed"
+    | "queue-full"
+    | "account-share-exceeded"
+    | "deadline-unreachable"
+    | "deadline-passed"
+    | "retry-budget-exhausted"
+    | "key-invalid"
+    | "key-expired"
+    | "key-predates-owner"
+    | "key-in-progress"
+    | "key-already-accepted"
+    | "key-reused-with-other-body"
+    | "not-key-owner"
+    | "crashes-backend-servers"
+    | "backend-server-crashed"
+    | "connection-lost"
+    | "answer-mismatched"
+    | "invalid-request"
+    | "canceled";
+
+/** Final answer to a request that is not carried out. */
+export interface Refusal {
+    readonly ran: RanState;
+    readonly reason: RefusalReason;
+    /** Seconds after which the caller may send the request again. */
+    readonly retryAfterSeconds: number;
+    readonly detail?: string | undefined;
+}
+
+/** Request of a caller, as the decisions see it. */
+export interface RequestRow {
+    readonly requestId: RequestId;
+    readonly deployment: DeploymentName;
+    readonly clientAccount: ClientAccount;
+    /** 0 (lowest) to 9 (highest). */
+    readonly priority: number;
+    /** Monotonic time of the process by which the answer must begin. */
+    readonly deadline: Milliseconds;
+    /** Monotonic time at which the process received the request. */
+    readonly receivedAt: Milliseconds;
+    readonly idempotent: boolean;
+    /** UUIDv7; undefined for idempotent requests without a key. */
+    readonly idempotencyKey: string | undefined;
+    readonly fingerprint: Fingerprint;
+    /** Digest of the beginning of the prompt; undefined for plain services. */
+    readonly prefix: string | undefined;
+}
+
+/** Identity of the weights that an answer was computed with. */
+export interface AnswerIdentity {
+    readonly version: string;
+    readonly manifestDigest: ManifestDigest;
+    readonly placementOffset: Offset;
+}
--- /dev/null
+++ b/src/utils/index.ts
@@ -0,0 +1,3 @@
+export * from "./clock.js";
+export * from "./digest.js";
+export * from "./table.js";
--- /dev/null
+++ b/src/utils/table.ts
@@ -0,0 +1,81 @@
+/** Rows by key, with secondary indexes that are kept up to date by each change. */
+export interface Table<Key extends string | number, Row> {
+    readonly size: number;
+    get(key: Key): Row | undefined;
+    has(key: Key): boolean;
+    set(key: Key, row: Row): void;
+    delete(key: Key): boolean;
+    keys(): IterableIterator<Key>;
+    rows(): IterableIterator<Row>;
+    /**
+     * Lists rows by a secondary index.
+     *
+     * @param index - name of the index
+     * @param value - value to look up
+     * @returns keys of the rows that have the value
+     */
+    lookup(index: string, value: string): ReadonlySet<Key>;
+}
+
+const emptySet: ReadonlySet<never> = new Set<never>();
+
+/**
+ * Creates an empty table.
+ *
+ * @param indexes - for each secondary index, how to read its value from a row; undefined leaves the row out
+ * @returns the table
+ */
+export function createTable<Key extends string | number, Row>(
+    indexes: Readonly<Record<string, (row: Row) => string | undefined>> = {},
+): Table<Key, Row> {
+    const rowsByKey = new Map<Key, Row>();
+    const keysByIndex = new Map<string, Map<string, Set<Key>>>(
+        Object.keys(indexes).map(name => [name, new Map<string, Set<Key>>()]),
+    );
+
+    function updateIndexes(key: Key, row: Row, change: "add" | "remove"): void {
+        for (const [name, readValue] of Object.entries(indexes)) {
+            const value = readValue(row);
+            if (value === undefined) {
+                continue;
+            }
+            const keysByValue = keysByIndex.get(name)!;
+            const keys = keysByValue.get(value) ?? new Set<Key>();
+            if (change === "add") {
+                keysByValue.set(value, keys.add(key));
+            }
+            else {
+                keys.delete(key);
+                if (keys.size === 0) {
+                    keysByValue.delete(value);
+                }
+            }
+        }
+    }
+
+    return {
+        get size() {
+            return rowsByKey.size;
+        },
+        get: key => rowsByKey.get(key),
+        has: key => rowsByKey.has(key),
+        set: (key, row) => {
+            const previous = rowsByKey.get(key);
+            if (previous !== undefined) {
+                updateIndexes(key, previous, "remove");
+            }
+            rowsByKey.set(key, row);
+            updateIndexes(key, row, "add");
+        },
+        delete: key => {
+            const previous = rowsByKey.get(key);
+            if (previous !== undefined) {
+                updateIndexes(key, previous, "remove");
+            }
+            return rowsByKey.delete(key);
+        },
+        keys: () => rowsByKey.keys(),
+        rows: () => rowsByKey.values(),
+        lookup: (index, value) => keysByIndex.get(index)?.get(value) ?? emptySet,
+    };
+}
