--- /dev/null
+++ b/src/node/grpc/index.ts
@@ -0,0 +1,2 @@
+export * from "./clients.js";
+export * from "./server.js";
--- /dev/null
+++ b/src/node/grpc/serviceDefinition.ts
@@ -0,0 +1,24 @@
+import { type DescService, fromBinary, toBinary } from "@bufbuild/protobuf";
+import type { MethodDefinition, ServiceDefinition } from "@grpc/grpc-js";
+
+/**
+ * Derives the definition that `@grpc/grpc-js` needs from a generated service.
+ *
+ * @param service - generated service descriptor
+ * @returns definition with the method names of the schema, first letter in lower case
+ */
+export function createServiceDefinition(service: DescService): ServiceDefinition {
+    const definition: Record<string, MethodDefinition<unknown, unknown>> = {};
+    for (const method of service.methods) {
+        definition[method.localName] = {
+            path: `/${service.typeName}/${method.name}`,
+            requestStream: method.methodKind === "client_streaming" || method.methodKind === "bidi_streaming",
+            responseStream: method.methodKind === "server_streaming" || method.methodKind === "bidi_streaming",
+            requestSerialize: message => Buffer.from(toBinary(method.input, message as never)),
+            requestDeserialize: bytes => fromBinary(method.input, bytes),
+            responseSerialize: message => Buffer.from(toBinary(method.output, message as never)),
+            responseDeserialize: bytes => fromBinary(method.output, bytes),
+        };
+    }
+    return definition;
+}
