--- /dev/null
+++ b/src/node/agent/transfer/index.ts
@@ -0,0 +1,1 @@
+export * from "./types.js";
--- /dev/null
+++ b/src/node/agent/transfer/types.ts
@@ -0,0 +1,133 @@
+import type { handleServerStreamingCall, handleUnaryCall } from "@grpc/grpc-js";
+import type {
+    AvailabilityRequest,
+    AvailabilityResponse,
+    ChunkPart,
+    FetchChunkRequest,
+} from "../../../generated/goldcrestpoint_pb.js";
+import type { DistributionOptions } from "../../../runtime/distribution/types.js";
+import type {
+    AvailabilityZone,
+    BackendServerPort,
+    Clock,
+    InstanceId,
+    ManifestDigest,
+    Milliseconds,
+    Objective,
+    OriginPort,
+    RandomSource,
+    WeightSet,
+} from "../../../types/index.js";
+
+/** Instance that is assigned to a weight set. */
+export interface TransferMember {
+    readonly instance: InstanceId;
+    readonly zone: AvailabilityZone;
+    /** `host:port` of the agent. */
+    readonly address: string;
+}
+
+/** Weight set that an agent has to hold, and the instances that it is exchanged with. */
+export interface TransferTarget {
+    readonly weights: WeightSet;
+    /** Assigned instances; whether the agent itself is listed makes no difference. */
+    readonly members: readonly TransferMember[];
+    readonly objective: Objective;
+}
+
+/** Progress of the current target. */
+export interface TransferProgress {
+    readonly manifestDigest: ManifestDigest;
+    /** Chunks that are staged and verified by this process. */
+    readonly chunksComplete: number;
+    /** 0 until the manifest has been read. */
+    readonly chunksTotal: number;
+    /** True if every chunk is staged and verified under the manifest digest. */
+    readonly complete: boolean;
+}
+
+/** Bytes of weights since the process started. */
+export interface TransferTotals {
+    readonly originBytes: number;
+    readonly peerReceivedBytes: number;
+    readonly peerSentBytes: number;
+}
+
+/** Direction of a transfer, as seen from the agent. */
+export type TransferDirection = "incoming" | "outgoing";
+
+/** Byte budget of the instance's link for transfers of weights. */
+export interface LinkBudget {
+    /**
+     * Waits until bytes may be transferred.
+     *
+     * @param direction - which half of the link they use
+     * @param bytes - number of bytes
+     * @param signal - ends the wait
+     * @returns true once the bytes may be transferred; false if the wait was ended
+     */
+    take(direction: TransferDirection, bytes: number, signal?: AbortSignal): Promise<boolean>;
+    /**
+     * Reads how many bytes can be requested without exceeding the budget soon.
+     *
+     * @param direction - which half of the link they use
+     * @returns bytes
+     */
+    available(direction: TransferDirection): number;
+}
+
+/** Logger that the transfer service writes to; compatible with pino. */
+export interface TransferLog {
+    info(fields: Readonly<Record<string, unknown>>, message: string): void;
+}
+
+/** Options of the transfer service beyond those of the decision. */
+export interface TransferServiceOptions extends Partial<DistributionOptions> {
+    /** True if the service calls its own `tick`. Default: true. */
+    readonly selfScheduled?: boolean | undefined;
+    /** Time between two ticks of the self-scheduled service. Default: 100 ms. */
+    readonly tickInterval?: Milliseconds | undefined;
+    /** Time between two exchanges with the same neighbour. Default: 500 ms. */
+    readonly exchangeInterval?: Milliseconds | undefined;
+    /** Largest part of a chunk in one message. Default: 65,536 bytes. */
+    readonly partBytes?: number | undefined;
+    /**
+     * True if chunks are requested only when the engine lists the set as staged, that is after the order `prepare`.
+     * Default: true.
+     */
+    readonly waitForPreparedSet?: boolean | undefined;
+}
+
+/** Dependencies and options of the transfer service. */
+export interface TransferServiceInput {
+    readonly self: InstanceId;
+    readonly zone: AvailabilityZone;
+    readonly backend: BackendServerPort;
+    readonly origin: OriginPort;
+    readonly linkBudget: LinkBudget;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly options?: TransferServiceOptions | undefined;
+    readonly log?: TransferLog | undefined;
+}
+
+/** Exchange of weights with the other agents of the same set. */
+export interface TransferService extends AsyncDisposable {
+    /** Handler for the agent's gRPC server. */
+    readonly exchangeAvailability: handleUnaryCall<AvailabilityRequest, AvailabilityResponse>;
+    /** Handler for the agent's gRPC server. */
+    readonly fetchChunk: handleServerStreamingCall<FetchChunkRequest, ChunkPart>;
+    /**
+     * Sets what the agent has to hold. A changed manifest digest abandons the transfers of the old set and forgets its
+     * chunks, unless the engine has it active; a change of members or objective keeps everything.
+     *
+     * @param target - the set and its members; undefined if nothing is assigned
+     */
+    setTarget(target: TransferTarget | undefined): void;
+    /** Starts what is due: reading the manifest and the engine's state, exchanges, transfers. */
+    tick(): void;
+    /** @returns progress of the target; undefined if there is none */
+    progress(): TransferProgress | undefined;
+    /** @returns bytes transferred so far */
+    totals(): TransferTotals;
+}
