--- /dev/null
+++ b/src/runtime/admission/options.ts
@@ -0,0 +1,39 @@
+import type { AdmissionOptions, AdmissionTable } from "./types.js";
+
+/**
+ * Fills in the defaults of the admission options.
+ *
+ * @param partial - options that differ from the defaults
+ * @returns all options
+ */
+export function resolveAdmissionOptions(partial: Partial<AdmissionOptions> = {}): AdmissionOptions {
+    return {
+        maximumInProgress: 256,
+        maximumQueued: 512,
+        maximumAccountShare: 0.5,
+        serviceTimeWeight: 0.1,
+        initialServiceTime: 200,
+        maximumRetryAfterSeconds: 30,
+        ...partial,
+    };
+}
+
+/**
+ * Creates an empty admission table.
+ *
+ * @param options - bounds and estimates
+ * @returns the table
+ */
+export function createAdmissionTable(options: AdmissionOptions): AdmissionTable {
+    return {
+        options,
+        inProgress: new Map(),
+        queued: new Map(),
+        inProgressByAccount: new Map(),
+        queuedByAccount: new Map(),
+        alone: new Set(),
+        displaced: [],
+        averageServiceTime: options.initialServiceTime,
+        nextReturnAt: 0,
+    };
+}
--- /dev/null
+++ b/src/runtime/admission/refusals.ts
@@ -0,0 +1,41 @@
+import type { Milliseconds, Refusal, RefusalReason, RequestRow } from "../../types/index.js";
+import { scoreRendezvous } from "../../utils/index.js";
+import type { AdmissionTable } from "./types.js";
+
+/** Share of the capacity that is promised to refused callers; the rest is left to new ones. */
+const returnShare = 0.5;
+/** Part of the wait by which returns are spread, since callers round the time in the same way. */
+const spreadShare = 0.25;
+
+/**
+ * Creates the refusal of a request that has not started. Each refusal reserves a later return time, at half of the rate
+ * at which requests finish, so that refused callers do not return together.
+ *
+ * @param table - admission table; its next return time is moved
+ * @param request - refused request
+ * @param reason - why it is refused
+ * @param wait - expected time in milliseconds until the process could take it
+ * @param now - monotonic time
+ * @returns the refusal, `ran: "no"`
+ */
+export function createRefusal(
+    table: AdmissionTable,
+    request: RequestRow,
+    reason: RefusalReason,
+    wait: Milliseconds,
+    now: Milliseconds,
+): Refusal {
+    const { maximumInProgress, maximumRetryAfterSeconds } = table.options;
+    const step = table.averageServiceTime / maximumInProgress / returnShare;
+    const latest = now + maximumRetryAfterSeconds * 1_000;
+    const returnAt = Math.min(latest, Math.max(now + wait, table.nextReturnAt + step));
+    table.nextReturnAt = returnAt;
+    const spread = scoreRendezvous(request.requestId, "return") / 2 ** 32;
+    const duration = (returnAt - now) / 1_000;
+    // Callers that would all get the largest time are spread below it, the others above their time.
+    const spreadDuration = returnAt === latest ?
+        duration * (1 - spread / 2) :
+        duration * (1 + spread * spreadShare) + spread;
+    const retryAfterSeconds = Math.min(maximumRetryAfterSeconds, Math.max(1, Math.ceil(spreadDuration)));
+    return { ran: "no", reason, retryAfterSeconds };
+}
--- a/src/runtime/admission/types.ts
+++ b/src/runtime/admission/types.ts
@@ -34,5 +34,13 @@
     readonly inProgress: Map<RequestId, { readonly request: RequestRow; readonly startedAt: Milliseconds; }>;
     readonly queued: Map<RequestId, RequestRow>;
     readonly inProgressByAccount: Map<ClientAccount, number>;
+    /** Accounts with queued requests. */
+    readonly queuedByAccount: Map<ClientAccount, number>;
+    /** Requests, queued or in progress, that run with no other request beside them. */
+    readonly alone: Set<RequestId>;
+    /** Requests that lost their place in the full queue; refused in the next progress. */
+    readonly displaced: { readonly request: RequestRow; readonly refusal: Refusal; }[];
     averageServiceTime: Milliseconds;
+    /** Monotonic time up to which refused callers have been asked to return. */
+    nextReturnAt: Milliseconds;
 }
--- /dev/null
+++ b/src/runtime/idempotency/keys.ts
@@ -0,0 +1,57 @@
+import type { InstanceId, Milliseconds, RandomSource } from "../../types/index.js";
+import { scoreRendezvous } from "../../utils/index.js";
+
+const keyPattern = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/;
+
+function formatHexadecimal(value: number, digits: number): string {
+    return value.toString(16).padStart(digits, "0");
+}
+
+/**
+ * Creates an idempotency key (UUIDv7).
+ *
+ * @param now - wall-clock time in milliseconds since 1970
+ * @param random - source of the 74 random bits
+ * @returns the key in lower case
+ */
+export function createIdempotencyKey(now: Milliseconds, random: RandomSource): string {
+    const time = formatHexadecimal(Math.floor(now), 12);
+    const first = formatHexadecimal(0x7000 + Math.floor(random.next() * 0x1000), 4);
+    const second = formatHexadecimal(0x8000 + Math.floor(random.next() * 0x4000), 4);
+    const third = formatHexadecimal(Math.floor(random.next() * 0x1000000), 6);
+    const fourth = formatHexadecimal(Math.floor(random.next() * 0x1000000), 6);
+    return `${time.slice(0, 8)}-${time.slice(8)}-${first}-${second}-${third}${fourth}`;
+}
+
+/**
+ * Reads the time at which a key was created.
+ *
+ * @param key - text that a caller sent as its key
+ * @returns milliseconds since 1970 by the caller's clock; undefined if the text is no UUIDv7 in lower case
+ */
+export function readKeyTime(key: string): Milliseconds | undefined {
+    if (!keyPattern.test(key)) {
+        return undefined;
+    }
+    return Number.parseInt(key.slice(0, 8) + key.slice(9, 13), 16);
+}
+
+/**
+ * Finds the owner of a key.
+ *
+ * @param owners - instances among which the keys are shared out, without repeats
+ * @param key - idempotency key
+ * @returns the owner with the highest rendezvous score; undefined if there are no owners
+ */
+export function resolveKeyOwner(owners: readonly InstanceId[], key: string): InstanceId | undefined {
+    let best: InstanceId | undefined;
+    let bestScore = -1;
+    for (const owner of owners) {
+        const score = scoreRendezvous(key, owner);
+        if (score > bestScore || (score === bestScore && best !== undefined && owner < best)) {
+            best = owner;
+            bestScore = score;
+        }
+    }
+    return best;
+}
--- a/src/runtime/idempotency/types.ts
+++ b/src/runtime/idempotency/types.ts
@@ -37,7 +37,11 @@
 export interface Ledger {
     readonly options: LedgerOptions;
     readonly rows: Map<string, LedgerRow>;
+    /** Keys with a stored answer, oldest answer first. */
+    readonly answeredKeys: Set<string>;
     storedBytes: number;
+    /** Newest creation time of a key whose row was removed, in milliseconds since 1970. */
+    forgottenUntil: Milliseconds;
 }
 
 /** Owners of keys since a moment, as this process learned of them. */
@@ -48,6 +52,8 @@
     readonly nextOwners: readonly InstanceId[] | undefined;
     /** Wall-clock time at which this process applied the record, in milliseconds since 1970. */
     readonly appliedAt: number;
+    /** Wall-clock time at which the first record with these owners was written, by the proposer's clock. */
+    readonly writtenAt: Milliseconds;
 }
 
 /** Periods of ownership in one deployment, oldest first; created by `createOwnershipHistory`. */
@@ -56,6 +62,8 @@
     /** Wall-clock start of this process in milliseconds since 1970. */
     readonly startedAt: number;
     readonly periods: OwnershipPeriod[];
+    /** Wall-clock time up to which other processes may have owned keys unnoticed; 0 if never. */
+    interruptedAt: Milliseconds;
 }
 
 /** Input of `offerKey`. */
@@ -65,6 +73,8 @@
     readonly bodyDigest: string;
     /** False if this process's hold on its copy has lapsed. */
     readonly held: boolean;
+    /** Wall-clock time at which the hold lapsed; without it a refusal during a lapse is always `unknown`. */
+    readonly lapsedAt?: Milliseconds | undefined;
     /** Wall-clock time in milliseconds since 1970. */
     readonly now: number;
 }
--- /dev/null
+++ b/src/runtime/retry/decision.ts
@@ -0,0 +1,82 @@
+import type { RanState, Refusal, RefusalReason } from "../../types/index.js";
+import { scoreRendezvous } from "../../utils/index.js";
+import { takeRetry } from "./budget.js";
+import type { RetryDecision, RetryInput } from "./types.js";
+
+/** Whether another runner may answer differently; the other refusals are final. */
+const retriedReasons: Readonly<Record<RefusalReason, boolean>> = {
+    "no-deployment": false,
+    "no-runner": false,
+    "not-serving": true,
+    draining: true,
+    "hold-lapsed": true,
+    "queue-full": true,
+    "account-share-exceeded": true,
+    "deadline-unreachable": true,
+    "deadline-passed": false,
+    "retry-budget-exhausted": false,
+    "key-invalid": false,
+    "key-expired": false,
+    "key-predates-owner": false,
+    "key-in-progress": false,
+    "key-already-accepted": false,
+    "key-reused-with-other-body": false,
+    "not-key-owner": true,
+    "crashes-backend-servers": false,
+    "backend-server-crashed": true,
+    "connection-lost": true,
+    "answer-mismatched": true,
+    "invalid-request": false,
+    canceled: false,
+};
+
+/** Seconds over which callers return that were refused for lack of retry budget. */
+const returnSpreadSeconds = 5;
+
+function giveUp(input: RetryInput, reason: RefusalReason, explanation: string): RetryDecision {
+    const ran: RanState = input.refusal.ran === "unknown" || input.mayHaveRun === true ? "unknown" : "no";
+    const refusal: Refusal = { ...input.refusal, ran, reason };
+    return { kind: "give-up", refusal, reason: explanation };
+}
+
+function giveUpForBudget(input: RetryInput): RetryDecision {
+    const spread = scoreRendezvous(input.request.requestId, "retry-budget") % returnSpreadSeconds;
+    const retryAfterSeconds = Math.max(1, input.refusal.retryAfterSeconds) + spread;
+    const refusal = { ...input.refusal, retryAfterSeconds };
+    return giveUp({ ...input, refusal }, "retry-budget-exhausted", "the retry budget is used up");
+}
+
+/**
+ * Decides whether a failed attempt is repeated on another runner. A request that may have run is repeated only if it is
+ * idempotent, and no request is repeated once a part of its answer has reached the caller.
+ *
+ * @param input - request, refusal of the attempt, standing after the crash was reported, and budget; a retry is taken
+ * from the budget
+ * @returns `retry`, alone for suspects, or the caller's final answer
+ */
+export function decideRetry(input: RetryInput): RetryDecision {
+    const { request, refusal, options } = input;
+    if (input.answerBegun) {
+        return giveUp({ ...input, mayHaveRun: true }, refusal.reason, "a part of the answer has reached the caller");
+    }
+    if (input.standing === "condemned") {
+        return giveUp(input, "crashes-backend-servers", "the request crashed backend servers");
+    }
+    if (!retriedReasons[refusal.reason]) {
+        return giveUp(input, refusal.reason, "the refusal is final");
+    }
+    if (refusal.ran === "unknown" && !request.idempotent) {
+        return giveUp(input, refusal.reason, "the request may have run and is not idempotent");
+    }
+    if (input.attempts >= options.maximumAttempts) {
+        return giveUp(input, refusal.reason, "the attempts are used up");
+    }
+    if (input.now >= request.deadline) {
+        return giveUp(input, "deadline-passed", "the deadline has passed");
+    }
+    if (!takeRetry(input.budget, input.now, options)) {
+        return giveUpForBudget(input);
+    }
+    const alone = input.standing === "suspect" || input.backendServerCrashed;
+    return { kind: "retry", alone, reason: refusal.ran === "no" ? "the request did not run" : "it is idempotent" };
+}
--- /dev/null
+++ b/src/runtime/retry/index.ts
@@ -0,0 +1,5 @@
+export * from "./budget.js";
+export * from "./decision.js";
+export * from "./options.js";
+export * from "./suspects.js";
+export type * from "./types.js";
--- a/src/runtime/retry/types.ts
+++ b/src/runtime/retry/types.ts
@@ -57,6 +57,8 @@
     readonly attempts: number;
     /** True if a part of the answer has reached the caller. */
     readonly answerBegun: boolean;
+    /** True if an earlier attempt may have run; the final answer then says `unknown`. Default: false. */
+    readonly mayHaveRun?: boolean | undefined;
     readonly standing: SuspectStanding;
     readonly budget: RetryBudget;
     readonly now: Milliseconds;
--- /dev/null
+++ b/src/runtime/routing/index.ts
@@ -0,0 +1,5 @@
+export * from "./load.js";
+export * from "./options.js";
+export * from "./selection.js";
+export * from "./subset.js";
+export type * from "./types.js";
--- /dev/null
+++ b/src/runtime/routing/load.ts
@@ -0,0 +1,78 @@
+import type { Milliseconds } from "../../types/index.js";
+import type { RoutingOptions, RunnerLoadReport, RunnerOutcome, RunnerRow } from "./types.js";
+
+const maximumEjectionFactor = 8;
+
+/**
+ * Applies a load report to a runner's row.
+ *
+ * @param runner - row to change
+ * @param report - the report; an older one than the last applied is ignored
+ * @param now - monotonic time at which the report arrived
+ */
+export function applyLoadReport(runner: RunnerRow, report: RunnerLoadReport, now: Milliseconds): void {
+    const reportedAt = now - report.age;
+    if (reportedAt < runner.reportedAt) {
+        return;
+    }
+    runner.reportedAt = reportedAt;
+    runner.manifestDigest = report.manifestDigest;
+    runner.phase = report.phase;
+    runner.draining = report.draining;
+    runner.capacity = Math.max(1, report.capacity);
+    runner.reportedLoad = Math.max(0, report.running + report.queued - runner.outstanding);
+    runner.cachedPrefixes = new Set(report.cachedPrefixes);
+}
+
+/**
+ * Computes the load of a runner. The weight of an old report falls, and the mean takes its place: a runner that does
+ * not report must not look idle.
+ *
+ * @param runner - the runner
+ * @param meanReported - mean of the reported loads of the subset
+ * @param now - monotonic time
+ * @param options - half-life of reports
+ * @returns expected number of requests on the runner
+ */
+export function estimateLoad(
+    runner: RunnerRow,
+    meanReported: number,
+    now: Milliseconds,
+    options: RoutingOptions,
+): number {
+    const age = Math.max(0, now - runner.reportedAt);
+    const weight = 2 ** (-age / options.loadHalfLife);
+    return runner.outstanding + runner.reportedLoad * weight + meanReported * (1 - weight);
+}
+
+/**
+ * Records how an attempt on a runner ended, and ejects the runner after successive failures. The caller counts
+ * `outstanding` itself.
+ *
+ * @param runner - row to change
+ * @param outcome - `failed` only for faults of the runner, not for refusals and errors of the caller
+ * @param now - monotonic time
+ * @param options - bounds of ejection
+ */
+export function recordOutcome(
+    runner: RunnerRow,
+    outcome: RunnerOutcome,
+    now: Milliseconds,
+    options: RoutingOptions,
+): void {
+    if (outcome === "succeeded") {
+        runner.successiveFailures = 0;
+        runner.ejections = 0;
+        return;
+    }
+    if (outcome !== "failed") {
+        return;
+    }
+    runner.successiveFailures += 1;
+    if (runner.successiveFailures < options.failuresUntilEjected || now < runner.ejectedUntil) {
+        return;
+    }
+    const factor = Math.min(maximumEjectionFactor, 2 ** runner.ejections);
+    runner.ejections += 1;
+    runner.ejectedUntil = now + options.ejectionDuration * factor;
+}
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -95,3 +95,41 @@
         readonly candidates: 0;
         readonly retryAfterSeconds: number;
     };
+
+/** Runner that an entry instance may follow. */
+export interface SubsetCandidate {
+    readonly instance: InstanceId;
+    readonly zone: AvailabilityZone;
+    readonly region: Region;
+    /** True if the runner is known not to serve; it is selected only when others do not fill the subset. */
+    readonly avoided?: boolean | undefined;
+}
+
+/** Input of `selectSubset`. */
+export interface SubsetInput {
+    readonly entry: InstanceId;
+    readonly deployment: DeploymentName;
+    /** Location of the entry instance. */
+    readonly zone: AvailabilityZone;
+    readonly region: Region;
+    /** All runners of the deployment that are live and have an assigned copy. */
+    readonly candidates: readonly SubsetCandidate[];
+    /** Most runners to select, at least 1. */
+    readonly size: number;
+}
+
+/** Load report of a runner's agent for one deployment. */
+export interface RunnerLoadReport {
+    readonly manifestDigest: ManifestDigest | undefined;
+    readonly phase: CopyPhase;
+    readonly draining: boolean;
+    readonly running: number;
+    readonly queued: number;
+    readonly capacity: number;
+    readonly cachedPrefixes: readonly string[];
+    /** Age of the figures when the report arrived. */
+    readonly age: Milliseconds;
+}
+
+/** How an attempt on a runner ended; `neutral` for refusals and for faults of the caller. */
+export type RunnerOutcome = "succeeded" | "failed" | "neutral";
