Add the HTTP clients of platform and backend servers

The ports had no implementation. The clients tell by undici's request start event whether a request was written, so that a refused connection is reported as not having taken effect. Not yet run against a server.

--- /dev/null
+++ b/src/node/backendServer/backendServerClient.ts
@@ -0,0 +1,55 @@
+import { err } from "true-myth/result";
+import { type BackendServerPort, createError, type GoldcrestpointError, type PortResult } from "../../types/index.js";
+import { createHttpClient } from "../httpClient/index.js";
+import { readStagedChunk, stageChunk } from "./chunks.js";
+import { executeRequest, type KeyedBackendRequest } from "./execute.js";
+import { sendOrder } from "./orders.js";
+import { readEngineState, readServiceHealth } from "./state.js";
+import type { BackendServerClientOptions } from "./types.js";
+
+/** Client of a backend server. */
+export interface BackendServerClient extends BackendServerPort, AsyncDisposable {
+    /**
+     * Runs a request.
+     *
+     * @param request - the request, with the idempotency key to pass on
+     * @param signal - cancels the request
+     * @returns see `BackendServerPort.execute`
+     */
+    execute(request: KeyedBackendRequest, signal: AbortSignal): ReturnType<BackendServerPort["execute"]>;
+}
+
+/**
+ * Creates a client of a model engine or plain service. State, orders and chunks have connections of their own, so that
+ * requests that occupy all connections do not delay them.
+ *
+ * @param options - base URL, kind and limits
+ * @returns the client
+ */
+export function createBackendServerClient(options: BackendServerClientOptions): BackendServerClient {
+    const { baseUrl, kind = "engine", timeouts, healthPath = "/health" } = options;
+    const control = createHttpClient({ baseUrl, timeouts });
+    const requests = createHttpClient({
+        baseUrl,
+        timeouts: { head: 120_000, idle: 30_000, ...options.requestTimeouts },
+        connections: options.requestConnections ?? 256,
+    });
+    const withWeights = kind === "engine";
+    return {
+        readState: () => withWeights ? readEngineState(control) : readServiceHealth(control, healthPath),
+        order: order => withWeights ? sendOrder(control, order) : refuse(`order ${order.kind}`, control.peer),
+        stageChunk: (digest, index, content) =>
+            withWeights ? stageChunk(control, digest, index, content) : refuse("stage chunk", control.peer),
+        readChunk: (digest, index) =>
+            withWeights ? readStagedChunk(control, digest, index) : refuse("read staged chunk", control.peer),
+        execute: (request, signal) => executeRequest(requests, kind, request, signal),
+        [Symbol.asyncDispose]: async () => {
+            await Promise.all([control[Symbol.asyncDispose](), requests[Symbol.asyncDispose]()]);
+        },
+    };
+}
+
+function refuse<Value>(step: string, peer: string): PortResult<Value> {
+    const error = createError("ENGINE_REFUSED", step, peer, "a plain service has no weights");
+    return Promise.resolve(err<Value, GoldcrestpointError>(error));
+}
--- /dev/null
+++ b/src/node/backendServer/endMarker.ts
@@ -0,0 +1,25 @@
+import type { HttpFailure } from "../httpClient/index.js";
+
+const marker = Buffer.from("data: [DONE]");
+/** The marker and the line ends after it. */
+const keptBytes = 32;
+
+/**
+ * Passes an event stream on and checks that it ends with the event `data: [DONE]`. An engine that dies may close its
+ * connection in an orderly way, so the end of the connection alone does not show that an answer is complete.
+ *
+ * @param body - parts of the stream
+ * @returns the same parts; throws an `Error` whose `cause` is an {@link HttpFailure} if the marker is missing
+ */
+export async function* checkEndMarker(body: AsyncIterable<Uint8Array>): AsyncGenerator<Uint8Array> {
+    let tail: Buffer = Buffer.alloc(0);
+    for await (const part of body) {
+        tail = Buffer.concat([tail, part.subarray(-keptBytes)]).subarray(-keptBytes);
+        yield part;
+    }
+    if (!tail.toString("latin1").trimEnd().endsWith(marker.toString("latin1"))) {
+        const message = "the stream ended without its end marker";
+        const cause: HttpFailure = { reason: "connection", headReceived: true, requestWritten: true, message };
+        throw new Error(message, { cause });
+    }
+}
--- /dev/null
+++ b/src/node/backendServer/schemas.ts
@@ -0,0 +1,35 @@
+import { z } from "zod";
+
+const count = z.number().int().nonnegative();
+
+const token = z.object({ epoch: count, agentStart: z.number(), sequence: count });
+
+const activeSet = z.object({
+    model: z.string(),
+    adapter: z.string(),
+    version: z.string(),
+    manifestDigest: z.string(),
+});
+
+/** State of an engine; absent optional fields stand for none. */
+export const engineStateSchema = z.object({
+    incarnation: z.string(),
+    active: activeSet.optional(),
+    staged: z.array(z.object({ manifestDigest: z.string(), chunksTotal: count, bitfield: z.string() })),
+    running: count,
+    queued: count,
+    capacity: count,
+    cachedPrefixes: z.array(z.string()),
+    highestToken: token.optional(),
+}).transform(state => ({ ...state, active: state.active, highestToken: state.highestToken }));
+
+/** Health of a plain service. */
+export const serviceHealthSchema = z.object({
+    incarnation: z.string(),
+    running: count,
+    queued: count,
+    capacity: count,
+});
+
+/** Answer to an order: repeats what was carried out. */
+export const orderAnswerSchema = z.object({ kind: z.string(), token });
--- /dev/null
+++ b/src/node/httpClient/index.ts
@@ -0,0 +1,3 @@
+export * from "./httpClient.js";
+export * from "./outcome.js";
+export * from "./types.js";
--- /dev/null
+++ b/src/node/httpClient/interruption.ts
@@ -0,0 +1,66 @@
+import type { Milliseconds } from "../../types/index.js";
+
+/** Signal of one call that its caller's signal or a time limit aborts. */
+export interface Interruption {
+    readonly signal: AbortSignal;
+    /** @returns whether the caller's signal was aborted */
+    canceled(): boolean;
+    /** @returns whether the time limit was exceeded */
+    timedOut(): boolean;
+    /**
+     * Sets the time limit.
+     *
+     * @param duration - time from now
+     */
+    limit(duration: Milliseconds): void;
+    /** Removes the time limit. */
+    unlimit(): void;
+    /** Removes the time limit and the listener on the caller's signal. */
+    dispose(): void;
+}
+
+/**
+ * Creates the interruption of one call. `AbortSignal.any` is not used, since on Node 20 its signals stay referenced by
+ * a long-lived source.
+ *
+ * @param source - the caller's signal
+ * @returns the interruption
+ */
+export function createInterruption(source: AbortSignal | undefined): Interruption {
+    const controller = new AbortController();
+    let timer: NodeJS.Timeout | undefined;
+    let exceeded = false;
+    let canceled = source?.aborted ?? false;
+    const cancel = (): void => {
+        canceled = true;
+        controller.abort();
+    };
+
+    function unlimit(): void {
+        clearTimeout(timer);
+    }
+
+    function limit(duration: Milliseconds): void {
+        unlimit();
+        timer = setTimeout(() => {
+            exceeded = true;
+            controller.abort();
+        }, duration);
+    }
+
+    if (canceled) {
+        controller.abort();
+    }
+    source?.addEventListener("abort", cancel, { once: true });
+    return {
+        signal: controller.signal,
+        canceled: () => canceled,
+        timedOut: () => exceeded,
+        limit,
+        unlimit,
+        dispose: () => {
+            unlimit();
+            source?.removeEventListener("abort", cancel);
+        },
+    };
+}
--- /dev/null
+++ b/src/node/httpClient/types.ts
@@ -0,0 +1,89 @@
+import type { Result } from "true-myth/result";
+import type { Milliseconds } from "../../types/index.js";
+
+/** Time limits of HTTP calls. */
+export interface HttpTimeouts {
+    /** Time to open a connection. Default: 1,000 ms. */
+    readonly connect: Milliseconds;
+    /** Time from the call to the head of the answer, including the time to open a connection. Default: 5,000 ms. */
+    readonly head: Milliseconds;
+    /** Longest time between two parts of the body. Default: 5,000 ms. */
+    readonly idle: Milliseconds;
+    /** Time for the whole of an answer that is read into memory. Default: 10,000 ms. */
+    readonly total: Milliseconds;
+}
+
+/** Options of `createHttpClient`. */
+export interface HttpClientOptions {
+    /** For example `http://10.0.0.7:8080`. */
+    readonly baseUrl: string;
+    /** Default: the defaults of each time limit. */
+    readonly timeouts?: Partial<HttpTimeouts> | undefined;
+    /** Largest number of connections; further calls wait for a free one. Default: 64. */
+    readonly connections?: number | undefined;
+    /** Largest body that is read into memory. Default: 67,108,864 bytes (64 MiB). */
+    readonly maximumBodyBytes?: number | undefined;
+}
+
+/** HTTP request. */
+export interface HttpRequest {
+    readonly method: string;
+    /** Path with query. */
+    readonly path: string;
+    readonly headers?: Readonly<Record<string, string>> | undefined;
+    readonly body?: Uint8Array | string | undefined;
+    readonly signal?: AbortSignal | undefined;
+    /** Time limits that differ from those of the client. */
+    readonly timeouts?: Partial<HttpTimeouts> | undefined;
+}
+
+/** Why a call got no complete answer. */
+export interface HttpFailure {
+    readonly reason: "canceled" | "timeout" | "connection" | "too-large";
+    /** True if the head of the answer arrived and its body did not arrive completely. */
+    readonly headReceived: boolean;
+    /** False only if no byte of the request was written. */
+    readonly requestWritten: boolean;
+    readonly message: string;
+    readonly cause?: unknown;
+}
+
+/** Head of an answer. */
+export interface HttpHead {
+    readonly status: number;
+    /** Values by lower-case name. */
+    readonly headers: Readonly<Record<string, string>>;
+}
+
+/** Answer whose body was read into memory. */
+export interface HttpAnswer extends HttpHead {
+    readonly body: Uint8Array;
+}
+
+/** Answer whose body has not been read. */
+export interface HttpStream extends HttpHead {
+    /** Parts of the body, to be read once. Throws an `Error` whose `cause` is an {@link HttpFailure}. */
+    readonly body: AsyncIterable<Uint8Array>;
+    /** Gives the body up and closes its connection. */
+    discard(): void;
+}
+
+/** HTTP client of one peer. */
+export interface HttpClient extends AsyncDisposable {
+    /** `host:port` of the peer. */
+    readonly peer: string;
+    /**
+     * Sends a request and reads the answer into memory.
+     *
+     * @param request - the request
+     * @returns the complete answer, of any status
+     */
+    send(request: HttpRequest): Promise<Result<HttpAnswer, HttpFailure>>;
+    /**
+     * Sends a request and returns the answer once its head has arrived.
+     *
+     * @param request - the request; its signal also ends the body
+     * @returns the answer, of any status
+     */
+    open(request: HttpRequest): Promise<Result<HttpStream, HttpFailure>>;
+}
--- /dev/null
+++ b/src/node/platform/index.ts
@@ -0,0 +1,3 @@
+export * from "./instanceListClient.js";
+export * from "./logClient.js";
+export * from "./originClient.js";
--- /dev/null
+++ b/src/node/platform/logClient.ts
@@ -0,0 +1,124 @@
+import { err, ok, type Result } from "true-myth/result";
+import {
+    createError,
+    type GoldcrestpointError,
+    type LogEntry,
+    type LogPage,
+    type LogPort,
+    type LogRecord,
+    type Milliseconds,
+    type Offset,
+    type PortResult,
+} from "../../types/index.js";
+import {
+    createHttpClient,
+    type HttpClient,
+    type HttpTimeouts,
+    parseJson,
+    toCallError,
+    toReadError,
+    toStatusError,
+} from "../httpClient/index.js";
+import { appendAnswerSchema, readAnswerSchema } from "./schemas.js";
+
+const appendStep = "append record";
+const readStep = "read log";
+
+/** Options of {@link createLogClient}. */
+export interface LogClientOptions {
+    /** Base URL of the log. */
+    readonly baseUrl: string;
+    /** Default: those of {@link HttpTimeouts}; the time that a read may wait is added to its limits. */
+    readonly timeouts?: Partial<HttpTimeouts> | undefined;
+}
+
+/**
+ * Creates a client of the platform's log.
+ *
+ * @param options - base URL and time limits
+ * @returns the client. `append` fails with `APPEND_AMBIGUOUS` if the record may have been appended, else with
+ * `LOG_UNREACHABLE`. `read` puts entries in order and drops repeats; it fails with `LOG_TRUNCATED` if entries after a
+ * positive offset have expired, and with `LOG_UNREACHABLE` for an answer with a gap. A read after offset 0 begins at
+ * the first offset that the log still holds.
+ */
+export function createLogClient(options: LogClientOptions): LogPort & AsyncDisposable {
+    const client = createHttpClient(options);
+    return {
+        append: record => append(client, record),
+        read: (afterOffset, waitMilliseconds) => read(client, options.timeouts, afterOffset, waitMilliseconds),
+        [Symbol.asyncDispose]: () => client[Symbol.asyncDispose](),
+    };
+}
+
+async function append(client: HttpClient, record: LogRecord): PortResult<Offset> {
+    const answer = await client.send({
+        method: "POST",
+        path: "/log/records",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(record),
+    });
+    if (answer.isErr) {
+        const code = answer.error.requestWritten ? "APPEND_AMBIGUOUS" : "LOG_UNREACHABLE";
+        return err(toCallError(code, appendStep, client.peer, answer.error));
+    }
+    if (answer.value.status !== 201) {
+        const error = toStatusError("LOG_UNREACHABLE", appendStep, client.peer, answer.value);
+        return err(error.mayHaveTakenEffect ? { ...error, code: "APPEND_AMBIGUOUS" } : error);
+    }
+    const parsed = appendAnswerSchema.safeParse(parseJson(answer.value.body));
+    if (!parsed.success || parsed.data.id !== record.id) {
+        const message = "the answer does not name the record that was appended";
+        return err(createError("APPEND_AMBIGUOUS", appendStep, client.peer, message, { mayHaveTakenEffect: true }));
+    }
+    return ok(parsed.data.offset);
+}
+
+async function read(
+    client: HttpClient,
+    timeouts: Partial<HttpTimeouts> | undefined,
+    afterOffset: Offset,
+    wait: Milliseconds,
+): PortResult<LogPage> {
+    const answer = await client.send({
+        method: "GET",
+        path: `/log/records?after=${afterOffset}&wait=${wait}`,
+        timeouts: { head: (timeouts?.head ?? 5_000) + wait, total: (timeouts?.total ?? 10_000) + wait },
+    });
+    if (answer.isErr) {
+        return err(toReadError("LOG_UNREACHABLE", readStep, client.peer, answer.error));
+    }
+    if (answer.value.status !== 200) {
+        const error = toStatusError("LOG_UNREACHABLE", readStep, client.peer, answer.value);
+        return err({ ...error, mayHaveTakenEffect: false });
+    }
+    const parsed = readAnswerSchema.safeParse(parseJson(answer.value.body));
+    if (!parsed.success) {
+        return err(createError("LOG_UNREACHABLE", readStep, client.peer, "the answer is no page of the log"));
+    }
+    return checkPage(parsed.data, afterOffset, client.peer);
+}
+
+function checkPage(page: LogPage, afterOffset: Offset, peer: string): Result<LogPage, GoldcrestpointError> {
+    const entries = orderEntries(page.entries, afterOffset);
+    const first = entries[0];
+    const expired = first === undefined ?
+        page.headOffset > afterOffset && page.firstOffset > page.headOffset :
+        first.previousOffset > afterOffset && page.firstOffset >= first.offset;
+    if (expired && afterOffset > 0) {
+        const message = `entries after offset ${afterOffset} have expired; the log begins at ${page.firstOffset}`;
+        return err(createError("LOG_TRUNCATED", readStep, peer, message));
+    }
+    const startsInOrder = first === undefined || expired || first.previousOffset === afterOffset;
+    const linked = entries.every((entry, index) => index === 0 || entry.previousOffset === entries[index - 1]!.offset);
+    if (!startsInOrder || !linked) {
+        return err(createError("LOG_UNREACHABLE", readStep, peer, `the entries after ${afterOffset} have a gap`));
+    }
+    return ok({ firstOffset: page.firstOffset, headOffset: page.headOffset, entries });
+}
+
+function orderEntries(entries: readonly LogEntry[], afterOffset: Offset): LogEntry[] {
+    const byOffset = new Map(entries.map(entry => [entry.offset, entry]));
+    return [...byOffset.values()]
+        .filter(entry => entry.offset > afterOffset)
+        .sort((left, right) => left.offset - right.offset);
+}
