Resolve settings from flags, environment, INI file and defaults

The daemons need their settings in one place with errors that name source, section, key, value and what is allowed. Each key is defined once with its check, unit, default and documentation; the resolved values fit the options of the decision functions.

--- /dev/null
+++ b/src/node/settings/index.ts
@@ -0,0 +1,4 @@
+export * from "./problems.js";
+export * from "./readSources.js";
+export { nameEnvironmentVariable, type SettingsSources } from "./resolveSections.js";
+export * from "./settings.js";
--- /dev/null
+++ b/src/node/settings/problems.ts
@@ -0,0 +1,41 @@
+import { createError, type ErrorCode, type GoldcrestpointError } from "../../types/index.js";
+
+/** One fault of a settings or declaration file. */
+export interface SettingsProblem {
+    /** File name, `environment variable NAME` or `flag NAME`. */
+    readonly source: string;
+    readonly section: string;
+    readonly key: string;
+    /** Text that was found; undefined if the key is missing. */
+    readonly value: string | undefined;
+    /** What is allowed, in words. */
+    readonly allowed: string;
+}
+
+/**
+ * Describes a fault in one line.
+ *
+ * @param problem - the fault
+ * @returns source, section, key, value and what is allowed
+ */
+export function describeProblem(problem: SettingsProblem): string {
+    const value = problem.value === undefined ? "is missing" : `= ${JSON.stringify(problem.value)}`;
+    return `${problem.source}: [${problem.section}] ${problem.key} ${value}: allowed is ${problem.allowed}`;
+}
+
+/**
+ * Creates the error for a file with faults.
+ *
+ * @param code - `SETTINGS_INVALID` or `DECLARATION_INVALID`
+ * @param step - operation in progress
+ * @param problems - the faults; at least one
+ * @returns the error; its message has one line for each fault and its cause is the list of faults
+ */
+export function createProblemError(
+    code: ErrorCode,
+    step: string,
+    problems: readonly SettingsProblem[],
+): GoldcrestpointError {
+    const source = problems[0]?.source ?? "local";
+    return createError(code, step, source, problems.map(describeProblem).join("\n"), { cause: problems });
+}
--- /dev/null
+++ b/src/node/settings/settings.ts
@@ -0,0 +1,150 @@
+import { err, ok, type Result } from "true-myth/result";
+import type { PlacementOptions } from "../../runtime/placement/types.js";
+import type { GoldcrestpointError } from "../../types/index.js";
+import { daemonSections } from "./daemonSections.js";
+import { decisionSections } from "./decisionSections.js";
+import { createProblemError, type SettingsProblem } from "./problems.js";
+import { type ResolvedSections, resolveSections, type SettingsSources } from "./resolveSections.js";
+import { standInSections } from "./standInSections.js";
+
+/** All sections of the settings, in the order of the documentation. */
+export const allSections = { ...daemonSections, ...decisionSections, ...standInSections } as const;
+
+/** All values of the settings. */
+export type AllSettings = ResolvedSections<typeof allSections>;
+
+/** Settings of an entry instance. Durations are in milliseconds. */
+export interface EntrySettings extends
+    Pick<
+        AllSettings,
+        "instance" | "platform" | "relay" | "hold" | "routing" | "admission" | "retry" | "idempotency" | "log"
+    >
+{
+    /** Options of the proposer, with the hold's duration and margin from `[hold]`. */
+    readonly placement: PlacementOptions;
+}
+
+/** Settings of an agent. Durations are in milliseconds. */
+export type AgentSettings = Pick<
+    AllSettings,
+    "instance" | "platform" | "relay" | "hold" | "backendServer" | "distribution" | "admission" | "idempotency" | "log"
+>;
+
+/** Settings of the stand-ins. Durations are in milliseconds. */
+export type StandInSettings = Pick<AllSettings, "standInPlatform" | "standInEngine" | "standInService" | "log">;
+
+/** Settings of the operator commands. Durations are in milliseconds. */
+export type OperatorSettings = Pick<AllSettings, "platform" | "operator" | "log">;
+
+type Check = (values: AllSettings) => Omit<SettingsProblem, "source"> | undefined;
+
+/** Relations between keys that a process needs to work as designed. */
+const checks: readonly Check[] = [
+    ({ hold, relay }) =>
+        hold.duration >= 2 * relay.heartbeat ? undefined : {
+            section: "hold",
+            key: "holdSeconds",
+            value: String(hold.duration / 1_000),
+            allowed: `at least two heartbeats ([relay] heartbeatMilliseconds = ${relay.heartbeat})`,
+        },
+    ({ placement, relay }) =>
+        placement.unreachableAfter >= 2 * relay.heartbeat ? undefined : {
+            section: "placement",
+            key: "unreachableAfterMilliseconds",
+            value: String(placement.unreachableAfter),
+            allowed: `at least two heartbeats ([relay] heartbeatMilliseconds = ${relay.heartbeat})`,
+        },
+    ({ relay }) =>
+        relay.silentAfter >= 2 * relay.heartbeat ? undefined : {
+            section: "relay",
+            key: "silentAfterMilliseconds",
+            value: String(relay.silentAfter),
+            allowed: `at least two heartbeats ([relay] heartbeatMilliseconds = ${relay.heartbeat})`,
+        },
+    ({ placement, hold }) =>
+        placement.retention >= 4 * (hold.duration + hold.margin) ? undefined : {
+            section: "placement",
+            key: "retentionSeconds",
+            value: String(placement.retention / 1_000),
+            allowed: "at least four times the sum of [hold] holdSeconds and marginSeconds",
+        },
+];
+
+function resolveAll(sources: SettingsSources): Result<AllSettings, GoldcrestpointError> {
+    const { values, problems } = resolveSections(allSections, sources);
+    const source = sources.file?.name ?? "settings";
+    const found = problems.length > 0 ?
+        problems :
+        checks.flatMap(check => check(values) ?? []).map(problem => ({ source, ...problem }));
+    if (found.length > 0) {
+        return err(createProblemError("SETTINGS_INVALID", "resolve settings", found));
+    }
+    const { instance } = values;
+    return ok({ ...values, instance: { ...instance, id: instance.id === "" ? instance.grpcAddress : instance.id } });
+}
+
+/**
+ * Resolves the settings of an entry instance.
+ *
+ * @param sources - flags, environment and file
+ * @returns the settings; `SETTINGS_INVALID` with one line for each fault
+ */
+export function resolveEntrySettings(sources: SettingsSources): Result<EntrySettings, GoldcrestpointError> {
+    return resolveAll(sources).map(all => ({
+        instance: all.instance,
+        platform: all.platform,
+        relay: all.relay,
+        hold: all.hold,
+        placement: { ...all.placement, holdDuration: all.hold.duration, holdMargin: all.hold.margin },
+        routing: all.routing,
+        admission: all.admission,
+        retry: all.retry,
+        idempotency: all.idempotency,
+        log: all.log,
+    }));
+}
+
+/**
+ * Resolves the settings of an agent.
+ *
+ * @param sources - flags, environment and file
+ * @returns the settings; `SETTINGS_INVALID` with one line for each fault
+ */
+export function resolveAgentSettings(sources: SettingsSources): Result<AgentSettings, GoldcrestpointError> {
+    return resolveAll(sources).map(all => ({
+        instance: all.instance,
+        platform: all.platform,
+        relay: all.relay,
+        hold: all.hold,
+        backendServer: all.backendServer,
+        distribution: all.distribution,
+        admission: all.admission,
+        idempotency: all.idempotency,
+        log: all.log,
+    }));
+}
+
+/**
+ * Resolves the settings of the stand-ins.
+ *
+ * @param sources - flags, environment and file
+ * @returns the settings; `SETTINGS_INVALID` with one line for each fault
+ */
+export function resolveStandInSettings(sources: SettingsSources): Result<StandInSettings, GoldcrestpointError> {
+    return resolveAll(sources).map(all => ({
+        standInPlatform: all.standInPlatform,
+        standInEngine: all.standInEngine,
+        standInService: all.standInService,
+        log: all.log,
+    }));
+}
+
+/**
+ * Resolves the settings of the operator commands.
+ *
+ * @param sources - flags, environment and file
+ * @returns the settings; `SETTINGS_INVALID` with one line for each fault
+ */
+export function resolveOperatorSettings(sources: SettingsSources): Result<OperatorSettings, GoldcrestpointError> {
+    return resolveAll(sources).map(all => ({ platform: all.platform, operator: all.operator, log: all.log }));
+}
--- /dev/null
+++ b/src/node/settings/standInSections.ts
@@ -0,0 +1,97 @@
+import { defineBoolean, defineDuration, defineInteger, defineText } from "./keyDefinitions.js";
+
+/** Sections of the stand-ins, which only tests and the demo use. */
+export const standInSections = {
+    standInPlatform: {
+        httpAddress: defineText(
+            "address",
+            "127.0.0.1:7400",
+            "Address of the log, instance list, weight store and origin.",
+        ),
+        modelBytes: defineInteger({
+            minimum: 1,
+            maximum: 10_000_000_000,
+            initial: 16_777_216,
+            documentation: "Size of each weight set of the origin.",
+        }),
+        chunkBytes: defineInteger({
+            minimum: 1,
+            maximum: 67_108_864,
+            initial: 262_144,
+            documentation: "Size of each chunk of a weight set; the last one may be smaller.",
+        }),
+        originBytesPerSecond: defineInteger({
+            minimum: 1_000,
+            maximum: 100_000_000_000,
+            initial: 16_777_216,
+            documentation: "Rate of the origin's link.",
+        }),
+        manifestsPerSecond: defineInteger({
+            minimum: 1,
+            maximum: 100_000,
+            initial: 50,
+            documentation: "Requests a second that the weight store answers before it refuses with 429.",
+        }),
+        appendsPerSecond: defineInteger({
+            minimum: 1,
+            maximum: 100_000,
+            initial: 300,
+            documentation: "Appends a second that the log takes before it refuses with 429.",
+        }),
+        instanceListLagMilliseconds: defineDuration("instanceListLag", "Milliseconds", {
+            minimum: 0,
+            maximum: 600_000,
+            initial: 2_000,
+            documentation: "Time by which the instance list is behind.",
+        }),
+        retentionSeconds: defineDuration("retention", "Seconds", {
+            minimum: 1,
+            maximum: 31_536_000,
+            initial: 86_400,
+            documentation: "Time for which the log keeps records.",
+        }),
+    },
+    standInEngine: {
+        httpAddress: defineText("address", "127.0.0.1:7500", "Address of the engine."),
+        capacityRequests: defineInteger({
+            minimum: 1,
+            maximum: 10_000,
+            initial: 8,
+            documentation: "Requests that run at once; further ones are queued.",
+        }),
+        tokensPerSecond: defineInteger({
+            minimum: 1,
+            maximum: 1_000_000,
+            initial: 200,
+            documentation: "Tokens a second that one request generates.",
+        }),
+        cachePrefixes: defineInteger({
+            minimum: 0,
+            maximum: 100_000,
+            initial: 32,
+            documentation: "Prefixes that the prefix cache holds.",
+        }),
+        checksFencing: defineBoolean(true, "Whether the engine refuses an order with an old fencing token."),
+        reportLagMilliseconds: defineDuration("reportLag", "Milliseconds", {
+            minimum: 0,
+            maximum: 60_000,
+            initial: 200,
+            documentation: "Time by which the engine's load report is behind.",
+        }),
+    },
+    standInService: {
+        httpAddress: defineText("address", "127.0.0.1:7600", "Address of the service."),
+        capacityRequests: defineInteger({
+            minimum: 1,
+            maximum: 10_000,
+            initial: 16,
+            documentation: "Requests that run at once; further ones are queued.",
+        }),
+        serviceTimeMilliseconds: defineDuration("serviceTime", "Milliseconds", {
+            minimum: 0,
+            maximum: 600_000,
+            initial: 20,
+            documentation: "Time that a request takes.",
+        }),
+    },
+} as const;
