Add declarations, logs with sampled decision lines, and metrics

Decision lines are sampled by a hash of the request id, so that all processes write the same requests; refusals, failures and placement are always written, and a bounded ring keeps the newest decisions for explain.

--- /dev/null
+++ b/src/node/declaration/declarationFile.ts
@@ -0,0 +1,50 @@
+import type { DeploymentDeclaration, DeploymentKind, ManifestDigest, SchemaVersion } from "../../types/index.js";
+import type { DeploymentName, Objective, UpdateStrategy, WeightSet } from "../../types/index.js";
+
+/** Fields that only schema version 2 defines. */
+export interface Version2Fields {
+    readonly objective: Objective;
+    readonly priority: number;
+    readonly updateStrategy: UpdateStrategy;
+}
+
+/** Declaration as an operator's file gives it, before the manifest digest is known. */
+export interface DeclarationFile {
+    readonly deployment: DeploymentName;
+    readonly schemaVersion: SchemaVersion;
+    readonly kind: DeploymentKind;
+    /** Undefined for plain services. */
+    readonly weights: Omit<WeightSet, "manifestDigest"> | undefined;
+    readonly pool: string | undefined;
+    readonly replicas: Readonly<Record<string, number>>;
+    /** Undefined in schema version 1. */
+    readonly version2: Version2Fields | undefined;
+}
+
+/** Defaults of the fields that only schema version 2 defines. */
+export const version2Defaults: Version2Fields = { objective: "time", priority: 5, updateStrategy: "rolling" };
+
+/**
+ * Pins the manifest digest, which turns a file's content into the declaration that is written to the log.
+ *
+ * @param file - content of the file
+ * @param manifestDigest - digest of the model, adapter and version; undefined for plain services
+ * @returns the declaration
+ */
+export function pinDeclaration(
+    file: DeclarationFile,
+    manifestDigest: ManifestDigest | undefined,
+): DeploymentDeclaration {
+    const weights = file.weights === undefined || manifestDigest === undefined ?
+        undefined :
+        { ...file.weights, manifestDigest };
+    const base = {
+        kind: file.kind,
+        replicas: file.replicas,
+        ...(weights === undefined ? {} : { weights }),
+        ...(file.pool === undefined ? {} : { pool: file.pool }),
+    };
+    return file.version2 === undefined ?
+        { schemaVersion: 1, ...base } :
+        { schemaVersion: 2, ...base, ...file.version2 };
+}
--- /dev/null
+++ b/src/node/declaration/index.ts
@@ -0,0 +1,2 @@
+export * from "./declarationFile.js";
+export * from "./parseDeclaration.js";
--- /dev/null
+++ b/src/node/logging/decisionLog.ts
@@ -0,0 +1,102 @@
+import type { Logger } from "pino";
+import type { Clock, DeploymentName, RequestId } from "../../types/index.js";
+import { scoreRendezvous } from "../../utils/index.js";
+import { createRecentRows } from "./recentRows.js";
+
+/** Decision functions whose decisions are written. */
+export type DecisionKind = "routing" | "admission" | "retry" | "idempotency" | "placement" | "hold" | "activation";
+
+/** Whether a decision let the matter go on. */
+export type DecisionOutcome = "chosen" | "refused" | "failed";
+
+/** One decision. */
+export interface Decision {
+    readonly kind: DecisionKind;
+    readonly outcome: DecisionOutcome;
+    readonly deployment: DeploymentName;
+    /** Undefined for decisions that concern a deployment as a whole. */
+    readonly requestId?: RequestId | undefined;
+    /** What was chosen: an instance, a move, or what becomes of the request. */
+    readonly choice: string;
+    readonly reason: string;
+    /** Number of things that could have been chosen. */
+    readonly candidates: number;
+    /** Further values, for example the attempt or the expected wait. */
+    readonly details?: Readonly<Record<string, string | number | boolean | undefined>> | undefined;
+}
+
+/** Decision with the time and the instance, as it is kept for `explain`. */
+export interface RecordedDecision extends Decision {
+    /** ISO 8601 time. */
+    readonly decidedAt: string;
+    readonly instance: string;
+}
+
+/** Options of a decision log. */
+export interface DecisionLogOptions {
+    readonly logger: Logger;
+    readonly instance: string;
+    readonly clock: Clock;
+    /** Share of the requests whose chosen decisions are written. Default: 1. */
+    readonly sampleShare?: number | undefined;
+    /** Decisions that are kept in memory for requests, and again as many for deployments. Default: 2,000. */
+    readonly recentDecisions?: number | undefined;
+}
+
+/** Writes decisions and keeps the newest ones. */
+export interface DecisionLog {
+    record(decision: Decision): void;
+    /**
+     * Lists kept decisions, oldest first.
+     *
+     * @param id - request id, or a deployment's name for decisions that concern the deployment as a whole
+     * @returns the decisions; empty if none is kept
+     */
+    recall(id: string): readonly RecordedDecision[];
+}
+
+const levels = { chosen: "info", refused: "warn", failed: "error" } as const;
+
+/**
+ * Tells whether the chosen decisions of a request are written. All processes sample the same requests, so that a
+ * sampled request can be followed from the entry instance to the agent.
+ *
+ * @param requestId - the request
+ * @param sampleShare - share of the requests, 0 to 1
+ * @returns true if they are written
+ */
+export function isSampled(requestId: RequestId, sampleShare: number): boolean {
+    return scoreRendezvous("decision", requestId) < sampleShare * 4_294_967_296;
+}
+
+/**
+ * Creates a decision log. Refusals, failures and decisions without a request are always written; others are written
+ * for a share of the requests.
+ *
+ * @param options - logger, sampling and bound
+ * @returns the decision log
+ */
+export function createDecisionLog(options: DecisionLogOptions): DecisionLog {
+    const { logger, instance, clock, sampleShare = 1, recentDecisions = 2_000 } = options;
+    const requests = createRecentRows<RecordedDecision>(recentDecisions);
+    const deployments = createRecentRows<RecordedDecision>(recentDecisions);
+
+    function isWritten(decision: Decision): boolean {
+        return decision.outcome !== "chosen" ||
+            decision.requestId === undefined ||
+            isSampled(decision.requestId, sampleShare);
+    }
+
+    return {
+        record: decision => {
+            const { requestId, deployment } = decision;
+            const recorded = { ...decision, decidedAt: clock.now().toISOString(), instance };
+            (requestId === undefined ? deployments : requests).add(requestId ?? deployment, recorded);
+            if (isWritten(decision)) {
+                const { details, ...fields } = decision;
+                logger[levels[decision.outcome]]({ ...details, ...fields }, `${decision.kind} decision`);
+            }
+        },
+        recall: id => [...deployments.list(id), ...requests.list(id)],
+    };
+}
--- /dev/null
+++ b/src/node/logging/index.ts
@@ -0,0 +1,3 @@
+export * from "./decisionLog.js";
+export * from "./decisionRoute.js";
+export * from "./logger.js";
--- /dev/null
+++ b/src/node/metrics/index.ts
@@ -0,0 +1,1 @@
+export * from "./metrics.js";
--- /dev/null
+++ b/src/node/metrics/windowedHistogram.ts
@@ -0,0 +1,86 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import type { Clock, Milliseconds } from "../../types/index.js";
+
+/** Histogram that forgets old values, with totals that do not. */
+export interface WindowedHistogram {
+    /** Number of values since the start. */
+    readonly count: number;
+    /** Sum of the values since the start. */
+    readonly sum: number;
+    record(value: number): void;
+    /**
+     * Reads quantiles of the newest values.
+     *
+     * @param quantiles - shares from 0 to 1
+     * @returns the values, `NaN` while there are none
+     */
+    readQuantiles(quantiles: readonly number[]): number[];
+}
+
+// Values are kept in thousandths, since the library counts whole numbers. Two significant digits and packed counts
+// keep a histogram at a few kilobytes, so that a process stays within its 64 MB.
+const resolution = 1_000;
+const highestValue = 3_600_000;
+
+function createHistogram(): Histogram {
+    return build({
+        bitBucketSize: "packed",
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: highestValue * resolution,
+        numberOfSignificantValueDigits: 2,
+        useWebAssembly: false,
+    });
+}
+
+/**
+ * Creates a histogram whose quantiles cover between one and two windows of time.
+ *
+ * @param clock - source of the monotonic time
+ * @param window - length of a window
+ * @returns the histogram
+ */
+export function createWindowedHistogram(clock: Clock, window: Milliseconds): WindowedHistogram {
+    let previous = createHistogram();
+    let current = createHistogram();
+    let windowStart = clock.monotonic();
+    let count = 0;
+    let sum = 0;
+
+    function advance(): void {
+        const elapsed = clock.monotonic() - windowStart;
+        if (elapsed < window) {
+            return;
+        }
+        [previous, current] = [current, previous];
+        current.reset();
+        if (elapsed >= 2 * window) {
+            previous.reset();
+        }
+        windowStart = clock.monotonic();
+    }
+
+    return {
+        get count() {
+            return count;
+        },
+        get sum() {
+            return sum;
+        },
+        record: value => {
+            advance();
+            const bounded = Math.min(Math.max(value, 0), highestValue);
+            current.recordValue(Math.round(bounded * resolution));
+            count += 1;
+            sum += bounded;
+        },
+        readQuantiles: quantiles => {
+            advance();
+            const merged = createHistogram();
+            merged.add(previous);
+            merged.add(current);
+            return quantiles.map(quantile =>
+                merged.totalCount === 0 ? NaN : merged.getValueAtPercentile(quantile * 100) / resolution
+            );
+        },
+    };
+}
--- a/src/node/settings/daemonSections.ts
+++ b/src/node/settings/daemonSections.ts
@@ -150,7 +150,7 @@
         decisionSampleShare: defineNumber({
             minimum: 0,
             maximum: 1,
-            initial: 0.01,
+            initial: 1,
             documentation:
                 "Share of the requests whose successful routing decisions are written. Refusals, failures and placement " +
                 "decisions are always written.",
--- /dev/null
+++ b/src/node/settings/documentation.ts
@@ -0,0 +1,45 @@
+import { nameEnvironmentVariable, type SectionTable } from "./resolveSections.js";
+import { allSections } from "./settings.js";
+
+const introduction = `# Settings
+
+This page is generated from the definitions in \`src/node/settings\` by \`goldcrestpoint settings > docs/settings.md\`;
+a test compares the two.
+
+A setting is taken from the strongest source that has it: the flag \`--set SECTION.KEY=VALUE\`, the environment variable
+\`GOLDCRESTPOINT_SECTION_KEY\`, the INI file (\`--settings FILE\`), the default. The unit is part of the key's name, so
+values are written without one. A wrong setting ends the program with exit code 2 and a line with source, section, key,
+value and what is allowed. One file may serve several programs: a program checks all sections and uses those that it
+needs.
+
+| Program | Sections |
+| --- | --- |
+| \`entry\` | instance, platform, relay, hold, placement, routing, admission, retry, idempotency, log |
+| \`agent\` | instance, platform, relay, hold, backendServer, distribution, admission, idempotency, log |
+| \`validate\`, \`plan\`, \`apply\`, \`status\`, \`rollback\`, \`explain\` | platform, operator, log |
+| \`stand-in\` (tests and demo only) | standInPlatform, standInEngine, standInService, log |
+`;
+
+function escapeCell(text: string): string {
+    return text.replaceAll("|", "\\|");
+}
+
+/**
+ * Writes the reference of all settings.
+ *
+ * @returns Markdown text of docs/settings.md
+ */
+export function renderSettingsDocumentation(): string {
+    const sections = Object.entries<SectionTable[string]>(allSections).map(([section, definition]) => {
+        const rows = Object.entries(definition).map(([key, { allowed, defaultText, documentation }]) => {
+            const initial = defaultText === "" ? "(empty)" : `\`${defaultText}\``;
+            const variable = nameEnvironmentVariable(section, key);
+            return `| \`${key}\` | ${initial} | ${escapeCell(allowed)} | ${
+                escapeCell(documentation)
+            } \`${variable}\` |`;
+        });
+        return [`## [${section}]`, "", "| Key | Default | Allowed | Meaning |", "| --- | --- | --- | --- |", ...rows]
+            .join("\n");
+    });
+    return `${[introduction, ...sections.map(section => `${section}\n`)].join("\n")}`;
+}
--- a/src/node/settings/index.ts
+++ b/src/node/settings/index.ts
@@ -1,3 +1,4 @@
+export { renderSettingsDocumentation } from "./documentation.js";
 export * from "./problems.js";
 export * from "./readSources.js";
 export { nameEnvironmentVariable, type SettingsSources } from "./resolveSections.js";
--- /dev/null
+++ b/test/node/logging/decisionLog.test.ts
@@ -0,0 +1,84 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { createDecisionLog, createLogger, type Decision, isSampled } from "../../../src/node/logging/index.js";
+import { createManualClock } from "../../../src/utils/index.js";
+
+function createRecorder(sampleShare: number, recentDecisions = 10) {
+    const lines: string[] = [];
+    const destination = { write: (line: string) => void lines.push(line) };
+    const logger = createLogger({ level: "info", program: "entry", instance: "entry-1", destination });
+    const clock = createManualClock();
+    return { lines, log: createDecisionLog({ logger, instance: "entry-1", clock, sampleShare, recentDecisions }) };
+}
+
+const routing: Decision = {
+    kind: "routing",
+    outcome: "chosen",
+    deployment: "scribe",
+    requestId: "r1",
+    choice: "agent-7",
+    reason: "prefix-affinity",
+    candidates: 3,
+    details: { attempt: 2 },
+};
+const placement: Decision = {
+    kind: "placement",
+    outcome: "chosen",
+    deployment: "scribe",
+    choice: "assign agent-9",
+    reason: "too few copies",
+    candidates: 5,
+};
+
+describe("decision log", () => {
+    // Guards against a decision line that lacks what is needed to explain the decision.
+    it("writes one JSON line with request, deployment, choice, reason and candidates", () => {
+        const { lines, log } = createRecorder(1);
+        log.record(routing);
+        expect(lines).toHaveLength(1);
+        expect(JSON.parse(lines[0]!)).toEqual(
+            expect.subset({
+                level: "info",
+                program: "entry",
+                instance: "entry-1",
+                deployment: "scribe",
+                requestId: "r1",
+                choice: "agent-7",
+                reason: "prefix-affinity",
+                candidates: 3,
+                attempt: 2,
+            }),
+        );
+    });
+
+    // Guards against sampling that drops a refusal, a failure or a placement decision.
+    it("never samples away refusals, failures and placement", () => {
+        const { lines, log } = createRecorder(0);
+        log.record(routing);
+        log.record({ ...routing, outcome: "refused" });
+        log.record({ ...routing, outcome: "failed" });
+        log.record(placement);
+        expect(lines.map(line => (JSON.parse(line) as { level: string; }).level)).toEqual(["warn", "error", "info"]);
+        expect(log.recall("r1")).toHaveLength(3);
+        expect(log.recall("scribe").map(({ choice }) => choice)).toEqual(["assign agent-9"]);
+    });
+
+    // Guards against a share that is far from the one asked for; 10,000 ids give a deviation below 0.01.
+    it("samples about the wanted share of the requests", () => {
+        const sampled = [...Array(10_000).keys()].map(index => `request-${index}`)
+            .filter(id => isSampled(id, 0.1));
+        expect(Math.abs(sampled.length / 10_000 - 0.1)).toBeLessThan(0.02);
+    });
+
+    // Guards against memory that grows with the number of requests, and against placement pushed out by requests.
+    it("keeps a bounded number of decisions, oldest dropped first", () => {
+        const { log } = createRecorder(1, 3);
+        log.record(placement);
+        for (const requestId of ["r1", "r1", "r2", "r3"]) {
+            log.record({ ...routing, requestId });
+        }
+        expect(["r1", "r2", "r3"].map(id => log.recall(id).length)).toEqual([1, 1, 1]);
+        log.record({ ...routing, requestId: "r4" });
+        expect(["r1", "r4", "scribe"].map(id => log.recall(id).length)).toEqual([0, 1, 1]);
+    });
+});
