Add the distribution and activation decisions and the transfer service

The decisions follow sections 8 and 9 of the design. The service runs them over gRPC and the ports of engine and origin. Not yet covered by tests.

ActivationInput gains engineReadAt, since a state that was read before the predecessor's orders have expired must not lead to an order. TransferInput takes ranks of origin readers instead of the list of members, and PeerRow and TransferRow carry the time of their last progress, which stall detection and takeover need.

--- /dev/null
+++ b/src/node/agent/transfer/downloads.ts
@@ -0,0 +1,264 @@
+import {
+    addChunk,
+    countChunks,
+    isComplete,
+    originSource,
+    recordCorruptChunk,
+    recordStall,
+    removeChunk,
+    selectTransfers,
+    type TransferCommand,
+    type TransferRow,
+    verifyChunk,
+} from "../../../runtime/distribution/index.js";
+import type { GoldcrestpointError, Manifest } from "../../../types/index.js";
+import { computeBackoff, findAddress, type TransferContext } from "./context.js";
+import type { WeightSetState } from "./weightSetState.js";
+
+type CommandOf<Kind extends TransferCommand["kind"]> = Extract<TransferCommand, { kind: Kind; }>;
+
+/** Transfer with what is needed to end it. */
+interface RunningTransfer {
+    readonly set: WeightSetState;
+    readonly manifest: Manifest;
+    readonly row: TransferRow;
+    readonly signal: AbortSignal;
+}
+
+/**
+ * Requests the chunks that are due and abandons stalled transfers.
+ *
+ * @param context - the service
+ * @param set - target whose manifest is known and which the engine has prepared
+ * @param manifest - its manifest
+ */
+export function runTransfers(context: TransferContext, set: WeightSetState, manifest: Manifest): void {
+    const now = context.clock.monotonic();
+    let requestedBytes = 0;
+    for (const { index } of set.transfers.rows()) {
+        requestedBytes += manifest.chunks[index]!.bytes;
+    }
+    const commands = selectTransfers({
+        manifest,
+        held: set.held,
+        transfers: set.transfers,
+        peers: set.peers,
+        originReaders: set.originReaders,
+        startedAt: set.startedAt,
+        neighboursAsked: set.neighbours.every(neighbour => set.neighboursAsked.has(neighbour)),
+        objective: set.target.objective,
+        budgetBytes: context.linkBudget.available("incoming") - requestedBytes,
+        originAvoidedUntil: set.originAvoidedUntil,
+        now,
+        random: context.random,
+        options: context.options,
+    });
+    for (const command of commands) {
+        execute(context, set, manifest, command);
+    }
+}
+
+function execute(context: TransferContext, set: WeightSetState, manifest: Manifest, command: TransferCommand): void {
+    switch (command.kind) {
+        case "abandon":
+            abandon(context, set, command);
+            break;
+        case "fetch-from-origin":
+            start(context, set, manifest, command.index, originSource, transfer => {
+                context.logEvent({ index: command.index, reason: command.reason }, "origin read started", set);
+                return fetchFromOrigin(context, transfer);
+            });
+            break;
+        case "fetch-from-peer":
+            start(context, set, manifest, command.index, command.peer, transfer => {
+                return fetchFromPeer(context, transfer, command);
+            });
+            break;
+    }
+}
+
+function abandon(context: TransferContext, set: WeightSetState, command: CommandOf<"abandon">): void {
+    const { index, reason, source } = command;
+    set.controllers.get(index)?.abort();
+    set.controllers.delete(index);
+    set.transfers.delete(index);
+    const now = context.clock.monotonic();
+    const peer = set.peers.get(source);
+    if (peer !== undefined) {
+        recordStall(peer, now, context.options);
+    }
+    if (source === originSource) {
+        set.originFailures++;
+        set.originAvoidedUntil = now + computeBackoff(context, set.originFailures);
+    }
+    context.logEvent({ index, source, reason }, "stalled source", set);
+}
+
+function start(
+    context: TransferContext,
+    set: WeightSetState,
+    manifest: Manifest,
+    index: number,
+    source: string,
+    run: (transfer: RunningTransfer) => Promise<void>,
+): void {
+    const startedAt = context.clock.monotonic();
+    const row: TransferRow = { index, source, startedAt, progressedAt: startedAt };
+    const controller = new AbortController();
+    set.transfers.set(index, row);
+    set.controllers.set(index, controller);
+    const transfer = { set, manifest, row, signal: controller.signal };
+    context.track(
+        run(transfer).finally(() => {
+            if (set.transfers.get(index) === row) {
+                set.transfers.delete(index);
+                set.controllers.delete(index);
+            }
+            context.requestTick();
+        }),
+    );
+}
+
+async function fetchFromOrigin(context: TransferContext, transfer: RunningTransfer): Promise<void> {
+    const { row, set, signal } = transfer;
+    const content = await context.origin.readChunk(set.manifestDigest, row.index, signal);
+    if (content.isErr) {
+        recordOriginFailure(context, set, content.error);
+        return;
+    }
+    context.counters.originBytes += content.value.length;
+    row.progressedAt = context.clock.monotonic();
+    if (!await context.linkBudget.take("incoming", content.value.length, signal)) {
+        return;
+    }
+    set.originFailures = 0;
+    await acceptChunk(context, transfer, content.value);
+}
+
+function recordOriginFailure(context: TransferContext, set: WeightSetState, error: GoldcrestpointError): void {
+    set.originFailures++;
+    set.originAvoidedUntil = context.clock.monotonic() + computeBackoff(context, set.originFailures);
+    context.logEvent({ code: error.code, step: error.step, peer: error.peer }, "origin read failed", set);
+}
+
+async function fetchFromPeer(
+    context: TransferContext,
+    transfer: RunningTransfer,
+    command: CommandOf<"fetch-from-peer">,
+): Promise<void> {
+    const { manifest, row, set, signal } = transfer;
+    const address = findAddress(set, command.peer);
+    if (address === undefined) {
+        return;
+    }
+    const expectedBytes = manifest.chunks[row.index]!.bytes;
+    const parts: Uint8Array[] = [];
+    let receivedBytes = 0;
+    const request = {
+        instance: context.self,
+        manifestDigest: set.manifestDigest,
+        index: row.index,
+        lastResort: command.lastResort,
+    };
+    const outcome = await context.calls.fetch(address, request, signal, async part => {
+        receivedBytes += part.length;
+        context.counters.peerReceivedBytes += part.length;
+        if (receivedBytes <= expectedBytes) {
+            parts.push(part);
+        }
+        row.progressedAt = context.clock.monotonic();
+        await context.linkBudget.take("incoming", part.length, signal);
+        row.progressedAt = context.clock.monotonic();
+    });
+    if (signal.aborted) {
+        return;
+    }
+    if (outcome.isErr) {
+        recordPeerFailure(context, set, row, outcome.error);
+        return;
+    }
+    const content = receivedBytes === expectedBytes ? Buffer.concat(parts) : new Uint8Array();
+    await acceptChunk(context, transfer, content);
+}
+
+function recordPeerFailure(
+    context: TransferContext,
+    set: WeightSetState,
+    row: TransferRow,
+    error: GoldcrestpointError,
+): void {
+    const peer = set.peers.get(row.source);
+    if (peer === undefined) {
+        return;
+    }
+    const now = context.clock.monotonic();
+    if (error.code !== "CHUNK_REFUSED") {
+        // A broken connection says little about the peer; an exchange that fails too keeps it from being asked again.
+        peer.chokedUntil = now + computeBackoff(context, 1);
+        set.exchangeAt.set(row.source, now);
+        context.logEvent({ index: row.index, source: row.source, code: error.code }, "transfer failed", set);
+        return;
+    }
+    if (error.message === "not-held") {
+        removeChunk(peer.bitfield, row.index);
+        return;
+    }
+    peer.chokedUntil = now + context.settings.retryChokedAfter * (1 + context.random.next());
+}
+
+/** Verifies and stages a chunk. It counts as held only when the engine has it and nothing has changed meanwhile. */
+async function acceptChunk(context: TransferContext, transfer: RunningTransfer, content: Uint8Array): Promise<void> {
+    const { manifest, row, set, signal } = transfer;
+    if (signal.aborted || !context.isTarget(set)) {
+        return;
+    }
+    if (!verifyChunk(manifest, row.index, content)) {
+        rejectChunk(context, set, row);
+        return;
+    }
+    const { generation } = set;
+    const staged = await context.backend.stageChunk(set.manifestDigest, row.index, content);
+    if (staged.isErr) {
+        context.logEvent({ index: row.index, code: staged.error.code }, "chunk not staged", set);
+        set.prepared = false;
+        return;
+    }
+    if (set.generation !== generation || !context.isTarget(set)) {
+        return;
+    }
+    addChunk(set.held, row.index);
+    logCompletion(context, set, manifest);
+}
+
+function rejectChunk(context: TransferContext, set: WeightSetState, row: TransferRow): void {
+    const now = context.clock.monotonic();
+    const peer = set.peers.get(row.source);
+    const avoided = peer !== undefined && recordCorruptChunk(peer, now, context.options);
+    if (row.source === originSource) {
+        set.originFailures++;
+        set.originAvoidedUntil = now + computeBackoff(context, set.originFailures);
+    }
+    context.logEvent({ index: row.index, source: row.source, avoided }, "corrupt chunk", set);
+}
+
+/**
+ * Writes one log line when a set has become complete.
+ *
+ * @param context - the service
+ * @param set - the set
+ * @param manifest - its manifest
+ */
+export function logCompletion(context: TransferContext, set: WeightSetState, manifest: Manifest): void {
+    const chunks = manifest.chunks.length;
+    if (set.completeLogged || !isComplete(set.held, chunks)) {
+        return;
+    }
+    set.completeLogged = true;
+    const duration = Math.round(context.clock.monotonic() - set.startedAt);
+    const chunksComplete = countChunks(set.held, chunks);
+    context.logEvent(
+        { chunks: chunksComplete, durationMilliseconds: duration, ...context.counters },
+        "set complete",
+        set,
+    );
+}
--- /dev/null
+++ b/src/node/agent/transfer/engineSync.ts
@@ -0,0 +1,125 @@
+import { addChunk, decodeBitfield, hasChunk, removeChunk, verifyChunk } from "../../../runtime/distribution/index.js";
+import type { EngineState, ManifestDigest, Milliseconds, StagedSet } from "../../../types/index.js";
+import { computeBackoff, type TransferContext } from "./context.js";
+import { logCompletion } from "./downloads.js";
+import { discardHeld, type WeightSetState } from "./weightSetState.js";
+
+/** Keeps the sets' bitfields equal to what the engine has staged. */
+export interface EngineSync {
+    /** Reads the engine's state if it is due. */
+    run(): void;
+    /** Makes the next `run` read the engine's state. */
+    expire(): void;
+    /** @returns digest of the active set at the newest read; undefined if none is active */
+    readActiveDigest(): ManifestDigest | undefined;
+}
+
+/**
+ * Creates the comparison with the engine's state.
+ *
+ * @param context - the service
+ * @param dropInactive - called after each read, to forget sets that are neither target nor active
+ * @returns the comparison
+ */
+export function createEngineSync(context: TransferContext, dropInactive: () => void): EngineSync {
+    let readAt: Milliseconds = 0;
+    let reading = false;
+    let failures = 0;
+    let incarnation: string | undefined;
+    let activeDigest: ManifestDigest | undefined;
+
+    async function read(): Promise<void> {
+        const heldBefore = new Map([...context.sets.values()].map(set => [set, Uint8Array.from(set.held)]));
+        const state = await context.backend.readState();
+        if (state.isErr) {
+            failures++;
+            readAt = context.clock.monotonic() + computeBackoff(context, failures);
+            return;
+        }
+        failures = 0;
+        activeDigest = state.value.active?.manifestDigest;
+        if (incarnation !== state.value.incarnation) {
+            incarnation = state.value.incarnation;
+            for (const set of context.sets.values()) {
+                discardHeld(set);
+            }
+        }
+        for (const [set, held] of heldBefore) {
+            await compare(set, held, state.value);
+        }
+        dropInactive();
+        const unprepared = [...context.sets.values()].some(set => !set.prepared);
+        const { engineReadInterval, engineReadIntervalUnprepared } = context.settings;
+        readAt = context.clock.monotonic() + (unprepared ? engineReadIntervalUnprepared : engineReadInterval);
+        context.requestTick();
+    }
+
+    async function compare(set: WeightSetState, heldBefore: Uint8Array, state: EngineState): Promise<void> {
+        if (set.manifest === undefined) {
+            return;
+        }
+        const staged = state.staged.find(({ manifestDigest }) => manifestDigest === set.manifestDigest);
+        if (staged === undefined) {
+            if (set.prepared) {
+                discardHeld(set);
+            }
+            set.prepared = !context.settings.waitForPreparedSet;
+            return;
+        }
+        const chunks = set.manifest.chunks.length;
+        const reported = decodeBitfield(staged.bitfield, chunks);
+        for (let index = 0; index < chunks; index++) {
+            // Chunks that were staged after the read had begun may be missing in the answer.
+            if (hasChunk(heldBefore, index) && !hasChunk(reported, index)) {
+                removeChunk(set.held, index);
+                set.completeLogged = false;
+            }
+        }
+        if (!set.prepared) {
+            await verifyStaged(set, staged);
+        }
+    }
+
+    /** Chunks staged by an earlier agent process, or before a failure, count only when their content is right. */
+    async function verifyStaged(set: WeightSetState, staged: StagedSet): Promise<void> {
+        const { generation, manifest } = set;
+        if (manifest === undefined) {
+            return;
+        }
+        const reported = decodeBitfield(staged.bitfield, manifest.chunks.length);
+        for (let index = 0; index < manifest.chunks.length; index++) {
+            if (!hasChunk(reported, index) || hasChunk(set.held, index)) {
+                continue;
+            }
+            const content = await context.backend.readChunk(set.manifestDigest, index);
+            if (set.generation !== generation || context.signal.aborted) {
+                return;
+            }
+            if (content.isOk && verifyChunk(manifest, index, content.value)) {
+                addChunk(set.held, index);
+                continue;
+            }
+            context.logEvent({ index, source: "engine" }, "corrupt chunk", set);
+        }
+        set.prepared = true;
+        logCompletion(context, set, manifest);
+    }
+
+    return {
+        run: () => {
+            if (reading || context.sets.size === 0 || context.clock.monotonic() < readAt) {
+                return;
+            }
+            reading = true;
+            context.track(
+                read().finally(() => {
+                    reading = false;
+                }),
+            );
+        },
+        expire: () => {
+            readAt = 0;
+        },
+        readActiveDigest: () => activeDigest,
+    };
+}
--- /dev/null
+++ b/src/node/agent/transfer/exchanges.ts
@@ -0,0 +1,111 @@
+import { create } from "@bufbuild/protobuf";
+import { type sendUnaryData, type ServerUnaryCall } from "@grpc/grpc-js";
+import {
+    type AvailabilityRequest,
+    type AvailabilityResponse,
+    AvailabilityResponseSchema,
+} from "../../../generated/goldcrestpoint_pb.js";
+import { decodeBitfield, recordAvailability, selectWatchedReaders } from "../../../runtime/distribution/index.js";
+import type { InstanceId } from "../../../types/index.js";
+import { findAddress, type TransferContext } from "./context.js";
+import { findPeer, type WeightSetState } from "./weightSetState.js";
+
+/** Peers that only ask this agent are asked back less often, to learn what they have sent. */
+const askBackFactor = 4;
+
+/**
+ * Exchanges bitfields with the instances whose turn it is.
+ *
+ * @param context - the service
+ * @param set - the target
+ */
+export function runExchanges(context: TransferContext, set: WeightSetState): void {
+    const now = context.clock.monotonic();
+    const { exchangeInterval } = context.settings;
+    const intervals = new Map<InstanceId, number>();
+    for (const instance of set.peers.keys()) {
+        intervals.set(instance, exchangeInterval * askBackFactor);
+    }
+    for (const instance of [...set.neighbours, ...listWatchedReaders(context, set)]) {
+        intervals.set(instance, exchangeInterval);
+    }
+    for (const [instance, interval] of intervals) {
+        if (now < (set.exchangeAt.get(instance) ?? 0)) {
+            continue;
+        }
+        set.exchangeAt.set(instance, now + interval * (0.75 + context.random.next() / 2));
+        context.track(exchange(context, set, instance));
+    }
+}
+
+function listWatchedReaders(context: TransferContext, set: WeightSetState): InstanceId[] {
+    if (set.manifest === undefined || !set.neighbours.every(neighbour => set.neighboursAsked.has(neighbour))) {
+        return [];
+    }
+    return selectWatchedReaders({
+        chunks: set.manifest.chunks.length,
+        held: set.held,
+        peers: set.peers,
+        originReaders: set.originReaders,
+        startedAt: set.startedAt,
+        now: context.clock.monotonic(),
+        random: context.random,
+        options: context.options,
+    });
+}
+
+async function exchange(context: TransferContext, set: WeightSetState, instance: InstanceId): Promise<void> {
+    const address = findAddress(set, instance);
+    const peer = findPeer(set, instance, context.clock.monotonic());
+    if (address === undefined || peer === undefined) {
+        return;
+    }
+    const request = { instance: context.self, manifestDigest: set.manifestDigest, bitfield: set.held };
+    const answer = await context.calls.exchange(address, request, context.settings.exchangeTimeLimit);
+    const now = context.clock.monotonic();
+    set.neighboursAsked.add(instance);
+    if (answer.isErr) {
+        peer.avoidedUntil = Math.max(peer.avoidedUntil, now + context.settings.exchangeTimeLimit);
+        return;
+    }
+    if (answer.value.holdsSet) {
+        const bitfield = decodeBitfield(answer.value.bitfield, set.manifest?.chunks.length ?? 0);
+        recordAvailability(peer, bitfield, Number(answer.value.sentBytes), now);
+    }
+    context.requestTick();
+}
+
+/**
+ * Creates the handler of `ExchangeAvailability`.
+ *
+ * @param context - the service
+ * @returns handler that takes the requester's bitfield and answers with this agent's
+ */
+export function createExchangeHandler(
+    context: TransferContext,
+): (
+    call: ServerUnaryCall<AvailabilityRequest, AvailabilityResponse>,
+    callback: sendUnaryData<AvailabilityResponse>,
+) => void {
+    return (call, callback) => {
+        const { bitfield, instance, manifestDigest } = call.request;
+        const set = context.sets.get(manifestDigest);
+        if (set === undefined) {
+            callback(undefined as never, create(AvailabilityResponseSchema, { holdsSet: false }));
+            return;
+        }
+        const now = context.clock.monotonic();
+        const peer = instance === context.self ? undefined : findPeer(set, instance, now);
+        if (peer !== undefined) {
+            const chunks = set.manifest?.chunks.length ?? 0;
+            recordAvailability(peer, decodeBitfield(bitfield, chunks), peer.sentBytes, now);
+            context.requestTick();
+        }
+        const response = create(AvailabilityResponseSchema, {
+            bitfield: set.held,
+            sentBytes: BigInt(set.sentBytes),
+            holdsSet: true,
+        });
+        callback(undefined as never, response);
+    };
+}
--- /dev/null
+++ b/src/node/agent/transfer/peerCalls.ts
@@ -0,0 +1,139 @@
+import { create } from "@bufbuild/protobuf";
+import { Metadata } from "@grpc/grpc-js";
+import { err, ok, type Result } from "true-myth/result";
+import {
+    type AvailabilityRequest,
+    AvailabilityRequestSchema,
+    type AvailabilityResponse,
+    type ChunkPart,
+    type FetchChunkRequest,
+    FetchChunkRequestSchema,
+} from "../../../generated/goldcrestpoint_pb.js";
+import { createError, type GoldcrestpointError, type Milliseconds, type PortResult } from "../../../types/index.js";
+import { type AgentClient, createAgentClient } from "../../grpc/index.js";
+
+/** Content of a request without the generated message's own fields. */
+type Fields<Message> = Omit<Message, "$typeName" | "$unknown">;
+
+/** Calls to the agents of other instances. */
+export interface PeerCalls extends Disposable {
+    /**
+     * Exchanges bitfields.
+     *
+     * @param address - `host:port` of the agent
+     * @param fields - content of the request
+     * @param timeLimit - time after which the call fails
+     * @returns the peer's answer, or `PEER_UNREACHABLE`
+     */
+    exchange(
+        address: string,
+        fields: Fields<AvailabilityRequest>,
+        timeLimit: Milliseconds,
+    ): PortResult<AvailabilityResponse>;
+    /**
+     * Requests a chunk.
+     *
+     * @param address - `host:port` of the agent
+     * @param fields - content of the request
+     * @param signal - cancels the call
+     * @param receive - called with each part; the next one is read when it returns
+     * @returns nothing once the stream has ended; `CHUNK_REFUSED` with the refusal as its message, or
+     * `PEER_UNREACHABLE`
+     */
+    fetch(
+        address: string,
+        fields: Fields<FetchChunkRequest>,
+        signal: AbortSignal,
+        receive: (part: Uint8Array) => Promise<void>,
+    ): Promise<Result<void, GoldcrestpointError>>;
+    /**
+     * Closes the connections to agents that are not needed any more.
+     *
+     * @param addresses - agents that are still needed
+     */
+    keepOnly(addresses: ReadonlySet<string>): void;
+}
+
+/**
+ * Creates the calls to other agents; each agent gets one connection.
+ *
+ * @returns the calls
+ */
+export function createPeerCalls(): PeerCalls {
+    const clients = new Map<string, AgentClient>();
+
+    function findClient(address: string): AgentClient {
+        const client = clients.get(address) ?? createAgentClient(address);
+        clients.set(address, client);
+        return client;
+    }
+
+    function keepOnly(addresses: ReadonlySet<string>): void {
+        for (const [address, client] of clients) {
+            if (!addresses.has(address)) {
+                client.close();
+                clients.delete(address);
+            }
+        }
+    }
+
+    function exchange(
+        address: string,
+        fields: Fields<AvailabilityRequest>,
+        timeLimit: Milliseconds,
+    ): PortResult<AvailabilityResponse> {
+        return new Promise(resolve => {
+            const request = create(AvailabilityRequestSchema, fields);
+            // gRPC takes the time limit as a wall-clock time.
+            const options = { deadline: Date.now() + timeLimit };
+            findClient(address).exchangeAvailability(request, new Metadata(), options, (error, response) => {
+                if (response === undefined) {
+                    const message = error?.message ?? "no answer";
+                    resolve(err(createError("PEER_UNREACHABLE", "exchange availability", address, message)));
+                    return;
+                }
+                resolve(ok(response));
+            });
+        });
+    }
+
+    async function fetch(
+        address: string,
+        fields: Fields<FetchChunkRequest>,
+        signal: AbortSignal,
+        receive: (part: Uint8Array) => Promise<void>,
+    ): Promise<Result<void, GoldcrestpointError>> {
+        const step = `fetch chunk ${fields.index}`;
+        const call = findClient(address).fetchChunk(create(FetchChunkRequestSchema, fields));
+        const cancel = () => {
+            call.cancel();
+        };
+        signal.addEventListener("abort", cancel, { once: true });
+        try {
+            for await (const message of call) {
+                const part = message as ChunkPart;
+                if (part.refusal !== "") {
+                    return err(createError("CHUNK_REFUSED", step, address, part.refusal));
+                }
+                await receive(part.data);
+            }
+            return ok(undefined);
+        }
+        catch (error) {
+            const message = error instanceof Error ? error.message : String(error);
+            return err(createError("PEER_UNREACHABLE", step, address, message, { cause: error }));
+        }
+        finally {
+            signal.removeEventListener("abort", cancel);
+        }
+    }
+
+    return {
+        exchange,
+        fetch,
+        keepOnly,
+        [Symbol.dispose]: () => {
+            keepOnly(new Set());
+        },
+    };
+}
--- /dev/null
+++ b/src/node/agent/transfer/service.ts
@@ -0,0 +1,208 @@
+import {
+    countChunks,
+    isComplete,
+    resolveDistributionOptions,
+    verifyManifest,
+} from "../../../runtime/distribution/index.js";
+import type { ManifestDigest, Milliseconds } from "../../../types/index.js";
+import { computeBackoff, type TransferContext } from "./context.js";
+import { runTransfers } from "./downloads.js";
+import { createEngineSync } from "./engineSync.js";
+import { createExchangeHandler, runExchanges } from "./exchanges.js";
+import { createPeerCalls } from "./peerCalls.js";
+import { resolveTransferSettings } from "./settings.js";
+import type { TransferProgress, TransferService, TransferServiceInput, TransferTarget } from "./types.js";
+import { createUploadHandler } from "./uploads.js";
+import { applyManifest, applyMembers, createWeightSetState, type WeightSetState } from "./weightSetState.js";
+
+/**
+ * Creates the exchange of weights between this agent and the others of the same set.
+ *
+ * @param input - instance, ports, link budget, clock, randomness and options
+ * @returns the service; disposing of it abandons all transfers
+ */
+export function createTransferService(input: TransferServiceInput): TransferService {
+    const disposal = new AbortController();
+    const work = new Set<Promise<void>>();
+    const sets = new Map<ManifestDigest, WeightSetState>();
+    let target: WeightSetState | undefined;
+    let tickRequested = false;
+    let manifestRetryAt: Milliseconds = 0;
+    let manifestFailures = 0;
+    let manifestReading: ManifestDigest | undefined;
+
+    const context: TransferContext = {
+        ...input,
+        settings: resolveTransferSettings(input.options),
+        options: resolveDistributionOptions(input.options),
+        calls: createPeerCalls(),
+        sets,
+        signal: disposal.signal,
+        counters: { originBytes: 0, peerReceivedBytes: 0, peerSentBytes: 0 },
+        isTarget: set => set === target && !disposal.signal.aborted,
+        track: promise => {
+            work.add(promise);
+            void promise.finally(() => work.delete(promise));
+        },
+        requestTick: () => {
+            if (tickRequested || disposal.signal.aborted) {
+                return;
+            }
+            tickRequested = true;
+            setImmediate(() => {
+                tickRequested = false;
+                tick();
+            });
+        },
+        logEvent: (fields, message, set) => {
+            const { model, version } = set.target.weights;
+            input.log?.info({ ...fields, model, version, manifestDigest: set.manifestDigest }, message);
+        },
+    };
+    const engineSync = createEngineSync(context, dropInactiveSets);
+
+    function dropInactiveSets(): void {
+        for (const [digest, set] of sets) {
+            if (set !== target && digest !== engineSync.readActiveDigest()) {
+                sets.delete(digest);
+                context.logEvent({}, "set forgotten", set);
+            }
+        }
+        closeUnneededConnections();
+    }
+
+    function closeUnneededConnections(): void {
+        const addresses = [...sets.values()].flatMap(set => set.target.members.map(({ address }) => address));
+        context.calls.keepOnly(new Set(addresses));
+    }
+
+    function setTarget(wanted: TransferTarget | undefined): void {
+        const { neighbours } = context.options;
+        if (wanted !== undefined && wanted.weights.manifestDigest === target?.manifestDigest) {
+            applyMembers(target, wanted, context.self, neighbours);
+            closeUnneededConnections();
+            return;
+        }
+        if (target !== undefined) {
+            abandonTransfers(target);
+        }
+        target = undefined;
+        if (wanted !== undefined) {
+            const kept = sets.get(wanted.weights.manifestDigest);
+            target = kept ?? createWeightSetState(wanted, context.self, neighbours, context.clock.monotonic());
+            applyMembers(target, wanted, context.self, neighbours);
+            sets.set(target.manifestDigest, target);
+            manifestRetryAt = 0;
+            manifestFailures = 0;
+        }
+        dropInactiveSets();
+        engineSync.expire();
+        context.requestTick();
+    }
+
+    async function readManifest(set: WeightSetState): Promise<void> {
+        const { manifestDigest } = set;
+        const read = await input.origin.readManifest(manifestDigest);
+        const manifest = read.isErr ? read : verifyManifest(read.value, manifestDigest, "origin");
+        if (manifest.isErr) {
+            manifestFailures++;
+            manifestRetryAt = context.clock.monotonic() + computeBackoff(context, manifestFailures);
+            context.logEvent({ code: manifest.error.code, peer: manifest.error.peer }, "manifest read failed", set);
+            return;
+        }
+        applyManifest(set, manifest.value, context.self, context.options.neighbours);
+        engineSync.expire();
+        // What peers reported before the manifest was known could not be decoded.
+        set.exchangeAt.clear();
+        set.neighboursAsked.clear();
+        context.requestTick();
+    }
+
+    function requestManifest(set: WeightSetState): void {
+        if (manifestReading === set.manifestDigest || context.clock.monotonic() < manifestRetryAt) {
+            return;
+        }
+        manifestReading = set.manifestDigest;
+        context.track(
+            readManifest(set).finally(() => {
+                manifestReading = undefined;
+            }),
+        );
+    }
+
+    function tick(): void {
+        if (disposal.signal.aborted) {
+            return;
+        }
+        engineSync.run();
+        if (target === undefined) {
+            return;
+        }
+        if (target.manifest === undefined) {
+            requestManifest(target);
+            return;
+        }
+        runExchanges(context, target);
+        if (target.prepared) {
+            runTransfers(context, target, target.manifest);
+        }
+    }
+
+    function progress(): TransferProgress | undefined {
+        if (target === undefined) {
+            return undefined;
+        }
+        const { held, manifest, manifestDigest, prepared } = target;
+        const chunksTotal = manifest?.chunks.length ?? 0;
+        return {
+            manifestDigest,
+            chunksComplete: countChunks(held, chunksTotal),
+            chunksTotal,
+            complete: prepared && isComplete(held, chunksTotal),
+        };
+    }
+
+    async function dispose(): Promise<void> {
+        clearInterval(timer);
+        disposal.abort();
+        for (const set of sets.values()) {
+            abandonTransfers(set);
+        }
+        context.calls[Symbol.dispose]();
+        await Promise.all(work);
+    }
+
+    const upload = createUploadHandler({
+        findSet: digest => sets.get(digest),
+        backend: input.backend,
+        linkBudget: input.linkBudget,
+        settings: context.settings,
+        options: context.options,
+        signal: disposal.signal,
+        countSent: bytes => {
+            context.counters.peerSentBytes += bytes;
+        },
+    });
+    const timer = context.settings.selfScheduled ? setInterval(tick, context.settings.tickInterval) : undefined;
+    return {
+        exchangeAvailability: createExchangeHandler(context),
+        fetchChunk: call => {
+            context.track(upload(call));
+        },
+        setTarget,
+        tick,
+        progress,
+        totals: () => ({ ...context.counters }),
+        [Symbol.asyncDispose]: dispose,
+    };
+}
+
+function abandonTransfers(set: WeightSetState): void {
+    for (const controller of set.controllers.values()) {
+        controller.abort();
+    }
+    set.controllers.clear();
+    for (const index of [...set.transfers.keys()]) {
+        set.transfers.delete(index);
+    }
+}
--- a/src/node/agent/transfer/types.ts
+++ b/src/node/agent/transfer/types.ts
@@ -82,22 +82,35 @@
 }
 
 /** Options of the transfer service beyond those of the decision. */
-export interface TransferServiceOptions extends Partial<DistributionOptions> {
+export interface TransferServiceSettings {
     /** True if the service calls its own `tick`. Default: true. */
-    readonly selfScheduled?: boolean | undefined;
+    readonly selfScheduled: boolean;
     /** Time between two ticks of the self-scheduled service. Default: 100 ms. */
-    readonly tickInterval?: Milliseconds | undefined;
+    readonly tickInterval: Milliseconds;
     /** Time between two exchanges with the same neighbour. Default: 500 ms. */
-    readonly exchangeInterval?: Milliseconds | undefined;
+    readonly exchangeInterval: Milliseconds;
+    /** Time after which an exchange without an answer has failed. Default: 2,000 ms. */
+    readonly exchangeTimeLimit: Milliseconds;
+    /** Time between two reads of the engine's state. Default: 1,000 ms. */
+    readonly engineReadInterval: Milliseconds;
+    /** The same while the engine does not list the set yet. Default: 200 ms. */
+    readonly engineReadIntervalUnprepared: Milliseconds;
+    /** Time for which a peer that refused a chunk as choked is not asked again, plus up to as much. Default: 200 ms. */
+    readonly retryChokedAfter: Milliseconds;
+    /** First delay after a failure of origin or engine; it doubles up to 16 times, with jitter. Default: 250 ms. */
+    readonly retryFailedAfter: Milliseconds;
     /** Largest part of a chunk in one message. Default: 65,536 bytes. */
-    readonly partBytes?: number | undefined;
+    readonly partBytes: number;
     /**
      * True if chunks are requested only when the engine lists the set as staged, that is after the order `prepare`.
      * Default: true.
      */
-    readonly waitForPreparedSet?: boolean | undefined;
+    readonly waitForPreparedSet: boolean;
 }
 
+/** Options of the transfer service; each has a default. */
+export type TransferServiceOptions = Partial<TransferServiceSettings> & Partial<DistributionOptions>;
+
 /** Dependencies and options of the transfer service. */
 export interface TransferServiceInput {
     readonly self: InstanceId;
--- /dev/null
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -0,0 +1,166 @@
+import {
+    createBitfield,
+    createOriginReaders,
+    decodeBitfield,
+    type OriginReaders,
+    type PeerRow,
+    selectNeighbours,
+    type TransferRow,
+} from "../../../runtime/distribution/index.js";
+import type { InstanceId, Manifest, ManifestDigest, Milliseconds } from "../../../types/index.js";
+import { createTable, type Table } from "../../../utils/index.js";
+import type { TransferTarget } from "./types.js";
+
+/** What the service knows of one weight set. */
+export interface WeightSetState {
+    readonly manifestDigest: ManifestDigest;
+    readonly startedAt: Milliseconds;
+    target: TransferTarget;
+    manifest: Manifest | undefined;
+    /** Chunks that are staged in the engine and were verified by this process. */
+    held: Uint8Array;
+    /** Grows when `held` is taken back, so that work begun before does not count. */
+    generation: number;
+    /** True once the engine lists the set and its staged chunks have been verified. */
+    prepared: boolean;
+    completeLogged: boolean;
+    readonly peers: Table<InstanceId, PeerRow>;
+    readonly transfers: Table<number, TransferRow>;
+    readonly controllers: Map<number, AbortController>;
+    neighbours: readonly InstanceId[];
+    readonly neighboursAsked: Set<InstanceId>;
+    /** Monotonic time of the next exchange with each instance. */
+    readonly exchangeAt: Map<InstanceId, Milliseconds>;
+    originReaders: OriginReaders;
+    originAvoidedUntil: Milliseconds;
+    originFailures: number;
+    /** Bytes sent, and those reserved for uploads in progress. */
+    sentBytes: number;
+    uploadsInProgress: number;
+}
+
+/**
+ * Creates the state of a weight set.
+ *
+ * @param target - the set and its members
+ * @param self - this agent's instance
+ * @param neighbours - number of neighbours
+ * @param now - monotonic time
+ * @returns state without a manifest
+ */
+export function createWeightSetState(
+    target: TransferTarget,
+    self: InstanceId,
+    neighbours: number,
+    now: Milliseconds,
+): WeightSetState {
+    const state: WeightSetState = {
+        manifestDigest: target.weights.manifestDigest,
+        startedAt: now,
+        target,
+        manifest: undefined,
+        held: createBitfield(0),
+        generation: 0,
+        prepared: false,
+        completeLogged: false,
+        peers: createTable<InstanceId, PeerRow>(),
+        transfers: createTable<number, TransferRow>(),
+        controllers: new Map(),
+        neighbours: [],
+        neighboursAsked: new Set(),
+        exchangeAt: new Map(),
+        originReaders: createOriginReaders(target.weights.manifestDigest, 0, [], self),
+        originAvoidedUntil: 0,
+        originFailures: 0,
+        sentBytes: 0,
+        uploadsInProgress: 0,
+    };
+    applyMembers(state, target, self, neighbours);
+    return state;
+}
+
+/**
+ * Applies changed members to a set; peers that are no member any more are forgotten.
+ *
+ * @param state - changed in place
+ * @param target - the set with its new members
+ * @param self - this agent's instance
+ * @param neighbours - number of neighbours
+ */
+export function applyMembers(
+    state: WeightSetState,
+    target: TransferTarget,
+    self: InstanceId,
+    neighbours: number,
+): void {
+    state.target = target;
+    const members = target.members.map(({ instance }) => instance);
+    const known = new Set(members);
+    for (const instance of [...state.peers.keys()].filter(peer => !known.has(peer))) {
+        state.peers.delete(instance);
+        state.exchangeAt.delete(instance);
+    }
+    state.neighbours = selectNeighbours(state.manifestDigest, self, members, neighbours);
+    state.originReaders = createOriginReaders(state.manifestDigest, state.manifest?.chunks.length ?? 0, members, self);
+}
+
+/**
+ * Applies the manifest that was read for a set. Chunks that peers have reported before count from now on.
+ *
+ * @param state - changed in place
+ * @param manifest - verified manifest
+ * @param self - this agent's instance
+ * @param neighbours - number of neighbours
+ */
+export function applyManifest(state: WeightSetState, manifest: Manifest, self: InstanceId, neighbours: number): void {
+    state.manifest = manifest;
+    state.held = createBitfield(manifest.chunks.length);
+    for (const peer of state.peers.rows()) {
+        peer.bitfield = decodeBitfield(peer.bitfield, manifest.chunks.length);
+    }
+    applyMembers(state, state.target, self, neighbours);
+}
+
+/**
+ * Takes back what counts as held, since the engine lost it or was started again.
+ *
+ * @param state - changed in place
+ */
+export function discardHeld(state: WeightSetState): void {
+    state.generation++;
+    state.prepared = false;
+    state.completeLogged = false;
+    state.held = createBitfield(state.manifest?.chunks.length ?? 0);
+}
+
+/**
+ * Finds or creates the row of a peer.
+ *
+ * @param state - the set
+ * @param instance - the peer
+ * @param now - monotonic time
+ * @returns the row; undefined if the instance is no member
+ */
+export function findPeer(state: WeightSetState, instance: InstanceId, now: Milliseconds): PeerRow | undefined {
+    const known = state.peers.get(instance);
+    if (known !== undefined) {
+        return known;
+    }
+    const member = state.target.members.find(candidate => candidate.instance === instance);
+    if (member === undefined) {
+        return undefined;
+    }
+    const peer: PeerRow = {
+        instance,
+        zone: member.zone,
+        bitfield: createBitfield(state.manifest?.chunks.length ?? 0),
+        heardAt: now,
+        progressedAt: now,
+        sentBytes: 0,
+        corruptChunks: 0,
+        avoidedUntil: 0,
+        chokedUntil: 0,
+    };
+    state.peers.set(instance, peer);
+    return peer;
+}
--- a/src/runtime/activation/types.ts
+++ b/src/runtime/activation/types.ts
@@ -16,6 +16,8 @@
     readonly held: boolean;
     /** Newest state that was read from the engine after the last order; undefined if it has to be read. */
     readonly engine: EngineState | undefined;
+    /** Monotonic time at which the read of `engine` began; undefined if `engine` is. */
+    readonly engineReadAt: Milliseconds | undefined;
     /** True if every chunk of the assigned set is staged and verified by this agent process. */
     readonly setComplete: boolean;
     readonly chunksTotal: number;
@@ -27,7 +29,7 @@
     readonly orderTimeLimit: Milliseconds;
     /** Token of the last order that this agent process gave. */
     readonly lastToken: FencingToken;
-    /** Epoch to use when nothing is assigned any more: that of the newest placement record known. */
+    /** Offset of the newest placement record known, of any deployment. Orders carry it as their epoch. */
     readonly newestEpoch: Offset;
     readonly now: Milliseconds;
 }
--- /dev/null
+++ b/src/runtime/distribution/index.ts
@@ -0,0 +1,10 @@
+export * from "./bitfield.js";
+export * from "./budget.js";
+export * from "./decideUpload.js";
+export * from "./manifest.js";
+export * from "./neighbours.js";
+export * from "./options.js";
+export * from "./originReaders.js";
+export * from "./selectTransfers.js";
+export * from "./sources.js";
+export type * from "./types.js";
--- /dev/null
+++ b/src/runtime/distribution/neighbours.ts
@@ -0,0 +1,68 @@
+import type { InstanceId, ManifestDigest, Milliseconds, RandomSource } from "../../types/index.js";
+import { rankByRendezvous, type Table } from "../../utils/index.js";
+import { hasChunk } from "./bitfield.js";
+import type { DistributionOptions, OriginReaders, PeerRow } from "./types.js";
+
+/**
+ * Chooses the agents with which bitfields are exchanged.
+ *
+ * @param manifestDigest - the set
+ * @param self - this agent's instance
+ * @param members - instances assigned to the set
+ * @param count - number of neighbours wanted
+ * @returns up to `count` other instances, ranked by rendezvous hash
+ */
+export function selectNeighbours(
+    manifestDigest: ManifestDigest,
+    self: InstanceId,
+    members: readonly InstanceId[],
+    count: number,
+): InstanceId[] {
+    const others = members.filter(member => member !== self);
+    return rankByRendezvous(`${manifestDigest}/${self}`, others).slice(0, count);
+}
+
+/** Input of `selectWatchedReaders`. */
+export interface WatchInput {
+    readonly chunks: number;
+    readonly held: Uint8Array;
+    readonly peers: Table<InstanceId, PeerRow>;
+    readonly originReaders: OriginReaders;
+    readonly startedAt: Milliseconds;
+    readonly now: Milliseconds;
+    readonly random: RandomSource;
+    readonly options: DistributionOptions;
+}
+
+/**
+ * Chooses origin readers whose progress this agent has to know, since it takes over when they fail. An agent of rank k
+ * begins to watch a chunk's readers one takeover time before its turn could come.
+ *
+ * @param input - missing chunks, known peers and ranks
+ * @returns at most `watchedReaders` instances
+ */
+export function selectWatchedReaders(input: WatchInput): InstanceId[] {
+    const { chunks, held, now, options, originReaders, peers, random, startedAt } = input;
+    const watched = new Set<InstanceId>();
+    const highestRank = 1 + Math.floor((now - startedAt) / options.originTakeoverAfter);
+    const first = Math.floor(random.next() * chunks);
+    for (let step = 0; step < chunks && watched.size < options.watchedReaders; step++) {
+        const index = (first + step) % chunks;
+        if (hasChunk(held, index) || originReaders.rankOf(index) > highestRank || isKnown(peers, index)) {
+            continue;
+        }
+        for (const reader of originReaders.readersBefore(index)) {
+            watched.add(reader);
+        }
+    }
+    return [...watched].slice(0, options.watchedReaders);
+}
+
+function isKnown(peers: Table<InstanceId, PeerRow>, index: number): boolean {
+    for (const peer of peers.rows()) {
+        if (hasChunk(peer.bitfield, index)) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/src/runtime/distribution/options.ts
@@ -0,0 +1,25 @@
+import type { DistributionOptions } from "./types.js";
+
+/**
+ * Completes the options of the transfer decision with their defaults.
+ *
+ * @param partial - options that differ from the defaults
+ * @returns all options
+ */
+export function resolveDistributionOptions(partial: Partial<DistributionOptions> = {}): DistributionOptions {
+    return {
+        maximumTransfers: partial.maximumTransfers ?? 8,
+        maximumTransfersFromPeer: partial.maximumTransfersFromPeer ?? 2,
+        maximumOriginTransfers: partial.maximumOriginTransfers ?? 2,
+        maximumUploads: partial.maximumUploads ?? 8,
+        uploadAllowanceCopies: partial.uploadAllowanceCopies ?? 1.1,
+        stallAfter: partial.stallAfter ?? 10_000,
+        originStallAfter: partial.originStallAfter ?? 30_000,
+        avoidSourceFor: partial.avoidSourceFor ?? 30_000,
+        originTakeoverAfter: partial.originTakeoverAfter ?? 5_000,
+        originReadersForTime: partial.originReadersForTime ?? 4,
+        corruptChunksUntilAvoided: partial.corruptChunksUntilAvoided ?? 2,
+        neighbours: partial.neighbours ?? 8,
+        watchedReaders: partial.watchedReaders ?? 8,
+    };
+}
--- /dev/null
+++ b/src/runtime/distribution/sources.ts
@@ -0,0 +1,48 @@
+import type { Milliseconds } from "../../types/index.js";
+import type { DistributionOptions, PeerRow } from "./types.js";
+
+/**
+ * Counts a corrupt chunk against its source. From the limit on, each further one makes the source avoided for a time;
+ * avoiding it for good would leave no source where a link corrupts chunks at random.
+ *
+ * @param peer - the source; changed in place
+ * @param now - monotonic time
+ * @param options - options of the transfer decision
+ * @returns true if the source is avoided from now on
+ */
+export function recordCorruptChunk(peer: PeerRow, now: Milliseconds, options: DistributionOptions): boolean {
+    peer.corruptChunks++;
+    if (peer.corruptChunks < options.corruptChunksUntilAvoided) {
+        return false;
+    }
+    peer.avoidedUntil = now + options.avoidSourceFor;
+    return true;
+}
+
+/**
+ * Records a stalled transfer or a failed connection: the source is avoided for a time.
+ *
+ * @param peer - the source; changed in place
+ * @param now - monotonic time
+ * @param options - options of the transfer decision
+ */
+export function recordStall(peer: PeerRow, now: Milliseconds, options: DistributionOptions): void {
+    peer.avoidedUntil = now + options.avoidSourceFor;
+}
+
+/**
+ * Takes over what a peer reported.
+ *
+ * @param peer - changed in place
+ * @param bitfield - chunks that the peer holds, of the length that the set needs
+ * @param sentBytes - bytes that the peer has sent for the set
+ * @param now - monotonic time
+ */
+export function recordAvailability(peer: PeerRow, bitfield: Uint8Array, sentBytes: number, now: Milliseconds): void {
+    if (bitfield.some((byte, position) => (byte & ~(peer.bitfield[position] ?? 0)) !== 0)) {
+        peer.progressedAt = now;
+    }
+    peer.bitfield = bitfield;
+    peer.sentBytes = Math.max(sentBytes, peer.sentBytes);
+    peer.heardAt = now;
+}
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -2,7 +2,6 @@
     AvailabilityZone,
     InstanceId,
     Manifest,
-    ManifestDigest,
     Milliseconds,
     Objective,
     RandomSource,
@@ -15,16 +14,28 @@
     readonly maximumTransfers: number;
     /** Transfers that one agent runs from the same peer at once. Default: 2. */
     readonly maximumTransfersFromPeer: number;
+    /** Transfers that one agent runs from the origin at once. Default: 2. */
+    readonly maximumOriginTransfers: number;
+    /** Chunks that one agent sends at once; further requests are refused as choked. Default: 8. */
+    readonly maximumUploads: number;
     /** Copies that an agent sends before it refuses further chunks to requesters with other sources. Default: 1.1. */
     readonly uploadAllowanceCopies: number;
-    /** Time after which a transfer without an answer is abandoned. Default: 10,000 ms. */
+    /** Time after which a transfer from a peer without new bytes is abandoned. Default: 10,000 ms. */
     readonly stallAfter: Milliseconds;
+    /** Time after which a read from the origin is abandoned; the origin may queue it. Default: 30,000 ms. */
+    readonly originStallAfter: Milliseconds;
+    /** Time for which a source is avoided after a stalled transfer or repeated corrupt chunks. Default: 30,000 ms. */
+    readonly avoidSourceFor: Milliseconds;
     /** Time after which the next rank may read a chunk from the origin. Default: 5,000 ms. */
     readonly originTakeoverAfter: Milliseconds;
+    /** Origin readers of each chunk with the objective `time`; `origin-bytes` has one. Default: 4. */
+    readonly originReadersForTime: number;
     /** Corrupt chunks from one source after which it is avoided. Default: 2. */
     readonly corruptChunksUntilAvoided: number;
     /** Neighbours with which an agent exchanges bitfields. Default: 8. */
     readonly neighbours: number;
+    /** Origin readers with which an agent exchanges bitfields besides its neighbours, at most. Default: 8. */
+    readonly watchedReaders: number;
 }
 
 /** What an agent knows of another agent of the same set. */
@@ -33,12 +44,17 @@
     readonly zone: AvailabilityZone;
     /** One byte for each eight chunks, least significant bit first. */
     bitfield: Uint8Array;
+    /** Monotonic time of the newest exchange; the time at which the row was made before the first. */
     heardAt: Milliseconds;
+    /** Monotonic time at which the peer was last seen to have gained a chunk; initially as `heardAt`. */
+    progressedAt: Milliseconds;
     /** Bytes that the peer says it has sent for this set. */
     sentBytes: number;
     corruptChunks: number;
     /** Monotonic time until which the peer is not asked. */
     avoidedUntil: Milliseconds;
+    /** Monotonic time until which the peer is not asked because it refused a chunk. */
+    chokedUntil: Milliseconds;
 }
 
 /** Transfer in progress; keyed by chunk index. */
@@ -47,21 +63,40 @@
     /** `origin` or the peer's instance. */
     readonly source: InstanceId;
     readonly startedAt: Milliseconds;
+    /** Monotonic time of the newest bytes; initially as `startedAt`. */
+    progressedAt: Milliseconds;
+}
+
+/** Ranks of the members as origin readers of each chunk. */
+export interface OriginReaders {
+    /**
+     * Reads this agent's rank.
+     *
+     * @param index - position of the chunk
+     * @returns number of members that rank before this agent; 0 for the first reader
+     */
+    rankOf(index: number): number;
+    /**
+     * Lists the members that rank before this agent.
+     *
+     * @param index - position of the chunk
+     * @returns instances, best rank first
+     */
+    readersBefore(index: number): readonly InstanceId[];
 }
 
 /** Input of `selectTransfers`. */
 export interface TransferInput {
-    readonly self: InstanceId;
-    readonly manifestDigest: ManifestDigest;
     readonly manifest: Manifest;
     /** Chunks that are staged and verified. */
     readonly held: Uint8Array;
     readonly transfers: Table<number, TransferRow>;
     readonly peers: Table<InstanceId, PeerRow>;
-    /** Instances that are assigned to the set, this one included, sorted. */
-    readonly members: readonly InstanceId[];
+    readonly originReaders: OriginReaders;
     /** Monotonic time at which this agent learned of the set. */
     readonly startedAt: Milliseconds;
+    /** True if every neighbour has answered or failed once, so that no chunk is read that a neighbour already has. */
+    readonly neighboursAsked: boolean;
     readonly objective: Objective;
     /** Bytes that may be requested now, after live traffic has been served. */
     readonly budgetBytes: number;
@@ -83,3 +118,22 @@
         readonly reason: string;
     }
     | { readonly kind: "abandon"; readonly index: number; readonly source: string; readonly reason: string; };
+
+/** Input of `decideUpload`. */
+export interface UploadInput {
+    /** True if this agent holds the requested chunk of the requested set. */
+    readonly held: boolean;
+    readonly chunkBytes: number;
+    readonly totalBytes: number;
+    /** Bytes of this set that were sent, and those of uploads in progress. */
+    readonly sentBytes: number;
+    readonly uploadsInProgress: number;
+    /** The requester knows no other source. */
+    readonly lastResort: boolean;
+    readonly options: DistributionOptions;
+}
+
+/** Result of `decideUpload`. */
+export type UploadDecision =
+    | { readonly allowed: true; }
+    | { readonly allowed: false; readonly refusal: "not-held" | "choked"; readonly reason: string; };
