Decide holds and the expiry of the hold of an unreachable holder

The expiry needs the same witnesses at its beginning and after it: a witness that restarted in between could have lost the revocation, and a set of changing majorities would not have covered the whole time. A hold that has lapsed is renewed only by the log.

--- a/src/runtime/hold/types.ts
+++ b/src/runtime/hold/types.ts
@@ -1,8 +1,11 @@
-import type { InstanceId, Milliseconds } from "../../types/index.js";
+import type { InstanceId, Milliseconds, Offset } from "../../types/index.js";
 
 /** Newest answer of a witness to a holder. */
 export interface WitnessAnswer {
-    /** Monotonic time of the holder when the answer arrived. */
+    /**
+     * Monotonic time of the holder at which it sent the question. The time of arrival would count an answer that was
+     * delayed on the way, or that waited in a buffer while the holder was paused, as newer than it is.
+     */
     readonly answeredAt: Milliseconds;
     /** True if the witness's own knowledge of the log was older than the hold duration. */
     readonly logUnreachable: boolean;
@@ -14,11 +17,19 @@
 export interface HoldInput {
     /** Witness sets that apply: the copy's witnesses and, during a change, the previous ones. */
     readonly witnessSets: readonly (readonly InstanceId[])[];
-    /** Monotonic time at which the holder's knowledge of the log was current; undefined before the first read. */
+    /**
+     * Monotonic time at which the holder's knowledge of the log was current, counted back from the time at which it asked
+     * for it; undefined before the first read.
+     */
     readonly logKnownAt: Milliseconds | undefined;
     readonly answers: ReadonlyMap<InstanceId, WitnessAnswer>;
     readonly now: Milliseconds;
     readonly holdDuration: Milliseconds;
+    /**
+     * The preceding decision for the same copy; undefined for the first. A hold that has lapsed is renewed only by
+     * fresh knowledge of the log.
+     */
+    readonly preceding?: HoldDecision | undefined;
 }
 
 /** Whether a holder may keep its copies. */
@@ -28,3 +39,40 @@
     /** Monotonic time at which the hold lapses without a further renewal. */
     readonly validUntil: Milliseconds;
 }
+
+/** What a proposer knows of a witness. */
+export interface WitnessKnowledge {
+    /** Monotonic time of the proposer. */
+    readonly heardAt: Milliseconds;
+    readonly appliedOffset: Offset;
+    /** Time since the witness started, at `heardAt`. */
+    readonly uptime: Milliseconds;
+}
+
+/** Confirmation of a revocation by witnesses, as the proposer remembers it. */
+export interface WitnessConfirmation {
+    /** Monotonic time at which majorities had confirmed. */
+    readonly since: Milliseconds;
+    /** Witnesses that had confirmed by then and have not restarted. */
+    readonly witnesses: readonly InstanceId[];
+}
+
+/** Input of `evaluateReplacement`. */
+export interface ReplacementInput {
+    /** Offset of the record that revoked the copy. */
+    readonly revokedAt: Offset;
+    /** Witness sets that the holder may still know. */
+    readonly witnessSets: readonly (readonly InstanceId[])[];
+    readonly witnesses: { get(witness: InstanceId): WitnessKnowledge | undefined; };
+    readonly preceding: WitnessConfirmation | undefined;
+    readonly now: Milliseconds;
+    readonly holdDuration: Milliseconds;
+    readonly holdMargin: Milliseconds;
+}
+
+/** Whether the hold on a revoked copy has certainly expired. */
+export interface ReplacementDecision {
+    readonly state: "awaiting-confirmation" | "awaiting-expiry" | "expired";
+    /** Passed in again with the next evaluation; undefined if no majority has confirmed. */
+    readonly confirmation: WitnessConfirmation | undefined;
+}
