--- /dev/null
+++ b/bench/decisions/state.ts
@@ -0,0 +1,271 @@
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import {
+    createInstanceTable,
+    createProposerMemory,
+    resolvePlacementOptions,
+    runProposer,
+} from "../../src/runtime/placement/index.js";
+import type { ProposerInput } from "../../src/runtime/placement/index.js";
+import { createFoldState, foldEntry } from "../../src/runtime/state/index.js";
+import type { FoldState } from "../../src/runtime/state/index.js";
+import type {
+    AgentObservation,
+    ConfigurationRecord,
+    CopyAssignment,
+    InstanceRow,
+    LogRecord,
+    PlacementRecord,
+} from "../../src/types/index.js";
+import { createManualClock, createSeededRandom, createTable } from "../../src/utils/index.js";
+import type { ManualClock } from "../../src/utils/index.js";
+
+/** One measured figure. */
+export interface BenchmarkRow {
+    readonly name: string;
+    readonly value: number;
+    readonly unit: string;
+    /** Largest value that is acceptable, in the same unit. */
+    readonly target?: number;
+}
+
+const zoneCount = 10;
+const deploymentCount = 8;
+const runnerCount = 3_200;
+const entryCount = 360;
+const repetitions = 15;
+const foldedRecords = 100_000;
+const writtenAt = "2026-01-01T00:00:00.000Z";
+const weights = { model: "goldcrest-llm", adapter: "", version: "1", manifestDigest: "0".repeat(64) };
+
+/**
+ * Measures a tick of the proposer and the fold at the design size, and the memory for each row of their tables.
+ *
+ * @returns the figures; times are medians
+ */
+export function measureState(): BenchmarkRow[] {
+    return [...measureProposer(), measureFold(), ...measureRows()];
+}
+
+interface Fleet {
+    readonly input: ProposerInput;
+    readonly clock: ManualClock;
+}
+
+function createFleet(): Fleet {
+    const clock = createManualClock();
+    clock.advance(60_000);
+    const instances = createInstanceTable();
+    for (let index = 0; index < entryCount; index++) {
+        instances.set(`entry-${index}`, createInstance(`entry-${index}`, "entry", "entry", index % zoneCount));
+    }
+    const state = createFoldState();
+    const zones = [...Array(zoneCount).keys()].map(zone => [`zone-${zone}`, 36] as const);
+    for (let deployment = 0; deployment < deploymentCount; deployment++) {
+        append(state, createConfiguration(`deployment-${deployment}`, 0, Object.fromEntries(zones)));
+        for (let index = 0; index < runnerCount / deploymentCount; index++) {
+            const instance = `runner-${deployment}-${index}`;
+            const row = createInstance(instance, "backend-server", `deployment-${deployment}`, index % zoneCount);
+            instances.set(instance, row);
+        }
+    }
+    const observations = createTable<string, AgentObservation>();
+    const input: ProposerInput = {
+        self: "entry-0",
+        state,
+        instances,
+        observations,
+        witnesses: createTable(),
+        memory: createProposerMemory(),
+        clock,
+        random: createSeededRandom(1),
+        options: resolvePlacementOptions({ rankDelay: 0 }),
+    };
+    hear(input);
+    return { input, clock };
+}
+
+function createInstance(
+    instance: string,
+    role: InstanceRow["role"],
+    pool: string,
+    zone: number,
+): InstanceRow {
+    return {
+        instance,
+        role,
+        pool,
+        zone: `zone-${zone}`,
+        region: `region-${zone >> 1}`,
+        address: "127.0.0.1:1",
+        state: "live",
+        absentReads: 0,
+    };
+}
+
+function hear({ instances, observations, state, clock }: ProposerInput): void {
+    for (const { instance, role } of instances.rows()) {
+        if (role === "backend-server") {
+            const heardAt = clock.monotonic();
+            const base = { incarnation: "1", appliedOffset: state.appliedOffset, draining: false, copies: [] };
+            observations.set(instance, { ...base, instance, heardAt });
+        }
+    }
+    for (const { deployment, copies } of state.placements.rows()) {
+        for (const { instance, epoch } of copies) {
+            const { version, manifestDigest } = weights;
+            const report = { deployment, epoch, version, manifestDigest, phase: "serving" } as const;
+            const observation = observations.get(instance)!;
+            observations.set(instance, { ...observation, copies: [{ ...report, chunksComplete: 1, chunksTotal: 1 }] });
+        }
+    }
+}
+
+function measureProposer(): BenchmarkRow[] {
+    const times: Record<"first" | "steady" | "replacing", number[]> = { first: [], steady: [], replacing: [] };
+    for (let repetition = 0; repetition < repetitions; repetition++) {
+        const { input, clock } = createFleet();
+        times.first.push(time(() => applyCommands(input)));
+        for (let round = 0; round < 4; round++) {
+            clock.advance(1_000);
+            hear(input);
+            applyCommands(input);
+        }
+        clock.advance(1_000);
+        times.steady.push(time(() => applyCommands(input)));
+        for (let index = 0; index < 80; index++) {
+            const row = input.instances.get(`runner-${index % deploymentCount}-${index}`)!;
+            input.instances.set(row.instance, { ...row, state: "leaving" });
+        }
+        clock.advance(1_000);
+        times.replacing.push(time(() => applyCommands(input)));
+    }
+    return [
+        { name: "proposer tick, first placement of 2,880 copies", value: median(times.first), unit: "ms", target: 50 },
+        { name: "proposer tick, 3,200 runners, no change", value: median(times.steady), unit: "ms", target: 50 },
+        { name: "proposer tick, 80 instances leaving", value: median(times.replacing), unit: "ms", target: 50 },
+    ];
+}
+
+function applyCommands(input: ProposerInput): void {
+    for (const command of runProposer(input)) {
+        append(input.state, command.record);
+    }
+}
+
+function append(state: FoldState, record: LogRecord): void {
+    foldEntry(state, { offset: state.appliedOffset + 1, previousOffset: state.appliedOffset, record });
+}
+
+function createConfiguration(
+    deployment: string,
+    base: number,
+    replicas: Readonly<Record<string, number>>,
+): ConfigurationRecord {
+    return {
+        id: `${deployment}/${base}`,
+        kind: "configuration",
+        deployment,
+        base,
+        writtenAt,
+        writer: "operator",
+        declaration: {
+            schemaVersion: 2,
+            kind: "model",
+            weights,
+            replicas,
+            objective: "time",
+            priority: 5,
+            updateStrategy: "in-place",
+        },
+    };
+}
+
+function createPlacement(deployment: string, base: number, size: number): PlacementRecord {
+    const copies = [...Array(size).keys()].map((index): CopyAssignment => ({
+        instance: `runner-${index}`,
+        zone: "zone-0",
+        epoch: index < size / 2 ? 1 : 0,
+        weights,
+        state: "assigned",
+        witnesses: ["entry-0", "entry-1", "entry-2", "entry-3", "entry-4"],
+    }));
+    const header = { id: `${deployment}/placement/${base}`, deployment, base, writtenAt, writer: "entry-0" };
+    return { ...header, kind: "placement", configurationOffset: 1, copies, owners: [] };
+}
+
+function measureFold(): BenchmarkRow {
+    const records: LogRecord[] = [];
+    const bases = new Map<string, number>();
+    for (let index = 0; index < foldedRecords; index++) {
+        const deployment = `deployment-${index % 50}`;
+        const chain = `${index % 3 === 0 ? "configuration" : "placement"}/${deployment}`;
+        const base = bases.get(chain) ?? 0;
+        records.push(
+            index % 3 === 0 ? createConfiguration(deployment, base, {}) : createPlacement(deployment, base, 40),
+        );
+        bases.set(chain, index + 1);
+    }
+    const state = createFoldState();
+    const elapsed = time(() => records.forEach(record => append(state, record)));
+    return { name: "fold of 100,000 records, 40 copies each", value: elapsed, unit: "ms" };
+}
+
+function measureRows(): BenchmarkRow[] {
+    const zones = { "zone-0": 36, "zone-1": 36 };
+    return [
+        measureTable("configuration", 2_000, index => {
+            const state = createFoldState();
+            append(state, createConfiguration(`deployment-${index}`, 0, { ...zones }));
+            return state.configurations.get(`deployment-${index}`);
+        }),
+        measureTable("placement with 100 copies", 200, index => {
+            const state = createFoldState();
+            append(state, createPlacement(`deployment-${index}`, 0, 100));
+            return state.placements.get(`deployment-${index}`);
+        }),
+        measureTable(
+            "instance",
+            20_000,
+            index => createInstance(`runner-${index}`, "backend-server", "scribe", index % zoneCount),
+        ),
+        measureTable("agent observation", 20_000, index => ({
+            instance: `runner-${index}`,
+            incarnation: `incarnation-${index}`,
+            heardAt: index + 0.5,
+            appliedOffset: index,
+            draining: false,
+            copies: [{ deployment: "scribe", epoch: index, version: "1", manifestDigest: "0", phase: "serving" }],
+        })),
+        measureTable("witness observation", 20_000, index => ({
+            instance: `entry-${index}`,
+            heardAt: index + 0.5,
+            appliedOffset: index,
+            uptime: index + 0.25,
+        })),
+    ];
+}
+
+function measureTable(name: string, size: number, createRow: (index: number) => unknown): BenchmarkRow {
+    setFlagsFromString("--expose_gc");
+    const collectGarbage = runInNewContext("gc") as () => void;
+    const table = createTable<string, unknown>();
+    collectGarbage();
+    const before = process.memoryUsage().heapUsed;
+    for (let index = 0; index < size; index++) {
+        table.set(`key-${index}`, createRow(index));
+    }
+    collectGarbage();
+    const bytes = (process.memoryUsage().heapUsed - before) / table.size;
+    return { name: `table row: ${name}`, value: Math.round(bytes), unit: "bytes" };
+}
+
+function time(run: () => void): number {
+    const start = process.hrtime.bigint();
+    run();
+    return Number(process.hrtime.bigint() - start) / 1e6;
+}
+
+function median(values: readonly number[]): number {
+    return [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)]!;
+}
--- /dev/null
+++ b/src/runtime/placement/rank.ts
@@ -0,0 +1,22 @@
+import type { DeploymentName, InstanceId } from "../../types/index.js";
+import { scoreRendezvous } from "../../utils/index.js";
+
+/**
+ * Ranks an entry instance among the proposers of a deployment.
+ *
+ * @param deployment - name of the deployment
+ * @param self - the entry instance
+ * @param entries - live entry instances; `self` counts even if it is missing
+ * @returns number of entry instances that come first; 0 for the first
+ */
+export function rankProposer(deployment: DeploymentName, self: InstanceId, entries: Iterable<InstanceId>): number {
+    const ownScore = scoreRendezvous(deployment, self);
+    let rank = 0;
+    for (const entry of entries) {
+        const score = scoreRendezvous(deployment, entry);
+        if (score > ownScore || (score === ownScore && entry < self)) {
+            rank++;
+        }
+    }
+    return rank;
+}
--- /dev/null
+++ b/src/runtime/placement/tick.ts
@@ -0,0 +1,128 @@
+import type {
+    CopyAssignment,
+    DeploymentName,
+    InstanceId,
+    InstanceRow,
+    Milliseconds,
+    Offset,
+} from "../../types/index.js";
+import type { ProposerInput } from "./types.js";
+
+/** Copy that a placement in force lists for an instance, released or not. */
+interface Holding {
+    readonly deployment: DeploymentName;
+    readonly epoch: Offset;
+    readonly state: CopyAssignment["state"];
+}
+
+/** What one tick of the proposer works with. */
+export interface Tick {
+    readonly input: ProposerInput;
+    /** Monotonic time. */
+    readonly now: Milliseconds;
+    readonly observingSince: Milliseconds;
+    readonly holdings: ReadonlyMap<InstanceId, readonly Holding[]>;
+    readonly entries: readonly InstanceRow[];
+    /** Instances that were looked for and not heard in this tick. */
+    readonly unheard: Map<InstanceId, Milliseconds>;
+    /** Keys of the copies whose revocation witnesses confirm in this tick. */
+    readonly confirming: Set<string>;
+}
+
+/**
+ * Begins a tick.
+ *
+ * @param input - input of the proposer; its memory is updated
+ * @returns the tick
+ */
+export function beginTick(input: ProposerInput): Tick {
+    const { memory, options, instances } = input;
+    const now = input.clock.monotonic();
+    const wasPaused = memory.lastTickAt === undefined || now - memory.lastTickAt > options.unreachableAfter / 2;
+    // After a start or a pause nobody has been heard for reasons that lie with the proposer itself.
+    if (memory.observingSince === undefined || wasPaused) {
+        memory.observingSince = now;
+    }
+    memory.lastTickAt = now;
+    const entries = [...instances.lookup("role", "entry")]
+        .map(instance => instances.get(instance)!)
+        .filter(row => row.state === "live");
+    return {
+        input,
+        now,
+        observingSince: memory.observingSince,
+        holdings: collectHoldings(input),
+        entries,
+        unheard: new Map(),
+        confirming: new Set(),
+    };
+}
+
+/**
+ * Ends a tick.
+ *
+ * @param tick - the tick; what it found out is kept in the proposer's memory
+ */
+export function endTick(tick: Tick): void {
+    const { unheardSince } = tick.input.memory;
+    unheardSince.clear();
+    tick.unheard.forEach((since, instance) => unheardSince.set(instance, since));
+}
+
+function collectHoldings(input: ProposerInput): Map<InstanceId, Holding[]> {
+    const holdings = new Map<InstanceId, Holding[]>();
+    for (const { deployment, copies } of input.state.placements.rows()) {
+        for (const { instance, epoch, state } of copies) {
+            const held = holdings.get(instance);
+            if (held === undefined) {
+                holdings.set(instance, [{ deployment, epoch, state }]);
+            }
+            else {
+                held.push({ deployment, epoch, state });
+            }
+        }
+    }
+    return holdings;
+}
+
+/**
+ * Measures for how long an instance was not heard. Time in which the proposer itself was not observing does not count.
+ *
+ * @param tick - the tick
+ * @param instance - a backend server or entry instance
+ * @returns milliseconds
+ */
+export function measureSilence(tick: Tick, instance: InstanceId): Milliseconds {
+    const { input, now } = tick;
+    const heardAt = (input.observations.get(instance) ?? input.witnesses.get(instance))?.heardAt;
+    if (heardAt !== undefined) {
+        return now - Math.max(heardAt, tick.observingSince);
+    }
+    const since = input.memory.unheardSince.get(instance) ?? now;
+    tick.unheard.set(instance, since);
+    return now - Math.max(since, tick.observingSince);
+}
+
+/**
+ * Tells whether an agent was heard a short time ago.
+ *
+ * @param tick - the tick
+ * @param instance - a backend server instance
+ * @returns true if a heartbeat arrived within `unreachableAfter`
+ */
+export function isReachable(tick: Tick, instance: InstanceId): boolean {
+    const observation = tick.input.observations.get(instance);
+    return observation !== undefined && tick.now - observation.heardAt < tick.input.options.unreachableAfter;
+}
+
+/**
+ * Tells whether an instance was terminated: it is no longer listed and was not heard within the hold duration.
+ *
+ * @param tick - the tick
+ * @param instance - an instance
+ * @returns true if it is gone
+ */
+export function isGone(tick: Tick, instance: InstanceId): boolean {
+    const isUnlisted = tick.input.instances.get(instance)?.state === "gone";
+    return isUnlisted && measureSilence(tick, instance) >= tick.input.options.holdDuration;
+}
--- a/src/runtime/placement/types.ts
+++ b/src/runtime/placement/types.ts
@@ -11,6 +11,7 @@
     RandomSource,
 } from "../../types/index.js";
 import type { Table } from "../../utils/index.js";
+import type { WitnessConfirmation } from "../hold/types.js";
 import type { FoldState } from "../state/types.js";
 
 /** Options of the proposer. */
@@ -43,7 +44,10 @@
     readonly uptime: Milliseconds;
 }
 
-/** Change of one copy within a placement proposal. */
+/**
+ * Change of one copy within a placement proposal; for `owners-change` the instance is empty, since the change concerns
+ * all owners.
+ */
 export type PlacementMoveKind = "assign" | "revoke" | "release" | "update" | "witness-change" | "owners-change";
 
 /** Change of one copy with its reason, for the decision log. */
@@ -65,12 +69,28 @@
     }
     | { readonly kind: "append-refresh"; readonly deployment: DeploymentName; readonly record: LogRecord; };
 
+/** Since when a proposer has wanted to append to a chain, and when it last did. */
+export interface ProposalProgress {
+    /** Offset of the record on which the proposal is based. */
+    readonly base: Offset;
+    /** Monotonic time at which the change was first wanted on this base. */
+    readonly since: Milliseconds;
+    /** Monotonic time of the last command; undefined before the first. */
+    readonly proposedAt: Milliseconds | undefined;
+}
+
 /** What a proposer remembers between ticks; created by `createProposerMemory`. */
 export interface ProposerMemory {
-    /** For each copy under revocation, since when a majority of its witnesses has confirmed the revocation. */
-    readonly confirmedSince: Map<string, Milliseconds>;
-    /** For each deployment, since when a change has been wanted on the current base. */
-    readonly wantedSince: Map<DeploymentName, { readonly base: Offset; readonly since: Milliseconds; }>;
+    /** For each copy under revocation, the confirmation by its witnesses. */
+    readonly confirmations: Map<string, WitnessConfirmation>;
+    /** For each chain, the change that is wanted on the current base. */
+    readonly wanted: Map<string, ProposalProgress>;
+    /** Instances that were never heard, with the monotonic time since when they were looked for. */
+    readonly unheardSince: Map<InstanceId, Milliseconds>;
+    /** Monotonic time since when the proposer has observed without a pause; undefined before the first tick. */
+    observingSince: Milliseconds | undefined;
+    /** Monotonic time of the last tick. */
+    lastTickAt: Milliseconds | undefined;
 }
 
 /** Input of `runProposer`. */
--- /dev/null
+++ b/src/runtime/placement/witnesses.ts
@@ -0,0 +1,124 @@
+import type { CopyAssignment, InstanceId, InstanceRow, PlacementRow } from "../../types/index.js";
+import { scoreRendezvous } from "../../utils/index.js";
+import type { CopyPlan } from "./copies.js";
+import { isReachable, measureSilence } from "./tick.js";
+import type { Tick } from "./tick.js";
+import type { PlacementMove } from "./types.js";
+
+/**
+ * Chooses witnesses: entry instances of the same availability zone, then of its region, then others. Copies of one
+ * deployment and availability zone have the same ones, so the loss of an entry instance changes few placements.
+ *
+ * @param tick - the tick
+ * @param deployment - name of the deployment
+ * @param zone - availability zone of the copies
+ * @param keep - entry instances to keep if they are live
+ * @returns up to `maximumWitnesses` entry instances
+ */
+export function chooseWitnesses(
+    tick: Tick,
+    deployment: string,
+    zone: string,
+    keep: readonly InstanceId[],
+): InstanceId[] {
+    const region = findRegion(tick, zone);
+    const ranked = tick.entries
+        .map(entry => ({ entry, order: rankEntry(tick, entry, keep, zone, region) }))
+        .map(({ entry, order }) => ({ entry, order, score: scoreRendezvous(`${deployment}/${zone}`, entry.instance) }))
+        .sort((left, right) =>
+            left.order - right.order || right.score - left.score ||
+            (left.entry.instance < right.entry.instance ? -1 : 1)
+        );
+    return ranked.slice(0, tick.input.options.maximumWitnesses).map(({ entry }) => entry.instance);
+}
+
+function rankEntry(
+    tick: Tick,
+    entry: InstanceRow,
+    keep: readonly InstanceId[],
+    zone: string,
+    region: string | undefined,
+): number {
+    if (keep.includes(entry.instance)) {
+        return 0;
+    }
+    const isSilent = entry.instance !== tick.input.self &&
+        measureSilence(tick, entry.instance) >= tick.input.options.unreachableAfter;
+    const distance = entry.zone === zone ? 1 : entry.region === region ? 2 : 3;
+    return isSilent ? distance + 3 : distance;
+}
+
+function findRegion(tick: Tick, zone: string): string | undefined {
+    for (const row of tick.input.instances.rows()) {
+        if (row.zone === zone) {
+            return row.region;
+        }
+    }
+    return undefined;
+}
+
+/**
+ * Replaces witnesses that are gone or leaving. The preceding set stays in force beside the new one until the holder has
+ * applied the change, so that a revocation reaches a majority of whichever set the holder knows.
+ *
+ * @param tick - the tick
+ * @param placement - the placement in force
+ * @param plan - the plan so far
+ * @returns the plan with the changes of witnesses
+ */
+export function planWitnesses(tick: Tick, placement: PlacementRow, plan: CopyPlan): CopyPlan {
+    const assigned = plan.copies.filter(copy => copy.state === "assigned" && copy.epoch !== 0);
+    const mayClear = assigned.every(copy =>
+        copy.previousWitnesses === undefined || hasApplied(tick, placement, copy) || !isReachable(tick, copy.instance)
+    );
+    const choices = new Map<string, readonly InstanceId[]>();
+    const lost = new Map<InstanceId, boolean>();
+    const moves: PlacementMove[] = [...plan.moves];
+    const copies = plan.copies.map(copy => {
+        if (copy.state !== "assigned" || copy.epoch === 0) {
+            return copy;
+        }
+        const { previousWitnesses, ...settled } = copy;
+        if (previousWitnesses !== undefined) {
+            if (!mayClear || !hasApplied(tick, placement, copy)) {
+                return copy;
+            }
+            moves.push({ kind: "witness-change", instance: copy.instance, reason: "holder knows the new witnesses" });
+            return settled;
+        }
+        if (!needsChange(tick, copy, lost)) {
+            return copy;
+        }
+        const key = `${copy.zone}/${copy.witnesses.join()}`;
+        const witnesses = choices.get(key) ?? chooseWitnesses(tick, placement.deployment, copy.zone, copy.witnesses);
+        choices.set(key, witnesses);
+        if (witnesses.length === 0) {
+            return copy;
+        }
+        moves.push({ kind: "witness-change", instance: copy.instance, reason: "a witness is gone or was missing" });
+        return { ...copy, witnesses, previousWitnesses: copy.witnesses };
+    });
+    return { ...plan, copies, moves };
+}
+
+function hasApplied(tick: Tick, placement: PlacementRow, copy: CopyAssignment): boolean {
+    return (tick.input.observations.get(copy.instance)?.appliedOffset ?? 0) >= placement.offset;
+}
+
+function needsChange(tick: Tick, copy: CopyAssignment, lost: Map<InstanceId, boolean>): boolean {
+    const possible = Math.min(tick.input.options.maximumWitnesses, tick.entries.length);
+    const hasLost = copy.witnesses.some(witness => {
+        const isKnownLost = lost.get(witness) ?? isLost(tick, witness);
+        lost.set(witness, isKnownLost);
+        return isKnownLost;
+    });
+    return hasLost || copy.witnesses.length < possible;
+}
+
+function isLost(tick: Tick, witness: InstanceId): boolean {
+    const row = tick.input.instances.get(witness);
+    if (row === undefined) {
+        return tick.entries.length > 0 && measureSilence(tick, witness) >= tick.input.options.holdDuration;
+    }
+    return row.state !== "live";
+}
