Add the stand-ins of platform, engine and service

The clients had no outside systems to run against. Each stand-in is one HTTP server with fault rules for each operation, usable in-process.

--- /dev/null
+++ b/src/standIn/engine/completions.ts
@@ -0,0 +1,163 @@
+import { z } from "zod";
+import {
+    answerJson,
+    answerRefusal,
+    parseJsonObject,
+    type StandInAnswer,
+    type StandInRequest,
+    wait,
+} from "../http/index.js";
+import type { EngineCore } from "./core.js";
+import { type AnsweringWeights, computeTokens } from "./tokens.js";
+
+const completionSchema = z.object({
+    prompt: z.string(),
+    max_tokens: z.number().int().min(1).max(4_096).default(16),
+    stream: z.boolean().default(false),
+});
+
+type Completion = z.infer<typeof completionSchema>;
+
+interface RunningCompletion {
+    readonly requestId: string;
+    readonly completion: Completion;
+    readonly weights: AnsweringWeights;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly signal: AbortSignal;
+    readonly finish: (state: "finished" | "canceled") => void;
+}
+
+/**
+ * Answers `POST /v1/completions` with `{ prompt, max_tokens, stream }`.
+ *
+ * @param core - state of the engine
+ * @param request - the request
+ * @returns a JSON answer with all tokens, or an event stream with one event for each token and `data: [DONE]` at the
+ * end
+ */
+export async function answerCompletion(core: EngineCore, request: StandInRequest): Promise<StandInAnswer> {
+    const requestId = readHeader(request, "x-request-id") ?? "";
+    const refused = (status: number, reason: string): StandInAnswer =>
+        answerRefusal(status, reason, { "x-request-id": requestId, "retry-after": "1" });
+    const parsed = completionSchema.safeParse(parseJsonObject(request.body));
+    if (!parsed.success) {
+        return answerJson(400, { error: z.prettifyError(parsed.error) }, { "x-request-id": requestId });
+    }
+    if (core.batch.isFull()) {
+        return refused(429, "queue-full");
+    }
+    const canceled = core.trackRequest(requestId, request.signal);
+    const leave = await core.batch.enter(Number(readHeader(request, "x-priority") ?? 5), canceled.signal);
+    if (leave === undefined) {
+        canceled.release();
+        return refused(499, "canceled");
+    }
+    const weights = core.target.active;
+    const wanted = readHeader(request, "x-manifest-digest") ?? weights?.manifestDigest;
+    if (weights === undefined || (core.behaviour.checksRequestedWeights && weights.manifestDigest !== wanted)) {
+        leave();
+        canceled.release();
+        return refused(409, "not-serving");
+    }
+    const entry = core.journal.begin({
+        requestId,
+        idempotencyKey: readHeader(request, "idempotency-key"),
+        path: request.path,
+        incarnation: core.incarnation,
+        manifestDigest: weights.manifestDigest,
+        concurrent: core.batch.running,
+    });
+    const finish = (state: "finished" | "canceled"): void => {
+        entry.state = entry.state === "running" ? state : entry.state;
+        leave();
+        canceled.release();
+    };
+    const { prompt } = parsed.data;
+    if (prompt.includes(core.behaviour.crashMarker)) {
+        await core.crash();
+        finish("canceled");
+        return refused(500, "crashed");
+    }
+    const headers = createHeaders(requestId, weights);
+    return answer(core, { requestId, completion: parsed.data, weights, headers, signal: canceled.signal, finish });
+}
+
+async function answer(core: EngineCore, running: RunningCompletion): Promise<StandInAnswer> {
+    const { requestId, completion, weights, headers } = running;
+    if (completion.stream) {
+        return {
+            status: 200,
+            headers: { ...headers, "content-type": "text/event-stream" },
+            body: streamEvents(core, running),
+        };
+    }
+    const tokens: string[] = [];
+    for await (const token of generate(core, running)) {
+        tokens.push(token);
+    }
+    const { model, adapter, version, manifestDigest } = weights;
+    const identity = { id: requestId, model, adapter, version, manifestDigest };
+    return answerJson(200, { ...identity, text: tokens.join(" "), tokens, finish_reason: "length" }, headers);
+}
+
+async function* streamEvents(core: EngineCore, running: RunningCompletion): AsyncGenerator<Uint8Array> {
+    const { requestId } = running;
+    let index = 0;
+    for await (const token of generate(core, running)) {
+        yield encodeEvent(JSON.stringify({ id: requestId, index, token }));
+        index += 1;
+    }
+    if (running.signal.aborted) {
+        throw new Error("the request was canceled");
+    }
+    yield encodeEvent(JSON.stringify({ id: requestId, finish_reason: "length", tokens: index }));
+    yield encodeEvent("[DONE]");
+}
+
+/** Generates tokens at the pace of the batch; the place in the batch is freed in every case. */
+async function* generate(core: EngineCore, running: RunningCompletion): AsyncGenerator<string> {
+    const { completion, weights, signal } = running;
+    const { behaviour, batch } = core;
+    try {
+        const prefix = completion.prompt.slice(0, behaviour.prefixCharacters);
+        const cached = core.prefixCache.touch(weights.manifestDigest, prefix) ? prefix.length : 0;
+        const prefill = (completion.prompt.length - cached) * behaviour.prefillMilliseconds / 1_000;
+        await pause(prefill, signal);
+        for (const token of computeTokens(weights, completion.prompt, completion.max_tokens)) {
+            const slowdown = 1 + behaviour.batchSlowdown * (batch.running - 1);
+            await pause(behaviour.tokenMilliseconds * slowdown, signal);
+            if (signal.aborted) {
+                return;
+            }
+            yield token;
+        }
+    }
+    finally {
+        running.finish(signal.aborted ? "canceled" : "finished");
+    }
+}
+
+async function pause(duration: number, signal: AbortSignal): Promise<void> {
+    if (duration > 0) {
+        await wait(duration, signal);
+    }
+}
+
+function createHeaders(requestId: string, weights: AnsweringWeights): Record<string, string> {
+    return {
+        "x-request-id": requestId,
+        "x-model": weights.model,
+        "x-adapter": weights.adapter,
+        "x-version": weights.version,
+        "x-manifest-digest": weights.manifestDigest,
+    };
+}
+
+function encodeEvent(data: string): Uint8Array {
+    return Buffer.from(`data: ${data}\n\n`);
+}
+
+function readHeader(request: StandInRequest, name: string): string | undefined {
+    const value = request.headers[name];
+    return typeof value === "string" && value !== "" ? value : undefined;
+}
--- /dev/null
+++ b/src/standIn/engine/index.ts
@@ -0,0 +1,3 @@
+export * from "./engineStandIn.js";
+export * from "./options.js";
+export * from "./tokens.js";
--- /dev/null
+++ b/src/standIn/engine/prefixCache.ts
@@ -0,0 +1,39 @@
+/** Cache of computed prompt prefixes. */
+export interface PrefixCache {
+    /**
+     * Looks a prefix up and keeps it as the most recently used one.
+     *
+     * @param manifestDigest - weights that the cached values were computed with
+     * @param prefix - beginning of the prompt
+     * @returns whether it was cached
+     */
+    touch(manifestDigest: string, prefix: string): boolean;
+    /** Empties the cache. */
+    clear(): void;
+    /** @returns cached prefixes of all weights, least recently used first */
+    list(): string[];
+}
+
+/**
+ * Creates an empty cache.
+ *
+ * @param limit - number of prefixes that it holds
+ * @returns the cache
+ */
+export function createPrefixCache(limit: number): PrefixCache {
+    const prefixes = new Map<string, string>();
+    return {
+        touch: (manifestDigest, prefix) => {
+            const key = JSON.stringify([manifestDigest, prefix]);
+            const hit = prefixes.delete(key);
+            prefixes.set(key, prefix);
+            if (prefixes.size > limit) {
+                const [oldest] = prefixes.keys();
+                prefixes.delete(oldest!);
+            }
+            return hit;
+        },
+        clear: () => prefixes.clear(),
+        list: () => [...prefixes.values()],
+    };
+}
--- /dev/null
+++ b/src/standIn/http/controlRoutes.ts
@@ -0,0 +1,62 @@
+import { z } from "zod";
+import { answerJson, parseJsonObject } from "./answers.js";
+import type { FaultControl, StandInRoute } from "./types.js";
+
+const ruleSchema = z.strictObject({
+    operation: z.string().min(1),
+    kind: z.enum([
+        "outage",
+        "reset",
+        "refuse",
+        "slow",
+        "lose-answer",
+        "truncate",
+        "corrupt",
+        "duplicate",
+        "out-of-order",
+        "cross-answer",
+        "slow-stream",
+        "stall-stream",
+    ]),
+    skip: z.number().int().nonnegative().optional(),
+    times: z.number().int().positive().optional(),
+    probability: z.number().min(0).max(1).optional(),
+    delayMilliseconds: z.number().nonnegative().optional(),
+    clean: z.boolean().optional(),
+});
+
+/**
+ * Creates the routes of fault control: `POST /control/faults` adds the rule in its body, `GET` lists the rules,
+ * `DELETE` removes those of the query parameter `operation`, or all.
+ *
+ * @param faults - the rules
+ * @returns the routes; no fault rule applies to them
+ */
+export function createControlRoutes(faults: FaultControl): StandInRoute[] {
+    const path = "/control/faults";
+    return [
+        {
+            operation: "control",
+            method: "POST",
+            path,
+            handle: ({ body }) => {
+                const parsed = ruleSchema.safeParse(parseJsonObject(body));
+                if (!parsed.success) {
+                    return answerJson(400, { error: z.prettifyError(parsed.error) });
+                }
+                faults.add(parsed.data);
+                return { status: 204 };
+            },
+        },
+        { operation: "control", method: "GET", path, handle: () => answerJson(200, { faults: faults.list() }) },
+        {
+            operation: "control",
+            method: "DELETE",
+            path,
+            handle: ({ query }) => {
+                faults.clear(query.get("operation") ?? undefined);
+                return { status: 204 };
+            },
+        },
+    ];
+}
--- /dev/null
+++ b/src/standIn/index.ts
@@ -0,0 +1,12 @@
+export * from "./engine/index.js";
+export {
+    type FaultControl,
+    type FaultKind,
+    type FaultRule,
+    type Journal,
+    type JournalEntry,
+    type StandInServer,
+    type StandInServerOptions,
+} from "./http/index.js";
+export * from "./platform/index.js";
+export * from "./service/index.js";
--- /dev/null
+++ b/src/standIn/platform/instanceRoutes.ts
@@ -0,0 +1,76 @@
+import { z } from "zod";
+import { answerJson, answerRefusal, parseJsonObject, type StandInAnswer, type StandInRoute } from "../http/index.js";
+import type { InstanceStore } from "./instanceStore.js";
+
+const registrationSchema = z.object({
+    instance: z.string().min(1),
+    role: z.enum(["entry", "backend-server"]),
+    pool: z.string(),
+    zone: z.string(),
+    region: z.string(),
+    address: z.string(),
+});
+
+const stateSchema = z.object({ state: z.enum(["live", "leaving", "removed"]) });
+
+/**
+ * Creates the routes of the instance list: `GET /instances` (operation `instance-list`), `POST /instances` (operation
+ * `instance-register`), `POST /instances/ID/heartbeat` (operation `instance-heartbeat`) and, for control,
+ * `POST /control/instances/ID/state` with `{ "state": "live" | "leaving" | "removed" }`.
+ *
+ * @param instances - the list
+ * @returns the routes
+ */
+export function createInstanceRoutes(instances: InstanceStore): StandInRoute[] {
+    return [
+        {
+            operation: "instance-list",
+            method: "GET",
+            path: "/instances",
+            rearrange: {
+                duplicate: answer => changeRows(answer, rows => [...rows, ...rows]),
+                "out-of-order": answer => changeRows(answer, rows => [...rows].reverse()),
+            },
+            handle: () => answerJson(200, { instances: instances.list() }),
+        },
+        {
+            operation: "instance-register",
+            method: "POST",
+            path: "/instances",
+            handle: ({ body }) => {
+                const parsed = registrationSchema.safeParse(parseJsonObject(body));
+                if (!parsed.success) {
+                    return answerRefusal(400, z.prettifyError(parsed.error));
+                }
+                instances.register(parsed.data);
+                return { status: 204 };
+            },
+        },
+        {
+            operation: "instance-heartbeat",
+            method: "POST",
+            path: "/instances/:instance/heartbeat",
+            handle: ({ parameters }) => answerKnown(instances.heartbeat(parameters["instance"] ?? "")),
+        },
+        {
+            operation: "control",
+            method: "POST",
+            path: "/control/instances/:instance/state",
+            handle: ({ parameters, body }) => {
+                const parsed = stateSchema.safeParse(parseJsonObject(body));
+                return parsed.success ?
+                    answerKnown(instances.setState(parameters["instance"] ?? "", parsed.data.state)) :
+                    answerRefusal(400, z.prettifyError(parsed.error));
+            },
+        },
+    ];
+}
+
+function answerKnown(known: boolean): StandInAnswer {
+    return known ? { status: 204 } : answerRefusal(404, "no such instance");
+}
+
+function changeRows(answer: StandInAnswer, change: (rows: readonly unknown[]) => readonly unknown[]): StandInAnswer {
+    const { instances } = JSON.parse(answer.body as string) as { readonly instances: readonly unknown[]; };
+    return { ...answer, body: JSON.stringify({ instances: change(instances) }) };
+}
--- /dev/null
+++ b/src/standIn/platform/weightRoutes.ts
@@ -0,0 +1,135 @@
+import { z } from "zod";
+import type { Clock, ManifestDigest } from "../../types/index.js";
+import { answerJson, answerRefusal, parseJsonObject, type StandInAnswer, type StandInRoute } from "../http/index.js";
+import type { Link } from "./link.js";
+import { createRequestRate } from "./requestRate.js";
+import { type GeneratedWeightSet, generateWeightSet, type WeightSetDeclaration } from "./weightSets.js";
+
+/** Weight sets of the weight store, and what the origin sent of them. */
+export interface WeightCatalogue {
+    /**
+     * Publishes a set, or replaces the set of the same name.
+     *
+     * @param declaration - name, sizes and seed
+     * @returns the set
+     */
+    publish(declaration: WeightSetDeclaration): GeneratedWeightSet;
+    /**
+     * Finds the newest set with a name.
+     *
+     * @param model - model name
+     * @param adapter - adapter name
+     * @param version - version name
+     * @returns the set; undefined if there is none
+     */
+    resolve(model: string, adapter: string, version: string): GeneratedWeightSet | undefined;
+    /**
+     * Finds a set by its manifest digest; a replaced set stays readable.
+     *
+     * @param digest - manifest digest
+     * @returns the set; undefined if there is none
+     */
+    find(digest: ManifestDigest): GeneratedWeightSet | undefined;
+}
+
+/**
+ * Creates an empty catalogue.
+ *
+ * @returns the catalogue
+ */
+export function createWeightCatalogue(): WeightCatalogue {
+    const byName = new Map<string, GeneratedWeightSet>();
+    const byDigest = new Map<ManifestDigest, GeneratedWeightSet>();
+    return {
+        publish: declaration => {
+            const set = generateWeightSet(declaration);
+            byName.set(JSON.stringify([declaration.model, declaration.adapter, declaration.version]), set);
+            byDigest.set(set.digest, set);
+            return set;
+        },
+        resolve: (model, adapter, version) => byName.get(JSON.stringify([model, adapter, version])),
+        find: digest => byDigest.get(digest),
+    };
+}
+
+const declarationSchema = z.object({
+    model: z.string().min(1),
+    adapter: z.string(),
+    version: z.string().min(1),
+    totalBytes: z.number().int().positive(),
+    chunkBytes: z.number().int().positive(),
+    seed: z.number().int().optional(),
+});
+
+/**
+ * Creates the routes of the weight store: `GET /manifests?model=&adapter=&version=` and `GET /manifests/DIGEST`
+ * (operation `manifest-read`), those of the origin: `GET /weights/DIGEST/chunks/INDEX` (operation `chunk-read`), and
+ * `POST /control/weights` to publish a set.
+ *
+ * @param catalogue - weight sets
+ * @param link - link of the origin
+ * @param clock - source of time
+ * @param manifestReadsPerSecond - rate limit of the weight store
+ * @returns the routes
+ */
+export function createWeightRoutes(
+    catalogue: WeightCatalogue,
+    link: Link,
+    clock: Clock,
+    manifestReadsPerSecond: number,
+): StandInRoute[] {
+    const rate = createRequestRate(clock, manifestReadsPerSecond);
+    const answerManifest = (set: GeneratedWeightSet | undefined): StandInAnswer => {
+        if (!rate.take()) {
+            return answerRefusal(429, "too many requests", { "retry-after": "1" });
+        }
+        return set === undefined ?
+            answerRefusal(404, "no such weight set") :
+            answerJson(200, set.manifest, { "x-manifest-digest": set.digest });
+    };
+    return [
+        {
+            operation: "manifest-read",
+            method: "GET",
+            path: "/manifests",
+            handle: ({ query }) => {
+                const [model = "", adapter = "", version = ""] = ["model", "adapter", "version"]
+                    .map(name => query.get(name) ?? "");
+                return answerManifest(catalogue.resolve(model, adapter, version));
+            },
+        },
+        {
+            operation: "manifest-read",
+            method: "GET",
+            path: "/manifests/:digest",
+            handle: ({ parameters }) => answerManifest(catalogue.find(parameters["digest"] ?? "")),
+        },
+        {
+            operation: "chunk-read",
+            method: "GET",
+            path: "/weights/:digest/chunks/:index",
+            handle: ({ parameters, signal }) => {
+                const content = catalogue.find(parameters["digest"] ?? "")?.readChunk(Number(parameters["index"]));
+                if (content === undefined) {
+                    return answerRefusal(404, "no such chunk");
+                }
+                const headers = {
+                    "content-type": "application/octet-stream",
+                    "content-length": String(content.byteLength),
+                };
+                return { status: 200, headers, body: link.send(content, signal) };
+            },
+        },
+        {
+            operation: "control",
+            method: "POST",
+            path: "/control/weights",
+            handle: ({ body }) => {
+                const parsed = declarationSchema.safeParse(parseJsonObject(body));
+                return parsed.success ?
+                    answerJson(201, { digest: catalogue.publish(parsed.data).digest }) :
+                    answerRefusal(400, z.prettifyError(parsed.error));
+            },
+        },
+    ];
+}
--- /dev/null
+++ b/src/standIn/service/index.ts
@@ -0,0 +1,2 @@
+export * from "./options.js";
+export * from "./serviceStandIn.js";
--- /dev/null
+++ b/src/standIn/service/options.ts
@@ -0,0 +1,36 @@
+import type { Milliseconds } from "../../types/index.js";
+import type { StandInServerOptions } from "../http/index.js";
+
+/** Behaviour of the service stand-in. */
+export interface ServiceBehaviour {
+    /** Requests that run at a time; further ones are refused. Default: 32. */
+    readonly capacity: number;
+    /** Time that a request takes. Default: 1 ms. */
+    readonly workMilliseconds: Milliseconds;
+    /** Text in a body that makes the service crash. Default: `crash-backend-server`. */
+    readonly crashMarker: string;
+    /** Time from a crash until the service listens again. Default: 200 ms. */
+    readonly restartMilliseconds: Milliseconds;
+}
+
+/** Options of `startServiceStandIn`. */
+export interface ServiceStandInOptions extends StandInServerOptions {
+    /** Default: the defaults of each setting. */
+    readonly behaviour?: Partial<ServiceBehaviour> | undefined;
+}
+
+/**
+ * Fills in the defaults.
+ *
+ * @param partial - settings that differ from the defaults
+ * @returns all settings
+ */
+export function resolveServiceBehaviour(partial: Partial<ServiceBehaviour> = {}): ServiceBehaviour {
+    return {
+        capacity: 32,
+        workMilliseconds: 1,
+        crashMarker: "crash-backend-server",
+        restartMilliseconds: 200,
+        ...partial,
+    };
+}
