--- /dev/null
+++ b/src/node/agent/agentDaemon.ts
@@ -0,0 +1,253 @@
+import { create } from "@bufbuild/protobuf";
+import createRouter from "find-my-way";
+import { randomUUID } from "node:crypto";
+import type { Logger } from "pino";
+import { err, ok, type Result } from "true-myth/result";
+import { TransferTotalsSchema } from "../../generated/goldcrestpoint_pb.js";
+import { createAdmissionTable } from "../../runtime/admission/index.js";
+import { createLedger } from "../../runtime/idempotency/index.js";
+import { createInstanceTable } from "../../runtime/placement/index.js";
+import type { BackendServerPort, GoldcrestpointError } from "../../types/index.js";
+import { createDisposalStack, createSystemClock, createSystemRandom, sleep } from "../../utils/index.js";
+import { createBackendServerClient } from "../backendServer/index.js";
+import { listRelayTargets, startInstanceListReader } from "../daemon/index.js";
+import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
+import { registerStatusRoutes, sendJson, startHttpServer } from "../httpServer/index.js";
+import { createDecisionLog, registerDecisionRoute } from "../logging/index.js";
+import { createMetrics } from "../metrics/index.js";
+import { createInstanceListClient, createLogClient, createOriginClient } from "../platform/index.js";
+import { createStateStore, startFollowerSet, startLogReader } from "../relay/index.js";
+import type { AgentSettings } from "../settings/index.js";
+import { observeAgent } from "./agentMetrics.js";
+import type { AgentContext } from "./context.js";
+import { type CopySystem, createCopySystem } from "./copySystem.js";
+import { createExecutor, type Executor } from "./executor.js";
+import type { ExecuteCall } from "./frames.js";
+import { createHoldKeeper } from "./holdKeeper.js";
+import { startLoadReports, type WatchLoadCall } from "./loadReports.js";
+import { createLinkBudget, createTransferService, type TransferService } from "./transfer/index.js";
+
+/** Running agent. */
+export interface AgentDaemon extends AsyncDisposable {
+    readonly grpcPort: number;
+    readonly httpPort: number;
+    /** Refuses new requests and waits for those in progress, up to the drain time limit. */
+    drain(): Promise<void>;
+}
+
+/** Time between two looks at the requests in progress during a drain. */
+const drainCheckInterval = 50;
+
+/**
+ * Starts an agent beside a backend server.
+ *
+ * @param settings - resolved settings
+ * @param logger - logger of the process
+ * @returns the daemon once it listens, or an error if an address cannot be bound
+ */
+export async function startAgent(
+    settings: AgentSettings,
+    logger: Logger,
+): Promise<Result<AgentDaemon, GoldcrestpointError>> {
+    await using resources = createDisposalStack();
+    const { platform, relay } = settings;
+    const timeouts = { total: platform.requestTimeLimit };
+    const log = resources.use(createLogClient({ baseUrl: platform.logUrl, timeouts }));
+    const list = resources.use(createInstanceListClient({ baseUrl: platform.instanceListUrl, timeouts }));
+    const origin = resources.use(createOriginClient({
+        weightStoreBaseUrl: platform.weightStoreUrl,
+        originBaseUrl: platform.originUrl,
+        timeouts: { total: platform.chunkTimeLimit },
+    }));
+    const backend = resources.use(createBackendServerClient({
+        baseUrl: settings.backendServer.url,
+        kind: settings.backendServer.kind === "model" ? "engine" : "service",
+        requestTimeouts: { idle: settings.backendServer.requestTimeLimit },
+        timeouts: { total: settings.backendServer.orderTimeLimit, head: settings.backendServer.orderTimeLimit },
+    }));
+    const context = createContext(settings, logger, backend);
+    const { clock, random, self, store, instances } = context;
+    const hold = createHoldKeeper(store, clock, settings.hold.duration);
+
+    const transfer = resources.use(createTransferService({
+        self,
+        zone: settings.instance.zone,
+        backend,
+        origin,
+        linkBudget: createLinkBudget({
+            bytesPerSecond: settings.distribution.linkBytesPerSecond,
+            clock,
+            requestsInProgress: () => executor.running,
+        }),
+        clock,
+        random,
+        options: settings.distribution,
+        log: logger,
+    }));
+    const copies: CopySystem = createCopySystem({
+        context,
+        hold,
+        transfer,
+        readRunning: () => executor.running,
+        onServingChange: () => {
+            reports.publish();
+            followers.sendHeartbeats();
+        },
+    });
+    const executor: Executor = createExecutor({
+        self,
+        backend,
+        admission: context.admission,
+        ledger: context.ledger,
+        ownership: deployment => context.ownership.get(deployment),
+        readServing: () => copies.readServing(),
+        clock,
+        logger,
+    });
+    const reports = resources.use(startLoadReports(() => ({
+        instance: self,
+        incarnation: context.incarnation,
+        copies: copies.readServedStatuses(),
+        running: executor.running,
+        queued: executor.queued,
+        capacity: context.admission.options.maximumInProgress,
+        draining: copies.draining,
+        ageMilliseconds: 0n,
+        cachedPrefixes: [...executor.recentPrefixes],
+    }), relay.heartbeat));
+
+    const followers = resources.use(startFollowerSet({
+        self,
+        incarnation: context.incarnation,
+        store,
+        clock,
+        logger,
+        startedAt: context.startedAt,
+        listTargets: () => listRelayTargets(instances, relay.entryAddresses),
+        maximumFollowed: relay.parents,
+        heartbeatMilliseconds: relay.heartbeat,
+        readContent: () => ({
+            copies: copies.readStatuses(),
+            draining: copies.draining,
+            transfers: readTotals(transfer),
+        }),
+        onAnswer: answer => hold.noteAnswer(answer),
+        onInstances: rows => {
+            rows.forEach(row => instances.set(row.instance, row));
+            copies.refreshAssignment();
+        },
+    }));
+    const relaysSilent = (): boolean =>
+        followers.heardAt === undefined || clock.monotonic() - followers.heardAt > relay.silentAfter;
+    // Agents that lose their relays at the same moment start to read directly at different times.
+    const directReadAt = clock.monotonic() + random.next() * relay.directReadJitter;
+    resources.use(startLogReader({
+        log,
+        store,
+        clock,
+        random,
+        logger,
+        shouldRead: () => relaysSilent() && clock.monotonic() > directReadAt,
+        waitMilliseconds: platform.logWait,
+    }));
+    resources.use(startInstanceListReader({
+        list,
+        instances,
+        clock,
+        random,
+        logger,
+        interval: platform.instanceListInterval,
+        shouldRead: relaysSilent,
+        onChange: () => copies.refreshAssignment(),
+    }));
+
+    const rpc = await startRpcServer(settings.instance.grpcAddress, [{
+        definition: agentServiceDefinition,
+        implementation: {
+            watchLoad: (call: WatchLoadCall) => reports.watchLoad(call),
+            execute: (call: ExecuteCall) => executor.execute(call),
+            exchangeAvailability: transfer.exchangeAvailability,
+            fetchChunk: transfer.fetchChunk,
+        },
+    }]);
+    if (rpc.isErr) {
+        return err(rpc.error);
+    }
+    resources.use(rpc.value);
+    const http = await startHttpServer(settings.instance.httpAddress, createAgentRouter(context, copies));
+    if (http.isErr) {
+        return err(http.error);
+    }
+    resources.use(http.value);
+    observeAgent(context.metrics, { executor, transfer, reports });
+
+    store.onChange(() => copies.refreshAssignment());
+    const timer = setInterval(() => {
+        executor.expire();
+        copies.tick().catch((error: unknown) => logger.error({ error: String(error) }, "tick failed"));
+    }, relay.tick);
+    resources.defer(() => clearInterval(timer));
+
+    const owned = resources.move();
+    logger.info({ grpcPort: rpc.value.port, httpPort: http.value.port }, "agent started");
+    return ok({
+        grpcPort: rpc.value.port,
+        httpPort: http.value.port,
+        drain: async () => {
+            copies.startDraining();
+            const endsAt = clock.monotonic() + settings.instance.drainTimeLimit;
+            while (executor.running + executor.queued > 0 && clock.monotonic() < endsAt) {
+                await sleep(drainCheckInterval);
+            }
+        },
+        [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
+    });
+}
+
+function createContext(settings: AgentSettings, logger: Logger, backend: BackendServerPort): AgentContext {
+    const clock = createSystemClock();
+    return {
+        self: settings.instance.id,
+        incarnation: randomUUID(),
+        settings,
+        clock,
+        random: createSystemRandom(),
+        logger,
+        decisions: createDecisionLog({
+            logger,
+            instance: settings.instance.id,
+            clock,
+            sampleShare: settings.log.decisionSampleShare,
+            recentDecisions: settings.log.recentDecisions,
+        }),
+        metrics: createMetrics({ clock }),
+        startedAt: clock.monotonic(),
+        backend,
+        store: createStateStore(),
+        instances: createInstanceTable(),
+        admission: createAdmissionTable(settings.admission),
+        ledger: createLedger(settings.idempotency),
+        ownership: new Map(),
+    };
+}
+
+function readTotals(transfer: TransferService) {
+    const { originBytes, peerReceivedBytes, peerSentBytes } = transfer.totals();
+    return create(TransferTotalsSchema, {
+        originBytes: BigInt(originBytes),
+        peerReceivedBytes: BigInt(peerReceivedBytes),
+        peerSentBytes: BigInt(peerSentBytes),
+    });
+}
+
+function createAgentRouter(context: AgentContext, copies: CopySystem) {
+    const router = createRouter({
+        defaultRoute: (...[, response]) => sendJson(response, 404, { error: "no route" }),
+    });
+    registerDecisionRoute(router, context.decisions);
+    registerStatusRoutes(router, {
+        readUnreadiness: () => copies.readServing().serving ? [] : [`the copy is ${copies.phase}`],
+        renderMetrics: () => context.metrics.render(),
+    });
+    return router;
+}
--- /dev/null
+++ b/src/node/agent/copySystem.ts
@@ -0,0 +1,242 @@
+import { create } from "@bufbuild/protobuf";
+import { type CopyStatus, CopyStatusSchema } from "../../generated/goldcrestpoint_pb.js";
+import type { ActivationDecision } from "../../runtime/activation/index.js";
+import type { HoldDecision } from "../../runtime/hold/index.js";
+import { createOwnershipHistory, recordOwners } from "../../runtime/idempotency/index.js";
+import type { CopyPhase, ManifestDigest } from "../../types/index.js";
+import { type AssignedCopy, findAssignment, type InstanceAssignment } from "./assignment.js";
+import type { AgentContext } from "./context.js";
+import type { ServingState } from "./executor.js";
+import type { HoldKeeper } from "./holdKeeper.js";
+import { createOrderSystem } from "./orders.js";
+import type { TransferService, TransferTarget } from "./transfer/index.js";
+
+/** Keeps the copy on this instance as the placement wants it. */
+export interface CopySystem {
+    /** Reads the placement again; called after each change of the state or the instance list. */
+    refreshAssignment(): void;
+    /** Evaluates the hold and gives the next order. */
+    tick(): Promise<void>;
+    /** Stops accepting requests for good. */
+    startDraining(): void;
+    readServing(): ServingState;
+    /** Progress of the copy for heartbeats. */
+    readStatuses(): CopyStatus[];
+    /** The set that is being served, for load reports. */
+    readServedStatuses(): CopyStatus[];
+    readonly draining: boolean;
+    readonly phase: CopyPhase;
+}
+
+/** Options of {@link createCopySystem}. */
+export interface CopySystemOptions {
+    readonly context: AgentContext;
+    readonly hold: HoldKeeper;
+    readonly transfer: TransferService;
+    readonly readRunning: () => number;
+    /** Called when something that matters for routing has changed. */
+    readonly onServingChange: () => void;
+}
+
+/**
+ * Creates the system.
+ *
+ * @param options - tables, hold and transfer
+ * @returns the system
+ */
+export function createCopySystem(options: CopySystemOptions): CopySystem {
+    const { context, hold, transfer } = options;
+    const { clock, decisions, instances, self, settings, store } = context;
+    let assignment: InstanceAssignment = { current: undefined, conflicting: [] };
+    let holdDecision: HoldDecision = { held: false, reason: "lapsed", validUntil: 0 };
+    let drains = false;
+    let lastServing = "";
+    let lastReason = "";
+
+    const orders = createOrderSystem({
+        backend: context.backend,
+        clock,
+        logger: context.logger,
+        startedAt: context.startedAt,
+        orderTimeLimit: settings.backendServer.orderTimeLimit,
+        stateInterval: settings.backendServer.stateInterval,
+        onDecision: recordDecision,
+    });
+
+    function recordDecision(decision: ActivationDecision): void {
+        const reason = `${decision.phase}: ${decision.reason}`;
+        if (decision.order === undefined && reason === lastReason) {
+            return;
+        }
+        lastReason = reason;
+        decisions.record({
+            kind: "activation",
+            outcome: "chosen",
+            deployment: assignment.current?.deployment ?? "",
+            choice: decision.order?.kind ?? decision.phase,
+            reason: decision.reason,
+            candidates: 0,
+            details: { phase: decision.phase, epoch: assignment.current?.copy.epoch },
+        });
+    }
+
+    function isPlainService(): boolean {
+        return settings.backendServer.kind === "service";
+    }
+
+    function refreshAssignment(): void {
+        assignment = findAssignment(store.state, self);
+        recordOwnership(context, assignment.current);
+        transfer.setTarget(createTransferTarget(context, assignment.current));
+    }
+
+    function evaluateHold(): void {
+        const decision = hold.evaluate(assignment.current?.copy);
+        if (decision.held !== holdDecision.held) {
+            decisions.record({
+                kind: "hold",
+                outcome: decision.held ? "chosen" : "refused",
+                deployment: assignment.current?.deployment ?? "",
+                choice: decision.held ? "keep" : "give up",
+                reason: decision.reason,
+                candidates: 0,
+            });
+        }
+        holdDecision = decision;
+    }
+
+    /** The set that the engine answers with, if it is one that this instance was told to serve. */
+    function readServedSet(): ManifestDigest | undefined {
+        return orders.engine?.active?.manifestDigest;
+    }
+
+    function isServing(): boolean {
+        const { current } = assignment;
+        if (current === undefined || current.copy.state !== "assigned" || !holdDecision.held || !orders.reachable) {
+            return false;
+        }
+        return isPlainService() ? orders.phase === "serving" : readServedSet() !== undefined;
+    }
+
+    function readServing(): ServingState {
+        return {
+            deployment: assignment.current?.deployment,
+            serving: isServing(),
+            manifestDigest: isPlainService() ? undefined : readServedSet(),
+            holdValidUntil: holdDecision.validUntil,
+            draining: readDraining(),
+            incarnation: orders.engine?.incarnation,
+        };
+    }
+
+    function readDraining(): boolean {
+        return drains || instances.get(self)?.state === "leaving";
+    }
+
+    function announceChanges(): void {
+        const { serving, draining, manifestDigest } = readServing();
+        const current = `${serving} ${draining} ${manifestDigest}`;
+        if (current !== lastServing) {
+            lastServing = current;
+            options.onServingChange();
+        }
+    }
+
+    function readPhase(): CopyPhase {
+        return orders.phase;
+    }
+
+    function createStatus(copy: AssignedCopy, phase: CopyPhase): CopyStatus {
+        const progress = transfer.progress();
+        const counts = progress !== undefined && progress.manifestDigest === copy.copy.weights?.manifestDigest;
+        return create(CopyStatusSchema, {
+            deployment: copy.deployment,
+            epoch: BigInt(copy.copy.epoch),
+            manifestDigest: copy.copy.weights?.manifestDigest ?? "",
+            version: copy.copy.weights?.version ?? "",
+            phase,
+            chunksComplete: counts ? progress.chunksComplete : 0,
+            chunksTotal: counts ? progress.chunksTotal : 0,
+        });
+    }
+
+    return {
+        refreshAssignment,
+        tick: async () => {
+            evaluateHold();
+            const progress = transfer.progress();
+            await orders.tick({
+                assignment: assignment.current?.copy,
+                held: holdDecision.held,
+                setComplete: progress?.complete === true &&
+                    progress.manifestDigest === assignment.current?.copy.weights?.manifestDigest,
+                chunksTotal: progress?.chunksTotal ?? 0,
+                requestsInProgress: options.readRunning(),
+                newestEpoch: readNewestEpoch(context),
+            });
+            announceChanges();
+        },
+        startDraining: () => {
+            drains = true;
+            announceChanges();
+        },
+        readServing,
+        readStatuses: () => {
+            const { current, conflicting } = assignment;
+            // A copy that was assigned although the instance already had one was never taken.
+            const ignored = conflicting.map(copy => createStatus(copy, "released"));
+            return current === undefined ? ignored : [createStatus(current, readPhase()), ...ignored];
+        },
+        readServedStatuses: () => {
+            const { current } = assignment;
+            if (current === undefined || !isServing()) {
+                return [];
+            }
+            const served = createStatus(current, "serving");
+            served.manifestDigest = isPlainService() ? "" : readServedSet() ?? "";
+            return [served];
+        },
+        get draining() {
+            return readDraining();
+        },
+        get phase() {
+            return readPhase();
+        },
+    };
+}
+
+function readNewestEpoch(context: AgentContext): number {
+    let newest = 0;
+    for (const { offset } of context.store.state.placements.rows()) {
+        newest = Math.max(newest, offset);
+    }
+    return newest;
+}
+
+function recordOwnership(context: AgentContext, current: AssignedCopy | undefined): void {
+    if (current === undefined) {
+        return;
+    }
+    const { clock, ownership, self } = context;
+    const now = clock.now().getTime();
+    const history = ownership.get(current.deployment) ??
+        createOwnershipHistory(self, now - (clock.monotonic() - context.startedAt));
+    ownership.set(current.deployment, history);
+    recordOwners(history, current.placement, now);
+}
+
+function createTransferTarget(context: AgentContext, current: AssignedCopy | undefined): TransferTarget | undefined {
+    if (current?.copy.state !== "assigned" || current.copy.weights === undefined) {
+        return undefined;
+    }
+    const { weights } = current.copy;
+    const members = [];
+    for (const copy of current.placement.copies) {
+        const row = context.instances.get(copy.instance);
+        const sharesSet = copy.state === "assigned" && copy.weights?.manifestDigest === weights.manifestDigest;
+        if (sharesSet && row !== undefined && row.state !== "gone") {
+            members.push({ instance: copy.instance, zone: copy.zone, address: row.address });
+        }
+    }
+    return { weights, members, objective: current.configuration?.objective ?? "time" };
+}
--- /dev/null
+++ b/src/node/agent/frames.ts
@@ -0,0 +1,108 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import type { ServerWritableStream } from "@grpc/grpc-js";
+import {
+    type ExecuteFrame,
+    ExecuteFrameSchema,
+    type ExecuteRequest,
+    type ResponseStartSchema,
+} from "../../generated/goldcrestpoint_pb.js";
+import type { Fingerprint, Refusal } from "../../types/index.js";
+
+/** Call of the `Execute` method. */
+export type ExecuteCall = ServerWritableStream<ExecuteRequest, ExecuteFrame>;
+
+/** Largest piece of an answer in one frame, in bytes. */
+const maximumFrameBytes = 64 * 1024;
+
+/** Crash of a backend server with requests in progress. */
+export interface BackendServerCrash {
+    readonly crashId: string;
+    readonly fingerprints: readonly Fingerprint[];
+}
+
+/** Writes the frames of one answer in order. */
+export interface FrameWriter {
+    /** True once the caller is gone. */
+    readonly canceled: boolean;
+    start(content: MessageInitShape<typeof ResponseStartSchema>): Promise<void>;
+    data(content: Uint8Array): Promise<void>;
+    /** Ends a complete answer. */
+    end(): void;
+    /**
+     * Ends the stream with a refusal; a begun answer counts as broken.
+     *
+     * @param refusal - final answer
+     * @param crash - the crash of the backend server while the request was in progress
+     */
+    refuse(refusal: Refusal, crash?: BackendServerCrash): void;
+}
+
+/**
+ * Creates the writer of one call's frames.
+ *
+ * @param call - the call
+ * @returns the writer
+ */
+export function createFrameWriter(call: ExecuteCall): FrameWriter {
+    const { requestId } = call.request;
+    let sequence = 0;
+    let dataFrames = 0;
+    let finished = false;
+
+    async function write(content: MessageInitShape<typeof ExecuteFrameSchema>["content"]): Promise<void> {
+        if (call.cancelled || finished) {
+            return;
+        }
+        const flushed = call.write(create(ExecuteFrameSchema, { requestId, sequence, content: content! }));
+        sequence += 1;
+        if (!flushed) {
+            await waitForDrain(call);
+        }
+    }
+
+    return {
+        get canceled() {
+            return call.cancelled;
+        },
+        start: content => write({ case: "start", value: content }),
+        data: async content => {
+            for (let offset = 0; offset < content.length; offset += maximumFrameBytes) {
+                dataFrames += 1;
+                await write({ case: "data", value: content.subarray(offset, offset + maximumFrameBytes) });
+            }
+        },
+        end: () => {
+            void write({ case: "end", value: { frames: dataFrames } });
+            finished = true;
+            call.end();
+        },
+        refuse: (refusal, crash) => {
+            void write({
+                case: "refusal",
+                value: {
+                    ran: refusal.ran,
+                    reason: refusal.reason,
+                    retryAfterSeconds: refusal.retryAfterSeconds,
+                    detail: refusal.detail ?? "",
+                    backendServerCrashed: crash !== undefined,
+                    crashId: crash?.crashId ?? "",
+                    fingerprintsInProgress: [...crash?.fingerprints ?? []],
+                },
+            });
+            finished = true;
+            call.end();
+        },
+    };
+}
+
+function waitForDrain(call: ExecuteCall): Promise<void> {
+    return new Promise(resolve => {
+        const finish = (): void => {
+            call.off("drain", finish);
+            call.off("cancelled", finish);
+            resolve();
+        };
+        call.on("drain", finish);
+        call.on("cancelled", finish);
+    });
+}
--- /dev/null
+++ b/src/node/daemon/index.ts
@@ -0,0 +1,2 @@
+export * from "./membership.js";
+export * from "./signals.js";
--- /dev/null
+++ b/src/node/entry/attempt.ts
@@ -0,0 +1,131 @@
+import { create } from "@bufbuild/protobuf";
+import { type ServiceError, status } from "@grpc/grpc-js";
+import {
+    type ExecuteFrame,
+    type ExecuteRequest,
+    ExecuteRequestSchema,
+    type Refusal as RefusalMessage,
+    type ResponseStart,
+} from "../../generated/goldcrestpoint_pb.js";
+import type { Fingerprint, Milliseconds, RanState, Refusal, RefusalReason } from "../../types/index.js";
+import type { AgentClient } from "../grpc/index.js";
+
+/** Receives the answer of one attempt. */
+export interface AnswerSink {
+    start(start: ResponseStart): void;
+    /** @returns resolves when more data can be taken */
+    data(content: Uint8Array): Promise<void> | undefined;
+}
+
+/** Crash of a backend server, as its agent reported it or as a broken connection suggests. */
+export interface CrashReport {
+    readonly crashId: string;
+    /** Requests that were in progress on the backend server, as far as they are known. */
+    readonly fingerprints: readonly Fingerprint[];
+    /** True if it is certain that a single request was in progress. */
+    readonly alone: boolean;
+}
+
+/** How an attempt ended. */
+export type AttemptOutcome =
+    | { readonly kind: "complete"; readonly start: ResponseStart; }
+    | { readonly kind: "failed"; readonly refusal: Refusal; readonly crash: CrashReport | undefined; };
+
+/** Input of {@link executeAttempt}. */
+export interface AttemptInput {
+    readonly client: AgentClient;
+    readonly request: Omit<ExecuteRequest, "$typeName" | "$unknown">;
+    readonly sink: AnswerSink;
+    readonly signal: AbortSignal;
+    /** Time that the agent has for the whole answer. */
+    readonly timeLimit: Milliseconds;
+}
+
+/**
+ * Sends a request to an agent and passes its answer on. Frames must name the request and follow each other without
+ * a gap; otherwise the answer counts as broken.
+ *
+ * @param input - agent, request and receiver of the answer
+ * @returns how the attempt ended; never rejects
+ */
+export async function executeAttempt(input: AttemptInput): Promise<AttemptOutcome> {
+    const { client, request, sink, signal } = input;
+    const call = client.execute(create(ExecuteRequestSchema, request), { deadline: Date.now() + input.timeLimit });
+    const abort = (): void => call.cancel();
+    signal.addEventListener("abort", abort);
+    let start: ResponseStart | undefined;
+    let sequence = 0;
+    let dataFrames = 0;
+    try {
+        for await (const message of call) {
+            const frame = message as ExecuteFrame;
+            if (frame.requestId !== request.requestId || frame.sequence !== sequence) {
+                call.cancel();
+                return createFailure("unknown", "answer-mismatched");
+            }
+            sequence += 1;
+            const { content } = frame;
+            switch (content.case) {
+                case "start":
+                    start = content.value;
+                    sink.start(start);
+                    break;
+                case "data":
+                    dataFrames += 1;
+                    await sink.data(content.value);
+                    break;
+                case "end":
+                    return start !== undefined && content.value.frames === dataFrames ?
+                        { kind: "complete", start } :
+                        createFailure("unknown", "answer-mismatched");
+                case "refusal":
+                    return readRefusal(content.value);
+                default:
+                    return createFailure("unknown", "answer-mismatched");
+            }
+        }
+        return createFailure("unknown", "connection-lost");
+    }
+    catch (error) {
+        return signal.aborted ? createFailure("unknown", "canceled") : explainFailure(error as ServiceError, sequence);
+    }
+    finally {
+        signal.removeEventListener("abort", abort);
+    }
+}
+
+function createFailure(ran: RanState, reason: RefusalReason, crash?: CrashReport): AttemptOutcome {
+    return { kind: "failed", refusal: { ran, reason, retryAfterSeconds: 1 }, crash };
+}
+
+function readRefusal(message: RefusalMessage): AttemptOutcome {
+    return {
+        kind: "failed",
+        refusal: {
+            ran: message.ran === "no" ? "no" : "unknown",
+            reason: message.reason as RefusalReason,
+            retryAfterSeconds: message.retryAfterSeconds,
+            detail: message.detail === "" ? undefined : message.detail,
+        },
+        crash: message.backendServerCrashed ?
+            {
+                crashId: message.crashId,
+                fingerprints: message.fingerprintsInProgress,
+                alone: message.fingerprintsInProgress.length === 1,
+            } :
+            undefined,
+    };
+}
+
+/**
+ * A connection that could not be made has carried no request. Everything else may have reached the agent; grpc-js says
+ * `No connection established` only in the first case.
+ */
+function explainFailure(error: ServiceError, framesReceived: number): AttemptOutcome {
+    const notSent = framesReceived === 0 && error.code === status.UNAVAILABLE &&
+        error.details.startsWith("No connection established");
+    if (notSent) {
+        return createFailure("no", "connection-lost");
+    }
+    return createFailure("unknown", error.code === status.DEADLINE_EXCEEDED ? "deadline-passed" : "connection-lost");
+}
--- /dev/null
+++ b/src/node/entry/entryDaemon.ts
@@ -0,0 +1,199 @@
+import { randomUUID } from "node:crypto";
+import type { Logger } from "pino";
+import { err, ok, type Result } from "true-myth/result";
+import { createAdmissionTable } from "../../runtime/admission/index.js";
+import { createInstanceTable } from "../../runtime/placement/index.js";
+import { createRetryBudget, createSuspectTable } from "../../runtime/retry/index.js";
+import type { GoldcrestpointError, InstanceRow } from "../../types/index.js";
+import { createDisposalStack, createSystemClock, createSystemRandom, createTable, sleep } from "../../utils/index.js";
+import { listRelayTargets, startInstanceListReader } from "../daemon/index.js";
+import { relayServiceDefinition, startRpcServer } from "../grpc/index.js";
+import { startHttpServer } from "../httpServer/index.js";
+import { createDecisionLog } from "../logging/index.js";
+import { createInstanceListClient, createLogClient } from "../platform/index.js";
+import {
+    createRelayHandler,
+    createStateStore,
+    type FollowCall,
+    startFollowerSet,
+    startLogReader,
+} from "../relay/index.js";
+import type { EntrySettings } from "../settings/index.js";
+import type { EntryContext } from "./context.js";
+import { createEntryMetrics } from "./entryMetrics.js";
+import { noteHeartbeat } from "./heartbeats.js";
+import { createEntryRouter } from "./httpRoutes.js";
+import { isLogReader } from "./logReaders.js";
+import { createProposerDuty } from "./proposerDuty.js";
+import { createRequestPipeline } from "./requestPipeline.js";
+import { createRunnerDirectory } from "./runnerDirectory.js";
+import { createSuspicionSharing, type ShareCall, type ShareCallback } from "./suspicionSharing.js";
+
+/** Running entry instance. */
+export interface EntryDaemon extends AsyncDisposable {
+    readonly grpcPort: number;
+    readonly httpPort: number;
+    /** Refuses new requests and waits for those in progress, up to the drain time limit. */
+    drain(): Promise<void>;
+}
+
+/** Time between two looks at the requests in progress during a drain. */
+const drainCheckInterval = 50;
+
+/**
+ * Starts an entry instance.
+ *
+ * @param settings - resolved settings
+ * @param logger - logger of the process
+ * @returns the daemon once it listens, or an error if an address cannot be bound
+ */
+export async function startEntry(
+    settings: EntrySettings,
+    logger: Logger,
+): Promise<Result<EntryDaemon, GoldcrestpointError>> {
+    await using resources = createDisposalStack();
+    const timeouts = { total: settings.platform.requestTimeLimit };
+    const log = resources.use(createLogClient({ baseUrl: settings.platform.logUrl, timeouts }));
+    const list = resources.use(createInstanceListClient({ baseUrl: settings.platform.instanceListUrl, timeouts }));
+    const context = createContext(settings, logger, log);
+    const { clock, random, store, instances } = context;
+    const incarnation = randomUUID();
+    let draining = false;
+
+    const relay = createRelayHandler({
+        self: context.self,
+        store,
+        instances,
+        clock,
+        startedAt: context.startedAt,
+        holdDuration: settings.hold.duration,
+        onHeartbeat: request => noteHeartbeat(context, request),
+        onFollowerLost: () => undefined,
+    });
+    const sharing = resources.use(createSuspicionSharing(context));
+    const rpc = await startRpcServer(settings.instance.grpcAddress, [{
+        definition: relayServiceDefinition,
+        implementation: {
+            follow: (call: FollowCall) => relay.follow(call),
+            shareSuspicion: (call: ShareCall, callback: ShareCallback) => sharing.shareSuspicion(call, callback),
+        },
+    }]);
+    if (rpc.isErr) {
+        return err(rpc.error);
+    }
+    resources.use(rpc.value);
+    resources.defer(() => relay.close());
+
+    const directory = resources.use(createRunnerDirectory(context));
+    const pipeline = createRequestPipeline(context, directory, sharing);
+    const router = createEntryRouter(context, { pipeline, isDraining: () => draining });
+    const http = await startHttpServer(settings.instance.httpAddress, router);
+    if (http.isErr) {
+        return err(http.error);
+    }
+    resources.use(http.value);
+
+    const followers = resources.use(startFollowerSet({
+        self: context.self,
+        incarnation,
+        store,
+        clock,
+        logger,
+        startedAt: context.startedAt,
+        listTargets: () => listRelayTargets(instances, settings.relay.entryAddresses),
+        maximumFollowed: settings.relay.parents,
+        heartbeatMilliseconds: settings.relay.heartbeat,
+        readContent: () => ({ copies: [], draining }),
+        onAnswer: answer => {
+            const { instance, sentAt, appliedOffset, uptime } = answer;
+            context.witnesses.set(instance, { instance, heardAt: sentAt, appliedOffset, uptime });
+        },
+        onInstances: () => undefined,
+    }));
+    const relaysSilent = (): boolean =>
+        followers.heardAt === undefined || clock.monotonic() - followers.heardAt > settings.relay.silentAfter;
+    resources.use(startLogReader({
+        log,
+        store,
+        clock,
+        random,
+        logger,
+        shouldRead: () => isLogReader(context) || relaysSilent(),
+        waitMilliseconds: settings.platform.logWait,
+    }));
+    resources.use(startInstanceListReader({
+        list,
+        instances,
+        clock,
+        random,
+        logger,
+        interval: settings.platform.instanceListInterval,
+        shouldRead: () => true,
+        onChange: rows => {
+            logLeaving(logger, rows);
+            relay.publishInstances(rows);
+            directory.refresh();
+        },
+    }));
+
+    store.onChange(() => directory.refresh());
+    const proposer = createProposerDuty(context);
+    const timer = setInterval(() => {
+        directory.refresh();
+        proposer.tick();
+        pipeline.expire();
+    }, settings.relay.tick);
+    resources.defer(() => clearInterval(timer));
+
+    const owned = resources.move();
+    logger.info({ grpcPort: rpc.value.port, httpPort: http.value.port }, "entry instance started");
+    return ok({
+        grpcPort: rpc.value.port,
+        httpPort: http.value.port,
+        drain: async () => {
+            draining = true;
+            const endsAt = clock.monotonic() + settings.instance.drainTimeLimit;
+            while (pipeline.open > 0 && clock.monotonic() < endsAt) {
+                await sleep(drainCheckInterval);
+            }
+        },
+        [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
+    });
+}
+
+function createContext(settings: EntrySettings, logger: Logger, log: EntryContext["log"]): EntryContext {
+    const clock = createSystemClock();
+    const startedAt = clock.monotonic();
+    return {
+        self: settings.instance.id,
+        settings,
+        clock,
+        random: createSystemRandom(),
+        logger,
+        decisions: createDecisionLog({
+            logger,
+            instance: settings.instance.id,
+            clock,
+            sampleShare: settings.log.decisionSampleShare,
+            recentDecisions: settings.log.recentDecisions,
+        }),
+        metrics: createEntryMetrics(clock),
+        startedAt,
+        log,
+        store: createStateStore(),
+        instances: createInstanceTable(),
+        observations: createTable(),
+        witnesses: createTable(),
+        admission: createAdmissionTable(settings.admission),
+        retryBudget: createRetryBudget(startedAt, settings.retry),
+        suspects: createSuspectTable(settings.retry),
+    };
+}
+
+function logLeaving(logger: Logger, rows: readonly InstanceRow[]): void {
+    for (const { instance, state } of rows) {
+        if (state !== "live") {
+            logger.info({ peer: instance, state }, "instance is no longer live");
+        }
+    }
+}
--- /dev/null
+++ b/src/node/entry/httpSink.ts
@@ -0,0 +1,139 @@
+import type { ServerResponse } from "node:http";
+import type { ResponseStart } from "../../generated/goldcrestpoint_pb.js";
+import type { Refusal, RefusalReason } from "../../types/index.js";
+import { sendJson } from "../httpServer/index.js";
+import type { AnswerSink } from "./attempt.js";
+import type { ResponseSink } from "./requestPipeline.js";
+
+/** HTTP status of each refusal; 409 for keys, 429 for shares, 504 for deadlines, else 503. */
+const statusByReason: Partial<Readonly<Record<RefusalReason, number>>> = {
+    "no-deployment": 404,
+    "queue-full": 429,
+    "account-share-exceeded": 429,
+    "deadline-unreachable": 504,
+    "deadline-passed": 504,
+    "key-invalid": 400,
+    "key-expired": 409,
+    "key-predates-owner": 409,
+    "key-in-progress": 409,
+    "key-already-accepted": 409,
+    "key-reused-with-other-body": 409,
+    "crashes-backend-servers": 422,
+    "invalid-request": 400,
+};
+const defaultStatus = 503;
+
+/** Largest plain answer that is held back until it is complete, in bytes. */
+const maximumHeldBytes = 32 * 1024 * 1024;
+
+/**
+ * Creates the receiver that answers an HTTP request. A plain answer is sent when it is complete, so that a broken one
+ * can be repeated or refused; an event stream is passed on as it arrives.
+ *
+ * @param response - response to the caller
+ * @param requestId - identifier that is sent as `x-request-id`
+ * @param onFirstByte - called when the first byte of the answer is sent
+ * @returns the receiver
+ */
+export function createHttpSink(response: ServerResponse, requestId: string, onFirstByte: () => void): ResponseSink {
+    let held: Uint8Array[] = [];
+    let heldBytes = 0;
+    let heldStart: ResponseStart | undefined;
+    let begun = false;
+
+    function sendHead(start: ResponseStart): void {
+        begun = true;
+        onFirstByte();
+        response.writeHead(start.status, {
+            "content-type": start.contentType,
+            "x-request-id": requestId,
+            "x-model": start.model,
+            "x-adapter": start.adapter,
+            "x-version": start.version,
+            "x-manifest-digest": start.manifestDigest,
+        });
+    }
+
+    function flush(start: ResponseStart): void {
+        if (!begun) {
+            sendHead(start);
+        }
+        for (const part of held) {
+            response.write(part);
+        }
+        held = [];
+        heldBytes = 0;
+    }
+
+    function beginAttempt(): AnswerSink {
+        held = [];
+        heldBytes = 0;
+        heldStart = undefined;
+        return {
+            start: start => {
+                heldStart = start;
+            },
+            data: content => {
+                held.push(content);
+                heldBytes += content.length;
+                const streamed = heldStart!.contentType.startsWith("text/event-stream");
+                if (!streamed && heldBytes <= maximumHeldBytes) {
+                    return undefined;
+                }
+                flush(heldStart!);
+                return response.writableNeedDrain ? waitForDrain(response) : undefined;
+            },
+        };
+    }
+
+    function reportBroken(refusal: Refusal): void {
+        if (heldStart?.contentType.startsWith("text/event-stream") === true) {
+            response.end(`event: error\ndata: ${JSON.stringify({ error: describeRefusal(refusal, requestId) })}\n\n`);
+            return;
+        }
+        response.destroy();
+    }
+
+    return {
+        get begun() {
+            return begun;
+        },
+        beginAttempt,
+        complete: start => {
+            flush(start);
+            response.end();
+        },
+        refuse: refusal => {
+            if (begun) {
+                reportBroken(refusal);
+                return;
+            }
+            sendJson(
+                response,
+                statusByReason[refusal.reason] ?? defaultStatus,
+                { error: describeRefusal(refusal, requestId) },
+                {
+                    "x-request-id": requestId,
+                    ...(refusal.retryAfterSeconds > 0 ? { "retry-after": String(refusal.retryAfterSeconds) } : {}),
+                },
+            );
+        },
+    };
+}
+
+function describeRefusal(refusal: Refusal, requestId: string): Readonly<Record<string, unknown>> {
+    const { ran, reason, retryAfterSeconds, detail } = refusal;
+    return { ran, reason, retryAfterSeconds, requestId, ...(detail === undefined ? {} : { detail }) };
+}
+
+function waitForDrain(response: ServerResponse): Promise<void> {
+    return new Promise(resolve => {
+        const finish = (): void => {
+            response.off("drain", finish);
+            response.off("close", finish);
+            resolve();
+        };
+        response.on("drain", finish);
+        response.on("close", finish);
+    });
+}
--- /dev/null
+++ b/src/node/entry/proposerDuty.ts
@@ -0,0 +1,111 @@
+import { createProposerMemory, type ProposerCommand, runProposer } from "../../runtime/placement/index.js";
+import type { DeploymentName, Milliseconds, Offset } from "../../types/index.js";
+import type { EntryContext } from "./context.js";
+
+/** Proposes placements and appends them to the log. */
+export interface ProposerDuty {
+    /** Runs the proposer once and starts the appends that it asks for. */
+    tick(): void;
+}
+
+/** Append whose record has not been read back. */
+interface PendingAppend {
+    /** Offset of the record; undefined while the outcome is not known. */
+    offset: Offset | undefined;
+    /** Monotonic time at which the append ended; undefined while it is in progress. */
+    endedAt: Milliseconds | undefined;
+}
+
+/** Age of the knowledge of the log from which nothing is proposed, since the append would most likely fail too. */
+const maximumLogAge: Milliseconds = 10_000;
+
+/**
+ * Creates the duty.
+ *
+ * @param context - the entry instance
+ * @returns the duty
+ */
+export function createProposerDuty(context: EntryContext): ProposerDuty {
+    const { clock, store } = context;
+    const memory = createProposerMemory();
+    const pending = new Map<DeploymentName, PendingAppend>();
+
+    function isPending(deployment: DeploymentName): boolean {
+        const append = pending.get(deployment);
+        if (append === undefined) {
+            return false;
+        }
+        // An ambiguous append is settled once the log has been read completely after it ended.
+        const settled = append.offset === undefined ?
+            append.endedAt !== undefined && (store.logKnownAt ?? 0) > append.endedAt :
+            store.state.appliedOffset >= append.offset;
+        if (settled) {
+            pending.delete(deployment);
+        }
+        return !settled;
+    }
+
+    async function append(command: ProposerCommand): Promise<void> {
+        const row: PendingAppend = { offset: undefined, endedAt: undefined };
+        pending.set(command.deployment, row);
+        const result = await context.log.append(command.record);
+        row.endedAt = clock.monotonic();
+        context.metrics.appends.add(1, { kind: command.kind, result: result.isOk ? "appended" : result.error.code });
+        if (result.isOk) {
+            row.offset = result.value;
+            return;
+        }
+        context.logger.warn({ deployment: command.deployment, error: result.error }, "append failed");
+        if (!result.error.mayHaveTakenEffect) {
+            pending.delete(command.deployment);
+        }
+    }
+
+    function recordMoves(command: ProposerCommand): void {
+        if (command.kind !== "append-placement") {
+            return;
+        }
+        for (const move of command.moves) {
+            context.decisions.record({
+                kind: "placement",
+                outcome: "chosen",
+                deployment: command.deployment,
+                choice: `${move.kind} ${move.instance}`.trim(),
+                reason: move.reason,
+                candidates: command.candidates,
+            });
+        }
+    }
+
+    return {
+        tick: () => {
+            const now = clock.monotonic();
+            if (store.logKnownAt === undefined || now - store.logKnownAt > maximumLogAge) {
+                return;
+            }
+            context.witnesses.set(context.self, {
+                instance: context.self,
+                heardAt: now,
+                appliedOffset: store.state.appliedOffset,
+                uptime: now - context.startedAt,
+            });
+            const commands = runProposer({
+                self: context.self,
+                state: store.state,
+                instances: context.instances,
+                observations: context.observations,
+                witnesses: context.witnesses,
+                memory,
+                clock,
+                random: context.random,
+                options: context.settings.placement,
+            });
+            for (const command of commands) {
+                if (!isPending(command.deployment)) {
+                    recordMoves(command);
+                    void append(command);
+                }
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/node/entry/requestPipeline.ts
@@ -0,0 +1,335 @@
+import type { ResponseStart } from "../../generated/goldcrestpoint_pb.js";
+import {
+    type AdmissionProgress,
+    cancelRequest,
+    expireRequests,
+    finishRequest,
+    offerRequest,
+} from "../../runtime/admission/index.js";
+import { creditRequest, decideRetry, readStanding } from "../../runtime/retry/index.js";
+import { recordOutcome, type RunnerOutcome } from "../../runtime/routing/index.js";
+import type { Refusal, RefusalReason, RequestId, RequestRow } from "../../types/index.js";
+import { type AnswerSink, type AttemptOutcome, executeAttempt } from "./attempt.js";
+import type { EntryContext } from "./context.js";
+import { createLossTracker } from "./lossTracker.js";
+import { chooseRunner, type RunnerChoice } from "./runnerChoice.js";
+import type { RunnerDirectory } from "./runnerDirectory.js";
+import type { SuspicionSharing } from "./suspicionSharing.js";
+
+/** Request of a caller with its content. */
+export interface CallerRequest {
+    readonly row: RequestRow;
+    readonly method: string;
+    /** Path and query at the backend server. */
+    readonly path: string;
+    readonly contentType: string;
+    readonly body: Uint8Array;
+    /** True if the answer is passed on while it is generated. */
+    readonly stream: boolean;
+    /** Aborted when the caller is gone. */
+    readonly signal: AbortSignal;
+}
+
+/** Receives the final answer of a request. */
+export interface ResponseSink {
+    /** True once a part of the answer has reached the caller. */
+    readonly begun: boolean;
+    /** Receiver of one attempt; what an earlier attempt left unsent is dropped. */
+    beginAttempt(): AnswerSink;
+    /** Ends a complete answer. */
+    complete(start: ResponseStart): void;
+    /** Answers with a refusal, or reports a begun answer as broken. */
+    refuse(refusal: Refusal): void;
+}
+
+/** Takes requests from admission to their final answer. */
+export interface RequestPipeline {
+    /**
+     * Handles a request.
+     *
+     * @param request - the request
+     * @param sink - receiver of the answer
+     * @returns resolves when the final answer has been given
+     */
+    handle(request: CallerRequest, sink: ResponseSink): Promise<void>;
+    /** Refuses waiting requests that can no longer meet their deadline. */
+    expire(): void;
+    /** Requests that have not had their final answer. */
+    readonly open: number;
+}
+
+interface Waiting {
+    readonly begin: () => void;
+    readonly refuse: (refusal: Refusal) => void;
+}
+
+interface Attempts {
+    count: number;
+    mayHaveRun: boolean;
+    alone: boolean;
+    readonly excluded: Set<string>;
+    /** Set that earlier attempts were made with; a repeat of what may have run uses no other one. */
+    pinnedDigest: string | undefined;
+}
+
+/** Reasons that are no fault of the runner. */
+const neutralReasons: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
+    "canceled",
+    "queue-full",
+    "account-share-exceeded",
+    "deadline-unreachable",
+    "deadline-passed",
+    "draining",
+    "not-serving",
+    "key-invalid",
+    "key-expired",
+    "key-predates-owner",
+    "key-in-progress",
+    "key-already-accepted",
+    "key-reused-with-other-body",
+    "not-key-owner",
+]);
+
+/**
+ * Creates the pipeline.
+ *
+ * @param context - the entry instance
+ * @param directory - runners and connections
+ * @param sharing - suspect requests
+ * @returns the pipeline
+ */
+export function createRequestPipeline(
+    context: EntryContext,
+    directory: RunnerDirectory,
+    sharing: SuspicionSharing,
+): RequestPipeline {
+    const { admission, clock, decisions, metrics, settings, suspects } = context;
+    const waiting = new Map<RequestId, Waiting>();
+    const losses = createLossTracker(clock);
+    let open = 0;
+
+    function advance(progress: AdmissionProgress): void {
+        for (const { request, refusal } of progress.refuse) {
+            const entry = waiting.get(request.requestId);
+            waiting.delete(request.requestId);
+            entry?.refuse(refusal);
+        }
+        for (const { requestId } of progress.start) {
+            const entry = waiting.get(requestId);
+            waiting.delete(requestId);
+            entry?.begin();
+        }
+    }
+
+    /** Resolves with undefined when the request may start, else with its refusal. */
+    function admit({ row, signal }: CallerRequest): Promise<Refusal | undefined> {
+        const decision = offerRequest(admission, row, clock.monotonic());
+        if (decision.kind === "refuse") {
+            return Promise.resolve(decision.refusal);
+        }
+        if (decision.kind === "start") {
+            return Promise.resolve(undefined);
+        }
+        return new Promise(resolve => {
+            waiting.set(row.requestId, { begin: () => resolve(undefined), refuse: resolve });
+            signal.addEventListener("abort", () => {
+                if (waiting.has(row.requestId)) {
+                    advance(cancelRequest(admission, row.requestId, clock.monotonic()));
+                }
+            });
+            // A request that lost its place to this one is refused now, not with the next tick.
+            advance(expireRequests(admission, clock.monotonic()));
+        });
+    }
+
+    function refuse(request: CallerRequest, sink: ResponseSink, refusal: Refusal): void {
+        const { row } = request;
+        decisions.record({
+            kind: "admission",
+            outcome: "refused",
+            deployment: row.deployment,
+            requestId: row.requestId,
+            choice: `ran: ${refusal.ran}`,
+            reason: refusal.reason,
+            candidates: 0,
+        });
+        metrics.requests.add(1, { deployment: row.deployment, result: `refused-${refusal.ran}` });
+        sink.refuse(refusal);
+    }
+
+    async function handle(request: CallerRequest, sink: ResponseSink): Promise<void> {
+        open += 1;
+        try {
+            creditRequest(context.retryBudget, clock.monotonic(), settings.retry);
+            const refusal = await admit(request);
+            if (refusal !== undefined) {
+                refuse(request, sink, refusal);
+                return;
+            }
+            try {
+                await runAttempts(request, sink);
+            }
+            finally {
+                advance(finishRequest(admission, request.row.requestId, clock.monotonic()));
+            }
+        }
+        finally {
+            open -= 1;
+        }
+    }
+
+    async function runAttempts(request: CallerRequest, sink: ResponseSink): Promise<void> {
+        const standing = readStanding(suspects, request.row.fingerprint, clock.monotonic());
+        if (standing === "condemned") {
+            refuse(request, sink, {
+                ran: "no",
+                reason: "crashes-backend-servers",
+                retryAfterSeconds: Math.ceil(settings.retry.condemnedDuration / 1_000),
+            });
+            return;
+        }
+        const attempts: Attempts = {
+            count: 0,
+            mayHaveRun: false,
+            alone: standing === "suspect",
+            excluded: new Set(),
+            pinnedDigest: undefined,
+        };
+        while (await runAttempt(request, sink, attempts)) {
+            metrics.retries.add(1, { deployment: request.row.deployment });
+        }
+    }
+
+    /** Returns true if another attempt follows. */
+    async function runAttempt(request: CallerRequest, sink: ResponseSink, attempts: Attempts): Promise<boolean> {
+        const { row } = request;
+        const choice = chooseRunner(context, directory, request, attempts.excluded, attempts.pinnedDigest);
+        attempts.count += 1;
+        if (choice.kind === "none") {
+            const ran = attempts.mayHaveRun ? "unknown" : "no";
+            refuse(request, sink, { ran, reason: choice.reason, retryAfterSeconds: choice.retryAfterSeconds });
+            return false;
+        }
+        const outcome = await execute(request, sink, choice, attempts.alone);
+        if (outcome.kind === "complete") {
+            if (attempts.alone) {
+                sharing.noteSuccessAlone(row.fingerprint);
+            }
+            metrics.requests.add(1, { deployment: row.deployment, result: "answered" });
+            sink.complete(outcome.start);
+            return false;
+        }
+        return decideNext(request, sink, choice, attempts, outcome);
+    }
+
+    async function execute(
+        request: CallerRequest,
+        sink: ResponseSink,
+        choice: Extract<RunnerChoice, { kind: "chosen"; }>,
+        alone: boolean,
+    ): Promise<AttemptOutcome> {
+        const { row } = request;
+        const { runner } = choice;
+        if (runner !== undefined) {
+            runner.outstanding += 1;
+        }
+        const remaining = Math.max(1, Math.ceil(row.deadline - clock.monotonic()));
+        const endProgress = losses.begin(choice.instance, row.fingerprint);
+        const outcome = await executeAttempt({
+            client: choice.client,
+            sink: sink.beginAttempt(),
+            signal: request.signal,
+            timeLimit: remaining,
+            request: {
+                requestId: row.requestId,
+                deployment: row.deployment,
+                placementOffset: BigInt(choice.placementOffset),
+                version: "",
+                manifestDigest: choice.manifestDigest ?? "",
+                clientAccount: row.clientAccount,
+                priority: row.priority,
+                deadlineMilliseconds: BigInt(remaining),
+                idempotent: row.idempotent,
+                idempotencyKey: row.idempotencyKey ?? "",
+                fingerprint: row.fingerprint,
+                alone,
+                stream: request.stream,
+                method: request.method,
+                path: request.path,
+                contentType: request.contentType,
+                body: request.body,
+                prefix: row.prefix ?? "",
+            },
+        });
+        endProgress();
+        if (runner !== undefined) {
+            runner.outstanding -= 1;
+            recordOutcome(runner, classifyOutcome(outcome), clock.monotonic(), settings.routing);
+        }
+        return outcome;
+    }
+
+    function decideNext(
+        request: CallerRequest,
+        sink: ResponseSink,
+        choice: Extract<RunnerChoice, { kind: "chosen"; }>,
+        attempts: Attempts,
+        outcome: Extract<AttemptOutcome, { kind: "failed"; }>,
+    ): boolean {
+        const { row } = request;
+        const { refusal } = outcome;
+        if (outcome.crash !== undefined) {
+            sharing.noteCrash(outcome.crash);
+        }
+        else if (refusal.ran === "unknown" && refusal.reason === "connection-lost") {
+            sharing.noteCrash(losses.noteLoss(choice.instance, row.fingerprint, attempts.alone));
+        }
+        attempts.mayHaveRun ||= refusal.ran === "unknown";
+        attempts.pinnedDigest = attempts.mayHaveRun ? choice.manifestDigest : undefined;
+        attempts.excluded.add(choice.instance);
+        const decision = decideRetry({
+            request: row,
+            refusal,
+            backendServerCrashed: outcome.crash !== undefined,
+            attempts: attempts.count,
+            answerBegun: sink.begun,
+            mayHaveRun: attempts.mayHaveRun,
+            standing: readStanding(suspects, row.fingerprint, clock.monotonic()),
+            budget: context.retryBudget,
+            now: clock.monotonic(),
+            options: settings.retry,
+        });
+        decisions.record({
+            kind: "retry",
+            outcome: decision.kind === "retry" ? "chosen" : "failed",
+            deployment: row.deployment,
+            requestId: row.requestId,
+            choice: decision.kind,
+            reason: decision.reason,
+            candidates: 0,
+            details: { instance: choice.instance, failure: refusal.reason, ran: refusal.ran, attempt: attempts.count },
+        });
+        if (decision.kind === "retry") {
+            attempts.alone = decision.alone;
+            return true;
+        }
+        metrics.requests.add(1, { deployment: row.deployment, result: `failed-${decision.refusal.ran}` });
+        sink.refuse(decision.refusal);
+        return false;
+    }
+
+    return {
+        handle,
+        expire: () => advance(expireRequests(admission, clock.monotonic())),
+        get open() {
+            return open;
+        },
+    };
+}
+
+function classifyOutcome(outcome: AttemptOutcome): RunnerOutcome {
+    if (outcome.kind === "complete") {
+        return "succeeded";
+    }
+    return neutralReasons.has(outcome.refusal.reason) ? "neutral" : "failed";
+}
--- /dev/null
+++ b/src/node/entry/suspicionSharing.ts
@@ -0,0 +1,137 @@
+import { create } from "@bufbuild/protobuf";
+import { Metadata, type sendUnaryData, type ServerUnaryCall } from "@grpc/grpc-js";
+import {
+    type ShareSuspicionRequest,
+    ShareSuspicionRequestSchema,
+    type ShareSuspicionResponse,
+    ShareSuspicionResponseSchema,
+} from "../../generated/goldcrestpoint_pb.js";
+import { mergeSuspicion, reportCrash, reportSuccessAlone, type SuspectRow } from "../../runtime/retry/index.js";
+import type { Fingerprint } from "../../types/index.js";
+import { createRelayClient, type RelayClient } from "../grpc/index.js";
+import type { CrashReport } from "./attempt.js";
+import type { EntryContext } from "./context.js";
+
+/** Call of the `ShareSuspicion` method. */
+export type ShareCall = ServerUnaryCall<ShareSuspicionRequest, ShareSuspicionResponse>;
+/** Callback of the `ShareSuspicion` method. */
+export type ShareCallback = sendUnaryData<ShareSuspicionResponse>;
+
+/** Shares suspect requests between entry instances. */
+export interface SuspicionSharing extends Disposable {
+    /**
+     * Notes a crash; each crash counts once, however many requests it broke.
+     *
+     * @param crash - the crash
+     */
+    noteCrash(crash: CrashReport): void;
+    /**
+     * Notes that a suspect request has finished alone.
+     *
+     * @param fingerprint - the request
+     */
+    noteSuccessAlone(fingerprint: Fingerprint): void;
+    /** Handler of the `ShareSuspicion` method. */
+    shareSuspicion(call: ShareCall, callback: ShareCallback): void;
+}
+
+/** Entry instances to which a change is sent at once; they pass it on as long as it is new to them. */
+const fanOut = 8;
+const shareTimeLimit = 2_000;
+/** Crashes that are remembered, so that further requests that they broke do not count again. */
+const rememberedCrashes = 1_000;
+
+/**
+ * Creates the sharing.
+ *
+ * @param context - the entry instance
+ * @returns the sharing
+ */
+export function createSuspicionSharing(context: EntryContext): SuspicionSharing {
+    const { clock, instances, suspects } = context;
+    const clients = new Map<string, RelayClient>();
+    const crashes = new Set<string>();
+
+    function findClient(address: string): RelayClient {
+        const client = clients.get(address) ?? createRelayClient(address);
+        clients.set(address, client);
+        return client;
+    }
+
+    function pickPeers(): string[] {
+        const addresses: string[] = [];
+        for (const instance of instances.lookup("role", "entry")) {
+            const row = instances.get(instance)!;
+            if (instance !== context.self && row.state === "live") {
+                addresses.push(row.address);
+            }
+        }
+        while (addresses.length > fanOut) {
+            addresses.splice(Math.floor(context.random.next() * addresses.length), 1);
+        }
+        return addresses;
+    }
+
+    function send(rows: readonly SuspectRow[]): void {
+        if (rows.length === 0) {
+            return;
+        }
+        const now = clock.monotonic();
+        const request = create(ShareSuspicionRequestSchema, {
+            instance: context.self,
+            suspicions: rows.map(row => ({
+                fingerprint: row.fingerprint,
+                crashes: row.crashes,
+                crashesAlone: row.crashesAlone,
+                condemned: row.condemned,
+                cleared: row.cleared,
+                ageMilliseconds: BigInt(Math.max(0, Math.floor(now - row.changedAt))),
+            })),
+        });
+        for (const address of pickPeers()) {
+            findClient(address).shareSuspicion(
+                request,
+                new Metadata(),
+                { deadline: Date.now() + shareTimeLimit },
+                error => {
+                    if (error instanceof Error) {
+                        context.logger.debug({ peer: address, error: error.message }, "suspicion could not be shared");
+                    }
+                },
+            );
+        }
+    }
+
+    return {
+        noteCrash: ({ crashId, fingerprints, alone }) => {
+            if (crashes.has(crashId)) {
+                return;
+            }
+            crashes.add(crashId);
+            if (crashes.size > rememberedCrashes) {
+                crashes.delete(crashes.values().next().value!);
+            }
+            context.logger.warn({ crashId, requests: fingerprints.length }, "backend server crashed");
+            send(reportCrash(suspects, fingerprints, clock.monotonic(), alone));
+        },
+        noteSuccessAlone: fingerprint => send(reportSuccessAlone(suspects, fingerprint, clock.monotonic())),
+        shareSuspicion: (call, callback) => {
+            const now = clock.monotonic();
+            const rows = call.request.suspicions.map(suspicion => ({
+                fingerprint: suspicion.fingerprint,
+                crashes: suspicion.crashes,
+                crashesAlone: suspicion.crashesAlone,
+                condemned: suspicion.condemned,
+                cleared: suspicion.cleared,
+                changedAt: now - Number(suspicion.ageMilliseconds),
+            }));
+            send(mergeSuspicion(suspects, rows, now));
+            callback(undefined as never, create(ShareSuspicionResponseSchema));
+        },
+        [Symbol.dispose]: () => {
+            for (const client of clients.values()) {
+                client.close();
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/node/httpServer/httpServer.ts
@@ -0,0 +1,54 @@
+import type { HTTPVersion, Instance as Router } from "find-my-way";
+import { createServer } from "node:http";
+import { err, ok, type Result } from "true-myth/result";
+import { createError, type GoldcrestpointError } from "../../types/index.js";
+
+/** Running HTTP server. */
+export interface HttpServer extends AsyncDisposable {
+    /** Port that the server listens on. */
+    readonly port: number;
+}
+
+/** Router of a daemon's HTTP server. */
+export type HttpRouter = Router<HTTPVersion.V1>;
+
+/**
+ * Starts an HTTP server.
+ *
+ * @param address - `host:port`; port 0 takes a free one
+ * @param router - routes to serve
+ * @returns the server, or an error if the address cannot be bound
+ */
+export function startHttpServer(address: string, router: HttpRouter): Promise<Result<HttpServer, GoldcrestpointError>> {
+    const { host, port } = splitAddress(address);
+    const server = createServer((request, response) => {
+        router.lookup(request, response);
+    });
+    return new Promise(resolve => {
+        server.once("error", error => {
+            resolve(err(createError("PEER_UNREACHABLE", "bind HTTP server", address, error.message)));
+        });
+        server.listen(port, host, () => {
+            const bound = server.address();
+            resolve(ok({
+                port: typeof bound === "object" && bound ? bound.port : port,
+                [Symbol.asyncDispose]: () =>
+                    new Promise<void>(closed => {
+                        server.close(() => closed());
+                        server.closeIdleConnections();
+                    }),
+            }));
+        });
+    });
+}
+
+/**
+ * Splits an address.
+ *
+ * @param address - `host:port`
+ * @returns host and port
+ */
+export function splitAddress(address: string): { readonly host: string; readonly port: number; } {
+    const colon = address.lastIndexOf(":");
+    return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
--- /dev/null
+++ b/src/node/httpServer/index.ts
@@ -0,0 +1,3 @@
+export * from "./httpServer.js";
+export * from "./responses.js";
+export * from "./statusRoutes.js";
--- /dev/null
+++ b/src/node/relay/follower.ts
@@ -0,0 +1,166 @@
+import { create } from "@bufbuild/protobuf";
+import type { ClientDuplexStream } from "@grpc/grpc-js";
+import {
+    type CopyStatus,
+    type FollowRequest,
+    FollowRequestSchema,
+    type FollowResponse,
+    type TransferTotals,
+} from "../../generated/goldcrestpoint_pb.js";
+import type { StateSnapshot } from "../../runtime/state/index.js";
+import type { Clock, InstanceId, InstanceRow, Milliseconds, Offset } from "../../types/index.js";
+import { createRelayClient } from "../grpc/index.js";
+import { readRelayedRecord } from "./messages.js";
+import type { StateStore } from "./stateStore.js";
+
+/** Entry instance that can be followed. */
+export interface RelayTarget {
+    readonly instance: InstanceId;
+    readonly address: string;
+}
+
+/** What a follower reports about itself with each heartbeat. */
+export interface HeartbeatContent {
+    readonly copies: readonly CopyStatus[];
+    readonly draining: boolean;
+    readonly transfers?: TransferTotals;
+}
+
+/** Answer of a relay to a heartbeat. */
+export interface RelayAnswer {
+    readonly instance: InstanceId;
+    /** Monotonic time at which the heartbeat was sent. */
+    readonly sentAt: Milliseconds;
+    readonly appliedOffset: Offset;
+    readonly logReachable: boolean;
+    readonly uptime: Milliseconds;
+}
+
+/** Options of {@link createFollower}. */
+export interface FollowerOptions {
+    readonly self: InstanceId;
+    readonly incarnation: string;
+    readonly target: RelayTarget;
+    readonly store: StateStore;
+    readonly clock: Clock;
+    readonly startedAt: Milliseconds;
+    readonly readContent: () => HeartbeatContent;
+    readonly onAnswer: (answer: RelayAnswer) => void;
+    readonly onInstances: (rows: readonly InstanceRow[]) => void;
+    readonly onEnd: (reason: string) => void;
+}
+
+/** Stream to one relay. */
+export interface Follower extends Disposable {
+    readonly target: RelayTarget;
+    /** Sends a heartbeat now. */
+    sendHeartbeat(): void;
+    /** Monotonic time of the newest message. */
+    readonly heardAt: Milliseconds;
+}
+
+/** Unanswered heartbeats that are remembered. */
+const maximumPendingHeartbeats = 32;
+
+/**
+ * Follows one relay: receives records and freshness, sends heartbeats.
+ *
+ * @param options - relay, store and what to report
+ * @returns the stream; it ends with `onEnd` and is not reopened
+ */
+export function createFollower(options: FollowerOptions): Follower {
+    const { store, clock, target } = options;
+    const client = createRelayClient(target.address);
+    const stream: ClientDuplexStream<FollowRequest, FollowResponse> = client.follow();
+    const sentAt = new Map<number, Milliseconds>();
+    let heartbeat = 0;
+    let heardAt = clock.monotonic();
+    let ended = false;
+
+    function end(reason: string): void {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        stream.cancel();
+        client.close();
+        options.onEnd(reason);
+    }
+
+    function applyContent(message: FollowResponse): boolean {
+        if (message.snapshot !== "") {
+            store.adoptSnapshot(JSON.parse(message.snapshot) as StateSnapshot);
+        }
+        if (message.records.length > 0 && store.applyEntries(message.records.map(readRelayedRecord)) === "gap") {
+            return false;
+        }
+        if (message.instances !== "") {
+            options.onInstances(JSON.parse(message.instances) as InstanceRow[]);
+        }
+        return true;
+    }
+
+    function receive(message: FollowResponse): void {
+        heardAt = clock.monotonic();
+        if (!applyContent(message)) {
+            end("records are missing");
+            return;
+        }
+        const answered = Number(message.heartbeat);
+        const answeredSentAt = sentAt.get(answered);
+        if (answeredSentAt === undefined) {
+            return;
+        }
+        sentAt.delete(answered);
+        const appliedOffset = Number(message.appliedOffset);
+        if (appliedOffset > store.state.appliedOffset) {
+            return;
+        }
+        if (message.logReachable) {
+            store.noteLogKnown(answeredSentAt - Number(message.logAgeMilliseconds));
+        }
+        options.onAnswer({
+            instance: message.instance,
+            sentAt: answeredSentAt,
+            appliedOffset,
+            logReachable: message.logReachable,
+            uptime: Number(message.uptimeMilliseconds),
+        });
+    }
+
+    function sendHeartbeat(): void {
+        if (ended) {
+            return;
+        }
+        heartbeat += 1;
+        sentAt.set(heartbeat, clock.monotonic());
+        if (sentAt.size > maximumPendingHeartbeats) {
+            sentAt.delete(sentAt.keys().next().value!);
+        }
+        const { copies, draining, transfers } = options.readContent();
+        stream.write(create(FollowRequestSchema, {
+            instance: options.self,
+            incarnation: options.incarnation,
+            appliedOffset: BigInt(store.state.appliedOffset),
+            copies: [...copies],
+            draining,
+            ...(transfers === undefined ? {} : { transfers }),
+            heartbeat: BigInt(heartbeat),
+            uptimeMilliseconds: BigInt(Math.floor(clock.monotonic() - options.startedAt)),
+        }));
+    }
+
+    stream.on("data", receive);
+    stream.on("error", (error: Error) => end(error.message));
+    stream.on("end", () => end("the relay ended the stream"));
+    sendHeartbeat();
+
+    return {
+        target,
+        sendHeartbeat,
+        get heardAt() {
+            return heardAt;
+        },
+        [Symbol.dispose]: () => end("closed"),
+    };
+}
--- /dev/null
+++ b/src/node/relay/followerSet.ts
@@ -0,0 +1,103 @@
+import type { Logger } from "pino";
+import type { InstanceId, Milliseconds } from "../../types/index.js";
+import { rankByRendezvous } from "../../utils/index.js";
+import { createFollower, type Follower, type FollowerOptions, type RelayTarget } from "./follower.js";
+
+/** Options of {@link startFollowerSet}. */
+export interface FollowerSetOptions extends Omit<FollowerOptions, "target" | "onEnd"> {
+    /** Lists the entry instances that may be followed now. */
+    readonly listTargets: () => readonly RelayTarget[];
+    /** Entry instances followed at once. Default: 3. */
+    readonly maximumFollowed?: number;
+    /** Time between heartbeats. Default: 2,000 ms. */
+    readonly heartbeatMilliseconds?: Milliseconds;
+    readonly logger: Logger;
+}
+
+/** Streams to the relays that a process follows. */
+export interface FollowerSet extends Disposable {
+    /** Monotonic time of the newest message of any relay; undefined before the first. */
+    readonly heardAt: Milliseconds | undefined;
+    /** Sends a heartbeat on each stream now. */
+    sendHeartbeats(): void;
+}
+
+/** Time after which a relay that was lost is asked again. */
+const reconnectAfter: Milliseconds = 1_000;
+/** Heartbeat intervals without a message after which a stream is given up. */
+const silentIntervals = 4;
+
+/**
+ * Follows up to a few entry instances, chosen by rendezvous hashing, and replaces those that fail or leave.
+ *
+ * @param options - what to follow and report
+ * @returns the running set
+ */
+export function startFollowerSet(options: FollowerSetOptions): FollowerSet {
+    const followers = new Map<InstanceId, Follower>();
+    const retryAt = new Map<InstanceId, Milliseconds>();
+    const interval = options.heartbeatMilliseconds ?? 2_000;
+    let heardAt: Milliseconds | undefined;
+
+    function open(target: RelayTarget): void {
+        const follower = createFollower({
+            ...options,
+            target,
+            onAnswer: answer => {
+                heardAt = options.clock.monotonic();
+                options.onAnswer(answer);
+            },
+            onEnd: reason => {
+                followers.delete(target.instance);
+                retryAt.set(target.instance, options.clock.monotonic() + reconnectAfter);
+                options.logger.debug({ peer: target.instance, reason }, "relay stream ended");
+            },
+        });
+        followers.set(target.instance, follower);
+    }
+
+    function reconcile(): void {
+        const now = options.clock.monotonic();
+        const targets = new Map(
+            options.listTargets()
+                .filter(target => target.instance !== options.self)
+                .map(target => [target.instance, target]),
+        );
+        const wanted = rankByRendezvous(options.self, [...targets.keys()]).slice(0, options.maximumFollowed ?? 3);
+        for (const [instance, follower] of [...followers]) {
+            const silent = now - follower.heardAt > silentIntervals * interval;
+            if (silent || !wanted.includes(instance) || targets.get(instance)?.address !== follower.target.address) {
+                follower[Symbol.dispose]();
+            }
+        }
+        for (const instance of wanted) {
+            if (!followers.has(instance) && now >= (retryAt.get(instance) ?? 0)) {
+                open(targets.get(instance)!);
+            }
+        }
+    }
+
+    function sendHeartbeats(): void {
+        for (const follower of followers.values()) {
+            follower.sendHeartbeat();
+        }
+    }
+
+    reconcile();
+    const reconcileTimer = setInterval(reconcile, Math.min(500, interval));
+    const heartbeatTimer = setInterval(sendHeartbeats, interval);
+
+    return {
+        get heardAt() {
+            return heardAt;
+        },
+        sendHeartbeats,
+        [Symbol.dispose]: () => {
+            clearInterval(reconcileTimer);
+            clearInterval(heartbeatTimer);
+            for (const follower of [...followers.values()]) {
+                follower[Symbol.dispose]();
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/node/relay/relayServer.ts
@@ -0,0 +1,153 @@
+import { create } from "@bufbuild/protobuf";
+import type { ServerDuplexStream } from "@grpc/grpc-js";
+import { type FollowRequest, type FollowResponse, FollowResponseSchema } from "../../generated/goldcrestpoint_pb.js";
+import type { Clock, InstanceId, InstanceRow, Milliseconds, Offset } from "../../types/index.js";
+import type { Table } from "../../utils/index.js";
+import { createRelayedRecord } from "./messages.js";
+import type { StateStore } from "./stateStore.js";
+
+/** Call of the `Follow` method. */
+export type FollowCall = ServerDuplexStream<FollowRequest, FollowResponse>;
+
+/** Options of {@link createRelayHandler}. */
+export interface RelayHandlerOptions {
+    readonly self: InstanceId;
+    readonly store: StateStore;
+    readonly instances: Table<InstanceId, InstanceRow>;
+    readonly clock: Clock;
+    readonly startedAt: Milliseconds;
+    /** Age of the knowledge of the log from which the log counts as unreachable. */
+    readonly holdDuration: Milliseconds;
+    readonly onHeartbeat: (request: FollowRequest) => void;
+    readonly onFollowerLost: (instance: InstanceId) => void;
+}
+
+/** Serves followers. */
+export interface RelayHandler {
+    follow(call: FollowCall): void;
+    /**
+     * Passes changed rows of the instance list on to the followers that need them.
+     *
+     * @param rows - changed rows
+     */
+    publishInstances(rows: readonly InstanceRow[]): void;
+    readonly followerCount: number;
+    /** Ends all streams. */
+    close(): void;
+}
+
+interface FollowerRow {
+    readonly call: FollowCall;
+    instance: InstanceId | undefined;
+    sentOffset: Offset;
+}
+
+/**
+ * Creates the handler of the `Follow` method.
+ *
+ * @param options - state to relay and what to do with heartbeats
+ * @returns the handler
+ */
+export function createRelayHandler(options: RelayHandlerOptions): RelayHandler {
+    const { store, clock, instances } = options;
+    const followers = new Set<FollowerRow>();
+
+    function createMessage(heartbeat: bigint): FollowResponse {
+        const now = clock.monotonic();
+        const age = store.logKnownAt === undefined ? Number.MAX_SAFE_INTEGER : now - store.logKnownAt;
+        return create(FollowResponseSchema, {
+            instance: options.self,
+            appliedOffset: BigInt(store.state.appliedOffset),
+            logAgeMilliseconds: BigInt(Math.ceil(age)),
+            logReachable: age < options.holdDuration,
+            uptimeMilliseconds: BigInt(Math.floor(now - options.startedAt)),
+            heartbeat,
+        });
+    }
+
+    function attachState(follower: FollowerRow, message: FollowResponse): void {
+        const entries = store.entriesAfter(follower.sentOffset);
+        if (entries === undefined) {
+            message.snapshot = JSON.stringify(store.takeSnapshot());
+        }
+        else {
+            message.records = entries.map(createRelayedRecord);
+        }
+        follower.sentOffset = Math.max(follower.sentOffset, store.state.appliedOffset);
+    }
+
+    /** Agents get their own pool and the entry instances; entry instances get every row. */
+    function selectRows(instance: InstanceId, rows: Iterable<InstanceRow>): InstanceRow[] {
+        const own = instances.get(instance);
+        return [...rows].filter(row =>
+            own === undefined || own.role === "entry" || row.role === "entry" || row.pool === own.pool
+        );
+    }
+
+    function subscribe(follower: FollowerRow, request: FollowRequest, message: FollowResponse): void {
+        follower.instance = request.instance;
+        follower.sentOffset = Number(request.appliedOffset);
+        message.instances = JSON.stringify(selectRows(request.instance, instances.rows()));
+    }
+
+    function receive(follower: FollowerRow, request: FollowRequest): void {
+        const message = createMessage(request.heartbeat);
+        if (follower.instance === undefined) {
+            subscribe(follower, request, message);
+        }
+        options.onHeartbeat(request);
+        attachState(follower, message);
+        follower.call.write(message);
+    }
+
+    function remove(follower: FollowerRow): void {
+        if (followers.delete(follower) && follower.instance !== undefined) {
+            options.onFollowerLost(follower.instance);
+        }
+    }
+
+    store.onChange(() => {
+        for (const follower of followers) {
+            if (follower.instance !== undefined) {
+                const message = createMessage(0n);
+                attachState(follower, message);
+                follower.call.write(message);
+            }
+        }
+    });
+
+    return {
+        follow: call => {
+            const follower: FollowerRow = { call, instance: undefined, sentOffset: 0 };
+            followers.add(follower);
+            call.on("data", (request: FollowRequest) => receive(follower, request));
+            call.on("end", () => {
+                remove(follower);
+                call.end();
+            });
+            call.on("error", () => remove(follower));
+            call.on("cancelled", () => remove(follower));
+        },
+        publishInstances: rows => {
+            for (const follower of followers) {
+                if (follower.instance === undefined) {
+                    continue;
+                }
+                const selected = selectRows(follower.instance, rows);
+                if (selected.length > 0) {
+                    const message = createMessage(0n);
+                    message.instances = JSON.stringify(selected);
+                    follower.call.write(message);
+                }
+            }
+        },
+        get followerCount() {
+            return followers.size;
+        },
+        close: () => {
+            for (const follower of followers) {
+                follower.call.end();
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/node/relay/stateStore.ts
@@ -0,0 +1,145 @@
+import {
+    createFoldState,
+    exportSnapshot,
+    foldEntry,
+    type FoldState,
+    importSnapshot,
+    type StateSnapshot,
+} from "../../runtime/state/index.js";
+import type { LogEntry, Milliseconds, Offset } from "../../types/index.js";
+
+/** Entries that are kept for followers that lag; older ones are replaced by a snapshot. */
+const keptEntries = 2_000;
+
+/** State that a process has derived from the log, with the age of its knowledge. */
+export interface StateStore {
+    readonly state: FoldState;
+    /** Monotonic time at which the state was known to be complete; undefined before the first read. */
+    readonly logKnownAt: Milliseconds | undefined;
+    /** True once the state was complete at some time since the start. */
+    readonly ready: boolean;
+    /**
+     * Applies entries in offset order; entries that were applied before are skipped.
+     *
+     * @param entries - entries in offset order
+     * @returns `gap` if an entry does not follow the last applied one
+     */
+    applyEntries(entries: readonly LogEntry[]): "applied" | "gap";
+    /**
+     * Replaces the state by a newer one of a peer.
+     *
+     * @param snapshot - the peer's state
+     * @returns false if the snapshot is not newer or its digest does not match
+     */
+    adoptSnapshot(snapshot: StateSnapshot): boolean;
+    /**
+     * Notes that the state was complete at a time.
+     *
+     * @param at - monotonic time; earlier than the known one is ignored
+     */
+    noteLogKnown(at: Milliseconds): void;
+    /**
+     * Lists entries for a follower.
+     *
+     * @param offset - last offset that the follower has applied
+     * @returns the entries after it, or undefined if a snapshot is needed
+     */
+    entriesAfter(offset: Offset): readonly LogEntry[] | undefined;
+    /** @returns the state as a snapshot for a peer */
+    takeSnapshot(): StateSnapshot;
+    /**
+     * Calls a listener after each change of the state.
+     *
+     * @param listener - gets the entries that were applied; empty after a snapshot
+     */
+    onChange(listener: (entries: readonly LogEntry[]) => void): void;
+}
+
+/**
+ * Creates an empty store.
+ *
+ * @returns the store
+ */
+export function createStateStore(): StateStore {
+    let state = createFoldState();
+    let logKnownAt: Milliseconds | undefined;
+    let recent: LogEntry[] = [];
+    // The offset before the first kept entry; followers at or after it can be served with entries.
+    let recentBase: Offset = 0;
+    const listeners: ((entries: readonly LogEntry[]) => void)[] = [];
+
+    function notify(entries: readonly LogEntry[]): void {
+        for (const listener of listeners) {
+            listener(entries);
+        }
+    }
+
+    function keep(entries: readonly LogEntry[]): void {
+        recent.push(...entries);
+        if (recent.length > keptEntries) {
+            const dropped = recent.length - keptEntries;
+            recentBase = recent[dropped - 1]!.offset;
+            recent = recent.slice(dropped);
+        }
+    }
+
+    return {
+        get state() {
+            return state;
+        },
+        get logKnownAt() {
+            return logKnownAt;
+        },
+        get ready() {
+            return logKnownAt !== undefined;
+        },
+        applyEntries: entries => {
+            const applied: LogEntry[] = [];
+            let outcome: "applied" | "gap" = "applied";
+            for (const entry of entries) {
+                if (entry.offset <= state.appliedOffset) {
+                    continue;
+                }
+                if (foldEntry(state, entry) === "out-of-order") {
+                    outcome = "gap";
+                    break;
+                }
+                applied.push(entry);
+            }
+            if (applied.length > 0) {
+                keep(applied);
+                notify(applied);
+            }
+            return outcome;
+        },
+        adoptSnapshot: snapshot => {
+            if (snapshot.appliedOffset <= state.appliedOffset) {
+                return false;
+            }
+            const imported = importSnapshot(snapshot);
+            if (imported.isErr) {
+                return false;
+            }
+            state = imported.value;
+            recent = [];
+            recentBase = state.appliedOffset;
+            notify([]);
+            return true;
+        },
+        noteLogKnown: at => {
+            if (logKnownAt === undefined || at > logKnownAt) {
+                logKnownAt = at;
+            }
+        },
+        entriesAfter: offset => {
+            if (offset < recentBase) {
+                return undefined;
+            }
+            return recent.filter(entry => entry.offset > offset);
+        },
+        takeSnapshot: () => exportSnapshot(state),
+        onChange: listener => {
+            listeners.push(listener);
+        },
+    };
+}
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -53,6 +53,42 @@
             initial: 2,
             documentation: "Transfers that one agent runs from the same peer at once.",
         }),
+        maximumOriginTransfers: defineInteger({
+            minimum: 1,
+            maximum: 256,
+            initial: 2,
+            documentation: "Transfers that one agent runs from the origin at once.",
+        }),
+        maximumUploads: defineInteger({
+            minimum: 1,
+            maximum: 256,
+            initial: 8,
+            documentation: "Chunks that one agent sends at once; further requests are refused as choked.",
+        }),
+        originReadersForTime: defineInteger({
+            minimum: 1,
+            maximum: 16,
+            initial: 4,
+            documentation: "Origin readers of each chunk with the objective `time`; `origin-bytes` has one.",
+        }),
+        watchedReaders: defineInteger({
+            minimum: 0,
+            maximum: 64,
+            initial: 8,
+            documentation: "Origin readers with which an agent exchanges bitfields besides its neighbours.",
+        }),
+        originStallAfterMilliseconds: defineDuration("originStallAfter", "Milliseconds", {
+            minimum: 50,
+            maximum: 600_000,
+            initial: 30_000,
+            documentation: "Time after which a read from the origin is abandoned; the origin may queue it.",
+        }),
+        avoidSourceMilliseconds: defineDuration("avoidSourceFor", "Milliseconds", {
+            minimum: 50,
+            maximum: 600_000,
+            initial: 30_000,
+            documentation: "Time for which a source is avoided after a stalled transfer or repeated corrupt chunks.",
+        }),
         uploadAllowanceCopies: defineNumber({
             minimum: 0,
             maximum: 100,
--- a/src/runtime/retry/suspects.ts
+++ b/src/runtime/retry/suspects.ts
@@ -52,14 +52,15 @@
  * @param table - table to change
  * @param fingerprints - fingerprints of all requests that were in progress on the server, of every entry instance
  * @param now - monotonic time
+ * @param alone - whether it is certain that a single request was in progress. Default: true for one fingerprint.
  * @returns the changed rows, to be shared with the other entry instances at once
  */
 export function reportCrash(
     table: SuspectTable,
     fingerprints: readonly Fingerprint[],
     now: Milliseconds,
+    alone: boolean = fingerprints.length === 1,
 ): readonly SuspectRow[] {
-    const alone = fingerprints.length === 1;
     return [...new Set(fingerprints)].map(fingerprint => {
         const previous = readRow(table, fingerprint, now);
         const crashes = (previous?.crashes ?? 0) + 1;
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -151,6 +151,8 @@
     readonly priority: number;
     /** Weights that must answer; undefined for plain services. */
     readonly manifestDigest: ManifestDigest | undefined;
+    /** Key that the backend server may use to recognize a repeat; undefined for none. */
+    readonly idempotencyKey?: string | undefined;
 }
 
 /** Beginning of a backend server's answer. */
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,3 +1,5 @@
 export * from "./clock.js";
 export * from "./digest.js";
+export * from "./disposal.js";
+export * from "./sleep.js";
 export * from "./table.js";
--- /dev/null
+++ b/src/utils/sleep.ts
@@ -0,0 +1,24 @@
+import type { Milliseconds } from "../types/index.js";
+
+/**
+ * Waits.
+ *
+ * @param duration - time to wait
+ * @param signal - ends the wait early
+ * @returns resolves after the time or when the signal is aborted; never rejects
+ */
+export function sleep(duration: Milliseconds, signal?: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+        if (signal?.aborted === true) {
+            resolve();
+            return;
+        }
+        const finish = (): void => {
+            clearTimeout(timer);
+            signal?.removeEventListener("abort", finish);
+            resolve();
+        };
+        const timer = setTimeout(finish, duration);
+        signal?.addEventListener("abort", finish);
+    });
+}
