--- a/src/node/cli/commands/prepareChange.ts
+++ b/src/node/cli/commands/prepareChange.ts
@@ -47,12 +47,26 @@
     return ok(Number(text));
 }
 
-async function resolveManifest(context: OperatorContext, file: DeclarationFile): PortResult<Manifest | undefined> {
+async function resolveManifest(
+    context: OperatorContext,
+    path: string,
+    file: DeclarationFile,
+): PortResult<Manifest | undefined> {
     if (file.weights === undefined) {
         return ok(undefined);
     }
     const { model, adapter, version } = file.weights;
-    return context.ports.origin.resolveManifest(model, adapter, version);
+    const manifest = await context.ports.origin.resolveManifest(model, adapter, version);
+    const values = JSON.stringify({ model, adapter, version });
+    return manifest.mapErr(error =>
+        error.code === "MANIFEST_INVALID" ?
+            {
+                ...error,
+                message:
+                    `${path}: [deployment] ${values}: allowed is a set that the weight store holds (${error.message})`,
+            } :
+            error
+    );
 }
 
 /**
@@ -76,7 +90,7 @@
     if (file.isErr) {
         return err(file.error);
     }
-    const manifest = await resolveManifest(context, file.value);
+    const manifest = await resolveManifest(context, path, file.value);
     if (manifest.isErr) {
         return err(manifest.error);
     }
--- a/src/node/cli/compareContent.ts
+++ b/src/node/cli/compareContent.ts
@@ -48,7 +48,7 @@
     const fields: Record<string, string | undefined> = {
         kind: content.kind,
         model: weights?.model,
-        adapter: weights?.adapter,
+        adapter: weights?.adapter === "" ? undefined : weights?.adapter,
         version: weights?.version,
         manifestDigest: weights?.manifestDigest,
         pool: content.pool,
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -53,6 +53,18 @@
             initial: 2,
             documentation: "Transfers that one agent runs from the same peer at once.",
         }),
+        maximumOriginTransfers: defineInteger({
+            minimum: 1,
+            maximum: 256,
+            initial: 2,
+            documentation: "Transfers that one agent runs from the origin at once.",
+        }),
+        maximumUploads: defineInteger({
+            minimum: 1,
+            maximum: 1024,
+            initial: 8,
+            documentation: "Chunks that one agent sends at once; further requests are refused as choked.",
+        }),
         uploadAllowanceCopies: defineNumber({
             minimum: 0,
             maximum: 100,
@@ -63,7 +75,19 @@
             minimum: 50,
             maximum: 600_000,
             initial: 10_000,
-            documentation: "Time after which a transfer without an answer is abandoned.",
+            documentation: "Time after which a transfer from a peer without new bytes is abandoned.",
+        }),
+        originStallAfterMilliseconds: defineDuration("originStallAfter", "Milliseconds", {
+            minimum: 50,
+            maximum: 600_000,
+            initial: 30_000,
+            documentation: "Time after which a read from the origin is abandoned; the origin may queue it.",
+        }),
+        avoidSourceForMilliseconds: defineDuration("avoidSourceFor", "Milliseconds", {
+            minimum: 0,
+            maximum: 600_000,
+            initial: 30_000,
+            documentation: "Time for which a source is avoided after a stalled transfer or repeated corrupt chunks.",
         }),
         originTakeoverAfterMilliseconds: defineDuration("originTakeoverAfter", "Milliseconds", {
             minimum: 50,
@@ -71,6 +95,12 @@
             initial: 5_000,
             documentation: "Time after which the next rank may read a chunk from the origin.",
         }),
+        originReadersForTime: defineInteger({
+            minimum: 1,
+            maximum: 64,
+            initial: 4,
+            documentation: "Origin readers of each chunk with the objective `time`; `origin-bytes` has one.",
+        }),
         corruptChunksUntilAvoided: defineInteger({
             minimum: 1,
             maximum: 100,
@@ -83,6 +113,12 @@
             initial: 8,
             documentation: "Neighbours with which an agent exchanges bitfields.",
         }),
+        watchedReaders: defineInteger({
+            minimum: 0,
+            maximum: 64,
+            initial: 8,
+            documentation: "Origin readers with which an agent exchanges bitfields besides its neighbours, at most.",
+        }),
         linkBytesPerSecond: defineInteger({
             minimum: 1_000,
             maximum: 100_000_000_000,
