--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -61,45 +61,33 @@
         }),
         maximumUploads: defineInteger({
             minimum: 1,
-            maximum: 256,
+            maximum: 1024,
             initial: 8,
             documentation: "Chunks that one agent sends at once; further requests are refused as choked.",
         }),
-        originReadersForTime: defineInteger({
-            minimum: 1,
-            maximum: 16,
-            initial: 4,
-            documentation: "Origin readers of each chunk with the objective `time`; `origin-bytes` has one.",
-        }),
-        watchedReaders: defineInteger({
+        uploadAllowanceCopies: defineNumber({
             minimum: 0,
-            maximum: 64,
-            initial: 8,
-            documentation: "Origin readers with which an agent exchanges bitfields besides its neighbours.",
+            maximum: 100,
+            initial: 1.1,
+            documentation: "Copies that an agent sends before it refuses chunks to requesters with other sources.",
         }),
-        originStallAfterMilliseconds: defineDuration("originStallAfter", "Milliseconds", {
+        stallAfterMilliseconds: defineDuration("stallAfter", "Milliseconds", {
             minimum: 50,
             maximum: 600_000,
-            initial: 30_000,
-            documentation: "Time after which a read from the origin is abandoned; the origin may queue it.",
+            initial: 10_000,
+            documentation: "Time after which a transfer from a peer without new bytes is abandoned.",
         }),
-        avoidSourceMilliseconds: defineDuration("avoidSourceFor", "Milliseconds", {
+        originStallAfterMilliseconds: defineDuration("originStallAfter", "Milliseconds", {
             minimum: 50,
             maximum: 600_000,
             initial: 30_000,
-            documentation: "Time for which a source is avoided after a stalled transfer or repeated corrupt chunks.",
+            documentation: "Time after which a read from the origin is abandoned; the origin may queue it.",
         }),
-        uploadAllowanceCopies: defineNumber({
+        avoidSourceForMilliseconds: defineDuration("avoidSourceFor", "Milliseconds", {
             minimum: 0,
-            maximum: 100,
-            initial: 1.1,
-            documentation: "Copies that an agent sends before it refuses chunks to requesters with other sources.",
-        }),
-        stallAfterMilliseconds: defineDuration("stallAfter", "Milliseconds", {
-            minimum: 50,
             maximum: 600_000,
-            initial: 10_000,
-            documentation: "Time after which a transfer without an answer is abandoned.",
+            initial: 30_000,
+            documentation: "Time for which a source is avoided after a stalled transfer or repeated corrupt chunks.",
         }),
         originTakeoverAfterMilliseconds: defineDuration("originTakeoverAfter", "Milliseconds", {
             minimum: 50,
@@ -107,6 +95,12 @@
             initial: 5_000,
             documentation: "Time after which the next rank may read a chunk from the origin.",
         }),
+        originReadersForTime: defineInteger({
+            minimum: 1,
+            maximum: 64,
+            initial: 4,
+            documentation: "Origin readers of each chunk with the objective `time`; `origin-bytes` has one.",
+        }),
         corruptChunksUntilAvoided: defineInteger({
             minimum: 1,
             maximum: 100,
@@ -119,6 +113,12 @@
             initial: 8,
             documentation: "Neighbours with which an agent exchanges bitfields.",
         }),
+        watchedReaders: defineInteger({
+            minimum: 0,
+            maximum: 64,
+            initial: 8,
+            documentation: "Origin readers with which an agent exchanges bitfields besides its neighbours, at most.",
+        }),
         linkBytesPerSecond: defineInteger({
             minimum: 1_000,
             maximum: 100_000_000_000,
