Serve a request end to end through separate processes

Cause: the daemons had not run together.

Change: demo/cluster starts stand-ins, agents and entry instances as processes on loopback; a system test applies a declaration, waits for three copies and sends a streamed request through both entry instances. Starting failures of the daemons set the exit code.

--- /dev/null
+++ b/demo/cluster/operator.ts
@@ -0,0 +1,82 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { StatusReport } from "../../src/node/entry/index.js";
+import type { Milliseconds } from "../../src/types/index.js";
+import type { Cluster } from "./cluster.js";
+import { startProgram } from "./programProcess.js";
+import { sendJsonRequest, waitUntil } from "./requests.js";
+
+/** Result of an operator command. */
+export interface CommandResult {
+    readonly exitCode: number;
+    readonly lines: readonly string[];
+}
+
+/**
+ * Runs an operator command against a cluster.
+ *
+ * @param cluster - the cluster
+ * @param words - words of the command line
+ * @returns exit code and output
+ */
+export async function runOperatorCommand(cluster: Cluster, words: readonly string[]): Promise<CommandResult> {
+    const program = startProgram(words.join(" "), words, cluster.operatorSettings);
+    const exitCode = await program.waitForExit();
+    return { exitCode, lines: program.lines };
+}
+
+/**
+ * Applies a declaration.
+ *
+ * @param cluster - the cluster
+ * @param declaration - INI text
+ * @param words - further words of the command line
+ * @returns exit code and output
+ */
+export async function applyDeclaration(
+    cluster: Cluster,
+    declaration: string,
+    words: readonly string[] = [],
+): Promise<CommandResult> {
+    const folder = await mkdtemp(join(tmpdir(), "goldcrestpoint-"));
+    const file = join(folder, "deployment.ini");
+    await writeFile(file, declaration);
+    try {
+        return await runOperatorCommand(cluster, ["apply", file, ...words]);
+    }
+    finally {
+        await rm(folder, { recursive: true });
+    }
+}
+
+/**
+ * Reads the status from the first entry instance that answers.
+ *
+ * @param cluster - the cluster
+ * @returns the report; undefined if none answers
+ */
+export async function readStatus(cluster: Cluster): Promise<StatusReport | undefined> {
+    for (const { url } of cluster.entries) {
+        const answer = await sendJsonRequest("GET", `${url}/operations/status`);
+        if (answer.status === 200) {
+            return answer.body as StatusReport;
+        }
+    }
+    return undefined;
+}
+
+/**
+ * Waits until a deployment serves the wanted number of copies in each availability zone.
+ *
+ * @param cluster - the cluster
+ * @param deployment - name of the deployment
+ * @param timeLimit - time after which the wait has failed
+ */
+export async function waitUntilServing(cluster: Cluster, deployment: string, timeLimit: Milliseconds): Promise<void> {
+    await waitUntil(`${deployment} serves`, timeLimit, async () => {
+        const status = await readStatus(cluster);
+        const row = status?.deployments.find(candidate => candidate.deployment === deployment);
+        return row !== undefined && row.zones.every(zone => zone.serving === zone.wanted);
+    });
+}
--- a/src/node/cli/programs.ts
+++ b/src/node/cli/programs.ts
@@ -65,32 +65,36 @@
             const running = await start(await implementations.standIn(), settings);
             await waitForSignal();
             await running[Symbol.asyncDispose]();
+            return ok(undefined);
         });
 }
 
 async function runWithSettings<Settings>(
     resolve: (sources: SettingsSources) => Result<Settings, GoldcrestpointError>,
     sources: SettingsSources,
-    run: (settings: Settings) => Promise<void>,
+    run: (settings: Settings) => Promise<Result<void, GoldcrestpointError>>,
 ): Promise<Result<void, GoldcrestpointError>> {
     const settings = resolve(sources);
     if (settings.isErr) {
         return err(settings.error);
     }
-    await run(settings.value);
-    return ok(undefined);
+    return run(settings.value);
 }
 
 /** Daemons and stand-ins by name. */
 export const programs: CommandLineDependencies["programs"] = {
     entry: sources =>
-        runWithSettings(resolveEntrySettings, sources, async settings => {
-            await (await implementations.entry()).runEntry(settings);
-        }),
+        runWithSettings(
+            resolveEntrySettings,
+            sources,
+            async settings => (await implementations.entry()).runEntry(settings),
+        ),
     agent: sources =>
-        runWithSettings(resolveAgentSettings, sources, async settings => {
-            await (await implementations.agent()).runAgent(settings);
-        }),
+        runWithSettings(
+            resolveAgentSettings,
+            sources,
+            async settings => (await implementations.agent()).runAgent(settings),
+        ),
     platform: createStandInProgram(startPlatform),
     engine: createStandInProgram(startEngine),
     service: createStandInProgram(startService),
--- a/src/node/entry/index.ts
+++ b/src/node/entry/index.ts
@@ -1,3 +1,5 @@
+import { err, ok, type Result } from "true-myth/result";
+import type { GoldcrestpointError } from "../../types/index.js";
 import { waitForShutdownSignal } from "../daemon/index.js";
 import { createLogger } from "../logging/index.js";
 import type { EntrySettings } from "../settings/index.js";
@@ -10,19 +12,19 @@
  * Runs an entry instance until SIGTERM or SIGINT, then drains it.
  *
  * @param settings - resolved settings
- * @returns exit code of the process
+ * @returns once the daemon has stopped, or the error that kept it from starting
  */
-export async function runEntry(settings: EntrySettings): Promise<number> {
+export async function runEntry(settings: EntrySettings): Promise<Result<void, GoldcrestpointError>> {
     const logger = createLogger({ level: settings.log.level, program: "entry", instance: settings.instance.id });
     const started = await startEntry(settings, logger);
     if (started.isErr) {
         logger.error({ error: started.error }, "entry instance could not start");
-        return 1;
+        return err(started.error);
     }
     await using daemon = started.value;
     const signal = await waitForShutdownSignal();
     logger.info({ signal }, "draining");
     await daemon.drain();
     logger.info({}, "entry instance stopped");
-    return 0;
+    return ok(undefined);
 }
--- a/src/node/entry/requestPipeline.ts
+++ b/src/node/entry/requestPipeline.ts
@@ -307,7 +307,7 @@
             choice: decision.kind,
             reason: decision.reason,
             candidates: 0,
-            details: { instance: choice.instance, failure: refusal.reason, ran: refusal.ran, attempt: attempts.count },
+            details: { runner: choice.instance, failure: refusal.reason, ran: refusal.ran, attempt: attempts.count },
         });
         if (decision.kind === "retry") {
             attempts.alone = decision.alone;
