--- a/src/node/platform/logClient.ts
+++ b/src/node/platform/logClient.ts
@@ -100,17 +100,18 @@
 
 function checkPage(page: LogPage, afterOffset: Offset, peer: string): Result<LogPage, GoldcrestpointError> {
     const entries = orderEntries(page.entries, afterOffset);
-    const first = entries[0];
-    const expired = first === undefined ?
-        page.headOffset > afterOffset && page.firstOffset > page.headOffset :
-        first.previousOffset > afterOffset && page.firstOffset >= first.offset;
-    if (expired && afterOffset > 0) {
+    const oldest = entries[0];
+    // Everything between the offset asked for and the oldest entry of the log has expired.
+    const expired = oldest === undefined ?
+        page.firstOffset > page.headOffset :
+        oldest.offset <= page.firstOffset && oldest.previousOffset > afterOffset;
+    const complete = oldest === undefined ? page.headOffset <= afterOffset : oldest.previousOffset === afterOffset;
+    if (!complete && expired && afterOffset > 0) {
         const message = `entries after offset ${afterOffset} have expired; the log begins at ${page.firstOffset}`;
         return err(createError("LOG_TRUNCATED", readStep, peer, message));
     }
-    const startsInOrder = first === undefined || expired || first.previousOffset === afterOffset;
     const linked = entries.every((entry, index) => index === 0 || entry.previousOffset === entries[index - 1]!.offset);
-    if (!startsInOrder || !linked) {
+    if (!linked || (!complete && !expired)) {
         return err(createError("LOG_UNREACHABLE", readStep, peer, `the entries after ${afterOffset} have a gap`));
     }
     return ok({ firstOffset: page.firstOffset, headOffset: page.headOffset, entries });
--- a/src/standIn/engine/completions.ts
+++ b/src/standIn/engine/completions.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { readHeader } from "../execution/index.js";
 import {
     answerJson,
     answerRefusal,
@@ -8,7 +9,7 @@
     wait,
 } from "../http/index.js";
 import type { EngineCore } from "./core.js";
-import { type AnsweringWeights, computeTokens } from "./tokens.js";
+import { type AnsweringWeights, computePrefixDigest, computeTokens } from "./tokens.js";
 
 const completionSchema = z.object({
     prompt: z.string(),
@@ -119,9 +120,9 @@
     const { completion, weights, signal } = running;
     const { behaviour, batch } = core;
     try {
-        const prefix = completion.prompt.slice(0, behaviour.prefixCharacters);
-        const cached = core.prefixCache.touch(weights.manifestDigest, prefix) ? prefix.length : 0;
-        const prefill = (completion.prompt.length - cached) * behaviour.prefillMilliseconds / 1_000;
+        const prefix = computePrefixDigest(completion.prompt, behaviour.prefixCharacters);
+        const cached = core.prefixCache.touch(weights.manifestDigest, prefix) ? behaviour.prefixCharacters : 0;
+        const prefill = Math.max(0, completion.prompt.length - cached) * behaviour.prefillMilliseconds / 1_000;
         await pause(prefill, signal);
         for (const token of computeTokens(weights, completion.prompt, completion.max_tokens)) {
             const slowdown = 1 + behaviour.batchSlowdown * (batch.running - 1);
@@ -156,8 +157,3 @@
 function encodeEvent(data: string): Uint8Array {
     return Buffer.from(`data: ${data}\n\n`);
 }
-
-function readHeader(request: StandInRequest, name: string): string | undefined {
-    const value = request.headers[name];
-    return typeof value === "string" && value !== "" ? value : undefined;
-}
--- a/src/standIn/engine/core.ts
+++ b/src/standIn/engine/core.ts
@@ -1,7 +1,6 @@
 import { randomUUID } from "node:crypto";
 import type { Clock, EngineState } from "../../types/index.js";
-import { createJournal, type Journal } from "../http/index.js";
-import { type Batch, createBatch } from "./batch.js";
+import { type Batch, createBatch, createJournal, type Journal } from "../execution/index.js";
 import type { EngineBehaviour } from "./options.js";
 import type { OrderTarget } from "./orders.js";
 import { createPrefixCache, type PrefixCache } from "./prefixCache.js";
--- a/src/standIn/engine/engineStandIn.ts
+++ b/src/standIn/engine/engineStandIn.ts
@@ -1,10 +1,10 @@
 import { z } from "zod";
 import type { EngineOrder } from "../../types/index.js";
 import { createSystemClock } from "../../utils/index.js";
+import { type Journal, restartServer } from "../execution/index.js";
 import {
     answerJson,
     answerRefusal,
-    type Journal,
     parseJsonObject,
     type StandInAnswer,
     type StandInRequest,
@@ -41,22 +41,13 @@
     const clock = options.clock ?? createSystemClock();
     let core: EngineCore | undefined;
     const server = await startStandInServer(options, standIn => {
-        core = createEngineCore(clock, behaviour, () => restart(standIn, behaviour.restartMilliseconds));
+        core = createEngineCore(clock, behaviour, () => restartServer(standIn, behaviour.restartMilliseconds));
         return createEngineRoutes(core);
     });
     const started = core!;
     return { ...server, journal: started.journal, crash: () => started.crash() };
 }
 
-async function restart(server: StandInServer, delay: number): Promise<void> {
-    await server.suspend();
-    void wait(delay, server.stopped).then(async passed => {
-        if (passed) {
-            await server.resume();
-        }
-    });
-}
-
 function createEngineRoutes(core: EngineCore): StandInRoute[] {
     const chunkPath = "/sets/:digest/chunks/:index";
     const route = (
--- a/src/standIn/engine/prefixCache.ts
+++ b/src/standIn/engine/prefixCache.ts
@@ -4,13 +4,13 @@
      * Looks a prefix up and keeps it as the most recently used one.
      *
      * @param manifestDigest - weights that the cached values were computed with
-     * @param prefix - beginning of the prompt
+     * @param prefix - digest of the beginning of the prompt
      * @returns whether it was cached
      */
     touch(manifestDigest: string, prefix: string): boolean;
     /** Empties the cache. */
     clear(): void;
-    /** @returns cached prefixes of all weights, least recently used first */
+    /** @returns digests of the cached prefixes of all weights, most recently used first */
     list(): string[];
 }
 
@@ -34,6 +34,6 @@
             return hit;
         },
         clear: () => prefixes.clear(),
-        list: () => [...prefixes.values()],
+        list: () => [...prefixes.values()].reverse(),
     };
 }
--- a/src/standIn/engine/tokens.ts
+++ b/src/standIn/engine/tokens.ts
@@ -20,3 +20,14 @@
     const seed = computeDigest(JSON.stringify([model, adapter, version, manifestDigest, complete, prompt]));
     return [...Array(count).keys()].map(index => computeDigest(seed, String(index)).slice(0, 8));
 }
+
+/**
+ * Computes the name under which the engine reports a cached prefix.
+ *
+ * @param prompt - the prompt
+ * @param characters - length of the prefix
+ * @returns lower-case hexadecimal SHA-256 digest of the beginning of the prompt
+ */
+export function computePrefixDigest(prompt: string, characters: number): string {
+    return computeDigest(prompt.slice(0, characters));
+}
--- /dev/null
+++ b/src/standIn/execution/index.ts
@@ -0,0 +1,4 @@
+export * from "./batch.js";
+export * from "./headers.js";
+export * from "./journal.js";
+export * from "./restart.js";
--- a/src/standIn/http/controlRoutes.ts
+++ b/src/standIn/http/controlRoutes.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { answerJson, parseJsonObject } from "./answers.js";
-import type { FaultControl, StandInRoute } from "./types.js";
+import type { StandInRoute, StandInServer } from "./types.js";
+import { wait } from "./wait.js";
 
 const ruleSchema = z.strictObject({
     operation: z.string().min(1),
@@ -25,14 +26,18 @@
     clean: z.boolean().optional(),
 });
 
+const suspendSchema = z.strictObject({ milliseconds: z.number().positive().max(3_600_000) });
+
 /**
  * Creates the routes of fault control: `POST /control/faults` adds the rule in its body, `GET` lists the rules,
- * `DELETE` removes those of the query parameter `operation`, or all.
+ * `DELETE` removes those of the query parameter `operation`, or all. `POST /control/suspend` with `{ milliseconds }`
+ * closes all connections and refuses new ones for that time.
  *
- * @param faults - the rules
+ * @param server - server that is controlled
  * @returns the routes; no fault rule applies to them
  */
-export function createControlRoutes(faults: FaultControl): StandInRoute[] {
+export function createControlRoutes(server: StandInServer): StandInRoute[] {
+    const { faults } = server;
     const path = "/control/faults";
     return [
         {
@@ -58,5 +63,26 @@
                 return { status: 204 };
             },
         },
+        {
+            operation: "control",
+            method: "POST",
+            path: "/control/suspend",
+            handle: ({ body }) => {
+                const parsed = suspendSchema.safeParse(parseJsonObject(body));
+                if (!parsed.success) {
+                    return answerJson(400, { error: z.prettifyError(parsed.error) });
+                }
+                // The answer leaves before the connections are closed.
+                setImmediate(() => void suspendFor(server, parsed.data.milliseconds));
+                return { status: 204 };
+            },
+        },
     ];
 }
+
+async function suspendFor(server: StandInServer, milliseconds: number): Promise<void> {
+    await server.suspend();
+    if (await wait(milliseconds, server.stopped)) {
+        await server.resume();
+    }
+}
--- a/src/standIn/http/index.ts
+++ b/src/standIn/http/index.ts
@@ -1,5 +1,4 @@
 export * from "./answers.js";
-export * from "./journal.js";
 export * from "./server.js";
 export * from "./types.js";
 export * from "./wait.js";
--- a/src/standIn/http/server.ts
+++ b/src/standIn/http/server.ts
@@ -53,7 +53,7 @@
             return close(server);
         },
     };
-    for (const route of [...createControlRoutes(faults), ...createRoutes(standIn)]) {
+    for (const route of [...createControlRoutes(standIn), ...createRoutes(standIn)]) {
         const methods = route.method === "*" ? [...allMethods] : [route.method as HTTPMethod];
         router.on(methods, route.path, (request, response, parameters) => {
             void exchange(route, request, response, parameters);
--- a/src/standIn/index.ts
+++ b/src/standIn/index.ts
@@ -1,10 +1,9 @@
 export * from "./engine/index.js";
+export { type Journal, type JournalEntry } from "./execution/index.js";
 export {
     type FaultControl,
     type FaultKind,
     type FaultRule,
-    type Journal,
-    type JournalEntry,
     type StandInServer,
     type StandInServerOptions,
 } from "./http/index.js";
--- a/src/standIn/platform/logRoutes.ts
+++ b/src/standIn/platform/logRoutes.ts
@@ -9,7 +9,8 @@
 
 /**
  * Creates the routes of the log: `POST /log/records` (operation `log-append`) and
- * `GET /log/records?after=OFFSET&wait=MILLISECONDS` (operation `log-read`).
+ * `GET /log/records?after=OFFSET&wait=MILLISECONDS` (operation `log-read`). `POST /control/log/truncate` with
+ * `{ beforeOffset }` removes older records as retention does.
  *
  * @param log - the log
  * @returns the routes
@@ -28,6 +29,15 @@
     }
 
     return [
+        {
+            operation: "control",
+            method: "POST",
+            path: "/control/log/truncate",
+            handle: ({ body }) => {
+                log.truncate(Number(parseJsonObject(body)?.["beforeOffset"]));
+                return { status: 204 };
+            },
+        },
         {
             operation: "log-append",
             method: "POST",
--- a/src/standIn/platform/platformStandIn.ts
+++ b/src/standIn/platform/platformStandIn.ts
@@ -5,7 +5,12 @@
 import { createLink, type Link } from "./link.js";
 import { createLogRoutes } from "./logRoutes.js";
 import { createLogStore, type LogStore, type LogStoreOptions } from "./logStore.js";
-import { createWeightCatalogue, createWeightRoutes, type WeightCatalogue } from "./weightRoutes.js";
+import {
+    createWeightCatalogue,
+    createWeightRoutes,
+    type GeneratedSizes,
+    type WeightCatalogue,
+} from "./weightRoutes.js";
 import type { WeightSetDeclaration } from "./weightSets.js";
 
 /** Options of {@link startPlatformStandIn}. */
@@ -14,6 +19,8 @@
     readonly instances?: InstanceStoreOptions | undefined;
     /** Weight sets from the start. Default: none. */
     readonly weightSets?: readonly WeightSetDeclaration[] | undefined;
+    /** Sizes of the sets that exist for any other name, generated when they are resolved. Default: none exist. */
+    readonly generatedWeightSets?: GeneratedSizes | undefined;
     /** Rate of the origin's link. Default: no limit. */
     readonly originBytesPerSecond?: number | undefined;
     /** Rate limit of the weight store. Default: 200 manifests a second. */
@@ -40,7 +47,7 @@
     const clock = options.clock ?? createSystemClock();
     const log = createLogStore(clock, options.log);
     const instances = createInstanceStore(clock, options.instances);
-    const weights = createWeightCatalogue();
+    const weights = createWeightCatalogue(options.generatedWeightSets);
     const originLink = createLink(clock, options.originBytesPerSecond ?? Infinity);
     options.weightSets?.forEach(declaration => weights.publish(declaration));
     const server = await startStandInServer(options, () => [
--- a/src/standIn/platform/weightRoutes.ts
+++ b/src/standIn/platform/weightRoutes.ts
@@ -32,22 +32,37 @@
     find(digest: ManifestDigest): GeneratedWeightSet | undefined;
 }
 
+/** Sizes and seed of sets that are generated for names that were not published. */
+export type GeneratedSizes = Pick<WeightSetDeclaration, "totalBytes" | "chunkBytes" | "seed">;
+
 /**
  * Creates an empty catalogue.
  *
+ * @param generated - sizes of the set of any other name; undefined if only published sets exist
  * @returns the catalogue
  */
-export function createWeightCatalogue(): WeightCatalogue {
+export function createWeightCatalogue(generated?: GeneratedSizes): WeightCatalogue {
     const byName = new Map<string, GeneratedWeightSet>();
     const byDigest = new Map<ManifestDigest, GeneratedWeightSet>();
+    const createName = (model: string, adapter: string, version: string): string =>
+        JSON.stringify([model, adapter, version]);
+
+    function publish(declaration: WeightSetDeclaration): GeneratedWeightSet {
+        const set = generateWeightSet(declaration);
+        byName.set(createName(declaration.model, declaration.adapter, declaration.version), set);
+        byDigest.set(set.digest, set);
+        return set;
+    }
+
     return {
-        publish: declaration => {
-            const set = generateWeightSet(declaration);
-            byName.set(JSON.stringify([declaration.model, declaration.adapter, declaration.version]), set);
-            byDigest.set(set.digest, set);
-            return set;
+        publish,
+        resolve: (model, adapter, version) => {
+            const known = byName.get(createName(model, adapter, version));
+            const named = model !== "" && version !== "";
+            return known === undefined && generated !== undefined && named ?
+                publish({ model, adapter, version, ...generated }) :
+                known;
         },
-        resolve: (model, adapter, version) => byName.get(JSON.stringify([model, adapter, version])),
         find: digest => byDigest.get(digest),
     };
 }
--- a/src/standIn/service/options.ts
+++ b/src/standIn/service/options.ts
@@ -3,8 +3,10 @@
 
 /** Behaviour of the service stand-in. */
 export interface ServiceBehaviour {
-    /** Requests that run at a time; further ones are refused. Default: 32. */
+    /** Requests that run at a time; further ones wait. Default: 32. */
     readonly capacity: number;
+    /** Requests that may wait; further ones are refused. Default: 64. */
+    readonly queueLimit: number;
     /** Time that a request takes. Default: 1 ms. */
     readonly workMilliseconds: Milliseconds;
     /** Text in a body that makes the service crash. Default: `crash-backend-server`. */
@@ -28,6 +30,7 @@
 export function resolveServiceBehaviour(partial: Partial<ServiceBehaviour> = {}): ServiceBehaviour {
     return {
         capacity: 32,
+        queueLimit: 64,
         workMilliseconds: 1,
         crashMarker: "crash-backend-server",
         restartMilliseconds: 200,
--- a/src/standIn/service/serviceStandIn.ts
+++ b/src/standIn/service/serviceStandIn.ts
@@ -1,9 +1,9 @@
 import { randomUUID } from "node:crypto";
+import { createSystemClock } from "../../utils/index.js";
+import { type Batch, createBatch, createJournal, type Journal, readHeader, restartServer } from "../execution/index.js";
 import {
     answerJson,
     answerRefusal,
-    createJournal,
-    type Journal,
     type StandInAnswer,
     type StandInRequest,
     type StandInRoute,
@@ -23,9 +23,9 @@
 interface ServiceCore {
     readonly behaviour: ServiceBehaviour;
     readonly journal: Journal;
+    readonly batch: Batch;
     readonly crash: () => Promise<void>;
     incarnation: string;
-    running: number;
 }
 
 /**
@@ -40,16 +40,15 @@
 export async function startServiceStandIn(options: ServiceStandInOptions = {}): Promise<ServiceStandIn> {
     const behaviour = resolveServiceBehaviour(options.behaviour);
     const journal = createJournal();
+    const batch = createBatch(options.clock ?? createSystemClock(), behaviour.capacity, behaviour.queueLimit);
     let crash: ServiceCore["crash"] | undefined;
     const server = await startStandInServer(options, standIn => {
         crash = async () => {
             journal.crash();
             core.incarnation = randomUUID();
-            await standIn.suspend();
-            void wait(behaviour.restartMilliseconds, standIn.stopped)
-                .then(passed => passed ? standIn.resume() : undefined);
+            await restartServer(standIn, behaviour.restartMilliseconds);
         };
-        const core: ServiceCore = { behaviour, journal, crash, incarnation: randomUUID(), running: 0 };
+        const core: ServiceCore = { behaviour, journal, batch, crash, incarnation: randomUUID() };
         return createServiceRoutes(core);
     });
     return { ...server, journal, crash: crash! };
@@ -62,8 +61,9 @@
             method: "GET",
             path: "/health",
             handle: () => {
-                const { incarnation, running, behaviour } = core;
-                return answerJson(200, { status: "ok", incarnation, running, queued: 0, capacity: behaviour.capacity });
+                const { incarnation, batch, behaviour } = core;
+                const load = { running: batch.running, queued: batch.queued, capacity: behaviour.capacity };
+                return answerJson(200, { status: "ok", incarnation, ...load });
             },
         },
         {
@@ -88,25 +88,25 @@
 async function answerRequest(core: ServiceCore, request: StandInRequest): Promise<StandInAnswer> {
     const requestId = readHeader(request, "x-request-id") ?? "";
     const headers = { "x-request-id": requestId };
-    if (core.running >= core.behaviour.capacity) {
-        return answerRefusal(503, "all places are taken", { ...headers, "retry-after": "1" });
+    const leave = await core.batch.enter(Number(readHeader(request, "x-priority") ?? 5), request.signal);
+    if (leave === undefined) {
+        return answerRefusal(503, "queue-full", { ...headers, "retry-after": "1" });
     }
     const idempotencyKey = readHeader(request, "idempotency-key");
-    core.running += 1;
     const entry = core.journal.begin({
         requestId,
         idempotencyKey,
         path: request.path,
         incarnation: core.incarnation,
         manifestDigest: "",
-        concurrent: core.running,
+        concurrent: core.batch.running,
     });
     const body = Buffer.from(request.body).toString("utf8");
     if (body.includes(core.behaviour.crashMarker)) {
         await core.crash();
     }
     const finished = await wait(core.behaviour.workMilliseconds, request.signal);
-    core.running -= 1;
+    leave();
     if (entry.state === "running") {
         entry.state = finished ? "finished" : "canceled";
     }
@@ -114,8 +114,3 @@
     const { method, path } = request;
     return answerJson(200, { requestId, method, path, idempotencyKey, effects, body }, headers);
 }
-
-function readHeader(request: StandInRequest, name: string): string | undefined {
-    const value = request.headers[name];
-    return typeof value === "string" && value !== "" ? value : undefined;
-}
