Add contract tests of the backend server port

Orders, staged chunks, requests and streams were not yet tried under faults. The first runs showed three faults of the stand-ins: a listening server that was resumed while it closed never reported its end, an answer that waited to be overtaken could miss the later answer, and its timer kept the process alive.

--- a/src/standIn/engine/engineStandIn.ts
+++ b/src/standIn/engine/engineStandIn.ts
@@ -42,13 +42,13 @@
     let core: EngineCore | undefined;
     const server = await startStandInServer(options, standIn => {
         core = createEngineCore(clock, behaviour, () => restartServer(standIn, behaviour.restartMilliseconds));
-        return createEngineRoutes(core);
+        return createEngineRoutes(core, standIn.stopped);
     });
     const started = core!;
     return { ...server, journal: started.journal, crash: () => started.crash() };
 }
 
-function createEngineRoutes(core: EngineCore): StandInRoute[] {
+function createEngineRoutes(core: EngineCore, stopped: AbortSignal): StandInRoute[] {
     const chunkPath = "/sets/:digest/chunks/:index";
     const route = (
         operation: string,
@@ -58,7 +58,7 @@
     ): StandInRoute => ({ operation, method, path, handle });
     return [
         route("engine-state", "GET", "/state", () => answerJson(200, core.readState())),
-        route("engine-order", "POST", "/orders", request => answerOrder(core, request)),
+        route("engine-order", "POST", "/orders", request => answerOrder(core, request, stopped)),
         route("chunk-stage", "PUT", chunkPath, request => answerStage(core, request)),
         route("chunk-read", "GET", chunkPath, request => answerRead(core, request)),
         route("execute", "POST", "/v1/completions", request => answerCompletion(core, request)),
@@ -78,7 +78,7 @@
     ];
 }
 
-async function answerOrder(core: EngineCore, { body, signal }: StandInRequest): Promise<StandInAnswer> {
+async function answerOrder(core: EngineCore, { body }: StandInRequest, stopped: AbortSignal): Promise<StandInAnswer> {
     const parsed = orderSchema.safeParse(parseJsonObject(body));
     if (!parsed.success) {
         return answerRefusal(400, z.prettifyError(parsed.error));
@@ -86,13 +86,10 @@
     const order: EngineOrder = parsed.data;
     if (order.kind === "activate" && core.behaviour.activationMilliseconds > 0) {
         // The activation takes effect also if the agent gives up waiting.
-        await wait(core.behaviour.activationMilliseconds, new AbortController().signal);
+        await wait(core.behaviour.activationMilliseconds, stopped);
     }
     const refused = carryOutOrder(order, core.target, core.behaviour);
-    if (refused !== undefined && !signal.aborted) {
-        return answerRefusal(409, refused);
-    }
-    return answerJson(200, order);
+    return refused === undefined ? answerJson(200, order) : answerRefusal(409, refused);
 }
 
 const stageStatuses: Readonly<Record<StageOutcome, number>> = {
--- a/src/standIn/http/faultEffects.ts
+++ b/src/standIn/http/faultEffects.ts
@@ -12,6 +12,8 @@
     readonly response: ServerResponse;
     /** Carries the action out. */
     readonly run: () => Promise<StandInAnswer>;
+    /** Aborted when the server stops for good. */
+    readonly stopped: AbortSignal;
     /** Ends when a later request of the same operation was answered. */
     readonly overtaken: () => Promise<void>;
 }
@@ -30,9 +32,11 @@
     },
     refuse: ({ response, request }) =>
         sendAnswer(response, answerRefusal(503, "refused by a fault rule", { "retry-after": "1" }), request.signal),
+    // A late action takes place although its caller has given up, like an order that was held up in the network.
     slow: async exchange => {
-        await wait(readDelay(exchange), exchange.request.signal);
-        await sendNormally(exchange);
+        if (await wait(readDelay(exchange), exchange.stopped)) {
+            await sendNormally(exchange);
+        }
     },
     "lose-answer": async ({ run, response }) => {
         await collectParts(await run());
@@ -59,8 +63,12 @@
             await sendNormally(exchange);
             return;
         }
+        const overtaken = exchange.overtaken();
         const answer = await exchange.run();
-        await Promise.race([exchange.overtaken(), wait(readDelay(exchange), exchange.request.signal)]);
+        const sent = new AbortController();
+        const limit = AbortSignal.any([exchange.request.signal, sent.signal]);
+        await Promise.race([overtaken, wait(readDelay(exchange), limit)]);
+        sent.abort();
         await sendAnswer(exchange.response, answer, exchange.request.signal);
     },
     "cross-answer": async exchange => {
--- a/src/standIn/http/server.ts
+++ b/src/standIn/http/server.ts
@@ -40,17 +40,19 @@
     await listen(server, host, options.port ?? 0);
     const { port } = server.address() as AddressInfo;
 
+    const inOrder = createSequence();
     const standIn: StandInServer = {
         host,
         port,
         baseUrl: `http://${host}:${port}`,
         faults,
         stopped: lifetime.signal,
-        suspend: () => close(server),
-        resume: () => server.listening ? Promise.resolve() : listen(server, host, port),
+        suspend: () => inOrder(() => close(server)),
+        resume: () =>
+            inOrder(() => server.listening || lifetime.signal.aborted ? undefined : listen(server, host, port)),
         [Symbol.asyncDispose]: () => {
             lifetime.abort();
-            return close(server);
+            return inOrder(() => close(server));
         },
     };
     for (const route of [...createControlRoutes(standIn), ...createRoutes(standIn)]) {
@@ -62,6 +64,15 @@
     return standIn;
 }
 
+/** Node reports the end of a server only if it does not listen again before, so each change waits for the last one. */
+function createSequence(): (change: () => Promise<void> | undefined) => Promise<void> {
+    let last = Promise.resolve();
+    return change => {
+        last = last.then(change);
+        return last;
+    };
+}
+
 type Exchange = (
     route: StandInRoute,
     message: IncomingMessage,
@@ -88,7 +99,7 @@
                 return;
             }
             const overtaken = (): Promise<void> => overtaking.wait(route.operation);
-            await faultEffects[rule.kind]({ rule, route, request, response, run, overtaken });
+            await faultEffects[rule.kind]({ rule, route, request, response, run, overtaken, stopped });
         }
         catch (cause) {
             const message = cause instanceof Error ? cause.message : String(cause);
--- a/src/standIn/http/types.ts
+++ b/src/standIn/http/types.ts
@@ -7,7 +7,7 @@
  * - `outage`: the connection is closed without an answer, nothing is carried out;
  * - `reset`: like `outage`, with a TCP reset;
  * - `refuse`: status 503 with `x-executed: no`, nothing is carried out;
- * - `slow`: the action is carried out after `delayMilliseconds`;
+ * - `slow`: the action is carried out after `delayMilliseconds`, also if the connection was closed meanwhile;
  * - `lose-answer`: the action is carried out and the connection is closed without an answer;
  * - `truncate`: the action is carried out and the connection is closed after half of the body; with `clean` the
  *   answer ends after half of the body without a sign of an error;
--- /dev/null
+++ b/test/contract/execute.test.ts
@@ -0,0 +1,228 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { KeyedBackendRequest } from "../../src/node/backendServer/index.js";
+import { computeTokens, startServiceStandIn } from "../../src/standIn/index.js";
+import { activate, createClient, readAnswer, startEngine, weights } from "./engineSupport.js";
+import { type Condition, type ContractCase, expectOutcome, impose, type Outcome, unwrap } from "./support.js";
+
+const prompt = "Who were the parents of Ana?";
+
+const serviceCases: readonly (ContractCase & { readonly step?: string; })[] = [
+    { condition: "healthy", outcome: "ok", effects: 1 },
+    { condition: "duplicate", outcome: "ok", effects: 2 },
+    { condition: "not-listening", outcome: ["ENGINE_UNREACHABLE", false], effects: 0 },
+    { condition: "refuse", outcome: ["REQUEST_REFUSED", false], effects: 0 },
+    { condition: "outage", outcome: ["STREAM_BROKEN", true], effects: 0 },
+    { condition: "reset", outcome: ["STREAM_BROKEN", true], effects: 0 },
+    { condition: "slow", outcome: ["STREAM_BROKEN", true], effects: 0 },
+    { condition: "lose-answer", outcome: ["STREAM_BROKEN", true], effects: 1 },
+    { condition: "cross-answer", outcome: ["STREAM_BROKEN", true], effects: 1, step: "match answer to request" },
+];
+
+const streamCases: readonly { condition: Condition; complete: boolean; }[] = [
+    { condition: "healthy", complete: true },
+    { condition: "slow-stream", complete: true },
+    { condition: "truncate", complete: false },
+    { condition: "clean-truncate", complete: false },
+    { condition: "stall-stream", complete: false },
+];
+
+describe("requests to a plain service", { concurrency: true }, () => {
+    for (const { condition, outcome, effects, step = "execute request" } of serviceCases) {
+        // Guards against a request that is sent again although it may have run, and against another caller's answer.
+        it(`reports ${String(outcome)} for ${condition}`, async () => {
+            await using service = await startServiceStandIn();
+            await impose(service, "execute", condition);
+            await using client = createClient(service.baseUrl, condition, "service");
+            const result = await client.execute(createServiceRequest("r1"), new AbortController().signal);
+            expectOutcome(result, outcome, step, service);
+            expect(service.journal.countEffects("key-1")).toEqual(effects);
+            if (result.isOk) {
+                const { text, failure } = await readAnswer(result.value.body);
+                expect(failure).toEqual(undefined);
+                expect(JSON.parse(text)).toEqual({
+                    requestId: "r1",
+                    method: "POST",
+                    path: "/links",
+                    idempotencyKey: "key-1",
+                    effects,
+                    body: "link",
+                });
+            }
+        });
+    }
+
+    // Guards against answers that are assigned by their order of arrival.
+    it("keeps answers apart that arrive in another order than their requests", async () => {
+        await using service = await startServiceStandIn();
+        service.faults.add({ operation: "execute", kind: "out-of-order", times: 1, delayMilliseconds: 600_000 });
+        await using client = createClient(service.baseUrl, "healthy", "service");
+        const order: string[] = [];
+        await Promise.all(["r1", "r2"].map(async requestId => {
+            const answer = unwrap(await client.execute(createServiceRequest(requestId), new AbortController().signal));
+            const { text } = await readAnswer(answer.body);
+            expect((JSON.parse(text) as { requestId: string; }).requestId).toEqual(requestId);
+            order.push(requestId);
+        }));
+        expect(order.length).toEqual(2);
+    });
+
+    // Guards against a canceled request that is written once a connection is free.
+    it("does not write a request that was canceled before", async () => {
+        await using service = await startServiceStandIn();
+        await using client = createClient(service.baseUrl, "healthy", "service");
+        const result = await client.execute(createServiceRequest("r1"), AbortSignal.abort());
+        expectOutcome(result, ["ENGINE_UNREACHABLE", false], "execute request", service);
+        unwrap(await client.execute(createServiceRequest("r2"), new AbortController().signal));
+        expect(service.journal.list().map(({ requestId }) => requestId)).toEqual(["r2"]);
+    });
+
+    // Guards against a crash that is not recognized as a new start of the service.
+    it("reports a request that crashes the service as possibly run, and a new incarnation afterwards", async () => {
+        await using service = await startServiceStandIn({ behaviour: { restartMilliseconds: 0 } });
+        await using client = createClient(service.baseUrl, "healthy", "service");
+        const before = unwrap(await client.readState()).incarnation;
+        const request = { ...createServiceRequest("r1"), body: Buffer.from("crash-backend-server") };
+        const result = await client.execute(request, new AbortController().signal);
+        expectOutcome(result, ["STREAM_BROKEN", true], "execute request", service);
+        await service.resume();
+        await using later = createClient(service.baseUrl, "healthy", "service");
+        expect(unwrap(await later.readState()).incarnation).not.toEqual(before);
+        expect(service.journal.list().map(({ state }) => state)).toEqual(["crashed"]);
+    });
+});
+
+describe("requests to an engine", { concurrency: true }, () => {
+    for (const { condition, complete } of streamCases) {
+        for (const stream of [true, false]) {
+            // The transport and the content length cannot show that a JSON text was cut short by the engine itself.
+            if (condition === "clean-truncate" && !stream) {
+                continue;
+            }
+            // Guards against a partial answer that ends like a complete one.
+            it(`${complete ? "completes" : "breaks"} ${stream ? "a stream" : "an answer"} for ${condition}`, async () => {
+                await using engine = await startEngine();
+                await using client = createClient(engine.baseUrl, condition);
+                unwrap(await activate(client));
+                await impose(engine, "execute", condition);
+                const answer = unwrap(
+                    await client.execute(createCompletion("r1", stream), new AbortController().signal),
+                );
+                const { text, failure } = await readAnswer(answer.body);
+                expect([failure?.code, failure?.step, failure?.mayHaveTakenEffect])
+                    .toEqual(complete ? [undefined, undefined, undefined] : ["STREAM_BROKEN", "read answer", true]);
+                const { model, adapter, version, manifestDigest, requestId } = answer;
+                expect({ model, adapter, version, manifestDigest, requestId }).toEqual({ ...weights, requestId: "r1" });
+                if (complete) {
+                    expect(readTokens(text, stream)).toEqual(computeTokens({ ...weights, complete: true }, prompt, 4));
+                }
+            });
+        }
+    }
+
+    // Guards against an answer from partial weights that looks like one from the complete set.
+    it("generates other tokens from an incomplete set", async () => {
+        await using engine = await startEngine();
+        await using client = createClient(engine.baseUrl);
+        unwrap(await activate(client, [0]));
+        const answer = unwrap(await client.execute(createCompletion("r1", false), new AbortController().signal));
+        const tokens = readTokens((await readAnswer(answer.body)).text, false);
+        expect(tokens).not.toEqual(computeTokens({ ...weights, complete: true }, prompt, 4));
+        expect(tokens).toEqual(computeTokens({ ...weights, complete: false }, prompt, 4));
+    });
+
+    const otherWeights: readonly { checksRequestedWeights: boolean; outcome: Outcome; step: string; runs: number; }[] =
+        [
+            { checksRequestedWeights: true, outcome: ["REQUEST_REFUSED", false], step: "execute request", runs: 0 },
+            {
+                checksRequestedWeights: false,
+                outcome: ["STREAM_BROKEN", true],
+                step: "match answer to request",
+                runs: 1,
+            },
+        ];
+    for (const { checksRequestedWeights, outcome, step, runs } of otherWeights) {
+        // Guards against an answer from other weights than those that have to answer.
+        it(`reports ${String(outcome)} for other weights, checked by the engine: ${checksRequestedWeights}`, async () => {
+            await using engine = await startEngine({ checksRequestedWeights });
+            await using client = createClient(engine.baseUrl);
+            unwrap(await activate(client));
+            const request = { ...createCompletion("r1", false), manifestDigest: "0".repeat(64) };
+            const result = await client.execute(request, new AbortController().signal);
+            expectOutcome(result, outcome, step, engine);
+            expect(engine.journal.list().length).toEqual(runs);
+        });
+    }
+
+    // Guards against a canceled request that keeps its place in the batch, and against a full queue that counts as run.
+    it("frees the place of a canceled stream and refuses requests beyond the queue", async () => {
+        await using engine = await startEngine({ capacity: 1, queueLimit: 0, tokenMilliseconds: 1 });
+        await using client = createClient(engine.baseUrl);
+        unwrap(await activate(client));
+        const controller = new AbortController();
+        const long = createCompletion("r1", true, 4_096);
+        const answer = unwrap(await client.execute(long, controller.signal));
+        const refused = await client.execute(createCompletion("r2", true), new AbortController().signal);
+        expectOutcome(refused, ["REQUEST_REFUSED", false], "execute request", engine);
+        const { failure } = await readAnswer(answer.body, () => controller.abort());
+        expect(failure?.code).toEqual("STREAM_BROKEN");
+        while (engine.journal.list()[0]?.state === "running") {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        expect(engine.journal.list().map(({ requestId, state }) => [requestId, state])).toEqual([["r1", "canceled"]]);
+        unwrap(await client.execute(createCompletion("r3", true), new AbortController().signal));
+    });
+
+    // Guards against sets and requests that seem to survive a crash of the engine.
+    it("loses sets and requests in a crash", async () => {
+        await using engine = await startEngine({ restartMilliseconds: 0, tokenMilliseconds: 1 });
+        await using client = createClient(engine.baseUrl);
+        unwrap(await activate(client));
+        const before = unwrap(await client.readState());
+        const signal = new AbortController().signal;
+        const beside = unwrap(await client.execute(createCompletion("r1", true, 4_096), signal));
+        const reading = readAnswer(beside.body);
+        const body = Buffer.from(JSON.stringify({ prompt: "crash-backend-server" }));
+        const result = await client.execute({ ...createCompletion("r2", true), body }, signal);
+        expectOutcome(result, ["STREAM_BROKEN", true], "execute request", engine);
+        expect((await reading).failure?.code).toEqual("STREAM_BROKEN");
+        await engine.resume();
+        await using later = createClient(engine.baseUrl);
+        const after = unwrap(await later.readState());
+        expect([after.active, after.staged, after.highestToken]).toEqual([undefined, [], undefined]);
+        expect(after.incarnation).not.toEqual(before.incarnation);
+        expect(engine.journal.list().map(({ state }) => state)).toEqual(["crashed", "crashed"]);
+    });
+});
+
+function createServiceRequest(requestId: string): KeyedBackendRequest {
+    return {
+        requestId,
+        method: "POST",
+        path: "/links",
+        contentType: "text/plain",
+        body: Buffer.from("link"),
+        priority: 5,
+        manifestDigest: undefined,
+        idempotencyKey: "key-1",
+    };
+}
+
+function createCompletion(requestId: string, stream: boolean, tokens = 4): KeyedBackendRequest {
+    return {
+        requestId,
+        method: "POST",
+        path: "/v1/completions",
+        contentType: "application/json",
+        body: Buffer.from(JSON.stringify({ prompt, max_tokens: tokens, stream })),
+        priority: 5,
+        manifestDigest: weights.manifestDigest,
+    };
+}
+
+function readTokens(text: string, stream: boolean): string[] {
+    if (!stream) {
+        return (JSON.parse(text) as { tokens: string[]; }).tokens;
+    }
+    return [...text.matchAll(/"token":"([0-9a-f]+)"/g)].map(match => match[1]!);
+}
