--- a/demo/cluster/index.ts
+++ b/demo/cluster/index.ts
@@ -1,4 +1,6 @@
 export * from "./cluster.js";
+export * from "./load.js";
 export * from "./operator.js";
 export * from "./programProcess.js";
+export * from "./promises.js";
 export * from "./requests.js";
