--- /dev/null
+++ b/test/runtime/placement/world.ts
@@ -0,0 +1,284 @@
+import { evaluateHold } from "../../../src/runtime/hold/index.js";
+import type { HoldDecision, WitnessAnswer } from "../../../src/runtime/hold/index.js";
+import {
+    createInstanceTable,
+    createProposerMemory,
+    mergeInstanceList,
+    resolvePlacementOptions,
+    runProposer,
+} from "../../../src/runtime/placement/index.js";
+import type { PlacementOptions, ProposerCommand, ProposerInput } from "../../../src/runtime/placement/index.js";
+import { createFoldState, foldEntry } from "../../../src/runtime/state/index.js";
+import type { FoldState } from "../../../src/runtime/state/index.js";
+import type {
+    AgentObservation,
+    ConfigurationRecord,
+    CopyAssignment,
+    CopyReport,
+    ListedInstance,
+    LogEntry,
+    LogRecord,
+} from "../../../src/types/index.js";
+import { createManualClock, createSeededRandom, createTable, rankByRendezvous } from "../../../src/utils/index.js";
+
+export const sampleKeys = ["key-a", "key-b", "key-c", "key-d", "key-e", "key-f"];
+
+export function createWeights(version: string) {
+    return { model: "scribe", adapter: "", version, manifestDigest: version.repeat(64) };
+}
+
+/** Entry instance with the state and the proposer that it runs. */
+export interface Entry {
+    readonly id: string;
+    input: ProposerInput;
+    startedAt: number;
+    logKnownAt: number;
+}
+
+/** Agent that loads what it is assigned while its hold lasts. */
+export interface Agent {
+    readonly listed: ListedInstance;
+    state: FoldState;
+    alive: boolean;
+    answers: Map<string, WitnessAnswer>;
+    logKnownAt: number;
+    loaded: { readonly deployment: string; readonly copy: CopyAssignment; } | undefined;
+    hold: HoldDecision | undefined;
+}
+
+/** Small fleet with one log, links that can be cut and a shared clock. */
+export function createWorld(zones: Readonly<Record<string, number>>, overrides: Partial<PlacementOptions> = {}) {
+    const clock = createManualClock();
+    const options = resolvePlacementOptions(overrides);
+    const log: LogEntry[] = [];
+    const listing = new Map<string, ListedInstance>();
+    const cuts = new Set<string>();
+    const world = { clock, options, log, listing, cuts, logUp: true, entries: [] as Entry[], agents: [] as Agent[] };
+
+    function list(instance: string, role: ListedInstance["role"], pool: string, zone: string): ListedInstance {
+        const row = { instance, role, pool, zone, region: zone, address: "127.0.0.1:1", state: "live" } as const;
+        listing.set(instance, row);
+        return row;
+    }
+
+    function createInput(self: string): ProposerInput {
+        return {
+            self,
+            state: createFoldState(),
+            instances: createInstanceTable(),
+            observations: createTable(),
+            witnesses: createTable(),
+            memory: createProposerMemory(),
+            clock,
+            random: createSeededRandom(self.length + self.charCodeAt(self.length - 1)),
+            options,
+        };
+    }
+
+    function addAgent(instance: string, zone: string): Agent {
+        const agent: Agent = {
+            listed: list(instance, "backend-server", "scribe", zone),
+            state: createFoldState(),
+            alive: true,
+            answers: new Map(),
+            logKnownAt: Number.NEGATIVE_INFINITY,
+            loaded: undefined,
+            hold: undefined,
+        };
+        world.agents.push(agent);
+        return agent;
+    }
+
+    function isLinked(left: string, right: string): boolean {
+        return cuts.has(left) === cuts.has(right);
+    }
+
+    function isLogReachable(id: string): boolean {
+        return world.logUp && !cuts.has(id);
+    }
+
+    function catchUp(state: FoldState, offset: number): void {
+        log.slice(state.appliedOffset, offset).forEach(entry => foldEntry(state, entry));
+    }
+
+    function append(record: LogRecord): void {
+        if (world.logUp) {
+            log.push({ offset: log.length + 1, previousOffset: log.length, record });
+        }
+    }
+
+    function restartEntry(entry: Entry): void {
+        entry.input = createInput(entry.id);
+        entry.startedAt = clock.monotonic();
+        entry.logKnownAt = Number.NEGATIVE_INFINITY;
+    }
+
+    function stepEntry(entry: Entry): void {
+        const { state, witnesses } = entry.input;
+        if (isLogReachable(entry.id)) {
+            catchUp(state, log.length);
+            entry.logKnownAt = clock.monotonic();
+        }
+        for (const peer of world.entries.filter(other => other !== entry && isLinked(entry.id, other.id))) {
+            catchUp(state, peer.input.state.appliedOffset);
+            entry.logKnownAt = Math.max(entry.logKnownAt, peer.logKnownAt);
+            const heardAt = clock.monotonic();
+            const { appliedOffset } = peer.input.state;
+            witnesses.set(peer.id, { instance: peer.id, heardAt, appliedOffset, uptime: heardAt - peer.startedAt });
+        }
+        mergeInstanceList(entry.input.instances, [...listing.values()]);
+    }
+
+    function findCopy(agent: Agent): Agent["loaded"] {
+        return [...agent.state.placements.rows()]
+            .flatMap(({ deployment, copies }) => copies.map(copy => ({ deployment, copy })))
+            .filter(({ copy }) => copy.instance === agent.listed.instance && copy.state === "assigned")
+            .sort((left, right) => left.copy.epoch - right.copy.epoch)[0];
+    }
+
+    function decideHold(agent: Agent, copy: CopyAssignment): HoldDecision {
+        return evaluateHold({
+            witnessSets: [copy.witnesses, ...copy.previousWitnesses === undefined ? [] : [copy.previousWitnesses]],
+            logKnownAt: agent.logKnownAt,
+            answers: agent.answers,
+            now: clock.monotonic(),
+            holdDuration: options.holdDuration,
+            preceding: agent.hold,
+        });
+    }
+
+    function stepAgent(agent: Agent): void {
+        const now = clock.monotonic();
+        const linked = world.entries.filter(entry => isLinked(agent.listed.instance, entry.id));
+        linked.forEach(entry => catchUp(agent.state, entry.input.state.appliedOffset));
+        for (const { id, logKnownAt, startedAt } of linked) {
+            agent.logKnownAt = Math.max(agent.logKnownAt, logKnownAt);
+            const logUnreachable = now - logKnownAt >= options.holdDuration;
+            agent.answers.set(id, { answeredAt: now, logUnreachable, uptime: now - startedAt });
+        }
+        const assignment = findCopy(agent);
+        if (assignment?.copy.epoch !== agent.loaded?.copy.epoch) {
+            agent.hold = undefined;
+        }
+        agent.hold = assignment && decideHold(agent, assignment.copy);
+        agent.loaded = agent.hold?.held ? assignment : undefined;
+    }
+
+    function createReports(agent: Agent): CopyReport[] {
+        return [...agent.state.placements.rows()].flatMap(({ deployment, copies }) =>
+            copies.filter(copy => copy.instance === agent.listed.instance).map(copy => ({
+                deployment,
+                epoch: copy.epoch,
+                version: copy.weights?.version ?? "",
+                manifestDigest: copy.weights?.manifestDigest ?? "",
+                phase: copy.state === "revoked" ? "released" : agent.loaded === undefined ? "waiting" : "serving",
+                chunksComplete: 1,
+                chunksTotal: 1,
+            }))
+        );
+    }
+
+    function beat(agent: Agent): void {
+        const { instance } = agent.listed;
+        const observation: AgentObservation = {
+            instance,
+            incarnation: "1",
+            heardAt: clock.monotonic(),
+            appliedOffset: agent.state.appliedOffset,
+            draining: false,
+            copies: createReports(agent),
+        };
+        world.entries.filter(entry => isLinked(instance, entry.id))
+            .forEach(entry => entry.input.observations.set(instance, observation));
+    }
+
+    /** Lets time pass, then all processes exchange what their links allow. */
+    function pass(duration: number): void {
+        clock.advance(duration);
+        // Two rounds, since a peer may pass on what it reads in the same step.
+        [...world.entries, ...world.entries].forEach(stepEntry);
+        const alive = world.agents.filter(agent => agent.alive);
+        alive.forEach(stepAgent);
+        alive.forEach(beat);
+    }
+
+    function propose(entry: Entry): ProposerCommand[] {
+        return runProposer(entry.input);
+    }
+
+    /** Runs all proposers and appends what those that reach the log propose. */
+    function run(steps: number, duration = 1_000): void {
+        for (let step = 0; step < steps; step++) {
+            pass(duration);
+            const commands = world.entries.filter(entry => isLogReachable(entry.id)).flatMap(propose);
+            commands.forEach(({ record }) => append(record));
+        }
+    }
+
+    /** Counts the copies that an agent may use at this moment, by deployment and zone. */
+    function countHeld(): Map<string, number> {
+        const counts = new Map<string, number>();
+        for (const { alive, loaded, hold, listed } of world.agents) {
+            if (alive && loaded !== undefined && clock.monotonic() < (hold?.validUntil ?? 0)) {
+                const key = `${loaded.deployment}/${listed.zone}`;
+                counts.set(key, (counts.get(key) ?? 0) + 1);
+            }
+        }
+        return counts;
+    }
+
+    /** Lists the agents that accept a key of a deployment at this moment. */
+    function findAcceptors(deployment: string, key: string): string[] {
+        return world.agents.filter(({ alive, loaded, hold, state, listed }) => {
+            const isHeld = alive && loaded?.deployment === deployment && clock.monotonic() < (hold?.validUntil ?? 0);
+            const { owners, nextOwners } = state.placements.get(deployment) ?? { owners: [], nextOwners: undefined };
+            return isHeld &&
+                [owners, nextOwners ?? owners].every(set => rankByRendezvous(key, set)[0] === listed.instance);
+        }).map(({ listed }) => listed.instance);
+    }
+
+    /** Appends a declaration as an operator does who has read the log. */
+    function apply(deployment: string, replicas: Readonly<Record<string, number>>, version = "1", base?: number): void {
+        const state = createFoldState();
+        catchUp(state, log.length);
+        const record: ConfigurationRecord = {
+            id: `configuration-${log.length}`,
+            kind: "configuration",
+            deployment,
+            base: base ?? state.configurations.get(deployment)?.offset ?? 0,
+            writtenAt: clock.now().toISOString(),
+            writer: "operator",
+            declaration: { schemaVersion: 1, kind: "model", weights: createWeights(version), replicas, pool: "scribe" },
+        };
+        append(record);
+    }
+
+    function readPlacement(deployment: string) {
+        const state = createFoldState();
+        catchUp(state, log.length);
+        return state.placements.get(deployment);
+    }
+
+    for (const id of ["entry-0", "entry-1", "entry-2"]) {
+        list(id, "entry", "entry", Object.keys(zones)[0]!);
+        world.entries.push({ id, input: createInput(id), startedAt: -60_000, logKnownAt: 0 });
+    }
+    for (const [zone, count] of Object.entries(zones)) {
+        Array.from({ length: count }, () => addAgent(`runner-${world.agents.length}`, zone));
+    }
+    return Object.assign(world, {
+        addAgent,
+        append,
+        apply,
+        countHeld,
+        findAcceptors,
+        isLinked,
+        pass,
+        propose,
+        readPlacement,
+        restartEntry,
+        run,
+    });
+}
+
+export type World = ReturnType<typeof createWorld>;
