Explore and schedule placement with the real decisions

The base alone now decides acceptance; the identifier of a record only names the outcome. Before, a process that started after a truncation accepted a record whose identifier had been used before, and one with the whole log dropped it (schedules test, path 5:2:0:0:2:2:3:3: a restarted proposer of the test repeated its identifiers).

--- a/src/runtime/state/fold.ts
+++ b/src/runtime/state/fold.ts
@@ -22,16 +22,19 @@
         return "out-of-order";
     }
     const { record } = entry;
-    if (state.recentIds.has(record.id) || state.earlierIds.has(record.id)) {
-        return "ignored-duplicate";
-    }
     if (record.kind === "placement") {
         // Proposers name only configurations that they have seen accepted.
         resolveCandidate(mutable, createChainKey("configuration", record.deployment), record.configurationOffset);
     }
     const key = createChainKey(record.kind, record.deployment);
     resolveCandidate(mutable, key, record.base);
-    return judgeEntry(mutable, key, entry);
+    const outcome = judgeEntry(mutable, key, entry);
+    // The base alone decides, since a process that started later does not know the identifiers of earlier records.
+    return outcome === "ignored-base" && isKnownId(state, record.id) ? "ignored-duplicate" : outcome;
+}
+
+function isKnownId(state: FoldState, id: string): boolean {
+    return state.recentIds.has(id) || state.earlierIds.has(id);
 }
 
 function advance(state: MutableFoldState, entry: LogEntry): boolean {
--- a/test/runtime/placement/world.ts
+++ b/test/runtime/placement/world.ts
@@ -53,7 +53,20 @@
     const log: LogEntry[] = [];
     const listing = new Map<string, ListedInstance>();
     const cuts = new Set<string>();
-    const world = { clock, options, log, listing, cuts, logUp: true, entries: [] as Entry[], agents: [] as Agent[] };
+    const world = {
+        clock,
+        options,
+        log,
+        listing,
+        cuts,
+        logUp: true,
+        /** Steps by which the list of each entry instance is older than that of the one before. */
+        listLag: 0,
+        frozen: new Set<string>(),
+        entries: [] as Entry[],
+        agents: [] as Agent[],
+    };
+    const listHistory: ListedInstance[][] = [];
 
     function list(instance: string, role: ListedInstance["role"], pool: string, zone: string): ListedInstance {
         const row = { instance, role, pool, zone, region: zone, address: "127.0.0.1:1", state: "live" } as const;
@@ -70,7 +83,7 @@
             witnesses: createTable(),
             memory: createProposerMemory(),
             clock,
-            random: createSeededRandom(self.length + self.charCodeAt(self.length - 1)),
+            random: createSeededRandom(clock.monotonic() + self.charCodeAt(self.length - 1)),
             options,
         };
     }
@@ -126,7 +139,6 @@
             const { appliedOffset } = peer.input.state;
             witnesses.set(peer.id, { instance: peer.id, heardAt, appliedOffset, uptime: heardAt - peer.startedAt });
         }
-        mergeInstanceList(entry.input.instances, [...listing.values()]);
     }
 
     function findCopy(agent: Agent): Agent["loaded"] {
@@ -192,14 +204,22 @@
             .forEach(entry => entry.input.observations.set(instance, observation));
     }
 
+    function readLists(): void {
+        listHistory.push([...listing.values()]);
+        for (const [index, { input }] of world.entries.entries()) {
+            mergeInstanceList(input.instances, listHistory.at(-1 - index * world.listLag) ?? []);
+        }
+    }
+
     /** Lets time pass, then all processes exchange what their links allow. */
     function pass(duration: number): void {
         clock.advance(duration);
         // Two rounds, since a peer may pass on what it reads in the same step.
         [...world.entries, ...world.entries].forEach(stepEntry);
-        const alive = world.agents.filter(agent => agent.alive);
-        alive.forEach(stepAgent);
-        alive.forEach(beat);
+        readLists();
+        const running = world.agents.filter(({ alive, listed }) => alive && !world.frozen.has(listed.instance));
+        running.forEach(stepAgent);
+        running.forEach(beat);
     }
 
     function propose(entry: Entry): ProposerCommand[] {
