--- a/src/runtime/idempotency/ownership.ts
+++ b/src/runtime/idempotency/ownership.ts
@@ -102,11 +102,12 @@
     createdAt: Milliseconds,
     skew: Milliseconds,
 ): KeyOwnership {
+    // Times are rounded to milliseconds, so equal times prove no order.
     const latestStart = createdAt - skew;
     const { periods, self } = history;
     const newest = periods.at(-1);
     const owned = newest !== undefined && acceptsKey(newest, self, key);
-    if (history.startedAt > latestStart || history.interruptedAt > latestStart) {
+    if (history.startedAt >= latestStart || history.interruptedAt >= latestStart) {
         return { owned, sinceCreation: false };
     }
     let index = periods.length - 1;
@@ -114,7 +115,7 @@
         index = findLastOwned(history, key, createdAt + skew);
     }
     while (index >= 0 && acceptsKey(periods[index]!, self, key)) {
-        if (periods[index]!.appliedAt <= latestStart) {
+        if (periods[index]!.appliedAt < latestStart) {
             return { owned, sinceCreation: true };
         }
         index -= 1;
