--- a/src/runtime/retry/suspects.ts
+++ b/src/runtime/retry/suspects.ts
@@ -50,22 +50,24 @@
  * Records the crash of a backend server.
  *
  * @param table - table to change
- * @param fingerprints - fingerprints of all requests that were in progress on the server, of every entry instance
+ * @param fingerprints - fingerprints of the requests that this process had in progress on the server
  * @param now - monotonic time
+ * @param ranAlone - true only if the request was sent to run alone; other entry instances may have had requests on the
+ * server that this process does not know. Default: true for a single fingerprint.
  * @returns the changed rows, to be shared with the other entry instances at once
  */
 export function reportCrash(
     table: SuspectTable,
     fingerprints: readonly Fingerprint[],
     now: Milliseconds,
+    ranAlone: boolean = fingerprints.length === 1,
 ): readonly SuspectRow[] {
-    const alone = fingerprints.length === 1;
     return [...new Set(fingerprints)].map(fingerprint => {
         const previous = readRow(table, fingerprint, now);
         const crashes = (previous?.crashes ?? 0) + 1;
-        const crashesAlone = (previous?.crashesAlone ?? 0) + (alone ? 1 : 0);
+        const crashesAlone = (previous?.crashesAlone ?? 0) + (ranAlone ? 1 : 0);
         // The first crash may be the server's own fault, even with a single request in progress.
-        const condemned = previous?.condemned === true || (alone && crashes >= table.options.maximumCrashes);
+        const condemned = previous?.condemned === true || (ranAlone && crashes >= table.options.maximumCrashes);
         const row: SuspectRow = { fingerprint, crashes, crashesAlone, condemned, cleared: false, changedAt: now };
         storeRow(table, row);
         return row;
