--- a/src/runtime/admission/refusals.ts
+++ b/src/runtime/admission/refusals.ts
@@ -31,11 +31,11 @@
     const returnAt = Math.min(latest, Math.max(now + wait, table.nextReturnAt + step));
     table.nextReturnAt = returnAt;
     const spread = scoreRendezvous(request.requestId, "return") / 2 ** 32;
-    const duration = (returnAt - now) / 1_000;
-    // Callers that would all get the largest time are spread below it, the others above their time.
-    const spreadDuration = returnAt === latest ?
-        duration * (1 - spread / 2) :
-        duration * (1 + spread * spreadShare) + spread;
+    const duration = (returnAt - now) / 1_000 * (1 + spread * spreadShare) + spread;
+    // Callers beyond the largest time are spread over its second half, else they would all return at its end.
+    const spreadDuration = duration >= maximumRetryAfterSeconds ?
+        maximumRetryAfterSeconds * (1 + spread) / 2 :
+        duration;
     const retryAfterSeconds = Math.min(maximumRetryAfterSeconds, Math.max(1, Math.ceil(spreadDuration)));
     return { ran: "no", reason, retryAfterSeconds };
 }
