Test the selection of runners and subsets

Cause: the routing decision had not been run.

Change: tables of cases for unavailable, excluded and ejected runners, zones, prefix affinity and aged reports; bounds and stability of subsets (seed 12, 300 runs).

--- /dev/null
+++ b/test/runtime/routing/routing.test.ts
@@ -0,0 +1,204 @@
+import { expect } from "earl";
+import fastCheck from "fast-check";
+import { describe, it } from "node:test";
+import {
+    applyLoadReport,
+    createRunnerRow,
+    recordOutcome,
+    resolveRoutingOptions,
+    type RoutingInput,
+    type RunnerLoadReport,
+    type RunnerRow,
+    selectRunner,
+    selectSubset,
+    type SubsetCandidate,
+    updateSubset,
+} from "../../../src/runtime/routing/index.js";
+import { createSeededRandom } from "../../../src/utils/index.js";
+
+const options = resolveRoutingOptions();
+const now = 100_000;
+
+function createRunner(instance: string, changes: Partial<RunnerRow> = {}): RunnerRow {
+    const row = createRunnerRow("scribe", { instance, zone: "a", region: "south" });
+    return Object.assign(row, { manifestDigest: "v1", phase: "serving", reportedAt: now, capacity: 8 }, changes);
+}
+
+function createInput(runners: RunnerRow[], changes: Partial<RoutingInput> = {}): RoutingInput {
+    return {
+        subset: { deployment: "scribe", runners },
+        zone: "a",
+        region: "south",
+        manifestDigest: "v1",
+        prefix: undefined,
+        excluded: new Set(),
+        now,
+        random: createSeededRandom(1),
+        options,
+        ...changes,
+    };
+}
+
+function countChoices(input: RoutingInput, times = 400): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (let index = 0; index < times; index++) {
+        const decision = selectRunner(input);
+        const choice = decision.kind === "selected" ? decision.runner.instance : decision.reason;
+        counts[choice] = (counts[choice] ?? 0) + 1;
+    }
+    return counts;
+}
+
+describe("selection of a runner", () => {
+    // Guards against a request that reaches a runner that must not or cannot answer it.
+    const unavailable: readonly (readonly [string, Partial<RunnerRow>, string])[] = [
+        ["serves another set", { manifestDigest: "v2" }, "not-serving"],
+        ["is not serving yet", { phase: "activating" }, "not-serving"],
+        ["drains", { draining: true }, "draining"],
+        ["has not reported for longer than the expiry", { reportedAt: now - 5_001 }, "not-serving"],
+    ];
+    for (const [name, changes, reason] of unavailable) {
+        it(`leaves out a runner that ${name}`, () => {
+            const other = createRunner("other", changes);
+            expect(countChoices(createInput([other, createRunner("good")]))).toEqual({ good: 400 });
+            expect(countChoices(createInput([other]), 1)).toEqual({ [reason]: 1 });
+        });
+    }
+
+    // Guards against a repeat on the runner that has just failed, and against a missing reason for an empty subset.
+    it("leaves out excluded runners", () => {
+        const runners = [createRunner("first"), createRunner("second")];
+        expect(countChoices(createInput(runners, { excluded: new Set(["first"]) }))).toEqual({ second: 400 });
+        expect(countChoices(createInput([]), 1)).toEqual({ "no-runner": 1 });
+    });
+
+    // Guards against ejected runners that get requests, and against an ejection of most runners that overloads the rest.
+    it("leaves out ejected runners unless more than half are ejected", () => {
+        const runners = ["a", "b", "c", "d"].map(instance => createRunner(instance));
+        const eject = (index: number) => {
+            for (let failure = 0; failure < options.failuresUntilEjected; failure++) {
+                recordOutcome(runners[index]!, "failed", now, options);
+            }
+        };
+        eject(0);
+        eject(1);
+        expect(Object.keys(countChoices(createInput(runners))).sort()).toEqual(["c", "d"]);
+        eject(2);
+        expect(Object.keys(countChoices(createInput(runners))).sort()).toEqual(["a", "b", "c", "d"]);
+        const later = createInput(runners, { now: now + options.ejectionDuration });
+        expect(Object.keys(countChoices(later)).sort()).toEqual(["a", "b", "c", "d"]);
+        recordOutcome(runners[0]!, "failed", now + options.ejectionDuration, options);
+        expect(runners[0]!.ejectedUntil).toEqual(now + 3 * options.ejectionDuration);
+        recordOutcome(runners[0]!, "succeeded", now, options);
+        expect(runners[0]!.successiveFailures).toEqual(0);
+    });
+
+    // Guards against traffic that crosses zones or regions without need, or that never does.
+    it("prefers its zone, then its region, until the load differs", () => {
+        const far = createRunner("far", { zone: "c", region: "north" });
+        const near = createRunner("near", { zone: "b" });
+        const own = createRunner("own");
+        expect(countChoices(createInput([far, own]))).toEqual({ own: 400 });
+        expect(countChoices(createInput([far, near]))).toEqual({ near: 400 });
+        own.outstanding = 3;
+        expect(countChoices(createInput([far, own]))).toEqual({ far: 400 });
+    });
+
+    // Guards against cold prefix caches, and against affinity that overloads the runner with the cached prefix.
+    it("follows the prefix until its runner exceeds the load bound", () => {
+        const warm = createRunner("warm", { cachedPrefixes: new Set(["prompt"]), outstanding: 1 });
+        const runners = [warm, ...["a", "b", "c"].map(instance => createRunner(instance))];
+        const input = createInput(runners, { prefix: "prompt" });
+        expect(countChoices(input)).toEqual({ warm: 400 });
+        warm.outstanding = 4;
+        expect(countChoices(input)["warm"]).toEqual(undefined);
+    });
+
+    // Guards against a silent runner that looks idle, and against the sender's own requests being counted twice.
+    it("ages reports toward the mean and leaves out its own requests", () => {
+        const silent = createRunner("silent", { reportedLoad: 0, reportedAt: now - 4_500 });
+        const fresh = createRunner("fresh", { reportedLoad: 5 });
+        const busy = createRunner("busy", { reportedLoad: 9 });
+        const counts = countChoices(createInput([silent, fresh, busy]), 900);
+        expect(counts["silent"]!).toBeLessThan(700);
+        const report: RunnerLoadReport = {
+            manifestDigest: "v1",
+            phase: "serving",
+            draining: false,
+            running: 5,
+            queued: 2,
+            capacity: 8,
+            cachedPrefixes: [],
+            age: 100,
+        };
+        fresh.outstanding = 3;
+        applyLoadReport(fresh, report, now + 200);
+        expect([fresh.reportedLoad, fresh.reportedAt]).toEqual([4, now + 100]);
+        applyLoadReport(fresh, { ...report, running: 0, age: 500 }, now + 200);
+        expect(fresh.reportedLoad).toEqual(4);
+    });
+});
+
+describe("subset of an entry instance", () => {
+    const zones = [["a", "south"], ["b", "south"], ["c", "north"]] as const;
+
+    function createCandidates(count: number): SubsetCandidate[] {
+        return [...Array(count).keys()].map(index => {
+            const [zone, region] = zones[index % zones.length]!;
+            return { instance: `runner-${index}`, zone, region };
+        });
+    }
+
+    function select(candidates: readonly SubsetCandidate[], entry = "entry-1"): readonly SubsetCandidate[] {
+        return selectSubset({ entry, deployment: "scribe", zone: "a", region: "south", candidates, size: 32 });
+    }
+
+    // Guards against a subset that grows with the fleet, stays empty, or holds nothing outside its own zone.
+    it("is bounded, never empty and prefers its own zone", () => {
+        for (const count of [1, 2, 10, 33, 300, 3_200]) {
+            const chosen = select(createCandidates(count));
+            expect(chosen.length).toEqual(Math.min(count, 32));
+        }
+        const chosen = select(createCandidates(3_200));
+        expect(chosen.filter(({ zone }) => zone === "a").length).toEqual(24);
+        const elsewhere = createCandidates(300).filter(({ zone }) => zone === "c");
+        expect(select(elsewhere).length).toEqual(32);
+        const avoided = createCandidates(90).map(row => ({ ...row, avoided: row.instance !== "runner-5" }));
+        expect(select(avoided).length).toEqual(32);
+        expect(select(avoided)[0]!.instance).toEqual("runner-5");
+    });
+
+    // Guards against connections that are all replaced when a runner comes or goes.
+    it("changes at most two places when one runner comes or goes", () => {
+        fastCheck.assert(
+            fastCheck.property(fastCheck.integer({ min: 2, max: 400 }), fastCheck.nat(), fastCheck.string(), (
+                count,
+                pick,
+                entry,
+            ) => {
+                const candidates = createCandidates(count);
+                const before = new Set(select(candidates, entry).map(({ instance }) => instance));
+                const gone = candidates[pick % count]!.instance;
+                const after = select(candidates.filter(({ instance }) => instance !== gone), entry);
+                const added = after.filter(({ instance }) => !before.has(instance));
+                expect(added.length).toBeLessThanOrEqual(before.has(gone) ? 2 : 0);
+            }),
+            { seed: 12, numRuns: 300 },
+        );
+    });
+
+    // Guards against lost counts of requests in progress when the subset changes.
+    it("keeps the rows of runners that stay", () => {
+        const subset = { deployment: "scribe", runners: [] as RunnerRow[] };
+        updateSubset(subset, select(createCandidates(2)));
+        const stays = subset.runners.find(({ instance }) => instance === "runner-0")!;
+        stays.outstanding = 3;
+        const changes = updateSubset(subset, [createCandidates(1)[0]!, {
+            instance: "new",
+            zone: "a",
+            region: "south",
+        }]);
+        expect(changes).toEqual({ added: ["new"], removed: ["runner-1"] });
+        expect(subset.runners[0]).toEqual(stays);
+    });
+});
