--- /dev/null
+++ b/bench/routing/policies.ts
@@ -0,0 +1,67 @@
+import {
+    resolveRoutingOptions,
+    type RoutingOptions,
+    type RunnerRow,
+    type RunnerSubset,
+    selectRunner,
+} from "../../src/runtime/routing/index.js";
+import type { Milliseconds, RandomSource } from "../../src/types/index.js";
+
+/** What a policy chooses from. */
+export interface PolicyInput {
+    readonly subset: RunnerSubset;
+    readonly zone: string;
+    readonly prefix: string;
+    readonly excluded: ReadonlySet<string>;
+    readonly now: Milliseconds;
+    readonly random: RandomSource;
+}
+
+/** Chooses a runner for a request; one instance for each entry instance. */
+export type Policy = (input: PolicyInput) => RunnerRow | undefined;
+
+function createRoundRobin(): Policy {
+    let position = 0;
+    return ({ subset, excluded }) => {
+        const candidates = subset.runners.filter(({ instance }) => !excluded.has(instance));
+        position += 1;
+        return candidates[position % Math.max(1, candidates.length)];
+    };
+}
+
+function createLeastReported(): Policy {
+    return ({ subset, excluded }) => {
+        let best: RunnerRow | undefined;
+        for (const runner of subset.runners) {
+            if (!excluded.has(runner.instance) && (best === undefined || runner.reportedLoad < best.reportedLoad)) {
+                best = runner;
+            }
+        }
+        return best;
+    };
+}
+
+function createTwoChoices(options: RoutingOptions, affinity = true): Policy {
+    return ({ subset, zone, prefix, excluded, now, random }) => {
+        const decision = selectRunner({
+            subset,
+            zone,
+            region: zone,
+            manifestDigest: "digest",
+            prefix: affinity ? prefix : undefined,
+            excluded,
+            now,
+            random,
+            options,
+        });
+        return decision.kind === "selected" ? decision.runner : undefined;
+    };
+}
+
+/** Policies that are compared; each is created once for each entry instance. */
+export const policies: Readonly<Record<string, () => Policy>> = {
+    "round robin": createRoundRobin,
+    "least reported load": createLeastReported,
+    "two choices without affinity": () => createTwoChoices(resolveRoutingOptions(), false),
+    "two choices with affinity": () => createTwoChoices(resolveRoutingOptions()),
+};
