Improve the use of late load reports and of prefix affinity

Cause: a report that is 1 s old contains this entry instance's requests of that time, but the current ones were subtracted. Until the first late report of a prefix, each entry instance warmed another runner.

Change: each runner's row keeps samples of the own requests, and the report is corrected by the sample of its time. The bound compares the load alone. A prefix that no runner reports goes to the runner that a hash of prefix and runner prefers, within the same bound. Loads are computed once for each decision.

--- a/bench/routing/simulation.ts
+++ b/bench/routing/simulation.ts
@@ -96,6 +96,7 @@
     const counts = { requests: 0, answered: 0, hits: 0, refused: 0 };
     const reports: { readonly arrivesAt: Milliseconds; readonly index: number; readonly report: RunnerLoadReport; }[] =
         [];
+    const reported = new Map<string, number>();
     let sequence = 0;
 
     const events: ServerEvents = {
@@ -126,7 +127,8 @@
         const { entry, excluded } = attempt;
         const prefix = request.prefix!;
         const now = clock.monotonic();
-        const runner = entry.policy({ subset: entry.subset, zone: entry.zone, prefix, excluded, now, random: choices });
+        const { subset, zone } = entry;
+        const runner = entry.policy({ subset, reported, zone, prefix, excluded, now, random: choices });
         if (runner === undefined) {
             countRefusal(request);
             return;
@@ -189,6 +191,7 @@
         }
         while (reports[0] !== undefined && reports[0].arrivesAt <= now) {
             const { index, report } = reports.shift()!;
+            reported.set(`runner-${index}`, report.running + report.queued);
             for (const { subset } of entries) {
                 applyLoadReport(subset.runners[index]!, { ...report, age: reportDelay }, now);
             }
--- a/src/runtime/routing/load.ts
+++ b/src/runtime/routing/load.ts
@@ -3,6 +3,19 @@
 
 const maximumEjectionFactor = 8;
 
+/** Most samples of the own requests of a runner; older ones are dropped. */
+const maximumSamples = 64;
+
+/** Reads how many requests this process had on the runner when the report was made, and records how many it has now. */
+function readOutstanding(runner: RunnerRow, reportedAt: Milliseconds, now: Milliseconds): number {
+    const { samples } = runner;
+    samples.push({ at: now, outstanding: runner.outstanding });
+    while (samples.length > maximumSamples || (samples[1] !== undefined && samples[1].at <= reportedAt)) {
+        samples.shift();
+    }
+    return samples[0]!.at <= reportedAt ? samples[0]!.outstanding : runner.outstanding;
+}
+
 /**
  * Applies a load report to a runner's row.
  *
@@ -20,7 +33,7 @@
     runner.phase = report.phase;
     runner.draining = report.draining;
     runner.capacity = Math.max(1, report.capacity);
-    runner.reportedLoad = Math.max(0, report.running + report.queued - runner.outstanding);
+    runner.reportedLoad = Math.max(0, report.running + report.queued - readOutstanding(runner, reportedAt, now));
     runner.cachedPrefixes = new Set(report.cachedPrefixes);
 }
 
@@ -41,7 +54,7 @@
     options: RoutingOptions,
 ): number {
     const age = Math.max(0, now - runner.reportedAt);
-    const weight = 2 ** (-age / options.loadHalfLife);
+    const weight = Math.exp(-Math.LN2 * age / options.loadHalfLife);
     return runner.outstanding + runner.reportedLoad * weight + meanReported * (1 - weight);
 }
 
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -1,4 +1,5 @@
 import type { AvailabilityZone, Region } from "../../types/index.js";
+import { scoreRendezvous } from "../../utils/index.js";
 import { estimateLoad } from "./load.js";
 import type { RoutingDecision, RoutingInput, RoutingReason, RunnerRow } from "./types.js";
 
@@ -45,12 +46,30 @@
     return runner.region === region ? input.options.zonePenalty : input.options.regionPenalty;
 }
 
-function computeMean(candidates: readonly RunnerRow[], read: (runner: RunnerRow) => number): number {
+/** Expected loads of the candidates, in their order. */
+interface CandidateLoads {
+    readonly loads: readonly number[];
+    readonly mean: number;
+}
+
+function estimateLoads(input: RoutingInput, candidates: readonly RunnerRow[]): CandidateLoads {
+    let reported = 0;
+    for (const runner of candidates) {
+        reported += runner.reportedLoad;
+    }
+    const meanReported = reported / candidates.length;
+    const loads: number[] = [];
     let sum = 0;
     for (const runner of candidates) {
-        sum += read(runner);
+        const load = estimateLoad(runner, meanReported, input.now, input.options);
+        loads.push(load);
+        sum += load;
     }
-    return sum / candidates.length;
+    return { loads, mean: sum / candidates.length };
+}
+
+function computeScore(input: RoutingInput, runner: RunnerRow, load: number): number {
+    return load + measurePenalty(runner, input.zone, input.region, input);
 }
 
 function pickIndex(input: RoutingInput, size: number): number {
@@ -58,37 +77,74 @@
 }
 
 /** Draws two different candidates and returns the one with the lower score. */
-function chooseOfTwo(
-    input: RoutingInput,
-    candidates: readonly RunnerRow[],
-    score: (runner: RunnerRow) => number,
-): RunnerRow {
+function chooseOfTwo(input: RoutingInput, candidates: readonly RunnerRow[], loads: readonly number[]): RunnerRow {
     const firstIndex = pickIndex(input, candidates.length);
     const secondIndex = (firstIndex + 1 + pickIndex(input, candidates.length - 1)) % candidates.length;
     const first = candidates[firstIndex]!;
     const second = candidates[secondIndex]!;
-    return score(second) < score(first) ? second : first;
+    const firstScore = computeScore(input, first, loads[firstIndex]!);
+    return computeScore(input, second, loads[secondIndex]!) < firstScore ? second : first;
 }
 
-/** Finds the least loaded runner that has the prefix cached and stays within the load bound. */
-function findAffinity(
+/** Finds the runner with the best score that has the prefix cached and stays within the load bound. */
+function findHolder(
+    input: RoutingInput,
+    prefix: string,
+    candidates: readonly RunnerRow[],
+    { loads, mean }: CandidateLoads,
+): { readonly runner: RunnerRow | undefined; readonly held: boolean; } {
+    const bound = input.options.affinityLoadFactor * mean + input.options.affinityLoadSlack;
+    let runner: RunnerRow | undefined;
+    let lowest = Number.POSITIVE_INFINITY;
+    let held = false;
+    for (let index = 0; index < candidates.length; index++) {
+        const candidate = candidates[index]!;
+        if (!candidate.cachedPrefixes.has(prefix)) {
+            continue;
+        }
+        held = true;
+        const score = computeScore(input, candidate, loads[index]!);
+        if (loads[index]! < bound && score < lowest) {
+            runner = candidate;
+            lowest = score;
+        }
+    }
+    return { runner, held };
+}
+
+/** Finds the runner that all entry instances prefer for a prefix, if it stays within the load bound. */
+function findPreferred(
     input: RoutingInput,
+    prefix: string,
     candidates: readonly RunnerRow[],
-    score: (runner: RunnerRow) => number,
-    bound: number,
+    { loads, mean }: CandidateLoads,
 ): RunnerRow | undefined {
-    let best: RunnerRow | undefined;
-    let bestScore = bound;
-    for (const runner of candidates) {
-        if (runner.cachedPrefixes.has(input.prefix!)) {
-            const value = score(runner);
-            if (value < bestScore) {
-                best = runner;
-                bestScore = value;
-            }
+    const prefixHash = scoreRendezvous(prefix, "");
+    let preferred = 0;
+    let highest = -1;
+    for (let index = 0; index < candidates.length; index++) {
+        const mixed = Math.imul(prefixHash ^ candidates[index]!.affinityHash, 0x85EBCA6B);
+        const score = (mixed ^ (mixed >>> 15)) >>> 0;
+        if (score > highest) {
+            preferred = index;
+            highest = score;
         }
     }
-    return best;
+    const bound = input.options.affinityLoadFactor * mean + input.options.affinityLoadSlack;
+    return loads[preferred]! < bound ? candidates[preferred] : undefined;
+}
+
+function findAffinity(
+    input: RoutingInput,
+    candidates: readonly RunnerRow[],
+    loads: CandidateLoads,
+): RunnerRow | undefined {
+    if (input.prefix === undefined || candidates.length === 1) {
+        return undefined;
+    }
+    const { runner, held } = findHolder(input, input.prefix, candidates, loads);
+    // Reports of a new prefix arrive late; without a common choice each entry instance would warm another runner.
+    return held ? runner : findPreferred(input, input.prefix, candidates, loads);
 }
 
 function selectReason(panic: boolean, count: number, affinity: boolean): RoutingReason {
@@ -112,16 +168,9 @@
     if (candidates.length === 0) {
         return explainNone(input);
     }
-    const meanReported = computeMean(candidates, runner => runner.reportedLoad);
-    const load = (runner: RunnerRow) => estimateLoad(runner, meanReported, input.now, input.options);
-    const score = (runner: RunnerRow) => load(runner) + measurePenalty(runner, input.zone, input.region, input);
-    let affinity: RunnerRow | undefined;
-    if (input.prefix !== undefined && candidates.length > 1) {
-        const bound = input.options.affinityLoadFactor * computeMean(candidates, load) +
-            input.options.affinityLoadSlack;
-        affinity = findAffinity(input, candidates, score, bound);
-    }
-    const runner = affinity ?? (candidates.length === 1 ? candidates[0]! : chooseOfTwo(input, candidates, score));
+    const loads = estimateLoads(input, candidates);
+    const affinity = findAffinity(input, candidates, loads);
+    const runner = affinity ?? (candidates.length === 1 ? candidates[0]! : chooseOfTwo(input, candidates, loads.loads));
     const reason = selectReason(panic, candidates.length, affinity !== undefined);
     return { kind: "selected", runner, reason, candidates: candidates.length };
 }
--- a/src/runtime/routing/subset.ts
+++ b/src/runtime/routing/subset.ts
@@ -84,6 +84,8 @@
         successiveFailures: 0,
         ejections: 0,
         ejectedUntil: Number.NEGATIVE_INFINITY,
+        affinityHash: scoreRendezvous("", candidate.instance),
+        samples: [],
     };
 }
 
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -54,6 +54,10 @@
     successiveFailures: number;
     ejections: number;
     ejectedUntil: Milliseconds;
+    /** Hash of the instance, by which a prefix that no runner has cached finds the same runner everywhere. */
+    readonly affinityHash: number;
+    /** Past values of `outstanding`, oldest first, since load reports arrive late. */
+    readonly samples: { readonly at: Milliseconds; readonly outstanding: number; }[];
 }
 
 /** Runners of one deployment that an entry instance follows. */
