Explore late records after a lapsed hold; test late load reports

Cause: no test failed when the history took the time at which a record was applied for the time at which it was written, since the exploration did not reach that schedule within its depth.

Change: the initial state after a lapsed hold has the new owner in place. Tests for the correction of late load reports and for the common choice of a runner for a prefix that is not reported.

--- a/test/runtime/idempotency/exploration.test.ts
+++ b/test/runtime/idempotency/exploration.test.ts
@@ -169,6 +169,8 @@
     proposeOwners(cluster, ["agent-1"]);
     cluster.now += 3 * unit;
     completeOwners(cluster);
+    applyNext(cluster, 1);
+    applyNext(cluster, 1);
     return cluster;
 }
 
--- a/test/runtime/routing/routing.test.ts
+++ b/test/runtime/routing/routing.test.ts
@@ -139,6 +139,43 @@
     });
 });
 
+describe("late load reports", () => {
+    // Guards against a late report that is corrected by the requests of now instead of those of its time.
+    it("subtracts the own requests of the time of the report", () => {
+        const runner = createRunner("runner", { reportedAt: 0, outstanding: 2 });
+        const report: RunnerLoadReport = {
+            manifestDigest: "v1",
+            phase: "serving",
+            draining: false,
+            running: 5,
+            queued: 0,
+            capacity: 8,
+            cachedPrefixes: [],
+            age: 1_000,
+        };
+        applyLoadReport(runner, report, now);
+        runner.outstanding = 0;
+        applyLoadReport(runner, report, now + 1_000);
+        expect(runner.reportedLoad).toEqual(3);
+        applyLoadReport(runner, report, now + 2_000);
+        expect(runner.reportedLoad).toEqual(5);
+    });
+
+    // Guards against entry instances that each warm another runner before the first report of a prefix arrives.
+    it("leads a prefix that is not reported yet to the same runner from everywhere", () => {
+        const create = (order: readonly string[]) => order.map(instance => createRunner(instance));
+        const used = new Set<string>();
+        for (let index = 0; index < 20; index++) {
+            const prefix = `prompt-${index}`;
+            const here = countChoices(createInput(create(["a", "b", "c", "d"]), { prefix }), 50);
+            const there = countChoices(createInput(create(["d", "c", "b", "a"]), { prefix, zone: "b" }), 50);
+            expect(there).toEqual(here);
+            Object.keys(here).forEach(instance => used.add(instance));
+        }
+        expect(used.size).toEqual(4);
+    });
+});
+
 describe("subset of an entry instance", () => {
     const zones = [["a", "south"], ["b", "south"], ["c", "north"]] as const;
 
