--- a/src/standIn/engine/engineStandIn.ts
+++ b/src/standIn/engine/engineStandIn.ts
@@ -1,11 +1,12 @@
 import { z } from "zod";
 import type { EngineOrder } from "../../types/index.js";
 import { createSystemClock } from "../../utils/index.js";
-import { type Journal, restartServer } from "../execution/index.js";
+import type { Journal } from "../execution/index.js";
 import {
     answerJson,
     answerRefusal,
     parseJsonObject,
+    restartServer,
     type StandInAnswer,
     type StandInRequest,
     type StandInRoute,
--- a/src/standIn/execution/index.ts
+++ b/src/standIn/execution/index.ts
@@ -1,4 +1,3 @@
 export * from "./batch.js";
 export * from "./headers.js";
 export * from "./journal.js";
-export * from "./restart.js";
--- a/src/standIn/http/controlRoutes.ts
+++ b/src/standIn/http/controlRoutes.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 import { answerJson, parseJsonObject } from "./answers.js";
+import { restartServer } from "./restart.js";
 import type { StandInRoute, StandInServer } from "./types.js";
-import { wait } from "./wait.js";
 
 const ruleSchema = z.strictObject({
     operation: z.string().min(1),
@@ -73,16 +73,9 @@
                     return answerJson(400, { error: z.prettifyError(parsed.error) });
                 }
                 // The answer leaves before the connections are closed.
-                setImmediate(() => void suspendFor(server, parsed.data.milliseconds));
+                setImmediate(() => void restartServer(server, parsed.data.milliseconds));
                 return { status: 204 };
             },
         },
     ];
 }
-
-async function suspendFor(server: StandInServer, milliseconds: number): Promise<void> {
-    await server.suspend();
-    if (await wait(milliseconds, server.stopped)) {
-        await server.resume();
-    }
-}
--- a/src/standIn/http/server.ts
+++ b/src/standIn/http/server.ts
@@ -11,7 +11,7 @@
 import type { StandInAnswer, StandInRequest, StandInRoute, StandInServer, StandInServerOptions } from "./types.js";
 
 const maximumBodyBytes = 64 * 1_048_576;
-const allMethods: readonly HTTPMethod[] = ["GET", "POST", "PUT", "PATCH", "DELETE"];
+const allMethods: readonly HTTPMethod[] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 
 /**
  * Starts the HTTP server of a stand-in.
@@ -68,8 +68,9 @@
 function createSequence(): (change: () => Promise<void> | undefined) => Promise<void> {
     let last = Promise.resolve();
     return change => {
-        last = last.then(change);
-        return last;
+        const result = last.then(change);
+        last = result.catch(() => undefined);
+        return result;
     };
 }
 
@@ -158,7 +159,7 @@
 }
 
 function answerNotFound(response: ServerResponse): void {
-    response.writeHead(404, { "content-type": "application/json" });
+    response.writeHead(404, { "content-type": "application/json", "x-executed": "no" });
     response.end(JSON.stringify({ error: "no such route" }));
 }
 
--- a/src/standIn/platform/logStore.ts
+++ b/src/standIn/platform/logStore.ts
@@ -59,7 +59,14 @@
     function expire(): void {
         const oldest = clock.monotonic() - retentionMilliseconds;
         const surplus = Math.max(0, entries.length - retentionCount);
-        entries = entries.slice(surplus).filter(entry => entry.appendedAt >= oldest);
+        const expired = countLeading(entries, entry => entry.appendedAt < oldest);
+        removeOldest(Math.max(surplus, expired));
+    }
+
+    function removeOldest(count: number): void {
+        if (count > 0) {
+            entries = entries.slice(count);
+        }
     }
 
     return {
@@ -75,14 +82,30 @@
         },
         read: (afterOffset, limit) => {
             expire();
+            const begin = countLeading(entries, entry => entry.offset <= afterOffset);
             const page = entries
-                .filter(entry => entry.offset > afterOffset)
-                .slice(0, limit)
+                .slice(begin, begin + limit)
                 .map(({ offset, previousOffset, record }) => ({ offset, previousOffset, record }));
             return { firstOffset: entries[0]?.offset ?? headOffset + offsetStep, headOffset, entries: page };
         },
         truncate: beforeOffset => {
-            entries = entries.filter(entry => entry.offset >= beforeOffset);
+            removeOldest(countLeading(entries, entry => entry.offset < beforeOffset));
         },
     };
 }
+
+/** Binary search, since hundreds of readers poll a log of up to a day's records. */
+function countLeading(entries: readonly StoredEntry[], isLeading: (entry: StoredEntry) => boolean): number {
+    let low = 0;
+    let high = entries.length;
+    while (low < high) {
+        const middle = (low + high) >> 1;
+        if (isLeading(entries[middle]!)) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
--- a/src/standIn/service/serviceStandIn.ts
+++ b/src/standIn/service/serviceStandIn.ts
@@ -1,9 +1,10 @@
 import { randomUUID } from "node:crypto";
 import { createSystemClock } from "../../utils/index.js";
-import { type Batch, createBatch, createJournal, type Journal, readHeader, restartServer } from "../execution/index.js";
+import { type Batch, createBatch, createJournal, type Journal, readHeader } from "../execution/index.js";
 import {
     answerJson,
     answerRefusal,
+    restartServer,
     type StandInAnswer,
     type StandInRequest,
     type StandInRoute,
