--- a/test/contract/execute.test.ts
+++ b/test/contract/execute.test.ts
@@ -173,6 +173,25 @@
         unwrap(await client.execute(createCompletion("r3", true), new AbortController().signal));
     });
 
+    // Guards against a stream that is given up before it begins and keeps its place in the batch.
+    it("frees the place of a stream that was canceled before its answer began", async () => {
+        await using engine = await startEngine({ capacity: 1, queueLimit: 0 });
+        await using client = createClient(engine.baseUrl);
+        unwrap(await activate(client));
+        engine.faults.add({ operation: "execute", kind: "out-of-order", times: 1, delayMilliseconds: 600_000 });
+        const controller = new AbortController();
+        const held = client.execute(createCompletion("r1", true), controller.signal);
+        while (engine.journal.list().length === 0) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        controller.abort();
+        expectOutcome(await held, ["STREAM_BROKEN", true], "execute request", engine);
+        while (engine.journal.list()[0]?.state === "running") {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        unwrap(await client.execute(createCompletion("r2", true), new AbortController().signal));
+    });
+
     // Guards against sets and requests that seem to survive a crash of the engine.
     it("loses sets and requests in a crash", async () => {
         await using engine = await startEngine({ restartMilliseconds: 0, tokenMilliseconds: 1 });
--- a/test/contract/httpClient.test.ts
+++ b/test/contract/httpClient.test.ts
@@ -35,7 +35,7 @@
             await wait(600_000, signal);
             return { status: 200 };
         },
-        options: { timeouts: { head: 3_000 } },
+        options: { timeouts: { head: 3_000, total: 600_000 } },
         failure: ["timeout", true, false],
     },
     {
--- a/test/contract/origin.test.ts
+++ b/test/contract/origin.test.ts
@@ -56,17 +56,19 @@
         });
     }
 
-    // Guards against weights of another version under the name that was asked for.
+    // Guards against weights of another version under the name or digest that was asked for.
     it("refuses the manifest of another set", async () => {
         await using server = await startStandInServer({}, () => [{
             operation: "manifest-read",
             method: "GET",
-            path: "/manifests",
+            path: "*",
             handle: () => answerJson(200, manifest, { "x-manifest-digest": digest }),
         }]);
         await using client = createOriginClient({ weightStoreBaseUrl: server.baseUrl });
         const result = await client.resolveManifest("scribe", "kin", "8");
         expectOutcome(result, ["MANIFEST_INVALID", false], "resolve manifest", server);
+        const read = await client.readManifest(computeDigest("another set"));
+        expectOutcome(read, ["MANIFEST_INVALID", false], "read manifest", server);
     });
 });
 
