Add the distribution benchmark and ports in memory for tests

Real transfer services run in several processes over loopback with simulated links. Requests for chunks no longer follow each exchange at once when no transfer can begin, and holders' shares are compared in steps, since equal old reports made all agents ask the same holder.

--- /dev/null
+++ b/bench/distribution.ts
@@ -0,0 +1,126 @@
+import { parseArgs } from "node:util";
+import type { TransferServiceOptions } from "../src/node/agent/transfer/index.js";
+import type { Objective } from "../src/types/index.js";
+import type { Method } from "./distribution/messages.js";
+import { computeBound, measureRun, type RunPlan, type RunResult } from "./distribution/run.js";
+import { listMissedTargets } from "./distribution/targets.js";
+
+const { values: flags } = parseArgs({
+    options: {
+        agents: { type: "string", default: "24" },
+        seed: { type: "string", default: "1" },
+        repeats: { type: "string", default: "1" },
+        json: { type: "boolean", default: false },
+        check: { type: "boolean", default: false },
+        /** Runs only the runs whose label contains the text. */
+        only: { type: "string", default: "" },
+        /** Options of the transfer service as JSON, to try variants of the policy. */
+        options: { type: "string", default: "{}" },
+    },
+});
+
+const agents = Number(flags.agents);
+const mebibyte = 1024 * 1024;
+/** More agents get slower links, so that the machine's processors are not what is measured. */
+const linkBytesPerSecond = Math.min(mebibyte, Math.round(48 * mebibyte / agents));
+const scale = {
+    totalBytes: linkBytesPerSecond * 16,
+    chunkBytes: Math.round(linkBytesPerSecond / 16),
+    linkBytesPerSecond,
+    originBytesPerSecond: linkBytesPerSecond * 4,
+};
+
+/**
+ * Times are a tenth of the service's defaults, since the set is transferred in 16 s here and in minutes in
+ * operation. Parts are a few milliseconds long on the slow link.
+ */
+const scaledOptions: TransferServiceOptions = {
+    stallAfter: 1_000,
+    originStallAfter: 5_000,
+    avoidSourceFor: 3_000,
+    originTakeoverAfter: 1_000,
+    exchangeInterval: 400,
+    exchangeTimeLimit: 1_000,
+    engineReadInterval: 1_000,
+    retryChokedAfter: 30,
+    tickInterval: 50,
+    maximumTransfers: 6,
+    partBytes: 4_096,
+};
+
+const scenarios: readonly { readonly method: Method; readonly objective: Objective; readonly faulty: boolean; }[] = [
+    { method: "swarm", objective: "time", faulty: false },
+    { method: "swarm", objective: "time", faulty: true },
+    { method: "swarm", objective: "origin-bytes", faulty: false },
+    { method: "swarm", objective: "origin-bytes", faulty: true },
+    { method: "origin-only", objective: "time", faulty: false },
+    { method: "origin-only", objective: "time", faulty: true },
+    { method: "binary-tree", objective: "time", faulty: false },
+    { method: "binary-tree", objective: "time", faulty: true },
+];
+
+function describe({ faulty, method, objective }: Pick<RunPlan, "faulty" | "method" | "objective">): string {
+    const detail = method === "swarm" ? ` ${objective}` : "";
+    return `${method}${detail} ${faulty ? "faults" : "clean"}`;
+}
+
+function formatResult(result: RunResult): string {
+    const seconds = result.seconds === undefined ? "unfinished" : `${result.seconds.toFixed(1)} s`;
+    return [
+        describe(result).padEnd(30),
+        `${result.completed}/${result.expected}`.padStart(8),
+        seconds.padStart(11),
+        (result.ratio?.toFixed(2) ?? "-").padStart(7),
+        result.originCopies.toFixed(2).padStart(8),
+        result.linkCopiesMean.toFixed(2).padStart(7),
+        result.linkCopiesMaximum.toFixed(2).padStart(7),
+        result.liveQuietMilliseconds.toFixed(1).padStart(8),
+        result.liveBurstMilliseconds.toFixed(1).padStart(8),
+        result.liveRatio.toFixed(2).padStart(7),
+    ].join(" ");
+}
+
+const header = [
+    "run".padEnd(30),
+    "complete".padStart(8),
+    "time to N".padStart(11),
+    "/bound".padStart(7),
+    "origin".padStart(8),
+    "link".padStart(7),
+    "max".padStart(7),
+    "p95 ms".padStart(8),
+    "burst".padStart(8),
+    "ratio".padStart(7),
+].join(" ");
+
+async function main(): Promise<void> {
+    const options = { ...scaledOptions, ...JSON.parse(flags.options) as TransferServiceOptions };
+    const results: RunResult[] = [];
+    if (!flags.json) {
+        const bound = computeBound(scale, agents);
+        console.log(
+            `${agents} agents in 3 availability zones, ${scale.totalBytes} bytes in chunks of ${scale.chunkBytes}, ` +
+                `links ${linkBytesPerSecond} B/s each way, origin ${scale.originBytesPerSecond} B/s, bound ${
+                    bound.toFixed(1)
+                } s`,
+        );
+        console.log(header);
+    }
+    for (let repeat = 0; repeat < Number(flags.repeats); repeat++) {
+        for (const scenario of scenarios.filter(candidate => describe(candidate).includes(flags.only))) {
+            const result = await measureRun({ ...scenario, agents, scale, options, seed: Number(flags.seed) + repeat });
+            results.push(result);
+            if (!flags.json) {
+                console.log(formatResult(result), JSON.stringify(result.events));
+            }
+        }
+    }
+    const missed = listMissedTargets(results);
+    console.log(flags.json ? JSON.stringify({ agents, scale, options, results, missed }, undefined, 2) : "");
+    for (const line of missed) {
+        console.error(`missed target: ${line}`);
+    }
+    process.exitCode = flags.check && missed.length > 0 ? 1 : 0;
+}
+
+await main();
--- /dev/null
+++ b/bench/distribution/benchPorts.ts
@@ -0,0 +1,99 @@
+import { err, ok } from "true-myth/result";
+import { Agent, request } from "undici";
+import type { LinkBudget } from "../../src/node/agent/transfer/index.js";
+import { createError, type Manifest, type OriginPort, type RandomSource } from "../../src/types/index.js";
+import { createMemoryEngine, type MemoryEngine } from "../../test/support/memoryPorts.js";
+
+/**
+ * Creates an origin port that reads from the benchmark's origin process.
+ *
+ * @param port - HTTP port of the origin process
+ * @returns the port
+ */
+export function createHttpOrigin(port: number): OriginPort {
+    const dispatcher = new Agent({ connections: 16 });
+    const address = `127.0.0.1:${port}`;
+    const fail = (step: string, cause: unknown) =>
+        err(createError("ORIGIN_UNREACHABLE", step, address, String(cause), { cause }));
+
+    async function readManifest() {
+        try {
+            const answer = await request(`http://${address}/manifest`, { dispatcher });
+            return ok(await answer.body.json() as Manifest);
+        }
+        catch (error) {
+            return fail("read manifest", error);
+        }
+    }
+
+    return {
+        resolveManifest: readManifest,
+        readManifest,
+        readChunk: async (digest, index, signal) => {
+            try {
+                const answer = await request(`http://${address}/chunk/${index}`, {
+                    dispatcher,
+                    ...(signal === undefined ? {} : { signal }),
+                });
+                return ok(new Uint8Array(await answer.body.arrayBuffer()));
+            }
+            catch (error) {
+                return fail(`read chunk ${index} of ${digest}`, error);
+            }
+        },
+    };
+}
+
+/**
+ * Creates an engine that returns a share of its chunks corrupt when they are read for an upload.
+ *
+ * @param corruptShare - probability of a corrupt chunk
+ * @param random - decides which
+ * @returns the engine
+ */
+export function createCorruptingEngine(corruptShare: number, random: RandomSource): MemoryEngine {
+    const engine = createMemoryEngine();
+    return {
+        ...engine,
+        readChunk: async (digest, index) => {
+            const content = await engine.readChunk(digest, index);
+            if (content.isErr || random.next() >= corruptShare) {
+                return content;
+            }
+            const changed = Uint8Array.from(content.value);
+            changed[0]! ^= 1;
+            return ok(changed);
+        },
+    };
+}
+
+/**
+ * Puts the byte budget for transfers in front of the simulated link that live requests also use.
+ *
+ * @param budget - budget for transfers
+ * @param link - the instance's link
+ * @param isStalled - true while nothing leaves the instance
+ * @returns budget that waits for both
+ */
+export function chainBudgets(budget: LinkBudget, link: LinkBudget, isStalled: () => boolean): LinkBudget {
+    return {
+        take: async (direction, bytes, signal) => {
+            if (direction === "outgoing" && isStalled()) {
+                return await waitForAbort(signal);
+            }
+            return await budget.take(direction, bytes, signal) && await link.take(direction, bytes, signal);
+        },
+        available: direction => budget.available(direction),
+    };
+}
+
+function waitForAbort(signal: AbortSignal | undefined): Promise<false> {
+    return new Promise(resolve => {
+        if (signal?.aborted === true) {
+            resolve(false);
+        }
+        signal?.addEventListener("abort", () => {
+            resolve(false);
+        }, { once: true });
+    });
+}
--- /dev/null
+++ b/bench/distribution/messages.ts
@@ -0,0 +1,75 @@
+import type { TransferServiceOptions } from "../../src/node/agent/transfer/index.js";
+import type { Objective, WeightSet } from "../../src/types/index.js";
+
+/** How an agent obtains the weights. */
+export type Method = "swarm" | "origin-only" | "binary-tree";
+
+/** Agent of a run. */
+export interface BenchAgent {
+    readonly instance: string;
+    readonly zone: string;
+    /** `host:port` of its gRPC server; empty until it listens. */
+    readonly address: string;
+    /** Port of its live HTTP server; 0 until it listens. */
+    readonly livePort: number;
+}
+
+/** Sizes and speeds of a run. */
+export interface RunScale {
+    readonly totalBytes: number;
+    readonly chunkBytes: number;
+    /** Speed of each direction of an agent's link. */
+    readonly linkBytesPerSecond: number;
+    readonly originBytesPerSecond: number;
+}
+
+/** Faults of a run. */
+export interface RunFaults {
+    /** Probability that a chunk arrives corrupt. */
+    readonly corruptShare: number;
+    /** Instances that are killed. */
+    readonly dying: readonly string[];
+    /** Instance whose outgoing link stalls; undefined for none. */
+    readonly stalled: string | undefined;
+    /** Time after the start at which links stall and instances die. */
+    readonly after: number;
+}
+
+/** What a child process is told. */
+export type ToChild =
+    | {
+        readonly kind: "start-agents";
+        readonly agents: readonly BenchAgent[];
+        readonly scale: RunScale;
+        readonly faults: RunFaults;
+        readonly method: Method;
+        readonly options: TransferServiceOptions;
+        readonly originPort: number;
+        readonly weights: WeightSet;
+        readonly seed: number;
+    }
+    | { readonly kind: "start-origin"; readonly scale: RunScale; readonly corruptShare: number; readonly seed: number; }
+    | { readonly kind: "start-client"; readonly ports: readonly number[]; readonly seed: number; }
+    | { readonly kind: "begin"; readonly agents: readonly BenchAgent[]; readonly objective: Objective; }
+    | { readonly kind: "mark-burst"; }
+    | { readonly kind: "finish"; };
+
+/** Bytes that crossed an agent's link for weights. */
+export interface AgentTotals {
+    readonly instance: string;
+    readonly receivedBytes: number;
+    readonly sentBytes: number;
+}
+
+/** What a child process reports. */
+export type FromChild =
+    | { readonly kind: "agents-listening"; readonly agents: readonly BenchAgent[]; }
+    | { readonly kind: "origin-listening"; readonly port: number; readonly weights: WeightSet; }
+    | { readonly kind: "client-started"; }
+    | { readonly kind: "complete"; readonly instance: string; readonly at: number; }
+    | { readonly kind: "agent-totals"; readonly totals: readonly AgentTotals[]; readonly eventCounts: EventCounts; }
+    | { readonly kind: "origin-totals"; readonly sentBytes: number; }
+    | { readonly kind: "latencies"; readonly quiet: readonly number[]; readonly burst: readonly number[]; };
+
+/** Number of log lines of each kind. */
+export type EventCounts = Readonly<Record<string, number>>;
--- a/src/node/agent/transfer/context.ts
+++ b/src/node/agent/transfer/context.ts
@@ -26,8 +26,8 @@
      * @param work - promise that never rejects
      */
     track(work: Promise<void>): void;
-    /** Calls `tick` soon. */
-    requestTick(): void;
+    /** Requests chunks soon, if transfers may begin. */
+    requestTransfers(): void;
     /**
      * Writes a log line.
      *
--- a/src/node/agent/transfer/downloads.ts
+++ b/src/node/agent/transfer/downloads.ts
@@ -114,7 +114,7 @@
                 set.transfers.delete(index);
                 set.controllers.delete(index);
             }
-            context.requestTick();
+            context.requestTransfers();
         }),
     );
 }
--- a/src/node/agent/transfer/engineSync.ts
+++ b/src/node/agent/transfer/engineSync.ts
@@ -51,7 +51,7 @@
         const unprepared = [...context.sets.values()].some(set => !set.prepared);
         const { engineReadInterval, engineReadIntervalUnprepared } = context.settings;
         readAt = context.clock.monotonic() + (unprepared ? engineReadIntervalUnprepared : engineReadInterval);
-        context.requestTick();
+        context.requestTransfers();
     }
 
     async function compare(set: WeightSetState, heldBefore: Uint8Array, state: EngineState): Promise<void> {
--- a/src/node/agent/transfer/exchanges.ts
+++ b/src/node/agent/transfer/exchanges.ts
@@ -72,7 +72,7 @@
         const bitfield = decodeBitfield(answer.value.bitfield, set.manifest?.chunks.length ?? 0);
         recordAvailability(peer, bitfield, Number(answer.value.sentBytes), now);
     }
-    context.requestTick();
+    context.requestTransfers();
 }
 
 /**
@@ -99,7 +99,7 @@
         if (peer !== undefined) {
             const chunks = set.manifest?.chunks.length ?? 0;
             recordAvailability(peer, decodeBitfield(bitfield, chunks), peer.sentBytes, now);
-            context.requestTick();
+            context.requestTransfers();
         }
         const response = create(AvailabilityResponseSchema, {
             bitfield: set.held,
--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -44,14 +44,14 @@
             work.add(promise);
             void promise.finally(() => work.delete(promise));
         },
-        requestTick: () => {
+        requestTransfers: () => {
             if (tickRequested || disposal.signal.aborted) {
                 return;
             }
             tickRequested = true;
             setImmediate(() => {
                 tickRequested = false;
-                tick();
+                runTargetTransfers();
             });
         },
         logEvent: (fields, message, set) => {
@@ -97,7 +97,6 @@
         }
         dropInactiveSets();
         engineSync.expire();
-        context.requestTick();
     }
 
     async function readManifest(set: WeightSetState): Promise<void> {
@@ -115,7 +114,6 @@
         // What peers reported before the manifest was known could not be decoded.
         set.exchangeAt.clear();
         set.neighboursAsked.clear();
-        context.requestTick();
     }
 
     function requestManifest(set: WeightSetState): void {
@@ -143,7 +141,11 @@
             return;
         }
         runExchanges(context, target);
-        if (target.prepared) {
+        runTargetTransfers();
+    }
+
+    function runTargetTransfers(): void {
+        if (target?.manifest !== undefined && target.prepared && !disposal.signal.aborted) {
             runTransfers(context, target, target.manifest);
         }
     }
--- a/src/runtime/distribution/selectTransfers.ts
+++ b/src/runtime/distribution/selectTransfers.ts
@@ -6,6 +6,9 @@
 /** Source name of the origin in transfers. */
 export const originSource = "origin";
 
+/** Steps of one copy in which the shares that holders have sent are compared. */
+const shareSteps = 10;
+
 /** Chunk that is neither held nor being transferred. */
 interface MissingChunk {
     readonly index: number;
@@ -32,16 +35,19 @@
 export function selectTransfers(input: TransferInput): TransferCommand[] {
     const commands = abandonStalled(input);
     const capacity = readCapacity(input, commands.length);
+    if (capacity.transfers <= 0 || capacity.budgetBytes <= 0) {
+        return commands;
+    }
     const missing = listMissing(input);
-    const readers = input.objective === "time" ? input.options.originReadersForTime : 1;
-    commands.push(...selectFirstReads(input, missing, capacity));
-    const requested = new Set(commands.map(({ index }) => index));
-    commands.push(...selectFromPeers(input, missing.filter(({ index }) => !requested.has(index)), capacity));
-    for (const { index } of commands) {
-        requested.add(index);
+    const steps = [selectFirstReads, selectFurtherReads, selectFromPeers, selectTakeovers];
+    const requested = new Set<number>();
+    for (const step of steps) {
+        const chosen = step(input, missing.filter(({ index }) => !requested.has(index)), capacity);
+        for (const { index } of chosen) {
+            requested.add(index);
+        }
+        commands.push(...chosen);
     }
-    const rest = missing.filter(({ index }) => !requested.has(index));
-    commands.push(...selectFurtherReads(input, rest, readers, capacity));
     return commands;
 }
 
@@ -118,41 +124,51 @@
     return commands;
 }
 
-/**
- * Chunks that peers cannot supply. A further reader reads a chunk that has fewer sources than wanted; anyone else takes
- * over when all readers before it have failed.
- */
+/** With the objective `time`: chunks with few sources of which this agent is a further reader. */
 function selectFurtherReads(
     input: TransferInput,
     missing: readonly MissingChunk[],
-    readers: number,
     capacity: Capacity,
 ): TransferCommand[] {
     const commands: TransferCommand[] = [];
+    const { objective, options, originReaders } = input;
+    if (objective !== "time") {
+        return commands;
+    }
     for (const { holders, index } of missing) {
-        if (holders.length >= readers || !mayReadOrigin(input, capacity) || capacity.transfers <= 0) {
+        if (holders.length >= options.sourcesForTime || !mayReadOrigin(input, capacity)) {
             break;
         }
-        const reason = findReadReason(input, index, holders.length, readers);
-        if (reason !== undefined && reserve(input, capacity, index)) {
+        if (originReaders.rankOf(index) < options.originReadersForTime && reserve(input, capacity, index)) {
             capacity.originTransfers--;
-            commands.push({ kind: "fetch-from-origin", index, reason });
+            commands.push({ kind: "fetch-from-origin", index, reason: "the chunk has too few sources" });
         }
     }
     return commands;
 }
 
-function findReadReason(input: TransferInput, index: number, holders: number, readers: number): string | undefined {
+/** Chunks that no known agent has, once all readers before this agent have failed. */
+function selectTakeovers(
+    input: TransferInput,
+    missing: readonly MissingChunk[],
+    capacity: Capacity,
+): TransferCommand[] {
+    const commands: TransferCommand[] = [];
     const { now, options, originReaders, peers, startedAt } = input;
-    if (originReaders.rankOf(index) < readers && readers > 1) {
-        return "the chunk has too few sources";
+    if (now - startedAt < options.originTakeoverAfter) {
+        return commands;
     }
-    if (holders > 0 || now - startedAt < options.originTakeoverAfter) {
-        return undefined;
+    for (const { holders, index } of missing) {
+        if (holders.length > 0 || !mayReadOrigin(input, capacity) || capacity.transfers <= 0) {
+            break;
+        }
+        const readersBefore = originReaders.readersBefore(index);
+        if (mayTakeOver({ readersBefore, peers, startedAt, now, options }) && reserve(input, capacity, index)) {
+            capacity.originTransfers--;
+            commands.push({ kind: "fetch-from-origin", index, reason: "the readers before have failed" });
+        }
     }
-    return mayTakeOver({ readersBefore: originReaders.readersBefore(index), peers, startedAt, now, options }) ?
-        "the readers before have failed" :
-        undefined;
+    return commands;
 }
 
 function selectFromPeers(
@@ -165,7 +181,7 @@
         if (capacity.transfers <= 0 || capacity.budgetBytes <= 0) {
             break;
         }
-        const peer = choosePeer(input, holders, index, capacity);
+        const peer = choosePeer(input, holders, capacity);
         if (peer === undefined || !reserve(input, capacity, index)) {
             continue;
         }
@@ -188,14 +204,16 @@
     return peer.sentBytes + manifest.chunks[index]!.bytes > options.uploadAllowanceCopies * manifest.totalBytes;
 }
 
-/** Among the holders, the one that has sent the least, counting what this agent is receiving from it. */
+/**
+ * Among the holders, the one that has sent the least, counting what this agent is receiving from it. Reports are
+ * somewhat old, so shares are compared in steps and equal ones at random: all agents would ask the same holder.
+ */
 function choosePeer(
     input: TransferInput,
     holders: readonly PeerRow[],
-    index: number,
     capacity: Capacity,
 ): PeerRow | undefined {
-    const { bytes } = input.manifest.chunks[index]!;
+    const { totalBytes } = input.manifest;
     let best: PeerRow | undefined;
     let bestShare = Infinity;
     for (const peer of holders) {
@@ -203,7 +221,8 @@
         if (peer.chokedUntil > input.now || running >= input.options.maximumTransfersFromPeer) {
             continue;
         }
-        const share = peer.sentBytes + running * bytes;
+        const steps = Math.floor(peer.sentBytes / totalBytes * shareSteps);
+        const share = steps + running + input.random.next();
         if (share < bestShare) {
             best = peer;
             bestShare = share;
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -16,7 +16,7 @@
     readonly maximumTransfersFromPeer: number;
     /** Transfers that one agent runs from the origin at once. Default: 2. */
     readonly maximumOriginTransfers: number;
-    /** Chunks that one agent sends at once; further requests are refused as choked. Default: 8. */
+    /** Chunks that one agent sends at once; further requests are refused as choked. Default: 16. */
     readonly maximumUploads: number;
     /** Copies that an agent sends before it refuses further chunks to requesters with other sources. Default: 1.1. */
     readonly uploadAllowanceCopies: number;
@@ -30,6 +30,11 @@
     readonly originTakeoverAfter: Milliseconds;
     /** Origin readers of each chunk with the objective `time`; `origin-bytes` has one. Default: 4. */
     readonly originReadersForTime: number;
+    /**
+     * Known holders of a chunk from which on it has enough sources, so that no further reader reads it from the origin
+     * with the objective `time`. Default: 8.
+     */
+    readonly sourcesForTime: number;
     /** Corrupt chunks from one source after which it is avoided. Default: 2. */
     readonly corruptChunksUntilAvoided: number;
     /** Neighbours with which an agent exchanges bitfields. Default: 8. */
