--- a/src/node/agent/transfer/downloads.ts
+++ b/src/node/agent/transfer/downloads.ts
@@ -4,6 +4,7 @@
     isComplete,
     originSource,
     recordCorruptChunk,
+    recordFailedTransfer,
     recordStall,
     removeChunk,
     selectTransfers,
@@ -192,18 +193,17 @@
         return;
     }
     const now = context.clock.monotonic();
-    if (error.code !== "CHUNK_REFUSED") {
-        // A broken connection says little about the peer; an exchange that fails too keeps it from being asked again.
-        peer.chokedUntil = now + computeBackoff(context, 1);
-        set.exchangeAt.set(row.source, now);
-        context.logEvent({ index: row.index, source: row.source, code: error.code }, "transfer failed", set);
+    if (error.code === "CHUNK_REFUSED" && error.message === "choked") {
+        peer.chokedUntil = now + context.settings.retryChokedAfter * (1 + context.random.next());
         return;
     }
-    if (error.message === "not-held") {
-        removeChunk(peer.bitfield, row.index);
-        return;
-    }
-    peer.chokedUntil = now + context.settings.retryChokedAfter * (1 + context.random.next());
+    // The peer may have lost the chunk or be gone, which the next exchange shows.
+    removeChunk(peer.bitfield, row.index);
+    set.exchangeAt.set(row.source, now);
+    peer.chokedUntil = now + computeBackoff(context, 1);
+    recordFailedTransfer(peer, now, context.options);
+    const { code, message } = error;
+    context.logEvent({ index: row.index, source: row.source, code, detail: message }, "transfer failed", set);
 }
 
 /** Verifies and stages a chunk. It counts as held only when the engine has it and nothing has changed meanwhile. */
@@ -216,6 +216,10 @@
         rejectChunk(context, set, row);
         return;
     }
+    const peer = set.peers.get(row.source);
+    if (peer !== undefined) {
+        peer.failedTransfers = 0;
+    }
     const { generation } = set;
     const staged = await context.backend.stageChunk(set.manifestDigest, row.index, content);
     if (staged.isErr) {
--- a/src/node/agent/transfer/uploads.ts
+++ b/src/node/agent/transfer/uploads.ts
@@ -92,7 +92,8 @@
         for (let offset = 0; offset < content.value.length; offset += partBytes) {
             const data = content.value.subarray(offset, offset + partBytes);
             if (!await input.linkBudget.take("outgoing", data.length, ended.signal) || call.cancelled) {
-                call.destroy();
+                // Ends the stream with an error status, so that the requester does not wait for the rest.
+                call.emit("error", new Error("the upload was ended"));
                 return sent;
             }
             sent += data.length;
--- a/src/node/agent/transfer/weightSetState.ts
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -158,6 +158,7 @@
         progressedAt: now,
         sentBytes: 0,
         corruptChunks: 0,
+        failedTransfers: 0,
         avoidedUntil: 0,
         chokedUntil: 0,
     };
--- a/src/runtime/distribution/sources.ts
+++ b/src/runtime/distribution/sources.ts
@@ -1,6 +1,9 @@
 import type { Milliseconds } from "../../types/index.js";
 import type { DistributionOptions, PeerRow } from "./types.js";
 
+/** Failed transfers in a row after which a source is avoided. */
+const failuresUntilAvoided = 2;
+
 /**
  * Counts a corrupt chunk against its source. From the limit on, each further one makes the source avoided for a time;
  * avoiding it for good would leave no source where a link corrupts chunks at random.
@@ -20,7 +23,23 @@
 }
 
 /**
- * Records a stalled transfer or a failed connection: the source is avoided for a time.
+ * Records a transfer that the source broke off or refused although it had reported the chunk. One says little; a source
+ * that fails twice without a chunk in between is avoided for a time, so that the chunk is requested elsewhere.
+ *
+ * @param peer - the source; changed in place
+ * @param now - monotonic time
+ * @param options - options of the transfer decision
+ */
+export function recordFailedTransfer(peer: PeerRow, now: Milliseconds, options: DistributionOptions): void {
+    peer.failedTransfers++;
+    if (peer.failedTransfers >= failuresUntilAvoided) {
+        peer.failedTransfers = 0;
+        recordStall(peer, now, options);
+    }
+}
+
+/**
+ * Records a stalled transfer: the source is avoided for a time.
  *
  * @param peer - the source; changed in place
  * @param now - monotonic time
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -56,6 +56,8 @@
     /** Bytes that the peer says it has sent for this set. */
     sentBytes: number;
     corruptChunks: number;
+    /** Transfers that failed since the last verified chunk. */
+    failedTransfers: number;
     /** Monotonic time until which the peer is not asked. */
     avoidedUntil: Milliseconds;
     /** Monotonic time until which the peer is not asked because it refused a chunk. */
