Record owners with each record, hash keys once, and tell lost connections apart

Cause: the agent recorded key owners once for a batch of log records, so a change of owners and back within one batch went unnoticed. The entry instance took an agent's refusal "connection-lost" for a crashed instance and made its request suspect.

--- a/bench/decisions/modules.ts
+++ b/bench/decisions/modules.ts
@@ -3,6 +3,7 @@
 import type { MeasurementModule } from "./measurement.js";
 import { measureRetry } from "./retry.js";
 import { measureRouting } from "./routing.js";
+import { measureState } from "./state.js";
 
 /** Parts of the benchmark in the order in which they run. */
 export const modules: readonly MeasurementModule[] = [
@@ -10,4 +11,5 @@
     measureAdmission,
     measureRetry,
     measureIdempotency,
+    measureState,
 ];
--- a/bench/decisions/state.ts
+++ b/bench/decisions/state.ts
@@ -1,5 +1,3 @@
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import {
     createInstanceTable,
     createProposerMemory,
@@ -18,16 +16,8 @@
     PlacementRecord,
 } from "../../src/types/index.js";
 import { createManualClock, createSeededRandom, createTable } from "../../src/utils/index.js";
-import type { ManualClock, Table } from "../../src/utils/index.js";
-
-/** One measured figure. */
-export interface BenchmarkRow {
-    readonly name: string;
-    readonly value: number;
-    readonly unit: string;
-    /** Largest value that is acceptable, in the same unit. */
-    readonly target?: number;
-}
+import type { ManualClock } from "../../src/utils/index.js";
+import { measureBytesPerRow, type Measurement } from "./measurement.js";
 
 const zoneCount = 10;
 const deploymentCount = 8;
@@ -43,7 +33,7 @@
  *
  * @returns the figures; times are medians
  */
-export function measureState(): BenchmarkRow[] {
+export function measureState(): readonly Measurement[] {
     return [...measureProposer(), measureFold(), ...measureRows()];
 }
 
@@ -121,7 +111,7 @@
     }
 }
 
-function measureProposer(): BenchmarkRow[] {
+function measureProposer(): Measurement[] {
     const times: Record<"first" | "steady" | "replacing", number[]> = { first: [], steady: [], replacing: [] };
     for (let repetition = 0; repetition < repetitions; repetition++) {
         const { input, clock } = createFleet();
@@ -142,10 +132,25 @@
     }
     const ranked = measureRanked();
     return [
-        { name: "proposer tick, first placement of 2,880 copies", value: median(times.first), unit: "ms", target: 50 },
-        { name: "proposer tick, 3,200 runners, no change", value: median(times.steady), unit: "ms", target: 50 },
-        { name: "proposer tick, 80 instances leaving", value: median(times.replacing), unit: "ms", target: 50 },
-        { name: "proposer tick at the default rank delay, mean of 120", value: ranked, unit: "ms" },
+        {
+            name: "proposer tick, first placement of 2,880 copies",
+            value: median(times.first),
+            unit: "milliseconds",
+            target: 50,
+        },
+        {
+            name: "proposer tick, 3,200 runners, no change",
+            value: median(times.steady),
+            unit: "milliseconds",
+            target: 50,
+        },
+        {
+            name: "proposer tick, 80 instances leaving",
+            value: median(times.replacing),
+            unit: "milliseconds",
+            target: 50,
+        },
+        { name: "proposer tick at the default rank delay, mean of 120", value: ranked, unit: "milliseconds" },
     ];
 }
 
@@ -215,7 +220,7 @@
     return { ...header, kind: "placement", configurationOffset: 1, copies, owners: [] };
 }
 
-function measureFold(): BenchmarkRow {
+function measureFold(): Measurement {
     const records: LogRecord[] = [];
     const bases = new Map<string, number>();
     for (let index = 0; index < foldedRecords; index++) {
@@ -229,10 +234,10 @@
     }
     const state = createFoldState();
     const elapsed = time(() => records.forEach(record => append(state, record)));
-    return { name: "fold of 100,000 records, 40 copies each", value: elapsed, unit: "ms" };
+    return { name: "fold of 100,000 records, 40 copies each", value: elapsed, unit: "milliseconds" };
 }
 
-function measureRows(): BenchmarkRow[] {
+function measureRows(): Measurement[] {
     const zones = { "zone-0": 36, "zone-1": 36 };
     return [
         measureTable("configuration", 2_000, index => {
@@ -267,22 +272,15 @@
     ];
 }
 
-function measureTable(
-    name: string,
-    size: number,
-    createRow: (index: number) => unknown,
-    table: Table<string, unknown> = createTable<string, unknown>(),
-): BenchmarkRow {
-    setFlagsFromString("--expose_gc");
-    const collectGarbage = runInNewContext("gc") as () => void;
-    collectGarbage();
-    const before = process.memoryUsage().heapUsed;
-    for (let index = 0; index < size; index++) {
-        table.set(`key-${index}`, createRow(index));
-    }
-    collectGarbage();
-    const bytes = (process.memoryUsage().heapUsed - before) / table.size;
-    return { name: `table row: ${name}`, value: Math.round(bytes), unit: "bytes" };
+function measureTable(name: string, size: number, createRow: (index: number) => unknown): Measurement {
+    const value = measureBytesPerRow(size, () => {
+        const table = createTable<string, unknown>();
+        for (let index = 0; index < size; index++) {
+            table.set(`key-${index}`, createRow(index));
+        }
+        return table;
+    });
+    return { name: `table row: ${name}`, value: Math.round(value), unit: "bytes" };
 }
 
 function time(run: () => void): number {
--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -25,6 +25,7 @@
 import type { ExecuteCall } from "./frames.js";
 import { createHoldKeeper } from "./holdKeeper.js";
 import { startLoadReports, type WatchLoadCall } from "./loadReports.js";
+import { followOwnership } from "./ownershipRecorder.js";
 import { createLinkBudget, createTransferService, type TransferService } from "./transfer/index.js";
 
 /** Running agent. */
@@ -181,6 +182,7 @@
     resources.use(http.value);
     observeAgent(context.metrics, { executor, transfer, reports });
 
+    followOwnership(context);
     store.onChange(() => copies.refreshAssignment());
     const timer = setInterval(() => {
         executor.expire();
--- a/src/node/agent/copySystem.ts
+++ b/src/node/agent/copySystem.ts
@@ -2,7 +2,6 @@
 import { type CopyStatus, CopyStatusSchema } from "../../generated/goldcrestpoint_pb.js";
 import type { ActivationDecision } from "../../runtime/activation/index.js";
 import type { HoldDecision } from "../../runtime/hold/index.js";
-import { createOwnershipHistory, recordOwners } from "../../runtime/idempotency/index.js";
 import type { CopyPhase, ManifestDigest } from "../../types/index.js";
 import { type AssignedCopy, findAssignment, type InstanceAssignment } from "./assignment.js";
 import type { AgentContext } from "./context.js";
@@ -86,7 +85,6 @@
 
     function refreshAssignment(): void {
         assignment = findAssignment(store.state, self);
-        recordOwnership(context, assignment.current);
         transfer.setTarget(createTransferTarget(context, assignment.current));
     }
 
@@ -213,18 +211,6 @@
     return newest;
 }
 
-function recordOwnership(context: AgentContext, current: AssignedCopy | undefined): void {
-    if (current === undefined) {
-        return;
-    }
-    const { clock, ownership, self } = context;
-    const now = clock.now().getTime();
-    const history = ownership.get(current.deployment) ??
-        createOwnershipHistory(self, now - (clock.monotonic() - context.startedAt));
-    ownership.set(current.deployment, history);
-    recordOwners(history, current.placement, now);
-}
-
 function createTransferTarget(context: AgentContext, current: AssignedCopy | undefined): TransferTarget | undefined {
     if (current?.copy.state !== "assigned" || current.copy.weights === undefined) {
         return undefined;
--- a/src/node/agent/executor.ts
+++ b/src/node/agent/executor.ts
@@ -207,12 +207,15 @@
         if (history === undefined) {
             return createRefusal("no", "not-key-owner");
         }
+        const now = clock.now().getTime();
+        const lapsedFor = clock.monotonic() - options.readServing().holdValidUntil;
         const decision = offerKey(ledger, history, {
             key: row.idempotencyKey,
             clientAccount: row.clientAccount,
             bodyDigest: row.fingerprint,
-            held: clock.monotonic() < options.readServing().holdValidUntil,
-            now: clock.now().getTime(),
+            held: lapsedFor < 0,
+            lapsedAt: now - lapsedFor,
+            now,
         });
         if (decision.kind === "refuse") {
             return decision.refusal;
--- a/src/node/entry/attempt.ts
+++ b/src/node/entry/attempt.ts
@@ -29,7 +29,13 @@
 /** How an attempt ended. */
 export type AttemptOutcome =
     | { readonly kind: "complete"; readonly start: ResponseStart; }
-    | { readonly kind: "failed"; readonly refusal: Refusal; readonly crash: CrashReport | undefined; };
+    | {
+        readonly kind: "failed";
+        readonly refusal: Refusal;
+        readonly crash: CrashReport | undefined;
+        /** True if the connection broke after the request was sent, so that no agent could report a crash. */
+        readonly connectionBroke: boolean;
+    };
 
 /** Input of {@link executeAttempt}. */
 export interface AttemptInput {
@@ -84,7 +90,7 @@
                     return createFailure("unknown", "answer-mismatched");
             }
         }
-        return createFailure("unknown", "connection-lost");
+        return createFailure("unknown", "connection-lost", true);
     }
     catch (error) {
         return signal.aborted ? createFailure("unknown", "canceled") : explainFailure(error as ServiceError, sequence);
@@ -94,8 +100,8 @@
     }
 }
 
-function createFailure(ran: RanState, reason: RefusalReason, crash?: CrashReport): AttemptOutcome {
-    return { kind: "failed", refusal: { ran, reason, retryAfterSeconds: 1 }, crash };
+function createFailure(ran: RanState, reason: RefusalReason, connectionBroke = false): AttemptOutcome {
+    return { kind: "failed", refusal: { ran, reason, retryAfterSeconds: 1 }, crash: undefined, connectionBroke };
 }
 
 function readRefusal(message: RefusalMessage): AttemptOutcome {
@@ -114,6 +120,7 @@
                 alone: message.fingerprintsInProgress.length === 1,
             } :
             undefined,
+        connectionBroke: false,
     };
 }
 
@@ -127,5 +134,7 @@
     if (notSent) {
         return createFailure("no", "connection-lost");
     }
-    return createFailure("unknown", error.code === status.DEADLINE_EXCEEDED ? "deadline-passed" : "connection-lost");
+    return error.code === status.DEADLINE_EXCEEDED ?
+        createFailure("unknown", "deadline-passed") :
+        createFailure("unknown", "connection-lost", true);
 }
--- a/src/node/entry/requestPipeline.ts
+++ b/src/node/entry/requestPipeline.ts
@@ -281,7 +281,7 @@
         if (outcome.crash !== undefined) {
             sharing.noteCrash(outcome.crash);
         }
-        else if (refusal.ran === "unknown" && refusal.reason === "connection-lost") {
+        else if (outcome.connectionBroke) {
             sharing.noteCrash(losses.noteLoss(choice.instance, row.fingerprint, attempts.alone));
         }
         attempts.mayHaveRun ||= refusal.ran === "unknown";
--- a/src/node/relay/stateStore.ts
+++ b/src/node/relay/stateStore.ts
@@ -47,6 +47,12 @@
     entriesAfter(offset: Offset): readonly LogEntry[] | undefined;
     /** @returns the state as a snapshot for a peer */
     takeSnapshot(): StateSnapshot;
+    /**
+     * Calls a listener for each entry, right after it was folded and before the next one is.
+     *
+     * @param listener - gets the entry
+     */
+    onEntry(listener: (entry: LogEntry) => void): void;
     /**
      * Calls a listener after each change of the state.
      *
@@ -66,6 +72,7 @@
     let recent: LogEntry[] = [];
     // The offset before the first kept entry; followers at or after it can be served with entries.
     let recentBase: Offset = 0;
+    const entryListeners: ((entry: LogEntry) => void)[] = [];
     const listeners: ((entries: readonly LogEntry[]) => void)[] = [];
 
     function notify(entries: readonly LogEntry[]): void {
@@ -105,6 +112,7 @@
                     break;
                 }
                 applied.push(entry);
+                entryListeners.forEach(listener => listener(entry));
             }
             if (applied.length > 0) {
                 keep(applied);
@@ -138,6 +146,9 @@
             return recent.filter(entry => entry.offset > offset);
         },
         takeSnapshot: () => exportSnapshot(state),
+        onEntry: listener => {
+            entryListeners.push(listener);
+        },
         onChange: listener => {
             listeners.push(listener);
         },
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -101,6 +101,12 @@
             initial: 4,
             documentation: "Origin readers of each chunk with the objective `time`; `origin-bytes` has one.",
         }),
+        sourcesForTime: defineInteger({
+            minimum: 1,
+            maximum: 64,
+            initial: 8,
+            documentation: "Sources of a chunk from which on the origin is no longer read with the objective `time`.",
+        }),
         corruptChunksUntilAvoided: defineInteger({
             minimum: 1,
             maximum: 100,
--- a/src/runtime/idempotency/keys.ts
+++ b/src/runtime/idempotency/keys.ts
@@ -1,5 +1,5 @@
 import type { InstanceId, Milliseconds, RandomSource } from "../../types/index.js";
-import { scoreRendezvous } from "../../utils/index.js";
+import { createRendezvousScore } from "../../utils/index.js";
 
 const keyPattern = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/;
 
@@ -44,10 +44,11 @@
  * @returns the owner with the highest rendezvous score; undefined if there are no owners
  */
 export function resolveKeyOwner(owners: readonly InstanceId[], key: string): InstanceId | undefined {
+    const readScore = createRendezvousScore(key);
     let best: InstanceId | undefined;
     let bestScore = -1;
     for (const owner of owners) {
-        const score = scoreRendezvous(key, owner);
+        const score = readScore(owner);
         if (score > bestScore || (score === bestScore && best !== undefined && owner < best)) {
             best = owner;
             bestScore = score;
--- a/src/runtime/placement/rank.ts
+++ b/src/runtime/placement/rank.ts
@@ -1,5 +1,5 @@
 import type { DeploymentName, InstanceId } from "../../types/index.js";
-import { scoreRendezvous } from "../../utils/index.js";
+import { createRendezvousScore } from "../../utils/index.js";
 
 /**
  * Ranks an entry instance among the proposers of a deployment.
@@ -10,10 +10,11 @@
  * @returns number of entry instances that come first; 0 for the first
  */
 export function rankProposer(deployment: DeploymentName, self: InstanceId, entries: Iterable<InstanceId>): number {
-    const ownScore = scoreRendezvous(deployment, self);
+    const readScore = createRendezvousScore(deployment);
+    const ownScore = readScore(self);
     let rank = 0;
     for (const entry of entries) {
-        const score = scoreRendezvous(deployment, entry);
+        const score = readScore(entry);
         if (score > ownScore || (score === ownScore && entry < self)) {
             rank++;
         }
--- a/src/runtime/routing/subset.ts
+++ b/src/runtime/routing/subset.ts
@@ -1,5 +1,5 @@
 import type { AvailabilityZone, DeploymentName, InstanceId, Region } from "../../types/index.js";
-import { scoreRendezvous } from "../../utils/index.js";
+import { createRendezvousScore, scoreRendezvous } from "../../utils/index.js";
 import type { RunnerRow, RunnerSubset, SubsetCandidate, SubsetInput } from "./types.js";
 
 /** Share of the subset that is kept for other availability zones, so that the loss of the own zone leaves candidates. */
@@ -25,13 +25,13 @@
 
 /** Ranks candidates by distance, then by rendezvous hash. */
 function rankCandidates(input: SubsetInput, avoided: boolean): RankedCandidate[] {
-    const key = `${input.entry}/${input.deployment}`;
+    const readScore = createRendezvousScore(`${input.entry}/${input.deployment}`);
     return input.candidates
         .filter(candidate => (candidate.avoided === true) === avoided)
         .map(candidate => ({
             candidate,
             distance: measureDistance(candidate, input.zone, input.region),
-            score: scoreRendezvous(key, candidate.instance),
+            score: readScore(candidate.instance),
         }))
         .sort(compareRanked);
 }
--- a/src/utils/digest.ts
+++ b/src/utils/digest.ts
@@ -17,25 +17,42 @@
 const fnvOffsetBasis = 0x811C9DC5;
 const fnvPrime = 0x01000193;
 
+function extendHash(hash: number, text: string): number {
+    let extended = hash;
+    for (let index = 0; index < text.length; index++) {
+        extended = Math.imul(extended ^ text.charCodeAt(index), fnvPrime);
+    }
+    return extended;
+}
+
+/** FNV-1a alone mixes the last characters too little to rank candidates that differ only there. */
+function finishHash(hash: number): number {
+    let mixed = Math.imul(hash ^ (hash >>> 16), 0x85EBCA6B);
+    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xC2B2AE35);
+    return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
+/**
+ * Creates the scores of candidates for rendezvous hashing: each key ranks all candidates by descending score, and a
+ * change of the candidates moves only the keys of those that came or went. The key is hashed once.
+ *
+ * @param key - what is assigned
+ * @returns function from a candidate to its unsigned 32-bit score
+ */
+export function createRendezvousScore(key: string): (candidate: string) => number {
+    const keyHash = extendHash(extendHash(fnvOffsetBasis, key), "\u0000");
+    return candidate => finishHash(extendHash(keyHash, candidate));
+}
+
 /**
- * Scores a candidate for rendezvous hashing: each key ranks all candidates by descending score, and a change of the
- * candidates moves only the keys of those that came or went.
+ * Scores one candidate for rendezvous hashing; see {@link createRendezvousScore}.
  *
  * @param key - what is assigned
  * @param candidate - whom it may be assigned to
  * @returns unsigned 32-bit score
  */
 export function scoreRendezvous(key: string, candidate: string): number {
-    let hash = fnvOffsetBasis;
-    for (const text of [key, "\u0000", candidate]) {
-        for (let index = 0; index < text.length; index++) {
-            hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
-        }
-    }
-    // FNV-1a alone mixes the last characters too little to rank candidates that differ only there.
-    hash = Math.imul(hash ^ (hash >>> 16), 0x85EBCA6B);
-    hash = Math.imul(hash ^ (hash >>> 13), 0xC2B2AE35);
-    return (hash ^ (hash >>> 16)) >>> 0;
+    return createRendezvousScore(key)(candidate);
 }
 
 /**
@@ -46,8 +63,9 @@
  * @returns the candidates, best first; ties go to the smaller identifier
  */
 export function rankByRendezvous(key: string, candidates: readonly string[]): string[] {
+    const score = createRendezvousScore(key);
     return candidates
-        .map(candidate => ({ candidate, score: scoreRendezvous(key, candidate) }))
+        .map(candidate => ({ candidate, score: score(candidate) }))
         .sort((left, right) => right.score - left.score || (left.candidate < right.candidate ? -1 : 1))
         .map(({ candidate }) => candidate);
 }
