--- a/src/runtime/placement/assess.ts
+++ b/src/runtime/placement/assess.ts
@@ -135,7 +135,7 @@
 }
 
 function findConflict(tick: Tick, deployment: string, copy: CopyAssignment): string | undefined {
-    const holdings = tick.holdings.get(copy.instance) ?? [];
+    const holdings = tick.readHoldings().get(copy.instance) ?? [];
     return holdings.find(holding =>
         holding.deployment !== deployment && holding.state === "assigned" && holding.epoch < copy.epoch
     )?.deployment;
--- a/src/runtime/placement/copies.ts
+++ b/src/runtime/placement/copies.ts
@@ -74,11 +74,12 @@
 /** Lists instances that can take a copy: live, heard a short time ago and held by no deployment. */
 function collectCandidates(tick: Tick, configuration: ConfigurationRow): Map<string, InstanceId[]> {
     const { instances, observations } = tick.input;
+    const holdings = tick.readHoldings();
     const byZone = new Map<string, InstanceId[]>();
     for (const instance of instances.lookup("pool", configuration.pool)) {
         const row = instances.get(instance)!;
         const isFree = row.role === "backend-server" && row.state === "live" && row.absentReads === 0 &&
-            !tick.holdings.has(instance) && readWanted(configuration, row.zone) > 0;
+            !holdings.has(instance) && readWanted(configuration, row.zone) > 0;
         if (!isFree || !isReachable(tick, instance) || !isIdle(observations.get(instance)!)) {
             continue;
         }
--- a/src/runtime/placement/tick.ts
+++ b/src/runtime/placement/tick.ts
@@ -21,7 +21,10 @@
     /** Monotonic time. */
     readonly now: Milliseconds;
     readonly observingSince: Milliseconds;
-    readonly holdings: ReadonlyMap<InstanceId, readonly Holding[]>;
+    /** Copies by instance; collected at the first call, since few ticks need them. */
+    readonly readHoldings: () => ReadonlyMap<InstanceId, readonly Holding[]>;
+    /** Entry instances that were not heard; collected at the first call. */
+    readonly readSilentEntries: () => ReadonlySet<InstanceId>;
     readonly entries: readonly InstanceRow[];
 }
 
@@ -43,13 +46,28 @@
     const entries = [...instances.lookup("role", "entry")]
         .map(instance => instances.get(instance)!)
         .filter(row => row.state === "live");
-    return {
+    const tick: Tick = {
         input,
         now,
         observingSince: memory.observingSince,
-        holdings: collectHoldings(input),
+        readHoldings: readOnce(() => collectHoldings(input)),
+        readSilentEntries: readOnce(() => collectSilentEntries(tick)),
         entries,
     };
+    return tick;
+}
+
+function readOnce<Value>(read: () => Value): () => Value {
+    let known: { readonly value: Value; } | undefined;
+    return () => (known ??= { value: read() }).value;
+}
+
+function collectSilentEntries(tick: Tick): Set<InstanceId> {
+    const { self, options } = tick.input;
+    const silent = tick.entries.filter(({ instance }) =>
+        instance !== self && measureSilence(tick, instance) >= options.unreachableAfter
+    );
+    return new Set(silent.map(({ instance }) => instance));
 }
 
 /**
@@ -60,14 +78,14 @@
 export function endTick(tick: Tick): void {
     const { memory, instances } = tick.input;
     for (const instance of memory.unheardSince.keys()) {
-        if (!tick.holdings.has(instance) && !instances.has(instance)) {
+        if (!instances.has(instance) && !tick.readHoldings().has(instance)) {
             memory.unheardSince.delete(instance);
         }
     }
     if (memory.confirmations.size === 0) {
         return;
     }
-    const held = [...tick.holdings].flatMap(([instance, holdings]) =>
+    const held = [...tick.readHoldings()].flatMap(([instance, holdings]) =>
         holdings.map(({ deployment, epoch }) => createCopyKey(deployment, instance, epoch))
     );
     const keys = new Set(held);
--- a/src/runtime/placement/witnesses.ts
+++ b/src/runtime/placement/witnesses.ts
@@ -23,8 +23,11 @@
 ): InstanceId[] {
     const region = findRegion(tick, zone);
     const ranked = tick.entries
-        .map(entry => ({ entry, order: rankEntry(tick, entry, keep, zone, region) }))
-        .map(({ entry, order }) => ({ entry, order, score: scoreRendezvous(`${deployment}/${zone}`, entry.instance) }))
+        .map(entry => ({
+            entry,
+            order: rankEntry(tick, entry, keep, zone, region),
+            score: scoreRendezvous(`${deployment}/${zone}`, entry.instance),
+        }))
         .sort((left, right) =>
             left.order - right.order || right.score - left.score ||
             (left.entry.instance < right.entry.instance ? -1 : 1)
@@ -42,10 +45,8 @@
     if (keep.includes(entry.instance)) {
         return 0;
     }
-    const isSilent = entry.instance !== tick.input.self &&
-        measureSilence(tick, entry.instance) >= tick.input.options.unreachableAfter;
     const distance = entry.zone === zone ? 1 : entry.region === region ? 2 : 3;
-    return isSilent ? distance + 3 : distance;
+    return tick.readSilentEntries().has(entry.instance) ? distance + 3 : distance;
 }
 
 function findRegion(tick: Tick, zone: string): string | undefined {
--- a/test/runtime/placement/rules.test.ts
+++ b/test/runtime/placement/rules.test.ts
@@ -145,6 +145,25 @@
         expect(world.log.length).toEqual(settled);
     });
 
+    // Guards against plain services that wait for weights, or that own no keys.
+    it("places plain services without weights", () => {
+        const world = createWorld({ "zone-a": 2 });
+        world.run(3);
+        const declaration = { schemaVersion: 1, kind: "service", replicas: { "zone-a": 1 }, pool: "scribe" } as const;
+        const header = {
+            id: "service",
+            deployment: "members",
+            base: 0,
+            writtenAt: "2026-01-01T00:00:00Z",
+            writer: "operator",
+        };
+        world.append({ ...header, kind: "configuration", declaration });
+        world.run(10);
+        const { copies, owners } = world.readPlacement("members")!;
+        expect(copies.map(({ weights }) => weights)).toEqual([undefined]);
+        expect(owners).toEqual([copies[0]!.instance]);
+    });
+
     // Guards against an update that takes a whole zone out of service, and against one that never ends.
     it("updates copies where they are, a few at a time if the update is rolling", () => {
         for (const updateStrategy of ["rolling", "in-place"] as const) {
