--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -149,6 +149,7 @@
         random,
         logger,
         shouldRead: () => relaysSilent() && clock.monotonic() > directReadAt,
+        retention: settings.placement.retention,
         waitMilliseconds: platform.logWait,
     }));
     resources.use(startInstanceListReader({
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -37,6 +37,8 @@
     drain(): Promise<void>;
 }
 
+/** Time between two runs of the systems that look at every deployment, unless the state has changed. */
+const slowTickInterval = 500;
 /** Time between two looks at the requests in progress during a drain. */
 const drainCheckInterval = 50;
 
@@ -119,6 +121,7 @@
         random,
         logger,
         shouldRead: () => isLogReader(context) || relaysSilent(),
+        retention: settings.placement.retention,
         waitMilliseconds: settings.platform.logWait,
     }));
     resources.use(startInstanceListReader({
@@ -136,12 +139,20 @@
         },
     }));
 
-    store.onChange(() => directory.refresh());
     const proposer = createProposerDuty(context);
+    let changed = true;
+    store.onChange(() => {
+        changed = true;
+    });
+    let slowTickAt = 0;
     const timer = setInterval(() => {
-        directory.refresh();
-        proposer.tick();
         pipeline.expire();
+        if (changed || clock.monotonic() >= slowTickAt) {
+            changed = false;
+            slowTickAt = clock.monotonic() + slowTickInterval;
+            directory.refresh();
+            proposer.tick();
+        }
     }, settings.relay.tick);
     resources.defer(() => clearInterval(timer));
 
--- a/src/node/relay/logReader.ts
+++ b/src/node/relay/logReader.ts
@@ -13,6 +13,8 @@
     readonly logger: Logger;
     /** Whether this process reads the log itself now; asked before each read. */
     readonly shouldRead: () => boolean;
+    /** Time for which the log keeps records. */
+    readonly retention: Milliseconds;
     /** Time that the log service may wait for a new record. Default: 2,000 ms. */
     readonly waitMilliseconds?: Milliseconds;
     /** Time between reads that fail, at first; doubled up to eight times, with jitter. Default: 500 ms. */
@@ -60,7 +62,7 @@
         failures = 0;
         truncated = false;
         const { firstOffset, headOffset, entries } = page.value;
-        beginAfterTruncation(store.state, firstOffset);
+        beginAfterTruncation(store.state, firstOffset, options.retention);
         const outcome = store.applyEntries(entries);
         if (outcome === "gap") {
             options.logger.warn({ appliedOffset: store.state.appliedOffset, firstOffset }, "log has lost records");
--- a/src/node/settings/settings.ts
+++ b/src/node/settings/settings.ts
@@ -27,7 +27,16 @@
 /** Settings of an agent. Durations are in milliseconds. */
 export type AgentSettings = Pick<
     AllSettings,
-    "instance" | "platform" | "relay" | "hold" | "backendServer" | "distribution" | "admission" | "idempotency" | "log"
+    | "instance"
+    | "platform"
+    | "relay"
+    | "hold"
+    | "placement"
+    | "backendServer"
+    | "distribution"
+    | "admission"
+    | "idempotency"
+    | "log"
 >;
 
 /** Settings of the stand-ins. Durations are in milliseconds. */
@@ -116,6 +125,7 @@
         platform: all.platform,
         relay: all.relay,
         hold: all.hold,
+        placement: all.placement,
         backendServer: all.backendServer,
         distribution: all.distribution,
         admission: all.admission,
