--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import {
     countChunks,
     isComplete,
@@ -23,6 +24,8 @@
  */
 export function createTransferService(input: TransferServiceInput): TransferService {
     const disposal = new AbortController();
+    // Each upload in progress listens to it.
+    setMaxListeners(0, disposal.signal);
     const work = new Set<Promise<void>>();
     const sets = new Map<ManifestDigest, WeightSetState>();
     let target: WeightSetState | undefined;
--- a/src/runtime/distribution/budget.ts
+++ b/src/runtime/distribution/budget.ts
@@ -12,9 +12,9 @@
     readonly bytesPerSecond: number;
     /** Share of the link that transfers may use while no request is in progress. Default: 0.95. */
     readonly idleShare: number;
-    /** Share that transfers may use while requests are in progress. Default: 0.85. */
+    /** Share that transfers may use while requests are in progress. Default: 0.5. */
     readonly busyShare: number;
-    /** Time for which unused bytes are kept. Default: 20 ms. */
+    /** Time for which unused bytes are kept. Default: 10 ms. */
     readonly burst: Milliseconds;
 }
 
@@ -30,8 +30,8 @@
     return {
         bytesPerSecond: partial.bytesPerSecond,
         idleShare: partial.idleShare ?? 0.95,
-        busyShare: partial.busyShare ?? 0.85,
-        burst: partial.burst ?? 20,
+        busyShare: partial.busyShare ?? 0.5,
+        burst: partial.burst ?? 10,
     };
 }
 
--- a/src/runtime/distribution/manifest.ts
+++ b/src/runtime/distribution/manifest.ts
@@ -3,7 +3,7 @@
 import { computeDigest } from "../../utils/index.js";
 
 /** Chunk size that `createManifest` uses by default, in bytes. */
-export const defaultChunkBytes = 4 * 1024 * 1024;
+export const defaultChunkBytes = 2 * 1024 * 1024;
 
 /** Names of the weights that a manifest describes. */
 export interface WeightNames {
@@ -18,7 +18,7 @@
  *
  * @param names - model, adapter and version
  * @param content - the whole set, or its chunks in order
- * @param chunkBytes - size of every chunk but the last when `content` is the whole set; default: 4 MiB
+ * @param chunkBytes - size of every chunk but the last when `content` is the whole set; default: 2 MiB
  * @returns the manifest
  */
 export function createManifest(
--- a/src/runtime/distribution/options.ts
+++ b/src/runtime/distribution/options.ts
@@ -8,8 +8,8 @@
  */
 export function resolveDistributionOptions(partial: Partial<DistributionOptions> = {}): DistributionOptions {
     return {
-        maximumTransfers: partial.maximumTransfers ?? 8,
-        maximumTransfersFromPeer: partial.maximumTransfersFromPeer ?? 2,
+        maximumTransfers: partial.maximumTransfers ?? 12,
+        maximumTransfersFromPeer: partial.maximumTransfersFromPeer ?? 1,
         maximumOriginTransfers: partial.maximumOriginTransfers ?? 2,
         maximumUploads: partial.maximumUploads ?? 16,
         uploadAllowanceCopies: partial.uploadAllowanceCopies ?? 1.1,
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -10,9 +10,15 @@
 
 /** Options of the transfer decision. */
 export interface DistributionOptions {
-    /** Transfers that one agent runs at once. Default: 8. */
+    /**
+     * Transfers that one agent runs at once. Default: 12. With fewer, some uplinks idle by chance: the simulated time to
+     * 24 copies was 1.55 times the bound with 4 transfers, 1.33 with 6 and 1.08 with 12.
+     */
     readonly maximumTransfers: number;
-    /** Transfers that one agent runs from the same peer at once. Default: 2. */
+    /**
+     * Transfers that one agent runs from the same peer at once. Default: 1. With 2, the load on the holders was less
+     * even: 1.12 times the bound instead of 1.08.
+     */
     readonly maximumTransfersFromPeer: number;
     /** Transfers that one agent runs from the origin at once. Default: 2. */
     readonly maximumOriginTransfers: number;
