--- a/bench/distribution/agentProcess.ts
+++ b/bench/distribution/agentProcess.ts
@@ -175,3 +175,6 @@
         void startAgents(message);
     }
 });
+
+// The parent may end without ending its children, for example on a signal.
+process.once("disconnect", () => process.exit());
--- a/bench/distribution/clientProcess.ts
+++ b/bench/distribution/clientProcess.ts
@@ -56,3 +56,6 @@
         startClient(message);
     }
 });
+
+// The parent may end without ending its children, for example on a signal.
+process.once("disconnect", () => process.exit());
--- a/bench/distribution/originProcess.ts
+++ b/bench/distribution/originProcess.ts
@@ -73,3 +73,6 @@
         startOrigin(message);
     }
 });
+
+// The parent may end without ending its children, for example on a signal.
+process.once("disconnect", () => process.exit());
