Test the operator commands with the real fold and compare the settings' defaults

The tests of the operator commands used a simplified fold, written before src/runtime/state existed. They now use the fold itself. A new test compares the defaults of the settings with those of the resolve functions for placement, distribution, routing, admission, retry and idempotency; they agree.

--- a/test/node/cli/apply.test.ts
+++ b/test/node/cli/apply.test.ts
@@ -4,8 +4,8 @@
 import { join } from "node:path";
 import { after, describe, it } from "node:test";
 import type { ExitCode } from "../../../src/node/cli/exitCodes.js";
+import * as fold from "../../../src/runtime/state/index.js";
 import type { ConfigurationRecord, LogRecord } from "../../../src/types/index.js";
-import { loadFold } from "./fold.js";
 import { type AppendFault, createCommandRunner, createMemoryLog, type MemoryLog } from "./support.js";
 
 const folder = mkdtempSync(join(tmpdir(), "goldcrestpoint-"));
@@ -18,7 +18,6 @@
     return path;
 }
 
-const fold = await loadFold();
 const version7 = writeDeclaration("7");
 const version8 = writeDeclaration("8");
 const version9 = writeDeclaration("9");
--- a/test/node/cli/commandLine.test.ts
+++ b/test/node/cli/commandLine.test.ts
@@ -7,10 +7,9 @@
 import type { EntryAnswer } from "../../../src/node/cli/types.js";
 import { allSections, renderSettingsDocumentation } from "../../../src/node/settings/index.js";
 import type { SectionTable } from "../../../src/node/settings/resolveSections.js";
-import { loadFold } from "./fold.js";
+import * as fold from "../../../src/runtime/state/index.js";
 import { createCommandRunner, createMemoryLog } from "./support.js";
 
-const fold = await loadFold();
 const entryUrls = ["http://a:1", "http://b:1"];
 const setEntries = ["--set", `operator.entryUrls=${entryUrls.join(",")}`];
 const zone = {
--- a/test/node/cli/examples.test.ts
+++ b/test/node/cli/examples.test.ts
@@ -5,13 +5,13 @@
 import { operatorCommands } from "../../../src/node/cli/commandTable.js";
 import { parseDeclaration } from "../../../src/node/declaration/index.js";
 import { listIniValues, readIniFile } from "../../../src/node/settings/index.js";
+import * as fold from "../../../src/runtime/state/index.js";
 import { expectOk } from "../support.js";
-import { loadFold } from "./fold.js";
 import { createCommandRunner, createMemoryLog } from "./support.js";
 
 const folder = fileURLToPath(new URL("../../../examples/", import.meta.url));
 const files = readdirSync(folder, { recursive: true, encoding: "utf8" }).filter(name => name.endsWith(".ini")).sort();
-const run = createCommandRunner(createMemoryLog(), await loadFold());
+const run = createCommandRunner(createMemoryLog(), fold);
 
 describe("examples", () => {
     // Guards against examples that lag behind the settings and declarations.
--- a/test/node/cli/logReader.test.ts
+++ b/test/node/cli/logReader.test.ts
@@ -2,12 +2,10 @@
 import { describe, it } from "node:test";
 import { createLogReader } from "../../../src/node/cli/logReader.js";
 import type { FoldPort } from "../../../src/node/cli/types.js";
+import * as fold from "../../../src/runtime/state/index.js";
 import type { ConfigurationRecord } from "../../../src/types/index.js";
-import { loadFold } from "./fold.js";
 import { createMemoryLog } from "./support.js";
 
-const fold = await loadFold();
-
 function createRecord(id: string, base: number): ConfigurationRecord {
     return {
         kind: "configuration",
--- a/test/node/settings/settings.test.ts
+++ b/test/node/settings/settings.test.ts
@@ -6,11 +6,12 @@
     type SettingsProblem,
     type SettingsSources,
 } from "../../../src/node/settings/index.js";
-import type { AdmissionOptions } from "../../../src/runtime/admission/types.js";
-import type { DistributionOptions } from "../../../src/runtime/distribution/types.js";
-import type { LedgerOptions } from "../../../src/runtime/idempotency/types.js";
-import type { RetryOptions } from "../../../src/runtime/retry/types.js";
-import type { RoutingOptions } from "../../../src/runtime/routing/types.js";
+import { type AdmissionOptions, resolveAdmissionOptions } from "../../../src/runtime/admission/index.js";
+import { type DistributionOptions, resolveDistributionOptions } from "../../../src/runtime/distribution/index.js";
+import { type LedgerOptions, resolveLedgerOptions } from "../../../src/runtime/idempotency/index.js";
+import { resolvePlacementOptions } from "../../../src/runtime/placement/index.js";
+import { resolveRetryOptions, type RetryOptions } from "../../../src/runtime/retry/index.js";
+import { resolveRoutingOptions, type RoutingOptions } from "../../../src/runtime/routing/index.js";
 import { expectOk } from "../support.js";
 
 function createSources(content = "", environment: Record<string, string> = {}, flags: Record<string, string> = {}) {
@@ -141,4 +142,23 @@
         );
         expect(agent.instance.id).toEqual(agent.instance.grpcAddress);
     });
+
+    // Guards against a process that runs with other defaults than the decision functions and their tests.
+    const entry = expectOk(resolveEntrySettings(createSources()));
+    const agent = expectOk(resolveAgentSettings(createSources()));
+    const { linkBytesPerSecond } = agent.distribution;
+    const defaults: readonly (readonly [section: string, settings: object, options: object])[] = [
+        ["placement", entry.placement, resolvePlacementOptions()],
+        ["distribution", agent.distribution, { ...resolveDistributionOptions(), linkBytesPerSecond }],
+        ["routing", entry.routing, resolveRoutingOptions()],
+        ["admission of entry instances", entry.admission, resolveAdmissionOptions()],
+        ["admission of agents", agent.admission, resolveAdmissionOptions()],
+        ["retry", entry.retry, resolveRetryOptions()],
+        ["idempotency", agent.idempotency, resolveLedgerOptions()],
+    ];
+    for (const [section, settings, options] of defaults) {
+        it(`have the defaults of the decision functions: ${section}`, () => {
+            expect(settings).toEqual(options);
+        });
+    }
 });
