Give each process of the harness its own range of ports and report programs that end at their start

One demo run waited 60 s for an entry instance that never answered; the harness hid whether it had ended. The wait now fails at once with the exit code and the last lines of a program that has ended. Ports came from the range of outgoing connections and of all other port searches of the machine, so that a port could be taken before its process bound it. They now come from below that range, from a place of the process's own. Whether that was the cause of the failed start is not proved. The wait includes the backend servers.

Callers pause 200 ms instead of 120 ms, which leaves more processor time for the bursts.

--- a/demo/cluster/cluster.ts
+++ b/demo/cluster/cluster.ts
@@ -151,8 +151,9 @@
         ]);
     });
     await Promise.all([
-        ...startedEntries.map(({ instance, url }) => waitForHealth(instance, url)),
-        ...startedRunners.map(({ instance, agentUrl }) => waitForHealth(instance, agentUrl)),
+        ...startedEntries.map(({ process, url }) => waitForHealth(process, url)),
+        ...startedRunners.map(({ agent, agentUrl }) => waitForHealth(agent, agentUrl)),
+        ...startedRunners.map(({ backend, backendUrl }) => waitForHealth(backend, backendUrl)),
     ]);
 
     const owned = resources.move();
@@ -253,6 +254,11 @@
     return status === 200;
 }
 
-async function waitForHealth(name: string, url: string): Promise<void> {
-    await waitUntil(`${name} answers`, startTimeLimit, () => answers(`${url}/health`));
+async function waitForHealth(program: ProgramProcess, url: string): Promise<void> {
+    await waitUntil(`${program.name} answers`, startTimeLimit, () => {
+        if (program.exitCode !== undefined) {
+            throw new Error(`${program.name} ended with ${program.exitCode}: ${program.lines.slice(-3).join(" ")}`);
+        }
+        return answers(`${url}/health`);
+    });
 }
--- a/demo/cluster/freePorts.ts
+++ b/demo/cluster/freePorts.ts
@@ -1,10 +1,16 @@
-import { createServer, type Server } from "node:net";
+import { createServer } from "node:net";
 
-/** Ports that were handed out; a closed port may be found again before its process has bound it. */
-const handedOut = new Set<number>();
+/** Below the ports that the system gives to outgoing connections, which would take a port that is free for a moment. */
+const lowestPort = 10_000;
+const portCount = 22_000;
+/** Distance of the first ports of two processes with successive identifiers; more than a cluster needs. */
+const portsPerProcess = 211;
+
+let nextPort = process.pid * portsPerProcess % portCount;
 
 /**
- * Finds free loopback ports. No port is returned twice in the life of this process.
+ * Finds free loopback ports. Clusters of this process get different ports, and so do those of other processes nearly
+ * always, since each begins at a place of its own.
  *
  * @param count - number of ports
  * @returns ports that were free at the time
@@ -12,26 +18,19 @@
 export async function findFreePorts(count: number): Promise<number[]> {
     const found: number[] = [];
     while (found.length < count) {
-        const servers = await Promise.all([...Array(count - found.length).keys()].map(() => listen()));
-        const ports = servers.map(readPort);
-        await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-        for (const port of ports.filter(port => !handedOut.has(port))) {
-            handedOut.add(port);
+        const port = lowestPort + nextPort;
+        nextPort = (nextPort + 1) % portCount;
+        if (await isFree(port)) {
             found.push(port);
         }
     }
     return found;
 }
 
-function readPort(server: Server): number {
-    const address = server.address();
-    return address instanceof Object ? address.port : 0;
-}
-
-function listen(): Promise<Server> {
+function isFree(port: number): Promise<boolean> {
     const server = createServer();
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(0, "127.0.0.1", () => resolve(server));
+    return new Promise(resolve => {
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
     });
 }
--- a/demo/userRun.ts
+++ b/demo/userRun.ts
@@ -53,7 +53,7 @@
 const secondVersion = "2026-12";
 const serviceTimeLimit: Milliseconds = 60_000;
 const quietTime: Milliseconds = 3_000;
-const callerPause: Milliseconds = 120;
+const callerPause: Milliseconds = 200;
 
 /** Two large client accounts with four callers each, and eight small ones with one. */
 const accounts: readonly ClientAccount[] = [
