--- a/test/library.test.ts
+++ b/test/library.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import {
+    type AgentObservation,
     type ConfigurationRecord,
     createFoldState,
     createInstanceTable,
@@ -39,9 +40,17 @@
             declaration: { schemaVersion: 1, kind: "service", replicas: { "pos-hall": 1 } },
         };
         append(configuration);
-        const observations = createTable<string, never>();
+        const observations = createTable<string, AgentObservation>();
         const memory = createProposerMemory();
         for (let tick = 0; tick < 30 && !state.placements.has("members"); tick++) {
+            observations.set("runner-0", {
+                instance: "runner-0",
+                incarnation: "1",
+                heardAt: clock.monotonic(),
+                appliedOffset: state.appliedOffset,
+                draining: false,
+                copies: [],
+            });
             const commands = runProposer({
                 self: "entry-0",
                 state,
