--- a/specs/placementFencing.qnt
+++ b/specs/placementFencing.qnt
@@ -212,29 +212,37 @@
     }
 
     /// Begins when the copy of agent a has just been revoked. The processes that are cut off do not know it.
-    action begin(cut) = {
+    /// With e1 restarted, e1 had confirmed the revocation to e2 before it took the state of e3. With a restarted, a had
+    /// reported that it unloaded the copy, and b had got it, before a took older state from an entry instance.
+    action begin(cut, restarted) = {
+        val replaced = restarted.contains("a")
+        val confirmed = restarted.contains("e1")
         nondet cutAt = 1.to(HOLD).oneOf()
         val assigned = { epoch: 1, revokedAt: 0 }
-        val applied = AGENTS.union(ENTRIES).mapBy(id => if (cut.contains(id)) 1 else 2)
+        val applied = AGENTS.union(ENTRIES).mapBy(id => if (cut.contains(id)) 1 else if (replaced) 3 else 2)
         all {
             now' = HOLD, reverted' = false, cutOff' = cut,
             rows' = [{ offset: 0, copies: Map() }, { offset: 1, copies: Map("a" -> assigned) },
-                { offset: 2, copies: Map("a" -> assigned.with("revokedAt", 2)) }],
-            entries' = ENTRIES.mapBy(e => { applied: applied.get(e), knownAt: if (cut.contains(e)) cutAt else HOLD, startedAt: 0,
-                confirmedRevocation: 0, confirmedAt: NEVER }),
-            agents' = AGENTS.mapBy(id => { applied: applied.get(id), knownAt: HOLD, startedAt: 0,
-                answers: ENTRIES.mapBy(w => NEVER), lapsed: false, loaded: id == "a",
+                { offset: 2, copies: Map("a" -> assigned.with("revokedAt", 2)) }]
+                .concat(if (replaced) [{ offset: 3, copies: Map("b" -> { epoch: 3, revokedAt: 0 }) }] else []),
+            entries' = ENTRIES.mapBy(e => { applied: applied.get(e), knownAt: if (cut.contains(e)) cutAt else HOLD,
+                startedAt: if (restarted.contains(e)) HOLD else 0,
+                confirmedRevocation: if (confirmed and e == "e2") 2 else 0,
+                confirmedAt: if (confirmed and e == "e2") HOLD else NEVER }),
+            agents' = AGENTS.mapBy(id => { applied: applied.get(id), knownAt: if (restarted.contains(id)) cutAt else HOLD,
+                startedAt: if (restarted.contains(id)) HOLD else 0, answers: ENTRIES.mapBy(w => NEVER),
+                lapsed: restarted.contains(id) and has("first hold from log"), loaded: id == (if (replaced) "b" else "a"),
                 frozenUntil: if (id != "a" or cut.contains(id) or not(has("no renewal after revocation"))) FOREVER
                     else HOLD + HOLD }),
         }
     }
     action init = {
         nondet cut = AGENTS.union(ENTRIES).powerset().oneOf()
-        begin(cut)
+        begin(cut, Set())
     }
-    /// Two of these beginnings, from which rare runs are sampled more often.
-    action initCutHolder = begin(Set("a", "e3"))
-    action initCutWitnesses = begin(Set("e2", "e3"))
+    /// Reachable states from which rare runs are sampled more often.
+    action initRestartedWitness = begin(Set("a", "e1", "e3"), Set("e1"))
+    action initRestartedHolder = begin(Set("a", "e2", "e3"), Set("a"))
     action step = any {
         passTime,
         any { revoke, confirm, replace },
--- a/test/specs/specifications.test.ts
+++ b/test/specs/specifications.test.ts
@@ -8,6 +8,8 @@
     readonly file: string;
     readonly module: string;
     readonly invariants: readonly string[];
+    /** Beginning of the runs; `init` unless it is given. */
+    readonly init?: string;
     readonly seed: string;
     readonly samples: number;
     readonly steps: number;
@@ -20,11 +22,12 @@
 
 /** Runs quint's simulator; the TypeScript back end is the one that is part of the package. */
 function sample(sampling: Sampling): Promise<SamplingResult> {
-    const { file, module, invariants, seed, samples, steps } = sampling;
+    const { file, module, invariants, init = "init", seed, samples, steps } = sampling;
     const options = [
         "run",
         "--backend=typescript",
         `--main=${module}`,
+        `--init=${init}`,
         `--seed=${seed}`,
         `--max-samples=${samples}`,
         `--max-steps=${steps}`,
@@ -54,8 +57,11 @@
 const slowOrders = { ...orders, invariants: ["olderNeverWins"] };
 const atMostOnce = { file: "atMostOnce", invariants: ["runsAtMostOnce", "refusalsHold"], steps: 20 };
 
+const restartedWitness = { ...placement, init: "initRestartedWitness" };
+
 const designs = [
     { ...placement, module: "placementDesign", samples: 120, seeds: ["1", "70000000"] },
+    { ...restartedWitness, module: "placementDesign", samples: 80, seeds: ["140000000"] },
     { ...atMostOnce, module: "atMostOnceDesign", samples: 150, seeds: ["1", "70000000"] },
     { ...orders, module: "ignoringEngine", samples: 100, seeds: ["1", "70000000"] },
     { ...orders, module: "checkingEngine", samples: 100, seeds: ["1", "70000000"] },
@@ -69,6 +75,7 @@
 const withoutGuard = [
     { ...placement, module: "withoutBaseCheck", seed: "0x247" },
     { ...placement, module: "withoutWait", seed: "0x4509" },
+    { ...restartedWitness, module: "withoutWitnessUptime", seed: "0x22aba" },
     { ...placement, module: "withoutRelease", seed: "0xa5" },
     { ...placement, module: "withoutMajority", seed: "0x43f62ec" },
     { ...placement, module: "withoutKnowledgeSinceStart", seed: "0x3de03" },
