Give up a relay's stream after a state that was refused or malformed

A message that was no JSON text threw out of the event handler. Change: the follower parses the whole message first, and ends the stream if it is malformed or if the relay's offset is not reached after applying it, so that the follower set opens a new one.

--- a/src/node/relay/follower.ts
+++ b/src/node/relay/follower.ts
@@ -8,7 +8,7 @@
     type TransferTotals,
 } from "../../generated/goldcrestpoint_pb.js";
 import type { StateSnapshot } from "../../runtime/state/index.js";
-import type { Clock, InstanceId, InstanceRow, Milliseconds, Offset } from "../../types/index.js";
+import type { Clock, InstanceId, InstanceRow, LogEntry, Milliseconds, Offset } from "../../types/index.js";
 import { createRelayClient } from "../grpc/index.js";
 import { readRelayedRecord } from "./messages.js";
 import type { StateStore } from "./stateStore.js";
@@ -59,6 +59,12 @@
     readonly heardAt: Milliseconds;
 }
 
+interface MessageContent {
+    readonly snapshot: StateSnapshot | undefined;
+    readonly entries: readonly LogEntry[];
+    readonly instances: readonly InstanceRow[] | undefined;
+}
+
 /** Age that a relay states before it has read the log for the first time. */
 const unknownAge = BigInt(Number.MAX_SAFE_INTEGER);
 /** Unanswered heartbeats that are remembered. */
@@ -89,23 +95,29 @@
         options.onEnd(reason);
     }
 
-    function applyContent(message: FollowResponse): boolean {
-        if (message.snapshot !== "") {
-            store.adoptSnapshot(JSON.parse(message.snapshot) as StateSnapshot);
+    /** Returns why the stream is of no further use; undefined if the message was applied. */
+    function applyContent({ snapshot, entries, instances }: MessageContent, appliedOffset: Offset): string | undefined {
+        if (snapshot !== undefined) {
+            store.adoptSnapshot(snapshot);
         }
-        if (message.records.length > 0 && store.applyEntries(message.records.map(readRelayedRecord)) === "gap") {
-            return false;
+        if (entries.length > 0 && store.applyEntries(entries) === "gap") {
+            return "records are missing";
         }
-        if (message.instances !== "") {
-            options.onInstances(JSON.parse(message.instances) as InstanceRow[]);
+        if (instances !== undefined) {
+            options.onInstances(instances);
         }
-        return true;
+        // A relay sends its state once on each stream, so what was refused comes only with a new stream.
+        return appliedOffset > store.state.appliedOffset ? "the relay's state was refused" : undefined;
     }
 
     function receive(message: FollowResponse): void {
         heardAt = clock.monotonic();
-        if (!applyContent(message)) {
-            end("records are missing");
+        const content = parseContent(message);
+        const fault = content === undefined ?
+            "the message is malformed" :
+            applyContent(content, Number(message.appliedOffset));
+        if (fault !== undefined) {
+            end(fault);
             return;
         }
         const answered = Number(message.heartbeat);
@@ -114,17 +126,13 @@
             return;
         }
         sentAt.delete(answered);
-        const appliedOffset = Number(message.appliedOffset);
-        if (appliedOffset > store.state.appliedOffset) {
-            return;
-        }
         if (message.logAgeMilliseconds < unknownAge) {
             store.noteLogKnown(answeredSentAt - Number(message.logAgeMilliseconds));
         }
         options.onAnswer({
             instance: message.instance,
             sentAt: answeredSentAt,
-            appliedOffset,
+            appliedOffset: Number(message.appliedOffset),
             logReachable: message.logReachable,
             uptime: Number(message.uptimeMilliseconds),
         });
@@ -166,3 +174,18 @@
         [Symbol.dispose]: () => end("closed"),
     };
 }
+
+/** Returns undefined if a part of the message is no JSON text. */
+function parseContent(message: FollowResponse): MessageContent | undefined {
+    const { instances, records, snapshot } = message;
+    try {
+        return {
+            snapshot: snapshot === "" ? undefined : JSON.parse(snapshot) as StateSnapshot,
+            entries: records.map(readRelayedRecord),
+            instances: instances === "" ? undefined : JSON.parse(instances) as InstanceRow[],
+        };
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/test/node/daemonSupport.ts
@@ -0,0 +1,74 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { pino } from "pino";
+import { type RpcServer, type ServiceBinding, startRpcServer } from "../../src/node/grpc/index.js";
+import type { CopyAssignment, LogEntry, PlacementRecord } from "../../src/types/index.js";
+import { expectOk } from "./support.js";
+
+/** Logger that writes nothing. */
+export const silentLogger = pino({ level: "silent" });
+
+/** Waits until a condition holds. The limit only ends a test that has failed. */
+export async function waitFor(condition: () => boolean): Promise<void> {
+    for (let round = 0; round < 10_000; round++) {
+        if (condition()) {
+            return;
+        }
+        await delay(1);
+    }
+    throw new Error("the condition has not come true");
+}
+
+/** Server of one gRPC service on a free loopback port. */
+export interface LoopbackServer extends AsyncDisposable {
+    readonly address: string;
+}
+
+/** Starts a server that serves one service on a free loopback port. */
+export async function startLoopbackServer(binding: ServiceBinding): Promise<LoopbackServer> {
+    const server: RpcServer = expectOk(await startRpcServer("127.0.0.1:0", [binding]));
+    return {
+        address: `127.0.0.1:${server.port}`,
+        [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
+    };
+}
+
+/** Creates a placement record of the deployment `scribe`. */
+export function createPlacement(offset: number, changes: Partial<PlacementRecord> = {}): PlacementRecord {
+    return {
+        id: `record-${offset}`,
+        kind: "placement",
+        deployment: "scribe",
+        base: 0,
+        writtenAt: "2026-01-01T00:00:00.000Z",
+        writer: "entry-1",
+        configurationOffset: 0,
+        copies: [],
+        owners: [],
+        ...changes,
+    };
+}
+
+/** Creates a copy without weights, as plain services have it. */
+export function createCopy(instance: string, changes: Partial<CopyAssignment> = {}): CopyAssignment {
+    return {
+        instance,
+        zone: "sando-hall",
+        epoch: 0,
+        weights: undefined,
+        state: "assigned",
+        witnesses: [],
+        ...changes,
+    };
+}
+
+/** Creates log entries that follow each other from one offset to another, each based on the one before. */
+export function createEntries(first: number, last: number, changes: Partial<PlacementRecord> = {}): LogEntry[] {
+    return Array.from({ length: last - first + 1 }, (...[, index]) => {
+        const offset = first + index;
+        return {
+            offset,
+            previousOffset: offset - 1,
+            record: createPlacement(offset, { base: offset - 1, ...changes }),
+        };
+    });
+}
