--- a/src/node/relay/stateStore.ts
+++ b/src/node/relay/stateStore.ts
@@ -82,6 +82,12 @@
     }
 
     function keep(entries: readonly LogEntry[]): void {
+        const { previousOffset } = entries[0]!;
+        if (previousOffset !== (recent.at(-1)?.offset ?? recentBase)) {
+            // The log has lost the records in between, so followers from before the gap need a snapshot.
+            recent = [];
+            recentBase = previousOffset;
+        }
         recent.push(...entries);
         if (recent.length > keptEntries) {
             const dropped = recent.length - keptEntries;
