Name a crash by the start of the backend server that the request ran on

Cause: the agent read the incarnation when a request broke. If its own read of the state had failed just before, the crash was called unknown, an identifier that all such crashes share, so entry instances counted one of them; if it had already seen the new start, a crash was taken for a lost connection. Requests that an earlier crash broke within the last second counted as in progress in the next one, so that a request alone did not count as alone. Change: each execution keeps the incarnation it began on; broken requests of an earlier incarnation are forgotten.

--- a/src/node/agent/crashTracker.ts
+++ b/src/node/agent/crashTracker.ts
@@ -6,15 +6,17 @@
      * Notes a broken request.
      *
      * @param fingerprint - the request
+     * @param incarnation - start of the backend server on which the request ran
      * @returns fingerprints of all requests that may have been in progress when it broke
      */
-    noteBroken(fingerprint: Fingerprint): readonly Fingerprint[];
+    noteBroken(fingerprint: Fingerprint, incarnation: string | undefined): readonly Fingerprint[];
     /**
      * Finds out whether the backend server has crashed: it cannot be reached, or it has started again.
      *
+     * @param incarnation - start of the backend server on which the request ran
      * @returns identifier of the crash, the same for all requests that it broke; undefined if there was none
      */
-    identify(): Promise<string | undefined>;
+    identify(incarnation: string | undefined): Promise<string | undefined>;
 }
 
 /** Options of {@link createCrashTracker}. */
@@ -23,8 +25,6 @@
     readonly backend: BackendServerPort;
     readonly clock: Clock;
     readonly listInProgress: () => readonly Fingerprint[];
-    /** Incarnation of the backend server as it was last read. */
-    readonly readIncarnation: () => string | undefined;
 }
 
 /** Time in which requests that break one after the other count as broken by the same crash. */
@@ -39,26 +39,25 @@
 export function createCrashTracker(options: CrashTrackerOptions): CrashTracker {
     const { backend, clock } = options;
     const brokenAt = new Map<Fingerprint, Milliseconds>();
-    let incarnationAtBreak: string | undefined;
-    let lastBreakAt = Number.NEGATIVE_INFINITY;
+    let brokenIncarnation: string | undefined;
+
+    function forgetEarlierCrashes(incarnation: string | undefined, now: Milliseconds): void {
+        for (const [known, at] of brokenAt) {
+            if (now - at > crashWindow || incarnation !== brokenIncarnation) {
+                brokenAt.delete(known);
+            }
+        }
+        brokenIncarnation = incarnation;
+    }
 
     return {
-        noteBroken: fingerprint => {
+        noteBroken: (fingerprint, incarnation) => {
             const now = clock.monotonic();
-            for (const [known, at] of brokenAt) {
-                if (now - at > crashWindow) {
-                    brokenAt.delete(known);
-                }
-            }
-            if (now - lastBreakAt > crashWindow) {
-                incarnationAtBreak = options.readIncarnation();
-            }
-            lastBreakAt = now;
+            forgetEarlierCrashes(incarnation, now);
             brokenAt.set(fingerprint, now);
             return [...new Set([...options.listInProgress(), ...brokenAt.keys()])];
         },
-        identify: async () => {
-            const incarnation = incarnationAtBreak;
+        identify: async incarnation => {
             const state = await backend.readState();
             const crashed = state.isErr || state.value.incarnation !== incarnation;
             return crashed ? `${options.self}/${incarnation ?? "unknown"}` : undefined;
--- a/src/node/agent/executor.ts
+++ b/src/node/agent/executor.ts
@@ -76,6 +76,8 @@
     readonly row: RequestRow;
     readonly writer: FrameWriter;
     readonly abort: AbortController;
+    /** Start of the backend server on which the request runs; undefined before it runs. */
+    incarnation: string | undefined;
 }
 
 const defaultMaximumStoredAnswerBytes = 256 * 1024;
@@ -97,7 +99,6 @@
         backend,
         clock,
         listInProgress: () => [...admission.inProgress.values()].map(({ request }) => request.fingerprint),
-        readIncarnation: () => options.readServing().incarnation,
     });
     const maximumStoredAnswerBytes = options.maximumStoredAnswerBytes ?? defaultMaximumStoredAnswerBytes;
 
@@ -123,6 +124,7 @@
             row: createRequestRow(call, clock.monotonic()),
             writer: createFrameWriter(call),
             abort: new AbortController(),
+            incarnation: undefined,
         };
         call.on("cancelled", () => cancel(execution));
         const refusal = checkServing(call);
@@ -230,7 +232,8 @@
     async function runOnBackend(execution: Execution): Promise<void> {
         const { call, row, writer, abort } = execution;
         const { request } = call;
-        const { manifestDigest } = options.readServing();
+        const { incarnation, manifestDigest } = options.readServing();
+        execution.incarnation = incarnation;
         const answer = await backend.execute({
             requestId: request.requestId,
             method: request.method,
@@ -279,16 +282,16 @@
     }
 
     async function fail(execution: Execution, thrown: unknown): Promise<void> {
-        const { row, writer, abort } = execution;
+        const { row, writer, abort, incarnation } = execution;
         const error = thrown instanceof Error ? thrown.cause : thrown;
         const mayHaveRun = !isPortError(error) || error.mayHaveTakenEffect;
-        const fingerprints = mayHaveRun ? crashes.noteBroken(row.fingerprint) : [];
+        const fingerprints = mayHaveRun ? crashes.noteBroken(row.fingerprint, incarnation) : [];
         settleKey(row, mayHaveRun ? "unknown" : "not-run");
         if (abort.signal.aborted) {
             writer.refuse(createRefusal(mayHaveRun ? "unknown" : "no", "canceled"));
             return;
         }
-        const crashId = mayHaveRun ? await crashes.identify() : undefined;
+        const crashId = mayHaveRun ? await crashes.identify(incarnation) : undefined;
         logger.warn(
             { requestId: row.requestId, crashId, error: isPortError(error) ? error : String(thrown) },
             "backend server failed",
--- a/src/node/entry/attempt.ts
+++ b/src/node/entry/attempt.ts
@@ -49,57 +49,79 @@
 
 /**
  * Sends a request to an agent and passes its answer on. Frames must name the request and follow each other without
- * a gap; otherwise the answer counts as broken.
+ * a gap, from one start to one end; otherwise the answer counts as broken.
  *
  * @param input - agent, request and receiver of the answer
  * @returns how the attempt ended; never rejects
  */
 export async function executeAttempt(input: AttemptInput): Promise<AttemptOutcome> {
-    const { client, request, sink, signal } = input;
+    const { client, request, signal } = input;
+    if (signal.aborted) {
+        return createFailure("no", "canceled");
+    }
     const call = client.execute(create(ExecuteRequestSchema, request), { deadline: Date.now() + input.timeLimit });
     const abort = (): void => call.cancel();
     signal.addEventListener("abort", abort);
-    let start: ResponseStart | undefined;
-    let sequence = 0;
-    let dataFrames = 0;
+    const progress: Progress = { start: undefined, sequence: 0, dataFrames: 0 };
     try {
         for await (const message of call) {
-            const frame = message as ExecuteFrame;
-            if (frame.requestId !== request.requestId || frame.sequence !== sequence) {
+            const outcome = await takeFrame(input, progress, message as ExecuteFrame);
+            if (outcome === "mismatched") {
+                // The agent may go on with an answer that nobody reads.
                 call.cancel();
                 return createFailure("unknown", "answer-mismatched");
             }
-            sequence += 1;
-            const { content } = frame;
-            switch (content.case) {
-                case "start":
-                    start = content.value;
-                    sink.start(start);
-                    break;
-                case "data":
-                    dataFrames += 1;
-                    await sink.data(content.value);
-                    break;
-                case "end":
-                    return start !== undefined && content.value.frames === dataFrames ?
-                        { kind: "complete", start } :
-                        createFailure("unknown", "answer-mismatched");
-                case "refusal":
-                    return readRefusal(content.value);
-                default:
-                    return createFailure("unknown", "answer-mismatched");
+            if (outcome !== undefined) {
+                return outcome;
             }
         }
         return createFailure("unknown", "connection-lost", true);
     }
     catch (error) {
-        return signal.aborted ? createFailure("unknown", "canceled") : explainFailure(error as ServiceError, sequence);
+        return signal.aborted ?
+            createFailure("unknown", "canceled") :
+            explainFailure(error as ServiceError, progress.sequence);
     }
     finally {
         signal.removeEventListener("abort", abort);
     }
 }
 
+interface Progress {
+    start: ResponseStart | undefined;
+    /** Frames received. */
+    sequence: number;
+    dataFrames: number;
+}
+
+/** Returns the outcome if the frame is the last one; undefined if more have to follow. */
+async function takeFrame(
+    { request, sink }: AttemptInput,
+    progress: Progress,
+    { content, requestId, sequence }: ExecuteFrame,
+): Promise<AttemptOutcome | "mismatched" | undefined> {
+    if (requestId !== request.requestId || sequence !== progress.sequence) {
+        return "mismatched";
+    }
+    progress.sequence += 1;
+    const { start } = progress;
+    if (content.case === "refusal") {
+        return readRefusal(content.value);
+    }
+    if (content.case === "start" && start === undefined) {
+        progress.start = content.value;
+        sink.start(content.value);
+        return undefined;
+    }
+    if (content.case === "data" && start !== undefined) {
+        progress.dataFrames += 1;
+        await sink.data(content.value);
+        return undefined;
+    }
+    const isComplete = content.case === "end" && content.value.frames === progress.dataFrames;
+    return isComplete && start !== undefined ? { kind: "complete", start } : "mismatched";
+}
+
 function createFailure(ran: RanState, reason: RefusalReason, connectionBroke = false): AttemptOutcome {
     return { kind: "failed", refusal: { ran, reason, retryAfterSeconds: 1 }, crash: undefined, connectionBroke };
 }
--- a/test/node/daemonSupport.ts
+++ b/test/node/daemonSupport.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { pino } from "pino";
+import type { AttemptInput } from "../../src/node/entry/attempt.js";
 import { type RpcServer, type ServiceBinding, startRpcServer } from "../../src/node/grpc/index.js";
 import type { CopyAssignment, LogEntry, PlacementRecord } from "../../src/types/index.js";
 import { expectOk } from "./support.js";
@@ -72,3 +73,31 @@
         };
     });
 }
+
+/** Creates the request of an attempt. */
+export function createAttemptRequest(
+    requestId: string,
+    changes: Partial<AttemptInput["request"]> = {},
+): AttemptInput["request"] {
+    return {
+        requestId,
+        deployment: "scribe",
+        placementOffset: 1n,
+        version: "",
+        manifestDigest: "",
+        clientAccount: "account",
+        priority: 5,
+        deadlineMilliseconds: 60_000n,
+        idempotent: true,
+        idempotencyKey: "",
+        fingerprint: `fingerprint-${requestId}`,
+        alone: false,
+        stream: false,
+        method: "POST",
+        path: "/links",
+        contentType: "text/plain",
+        body: Buffer.from(requestId),
+        prefix: "",
+        ...changes,
+    };
+}
--- /dev/null
+++ b/test/node/entry/attempt.test.ts
@@ -0,0 +1,172 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { status } from "@grpc/grpc-js";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ExecuteFrameSchema } from "../../../src/generated/goldcrestpoint_pb.js";
+import type { ExecuteCall } from "../../../src/node/agent/frames.js";
+import { type AttemptOutcome, executeAttempt } from "../../../src/node/entry/attempt.js";
+import { agentServiceDefinition, createAgentClient } from "../../../src/node/grpc/index.js";
+import { createAttemptRequest, startLoopbackServer, waitFor } from "../daemonSupport.js";
+
+type Frame = MessageInitShape<typeof ExecuteFrameSchema>;
+
+const start: Frame = { requestId: "r1", sequence: 0, content: { case: "start", value: { status: 200 } } };
+const data = (sequence: number): Frame => ({
+    requestId: "r1",
+    sequence,
+    content: { case: "data", value: Buffer.from(`part ${sequence}`) },
+});
+const end = (sequence: number, frames: number): Frame => ({
+    requestId: "r1",
+    sequence,
+    content: { case: "end", value: { frames } },
+});
+const refusal = (sequence: number, ran: string): Frame => ({
+    requestId: "r1",
+    sequence,
+    content: { case: "refusal", value: { ran, reason: "draining" } },
+});
+
+/** Runs one attempt at an agent that writes frames and then ends its stream, breaks it or keeps it open. */
+async function runScript(frames: readonly Frame[], after: "end" | "break" | "hold") {
+    const canceled: boolean[] = [];
+    const execute = (call: ExecuteCall): void => {
+        call.on("cancelled", () => canceled.push(true));
+        frames.forEach(frame => call.write(create(ExecuteFrameSchema, frame)));
+        if (after === "break") {
+            call.emit("error", { code: status.INTERNAL, details: "broken" });
+        }
+        else if (after === "end") {
+            call.end();
+        }
+    };
+    await using server = await startLoopbackServer({ definition: agentServiceDefinition, implementation: { execute } });
+    const client = createAgentClient(server.address);
+    const received: string[] = [];
+    const outcome = await executeAttempt({
+        client,
+        request: createAttemptRequest("r1"),
+        signal: new AbortController().signal,
+        timeLimit: 600_000,
+        sink: {
+            start: () => received.push("start"),
+            data: content => {
+                received.push(Buffer.from(content).toString());
+                return undefined;
+            },
+        },
+    });
+    if (after === "hold") {
+        await waitFor(() => canceled.length > 0);
+    }
+    client.close();
+    return { outcome, received };
+}
+
+function describeOutcome(outcome: AttemptOutcome): string {
+    if (outcome.kind === "complete") {
+        return "complete";
+    }
+    const { refusal: { ran, reason }, connectionBroke } = outcome;
+    return `${ran}: ${reason}${connectionBroke ? ", connection broke" : ""}`;
+}
+
+describe("attempt at an agent", () => {
+    const mismatched = "unknown: answer-mismatched";
+    const broken = "unknown: connection-lost, connection broke";
+    const cases: readonly [name: string, frames: readonly Frame[], after: "end" | "break" | "hold", outcome: string][] =
+        [
+            ["a whole answer", [start, data(1), data(2), end(3, 2)], "end", "complete"],
+            ["an answer without data", [start, end(1, 0)], "end", "complete"],
+            ["a refusal", [refusal(0, "no")], "end", "no: draining"],
+            [
+                "a refusal after a part of the answer",
+                [start, data(1), refusal(2, "unknown")],
+                "end",
+                "unknown: draining",
+            ],
+            ["a refusal that says neither", [refusal(0, "maybe")], "end", "unknown: draining"],
+            ["no frame", [], "end", broken],
+            ["a break before the first frame", [], "break", broken],
+            ["a break after the start", [start], "break", broken],
+            ["a break after data", [start, data(1)], "break", broken],
+            ["an end without an end frame", [start, data(1)], "end", broken],
+            ["an end frame with too few frames", [start, data(1), end(2, 2)], "hold", mismatched],
+            ["an end frame with too many frames", [start, data(1), end(2, 0)], "hold", mismatched],
+            ["a frame that was left out", [start, data(2)], "hold", mismatched],
+            ["a repeated frame", [start, data(1), data(1)], "hold", mismatched],
+            ["frames out of order", [start, data(2), data(1)], "hold", mismatched],
+            ["a frame of another request", [start, { ...data(1), requestId: "r2" }], "hold", mismatched],
+            ["a start of another request", [{ ...start, requestId: "r2" }], "hold", mismatched],
+            ["data before the start", [data(0)], "hold", mismatched],
+            ["an end before the start", [end(0, 0)], "hold", mismatched],
+            ["a second start", [start, { ...start, sequence: 1 }], "hold", mismatched],
+            ["a frame without content", [{ requestId: "r1", sequence: 0 }], "hold", mismatched],
+        ];
+    for (const [name, frames, after, expected] of cases) {
+        // Guards against a partial or foreign answer that counts as complete, and against an agent that goes on with an
+        // answer that nobody reads.
+        it(`reports "${expected}" for ${name}`, async () => {
+            const { outcome, received } = await runScript(frames, after);
+            expect(describeOutcome(outcome)).toEqual(expected);
+            expect(received.filter(part => part === "start").length <= 1).toEqual(true);
+        });
+    }
+
+    // Guards against a request that is not repeated although it never left, and against one that is repeated although
+    // it did: only a refused connection is certain.
+    it("reports a refused connection as not run, and no crash", async () => {
+        const server = await startLoopbackServer({
+            definition: agentServiceDefinition,
+            implementation: { execute: (call: ExecuteCall) => call.end() },
+        });
+        await server[Symbol.asyncDispose]();
+        const outcome = await attemptAt(server.address, new AbortController().signal);
+        expect(describeOutcome(outcome)).toEqual("no: connection-lost");
+    });
+
+    // Guards against a request that is sent although its caller has gone before.
+    it("sends nothing for a caller that is gone", async () => {
+        let calls = 0;
+        await using server = await startLoopbackServer({
+            definition: agentServiceDefinition,
+            implementation: {
+                execute: (call: ExecuteCall) => {
+                    calls += 1;
+                    call.end();
+                },
+            },
+        });
+        const outcome = await attemptAt(server.address, AbortSignal.abort());
+        expect([describeOutcome(outcome), calls]).toEqual(["no: canceled", 0]);
+    });
+
+    // Guards against a request that goes on although its caller is gone.
+    it("cancels the call when the caller goes", async () => {
+        const caller = new AbortController();
+        let canceled = 0;
+        await using server = await startLoopbackServer({
+            definition: agentServiceDefinition,
+            implementation: {
+                execute: (call: ExecuteCall) => {
+                    call.on("cancelled", () => {
+                        canceled += 1;
+                    });
+                    caller.abort();
+                },
+            },
+        });
+        const outcome = await attemptAt(server.address, caller.signal);
+        expect(describeOutcome(outcome)).toEqual("unknown: canceled");
+        await waitFor(() => canceled === 1);
+    });
+});
+
+async function attemptAt(address: string, signal: AbortSignal): Promise<AttemptOutcome> {
+    const client = createAgentClient(address);
+    const sink = { start: () => undefined, data: () => undefined };
+    const request = createAttemptRequest("r1");
+    const outcome = await executeAttempt({ client, request, signal, timeLimit: 600_000, sink });
+    client.close();
+    return outcome;
+}
