Record an interruption of ownership when the log has lost records

Cause: an agent that read the log again after records had expired took the next placement record for the successor of the one it knew. If it owned a key under both, it ran the key again, although another instance may have owned it and run it under the lost records.

--- a/src/node/agent/ownershipRecorder.ts
+++ b/src/node/agent/ownershipRecorder.ts
@@ -9,6 +9,14 @@
  */
 export function followOwnership(context: AgentContext): void {
     const { clock, ownership, self, startedAt, store } = context;
+    let { appliedOffset } = store.state;
+
+    /** Other instances may have owned keys under records that this process has not seen. */
+    function interrupt(): void {
+        for (const history of ownership.values()) {
+            recordInterruption(history, clock.now().getTime());
+        }
+    }
 
     function record(placement: PlacementRow | undefined): void {
         if (placement === undefined) {
@@ -25,13 +33,18 @@
         recordOwners(history, placement, now);
     }
 
-    store.onEntry((entry: LogEntry) => record(store.state.placements.get(entry.record.deployment)));
+    store.onEntry((entry: LogEntry) => {
+        if (entry.previousOffset !== appliedOffset) {
+            interrupt();
+        }
+        appliedOffset = entry.offset;
+        record(store.state.placements.get(entry.record.deployment));
+    });
     store.onChange(entries => {
-        // A snapshot leaves out the records in between, in which other instances may have owned keys.
-        if (entries.length === 0) {
-            for (const history of ownership.values()) {
-                recordInterruption(history, clock.now().getTime());
-            }
+        const isSnapshot = entries.length === 0;
+        if (isSnapshot) {
+            interrupt();
+            ({ appliedOffset } = store.state);
             [...store.state.placements.rows()].forEach(record);
         }
     });
