Serve only sets that belong to the assigned deployment

Cause: an agent whose copy was replaced while it was paused, and which was then assigned to another deployment, reported and served the new deployment with the old deployment's set until the new one was complete. Change: the active set counts as served if this process was told to hold it for the deployment, or if it has the assigned model and adapter. The old versions of the same deployment go on being served during a change.

--- a/src/node/agent/copySystem.ts
+++ b/src/node/agent/copySystem.ts
@@ -48,6 +48,8 @@
     const { clock, decisions, instances, self, settings, store } = context;
     let assignment: InstanceAssignment = { current: undefined, conflicting: [] };
     let holdDecision: HoldDecision = { held: false, reason: "lapsed", validUntil: 0 };
+    // Sets that this process was told to serve for the deployment of the copy that counts.
+    let assignedSets = { deployment: "", digests: new Set<ManifestDigest>() };
     let drains = false;
     let lastServing = "";
     let lastReason = "";
@@ -85,9 +87,23 @@
 
     function refreshAssignment(): void {
         assignment = findAssignment(store.state, self);
+        noteAssignedSet();
         transfer.setTarget(createTransferTarget(context, assignment.current));
     }
 
+    function noteAssignedSet(): void {
+        const { current } = assignment;
+        if (current === undefined) {
+            return;
+        }
+        if (assignedSets.deployment !== current.deployment) {
+            assignedSets = { deployment: current.deployment, digests: new Set() };
+        }
+        if (current.copy.weights !== undefined) {
+            assignedSets.digests.add(current.copy.weights.manifestDigest);
+        }
+    }
+
     function evaluateHold(): void {
         const decision = hold.evaluate(assignment.current?.copy);
         if (decision.held !== holdDecision.held) {
@@ -103,9 +119,19 @@
         holdDecision = decision;
     }
 
-    /** The set that the engine answers with, if it is one that this instance was told to serve. */
+    /**
+     * The set that the engine answers with, if it belongs to the deployment. After a pause in which the copy was replaced,
+     * the engine may still have the set of the deployment before. A process that has just started knows no earlier sets of
+     * the deployment and takes those of the same model and adapter.
+     */
     function readServedSet(): ManifestDigest | undefined {
-        return orders.engine?.active?.manifestDigest;
+        const active = orders.engine?.active;
+        const weights = assignment.current?.copy.weights;
+        if (active === undefined || weights === undefined) {
+            return undefined;
+        }
+        const isSameModel = active.model === weights.model && active.adapter === weights.adapter;
+        return isSameModel || assignedSets.digests.has(active.manifestDigest) ? active.manifestDigest : undefined;
     }
 
     function isServing(): boolean {
