Add the jitter to every direct read that follows the silence of the relays

Cause: an agent drew its jitter once, counted from its own start. Change: createRelaySilence adds the process's random delay to the moment at which the relays count as silent; agent and entry instance share it. A read of the instance list keeps the jitter of its interval alone.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -10,7 +10,7 @@
 import type { BackendServerPort, GoldcrestpointError } from "../../types/index.js";
 import { createDisposalStack, createSystemClock, createSystemRandom, sleep } from "../../utils/index.js";
 import { createBackendServerClient } from "../backendServer/index.js";
-import { listRelayTargets, startInstanceListReader } from "../daemon/index.js";
+import { createRelaySilence, listRelayTargets, startInstanceListReader } from "../daemon/index.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { registerStatusRoutes, sendJson, startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog, registerDecisionRoute } from "../logging/index.js";
@@ -138,17 +138,14 @@
             copies.refreshAssignment();
         },
     }));
-    const relaysSilent = (): boolean =>
-        followers.heardAt === undefined || clock.monotonic() - followers.heardAt > relay.silentAfter;
-    // Agents that lose their relays at the same moment start to read directly at different times.
-    const directReadAt = clock.monotonic() + random.next() * relay.directReadJitter;
+    const silence = { clock, random, readHeardAt: () => followers.heardAt, silentAfter: relay.silentAfter };
     resources.use(startLogReader({
         log,
         store,
         clock,
         random,
         logger,
-        shouldRead: () => relaysSilent() && clock.monotonic() > directReadAt,
+        shouldRead: createRelaySilence({ ...silence, jitter: relay.directReadJitter }),
         retention: settings.placement.retention,
         waitMilliseconds: platform.logWait,
     }));
@@ -159,7 +156,7 @@
         random,
         logger,
         interval: platform.instanceListInterval,
-        shouldRead: relaysSilent,
+        shouldRead: createRelaySilence({ ...silence, jitter: 0 }),
         onChange: () => copies.refreshAssignment(),
     }));
 
--- a/src/node/daemon/index.ts
+++ b/src/node/daemon/index.ts
@@ -1,2 +1,3 @@
 export * from "./membership.js";
+export * from "./relaySilence.js";
 export * from "./signals.js";
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -6,7 +6,7 @@
 import { createRetryBudget, createSuspectTable } from "../../runtime/retry/index.js";
 import type { GoldcrestpointError, InstanceRow } from "../../types/index.js";
 import { createDisposalStack, createSystemClock, createSystemRandom, createTable, sleep } from "../../utils/index.js";
-import { listRelayTargets, startInstanceListReader } from "../daemon/index.js";
+import { createRelaySilence, listRelayTargets, startInstanceListReader } from "../daemon/index.js";
 import { relayServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
@@ -112,8 +112,13 @@
         },
         onInstances: () => undefined,
     }));
-    const relaysSilent = (): boolean =>
-        followers.heardAt === undefined || clock.monotonic() - followers.heardAt > settings.relay.silentAfter;
+    const relaysSilent = createRelaySilence({
+        clock,
+        random,
+        readHeardAt: () => followers.heardAt,
+        silentAfter: settings.relay.silentAfter,
+        jitter: settings.relay.directReadJitter,
+    });
     resources.use(startLogReader({
         log,
         store,
--- /dev/null
+++ b/test/node/daemon/relaySilence.test.ts
@@ -0,0 +1,30 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { createRelaySilence } from "../../../src/node/daemon/index.js";
+import { createManualClock } from "../../../src/utils/index.js";
+
+describe("silence of the relays", () => {
+    const cases: readonly [name: string, heardAt: number | undefined, random: number, silentFrom: number][] = [
+        ["without jitter, before the first answer", undefined, 0, 0],
+        ["with jitter, before the first answer", undefined, 0.5, 1_500],
+        ["without jitter, after an answer", 100_000, 0, 104_000],
+        ["with jitter, after an answer", 100_000, 0.5, 105_500],
+    ];
+    for (const [name, heardAt, random, silentFrom] of cases) {
+        // Guards against agents that all turn to the log at the moment at which their relays fail.
+        it(`begins at ${silentFrom} ms ${name}`, () => {
+            const clock = createManualClock();
+            const isSilent = createRelaySilence({
+                clock,
+                random: { next: () => random },
+                readHeardAt: () => heardAt,
+                silentAfter: 4_000,
+                jitter: 3_000,
+            });
+            clock.advance(silentFrom);
+            expect(isSilent()).toEqual(false);
+            clock.advance(1);
+            expect(isSilent()).toEqual(true);
+        });
+    }
+});
