--- a/src/node/agent/copySystem.ts
+++ b/src/node/agent/copySystem.ts
@@ -7,7 +7,7 @@
 import type { AgentContext } from "./context.js";
 import type { ServingState } from "./executor.js";
 import type { HoldKeeper } from "./holdKeeper.js";
-import { createOrderSystem } from "./orders.js";
+import { type ActiveSet, createOrderSystem } from "./orders.js";
 import type { TransferService, TransferTarget } from "./transfer/index.js";
 
 /** Keeps the copy on this instance as the placement wants it. */
@@ -48,6 +48,8 @@
     const { clock, decisions, instances, self, settings, store } = context;
     let assignment: InstanceAssignment = { current: undefined, conflicting: [] };
     let holdDecision: HoldDecision = { held: false, reason: "lapsed", validUntil: Number.NEGATIVE_INFINITY };
+    // Sets that this process was told to serve for the deployment of the copy that counts.
+    let assignedSets = { deployment: "", digests: new Set<ManifestDigest>() };
     let drains = false;
     let lastServing = "";
     let lastReason = "";
@@ -85,9 +87,23 @@
 
     function refreshAssignment(): void {
         assignment = findAssignment(store.state, self);
+        noteAssignedSet();
         transfer.setTarget(createTransferTarget(context, assignment.current));
     }
 
+    function noteAssignedSet(): void {
+        const { current } = assignment;
+        if (current === undefined) {
+            return;
+        }
+        if (assignedSets.deployment !== current.deployment) {
+            assignedSets = { deployment: current.deployment, digests: new Set() };
+        }
+        if (current.copy.weights !== undefined) {
+            assignedSets.digests.add(current.copy.weights.manifestDigest);
+        }
+    }
+
     function evaluateHold(): void {
         const decision = hold.evaluate(assignment.current?.copy);
         if (decision.held !== holdDecision.held) {
@@ -103,9 +119,23 @@
         holdDecision = decision;
     }
 
-    /** The set that the engine answers with, if it is one that this instance was told to serve. */
+    /**
+     * The set that the engine answers with, if it belongs to the deployment. After a pause in which the copy was replaced,
+     * the engine may still have the set of the deployment before. A process that has just started knows no earlier sets of
+     * the deployment and takes those of the same model and adapter.
+     */
     function readServedSet(): ManifestDigest | undefined {
-        return orders.engine?.active?.manifestDigest;
+        const active = orders.engine?.active;
+        return active !== undefined && belongsToDeployment(active) ? active.manifestDigest : undefined;
+    }
+
+    function belongsToDeployment(active: ActiveSet): boolean {
+        const weights = assignment.current?.copy.weights;
+        if (weights === undefined) {
+            return false;
+        }
+        const isSameModel = active.model === weights.model && active.adapter === weights.adapter;
+        return isSameModel || assignedSets.digests.has(active.manifestDigest);
     }
 
     function isServing(): boolean {
@@ -170,6 +200,7 @@
                     progress.manifestDigest === assignment.current?.copy.weights?.manifestDigest,
                 chunksTotal: progress?.chunksTotal ?? 0,
                 requestsInProgress: options.readRunning(),
+                belongsToDeployment,
                 newestEpoch: readNewestEpoch(context),
             });
             announceChanges();
--- a/src/node/agent/orders.ts
+++ b/src/node/agent/orders.ts
@@ -11,6 +11,9 @@
     Offset,
 } from "../../types/index.js";
 
+/** Set that an engine has active. */
+export type ActiveSet = NonNullable<EngineState["active"]>;
+
 /** What the order system needs to know in one tick. */
 export interface OrderInput {
     readonly assignment: CopyAssignment | undefined;
@@ -18,6 +21,8 @@
     readonly setComplete: boolean;
     readonly chunksTotal: number;
     readonly requestsInProgress: number;
+    /** Tells whether a set is one of the assigned deployment's. */
+    readonly belongsToDeployment: (active: ActiveSet) => boolean;
     readonly newestEpoch: Offset;
 }
 
@@ -79,6 +84,7 @@
             ...input,
             engine,
             engineReadAt,
+            activeBelongs: engine?.active === undefined || input.belongsToDeployment(engine.active),
             startedAt: options.startedAt,
             orderTimeLimit: options.orderTimeLimit,
             lastToken,
--- a/src/node/daemon/index.ts
+++ b/src/node/daemon/index.ts
@@ -1,3 +1,4 @@
 export * from "./membership.js";
+export * from "./relaySilence.js";
 export * from "./runDaemon.js";
 export * from "./signals.js";
--- a/src/runtime/activation/planOrders.ts
+++ b/src/runtime/activation/planOrders.ts
@@ -98,6 +98,11 @@
 ): ActivationDecision {
     const active = matchesActiveSet(engine.active, wanted);
     const phase = active ? "serving" : readLoadingPhase(input);
+    if (!input.activeBelongs) {
+        return input.requestsInProgress > 0 ?
+            decide(phase, "requests are in progress") :
+            decide(phase, "the active set is another deployment's", { kind: "deactivate", token });
+    }
     const obsolete = findObsoleteSet(engine, wanted);
     if (obsolete !== undefined) {
         const { manifestDigest } = obsolete;
--- a/src/runtime/activation/types.ts
+++ b/src/runtime/activation/types.ts
@@ -18,6 +18,8 @@
     readonly engine: EngineState | undefined;
     /** Monotonic time at which the read of `engine` began; undefined if `engine` is. */
     readonly engineReadAt: Milliseconds | undefined;
+    /** False if the engine has a set of another deployment active, as after a pause in which its copy was replaced. */
+    readonly activeBelongs: boolean;
     /** True if every chunk of the assigned set is staged and verified by this agent process. */
     readonly setComplete: boolean;
     readonly chunksTotal: number;
--- a/test/runtime/activation/planOrders.test.ts
+++ b/test/runtime/activation/planOrders.test.ts
@@ -36,6 +36,7 @@
         held: true,
         engine: createEngine(),
         engineReadAt: 9_000,
+        activeBelongs: true,
         setComplete: false,
         chunksTotal: 8,
         requestsInProgress: 0,
@@ -66,6 +67,16 @@
         { engine: createEngine({ active: oldSet, staged: [stage(oldSet), stage(newSet, 7)] }) },
         { phase: "staging", order: "" },
     ],
+    [
+        "unloads the set of another deployment before the assigned one is complete",
+        { engine: createEngine(replacing), activeBelongs: false },
+        { phase: "staging", order: "deactivate" },
+    ],
+    [
+        "lets requests on the set of another deployment finish",
+        { engine: createEngine(replacing), activeBelongs: false, requestsInProgress: 1 },
+        { phase: "staging", order: "" },
+    ],
     [
         "activates a complete set",
         { engine: createEngine(replacing), setComplete: true },
