Show processor time, memory and the newest state of a process in its metrics

Capacity has to be measured on the processes themselves. Each daemon now shows its processor seconds and resident bytes, the offset that it has applied and the time of the newest change of its state, from which the time between an append and its effect is read without polling.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -14,9 +14,9 @@
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { registerStatusRoutes, sendJson, startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog, registerDecisionRoute } from "../logging/index.js";
-import { createMetrics } from "../metrics/index.js";
+import { createMetrics, observeProcess } from "../metrics/index.js";
 import { createInstanceListClient, createLogClient, createOriginClient } from "../platform/index.js";
-import { createStateStore, startFollowerSet, startLogReader } from "../relay/index.js";
+import { createStateStore, observeState, startFollowerSet, startLogReader } from "../relay/index.js";
 import type { AgentSettings } from "../settings/index.js";
 import { observeAgent } from "./agentMetrics.js";
 import type { AgentContext } from "./context.js";
@@ -182,6 +182,8 @@
     }
     resources.use(http.value);
     observeAgent(context.metrics, { executor, transfer, reports });
+    observeProcess(context.metrics);
+    observeState(context.metrics, store, clock);
 
     followOwnership(context);
     store.onChange(() => copies.refreshAssignment());
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -10,11 +10,13 @@
 import { relayServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
+import { observeProcess } from "../metrics/index.js";
 import { createInstanceListClient, createLogClient } from "../platform/index.js";
 import {
     createRelayHandler,
     createStateStore,
     type FollowCall,
+    observeState,
     startFollowerSet,
     startLogReader,
 } from "../relay/index.js";
@@ -139,6 +141,8 @@
         },
     }));
 
+    observeProcess(context.metrics.registry);
+    observeState(context.metrics.registry, store, clock);
     const proposer = createProposerDuty(context);
     let changed = true;
     store.onChange(() => {
--- /dev/null
+++ b/src/node/metrics/processFigures.ts
@@ -0,0 +1,25 @@
+import type { Metrics } from "./metrics.js";
+
+const microsecondsPerSecond = 1_000_000;
+
+/**
+ * Adds the processor time and the resident memory of this process.
+ *
+ * @param metrics - metrics of the process
+ */
+export function observeProcess(metrics: Metrics): void {
+    metrics.observe(
+        {
+            name: "goldcrestpoint_process_cpu_seconds_total",
+            documentation: "Processor time of the process, user and system.",
+        },
+        () => {
+            const { system, user } = process.cpuUsage();
+            return (user + system) / microsecondsPerSecond;
+        },
+    );
+    metrics.observe(
+        { name: "goldcrestpoint_process_resident_bytes", documentation: "Resident memory of the process." },
+        () => process.memoryUsage.rss(),
+    );
+}
