--- /dev/null
+++ b/bench/capacity/idleMemory.ts
@@ -0,0 +1,79 @@
+import { spawn } from "node:child_process";
+import { sleep } from "../../src/utils/index.js";
+import { budgets } from "./designSize.js";
+import type { CapacityFigure } from "./measurement.js";
+import { readMemory, registerInstance, startNode, startPlatform } from "./nodes.js";
+
+const settleMilliseconds = 8_000;
+
+/** Heap limits that are compared. */
+const limits = {
+    "default heap": "",
+    "semi-space 1 MB": "--max-semi-space-size=1",
+    "semi-space 1 MB, old space 24 MB": "--max-semi-space-size=1 --max-old-space-size=24",
+} as const;
+
+/** Modules whose share of the memory is measured; each is loaded by a process that does nothing else. */
+const moduleSets: Readonly<Record<string, readonly string[]>> = {
+    nothing: [],
+    undici: ["undici"],
+    "@grpc/grpc-js": ["@grpc/grpc-js"],
+    zod: ["zod"],
+    "hdr-histogram-js": ["hdr-histogram-js"],
+    "undici and @grpc/grpc-js": ["undici", "@grpc/grpc-js"],
+};
+
+/**
+ * Measures the memory of idle processes: bare Node, the libraries, an entry instance and an agent.
+ *
+ * @returns figures
+ */
+export async function measureIdleMemory(): Promise<CapacityFigure[]> {
+    const figures: CapacityFigure[] = [];
+    for (const [name, modules] of Object.entries(moduleSets)) {
+        figures.push({
+            name: `resident memory, Node with ${name}`,
+            value: await measureModules(modules),
+            unit: "bytes",
+        });
+    }
+    for (const [name, options] of Object.entries(limits)) {
+        figures.push(...await measureDaemons(name, options));
+    }
+    return figures;
+}
+
+async function measureModules(modules: readonly string[]): Promise<number> {
+    const imports = modules.map(name => `await import(${JSON.stringify(name)});`).join("");
+    const child = spawn(process.execPath, [
+        "--input-type=module",
+        "--eval",
+        `${imports} setInterval(() => undefined, 1_000); process.stdout.write("ready");`,
+    ], { stdio: ["ignore", "pipe", "inherit"] });
+    await new Promise(resolve => child.stdout.once("data", resolve));
+    await sleep(1_000);
+    const { resident } = await readMemory(child.pid!);
+    child.kill("SIGKILL");
+    return resident;
+}
+
+async function measureDaemons(name: string, options: string): Promise<CapacityFigure[]> {
+    await using platform = await startPlatform();
+    const settings = { NODE_OPTIONS: options };
+    await using entry = await startNode("entry", "entry-0", platform.url, settings);
+    await registerInstance(platform.url, "entry-0", "entry", entry.grpcPort);
+    await using agent = await startNode("agent", "agent-0", platform.url, settings);
+    await registerInstance(platform.url, "agent-0", "backend-server", agent.grpcPort);
+    await sleep(settleMilliseconds);
+    const figures: CapacityFigure[] = [];
+    for (const [role, { process }] of Object.entries({ "entry instance": entry, agent: agent })) {
+        const { proportional, resident, residentFile } = await readMemory(process.pid);
+        const budget = name === "default heap" ? budgets.controlResidentBytes : undefined;
+        figures.push(
+            { name: `resident memory, idle ${role}, ${name}`, value: resident, unit: "bytes", budget },
+            { name: `file pages of it, idle ${role}, ${name}`, value: residentFile, unit: "bytes" },
+            { name: `proportional memory, idle ${role}, ${name}`, value: proportional, unit: "bytes" },
+        );
+    }
+    return figures;
+}
--- a/demo/cluster/index.ts
+++ b/demo/cluster/index.ts
@@ -1,4 +1,5 @@
 export * from "./cluster.js";
+export * from "./freePorts.js";
 export * from "./load.js";
 export * from "./operator.js";
 export * from "./presets.js";
