List the part on subsets in the capacity benchmark

A switch that cuts off part of an availability zone is added to the appends, since the proposers leave a zone without any reachable member alone.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -24,6 +24,7 @@
 /** Parts of the benchmark; they run one after the other. */
 const parts: Readonly<Record<string, (seed: number) => CapacityFigure[] | Promise<CapacityFigure[]>>> = {
     "table-rows": measureTableRows,
+    subsets: measureSubsets,
     appends: measureAppends,
     "idle-memory": measureIdleMemory,
     "instance-rows": measureInstanceRows,
--- a/bench/capacity/appends.ts
+++ b/bench/capacity/appends.ts
@@ -89,12 +89,18 @@
     const parted = observe(world, 240);
     world.cuts.clear();
     const healed = observe(world, 300, 60);
+    listZone(world, "zone-5").slice(0, rackInstances).forEach(instance => world.cuts.add(instance));
+    const rackCut = observe(world, 240);
+    world.cuts.clear();
+    const rackHealed = observe(world, 300, 60);
     return [
         ...list("first placement of 430 copies", placed),
         ...list("new version for 430 copies, first 5 s", started),
         ...list("burst with the loss of a rack of 16", burst),
         ...list("partition of a region with 86 copies", parted),
         ...list("partition of a region, after it has healed", healed),
+        ...list("switch of 16 instances cut off", rackCut),
+        ...list("switch of 16 instances, after it is back", rackHealed),
         ...measureDay(world, seed),
     ];
 }
