--- a/src/node/metrics/windowedHistogram.ts
+++ b/src/node/metrics/windowedHistogram.ts
@@ -1,4 +1,5 @@
-import { build, type Histogram } from "hdr-histogram-js";
+import type { build, Histogram } from "hdr-histogram-js";
+import { createRequire } from "node:module";
 import type { Clock, Milliseconds } from "../../types/index.js";
 
 /** Histogram that forgets old values, with totals that do not. */
@@ -22,8 +23,15 @@
 const resolution = 1_000;
 const highestValue = 3_600_000;
 
+const require = createRequire(import.meta.url);
+
+// The library takes about 16 MB of memory, so a process without histograms, such as an agent, does not load it.
+function loadLibrary(): { readonly build: typeof build; } {
+    return require("hdr-histogram-js") as { readonly build: typeof build; };
+}
+
 function createHistogram(): Histogram {
-    return build({
+    return loadLibrary().build({
         bitBucketSize: 32,
         lowestDiscernibleValue: 1,
         highestTrackableValue: highestValue * resolution,
