Give the world of the append counts spare instances

Without them the proposers can replace nothing, so a partition and a lost switch gave no records whatever the proposers do. The processor time at each rate of heartbeats is listed too, since it is not linear.

--- a/bench/capacity/appends.ts
+++ b/bench/capacity/appends.ts
@@ -8,6 +8,8 @@
 const zones = Object.fromEntries(
     [...Array(designSize.zones).keys()].map(index => [`zone-${index}`, copiesOfZone]),
 );
+/** Instances in each availability zone without a copy; without them nothing can be replaced. */
+const sparesOfZone = 8;
 /** Instances of a rack; all are in one availability zone. */
 const rackInstances = 16;
 const worstSeconds = 60;
@@ -74,7 +76,9 @@
  * @returns figures for a first placement, a burst with the loss of a rack, a partition and single failures
  */
 export function measureAppends(seed: number): CapacityFigure[] {
-    const world = createWorld(zones);
+    const world = createWorld(
+        Object.fromEntries(Object.entries(zones).map(([zone, count]) => [zone, count + sparesOfZone])),
+    );
     world.pass(milliseconds);
     world.run(30);
     world.apply(deployment, zones);
--- a/bench/capacity/followers.ts
+++ b/bench/capacity/followers.ts
@@ -101,6 +101,11 @@
         bytes.push([rate * followerCount, sample.bytesPerSecond]);
     }
     return [
+        ...cores.map(([rate, value]) => ({
+            name: `entry instance, processor at ${rate} heartbeats/s of ${followerCount} followers`,
+            value: value * 100,
+            unit: "% of a core",
+        })),
         { name: "relay, heartbeat with its answer", value: fitLine(bytes).slope, unit: "bytes" },
         { name: "relay, processor for each heartbeat", value: fitLine(cores).slope * 1_000_000, unit: "us" },
         {
