--- a/src/node/relay/stateStore.ts
+++ b/src/node/relay/stateStore.ts
@@ -10,6 +10,10 @@
 
 /** Entries that are kept for followers that lag; older ones are replaced by a snapshot. */
 const keptEntries = 2_000;
+/** Copies in all kept entries together, since a placement record holds every copy: at 305 bytes each about 6 MB. */
+const keptCopies = 20_000;
+/** Newest entries that are kept whatever their size, so that a follower that lags by a few needs no snapshot. */
+const alwaysKeptEntries = 16;
 
 /** State that a process has derived from the log, with the age of its knowledge. */
 export interface StateStore {
@@ -61,6 +65,24 @@
     onChange(listener: (entries: readonly LogEntry[]) => void): void;
 }
 
+function countCopies({ record }: LogEntry): number {
+    return record.kind === "placement" ? record.copies.length : 0;
+}
+
+/** Counts the oldest entries that exceed the limits. */
+function countExcess(entries: readonly LogEntry[]): number {
+    let copies = 0;
+    let kept = 0;
+    for (const entry of [...entries].reverse()) {
+        copies += countCopies(entry);
+        if (kept >= keptEntries || (kept >= alwaysKeptEntries && copies > keptCopies)) {
+            break;
+        }
+        kept += 1;
+    }
+    return entries.length - kept;
+}
+
 /**
  * Creates an empty store.
  *
@@ -83,8 +105,8 @@
 
     function keep(entries: readonly LogEntry[]): void {
         recent.push(...entries);
-        if (recent.length > keptEntries) {
-            const dropped = recent.length - keptEntries;
+        const dropped = countExcess(recent);
+        if (dropped > 0) {
             recentBase = recent[dropped - 1]!.offset;
             recent = recent.slice(dropped);
         }
