--- a/bench/capacity/idleMemory.ts
+++ b/bench/capacity/idleMemory.ts
@@ -1,10 +1,12 @@
 import { spawn } from "node:child_process";
-import { sleep } from "../../src/utils/index.js";
+import { findFreePorts, startProgram } from "../../demo/cluster/index.js";
+import { createDisposalStack, sleep } from "../../src/utils/index.js";
 import { budgets } from "./designSize.js";
 import type { CapacityFigure } from "./measurement.js";
-import { readMemory, registerInstance, startNode, startPlatform } from "./nodes.js";
+import { readMemory, readMetric, registerInstance, startNode, startPlatform } from "./nodes.js";
 
 const settleMilliseconds = 8_000;
+const windowMilliseconds = 6_000;
 
 /** Heap limits that are compared. */
 const limits = {
@@ -59,17 +61,36 @@
 
 async function measureDaemons(name: string, options: string): Promise<CapacityFigure[]> {
     await using platform = await startPlatform();
-    const settings = { NODE_OPTIONS: options };
+    const [servicePort] = await findFreePorts(1);
+    // Without a backend server, an agent spends its time on failed connections.
+    await using resources = createDisposalStack();
+    resources.use(startProgram("service", ["stand-in", "service"], {
+        GOLDCRESTPOINT_STAND_IN_SERVICE_HTTP_ADDRESS: `127.0.0.1:${servicePort}`,
+    }));
+    const settings = {
+        NODE_OPTIONS: options,
+        GOLDCRESTPOINT_BACKEND_SERVER_KIND: "service",
+        GOLDCRESTPOINT_BACKEND_SERVER_URL: `http://127.0.0.1:${servicePort}`,
+    };
     await using entry = await startNode("entry", "entry-0", platform.url, settings);
     await registerInstance(platform.url, "entry-0", "entry", entry.grpcPort);
     await using agent = await startNode("agent", "agent-0", platform.url, settings);
     await registerInstance(platform.url, "agent-0", "backend-server", agent.grpcPort);
     await sleep(settleMilliseconds);
     const figures: CapacityFigure[] = [];
-    for (const [role, { process }] of Object.entries({ "entry instance": entry, agent: agent })) {
-        const { proportional, resident, residentFile } = await readMemory(process.pid);
+    for (const [role, node] of Object.entries({ "entry instance": entry, agent: agent })) {
+        const before = await readMetric(node, "process_cpu_seconds_total");
+        await sleep(windowMilliseconds);
+        const seconds = await readMetric(node, "process_cpu_seconds_total") - before;
+        const { proportional, resident, residentFile } = await readMemory(node.process.pid);
         const budget = name === "default heap" ? budgets.controlResidentBytes : undefined;
         figures.push(
+            {
+                name: `processor, idle ${role}, ${name}`,
+                value: seconds * 100_000 / windowMilliseconds,
+                unit: "% of a core",
+                budget: budget && budgets.controlCores * 100,
+            },
             { name: `resident memory, idle ${role}, ${name}`, value: resident, unit: "bytes", budget },
             { name: `file pages of it, idle ${role}, ${name}`, value: residentFile, unit: "bytes" },
             { name: `proportional memory, idle ${role}, ${name}`, value: proportional, unit: "bytes" },
