Let agents follow the proposers of their pool and the witnesses of their copy

The witnesses of a copy were not always followed either, so that a log outage could not be confirmed.

Change: agents rank entry instances by their pool, proposers are ranked by the same key, and witnesses are followed whatever their rank; entry instances follow the witnesses of the copies that they judge.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -125,6 +125,8 @@
         logger,
         startedAt: context.startedAt,
         listTargets: () => listRelayTargets(instances, relay.entryAddresses),
+        rankKey: settings.instance.pool,
+        listRequired: () => copies.listWitnesses(),
         maximumFollowed: relay.parents,
         heartbeatMilliseconds: relay.heartbeat,
         readContent: () => ({
--- a/src/node/agent/copySystem.ts
+++ b/src/node/agent/copySystem.ts
@@ -2,7 +2,7 @@
 import { type CopyStatus, CopyStatusSchema } from "../../generated/goldcrestpoint_pb.js";
 import type { ActivationDecision } from "../../runtime/activation/index.js";
 import type { HoldDecision } from "../../runtime/hold/index.js";
-import type { CopyPhase, ManifestDigest } from "../../types/index.js";
+import type { CopyPhase, InstanceId, ManifestDigest } from "../../types/index.js";
 import { type AssignedCopy, findAssignment, type InstanceAssignment } from "./assignment.js";
 import type { AgentContext } from "./context.js";
 import type { ServingState } from "./executor.js";
@@ -23,6 +23,8 @@
     readStatuses(): CopyStatus[];
     /** The set that is being served, for load reports. */
     readServedStatuses(): CopyStatus[];
+    /** Entry instances that may confirm the hold on the copy. */
+    listWitnesses(): readonly InstanceId[];
     readonly draining: boolean;
     readonly phase: CopyPhase;
 }
@@ -225,6 +227,10 @@
             served.manifestDigest = isPlainService() ? "" : readServedSet() ?? "";
             return [served];
         },
+        listWitnesses: () => {
+            const copy = assignment.current?.copy;
+            return [...copy?.witnesses ?? [], ...copy?.previousWitnesses ?? []];
+        },
         get draining() {
             return readDraining();
         },
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -25,6 +25,7 @@
 import { createEntryMetrics } from "./entryMetrics.js";
 import { noteHeartbeat } from "./heartbeats.js";
 import { createEntryRouter } from "./httpRoutes.js";
+import { listJudgedWitnesses } from "./judgedWitnesses.js";
 import { isLogReader } from "./logReaders.js";
 import { createProposerDuty } from "./proposerDuty.js";
 import { createRequestPipeline } from "./requestPipeline.js";
@@ -105,6 +106,8 @@
         logger,
         startedAt: context.startedAt,
         listTargets: () => listRelayTargets(instances, settings.relay.entryAddresses),
+        rankKey: context.self,
+        listRequired: () => listJudgedWitnesses(context),
         maximumFollowed: settings.relay.parents,
         heartbeatMilliseconds: settings.relay.heartbeat,
         readContent: () => ({ copies: [], draining }),
--- a/src/node/relay/followerSet.ts
+++ b/src/node/relay/followerSet.ts
@@ -7,7 +7,11 @@
 export interface FollowerSetOptions extends Omit<FollowerOptions, "target" | "onEnd"> {
     /** Lists the entry instances that may be followed now. */
     readonly listTargets: () => readonly RelayTarget[];
-    /** Entry instances followed at once. Default: 3. */
+    /** Key by which entry instances are ranked; processes with the same key follow the same ones. */
+    readonly rankKey: string;
+    /** Lists entry instances that are followed whatever their rank, such as the witnesses of a copy. */
+    readonly listRequired: () => Iterable<InstanceId>;
+    /** Entry instances followed by rank. Default: 3. */
     readonly maximumFollowed?: number;
     /** Time between heartbeats. Default: 2,000 ms. */
     readonly heartbeatMilliseconds?: Milliseconds;
@@ -28,7 +32,8 @@
 const silentIntervals = 4;
 
 /**
- * Follows up to a few entry instances, chosen by rendezvous hashing, and replaces those that fail or leave.
+ * Follows a few entry instances, chosen by rendezvous hashing, and those that are required, and replaces those that fail
+ * or leave.
  *
  * @param options - what to follow and report
  * @returns the running set
@@ -63,10 +68,17 @@
                 .filter(target => target.instance !== options.self)
                 .map(target => [target.instance, target]),
         );
-        const wanted = rankByRendezvous(options.self, [...targets.keys()]).slice(0, options.maximumFollowed ?? 3);
+        const wanted = new Set(
+            rankByRendezvous(options.rankKey, [...targets.keys()]).slice(0, options.maximumFollowed ?? 3),
+        );
+        for (const instance of options.listRequired()) {
+            if (targets.has(instance)) {
+                wanted.add(instance);
+            }
+        }
         for (const [instance, follower] of [...followers]) {
             const silent = now - follower.heardAt > silentIntervals * interval;
-            if (silent || !wanted.includes(instance) || targets.get(instance)?.address !== follower.target.address) {
+            if (silent || !wanted.has(instance) || targets.get(instance)?.address !== follower.target.address) {
                 follower[Symbol.dispose]();
             }
         }
--- a/src/runtime/placement/rank.ts
+++ b/src/runtime/placement/rank.ts
@@ -1,16 +1,16 @@
-import type { DeploymentName, InstanceId } from "../../types/index.js";
+import type { InstanceId } from "../../types/index.js";
 import { createRendezvousScore } from "../../utils/index.js";
 
 /**
- * Ranks an entry instance among the proposers of a deployment.
+ * Ranks an entry instance among the proposers of the deployments of a pool.
  *
- * @param deployment - name of the deployment
+ * @param pool - pool of the deployment
  * @param self - the entry instance
  * @param entries - live entry instances; `self` counts even if it is missing
  * @returns number of entry instances that come first; 0 for the first
  */
-export function rankProposer(deployment: DeploymentName, self: InstanceId, entries: Iterable<InstanceId>): number {
-    const readScore = createRendezvousScore(deployment);
+export function rankProposer(pool: string, self: InstanceId, entries: Iterable<InstanceId>): number {
+    const readScore = createRendezvousScore(pool);
     const ownScore = readScore(self);
     let rank = 0;
     for (const entry of entries) {
--- a/src/runtime/placement/runProposer.ts
+++ b/src/runtime/placement/runProposer.ts
@@ -150,8 +150,10 @@
     }
 }
 
+/** Agents follow the entry instances that rank first for their pool, so these are the ones that hear them. */
 function readRank(tick: Tick, deployment: string): number {
-    return rankProposer(deployment, tick.input.self, tick.entries.map(({ instance }) => instance));
+    const pool = tick.input.state.configurations.get(deployment)?.pool ?? deployment;
+    return rankProposer(pool, tick.input.self, tick.entries.map(({ instance }) => instance));
 }
 
 /** Plans less often at the later ranks, whose turn rarely comes, since a plan costs time for each copy. */
