Bound the bytes that transfers keep in memory, and use the measured defaults in the settings

Twelve downloads and sixteen uploads of 2 MiB chunks could keep 56 MiB in an agent whose whole budget is 64 MB. Accepted requests now wait in order and keep nothing until their turn; maximumBytesInFlight (12 MiB) bounds both directions. A received chunk is written into one buffer instead of being concatenated.

The settings still had the earlier defaults (8 transfers, 2 from a peer, 8 uploads), so that the daemon did not run with those that the benchmark measures.

The benchmark reports what live requests waited for: the link in each direction and the event loop.

--- a/bench/distribution.ts
+++ b/bench/distribution.ts
@@ -48,6 +48,8 @@
     retryChokedAfter: 30,
     tickInterval: 50,
     partBytes: 4_096,
+    // Six chunks, as with the service's default and chunks of 2 MiB.
+    maximumBytesInFlight: 6 * scale.chunkBytes,
 };
 
 const scenarios: readonly { readonly method: Method; readonly objective: Objective; readonly faulty: boolean; }[] = [
--- a/bench/distribution/agentProcess.ts
+++ b/bench/distribution/agentProcess.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { setTimeout as delay } from "node:timers/promises";
 import {
     createLinkBudget,
@@ -26,6 +27,16 @@
 const clock = createSystemClock();
 const eventCounts: Record<string, number> = {};
 
+/** Waits of live requests for the link since the transfer began. */
+const liveWaits: Record<"incoming" | "outgoing", number[]> = { incoming: [], outgoing: [] };
+const eventLoop = monitorEventLoopDelay({ resolution: 1 });
+
+async function measureWait(direction: "incoming" | "outgoing", wait: Promise<boolean>): Promise<void> {
+    const startedAt = clock.monotonic();
+    await wait;
+    liveWaits[direction].push(clock.monotonic() - startedAt);
+}
+
 /** Agent that runs in this process. */
 interface LocalAgent {
     readonly agent: BenchAgent;
@@ -101,9 +112,9 @@
         requestsInProgress++;
         request.resume();
         request.once("end", () => {
-            void link.take("incoming", liveRequestBytes)
+            void measureWait("incoming", link.take("incoming", liveRequestBytes))
                 .then(() => delay(liveServiceTime))
-                .then(() => link.take("outgoing", liveResponse.length))
+                .then(() => measureWait("outgoing", link.take("outgoing", liveResponse.length)))
                 .then(() => response.end(liveResponse))
                 .finally(() => requestsInProgress--);
         });
@@ -135,6 +146,9 @@
 }
 
 function begin(start: StartMessage, message: BeginMessage, local: readonly LocalAgent[]): void {
+    liveWaits.incoming.length = 0;
+    liveWaits.outgoing.length = 0;
+    eventLoop.enable();
     for (const running of local) {
         const { agent, service, stall } = running;
         const members = selectMembers(start.method, message.agents, agent.instance);
@@ -151,7 +165,8 @@
         const { originBytes, peerReceivedBytes, peerSentBytes } = service.totals();
         return { instance, receivedBytes: originBytes + peerReceivedBytes, sentBytes: peerSentBytes };
     });
-    send({ kind: "agent-totals", totals, eventCounts });
+    const eventLoopDelay = eventLoop.percentile(95) / 1e6;
+    send({ kind: "agent-totals", totals, eventCounts, liveWaits, eventLoopDelay });
 }
 
 async function startAgents(message: StartMessage): Promise<void> {
--- a/bench/distribution/messages.ts
+++ b/bench/distribution/messages.ts
@@ -67,7 +67,14 @@
     | { readonly kind: "origin-listening"; readonly port: number; readonly weights: WeightSet; }
     | { readonly kind: "client-started"; }
     | { readonly kind: "complete"; readonly instance: string; readonly at: number; }
-    | { readonly kind: "agent-totals"; readonly totals: readonly AgentTotals[]; readonly eventCounts: EventCounts; }
+    | {
+        readonly kind: "agent-totals";
+        readonly totals: readonly AgentTotals[];
+        readonly eventCounts: EventCounts;
+        readonly liveWaits: Readonly<Record<"incoming" | "outgoing", readonly number[]>>;
+        /** 95th percentile of the process, in milliseconds. */
+        readonly eventLoopDelay: number;
+    }
     | { readonly kind: "origin-totals"; readonly sentBytes: number; }
     | { readonly kind: "latencies"; readonly quiet: readonly number[]; readonly burst: readonly number[]; };
 
--- a/bench/distribution/run.ts
+++ b/bench/distribution/run.ts
@@ -14,6 +14,7 @@
     RunScale,
     ToChild,
 } from "./messages.js";
+import { readPercentile, summarizeWaits } from "./percentiles.js";
 import { simulateSwarm } from "./simulation.js";
 
 /** Run to measure. */
@@ -148,11 +149,6 @@
     return groups;
 }
 
-function readPercentile(values: readonly number[], share: number): number {
-    const sorted = [...values].sort((left, right) => left - right);
-    return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? NaN;
-}
-
 /**
  * Runs the decisions against simulated links; live requests are not simulated.
  *
@@ -296,6 +292,9 @@
 ): Promise<{ readonly totals: AgentTotals[]; readonly events: EventCounts; }> {
     const totals: AgentTotals[] = [];
     const events: Record<string, number> = {};
+    const incoming: number[] = [];
+    const outgoing: number[] = [];
+    const delays: number[] = [];
     for (const { agents, child } of workers) {
         if (faults.dying.includes(agents[0]!.instance)) {
             continue;
@@ -304,10 +303,14 @@
         tell(child, { kind: "finish" });
         const message = await answer;
         totals.push(...message.totals);
+        incoming.push(...message.liveWaits.incoming);
+        outgoing.push(...message.liveWaits.outgoing);
+        delays.push(message.eventLoopDelay);
         for (const [event, count] of Object.entries(message.eventCounts)) {
             events[event] = (events[event] ?? 0) + count;
         }
     }
+    Object.assign(events, summarizeWaits(incoming, outgoing, delays));
     return { totals, events };
 }
 
--- a/src/node/agent/transfer/context.ts
+++ b/src/node/agent/transfer/context.ts
@@ -1,5 +1,6 @@
 import type { DistributionOptions } from "../../../runtime/distribution/index.js";
 import type { InstanceId, ManifestDigest, Milliseconds } from "../../../types/index.js";
+import type { ByteGate } from "./byteGate.js";
 import type { PeerCalls } from "./peerCalls.js";
 import type { TransferServiceInput, TransferServiceSettings } from "./types.js";
 import type { WeightSetState } from "./weightSetState.js";
@@ -9,6 +10,8 @@
     readonly settings: TransferServiceSettings;
     readonly options: DistributionOptions;
     readonly calls: PeerCalls;
+    /** Bounds the bytes of chunks that are being received. */
+    readonly incomingGate: ByteGate;
     readonly sets: Map<ManifestDigest, WeightSetState>;
     /** Ended when the service is disposed of. */
     readonly signal: AbortSignal;
--- a/src/node/agent/transfer/downloads.ts
+++ b/src/node/agent/transfer/downloads.ts
@@ -121,6 +121,22 @@
 }
 
 async function fetchFromOrigin(context: TransferContext, transfer: RunningTransfer): Promise<void> {
+    const { manifest, row, signal } = transfer;
+    const release = await context.incomingGate.acquire(manifest.chunks[row.index]!.bytes, signal);
+    if (release === undefined) {
+        return;
+    }
+    try {
+        // The wait for memory is no stall of the origin.
+        row.progressedAt = context.clock.monotonic();
+        await readFromOrigin(context, transfer);
+    }
+    finally {
+        release();
+    }
+}
+
+async function readFromOrigin(context: TransferContext, transfer: RunningTransfer): Promise<void> {
     const { row, set, signal } = transfer;
     const content = await context.origin.readChunk(set.manifestDigest, row.index, signal);
     if (content.isErr) {
@@ -153,7 +169,8 @@
         return;
     }
     const expectedBytes = manifest.chunks[row.index]!.bytes;
-    const parts: Uint8Array[] = [];
+    let content: Buffer | undefined;
+    let release: (() => void) | undefined;
     let receivedBytes = 0;
     const request = {
         instance: context.self,
@@ -161,25 +178,37 @@
         index: row.index,
         lastResort: command.lastResort,
     };
-    const outcome = await context.calls.fetch(address, request, signal, async part => {
+    const receive = async (part: Uint8Array) => {
+        // Memory is taken with the first part only, since the sender may let the request wait.
+        release ??= await context.incomingGate.acquire(expectedBytes, signal);
+        if (release === undefined) {
+            return;
+        }
+        content ??= Buffer.allocUnsafe(expectedBytes);
+        if (receivedBytes + part.length <= expectedBytes) {
+            content.set(part, receivedBytes);
+        }
         receivedBytes += part.length;
         context.counters.peerReceivedBytes += part.length;
-        if (receivedBytes <= expectedBytes) {
-            parts.push(part);
-        }
         row.progressedAt = context.clock.monotonic();
         await context.linkBudget.take("incoming", part.length, signal);
         row.progressedAt = context.clock.monotonic();
-    });
-    if (signal.aborted) {
-        return;
+    };
+    try {
+        const outcome = await context.calls.fetch(address, request, signal, receive);
+        if (signal.aborted) {
+            return;
+        }
+        if (outcome.isErr) {
+            recordPeerFailure(context, set, row, outcome.error);
+            return;
+        }
+        const whole = content !== undefined && receivedBytes === expectedBytes;
+        await acceptChunk(context, transfer, whole ? content! : new Uint8Array());
     }
-    if (outcome.isErr) {
-        recordPeerFailure(context, set, row, outcome.error);
-        return;
+    finally {
+        release?.();
     }
-    const content = receivedBytes === expectedBytes ? Buffer.concat(parts) : new Uint8Array();
-    await acceptChunk(context, transfer, content);
 }
 
 function recordPeerFailure(
--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -6,6 +6,7 @@
     verifyManifest,
 } from "../../../runtime/distribution/index.js";
 import type { ManifestDigest, Milliseconds } from "../../../types/index.js";
+import { createByteGate } from "./byteGate.js";
 import { computeBackoff, type TransferContext } from "./context.js";
 import { runTransfers } from "./downloads.js";
 import { createEngineSync } from "./engineSync.js";
@@ -16,6 +17,12 @@
 import { createUploadHandler } from "./uploads.js";
 import { applyManifest, applyMembers, createWeightSetState, type WeightSetState } from "./weightSetState.js";
 
+/**
+ * Share of the bytes in memory for chunks that are received. Reads from the origin are slow and keep theirs for long,
+ * while two chunks that are sent at once keep the link busy.
+ */
+const incomingShare = 2 / 3;
+
 /**
  * Creates the exchange of weights between this agent and the others of the same set.
  *
@@ -34,10 +41,12 @@
     let manifestFailures = 0;
     let manifestReading: ManifestDigest | undefined;
 
+    const options = resolveDistributionOptions(input.options);
     const context: TransferContext = {
         ...input,
         settings: resolveTransferSettings(input.options),
-        options: resolveDistributionOptions(input.options),
+        options,
+        incomingGate: createByteGate(options.maximumBytesInFlight * incomingShare),
         calls: createPeerCalls(),
         sets,
         signal: disposal.signal,
@@ -181,8 +190,9 @@
         findSet: digest => sets.get(digest),
         backend: input.backend,
         linkBudget: input.linkBudget,
+        gate: createByteGate(options.maximumBytesInFlight * (1 - incomingShare)),
         settings: context.settings,
-        options: context.options,
+        options,
         signal: disposal.signal,
         countSent: bytes => {
             context.counters.peerSentBytes += bytes;
--- a/src/node/agent/transfer/uploads.ts
+++ b/src/node/agent/transfer/uploads.ts
@@ -4,6 +4,7 @@
 import { type ChunkPart, ChunkPartSchema, type FetchChunkRequest } from "../../../generated/goldcrestpoint_pb.js";
 import { decideUpload, type DistributionOptions, hasChunk } from "../../../runtime/distribution/index.js";
 import type { BackendServerPort, ManifestDigest } from "../../../types/index.js";
+import type { ByteGate } from "./byteGate.js";
 import type { LinkBudget, TransferServiceSettings } from "./types.js";
 import type { WeightSetState } from "./weightSetState.js";
 
@@ -12,6 +13,8 @@
     readonly findSet: (digest: ManifestDigest) => WeightSetState | undefined;
     readonly backend: BackendServerPort;
     readonly linkBudget: LinkBudget;
+    /** Bounds the bytes of chunks that are being sent. */
+    readonly gate: ByteGate;
     readonly settings: TransferServiceSettings;
     readonly options: DistributionOptions;
     /** Called with the number of bytes of each part sent. */
@@ -54,7 +57,7 @@
         set.sentBytes += chunkBytes;
         let unsent = chunkBytes;
         try {
-            unsent -= await sendChunk(input, call, manifestDigest, index);
+            unsent -= await sendInTurn(input, call, manifestDigest, index, chunkBytes);
         }
         finally {
             set.uploadsInProgress--;
@@ -68,11 +71,13 @@
     call.end();
 }
 
-async function sendChunk(
+/** Reads the chunk from the engine only when its turn has come, so that waiting requests keep no bytes. */
+async function sendInTurn(
     input: UploadInput,
     call: FetchCall,
     digest: ManifestDigest,
     index: number,
+    chunkBytes: number,
 ): Promise<number> {
     const ended = new AbortController();
     const end = () => {
@@ -81,31 +86,51 @@
     call.once("cancelled", end);
     call.once("error", end);
     input.signal.addEventListener("abort", end, { once: true });
-    let sent = 0;
+    const release = await input.gate.acquire(chunkBytes, ended.signal);
     try {
-        const content = await input.backend.readChunk(digest, index);
-        if (content.isErr) {
-            refuse(call, "not-held");
-            return sent;
-        }
-        const { partBytes } = input.settings;
-        for (let offset = 0; offset < content.value.length; offset += partBytes) {
-            const data = content.value.subarray(offset, offset + partBytes);
-            if (!await input.linkBudget.take("outgoing", data.length, ended.signal) || call.cancelled) {
-                // Ends the stream with an error status, so that the requester does not wait for the rest.
-                call.emit("error", new Error("the upload was ended"));
-                return sent;
-            }
-            sent += data.length;
-            input.countSent(data.length);
-            if (!call.write(create(ChunkPartSchema, { data }))) {
-                await once(call, "drain", { signal: ended.signal }).catch(() => undefined);
-            }
+        if (release === undefined) {
+            endWithError(call);
+            return 0;
         }
-        call.end();
-        return sent;
+        return await sendChunk(input, call, digest, index, ended.signal);
     }
     finally {
+        release?.();
         input.signal.removeEventListener("abort", end);
     }
 }
+
+/** Ends the stream with an error status, so that the requester does not wait for the rest. */
+function endWithError(call: FetchCall): void {
+    call.emit("error", new Error("the upload was ended"));
+}
+
+async function sendChunk(
+    input: UploadInput,
+    call: FetchCall,
+    digest: ManifestDigest,
+    index: number,
+    signal: AbortSignal,
+): Promise<number> {
+    const content = await input.backend.readChunk(digest, index);
+    if (content.isErr) {
+        refuse(call, "not-held");
+        return 0;
+    }
+    let sent = 0;
+    const { partBytes } = input.settings;
+    for (let offset = 0; offset < content.value.length; offset += partBytes) {
+        const data = content.value.subarray(offset, offset + partBytes);
+        if (!await input.linkBudget.take("outgoing", data.length, signal) || call.cancelled) {
+            endWithError(call);
+            return sent;
+        }
+        sent += data.length;
+        input.countSent(data.length);
+        if (!call.write(create(ChunkPartSchema, { data }))) {
+            await once(call, "drain", { signal: signal }).catch(() => undefined);
+        }
+    }
+    call.end();
+    return sent;
+}
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -44,13 +44,13 @@
         maximumTransfers: defineInteger({
             minimum: 1,
             maximum: 256,
-            initial: 8,
+            initial: 12,
             documentation: "Transfers that one agent runs at once.",
         }),
         maximumTransfersFromPeer: defineInteger({
             minimum: 1,
             maximum: 256,
-            initial: 2,
+            initial: 1,
             documentation: "Transfers that one agent runs from the same peer at once.",
         }),
         maximumOriginTransfers: defineInteger({
@@ -62,9 +62,15 @@
         maximumUploads: defineInteger({
             minimum: 1,
             maximum: 1024,
-            initial: 8,
+            initial: 16,
             documentation: "Chunks that one agent sends at once; further requests are refused as choked.",
         }),
+        maximumBytesInFlight: defineInteger({
+            minimum: 4_096,
+            maximum: 1_073_741_824,
+            initial: 12 * 1024 * 1024,
+            documentation: "Bytes of chunks that one agent keeps in memory at once for transfers in both directions.",
+        }),
         uploadAllowanceCopies: defineNumber({
             minimum: 0,
             maximum: 100,
--- a/src/runtime/distribution/options.ts
+++ b/src/runtime/distribution/options.ts
@@ -12,6 +12,7 @@
         maximumTransfersFromPeer: partial.maximumTransfersFromPeer ?? 1,
         maximumOriginTransfers: partial.maximumOriginTransfers ?? 2,
         maximumUploads: partial.maximumUploads ?? 16,
+        maximumBytesInFlight: partial.maximumBytesInFlight ?? 12 * 1024 * 1024,
         uploadAllowanceCopies: partial.uploadAllowanceCopies ?? 1.1,
         stallAfter: partial.stallAfter ?? 10_000,
         originStallAfter: partial.originStallAfter ?? 30_000,
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -24,6 +24,11 @@
     readonly maximumOriginTransfers: number;
     /** Chunks that one agent sends at once; further requests are refused as choked. Default: 16. */
     readonly maximumUploads: number;
+    /**
+     * Bytes of chunks that one agent keeps in memory at once: two thirds for chunks that it receives, a third for chunks
+     * that it sends. Further accepted requests wait in order and keep nothing. Default: 12 MiB.
+     */
+    readonly maximumBytesInFlight: number;
     /** Copies that an agent sends before it refuses further chunks to requesters with other sources. Default: 1.1. */
     readonly uploadAllowanceCopies: number;
     /** Time after which a transfer from a peer without new bytes is abandoned. Default: 10,000 ms. */
