Charge reads from the origin in parts, queue fewer uploads, and keep local waits from counting as stalls

A whole chunk from the origin overdrew the link budget by 100 ms, and live requests waited for it: their wait for the incoming link had a p95 of 41 ms.

A transfer whose bytes have arrived no longer counts as stalled while it waits for this instance's memory, link or engine; its chunk was requested again. The bytes sent of a set that is forgotten while a hold lapses still count, so that the upload allowance is not renewed in the middle of a burst.

--- a/bench/distribution/agentProcess.ts
+++ b/bench/distribution/agentProcess.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { monitorEventLoopDelay } from "node:perf_hooks";
@@ -12,7 +13,7 @@
 import { agentServiceDefinition, startRpcServer } from "../../src/node/grpc/index.js";
 import { createSeededRandom, createSystemClock } from "../../src/utils/index.js";
 import { chainBudgets, createCorruptingEngine, createHttpOrigin } from "./benchPorts.js";
-import type { BenchAgent, FromChild, Method, ToChild } from "./messages.js";
+import type { BenchAgent, FromChild, LiveWaits, Method, ToChild } from "./messages.js";
 
 type StartMessage = Extract<ToChild, { kind: "start-agents"; }>;
 type BeginMessage = Extract<ToChild, { kind: "begin"; }>;
@@ -28,13 +29,13 @@
 const eventCounts: Record<string, number> = {};
 
 /** Waits of live requests for the link since the transfer began. */
-const liveWaits: Record<"incoming" | "outgoing", number[]> = { incoming: [], outgoing: [] };
+const liveWaits: LiveWaits = { incoming: [], outgoing: [], serverTime: [] };
 const eventLoop = monitorEventLoopDelay({ resolution: 1 });
 
-async function measureWait(direction: "incoming" | "outgoing", wait: Promise<boolean>): Promise<void> {
+async function measureWait(part: keyof LiveWaits, wait: Promise<unknown>): Promise<void> {
     const startedAt = clock.monotonic();
     await wait;
-    liveWaits[direction].push(clock.monotonic() - startedAt);
+    liveWaits[part].push(clock.monotonic() - startedAt);
 }
 
 /** Agent that runs in this process. */
@@ -110,6 +111,7 @@
     });
     const live = createServer((request, response) => {
         requestsInProgress++;
+        void measureWait("serverTime", once(response, "finish"));
         request.resume();
         request.once("end", () => {
             void measureWait("incoming", link.take("incoming", liveRequestBytes))
@@ -148,6 +150,7 @@
 function begin(start: StartMessage, message: BeginMessage, local: readonly LocalAgent[]): void {
     liveWaits.incoming.length = 0;
     liveWaits.outgoing.length = 0;
+    liveWaits.serverTime.length = 0;
     eventLoop.enable();
     for (const running of local) {
         const { agent, service, stall } = running;
@@ -166,7 +169,9 @@
         return { instance, receivedBytes: originBytes + peerReceivedBytes, sentBytes: peerSentBytes };
     });
     const eventLoopDelay = eventLoop.percentile(95) / 1e6;
-    send({ kind: "agent-totals", totals, eventCounts, liveWaits, eventLoopDelay });
+    const { system, user } = process.cpuUsage();
+    const processorSeconds = (system + user) / 1e6;
+    send({ kind: "agent-totals", totals, eventCounts, liveWaits, eventLoopDelay, processorSeconds });
 }
 
 async function startAgents(message: StartMessage): Promise<void> {
--- a/bench/distribution/benchPorts.ts
+++ b/bench/distribution/benchPorts.ts
@@ -1,6 +1,6 @@
 import { err, ok } from "true-myth/result";
 import { Agent, request } from "undici";
-import type { LinkBudget } from "../../src/node/agent/transfer/index.js";
+import type { LinkBudget, TransferDirection } from "../../src/node/agent/transfer/index.js";
 import { createError, type Manifest, type OriginPort, type RandomSource } from "../../src/types/index.js";
 import { createMemoryEngine, type MemoryEngine } from "../../test/support/memoryPorts.js";
 
@@ -67,6 +67,26 @@
     };
 }
 
+/**
+ * Bytes of a transfer between which a live request's bytes may pass; 2 ms of the link. A link interleaves packets, not
+ * whole messages: a message of 4 KiB would hold this slow link for 8 ms, as 1 MiB would one of 125 MB/s.
+ */
+const packetBytes = 1_024;
+
+async function takePackets(
+    link: LinkBudget,
+    direction: TransferDirection,
+    bytes: number,
+    signal: AbortSignal | undefined,
+): Promise<boolean> {
+    for (let offset = 0; offset < bytes; offset += packetBytes) {
+        if (!await link.take(direction, Math.min(packetBytes, bytes - offset), signal)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /**
  * Puts the byte budget for transfers in front of the simulated link that live requests also use.
  *
@@ -81,7 +101,7 @@
             if (direction === "outgoing" && isStalled()) {
                 return await waitForAbort(signal);
             }
-            return await budget.take(direction, bytes, signal) && await link.take(direction, bytes, signal);
+            return await budget.take(direction, bytes, signal) && await takePackets(link, direction, bytes, signal);
         },
         available: direction => budget.available(direction),
     };
--- a/bench/distribution/messages.ts
+++ b/bench/distribution/messages.ts
@@ -35,6 +35,13 @@
     readonly after: number;
 }
 
+/** Milliseconds that live requests took during the transfer: waits for the link, and from arrival to answer. */
+export interface LiveWaits {
+    readonly incoming: number[];
+    readonly outgoing: number[];
+    readonly serverTime: number[];
+}
+
 /** What a child process is told. */
 export type ToChild =
     | {
@@ -71,9 +78,11 @@
         readonly kind: "agent-totals";
         readonly totals: readonly AgentTotals[];
         readonly eventCounts: EventCounts;
-        readonly liveWaits: Readonly<Record<"incoming" | "outgoing", readonly number[]>>;
+        readonly liveWaits: LiveWaits;
         /** 95th percentile of the process, in milliseconds. */
         readonly eventLoopDelay: number;
+        /** Processor time of the process since its start. */
+        readonly processorSeconds: number;
     }
     | { readonly kind: "origin-totals"; readonly sentBytes: number; }
     | { readonly kind: "latencies"; readonly quiet: readonly number[]; readonly burst: readonly number[]; };
--- a/bench/distribution/percentiles.ts
+++ b/bench/distribution/percentiles.ts
@@ -1,4 +1,4 @@
-import type { EventCounts } from "./messages.js";
+import type { EventCounts, FromChild } from "./messages.js";
 
 /**
  * Reads a percentile.
@@ -13,22 +13,21 @@
 }
 
 /**
- * Summarizes what live requests waited for during the transfer.
+ * Summarizes what live requests waited for during the transfer, and what the processes used.
  *
- * @param incoming - waits for the incoming half of the link, in milliseconds
- * @param outgoing - waits for the outgoing half
- * @param eventLoopDelays - 95th percentile of each process, in milliseconds
- * @returns figures in milliseconds
+ * @param answers - totals of each process
+ * @returns milliseconds, and seconds of processor time of all agents
  */
-export function summarizeWaits(
-    incoming: readonly number[],
-    outgoing: readonly number[],
-    eventLoopDelays: readonly number[],
-): EventCounts {
-    const round = (milliseconds: number) => Math.round(milliseconds * 10) / 10;
+export function summarizeWaits(answers: readonly Extract<FromChild, { kind: "agent-totals"; }>[]): EventCounts {
+    const round = (value: number) => Math.round(value * 10) / 10;
+    const readWait = (part: "incoming" | "outgoing" | "serverTime") =>
+        round(readPercentile(answers.flatMap(({ liveWaits }) => liveWaits[part]), 0.95));
     return {
-        liveIncomingWaitP95: round(readPercentile(incoming, 0.95)),
-        liveOutgoingWaitP95: round(readPercentile(outgoing, 0.95)),
-        eventLoopDelayP95Median: round(readPercentile(eventLoopDelays, 0.5)),
+        liveIncomingWaitP95: readWait("incoming"),
+        liveOutgoingWaitP95: readWait("outgoing"),
+        liveServerTimeP95: readWait("serverTime"),
+        eventLoopDelayP95Median: round(readPercentile(answers.map(({ eventLoopDelay }) => eventLoopDelay), 0.5)),
+        eventLoopDelayP95Maximum: round(Math.max(...answers.map(({ eventLoopDelay }) => eventLoopDelay))),
+        processorSeconds: round(answers.reduce((sum, { processorSeconds }) => sum + processorSeconds, 0)),
     };
 }
--- a/bench/distribution/run.ts
+++ b/bench/distribution/run.ts
@@ -292,9 +292,7 @@
 ): Promise<{ readonly totals: AgentTotals[]; readonly events: EventCounts; }> {
     const totals: AgentTotals[] = [];
     const events: Record<string, number> = {};
-    const incoming: number[] = [];
-    const outgoing: number[] = [];
-    const delays: number[] = [];
+    const answers: Extract<FromChild, { kind: "agent-totals"; }>[] = [];
     for (const { agents, child } of workers) {
         if (faults.dying.includes(agents[0]!.instance)) {
             continue;
@@ -303,14 +301,12 @@
         tell(child, { kind: "finish" });
         const message = await answer;
         totals.push(...message.totals);
-        incoming.push(...message.liveWaits.incoming);
-        outgoing.push(...message.liveWaits.outgoing);
-        delays.push(message.eventLoopDelay);
+        answers.push(message);
         for (const [event, count] of Object.entries(message.eventCounts)) {
             events[event] = (events[event] ?? 0) + count;
         }
     }
-    Object.assign(events, summarizeWaits(incoming, outgoing, delays));
+    Object.assign(events, summarizeWaits(answers));
     return { totals, events };
 }
 
--- a/bench/distribution/simulation.ts
+++ b/bench/distribution/simulation.ts
@@ -21,6 +21,7 @@
 import type { Manifest, Objective } from "../../src/types/index.js";
 import { createSeededRandom, createTable, type Table } from "../../src/utils/index.js";
 import type { RunFaults, RunScale } from "./messages.js";
+import { listMoving } from "./turns.js";
 
 /** Simulated time between two steps, in milliseconds. */
 const step = 10;
@@ -258,8 +259,9 @@
     }
 
     function move(): void {
-        const running = [...agents.values()].flatMap(agent => [...agent.running.values()])
-            .filter(({ sender }) => sender === undefined || !isStopped(sender));
+        const waiting = [...agents.values()].flatMap(agent => [...agent.running.values()]);
+        const slots = options.maximumBytesInFlight / scale.chunkBytes / 3;
+        const running = listMoving(waiting, slots, isStopped);
         const left = new Map<Agent | undefined, { up: number; down: number; }>();
         const rate = scale.linkBytesPerSecond * transferShare * step / 1_000;
         left.set(undefined, { up: scale.originBytesPerSecond * step / 1_000, down: 0 });
--- a/src/node/agent/transfer/downloads.ts
+++ b/src/node/agent/transfer/downloads.ts
@@ -122,13 +122,12 @@
 
 async function fetchFromOrigin(context: TransferContext, transfer: RunningTransfer): Promise<void> {
     const { manifest, row, signal } = transfer;
-    const release = await context.incomingGate.acquire(manifest.chunks[row.index]!.bytes, signal);
+    const { bytes } = manifest.chunks[row.index]!;
+    const release = await waitLocally(context, row, context.incomingGate.acquire(bytes, signal));
     if (release === undefined) {
         return;
     }
     try {
-        // The wait for memory is no stall of the origin.
-        row.progressedAt = context.clock.monotonic();
         await readFromOrigin(context, transfer);
     }
     finally {
@@ -144,14 +143,35 @@
         return;
     }
     context.counters.originBytes += content.value.length;
-    row.progressedAt = context.clock.monotonic();
-    if (!await context.linkBudget.take("incoming", content.value.length, signal)) {
+    if (!await waitLocally(context, row, takeInParts(context, content.value.length, signal))) {
         return;
     }
     set.originFailures = 0;
     await acceptChunk(context, transfer, content.value);
 }
 
+/**
+ * Keeps a transfer from counting as stalled while it waits for this instance's memory, link or engine. Its chunk would be
+ * requested a second time although it has arrived, and its source would be avoided without a fault of its own.
+ */
+async function waitLocally<Value>(context: TransferContext, row: TransferRow, wait: Promise<Value>): Promise<Value> {
+    row.progressedAt = Infinity;
+    const value = await wait;
+    row.progressedAt = context.clock.monotonic();
+    return value;
+}
+
+/** A whole chunk at once would overdraw the budget for so long that live requests and other transfers wait for it. */
+async function takeInParts(context: TransferContext, bytes: number, signal: AbortSignal): Promise<boolean> {
+    const { partBytes } = context.settings;
+    for (let offset = 0; offset < bytes; offset += partBytes) {
+        if (!await context.linkBudget.take("incoming", Math.min(partBytes, bytes - offset), signal)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 function recordOriginFailure(context: TransferContext, set: WeightSetState, error: GoldcrestpointError): void {
     set.originFailures++;
     set.originAvoidedUntil = context.clock.monotonic() + computeBackoff(context, set.originFailures);
@@ -180,7 +200,7 @@
     };
     const receive = async (part: Uint8Array) => {
         // Memory is taken with the first part only, since the sender may let the request wait.
-        release ??= await context.incomingGate.acquire(expectedBytes, signal);
+        release ??= await waitLocally(context, row, context.incomingGate.acquire(expectedBytes, signal));
         if (release === undefined) {
             return;
         }
@@ -190,9 +210,7 @@
         }
         receivedBytes += part.length;
         context.counters.peerReceivedBytes += part.length;
-        row.progressedAt = context.clock.monotonic();
-        await context.linkBudget.take("incoming", part.length, signal);
-        row.progressedAt = context.clock.monotonic();
+        await waitLocally(context, row, context.linkBudget.take("incoming", part.length, signal));
     };
     try {
         const outcome = await context.calls.fetch(address, request, signal, receive);
@@ -250,7 +268,11 @@
         peer.failedTransfers = 0;
     }
     const { generation } = set;
-    const staged = await context.backend.stageChunk(set.manifestDigest, row.index, content);
+    const staged = await waitLocally(
+        context,
+        row,
+        context.backend.stageChunk(set.manifestDigest, row.index, content),
+    );
     if (staged.isErr) {
         context.logEvent({ index: row.index, code: staged.error.code }, "chunk not staged", set);
         set.prepared = false;
--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -23,6 +23,17 @@
  */
 const incomingShare = 2 / 3;
 
+/**
+ * Time for which the bytes sent of a forgotten set still count. A hold that lapses for seconds would otherwise renew the
+ * upload allowance in the middle of a burst.
+ */
+const rememberSentBytesFor = 600_000;
+
+interface ForgottenSet {
+    readonly sentBytes: number;
+    readonly forgottenAt: Milliseconds;
+}
+
 /**
  * Creates the exchange of weights between this agent and the others of the same set.
  *
@@ -35,6 +46,7 @@
     setMaxListeners(0, disposal.signal);
     const work = new Set<Promise<void>>();
     const sets = new Map<ManifestDigest, WeightSetState>();
+    const forgotten = new Map<ManifestDigest, ForgottenSet>();
     let target: WeightSetState | undefined;
     let tickRequested = false;
     let manifestRetryAt: Milliseconds = 0;
@@ -77,6 +89,7 @@
         for (const [digest, set] of sets) {
             if (set !== target && digest !== engineSync.readActiveDigest()) {
                 sets.delete(digest);
+                forgotten.set(digest, { sentBytes: set.sentBytes, forgottenAt: context.clock.monotonic() });
                 context.logEvent({}, "set forgotten", set);
             }
         }
@@ -88,6 +101,18 @@
         context.calls.keepOnly(new Set(addresses));
     }
 
+    function recreateSet(wanted: TransferTarget): WeightSetState {
+        const now = context.clock.monotonic();
+        for (const [digest, { forgottenAt }] of forgotten) {
+            if (now - forgottenAt >= rememberSentBytesFor) {
+                forgotten.delete(digest);
+            }
+        }
+        const set = createWeightSetState(wanted, context.self, options.neighbours, now);
+        set.sentBytes = forgotten.get(set.manifestDigest)?.sentBytes ?? 0;
+        return set;
+    }
+
     function setTarget(wanted: TransferTarget | undefined): void {
         const { neighbours } = context.options;
         if (wanted !== undefined && wanted.weights.manifestDigest === target?.manifestDigest) {
@@ -101,7 +126,7 @@
         target = undefined;
         if (wanted !== undefined) {
             const kept = sets.get(wanted.weights.manifestDigest);
-            target = kept ?? createWeightSetState(wanted, context.self, neighbours, context.clock.monotonic());
+            target = kept ?? recreateSet(wanted);
             applyMembers(target, wanted, context.self, neighbours);
             sets.set(target.manifestDigest, target);
             manifestRetryAt = 0;
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -62,8 +62,8 @@
         maximumUploads: defineInteger({
             minimum: 1,
             maximum: 1024,
-            initial: 16,
-            documentation: "Chunks that one agent sends at once; further requests are refused as choked.",
+            initial: 8,
+            documentation: "Requests for chunks that one agent accepts at once; further ones are refused as choked.",
         }),
         maximumBytesInFlight: defineInteger({
             minimum: 4_096,
--- a/src/runtime/distribution/options.ts
+++ b/src/runtime/distribution/options.ts
@@ -11,7 +11,7 @@
         maximumTransfers: partial.maximumTransfers ?? 12,
         maximumTransfersFromPeer: partial.maximumTransfersFromPeer ?? 1,
         maximumOriginTransfers: partial.maximumOriginTransfers ?? 2,
-        maximumUploads: partial.maximumUploads ?? 16,
+        maximumUploads: partial.maximumUploads ?? 8,
         maximumBytesInFlight: partial.maximumBytesInFlight ?? 12 * 1024 * 1024,
         uploadAllowanceCopies: partial.uploadAllowanceCopies ?? 1.1,
         stallAfter: partial.stallAfter ?? 10_000,
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -22,7 +22,10 @@
     readonly maximumTransfersFromPeer: number;
     /** Transfers that one agent runs from the origin at once. Default: 2. */
     readonly maximumOriginTransfers: number;
-    /** Chunks that one agent sends at once; further requests are refused as choked. Default: 16. */
+    /**
+     * Requests for chunks that one agent accepts at once; further ones are refused as choked. Default: 8. They are sent
+     * in turn, so with 16 the last ones waited for longer than `stallAfter` on a link shared with live requests.
+     */
     readonly maximumUploads: number;
     /**
      * Bytes of chunks that one agent keeps in memory at once: two thirds for chunks that it receives, a third for chunks
@@ -81,7 +84,7 @@
     /** `origin` or the peer's instance. */
     readonly source: InstanceId;
     readonly startedAt: Milliseconds;
-    /** Monotonic time of the newest bytes; initially as `startedAt`. */
+    /** Monotonic time of the newest bytes; initially as `startedAt`. `Infinity` while the source is not waited for. */
     progressedAt: Milliseconds;
 }
 
