--- a/test/node/agent/transfer/faults.test.ts
+++ b/test/node/agent/transfer/faults.test.ts
@@ -44,6 +44,14 @@
     expect(engine.staged.get(set.weights.manifestDigest)).toEqual([...set.chunks]);
 }
 
+function createDeferred(): { readonly promise: Promise<void>; readonly resolve: () => void; } {
+    let resolve: () => void = () => undefined;
+    const promise = new Promise<void>(settle => {
+        resolve = settle;
+    });
+    return { promise, resolve };
+}
+
 /** Replaces the answer to `FetchChunk`. */
 function answerChunks(answer: Handlers["fetchChunk"]): Pick<AgentOptions, "replaceHandlers"> {
     return { replaceHandlers: handlers => ({ ...handlers, fetchChunk: answer }) };
@@ -234,6 +242,52 @@
         expect(agents.every(({ service }) => service.totals().peerSentBytes <= 13_200)).toEqual(true);
     });
 
+    // Guards against chunks that are copied twice, and sources that are avoided, because the own engine is slow.
+    it("does not request a chunk again while the engine stages it", async () => {
+        const origin = createMemoryOrigin(sets);
+        await using swarm = createSwarm();
+        const options = { stallAfter: 300, originTakeoverAfter: 60_000 };
+        const holder = await swarm.startAgent("holder", { origin });
+        await prepare(holder.engine, first);
+        setTargets([holder], first);
+        expect(await swarm.run(() => isComplete(holder))).toEqual(true);
+        const engine = createMemoryEngine();
+        const staging = createDeferred();
+        let received = 0;
+        const stageChunk: typeof engine.stageChunk = async (...chunk) => {
+            received++;
+            await staging.promise;
+            return await engine.stageChunk(...chunk);
+        };
+        const slow = await swarm.startAgent("slow", { origin, engine: { ...engine, stageChunk }, options });
+        await prepare(engine, first);
+        setTargets([holder, slow], first);
+        expect(await swarm.run(() => received > 0)).toEqual(true);
+        await swarm.run(() => false, 100);
+        staging.resolve();
+        expect(await swarm.run(() => isComplete(slow))).toEqual(true);
+        expect(slow.service.totals().peerReceivedBytes).toEqual(12_000);
+        expect(slow.events.map(({ message }) => message)).not.toInclude("stalled source");
+    });
+
+    // Guards against an upload allowance that a lapsed hold renews, which puts more than 2.2 copies on a link.
+    it("counts what was sent of a set before it was forgotten", async () => {
+        const origin = createMemoryOrigin(sets);
+        await using swarm = createSwarm();
+        const agents: SwarmAgent[] = [];
+        for (const instance of ["a", "b", "c"]) {
+            const agent = await swarm.startAgent(instance, { origin });
+            await prepare(agent.engine, first);
+            agents.push(agent);
+            setTargets(agents, first);
+            expect(await swarm.run(() => agents.every(isComplete))).toEqual(true);
+            agents[0]!.service.setTarget(undefined);
+            setTargets(agents, first);
+            expect(await swarm.run(() => agents.every(isComplete))).toEqual(true);
+        }
+        expect(agents[0]!.service.totals().peerSentBytes <= 13_200).toEqual(true);
+    });
+
     // Guards against staged chunks that a new agent process takes over unseen, and against copying them again.
     it("keeps staged chunks after a restart only if their content is right", async () => {
         const origin = createMemoryOrigin(sets);
