--- a/bench/distribution/agentProcess.ts
+++ b/bench/distribution/agentProcess.ts
@@ -1,5 +1,7 @@
+import { once } from "node:events";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { setTimeout as delay } from "node:timers/promises";
 import {
     createLinkBudget,
@@ -11,7 +13,7 @@
 import { agentServiceDefinition, startRpcServer } from "../../src/node/grpc/index.js";
 import { createSeededRandom, createSystemClock } from "../../src/utils/index.js";
 import { chainBudgets, createCorruptingEngine, createHttpOrigin } from "./benchPorts.js";
-import type { BenchAgent, FromChild, Method, ToChild } from "./messages.js";
+import type { BenchAgent, FromChild, LiveWaits, Method, ToChild } from "./messages.js";
 
 type StartMessage = Extract<ToChild, { kind: "start-agents"; }>;
 type BeginMessage = Extract<ToChild, { kind: "begin"; }>;
@@ -26,6 +28,16 @@
 const clock = createSystemClock();
 const eventCounts: Record<string, number> = {};
 
+/** Waits of live requests for the link since the transfer began. */
+const liveWaits: LiveWaits = { incoming: [], outgoing: [], serverTime: [] };
+const eventLoop = monitorEventLoopDelay({ resolution: 1 });
+
+async function measureWait(part: keyof LiveWaits, wait: Promise<unknown>): Promise<void> {
+    const startedAt = clock.monotonic();
+    await wait;
+    liveWaits[part].push(clock.monotonic() - startedAt);
+}
+
 /** Agent that runs in this process. */
 interface LocalAgent {
     readonly agent: BenchAgent;
@@ -99,11 +111,12 @@
     });
     const live = createServer((request, response) => {
         requestsInProgress++;
+        void measureWait("serverTime", once(response, "finish"));
         request.resume();
         request.once("end", () => {
-            void link.take("incoming", liveRequestBytes)
+            void measureWait("incoming", link.take("incoming", liveRequestBytes))
                 .then(() => delay(liveServiceTime))
-                .then(() => link.take("outgoing", liveResponse.length))
+                .then(() => measureWait("outgoing", link.take("outgoing", liveResponse.length)))
                 .then(() => response.end(liveResponse))
                 .finally(() => requestsInProgress--);
         });
@@ -135,6 +148,10 @@
 }
 
 function begin(start: StartMessage, message: BeginMessage, local: readonly LocalAgent[]): void {
+    liveWaits.incoming.length = 0;
+    liveWaits.outgoing.length = 0;
+    liveWaits.serverTime.length = 0;
+    eventLoop.enable();
     for (const running of local) {
         const { agent, service, stall } = running;
         const members = selectMembers(start.method, message.agents, agent.instance);
@@ -151,7 +168,10 @@
         const { originBytes, peerReceivedBytes, peerSentBytes } = service.totals();
         return { instance, receivedBytes: originBytes + peerReceivedBytes, sentBytes: peerSentBytes };
     });
-    send({ kind: "agent-totals", totals, eventCounts });
+    const eventLoopDelay = eventLoop.percentile(95) / 1e6;
+    const { system, user } = process.cpuUsage();
+    const processorSeconds = (system + user) / 1e6;
+    send({ kind: "agent-totals", totals, eventCounts, liveWaits, eventLoopDelay, processorSeconds });
 }
 
 async function startAgents(message: StartMessage): Promise<void> {
