Say "not run" for a key of the entry instance's own, and keep weights with stored answers

Cause: a non-idempotent request without a key gets a fresh key at the entry instance; an owner that had just begun refused it as unknown, although nobody can have sent it before. Replayed answers named no model, adapter or version.

--- a/src/node/agent/executor.ts
+++ b/src/node/agent/executor.ts
@@ -201,7 +201,7 @@
 
     /** Claims the idempotency key; answers the call itself if the answer is stored. */
     function acceptKey(execution: Execution): Refusal | "answered" | undefined {
-        const { call, row, writer } = execution;
+        const { row, writer } = execution;
         if (row.idempotent || row.idempotencyKey === undefined) {
             return undefined;
         }
@@ -223,7 +223,7 @@
             return decision.refusal;
         }
         if (decision.kind === "replay") {
-            void replay(call, writer, decision.answer);
+            void replay(writer, decision.answer);
             return "answered";
         }
         return undefined;
@@ -259,9 +259,10 @@
     async function passOn(execution: Execution, answer: BackendResponse): Promise<void> {
         const { row, writer } = execution;
         const { status, contentType, model, adapter, version, manifestDigest } = answer;
+        const weights = { model, adapter, version, manifestDigest };
         const kept: Uint8Array[] = [];
         let keptBytes = 0;
-        await writer.start({ status, contentType, model, adapter, version, manifestDigest });
+        await writer.start({ status, contentType, ...weights });
         try {
             for await (const piece of answer.body) {
                 keptBytes += piece.length;
@@ -277,7 +278,11 @@
         }
         const storable = keptBytes <= maximumStoredAnswerBytes;
         prefixes.note(row.prefix, manifestDigest);
-        settleKey(row, "finished", storable ? { status, contentType, body: Buffer.concat(kept) } : undefined);
+        settleKey(
+            row,
+            "finished",
+            storable ? { status, contentType, weights, body: Buffer.concat(kept) } : undefined,
+        );
         writer.end();
     }
 
@@ -330,9 +335,9 @@
     return error instanceof Object && "mayHaveTakenEffect" in error;
 }
 
-async function replay(call: ExecuteCall, writer: FrameWriter, answer: StoredAnswer): Promise<void> {
-    const { version, manifestDigest } = call.request;
-    await writer.start({ status: answer.status, contentType: answer.contentType, version, manifestDigest });
-    await writer.data(answer.body);
+async function replay(writer: FrameWriter, answer: StoredAnswer): Promise<void> {
+    const { body, contentType, status, weights } = answer;
+    await writer.start({ status, contentType, ...weights });
+    await writer.data(body);
     writer.end();
 }
--- a/src/node/entry/callerRequest.ts
+++ b/src/node/entry/callerRequest.ts
@@ -136,6 +136,7 @@
             prefix: target.prefix,
         },
         method,
+        ownKey: !idempotent && key === undefined,
         path: target.path,
         contentType: message.headers["content-type"] ?? "application/octet-stream",
         body,
--- a/src/node/entry/requestPipeline.ts
+++ b/src/node/entry/requestPipeline.ts
@@ -7,11 +7,12 @@
     offerRequest,
 } from "../../runtime/admission/index.js";
 import { creditRequest, decideRetry, readStanding } from "../../runtime/retry/index.js";
-import { recordOutcome, type RunnerOutcome } from "../../runtime/routing/index.js";
-import type { Refusal, RefusalReason, RequestId, RequestRow } from "../../types/index.js";
+import { recordOutcome } from "../../runtime/routing/index.js";
+import type { Refusal, RequestId, RequestRow } from "../../types/index.js";
 import { type AnswerSink, type AttemptOutcome, executeAttempt } from "./attempt.js";
 import type { EntryContext } from "./context.js";
 import { createLossTracker } from "./lossTracker.js";
+import { classifyOutcome, refineRefusal } from "./outcomes.js";
 import { chooseRunner, type RunnerChoice } from "./runnerChoice.js";
 import type { RunnerDirectory } from "./runnerDirectory.js";
 import type { SuspicionSharing } from "./suspicionSharing.js";
@@ -24,6 +25,8 @@
     readonly path: string;
     readonly contentType: string;
     readonly body: Uint8Array;
+    /** True if the entry instance created the key, so that nobody can have sent the request with it before. */
+    readonly ownKey: boolean;
     /** True if the answer is passed on while it is generated. */
     readonly stream: boolean;
     /** Aborted when the caller is gone. */
@@ -72,24 +75,6 @@
     pinnedDigest: string | undefined;
 }
 
-/** Reasons that are no fault of the runner. */
-const neutralReasons: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
-    "canceled",
-    "queue-full",
-    "account-share-exceeded",
-    "deadline-unreachable",
-    "deadline-passed",
-    "draining",
-    "not-serving",
-    "key-invalid",
-    "key-expired",
-    "key-predates-owner",
-    "key-in-progress",
-    "key-already-accepted",
-    "key-reused-with-other-body",
-    "not-key-owner",
-]);
-
 /**
  * Creates the pipeline.
  *
@@ -281,7 +266,7 @@
         outcome: Extract<AttemptOutcome, { kind: "failed"; }>,
     ): boolean {
         const { row } = request;
-        const { refusal } = outcome;
+        const refusal = attempts.mayHaveRun ? outcome.refusal : refineRefusal(outcome.refusal, request.ownKey);
         if (outcome.crash !== undefined) {
             sharing.noteCrash(outcome.crash);
         }
@@ -330,10 +315,3 @@
         },
     };
 }
-
-function classifyOutcome(outcome: AttemptOutcome): RunnerOutcome {
-    if (outcome.kind === "complete") {
-        return "succeeded";
-    }
-    return neutralReasons.has(outcome.refusal.reason) ? "neutral" : "failed";
-}
--- a/src/runtime/idempotency/types.ts
+++ b/src/runtime/idempotency/types.ts
@@ -1,4 +1,4 @@
-import type { ClientAccount, InstanceId, Milliseconds, Offset, Refusal } from "../../types/index.js";
+import type { ClientAccount, InstanceId, Milliseconds, Offset, Refusal, WeightSet } from "../../types/index.js";
 
 /** Options of a ledger. */
 export interface LedgerOptions {
@@ -17,6 +17,8 @@
     readonly status: number;
     readonly contentType: string;
     readonly body: Uint8Array;
+    /** Weights that answered; undefined for plain services. */
+    readonly weights?: WeightSet | undefined;
 }
 
 /** State of a key that this process has accepted. */
--- a/test/node/entry/requestPipeline.test.ts
+++ b/test/node/entry/requestPipeline.test.ts
@@ -78,11 +78,12 @@
         context,
         calls,
         pipeline,
-        send: async (row: Partial<RequestRow> = {}, signal = new AbortController().signal) => {
+        send: async (row: Partial<RequestRow> = {}, signal = new AbortController().signal, ownKey = false) => {
             let result = "none";
             const request: CallerRequest = {
                 row: createRequest({ deadline: 600_000, ...row }),
                 method: "POST",
+                ownKey,
                 path: "/links",
                 contentType: "text/plain",
                 body: Buffer.from("body"),
@@ -172,6 +173,15 @@
         });
     }
 
+    // Guards against "unknown" for a request that nobody can have sent before, and "not run" for one that may have run.
+    for (const [ownKey, expected] of [[true, "no"], [false, "unknown"]] as const) {
+        it(`says "${expected}" for a key ${ownKey ? "of its own" : "of the caller"} that predates its owner`, async () => {
+            await using entry = await startEntry([refuseWith("unknown", "key-predates-owner")], ["agent-2"]);
+            const result = await entry.send(key, undefined, ownKey);
+            expect(result).toEqual(`${expected}: key-predates-owner`);
+        });
+    }
+
     // Guards against a request that crashes more servers than the bound, and against bystanders that are refused.
     it("runs a request alone after a crash, and refuses it after a crash alone", async () => {
         await using entry = await startEntry([crash("c1", ["f", "g"]), crash("c2", ["f"])]);
