Share the platform readers of the daemons, and bound what waits for slow followers

Cause: both daemons had the same code for log reader, instance list reader and drain; the setting absentReadsUntilGone was not passed on; relay and load streams queued messages without bound for a peer that does not read.

Change: startPlatformReaders and waitUntilIdle in src/node/daemon; the setting is used; a relay drops a follower with more than 256 waiting messages, and a load report is left out for a follower that has not taken the last one.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -8,15 +8,15 @@
 import { createLedger } from "../../runtime/idempotency/index.js";
 import { createInstanceTable } from "../../runtime/placement/index.js";
 import type { BackendServerPort, GoldcrestpointError } from "../../types/index.js";
-import { createDisposalStack, createSystemClock, createSystemRandom, sleep } from "../../utils/index.js";
+import { createDisposalStack, createSystemClock, createSystemRandom } from "../../utils/index.js";
 import { createBackendServerClient } from "../backendServer/index.js";
-import { createRelaySilence, listRelayTargets, startInstanceListReader } from "../daemon/index.js";
+import { createRelaySilence, listRelayTargets, startPlatformReaders, waitUntilIdle } from "../daemon/index.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { registerStatusRoutes, sendJson, startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog, registerDecisionRoute } from "../logging/index.js";
 import { createMetrics, observeProcess } from "../metrics/index.js";
 import { createInstanceListClient, createLogClient, createOriginClient } from "../platform/index.js";
-import { createStateStore, observeState, startFollowerSet, startLogReader } from "../relay/index.js";
+import { createStateStore, observeState, startFollowerSet } from "../relay/index.js";
 import type { AgentSettings } from "../settings/index.js";
 import { observeAgent } from "./agentMetrics.js";
 import type { AgentContext } from "./context.js";
@@ -36,9 +36,6 @@
     drain(): Promise<void>;
 }
 
-/** Time between two looks at the requests in progress during a drain. */
-const drainCheckInterval = 50;
-
 /**
  * Starts an agent beside a backend server.
  *
@@ -141,26 +138,19 @@
         },
     }));
     const silence = { clock, random, readHeardAt: () => followers.heardAt, silentAfter: relay.silentAfter };
-    resources.use(startLogReader({
-        log,
-        store,
+    startPlatformReaders(resources, {
+        settings,
         clock,
         random,
         logger,
-        shouldRead: createRelaySilence({ ...silence, jitter: relay.directReadJitter }),
-        retention: settings.placement.retention,
-        waitMilliseconds: platform.logWait,
-    }));
-    resources.use(startInstanceListReader({
+        log,
         list,
+        store,
         instances,
-        clock,
-        random,
-        logger,
-        interval: platform.instanceListInterval,
-        shouldRead: createRelaySilence({ ...silence, jitter: 0 }),
-        onChange: () => copies.refreshAssignment(),
-    }));
+        shouldReadLog: createRelaySilence({ ...silence, jitter: relay.directReadJitter }),
+        shouldReadList: createRelaySilence({ ...silence, jitter: 0 }),
+        onInstances: () => copies.refreshAssignment(),
+    });
 
     const rpc = await startRpcServer(settings.instance.grpcAddress, [{
         definition: agentServiceDefinition,
@@ -199,10 +189,7 @@
         httpPort: http.value.port,
         drain: async () => {
             copies.startDraining();
-            const endsAt = clock.monotonic() + settings.instance.drainTimeLimit;
-            while (executor.running + executor.queued > 0 && clock.monotonic() < endsAt) {
-                await sleep(drainCheckInterval);
-            }
+            await waitUntilIdle(clock, settings.instance.drainTimeLimit, () => executor.running + executor.queued);
         },
         [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
     });
--- a/src/node/agent/loadReports.ts
+++ b/src/node/agent/loadReports.ts
@@ -33,7 +33,10 @@
         }
         const report = create(LoadReportSchema, readContent());
         for (const call of calls) {
-            call.write(report);
+            // A follower that does not keep up gets the next report instead of a queue of old ones.
+            if (!call.writableNeedDrain) {
+                call.write(report);
+            }
         }
     }
 
--- a/src/node/daemon/index.ts
+++ b/src/node/daemon/index.ts
@@ -1,4 +1,6 @@
+export * from "./drain.js";
 export * from "./membership.js";
+export * from "./platformReaders.js";
 export * from "./relaySilence.js";
 export * from "./runDaemon.js";
 export * from "./signals.js";
--- a/src/node/daemon/membership.ts
+++ b/src/node/daemon/membership.ts
@@ -19,6 +19,8 @@
     readonly random: RandomSource;
     readonly logger: Logger;
     readonly interval: Milliseconds;
+    /** Successive reads without an instance after which it counts as gone. */
+    readonly absentReadsUntilGone: number;
     /** Whether this process reads the list itself now; asked before each read. */
     readonly shouldRead: () => boolean;
     /** Gets the rows that a read has changed. */
@@ -43,7 +45,7 @@
             options.logger.debug({ error: listed.error }, "instance list read failed");
             return;
         }
-        const changed = mergeInstanceList(options.instances, listed.value);
+        const changed = mergeInstanceList(options.instances, listed.value, options.absentReadsUntilGone);
         if (changed.length > 0) {
             options.onChange(changed);
         }
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -5,8 +5,8 @@
 import { createInstanceTable } from "../../runtime/placement/index.js";
 import { createRetryBudget, createSuspectTable } from "../../runtime/retry/index.js";
 import type { GoldcrestpointError, InstanceRow } from "../../types/index.js";
-import { createDisposalStack, createSystemClock, createSystemRandom, createTable, sleep } from "../../utils/index.js";
-import { createRelaySilence, listRelayTargets, startInstanceListReader } from "../daemon/index.js";
+import { createDisposalStack, createSystemClock, createSystemRandom, createTable } from "../../utils/index.js";
+import { createRelaySilence, listRelayTargets, startPlatformReaders, waitUntilIdle } from "../daemon/index.js";
 import { relayServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
@@ -18,7 +18,6 @@
     type FollowCall,
     observeState,
     startFollowerSet,
-    startLogReader,
 } from "../relay/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import type { EntryContext } from "./context.js";
@@ -42,8 +41,6 @@
 
 /** Time between two runs of the systems that look at every deployment, unless the state has changed. */
 const slowTickInterval = 500;
-/** Time between two looks at the requests in progress during a drain. */
-const drainCheckInterval = 50;
 
 /**
  * Starts an entry instance.
@@ -73,7 +70,6 @@
         startedAt: context.startedAt,
         holdDuration: settings.hold.duration,
         onHeartbeat: request => noteHeartbeat(context, request),
-        onFollowerLost: () => undefined,
     });
     const sharing = resources.use(createSuspicionSharing(context));
     const rpc = await startRpcServer(settings.instance.grpcAddress, [{
@@ -124,30 +120,23 @@
         silentAfter: settings.relay.silentAfter,
         jitter: settings.relay.directReadJitter,
     });
-    resources.use(startLogReader({
-        log,
-        store,
+    startPlatformReaders(resources, {
+        settings,
         clock,
         random,
         logger,
-        shouldRead: () => isLogReader(context) || relaysSilent(),
-        retention: settings.placement.retention,
-        waitMilliseconds: settings.platform.logWait,
-    }));
-    resources.use(startInstanceListReader({
+        log,
         list,
+        store,
         instances,
-        clock,
-        random,
-        logger,
-        interval: settings.platform.instanceListInterval,
-        shouldRead: () => true,
-        onChange: rows => {
+        shouldReadLog: () => isLogReader(context) || relaysSilent(),
+        shouldReadList: () => true,
+        onInstances: rows => {
             logLeaving(logger, rows);
             relay.publishInstances(rows);
             directory.refresh();
         },
-    }));
+    });
 
     observeProcess(context.metrics.registry);
     observeState(context.metrics.registry, store, clock);
@@ -175,10 +164,7 @@
         httpPort: http.value.port,
         drain: async () => {
             draining = true;
-            const endsAt = clock.monotonic() + settings.instance.drainTimeLimit;
-            while (pipeline.open > 0 && clock.monotonic() < endsAt) {
-                await sleep(drainCheckInterval);
-            }
+            await waitUntilIdle(clock, settings.instance.drainTimeLimit, () => pipeline.open);
         },
         [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
     });
--- a/src/node/relay/relayServer.ts
+++ b/src/node/relay/relayServer.ts
@@ -12,6 +12,9 @@
  */
 const unreachableShare = 0.5;
 
+/** Messages that may wait for one follower. */
+const maximumBufferedMessages = 256;
+
 /** Call of the `Follow` method. */
 export type FollowCall = ServerDuplexStream<FollowRequest, FollowResponse>;
 
@@ -25,7 +28,6 @@
     /** Time for which a hold lasts without renewal. */
     readonly holdDuration: Milliseconds;
     readonly onHeartbeat: (request: FollowRequest) => void;
-    readonly onFollowerLost: (instance: InstanceId) => void;
 }
 
 /** Serves followers. */
@@ -103,13 +105,21 @@
         }
         options.onHeartbeat(request);
         attachState(follower, message);
+        send(follower, message);
+    }
+
+    /** A follower that does not keep up is dropped; it comes back with its offset and gets what it lacks at once. */
+    function send(follower: FollowerRow, message: FollowResponse): void {
+        if (follower.call.writableLength > maximumBufferedMessages) {
+            remove(follower);
+            follower.call.end();
+            return;
+        }
         follower.call.write(message);
     }
 
     function remove(follower: FollowerRow): void {
-        if (followers.delete(follower) && follower.instance !== undefined) {
-            options.onFollowerLost(follower.instance);
-        }
+        followers.delete(follower);
     }
 
     store.onChange(() => {
@@ -117,7 +127,7 @@
             if (follower.instance !== undefined) {
                 const message = createMessage(0n);
                 attachState(follower, message);
-                follower.call.write(message);
+                send(follower, message);
             }
         }
     });
@@ -143,7 +153,7 @@
                 if (selected.length > 0) {
                     const message = createMessage(0n);
                     message.instances = JSON.stringify(selected);
-                    follower.call.write(message);
+                    send(follower, message);
                 }
             }
         },
--- a/test/node/relay/follower.test.ts
+++ b/test/node/relay/follower.test.ts
@@ -226,7 +226,6 @@
             startedAt: 0,
             holdDuration: 20_000,
             onHeartbeat: request => heard.push(request.instance),
-            onFollowerLost: () => undefined,
         });
         await using server = await startLoopbackServer({
             definition: relayServiceDefinition,
