Judge retries by the request's deadline, and load versions after a bounded drain

An engine that loads waited for its longest stream, 2.8 s without new work. Change: the latest start is a field of its own; an engine drains for 1.1 s and then cuts the one or two streams left, which gateways resume elsewhere; a bridge version is loaded while the next one is transferred; seeds name gateways.

--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -87,7 +87,9 @@
 
     function dropInactiveSets(): void {
         for (const [digest, set] of sets) {
-            if (set !== target && digest !== engineSync.readActiveDigest()) {
+            const isRetained = digest === engineSync.readActiveDigest() ||
+                target?.target.retained?.has(digest) === true;
+            if (set !== target && !isRetained) {
                 sets.delete(digest);
                 forgotten.set(digest, { sentBytes: set.sentBytes, forgottenAt: context.clock.monotonic() });
                 context.logEvent({}, "set forgotten", set);
--- a/src/node/agent/transfer/types.ts
+++ b/src/node/agent/transfer/types.ts
@@ -38,6 +38,8 @@
     readonly objective: Objective;
     /** Availability zone of the origin, whose members read from it first. Default: not known. */
     readonly originZone?: AvailabilityZone | undefined;
+    /** Other sets that the agent keeps and passes on. Default: none. */
+    readonly retained?: ReadonlySet<ManifestDigest> | undefined;
 }
 
 /** Progress of the current target. */
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -315,7 +315,8 @@
 
     return async request => {
         creditRequest(input.findBudget(request.service.name), clock.monotonic(), retry);
-        const admitted = await gates.admit(request.service, request.row, request.signal);
+        const waiting = { ...request.row, deadline: request.latestStart };
+        const admitted = await gates.admit(request.service, waiting, request.signal);
         if (admitted.kind === "refused") {
             refuse(request, admitted.refusal);
             return;
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -28,6 +28,8 @@
     readonly path: string;
     readonly headers: HeaderTable;
     readonly body: Buffer;
+    /** Monotonic time by which the first attempt has to start for the answer to be on time. */
+    readonly latestStart: Milliseconds;
     /** Monotonic time at which the caller or the route gives up. */
     readonly endsAt: Milliseconds;
     readonly response: ServerResponse;
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -104,6 +104,12 @@
             initial: 1_000,
             documentation: "Speed of the instance's link, which transfers of weights share with live requests.",
         }),
+        linkShare: defineNumber({
+            minimum: 0.01,
+            maximum: 1,
+            initial: 0.85,
+            documentation: "Share of the link that transfers of weights may use; the rest is left to live requests.",
+        }),
         relays: defineInteger({
             minimum: 1,
             maximum: 16,
@@ -137,15 +143,21 @@
         firstWaveAfterMilliseconds: defineDuration("firstWaveAfter", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 3_800,
+            initial: 4_000,
             documentation: "Time after the declaration at which the first group may load, if it is complete.",
         }),
         waveIntervalMilliseconds: defineDuration("waveInterval", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 1_100,
+            initial: 1_300,
             documentation: "Time by which each group loads later than the one before.",
         }),
+        drainBeforeLoadMilliseconds: defineDuration("drainBeforeLoad", "Milliseconds", {
+            minimum: 0,
+            maximum: 3_600_000,
+            initial: 1_100,
+            documentation: "Longest time in which requests in progress may finish before the engine loads a version.",
+        }),
         copyTimeMilliseconds: defineDuration("copyTime", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
--- a/src/node/weightAgent/engineLoop.ts
+++ b/src/node/weightAgent/engineLoop.ts
@@ -2,6 +2,7 @@
 import { nameWeights } from "../../runtime/gateway/index.js";
 import { planLoad, type RolloutOptions, type WantedVersion } from "../../runtime/rollout/index.js";
 import type { Clock, CopyPhase, EngineControlPort, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
+import { sleep } from "../../utils/index.js";
 import type { EngineStatus } from "./loadFeed.js";
 import { stageWeights } from "./stageWeights.js";
 import type { WeightMemory } from "./weightMemory.js";
@@ -11,16 +12,16 @@
     readonly model: string;
     /** Declared versions, newest first; at least one. */
     readonly wanted: readonly WantedVersion[];
-    /** Version that is transferred. */
-    readonly version: number;
-    /** Manifest of the target; undefined until it was read. */
-    readonly manifest: Manifest | undefined;
-    readonly isComplete: boolean;
+    /** Manifest of the newest version of which every chunk is held; undefined if there is none. */
+    readonly complete: Manifest | undefined;
     /** Backend servers of the service that serve. */
     readonly members: readonly string[];
     readonly slots: number;
 }
 
+/** Interval at which a draining engine is asked for its requests in progress. */
+const drainCheckInterval: Milliseconds = 60;
+
 /** Dependencies of {@link createEngineLoop}. */
 export interface EngineLoopInput {
     readonly engine: EngineControlPort;
@@ -28,7 +29,10 @@
     readonly self: string;
     readonly clock: Clock;
     readonly logger: Logger;
-    readonly options: RolloutOptions;
+    readonly options: RolloutOptions & {
+        /** Longest time in which requests in progress may finish before the engine loads. */
+        readonly drainBeforeLoad: Milliseconds;
+    };
     /** Called before and after an order, so that gateways send nothing to an engine that is about to load. */
     readonly publish: (status: EngineStatus) => void;
     readonly readTarget: () => EngineTarget | undefined;
@@ -85,7 +89,7 @@
     }
 
     async function load(target: EngineTarget, version: number, reason: string): Promise<void> {
-        const { manifest, model } = target;
+        const { complete: manifest, model } = target;
         if (manifest === undefined || report === undefined) {
             return;
         }
@@ -99,7 +103,17 @@
         }
         loading = true;
         input.publish(describe());
-        const ordered = await engine.load(model, version, report.orderSequence);
+        const running = await drain();
+        if (report === undefined) {
+            loading = false;
+            return;
+        }
+        const ordered = await engine.load(
+            model,
+            version,
+            report.orderSequence,
+            running === 0 ? "finish" : "cut-off",
+        );
         loading = ordered.isOk && ordered.value === "begun";
         input.publish(describe());
         const now = clock.monotonic();
@@ -110,7 +124,7 @@
             ...staged.value,
             stagingMilliseconds: Math.round(now - begunAt),
             orderSequence: report.orderSequence,
-            running: report.running,
+            running,
             sinceDeclared: Math.round(now - (target.wanted[0]?.declaredAt ?? now)),
         };
         if (ordered.isErr) {
@@ -124,6 +138,23 @@
         logger.info({ ...fields, outcome: ordered.value }, "load ordered");
     }
 
+    /**
+     * Waits until the requests in progress have finished, for a bounded time. Gateways have learned that the engine is
+     * about to load and send nothing new; the few longest streams are cut off and go on at other backend servers.
+     */
+    async function drain(): Promise<number> {
+        const endsAt = clock.monotonic() + input.options.drainBeforeLoad;
+        for (;;) {
+            const answer = await engine.readReport();
+            report = answer.unwrapOr(undefined as never);
+            const open = report === undefined ? 0 : report.running + report.queued;
+            if (open === 0 || clock.monotonic() >= endsAt) {
+                return open;
+            }
+            await sleep(drainCheckInterval);
+        }
+    }
+
     async function act(): Promise<void> {
         const target = input.readTarget();
         if (target === undefined || report === undefined || working) {
@@ -133,8 +164,7 @@
             report,
             model: target.model,
             wanted: target.wanted,
-            target: target.version,
-            isComplete: target.isComplete && target.manifest !== undefined,
+            target: target.complete === undefined ? undefined : Number(target.complete.version),
             self: input.self,
             members: target.members,
             orderedAt,
@@ -144,7 +174,7 @@
         if (decision.kind === "wait") {
             if (decision.reason !== lastReason) {
                 lastReason = decision.reason;
-                logger.info({ reason: decision.reason, version: target.version }, "load waits");
+                logger.info({ reason: decision.reason, version: target.wanted[0]?.version }, "load waits");
             }
             return;
         }
--- /dev/null
+++ b/src/node/weightAgent/relays.ts
@@ -0,0 +1,67 @@
+import type { Logger } from "pino";
+import type { Clock, KeyedLogPort, Milliseconds, RandomSource } from "../../types/index.js";
+import { sleep } from "../../utils/index.js";
+import { splitAddress } from "../httpServer/index.js";
+import { listInstances, type RecordStore } from "../replica/index.js";
+import type { WeightAgentSettings } from "../settings/index.js";
+
+/** Time without any relay after which the agent reads the list of gateways from the log. */
+const withoutRelaysUntilRead: Milliseconds = 1_000;
+
+/**
+ * Orders the gateways that an agent may follow: those of its own zone first, then those of the region.
+ *
+ * @param settings - place and seeds of the agent
+ * @param store - records of the agent
+ * @returns `host:port` of each gateway
+ */
+export function listRelays({ gateway, instance }: WeightAgentSettings, store: RecordStore): readonly string[] {
+    const rank = ({ region, zone }: { readonly region: string; readonly zone: string; }): number =>
+        zone === instance.zone ? 0 : region === instance.region ? 1 : 2;
+    const registered = [...listInstances(store)]
+        .sort((left, right) => rank(left) - rank(right))
+        .map(({ address }) => address);
+    const seeds = gateway.seeds.map(address => `${splitAddress(address).host}:${gateway.relayPort}`);
+    return [...new Set([...registered, ...seeds])];
+}
+
+/** Dependencies of {@link readGatewaysWithoutRelays}. */
+export interface GatewayReaderInput {
+    readonly log: KeyedLogPort;
+    readonly store: RecordStore;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    /** Relays that the agent follows at the moment. */
+    readonly countConnected: () => number;
+}
+
+/**
+ * Reads the gateways from the log while no relay answers, since seeds may be gone.
+ *
+ * @param input - log and records of the agent
+ * @param signal - ends the reads
+ */
+export async function readGatewaysWithoutRelays(input: GatewayReaderInput, signal: AbortSignal): Promise<void> {
+    const { clock, countConnected, log, logger, random, store } = input;
+    let aloneSince = clock.monotonic();
+    while (!signal.aborted) {
+        await sleep(withoutRelaysUntilRead * (0.5 + random.next()) / 4, signal);
+        if (countConnected() > 0) {
+            aloneSince = clock.monotonic();
+            continue;
+        }
+        if (clock.monotonic() - aloneSince < withoutRelaysUntilRead) {
+            continue;
+        }
+        aloneSince = clock.monotonic();
+        const page = await log.readNewest("instances");
+        if (page.isOk) {
+            store.receive({ topic: "instances", page: page.value, complete: true, age: 0, source: "log", peer: "log" });
+        }
+        else {
+            const { code, message, peer, step } = page.error;
+            logger.warn({ code, step, peer, detail: message }, "gateways not read");
+        }
+    }
+}
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -5,13 +5,11 @@
 import {
     type BackendServerPort,
     type Clock,
-    createError,
     type EngineControlPort,
     type GoldcrestpointError,
     type KeyedLogPort,
     type ListedBackendServer,
     type Manifest,
-    type OriginPort,
     type RandomSource,
     type RecordDecoder,
     type VersionOriginPort,
@@ -22,11 +20,13 @@
 import { readWeightSource, type WeightSource } from "../gateway/weightSources.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { splitAddress } from "../httpServer/index.js";
-import { createRecordStore, createRelayFollowers, listInstances, type RecordStore } from "../replica/index.js";
+import { createRecordStore, createRelayFollowers } from "../replica/index.js";
 import type { WeightAgentSettings } from "../settings/index.js";
 import { createEngineLoop, type EngineTarget } from "./engineLoop.js";
 import { importStaged } from "./importStaged.js";
 import { createLoadFeed } from "./loadFeed.js";
+import { listRelays, readGatewaysWithoutRelays } from "./relays.js";
+import { createSetOrigin, splitWeights } from "./setOrigin.js";
 import { createWeightMemory } from "./weightMemory.js";
 
 /** Origin whose address the configuration names. */
@@ -44,9 +44,6 @@
     readonly random: RandomSource;
 }
 
-/** Time without any relay after which the agent reads the list of gateways from the log. */
-const withoutRelaysUntilRead = 2_000;
-
 /** Interval of the transfer system; a chunk takes about as long on the links that agents have. */
 const transferTickInterval = 50;
 
@@ -55,36 +52,6 @@
 /** Larger parts would hold up live requests on a thin link: this one takes about ten milliseconds. */
 const transferPartBytes = 8_192;
 
-/** Splits the name of a set into model and version. */
-function splitWeights(set: string): { readonly model: string; readonly version: number; } {
-    const separator = set.lastIndexOf("@");
-    return { model: set.slice(0, separator), version: Number(set.slice(separator + 1)) };
-}
-
-/** Lets the transfer service, which names sets by digest, read from an origin that names them by version. */
-function createSetOrigin(
-    origin: VersionOriginPort,
-    keepManifest: (set: string, manifest: Manifest) => void,
-): OriginPort {
-    const step = "resolve manifest";
-    return {
-        resolveManifest: () =>
-            Promise.resolve(err(createError("MANIFEST_INVALID", step, "origin", "sets are named by version here"))),
-        readManifest: async set => {
-            const { model, version } = splitWeights(set);
-            const manifest = await origin.readManifest(model, version);
-            if (manifest.isOk) {
-                keepManifest(set, manifest.value);
-            }
-            return manifest;
-        },
-        readChunk: (set, index, signal) => {
-            const { model, version } = splitWeights(set);
-            return origin.readChunk(model, version, index, signal);
-        },
-    };
-}
-
 /**
  * Starts an agent that keeps the weights of the engine beside it at the declared version.
  *
@@ -119,6 +86,8 @@
     const manifests = new Map<string, Manifest>();
     const servers = new Map<string, ListedBackendServer>();
     const wanted: WantedVersion[] = [];
+    /** Versions of which every chunk is in memory and verified. */
+    const complete = new Set<number>();
     let source: WeightSource | undefined;
     let imported = false;
 
@@ -139,25 +108,21 @@
         const weights = loop.readReport()?.weights;
         return chooseTarget({
             wanted,
-            loaded: weights?.complete === true ? weights.version : 0,
+            held: Math.max(weights?.complete === true ? weights.version : 0, ...complete),
             now: clock.monotonic(),
             options: { copyTime: weightAgent.copyTime, cutoverAfter: gateway.cutoverAfter },
         });
     }
 
     function readTarget(): EngineTarget | undefined {
-        const target = chooseVersion();
-        if (source === undefined || target === undefined) {
+        if (source === undefined || wanted.length === 0) {
             return undefined;
         }
-        const set = nameWeights(source.model, target.version);
-        const progress = service.progress();
+        const newestComplete = Math.max(...complete);
         return {
             model: source.model,
             wanted,
-            version: target.version,
-            manifest: manifests.get(set),
-            isComplete: progress?.manifestDigest === set && progress.complete,
+            complete: manifests.get(nameWeights(source.model, newestComplete)),
             members: listMembers()
                 .filter(({ weights }) => weights !== undefined)
                 .map(({ address }) => splitAddress(address).host),
@@ -165,6 +130,13 @@
         };
     }
 
+    function recordProgress(): void {
+        const progress = service.progress();
+        if (progress?.complete === true) {
+            complete.add(splitWeights(progress.manifestDigest).version);
+        }
+    }
+
     const loop = createEngineLoop({
         engine: ports.engine,
         memory,
@@ -176,24 +148,38 @@
         readTarget,
     });
 
+    /** Versions that are complete and not loaded yet stay, for this engine and for agents that still need them. */
+    function listRetained(model: string): ReadonlySet<string> {
+        const loaded = loop.readReport()?.weights;
+        const newestLoaded = loaded?.complete === true ? loaded.version : 0;
+        for (const version of [...complete]) {
+            if (version < newestLoaded) {
+                complete.delete(version);
+            }
+        }
+        return new Set([newestLoaded, ...complete].map(version => nameWeights(model, version)));
+    }
+
     function applyTarget(): void {
+        recordProgress();
         const target = chooseVersion();
         if (source === undefined || target === undefined || !imported) {
             return;
         }
-        const set = nameWeights(source.model, target.version);
         const { model, originZone } = source;
+        const set = nameWeights(model, target.version);
+        const retained = listRetained(model);
         service.setTarget({
             weights: { model, adapter: "", version: String(target.version), manifestDigest: set },
             objective: weightAgent.objective,
             originZone,
+            retained,
             members: listMembers().map(({ address, zone }) => {
                 const { host } = splitAddress(address);
                 return { instance: host, zone, address: `${host}:${gateway.agentPort}` };
             }),
         });
-        const loaded = loop.readReport()?.weights;
-        memory.keepOnly(new Set([set, ...(loaded === undefined ? [] : [nameWeights(loaded.model, loaded.version)])]));
+        memory.keepOnly(new Set([set, ...retained]));
     }
 
     function learnSource(value: Uint8Array, isFirst: boolean): void {
@@ -236,7 +222,11 @@
         backend: memory.port as BackendServerPort,
         origin: createSetOrigin(ports.origin, (set, manifest) => void manifests.set(set, manifest)),
         verifyManifest: manifest => ok(manifest),
-        linkBudget: createLinkBudget({ bytesPerSecond: weightAgent.linkMegabitsPerSecond * bytesPerMegabit, clock }),
+        linkBudget: createLinkBudget({
+            bytesPerSecond: weightAgent.linkMegabitsPerSecond * bytesPerMegabit,
+            idleShare: weightAgent.linkShare,
+            clock,
+        }),
         clock,
         random,
         options: {
@@ -278,7 +268,7 @@
 
     const ended = new AbortController();
     stack.defer(() => ended.abort());
-    void readGatewaysWithoutRelays(ports, store, followers.countConnected, logger, ended.signal);
+    void readGatewaysWithoutRelays({ ...ports, store, countConnected: followers.countConnected, logger }, ended.signal);
     void runLoop();
     logger.info({ engine: weightAgent.engineAddress, zone: instance.zone }, "agent started");
     return ok(undefined);
@@ -297,44 +287,3 @@
         }
     }
 }
-
-/** Orders the gateways: those of the own zone first, then those of the region. */
-function listRelays({ gateway, instance }: WeightAgentSettings, store: RecordStore): readonly string[] {
-    const rank = ({ region, zone }: { readonly region: string; readonly zone: string; }): number =>
-        zone === instance.zone ? 0 : region === instance.region ? 1 : 2;
-    const registered = [...listInstances(store)]
-        .sort((left, right) => rank(left) - rank(right))
-        .map(({ address }) => address);
-    const seeds = gateway.seeds.map(address => `${splitAddress(address).host}:${gateway.relayPort}`);
-    return [...new Set([...registered, ...seeds])];
-}
-
-/** Reads the gateways from the log while no relay answers, since seeds may be gone. */
-async function readGatewaysWithoutRelays(
-    { clock, log, random }: WeightAgentPorts,
-    store: RecordStore,
-    countConnected: () => number,
-    logger: Logger,
-    signal: AbortSignal,
-): Promise<void> {
-    let aloneSince = clock.monotonic();
-    while (!signal.aborted) {
-        await sleep(withoutRelaysUntilRead * (0.5 + random.next()) / 4, signal);
-        if (countConnected() > 0) {
-            aloneSince = clock.monotonic();
-            continue;
-        }
-        if (clock.monotonic() - aloneSince < withoutRelaysUntilRead) {
-            continue;
-        }
-        aloneSince = clock.monotonic();
-        const page = await log.readNewest("instances");
-        if (page.isOk) {
-            store.receive({ topic: "instances", page: page.value, complete: true, age: 0, source: "log", peer: "log" });
-        }
-        else {
-            const { code, message, peer, step } = page.error;
-            logger.warn({ code, step, peer, detail: message }, "gateways not read");
-        }
-    }
-}
--- a/src/runtime/rollout/chooseTarget.ts
+++ b/src/runtime/rollout/chooseTarget.ts
@@ -13,25 +13,25 @@
 export interface TargetInput {
     /** Declared versions, newest first; at least one. */
     readonly wanted: readonly WantedVersion[];
-    /** Version that the engine has loaded; 0 for none. */
-    readonly loaded: number;
+    /** Newest version that the engine has loaded or that is held completely; 0 for none. */
+    readonly held: number;
     readonly now: Milliseconds;
     readonly options: TargetOptions;
 }
 
 /**
- * Chooses the version to transfer. The newest one takes the place of an older one that is not loaded yet, unless the
+ * Chooses the version to transfer. The newest one takes the place of an older one that is not complete yet, unless the
  * older one falls due before the newest can be there: requests would find no backend server in between.
  *
- * @param input - declared versions and what is loaded
+ * @param input - declared versions and what is held
  * @returns the version
  */
-export function chooseTarget({ loaded, now, options, wanted }: TargetInput): WantedVersion {
+export function chooseTarget({ held, now, options, wanted }: TargetInput): WantedVersion {
     const newest = wanted[0]!;
-    if (loaded === 0) {
+    if (held === 0) {
         return newest;
     }
-    const missing = wanted.filter(({ version }) => version > loaded).reverse();
+    const missing = wanted.filter(({ version }) => version > held).reverse();
     const bridge = missing.find(({ declaredAt, version }) => {
         const dueAt = declaredAt + options.cutoverAfter;
         return version < newest.version && now < dueAt && newest.declaredAt + options.copyTime > dueAt;
--- a/src/runtime/rollout/planLoad.ts
+++ b/src/runtime/rollout/planLoad.ts
@@ -26,10 +26,8 @@
     readonly model: string;
     /** Declared versions, newest first; at least one. */
     readonly wanted: readonly WantedVersion[];
-    /** Version that is transferred; the newest one, or an older one that falls due first. */
-    readonly target: number;
-    /** True if every chunk of the target is held and verified. */
-    readonly isComplete: boolean;
+    /** Newest version of which every chunk is held and verified; undefined if there is none. */
+    readonly target: number | undefined;
     readonly self: string;
     /** Backend servers of the service that serve, this one included. */
     readonly members: readonly string[];
@@ -67,13 +65,13 @@
  * @returns the order to give, or why there is none
  */
 export function planLoad(input: LoadInput): LoadDecision {
-    const { isComplete, members, model, now, options, orderedAt, report, self, target, wanted } = input;
+    const { members, model, now, options, orderedAt, report, self, target, wanted } = input;
     const { weights } = report;
     const loaded = weights?.complete === true && weights.model === model ? weights.version : 0;
-    if (loaded >= target) {
-        return { kind: "wait", reason: "the version is loaded" };
+    if (loaded >= wanted[0]!.version) {
+        return { kind: "wait", reason: "the newest version is loaded" };
     }
-    if (!isComplete) {
+    if (target === undefined || loaded >= target) {
         return { kind: "wait", reason: "chunks are missing" };
     }
     if (report.busy) {
--- a/src/types/engineControl.ts
+++ b/src/types/engineControl.ts
@@ -16,6 +16,9 @@
     readonly queued: number;
 }
 
+/** What becomes of requests in progress when an engine loads: it waits for them, or ends their streams. */
+export type RunningRequests = "finish" | "cut-off";
+
 /** How an engine took an order. */
 export type OrderOutcome = "begun" | "in-effect" | "refused";
 
@@ -35,14 +38,20 @@
     /** Stages a chunk in place of the one at its position. */
     stage(model: string, index: number, content: Uint8Array): PortResult<void>;
     /**
-     * Orders the engine to load what is staged once the requests in progress have finished.
+     * Orders the engine to load what is staged. It accepts nothing new until it has.
      *
      * @param model - name of the model
      * @param version - its version
      * @param expectedSequence - the order counts only if the engine has begun this many orders
+     * @param running - what becomes of requests in progress
      * @returns how the engine took it; `ORDER_AMBIGUOUS` if the answer was lost
      */
-    load(model: string, version: number, expectedSequence: number): PortResult<OrderOutcome>;
+    load(
+        model: string,
+        version: number,
+        expectedSequence: number,
+        running: RunningRequests,
+    ): PortResult<OrderOutcome>;
 }
 
 /** Origin of weights that are found by model and version. */
--- /dev/null
+++ b/test/platform/gateway.test.ts
@@ -0,0 +1,240 @@
+import { expect } from "earl";
+import { request as sendRequest } from "node:http";
+import { describe, it } from "node:test";
+import { operatorConfiguration, startDeployment, type TestDeployment, waitUntil } from "./standIn/deployment.js";
+import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
+
+interface Answer {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly body: string;
+    /** False if the connection ended within the body. */
+    readonly complete: boolean;
+}
+
+let attempts = 0;
+
+function call(
+    { gatewayUrl }: TestDeployment,
+    path: string,
+    options: { readonly method?: string; readonly headers?: Record<string, string>; readonly body?: string; } = {},
+): Promise<Answer> {
+    attempts++;
+    return new Promise((resolve, reject) => {
+        const request = sendRequest(gatewayUrl + path, {
+            method: options.method ?? "GET",
+            headers: {
+                host: "members.example",
+                "attempt-id": `attempt-${attempts}`,
+                "deadline-ms": "1500",
+                authorization: "Token key-1",
+                ...options.headers,
+            },
+        }, response => {
+            const parts: Buffer[] = [];
+            const finish = (complete: boolean): void =>
+                resolve({
+                    status: response.statusCode ?? 0,
+                    headers: response.headers,
+                    body: Buffer.concat(parts).toString(),
+                    complete,
+                });
+            response.on("data", (part: Buffer) => parts.push(part));
+            response.on("end", () => finish(response.complete));
+            response.on("error", () => finish(false));
+        });
+        request.on("error", reject);
+        request.end(options.body);
+    });
+}
+
+describe("gateway on the platform", () => {
+    it("passes a request on with the account in place of the key, and the answer back unchanged", async () => {
+        await using deployment = await startDeployment();
+        const runner = await deployment.addRunner({ id: "i-1" });
+        const answer = await call(deployment, "/unsafe/x?y=1", {
+            method: "POST",
+            body: "text",
+            headers: { tenant: "forged", "x-other": "kept", "deadline-ms": "1000", "expect-instance": "i-9" },
+        });
+        expect([answer.status, answer.body]).toEqual([200, "i-1:text"]);
+        expect(answer.headers["response-seal"] !== undefined).toEqual(true);
+        const [run] = runner.runs;
+        expect([run!.path, run!.headers["tenant"], run!.headers["x-other"]]).toEqual([
+            "/unsafe/x?y=1",
+            "family",
+            "kept",
+        ]);
+        expect(run!.headers.authorization).toEqual(undefined);
+        const remaining = Number(run!.headers["deadline-ms"]);
+        expect(remaining > 500 && remaining <= 1_000).toEqual(true);
+    });
+
+    it("refuses what the configuration does not allow", async () => {
+        await using deployment = await startDeployment();
+        await deployment.addRunner({ id: "i-1" });
+        const statuses = await Promise.all([
+            call(deployment, "/other/"),
+            call(deployment, "/safe/", { headers: { authorization: "Token key-9" } }),
+            call(deployment, "/safe/", { method: "POST", body: "x".repeat(1_001) }),
+        ]);
+        expect(statuses.map(({ status }) => status)).toEqual([404, 401, 413]);
+    });
+
+    const unsafeOutcomes: readonly (readonly [RunnerBehaviour, number])[] = [
+        ["shed", 503],
+        ["error", 500],
+        ["reset", 502],
+        ["truncate", 502],
+        ["foreign", 502],
+        ["unsealed", 502],
+        ["unexplained-503", 502],
+        ["silent", 504],
+    ];
+    for (const [behaviour, status] of unsafeOutcomes) {
+        it(`answers ${status} to an unsafe request when the runner's answer is: ${behaviour}`, async () => {
+            await using deployment = await startDeployment();
+            const runners = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
+            runners.forEach(runner => runner.behave(behaviour));
+            const answer = await call(deployment, "/unsafe/", { method: "POST" });
+            expect(answer.status).toEqual(status);
+            expect(runners.reduce((sum, runner) => sum + runner.countArrivals(), 0)).toEqual(1);
+            expect(status !== 503 || Number(answer.headers["retry-after"]) > 0).toEqual(true);
+        });
+    }
+
+    for (const behaviour of ["shed", "error", "reset", "truncate", "foreign", "unsealed", "silent"] as const) {
+        it(`repeats a safe request at another runner when the first answer is: ${behaviour}`, async () => {
+            await using deployment = await startDeployment();
+            const [bad, good] = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
+            bad.behave(behaviour);
+            for (let index = 0; index < 4; index++) {
+                const answer = await call(deployment, "/safe/");
+                expect([answer.status, answer.body]).toEqual([200, "i-2:"]);
+            }
+            expect(good.runs.length).toEqual(4);
+        });
+    }
+
+    it("goes on with a broken stream at another runner, without losing or repeating an event", async () => {
+        await using deployment = await startDeployment();
+        await deployment.addRunner({ id: "i-1", events: 6, breakAfter: 3 }, { slots: 100 });
+        await deployment.addRunner({ id: "i-2", events: 6 }, { state: "draining" });
+        const broken = await call(deployment, "/stream/");
+        expect([broken.status, broken.complete]).toEqual([200, false]);
+        const entry = { service: "archive", zone: "zone-a", slots: 4, state: "ready", born: 1 };
+        const second = await deployment.addRunner({ id: "i-3", events: 6 }, entry);
+        let resumed = 0;
+        for (let index = 0; index < 8; index++) {
+            const answer = await call(deployment, "/stream/");
+            const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+            expect([answer.complete, ids]).toEqual([true, [1, 2, 3, 4, 5, 6]]);
+            resumed += answer.body.includes("i-1") ? 1 : 0;
+        }
+        expect(second.runs.some(run => run.headers["last-event-id"] === "3")).toEqual(resumed > 0);
+    });
+
+    it("resumes a stream that breaks after the time in which it had to begin", async () => {
+        await using deployment = await startDeployment();
+        await deployment.addRunner({ id: "i-1", events: 5, breakAfter: 3, eventMilliseconds: 250 }, { slots: 100 });
+        await deployment.addRunner({ id: "i-2", events: 5 });
+        for (let index = 0; index < 4; index++) {
+            const answer = await call(deployment, "/stream/");
+            expect([answer.complete, answer.body.match(/^id: /gm)?.length]).toEqual([true, 5]);
+        }
+    });
+
+    it("cancels at the runner when the caller leaves", async () => {
+        await using deployment = await startDeployment();
+        const runner = await deployment.addRunner({ id: "i-1", events: 1_000, eventMilliseconds: 20 });
+        const request = sendRequest(`${deployment.gatewayUrl}/stream/`, {
+            headers: { host: "members.example", "attempt-id": "left", authorization: "Token key-1" },
+        }, response => {
+            response.once("data", () => request.destroy());
+        });
+        request.on("error", () => {});
+        request.end();
+        await waitUntil("the run is canceled", () => runner.runs[0]?.canceled === true);
+    });
+
+    it("sends nothing to a runner that is draining, gone, or replaced at its address", async () => {
+        await using deployment = await startDeployment();
+        const [first, second] = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
+        deployment.store.write("keyed.servers", "i-1", {
+            service: "archive",
+            address: first.address,
+            zone: "zone-a",
+            slots: 4,
+            state: "draining",
+            born: 1,
+        });
+        await waitUntil("the list was read", async () => {
+            const before = first.countArrivals();
+            for (let index = 0; index < 6; index++) {
+                await call(deployment, "/safe/");
+            }
+            return first.countArrivals() === before;
+        });
+        deployment.store.drop("keyed.servers", "i-2");
+        await waitUntil("both are gone", async () => (await call(deployment, "/safe/")).status === 503);
+        expect(second.runs.length > 0).toEqual(true);
+    });
+
+    it("ignores entries that cannot be read", async () => {
+        await using deployment = await startDeployment();
+        await deployment.addRunner({ id: "i-1" });
+        deployment.store.writeBytes("keyed.servers", "i-7", Buffer.of(0xFF, 0x01));
+        deployment.store.write("keyed.servers", "i-8", { service: "archive", state: "resting", address: 7 });
+        await new Promise(resolve => setTimeout(resolve, 600));
+        expect((await call(deployment, "/safe/")).status).toEqual(200);
+    });
+
+    it("puts a new configuration in force, and does not go back to an older one", async () => {
+        await using deployment = await startDeployment();
+        await deployment.addRunner({ id: "i-1" });
+        const moved = operatorConfiguration.routes.map(route => ({ ...route, host: "moved.example" }));
+        deployment.configure({ version: 5, routes: moved });
+        await waitUntil("the old host is gone", async () => (await call(deployment, "/safe/")).status === 404);
+        deployment.configure({ version: 3 });
+        await new Promise(resolve => setTimeout(resolve, 300));
+        expect((await call(deployment, "/safe/")).status).toEqual(404);
+        expect((await call(deployment, "/safe/", { headers: { host: "moved.example" } })).status).toEqual(200);
+    });
+
+    for (const fault of ["busy", "many", "reset", "silent"] as const) {
+        it(`serves on what it knows while the store is ${fault}, and follows it again`, async () => {
+            await using deployment = await startDeployment();
+            await deployment.addRunner({ id: "i-1" });
+            deployment.store.setFault(fault);
+            await new Promise(resolve => setTimeout(resolve, 300));
+            expect((await call(deployment, "/safe/")).status).toEqual(200);
+            deployment.store.setFault("none");
+            deployment.configure({ version: 9, tenants: [] });
+            await waitUntil("the key is refused", async () => (await call(deployment, "/safe/")).status === 401);
+        });
+    }
+
+    it("follows the store after its history was dropped", async () => {
+        await using deployment = await startDeployment();
+        await deployment.addRunner({ id: "i-1" });
+        deployment.store.write("keyed.op", "version/x", { model: "x", version: 1 });
+        deployment.configure({ version: 4 });
+        deployment.store.compact("keyed.op");
+        deployment.configure({ version: 7, tenants: [] });
+        await waitUntil("the key is refused", async () => (await call(deployment, "/safe/")).status === 401);
+    });
+
+    it("tells that it is not ready, and finishes what it has, when it shuts down", async () => {
+        await using deployment = await startDeployment();
+        await deployment.addRunner({ id: "i-1", events: 30, eventMilliseconds: 20 });
+        const running = call(deployment, "/stream/");
+        await new Promise(resolve => setTimeout(resolve, 100));
+        const drained = deployment.drain();
+        expect((await fetch(deployment.readyUrl)).status).toEqual(503);
+        const late = await call(deployment, "/stream/");
+        expect([late.complete, late.headers["connection"]]).toEqual([true, "close"]);
+        const answer = await running;
+        expect([answer.complete, answer.body.includes("id: 30")]).toEqual([true, true]);
+        await drained;
+    });
+});
--- /dev/null
+++ b/test/platform/standIn/httpStandIn.ts
@@ -0,0 +1,56 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** Handles one request. */
+export type StandInHandler = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    url: URL,
+    body: Buffer,
+) => void | Promise<void>;
+
+/** Running stand-in. */
+export interface HttpStandIn extends AsyncDisposable {
+    /** `host:port` */
+    readonly address: string;
+}
+
+async function readBody(request: IncomingMessage): Promise<Buffer> {
+    const parts: Buffer[] = [];
+    for await (const part of request as AsyncIterable<Buffer>) {
+        parts.push(part);
+    }
+    return Buffer.concat(parts);
+}
+
+/**
+ * Starts an HTTP server on a free port of the loopback address.
+ *
+ * @param handle - handles each request, whose body has been read
+ * @returns the server; disposing of it closes all connections
+ */
+export async function startHttpStandIn(handle: StandInHandler): Promise<HttpStandIn> {
+    const server: Server = createServer((request, response) => {
+        void (async () => {
+            const body = await readBody(request);
+            await handle(request, response, new URL(request.url ?? "/", "http://stand-in"), body);
+        })().catch(() => response.destroy());
+    });
+    await new Promise<void>(resolve => {
+        server.listen(0, "127.0.0.1", resolve);
+    });
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        [Symbol.asyncDispose]: () =>
+            new Promise<void>(resolve => {
+                server.close(() => resolve());
+                server.closeAllConnections();
+            }),
+    };
+}
+
+/** Sends JSON. */
+export function sendJson(response: ServerResponse, status: number, content: unknown): void {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify(content));
+}
--- /dev/null
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -0,0 +1,158 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { type HttpStandIn, sendJson, startHttpStandIn } from "./httpStandIn.js";
+
+/** How a runner treats a request. */
+export type RunnerBehaviour =
+    | "answer"
+    | "shed"
+    | "error"
+    | "reset"
+    | "silent"
+    | "truncate"
+    | "foreign"
+    | "unsealed"
+    | "unexplained-503";
+
+/** Request that a runner began to work on. */
+export interface RunnerRun {
+    readonly attemptId: string;
+    readonly headers: IncomingMessage["headers"];
+    readonly path: string;
+    readonly body: string;
+    canceled: boolean;
+}
+
+/** Stand-in of a runner. */
+export interface RunnerStandIn extends HttpStandIn {
+    readonly id: string;
+    readonly runs: RunnerRun[];
+    /** Requests that arrived, including those that did not run. */
+    readonly countArrivals: () => number;
+    behave(behaviour: RunnerBehaviour): void;
+}
+
+/** Options of {@link startRunnerStandIn}. */
+export interface RunnerStandInOptions {
+    readonly id: string;
+    /** Events of a stream; undefined for whole answers. */
+    readonly events?: number;
+    /** Events after which a stream breaks off within the next one. */
+    readonly breakAfter?: number;
+    readonly eventMilliseconds?: number;
+}
+
+const proof = "3e1b.07.5a2.600.0.c9f2a4d1";
+
+/**
+ * Starts a runner that speaks the platform's protocol.
+ *
+ * @param options - identifier and kind of answers
+ * @returns the runner
+ */
+export async function startRunnerStandIn(options: RunnerStandInOptions): Promise<RunnerStandIn> {
+    const runs: RunnerRun[] = [];
+    let behaviour: RunnerBehaviour = "answer";
+    let arrivals = 0;
+
+    async function stream(request: IncomingMessage, response: ServerResponse, events: number): Promise<void> {
+        const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+        for (let id = first; id <= events; id++) {
+            if (options.breakAfter !== undefined && id > options.breakAfter) {
+                response.write(`id: ${id}\nda`);
+                setTimeout(() => response.destroy(), 5);
+                return;
+            }
+            response.write(`id: ${id}\ndata: ${options.id}\n\n`);
+            await new Promise(resolve => setTimeout(resolve, options.eventMilliseconds ?? 1));
+        }
+        response.end();
+    }
+
+    function run(request: IncomingMessage, response: ServerResponse, url: URL, body: Buffer): RunnerRun {
+        const row: RunnerRun = {
+            attemptId: String(request.headers["attempt-id"]),
+            headers: request.headers,
+            path: url.pathname + url.search,
+            body: body.toString(),
+            canceled: false,
+        };
+        runs.push(row);
+        response.once("close", () => {
+            row.canceled = !response.writableFinished;
+        });
+        return row;
+    }
+
+    const handlers: Readonly<
+        Record<RunnerBehaviour, (request: IncomingMessage, response: ServerResponse, url: URL, body: Buffer) => void>
+    > = {
+        answer: (request, response, url, body) => {
+            const { attemptId } = run(request, response, url, body);
+            const head = { "attempt-id": attemptId, "response-seal": proof, "runner-load": "1,0,4" };
+            if (options.events === undefined) {
+                response.writeHead(200, { ...head, "content-type": "text/plain" });
+                response.end(`${options.id}:${body.toString()}`);
+                return;
+            }
+            response.writeHead(200, { ...head, "content-type": "text/event-stream" });
+            void stream(request, response, options.events);
+        },
+        shed: (...[, response]) => {
+            response.writeHead(503, { "not-executed": "1" });
+            response.end();
+        },
+        error: (request, response, url, body) => {
+            const { attemptId } = run(request, response, url, body);
+            response.writeHead(500, { "attempt-id": attemptId, "response-seal": proof });
+            response.end("fault");
+        },
+        reset: (request, response, url, body) => {
+            run(request, response, url, body);
+            response.destroy();
+        },
+        silent: (request, response, url, body) => {
+            run(request, response, url, body);
+        },
+        truncate: (request, response, url, body) => {
+            const { attemptId } = run(request, response, url, body);
+            response.writeHead(200, { "attempt-id": attemptId, "response-seal": proof, "content-length": 100 });
+            response.write("half");
+            setTimeout(() => response.destroy(), 5);
+        },
+        foreign: (request, response, url, body) => {
+            run(request, response, url, body);
+            response.writeHead(200, { "attempt-id": "another-request", "response-seal": proof });
+            response.end("another caller's answer");
+        },
+        unsealed: (request, response, url, body) => {
+            const { attemptId } = run(request, response, url, body);
+            response.writeHead(200, { "attempt-id": attemptId });
+            response.end("no proof");
+        },
+        "unexplained-503": (request, response, url, body) => {
+            const { attemptId } = run(request, response, url, body);
+            response.writeHead(503, { "attempt-id": attemptId });
+            response.end();
+        },
+    };
+
+    const server = await startHttpStandIn((request, response, url, body) => {
+        arrivals++;
+        if (request.headers["expect-instance"] !== options.id) {
+            response.setHeader("runner-id", options.id);
+            sendJson(response, 421, {});
+            return;
+        }
+        handlers[behaviour](request, response, url, body);
+    });
+    return {
+        ...server,
+        id: options.id,
+        runs,
+        countArrivals: () => arrivals,
+        behave: next => {
+            behaviour = next;
+        },
+        [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
+    };
+}
--- /dev/null
+++ b/test/platform/standIn/storeStandIn.ts
@@ -0,0 +1,174 @@
+import type { ServerResponse } from "node:http";
+import { type HttpStandIn, sendJson, startHttpStandIn } from "./httpStandIn.js";
+
+/** What the store does with calls: answer, refuse, close the connection, stay silent, or act and lose the answer. */
+export type StoreFault = "none" | "busy" | "many" | "reset" | "silent" | "lost";
+
+interface StoredRecord {
+    readonly offset: number;
+    readonly key: string;
+    readonly value: Buffer;
+}
+
+interface StoredTopic {
+    records: StoredRecord[];
+    readonly newest: Map<string, StoredRecord>;
+    end: number;
+}
+
+/** Stand-in of the platform's store. */
+export interface StoreStandIn extends HttpStandIn {
+    /** Writes a record as the operator or a backend server does. */
+    write(topic: string, key: string, content: unknown): void;
+    /** Writes bytes that may be no JSON. */
+    writeBytes(topic: string, key: string, value: Buffer): void;
+    /** Drops a key. */
+    drop(topic: string, key: string): void;
+    /** Forgets all records but the newest of each key. */
+    compact(topic: string): void;
+    setFault(fault: StoreFault): void;
+    readonly countCalls: () => number;
+}
+
+/** Most keys on one page of the newest records. */
+const pageSize = 3;
+
+/**
+ * Starts a store with keyed topics that speaks the platform's protocol.
+ *
+ * @returns the store, empty
+ */
+export async function startStoreStandIn(): Promise<StoreStandIn> {
+    const topics = new Map<string, StoredTopic>();
+    const waiting = new Set<() => void>();
+    let fault: StoreFault = "none";
+    let calls = 0;
+
+    function findTopic(name: string): StoredTopic {
+        const topic = topics.get(name) ?? { records: [], newest: new Map<string, StoredRecord>(), end: 0 };
+        topics.set(name, topic);
+        return topic;
+    }
+
+    function append(name: string, key: string, value: Buffer): number {
+        const topic = findTopic(name);
+        const record = { offset: topic.end, key, value };
+        topic.end++;
+        topic.records.push(record);
+        if (value.length === 0) {
+            topic.newest.delete(key);
+        }
+        else {
+            topic.newest.set(key, record);
+        }
+        waiting.forEach(wake => wake());
+        return record.offset;
+    }
+
+    function encodeRead(topic: StoredTopic, from: number): Buffer {
+        const head = Buffer.alloc(16);
+        head.writeBigUInt64BE(BigInt(topic.end), 0);
+        head.writeBigUInt64BE(BigInt(topic.records[0]?.offset ?? topic.end), 8);
+        const parts = topic.records.filter(({ offset }) => offset >= from).map(({ key, value }) => {
+            const keyBytes = Buffer.from(key);
+            const content = Buffer.concat([Buffer.of(keyBytes.length), keyBytes, value]);
+            const length = Buffer.alloc(4);
+            length.writeUInt32BE(content.length);
+            return Buffer.concat([length, content]);
+        });
+        return Buffer.concat([head, ...parts]);
+    }
+
+    async function read(url: URL, response: ServerResponse): Promise<void> {
+        const topic = findTopic(url.searchParams.get("topic") ?? "");
+        const from = Number(url.searchParams.get("from"));
+        if (from < (topic.records[0]?.offset ?? topic.end)) {
+            sendJson(response, 410, { first: topic.records[0]?.offset ?? topic.end });
+            return;
+        }
+        const endsAt = Date.now() + Number(url.searchParams.get("wait_ms") ?? 0);
+        while (topic.end <= from && Date.now() < endsAt && !response.destroyed) {
+            await new Promise<void>(resolve => {
+                const wake = (): void => {
+                    clearTimeout(timer);
+                    waiting.delete(wake);
+                    resolve();
+                };
+                const timer = setTimeout(wake, Math.max(1, endsAt - Date.now()));
+                waiting.add(wake);
+            });
+        }
+        response.writeHead(200);
+        response.end(encodeRead(topic, from));
+    }
+
+    function readNewest(url: URL, response: ServerResponse): void {
+        const topic = findTopic(url.searchParams.get("topic") ?? "");
+        const after = url.searchParams.get("after") ?? "";
+        const rows = [...topic.newest.values()].filter(({ key }) => key > after)
+            .sort((left, right) => left.key < right.key ? -1 : 1);
+        const items = rows.slice(0, pageSize).map(({ key, offset, value }) => ({
+            key,
+            value: value.toString("base64"),
+            offset,
+        }));
+        sendJson(response, 200, { items, has_more: rows.length > pageSize, end: topic.end });
+    }
+
+    function write(url: URL, body: Buffer, response: ServerResponse): void {
+        const length = body.readUInt32BE(0);
+        const content = body.subarray(4, 4 + length);
+        const keyEnd = 1 + content[0]!;
+        const topic = url.searchParams.get("topic") ?? "";
+        const offset = append(topic, content.toString("utf8", 1, keyEnd), content.subarray(keyEnd));
+        if (fault === "lost") {
+            response.destroy();
+            return;
+        }
+        sendJson(response, 200, { offset, end: offset + 1 });
+    }
+
+    const faults: Readonly<Partial<Record<StoreFault, (response: ServerResponse) => void>>> = {
+        busy: response => sendJson(response, 503, {}),
+        many: response => sendJson(response, 429, {}),
+        reset: response => void response.destroy(),
+        silent: () => {},
+    };
+
+    const server = await startHttpStandIn(async (...[, response, url, body]) => {
+        calls++;
+        const inject = faults[fault];
+        if (inject !== undefined) {
+            inject(response);
+            return;
+        }
+        switch (url.pathname) {
+            case "/api/log-append":
+                write(url, body, response);
+                break;
+            case "/api/log-read":
+                await read(url, response);
+                break;
+            case "/api/log-newest":
+                readNewest(url, response);
+                break;
+            default:
+                sendJson(response, 404, {});
+        }
+    });
+    return {
+        ...server,
+        write: (topic, key, content) => void append(topic, key, Buffer.from(JSON.stringify(content))),
+        writeBytes: (topic, key, value) => void append(topic, key, value),
+        drop: (topic, key) => void append(topic, key, Buffer.alloc(0)),
+        compact: name => {
+            findTopic(name).records = [];
+        },
+        setFault: next => {
+            fault = next;
+            waiting.forEach(wake => wake());
+        },
+        countCalls: () => calls,
+        [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
+    };
+}
--- a/test/runtime/rollout/rollout.test.ts
+++ b/test/runtime/rollout/rollout.test.ts
@@ -17,7 +17,6 @@
         model: "quill",
         wanted: [{ version: 2, declaredAt: 1_000 }],
         target: 2,
-        isComplete: true,
         self: "a",
         members,
         orderedAt: undefined,
@@ -29,7 +28,7 @@
 
 describe("order to load a version", () => {
     it("waits for every chunk", () => {
-        expect(planLoad(createInput({ isComplete: false })).kind).toEqual("wait");
+        expect(planLoad(createInput({ target: undefined })).kind).toEqual("wait");
     });
 
     it("is not given while one is carried out, nor again right after one", () => {
@@ -41,6 +40,7 @@
 
     it("is not given for a version that is loaded", () => {
         expect(planLoad(createInput({ target: 1, wanted: [{ version: 1, declaredAt: 0 }] })).kind).toEqual("wait");
+        expect(planLoad(createInput({ target: 1 })).kind).toEqual("wait");
     });
 
     it("is given at once to an engine without weights", () => {
@@ -66,18 +66,18 @@
 
     it("is the newest if it is there before the older one falls due", () => {
         const wanted = [{ version: 3, declaredAt: 2_000 }, { version: 2, declaredAt: 0 }];
-        expect(chooseTarget({ wanted, loaded: 1, now: 2_000, options }).version).toEqual(3);
+        expect(chooseTarget({ wanted, held: 1, now: 2_000, options }).version).toEqual(3);
     });
 
     it("is the older one first if requests would find no backend server in between", () => {
         const wanted = [{ version: 3, declaredAt: 4_000 }, { version: 2, declaredAt: 0 }];
-        expect(chooseTarget({ wanted, loaded: 1, now: 4_000, options }).version).toEqual(2);
-        expect(chooseTarget({ wanted, loaded: 2, now: 5_000, options }).version).toEqual(3);
-        expect(chooseTarget({ wanted, loaded: 1, now: 7_000, options }).version).toEqual(3);
+        expect(chooseTarget({ wanted, held: 1, now: 4_000, options }).version).toEqual(2);
+        expect(chooseTarget({ wanted, held: 2, now: 5_000, options }).version).toEqual(3);
+        expect(chooseTarget({ wanted, held: 1, now: 7_000, options }).version).toEqual(3);
     });
 
     it("is the newest for an engine without weights", () => {
         const wanted = [{ version: 3, declaredAt: 4_000 }, { version: 2, declaredAt: 0 }];
-        expect(chooseTarget({ wanted, loaded: 0, now: 4_000, options }).version).toEqual(3);
+        expect(chooseTarget({ wanted, held: 0, now: 4_000, options }).version).toEqual(3);
     });
 });
