Judge the list of backend servers by its age, not by this gateway's own reads

Change: the list is reliable while its knowledge is young, whoever read it. Agents exchange and report less often.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -107,8 +107,8 @@
         clock,
         logger,
         regions: new Map(gateway.zoneRegions.map(text => text.split(":") as [string, string])),
-        membership: { returnTime: gateway.returnTime, reportExpiry: gateway.reportExpiry },
-        versions: { cutoverAfter: gateway.cutoverAfter, assumedAge: gateway.assumedAge },
+        membership: gateway,
+        versions: gateway,
     });
 
     const choice = createServerChoice({
@@ -186,7 +186,7 @@
         clock,
         random,
         logger,
-        silentAfter: replica.silentAfter,
+        silentAfter: gateway.reportExpiry,
         reconnectAfter: replica.reconnectAfter,
         onReport: () => gates.update(),
     }));
@@ -255,11 +255,6 @@
         logger,
         options: replica,
         signal: ended.signal,
-        reportReachable: (reachable, topic) => {
-            if (topic === "backend-servers") {
-                state.reportLog(reachable);
-            }
-        },
     };
     void followLog(followerInput, "operator", "wait");
     void followLog(followerInput, "instances", "wait");
--- a/src/node/gateway/gatewayState.ts
+++ b/src/node/gateway/gatewayState.ts
@@ -47,9 +47,7 @@
     /** Backend servers of a service. */
     readonly listServers: (service: string) => readonly BackendServerRow[];
     readonly readVersions: (model: string) => AllowedVersions;
-    /** Tells whether the log answers; entries that lapse while it does not are kept for a time. */
-    readonly reportLog: (reachable: boolean) => void;
-    /** Removes what has expired. */
+    /** Notes whether the list is current, and removes what has expired; called at short intervals. */
     readonly expire: () => void;
     /** Called after each change of the configuration or of a declared version, once a configuration is known. */
     readonly onOperator: (listener: (routes: RouteTable) => void) => void;
@@ -73,7 +71,8 @@
     const operatorListeners: ((routes: RouteTable) => void)[] = [];
     const serverListeners: (() => void)[] = [];
     let routes: RouteTable | undefined;
-    let reachableSince: Milliseconds | undefined = clock.monotonic();
+    /** Time since which the list has been current; undefined while neither the log nor a relay tells of it. */
+    let currentSince: Milliseconds | undefined;
     let outagesSeen = false;
     const startedAt = clock.monotonic();
 
@@ -118,8 +117,25 @@
     }
 
     function isListReliable(now: Milliseconds): boolean {
-        return reachableSince !== undefined &&
-            (!outagesSeen || now - reachableSince >= input.membership.returnTime);
+        return currentSince !== undefined && (!outagesSeen || now - currentSince >= input.membership.returnTime);
+    }
+
+    /** A log that turned only this process away is no outage: a relay that reads it keeps the list current. */
+    function noteCurrent(now: Milliseconds): void {
+        const { currentAt } = store.topic("backend-servers");
+        if (currentAt === undefined) {
+            return;
+        }
+        const isCurrent = now - currentAt <= input.membership.outageAfter;
+        if (isCurrent && currentSince === undefined) {
+            currentSince = now;
+            logger.info({ age: Math.round(now - currentAt), outagesSeen }, "list of backend servers current");
+        }
+        else if (!isCurrent && currentSince !== undefined) {
+            outagesSeen = true;
+            currentSince = undefined;
+            logger.warn({ age: Math.round(now - currentAt) }, "list of backend servers outdated");
+        }
     }
 
     function applyBackendServer(record: KeyedRecord, page: ReceivedPage): void {
@@ -176,18 +192,10 @@
         servers,
         listServers: service => [...servers.lookup("service", service)].map(instance => servers.get(instance)!),
         readVersions: model => readAllowedVersions(versions, model, clock.monotonic(), input.versions),
-        reportLog: reachable => {
-            if (reachable && reachableSince === undefined) {
-                reachableSince = clock.monotonic();
-            }
-            else if (!reachable) {
-                outagesSeen = true;
-                reachableSince = undefined;
-            }
-        },
         expire: () => {
             const now = clock.monotonic();
-            for (const instance of expireRemoved(servers, reachableSince, now, input.membership)) {
+            noteCurrent(now);
+            for (const instance of expireRemoved(servers, currentSince, now, input.membership)) {
                 logger.info({ peer: instance, change: "removed" }, "backend server changed");
             }
             for (const instance of expireReports(servers, now, input.membership)) {
--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -32,8 +32,6 @@
     readonly logger: Logger;
     readonly options: LogFollowerOptions;
     readonly signal: AbortSignal;
-    /** Called when the log is lost or answers again. */
-    readonly reportReachable?: ((reachable: boolean, topic: KeyedTopic) => void) | undefined;
 }
 
 /** Interval at which a process that relies on relays checks whether it has to read itself. */
@@ -100,7 +98,6 @@
         if (error === undefined) {
             if (failures > 0) {
                 input.logger.info({ topic, failures }, "log reachable again");
-                input.reportReachable?.(true, topic);
             }
             failures = 0;
             const changed = store.topic(topic).nextOffset !== before;
@@ -111,7 +108,6 @@
         if (failures === 1) {
             const { code, message, peer, step } = error;
             input.logger.warn({ topic, code, step, peer, detail: message }, "log not reachable");
-            input.reportReachable?.(false, topic);
         }
         const delay = Math.min(options.longestRetry, options.retryAfter * 2 ** Math.min(failures - 1, 6));
         await sleep(delay * (0.5 + random.next()), signal);
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -41,10 +41,16 @@
             initial: 2_200,
             documentation: "Time after an outage of the log in which lapsed entries of backend servers come back.",
         }),
+        outageAfterMilliseconds: defineDuration("outageAfter", "Milliseconds", {
+            minimum: 100,
+            maximum: 600_000,
+            initial: 1_600,
+            documentation: "Age of the list of backend servers from which on the log counts as away.",
+        }),
         reportExpiryMilliseconds: defineDuration("reportExpiry", "Milliseconds", {
             minimum: 100,
             maximum: 60_000,
-            initial: 1_500,
+            initial: 2_500,
             documentation: "Time after which the report of an agent no longer goes before the list.",
         }),
         queuedPerServer: defineInteger({
@@ -119,13 +125,13 @@
         reportIntervalMilliseconds: defineDuration("reportInterval", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
-            initial: 200,
+            initial: 250,
             documentation: "Time between two reads of the engine's report.",
         }),
         unchangedReportMilliseconds: defineDuration("unchangedReport", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
-            initial: 600,
+            initial: 1_000,
             documentation: "Longest time after which gateways are sent a report although it has hardly changed.",
         }),
         reportedLoadChange: defineInteger({
@@ -175,7 +181,7 @@
         exchangeIntervalMilliseconds: defineDuration("exchangeInterval", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
-            initial: 200,
+            initial: 400,
             documentation: "Time between two exchanges of what is held with the same neighbour.",
         }),
         exchangeTimeLimitMilliseconds: defineDuration("exchangeTimeLimit", "Milliseconds", {
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -45,12 +45,12 @@
 }
 
 /** Interval of the transfer system; a chunk takes about as long on the links that agents have. */
-const transferTickInterval = 50;
+const transferTickInterval = 100;
 
 const bytesPerMegabit = 125_000;
 
-/** Larger parts would hold up live requests on a thin link: this one takes about ten milliseconds. */
-const transferPartBytes = 8_192;
+/** Larger parts would hold up live requests on a thin link: this one takes about 25 milliseconds. */
+const transferPartBytes = 16_384;
 
 /**
  * Starts an agent that keeps the weights of the engine beside it at the declared version.
--- a/src/runtime/gateway/backendServers.ts
+++ b/src/runtime/gateway/backendServers.ts
@@ -18,6 +18,8 @@
      * Time for which an entry may be missing once the log answers again: entries that lapsed meanwhile come back in it.
      */
     readonly returnTime: Milliseconds;
+    /** Age of the list from which on the log counts as away. */
+    readonly outageAfter: Milliseconds;
     /** Time after which a report of an agent no longer goes before the list. */
     readonly reportExpiry: Milliseconds;
 }
@@ -148,18 +150,18 @@
  * Removes the backend servers whose entries did not come back in time.
  *
  * @param table - table to change
- * @param reachableSince - monotonic time since which the log answers; undefined while it is away
+ * @param currentSince - monotonic time since which the list has been current; undefined while the log is away
  * @param now - monotonic time
  * @param options - time in which entries come back
  * @returns the removed backend servers
  */
 export function expireRemoved(
     table: BackendServerTable,
-    reachableSince: Milliseconds | undefined,
+    currentSince: Milliseconds | undefined,
     now: Milliseconds,
     options: MembershipOptions,
 ): readonly string[] {
-    if (reachableSince === undefined || now - reachableSince < options.returnTime) {
+    if (currentSince === undefined || now - currentSince < options.returnTime) {
         return [];
     }
     const expired = [...table.rows()].filter(({ removedAt }) => removedAt !== undefined);
--- a/test/runtime/gateway/backendServers.test.ts
+++ b/test/runtime/gateway/backendServers.test.ts
@@ -11,7 +11,7 @@
 } from "../../../src/runtime/gateway/index.js";
 import { createListed } from "./configuration.js";
 
-const options = { returnTime: 2_000, reportExpiry: 1_500 };
+const options = { returnTime: 2_000, outageAfter: 1_600, reportExpiry: 1_500 };
 const weights = { model: "quill", version: 1, complete: true };
 
 describe("membership of backend servers", () => {
