--- a/src/node/daemon/runDaemon.ts
+++ b/src/node/daemon/runDaemon.ts
@@ -1,7 +1,7 @@
 import type { Logger } from "pino";
 import { err, ok, type Result } from "true-myth/result";
 import type { GoldcrestpointError } from "../../types/index.js";
-import { createLogger } from "../logging/index.js";
+import { createBoundedDestination, createLogger } from "../logging/index.js";
 import type { AllSettings } from "../settings/index.js";
 import { waitForShutdownSignal } from "./signals.js";
 
@@ -24,7 +24,9 @@
     settings: Settings,
     start: (settings: Settings, logger: Logger) => Promise<Result<DrainableDaemon, GoldcrestpointError>>,
 ): Promise<Result<void, GoldcrestpointError>> {
-    const logger = createLogger({ level: settings.log.level, program, instance: settings.instance.id });
+    const destination = createBoundedDestination();
+    const logger = createLogger({ level: settings.log.level, program, instance: settings.instance.id, destination });
+    process.once("exit", destination.flush);
     const started = await start(settings, logger);
     if (started.isErr) {
         logger.error({ error: started.error }, "the daemon could not start");
--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -19,6 +19,8 @@
     readonly forwarded: ForwardedCall;
     /** Longest time without a byte. */
     readonly silentAfter: Milliseconds;
+    /** Time in which the answer must begin; `Infinity` if the backend server holds the newest weights. */
+    readonly beginWithin: Milliseconds;
     readonly signal: AbortSignal;
 }
 
@@ -111,13 +113,13 @@
     context: AttemptContext,
     attempt: Attempt,
 ): Promise<Result<OpenedAnswer, AttemptFailure>> {
-    const { client, forwarded, request, server, signal, silentAfter } = attempt;
+    const { beginWithin, client, forwarded, request, server, signal, silentAfter } = attempt;
     const opened = await client.open({
         method: request.method,
         path: request.path,
         headers: context.protocol.encodeForwarded(request.headers, forwarded),
         signal,
-        timeouts: { head: silentAfter, idle: silentAfter },
+        timeouts: { head: Math.min(silentAfter, beginWithin), idle: silentAfter },
         ...(request.body.length === 0 ? {} : { body: request.body }),
     });
     if (opened.isErr) {
--- a/src/node/gateway/gatewayState.ts
+++ b/src/node/gateway/gatewayState.ts
@@ -12,6 +12,7 @@
     type MembershipOptions,
     nameWeights,
     readAllowedVersions,
+    readBeginLimit,
     recordDeclaredVersion,
     type RouteTable,
     type VersionOptions,
@@ -47,6 +48,8 @@
     /** Backend servers of a service. */
     readonly listServers: (service: string) => readonly BackendServerRow[];
     readonly readVersions: (model: string) => AllowedVersions;
+    /** Monotonic time by which an answer of a version must have begun; undefined if it is the newest. */
+    readonly readBeginLimit: (model: string, version: number) => Milliseconds | undefined;
     /** Notes whether the list is current, and removes what has expired; called at short intervals. */
     readonly expire: () => void;
     /** Called after each change of the configuration or of a declared version, once a configuration is known. */
@@ -191,6 +194,7 @@
         routes: () => routes,
         servers,
         listServers: service => [...servers.lookup("service", service)].map(instance => servers.get(instance)!),
+        readBeginLimit: (model, version) => readBeginLimit(versions, model, version, input.versions),
         readVersions: model => readAllowedVersions(versions, model, clock.monotonic(), input.versions),
         expire: () => {
             const now = clock.monotonic();
@@ -212,6 +216,7 @@
  *
  * @param model - name of the model
  * @param allowed - versions that may answer
+ * @param rows - backend servers of the service
  * @returns identifier of the newest set, and all sets from the oldest allowed version on
  */
 export function listAcceptedWeights(
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -182,7 +182,8 @@
     ): Promise<Result<void, AttemptFailure>> {
         const server = selection.server!;
         const { runner } = server;
-        const remaining = request.endsAt - clock.monotonic();
+        const now = clock.monotonic();
+        const remaining = request.endsAt - now;
         const repeatable = request.row.idempotent && progress.sent + 1 < request.route.maximumAttempts;
         const silentAfter = repeatable ? Math.min(input.switchAfter, remaining) : remaining;
         progress.attempts++;
@@ -200,6 +201,7 @@
                     version: undefined,
                 },
                 silentAfter,
+                beginWithin: Math.max(minimumRemaining, (selection.beginLimit ?? Infinity) - now),
                 signal: request.signal,
             });
             const passed = opened.isOk ?
--- a/src/node/gateway/serverChoice.ts
+++ b/src/node/gateway/serverChoice.ts
@@ -1,6 +1,6 @@
 import { type BackendServerRow, computeCapacity, nameWeights } from "../../runtime/gateway/index.js";
 import { type RoutingDecision, type RoutingOptions, selectRunner } from "../../runtime/routing/index.js";
-import type { AvailabilityZone, Clock, RandomSource, Region, ServiceRow } from "../../types/index.js";
+import type { AvailabilityZone, Clock, Milliseconds, RandomSource, Region, ServiceRow } from "../../types/index.js";
 import { type GatewayState, listAcceptedWeights } from "./gatewayState.js";
 
 /** Dependencies of {@link createServerChoice}. */
@@ -23,6 +23,8 @@
     readonly server: BackendServerRow | undefined;
     /** Version of the weights that must answer; undefined for plain services and before one was declared. */
     readonly version: number | undefined;
+    /** Monotonic time by which the answer must have begun; undefined for the newest version and plain services. */
+    readonly beginLimit: Milliseconds | undefined;
 }
 
 /** Choice of the backend server of a request. */
@@ -85,18 +87,22 @@
             });
             const server = decision.kind === "selected" ? state.servers.get(decision.runner.instance) : undefined;
             const digest = server?.runner.manifestDigest;
-            return { decision, server, version: digest === undefined ? undefined : Number(digest.split("@").at(-1)) };
+            const version = digest === undefined ? undefined : Number(digest.split("@").at(-1));
+            const model = service.engine?.model;
+            const beginLimit = model === undefined || version === undefined ?
+                undefined :
+                state.readBeginLimit(model, version);
+            return { decision, server, version, beginLimit };
         },
         measureCapacity: service => {
             const { accepted, newest, rows } = listAccepted(service);
             const now = clock.monotonic();
-            const runners = rows.map(({ runner }) => runner).filter((
-                { draining, ejectedUntil, manifestDigest, phase },
-            ) => phase === "serving" && !draining && ejectedUntil <= now &&
+            const usable = rows.filter(({ runner: { draining, ejectedUntil, manifestDigest, phase } }) =>
+                phase === "serving" && !draining && ejectedUntil <= now &&
                 (manifestDigest === newest || (manifestDigest !== undefined && accepted.has(manifestDigest)))
             );
             return computeCapacity({
-                runners,
+                runners: usable.map(({ reportedAt, runner }) => ({ runner, isFollowed: reportedAt !== undefined })),
                 gateways: input.countGateways(),
                 now,
                 options: { queuedPerServer: input.queuedPerServer, loadHalfLife: options.loadHalfLife },
--- a/src/node/logging/index.ts
+++ b/src/node/logging/index.ts
@@ -1,3 +1,4 @@
+export * from "./boundedDestination.js";
 export * from "./decisionLog.js";
 export * from "./decisionRoute.js";
 export * from "./logger.js";
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -29,6 +29,14 @@
             initial: 7_000,
             documentation: "Time after a version was declared from which on no request goes to an older one.",
         }),
+        abandonAfterMilliseconds: defineDuration("abandonAfter", "Milliseconds", {
+            minimum: 100,
+            maximum: 3_600_000,
+            initial: 7_600,
+            documentation:
+                "Time after a version was declared at which a request that an older one has not begun to answer is taken " +
+                "back from its backend server.",
+        }),
         assumedAgeMilliseconds: defineDuration("assumedAge", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
@@ -54,10 +62,10 @@
             documentation: "Time after which the report of an agent no longer goes before the list.",
         }),
         queuedPerServer: defineInteger({
-            minimum: 0,
+            minimum: -1_000,
             maximum: 1_000,
-            initial: 2,
-            documentation: "Requests beyond its slots that a backend server is given.",
+            initial: 0,
+            documentation: "Requests beyond its slots that a backend server is given; negative to leave slots free.",
         }),
         connectTimeLimitMilliseconds: defineDuration("connectTimeLimit", "Milliseconds", {
             minimum: 10,
@@ -131,7 +139,7 @@
         unchangedReportMilliseconds: defineDuration("unchangedReport", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
-            initial: 1_000,
+            initial: 500,
             documentation: "Longest time after which gateways are sent a report although it has hardly changed.",
         }),
         reportedLoadChange: defineInteger({
@@ -149,7 +157,7 @@
         firstWaveAfterMilliseconds: defineDuration("firstWaveAfter", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 4_000,
+            initial: 3_900,
             documentation: "Time after the declaration at which the first group may load, if it is complete.",
         }),
         waveIntervalMilliseconds: defineDuration("waveInterval", "Milliseconds", {
--- a/src/node/weightAgent/engineLoop.ts
+++ b/src/node/weightAgent/engineLoop.ts
@@ -43,6 +43,8 @@
     /** Reads the report and does what is due. */
     run(): Promise<EngineStatus>;
     readonly readReport: () => EngineReport | undefined;
+    /** True while the engine loads or is about to. */
+    readonly isLoading: () => boolean;
 }
 
 /**
@@ -205,6 +207,7 @@
 
     return {
         readReport: () => report,
+        isLoading: () => loading || report?.busy === true,
         run: async () => {
             await read();
             const status = describe();
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -47,6 +47,9 @@
 /** Interval of the transfer system; a chunk takes about as long on the links that agents have. */
 const transferTickInterval = 100;
 
+/** Time between two reads of the report of an engine that loads, so that it serves again at once. */
+const loadingReportInterval = 60;
+
 const bytesPerMegabit = 125_000;
 
 /** Larger parts would hold up live requests on a thin link: this one takes about 25 milliseconds. */
@@ -119,13 +122,12 @@
             return undefined;
         }
         const newestComplete = Math.max(...complete);
+        const serving = listMembers().filter(({ weights }) => weights !== undefined);
         return {
             model: source.model,
             wanted,
             complete: manifests.get(nameWeights(source.model, newestComplete)),
-            members: listMembers()
-                .filter(({ weights }) => weights !== undefined)
-                .map(({ address }) => splitAddress(address).host),
+            members: serving.map(({ address }) => splitAddress(address).host),
             slots: source.slots,
         };
     }
@@ -283,7 +285,7 @@
                 imported = true;
             }
             applyTarget();
-            await sleep(weightAgent.reportInterval, ended.signal);
+            await sleep(loop.isLoading() ? loadingReportInterval : weightAgent.reportInterval, ended.signal);
         }
     }
 }
--- a/src/runtime/gateway/capacity.ts
+++ b/src/runtime/gateway/capacity.ts
@@ -4,18 +4,25 @@
 /** Options of the share of the free places that a gateway takes. */
 export interface CapacityOptions {
     /**
-     * Requests beyond its slots that a backend server is given, so that a slot that becomes free is taken at once and
-     * does not wait for the next report.
+     * Requests beyond its slots that a backend server is given. More keep its slots busy between two reports; fewer
+     * keep the wait in the gateway, where a request can still go to another server. May be negative.
      */
     readonly queuedPerServer: number;
-    /** Time in which the weight of a load report halves; a server without answers must not look full for good. */
+    /** Time in which the weight of a stated load halves; a server without answers must not look full for good. */
     readonly loadHalfLife: Milliseconds;
 }
 
+/** Backend server with the source of its load. */
+export interface CapacityRunner {
+    readonly runner: RunnerRow;
+    /** True if its agent reports each change; the load that an answer stated grows old without a word. */
+    readonly isFollowed: boolean;
+}
+
 /** Input of {@link computeCapacity}. */
 export interface CapacityInput {
     /** Backend servers that may take requests. */
-    readonly runners: readonly RunnerRow[];
+    readonly runners: readonly CapacityRunner[];
     /** Gateways that share the free places, this one included. */
     readonly gateways: number;
     readonly now: Milliseconds;
@@ -24,7 +31,8 @@
 
 /**
  * Computes how many requests a gateway may have in progress at a service: those that it has, and its share of the places
- * that no gateway has taken. The share is rounded up, since the places are free now and the others may not need theirs.
+ * that no gateway has taken. The share is rounded down: rounded up everywhere, the last free places would be given away
+ * several times, and their requests would wait at the backend server.
  *
  * @param input - backend servers and number of gateways
  * @returns requests in progress; at least 0
@@ -32,10 +40,11 @@
 export function computeCapacity({ gateways, now, options, runners }: CapacityInput): number {
     let own = 0;
     let free = 0;
-    for (const { capacity, outstanding, reportedAt, reportedLoad } of runners) {
-        const weight = 2 ** (-Math.max(0, now - reportedAt) / options.loadHalfLife);
+    for (const { isFollowed, runner } of runners) {
+        const { capacity, outstanding, reportedAt, reportedLoad } = runner;
+        const weight = isFollowed ? 1 : 2 ** (-Math.max(0, now - reportedAt) / options.loadHalfLife);
         own += outstanding;
         free += Math.max(0, capacity + options.queuedPerServer - outstanding - reportedLoad * weight);
     }
-    return own + Math.ceil(free / Math.max(1, gateways));
+    return own + Math.floor(free / Math.max(1, gateways));
 }
--- a/src/runtime/gateway/declaredVersions.ts
+++ b/src/runtime/gateway/declaredVersions.ts
@@ -9,6 +9,8 @@
      * when it was written.
      */
     readonly assumedAge: Milliseconds;
+    /** Time after a declaration by which an answer of an older version must have begun. */
+    readonly abandonAfter: Milliseconds;
 }
 
 /** Version with the time at which it was declared, as far as this process knows. */
@@ -81,3 +83,23 @@
         declaredAt: known[0]?.declaredAt,
     };
 }
+
+/**
+ * Reads by when an answer of a version must have begun.
+ *
+ * @param table - declared versions
+ * @param model - the model
+ * @param version - version that a backend server holds
+ * @param options - time of the change
+ * @returns monotonic time; undefined if no newer version is known
+ */
+export function readBeginLimit(
+    table: VersionTable,
+    model: string,
+    version: number,
+    options: VersionOptions,
+): Milliseconds | undefined {
+    const newer = (table.get(model) ?? []).filter(known => known.version > version);
+    const declaredAt = newer.at(-1)?.declaredAt;
+    return declaredAt === undefined ? undefined : declaredAt + options.abandonAfter;
+}
