--- a/src/node/daemon/index.ts
+++ b/src/node/daemon/index.ts
@@ -3,4 +3,5 @@
 export * from "./platformReaders.js";
 export * from "./relaySilence.js";
 export * from "./runDaemon.js";
+export * from "./settingsWatch.js";
 export * from "./signals.js";
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -45,6 +45,8 @@
     readonly random: RandomSource;
     /** Path at which the platform asks for readiness. */
     readonly readyPath: string;
+    /** Seeds in force, which may change while the process runs. Default: those of the settings. */
+    readonly readSeeds?: (() => readonly string[]) | undefined;
 }
 
 /** Running gateway. */
@@ -172,7 +174,9 @@
         options: replica,
         listAddresses: () => {
             const registered = listInstances(store).map(({ address }) => address);
-            const seeds = gateway.seeds.map(address => `${splitAddress(address).host}:${gateway.relayPort}`);
+            const seeds = (ports.readSeeds?.() ?? gateway.seeds).map(address =>
+                `${splitAddress(address).host}:${gateway.relayPort}`
+            );
             return [...new Set([...registered, ...seeds])].filter(address => address !== ownAddress);
         },
     }));
--- a/src/node/settings/documentation.ts
+++ b/src/node/settings/documentation.ts
@@ -9,13 +9,15 @@
 A setting is taken from the strongest source that has it: the flag \`--set SECTION.KEY=VALUE\`, the environment variable
 \`GOLDCRESTPOINT_SECTION_KEY\`, the INI file (\`--settings FILE\`), the default. The unit is part of the key's name, so
 values are written without one. A wrong setting ends the program with exit code 2 and a line with source, section, key,
-value and what is allowed. One file may serve several programs: a program checks all sections and uses those that it
+value and what is allowed. \`GOLDCRESTPOINT_CONFIG\` holds the path of the file if no flag names one. One file may serve several programs: a program checks all sections and uses those that it
 needs.
 
 | Program | Sections |
 | --- | --- |
 | \`entry\` | instance, platform, relay, hold, placement, routing, admission, retry, idempotency, log |
 | \`agent\` | instance, platform, relay, hold, backendServer, distribution, admission, idempotency, log |
+| gateway (platform) | instance, platform, gateway, replica, routing, admission, retry, log |
+| agent (platform) | instance, platform, gateway, replica, weightAgent, distribution, log |
 | \`validate\`, \`plan\`, \`apply\`, \`status\`, \`rollback\`, \`explain\` | platform, placement (retention), operator, log |
 | \`stand-in\` (tests and demo only) | standInPlatform, standInEngine, standInService, log |
 `;
--- a/src/node/weightAgent/relays.ts
+++ b/src/node/weightAgent/relays.ts
@@ -13,16 +13,21 @@
  *
  * @param settings - place and seeds of the agent
  * @param store - records of the agent
+ * @param seeds - addresses of instances that may run gateways
  * @returns `host:port` of each gateway
  */
-export function listRelays({ gateway, instance }: WeightAgentSettings, store: RecordStore): readonly string[] {
+export function listRelays(
+    { gateway, instance }: WeightAgentSettings,
+    store: RecordStore,
+    seeds: readonly string[],
+): readonly string[] {
     const rank = ({ region, zone }: { readonly region: string; readonly zone: string; }): number =>
         zone === instance.zone ? 0 : region === instance.region ? 1 : 2;
     const registered = [...listInstances(store)]
         .sort((left, right) => rank(left) - rank(right))
         .map(({ address }) => address);
-    const seeds = gateway.seeds.map(address => `${splitAddress(address).host}:${gateway.relayPort}`);
-    return [...new Set([...registered, ...seeds])];
+    const seedRelays = seeds.map(address => `${splitAddress(address).host}:${gateway.relayPort}`);
+    return [...new Set([...registered, ...seedRelays])];
 }
 
 /** Dependencies of {@link readGatewaysWithoutRelays}. */
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -42,6 +42,8 @@
     readonly origin: AddressedOrigin;
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Seeds in force, which may change while the process runs. Default: those of the settings. */
+    readonly readSeeds?: (() => readonly string[]) | undefined;
 }
 
 /** Interval of the transfer system; a chunk takes about as long on the links that agents have. */
@@ -265,7 +267,7 @@
         random,
         logger,
         options: { ...replica, parents: weightAgent.relays },
-        listAddresses: () => listRelays(settings, store),
+        listAddresses: () => listRelays(settings, store, ports.readSeeds?.() ?? gateway.seeds),
     }));
 
     const ended = new AbortController();
