--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -31,6 +31,7 @@
 import { startCallerServer } from "./callerServer.js";
 import { createGatewayMetrics } from "./gatewayMetrics.js";
 import { createGatewayState } from "./gatewayState.js";
+import { createRequestLog } from "./requestLog.js";
 import { createRequestPipeline } from "./requestPipeline.js";
 import { createServerChoice } from "./serverChoice.js";
 import { createRouter } from "./statusRouter.js";
@@ -151,7 +152,12 @@
         retry: settings.retry,
         routing: settings.routing,
         switchAfter: gateway.switchAfter,
-        decisions,
+        log: createRequestLog({
+            decisions,
+            clock,
+            countQueued: gates.countQueued,
+            countOpen: gates.countOpen,
+        }),
         metrics: gatewayMetrics,
     });
 
--- /dev/null
+++ b/src/node/gateway/requestLog.ts
@@ -0,0 +1,93 @@
+import type { RetryDecision } from "../../runtime/retry/index.js";
+import type { Clock, Refusal } from "../../types/index.js";
+import type { DecisionLog } from "../logging/index.js";
+import type { ServerSelection } from "./serverChoice.js";
+import type { AttemptFailure, GatewayRequest } from "./types.js";
+
+/** Dependencies of {@link createRequestLog}. */
+export interface RequestLogInput {
+    readonly decisions: DecisionLog;
+    readonly clock: Clock;
+    readonly countQueued: () => number;
+    readonly countOpen: () => number;
+}
+
+/** Writes a line for each decision on a request. */
+export interface RequestLog {
+    routing(request: GatewayRequest, selection: ServerSelection, attempt: number): void;
+    retry(request: GatewayRequest, failure: AttemptFailure, decision: RetryDecision, server: string): void;
+    refusal(request: GatewayRequest, refusal: Refusal): void;
+}
+
+/**
+ * Creates the log of decisions on requests.
+ *
+ * @param input - decision log and counts that lines name
+ * @returns the log
+ */
+export function createRequestLog({ clock, countOpen, countQueued, decisions }: RequestLogInput): RequestLog {
+    return {
+        routing: (request, { decision, version }, attempt) => {
+            const { requestId } = request.row;
+            const deployment = request.service.name;
+            const { candidates } = decision;
+            if (decision.kind === "none") {
+                const { reason } = decision;
+                const details = { attempt };
+                decisions.record({
+                    kind: "routing",
+                    outcome: "refused",
+                    deployment,
+                    requestId,
+                    choice: "none",
+                    reason,
+                    candidates,
+                    details,
+                });
+                return;
+            }
+            const { reason, runner } = decision;
+            const { awaitingFirst, instance, outstanding, reportedAt, reportedLoad, reportedWaiting } = runner;
+            const reportAge = Math.round(clock.monotonic() - reportedAt);
+            decisions.record({
+                kind: "routing",
+                outcome: "chosen",
+                deployment,
+                requestId,
+                choice: instance,
+                reason,
+                candidates,
+                details: { attempt, version, outstanding, awaitingFirst, reportedLoad, reportedWaiting, reportAge },
+            });
+        },
+        retry: (request, failure, decision, server) => {
+            decisions.record({
+                kind: "retry",
+                outcome: decision.kind === "retry" ? "chosen" : "failed",
+                deployment: request.service.name,
+                requestId: request.row.requestId,
+                choice: decision.kind,
+                reason: decision.reason,
+                candidates: 0,
+                details: { peer: server, ran: failure.ran, failure: failure.reason, detail: failure.detail },
+            });
+        },
+        refusal: (request, refusal) => {
+            decisions.record({
+                kind: "admission",
+                outcome: "refused",
+                deployment: request.service.name,
+                requestId: request.row.requestId,
+                choice: "refused",
+                reason: refusal.reason,
+                candidates: 0,
+                details: {
+                    queued: countQueued(),
+                    open: countOpen(),
+                    waited: Math.round(clock.monotonic() - request.row.receivedAt),
+                    retryAfterSeconds: refusal.retryAfterSeconds,
+                },
+            });
+        },
+    };
+}
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -8,13 +8,13 @@
 } from "../../runtime/retry/index.js";
 import { recordOutcome, type RoutingOptions } from "../../runtime/routing/index.js";
 import type { CallerProtocol, Clock, Milliseconds, Refusal } from "../../types/index.js";
-import type { DecisionLog } from "../logging/index.js";
 import type { AdmissionGates } from "./admissionGates.js";
 import { openAttempt, readAnswer } from "./attempt.js";
 import type { BackendClients } from "./backendClients.js";
 import { createStreamWriter, type OwnStatus, sendAnswer, sendOwnAnswer, type StreamWriter } from "./callerAnswer.js";
 import { createEventSplitter, isLaterEvent } from "./eventStream.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { RequestLog } from "./requestLog.js";
 import type { ServerChoice, ServerSelection } from "./serverChoice.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
 
@@ -31,7 +31,7 @@
     readonly routing: RoutingOptions;
     /** Time without a byte after which a request that may be repeated goes on elsewhere. */
     readonly switchAfter: Milliseconds;
-    readonly decisions: DecisionLog;
+    readonly log: RequestLog;
     readonly metrics: GatewayMetrics;
 }
 
@@ -71,42 +71,7 @@
  * @returns function that resolves once the caller has the final answer
  */
 export function createRequestPipeline(input: RequestPipelineInput): (request: GatewayRequest) => Promise<void> {
-    const { choice, clock, decisions, gates, metrics, protocol, retry } = input;
-
-    function logRouting(request: GatewayRequest, { decision, version }: ServerSelection, attempt: number): void {
-        const selected = decision.kind === "selected";
-        decisions.record({
-            kind: "routing",
-            outcome: selected ? "chosen" : "refused",
-            deployment: request.service.name,
-            requestId: request.row.requestId,
-            choice: selected ? decision.runner.instance : "none",
-            reason: decision.reason,
-            candidates: decision.candidates,
-            details: selected ?
-                {
-                    attempt,
-                    version,
-                    outstanding: decision.runner.outstanding,
-                    reportedLoad: decision.runner.reportedLoad,
-                    reportAge: Math.round(clock.monotonic() - decision.runner.reportedAt),
-                } :
-                { attempt },
-        });
-    }
-
-    function logRetry(request: GatewayRequest, failure: AttemptFailure, decision: RetryDecision, server: string): void {
-        decisions.record({
-            kind: "retry",
-            outcome: decision.kind === "retry" ? "chosen" : "failed",
-            deployment: request.service.name,
-            requestId: request.row.requestId,
-            choice: decision.kind,
-            reason: decision.reason,
-            candidates: 0,
-            details: { peer: server, ran: failure.ran, failure: failure.reason, detail: failure.detail },
-        });
-    }
+    const { choice, clock, gates, log, metrics, protocol, retry } = input;
 
     async function relayStream(
         request: GatewayRequest,
@@ -188,6 +153,12 @@
         const silentAfter = repeatable ? Math.min(input.switchAfter, remaining) : remaining;
         progress.attempts++;
         runner.outstanding++;
+        runner.awaitingFirst++;
+        let awaiting = true;
+        const begin = (): void => {
+            runner.awaitingFirst -= awaiting ? 1 : 0;
+            awaiting = false;
+        };
         try {
             const opened = await openAttempt({ protocol, clock }, {
                 request,
@@ -204,6 +175,7 @@
                 beginWithin: Math.max(minimumRemaining, (selection.beginLimit ?? Infinity) - now),
                 signal: request.signal,
             });
+            begin();
             const passed = opened.isOk ?
                 await passOn(request, progress, opened.value) :
                 err<void, AttemptFailure>(opened.error);
@@ -212,6 +184,7 @@
             return passed;
         }
         finally {
+            begin();
             runner.outstanding--;
         }
     }
@@ -247,7 +220,7 @@
     async function runAttempts(request: GatewayRequest, progress: Progress): Promise<FinalFailure | undefined> {
         for (;;) {
             const selection = choice.select(request.service, progress.excluded);
-            logRouting(request, selection, progress.attempts + 1);
+            log.routing(request, selection, progress.attempts + 1);
             if (selection.decision.kind === "none" || selection.server === undefined) {
                 const reason = selection.decision.kind === "none" ? selection.decision.reason : "no-runner";
                 const ran = progress.mayHaveRun ? "unknown" : "no";
@@ -264,7 +237,7 @@
             progress.excluded.add(selection.server.listed.instance);
             progress.mayHaveRun ||= passed.error.ran === "unknown";
             const decision = decide(request, progress, passed.error);
-            logRetry(request, passed.error, decision, selection.server.listed.instance);
+            log.retry(request, passed.error, decision, selection.server.listed.instance);
             if (decision.kind === "give-up") {
                 return { refusal: decision.refusal, failure: passed.error };
             }
@@ -291,21 +264,7 @@
     }
 
     function refuse(request: GatewayRequest, refusal: Refusal): void {
-        decisions.record({
-            kind: "admission",
-            outcome: "refused",
-            deployment: request.service.name,
-            requestId: request.row.requestId,
-            choice: "refused",
-            reason: refusal.reason,
-            candidates: 0,
-            details: {
-                queued: gates.countQueued(),
-                open: gates.countOpen(),
-                waited: Math.round(clock.monotonic() - request.row.receivedAt),
-                retryAfterSeconds: refusal.retryAfterSeconds,
-            },
-        });
+        log.refusal(request, refusal);
         if (request.readAbortReason() === "caller-gone") {
             metrics.countOutcome(request, "canceled");
             request.response.destroy();
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -121,6 +121,18 @@
             initial: 2,
             documentation: "Runners that are drawn at random and compared for a request.",
         }),
+        waitingWeight: defineNumber({
+            minimum: 0,
+            maximum: 1_000,
+            initial: 0,
+            documentation: "Additional load of a request whose answer has not begun, in requests.",
+        }),
+        waitingHalfLifeMilliseconds: defineDuration("waitingHalfLife", "Milliseconds", {
+            minimum: 1,
+            maximum: 60_000,
+            initial: 200,
+            documentation: "Time in which the weight of reported waiting requests halves.",
+        }),
     },
     admission: {
         maximumInProgress: defineInteger({
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -26,13 +26,13 @@
         cutoverAfterMilliseconds: defineDuration("cutoverAfter", "Milliseconds", {
             minimum: 100,
             maximum: 3_600_000,
-            initial: 7_000,
+            initial: 7_300,
             documentation: "Time after a version was declared from which on no request goes to an older one.",
         }),
         abandonAfterMilliseconds: defineDuration("abandonAfter", "Milliseconds", {
             minimum: 100,
             maximum: 3_600_000,
-            initial: 7_600,
+            initial: 7_700,
             documentation:
                 "Time after a version was declared at which a request that an older one has not begun to answer is taken " +
                 "back from its backend server.",
@@ -121,7 +121,7 @@
         linkShare: defineNumber({
             minimum: 0.01,
             maximum: 1,
-            initial: 0.85,
+            initial: 0.95,
             documentation: "Share of the link that transfers of weights may use; the rest is left to live requests.",
         }),
         relays: defineInteger({
--- a/src/runtime/routing/load.ts
+++ b/src/runtime/routing/load.ts
@@ -34,6 +34,7 @@
     runner.draining = report.draining;
     runner.capacity = Math.max(1, report.capacity);
     runner.reportedLoad = Math.max(0, report.running + report.queued - readOutstanding(runner, reportedAt, now));
+    runner.reportedWaiting = Math.max(0, report.queued - runner.awaitingFirst);
     runner.cachedPrefixes = new Set(report.cachedPrefixes);
 }
 
@@ -55,7 +56,10 @@
 ): number {
     const age = Math.max(0, now - runner.reportedAt);
     const weight = Math.exp(-Math.LN2 * age / options.loadHalfLife);
-    return runner.outstanding + runner.reportedLoad * weight + meanReported * (1 - weight);
+    const waitingShare = 2 ** (-age / options.waitingHalfLife);
+    const waiting = runner.awaitingFirst + runner.reportedWaiting * waitingShare;
+    return runner.outstanding + runner.reportedLoad * weight + meanReported * (1 - weight) +
+        options.waitingWeight * waiting;
 }
 
 /**
--- a/src/runtime/routing/options.ts
+++ b/src/runtime/routing/options.ts
@@ -19,6 +19,8 @@
         ejectionDuration: 2_000,
         panicShare: 0.5,
         comparedCandidates: 2,
+        waitingWeight: 0,
+        waitingHalfLife: 200,
         ...partial,
     };
 }
--- a/src/runtime/routing/subset.ts
+++ b/src/runtime/routing/subset.ts
@@ -77,6 +77,8 @@
         phase: "waiting",
         draining: false,
         outstanding: 0,
+        awaitingFirst: 0,
+        reportedWaiting: 0,
         reportedLoad: 0,
         capacity: 1,
         reportedAt: Number.NEGATIVE_INFINITY,
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -35,6 +35,14 @@
      * Candidates that are drawn at random and compared. Default: 2, for load reports that are older than requests take.
      */
     readonly comparedCandidates: number;
+    /**
+     * Load of a request whose answer has not begun, in requests, beyond the one that each request counts. Default: 0. An
+     * engine reads prompts one after the other, so the next answer begins after those that wait, while requests that
+     * are being answered hardly delay it.
+     */
+    readonly waitingWeight: number;
+    /** Time in which the weight of reported waiting requests halves. Default: 200 ms. */
+    readonly waitingHalfLife: Milliseconds;
 }
 
 /** Runner that an entry instance follows. */
@@ -49,6 +57,10 @@
     draining: boolean;
     /** Requests that this entry instance has in progress on the runner. */
     outstanding: number;
+    /** Those of them whose answer has not begun. */
+    awaitingFirst: number;
+    /** Requests whose answer had not begun as last reported, without this entry instance's own. */
+    reportedWaiting: number;
     /** Requests running and queued as last reported, without this entry instance's own at that time. */
     reportedLoad: number;
     capacity: number;
--- a/test/runtime/routing/routing.test.ts
+++ b/test/runtime/routing/routing.test.ts
@@ -176,6 +176,46 @@
     });
 });
 
+describe("load of requests whose answers have not begun", () => {
+    const waitingOptions = resolveRoutingOptions({ waitingWeight: 5, comparedCandidates: 4 });
+    const report = {
+        manifestDigest: "v1",
+        phase: "serving",
+        draining: false,
+        capacity: 8,
+        cachedPrefixes: [],
+        age: 0,
+    } as const;
+
+    it("keeps an idle runner from being given everything at the same moment", () => {
+        const busy = createRunner("busy", { reportedLoad: 5 });
+        const idle = createRunner("idle");
+        const choices: string[] = [];
+        for (let index = 0; index < 3; index++) {
+            const decision = selectRunner(createInput([busy, idle], { options: waitingOptions }));
+            if (decision.kind === "selected") {
+                decision.runner.outstanding++;
+                decision.runner.awaitingFirst++;
+                choices.push(decision.runner.instance);
+            }
+        }
+        expect(choices).toEqual(["idle", "busy", "idle"]);
+    });
+
+    it("counts what other entry instances have sent, for a short time", () => {
+        const calm = createRunner("calm");
+        const rushed = createRunner("rushed");
+        applyLoadReport(calm, { ...report, running: 6, queued: 0 }, now);
+        applyLoadReport(rushed, { ...report, running: 0, queued: 4 }, now);
+        const choose = (later: number) => {
+            const input = createInput([calm, rushed], { options: waitingOptions, now: now + later });
+            return countChoices(input, 20);
+        };
+        expect(choose(0)).toEqual({ calm: 20 });
+        expect(choose(1_600)).toEqual({ rushed: 20 });
+    });
+});
+
 describe("subset of an entry instance", () => {
     const zones = [["a", "south"], ["b", "south"], ["c", "north"]] as const;
 
