--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -2,7 +2,7 @@
 import type { BackendServerRow } from "../../runtime/gateway/index.js";
 import { applyLoadReport } from "../../runtime/routing/index.js";
 import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../types/index.js";
-import type { HttpClient, HttpFailure, HttpStream } from "../httpClient/index.js";
+import { type HttpClient, type HttpFailure, type HttpStream, readWholeBody } from "../httpClient/index.js";
 import type { AttemptFailure, BufferedAnswer, GatewayRequest, OpenedAnswer } from "./types.js";
 
 /** Dependencies of {@link openAttempt}. */
@@ -148,20 +148,6 @@
  * @returns the answer; a failure if its body broke off
  */
 export async function readAnswer(answer: OpenedAnswer): Promise<Result<BufferedAnswer, AttemptFailure>> {
-    const parts: Uint8Array[] = [];
-    let bytes = 0;
-    try {
-        for await (const part of answer.body) {
-            bytes += part.length;
-            if (bytes > maximumAnswerBytes) {
-                answer.discard();
-                return err(createFailure("unknown", "answer-mismatched", "the answer is too large", true));
-            }
-            parts.push(part);
-        }
-    }
-    catch (error) {
-        return err(describeFailure((error as Error).cause as HttpFailure));
-    }
-    return ok({ status: answer.status, headers: answer.headers, body: Buffer.concat(parts) });
+    const whole = await readWholeBody(answer, maximumAnswerBytes);
+    return whole.mapErr(describeFailure);
 }
--- a/src/node/gateway/callerAnswer.ts
+++ b/src/node/gateway/callerAnswer.ts
@@ -1,38 +1,15 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { HeaderTable, Refusal } from "../../types/index.js";
+import { copyEndToEndHeaders } from "../httpServer/index.js";
 import type { BufferedAnswer } from "./types.js";
 
-/** Headers that concern one connection, or that this side sets itself. */
-const connectionHeaders: ReadonlySet<string> = new Set([
-    "connection",
-    "content-length",
-    "date",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-]);
+/** Headers that the server of callers sets itself. */
+const ownHeaders: ReadonlySet<string> = new Set(["date"]);
 
 /** How the answers of a gateway end, besides those of backend servers. */
 export type OwnStatus = 400 | 401 | 404 | 408 | 413 | 502 | 503 | 504;
 
-/**
- * Copies the headers of an answer that are passed on.
- *
- * @param headers - headers of the backend server by lower-case name
- * @returns the headers without those of one connection
- */
-export function copyAnswerHeaders(headers: HeaderTable): Record<string, string> {
-    const named = new Set((headers["connection"] ?? "").split(",").map(name => name.trim().toLowerCase()));
-    return Object.fromEntries(
-        Object.entries(headers).filter(([name]) => !connectionHeaders.has(name) && !named.has(name)),
-    );
-}
-
 /**
  * Sends a whole answer of a backend server.
  *
@@ -41,7 +18,7 @@
  */
 export function sendAnswer(response: ServerResponse, answer: BufferedAnswer): void {
     response.writeHead(answer.status, {
-        ...copyAnswerHeaders(answer.headers),
+        ...copyEndToEndHeaders(answer.headers, ownHeaders),
         "content-length": answer.body.byteLength,
     });
     response.end(answer.body);
@@ -104,7 +81,7 @@
         headSent: () => response.headersSent,
         sendHead: (status, headers) => {
             if (!response.headersSent) {
-                response.writeHead(status, copyAnswerHeaders(headers));
+                response.writeHead(status, copyEndToEndHeaders(headers, ownHeaders));
                 response.socket?.setNoDelay(true);
             }
         },
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -12,7 +12,7 @@
     type Milliseconds,
     type RouteRow,
 } from "../../types/index.js";
-import { splitAddress } from "../httpServer/index.js";
+import { readBody, splitAddress } from "../httpServer/index.js";
 import { type OwnStatus, sendOwnAnswer } from "./callerAnswer.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { AbortReason, GatewayRequest } from "./types.js";
@@ -60,31 +60,6 @@
     return headers;
 }
 
-/** Reads a body up to a limit. */
-async function readCallerBody(
-    incoming: IncomingMessage,
-    maximumBytes: number,
-): Promise<Result<Buffer, "too-large" | "broken">> {
-    if (Number(incoming.headers["content-length"] ?? 0) > maximumBytes) {
-        return err("too-large");
-    }
-    const parts: Buffer[] = [];
-    let bytes = 0;
-    try {
-        for await (const part of incoming as AsyncIterable<Buffer>) {
-            bytes += part.length;
-            if (bytes > maximumBytes) {
-                return err("too-large");
-            }
-            parts.push(part);
-        }
-    }
-    catch {
-        return err("broken");
-    }
-    return ok(Buffer.concat(parts));
-}
-
 /** Signal that ends when the caller is gone or the time is over. */
 function watchCaller(
     response: ServerResponse,
@@ -177,13 +152,15 @@
             reject(incoming, response, 503, "no-service", unconfiguredRetryAfterSeconds);
             return;
         }
-        const body = await readCallerBody(incoming, routes.configuration.limits.bodyBytes);
-        if (body.isErr) {
-            if (body.error === "too-large") {
-                reject(incoming, response, 413, "body-too-large");
+        const limit = routes.configuration.limits.bodyBytes;
+        const isTooLarge = Number(headers["content-length"] ?? 0) > limit;
+        const body = isTooLarge ? undefined : await readBody(incoming, limit);
+        if (body === undefined) {
+            if (incoming.errored instanceof Error) {
+                response.destroy();
             }
             else {
-                response.destroy();
+                reject(incoming, response, 413, "body-too-large");
             }
             return;
         }
@@ -213,7 +190,7 @@
                 method: incoming.method ?? "GET",
                 path,
                 headers,
-                body: body.value,
+                body,
                 latestStart: receivedAt + Math.min(duration, route.targetLatency * input.waitShare),
                 endsAt: receivedAt + duration,
                 response,
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -9,8 +9,9 @@
     RandomSource,
     RecordDecoder,
 } from "../../types/index.js";
-import { createDisposalStack, type DisposalStack, sleep } from "../../utils/index.js";
-import type { DrainableDaemon } from "../daemon/index.js";
+import { type DisposalStack, sleep } from "../../utils/index.js";
+import type { DrainableDaemon } from "../daemon/runDaemon.js";
+import { startOwned } from "../daemon/startOwned.js";
 import { replicaServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { splitAddress, startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
@@ -69,18 +70,12 @@
  * @param logger - log of the process
  * @returns the gateway, or the error that kept it from starting
  */
-export async function startGateway(
+export function startGateway(
     settings: GatewaySettings,
     ports: GatewayPorts,
     logger: Logger,
 ): Promise<Result<Gateway, GoldcrestpointError>> {
-    await using stack = createDisposalStack();
-    const started = await assemble(settings, ports, logger, stack);
-    if (started.isErr) {
-        return err(started.error);
-    }
-    const owned = stack.move();
-    return ok({ ...started.value, [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose]() });
+    return startOwned(stack => assemble(settings, ports, logger, stack));
 }
 
 async function assemble(
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -73,7 +73,7 @@
         limit.limit(total);
         const opened = await open({ ...request, signal: limit.signal });
         const answer = opened.isOk ?
-            await readBody(opened.value, maximumBodyBytes) :
+            await readWholeBody(opened.value, maximumBodyBytes) :
             err<HttpAnswer, HttpFailure>(opened.error);
         limit.dispose();
         return answer.mapErr(failure => limit.timedOut() ? { ...failure, reason: "timeout" } : failure);
@@ -130,13 +130,24 @@
     }
 }
 
-async function readBody(stream: HttpStream, maximumBytes: number): Promise<Result<HttpAnswer, HttpFailure>> {
+/**
+ * Reads the whole body of an answer.
+ *
+ * @param stream - answer whose body has not been read
+ * @param maximumBytes - largest body that is kept in memory
+ * @returns the answer; a failure if its body broke off or is too large
+ */
+export async function readWholeBody(
+    stream: HttpStream,
+    maximumBytes: number,
+): Promise<Result<HttpAnswer, HttpFailure>> {
     const parts: Uint8Array[] = [];
     let bytes = 0;
     try {
         for await (const part of stream.body) {
             bytes += part.byteLength;
             if (bytes > maximumBytes) {
+                stream.discard();
                 return err(describeTooLarge(maximumBytes));
             }
             parts.push(part);
--- a/src/node/httpServer/index.ts
+++ b/src/node/httpServer/index.ts
@@ -1,3 +1,4 @@
+export * from "./endToEndHeaders.js";
 export * from "./httpServer.js";
 export * from "./responses.js";
 export * from "./statusRoutes.js";
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -121,7 +121,7 @@
         linkShare: defineNumber({
             minimum: 0.01,
             maximum: 1,
-            initial: 0.95,
+            initial: 0.9,
             documentation: "Share of the link that transfers of weights may use; the rest is left to live requests.",
         }),
         relays: defineInteger({
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -14,9 +14,10 @@
     type RecordDecoder,
     type VersionOriginPort,
 } from "../../types/index.js";
-import { createDisposalStack, type DisposalStack, sleep } from "../../utils/index.js";
+import { type DisposalStack, sleep } from "../../utils/index.js";
 import { createLinkBudget, createTransferService } from "../agent/transfer/index.js";
-import type { DrainableDaemon } from "../daemon/index.js";
+import type { DrainableDaemon } from "../daemon/runDaemon.js";
+import { startOwned } from "../daemon/startOwned.js";
 import { readWeightSource, type WeightSource } from "../gateway/weightSources.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { splitAddress } from "../httpServer/index.js";
@@ -65,18 +66,12 @@
  * @param logger - log of the process
  * @returns the agent, or the error that kept it from starting
  */
-export async function startWeightAgent(
+export function startWeightAgent(
     settings: WeightAgentSettings,
     ports: WeightAgentPorts,
     logger: Logger,
 ): Promise<Result<DrainableDaemon, GoldcrestpointError>> {
-    await using stack = createDisposalStack();
-    const started = await assemble(settings, ports, logger, stack);
-    if (started.isErr) {
-        return err(started.error);
-    }
-    const owned = stack.move();
-    return ok({ drain: () => Promise.resolve(), [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose]() });
+    return startOwned(stack => assemble(settings, ports, logger, stack));
 }
 
 async function assemble(
@@ -84,7 +79,7 @@
     ports: WeightAgentPorts,
     logger: Logger,
     stack: DisposalStack,
-): Promise<Result<void, GoldcrestpointError>> {
+): Promise<Result<Pick<DrainableDaemon, "drain">, GoldcrestpointError>> {
     const { clock, decoder, random } = ports;
     const { gateway, instance, replica, weightAgent } = settings;
     const store = createRecordStore(["backend-servers", "instances", "weight-sources"], clock, logger);
@@ -275,7 +270,7 @@
     void readGatewaysWithoutRelays({ ...ports, store, countConnected: followers.countConnected, logger }, ended.signal);
     void runLoop();
     logger.info({ engine: weightAgent.engineAddress, zone: instance.zone }, "agent started");
-    return ok(undefined);
+    return ok({ drain: () => Promise.resolve() });
 
     async function runLoop(): Promise<void> {
         while (!ended.signal.aborted) {
