--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -17,14 +17,20 @@
 const defaultConnections = 64;
 const defaultMaximumBodyBytes = 64 * 1_048_576;
 
+/** Statuses whose answers have no body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 interface Call {
     readonly interruption: Interruption;
     readonly mark: WrittenMark;
 }
 
-/** Connections of a client that failed, counted so that an answer can tell whether one did while it was received. */
+/** Ends of a client's connections, counted so that an answer can tell what happened while it was received. */
 interface ConnectionFaults {
+    /** Connections that failed. */
     count: number;
+    /** Connections that their peer closed in order. */
+    orderlyEnds: number;
 }
 
 /** Counts the failures of connections; the listener is called before those of undici. */
@@ -32,6 +38,9 @@
     const connect = buildConnector({ timeout });
     return (options, callback) => {
         connect(options, (...parameters) => {
+            parameters[1]?.once("end", () => {
+                faults.orderlyEnds++;
+            });
             parameters[1]?.once("error", (error: NodeJS.ErrnoException) => {
                 // Undici ends its connections with errors of its own, also after an orderly close.
                 faults.count += error.code?.startsWith("UND_ERR_") === true ? 0 : 1;
@@ -50,7 +59,7 @@
 export function createHttpClient(options: HttpClientOptions): HttpClient {
     const timeouts = { ...defaultTimeouts, ...options.timeouts };
     const url = new URL(options.baseUrl);
-    const faults: ConnectionFaults = { count: 0 };
+    const faults: ConnectionFaults = { count: 0, orderlyEnds: 0 };
     const pool = new Pool(url.origin, {
         connections: options.connections ?? defaultConnections,
         connect: createCountingConnector(timeouts.connect, faults),
@@ -132,23 +141,29 @@
     const headers = flattenHeaders(answer.headers);
     // Undici takes a reset for the end of such an answer.
     const faultsAllowed = endsWithConnection(headers) ? faults.count : Infinity;
+    const isFramed = bodilessStatuses.has(answer.statusCode) || headers["content-length"] !== undefined ||
+        isChunked(headers);
+    const endsBefore = isFramed ? -1 : faults.orderlyEnds;
     // Without a listener, an error that arrives before the body is read would end the process.
     body.on("error", () => {});
     body.once("close", () => call.interruption.dispose());
     return {
         status: answer.statusCode,
         headers,
-        body: readParts(body, call, () => faults.count > faultsAllowed),
+        body: readParts(body, call, () => faults.count > faultsAllowed || faults.orderlyEnds <= endsBefore),
         discard: () => {
             body.destroy();
         },
     };
 }
 
+function isChunked(headers: Readonly<Record<string, string>>): boolean {
+    return headers["transfer-encoding"]?.toLowerCase().includes("chunked") === true;
+}
+
 function endsWithConnection(headers: Readonly<Record<string, string>>): boolean {
-    const isChunked = headers["transfer-encoding"]?.toLowerCase().includes("chunked") === true;
     const isLast = headers["connection"]?.toLowerCase().includes("close") === true;
-    return headers["content-length"] === undefined && (!isChunked || isLast);
+    return headers["content-length"] === undefined && (!isChunked(headers) || isLast);
 }
 
 async function* readParts(
