Tell a reset that comes with the last bytes of an answer from an orderly end

Cause: Node reports a reset as an orderly end if it is polled together with the last bytes (a partial read with a hang-up). An answer without a length that was broken off so looked complete, and the gateway passed it on with a length. The socket has no peer any more at that moment, which tells the two apart. The counters were also kept per pool, so that the end of one connection spoke for answers on others; each call now follows its own connection.

Failed first on the old client: "is broken off when the reset comes with its bytes" (50 of 50 taken for complete) and "does not depend on how other connections to the same peer end".

The log destination writes to pipes and sockets through the event loop instead of a thread, so that a full pipe no longer delays the end of a process.

--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -1,8 +1,14 @@
 import { err, ok, type Result } from "true-myth/result";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../../types/index.js";
 import { createInterruption, type Interruption } from "./interruption.js";
-import { createWrittenMark, reportWrittenRequests, type WrittenMark } from "./requestWritten.js";
+import {
+    type CallState,
+    type ConnectionState,
+    createCallState,
+    createTrackedClient,
+    trackWrittenRequests,
+} from "./trackedClient.js";
 import type {
     HttpAnswer,
     HttpClient,
@@ -22,32 +28,7 @@
 
 interface Call {
     readonly interruption: Interruption;
-    readonly mark: WrittenMark;
-}
-
-/** Ends of a client's connections, counted so that an answer can tell what happened while it was received. */
-interface ConnectionFaults {
-    /** Connections that failed. */
-    count: number;
-    /** Connections that their peer closed in order. */
-    orderlyEnds: number;
-}
-
-/** Counts the failures of connections; the listener is called before those of undici. */
-function createCountingConnector(timeout: Milliseconds, faults: ConnectionFaults): buildConnector.connector {
-    const connect = buildConnector({ timeout });
-    return (options, callback) => {
-        connect(options, (...parameters) => {
-            parameters[1]?.once("end", () => {
-                faults.orderlyEnds++;
-            });
-            parameters[1]?.once("error", (error: NodeJS.ErrnoException) => {
-                // Undici ends its connections with errors of its own, also after an orderly close.
-                faults.count += error.code?.startsWith("UND_ERR_") === true ? 0 : 1;
-            });
-            callback(...parameters);
-        });
-    };
+    readonly state: CallState;
 }
 
 /**
@@ -59,23 +40,22 @@
 export function createHttpClient(options: HttpClientOptions): HttpClient {
     const timeouts = { ...defaultTimeouts, ...options.timeouts };
     const url = new URL(options.baseUrl);
-    const faults: ConnectionFaults = { count: 0, orderlyEnds: 0 };
     const pool = new Pool(url.origin, {
         connections: options.connections ?? defaultConnections,
-        connect: createCountingConnector(timeouts.connect, faults),
+        factory: (origin, clientOptions) => createTrackedClient(origin, clientOptions, timeouts.connect),
     });
-    const dispatcher = pool.compose(reportWrittenRequests);
+    const dispatcher = pool.compose(trackWrittenRequests);
     const maximumBodyBytes = options.maximumBodyBytes ?? defaultMaximumBodyBytes;
     const pathPrefix = url.pathname.replace(/\/$/, "");
 
     async function open(request: HttpRequest): Promise<Result<HttpStream, HttpFailure>> {
         const limits = { ...timeouts, ...request.timeouts };
-        const call: Call = { interruption: createInterruption(request.signal), mark: createWrittenMark() };
+        const call: Call = { interruption: createInterruption(request.signal), state: createCallState() };
         call.interruption.limit(limits.head);
         try {
             const answer = await awaitHead(dispatcher.request(toOptions(request, call, limits.idle)), call);
             call.interruption.unlimit();
-            return ok(toStream(answer, call, faults));
+            return ok(toStream(answer, call));
         }
         catch (cause) {
             call.interruption.dispose();
@@ -83,13 +63,13 @@
         }
     }
 
-    function toOptions(request: HttpRequest, call: Call, idle: Milliseconds): Dispatcher.RequestOptions<WrittenMark> {
+    function toOptions(request: HttpRequest, call: Call, idle: Milliseconds): Dispatcher.RequestOptions<CallState> {
         return {
             method: request.method,
             path: pathPrefix + request.path,
             headers: { ...request.headers },
             signal: call.interruption.signal,
-            opaque: call.mark,
+            opaque: call.state,
             headersTimeout: 0,
             bodyTimeout: idle,
             ...(request.body === undefined ? {} : { body: request.body }),
@@ -118,64 +98,53 @@
 
 /** A call that is interrupted while it waits for a connection ends at once; undici then never writes it. */
 async function awaitHead(
-    pending: Promise<Dispatcher.ResponseData<WrittenMark>>,
+    pending: Promise<Dispatcher.ResponseData<CallState>>,
     call: Call,
-): Promise<Dispatcher.ResponseData<WrittenMark>> {
+): Promise<Dispatcher.ResponseData<CallState>> {
     const { signal } = call.interruption;
     return new Promise((resolve, reject) => {
         pending.then(resolve, reject);
         signal.addEventListener("abort", () => {
-            if (!call.mark.written) {
+            if (!call.state.written) {
                 reject(new Error("interrupted before the request was written"));
             }
         });
     });
 }
 
-function toStream(
-    answer: Dispatcher.ResponseData<WrittenMark>,
-    call: Call,
-    faults: ConnectionFaults,
-): HttpStream {
+function toStream(answer: Dispatcher.ResponseData<CallState>, call: Call): HttpStream {
     const { body } = answer;
     const headers = flattenHeaders(answer.headers);
-    // Undici takes a reset for the end of such an answer.
-    const faultsAllowed = endsWithConnection(headers) ? faults.count : Infinity;
     const isFramed = bodilessStatuses.has(answer.statusCode) || headers["content-length"] !== undefined ||
-        isChunked(headers);
-    const endsBefore = isFramed ? -1 : faults.orderlyEnds;
+        headers["transfer-encoding"]?.toLowerCase().includes("chunked") === true;
     // Without a listener, an error that arrives before the body is read would end the process.
     body.on("error", () => {});
     body.once("close", () => call.interruption.dispose());
     return {
         status: answer.statusCode,
         headers,
-        body: readParts(body, call, () => faults.count > faultsAllowed || faults.orderlyEnds <= endsBefore),
+        body: readParts(body, call, !isFramed),
         discard: () => {
             body.destroy();
         },
     };
 }
 
-function isChunked(headers: Readonly<Record<string, string>>): boolean {
-    return headers["transfer-encoding"]?.toLowerCase().includes("chunked") === true;
-}
-
-function endsWithConnection(headers: Readonly<Record<string, string>>): boolean {
-    const isLast = headers["connection"]?.toLowerCase().includes("close") === true;
-    return headers["content-length"] === undefined && (!isChunked(headers) || isLast);
+/** Undici also takes other ends of a connection for the end of an answer without a length. */
+function endedInOrder(connection: ConnectionState | undefined): boolean {
+    return connection?.ended === true && !connection.failed;
 }
 
 async function* readParts(
     body: AsyncIterable<Uint8Array>,
     call: Call,
-    wasBrokenOff: () => boolean,
+    endsWithConnection: boolean,
 ): AsyncGenerator<Uint8Array> {
     try {
         for await (const part of body) {
             yield part;
         }
-        if (wasBrokenOff()) {
+        if (endsWithConnection && !endedInOrder(call.state.connection)) {
             throw new Error("the connection failed before the answer was known to be complete");
         }
     }
@@ -222,7 +191,7 @@
 function describeFailure(cause: unknown, call: Call, headReceived: boolean): HttpFailure {
     const reason = readReason(cause, call.interruption);
     const message = cause instanceof Error && cause.message !== "" ? cause.message : String(cause);
-    return { reason, headReceived, requestWritten: headReceived || call.mark.written, message, cause };
+    return { reason, headReceived, requestWritten: headReceived || call.state.written, message, cause };
 }
 
 function readReason(cause: unknown, interruption: Interruption): HttpFailure["reason"] {
--- a/src/node/logging/boundedDestination.ts
+++ b/src/node/logging/boundedDestination.ts
@@ -1,3 +1,5 @@
+import { fstatSync } from "node:fs";
+import { Socket } from "node:net";
 import { destination as openDestination, type DestinationStream } from "pino";
 
 /** Options of {@link createBoundedDestination}. */
@@ -16,8 +18,80 @@
     readonly flush: () => void;
 }
 
+/** Writes lines in the background. */
+interface LineWriter {
+    /** @returns whether the line was taken; else it is lost */
+    write(line: string): boolean;
+    flush(): void;
+}
+
 const defaultWaitingBytes = 1_048_576;
 
+/** Creates the writer for a pipe or socket. Nothing that waits for a reader delays the end of the process. */
+function createPipeWriter(descriptor: number, maximumWaitingBytes: number): LineWriter {
+    const socket = new Socket({ fd: descriptor, readable: false, writable: true });
+    socket.unref();
+    let broken = false;
+    // A reader that has gone away must not end the process.
+    socket.on("error", () => {
+        broken = true;
+    });
+    let uncorking: NodeJS.Immediate | undefined;
+
+    function uncork(): void {
+        clearImmediate(uncorking);
+        uncorking = undefined;
+        socket.uncork();
+    }
+
+    return {
+        write: line => {
+            if (broken || socket.writableLength + line.length > maximumWaitingBytes) {
+                return false;
+            }
+            if (uncorking === undefined) {
+                // The lines of one turn of the event loop are written together.
+                socket.cork();
+                uncorking = setImmediate(uncork);
+            }
+            socket.write(line);
+            return true;
+        },
+        flush: uncork,
+    };
+}
+
+/** Creates the writer for a file or a terminal. */
+function createFileWriter(descriptor: number, maximumWaitingBytes: number): LineWriter {
+    const stream = openDestination({ fd: descriptor, sync: false, maxLength: maximumWaitingBytes });
+    let lost = 0;
+    const countLost = (): void => {
+        lost++;
+    };
+    stream.on("drop", countLost);
+    stream.on("error", countLost);
+    return {
+        write: line => {
+            const before = lost;
+            stream.write(line);
+            return lost === before;
+        },
+        flush: () => {
+            try {
+                stream.flushSync();
+            }
+            catch {
+                // The file cannot be written; the lines are lost with the process.
+            }
+        },
+    };
+}
+
+function isPipe(descriptor: number): boolean {
+    const kind = fstatSync(descriptor);
+    return kind.isFIFO() || kind.isSocket();
+}
+
 /**
  * Creates a destination that writes in the background and drops lines when its reader falls behind. The first line after
  * a gap tells how many were dropped.
@@ -27,39 +101,26 @@
  */
 export function createBoundedDestination(options: BoundedDestinationOptions = {}): BoundedDestination {
     const { descriptor = 1, maximumWaitingBytes = defaultWaitingBytes } = options;
-    const stream = openDestination({ fd: descriptor, sync: false, maxLength: maximumWaitingBytes });
+    const createWriter = isPipe(descriptor) ? createPipeWriter : createFileWriter;
+    const writer = createWriter(descriptor, maximumWaitingBytes);
     let dropped = 0;
     let reported = 0;
-    stream.on("drop", () => {
-        dropped++;
-    });
-    // A reader that has gone away must not end the process.
-    stream.on("error", () => {
-        dropped++;
-    });
 
     return {
         countDropped: () => dropped,
         write: line => {
-            const before = dropped;
-            stream.write(line);
-            if (dropped === before && dropped > reported) {
-                stream.write(
+            if (!writer.write(line)) {
+                dropped++;
+            }
+            else if (dropped > reported) {
+                writer.write(
                     `${JSON.stringify({ level: "warn", msg: "log lines dropped", lines: dropped - reported })}\n`,
                 );
                 reported = dropped;
             }
         },
         flush: () => {
-            if (dropped > 0) {
-                return;
-            }
-            try {
-                stream.flushSync();
-            }
-            catch {
-                // The reader is gone or does not read; the lines are lost with the process.
-            }
+            writer.flush();
         },
     };
 }
