Stage chunks as they arrive, and time reads across zones from when a chunk can be read

Cause: the load of a version waited 1.3 s for the staging of the whole set after the last chunk had arrived, and members of a zone took over reads across its border by the age of the set, so that each zone read two to three copies over the link between regions.

--- a/bench/distribution/simulation.ts
+++ b/bench/distribution/simulation.ts
@@ -222,6 +222,7 @@
             originReaders: agent.ranks,
             zone: "",
             zoneReaders: agent.ranks,
+            availableSince: new Map(),
             startedAt: 0,
             neighboursAsked: true,
             objective: plan.objective,
--- a/src/node/agent/transfer/downloads.ts
+++ b/src/node/agent/transfer/downloads.ts
@@ -17,7 +17,7 @@
 } from "../../../runtime/distribution/index.js";
 import type { GoldcrestpointError, Manifest } from "../../../types/index.js";
 import { computeBackoff, findAddress, type TransferContext } from "./context.js";
-import type { WeightSetState } from "./weightSetState.js";
+import { noteAvailability, type WeightSetState } from "./weightSetState.js";
 
 type CommandOf<Kind extends TransferCommand["kind"]> = Extract<TransferCommand, { kind: Kind; }>;
 
@@ -42,6 +42,7 @@
     for (const { index } of set.transfers.rows()) {
         requestedBytes += manifest.chunks[index]!.bytes;
     }
+    noteAvailability(set, now);
     const commands = selectTransfers({
         manifest,
         held: set.held,
@@ -50,6 +51,7 @@
         originReaders: set.originReaders,
         zone: context.zone,
         zoneReaders: set.zoneReaders,
+        availableSince: set.availableSince,
         startedAt: set.startedAt,
         neighboursAsked: set.neighbours.every(neighbour => set.neighboursAsked.has(neighbour)),
         objective: set.target.objective,
--- a/src/node/agent/transfer/weightSetState.ts
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -2,6 +2,7 @@
     createBitfield,
     createOriginReaders,
     decodeBitfield,
+    hasChunk,
     type OriginReaders,
     type PeerRow,
     selectNeighbours,
@@ -34,6 +35,8 @@
     originReaders: OriginReaders;
     /** Ranks of the members of the own availability zone. */
     zoneReaders: OriginReaders;
+    /** Monotonic times at which the first holder of a chunk became known, by position. */
+    readonly availableSince: Map<number, Milliseconds>;
     originAvoidedUntil: Milliseconds;
     originFailures: number;
     /** Bytes sent, and those reserved for uploads in progress. */
@@ -73,6 +76,7 @@
         exchangeAt: new Map(),
         originReaders: createOriginReaders(target.weights.manifestDigest, 0, [], self),
         zoneReaders: createOriginReaders(target.weights.manifestDigest, 0, [], self),
+        availableSince: new Map(),
         originAvoidedUntil: 0,
         originFailures: 0,
         sentBytes: 0,
@@ -129,6 +133,22 @@
     applyMembers(state, state.target, self, neighbours);
 }
 
+/**
+ * Notes which chunks can be read from a peer by now.
+ *
+ * @param state - changed in place
+ * @param now - monotonic time
+ */
+export function noteAvailability(state: WeightSetState, now: Milliseconds): void {
+    const chunks = state.manifest?.chunks.length ?? 0;
+    const peers = [...state.peers.rows()];
+    for (let index = 0; index < chunks; index++) {
+        if (!state.availableSince.has(index) && peers.some(({ bitfield }) => hasChunk(bitfield, index))) {
+            state.availableSince.set(index, now);
+        }
+    }
+}
+
 /**
  * Takes back what counts as held, since the engine lost it or was started again.
  *
--- a/src/node/weightAgent/stageWeights.ts
+++ b/src/node/weightAgent/stageWeights.ts
@@ -5,6 +5,9 @@
 /** Rounds in which chunks are staged and read back; spoilt ones are staged again in the next round. */
 const maximumRounds = 3;
 
+/** Chunks that are read back or written at the same time; the engine answers its own instance quickly. */
+const parallelChunks = 4;
+
 /** What {@link stageWeights} did. */
 export interface StagingSummary {
     /** Chunks that were written, including repeats. */
@@ -12,6 +15,29 @@
     readonly rounds: number;
 }
 
+/** Makes one chunk right; tells whether it had to be written. */
+type ChunkStep = (index: number) => Promise<Result<"right" | "written", GoldcrestpointError>>;
+
+/** Runs a step for every chunk; counts those that were written, and stops at the first error. */
+async function forEachChunk(chunks: number, step: ChunkStep): Promise<Result<number, GoldcrestpointError>> {
+    let next = 0;
+    let written = 0;
+    let failure: GoldcrestpointError | undefined;
+    const work = async (): Promise<void> => {
+        while (next < chunks && failure === undefined) {
+            const outcome = await step(next++);
+            if (outcome.isErr) {
+                failure = outcome.error;
+            }
+            else {
+                written += outcome.value === "written" ? 1 : 0;
+            }
+        }
+    };
+    await Promise.all(Array.from({ length: parallelChunks }, work));
+    return failure === undefined ? ok(written) : err(failure);
+}
+
 /**
  * Makes the engine's stage hold a whole set. Every chunk is read back, since staged content may be of another version
  * or spoilt; chunks that are right are not written again.
@@ -27,29 +53,31 @@
     read: (index: number) => Uint8Array | undefined,
 ): Promise<Result<StagingSummary, GoldcrestpointError>> {
     const step = "stage weights";
+
+    const makeRight: ChunkStep = async index => {
+        const staged = await engine.readStaged(manifest.model, index);
+        if (staged.isErr) {
+            return err(staged.error);
+        }
+        if (staged.value !== undefined && verifyChunk(manifest, index, staged.value)) {
+            return ok("right");
+        }
+        const content = read(index);
+        if (content === undefined || !verifyChunk(manifest, index, content)) {
+            return err(createError("CHUNK_CORRUPT", step, "local", `chunk ${index} is not in memory`));
+        }
+        const put = await engine.stage(manifest.model, index, content);
+        return put.map(() => "written" as const);
+    };
+
     let written = 0;
     for (let round = 1; round <= maximumRounds; round++) {
-        let wrong = 0;
-        for (let index = 0; index < manifest.chunks.length; index++) {
-            const staged = await engine.readStaged(manifest.model, index);
-            if (staged.isErr) {
-                return err(staged.error);
-            }
-            if (staged.value !== undefined && verifyChunk(manifest, index, staged.value)) {
-                continue;
-            }
-            wrong++;
-            const content = read(index);
-            if (content === undefined || !verifyChunk(manifest, index, content)) {
-                return err(createError("CHUNK_CORRUPT", step, "local", `chunk ${index} is not in memory`));
-            }
-            const put = await engine.stage(manifest.model, index, content);
-            if (put.isErr) {
-                return err(put.error);
-            }
-            written++;
+        const outcome = await forEachChunk(manifest.chunks.length, makeRight);
+        if (outcome.isErr) {
+            return err(outcome.error);
         }
-        if (wrong === 0) {
+        written += outcome.value;
+        if (outcome.value === 0) {
             return ok({ written, rounds: round });
         }
     }
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -28,6 +28,7 @@
 import { createLoadFeed } from "./loadFeed.js";
 import { listRelays, readGatewaysWithoutRelays } from "./relays.js";
 import { createSetOrigin } from "./setOrigin.js";
+import { createStageAhead, type SetToStage } from "./stageAhead.js";
 import { createWeightMemory } from "./weightMemory.js";
 
 /** Origin whose address the configuration names. */
@@ -147,6 +148,22 @@
         readTarget,
     });
 
+    /** The stage holds one set: a complete one that is not loaded yet keeps it. */
+    function readSetToStage(): SetToStage | undefined {
+        const target = chooseVersion();
+        const report = loop.readReport();
+        if (source === undefined || target === undefined || report === undefined || loop.isLoading()) {
+            return undefined;
+        }
+        const loaded = report.weights?.complete === true ? report.weights.version : 0;
+        const set = nameWeights(source.model, target.version);
+        const manifest = manifests.get(set);
+        const isTaken = [...complete].some(version => version > loaded && version !== target.version);
+        return manifest === undefined || isTaken || target.version <= loaded ?
+            undefined :
+            { manifest, read: index => memory.read(set, index) };
+    }
+
     /** Versions that are complete and not loaded yet stay, for this engine and for agents that still need them. */
     function listRetained(model: string): ReadonlySet<string> {
         const loaded = loop.readReport()?.weights;
@@ -240,6 +257,7 @@
         },
         log: logger,
     }));
+    const stageAhead = createStageAhead({ engine: ports.engine, readSet: readSetToStage, logger });
     const rpcServer = await startRpcServer(instance.grpcAddress, [{
         definition: agentServiceDefinition,
         implementation: {
@@ -282,6 +300,7 @@
                 imported = true;
             }
             applyTarget();
+            void stageAhead.run();
             await sleep(loop.isLoading() ? loadingReportInterval : weightAgent.reportInterval, ended.signal);
         }
     }
--- a/src/runtime/distribution/originReaders.ts
+++ b/src/runtime/distribution/originReaders.ts
@@ -57,6 +57,38 @@
     };
 }
 
+/** How many times as long a reader of a zone may take for a chunk while it makes progress with others. */
+const progressingReaderFactor = 2;
+
+/** Input of `mayReadAcross`. */
+export interface ZoneTurnInput {
+    /** Members of the own zone that rank before this agent, best first. */
+    readonly readersBefore: readonly InstanceId[];
+    readonly peers: Table<InstanceId, PeerRow>;
+    /** Monotonic time at which the first holder of the chunk became known. */
+    readonly availableSince: Milliseconds;
+    readonly now: Milliseconds;
+    readonly options: DistributionOptions;
+}
+
+/**
+ * Decides whether this agent may read a chunk across the border of its zone in place of those ranked before it. Time
+ * counts from when the chunk could be read, and a reader that makes progress gets more of it.
+ *
+ * @param input - readers of the chunk and what is known of them
+ * @returns true if every reader before this agent has had its turn
+ */
+export function mayReadAcross(input: ZoneTurnInput): boolean {
+    const { availableSince, now, options, peers, readersBefore } = input;
+    return readersBefore.every((reader, rank) => {
+        const turns = readersBefore.length - rank;
+        const limit = turns * options.zoneTakeoverAfter;
+        const progressedAt = peers.get(reader)?.progressedAt ?? availableSince;
+        return now - Math.max(availableSince, progressedAt) >= limit ||
+            now - availableSince >= progressingReaderFactor * limit;
+    });
+}
+
 /** Input of `mayTakeOver`. */
 export interface TakeoverInput {
     readonly readersBefore: readonly InstanceId[];
--- a/src/runtime/distribution/selectTransfers.ts
+++ b/src/runtime/distribution/selectTransfers.ts
@@ -1,6 +1,6 @@
 import type { InstanceId } from "../../types/index.js";
 import { hasChunk } from "./bitfield.js";
-import { mayTakeOver } from "./originReaders.js";
+import { mayReadAcross, mayTakeOver } from "./originReaders.js";
 import type { PeerRow, TransferCommand, TransferInput } from "./types.js";
 
 /** Source name of the origin in transfers. */
@@ -201,7 +201,7 @@
 
 /** Holders that may be asked: those of the own zone, or all of them if this agent's turn to read across has come. */
 function selectHolders(input: TransferInput, index: number, holders: readonly PeerRow[]): readonly PeerRow[] {
-    const { now, options, startedAt, zone, zoneReaders } = input;
+    const { now, options, peers, zone, zoneReaders } = input;
     if (!options.preferOwnZone || holders.length === 0) {
         return holders;
     }
@@ -209,7 +209,9 @@
     if (near.length > 0) {
         return near;
     }
-    return now - startedAt >= zoneReaders.rankOf(index) * options.zoneTakeoverAfter ? holders : [];
+    const readersBefore = zoneReaders.rankOf(index) === 0 ? [] : zoneReaders.readersBefore(index);
+    const availableSince = input.availableSince.get(index) ?? now;
+    return mayReadAcross({ readersBefore, peers, availableSince, now, options }) ? holders : [];
 }
 
 function isAllowanceUsed(input: TransferInput, peer: PeerRow, index: number): boolean {
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -124,7 +124,9 @@
     /** Availability zone of this agent. */
     readonly zone: AvailabilityZone;
     /** Ranks of the members of the own zone as readers across its border. */
-    readonly zoneReaders: Pick<OriginReaders, "rankOf">;
+    readonly zoneReaders: OriginReaders;
+    /** Monotonic times at which the first holder of a chunk became known, by position. */
+    readonly availableSince: ReadonlyMap<number, Milliseconds>;
     /** Monotonic time at which this agent learned of the set. */
     readonly startedAt: Milliseconds;
     /** True if every neighbour has answered or failed once, so that no chunk is read that a neighbour already has. */
--- a/test/runtime/distribution/selectTransfers.test.ts
+++ b/test/runtime/distribution/selectTransfers.test.ts
@@ -74,6 +74,7 @@
         originReaders: createOriginReaders("aa", chunkCount, members, situation.self ?? "a"),
         zone: "zone-a",
         zoneReaders: createOriginReaders("aa", chunkCount, [], situation.self ?? "a"),
+        availableSince: new Map(),
         startedAt: 0,
         neighboursAsked: true,
         objective: situation.objective ?? "origin-bytes",
