Let requests finish while the last chunks of a version arrive

Change: an engine whose turn has come stops taking requests when the missing chunks take no longer than its requests in progress (planLoad). It serves again if they take twice as long. The groups begin earlier, so that the last one is complete within 8 s.

The times committed here (3.3, 4.6 and 5.9 s, 1 s) are not measured yet.

--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -157,8 +157,9 @@
         firstWaveAfterMilliseconds: defineDuration("firstWaveAfter", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 3_900,
-            documentation: "Time after the declaration at which the first group may load, if it is complete.",
+            initial: 3_300,
+            documentation:
+                "Time after the declaration at which the first group may stop serving to load, if it is nearly complete.",
         }),
         waveIntervalMilliseconds: defineDuration("waveInterval", "Milliseconds", {
             minimum: 0,
@@ -169,7 +170,7 @@
         drainBeforeLoadMilliseconds: defineDuration("drainBeforeLoad", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 1_100,
+            initial: 1_000,
             documentation: "Longest time in which requests in progress may finish before the engine loads a version.",
         }),
         copyTimeMilliseconds: defineDuration("copyTime", "Milliseconds", {
--- a/src/node/weightAgent/engineLoop.ts
+++ b/src/node/weightAgent/engineLoop.ts
@@ -1,6 +1,11 @@
 import type { Logger } from "pino";
 import { nameWeights } from "../../runtime/gateway/index.js";
-import { planLoad, type RolloutOptions, type WantedVersion } from "../../runtime/rollout/index.js";
+import {
+    planLoad,
+    type RolloutOptions,
+    type VersionTransfer,
+    type WantedVersion,
+} from "../../runtime/rollout/index.js";
 import type { Clock, CopyPhase, EngineControlPort, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
 import { sleep } from "../../utils/index.js";
 import type { EngineStatus } from "./loadFeed.js";
@@ -14,6 +19,8 @@
     readonly wanted: readonly WantedVersion[];
     /** Manifest of the newest version of which every chunk is held; undefined if there is none. */
     readonly complete: Manifest | undefined;
+    /** Transfer of a newer version; undefined if there is none. */
+    readonly transfer: VersionTransfer | undefined;
     /** Backend servers of the service that serve. */
     readonly members: readonly string[];
     readonly slots: number;
@@ -29,10 +36,7 @@
     readonly self: string;
     readonly clock: Clock;
     readonly logger: Logger;
-    readonly options: RolloutOptions & {
-        /** Longest time in which requests in progress may finish before the engine loads. */
-        readonly drainBeforeLoad: Milliseconds;
-    };
+    readonly options: RolloutOptions;
     /** Called before and after an order, so that gateways send nothing to an engine that is about to load. */
     readonly publish: (status: EngineStatus) => void;
     readonly readTarget: () => EngineTarget | undefined;
@@ -45,6 +49,8 @@
     readonly readReport: () => EngineReport | undefined;
     /** True while the engine loads or is about to. */
     readonly isLoading: () => boolean;
+    /** True while requests in progress finish before the last chunks have arrived. */
+    readonly isDraining: () => boolean;
 }
 
 /**
@@ -63,6 +69,9 @@
     let working = false;
     /** True from the decision to load until a later report shows what the engine does. */
     let loading = false;
+    let drainingSince: Milliseconds | undefined;
+    /** Version that did not arrive in time after requests were let finish for it. */
+    let drainedInVain = 0;
 
     async function read(): Promise<void> {
         const wasLoading = loading;
@@ -145,7 +154,7 @@
      * about to load and send nothing new; the few longest streams are cut off and go on at other backend servers.
      */
     async function drain(): Promise<number> {
-        const endsAt = clock.monotonic() + input.options.drainBeforeLoad;
+        const endsAt = (drainingSince ?? clock.monotonic()) + input.options.drainBeforeLoad;
         for (;;) {
             const answer = await engine.readReport();
             report = answer.unwrapOr(undefined as never);
@@ -159,21 +168,49 @@
 
     async function act(): Promise<void> {
         const target = input.readTarget();
-        if (target === undefined || report === undefined || working) {
+        if (working) {
+            return;
+        }
+        if (target === undefined || report === undefined) {
+            drainingSince = undefined;
             return;
         }
+        const { transfer } = target;
         const decision = planLoad({
             report,
             model: target.model,
             wanted: target.wanted,
             target: target.complete === undefined ? undefined : Number(target.complete.version),
+            transfer: transfer === undefined || transfer.version <= drainedInVain ? undefined : transfer,
+            drainingSince,
             self: input.self,
             members: target.members,
             orderedAt,
             now: clock.monotonic(),
             options: input.options,
         });
+        if (decision.kind === "drain") {
+            if (drainingSince === undefined) {
+                drainingSince = clock.monotonic();
+                logger.info(
+                    {
+                        version: decision.version,
+                        reason: decision.reason,
+                        share: transfer?.share,
+                        running: report.running,
+                    },
+                    "drains before the last chunks",
+                );
+                input.publish(describe());
+            }
+            return;
+        }
         if (decision.kind === "wait") {
+            if (drainingSince !== undefined) {
+                drainedInVain = transfer?.version ?? drainedInVain;
+                drainingSince = undefined;
+                input.publish(describe());
+            }
             if (decision.reason !== lastReason) {
                 lastReason = decision.reason;
                 logger.info({ reason: decision.reason, version: target.wanted[0]?.version }, "load waits");
@@ -187,6 +224,7 @@
         }
         finally {
             working = false;
+            drainingSince = undefined;
         }
     }
 
@@ -198,7 +236,7 @@
             return "staging";
         }
         // An engine that carries out an order accepts nothing new.
-        return report.busy || loading ? "activating" : "serving";
+        return report.busy || loading || drainingSince !== undefined ? "activating" : "serving";
     }
 
     function describe(): EngineStatus {
@@ -208,6 +246,7 @@
     return {
         readReport: () => report,
         isLoading: () => loading || report?.busy === true,
+        isDraining: () => drainingSince !== undefined,
         run: async () => {
             await read();
             const status = describe();
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -1,7 +1,7 @@
 import type { Logger } from "pino";
 import { err, ok, type Result } from "true-myth/result";
 import { initialVersion, nameWeights, splitWeights } from "../../runtime/gateway/index.js";
-import { chooseTarget, type WantedVersion } from "../../runtime/rollout/index.js";
+import { chooseTarget, type VersionTransfer, type WantedVersion } from "../../runtime/rollout/index.js";
 import {
     type BackendServerPort,
     type Clock,
@@ -115,6 +115,16 @@
         });
     }
 
+    function readTransfer(newestComplete: number): VersionTransfer | undefined {
+        const progress = service.progress();
+        if (progress === undefined || progress.chunksTotal === 0) {
+            return undefined;
+        }
+        const { version } = splitWeights(progress.manifestDigest);
+        const share = progress.chunksComplete / progress.chunksTotal;
+        return version <= newestComplete ? undefined : { version, share };
+    }
+
     function readTarget(): EngineTarget | undefined {
         if (source === undefined || wanted.length === 0) {
             return undefined;
@@ -125,6 +135,7 @@
             model: source.model,
             wanted,
             complete: manifests.get(nameWeights(source.model, newestComplete)),
+            transfer: readTransfer(newestComplete),
             members: serving.map(({ address }) => splitAddress(address).host),
             slots: source.slots,
         };
@@ -301,7 +312,8 @@
             }
             applyTarget();
             void stageAhead.run();
-            await sleep(loop.isLoading() ? loadingReportInterval : weightAgent.reportInterval, ended.signal);
+            const isChanging = loop.isLoading() || loop.isDraining();
+            await sleep(isChanging ? loadingReportInterval : weightAgent.reportInterval, ended.signal);
         }
     }
 }
--- a/src/runtime/rollout/planLoad.ts
+++ b/src/runtime/rollout/planLoad.ts
@@ -11,6 +11,15 @@
     readonly waveInterval: Milliseconds;
     /** Time after which an order without effect is given again. */
     readonly repeatAfter: Milliseconds;
+    /** Longest time in which requests in progress may finish before the engine loads. */
+    readonly drainBeforeLoad: Milliseconds;
+}
+
+/** Transfer of a version of which chunks are still missing. */
+export interface VersionTransfer {
+    readonly version: number;
+    /** Share of the chunks that are held and verified, from 0 to 1. */
+    readonly share: number;
 }
 
 /** Version that an agent was told to load. */
@@ -28,6 +37,10 @@
     readonly wanted: readonly WantedVersion[];
     /** Newest version of which every chunk is held and verified; undefined if there is none. */
     readonly target: number | undefined;
+    /** Transfer of a newer version than the target; undefined if there is none. */
+    readonly transfer: VersionTransfer | undefined;
+    /** Monotonic time since which the engine gets no new requests, so that it can load. */
+    readonly drainingSince: Milliseconds | undefined;
     readonly self: string;
     /** Backend servers of the service that serve, this one included. */
     readonly members: readonly string[];
@@ -40,6 +53,8 @@
 /** Result of {@link planLoad}. */
 export type LoadDecision =
     | { readonly kind: "load"; readonly version: number; readonly reason: string; }
+    /** No new requests, while the last chunks arrive. */
+    | { readonly kind: "drain"; readonly version: number; readonly reason: string; }
     | { readonly kind: "wait"; readonly reason: string; };
 
 /**
@@ -57,22 +72,55 @@
     return Math.floor(ranked.indexOf(self) * waves / ranked.length);
 }
 
+/** How many times the time to drain an engine may go without requests while it waits for chunks. */
+const longestDrains = 2;
+
+/** Monotonic time from which on the engine may stop serving to load a version. */
+function findTurn(
+    input: LoadInput,
+    loaded: number,
+    version: number,
+): { readonly wave: number; readonly at: Milliseconds; } {
+    const { members, options, self, wanted } = input;
+    const oldestMissing = wanted.filter(candidate => candidate.version > loaded).at(-1) ?? wanted[0]!;
+    const wave = chooseWave(members, self, version, options.waves);
+    return { wave, at: oldestMissing.declaredAt + options.firstWaveAfter + wave * options.waveInterval };
+}
+
+/** Decides whether requests in progress should finish now, since the last chunks will have arrived by then. */
+function planDrain(input: LoadInput, loaded: number): LoadDecision {
+    const missing: LoadDecision = { kind: "wait", reason: "chunks are missing" };
+    const { drainingSince, now, options, transfer, wanted } = input;
+    const declared = wanted.find(({ version }) => version === transfer?.version);
+    if (transfer === undefined || declared === undefined || transfer.share === 0 || loaded === 0) {
+        return missing;
+    }
+    if (drainingSince !== undefined && now - drainingSince >= longestDrains * options.drainBeforeLoad) {
+        return { kind: "wait", reason: "the last chunks take longer than expected" };
+    }
+    const remaining = (now - declared.declaredAt) * (1 - transfer.share) / transfer.share;
+    const { at, wave } = findTurn(input, loaded, transfer.version);
+    const isDue = now >= at && (drainingSince !== undefined || remaining <= options.drainBeforeLoad);
+    return isDue ? { kind: "drain", version: transfer.version, reason: `turn of group ${wave}` } : missing;
+}
+
 /**
  * Decides whether the engine is to load the target version now. An engine without weights loads at once; the others go
- * in groups, timed from the declaration of the oldest version that they still lack.
+ * in groups, timed from the declaration of the oldest version that they still lack. An engine whose turn has come while
+ * the last chunks arrive lets its requests finish meanwhile.
  *
  * @param input - engine, versions and progress of the transfer
  * @returns the order to give, or why there is none
  */
 export function planLoad(input: LoadInput): LoadDecision {
-    const { members, model, now, options, orderedAt, report, self, target, wanted } = input;
+    const { model, now, options, orderedAt, report, target, wanted } = input;
     const { weights } = report;
     const loaded = weights?.complete === true && weights.model === model ? weights.version : 0;
     if (loaded >= wanted[0]!.version) {
         return { kind: "wait", reason: "the newest version is loaded" };
     }
     if (target === undefined || loaded >= target) {
-        return { kind: "wait", reason: "chunks are missing" };
+        return report.busy ? { kind: "wait", reason: "chunks are missing" } : planDrain(input, loaded);
     }
     if (report.busy) {
         return { kind: "wait", reason: "the engine carries out an order" };
@@ -83,10 +131,8 @@
     if (loaded === 0) {
         return { kind: "load", version: target, reason: "no weights are loaded" };
     }
-    const oldestMissing = wanted.filter(({ version }) => version > loaded).at(-1) ?? wanted[0]!;
-    const wave = chooseWave(members, self, target, options.waves);
-    const loadAt = oldestMissing.declaredAt + options.firstWaveAfter + wave * options.waveInterval;
-    return now >= loadAt ?
+    const { at, wave } = findTurn(input, loaded, target);
+    return now >= at ?
         { kind: "load", version: target, reason: `turn of group ${wave}` } :
         { kind: "wait", reason: `group ${wave} loads later` };
 }
--- a/test/runtime/rollout/rollout.test.ts
+++ b/test/runtime/rollout/rollout.test.ts
@@ -17,11 +17,13 @@
         model: "quill",
         wanted: [{ version: 2, declaredAt: 1_000 }],
         target: 2,
+        transfer: undefined,
+        drainingSince: undefined,
         self: "a",
         members,
         orderedAt: undefined,
         now: 10_000,
-        options: { waves: 3, firstWaveAfter: 2_000, waveInterval: 1_000, repeatAfter: 3_000 },
+        options: { waves: 3, firstWaveAfter: 2_000, waveInterval: 1_000, repeatAfter: 3_000, drainBeforeLoad: 1_000 },
         ...changes,
     };
 }
@@ -61,6 +63,44 @@
     });
 });
 
+describe("end of requests before the last chunks have arrived", () => {
+    const first = members.find(self => chooseWave(members, self, 2, 3) === 0)!;
+    const last = members.find(self => chooseWave(members, self, 2, 3) === 2)!;
+
+    /** The version was declared at second 1, and the first group's turn comes at second 3. */
+    function plan(changes: Partial<LoadInput> = {}): string {
+        const transfer = { version: 2, share: 0.75 };
+        return planLoad(createInput({ target: 1, transfer, self: first, now: 4_000, ...changes })).kind;
+    }
+
+    it("begins when the rest takes no longer than the requests in progress", () => {
+        expect(plan()).toEqual("drain");
+        expect(plan({ transfer: { version: 2, share: 0.7 } })).toEqual("wait");
+    });
+
+    it("waits for the turn of the group", () => {
+        expect(plan({ self: last })).toEqual("wait");
+        expect(plan({ self: last, now: 5_000, transfer: { version: 2, share: 0.9 } })).toEqual("drain");
+    });
+
+    it("goes on while chunks are missing, but not forever", () => {
+        const slow = { transfer: { version: 2, share: 0.5 }, drainingSince: 4_000 };
+        expect(plan({ ...slow, now: 5_999 })).toEqual("drain");
+        expect(plan({ ...slow, now: 6_000 })).toEqual("wait");
+    });
+
+    it("is not asked for without chunks, or of an engine that carries out an order", () => {
+        const { report } = createInput();
+        expect(plan({ transfer: undefined })).toEqual("wait");
+        expect(plan({ transfer: { version: 2, share: 0 } })).toEqual("wait");
+        expect(plan({ report: { ...report, busy: true } })).toEqual("wait");
+    });
+
+    it("is followed by the load once every chunk is there", () => {
+        expect(plan({ target: 2, transfer: undefined, drainingSince: 3_500 })).toEqual("load");
+    });
+});
+
 describe("choice of the version to transfer", () => {
     const options = { copyTime: 5_000, cutoverAfter: 7_000 };
 
