Explain a request from the log files of several processes

Lines with and without a time before them are read.

Earlier decisions on a request are now written once it fails, with the time at which they were taken: a failure used to be the only line about a request that was not sampled. The test of the decision log that counted three lines expects the fourth; nothing that it checked before is left out.

--- a/src/node/cli/commandTable.ts
+++ b/src/node/cli/commandTable.ts
@@ -61,7 +61,7 @@
     {
         usage: "explain <request-id>",
         description: "show the decisions on a request, or the placement decisions on a deployment",
-        options: {},
+        options: { "--logs <file...>": "join the lines of log files instead of asking entry instances" },
         example: "goldcrestpoint explain 0198f2c0-6b1e-7c32-9d1f-0a4b5c6d7e8f",
         run: explain,
     },
--- a/src/node/cli/commands/explain.ts
+++ b/src/node/cli/commands/explain.ts
@@ -3,6 +3,7 @@
 import { createError } from "../../../types/index.js";
 import { exitCodes } from "../exitCodes.js";
 import type { CommandHandler, OperatorContext } from "../types.js";
+import { explainFromLogs } from "./explainLogs.js";
 
 const decisionSchema = z.looseObject({
     kind: z.string(),
@@ -51,10 +52,15 @@
  *
  * @param context - ports and output
  * @param id - request id or name of a deployment
+ * @param options - log files to read instead of asking entry instances
  * @returns exit code 1 if no instance keeps a decision; `PEER_UNREACHABLE` if instances that may know the request did
  * not answer
  */
-export const explain: CommandHandler = async (context, id) => {
+export const explain: CommandHandler = async (context, id, options) => {
+    const files = options["logs"];
+    if (Array.isArray(files)) {
+        return explainFromLogs(context, id, files as readonly string[]);
+    }
     const { decisions, silent } = await askEntries(context, id);
     if (silent.length > 0 && decisions.length > 0) {
         context.warn(`no answer from ${silent.join(", ")}; decisions may be missing`);
--- a/src/node/logging/decisionLog.ts
+++ b/src/node/logging/decisionLog.ts
@@ -71,7 +71,7 @@
 
 /**
  * Creates a decision log. Refusals, failures and decisions without a request are always written; others are written
- * for a share of the requests.
+ * for a share of the requests, and later if the request fails, with the time at which they were taken.
  *
  * @param options - logger, sampling and bound
  * @returns the decision log
@@ -80,6 +80,17 @@
     const { logger, instance, clock, sampleShare = 1, recentDecisions = 2_000 } = options;
     const requests = createRecentRows<RecordedDecision>(recentDecisions);
     const deployments = createRecentRows<RecordedDecision>(recentDecisions);
+    const written = new WeakSet<RecordedDecision>();
+
+    function write(recorded: RecordedDecision, isLate: boolean): void {
+        const { candidates, choice, decidedAt, deployment, details, kind, outcome, reason, requestId } = recorded;
+        const late = isLate ? { decidedAt } : {};
+        written.add(recorded);
+        logger[levels[outcome]](
+            { ...details, kind, outcome, deployment, requestId, choice, reason, candidates, ...late },
+            `${kind} decision`,
+        );
+    }
 
     function isWritten(decision: Decision): boolean {
         return decision.outcome !== "chosen" ||
@@ -91,11 +102,17 @@
         record: decision => {
             const { requestId, deployment } = decision;
             const recorded = { ...decision, decidedAt: clock.now().toISOString(), instance };
+            const earlier = requestId === undefined ? [] : [...requests.list(requestId)];
             (requestId === undefined ? deployments : requests).add(requestId ?? deployment, recorded);
-            if (isWritten(decision)) {
-                const { details, ...fields } = decision;
-                logger[levels[decision.outcome]]({ ...details, ...fields }, `${decision.kind} decision`);
+            if (!isWritten(decision)) {
+                return;
+            }
+            for (const row of earlier) {
+                if (!written.has(row)) {
+                    write(row, true);
+                }
             }
+            write(recorded, false);
         },
         recall: id => [...deployments.list(id), ...requests.list(id)],
     };
--- a/src/node/weightAgent/stageAhead.ts
+++ b/src/node/weightAgent/stageAhead.ts
@@ -44,11 +44,9 @@
             written.clear();
         }
         const { chunks, model } = set.manifest;
-        const index = chunks.findIndex((_chunk, position) =>
-            !written.has(position) && set.read(position) !== undefined
-        );
-        const content = index < 0 ? undefined : set.read(index);
-        if (content === undefined) {
+        const index = [...chunks.keys()].find(position => !written.has(position) && set.read(position) !== undefined);
+        const content = index === undefined ? undefined : set.read(index);
+        if (index === undefined || content === undefined) {
             return false;
         }
         const put = await engine.stage(model, index, content);
--- a/test/node/logging/decisionLog.test.ts
+++ b/test/node/logging/decisionLog.test.ts
@@ -58,11 +58,24 @@
         log.record({ ...routing, outcome: "refused" });
         log.record({ ...routing, outcome: "failed" });
         log.record(placement);
-        expect(lines.map(line => (JSON.parse(line) as { level: string; }).level)).toEqual(["warn", "error", "info"]);
+        const levels = lines.map(line => (JSON.parse(line) as { level: string; }).level);
+        expect(levels).toEqual(["info", "warn", "error", "info"]);
         expect(log.recall("r1")).toHaveLength(3);
         expect(log.recall("scribe").map(({ choice }) => choice)).toEqual(["assign agent-9"]);
     });
 
+    // Guards against a failed request of which the logs do not tell where it was sent.
+    it("writes the earlier decisions on a request once it fails, each with its time and only once", () => {
+        const { lines, log } = createRecorder(0);
+        log.record(routing);
+        expect(lines).toEqual([]);
+        log.record({ ...routing, kind: "retry", outcome: "failed", choice: "give-up" });
+        log.record({ ...routing, kind: "retry", outcome: "failed", choice: "give-up" });
+        const written = lines.map(line => JSON.parse(line) as { readonly msg: string; readonly decidedAt?: string; });
+        expect(written.map(({ msg }) => msg)).toEqual(["routing decision", "retry decision", "retry decision"]);
+        expect(written.map(({ decidedAt }) => decidedAt !== undefined)).toEqual([true, false, false]);
+    });
+
     // Guards against a share that is far from the one asked for; 10,000 ids give a deviation below 0.01.
     it("samples about the wanted share of the requests", () => {
         const sampled = [...Array(10_000).keys()].map(index => `request-${index}`)
--- a/test/node/weightAgent/setOrigin.test.ts
+++ b/test/node/weightAgent/setOrigin.test.ts
@@ -22,7 +22,7 @@
     const origin = createSetOrigin({
         readManifest: () => Promise.resolve(answers[reads++]!),
         readChunk: () => Promise.reject(new Error("not used here")),
-    }, (_set, manifest) => kept.push(manifest.chunks[0]!.digest));
+    }, (...[, manifest]) => kept.push(manifest.chunks[0]!.digest));
     const manifest = await origin.readManifest("scribe@2");
     return { outcome: manifest.isOk ? manifest.value.chunks[0]!.digest : manifest.error.code, kept };
 }
--- a/test/node/weightAgent/staging.test.ts
+++ b/test/node/weightAgent/staging.test.ts
@@ -14,7 +14,7 @@
 }
 
 function createManifest(version: string, chunks: number): Manifest {
-    const contents = Array.from({ length: chunks }, (_chunk, index) => createContent(version, index));
+    const contents = [...Array(chunks).keys()].map(index => createContent(version, index));
     return {
         model: "scribe",
         adapter: "",
@@ -38,8 +38,8 @@
         readReport: unused,
         load: unused,
         listStaged: () => Promise.resolve(ok([...staged.keys()])),
-        readStaged: (_model, index) => Promise.resolve(ok(staged.get(index))),
-        stage: (_model, index, content) => {
+        readStaged: (...[, index]) => Promise.resolve(ok(staged.get(index))),
+        stage: (...[, index, content]) => {
             staged.set(index, content);
             writes.push(index);
             return Promise.resolve(ok(undefined));
@@ -102,13 +102,12 @@
         const manifest = createManifest("2", 8);
         engine.staged.set(3, createContent("1", 3));
         let spoilt = false;
-        const { stage } = engine;
         const spoiling: EngineControlPort = {
             ...engine,
             stage: (model, index, content) => {
                 const isSpoilt = index === 5 && !spoilt;
                 spoilt ||= isSpoilt;
-                return stage(model, index, isSpoilt ? Buffer.from("bad") : content);
+                return engine.stage(model, index, isSpoilt ? Buffer.from("bad") : content);
             },
         };
         const summary = await stageWeights(spoiling, manifest, index => createContent("2", index));
--- /dev/null
+++ b/test/runtime/explain/explainRequest.test.ts
@@ -0,0 +1,148 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { explainRequest, type LogLine, parseLogLine } from "../../../src/runtime/explain/index.js";
+
+const begin = Date.parse("2026-12-04T10:00:00.000Z");
+
+interface Written {
+    readonly at: number;
+    readonly instance: string;
+    readonly msg: string;
+    readonly fields?: Readonly<Record<string, unknown>>;
+    /** How far the clock of the process is ahead, in milliseconds. */
+    readonly ahead?: number;
+}
+
+/** Lines as a collector writes them: with a common time in seconds and the name of the process. */
+function collect(written: readonly Written[], withTime = true): LogLine[] {
+    return written.map(({ ahead = 0, at, fields, instance, msg }, position) => {
+        const time = new Date(begin + at + ahead).toISOString();
+        const json = JSON.stringify({ level: "info", time, program: "gateway", instance, ...fields, msg });
+        return parseLogLine(withTime ? `  ${(at / 1_000).toFixed(4)} ${instance} ${json}` : json, position)!;
+    });
+}
+
+const requestId = "5d1c";
+
+describe("line of a log", () => {
+    it("is read with and without a common time before it", () => {
+        const json = `{"time":"2026-12-04T10:00:00.000Z","instance":"front-1","msg":"stopped","peer":"a"}`;
+        expect(parseLogLine(json, 3)).toEqual(expect.subset({ writtenAt: begin, commonTime: undefined, position: 3 }));
+        expect(parseLogLine(` -11.5 front-1 ${json}`, 0)?.commonTime).toEqual(-11_500);
+    });
+
+    it("counts at the time of its decision if it was written later", () => {
+        const json = `{"time":"2026-12-04T10:00:02.000Z","decidedAt":"2026-12-04T10:00:00.500Z",` +
+            `"instance":"front-1","msg":"routing decision"}`;
+        expect(parseLogLine(`2.1 front-1 ${json}`, 0)).toEqual(
+            expect.subset({ writtenAt: begin + 500, commonTime: 600 }),
+        );
+    });
+
+    it("is left out if it is cut or of another program", () => {
+        for (const text of ["", "from second 4", `{"time":"2026-12-04T10:00:0`, "[1]", `{"msg":"no time"}`]) {
+            expect(parseLogLine(text, 0)).toEqual(undefined);
+        }
+    });
+});
+
+describe("explanation of a request", () => {
+    it("is undefined if no line names it", () => {
+        expect(explainRequest(collect([{ at: 0, instance: "front-1", msg: "stopped" }]), requestId)).toEqual(undefined);
+    });
+
+    it("says why it was refused as overloaded", () => {
+        const fields = {
+            requestId,
+            outcome: "refused",
+            reason: "deadline-unreachable",
+            queued: 13,
+            open: 73,
+            retryAfterSeconds: 0.4,
+        };
+        const lines = collect([{ at: 10, instance: "front-1", msg: "admission decision", fields }]);
+        expect(explainRequest(lines, requestId)?.causes).toEqual([
+            "refused without having run (deadline-unreachable): 13 requests waited and 73 were in progress at the " +
+            "gateway; it was told to come back after 0.4 s",
+        ]);
+    });
+
+    it("names the configuration that had no route for it, and when it came into force", () => {
+        const rejected = { requestId, status: 404, reason: "no-route", host: "a.example", path: "/b/", revision: 7 };
+        const lines = collect([
+            { at: -9_000, instance: "front-1", msg: "configuration in force", fields: { revision: 6 } },
+            { at: -8_000, instance: "front-1", msg: "configuration in force", fields: { revision: 7 } },
+            { at: -7_000, instance: "front-2", msg: "configuration in force", fields: { revision: 7 } },
+            { at: 0, instance: "front-1", msg: "request rejected", fields: rejected },
+            { at: 50, instance: "front-1", msg: "configuration in force", fields: { revision: 8 } },
+        ]);
+        const explanation = explainRequest(lines, requestId)!;
+        expect(explanation.causes).toEqual(["answered 404: configuration 7 has no route for a.example/b/"]);
+        expect(explanation.timeline.map(({ after, relation }) => [relation, after])).toEqual([
+            ["configuration", -8_000],
+            ["request", 0],
+        ]);
+    });
+
+    it("shows what was believed of a backend server that broke, and what the agent beside it did", () => {
+        const failure = {
+            requestId,
+            peer: "i-9",
+            outcome: "failed",
+            choice: "give-up",
+            reason: "the attempts are used up",
+            failure: "connection-lost",
+            detail: "other side closed",
+        };
+        const lines = collect([
+            { at: -60_000, instance: "side-4", msg: "agent started", fields: { engine: "10.0.0.9:80" } },
+            {
+                at: -30_000,
+                instance: "front-1",
+                msg: "backend server changed",
+                fields: { peer: "i-9", address: "10.0.0.9:80" },
+            },
+            {
+                at: 0,
+                instance: "front-1",
+                msg: "routing decision",
+                fields: { requestId, outcome: "chosen", choice: "i-9" },
+            },
+            { at: 20, instance: "side-4", msg: "engine not reachable", fields: { peer: "10.0.0.9:80" }, ahead: 2_000 },
+            { at: 30, instance: "front-1", msg: "retry decision", fields: failure },
+            { at: 35, instance: "front-1", msg: "backend server reported", fields: { peer: "i-9", phase: "lapsed" } },
+            { at: 36, instance: "front-1", msg: "backend server reported", fields: { peer: "i-8", phase: "serving" } },
+            { at: 37, instance: "front-1", msg: "retry decision", fields: { ...failure, requestId: "another" } },
+        ]);
+        const explanation = explainRequest(lines, requestId)!;
+        expect(explanation.causes).toEqual([
+            "backend server i-9 failed (connection-lost: other side closed); it was not sent on: " +
+            "the attempts are used up",
+        ]);
+        expect(explanation.timeline.map(({ line, relation }) => `${relation}: ${line.message}`)).toEqual([
+            "request: routing decision",
+            "agent: engine not reachable",
+            "request: retry decision",
+            "backend-server: backend server reported",
+        ]);
+    });
+
+    it("shows differences between clocks, and orders lines by the time that they share", () => {
+        const fields = { requestId, outcome: "chosen", choice: "i-9" };
+        const written: readonly Written[] = [
+            { at: 0, instance: "front-1", msg: "routing decision", fields },
+            { at: 10, instance: "front-2", msg: "routing decision", fields, ahead: -500 },
+            { at: 20, instance: "front-1", msg: "routing decision", fields },
+        ];
+        const shared = explainRequest(collect(written), requestId)!;
+        expect(shared.clocksCompared).toEqual(true);
+        expect(shared.timeline.map(({ line, clockAhead }) => [line.instance, Math.round(clockAhead!)])).toEqual([
+            ["front-1", 0],
+            ["front-2", -500],
+            ["front-1", 0],
+        ]);
+        const own = explainRequest(collect(written, false), requestId)!;
+        expect(own.clocksCompared).toEqual(false);
+        expect(own.timeline.map(({ clockAhead }) => clockAhead)).toEqual([undefined, undefined, undefined]);
+    });
+});
