--- a/src/node/cli/commandLine.ts
+++ b/src/node/cli/commandLine.ts
@@ -1,6 +1,7 @@
 import { Command, CommanderError } from "commander";
 import type { Result } from "true-myth/result";
 import type { GoldcrestpointError } from "../../types/index.js";
+import { renderEventsDocumentation } from "../logging/index.js";
 import { renderSettingsDocumentation, resolveOperatorSettings } from "../settings/index.js";
 import {
     daemonCommands,
@@ -120,6 +121,9 @@
     program.command("settings")
         .description("write the reference of all settings as Markdown")
         .action(() => dependencies.writeOutput(renderSettingsDocumentation()));
+    program.command("events")
+        .description("write the reference of all log lines as Markdown")
+        .action(() => dependencies.writeOutput(renderEventsDocumentation()));
     return program;
 }
 
