--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,53 +1,10 @@
 import { expect } from "earl";
 import { request as sendRequest } from "node:http";
 import { describe, it } from "node:test";
-import { operatorConfiguration, startDeployment, type TestDeployment, waitUntil } from "./standIn/deployment.js";
+import { call } from "./standIn/caller.js";
+import { operatorConfiguration, startDeployment, waitUntil } from "./standIn/deployment.js";
 import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
 
-interface Answer {
-    readonly status: number;
-    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-    readonly body: string;
-    /** False if the connection ended within the body. */
-    readonly complete: boolean;
-}
-
-let attempts = 0;
-
-function call(
-    { gatewayUrl }: TestDeployment,
-    path: string,
-    options: { readonly method?: string; readonly headers?: Record<string, string>; readonly body?: string; } = {},
-): Promise<Answer> {
-    attempts++;
-    return new Promise((resolve, reject) => {
-        const request = sendRequest(gatewayUrl + path, {
-            method: options.method ?? "GET",
-            headers: {
-                host: "members.example",
-                "attempt-id": `attempt-${attempts}`,
-                "deadline-ms": "1500",
-                authorization: "Token key-1",
-                ...options.headers,
-            },
-        }, response => {
-            const parts: Buffer[] = [];
-            const finish = (complete: boolean): void =>
-                resolve({
-                    status: response.statusCode ?? 0,
-                    headers: response.headers,
-                    body: Buffer.concat(parts).toString(),
-                    complete,
-                });
-            response.on("data", (part: Buffer) => parts.push(part));
-            response.on("end", () => finish(response.complete));
-            response.on("error", () => finish(false));
-        });
-        request.on("error", reject);
-        request.end(options.body);
-    });
-}
-
 describe("gateway on the platform", () => {
     it("passes a request on with the account in place of the key, and the answer back unchanged", async () => {
         await using deployment = await startDeployment();
--- a/test/platform/standIn/deployment.ts
+++ b/test/platform/standIn/deployment.ts
@@ -1,9 +1,9 @@
 import { createServer } from "node:net";
-import { pino } from "pino";
 import { createCallerProtocol } from "../../../platform/callerProtocol.js";
 import { createRecordDecoder } from "../../../platform/recordDecoder.js";
 import { createStoreClient } from "../../../platform/storeClient.js";
 import { startGateway } from "../../../src/node/gateway/index.js";
+import { createLogger } from "../../../src/node/logging/index.js";
 import { resolveGatewaySettings } from "../../../src/node/settings/index.js";
 import { createDisposalStack, createSystemClock, type DisposalStack } from "../../../src/utils/index.js";
 import { expectOk } from "../../node/support.js";
@@ -29,6 +29,8 @@
     readonly stack: DisposalStack;
     readonly gatewayUrl: string;
     readonly readyUrl: string;
+    /** Lines that the gateway has logged. */
+    readonly logLines: readonly string[];
     /** Starts a runner of the plain service and lists it. */
     addRunner(options: RunnerStandInOptions, entry?: Readonly<Record<string, unknown>>): Promise<RunnerStandIn>;
     /** Writes the configuration with changed fields. */
@@ -102,6 +104,8 @@
         },
     }));
     const log = stack.use(createStoreClient({ address: store.address }));
+    const logLines: string[] = [];
+    const destination = { write: (line: string) => void logLines.push(line) };
     const gateway = stack.use(expectOk(
         await startGateway(settings, {
             log,
@@ -110,7 +114,7 @@
             clock: createSystemClock(),
             random: { next: Math.random },
             readyPath: "/api/ready",
-        }, pino({ level: "silent" })),
+        }, createLogger({ level: "info", program: "gateway", instance: "gateway-1", destination })),
     ));
     const readyUrl = `http://127.0.0.1:${readyPort}/api/ready`;
 
@@ -118,6 +122,7 @@
         store,
         stack,
         readyUrl,
+        logLines,
         gatewayUrl: `http://127.0.0.1:${callerPort}`,
         addRunner: async (options, entry = {}) => {
             const runner = stack.use(await startRunnerStandIn(options));
