Serve requests that can still be answered in time before those that are late

Cause: under overload, refused callers return once, late already, and took the places of others, which were then late or refused in turn.

Change: the time that a caller has waited is estimated from its patience and the usual one of its route; requests that have missed their target start after the others of their priority, and only while a tenth of the places is free.

--- /dev/null
+++ b/bench/days/simulation.ts
@@ -0,0 +1,328 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import {
+    type AdmissionProgress,
+    expireRequests,
+    finishRequest,
+    offerRequest,
+    resolveAdmissionOptions,
+    setCapacity,
+} from "../../src/runtime/admission/index.js";
+import { computeCapacity, estimateWaited } from "../../src/runtime/gateway/index.js";
+import { creditRequest, decideRetry, resolveRetryOptions } from "../../src/runtime/retry/index.js";
+import { applyLoadReport, recordOutcome, type RunnerLoadReport } from "../../src/runtime/routing/index.js";
+import type { Milliseconds, Refusal, RequestRow } from "../../src/types/index.js";
+import { createSeededRandom } from "../../src/utils/index.js";
+import { createEngine, type Engine } from "./engine.js";
+import { type Attempt, createGateways, type Gateway } from "./gateways.js";
+import { type Policy, routingOptions } from "./policies.js";
+import { dayLength, type Scenario } from "./scenarios.js";
+import {
+    accountWeights,
+    callerTries,
+    enginesPerZone,
+    meanAnswerTokens,
+    meanPromptTokens,
+    measureCapacity,
+    patience,
+    pickWeighted,
+    reportDelay,
+    reportInterval,
+    sampleExponential,
+    target,
+    tick,
+    urgentShare,
+    waitShare,
+    zones,
+} from "./sizes.js";
+import { type Caller, type DayResult, summarizeDay } from "./summary.js";
+
+/**
+ * Plays one day in virtual time.
+ *
+ * @param day - name of the day
+ * @param scenario - the day
+ * @param policyName - name of the policy
+ * @param createPolicy - creates the policy of one gateway
+ * @param seed - seed of arrivals, sizes and choices
+ * @returns what callers saw
+ */
+export function playDay(
+    day: string,
+    scenario: Scenario,
+    policyName: string,
+    createPolicy: () => Policy,
+    seed: number,
+): DayResult {
+    const arrivals = createSeededRandom(seed);
+    const choices = createSeededRandom(seed + 1);
+    const retryOptions = resolveRetryOptions({ budgetShare: 0.1, budgetPerSecond: 0.5, budgetMaximum: 10 });
+    const admissionOptions = resolveAdmissionOptions({
+        maximumInProgress: 1_000,
+        retryAfterStepSeconds: 0.05,
+        maximumRetryAfterSeconds: 2,
+    });
+    const attempts = new Map<string, Attempt>();
+    const callers: Caller[] = [];
+    const returns: { readonly at: Milliseconds; readonly caller: Caller; readonly gateway: Gateway; }[] = [];
+    const reports: { readonly at: Milliseconds; readonly instance: string; readonly report: RunnerLoadReport; }[] = [];
+    const firstTokens: Histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: 100_000 });
+    const counts = { refused: 0, resent: 0, returned: 0 };
+    let now: Milliseconds = 0;
+    let nextArrival = 0;
+    let replicasAt: Milliseconds | undefined;
+
+    const engines: Engine[] = zones.flatMap(zone =>
+        [...Array(enginesPerZone).keys()].map(index =>
+            createEngine(`${zone}-${index}`, zone, {
+                firstToken: (requestId, at) => noteFirstToken(requestId, at),
+                finished: requestId => release(requestId, "succeeded"),
+                broken: requestId => fail(requestId, "connection-lost", "unknown"),
+            })
+        )
+    );
+    const gateways = createGateways(engines, createPolicy, admissionOptions, retryOptions);
+
+    function noteFirstToken(requestId: string, at: Milliseconds): void {
+        const attempt = attempts.get(requestId);
+        if (attempt === undefined || attempt.begun) {
+            return;
+        }
+        attempt.begun = true;
+        if (attempt.runner !== undefined) {
+            attempt.runner.awaitingFirst--;
+        }
+        const { caller } = attempt;
+        caller.inAim = at - caller.begunAt <= target;
+        caller.answered = at - caller.begunAt <= patience;
+        firstTokens.recordValue(Math.max(1, Math.round(at - caller.begunAt)));
+    }
+
+    function detach(attempt: Attempt, outcome: "succeeded" | "failed" | "neutral"): void {
+        const { runner } = attempt;
+        if (runner === undefined) {
+            return;
+        }
+        runner.outstanding--;
+        runner.awaitingFirst -= attempt.begun ? 0 : 1;
+        attempt.runner = undefined;
+        recordOutcome(runner, outcome, now, routingOptions);
+    }
+
+    function release(requestId: string, outcome: "succeeded" | "failed" | "neutral"): void {
+        const attempt = attempts.get(requestId);
+        if (attempt === undefined) {
+            return;
+        }
+        attempts.delete(requestId);
+        detach(attempt, outcome);
+        if (attempt.gateway.policy.queues) {
+            apply(attempt.gateway, finishRequest(attempt.gateway.table, requestId, now));
+        }
+    }
+
+    function fail(requestId: string, reason: Refusal["reason"], ran: Refusal["ran"]): void {
+        const attempt = attempts.get(requestId);
+        if (attempt === undefined) {
+            return;
+        }
+        if (attempt.runner !== undefined) {
+            attempt.excluded.add(attempt.runner.instance);
+        }
+        detach(attempt, reason === "queue-full" ? "neutral" : "failed");
+        attempt.attempts++;
+        const decision = decideRetry({
+            request: attempt.request,
+            refusal: { ran, reason, retryAfterSeconds: 0.2 },
+            backendServerCrashed: false,
+            attempts: attempt.attempts,
+            // Streams of the users' sites are resumed.
+            answerBegun: false,
+            mayHaveRun: ran === "unknown",
+            standing: "clear",
+            budget: attempt.gateway.budget,
+            now,
+            options: retryOptions,
+        });
+        if (decision.kind === "retry") {
+            counts.resent++;
+            send(attempt);
+            return;
+        }
+        release(requestId, "neutral");
+        if (ran === "no") {
+            refuse(attempt.caller, attempt.gateway, decision.refusal.retryAfterSeconds);
+        }
+    }
+
+    function refuse(caller: Caller, gateway: Gateway, retryAfterSeconds: number): void {
+        counts.refused++;
+        const left = caller.begunAt + patience - now;
+        const wait = Math.min(retryAfterSeconds * 1_000, left / 3);
+        if (caller.tries < callerTries && left > wait + 50) {
+            counts.returned++;
+            returns.push({ at: now + wait, caller, gateway });
+        }
+    }
+
+    function send(attempt: Attempt): void {
+        const { caller, excluded, gateway, request } = attempt;
+        const runner = gateway.policy.choose({
+            runners: gateway.runners,
+            zone: gateway.zone,
+            excluded,
+            now,
+            random: choices,
+        });
+        if (runner === undefined) {
+            release(request.requestId, "neutral");
+            refuse(caller, gateway, 1);
+            return;
+        }
+        runner.outstanding++;
+        runner.awaitingFirst += attempt.begun ? 0 : 1;
+        attempt.runner = runner;
+        const engine = engines.find(({ instance }) => instance === runner.instance)!;
+        const { answerTokens, promptTokens } = caller;
+        if (!engine.offer({ requestId: request.requestId, promptTokens, answerTokens })) {
+            fail(request.requestId, "queue-full", "no");
+        }
+    }
+
+    function apply(gateway: Gateway, progress: AdmissionProgress): void {
+        for (const { requestId } of progress.start) {
+            send(attempts.get(requestId)!);
+        }
+        for (const { refusal, request } of progress.refuse) {
+            const { caller } = attempts.get(request.requestId)!;
+            attempts.delete(request.requestId);
+            refuse(caller, gateway, refusal.retryAfterSeconds);
+        }
+    }
+
+    function adapt(gateway: Gateway): void {
+        const serving = gateway.runners.filter(({ ejectedUntil, phase }) => phase === "serving" && ejectedUntil <= now);
+        const capacity = computeCapacity({
+            runners: serving.map(runner => ({ runner, isFollowed: true })),
+            gateways: gateways.length,
+            now,
+            options: { queuedPerServer: 0, loadHalfLife: routingOptions.loadHalfLife },
+        });
+        apply(gateway, setCapacity(gateway.table, capacity, now));
+        apply(gateway, expireRequests(gateway.table, now));
+    }
+
+    function arrive(caller: Caller, gateway: Gateway): void {
+        caller.tries++;
+        const left = caller.begunAt + patience - now;
+        const missedTarget = estimateWaited(gateway.patience, "route", left) > target;
+        const request: RequestRow = {
+            requestId: `${caller.id}-${caller.tries}`,
+            deployment: "model",
+            clientAccount: caller.account,
+            priority: caller.urgent ? 8 : 5,
+            deadline: gateway.policy.queues ? now + target * waitShare : caller.begunAt + patience,
+            receivedAt: now,
+            idempotent: true,
+            idempotencyKey: undefined,
+            fingerprint: "",
+            prefix: undefined,
+            missedTarget: gateway.policy.ranksLate && missedTarget,
+        };
+        const attempt: Attempt = {
+            caller,
+            gateway,
+            request,
+            excluded: new Set(),
+            attempts: 0,
+            runner: undefined,
+            begun: false,
+        };
+        attempts.set(request.requestId, attempt);
+        creditRequest(gateway.budget, now, retryOptions);
+        if (!gateway.policy.queues) {
+            send(attempt);
+            return;
+        }
+        adapt(gateway);
+        const decision = offerRequest(gateway.table, request, now);
+        if (decision.kind === "start") {
+            send(attempt);
+        }
+        else if (decision.kind === "refuse") {
+            attempts.delete(request.requestId);
+            refuse(caller, gateway, decision.refusal.retryAfterSeconds);
+        }
+    }
+
+    function createArrivals(): void {
+        const perMillisecond = measureCapacity() * scenario.load(now) / 1_000;
+        while (nextArrival <= now) {
+            const caller: Caller = {
+                id: callers.length,
+                account: `account-${pickWeighted(accountWeights, arrivals)}`,
+                urgent: arrivals.next() < urgentShare,
+                begunAt: now,
+                promptTokens: Math.ceil(sampleExponential(meanPromptTokens, arrivals)),
+                answerTokens: Math.ceil(sampleExponential(meanAnswerTokens, arrivals)),
+                tries: 0,
+                inAim: false,
+                answered: false,
+            };
+            callers.push(caller);
+            arrive(caller, gateways[Math.floor(arrivals.next() * gateways.length)]!);
+            nextArrival += sampleExponential(1 / perMillisecond, arrivals);
+        }
+    }
+
+    function deliverReports(): void {
+        if (now % reportInterval === 0) {
+            reports.push(
+                ...engines.map(engine => ({
+                    at: now + reportDelay,
+                    instance: engine.instance,
+                    report: engine.report(),
+                })),
+            );
+        }
+        while (reports[0] !== undefined && reports[0].at <= now) {
+            const { at, instance, report } = reports.shift()!;
+            for (const { runners } of gateways) {
+                applyLoadReport(
+                    runners.find(row => row.instance === instance)!,
+                    { ...report, age: now - at + reportDelay },
+                    now,
+                );
+            }
+        }
+    }
+
+    for (now = 0; now <= dayLength + patience; now += tick) {
+        scenario.act({ engines, random: choices }, now);
+        deliverReports();
+        engines.forEach(engine => engine.advance(now, tick));
+        for (const due of returns.filter(({ at }) => at <= now)) {
+            returns.splice(returns.indexOf(due), 1);
+            arrive(due.caller, due.gateway);
+        }
+        if (now <= dayLength) {
+            createArrivals();
+        }
+        gateways.filter(({ policy }) => policy.queues).forEach(adapt);
+        const { wanted } = scenario;
+        if (
+            wanted !== undefined && now > wanted.declaredAt && engines.every(({ version }) => version >= wanted.version)
+        ) {
+            replicasAt ??= now - wanted.declaredAt;
+        }
+    }
+
+    return summarizeDay({
+        day,
+        policy: policyName,
+        seconds: dayLength / 1_000,
+        callers,
+        ...counts,
+        firstTokenP95: firstTokens.getValueAtPercentile(95),
+        timeToReplicas: replicasAt,
+    });
+}
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -1,6 +1,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { err, ok, type Result } from "true-myth/result";
-import { anonymousAccount, chooseService, resolveRoute, type RouteTable } from "../../runtime/gateway/index.js";
+import {
+    anonymousAccount,
+    chooseService,
+    createPatienceTable,
+    estimateWaited,
+    resolveRoute,
+    type RouteTable,
+} from "../../runtime/gateway/index.js";
 import {
     type CallerCall,
     type CallerLimits,
@@ -91,6 +98,7 @@
     const { clock, metrics, protocol } = input;
     let open = 0;
     let closing = false;
+    const patience = createPatienceTable();
 
     function reject(
         incoming: IncomingMessage,
@@ -120,6 +128,10 @@
         });
     }
 
+    function hasMissedTarget(call: CallerCall, route: RouteRow): boolean {
+        return call.patience !== undefined && estimateWaited(patience, route.name, call.patience) > route.targetLatency;
+    }
+
     function measureTime(call: CallerCall, route: RouteRow): Milliseconds {
         return Math.min(call.patience ?? route.timeout, route.timeout);
     }
@@ -182,6 +194,7 @@
                     idempotencyKey: undefined,
                     fingerprint: "",
                     prefix: undefined,
+                    missedTarget: hasMissedTarget(call, route),
                 },
                 call,
                 route,
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -153,6 +153,12 @@
             initial: 0.5,
             documentation: "Share of the places that one client account may take while others wait.",
         }),
+        lateShare: defineNumber({
+            minimum: 0.01,
+            maximum: 1,
+            initial: 0.9,
+            documentation: "Share of the places that are filled before a request that has missed its target may start.",
+        }),
         serviceTimeWeight: defineNumber({
             minimum: 0.001,
             maximum: 1,
--- a/src/runtime/admission/admission.ts
+++ b/src/runtime/admission/admission.ts
@@ -1,5 +1,5 @@
 import type { ClientAccount, Milliseconds, Refusal, RefusalReason, RequestId, RequestRow } from "../../types/index.js";
-import { compareUrgency, computeExpectedWait, countAhead, dequeue, enqueue, findNext } from "./order.js";
+import { compareUrgency, computeExpectedWait, countAhead, dequeue, enqueue, findNext, mayStartLate } from "./order.js";
 import { createRefusal } from "./refusals.js";
 import type { AdmissionDecision, AdmissionProgress, AdmissionTable } from "./types.js";
 
@@ -33,7 +33,8 @@
     if (table.alone.has(request.requestId)) {
         return table.inProgress.size === 0;
     }
-    return table.inProgress.size < table.capacity && !isAloneInProgress(table);
+    const hasPlace = table.inProgress.size < table.capacity && (request.missedTarget !== true || mayStartLate(table));
+    return hasPlace && !isAloneInProgress(table);
 }
 
 /** Starts queued requests while there are places; a request that has to run alone lets the others finish first. */
--- a/src/runtime/admission/options.ts
+++ b/src/runtime/admission/options.ts
@@ -11,6 +11,7 @@
         maximumInProgress: 256,
         maximumQueued: 512,
         maximumAccountShare: 0.5,
+        lateShare: 0.9,
         serviceTimeWeight: 0.1,
         initialServiceTime: 200,
         maximumRetryAfterSeconds: 30,
--- a/src/runtime/admission/order.ts
+++ b/src/runtime/admission/order.ts
@@ -26,14 +26,26 @@
 }
 
 /**
- * Compares requests by priority, then deadline, then arrival.
+ * Compares requests by priority, then by whether they can still be answered in time, then deadline, then arrival. A
+ * request that has missed its target gains little from an earlier place, which would make another one miss its own.
  *
  * @param left - a request
  * @param right - another request
  * @returns negative if `left` comes first
  */
 export function compareUrgency(left: RequestRow, right: RequestRow): number {
-    return right.priority - left.priority || left.deadline - right.deadline || left.receivedAt - right.receivedAt;
+    return right.priority - left.priority || Number(left.missedTarget ?? false) - Number(right.missedTarget ?? false) ||
+        left.deadline - right.deadline || left.receivedAt - right.receivedAt;
+}
+
+/**
+ * Tells whether a request that has missed its target may start now, if there is a place at all.
+ *
+ * @param table - admission table
+ * @returns false while the last places are kept for requests that can still be answered in time
+ */
+export function mayStartLate({ capacity, inProgress, options }: AdmissionTable): boolean {
+    return inProgress.size < capacity * options.lateShare;
 }
 
 /** Counts the requests of a sorted list that are at least as urgent as a request. */
@@ -82,19 +94,24 @@
 
 /**
  * Finds the request to start next: accounts below their fair share first, among them the most urgent request; the
- * places that those accounts leave go to the most urgent request of the others.
+ * places that those accounts leave go to the most urgent request of the others. Requests that have missed their target
+ * are passed over while they may not start.
  *
  * @param table - admission table
- * @returns the request; undefined if none waits
+ * @returns the request; undefined if none waits that may start
  */
 export function findNext(table: AdmissionTable): RequestRow | undefined {
     const share = computeFairShare(table);
+    const lateMayStart = mayStartLate(table);
     let best: RequestRow | undefined;
     let bestWithin = false;
-    for (const [account, [request]] of table.queuedByAccount) {
+    for (const [account, sorted] of table.queuedByAccount) {
+        const request = lateMayStart ? sorted[0] : sorted.find(({ missedTarget }) => missedTarget !== true);
+        if (request === undefined) {
+            continue;
+        }
         const within = isWithinShare(table, account, share);
-        const better = best === undefined ||
-            (within === bestWithin ? compareUrgency(request!, best) < 0 : within);
+        const better = best === undefined || (within === bestWithin ? compareUrgency(request, best) < 0 : within);
         if (better) {
             best = request;
             bestWithin = within;
--- a/src/runtime/admission/types.ts
+++ b/src/runtime/admission/types.ts
@@ -8,6 +8,11 @@
     readonly maximumQueued: number;
     /** Share of the places that one client account may take while others wait. Default: 0.5. */
     readonly maximumAccountShare: number;
+    /**
+     * Share of the places that are filled before a request that has missed its target may start. Default: 0.9. Callers
+     * that return late would else keep others waiting until they are late as well.
+     */
+    readonly lateShare: number;
     /** Weight of the newest service time in the moving average. Default: 0.1. */
     readonly serviceTimeWeight: number;
     /** Service time assumed before the first request has finished. Default: 200 ms. */
--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -1,5 +1,6 @@
 export * from "./backendServers.js";
 export * from "./capacity.js";
 export * from "./declaredVersions.js";
+export * from "./patience.js";
 export * from "./routeTable.js";
 export * from "./weightNames.js";
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -64,6 +64,8 @@
     readonly fingerprint: Fingerprint;
     /** Digest of the beginning of the prompt; undefined for plain services. */
     readonly prefix: string | undefined;
+    /** True if the answer can no longer come within the target of its route. Default: false. */
+    readonly missedTarget?: boolean | undefined;
 }
 
 /** Identity of the weights that an answer was computed with. */
--- a/test/runtime/admission/admission.test.ts
+++ b/test/runtime/admission/admission.test.ts
@@ -45,6 +45,31 @@
         expect(listStarts(table, running)).toEqual([urgent, early, late].map(({ requestId }) => requestId));
     });
 
+    // Guards against callers who return late and take the places of those who can still be answered in time.
+    it("starts requests that have missed their target after the others of their priority", () => {
+        const { table, running } = prepare();
+        const missed = createRequest({ deadline: 8_000, missedTarget: true });
+        const inTime = createRequest({ deadline: 9_000 });
+        const urgent = createRequest({ deadline: 9_500, priority: 9, missedTarget: true });
+        for (const request of [missed, inTime, urgent]) {
+            offerRequest(table, request, 0);
+        }
+        expect(listStarts(table, running)).toEqual([urgent, inTime, missed].map(({ requestId }) => requestId));
+    });
+
+    // Guards against the last places going to late requests, and against late requests that hold up the others.
+    it("keeps the last places for requests that can still be answered in time", () => {
+        const { table } = prepare({ maximumInProgress: 10, lateShare: 0.8 });
+        const offer = (changes: Partial<RequestRow>) => offerRequest(table, createRequest(changes), 0).kind;
+        for (let index = 0; index < 7; index++) {
+            expect(offer({ missedTarget: true })).toEqual("start");
+        }
+        expect(offer({ missedTarget: true })).toEqual("queue");
+        expect(offer({})).toEqual("queue");
+        expect(expireRequests(table, 0).start.map(({ missedTarget }) => missedTarget)).toEqual([undefined]);
+        expect([table.inProgress.size, table.queued.size]).toEqual([9, 1]);
+    });
+
     // Guards against a request that waits for a deadline that it cannot meet, and against an early refusal of one that
     // can: with one place and a service time of 200 ms, the third request in line waits 600 ms.
     for (const [deadline, expected] of [[599, "refuse"], [600, "queue"]] as const) {
--- /dev/null
+++ b/test/runtime/gateway/patience.test.ts
@@ -0,0 +1,52 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { createPatienceTable, estimateWaited } from "../../../src/runtime/gateway/index.js";
+
+describe("time that a caller has waited before", () => {
+    it("is nothing for callers that are as patient as usual", () => {
+        const table = createPatienceTable();
+        expect([6_000, 6_001, 5_999, 6_000].map(patience => estimateWaited(table, "a", patience) > 10)).toEqual([
+            false,
+            false,
+            false,
+            false,
+        ]);
+    });
+
+    it("is what a caller who returns has less than the others", () => {
+        const table = createPatienceTable();
+        for (let index = 0; index < 20; index++) {
+            estimateWaited(table, "a", 6_000);
+        }
+        expect(estimateWaited(table, "a", 4_800)).toEqual(1_200);
+        expect(estimateWaited(table, "a", 6_000)).toEqual(0);
+    });
+
+    it("is known while most callers return, up to three in four", () => {
+        const table = createPatienceTable();
+        for (let index = 0; index < 200; index++) {
+            estimateWaited(table, "a", index % 3 === 0 ? 6_000 : 4_000);
+        }
+        expect(estimateWaited(table, "a", 4_000)).toEqual(2_000);
+    });
+
+    it("follows callers that become less patient, and keeps routes apart", () => {
+        const table = createPatienceTable();
+        for (let index = 0; index < 64; index++) {
+            estimateWaited(table, "a", 6_000);
+        }
+        expect(estimateWaited(table, "b", 1_500)).toEqual(0);
+        for (let index = 0; index < 64; index++) {
+            estimateWaited(table, "a", 2_000);
+        }
+        expect(estimateWaited(table, "a", 2_000)).toEqual(0);
+    });
+
+    it("keeps a bounded number of routes", () => {
+        const table = createPatienceTable();
+        for (let index = 0; index < 5_000; index++) {
+            estimateWaited(table, `route-${index}`, 1_000);
+        }
+        expect(table.routes.size).toEqual(4_096);
+    });
+});
