Shift all groups of a rollout if the chunks come late

Change: a group's turn counts from when the chunks are nearly there, up to the time at which gateways stop asking for the old version. Staged chunks are taken over four at a time after a restart. What an agent knows of versions moved out of the daemon (versionPlan).

--- a/bench/days/scenarios.ts
+++ b/bench/days/scenarios.ts
@@ -37,6 +37,7 @@
     waves: 3,
     firstWaveAfter: 3_300,
     waveInterval: 1_300,
+    lastWaveAfter: 6_200,
     repeatAfter: 3_000,
     drainBeforeLoad: 1_000,
 };
@@ -67,6 +68,7 @@
             model: "model",
             wanted: [{ version: 2, declaredAt }, { version: 1, declaredAt: 0 }],
             target: share === 1 ? 2 : 1,
+            completedAt: share === 1 ? declaredAt + transferTime : undefined,
             transfer: share === 1 ? undefined : { version: 2, share },
             drainingSince: row.drainingSince,
             self: engine.instance,
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -167,6 +167,13 @@
             initial: 1_300,
             documentation: "Time by which each group loads later than the one before.",
         }),
+        lastWaveAfterMilliseconds: defineDuration("lastWaveAfter", "Milliseconds", {
+            minimum: 0,
+            maximum: 3_600_000,
+            initial: 6_200,
+            documentation:
+                "Time after the declaration at which every group may stop serving; gateways ask for the new version soon.",
+        }),
         drainBeforeLoadMilliseconds: defineDuration("drainBeforeLoad", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
--- a/src/node/weightAgent/engineLoop.ts
+++ b/src/node/weightAgent/engineLoop.ts
@@ -19,6 +19,8 @@
     readonly wanted: readonly WantedVersion[];
     /** Manifest of the newest version of which every chunk is held; undefined if there is none. */
     readonly complete: Manifest | undefined;
+    /** Monotonic time at which its last chunk was verified. */
+    readonly completedAt: Milliseconds | undefined;
     /** Transfer of a newer version; undefined if there is none. */
     readonly transfer: VersionTransfer | undefined;
     /** Backend servers of the service that serve. */
@@ -181,6 +183,7 @@
             model: target.model,
             wanted: target.wanted,
             target: target.complete === undefined ? undefined : Number(target.complete.version),
+            completedAt: target.completedAt,
             transfer: transfer === undefined || transfer.version <= drainedInVain ? undefined : transfer,
             drainingSince,
             self: input.self,
--- a/src/node/weightAgent/importStaged.ts
+++ b/src/node/weightAgent/importStaged.ts
@@ -1,7 +1,9 @@
 import type { Logger } from "pino";
 import { initialVersion, nameWeights } from "../../runtime/gateway/index.js";
 import type { EngineControlPort, EngineReport } from "../../types/index.js";
+import { runParallel } from "../../utils/index.js";
 import type { WeightSource } from "../gateway/weightSources.js";
+import { parallelChunks } from "./stageWeights.js";
 import type { WeightMemory } from "./weightMemory.js";
 
 /**
@@ -29,12 +31,13 @@
         return;
     }
     const chunks = new Map<number, Uint8Array>();
-    for (const index of listed.value) {
+    await runParallel(listed.value, parallelChunks, async index => {
         const content = await engine.readStaged(source.model, index);
         if (content.isOk && content.value !== undefined) {
             chunks.set(index, content.value);
         }
-    }
+        return true;
+    });
     memory.import(nameWeights(source.model, version), source.chunks, chunks);
     logger.info({ model: source.model, version, chunks: chunks.size }, "staged chunks imported");
 }
--- a/src/node/weightAgent/stageWeights.ts
+++ b/src/node/weightAgent/stageWeights.ts
@@ -1,12 +1,13 @@
 import { err, ok, type Result } from "true-myth/result";
 import { verifyChunk } from "../../runtime/distribution/index.js";
 import { createError, type EngineControlPort, type GoldcrestpointError, type Manifest } from "../../types/index.js";
+import { runParallel } from "../../utils/index.js";
 
 /** Rounds in which chunks are staged and read back; spoilt ones are staged again in the next round. */
 const maximumRounds = 3;
 
 /** Chunks that are read back or written at the same time; the engine answers its own instance quickly. */
-const parallelChunks = 4;
+export const parallelChunks = 4;
 
 /** What {@link stageWeights} did. */
 export interface StagingSummary {
@@ -20,21 +21,17 @@
 
 /** Runs a step for every chunk; counts those that were written, and stops at the first error. */
 async function forEachChunk(chunks: number, step: ChunkStep): Promise<Result<number, GoldcrestpointError>> {
-    let next = 0;
     let written = 0;
     let failure: GoldcrestpointError | undefined;
-    const work = async (): Promise<void> => {
-        while (next < chunks && failure === undefined) {
-            const outcome = await step(next++);
-            if (outcome.isErr) {
-                failure = outcome.error;
-            }
-            else {
-                written += outcome.value === "written" ? 1 : 0;
-            }
+    await runParallel(Array(chunks).keys(), parallelChunks, async index => {
+        const outcome = await step(index);
+        if (outcome.isErr) {
+            failure ??= outcome.error;
+            return false;
         }
-    };
-    await Promise.all(Array.from({ length: parallelChunks }, work));
+        written += outcome.value === "written" ? 1 : 0;
+        return true;
+    });
     return failure === undefined ? ok(written) : err(failure);
 }
 
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -1,7 +1,6 @@
 import type { Logger } from "pino";
 import { err, ok, type Result } from "true-myth/result";
-import { initialVersion, nameWeights, splitWeights } from "../../runtime/gateway/index.js";
-import { chooseTarget, type VersionTransfer, type WantedVersion } from "../../runtime/rollout/index.js";
+import { nameWeights } from "../../runtime/gateway/index.js";
 import {
     type BackendServerPort,
     type Clock,
@@ -9,7 +8,6 @@
     type GoldcrestpointError,
     type KeyedLogPort,
     type ListedBackendServer,
-    type Manifest,
     type RandomSource,
     type RecordDecoder,
     type VersionOriginPort,
@@ -18,7 +16,6 @@
 import { createLinkBudget, createTransferService } from "../agent/transfer/index.js";
 import type { DrainableDaemon } from "../daemon/runDaemon.js";
 import { startOwned } from "../daemon/startOwned.js";
-import { readWeightSource, type WeightSource } from "../gateway/weightSources.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { splitAddress } from "../httpServer/index.js";
 import { createRecordStore, createRelayFollowers } from "../replica/index.js";
@@ -28,7 +25,8 @@
 import { createLoadFeed } from "./loadFeed.js";
 import { listRelays, readGatewaysWithoutRelays } from "./relays.js";
 import { createSetOrigin } from "./setOrigin.js";
-import { createStageAhead, type SetToStage } from "./stageAhead.js";
+import { createStageAhead } from "./stageAhead.js";
+import { createVersionPlan } from "./versionPlan.js";
 import { createWeightMemory } from "./weightMemory.js";
 
 /** Origin whose address the configuration names. */
@@ -84,15 +82,22 @@
     const { clock, decoder, random } = ports;
     const { gateway, instance, replica, weightAgent } = settings;
     const store = createRecordStore(["backend-servers", "instances", "weight-sources"], clock, logger);
-    const manifests = new Map<string, Manifest>();
     const servers = new Map<string, ListedBackendServer>();
-    const wanted: WantedVersion[] = [];
-    /** Versions of which every chunk is in memory and verified. */
-    const complete = new Set<number>();
-    let source: WeightSource | undefined;
     let imported = false;
 
-    const memory = createWeightMemory(() => source?.chunks ?? 0);
+    const memory = createWeightMemory(() => plan.readSource()?.chunks ?? 0);
+    const plan = createVersionPlan({
+        clock,
+        logger,
+        options: {
+            copyTime: weightAgent.copyTime,
+            cutoverAfter: gateway.cutoverAfter,
+            assumedAge: gateway.assumedAge,
+        },
+        readReport: () => loop.readReport(),
+        readProgress: () => service.progress(),
+        readChunk: (set, index) => memory.read(set, index),
+    });
     const feed = createLoadFeed(instance.id, clock, weightAgent);
     const engineHost = splitAddress(weightAgent.engineAddress).host;
 
@@ -102,50 +107,9 @@
         );
     }
 
-    function chooseVersion(): WantedVersion | undefined {
-        if (wanted.length === 0) {
-            return undefined;
-        }
-        const weights = loop.readReport()?.weights;
-        return chooseTarget({
-            wanted,
-            held: Math.max(weights?.complete === true ? weights.version : 0, ...complete),
-            now: clock.monotonic(),
-            options: { copyTime: weightAgent.copyTime, cutoverAfter: gateway.cutoverAfter },
-        });
-    }
-
-    function readTransfer(newestComplete: number): VersionTransfer | undefined {
-        const progress = service.progress();
-        if (progress === undefined || progress.chunksTotal === 0) {
-            return undefined;
-        }
-        const { version } = splitWeights(progress.manifestDigest);
-        const share = progress.chunksComplete / progress.chunksTotal;
-        return version <= newestComplete ? undefined : { version, share };
-    }
-
     function readTarget(): EngineTarget | undefined {
-        if (source === undefined || wanted.length === 0) {
-            return undefined;
-        }
-        const newestComplete = Math.max(...complete);
         const serving = listMembers().filter(({ weights }) => weights !== undefined);
-        return {
-            model: source.model,
-            wanted,
-            complete: manifests.get(nameWeights(source.model, newestComplete)),
-            transfer: readTransfer(newestComplete),
-            members: serving.map(({ address }) => splitAddress(address).host),
-            slots: source.slots,
-        };
-    }
-
-    function recordProgress(): void {
-        const progress = service.progress();
-        if (progress?.complete === true) {
-            complete.add(splitWeights(progress.manifestDigest).version);
-        }
+        return plan.readTarget(serving.map(({ address }) => splitAddress(address).host));
     }
 
     const loop = createEngineLoop({
@@ -159,43 +123,16 @@
         readTarget,
     });
 
-    /** The stage holds one set: a complete one that is not loaded yet keeps it. */
-    function readSetToStage(): SetToStage | undefined {
-        const target = chooseVersion();
-        const report = loop.readReport();
-        if (source === undefined || target === undefined || report === undefined || loop.isLoading()) {
-            return undefined;
-        }
-        const loaded = report.weights?.complete === true ? report.weights.version : 0;
-        const set = nameWeights(source.model, target.version);
-        const manifest = manifests.get(set);
-        const isTaken = [...complete].some(version => version > loaded && version !== target.version);
-        return manifest === undefined || isTaken || target.version <= loaded ?
-            undefined :
-            { manifest, read: index => memory.read(set, index) };
-    }
-
-    /** Versions that are complete and not loaded yet stay, for this engine and for agents that still need them. */
-    function listRetained(model: string): ReadonlySet<string> {
-        const loaded = loop.readReport()?.weights;
-        const newestLoaded = loaded?.complete === true ? loaded.version : 0;
-        for (const version of [...complete]) {
-            if (version < newestLoaded) {
-                complete.delete(version);
-            }
-        }
-        return new Set([newestLoaded, ...complete].map(version => nameWeights(model, version)));
-    }
-
     function applyTarget(): void {
-        recordProgress();
-        const target = chooseVersion();
+        plan.recordProgress();
+        const target = plan.chooseVersion();
+        const source = plan.readSource();
         if (source === undefined || target === undefined || !imported) {
             return;
         }
         const { model, originZone } = source;
         const set = nameWeights(model, target.version);
-        const retained = listRetained(model);
+        const retained = plan.listRetained();
         service.setTarget({
             weights: { model, adapter: "", version: String(target.version), manifestDigest: set },
             objective: weightAgent.objective,
@@ -209,25 +146,17 @@
         memory.keepOnly(new Set([set, ...retained]));
     }
 
-    function learnSource(value: Uint8Array, isFirst: boolean): void {
-        const read = readWeightSource(value);
-        if (read === undefined) {
-            return;
-        }
-        source = read;
-        ports.origin.useAddress(read.originAddress);
-        const version = read.version ?? initialVersion;
-        if ((wanted[0]?.version ?? 0) < version) {
-            const declaredAt = clock.monotonic() - (isFirst ? gateway.assumedAge : 0);
-            wanted.unshift({ version, declaredAt });
-            logger.info({ model: read.model, version, isFirst }, "version wanted");
+    function learnSource(value: Uint8Array): void {
+        const source = plan.learnSource(value);
+        if (source !== undefined) {
+            ports.origin.useAddress(source.originAddress);
         }
     }
 
     store.onChange((topic, records) => {
         for (const { key, value } of records) {
             if (topic === "weight-sources" && key === weightAgent.service && value !== undefined) {
-                learnSource(value, source === undefined);
+                learnSource(value);
             }
             if (topic === "backend-servers") {
                 const listed = value === undefined ? undefined : decoder.decodeBackendServer(key, value);
@@ -247,7 +176,7 @@
         zone: instance.zone,
         // Only the calls that stage and read chunks are used by the transfer service.
         backend: memory.port as BackendServerPort,
-        origin: createSetOrigin(ports.origin, (set, manifest) => void manifests.set(set, manifest)),
+        origin: createSetOrigin(ports.origin, (set, manifest) => plan.keepManifest(set, manifest)),
         verifyManifest: manifest => ok(manifest),
         linkBudget: createLinkBudget({
             bytesPerSecond: weightAgent.linkMegabitsPerSecond * bytesPerMegabit,
@@ -268,7 +197,11 @@
         },
         log: logger,
     }));
-    const stageAhead = createStageAhead({ engine: ports.engine, readSet: readSetToStage, logger });
+    const stageAhead = createStageAhead({
+        engine: ports.engine,
+        readSet: () => loop.isLoading() ? undefined : plan.readSetToStage(),
+        logger,
+    });
     const rpcServer = await startRpcServer(instance.grpcAddress, [{
         definition: agentServiceDefinition,
         implementation: {
@@ -306,6 +239,7 @@
             const readAt = clock.monotonic();
             const status = await loop.run();
             feed.publish(status, clock.monotonic() - readAt);
+            const source = plan.readSource();
             if (!imported && source !== undefined && status.report !== undefined) {
                 await importStaged(ports.engine, memory, source, status.report, logger);
                 imported = true;
--- a/src/runtime/rollout/planLoad.ts
+++ b/src/runtime/rollout/planLoad.ts
@@ -9,6 +9,8 @@
     readonly firstWaveAfter: Milliseconds;
     /** Time by which each group loads later than the one before. */
     readonly waveInterval: Milliseconds;
+    /** Time after the declaration at which every group may stop serving, since its version will not be asked for. */
+    readonly lastWaveAfter: Milliseconds;
     /** Time after which an order without effect is given again. */
     readonly repeatAfter: Milliseconds;
     /** Longest time in which requests in progress may finish before the engine loads. */
@@ -37,6 +39,8 @@
     readonly wanted: readonly WantedVersion[];
     /** Newest version of which every chunk is held and verified; undefined if there is none. */
     readonly target: number | undefined;
+    /** Monotonic time at which the last chunk of the target was verified; undefined if there is no target. */
+    readonly completedAt: Milliseconds | undefined;
     /** Transfer of a newer version than the target; undefined if there is none. */
     readonly transfer: VersionTransfer | undefined;
     /** Monotonic time since which the engine gets no new requests, so that it can load. */
@@ -75,16 +79,20 @@
 /** How many times the time to drain an engine may go without requests while it waits for chunks. */
 const longestDrains = 2;
 
-/** Monotonic time from which on the engine may stop serving to load a version. */
+/**
+ * Finds the time from which on the engine may stop serving to load a version. The first group waits until the chunks
+ * are nearly there, and the others by as much: if it were late alone, it would load together with the second one.
+ */
 function findTurn(
-    input: LoadInput,
+    { members, options, self, wanted }: LoadInput,
     loaded: number,
     version: number,
+    completeAt: Milliseconds,
 ): { readonly wave: number; readonly at: Milliseconds; } {
-    const { members, options, self, wanted } = input;
-    const oldestMissing = wanted.filter(candidate => candidate.version > loaded).at(-1) ?? wanted[0]!;
+    const { declaredAt } = wanted.filter(candidate => candidate.version > loaded).at(-1) ?? wanted[0]!;
     const wave = chooseWave(members, self, version, options.waves);
-    return { wave, at: oldestMissing.declaredAt + options.firstWaveAfter + wave * options.waveInterval };
+    const first = Math.max(declaredAt + options.firstWaveAfter, completeAt - options.drainBeforeLoad);
+    return { wave, at: Math.min(first + wave * options.waveInterval, declaredAt + options.lastWaveAfter) };
 }
 
 /** Decides whether requests in progress should finish now, since the last chunks will have arrived by then. */
@@ -99,8 +107,8 @@
         return { kind: "wait", reason: "the last chunks take longer than expected" };
     }
     const remaining = (now - declared.declaredAt) * (1 - transfer.share) / transfer.share;
-    const { at, wave } = findTurn(input, loaded, transfer.version);
-    const isDue = now >= at && (drainingSince !== undefined || remaining <= options.drainBeforeLoad);
+    const { at, wave } = findTurn(input, loaded, transfer.version, now + remaining);
+    const isDue = drainingSince !== undefined || (now >= at && remaining <= options.drainBeforeLoad);
     return isDue ? { kind: "drain", version: transfer.version, reason: `turn of group ${wave}` } : missing;
 }
 
@@ -131,7 +139,7 @@
     if (loaded === 0) {
         return { kind: "load", version: target, reason: "no weights are loaded" };
     }
-    const { at, wave } = findTurn(input, loaded, target);
+    const { at, wave } = findTurn(input, loaded, target, input.completedAt ?? now);
     return now >= at ?
         { kind: "load", version: target, reason: `turn of group ${wave}` } :
         { kind: "wait", reason: `group ${wave} loads later` };
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,5 +1,6 @@
 export * from "./clock.js";
 export * from "./digest.js";
 export * from "./disposal.js";
+export * from "./parallel.js";
 export * from "./sleep.js";
 export * from "./table.js";
