--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -152,6 +152,7 @@
             clock,
             countQueued: gates.countQueued,
             countOpen: gates.countOpen,
+            countPlaces: choice.measureCapacity,
         }),
         metrics: gatewayMetrics,
     });
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -1,5 +1,5 @@
 import type { RetryDecision } from "../../runtime/retry/index.js";
-import type { Clock, Refusal } from "../../types/index.js";
+import type { Clock, Refusal, ServiceRow } from "../../types/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { ServerSelection } from "./serverChoice.js";
 import type { AttemptFailure, GatewayRequest } from "./types.js";
@@ -10,6 +10,8 @@
     readonly clock: Clock;
     readonly countQueued: () => number;
     readonly countOpen: () => number;
+    /** Counts the requests that the gateway may have in progress at a service. */
+    readonly countPlaces: (service: ServiceRow) => number;
 }
 
 /** Writes a line for each decision on a request. */
@@ -25,7 +27,9 @@
  * @param input - decision log and counts that lines name
  * @returns the log
  */
-export function createRequestLog({ clock, countOpen, countQueued, decisions }: RequestLogInput): RequestLog {
+export function createRequestLog(
+    { clock, countOpen, countPlaces, countQueued, decisions }: RequestLogInput,
+): RequestLog {
     return {
         routing: (request, { decision, version }, attempt) => {
             const { requestId } = request.row;
@@ -84,6 +88,7 @@
                 details: {
                     queued: countQueued(),
                     open: countOpen(),
+                    places: countPlaces(request.service),
                     waited: Math.round(clock.monotonic() - request.row.receivedAt),
                     retryAfterSeconds: refusal.retryAfterSeconds,
                 },
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -44,6 +44,7 @@
         ...decision,
         "queued",
         "open",
+        "places",
         "waited",
         "retryAfterSeconds",
     ]),
--- a/src/node/weightAgent/engineLoop.ts
+++ b/src/node/weightAgent/engineLoop.ts
@@ -252,9 +252,9 @@
         isDraining: () => drainingSince !== undefined,
         run: async () => {
             await read();
-            const status = describe();
+            // A drain that begins now must be part of the status.
             void act();
-            return status;
+            return describe();
         },
     };
 }
--- a/src/runtime/admission/refusals.ts
+++ b/src/runtime/admission/refusals.ts
@@ -37,6 +37,7 @@
         maximumRetryAfterSeconds * (1 + spread) / 2 :
         duration;
     const steps = Math.max(1, Math.ceil(spreadDuration / retryAfterStepSeconds));
-    const retryAfterSeconds = Math.min(maximumRetryAfterSeconds, steps * retryAfterStepSeconds);
+    // Rounded to milliseconds, since products of fractions are not exact.
+    const retryAfterSeconds = Math.min(maximumRetryAfterSeconds, Number((steps * retryAfterStepSeconds).toFixed(3)));
     return { ran: "no", reason, retryAfterSeconds };
 }
--- a/src/runtime/explain/findCauses.ts
+++ b/src/runtime/explain/findCauses.ts
@@ -27,8 +27,8 @@
     return line.fields["outcome"] === "chosen" ?
         undefined :
         `refused without having run (${show(line, "reason")}): ${show(line, "queued")} requests waited and ` +
-        `${show(line, "open")} were in progress at the gateway; it was told to come back after ` +
-        `${show(line, "retryAfterSeconds")} s`;
+        `${show(line, "open")} were open at the gateway, which had ${show(line, "places")} places at the service; ` +
+        `it was told to come back after ${show(line, "retryAfterSeconds")} s`;
 }
 
 function readRouting(line: LogLine): string | undefined {
--- /dev/null
+++ b/test/node/weightAgent/engineLoop.test.ts
@@ -0,0 +1,71 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { pino } from "pino";
+import { ok } from "true-myth/result";
+import { createEngineLoop, type EngineTarget } from "../../../src/node/weightAgent/engineLoop.js";
+import { createWeightMemory } from "../../../src/node/weightAgent/weightMemory.js";
+import type { EngineControlPort } from "../../../src/types/index.js";
+import { createManualClock } from "../../../src/utils/index.js";
+
+const unused = () => Promise.reject(new Error("not used here"));
+
+/** Engine that serves version 1 and answers its report only. */
+const engine: EngineControlPort = {
+    readReport: () =>
+        Promise.resolve(ok({
+            startedAt: 1,
+            weights: { model: "scribe", version: 1, complete: true },
+            busy: false,
+            orderSequence: 0,
+            running: 3,
+            queued: 0,
+        })),
+    load: unused,
+    listStaged: unused,
+    readStaged: unused,
+    stage: unused,
+};
+
+describe("control of an engine", () => {
+    // Guards against gateways that are told in turn that the engine drains and that it serves.
+    it("states that the engine drains from the moment at which it decides so", async () => {
+        const clock = createManualClock();
+        const published: string[] = [];
+        let share = 0.5;
+        const readTarget = (): EngineTarget => ({
+            model: "scribe",
+            wanted: [{ version: 2, declaredAt: 0 }],
+            complete: undefined,
+            completedAt: undefined,
+            transfer: { version: 2, share },
+            members: ["a"],
+            slots: 4,
+        });
+        const loop = createEngineLoop({
+            engine,
+            memory: createWeightMemory(() => 4),
+            self: "a",
+            clock,
+            logger: pino({ level: "silent" }),
+            options: {
+                waves: 1,
+                firstWaveAfter: 3_000,
+                waveInterval: 1_000,
+                lastWaveAfter: 6_000,
+                repeatAfter: 3_000,
+                drainBeforeLoad: 1_000,
+            },
+            publish: ({ phase }) => published.push(phase),
+            readTarget,
+        });
+        clock.advance(4_000);
+        expect((await loop.run()).phase).toEqual("serving");
+        share = 0.9;
+        expect((await loop.run()).phase).toEqual("activating");
+        expect([loop.isDraining(), loop.isLoading(), published]).toEqual([true, false, ["activating"]]);
+        clock.advance(2_000);
+        expect((await loop.run()).phase).toEqual("serving");
+        // The engine does not drain a second time for a version that was late.
+        expect((await loop.run()).phase).toEqual("serving");
+    });
+});
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -23,7 +23,7 @@
         const { causes, timeline } = explain(deployment, refused.requestId);
         expect(causes.length).toEqual(1);
         expect(causes[0]!.startsWith("refused without having run (")).toEqual(true);
-        expect(causes[0]!.includes("in progress at the gateway")).toEqual(true);
+        expect(causes[0]!.includes("open at the gateway, which had ")).toEqual(true);
         expect(timeline.some(({ relation }) => relation === "request")).toEqual(true);
     });
 
--- a/test/runtime/admission/admission.test.ts
+++ b/test/runtime/admission/admission.test.ts
@@ -57,6 +57,16 @@
         expect(listStarts(table, running)).toEqual([urgent, inTime, missed].map(({ requestId }) => requestId));
     });
 
+    // Guards against a time to come back with the rounding error of a product, as in 1.4500000000000002.
+    it("states the time to come back without rounding errors", () => {
+        const { table } = prepare({ retryAfterStepSeconds: 0.05, maximumRetryAfterSeconds: 30 });
+        for (let index = 0; index < 200; index++) {
+            const decision = offerRequest(table, createRequest({ deadline: 1 }), 0);
+            const seconds = decision.kind === "refuse" ? decision.refusal.retryAfterSeconds : 0;
+            expect(String(seconds).length <= 5).toEqual(true);
+        }
+    });
+
     // Guards against the last places going to late requests, and against late requests that hold up the others.
     it("keeps the last places for requests that can still be answered in time", () => {
         const { table } = prepare({ maximumInProgress: 10, lateShare: 0.8 });
--- a/test/runtime/explain/explainRequest.test.ts
+++ b/test/runtime/explain/explainRequest.test.ts
@@ -58,12 +58,13 @@
             reason: "deadline-unreachable",
             queued: 13,
             open: 73,
+            places: 60,
             retryAfterSeconds: 0.4,
         };
         const lines = collect([{ at: 10, instance: "front-1", msg: "admission decision", fields }]);
         expect(explainRequest(lines, requestId)?.causes).toEqual([
-            "refused without having run (deadline-unreachable): 13 requests waited and 73 were in progress at the " +
-            "gateway; it was told to come back after 0.4 s",
+            "refused without having run (deadline-unreachable): 13 requests waited and 73 were open at the " +
+            "gateway, which had 60 places at the service; it was told to come back after 0.4 s",
         ]);
     });
 
