--- a/src/node/weightAgent/engineLoop.ts
+++ b/src/node/weightAgent/engineLoop.ts
@@ -64,7 +64,9 @@
 export function createEngineLoop(input: EngineLoopInput): EngineLoop {
     const { clock, engine, logger, memory } = input;
     let report: EngineReport | undefined;
+    /** Time of the last order that has had no effect yet. */
     let orderedAt: Milliseconds | undefined;
+    let orderedVersion = 0;
     let orderedStart: number | undefined;
     let wasReachable: boolean | undefined;
     let lastReason = "";
@@ -98,6 +100,9 @@
             orderedAt = undefined;
         }
         const weights = report?.weights;
+        if (weights?.complete === true && weights.version >= orderedVersion) {
+            orderedAt = undefined;
+        }
         memory.setActive(weights?.complete === true ? nameWeights(weights.model, weights.version) : undefined);
     }
 
@@ -127,6 +132,7 @@
             report.orderSequence,
             running === 0 ? "finish" : "cut-off",
         );
+        orderedVersion = version;
         loading = ordered.isOk && ordered.value === "begun";
         input.publish(describe());
         const now = clock.monotonic();
--- a/test/node/weightAgent/engineLoop.test.ts
+++ b/test/node/weightAgent/engineLoop.test.ts
@@ -4,6 +4,7 @@
 import { ok } from "true-myth/result";
 import { createEngineLoop, type EngineTarget } from "../../../src/node/weightAgent/engineLoop.js";
 import { createWeightMemory } from "../../../src/node/weightAgent/weightMemory.js";
+import { createManifest } from "../../../src/runtime/distribution/index.js";
 import type { EngineControlPort } from "../../../src/types/index.js";
 import { createManualClock } from "../../../src/utils/index.js";
 
@@ -26,7 +27,75 @@
     stage: unused,
 };
 
+const options = {
+    waves: 1,
+    firstWaveAfter: 0,
+    waveInterval: 1_000,
+    lastWaveAfter: 6_000,
+    repeatAfter: 3_000,
+    drainBeforeLoad: 1_000,
+};
+
 describe("control of an engine", () => {
+    // Guards against a version that waits as if the order for the one before had had no effect.
+    it("orders the next version as soon as the one before is loaded", async () => {
+        const clock = createManualClock();
+        const memory = createWeightMemory(() => 1);
+        const staged = new Map<number, Uint8Array>();
+        const ordered: number[] = [];
+        let wanted = 2;
+        const readManifest = (version: number) =>
+            createManifest({ model: "scribe", adapter: "", version: String(version) }, [Buffer.from([version])]);
+        const loop = createEngineLoop({
+            engine: {
+                readReport: () =>
+                    Promise.resolve(ok({
+                        startedAt: 1,
+                        weights: { model: "scribe", version: ordered.at(-1) ?? 1, complete: true },
+                        busy: false,
+                        orderSequence: ordered.length,
+                        running: 0,
+                        queued: 0,
+                    })),
+                load: (...[, version]) => {
+                    ordered.push(version);
+                    return Promise.resolve(ok("begun"));
+                },
+                listStaged: unused,
+                readStaged: (...[, index]) => Promise.resolve(ok(staged.get(index))),
+                stage: (...[, index, content]) => {
+                    staged.set(index, content);
+                    return Promise.resolve(ok(undefined));
+                },
+            },
+            memory,
+            self: "a",
+            clock,
+            logger: pino({ level: "silent" }),
+            options,
+            publish: () => {},
+            readTarget: () => ({
+                model: "scribe",
+                wanted: [{ version: wanted, declaredAt: 0 }],
+                complete: readManifest(wanted),
+                completedAt: 0,
+                transfer: undefined,
+                members: ["a"],
+                slots: 4,
+            }),
+        });
+        const runUntilOrdered = async (version: number): Promise<void> => {
+            memory.import(`scribe@${version}`, 1, new Map([[0, Buffer.from([version])]]));
+            clock.advance(2_000);
+            await loop.run();
+            await new Promise(resolve => setTimeout(resolve, 20));
+        };
+        await runUntilOrdered(2);
+        wanted = 3;
+        await runUntilOrdered(3);
+        expect(ordered).toEqual([2, 3]);
+    });
+
     // Guards against gateways that are told in turn that the engine drains and that it serves.
     it("states that the engine drains from the moment at which it decides so", async () => {
         const clock = createManualClock();
@@ -47,14 +116,7 @@
             self: "a",
             clock,
             logger: pino({ level: "silent" }),
-            options: {
-                waves: 1,
-                firstWaveAfter: 3_000,
-                waveInterval: 1_000,
-                lastWaveAfter: 6_000,
-                repeatAfter: 3_000,
-                drainBeforeLoad: 1_000,
-            },
+            options: { ...options, firstWaveAfter: 3_000 },
             publish: ({ phase }) => published.push(phase),
             readTarget,
         });
