Log how the end of an answer was recognized

What callers saw: a short answer with status 200 that looked complete. The logs could not tell why: an answer that is passed on as complete left no line, and a broken one did not say whether it had a length, a last chunk or neither.

Change: the HTTP client states the framing of each answer and how many bytes of a broken one have arrived. A retry decision carries both; an answer whose end only its connection shows has a line of its own, which is not sampled away; goldcrestpoint_gateway_answers_total counts answers by framing and ending. No decision changes.

Measured: with the check of the connection's end taken out of the client, four tests fail (two new ones of the gateway, the new one of explain, and the reset test); with it all pass.

--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -37,6 +37,7 @@
         detail: `${failure.reason}: ${failure.message}`,
         serverAtFault: failure.reason !== "canceled",
         connectionBroke: failure.reason === "connection" && failure.requestWritten,
+        received: failure.received,
     };
 }
 
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from "../../types/index.js";
+import type { BodyFraming } from "../httpClient/index.js";
 import type { Metrics } from "../metrics/index.js";
-import type { GatewayRequest } from "./types.js";
+import type { AnswerEnding, GatewayRequest } from "./types.js";
 
 /** How a request ended, for the counters. */
 export type RequestOutcome = "answered" | "refused" | "failed" | "server-error" | "broken-off" | "canceled";
@@ -9,6 +10,8 @@
 export interface GatewayMetrics {
     countOutcome(request: GatewayRequest, outcome: RequestOutcome): void;
     countRetry(request: GatewayRequest): void;
+    /** Counts an answer of a backend server whose body was read. */
+    countAnswer(request: GatewayRequest, framing: BodyFraming, ending: AnswerEnding): void;
     recordWait(request: GatewayRequest, duration: Milliseconds): void;
     recordFirstByte(request: GatewayRequest, duration: Milliseconds): void;
     /** Counts a request that the configuration does not allow, or that came before one was known. */
@@ -30,6 +33,10 @@
         name: "goldcrestpoint_gateway_retries_total",
         documentation: "Further attempts at requests, by service.",
     });
+    const answers = metrics.createCounter({
+        name: "goldcrestpoint_gateway_answers_total",
+        documentation: "Answers of backend servers whose body was read, by service, framing and ending.",
+    });
     const rejected = metrics.createCounter({
         name: "goldcrestpoint_gateway_rejected_total",
         documentation: "Requests without a service, by reason.",
@@ -46,6 +53,7 @@
         countOutcome: ({ route, service }, outcome) =>
             outcomes.add(1, { service: service.name, kind: route.kind, outcome }),
         countRetry: ({ service }) => retries.add(1, { service: service.name }),
+        countAnswer: ({ service }, framing, ending) => answers.add(1, { service: service.name, framing, ending }),
         countRejected: reason => rejected.add(1, { reason }),
         recordWait: ({ service }, duration) => waits.record(duration, { service: service.name }),
         recordFirstByte: ({ route, service }, duration) =>
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -2,7 +2,7 @@
 import type { Clock, Refusal, ServiceRow } from "../../types/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { ServerSelection } from "./serverChoice.js";
-import type { AttemptFailure, GatewayRequest } from "./types.js";
+import type { AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
 
 /** Dependencies of {@link createRequestLog}. */
 export interface RequestLogInput {
@@ -19,6 +19,8 @@
     routing(request: GatewayRequest, selection: ServerSelection, attempt: number): void;
     retry(request: GatewayRequest, failure: AttemptFailure, decision: RetryDecision, server: string): void;
     refusal(request: GatewayRequest, refusal: Refusal): void;
+    /** Writes a line only about an answer whose end its connection shows, since its bytes do not prove it complete. */
+    completion(request: GatewayRequest, answer: OpenedAnswer, bytes: number): void;
 }
 
 /**
@@ -73,7 +75,14 @@
                 choice: decision.kind,
                 reason: decision.reason,
                 candidates: 0,
-                details: { peer: server, ran: failure.ran, failure: failure.reason, detail: failure.detail },
+                details: {
+                    peer: server,
+                    ran: failure.ran,
+                    failure: failure.reason,
+                    detail: failure.detail,
+                    framing: failure.received?.framing,
+                    receivedBytes: failure.received?.bytes,
+                },
             });
         },
         refusal: (request, refusal) => {
@@ -94,5 +103,20 @@
                 },
             });
         },
+        completion: (request, { framing, server, status }, bytes) => {
+            if (framing !== "connection") {
+                return;
+            }
+            decisions.record({
+                kind: "completion",
+                outcome: "chosen",
+                deployment: request.service.name,
+                requestId: request.row.requestId,
+                choice: "complete",
+                reason: "the connection was closed in order",
+                candidates: 0,
+                details: { peer: server.listed.instance, status, framing, receivedBytes: bytes },
+            });
+        },
     };
 }
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -16,7 +16,7 @@
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { RequestLog } from "./requestLog.js";
 import type { ServerChoice, ServerSelection } from "./serverChoice.js";
-import type { AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
+import type { AnswerEnding, AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
 
 /** Dependencies of {@link createRequestPipeline}. */
 export interface RequestPipelineInput {
@@ -64,6 +64,13 @@
 /** Seconds after which a caller returns when no backend server can answer at the moment. */
 const unavailableRetryAfterSeconds = 1;
 
+function describeEnding(request: GatewayRequest, passed: Result<void, AttemptFailure>): AnswerEnding {
+    if (passed.isOk || passed.error.answer !== undefined) {
+        return "complete";
+    }
+    return request.signal.aborted ? "canceled" : "broken-off";
+}
+
 /**
  * Creates the function that carries out allowed requests.
  *
@@ -80,8 +87,10 @@
     ): Promise<Result<void, AttemptFailure>> {
         const { writer } = progress;
         const splitter = createEventSplitter();
+        let bytes = 0;
         try {
             for await (const part of answer.body) {
+                bytes += part.byteLength;
                 for (const event of splitter.push(part)) {
                     if (!isLaterEvent(event.id, progress.lastEvent)) {
                         continue;
@@ -96,18 +105,26 @@
             }
         }
         catch (error) {
-            return err(describeBreak(error instanceof Error ? error.message : String(error)));
+            return err(describeBreak(error instanceof Error ? error.message : String(error), answer, bytes));
         }
         if (splitter.pendingBytes() > 0) {
-            return err(describeBreak("the stream ended within an event"));
+            return err(describeBreak("the stream ended within an event", answer, bytes));
         }
+        log.completion(request, answer, bytes);
         writer.sendHead(answer.status, answer.headers);
         writer.end();
         return ok(undefined);
     }
 
-    function describeBreak(detail: string): AttemptFailure {
-        return { ran: "unknown", reason: "connection-lost", detail, serverAtFault: true, connectionBroke: true };
+    function describeBreak(detail: string, { framing }: OpenedAnswer, bytes: number): AttemptFailure {
+        return {
+            ran: "unknown",
+            reason: "connection-lost",
+            detail,
+            serverAtFault: true,
+            connectionBroke: true,
+            received: { framing, bytes },
+        };
     }
 
     async function passOn(
@@ -116,13 +133,21 @@
         answer: OpenedAnswer,
     ): Promise<Result<void, AttemptFailure>> {
         const isStream = request.route.kind === "streaming" && answer.status >= 200 && answer.status < 300;
-        if (isStream) {
-            return relayStream(request, progress, answer);
-        }
+        const passed = await (isStream ? relayStream : relayWhole)(request, progress, answer);
+        metrics.countAnswer(request, answer.framing, describeEnding(request, passed));
+        return passed;
+    }
+
+    async function relayWhole(
+        request: GatewayRequest,
+        progress: Progress,
+        answer: OpenedAnswer,
+    ): Promise<Result<void, AttemptFailure>> {
         const whole = await readAnswer(answer);
         if (whole.isErr) {
             return err(whole.error);
         }
+        log.completion(request, answer, whole.value.body.byteLength);
         const isServerError = answer.status >= 500;
         if (progress.writer.headSent() || (isServerError && request.row.idempotent)) {
             const detail = `answered with status ${answer.status}`;
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -11,7 +11,7 @@
     RouteRow,
     ServiceRow,
 } from "../../types/index.js";
-import type { HttpStream } from "../httpClient/index.js";
+import type { HttpStream, ReceivedBody } from "../httpClient/index.js";
 
 /** Why a request in progress was ended from this side. */
 export type AbortReason = "caller-gone" | "route-timeout" | "shutdown";
@@ -54,10 +54,15 @@
     readonly serverAtFault: boolean;
     /** True if the connection broke while the request ran. */
     readonly connectionBroke: boolean;
+    /** Part of the answer's body that has arrived; undefined if its body was not being read. */
+    readonly received?: ReceivedBody | undefined;
     /** Whole answer of the backend server that may be passed on if no other attempt is made. */
     readonly answer?: BufferedAnswer | undefined;
 }
 
+/** How the body of an answer ended; `canceled` if it was ended from this side. */
+export type AnswerEnding = "complete" | "broken-off" | "canceled";
+
 /** Whole answer of a backend server. */
 export interface BufferedAnswer {
     readonly status: number;
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../../types/index.js";
+import { resolveFraming } from "./framing.js";
 import { createInterruption, type Interruption } from "./interruption.js";
 import {
     type CallState,
@@ -10,22 +11,22 @@
     trackWrittenRequests,
 } from "./trackedClient.js";
 import type {
+    BodyFraming,
     HttpAnswer,
     HttpClient,
     HttpClientOptions,
     HttpFailure,
+    HttpHead,
     HttpRequest,
     HttpStream,
     HttpTimeouts,
+    ReceivedBody,
 } from "./types.js";
 
 const defaultTimeouts: HttpTimeouts = { connect: 1_000, head: 5_000, idle: 5_000, total: 10_000 };
 const defaultConnections = 64;
 const defaultMaximumBodyBytes = 64 * 1_048_576;
 
-/** Statuses whose answers have no body. */
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
-
 interface Call {
     readonly interruption: Interruption;
     readonly state: CallState;
@@ -59,7 +60,7 @@
         }
         catch (cause) {
             call.interruption.dispose();
-            return err(describeFailure(cause, call, false));
+            return err(describeFailure(cause, call));
         }
     }
 
@@ -114,16 +115,15 @@
 
 function toStream(answer: Dispatcher.ResponseData<CallState>, call: Call): HttpStream {
     const { body } = answer;
-    const headers = flattenHeaders(answer.headers);
-    const isFramed = bodilessStatuses.has(answer.statusCode) || headers["content-length"] !== undefined ||
-        headers["transfer-encoding"]?.toLowerCase().includes("chunked") === true;
+    const head: HttpHead = { status: answer.statusCode, headers: flattenHeaders(answer.headers) };
+    const framing = resolveFraming(head);
     // Without a listener, an error that arrives before the body is read would end the process.
     body.on("error", () => {});
     body.once("close", () => call.interruption.dispose());
     return {
-        status: answer.statusCode,
-        headers,
-        body: readParts(body, call, !isFramed),
+        ...head,
+        framing,
+        body: readParts(body, call, framing),
         discard: () => {
             body.destroy();
         },
@@ -138,18 +138,20 @@
 async function* readParts(
     body: AsyncIterable<Uint8Array>,
     call: Call,
-    endsWithConnection: boolean,
+    framing: BodyFraming,
 ): AsyncGenerator<Uint8Array> {
+    let bytes = 0;
     try {
         for await (const part of body) {
+            bytes += part.byteLength;
             yield part;
         }
-        if (endsWithConnection && !endedInOrder(call.state.connection)) {
+        if (framing === "connection" && !endedInOrder(call.state.connection)) {
             throw new Error("the connection failed before the answer was known to be complete");
         }
     }
     catch (cause) {
-        const failure = describeFailure(cause, call, true);
+        const failure = describeFailure(cause, call, { framing, bytes });
         throw new Error(failure.message, { cause: failure });
     }
 }
@@ -188,10 +190,11 @@
     return { reason: "too-large", headReceived: true, requestWritten: true, message };
 }
 
-function describeFailure(cause: unknown, call: Call, headReceived: boolean): HttpFailure {
+function describeFailure(cause: unknown, call: Call, received?: ReceivedBody): HttpFailure {
+    const headReceived = received !== undefined;
     const reason = readReason(cause, call.interruption);
     const message = cause instanceof Error && cause.message !== "" ? cause.message : String(cause);
-    return { reason, headReceived, requestWritten: headReceived || call.state.written, message, cause };
+    return { reason, headReceived, requestWritten: headReceived || call.state.written, received, message, cause };
 }
 
 function readReason(cause: unknown, interruption: Interruption): HttpFailure["reason"] {
--- a/src/node/httpClient/index.ts
+++ b/src/node/httpClient/index.ts
@@ -1,3 +1,4 @@
+export * from "./framing.js";
 export * from "./httpClient.js";
 export * from "./outcome.js";
 export * from "./types.js";
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -37,6 +37,16 @@
     readonly timeouts?: Partial<HttpTimeouts> | undefined;
 }
 
+/** How the end of a body is recognized: there is none, or by a length, a last chunk or the end of the connection. */
+export type BodyFraming = "none" | "length" | "chunked" | "connection";
+
+/** How far the body of an answer has come. */
+export interface ReceivedBody {
+    readonly framing: BodyFraming;
+    /** Bytes that have arrived, without those of the framing. */
+    readonly bytes: number;
+}
+
 /** Why a call got no complete answer. */
 export interface HttpFailure {
     readonly reason: "canceled" | "timeout" | "connection" | "too-large";
@@ -44,6 +54,8 @@
     readonly headReceived: boolean;
     /** False only if no byte of the request was written. */
     readonly requestWritten: boolean;
+    /** Part of the body that has arrived; undefined if the body was not being read. */
+    readonly received?: ReceivedBody | undefined;
     readonly message: string;
     readonly cause?: unknown;
 }
@@ -62,6 +74,7 @@
 
 /** Answer whose body has not been read. */
 export interface HttpStream extends HttpHead {
+    readonly framing: BodyFraming;
     /** Parts of the body, to be read once. Throws an `Error` whose `cause` is an {@link HttpFailure}. */
     readonly body: AsyncIterable<Uint8Array>;
     /** Gives the body up and closes its connection. */
--- a/src/node/logging/decisionLog.ts
+++ b/src/node/logging/decisionLog.ts
@@ -4,7 +4,15 @@
 import { createRecentRows } from "./recentRows.js";
 
 /** Decision functions whose decisions are written. */
-export type DecisionKind = "routing" | "admission" | "retry" | "idempotency" | "placement" | "hold" | "activation";
+export type DecisionKind =
+    | "routing"
+    | "admission"
+    | "retry"
+    | "completion"
+    | "idempotency"
+    | "placement"
+    | "hold"
+    | "activation";
 
 /** Whether a decision let the matter go on. */
 export type DecisionOutcome = "chosen" | "refused" | "failed";
@@ -55,6 +63,9 @@
     recall(id: string): readonly RecordedDecision[];
 }
 
+/** Kinds that are rare, and the only evidence of what they decide. */
+const unsampledKinds: ReadonlySet<DecisionKind> = new Set(["completion"]);
+
 const levels = { chosen: "info", refused: "warn", failed: "error" } as const;
 
 /**
@@ -70,8 +81,8 @@
 }
 
 /**
- * Creates a decision log. Refusals, failures and decisions without a request are always written; others are written
- * for a share of the requests, and later if the request fails, with the time at which they were taken.
+ * Creates a decision log. Refusals, failures, completions and decisions without a request are always written; others are
+ * written for a share of the requests, and later if the request fails, with the time at which they were taken.
  *
  * @param options - logger, sampling and bound
  * @returns the decision log
@@ -93,7 +104,7 @@
     }
 
     function isWritten(decision: Decision): boolean {
-        return decision.outcome !== "chosen" ||
+        return decision.outcome !== "chosen" || unsampledKinds.has(decision.kind) ||
             decision.requestId === undefined ||
             isSampled(decision.requestId, sampleShare);
     }
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -54,7 +54,15 @@
         "ran",
         "failure",
         "detail",
+        "framing",
+        "receivedBytes",
     ]),
+    completion: define(
+        "request",
+        ["gateway"],
+        "an answer whose end only its connection shows was taken for complete",
+        [...decision, "peer", "status", "framing", "receivedBytes"],
+    ),
     idempotency: define(
         "request",
         ["agent"],
--- a/test/node/logging/decisionLog.test.ts
+++ b/test/node/logging/decisionLog.test.ts
@@ -65,6 +65,12 @@
     });
 
     // Guards against a failed request of which the logs do not tell where it was sent.
+    it("never samples away that an answer was taken for complete", () => {
+        const { lines, log } = createRecorder(0);
+        log.record({ ...routing, kind: "completion", choice: "complete" });
+        expect(lines.map(line => (JSON.parse(line) as { msg: string; }).msg)).toEqual(["completion decision"]);
+    });
+
     it("writes the earlier decisions on a request once it fails, each with its time and only once", () => {
         const { lines, log } = createRecorder(0);
         log.record(routing);
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -42,6 +42,30 @@
         expect(messages.slice(-2)).toEqual(["routing decision", "retry decision"]);
     });
 
+    it("is found for one whose answer was reset before its end was known", async () => {
+        await using deployment = await startDeployment();
+        const runner = await deployment.addRunner({ id: "i-1" });
+        runner.behave("unframed-reset");
+        await call(deployment, "/unsafe/", { method: "POST", headers: { "attempt-id": "short" } });
+        const { causes, timeline } = explain(deployment, "short");
+        expect(causes.length).toEqual(1);
+        expect(causes[0]!.startsWith("backend server i-1 failed (connection-lost: ")).toEqual(true);
+        const { fields } = timeline.at(-1)!.line;
+        expect([fields["framing"], fields["receivedBytes"]]).toEqual(["connection", 4]);
+    });
+
+    it("names the connection's end for an answer that was taken for complete because of it", async () => {
+        await using deployment = await startDeployment();
+        const runner = await deployment.addRunner({ id: "i-1" });
+        runner.behave("unframed");
+        await call(deployment, "/unsafe/", { method: "POST", body: "text", headers: { "attempt-id": "whole" } });
+        const { causes, timeline } = explain(deployment, "whole");
+        expect(causes).toEqual([]);
+        const { fields, message } = timeline.at(-1)!.line;
+        expect([message, fields["peer"], fields["framing"], fields["receivedBytes"]])
+            .toEqual(["completion decision", "i-1", "connection", 8]);
+    });
+
     it("is found for one that a change of the configuration left without a route", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1" });
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -43,6 +43,8 @@
         ["error", 500],
         ["reset", 502],
         ["truncate", 502],
+        ["unframed", 200],
+        ["unframed-reset", 502],
         ["foreign", 502],
         ["unsealed", 502],
         ["unexplained-503", 502],
@@ -60,7 +62,18 @@
         });
     }
 
-    for (const behaviour of ["shed", "error", "reset", "truncate", "foreign", "unsealed", "silent"] as const) {
+    for (
+        const behaviour of [
+            "shed",
+            "error",
+            "reset",
+            "truncate",
+            "unframed-reset",
+            "foreign",
+            "unsealed",
+            "silent",
+        ] as const
+    ) {
         it(`repeats a safe request at another runner when the first answer is: ${behaviour}`, async () => {
             await using deployment = await startDeployment();
             const [bad, good] = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -9,6 +9,8 @@
     | "reset"
     | "silent"
     | "truncate"
+    | "unframed"
+    | "unframed-reset"
     | "foreign"
     | "unsealed"
     | "unexplained-503";
@@ -68,6 +70,16 @@
         response.end();
     }
 
+    /** Sends an answer that has no length; its end is the end of the connection. */
+    function sendUnframed(request: IncomingMessage, response: ServerResponse, body: string, end: () => void): void {
+        const head = [
+            "HTTP/1.1 200 OK",
+            `attempt-id: ${String(request.headers["attempt-id"])}`,
+            `response-seal: ${proof}`,
+        ];
+        response.socket!.write(`${head.join("\r\n")}\r\n\r\n${body}`, end);
+    }
+
     function run(request: IncomingMessage, response: ServerResponse, url: URL, body: Buffer): RunnerRun {
         const row: RunnerRun = {
             attemptId: String(request.headers["attempt-id"]),
@@ -119,6 +131,14 @@
             response.write("half");
             setTimeout(() => response.destroy(), 5);
         },
+        unframed: (request, response, url, body) => {
+            run(request, response, url, body);
+            sendUnframed(request, response, `${options.id}:${body.toString()}`, () => response.socket!.end());
+        },
+        "unframed-reset": (request, response, url, body) => {
+            run(request, response, url, body);
+            sendUnframed(request, response, "half", () => response.socket!.resetAndDestroy());
+        },
         foreign: (request, response, url, body) => {
             run(request, response, url, body);
             response.writeHead(200, { "attempt-id": "another-request", "response-seal": proof });
