Take an answer for chunked only if the chunks are its last transfer coding

An answer with the transfer codings "chunked, gzip" ends with its connection, but was counted among those that end with a last chunk. A reset within it passed for its end.

Failed first: "is broken off when it is reset and its last transfer coding is not chunked" (received "part" in place of a failed connection).

Why it works: the framing now follows from the last coding alone, so the answer needs the orderly end of its connection.

--- a/src/node/httpClient/framing.ts
+++ b/src/node/httpClient/framing.ts
@@ -13,8 +13,10 @@
     if (bodilessStatuses.has(head.status)) {
         return "none";
     }
-    if (head.headers["transfer-encoding"]?.toLowerCase().includes("chunked") === true) {
-        return "chunked";
+    const codings = head.headers["transfer-encoding"];
+    if (codings !== undefined) {
+        // A body ends with a last chunk only if the chunks are its outermost coding.
+        return codings.split(",").at(-1)!.trim().toLowerCase() === "chunked" ? "chunked" : "connection";
     }
     return head.headers["content-length"] === undefined ? "connection" : "length";
 }
