Take the answer to a HEAD request for complete without a length

What callers saw: a HEAD request whose answer names no length failed, with 502 if nothing else could be tried.

Cause: the answer was taken for one that ends with its connection, which stays open, so it counted as broken.

Failed first: "is complete on an open connection when it answers a HEAD request without naming a length" (a failed connection in place of an empty body).

Why it works: the framing of such an answer is that of an answer without a body, whatever its headers say.

--- a/src/node/httpClient/framing.ts
+++ b/src/node/httpClient/framing.ts
@@ -1,4 +1,4 @@
-import type { BodyFraming, HttpHead } from "./types.js";
+import type { BodyFraming, HttpHead, HttpRequest } from "./types.js";
 
 /** Statuses whose answers have no body. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
@@ -6,11 +6,12 @@
 /**
  * Tells how the end of an answer's body is recognized.
  *
+ * @param request - request that is answered
  * @param head - head of the answer
  * @returns the framing of the body
  */
-export function resolveFraming(head: HttpHead): BodyFraming {
-    if (bodilessStatuses.has(head.status)) {
+export function resolveFraming(request: Pick<HttpRequest, "method">, head: HttpHead): BodyFraming {
+    if (request.method === "HEAD" || bodilessStatuses.has(head.status)) {
         return "none";
     }
     const codings = head.headers["transfer-encoding"];
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -56,7 +56,7 @@
         try {
             const answer = await awaitHead(dispatcher.request(toOptions(request, call, limits.idle)), call);
             call.interruption.unlimit();
-            return ok(toStream(answer, call));
+            return ok(toStream(request, answer, call));
         }
         catch (cause) {
             call.interruption.dispose();
@@ -113,10 +113,10 @@
     });
 }
 
-function toStream(answer: Dispatcher.ResponseData<CallState>, call: Call): HttpStream {
+function toStream(request: HttpRequest, answer: Dispatcher.ResponseData<CallState>, call: Call): HttpStream {
     const { body } = answer;
     const head: HttpHead = { status: answer.statusCode, headers: flattenHeaders(answer.headers) };
-    const framing = resolveFraming(head);
+    const framing = resolveFraming(request, head);
     // Without a listener, an error that arrives before the body is read would end the process.
     body.on("error", () => {});
     body.once("close", () => call.interruption.dispose());
--- a/test/node/httpClientReset.test.ts
+++ b/test/node/httpClientReset.test.ts
@@ -7,7 +7,11 @@
 type Endings = Readonly<Record<string, (socket: Socket) => void>>;
 
 /** Sends the same bytes as the answer to a request for each path, and ends its connection as told. */
-async function receiveAll(answer: string, endings: Endings): Promise<Readonly<Record<string, string>>> {
+async function receiveAll(
+    answer: string,
+    endings: Endings,
+    method = "GET",
+): Promise<Readonly<Record<string, string>>> {
     const server = createServer(socket => {
         socket.on("error", () => {});
         socket.once("data", (bytes: Buffer) => {
@@ -22,7 +26,7 @@
     await using client = createHttpClient({ baseUrl: `http://127.0.0.1:${port}` });
     const received = await Promise.all(
         Object.keys(endings).map(async path => {
-            const outcome = await client.send({ method: "GET", path });
+            const outcome = await client.send({ method, path });
             return [path, outcome.isOk ? Buffer.from(outcome.value.body).toString() : outcome.error.reason] as const;
         }),
     );
@@ -74,3 +78,10 @@
         expect(received).toEqual({ "/late": "part", "/reset": "connection" });
     });
 });
+
+describe("answer without a body", () => {
+    it("is complete on an open connection when it answers a HEAD request without naming a length", async () => {
+        const received = await receiveAll("HTTP/1.1 200 OK\r\n\r\n", { "/": socket => socket.unref() }, "HEAD");
+        expect(received).toEqual({ "/": "" });
+    });
+});
