Reset the connection of an answer that is given up and has neither a length nor chunks

What callers saw: a caller of HTTP/1.0 takes the end of the connection for the end of an answer. A stream that broke off midway, or that a gateway cut when it ended, was closed in order and looked whole.

Change: gateways and entry instances give an answer up in one function. If its head was sent without chunks, the connection is reset, which is the only sign that such a caller gets. A gateway does the same for what is still open when it ends.

Failed first: "ends a stream in order for a caller that does not understand chunks only if it is whole" and "resets a stream that it cuts at its own end, for a caller that does not understand chunks" (closed in place of reset; the second one with the change in startCallerServer taken out). A process that is killed cannot reset anything, so its streams still look whole to such callers.

--- a/src/node/entry/httpRoutes.ts
+++ b/src/node/entry/httpRoutes.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Result } from "true-myth/result";
 import type { Refusal } from "../../types/index.js";
-import { type HttpRouter, readBody, registerStatusRoutes, sendJson } from "../httpServer/index.js";
+import { breakOffAnswer, type HttpRouter, readBody, registerStatusRoutes, sendJson } from "../httpServer/index.js";
 import { registerDecisionRoute } from "../logging/index.js";
 import { readCompletion, readServiceCall } from "./callerRequest.js";
 import type { EntryContext } from "./context.js";
@@ -70,7 +70,7 @@
     function start(message: IncomingMessage, response: ServerResponse, read: ReadRequest): void {
         serve(message, response, read).catch((error: unknown) => {
             context.logger.error({ error: String(error) }, "request failed unexpectedly");
-            response.destroy();
+            breakOffAnswer(response);
         });
     }
 
--- a/src/node/gateway/callerAnswer.ts
+++ b/src/node/gateway/callerAnswer.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { HeaderTable, Refusal } from "../../types/index.js";
-import { copyEndToEndHeaders } from "../httpServer/index.js";
+import { breakOffAnswer, copyEndToEndHeaders } from "../httpServer/index.js";
 import type { BufferedAnswer } from "./types.js";
 
 /** Headers that the server of callers sets itself. */
@@ -66,7 +66,7 @@
     send(bytes: Uint8Array, signal: AbortSignal): Promise<void>;
     /** Ends the answer as complete. */
     end(): void;
-    /** Closes the connection, so that the answer is visibly incomplete. */
+    /** Closes or resets the connection, so that the answer is visibly incomplete. */
     breakOff(): void;
 }
 
@@ -94,7 +94,7 @@
             response.end();
         },
         breakOff: () => {
-            response.destroy();
+            breakOffAnswer(response);
         },
     };
 }
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -19,7 +19,7 @@
     type Milliseconds,
     type RouteRow,
 } from "../../types/index.js";
-import { readBody, splitAddress } from "../httpServer/index.js";
+import { breakOffAnswer, readBody, splitAddress } from "../httpServer/index.js";
 import { type OwnStatus, sendOwnAnswer } from "./callerAnswer.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { AbortReason, GatewayRequest } from "./types.js";
@@ -96,7 +96,7 @@
  */
 export function startCallerServer(input: CallerServerInput): Promise<Result<CallerServer, GoldcrestpointError>> {
     const { clock, metrics, protocol } = input;
-    let open = 0;
+    const open = new Set<ServerResponse>();
     let closing = false;
     const patience = createPatienceTable();
 
@@ -220,14 +220,14 @@
     const server: Server = createServer(
         { maxHeaderSize: initialHeaderBytes, requireHostHeader: false },
         (incoming, response) => {
-            open++;
+            open.add(response);
             response.once("close", () => {
-                open--;
+                open.delete(response);
             });
             handle(incoming, response).catch((error: unknown) => {
                 const detail = error instanceof Error ? error.stack ?? error.message : String(error);
                 input.logRejected({ reason: "internal", detail, path: incoming.url });
-                response.destroy();
+                breakOffAnswer(response);
             });
         },
     );
@@ -251,9 +251,10 @@
                     server.close();
                     server.closeIdleConnections();
                 },
-                countOpen: () => open,
+                countOpen: () => open.size,
                 [Symbol.asyncDispose]: () => {
                     server.close();
+                    open.forEach(breakOffAnswer);
                     server.closeAllConnections();
                     return Promise.resolve();
                 },
--- a/src/node/httpServer/responses.ts
+++ b/src/node/httpServer/responses.ts
@@ -18,6 +18,19 @@
     response.end(JSON.stringify(content));
 }
 
+/**
+ * Ends an answer before it is complete, so that the caller notices. Without chunks, the orderly end of the connection
+ * would pass for the end of the answer.
+ *
+ * @param response - response that is given up
+ */
+export function breakOffAnswer(response: ServerResponse): void {
+    if (response.headersSent && !response.chunkedEncoding) {
+        response.socket?.resetAndDestroy();
+    }
+    response.destroy();
+}
+
 /**
  * Reads the body of a request.
  *
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { request as sendRequest } from "node:http";
 import { describe, it } from "node:test";
-import { call } from "./standIn/caller.js";
+import { call, callPlainly } from "./standIn/caller.js";
 import { operatorConfiguration, startDeployment, waitUntil } from "./standIn/deployment.js";
 import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
 
@@ -104,6 +104,28 @@
         expect(second.runs.some(run => run.headers["last-event-id"] === "3")).toEqual(resumed > 0);
     });
 
+    it("ends a stream in order for a caller that does not understand chunks only if it is whole", async () => {
+        await using deployment = await startDeployment();
+        await deployment.addRunner({ id: "i-1", events: 3 });
+        const whole = await callPlainly(deployment, "/stream/");
+        expect([whole.ending, whole.text.endsWith("id: 3\ndata: i-1\n\n")]).toEqual(["closed", true]);
+        await using breaking = await startDeployment();
+        await breaking.addRunner({ id: "i-1", events: 6, breakAfter: 3 });
+        const broken = await callPlainly(breaking, "/stream/");
+        expect(broken.text.startsWith("HTTP/1.1 200")).toEqual(true);
+        expect(broken.ending).toEqual("reset");
+    });
+
+    it("resets a stream that it cuts at its own end, for a caller that does not understand chunks", async () => {
+        await using deployment = await startDeployment();
+        await deployment.addRunner({ id: "i-1", events: 500, eventMilliseconds: 10 });
+        const cut = callPlainly(deployment, "/stream/");
+        await new Promise(resolve => setTimeout(resolve, 200));
+        await deployment[Symbol.asyncDispose]();
+        const { ending, text } = await cut;
+        expect([text.startsWith("HTTP/1.1 200"), ending]).toEqual([true, "reset"]);
+    });
+
     it("resumes a stream that breaks after the time in which it had to begin", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1", events: 5, breakAfter: 3, eventMilliseconds: 250 }, { slots: 100 });
--- a/test/platform/standIn/caller.ts
+++ b/test/platform/standIn/caller.ts
@@ -1,4 +1,5 @@
 import { request as sendRequest } from "node:http";
+import { connect } from "node:net";
 import type { TestDeployment } from "./deployment.js";
 
 /** Answer that a caller has received. */
@@ -53,3 +54,46 @@
         request.end(options.body);
     });
 }
+
+/** Answer on a connection of HTTP/1.0, which ends with the connection. */
+export interface PlainAnswer {
+    readonly text: string;
+    readonly ending: "closed" | "reset";
+}
+
+/**
+ * Sends a request of HTTP/1.0 to the gateway, as a caller that does not understand chunks does.
+ *
+ * @param deployment - the gateway
+ * @param path - path and query
+ * @returns what was received until the connection ended
+ */
+export function callPlainly(
+    { gatewayUrl }: Pick<TestDeployment, "gatewayUrl">,
+    path: string,
+): Promise<PlainAnswer> {
+    attempts++;
+    const { hostname, port } = new URL(gatewayUrl);
+    const lines = [
+        `GET ${path} HTTP/1.0`,
+        "host: members.example",
+        `attempt-id: attempt-${attempts}`,
+        "deadline-ms: 1500",
+        "authorization: Token key-1",
+    ];
+    return new Promise(resolve => {
+        const socket = connect({ host: hostname, port: Number(port) });
+        let text = "";
+        const finish = (ending: PlainAnswer["ending"]): void => {
+            socket.destroy();
+            resolve({ text, ending });
+        };
+        socket.on("data", part => {
+            text += part.toString();
+        });
+        // A reset that arrives together with the last bytes is reported as an end, but leaves the socket without a peer.
+        socket.on("end", () => finish(socket.remoteAddress === undefined ? "reset" : "closed"));
+        socket.on("error", () => finish("reset"));
+        socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+    });
+}
