--- a/test/platform/standIn/deployment.ts
+++ b/test/platform/standIn/deployment.ts
@@ -33,6 +33,8 @@
     readonly logLines: readonly string[];
     /** Starts a runner of the plain service and lists it. */
     addRunner(options: RunnerStandInOptions, entry?: Readonly<Record<string, unknown>>): Promise<RunnerStandIn>;
+    /** Lists a runner that runs already, and waits until the gateway has read the list. */
+    listRunner(id: string, address: string, entry?: Readonly<Record<string, unknown>>): Promise<void>;
     /** Writes the configuration with changed fields. */
     configure(changes?: Readonly<Record<string, unknown>>): void;
     /** Begins the shutdown of the gateway. */
@@ -78,9 +80,10 @@
 /**
  * Starts a store and a gateway that follows it.
  *
+ * @param flags - settings that differ from those of the tests, by key
  * @returns the deployment, with a configuration and no runner
  */
-export async function startDeployment(): Promise<TestDeployment> {
+export async function startDeployment(flags: Readonly<Record<string, string>> = {}): Promise<TestDeployment> {
     const stack = createDisposalStack();
     const store = stack.use(await startStoreStandIn());
     store.write("keyed.op", "config", operatorConfiguration);
@@ -101,6 +104,7 @@
             "gateway.switchAfterMilliseconds": "400",
             "routing.reportExpiryMilliseconds": "600000",
             "admission.retryAfterStepSeconds": "0.05",
+            ...flags,
         },
     }));
     const log = stack.use(createStoreClient({ address: store.address }));
@@ -118,29 +122,38 @@
     ));
     const readyUrl = `http://127.0.0.1:${readyPort}/api/ready`;
 
+    async function listRunner(
+        id: string,
+        address: string,
+        entry: Readonly<Record<string, unknown>> = {},
+    ): Promise<void> {
+        store.write("keyed.servers", id, {
+            service: "archive",
+            address,
+            zone: "zone-a",
+            version: "v1",
+            slots: 4,
+            state: "ready",
+            cold_remaining_ms: 0,
+            sequence: 1,
+            born: 1,
+            ...entry,
+        });
+        await waitUntil("the gateway is ready", async () => (await fetch(readyUrl)).status === 200);
+        // The list is read at intervals.
+        await new Promise(resolve => setTimeout(resolve, 600));
+    }
+
     return {
         store,
         stack,
         readyUrl,
         logLines,
         gatewayUrl: `http://127.0.0.1:${callerPort}`,
-        addRunner: async (options, entry = {}) => {
+        listRunner,
+        addRunner: async (options, entry) => {
             const runner = stack.use(await startRunnerStandIn(options));
-            store.write("keyed.servers", options.id, {
-                service: "archive",
-                address: runner.address,
-                zone: "zone-a",
-                version: "v1",
-                slots: 4,
-                state: "ready",
-                cold_remaining_ms: 0,
-                sequence: 1,
-                born: 1,
-                ...entry,
-            });
-            await waitUntil("the gateway is ready", async () => (await fetch(readyUrl)).status === 200);
-            // The list is read at intervals.
-            await new Promise(resolve => setTimeout(resolve, 600));
+            await listRunner(options.id, runner.address, entry);
             return runner;
         },
         configure: (changes = {}) => store.write("keyed.op", "config", { ...operatorConfiguration, ...changes }),
