End the relay streams of a gateway before its server stops, within the shutdown margin

Gateways that ended by themselves were lost exactly 2.0 s after `stopped` with "Call cancelled", so the process was there for two seconds after its last line.

Cause: resources are released in the reverse order of their acquisition, so the gRPC server was stopped while the relay's streams, which do not end by themselves, were still open. It always waited for its whole limit of 2 s. The drain may last until 0.7 s before the end of the grace time, so a gateway whose drain took more than 6 s was killed, even with no request in progress.

Change: the relay ends its streams before the server stops, and the server of a gateway waits a quarter of the shutdown margin at most, which is what a follower behind a cut link costs. Followers learn of the end two seconds earlier.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -59,6 +59,8 @@
 
 /** Interval of the systems that expire what is old. */
 const tickInterval = 100;
+/** Servers for readiness, metrics and relayed records, which stop one after the other within the shutdown margin. */
+const ownServers = 3;
 /** Connections to a backend server are shared by the gateways; a few are left for others. */
 const connectionShare = 0.8;
 
@@ -157,16 +159,20 @@
         metrics: gatewayMetrics,
     });
 
+    // The last share is left for the process to end.
+    const serverShutdownLimit = gateway.shutdownMargin / (ownServers + 1);
     const relay = stack.use(createRecordRelay({ store, clock, options: replica }));
     const { host } = splitAddress(instance.grpcAddress);
     const ownAddress = `${host}:${gateway.relayPort}`;
     const rpcServer = await startRpcServer(instance.grpcAddress, [
         { definition: replicaServiceDefinition, implementation: { followRecords: relay.followRecords } },
-    ]);
+    ], serverShutdownLimit);
     if (rpcServer.isErr) {
         return err(rpcServer.error);
     }
     stack.use(rpcServer.value);
+    // The server waits for the streams of the relay, so they end before it stops.
+    stack.use(relay);
     stack.use(createRelayFollowers({
         self: instance.id,
         store,
--- a/src/node/grpc/server.ts
+++ b/src/node/grpc/server.ts
@@ -15,19 +15,20 @@
     readonly implementation: UntypedServiceImplementation;
 }
 
-/** Time that calls in progress have to end once the server is disposed of. */
-const shutdownTimeLimit: Milliseconds = 2_000;
+const defaultShutdownTimeLimit: Milliseconds = 2_000;
 
 /**
  * Starts a gRPC server.
  *
  * @param address - `host:port`; port 0 takes a free one
  * @param services - services to serve
+ * @param shutdownTimeLimit - time that calls in progress have to end once the server is disposed of
  * @returns the server, or an error if the address cannot be bound
  */
 export function startRpcServer(
     address: string,
     services: readonly ServiceBinding[],
+    shutdownTimeLimit: Milliseconds = defaultShutdownTimeLimit,
 ): Promise<Result<RpcServer, GoldcrestpointError>> {
     const server = new Server(channelOptions);
     for (const { definition, implementation } of services) {
@@ -39,17 +40,17 @@
                 resolve(err(createError("PEER_UNREACHABLE", "bind gRPC server", address, error.message)));
                 return;
             }
-            resolve(ok({ port, [Symbol.asyncDispose]: () => stopServer(server) }));
+            resolve(ok({ port, [Symbol.asyncDispose]: () => stopServer(server, shutdownTimeLimit) }));
         });
     });
 }
 
-function stopServer(server: Server): Promise<void> {
+function stopServer(server: Server, timeLimit: Milliseconds): Promise<void> {
     return new Promise(resolve => {
         const timer = setTimeout(() => {
             server.forceShutdown();
             resolve();
-        }, shutdownTimeLimit);
+        }, timeLimit);
         server.tryShutdown(() => {
             clearTimeout(timer);
             resolve();
--- /dev/null
+++ b/test/platform/gatewayShutdown.test.ts
@@ -0,0 +1,91 @@
+import { create } from "@bufbuild/protobuf";
+import { expect } from "earl";
+import { once } from "node:events";
+import { connect, createServer, type Socket } from "node:net";
+import { describe, it } from "node:test";
+import { FollowRecordsRequestSchema, TopicPositionSchema } from "../../src/generated/goldcrestpoint_pb.js";
+import { createReplicaClient } from "../../src/node/grpc/index.js";
+import { createDisposalStack, sleep } from "../../src/utils/index.js";
+import { call } from "./standIn/caller.js";
+import { drainTimeLimitSeconds, operatorConfiguration, startDeployment } from "./standIn/deployment.js";
+
+const drainTimeLimit = drainTimeLimitSeconds * 1_000;
+
+/** Peers whose connections are open when the gateway ends. */
+interface OpenPeer extends AsyncDisposable {
+    /** Cuts the peer off, so that it learns nothing of the end. */
+    cut(): void;
+}
+
+/** Follows the records of a gateway, on a link that can be cut without a reset. */
+async function followRecords(address: string): Promise<OpenPeer> {
+    const stack = createDisposalStack();
+    const sockets: Socket[] = [];
+    const [host, port] = address.split(":");
+    const link = createServer(near => {
+        const far = connect(Number(port), host);
+        for (const [from, to] of [[near, far], [far, near]] as const) {
+            sockets.push(from);
+            from.on("error", () => {});
+            from.on("close", () => to.destroy());
+            from.pipe(to);
+        }
+    });
+    stack.defer(() => {
+        sockets.forEach(socket => socket.destroy());
+        link.close();
+    });
+    link.listen(0, "127.0.0.1");
+    await once(link, "listening");
+    const client = createReplicaClient(`127.0.0.1:${(link.address() as { readonly port: number; }).port}`);
+    const stream = client.followRecords();
+    stack.defer(() => {
+        stream.cancel();
+        client.close();
+    });
+    stream.on("error", () => {});
+    const received = once(stream, "data");
+    const positions = [create(TopicPositionSchema, { topic: "operator", nextOffset: 0n })];
+    stream.write(create(FollowRecordsRequestSchema, { instance: "follower-1", positions }));
+    await received;
+    stream.resume();
+    return {
+        cut: () =>
+            sockets.forEach(socket => {
+                socket.unpipe();
+                socket.pause();
+            }),
+        [Symbol.asyncDispose]: () => stack[Symbol.asyncDispose](),
+    };
+}
+
+describe("end of a gateway whose requests outlast the drain", () => {
+    const cases = [
+        { peer: "a process that follows its records", open: followRecords, at: "relayAddress", isCut: false },
+        { peer: "a follower behind a cut link", open: followRecords, at: "relayAddress", isCut: true },
+    ] as const;
+
+    for (const { at, isCut, open, peer } of cases) {
+        // Guards against a process that is killed because it waits for its peers after the drain has ended.
+        it(`comes within the time limit beside ${peer}`, async () => {
+            await using deployment = await startDeployment();
+            const routes = operatorConfiguration.routes.map(route => ({ ...route, timeout_ms: 20_000 }));
+            deployment.configure({ version: 2, routes });
+            await deployment.addRunner({ id: "i-1", events: 1_000, eventMilliseconds: 20 });
+            await using connection = await open(deployment[at]);
+            const running = call(deployment, "/stream/", { headers: { "deadline-ms": "20000" } });
+            await sleep(200);
+            if (isCut) {
+                connection.cut();
+            }
+            const startedAt = performance.now();
+            const isInTime = await Promise.race([
+                deployment.stop().then(() => performance.now() - startedAt <= drainTimeLimit),
+                sleep(3 * drainTimeLimit).then(() => false),
+            ]);
+            expect(isInTime).toEqual(true);
+            const drained = deployment.logLines.find(line => line.includes("\"drained\""));
+            expect([(await running).complete, drained?.includes("\"open\":1")]).toEqual([false, true]);
+        });
+    }
+});
--- a/test/platform/standIn/deployment.ts
+++ b/test/platform/standIn/deployment.ts
@@ -29,6 +29,8 @@
     readonly stack: DisposalStack;
     readonly gatewayUrl: string;
     readonly readyUrl: string;
+    /** `host:port` at which the gateway relays records. */
+    readonly relayAddress: string;
     /** Lines that the gateway has logged. */
     readonly logLines: readonly string[];
     /** Starts a runner of the plain service and lists it. */
@@ -37,8 +39,13 @@
     configure(changes?: Readonly<Record<string, unknown>>): void;
     /** Begins the shutdown of the gateway. */
     drain(): Promise<void>;
+    /** Drains the gateway and releases what it holds, as its process does after the signal to shut down. */
+    stop(): Promise<void>;
 }
 
+/** Time within which the gateway ends by itself after the signal to shut down. */
+export const drainTimeLimitSeconds = 3;
+
 const route = {
     name: "route",
     host: "members.example",
@@ -93,7 +100,7 @@
             "instance.region": "south",
             "instance.grpcAddress": `127.0.0.1:${relayPort}`,
             "instance.httpAddress": `127.0.0.1:${callerPort}`,
-            "instance.drainTimeLimitSeconds": "3",
+            "instance.drainTimeLimitSeconds": String(drainTimeLimitSeconds),
             "gateway.readyAddress": `127.0.0.1:${readyPort}`,
             "gateway.metricsAddress": `127.0.0.1:${metricsPort}`,
             "gateway.relayPort": String(relayPort),
@@ -122,6 +129,7 @@
         store,
         stack,
         readyUrl,
+        relayAddress: `127.0.0.1:${relayPort}`,
         logLines,
         gatewayUrl: `http://127.0.0.1:${callerPort}`,
         addRunner: async (options, entry = {}) => {
@@ -145,6 +153,10 @@
         },
         configure: (changes = {}) => store.write("keyed.op", "config", { ...operatorConfiguration, ...changes }),
         drain: () => gateway.drain(),
+        stop: async () => {
+            await gateway.drain();
+            await gateway[Symbol.asyncDispose]();
+        },
         [Symbol.asyncDispose]: () => stack[Symbol.asyncDispose](),
     };
 }
