Close the connections of an HTTP server that has been stopped after a time limit

A gateway with one open connection to its readiness address on which no request has been sent does not end after the drain.

Cause: the server was closed together with its idle connections once, and then waited for the others without a limit. Node counts a connection that has not sent a request yet among those that are busy.

Change: what is still open after a time limit is closed: two seconds as for a gRPC server, and in a gateway a quarter of the shutdown margin, so that both HTTP servers and the gRPC server fit into it. The stream of the test is shorter, so that the stand-in ends sooner; it still outlasts the drain.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -250,7 +250,7 @@
         decisions,
     });
     for (const address of new Set([gateway.readyAddress, gateway.metricsAddress])) {
-        const server = await startHttpServer(address, router);
+        const server = await startHttpServer(address, router, serverShutdownLimit);
         if (server.isErr) {
             return err(server.error);
         }
--- a/src/node/httpServer/httpServer.ts
+++ b/src/node/httpServer/httpServer.ts
@@ -1,7 +1,7 @@
 import type { HTTPVersion, Instance as Router } from "find-my-way";
-import { createServer } from "node:http";
+import { createServer, type Server } from "node:http";
 import { err, ok, type Result } from "true-myth/result";
-import { createError, type GoldcrestpointError } from "../../types/index.js";
+import { createError, type GoldcrestpointError, type Milliseconds } from "../../types/index.js";
 
 /** Running HTTP server. */
 export interface HttpServer extends AsyncDisposable {
@@ -12,14 +12,21 @@
 /** Router of a daemon's HTTP server. */
 export type HttpRouter = Router<HTTPVersion.V1>;
 
+const defaultShutdownTimeLimit: Milliseconds = 2_000;
+
 /**
  * Starts an HTTP server.
  *
  * @param address - `host:port`; port 0 takes a free one
  * @param router - routes to serve
+ * @param shutdownTimeLimit - time that connections have to end once the server is disposed of
  * @returns the server, or an error if the address cannot be bound
  */
-export function startHttpServer(address: string, router: HttpRouter): Promise<Result<HttpServer, GoldcrestpointError>> {
+export function startHttpServer(
+    address: string,
+    router: HttpRouter,
+    shutdownTimeLimit: Milliseconds = defaultShutdownTimeLimit,
+): Promise<Result<HttpServer, GoldcrestpointError>> {
     const { host, port } = splitAddress(address);
     const server = createServer((request, response) => {
         router.lookup(request, response);
@@ -32,16 +39,24 @@
             const bound = server.address();
             resolve(ok({
                 port: typeof bound === "object" && bound ? bound.port : port,
-                [Symbol.asyncDispose]: () =>
-                    new Promise<void>(closed => {
-                        server.close(() => closed());
-                        server.closeIdleConnections();
-                    }),
+                [Symbol.asyncDispose]: () => stopServer(server, shutdownTimeLimit),
             }));
         });
     });
 }
 
+function stopServer(server: Server, timeLimit: Milliseconds): Promise<void> {
+    return new Promise(resolve => {
+        // A connection that has not sent a request yet does not count as idle.
+        const timer = setTimeout(() => server.closeAllConnections(), timeLimit);
+        server.close(() => {
+            clearTimeout(timer);
+            resolve();
+        });
+        server.closeIdleConnections();
+    });
+}
+
 /**
  * Splits an address.
  *
--- a/test/platform/gatewayShutdown.test.ts
+++ b/test/platform/gatewayShutdown.test.ts
@@ -59,10 +59,26 @@
     };
 }
 
+/** Opens a connection and sends no request. */
+async function openSilently(url: string): Promise<OpenPeer> {
+    const { hostname, port } = new URL(url);
+    const socket = connect(Number(port), hostname);
+    socket.on("error", () => {});
+    await once(socket, "connect");
+    return {
+        cut: () => {},
+        [Symbol.asyncDispose]: () => {
+            socket.destroy();
+            return Promise.resolve();
+        },
+    };
+}
+
 describe("end of a gateway whose requests outlast the drain", () => {
     const cases = [
         { peer: "a process that follows its records", open: followRecords, at: "relayAddress", isCut: false },
         { peer: "a follower behind a cut link", open: followRecords, at: "relayAddress", isCut: true },
+        { peer: "a connection without a request", open: openSilently, at: "readyUrl", isCut: false },
     ] as const;
 
     for (const { at, isCut, open, peer } of cases) {
@@ -71,7 +87,7 @@
             await using deployment = await startDeployment();
             const routes = operatorConfiguration.routes.map(route => ({ ...route, timeout_ms: 20_000 }));
             deployment.configure({ version: 2, routes });
-            await deployment.addRunner({ id: "i-1", events: 1_000, eventMilliseconds: 20 });
+            await deployment.addRunner({ id: "i-1", events: 250, eventMilliseconds: 20 });
             await using connection = await open(deployment[at]);
             const running = call(deployment, "/stream/", { headers: { "deadline-ms": "20000" } });
             await sleep(200);
@@ -79,10 +95,12 @@
                 connection.cut();
             }
             const startedAt = performance.now();
+            const ended = new AbortController();
             const isInTime = await Promise.race([
                 deployment.stop().then(() => performance.now() - startedAt <= drainTimeLimit),
-                sleep(3 * drainTimeLimit).then(() => false),
+                sleep(3 * drainTimeLimit, ended.signal).then(() => false),
             ]);
+            ended.abort();
             expect(isInTime).toEqual(true);
             const drained = deployment.logLines.find(line => line.includes("\"drained\""));
             expect([(await running).complete, drained?.includes("\"open\":1")]).toEqual([false, true]);
