Write that a daemon has stopped only after it has released what it held

Seen: three gateways were killed at the end of the grace time, each after its last line `stopped`, which hid that they still waited.

Cause: the line was written before the disposal of the daemon.

Change: it is written after the disposal, so the time between `drained` and `stopped` is that of the release, and a process without `stopped` was killed or still waits.

Measured: test/node/daemon/runDaemon.test.ts gives the two last lines in the wrong order without the change, and passes with it.

--- a/src/node/daemon/runDaemon.ts
+++ b/src/node/daemon/runDaemon.ts
@@ -32,10 +32,12 @@
         logger.error({ error: started.error }, "the daemon could not start");
         return err(started.error);
     }
-    await using daemon = started.value;
-    const signal = await waitForShutdownSignal();
-    logger.info({ signal }, "draining");
-    await daemon.drain();
+    {
+        await using daemon = started.value;
+        const signal = await waitForShutdownSignal();
+        logger.info({ signal }, "draining");
+        await daemon.drain();
+    }
     logger.info({}, "stopped");
     return ok(undefined);
 }
