Abandon the read of a manifest when the transfer service ends

An agent that is asked to end while it reads a manifest from a silent origin goes on waiting.

The origin's time limit is 4 s and up to four reads follow each other, while the grace time is 8 s.

Change: reads of a manifest take a signal, as reads of chunks do, and no further read follows once it is aborted.

--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -140,7 +140,7 @@
 
     async function readManifest(set: WeightSetState): Promise<void> {
         const { manifestDigest } = set;
-        const read = await input.origin.readManifest(manifestDigest);
+        const read = await input.origin.readManifest(manifestDigest, disposal.signal);
         const verify = input.verifyManifest ?? ((content, set) => verifyManifest(content, set, "origin"));
         const manifest = read.andThen(content => verify(content, manifestDigest));
         if (manifest.isErr) {
--- a/src/node/platform/originClient.ts
+++ b/src/node/platform/originClient.ts
@@ -47,7 +47,7 @@
     const origin = createHttpClient({ baseUrl: options.originBaseUrl ?? options.weightStoreBaseUrl, timeouts });
     return {
         resolveManifest: (model, adapter, version) => resolveManifest(store, model, adapter, version),
-        readManifest: digest => readManifest(store, digest),
+        readManifest: (digest, signal) => readManifest(store, digest, signal),
         readChunk: (digest, index, signal) => readChunk(origin, digest, index, signal),
         [Symbol.asyncDispose]: async () => {
             await Promise.all([store[Symbol.asyncDispose](), origin[Symbol.asyncDispose]()]);
@@ -72,13 +72,22 @@
     });
 }
 
-async function readManifest(client: HttpClient, digest: ManifestDigest): PortResult<Manifest> {
-    const answer = await readAnswer(client, `/manifests/${digest}`, manifestStep);
+async function readManifest(
+    client: HttpClient,
+    digest: ManifestDigest,
+    signal: AbortSignal | undefined,
+): PortResult<Manifest> {
+    const answer = await readAnswer(client, `/manifests/${digest}`, manifestStep, signal);
     return answer.andThen(found => parseManifest(found, manifestStep, client.peer, digest));
 }
 
-async function readAnswer(client: HttpClient, path: string, step: string): PortResult<HttpAnswer> {
-    const answer = await client.send({ method: "GET", path });
+async function readAnswer(
+    client: HttpClient,
+    path: string,
+    step: string,
+    signal?: AbortSignal,
+): PortResult<HttpAnswer> {
+    const answer = await client.send({ method: "GET", path, ...(signal === undefined ? {} : { signal }) });
     if (answer.isErr) {
         return err(toReadError("ORIGIN_UNREACHABLE", step, client.peer, answer.error));
     }
--- a/src/node/weightAgent/setOrigin.ts
+++ b/src/node/weightAgent/setOrigin.ts
@@ -26,11 +26,12 @@
     origin: VersionOriginPort,
     model: string,
     version: number,
+    signal: AbortSignal | undefined,
 ): Promise<Result<Manifest, GoldcrestpointError>> {
     const earlier: Manifest[] = [];
     let failure = createError("MANIFEST_INVALID", "confirm manifest", "origin", "no two reads agree");
-    for (let attempt = 0; attempt < maximumManifestReads; attempt++) {
-        const manifest = await origin.readManifest(model, version);
+    for (let attempt = 0; attempt < maximumManifestReads && signal?.aborted !== true; attempt++) {
+        const manifest = await origin.readManifest(model, version, signal);
         if (manifest.isErr) {
             failure = manifest.error;
         }
@@ -59,9 +60,9 @@
     return {
         resolveManifest: () =>
             Promise.resolve(err(createError("MANIFEST_INVALID", step, "origin", "sets are named by version here"))),
-        readManifest: async set => {
+        readManifest: async (set, signal) => {
             const { model, version } = splitWeights(set);
-            const manifest = await readConfirmedManifest(origin, model, version);
+            const manifest = await readConfirmedManifest(origin, model, version, signal);
             if (manifest.isOk) {
                 keepManifest(set, manifest.value);
             }
--- a/src/types/engineControl.ts
+++ b/src/types/engineControl.ts
@@ -61,9 +61,10 @@
      *
      * @param model - name of the model
      * @param version - its version
+     * @param signal - aborts the read
      * @returns the manifest
      */
-    readManifest(model: string, version: number): PortResult<Manifest>;
+    readManifest(model: string, version: number, signal?: AbortSignal): PortResult<Manifest>;
     /**
      * Reads a chunk, which may be corrupt.
      *
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -73,9 +73,10 @@
      * Reads a manifest by its digest.
      *
      * @param digest - manifest digest
+     * @param signal - aborts the read
      * @returns the manifest, verified against the digest
      */
-    readManifest(digest: ManifestDigest): PortResult<Manifest>;
+    readManifest(digest: ManifestDigest, signal?: AbortSignal): PortResult<Manifest>;
     /**
      * Reads one chunk. The content is not verified.
      *
