Send no request on whose caller left before it was read

Callers saw: nothing of it themselves, but under overload backend servers were busy with requests whose callers had left, and the others waited longer.

Cause: Node accepts one connection in each turn of the event loop, so that on a busy gateway requests wait unread. When the caller had left meanwhile, request and end of the connection lay there together. The first poll reports only the request, which was sent on over a pooled connection before the second one reported the end. Then the gateway waited for the close of the response, which comes some turns later than the end, once Node has ended its own half too.

--- a/src/node/gateway/admissionGates.ts
+++ b/src/node/gateway/admissionGates.ts
@@ -104,6 +104,13 @@
 
     return {
         admit: (service, request, signal) => {
+            // A signal that was aborted before reports nothing later.
+            if (signal.aborted) {
+                return Promise.resolve({
+                    kind: "refused",
+                    refusal: { ran: "no", reason: "canceled", retryAfterSeconds: 0 },
+                });
+            }
             const gate = findGate(service);
             adapt(gate);
             const now = clock.monotonic();
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -22,6 +22,7 @@
 import { readBody, splitAddress } from "../httpServer/index.js";
 import { type OwnStatus, sendOwnAnswer } from "./callerAnswer.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import { createTurnQueue } from "./turnQueue.js";
 import type { AbortReason, GatewayRequest } from "./types.js";
 
 /** Dependencies of {@link startCallerServer}. */
@@ -67,25 +68,47 @@
     return headers;
 }
 
-/** Signal that ends when the caller is gone or the time is over. */
-function watchCaller(
-    response: ServerResponse,
-    duration: Milliseconds,
-): { readonly signal: AbortSignal; readonly readReason: () => AbortReason | undefined; readonly stop: () => void; } {
+/** Signal of one request, and what ends it. */
+interface CallerWatch {
+    /** Ended when the caller is gone or the time is over. */
+    readonly signal: AbortSignal;
+    readonly readReason: () => AbortReason | undefined;
+    /** Sets the time after which the signal ends. */
+    limit(duration: Milliseconds): void;
+    /** Removes the time limit. */
+    unlimit(): void;
+}
+
+function watchCaller({ socket }: IncomingMessage, response: ServerResponse): CallerWatch {
     const controller = new AbortController();
     let reason: AbortReason | undefined;
+    let timer: NodeJS.Timeout | undefined;
     const abort = (cause: AbortReason): void => {
         reason ??= cause;
         controller.abort();
     };
-    const timer = setTimeout(() => abort("route-timeout"), Math.max(0, duration));
-    response.once("close", () => {
-        clearTimeout(timer);
+    const leave = (): void => {
         if (!response.writableFinished) {
             abort("caller-gone");
         }
+    };
+    // The response closes only after this side has ended its half of the connection too, some turns later.
+    socket.once("end", leave);
+    response.once("close", () => {
+        clearTimeout(timer);
+        socket.off("end", leave);
+        leave();
     });
-    return { signal: controller.signal, readReason: () => reason, stop: () => clearTimeout(timer) };
+    return {
+        signal: controller.signal,
+        readReason: () => reason,
+        limit: duration => {
+            if (!controller.signal.aborted) {
+                timer = setTimeout(() => abort("route-timeout"), Math.max(0, duration));
+            }
+        },
+        unlimit: () => clearTimeout(timer),
+    };
 }
 
 /**
@@ -99,6 +122,7 @@
     let open = 0;
     let closing = false;
     const patience = createPatienceTable();
+    const turns = createTurnQueue();
 
     function reject(
         incoming: IncomingMessage,
@@ -138,6 +162,7 @@
 
     async function handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const receivedAt = clock.monotonic();
+        const watch = watchCaller(incoming, response);
         if (closing) {
             response.setHeader("connection", "close");
         }
@@ -176,8 +201,10 @@
             }
             return;
         }
+        // A caller that left before its request was read is noticed here, before the request is sent on.
+        await turns.awaitPoll();
         const duration = measureTime(call, route);
-        const watch = watchCaller(response, receivedAt + duration - clock.monotonic());
+        watch.limit(receivedAt + duration - clock.monotonic());
         try {
             await input.serve({
                 row: {
@@ -213,7 +240,7 @@
             });
         }
         finally {
-            watch.stop();
+            watch.unlimit();
         }
     }
 
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,10 +1,28 @@
 import { expect } from "earl";
+import { once } from "node:events";
 import { request as sendRequest } from "node:http";
+import { connect } from "node:net";
 import { describe, it } from "node:test";
 import { call } from "./standIn/caller.js";
-import { operatorConfiguration, startDeployment, waitUntil } from "./standIn/deployment.js";
+import { operatorConfiguration, startDeployment, type TestDeployment, waitUntil } from "./standIn/deployment.js";
 import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
 
+/** Sends a request and closes the connection before the gateway has read it. */
+async function leaveAtOnce({ gatewayUrl }: TestDeployment, method: string, path: string): Promise<void> {
+    const { hostname, port } = new URL(gatewayUrl);
+    const socket = connect({ host: hostname, port: Number(port) });
+    await once(socket, "connect");
+    socket.write([
+        `${method} ${path} HTTP/1.1`,
+        "host: members.example",
+        "attempt-id: left",
+        "authorization: Token key-1",
+        "content-length: 0",
+        "\r\n",
+    ].join("\r\n"));
+    socket.destroy();
+}
+
 describe("gateway on the platform", () => {
     it("passes a request on with the account in place of the key, and the answer back unchanged", async () => {
         await using deployment = await startDeployment();
@@ -114,6 +132,23 @@
         await waitUntil("the run is canceled", () => runner.runs[0]?.canceled === true);
     });
 
+    for (const [method, path] of [["GET", "/safe/"], ["POST", "/unsafe/"], ["GET", "/stream/"]] as const) {
+        it(`sends nothing to a runner for a caller that left before its request was read: ${method} ${path}`, async () => {
+            await using deployment = await startDeployment();
+            const runner = await deployment.addRunner({ id: "i-1" });
+            // A new connection takes longer than the end of the caller's; only a kept one shows the fault.
+            await call(deployment, "/safe/");
+            for (let index = 0; index < 5; index++) {
+                await leaveAtOnce(deployment, method, path);
+                await call(deployment, "/safe/");
+            }
+            expect(runner.runs.filter(({ attemptId }) => attemptId === "left").length).toEqual(0);
+            const routed = deployment.logLines.filter(line => line.includes("\"msg\":\"routing decision\""));
+            expect(routed.some(line => line.includes("\"requestId\":\"attempt-"))).toEqual(true);
+            expect(routed.some(line => line.includes("\"requestId\":\"left\""))).toEqual(false);
+        });
+    }
+
     it("sends nothing to a runner that is draining, gone, or replaced at its address", async () => {
         await using deployment = await startDeployment();
         const [first, second] = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
