--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -72,8 +72,10 @@
     "gateway started": define("process", ["gateway"], "a gateway listens; it is ready once it knows a configuration"),
     "agent started": define("process", ["agent"], "an agent follows its engine", ["engine", "zone"]),
     draining: define("process", anyProgram, "a signal asked the process to end", ["signal"]),
-    drained: define("process", ["gateway"], "no request is in progress any more, or the time to drain is over"),
-    stopped: define("process", anyProgram, "the process ends in order"),
+    drained: define("process", ["gateway"], "no request is in progress any more, or the time to drain is over", [
+        "open",
+    ]),
+    stopped: define("process", anyProgram, "everything is released, and the process ends in order"),
     "settings reloaded": define("process", both, "the settings file has changed and is in force"),
     "changed settings have faults and are left out": define("process", both, "the former settings stay in force", [
         "error",
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -96,7 +96,8 @@
             minimum: 0,
             maximum: 600_000,
             initial: 700,
-            documentation: "Time before the end of instance.drainTimeLimitSeconds at which the process ends by itself.",
+            documentation:
+                "Time before the end of instance.drainTimeLimitSeconds at which the drain ends, to release everything and end.",
         }),
         settingsCheckIntervalMilliseconds: defineDuration("settingsCheckInterval", "Milliseconds", {
             minimum: 100,
