Send the repeated answer of the planned runner between answers only

The stand-in was wrong: it wrote a late answer into the middle of another one, which a backend server that writes one answer after the other cannot do, and which no receiver can tell from a body. A repeated answer now waits until the one in progress is written, or ends with its connection. What callers may get is checked as before.

--- a/test/platform/standIn/plannedAnswer.ts
+++ b/test/platform/standIn/plannedAnswer.ts
@@ -82,6 +82,22 @@
     return Buffer.from(`${head.join("\r\n")}\r\n\r\n${body}`);
 }
 
+/** Connection of a caller; a repeated answer waits until the answer in progress is written. */
+interface Connection {
+    readonly socket: Socket;
+    isWriting: boolean;
+    readonly repeats: Buffer[];
+}
+
+function repeat({ isWriting, repeats, socket }: Connection, bytes: Buffer): void {
+    if (isWriting) {
+        repeats.push(bytes);
+    }
+    else if (socket.writable) {
+        socket.write(bytes);
+    }
+}
+
 async function write(socket: Socket, bytes: Buffer, writes: number): Promise<void> {
     const step = Math.ceil(bytes.length / writes);
     for (let from = 0; from < bytes.length; from += step) {
@@ -92,16 +108,20 @@
     }
 }
 
-async function answer(socket: Socket, requestId: string, plan: AnswerPlan): Promise<void> {
+async function answer(connection: Connection, requestId: string, plan: AnswerPlan): Promise<void> {
+    const { repeats, socket } = connection;
     const whole = encode(requestId, plan);
     const isWhole = plan.ending === "whole";
     // A reset after the last byte still leaves an answer open whose end is the end of its connection.
     const most = plan.framing === "connection" ? whole.length : whole.length - 1;
     const sent = isWhole ? whole : whole.subarray(0, Math.min(most, Math.ceil(whole.length * plan.sentShare)));
+    connection.isWriting = true;
     await write(socket, sent, plan.writes);
     if (isWhole && plan.framing !== "connection") {
+        connection.isWriting = false;
+        repeats.splice(0).forEach(bytes => repeat(connection, bytes));
         if (plan.repeatAfter !== undefined) {
-            setTimeout(() => socket.writable && socket.write(whole), plan.repeatAfter);
+            setTimeout(() => repeat(connection, whole), plan.repeatAfter);
         }
         return;
     }
@@ -134,6 +154,7 @@
         socket.on("close", () => sockets.delete(socket));
         // Gateways close connections on which surplus bytes arrive.
         socket.on("error", () => {});
+        const connection: Connection = { socket, isWriting: false, repeats: [] };
         let received = "";
         socket.on("data", part => {
             received += part.toString("latin1");
@@ -147,7 +168,7 @@
                 }),
             );
             received = "";
-            void answer(socket, headers.get("attempt-id")!, JSON.parse(headers.get(planHeader)!) as AnswerPlan);
+            void answer(connection, headers.get("attempt-id")!, JSON.parse(headers.get(planHeader)!) as AnswerPlan);
         });
     });
     await new Promise<void>(resolve => {
