Test late answers without an identifier, and unknown transfer codings

A late answer that is no success and names no request is taken for the answer to the next request on its connection, also as the statement that this request has not run. Bytes with a transfer coding besides chunked are passed on without the header that names the coding, in both directions.

--- /dev/null
+++ b/test/platform/gatewayFraming.test.ts
@@ -0,0 +1,109 @@
+import { expect } from "earl";
+import { createServer, type Socket } from "node:net";
+import { describe, it } from "node:test";
+import { call } from "./standIn/caller.js";
+import { startDeployment, type TestDeployment, waitUntil } from "./standIn/deployment.js";
+
+const proof = "response-seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n";
+
+/** Answers the request with an identifier; requests of a connection count from 1. */
+type RawAnswer = (socket: Socket, requestId: string, count: number) => void;
+
+/** Lists a runner that writes its answers byte by byte, and returns the requests that it received. */
+async function addRawRunner(deployment: TestDeployment, answer: RawAnswer): Promise<readonly string[]> {
+    const received: string[] = [];
+    const sockets = new Set<Socket>();
+    const server = createServer(socket => {
+        let count = 0;
+        sockets.add(socket);
+        socket.on("error", () => {});
+        socket.on("data", (bytes: Buffer) => {
+            const text = bytes.toString();
+            received.push(text);
+            count++;
+            answer(socket, /^attempt-id: (\S+)/m.exec(text)?.[1] ?? "", count);
+        });
+    });
+    deployment.stack.defer(() => {
+        sockets.forEach(socket => socket.destroy());
+        server.close();
+    });
+    await new Promise<void>(resolve => {
+        server.listen(0, "127.0.0.1", resolve);
+    });
+    const { port } = server.address() as { readonly port: number; };
+    deployment.store.write("keyed.servers", "i-1", {
+        service: "archive",
+        address: `127.0.0.1:${port}`,
+        zone: "zone-a",
+        version: "v1",
+        slots: 4,
+        state: "ready",
+        cold_remaining_ms: 0,
+        sequence: 1,
+        born: 1,
+    });
+    await waitUntil("the runner is listed", async () => (await call(deployment, "/safe/")).status === 200);
+    received.length = 0;
+    return received;
+}
+
+function writeAnswer(socket: Socket, requestId: string): void {
+    socket.write(`HTTP/1.1 200 OK\r\nattempt-id: ${requestId}\r\n${proof}content-length: 3\r\n\r\nown`);
+}
+
+/** Writes a late answer that names no request in place of the second answer on each connection. */
+function answerLate(late: string): RawAnswer {
+    return (socket, requestId, count) => {
+        if (count > 1) {
+            socket.write(late);
+        }
+        setTimeout(() => writeAnswer(socket, requestId), count > 1 ? 20 : 0);
+    };
+}
+
+describe("gateway and messages that do not belong to a request", () => {
+    for (const status of ["404 Not Found", "500 Internal Server Error"]) {
+        it(`does not pass on a late answer without an identifier: ${status}`, async () => {
+            await using deployment = await startDeployment();
+            await addRawRunner(deployment, answerLate(`HTTP/1.1 ${status}\r\ncontent-length: 7\r\n\r\nforeign`));
+            const answer = await call(deployment, "/unsafe/", { method: "POST" });
+            expect([answer.status, answer.body.includes("foreign")]).toEqual([502, false]);
+        });
+    }
+
+    for (const head of ["503 Service Unavailable\r\nnot-executed: 1", "421 Misdirected Request"]) {
+        it(`does not promise that a request has not run after a late answer without an identifier: ${head}`, async () => {
+            await using deployment = await startDeployment();
+            const late = `HTTP/1.1 ${head}\r\ncontent-length: 0\r\n\r\n`;
+            const received = await addRawRunner(deployment, answerLate(late));
+            const answer = await call(deployment, "/unsafe/", { method: "POST" });
+            expect([answer.status, received.length]).toEqual([502, 1]);
+        });
+    }
+});
+
+describe("gateway and transfer codings that it does not decode", () => {
+    const coded = "transfer-encoding: gzip, chunked\r\n\r\n4\r\nGZIP\r\n0\r\n\r\n";
+
+    it("does not pass on the bytes of an answer as if they were not coded", async () => {
+        await using deployment = await startDeployment();
+        await addRawRunner(deployment, (socket, requestId, count) => {
+            if (count === 1) {
+                writeAnswer(socket, requestId);
+                return;
+            }
+            socket.write(`HTTP/1.1 200 OK\r\nattempt-id: ${requestId}\r\n${proof}${coded}`);
+        });
+        const answer = await call(deployment, "/unsafe/", { method: "POST" });
+        expect([answer.status, answer.body.includes("GZIP")]).toEqual([502, false]);
+    });
+
+    it("does not pass on the bytes of a request as if they were not coded", async () => {
+        await using deployment = await startDeployment();
+        const received = await addRawRunner(deployment, writeAnswer);
+        const headers = { "transfer-encoding": "gzip, chunked" };
+        const answer = await call(deployment, "/unsafe/", { method: "POST", headers, body: "GZIP" });
+        expect([answer.status >= 400, received.length]).toEqual([true, 0]);
+    });
+});
