Attribute an answer to a request only by its identifier

A caller could get the 404 or 500 of another caller's request, or could be told that its request had not run although the backend server had got it.

The gateway compared the identifier of an answer only if there was one, and demanded one only of a success. A backend server may send an additional answer late, where the next answer on a reused connection is expected. Without an identifier, this answer was taken for the next request's own.

Each answer now has to name the request.

The runner stand-in left the identifier out of its 503 and 421 answers. That was wrong, since runners echo it in all of their answers, and is corrected.

--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -67,15 +67,18 @@
 /** Explains why an answer cannot be used; undefined if it can. */
 function findFault(attempt: Attempt, status: number, head: BackendServerHead): AttemptFailure | undefined {
     const { requestId } = attempt.request.row;
-    if (head.requestId !== undefined && head.requestId !== requestId) {
-        return createFailure("unknown", "answer-mismatched", `answer to request ${head.requestId}`, true);
+    if (head.requestId !== requestId) {
+        // An earlier request's late answer may arrive on a reused connection, so neither its status nor its claim
+        // that the request has not run can be trusted.
+        const answered = head.requestId === undefined ? "an unknown request" : `request ${head.requestId}`;
+        return createFailure("unknown", "answer-mismatched", `answer to ${answered}, status ${status}`, true);
     }
     if (head.notRun) {
         const reason = status === 421 ? "not-serving" : "queue-full";
         return createFailure("no", reason, `not run, status ${status}`, false);
     }
     const succeeded = status >= 200 && status < 300;
-    if (succeeded && (!head.proven || head.encoded || head.requestId === undefined)) {
+    if (succeeded && (!head.proven || head.encoded)) {
         return createFailure("unknown", "answer-mismatched", "success without the backend server's proof", true);
     }
     if (promisingStatuses.has(status)) {
--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -109,8 +109,8 @@
             response.writeHead(200, { ...head, "content-type": "text/event-stream" });
             void stream(request, response, options.events);
         },
-        shed: (...[, response]) => {
-            response.writeHead(503, { "not-executed": "1" });
+        shed: (request, response) => {
+            response.writeHead(503, { "attempt-id": String(request.headers["attempt-id"]), "not-executed": "1" });
             response.end();
         },
         error: (request, response, url, body) => {
@@ -159,6 +159,7 @@
     const server = await startHttpStandIn((request, response, url, body) => {
         arrivals++;
         if (request.headers["expect-instance"] !== options.id) {
+            response.setHeader("attempt-id", request.headers["attempt-id"] ?? "");
             response.setHeader("runner-id", options.id);
             sendJson(response, 421, {});
             return;
