Refuse messages with transfer codings that are not decoded

A caller could get a 200 with compressed bytes that nothing marked as compressed, and a backend server could get such a request body.

Node and undici remove the chunks of a message with "transfer-encoding: gzip, chunked" and leave the other coding. The gateway passed these bytes on without the header, as if they were the body.

Evidence: test/platform/gatewayFraming.test.ts.

The check covers answers of every status, unlike the one of content-encoding: a caller can decode a 404 that still states its content-encoding, but does not see the transfer codings. Answers without a body are not affected.

The request's test now also demands 501 and the log line instead of any failure, and the answer's test has a 404 beside the 200.

--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -2,7 +2,13 @@
 import type { BackendServerRow } from "../../runtime/gateway/index.js";
 import { applyLoadReport } from "../../runtime/routing/index.js";
 import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../types/index.js";
-import { type HttpClient, type HttpFailure, type HttpStream, readWholeBody } from "../httpClient/index.js";
+import {
+    hasUndecodedTransferCoding,
+    type HttpClient,
+    type HttpFailure,
+    type HttpStream,
+    readWholeBody,
+} from "../httpClient/index.js";
 import type { AttemptFailure, BufferedAnswer, GatewayRequest, OpenedAnswer } from "./types.js";
 
 /** Dependencies of {@link openAttempt}. */
@@ -65,7 +71,11 @@
 }
 
 /** Explains why an answer cannot be used; undefined if it can. */
-function findFault(attempt: Attempt, status: number, head: BackendServerHead): AttemptFailure | undefined {
+function findFault(
+    attempt: Attempt,
+    { framing, headers, status }: Pick<HttpStream, "framing" | "headers" | "status">,
+    head: BackendServerHead,
+): AttemptFailure | undefined {
     const { requestId } = attempt.request.row;
     if (head.requestId !== requestId) {
         // An earlier request's late answer may arrive on a reused connection, so neither its status nor its claim
@@ -77,6 +87,10 @@
         const reason = status === 421 ? "not-serving" : "queue-full";
         return createFailure("no", reason, `not run, status ${status}`, false);
     }
+    if (framing !== "none" && hasUndecodedTransferCoding(headers)) {
+        const detail = `status ${status} with transfer codings: ${headers["transfer-encoding"]}`;
+        return createFailure("unknown", "answer-mismatched", detail, true);
+    }
     const succeeded = status >= 200 && status < 300;
     if (succeeded && (!head.proven || head.encoded)) {
         return createFailure("unknown", "answer-mismatched", "success without the backend server's proof", true);
@@ -132,7 +146,7 @@
     const stream = opened.value;
     const head = context.protocol.decodeHead(stream.status, stream.headers);
     recordLoad(server, head, context.clock.monotonic());
-    const fault = findFault(attempt, stream.status, head);
+    const fault = findFault(attempt, stream, head);
     if (fault === undefined) {
         return ok({ ...stream, server });
     }
--- a/src/node/gateway/callerAnswer.ts
+++ b/src/node/gateway/callerAnswer.ts
@@ -8,7 +8,7 @@
 const ownHeaders: ReadonlySet<string> = new Set(["date"]);
 
 /** How the answers of a gateway end, besides those of backend servers. */
-export type OwnStatus = 400 | 401 | 404 | 408 | 413 | 502 | 503 | 504;
+export type OwnStatus = 400 | 401 | 404 | 408 | 413 | 501 | 502 | 503 | 504;
 
 /**
  * Sends a whole answer of a backend server.
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -19,6 +19,7 @@
     type Milliseconds,
     type RouteRow,
 } from "../../types/index.js";
+import { hasUndecodedTransferCoding } from "../httpClient/index.js";
 import { breakOffAnswer, readBody, splitAddress } from "../httpServer/index.js";
 import { type OwnStatus, sendOwnAnswer } from "./callerAnswer.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
@@ -164,6 +165,10 @@
             reject(incoming, response, 503, "no-service", unconfiguredRetryAfterSeconds);
             return;
         }
+        if (hasUndecodedTransferCoding(headers)) {
+            reject(incoming, response, 501, "transfer-coding");
+            return;
+        }
         const limit = routes.configuration.limits.bodyBytes;
         const isTooLarge = Number(headers["content-length"] ?? 0) > limit;
         const body = isTooLarge ? undefined : await readBody(incoming, limit);
--- a/src/node/httpClient/framing.ts
+++ b/src/node/httpClient/framing.ts
@@ -1,3 +1,4 @@
+import type { HeaderTable } from "../../types/index.js";
 import type { BodyFraming, HttpHead, HttpRequest } from "./types.js";
 
 /** Statuses whose answers have no body. */
@@ -21,3 +22,15 @@
     }
     return head.headers["content-length"] === undefined ? "connection" : "length";
 }
+
+/**
+ * Tells whether a body has transfer codings besides chunks. Node and undici remove the chunks and leave the other
+ * codings, so the bytes that they deliver are not the sender's body.
+ *
+ * @param headers - headers of the message by lower-case name
+ * @returns true if the delivered bytes are still coded
+ */
+export function hasUndecodedTransferCoding(headers: HeaderTable): boolean {
+    const codings = headers["transfer-encoding"];
+    return codings !== undefined && codings.trim().toLowerCase() !== "chunked";
+}
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -150,7 +150,7 @@
     "request rejected": define(
         "request",
         ["gateway"],
-        "the gateway answered by itself: no route, no key, no limit kept",
+        "the gateway answered by itself: no route, no key, no limit kept, or a transfer coding that it does not decode",
         [
             "requestId",
             "status",
--- a/src/runtime/explain/findCauses.ts
+++ b/src/runtime/explain/findCauses.ts
@@ -15,6 +15,7 @@
         `${show(line, "host")}${show(line, "path")}`,
     "no-configuration": line => `answered ${show(line, "status")}: the gateway knew no configuration yet`,
     "body-too-large": line => `answered ${show(line, "status")}: the body is larger than the configuration allows`,
+    "transfer-coding": line => `answered ${show(line, "status")}: the body has a transfer coding besides chunks`,
 };
 
 function readRejection(line: LogLine): string {
--- a/test/platform/gatewayFraming.test.ts
+++ b/test/platform/gatewayFraming.test.ts
@@ -86,24 +86,29 @@
 describe("gateway and transfer codings that it does not decode", () => {
     const coded = "transfer-encoding: gzip, chunked\r\n\r\n4\r\nGZIP\r\n0\r\n\r\n";
 
-    it("does not pass on the bytes of an answer as if they were not coded", async () => {
-        await using deployment = await startDeployment();
-        await addRawRunner(deployment, (socket, requestId, count) => {
-            if (count === 1) {
-                writeAnswer(socket, requestId);
-                return;
-            }
-            socket.write(`HTTP/1.1 200 OK\r\nattempt-id: ${requestId}\r\n${proof}${coded}`);
+    for (const status of ["200 OK", "404 Not Found"]) {
+        it(`does not pass on the bytes of an answer as if they were not coded: ${status}`, async () => {
+            await using deployment = await startDeployment();
+            await addRawRunner(deployment, (socket, requestId, count) => {
+                if (count === 1) {
+                    writeAnswer(socket, requestId);
+                    return;
+                }
+                socket.write(`HTTP/1.1 ${status}\r\nattempt-id: ${requestId}\r\n${proof}${coded}`);
+            });
+            const answer = await call(deployment, "/unsafe/", { method: "POST" });
+            expect([answer.status, answer.body.includes("GZIP")]).toEqual([502, false]);
         });
-        const answer = await call(deployment, "/unsafe/", { method: "POST" });
-        expect([answer.status, answer.body.includes("GZIP")]).toEqual([502, false]);
-    });
+    }
 
     it("does not pass on the bytes of a request as if they were not coded", async () => {
         await using deployment = await startDeployment();
         const received = await addRawRunner(deployment, writeAnswer);
-        const headers = { "transfer-encoding": "gzip, chunked" };
+        const headers = { "attempt-id": "coded", "transfer-encoding": "gzip, chunked" };
         const answer = await call(deployment, "/unsafe/", { method: "POST", headers, body: "GZIP" });
-        expect([answer.status >= 400, received.length]).toEqual([true, 0]);
+        expect([answer.status, answer.headers["connection"], received.length]).toEqual([501, "close", 0]);
+        const lines = deployment.logLines.filter(line => line.includes("request rejected"));
+        const { reason, requestId, status } = JSON.parse(lines.at(-1) ?? "{}") as Readonly<Record<string, unknown>>;
+        expect([requestId, status, reason]).toEqual(["coded", 501, "transfer-coding"]);
     });
 });
