Close the connection of a discarded answer that has arrived completely

After one late answer on a connection, callers got 502 for several requests in a row, until the backend server was ejected and its next callers got 503.

Discarding an answer is documented to close its connection. Undici ignores an abort once the last byte has arrived, and keeps the connection. The gateway discarded a late answer that had come whole, the backend server's own answer followed, and the next request on the connection took it for its own. Each request after that got the answer of the one before.

Evidence: test/platform/gatewayFraming.test.ts, four requests in sequence, with one late 404 on the first connection. After: 502, 200, 200, 200.

The tracked client now closes the connection of an aborted call itself, unless a later call has been written to it, which must not be cut off. Undici does not reuse a connection before the next turn of the event loop, so an answer that is discarded as soon as its head is read closes the connection first.

--- a/src/node/httpClient/trackedClient.ts
+++ b/src/node/httpClient/trackedClient.ts
@@ -8,6 +8,10 @@
     ended: boolean;
     /** True once the connection has failed. */
     failed: boolean;
+    /** Call whose request was written last. */
+    lastCall: CallState | undefined;
+    /** Closes the connection at once. */
+    readonly close: () => void;
 }
 
 /** State of one call, to be passed as its `opaque` option. */
@@ -30,7 +34,14 @@
 }
 
 function followConnection(socket: Socket): ConnectionState {
-    const state: ConnectionState = { ended: false, failed: false };
+    const state: ConnectionState = {
+        ended: false,
+        failed: false,
+        lastCall: undefined,
+        close: () => {
+            socket.destroy();
+        },
+    };
     socket.once("end", () => {
         // Node reports a reset that arrives together with the last bytes as an end, but the socket has no peer then.
         state.ended = socket.remoteAddress !== undefined;
@@ -80,7 +91,35 @@
 }
 
 /**
- * Interceptor that completes the state of a call immediately before undici writes the request to an open connection.
+ * Undici ignores an abort after the last byte of an answer has arrived and keeps the connection. Bytes that follow such
+ * an answer would be taken for the answer to the next request.
+ */
+function closeWhenAborted(controller: Dispatcher.DispatchController, call: CallState): Dispatcher.DispatchController {
+    return {
+        get aborted() {
+            return controller.aborted;
+        },
+        get paused() {
+            return controller.paused;
+        },
+        get reason() {
+            return controller.reason;
+        },
+        abort: reason => {
+            controller.abort(reason);
+            // The connection may carry another call by now, which must not be cut off.
+            if (call.connection?.lastCall === call) {
+                call.connection.close();
+            }
+        },
+        pause: () => controller.pause(),
+        resume: () => controller.resume(),
+    };
+}
+
+/**
+ * Interceptor that completes the state of a call immediately before undici writes the request to an open connection, and
+ * closes the connection of a call that is aborted, also if its answer has arrived completely but was not read.
  * After a refused or timed-out connection attempt, the request counts as not written.
  *
  * @param dispatch - next dispatch function
@@ -91,9 +130,12 @@
         const { opaque } = options as unknown as { readonly opaque: CallState; };
         return dispatch(options, {
             onRequestStart: (controller, context) => {
-                handler.onRequestStart?.(controller, context);
+                handler.onRequestStart?.(closeWhenAborted(controller, opaque), context);
                 opaque.written = !controller.aborted;
                 opaque.connection = opaque.findConnection?.();
+                if (opaque.connection !== undefined && opaque.written) {
+                    opaque.connection.lastCall = opaque;
+                }
             },
             onRequestUpgrade: (...parameters) => handler.onRequestUpgrade?.(...parameters),
             onResponseStart: (...parameters) => handler.onResponseStart?.(...parameters),
--- a/test/platform/gatewayFraming.test.ts
+++ b/test/platform/gatewayFraming.test.ts
@@ -81,6 +81,23 @@
             expect([answer.status, received.length]).toEqual([502, 1]);
         });
     }
+
+    it("does not take the answer that follows a late one for the next request's", async () => {
+        await using deployment = await startDeployment();
+        let first: Socket | undefined;
+        await addRawRunner(deployment, (socket, requestId, count) => {
+            first ??= socket;
+            if (socket === first && count === 2) {
+                socket.write("HTTP/1.1 404 Not Found\r\ncontent-length: 7\r\n\r\nforeign");
+            }
+            setTimeout(() => writeAnswer(socket, requestId), 20);
+        });
+        const statuses: number[] = [];
+        for (let sent = 0; sent < 4; sent++) {
+            statuses.push((await call(deployment, "/unsafe/", { method: "POST" })).status);
+        }
+        expect(statuses).toEqual([502, 200, 200, 200]);
+    });
 });
 
 describe("gateway and transfer codings that it does not decode", () => {
