--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -2,7 +2,13 @@
 import type { BackendServerRow } from "../../runtime/gateway/index.js";
 import { applyLoadReport } from "../../runtime/routing/index.js";
 import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../types/index.js";
-import { type HttpClient, type HttpFailure, type HttpStream, readWholeBody } from "../httpClient/index.js";
+import {
+    hasUndecodedTransferCoding,
+    type HttpClient,
+    type HttpFailure,
+    type HttpStream,
+    readWholeBody,
+} from "../httpClient/index.js";
 import { maximumAnswerBytes } from "./backendClients.js";
 import type { AttemptFailure, BufferedAnswer, GatewayRequest, OpenedAnswer } from "./types.js";
 
@@ -63,17 +69,28 @@
 }
 
 /** Explains why an answer cannot be used; undefined if it can. */
-function findFault(attempt: Attempt, status: number, head: BackendServerHead): AttemptFailure | undefined {
+function findFault(
+    attempt: Attempt,
+    { framing, headers, status }: Pick<HttpStream, "framing" | "headers" | "status">,
+    head: BackendServerHead,
+): AttemptFailure | undefined {
     const { requestId } = attempt.request.row;
-    if (head.requestId !== undefined && head.requestId !== requestId) {
-        return createFailure("unknown", "answer-mismatched", `answer to request ${head.requestId}`, true);
+    if (head.requestId !== requestId) {
+        // An earlier request's late answer may arrive on a reused connection, so neither its status nor its claim
+        // that the request has not run can be trusted.
+        const answered = head.requestId === undefined ? "an unknown request" : `request ${head.requestId}`;
+        return createFailure("unknown", "answer-mismatched", `answer to ${answered}, status ${status}`, true);
     }
     if (head.notRun) {
         const reason = status === 421 ? "not-serving" : "queue-full";
         return createFailure("no", reason, `not run, status ${status}`, false);
     }
+    if (framing !== "none" && hasUndecodedTransferCoding(headers)) {
+        const detail = `status ${status} with transfer codings: ${headers["transfer-encoding"]}`;
+        return createFailure("unknown", "answer-mismatched", detail, true);
+    }
     const succeeded = status >= 200 && status < 300;
-    if (succeeded && (!head.proven || head.encoded || head.requestId === undefined)) {
+    if (succeeded && (!head.proven || head.encoded)) {
         return createFailure("unknown", "answer-mismatched", "success without the backend server's proof", true);
     }
     if (promisingStatuses.has(status)) {
@@ -127,7 +144,7 @@
     const stream = opened.value;
     const head = context.protocol.decodeHead(stream.status, stream.headers);
     recordLoad(server, head, context.clock.monotonic());
-    const fault = findFault(attempt, stream.status, head);
+    const fault = findFault(attempt, stream, head);
     if (fault === undefined) {
         return ok({ ...stream, server });
     }
