--- a/src/node/httpClient/trackedClient.ts
+++ b/src/node/httpClient/trackedClient.ts
@@ -43,7 +43,8 @@
         },
     };
     socket.once("end", () => {
-        // Node reports a reset that arrives together with the last bytes as an end, but the socket has no peer then.
+        // Node reports a reset that arrives together with the last bytes as an end, but the socket has no peer then. It
+        // keeps the peer's address from the first read on, so nothing else may read it before.
         state.ended = socket.remoteAddress !== undefined;
     });
     socket.once("error", (error: NodeJS.ErrnoException) => {
--- a/test/node/breakOffAnswer.test.ts
+++ b/test/node/httpServer/breakOffAnswer.test.ts
@@ -2,7 +2,7 @@
 import { createServer, type ServerResponse } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { describe, it } from "node:test";
-import { breakOffAnswer } from "../../src/node/httpServer/index.js";
+import { breakOffAnswer } from "../../../src/node/httpServer/index.js";
 
 type Version = "1.0" | "1.1";
 
--- a/test/platform/gatewayFraming.test.ts
+++ b/test/platform/gatewayFraming.test.ts
@@ -32,17 +32,7 @@
         server.listen(0, "127.0.0.1", resolve);
     });
     const { port } = server.address() as { readonly port: number; };
-    deployment.store.write("keyed.servers", "i-1", {
-        service: "archive",
-        address: `127.0.0.1:${port}`,
-        zone: "zone-a",
-        version: "v1",
-        slots: 4,
-        state: "ready",
-        cold_remaining_ms: 0,
-        sequence: 1,
-        born: 1,
-    });
+    await deployment.listRunner("i-1", `127.0.0.1:${port}`);
     await waitUntil("the runner is listed", async () => (await call(deployment, "/safe/")).status === 200);
     received.length = 0;
     return received;
