Tell a reset from an end in the test of broken answers to callers of HTTP/1.0

It now asks whether the socket still has a peer, as the other tests do. No failure of this kind was seen; found by reading.

--- a/test/node/entry/httpSink.test.ts
+++ b/test/node/entry/httpSink.test.ts
@@ -32,7 +32,8 @@
         socket.on("data", (bytes: Buffer) => {
             text = (text + bytes.toString("latin1")).slice(-100);
         });
-        socket.on("end", () => finish("in order"));
+        // A reset that arrives together with the last bytes is reported as an end, but leaves the socket without a peer.
+        socket.on("end", () => finish(socket.remoteAddress === undefined ? "by a reset" : "in order"));
         socket.on("error", () => finish("by a reset"));
     });
 }
