Say in the line of a refusal what the gateway's places follow from

Cause: the line of a refusal gave the places of the gateway alone. No places can follow from backend servers that are all left out, from places that are all taken, or from a share that rounds down to none, and the line was the same. Change: the line names the free places, the gateways that share them, the usable backend servers, and those that are draining, ejected or not serving; explain says so. A counter of refusals by service and reason. No decision changes.

--- a/bench/days/simulation.ts
+++ b/bench/days/simulation.ts
@@ -7,7 +7,7 @@
     resolveAdmissionOptions,
     setCapacity,
 } from "../../src/runtime/admission/index.js";
-import { computeCapacity, estimateWaited } from "../../src/runtime/gateway/index.js";
+import { computePlaceShare, estimateWaited } from "../../src/runtime/gateway/index.js";
 import { creditRequest, decideRetry, resolveRetryOptions } from "../../src/runtime/retry/index.js";
 import { applyLoadReport, recordOutcome, type RunnerLoadReport } from "../../src/runtime/routing/index.js";
 import type { Milliseconds, Refusal, RequestRow } from "../../src/types/index.js";
@@ -201,13 +201,13 @@
 
     function adapt(gateway: Gateway): void {
         const serving = gateway.runners.filter(({ ejectedUntil, phase }) => phase === "serving" && ejectedUntil <= now);
-        const capacity = computeCapacity({
+        const { places } = computePlaceShare({
             runners: serving.map(runner => ({ runner, isFollowed: true })),
             gateways: gateways.length,
             now,
             options: { queuedPerServer: 0, loadHalfLife: routingOptions.loadHalfLife },
         });
-        apply(gateway, setCapacity(gateway.table, capacity, now));
+        apply(gateway, setCapacity(gateway.table, places, now));
         apply(gateway, expireRequests(gateway.table, now));
     }
 
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -124,7 +124,7 @@
     const gates = createAdmissionGates({
         clock,
         options: settings.admission,
-        measureCapacity: choice.measureCapacity,
+        measureCapacity: service => choice.measureShare(service).places,
     });
     const clients = stack.use(createBackendClients({
         connectTimeLimit: gateway.connectTimeLimit,
@@ -154,7 +154,7 @@
             clock,
             countQueued: gates.countQueued,
             countOpen: gates.countOpen,
-            countPlaces: choice.measureCapacity,
+            measureShare: choice.measureShare,
         }),
         metrics: gatewayMetrics,
     });
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "../../types/index.js";
+import type { Milliseconds, RefusalReason } from "../../types/index.js";
 import type { BodyFraming } from "../httpClient/index.js";
 import type { Metrics } from "../metrics/index.js";
 import type { AnswerEnding, GatewayRequest } from "./types.js";
@@ -9,6 +9,8 @@
 /** Counters and latency histograms of a gateway. */
 export interface GatewayMetrics {
     countOutcome(request: GatewayRequest, outcome: RequestOutcome): void;
+    /** Counts a request that was refused before it was sent to a backend server. */
+    countRefusal(request: GatewayRequest, reason: RefusalReason): void;
     countRetry(request: GatewayRequest): void;
     /** Counts an answer of a backend server whose body was read. */
     countAnswer(request: GatewayRequest, framing: BodyFraming, ending: AnswerEnding): void;
@@ -29,6 +31,10 @@
         name: "goldcrestpoint_gateway_requests_total",
         documentation: "Requests by service, route kind and outcome.",
     });
+    const refusals = metrics.createCounter({
+        name: "goldcrestpoint_gateway_refusals_total",
+        documentation: "Requests refused before they were sent to a backend server, by service and reason.",
+    });
     const retries = metrics.createCounter({
         name: "goldcrestpoint_gateway_retries_total",
         documentation: "Further attempts at requests, by service.",
@@ -52,6 +58,7 @@
     return {
         countOutcome: ({ route, service }, outcome) =>
             outcomes.add(1, { service: service.name, kind: route.kind, outcome }),
+        countRefusal: ({ service }, reason) => refusals.add(1, { service: service.name, reason }),
         countRetry: ({ service }) => retries.add(1, { service: service.name }),
         countAnswer: ({ service }, framing, ending) => answers.add(1, { service: service.name, framing, ending }),
         countRejected: reason => rejected.add(1, { reason }),
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -1,7 +1,7 @@
 import type { RetryDecision } from "../../runtime/retry/index.js";
 import type { Clock, Refusal, ServiceRow } from "../../types/index.js";
 import type { DecisionLog } from "../logging/index.js";
-import type { ServerSelection } from "./serverChoice.js";
+import type { ServerSelection, ServiceShare } from "./serverChoice.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
 
 /** Dependencies of {@link createRequestLog}. */
@@ -10,8 +10,8 @@
     readonly clock: Clock;
     readonly countQueued: () => number;
     readonly countOpen: () => number;
-    /** Counts the requests that the gateway may have in progress at a service. */
-    readonly countPlaces: (service: ServiceRow) => number;
+    /** Computes the requests that the gateway may have in progress at a service. */
+    readonly measureShare: (service: ServiceRow) => ServiceShare;
 }
 
 /** Writes a line for each decision on a request. */
@@ -30,7 +30,7 @@
  * @returns the log
  */
 export function createRequestLog(
-    { clock, countOpen, countPlaces, countQueued, decisions }: RequestLogInput,
+    { clock, countOpen, countQueued, decisions, measureShare }: RequestLogInput,
 ): RequestLog {
     return {
         routing: (request, { decision, version }, attempt) => {
@@ -86,6 +86,7 @@
             });
         },
         refusal: (request, refusal) => {
+            const { free, gateways, own, places, unusable, usable } = measureShare(request.service);
             decisions.record({
                 kind: "admission",
                 outcome: "refused",
@@ -97,7 +98,14 @@
                 details: {
                     queued: countQueued(),
                     open: countOpen(),
-                    places: countPlaces(request.service),
+                    places,
+                    own,
+                    free: Math.round(free * 10) / 10,
+                    gateways,
+                    usable,
+                    draining: unusable.draining,
+                    ejected: unusable.ejected,
+                    notServing: unusable["not-serving"],
                     waited: Math.round(clock.monotonic() - request.row.receivedAt),
                     retryAfterSeconds: refusal.retryAfterSeconds,
                 },
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -296,6 +296,7 @@
             return;
         }
         metrics.countOutcome(request, "refused");
+        metrics.countRefusal(request, refusal.reason);
         sendOwnAnswer(request.response, 503, refusal);
     }
 
--- a/src/node/gateway/serverChoice.ts
+++ b/src/node/gateway/serverChoice.ts
@@ -1,4 +1,10 @@
-import { type BackendServerRow, computeCapacity, nameWeights, splitWeights } from "../../runtime/gateway/index.js";
+import {
+    type BackendServerRow,
+    computePlaceShare,
+    nameWeights,
+    type PlaceShare,
+    splitWeights,
+} from "../../runtime/gateway/index.js";
 import { type RoutingDecision, type RoutingOptions, selectRunner } from "../../runtime/routing/index.js";
 import type { AvailabilityZone, Clock, Milliseconds, RandomSource, Region, ServiceRow } from "../../types/index.js";
 import { type GatewayState, listAcceptedWeights } from "./gatewayState.js";
@@ -27,6 +33,17 @@
     readonly beginLimit: Milliseconds | undefined;
 }
 
+/** Places of a gateway at a service, and which backend servers they are at. */
+export interface ServiceShare extends PlaceShare {
+    /** Backend servers that may be sent requests. */
+    readonly usable: number;
+    /** Backend servers that may not be sent requests now, by the first reason that holds. */
+    readonly unusable: Readonly<Record<UnusableReason, number>>;
+}
+
+/** Why a backend server is sent no requests. */
+export type UnusableReason = "draining" | "ejected" | "not-serving";
+
 /** Choice of the backend server of a request. */
 export interface ServerChoice {
     /**
@@ -41,9 +58,25 @@
      * Computes how many requests this gateway may have in progress at a service.
      *
      * @param service - the service
-     * @returns requests in progress; 0 if no backend server can answer
+     * @returns places; none if no backend server can answer
      */
-    readonly measureCapacity: (service: ServiceRow) => number;
+    readonly measureShare: (service: ServiceRow) => ServiceShare;
+}
+
+function findUnusableReason(
+    { runner: { draining, ejectedUntil, manifestDigest, phase } }: BackendServerRow,
+    newest: string | undefined,
+    accepted: ReadonlySet<string>,
+    now: Milliseconds,
+): UnusableReason | undefined {
+    if (draining) {
+        return "draining";
+    }
+    const holdsAccepted = manifestDigest === newest || (manifestDigest !== undefined && accepted.has(manifestDigest));
+    if (phase !== "serving" || !holdsAccepted) {
+        return "not-serving";
+    }
+    return ejectedUntil > now ? "ejected" : undefined;
 }
 
 /**
@@ -94,19 +127,27 @@
                 state.readBeginLimit(model, version);
             return { decision, server, version, beginLimit };
         },
-        measureCapacity: service => {
+        measureShare: service => {
             const { accepted, newest, rows } = listAccepted(service);
             const now = clock.monotonic();
-            const usable = rows.filter(({ runner: { draining, ejectedUntil, manifestDigest, phase } }) =>
-                phase === "serving" && !draining && ejectedUntil <= now &&
-                (manifestDigest === newest || (manifestDigest !== undefined && accepted.has(manifestDigest)))
-            );
-            return computeCapacity({
+            const usable: BackendServerRow[] = [];
+            const unusable = { draining: 0, ejected: 0, "not-serving": 0 };
+            for (const row of rows) {
+                const reason = findUnusableReason(row, newest, accepted, now);
+                if (reason === undefined) {
+                    usable.push(row);
+                }
+                else {
+                    unusable[reason]++;
+                }
+            }
+            const share = computePlaceShare({
                 runners: usable.map(({ reportedAt, runner }) => ({ runner, isFollowed: reportedAt !== undefined })),
                 gateways: input.countGateways(),
                 now,
                 options: { queuedPerServer: input.queuedPerServer, loadHalfLife: options.loadHalfLife },
             });
+            return { ...share, usable: usable.length, unusable };
         },
     };
 }
--- a/src/runtime/explain/findCauses.ts
+++ b/src/runtime/explain/findCauses.ts
@@ -24,12 +24,21 @@
         `answered ${show(line, "status")}: ${reason} by configuration ${show(line, "revision")}`;
 }
 
+/** Says what the places of a gateway follow from; empty for lines of processes that do not say so. */
+function readShare(line: LogLine): string {
+    return line.fields["usable"] === undefined ?
+        "" :
+        ` (${show(line, "usable")} usable backend servers with ${show(line, "free")} free places, shared by ` +
+        `${show(line, "gateways")} gateways; left out: ${show(line, "draining")} draining, ` +
+        `${show(line, "ejected")} ejected, ${show(line, "notServing")} not serving)`;
+}
+
 function readAdmission(line: LogLine): string | undefined {
     return line.fields["outcome"] === "chosen" ?
         undefined :
         `refused without having run (${show(line, "reason")}): ${show(line, "queued")} requests waited and ` +
-        `${show(line, "open")} were open at the gateway, which had ${show(line, "places")} places at the service; ` +
-        `it was told to come back after ${show(line, "retryAfterSeconds")} s`;
+        `${show(line, "open")} were open at the gateway, which had ${show(line, "places")} places at the ` +
+        `service${readShare(line)}; it was told to come back after ${show(line, "retryAfterSeconds")} s`;
 }
 
 function readRouting(line: LogLine): string | undefined {
--- a/src/runtime/gateway/capacity.ts
+++ b/src/runtime/gateway/capacity.ts
@@ -19,7 +19,7 @@
     readonly isFollowed: boolean;
 }
 
-/** Input of {@link computeCapacity}. */
+/** Input of {@link computePlaceShare}. */
 export interface CapacityInput {
     /** Backend servers that may take requests. */
     readonly runners: readonly CapacityRunner[];
@@ -29,15 +29,27 @@
     readonly options: CapacityOptions;
 }
 
+/** Places of a gateway at a service, with what they follow from. */
+export interface PlaceShare {
+    /** Requests that the gateway may have in progress; at least 0. */
+    readonly places: number;
+    /** Requests that it has in progress at the backend servers. */
+    readonly own: number;
+    /** Places that no gateway has taken, as far as is known; a fraction, since the weight of a load falls with its age. */
+    readonly free: number;
+    /** Gateways that share the free places, this one included. */
+    readonly gateways: number;
+}
+
 /**
  * Computes how many requests a gateway may have in progress at a service: those that it has, and its share of the places
  * that no gateway has taken. The share is rounded down: rounded up everywhere, the last free places would be given away
  * several times, and their requests would wait at the backend server.
  *
  * @param input - backend servers and number of gateways
- * @returns requests in progress; at least 0
+ * @returns the places, with what they follow from
  */
-export function computeCapacity({ gateways, now, options, runners }: CapacityInput): number {
+export function computePlaceShare({ gateways, now, options, runners }: CapacityInput): PlaceShare {
     let own = 0;
     let free = 0;
     for (const { isFollowed, runner } of runners) {
@@ -46,5 +58,5 @@
         own += outstanding;
         free += Math.max(0, capacity + options.queuedPerServer - outstanding - reportedLoad * weight);
     }
-    return own + Math.floor(free / Math.max(1, gateways));
+    return { places: own + Math.floor(free / Math.max(1, gateways)), own, free, gateways };
 }
--- a/test/runtime/explain/explainRequest.test.ts
+++ b/test/runtime/explain/explainRequest.test.ts
@@ -68,6 +68,19 @@
         ]);
     });
 
+    it("says how many places its gateway had, and of which backend servers", () => {
+        const share = { usable: 2, free: 11.5, gateways: 13, draining: 0, ejected: 1, notServing: 0 };
+        const fields = { requestId, outcome: "refused", reason: "deadline-passed", places: 0, ...share };
+        const [cause] = explainRequest(
+            collect([{ at: 10, instance: "front-1", msg: "admission decision", fields }]),
+            requestId,
+        )!.causes;
+        expect(cause ?? "").toInclude(
+            "had 0 places at the service (2 usable backend servers with 11.5 free places, shared by 13 gateways; left " +
+                "out: 0 draining, 1 ejected, 0 not serving)",
+        );
+    });
+
     it("names the configuration that had no route for it, and when it came into force", () => {
         const rejected = { requestId, status: 404, reason: "no-route", host: "a.example", path: "/b/", revision: 7 };
         const lines = collect([
--- a/test/runtime/gateway/backendServers.test.ts
+++ b/test/runtime/gateway/backendServers.test.ts
@@ -4,7 +4,7 @@
     applyAgentReport,
     applyListed,
     applyRemoved,
-    computeCapacity,
+    computePlaceShare,
     createBackendServerTable,
     expireRemoved,
     expireReports,
@@ -107,7 +107,8 @@
         applyListed(table, createListed(), "south", 0, options);
         const { runner } = table.get("i-1")!;
         Object.assign(runner, { reportedLoad: load, outstanding, reportedAt });
-        return computeCapacity({ runners: [{ runner, isFollowed }], gateways, now: 0, options: capacityOptions });
+        const runners = [{ runner, isFollowed }];
+        return computePlaceShare({ runners, gateways, now: 0, options: capacityOptions }).places;
     };
 
     it("is what the gateway has and its share of the free places", () => {
