Let gateways share places only with those that are expected to want one too

Cause: the share of a gateway in the free places was their number divided by all gateways, rounded down. With 13 gateways and fewer than 13 free places, a gateway with nothing in progress had no place, whatever was free; the remainder went to nobody. The more gateways, the more places lay idle. Evidence: test/platform/gatewayShare.test.ts failed before (503 three times; places 0, free 6, gateways 13). Change: free places are shared by the gateways that are expected to want one before another becomes free, judged by the own arrivals; a gateway with nothing in progress gets a place for a fraction of one by chance. Why it works: a service that is hardly busy has few gateways that want a place at once, so each of them finds one; with all gateways busy the shares are what they were, and the remainder is given in the mean. Measured: the test passes.

--- a/bench/days/gateways.ts
+++ b/bench/days/gateways.ts
@@ -1,5 +1,10 @@
 import { type AdmissionOptions, type AdmissionTable, createAdmissionTable } from "../../src/runtime/admission/index.js";
-import { createPatienceTable, type PatienceTable } from "../../src/runtime/gateway/index.js";
+import {
+    type Arrivals,
+    createArrivals,
+    createPatienceTable,
+    type PatienceTable,
+} from "../../src/runtime/gateway/index.js";
 import { createRetryBudget, type RetryBudget, type RetryOptions } from "../../src/runtime/retry/index.js";
 import { createRunnerRow, type RunnerRow } from "../../src/runtime/routing/index.js";
 import type { RequestRow } from "../../src/types/index.js";
@@ -16,6 +21,9 @@
     readonly budget: RetryBudget;
     readonly policy: Policy;
     readonly patience: PatienceTable;
+    readonly arrivals: Arrivals;
+    /** Decides whether the gateway gets a place for a fraction of one. */
+    draw: number;
 }
 
 /** Request of a caller at a gateway. */
@@ -54,6 +62,8 @@
             budget: createRetryBudget(0, retry),
             policy: createPolicy(),
             patience: createPatienceTable(),
+            arrivals: createArrivals(0),
+            draw: 0,
         }))
     );
 }
--- a/bench/days/simulation.ts
+++ b/bench/days/simulation.ts
@@ -7,7 +7,7 @@
     resolveAdmissionOptions,
     setCapacity,
 } from "../../src/runtime/admission/index.js";
-import { computePlaceShare, estimateWaited } from "../../src/runtime/gateway/index.js";
+import { computePlaceShare, estimateWaited, readArrivalRate, recordArrival } from "../../src/runtime/gateway/index.js";
 import { creditRequest, decideRetry, resolveRetryOptions } from "../../src/runtime/retry/index.js";
 import { applyLoadReport, recordOutcome, type RunnerLoadReport } from "../../src/runtime/routing/index.js";
 import type { Milliseconds, Refusal, RequestRow } from "../../src/types/index.js";
@@ -19,6 +19,7 @@
 import {
     accountWeights,
     callerTries,
+    drawInterval,
     enginesPerZone,
     meanAnswerTokens,
     meanPromptTokens,
@@ -55,6 +56,7 @@
 ): DayResult {
     const arrivals = createSeededRandom(seed);
     const choices = createSeededRandom(seed + 1);
+    const draws = createSeededRandom(seed + 2);
     const retryOptions = resolveRetryOptions({ budgetShare: 0.1, budgetPerSecond: 0.5, budgetMaximum: 10 });
     const admissionOptions = resolveAdmissionOptions({
         maximumInProgress: 1_000,
@@ -204,6 +206,11 @@
         const { places } = computePlaceShare({
             runners: serving.map(runner => ({ runner, isFollowed: true })),
             gateways: gateways.length,
+            demand: {
+                arrivalRate: readArrivalRate(gateway.arrivals, now),
+                serviceTime: gateway.table.averageServiceTime,
+            },
+            draw: gateway.draw,
             now,
             options: { queuedPerServer: 0, loadHalfLife: routingOptions.loadHalfLife },
         });
@@ -243,6 +250,7 @@
             send(attempt);
             return;
         }
+        recordArrival(gateway.arrivals, now);
         adapt(gateway);
         const decision = offerRequest(gateway.table, request, now);
         if (decision.kind === "start") {
@@ -297,6 +305,9 @@
     }
 
     for (now = 0; now <= dayLength + patience; now += tick) {
+        for (const gateway of now % drawInterval === 0 ? gateways : []) {
+            gateway.draw = draws.next();
+        }
         scenario.act({ engines, random: choices }, now);
         deliverReports();
         engines.forEach(engine => engine.advance(now, tick));
--- a/bench/days/sizes.ts
+++ b/bench/days/sizes.ts
@@ -6,6 +6,8 @@
 export const enginesPerZone = 4;
 export const tick: Milliseconds = 5;
 export const reportInterval: Milliseconds = 250;
+/** Time for which the draw of a gateway holds. */
+export const drawInterval: Milliseconds = 250;
 export const reportDelay: Milliseconds = 20;
 /** First token within this time counts as in aim. */
 export const target: Milliseconds = 410;
--- a/src/node/gateway/admissionGates.ts
+++ b/src/node/gateway/admissionGates.ts
@@ -9,7 +9,15 @@
     offerRequest,
     setCapacity,
 } from "../../runtime/admission/index.js";
+import {
+    type Arrivals,
+    createArrivals,
+    readArrivalRate,
+    recordArrival,
+    type ServiceDemand,
+} from "../../runtime/gateway/index.js";
 import type { Clock, Milliseconds, Refusal, RequestId, RequestRow, ServiceRow } from "../../types/index.js";
+import type { ServiceShare } from "./serverChoice.js";
 
 /** Result of waiting for a place. */
 export type AdmissionOutcome =
@@ -20,8 +28,8 @@
 export interface AdmissionGatesInput {
     readonly clock: Clock;
     readonly options: AdmissionOptions;
-    /** Requests that this gateway may have in progress at a service now. */
-    readonly measureCapacity: (service: ServiceRow) => number;
+    /** Computes how many requests this gateway may have in progress at a service now. */
+    readonly measureShare: (service: ServiceRow, demand: ServiceDemand) => ServiceShare;
 }
 
 /** Queues of a gateway, one for each service. */
@@ -39,6 +47,8 @@
     finish(service: ServiceRow, requestId: RequestId): void;
     /** Adapts the number of places, and refuses what can no longer start in time. */
     update(): void;
+    /** Computes how many requests this gateway may have in progress at a service now. */
+    readonly measureShare: (service: ServiceRow) => ServiceShare;
     /** Requests that wait or are in progress. */
     readonly countOpen: () => number;
     readonly countQueued: () => number;
@@ -47,6 +57,7 @@
 interface Gate {
     service: ServiceRow;
     readonly table: AdmissionTable;
+    readonly arrivals: Arrivals;
     readonly waiting: Map<RequestId, (outcome: AdmissionOutcome) => void>;
 }
 
@@ -63,7 +74,12 @@
     function findGate(service: ServiceRow): Gate {
         let gate = gates.get(service.name);
         if (gate === undefined) {
-            gate = { service, table: createAdmissionTable(options), waiting: new Map() };
+            gate = {
+                service,
+                table: createAdmissionTable(options),
+                arrivals: createArrivals(clock.monotonic()),
+                waiting: new Map(),
+            };
             gates.set(service.name, gate);
         }
         gate.service = service;
@@ -86,8 +102,13 @@
         }
     }
 
+    function measureShare({ arrivals, service, table }: Gate): ServiceShare {
+        const arrivalRate = readArrivalRate(arrivals, clock.monotonic());
+        return input.measureShare(service, { arrivalRate, serviceTime: table.averageServiceTime });
+    }
+
     function adapt(gate: Gate): void {
-        const capacity = Math.min(options.maximumInProgress, input.measureCapacity(gate.service));
+        const capacity = Math.min(options.maximumInProgress, measureShare(gate).places);
         apply(gate, setCapacity(gate.table, capacity, clock.monotonic()));
     }
 
@@ -112,8 +133,9 @@
                 });
             }
             const gate = findGate(service);
-            adapt(gate);
             const now = clock.monotonic();
+            recordArrival(gate.arrivals, now);
+            adapt(gate);
             const decision = offerRequest(gate.table, request, now);
             if (decision.kind === "start") {
                 return Promise.resolve({ kind: "started", waited: 0 });
@@ -138,6 +160,7 @@
                 }
             }
         },
+        measureShare: service => measureShare(findGate(service)),
         countOpen: () =>
             [...gates.values()].reduce((sum, { table }) => sum + table.inProgress.size + table.queued.size, 0),
         countQueued: () => [...gates.values()].reduce((sum, { table }) => sum + table.queued.size, 0),
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -124,7 +124,7 @@
     const gates = createAdmissionGates({
         clock,
         options: settings.admission,
-        measureCapacity: service => choice.measureShare(service).places,
+        measureShare: choice.measureShare,
     });
     const clients = stack.use(createBackendClients({
         connectTimeLimit: gateway.connectTimeLimit,
@@ -154,7 +154,7 @@
             clock,
             countQueued: gates.countQueued,
             countOpen: gates.countOpen,
-            measureShare: choice.measureShare,
+            measureShare: gates.measureShare,
         }),
         metrics: gatewayMetrics,
     });
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -86,7 +86,7 @@
             });
         },
         refusal: (request, refusal) => {
-            const { free, gateways, own, places, unusable, usable } = measureShare(request.service);
+            const { contenders, free, gateways, own, places, unusable, usable } = measureShare(request.service);
             decisions.record({
                 kind: "admission",
                 outcome: "refused",
@@ -102,6 +102,7 @@
                     own,
                     free: Math.round(free * 10) / 10,
                     gateways,
+                    contenders: Math.round(contenders * 10) / 10,
                     usable,
                     draining: unusable.draining,
                     ejected: unusable.ejected,
--- a/src/node/gateway/serverChoice.ts
+++ b/src/node/gateway/serverChoice.ts
@@ -3,6 +3,7 @@
     computePlaceShare,
     nameWeights,
     type PlaceShare,
+    type ServiceDemand,
     splitWeights,
 } from "../../runtime/gateway/index.js";
 import { type RoutingDecision, type RoutingOptions, selectRunner } from "../../runtime/routing/index.js";
@@ -58,11 +59,15 @@
      * Computes how many requests this gateway may have in progress at a service.
      *
      * @param service - the service
+     * @param demand - how busy this gateway is with it
      * @returns places; none if no backend server can answer
      */
-    readonly measureShare: (service: ServiceRow) => ServiceShare;
+    readonly measureShare: (service: ServiceRow, demand: ServiceDemand) => ServiceShare;
 }
 
+/** Time for which a draw of {@link computePlaceShare} holds; in it, gateways learn what the others have taken. */
+const drawInterval: Milliseconds = 250;
+
 function findUnusableReason(
     { runner: { draining, ejectedUntil, manifestDigest, phase } }: BackendServerRow,
     newest: string | undefined,
@@ -87,6 +92,14 @@
  */
 export function createServerChoice(input: ServerChoiceInput): ServerChoice {
     const { clock, options, state } = input;
+    let draw = { value: input.random.next(), until: clock.monotonic() + drawInterval };
+
+    function readDraw(now: Milliseconds): number {
+        if (now >= draw.until) {
+            draw = { value: input.random.next(), until: now + drawInterval };
+        }
+        return draw.value;
+    }
 
     function listAccepted(service: ServiceRow): {
         readonly rows: readonly BackendServerRow[];
@@ -127,7 +140,7 @@
                 state.readBeginLimit(model, version);
             return { decision, server, version, beginLimit };
         },
-        measureShare: service => {
+        measureShare: (service, demand) => {
             const { accepted, newest, rows } = listAccepted(service);
             const now = clock.monotonic();
             const usable: BackendServerRow[] = [];
@@ -144,6 +157,8 @@
             const share = computePlaceShare({
                 runners: usable.map(({ reportedAt, runner }) => ({ runner, isFollowed: reportedAt !== undefined })),
                 gateways: input.countGateways(),
+                demand,
+                draw: readDraw(now),
                 now,
                 options: { queuedPerServer: input.queuedPerServer, loadHalfLife: options.loadHalfLife },
             });
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -48,6 +48,7 @@
         "own",
         "free",
         "gateways",
+        "contenders",
         "usable",
         "draining",
         "ejected",
--- a/src/runtime/explain/findCauses.ts
+++ b/src/runtime/explain/findCauses.ts
@@ -28,8 +28,10 @@
 function readShare(line: LogLine): string {
     return line.fields["usable"] === undefined ?
         "" :
-        ` (${show(line, "usable")} usable backend servers with ${show(line, "free")} free places, shared by ` +
-        `${show(line, "gateways")} gateways; left out: ${show(line, "draining")} draining, ` +
+        ` (${show(line, "usable")} usable backend servers with ${show(line, "free")} free places, wanted by ` +
+        `${show(line, "contenders")} of ${show(line, "gateways")} gateways; left out: ${
+            show(line, "draining")
+        } draining, ` +
         `${show(line, "ejected")} ejected, ${show(line, "notServing")} not serving)`;
 }
 
--- a/src/runtime/gateway/capacity.ts
+++ b/src/runtime/gateway/capacity.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "../../types/index.js";
 import type { RunnerRow } from "../routing/index.js";
+import type { ServiceDemand } from "./demand.js";
 
 /** Options of the share of the free places that a gateway takes. */
 export interface CapacityOptions {
@@ -25,6 +26,10 @@
     readonly runners: readonly CapacityRunner[];
     /** Gateways that share the free places, this one included. */
     readonly gateways: number;
+    /** How busy this gateway is with the service. */
+    readonly demand: ServiceDemand;
+    /** Number from 0 to 1, drawn anew now and then, that decides whether a gateway gets a place for a fraction of one. */
+    readonly draw: number;
     readonly now: Milliseconds;
     readonly options: CapacityOptions;
 }
@@ -37,19 +42,34 @@
     readonly own: number;
     /** Places that no gateway has taken, as far as is known; a fraction, since the weight of a load falls with its age. */
     readonly free: number;
-    /** Gateways that share the free places, this one included. */
+    /** Gateways that the service is open to, this one included. */
     readonly gateways: number;
+    /** Gateways that are expected to want a place at the same time, this one included; at least 1. */
+    readonly contenders: number;
+}
+
+/**
+ * Computes how many gateways are expected to want the same free place. Two requests contend for a place if the second one
+ * comes before the backend server has another place free. The other gateways are taken to be as busy as this one.
+ */
+function countContenders({ demand, gateways, runners }: CapacityInput): number {
+    const slots = runners.reduce((sum, { runner }) => sum + runner.capacity, 0) / Math.max(1, runners.length);
+    const contending = demand.arrivalRate * demand.serviceTime / Math.max(1, slots);
+    return 1 + Math.max(0, gateways - 1) * Math.min(1, contending);
 }
 
 /**
  * Computes how many requests a gateway may have in progress at a service: those that it has, and its share of the places
- * that no gateway has taken. The share is rounded down: rounded up everywhere, the last free places would be given away
- * several times, and their requests would wait at the backend server.
+ * that no gateway has taken. Only gateways that are expected to want a place at the same time share them, since a service
+ * may have fewer places than there are gateways. The share is rounded down: rounded up everywhere, the last free places
+ * would be given away several times, and their requests would wait at the backend server. A gateway that has nothing in
+ * progress gets a place for a fraction of one by chance, else none would ever get the last places.
  *
- * @param input - backend servers and number of gateways
+ * @param input - backend servers, gateways and demand
  * @returns the places, with what they follow from
  */
-export function computePlaceShare({ gateways, now, options, runners }: CapacityInput): PlaceShare {
+export function computePlaceShare(input: CapacityInput): PlaceShare {
+    const { draw, gateways, now, options, runners } = input;
     let own = 0;
     let free = 0;
     for (const { isFollowed, runner } of runners) {
@@ -58,5 +78,8 @@
         own += outstanding;
         free += Math.max(0, capacity + options.queuedPerServer - outstanding - reportedLoad * weight);
     }
-    return { places: own + Math.floor(free / Math.max(1, gateways)), own, free, gateways };
+    const contenders = countContenders(input);
+    const share = free / contenders;
+    const places = own + Math.floor(share);
+    return { places: places === 0 && draw < share ? 1 : places, own, free, gateways, contenders };
 }
--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -1,6 +1,7 @@
 export * from "./backendServers.js";
 export * from "./capacity.js";
 export * from "./declaredVersions.js";
+export * from "./demand.js";
 export * from "./patience.js";
 export * from "./routeTable.js";
 export * from "./weightNames.js";
--- a/test/red/gatewayShare.test.ts
+++ b/test/platform/gatewayShare.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { call } from "../platform/standIn/caller.js";
-import { startDeployment, type TestDeployment } from "../platform/standIn/deployment.js";
+import { call } from "./standIn/caller.js";
+import { startDeployment, type TestDeployment } from "./standIn/deployment.js";
 
 /** Registers gateways that run elsewhere. */
 function registerGateways({ store }: TestDeployment, count: number): void {
--- a/test/runtime/gateway/backendServers.test.ts
+++ b/test/runtime/gateway/backendServers.test.ts
@@ -108,7 +108,8 @@
         const { runner } = table.get("i-1")!;
         Object.assign(runner, { reportedLoad: load, outstanding, reportedAt });
         const runners = [{ runner, isFollowed }];
-        return computePlaceShare({ runners, gateways, now: 0, options: capacityOptions }).places;
+        const demand = { arrivalRate: 1, serviceTime: 1_000 };
+        return computePlaceShare({ runners, gateways, demand, draw: 1, now: 0, options: capacityOptions }).places;
     };
 
     it("is what the gateway has and its share of the free places", () => {
--- /dev/null
+++ b/test/runtime/gateway/placeShare.test.ts
@@ -0,0 +1,94 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+    computePlaceShare,
+    createArrivals,
+    readArrivalRate,
+    recordArrival,
+    type ServiceDemand,
+} from "../../../src/runtime/gateway/index.js";
+import { createRunnerRow } from "../../../src/runtime/routing/index.js";
+import { playPlainService } from "./plainService.js";
+
+const busy: ServiceDemand = { arrivalRate: 0.1, serviceTime: 1_000 };
+const hardlyBusy: ServiceDemand = { arrivalRate: 0.001, serviceTime: 40 };
+
+/** Share in a service of one backend server with 6 slots. */
+function share(gateways: number, demand: ServiceDemand, draw: number, taken: { own?: number; others?: number; } = {}) {
+    const runner = Object.assign(createRunnerRow("archive", { instance: "i-1", zone: "zone-a", region: "south" }), {
+        capacity: 6,
+        outstanding: taken.own ?? 0,
+        reportedLoad: taken.others ?? 0,
+    });
+    return computePlaceShare({
+        runners: [{ runner, isFollowed: true }],
+        gateways,
+        demand,
+        draw,
+        now: 0,
+        options: { queuedPerServer: 0, loadHalfLife: 1_000 },
+    });
+}
+
+describe("share of a gateway in the places of a service", () => {
+    it("is a place for a gateway that is hardly busy, though there are more gateways than places", () => {
+        for (const gateways of [7, 13, 360]) {
+            expect(share(gateways, hardlyBusy, 0.99).places).toBeGreaterThanOrEqual(1);
+        }
+    });
+
+    it("adds up to the free places over gateways that are all busy and have nothing in progress", () => {
+        const gateways = 24;
+        const draws = Array.from({ length: gateways }, (...[, index]) => index / gateways);
+        const sum = (others: number) =>
+            draws.reduce((places, draw) => places + share(gateways, busy, draw, { others }).places, 0);
+        expect([0, 1, 3, 5, 6].map(sum)).toEqual([6, 5, 3, 1, 0]);
+    });
+
+    it("is rounded down for a busy gateway that has requests in progress", () => {
+        expect(share(13, busy, 0, { own: 2 }).places).toEqual(2);
+    });
+
+    it("names what it follows from", () => {
+        expect(share(13, busy, 1, { own: 1, others: 2 })).toEqual({
+            places: 1,
+            own: 1,
+            free: 3,
+            gateways: 13,
+            contenders: 13,
+        });
+    });
+});
+
+describe("arrivals at a gateway", () => {
+    it("follow a change of the rate within seconds", () => {
+        const arrivals = createArrivals(0);
+        for (let now = 0; now < 10_000; now += 10) {
+            recordArrival(arrivals, now);
+        }
+        expect(Math.round(readArrivalRate(arrivals, 10_000) * 1_000)).toEqual(100);
+        expect(readArrivalRate(arrivals, 14_000) * 1_000).toBeLessThan(7);
+    });
+});
+
+describe("plain service before many gateways", () => {
+    const light = { servers: 3, slots: 6, requestsPerSecond: 40, target: 200 };
+
+    // Guards against requests that are refused, or wait, at every gateway while most places are free.
+    for (const [gateways, servers] of [[13, 3], [13, 2], [13, 1], [20, 3], [100, 3], [360, 3]] as const) {
+        it(`answers in time with ${servers} backend servers and ${gateways} gateways while it is calm`, () => {
+            const { inTimeShare, worstGatewayShare } = playPlainService({ ...light, gateways, servers, seed: 1 });
+            expect(inTimeShare).toBeGreaterThan(0.97);
+            expect(gateways > 20 || worstGatewayShare > 0.9).toEqual(true);
+        });
+    }
+
+    // Guards against places that stay free while callers are refused.
+    for (const gateways of [13, 100, 360]) {
+        it(`is in use nearly whole with ${gateways} gateways while twice as many requests come as it can answer`, () => {
+            const { shedShare, usedShare } = playPlainService({ ...light, gateways, requestsPerSecond: 800, seed: 1 });
+            expect(usedShare).toBeGreaterThan(0.8);
+            expect(shedShare).toBeLessThan(0.1);
+        });
+    }
+});
