Decide on places and on backend servers by the same candidates

What callers saw: after two failures in a row of its only backend server, or of all of them, a service refused every request until the ejection was over, for one to eight seconds, though the backend servers answered again. Cause: the choice of a backend server ignores ejection when more than the panic share is ejected; the number of places left ejected backend servers out all the same, and was 0 then. Two copies of the rule differed. Change: both decisions use findCandidates, so that a request is admitted if, and only if, there is a server to send it to.

--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -86,7 +86,7 @@
             });
         },
         refusal: (request, refusal) => {
-            const { contenders, free, gateways, own, places, unusable, usable } = measureShare(request.service);
+            const { contenders, free, gateways, own, leftOut, places, usable } = measureShare(request.service);
             decisions.record({
                 kind: "admission",
                 outcome: "refused",
@@ -104,9 +104,9 @@
                     gateways,
                     contenders: Math.round(contenders * 10) / 10,
                     usable,
-                    draining: unusable.draining,
-                    ejected: unusable.ejected,
-                    notServing: unusable["not-serving"],
+                    draining: leftOut.draining,
+                    ejected: leftOut.ejected,
+                    notServing: leftOut["not-serving"],
                     waited: Math.round(clock.monotonic() - request.row.receivedAt),
                     retryAfterSeconds: refusal.retryAfterSeconds,
                 },
--- a/src/node/gateway/serverChoice.ts
+++ b/src/node/gateway/serverChoice.ts
@@ -6,7 +6,14 @@
     type ServiceDemand,
     splitWeights,
 } from "../../runtime/gateway/index.js";
-import { type RoutingDecision, type RoutingOptions, selectRunner } from "../../runtime/routing/index.js";
+import {
+    type CandidateInput,
+    type Candidates,
+    findCandidates,
+    type RoutingDecision,
+    type RoutingOptions,
+    selectRunner,
+} from "../../runtime/routing/index.js";
 import type { AvailabilityZone, Clock, Milliseconds, RandomSource, Region, ServiceRow } from "../../types/index.js";
 import { type GatewayState, listAcceptedWeights } from "./gatewayState.js";
 
@@ -36,15 +43,12 @@
 
 /** Places of a gateway at a service, and which backend servers they are at. */
 export interface ServiceShare extends PlaceShare {
-    /** Backend servers that may be sent requests. */
+    /** Backend servers that requests may be sent to. */
     readonly usable: number;
-    /** Backend servers that may not be sent requests now, by the first reason that holds. */
-    readonly unusable: Readonly<Record<UnusableReason, number>>;
+    /** Backend servers that requests may not be sent to. */
+    readonly leftOut: Candidates["leftOut"];
 }
 
-/** Why a backend server is sent no requests. */
-export type UnusableReason = "draining" | "ejected" | "not-serving";
-
 /** Choice of the backend server of a request. */
 export interface ServerChoice {
     /**
@@ -68,22 +72,6 @@
 /** Time for which a draw of {@link computePlaceShare} holds; in it, gateways learn what the others have taken. */
 const drawInterval: Milliseconds = 250;
 
-function findUnusableReason(
-    { runner: { draining, ejectedUntil, manifestDigest, phase } }: BackendServerRow,
-    newest: string | undefined,
-    accepted: ReadonlySet<string>,
-    now: Milliseconds,
-): UnusableReason | undefined {
-    if (draining) {
-        return "draining";
-    }
-    const holdsAccepted = manifestDigest === newest || (manifestDigest !== undefined && accepted.has(manifestDigest));
-    if (phase !== "serving" || !holdsAccepted) {
-        return "not-serving";
-    }
-    return ejectedUntil > now ? "ejected" : undefined;
-}
-
 /**
  * Creates the choice of backend servers.
  *
@@ -101,35 +89,28 @@
         return draw.value;
     }
 
-    function listAccepted(service: ServiceRow): {
-        readonly rows: readonly BackendServerRow[];
-        readonly newest: string | undefined;
-        readonly accepted: ReadonlySet<string>;
-    } {
+    /** The same input decides how many requests may start and where they go. */
+    function describeCandidates(service: ServiceRow, excluded: ReadonlySet<string>): CandidateInput {
         const rows = state.listServers(service.name);
+        const subset = { deployment: service.name, runners: rows.map(({ runner }) => runner) };
+        const common = { subset, excluded, now: clock.monotonic(), options };
         if (service.engine === undefined) {
-            return { rows, newest: undefined, accepted: new Set() };
+            return { ...common, manifestDigest: undefined };
         }
         const { model } = service.engine;
         const { accepted, newest } = listAcceptedWeights(model, state.readVersions(model), rows);
         // Engines without weights must not pass for plain services.
-        return { rows, newest: newest ?? nameWeights(model, 0), accepted };
+        return { ...common, manifestDigest: newest ?? nameWeights(model, 0), acceptedDigests: accepted };
     }
 
     return {
         select: (service, excluded) => {
-            const { accepted, newest, rows } = listAccepted(service);
             const decision = selectRunner({
-                subset: { deployment: service.name, runners: rows.map(({ runner }) => runner) },
+                ...describeCandidates(service, excluded),
                 zone: input.zone,
                 region: input.region,
-                manifestDigest: newest,
-                acceptedDigests: accepted,
                 prefix: undefined,
-                excluded,
-                now: clock.monotonic(),
                 random: input.random,
-                options,
             });
             const server = decision.kind === "selected" ? state.servers.get(decision.runner.instance) : undefined;
             const digest = server?.runner.manifestDigest;
@@ -141,28 +122,21 @@
             return { decision, server, version, beginLimit };
         },
         measureShare: (service, demand) => {
-            const { accepted, newest, rows } = listAccepted(service);
-            const now = clock.monotonic();
-            const usable: BackendServerRow[] = [];
-            const unusable = { draining: 0, ejected: 0, "not-serving": 0 };
-            for (const row of rows) {
-                const reason = findUnusableReason(row, newest, accepted, now);
-                if (reason === undefined) {
-                    usable.push(row);
-                }
-                else {
-                    unusable[reason]++;
-                }
-            }
+            const described = describeCandidates(service, new Set());
+            const { now } = described;
+            const { candidates, leftOut } = findCandidates(described);
             const share = computePlaceShare({
-                runners: usable.map(({ reportedAt, runner }) => ({ runner, isFollowed: reportedAt !== undefined })),
+                runners: candidates.map(runner => ({
+                    runner,
+                    isFollowed: state.servers.get(runner.instance)?.reportedAt !== undefined,
+                })),
                 gateways: input.countGateways(),
                 demand,
                 draw: readDraw(now),
                 now,
                 options: { queuedPerServer: input.queuedPerServer, loadHalfLife: options.loadHalfLife },
             });
-            return { ...share, usable: usable.length, unusable };
+            return { ...share, usable: candidates.length, leftOut };
         },
     };
 }
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -1,14 +1,14 @@
 import type { AvailabilityZone, Region } from "../../types/index.js";
 import { scoreRendezvous } from "../../utils/index.js";
 import { estimateLoad } from "./load.js";
-import type { RoutingDecision, RoutingInput, RoutingReason, RunnerRow } from "./types.js";
+import type { CandidateInput, Candidates, RoutingDecision, RoutingInput, RoutingReason, RunnerRow } from "./types.js";
 
 /** Seconds after which a caller may try again when no runner can answer, by reason. */
 const retryAfterSeconds = { "no-runner": 5, "not-serving": 3, draining: 2 } as const;
 
 type Unavailable = keyof typeof retryAfterSeconds;
 
-function isServing(runner: RunnerRow, input: RoutingInput): boolean {
+function isServing(runner: RunnerRow, input: CandidateInput): boolean {
     const { manifestDigest, phase } = runner;
     const accepted = manifestDigest === input.manifestDigest ||
         (manifestDigest !== undefined && input.acceptedDigests?.has(manifestDigest) === true);
@@ -23,22 +23,36 @@
     return { kind: "none", reason, candidates: 0, retryAfterSeconds: retryAfterSeconds[reason] };
 }
 
-/** Runners that may be chosen, after ejection and the panic threshold. */
-function findCandidates(input: RoutingInput): { readonly candidates: RunnerRow[]; readonly panic: boolean; } {
+/**
+ * Lists the runners that may be chosen. Ejected ones are left out, unless more than the panic share is ejected.
+ *
+ * @param input - subset, wanted weights and runners to leave out; nothing is changed
+ * @returns the candidates, and how many runners are left out for which reason
+ */
+export function findCandidates(input: CandidateInput): Candidates {
     const serving: RunnerRow[] = [];
     const healthy: RunnerRow[] = [];
+    const leftOut = { draining: 0, "not-serving": 0, ejected: 0 };
     for (const runner of input.subset.runners) {
-        if (runner.draining || !isServing(runner, input) || input.excluded.has(runner.instance)) {
-            continue;
+        if (runner.draining) {
+            leftOut.draining++;
+        }
+        else if (!isServing(runner, input)) {
+            leftOut["not-serving"]++;
         }
-        serving.push(runner);
-        if (runner.ejectedUntil <= input.now) {
-            healthy.push(runner);
+        else if (!input.excluded.has(runner.instance)) {
+            serving.push(runner);
+            if (runner.ejectedUntil <= input.now) {
+                healthy.push(runner);
+            }
         }
     }
-    const ejectedShare = (serving.length - healthy.length) / Math.max(1, serving.length);
-    const panic = ejectedShare > input.options.panicShare;
-    return { candidates: panic || healthy.length === 0 ? serving : healthy, panic };
+    const ejected = serving.length - healthy.length;
+    const panic = ejected / Math.max(1, serving.length) > input.options.panicShare;
+    if (panic || healthy.length === 0) {
+        return { candidates: serving, panic, leftOut };
+    }
+    return { candidates: healthy, panic, leftOut: { ...leftOut, ejected } };
 }
 
 function measurePenalty(runner: RunnerRow, zone: AvailabilityZone, region: Region, input: RoutingInput): number {
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -99,6 +99,24 @@
     readonly options: RoutingOptions;
 }
 
+/** What of the input decides which runners may be chosen. */
+export type CandidateInput = Pick<
+    RoutingInput,
+    "subset" | "manifestDigest" | "acceptedDigests" | "excluded" | "now" | "options"
+>;
+
+/** Why a runner may not be chosen. */
+export type LeftOutReason = "draining" | "not-serving" | "ejected";
+
+/** Result of `findCandidates`. */
+export interface Candidates {
+    readonly candidates: RunnerRow[];
+    /** True if so many runners are ejected that ejection is ignored. */
+    readonly panic: boolean;
+    /** Number of runners that are left out, by the first reason that holds. */
+    readonly leftOut: Readonly<Record<LeftOutReason, number>>;
+}
+
 /** Why a runner was chosen. */
 export type RoutingReason = "least-loaded" | "only-candidate" | "prefix-affinity" | "panic";
 
