Take no retry from the budget after an attempt that reached no backend server

Cause: a service with few requests earns few retries at each of many gateways, and a refused connection took one, although the request had reached no backend server and its next attempt adds no load to any.

--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -71,6 +71,10 @@
     return request.signal.aborted ? "canceled" : "broken-off";
 }
 
+function reachedServer({ ran, reason }: AttemptFailure): boolean {
+    return ran !== "no" || reason !== "connection-lost";
+}
+
 /**
  * Creates the function that carries out allowed requests.
  *
@@ -204,8 +208,7 @@
             const passed = opened.isOk ?
                 await passOn(request, progress, opened.value) :
                 err<void, AttemptFailure>(opened.error);
-            const wasSent = passed.isOk || passed.error.ran !== "no" || passed.error.reason !== "connection-lost";
-            progress.sent += wasSent ? 1 : 0;
+            progress.sent += passed.isOk || reachedServer(passed.error) ? 1 : 0;
             return passed;
         }
         finally {
@@ -232,6 +235,7 @@
             request: request.row,
             refusal: { ran: failure.ran, reason: failure.reason, retryAfterSeconds: unavailableRetryAfterSeconds },
             backendServerCrashed: false,
+            reachedServer: reachedServer(failure),
             attempts: canRepeat ? progress.sent : Infinity,
             answerBegun: progress.writer.headSent() && !request.route.resumable,
             mayHaveRun: progress.mayHaveRun,
--- a/src/runtime/retry/decision.ts
+++ b/src/runtime/retry/decision.ts
@@ -52,7 +52,7 @@
  * idempotent, and no request is repeated once a part of its answer has reached the caller.
  *
  * @param input - request, refusal of the attempt, standing after the crash was reported, and budget; a retry is taken
- * from the budget
+ * from the budget if the attempt reached its backend server
  * @returns `retry`, alone for suspects, or the caller's final answer
  */
 export function decideRetry(input: RetryInput): RetryDecision {
@@ -75,7 +75,7 @@
     if (input.now >= request.deadline) {
         return giveUp(input, "deadline-passed", "the deadline has passed");
     }
-    if (!takeRetry(input.budget, input.now, options)) {
+    if (input.reachedServer !== false && !takeRetry(input.budget, input.now, options)) {
         return giveUpForBudget(input);
     }
     const alone = input.standing === "suspect" || input.backendServerCrashed;
--- a/src/runtime/retry/types.ts
+++ b/src/runtime/retry/types.ts
@@ -57,6 +57,11 @@
     readonly attempts: number;
     /** True if a part of the answer has reached the caller. */
     readonly answerBegun: boolean;
+    /**
+     * False if nothing of the attempt reached its backend server, as when the connection was refused. The next attempt
+     * adds no load then and takes nothing from the budget. Default: true.
+     */
+    readonly reachedServer?: boolean | undefined;
     /** True if an earlier attempt may have run; the final answer then says `unknown`. Default: false. */
     readonly mayHaveRun?: boolean | undefined;
     readonly standing: SuspectStanding;
--- /dev/null
+++ b/test/platform/gatewayDeadServers.test.ts
@@ -0,0 +1,20 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { call } from "./standIn/caller.js";
+import { findFreePorts, startDeployment } from "./standIn/deployment.js";
+
+describe("gateway without retry budget", () => {
+    // Guards against requests that fail at a dead backend server which never saw them, while another one is idle.
+    it("goes on to another backend server when the connection to one is refused", async () => {
+        await using deployment = await startDeployment({
+            "retry.budgetShare": "0",
+            "retry.budgetPerSecond": "0",
+            "routing.failuresUntilEjected": "100",
+        });
+        const [port] = await findFreePorts(1);
+        await deployment.addRunner({ id: "i-1" });
+        await deployment.listRunner("i-2", `127.0.0.1:${port}`);
+        const answers = await Promise.all(Array.from({ length: 8 }, () => call(deployment, "/unsafe/")));
+        expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 200));
+    });
+});
--- a/test/runtime/retry/decision.test.ts
+++ b/test/runtime/retry/decision.test.ts
@@ -84,6 +84,13 @@
         ["attempts used up", "no", "queue-full", { attempts: 3 }, "queue-full: no"],
         ["deadline passed", "no", "queue-full", { now: 10_000 }, "deadline-passed: no"],
         ["no budget", "no", "draining", { budget: { available: 0, updatedAt: 1_000 } }, "retry-budget-exhausted: no"],
+        [
+            "no budget, but nothing reached the backend server",
+            "no",
+            "connection-lost",
+            { budget: { available: 0, updatedAt: 1_000 }, reachedServer: false },
+            "retry",
+        ],
         ["final refusal", "no", "key-invalid", {}, "key-invalid: no"],
         ["repeated key", "unknown", "key-in-progress", { request: idempotent }, "key-in-progress: unknown"],
     ];
