Name the share of a gateway's places after what it is

The file and its types still spoke of capacity, which is what each backend server has. No logic changes.

--- a/src/runtime/gateway/capacity.ts
+++ b/src/runtime/gateway/placeShare.ts
@@ -3,7 +3,7 @@
 import type { ServiceDemand } from "./demand.js";
 
 /** Options of the share of the free places that a gateway takes. */
-export interface CapacityOptions {
+export interface PlaceShareOptions {
     /**
      * Requests beyond its slots that a backend server is given. More keep its slots busy between two reports; fewer
      * keep the wait in the gateway, where a request can still go to another server. May be negative.
@@ -14,16 +14,16 @@
 }
 
 /** Backend server with the source of its load. */
-export interface CapacityRunner {
+export interface SharedRunner {
     readonly runner: RunnerRow;
     /** True if its agent reports each change; the load that an answer stated grows old without a word. */
     readonly isFollowed: boolean;
 }
 
 /** Input of {@link computePlaceShare}. */
-export interface CapacityInput {
+export interface PlaceShareInput {
     /** Backend servers that may take requests. */
-    readonly runners: readonly CapacityRunner[];
+    readonly runners: readonly SharedRunner[];
     /** Gateways that share the free places, this one included. */
     readonly gateways: number;
     /** How busy this gateway is with the service. */
@@ -31,7 +31,7 @@
     /** Number from 0 to 1, drawn anew now and then, that decides whether a gateway gets a place for a fraction of one. */
     readonly draw: number;
     readonly now: Milliseconds;
-    readonly options: CapacityOptions;
+    readonly options: PlaceShareOptions;
 }
 
 /** Places of a gateway at a service, with what they follow from. */
@@ -52,7 +52,7 @@
  * Computes how many gateways are expected to want the same free place. Two requests contend for a place if the second one
  * comes before the backend server has another place free. The other gateways are taken to be as busy as this one.
  */
-function countContenders({ demand, gateways, runners }: CapacityInput): number {
+function countContenders({ demand, gateways, runners }: PlaceShareInput): number {
     const slots = runners.reduce((sum, { runner }) => sum + runner.capacity, 0) / Math.max(1, runners.length);
     const contending = demand.arrivalRate * demand.serviceTime / Math.max(1, slots);
     return 1 + Math.max(0, gateways - 1) * Math.min(1, contending);
@@ -68,7 +68,7 @@
  * @param input - backend servers, gateways and demand
  * @returns the places, with what they follow from
  */
-export function computePlaceShare(input: CapacityInput): PlaceShare {
+export function computePlaceShare(input: PlaceShareInput): PlaceShare {
     const { draw, gateways, now, options, runners } = input;
     let own = 0;
     let free = 0;
