--- a/src/runtime/explain/findCauses.ts
+++ b/src/runtime/explain/findCauses.ts
@@ -26,13 +26,13 @@
 
 /** Says what the places of a gateway follow from; empty for lines of processes that do not say so. */
 function readShare(line: LogLine): string {
-    return line.fields["usable"] === undefined ?
-        "" :
-        ` (${show(line, "usable")} usable backend servers with ${show(line, "free")} free places, wanted by ` +
-        `${show(line, "contenders")} of ${show(line, "gateways")} gateways; left out: ${
-            show(line, "draining")
-        } draining, ` +
-        `${show(line, "ejected")} ejected, ${show(line, "notServing")} not serving)`;
+    if (line.fields["usable"] === undefined) {
+        return "";
+    }
+    const leftOut = `${show(line, "draining")} draining, ${show(line, "ejected")} ejected, ` +
+        `${show(line, "notServing")} not serving`;
+    return ` (${show(line, "usable")} usable backend servers with ${show(line, "free")} free places, wanted by ` +
+        `${show(line, "contenders")} of ${show(line, "gateways")} gateways; left out: ${leftOut})`;
 }
 
 function readAdmission(line: LogLine): string | undefined {
