--- a/test/platform/gatewayShutdown.test.ts
+++ b/test/platform/gatewayShutdown.test.ts
@@ -7,7 +7,8 @@
 import { createReplicaClient } from "../../src/node/grpc/index.js";
 import { createDisposalStack, sleep } from "../../src/utils/index.js";
 import { call } from "./standIn/caller.js";
-import { drainTimeLimitSeconds, operatorConfiguration, startDeployment } from "./standIn/deployment.js";
+import { operatorConfiguration, startDeployment } from "./standIn/deployment.js";
+import { drainTimeLimitSeconds } from "./standIn/gateway.js";
 
 const drainTimeLimit = drainTimeLimitSeconds * 1_000;
 
--- a/test/platform/standIn/deployment.ts
+++ b/test/platform/standIn/deployment.ts
@@ -1,53 +1,24 @@
-import { createServer } from "node:net";
-import { createCallerProtocol } from "../../../platform/callerProtocol.js";
-import { createRecordDecoder } from "../../../platform/recordDecoder.js";
-import { createStoreClient } from "../../../platform/storeClient.js";
-import { startGateway } from "../../../src/node/gateway/index.js";
-import { createLogger } from "../../../src/node/logging/index.js";
-import { resolveGatewaySettings } from "../../../src/node/settings/index.js";
-import { createDisposalStack, createSystemClock, type DisposalStack } from "../../../src/utils/index.js";
-import { expectOk } from "../../node/support.js";
+import { createDisposalStack, type DisposalStack } from "../../../src/utils/index.js";
+import { startTestGateway, type TestGateway } from "./gateway.js";
 import { type RunnerStandIn, type RunnerStandInOptions, startRunnerStandIn } from "./runnerStandIn.js";
 import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
-/** Finds ports that are free at the moment. */
-export async function findFreePorts(count: number): Promise<number[]> {
-    const servers = await Promise.all(
-        Array.from({ length: count }, () =>
-            new Promise<ReturnType<typeof createServer>>(resolve => {
-                const server = createServer().listen(0, "127.0.0.1", () => resolve(server));
-            })),
-    );
-    const ports = servers.map(server => (server.address() as { readonly port: number; }).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-}
-
 /** Gateway before stand-ins of store and runners. */
-export interface TestDeployment extends AsyncDisposable {
+export interface TestDeployment extends TestGateway {
     readonly store: StoreStandIn;
     readonly stack: DisposalStack;
-    readonly gatewayUrl: string;
-    readonly readyUrl: string;
-    /** `host:port` at which the gateway relays records. */
-    readonly relayAddress: string;
-    /** Lines that the gateway has logged. */
-    readonly logLines: readonly string[];
+    /** Starts one more gateway, and waits until it is ready. */
+    addGateway(instance: string, flags?: Readonly<Record<string, string>>): Promise<TestGateway>;
     /** Starts a runner of the plain service and lists it. */
     addRunner(options: RunnerStandInOptions, entry?: Readonly<Record<string, unknown>>): Promise<RunnerStandIn>;
     /** Lists a runner that runs already, and waits until the gateway has read the list. */
     listRunner(id: string, address: string, entry?: Readonly<Record<string, unknown>>): Promise<void>;
     /** Writes the configuration with changed fields. */
     configure(changes?: Readonly<Record<string, unknown>>): void;
-    /** Begins the shutdown of the gateway. */
-    drain(): Promise<void>;
     /** Drains the gateway and releases what it holds, as its process does after the signal to shut down. */
     stop(): Promise<void>;
 }
 
-/** Time within which the gateway ends by itself after the signal to shut down. */
-export const drainTimeLimitSeconds = 3;
-
 const route = {
     name: "route",
     host: "members.example",
@@ -94,40 +65,13 @@
     const stack = createDisposalStack();
     const store = stack.use(await startStoreStandIn());
     store.write("keyed.op", "config", operatorConfiguration);
-    const [relayPort, callerPort, readyPort, metricsPort] = await findFreePorts(4);
-    const settings = expectOk(resolveGatewaySettings({
-        environment: {},
-        flags: {
-            "instance.id": "gateway-1",
-            "instance.zone": "zone-a",
-            "instance.region": "south",
-            "instance.grpcAddress": `127.0.0.1:${relayPort}`,
-            "instance.httpAddress": `127.0.0.1:${callerPort}`,
-            "instance.drainTimeLimitSeconds": String(drainTimeLimitSeconds),
-            "gateway.readyAddress": `127.0.0.1:${readyPort}`,
-            "gateway.metricsAddress": `127.0.0.1:${metricsPort}`,
-            "gateway.relayPort": String(relayPort),
-            "gateway.acceptAfterShutdownMilliseconds": "200",
-            "gateway.switchAfterMilliseconds": "400",
-            "routing.reportExpiryMilliseconds": "600000",
-            "admission.retryAfterStepSeconds": "0.05",
-            ...flags,
-        },
-    }));
-    const log = stack.use(createStoreClient({ address: store.address }));
-    const logLines: string[] = [];
-    const destination = { write: (line: string) => void logLines.push(line) };
-    const gateway = stack.use(expectOk(
-        await startGateway(settings, {
-            log,
-            decoder: createRecordDecoder(),
-            protocol: createCallerProtocol(),
-            clock: createSystemClock(),
-            random: { next: Math.random },
-            readyPath: "/api/ready",
-        }, createLogger({ level: "info", program: "gateway", instance: "gateway-1", destination })),
-    ));
-    const readyUrl = `http://127.0.0.1:${readyPort}/api/ready`;
+    const gateway = stack.use(
+        await startTestGateway({ instance: "gateway-1", storeAddress: store.address, flags }),
+    );
+
+    async function awaitReady({ readyUrl }: TestGateway): Promise<void> {
+        await waitUntil("the gateway is ready", async () => (await fetch(readyUrl)).status === 200);
+    }
 
     async function listRunner(
         id: string,
@@ -146,26 +90,29 @@
             born: 1,
             ...entry,
         });
-        await waitUntil("the gateway is ready", async () => (await fetch(readyUrl)).status === 200);
+        await awaitReady(gateway);
         // The list is read at intervals.
         await new Promise(resolve => setTimeout(resolve, 600));
     }
 
     return {
+        ...gateway,
         store,
         stack,
-        readyUrl,
-        relayAddress: `127.0.0.1:${relayPort}`,
-        logLines,
-        gatewayUrl: `http://127.0.0.1:${callerPort}`,
         listRunner,
+        addGateway: async (instance, added = flags) => {
+            const further = stack.use(
+                await startTestGateway({ instance, storeAddress: store.address, flags: added }),
+            );
+            await awaitReady(further);
+            return further;
+        },
         addRunner: async (options, entry) => {
             const runner = stack.use(await startRunnerStandIn(options));
             await listRunner(options.id, runner.address, entry);
             return runner;
         },
         configure: (changes = {}) => store.write("keyed.op", "config", { ...operatorConfiguration, ...changes }),
-        drain: () => gateway.drain(),
         stop: async () => {
             await gateway.drain();
             await gateway[Symbol.asyncDispose]();
--- a/test/platform/standIn/httpStandIn.ts
+++ b/test/platform/standIn/httpStandIn.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 
 /** Handles one request. */
 export type StandInHandler = (
@@ -13,6 +13,8 @@
 export interface HttpStandIn extends AsyncDisposable {
     /** `host:port` */
     readonly address: string;
+    /** Stops listening and resets all connections, as the end of the process does. */
+    crash(): void;
 }
 
 async function readBody(request: IncomingMessage): Promise<Buffer> {
@@ -24,23 +26,33 @@
 }
 
 /**
- * Starts an HTTP server on a free port of the loopback address.
+ * Starts an HTTP server on the loopback address.
  *
  * @param handle - handles each request, whose body has been read
+ * @param port - port to listen on; a free one if it is 0
  * @returns the server; disposing of it closes all connections
  */
-export async function startHttpStandIn(handle: StandInHandler): Promise<HttpStandIn> {
+export async function startHttpStandIn(handle: StandInHandler, port = 0): Promise<HttpStandIn> {
     const server: Server = createServer((request, response) => {
         void (async () => {
             const body = await readBody(request);
             await handle(request, response, new URL(request.url ?? "/", "http://stand-in"), body);
         })().catch(() => response.destroy());
     });
+    const sockets = new Set<Socket>();
+    server.on("connection", socket => {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+    });
     await new Promise<void>(resolve => {
-        server.listen(0, "127.0.0.1", resolve);
+        server.listen(port, "127.0.0.1", resolve);
     });
     return {
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        crash: () => {
+            server.close();
+            sockets.forEach(socket => socket.resetAndDestroy());
+        },
         [Symbol.asyncDispose]: () =>
             new Promise<void>(resolve => {
                 server.close(() => resolve());
--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -41,6 +41,12 @@
     /** Events after which a stream breaks off within the next one. */
     readonly breakAfter?: number;
     readonly eventMilliseconds?: number;
+    /** Time that a request takes until its answer begins. Default: none. */
+    readonly workMilliseconds?: number;
+    /** Port to listen on. Default: a free one. */
+    readonly port?: number;
+    /** Called for each request that begins to run; the runner ends if it returns true. */
+    readonly crashesOn?: (run: RunnerRun) => boolean;
 }
 
 const proof = "3e1b.07.5a2.600.0.c9f2a4d1";
@@ -56,6 +62,20 @@
     let behaviour: RunnerBehaviour = "answer";
     let arrivals = 0;
 
+    async function answer(request: IncomingMessage, response: ServerResponse, row: RunnerRun): Promise<void> {
+        if (options.workMilliseconds !== undefined) {
+            await new Promise(resolve => setTimeout(resolve, options.workMilliseconds));
+        }
+        const head = { "attempt-id": row.attemptId, "response-seal": proof, "runner-load": "1,0,4" };
+        if (options.events === undefined) {
+            response.writeHead(200, { ...head, "content-type": "text/plain" });
+            response.end(`${options.id}:${row.body}`);
+            return;
+        }
+        response.writeHead(200, { ...head, "content-type": "text/event-stream" });
+        await stream(request, response, options.events);
+    }
+
     async function stream(request: IncomingMessage, response: ServerResponse, events: number): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         for (let id = first; id <= events; id++) {
@@ -99,15 +119,12 @@
         Record<RunnerBehaviour, (request: IncomingMessage, response: ServerResponse, url: URL, body: Buffer) => void>
     > = {
         answer: (request, response, url, body) => {
-            const { attemptId } = run(request, response, url, body);
-            const head = { "attempt-id": attemptId, "response-seal": proof, "runner-load": "1,0,4" };
-            if (options.events === undefined) {
-                response.writeHead(200, { ...head, "content-type": "text/plain" });
-                response.end(`${options.id}:${body.toString()}`);
+            const row = run(request, response, url, body);
+            if (options.crashesOn?.(row) === true) {
+                server.crash();
                 return;
             }
-            response.writeHead(200, { ...head, "content-type": "text/event-stream" });
-            void stream(request, response, options.events);
+            void answer(request, response, row);
         },
         shed: (request, response) => {
             response.writeHead(503, { "attempt-id": String(request.headers["attempt-id"]), "not-executed": "1" });
@@ -165,7 +182,7 @@
             return;
         }
         handlers[behaviour](request, response, url, body);
-    });
+    }, options.port);
     return {
         ...server,
         id: options.id,
