--- /dev/null
+++ b/src/node/gateway/answerRelay.ts
@@ -0,0 +1,141 @@
+import { err, ok, type Result } from "true-myth/result";
+import type { Clock } from "../../types/index.js";
+import { readAnswer } from "./attempt.js";
+import { sendAnswer, type StreamWriter } from "./callerAnswer.js";
+import { createEventSplitter, isLaterEvent } from "./eventStream.js";
+import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { RequestLog } from "./requestLog.js";
+import type { AnswerEnding, AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
+
+/** Dependencies of {@link createAnswerRelay}. */
+export interface AnswerRelayInput {
+    readonly clock: Clock;
+    readonly log: RequestLog;
+    readonly metrics: GatewayMetrics;
+}
+
+/** How far the answer to a request has come, over all attempts. */
+export interface RelayProgress {
+    /** Identifier of the last event that was passed on. */
+    lastEvent: string | undefined;
+    readonly writer: StreamWriter;
+}
+
+/** Passes answers of backend servers on to callers. */
+export interface AnswerRelay {
+    /**
+     * Passes an answer on: a stream event by event, any other answer once it is whole.
+     *
+     * @param request - request of the caller
+     * @param progress - what earlier attempts have passed on; it is brought up to date
+     * @param answer - answer whose head was checked
+     * @returns why the answer could not be passed on completely
+     */
+    passOn(
+        request: GatewayRequest,
+        progress: RelayProgress,
+        answer: OpenedAnswer,
+    ): Promise<Result<void, AttemptFailure>>;
+}
+
+function describeEnding(request: GatewayRequest, passed: Result<void, AttemptFailure>): AnswerEnding {
+    if (passed.isOk || passed.error.answer !== undefined) {
+        return "complete";
+    }
+    return request.signal.aborted ? "canceled" : "broken-off";
+}
+
+function describeBreak(detail: string, { framing }: OpenedAnswer, bytes: number): AttemptFailure {
+    return {
+        ran: "unknown",
+        reason: "connection-lost",
+        detail,
+        serverAtFault: true,
+        connectionBroke: true,
+        received: { framing, bytes },
+    };
+}
+
+/**
+ * Creates the relay of answers.
+ *
+ * @param input - clock, log and metrics
+ * @returns the relay
+ */
+export function createAnswerRelay({ clock, log, metrics }: AnswerRelayInput): AnswerRelay {
+    async function relayStream(
+        request: GatewayRequest,
+        progress: RelayProgress,
+        answer: OpenedAnswer,
+    ): Promise<Result<void, AttemptFailure>> {
+        const { writer } = progress;
+        const splitter = createEventSplitter();
+        let bytes = 0;
+        try {
+            for await (const part of answer.body) {
+                bytes += part.byteLength;
+                for (const event of splitter.push(part)) {
+                    if (!isLaterEvent(event.id, progress.lastEvent)) {
+                        continue;
+                    }
+                    if (!writer.headSent()) {
+                        metrics.recordFirstByte(request, clock.monotonic() - request.row.receivedAt);
+                    }
+                    writer.sendHead(answer.status, answer.headers);
+                    progress.lastEvent = event.id ?? progress.lastEvent;
+                    await writer.send(event.bytes, request.signal);
+                }
+            }
+        }
+        catch (error) {
+            return err(describeBreak(error instanceof Error ? error.message : String(error), answer, bytes));
+        }
+        if (splitter.pendingBytes() > 0) {
+            return err(describeBreak("the stream ended within an event", answer, bytes));
+        }
+        log.completion(request, answer, bytes);
+        writer.sendHead(answer.status, answer.headers);
+        writer.end();
+        return ok(undefined);
+    }
+
+    async function passOn(
+        request: GatewayRequest,
+        progress: RelayProgress,
+        answer: OpenedAnswer,
+    ): Promise<Result<void, AttemptFailure>> {
+        const isStream = request.route.kind === "streaming" && answer.status >= 200 && answer.status < 300;
+        const passed = await (isStream ? relayStream : relayWhole)(request, progress, answer);
+        metrics.countAnswer(request, answer.framing, describeEnding(request, passed));
+        return passed;
+    }
+
+    async function relayWhole(
+        request: GatewayRequest,
+        progress: RelayProgress,
+        answer: OpenedAnswer,
+    ): Promise<Result<void, AttemptFailure>> {
+        const whole = await readAnswer(answer);
+        if (whole.isErr) {
+            return err(whole.error);
+        }
+        log.completion(request, answer, whole.value.body.byteLength);
+        const isServerError = answer.status >= 500;
+        if (progress.writer.headSent() || (isServerError && request.row.idempotent)) {
+            const detail = `answered with status ${answer.status}`;
+            return err({
+                ran: "unknown",
+                reason: "backend-server-error",
+                detail,
+                serverAtFault: false,
+                connectionBroke: false,
+                answer: whole.value,
+            });
+        }
+        metrics.recordFirstByte(request, clock.monotonic() - request.row.receivedAt);
+        sendAnswer(request.response, whole.value);
+        return ok(undefined);
+    }
+
+    return { passOn };
+}
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -1,4 +1,4 @@
-import { err, ok, type Result } from "true-myth/result";
+import { err, type Result } from "true-myth/result";
 import {
     creditRequest,
     decideRetry,
@@ -9,14 +9,14 @@
 import { recordOutcome, type RoutingOptions } from "../../runtime/routing/index.js";
 import type { CallerProtocol, Clock, Milliseconds, Refusal } from "../../types/index.js";
 import type { AdmissionGates } from "./admissionGates.js";
-import { openAttempt, readAnswer } from "./attempt.js";
+import { createAnswerRelay, type RelayProgress } from "./answerRelay.js";
+import { openAttempt } from "./attempt.js";
 import type { BackendClients } from "./backendClients.js";
-import { createStreamWriter, type OwnStatus, sendAnswer, sendOwnAnswer, type StreamWriter } from "./callerAnswer.js";
-import { createEventSplitter, isLaterEvent } from "./eventStream.js";
+import { createStreamWriter, type OwnStatus, sendAnswer, sendOwnAnswer } from "./callerAnswer.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { RequestLog } from "./requestLog.js";
 import type { ServerChoice, ServerSelection } from "./serverChoice.js";
-import type { AnswerEnding, AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
+import type { AttemptFailure, GatewayRequest } from "./types.js";
 
 /** Dependencies of {@link createRequestPipeline}. */
 export interface RequestPipelineInput {
@@ -36,7 +36,7 @@
 }
 
 /** How far a request has come. */
-interface Progress {
+interface Progress extends RelayProgress {
     readonly excluded: Set<string>;
     /** Attempts whose request was written to a backend server. */
     sent: number;
@@ -44,9 +44,6 @@
     attempts: number;
     /** True if an attempt may have run. */
     mayHaveRun: boolean;
-    /** Identifier of the last event that was passed on. */
-    lastEvent: string | undefined;
-    readonly writer: StreamWriter;
 }
 
 /** Final answer to a request that no backend server has answered. */
@@ -64,13 +61,6 @@
 /** Seconds after which a caller returns when no backend server can answer at the moment. */
 const unavailableRetryAfterSeconds = 1;
 
-function describeEnding(request: GatewayRequest, passed: Result<void, AttemptFailure>): AnswerEnding {
-    if (passed.isOk || passed.error.answer !== undefined) {
-        return "complete";
-    }
-    return request.signal.aborted ? "canceled" : "broken-off";
-}
-
 function reachedServer({ ran, reason }: AttemptFailure): boolean {
     return ran !== "no" || reason !== "connection-lost";
 }
@@ -83,91 +73,7 @@
  */
 export function createRequestPipeline(input: RequestPipelineInput): (request: GatewayRequest) => Promise<void> {
     const { choice, clock, gates, log, metrics, protocol, retry } = input;
-
-    async function relayStream(
-        request: GatewayRequest,
-        progress: Progress,
-        answer: OpenedAnswer,
-    ): Promise<Result<void, AttemptFailure>> {
-        const { writer } = progress;
-        const splitter = createEventSplitter();
-        let bytes = 0;
-        try {
-            for await (const part of answer.body) {
-                bytes += part.byteLength;
-                for (const event of splitter.push(part)) {
-                    if (!isLaterEvent(event.id, progress.lastEvent)) {
-                        continue;
-                    }
-                    if (!writer.headSent()) {
-                        metrics.recordFirstByte(request, clock.monotonic() - request.row.receivedAt);
-                    }
-                    writer.sendHead(answer.status, answer.headers);
-                    progress.lastEvent = event.id ?? progress.lastEvent;
-                    await writer.send(event.bytes, request.signal);
-                }
-            }
-        }
-        catch (error) {
-            return err(describeBreak(error instanceof Error ? error.message : String(error), answer, bytes));
-        }
-        if (splitter.pendingBytes() > 0) {
-            return err(describeBreak("the stream ended within an event", answer, bytes));
-        }
-        log.completion(request, answer, bytes);
-        writer.sendHead(answer.status, answer.headers);
-        writer.end();
-        return ok(undefined);
-    }
-
-    function describeBreak(detail: string, { framing }: OpenedAnswer, bytes: number): AttemptFailure {
-        return {
-            ran: "unknown",
-            reason: "connection-lost",
-            detail,
-            serverAtFault: true,
-            connectionBroke: true,
-            received: { framing, bytes },
-        };
-    }
-
-    async function passOn(
-        request: GatewayRequest,
-        progress: Progress,
-        answer: OpenedAnswer,
-    ): Promise<Result<void, AttemptFailure>> {
-        const isStream = request.route.kind === "streaming" && answer.status >= 200 && answer.status < 300;
-        const passed = await (isStream ? relayStream : relayWhole)(request, progress, answer);
-        metrics.countAnswer(request, answer.framing, describeEnding(request, passed));
-        return passed;
-    }
-
-    async function relayWhole(
-        request: GatewayRequest,
-        progress: Progress,
-        answer: OpenedAnswer,
-    ): Promise<Result<void, AttemptFailure>> {
-        const whole = await readAnswer(answer);
-        if (whole.isErr) {
-            return err(whole.error);
-        }
-        log.completion(request, answer, whole.value.body.byteLength);
-        const isServerError = answer.status >= 500;
-        if (progress.writer.headSent() || (isServerError && request.row.idempotent)) {
-            const detail = `answered with status ${answer.status}`;
-            return err({
-                ran: "unknown",
-                reason: "backend-server-error",
-                detail,
-                serverAtFault: false,
-                connectionBroke: false,
-                answer: whole.value,
-            });
-        }
-        metrics.recordFirstByte(request, clock.monotonic() - request.row.receivedAt);
-        sendAnswer(request.response, whole.value);
-        return ok(undefined);
-    }
+    const relay = createAnswerRelay({ clock, log, metrics });
 
     async function tryOnce(
         request: GatewayRequest,
@@ -206,7 +112,7 @@
             });
             begin();
             const passed = opened.isOk ?
-                await passOn(request, progress, opened.value) :
+                await relay.passOn(request, progress, opened.value) :
                 err<void, AttemptFailure>(opened.error);
             progress.sent += passed.isOk || reachedServer(passed.error) ? 1 : 0;
             return passed;
