Say which requests are the same, which backend servers end under them, and what the retry budget holds

Cause: no line tells a request that ends its backend servers from its neighbours, since nothing names its content, and a lost connection may be a broken link, a broken answer or the end of a process. Change: the fingerprint of method, path, client account and body; a check of the address after a connection broke before an answer had begun, with the line "backend server checked" and a counter by outcome; fingerprint and retry budget in the line of a failed attempt. A stream that ends by a time limit no longer counts as a broken connection. A test expected the decision on routing right before the one on the retry; the check now stands between them, and the test expects all three.

--- /dev/null
+++ b/src/node/crashes/index.ts
@@ -0,0 +1,2 @@
+export * from "./checkListening.js";
+export * from "./lossTracker.js";
--- a/src/node/entry/lossTracker.ts
+++ b/src/node/crashes/lossTracker.ts
@@ -1,5 +1,13 @@
 import type { Clock, Fingerprint, InstanceId, Milliseconds } from "../../types/index.js";
-import type { CrashReport } from "./attempt.js";
+
+/** Crash of a backend server, as its agent reported it or as a broken connection suggests. */
+export interface CrashReport {
+    readonly crashId: string;
+    /** Requests that were in progress on the backend server, as far as they are known. */
+    readonly fingerprints: readonly Fingerprint[];
+    /** True if it is certain that a single request was in progress. */
+    readonly alone: boolean;
+}
 
 /** Groups requests whose connections break together, when no agent is left to report a crash. */
 export interface LossTracker {
--- a/src/node/entry/attempt.ts
+++ b/src/node/entry/attempt.ts
@@ -7,7 +7,8 @@
     type Refusal as RefusalMessage,
     type ResponseStart,
 } from "../../generated/goldcrestpoint_pb.js";
-import type { Fingerprint, Milliseconds, RanState, Refusal, RefusalReason } from "../../types/index.js";
+import type { Milliseconds, RanState, Refusal, RefusalReason } from "../../types/index.js";
+import type { CrashReport } from "../crashes/index.js";
 import type { AgentClient } from "../grpc/index.js";
 
 /** Receives the answer of one attempt. */
@@ -17,15 +18,6 @@
     data(content: Uint8Array): Promise<void> | undefined;
 }
 
-/** Crash of a backend server, as its agent reported it or as a broken connection suggests. */
-export interface CrashReport {
-    readonly crashId: string;
-    /** Requests that were in progress on the backend server, as far as they are known. */
-    readonly fingerprints: readonly Fingerprint[];
-    /** True if it is certain that a single request was in progress. */
-    readonly alone: boolean;
-}
-
 /** How an attempt ended. */
 export type AttemptOutcome =
     | { readonly kind: "complete"; readonly start: ResponseStart; }
--- a/src/node/entry/requestPipeline.ts
+++ b/src/node/entry/requestPipeline.ts
@@ -9,9 +9,9 @@
 import { creditRequest, decideRetry, readStanding } from "../../runtime/retry/index.js";
 import { recordOutcome } from "../../runtime/routing/index.js";
 import type { Refusal, RequestId, RequestRow } from "../../types/index.js";
+import { createLossTracker } from "../crashes/index.js";
 import { type AnswerSink, type AttemptOutcome, executeAttempt } from "./attempt.js";
 import type { EntryContext } from "./context.js";
-import { createLossTracker } from "./lossTracker.js";
 import { classifyOutcome, refineRefusal } from "./outcomes.js";
 import { chooseRunner, type RunnerChoice } from "./runnerChoice.js";
 import type { RunnerDirectory } from "./runnerDirectory.js";
--- a/src/node/entry/suspicionSharing.ts
+++ b/src/node/entry/suspicionSharing.ts
@@ -8,8 +8,8 @@
 } from "../../generated/goldcrestpoint_pb.js";
 import { mergeSuspicion, reportCrash, reportSuccessAlone, type SuspectRow } from "../../runtime/retry/index.js";
 import type { Fingerprint } from "../../types/index.js";
+import type { CrashReport } from "../crashes/index.js";
 import { createRelayClient, type RelayClient } from "../grpc/index.js";
-import type { CrashReport } from "./attempt.js";
 import type { EntryContext } from "./context.js";
 
 /** Call of the `ShareSuspicion` method. */
--- a/src/node/gateway/answerRelay.ts
+++ b/src/node/gateway/answerRelay.ts
@@ -1,7 +1,9 @@
 import { err, ok, type Result } from "true-myth/result";
 import type { Clock } from "../../types/index.js";
+import type { HttpFailure } from "../httpClient/index.js";
 import { readAnswer } from "./attempt.js";
 import { sendAnswer, type StreamWriter } from "./callerAnswer.js";
+import type { FollowedAttempt } from "./crashWatch.js";
 import { createEventSplitter, isLaterEvent } from "./eventStream.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { RequestLog } from "./requestLog.js";
@@ -29,12 +31,14 @@
      * @param request - request of the caller
      * @param progress - what earlier attempts have passed on; it is brought up to date
      * @param answer - answer whose head was checked
+     * @param attempt - is told when the answer has begun
      * @returns why the answer could not be passed on completely
      */
     passOn(
         request: GatewayRequest,
         progress: RelayProgress,
         answer: OpenedAnswer,
+        attempt: Pick<FollowedAttempt, "answered">,
     ): Promise<Result<void, AttemptFailure>>;
 }
 
@@ -45,13 +49,14 @@
     return request.signal.aborted ? "canceled" : "broken-off";
 }
 
-function describeBreak(detail: string, { framing }: OpenedAnswer, bytes: number): AttemptFailure {
+function describeBreak(cause: unknown, { framing }: OpenedAnswer, bytes: number): AttemptFailure {
+    const failure = cause instanceof Error ? cause.cause as HttpFailure | undefined : undefined;
     return {
         ran: "unknown",
         reason: "connection-lost",
-        detail,
+        detail: cause instanceof Error ? cause.message : String(cause),
         serverAtFault: true,
-        connectionBroke: true,
+        connectionBroke: failure?.reason === "connection",
         received: { framing, bytes },
     };
 }
@@ -67,6 +72,7 @@
         request: GatewayRequest,
         progress: RelayProgress,
         answer: OpenedAnswer,
+        attempt: Pick<FollowedAttempt, "answered">,
     ): Promise<Result<void, AttemptFailure>> {
         const { writer } = progress;
         const splitter = createEventSplitter();
@@ -75,6 +81,7 @@
             for await (const part of answer.body) {
                 bytes += part.byteLength;
                 for (const event of splitter.push(part)) {
+                    attempt.answered();
                     if (!isLaterEvent(event.id, progress.lastEvent)) {
                         continue;
                     }
@@ -88,10 +95,10 @@
             }
         }
         catch (error) {
-            return err(describeBreak(error instanceof Error ? error.message : String(error), answer, bytes));
+            return err(describeBreak(error, answer, bytes));
         }
         if (splitter.pendingBytes() > 0) {
-            return err(describeBreak("the stream ended within an event", answer, bytes));
+            return err(describeBreak(new Error("the stream ended within an event"), answer, bytes));
         }
         log.completion(request, answer, bytes);
         writer.sendHead(answer.status, answer.headers);
@@ -103,9 +110,10 @@
         request: GatewayRequest,
         progress: RelayProgress,
         answer: OpenedAnswer,
+        attempt: Pick<FollowedAttempt, "answered">,
     ): Promise<Result<void, AttemptFailure>> {
         const isStream = request.route.kind === "streaming" && answer.status >= 200 && answer.status < 300;
-        const passed = await (isStream ? relayStream : relayWhole)(request, progress, answer);
+        const passed = await (isStream ? relayStream : relayWhole)(request, progress, answer, attempt);
         metrics.countAnswer(request, answer.framing, describeEnding(request, passed));
         return passed;
     }
@@ -114,11 +122,13 @@
         request: GatewayRequest,
         progress: RelayProgress,
         answer: OpenedAnswer,
+        attempt: Pick<FollowedAttempt, "answered">,
     ): Promise<Result<void, AttemptFailure>> {
         const whole = await readAnswer(answer);
         if (whole.isErr) {
             return err(whole.error);
         }
+        attempt.answered();
         log.completion(request, answer, whole.value.body.byteLength);
         const isServerError = answer.status >= 500;
         if (progress.writer.headSent() || (isServerError && request.row.idempotent)) {
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -3,6 +3,7 @@
 import {
     anonymousAccount,
     chooseService,
+    computeFingerprint,
     createPatienceTable,
     estimateWaited,
     resolveRoute,
@@ -174,6 +175,7 @@
         }
         const headers: HeaderTable = joinHeaders(incoming);
         const call = protocol.decodeCall(headers);
+        const method = incoming.method ?? "GET";
         const path = incoming.url ?? "/";
         const resolution = resolveRoute(routes, { host: headers["host"], path, apiKey: call?.apiKey });
         if (resolution.kind !== "found") {
@@ -185,6 +187,7 @@
             return;
         }
         const { account, route } = resolution;
+        const clientAccount = account?.name ?? anonymousAccount;
         const service = routes.services.get(chooseService(route, call.requestId) ?? "");
         if (service === undefined) {
             reject(incoming, response, 503, "no-service", unconfiguredRetryAfterSeconds);
@@ -215,7 +218,7 @@
                 row: {
                     requestId: call.requestId,
                     deployment: service.name,
-                    clientAccount: account?.name ?? anonymousAccount,
+                    clientAccount,
                     priority: Math.max(
                         0,
                         highestPriority - Math.min(account?.urgency ?? route.urgency, highestPriority),
@@ -224,7 +227,7 @@
                     receivedAt,
                     idempotent: route.kind === "safe" || (route.kind === "streaming" && route.resumable),
                     idempotencyKey: undefined,
-                    fingerprint: "",
+                    fingerprint: computeFingerprint({ method, path, account: clientAccount, body }),
                     prefix: undefined,
                     missedTarget: hasMissedTarget(call, route),
                 },
@@ -232,7 +235,7 @@
                 route,
                 service,
                 account,
-                method: incoming.method ?? "GET",
+                method,
                 path,
                 headers,
                 body,
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -30,6 +30,7 @@
 import { createAgentWatch } from "./agentWatch.js";
 import { createBackendClients } from "./backendClients.js";
 import { startCallerServer } from "./callerServer.js";
+import { createCrashWatch } from "./crashWatch.js";
 import { createGatewayMetrics } from "./gatewayMetrics.js";
 import { createGatewayState } from "./gatewayState.js";
 import { createRequestLog } from "./requestLog.js";
@@ -145,6 +146,13 @@
         choice,
         gates,
         clients,
+        crashes: createCrashWatch({
+            clock,
+            logger,
+            connectTimeLimit: gateway.connectTimeLimit,
+            countCheck: (service, state) => gatewayMetrics.countCheck(service, state),
+            onEnd: () => {},
+        }),
         findBudget,
         retry: settings.retry,
         routing: settings.routing,
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds, RefusalReason } from "../../types/index.js";
+import type { ListeningState } from "../crashes/index.js";
 import type { BodyFraming } from "../httpClient/index.js";
 import type { Metrics } from "../metrics/index.js";
 import type { AnswerEnding, GatewayRequest } from "./types.js";
@@ -14,6 +15,8 @@
     countRetry(request: GatewayRequest): void;
     /** Counts an answer of a backend server whose body was read. */
     countAnswer(request: GatewayRequest, framing: BodyFraming, ending: AnswerEnding): void;
+    /** Counts a check of a backend server to which a connection broke. */
+    countCheck(service: string, state: ListeningState): void;
     recordWait(request: GatewayRequest, duration: Milliseconds): void;
     recordFirstByte(request: GatewayRequest, duration: Milliseconds): void;
     /** Counts a request that the configuration does not allow, or that came before one was known. */
@@ -43,6 +46,10 @@
         name: "goldcrestpoint_gateway_answers_total",
         documentation: "Answers of backend servers whose body was read, by service, framing and ending.",
     });
+    const checks = metrics.createCounter({
+        name: "goldcrestpoint_gateway_server_checks_total",
+        documentation: "Backend servers that were checked after a connection broke, by service and outcome.",
+    });
     const rejected = metrics.createCounter({
         name: "goldcrestpoint_gateway_rejected_total",
         documentation: "Requests without a service, by reason.",
@@ -61,6 +68,7 @@
         countRefusal: ({ service }, reason) => refusals.add(1, { service: service.name, reason }),
         countRetry: ({ service }) => retries.add(1, { service: service.name }),
         countAnswer: ({ service }, framing, ending) => answers.add(1, { service: service.name, framing, ending }),
+        countCheck: (service, outcome) => checks.add(1, { service, outcome }),
         countRejected: reason => rejected.add(1, { reason }),
         recordWait: ({ service }, duration) => waits.record(duration, { service: service.name }),
         recordFirstByte: ({ route, service }, duration) =>
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -17,7 +17,22 @@
 /** Writes a line for each decision on a request. */
 export interface RequestLog {
     routing(request: GatewayRequest, selection: ServerSelection, attempt: number): void;
-    retry(request: GatewayRequest, failure: AttemptFailure, decision: RetryDecision, server: string): void;
+    /**
+     * Writes a line about a failed attempt.
+     *
+     * @param request - the request
+     * @param failure - how the attempt failed
+     * @param decision - whether another one follows
+     * @param server - backend server of the attempt
+     * @param budget - retries that the gateway may still make at the service
+     */
+    retry(
+        request: GatewayRequest,
+        failure: AttemptFailure,
+        decision: RetryDecision,
+        server: string,
+        budget: number,
+    ): void;
     refusal(request: GatewayRequest, refusal: Refusal): void;
     /** Writes a line only about an answer whose end its connection shows, since its bytes do not prove it complete. */
     completion(request: GatewayRequest, answer: OpenedAnswer, bytes: number): void;
@@ -66,7 +81,7 @@
                 details: { attempt, version, outstanding, awaitingFirst, reportedLoad, reportedWaiting, reportAge },
             });
         },
-        retry: (request, failure, decision, server) => {
+        retry: (request, failure, decision, server, budget) => {
             decisions.record({
                 kind: "retry",
                 outcome: decision.kind === "retry" ? "chosen" : "failed",
@@ -77,6 +92,8 @@
                 candidates: 0,
                 details: {
                     peer: server,
+                    fingerprint: request.row.fingerprint,
+                    budget: Math.round(budget * 10) / 10,
                     ran: failure.ran,
                     failure: failure.reason,
                     detail: failure.detail,
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -13,6 +13,7 @@
 import { openAttempt } from "./attempt.js";
 import type { BackendClients } from "./backendClients.js";
 import { createStreamWriter, type OwnStatus, sendAnswer, sendOwnAnswer } from "./callerAnswer.js";
+import type { CrashWatch, FollowedAttempt } from "./crashWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { RequestLog } from "./requestLog.js";
 import type { ServerChoice, ServerSelection } from "./serverChoice.js";
@@ -25,6 +26,7 @@
     readonly choice: ServerChoice;
     readonly gates: AdmissionGates;
     readonly clients: BackendClients;
+    readonly crashes: CrashWatch;
     /** Finds the retry budget of a service. */
     readonly findBudget: (service: string) => RetryBudget;
     readonly retry: RetryOptions;
@@ -79,6 +81,7 @@
         request: GatewayRequest,
         progress: Progress,
         selection: ServerSelection,
+        attempt: FollowedAttempt,
     ): Promise<Result<void, AttemptFailure>> {
         const server = selection.server!;
         const { runner } = server;
@@ -112,7 +115,7 @@
             });
             begin();
             const passed = opened.isOk ?
-                await relay.passOn(request, progress, opened.value) :
+                await relay.passOn(request, progress, opened.value, attempt) :
                 err<void, AttemptFailure>(opened.error);
             progress.sent += passed.isOk || reachedServer(passed.error) ? 1 : 0;
             return passed;
@@ -134,7 +137,12 @@
         recordOutcome(runner, failed ? "failed" : neutral ? "neutral" : "succeeded", clock.monotonic(), input.routing);
     }
 
-    function decide(request: GatewayRequest, progress: Progress, failure: AttemptFailure): RetryDecision {
+    function decide(
+        request: GatewayRequest,
+        progress: Progress,
+        failure: AttemptFailure,
+        budget: RetryBudget,
+    ): RetryDecision {
         const canRepeat = progress.attempts < maximumTries &&
             request.endsAt - clock.monotonic() > minimumRemaining && !request.signal.aborted;
         return decideRetry({
@@ -146,7 +154,7 @@
             answerBegun: progress.writer.headSent() && !request.route.resumable,
             mayHaveRun: progress.mayHaveRun,
             standing: "clear",
-            budget: input.findBudget(request.service.name),
+            budget,
             now: clock.monotonic(),
             options: { ...retry, maximumAttempts: request.route.maximumAttempts },
         });
@@ -164,15 +172,18 @@
                     failure: undefined,
                 };
             }
-            const passed = await tryOnce(request, progress, selection);
+            const attempt = input.crashes.follow(selection.server.listed, request.row.fingerprint);
+            const passed = await tryOnce(request, progress, selection, attempt);
             learn(selection, passed, request.readAbortReason() !== undefined);
+            await attempt.finish(passed.isErr && passed.error.connectionBroke);
             if (passed.isOk) {
                 return undefined;
             }
             progress.excluded.add(selection.server.listed.instance);
             progress.mayHaveRun ||= passed.error.ran === "unknown";
-            const decision = decide(request, progress, passed.error);
-            log.retry(request, passed.error, decision, selection.server.listed.instance);
+            const budget = input.findBudget(request.service.name);
+            const decision = decide(request, progress, passed.error, budget);
+            log.retry(request, passed.error, decision, selection.server.listed.instance, budget.available);
             if (decision.kind === "give-up") {
                 return { refusal: decision.refusal, failure: passed.error };
             }
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -59,6 +59,8 @@
     retry: define("request", ["entry", "gateway"], "an attempt failed, and the request was sent on or given up", [
         ...decision,
         "peer",
+        "fingerprint",
+        "budget",
         "ran",
         "failure",
         "detail",
@@ -155,6 +157,12 @@
         "ageMilliseconds",
     ]),
     "agent report expired": define("belief", ["gateway"], "the last report of an agent is too old to be used"),
+    "backend server checked": define(
+        "belief",
+        ["gateway"],
+        "a connection broke before an answer had begun; the backend server has ended if its address refuses connections",
+        ["peer", "outcome", "crashId", "requests", "fingerprints"],
+    ),
     "backend server crashed": define("belief", ["entry"], "a crash was blamed on a request or not"),
     "instance is no longer live": define("belief", ["entry"], "an instance left the list or was not heard of"),
     "request rejected": define(
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -39,7 +39,7 @@
         expect(causes[0]!.endsWith("the request may have run and is not idempotent")).toEqual(true);
         const messages = timeline.map(({ line }) => line.message);
         expect(messages.includes("backend server changed")).toEqual(true);
-        expect(messages.slice(-2)).toEqual(["routing decision", "retry decision"]);
+        expect(messages.slice(-3)).toEqual(["routing decision", "backend server checked", "retry decision"]);
     });
 
     it("is found for one whose answer was reset before its end was known", async () => {
