Refuse a request that ends its backend servers, at every gateway

Callers saw one request that was sent on without end after three backend servers had ended under it, and neighbours of it that failed with each end. Cause: each gateway decided on an attempt by that attempt alone. What a request had done to other backend servers, at this gateway or another one, was known nowhere: requests had no fingerprint, and every decision got the standing "clear". The suspects of the own deployment's entry were never connected to gateways. Class: state that has to outlive a request and a process was kept in neither. Change: ends of backend servers with the requests they had without an answer are evidence that gateways share and merge in any order; verdicts follow from it (judgeCrashes). A request with maximumCrashes is refused at once with 502. Answers rule a request out, and a condemned request takes the blame from its neighbours. Condemned requests are kept in the log too. Why it works: all gateways hold the same evidence within two messages, by a digest within the settle time at the latest, and a gateway that has started anew asks others and reads the log. A check that is held up took its time limit for the answer; it now polls once more, and is repeated if it is unknown.

--- a/src/node/crashes/checkListening.ts
+++ b/src/node/crashes/checkListening.ts
@@ -20,7 +20,8 @@
             socket.destroy();
             resolve(state);
         };
-        const timer = setTimeout(() => finish("unknown"), timeLimit);
+        // A process that was held up sees the time limit before the answer that has arrived meanwhile.
+        const timer = setTimeout(() => setImmediate(() => finish("unknown")), timeLimit);
         socket.once("connect", () => finish("listening"));
         socket.on("error", (error: NodeJS.ErrnoException) => {
             finish(error.code === "ECONNREFUSED" ? "refused" : "unknown");
--- a/src/node/gateway/answerRelay.ts
+++ b/src/node/gateway/answerRelay.ts
@@ -128,7 +128,9 @@
         if (whole.isErr) {
             return err(whole.error);
         }
-        attempt.answered();
+        if (answer.status < 500) {
+            attempt.answered();
+        }
         log.completion(request, answer, whole.value.body.byteLength);
         const isServerError = answer.status >= 500;
         if (progress.writer.headSent() || (isServerError && request.row.idempotent)) {
--- /dev/null
+++ b/src/node/gateway/condemnedRecords.ts
@@ -0,0 +1,143 @@
+import type { Logger } from "pino";
+import { z } from "zod";
+import type { SharedEvidence } from "../../runtime/retry/index.js";
+import type { Clock, Fingerprint, KeyedLogPort, KeyedRecord, Milliseconds } from "../../types/index.js";
+import type { RecordStore } from "../replica/index.js";
+import type { CrashKnowledge } from "./crashKnowledge.js";
+
+const recordSchema = z.object({
+    crashes: z.array(z.object({ crashId: z.string(), crashedAt: z.number() })),
+    /** Unix time in milliseconds at which the request was last seen, as far as it is written. */
+    touchedAt: z.number(),
+});
+
+type CondemnedRecord = z.infer<typeof recordSchema>;
+
+/** Dependencies of {@link keepCondemnedRecords}. */
+export interface CondemnedRecordsInput {
+    readonly knowledge: CrashKnowledge;
+    readonly log: KeyedLogPort;
+    readonly store: RecordStore;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** Time for which a condemned request is remembered after it was last seen. */
+    readonly condemnedDuration: Milliseconds;
+    /** Time between two attempts to write. */
+    readonly interval: Milliseconds;
+}
+
+/** Record that this gateway looks after. */
+interface KeptRecord {
+    /** Monotonic time of the last write; undefined if what is known now is not written. */
+    writtenAt: Milliseconds | undefined;
+    writing: boolean;
+}
+
+function readRecord(value: Uint8Array): CondemnedRecord | undefined {
+    try {
+        return recordSchema.safeParse(JSON.parse(Buffer.from(value).toString("utf8"))).data;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/**
+ * Keeps the condemned requests in the platform's log, so that they are known to gateways that no other one reaches, and
+ * after all gateways have started anew. The gateways that saw one of the crashes write the record; they write it again while
+ * the request is still sent, and drop it once the request is no longer condemned.
+ *
+ * @param input - knowledge, log and times
+ * @returns ends the writing
+ */
+export function keepCondemnedRecords(input: CondemnedRecordsInput): Disposable {
+    const { clock, condemnedDuration, knowledge, log, logger, store } = input;
+    const kept = new Map<Fingerprint, KeptRecord>();
+
+    function toWallClock(at: Milliseconds): number {
+        return Math.round(clock.now().getTime() - (clock.monotonic() - at));
+    }
+
+    function encode(fingerprint: Fingerprint): Buffer {
+        const crashes = knowledge.listCrashes(fingerprint);
+        const record: CondemnedRecord = {
+            crashes: crashes.map(({ at, crashId }) => ({ crashId, crashedAt: toWallClock(at) })),
+            touchedAt: toWallClock(Math.max(...crashes.map(({ touchedAt }) => touchedAt))),
+        };
+        return Buffer.from(JSON.stringify(record));
+    }
+
+    async function write(fingerprint: Fingerprint, row: KeptRecord, isCondemned: boolean): Promise<void> {
+        row.writing = true;
+        const value = isCondemned ? encode(fingerprint) : Buffer.alloc(0);
+        const written = await log.put("condemned-requests", fingerprint, value);
+        row.writing = false;
+        if (written.isErr) {
+            const { code, message, peer, step } = written.error;
+            logger.warn({ fingerprint, code, step, peer, detail: message }, "condemned request not written");
+            return;
+        }
+        row.writtenAt = clock.monotonic();
+        if (!isCondemned) {
+            kept.delete(fingerprint);
+        }
+        logger.info({ fingerprint, offset: written.value, condemned: isCondemned }, "condemned request written");
+    }
+
+    function tick(): void {
+        const condemned = new Set(knowledge.listCondemned());
+        for (const [fingerprint, row] of kept) {
+            const isCondemned = condemned.has(fingerprint);
+            const isDue = row.writtenAt === undefined || clock.monotonic() - row.writtenAt > condemnedDuration / 2;
+            if (!row.writing && (!isCondemned || isDue)) {
+                void write(fingerprint, row, isCondemned);
+            }
+        }
+    }
+
+    function receive({ key, offset, value }: KeyedRecord): void {
+        if (value === undefined) {
+            return;
+        }
+        const record = readRecord(value);
+        if (record === undefined) {
+            logger.warn({ fingerprint: key, offset }, "condemned request cannot be read");
+            return;
+        }
+        const now = clock.now().getTime();
+        if (now - record.touchedAt > condemnedDuration) {
+            kept.set(key, { writtenAt: undefined, writing: false });
+            return;
+        }
+        const shared: SharedEvidence = {
+            crashes: record.crashes.map(({ crashedAt, crashId }) => ({
+                crashId,
+                fingerprints: [key],
+                age: Math.max(0, now - crashedAt),
+                touchedAge: Math.max(0, now - record.touchedAt),
+            })),
+            answers: [],
+        };
+        knowledge.merge(shared, "log");
+    }
+
+    function isWritten(fingerprint: Fingerprint): boolean {
+        return store.topic("condemned-requests").records.get(fingerprint)?.value !== undefined;
+    }
+
+    knowledge.onStandingChange(({ change, fingerprint, isWitness, source }) => {
+        const isToWrite = change === "condemned" && isWitness && !isWritten(fingerprint);
+        const isToDrop = change === "cleared" && source === "local" && isWritten(fingerprint);
+        if (isToWrite || isToDrop) {
+            kept.set(fingerprint, { writtenAt: undefined, writing: false });
+            tick();
+        }
+    });
+    store.onChange((topic, records) => {
+        if (topic === "condemned-requests") {
+            records.forEach(receive);
+        }
+    });
+    const timer = setInterval(tick, input.interval);
+    return { [Symbol.dispose]: () => clearInterval(timer) };
+}
--- /dev/null
+++ b/src/node/gateway/crashExchange.ts
@@ -0,0 +1,166 @@
+import { create } from "@bufbuild/protobuf";
+import { Metadata, type sendUnaryData, type ServerUnaryCall } from "@grpc/grpc-js";
+import type { Logger } from "pino";
+import {
+    BackendServerCrashSchema,
+    type CrashEvidence,
+    type CrashEvidenceRequest,
+    CrashEvidenceRequestSchema,
+    CrashEvidenceSchema,
+    RequestAnswerSchema,
+} from "../../generated/goldcrestpoint_pb.js";
+import type { SharedEvidence } from "../../runtime/retry/index.js";
+import type { Clock, Milliseconds, RandomSource } from "../../types/index.js";
+import { createReplicaClient, type ReplicaClient } from "../grpc/index.js";
+import type { CrashKnowledge } from "./crashKnowledge.js";
+
+/** Dependencies of {@link createCrashExchange}. */
+export interface CrashExchangeInput {
+    readonly knowledge: CrashKnowledge;
+    /** `host:port` of the other gateways; some may be gone. */
+    readonly listAddresses: () => readonly string[];
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    /** Time in which every gateway has to know what one of them has seen. */
+    readonly settleTime: Milliseconds;
+}
+
+/** Exchange of crashes between gateways. */
+export interface CrashExchange extends Disposable {
+    /** Asks the gateways that a process which has just started has not asked yet; called when gateways become known. */
+    askNew(): void;
+    /** Handler for the gRPC server. */
+    readonly exchangeCrashEvidence: (
+        call: ServerUnaryCall<CrashEvidenceRequest, CrashEvidence>,
+        callback: sendUnaryData<CrashEvidence>,
+    ) => void;
+}
+
+/** Gateways that are told of news at once; they pass it on as long as it is new to them. */
+const fanOut = 8;
+/** Questions to another gateway in the settle time, by which what was lost on the way still arrives in time. */
+const questionsPerSettleTime = 4;
+/** Share of the settle time for which news waits for more of it, since many requests break together. */
+const newsDelayShare = 0.03;
+
+function encode({ answers, crashes }: SharedEvidence): CrashEvidence {
+    return create(CrashEvidenceSchema, {
+        crashes: crashes.map(({ age, crashId, fingerprints, touchedAge }) =>
+            create(BackendServerCrashSchema, {
+                crashId,
+                fingerprints: [...fingerprints],
+                ageMilliseconds: BigInt(Math.round(age)),
+                touchedAgeMilliseconds: BigInt(Math.round(touchedAge)),
+            })
+        ),
+        answers: answers.map(({ age, fingerprint }) =>
+            create(RequestAnswerSchema, { fingerprint, ageMilliseconds: BigInt(Math.round(age)) })
+        ),
+    });
+}
+
+function decode({ answers, crashes }: CrashEvidence): SharedEvidence {
+    return {
+        crashes: crashes.map(({ ageMilliseconds, crashId, fingerprints, touchedAgeMilliseconds }) => ({
+            crashId,
+            fingerprints,
+            age: Number(ageMilliseconds),
+            touchedAge: Number(touchedAgeMilliseconds),
+        })),
+        answers: answers.map(({ ageMilliseconds, fingerprint }) => ({ fingerprint, age: Number(ageMilliseconds) })),
+    };
+}
+
+/**
+ * Creates the exchange. News goes to several gateways at once. Each gateway asks another one at intervals, which repairs
+ * what was lost; one that has just started asks several.
+ *
+ * @param input - knowledge, other gateways and times
+ * @returns the exchange; disposing of it closes the connections
+ */
+export function createCrashExchange(input: CrashExchangeInput): CrashExchange {
+    const { clock, knowledge, logger, random, settleTime } = input;
+    const clients = new Map<string, ReplicaClient>();
+    const asked = new Set<string>();
+    let newsTimer: NodeJS.Timeout | undefined;
+    const startedAt = clock.monotonic();
+    const interval = settleTime / questionsPerSettleTime;
+
+    function closeClient(address: string): void {
+        clients.get(address)?.close();
+        clients.delete(address);
+    }
+
+    function send(address: string, message: CrashEvidenceRequest): void {
+        const client = clients.get(address) ?? createReplicaClient(address);
+        clients.set(address, client);
+        const deadline = Date.now() + settleTime / 2;
+        client.exchangeCrashEvidence(message, new Metadata(), { deadline }, (error, answer) => {
+            if (answer !== undefined) {
+                if (message.asks) {
+                    asked.add(address);
+                }
+                knowledge.merge(decode(answer), "gateway");
+                return;
+            }
+            logger.debug({ peer: address, error: error?.message }, "crashes not exchanged");
+            // A connection that has gone silent is not used again.
+            if (clients.get(address) === client) {
+                closeClient(address);
+            }
+        });
+    }
+
+    function ask(address: string): void {
+        send(address, create(CrashEvidenceRequestSchema, { asks: true, digest: knowledge.digest() }));
+    }
+
+    function tellNews(): void {
+        newsTimer = undefined;
+        const message = create(CrashEvidenceRequestSchema, { news: encode(knowledge.takeNews()) });
+        pick(input.listAddresses(), fanOut).forEach(address => send(address, message));
+    }
+
+    function pick(addresses: readonly string[], count: number): string[] {
+        const picked = [...addresses];
+        while (picked.length > count) {
+            picked.splice(Math.floor(random.next() * picked.length), 1);
+        }
+        return picked;
+    }
+
+    function askNew(): void {
+        if (clock.monotonic() - startedAt < settleTime) {
+            pick(input.listAddresses().filter(address => !asked.has(address)), fanOut).forEach(ask);
+        }
+    }
+
+    function tick(): void {
+        const addresses = input.listAddresses();
+        [...clients.keys()].filter(address => !addresses.includes(address)).forEach(closeClient);
+        askNew();
+        pick(addresses, 1).forEach(ask);
+    }
+
+    knowledge.onNews(() => {
+        newsTimer ??= setTimeout(tellNews, settleTime * newsDelayShare);
+    });
+    const timer = setInterval(tick, interval);
+    return {
+        askNew,
+        exchangeCrashEvidence: (call, callback) => {
+            const { asks, digest, news } = call.request;
+            if (news !== undefined) {
+                knowledge.merge(decode(news), "gateway");
+            }
+            const differs = asks && digest !== knowledge.digest();
+            callback(undefined as never, encode(differs ? knowledge.share() : { crashes: [], answers: [] }));
+        },
+        [Symbol.dispose]: () => {
+            clearInterval(timer);
+            clearTimeout(newsTimer);
+            [...clients.keys()].forEach(closeClient);
+        },
+    };
+}
--- a/src/node/gateway/crashWatch.ts
+++ b/src/node/gateway/crashWatch.ts
@@ -44,6 +44,7 @@
     /** Time in which a connection to a backend server must be open. */
     readonly connectTimeLimit: Milliseconds;
     readonly onEnd: (end: BackendServerEnd) => void;
+    readonly onAnswer: (fingerprint: Fingerprint) => void;
     readonly countCheck: (service: string, state: ListeningState) => void;
 }
 
@@ -77,7 +78,9 @@
 
     async function check(server: ListedBackendServer, crashId: string): Promise<void> {
         const { address, instance, service } = server;
-        const state = await checkListening(address, input.connectTimeLimit);
+        const first = await checkListening(address, input.connectTimeLimit);
+        // A packet may have been lost on the way.
+        const state = first === "unknown" ? await checkListening(address, input.connectTimeLimit) : first;
         checks.delete(crashId);
         const fingerprints = [...broken.get(crashId) ?? []];
         broken.delete(crashId);
@@ -107,18 +110,23 @@
             const crashId = nameLifetime(server);
             const endProgress = losses.begin(crashId, fingerprint);
             let inProgress = true;
-            const leave = (): void => {
-                if (inProgress) {
-                    inProgress = false;
+            const leave = (): boolean => {
+                const left = inProgress;
+                inProgress = false;
+                if (left) {
                     endProgress();
                 }
+                return left;
             };
             return {
-                answered: leave,
+                answered: () => {
+                    if (leave()) {
+                        input.onAnswer(fingerprint);
+                    }
+                },
                 finish: async connectionBroke => {
-                    const isSuspect = inProgress && connectionBroke;
-                    leave();
-                    if (!isSuspect) {
+                    const wasInProgress = leave();
+                    if (!wasInProgress || !connectionBroke) {
                         return;
                     }
                     const known = broken.get(crashId) ?? new Set<Fingerprint>();
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -30,7 +30,7 @@
 import { createAgentWatch } from "./agentWatch.js";
 import { createBackendClients } from "./backendClients.js";
 import { startCallerServer } from "./callerServer.js";
-import { createCrashWatch } from "./crashWatch.js";
+import { createCrashContainment } from "./crashContainment.js";
 import { createGatewayMetrics } from "./gatewayMetrics.js";
 import { createGatewayState } from "./gatewayState.js";
 import { createRequestLog } from "./requestLog.js";
@@ -101,7 +101,11 @@
         sampleShare: settings.log.decisionSampleShare,
         recentDecisions: settings.log.recentDecisions,
     });
-    const store = createRecordStore(["backend-servers", "operator", "instances", "weight-sources"], clock, logger);
+    const store = createRecordStore(
+        ["backend-servers", "operator", "instances", "condemned-requests", "weight-sources"],
+        clock,
+        logger,
+    );
     const state = createGatewayState({
         store,
         decoder: ports.decoder,
@@ -134,6 +138,28 @@
             return Math.max(1, Math.floor(maximum * connectionShare / Math.max(1, listInstances(store).length)));
         },
     }));
+    const { host } = splitAddress(instance.grpcAddress);
+    const ownAddress = `${host}:${gateway.relayPort}`;
+    const listPeers = (): string[] => {
+        const registered = listInstances(store).map(({ address }) => address);
+        const seeds = (ports.readSeeds?.() ?? gateway.seeds).map(address =>
+            `${splitAddress(address).host}:${gateway.relayPort}`
+        );
+        return [...new Set([...registered, ...seeds])].filter(address => address !== ownAddress);
+    };
+    const containment = stack.use(createCrashContainment({
+        log,
+        store,
+        clock,
+        random,
+        logger,
+        metrics,
+        gatewayMetrics,
+        options: settings.retry,
+        connectTimeLimit: gateway.connectTimeLimit,
+        settleTime: gateway.settleTime,
+        listAddresses: listPeers,
+    }));
     const budgets = new Map<string, RetryBudget>();
     const findBudget = (service: string): RetryBudget => {
         const budget = budgets.get(service) ?? createRetryBudget(clock.monotonic(), settings.retry);
@@ -146,13 +172,8 @@
         choice,
         gates,
         clients,
-        crashes: createCrashWatch({
-            clock,
-            logger,
-            connectTimeLimit: gateway.connectTimeLimit,
-            countCheck: (service, state) => gatewayMetrics.countCheck(service, state),
-            onEnd: () => {},
-        }),
+        crashes: containment.watch,
+        knowledge: containment.knowledge,
         findBudget,
         retry: settings.retry,
         routing: settings.routing,
@@ -170,10 +191,14 @@
     // The last share is left for the process to end.
     const serverShutdownLimit = gateway.shutdownMargin / (ownServers + 1);
     const relay = stack.use(createRecordRelay({ store, clock, options: replica }));
-    const { host } = splitAddress(instance.grpcAddress);
-    const ownAddress = `${host}:${gateway.relayPort}`;
     const rpcServer = await startRpcServer(instance.grpcAddress, [
-        { definition: replicaServiceDefinition, implementation: { followRecords: relay.followRecords } },
+        {
+            definition: replicaServiceDefinition,
+            implementation: {
+                followRecords: relay.followRecords,
+                exchangeCrashEvidence: containment.exchangeCrashEvidence,
+            },
+        },
     ], serverShutdownLimit);
     if (rpcServer.isErr) {
         return err(rpcServer.error);
@@ -188,13 +213,7 @@
         random,
         logger,
         options: replica,
-        listAddresses: () => {
-            const registered = listInstances(store).map(({ address }) => address);
-            const seeds = (ports.readSeeds?.() ?? gateway.seeds).map(address =>
-                `${splitAddress(address).host}:${gateway.relayPort}`
-            );
-            return [...new Set([...registered, ...seeds])].filter(address => address !== ownAddress);
-        },
+        listAddresses: listPeers,
     }));
     const agentWatch = stack.use(createAgentWatch({
         self: instance.id,
@@ -278,6 +297,7 @@
     };
     void followLog(followerInput, "operator", "wait");
     void followLog(followerInput, "instances", "wait");
+    void followLog(followerInput, "condemned-requests", "wait");
     void followLog(followerInput, "backend-servers", "poll");
     const self = { instance: instance.id, address: ownAddress, zone: instance.zone, region: instance.region };
     const startedAt = clock.now().getTime();
@@ -285,6 +305,7 @@
 
     const timer = setInterval(() => {
         state.expire();
+        containment.knowledge.expire();
         agentWatch.tick();
         gates.update();
     }, tickInterval);
--- a/src/node/gateway/gatewayState.ts
+++ b/src/node/gateway/gatewayState.ts
@@ -186,6 +186,7 @@
             serverListeners.forEach(listener => listener());
         },
         instances: () => {},
+        "condemned-requests": () => {},
         "weight-sources": () => {},
     };
 
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -113,6 +113,7 @@
                 reason: refusal.reason,
                 candidates: 0,
                 details: {
+                    fingerprint: request.row.fingerprint,
                     queued: countQueued(),
                     open: countOpen(),
                     places,
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -7,17 +7,18 @@
     type RetryOptions,
 } from "../../runtime/retry/index.js";
 import { recordOutcome, type RoutingOptions } from "../../runtime/routing/index.js";
-import type { CallerProtocol, Clock, Milliseconds, Refusal } from "../../types/index.js";
+import type { CallerProtocol, Clock, Milliseconds, RanState, Refusal } from "../../types/index.js";
 import type { AdmissionGates } from "./admissionGates.js";
 import { createAnswerRelay, type RelayProgress } from "./answerRelay.js";
 import { openAttempt } from "./attempt.js";
 import type { BackendClients } from "./backendClients.js";
 import { createStreamWriter, type OwnStatus, sendAnswer, sendOwnAnswer } from "./callerAnswer.js";
+import type { CrashKnowledge } from "./crashKnowledge.js";
 import type { CrashWatch, FollowedAttempt } from "./crashWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { RequestLog } from "./requestLog.js";
 import type { ServerChoice, ServerSelection } from "./serverChoice.js";
-import type { AttemptFailure, GatewayRequest } from "./types.js";
+import type { AbortReason, AttemptFailure, GatewayRequest } from "./types.js";
 
 /** Dependencies of {@link createRequestPipeline}. */
 export interface RequestPipelineInput {
@@ -27,6 +28,8 @@
     readonly gates: AdmissionGates;
     readonly clients: BackendClients;
     readonly crashes: CrashWatch;
+    /** Knows which requests crash backend servers. */
+    readonly knowledge: Pick<CrashKnowledge, "mayRepeat" | "readStanding" | "recordAnswer">;
     /** Finds the retry budget of a service. */
     readonly findBudget: (service: string) => RetryBudget;
     readonly retry: RetryOptions;
@@ -67,6 +70,19 @@
     return ran !== "no" || reason !== "connection-lost";
 }
 
+/** The caller is not told to come back: the request would crash the next backend server too. */
+function describeCondemned(ran: RanState): Refusal {
+    return { ran, reason: "crashes-backend-servers", retryAfterSeconds: 0 };
+}
+
+/** 503 invites the caller to send the request again. */
+function chooseStatus({ ran, reason }: Refusal, abortReason: AbortReason | undefined): OwnStatus {
+    if (ran === "no" && reason !== "crashes-backend-servers") {
+        return 503;
+    }
+    return abortReason === "route-timeout" ? 504 : 502;
+}
+
 /**
  * Creates the function that carries out allowed requests.
  *
@@ -74,7 +90,7 @@
  * @returns function that resolves once the caller has the final answer
  */
 export function createRequestPipeline(input: RequestPipelineInput): (request: GatewayRequest) => Promise<void> {
-    const { choice, clock, gates, log, metrics, protocol, retry } = input;
+    const { choice, clock, gates, knowledge, log, metrics, protocol, retry } = input;
     const relay = createAnswerRelay({ clock, log, metrics });
 
     async function tryOnce(
@@ -153,7 +169,8 @@
             attempts: canRepeat ? progress.sent : Infinity,
             answerBegun: progress.writer.headSent() && !request.route.resumable,
             mayHaveRun: progress.mayHaveRun,
-            standing: "clear",
+            standing: knowledge.readStanding(request.row.fingerprint),
+            mayRepeat: knowledge.mayRepeat(request.row.fingerprint),
             budget,
             now: clock.monotonic(),
             options: { ...retry, maximumAttempts: request.route.maximumAttempts },
@@ -162,6 +179,9 @@
 
     async function runAttempts(request: GatewayRequest, progress: Progress): Promise<FinalFailure | undefined> {
         for (;;) {
+            if (knowledge.readStanding(request.row.fingerprint) === "condemned") {
+                return { refusal: describeCondemned(progress.mayHaveRun ? "unknown" : "no"), failure: undefined };
+            }
             const selection = choice.select(request.service, progress.excluded);
             log.routing(request, selection, progress.attempts + 1);
             if (selection.decision.kind === "none" || selection.server === undefined) {
@@ -204,9 +224,8 @@
             sendAnswer(request.response, failure.answer);
             return;
         }
-        const status: OwnStatus = refusal.ran === "no" ? 503 : reason === "route-timeout" ? 504 : 502;
         metrics.countOutcome(request, refusal.ran === "no" ? "refused" : "failed");
-        sendOwnAnswer(request.response, status, refusal);
+        sendOwnAnswer(request.response, chooseStatus(refusal, reason), refusal);
     }
 
     function refuse(request: GatewayRequest, refusal: Refusal): void {
@@ -218,10 +237,14 @@
         }
         metrics.countOutcome(request, "refused");
         metrics.countRefusal(request, refusal.reason);
-        sendOwnAnswer(request.response, 503, refusal);
+        sendOwnAnswer(request.response, chooseStatus(refusal, undefined), refusal);
     }
 
     return async request => {
+        if (knowledge.readStanding(request.row.fingerprint) === "condemned") {
+            refuse(request, describeCondemned("no"));
+            return;
+        }
         creditRequest(input.findBudget(request.service.name), clock.monotonic(), retry);
         const waiting = { ...request.row, deadline: request.latestStart };
         const admitted = await gates.admit(request.service, waiting, request.signal);
--- a/src/node/grpc/clients.ts
+++ b/src/node/grpc/clients.ts
@@ -13,6 +13,8 @@
     type AvailabilityRequest,
     type AvailabilityResponse,
     type ChunkPart,
+    type CrashEvidence,
+    type CrashEvidenceRequest,
     type ExecuteFrame,
     type ExecuteRequest,
     type FetchChunkRequest,
@@ -59,6 +61,12 @@
 /** Client of a process that relays keyed records. */
 export interface ReplicaClient {
     followRecords(options?: CallOptions): ClientDuplexStream<FollowRecordsRequest, RecordBatch>;
+    exchangeCrashEvidence(
+        request: CrashEvidenceRequest,
+        metadata: Metadata,
+        options: CallOptions,
+        callback: requestCallback<CrashEvidence>,
+    ): ClientUnaryCall;
     close(): void;
 }
 
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -42,6 +42,7 @@
     ),
     admission: define("request", ["entry", "gateway"], "a request was refused before it ran", [
         ...decision,
+        "fingerprint",
         "queued",
         "open",
         "places",
@@ -163,6 +164,26 @@
         "a connection broke before an answer had begun; the backend server has ended if its address refuses connections",
         ["peer", "outcome", "crashId", "requests", "fingerprints"],
     ),
+    "standing of a request changed": define(
+        "belief",
+        ["gateway"],
+        "a request was condemned because backend servers ended under it, or cleared by an answer or by time",
+        ["fingerprint", "change", "source", "crashes", "crashIds", "ageMilliseconds"],
+    ),
+    "condemned request written": define(
+        "dependency",
+        ["gateway"],
+        "the log holds a condemned request, or holds it no longer",
+        ["fingerprint", "condemned", "offset"],
+    ),
+    "condemned request not written": define("dependency", ["gateway"], "a condemned request is not in the log yet", [
+        "fingerprint",
+        ...error,
+    ]),
+    "condemned request cannot be read": define("belief", ["gateway"], "a record of another writer was left out", [
+        "fingerprint",
+    ]),
+    "crashes not exchanged": define("dependency", ["gateway"], "another gateway could not be told or asked", ["peer"]),
     "backend server crashed": define("belief", ["entry"], "a crash was blamed on a request or not"),
     "instance is no longer live": define("belief", ["entry"], "an instance left the list or was not heard of"),
     "request rejected": define(
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -233,6 +233,12 @@
             initial: 10_000,
             documentation: "Most fingerprints under suspicion; the oldest are dropped.",
         }),
+        answerMemorySeconds: defineDuration("answerMemory", "Seconds", {
+            minimum: 1,
+            maximum: 86_400,
+            initial: 30,
+            documentation: "Time for which the answer to a request tells that it does not crash backend servers.",
+        }),
     },
     idempotency: {
         maximumKeyAgeSeconds: defineDuration("maximumKeyAge", "Seconds", {
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -99,6 +99,12 @@
             documentation:
                 "Time before the end of instance.drainTimeLimitSeconds at which the drain ends, to release everything and end.",
         }),
+        settleTimeMilliseconds: defineDuration("settleTime", "Milliseconds", {
+            minimum: 100,
+            maximum: 600_000,
+            initial: 3_000,
+            documentation: "Time in which every gateway has to know of the crashes that one of them has seen.",
+        }),
         settingsCheckIntervalMilliseconds: defineDuration("settingsCheckInterval", "Milliseconds", {
             minimum: 100,
             maximum: 3_600_000,
--- a/src/runtime/explain/findCauses.ts
+++ b/src/runtime/explain/findCauses.ts
@@ -36,9 +36,14 @@
 }
 
 function readAdmission(line: LogLine): string | undefined {
-    return line.fields["outcome"] === "chosen" ?
-        undefined :
-        `refused without having run (${show(line, "reason")}): ${show(line, "queued")} requests waited and ` +
+    if (line.fields["outcome"] === "chosen") {
+        return undefined;
+    }
+    if (line.fields["reason"] === "crashes-backend-servers") {
+        return `refused without having run: backend servers ended under requests with its fingerprint ` +
+            show(line, "fingerprint");
+    }
+    return `refused without having run (${show(line, "reason")}): ${show(line, "queued")} requests waited and ` +
         `${show(line, "open")} were open at the gateway, which had ${show(line, "places")} places at the ` +
         `service${readShare(line)}; it was told to come back after ${show(line, "retryAfterSeconds")} s`;
 }
--- a/src/runtime/retry/decision.ts
+++ b/src/runtime/retry/decision.ts
@@ -69,6 +69,9 @@
     if (refusal.ran === "unknown" && !request.idempotent) {
         return giveUp(input, refusal.reason, "the request may have run and is not idempotent");
     }
+    if (input.mayRepeat === false) {
+        return giveUp(input, refusal.reason, "one more attempt may crash another backend server");
+    }
     if (input.attempts >= options.maximumAttempts) {
         return giveUp(input, refusal.reason, "the attempts are used up");
     }
--- a/src/runtime/retry/index.ts
+++ b/src/runtime/retry/index.ts
@@ -1,4 +1,5 @@
 export * from "./budget.js";
+export * from "./crashEvidence.js";
 export * from "./decision.js";
 export * from "./options.js";
 export * from "./suspects.js";
--- a/src/runtime/retry/options.ts
+++ b/src/runtime/retry/options.ts
@@ -16,6 +16,7 @@
         condemnedDuration: 600_000,
         suspicionDuration: 60_000,
         maximumSuspects: 10_000,
+        answerMemory: 30_000,
         ...partial,
     };
 }
--- a/src/runtime/retry/types.ts
+++ b/src/runtime/retry/types.ts
@@ -18,6 +18,8 @@
     readonly suspicionDuration: Milliseconds;
     /** Most fingerprints under suspicion. Default: 10,000; the oldest are dropped. */
     readonly maximumSuspects: number;
+    /** Time for which the answer to a request tells that it does not crash backend servers. Default: 30,000 ms. */
+    readonly answerMemory: Milliseconds;
 }
 
 /** Retries that an entry instance may still make; created by `createRetryBudget`. */
@@ -45,6 +47,64 @@
     readonly options: RetryOptions;
 }
 
+/** Options of {@link CrashEvidence}. */
+export type CrashEvidenceOptions = Pick<
+    RetryOptions,
+    "answerMemory" | "condemnedDuration" | "maximumCrashes" | "maximumSuspects" | "suspicionDuration"
+>;
+
+/** End of a backend server. */
+export interface CrashRow {
+    /** Lifetime of the backend server. */
+    readonly crashId: string;
+    /** Monotonic time at which it was noticed first. */
+    readonly at: Milliseconds;
+    /** Monotonic time at which it mattered last. */
+    touchedAt: Milliseconds;
+    /** Requests without an answer that were in progress there. */
+    readonly fingerprints: Set<Fingerprint>;
+}
+
+/** Request that crashes are blamed on. */
+export interface CrashSuspect {
+    /** Crashes that no condemned request explains. */
+    readonly crashes: number;
+    readonly condemned: boolean;
+}
+
+/** Crashes and answers by which requests are judged; created by `createCrashEvidence`. */
+export interface CrashEvidence {
+    readonly crashes: Map<string, CrashRow>;
+    /** Monotonic time at which a request was answered last, oldest first. */
+    readonly answers: Map<Fingerprint, Milliseconds>;
+    /** What follows from crashes and answers. */
+    readonly suspects: Map<Fingerprint, CrashSuspect>;
+    readonly options: CrashEvidenceOptions;
+}
+
+/** Part of the evidence that others do not know yet. */
+export interface EvidenceNews {
+    readonly crashIds: readonly string[];
+    /** Requests whose answers matter to others. */
+    readonly answered: readonly Fingerprint[];
+}
+
+/** Crash as it is told to other processes. */
+export interface SharedCrash {
+    readonly crashId: string;
+    readonly fingerprints: readonly Fingerprint[];
+    /** Time since it was noticed. */
+    readonly age: Milliseconds;
+    /** Time since it mattered last. */
+    readonly touchedAge: Milliseconds;
+}
+
+/** Evidence as it is told to other processes, whose clocks differ. */
+export interface SharedEvidence {
+    readonly crashes: readonly SharedCrash[];
+    readonly answers: readonly { readonly fingerprint: Fingerprint; readonly age: Milliseconds; }[];
+}
+
 /** How a fingerprint has to be treated. */
 export type SuspectStanding = "clear" | "suspect" | "condemned";
 
@@ -65,6 +125,8 @@
     /** True if an earlier attempt may have run; the final answer then says `unknown`. Default: false. */
     readonly mayHaveRun?: boolean | undefined;
     readonly standing: SuspectStanding;
+    /** False if one more attempt may crash another backend server and is left to the caller. Default: true. */
+    readonly mayRepeat?: boolean | undefined;
     readonly budget: RetryBudget;
     readonly now: Milliseconds;
     readonly options: RetryOptions;
--- a/src/types/keyedLog.ts
+++ b/src/types/keyedLog.ts
@@ -3,9 +3,9 @@
 
 /**
  * Topics of keyed records: the operator's records, the list of backend servers, the entry instances that relay records,
- * and the weight sources, which gateways derive from the configuration for agents.
+ * the requests that crash backend servers, and the weight sources, which gateways derive from the configuration for agents.
  */
-export type KeyedTopic = "operator" | "backend-servers" | "instances" | "weight-sources";
+export type KeyedTopic = "operator" | "backend-servers" | "instances" | "condemned-requests" | "weight-sources";
 
 /** Newest record of a key. */
 export interface KeyedRecord {
@@ -41,7 +41,7 @@
      */
     readSince(topic: KeyedTopic, nextOffset: Offset, wait: Milliseconds): PortResult<KeyedPage>;
     /**
-     * Writes a record.
+     * Writes a record; one without content drops its key.
      *
      * @param topic - topic to write to
      * @param key - key of the record
--- a/test/platform/standIn/gateway.ts
+++ b/test/platform/standIn/gateway.ts
@@ -54,6 +54,7 @@
             "gateway.switchAfterMilliseconds": "400",
             "routing.reportExpiryMilliseconds": "600000",
             "admission.retryAfterStepSeconds": "0.05",
+            "retry.maximumCrashes": "3",
             ...options.flags,
         },
     }));
--- a/test/runtime/explain/explainRequest.test.ts
+++ b/test/runtime/explain/explainRequest.test.ts
@@ -82,6 +82,20 @@
         );
     });
 
+    it("says that backend servers ended under its like", () => {
+        const fields = {
+            requestId,
+            outcome: "refused",
+            reason: "crashes-backend-servers",
+            fingerprint: "9a4a",
+            usable: 3,
+        };
+        const lines = collect([{ at: 0, instance: "front-1", msg: "admission decision", fields }]);
+        expect(explainRequest(lines, requestId)?.causes).toEqual([
+            "refused without having run: backend servers ended under requests with its fingerprint 9a4a",
+        ]);
+    });
+
     it("names the configuration that had no route for it, and when it came into force", () => {
         const rejected = { requestId, status: 404, reason: "no-route", host: "a.example", path: "/b/", revision: 7 };
         const lines = collect([
