Divide the allowed retries among the gateways

Cause: each gateway had a retry budget of fixed size, 10 saved and 0.5 a second, whatever the number of gateways and whatever the platform allows. Change: the settings take over ratio, allowance and window of the platform. A window may see three parts of the allowance: what was saved, what is gained, and what gateways that start anew begin with; each is 0.3 of it, divided by the gateways. The bound holds up to 60 gateways for an allowance of 200, since each may always save one whole retry.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -1,6 +1,11 @@
 import type { Logger } from "pino";
 import { err, ok, type Result } from "true-myth/result";
-import { createRetryBudget, type RetryBudget } from "../../runtime/retry/index.js";
+import {
+    createRetryBudget,
+    divideRetryAllowance,
+    type RetryBudget,
+    type RetryOptions,
+} from "../../runtime/retry/index.js";
 import type {
     CallerProtocol,
     Clock,
@@ -160,9 +165,20 @@
         settleTime: gateway.settleTime,
         listAddresses: listPeers,
     }));
+    const divideRetries = (): RetryOptions => {
+        // Before any gateway is known, seeds tell that there are others.
+        const gateways = Math.max(1, listInstances(store).length, gateway.seeds.length);
+        return divideRetryAllowance(settings.retry, gateway, gateways);
+    };
+    let retry = divideRetries();
+    store.onChange(topic => {
+        if (topic === "instances") {
+            retry = divideRetries();
+        }
+    });
     const budgets = new Map<string, RetryBudget>();
     const findBudget = (service: string): RetryBudget => {
-        const budget = budgets.get(service) ?? createRetryBudget(clock.monotonic(), settings.retry);
+        const budget = budgets.get(service) ?? createRetryBudget(clock.monotonic(), retry);
         budgets.set(service, budget);
         return budget;
     };
@@ -175,7 +191,7 @@
         crashes: containment.watch,
         knowledge: containment.knowledge,
         findBudget,
-        retry: settings.retry,
+        readRetry: () => retry,
         routing: settings.routing,
         switchAfter: gateway.switchAfter,
         log: createRequestLog({
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -32,7 +32,8 @@
     readonly knowledge: Pick<CrashKnowledge, "mayRepeat" | "readStanding" | "recordAnswer">;
     /** Finds the retry budget of a service. */
     readonly findBudget: (service: string) => RetryBudget;
-    readonly retry: RetryOptions;
+    /** Reads the retry options, which depend on the number of gateways. */
+    readonly readRetry: () => RetryOptions;
     readonly routing: RoutingOptions;
     /** Time without a byte after which a request that may be repeated goes on elsewhere. */
     readonly switchAfter: Milliseconds;
@@ -90,7 +91,7 @@
  * @returns function that resolves once the caller has the final answer
  */
 export function createRequestPipeline(input: RequestPipelineInput): (request: GatewayRequest) => Promise<void> {
-    const { choice, clock, gates, knowledge, log, metrics, protocol, retry } = input;
+    const { choice, clock, gates, knowledge, log, metrics, protocol, readRetry } = input;
     const relay = createAnswerRelay({ clock, log, metrics });
 
     async function tryOnce(
@@ -173,7 +174,7 @@
             mayRepeat: knowledge.mayRepeat(request.row.fingerprint),
             budget,
             now: clock.monotonic(),
-            options: { ...retry, maximumAttempts: request.route.maximumAttempts },
+            options: { ...readRetry(), maximumAttempts: request.route.maximumAttempts },
         });
     }
 
@@ -245,7 +246,7 @@
             refuse(request, describeCondemned("no"));
             return;
         }
-        creditRequest(input.findBudget(request.service.name), clock.monotonic(), retry);
+        creditRequest(input.findBudget(request.service.name), clock.monotonic(), readRetry());
         const waiting = { ...request.row, deadline: request.latestStart };
         const admitted = await gates.admit(request.service, waiting, request.signal);
         if (admitted.kind === "refused") {
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -105,6 +105,26 @@
             initial: 3_000,
             documentation: "Time in which every gateway has to know of the crashes that one of them has seen.",
         }),
+        fleetRetryShare: defineNumber({
+            minimum: 0,
+            maximum: 1,
+            initial: 0,
+            documentation: "Retries that all gateways together may make for each request at a service.",
+        }),
+        fleetRetries: defineNumber({
+            minimum: 0,
+            maximum: 1_000_000,
+            initial: 0,
+            documentation:
+                "Retries that all gateways together may make at a service in a window beside that share; replaces " +
+                "budgetPerSecond and budgetMaximum of [retry]. 0 leaves each process the budget of [retry].",
+        }),
+        fleetRetryWindowSeconds: defineDuration("fleetRetryWindow", "Seconds", {
+            minimum: 1,
+            maximum: 3_600,
+            initial: 10,
+            documentation: "Window of fleetRetries.",
+        }),
         settingsCheckIntervalMilliseconds: defineDuration("settingsCheckInterval", "Milliseconds", {
             minimum: 100,
             maximum: 3_600_000,
--- a/src/runtime/retry/types.ts
+++ b/src/runtime/retry/types.ts
@@ -22,6 +22,15 @@
     readonly answerMemory: Milliseconds;
 }
 
+/** Retries that all gateways of a fleet may make at one service. */
+export interface FleetRetryAllowance {
+    /** Retries for each request, whatever the number of gateways. */
+    readonly fleetRetryShare: number;
+    /** Retries in a window beside that share; 0 if each process has the budget of its own options. */
+    readonly fleetRetries: number;
+    readonly fleetRetryWindow: Milliseconds;
+}
+
 /** Retries that an entry instance may still make; created by `createRetryBudget`. */
 export interface RetryBudget {
     available: number;
