Do not wait for the end of a refused answer

Callers saw requests held to their deadline and answered 503 although a sound backend server was idle, when another one refused them and went on sending. Cause: the rest of a refusal was read to keep its connection, before the request went on, and its limit was compared with each part of the body instead of their sum. Change: the request goes on at once; the rest is read beside it, up to 64 KiB and 250 ms, and its connection is closed then. Evidence: test/platform/gatewayEndlessAnswers.test.ts, two of its cases, failed before and passes.

--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -104,11 +104,20 @@
     return undefined;
 }
 
-/** Reads the rest of a refused answer, so that the connection can be used again. */
+/** Most bytes of a refused answer that are read to keep its connection. */
+const maximumRefusalBytes = 65_536;
+/** Longest time for which a refused answer is read to keep its connection. */
+const maximumRefusalTime: Milliseconds = 250;
+
+/** Reads the rest of a refused answer, so that the connection can be used again; closes it if there is too much. */
 async function drain(stream: HttpStream): Promise<void> {
+    const timer = setTimeout(() => stream.discard(), maximumRefusalTime);
+    let bytes = 0;
     try {
         for await (const part of stream.body) {
-            if (part.length > maximumAnswerBytes) {
+            bytes += part.length;
+            if (bytes > maximumRefusalBytes) {
+                stream.discard();
                 return;
             }
         }
@@ -116,6 +125,9 @@
     catch {
         // The connection is closed by then; the refusal has been read from the head.
     }
+    finally {
+        clearTimeout(timer);
+    }
 }
 
 /**
@@ -149,7 +161,8 @@
         return ok({ ...stream, server });
     }
     if (fault.ran === "no") {
-        await drain(stream);
+        // The refusal is known, so the request does not wait for the rest of it.
+        void drain(stream);
     }
     else {
         stream.discard();
--- /dev/null
+++ b/test/platform/gatewayEndlessAnswers.test.ts
@@ -0,0 +1,28 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { call } from "./standIn/caller.js";
+import { startDeployment } from "./standIn/deployment.js";
+import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
+
+describe("gateway before a backend server that sends bytes without end", () => {
+    // Guards against requests that wait for the end of such an answer while another backend server is idle.
+    const cases: readonly (readonly [RunnerBehaviour, string])[] = [
+        ["endless-refusal", "/safe/"],
+        ["endless-refusal", "/stream/"],
+    ];
+    for (const [behaviour, path] of cases) {
+        it(`goes on to a sound one: ${behaviour} on ${path}`, async () => {
+            await using deployment = await startDeployment({ "routing.failuresUntilEjected": "100" });
+            const events = path === "/stream/" ? { events: 2 } : {};
+            const endless = await deployment.addRunner({ id: "i-1", ...events });
+            await deployment.addRunner({ id: "i-2", ...events });
+            endless.behave(behaviour);
+            const startedAt = Date.now();
+            const answers = await Promise.all(Array.from({ length: 8 }, () => call(deployment, path)));
+            expect(answers.map(({ complete, status }) => [status, complete])).toEqual(answers.map(() => [200, true]));
+            // The route's time is 1.5 s.
+            expect(Date.now() - startedAt).toBeLessThan(1_000);
+            expect(endless.countArrivals()).toBeGreaterThan(0);
+        });
+    }
+});
--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -13,7 +13,9 @@
     | "unframed-reset"
     | "foreign"
     | "unsealed"
-    | "unexplained-503";
+    | "unexplained-503"
+    | "endless-refusal"
+    | "endless-event";
 
 /** Request that a runner began to work on. */
 export interface RunnerRun {
@@ -100,6 +102,13 @@
         response.socket!.write(`${head.join("\r\n")}\r\n\r\n${body}`, end);
     }
 
+    /** Sends bytes that end no event until the peer closes. */
+    function sendWithoutEnd(response: ServerResponse): void {
+        const part = Buffer.alloc(16_384, "x");
+        const timer = setInterval(() => response.write(part), 1);
+        response.once("close", () => clearInterval(timer));
+    }
+
     function run(request: IncomingMessage, response: ServerResponse, url: URL, body: Buffer): RunnerRun {
         const row: RunnerRun = {
             attemptId: String(request.headers["attempt-id"]),
@@ -166,6 +175,19 @@
             response.writeHead(200, { "attempt-id": attemptId });
             response.end("no proof");
         },
+        "endless-refusal": (request, response) => {
+            response.writeHead(503, { "attempt-id": String(request.headers["attempt-id"]), "not-executed": "1" });
+            sendWithoutEnd(response);
+        },
+        "endless-event": (request, response, url, body) => {
+            const { attemptId } = run(request, response, url, body);
+            response.writeHead(200, {
+                "attempt-id": attemptId,
+                "response-seal": proof,
+                "content-type": "text/event-stream",
+            });
+            sendWithoutEnd(response);
+        },
         "unexplained-503": (request, response, url, body) => {
             const { attemptId } = run(request, response, url, body);
             response.writeHead(503, { "attempt-id": attemptId });
