Give up a stream whose event does not end

Callers of a stream waited until their deadline, and the gateway kept up to 16 MB of each such answer in memory, when a backend server sent bytes that end no event. Cause: the splitter of events kept an event of any size. Change: an event of more than 256 KiB ends the attempt, which goes on elsewhere where the route allows it. Evidence: the case endless-event of test/platform/gatewayEndlessAnswers.test.ts failed before and passes.

--- a/src/node/gateway/eventStream.ts
+++ b/src/node/gateway/eventStream.ts
@@ -13,6 +13,7 @@
      *
      * @param part - bytes in the order in which they were received
      * @returns events that are complete now
+     * @throws Error if an event is larger than {@link maximumEventBytes}
      */
     push(part: Uint8Array): readonly StreamEvent[];
     /** Bytes that belong to no complete event yet. */
@@ -37,6 +38,9 @@
     return -1;
 }
 
+/** Most bytes of one event, which is held in memory until it is whole. */
+export const maximumEventBytes = 262_144;
+
 /** Bytes before the end of the pending ones that may belong to an empty line that is cut off. */
 const emptyLineBytes = 3;
 
@@ -57,6 +61,9 @@
             for (;;) {
                 const end = findEventEnd(pending, searched);
                 if (end < 0) {
+                    if (pending.length > maximumEventBytes) {
+                        throw new Error(`an event is larger than ${maximumEventBytes} bytes`);
+                    }
                     return events;
                 }
                 const bytes = pending.subarray(0, end);
--- a/test/platform/gatewayEndlessAnswers.test.ts
+++ b/test/platform/gatewayEndlessAnswers.test.ts
@@ -9,6 +9,7 @@
     const cases: readonly (readonly [RunnerBehaviour, string])[] = [
         ["endless-refusal", "/safe/"],
         ["endless-refusal", "/stream/"],
+        ["endless-event", "/stream/"],
     ];
     for (const [behaviour, path] of cases) {
         it(`goes on to a sound one: ${behaviour} on ${path}`, async () => {
