--- a/src/runtime/retry/types.ts
+++ b/src/runtime/retry/types.ts
@@ -81,7 +81,10 @@
     readonly condemned: boolean;
 }
 
-/** Crashes and answers by which requests are judged; created by `createCrashEvidence`. */
+/**
+ * Crashes and answers by which gateways judge requests; created by `createCrashEvidence`. Entry instances have a
+ * {@link SuspectTable} instead: their agents report crashes and run suspects alone, which gateways cannot.
+ */
 export interface CrashEvidence {
     readonly crashes: Map<string, CrashRow>;
     /** Monotonic time at which a request was answered last, oldest first. */
