Forget losses that are over, and bound the connections for crash evidence

Cause: the tracker of lost connections kept an entry for each lifetime of a backend server that had ended, for good, since gateways name lifetimes where entry instances name instances. A gateway kept a connection to each other one that it had told or asked. Change: losses are forgotten after their window; 64 connections are kept.

--- a/src/node/crashes/lossTracker.ts
+++ b/src/node/crashes/lossTracker.ts
@@ -71,6 +71,11 @@
         if (known !== undefined && now - known.startedAt <= lossWindow) {
             return known;
         }
+        for (const [other, { startedAt }] of losses) {
+            if (now - startedAt > lossWindow) {
+                losses.delete(other);
+            }
+        }
         const loss = { startedAt: now, fingerprints: new Set(inProgress.get(instance)?.keys()) };
         losses.set(instance, loss);
         return loss;
--- a/src/node/gateway/crashExchange.ts
+++ b/src/node/gateway/crashExchange.ts
@@ -41,6 +41,8 @@
 const fanOut = 8;
 /** Questions to another gateway in the settle time, by which what was lost on the way still arrives in time. */
 const questionsPerSettleTime = 4;
+/** Connections to other gateways that are kept; the oldest is closed first. */
+const maximumClients = 64;
 /** Share of the settle time for which news waits for more of it, since many requests break together. */
 const newsDelayShare = 0.03;
 
@@ -95,6 +97,9 @@
     function send(address: string, message: CrashEvidenceRequest): void {
         const client = clients.get(address) ?? createReplicaClient(address);
         clients.set(address, client);
+        if (clients.size > maximumClients) {
+            closeClient(clients.keys().next().value!);
+        }
         const deadline = Date.now() + settleTime / 2;
         client.exchangeCrashEvidence(message, new Metadata(), { deadline }, (error, answer) => {
             if (answer !== undefined) {
