--- a/test/node/crashes/checkListening.test.ts
+++ b/test/node/crashes/checkListening.test.ts
@@ -17,4 +17,15 @@
         expect(await checkListening(address, 1_000)).toEqual("listening");
         await new Promise(resolve => server.close(resolve));
     });
+
+    // Guards against the end of a backend server that goes unnoticed because the gateway was held up meanwhile.
+    it("counts an answer that came while the process was held up", async () => {
+        const [port] = await findFreePorts(1);
+        const checked = checkListening(`127.0.0.1:${port}`, 50);
+        const endsAt = Date.now() + 200;
+        while (Date.now() < endsAt) {
+            // Holds the event loop up.
+        }
+        expect(await checked).toEqual("refused");
+    });
 });
