Give each test process ports of its own that no system assigns

Cause: findFreePorts asked the system for ports and released them. The first test lists such a port as a dead backend server; the system gave it to the stand-in of the second test meanwhile, which got a request without the header that it reads its answer from, and ended with the exception. So one collision fails both.

Change: a process claims a block of ports below the system's range by listening on its first one, and hands the others out. Stand-ins that can be ended listen on such ports too.

--- a/test/platform/standIn/httpStandIn.ts
+++ b/test/platform/standIn/httpStandIn.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { findFreePorts } from "./freePorts.js";
 
 /** Handles one request. */
 export type StandInHandler = (
@@ -29,10 +30,11 @@
  * Starts an HTTP server on the loopback address.
  *
  * @param handle - handles each request, whose body has been read
- * @param port - port to listen on; a free one if it is 0
+ * @param port - port to listen on; by default a free one, which refuses connections once the server has ended
  * @returns the server; disposing of it closes all connections
  */
-export async function startHttpStandIn(handle: StandInHandler, port = 0): Promise<HttpStandIn> {
+export async function startHttpStandIn(handle: StandInHandler, port?: number): Promise<HttpStandIn> {
+    const [listenPort] = port === undefined ? await findFreePorts(1) : [port];
     const server: Server = createServer((request, response) => {
         void (async () => {
             const body = await readBody(request);
@@ -45,7 +47,7 @@
         socket.once("close", () => sockets.delete(socket));
     });
     await new Promise<void>(resolve => {
-        server.listen(port, "127.0.0.1", resolve);
+        server.listen(listenPort, "127.0.0.1", resolve);
     });
     return {
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
