End a stream with its request, whatever has arrived by then

Seen: callers of a backend server that sends events of a few bytes without end got them for 5.5 to 8.8 s where their route gives 1.5 s, and the gateway answered nobody else meanwhile.

Cause: the end of a request ends the connection to the backend server, but the parts that have arrived are still read, in one go, and each event was written to the caller. A write waits for the caller's connection only while the request goes on, so nothing gave the event loop free.

Change: no event is passed on once the request has ended.

--- a/src/node/gateway/answerRelay.ts
+++ b/src/node/gateway/answerRelay.ts
@@ -81,6 +81,8 @@
             for await (const part of answer.body) {
                 bytes += part.byteLength;
                 for (const event of splitter.push(part)) {
+                    // What has arrived before the end of the request is still read.
+                    request.signal.throwIfAborted();
                     attempt.answered();
                     if (!isLaterEvent(event.id, progress.lastEvent)) {
                         continue;
--- a/test/platform/gatewayEndlessAnswers.test.ts
+++ b/test/platform/gatewayEndlessAnswers.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { call } from "./standIn/caller.js";
 import { startDeployment } from "./standIn/deployment.js";
+import { startEndlessRunner } from "./standIn/endlessRunner.js";
 import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
 
 describe("gateway before a backend server that sends bytes without end", () => {
@@ -27,3 +28,19 @@
         });
     }
 });
+
+describe("gateway before a backend server that sends events without end", () => {
+    // Guards against events that are passed on after the end of the request, and hold up all others meanwhile.
+    for (const part of ["events", "comments"] as const) {
+        it(`ends the stream with the time of its route: ${part}`, async () => {
+            await using deployment = await startDeployment();
+            const endless = deployment.stack.use(await startEndlessRunner(part));
+            await deployment.listRunner("i-1", endless.address);
+            const startedAt = Date.now();
+            const answers = await Promise.all(Array.from({ length: 4 }, () => call(deployment, "/stream/")));
+            expect(answers.map(({ complete }) => complete)).toEqual(answers.map(() => false));
+            // The route's time is 1.5 s.
+            expect(Date.now() - startedAt).toBeLessThan(2_500);
+        });
+    }
+});
