Take a stream without a whole event for silent

Seen: callers of a resumable stream got 504 at the end of their route's time from a backend server that sends one byte every 20 ms, while another one was idle: 4 of 16 requests (trial, path /stream/, part slow-body).

Cause: a backend server counts as silent after a time without a byte, so bytes that never become an event keep an attempt until the end of the request.

Change: the same time limit holds for whole events.

Result: gatewayEndlessAnswers.test.ts, "slow-body on /stream/": failed on the old code, eight of eight served now.

--- a/src/node/gateway/answerRelay.ts
+++ b/src/node/gateway/answerRelay.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "true-myth/result";
-import type { Clock } from "../../types/index.js";
+import type { Clock, Milliseconds } from "../../types/index.js";
 import type { HttpFailure } from "../httpClient/index.js";
 import { readAnswer } from "./attempt.js";
 import { sendAnswer, type StreamWriter } from "./callerAnswer.js";
@@ -61,6 +61,22 @@
     };
 }
 
+/** @returns time of the last whole event */
+function checkProgress(
+    { limits }: OpenedAnswer,
+    events: number,
+    lastWholeAt: Milliseconds,
+    now: Milliseconds,
+): Milliseconds {
+    if (events > 0) {
+        return now;
+    }
+    if (now - lastWholeAt > limits.silentAfter) {
+        throw new Error(`no event has become whole for ${limits.silentAfter} ms`);
+    }
+    return lastWholeAt;
+}
+
 /**
  * Creates the relay of answers.
  *
@@ -77,10 +93,13 @@
         const { writer } = progress;
         const splitter = createEventSplitter();
         let bytes = 0;
+        let lastWholeAt = clock.monotonic();
         try {
             for await (const part of answer.body) {
                 bytes += part.byteLength;
-                for (const event of splitter.push(part)) {
+                const events = splitter.push(part);
+                lastWholeAt = checkProgress(answer, events.length, lastWholeAt, clock.monotonic());
+                for (const event of events) {
                     // What has arrived before the end of the request is still read.
                     request.signal.throwIfAborted();
                     attempt.answered();
--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -158,7 +158,7 @@
     recordLoad(server, head, context.clock.monotonic());
     const fault = findFault(attempt, stream, head);
     if (fault === undefined) {
-        return ok({ ...stream, server });
+        return ok({ ...stream, server, limits: { silentAfter } });
     }
     if (fault.ran === "no") {
         // The refusal is known, so the request does not wait for the rest of it.
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -40,9 +40,16 @@
     readonly readAbortReason: () => AbortReason | undefined;
 }
 
+/** Limits on the body of an answer, beyond the time of its request. */
+export interface BodyLimits {
+    /** Longest time without a byte, and without a whole event of a stream. */
+    readonly silentAfter: Milliseconds;
+}
+
 /** Answer of a backend server whose head was checked. */
 export interface OpenedAnswer extends HttpStream {
     readonly server: BackendServerRow;
+    readonly limits: BodyLimits;
 }
 
 /** Attempt that brought no usable answer. */
--- a/test/platform/gatewayEndlessAnswers.test.ts
+++ b/test/platform/gatewayEndlessAnswers.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { call } from "./standIn/caller.js";
 import { startDeployment } from "./standIn/deployment.js";
-import { startEndlessRunner } from "./standIn/endlessRunner.js";
+import { type EndlessPart, startEndlessRunner } from "./standIn/endlessRunner.js";
 import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
 
 describe("gateway before a backend server that sends bytes without end", () => {
@@ -29,6 +29,24 @@
     }
 });
 
+describe("gateway before a backend server whose answers do not end", () => {
+    // Guards against streams that wait until the time of their route is over for an event that comes byte by byte.
+    const cases: readonly (readonly [EndlessPart, string])[] = [
+        ["slow-body", "/stream/"],
+    ];
+    for (const [part, path] of cases) {
+        it(`answers from a sound one within the time of the route: ${part} on ${path}`, async () => {
+            await using deployment = await startDeployment();
+            const endless = deployment.stack.use(await startEndlessRunner(part));
+            await deployment.listRunner("i-1", endless.address);
+            await deployment.addRunner({ id: "i-2", ...(path === "/stream/" ? { events: 2 } : {}) });
+            const answers = await Promise.all(Array.from({ length: 8 }, () => call(deployment, path)));
+            expect(answers.map(({ complete, status }) => [status, complete])).toEqual(answers.map(() => [200, true]));
+            expect(endless.countRequests()).toBeGreaterThan(0);
+        });
+    }
+});
+
 describe("gateway before a backend server that sends events without end", () => {
     // Guards against events that are passed on after the end of the request, and hold up all others meanwhile.
     for (const part of ["events", "comments"] as const) {
