Bound the memory of all answers of backend servers together

Seen: nothing yet. By calculation, ten backend servers whose whole answers do not end take 160 MB of a gateway, 20 the 320 MB that an instance has on a small site, and end it with every request in progress.

Cause: each answer may take 16 MB, and nothing bounds their sum.

Change: a gateway keeps maximumHeldAnswerBytes of [gateway] (64 MiB) of all answers, read or unread. When more arrive, the largest answer is given up as too large, so the ones that do not end go first.

Result: test/node/heldBytes.test.ts: with a bound of 1 MB, three answers without end are given up, the sound one beside them is complete, and no more than the bound is ever kept.

--- a/src/node/gateway/backendClients.ts
+++ b/src/node/gateway/backendClients.ts
@@ -1,11 +1,13 @@
 import type { ListedBackendServer, Milliseconds } from "../../types/index.js";
-import { createHttpClient, type HttpClient } from "../httpClient/index.js";
+import { createHeldBytes, createHttpClient, type HttpClient } from "../httpClient/index.js";
 
 /** Options of the connections to backend servers. */
 export interface BackendClientOptions {
     readonly connectTimeLimit: Milliseconds;
     /** Connections that this process opens to one backend server at most. */
     readonly connections: (listed: ListedBackendServer) => number;
+    /** Most bytes of all answers that are kept in memory; the largest are given up if there are more. */
+    readonly maximumHeldBytes: number;
 }
 
 /** Connections to backend servers, one pool for each of them. */
@@ -45,6 +47,7 @@
  */
 export function createBackendClients(options: BackendClientOptions): BackendClients {
     const rows = new Map<string, ClientRow>();
+    const heldBytes = createHeldBytes(options.maximumHeldBytes);
 
     function retire(instance: string, { client }: ClientRow): void {
         rows.delete(instance);
@@ -67,6 +70,7 @@
                 connections: options.connections(listed),
                 timeouts: { connect: options.connectTimeLimit },
                 maximumBodyBytes: maximumAnswerBytes,
+                heldBytes,
             });
             rows.set(instance, { address, startedAt, client });
             return client;
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -138,6 +138,7 @@
     });
     const clients = stack.use(createBackendClients({
         connectTimeLimit: gateway.connectTimeLimit,
+        maximumHeldBytes: gateway.maximumHeldAnswerBytes,
         connections: ({ service }) => {
             const maximum = state.routes()?.services.get(service)?.maximumConnections ?? 1;
             return Math.max(1, Math.floor(maximum * connectionShare / Math.max(1, listInstances(store).length)));
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../../types/index.js";
-import { readAhead, UnreadLimitError } from "./bodyReader.js";
+import { AnswerTooLargeError, neededElsewhere, readAhead, type ReadAheadLimits } from "./bodyReader.js";
 import { resolveFraming } from "./framing.js";
 import { createInterruption, type Interruption } from "./interruption.js";
 import {
@@ -48,6 +48,7 @@
     });
     const dispatcher = pool.compose(trackWrittenRequests);
     const maximumBodyBytes = options.maximumBodyBytes ?? defaultMaximumBodyBytes;
+    const { heldBytes } = options;
     const pathPrefix = url.pathname.replace(/\/$/, "");
 
     async function open(request: HttpRequest): Promise<Result<HttpStream, HttpFailure>> {
@@ -57,7 +58,7 @@
         try {
             const answer = await awaitHead(dispatcher.request(toOptions(request, call, limits.idle)), call);
             call.interruption.unlimit();
-            return ok(toStream(request, answer, call, maximumBodyBytes));
+            return ok(toStream(request, answer, call, { maximumUnreadBytes: maximumBodyBytes, heldBytes }));
         }
         catch (cause) {
             call.interruption.dispose();
@@ -118,7 +119,7 @@
     request: HttpRequest,
     answer: Dispatcher.ResponseData<CallState>,
     call: Call,
-    maximumUnreadBytes: number,
+    limits: ReadAheadLimits,
 ): HttpStream {
     const { body } = answer;
     const head: HttpHead = { status: answer.statusCode, headers: flattenHeaders(answer.headers) };
@@ -129,7 +130,8 @@
     return {
         ...head,
         framing,
-        body: readParts(readAhead(body, maximumUnreadBytes), call, framing),
+        heldBytes: limits.heldBytes,
+        body: readParts(readAhead(body, limits), call, framing),
         discard: () => {
             body.destroy();
         },
@@ -175,28 +177,36 @@
 ): Promise<Result<HttpAnswer, HttpFailure>> {
     if (stream.framing === "length" && Number(stream.headers["content-length"]) > maximumBytes) {
         stream.discard();
-        return err(describeTooLarge(maximumBytes));
+        return err(describeTooLarge(`the answer is larger than ${maximumBytes} bytes`));
     }
     const parts: Uint8Array[] = [];
     let bytes = 0;
+    let isGivenUp = false;
+    const hold = stream.heldBytes?.open(() => {
+        isGivenUp = true;
+        stream.discard();
+    });
     try {
         for await (const part of stream.body) {
             bytes += part.byteLength;
+            hold?.add(part.byteLength);
             if (bytes > maximumBytes) {
                 stream.discard();
-                return err(describeTooLarge(maximumBytes));
+                return err(describeTooLarge(`the answer is larger than ${maximumBytes} bytes`));
             }
             parts.push(part);
         }
     }
     catch (error) {
-        return err((error as Error).cause as HttpFailure);
+        return err(isGivenUp ? describeTooLarge(neededElsewhere) : (error as Error).cause as HttpFailure);
+    }
+    finally {
+        hold?.close();
     }
     return ok({ status: stream.status, headers: stream.headers, body: Buffer.concat(parts) });
 }
 
-function describeTooLarge(maximumBytes: number): HttpFailure {
-    const message = `the answer is larger than ${maximumBytes} bytes`;
+function describeTooLarge(message: string): HttpFailure {
     return { reason: "too-large", headReceived: true, requestWritten: true, message };
 }
 
@@ -211,7 +221,7 @@
     if (interruption.canceled()) {
         return "canceled";
     }
-    if (cause instanceof UnreadLimitError) {
+    if (cause instanceof AnswerTooLargeError) {
         return "too-large";
     }
     const code = (cause as { readonly code?: unknown; } | undefined)?.code;
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -1,5 +1,6 @@
 import type { Result } from "true-myth/result";
 import type { Milliseconds } from "../../types/index.js";
+import type { HeldBytes } from "./heldBytes.js";
 
 /** Time limits of HTTP calls. */
 export interface HttpTimeouts {
@@ -23,6 +24,8 @@
     readonly connections?: number | undefined;
     /** Most bytes of an answer that are kept in memory, read or not yet read. Default: 67,108,864 bytes (64 MiB). */
     readonly maximumBodyBytes?: number | undefined;
+    /** Bound that the answers share with those of other clients. Default: none. */
+    readonly heldBytes?: HeldBytes | undefined;
 }
 
 /** HTTP request. */
@@ -75,6 +78,8 @@
 /** Answer whose body has not been read. */
 export interface HttpStream extends HttpHead {
     readonly framing: BodyFraming;
+    /** Bound on the bytes of this and other answers; undefined if there is none. */
+    readonly heldBytes: HeldBytes | undefined;
     /**
      * Parts of the body, to be read once. They arrive whether they are read or not. Throws an `Error` whose `cause` is an
      * {@link HttpFailure}.
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -73,6 +73,13 @@
             initial: 400,
             documentation: "Time in which a connection to a backend server must be open.",
         }),
+        maximumHeldAnswerBytes: defineInteger({
+            minimum: 1_048_576,
+            maximum: 1_099_511_627_776,
+            initial: 67_108_864,
+            documentation:
+                "Bytes of all answers of backend servers that are kept in memory; the largest are given up if there are more.",
+        }),
         switchAfterMilliseconds: defineDuration("switchAfter", "Milliseconds", {
             minimum: 50,
             maximum: 600_000,
--- /dev/null
+++ b/test/node/heldBytes.test.ts
@@ -0,0 +1,96 @@
+import { expect } from "earl";
+import { createServer } from "node:net";
+import { describe, it } from "node:test";
+import { createHeldBytes, createHttpClient, readWholeBody } from "../../src/node/httpClient/index.js";
+import { createDisposalStack } from "../../src/utils/index.js";
+
+const maximumBytes = 1_000_000;
+const sound = "sound";
+
+/** Answers `/sound` after a while and anything else with a body without end. */
+async function startServer(): Promise<AsyncDisposable & { readonly baseUrl: string; }> {
+    const stack = createDisposalStack();
+    const server = createServer(socket => {
+        socket.on("error", () => {});
+        stack.defer(() => {
+            socket.destroy();
+            return Promise.resolve();
+        });
+        socket.once("data", request => {
+            socket.write("HTTP/1.1 200 OK\r\n");
+            if (request.toString().startsWith("GET /sound ")) {
+                socket.write(`content-length: ${sound.length}\r\n\r\n${sound.slice(0, 2)}`);
+                setTimeout(() => socket.write(sound.slice(2)), 300);
+                return;
+            }
+            socket.write("\r\n");
+            const timer = setInterval(() => socket.write("x".repeat(20_000)), 1);
+            socket.once("close", () => clearInterval(timer));
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as { readonly port: number; };
+    return {
+        baseUrl: `http://127.0.0.1:${port}`,
+        [Symbol.asyncDispose]: async () => {
+            await stack[Symbol.asyncDispose]();
+            server.close();
+        },
+    };
+}
+
+describe("bound on the bytes of all answers", () => {
+    it("gives up the largest answer when it is exceeded", () => {
+        const held = createHeldBytes(100);
+        const givenUp: string[] = [];
+        const small = held.open(() => givenUp.push("small"));
+        const large = held.open(() => givenUp.push("large"));
+        large.add(70);
+        small.add(30);
+        expect(givenUp).toEqual([]);
+        small.add(1);
+        expect(givenUp).toEqual(["large"]);
+        expect(held.total()).toEqual(31);
+        large.add(1_000);
+        large.close();
+        small.add(-31);
+        expect(held.total()).toEqual(0);
+    });
+
+    // Guards against a process that runs out of memory while each of its answers is within the limit of one answer.
+    it("is kept by answers without end, and does not cost a sound one", async () => {
+        await using server = await startServer();
+        const heldBytes = createHeldBytes(maximumBytes);
+        await using client = createHttpClient({ baseUrl: server.baseUrl, heldBytes });
+        let most = 0;
+        const timer = setInterval(() => {
+            most = Math.max(most, heldBytes.total());
+        }, 1);
+        const read = async (path: string): Promise<string> => {
+            const opened = await client.open({ method: "GET", path });
+            const whole = opened.isOk ? await readWholeBody(opened.value, 10 * maximumBytes) : opened;
+            return whole.isOk ? Buffer.from(whole.value.body).toString() : whole.error.reason;
+        };
+        const answers = await Promise.all([read("/a"), read("/sound"), read("/b"), read("/c")]);
+        clearInterval(timer);
+        expect(answers).toEqual(["too-large", sound, "too-large", "too-large"]);
+        expect(most).toBeLessThanOrEqual(maximumBytes);
+        expect(most).toBeGreaterThan(maximumBytes / 2);
+        expect(heldBytes.total()).toEqual(0);
+    });
+
+    it("counts what no one reads", async () => {
+        await using server = await startServer();
+        const heldBytes = createHeldBytes(maximumBytes);
+        await using client = createHttpClient({ baseUrl: server.baseUrl, heldBytes });
+        const opened = await client.open({ method: "GET", path: "/unread" });
+        while (heldBytes.total() < maximumBytes / 2) {
+            await new Promise(resolve => setTimeout(resolve, 1));
+        }
+        if (opened.isOk) {
+            opened.value.discard();
+        }
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(heldBytes.total()).toEqual(0);
+    });
+});
