Bound the memory of all answers to an agent together

Seen: nothing yet.

Cause: as with the answers to gateways, each has a limit and their sum has none.

Change: the clients of engine, origin and log of an agent share maximumHeldAnswerBytes of [gateway].

--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -78,7 +78,8 @@
             maximum: 1_099_511_627_776,
             initial: 67_108_864,
             documentation:
-                "Bytes of all answers of backend servers that are kept in memory; the largest are given up if there are more.",
+                "Bytes of all answers that a gateway keeps of backend servers, or an agent of engine, origin and log; the " +
+                "largest are given up if there are more.",
         }),
         switchAfterMilliseconds: defineDuration("switchAfter", "Milliseconds", {
             minimum: 50,
