Give up an answer whose bytes become neither head nor body

Seen: callers of a route that may not be repeated got 504 at the end of its time (1.5 s) from a backend server whose status line, interim answers or chunk extension do not end, and the gateway read them until then at full speed.

Cause: undici bounds the fields of an answer, and nothing else that precedes its body or stands between its parts.

Now 502 for each, in less than a second.

--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -4,6 +4,7 @@
 import { AnswerTooLargeError, neededElsewhere, readAhead, type ReadAheadLimits } from "./bodyReader.js";
 import { resolveFraming } from "./framing.js";
 import { createInterruption, type Interruption } from "./interruption.js";
+import { watchOverhead } from "./overheadWatch.js";
 import {
     type CallState,
     type ConnectionState,
@@ -31,6 +32,18 @@
 interface Call {
     readonly interruption: Interruption;
     readonly state: CallState;
+    readonly endWatch: () => void;
+}
+
+function startCall(signal: AbortSignal | undefined): Call {
+    const interruption = createInterruption(signal);
+    const state = createCallState();
+    return { interruption, state, endWatch: watchOverhead(state, () => interruption.stop()) };
+}
+
+function endCall({ endWatch, interruption }: Call): void {
+    endWatch();
+    interruption.dispose();
 }
 
 /**
@@ -53,7 +66,7 @@
 
     async function open(request: HttpRequest): Promise<Result<HttpStream, HttpFailure>> {
         const limits = { ...timeouts, ...request.timeouts };
-        const call: Call = { interruption: createInterruption(request.signal), state: createCallState() };
+        const call = startCall(request.signal);
         call.interruption.limit(limits.head);
         try {
             const answer = await awaitHead(dispatcher.request(toOptions(request, call, limits.idle)), call);
@@ -61,7 +74,7 @@
             return ok(toStream(request, answer, call, { maximumUnreadBytes: maximumBodyBytes, heldBytes }));
         }
         catch (cause) {
-            call.interruption.dispose();
+            endCall(call);
             return err(describeFailure(cause, call));
         }
     }
@@ -126,7 +139,10 @@
     const framing = resolveFraming(request, head);
     // Without a listener, an error that arrives before the body is read would end the process.
     body.on("error", () => {});
-    body.once("close", () => call.interruption.dispose());
+    body.once("close", () => endCall(call));
+    body.on("data", (part: Uint8Array) => {
+        call.state.bodyBytes += part.byteLength;
+    });
     return {
         ...head,
         framing,
@@ -221,7 +237,7 @@
     if (interruption.canceled()) {
         return "canceled";
     }
-    if (cause instanceof AnswerTooLargeError) {
+    if (interruption.stopped() || cause instanceof AnswerTooLargeError) {
         return "too-large";
     }
     const code = (cause as { readonly code?: unknown; } | undefined)?.code;
--- a/src/node/httpClient/interruption.ts
+++ b/src/node/httpClient/interruption.ts
@@ -7,6 +7,10 @@
     canceled(): boolean;
     /** @returns whether the time limit was exceeded */
     timedOut(): boolean;
+    /** @returns whether the call was stopped */
+    stopped(): boolean;
+    /** Ends the call. */
+    stop(): void;
     /**
      * Sets the time limit.
      *
@@ -30,6 +34,7 @@
     const controller = new AbortController();
     let timer: NodeJS.Timeout | undefined;
     let exceeded = false;
+    let stopped = false;
     let canceled = source?.aborted ?? false;
     const cancel = (): void => {
         canceled = true;
@@ -56,6 +61,11 @@
         signal: controller.signal,
         canceled: () => canceled,
         timedOut: () => exceeded,
+        stopped: () => stopped,
+        stop: () => {
+            stopped = true;
+            controller.abort();
+        },
         limit,
         unlimit,
         dispose: () => {
--- a/src/node/httpClient/trackedClient.ts
+++ b/src/node/httpClient/trackedClient.ts
@@ -10,6 +10,8 @@
     failed: boolean;
     /** Call whose request was written last. */
     lastCall: CallState | undefined;
+    /** @returns bytes that were received in all */
+    readonly readBytes: () => number;
     /** Closes the connection at once. */
     readonly close: () => void;
 }
@@ -22,6 +24,10 @@
     findConnection: (() => ConnectionState | undefined) | undefined;
     /** Connection that carries the call; undefined before the request is written. */
     connection: ConnectionState | undefined;
+    /** Bytes that the connection had received before the request was written. */
+    readBefore: number;
+    /** Bytes of the answer's body that have arrived. */
+    bodyBytes: number;
 }
 
 /**
@@ -30,7 +36,7 @@
  * @returns state of a call that has not begun
  */
 export function createCallState(): CallState {
-    return { written: false, findConnection: undefined, connection: undefined };
+    return { written: false, findConnection: undefined, connection: undefined, readBefore: 0, bodyBytes: 0 };
 }
 
 function followConnection(socket: Socket): ConnectionState {
@@ -38,6 +44,7 @@
         ended: false,
         failed: false,
         lastCall: undefined,
+        readBytes: () => socket.bytesRead,
         close: () => {
             socket.destroy();
         },
@@ -136,6 +143,7 @@
                 opaque.connection = opaque.findConnection?.();
                 if (opaque.connection !== undefined && opaque.written) {
                     opaque.connection.lastCall = opaque;
+                    opaque.readBefore = opaque.connection.readBytes();
                 }
             },
             onRequestUpgrade: (...parameters) => handler.onRequestUpgrade?.(...parameters),
--- a/test/platform/gatewayEndlessAnswers.test.ts
+++ b/test/platform/gatewayEndlessAnswers.test.ts
@@ -57,6 +57,22 @@
     }
 });
 
+describe("gateway before a backend server whose answers never begin or never go on", () => {
+    // Guards against requests that wait until the time of their route is over for bytes that cannot become an answer.
+    for (const part of ["status-line", "interim-answers", "chunk-extension", "trailers"] as const) {
+        it(`fails a request that may not be repeated at once: ${part}`, async () => {
+            await using deployment = await startDeployment({ "routing.failuresUntilEjected": "100" });
+            const endless = deployment.stack.use(await startEndlessRunner(part));
+            await deployment.listRunner("i-1", endless.address);
+            const startedAt = Date.now();
+            const answers = await Promise.all(Array.from({ length: 4 }, () => call(deployment, "/unsafe/")));
+            expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 502));
+            // The route's time is 1.5 s.
+            expect(Date.now() - startedAt).toBeLessThan(1_000);
+        });
+    }
+});
+
 describe("gateway before a backend server that sends events without end", () => {
     // Guards against events that are passed on after the end of the request, and hold up all others meanwhile.
     for (const part of ["events", "comments"] as const) {
