Test that a slow answer is read on when nothing else can answer

The pace of an answer is judged at half of its time. The test has one backend server whose answer takes 1.1 of the 1.5 s of the route: answered 200 and whole.

--- a/test/platform/gatewayEndlessAnswers.test.ts
+++ b/test/platform/gatewayEndlessAnswers.test.ts
@@ -3,6 +3,7 @@
 import { call } from "./standIn/caller.js";
 import { startDeployment } from "./standIn/deployment.js";
 import { type EndlessPart, startEndlessRunner } from "./standIn/endlessRunner.js";
+import { startHttpStandIn } from "./standIn/httpStandIn.js";
 import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
 
 describe("gateway before a backend server that sends bytes without end", () => {
@@ -57,6 +58,29 @@
     }
 });
 
+describe("gateway before a backend server whose answer takes most of the time of the route", () => {
+    // Guards against sound answers that are given up although no other backend server can answer.
+    it("reads it to its end if there is no other", async () => {
+        await using deployment = await startDeployment();
+        const slow = deployment.stack.use(
+            await startHttpStandIn(async (request, response) => {
+                response.writeHead(200, {
+                    "attempt-id": String(request.headers["attempt-id"]),
+                    "response-seal": "3e1b.07.5a2.600.0.c9f2a4d1",
+                });
+                for (let part = 0; part < 10; part++) {
+                    response.write("part;");
+                    await new Promise(resolve => setTimeout(resolve, 110));
+                }
+                response.end();
+            }),
+        );
+        await deployment.listRunner("i-1", slow.address);
+        const { body, complete, status } = await call(deployment, "/safe/");
+        expect([status, complete, body]).toEqual([200, true, "part;".repeat(10)]);
+    });
+});
+
 describe("gateway before a backend server whose answers never begin or never go on", () => {
     // Guards against requests that wait until the time of their route is over for bytes that cannot become an answer.
     for (const part of ["status-line", "interim-answers", "chunk-extension", "trailers"] as const) {
