Read what has arrived before a head is taken for late

Seen: in tests of a gateway that is held up, answers that its backend servers gave in time failed with a timeout, and their requests were sent on.

Cause: when the event loop is held up after it has polled, due timers run before the next poll. The time limit of a head then ended a call whose answer waited in the connection.

Change: a due limit is applied after one more poll.

--- a/src/node/httpClient/interruption.ts
+++ b/src/node/httpClient/interruption.ts
@@ -33,6 +33,7 @@
 export function createInterruption(source: AbortSignal | undefined): Interruption {
     const controller = new AbortController();
     let timer: NodeJS.Timeout | undefined;
+    let polled: NodeJS.Immediate | undefined;
     let exceeded = false;
     let stopped = false;
     let canceled = source?.aborted ?? false;
@@ -43,13 +44,17 @@
 
     function unlimit(): void {
         clearTimeout(timer);
+        clearImmediate(polled);
     }
 
     function limit(duration: Milliseconds): void {
         unlimit();
         timer = setTimeout(() => {
-            exceeded = true;
-            controller.abort();
+            // After a delay of this process, what has arrived in time is read only now.
+            polled = setImmediate(() => {
+                exceeded = true;
+                controller.abort();
+            });
         }, duration);
     }
 
