--- a/test/platform/crashingSoak.test.ts
+++ b/test/platform/crashingSoak.test.ts
@@ -7,6 +7,7 @@
 import { startDeployment, type TestDeployment, waitUntil } from "./standIn/deployment.js";
 import { type EndlessPart, startEndlessRunner } from "./standIn/endlessRunner.js";
 import type { TestGateway } from "./standIn/gateway.js";
+import { createServerRecord } from "./standIn/serverRecord.js";
 
 const firstSeed = Number(process.env["CRASH_FIRST_SEED"] ?? 1);
 const seeds = Number(process.env["CRASH_SEEDS"] ?? 3);
@@ -60,17 +61,7 @@
     },
     async ({ deployment, random }) => {
         const { address } = deployment.stack.use(await startEndlessRunner(pick(random, endlessParts)));
-        deployment.store.write("keyed.servers", "endless", {
-            service: "archive",
-            address,
-            zone: "zone-a",
-            version: "v1",
-            slots: 4,
-            state: "ready",
-            cold_remaining_ms: 0,
-            sequence: 1,
-            born: Date.now(),
-        });
+        deployment.store.write("keyed.servers", "endless", createServerRecord(address, { born: Date.now() }));
     },
     ({ deployment }) => deployment.store.drop("keyed.servers", "endless"),
 ];
--- a/test/platform/endlessReads.test.ts
+++ b/test/platform/endlessReads.test.ts
@@ -5,6 +5,7 @@
 import { createOriginClient } from "../../platform/originClient.js";
 import { createStoreClient } from "../../platform/storeClient.js";
 import { createHeldBytes } from "../../src/node/httpClient/index.js";
+import { closeServer } from "./standIn/closeServer.js";
 
 const maximumBytes = 1_000_000;
 
@@ -27,11 +28,7 @@
     const { port } = server.address() as { readonly port: number; };
     return {
         address: `127.0.0.1:${port}`,
-        [Symbol.asyncDispose]: () =>
-            new Promise(resolve => {
-                server.close(() => resolve());
-                sockets.forEach(socket => socket.destroy());
-            }),
+        [Symbol.asyncDispose]: () => closeServer(server, sockets),
     };
 }
 
--- /dev/null
+++ b/test/platform/standIn/closeServer.ts
@@ -0,0 +1,15 @@
+import type { Server, Socket } from "node:net";
+
+/**
+ * Stops a server and closes the connections that it still has.
+ *
+ * @param server - the server
+ * @param sockets - its open connections
+ * @returns resolves once the server has stopped
+ */
+export function closeServer(server: Server, sockets: ReadonlySet<Socket>): Promise<void> {
+    return new Promise(resolve => {
+        server.close(() => resolve());
+        sockets.forEach(socket => socket.destroy());
+    });
+}
--- a/test/platform/standIn/crashingFleet.ts
+++ b/test/platform/standIn/crashingFleet.ts
@@ -1,6 +1,7 @@
 import type { TestDeployment } from "./deployment.js";
 import { findFreePorts } from "./freePorts.js";
 import { type RunnerRun, type RunnerStandIn, type RunnerStandInOptions, startRunnerStandIn } from "./runnerStandIn.js";
+import { createServerRecord } from "./serverRecord.js";
 
 /** End of a runner. */
 export interface RunnerEnd {
@@ -90,17 +91,7 @@
             return;
         }
         up.set(port, runner);
-        deployment.store.write("keyed.servers", instance, {
-            service: "archive",
-            address: runner.address,
-            zone: "zone-a",
-            version: "v1",
-            slots: 4,
-            state: "ready",
-            cold_remaining_ms: 0,
-            sequence: 1,
-            born: Date.now(),
-        });
+        deployment.store.write("keyed.servers", instance, createServerRecord(runner.address, { born: Date.now() }));
     }
 
     deployment.stack.defer(async () => {
--- a/test/platform/standIn/deployment.ts
+++ b/test/platform/standIn/deployment.ts
@@ -1,6 +1,7 @@
 import { createDisposalStack, type DisposalStack } from "../../../src/utils/index.js";
 import { startTestGateway, type TestGateway } from "./gateway.js";
 import { type RunnerStandIn, type RunnerStandInOptions, startRunnerStandIn } from "./runnerStandIn.js";
+import { createServerRecord } from "./serverRecord.js";
 import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
 /** Gateway before stand-ins of store and runners. */
@@ -78,18 +79,7 @@
         address: string,
         entry: Readonly<Record<string, unknown>> = {},
     ): Promise<void> {
-        store.write("keyed.servers", id, {
-            service: "archive",
-            address,
-            zone: "zone-a",
-            version: "v1",
-            slots: 4,
-            state: "ready",
-            cold_remaining_ms: 0,
-            sequence: 1,
-            born: 1,
-            ...entry,
-        });
+        store.write("keyed.servers", id, createServerRecord(address, entry));
         await awaitReady(gateway);
         // The list is read at intervals.
         await new Promise(resolve => setTimeout(resolve, 600));
--- a/test/platform/standIn/endlessRunner.ts
+++ b/test/platform/standIn/endlessRunner.ts
@@ -1,4 +1,5 @@
 import { createServer, type Socket } from "node:net";
+import { closeServer } from "./closeServer.js";
 import { findFreePorts } from "./freePorts.js";
 
 /** Where the bytes that an {@link EndlessRunner} sends go on without end. */
@@ -111,10 +112,6 @@
         countRequests: () => requests,
         countConnections: () => sockets.size,
         sentBytes: () => sent,
-        [Symbol.asyncDispose]: () =>
-            new Promise(resolve => {
-                server.close(() => resolve());
-                sockets.forEach(socket => socket.destroy());
-            }),
+        [Symbol.asyncDispose]: () => closeServer(server, sockets),
     };
 }
--- a/test/platform/standIn/plannedAnswer.ts
+++ b/test/platform/standIn/plannedAnswer.ts
@@ -1,6 +1,7 @@
 import { createServer, type Socket } from "node:net";
 import type { BodyFraming } from "../../../src/node/httpClient/index.js";
 import type { RandomSource } from "../../../src/types/index.js";
+import { closeServer } from "./closeServer.js";
 
 /** How a planned answer ends: whole, or with its connection closed or reset after `sentBytes`. */
 export type AnswerEnding = "whole" | "closed" | "reset";
@@ -177,10 +178,6 @@
     const { port } = server.address() as { readonly port: number; };
     return {
         address: `127.0.0.1:${port}`,
-        [Symbol.asyncDispose]: () =>
-            new Promise(resolve => {
-                server.close(() => resolve());
-                sockets.forEach(socket => socket.destroy());
-            }),
+        [Symbol.asyncDispose]: () => closeServer(server, sockets),
     };
 }
