Take the ports of all tests and of the demo from one place that no other process uses

Cause: the stand-in server of src/standIn listened on a port that the system assigned.

Change: findFreePorts moves to src/standIn, is the only function for ports, and gives stand-ins their default port. It hands out each port of a block once and claims another block then, since a cluster may need more than one.

--- a/bench/capacity/followers.ts
+++ b/bench/capacity/followers.ts
@@ -1,8 +1,8 @@
 import { create } from "@bufbuild/protobuf";
 import { randomUUID } from "node:crypto";
-import { findFreePorts } from "../../demo/cluster/index.js";
 import { CopyStatusSchema, FollowRequestSchema } from "../../src/generated/goldcrestpoint_pb.js";
 import { createRelayClient } from "../../src/node/grpc/index.js";
+import { findFreePorts } from "../../src/standIn/index.js";
 import { sleep } from "../../src/utils/index.js";
 import { type CountingForwarder, startCountingForwarder } from "./countingForwarder.js";
 import { type CapacityFigure, fitLine } from "./measurement.js";
--- a/bench/capacity/idleMemory.ts
+++ b/bench/capacity/idleMemory.ts
@@ -1,5 +1,6 @@
 import { spawn } from "node:child_process";
-import { findFreePorts, startProgram } from "../../demo/cluster/index.js";
+import { startProgram } from "../../demo/cluster/index.js";
+import { findFreePorts } from "../../src/standIn/index.js";
 import { createDisposalStack, sleep } from "../../src/utils/index.js";
 import { budgets } from "./designSize.js";
 import type { CapacityFigure } from "./measurement.js";
--- a/bench/capacity/instanceRows.ts
+++ b/bench/capacity/instanceRows.ts
@@ -1,4 +1,4 @@
-import { findFreePorts } from "../../demo/cluster/index.js";
+import { findFreePorts } from "../../src/standIn/index.js";
 import { sleep } from "../../src/utils/index.js";
 import { startCountingForwarder } from "./countingForwarder.js";
 import { budgets, designSize } from "./designSize.js";
--- a/bench/capacity/loadReports.ts
+++ b/bench/capacity/loadReports.ts
@@ -1,6 +1,5 @@
 import { create } from "@bufbuild/protobuf";
 import { randomUUID } from "node:crypto";
-import { findFreePorts } from "../../demo/cluster/index.js";
 import {
     CopyStatusSchema,
     type LoadReport,
@@ -9,6 +8,7 @@
 } from "../../src/generated/goldcrestpoint_pb.js";
 import type { WatchLoadCall } from "../../src/node/agent/loadReports.js";
 import { agentServiceDefinition, createAgentClient, startRpcServer } from "../../src/node/grpc/index.js";
+import { findFreePorts } from "../../src/standIn/index.js";
 import { sleep } from "../../src/utils/index.js";
 import { startCountingForwarder } from "./countingForwarder.js";
 import { type CapacityFigure, fitLine } from "./measurement.js";
--- a/bench/capacity/nodes.ts
+++ b/bench/capacity/nodes.ts
@@ -1,12 +1,12 @@
 import { readFile } from "node:fs/promises";
 import {
-    findFreePorts,
     type ProcessSettings,
     type ProgramProcess,
     sendJsonRequest,
     startProgram,
     waitUntil,
 } from "../../demo/cluster/index.js";
+import { findFreePorts } from "../../src/standIn/index.js";
 
 /** Daemon that the benchmark started. */
 export interface MeasuredNode extends AsyncDisposable {
--- a/demo/cluster/cluster.ts
+++ b/demo/cluster/cluster.ts
@@ -1,6 +1,6 @@
+import { findFreePorts } from "../../src/standIn/index.js";
 import type { AvailabilityZone, InstanceId, Region } from "../../src/types/index.js";
 import { createDisposalStack } from "../../src/utils/index.js";
-import { findFreePorts } from "./freePorts.js";
 import { type ProcessSettings, type ProgramProcess, startProgram } from "./programProcess.js";
 import { sendJsonRequest, waitUntil } from "./requests.js";
 
--- a/demo/cluster/index.ts
+++ b/demo/cluster/index.ts
@@ -1,5 +1,4 @@
 export * from "./cluster.js";
-export * from "./freePorts.js";
 export * from "./load.js";
 export * from "./operator.js";
 export * from "./presets.js";
--- a/src/standIn/http/server.ts
+++ b/src/standIn/http/server.ts
@@ -6,6 +6,7 @@
 import { createControlRoutes } from "./controlRoutes.js";
 import { faultEffects } from "./faultEffects.js";
 import { createFaultTable, type FaultTable } from "./faultTable.js";
+import { findFreePorts } from "./freePorts.js";
 import { createOvertaking } from "./overtaking.js";
 import { sendAnswer } from "./sendAnswer.js";
 import type { StandInAnswer, StandInRequest, StandInRoute, StandInServer, StandInServerOptions } from "./types.js";
@@ -37,7 +38,7 @@
     const server = createServer((request, response) => {
         router.lookup(request, response);
     });
-    await listen(server, host, options.port ?? 0);
+    await listen(server, host, options.port ?? (await findFreePorts(1))[0]!);
     const { port } = server.address() as AddressInfo;
 
     const inOrder = createSequence();
--- a/src/standIn/http/types.ts
+++ b/src/standIn/http/types.ts
@@ -86,7 +86,7 @@
 export interface StandInServerOptions {
     /** Default: `127.0.0.1`. */
     readonly host?: string | undefined;
-    /** Default: 0, which takes a free port. */
+    /** Default: a free port that nothing else takes while the server is suspended. */
     readonly port?: number | undefined;
     /** Default: the machine's clocks. */
     readonly clock?: Clock | undefined;
--- a/src/standIn/index.ts
+++ b/src/standIn/index.ts
@@ -4,6 +4,7 @@
     type FaultControl,
     type FaultKind,
     type FaultRule,
+    findFreePorts,
     type StandInServer,
     type StandInServerOptions,
 } from "./http/index.js";
--- a/test/node/agent/transfer/swarm.ts
+++ b/test/node/agent/transfer/swarm.ts
@@ -8,6 +8,7 @@
 } from "../../../../src/node/agent/transfer/index.js";
 import { agentServiceDefinition, type RpcServer, startRpcServer } from "../../../../src/node/grpc/index.js";
 import { computeManifestDigest, createManifest } from "../../../../src/runtime/distribution/index.js";
+import { findFreePorts } from "../../../../src/standIn/index.js";
 import type { Manifest, OriginPort, WeightSet } from "../../../../src/types/index.js";
 import { createManualClock, createSeededRandom } from "../../../../src/utils/index.js";
 import { createMemoryEngine, type MemoryEngine } from "../../../support/memoryPorts.js";
@@ -71,7 +72,8 @@
             log: { info: (fields, message) => events.push({ fields, message }) },
         });
         const handlers = input.replaceHandlers?.(service) ?? service;
-        const started = await startRpcServer("127.0.0.1:0", [{
+        const [port] = await findFreePorts(1);
+        const started = await startRpcServer(`127.0.0.1:${port}`, [{
             definition: agentServiceDefinition,
             implementation: { exchangeAvailability: handlers.exchangeAvailability, fetchChunk: handlers.fetchChunk },
         }]);
--- a/test/node/crashes/checkListening.test.ts
+++ b/test/node/crashes/checkListening.test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from "node:test";
 import { checkListening } from "../../../src/node/crashes/index.js";
 import { splitAddress } from "../../../src/node/httpServer/index.js";
-import { findFreePorts } from "../../platform/standIn/freePorts.js";
+import { findFreePorts } from "../../../src/standIn/index.js";
 
 describe("check of an address", () => {
     // Guards against a backend server that is taken for ended because one of its connections broke.
--- a/test/node/daemonSupport.ts
+++ b/test/node/daemonSupport.ts
@@ -2,6 +2,7 @@
 import { pino } from "pino";
 import type { AttemptInput } from "../../src/node/entry/attempt.js";
 import { type RpcServer, type ServiceBinding, startRpcServer } from "../../src/node/grpc/index.js";
+import { findFreePorts } from "../../src/standIn/index.js";
 import type { CopyAssignment, LogEntry, PlacementRecord } from "../../src/types/index.js";
 import { expectOk } from "./support.js";
 
@@ -26,7 +27,8 @@
 
 /** Starts a server that serves one service on a free loopback port. */
 export async function startLoopbackServer(binding: ServiceBinding): Promise<LoopbackServer> {
-    const server: RpcServer = expectOk(await startRpcServer("127.0.0.1:0", [binding]));
+    const [port] = await findFreePorts(1);
+    const server: RpcServer = expectOk(await startRpcServer(`127.0.0.1:${port}`, [binding]));
     return {
         address: `127.0.0.1:${server.port}`,
         [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
--- a/test/platform/gatewayDeadServers.test.ts
+++ b/test/platform/gatewayDeadServers.test.ts
@@ -1,8 +1,8 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { findFreePorts } from "../../src/standIn/index.js";
 import { call } from "./standIn/caller.js";
 import { startDeployment } from "./standIn/deployment.js";
-import { findFreePorts } from "./standIn/freePorts.js";
 
 describe("gateway without retry budget", () => {
     // Guards against requests that fail at a dead backend server which never saw them, while another one is idle.
--- a/test/platform/standIn/crashingFleet.ts
+++ b/test/platform/standIn/crashingFleet.ts
@@ -1,5 +1,5 @@
+import { findFreePorts } from "../../../src/standIn/index.js";
 import type { TestDeployment } from "./deployment.js";
-import { findFreePorts } from "./freePorts.js";
 import { type RunnerRun, type RunnerStandIn, type RunnerStandInOptions, startRunnerStandIn } from "./runnerStandIn.js";
 import { createServerRecord } from "./serverRecord.js";
 
--- a/test/platform/standIn/endlessRunner.ts
+++ b/test/platform/standIn/endlessRunner.ts
@@ -1,6 +1,6 @@
 import { createServer, type Socket } from "node:net";
+import { findFreePorts } from "../../../src/standIn/index.js";
 import { closeServer } from "./closeServer.js";
-import { findFreePorts } from "./freePorts.js";
 
 /** Where the bytes that an {@link EndlessRunner} sends go on without end. */
 export type EndlessPart =
--- a/test/platform/standIn/gateway.ts
+++ b/test/platform/standIn/gateway.ts
@@ -4,9 +4,9 @@
 import { startGateway } from "../../../src/node/gateway/index.js";
 import { createLogger } from "../../../src/node/logging/index.js";
 import { resolveGatewaySettings } from "../../../src/node/settings/index.js";
+import { findFreePorts } from "../../../src/standIn/index.js";
 import { createDisposalStack, createSystemClock } from "../../../src/utils/index.js";
 import { expectOk } from "../../node/support.js";
-import { findFreePorts } from "./freePorts.js";
 
 /** Time within which the gateway ends by itself after the signal to shut down. */
 export const drainTimeLimitSeconds = 3;
--- a/test/platform/standIn/httpStandIn.ts
+++ b/test/platform/standIn/httpStandIn.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { findFreePorts } from "./freePorts.js";
+import { findFreePorts } from "../../../src/standIn/index.js";
 
 /** Handles one request. */
 export type StandInHandler = (
