Count a gateway as ready once it has read its own registration

Cause: a gateway was ready as soon as it knew the configuration and one backend server. It registered 150 ms after its start or later, and read the list of gateways on its own. In a warm process three gateways are ready before any of them is registered. When the store goes away then, none of them knows another one, and each learns of its own crashes only; seeds, which these tests do not have, would show them to each other. The same gateways also take a retry budget and connections as if each of them were alone.

Change: a gateway registers as soon as it has read the list, and is ready once it has read its own record, which comes after those of all gateways that registered before it: of any two ready gateways, one knows the other and both asks and tells it. It does not wait once the log has refused the registration, and no longer than registrationLimitMilliseconds, 800.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -18,7 +18,7 @@
 import type { DrainableDaemon } from "../daemon/runDaemon.js";
 import { startOwned } from "../daemon/startOwned.js";
 import { replicaServiceDefinition, startRpcServer } from "../grpc/index.js";
-import { splitAddress, startHttpServer } from "../httpServer/index.js";
+import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
 import { createMetrics, observeProcess } from "../metrics/index.js";
 import {
@@ -28,7 +28,7 @@
     followLog,
     listInstances,
     type LogFollowerInput,
-    registerInstance,
+    startRegistration,
 } from "../replica/index.js";
 import type { GatewaySettings } from "../settings/index.js";
 import { createAdmissionGates } from "./admissionGates.js";
@@ -36,6 +36,7 @@
 import { createBackendClients } from "./backendClients.js";
 import { startCallerServer } from "./callerServer.js";
 import { createCrashContainment } from "./crashContainment.js";
+import { createGatewayList } from "./gatewayList.js";
 import { createGatewayMetrics } from "./gatewayMetrics.js";
 import { createGatewayState } from "./gatewayState.js";
 import { createRequestLog } from "./requestLog.js";
@@ -121,6 +122,7 @@
         versions: gateway,
     });
 
+    const gateways = createGatewayList(store, settings, clock, ports.readSeeds ?? (() => gateway.seeds));
     const choice = createServerChoice({
         state,
         zone: instance.zone,
@@ -128,7 +130,7 @@
         clock,
         random,
         options: settings.routing,
-        countGateways: () => Math.max(1, listInstances(store).length),
+        countGateways: gateways.count,
         queuedPerServer: gateway.queuedPerServer,
     });
     const gates = createAdmissionGates({
@@ -141,18 +143,9 @@
         maximumHeldBytes: gateway.maximumHeldAnswerBytes,
         connections: ({ service }) => {
             const maximum = state.routes()?.services.get(service)?.maximumConnections ?? 1;
-            return Math.max(1, Math.floor(maximum * connectionShare / Math.max(1, listInstances(store).length)));
+            return Math.max(1, Math.floor(maximum * connectionShare / gateways.count()));
         },
     }));
-    const { host } = splitAddress(instance.grpcAddress);
-    const ownAddress = `${host}:${gateway.relayPort}`;
-    const listPeers = (): string[] => {
-        const registered = listInstances(store).map(({ address }) => address);
-        const seeds = (ports.readSeeds?.() ?? gateway.seeds).map(address =>
-            `${splitAddress(address).host}:${gateway.relayPort}`
-        );
-        return [...new Set([...registered, ...seeds])].filter(address => address !== ownAddress);
-    };
     const containment = stack.use(createCrashContainment({
         log,
         store,
@@ -164,12 +157,11 @@
         options: settings.retry,
         connectTimeLimit: gateway.connectTimeLimit,
         settleTime: gateway.settleTime,
-        listAddresses: listPeers,
+        listAddresses: gateways.listAddresses,
     }));
     const divideRetries = (): RetryOptions => {
         // Before any gateway is known, seeds tell that there are others.
-        const gateways = Math.max(1, listInstances(store).length, gateway.seeds.length);
-        return divideRetryAllowance(settings.retry, gateway, gateways);
+        return divideRetryAllowance(settings.retry, gateway, Math.max(gateways.count(), gateway.seeds.length));
     };
     let retry = divideRetries();
     store.onChange(topic => {
@@ -230,7 +222,7 @@
         random,
         logger,
         options: replica,
-        listAddresses: listPeers,
+        listAddresses: gateways.listAddresses,
     }));
     const agentWatch = stack.use(createAgentWatch({
         self: instance.id,
@@ -282,6 +274,16 @@
         agentWatch.tick();
     });
 
+    const registration = startRegistration({
+        log,
+        store,
+        self: gateways.self,
+        clock,
+        random,
+        logger,
+        signal: ended.signal,
+        settleWithin: gateway.registrationLimit,
+    });
     let draining = false;
     const router = createRouter({
         readyPath: ports.readyPath,
@@ -289,6 +291,7 @@
             ...(draining ? ["draining"] : []),
             ...(state.routes() === undefined ? ["no configuration"] : []),
             ...(state.servers.size === 0 ? ["no backend server is known"] : []),
+            ...(registration.isSettled() ? [] : ["not registered"]),
         ],
         renderMetrics: () => metrics.render(),
         decisions,
@@ -316,9 +319,6 @@
     void followLog(followerInput, "instances", "wait");
     void followLog(followerInput, "condemned-requests", "wait");
     void followLog(followerInput, "backend-servers", "poll");
-    const self = { instance: instance.id, address: ownAddress, zone: instance.zone, region: instance.region };
-    const startedAt = clock.now().getTime();
-    void registerInstance(log, store, { ...self, startedAt }, random, logger, ended.signal);
 
     const timer = setInterval(() => {
         state.expire();
--- /dev/null
+++ b/src/node/gateway/gatewayList.ts
@@ -0,0 +1,48 @@
+import type { Clock } from "../../types/index.js";
+import { splitAddress } from "../httpServer/index.js";
+import { type KnownInstance, listInstances, type RecordStore } from "../replica/index.js";
+import type { GatewaySettings } from "../settings/index.js";
+
+/** Gateways of the system, as one of them knows them. */
+export interface GatewayList {
+    /** This gateway. */
+    readonly self: KnownInstance;
+    /** Lists `host:port` of the other gateways; some may be gone. */
+    readonly listAddresses: () => readonly string[];
+    /** Counts the registered gateways; at least this one. */
+    readonly count: () => number;
+}
+
+/**
+ * Creates the list of the registered gateways and of those that the settings name.
+ *
+ * @param store - records of this process
+ * @param settings - identifier and place of this gateway
+ * @param clock - time of its start
+ * @param readSeeds - reads the seeds in force
+ * @returns the list
+ */
+export function createGatewayList(
+    store: RecordStore,
+    { gateway, instance }: GatewaySettings,
+    clock: Clock,
+    readSeeds: () => readonly string[],
+): GatewayList {
+    const { relayPort } = gateway;
+    const self: KnownInstance = {
+        instance: instance.id,
+        address: `${splitAddress(instance.grpcAddress).host}:${relayPort}`,
+        zone: instance.zone,
+        region: instance.region,
+        startedAt: clock.now().getTime(),
+    };
+    return {
+        self,
+        listAddresses: () => {
+            const registered = listInstances(store).map(({ address }) => address);
+            const seeds = readSeeds().map(address => `${splitAddress(address).host}:${relayPort}`);
+            return [...new Set([...registered, ...seeds])].filter(address => address !== self.address);
+        },
+        count: () => Math.max(1, listInstances(store).length),
+    };
+}
--- a/src/node/replica/index.ts
+++ b/src/node/replica/index.ts
@@ -2,4 +2,5 @@
 export * from "./logFollower.js";
 export * from "./recordRelay.js";
 export * from "./recordStore.js";
+export * from "./registration.js";
 export * from "./relayFollower.js";
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -113,6 +113,13 @@
             initial: 3_000,
             documentation: "Time in which every gateway has to know of the crashes that one of them has seen.",
         }),
+        registrationLimitMilliseconds: defineDuration("registrationLimit", "Milliseconds", {
+            minimum: 0,
+            maximum: 600_000,
+            initial: 800,
+            documentation:
+                "Time after which a gateway counts as ready although the others may not know it, since the log does not answer.",
+        }),
         fleetRetryShare: defineNumber({
             minimum: 0,
             maximum: 1,
--- /dev/null
+++ b/test/platform/gatewayRegistration.test.ts
@@ -0,0 +1,38 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { startDeployment, waitUntil } from "./standIn/deployment.js";
+import {
+    addGateways,
+    listCondemned,
+    pause,
+    sendFatal,
+    settleMilliseconds,
+    startFleet,
+} from "./standIn/fatalRequests.js";
+
+describe("gateways that have just become ready", () => {
+    // Guards against a request that crashes more backend servers at a gateway that no other one knows of.
+    it("share what crashes backend servers, although the store goes away then", async () => {
+        await using deployment = await startDeployment();
+        const fleet = await startFleet(deployment);
+        deployment.store.slow("keyed.goldcrestpoint-instances", 400);
+        const gateways = await addGateways(deployment, "/unsafe/");
+        deployment.store.setFault("busy");
+        await waitUntil("three backend servers have ended", async () => {
+            await sendFatal(gateways, "/unsafe/", gateways.length, 100);
+            return fleet.ends.length >= 3;
+        });
+        await pause(settleMilliseconds);
+        const answers = await sendFatal(gateways, "/unsafe/", 6, 0);
+        expect(listCondemned(answers).length).toEqual(6);
+    });
+
+    it("do not wait for a store that does not answer", async () => {
+        await using deployment = await startDeployment();
+        await startFleet(deployment);
+        deployment.store.slow("keyed.goldcrestpoint-instances", 60_000);
+        const startedAt = Date.now();
+        await deployment.addGateway("gateway-2", { "gateway.registrationLimitMilliseconds": "800" });
+        expect(Date.now() - startedAt < 2_000).toEqual(true);
+    });
+});
--- a/test/platform/standIn/gateway.ts
+++ b/test/platform/standIn/gateway.ts
@@ -52,6 +52,7 @@
             "gateway.relayPort": String(relayPort),
             "gateway.acceptAfterShutdownMilliseconds": "200",
             "gateway.switchAfterMilliseconds": "400",
+            "gateway.registrationLimitMilliseconds": "10000",
             "routing.reportExpiryMilliseconds": "600000",
             "admission.retryAfterStepSeconds": "0.05",
             "retry.maximumCrashes": "3",
--- a/test/platform/standIn/storeStandIn.ts
+++ b/test/platform/standIn/storeStandIn.ts
@@ -27,6 +27,8 @@
     /** Forgets all records but the newest of each key. */
     compact(topic: string): void;
     setFault(fault: StoreFault): void;
+    /** Lets all calls of a topic wait before they are carried out. */
+    slow(topic: string, milliseconds: number): void;
     readonly countCalls: () => number;
 }
 
@@ -43,6 +45,7 @@
     const waiting = new Set<() => void>();
     let fault: StoreFault = "none";
     let calls = 0;
+    const delays = new Map<string, number>();
 
     function findTopic(name: string): StoredTopic {
         const topic = topics.get(name) ?? { records: [], newest: new Map<string, StoredRecord>(), end: 0 };
@@ -137,6 +140,10 @@
 
     const server = await startHttpStandIn(async (...[, response, url, body]) => {
         calls++;
+        const delay = delays.get(url.searchParams.get("topic") ?? "");
+        if (delay !== undefined) {
+            await new Promise(resolve => setTimeout(resolve, delay));
+        }
         const inject = faults[fault];
         if (inject !== undefined) {
             inject(response);
@@ -168,6 +175,7 @@
             fault = next;
             waiting.forEach(wake => wake());
         },
+        slow: (topic, milliseconds) => void delays.set(topic, milliseconds),
         countCalls: () => calls,
         [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
     };
