Let only the request's own time end an attempt that no other one follows

Seen: "answers 504 to an unsafe request when the runner's answer is: silent" failed once, with 502, in a run of the platform's tests on 36 files at once. Callers were told that the gateway lost the answer, not that the time was over.

Cause: such an attempt had a time limit equal to the time left to its request, set a moment after the request's own. Both timers are set to a fraction of a millisecond but fire at whole ones, so that of the attempt fires up to a millisecond before the other, depending on where in a millisecond each was set. The attempt then failed as timed out, with 502, and the backend server counted as at fault; in the other order, the request ended with 504, and it did not.

Change: an attempt has a limit of its own only if it may switch before its request ends.

--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -113,7 +113,8 @@
         const now = clock.monotonic();
         const remaining = request.endsAt - now;
         const repeatable = request.row.idempotent && progress.sent + 1 < request.route.maximumAttempts;
-        const silentAfter = repeatable ? Math.min(input.switchAfter, remaining) : remaining;
+        // The request's own time ends an attempt that no other one follows, so that the caller is told of it.
+        const silentAfter = repeatable && input.switchAfter < remaining ? input.switchAfter : Infinity;
         progress.attempts++;
         runner.outstanding++;
         runner.awaitingFirst++;
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -42,7 +42,7 @@
 
 /** Limits on the body of an answer, beyond the time of its request. */
 export interface BodyLimits {
-    /** Longest time without a byte, and without a whole event of a stream. */
+    /** Longest time without a byte, and without a whole event of a stream; `Infinity` if only the request's time ends it. */
     readonly silentAfter: Milliseconds;
     /** Time from the head on after which a whole answer has to be on pace, if its request can go on elsewhere. */
     readonly judgePaceAfter: Milliseconds;
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -87,7 +87,7 @@
             signal: call.interruption.signal,
             opaque: call.state,
             headersTimeout: 0,
-            bodyTimeout: idle,
+            bodyTimeout: idle === Infinity ? 0 : idle,
             ...(request.body === undefined ? {} : { body: request.body }),
         };
     }
--- a/src/node/httpClient/interruption.ts
+++ b/src/node/httpClient/interruption.ts
@@ -14,7 +14,7 @@
     /**
      * Sets the time limit.
      *
-     * @param duration - time from now
+     * @param duration - time from now; `Infinity` for none
      */
     limit(duration: Milliseconds): void;
     /** Removes the time limit. */
@@ -49,6 +49,9 @@
 
     function limit(duration: Milliseconds): void {
         unlimit();
+        if (duration === Infinity) {
+            return;
+        }
         timer = setTimeout(() => {
             // After a delay of this process, what has arrived in time is read only now.
             polled = setImmediate(() => {
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -6,9 +6,9 @@
 export interface HttpTimeouts {
     /** Time to open a connection. Default: 1,000 ms. */
     readonly connect: Milliseconds;
-    /** Time from the call to the head of the answer, including the time to open a connection. Default: 5,000 ms. */
+    /** Time from the call to the head, including the time to open a connection; `Infinity` for none. Default: 5,000 ms. */
     readonly head: Milliseconds;
-    /** Longest time between two parts of the body. Default: 5,000 ms. */
+    /** Longest time between two parts of the body; `Infinity` for none. Default: 5,000 ms. */
     readonly idle: Milliseconds;
     /** Time for the whole of an answer that is read into memory. Default: 10,000 ms. */
     readonly total: Milliseconds;
--- a/test/platform/standIn/gateway.ts
+++ b/test/platform/standIn/gateway.ts
@@ -31,6 +31,8 @@
     readonly storeAddress: string;
     /** Settings that differ from those of the tests, by key. */
     readonly flags?: Readonly<Record<string, string>>;
+    /** Called with each line that the gateway logs, at that time. */
+    readonly onLogLine?: (line: string) => void;
 }
 
 /** Starts a gateway that follows a store. */
@@ -61,7 +63,12 @@
     }));
     const log = starting.use(createStoreClient({ address: options.storeAddress }));
     const logLines: string[] = [];
-    const destination = { write: (line: string) => void logLines.push(line) };
+    const destination = {
+        write: (line: string) => {
+            logLines.push(line);
+            options.onLogLine?.(line);
+        },
+    };
     const gateway = starting.use(expectOk(
         await startGateway(settings, {
             log,
