--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -6,10 +6,10 @@
     addGateways,
     allowedRepeats,
     countLateRuns,
+    endThree,
     listCondemned,
     pause,
     sendFatal,
-    settleMilliseconds,
     startCallers,
     startFleet,
 } from "./standIn/fatalRequests.js";
@@ -41,11 +41,7 @@
         const fleet = await startFleet(deployment);
         const gateways = await addGateways(deployment, "/unsafe/");
         deployment.store.setFault("busy");
-        await waitUntil("three backend servers have ended", async () => {
-            await sendFatal(gateways, "/unsafe/", gateways.length, 100);
-            return fleet.ends.length >= 3;
-        });
-        await pause(settleMilliseconds);
+        await endThree(fleet, gateways, "/unsafe/");
         const answers = await sendFatal(gateways, "/unsafe/", 6, 0);
         expect(answers.map(answer => [answer?.status, answer?.headers["retry-after"], answer?.body]))
             .toEqual(answers.map(() => [502, undefined, expect.includes("crashes-backend-servers")]));
--- a/test/platform/gatewayRegistration.test.ts
+++ b/test/platform/gatewayRegistration.test.ts
@@ -1,14 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { startDeployment, waitUntil } from "./standIn/deployment.js";
-import {
-    addGateways,
-    listCondemned,
-    pause,
-    sendFatal,
-    settleMilliseconds,
-    startFleet,
-} from "./standIn/fatalRequests.js";
+import { startDeployment } from "./standIn/deployment.js";
+import { addGateways, endThree, listCondemned, sendFatal, startFleet } from "./standIn/fatalRequests.js";
 
 describe("gateways that have just become ready", () => {
     // Guards against a request that crashes more backend servers at a gateway that no other one knows of.
@@ -18,11 +11,7 @@
         deployment.store.slow("keyed.goldcrestpoint-instances", 400);
         const gateways = await addGateways(deployment, "/unsafe/");
         deployment.store.setFault("busy");
-        await waitUntil("three backend servers have ended", async () => {
-            await sendFatal(gateways, "/unsafe/", gateways.length, 100);
-            return fleet.ends.length >= 3;
-        });
-        await pause(settleMilliseconds);
+        await endThree(fleet, gateways, "/unsafe/");
         const answers = await sendFatal(gateways, "/unsafe/", 6, 0);
         expect(listCondemned(answers).length).toEqual(6);
     });
--- a/test/platform/standIn/fatalRequests.ts
+++ b/test/platform/standIn/fatalRequests.ts
@@ -65,6 +65,15 @@
     return answers;
 }
 
+/** Sends the fatal request until three backend servers have ended under it and all gateways have to know. */
+export async function endThree(fleet: CrashingFleet, gateways: readonly TestGateway[], path: string): Promise<void> {
+    await waitUntil("three backend servers have ended", async () => {
+        await sendFatal(gateways, path, gateways.length, 100);
+        return fleet.ends.length >= 3;
+    });
+    await pause(settleMilliseconds);
+}
+
 /** Sends sound requests one after the other until it is stopped; each second one has a body that no other has. */
 export function startCaller(gateways: readonly TestGateway[], path: string, name: string): () => Promise<Answer[]> {
     const answers: Answer[] = [];
