End a request whose body does not arrive within its time

Seen: a caller that states a length and sends a byte every 100 ms held its connection, the request and its place among the open ones for as long as it went on: longer than 3.5 s where the route allows 1.5 s.

Cause: the time limit of a request was set once its body had been read, and nothing else bounds that.

Change: the limit is set before the body is read. Once it is over, the caller gets 408, which is true, as the request has not been sent on, and the connection closes.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -74,6 +74,8 @@
 interface CallerWatch {
     /** Ended when the caller is gone or the time is over. */
     readonly signal: AbortSignal;
+    /** Resolves when the signal ends. */
+    readonly ended: Promise<undefined>;
     readonly readReason: () => AbortReason | undefined;
     /** Sets the time after which the signal ends. */
     limit(duration: Milliseconds): void;
@@ -103,6 +105,9 @@
     });
     return {
         signal: controller.signal,
+        ended: new Promise(resolve => {
+            controller.signal.addEventListener("abort", () => resolve(undefined), { once: true });
+        }),
         readReason: () => reason,
         limit: duration => {
             if (!controller.signal.aborted) {
@@ -200,11 +205,16 @@
         }
         const limit = routes.configuration.limits.bodyBytes;
         const isTooLarge = Number(headers["content-length"] ?? 0) > limit;
-        const body = isTooLarge ? undefined : await readBody(incoming, limit);
+        const duration = measureTime(call, route);
+        watch.limit(receivedAt + duration - clock.monotonic());
+        const body = isTooLarge ? undefined : await Promise.race([readBody(incoming, limit), watch.ended]);
         if (body === undefined) {
-            if (incoming.errored instanceof Error) {
+            if (incoming.errored instanceof Error || watch.readReason() === "caller-gone") {
                 response.destroy();
             }
+            else if (watch.readReason() === "route-timeout") {
+                reject(incoming, response, 408, "body-too-slow");
+            }
             else {
                 reject(incoming, response, 413, "body-too-large");
             }
@@ -212,8 +222,6 @@
         }
         // A caller that left before its request was read is noticed here, before the request is sent on.
         await turns.awaitPoll();
-        const duration = measureTime(call, route);
-        watch.limit(receivedAt + duration - clock.monotonic());
         try {
             await input.serve({
                 row: {
--- /dev/null
+++ b/test/red/endlessHead.test.ts
@@ -0,0 +1,16 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { startDeployment } from "../platform/standIn/deployment.js";
+import { closingMargin, measureUntilClosed } from "../platform/standIn/endlessCaller.js";
+
+const headTimeLimit = 3_000;
+
+describe("callers that send without end", () => {
+    // Guards against connections that are held for as long as a caller goes on sending fields.
+    it("are cut off: slow fields", async () => {
+        await using deployment = await startDeployment();
+        const allowed = headTimeLimit + closingMargin;
+        const request = { first: "POST /unsafe/ HTTP/1.1\r\n", part: "x: y\r\n", interval: 100, allowed };
+        expect(await measureUntilClosed(deployment, request)).toBeLessThan(allowed);
+    });
+});
