--- a/test/platform/endlessCallers.test.ts
+++ b/test/platform/endlessCallers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { startDeployment } from "./standIn/deployment.js";
-import { closingMargin, type EndlessRequest, measureUntilClosed } from "./standIn/endlessCaller.js";
+import { closingMargin, type EndlessRequest, sendWithoutEnd } from "./standIn/endlessCaller.js";
 
 const routeTimeout = 1_500;
 const head = ["POST /unsafe/ HTTP/1.1", "host: members.example", "attempt-id: endless", "authorization: Token key-1"];
@@ -45,7 +45,11 @@
         it(`are cut off: ${variant.name}`, async () => {
             await using deployment = await startDeployment();
             await deployment.addRunner({ id: "i-1" });
-            expect(await measureUntilClosed(deployment, variant)).toBeLessThan(variant.allowed);
+            const { duration, status } = await sendWithoutEnd(deployment, variant);
+            expect(duration).toBeLessThan(variant.allowed);
+            if (variant.name === "a slow body") {
+                expect(status).toEqual(408);
+            }
         });
     }
 });
--- a/test/platform/standIn/endlessCaller.ts
+++ b/test/platform/standIn/endlessCaller.ts
@@ -15,15 +15,26 @@
     readonly allowed: number;
 }
 
-/** Sends a request without end, and resolves with the time until the gateway, or a while later this side, closes the connection. */
-export function measureUntilClosed(
+/** How a request without end was cut off. */
+export interface Cut {
+    /** Milliseconds until the gateway, or a while later this side, closed the connection. */
+    readonly duration: number;
+    /** Status of the answer; undefined if there was none. */
+    readonly status: number | undefined;
+}
+
+/** Sends a request without end. */
+export function sendWithoutEnd(
     { gatewayUrl }: TestDeployment,
     { allowed, first, interval, part }: EndlessRequest,
-): Promise<number> {
+): Promise<Cut> {
     const startedAt = Date.now();
     const socket = connect(Number(new URL(gatewayUrl).port), "127.0.0.1");
     socket.write(first);
-    socket.resume();
+    let answer = "";
+    socket.on("data", part => {
+        answer += part.toString("latin1");
+    });
     const timer = setInterval(() => socket.write(part), interval);
     const limit = setTimeout(() => socket.destroy(), allowed + closingMargin);
     socket.on("error", () => {});
@@ -31,7 +42,8 @@
         socket.once("close", () => {
             clearInterval(timer);
             clearTimeout(limit);
-            resolve(Date.now() - startedAt);
+            const status = /^HTTP\/1.1 (\d+)/.exec(answer)?.[1];
+            resolve({ duration: Date.now() - startedAt, status: status === undefined ? undefined : Number(status) });
         })
     );
 }
--- a/test/red/endlessHead.test.ts
+++ b/test/red/endlessHead.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { startDeployment } from "../platform/standIn/deployment.js";
-import { closingMargin, measureUntilClosed } from "../platform/standIn/endlessCaller.js";
+import { closingMargin, sendWithoutEnd } from "../platform/standIn/endlessCaller.js";
 
 const headTimeLimit = 3_000;
 
@@ -11,6 +11,6 @@
         await using deployment = await startDeployment();
         const allowed = headTimeLimit + closingMargin;
         const request = { first: "POST /unsafe/ HTTP/1.1\r\n", part: "x: y\r\n", interval: 100, allowed };
-        expect(await measureUntilClosed(deployment, request)).toBeLessThan(allowed);
+        expect((await sendWithoutEnd(deployment, request)).duration).toBeLessThan(allowed);
     });
 });
