Send nothing more to a backend server that says in an answer that it leaves

Callers: requests went on to a backend server that had said Server-Leaving in its answers, until the list said so. Measured on with a probe: 51 to 60 of them later than 2 s after the first such answer.

Cause: the header was not read; only the list told that a backend server leaves.

Change: what a backend server says of itself is kept by lifetime (born, instance), goes before the list, outlasts a lapse of its entry, and is told to the other gateways with the crashes. A new lifetime is free of it.

--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -1,14 +1,16 @@
 import { err, ok, type Result } from "true-myth/result";
-import { type BackendServerRow, judgePaceAfter } from "../../runtime/gateway/index.js";
+import { type BackendServerRow, judgePaceAfter, nameLifetime } from "../../runtime/gateway/index.js";
 import { applyLoadReport } from "../../runtime/routing/index.js";
 import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../types/index.js";
 import { hasUndecodedTransferCoding, type HttpClient, type HttpFailure, type HttpStream } from "../httpClient/index.js";
+import type { ServerNotices } from "./serverNotices.js";
 import type { AttemptFailure, BodyLimits, GatewayRequest, OpenedAnswer } from "./types.js";
 
 /** Dependencies of {@link openAttempt}. */
 export interface AttemptContext {
     readonly protocol: CallerProtocol;
     readonly clock: Clock;
+    readonly notices: Pick<ServerNotices, "recordHead">;
 }
 
 /** One attempt at a request. */
@@ -141,6 +143,7 @@
 ): Promise<Result<OpenedAnswer, AttemptFailure>> {
     const { beginWithin, client, forwarded, limits, request, server, signal } = attempt;
     const { silentAfter } = limits;
+    const lifetime = nameLifetime(server.listed);
     const opened = await client.open({
         method: request.method,
         path: request.path,
@@ -156,6 +159,10 @@
     const head = context.protocol.decodeHead(stream.status, stream.headers);
     const now = context.clock.monotonic();
     recordLoad(server, head, now);
+    // Another backend server at the same address answers with 421.
+    if (head.requestId === request.row.requestId && stream.status !== 421) {
+        context.notices.recordHead(lifetime, head);
+    }
     const fault = findFault(attempt, stream, head);
     if (fault === undefined) {
         return ok({ ...stream, server, limits: { ...limits, judgePaceAfter: judgePaceAfter(request.endsAt - now) } });
--- a/src/node/gateway/crashContainment.ts
+++ b/src/node/gateway/crashContainment.ts
@@ -8,6 +8,7 @@
 import { type CrashKnowledge, createCrashKnowledge } from "./crashKnowledge.js";
 import { type CrashWatch, createCrashWatch } from "./crashWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { ServerNotices } from "./serverNotices.js";
 
 /** Dependencies of {@link createCrashContainment}. */
 export interface CrashContainmentInput {
@@ -23,6 +24,8 @@
     readonly connectTimeLimit: Milliseconds;
     /** Time in which every gateway has to know what one of them has seen. */
     readonly settleTime: Milliseconds;
+    /** What backend servers have said of themselves, which is told with the crashes. */
+    readonly notices: ServerNotices;
     /** `host:port` of the other gateways. */
     readonly listAddresses: () => readonly string[];
 }
@@ -62,6 +65,7 @@
     });
     const exchange = createCrashExchange({
         knowledge,
+        notices: input.notices,
         listAddresses: input.listAddresses,
         clock,
         random: input.random,
--- a/src/node/gateway/crashExchange.ts
+++ b/src/node/gateway/crashExchange.ts
@@ -7,16 +7,21 @@
     type CrashEvidenceRequest,
     CrashEvidenceRequestSchema,
     CrashEvidenceSchema,
+    LeavingServerSchema,
     RequestAnswerSchema,
 } from "../../generated/goldcrestpoint_pb.js";
+import type { SharedLeaving } from "../../runtime/gateway/index.js";
 import type { SharedEvidence } from "../../runtime/retry/index.js";
 import type { Clock, Milliseconds, RandomSource } from "../../types/index.js";
+import { computeDigest } from "../../utils/index.js";
 import { createReplicaClient, type ReplicaClient } from "../grpc/index.js";
 import type { CrashKnowledge } from "./crashKnowledge.js";
+import type { ServerNotices } from "./serverNotices.js";
 
 /** Dependencies of {@link createCrashExchange}. */
 export interface CrashExchangeInput {
     readonly knowledge: CrashKnowledge;
+    readonly notices: ServerNotices;
     /** `host:port` of the other gateways; some may be gone. */
     readonly listAddresses: () => readonly string[];
     readonly clock: Clock;
@@ -46,8 +51,11 @@
 /** Share of the settle time for which news waits for more of it, since many requests break together. */
 const newsDelayShare = 0.03;
 
-function encode({ answers, crashes }: SharedEvidence): CrashEvidence {
+function encode({ answers, crashes }: SharedEvidence, leaving: readonly SharedLeaving[]): CrashEvidence {
     return create(CrashEvidenceSchema, {
+        leaving: leaving.map(({ age, lifetime }) =>
+            create(LeavingServerSchema, { lifetime, ageMilliseconds: BigInt(Math.round(age)) })
+        ),
         crashes: crashes.map(({ age, crashId, fingerprints, touchedAge }) =>
             create(BackendServerCrashSchema, {
                 crashId,
@@ -82,13 +90,29 @@
  * @returns the exchange; disposing of it closes the connections
  */
 export function createCrashExchange(input: CrashExchangeInput): CrashExchange {
-    const { clock, knowledge, logger, random, settleTime } = input;
+    const { clock, knowledge, logger, notices, random, settleTime } = input;
     const clients = new Map<string, ReplicaClient>();
     const asked = new Set<string>();
     let newsTimer: NodeJS.Timeout | undefined;
     const startedAt = clock.monotonic();
     const interval = settleTime / questionsPerSettleTime;
 
+    function merge(evidence: CrashEvidence): void {
+        knowledge.merge(decode(evidence), "gateway");
+        notices.mergeLeaving(evidence.leaving.map(({ ageMilliseconds, lifetime }) => ({
+            lifetime,
+            age: Number(ageMilliseconds),
+        })));
+    }
+
+    /** Text by which two gateways notice that they know different things; empty if nothing is known. */
+    function digest(): string {
+        const lifetimes = notices.listLeaving().map(({ lifetime }) => lifetime).sort();
+        return lifetimes.length === 0 ?
+            knowledge.digest() :
+            computeDigest([knowledge.digest(), ...lifetimes].join("\n"));
+    }
+
     function closeClient(address: string): void {
         clients.get(address)?.close();
         clients.delete(address);
@@ -106,7 +130,7 @@
                 if (message.asks) {
                     asked.add(address);
                 }
-                knowledge.merge(decode(answer), "gateway");
+                merge(answer);
                 return;
             }
             logger.debug({ peer: address, error: error?.message }, "crashes not exchanged");
@@ -118,12 +142,14 @@
     }
 
     function ask(address: string): void {
-        send(address, create(CrashEvidenceRequestSchema, { asks: true, digest: knowledge.digest() }));
+        send(address, create(CrashEvidenceRequestSchema, { asks: true, digest: digest() }));
     }
 
     function tellNews(): void {
         newsTimer = undefined;
-        const message = create(CrashEvidenceRequestSchema, { news: encode(knowledge.takeNews()) });
+        const message = create(CrashEvidenceRequestSchema, {
+            news: encode(knowledge.takeNews(), notices.listLeaving()),
+        });
         pick(input.listAddresses(), fanOut).forEach(address => send(address, message));
     }
 
@@ -148,19 +174,25 @@
         pick(addresses, 1).forEach(ask);
     }
 
-    knowledge.onNews(() => {
+    function scheduleNews(): void {
         newsTimer ??= setTimeout(tellNews, settleTime * newsDelayShare);
-    });
+    }
+
+    knowledge.onNews(scheduleNews);
+    notices.onChange(scheduleNews);
     const timer = setInterval(tick, interval);
     return {
         askNew,
         exchangeCrashEvidence: (call, callback) => {
-            const { asks, digest, news } = call.request;
+            const { asks, digest: theirs, news } = call.request;
             if (news !== undefined) {
-                knowledge.merge(decode(news), "gateway");
+                merge(news);
             }
-            const differs = asks && digest !== knowledge.digest();
-            callback(undefined as never, encode(differs ? knowledge.share() : { crashes: [], answers: [] }));
+            const differs = asks && theirs !== digest();
+            callback(
+                undefined as never,
+                differs ? encode(knowledge.share(), notices.listLeaving()) : create(CrashEvidenceSchema),
+            );
         },
         [Symbol.dispose]: () => {
             clearInterval(timer);
--- a/src/node/gateway/crashWatch.ts
+++ b/src/node/gateway/crashWatch.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "pino";
+import { nameLifetime } from "../../runtime/gateway/index.js";
 import type { Clock, Fingerprint, ListedBackendServer, Milliseconds } from "../../types/index.js";
 import { sleep } from "../../utils/index.js";
 import { checkListening, createLossTracker, type ListeningState } from "../crashes/index.js";
@@ -53,16 +54,6 @@
 /** Fingerprints that a log line names. */
 const loggedFingerprints = 8;
 
-/**
- * Names a lifetime of a backend server, which may start again under the same instance.
- *
- * @param server - the backend server as it is listed
- * @returns the same text for the same start
- */
-export function nameLifetime({ instance, startedAt }: ListedBackendServer): string {
-    return `${instance}/${startedAt ?? ""}`;
-}
-
 /**
  * Creates the watch. A lost connection alone says little, since links and single answers break too; a backend server
  * counts as ended when its address refuses connections right after.
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -1,11 +1,5 @@
 import type { Logger } from "pino";
 import { err, ok, type Result } from "true-myth/result";
-import {
-    createRetryBudget,
-    divideRetryAllowance,
-    type RetryBudget,
-    type RetryOptions,
-} from "../../runtime/retry/index.js";
 import type {
     CallerProtocol,
     Clock,
@@ -41,7 +35,9 @@
 import { createGatewayState } from "./gatewayState.js";
 import { createRequestLog } from "./requestLog.js";
 import { createRequestPipeline } from "./requestPipeline.js";
+import { createRetryBudgets } from "./retryBudgets.js";
 import { createServerChoice } from "./serverChoice.js";
+import { createServerNotices } from "./serverNotices.js";
 import { createRouter } from "./statusRouter.js";
 import { deriveWeightSources } from "./weightSources.js";
 
@@ -112,6 +108,7 @@
         clock,
         logger,
     );
+    const notices = createServerNotices({ clock, logger, memory: gateway.noticeMemory });
     const state = createGatewayState({
         store,
         decoder: ports.decoder,
@@ -120,6 +117,7 @@
         regions: new Map(gateway.zoneRegions.map(text => text.split(":") as [string, string])),
         membership: gateway,
         versions: gateway,
+        notices,
     });
 
     const gateways = createGatewayList(store, settings, clock, ports.readSeeds ?? (() => gateway.seeds));
@@ -157,24 +155,10 @@
         options: settings.retry,
         connectTimeLimit: gateway.connectTimeLimit,
         settleTime: gateway.settleTime,
+        notices,
         listAddresses: gateways.listAddresses,
     }));
-    const divideRetries = (): RetryOptions => {
-        // Before any gateway is known, seeds tell that there are others.
-        return divideRetryAllowance(settings.retry, gateway, Math.max(gateways.count(), gateway.seeds.length));
-    };
-    let retry = divideRetries();
-    store.onChange(topic => {
-        if (topic === "instances") {
-            retry = divideRetries();
-        }
-    });
-    const budgets = new Map<string, RetryBudget>();
-    const findBudget = (service: string): RetryBudget => {
-        const budget = budgets.get(service) ?? createRetryBudget(clock.monotonic(), retry);
-        budgets.set(service, budget);
-        return budget;
-    };
+    const budgets = createRetryBudgets(settings, store, gateways, clock);
     const serve = createRequestPipeline({
         protocol: ports.protocol,
         clock,
@@ -182,9 +166,10 @@
         gates,
         clients,
         crashes: containment.watch,
+        notices,
         knowledge: containment.knowledge,
-        findBudget,
-        readRetry: () => retry,
+        findBudget: budgets.find,
+        readRetry: budgets.readOptions,
         routing: settings.routing,
         switchAfter: gateway.switchAfter,
         log: createRequestLog({
--- a/src/node/gateway/gatewayState.ts
+++ b/src/node/gateway/gatewayState.ts
@@ -2,6 +2,7 @@
 import {
     type AllowedVersions,
     applyListed,
+    applyNotice,
     applyRemoved,
     type BackendServerRow,
     type BackendServerTable,
@@ -10,6 +11,7 @@
     expireRemoved,
     expireReports,
     type MembershipOptions,
+    nameLifetime,
     nameWeights,
     readAllowedVersions,
     readBeginLimit,
@@ -29,6 +31,7 @@
     Region,
 } from "../../types/index.js";
 import type { ReceivedPage, RecordStore } from "../replica/index.js";
+import type { ServerNotices } from "./serverNotices.js";
 
 /** Dependencies of {@link createGatewayState}. */
 export interface GatewayStateInput {
@@ -39,6 +42,7 @@
     readonly regions: ReadonlyMap<AvailabilityZone, Region>;
     readonly membership: MembershipOptions;
     readonly versions: VersionOptions;
+    readonly notices: ServerNotices;
 }
 
 /** What a gateway believes about configuration, backend servers and declared versions. */
@@ -69,7 +73,7 @@
  * @returns the state
  */
 export function createGatewayState(input: GatewayStateInput): GatewayState {
-    const { clock, decoder, logger, store } = input;
+    const { clock, decoder, logger, notices, store } = input;
     const servers = createBackendServerTable();
     const versions: VersionTable = new Map();
     const operatorListeners: ((routes: RouteTable) => void)[] = [];
@@ -161,10 +165,23 @@
         }
         const region = input.regions.get(listed.zone) ?? listed.zone;
         const change = applyListed(servers, listed, region, now, input.membership);
+        applyNotice(servers.get(instance)!, notices.find(nameLifetime(listed)));
         const { address, service, state, weights, zone } = listed;
         logger.info({ ...fields, change, service, address, zone, state, weights }, "backend server changed");
     }
 
+    function findLifetime(lifetime: string): BackendServerRow | undefined {
+        return [...servers.rows()].find(({ listed }) => nameLifetime(listed) === lifetime);
+    }
+
+    notices.onChange(lifetime => {
+        const row = findLifetime(lifetime);
+        if (row !== undefined) {
+            applyNotice(row, notices.find(lifetime));
+            serverListeners.forEach(listener => listener());
+        }
+    });
+
     const handlers: Readonly<Record<KeyedTopic, TopicHandler>> = {
         operator: (records, page) => {
             for (const record of records) {
@@ -201,6 +218,7 @@
         expire: () => {
             const now = clock.monotonic();
             noteCurrent(now);
+            notices.expire(lifetime => findLifetime(lifetime) !== undefined);
             for (const instance of expireRemoved(servers, currentSince, now, input.membership)) {
                 logger.info({ peer: instance, change: "removed" }, "backend server changed");
             }
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -18,6 +18,7 @@
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { RequestLog } from "./requestLog.js";
 import type { ServerChoice, ServerSelection } from "./serverChoice.js";
+import type { ServerNotices } from "./serverNotices.js";
 import type { AbortReason, AttemptFailure, GatewayRequest } from "./types.js";
 
 /** Dependencies of {@link createRequestPipeline}. */
@@ -28,6 +29,7 @@
     readonly gates: AdmissionGates;
     readonly clients: BackendClients;
     readonly crashes: CrashWatch;
+    readonly notices: Pick<ServerNotices, "recordHead">;
     /** Knows which requests crash backend servers. */
     readonly knowledge: Pick<CrashKnowledge, "mayRepeat" | "readStanding" | "recordAnswer">;
     /** Finds the retry budget of a service. */
@@ -91,7 +93,7 @@
  * @returns function that resolves once the caller has the final answer
  */
 export function createRequestPipeline(input: RequestPipelineInput): (request: GatewayRequest) => Promise<void> {
-    const { choice, clock, gates, knowledge, log, metrics, protocol, readRetry } = input;
+    const { choice, clock, gates, knowledge, log, metrics, notices, protocol, readRetry } = input;
     const relay = createAnswerRelay({ clock, log, metrics });
 
     /** Tells whether a request that may be repeated would find a backend server and the budget for it. */
@@ -124,7 +126,7 @@
             awaiting = false;
         };
         try {
-            const opened = await openAttempt({ protocol, clock }, {
+            const opened = await openAttempt({ protocol, clock, notices }, {
                 request,
                 server,
                 client: input.clients.find(server.listed),
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -150,6 +150,12 @@
         "state",
         "weights",
     ]),
+    "server notice": define("belief", ["gateway"], "a backend server has said in an answer that it leaves", [
+        "lifetime",
+        "notice",
+        "source",
+        "ageMilliseconds",
+    ]),
     "entry of a backend server cannot be read": define("belief", ["gateway"], "an entry of the list was left out"),
     "backend server reported": define("belief", ["gateway"], "the phase or the weights of a backend server changed", [
         "peer",
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -55,6 +55,13 @@
             initial: 1_600,
             documentation: "Age of the list of backend servers from which on the log counts as away.",
         }),
+        noticeMemoryMilliseconds: defineDuration("noticeMemory", "Milliseconds", {
+            minimum: 1_000,
+            maximum: 86_400_000,
+            initial: 600_000,
+            documentation:
+                "Time for which a gateway remembers what a backend server has said of itself after its entry is gone.",
+        }),
         reportExpiryMilliseconds: defineDuration("reportExpiry", "Milliseconds", {
             minimum: 100,
             maximum: 60_000,
--- a/src/runtime/gateway/backendServers.ts
+++ b/src/runtime/gateway/backendServers.ts
@@ -1,6 +1,7 @@
 import type { ListedBackendServer, LoadedWeights, Milliseconds, Region } from "../../types/index.js";
 import { createTable, type Table } from "../../utils/index.js";
 import { applyLoadReport, createRunnerRow, type RunnerLoadReport, type RunnerRow } from "../routing/index.js";
+import type { ServerNotice } from "./serverNotices.js";
 import { nameWeights } from "./weightNames.js";
 
 /** Backend server that requests may be sent to. */
@@ -108,6 +109,16 @@
     return change;
 }
 
+/**
+ * Applies what a backend server has said of itself, which goes before what the list says.
+ *
+ * @param row - row to change
+ * @param notice - notice of its lifetime; undefined if it has said nothing
+ */
+export function applyNotice({ runner }: BackendServerRow, notice: ServerNotice | undefined): void {
+    runner.draining ||= notice?.leavingSince !== undefined;
+}
+
 /**
  * Takes the removal of an entry over. While the list is not reliable, the backend server stays for a time, since entries
  * lapse when the log is away.
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -162,6 +162,8 @@
     readonly load: StatedLoad | undefined;
     /** True if the backend server closes the connection, as one that is leaving does. */
     readonly closing: boolean;
+    /** True if the backend server states that it leaves. */
+    readonly leaving: boolean;
 }
 
 /** Headers by lower-case name. */
--- a/test/node/gateway/gatewayState.test.ts
+++ b/test/node/gateway/gatewayState.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { pino } from "pino";
 import { createGatewayState } from "../../../src/node/gateway/gatewayState.js";
+import { createServerNotices } from "../../../src/node/gateway/serverNotices.js";
 import { createRecordStore, type PageSource } from "../../../src/node/replica/index.js";
 import type { KeyedRecord, RecordDecoder } from "../../../src/types/index.js";
 import { createManualClock } from "../../../src/utils/index.js";
@@ -27,6 +28,7 @@
         regions: new Map(),
         membership: { returnTime: 2_200, outageAfter: 1_600, reportExpiry: 2_500 },
         versions: { cutoverAfter: 7_000, assumedAge: 4_000, abandonAfter: 7_600 },
+        notices: createServerNotices({ clock, logger, memory: 600_000 }),
     });
     let offset = 0;
     const receive = (source: PageSource, changes: Readonly<Record<string, "listed" | "removed">>) => {
--- /dev/null
+++ b/test/platform/gatewayLeavingServers.test.ts
@@ -0,0 +1,75 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { sleep } from "../../src/utils/index.js";
+import { call } from "./standIn/caller.js";
+import { startDeployment, waitUntil } from "./standIn/deployment.js";
+import { callAtRate } from "./standIn/pacedCalls.js";
+import type { RunnerStandIn } from "./standIn/runnerStandIn.js";
+
+/** Time that answers which are on their way when the first one is read take to arrive. */
+const inFlight = 100;
+
+function countLaterThan(runner: RunnerStandIn, time: number): number {
+    return runner.arrivedAt.filter(at => at > time + inFlight).length;
+}
+
+describe("backend server that says in its answers that it leaves", () => {
+    for (const path of ["/safe/", "/unsafe/", "/stream/"]) {
+        // Guards against requests to a backend server whose entry in the list does not say yet that it leaves.
+        it(`gets no further requests to ${path}`, async () => {
+            await using deployment = await startDeployment();
+            const events = path === "/stream/" ? { events: 3 } : {};
+            const leaving = await deployment.addRunner({ id: "i-1", ...events });
+            await deployment.addRunner({ id: "i-2", ...events });
+            leaving.leave();
+            const startedAt = performance.now();
+            const answers = await callAtRate(deployment, { path, rate: 40, duration: 1_000 });
+            const firstAt = leaving.arrivedAt.find(at => at >= startedAt)!;
+            expect(answers.filter(({ status }) => status !== 200).length).toEqual(0);
+            expect(countLaterThan(leaving, firstAt)).toEqual(0);
+        });
+    }
+
+    // Guards against knowledge that the next heartbeat in the list, or a lapsed entry that comes back, undoes.
+    it("stays out of use when its entry changes, lapses and comes back", async () => {
+        await using deployment = await startDeployment();
+        const leaving = await deployment.addRunner({ id: "i-1" });
+        leaving.leave();
+        await call(deployment, "/safe/");
+        await deployment.addRunner({ id: "i-2" });
+        await deployment.listRunner("i-1", leaving.address, { cold_remaining_ms: 5 });
+        deployment.store.drop("keyed.servers", "i-1");
+        await sleep(600);
+        await deployment.listRunner("i-1", leaving.address);
+        const before = leaving.countArrivals();
+        await callAtRate(deployment, { path: "/safe/", rate: 40, duration: 500 });
+        expect(leaving.countArrivals() - before).toEqual(0);
+    });
+
+    // Guards against a backend server that is left idle because the one before it at the same instance has left.
+    it("is used again once it has started anew", async () => {
+        await using deployment = await startDeployment();
+        const leaving = await deployment.addRunner({ id: "i-1" });
+        leaving.leave();
+        await call(deployment, "/safe/");
+        expect((await call(deployment, "/safe/")).status).toEqual(503);
+        leaving.crash();
+        const port = Number(leaving.address.split(":")[1]);
+        const renewed = await deployment.addRunner({ id: "i-1", port }, { born: 2 });
+        expect((await call(deployment, "/safe/")).status).toEqual(200);
+        expect(renewed.countArrivals()).toEqual(1);
+    });
+
+    // Guards against a gateway that is cut from the log and learns of the end of a backend server by its first failure.
+    it("gets no requests from other gateways that were told", async () => {
+        await using deployment = await startDeployment();
+        const leaving = await deployment.addRunner({ id: "i-1" });
+        const other = await deployment.addGateway("gateway-2");
+        leaving.leave();
+        await call(deployment, "/safe/");
+        await waitUntil("the other gateway knows", () => other.logLines.some(line => line.includes("server notice")));
+        const before = leaving.countArrivals();
+        expect((await call(other, "/safe/")).status).toEqual(503);
+        expect(leaving.countArrivals() - before).toEqual(0);
+    });
+});
--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -15,7 +15,8 @@
     | "unsealed"
     | "unexplained-503"
     | "endless-refusal"
-    | "endless-event";
+    | "endless-event"
+    | "turn-away";
 
 /** Request that a runner began to work on. */
 export interface RunnerRun {
@@ -32,7 +33,13 @@
     readonly runs: RunnerRun[];
     /** Requests that arrived, including those that did not run. */
     readonly countArrivals: () => number;
+    /** Monotonic times of the arrivals. */
+    readonly arrivedAt: readonly number[];
     behave(behaviour: RunnerBehaviour): void;
+    /** Says in all answers from now on that the runner leaves. */
+    leave(): void;
+    /** Text of the header `retry-after` of refusals by `turn-away`. */
+    setRetryAfter(text: string): void;
 }
 
 /** Options of {@link startRunnerStandIn}. */
@@ -62,7 +69,9 @@
 export async function startRunnerStandIn(options: RunnerStandInOptions): Promise<RunnerStandIn> {
     const runs: RunnerRun[] = [];
     let behaviour: RunnerBehaviour = "answer";
-    let arrivals = 0;
+    let isLeaving = false;
+    let retryAfter = "2";
+    const arrivedAt: number[] = [];
 
     async function answer(request: IncomingMessage, response: ServerResponse, row: RunnerRun): Promise<void> {
         if (options.workMilliseconds !== undefined) {
@@ -188,6 +197,11 @@
             });
             sendWithoutEnd(response);
         },
+        "turn-away": (request, response) => {
+            const attemptId = String(request.headers["attempt-id"]);
+            response.writeHead(503, { "attempt-id": attemptId, "not-executed": "1", "retry-after": retryAfter });
+            response.end();
+        },
         "unexplained-503": (request, response, url, body) => {
             const { attemptId } = run(request, response, url, body);
             response.writeHead(503, { "attempt-id": attemptId });
@@ -196,7 +210,10 @@
     };
 
     const server = await startHttpStandIn((request, response, url, body) => {
-        arrivals++;
+        arrivedAt.push(performance.now());
+        if (isLeaving) {
+            response.setHeader("server-leaving", "1");
+        }
         if (request.headers["expect-instance"] !== options.id) {
             response.setHeader("attempt-id", request.headers["attempt-id"] ?? "");
             response.setHeader("runner-id", options.id);
@@ -209,10 +226,17 @@
         ...server,
         id: options.id,
         runs,
-        countArrivals: () => arrivals,
+        countArrivals: () => arrivedAt.length,
+        arrivedAt,
         behave: next => {
             behaviour = next;
         },
+        leave: () => {
+            isLeaving = true;
+        },
+        setRetryAfter: text => {
+            retryAfter = text;
+        },
         [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
     };
 }
