Bring configurations into force after the store has come back from an older copy

Callers: once the store had come back from an older copy, the next configuration was never in force, gateways were not registered any more, and a gateway that started then acted on the copy.

Cause: positions were offsets alone, and a restored store gives offsets out again; a record before the known position counted as old. Nothing said which of two contents is newer but the offset.

Change: Store-Era is read from all answers. A position is the pair of era and offset, in reads, relays and batches. Records of an earlier era stay in force until they are written again or superseded, by revision, version, start and heartbeat; followers are told of them whatever their position. A later era ends waiting reads. Registrations and condemned requests are written again by their writer, spread over a second. A gateway that starts waits up to peerWait for another one.

--- a/src/node/gateway/condemnedRecords.ts
+++ b/src/node/gateway/condemnedRecords.ts
@@ -53,6 +53,8 @@
 export function keepCondemnedRecords(input: CondemnedRecordsInput): Disposable {
     const { clock, condemnedDuration, knowledge, log, logger, store } = input;
     const kept = new Map<Fingerprint, KeptRecord>();
+    /** Records that this gateway has dropped. */
+    const dropped = new Set<Fingerprint>();
 
     function toWallClock(at: Milliseconds): number {
         return Math.round(clock.now().getTime() - (clock.monotonic() - at));
@@ -80,6 +82,7 @@
         row.writtenAt = clock.monotonic();
         if (!isCondemned) {
             kept.delete(fingerprint);
+            dropped.add(fingerprint);
         }
         logger.info({ fingerprint, offset: written.value, condemned: isCondemned }, "condemned request written");
     }
@@ -133,6 +136,25 @@
             tick();
         }
     });
+    store.onRestored(topic => {
+        if (topic !== "condemned-requests") {
+            return;
+        }
+        const { era, records } = store.topic(topic);
+        for (const [fingerprint, { era: recordEra, value }] of records) {
+            if (recordEra === era) {
+                continue;
+            }
+            const row = kept.get(fingerprint);
+            if (row !== undefined && value !== undefined) {
+                row.writtenAt = undefined;
+            }
+            else if (dropped.has(fingerprint) && value === undefined) {
+                kept.set(fingerprint, { writtenAt: undefined, writing: false });
+            }
+        }
+        tick();
+    });
     store.onChange((topic, records) => {
         if (topic === "condemned-requests") {
             records.forEach(receive);
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -91,6 +91,7 @@
 ): Promise<Result<Pick<Gateway, "drain">, GoldcrestpointError>> {
     const { clock, log, random } = ports;
     const { gateway, instance, replica } = settings;
+    const startedAt = clock.monotonic();
     const ended = new AbortController();
     stack.defer(() => ended.abort());
     const metrics = createMetrics({ clock });
@@ -108,6 +109,7 @@
         clock,
         logger,
     );
+    log.onEra?.(store.noteEra);
     const notices = createServerNotices({
         clock,
         logger,
@@ -251,11 +253,15 @@
     const callerServer = stack.use(callers.value);
     state.onOperator(routes => {
         callerServer.applyLimits(routes.configuration.limits);
-        const { nextOffset } = store.topic("operator");
+        const { era, nextOffset, records } = store.topic("operator");
+        const origin = {
+            era: Math.min(era, ...[...records.values()].map(record => record.era)),
+            offset: Math.max(0, nextOffset - 1),
+        };
         const readVersion = (model: string) => state.readVersions(model).newest;
         store.receive({
             topic: "weight-sources",
-            page: { records: deriveWeightSources(routes, readVersion, Math.max(0, nextOffset - 1)), nextOffset },
+            page: { records: deriveWeightSources(routes, readVersion, origin), nextOffset, era },
             complete: true,
             age: 0,
             source: "local",
@@ -274,6 +280,10 @@
         signal: ended.signal,
         settleWithin: gateway.registrationLimit,
     });
+    /** The log may have been restored just now: what it lost, other gateways know. */
+    const awaitsGateways = (): boolean =>
+        clock.monotonic() < startedAt + gateway.peerWait && store.newestEra() > 0 &&
+        store.relayedCurrentAt("operator") === undefined && gateways.listAddresses().length > 0;
     let draining = false;
     const router = createRouter({
         readyPath: ports.readyPath,
@@ -282,6 +292,7 @@
             ...(state.routes() === undefined ? ["no configuration"] : []),
             ...(state.servers.size === 0 ? ["no backend server is known"] : []),
             ...(registration.isSettled() ? [] : ["not registered"]),
+            ...(awaitsGateways() ? ["other gateways not heard"] : []),
         ],
         renderMetrics: () => metrics.render(),
         decisions,
--- a/src/node/gateway/gatewayState.ts
+++ b/src/node/gateway/gatewayState.ts
@@ -207,6 +207,13 @@
         "weight-sources": () => {},
     };
 
+    // Entries that were written since the copy was taken are written again, as after an outage.
+    store.onRestored(topic => {
+        if (topic === "backend-servers") {
+            outagesSeen = true;
+            currentSince = clock.monotonic();
+        }
+    });
     store.onChange((topic, records, page) => handlers[topic](records, page));
 
     return {
--- a/src/node/gateway/weightSources.ts
+++ b/src/node/gateway/weightSources.ts
@@ -21,31 +21,32 @@
  *
  * @param routes - configuration in force
  * @param readVersion - reads the newest declared version of a model
- * @param offset - offset of the newest record that configuration and versions come from
+ * @param origin - offset of the newest record that configuration and versions come from, and era of the oldest one
  * @returns a record for each service with an engine
  */
 export function deriveWeightSources(
     routes: RouteTable,
     readVersion: (model: string) => number | undefined,
-    offset: number,
+    { era, offset }: Pick<KeyedRecord, "era" | "offset">,
 ): readonly KeyedRecord[] {
     const services = [...routes.services.values()];
-    const origin = services.find(({ originAddress }) => originAddress !== undefined);
+    const weightOrigin = services.find(({ originAddress }) => originAddress !== undefined);
     return services.flatMap(({ engine, name }) => {
-        if (engine === undefined || origin?.originAddress === undefined) {
+        if (engine === undefined || weightOrigin?.originAddress === undefined) {
             return [];
         }
         const version = readVersion(engine.model);
         const source: WeightSource = {
             model: engine.model,
-            originAddress: origin.originAddress,
-            ...(origin.zone === undefined ? {} : { originZone: origin.zone }),
+            originAddress: weightOrigin.originAddress,
+            ...(weightOrigin.zone === undefined ? {} : { originZone: weightOrigin.zone }),
             chunks: engine.chunks,
             chunkBytes: engine.chunkBytes,
             slots: engine.slots,
             ...(version === undefined ? {} : { version }),
         };
-        return [{ key: name, value: Buffer.from(JSON.stringify(source)), offset }];
+        const order = [version ?? 0, routes.configuration.revision];
+        return [{ key: name, value: Buffer.from(JSON.stringify(source)), offset, era, order }];
     });
 }
 
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -103,6 +103,12 @@
     "tick failed": define("process", ["agent"], "one round of the agent's systems failed", error),
     "log not reachable": define("dependency", both, "a read of the log failed after one that did not", error),
     "log reachable again": define("dependency", both, "a read of the log succeeded after one that did not"),
+    "log restored": define(
+        "dependency",
+        both,
+        "the log came back from an older copy; records that it has not confirmed stay in force",
+        ["topic", "era", "previous", "source", "peer", "nextOffset", "carried"],
+    ),
     "log read failed": define("dependency", ["entry"], "a read of the log failed", error),
     "log has lost records": define("dependency", ["entry"], "records expired before they were read"),
     "instance list read failed": define("dependency", anyProgram, "the list of instances could not be read", error),
--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -1,6 +1,16 @@
 import type { Logger } from "pino";
+import type { Result } from "true-myth/result";
 import { type DirectReadOptions, mayReadDirectly } from "../../runtime/replica/index.js";
-import type { Clock, GoldcrestpointError, KeyedLogPort, KeyedTopic, Milliseconds } from "../../types/index.js";
+import {
+    type Clock,
+    createError,
+    type GoldcrestpointError,
+    type KeyedLogPort,
+    type KeyedPage,
+    type KeyedTopic,
+    type Milliseconds,
+    type Offset,
+} from "../../types/index.js";
 import { sleep } from "../../utils/index.js";
 import type { RecordStore } from "./recordStore.js";
 
@@ -49,6 +59,8 @@
     const startedAt = clock.monotonic();
     let failures = 0;
     let known = false;
+    let pending: AbortController | undefined;
+    store.onEra(() => pending?.abort());
 
     function isDue(): boolean {
         return mode === "wait" || store.topic(topic).currentAt === undefined || mayReadDirectly({
@@ -61,15 +73,34 @@
         });
     }
 
+    /** Reads records after a position; ended early if the position turns out to be of an earlier era. */
+    async function readOnwards(
+        nextOffset: Offset,
+        wait: Milliseconds,
+    ): Promise<Result<KeyedPage, GoldcrestpointError>> {
+        pending = new AbortController();
+        try {
+            return await log.readSince(topic, nextOffset, wait, pending.signal);
+        }
+        finally {
+            pending = undefined;
+        }
+    }
+
     async function readOnce(): Promise<GoldcrestpointError | undefined> {
-        const { nextOffset } = store.topic(topic);
-        const complete = !known && nextOffset === 0;
+        const { era, nextOffset } = store.topic(topic);
+        const complete = (!known && nextOffset === 0) || store.newestEra() > era;
         const requestedAt = clock.monotonic();
         const wait = mode === "wait" ? options.readWait : 0;
-        const page = complete ? await log.readNewest(topic) : await log.readSince(topic, nextOffset, wait);
+        const page = complete ? await log.readNewest(topic) : await readOnwards(nextOffset, wait);
         if (page.isErr) {
             return page.error;
         }
+        const pageEra = page.value.era ?? 0;
+        if (pageEra < store.newestEra() || (!complete && pageEra !== era)) {
+            store.noteEra(pageEra);
+            return createError("LOG_RESTORED", `read records of ${topic}`, "log", `era ${pageEra}, expected ${era}`);
+        }
         known = true;
         // A read that waited shows the state at its end; how long the answer travelled is not known.
         const age = complete || wait === 0 ? clock.monotonic() - requestedAt : 0;
@@ -92,6 +123,9 @@
         if (error?.code === "LOG_TRUNCATED") {
             error = await readAfterTruncation();
         }
+        else if (error !== undefined && store.newestEra() > store.topic(topic).era) {
+            error = await readOnce();
+        }
         if (signal.aborted) {
             return;
         }
--- a/src/node/replica/recordRelay.ts
+++ b/src/node/replica/recordRelay.ts
@@ -6,8 +6,8 @@
     RecordBatchSchema,
     RelayedKeyedRecordSchema,
 } from "../../generated/goldcrestpoint_pb.js";
-import { selectUnknown } from "../../runtime/replica/index.js";
-import type { Clock, KeyedTopic, Milliseconds, Offset } from "../../types/index.js";
+import { type ReplicaPosition, selectUnknown } from "../../runtime/replica/index.js";
+import type { Clock, KeyedTopic, Milliseconds } from "../../types/index.js";
 import type { RecordStore } from "./recordStore.js";
 
 /** Options of {@link createRecordRelay}. */
@@ -38,7 +38,7 @@
 
 /** Position of a follower in one topic. */
 interface FollowerPosition {
-    nextOffset: Offset;
+    known: ReplicaPosition;
     sentAt: Milliseconds;
 }
 
@@ -49,6 +49,14 @@
     blocked: boolean;
 }
 
+/** Messages may cross, so a position never goes back. */
+function advance(known: ReplicaPosition, next: ReplicaPosition): ReplicaPosition {
+    if (next.era !== known.era) {
+        return next.era > known.era ? next : known;
+    }
+    return { ...next, nextOffset: Math.max(known.nextOffset, next.nextOffset) };
+}
+
 /** Ages are relayed in whole milliseconds. */
 function toWholeMilliseconds(duration: Milliseconds): bigint {
     return BigInt(Math.max(0, Math.round(duration)));
@@ -73,20 +81,25 @@
         if (known.currentAt === undefined) {
             return undefined;
         }
-        const { complete, records } = known.nextOffset > position.nextOffset ?
-            selectUnknown(known, position.nextOffset) :
+        const { carriedChanges, era, nextOffset } = position.known;
+        const isBehind = era !== known.era || known.nextOffset > nextOffset || carriedChanges !== known.carriedChanges;
+        const { complete, records } = isBehind ?
+            selectUnknown(known, position.known) :
             { complete: false, records: [] };
         if (records.length === 0 && !isHeartbeat) {
             return undefined;
         }
         return create(RecordBatchSchema, {
             topic,
+            era: BigInt(known.era),
             nextOffset: BigInt(known.nextOffset),
             complete,
             ageMilliseconds: toWholeMilliseconds(now - known.currentAt),
-            records: records.map(({ key, offset, value }) =>
+            records: records.map(({ era: recordEra, key, offset, order, value }) =>
                 create(RelayedKeyedRecordSchema, {
                     key,
+                    era: BigInt(recordEra),
+                    order: [...order ?? []],
                     offset: BigInt(offset),
                     dropped: value === undefined,
                     ...(value === undefined ? {} : { value }),
@@ -102,12 +115,18 @@
             if (follower.blocked) {
                 return;
             }
-            const isHeartbeat = topic === firstTopic && now - position.sentAt >= options.relayHeartbeat;
+            // The first message about a topic tells the follower that this process knows no more of it.
+            const isHeartbeat = position.sentAt === -Infinity ||
+                (topic === firstTopic && now - position.sentAt >= options.relayHeartbeat);
             const batch = createBatch(topic, position, now, isHeartbeat);
             if (batch === undefined) {
                 continue;
             }
-            position.nextOffset = Math.max(position.nextOffset, Number(batch.nextOffset));
+            position.known = advance(position.known, {
+                era: Number(batch.era),
+                nextOffset: Number(batch.nextOffset),
+                carriedChanges: store.topic(topic).carriedChanges,
+            });
             position.sentAt = now;
             if (!follower.call.write(batch)) {
                 follower.blocked = true;
@@ -119,18 +138,22 @@
     }
 
     function applyPositions(follower: Follower, request: FollowRecordsRequest): void {
-        for (const { nextOffset, topic } of request.positions) {
+        for (const { era, nextOffset, topic } of request.positions) {
             const known = store.topics.find(name => name === topic);
             if (known === undefined) {
                 continue;
             }
-            const offset = Number(nextOffset);
             const position = follower.positions.get(known);
+            const stated = {
+                era: Number(era),
+                nextOffset: Number(nextOffset),
+                carriedChanges: position?.known.carriedChanges,
+            };
             if (position === undefined) {
-                follower.positions.set(known, { nextOffset: offset, sentAt: -Infinity });
+                follower.positions.set(known, { known: stated, sentAt: -Infinity });
             }
             else {
-                position.nextOffset = Math.max(position.nextOffset, offset);
+                position.known = advance(position.known, stated);
             }
         }
     }
--- a/src/node/replica/recordStore.ts
+++ b/src/node/replica/recordStore.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "pino";
 import { createReplica, mergePage, type ReplicaTopic } from "../../runtime/replica/index.js";
-import type { Clock, KeyedPage, KeyedRecord, KeyedTopic, Milliseconds } from "../../types/index.js";
+import type { Clock, KeyedPage, KeyedRecord, KeyedTopic, LogEra, Milliseconds } from "../../types/index.js";
 
 /** Where a page came from. */
 export type PageSource = "log" | "relay" | "local";
@@ -44,6 +44,18 @@
     relayedCurrentAt(topic: KeyedTopic): Milliseconds | undefined;
     /** Registers a listener for changed records. */
     onChange(listener: RecordListener): void;
+    /** Highest era that the log or a relay has named; 0 if none did. */
+    readonly newestEra: () => LogEra;
+    /**
+     * Notes the era that an answer or a relay names.
+     *
+     * @param era - the era; 0 if it names none
+     */
+    readonly noteEra: (era: LogEra) => void;
+    /** Registers a listener that is called when a higher era is named. */
+    onEra(listener: () => void): void;
+    /** Registers a listener that is called when a topic is taken over from a restored log, before its changes are told. */
+    onRestored(listener: (topic: KeyedTopic) => void): void;
     readonly topics: readonly KeyedTopic[];
 }
 
@@ -59,6 +71,24 @@
     const replica = createReplica(topics);
     const relayed = new Map<KeyedTopic, Milliseconds>();
     const listeners: RecordListener[] = [];
+    const eraListeners: (() => void)[] = [];
+    const restoreListeners: ((topic: KeyedTopic) => void)[] = [];
+    let newestEra: LogEra = 0;
+
+    function noteEra(era: LogEra): void {
+        if (era > newestEra) {
+            newestEra = era;
+            eraListeners.forEach(listener => listener());
+        }
+    }
+
+    function noteRestored(received: ReceivedPage, previous: LogEra): void {
+        const { peer, source, topic } = received;
+        const { era, nextOffset, records } = findTopic(topic);
+        const carried = [...records.values()].filter(record => record.era < era).length;
+        logger.warn({ topic, era, previous, source, peer, nextOffset, carried }, "log restored");
+        restoreListeners.forEach(listener => listener(topic));
+    }
 
     function findTopic(topic: KeyedTopic): ReplicaTopic {
         const found = replica.topics.get(topic);
@@ -73,14 +103,26 @@
         topic: findTopic,
         relayedCurrentAt: topic => relayed.get(topic),
         onChange: listener => void listeners.push(listener),
+        newestEra: () => newestEra,
+        noteEra,
+        onEra: listener => void eraListeners.push(listener),
+        onRestored: listener => void restoreListeners.push(listener),
         receive: received => {
             const { age, complete, page, peer, source, topic } = received;
             const currentAt = clock.monotonic() - age;
+            const known = findTopic(topic);
+            const { currentAt: knownAt, era } = known;
+            if ((page.era ?? 0) < era) {
+                return;
+            }
             if (source === "relay") {
                 relayed.set(topic, Math.max(relayed.get(topic) ?? currentAt, currentAt));
             }
-            const known = findTopic(topic);
             const changed = mergePage(known, { page, complete, currentAt });
+            if (knownAt !== undefined && known.era > era) {
+                noteRestored(received, era);
+            }
+            noteEra(page.era ?? 0);
             if (changed.length > 0) {
                 logger.info(
                     {
--- a/src/node/replica/registration.ts
+++ b/src/node/replica/registration.ts
@@ -35,6 +35,8 @@
 /** Time to wait for the registered instances, since a record of an earlier start may say the same. */
 const longestWait: Milliseconds = 600;
 const waitStep: Milliseconds = 25;
+/** Time over which gateways spread their records after the log was restored. */
+const restoreSpread: Milliseconds = 1_000;
 
 /**
  * Registers a gateway. A record that says the same stays as it is.
@@ -48,7 +50,9 @@
     let hasFailed = false;
 
     function isListed(): boolean {
-        return listInstances(store).find(row => row.instance === self.instance)?.address === self.address;
+        const { era, records } = store.topic("instances");
+        return records.get(self.instance)?.era === era &&
+            listInstances(store).find(row => row.instance === self.instance)?.address === self.address;
     }
 
     async function register(): Promise<void> {
@@ -71,6 +75,11 @@
         }
     }
 
-    void register();
+    let registering = register();
+    store.onRestored(topic => {
+        if (topic === "instances") {
+            registering = registering.then(() => sleep(random.next() * restoreSpread, signal)).then(register);
+        }
+    });
     return { isSettled: () => hasFailed || clock.monotonic() >= settlesAt || isListed() };
 }
--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -84,7 +84,11 @@
         return create(FollowRecordsRequestSchema, {
             instance: input.self,
             positions: store.topics.map(topic =>
-                create(TopicPositionSchema, { topic, nextOffset: BigInt(store.topic(topic).nextOffset) })
+                create(TopicPositionSchema, {
+                    topic,
+                    nextOffset: BigInt(store.topic(topic).nextOffset),
+                    era: BigInt(store.topic(topic).era),
+                })
             ),
         });
     }
@@ -119,9 +123,12 @@
             complete: batch.complete,
             age: Number(batch.ageMilliseconds),
             page: {
+                era: Number(batch.era),
                 nextOffset: Number(batch.nextOffset),
-                records: batch.records.map(({ dropped, key, offset, value }) => ({
+                records: batch.records.map(({ dropped, era, key, offset, order, value }) => ({
                     key,
+                    era: Number(era),
+                    order: order.length === 0 ? undefined : order,
                     offset: Number(offset),
                     value: dropped ? undefined : value,
                 })),
--- a/src/runtime/replica/index.ts
+++ b/src/runtime/replica/index.ts
@@ -1,2 +1,3 @@
 export * from "./directReads.js";
 export * from "./replica.js";
+export * from "./restore.js";
--- /dev/null
+++ b/src/runtime/replica/restore.ts
@@ -0,0 +1,44 @@
+import type { KeyedRecord, KeyedTopic } from "../../types/index.js";
+
+/** What becomes of a known key that a restored log does not list: it is kept until it is written again, or dropped. */
+export type MissingAfterRestore = "keep" | "drop";
+
+/**
+ * What is kept of each topic. What the operator and the gateways wrote since the copy was taken stays in force; a backend
+ * server that lives writes its entry again.
+ */
+export const missingAfterRestore: Readonly<Record<KeyedTopic, MissingAfterRestore>> = {
+    operator: "keep",
+    "backend-servers": "drop",
+    instances: "keep",
+    "condemned-requests": "keep",
+    "weight-sources": "drop",
+};
+
+function compareOrders(left: readonly number[], right: readonly number[]): number {
+    for (let index = 0; index < Math.min(left.length, right.length); index++) {
+        if (left[index] !== right[index]) {
+            return left[index]! - right[index]!;
+        }
+    }
+    return 0;
+}
+
+/**
+ * Decides between two records of a key whose offsets do not compare, since the log was restored between them. A key that
+ * was dropped comes back only with a higher first number, as a backend server that has started anew.
+ *
+ * @param candidate - record that was read later, or in a later era
+ * @param known - record that is known
+ * @returns true if the candidate takes the place of the known record
+ */
+export function supersedes(candidate: KeyedRecord, known: KeyedRecord): boolean {
+    if (candidate.value === undefined) {
+        return known.value !== undefined && (known.order?.[0] ?? -Infinity) <= (candidate.order?.[0] ?? -Infinity);
+    }
+    if (known.value === undefined) {
+        return (candidate.order?.[0] ?? -Infinity) > (known.order?.[0] ?? -Infinity);
+    }
+    return candidate.order === undefined || known.order === undefined ||
+        compareOrders(candidate.order, known.order) > 0;
+}
--- a/test/platform/standIn/storeStandIn.ts
+++ b/test/platform/standIn/storeStandIn.ts
@@ -27,9 +27,15 @@
     /** Forgets all records but the newest of each key. */
     compact(topic: string): void;
     setFault(fault: StoreFault): void;
+    /** Copies all topics, as they are now. */
+    backUp(): void;
+    /** Goes back to the copy; offsets are given out again, and the era rises. */
+    restore(): void;
     /** Lets all calls of a topic wait before they are carried out. */
     slow(topic: string, milliseconds: number): void;
     readonly countCalls: () => number;
+    /** Counts the records of a key that the log holds. */
+    countRecords(topic: string, key: string): number;
 }
 
 /** Most keys on one page of the newest records. */
@@ -45,8 +51,17 @@
     const waiting = new Set<() => void>();
     let fault: StoreFault = "none";
     let calls = 0;
+    let era = 1;
+    let copy = new Map<string, StoredTopic>();
     const delays = new Map<string, number>();
 
+    function copyTopics(from: ReadonlyMap<string, StoredTopic>): Map<string, StoredTopic> {
+        return new Map([...from].map(([name, { end, newest, records }]) => [
+            name,
+            { end, records: [...records], newest: new Map(newest) },
+        ]));
+    }
+
     function findTopic(name: string): StoredTopic {
         const topic = topics.get(name) ?? { records: [], newest: new Map<string, StoredRecord>(), end: 0 };
         topics.set(name, topic);
@@ -83,14 +98,16 @@
     }
 
     async function read(url: URL, response: ServerResponse): Promise<void> {
-        const topic = findTopic(url.searchParams.get("topic") ?? "");
+        const name = url.searchParams.get("topic") ?? "";
+        const startedIn = era;
+        const topic = findTopic(name);
         const from = Number(url.searchParams.get("from"));
-        if (from < (topic.records[0]?.offset ?? topic.end)) {
+        if (from < (topic.records[0]?.offset ?? topic.end) || from > topic.end) {
             sendJson(response, 410, { first: topic.records[0]?.offset ?? topic.end });
             return;
         }
         const endsAt = Date.now() + Number(url.searchParams.get("wait_ms") ?? 0);
-        while (topic.end <= from && Date.now() < endsAt && !response.destroyed) {
+        while (topic.end <= from && startedIn === era && Date.now() < endsAt && !response.destroyed) {
             await new Promise<void>(resolve => {
                 const wake = (): void => {
                     clearTimeout(timer);
@@ -101,6 +118,10 @@
                 waiting.add(wake);
             });
         }
+        if (startedIn !== era) {
+            response.destroy();
+            return;
+        }
         response.writeHead(200);
         response.end(encodeRead(topic, from));
     }
@@ -144,6 +165,7 @@
         if (delay !== undefined) {
             await new Promise(resolve => setTimeout(resolve, delay));
         }
+        response.setHeader("store-era", String(era));
         const inject = faults[fault];
         if (inject !== undefined) {
             inject(response);
@@ -175,8 +197,18 @@
             fault = next;
             waiting.forEach(wake => wake());
         },
+        backUp: () => {
+            copy = copyTopics(topics);
+        },
+        restore: () => {
+            topics.clear();
+            copyTopics(copy).forEach((topic, name) => topics.set(name, topic));
+            era++;
+            waiting.forEach(wake => wake());
+        },
         slow: (topic, milliseconds) => void delays.set(topic, milliseconds),
         countCalls: () => calls,
+        countRecords: (topic, key) => findTopic(topic).records.filter(record => record.key === key).length,
         [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
     };
 }
--- a/test/runtime/replica/replica.test.ts
+++ b/test/runtime/replica/replica.test.ts
@@ -1,7 +1,13 @@
 import { expect } from "earl";
 import fastCheck from "fast-check";
 import { describe, it } from "node:test";
-import { createReplica, mayReadDirectly, mergePage, selectUnknown } from "../../../src/runtime/replica/index.js";
+import {
+    createReplica,
+    mayReadDirectly,
+    mergePage,
+    type ReplicaPosition,
+    selectUnknown,
+} from "../../../src/runtime/replica/index.js";
 import type { KeyedRecord } from "../../../src/types/index.js";
 
 function createTopic() {
@@ -12,6 +18,10 @@
     return { key, value: value === undefined ? undefined : Buffer.from(value), offset };
 }
 
+function at(nextOffset: number): ReplicaPosition {
+    return { era: 0, nextOffset, carriedChanges: 0 };
+}
+
 function readValues(topic: ReturnType<typeof createTopic>): Record<string, string> {
     const rows = [...topic.records.values()].filter(({ value }) => value !== undefined);
     return Object.fromEntries(rows.map(({ key, value }) => [key, Buffer.from(value!).toString()]));
@@ -63,8 +73,8 @@
         const topic = createTopic();
         mergePage(topic, { page: { records: [record("a", "1", 0)], nextOffset: 1 }, complete: true, currentAt: 10 });
         mergePage(topic, { page: { records: [record("a", "1", 1)], nextOffset: 2 }, complete: false, currentAt: 20 });
-        expect(selectUnknown(topic, 1).records).toEqual([]);
-        expect(selectUnknown(topic, 0).records.map(({ key }) => key)).toEqual(["a"]);
+        expect(selectUnknown(topic, at(1)).records).toEqual([]);
+        expect(selectUnknown(topic, at(0)).records.map(({ key }) => key)).toEqual(["a"]);
     });
 
     it("converges whatever the order in which relays deliver, seeded by fast-check", () => {
@@ -84,7 +94,7 @@
                 const part = records.slice(relay.nextOffset, end);
                 mergePage(relay, { page: { records: part, nextOffset: end }, complete: false, currentAt: step });
                 const sender = relays[picks.next().value! % 2]!;
-                const { complete, records: sent } = selectUnknown(sender, follower.nextOffset);
+                const { complete, records: sent } = selectUnknown(sender, at(follower.nextOffset));
                 if (sender.nextOffset > follower.nextOffset) {
                     mergePage(follower, {
                         page: { records: sent, nextOffset: sender.nextOffset },
@@ -93,7 +103,7 @@
                     });
                 }
             }
-            const { complete, records: rest } = selectUnknown(source, follower.nextOffset);
+            const { complete, records: rest } = selectUnknown(source, at(follower.nextOffset));
             mergePage(follower, { page: { records: rest, nextOffset: source.nextOffset }, complete, currentAt: 99 });
             expect(readValues(follower)).toEqual(readValues(source));
         }));
