Do not refuse callers beside an idle backend server while streams end at one that leaves

Callers: with four streams at a backend server that leaves, or is gone from the list, further requests got 503 although another one had all of its places free, until the streams had ended.

Cause: the gateway's places are what it has in progress and its share of the free ones, but what it had in progress was counted at the backend servers that may take requests only, while the queue counts all.

Change: requests in progress elsewhere are added to the places. They are counted by service, since they may outlast the row of their backend server.

--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -139,7 +139,7 @@
             runner.trial = "running";
         }
         progress.attempts++;
-        runner.outstanding++;
+        const release = choice.occupy(request.service, server);
         runner.awaitingFirst++;
         let awaiting = true;
         const begin = (): void => {
@@ -180,7 +180,7 @@
         finally {
             begin();
             endTrial(false);
-            runner.outstanding--;
+            release();
         }
     }
 
--- a/src/node/gateway/serverChoice.ts
+++ b/src/node/gateway/serverChoice.ts
@@ -69,6 +69,14 @@
      * @returns places; none if no backend server can answer
      */
     readonly measureShare: (service: ServiceRow, demand: ServiceDemand) => ServiceShare;
+    /**
+     * Counts a request that is in progress at a backend server.
+     *
+     * @param service - service of the request
+     * @param server - where it is in progress
+     * @returns function to call once when it has ended
+     */
+    occupy(service: ServiceRow, server: BackendServerRow): () => void;
 }
 
 /** Time for which a draw of {@link computePlaceShare} holds; in it, gateways learn what the others have taken. */
@@ -84,6 +92,9 @@
     const { clock, options, state } = input;
     let draw = { value: input.random.next(), until: clock.monotonic() + drawInterval };
 
+    /** Requests in progress by service. They may outlast the row of their backend server. */
+    const inProgress = new Map<string, number>();
+
     function readDraw(now: Milliseconds): number {
         if (now >= draw.until) {
             draw = { value: input.random.next(), until: now + drawInterval };
@@ -106,6 +117,14 @@
     }
 
     return {
+        occupy: ({ name }, { runner }) => {
+            runner.outstanding++;
+            inProgress.set(name, (inProgress.get(name) ?? 0) + 1);
+            return () => {
+                runner.outstanding--;
+                inProgress.set(name, inProgress.get(name)! - 1);
+            };
+        },
         select: (service, excluded) => {
             const decision = selectRunner({
                 ...describeCandidates(service, excluded),
@@ -127,7 +146,9 @@
             const described = describeCandidates(service, new Set());
             const { now } = described;
             const { candidates, leftOut, resumesAt } = findCandidates(described);
+            const here = candidates.reduce((sum, { outstanding }) => sum + outstanding, 0);
             const share = computePlaceShare({
+                elsewhere: (inProgress.get(service.name) ?? 0) - here,
                 runners: candidates.map(runner => ({
                     runner,
                     isFollowed: state.servers.get(runner.instance)?.reportedAt !== undefined,
--- a/src/runtime/gateway/placeShare.ts
+++ b/src/runtime/gateway/placeShare.ts
@@ -24,6 +24,8 @@
 export interface PlaceShareInput {
     /** Backend servers that may take requests. */
     readonly runners: readonly SharedRunner[];
+    /** Requests that this gateway has in progress at other backend servers of the service, such as those that leave. Default: 0. */
+    readonly elsewhere?: number | undefined;
     /** Gateways that share the free places, this one included. */
     readonly gateways: number;
     /** How busy this gateway is with the service. */
@@ -38,7 +40,7 @@
 export interface PlaceShare {
     /** Requests that the gateway may have in progress; at least 0. */
     readonly places: number;
-    /** Requests that it has in progress at the backend servers. */
+    /** Requests that it has in progress at the backend servers that may take further ones. */
     readonly own: number;
     /** Places that no gateway has taken, as far as is known; a fraction, since the weight of a load falls with its age. */
     readonly free: number;
@@ -61,7 +63,8 @@
 /**
  * Computes how many requests a gateway may have in progress at a service: those that it has, and its share of the places
  * that no gateway has taken. Only gateways that are expected to want a place at the same time share them, since a service
- * may have fewer places than there are gateways. The share is rounded down: rounded up everywhere, the last free places
+ * may have fewer places than there are gateways. Requests at backend servers that take no further ones need no place at
+ * the others. The share is rounded down: rounded up everywhere, the last free places
  * would be given away several times, and their requests would wait at the backend server. A gateway that has nothing in
  * progress gets a place for a fraction of one by chance, else none would ever get the last places.
  *
@@ -69,7 +72,7 @@
  * @returns the places, with what they follow from
  */
 export function computePlaceShare(input: PlaceShareInput): PlaceShare {
-    const { draw, gateways, now, options, runners } = input;
+    const { draw, elsewhere = 0, gateways, now, options, runners } = input;
     let own = 0;
     let free = 0;
     for (const { isFollowed, runner } of runners) {
@@ -81,6 +84,7 @@
     }
     const contenders = countContenders(input);
     const share = free / contenders;
-    const places = own + Math.floor(share);
-    return { places: places === 0 && draw < share ? 1 : places, own, free, gateways, contenders };
+    const whole = own + Math.floor(share);
+    const places = whole === 0 && draw < share ? 1 : whole;
+    return { places: places + elsewhere, own, free, gateways, contenders };
 }
--- a/test/runtime/gateway/placeShare.test.ts
+++ b/test/runtime/gateway/placeShare.test.ts
@@ -49,6 +49,16 @@
         expect(share(13, busy, 0, { own: 2 }).places).toEqual(2);
     });
 
+    // Guards against an idle backend server that gets no request while streams go on at one that leaves.
+    it("does not count requests at backend servers that take no further ones", () => {
+        const runner = Object.assign(createRunnerRow("archive", { instance: "i-1", zone: "zone-a", region: "south" }), {
+            capacity: 4,
+        });
+        const options = { queuedPerServer: 0, loadHalfLife: 1_000 };
+        const input = { runners: [{ runner, isFollowed: true }], gateways: 1, demand: busy, draw: 1, now: 0, options };
+        expect(computePlaceShare({ ...input, elsewhere: 5 }).places).toEqual(5 + 4);
+    });
+
     it("names what it follows from", () => {
         expect(share(13, busy, 1, { own: 1, others: 2 })).toEqual({
             places: 1,
