Bound what gateways tell each other of backend servers that leave

A notice that one gateway had forgotten came back from another one that still had it, without end, and each answer with Retry-After had the gateway tell the others nothing new.

Notices older than their memory are not taken over, only news of leaving is told, and dropped condemned requests are remembered up to a bound. test/node/gateway/serverNotices.test.ts, not run on the code before.

--- a/src/node/gateway/condemnedRecords.ts
+++ b/src/node/gateway/condemnedRecords.ts
@@ -11,6 +11,9 @@
     touchedAt: z.number(),
 });
 
+/** Dropped records that are remembered, to be dropped again if the log is restored; the oldest are forgotten first. */
+const maximumDropped = 1_000;
+
 type CondemnedRecord = z.infer<typeof recordSchema>;
 
 /** Dependencies of {@link keepCondemnedRecords}. */
@@ -83,6 +86,9 @@
         if (!isCondemned) {
             kept.delete(fingerprint);
             dropped.add(fingerprint);
+            if (dropped.size > maximumDropped) {
+                dropped.delete(dropped.keys().next().value!);
+            }
         }
         logger.info({ fingerprint, offset: written.value, condemned: isCondemned }, "condemned request written");
     }
--- a/src/node/gateway/crashExchange.ts
+++ b/src/node/gateway/crashExchange.ts
@@ -179,7 +179,7 @@
     }
 
     knowledge.onNews(scheduleNews);
-    notices.onChange(scheduleNews);
+    notices.onLeaving(scheduleNews);
     const timer = setInterval(tick, interval);
     return {
         askNew,
--- a/src/node/gateway/serverNotices.ts
+++ b/src/node/gateway/serverNotices.ts
@@ -44,7 +44,9 @@
      */
     expire(isListed: (lifetime: string) => boolean): void;
     /** Called after a change of the notice of a lifetime. */
-    onChange(listener: (lifetime: string, source: NoticeSource) => void): void;
+    onChange(listener: (lifetime: string) => void): void;
+    /** Called when a backend server is found to leave. */
+    onLeaving(listener: () => void): void;
 }
 
 /** Dependencies of {@link createServerNotices}. */
@@ -65,12 +67,14 @@
  */
 export function createServerNotices({ clock, logger, maximumPause, memory }: ServerNoticesInput): ServerNotices {
     const table: ServerNoticeTable = new Map();
-    const listeners: ((lifetime: string, source: NoticeSource) => void)[] = [];
+    const listeners: ((lifetime: string) => void)[] = [];
+    const leavingListeners: (() => void)[] = [];
 
     function noteLeaving(lifetime: string, age: Milliseconds, source: NoticeSource): void {
         if (recordLeaving(table, lifetime, age, clock.monotonic())) {
             logger.info({ lifetime, notice: "leaving", source, ageMilliseconds: Math.round(age) }, "server notice");
-            listeners.forEach(listener => listener(lifetime, source));
+            listeners.forEach(listener => listener(lifetime));
+            leavingListeners.forEach(listener => listener());
         }
     }
 
@@ -79,7 +83,7 @@
             const durationMilliseconds = Math.round(duration);
             logger.info({ lifetime, notice: "paused", source: "answer", durationMilliseconds }, "server notice");
         }
-        listeners.forEach(listener => listener(lifetime, "answer"));
+        listeners.forEach(listener => listener(lifetime));
     }
 
     return {
@@ -91,10 +95,14 @@
                 noteLeaving(lifetime, 0, "answer");
             }
         },
-        mergeLeaving: leaving => leaving.forEach(({ age, lifetime }) => noteLeaving(lifetime, age, "gateway")),
+        mergeLeaving: leaving =>
+            // Gateways forget at slightly different times and must not remind each other for ever.
+            leaving.filter(({ age }) => age <= memory)
+                .forEach(({ age, lifetime }) => noteLeaving(lifetime, age, "gateway")),
         listLeaving: () => listLeaving(table, clock.monotonic()),
         find: lifetime => table.get(lifetime),
         expire: isListed => expireNotices(table, isListed, memory, clock.monotonic()),
         onChange: listener => void listeners.push(listener),
+        onLeaving: listener => void leavingListeners.push(listener),
     };
 }
