Send less often what says nothing new

Cause: each agent repeated an unchanged load report to each gateway twice a second, and each gateway followed eight others of which one is enough.

Change: unchanged reports each second, three relays followed.

--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -203,7 +203,7 @@
         unchangedReportMilliseconds: defineDuration("unchangedReport", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
-            initial: 500,
+            initial: 1_000,
             documentation: "Longest time after which gateways are sent a report although it has hardly changed.",
         }),
         reportedLoadChange: defineInteger({
--- a/src/node/settings/replicaSection.ts
+++ b/src/node/settings/replicaSection.ts
@@ -77,7 +77,7 @@
     parents: defineInteger({
         minimum: 1,
         maximum: 64,
-        initial: 8,
+        initial: 3,
         documentation: "Relays that a process follows at once.",
     }),
 } as const;
