--- a/src/runtime/placement/assess.ts
+++ b/src/runtime/placement/assess.ts
@@ -4,34 +4,34 @@
 import { createCopyKey, isGone, isReachable, measureSilence } from "./tick.js";
 import type { Tick } from "./tick.js";
 
-/** How a copy does, worst first; copies are given up in this order. */
-export type CopyStanding = "leaving" | "unreachable" | "incomplete" | "good";
+/** Condition of a copy, worst first. Of too many copies, those in the worst condition are revoked first. */
+export type CopyCondition = "leaving" | "unreachable" | "incomplete" | "good";
 
-/** A copy with what the proposer knows of it. */
+/** A copy with its condition, as far as the proposer knows it. */
 export interface AssessedCopy {
     readonly copy: CopyAssignment;
-    readonly standing: CopyStanding;
-    /** True if its agent was heard a short time ago and reports the assigned weights as serving. */
+    readonly condition: CopyCondition;
+    /** True if its agent is reachable and reports that it serves the assigned weights. */
     readonly isServing: boolean;
-    /** Why the copy no longer counts; undefined while it does. */
+    /** Why the copy can be removed from the placement; undefined while its instance may still use it. */
     readonly releaseReason: string | undefined;
-    /** Deployment whose earlier assignment of the same instance takes precedence. */
+    /** Deployment to which the instance was assigned before and which takes precedence; undefined if there is none. */
     readonly conflictsWith: string | undefined;
 }
 
 /**
- * Assesses the copies of a placement.
+ * Determines the condition of each copy of a placement.
  *
  * @param tick - the tick
  * @param placement - the placement in force
- * @returns its copies, in their order
+ * @returns one entry for each copy, in the order of the placement
  */
 export function assessCopies(tick: Tick, placement: PlacementRow): AssessedCopy[] {
     return placement.copies.map(copy => {
         const report = findReport(tick, placement.deployment, copy);
         return {
             copy,
-            standing: judgeStanding(tick, copy, report),
+            condition: determineCondition(tick, copy, report),
             isServing: report?.phase === "serving" && matchesWeights(report, copy) && isReachable(tick, copy.instance),
             releaseReason: findReleaseReason(tick, placement.deployment, copy, report),
             conflictsWith: copy.state === "assigned" ? findConflict(tick, placement.deployment, copy) : undefined,
@@ -52,13 +52,13 @@
 }
 
 /**
- * Reads the number of copies that a configuration wants.
+ * Returns how many copies a configuration wants in an availability zone.
  *
  * @param configuration - the configuration in force
  * @param zone - availability zone
  * @returns number of copies, 0 or more
  */
-export function readWanted(configuration: ConfigurationRow, zone: string): number {
+export function getWantedCopies(configuration: ConfigurationRow, zone: string): number {
     return Math.max(0, configuration.replicas[zone] ?? 0);
 }
 
@@ -69,11 +69,11 @@
 }
 
 function matchesWeights(report: CopyReport, copy: CopyAssignment): boolean {
-    // The wire format has empty texts for plain services.
+    // Plain services have no weights, which the wire format represents by an empty digest.
     return (report.manifestDigest || "") === (copy.weights?.manifestDigest ?? "");
 }
 
-function judgeStanding(tick: Tick, copy: CopyAssignment, report: CopyReport | undefined): CopyStanding {
+function determineCondition(tick: Tick, copy: CopyAssignment, report: CopyReport | undefined): CopyCondition {
     const { input } = tick;
     const isDraining = input.observations.get(copy.instance)?.draining ?? false;
     if (isDraining || input.instances.get(copy.instance)?.state === "leaving") {
@@ -103,7 +103,7 @@
         return "agent has unloaded it";
     }
     if (report?.phase === "unloading" && isReachable(tick, copy.instance)) {
-        // The holder finishes its requests and renews its hold meanwhile, so no expiry can be inferred.
+        // The agent renews its hold while it finishes its requests, so expiry of the hold cannot be inferred.
         return undefined;
     }
     return isHoldExpired(tick, deployment, copy) ? "hold has expired" : undefined;
@@ -115,7 +115,7 @@
     const { state, confirmation } = evaluateReplacement({
         revokedAt: copy.revokedAt ?? Number.POSITIVE_INFINITY,
         witnessSets: copy.previousWitnesses === undefined ? [copy.witnesses] : [copy.witnesses, copy.previousWitnesses],
-        witnesses: { get: witness => readWitness(tick, witness) },
+        witnesses: { get: witness => getWitnessKnowledge(tick, witness) },
         preceding: memory.confirmations.get(key),
         now: tick.now,
         holdDuration: options.holdDuration,
@@ -130,7 +130,7 @@
     return state === "expired";
 }
 
-function readWitness(tick: Tick, witness: string): WitnessKnowledge | undefined {
+function getWitnessKnowledge(tick: Tick, witness: string): WitnessKnowledge | undefined {
     const { self, state, witnesses } = tick.input;
     if (witness !== self) {
         return witnesses.get(witness);
@@ -139,7 +139,7 @@
 }
 
 function findConflict(tick: Tick, deployment: string, copy: CopyAssignment): string | undefined {
-    const holdings = tick.readHoldings().get(copy.instance) ?? [];
+    const holdings = tick.getHoldings().get(copy.instance) ?? [];
     return holdings.find(holding =>
         holding.deployment !== deployment && holding.state === "assigned" && holding.epoch < copy.epoch
     )?.deployment;
--- a/src/runtime/placement/copies.ts
+++ b/src/runtime/placement/copies.ts
@@ -1,20 +1,21 @@
 import type { AgentObservation, ConfigurationRow, CopyAssignment, InstanceId } from "../../types/index.js";
 import { rankByRendezvous } from "../../utils/index.js";
-import { readWanted } from "./assess.js";
-import type { AssessedCopy, CopyStanding } from "./assess.js";
+import { getWantedCopies } from "./assess.js";
+import type { AssessedCopy, CopyCondition } from "./assess.js";
 import { isReachable } from "./tick.js";
 import type { Tick } from "./tick.js";
 import type { PlacementMove } from "./types.js";
 import { chooseWitnesses } from "./witnesses.js";
 
-/** Copies of a deployment as the next record lists them, with the changes. */
+/** Copies of a deployment as the next placement record is to list them, and the changes that lead to them. */
 export interface CopyPlan {
     readonly copies: CopyAssignment[];
     readonly moves: PlacementMove[];
+    /** Number of instances that could take a new copy, in all availability zones. */
     readonly candidates: number;
 }
 
-const standingOrder: Readonly<Record<CopyStanding, number>> = { leaving: 0, unreachable: 1, incomplete: 2, good: 3 };
+const conditionOrder: Readonly<Record<CopyCondition, number>> = { leaving: 0, unreachable: 1, incomplete: 2, good: 3 };
 
 /**
  * Plans which copies are released, revoked and assigned to reach the wanted count in each availability zone.
@@ -40,7 +41,13 @@
     const revocations = new Map<InstanceId, string>();
     const keptByZone = groupByZone(configuration, kept);
     for (const [zone, entries] of keptByZone) {
-        planRevocations(tick, readWanted(configuration, zone), entries, candidatesByZone.get(zone) ?? [], revocations);
+        planRevocations(
+            tick,
+            getWantedCopies(configuration, zone),
+            entries,
+            candidatesByZone.get(zone) ?? [],
+            revocations,
+        );
     }
     const copies = kept.map(({ copy }) => {
         const reason = revocations.get(copy.instance);
@@ -71,15 +78,15 @@
     return groups;
 }
 
-/** Lists instances that can take a copy: live, heard a short time ago and held by no deployment. */
+/** Groups by zone the instances that can take a new copy: live, reachable and without a copy of any deployment. */
 function collectCandidates(tick: Tick, configuration: ConfigurationRow): Map<string, InstanceId[]> {
     const { instances, observations } = tick.input;
-    const holdings = tick.readHoldings();
+    const holdings = tick.getHoldings();
     const byZone = new Map<string, InstanceId[]>();
     for (const instance of instances.lookup("pool", configuration.pool)) {
         const row = instances.get(instance)!;
         const isFree = row.role === "backend-server" && row.state === "live" && row.absentReads === 0 &&
-            !holdings.has(instance) && readWanted(configuration, row.zone) > 0;
+            !holdings.has(instance) && getWantedCopies(configuration, row.zone) > 0;
         if (!isFree || !isReachable(tick, instance) || !isIdle(observations.get(instance)!)) {
             continue;
         }
@@ -94,7 +101,7 @@
     return byZone;
 }
 
-/** An agent that still reports a copy has not yet unloaded one that was released without its answer. */
+/** Tells whether an agent is not draining and has unloaded all copies, even those released without its answer. */
 function isIdle(observation: AgentObservation): boolean {
     return !observation.draining && observation.copies.every(({ phase }) => phase === "released");
 }
@@ -120,12 +127,12 @@
     if (excess > 0) {
         return;
     }
-    const cap = readReplacementCap(tick, wanted);
+    const limit = computeReplacementLimit(tick, wanted);
     const underReplacement = entries.filter(isRevoked).length;
     const spares = candidates.length + excess;
-    const failing = assigned.filter(({ standing }) => standing === "leaving" || standing === "unreachable");
-    for (const { copy, standing } of failing.slice(0, Math.max(0, Math.min(cap - underReplacement, spares)))) {
-        revocations.set(copy.instance, `instance is ${standing} and is replaced`);
+    const failing = assigned.filter(({ condition }) => condition === "leaving" || condition === "unreachable");
+    for (const { copy, condition } of failing.slice(0, Math.max(0, Math.min(limit - underReplacement, spares)))) {
+        revocations.set(copy.instance, `instance is ${condition} and is replaced`);
     }
 }
 
@@ -136,12 +143,12 @@
  * @param wanted - wanted copies in the availability zone
  * @returns number of copies, at least 1
  */
-export function readReplacementCap(tick: Tick, wanted: number): number {
+export function computeReplacementLimit(tick: Tick, wanted: number): number {
     return Math.max(1, Math.floor(wanted * tick.input.options.replacementShare));
 }
 
 function compareForRevocation(left: AssessedCopy, right: AssessedCopy): number {
-    return standingOrder[left.standing] - standingOrder[right.standing] || left.copy.epoch - right.copy.epoch ||
+    return conditionOrder[left.condition] - conditionOrder[right.condition] || left.copy.epoch - right.copy.epoch ||
         (left.copy.instance < right.copy.instance ? -1 : 1);
 }
 
@@ -152,16 +159,16 @@
     candidatesByZone: ReadonlyMap<string, readonly InstanceId[]>,
 ): CopyAssignment[] {
     const zones = Object.keys(configuration.replicas);
-    const total = zones.reduce((sum, zone) => sum + readWanted(configuration, zone), 0);
-    const heldByZone = new Map<string, number>();
+    const total = zones.reduce((sum, zone) => sum + getWantedCopies(configuration, zone), 0);
+    const copiesByZone = new Map<string, number>();
     for (const { zone } of copies) {
-        heldByZone.set(zone, (heldByZone.get(zone) ?? 0) + 1);
+        copiesByZone.set(zone, (copiesByZone.get(zone) ?? 0) + 1);
     }
-    // Licences are counted over all zones, so a copy that another zone has not released yet counts here too.
-    let licences = total - copies.length;
+    // A copy that another zone has not released yet counts too, so that the total never exceeds what is wanted.
+    let remaining = total - copies.length;
     const assigned: CopyAssignment[] = [];
     for (const zone of zones) {
-        const missing = Math.min(readWanted(configuration, zone) - (heldByZone.get(zone) ?? 0), licences);
+        const missing = Math.min(getWantedCopies(configuration, zone) - (copiesByZone.get(zone) ?? 0), remaining);
         const candidates = candidatesByZone.get(zone) ?? [];
         if (missing <= 0 || candidates.length === 0) {
             continue;
@@ -170,7 +177,7 @@
         for (const instance of rankByRendezvous(configuration.deployment, candidates).slice(0, missing)) {
             const { weights } = configuration;
             assigned.push({ instance, zone, epoch: 0, weights, state: "assigned", witnesses });
-            licences--;
+            remaining--;
         }
     }
     return assigned;
--- a/src/runtime/placement/instanceList.ts
+++ b/src/runtime/placement/instanceList.ts
@@ -2,7 +2,7 @@
 import { createTable } from "../../utils/index.js";
 import type { Table } from "../../utils/index.js";
 
-/** Bounds the table: at one read a second, an instance is forgotten a day after it has gone. */
+/** Absent reads after which a row is deleted, which bounds the table; with one read a second, one day. */
 const absentReadsUntilForgotten = 86_400;
 
 /**
@@ -15,11 +15,11 @@
 }
 
 /**
- * Takes a successful read of the instance list into the table. Reads are at least 1 s apart. An empty list is taken for
- * a faulty answer, since it does not even contain the reader.
+ * Merges a list that was read from the platform into the table. Reads are at least 1 s apart. An empty list is ignored
+ * as a faulty response, since it does not even contain the instance that reads it.
  *
  * @param table - the table; changed
- * @param listed - the list
+ * @param listed - the list that was read
  * @param absentReadsUntilGone - successive reads without an instance after which it counts as gone; default: 3
  * @returns rows whose content other than the count of absent reads has changed
  */
--- a/src/runtime/placement/options.ts
+++ b/src/runtime/placement/options.ts
@@ -30,7 +30,7 @@
         confirmations: new Map(),
         wanted: new Map(),
         plannedAt: new Map(),
-        unheardSince: new Map(),
+        awaitedSince: new Map(),
         observingSince: undefined,
         lastTickAt: undefined,
     };
--- a/src/runtime/placement/owners.ts
+++ b/src/runtime/placement/owners.ts
@@ -2,20 +2,24 @@
 import type { AssessedCopy } from "./assess.js";
 import type { Tick } from "./tick.js";
 
-/** Owners as the next record names them. */
+/** Owners of idempotency keys as the next placement record is to name them. */
 export interface OwnersPlan {
     readonly owners: readonly InstanceId[];
     readonly nextOwners: readonly InstanceId[] | undefined;
-    /** Undefined if nothing changes. */
+    /** Why the owners change; undefined if they stay the same. */
     readonly reason: string | undefined;
 }
 
-/** New owners wait for each other until they are this share of the owners, since each change refuses some keys. */
+/**
+ * Share of the remaining owners that new owners must amount to before they are added while more copies are still being
+ * loaded. They are added in groups, since requests with some keys are refused during each change.
+ */
 const additionShare = 0.25;
 
 /**
  * Plans the owners of idempotency keys. Copies become owners once they serve and stay owners while they are assigned to
- * an instance that is not leaving. A change takes two records.
+ * an instance that is not leaving. A change takes two records: the first names the next owners, the second puts them in
+ * force once each preceding owner has applied the first or lost its copy.
  *
  * @param tick - the tick
  * @param placement - the placement in force
@@ -61,6 +65,7 @@
 }
 
 interface WantedOwners {
+    /** Current owners that remain owners. */
     readonly staying: readonly InstanceId[];
     readonly all: readonly InstanceId[];
     /** True if enough copies have been added to begin a change for them alone. */
@@ -74,20 +79,20 @@
 ): WantedOwners {
     const isOwner = new Set(current);
     const assigned = new Set(copies.filter(({ state }) => state === "assigned").map(({ instance }) => instance));
-    const usable = assessed.filter(({ copy, standing, releaseReason }) =>
-        assigned.has(copy.instance) && standing !== "leaving" && releaseReason === undefined
+    const usable = assessed.filter(({ copy, condition, releaseReason }) =>
+        assigned.has(copy.instance) && condition !== "leaving" && releaseReason === undefined
     );
     const usableInstances = new Set(usable.map(({ copy }) => copy.instance));
     const staying = current.filter(instance => usableInstances.has(instance));
     const added = usable.filter(({ copy, isServing }) => isServing && !isOwner.has(copy.instance));
-    const pending = usable.filter(({ copy, standing }) => standing === "incomplete" && !isOwner.has(copy.instance));
+    const pending = usable.filter(({ copy, condition }) => condition === "incomplete" && !isOwner.has(copy.instance));
     const isWorthwhile = added.length > 0 &&
         (added.length >= pending.length || added.length >= staying.length * additionShare);
     const all = [...staying, ...added.map(({ copy }) => copy.instance)].sort();
     return { staying, all, isWorthwhile };
 }
 
-/** An old owner accepts no keys that change hands once it has applied the record or its copy is released. */
+/** A preceding owner stops accepting keys that pass to others when it applies the record or its copy is released. */
 function hasStopped(
     tick: Tick,
     placement: PlacementRow,
--- a/src/runtime/placement/rank.ts
+++ b/src/runtime/placement/rank.ts
@@ -6,15 +6,15 @@
  *
  * @param pool - pool of the deployment
  * @param self - the entry instance
- * @param entries - live entry instances; `self` counts even if it is missing
- * @returns number of entry instances that come first; 0 for the first
+ * @param entries - live entry instances; `self` is ranked even if it is not among them
+ * @returns number of entry instances that rank before `self`
  */
 export function rankProposer(pool: string, self: InstanceId, entries: Iterable<InstanceId>): number {
-    const readScore = createRendezvousScore(pool);
-    const ownScore = readScore(self);
+    const computeScore = createRendezvousScore(pool);
+    const ownScore = computeScore(self);
     let rank = 0;
     for (const entry of entries) {
-        const score = readScore(entry);
+        const score = computeScore(entry);
         if (score > ownScore || (score === ownScore && entry < self)) {
             rank++;
         }
--- a/src/runtime/placement/recordId.ts
+++ b/src/runtime/placement/recordId.ts
@@ -3,7 +3,7 @@
 /**
  * Creates an identifier for a record.
  *
- * @param random - source of its bits
+ * @param random - source of random numbers
  * @returns random UUID (version 4)
  */
 export function createRecordId(random: RandomSource): string {
--- a/src/runtime/placement/refreshRecords.ts
+++ b/src/runtime/placement/refreshRecords.ts
@@ -11,10 +11,10 @@
 export type RefreshHeader = Pick<RecordHeader, "id" | "writtenAt" | "writer">;
 
 /**
- * Creates the record that writes a row again.
+ * Creates the record that appends a row again, before the log's retention expires.
  *
  * @param state - the state
- * @param due - the due record
+ * @param due - the row that has to be written again
  * @param header - identifier, time and writer
  * @returns record based on the newest accepted one
  */
--- a/src/runtime/placement/runProposer.ts
+++ b/src/runtime/placement/runProposer.ts
@@ -14,7 +14,7 @@
 import { planUpdates } from "./updates.js";
 import { planWitnesses } from "./witnesses.js";
 
-/** Records that this proposer would append, before the delay by rank. */
+/** Record that this proposer wants to append; the delay of its rank may not have passed yet. */
 interface Proposal {
     readonly deployment: string;
     readonly chain: string;
@@ -23,10 +23,11 @@
 }
 
 /**
- * Runs one tick of the proposer over all deployments.
+ * Runs one tick of the proposer: plans the placements of all deployments and lists the rows that have to be written
+ * again. Each entry instance runs a proposer; those that rank later act only if the earlier ones do not.
  *
  * @param input - state, observations and the proposer's memory, which is updated
- * @returns records to append; none for a deployment whose placement needs no change or whose turn it is not
+ * @returns records to append; none for a deployment that needs no change, or while the delay of the rank lasts
  */
 export function runProposer(input: ProposerInput): ProposerCommand[] {
     const tick = beginTick(input);
@@ -34,20 +35,20 @@
     const dueChains = new Set(due.map(record => createChainKey(record.kind, record.deployment)));
     const proposals = due.filter(record => !input.state.unresolved.has(createChainKey(record.kind, record.deployment)))
         .map(record => proposeRefresh(tick, record));
-    const waiting = new Set<string>();
+    const unplanned = new Set<string>();
     for (const configuration of input.state.configurations.rows()) {
-        if (!mayPlan(tick, configuration.deployment)) {
-            waiting.add(createChainKey("placement", configuration.deployment));
+        if (!shouldPlan(tick, configuration.deployment)) {
+            unplanned.add(createChainKey("placement", configuration.deployment));
             continue;
         }
         const proposal = proposePlacement(tick, configuration);
-        // An old record is refreshed first, so that nothing is based on one that expires.
+        // A row that is due is written again first, so that no new record is based on one that is about to expire.
         if (proposal !== undefined && !dueChains.has(proposal.chain)) {
             proposals.push(proposal);
         }
     }
-    const commands = proposals.flatMap(proposal => takeTurn(tick, proposal));
-    forgetSettled(tick, proposals, waiting);
+    const commands = proposals.flatMap(proposal => createDueCommands(tick, proposal));
+    deleteSettledProposals(tick, proposals, unplanned);
     endTick(tick);
     return commands;
 }
@@ -90,7 +91,7 @@
     const { deployment } = configuration;
     const { state } = tick.input;
     const chain = createChainKey("placement", deployment);
-    // A placement that exists but is not known yet must not be taken for a missing one.
+    // After a truncation of the log, a placement that is not known yet must not be mistaken for a missing one.
     if (state.unresolved.has(chain) || state.unresolved.has(createChainKey("configuration", deployment))) {
         return undefined;
     }
@@ -121,8 +122,12 @@
     return { deployment, chain, base: placement.offset, create };
 }
 
-/** Rank k waits k delays on each base. A command whose record does not appear in the log is repeated after a delay. */
-function takeTurn(tick: Tick, proposal: Proposal): ProposerCommand[] {
+/**
+ * Creates the command of a proposal once it may be appended. The proposer of rank k waits for k times the rank delay
+ * after a change is first wanted on a base. If the record does not appear in the log, the command is repeated after one
+ * rank delay.
+ */
+function createDueCommands(tick: Tick, proposal: Proposal): ProposerCommand[] {
     const { memory, options } = tick.input;
     const known = memory.wanted.get(proposal.chain);
     const progress = known?.base === proposal.base ?
@@ -133,7 +138,7 @@
     if (proposedAt !== undefined && tick.now - proposedAt < options.rankDelay) {
         return [];
     }
-    const rank = readRank(tick, proposal.deployment);
+    const rank = computeRank(tick, proposal.deployment);
     if (tick.now - progress.since < rank * options.rankDelay) {
         return [];
     }
@@ -141,27 +146,27 @@
     return [proposal.create()];
 }
 
-/** Forgets changes that are no longer wanted; chains that were not planned in this tick are left as they are. */
-function forgetSettled(tick: Tick, proposals: readonly Proposal[], waiting: ReadonlySet<string>): void {
+/** Deletes the progress of proposals that are no longer wanted, except for chains that this tick has not planned. */
+function deleteSettledProposals(tick: Tick, proposals: readonly Proposal[], unplanned: ReadonlySet<string>): void {
     const { wanted } = tick.input.memory;
     const chains = new Set(proposals.map(({ chain }) => chain));
-    for (const chain of [...wanted.keys()].filter(key => !chains.has(key) && !waiting.has(key))) {
+    for (const chain of [...wanted.keys()].filter(key => !chains.has(key) && !unplanned.has(key))) {
         wanted.delete(chain);
     }
 }
 
-/** Agents follow the entry instances that rank first for their pool, so these are the ones that hear them. */
-function readRank(tick: Tick, deployment: string): number {
+/** Agents connect to the entry instances that rank first for their pool, so these receive their heartbeats. */
+function computeRank(tick: Tick, deployment: string): number {
     const pool = tick.input.state.configurations.get(deployment)?.pool ?? deployment;
     return rankProposer(pool, tick.input.self, tick.entries.map(({ instance }) => instance));
 }
 
-/** Plans less often at the later ranks, whose turn rarely comes, since a plan costs time for each copy. */
-function mayPlan(tick: Tick, deployment: string): boolean {
+/** Proposers of later ranks plan less often: their plans are rarely used, and a plan takes time for each copy. */
+function shouldPlan(tick: Tick, deployment: string): boolean {
     const { memory, options } = tick.input;
     const chain = createChainKey("placement", deployment);
     const plannedAt = memory.plannedAt.get(chain) ?? Number.NEGATIVE_INFINITY;
-    if (tick.now - plannedAt < readRank(tick, deployment) * options.rankDelay / 2) {
+    if (tick.now - plannedAt < computeRank(tick, deployment) * options.rankDelay / 2) {
         return false;
     }
     memory.plannedAt.set(chain, tick.now);
--- a/src/runtime/placement/tick.ts
+++ b/src/runtime/placement/tick.ts
@@ -8,23 +8,25 @@
 } from "../../types/index.js";
 import type { ProposerInput } from "./types.js";
 
-/** Copy that a placement in force lists for an instance, released or not. */
+/** Copy that a placement in force lists for an instance, assigned or revoked. */
 interface Holding {
     readonly deployment: DeploymentName;
     readonly epoch: Offset;
     readonly state: CopyAssignment["state"];
 }
 
-/** What one tick of the proposer works with. */
+/** Input of one tick of the proposer, with values derived from it. */
 export interface Tick {
     readonly input: ProposerInput;
-    /** Monotonic time. */
+    /** Monotonic time of the tick. */
     readonly now: Milliseconds;
+    /** Monotonic time since when the proposer has run without a pause. */
     readonly observingSince: Milliseconds;
-    /** Copies by instance; collected at the first call, since few ticks need them. */
-    readonly readHoldings: () => ReadonlyMap<InstanceId, readonly Holding[]>;
-    /** Entry instances that were not heard; collected at the first call. */
-    readonly readSilentEntries: () => ReadonlySet<InstanceId>;
+    /** Copies by instance; computed at the first call, since few ticks need them. */
+    readonly getHoldings: () => ReadonlyMap<InstanceId, readonly Holding[]>;
+    /** Entry instances whose last message is older than `unreachableAfter`; computed at the first call. */
+    readonly getSilentEntries: () => ReadonlySet<InstanceId>;
+    /** Live entry instances. */
     readonly entries: readonly InstanceRow[];
 }
 
@@ -38,7 +40,7 @@
     const { memory, options, instances } = input;
     const now = input.clock.monotonic();
     const wasPaused = memory.lastTickAt === undefined || now - memory.lastTickAt > options.unreachableAfter / 2;
-    // After a start or a pause nobody has been heard for reasons that lie with the proposer itself.
+    // A proposer that was not running received no messages, so it must not count that time as silence of others.
     if (memory.observingSince === undefined || wasPaused) {
         memory.observingSince = now;
     }
@@ -50,14 +52,14 @@
         input,
         now,
         observingSince: memory.observingSince,
-        readHoldings: readOnce(() => collectHoldings(input)),
-        readSilentEntries: readOnce(() => collectSilentEntries(tick)),
+        getHoldings: memoize(() => collectHoldings(input)),
+        getSilentEntries: memoize(() => collectSilentEntries(tick)),
         entries,
     };
     return tick;
 }
 
-function readOnce<Value>(read: () => Value): () => Value {
+function memoize<Value>(read: () => Value): () => Value {
     let known: { readonly value: Value; } | undefined;
     return () => (known ??= { value: read() }).value;
 }
@@ -71,21 +73,21 @@
 }
 
 /**
- * Ends a tick.
+ * Ends a tick: deletes from the proposer's memory the copies and instances that no longer exist.
  *
- * @param tick - the tick; what its memory holds on copies and instances that no longer exist is forgotten
+ * @param tick - the tick; its memory is updated
  */
 export function endTick(tick: Tick): void {
     const { memory, instances } = tick.input;
-    for (const instance of memory.unheardSince.keys()) {
-        if (!instances.has(instance) && !tick.readHoldings().has(instance)) {
-            memory.unheardSince.delete(instance);
+    for (const instance of memory.awaitedSince.keys()) {
+        if (!instances.has(instance) && !tick.getHoldings().has(instance)) {
+            memory.awaitedSince.delete(instance);
         }
     }
     if (memory.confirmations.size === 0) {
         return;
     }
-    const held = [...tick.readHoldings()].flatMap(([instance, holdings]) =>
+    const held = [...tick.getHoldings()].flatMap(([instance, holdings]) =>
         holdings.map(({ deployment, epoch }) => createCopyKey(deployment, instance, epoch))
     );
     const keys = new Set(held);
@@ -95,12 +97,12 @@
 }
 
 /**
- * Names a copy.
+ * Creates the key of a copy.
  *
  * @param deployment - name of the deployment
  * @param instance - instance that it is on
- * @param epoch - its epoch
- * @returns the key of the copy in `confirmations`
+ * @param epoch - offset of the record that assigned it
+ * @returns its key in `confirmations`
  */
 export function createCopyKey(deployment: DeploymentName, instance: InstanceId, epoch: Offset): string {
     return `${deployment}/${instance}/${epoch}`;
@@ -123,7 +125,8 @@
 }
 
 /**
- * Measures for how long an instance was not heard. Time in which the proposer itself was not observing does not count.
+ * Measures the time since the last message from an instance, or since the proposer began to wait for the first one.
+ * Time during which the proposer itself was not running does not count.
  *
  * @param tick - the tick
  * @param instance - a backend server or entry instance
@@ -133,16 +136,16 @@
     const { input, now } = tick;
     const heardAt = (input.observations.get(instance) ?? input.witnesses.get(instance))?.heardAt;
     if (heardAt !== undefined) {
-        input.memory.unheardSince.delete(instance);
+        input.memory.awaitedSince.delete(instance);
         return now - Math.max(heardAt, tick.observingSince);
     }
-    const since = input.memory.unheardSince.get(instance) ?? now;
-    input.memory.unheardSince.set(instance, since);
+    const since = input.memory.awaitedSince.get(instance) ?? now;
+    input.memory.awaitedSince.set(instance, since);
     return now - Math.max(since, tick.observingSince);
 }
 
 /**
- * Tells whether an agent was heard a short time ago.
+ * Tells whether the last heartbeat of an agent is recent.
  *
  * @param tick - the tick
  * @param instance - a backend server instance
@@ -154,7 +157,8 @@
 }
 
 /**
- * Tells whether an instance was terminated: it is no longer listed and was not heard within the hold duration.
+ * Tells whether an instance counts as terminated: it is no longer in the instance list, and no message from it arrived
+ * within the hold duration.
  *
  * @param tick - the tick
  * @param instance - an instance
--- a/src/runtime/placement/types.ts
+++ b/src/runtime/placement/types.ts
@@ -16,19 +16,22 @@
 
 /** Options of the proposer. */
 export interface PlacementOptions {
-    /** Time after which an agent that was not heard counts as unreachable. Default: 10,000 ms. */
+    /** Time without a message after which an instance counts as unreachable. Default: 10,000 ms. */
     readonly unreachableAfter: Milliseconds;
     /** Time for which a hold lasts without renewal. Default: 20,000 ms. */
     readonly holdDuration: Milliseconds;
-    /** Time added to the hold before a replacement, for clocks that run at different rates. Default: 5,000 ms. */
+    /** Time added to the hold duration before a replacement, since clocks run at different rates. Default: 5,000 ms. */
     readonly holdMargin: Milliseconds;
     /** Time by which each rank of proposers waits longer than the one before. Default: 2,000 ms. */
     readonly rankDelay: Milliseconds;
-    /** Share of the copies in an availability zone that may be under replacement at once; at least one copy. Default: 0.1. */
+    /**
+     * Share of the copies in an availability zone that may be under replacement at once; at least one copy.
+     * Default: 0.1.
+     */
     readonly replacementShare: number;
-    /** Successive list reads without an instance after which it counts as gone. Default: 3. */
+    /** Successive reads of the instance list without an instance after which it counts as gone. Default: 3. */
     readonly absentReadsUntilGone: number;
-    /** Most witnesses of a copy. Default: 5. */
+    /** Maximum number of witnesses of a copy. Default: 5. */
     readonly maximumWitnesses: number;
     /** Time for which the log keeps records. Default: 86,400,000 ms (one day). */
     readonly retention: Milliseconds;
@@ -37,17 +40,14 @@
 /** What an entry instance knows of another entry instance. */
 export interface WitnessObservation {
     readonly instance: InstanceId;
-    /** Monotonic time of the receiving process. */
+    /** Time of its newest message, on the monotonic clock of the receiving process. */
     readonly heardAt: Milliseconds;
     readonly appliedOffset: Offset;
     /** Time since the witness started, at `heardAt`. */
     readonly uptime: Milliseconds;
 }
 
-/**
- * Change of one copy within a placement proposal; for `owners-change` the instance is empty, since the change concerns
- * all owners.
- */
+/** Kind of a change within a placement proposal; `owners-change` concerns all owners, so its instance is empty. */
 export type PlacementMoveKind = "assign" | "revoke" | "release" | "update" | "witness-change" | "owners-change";
 
 /** Change of one copy with its reason, for the decision log. */
@@ -57,19 +57,22 @@
     readonly reason: string;
 }
 
-/** Command of the proposer system. */
+/** Command of the proposer: a record to append to the log. */
 export type ProposerCommand =
     | {
         readonly kind: "append-placement";
         readonly deployment: DeploymentName;
         readonly record: PlacementRecord;
         readonly moves: readonly PlacementMove[];
-        /** Instances that were considered for new copies. */
+        /** Number of instances that could have taken a new copy. */
         readonly candidates: number;
     }
     | { readonly kind: "append-refresh"; readonly deployment: DeploymentName; readonly record: LogRecord; };
 
-/** Since when a proposer has wanted to append to a chain, and when it last did. */
+/**
+ * Progress of a proposal for a chain. A chain consists of the records of one kind for one deployment, each of which is
+ * based on the one before.
+ */
 export interface ProposalProgress {
     /** Offset of the record on which the proposal is based. */
     readonly base: Offset;
@@ -81,15 +84,15 @@
 
 /** What a proposer remembers between ticks; created by `createProposerMemory`. */
 export interface ProposerMemory {
-    /** For each copy under revocation, the confirmation by its witnesses. */
+    /** Confirmations of revocations by the witnesses, by copy key. */
     readonly confirmations: Map<string, WitnessConfirmation>;
-    /** For each chain, the change that is wanted on the current base. */
+    /** Progress of the proposals that are wanted, by chain key. */
     readonly wanted: Map<string, ProposalProgress>;
-    /** For each placement chain, monotonic time at which its placement was last planned. */
+    /** Monotonic times at which placements were last planned, by chain key. */
     readonly plannedAt: Map<string, Milliseconds>;
-    /** Instances that were never heard, with the monotonic time since when they were looked for. */
-    readonly unheardSince: Map<InstanceId, Milliseconds>;
-    /** Monotonic time since when the proposer has observed without a pause; undefined before the first tick. */
+    /** For instances that have never sent a message, the monotonic time since when the proposer has waited for one. */
+    readonly awaitedSince: Map<InstanceId, Milliseconds>;
+    /** Monotonic time since when the proposer has run without a pause; undefined before the first tick. */
     observingSince: Milliseconds | undefined;
     /** Monotonic time of the last tick. */
     lastTickAt: Milliseconds | undefined;
--- a/src/runtime/placement/updates.ts
+++ b/src/runtime/placement/updates.ts
@@ -1,13 +1,13 @@
 import type { ConfigurationRow, CopyAssignment } from "../../types/index.js";
-import { isSameWeights, readWanted } from "./assess.js";
+import { getWantedCopies, isSameWeights } from "./assess.js";
 import type { AssessedCopy } from "./assess.js";
-import { readReplacementCap } from "./copies.js";
+import { computeReplacementLimit } from "./copies.js";
 import type { CopyPlan } from "./copies.js";
 import type { Tick } from "./tick.js";
 
 /**
- * Moves copies to the wanted weights, on the instances that they are on. A rolling update keeps all but the replacement
- * share of the wanted copies of each availability zone serving.
+ * Assigns the wanted weights to copies that have others; the copies stay on their instances. A rolling update keeps all
+ * but the replacement share of the wanted copies of each availability zone serving.
  *
  * @param tick - the tick
  * @param configuration - the configuration in force
@@ -27,10 +27,10 @@
         return plan;
     }
     const serving = new Set(assessed.filter(({ isServing }) => isServing).map(({ copy }) => copy.instance));
-    const budgets = createBudgets(tick, configuration, plan.copies, serving);
+    const updatableByZone = countUpdatable(tick, configuration, plan.copies, serving);
     const moves = [...plan.moves];
     const copies = plan.copies.map(copy => {
-        if (!isOutdated(copy) || !mayUpdate(configuration, copy, serving, budgets)) {
+        if (!isOutdated(copy) || !reserveUpdate(configuration, copy, serving, updatableByZone)) {
             return copy;
         }
         moves.push({ kind: "update", instance: copy.instance, reason: "weights of the deployment have changed" });
@@ -39,34 +39,35 @@
     return { ...plan, copies, moves };
 }
 
-/** For each availability zone, how many serving copies may be updated now. */
-function createBudgets(
+/** Computes for each availability zone how many serving copies may be updated now. */
+function countUpdatable(
     tick: Tick,
     configuration: ConfigurationRow,
     copies: readonly CopyAssignment[],
     serving: ReadonlySet<string>,
 ): Map<string, number> {
-    const budgets = new Map<string, number>();
+    const updatableByZone = new Map<string, number>();
     for (const { instance, zone, state } of copies) {
-        const wanted = readWanted(configuration, zone);
-        const initial = readReplacementCap(tick, wanted) - wanted;
+        const wanted = getWantedCopies(configuration, zone);
+        const initial = computeReplacementLimit(tick, wanted) - wanted;
         const isServing = state === "assigned" && serving.has(instance);
-        budgets.set(zone, (budgets.get(zone) ?? initial) + (isServing ? 1 : 0));
+        updatableByZone.set(zone, (updatableByZone.get(zone) ?? initial) + (isServing ? 1 : 0));
     }
-    return budgets;
+    return updatableByZone;
 }
 
-function mayUpdate(
+/** Tells whether a copy may be updated now; a serving copy then counts against its availability zone. */
+function reserveUpdate(
     configuration: ConfigurationRow,
     copy: CopyAssignment,
     serving: ReadonlySet<string>,
-    budgets: Map<string, number>,
+    updatableByZone: Map<string, number>,
 ): boolean {
-    // A copy that is not serving loses nothing by the update, and waiting for it could stop the update for good.
+    // Updating a copy that is not serving interrupts nothing, and waiting for it could block the update forever.
     if (configuration.updateStrategy === "in-place" || !serving.has(copy.instance)) {
         return true;
     }
-    const budget = budgets.get(copy.zone) ?? 0;
-    budgets.set(copy.zone, budget - 1);
-    return budget > 0;
+    const updatable = updatableByZone.get(copy.zone) ?? 0;
+    updatableByZone.set(copy.zone, updatable - 1);
+    return updatable > 0;
 }
--- a/src/runtime/placement/witnesses.ts
+++ b/src/runtime/placement/witnesses.ts
@@ -6,13 +6,15 @@
 import type { PlacementMove } from "./types.js";
 
 /**
- * Chooses witnesses: entry instances of the same availability zone, then of its region, then others. Copies of one
- * deployment and availability zone have the same ones, so the loss of an entry instance changes few placements.
+ * Chooses the witnesses of copies: entry instances that can confirm an outage of the log to the copies' agents and a
+ * revocation to the proposers. Reachable ones come first, ordered by same availability zone, same region and others.
+ * Copies of one deployment and availability zone have the same witnesses, so the loss of an entry instance changes few
+ * placements.
  *
  * @param tick - the tick
  * @param deployment - name of the deployment
  * @param zone - availability zone of the copies
- * @param keep - entry instances to keep if they are live
+ * @param keep - entry instances that come first if they are live
  * @returns up to `maximumWitnesses` entry instances
  */
 export function chooseWitnesses(
@@ -46,7 +48,7 @@
         return 0;
     }
     const distance = entry.zone === zone ? 1 : entry.region === region ? 2 : 3;
-    return tick.readSilentEntries().has(entry.instance) ? distance + 3 : distance;
+    return tick.getSilentEntries().has(entry.instance) ? distance + 3 : distance;
 }
 
 function findRegion(tick: Tick, zone: string): string | undefined {
@@ -59,8 +61,8 @@
 }
 
 /**
- * Replaces witnesses that are gone or leaving. The preceding set stays in force beside the new one until the holder has
- * applied the change, so that a revocation reaches a majority of whichever set the holder knows.
+ * Replaces witnesses that are gone or leaving. The preceding set stays in force together with the new one until the
+ * agent that holds the copy has applied the change, so that a revocation reaches a majority of whichever set it knows.
  *
  * @param tick - the tick
  * @param placement - the placement in force
@@ -69,11 +71,12 @@
  */
 export function planWitnesses(tick: Tick, placement: PlacementRow, plan: CopyPlan): CopyPlan {
     const assigned = plan.copies.filter(copy => copy.state === "assigned" && copy.epoch !== 0);
-    const mayClear = assigned.every(copy =>
-        copy.previousWitnesses === undefined || hasApplied(tick, placement, copy) || !isReachable(tick, copy.instance)
+    const canRemovePrevious = assigned.every(copy =>
+        copy.previousWitnesses === undefined || hasAppliedPlacement(tick, placement, copy) ||
+        !isReachable(tick, copy.instance)
     );
-    const choices = new Map<string, readonly InstanceId[]>();
-    const lost = new Map<InstanceId, boolean>();
+    const witnessesByKey = new Map<string, readonly InstanceId[]>();
+    const lossByWitness = new Map<InstanceId, boolean>();
     const moves: PlacementMove[] = [...plan.moves];
     const copies = plan.copies.map(copy => {
         if (copy.state !== "assigned" || copy.epoch === 0) {
@@ -81,18 +84,19 @@
         }
         const { previousWitnesses, ...settled } = copy;
         if (previousWitnesses !== undefined) {
-            if (!mayClear || !hasApplied(tick, placement, copy)) {
+            if (!canRemovePrevious || !hasAppliedPlacement(tick, placement, copy)) {
                 return copy;
             }
             moves.push({ kind: "witness-change", instance: copy.instance, reason: "holder knows the new witnesses" });
             return settled;
         }
-        if (!needsChange(tick, copy, lost)) {
+        if (!needsNewWitnesses(tick, copy, lossByWitness)) {
             return copy;
         }
         const key = `${copy.zone}/${copy.witnesses.join()}`;
-        const witnesses = choices.get(key) ?? chooseWitnesses(tick, placement.deployment, copy.zone, copy.witnesses);
-        choices.set(key, witnesses);
+        const witnesses = witnessesByKey.get(key) ??
+            chooseWitnesses(tick, placement.deployment, copy.zone, copy.witnesses);
+        witnessesByKey.set(key, witnesses);
         if (witnesses.length === 0) {
             return copy;
         }
@@ -102,15 +106,15 @@
     return { ...plan, copies, moves };
 }
 
-function hasApplied(tick: Tick, placement: PlacementRow, copy: CopyAssignment): boolean {
+function hasAppliedPlacement(tick: Tick, placement: PlacementRow, copy: CopyAssignment): boolean {
     return (tick.input.observations.get(copy.instance)?.appliedOffset ?? 0) >= placement.offset;
 }
 
-function needsChange(tick: Tick, copy: CopyAssignment, lost: Map<InstanceId, boolean>): boolean {
+function needsNewWitnesses(tick: Tick, copy: CopyAssignment, lossByWitness: Map<InstanceId, boolean>): boolean {
     const possible = Math.min(tick.input.options.maximumWitnesses, tick.entries.length);
     const hasLost = copy.witnesses.some(witness => {
-        const isKnownLost = lost.get(witness) ?? isLost(tick, witness);
-        lost.set(witness, isKnownLost);
+        const isKnownLost = lossByWitness.get(witness) ?? isLost(tick, witness);
+        lossByWitness.set(witness, isKnownLost);
         return isKnownLost;
     });
     return hasLost || copy.witnesses.length < possible;
--- a/test/runtime/placement/exploration.test.ts
+++ b/test/runtime/placement/exploration.test.ts
@@ -15,14 +15,15 @@
 const tickDuration = 10_000;
 const bounds = { partitions: 2, outages: 2, depth: 7, statesAtLeast: 3_000 };
 
-interface Node {
-    /** Processes as the last tick left them; not changed afterwards. */
-    readonly world: World;
+interface ExplorationNode {
+    /** State of the processes after the last tick; not changed afterwards. */
+    readonly fleet: World;
     readonly log: readonly LogEntry[];
     readonly cuts: readonly string[];
     readonly logUp: boolean;
-    /** Newest commands of the two proposers, and the oldest one of the first that may still arrive. */
+    /** Newest record that each of the two proposers wants to append. */
     readonly pending: readonly (LogRecord | undefined)[];
+    /** Oldest record of the first proposer that may still reach the log. */
     readonly late: LogRecord | undefined;
     readonly ticks: number;
     readonly partitions: number;
@@ -49,7 +50,7 @@
             table.set(row.instance, row);
         }
     }
-    const { confirmations, wanted, unheardSince, observingSince, lastTickAt } = source.memory;
+    const { confirmations, wanted, awaitedSince: unheardSince, observingSince, lastTickAt } = source.memory;
     const memory = {
         ...createProposerMemory(),
         confirmations: new Map(confirmations),
@@ -63,62 +64,62 @@
     return { ...target, state: copyState(source.state), memory, random };
 }
 
-function copyWorld({ world: source, log, cuts, logUp }: Node): World {
-    const world = createWorld(zones, options);
-    world.clock.advance(source.clock.monotonic());
-    world.log.push(...log);
-    cuts.forEach(cut => world.cuts.add(cut));
-    world.logUp = logUp;
-    for (const [index, entry] of world.entries.entries()) {
+function copyFleet({ fleet: source, log, cuts, logUp }: ExplorationNode): World {
+    const fleet = createWorld(zones, options);
+    fleet.clock.advance(source.clock.monotonic());
+    fleet.log.push(...log);
+    cuts.forEach(instance => fleet.cuts.add(instance));
+    fleet.logUp = logUp;
+    for (const [index, entry] of fleet.entries.entries()) {
         const { input, startedAt, logKnownAt } = source.entries[index]!;
         Object.assign(entry, { input: copyInput(input, entry.input), startedAt, logKnownAt });
     }
-    for (const [index, agent] of world.agents.entries()) {
+    for (const [index, agent] of fleet.agents.entries()) {
         const { state, answers, ...rest } = source.agents[index]!;
         Object.assign(agent, rest, { state: copyState(state), answers: new Map(answers) });
     }
-    return world;
+    return fleet;
 }
 
 function summarize(record: LogRecord | undefined) {
     return record?.kind === "placement" && [record.base, record.copies, record.owners, record.nextOwners];
 }
 
-const worldTexts = new WeakMap<World, string>();
+const fleetDescriptions = new WeakMap<World, string>();
 
-function describeWorld(world: World): string {
-    const text = worldTexts.get(world) ?? JSON.stringify([
-        world.agents.map(({ state, loaded, hold, logKnownAt, answers }) => [
+function describeFleet(fleet: World): string {
+    const text = fleetDescriptions.get(fleet) ?? JSON.stringify([
+        fleet.agents.map(({ state, loaded, hold, logKnownAt, answers }) => [
             state.appliedOffset,
             loaded?.copy.epoch,
             hold?.validUntil,
             logKnownAt,
             [...answers],
         ]),
-        world.entries.map(({ input, logKnownAt }) => [
+        fleet.entries.map(({ input, logKnownAt }) => [
             input.state.appliedOffset,
             logKnownAt,
             [...input.memory.confirmations],
             [...input.observations.rows()].map(({ heardAt, appliedOffset }) => [heardAt, appliedOffset]),
         ]),
     ]);
-    worldTexts.set(world, text);
+    fleetDescriptions.set(fleet, text);
     return text;
 }
 
-function identify({ world, log, cuts, logUp, pending, late, ticks, partitions, outages }: Node): string {
+function identify({ fleet, log, cuts, logUp, pending, late, ticks, partitions, outages }: ExplorationNode): string {
     const records = [log.map(({ record }) => summarize(record)), pending.map(summarize), summarize(late)];
-    return computeDigest(JSON.stringify([ticks, partitions, outages, logUp, cuts, records]), describeWorld(world));
+    return computeDigest(JSON.stringify([ticks, partitions, outages, logUp, cuts, records]), describeFleet(fleet));
 }
 
-type Action = (node: Node) => Partial<Node> | undefined;
+type Action = (node: ExplorationNode) => Partial<ExplorationNode> | undefined;
 
-function tick(node: Node): Partial<Node> {
-    const world = copyWorld(node);
-    world.pass(tickDuration);
-    const pending = world.entries.slice(0, 2).map(entry => world.propose(entry)[0]?.record);
-    world.propose(world.entries[2]!);
-    return { world, ticks: node.ticks + 1, pending, late: node.late ?? node.pending[0] };
+function tick(node: ExplorationNode): Partial<ExplorationNode> {
+    const fleet = copyFleet(node);
+    fleet.pass(tickDuration);
+    const pending = fleet.entries.slice(0, 2).map(entry => fleet.propose(entry)[0]?.record);
+    fleet.propose(fleet.entries[2]!);
+    return { fleet, ticks: node.ticks + 1, pending, late: node.late ?? node.pending[0] };
 }
 
 function appendTo(log: readonly LogEntry[], record: LogRecord): readonly LogEntry[] {
@@ -126,28 +127,28 @@
 }
 
 function appendOf(index: number): Action {
-    return ({ world, log, cuts, logUp, pending }) => {
+    return ({ fleet, log, cuts, logUp, pending }) => {
         const record = pending[index];
-        if (record === undefined || !logUp || cuts.includes(world.entries[index]!.id)) {
+        if (record === undefined || !logUp || cuts.includes(fleet.entries[index]!.id)) {
             return undefined;
         }
-        // The command stays, so that it is appended again when its answer is lost.
+        // The record stays pending, so that it can be appended again as after a lost response.
         return { log: appendTo(log, record) };
     };
 }
 
-function appendLate({ log, late, logUp }: Node): Partial<Node> | undefined {
+function appendLate({ log, late, logUp }: ExplorationNode): Partial<ExplorationNode> | undefined {
     return late === undefined || !logUp ? undefined : { log: appendTo(log, late), late: undefined };
 }
 
-function separate(cuts: readonly string[]): Action {
+function partition(cuts: readonly string[]): Action {
     return node =>
         node.partitions >= bounds.partitions || node.cuts.join() === cuts.join() ?
             undefined :
             { cuts, partitions: node.partitions + 1 };
 }
 
-function toggleLog({ outages, logUp }: Node): Partial<Node> | undefined {
+function toggleLog({ outages, logUp }: ExplorationNode): Partial<ExplorationNode> | undefined {
     return outages >= bounds.outages ? undefined : { logUp: !logUp, outages: outages + 1 };
 }
 
@@ -157,63 +158,63 @@
         append0: appendOf(0),
         append1: appendOf(1),
         appendLate,
-        separateHolder: separate([holder]),
-        separateHolderAndOne: separate([holder, "entry-2"]),
-        separateHolderAndTwo: separate([holder, "entry-1", "entry-2"]),
-        heal: separate([]),
+        separateHolder: partition([holder]),
+        separateHolderAndOne: partition([holder, "entry-2"]),
+        separateHolderAndTwo: partition([holder, "entry-1", "entry-2"]),
+        heal: partition([]),
         toggleLog,
     };
 }
 
-function check({ world, log, path }: Node): void {
+function check({ fleet, log, path }: ExplorationNode): void {
     const state = createFoldState();
     log.forEach(entry => foldEntry(state, entry));
     const listed = state.placements.get("scribe")!.copies.length;
-    const held = world.countHeld().get("scribe/zone-a") ?? 0;
-    const acceptors = Math.max(...sampleKeys.map(key => world.findAcceptors("scribe", key).length));
+    const held = fleet.countHeld().get("scribe/zone-a") ?? 0;
+    const acceptors = Math.max(...sampleKeys.map(key => fleet.findAcceptors("scribe", key).length));
     if (listed > wanted || held > wanted || acceptors > 1) {
         throw new Error(`${listed} copies listed, ${held} held, ${acceptors} acceptors after ${path.join(" ")}`);
     }
 }
 
-function isReplaced(world: World, holder: string): boolean {
-    const { copies } = world.entries[0]!.input.state.placements.get("scribe")!;
-    return copies.every(({ instance }) => instance !== holder) && world.countHeld().get("scribe/zone-a") === wanted;
+function isReplaced(fleet: World, holder: string): boolean {
+    const { copies } = fleet.entries[0]!.input.state.placements.get("scribe")!;
+    return copies.every(({ instance }) => instance !== holder) && fleet.countHeld().get("scribe/zone-a") === wanted;
 }
 
-/** Two copies serve and own the keys, a third instance is free. */
-function createSettled(): Node {
-    const world = createWorld(zones, options);
-    world.run(3);
-    world.apply("scribe", { "zone-a": wanted });
-    world.run(8);
+/** Creates a fleet in which two copies serve and own the keys, and a third instance has no copy. */
+function createSettled(): ExplorationNode {
+    const fleet = createWorld(zones, options);
+    fleet.run(3);
+    fleet.apply("scribe", { "zone-a": wanted });
+    fleet.run(8);
     const counts = { ticks: 0, partitions: 0, outages: 0 };
-    return { world, log: world.log, cuts: [], logUp: true, pending: [], late: undefined, ...counts, path: [] };
+    return { fleet, log: fleet.log, cuts: [], logUp: true, pending: [], late: undefined, ...counts, path: [] };
 }
 
-function follow(root: Node, actions: Record<string, Action>, path: readonly string[]): Node {
-    const reached = path.reduce<Node>((node, name) => ({ ...node, ...actions[name]!(node) }), root);
-    return { ...reached, ticks: 0, partitions: 0, outages: 0, path };
+function follow(root: ExplorationNode, actions: Record<string, Action>, path: readonly string[]): ExplorationNode {
+    const successor = path.reduce<ExplorationNode>((node, name) => ({ ...node, ...actions[name]!(node) }), root);
+    return { ...successor, ticks: 0, partitions: 0, outages: 0, path };
 }
 
-function explore(root: Node, actions: Record<string, Action>, holder: string) {
+function explore(root: ExplorationNode, actions: Record<string, Action>, holder: string) {
     const seen = new Set([identify(root)]);
     let level = [root];
     let replaced = 0;
     for (let depth = 0; depth < bounds.depth; depth++) {
-        const next: Node[] = [];
+        const next: ExplorationNode[] = [];
         for (const node of level) {
             for (const [name, action] of Object.entries(actions)) {
                 const change = action(node);
-                const reached: Node = { ...node, ...change, path: [...node.path, name] };
-                const identity = identify(reached);
+                const successor: ExplorationNode = { ...node, ...change, path: [...node.path, name] };
+                const identity = identify(successor);
                 if (change === undefined || seen.has(identity)) {
                     continue;
                 }
                 seen.add(identity);
-                check(reached);
-                replaced += isReplaced(reached.world, holder) ? 1 : 0;
-                next.push(reached);
+                check(successor);
+                replaced += isReplaced(successor.fleet, holder) ? 1 : 0;
+                next.push(successor);
             }
         }
         level = next;
@@ -222,14 +223,15 @@
 }
 
 describe("bounded exploration of placement", () => {
-    // Guards against a copy too many and against two owners of one key, in every interleaving up to the bound: 7 actions,
-    // of these at most 2 changes of partition (the holder alone, with one or with two of the three witnesses) and 2
-    // begins or ends of a log outage. The others are ticks of 10 s and appends of two proposers: at once, repeated after
-    // a lost answer, or late on an old base. It begins with 2 settled copies on 3 instances, and again 5 actions later,
-    // where the revocation of a holder that is cut off, alone or with two witnesses, has just been read.
+    // Guards against more copies than declared and against two owners of one key, in every interleaving of up to 7
+    // actions. At most 2 of them change the network partition, which isolates an agent with a copy alone, with one or
+    // with two of the three witnesses; at most 2 begin or end an outage of the log. The others are ticks of 10 s and
+    // appends of two proposers: immediate, repeated after a lost response, or late on an old base. The exploration
+    // starts with 2 settled copies on 3 instances, and again 5 actions later, when the revocation of the copy of an
+    // agent that is isolated alone or with two witnesses has just been read.
     it("never holds more copies than declared or lets two owners accept a key", () => {
         const settled = createSettled();
-        const holder = settled.world.readPlacement("scribe")!.owners[0]!;
+        const holder = settled.fleet.readPlacement("scribe")!.owners[0]!;
         const actions = createActions(holder);
         const revoked = ["separateHolder", "separateHolderAndTwo"].map(separation =>
             follow(settled, actions, [separation, "tick", "tick", "append0", "tick"])
--- a/test/runtime/placement/world.ts
+++ b/test/runtime/placement/world.ts
@@ -27,7 +27,7 @@
     return { model: "scribe", adapter: "", version, manifestDigest: version.repeat(64) };
 }
 
-/** Entry instance with the state and the proposer that it runs. */
+/** Entry instance with the input of its proposer. */
 export interface Entry {
     readonly id: string;
     input: ProposerInput;
@@ -35,7 +35,7 @@
     logKnownAt: number;
 }
 
-/** Agent that loads what it is assigned while its hold lasts. */
+/** Agent that loads the copy assigned to it while its hold lasts. */
 export interface Agent {
     readonly listed: ListedInstance;
     state: FoldState;
@@ -46,24 +46,26 @@
     hold: HoldDecision | undefined;
 }
 
-/** Small fleet with one log, links that can be cut and a shared clock. */
+/** Simulates a small fleet with one log, a shared clock and network partitions. */
 export function createWorld(zones: Readonly<Record<string, number>>, overrides: Partial<PlacementOptions> = {}) {
     const clock = createManualClock();
     const options = resolvePlacementOptions(overrides);
     const log: LogEntry[] = [];
     const listing = new Map<string, ListedInstance>();
     const cuts = new Set<string>();
-    const world = {
+    const fleet = {
         clock,
         options,
         log,
         listing,
+        /** Instances cut off by a partition; they reach each other, but neither the log nor the other instances. */
         cuts,
         /** Backend server instances that still finish requests on a revoked copy. */
         busy: new Set<string>(),
         logUp: true,
         /** Steps by which the list of each entry instance is older than that of the one before. */
         listLag: 0,
+        /** Backend server instances whose agent is paused. */
         frozen: new Set<string>(),
         entries: [] as Entry[],
         agents: [] as Agent[],
@@ -100,16 +102,16 @@
             loaded: undefined,
             hold: undefined,
         };
-        world.agents.push(agent);
+        fleet.agents.push(agent);
         return agent;
     }
 
-    function isLinked(left: string, right: string): boolean {
+    function isConnected(left: string, right: string): boolean {
         return cuts.has(left) === cuts.has(right);
     }
 
     function isLogReachable(id: string): boolean {
-        return world.logUp && !cuts.has(id);
+        return fleet.logUp && !cuts.has(id);
     }
 
     function catchUp(state: FoldState, offset: number): void {
@@ -117,7 +119,7 @@
     }
 
     function append(record: LogRecord): void {
-        if (world.logUp) {
+        if (fleet.logUp) {
             log.push({ offset: log.length + 1, previousOffset: log.length, record });
         }
     }
@@ -134,7 +136,7 @@
             catchUp(state, log.length);
             entry.logKnownAt = clock.monotonic();
         }
-        for (const peer of world.entries.filter(other => other !== entry && isLinked(entry.id, other.id))) {
+        for (const peer of fleet.entries.filter(other => other !== entry && isConnected(entry.id, other.id))) {
             catchUp(state, peer.input.state.appliedOffset);
             entry.logKnownAt = Math.max(entry.logKnownAt, peer.logKnownAt);
             const heardAt = clock.monotonic();
@@ -164,9 +166,9 @@
 
     function stepAgent(agent: Agent): void {
         const now = clock.monotonic();
-        const linked = world.entries.filter(entry => isLinked(agent.listed.instance, entry.id));
-        linked.forEach(entry => catchUp(agent.state, entry.input.state.appliedOffset));
-        for (const { id, logKnownAt, startedAt } of linked) {
+        const connected = fleet.entries.filter(entry => isConnected(agent.listed.instance, entry.id));
+        connected.forEach(entry => catchUp(agent.state, entry.input.state.appliedOffset));
+        for (const { id, logKnownAt, startedAt } of connected) {
             agent.logKnownAt = Math.max(agent.logKnownAt, logKnownAt);
             const logUnreachable = now - logKnownAt >= options.holdDuration;
             agent.answers.set(id, { answeredAt: now, logUnreachable, uptime: now - startedAt });
@@ -180,7 +182,7 @@
     }
 
     function readRevokedPhase({ listed }: Agent): CopyReport["phase"] {
-        return world.busy.has(listed.instance) ? "unloading" : "released";
+        return fleet.busy.has(listed.instance) ? "unloading" : "released";
     }
 
     function createReports(agent: Agent): CopyReport[] {
@@ -201,7 +203,7 @@
         );
     }
 
-    function beat(agent: Agent): void {
+    function sendHeartbeats(agent: Agent): void {
         const { instance } = agent.listed;
         const observation: AgentObservation = {
             instance,
@@ -211,37 +213,37 @@
             draining: false,
             copies: createReports(agent),
         };
-        world.entries.filter(entry => isLinked(instance, entry.id))
+        fleet.entries.filter(entry => isConnected(instance, entry.id))
             .forEach(entry => entry.input.observations.set(instance, observation));
     }
 
     function readLists(): void {
         listHistory.push([...listing.values()]);
-        for (const [index, { input }] of world.entries.entries()) {
-            mergeInstanceList(input.instances, listHistory.at(-1 - index * world.listLag) ?? []);
+        for (const [index, { input }] of fleet.entries.entries()) {
+            mergeInstanceList(input.instances, listHistory.at(-1 - index * fleet.listLag) ?? []);
         }
     }
 
-    /** Lets time pass, then all processes exchange what their links allow. */
+    /** Advances the clock, then lets all processes exchange messages with those that they reach. */
     function pass(duration: number): void {
         clock.advance(duration);
-        // Two rounds, since a peer may pass on what it reads in the same step.
-        [...world.entries, ...world.entries].forEach(stepEntry);
+        // Two rounds, since a peer may relay what it reads in the same step.
+        [...fleet.entries, ...fleet.entries].forEach(stepEntry);
         readLists();
-        const running = world.agents.filter(({ alive, listed }) => alive && !world.frozen.has(listed.instance));
+        const running = fleet.agents.filter(({ alive, listed }) => alive && !fleet.frozen.has(listed.instance));
         running.forEach(stepAgent);
-        running.forEach(beat);
+        running.forEach(sendHeartbeats);
     }
 
     function propose(entry: Entry): ProposerCommand[] {
         return runProposer(entry.input);
     }
 
-    /** Runs all proposers and appends what those that reach the log propose. */
+    /** Advances the clock step by step; in each step, the proposers that reach the log append their records. */
     function run(steps: number, duration = 1_000): void {
         for (let step = 0; step < steps; step++) {
             pass(duration);
-            const commands = world.entries.filter(entry => isLogReachable(entry.id)).flatMap(propose);
+            const commands = fleet.entries.filter(entry => isLogReachable(entry.id)).flatMap(propose);
             commands.forEach(({ record }) => append(record));
         }
     }
@@ -249,7 +251,7 @@
     /** Counts the copies that an agent may use at this moment, by deployment and zone. */
     function countHeld(): Map<string, number> {
         const counts = new Map<string, number>();
-        for (const { alive, loaded, hold, listed } of world.agents) {
+        for (const { alive, loaded, hold, listed } of fleet.agents) {
             if (alive && loaded !== undefined && clock.monotonic() < (hold?.validUntil ?? 0)) {
                 const key = `${loaded.deployment}/${listed.zone}`;
                 counts.set(key, (counts.get(key) ?? 0) + 1);
@@ -260,7 +262,7 @@
 
     /** Lists the agents that accept a key of a deployment at this moment. */
     function findAcceptors(deployment: string, key: string): string[] {
-        return world.agents.filter(({ alive, loaded, hold, state, listed }) => {
+        return fleet.agents.filter(({ alive, loaded, hold, state, listed }) => {
             const isHeld = alive && loaded?.deployment === deployment && clock.monotonic() < (hold?.validUntil ?? 0);
             const { owners, nextOwners } = state.placements.get(deployment) ?? { owners: [], nextOwners: undefined };
             return isHeld &&
@@ -292,18 +294,18 @@
 
     for (const id of ["entry-0", "entry-1", "entry-2"]) {
         list(id, "entry", "entry", Object.keys(zones)[0]!);
-        world.entries.push({ id, input: createInput(id), startedAt: -60_000, logKnownAt: 0 });
+        fleet.entries.push({ id, input: createInput(id), startedAt: -60_000, logKnownAt: 0 });
     }
     for (const [zone, count] of Object.entries(zones)) {
-        Array.from({ length: count }, () => addAgent(`runner-${world.agents.length}`, zone));
+        Array.from({ length: count }, () => addAgent(`runner-${fleet.agents.length}`, zone));
     }
-    return Object.assign(world, {
+    return Object.assign(fleet, {
         addAgent,
         append,
         apply,
         countHeld,
         findAcceptors,
-        isLinked,
+        isConnected,
         pass,
         propose,
         readPlacement,
