--- a/src/runtime/hold/types.ts
+++ b/src/runtime/hold/types.ts
@@ -1,10 +1,13 @@
 import type { InstanceId, Milliseconds, Offset } from "../../types/index.js";
 
-/** Newest answer of a witness to a holder. */
+/**
+ * Newest answer of a witness to a holder. A holder is an agent to which a copy is assigned; its witnesses are the entry
+ * instances that the placement lists for the copy.
+ */
 export interface WitnessAnswer {
     /**
-     * Monotonic time of the holder at which it sent the question. The time of arrival would count an answer that was
-     * delayed on the way, or that waited in a buffer while the holder was paused, as newer than it is.
+     * Monotonic time of the holder at which it sent the question. The time of arrival would make an answer that was
+     * delayed on the way, or that waited in a buffer while the holder was paused, look newer than it is.
      */
     readonly answeredAt: Milliseconds;
     /** True if the witness's own knowledge of the log was older than half of the hold duration. */
@@ -15,45 +18,45 @@
 
 /** Input of `evaluateHold`. */
 export interface HoldInput {
-    /** Witness sets that apply: the copy's witnesses and, during a change, the previous ones. */
+    /** Witness sets that must each confirm: the copy's witnesses and, while they change, the previous ones. */
     readonly witnessSets: readonly (readonly InstanceId[])[];
     /**
-     * Monotonic time at which the holder's knowledge of the log was current, counted back from the time at which it asked
-     * for it; undefined before the first read.
+     * Monotonic time at which the holder's knowledge of the log was current, counted back from the time at which it
+     * asked for it; undefined before the first read.
      */
     readonly logKnownAt: Milliseconds | undefined;
     readonly answers: ReadonlyMap<InstanceId, WitnessAnswer>;
     readonly now: Milliseconds;
     readonly holdDuration: Milliseconds;
-    /** Monotonic time at which the holder's process started; knowledge from before gives no hold. */
+    /** Monotonic time at which the holder's process started; knowledge from before does not renew the hold. */
     readonly startedAt: Milliseconds;
     /**
-     * The preceding decision for the same copy; undefined for the first. The first hold, and one after a lapse, is given
-     * only by fresh knowledge of the log.
+     * The preceding decision for the same copy; undefined for the first. Without a hold that is still valid, only fresh
+     * knowledge of the log gives one.
      */
     readonly preceding?: HoldDecision | undefined;
 }
 
-/** Whether a holder may keep its copies. */
+/** Whether a holder may keep using its copy. */
 export interface HoldDecision {
     readonly held: boolean;
     readonly reason: "log-fresh" | "log-outage-confirmed" | "lapsed";
-    /** Monotonic time at which the hold lapses without a further renewal. */
+    /** Monotonic time at which the hold lapses unless it is renewed. */
     readonly validUntil: Milliseconds;
 }
 
 /** What a proposer knows of a witness. */
 export interface WitnessKnowledge {
-    /** Monotonic time of the proposer. */
+    /** Time of its newest message, on the monotonic clock of the proposer. */
     readonly heardAt: Milliseconds;
     readonly appliedOffset: Offset;
     /** Time since the witness started, at `heardAt`. */
     readonly uptime: Milliseconds;
 }
 
-/** Confirmation of a revocation by witnesses, as the proposer remembers it. */
+/** Confirmation of a revocation by majorities of the witness sets. */
 export interface WitnessConfirmation {
-    /** Monotonic time at which majorities had confirmed. */
+    /** Monotonic time at which a majority of each set had confirmed. */
     readonly since: Milliseconds;
     /** Witnesses that had confirmed by then and have not restarted. */
     readonly witnesses: readonly InstanceId[];
@@ -75,6 +78,6 @@
 /** Whether the hold on a revoked copy has certainly expired. */
 export interface ReplacementDecision {
     readonly state: "awaiting-confirmation" | "awaiting-expiry" | "expired";
-    /** Passed in again with the next evaluation; undefined if no majority has confirmed. */
+    /** To be passed to the next evaluation; undefined if there is no majority of each set. */
     readonly confirmation: WitnessConfirmation | undefined;
 }
--- a/test/runtime/hold/hold.test.ts
+++ b/test/runtime/hold/hold.test.ts
@@ -41,7 +41,7 @@
 const knows = (heardAt: number, uptime = heardAt, appliedOffset = 7) => ({ heardAt, uptime, appliedOffset });
 
 describe("hold", () => {
-    // Guards against a holder that keeps serving without the right to, and one that unloads during a mere log outage.
+    // Guards against a holder that serves without a valid hold, and one that unloads when only the log is unreachable.
     it("lasts while the log is fresh or a majority of each witness set confirms the outage", () => {
         const cases: readonly (readonly [string, ReturnType<typeof hold>, string, number])[] = [
             ["fresh log", hold([], { logKnownAt: 80_001 }), "log-fresh", 100_001],
@@ -81,33 +81,41 @@
         }
     });
 
-    // Guards against a replacement beside a holder that could still renew its hold without the revocation.
-    it("has expired once the same majority knew the revocation for the whole time", () => {
-        const begun = replace({ a: knows(100_000), b: knows(95_000) }, 100_000);
-        expect(begun).toEqual({
+    // Guards against replacing a copy whose holder could still renew its hold by witnesses unaware of the revocation.
+    it("has expired once the same majority has known the revocation for the whole waiting time", () => {
+        const confirmed = replace({ a: knows(100_000), b: knows(95_000) }, 100_000);
+        expect(confirmed).toEqual({
             state: "awaiting-expiry",
             confirmation: { since: 100_000, witnesses: ["a", "b"] },
         });
         const sets = [["a", "b", "c"], ["c", "d", "e"]];
-        const beginnings: readonly (readonly [string, ReplacementDecision])[] = [
+        const unconfirmed: readonly (readonly [string, ReplacementDecision])[] = [
             ["one witness", replace({ a: knows(100_000) }, 100_000)],
             ["other offset", replace({ a: knows(100_000), b: knows(100_000, 100_000, 6) }, 100_000)],
             ["just started", replace({ a: knows(100_000), b: knows(100_000, 19_999) }, 100_000)],
             ["old report", replace({ a: knows(100_000), b: knows(90_000) }, 100_000)],
             ["one of two sets", replace({ a: knows(100_000), b: knows(100_000) }, 100_000, undefined, sets)],
         ];
-        for (const [name, { state }] of beginnings) {
+        for (const [name, { state }] of unconfirmed) {
             expect([name, state]).toEqual([name, "awaiting-confirmation"]);
         }
-        const ends: readonly (readonly [string, ReplacementDecision, string])[] = [
-            ["too early", replace({ a: knows(124_000), b: knows(124_000) }, 124_999, begun), "awaiting-expiry"],
-            ["in time", replace({ a: knows(125_000), b: knows(125_000) }, 125_000, begun), "expired"],
-            ["not heard again", replace({ a: knows(125_000), b: knows(99_999) }, 125_000, begun), "awaiting-expiry"],
-            ["restarted", replace({ a: knows(125_000), b: knows(125_000, 24_000) }, 125_000, begun), "awaiting-expiry"],
+        const outcomes: readonly (readonly [string, ReplacementDecision, string])[] = [
+            ["too early", replace({ a: knows(124_000), b: knows(124_000) }, 124_999, confirmed), "awaiting-expiry"],
+            ["in time", replace({ a: knows(125_000), b: knows(125_000) }, 125_000, confirmed), "expired"],
+            [
+                "no newer message",
+                replace({ a: knows(125_000), b: knows(99_999) }, 125_000, confirmed),
+                "awaiting-expiry",
+            ],
+            [
+                "restarted",
+                replace({ a: knows(125_000), b: knows(125_000, 24_000) }, 125_000, confirmed),
+                "awaiting-expiry",
+            ],
         ];
-        for (const [name, { state }, expected] of ends) {
+        for (const [name, { state }, expected] of outcomes) {
             expect([name, state]).toEqual([name, expected]);
         }
-        expect(ends[3]![1].confirmation!.since).toEqual(125_000);
+        expect(outcomes[3]![1].confirmation!.since).toEqual(125_000);
     });
 });
