Reword the state that is derived from the log

"Takes", "judges" and "whole" stood for accepting a record, deciding its outcome and a complete row. Chains, marks and the outcomes of a log entry are described where they are declared.

--- a/src/runtime/state/createState.ts
+++ b/src/runtime/state/createState.ts
@@ -2,10 +2,10 @@
 import { createTable } from "../../utils/index.js";
 import type { FoldState } from "./types.js";
 
-/** Retention that is assumed where none is given: one day. */
+/** Default time for which the log keeps records: one day. */
 export const defaultRetention: Milliseconds = 86_400_000;
 
-/** State as the functions of this folder change it. */
+/** Writable view of the state, for the functions of this folder only. */
 export type MutableFoldState = { -readonly [Key in keyof FoldState]: FoldState[Key]; };
 
 /**
@@ -27,7 +27,7 @@
 }
 
 /**
- * Names a chain of records.
+ * Creates the key of a chain: the records of one kind for one deployment, each of which is based on the one before.
  *
  * @param kind - kind of its records
  * @param deployment - name of the deployment
@@ -39,7 +39,7 @@
 
 /**
  * Prepares the state for a log whose oldest entries have expired. The next entry may start at `firstOffset`. From then
- * on a record whose base has expired is only taken once a later record is based on it. Without a gap between the
+ * on a record whose base has expired is accepted only once a later record is based on it. Without a gap between the
  * applied entries and `firstOffset` nothing changes.
  *
  * @param state - the state; changed
--- a/src/runtime/state/fold.ts
+++ b/src/runtime/state/fold.ts
@@ -1,35 +1,35 @@
 import type { LogEntry, Offset } from "../../types/index.js";
 import { createChainKey } from "./createState.js";
 import type { MutableFoldState } from "./createState.js";
-import { createConfigurationRow, createPlacementRow, isSelfContained, measureWindow } from "./rows.js";
+import { createConfigurationRow, createPlacementRow, isSelfContained, measureRetainedTime } from "./rows.js";
 import type { FoldOutcome, FoldState, UnresolvedChain } from "./types.js";
 
-/** Bounds the memory for duplicates; the base check ignores older ones too. */
+/** Identifiers in each of the two sets that detect duplicates; later repeats are still ignored due to their base. */
 const maximumRecentIds = 1_024;
-/** A chain without a record in more than half of the retention does not exist, since refreshes come earlier. */
+/** Share of the retention after which rows are refreshed; a chain that has no record for longer does not exist. */
 const refreshShare = 0.5;
 
 /**
- * Applies the next entry of the log. The state only moves forward.
+ * Applies the next entry of the log to the state. Entries are applied in order only, and none twice.
  *
  * @param state - the state; changed unless the outcome is `out-of-order`
  * @param entry - entry whose `previousOffset` is the applied offset, or the first one after a truncation
  * @returns what was done with the entry
  */
 export function foldEntry(state: FoldState, entry: LogEntry): FoldOutcome {
-    const mutable = state as MutableFoldState;
-    if (!advance(mutable, entry)) {
+    const mutableState = state as MutableFoldState;
+    if (!advanceOffset(mutableState, entry)) {
         return "out-of-order";
     }
     const { record } = entry;
     if (record.kind === "placement") {
-        // Proposers name only configurations that they have seen accepted.
-        resolveCandidate(mutable, createChainKey("configuration", record.deployment), record.configurationOffset);
+        // Proposers name only accepted configurations, so this one must have been accepted.
+        resolveCandidate(mutableState, createChainKey("configuration", record.deployment), record.configurationOffset);
     }
     const key = createChainKey(record.kind, record.deployment);
-    resolveCandidate(mutable, key, record.base);
-    const outcome = judgeEntry(mutable, key, entry);
-    // The base alone decides, since a process that started later does not know the identifiers of earlier records.
+    resolveCandidate(mutableState, key, record.base);
+    const outcome = decideOutcome(mutableState, key, entry);
+    // Only the base decides, since a process that started later does not know the identifiers of earlier records.
     return outcome === "ignored-base" && isKnownId(state, record.id) ? "ignored-duplicate" : outcome;
 }
 
@@ -37,7 +37,7 @@
     return state.recentIds.has(id) || state.earlierIds.has(id);
 }
 
-function advance(state: MutableFoldState, entry: LogEntry): boolean {
+function advanceOffset(state: MutableFoldState, entry: LogEntry): boolean {
     const { truncation } = state;
     const follows = entry.previousOffset === state.appliedOffset;
     if (truncation !== undefined && truncation.windowStart === undefined) {
@@ -61,54 +61,56 @@
     return true;
 }
 
-function readHead(state: FoldState, key: string, entry: LogEntry): Offset {
+function getHeadOffset(state: FoldState, key: string, entry: LogEntry): Offset {
     const rows = entry.record.kind === "configuration" ? state.configurations : state.placements;
     return state.unresolved.get(key)?.head?.offset ?? rows.get(entry.record.deployment)?.offset ?? 0;
 }
 
-function judgeEntry(state: MutableFoldState, key: string, entry: LogEntry): FoldOutcome {
-    const head = readHead(state, key, entry);
+function decideOutcome(state: MutableFoldState, key: string, entry: LogEntry): FoldOutcome {
+    const head = getHeadOffset(state, key, entry);
     const firstOffset = state.truncation?.firstOffset ?? 0;
     if (entry.record.base >= firstOffset) {
-        return entry.record.base === head ? takeEntry(state, key, entry) : "ignored-base";
+        return entry.record.base === head ? acceptEntry(state, key, entry) : "ignored-base";
     }
     if (head >= firstOffset) {
         return "ignored-base";
     }
     if (startsChain(state, key, entry, head)) {
-        return takeEntry(state, key, entry);
+        return acceptEntry(state, key, entry);
     }
     const chain = state.unresolved.get(key);
     state.unresolved.set(key, { candidates: [...chain?.candidates ?? [], entry], head: chain?.head });
     return "awaiting-confirmation";
 }
 
-/** A new chain is recognized by a retained window in which an older chain would have been refreshed. */
+/**
+ * A record without a base starts a new chain if an older chain would have been refreshed in the retained log before it.
+ */
 function startsChain(state: FoldState, key: string, entry: LogEntry, head: Offset): boolean {
     const { truncation } = state;
     if (entry.record.base !== 0 || head !== 0 || state.unresolved.has(key) || truncation?.windowStart === undefined) {
         return false;
     }
-    return measureWindow(entry, truncation.windowStart) > truncation.retention * refreshShare;
+    return measureRetainedTime(entry, truncation.windowStart) > truncation.retention * refreshShare;
 }
 
-/** Takes a candidate that a later record shows to be accepted. */
+/** Accepts a candidate once a later record is based on it or names it. */
 function resolveCandidate(state: MutableFoldState, key: string, offset: Offset): void {
     const candidate = state.unresolved.get(key)?.candidates.find(entry => entry.offset === offset);
     if (candidate !== undefined) {
-        takeEntry(state, key, candidate);
+        acceptEntry(state, key, candidate);
     }
 }
 
-function takeEntry(state: MutableFoldState, key: string, entry: LogEntry): FoldOutcome {
-    const baseWrittenAt = readBaseTime(state, key, entry);
-    const isWhole = setRow(state, entry);
+function acceptEntry(state: MutableFoldState, key: string, entry: LogEntry): FoldOutcome {
+    const baseWrittenAt = getBaseWrittenAt(state, key, entry);
+    const isRowComplete = setRow(state, entry);
     rememberId(state, entry.record.id);
     const chain = state.unresolved.get(key);
-    if (chain !== undefined || !isWhole) {
-        updateUnresolved(state, key, chain, entry, isWhole);
+    if (chain !== undefined || !isRowComplete) {
+        updateUnresolved(state, key, chain, entry, isRowComplete);
     }
-    if (!isWhole) {
+    if (!isRowComplete) {
         return "awaiting-confirmation";
     }
     const { record } = entry;
@@ -119,7 +121,7 @@
     return "accepted";
 }
 
-function readBaseTime(state: FoldState, key: string, entry: LogEntry): string {
+function getBaseWrittenAt(state: FoldState, key: string, entry: LogEntry): string {
     const { record } = entry;
     const head = state.unresolved.get(key)?.head;
     if (head?.offset === record.base) {
@@ -151,16 +153,16 @@
     key: string,
     chain: UnresolvedChain | undefined,
     accepted: LogEntry,
-    isWhole: boolean,
+    isRowComplete: boolean,
 ): void {
     const candidates = (chain?.candidates ?? []).filter(entry =>
         entry.offset > accepted.offset && entry.record.base >= accepted.offset
     );
-    if (isWhole && candidates.length === 0) {
+    if (isRowComplete && candidates.length === 0) {
         state.unresolved.delete(key);
         return;
     }
-    state.unresolved.set(key, { candidates, head: isWhole ? undefined : accepted });
+    state.unresolved.set(key, { candidates, head: isRowComplete ? undefined : accepted });
 }
 
 function rememberId(state: MutableFoldState, id: string): void {
--- a/src/runtime/state/refresh.ts
+++ b/src/runtime/state/refresh.ts
@@ -4,14 +4,14 @@
 
 /**
  * Lists the records that have to be written again before the log drops what they depend on. A process that starts after
- * a truncation takes a record only if it can see the one it is based on, or a later one that is based on it. So a record
- * is due once half of the retention has passed since its base, or since the last record with the whole row, was written.
- * A refresh of an old record is itself based on an old one, so its confirmation is due at once.
+ * a truncation accepts a record only if it can read the one it is based on, or a later one that is based on it. So a
+ * row is due once half of the retention has passed since its base, or the last record with the complete row, was
+ * written. A refresh of an old record is itself based on an old one, so its confirmation is due at once.
  *
  * @param state - the state
  * @param now - wall-clock time
  * @param retention - time for which the log keeps records, in milliseconds
- * @returns the due records, configurations first
+ * @returns the records that are due, configurations first
  */
 export function listDueRecords(state: FoldState, now: Date, retention: Milliseconds): DueRecord[] {
     const threshold = now.getTime() - retention / 2;
--- a/src/runtime/state/rows.ts
+++ b/src/runtime/state/rows.ts
@@ -17,7 +17,7 @@
  * @param record - accepted record
  * @param offset - its offset
  * @param preceding - row that the record is based on; undefined if there is none or it is not known
- * @returns the row; undefined if the record does not contain all of it and the preceding row is not known
+ * @returns the row; undefined if the record contains only part of it and the preceding row is not known
  */
 export function createConfigurationRow(
     record: ConfigurationRecord,
@@ -50,7 +50,7 @@
 }
 
 /**
- * Tells whether a record contains the whole row.
+ * Tells whether a record contains the complete row.
  *
  * @param record - configuration record
  * @returns true if no preceding row is needed to derive its row
@@ -60,7 +60,8 @@
 }
 
 /**
- * Derives a placement row. Copies that the record assigns or revokes get its offset as their epoch or revocation.
+ * Derives a placement row. Copies that the record assigns get its offset as `epoch`, those that it revokes as
+ * `revokedAt`.
  *
  * @param record - accepted record
  * @param offset - its offset
@@ -91,12 +92,12 @@
 }
 
 /**
- * Measures how much of the retained log lies before an entry.
+ * Measures the time that the retained log covers before an entry.
  *
  * @param entry - entry of the log
  * @param windowStart - ISO 8601 time of the first retained entry
  * @returns milliseconds between the first retained entry and this one
  */
-export function measureWindow(entry: LogEntry, windowStart: string): number {
+export function measureRetainedTime(entry: LogEntry, windowStart: string): number {
     return Date.parse(entry.record.writtenAt) - Date.parse(windowStart);
 }
--- a/src/runtime/state/snapshot.ts
+++ b/src/runtime/state/snapshot.ts
@@ -10,7 +10,7 @@
 type SnapshotContent = Omit<StateSnapshot, "digest">;
 
 /**
- * Copies the state, for a process that starts without one.
+ * Exports the state for a process that starts without one.
  *
  * @param state - the state
  * @returns rows in the order of their deployments, with a digest
@@ -31,7 +31,7 @@
  * Builds the state from a snapshot.
  *
  * @param snapshot - snapshot of another process
- * @returns the state; `PEER_UNREACHABLE` if the digest does not fit the content
+ * @returns the state; `PEER_UNREACHABLE` if the digest does not match the content
  */
 export function importSnapshot(snapshot: StateSnapshot): Result<FoldState, GoldcrestpointError> {
     const { digest, ...content } = snapshot;
@@ -40,7 +40,7 @@
             "PEER_UNREACHABLE",
             "import state snapshot",
             "local",
-            "The digest of the state snapshot does not fit its content.",
+            "The digest of the state snapshot does not match its content.",
         ));
     }
     const state: MutableFoldState = createFoldState();
@@ -71,7 +71,7 @@
     return computeDigest(JSON.stringify(sortFields(content)));
 }
 
-/** JSON text with sorted fields is the same before and after transport. */
+/** Sorts all fields by name, so that the JSON text is the same before and after transport. */
 function sortFields(value: unknown): unknown {
     if (Array.isArray(value)) {
         return value.map(sortFields);
--- a/src/runtime/state/types.ts
+++ b/src/runtime/state/types.ts
@@ -9,7 +9,11 @@
 } from "../../types/index.js";
 import type { Table } from "../../utils/index.js";
 
-/** What the fold did with a log entry. */
+/**
+ * Result of applying a log entry. `ignored-base` if its base is not the newest accepted record of the chain,
+ * `awaiting-confirmation` if a later record has to show whether it is accepted, `out-of-order` if it does not follow
+ * the newest applied entry.
+ */
 export type FoldOutcome =
     | "accepted"
     | "ignored-base"
@@ -17,9 +21,9 @@
     | "awaiting-confirmation"
     | "out-of-order";
 
-/** Times that decide when the newest record of a chain has to be written again. */
+/** Times that decide when the newest row of a chain has to be written again. */
 export interface ChainMark {
-    /** ISO 8601 time of the record that the newest one is based on; of the newest one itself if it has no base. */
+    /** ISO 8601 time of the record on which the newest one is based; of the newest one itself if it has no base. */
     readonly baseWrittenAt: string;
     /** ISO 8601 time of the newest record from which alone the row can be derived. */
     readonly completeAt: string;
@@ -29,11 +33,11 @@
 export interface UnresolvedChain {
     /** Records whose acceptance depends on expired ones. */
     readonly candidates: readonly LogEntry[];
-    /** Newest record that is known to be accepted but does not contain the whole row. */
+    /** Newest record that is known to be accepted but does not contain the complete row. */
     readonly head: LogEntry | undefined;
 }
 
-/** Beginning of the log after the oldest entries have expired. */
+/** First entry of the log after the oldest entries have expired. */
 export interface TruncationPoint {
     readonly firstOffset: Offset;
     /** ISO 8601 time of the first entry that was applied after the gap; undefined before it. */
@@ -47,9 +51,9 @@
     readonly appliedOffset: Offset;
     readonly configurations: Table<DeploymentName, ConfigurationRow>;
     readonly placements: Table<DeploymentName, PlacementRow>;
-    /** By chain key. */
+    /** Times that decide on refreshes, by chain key. */
     readonly marks: Map<string, ChainMark>;
-    /** By chain key. */
+    /** Chains whose newest accepted record is not yet known, by chain key. */
     readonly unresolved: Map<string, UnresolvedChain>;
     /** Undefined if no entry is missing. */
     readonly truncation: TruncationPoint | undefined;
@@ -59,7 +63,7 @@
     readonly earlierIds: ReadonlySet<string>;
 }
 
-/** State as one process hands it to another. */
+/** State as one process sends it to another. */
 export interface StateSnapshot {
     readonly appliedOffset: Offset;
     readonly configurations: readonly ConfigurationRow[];
@@ -71,7 +75,7 @@
     readonly digest: string;
 }
 
-/** Record that has to be written again so that it outlives the log's retention. */
+/** Row that has to be written again before the log's retention expires. */
 export interface DueRecord {
     readonly kind: RecordKind;
     readonly deployment: DeploymentName;
--- a/test/runtime/state/fold.test.ts
+++ b/test/runtime/state/fold.test.ts
@@ -87,7 +87,7 @@
         }
     });
 
-    // Guards against gaps and repeats of a relay that lose or apply records twice.
+    // Guards against losing records or applying them twice when a relay leaves out or repeats entries.
     it("applies entries only in the order of the log", () => {
         const [first, second, third] = createLog(configure("a", 0), configure("b", 1), configure("c", 2));
         const [state, outcomes] = fold([second!, first!, third!, first!, second!, third!]);
@@ -136,8 +136,8 @@
         expect(state.placements.get("scribe")!.copies).toEqual(row.copies);
     });
 
-    // Guards against records that are taken after a truncation although the log had ignored them.
-    it("takes a record with an expired base only once a later record names it", () => {
+    // Guards against accepting records after a truncation although they were ignored before it.
+    it("accepts a record with an expired base only once a later record is based on it", () => {
         const refreshOf = { ...fold(createLog(configure("a", 0)))[0].configurations.get("scribe")!, revision: 7 };
         const stale: ConfigurationRow = { ...refreshOf, revision: 3 };
         const log = createLog(
@@ -158,7 +158,7 @@
         }
     });
 
-    // Guards against configurations with a lost revision, and against those that stay unknown without need.
+    // Guards against configurations that lose their revision or stay unknown without need.
     it("recovers chains after a truncation without a peer", () => {
         const { declaration } = configure("", 0);
         const refreshOf = fold(createLog(configure("a", 0)))[0].configurations.get("scribe")!;
@@ -213,8 +213,8 @@
         }
     });
 
-    // Guards against a process that goes back or accepts a late record after it has missed entries.
-    it("keeps its rows through a gap and takes nothing that the missing entries may have overtaken", () => {
+    // Guards against a process that reverts rows or accepts a late record after it has missed entries.
+    it("keeps its rows through a gap and accepts nothing that the missing entries may have superseded", () => {
         const log = createLog(configure("a", 0), configure("b", 1), configure("c", 1), configure("d", 2));
         const [state] = fold(log.slice(0, 1));
         beginAfterTruncation(state, 3);
