Reword the replica of keyed records

Dropped keys are tombstones, older copies of the log are backups, and records "carried" are those of an earlier era of the log. What a page, a position and the policy for missing keys mean is said at their fields.

--- a/src/runtime/replica/directReads.ts
+++ b/src/runtime/replica/directReads.ts
@@ -1,10 +1,10 @@
 import type { Milliseconds } from "../../types/index.js";
 
-/** Options of the decision which processes read the platform's log themselves. */
+/** Options of the decision whether a process reads the platform's log itself. */
 export interface DirectReadOptions {
-    /** Age of relayed knowledge from which on a process reads the log itself. */
+    /** Age of the relayed records above which a process reads the log itself. */
     readonly relayStaleAfter: Milliseconds;
-    /** Time by which each rank of readers waits longer than the one before. */
+    /** Time by which the reader of each rank waits longer than the one before. */
     readonly rankDelay: Milliseconds;
 }
 
@@ -13,7 +13,7 @@
     /** Instances that relay records, this one included. */
     readonly instances: readonly string[];
     readonly self: string;
-    /** Monotonic time at which relayed knowledge was current; undefined if nothing was relayed yet. */
+    /** Monotonic time at which the relayed records were current; undefined if nothing was relayed yet. */
     readonly relayedCurrentAt: Milliseconds | undefined;
     /** Monotonic time at which this process started. */
     readonly startedAt: Milliseconds;
@@ -22,8 +22,8 @@
 }
 
 /**
- * Decides whether this process reads a busy topic of the log itself. One process does and relays the records; the
- * others step in, one rank after the other, when the relayed knowledge grows old.
+ * Decides whether this process reads a topic with many changes from the log itself. The process of rank 0 always does,
+ * and relays the records; the others follow, one rank after the other, when the relayed records become too old.
  *
  * @param input - who relays, and the age of what was relayed
  * @returns true if this process is to read now
--- a/src/runtime/replica/replica.ts
+++ b/src/runtime/replica/replica.ts
@@ -1,24 +1,28 @@
 import type { KeyedPage, KeyedRecord, KeyedTopic, LogEra, Milliseconds, Offset } from "../../types/index.js";
-import { type MissingAfterRestore, missingAfterRestore, supersedes } from "./restore.js";
+import { missingKeyPolicies, type MissingKeyPolicy, supersedes } from "./restore.js";
 
-/** Record with the era in which it was read. */
+/** Record with the era of its offset; the era of the log grows each time that the log is restored from a backup. */
 export interface KnownRecord extends KeyedRecord {
     readonly era: LogEra;
 }
 
-/** What a process knows of one topic. */
+/** Records of one topic that a process knows, and up to which position. */
 export interface ReplicaTopic {
-    /** Record of each key with which it took its newest value; keys that were dropped stay without a value. */
+    /**
+     * For each key, the record that set its current value; a key that was dropped has a tombstone, a record without
+     * value.
+     */
     readonly records: Map<string, KnownRecord>;
-    /** Era of the offsets. Records of an earlier one are in force until they are written again or superseded. */
+    /** Era of `nextOffset`. Records carried over from earlier eras stay in force until written again or superseded. */
     era: LogEra;
-    /** Offset of the first record that is not known; everything before it is. */
+    /** Offset of the first record that is not known; all records before it are. */
     nextOffset: Offset;
-    /** Monotonic time at which the knowledge was current; undefined before the first page. */
+    /** Monotonic time at which the records were current; undefined before the first page. */
     currentAt: Milliseconds | undefined;
-    /** Grows with each change of the records of earlier eras, which offsets do not order. */
+    /** Counts changes of the records carried over from earlier eras, which offsets do not order. */
     carriedChanges: number;
-    readonly missing: MissingAfterRestore;
+    /** What happens to known keys that a restored log does not list. */
+    readonly missingKeyPolicy: MissingKeyPolicy;
 }
 
 /** Copy of keyed topics in one process. */
@@ -29,9 +33,9 @@
 /** Records that were merged, and the time at which they were current. */
 export interface MergeInput {
     readonly page: KeyedPage;
-    /** True if keys that the page does not list were dropped. */
+    /** True if the page lists all keys, so that others were dropped. */
     readonly complete: boolean;
-    /** Monotonic time at which the sender's knowledge was current. */
+    /** Monotonic time at which the sender's records were current. */
     readonly currentAt: Milliseconds;
 }
 
@@ -39,12 +43,15 @@
 export interface ReplicaPosition {
     readonly era: LogEra;
     readonly nextOffset: Offset;
-    /** Value of {@link ReplicaTopic.carriedChanges} up to which it was told; undefined if it was told nothing yet. */
+    /**
+     * {@link ReplicaTopic.carriedChanges} of the sender at its last message to the follower; undefined before the
+     * first.
+     */
     readonly carriedChanges: number | undefined;
 }
 
-/** Dropped keys that are remembered in a topic; the oldest are forgotten first. */
-const maximumDroppedKeys = 1_000;
+/** Maximum number of tombstones in a topic; the oldest are deleted first. */
+const maximumTombstones = 1_000;
 
 /**
  * Creates an empty replica.
@@ -61,7 +68,7 @@
                 nextOffset: 0,
                 currentAt: undefined,
                 carriedChanges: 0,
-                missing: missingAfterRestore[topic],
+                missingKeyPolicy: missingKeyPolicies[topic],
             }]),
         ),
     };
@@ -71,86 +78,86 @@
     return left === undefined || right === undefined ? left === right : Buffer.compare(left, right) === 0;
 }
 
-function isCarried(topic: ReplicaTopic, record: KnownRecord): boolean {
+function isFromEarlierEra(topic: ReplicaTopic, record: KnownRecord): boolean {
     return record.era < topic.era;
 }
 
-function listDropped(topic: ReplicaTopic, { page }: MergeInput): KnownRecord[] {
+function createTombstones(topic: ReplicaTopic, { page }: MergeInput): KnownRecord[] {
     const listed = new Set(page.records.map(({ key }) => key));
     return [...topic.records.values()]
         .filter(record => !listed.has(record.key) && record.value !== undefined)
-        .filter(record => topic.missing === "drop" || !isCarried(topic, record))
+        .filter(record => topic.missingKeyPolicy === "drop" || !isFromEarlierEra(topic, record))
         .map(({ key, order }) => ({ key, value: undefined, offset: page.nextOffset - 1, era: topic.era, order }));
 }
 
-function forgetOldestDropped(topic: ReplicaTopic): void {
+function deleteOldestTombstones(topic: ReplicaTopic): void {
     const dropped = [...topic.records.values()].filter(({ value }) => value === undefined);
-    for (const { key } of dropped.sort((left, right) => left.offset - right.offset).slice(0, -maximumDroppedKeys)) {
+    for (const { key } of dropped.sort((left, right) => left.offset - right.offset).slice(0, -maximumTombstones)) {
         topic.records.delete(key);
     }
 }
 
-/** Stores a record; returns true if it says something new. */
-function store(topic: ReplicaTopic, record: KnownRecord): boolean {
+/** Stores a record; returns true if it changes the value of its key. */
+function storeRecord(topic: ReplicaTopic, record: KnownRecord): boolean {
     const previous = topic.records.get(record.key);
     const isChanged = !isSameValue(previous?.value, record.value);
     if (!isChanged && (previous === undefined || previous.era >= record.era)) {
         return false;
     }
-    // The content that was dropped tells which later one is newer.
+    // A tombstone keeps the order of the dropped value, by which later records of the key are compared.
     const order = record.order ?? (record.value === undefined ? previous?.order : undefined);
     topic.records.set(record.key, { ...record, order });
-    if (isCarried(topic, record) || (previous !== undefined && isCarried(topic, previous))) {
+    if (isFromEarlierEra(topic, record) || (previous !== undefined && isFromEarlierEra(topic, previous))) {
         topic.carriedChanges++;
     }
     return isChanged;
 }
 
-/** Merges a record that the sender has from an earlier era and that its log has not confirmed. */
-function mergeCarried(topic: ReplicaTopic, record: KnownRecord, nextOffset: Offset): boolean {
+/** Merges a record that the sender carried over from an earlier era, since it has not been written again. */
+function mergeFromEarlierEra(topic: ReplicaTopic, record: KnownRecord, nextOffset: Offset): boolean {
     const previous = topic.records.get(record.key);
     if (previous === undefined) {
-        return store(topic, record);
+        return storeRecord(topic, record);
     }
-    // The sender has not seen a record that lies behind its position.
-    const isUnseen = !isCarried(topic, previous) && previous.offset >= nextOffset;
+    // The sender does not know records at or after its own position yet.
+    const isUnseen = !isFromEarlierEra(topic, previous) && previous.offset >= nextOffset;
     return !isUnseen && !isSameValue(previous.value, record.value) && supersedes(record, previous) &&
-        store(topic, record);
+        storeRecord(topic, record);
 }
 
-function mergeInOrder(topic: ReplicaTopic, record: KnownRecord, known: Offset): boolean {
+/** Merges a record whose offset belongs to the era of the topic. */
+function mergeFromCurrentEra(topic: ReplicaTopic, record: KnownRecord, knownOffset: Offset): boolean {
     const previous = topic.records.get(record.key);
-    if (record.offset < known) {
+    if (record.offset < knownOffset) {
         return false;
     }
-    const isOlder = previous?.value !== undefined && record.value !== undefined && isCarried(topic, previous) &&
+    const isOlder = previous?.value !== undefined && record.value !== undefined && isFromEarlierEra(topic, previous) &&
         !isSameValue(previous.value, record.value) && !supersedes(record, previous);
-    return !isOlder && store(topic, record);
+    return !isOlder && storeRecord(topic, record);
 }
 
-/** Merges all records of a log that was restored from an older copy: what is newer than the copy stays in force. */
+/** Merges all records of a log that was restored from a backup; known records that are newer stay in force. */
 function mergeRestored(topic: ReplicaTopic, input: MergeInput, era: LogEra): KnownRecord[] {
     const { page } = input;
     topic.era = era;
     topic.nextOffset = page.nextOffset;
     topic.carriedChanges++;
-    const dropped = topic.missing === "drop" ? listDropped(topic, input) : [];
-    const taken = page.records.map(record => ({ ...record, era: record.era ?? era })).filter(record => {
+    const dropped = topic.missingKeyPolicy === "drop" ? createTombstones(topic, input) : [];
+    const accepted = page.records.map(record => ({ ...record, era: record.era ?? era })).filter(record => {
         const previous = topic.records.get(record.key);
         return previous === undefined || isSameValue(previous.value, record.value) || supersedes(record, previous);
     });
-    return [...dropped, ...taken].filter(record => store(topic, record));
+    return [...dropped, ...accepted].filter(record => storeRecord(topic, record));
 }
 
 /**
- * Merges records into a topic. Pages of several senders may arrive in any order: what lies before the position that is
- * known already is older than the knowledge and is left out. A record that repeats the known value leaves it as it is,
- * so that it is not relayed again. A page of an earlier era is left out, and one of a later era as well if it is not
- * complete.
+ * Merges records into a topic. Pages of several senders may arrive in any order: records before the position of the
+ * topic are outdated and ignored. A record that repeats the known value leaves it unchanged, so that it is not relayed
+ * again. Pages of an earlier era are ignored, and so are pages of a later era that are not complete.
  *
  * @param topic - topic to change
  * @param input - records and their time
- * @returns the records that changed what is known of their key
+ * @returns the records that changed the value of their key
  */
 export function mergePage(topic: ReplicaTopic, input: MergeInput): readonly KeyedRecord[] {
     const { complete, currentAt, page } = input;
@@ -166,29 +173,29 @@
     }
     else {
         topic.era = era;
-        const known = topic.nextOffset;
-        const dropped = complete && page.nextOffset > known ? listDropped(topic, input) : [];
+        const knownOffset = topic.nextOffset;
+        const dropped = complete && page.nextOffset > knownOffset ? createTombstones(topic, input) : [];
         const records = [...dropped, ...page.records.map(record => ({ ...record, era: record.era ?? era }))];
         changed = records.filter(record =>
-            isCarried(topic, record) ?
-                mergeCarried(topic, record, page.nextOffset) :
-                mergeInOrder(topic, record, known)
+            isFromEarlierEra(topic, record) ?
+                mergeFromEarlierEra(topic, record, page.nextOffset) :
+                mergeFromCurrentEra(topic, record, knownOffset)
         );
-        topic.nextOffset = Math.max(known, page.nextOffset);
+        topic.nextOffset = Math.max(knownOffset, page.nextOffset);
     }
     if (changed.length > 0) {
-        forgetOldestDropped(topic);
+        deleteOldestTombstones(topic);
     }
     return changed;
 }
 
 /**
- * Selects what a follower does not know yet. Records of earlier eras are sent to each follower, whatever its position,
- * and so are keys that were dropped in one: the restored log may list them again.
+ * Selects the records that a follower does not know yet. Records carried over from earlier eras are sent whatever the
+ * follower's position, and so are their tombstones, since the restored log may list the dropped keys again.
  *
  * @param topic - topic that is relayed
  * @param position - position of the follower
- * @returns the records in the order of their offsets, and whether they are all that exist
+ * @returns the records in the order of their offsets; `complete` if they include all that exist
  */
 export function selectUnknown(
     topic: ReplicaTopic,
@@ -198,10 +205,10 @@
         return { records: [], complete: false };
     }
     const complete = position.nextOffset === 0 || position.era < topic.era;
-    const isTold = position.carriedChanges === topic.carriedChanges;
+    const knowsCarriedChanges = position.carriedChanges === topic.carriedChanges;
     const records = [...topic.records.values()].filter(record => {
-        if (isCarried(topic, record)) {
-            return complete || !isTold;
+        if (isFromEarlierEra(topic, record)) {
+            return complete || !knowsCarriedChanges;
         }
         return complete ? record.value !== undefined : record.offset >= position.nextOffset;
     });
--- a/src/runtime/replica/restore.ts
+++ b/src/runtime/replica/restore.ts
@@ -1,13 +1,13 @@
 import type { KeyedRecord, KeyedTopic } from "../../types/index.js";
 
-/** What becomes of a known key that a restored log does not list: it is kept until it is written again, or dropped. */
-export type MissingAfterRestore = "keep" | "drop";
+/** What happens to a known key that a restored log does not list: it is kept until it is written again, or dropped. */
+export type MissingKeyPolicy = "keep" | "drop";
 
 /**
- * What is kept of each topic. What the operator and the gateways wrote since the copy was taken stays in force; a backend
- * server that lives writes its entry again.
+ * The policy of each topic. What the operator and the gateways wrote after the backup stays in force; a backend server
+ * that is running writes its entry again.
  */
-export const missingAfterRestore: Readonly<Record<KeyedTopic, MissingAfterRestore>> = {
+export const missingKeyPolicies: Readonly<Record<KeyedTopic, MissingKeyPolicy>> = {
     operator: "keep",
     "backend-servers": "drop",
     instances: "keep",
@@ -25,12 +25,13 @@
 }
 
 /**
- * Decides between two records of a key whose offsets do not compare, since the log was restored between them. A key that
- * was dropped comes back only with a higher first number, as a backend server that has started anew.
+ * Decides between two records of a key whose offsets cannot be compared, since the log was restored between them. A key
+ * that was dropped gets a value again only by a record whose `order` has a higher first number, as a backend server
+ * that was restarted writes it.
  *
  * @param candidate - record that was read later, or in a later era
- * @param known - record that is known
- * @returns true if the candidate takes the place of the known record
+ * @param known - record that is already stored
+ * @returns true if the candidate replaces the known record
  */
 export function supersedes(candidate: KeyedRecord, known: KeyedRecord): boolean {
     if (candidate.value === undefined) {
--- a/test/runtime/replica/replica.test.ts
+++ b/test/runtime/replica/replica.test.ts
@@ -45,7 +45,7 @@
         expect(topic.nextOffset).toEqual(4);
     });
 
-    it("leaves out what an outdated sender repeats", () => {
+    it("ignores records that an outdated sender repeats", () => {
         const topic = createTopic();
         mergePage(topic, { page: { records: [record("a", "new", 7)], nextOffset: 8 }, complete: true, currentAt: 10 });
         const changed = mergePage(topic, {
@@ -77,7 +77,7 @@
         expect(selectUnknown(topic, at(0)).records.map(({ key }) => key)).toEqual(["a"]);
     });
 
-    it("converges whatever the order in which relays deliver, seeded by fast-check", () => {
+    it("converges in whatever order relays deliver pages", () => {
         const history = fastCheck.array(
             fastCheck.record({ key: fastCheck.constantFrom("a", "b", "c"), value: fastCheck.option(fastCheck.nat(3)) }),
             { minLength: 1, maxLength: 12 },
@@ -114,7 +114,7 @@
     const options = { relayStaleAfter: 900, rankDelay: 150 };
     const input = { instances: ["a", "b", "c"], startedAt: 0, options };
 
-    it("are made by the first instance, and by the others once relayed knowledge is old", () => {
+    it("are made by the first instance, and by the others once the relayed records are old", () => {
         expect(mayReadDirectly({ ...input, self: "a", relayedCurrentAt: 5_000, now: 5_000 })).toEqual(true);
         expect(mayReadDirectly({ ...input, self: "b", relayedCurrentAt: 5_000, now: 5_900 })).toEqual(false);
         expect(mayReadDirectly({ ...input, self: "b", relayedCurrentAt: 5_000, now: 5_901 })).toEqual(true);
--- a/test/runtime/replica/restore.test.ts
+++ b/test/runtime/replica/restore.test.ts
@@ -70,8 +70,8 @@
     }
 });
 
-describe("replica of a log that was restored from an older copy", () => {
-    it("takes over the offsets of the new era, whatever the old position", () => {
+describe("replica of a log that was restored from a backup", () => {
+    it("uses the offsets of the new era, whatever the old position", () => {
         const topic = createTopic();
         merge(topic, 1, [record("config", 7, [5])], 8);
         expect(merge(topic, 2, [record("config", 2, [3])], 3)).toEqual([]);
@@ -80,7 +80,7 @@
         expect([topic.era, topic.nextOffset]).toEqual([2, 4]);
     });
 
-    it("leaves out pages of the earlier era, and parts of a later one", () => {
+    it("ignores pages of an earlier era, and incomplete pages of a later one", () => {
         const topic = createTopic();
         merge(topic, 2, [record("config", 2, [3])], 3);
         expect(merge(topic, 1, [record("config", 9, [9])], 10)).toEqual([]);
@@ -88,8 +88,8 @@
         expect([topic.era, readOrder(topic, "config")]).toEqual([2, [3]]);
     });
 
-    // Guards against an operator's history that is written once more and steps back through older configurations.
-    it("leaves out what is written again as long as it is older", () => {
+    // Guards against reverting to older configurations when an operator's history is written to the log again.
+    it("ignores records that are written again as long as they are older", () => {
         const topic = createTopic();
         merge(topic, 1, [record("config", 7, [5])], 8);
         merge(topic, 2, [record("config", 2, [3])], 3);
@@ -99,7 +99,7 @@
         expect(topic.records.get("config")!.era).toEqual(2);
     });
 
-    it("keeps what the operator wrote since the copy, and drops backend servers that do not write again", () => {
+    it("keeps what the operator wrote after the backup, and drops backend servers until they write again", () => {
         const operator = createTopic();
         merge(operator, 1, [record("config", 0, [1]), record("version/a", 1, [2])], 2);
         expect(merge(operator, 2, [record("config", 0, [1])], 1)).toEqual([]);
@@ -110,22 +110,22 @@
         expect(merge(servers, 2, [record("i-2", 1, [1, 2])], 2, false)).toEqual(["i-2"]);
     });
 
-    it("tells a process that has read the copy only what is newer, and nothing twice", () => {
-        const knowing = createTopic("backend-servers");
-        merge(knowing, 1, [record("i-1", 0, [1, 1])], 1);
-        merge(knowing, 1, [drop("i-1", 1)], 2, false);
-        merge(knowing, 2, [record("i-1", 0, [1, 1])], 1);
+    it("sends a process that has read the backup only what is newer, and nothing twice", () => {
+        const source = createTopic("backend-servers");
+        merge(source, 1, [record("i-1", 0, [1, 1])], 1);
+        merge(source, 1, [drop("i-1", 1)], 2, false);
+        merge(source, 2, [record("i-1", 0, [1, 1])], 1);
         const started = createTopic("backend-servers");
         merge(started, 2, [record("i-1", 0, [1, 1])], 1);
         const position = { era: 2, nextOffset: 1, carriedChanges: undefined };
-        const { complete, records } = selectUnknown(knowing, position);
+        const { complete, records } = selectUnknown(source, position);
         expect(merge(started, 2, records, 1, complete)).toEqual(["i-1"]);
         expect(readOrder(started, "i-1")).toEqual(undefined);
-        expect(selectUnknown(knowing, { ...position, carriedChanges: knowing.carriedChanges }).records).toEqual([]);
+        expect(selectUnknown(source, { ...position, carriedChanges: source.carriedChanges }).records).toEqual([]);
     });
 
-    // Guards against a backend server that is back and is dropped on the word of a process that has not read so far.
-    it("keeps a record that the sender of an earlier one has not seen", () => {
+    // Guards against dropping a backend server that has registered again because a sender has not read that far.
+    it("keeps a record that the sender of an earlier one does not know", () => {
         const topic = createTopic("backend-servers");
         merge(topic, 2, [record("i-1", 0, [1, 1])], 1);
         merge(topic, 2, [record("i-1", 4, [1, 9], "back")], 5, false);
@@ -135,19 +135,19 @@
     });
 });
 
-interface ModelLog {
+interface SimulatedLog {
     era: number;
     records: KeyedRecord[];
 }
 
 type Step = "write" | "back-up" | "restore" | "read" | "relay";
 
-/** Processes that read a log which is restored now and then, and relay to each other. */
-class Model {
-    readonly log: ModelLog = { era: 1, records: [] };
+/** Simulates processes that read a log, which is restored from backups, and relay records to each other. */
+class LogSimulation {
+    readonly log: SimulatedLog = { era: 1, records: [] };
     readonly processes = Array.from({ length: 4 }, () => createTopic());
-    private copy: readonly KeyedRecord[] = [];
-    private readonly told = new Map<string, number>();
+    private backup: readonly KeyedRecord[] = [];
+    private readonly sentCarriedChanges = new Map<string, number>();
     private version = 0;
 
     run(step: Step, index: number, other: number): void {
@@ -157,11 +157,11 @@
                 this.log.records.push(record("config", this.log.records.length, [this.version]));
             },
             "back-up": () => {
-                this.copy = [...this.log.records];
+                this.backup = [...this.log.records];
             },
             restore: () => {
                 this.log.era++;
-                this.log.records = [...this.copy];
+                this.log.records = [...this.backup];
             },
             read: () => this.read(index),
             relay: () => this.relay(index, other),
@@ -183,9 +183,13 @@
         const [sender, receiver] = [this.processes[from]!, this.processes[to]!];
         const name = `${from}-${to}`;
         const { era, nextOffset } = receiver;
-        const { complete, records } = selectUnknown(sender, { era, nextOffset, carriedChanges: this.told.get(name) });
+        const { complete, records } = selectUnknown(sender, {
+            era,
+            nextOffset,
+            carriedChanges: this.sentCarriedChanges.get(name),
+        });
         merge(receiver, sender.era, records, sender.nextOffset, complete);
-        this.told.set(name, sender.carriedChanges);
+        this.sentCarriedChanges.set(name, sender.carriedChanges);
     }
 }
 
@@ -199,40 +203,40 @@
         { maxLength: 60 },
     );
 
-    it("never go back, and agree once the operator writes again, in any order of delivery", () => {
+    it("never revert to older records, and agree once the operator writes again, in any order of delivery", () => {
         fastCheck.assert(
             fastCheck.property(steps, sequence => {
-                const model = new Model();
-                let before = model.processes.map(() => 0);
+                const simulation = new LogSimulation();
+                let before = simulation.processes.map(() => 0);
                 for (const [step, index, other] of sequence) {
-                    model.run(step, index, other);
-                    const now = model.processes.map(topic => readOrder(topic, "config")?.[0] ?? 0);
+                    simulation.run(step, index, other);
+                    const now = simulation.processes.map(topic => readOrder(topic, "config")?.[0] ?? 0);
                     expect(now.every((version, process) => version >= before[process]!)).toEqual(true);
                     before = now;
                 }
-                model.run("write", 0, 0);
-                model.processes.forEach((...[, index]) => model.read(index));
-                const versions = new Set(model.processes.map(topic => readOrder(topic, "config")?.[0]));
+                simulation.run("write", 0, 0);
+                simulation.processes.forEach((...[, index]) => simulation.read(index));
+                const versions = new Set(simulation.processes.map(topic => readOrder(topic, "config")?.[0]));
                 expect(versions.size).toEqual(1);
             }),
             { numRuns: 2_000 },
         );
     });
 
-    it("teach a process that has just started all that the others know", () => {
+    it("send a process that has just started all that the others know", () => {
         fastCheck.assert(
             fastCheck.property(steps, sequence => {
-                const model = new Model();
-                sequence.forEach(step => model.run(...step));
-                model.read(0);
-                model.processes[1] = createTopic();
-                model.read(1);
-                const [knowing, started] = [model.processes[0]!, model.processes[1]];
+                const simulation = new LogSimulation();
+                sequence.forEach(step => simulation.run(...step));
+                simulation.read(0);
+                simulation.processes[1] = createTopic();
+                simulation.read(1);
+                const [source, started] = [simulation.processes[0]!, simulation.processes[1]];
                 const { era, nextOffset } = started;
-                const { complete, records } = selectUnknown(knowing, { era, nextOffset, carriedChanges: undefined });
-                merge(started, knowing.era, records, knowing.nextOffset, complete);
-                const [known, learnt] = [0, 1].map(index => readOrder(model.processes[index]!, "config"));
-                expect(learnt).toEqual(known);
+                const { complete, records } = selectUnknown(source, { era, nextOffset, carriedChanges: undefined });
+                merge(started, source.era, records, source.nextOffset, complete);
+                const [known, received] = [0, 1].map(index => readOrder(simulation.processes[index]!, "config"));
+                expect(received).toEqual(known);
             }),
             { numRuns: 2_000 },
         );
