Reword the choice of transfers between agents

"Across the border of a zone" is now a read from another zone, "readers before" are preceding readers, and the functions that choose transfers are named after the source that they choose. Numbers and reasons of the options are kept; reasons in log lines are unchanged.

--- a/src/runtime/distribution/budget.ts
+++ b/src/runtime/distribution/budget.ts
@@ -1,8 +1,10 @@
 import type { Milliseconds } from "../../types/index.js";
 
-/** State of a token bucket; it may go below zero, which delays what comes next. */
+/** State of a token bucket; it may be overdrawn, which delays the next bytes. */
 export interface TokenBucket {
+    /** Bytes that may be sent now; negative if overdrawn. */
     bytes: number;
+    /** Monotonic time of the last refill. */
     refilledAt: Milliseconds;
 }
 
@@ -14,7 +16,7 @@
     readonly idleShare: number;
     /** Share that transfers may use while requests are in progress. Default: 0.5. */
     readonly busyShare: number;
-    /** Time for which unused bytes are kept. Default: 10 ms. */
+    /** Maximum time for which unused bytes accumulate. Default: 10 ms. */
     readonly burst: Milliseconds;
 }
 
@@ -36,10 +38,10 @@
 }
 
 /**
- * Reads the rate that transfers may use; live requests take precedence.
+ * Computes the rate that transfers may use; live requests take precedence.
  *
  * @param options - options of the budget
- * @param requestsInProgress - live requests of the instance
+ * @param requestsInProgress - number of live requests of the instance
  * @returns bytes per second
  */
 export function readTransferRate(options: BudgetOptions, requestsInProgress: number): number {
@@ -47,11 +49,11 @@
 }
 
 /**
- * Adds the bytes that have become available.
+ * Adds the bytes that have become available since the last refill.
  *
  * @param bucket - changed in place
  * @param rate - bytes per second
- * @param burst - time for which unused bytes are kept
+ * @param burst - maximum time for which unused bytes accumulate
  * @param now - monotonic time
  */
 export function refillBucket(bucket: TokenBucket, rate: number, burst: Milliseconds, now: Milliseconds): void {
@@ -61,7 +63,7 @@
 }
 
 /**
- * Takes bytes if the bucket is not overdrawn. A part may be larger than the bucket; it overdraws it.
+ * Takes bytes if the bucket is not overdrawn. They may be more than the bucket contains, which overdraws it.
  *
  * @param bucket - refilled bucket; changed in place
  * @param bytes - bytes wanted
--- a/src/runtime/distribution/decideUpload.ts
+++ b/src/runtime/distribution/decideUpload.ts
@@ -4,7 +4,7 @@
  * Decides whether a requested chunk is sent.
  *
  * @param input - the request and what has been sent so far
- * @returns permission, or the refusal with its reason
+ * @returns whether it is allowed; if not, the refusal and its reason
  */
 export function decideUpload(input: UploadInput): UploadDecision {
     const { chunkBytes, held, lastResort, options, sentBytes, totalBytes, uploadsInProgress } = input;
--- a/src/runtime/distribution/manifest.ts
+++ b/src/runtime/distribution/manifest.ts
@@ -8,7 +8,7 @@
 /** Names of the weights that a manifest describes. */
 export interface WeightNames {
     readonly model: string;
-    /** Empty for none. */
+    /** Empty if there is none. */
     readonly adapter: string;
     readonly version: string;
 }
--- a/src/runtime/distribution/neighbours.ts
+++ b/src/runtime/distribution/neighbours.ts
@@ -4,7 +4,7 @@
 import type { DistributionOptions, OriginReaders, PeerRow } from "./types.js";
 
 /**
- * Chooses the agents with which bitfields are exchanged.
+ * Chooses the agents with which this agent exchanges bitfields.
  *
  * @param manifestDigest - the set
  * @param self - this agent's instance
@@ -35,8 +35,8 @@
 }
 
 /**
- * Chooses origin readers whose progress this agent has to know, since it takes over when they fail. An agent of rank k
- * begins to watch a chunk's readers one takeover time before its turn could come.
+ * Chooses origin readers whose progress this agent has to watch, since it takes over their reads when they fail. An
+ * agent of rank k starts to watch the preceding readers of a chunk one takeover time before it may take over.
  *
  * @param input - missing chunks, known peers and ranks
  * @returns at most `watchedReaders` instances
@@ -48,17 +48,17 @@
     const first = Math.floor(random.next() * chunks);
     for (let step = 0; step < chunks && watched.size < options.watchedReaders; step++) {
         const index = (first + step) % chunks;
-        if (hasChunk(held, index) || originReaders.rankOf(index) > highestRank || isKnown(peers, index)) {
+        if (hasChunk(held, index) || originReaders.rankOf(index) > highestRank || hasKnownHolder(peers, index)) {
             continue;
         }
-        for (const reader of originReaders.readersBefore(index)) {
+        for (const reader of originReaders.precedingReaders(index)) {
             watched.add(reader);
         }
     }
     return [...watched].slice(0, options.watchedReaders);
 }
 
-function isKnown(peers: Table<InstanceId, PeerRow>, index: number): boolean {
+function hasKnownHolder(peers: Table<InstanceId, PeerRow>, index: number): boolean {
     for (const peer of peers.rows()) {
         if (hasChunk(peer.bitfield, index)) {
             return true;
--- a/src/runtime/distribution/originReaders.ts
+++ b/src/runtime/distribution/originReaders.ts
@@ -2,7 +2,9 @@
 import { rankByRendezvous, scoreRendezvous, type Table } from "../../utils/index.js";
 import type { DistributionOptions, OriginReaders, PeerRow } from "./types.js";
 
-/** Characters of the manifest digest that take part in a chunk's key; they suffice to rank sets differently. */
+/**
+ * Number of characters of the manifest digest in the key of a chunk; enough to rank members differently for each set.
+ */
 const keyDigestLength = 8;
 
 /**
@@ -13,8 +15,8 @@
  * @param chunks - number of chunks
  * @param members - instances assigned to the set
  * @param self - this agent's instance; it counts as a member
- * @param isNear - members that rank before all others, as those near the origin do. Default: none.
- * @returns the ranks; each is computed when it is first asked for
+ * @param isNear - tells which members rank before all others, for example those near the origin; default: none
+ * @returns the ranks; each is computed when it is first used
  */
 export function createOriginReaders(
     manifestDigest: ManifestDigest,
@@ -49,7 +51,7 @@
 
     return {
         rankOf,
-        readersBefore: index => {
+        precedingReaders: index => {
             const ranked = rankByRendezvous(createKey(index), [...others, self]);
             const near = ranked.filter(isNear);
             return [...near, ...ranked.filter(member => !isNear(member))].slice(0, rankOf(index));
@@ -57,13 +59,13 @@
     };
 }
 
-/** How many times as long a reader of a zone may take for a chunk while it makes progress with others. */
+/** Factor by which a preceding reader's time for a chunk is extended while it gains other chunks. */
 const progressingReaderFactor = 2;
 
 /** Input of `mayReadAcross`. */
-export interface ZoneTurnInput {
-    /** Members of the own zone that rank before this agent, best first. */
-    readonly readersBefore: readonly InstanceId[];
+export interface CrossZoneReadInput {
+    /** Members of this agent's zone that rank before it, best rank first. */
+    readonly precedingReaders: readonly InstanceId[];
     readonly peers: Table<InstanceId, PeerRow>;
     /** Monotonic time at which the first holder of the chunk became known. */
     readonly availableSince: Milliseconds;
@@ -72,17 +74,17 @@
 }
 
 /**
- * Decides whether this agent may read a chunk across the border of its zone in place of those ranked before it. Time
- * counts from when the chunk could be read, and a reader that makes progress gets more of it.
+ * Decides whether this agent may read a chunk from another zone in place of the members of its zone that rank before
+ * it. The time of each of them starts when the chunk becomes available, and is extended while the member gains chunks.
  *
  * @param input - readers of the chunk and what is known of them
- * @returns true if every reader before this agent has had its turn
+ * @returns true if the time of every preceding reader has passed
  */
-export function mayReadAcross(input: ZoneTurnInput): boolean {
-    const { availableSince, now, options, peers, readersBefore } = input;
-    return readersBefore.every((reader, rank) => {
-        const turns = readersBefore.length - rank;
-        const limit = turns * options.zoneTakeoverAfter;
+export function mayReadFromOtherZones(input: CrossZoneReadInput): boolean {
+    const { availableSince, now, options, peers, precedingReaders } = input;
+    return precedingReaders.every((reader, rank) => {
+        const rankDistance = precedingReaders.length - rank;
+        const limit = rankDistance * options.zoneTakeoverAfter;
         const progressedAt = peers.get(reader)?.progressedAt ?? availableSince;
         return now - Math.max(availableSince, progressedAt) >= limit ||
             now - availableSince >= progressingReaderFactor * limit;
@@ -91,7 +93,7 @@
 
 /** Input of `mayTakeOver`. */
 export interface TakeoverInput {
-    readonly readersBefore: readonly InstanceId[];
+    readonly precedingReaders: readonly InstanceId[];
     readonly peers: Table<InstanceId, PeerRow>;
     readonly startedAt: Milliseconds;
     readonly now: Milliseconds;
@@ -103,16 +105,16 @@
  * failed when it has gained no chunk for the takeover time. Each further rank gets the same time for its own attempt.
  *
  * @param input - readers of the chunk, best first, and what is known of them
- * @returns true if all readers before this agent have failed; false while one of them is not yet watched
+ * @returns true if all preceding readers have failed; false while one of them is not yet known
  */
 export function mayTakeOver(input: TakeoverInput): boolean {
-    const { now, options, peers, readersBefore, startedAt } = input;
-    return readersBefore.every((reader, rank) => {
+    const { now, options, peers, precedingReaders, startedAt } = input;
+    return precedingReaders.every((reader, rank) => {
         const peer = peers.get(reader);
         if (peer === undefined) {
             return false;
         }
-        const turns = readersBefore.length - rank;
-        return now - Math.max(startedAt, peer.progressedAt) >= turns * options.originTakeoverAfter;
+        const rankDistance = precedingReaders.length - rank;
+        return now - Math.max(startedAt, peer.progressedAt) >= rankDistance * options.originTakeoverAfter;
     });
 }
--- a/src/runtime/distribution/selectTransfers.ts
+++ b/src/runtime/distribution/selectTransfers.ts
@@ -1,24 +1,24 @@
 import type { InstanceId } from "../../types/index.js";
 import { hasChunk } from "./bitfield.js";
-import { mayReadAcross, mayTakeOver } from "./originReaders.js";
+import { mayReadFromOtherZones, mayTakeOver } from "./originReaders.js";
 import type { PeerRow, TransferCommand, TransferInput } from "./types.js";
 
-/** Source name of the origin in transfers. */
+/** Name of the origin as the source of a transfer. */
 export const originSource = "origin";
 
-/** Steps of one copy in which the shares that holders have sent are compared. */
+/** Number of steps per copy in which the bytes sent by holders are compared. */
 const shareSteps = 10;
 
 /** Chunk that is neither held nor being transferred. */
 interface MissingChunk {
     readonly index: number;
-    /** Peers that have it and are not avoided, including those that refused a chunk a moment ago. */
+    /** Peers that hold it and are not avoided, including those that refused a request as choked a moment ago. */
     readonly holders: readonly PeerRow[];
     /** Random tie-breaker among equally rare chunks. */
     readonly order: number;
 }
 
-/** Capacity that is left while commands are chosen. */
+/** Capacity that remains while commands are chosen. */
 interface Capacity {
     transfers: number;
     originTransfers: number;
@@ -34,12 +34,12 @@
  */
 export function selectTransfers(input: TransferInput): TransferCommand[] {
     const commands = abandonStalled(input);
-    const capacity = readCapacity(input, commands.length);
+    const capacity = computeCapacity(input, commands.length);
     if (capacity.transfers <= 0 || capacity.budgetBytes <= 0) {
         return commands;
     }
     const missing = listMissing(input);
-    const steps = [selectFirstReads, selectFurtherReads, selectFromPeers, selectTakeovers];
+    const steps = [selectFirstOriginReads, selectAdditionalOriginReads, selectPeerTransfers, selectOriginTakeovers];
     const requested = new Set<number>();
     for (const step of steps) {
         const chosen = step(input, missing.filter(({ index }) => !requested.has(index)), capacity);
@@ -63,7 +63,7 @@
     return commands;
 }
 
-function readCapacity(input: TransferInput, abandoned: number): Capacity {
+function computeCapacity(input: TransferInput, abandoned: number): Capacity {
     const { options, transfers } = input;
     const transfersByPeer = new Map<InstanceId, number>();
     for (const { source } of transfers.rows()) {
@@ -91,8 +91,8 @@
     return missing.sort((left, right) => left.holders.length - right.holders.length || left.order - right.order);
 }
 
-/** Takes the capacity for one request; false if none is left. */
-function reserve(input: TransferInput, capacity: Capacity, index: number): boolean {
+/** Reserves capacity for one request; returns false if none is left. */
+function reserveCapacity(input: TransferInput, capacity: Capacity, index: number): boolean {
     if (capacity.transfers <= 0 || capacity.budgetBytes <= 0) {
         return false;
     }
@@ -105,8 +105,8 @@
     return capacity.originTransfers > 0 && input.originAvoidedUntil <= input.now && input.neighboursAsked;
 }
 
-/** Chunks that no known agent has and that this agent is the first to read. */
-function selectFirstReads(
+/** Selects chunks that no known agent holds and for which this agent is the first origin reader. */
+function selectFirstOriginReads(
     input: TransferInput,
     missing: readonly MissingChunk[],
     capacity: Capacity,
@@ -116,7 +116,7 @@
         if (holders.length > 0 || !mayReadOrigin(input, capacity)) {
             break;
         }
-        if (input.originReaders.rankOf(index) === 0 && reserve(input, capacity, index)) {
+        if (input.originReaders.rankOf(index) === 0 && reserveCapacity(input, capacity, index)) {
             capacity.originTransfers--;
             commands.push({ kind: "fetch-from-origin", index, reason: "first origin reader of the chunk" });
         }
@@ -124,8 +124,10 @@
     return commands;
 }
 
-/** With the objective `time`: chunks with few sources of which this agent is a further reader. */
-function selectFurtherReads(
+/**
+ * Selects, with the objective `time`, chunks with too few sources for which this agent is one of the origin readers.
+ */
+function selectAdditionalOriginReads(
     input: TransferInput,
     missing: readonly MissingChunk[],
     capacity: Capacity,
@@ -139,7 +141,7 @@
         if (holders.length >= options.sourcesForTime || !mayReadOrigin(input, capacity)) {
             break;
         }
-        if (originReaders.rankOf(index) < options.originReadersForTime && reserve(input, capacity, index)) {
+        if (originReaders.rankOf(index) < options.originReadersForTime && reserveCapacity(input, capacity, index)) {
             capacity.originTransfers--;
             commands.push({ kind: "fetch-from-origin", index, reason: "the chunk has too few sources" });
         }
@@ -147,8 +149,8 @@
     return commands;
 }
 
-/** Chunks that no known agent has, once all readers before this agent have failed. */
-function selectTakeovers(
+/** Selects chunks that no known agent holds and whose preceding origin readers have all failed. */
+function selectOriginTakeovers(
     input: TransferInput,
     missing: readonly MissingChunk[],
     capacity: Capacity,
@@ -162,8 +164,10 @@
         if (holders.length > 0 || !mayReadOrigin(input, capacity) || capacity.transfers <= 0) {
             break;
         }
-        const readersBefore = originReaders.readersBefore(index);
-        if (mayTakeOver({ readersBefore, peers, startedAt, now, options }) && reserve(input, capacity, index)) {
+        const precedingReaders = originReaders.precedingReaders(index);
+        if (
+            mayTakeOver({ precedingReaders, peers, startedAt, now, options }) && reserveCapacity(input, capacity, index)
+        ) {
             capacity.originTransfers--;
             commands.push({ kind: "fetch-from-origin", index, reason: "the readers before have failed" });
         }
@@ -171,7 +175,7 @@
     return commands;
 }
 
-function selectFromPeers(
+function selectPeerTransfers(
     input: TransferInput,
     missing: readonly MissingChunk[],
     capacity: Capacity,
@@ -182,7 +186,7 @@
             break;
         }
         const peer = choosePeer(input, selectHolders(input, index, holders), capacity);
-        if (peer === undefined || !reserve(input, capacity, index)) {
+        if (peer === undefined || !reserveCapacity(input, capacity, index)) {
             continue;
         }
         const { instance } = peer;
@@ -199,19 +203,19 @@
     return commands;
 }
 
-/** Holders that may be asked: those of the own zone, or all of them if this agent's turn to read across has come. */
+/** Selects holders that may be asked: those of this agent's zone, or all if it may read the chunk from other zones. */
 function selectHolders(input: TransferInput, index: number, holders: readonly PeerRow[]): readonly PeerRow[] {
     const { now, options, peers, zone, zoneReaders } = input;
     if (!options.preferOwnZone || holders.length === 0) {
         return holders;
     }
-    const near = holders.filter(holder => holder.zone === zone);
-    if (near.length > 0) {
-        return near;
+    const inOwnZone = holders.filter(holder => holder.zone === zone);
+    if (inOwnZone.length > 0) {
+        return inOwnZone;
     }
-    const readersBefore = zoneReaders.rankOf(index) === 0 ? [] : zoneReaders.readersBefore(index);
+    const precedingReaders = zoneReaders.rankOf(index) === 0 ? [] : zoneReaders.precedingReaders(index);
     const availableSince = input.availableSince.get(index) ?? now;
-    return mayReadAcross({ readersBefore, peers, availableSince, now, options }) ? holders : [];
+    return mayReadFromOtherZones({ precedingReaders, peers, availableSince, now, options }) ? holders : [];
 }
 
 function isAllowanceUsed(input: TransferInput, peer: PeerRow, index: number): boolean {
@@ -220,8 +224,8 @@
 }
 
 /**
- * Among the holders, the one that has sent the least, counting what this agent is receiving from it. Reports are
- * somewhat old, so shares are compared in steps and equal ones at random: all agents would ask the same holder.
+ * Chooses the holder that has sent the least, including what this agent is receiving from it. Reports are somewhat old,
+ * and by exact numbers all agents would ask the same holder, so numbers are rounded to steps and ties broken at random.
  */
 function choosePeer(
     input: TransferInput,
--- a/src/runtime/distribution/sources.ts
+++ b/src/runtime/distribution/sources.ts
@@ -1,17 +1,17 @@
 import type { Milliseconds } from "../../types/index.js";
 import type { DistributionOptions, PeerRow } from "./types.js";
 
-/** Failed transfers in a row after which a source is avoided. */
+/** Number of consecutive failed transfers after which a source is avoided. */
 const failuresUntilAvoided = 2;
 
 /**
- * Counts a corrupt chunk against its source. From the limit on, each further one makes the source avoided for a time;
- * avoiding it for good would leave no source where a link corrupts chunks at random.
+ * Counts a corrupt chunk from a source. Once the limit is reached, each corrupt chunk makes the source avoided for a
+ * time; avoiding it permanently would leave no source where a link corrupts chunks at random.
  *
  * @param peer - the source; changed in place
  * @param now - monotonic time
  * @param options - options of the transfer decision
- * @returns true if the source is avoided from now on
+ * @returns true if the source is now avoided
  */
 export function recordCorruptChunk(peer: PeerRow, now: Milliseconds, options: DistributionOptions): boolean {
     peer.corruptChunks++;
@@ -23,8 +23,8 @@
 }
 
 /**
- * Records a transfer that the source broke off or refused although it had reported the chunk. One says little; a source
- * that fails twice without a chunk in between is avoided for a time, so that the chunk is requested elsewhere.
+ * Records a transfer that the source aborted or refused although it had reported the chunk. A source that fails twice
+ * without a verified chunk in between is avoided for a time, so that the chunk is requested elsewhere.
  *
  * @param peer - the source; changed in place
  * @param now - monotonic time
@@ -50,7 +50,7 @@
 }
 
 /**
- * Takes over what a peer reported.
+ * Stores what a peer reported.
  *
  * @param peer - changed in place
  * @param bitfield - chunks that the peer holds, of the length that the set needs
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -11,13 +11,13 @@
 /** Options of the transfer decision. */
 export interface DistributionOptions {
     /**
-     * Transfers that one agent runs at once. Default: 12. With fewer, some uplinks idle by chance: the simulated time to
-     * 24 copies was 1.55 times the bound with 4 transfers, 1.33 with 6 and 1.08 with 12.
+     * Transfers that one agent runs at once. Default: 12. With fewer, some uplinks are idle by chance: the simulated
+     * time to 24 copies was 1.55 times the lower bound with 4 transfers, 1.33 times with 6 and 1.08 times with 12.
      */
     readonly maximumTransfers: number;
     /**
      * Transfers that one agent runs from the same peer at once. Default: 1. With 2, the load on the holders was less
-     * even: 1.12 times the bound instead of 1.08.
+     * even: the simulated time was 1.12 times the lower bound instead of 1.08 times.
      */
     readonly maximumTransfersFromPeer: number;
     /** Transfers that one agent runs from the origin at once. Default: 2. */
@@ -28,11 +28,11 @@
      */
     readonly maximumUploads: number;
     /**
-     * Bytes of chunks that one agent keeps in memory at once: two thirds for chunks that it receives, a third for chunks
-     * that it sends. Further accepted requests wait in order and keep nothing. Default: 12 MiB.
+     * Bytes of chunks that one agent keeps in memory at once: two thirds for chunks that it receives, a third for
+     * chunks that it sends. Further accepted requests wait in order without using memory for chunks. Default: 12 MiB.
      */
     readonly maximumBytesInFlight: number;
-    /** Copies that an agent sends before it refuses further chunks to requesters with other sources. Default: 1.1. */
+    /** Copies of a set that an agent sends before it refuses requesters that have other sources. Default: 1.1. */
     readonly uploadAllowanceCopies: number;
     /** Time after which a transfer from a peer without new bytes is abandoned. Default: 10,000 ms. */
     readonly stallAfter: Milliseconds;
@@ -45,22 +45,22 @@
     /** Origin readers of each chunk with the objective `time`; `origin-bytes` has one. Default: 4. */
     readonly originReadersForTime: number;
     /**
-     * Known holders of a chunk from which on it has enough sources, so that no further reader reads it from the origin
-     * with the objective `time`. Default: 8.
+     * Number of known holders from which on a chunk has enough sources, so that no additional reader reads it from the
+     * origin with the objective `time`. Default: 8.
      */
     readonly sourcesForTime: number;
     /** Corrupt chunks from one source after which it is avoided. Default: 2. */
     readonly corruptChunksUntilAvoided: number;
     /** Neighbours with which an agent exchanges bitfields. Default: 8. */
     readonly neighbours: number;
-    /** Origin readers with which an agent exchanges bitfields besides its neighbours, at most. Default: 8. */
+    /** Maximum number of origin readers with which an agent exchanges bitfields besides its neighbours. Default: 8. */
     readonly watchedReaders: number;
     /**
-     * True if chunks come from peers of the own availability zone, and one member of each zone reads a chunk across the
-     * zone's border. Default: false; it pays where bytes between zones are dear.
+     * True if agents read chunks from peers of their own availability zone, and one member of each zone reads a chunk
+     * from another zone. Default: false; useful where traffic between zones is expensive.
      */
     readonly preferOwnZone: boolean;
-    /** Time after which the next member of a zone may read a chunk across its border. Default: 1,000 ms. */
+    /** Time after which the next member of a zone may read a chunk from another zone. Default: 1,000 ms. */
     readonly zoneTakeoverAfter: Milliseconds;
 }
 
@@ -70,16 +70,16 @@
     readonly zone: AvailabilityZone;
     /** One byte for each eight chunks, least significant bit first. */
     bitfield: Uint8Array;
-    /** Monotonic time of the newest exchange; the time at which the row was made before the first. */
+    /** Monotonic time of the newest exchange; before the first, time at which the row was created. */
     heardAt: Milliseconds;
-    /** Monotonic time at which the peer was last seen to have gained a chunk; initially as `heardAt`. */
+    /** Monotonic time at which the peer was last seen to have gained a chunk; initially the same as `heardAt`. */
     progressedAt: Milliseconds;
     /** Bytes that the peer says it has sent for this set. */
     sentBytes: number;
     corruptChunks: number;
     /** Transfers that failed since the last verified chunk. */
     failedTransfers: number;
-    /** Monotonic time until which the peer is not asked. */
+    /** Monotonic time until which the peer is not asked, after stalled, failed or corrupt transfers. */
     avoidedUntil: Milliseconds;
     /** Monotonic time until which the peer is not asked because it refused a chunk. */
     chokedUntil: Milliseconds;
@@ -91,7 +91,9 @@
     /** `origin` or the peer's instance. */
     readonly source: InstanceId;
     readonly startedAt: Milliseconds;
-    /** Monotonic time of the newest bytes; initially as `startedAt`. `Infinity` while the source is not waited for. */
+    /**
+     * Monotonic time of the newest bytes; initially `startedAt`; `Infinity` while no bytes are expected of the source.
+     */
     progressedAt: Milliseconds;
 }
 
@@ -110,7 +112,7 @@
      * @param index - position of the chunk
      * @returns instances, best rank first
      */
-    readersBefore(index: number): readonly InstanceId[];
+    precedingReaders(index: number): readonly InstanceId[];
 }
 
 /** Input of `selectTransfers`. */
@@ -123,13 +125,13 @@
     readonly originReaders: OriginReaders;
     /** Availability zone of this agent. */
     readonly zone: AvailabilityZone;
-    /** Ranks of the members of the own zone as readers across its border. */
+    /** Ranks of the members of this agent's zone as readers from other zones. */
     readonly zoneReaders: OriginReaders;
     /** Monotonic times at which the first holder of a chunk became known, by position. */
     readonly availableSince: ReadonlyMap<number, Milliseconds>;
     /** Monotonic time at which this agent learned of the set. */
     readonly startedAt: Milliseconds;
-    /** True if every neighbour has answered or failed once, so that no chunk is read that a neighbour already has. */
+    /** True if every neighbour has answered or failed once, so that no chunk is read that a neighbour already holds. */
     readonly neighboursAsked: boolean;
     readonly objective: Objective;
     /** Bytes that may be requested now, after live traffic has been served. */
@@ -141,7 +143,7 @@
     readonly options: DistributionOptions;
 }
 
-/** Command of the transfer system. */
+/** Command to start or abandon a transfer. */
 export type TransferCommand =
     | { readonly kind: "fetch-from-origin"; readonly index: number; readonly reason: string; }
     | {
@@ -159,10 +161,10 @@
     readonly held: boolean;
     readonly chunkBytes: number;
     readonly totalBytes: number;
-    /** Bytes of this set that were sent, and those of uploads in progress. */
+    /** Bytes of this set that were sent, including those of uploads in progress. */
     readonly sentBytes: number;
     readonly uploadsInProgress: number;
-    /** The requester knows no other source. */
+    /** True if the requester knows no other source with allowance left. */
     readonly lastResort: boolean;
     readonly options: DistributionOptions;
 }
--- a/test/runtime/distribution/selectTransfers.test.ts
+++ b/test/runtime/distribution/selectTransfers.test.ts
@@ -87,8 +87,8 @@
     });
 }
 
-/** Commands that read from a source, as text. */
-function summarize(situation: Situation, kind: string): string[] {
+/** Describes the commands of a kind as text: chunk, peer and last resort. */
+function describeCommands(situation: Situation, kind: string): string[] {
     return select(situation).filter(command => command.kind === kind).map(command => {
         const source = command.kind === "fetch-from-peer" ? command.peer : "";
         const resort = command.kind === "fetch-from-peer" && command.lastResort ? " last resort" : "";
@@ -129,10 +129,10 @@
         ["requests nothing without a budget", { peers: [createPeer("b", all)], changes: { budgetBytes: 0 } }, []],
     ];
 
-    // Guards against a choice that leaves rare chunks behind, overloads one holder, or asks a bad source.
+    // Guards against requesting rare chunks last, overloading one holder and requesting chunks from a failing source.
     for (const [name, situation, expected] of cases) {
         it(name, () => {
-            expect(summarize(situation, "fetch-from-peer").sort()).toEqual([...expected]);
+            expect(describeCommands(situation, "fetch-from-peer").sort()).toEqual([...expected]);
         });
     }
 
@@ -142,11 +142,11 @@
         const moving = { index: 2, source: "c", startedAt: 0, progressedAt: 9_000 };
         const queued = { index: 3, source: "origin", startedAt: 0, progressedAt: 0 };
         const transfers = [stalled, moving, queued];
-        expect(summarize({ transfers, changes: { now: 10_000 } }, "abandon")).toEqual(["1"]);
-        expect(summarize({ transfers, changes: { now: 30_000 } }, "abandon").length).toEqual(3);
+        expect(describeCommands({ transfers, changes: { now: 10_000 } }, "abandon")).toEqual(["1"]);
+        expect(describeCommands({ transfers, changes: { now: 30_000 } }, "abandon").length).toEqual(3);
     });
 
-    // Guards against more origin copies than the objective allows, and against chunks that nobody reads.
+    // Guards against more origin reads than the objective allows, and against chunks that no agent reads.
     it("bounds the origin readers of each chunk", () => {
         for (const [objective, readers] of [["origin-bytes", 1], ["time", 4]] as const) {
             fc.assert(fc.property(fc.nat(100_000), seed => {
@@ -163,14 +163,15 @@
         }
     });
 
-    // Guards against a second reader beside one that still works, and against a chunk lost with its reader.
-    it("lets the next rank read once the readers before have made no progress", () => {
+    // Guards against a second reader while the first makes progress, and against a chunk that stays missing when its
+    // reader fails.
+    it("lets the next rank read once the preceding readers have made no progress", () => {
         const index = 0;
         const ranked = members.map(self => ({ self, rank: createOriginReaders("aa", chunkCount, members, self) }))
             .sort((left, right) => left.rank.rankOf(index) - right.rank.rankOf(index));
         const [first, second, third] = ranked.map(({ self }) => self) as [string, string, string];
         const read = (self: string, now: number, progressedAt: readonly [string, number][]) =>
-            summarize({
+            describeCommands({
                 self,
                 peers: progressedAt.map(([instance, time]) => createPeer(instance, [], { progressedAt: time })),
                 changes: { now },
@@ -184,10 +185,10 @@
         expect(read(third, 10_000, [[first, 0], [second, 0]])).toEqual(true);
     });
 
-    // Guards against an origin read of what a neighbour already has, and of a failing origin without a pause.
-    it("waits with the origin for the neighbours' answers and after a failure", () => {
-        expect(summarize({ changes: { neighboursAsked: false } }, "fetch-from-origin")).toEqual([]);
-        expect(summarize({ changes: { originAvoidedUntil: 1_001 } }, "fetch-from-origin")).toEqual([]);
-        expect(summarize({ peers: [createPeer("b", all)] }, "fetch-from-origin")).toEqual([]);
+    // Guards against reading from the origin what a neighbour already holds, and a failing origin without a pause.
+    it("reads from the origin only after the neighbours' answers, and pauses after a failure", () => {
+        expect(describeCommands({ changes: { neighboursAsked: false } }, "fetch-from-origin")).toEqual([]);
+        expect(describeCommands({ changes: { originAvoidedUntil: 1_001 } }, "fetch-from-origin")).toEqual([]);
+        expect(describeCommands({ peers: [createPeer("b", all)] }, "fetch-from-origin")).toEqual([]);
     });
 });
--- a/test/runtime/distribution/verification.test.ts
+++ b/test/runtime/distribution/verification.test.ts
@@ -21,7 +21,7 @@
 const digest = computeManifestDigest(manifest);
 
 describe("verification of weights", () => {
-    // Guards against manifests that are taken for the pinned one although something in them differs.
+    // Guards against accepting a manifest that differs from the pinned one.
     it("accepts only the manifest with the pinned digest", () => {
         expect(manifest.chunks.map(({ bytes }) => bytes)).toEqual([10, 10, 5]);
         const reordered = { chunks: manifest.chunks, totalBytes: 25, version: "v1", adapter: "", model: "scribe" };
@@ -41,7 +41,7 @@
         expect(verifyManifest(unsound, computeManifestDigest(unsound), "origin").isErr).toEqual(true);
     });
 
-    // Guards against corrupt, truncated, prolonged or misplaced chunks.
+    // Guards against corrupt, truncated, overlong or misplaced chunks.
     it("accepts only a chunk's own content", () => {
         const chunk = content.subarray(10, 20);
         expect(verifyChunk(manifest, 1, chunk)).toEqual(true);
@@ -52,8 +52,8 @@
         expect(verifyChunk(manifest, 1, chunk.map(byte => byte ^ 1))).toEqual(false);
     });
 
-    // Guards against bits of a peer's answer that stand for no chunk, which would make a set look complete.
-    it("reads bitfields of any length as one of the set", () => {
+    // Guards against excess bits in a peer's answer, which would make a set look complete.
+    it("decodes bitfields of any length to the length of the set", () => {
         fc.assert(fc.property(fc.uint8Array({ maxLength: 6 }), fc.integer({ min: 1, max: 20 }), (bytes, chunks) => {
             const bitfield = decodeBitfield(bytes, chunks);
             expect(bitfield.length).toEqual(Math.ceil(chunks / 8));
@@ -64,7 +64,7 @@
         expect(isComplete(new Uint8Array(), 0)).toEqual(false);
     });
 
-    // Guards against a link that carries more than the allowance while the requesters have other sources.
+    // Guards against uploads beyond the allowance while the requesters have other sources.
     it("sends no more than the upload allowance, except as the last resort", () => {
         const options = resolveDistributionOptions();
         const sizes = fc.array(fc.record({ chunkBytes: fc.integer({ min: 1, max: 90 }), lastResort: fc.boolean() }));
@@ -83,7 +83,7 @@
         expect(decideUpload({ ...request, held: true, uploadsInProgress: 16 }).allowed).toEqual(false);
     });
 
-    // Guards against a source that keeps sending corrupt chunks, and against one error that ends an exchange.
+    // Guards against a source that keeps sending corrupt chunks, and against avoiding a source after one error.
     it("avoids a source from its second corrupt chunk on", () => {
         const options = resolveDistributionOptions();
         const peer = { corruptChunks: 0, avoidedUntil: 0 } as PeerRow;
