Reword the explanation of a request

Comments spoke of what was believed and of the middle of clocks; they now say which lines are combined, and use the median clock offset.

--- a/src/runtime/explain/explainRequest.ts
+++ b/src/runtime/explain/explainRequest.ts
@@ -2,22 +2,22 @@
 import { findCauses } from "./findCauses.js";
 import type { Explanation, LogLine, Relation, TimelineEntry } from "./types.js";
 
-/** Time before the first line about a request from which on lines about what was believed are shown. */
-const contextBefore: Milliseconds = 3_000;
-/** Time after the last line about a request until which they are shown. */
-const contextAfter: Milliseconds = 1_000;
+/** Lines about backend servers and agents are shown from this time before the first line about the request. */
+const contextBeforeRequest: Milliseconds = 3_000;
+/** Lines about backend servers and agents are shown until this time after the last line about the request. */
+const contextAfterRequest: Milliseconds = 1_000;
 
-function readTime(line: LogLine): Milliseconds {
+function getTime(line: LogLine): Milliseconds {
     return line.commonTime ?? line.writtenAt;
 }
 
-function readText(line: LogLine, field: string): string | undefined {
+function getTextField(line: LogLine, field: string): string | undefined {
     const value = line.fields[field];
     return typeof value === "string" ? value : undefined;
 }
 
-/** Middle of how far the clocks are ahead of the common time; undefined if the lines share none. */
-function findMiddleOffset(lines: readonly LogLine[]): Milliseconds | undefined {
+/** Computes the median offset of the clocks from the common time; undefined if not all lines have a common time. */
+function computeMedianOffset(lines: readonly LogLine[]): Milliseconds | undefined {
     const offsets: Milliseconds[] = [];
     for (const { commonTime, writtenAt } of lines) {
         if (commonTime === undefined) {
@@ -29,11 +29,11 @@
     return offsets[Math.floor(offsets.length / 2)];
 }
 
-/** Backend servers that the lines about a request name. */
-function listBackendServers(own: readonly LogLine[]): ReadonlySet<string> {
+/** Lists the backend servers that are named by the lines about a request. */
+function listBackendServers(requestLines: readonly LogLine[]): ReadonlySet<string> {
     const servers = new Set<string>();
-    for (const line of own) {
-        const server = line.message === "routing decision" ? readText(line, "choice") : readText(line, "peer");
+    for (const line of requestLines) {
+        const server = line.message === "routing decision" ? getTextField(line, "choice") : getTextField(line, "peer");
         if (server !== undefined && server !== "none") {
             servers.add(server);
         }
@@ -41,28 +41,31 @@
     return servers;
 }
 
-/** Instances of the agents beside backend servers, found by the address that both name. */
+/** Lists the instances of the agents of backend servers, found by the engine address that both log. */
 function listAgents(lines: readonly LogLine[], servers: ReadonlySet<string>): ReadonlySet<string> {
     const addresses = new Set<string>();
     for (const line of lines) {
-        const address = readText(line, "address");
+        const address = getTextField(line, "address");
         if (
-            line.message === "backend server changed" && address !== undefined && servers.has(readText(line, "peer")!)
+            line.message === "backend server changed" && address !== undefined &&
+            servers.has(getTextField(line, "peer")!)
         ) {
             addresses.add(address);
         }
     }
-    const agents = lines.filter(line => line.message === "agent started" && addresses.has(readText(line, "engine")!));
+    const agents = lines.filter(line =>
+        line.message === "agent started" && addresses.has(getTextField(line, "engine")!)
+    );
     return new Set(agents.map(({ instance }) => instance));
 }
 
-/** The last line of each gateway that tells which configuration is in force, before the request was decided. */
-function listConfigurations(lines: readonly LogLine[], own: readonly LogLine[]): LogLine[] {
+/** For each gateway, finds its last line about the configuration in force before its last line about the request. */
+function listConfigurations(lines: readonly LogLine[], requestLines: readonly LogLine[]): LogLine[] {
     const newest = new Map<string, LogLine>();
-    const decidedAt = new Map(own.map(line => [line.instance, readTime(line)]));
+    const decidedAt = new Map(requestLines.map(line => [line.instance, getTime(line)]));
     for (const line of lines) {
         if (
-            line.message === "configuration in force" && readTime(line) <= (decidedAt.get(line.instance) ?? -Infinity)
+            line.message === "configuration in force" && getTime(line) <= (decidedAt.get(line.instance) ?? -Infinity)
         ) {
             newest.set(line.instance, line);
         }
@@ -71,54 +74,59 @@
 }
 
 /**
- * Joins what the processes have logged about one request with what they believed about its backend servers.
+ * Combines what the processes logged about a request with what they logged about its backend servers at that time.
  *
- * @param lines - lines of all processes, in the order of their files
- * @param requestId - the request
- * @returns the timeline and the causes; undefined if no line is about the request
+ * @param lines - log lines of all processes, in the order in which they were read
+ * @param requestId - identifier of the request
+ * @returns the timeline and the causes; undefined if no line names the request
  */
 export function explainRequest(lines: readonly LogLine[], requestId: RequestId): Explanation | undefined {
-    const own = lines.filter(({ fields }) => fields["requestId"] === requestId);
-    if (own.length === 0) {
+    const requestLines = lines.filter(({ fields }) => fields["requestId"] === requestId);
+    if (requestLines.length === 0) {
         return undefined;
     }
-    const times = own.map(readTime);
+    const times = requestLines.map(getTime);
     const begin = Math.min(...times);
     const end = Math.max(...times);
-    const gateways = new Set(own.map(({ instance }) => instance));
-    const servers = listBackendServers(own);
+    const gateways = new Set(requestLines.map(({ instance }) => instance));
+    const servers = listBackendServers(requestLines);
     const agents = listAgents(lines, servers);
     const configurations = new Set(
-        own.some(({ message }) => message === "request rejected") ? listConfigurations(lines, own) : [],
+        requestLines.some(({ message }) => message === "request rejected") ?
+            listConfigurations(lines, requestLines) :
+            [],
     );
-    const middle = findMiddleOffset(lines);
+    const medianOffset = computeMedianOffset(lines);
 
-    function relate(line: LogLine): Relation | undefined {
+    function determineRelation(line: LogLine): Relation | undefined {
         if (line.fields["requestId"] === requestId) {
             return "request";
         }
         if (configurations.has(line)) {
             return "configuration";
         }
-        const time = readTime(line);
-        if (line.fields["requestId"] !== undefined || time < begin - contextBefore || time > end + contextAfter) {
+        const time = getTime(line);
+        if (
+            line.fields["requestId"] !== undefined || time < begin - contextBeforeRequest ||
+            time > end + contextAfterRequest
+        ) {
             return undefined;
         }
-        if (gateways.has(line.instance) && servers.has(readText(line, "peer") ?? "")) {
+        if (gateways.has(line.instance) && servers.has(getTextField(line, "peer") ?? "")) {
             return "backend-server";
         }
         return agents.has(line.instance) ? "agent" : undefined;
     }
 
     const timeline: TimelineEntry[] = lines.flatMap(line => {
-        const relation = relate(line);
+        const relation = determineRelation(line);
         return relation === undefined ? [] : [{
             line,
             relation,
-            after: readTime(line) - begin,
-            clockAhead: middle === undefined || line.commonTime === undefined ?
+            after: getTime(line) - begin,
+            clockAhead: medianOffset === undefined || line.commonTime === undefined ?
                 undefined :
-                line.writtenAt - line.commonTime - middle,
+                line.writtenAt - line.commonTime - medianOffset,
         }];
     });
     timeline.sort((left, right) => left.after - right.after || left.line.position - right.line.position);
@@ -127,6 +135,6 @@
         causes: findCauses(timeline.filter(({ relation }) => relation === "request").map(({ line }) => line)),
         timeline,
         instances: [...new Set(timeline.map(({ line }) => line.instance))],
-        clocksCompared: middle !== undefined,
+        clocksCompared: medianOffset !== undefined,
     };
 }
--- a/src/runtime/explain/types.ts
+++ b/src/runtime/explain/types.ts
@@ -1,12 +1,12 @@
 import type { Milliseconds, RequestId } from "../../types/index.js";
 
-/** One line that a process has logged. */
+/** Parsed line of a log file. */
 export interface LogLine {
     /** Instance of the process. */
     readonly instance: string;
     /** Time by the clock of the process, in milliseconds since 1970. */
     readonly writtenAt: Milliseconds;
-    /** Time that all lines share, stated before the line; undefined if there is none. */
+    /** Time by the clock of the log collector, which precedes the line; undefined if there is none. */
     readonly commonTime: Milliseconds | undefined;
     /** Position among all lines that were read. */
     readonly position: number;
@@ -15,30 +15,30 @@
     readonly fields: Readonly<Record<string, unknown>>;
 }
 
-/** Why a line belongs to the timeline of a request. */
+/** What a line in the timeline of a request is about. */
 export type Relation = "request" | "backend-server" | "agent" | "configuration";
 
 /** Line of a timeline. */
 export interface TimelineEntry {
     readonly line: LogLine;
     readonly relation: Relation;
-    /** Time after the first line about the request. */
+    /** Time since the first line about the request; negative before it. */
     readonly after: Milliseconds;
     /**
-     * How far the clock of the process is ahead of the middle of all lines, by the time that they share; undefined if
-     * they share none.
+     * How far the clock of the process is ahead of the median of all lines, compared by their common time; undefined if
+     * not all lines have one.
      */
     readonly clockAhead: Milliseconds | undefined;
 }
 
-/** What the lines of several processes tell about one request. */
+/** What the log lines of several processes say about one request. */
 export interface Explanation {
     readonly requestId: RequestId;
     /** How the request ended and why, in one sentence for each line that decided it. */
     readonly causes: readonly string[];
     readonly timeline: readonly TimelineEntry[];
-    /** Processes whose lines take part. */
+    /** Instances of the processes whose lines the timeline contains. */
     readonly instances: readonly string[];
-    /** True if the order of lines of different processes rests on a time that they share. */
+    /** True if lines of different processes are ordered by a common time instead of the processes' own clocks. */
     readonly clocksCompared: boolean;
 }
