Reword the retry decision and the crash evidence

Crashes were "blamed" on requests and "explained" by others, processes "told news", and the retry budget spoke of "parts" and "gains". The comments now say what is attributed, shared and credited, and why. Private names follow.

--- a/src/runtime/retry/budget.ts
+++ b/src/runtime/retry/budget.ts
@@ -1,18 +1,21 @@
 import type { Milliseconds } from "../../types/index.js";
 import type { FleetRetryAllowance, RetryBudget, RetryOptions } from "./types.js";
 
-/** Seconds of the budget's time-based gain that a new process starts with. */
-const initialSeconds = 10;
+/** Number of seconds for which a new process is credited with `budgetPerSecond` at its start. */
+const initialCreditSeconds = 10;
 
 /**
  * Creates the retry budget of a process that has just started.
  *
  * @param now - monotonic time
- * @param options - gains and bound of the budget
+ * @param options - rates and maximum of the budget
  * @returns the budget
  */
 export function createRetryBudget(now: Milliseconds, options: RetryOptions): RetryBudget {
-    return { available: Math.min(options.budgetMaximum, options.budgetPerSecond * initialSeconds), updatedAt: now };
+    return {
+        available: Math.min(options.budgetMaximum, options.budgetPerSecond * initialCreditSeconds),
+        updatedAt: now,
+    };
 }
 
 function creditTime(budget: RetryBudget, now: Milliseconds, options: RetryOptions): void {
@@ -22,11 +25,11 @@
 }
 
 /**
- * Credits the budget for a caller's request; called once for a request, never for its retries.
+ * Credits the budget for a request; called once for each request of a caller, never for its retries.
  *
  * @param budget - budget to change
  * @param now - monotonic time
- * @param options - gains and bound of the budget
+ * @param options - rates and maximum of the budget
  */
 export function creditRequest(budget: RetryBudget, now: Milliseconds, options: RetryOptions): void {
     creditTime(budget, now, options);
@@ -38,7 +41,7 @@
  *
  * @param budget - budget to change
  * @param now - monotonic time
- * @param options - gains and bound of the budget
+ * @param options - rates and maximum of the budget
  * @returns false if the budget holds less than one retry
  */
 export function takeRetry(budget: RetryBudget, now: Milliseconds, options: RetryOptions): boolean {
@@ -51,21 +54,26 @@
 }
 
 /**
- * Parts of the allowance that a window may see: what was saved before it, what is gained in it, and what processes that
- * started anew begin with. The rest is left for requests that are counted late.
+ * Share of the allowance that the gateways' budgets may hold, and that they gain over one window. The allowance can be
+ * drawn on three times in one window: by the balance saved before it, by the gain during it, and by the initial balance
+ * of restarted processes. The remaining tenth is left for requests that are counted late.
+ */
+const gatewayAllowanceShare = 0.3;
+/**
+ * Factor by which the gain per request is reduced, since requests that are in progress when a window begins count
+ * toward the window before.
  */
-const windowPart = 0.3;
-/** Part of the share that is used, since requests in progress when a window begins count for the one before. */
-const sharePart = 0.5;
+const requestGainFactor = 0.5;
 
 /**
- * Divides the allowance of a fleet among its gateways, so that their budgets together stay within it in any window.
+ * Divides the retry allowance of a fleet among its gateways, so that their budgets together stay within it in any
+ * window.
  *
- * @param options - options of a single process
+ * @param options - options of a process with a budget of its own
  * @param allowance - retries of all gateways together
- * @param gateways - gateways that share it
- * @returns the options of one gateway; a gateway may always save one whole retry, so the bound holds for up to
- * three gateways for each ten retries of the allowance
+ * @param gateways - number of gateways that share the allowance
+ * @returns the options of one gateway. The budget of a gateway can always hold one retry, so the bound holds for up to
+ * three gateways for each ten retries of the allowance.
  */
 export function divideRetryAllowance(
     options: RetryOptions,
@@ -76,11 +84,11 @@
     if (fleetRetries === 0) {
         return options;
     }
-    const own = fleetRetries * windowPart / Math.max(1, gateways);
+    const gatewayRetries = fleetRetries * gatewayAllowanceShare / Math.max(1, gateways);
     return {
         ...options,
-        budgetShare: fleetRetryShare * sharePart,
-        budgetPerSecond: own * 1_000 / fleetRetryWindow,
-        budgetMaximum: Math.max(1, own),
+        budgetShare: fleetRetryShare * requestGainFactor,
+        budgetPerSecond: gatewayRetries * 1_000 / fleetRetryWindow,
+        budgetMaximum: Math.max(1, gatewayRetries),
     };
 }
--- a/src/runtime/retry/crashEvidence.ts
+++ b/src/runtime/retry/crashEvidence.ts
@@ -1,6 +1,6 @@
 import type { Fingerprint, Milliseconds } from "../../types/index.js";
 import { computeDigest } from "../../utils/index.js";
-import { judgeCrashes } from "./judgeCrashes.js";
+import { findCrashSuspects } from "./judgeCrashes.js";
 import type {
     CrashEvidence,
     CrashEvidenceOptions,
@@ -11,12 +11,12 @@
     SuspectStanding,
 } from "./types.js";
 
-const noNews: EvidenceNews = { crashIds: [], answered: [] };
-/** Crashes of which one message tells. */
+const nothingToShare: EvidenceNews = { crashIds: [], answered: [] };
+/** Most crashes in one message to another process. */
 const maximumSharedCrashes = 256;
 
 /**
- * Creates evidence that knows of no crash.
+ * Creates empty evidence.
  *
  * @param options - bounds and durations
  * @returns the evidence
@@ -25,14 +25,14 @@
     return { crashes: new Map(), answers: new Map(), suspects: new Map(), options };
 }
 
-function judge(evidence: CrashEvidence): void {
+function updateSuspects(evidence: CrashEvidence): void {
     evidence.suspects.clear();
-    for (const [fingerprint, suspect] of judgeCrashes(evidence)) {
+    for (const [fingerprint, suspect] of findCrashSuspects(evidence)) {
         evidence.suspects.set(fingerprint, suspect);
     }
 }
 
-function supportsCondemnation({ suspects }: CrashEvidence, { fingerprints }: CrashRow): boolean {
+function involvesCondemned({ suspects }: CrashEvidence, { fingerprints }: CrashRow): boolean {
     return [...fingerprints].some(fingerprint => suspects.get(fingerprint)?.condemned === true);
 }
 
@@ -40,17 +40,20 @@
     return [...crashes.values()].reduce((sum, { fingerprints }) => sum + fingerprints.size, 0);
 }
 
-/** Drops the oldest crashes beyond the bound; those under which a request is condemned go last. */
+/**
+ * Drops the oldest crashes while more than `maximumSuspects` fingerprints are stored. Crashes that involve a condemned
+ * request are dropped last.
+ */
 function dropExcess(evidence: CrashEvidence): void {
     const { crashes, options } = evidence;
     while (countFingerprints(evidence) > options.maximumSuspects && crashes.size > 1) {
         const rows = [...crashes.values()].sort((left, right) => left.touchedAt - right.touchedAt);
-        const dropped = rows.find(row => !supportsCondemnation(evidence, row)) ?? rows[0]!;
+        const dropped = rows.find(row => !involvesCondemned(evidence, row)) ?? rows[0]!;
         crashes.delete(dropped.crashId);
     }
 }
 
-/** Returns true if the crash or one of the fingerprints was not known. */
+/** Merges a crash into the evidence. Returns true if the crash or one of its fingerprints was not known. */
 function mergeCrash({ crashes }: CrashEvidence, row: CrashRow): boolean {
     const known = crashes.get(row.crashId);
     if (known === undefined) {
@@ -63,31 +66,38 @@
     return known.fingerprints.size > before;
 }
 
-function listNamed({ crashes }: CrashEvidence): ReadonlySet<Fingerprint> {
+/** Lists the requests that were in progress in any crash. */
+function listImplicated({ crashes }: CrashEvidence): ReadonlySet<Fingerprint> {
     return new Set([...crashes.values()].flatMap(({ fingerprints }) => [...fingerprints]));
 }
 
-/** Forgets old answers, but not those to requests that a crash names: it would count against them again. */
+/**
+ * Forgets old answers, except those to requests that were in progress in a known crash: without the answer, the crash
+ * would count against the request again.
+ */
 function forgetAnswers(evidence: CrashEvidence, now: Milliseconds): void {
     const { answers, options } = evidence;
-    const named = listNamed(evidence);
+    const implicated = listImplicated(evidence);
     for (const [fingerprint, at] of answers) {
         if (now - at <= options.answerMemory && answers.size <= options.maximumSuspects) {
             return;
         }
-        if (!named.has(fingerprint)) {
+        if (!implicated.has(fingerprint)) {
             answers.delete(fingerprint);
         }
     }
 }
 
-/** Keeps the answers in the order of their time, so that the oldest one comes first. */
+/** Stores an answer as the last entry of the map, so that the oldest answer comes first. */
 function storeAnswer({ answers }: CrashEvidence, fingerprint: Fingerprint, at: Milliseconds): void {
     answers.delete(fingerprint);
     answers.set(fingerprint, at);
 }
 
-/** Returns true for an answer that matters: its time is rounded on the way, so that the same one may look newer. */
+/**
+ * Stores an answer that another process reported. Returns true if it has to be shared further. Ages are rounded in
+ * transit, so an answer that is only slightly later may be the one that is known already.
+ */
 function mergeAnswer(evidence: CrashEvidence, fingerprint: Fingerprint, at: Milliseconds): boolean {
     const known = evidence.answers.get(fingerprint);
     if (known !== undefined && at <= known) {
@@ -98,13 +108,14 @@
 }
 
 /**
- * Records the end of a backend server.
+ * Records the crash of a backend server.
  *
  * @param evidence - evidence to change
- * @param crashId - lifetime of the backend server; its end counts once, whoever reports it
- * @param fingerprints - requests without an answer that this process had in progress there
+ * @param crashId - identifier of the server's lifetime, from its start to its crash; a crash that several processes
+ * report counts once
+ * @param fingerprints - unanswered requests that this process had in progress on the server
  * @param now - monotonic time
- * @returns what others are to be told
+ * @returns the part of the evidence to share with other processes
  */
 export function recordCrash(
     evidence: CrashEvidence,
@@ -114,10 +125,10 @@
 ): EvidenceNews {
     const isNew = mergeCrash(evidence, { crashId, fingerprints: new Set(fingerprints), at: now, touchedAt: now });
     if (!isNew) {
-        return noNews;
+        return nothingToShare;
     }
     dropExcess(evidence);
-    judge(evidence);
+    updateSuspects(evidence);
     return { crashIds: [crashId], answered: fingerprints.filter(fingerprint => evidence.answers.has(fingerprint)) };
 }
 
@@ -127,7 +138,7 @@
  * @param evidence - evidence to change
  * @param fingerprint - the request
  * @param now - monotonic time
- * @returns what others are to be told: the answer, if crashes were blamed on the request
+ * @returns the part of the evidence to share with other processes: the answer, if the request was a suspect
  */
 export function recordAnswer(evidence: CrashEvidence, fingerprint: Fingerprint, now: Milliseconds): EvidenceNews {
     storeAnswer(evidence, fingerprint, now);
@@ -135,17 +146,17 @@
         forgetAnswers(evidence, now);
     }
     if (!evidence.suspects.has(fingerprint)) {
-        return noNews;
+        return nothingToShare;
     }
-    judge(evidence);
+    updateSuspects(evidence);
     return { crashIds: [], answered: [fingerprint] };
 }
 
 /**
- * Reads how a request has to be treated. The crashes of a condemned request are remembered for the full duration from then
- * on, so that a caller that keeps sending it causes no further crash.
+ * Reads how a request has to be treated. Each read for a condemned request restarts the time for which its crashes are
+ * remembered, so that a caller that keeps sending it causes no further crash.
  *
- * @param evidence - evidence; the age of the crashes of a condemned request is reset
+ * @param evidence - evidence; the crashes of a condemned request are marked as used now
  * @param fingerprint - the request
  * @param now - monotonic time
  * @returns the standing
@@ -171,8 +182,8 @@
 }
 
 /**
- * Decides whether a request whose backend server has ended may be sent to another one at once. The last crash before it
- * is condemned is left to a caller that sends it again.
+ * Decides whether a request whose backend server has crashed may be retried on another one at once. An attempt whose
+ * crash would condemn the request is made only if the caller sends the request again.
  *
  * @param evidence - evidence
  * @param fingerprint - the request
@@ -184,17 +195,17 @@
 }
 
 /**
- * Lists what others need to know.
+ * Exports evidence for other processes.
  *
  * @param evidence - evidence
  * @param now - monotonic time
- * @param news - what is wanted; default: everything
- * @returns the crashes, newest first, and the answers to requests that were in progress in a crash
+ * @param toShare - the part to export. Default: all crashes, and the answers to requests that were in progress in them.
+ * @returns the crashes, most recently used first, and the answers, with ages instead of times
  */
-export function exportEvidence(evidence: CrashEvidence, now: Milliseconds, news?: EvidenceNews): SharedEvidence {
+export function exportEvidence(evidence: CrashEvidence, now: Milliseconds, toShare?: EvidenceNews): SharedEvidence {
     const { answers, crashes } = evidence;
     const rows = [...crashes.values()]
-        .filter(({ crashId }) => news === undefined || news.crashIds.includes(crashId))
+        .filter(({ crashId }) => toShare === undefined || toShare.crashIds.includes(crashId))
         .sort((left, right) => right.touchedAt - left.touchedAt)
         .slice(0, maximumSharedCrashes);
     return {
@@ -204,7 +215,7 @@
             age: Math.max(0, now - at),
             touchedAge: Math.max(0, now - touchedAt),
         })),
-        answers: (news?.answered ?? [...listNamed(evidence)]).flatMap(fingerprint => {
+        answers: (toShare?.answered ?? [...listImplicated(evidence)]).flatMap(fingerprint => {
             const at = answers.get(fingerprint);
             return at === undefined ? [] : [{ fingerprint, age: Math.max(0, now - at) }];
         }),
@@ -212,27 +223,29 @@
 }
 
 /**
- * Computes a text by which two processes notice that their evidence differs.
+ * Computes a digest by which two processes detect that their evidence differs.
  *
  * @param evidence - evidence
- * @returns the same text for the same crashes, requests and answered requests; empty if no crash is known
+ * @returns the same digest for the same crashes with the same numbers of requests and the same answered requests; empty
+ * if no crash is known
  */
 export function digestEvidence(evidence: CrashEvidence): string {
     if (evidence.crashes.size === 0) {
         return "";
     }
     const rows = [...evidence.crashes.values()].map(({ crashId, fingerprints }) => `${crashId}:${fingerprints.size}`);
-    const answered = [...listNamed(evidence)].filter(fingerprint => evidence.answers.has(fingerprint));
+    const answered = [...listImplicated(evidence)].filter(fingerprint => evidence.answers.has(fingerprint));
     return computeDigest([...rows, ...answered].sort().join("\n"));
 }
 
 /**
- * Merges what another process knows. The order and the number of merges do not matter.
+ * Merges the evidence of another process. The order and the number of merges do not matter.
  *
  * @param evidence - evidence to change
- * @param shared - what the other process knows
+ * @param shared - evidence of the other process
  * @param now - monotonic time
- * @returns what others are to be told: what was not known here, and the answers known here to the requests of new crashes
+ * @returns the part of the evidence to share with other processes: what was not known here, and the answers known here
+ * to the requests of new crashes
  */
 export function mergeEvidence(evidence: CrashEvidence, shared: SharedEvidence, now: Milliseconds): EvidenceNews {
     const crashIds: string[] = [];
@@ -255,13 +268,13 @@
     }
     if (crashIds.length > 0 || answered.size > 0) {
         dropExcess(evidence);
-        judge(evidence);
+        updateSuspects(evidence);
     }
     return { crashIds, answered: [...answered] };
 }
 
 /**
- * Forgets what is too old to count.
+ * Removes crashes and answers that have expired.
  *
  * @param evidence - evidence to change
  * @param now - monotonic time
@@ -271,10 +284,10 @@
     forgetAnswers(evidence, now);
     const expired = [...crashes.values()].filter(row =>
         now - row.touchedAt >
-            (supportsCondemnation(evidence, row) ? options.condemnedDuration : options.suspicionDuration)
+            (involvesCondemned(evidence, row) ? options.condemnedDuration : options.suspicionDuration)
     );
     if (expired.length > 0) {
         expired.forEach(({ crashId }) => crashes.delete(crashId));
-        judge(evidence);
+        updateSuspects(evidence);
     }
 }
--- a/src/runtime/retry/decision.ts
+++ b/src/runtime/retry/decision.ts
@@ -3,8 +3,8 @@
 import { takeRetry } from "./budget.js";
 import type { RetryDecision, RetryInput } from "./types.js";
 
-/** Whether another runner may answer differently; the other refusals are final. */
-const retriedReasons: Readonly<Record<RefusalReason, boolean>> = {
+/** Whether another runner may accept a request that was refused for this reason; the other refusals are final. */
+const retryableReasons: Readonly<Record<RefusalReason, boolean>> = {
     "no-deployment": false,
     "no-runner": false,
     "not-serving": true,
@@ -32,8 +32,8 @@
     canceled: false,
 };
 
-/** Seconds over which callers return that were refused for lack of retry budget. */
-const returnSpreadSeconds = 5;
+/** Seconds over which callers spread their next attempt if they were refused because the retry budget was used up. */
+const retryAfterSpreadSeconds = 5;
 
 function giveUp(input: RetryInput, reason: RefusalReason, explanation: string): RetryDecision {
     const ran: RanState = input.refusal.ran === "unknown" || input.mayHaveRun === true ? "unknown" : "no";
@@ -41,20 +41,21 @@
     return { kind: "give-up", refusal, reason: explanation };
 }
 
-function giveUpForBudget(input: RetryInput): RetryDecision {
-    const spread = scoreRendezvous(input.request.requestId, "retry-budget") % returnSpreadSeconds;
+function giveUpWithoutBudget(input: RetryInput): RetryDecision {
+    const spread = scoreRendezvous(input.request.requestId, "retry-budget") % retryAfterSpreadSeconds;
     const retryAfterSeconds = Math.max(1, input.refusal.retryAfterSeconds) + spread;
     const refusal = { ...input.refusal, retryAfterSeconds };
     return giveUp({ ...input, refusal }, "retry-budget-exhausted", "the retry budget is used up");
 }
 
 /**
- * Decides whether a failed attempt is repeated on another runner. A request that may have run is repeated only if it is
- * idempotent, and no request is repeated once a part of its answer has reached the caller.
+ * Decides whether a failed attempt is retried on another runner. A request that may have run is retried only if it is
+ * idempotent, and no request is retried once a part of its answer has reached the caller.
  *
- * @param input - request, refusal of the attempt, standing after the crash was reported, and budget; a retry is taken
- * from the budget if the attempt reached its backend server
- * @returns `retry`, alone for suspects, or the caller's final answer
+ * @param input - request, refusal of the attempt, standing of the request after any crash of this attempt was reported,
+ * and budget; one retry is taken from the budget if the attempt reached its backend server
+ * @returns `retry`, with `alone` set for requests that may have crashed a backend server; or `give-up` with the refusal
+ * for the caller
  */
 export function decideRetry(input: RetryInput): RetryDecision {
     const { request, refusal, options } = input;
@@ -64,7 +65,7 @@
     if (input.standing === "condemned") {
         return giveUp(input, "crashes-backend-servers", "the request crashed backend servers");
     }
-    if (!retriedReasons[refusal.reason]) {
+    if (!retryableReasons[refusal.reason]) {
         return giveUp(input, refusal.reason, "the refusal is final");
     }
     if (refusal.ran === "unknown" && !request.idempotent) {
@@ -80,7 +81,7 @@
         return giveUp(input, "deadline-passed", "the deadline has passed");
     }
     if (input.reachedServer !== false && !takeRetry(input.budget, input.now, options)) {
-        return giveUpForBudget(input);
+        return giveUpWithoutBudget(input);
     }
     const alone = input.standing === "suspect" || input.backendServerCrashed;
     return { kind: "retry", alone, reason: refusal.ran === "no" ? "the request did not run" : "it is idempotent" };
--- a/src/runtime/retry/judgeCrashes.ts
+++ b/src/runtime/retry/judgeCrashes.ts
@@ -1,65 +1,71 @@
 import type { Fingerprint } from "../../types/index.js";
 import type { CrashEvidence, CrashRow, CrashSuspect } from "./types.js";
 
-/** A request that crashes each backend server is never answered, so an answer rules it out for the crashes around it. */
+/**
+ * Tells whether an answer rules a request out as the cause of a crash. A request that crashes each backend server is
+ * never answered, so an answer exonerates it from the crashes that were noticed before the answer or at most the answer
+ * memory after it.
+ */
 function isRuledOut({ answers, options }: CrashEvidence, fingerprint: Fingerprint, { at }: CrashRow): boolean {
     const answeredAt = answers.get(fingerprint);
     return answeredAt !== undefined && at - answeredAt <= options.answerMemory;
 }
 
-/** Lists the crashes that may be blamed on each request, those of the most suspect one first. */
-function listBlame(evidence: CrashEvidence): (readonly [Fingerprint, ReadonlySet<string>])[] {
-    const blame = new Map<Fingerprint, Set<string>>();
+/** Lists the crashes that each request may have caused, the request with the most crashes first. */
+function listPossibleCrashes(evidence: CrashEvidence): (readonly [Fingerprint, ReadonlySet<string>])[] {
+    const possibleCrashes = new Map<Fingerprint, Set<string>>();
     for (const row of evidence.crashes.values()) {
         for (const fingerprint of row.fingerprints) {
             if (!isRuledOut(evidence, fingerprint, row)) {
-                const crashes = blame.get(fingerprint) ?? new Set<string>();
-                blame.set(fingerprint, crashes.add(row.crashId));
+                const crashes = possibleCrashes.get(fingerprint) ?? new Set<string>();
+                possibleCrashes.set(fingerprint, crashes.add(row.crashId));
             }
         }
     }
-    return [...blame].sort(([left, leftCrashes], [right, rightCrashes]) =>
+    return [...possibleCrashes].sort(([left, leftCrashes], [right, rightCrashes]) =>
         rightCrashes.size - leftCrashes.size || (left < right ? -1 : 1)
     );
 }
 
 /**
- * Decides which requests crash backend servers. A crash that a condemned request explains counts against no other request
- * that was in progress in it. If several requests explain the same crashes, one more crash decides between them, and if it
- * does not, all of them are condemned.
+ * Decides which requests crash backend servers. A request is condemned once `maximumCrashes` crashes can be attributed
+ * to it. A crash that is attributed to a condemned request no longer counts against the other requests that were in
+ * progress on that server. If several requests were in progress in all of the same crashes, the verdict waits for one
+ * more crash; if that one does not tell them apart, all of them are condemned.
  *
- * @param evidence - crashes and answers; it is not changed
- * @returns the requests that crashes are blamed on
+ * @param evidence - crashes and answers; not changed
+ * @returns the requests that may have crashed backend servers, with their crashes
  */
-export function judgeCrashes(evidence: CrashEvidence): ReadonlyMap<Fingerprint, CrashSuspect> {
+export function findCrashSuspects(evidence: CrashEvidence): ReadonlyMap<Fingerprint, CrashSuspect> {
     const { maximumCrashes } = evidence.options;
-    const blame = listBlame(evidence);
+    const possibleCrashes = listPossibleCrashes(evidence);
     const condemned = new Set<Fingerprint>();
-    const explained = new Set<string>();
-    const listOwn = (crashes: ReadonlySet<string>): string[] => [...crashes].filter(crash => !explained.has(crash));
-    for (const [fingerprint, crashes] of blame) {
-        const own = listOwn(crashes);
-        if (own.length < maximumCrashes) {
+    const attributed = new Set<string>();
+    const listUnattributed = (crashes: ReadonlySet<string>): string[] =>
+        [...crashes].filter(crash => !attributed.has(crash));
+    for (const [fingerprint, crashes] of possibleCrashes) {
+        const unattributed = listUnattributed(crashes);
+        if (unattributed.length < maximumCrashes) {
             continue;
         }
-        const rivals = blame.filter(([other, otherCrashes]) =>
-            other !== fingerprint && own.every(crash => otherCrashes.has(crash))
+        const alternatives = possibleCrashes.filter(([other, otherCrashes]) =>
+            other !== fingerprint && unattributed.every(crash => otherCrashes.has(crash))
         );
-        if (rivals.length > 0 && own.length === maximumCrashes) {
+        if (alternatives.length > 0 && unattributed.length === maximumCrashes) {
             continue;
         }
-        for (const [found, foundCrashes] of [[fingerprint, crashes] as const, ...rivals]) {
+        for (const [found, foundCrashes] of [[fingerprint, crashes] as const, ...alternatives]) {
             condemned.add(found);
-            foundCrashes.forEach(crash => explained.add(crash));
+            foundCrashes.forEach(crash => attributed.add(crash));
         }
     }
     return new Map(
-        blame.flatMap(([fingerprint, crashes]): [Fingerprint, CrashSuspect][] => {
+        possibleCrashes.flatMap(([fingerprint, crashes]): [Fingerprint, CrashSuspect][] => {
             if (condemned.has(fingerprint)) {
                 return [[fingerprint, { crashes: crashes.size, condemned: true }]];
             }
-            const own = listOwn(crashes).length;
-            return own === 0 ? [] : [[fingerprint, { crashes: own, condemned: false }]];
+            const unattributed = listUnattributed(crashes).length;
+            return unattributed === 0 ? [] : [[fingerprint, { crashes: unattributed, condemned: false }]];
         }),
     );
 }
--- a/src/runtime/retry/suspects.ts
+++ b/src/runtime/retry/suspects.ts
@@ -2,7 +2,7 @@
 import type { RetryOptions, SuspectRow, SuspectStanding, SuspectTable } from "./types.js";
 
 /**
- * Creates an empty table of suspect requests.
+ * Creates an empty table of requests that may have crashed backend servers.
  *
  * @param options - bounds and durations
  * @returns the table
@@ -16,8 +16,11 @@
     return now - row.changedAt > duration;
 }
 
-/** Finds the row to drop: the oldest that is not condemned, since a condemned one would crash servers again. */
-function findDroppable(table: SuspectTable): Fingerprint | undefined {
+/**
+ * Finds the row to evict: the oldest one that is not condemned, since a forgotten condemned request crashes servers
+ * again.
+ */
+function findEvictable(table: SuspectTable): Fingerprint | undefined {
     let oldest: Fingerprint | undefined;
     for (const row of table.rows.values()) {
         if (!row.condemned) {
@@ -29,10 +32,10 @@
 }
 
 function storeRow(table: SuspectTable, row: SuspectRow): void {
-    // The order of insertion is the order of age.
+    // Reinserted at the end, so that the row that was stored longest ago comes first.
     table.rows.delete(row.fingerprint);
     while (table.rows.size >= table.options.maximumSuspects) {
-        table.rows.delete(findDroppable(table)!);
+        table.rows.delete(findEvictable(table)!);
     }
     table.rows.set(row.fingerprint, row);
 }
@@ -52,8 +55,8 @@
  * @param table - table to change
  * @param fingerprints - fingerprints of the requests that this process had in progress on the server
  * @param now - monotonic time
- * @param ranAlone - true only if the request was sent to run alone; other entry instances may have had requests on the
- * server that this process does not know. Default: true for a single fingerprint.
+ * @param ranAlone - true only if the request was sent to run alone, since other entry instances may have requests on
+ * the server that this process does not know of. Default: true for a single fingerprint.
  * @returns the changed rows, to be shared with the other entry instances at once
  */
 export function reportCrash(
@@ -75,12 +78,13 @@
 }
 
 /**
- * Clears a suspect request that finished while it was the only one on its backend server.
+ * Clears a suspect request that finished while it ran alone on its backend server.
  *
  * @param table - table to change
  * @param fingerprint - fingerprint of the request
  * @param now - monotonic time
- * @returns the changed row, to be shared; empty if the request is no suspect or condemned
+ * @returns the changed row, to be shared with the other entry instances; empty if the request is not a suspect or is
+ * condemned
  */
 export function reportSuccessAlone(
     table: SuspectTable,
@@ -117,8 +121,11 @@
     return row.cleared ? "clear" : "suspect";
 }
 
-/** Joins two rows of one fingerprint: more crashes outweigh a clearance, which outweighs an equal count of crashes. */
-function joinRows(left: SuspectRow, right: SuspectRow): SuspectRow {
+/**
+ * Merges two rows of one fingerprint. The merged row is cleared if a row with the higher number of crashes is cleared:
+ * a row with fewer crashes cannot clear it, as it may not know of the last crash.
+ */
+function mergeRows(left: SuspectRow, right: SuspectRow): SuspectRow {
     const crashes = Math.max(left.crashes, right.crashes);
     const cleared = (left.crashes === crashes && left.cleared) || (right.crashes === crashes && right.cleared);
     return {
@@ -132,12 +139,12 @@
 }
 
 /**
- * Merges what another entry instance knows. The order and the number of merges do not matter.
+ * Merges rows of another entry instance. The order and the number of merges do not matter.
  *
  * @param table - table to change
- * @param rows - rows of the other table, with `changedAt` on this process's monotonic clock
+ * @param rows - rows of the other table, with `changedAt` converted to this process's monotonic clock
  * @param now - monotonic time
- * @returns the rows whose standing changed, to be passed on
+ * @returns the rows whose crashes or standing changed, to be passed on to further entry instances
  */
 export function mergeSuspicion(
     table: SuspectTable,
@@ -150,13 +157,13 @@
             continue;
         }
         const previous = readRow(table, row.fingerprint, now);
-        const joined = previous === undefined ? { ...row } : joinRows(previous, row);
-        storeRow(table, joined);
+        const merged = previous === undefined ? { ...row } : mergeRows(previous, row);
+        storeRow(table, merged);
         if (
-            previous === undefined || previous.crashes !== joined.crashes || previous.condemned !== joined.condemned ||
-            previous.cleared !== joined.cleared
+            previous === undefined || previous.crashes !== merged.crashes || previous.condemned !== merged.condemned ||
+            previous.cleared !== merged.cleared
         ) {
-            changed.push(joined);
+            changed.push(merged);
         }
     }
     return changed;
--- a/src/runtime/retry/types.ts
+++ b/src/runtime/retry/types.ts
@@ -6,51 +6,55 @@
     readonly budgetShare: number;
     /** Retries that the budget gains each second. Default: 1. */
     readonly budgetPerSecond: number;
-    /** Most retries that the budget holds. Default: 100. */
+    /** Largest balance of the budget, in retries. Default: 100. */
     readonly budgetMaximum: number;
-    /** Attempts at one request, the first included. Default: 3. */
+    /** Most attempts at one request, the first included. Default: 3. */
     readonly maximumAttempts: number;
-    /** Crashes of backend servers that one request may cause before it is refused for good. Default: 2. */
+    /** Crashes of backend servers after which a request is condemned: it is refused without an attempt. Default: 2. */
     readonly maximumCrashes: number;
-    /** Time for which a refused fingerprint stays refused. Default: 600,000 ms. */
+    /** Time for which a request stays condemned after its last crash or attempt to send it. Default: 600,000 ms. */
     readonly condemnedDuration: Milliseconds;
-    /** Time after which an unproved suspicion is forgotten. Default: 60,000 ms. */
+    /** Time after which a suspect that was not condemned is forgotten. Default: 60,000 ms. */
     readonly suspicionDuration: Milliseconds;
-    /** Most fingerprints under suspicion. Default: 10,000; the oldest are dropped. */
+    /** Most fingerprints of suspects that are stored; the oldest are dropped. Default: 10,000. */
     readonly maximumSuspects: number;
-    /** Time for which the answer to a request tells that it does not crash backend servers. Default: 30,000 ms. */
+    /** Time for which an answer to a request rules it out as the cause of later crashes. Default: 30,000 ms. */
     readonly answerMemory: Milliseconds;
 }
 
 /** Retries that all gateways of a fleet may make at one service. */
 export interface FleetRetryAllowance {
-    /** Retries for each request, whatever the number of gateways. */
+    /** Retries allowed per request, whatever the number of gateways. */
     readonly fleetRetryShare: number;
-    /** Retries in a window beside that share; 0 if each process has the budget of its own options. */
+    /** Retries allowed per window in addition to that share; 0 if each process has a budget of its own instead. */
     readonly fleetRetries: number;
+    /** Length of a window. */
     readonly fleetRetryWindow: Milliseconds;
 }
 
-/** Retries that an entry instance may still make; created by `createRetryBudget`. */
+/** Retries that a process may still make; created by `createRetryBudget`. */
 export interface RetryBudget {
     available: number;
     updatedAt: Milliseconds;
 }
 
-/** Standing of a fingerprint that was in progress when a backend server crashed. */
+/** What an entry instance knows of a request that was in progress when a backend server crashed. */
 export interface SuspectRow {
     readonly fingerprint: Fingerprint;
     /** Crashes in which the request was in progress. */
     crashes: number;
-    /** Crashes in which it was the only one. */
+    /** Crashes in which it was the only request. */
     crashesAlone: number;
     condemned: boolean;
-    /** True once the request has finished alone; kept so that peers learn of it. */
+    /**
+     * True once the request has finished while it ran alone; the row is kept so that the other entry instances learn of
+     * it.
+     */
     cleared: boolean;
     changedAt: Milliseconds;
 }
 
-/** Fingerprints under suspicion; created by `createSuspectTable`. */
+/** Requests that were in progress in crashes, the one stored longest ago first; created by `createSuspectTable`. */
 export interface SuspectTable {
     readonly rows: Map<Fingerprint, SuspectRow>;
     readonly options: RetryOptions;
@@ -62,62 +66,68 @@
     "answerMemory" | "condemnedDuration" | "maximumCrashes" | "maximumSuspects" | "suspicionDuration"
 >;
 
-/** End of a backend server. */
+/** Crash of a backend server. */
 export interface CrashRow {
-    /** Lifetime of the backend server. */
+    /** Identifies the lifetime of the backend server, from its start to its crash. */
     readonly crashId: string;
-    /** Monotonic time at which it was noticed first. */
+    /** Monotonic time at which the crash was first noticed. */
     readonly at: Milliseconds;
-    /** Monotonic time at which it mattered last. */
+    /** Monotonic time of the crash or, if that is later, at which one of its condemned requests was last sent. */
     touchedAt: Milliseconds;
-    /** Requests without an answer that were in progress there. */
+    /** Unanswered requests that were in progress on the server. */
     readonly fingerprints: Set<Fingerprint>;
 }
 
-/** Request that crashes are blamed on. */
+/** Request that may have crashed backend servers. */
 export interface CrashSuspect {
-    /** Crashes that no condemned request explains. */
+    /**
+     * Crashes that it may have caused; for one that is not condemned, without those attributed to a condemned request.
+     */
     readonly crashes: number;
     readonly condemned: boolean;
 }
 
 /**
- * Crashes and answers by which gateways judge requests; created by `createCrashEvidence`. Entry instances have a
- * {@link SuspectTable} instead: their agents report crashes and run suspects alone, which gateways cannot.
+ * Crashes and answers from which gateways derive which requests crash backend servers; created by
+ * `createCrashEvidence`. Entry instances use a {@link SuspectTable} instead: agents report crashes to them and run
+ * suspects alone, which is not possible for gateways.
  */
 export interface CrashEvidence {
     readonly crashes: Map<string, CrashRow>;
-    /** Monotonic time at which a request was answered last, oldest first. */
+    /** Monotonic time at which each request was last answered, oldest first. */
     readonly answers: Map<Fingerprint, Milliseconds>;
-    /** What follows from crashes and answers. */
+    /** Derived from `crashes` and `answers` whenever they change. */
     readonly suspects: Map<Fingerprint, CrashSuspect>;
     readonly options: CrashEvidenceOptions;
 }
 
-/** Part of the evidence that others do not know yet. */
+/** Part of the evidence that other processes may not know yet. */
 export interface EvidenceNews {
     readonly crashIds: readonly string[];
-    /** Requests whose answers matter to others. */
+    /** Requests whose answers have to be shared. */
     readonly answered: readonly Fingerprint[];
 }
 
-/** Crash as it is told to other processes. */
+/** Crash as it is sent to other processes. */
 export interface SharedCrash {
     readonly crashId: string;
     readonly fingerprints: readonly Fingerprint[];
-    /** Time since it was noticed. */
+    /** Time since the crash was first noticed. */
     readonly age: Milliseconds;
-    /** Time since it mattered last. */
+    /** Time since the crash or, if that is shorter, since one of its condemned requests was last sent. */
     readonly touchedAge: Milliseconds;
 }
 
-/** Evidence as it is told to other processes, whose clocks differ. */
+/** Evidence as it is sent to other processes; it holds ages, since monotonic clocks differ between processes. */
 export interface SharedEvidence {
     readonly crashes: readonly SharedCrash[];
     readonly answers: readonly { readonly fingerprint: Fingerprint; readonly age: Milliseconds; }[];
 }
 
-/** How a fingerprint has to be treated. */
+/**
+ * How a request has to be treated: sent as usual, run alone if possible since it may have crashed a backend server, or
+ * refused since it crashes backend servers.
+ */
 export type SuspectStanding = "clear" | "suspect" | "condemned";
 
 /** Input of `decideRetry`. */
@@ -130,21 +140,21 @@
     /** True if a part of the answer has reached the caller. */
     readonly answerBegun: boolean;
     /**
-     * False if nothing of the attempt reached its backend server, as when the connection was refused. The next attempt
-     * adds no load then and takes nothing from the budget. Default: true.
+     * False if nothing of the attempt reached its backend server, as when the connection was refused. The retry then
+     * adds no load and takes nothing from the budget. Default: true.
      */
     readonly reachedServer?: boolean | undefined;
     /** True if an earlier attempt may have run; the final answer then says `unknown`. Default: false. */
     readonly mayHaveRun?: boolean | undefined;
     readonly standing: SuspectStanding;
-    /** False if one more attempt may crash another backend server and is left to the caller. Default: true. */
+    /** False if the request may crash another backend server, so that only the caller may repeat it. Default: true. */
     readonly mayRepeat?: boolean | undefined;
     readonly budget: RetryBudget;
     readonly now: Milliseconds;
     readonly options: RetryOptions;
 }
 
-/** Result of `decideRetry`. */
+/** Result of `decideRetry`; `alone` means that no other request may be in progress on the runner beside the retry. */
 export type RetryDecision =
     | { readonly kind: "retry"; readonly alone: boolean; readonly reason: string; }
     | { readonly kind: "give-up"; readonly refusal: Refusal; readonly reason: string; };
--- a/test/runtime/retry/crashEvidence.test.ts
+++ b/test/runtime/retry/crashEvidence.test.ts
@@ -30,13 +30,14 @@
     return evidence;
 }
 
-/** Tells one process what another one knows. */
-function tell(from: CrashEvidence, to: CrashEvidence, now = 0): void {
+/** Sends the evidence of one process to another one. */
+function share(from: CrashEvidence, to: CrashEvidence, now = 0): void {
     mergeEvidence(to, exportEvidence(from, now), now);
 }
 
 describe("evidence of requests that crash backend servers", () => {
-    // Guards against a wrong verdict on a request or on those beside it.
+    // Guards against condemning requests that were only in progress beside the one that crashes servers, and against
+    // missing that one.
     const cases: readonly (readonly [string, Readonly<Record<string, readonly string[]>>, readonly string[]])[] = [
         ["too few crashes", { a: ["fatal"], b: ["fatal"] }, []],
         ["enough crashes", { a: ["fatal"], b: ["fatal"], c: ["fatal"] }, ["fatal"]],
@@ -74,7 +75,7 @@
 
     it("counts a crash once, whichever processes saw it", () => {
         const evidence = createEvidence({ a: ["fatal"] });
-        tell(createEvidence({ a: ["fatal", "x"] }), evidence);
+        share(createEvidence({ a: ["fatal", "x"] }), evidence);
         recordCrash(evidence, "a", ["fatal"], 5_000);
         expect(evidence.suspects.get("fatal")).toEqual({ crashes: 1, condemned: false });
     });
@@ -85,7 +86,7 @@
             createEvidence({ b: ["fatal"] }),
             createEvidence({ c: ["fatal"] }),
         ];
-        processes.slice(1).forEach(process => tell(process, processes[0]!));
+        processes.slice(1).forEach(process => share(process, processes[0]!));
         expect(readCrashStanding(processes[0]!, "fatal", 0)).toEqual("condemned");
     });
 
@@ -102,9 +103,9 @@
         const evidence = createEvidence({ a: ["popular"], b: ["popular"], c: ["popular"] });
         const other = createEvidence();
         recordAnswer(other, "popular", 0);
-        const news = mergeEvidence(other, exportEvidence(evidence, 0), 0);
-        expect(news).toEqual({ crashIds: ["a", "b", "c"], answered: ["popular"] });
-        mergeEvidence(evidence, exportEvidence(other, 0, news), 0);
+        const toShare = mergeEvidence(other, exportEvidence(evidence, 0), 0);
+        expect(toShare).toEqual({ crashIds: ["a", "b", "c"], answered: ["popular"] });
+        mergeEvidence(evidence, exportEvidence(other, 0, toShare), 0);
         expect(readCrashStanding(evidence, "popular", 0)).toEqual("clear");
         expect(digestEvidence(evidence)).toEqual(digestEvidence(other));
     });
@@ -152,9 +153,9 @@
                 (events, steps) => {
                     const processes = [createEvidence(), createEvidence(), createEvidence()];
                     events.forEach(([process, crashId, rows]) => recordCrash(processes[process]!, crashId, rows, 0));
-                    steps.forEach(step => tell(processes[step % 3]!, processes[Math.floor(step / 3)]!));
+                    steps.forEach(step => share(processes[step % 3]!, processes[Math.floor(step / 3)]!));
                     for (const from of [0, 1, 2, 0, 1, 2]) {
-                        processes.forEach(to => tell(processes[from]!, to));
+                        processes.forEach(to => share(processes[from]!, to));
                     }
                     const [first, ...others] = processes.map(({ suspects }) => new Map([...suspects].sort()));
                     others.forEach(other => expect(other).toEqual(first!));
--- a/test/runtime/retry/decision.test.ts
+++ b/test/runtime/retry/decision.test.ts
@@ -48,8 +48,8 @@
 
 describe("retry decision", () => {
     const idempotent = createRequest({ idempotent: true });
-    // Guards against a second run of a request that may have run, a repeat after the answer has begun, and a final
-    // answer that says "not run" although an attempt may have run.
+    // Guards against a second run of a non-idempotent request, a retry after the answer has begun, and a refusal that
+    // says "not run" although an attempt may have run.
     const cases: readonly (readonly [string, RanState, RefusalReason, Partial<RetryInput>, string])[] = [
         ["did not run", "no", "draining", {}, "retry"],
         ["may have run", "unknown", "connection-lost", {}, "connection-lost: unknown"],
--- a/test/runtime/retry/fleetBudget.test.ts
+++ b/test/runtime/retry/fleetBudget.test.ts
@@ -12,7 +12,7 @@
 const fleetRetryShare = 0.2;
 const second = 1_000;
 
-/** Takes as many retries as the budgets of all gateways allow in a window, after a quiet time. */
+/** Takes as many retries as the budgets of all gateways allow in one window, after 60 s without requests. */
 function spendWindow(gateways: number, fleetRetries: number, requests: number, restart: boolean): number {
     const options = divideRetryAllowance(
         resolveRetryOptions(),
@@ -39,7 +39,7 @@
 }
 
 describe("retry budgets of all gateways", () => {
-    // Guards against repeats that grow with the number of gateways instead of the allowance.
+    // Guards against retries that grow with the number of gateways beyond the allowance.
     const fleets: readonly (readonly [number, number, number])[] = [
         [1, 104, 1_000],
         [5, 104, 1_090],
--- a/test/runtime/retry/suspects.test.ts
+++ b/test/runtime/retry/suspects.test.ts
@@ -27,7 +27,10 @@
     readonly attempts: number;
 }
 
-/** Entry instances with delayed gossip in front of servers that run batches; a server with the crasher crashes. */
+/**
+ * Entry instances that exchange suspects with a delay, in front of servers that run batches of requests. A server whose
+ * batch contains the crashing request crashes.
+ */
 class Simulation {
     readonly tables: SuspectTable[];
     readonly queue: Attempt[] = [];
@@ -148,8 +151,8 @@
 }
 
 describe("suspect requests", () => {
-    // Guards against one request that takes down server after server while its caller keeps sending it through several
-    // entry instances, and against neighbours that are refused for its crashes.
+    // Guards against one request that crashes server after server while its caller keeps sending it through several
+    // entry instances, and against refusing the requests that were in progress beside it.
     it("bounds the crashes of one request and answers its neighbours", () => {
         fastCheck.assert(
             fastCheck.property(
@@ -178,8 +181,8 @@
         );
     });
 
-    // Guards against a suspect that runs beside other callers' requests, a neighbour that stays suspect after it has run
-    // alone, and a first crash that is taken for proof.
+    // Guards against a suspect that runs beside other requests, a request that stays suspect after it has finished
+    // alone, and a request that is condemned for its first crash.
     const standings: readonly (readonly [string, (table: SuspectTable) => void, SuspectStanding])[] = [
         ["no crash", () => undefined, "clear"],
         ["a crash beside others", table => reportCrash(table, ["a", "b"], 0), "suspect"],
@@ -205,7 +208,7 @@
         });
     }
 
-    // Guards against a result of gossip that depends on the order or the number of messages.
+    // Guards against a merge whose result depends on the order or the number of messages.
     it("merges in any order and any number of times to the same rows", () => {
         const row = fastCheck.record({
             fingerprint: fastCheck.constantFrom("a", "b"),
@@ -232,7 +235,7 @@
         );
     });
 
-    // Guards against a table that grows with the fingerprints, and that forgets what crashes servers first.
+    // Guards against a table that grows without bound, and against evicting condemned requests before suspects.
     it("drops the oldest suspects but keeps condemned requests", () => {
         const table = createSuspectTable(resolveRetryOptions({ maximumSuspects: 3 }));
         reportCrash(table, ["bad"], 0);
