Reword admission: slots, displaced and late requests

"Places", "returns" and "newcomers" stood for slots, retries and incoming requests, and late requests were described differently in each comment. The comments now use one term for each and state the limits exactly; order.ts, which holds the queue, is now queue.ts. nextReturnAt is now nextRetryAt; it is a field of the table in memory only.

--- a/src/runtime/admission/admission.ts
+++ b/src/runtime/admission/admission.ts
@@ -1,9 +1,9 @@
 import type { ClientAccount, Milliseconds, Refusal, RefusalReason, RequestId, RequestRow } from "../../types/index.js";
-import { compareUrgency, computeExpectedWait, countAhead, dequeue, enqueue, findNext, mayStartLate } from "./order.js";
+import { compareUrgency, computeExpectedWait, countAhead, dequeue, enqueue, findNext, mayStartLate } from "./queue.js";
 import { createRefusal } from "./refusals.js";
 import type { AdmissionDecision, AdmissionProgress, AdmissionTable } from "./types.js";
 
-type Refused = AdmissionProgress["refuse"][number];
+type RefusedRequest = AdmissionProgress["refuse"][number];
 
 function changeCount(counts: Map<string, number>, account: string, change: 1 | -1): void {
     const count = (counts.get(account) ?? 0) + change;
@@ -33,12 +33,15 @@
     if (table.alone.has(request.requestId)) {
         return table.inProgress.size === 0;
     }
-    const hasPlace = table.inProgress.size < table.capacity && (request.missedTarget !== true || mayStartLate(table));
-    return hasPlace && !isAloneInProgress(table);
+    const hasFreeSlot = table.inProgress.size < table.capacity &&
+        (request.missedTarget !== true || mayStartLate(table));
+    return hasFreeSlot && !isAloneInProgress(table);
 }
 
-/** Starts queued requests while there are places; a request that has to run alone lets the others finish first. */
-function fillPlaces(table: AdmissionTable, now: Milliseconds): RequestRow[] {
+/**
+ * Starts queued requests while slots are free. A request that has to run alone waits until all others have finished.
+ */
+function startQueued(table: AdmissionTable, now: Milliseconds): RequestRow[] {
     const started: RequestRow[] = [];
     let next = findNext(table);
     while (next !== undefined && canStart(table, next)) {
@@ -50,7 +53,7 @@
     return started;
 }
 
-function takeDisplaced(table: AdmissionTable): Refused[] {
+function takeDisplaced(table: AdmissionTable): RefusedRequest[] {
     return table.displaced.splice(0);
 }
 
@@ -60,7 +63,7 @@
     reason: RefusalReason,
     wait: Milliseconds,
     now: Milliseconds,
-): Refused {
+): RefusedRequest {
     dequeue(table, request);
     table.alone.delete(request.requestId);
     const refusal: Refusal = createRefusal(table, request, reason, wait, now);
@@ -71,9 +74,12 @@
     return table.queuedByAccount.get(account)?.length ?? 0;
 }
 
-/** Finds the least urgent request of the account with the most queued requests, if a newcomer may take its place. */
-function findDisplaceable(table: AdmissionTable, newcomer: RequestRow): RequestRow | undefined {
-    let largest = newcomer.clientAccount;
+/**
+ * Finds the queued request that an incoming request displaces: the least urgent one of the account with the most queued
+ * requests. If that is the account of the incoming request, it is displaced only by a request of higher priority.
+ */
+function findDisplaceable(table: AdmissionTable, incoming: RequestRow): RequestRow | undefined {
+    let largest = incoming.clientAccount;
     let largestQueued = countQueued(table, largest) + 1;
     for (const [account, { length }] of table.queuedByAccount) {
         if (length > largestQueued) {
@@ -82,13 +88,13 @@
         }
     }
     const last = table.queuedByAccount.get(largest)?.at(-1);
-    if (last === undefined || largest !== newcomer.clientAccount) {
+    if (last === undefined || largest !== incoming.clientAccount) {
         return last;
     }
-    return newcomer.priority > last.priority ? last : undefined;
+    return incoming.priority > last.priority ? last : undefined;
 }
 
-function selectFullReason(table: AdmissionTable, request: RequestRow): RefusalReason {
+function selectQueueFullReason(table: AdmissionTable, request: RequestRow): RefusalReason {
     const queued = countQueued(table, request.clientAccount);
     const share = table.options.maximumQueued / Math.max(1, table.queuedByAccount.size);
     return table.queuedByAccount.size > 1 && queued >= share ? "account-share-exceeded" : "queue-full";
@@ -105,14 +111,15 @@
 }
 
 /**
- * Decides on a new request. If it takes the place of a queued request, that one is in `displaced` and its refusal is
- * part of the next progress; the caller then calls `expireRequests` at once.
+ * Decides whether a new request starts, waits or is refused. In a full queue it may displace a queued request, which is
+ * then added to `displaced` and returned as refused by the next call that returns an {@link AdmissionProgress}; call
+ * `expireRequests` right after this function, so that it is refused without delay.
  *
  * @param table - table to change
  * @param request - the request; its identifier must be new
  * @param now - monotonic time
  * @param alone - true if no other request may be in progress beside it. Default: false.
- * @returns start, queue with the expected wait, or an immediate refusal with the time after which to try again
+ * @returns start, queue with the expected wait, or an immediate refusal with the time after which to retry
  */
 export function offerRequest(
     table: AdmissionTable,
@@ -138,7 +145,7 @@
         const displaced = findDisplaceable(table, request);
         if (displaced === undefined) {
             table.alone.delete(request.requestId);
-            return refuse(table, request, selectFullReason(table, request), wait, now);
+            return refuse(table, request, selectQueueFullReason(table, request), wait, now);
         }
         table.displaced.push(refuseQueued(table, displaced, "account-share-exceeded", wait, now));
     }
@@ -158,12 +165,12 @@
 }
 
 /**
- * Frees the place of a request that has finished.
+ * Frees the slot of a request that has finished.
  *
  * @param table - table to change
- * @param requestId - request in progress; ignored if it is not
+ * @param requestId - request in progress; ignored if it is not in progress
  * @param now - monotonic time
- * @returns requests to start, and requests that lost their place in the queue
+ * @returns requests to start, and requests that were displaced from the queue
  */
 export function finishRequest(table: AdmissionTable, requestId: RequestId, now: Milliseconds): AdmissionProgress {
     const startedAt = release(table, requestId);
@@ -171,16 +178,16 @@
         const weight = table.options.serviceTimeWeight;
         table.averageServiceTime += weight * (now - startedAt - table.averageServiceTime);
     }
-    return { start: fillPlaces(table, now), refuse: takeDisplaced(table) };
+    return { start: startQueued(table, now), refuse: takeDisplaced(table) };
 }
 
 /**
- * Removes a request whose caller has given up.
+ * Removes a request that its caller has canceled.
  *
  * @param table - table to change
  * @param requestId - queued request or request in progress; ignored if it is neither
  * @param now - monotonic time
- * @returns requests to start, and the canceled request with `ran: "no"` if it had not started
+ * @returns requests to start, displaced requests, and the canceled request with `ran: "no"` if it had not started
  */
 export function cancelRequest(table: AdmissionTable, requestId: RequestId, now: Milliseconds): AdmissionProgress {
     const refused = takeDisplaced(table);
@@ -191,15 +198,16 @@
         refused.push({ request: queued, refusal: { ran: "no", reason: "canceled", retryAfterSeconds: 0 } });
     }
     release(table, requestId);
-    return { start: fillPlaces(table, now), refuse: refused };
+    return { start: startQueued(table, now), refuse: refused };
 }
 
 /**
- * Refuses the queued requests that can no longer start before their deadline, without waiting until it has passed.
+ * Refuses the queued requests that are not expected to start before their deadline, without waiting until it has
+ * passed.
  *
  * @param table - table to change
  * @param now - monotonic time
- * @returns refused requests with `ran: "no"`, and requests that start in places that became free
+ * @returns refused requests with `ran: "no"`, and requests to start in free slots
  */
 export function expireRequests(table: AdmissionTable, now: Milliseconds): AdmissionProgress {
     const refused = takeDisplaced(table);
@@ -215,17 +223,17 @@
             refused.push(refuseQueued(table, request, "deadline-unreachable", wait, now));
         }
     }
-    return { start: fillPlaces(table, now), refuse: refused };
+    return { start: startQueued(table, now), refuse: refused };
 }
 
 /**
- * Refuses a request because no backend server takes requests before a certain time.
+ * Refuses a request because no backend server accepts requests before a certain time.
  *
  * @param table - table to change
  * @param request - request that is neither queued nor in progress
- * @param resumesAt - monotonic time at which the first backend server may be asked again
+ * @param resumesAt - monotonic time at which the first backend server accepts requests again
  * @param now - monotonic time
- * @returns the refusal, with a time to come back after that time
+ * @returns the refusal; its `retryAfterSeconds` does not end before `resumesAt`
  */
 export function refuseUntil(
     table: AdmissionTable,
@@ -237,10 +245,10 @@
 }
 
 /**
- * Refuses all queued requests because no backend server takes requests before a certain time.
+ * Refuses all queued requests because no backend server accepts requests before a certain time.
  *
  * @param table - table to change
- * @param resumesAt - monotonic time at which the first backend server may be asked again
+ * @param resumesAt - monotonic time at which the first backend server accepts requests again
  * @param now - monotonic time
  * @returns the refused requests, the most urgent first
  */
@@ -259,14 +267,14 @@
 }
 
 /**
- * Changes how many requests may be in progress at once. Requests in progress beyond the new number go on.
+ * Changes the number of slots. Requests that are in progress beyond the new number are not interrupted.
  *
  * @param table - table to change
- * @param capacity - requests in progress at once
+ * @param capacity - most requests in progress at once
  * @param now - monotonic time
- * @returns requests to start in places that became free
+ * @returns requests to start in free slots, and requests that were displaced from the queue
  */
 export function setCapacity(table: AdmissionTable, capacity: number, now: Milliseconds): AdmissionProgress {
     table.capacity = capacity;
-    return { start: fillPlaces(table, now), refuse: takeDisplaced(table) };
+    return { start: startQueued(table, now), refuse: takeDisplaced(table) };
 }
--- a/src/runtime/admission/options.ts
+++ b/src/runtime/admission/options.ts
@@ -23,7 +23,7 @@
 /**
  * Creates an empty admission table.
  *
- * @param options - bounds and estimates
+ * @param options - limits, shares and initial estimate of the service time
  * @returns the table
  */
 export function createAdmissionTable(options: AdmissionOptions): AdmissionTable {
@@ -37,6 +37,6 @@
         alone: new Set(),
         displaced: [],
         averageServiceTime: options.initialServiceTime,
-        nextReturnAt: 0,
+        nextRetryAt: 0,
     };
 }
--- a/src/runtime/admission/order.ts
+++ b/src/runtime/admission/queue.ts
@@ -2,11 +2,11 @@
 import type { AdmissionTable } from "./types.js";
 
 /**
- * Computes the places to which an account is entitled while other accounts wait.
+ * Computes the number of slots to which each account is entitled while other accounts wait.
  *
  * @param table - admission table
  * @param newcomer - account that is counted even if it has no request in the table yet
- * @returns places in progress, at least 1
+ * @returns number of slots, at least 1
  */
 function computeFairShare(table: AdmissionTable, newcomer?: ClientAccount): number {
     const { inProgressByAccount, queuedByAccount } = table;
@@ -26,8 +26,9 @@
 }
 
 /**
- * Compares requests by priority, then by whether they can still be answered in time, then deadline, then arrival. A
- * request that has missed its target gains little from an earlier place, which would make another one miss its own.
+ * Compares requests by priority, then by whether they have missed their target, then by deadline, then by arrival. A
+ * request that has already missed its target gains little from starting earlier, but would make another one miss its
+ * own.
  *
  * @param left - a request
  * @param right - another request
@@ -39,17 +40,17 @@
 }
 
 /**
- * Tells whether a request that has missed its target may start now, if there is a place at all.
+ * Tells whether a late request, one that has missed its target, may start now.
  *
  * @param table - admission table
- * @returns false while the last places are kept for requests that can still be answered in time
+ * @returns false if only the slots are free that are reserved for requests that have not missed their target
  */
 export function mayStartLate({ capacity, inProgress, options }: AdmissionTable): boolean {
     return inProgress.size < capacity * options.lateShare;
 }
 
-/** Counts the requests of a sorted list that are at least as urgent as a request. */
-function countEarlier(sorted: readonly RequestRow[], request: RequestRow): number {
+/** Counts the requests of a list sorted by urgency that are at least as urgent as a request. */
+function countAtLeastAsUrgent(sorted: readonly RequestRow[], request: RequestRow): number {
     let low = 0;
     let high = sorted.length;
     while (low < high) {
@@ -72,7 +73,7 @@
  */
 export function enqueue(table: AdmissionTable, request: RequestRow): void {
     const sorted = table.queuedByAccount.get(request.clientAccount) ?? [];
-    sorted.splice(countEarlier(sorted, request), 0, request);
+    sorted.splice(countAtLeastAsUrgent(sorted, request), 0, request);
     table.queuedByAccount.set(request.clientAccount, sorted);
     table.queued.set(request.requestId, request);
 }
@@ -93,36 +94,36 @@
 }
 
 /**
- * Finds the request to start next: accounts below their fair share first, among them the most urgent request; the
- * places that those accounts leave go to the most urgent request of the others. Requests that have missed their target
- * are passed over while they may not start.
+ * Finds the request to start next: the most urgent one of the accounts below their fair share or, if none of those
+ * wait, the most urgent one of the other accounts. Late requests are skipped while they may not start.
  *
  * @param table - admission table
- * @returns the request; undefined if none waits that may start
+ * @returns the request; undefined if no queued request may start
  */
 export function findNext(table: AdmissionTable): RequestRow | undefined {
     const share = computeFairShare(table);
     const lateMayStart = mayStartLate(table);
-    let best: RequestRow | undefined;
-    let bestWithin = false;
+    let selected: RequestRow | undefined;
+    let isSelectedWithin = false;
     for (const [account, sorted] of table.queuedByAccount) {
         const request = lateMayStart ? sorted[0] : sorted.find(({ missedTarget }) => missedTarget !== true);
         if (request === undefined) {
             continue;
         }
-        const within = isWithinShare(table, account, share);
-        const better = best === undefined || (within === bestWithin ? compareUrgency(request, best) < 0 : within);
-        if (better) {
-            best = request;
-            bestWithin = within;
+        const isWithin = isWithinShare(table, account, share);
+        const isBetter = selected === undefined ||
+            (isWithin === isSelectedWithin ? compareUrgency(request, selected) < 0 : isWithin);
+        if (isBetter) {
+            selected = request;
+            isSelectedWithin = isWithin;
         }
     }
-    return best;
+    return selected;
 }
 
 /**
- * Counts the queued requests that will start before a request. An account that uses its whole share gets one place for
- * each place of every other account that waits.
+ * Estimates how many queued requests start before a request. An account that has used up its fair share alternates with
+ * the other accounts that wait: each of them starts one request for each request of this account beyond the share.
  *
  * @param table - admission table
  * @param request - request that is offered or queued
@@ -131,33 +132,33 @@
 export function countAhead(table: AdmissionTable, request: RequestRow): number {
     const { clientAccount } = request;
     const share = computeFairShare(table, clientAccount);
-    const within = isWithinShare(table, clientAccount, share);
+    const isWithin = isWithinShare(table, clientAccount, share);
     const own = table.queuedByAccount.get(clientAccount) ?? [];
-    const ownAhead = table.queued.has(request.requestId) ? own.indexOf(request) : countEarlier(own, request);
-    const turns = (table.inProgressByAccount.get(clientAccount) ?? 0) + ownAhead - share + 1;
-    let byUrgency = 0;
-    let byTurns = 0;
+    const ownAhead = table.queued.has(request.requestId) ? own.indexOf(request) : countAtLeastAsUrgent(own, request);
+    const rounds = (table.inProgressByAccount.get(clientAccount) ?? 0) + ownAhead - share + 1;
+    let aheadByUrgency = 0;
+    let aheadByRounds = 0;
     for (const [account, sorted] of table.queuedByAccount) {
         if (account === clientAccount) {
             continue;
         }
-        if (isWithinShare(table, account, share) === within) {
-            byUrgency += countEarlier(sorted, request);
+        if (isWithinShare(table, account, share) === isWithin) {
+            aheadByUrgency += countAtLeastAsUrgent(sorted, request);
         }
         else {
-            byUrgency += within ? 0 : sorted.length;
+            aheadByUrgency += isWithin ? 0 : sorted.length;
         }
-        byTurns += Math.min(sorted.length, Math.max(0, turns));
+        aheadByRounds += Math.min(sorted.length, Math.max(0, rounds));
     }
-    return Math.max(byUrgency, byTurns) + ownAhead;
+    return Math.max(aheadByUrgency, aheadByRounds) + ownAhead;
 }
 
 /**
  * Computes the expected wait of a request.
  *
  * @param table - admission table
- * @param ahead - requests that start before it
- * @returns milliseconds until a place is free for it
+ * @param ahead - number of queued requests that start before it
+ * @returns milliseconds until a slot is free for it
  */
 export function computeExpectedWait(table: AdmissionTable, ahead: number): Milliseconds {
     const free = table.capacity - table.inProgress.size;
--- a/src/runtime/admission/refusals.ts
+++ b/src/runtime/admission/refusals.ts
@@ -2,21 +2,24 @@
 import { scoreRendezvous } from "../../utils/index.js";
 import type { AdmissionTable } from "./types.js";
 
-/** Share of the capacity that is promised to refused callers; the rest is left to new ones. */
-const returnShare = 0.5;
-/** Part of the wait by which returns are spread, since callers round the time in the same way. */
-const spreadShare = 0.25;
+/** Share of the throughput that is planned for the retries of refused callers; the rest is left for new requests. */
+const retryThroughputShare = 0.5;
+/**
+ * Largest extension of the retry-after time, as a share of it; a hash of the request decides how much of it is added.
+ * Without it, callers whose times are rounded to the same step would retry together.
+ */
+const maximumSpreadShare = 0.25;
 
 /**
- * Creates the refusal of a request that has not started. Each refusal reserves a later return time, at half of the rate
- * at which requests finish, so that refused callers do not return together.
+ * Creates the refusal of a request that has not started. Each refusal is given a later retry time than the one before,
+ * at half of the rate at which requests finish, so that refused callers do not retry together.
  *
- * @param table - admission table; its next return time is moved
+ * @param table - admission table; its `nextRetryAt` is advanced
  * @param request - refused request
  * @param reason - why it is refused
- * @param wait - expected time in milliseconds until the process could take it
+ * @param wait - expected time in milliseconds until the request could have started
  * @param now - monotonic time
- * @param notBefore - monotonic time before which no request can be taken. Default: now.
+ * @param notBefore - monotonic time before which no request can start. Default: now.
  * @returns the refusal, `ran: "no"`
  */
 export function createRefusal(
@@ -28,21 +31,21 @@
     notBefore: Milliseconds = now,
 ): Refusal {
     const { maximumRetryAfterSeconds, retryAfterStepSeconds } = table.options;
-    const step = table.averageServiceTime / Math.max(1, table.capacity) / returnShare;
+    const step = table.averageServiceTime / Math.max(1, table.capacity) / retryThroughputShare;
     const latest = Math.max(now, notBefore) + maximumRetryAfterSeconds * 1_000;
-    const returnAt = Math.min(latest, Math.max(now + wait, notBefore, table.nextReturnAt + step));
-    table.nextReturnAt = returnAt;
+    const retryAt = Math.min(latest, Math.max(now + wait, notBefore, table.nextRetryAt + step));
+    table.nextRetryAt = retryAt;
     const spread = scoreRendezvous(request.requestId, "return") / 2 ** 32;
-    const closedSeconds = Math.max(0, notBefore - now) / 1_000;
-    const openSeconds = (returnAt - now) / 1_000 - closedSeconds;
-    const duration = openSeconds * (1 + spread * spreadShare) + spread * retryAfterStepSeconds;
-    // Callers beyond the largest time are spread over its second half, else they would all return at its end.
+    const blockedSeconds = Math.max(0, notBefore - now) / 1_000;
+    const remainingSeconds = (retryAt - now) / 1_000 - blockedSeconds;
+    const duration = remainingSeconds * (1 + spread * maximumSpreadShare) + spread * retryAfterStepSeconds;
+    // Times beyond the maximum are spread over its second half, so that these callers do not all retry at its end.
     const spreadDuration = duration >= maximumRetryAfterSeconds ?
         maximumRetryAfterSeconds * (1 + spread) / 2 :
         duration;
-    const longest = closedSeconds + maximumRetryAfterSeconds;
-    const steps = Math.max(1, Math.ceil((closedSeconds + spreadDuration) / retryAfterStepSeconds));
-    // Rounded to milliseconds, since products of fractions are not exact.
+    const longest = blockedSeconds + maximumRetryAfterSeconds;
+    const steps = Math.max(1, Math.ceil((blockedSeconds + spreadDuration) / retryAfterStepSeconds));
+    // Rounded to milliseconds, since the product of a fractional step is not exact.
     const retryAfterSeconds = Math.min(longest, Number((steps * retryAfterStepSeconds).toFixed(3)));
     return { ran: "no", reason, retryAfterSeconds };
 }
--- a/test/runtime/admission/admission.test.ts
+++ b/test/runtime/admission/admission.test.ts
@@ -33,7 +33,7 @@
 }
 
 describe("admission", () => {
-    // Guards against an order of service by arrival.
+    // Guards against starting requests in the order of their arrival.
     it("starts by priority, then deadline", () => {
         const { table, running } = prepare();
         const late = createRequest({ deadline: 9_000 });
@@ -45,7 +45,7 @@
         expect(listStarts(table, running)).toEqual([urgent, early, late].map(({ requestId }) => requestId));
     });
 
-    // Guards against callers who return late and take the places of those who can still be answered in time.
+    // Guards against late requests that start before requests that can still meet their target.
     it("starts requests that have missed their target after the others of their priority", () => {
         const { table, running } = prepare();
         const missed = createRequest({ deadline: 8_000, missedTarget: true });
@@ -57,8 +57,8 @@
         expect(listStarts(table, running)).toEqual([urgent, inTime, missed].map(({ requestId }) => requestId));
     });
 
-    // Guards against a time to come back with the rounding error of a product, as in 1.4500000000000002.
-    it("states the time to come back without rounding errors", () => {
+    // Guards against a retryAfterSeconds with the rounding error of a product, as in 1.4500000000000002.
+    it("states retryAfterSeconds without rounding errors", () => {
         const { table } = prepare({ retryAfterStepSeconds: 0.05, maximumRetryAfterSeconds: 30 });
         for (let index = 0; index < 200; index++) {
             const decision = offerRequest(table, createRequest({ deadline: 1 }), 0);
@@ -67,8 +67,8 @@
         }
     });
 
-    // Guards against the last places going to late requests, and against late requests that hold up the others.
-    it("keeps the last places for requests that can still be answered in time", () => {
+    // Guards against late requests in the reserved slots, and against late requests that block those behind them.
+    it("reserves the last slots for requests that can still meet their target", () => {
         const { table } = prepare({ maximumInProgress: 10, lateShare: 0.8 });
         const offer = (changes: Partial<RequestRow>) => offerRequest(table, createRequest(changes), 0).kind;
         for (let index = 0; index < 7; index++) {
@@ -80,8 +80,8 @@
         expect([table.inProgress.size, table.queued.size]).toEqual([9, 1]);
     });
 
-    // Guards against a request that waits for a deadline that it cannot meet, and against an early refusal of one that
-    // can: with one place and a service time of 200 ms, the third request in line waits 600 ms.
+    // Guards against queueing a request that cannot meet its deadline, and against refusing one that can: with one slot
+    // and a service time of 200 ms, the third request in the queue waits 600 ms.
     for (const [deadline, expected] of [[599, "refuse"], [600, "queue"]] as const) {
         it(`decides to ${expected} a request with a deadline in ${deadline} ms`, () => {
             const { table } = prepare();
@@ -97,7 +97,7 @@
         });
     }
 
-    // Guards against a queued request that is held until its deadline although urgent ones have overtaken it.
+    // Guards against a request that stays queued until its deadline although more urgent ones have overtaken it.
     it("refuses a queued request once it can no longer start in time", () => {
         const { table } = prepare();
         const overtaken = createRequest({ priority: 0, deadline: 700 });
@@ -109,7 +109,7 @@
         expect(progress.refuse.map(({ request }) => request.requestId)).toEqual([overtaken.requestId]);
     });
 
-    // Guards against a large account that fills the queue and shuts the others out.
+    // Guards against a large account that fills the queue, so that the requests of others are refused.
     it("gives a place in the full queue to an account with fewer requests", () => {
         const { table } = prepare();
         const large = Array.from({ length: 10 }, () => createRequest({ clientAccount: "large", priority: 9 }));
@@ -125,7 +125,8 @@
         expect(table.queued.size).toEqual(10);
     });
 
-    // Guards against a suspect request that runs beside others, and a server that stays blocked after it.
+    // Guards against a request that must run alone but runs beside others, and against slots that stay blocked after
+    // it.
     it("runs a request alone", () => {
         const { table, running } = prepare({ maximumInProgress: 3 });
         const suspect = createRequest({ priority: 9 });
@@ -137,7 +138,7 @@
         expect(finishRequest(table, suspect.requestId, 20).start.length).toEqual(2);
     });
 
-    // Guards against a canceled request that starts later, and against a lost place.
+    // Guards against a canceled request that starts later, and against a slot that is not freed.
     it("cancels queued requests and requests in progress", () => {
         const { table, running } = prepare();
         const first = createRequest();
@@ -151,8 +152,8 @@
         expect(cancelRequest(table, running.requestId, 2).start).toEqual([second]);
     });
 
-    // Guards against refused callers that all return in the same second.
-    it("spreads the return of refused callers", () => {
+    // Guards against refused callers that all retry in the same second.
+    it("spreads the retries of refused callers", () => {
         const { table } = prepare({ maximumInProgress: 10, maximumQueued: 0, maximumRetryAfterSeconds: 30 });
         const seconds = new Map<number, number>();
         for (let index = 0; index < 1_000; index++) {
@@ -160,11 +161,12 @@
             const after = decision.kind === "refuse" ? decision.refusal.retryAfterSeconds : 0;
             seconds.set(after, (seconds.get(after) ?? 0) + 1);
         }
-        // 50 requests a second finish; the callers that have to return after 30 s or more share the last 15 s.
+        // 50 requests a second finish; the callers whose time would be 30 s or more are spread over the last 15 s.
         expect(Math.max(...seconds.values())).toBeLessThanOrEqual(100);
     });
 
-    // Guards against lost or doubled requests, an unbounded queue, and a queued request past its deadline after a tick.
+    // Guards against lost or duplicated requests, an unbounded queue, and a request that stays queued past its
+    // deadline.
     it("keeps its bounds and gives each request one outcome over random schedules", () => {
         const step = fastCheck.record({
             kind: fastCheck.constantFrom("offer", "offer", "offer", "finish", "cancel", "expire"),
--- a/test/runtime/admission/load.test.ts
+++ b/test/runtime/admission/load.test.ts
@@ -62,7 +62,7 @@
 }
 
 describe("admission under load", () => {
-    // Guards against a large account that starves the others, also with a higher priority, and against capacity that
+    // Guards against a large account that starves the others, even with a higher priority, and against capacity that
     // stays idle although the large account could use it.
     for (const largePriority of [5, 9]) {
         it(`serves small accounts beside a large one with priority ${largePriority}`, () => {
@@ -91,7 +91,8 @@
         });
     }
 
-    // Guards against an outage whose retries and returning callers keep the service overloaded after it has ended.
+    // Guards against a service that stays overloaded after an outage because of retries and refused callers that
+    // return.
     it("drains after an outage", () => {
         const retryOptions = resolveRetryOptions();
         const server = createServer();
@@ -144,7 +145,7 @@
                 drainedAt = now;
             }
         }
-        // A tenth of the requests, 1 a second, and what the budget holds at its start.
+        // The retry budget: a tenth of the requests, 1 a second for 120 s, and 10 at its start.
         expect(attempts).toBeLessThanOrEqual(requests * 1.1 + 120 + 10);
         // 15 s x 70 requests wait, and 30 a second of the capacity are free: at best 35 s.
         expect(drainedAt).toBeGreaterThan(0);
