Reword the selection of runners

Comments spoke of runners that "come and go", "want no requests" or are "warmed", of "places" in a subset and of "the set" for a weight set, and the affinity bound and the trial of a paused runner were hard to follow. They now say what is selected, excluded and replaced, and by which bound. Private names follow.

--- a/src/runtime/routing/load.ts
+++ b/src/runtime/routing/load.ts
@@ -1,13 +1,17 @@
 import type { Milliseconds } from "../../types/index.js";
 import type { RoutingOptions, RunnerLoadReport, RunnerOutcome, RunnerRow } from "./types.js";
 
+/** Largest factor by which the ejection duration grows with successive ejections. */
 const maximumEjectionFactor = 8;
 
-/** Most samples of the own requests of a runner; older ones are dropped. */
+/** Most past values of `outstanding` that are kept for each runner; older ones are dropped. */
 const maximumSamples = 64;
 
-/** Reads how many requests this process had on the runner when the report was made, and records how many it has now. */
-function readOutstanding(runner: RunnerRow, reportedAt: Milliseconds, now: Milliseconds): number {
+/**
+ * Returns how many requests this process had in progress on the runner when the report was made, and records how many
+ * it has now.
+ */
+function readOutstandingAt(runner: RunnerRow, reportedAt: Milliseconds, now: Milliseconds): number {
     const { samples } = runner;
     samples.push({ at: now, outstanding: runner.outstanding });
     while (samples.length > maximumSamples || (samples[1] !== undefined && samples[1].at <= reportedAt)) {
@@ -20,7 +24,7 @@
  * Applies a load report to a runner's row.
  *
  * @param runner - row to change
- * @param report - the report; an older one than the last applied is ignored
+ * @param report - the report; ignored if it is older than the last one that was applied
  * @param now - monotonic time at which the report arrived
  */
 export function applyLoadReport(runner: RunnerRow, report: RunnerLoadReport, now: Milliseconds): void {
@@ -33,20 +37,20 @@
     runner.phase = report.phase;
     runner.draining = report.draining;
     runner.capacity = Math.max(1, report.capacity);
-    runner.reportedLoad = Math.max(0, report.running + report.queued - readOutstanding(runner, reportedAt, now));
+    runner.reportedLoad = Math.max(0, report.running + report.queued - readOutstandingAt(runner, reportedAt, now));
     runner.reportedWaiting = Math.max(0, report.queued - runner.awaitingFirst);
     runner.cachedPrefixes = new Set(report.cachedPrefixes);
 }
 
 /**
- * Computes the load of a runner. The weight of an old report falls, and the mean takes its place: a runner that does
- * not report must not look idle.
+ * Estimates the load of a runner. As a report ages, its weight decays in favor of the mean of all candidates, so that a
+ * runner that has stopped reporting does not look idle.
  *
  * @param runner - the runner
- * @param meanReported - mean of the reported loads of the subset
+ * @param meanReported - mean of the reported loads of the candidates
  * @param now - monotonic time
- * @param options - half-life of reports
- * @returns expected number of requests on the runner
+ * @param options - half-lives of reports and weight of waiting requests
+ * @returns expected load in requests
  */
 export function estimateLoad(
     runner: RunnerRow,
@@ -63,13 +67,13 @@
 }
 
 /**
- * Records how an attempt on a runner ended, and ejects the runner after successive failures. The caller counts
- * `outstanding` itself.
+ * Records how an attempt on a runner ended, and ejects the runner after consecutive failures. Does not change
+ * `outstanding`; the calling code counts requests in progress.
  *
  * @param runner - row to change
  * @param outcome - `failed` only for faults of the runner, not for refusals and errors of the caller
  * @param now - monotonic time
- * @param options - bounds of ejection
+ * @param options - failures until ejection and duration of ejection
  */
 export function recordOutcome(
     runner: RunnerRow,
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -3,12 +3,12 @@
 import { estimateLoad } from "./load.js";
 import type { CandidateInput, Candidates, RoutingDecision, RoutingInput, RoutingReason, RunnerRow } from "./types.js";
 
-/** Seconds after which a caller may try again when no runner can answer, by reason. */
+/** Seconds after which a caller may retry when no runner can answer, by reason. */
 const retryAfterSeconds = { "no-runner": 5, "not-serving": 3, draining: 2 } as const;
 
-type Unavailable = keyof typeof retryAfterSeconds;
+type UnavailableReason = keyof typeof retryAfterSeconds;
 
-/** Seconds until it shows whether a runner that is tried again takes requests. */
+/** Seconds until the outcome of a trial request is expected; see {@link TrialState}. */
 const trialSeconds = 0.2;
 
 function isServing(runner: RunnerRow, input: CandidateInput): boolean {
@@ -22,12 +22,12 @@
     return pausedUntil > now || trial === "running";
 }
 
-function explainNone(input: RoutingInput, { leftOut, resumesAt }: Candidates): RoutingDecision {
+function explainNoCandidate(input: RoutingInput, { leftOut, resumesAt }: Candidates): RoutingDecision {
     if (leftOut.paused > 0 && resumesAt !== undefined) {
         const seconds = Math.max(trialSeconds, (resumesAt - input.now) / 1_000);
         return { kind: "none", reason: "turned-away", candidates: 0, retryAfterSeconds: seconds };
     }
-    let reason: Unavailable = input.subset.runners.length === 0 ? "no-runner" : "not-serving";
+    let reason: UnavailableReason = input.subset.runners.length === 0 ? "no-runner" : "not-serving";
     if (input.subset.runners.some(runner => runner.draining && isServing(runner, input))) {
         reason = "draining";
     }
@@ -35,10 +35,11 @@
 }
 
 /**
- * Lists the runners that may be chosen. Ejected ones are left out, unless more than the panic share is ejected.
+ * Lists the runners that may be selected. Ejected ones are left out, unless more than the panic share of the serving
+ * runners is ejected.
  *
- * @param input - subset, wanted weights and runners to leave out; nothing is changed
- * @returns the candidates, and how many runners are left out for which reason
+ * @param input - subset, accepted weights and runners to exclude; not changed
+ * @returns the candidates, and the number of runners that are left out, by reason
  */
 export function findCandidates(input: CandidateInput): Candidates {
     const serving: RunnerRow[] = [];
@@ -71,14 +72,14 @@
     return { candidates: healthy, panic, leftOut: { ...leftOut, ejected }, resumesAt };
 }
 
-function measurePenalty(runner: RunnerRow, zone: AvailabilityZone, region: Region, input: RoutingInput): number {
+function readLocationPenalty(runner: RunnerRow, zone: AvailabilityZone, region: Region, input: RoutingInput): number {
     if (runner.zone === zone) {
         return 0;
     }
     return runner.region === region ? input.options.zonePenalty : input.options.regionPenalty;
 }
 
-/** Expected loads of the candidates, in their order. */
+/** Expected loads of the candidates, in the order of the candidates. */
 interface CandidateLoads {
     readonly loads: readonly number[];
     readonly mean: number;
@@ -101,15 +102,15 @@
 }
 
 function computeScore(input: RoutingInput, runner: RunnerRow, load: number): number {
-    return load + measurePenalty(runner, input.zone, input.region, input);
+    return load + readLocationPenalty(runner, input.zone, input.region, input);
 }
 
 function pickIndex(input: RoutingInput, size: number): number {
     return Math.min(size - 1, Math.floor(input.random.next() * size));
 }
 
-/** Draws different candidates and returns the one with the lowest score. */
-function chooseOfDrawn(input: RoutingInput, candidates: readonly RunnerRow[], loads: readonly number[]): RunnerRow {
+/** Draws distinct candidates at random and returns the one with the lowest score. */
+function selectOfDrawn(input: RoutingInput, candidates: readonly RunnerRow[], loads: readonly number[]): RunnerRow {
     const indexes = Array.from(candidates.keys());
     const draws = Math.min(candidates.length, Math.max(2, input.options.comparedCandidates));
     let best: RunnerRow | undefined;
@@ -127,8 +128,11 @@
     return best!;
 }
 
-/** Finds the runner with the best score that has the prefix cached and stays within the load bound. */
-function findHolder(
+/**
+ * Finds the runner with the lowest score among those that have the prefix cached and a load below the affinity bound.
+ * `held` tells whether any candidate has the prefix cached.
+ */
+function findCachedRunner(
     input: RoutingInput,
     prefix: string,
     candidates: readonly RunnerRow[],
@@ -153,8 +157,11 @@
     return { runner, held };
 }
 
-/** Finds the runner that all entry instances prefer for a prefix, if it stays within the load bound. */
-function findPreferred(
+/**
+ * Finds the runner that all entry instances prefer for a prefix by rendezvous hashing. Returns undefined if its load is
+ * not below the affinity bound.
+ */
+function findRendezvousRunner(
     input: RoutingInput,
     prefix: string,
     candidates: readonly RunnerRow[],
@@ -164,8 +171,8 @@
     let preferred = 0;
     let highest = -1;
     for (let index = 0; index < candidates.length; index++) {
-        const mixed = Math.imul(prefixHash ^ candidates[index]!.affinityHash, 0x85EBCA6B);
-        const score = (mixed ^ (mixed >>> 15)) >>> 0;
+        const mixedHash = Math.imul(prefixHash ^ candidates[index]!.affinityHash, 0x85EBCA6B);
+        const score = (mixedHash ^ (mixedHash >>> 15)) >>> 0;
         if (score > highest) {
             preferred = index;
             highest = score;
@@ -175,7 +182,7 @@
     return loads[preferred]! < bound ? candidates[preferred] : undefined;
 }
 
-function findAffinity(
+function findAffinityRunner(
     input: RoutingInput,
     candidates: readonly RunnerRow[],
     loads: CandidateLoads,
@@ -183,9 +190,10 @@
     if (input.prefix === undefined || candidates.length === 1) {
         return undefined;
     }
-    const { runner, held } = findHolder(input, input.prefix, candidates, loads);
-    // Reports of a new prefix arrive late; without a common choice each entry instance would warm another runner.
-    return held ? runner : findPreferred(input, input.prefix, candidates, loads);
+    const { runner, held } = findCachedRunner(input, input.prefix, candidates, loads);
+    // Until load reports name a new prefix, rendezvous hashing gives all entry instances the same choice; otherwise
+    // each of them would fill the prefix cache of another runner.
+    return held ? runner : findRendezvousRunner(input, input.prefix, candidates, loads);
 }
 
 function selectReason(panic: boolean, count: number, affinity: boolean): RoutingReason {
@@ -199,21 +207,21 @@
 }
 
 /**
- * Selects the runner of a request. The cost depends on the size of the subset, not on that of the fleet.
+ * Selects the runner for a request. The cost depends on the size of the subset, not on that of the fleet.
  *
- * @param input - subset, wanted weights, prefix and runners to leave out; nothing is changed
- * @returns the runner with the reason, or why there is none
+ * @param input - subset, accepted weights, prefix and runners to exclude; not changed
+ * @returns the runner with the reason, or the reason why no runner can be selected
  */
 export function selectRunner(input: RoutingInput): RoutingDecision {
     const found = findCandidates(input);
     const { candidates, panic } = found;
     if (candidates.length === 0) {
-        return explainNone(input, found);
+        return explainNoCandidate(input, found);
     }
     const loads = estimateLoads(input, candidates);
-    const affinity = findAffinity(input, candidates, loads);
+    const affinity = findAffinityRunner(input, candidates, loads);
     const runner = affinity ??
-        (candidates.length === 1 ? candidates[0]! : chooseOfDrawn(input, candidates, loads.loads));
+        (candidates.length === 1 ? candidates[0]! : selectOfDrawn(input, candidates, loads.loads));
     const reason = selectReason(panic, candidates.length, affinity !== undefined);
     return { kind: "selected", runner, reason, candidates: candidates.length };
 }
--- a/src/runtime/routing/subset.ts
+++ b/src/runtime/routing/subset.ts
@@ -2,7 +2,10 @@
 import { createRendezvousScore, scoreRendezvous } from "../../utils/index.js";
 import type { RunnerRow, RunnerSubset, SubsetCandidate, SubsetInput } from "./types.js";
 
-/** Share of the subset that is kept for other availability zones, so that the loss of the own zone leaves candidates. */
+/**
+ * Share of the subset that is reserved for other availability zones, so that the loss of the own zone leaves
+ * candidates.
+ */
 const remoteShare = 0.25;
 
 interface RankedCandidate {
@@ -23,23 +26,24 @@
     return candidate.region === region ? 1 : 2;
 }
 
-/** Ranks candidates by distance, then by rendezvous hash. */
+/** Ranks the candidates that are avoided, or those that are not, by distance, then by rendezvous hash. */
 function rankCandidates(input: SubsetInput, avoided: boolean): RankedCandidate[] {
-    const readScore = createRendezvousScore(`${input.entry}/${input.deployment}`);
+    const scoreCandidate = createRendezvousScore(`${input.entry}/${input.deployment}`);
     return input.candidates
         .filter(candidate => (candidate.avoided === true) === avoided)
         .map(candidate => ({
             candidate,
             distance: measureDistance(candidate, input.zone, input.region),
-            score: readScore(candidate.instance),
+            score: scoreCandidate(candidate.instance),
         }))
         .sort(compareRanked);
 }
 
 /**
- * Selects the runners of a deployment that an entry instance follows: those of its own availability zone first, then
- * of its region, then others, each by rendezvous hash. A quarter of the places goes to other availability zones if
- * they have runners. A runner that comes or goes changes at most one other place for each group of distance.
+ * Selects the runners of a deployment whose load reports an entry instance follows: those of its own availability zone
+ * first, then those of its region, then others, each group by rendezvous hash. A quarter of the subset is reserved for
+ * other availability zones if they have runners. When a runner is added or removed, at most one other runner of the
+ * subset is replaced in each group.
  *
  * @param input - entry instance, its location, and all runners of the deployment
  * @returns at most `size` runners; empty only if there are no candidates
@@ -65,7 +69,7 @@
  *
  * @param deployment - the runner's deployment
  * @param candidate - the runner's instance and location
- * @returns the row; no candidate for requests before its first report
+ * @returns the row; the runner is not selected for requests before its first report
  */
 export function createRunnerRow(deployment: DeploymentName, candidate: SubsetCandidate): RunnerRow {
     return {
@@ -94,11 +98,11 @@
 }
 
 /**
- * Brings a subset in line with a new selection and keeps the rows of runners that stay.
+ * Applies a new selection to a subset and keeps the rows of runners that stay.
  *
  * @param subset - subset to change
  * @param selected - result of `selectSubset`
- * @returns instances that were added and removed, whose load reports have to be followed or no longer followed
+ * @returns instances that were added, whose load reports are to be followed, and instances that were removed
  */
 export function updateSubset(
     subset: RunnerSubset,
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -11,34 +11,41 @@
 
 /** Options of the routing decision. */
 export interface RoutingOptions {
-    /** Most runners of a deployment that one entry instance follows. Default: 32. */
+    /** Most runners of a deployment whose load reports one entry instance follows. Default: 32. */
     readonly subsetSize: number;
     /** Time in which the weight of a load report halves. Default: 1,000 ms. */
     readonly loadHalfLife: Milliseconds;
-    /** Time after which a runner without a load report is no candidate. Default: 5,000 ms. */
+    /** Time after its last load report from which on a runner is not a candidate. Default: 5,000 ms. */
     readonly reportExpiry: Milliseconds;
-    /** Load above the subset's mean, as a factor, up to which prefix affinity wins. Default: 1.25. */
+    /**
+     * Affinity bound, as a multiple of the mean load of the candidates: a runner is preferred for a prefix only while
+     * its load is below the bound. Default: 1.25.
+     */
     readonly affinityLoadFactor: number;
-    /** Load added to the affinity bound, in requests. Default: 1. */
+    /** Number of requests added to the affinity bound. Default: 1. */
     readonly affinityLoadSlack: number;
     /** Score added for a runner in another availability zone of the region, in requests. Default: 0.5. */
     readonly zonePenalty: number;
     /** Score added for a runner in another region, in requests. Default: 2. */
     readonly regionPenalty: number;
-    /** Successive failures after which a runner is ejected. Default: 3. */
+    /** Consecutive failures after which a runner is ejected. Default: 3. */
     readonly failuresUntilEjected: number;
-    /** Time for which a runner is ejected; doubled with each ejection up to eight times. Default: 2,000 ms. */
+    /**
+     * Time for which a runner is ejected; doubled with each successive ejection up to eight times this time.
+     * Default: 2,000 ms.
+     */
     readonly ejectionDuration: Milliseconds;
     /** Share of ejected runners above which ejection is ignored. Default: 0.5. */
     readonly panicShare: number;
     /**
-     * Candidates that are drawn at random and compared. Default: 2, for load reports that are older than requests take.
+     * Candidates that are drawn at random and compared. Default: 2, which suits load reports that are older than the
+     * time that a request takes.
      */
     readonly comparedCandidates: number;
     /**
-     * Load of a request whose answer has not begun, in requests, beyond the one that each request counts. Default: 0. An
-     * engine reads prompts one after the other, so the next answer begins after those that wait, while requests that
-     * are being answered hardly delay it.
+     * Additional load of a request whose answer has not begun, in requests. Default: 0. An engine processes prompts one
+     * after the other, so a new answer begins only after those of the waiting requests, while requests that are being
+     * answered hardly delay it.
      */
     readonly waitingWeight: number;
     /** Time in which the weight of reported waiting requests halves. Default: 200 ms. */
@@ -46,46 +53,46 @@
 }
 
 /**
- * Whether a runner that wanted no requests for a while has to be tried with a single one first: not at all, with the next
- * one, or with one that is in progress.
+ * State of the trial of a runner that has asked to be sent no requests for a while; it gets a single request first.
+ * `none`: no trial is needed; `due`: the next request is the trial; `running`: the trial is in progress.
  */
 export type TrialState = "none" | "due" | "running";
 
-/** Runner that an entry instance follows. */
+/** Runner of a subset, with its last load report and the requests that this process has in progress on it. */
 export interface RunnerRow {
     readonly instance: InstanceId;
     readonly deployment: DeploymentName;
     readonly zone: AvailabilityZone;
     readonly region: Region;
-    /** Set that the runner serves; undefined for plain services and before the first report. */
+    /** Weight set that the runner serves; undefined for plain services and before the first report. */
     manifestDigest: ManifestDigest | undefined;
     phase: CopyPhase;
     draining: boolean;
-    /** Requests that this entry instance has in progress on the runner. */
+    /** Requests that this process has in progress on the runner. */
     outstanding: number;
     /** Those of them whose answer has not begun. */
     awaitingFirst: number;
-    /** Requests whose answer had not begun as last reported, without this entry instance's own. */
+    /** Requests whose answer had not begun by the last report, without those of this process. */
     reportedWaiting: number;
-    /** Requests running and queued as last reported, without this entry instance's own at that time. */
+    /** Requests running and queued by the last report, without those that this process had in progress at that time. */
     reportedLoad: number;
     capacity: number;
-    /** Monotonic time to which the report refers. */
+    /** Monotonic time at which the last report was made. */
     reportedAt: Milliseconds;
     cachedPrefixes: Set<string>;
     successiveFailures: number;
     ejections: number;
     ejectedUntil: Milliseconds;
-    /** Monotonic time until which the runner wants no requests of this process. */
+    /** Monotonic time until which the runner has asked this process to send it no requests. */
     pausedUntil: Milliseconds;
     trial: TrialState;
-    /** Hash of the instance, by which a prefix that no runner has cached finds the same runner everywhere. */
+    /** Hash of the instance, by which all processes choose the same runner for a prefix that no runner has cached. */
     readonly affinityHash: number;
-    /** Past values of `outstanding`, oldest first, since load reports arrive late. */
+    /** Past values of `outstanding`, oldest first, to correct load reports that arrive late. */
     readonly samples: { readonly at: Milliseconds; readonly outstanding: number; }[];
 }
 
-/** Runners of one deployment that an entry instance follows. */
+/** Runners of one deployment whose load reports an entry instance follows. */
 export interface RunnerSubset {
     readonly deployment: DeploymentName;
     readonly runners: RunnerRow[];
@@ -96,25 +103,25 @@
     readonly subset: RunnerSubset;
     readonly zone: AvailabilityZone;
     readonly region: Region;
-    /** Set that must answer; undefined for plain services. */
+    /** Weight set that must answer; undefined for plain services. */
     readonly manifestDigest: ManifestDigest | undefined;
-    /** Further sets that may answer, as older versions may for a time. Default: none. */
+    /** Further weight sets that may answer, such as older versions for a limited time. Default: none. */
     readonly acceptedDigests?: ReadonlySet<ManifestDigest> | undefined;
     readonly prefix: string | undefined;
-    /** Runners that this request has already failed on. */
+    /** Runners on which this request has already failed. */
     readonly excluded: ReadonlySet<InstanceId>;
     readonly now: Milliseconds;
     readonly random: RandomSource;
     readonly options: RoutingOptions;
 }
 
-/** What of the input decides which runners may be chosen. */
+/** Input of `findCandidates`. */
 export type CandidateInput = Pick<
     RoutingInput,
     "subset" | "manifestDigest" | "acceptedDigests" | "excluded" | "now" | "options"
 >;
 
-/** Why a runner may not be chosen. */
+/** Why a runner may not be selected. */
 export type LeftOutReason = "draining" | "not-serving" | "paused" | "ejected";
 
 /** Result of `findCandidates`. */
@@ -124,11 +131,11 @@
     readonly panic: boolean;
     /** Number of runners that are left out, by the first reason that holds. */
     readonly leftOut: Readonly<Record<LeftOutReason, number>>;
-    /** Monotonic time at which the first of the paused runners may be asked again; undefined if none is paused. */
+    /** Monotonic time at which the first of the paused runners accepts requests again; undefined if none is paused. */
     readonly resumesAt: Milliseconds | undefined;
 }
 
-/** Why a runner was chosen. */
+/** Why a runner was selected. */
 export type RoutingReason = "least-loaded" | "only-candidate" | "prefix-affinity" | "panic";
 
 /** Result of `selectRunner`. */
@@ -137,7 +144,7 @@
         readonly kind: "selected";
         readonly runner: RunnerRow;
         readonly reason: RoutingReason;
-        /** Runners that could have been chosen. */
+        /** Number of runners that could have been selected. */
         readonly candidates: number;
     }
     | {
@@ -147,7 +154,7 @@
         readonly retryAfterSeconds: number;
     };
 
-/** Runner that an entry instance may follow. */
+/** Runner that may become part of a subset. */
 export interface SubsetCandidate {
     readonly instance: InstanceId;
     readonly zone: AvailabilityZone;
@@ -178,9 +185,9 @@
     readonly queued: number;
     readonly capacity: number;
     readonly cachedPrefixes: readonly string[];
-    /** Age of the figures when the report arrived. */
+    /** Age of the report when it arrived. */
     readonly age: Milliseconds;
 }
 
-/** How an attempt on a runner ended; `neutral` for refusals and for faults of the caller. */
+/** How an attempt on a runner ended; `neutral` for refusals and for errors of the caller. */
 export type RunnerOutcome = "succeeded" | "failed" | "neutral";
--- a/test/runtime/routing/routing.test.ts
+++ b/test/runtime/routing/routing.test.ts
@@ -50,12 +50,12 @@
 }
 
 describe("selection of a runner", () => {
-    // Guards against a request that reaches a runner that must not or cannot answer it.
+    // Guards against sending a request to a runner that must not or cannot answer it.
     const unavailable: readonly (readonly [string, Partial<RunnerRow>, string])[] = [
         ["serves another set", { manifestDigest: "v2" }, "not-serving"],
         ["is not serving yet", { phase: "activating" }, "not-serving"],
-        ["wants no requests for a while", { pausedUntil: now + 1_000 }, "turned-away"],
-        ["is tried with a single request", { trial: "running" }, "turned-away"],
+        ["has asked to be sent no requests for a while", { pausedUntil: now + 1_000 }, "turned-away"],
+        ["has its trial request in progress", { trial: "running" }, "turned-away"],
         ["drains", { draining: true }, "draining"],
         ["has not reported for longer than the expiry", { reportedAt: now - 5_001 }, "not-serving"],
     ];
@@ -67,14 +67,14 @@
         });
     }
 
-    // Guards against a repeat on the runner that has just failed, and against a missing reason for an empty subset.
+    // Guards against a retry on the runner that has just failed, and against a missing reason for an empty subset.
     it("leaves out excluded runners", () => {
         const runners = [createRunner("first"), createRunner("second")];
         expect(countChoices(createInput(runners, { excluded: new Set(["first"]) }))).toEqual({ second: 400 });
         expect(countChoices(createInput([]), 1)).toEqual({ "no-runner": 1 });
     });
 
-    // Guards against ejected runners that get requests, and against an ejection of most runners that overloads the rest.
+    // Guards against requests to ejected runners, and against ejecting so many runners that the others are overloaded.
     it("leaves out ejected runners unless more than half are ejected", () => {
         const runners = ["a", "b", "c", "d"].map(instance => createRunner(instance));
         const eject = (index: number) => {
@@ -95,7 +95,7 @@
         expect(runners[0]!.successiveFailures).toEqual(0);
     });
 
-    // Guards against traffic that crosses zones or regions without need, or that never does.
+    // Guards against requests that cross zones or regions without need, and against requests that never cross them.
     it("prefers its zone, then its region, until the load differs", () => {
         const far = createRunner("far", { zone: "c", region: "north" });
         const near = createRunner("near", { zone: "b" });
@@ -116,7 +116,7 @@
         expect(countChoices(input)["warm"]).toEqual(undefined);
     });
 
-    // Guards against a silent runner that looks idle, and against the sender's own requests being counted twice.
+    // Guards against a runner that looks idle because it does not report, and against counting own requests twice.
     it("ages reports toward the mean and leaves out its own requests", () => {
         const silent = createRunner("silent", { reportedLoad: 0, reportedAt: now - 4_500 });
         const fresh = createRunner("fresh", { reportedLoad: 5 });
@@ -142,7 +142,8 @@
 });
 
 describe("late load reports", () => {
-    // Guards against a late report that is corrected by the requests of now instead of those of its time.
+    // Guards against correcting a late report by the requests in progress now instead of those at the time of the
+    // report.
     it("subtracts the own requests of the time of the report", () => {
         const runner = createRunner("runner", { reportedAt: 0, outstanding: 2 });
         const report: RunnerLoadReport = {
@@ -163,8 +164,8 @@
         expect(runner.reportedLoad).toEqual(5);
     });
 
-    // Guards against entry instances that each warm another runner before the first report of a prefix arrives.
-    it("leads a prefix that is not reported yet to the same runner from everywhere", () => {
+    // Guards against entry instances that choose different runners for a prefix before the first report of it arrives.
+    it("selects the same runner everywhere for a prefix that is not reported yet", () => {
         const create = (order: readonly string[]) => order.map(instance => createRunner(instance));
         const used = new Set<string>();
         for (let index = 0; index < 20; index++) {
@@ -189,7 +190,7 @@
         age: 0,
     } as const;
 
-    it("keeps an idle runner from being given everything at the same moment", () => {
+    it("does not give an idle runner all requests that arrive at the same time", () => {
         const busy = createRunner("busy", { reportedLoad: 5 });
         const idle = createRunner("idle");
         const choices: string[] = [];
@@ -232,7 +233,7 @@
         return selectSubset({ entry, deployment: "scribe", zone: "a", region: "south", candidates, size: 32 });
     }
 
-    // Guards against a subset that grows with the fleet, stays empty, or holds nothing outside its own zone.
+    // Guards against a subset that grows with the fleet, is empty, or contains no runner of another zone.
     it("is bounded, never empty and prefers its own zone", () => {
         for (const count of [1, 2, 10, 33, 300, 3_200]) {
             const chosen = select(createCandidates(count));
@@ -247,8 +248,8 @@
         expect(select(avoided)[0]!.instance).toEqual("runner-5");
     });
 
-    // Guards against connections that are all replaced when a runner comes or goes.
-    it("changes at most two places when one runner comes or goes", () => {
+    // Guards against replacing all connections when a runner is added or removed.
+    it("replaces at most two runners when one runner is added or removed", () => {
         fastCheck.assert(
             fastCheck.property(fastCheck.integer({ min: 2, max: 400 }), fastCheck.nat(), fastCheck.string(), (
                 count,
@@ -266,7 +267,7 @@
         );
     });
 
-    // Guards against lost counts of requests in progress when the subset changes.
+    // Guards against losing the counts of requests in progress when the subset changes.
     it("keeps the rows of runners that stay", () => {
         const subset = { deployment: "scribe", runners: [] as RunnerRow[] };
         updateSubset(subset, select(createCandidates(2)));
