Reword the idempotency ledger and the ownership of keys

"Allowance" stood for clock skew, a state was "taken over", a clock "reopened" a time, and it was hard to see why an ownership period is judged by the time its record was written. The comments now give the fault each rule prevents and describe the states of a key and the hold.

--- a/src/runtime/idempotency/keys.ts
+++ b/src/runtime/idempotency/keys.ts
@@ -15,12 +15,12 @@
  * @returns the key in lower case
  */
 export function createIdempotencyKey(now: Milliseconds, random: RandomSource): string {
-    const time = formatHexadecimal(Math.floor(now), 12);
-    const first = formatHexadecimal(0x7000 + Math.floor(random.next() * 0x1000), 4);
-    const second = formatHexadecimal(0x8000 + Math.floor(random.next() * 0x4000), 4);
-    const third = formatHexadecimal(Math.floor(random.next() * 0x1000000), 6);
-    const fourth = formatHexadecimal(Math.floor(random.next() * 0x1000000), 6);
-    return `${time.slice(0, 8)}-${time.slice(8)}-${first}-${second}-${third}${fourth}`;
+    const timeDigits = formatHexadecimal(Math.floor(now), 12);
+    const versionGroup = formatHexadecimal(0x7000 + Math.floor(random.next() * 0x1000), 4);
+    const variantGroup = formatHexadecimal(0x8000 + Math.floor(random.next() * 0x4000), 4);
+    const nodeStart = formatHexadecimal(Math.floor(random.next() * 0x1000000), 6);
+    const nodeEnd = formatHexadecimal(Math.floor(random.next() * 0x1000000), 6);
+    return `${timeDigits.slice(0, 8)}-${timeDigits.slice(8)}-${versionGroup}-${variantGroup}-${nodeStart}${nodeEnd}`;
 }
 
 /**
@@ -39,16 +39,16 @@
 /**
  * Finds the owner of a key.
  *
- * @param owners - instances among which the keys are shared out, without repeats
+ * @param owners - instances among which the keys are distributed, without duplicates
  * @param key - idempotency key
  * @returns the owner with the highest rendezvous score; undefined if there are no owners
  */
 export function resolveKeyOwner(owners: readonly InstanceId[], key: string): InstanceId | undefined {
-    const readScore = createRendezvousScore(key);
+    const scoreOwner = createRendezvousScore(key);
     let best: InstanceId | undefined;
     let bestScore = -1;
     for (const owner of owners) {
-        const score = readScore(owner);
+        const score = scoreOwner(owner);
         if (score > bestScore || (score === bestScore && best !== undefined && owner < best)) {
             best = owner;
             bestScore = score;
--- a/src/runtime/idempotency/ledger.ts
+++ b/src/runtime/idempotency/ledger.ts
@@ -31,7 +31,7 @@
 /**
  * Creates an empty ledger.
  *
- * @param options - bounds of the ledger
+ * @param options - limits of the ledger
  * @returns the ledger
  */
 export function createLedger(options: LedgerOptions): Ledger {
@@ -45,7 +45,7 @@
     return { kind: "refuse", refusal };
 }
 
-/** How a repeat of a key is decided, by the state of its row; undefined if the key may be accepted again. */
+/** Decides on a repeated key by the state of its row; undefined if the key may be accepted again. */
 const repeatHandlers: Readonly<Record<LedgerState, (row: LedgerRow) => KeyDecision | undefined>> = {
     running: () => refuse("unknown", "key-in-progress", 1),
     finished: row =>
@@ -71,10 +71,10 @@
     }
 }
 
-function forgetExpired(ledger: Ledger, now: Milliseconds): void {
-    const horizon = now - ledger.options.maximumKeyAge;
+function removeExpired(ledger: Ledger, now: Milliseconds): void {
+    const oldestKept = now - ledger.options.maximumKeyAge;
     for (const row of ledger.rows.values()) {
-        if (row.createdAt >= horizon) {
+        if (row.createdAt >= oldestKept) {
             return;
         }
         removeAnswer(ledger, row);
@@ -92,7 +92,7 @@
     if (createdAt > offer.now + clockSkew) {
         return refuse("no", "key-invalid", 0, "the key was created in the future");
     }
-    // A wall clock that was set back must not reopen the time whose rows have been removed.
+    // If the wall clock was set back, a key whose row has been removed could look young enough to be accepted again.
     if (createdAt < offer.now - maximumKeyAge || createdAt <= ledger.forgottenUntil) {
         return refuse("unknown", "key-expired", 0);
     }
@@ -101,9 +101,10 @@
         return refuse(sinceCreation ? "no" : "unknown", "not-key-owner", 1);
     }
     if (!offer.held) {
-        // After the lapse another owner may accept keys that were created since.
-        const provable = sinceCreation && offer.lapsedAt !== undefined && createdAt + clockSkew < offer.lapsedAt;
-        return refuse(provable ? "no" : "unknown", "hold-lapsed", 2);
+        // Once the hold has lapsed, another owner may accept keys that were created after the lapse.
+        const isProvablyNotRun = sinceCreation && offer.lapsedAt !== undefined &&
+            createdAt + clockSkew < offer.lapsedAt;
+        return refuse(isProvablyNotRun ? "no" : "unknown", "hold-lapsed", 2);
     }
     if (!sinceCreation) {
         return refuse("unknown", "key-predates-owner", 0);
@@ -117,15 +118,15 @@
 }
 
 /**
- * Decides on a request with an idempotency key and, if it may run, enters the key.
+ * Decides on a request with an idempotency key and, if it may run, adds the key to the ledger.
  *
- * @param ledger - keys that this process has accepted; changed if the key is accepted
+ * @param ledger - keys that this process has accepted; expired rows are removed, and the key is added if it is accepted
  * @param history - ownership history of the request's deployment
  * @param offer - key with the request's account and body, the hold and the time
  * @returns `run` at most once for each key, unless the run ended as `not-run`
  */
 export function offerKey(ledger: Ledger, history: OwnershipHistory, offer: KeyOffer): KeyDecision {
-    forgetExpired(ledger, offer.now);
+    removeExpired(ledger, offer.now);
     const row = ledger.rows.get(offer.key);
     const decision = (row === undefined ? undefined : decideRepeat(row, offer)) ??
         decideNewKey(ledger, history, offer);
@@ -139,9 +140,10 @@
  * Records how the request of an accepted key ended.
  *
  * @param ledger - ledger to change
- * @param key - key that `offerKey` accepted; ignored if it is not running
- * @param state - `not-run` only if the backend server certainly has not received the request
- * @param answer - answer for repeats, kept while the stored answers stay within their bound
+ * @param key - key that `offerKey` accepted; ignored if its request is not running
+ * @param state - `not-run` only if it is certain that the backend server has not received the request
+ * @param answer - answer for repeats of the key; the oldest answers are dropped when the stored answers exceed
+ * `maximumAnswerBytes`
  */
 export function finishKey(
     ledger: Ledger,
--- a/src/runtime/idempotency/ownership.ts
+++ b/src/runtime/idempotency/ownership.ts
@@ -2,7 +2,10 @@
 import { resolveKeyOwner } from "./keys.js";
 import type { OwnershipHistory, OwnershipPeriod } from "./types.js";
 
-/** Periods kept; a dropped period only makes older keys `unknown`, which is safe. */
+/**
+ * Most periods that are kept. If an older one would be needed to prove ownership of a key, the key is refused as
+ * `unknown`, which is safe.
+ */
 const maximumPeriods = 64;
 
 /**
@@ -16,7 +19,7 @@
     return { self, startedAt, periods: [], interruptedAt: 0 };
 }
 
-function equalOwners(left: readonly InstanceId[] | undefined, right: readonly InstanceId[] | undefined): boolean {
+function areOwnersEqual(left: readonly InstanceId[] | undefined, right: readonly InstanceId[] | undefined): boolean {
     if (left === undefined || right === undefined) {
         return left === right;
     }
@@ -29,11 +32,11 @@
 }
 
 /**
- * Records the owners that a placement names. It has to be called for each accepted placement record in order, in the
- * same step in which the record is applied: a record that is left out could hide an interruption of ownership.
+ * Records the owners of a placement. It has to be called for each accepted placement record in order, in the same
+ * synchronous step in which the record is applied: a skipped record could hide an interruption of ownership.
  *
  * @param history - history to change
- * @param placement - newest placement; one that is not newer than the last recorded is ignored
+ * @param placement - newest placement; ignored if it is not newer than the last one that was recorded
  * @param now - wall-clock time in milliseconds since 1970
  */
 export function recordOwners(history: OwnershipHistory, placement: PlacementRow, now: Milliseconds): void {
@@ -41,16 +44,16 @@
     if (last !== undefined && placement.offset <= last.placementOffset) {
         return;
     }
-    const unchanged = last !== undefined && equalOwners(last.owners, placement.owners) &&
-        equalOwners(last.nextOwners, placement.nextOwners);
+    const isUnchanged = last !== undefined && areOwnersEqual(last.owners, placement.owners) &&
+        areOwnersEqual(last.nextOwners, placement.nextOwners);
     const period: OwnershipPeriod = {
         placementOffset: placement.offset,
         owners: placement.owners,
         nextOwners: placement.nextOwners,
-        appliedAt: unchanged ? last.appliedAt : now,
-        writtenAt: unchanged ? last.writtenAt : readWrittenAt(placement),
+        appliedAt: isUnchanged ? last.appliedAt : now,
+        writtenAt: isUnchanged ? last.writtenAt : readWrittenAt(placement),
     };
-    if (unchanged) {
+    if (isUnchanged) {
         history.periods.pop();
     }
     history.periods.push(period);
@@ -60,8 +63,8 @@
 }
 
 /**
- * Records that other processes may have owned keys up to now: the hold had lapsed, or the state was taken over from a
- * peer without the records in between.
+ * Records that other processes may have owned keys up to now: the hold has lapsed, or the state was copied from a peer
+ * without the records in between.
  *
  * @param history - history to change
  * @param now - wall-clock time in milliseconds since 1970
@@ -74,16 +77,18 @@
     if (resolveKeyOwner(period.owners, key) !== self) {
         return false;
     }
-    // While both sets apply, the other owner may not have stopped yet or may have begun already.
+    // During a change of owners, the old owner may not have stopped yet, and the new one may have begun already.
     return period.nextOwners === undefined || resolveKeyOwner(period.nextOwners, key) === self;
 }
 
-/** What a process knows of its ownership of one key. */
+/** Result of `evaluateOwnership`. */
 export interface KeyOwnership {
     /** True if the key is owned under the newest placement. */
     readonly owned: boolean;
-    /** True if the key was owned without interruption from before its creation until now or, if it is no longer owned,
-     * until a record that was written after its creation. */
+    /**
+     * True if the key was owned without interruption from before its creation until now or, if it is no longer owned,
+     * until a record that was written after its creation.
+     */
     readonly sinceCreation: boolean;
 }
 
@@ -92,9 +97,9 @@
  *
  * @param history - ownership history
  * @param key - idempotency key
- * @param createdAt - time of the key in milliseconds since 1970
- * @param skew - difference between clocks that is allowed for
- * @returns ownership under the newest placement and since the key's creation
+ * @param createdAt - creation time in the key, in milliseconds since 1970
+ * @param skew - largest assumed difference between two clocks
+ * @returns ownership under the newest placement, and since the key's creation
  */
 export function evaluateOwnership(
     history: OwnershipHistory,
@@ -102,7 +107,7 @@
     createdAt: Milliseconds,
     skew: Milliseconds,
 ): KeyOwnership {
-    // Times are rounded to milliseconds, so equal times prove no order.
+    // Times are rounded to milliseconds, so equal times do not tell which event was first.
     const latestStart = createdAt - skew;
     const { periods, self } = history;
     const newest = periods.at(-1);
@@ -112,7 +117,7 @@
     }
     let index = periods.length - 1;
     if (!owned) {
-        index = findLastOwned(history, key, createdAt + skew);
+        index = findLastOwnedPeriod(history, key, createdAt + skew);
     }
     while (index >= 0 && acceptsKey(periods[index]!, self, key)) {
         if (periods[index]!.appliedAt < latestStart) {
@@ -124,11 +129,14 @@
 }
 
 /**
- * Finds the last period in which the key was owned, if the record that ended it was written after the key was certainly
- * created. A later owner then refuses the key, because the key was created before that owner began. The time at which
- * this process applied the record does not count: a partition may have delayed it until the later owner had begun.
+ * Finds the last period in which the key was owned, if the record that ended it was written after the latest time at
+ * which the key can have been created. Later owners then refuse the key, because it was created before they became
+ * owners. `writtenAt` is compared instead of `appliedAt`, because a network partition may have delayed the record until
+ * after the later owner began to accept keys.
+ *
+ * @returns index of the period; -1 if there is none
  */
-function findLastOwned(history: OwnershipHistory, key: string, latestCreation: Milliseconds): number {
+function findLastOwnedPeriod(history: OwnershipHistory, key: string, latestCreation: Milliseconds): number {
     const { periods, self } = history;
     for (let index = periods.length - 1; index >= 1; index--) {
         if (periods[index]!.writtenAt <= latestCreation) {
--- a/src/runtime/idempotency/types.ts
+++ b/src/runtime/idempotency/types.ts
@@ -4,32 +4,35 @@
 export interface LedgerOptions {
     /** Age after which a key is refused. Default: 600,000 ms. */
     readonly maximumKeyAge: Milliseconds;
-    /** Difference between a caller's clock and ours that is allowed for. Default: 2,000 ms. */
+    /** Largest assumed difference between the clocks of a caller and of this process. Default: 2,000 ms. */
     readonly clockSkew: Milliseconds;
-    /** Most entries; when full, further keys are refused as not run. Default: 100,000. */
+    /** Most rows of the ledger; further keys are refused as not run. Default: 100,000. */
     readonly maximumEntries: number;
-    /** Most bytes of stored answers; older answers are dropped first, their keys are kept. Default: 8 MiB. */
+    /** Most bytes of stored answers; the oldest answers are dropped first, but their keys are kept. Default: 8 MiB. */
     readonly maximumAnswerBytes: number;
 }
 
-/** Answer that is kept for repeats of a key. */
+/** Answer that is stored to answer repeats of a key. */
 export interface StoredAnswer {
     readonly status: number;
     readonly contentType: string;
     readonly body: Uint8Array;
-    /** Weights that answered; undefined for plain services. */
+    /** Weight set that computed the answer; undefined for plain services. */
     readonly weights?: WeightSet | undefined;
 }
 
-/** State of a key that this process has accepted. */
+/**
+ * State of the request of an accepted key. `unknown`: the request may have run; `not-run`: it certainly did not run, so
+ * the key may be accepted again.
+ */
 export type LedgerState = "running" | "finished" | "unknown" | "not-run";
 
-/** Key that this process has accepted. */
+/** Row of the ledger: a key that this process has accepted. */
 export interface LedgerRow {
     readonly key: string;
     readonly clientAccount: ClientAccount;
     readonly bodyDigest: string;
-    /** Wall-clock time in the key, in milliseconds since 1970. */
+    /** Creation time in the key, by the caller's wall clock in milliseconds since 1970. */
     readonly createdAt: number;
     state: LedgerState;
     answer: StoredAnswer | undefined;
@@ -38,6 +41,7 @@
 /** Keys that this process has accepted; created by `createLedger`. */
 export interface Ledger {
     readonly options: LedgerOptions;
+    /** Rows by key. */
     readonly rows: Map<string, LedgerRow>;
     /** Keys with a stored answer, oldest answer first. */
     readonly answeredKeys: Set<string>;
@@ -46,15 +50,16 @@
     forgottenUntil: Milliseconds;
 }
 
-/** Owners of keys since a moment, as this process learned of them. */
+/** Owners of keys from one placement record to the next record that changes them. */
 export interface OwnershipPeriod {
+    /** Offset of the newest placement record with these owners. */
     readonly placementOffset: Offset;
     readonly owners: readonly InstanceId[];
-    /** Set during a change of owners: keys whose owner differs are accepted by neither. */
+    /** Only during a change of owners: a key that has another owner under `nextOwners` is accepted by neither owner. */
     readonly nextOwners: readonly InstanceId[] | undefined;
-    /** Wall-clock time at which this process applied the record, in milliseconds since 1970. */
+    /** Wall-clock time at which this process applied the first record with these owners, in milliseconds since 1970. */
     readonly appliedAt: number;
-    /** Wall-clock time at which the first record with these owners was written, by the proposer's clock. */
+    /** Wall-clock time at which the first record with these owners was written, by the clock of its writer. */
     readonly writtenAt: Milliseconds;
 }
 
@@ -64,7 +69,7 @@
     /** Wall-clock start of this process in milliseconds since 1970. */
     readonly startedAt: number;
     readonly periods: OwnershipPeriod[];
-    /** Wall-clock time up to which other processes may have owned keys unnoticed; 0 if never. */
+    /** Newest wall-clock time at which other processes may have owned keys unnoticed by this one; 0 if never. */
     interruptedAt: Milliseconds;
 }
 
@@ -73,9 +78,9 @@
     readonly key: string;
     readonly clientAccount: ClientAccount;
     readonly bodyDigest: string;
-    /** False if this process's hold on its copy has lapsed. */
+    /** False if the hold of this process on its copy, which works like a lease, has lapsed. */
     readonly held: boolean;
-    /** Wall-clock time at which the hold lapsed; without it a refusal during a lapse is always `unknown`. */
+    /** Wall-clock time at which the hold lapsed; if undefined, refusals after a lapse are always `unknown`. */
     readonly lapsedAt?: Milliseconds | undefined;
     /** Wall-clock time in milliseconds since 1970. */
     readonly now: number;
--- a/test/runtime/idempotency/atMostOnce.test.ts
+++ b/test/runtime/idempotency/atMostOnce.test.ts
@@ -33,7 +33,7 @@
 const agentCount = 3;
 const agent = fastCheck.integer({ min: 0, max: agentCount - 1 });
 const key = fastCheck.integer({ min: 0, max: 3 });
-// Callers' and agents' clocks are each up to 1 s off, so that no two differ by more than the allowance of 2 s.
+// The clocks of callers and agents are each up to 1 s off, so that no two differ by more than the clock skew of 2 s.
 const skew = fastCheck.integer({ min: -1_000, max: 1_000 });
 const duration = fastCheck.oneof(
     { weight: 9, arbitrary: fastCheck.integer({ min: 1, max: 3_000 }) },
@@ -86,7 +86,7 @@
             });
             break;
         case "send":
-            // The newest keys are the interesting ones.
+            // Sends one of the four newest keys, since those are the interesting ones.
             return send(cluster, cluster.keys.length - 1 - taken.key, taken.agent);
         case "finish":
             finish(cluster, cluster.keys.length - 1 - taken.key, taken.agent, taken.state);
@@ -96,8 +96,8 @@
 }
 
 describe("at most once", () => {
-    // Guards against a second run of a key, and a false "not run", over changes of owners in two steps, restarts, lapsed
-    // holds, late application of records, clock skew within the allowance and resends to any agent.
+    // Guards against a second run of a key, and against a false "not run", through changes of owners in two steps,
+    // restarts, lapsed holds, records that are applied late, clock skew and repeats that are sent to any agent.
     it("runs each key at most once over random schedules", t => {
         const outcomes = new Map<string, number>();
         fastCheck.assert(
@@ -125,10 +125,17 @@
             ),
             { seed: 20_261_203, numRuns: 3_000, endOnFailure: true },
         );
-        // The schedules have to reach the interesting decisions, else the property says nothing.
-        const wanted = ["run", "replay", "key-predates-owner", "not-key-owner", "hold-lapsed", "key-in-progress"];
-        const rare = wanted.filter(outcome => (outcomes.get(outcome) ?? 0) <= 50);
+        // The property is meaningful only if the schedules reach each of these decisions often enough.
+        const expectedOutcomes = [
+            "run",
+            "replay",
+            "key-predates-owner",
+            "not-key-owner",
+            "hold-lapsed",
+            "key-in-progress",
+        ];
+        const rarelyReached = expectedOutcomes.filter(outcome => (outcomes.get(outcome) ?? 0) <= 50);
         t.diagnostic(JSON.stringify([...outcomes]));
-        expect(rare).toEqual([]);
+        expect(rarelyReached).toEqual([]);
     });
 });
--- a/test/runtime/idempotency/cluster.ts
+++ b/test/runtime/idempotency/cluster.ts
@@ -11,7 +11,7 @@
 } from "../../../src/runtime/idempotency/index.js";
 import type { InstanceId, PlacementRow } from "../../../src/types/index.js";
 
-/** Times of the model in milliseconds; all clocks start at `start` plus their own offset. */
+/** Start of the model's time in milliseconds; each clock starts at this time plus its own offset. */
 export const start = 1_800_000_000_000;
 
 interface ModelAgent {
@@ -83,7 +83,7 @@
     });
 }
 
-/** First record of a change of owners, or the first placement. */
+/** Appends the first record of a change of owners, or the first placement. */
 export function proposeOwners(cluster: Cluster, owners: readonly InstanceId[]): boolean {
     const last = cluster.log.at(-1);
     if (last?.nextOwners !== undefined) {
@@ -93,7 +93,7 @@
     return true;
 }
 
-/** Second record: only when each old owner has applied the first or its hold has certainly expired. */
+/** Appends the second record, if each old owner has applied the first one or its hold has certainly lapsed. */
 export function completeOwners(cluster: Cluster): boolean {
     const last = cluster.log.at(-1);
     if (last?.nextOwners === undefined) {
@@ -121,12 +121,12 @@
     }
 }
 
-/** Starts a new process with an empty ledger; it takes over the newest state only. */
+/** Replaces an agent by a new process with an empty ledger, which learns only the newest placement. */
 export function restart(cluster: Cluster, index: number): void {
     const { self, clockOffset, heldUntil } = cluster.agents[index]!;
     const agent = createAgent(self, clockOffset, cluster.now, cluster.options);
     agent.applied = Math.max(0, cluster.log.length - 1);
-    // The hold of the ended process still counts for the proposer.
+    // `completeOwners` still has to wait for the hold of the ended process.
     agent.heldUntil = heldUntil;
     cluster.agents[index] = agent;
     cluster.restarts += 1;
@@ -179,7 +179,7 @@
     ]);
 }
 
-/** Copies a cluster so that a step on the copy leaves the original as it is. */
+/** Copies a cluster so that an action on the copy does not change the original. */
 export function cloneCluster(cluster: Cluster): Cluster {
     return {
         ...cluster,
--- a/test/runtime/idempotency/exploration.test.ts
+++ b/test/runtime/idempotency/exploration.test.ts
@@ -175,8 +175,9 @@
 }
 
 describe("exploration of at most once", () => {
-    // Guards against a short schedule that random search misses. All schedules of the actions above with two agents,
-    // one key, clocks 0 and 0.5 s off and one restart are visited breadth-first to the depth that is asserted.
+    // Guards against a short schedule that random search misses. All schedules of the actions above are explored
+    // breadth-first to at least the asserted depth, with two agents, one key, clocks that are 0 and 0.5 s off, and at
+    // most one restart.
     const initialStates = {
         "before a change of owners": createInitial,
         "with a key created before a change of owners": createDuringChange,
--- a/test/runtime/idempotency/ledger.test.ts
+++ b/test/runtime/idempotency/ledger.test.ts
@@ -41,7 +41,8 @@
 }
 
 describe("ledger", () => {
-    // Guards against a refusal with a wrong `ran`, by which a caller would repeat what ran or give up what did not.
+    // Guards against a refusal with a wrong `ran`: the caller would repeat a request that ran, or give up one that did
+    // not.
     const newKeys = [
         { name: "a key of this owner", age: 0, expected: "run" },
         { name: "a key from the future", age: -2_001, expected: "key-invalid: no" },
@@ -63,7 +64,7 @@
         });
     }
 
-    // Guards against a repeat that runs again, or that gets another caller's answer.
+    // Guards against a repeat that runs again, or that receives the answer to another account or body.
     const repeats = [
         { state: undefined, changes: {}, expected: "key-in-progress: unknown" },
         { state: "finished" as const, changes: {}, expected: "replay" },
@@ -85,7 +86,7 @@
         });
     }
 
-    // Guards against owners that both accept a key while the change between them is in progress.
+    // Guards against two owners that both accept a key during the change from one to the other.
     it("accepts during a change only the keys whose owner stays", () => {
         const { history, offer } = prepare();
         recordOwners(history, createPlacement(2, ["self"], ["self", "other"]), start + 1_000);
@@ -96,14 +97,14 @@
         }
     });
 
-    // Guards against a history that looks unbroken because a state without the records in between was taken over.
+    // Guards against a history that looks uninterrupted because a state was copied without the records in between.
     it("refuses keys from before an interruption", () => {
         const { history, offer } = prepare();
         recordInterruption(history, start + 9_000);
         expect(offer(createIdempotencyKey(start + 9_500, random))).toEqual("key-predates-owner: unknown");
     });
 
-    // Guards against a wall clock that is set back and reopens the time whose rows were removed.
+    // Guards against accepting a key again after its row was removed and the wall clock was set back.
     it("refuses a forgotten key after the clock was set back", () => {
         const { offer } = prepare();
         const key = createIdempotencyKey(start + 9_000, random);
@@ -126,7 +127,7 @@
         expect(offer(keys[2]!)).toEqual("replay");
     });
 
-    // Guards against two processes that disagree on a key's time or owner.
+    // Guards against two processes that disagree on the creation time or the owner of a key.
     it("reads the time of its keys and agrees with the ranking on the owner", () => {
         const owners = [...Array(20).keys()].map(index => `agent-${index}`);
         fastCheck.assert(
