Reword the rollout of versions in waves

"Group", "turn" and "wave" stood for one thing, versions "fell due" and a constant was a number of "drains". Comments now say wave, drain and cutover, and why one late wave delays the others. The reasons in the log keep their words.

--- a/src/runtime/rollout/chooseTarget.ts
+++ b/src/runtime/rollout/chooseTarget.ts
@@ -1,11 +1,11 @@
 import type { Milliseconds } from "../../types/index.js";
 import type { WantedVersion } from "./planLoad.js";
 
-/** Options of the choice between versions that follow each other quickly. */
+/** Options of {@link chooseTarget}. */
 export interface TargetOptions {
-    /** Time that the transfer and the load of a version take on the links of the agents. */
+    /** Time that the transfer and the load of a version take over the network links of the agents. */
     readonly copyTime: Milliseconds;
-    /** Time after a declaration from which on no request goes to an older version. */
+    /** Time after the declaration of a version from which on no request is sent to an older version. */
     readonly cutoverAfter: Milliseconds;
 }
 
@@ -13,28 +13,29 @@
 export interface TargetInput {
     /** Declared versions, newest first; at least one. */
     readonly wanted: readonly WantedVersion[];
-    /** Newest version that the engine has loaded or that is held completely; 0 for none. */
+    /** Newest version that is loaded into the engine or of which every chunk is held; 0 for none. */
     readonly held: number;
     readonly now: Milliseconds;
     readonly options: TargetOptions;
 }
 
 /**
- * Chooses the version to transfer. The newest one takes the place of an older one that is not complete yet, unless the
- * older one falls due before the newest can be there: requests would find no backend server in between.
+ * Chooses the version to transfer when several versions are declared in quick succession. It is the newest one, unless
+ * requests stop going to the held version before the newest one can be loaded. The oldest version that bridges that gap
+ * is transferred first then, since requests would otherwise find no backend server.
  *
- * @param input - declared versions and what is held
- * @returns the version
+ * @param input - declared versions, held version, time and options
+ * @returns the version to transfer
  */
 export function chooseTarget({ held, now, options, wanted }: TargetInput): WantedVersion {
     const newest = wanted[0]!;
     if (held === 0) {
         return newest;
     }
-    const missing = wanted.filter(({ version }) => version > held).reverse();
-    const bridge = missing.find(({ declaredAt, version }) => {
-        const dueAt = declaredAt + options.cutoverAfter;
-        return version < newest.version && now < dueAt && newest.declaredAt + options.copyTime > dueAt;
+    const notHeld = wanted.filter(({ version }) => version > held).reverse();
+    const bridge = notHeld.find(({ declaredAt, version }) => {
+        const cutoverAt = declaredAt + options.cutoverAfter;
+        return version < newest.version && now < cutoverAt && newest.declaredAt + options.copyTime > cutoverAt;
     });
     return bridge ?? newest;
 }
--- a/src/runtime/rollout/planLoad.ts
+++ b/src/runtime/rollout/planLoad.ts
@@ -1,26 +1,26 @@
 import type { EngineReport, Milliseconds } from "../../types/index.js";
 import { rankByRendezvous } from "../../utils/index.js";
 
-/** Options of the change of all backend servers of a service to a new version. */
+/** Options of the rolling update of the backend servers of a service to a new version. */
 export interface RolloutOptions {
-    /** Groups that load one after the other, so that the others keep serving. */
+    /** Number of waves: groups of backend servers that load one after the other, so that the others keep serving. */
     readonly waves: number;
-    /** Time after the declaration at which the first group may load, if it is complete. */
+    /** Time after the declaration at which the first wave may load, if it holds every chunk. */
     readonly firstWaveAfter: Milliseconds;
-    /** Time by which each group loads later than the one before. */
+    /** Time between the starts of two successive waves. */
     readonly waveInterval: Milliseconds;
-    /** Time after the declaration at which every group may stop serving, since its version will not be asked for. */
+    /** Time after the declaration at which all waves may load, since the old version will no longer be requested. */
     readonly lastWaveAfter: Milliseconds;
-    /** Time after which an order without effect is given again. */
+    /** Time after which an order that had no effect is given again. */
     readonly repeatAfter: Milliseconds;
-    /** Longest time in which requests in progress may finish before the engine loads. */
+    /** Longest time for which an engine drains, so that its requests in progress finish, before it loads. */
     readonly drainBeforeLoad: Milliseconds;
 }
 
-/** Transfer of a version of which chunks are still missing. */
+/** Progress of the transfer of a version of which chunks are still missing. */
 export interface VersionTransfer {
     readonly version: number;
-    /** Share of the chunks that are held and verified, from 0 to 1. */
+    /** Share of the chunks that have arrived and are verified, from 0 to 1. */
     readonly share: number;
 }
 
@@ -43,12 +43,15 @@
     readonly completedAt: Milliseconds | undefined;
     /** Transfer of a newer version than the target; undefined if there is none. */
     readonly transfer: VersionTransfer | undefined;
-    /** Monotonic time since which the engine gets no new requests, so that it can load. */
+    /**
+     * Monotonic time since which the engine gets no new requests, so that it can load; undefined if it is not draining.
+     */
     readonly drainingSince: Milliseconds | undefined;
+    /** Backend server of the engine. */
     readonly self: string;
-    /** Backend servers of the service that serve, this one included. */
+    /** Backend servers that serve the service, this one included. */
     readonly members: readonly string[];
-    /** Monotonic time of the last order; undefined if none was given to this start of the engine. */
+    /** Monotonic time of the last order; undefined if the engine got none since it started. */
     readonly orderedAt: Milliseconds | undefined;
     readonly now: Milliseconds;
     readonly options: RolloutOptions;
@@ -57,68 +60,71 @@
 /** Result of {@link planLoad}. */
 export type LoadDecision =
     | { readonly kind: "load"; readonly version: number; readonly reason: string; }
-    /** No new requests, while the last chunks arrive. */
+    /** The engine gets no new requests while the last chunks arrive. */
     | { readonly kind: "drain"; readonly version: number; readonly reason: string; }
     | { readonly kind: "wait"; readonly reason: string; };
 
 /**
- * Chooses the group of a backend server. The order is the same in every process and changes with the version, so that
- * the same servers do not always go last.
+ * Assigns a backend server to a wave. The assignment is the same in every process and changes with the version, so that
+ * the same servers are not always the last ones.
  *
  * @param members - backend servers of the service
- * @param self - this one
- * @param version - version that is loaded
- * @param waves - number of groups
- * @returns number of the group, from 0
+ * @param self - the backend server to assign; need not be one of `members`
+ * @param version - version to load
+ * @param waves - number of waves
+ * @returns number of the wave, from 0
  */
-export function chooseWave(members: readonly string[], self: string, version: number, waves: number): number {
+export function assignWave(members: readonly string[], self: string, version: number, waves: number): number {
     const ranked = rankByRendezvous(`wave/${version}`, [...new Set([...members, self])]);
     return Math.floor(ranked.indexOf(self) * waves / ranked.length);
 }
 
-/** How many times the time to drain an engine may go without requests while it waits for chunks. */
-const longestDrains = 2;
+/** Longest time for which an engine may drain while it waits for chunks, as a multiple of `drainBeforeLoad`. */
+const maximumDrainFactor = 2;
 
 /**
- * Finds the time from which on the engine may stop serving to load a version. The first group waits until the chunks
- * are nearly there, and the others by as much: if it were late alone, it would load together with the second one.
+ * Computes the wave of the engine and the time from which on it may stop serving to load a version. If the transfer is
+ * late, the first wave starts `drainBeforeLoad` before it is complete, and the other waves are delayed by as much: if
+ * only the first wave were delayed, it would load together with the second one.
  */
-function findTurn(
+function findWaveStart(
     { members, options, self, wanted }: LoadInput,
     loaded: number,
     version: number,
     completeAt: Milliseconds,
 ): { readonly wave: number; readonly at: Milliseconds; } {
     const { declaredAt } = wanted.filter(candidate => candidate.version > loaded).at(-1) ?? wanted[0]!;
-    const wave = chooseWave(members, self, version, options.waves);
-    const first = Math.max(declaredAt + options.firstWaveAfter, completeAt - options.drainBeforeLoad);
-    return { wave, at: Math.min(first + wave * options.waveInterval, declaredAt + options.lastWaveAfter) };
+    const wave = assignWave(members, self, version, options.waves);
+    const firstWaveAt = Math.max(declaredAt + options.firstWaveAfter, completeAt - options.drainBeforeLoad);
+    return { wave, at: Math.min(firstWaveAt + wave * options.waveInterval, declaredAt + options.lastWaveAfter) };
 }
 
-/** Decides whether requests in progress should finish now, since the last chunks will have arrived by then. */
+/**
+ * Decides whether to drain the engine now, since the last chunks are expected while its requests in progress finish.
+ */
 function planDrain(input: LoadInput, loaded: number): LoadDecision {
-    const missing: LoadDecision = { kind: "wait", reason: "chunks are missing" };
+    const waitForChunks: LoadDecision = { kind: "wait", reason: "chunks are missing" };
     const { drainingSince, now, options, transfer, wanted } = input;
     const declared = wanted.find(({ version }) => version === transfer?.version);
     if (transfer === undefined || declared === undefined || transfer.share === 0 || loaded === 0) {
-        return missing;
+        return waitForChunks;
     }
-    if (drainingSince !== undefined && now - drainingSince >= longestDrains * options.drainBeforeLoad) {
+    if (drainingSince !== undefined && now - drainingSince >= maximumDrainFactor * options.drainBeforeLoad) {
         return { kind: "wait", reason: "the last chunks take longer than expected" };
     }
     const remaining = (now - declared.declaredAt) * (1 - transfer.share) / transfer.share;
-    const { at, wave } = findTurn(input, loaded, transfer.version, now + remaining);
+    const { at, wave } = findWaveStart(input, loaded, transfer.version, now + remaining);
     const isDue = drainingSince !== undefined || (now >= at && remaining <= options.drainBeforeLoad);
-    return isDue ? { kind: "drain", version: transfer.version, reason: `turn of group ${wave}` } : missing;
+    return isDue ? { kind: "drain", version: transfer.version, reason: `turn of group ${wave}` } : waitForChunks;
 }
 
 /**
- * Decides whether the engine is to load the target version now. An engine without weights loads at once; the others go
- * in groups, timed from the declaration of the oldest version that they still lack. An engine whose turn has come while
- * the last chunks arrive lets its requests finish meanwhile.
+ * Decides whether the engine has to load the target version now. An engine without weights loads at once. The others
+ * load in waves, timed from the declaration of the oldest version that they have not loaded. An engine whose wave
+ * starts while the last chunks arrive is drained meanwhile.
  *
  * @param input - engine, versions and progress of the transfer
- * @returns the order to give, or why there is none
+ * @returns whether to load, to drain or to wait, with the reason
  */
 export function planLoad(input: LoadInput): LoadDecision {
     const { model, now, options, orderedAt, report, target, wanted } = input;
@@ -139,7 +145,7 @@
     if (loaded === 0) {
         return { kind: "load", version: target, reason: "no weights are loaded" };
     }
-    const { at, wave } = findTurn(input, loaded, target, input.completedAt ?? now);
+    const { at, wave } = findWaveStart(input, loaded, target, input.completedAt ?? now);
     return now >= at ?
         { kind: "load", version: target, reason: `turn of group ${wave}` } :
         { kind: "wait", reason: `group ${wave} loads later` };
--- a/test/runtime/rollout/rollout.test.ts
+++ b/test/runtime/rollout/rollout.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { chooseTarget, chooseWave, type LoadInput, planLoad } from "../../../src/runtime/rollout/index.js";
+import { assignWave, chooseTarget, type LoadInput, planLoad } from "../../../src/runtime/rollout/index.js";
 
 const members = ["a", "b", "c", "d", "e", "f"];
 
@@ -58,20 +58,20 @@
         expect(planLoad(createInput({ report: { ...report, weights: undefined }, now: 1_001 })).kind).toEqual("load");
     });
 
-    it("comes in groups, so that two thirds keep serving", () => {
+    it("comes in waves, so that two thirds keep serving", () => {
         const loadingAt = (now: number) =>
             members.filter(self => planLoad(createInput({ self, now })).kind === "load").length;
         expect([2_999, 3_000, 4_000, 5_000].map(loadingAt)).toEqual([0, 2, 4, 6]);
     });
 
-    // Guards against a late transfer after which two groups load at once.
-    it("comes later for all groups if the chunks came late", () => {
+    // Guards against two waves that load at the same time after a late transfer.
+    it("comes later for all waves if the chunks came late", () => {
         const loadingAt = (now: number) =>
             members.filter(self => planLoad(createInput({ self, now, completedAt: 5_000 })).kind === "load").length;
         expect([3_999, 4_000, 4_999, 5_000, 5_999, 6_000].map(loadingAt)).toEqual([0, 2, 2, 4, 4, 6]);
     });
 
-    it("comes for all groups when the old version will not be asked for any more", () => {
+    it("comes for all waves once the old version is no longer requested", () => {
         const loadingAt = (now: number) =>
             members.filter(self => planLoad(createInput({ self, now, completedAt: 9_000 })).kind === "load").length;
         expect([6_999, 7_000].map(loadingAt)).toEqual([0, 6]);
@@ -79,16 +79,16 @@
 
     it("is timed by the oldest version that the engine lacks", () => {
         const wanted = [{ version: 3, declaredAt: 4_000 }, { version: 2, declaredAt: 1_000 }];
-        const last = members.find(self => chooseWave(members, self, 3, 3) === 2)!;
+        const last = members.find(self => assignWave(members, self, 3, 3) === 2)!;
         expect(planLoad(createInput({ wanted, target: 3, self: last, now: 5_000 })).kind).toEqual("load");
     });
 });
 
-describe("end of requests before the last chunks have arrived", () => {
-    const first = members.find(self => chooseWave(members, self, 2, 3) === 0)!;
-    const last = members.find(self => chooseWave(members, self, 2, 3) === 2)!;
+describe("drain before the last chunks have arrived", () => {
+    const first = members.find(self => assignWave(members, self, 2, 3) === 0)!;
+    const last = members.find(self => assignWave(members, self, 2, 3) === 2)!;
 
-    /** The version was declared at second 1, and the first group's turn comes at second 3. */
+    /** The version is declared at 1,000 ms, and the first wave starts at 3,000 ms. */
     function plan(changes: Partial<LoadInput> = {}): string {
         const transfer = { version: 2, share: 0.75 };
         return planLoad(createInput({ target: 1, transfer, self: first, now: 4_000, ...changes })).kind;
@@ -99,20 +99,20 @@
         expect(plan({ transfer: { version: 2, share: 0.7 } })).toEqual("wait");
     });
 
-    it("waits for the turn of the group", () => {
+    it("waits for the wave of the engine", () => {
         expect(plan({ self: last })).toEqual("wait");
         const nearlyComplete = { self: last, transfer: { version: 2, share: 0.9 } };
         expect(plan({ ...nearlyComplete, now: 6_999 })).toEqual("wait");
         expect(plan({ ...nearlyComplete, now: 7_000 })).toEqual("drain");
     });
 
-    it("goes on while chunks are missing, but not forever", () => {
+    it("continues while chunks are missing, but not forever", () => {
         const slow = { transfer: { version: 2, share: 0.5 }, drainingSince: 4_000 };
         expect(plan({ ...slow, now: 5_999 })).toEqual("drain");
         expect(plan({ ...slow, now: 6_000 })).toEqual("wait");
     });
 
-    it("is not asked for without chunks, or of an engine that carries out an order", () => {
+    it("does not begin without chunks, or while the engine carries out an order", () => {
         const { report } = createInput();
         expect(plan({ transfer: undefined })).toEqual("wait");
         expect(plan({ transfer: { version: 2, share: 0 } })).toEqual("wait");
@@ -127,12 +127,12 @@
 describe("choice of the version to transfer", () => {
     const options = { copyTime: 5_000, cutoverAfter: 7_000 };
 
-    it("is the newest if it is there before the older one falls due", () => {
+    it("is the newest if it can be loaded before requests stop going to the held version", () => {
         const wanted = [{ version: 3, declaredAt: 2_000 }, { version: 2, declaredAt: 0 }];
         expect(chooseTarget({ wanted, held: 1, now: 2_000, options }).version).toEqual(3);
     });
 
-    it("is the older one first if requests would find no backend server in between", () => {
+    it("is the older one first if requests would otherwise find no backend server", () => {
         const wanted = [{ version: 3, declaredAt: 4_000 }, { version: 2, declaredAt: 0 }];
         expect(chooseTarget({ wanted, held: 1, now: 4_000, options }).version).toEqual(2);
         expect(chooseTarget({ wanted, held: 2, now: 5_000, options }).version).toEqual(3);
