Reword the orders that activate weight sets

Comments described the hold, the active set and the epoch in words that only the authors could resolve, and "decide" built a decision rather than making one. They now say which set, which record and which process.

--- a/src/runtime/activation/planOrders.ts
+++ b/src/runtime/activation/planOrders.ts
@@ -4,9 +4,9 @@
 import type { ActivationDecision, ActivationInput } from "./types.js";
 
 /**
- * Decides the next order to the engine from the assignment, the staged set and the engine's reported state.
+ * Decides the next order to the engine from the assignment, the progress of staging and the engine's reported state.
  *
- * @param input - what the agent knows; see {@link ActivationInput}
+ * @param input - assignment, hold, transfer and engine state as the agent knows them
  * @returns the phase of the copy and at most one order; the agent gives the order and reads the state again
  */
 export function planOrders(input: ActivationInput): ActivationDecision {
@@ -16,7 +16,10 @@
     }
     const waitEndsAt = input.startedAt + input.orderTimeLimit;
     if (input.now < waitEndsAt) {
-        return decide(input.held ? "waiting" : "lapsed", "orders of an earlier agent process may be in transit");
+        return createDecision(
+            input.held ? "waiting" : "lapsed",
+            "orders of an earlier agent process may be in transit",
+        );
     }
     if (input.engine === undefined || input.engineReadAt === undefined || input.engineReadAt < waitEndsAt) {
         const phase = input.held ? "waiting" : "lapsed";
@@ -37,8 +40,8 @@
 /**
  * Tells whether the engine has exactly these weights active.
  *
- * @param active - active set as the engine reports it
- * @param weights - wanted model, adapter and version
+ * @param active - active weight set as the engine reports it
+ * @param weights - wanted weight set
  * @returns true if model, adapter, version and manifest digest are all the same
  */
 export function matchesActiveSet(active: EngineState["active"], weights: WeightSet): boolean {
@@ -49,23 +52,26 @@
         active.version === weights.version;
 }
 
-function decide(phase: CopyPhase, reason: string, order?: EngineOrder): ActivationDecision {
+function createDecision(phase: CopyPhase, reason: string, order?: EngineOrder): ActivationDecision {
     return { phase, order, readState: false, reason };
 }
 
 function planPlainService(input: ActivationInput): ActivationDecision {
     if (!input.held) {
-        return decide("lapsed", "the hold has lapsed");
+        return createDecision("lapsed", "the hold has lapsed");
     }
     if (input.assignment?.state === "assigned") {
-        return decide("serving", "a plain service needs no weights");
+        return createDecision("serving", "a plain service needs no weights");
     }
     return input.requestsInProgress > 0 ?
-        decide("unloading", "requests are in progress") :
-        decide("released", "the copy is revoked");
+        createDecision("unloading", "requests are in progress") :
+        createDecision("released", "the copy is revoked");
 }
 
-/** The epoch never decreases from order to order: the newest placement record counts, whichever copy it concerns. */
+/**
+ * Creates the token of the next order. Its epoch is the newest placement record of any deployment, so that it never
+ * decreases from one order to the next.
+ */
 function createNextToken(input: ActivationInput): FencingToken {
     return {
         epoch: Math.max(input.newestEpoch, input.assignment?.epoch ?? 0, input.lastToken.epoch),
@@ -78,16 +84,17 @@
     const phase: CopyPhase = input.held ? "unloading" : "lapsed";
     const reason = input.held ? "no copy is assigned" : "the hold has lapsed";
     if (engine.active !== undefined) {
-        // A lapsed hold may already be replaced elsewhere, so requests in progress do not delay it.
+        // After the hold has lapsed, another instance may already hold the copy, so requests in progress are not
+        // awaited.
         return input.held && input.requestsInProgress > 0 ?
-            decide(phase, "requests are in progress") :
-            decide(phase, reason, { kind: "deactivate", token });
+            createDecision(phase, "requests are in progress") :
+            createDecision(phase, reason, { kind: "deactivate", token });
     }
     const [staged] = engine.staged;
     if (staged !== undefined) {
-        return decide(phase, reason, { kind: "drop", token, manifestDigest: staged.manifestDigest });
+        return createDecision(phase, reason, { kind: "drop", token, manifestDigest: staged.manifestDigest });
     }
-    return decide(input.held ? "released" : "lapsed", reason);
+    return createDecision(input.held ? "released" : "lapsed", reason);
 }
 
 function planLoading(
@@ -97,19 +104,19 @@
     token: FencingToken,
 ): ActivationDecision {
     const active = matchesActiveSet(engine.active, wanted);
-    const phase = active ? "serving" : readLoadingPhase(input);
+    const phase = active ? "serving" : selectLoadingPhase(input);
     if (!input.activeBelongs) {
         return input.requestsInProgress > 0 ?
-            decide(phase, "requests are in progress") :
-            decide(phase, "the active set is another deployment's", { kind: "deactivate", token });
+            createDecision(phase, "requests are in progress") :
+            createDecision(phase, "the active set is another deployment's", { kind: "deactivate", token });
     }
     const obsolete = findObsoleteSet(engine, wanted);
     if (obsolete !== undefined) {
         const { manifestDigest } = obsolete;
-        return decide(phase, "a staged set is not wanted", { kind: "drop", token, manifestDigest });
+        return createDecision(phase, "a staged set is not wanted", { kind: "drop", token, manifestDigest });
     }
     if (active) {
-        return decide(phase, "the assigned set is active");
+        return createDecision(phase, "the assigned set is active");
     }
     const staged = engine.staged.find(({ manifestDigest }) => manifestDigest === wanted.manifestDigest);
     return staged === undefined ?
@@ -117,14 +124,15 @@
         planActivation(input, engine, staged, wanted, token);
 }
 
-function readLoadingPhase(input: ActivationInput): CopyPhase {
+/** Returns the phase of a copy whose weight set is not active. */
+function selectLoadingPhase(input: ActivationInput): CopyPhase {
     if (input.setComplete) {
         return "complete";
     }
     return input.chunksTotal === 0 ? "waiting" : "staging";
 }
 
-/** Finds a staged set that is neither wanted nor active; it occupies memory that the wanted set needs. */
+/** Finds a staged set that is neither wanted nor active; it occupies memory that the wanted set may need. */
 function findObsoleteSet(engine: EngineState, wanted: WeightSet): StagedSet | undefined {
     return engine.staged.find(({ manifestDigest }) =>
         manifestDigest !== wanted.manifestDigest && manifestDigest !== engine.active?.manifestDigest
@@ -133,9 +141,9 @@
 
 function planPreparation(input: ActivationInput, wanted: WeightSet, token: FencingToken): ActivationDecision {
     if (input.chunksTotal === 0) {
-        return decide("waiting", "the manifest has not been read");
+        return createDecision("waiting", "the manifest has not been read");
     }
-    return decide("staging", "the set is not prepared", {
+    return createDecision("staging", "the set is not prepared", {
         kind: "prepare",
         token,
         manifestDigest: wanted.manifestDigest,
@@ -153,22 +161,25 @@
     const { manifestDigest } = wanted;
     if (input.chunksTotal > 0 && staged.chunksTotal !== input.chunksTotal) {
         if (engine.active?.manifestDigest === manifestDigest) {
-            return decide("staging", "the active set has another number of chunks", { kind: "deactivate", token });
+            return createDecision("staging", "the active set has another number of chunks", {
+                kind: "deactivate",
+                token,
+            });
         }
-        return decide("staging", "the staged set has another number of chunks", {
+        return createDecision("staging", "the staged set has another number of chunks", {
             kind: "drop",
             token,
             manifestDigest,
         });
     }
     if (!input.setComplete) {
-        return decide(readLoadingPhase(input), "not every chunk is verified");
+        return createDecision(selectLoadingPhase(input), "not every chunk is verified");
     }
     if (!isComplete(decodeBitfield(staged.bitfield, staged.chunksTotal), staged.chunksTotal)) {
-        return decide("staging", "the engine lacks chunks that were staged");
+        return createDecision("staging", "the engine lacks chunks that were staged");
     }
     const { adapter, model, version } = wanted;
-    return decide("activating", "the set is complete", {
+    return createDecision("activating", "the set is complete", {
         kind: "activate",
         token,
         manifestDigest,
--- a/src/runtime/activation/types.ts
+++ b/src/runtime/activation/types.ts
@@ -10,28 +10,32 @@
 
 /** Input of `planOrders`. */
 export interface ActivationInput {
-    /** The copy that this instance has to hold; undefined if none. */
+    /** Copy that is assigned to this instance; undefined if there is none. */
     readonly assignment: CopyAssignment | undefined;
-    /** False if the hold has lapsed. */
+    /** False if the hold of this instance on the copy, which works like a lease, has lapsed. */
     readonly held: boolean;
-    /** Newest state that was read from the engine after the last order; undefined if it has to be read. */
+    /** Newest state of the engine that was read after the last order; undefined if it has to be read. */
     readonly engine: EngineState | undefined;
-    /** Monotonic time at which the read of `engine` began; undefined if `engine` is. */
+    /** Monotonic time at which the read of `engine` began; undefined if `engine` is undefined. */
     readonly engineReadAt: Milliseconds | undefined;
-    /** False if the engine has a set of another deployment active, as after a pause in which its copy was replaced. */
+    /**
+     * False if the active weight set of the engine belongs to another deployment, as after a pause of the process in
+     * which its copy was replaced.
+     */
     readonly activeBelongs: boolean;
-    /** True if every chunk of the assigned set is staged and verified by this agent process. */
+    /** True if this agent process has verified and staged every chunk of the assigned weight set. */
     readonly setComplete: boolean;
+    /** Number of chunks of the assigned weight set; 0 until its manifest is read. */
     readonly chunksTotal: number;
-    /** Requests in progress on the active set. */
+    /** Requests in progress on the active weight set. */
     readonly requestsInProgress: number;
-    /** Monotonic time at which the agent started. */
+    /** Monotonic time at which the agent process started. */
     readonly startedAt: Milliseconds;
-    /** Time that an order may be on its way. */
+    /** Longest time that an order may be in transit. */
     readonly orderTimeLimit: Milliseconds;
     /** Token of the last order that this agent process gave. */
     readonly lastToken: FencingToken;
-    /** Offset of the newest placement record known, of any deployment. Orders carry it as their epoch. */
+    /** Offset of the newest known placement record of any deployment; orders carry it as their epoch. */
     readonly newestEpoch: Offset;
     readonly now: Milliseconds;
 }
@@ -40,7 +44,7 @@
 export interface ActivationDecision {
     readonly phase: CopyPhase;
     readonly order: EngineOrder | undefined;
-    /** True if the agent has to read the engine's state before it gives an order. */
+    /** True if the agent has to read the engine's state again before it can give an order. */
     readonly readState: boolean;
     readonly reason: string;
 }
--- a/test/runtime/activation/planOrders.test.ts
+++ b/test/runtime/activation/planOrders.test.ts
@@ -11,7 +11,7 @@
     return { instance: "runner-1", zone: "sando-hall", epoch: 10, weights, state, witnesses: [] };
 }
 
-/** Staged set of eight chunks with the first `count` of them. */
+/** Creates a staged set of eight chunks, of which the first `count` have arrived. */
 function stage({ manifestDigest }: WeightSet, count = 8): StagedSet {
     return { manifestDigest, chunksTotal: 8, bitfield: Buffer.from([(1 << count) - 1]).toString("base64") };
 }
@@ -83,12 +83,12 @@
         { phase: "activating", order: "activate bb" },
     ],
     [
-        "does not activate a set that the engine reports whole and this process has not verified",
+        "does not activate a set that the engine reports as complete but this process has not verified",
         { engine: createEngine(replacing) },
         { phase: "staging", order: "" },
     ],
     [
-        "does not activate a set of which the engine lost chunks",
+        "does not activate a set of which the engine has lost chunks",
         { engine: createEngine({ ...active, staged: [stage(newSet, 6)] }), setComplete: true },
         { phase: "staging", order: "" },
     ],
@@ -116,7 +116,7 @@
         { phase: "serving", order: "" },
     ],
     [
-        "waits out the orders of an earlier agent process",
+        "waits until no order of an earlier agent process can be in transit",
         { now: 5_999, engineReadAt: 5_998, engine: createEngine(replacing), setComplete: true },
         { phase: "waiting", order: "" },
     ],
@@ -174,7 +174,8 @@
 ];
 
 describe("orders to the engine", () => {
-    // Guards against partial, mixed or unwanted activation, and against orders that race with an earlier agent's.
+    // Guards against activating an incomplete, mixed or unwanted set, and against orders that race with those of an
+    // earlier agent process.
     for (const [name, changes, expected] of cases) {
         it(name, () => {
             const { order, phase, readState } = planOrders(createInput(changes));
@@ -186,7 +187,8 @@
         });
     }
 
-    // Guards against an order that an engine with fencing checks refuses, or that an older agent could give too.
+    // Guards against an order that an engine with fencing checks refuses, or whose token an older agent could use as
+    // well.
     it("gives each order a newer token than the last", () => {
         const { order } = planOrders(createInput({}));
         expect(order?.token).toEqual({ epoch: 12, agentStart: 77, sequence: 5 });
@@ -199,8 +201,9 @@
         }));
     });
 
-    // Guards against an activation that any combination of reports could lead to without a whole verified set.
-    it("activates only a set that is complete by both the agent's and the engine's account", () => {
+    // Guards against any combination of reports that leads to the activation of a set that is not complete and
+    // verified.
+    it("activates only a set that both the agent and the engine report as complete", () => {
         const sets = fc.subarray([oldSet, newSet]);
         fc.assert(fc.property(
             sets,
