Reword the weight agent and its tests

"Stage", "spoilt", "in vain", "alone" and "beside" stood for the staging area, corruption, a timed-out drain, lost relays and the same instance; EngineLoop, createStageAhead and setOrigin didn't say what they are. EngineLoop is now EngineController, createStageAhead createEarlyStager and setOrigin weightSetOrigin; four error texts say what is wrong. Constants name their unit. Test names follow; no assertion changed.

--- a/src/node/weightAgent/stageAhead.ts
+++ b/src/node/weightAgent/earlyStager.ts
@@ -1,37 +1,37 @@
 import type { Logger } from "pino";
 import type { EngineControlPort, Manifest } from "../../types/index.js";
 
-/** Set that is being transferred, if its chunks may take the place of what is staged. */
+/** Set in transfer whose chunks may replace those in the engine's staging area. */
 export interface SetToStage {
     readonly manifest: Manifest;
-    /** Reads a verified chunk; undefined if it has not arrived. */
+    /** Reads a verified chunk; undefined if it has not been received. */
     readonly read: (index: number) => Uint8Array | undefined;
 }
 
-/** Dependencies of {@link createStageAhead}. */
-export interface StageAheadInput {
+/** Dependencies of {@link createEarlyStager}. */
+export interface EarlyStagerInput {
     readonly engine: EngineControlPort;
-    /** Reads the set to stage now; undefined while the stage is needed for another one. */
+    /** Reads the set to stage now; undefined while the staging area is needed for another set. */
     readonly readSet: () => SetToStage | undefined;
     readonly logger: Logger;
 }
 
-/** Stages chunks while the rest of their set is still on the way. */
-export interface StageAhead {
-    /** Stages what has arrived by now; does nothing while an earlier call is at work. */
+/** Stages chunks while the rest of their set is still being transferred. */
+export interface EarlyStager {
+    /** Stages the chunks received so far; does nothing while an earlier call is running. */
     run(): Promise<void>;
 }
 
 /**
- * Creates what stages chunks ahead of the load. It does not read them back: the load does so for the whole set.
+ * Creates the stager of chunks ahead of the load. It does not read them back: the load does so for the whole set.
  *
  * @param input - engine and set
  * @returns the stager
  */
-export function createStageAhead({ engine, logger, readSet }: StageAheadInput): StageAhead {
-    let staged: Manifest | undefined;
+export function createEarlyStager({ engine, logger, readSet }: EarlyStagerInput): EarlyStager {
+    let currentManifest: Manifest | undefined;
     const written = new Set<number>();
-    let working = false;
+    let isRunning = false;
 
     /** Stages one chunk; false if there is nothing to stage. */
     async function stageNext(): Promise<boolean> {
@@ -39,8 +39,8 @@
         if (set === undefined) {
             return false;
         }
-        if (set.manifest !== staged) {
-            staged = set.manifest;
+        if (set.manifest !== currentManifest) {
+            currentManifest = set.manifest;
             written.clear();
         }
         const { chunks, model } = set.manifest;
@@ -61,17 +61,17 @@
 
     return {
         run: async () => {
-            if (working) {
+            if (isRunning) {
                 return;
             }
-            working = true;
+            isRunning = true;
             try {
                 while (await stageNext()) {
-                    // Each pass asks again whether the set is still the one to stage.
+                    // The set to stage is read again for each chunk, since it may have changed.
                 }
             }
             finally {
-                working = false;
+                isRunning = false;
             }
         },
     };
--- a/src/node/weightAgent/engineLoop.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -12,75 +12,77 @@
 import { stageWeights } from "./stageWeights.js";
 import type { WeightMemory } from "./weightMemory.js";
 
-/** What the agent wants its engine to hold. */
+/** Versions that the engine should load, and the weights that are available for them. */
 export interface EngineTarget {
     readonly model: string;
     /** Declared versions, newest first; at least one. */
     readonly wanted: readonly WantedVersion[];
-    /** Manifest of the newest version of which every chunk is held; undefined if there is none. */
+    /** Manifest of the newest version with every chunk verified and in memory; undefined if there is none. */
     readonly complete: Manifest | undefined;
     /** Monotonic time at which its last chunk was verified. */
     readonly completedAt: Milliseconds | undefined;
     /** Transfer of a newer version; undefined if there is none. */
     readonly transfer: VersionTransfer | undefined;
-    /** Backend servers of the service that serve. */
+    /** Hosts of the backend servers that serve the service. */
     readonly members: readonly string[];
+    /** Requests that the engine runs at the same time. */
     readonly slots: number;
 }
 
-/** Interval at which a draining engine is asked for its requests in progress. */
+/** Interval between reads of the requests in progress while the engine drains. */
 const drainCheckInterval: Milliseconds = 60;
 
-/** Dependencies of {@link createEngineLoop}. */
-export interface EngineLoopInput {
+/** Dependencies of {@link createEngineController}. */
+export interface EngineControllerInput {
     readonly engine: EngineControlPort;
     readonly memory: WeightMemory;
+    /** Host of the engine, as it appears in the members of the target. */
     readonly self: string;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly options: RolloutOptions;
-    /** Called before and after an order, so that gateways send nothing to an engine that is about to load. */
+    /** Called around a drain and a load order, so that gateways send nothing to an engine that is about to load. */
     readonly publish: (status: EngineStatus) => void;
     readonly readTarget: () => EngineTarget | undefined;
 }
 
-/** Reads the engine's report and gives it orders, one at a time. */
-export interface EngineLoop {
-    /** Reads the report and does what is due. */
+/** Reads the engine's report and orders the engine to load versions, one order at a time. */
+export interface EngineController {
+    /** Reads the report and starts a drain or a load if one is due; does not wait for the load to end. */
     run(): Promise<EngineStatus>;
     readonly readReport: () => EngineReport | undefined;
-    /** True while the engine loads or is about to. */
+    /** True while the engine loads, or drains right before a load. */
     readonly isLoading: () => boolean;
-    /** True while requests in progress finish before the last chunks have arrived. */
+    /** True from a drain that begins before the last chunks have arrived until it times out or the load is ordered. */
     readonly isDraining: () => boolean;
 }
 
 /**
- * Creates the control of the engine beside an agent.
+ * Creates the controller of the engine on the agent's instance.
  *
  * @param input - engine, memory and target
- * @returns the control
+ * @returns the controller
  */
-export function createEngineLoop(input: EngineLoopInput): EngineLoop {
+export function createEngineController(input: EngineControllerInput): EngineController {
     const { clock, engine, logger, memory } = input;
     let report: EngineReport | undefined;
-    /** Time of the last order that has had no effect yet. */
+    /** Time of the last order, while no report has shown its effect. */
     let orderedAt: Milliseconds | undefined;
     let orderedVersion = 0;
-    let orderedStart: number | undefined;
+    let orderedEngineStart: number | undefined;
     let wasReachable: boolean | undefined;
     let lastReason = "";
-    let working = false;
-    /** True from the decision to load until a later report shows what the engine does. */
+    let isCarryingOutLoad = false;
+    /** True from the drain right before a load until a later report shows what the engine does. */
     let loading = false;
     let drainingSince: Milliseconds | undefined;
-    /** Version that did not arrive in time after requests were let finish for it. */
-    let drainedInVain = 0;
+    /** Version whose last chunks did not arrive during its drain; the engine does not drain early for it again. */
+    let timedOutDrainVersion = 0;
 
     async function read(): Promise<void> {
         const wasLoading = loading;
         const answer = await engine.readReport();
-        if (wasLoading && !working) {
+        if (wasLoading && !isCarryingOutLoad) {
             loading = false;
         }
         if (answer.isOk !== wasReachable) {
@@ -94,9 +96,9 @@
             }
         }
         report = answer.unwrapOr(undefined as never);
-        if (report !== undefined && report.startedAt !== orderedStart) {
-            // An order to an earlier start of the engine has no effect on this one.
-            orderedStart = report.startedAt;
+        if (report !== undefined && report.startedAt !== orderedEngineStart) {
+            // The engine has restarted, so orders from before have no effect any more.
+            orderedEngineStart = report.startedAt;
             orderedAt = undefined;
         }
         const weights = report?.weights;
@@ -111,7 +113,7 @@
         if (manifest === undefined || report === undefined) {
             return;
         }
-        const begunAt = clock.monotonic();
+        const startedAt = clock.monotonic();
         const set = nameWeights(model, version);
         const staged = await stageWeights(engine, manifest, index => memory.read(set, index));
         if (staged.isErr) {
@@ -141,14 +143,14 @@
             version,
             reason,
             ...staged.value,
-            stagingMilliseconds: Math.round(now - begunAt),
+            stagingMilliseconds: Math.round(now - startedAt),
             orderSequence: report.orderSequence,
             running,
             sinceDeclared: Math.round(now - (target.wanted[0]?.declaredAt ?? now)),
         };
         if (ordered.isErr) {
             const { code, message, peer, step } = ordered.error;
-            // The next report shows whether the engine took the order.
+            // The next report shows whether the engine accepted the order.
             orderedAt = ordered.error.mayHaveTakenEffect ? now : undefined;
             logger.warn({ ...fields, code, step, peer, detail: message }, "load order failed");
             return;
@@ -158,25 +160,27 @@
     }
 
     /**
-     * Waits until the requests in progress have finished, for a bounded time. Gateways have learned that the engine is
-     * about to load and send nothing new; the few longest streams are cut off and go on at other backend servers.
+     * Waits for a bounded time until the requests in progress have finished. Gateways know that the engine is about to
+     * load and send no new requests; the few longest streams are cut off and continue at other backend servers.
+     *
+     * @returns number of requests that have not finished
      */
     async function drain(): Promise<number> {
         const endsAt = (drainingSince ?? clock.monotonic()) + input.options.drainBeforeLoad;
         for (;;) {
             const answer = await engine.readReport();
             report = answer.unwrapOr(undefined as never);
-            const open = report === undefined ? 0 : report.running + report.queued;
-            if (open === 0 || clock.monotonic() >= endsAt) {
-                return open;
+            const unfinished = report === undefined ? 0 : report.running + report.queued;
+            if (unfinished === 0 || clock.monotonic() >= endsAt) {
+                return unfinished;
             }
             await sleep(drainCheckInterval);
         }
     }
 
-    async function act(): Promise<void> {
+    async function decideAndAct(): Promise<void> {
         const target = input.readTarget();
-        if (working) {
+        if (isCarryingOutLoad) {
             return;
         }
         if (target === undefined || report === undefined) {
@@ -190,7 +194,7 @@
             wanted: target.wanted,
             target: target.complete === undefined ? undefined : Number(target.complete.version),
             completedAt: target.completedAt,
-            transfer: transfer === undefined || transfer.version <= drainedInVain ? undefined : transfer,
+            transfer: transfer === undefined || transfer.version <= timedOutDrainVersion ? undefined : transfer,
             drainingSince,
             self: input.self,
             members: target.members,
@@ -216,7 +220,7 @@
         }
         if (decision.kind === "wait") {
             if (drainingSince !== undefined) {
-                drainedInVain = transfer?.version ?? drainedInVain;
+                timedOutDrainVersion = transfer?.version ?? timedOutDrainVersion;
                 drainingSince = undefined;
                 input.publish(describe());
             }
@@ -227,12 +231,12 @@
             return;
         }
         lastReason = "";
-        working = true;
+        isCarryingOutLoad = true;
         try {
             await load(target, decision.version, decision.reason);
         }
         finally {
-            working = false;
+            isCarryingOutLoad = false;
             drainingSince = undefined;
         }
     }
@@ -244,7 +248,7 @@
         if (report.weights?.complete !== true) {
             return "staging";
         }
-        // An engine that carries out an order accepts nothing new.
+        // An engine that carries out an order accepts no new requests.
         return report.busy || loading || drainingSince !== undefined ? "activating" : "serving";
     }
 
@@ -258,8 +262,8 @@
         isDraining: () => drainingSince !== undefined,
         run: async () => {
             await read();
-            // A drain that begins now must be part of the status.
-            void act();
+            // Runs synchronously up to its first await, so that the returned status includes a drain that begins now.
+            void decideAndAct();
             return describe();
         },
     };
--- a/src/node/weightAgent/importStaged.ts
+++ b/src/node/weightAgent/importStaged.ts
@@ -7,14 +7,15 @@
 import type { WeightMemory } from "./weightMemory.js";
 
 /**
- * Takes what is staged at the engine into the agent's memory, so that an agent that has just started can pass it on. The
- * stage does not say which version it holds: the loaded one is assumed, and the transfer service verifies each chunk.
+ * Copies the chunks that are staged in the engine to the agent's memory, so that an agent that has just started can
+ * send them to others. The engine does not report the version of staged chunks: the loaded version is assumed, and the
+ * transfer service verifies each chunk.
  *
  * @param engine - engine on the same instance
- * @param memory - memory to fill
+ * @param memory - memory that the chunks are copied to
  * @param source - model and number of chunks
  * @param report - newest report of the engine
- * @param logger - log of the process
+ * @param logger - logger of the process
  */
 export async function importStaged(
     engine: EngineControlPort,
--- a/src/node/weightAgent/loadFeed.ts
+++ b/src/node/weightAgent/loadFeed.ts
@@ -8,28 +8,29 @@
 } from "../../generated/goldcrestpoint_pb.js";
 import type { Clock, CopyPhase, EngineReport, Milliseconds } from "../../types/index.js";
 
-/** State of the engine as the agent passes it on. */
+/** State of the engine that the agent reports to gateways. */
 export interface EngineStatus {
     /** Undefined while the engine does not answer. */
     readonly report: EngineReport | undefined;
     readonly phase: CopyPhase;
+    /** Requests that the engine runs at the same time. */
     readonly slots: number;
 }
 
 /** Options of {@link createLoadFeed}. */
 export interface LoadFeedOptions {
-    /** Longest time after which a report is sent although it has hardly changed. */
+    /** Time after which a report is sent even if it has hardly changed. */
     readonly unchangedReport: Milliseconds;
-    /** Change of the number of requests that is reported at once. */
+    /** Change in the number of requests that is reported immediately. */
     readonly reportedLoadChange: number;
 }
 
-/** Reports to the gateways that follow this agent. */
+/** Sends load reports to the gateways that follow this agent. */
 export interface LoadFeed {
-    /** Handler for the agent's gRPC server. */
+    /** gRPC handler of `WatchLoad`. */
     readonly watchLoad: (call: ServerWritableStream<WatchLoadRequest, LoadReport>) => void;
     /**
-     * Sends the status to all followers if it has changed or none was sent for a while.
+     * Sends the status to all followers if it has changed enough, or if the last report is old.
      *
      * @param status - newest status
      * @param age - time since it was read
@@ -54,39 +55,39 @@
     });
 }
 
-function measureLoad({ report }: EngineStatus): number {
+function countRequests({ report }: EngineStatus): number {
     return (report?.running ?? 0) + (report?.queued ?? 0);
 }
 
 /**
- * Creates the reports of an agent.
+ * Creates the load reports of an agent.
  *
  * @param instance - identifier of the agent's instance
- * @param clock - time
- * @param options - which changes are sent
+ * @param clock - clock of the process
+ * @param options - when reports are sent
  * @returns the feed, without followers
  */
 export function createLoadFeed(instance: string, clock: Clock, options: LoadFeedOptions): LoadFeed {
     const calls = new Set<ServerWritableStream<WatchLoadRequest, LoadReport>>();
     const blocked = new Set<ServerWritableStream<WatchLoadRequest, LoadReport>>();
-    let last: LoadReport | undefined;
-    let sent: EngineStatus | undefined;
+    let lastReport: LoadReport | undefined;
+    let sentStatus: EngineStatus | undefined;
     let sentAt: Milliseconds = -Infinity;
 
     function isDue(status: EngineStatus): boolean {
-        if (sent === undefined || clock.monotonic() - sentAt >= options.unchangedReport) {
+        if (sentStatus === undefined || clock.monotonic() - sentAt >= options.unchangedReport) {
             return true;
         }
-        const { report } = sent;
-        const isSameState = status.phase === sent.phase && status.slots === sent.slots &&
+        const { report } = sentStatus;
+        const isSameState = status.phase === sentStatus.phase && status.slots === sentStatus.slots &&
             status.report?.startedAt === report?.startedAt &&
             status.report?.weights?.version === report?.weights?.version;
-        const change = Math.abs(measureLoad(status) - measureLoad(sent));
+        const change = Math.abs(countRequests(status) - countRequests(sentStatus));
         return !isSameState || change >= options.reportedLoadChange;
     }
 
     function send(call: ServerWritableStream<WatchLoadRequest, LoadReport>, report: LoadReport): void {
-        // A follower that does not read gets the next report once it does; an old one is of no use to it.
+        // Reports are not queued for a slow follower: it gets the next one once its stream drains, not outdated ones.
         if (blocked.has(call)) {
             return;
         }
@@ -100,11 +101,11 @@
         countFollowers: () => calls.size,
         publish: (status, age) => {
             const report = toReport(instance, status, age);
-            last = report;
+            lastReport = report;
             if (!isDue(status)) {
                 return;
             }
-            sent = status;
+            sentStatus = status;
             sentAt = clock.monotonic();
             for (const call of calls) {
                 send(call, report);
@@ -112,15 +113,15 @@
         },
         watchLoad: call => {
             calls.add(call);
-            const forget = (): void => {
+            const removeFollower = (): void => {
                 calls.delete(call);
                 blocked.delete(call);
             };
-            call.on("cancelled", forget);
-            call.on("error", forget);
-            call.on("close", forget);
-            if (last !== undefined) {
-                send(call, last);
+            call.on("cancelled", removeFollower);
+            call.on("error", removeFollower);
+            call.on("close", removeFollower);
+            if (lastReport !== undefined) {
+                send(call, lastReport);
             }
         },
     };
--- a/src/node/weightAgent/relays.ts
+++ b/src/node/weightAgent/relays.ts
@@ -5,13 +5,14 @@
 import { listInstances, type RecordStore } from "../replica/index.js";
 import type { WeightAgentSettings } from "../settings/index.js";
 
-/** Time without any relay after which the agent reads the list of gateways from the log. */
-const withoutRelaysUntilRead: Milliseconds = 1_000;
+/** Time without a connected relay after which the agent reads the list of gateways directly from the log. */
+const directReadDelay: Milliseconds = 1_000;
 
 /**
- * Orders the gateways that an agent may follow: those of its own zone first, then those of the region.
+ * Lists the gateways that an agent may follow: those of its own zone first, then those of its region, then the others,
+ * and last the seeds.
  *
- * @param settings - place and seeds of the agent
+ * @param settings - zone and region of the agent, and port of the relays at seeds
  * @param store - records of the agent
  * @param seeds - addresses of instances that may run gateways
  * @returns `host:port` of each gateway
@@ -30,36 +31,36 @@
     return [...new Set([...registered, ...seedRelays])];
 }
 
-/** Dependencies of {@link readGatewaysWithoutRelays}. */
+/** Dependencies of {@link readGatewaysWhileDisconnected}. */
 export interface GatewayReaderInput {
     readonly log: KeyedLogPort;
     readonly store: RecordStore;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: Logger;
-    /** Relays that the agent follows at the moment. */
+    /** Counts the relays that the agent is connected to. */
     readonly countConnected: () => number;
 }
 
 /**
- * Reads the gateways from the log while no relay answers, since seeds may be gone.
+ * Reads the list of gateways from the log while no relay is connected, since the seeds may no longer exist.
  *
  * @param input - log and records of the agent
- * @param signal - ends the reads
+ * @param signal - stops the reads
  */
-export async function readGatewaysWithoutRelays(input: GatewayReaderInput, signal: AbortSignal): Promise<void> {
+export async function readGatewaysWhileDisconnected(input: GatewayReaderInput, signal: AbortSignal): Promise<void> {
     const { clock, countConnected, log, logger, random, store } = input;
-    let aloneSince = clock.monotonic();
+    let disconnectedSince = clock.monotonic();
     while (!signal.aborted) {
-        await sleep(withoutRelaysUntilRead * (0.5 + random.next()) / 4, signal);
+        await sleep(directReadDelay * (0.5 + random.next()) / 4, signal);
         if (countConnected() > 0) {
-            aloneSince = clock.monotonic();
+            disconnectedSince = clock.monotonic();
             continue;
         }
-        if (clock.monotonic() - aloneSince < withoutRelaysUntilRead) {
+        if (clock.monotonic() - disconnectedSince < directReadDelay) {
             continue;
         }
-        aloneSince = clock.monotonic();
+        disconnectedSince = clock.monotonic();
         const page = await log.readNewest("instances");
         if (page.isOk) {
             store.receive({ topic: "instances", page: page.value, complete: true, age: 0, source: "log", peer: "log" });
--- a/src/node/weightAgent/stageWeights.ts
+++ b/src/node/weightAgent/stageWeights.ts
@@ -3,23 +3,23 @@
 import { createError, type EngineControlPort, type GoldcrestpointError, type Manifest } from "../../types/index.js";
 import { runParallel } from "../../utils/index.js";
 
-/** Rounds in which chunks are staged and read back; spoilt ones are staged again in the next round. */
+/** Rounds in which chunks are read back and staged; corrupt ones are staged again in the next round. */
 const maximumRounds = 3;
 
-/** Chunks that are read back or written at the same time; the engine answers its own instance quickly. */
+/** Chunks that are read or written at the same time; the engine is on the same instance and answers quickly. */
 export const parallelChunks = 4;
 
-/** What {@link stageWeights} did. */
+/** Result of {@link stageWeights}. */
 export interface StagingSummary {
-    /** Chunks that were written, including repeats. */
+    /** Number of chunk writes, including repeated ones. */
     readonly written: number;
     readonly rounds: number;
 }
 
-/** Makes one chunk right; tells whether it had to be written. */
+/** Ensures that one chunk is staged; returns `right` if it already was, and `written` if it had to be written. */
 type ChunkStep = (index: number) => Promise<Result<"right" | "written", GoldcrestpointError>>;
 
-/** Runs a step for every chunk; counts those that were written, and stops at the first error. */
+/** Runs a step for every chunk and counts those that were written; stops at the first error. */
 async function forEachChunk(chunks: number, step: ChunkStep): Promise<Result<number, GoldcrestpointError>> {
     let written = 0;
     let failure: GoldcrestpointError | undefined;
@@ -36,13 +36,14 @@
 }
 
 /**
- * Makes the engine's stage hold a whole set. Every chunk is read back, since staged content may be of another version
- * or spoilt; chunks that are right are not written again.
+ * Stages a whole set in the engine. Every chunk is read back, since staged content may be corrupt or belong to another
+ * version; chunks that are staged correctly are not written again.
  *
  * @param engine - engine on the same instance
  * @param manifest - manifest of the set
  * @param read - reads a verified chunk of the set from memory
- * @returns what was written; `CHUNK_CORRUPT` if the stage does not hold the set after several rounds
+ * @returns what was written; `CHUNK_CORRUPT` if a chunk is missing or corrupt in memory, or if staged chunks are still
+ * corrupt after several rounds
  */
 export async function stageWeights(
     engine: EngineControlPort,
@@ -51,7 +52,7 @@
 ): Promise<Result<StagingSummary, GoldcrestpointError>> {
     const step = "stage weights";
 
-    const makeRight: ChunkStep = async index => {
+    const ensureStaged: ChunkStep = async index => {
         const staged = await engine.readStaged(manifest.model, index);
         if (staged.isErr) {
             return err(staged.error);
@@ -61,7 +62,7 @@
         }
         const content = read(index);
         if (content === undefined || !verifyChunk(manifest, index, content)) {
-            return err(createError("CHUNK_CORRUPT", step, "local", `chunk ${index} is not in memory`));
+            return err(createError("CHUNK_CORRUPT", step, "local", `chunk ${index} is missing or corrupt in memory`));
         }
         const put = await engine.stage(manifest.model, index, content);
         return put.map(() => "written" as const);
@@ -69,7 +70,7 @@
 
     let written = 0;
     for (let round = 1; round <= maximumRounds; round++) {
-        const outcome = await forEachChunk(manifest.chunks.length, makeRight);
+        const outcome = await forEachChunk(manifest.chunks.length, ensureStaged);
         if (outcome.isErr) {
             return err(outcome.error);
         }
@@ -78,5 +79,12 @@
             return ok({ written, rounds: round });
         }
     }
-    return err(createError("CHUNK_CORRUPT", step, "engine", `chunks were wrong in ${maximumRounds} rounds`));
+    return err(
+        createError(
+            "CHUNK_CORRUPT",
+            step,
+            "engine",
+            `staged chunks were corrupt or of another version in ${maximumRounds} rounds`,
+        ),
+    );
 }
--- a/src/node/weightAgent/versionPlan.ts
+++ b/src/node/weightAgent/versionPlan.ts
@@ -9,15 +9,15 @@
 import type { Clock, EngineReport, Manifest, ManifestDigest, Milliseconds } from "../../types/index.js";
 import type { TransferProgress } from "../agent/transfer/index.js";
 import { readWeightSource, type WeightSource } from "../gateway/weightSources.js";
-import type { EngineTarget } from "./engineLoop.js";
-import type { SetToStage } from "./stageAhead.js";
+import type { SetToStage } from "./earlyStager.js";
+import type { EngineTarget } from "./engineController.js";
 
 /** Dependencies of {@link createVersionPlan}. */
 export interface VersionPlanInput {
     readonly clock: Clock;
     readonly logger: Logger;
     readonly options: TargetOptions & {
-        /** Age that is assumed of a declaration that was there before this process. */
+        /** Assumed age of a version that was declared before this process started. */
         readonly assumedAge: Milliseconds;
     };
     readonly readReport: () => EngineReport | undefined;
@@ -25,51 +25,54 @@
     readonly readChunk: (set: ManifestDigest, index: number) => Uint8Array | undefined;
 }
 
-/** Versions that the engine of an agent is to hold, and how far each has come. */
+/** Tracks the declared versions of the service's model and how much of them has been transferred. */
 export interface VersionPlan {
     readonly readSource: () => WeightSource | undefined;
     /**
-     * Learns which version is declared, and where its chunks are.
+     * Updates the declared version and the origin of its chunks.
      *
-     * @param value - record of the service's weights
+     * @param value - record of the topic `weight-sources` for the service
      * @returns the source; undefined if the record cannot be read
      */
-    learnSource(value: Uint8Array): WeightSource | undefined;
-    /** Keeps a manifest that was confirmed. */
+    updateSource(value: Uint8Array): WeightSource | undefined;
+    /** Stores a confirmed manifest. */
     keepManifest(set: ManifestDigest, manifest: Manifest): void;
-    /** Notes whether the transfer in progress is complete. */
+    /** Records the version of the current transfer as complete if all of its chunks are verified. */
     recordProgress(): void;
     /** @returns the version to transfer; undefined if none is declared */
     chooseVersion(): WantedVersion | undefined;
     /**
-     * Reads what the engine is to hold.
+     * Reads the versions that the engine should load and the weights that are available for them.
      *
-     * @param members - instances of the service's backend servers that serve
+     * @param members - hosts of the backend servers that serve the service
      * @returns the target; undefined if no version is declared
      */
     readTarget(members: readonly string[]): EngineTarget | undefined;
-    /** @returns the set whose chunks may be staged now; undefined while a complete set keeps the stage */
+    /**
+     * @returns the set whose chunks may be staged now; undefined while the staging area holds another complete set that
+     * the engine has not loaded yet
+     */
     readSetToStage(): SetToStage | undefined;
-    /** @returns the loaded set, and complete ones that are not loaded yet, for this engine and for other agents */
+    /** @returns the loaded set and complete sets that are not loaded yet, kept for this engine and for other agents */
     listRetained(): ReadonlySet<ManifestDigest>;
 }
 
 /**
- * Creates the plan of an agent.
+ * Creates the version plan of an agent.
  *
  * @param input - engine, transfer and options
- * @returns the plan, without a version
+ * @returns the plan, without any declared version
  */
 export function createVersionPlan(input: VersionPlanInput): VersionPlan {
     const { clock, logger, options, readProgress, readReport } = input;
     const manifests = new Map<ManifestDigest, Manifest>();
-    /** Newest first. */
+    /** Declared versions, newest first. */
     const wanted: WantedVersion[] = [];
-    /** Versions of which every chunk is in memory and verified, with the monotonic time since when. */
+    /** Monotonic time at which each version became complete, that is with every chunk verified and in memory. */
     const complete = new Map<number, Milliseconds>();
     let source: WeightSource | undefined;
 
-    /** Version that the engine has loaded; 0 for none. */
+    /** Reads the version that the engine has loaded; 0 for none. */
     function readLoaded(): number {
         const weights = readReport()?.weights;
         return weights?.complete === true ? weights.version : 0;
@@ -93,7 +96,7 @@
 
     return {
         readSource: () => source,
-        learnSource: value => {
+        updateSource: value => {
             const read = readWeightSource(value);
             if (read === undefined) {
                 return undefined;
@@ -141,8 +144,10 @@
             const loaded = readLoaded();
             const set = nameWeights(source.model, target.version);
             const manifest = manifests.get(set);
-            const isTaken = [...complete.keys()].some(version => version > loaded && version !== target.version);
-            return manifest === undefined || isTaken || target.version <= loaded ?
+            const isStagingAreaReserved = [...complete.keys()].some(version =>
+                version > loaded && version !== target.version
+            );
+            return manifest === undefined || isStagingAreaReserved || target.version <= loaded ?
                 undefined :
                 { manifest, read: index => input.readChunk(set, index) };
         },
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -20,21 +20,21 @@
 import { splitAddress } from "../httpServer/index.js";
 import { createRecordStore, createRelayFollowers } from "../replica/index.js";
 import type { WeightAgentSettings } from "../settings/index.js";
-import { createEngineLoop, type EngineTarget } from "./engineLoop.js";
+import { createEarlyStager } from "./earlyStager.js";
+import { createEngineController, type EngineTarget } from "./engineController.js";
 import { importStaged } from "./importStaged.js";
 import { createLoadFeed } from "./loadFeed.js";
-import { listRelays, readGatewaysWithoutRelays } from "./relays.js";
-import { createSetOrigin } from "./setOrigin.js";
-import { createStageAhead } from "./stageAhead.js";
+import { listRelays, readGatewaysWhileDisconnected } from "./relays.js";
 import { createVersionPlan } from "./versionPlan.js";
 import { createWeightMemory } from "./weightMemory.js";
+import { createWeightSetOrigin } from "./weightSetOrigin.js";
 
-/** Origin whose address the configuration names. */
+/** Origin whose address comes from the configuration. */
 export interface AddressedOrigin extends VersionOriginPort {
     useAddress(address: string): void;
 }
 
-/** Outside systems of an agent. */
+/** External systems that an agent uses. */
 export interface WeightAgentPorts {
     readonly log: KeyedLogPort;
     readonly decoder: RecordDecoder;
@@ -42,28 +42,28 @@
     readonly origin: AddressedOrigin;
     readonly clock: Clock;
     readonly random: RandomSource;
-    /** Seeds in force, which may change while the process runs. Default: those of the settings. */
+    /** Reads the current seeds, which may change while the process runs. Default: those of the settings. */
     readonly readSeeds?: (() => readonly string[]) | undefined;
 }
 
-/** Interval of the transfer system; a chunk takes about as long on the links that agents have. */
+/** Milliseconds between ticks of the transfer service; the agents' links take about as long for one chunk. */
 const transferTickInterval = 100;
 
-/** Time between two reads of the report of an engine that loads, so that it serves again at once. */
+/** Milliseconds between reads of the report of an engine that drains or loads, short so that it soon serves again. */
 const loadingReportInterval = 60;
 
 const bytesPerMegabit = 125_000;
 
-/** Larger parts would hold up live requests on a thin link: this one takes about 25 milliseconds. */
+/** Largest part of a chunk in one message: about 25 ms on a slow link; larger ones would delay live requests. */
 const transferPartBytes = 16_384;
 
 /**
- * Starts an agent that keeps the weights of the engine beside it at the declared version.
+ * Starts an agent that keeps the weights of the engine on its instance at the declared version.
  *
  * @param settings - resolved settings
- * @param ports - outside systems
- * @param logger - log of the process
- * @returns the agent, or the error that kept it from starting
+ * @param ports - external systems
+ * @param logger - logger of the process
+ * @returns the agent, or the error that prevented its start
  */
 export function startWeightAgent(
     settings: WeightAgentSettings,
@@ -95,7 +95,7 @@
             cutoverAfter: gateway.cutoverAfter,
             assumedAge: gateway.assumedAge,
         },
-        readReport: () => loop.readReport(),
+        readReport: () => engineController.readReport(),
         readProgress: () => service.progress(),
         readChunk: (set, index) => memory.read(set, index),
     });
@@ -113,7 +113,7 @@
         return plan.readTarget(serving.map(({ address }) => splitAddress(address).host));
     }
 
-    const loop = createEngineLoop({
+    const engineController = createEngineController({
         engine: ports.engine,
         memory,
         self: engineHost,
@@ -147,8 +147,8 @@
         memory.keepOnly(new Set([set, ...retained]));
     }
 
-    function learnSource(value: Uint8Array): void {
-        const source = plan.learnSource(value);
+    function updateSource(value: Uint8Array): void {
+        const source = plan.updateSource(value);
         if (source !== undefined) {
             ports.origin.useAddress(source.originAddress);
         }
@@ -157,7 +157,7 @@
     store.onChange((topic, records) => {
         for (const { key, value } of records) {
             if (topic === "weight-sources" && key === weightAgent.service && value !== undefined) {
-                learnSource(value);
+                updateSource(value);
             }
             if (topic === "backend-servers") {
                 const listed = value === undefined ? undefined : decoder.decodeBackendServer(key, value);
@@ -175,9 +175,9 @@
     const service = stack.use(createTransferService({
         self: engineHost,
         zone: instance.zone,
-        // Only the calls that stage and read chunks are used by the transfer service.
+        // The transfer service uses only the methods that read the state and that stage and read chunks.
         backend: memory.port as BackendServerPort,
-        origin: createSetOrigin(ports.origin, (set, manifest) => plan.keepManifest(set, manifest)),
+        origin: createWeightSetOrigin(ports.origin, (set, manifest) => plan.keepManifest(set, manifest)),
         verifyManifest: manifest => ok(manifest),
         linkBudget: createLinkBudget({
             bytesPerSecond: weightAgent.linkMegabitsPerSecond * bytesPerMegabit,
@@ -198,9 +198,9 @@
         },
         log: logger,
     }));
-    const stageAhead = createStageAhead({
+    const earlyStager = createEarlyStager({
         engine: ports.engine,
-        readSet: () => loop.isLoading() ? undefined : plan.readSetToStage(),
+        readSet: () => engineController.isLoading() ? undefined : plan.readSetToStage(),
         logger,
     });
     const rpcServer = await startRpcServer(instance.grpcAddress, [{
@@ -210,7 +210,7 @@
             exchangeAvailability: service.exchangeAvailability,
             fetchChunk: service.fetchChunk,
             execute: (call: { emit(event: "error", error: Error): void; }) =>
-                call.emit("error", new Error("gateways send requests straight to backend servers")),
+                call.emit("error", new Error("gateways send requests directly to backend servers")),
         },
     }]);
     if (rpcServer.isErr) {
@@ -228,17 +228,20 @@
         listAddresses: () => listRelays(settings, store, ports.readSeeds?.() ?? gateway.seeds),
     }));
 
-    const ended = new AbortController();
-    stack.defer(() => ended.abort());
-    void readGatewaysWithoutRelays({ ...ports, store, countConnected: followers.countConnected, logger }, ended.signal);
-    void runLoop();
+    const disposal = new AbortController();
+    stack.defer(() => disposal.abort());
+    void readGatewaysWhileDisconnected(
+        { ...ports, store, countConnected: followers.countConnected, logger },
+        disposal.signal,
+    );
+    void controlEngine();
     logger.info({ engine: weightAgent.engineAddress, zone: instance.zone }, "agent started");
     return ok({ drain: () => Promise.resolve() });
 
-    async function runLoop(): Promise<void> {
-        while (!ended.signal.aborted) {
+    async function controlEngine(): Promise<void> {
+        while (!disposal.signal.aborted) {
             const readAt = clock.monotonic();
-            const status = await loop.run();
+            const status = await engineController.run();
             feed.publish(status, clock.monotonic() - readAt);
             const source = plan.readSource();
             if (!imported && source !== undefined && status.report !== undefined) {
@@ -246,9 +249,9 @@
                 imported = true;
             }
             applyTarget();
-            void stageAhead.run();
-            const isChanging = loop.isLoading() || loop.isDraining();
-            await sleep(isChanging ? loadingReportInterval : weightAgent.reportInterval, ended.signal);
+            void earlyStager.run();
+            const isChanging = engineController.isLoading() || engineController.isDraining();
+            await sleep(isChanging ? loadingReportInterval : weightAgent.reportInterval, disposal.signal);
         }
     }
 }
--- a/src/node/weightAgent/weightMemory.ts
+++ b/src/node/weightAgent/weightMemory.ts
@@ -10,21 +10,22 @@
 
 /** Chunks of weight sets in the memory of an agent, as the transfer service reads and writes them. */
 export interface WeightMemory {
-    /** Port that the transfer service stages chunks through. */
+    /** Port through which the transfer service stages and reads chunks. */
     readonly port: Pick<BackendServerPort, "readState" | "stageChunk" | "readChunk">;
     /**
-     * Adds chunks whose content was not verified; the transfer service verifies them before it counts them as held.
+     * Adds unverified chunks of a set that is not in memory yet; the transfer service verifies them before it counts
+     * them as held.
      *
-     * @param set - set that they should belong to
-     * @param chunksTotal - chunks of the set
+     * @param set - set that they are assumed to belong to
+     * @param chunksTotal - number of chunks of the set
      * @param chunks - content by position
      */
     import(set: ManifestDigest, chunksTotal: number, chunks: ReadonlyMap<number, Uint8Array>): void;
     /** Reads a chunk; undefined if it is not in memory. */
     read(set: ManifestDigest, index: number): Uint8Array | undefined;
-    /** Sets which of the sets the engine has loaded. */
+    /** Sets the set that the engine has loaded; undefined if there is none. */
     setActive(set: ManifestDigest | undefined): void;
-    /** Forgets all other sets. */
+    /** Removes all other sets. */
     keepOnly(sets: ReadonlySet<ManifestDigest>): void;
     readonly countBytes: () => number;
 }
@@ -35,10 +36,10 @@
 }
 
 /**
- * Creates the memory of an agent.
+ * Creates the memory for the weight sets of an agent.
  *
- * @param chunksTotal - chunks of a set that is first written to
- * @returns the memory, empty
+ * @param chunksTotal - returns the number of chunks of a set; called for the first chunk that is written to the set
+ * @returns the empty memory
  */
 export function createWeightMemory(chunksTotal: () => number): WeightMemory {
     const sets = new Map<ManifestDigest, MemorySet>();
@@ -50,7 +51,7 @@
         return set;
     }
 
-    function describeStaged(set: MemorySet): string {
+    function encodeStagedChunks(set: MemorySet): string {
         const bitfield = createBitfield(set.chunksTotal);
         for (const index of set.chunks.keys()) {
             addChunk(bitfield, index);
@@ -67,7 +68,7 @@
             staged: [...sets].map(([manifestDigest, set]) => ({
                 manifestDigest,
                 chunksTotal: set.chunksTotal,
-                bitfield: describeStaged(set),
+                bitfield: encodeStagedChunks(set),
             })),
             running: 0,
             queued: 0,
--- a/src/node/weightAgent/setOrigin.ts
+++ b/src/node/weightAgent/weightSetOrigin.ts
@@ -8,7 +8,7 @@
     type VersionOriginPort,
 } from "../../types/index.js";
 
-/** Reads of a manifest of which two have to agree. One in some dozens is spoilt, so more are hardly ever needed. */
+/** Reads of a manifest until two agree. One read in a few dozen is corrupt, so more reads are rarely needed. */
 const maximumManifestReads = 4;
 
 function sameChunks(left: Manifest, right: Manifest): boolean {
@@ -19,8 +19,8 @@
 }
 
 /**
- * Reads a manifest until two reads agree. Nothing else proves it: with a spoilt digest, the chunk would be refused from
- * every source, and the set would never be complete.
+ * Reads a manifest until two reads agree, since nothing else confirms it: with a corrupt digest, the chunk would be
+ * rejected from every source, and the set would never be complete.
  */
 async function readConfirmedManifest(
     origin: VersionOriginPort,
@@ -46,20 +46,20 @@
 }
 
 /**
- * Lets the transfer service, which names sets by digest, read from an origin that names them by version.
+ * Adapts an origin that identifies weight sets by version to the transfer service, which identifies them by digest.
  *
- * @param origin - the origin
- * @param keepManifest - called with each manifest that was confirmed
- * @returns the port of the transfer service
+ * @param origin - origin that identifies sets by model and version
+ * @param keepManifest - called with each confirmed manifest
+ * @returns the origin port for the transfer service
  */
-export function createSetOrigin(
+export function createWeightSetOrigin(
     origin: VersionOriginPort,
     keepManifest: (set: string, manifest: Manifest) => void,
 ): OriginPort {
     const step = "resolve manifest";
     return {
         resolveManifest: () =>
-            Promise.resolve(err(createError("MANIFEST_INVALID", step, "origin", "sets are named by version here"))),
+            Promise.resolve(err(createError("MANIFEST_INVALID", step, "origin", "sets are identified by version"))),
         readManifest: async (set, signal) => {
             const { model, version } = splitWeights(set);
             const manifest = await readConfirmedManifest(origin, model, version, signal);
--- a/test/node/weightAgent/engineLoop.test.ts
+++ b/test/node/weightAgent/engineController.test.ts
@@ -2,15 +2,15 @@
 import { describe, it } from "node:test";
 import { pino } from "pino";
 import { ok } from "true-myth/result";
-import { createEngineLoop, type EngineTarget } from "../../../src/node/weightAgent/engineLoop.js";
+import { createEngineController, type EngineTarget } from "../../../src/node/weightAgent/engineController.js";
 import { createWeightMemory } from "../../../src/node/weightAgent/weightMemory.js";
 import { createManifest } from "../../../src/runtime/distribution/index.js";
 import type { EngineControlPort } from "../../../src/types/index.js";
 import { createManualClock } from "../../../src/utils/index.js";
 
-const unused = () => Promise.reject(new Error("not used here"));
+const unused = () => Promise.reject(new Error("not expected in this test"));
 
-/** Engine that serves version 1 and answers its report only. */
+/** Engine that serves version 1 and only answers reads of its report. */
 const engine: EngineControlPort = {
     readReport: () =>
         Promise.resolve(ok({
@@ -36,9 +36,9 @@
     drainBeforeLoad: 1_000,
 };
 
-describe("control of an engine", () => {
-    // Guards against a version that waits as if the order for the one before had had no effect.
-    it("orders the next version as soon as the one before is loaded", async () => {
+describe("engine controller", () => {
+    // Guards against a load that is delayed because the order for the previous version still counts as without effect.
+    it("orders the next version as soon as the previous one is loaded", async () => {
         const clock = createManualClock();
         const memory = createWeightMemory(() => 1);
         const staged = new Map<number, Uint8Array>();
@@ -46,7 +46,7 @@
         let wanted = 2;
         const readManifest = (version: number) =>
             createManifest({ model: "scribe", adapter: "", version: String(version) }, [Buffer.from([version])]);
-        const loop = createEngineLoop({
+        const controller = createEngineController({
             engine: {
                 readReport: () =>
                     Promise.resolve(ok({
@@ -87,7 +87,7 @@
         const runUntilOrdered = async (version: number): Promise<void> => {
             memory.import(`scribe@${version}`, 1, new Map([[0, Buffer.from([version])]]));
             clock.advance(2_000);
-            await loop.run();
+            await controller.run();
             await new Promise(resolve => setTimeout(resolve, 20));
         };
         await runUntilOrdered(2);
@@ -96,8 +96,8 @@
         expect(ordered).toEqual([2, 3]);
     });
 
-    // Guards against gateways that are told in turn that the engine drains and that it serves.
-    it("states that the engine drains from the moment at which it decides so", async () => {
+    // Guards against reports to gateways that alternate between a draining and a serving engine.
+    it("reports that the engine drains as soon as the drain is decided", async () => {
         const clock = createManualClock();
         const published: string[] = [];
         let share = 0.5;
@@ -110,7 +110,7 @@
             members: ["a"],
             slots: 4,
         });
-        const loop = createEngineLoop({
+        const controller = createEngineController({
             engine,
             memory: createWeightMemory(() => 4),
             self: "a",
@@ -121,13 +121,13 @@
             readTarget,
         });
         clock.advance(4_000);
-        expect((await loop.run()).phase).toEqual("serving");
+        expect((await controller.run()).phase).toEqual("serving");
         share = 0.9;
-        expect((await loop.run()).phase).toEqual("activating");
-        expect([loop.isDraining(), loop.isLoading(), published]).toEqual([true, false, ["activating"]]);
+        expect((await controller.run()).phase).toEqual("activating");
+        expect([controller.isDraining(), controller.isLoading(), published]).toEqual([true, false, ["activating"]]);
         clock.advance(2_000);
-        expect((await loop.run()).phase).toEqual("serving");
-        // The engine does not drain a second time for a version that was late.
-        expect((await loop.run()).phase).toEqual("serving");
+        expect((await controller.run()).phase).toEqual("serving");
+        // The engine does not drain early again for a version whose chunks came too late.
+        expect((await controller.run()).phase).toEqual("serving");
     });
 });
--- a/test/node/weightAgent/versionPlan.test.ts
+++ b/test/node/weightAgent/versionPlan.test.ts
@@ -15,7 +15,7 @@
     };
 }
 
-/** Agent whose engine has loaded version 1, with a transfer that the test moves on. */
+/** Version plan of an agent whose engine has loaded version 1; the test sets the progress of the transfer. */
 function createAgent() {
     const clock = createManualClock();
     const state = { loaded: 1, transferred: 0, share: 0 };
@@ -42,14 +42,14 @@
     });
     const declare = (version: number): void => {
         const source = { model: "scribe", originAddress: "o:1", chunks: 4, chunkBytes: 1, slots: 4, version };
-        plan.learnSource(Buffer.from(JSON.stringify(source)));
+        plan.updateSource(Buffer.from(JSON.stringify(source)));
         plan.keepManifest(`scribe@${version}`, createManifest(version));
     };
     return { clock, state, plan, declare };
 }
 
-describe("plan of the versions of an engine", () => {
-    it("takes a declaration that was there before the process for an old one, and a later one for new", () => {
+describe("version plan of an engine", () => {
+    it("treats a version declared before the start as old, and one declared later as new", () => {
         const { clock, declare, plan } = createAgent();
         clock.advance(100_000);
         declare(1);
@@ -58,10 +58,10 @@
             0,
             60_000,
         ]);
-        expect(plan.learnSource(Buffer.from("{"))).toEqual(undefined);
+        expect(plan.updateSource(Buffer.from("{"))).toEqual(undefined);
     });
 
-    it("states how far a transfer is, then since when it is complete", () => {
+    it("reports the progress of a transfer, then the time at which it became complete", () => {
         const { clock, declare, plan, state } = createAgent();
         declare(2);
         Object.assign(state, { transferred: 2, share: 0.5 });
@@ -76,7 +76,7 @@
         expect(plan.readTarget([])).toEqual(expect.subset({ completedAt, transfer: undefined }));
     });
 
-    it("keeps the stage for a complete version that is not loaded", () => {
+    it("reserves the staging area for a complete version that is not loaded", () => {
         const { declare, plan, state } = createAgent();
         declare(2);
         expect(plan.readSetToStage()?.manifest.version).toEqual("2");
@@ -88,7 +88,7 @@
         expect(plan.readSetToStage()?.manifest.version).toEqual("3");
     });
 
-    it("retains what is loaded and what is complete, and forgets versions that were replaced", () => {
+    it("retains loaded and complete versions, and forgets versions that were replaced", () => {
         const { declare, plan, state } = createAgent();
         declare(2);
         Object.assign(state, { transferred: 2, share: 1 });
--- a/test/platform/agentShutdown.test.ts
+++ b/test/platform/agentShutdown.test.ts
@@ -3,19 +3,19 @@
 import { ok } from "true-myth/result";
 import { createOriginClient } from "../../platform/originClient.js";
 import { createTransferService, createUnlimitedBudget } from "../../src/node/agent/transfer/index.js";
-import { createSetOrigin } from "../../src/node/weightAgent/setOrigin.js";
 import { createWeightMemory } from "../../src/node/weightAgent/weightMemory.js";
+import { createWeightSetOrigin } from "../../src/node/weightAgent/weightSetOrigin.js";
 import type { BackendServerPort } from "../../src/types/index.js";
 import { createSystemClock, sleep } from "../../src/utils/index.js";
 import { waitUntil } from "./standIn/deployment.js";
 import { startHttpStandIn } from "./standIn/httpStandIn.js";
 
-/** An abandoned read ends at once; one that is waited for ends after the time limit of the origin, four seconds. */
-const releaseTimeLimit = 2_000;
+/** Milliseconds; an aborted read ends immediately, while one that is awaited takes the origin's time limit of 4 s. */
+const disposalTimeLimit = 2_000;
 
-describe("end of an agent while the origin is silent", () => {
-    // Guards against a process that is killed because it waits for the origin after the signal to shut down.
-    it("abandons the read of a manifest", async () => {
+describe("shutdown of an agent while the origin does not answer", () => {
+    // Guards against a process that still waits for the origin after the shutdown signal, until it is killed.
+    it("aborts the read of a manifest", async () => {
         let reads = 0;
         await using origin = await startHttpStandIn(() => {
             reads++;
@@ -26,7 +26,7 @@
             self: "127.0.0.1",
             zone: "zone-a",
             backend: createWeightMemory(() => 0).port as BackendServerPort,
-            origin: createSetOrigin(client, () => {}),
+            origin: createWeightSetOrigin(client, () => {}),
             verifyManifest: manifest => ok(manifest),
             linkBudget: createUnlimitedBudget(),
             clock: createSystemClock(),
@@ -39,10 +39,10 @@
             members: [],
         });
         await waitUntil("the manifest is requested", () => reads > 0);
-        const isReleased = await Promise.race([
+        const isDisposed = await Promise.race([
             service[Symbol.asyncDispose]().then(() => true),
-            sleep(releaseTimeLimit).then(() => false),
+            sleep(disposalTimeLimit).then(() => false),
         ]);
-        expect([isReleased, reads]).toEqual([true, 1]);
+        expect([isDisposed, reads]).toEqual([true, 1]);
     });
 });
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -27,7 +27,7 @@
         expect(timeline.some(({ relation }) => relation === "request")).toEqual(true);
     });
 
-    it("is found for one whose backend server broke", async () => {
+    it("is found for one whose backend server reset the connection", async () => {
         await using deployment = await startDeployment();
         const runner = await deployment.addRunner({ id: "i-1" });
         runner.behave("reset");
@@ -54,7 +54,7 @@
         expect([fields["framing"], fields["receivedBytes"]]).toEqual(["connection", 4]);
     });
 
-    it("names the connection's end for an answer that was taken for complete because of it", async () => {
+    it("is empty for an answer that the end of the connection completed, and the log states this framing", async () => {
         await using deployment = await startDeployment();
         const runner = await deployment.addRunner({ id: "i-1" });
         runner.behave("unframed");
--- a/test/platform/weights.test.ts
+++ b/test/platform/weights.test.ts
@@ -20,10 +20,10 @@
         engine.stage.set(0, chunks[0]!);
         engine.stage.set(1, Buffer.alloc(64, 99));
         expect(expectOk(await stageWeights(client, manifest, read))).toEqual({ written: 3, rounds: 2 });
-        expect([...engine.stage.entries()].every(([index, piece]) => piece.equals(chunks[index]!))).toEqual(true);
+        expect([...engine.stage.entries()].every(([index, chunk]) => chunk.equals(chunks[index]!))).toEqual(true);
     });
 
-    it("writes a piece again that turned bad, and gives up after several rounds", async () => {
+    it("writes a corrupted chunk again, and gives up after several rounds", async () => {
         await using engine = await startEngineStandIn("quill");
         await using client = createEngineClient(engine.address);
         engine.spoilt.set(2, 1);
@@ -34,7 +34,7 @@
         expect(staged.isErr && staged.error.code).toEqual("CHUNK_CORRUPT");
     });
 
-    it("does not pass on a chunk that is wrong in memory", async () => {
+    it("does not stage a chunk that is corrupt in memory", async () => {
         await using engine = await startEngineStandIn("quill");
         await using client = createEngineClient(engine.address);
         const staged = await stageWeights(client, manifest, index => index === 3 ? Buffer.alloc(64) : chunks[index]);
@@ -44,7 +44,7 @@
 });
 
 describe("orders to an engine", () => {
-    it("name the state that they are based on", async () => {
+    it("carry the order sequence that they are based on", async () => {
         await using engine = await startEngineStandIn("quill");
         await using client = createEngineClient(engine.address);
         expect(expectOk(await client.load("quill", 2, 0, "finish"))).toEqual("begun");
@@ -73,7 +73,7 @@
 describe("origin of weights", () => {
     const digests = chunks.map(chunk => createHash("sha256").update(chunk).digest("hex"));
 
-    it("gives manifest and pieces of a version", async () => {
+    it("returns the manifest and the chunks of a version", async () => {
         await using origin = await startHttpStandIn((...[, response, url]) => {
             if (url.pathname === "/api/manifest/quill") {
                 sendJson(response, 200, { model: "quill", version: 2, chunk_bytes: 64, layers: 2, digests });
@@ -89,8 +89,8 @@
 
     const faults: readonly (readonly [string, unknown])[] = [
         ["of another version", { model: "quill", version: 1, chunk_bytes: 64, layers: 2, digests }],
-        ["with a digest that is none", { model: "quill", version: 2, chunk_bytes: 64, layers: 2, digests: ["x"] }],
-        ["without pieces", { model: "quill", version: 2, chunk_bytes: 64, layers: 2, digests: [] }],
+        ["with an invalid digest", { model: "quill", version: 2, chunk_bytes: 64, layers: 2, digests: ["x"] }],
+        ["without chunks", { model: "quill", version: 2, chunk_bytes: 64, layers: 2, digests: [] }],
     ];
     for (const [name, content] of faults) {
         it(`refuses a manifest ${name}`, async () => {
