--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -20,10 +20,10 @@
 import type { AgentSettings } from "../settings/index.js";
 import { observeAgent } from "./agentMetrics.js";
 import type { AgentContext } from "./context.js";
-import { type CopySystem, createCopySystem } from "./copySystem.js";
+import { type CopyController, createCopyController } from "./copyController.js";
 import { createExecutor, type Executor } from "./executor.js";
 import type { ExecuteCall } from "./frames.js";
-import { createHoldKeeper } from "./holdKeeper.js";
+import { createHoldEvaluator } from "./holdEvaluator.js";
 import { startLoadReports, type WatchLoadCall } from "./loadReports.js";
 import { followOwnership } from "./ownershipRecorder.js";
 import { createLinkBudget, createTransferService, type TransferService } from "./transfer/index.js";
@@ -32,16 +32,16 @@
 export interface AgentDaemon extends AsyncDisposable {
     readonly grpcPort: number;
     readonly httpPort: number;
-    /** Refuses new requests and waits for those in progress, up to the drain time limit. */
+    /** Refuses new requests and waits, up to the drain time limit, until none is queued or in progress. */
     drain(): Promise<void>;
 }
 
 /**
- * Starts an agent beside a backend server.
+ * Starts the agent of a backend server on the same instance.
  *
  * @param settings - resolved settings
  * @param logger - logger of the process
- * @returns the daemon once it listens, or an error if an address cannot be bound
+ * @returns the daemon once it is listening, or an error if an address cannot be bound
  */
 export async function startAgent(
     settings: AgentSettings,
@@ -65,7 +65,7 @@
     }));
     const context = createContext(settings, logger, backend);
     const { clock, random, self, store, instances } = context;
-    const hold = createHoldKeeper(store, clock, context.startedAt, settings.hold.duration);
+    const hold = createHoldEvaluator(store, clock, context.startedAt, settings.hold.duration);
 
     const transfer = resources.use(createTransferService({
         self,
@@ -82,7 +82,7 @@
         options: settings.distribution,
         log: logger,
     }));
-    const copies: CopySystem = createCopySystem({
+    const copyController: CopyController = createCopyController({
         context,
         hold,
         transfer,
@@ -98,18 +98,18 @@
         admission: context.admission,
         ledger: context.ledger,
         ownership: deployment => context.ownership.get(deployment),
-        readServing: () => copies.readServing(),
+        readServing: () => copyController.readServing(),
         clock,
         logger,
     });
     const reports = resources.use(startLoadReports(() => ({
         instance: self,
         incarnation: context.incarnation,
-        copies: copies.readServedStatuses(),
+        copies: copyController.readServedStatuses(),
         running: executor.running,
         queued: executor.queued,
         capacity: context.admission.options.maximumInProgress,
-        draining: copies.draining,
+        draining: copyController.draining,
         ageMilliseconds: 0n,
         cachedPrefixes: [...executor.recentPrefixes],
     }), relay.heartbeat));
@@ -123,18 +123,18 @@
         startedAt: context.startedAt,
         listTargets: () => listRelayTargets(instances, relay.entryAddresses),
         rankKey: settings.instance.pool,
-        listRequired: () => copies.listWitnesses(),
+        listRequired: () => copyController.listWitnesses(),
         maximumFollowed: relay.parents,
         heartbeatMilliseconds: relay.heartbeat,
         readContent: () => ({
-            copies: copies.readStatuses(),
-            draining: copies.draining,
+            copies: copyController.readStatuses(),
+            draining: copyController.draining,
             transfers: readTotals(transfer),
         }),
-        onAnswer: answer => hold.noteAnswer(answer),
+        onAnswer: answer => hold.recordAnswer(answer),
         onInstances: rows => {
             rows.forEach(row => instances.set(row.instance, row));
-            copies.refreshAssignment();
+            copyController.refreshAssignment();
         },
     }));
     const silence = { clock, random, readHeardAt: () => followers.heardAt, silentAfter: relay.silentAfter };
@@ -149,10 +149,10 @@
         instances,
         shouldReadLog: createRelaySilence({ ...silence, jitter: relay.directReadJitter }),
         shouldReadList: createRelaySilence({ ...silence, jitter: 0 }),
-        onInstances: () => copies.refreshAssignment(),
+        onInstances: () => copyController.refreshAssignment(),
     });
 
-    const rpc = await startRpcServer(settings.instance.grpcAddress, [{
+    const rpcServer = await startRpcServer(settings.instance.grpcAddress, [{
         definition: agentServiceDefinition,
         implementation: {
             watchLoad: (call: WatchLoadCall) => reports.watchLoad(call),
@@ -161,37 +161,37 @@
             fetchChunk: transfer.fetchChunk,
         },
     }]);
-    if (rpc.isErr) {
-        return err(rpc.error);
+    if (rpcServer.isErr) {
+        return err(rpcServer.error);
     }
-    resources.use(rpc.value);
-    const http = await startHttpServer(settings.instance.httpAddress, createAgentRouter(context, copies));
-    if (http.isErr) {
-        return err(http.error);
+    resources.use(rpcServer.value);
+    const httpServer = await startHttpServer(settings.instance.httpAddress, createAgentRouter(context, copyController));
+    if (httpServer.isErr) {
+        return err(httpServer.error);
     }
-    resources.use(http.value);
+    resources.use(httpServer.value);
     observeAgent(context.metrics, { executor, transfer, reports });
     observeProcess(context.metrics);
     observeState(context.metrics, store, clock);
 
     followOwnership(context);
-    store.onChange(() => copies.refreshAssignment());
+    store.onChange(() => copyController.refreshAssignment());
     const timer = setInterval(() => {
         executor.expire();
-        copies.tick().catch((error: unknown) => logger.error({ error: String(error) }, "tick failed"));
+        copyController.tick().catch((error: unknown) => logger.error({ error: String(error) }, "tick failed"));
     }, relay.tick);
     resources.defer(() => clearInterval(timer));
 
-    const owned = resources.move();
-    logger.info({ grpcPort: rpc.value.port, httpPort: http.value.port }, "agent started");
+    const ownedResources = resources.move();
+    logger.info({ grpcPort: rpcServer.value.port, httpPort: httpServer.value.port }, "agent started");
     return ok({
-        grpcPort: rpc.value.port,
-        httpPort: http.value.port,
+        grpcPort: rpcServer.value.port,
+        httpPort: httpServer.value.port,
         drain: async () => {
-            copies.startDraining();
+            copyController.startDraining();
             await waitUntilIdle(clock, settings.instance.drainTimeLimit, () => executor.running + executor.queued);
         },
-        [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
+        [Symbol.asyncDispose]: () => ownedResources[Symbol.asyncDispose](),
     });
 }
 
@@ -231,13 +231,13 @@
     });
 }
 
-function createAgentRouter(context: AgentContext, copies: CopySystem) {
+function createAgentRouter(context: AgentContext, copyController: CopyController) {
     const router = createRouter({
         defaultRoute: (...[, response]) => sendJson(response, 404, { error: "no route" }),
     });
     registerDecisionRoute(router, context.decisions);
     registerStatusRoutes(router, {
-        readUnreadiness: () => copies.readServing().serving ? [] : [`the copy is ${copies.phase}`],
+        readUnreadiness: () => copyController.readServing().serving ? [] : [`the copy is ${copyController.phase}`],
         renderMetrics: () => context.metrics.render(),
     });
     return router;
--- a/src/node/agent/agentMetrics.ts
+++ b/src/node/agent/agentMetrics.ts
@@ -3,7 +3,7 @@
 import type { LoadReports } from "./loadReports.js";
 import type { TransferService } from "./transfer/index.js";
 
-/** Parts of an agent whose figures are shown. */
+/** Parts of an agent that its metrics are read from. */
 export interface ObservedParts {
     readonly executor: Executor;
     readonly transfer: TransferService;
@@ -11,14 +11,14 @@
 }
 
 /**
- * Adds the figures of an agent to its metrics.
+ * Registers the metrics of an agent.
  *
  * @param metrics - metrics of the process
- * @param parts - what to observe
+ * @param parts - parts that the values are read from
  */
 export function observeAgent(metrics: Metrics, parts: ObservedParts): void {
     const { executor, reports, transfer } = parts;
-    const figures: readonly (readonly [name: string, documentation: string, read: () => number])[] = [
+    const gauges: readonly (readonly [name: string, documentation: string, read: () => number])[] = [
         ["requests_in_progress", "Requests in progress on the backend server.", () => executor.running],
         ["requests_queued", "Requests that wait for a place.", () => executor.queued],
         ["load_watchers", "Entry instances that follow the load reports.", () => reports.watchers],
@@ -28,7 +28,7 @@
         ["chunks_complete", "Verified chunks of the assigned set.", () => transfer.progress()?.chunksComplete ?? 0],
         ["chunks_total", "Chunks of the assigned set.", () => transfer.progress()?.chunksTotal ?? 0],
     ];
-    for (const [name, documentation, read] of figures) {
+    for (const [name, documentation, read] of gauges) {
         metrics.observe({ name: `goldcrestpoint_${name}`, documentation }, read);
     }
 }
--- a/src/node/agent/assignment.ts
+++ b/src/node/agent/assignment.ts
@@ -1,7 +1,7 @@
 import type { FoldState } from "../../runtime/state/index.js";
 import type { ConfigurationRow, CopyAssignment, DeploymentName, InstanceId, PlacementRow } from "../../types/index.js";
 
-/** The copy that an instance has to hold or to give up. */
+/** Copy that is assigned to an instance or that the instance has to release. */
 export interface AssignedCopy {
     readonly deployment: DeploymentName;
     readonly copy: CopyAssignment;
@@ -9,20 +9,20 @@
     readonly configuration: ConfigurationRow | undefined;
 }
 
-/** What the placements in force say about one instance. */
+/** Copies of one instance in the current placements. */
 export interface InstanceAssignment {
-    /** The copy that counts: the one with the smallest epoch. */
+    /** Copy that the instance has to follow: the one with the smallest epoch; undefined if there is none. */
     readonly current: AssignedCopy | undefined;
-    /** Copies of other deployments that were assigned later and are not taken. */
+    /** Copies of other deployments that were assigned later; the instance ignores them. */
     readonly conflicting: readonly AssignedCopy[];
 }
 
 /**
- * Finds the copy of one instance.
+ * Finds the copy that is assigned to an instance.
  *
- * @param state - state from the log
+ * @param state - state derived from the log
  * @param instance - the instance
- * @returns the copy that counts and those that are ignored
+ * @returns the copy to follow and those to ignore
  */
 export function findAssignment(state: FoldState, instance: InstanceId): InstanceAssignment {
     const found: AssignedCopy[] = [];
--- a/src/node/agent/context.ts
+++ b/src/node/agent/context.ts
@@ -16,7 +16,7 @@
 import type { StateStore } from "../relay/index.js";
 import type { AgentSettings } from "../settings/index.js";
 
-/** Tables and services that the parts of an agent share. */
+/** State and services that the parts of an agent share. */
 export interface AgentContext {
     readonly self: InstanceId;
     readonly incarnation: string;
@@ -32,6 +32,6 @@
     readonly instances: Table<InstanceId, InstanceRow>;
     readonly admission: AdmissionTable;
     readonly ledger: Ledger;
-    /** Owners of keys in each deployment that this instance has belonged to. */
+    /** Owners of idempotency keys in each deployment that this instance has belonged to. */
     readonly ownership: Map<DeploymentName, OwnershipHistory>;
 }
--- a/src/node/agent/copySystem.ts
+++ b/src/node/agent/copyController.ts
@@ -6,57 +6,57 @@
 import { type AssignedCopy, findAssignment, type InstanceAssignment } from "./assignment.js";
 import type { AgentContext } from "./context.js";
 import type { ServingState } from "./executor.js";
-import type { HoldKeeper } from "./holdKeeper.js";
-import { type ActiveSet, createOrderSystem } from "./orders.js";
+import type { HoldEvaluator } from "./holdEvaluator.js";
+import { type ActiveSet, createOrderController } from "./orderController.js";
 import type { TransferService, TransferTarget } from "./transfer/index.js";
 
-/** Keeps the copy on this instance as the placement wants it. */
-export interface CopySystem {
+/** Brings the copy on this instance into the state that the placement requires. */
+export interface CopyController {
     /** Reads the placement again; called after each change of the state or the instance list. */
     refreshAssignment(): void;
-    /** Evaluates the hold and gives the next order. */
+    /** Evaluates the hold and gives the engine its next order. */
     tick(): Promise<void>;
-    /** Stops accepting requests for good. */
+    /** Stops accepting requests permanently. */
     startDraining(): void;
     readServing(): ServingState;
-    /** Progress of the copy for heartbeats. */
+    /** Reads the status of each assigned copy, for heartbeats. */
     readStatuses(): CopyStatus[];
-    /** The set that is being served, for load reports. */
+    /** Reads the status of the copy that is served, for load reports; empty if none is. */
     readServedStatuses(): CopyStatus[];
-    /** Entry instances that may confirm the hold on the copy. */
+    /** Lists the entry instances that may confirm the hold on the copy. */
     listWitnesses(): readonly InstanceId[];
     readonly draining: boolean;
     readonly phase: CopyPhase;
 }
 
-/** Options of {@link createCopySystem}. */
-export interface CopySystemOptions {
+/** Options of {@link createCopyController}. */
+export interface CopyControllerOptions {
     readonly context: AgentContext;
-    readonly hold: HoldKeeper;
+    readonly hold: HoldEvaluator;
     readonly transfer: TransferService;
     readonly readRunning: () => number;
-    /** Called when something that matters for routing has changed. */
+    /** Called when a change affects routing. */
     readonly onServingChange: () => void;
 }
 
 /**
- * Creates the system.
+ * Creates the controller of the copy on this instance.
  *
- * @param options - tables, hold and transfer
- * @returns the system
+ * @param options - context, hold and transfer service
+ * @returns the controller
  */
-export function createCopySystem(options: CopySystemOptions): CopySystem {
+export function createCopyController(options: CopyControllerOptions): CopyController {
     const { context, hold, transfer } = options;
     const { clock, decisions, instances, self, settings, store } = context;
     let assignment: InstanceAssignment = { current: undefined, conflicting: [] };
     let holdDecision: HoldDecision = { held: false, reason: "lapsed", validUntil: Number.NEGATIVE_INFINITY };
-    // Sets that this process was told to serve for the deployment of the copy that counts.
+    // Sets that were assigned to this process for the deployment of the current copy.
     let assignedSets = { deployment: "", digests: new Set<ManifestDigest>() };
-    let drains = false;
-    let lastServing = "";
-    let lastReason = "";
+    let isDraining = false;
+    let lastNotifiedState = "";
+    let lastRecordedReason = "";
 
-    const orders = createOrderSystem({
+    const orders = createOrderController({
         backend: context.backend,
         clock,
         logger: context.logger,
@@ -68,10 +68,10 @@
 
     function recordDecision(decision: ActivationDecision): void {
         const reason = `${decision.phase}: ${decision.reason}`;
-        if (decision.order === undefined && reason === lastReason) {
+        if (decision.order === undefined && reason === lastRecordedReason) {
             return;
         }
-        lastReason = reason;
+        lastRecordedReason = reason;
         decisions.record({
             kind: "activation",
             outcome: "chosen",
@@ -89,11 +89,11 @@
 
     function refreshAssignment(): void {
         assignment = findAssignment(store.state, self);
-        noteAssignedSet();
+        recordAssignedSet();
         transfer.setTarget(createTransferTarget(context, assignment.current));
     }
 
-    function noteAssignedSet(): void {
+    function recordAssignedSet(): void {
         const { current } = assignment;
         if (current === undefined) {
             return;
@@ -122,9 +122,9 @@
     }
 
     /**
-     * The set that the engine answers with, if it belongs to the deployment. After a pause in which the copy was replaced,
-     * the engine may still have the set of the deployment before. A process that has just started knows no earlier sets of
-     * the deployment and takes those of the same model and adapter.
+     * Reads the engine's active set if it belongs to the deployment. If the copy was replaced while this process was
+     * paused, the engine may still have the set of the previous deployment active. A process that has just started
+     * knows no earlier sets of the deployment and accepts those of the same model and adapter.
      */
     function readServedSet(): ManifestDigest | undefined {
         const active = orders.engine?.active;
@@ -160,14 +160,14 @@
     }
 
     function readDraining(): boolean {
-        return drains || instances.get(self)?.state === "leaving";
+        return isDraining || instances.get(self)?.state === "leaving";
     }
 
-    function announceChanges(): void {
+    function notifyServingChange(): void {
         const { serving, draining, manifestDigest } = readServing();
         const current = `${serving} ${draining} ${manifestDigest}`;
-        if (current !== lastServing) {
-            lastServing = current;
+        if (current !== lastNotifiedState) {
+            lastNotifiedState = current;
             options.onServingChange();
         }
     }
@@ -178,15 +178,15 @@
 
     function createStatus(copy: AssignedCopy, phase: CopyPhase): CopyStatus {
         const progress = transfer.progress();
-        const counts = progress !== undefined && progress.manifestDigest === copy.copy.weights?.manifestDigest;
+        const isAssignedSet = progress !== undefined && progress.manifestDigest === copy.copy.weights?.manifestDigest;
         return create(CopyStatusSchema, {
             deployment: copy.deployment,
             epoch: BigInt(copy.copy.epoch),
             manifestDigest: copy.copy.weights?.manifestDigest ?? "",
             version: copy.copy.weights?.version ?? "",
             phase,
-            chunksComplete: counts ? progress.chunksComplete : 0,
-            chunksTotal: counts ? progress.chunksTotal : 0,
+            chunksComplete: isAssignedSet ? progress.chunksComplete : 0,
+            chunksTotal: isAssignedSet ? progress.chunksTotal : 0,
         });
     }
 
@@ -205,16 +205,16 @@
                 belongsToDeployment,
                 newestEpoch: readNewestEpoch(context),
             });
-            announceChanges();
+            notifyServingChange();
         },
         startDraining: () => {
-            drains = true;
-            announceChanges();
+            isDraining = true;
+            notifyServingChange();
         },
         readServing,
         readStatuses: () => {
             const { current, conflicting } = assignment;
-            // A copy that was assigned although the instance already had one was never taken.
+            // A copy that was assigned while the instance already had one is ignored and counts as released.
             const ignored = conflicting.map(copy => createStatus(copy, "released"));
             return current === undefined ? ignored : [createStatus(current, readPhase()), ...ignored];
         },
--- a/src/node/agent/crashTracker.ts
+++ b/src/node/agent/crashTracker.ts
@@ -1,22 +1,22 @@
 import type { BackendServerPort, Clock, Fingerprint, InstanceId, Milliseconds } from "../../types/index.js";
 
-/** Tells crashes of the backend server from other failures, and what was in progress. */
+/** Detects crashes of the backend server and lists the requests that were in progress. */
 export interface CrashTracker {
     /**
-     * Notes a broken request.
+     * Records a request that the backend server broke off.
      *
-     * @param fingerprint - the request
-     * @param incarnation - start of the backend server on which the request ran
-     * @returns fingerprints of all requests that may have been in progress when it broke
+     * @param fingerprint - fingerprint of the request
+     * @param incarnation - incarnation of the backend server on which the request ran
+     * @returns fingerprints of all requests that may have been in progress at that time
      */
-    noteBroken(fingerprint: Fingerprint, incarnation: string | undefined): readonly Fingerprint[];
+    recordBrokenRequest(fingerprint: Fingerprint, incarnation: string | undefined): readonly Fingerprint[];
     /**
-     * Finds out whether the backend server has crashed: it cannot be reached, or it has started again.
+     * Checks whether the backend server has crashed, that is whether it is unreachable or has restarted.
      *
-     * @param incarnation - start of the backend server on which the request ran
-     * @returns identifier of the crash, the same for all requests that it broke; undefined if there was none
+     * @param incarnation - incarnation of the backend server on which the request ran
+     * @returns identifier of the crash, the same for all requests that it broke off; undefined if there was none
      */
-    identify(incarnation: string | undefined): Promise<string | undefined>;
+    identifyCrash(incarnation: string | undefined): Promise<string | undefined>;
 }
 
 /** Options of {@link createCrashTracker}. */
@@ -27,7 +27,7 @@
     readonly listInProgress: () => readonly Fingerprint[];
 }
 
-/** Time in which requests that break one after the other count as broken by the same crash. */
+/** Time after the failure of a request within which other failures count as caused by the same crash. */
 const crashWindow: Milliseconds = 1_000;
 
 /**
@@ -51,13 +51,13 @@
     }
 
     return {
-        noteBroken: (fingerprint, incarnation) => {
+        recordBrokenRequest: (fingerprint, incarnation) => {
             const now = clock.monotonic();
             forgetEarlierCrashes(incarnation, now);
             brokenAt.set(fingerprint, now);
             return [...new Set([...options.listInProgress(), ...brokenAt.keys()])];
         },
-        identify: async incarnation => {
+        identifyCrash: async incarnation => {
             const state = await backend.readState();
             const crashed = state.isErr || state.value.incarnation !== incarnation;
             return crashed ? `${options.self}/${incarnation ?? "unknown"}` : undefined;
--- a/src/node/agent/executor.ts
+++ b/src/node/agent/executor.ts
@@ -31,7 +31,7 @@
 import { createRecentPrefixes } from "./recentPrefixes.js";
 import { createRequestRow } from "./requestRow.js";
 
-/** Whether and with which weights this agent serves a deployment now. */
+/** Whether this agent serves a deployment at present, and with which weights. */
 export interface ServingState {
     readonly deployment: string | undefined;
     readonly serving: boolean;
@@ -40,7 +40,7 @@
     /** Monotonic time at which the hold lapses. */
     readonly holdValidUntil: Milliseconds;
     readonly draining: boolean;
-    /** Incarnation of the backend server; undefined before its state was read. */
+    /** Incarnation of the backend server; undefined while its state is not known. */
     readonly incarnation: string | undefined;
 }
 
@@ -54,18 +54,18 @@
     readonly readServing: () => ServingState;
     readonly clock: Clock;
     readonly logger: Logger;
-    /** Largest answer that is kept for repeats of a key, in bytes. Default: 256 KiB. */
+    /** Largest answer that is stored for repeated requests with the same key, in bytes. Default: 256 KiB. */
     readonly maximumStoredAnswerBytes?: number;
 }
 
-/** Runs requests on the backend server beside this agent. */
+/** Runs requests on the backend server of this agent's instance. */
 export interface Executor {
     execute(call: ExecuteCall): void;
     /** Requests in progress on the backend server. */
     readonly running: number;
-    /** Requests that wait for a place. */
+    /** Requests that wait until fewer are in progress. */
     readonly queued: number;
-    /** Prefixes of the newest answered requests on the current weights, newest first. */
+    /** Prefixes of recently answered requests on the current weights, newest first. */
     readonly recentPrefixes: readonly string[];
     /** Refuses waiting requests whose deadline has passed. */
     expire(): void;
@@ -76,12 +76,12 @@
     readonly row: RequestRow;
     readonly writer: FrameWriter;
     readonly abort: AbortController;
-    /** Start of the backend server on which the request runs; undefined before it runs. */
+    /** Incarnation of the backend server on which the request runs; undefined before it runs. */
     incarnation: string | undefined;
 }
 
 const defaultMaximumStoredAnswerBytes = 256 * 1024;
-/** Time after which a caller should come back when another instance or a moment later may serve it. */
+/** Retry delay for callers whose request may soon be served by this instance or by another. */
 const shortRetrySeconds = 1;
 
 /**
@@ -94,7 +94,7 @@
     const { backend, admission, ledger, clock, logger } = options;
     const waiting = new Map<string, Execution>();
     const prefixes = createRecentPrefixes();
-    const crashes = createCrashTracker({
+    const crashTracker = createCrashTracker({
         self: options.self,
         backend,
         clock,
@@ -108,8 +108,8 @@
         if (state.draining) {
             return createRefusal("no", "draining");
         }
-        const wrongSet = manifestDigest !== "" && state.manifestDigest !== manifestDigest;
-        if (!state.serving || state.deployment !== deployment || wrongSet) {
+        const isOtherSet = manifestDigest !== "" && state.manifestDigest !== manifestDigest;
+        if (!state.serving || state.deployment !== deployment || isOtherSet) {
             return createRefusal("no", "not-serving");
         }
         if (clock.monotonic() >= state.holdValidUntil) {
@@ -139,26 +139,26 @@
         }
         waiting.set(execution.row.requestId, execution);
         if (decision.kind === "start") {
-            begin(execution);
+            startExecution(execution);
         }
         else {
-            // A request that lost its place to this one is refused now, not with the next tick.
-            advance(expireRequests(admission, clock.monotonic()));
+            // A request that this one displaced from the queue is refused now rather than at the next tick.
+            applyProgress(expireRequests(admission, clock.monotonic()));
         }
     }
 
     function cancel(execution: Execution): void {
         const { requestId, idempotent } = execution.row;
         if (waiting.delete(requestId)) {
-            advance(cancelRequest(admission, requestId, clock.monotonic()));
+            applyProgress(cancelRequest(admission, requestId, clock.monotonic()));
         }
-        // A non-idempotent request runs to its end, so that a repeat of its key gets the answer.
+        // A non-idempotent request runs to its end, so that a repeated request with its key gets the answer.
         else if (idempotent) {
             execution.abort.abort();
         }
     }
 
-    function begin(execution: Execution): void {
+    function startExecution(execution: Execution): void {
         waiting.delete(execution.row.requestId);
         run(execution)
             .catch((error: unknown) => {
@@ -168,10 +168,10 @@
                 );
                 execution.writer.refuse(createRefusal("unknown", "connection-lost"));
             })
-            .finally(() => advance(finishRequest(admission, execution.row.requestId, clock.monotonic())));
+            .finally(() => applyProgress(finishRequest(admission, execution.row.requestId, clock.monotonic())));
     }
 
-    function advance(progress: AdmissionProgress): void {
+    function applyProgress(progress: AdmissionProgress): void {
         for (const { request, refusal } of progress.refuse) {
             const execution = waiting.get(request.requestId);
             waiting.delete(request.requestId);
@@ -180,15 +180,15 @@
         for (const request of progress.start) {
             const execution = waiting.get(request.requestId);
             if (execution !== undefined) {
-                begin(execution);
+                startExecution(execution);
             }
         }
     }
 
     async function run(execution: Execution): Promise<void> {
         const { call, writer } = execution;
-        // The wait may have outlasted the hold or the active weights.
-        const refusal = checkServing(call) ?? acceptKey(execution);
+        // The hold may have lapsed, or the active weights may have changed, while the request was queued.
+        const refusal = checkServing(call) ?? claimKey(execution);
         if (refusal === "answered") {
             return;
         }
@@ -199,8 +199,8 @@
         await runOnBackend(execution);
     }
 
-    /** Claims the idempotency key; answers the call itself if the answer is stored. */
-    function acceptKey(execution: Execution): Refusal | "answered" | undefined {
+    /** Claims the idempotency key; replays the answer and returns `answered` if one is stored. */
+    function claimKey(execution: Execution): Refusal | "answered" | undefined {
         const { row, writer } = execution;
         if (row.idempotent || row.idempotencyKey === undefined) {
             return undefined;
@@ -245,58 +245,58 @@
             idempotencyKey: row.idempotencyKey,
         }, abort.signal);
         if (answer.isErr) {
-            await fail(execution, answer.error);
+            await handleFailure(execution, answer.error);
             return;
         }
         if (answer.value.requestId !== request.requestId || answer.value.manifestDigest !== (manifestDigest ?? "")) {
-            settleKey(row, "unknown");
+            recordKeyOutcome(row, "unknown");
             writer.refuse(createRefusal("unknown", "answer-mismatched"));
             return;
         }
-        await passOn(execution, answer.value);
+        await forwardAnswer(execution, answer.value);
     }
 
-    async function passOn(execution: Execution, answer: BackendResponse): Promise<void> {
+    async function forwardAnswer(execution: Execution, answer: BackendResponse): Promise<void> {
         const { row, writer } = execution;
         const { status, contentType, model, adapter, version, manifestDigest } = answer;
         const weights = { model, adapter, version, manifestDigest };
-        const kept: Uint8Array[] = [];
-        let keptBytes = 0;
+        const storedParts: Uint8Array[] = [];
+        let answerBytes = 0;
         await writer.start({ status, contentType, ...weights });
         try {
-            for await (const piece of answer.body) {
-                keptBytes += piece.length;
-                if (!row.idempotent && keptBytes <= maximumStoredAnswerBytes) {
-                    kept.push(piece);
+            for await (const part of answer.body) {
+                answerBytes += part.length;
+                if (!row.idempotent && answerBytes <= maximumStoredAnswerBytes) {
+                    storedParts.push(part);
                 }
-                await writer.data(piece);
+                await writer.data(part);
             }
         }
         catch (error) {
-            await fail(execution, error);
+            await handleFailure(execution, error);
             return;
         }
-        const storable = keptBytes <= maximumStoredAnswerBytes;
-        prefixes.note(row.prefix, manifestDigest);
-        settleKey(
+        const isStorable = answerBytes <= maximumStoredAnswerBytes;
+        prefixes.record(row.prefix, manifestDigest);
+        recordKeyOutcome(
             row,
             "finished",
-            storable ? { status, contentType, weights, body: Buffer.concat(kept) } : undefined,
+            isStorable ? { status, contentType, weights, body: Buffer.concat(storedParts) } : undefined,
         );
         writer.end();
     }
 
-    async function fail(execution: Execution, thrown: unknown): Promise<void> {
+    async function handleFailure(execution: Execution, thrown: unknown): Promise<void> {
         const { row, writer, abort, incarnation } = execution;
         const error = thrown instanceof Error ? thrown.cause : thrown;
         const mayHaveRun = !isPortError(error) || error.mayHaveTakenEffect;
-        const fingerprints = mayHaveRun ? crashes.noteBroken(row.fingerprint, incarnation) : [];
-        settleKey(row, mayHaveRun ? "unknown" : "not-run");
+        const fingerprints = mayHaveRun ? crashTracker.recordBrokenRequest(row.fingerprint, incarnation) : [];
+        recordKeyOutcome(row, mayHaveRun ? "unknown" : "not-run");
         if (abort.signal.aborted) {
             writer.refuse(createRefusal(mayHaveRun ? "unknown" : "no", "canceled"));
             return;
         }
-        const crashId = mayHaveRun ? await crashes.identify(incarnation) : undefined;
+        const crashId = mayHaveRun ? await crashTracker.identifyCrash(incarnation) : undefined;
         logger.warn(
             { requestId: row.requestId, crashId, error: isPortError(error) ? error : String(thrown) },
             "backend server failed",
@@ -306,7 +306,7 @@
         writer.refuse(createRefusal(mayHaveRun ? "unknown" : "no", reason), crash);
     }
 
-    function settleKey(row: RequestRow, state: "finished" | "unknown" | "not-run", answer?: StoredAnswer): void {
+    function recordKeyOutcome(row: RequestRow, state: "finished" | "unknown" | "not-run", answer?: StoredAnswer): void {
         if (!row.idempotent && row.idempotencyKey !== undefined) {
             finishKey(ledger, row.idempotencyKey, state, answer);
         }
@@ -323,7 +323,7 @@
         get queued() {
             return admission.queued.size;
         },
-        expire: () => advance(expireRequests(admission, clock.monotonic())),
+        expire: () => applyProgress(expireRequests(admission, clock.monotonic())),
     };
 }
 
--- a/src/node/agent/frames.ts
+++ b/src/node/agent/frames.ts
@@ -11,7 +11,7 @@
 /** Call of the `Execute` method. */
 export type ExecuteCall = ServerWritableStream<ExecuteRequest, ExecuteFrame>;
 
-/** Largest piece of an answer in one frame, in bytes. */
+/** Largest part of an answer in one frame, in bytes. */
 const maximumFrameBytes = 64 * 1024;
 
 /** Crash of a backend server with requests in progress. */
@@ -22,17 +22,17 @@
 
 /** Writes the frames of one answer in order. */
 export interface FrameWriter {
-    /** True once the caller is gone. */
+    /** True once the caller has canceled the call. */
     readonly canceled: boolean;
     start(content: MessageInitShape<typeof ResponseStartSchema>): Promise<void>;
     data(content: Uint8Array): Promise<void>;
     /** Ends a complete answer. */
     end(): void;
     /**
-     * Ends the stream with a refusal; a begun answer counts as broken.
+     * Ends the stream with a refusal; an answer that has started counts as broken off.
      *
-     * @param refusal - final answer
-     * @param crash - the crash of the backend server while the request was in progress
+     * @param refusal - the refusal
+     * @param crash - crash of the backend server while the request was in progress
      */
     refuse(refusal: Refusal, crash?: BackendServerCrash): void;
 }
--- a/src/node/agent/holdKeeper.ts
+++ b/src/node/agent/holdEvaluator.ts
@@ -2,16 +2,16 @@
 import type { Clock, CopyAssignment, InstanceId, Milliseconds, Offset } from "../../types/index.js";
 import type { RelayAnswer, StateStore } from "../relay/index.js";
 
-/** Keeps the evidence for this instance's hold and evaluates it. */
-export interface HoldKeeper {
+/** Records the answers of witnesses and evaluates this instance's hold. */
+export interface HoldEvaluator {
     /**
-     * Notes an answer of an entry instance.
+     * Records an answer of an entry instance, unless a newer one of the same instance is known.
      *
-     * @param answer - the answer; the records that it carried have been applied
+     * @param answer - the answer, whose records have been applied
      */
-    noteAnswer(answer: RelayAnswer): void;
+    recordAnswer(answer: RelayAnswer): void;
     /**
-     * Evaluates the hold at this moment.
+     * Evaluates the hold at the current time.
      *
      * @param copy - the copy; undefined if none is assigned
      * @returns the decision
@@ -20,25 +20,25 @@
 }
 
 /**
- * Creates the keeper.
+ * Creates the evaluator of the hold.
  *
- * @param store - state from the log with the age of its knowledge
- * @param clock - time
+ * @param store - state derived from the log, and the time at which it was known to be complete
+ * @param clock - clock of the process
  * @param startedAt - monotonic time at which the process started
  * @param holdDuration - time for which a hold lasts without renewal
- * @returns the keeper
+ * @returns the evaluator
  */
-export function createHoldKeeper(
+export function createHoldEvaluator(
     store: StateStore,
     clock: Clock,
     startedAt: Milliseconds,
     holdDuration: Milliseconds,
-): HoldKeeper {
+): HoldEvaluator {
     const answers = new Map<InstanceId, WitnessAnswer>();
     let preceding: HoldDecision | undefined;
     let precedingEpoch: Offset | undefined;
     return {
-        noteAnswer: answer => {
+        recordAnswer: answer => {
             const { instance, sentAt, logReachable, uptime } = answer;
             const known = answers.get(instance);
             if (known === undefined || known.answeredAt < sentAt) {
--- a/src/node/agent/index.ts
+++ b/src/node/agent/index.ts
@@ -10,7 +10,7 @@
  * Runs an agent until SIGTERM or SIGINT, then drains it.
  *
  * @param settings - resolved settings
- * @returns once the daemon has stopped, or the error that kept it from starting
+ * @returns nothing once the daemon has stopped, or the error that prevented its start
  */
 export function runAgent(settings: AgentSettings): Promise<Result<void, GoldcrestpointError>> {
     return runDaemon("agent", settings, startAgent);
--- a/src/node/agent/loadReports.ts
+++ b/src/node/agent/loadReports.ts
@@ -12,17 +12,17 @@
 /** Sends load reports to the entry instances that follow this agent. */
 export interface LoadReports extends Disposable {
     watchLoad(call: WatchLoadCall): void;
-    /** Sends a report to every follower now, because its content has changed in a way that matters for routing. */
+    /** Sends a report to every follower immediately; called after changes that affect routing. */
     publish(): void;
     readonly watchers: number;
 }
 
 /**
- * Starts the reports.
+ * Starts sending load reports.
  *
  * @param readContent - reads the content of a report
  * @param interval - time between reports without a change
- * @returns the running reports
+ * @returns the sender of the reports
  */
 export function startLoadReports(readContent: () => LoadContent, interval: Milliseconds): LoadReports {
     const calls = new Set<WatchLoadCall>();
@@ -33,7 +33,7 @@
         }
         const report = create(LoadReportSchema, readContent());
         for (const call of calls) {
-            // A follower that does not keep up gets the next report instead of a queue of old ones.
+            // A slow follower skips reports and gets a current one later, instead of a queue of outdated ones.
             if (!call.writableNeedDrain) {
                 call.write(report);
             }
--- a/src/node/agent/orders.ts
+++ b/src/node/agent/orderController.ts
@@ -11,64 +11,64 @@
     Offset,
 } from "../../types/index.js";
 
-/** Set that an engine has active. */
+/** Active set of an engine. */
 export type ActiveSet = NonNullable<EngineState["active"]>;
 
-/** What the order system needs to know in one tick. */
+/** Input of one tick of an {@link OrderController}. */
 export interface OrderInput {
     readonly assignment: CopyAssignment | undefined;
     readonly held: boolean;
     readonly setComplete: boolean;
     readonly chunksTotal: number;
     readonly requestsInProgress: number;
-    /** Tells whether a set is one of the assigned deployment's. */
+    /** Returns whether a set belongs to the assigned deployment. */
     readonly belongsToDeployment: (active: ActiveSet) => boolean;
     readonly newestEpoch: Offset;
 }
 
 /** Gives orders to the backend server, one at a time. */
-export interface OrderSystem {
+export interface OrderController {
     /** Phase of the assigned copy after the last tick. */
     readonly phase: CopyPhase;
-    /** Newest state that was read; undefined if it cannot be read. */
+    /** Backend server's state at the last read; undefined if there was none or it failed. */
     readonly engine: EngineState | undefined;
     /** True if the last read of the backend server's state succeeded. */
     readonly reachable: boolean;
     /**
      * Reads the state if that is due and gives the next order. A tick does nothing while an earlier one is in progress.
      *
-     * @param input - what has to be held
+     * @param input - assigned copy, hold and progress of the transfer
      */
     tick(input: OrderInput): Promise<void>;
 }
 
-/** Options of {@link createOrderSystem}. */
-export interface OrderSystemOptions {
+/** Options of {@link createOrderController}. */
+export interface OrderControllerOptions {
     readonly backend: BackendServerPort;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly startedAt: Milliseconds;
     readonly orderTimeLimit: Milliseconds;
-    /** Time between two reads of the state without an order. */
+    /** Time between two reads of the state while no order is given. */
     readonly stateInterval: Milliseconds;
     readonly onDecision: (decision: ActivationDecision) => void;
 }
 
 /**
- * Creates the order system.
+ * Creates the controller of the orders to a backend server.
  *
- * @param options - backend server, time limits and what to do with decisions
- * @returns the system
+ * @param options - backend server, time limits and listener for decisions
+ * @returns the controller
  */
-export function createOrderSystem(options: OrderSystemOptions): OrderSystem {
+export function createOrderController(options: OrderControllerOptions): OrderController {
     const { backend, clock, logger } = options;
     let engine: EngineState | undefined;
     let engineReadAt: Milliseconds | undefined;
     let reachable = false;
     let phase: CopyPhase = "waiting";
-    let busy = false;
-    // An order whose answer was lost may still take effect until then.
-    let quietUntil = Number.NEGATIVE_INFINITY;
+    let isTickRunning = false;
+    // Until then, an order whose answer was lost may still take effect, so no other order is given.
+    let noOrdersUntil = Number.NEGATIVE_INFINITY;
     let lastToken: FencingToken = { epoch: 0, agentStart: clock.now().getTime(), sequence: 0 };
 
     async function readState(): Promise<void> {
@@ -92,7 +92,7 @@
         });
     }
 
-    async function carryOut(decision: ActivationDecision): Promise<void> {
+    async function giveOrder(decision: ActivationDecision): Promise<void> {
         const { order } = decision;
         if (order === undefined) {
             return;
@@ -102,18 +102,18 @@
         if (result.isErr) {
             logger.warn({ order: order.kind, error: result.error }, "order failed");
             if (result.error.mayHaveTakenEffect) {
-                quietUntil = clock.monotonic() + options.orderTimeLimit;
+                noOrdersUntil = clock.monotonic() + options.orderTimeLimit;
             }
         }
-        // Whatever the answer was, the state that the engine reports decides what comes next.
+        // The next decision depends on the state that the engine reports, whatever the answer was.
         await readState();
     }
 
     async function run(input: OrderInput): Promise<void> {
-        if (clock.monotonic() < quietUntil) {
+        if (clock.monotonic() < noOrdersUntil) {
             return;
         }
-        const isDue = engineReadAt === undefined || engineReadAt < quietUntil ||
+        const isDue = engineReadAt === undefined || engineReadAt < noOrdersUntil ||
             clock.monotonic() - engineReadAt >= options.stateInterval;
         if (isDue) {
             await readState();
@@ -121,7 +121,7 @@
         const decision = plan(input);
         options.onDecision(decision);
         phase = decision.phase;
-        await carryOut(decision);
+        await giveOrder(decision);
         phase = plan(input).phase;
     }
 
@@ -136,15 +136,15 @@
             return reachable;
         },
         tick: async input => {
-            if (busy) {
+            if (isTickRunning) {
                 return;
             }
-            busy = true;
+            isTickRunning = true;
             try {
                 await run(input);
             }
             finally {
-                busy = false;
+                isTickRunning = false;
             }
         },
     };
--- a/src/node/agent/ownershipRecorder.ts
+++ b/src/node/agent/ownershipRecorder.ts
@@ -3,22 +3,22 @@
 import type { AgentContext } from "./context.js";
 
 /**
- * Records the owners of keys with each placement record, in the step in which the record is applied.
+ * Records the owners of idempotency keys from each placement record, before the next record is applied.
  *
- * @param context - the agent
+ * @param context - state of the agent; its `ownership` is updated
  */
 export function followOwnership(context: AgentContext): void {
     const { clock, ownership, self, startedAt, store } = context;
     let { appliedOffset } = store.state;
 
-    /** Other instances may have owned keys under records that this process has not seen. */
-    function interrupt(): void {
+    /** Records a gap: other instances may have owned keys under records that this process has not seen. */
+    function recordInterruptions(): void {
         for (const history of ownership.values()) {
             recordInterruption(history, clock.now().getTime());
         }
     }
 
-    function record(placement: PlacementRow | undefined): void {
+    function recordPlacement(placement: PlacementRow | undefined): void {
         if (placement === undefined) {
             return;
         }
@@ -35,17 +35,17 @@
 
     store.onEntry((entry: LogEntry) => {
         if (entry.previousOffset !== appliedOffset) {
-            interrupt();
+            recordInterruptions();
         }
         appliedOffset = entry.offset;
-        record(store.state.placements.get(entry.record.deployment));
+        recordPlacement(store.state.placements.get(entry.record.deployment));
     });
     store.onChange(entries => {
         const isSnapshot = entries.length === 0;
         if (isSnapshot) {
-            interrupt();
+            recordInterruptions();
             ({ appliedOffset } = store.state);
-            [...store.state.placements.rows()].forEach(record);
+            [...store.state.placements.rows()].forEach(recordPlacement);
         }
     });
 }
--- a/src/node/agent/recentPrefixes.ts
+++ b/src/node/agent/recentPrefixes.ts
@@ -1,34 +1,34 @@
 import type { ManifestDigest } from "../../types/index.js";
 
-/** Prompt prefixes that the backend server most likely has in its cache. */
+/** Prompt prefixes that the backend server has probably cached. */
 export interface RecentPrefixes {
     /**
-     * Notes an answered request; prefixes of other weights are forgotten, since caches do not outlive them.
+     * Records an answered request; prefixes on other weights are removed, since a change of weights clears the cache.
      *
      * @param prefix - digest of the prefix; undefined for requests without a prompt
-     * @param manifestDigest - weights that answered
+     * @param manifestDigest - weights that answered the request
      */
-    note(prefix: string | undefined, manifestDigest: ManifestDigest): void;
+    record(prefix: string | undefined, manifestDigest: ManifestDigest): void;
     /** @returns prefixes, newest first */
     list(): readonly string[];
 }
 
-/** Prefixes that are kept; cache events of engines come late and with gaps, so they are not waited for. */
+/** Number of prefixes kept. They are guessed from requests, since engines report cache events late and with gaps. */
 const maximumPrefixes = 32;
 
 /**
- * Creates the list.
+ * Creates the list of recent prefixes.
  *
  * @returns the empty list
  */
 export function createRecentPrefixes(): RecentPrefixes {
     let prefixes: string[] = [];
-    let current: ManifestDigest | undefined;
+    let currentDigest: ManifestDigest | undefined;
     return {
-        note: (prefix, manifestDigest) => {
-            if (current !== manifestDigest) {
+        record: (prefix, manifestDigest) => {
+            if (currentDigest !== manifestDigest) {
                 prefixes = [];
-                current = manifestDigest;
+                currentDigest = manifestDigest;
             }
             if (prefix !== undefined) {
                 prefixes = [prefix, ...prefixes.filter(known => known !== prefix)].slice(0, maximumPrefixes);
--- a/src/node/agent/requestRow.ts
+++ b/src/node/agent/requestRow.ts
@@ -2,11 +2,11 @@
 import type { ExecuteCall } from "./frames.js";
 
 /**
- * Reads the request of a call.
+ * Creates the row of a request from its call.
  *
  * @param call - the call
  * @param now - monotonic time of arrival
- * @returns the request, with its deadline on this process's clock
+ * @returns the row, with the deadline on the monotonic clock of this process
  */
 export function createRequestRow(call: ExecuteCall, now: Milliseconds): RequestRow {
     const { request } = call;
--- a/src/node/agent/transfer/context.ts
+++ b/src/node/agent/transfer/context.ts
@@ -1,6 +1,6 @@
 import type { DistributionOptions } from "../../../runtime/distribution/index.js";
 import type { InstanceId, ManifestDigest, Milliseconds } from "../../../types/index.js";
-import type { ByteGate } from "./byteGate.js";
+import type { ByteSemaphore } from "./byteSemaphore.js";
 import type { PeerCalls } from "./peerCalls.js";
 import type { TransferServiceInput, TransferServiceSettings } from "./types.js";
 import type { WeightSetState } from "./weightSetState.js";
@@ -10,53 +10,53 @@
     readonly settings: TransferServiceSettings;
     readonly options: DistributionOptions;
     readonly calls: PeerCalls;
-    /** Bounds the bytes of chunks that are being received. */
-    readonly incomingGate: ByteGate;
+    /** Limits the bytes of chunks that are being received. */
+    readonly incomingSemaphore: ByteSemaphore;
     readonly sets: Map<ManifestDigest, WeightSetState>;
-    /** Ended when the service is disposed of. */
+    /** Aborted when the service is disposed of. */
     readonly signal: AbortSignal;
     readonly counters: { originBytes: number; peerReceivedBytes: number; peerSentBytes: number; };
     /**
-     * Tells whether a set is still the one to be transferred.
+     * Returns whether a set is still the target of the transfers.
      *
-     * @param set - the set for which work was begun
+     * @param set - the set for which an operation was started
      * @returns false after a change of the target or after disposal
      */
     isTarget(set: WeightSetState): boolean;
     /**
-     * Keeps the service from ending before work in progress has.
+     * Makes the disposal of the service wait for an operation.
      *
-     * @param work - promise that never rejects
+     * @param work - promise of the operation; must not reject
      */
     track(work: Promise<void>): void;
-    /** Requests chunks soon, if transfers may begin. */
+    /** Schedules the selection of transfers for the next turn of the event loop, if the target is prepared by then. */
     requestTransfers(): void;
     /**
      * Writes a log line.
      *
-     * @param fields - what the line names besides the set
-     * @param message - event
-     * @param set - set that it concerns
+     * @param fields - fields of the line besides those of the set
+     * @param message - message of the line
+     * @param set - set that the line is about
      */
     logEvent(fields: Readonly<Record<string, unknown>>, message: string, set: WeightSetState): void;
 }
 
 /**
- * Finds the address of a member.
+ * Finds the address of a member's agent.
  *
  * @param set - the set
  * @param instance - the member
- * @returns `host:port`, or undefined if the instance is no member
+ * @returns `host:port`; undefined if the instance is not a member
  */
 export function findAddress(set: WeightSetState, instance: InstanceId): string | undefined {
     return set.target.members.find(member => member.instance === instance)?.address;
 }
 
 /**
- * Computes a delay that doubles with each failure, with jitter so that agents do not repeat at the same time.
+ * Computes a delay that doubles with each failure, with jitter so that agents do not retry at the same time.
  *
  * @param context - settings and random source
- * @param failures - failures in a row, from 1
+ * @param failures - number of consecutive failures, from 1
  * @returns the delay
  */
 export function computeBackoff(context: TransferContext, failures: number): Milliseconds {
--- a/src/node/agent/transfer/downloads.ts
+++ b/src/node/agent/transfer/downloads.ts
@@ -17,11 +17,11 @@
 } from "../../../runtime/distribution/index.js";
 import type { GoldcrestpointError, Manifest } from "../../../types/index.js";
 import { computeBackoff, findAddress, type TransferContext } from "./context.js";
-import { noteAvailability, type WeightSetState } from "./weightSetState.js";
+import { recordFirstAvailability, type WeightSetState } from "./weightSetState.js";
 
 type CommandOf<Kind extends TransferCommand["kind"]> = Extract<TransferCommand, { kind: Kind; }>;
 
-/** Transfer with what is needed to end it. */
+/** Transfer in progress with its set and the signal that aborts it. */
 interface RunningTransfer {
     readonly set: WeightSetState;
     readonly manifest: Manifest;
@@ -30,11 +30,11 @@
 }
 
 /**
- * Requests the chunks that are due and abandons stalled transfers.
+ * Starts the transfers that are due and abandons stalled ones.
  *
- * @param context - the service
- * @param set - target whose manifest is known and which the engine has prepared
- * @param manifest - its manifest
+ * @param context - context of the service
+ * @param set - target, which the engine has prepared
+ * @param manifest - manifest of the set
  */
 export function runTransfers(context: TransferContext, set: WeightSetState, manifest: Manifest): void {
     const now = context.clock.monotonic();
@@ -42,7 +42,7 @@
     for (const { index } of set.transfers.rows()) {
         requestedBytes += manifest.chunks[index]!.bytes;
     }
-    noteAvailability(set, now);
+    recordFirstAvailability(set, now);
     const commands = selectTransfers({
         manifest,
         held: set.held,
@@ -130,7 +130,7 @@
 async function fetchFromOrigin(context: TransferContext, transfer: RunningTransfer): Promise<void> {
     const { manifest, row, signal } = transfer;
     const { bytes } = manifest.chunks[row.index]!;
-    const release = await waitLocally(context, row, context.incomingGate.acquire(bytes, signal));
+    const release = await awaitLocalResource(context, row, context.incomingSemaphore.acquire(bytes, signal));
     if (release === undefined) {
         return;
     }
@@ -150,7 +150,7 @@
         return;
     }
     context.counters.originBytes += content.value.length;
-    if (!await waitLocally(context, row, takeInParts(context, content.value.length, signal))) {
+    if (!await awaitLocalResource(context, row, takeFromLinkBudget(context, content.value.length, signal))) {
         return;
     }
     set.originFailures = 0;
@@ -158,18 +158,22 @@
 }
 
 /**
- * Keeps a transfer from counting as stalled while it waits for this instance's memory, link or engine. Its chunk would be
- * requested a second time although it has arrived, and its source would be avoided without a fault of its own.
+ * Waits for this instance's memory, link or engine; the transfer does not count as stalled meanwhile. Otherwise, a
+ * chunk that has arrived would be requested again, and its source would be avoided although it is not at fault.
  */
-async function waitLocally<Value>(context: TransferContext, row: TransferRow, wait: Promise<Value>): Promise<Value> {
+async function awaitLocalResource<Value>(
+    context: TransferContext,
+    row: TransferRow,
+    wait: Promise<Value>,
+): Promise<Value> {
     row.progressedAt = Infinity;
     const value = await wait;
     row.progressedAt = context.clock.monotonic();
     return value;
 }
 
-/** A whole chunk at once would overdraw the budget for so long that live requests and other transfers wait for it. */
-async function takeInParts(context: TransferContext, bytes: number, signal: AbortSignal): Promise<boolean> {
+/** Takes a chunk's bytes in parts: taken at once, they would block live requests and other transfers for too long. */
+async function takeFromLinkBudget(context: TransferContext, bytes: number, signal: AbortSignal): Promise<boolean> {
     const { partBytes } = context.settings;
     for (let offset = 0; offset < bytes; offset += partBytes) {
         if (!await context.linkBudget.take("incoming", Math.min(partBytes, bytes - offset), signal)) {
@@ -215,8 +219,8 @@
         if (part.length === 0) {
             return;
         }
-        // Memory is taken with the first part only, since the sender may let the request wait.
-        release ??= await waitLocally(context, row, context.incomingGate.acquire(expectedBytes, signal));
+        // Memory is acquired only when the first part arrives, since the sender may queue the request.
+        release ??= await awaitLocalResource(context, row, context.incomingSemaphore.acquire(expectedBytes, signal));
         if (release === undefined) {
             return;
         }
@@ -226,7 +230,7 @@
         }
         receivedBytes += part.length;
         context.counters.peerReceivedBytes += part.length;
-        await waitLocally(context, row, context.linkBudget.take("incoming", part.length, signal));
+        await awaitLocalResource(context, row, context.linkBudget.take("incoming", part.length, signal));
     };
     try {
         const outcome = await context.calls.fetch(address, request, signal, receive);
@@ -237,8 +241,8 @@
             recordPeerFailure(context, set, row, outcome.error);
             return;
         }
-        const whole = content !== undefined && receivedBytes === expectedBytes;
-        await acceptChunk(context, transfer, whole ? content! : new Uint8Array());
+        const isWhole = content !== undefined && receivedBytes === expectedBytes;
+        await acceptChunk(context, transfer, isWhole ? content! : new Uint8Array());
     }
     finally {
         release?.();
@@ -260,7 +264,7 @@
         peer.chokedUntil = now + context.settings.retryChokedAfter * (1 + context.random.next());
         return;
     }
-    // The peer may have lost the chunk or be gone, which the next exchange shows.
+    // The peer may have lost the chunk or stopped; an immediate exchange shows which.
     removeChunk(peer.bitfield, row.index);
     set.exchangeAt.set(row.source, now);
     peer.chokedUntil = now + computeBackoff(context, 1);
@@ -269,7 +273,7 @@
     context.logEvent({ index: row.index, source: row.source, code, detail: message }, "transfer failed", set);
 }
 
-/** Verifies and stages a chunk. It counts as held only when the engine has it and nothing has changed meanwhile. */
+/** Verifies and stages a chunk. It counts as held once it is staged, unless target or engine have changed meanwhile. */
 async function acceptChunk(context: TransferContext, transfer: RunningTransfer, content: Uint8Array): Promise<void> {
     const { manifest, row, set, signal } = transfer;
     if (signal.aborted || !context.isTarget(set)) {
@@ -284,7 +288,7 @@
         peer.failedTransfers = 0;
     }
     const { generation } = set;
-    const staged = await waitLocally(
+    const staged = await awaitLocalResource(
         context,
         row,
         context.backend.stageChunk(set.manifestDigest, row.index, content),
@@ -315,9 +319,9 @@
 /**
  * Writes one log line when a set has become complete.
  *
- * @param context - the service
+ * @param context - context of the service
  * @param set - the set
- * @param manifest - its manifest
+ * @param manifest - manifest of the set
  */
 export function logCompletion(context: TransferContext, set: WeightSetState, manifest: Manifest): void {
     const chunks = manifest.chunks.length;
--- a/src/node/agent/transfer/engineSync.ts
+++ b/src/node/agent/transfer/engineSync.ts
@@ -4,26 +4,26 @@
 import { logCompletion } from "./downloads.js";
 import { discardHeld, type WeightSetState } from "./weightSetState.js";
 
-/** Keeps the sets' bitfields equal to what the engine has staged. */
+/** Synchronizes the bitfields of the sets with the chunks that are staged in the engine. */
 export interface EngineSync {
-    /** Reads the engine's state if it is due. */
+    /** Reads the engine's state if a read is due. */
     run(): void;
     /** Makes the next `run` read the engine's state. */
-    expire(): void;
-    /** @returns digest of the active set at the newest read; undefined if none is active */
+    requestRead(): void;
+    /** @returns digest of the active set at the last successful read; undefined if none was active */
     readActiveDigest(): ManifestDigest | undefined;
 }
 
 /**
- * Creates the comparison with the engine's state.
+ * Creates the synchronization with the engine's state.
  *
- * @param context - the service
- * @param dropInactive - called after each read, to forget sets that are neither target nor active
- * @returns the comparison
+ * @param context - context of the service
+ * @param dropInactive - called after each read, to remove sets that are neither target, active nor retained
+ * @returns the synchronization
  */
 export function createEngineSync(context: TransferContext, dropInactive: () => void): EngineSync {
-    let readAt: Milliseconds = 0;
-    let reading = false;
+    let nextReadAt: Milliseconds = 0;
+    let isReading = false;
     let failures = 0;
     let incarnation: string | undefined;
     let activeDigest: ManifestDigest | undefined;
@@ -33,7 +33,7 @@
         const state = await context.backend.readState();
         if (state.isErr) {
             failures++;
-            readAt = context.clock.monotonic() + computeBackoff(context, failures);
+            nextReadAt = context.clock.monotonic() + computeBackoff(context, failures);
             return;
         }
         failures = 0;
@@ -45,16 +45,16 @@
             }
         }
         for (const [set, held] of heldBefore) {
-            await compare(set, held, state.value);
+            await compareWithStaged(set, held, state.value);
         }
         dropInactive();
         const unprepared = [...context.sets.values()].some(set => !set.prepared);
         const { engineReadInterval, engineReadIntervalUnprepared } = context.settings;
-        readAt = context.clock.monotonic() + (unprepared ? engineReadIntervalUnprepared : engineReadInterval);
+        nextReadAt = context.clock.monotonic() + (unprepared ? engineReadIntervalUnprepared : engineReadInterval);
         context.requestTransfers();
     }
 
-    async function compare(set: WeightSetState, heldBefore: Uint8Array, state: EngineState): Promise<void> {
+    async function compareWithStaged(set: WeightSetState, heldBefore: Uint8Array, state: EngineState): Promise<void> {
         if (set.manifest === undefined) {
             return;
         }
@@ -69,7 +69,7 @@
         const chunks = set.manifest.chunks.length;
         const reported = decodeBitfield(staged.bitfield, chunks);
         for (let index = 0; index < chunks; index++) {
-            // Chunks that were staged after the read had begun may be missing in the answer.
+            // Only chunks held before the read are compared, since the answer may lack those staged during the read.
             if (hasChunk(heldBefore, index) && !hasChunk(reported, index)) {
                 removeChunk(set.held, index);
                 set.completeLogged = false;
@@ -80,7 +80,7 @@
         }
     }
 
-    /** Chunks staged by an earlier agent process, or before a failure, count only when their content is right. */
+    /** Verifies chunks that were staged by an earlier agent process or before a failure; correct ones count as held. */
     async function verifyStaged(set: WeightSetState, staged: StagedSet): Promise<void> {
         const { generation, manifest } = set;
         if (manifest === undefined) {
@@ -107,18 +107,18 @@
 
     return {
         run: () => {
-            if (reading || context.sets.size === 0 || context.clock.monotonic() < readAt) {
+            if (isReading || context.sets.size === 0 || context.clock.monotonic() < nextReadAt) {
                 return;
             }
-            reading = true;
+            isReading = true;
             context.track(
                 read().finally(() => {
-                    reading = false;
+                    isReading = false;
                 }),
             );
         },
-        expire: () => {
-            readAt = 0;
+        requestRead: () => {
+            nextReadAt = 0;
         },
         readActiveDigest: () => activeDigest,
     };
--- a/src/node/agent/transfer/exchanges.ts
+++ b/src/node/agent/transfer/exchanges.ts
@@ -15,13 +15,13 @@
 import { findAddress, type TransferContext } from "./context.js";
 import { findPeer, type WeightSetState } from "./weightSetState.js";
 
-/** Peers that only ask this agent are asked back less often, to learn what they have sent. */
-const askBackFactor = 4;
+/** Factor on the exchange interval for peers that are only asked back, to learn how much they have sent. */
+const askBackIntervalFactor = 4;
 
 /**
- * Exchanges bitfields with the instances whose turn it is.
+ * Exchanges bitfields with the instances for which an exchange is due.
  *
- * @param context - the service
+ * @param context - context of the service
  * @param set - the target
  */
 export function runExchanges(context: TransferContext, set: WeightSetState): void {
@@ -33,7 +33,7 @@
     }
     const intervals = new Map<InstanceId, number>();
     for (const instance of set.peers.keys()) {
-        intervals.set(instance, exchangeInterval * askBackFactor);
+        intervals.set(instance, exchangeInterval * askBackIntervalFactor);
     }
     for (const instance of [...set.neighbours, ...listWatchedReaders(context, set)]) {
         intervals.set(instance, exchangeInterval);
@@ -87,8 +87,8 @@
 /**
  * Creates the handler of `ExchangeAvailability`.
  *
- * @param context - the service
- * @returns handler that takes the requester's bitfield and answers with this agent's
+ * @param context - context of the service
+ * @returns handler that records the requester's bitfield and answers with this agent's
  */
 export function createExchangeHandler(
     context: TransferContext,
--- a/src/node/agent/transfer/linkBudget.ts
+++ b/src/node/agent/transfer/linkBudget.ts
@@ -15,21 +15,21 @@
     /** Speed of the link in each direction. */
     readonly bytesPerSecond: number;
     readonly clock: Clock;
-    /** Default: 0 at any time. */
+    /** Counts the live requests in progress. Default: always 0. */
     readonly requestsInProgress?: (() => number) | undefined;
 }
 
-/** Seconds of transfers that may be requested ahead; it keeps the link busy for longer than a round trip. */
+/** Seconds of transfers that may be requested in advance; more than a round trip, so that the link stays busy. */
 const requestAheadSeconds = 2;
 
-/** Waiters of one direction, served in order. */
-interface Lane {
+/** Token bucket of one direction, and the promise of the last waiter; waiters are served in order. */
+interface DirectionBudget {
     readonly bucket: TokenBucket;
     tail: Promise<unknown>;
 }
 
 /**
- * Creates a byte budget for both directions of the instance's link. Transfers get less while live requests are in
+ * Creates a byte budget for each direction of the instance's link. Transfers get less while live requests are in
  * progress.
  *
  * @param input - speed of the link, clock and shares
@@ -38,18 +38,25 @@
 export function createLinkBudget(input: LinkBudgetInput): LinkBudget {
     const { clock } = input;
     const options = resolveBudgetOptions(input);
-    const createLane = (): Lane => ({
+    const createDirectionBudget = (): DirectionBudget => ({
         bucket: { bytes: 0, refilledAt: clock.monotonic() },
         tail: Promise.resolve(),
     });
-    const lanes: Record<TransferDirection, Lane> = { incoming: createLane(), outgoing: createLane() };
+    const budgets: Record<TransferDirection, DirectionBudget> = {
+        incoming: createDirectionBudget(),
+        outgoing: createDirectionBudget(),
+    };
     const readRate = () => readTransferRate(options, input.requestsInProgress?.() ?? 0);
 
-    async function takeInTurn(lane: Lane, bytes: number, signal: AbortSignal | undefined): Promise<boolean> {
+    async function takeInTurn(
+        budget: DirectionBudget,
+        bytes: number,
+        signal: AbortSignal | undefined,
+    ): Promise<boolean> {
         while (signal?.aborted !== true) {
             const rate = readRate();
-            refillBucket(lane.bucket, rate, options.burst, clock.monotonic());
-            const wait = takeFromBucket(lane.bucket, bytes, rate);
+            refillBucket(budget.bucket, rate, options.burst, clock.monotonic());
+            const wait = takeFromBucket(budget.bucket, bytes, rate);
             if (wait === 0) {
                 return true;
             }
@@ -60,9 +67,9 @@
 
     return {
         take: (direction, bytes, signal) => {
-            const lane = lanes[direction];
-            const taken = lane.tail.then(() => takeInTurn(lane, bytes, signal));
-            lane.tail = taken;
+            const budget = budgets[direction];
+            const taken = budget.tail.then(() => takeInTurn(budget, bytes, signal));
+            budget.tail = taken;
             return taken;
         },
         available: () => readRate() * requestAheadSeconds,
--- a/src/node/agent/transfer/peerCalls.ts
+++ b/src/node/agent/transfer/peerCalls.ts
@@ -12,7 +12,7 @@
 import { createError, type GoldcrestpointError, type Milliseconds, type PortResult } from "../../../types/index.js";
 import { type AgentClient, createAgentClient } from "../../grpc/index.js";
 
-/** Content of a request without the generated message's own fields. */
+/** Fields of a request, without those that the code generator adds to each message. */
 type Fields<Message> = Omit<Message, "$typeName" | "$unknown">;
 
 /** Calls to the agents of other instances. */
@@ -23,7 +23,7 @@
      * @param address - `host:port` of the agent
      * @param fields - content of the request
      * @param timeLimit - time after which the call fails
-     * @returns the peer's answer, or `PEER_UNREACHABLE`
+     * @returns the peer's answer; `PEER_UNREACHABLE` if there is none in time
      */
     exchange(
         address: string,
@@ -36,7 +36,7 @@
      * @param address - `host:port` of the agent
      * @param fields - content of the request
      * @param signal - cancels the call
-     * @param receive - called with each part; the next one is read when it returns
+     * @param receive - called with each part; the next one is read once its promise resolves
      * @returns nothing once the stream has ended; `CHUNK_REFUSED` with the refusal as its message, or
      * `PEER_UNREACHABLE`
      */
@@ -47,7 +47,7 @@
         receive: (part: ChunkPart) => Promise<void>,
     ): Promise<Result<void, GoldcrestpointError>>;
     /**
-     * Closes the connections to agents that are not needed any more.
+     * Closes the connections to all other agents.
      *
      * @param addresses - agents that are still needed
      */
@@ -55,7 +55,7 @@
 }
 
 /**
- * Creates the calls to other agents; each agent gets one connection.
+ * Creates the calls to other agents, with one connection to each agent.
  *
  * @returns the calls
  */
@@ -84,7 +84,7 @@
     ): PortResult<AvailabilityResponse> {
         return new Promise(resolve => {
             const request = create(AvailabilityRequestSchema, fields);
-            // gRPC takes the time limit as a wall-clock time.
+            // gRPC expects the deadline as a wall-clock time.
             const options = { deadline: Date.now() + timeLimit };
             findClient(address).exchangeAvailability(request, new Metadata(), options, (error, response) => {
                 if (response === undefined) {
--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -6,7 +6,7 @@
     verifyManifest,
 } from "../../../runtime/distribution/index.js";
 import type { ManifestDigest, Milliseconds } from "../../../types/index.js";
-import { createByteGate } from "./byteGate.js";
+import { createByteSemaphore } from "./byteSemaphore.js";
 import { computeBackoff, type TransferContext } from "./context.js";
 import { runTransfers } from "./downloads.js";
 import { createEngineSync } from "./engineSync.js";
@@ -18,16 +18,16 @@
 import { applyManifest, applyMembers, createWeightSetState, type WeightSetState } from "./weightSetState.js";
 
 /**
- * Share of the bytes in memory for chunks that are received. Reads from the origin are slow and keep theirs for long,
- * while two chunks that are sent at once keep the link busy.
+ * Share of the memory limit for chunks that are received; the rest is for chunks that are sent. Reads from the origin
+ * are slow and hold their memory for long, while sending two chunks at a time is enough to keep the link busy.
  */
 const incomingShare = 2 / 3;
 
 /**
- * Time for which the bytes sent of a forgotten set still count. A hold that lapses for seconds would otherwise renew the
- * upload allowance in the middle of a burst.
+ * Milliseconds for which the bytes sent of a removed set still count against its upload allowance. Otherwise, a hold
+ * that lapses for a few seconds would renew the allowance in the middle of a burst.
  */
-const rememberSentBytesFor = 600_000;
+const sentBytesRetention = 600_000;
 
 interface ForgottenSet {
     readonly sentBytes: number;
@@ -35,38 +35,38 @@
 }
 
 /**
- * Creates the exchange of weights between this agent and the others of the same set.
+ * Creates the service that exchanges weights with the other agents of the same set.
  *
- * @param input - instance, ports, link budget, clock, randomness and options
+ * @param input - instance, ports, link budget, clock, random source and options
  * @returns the service; disposing of it abandons all transfers
  */
 export function createTransferService(input: TransferServiceInput): TransferService {
     const disposal = new AbortController();
-    // Each upload in progress listens to it.
+    // Each upload in progress adds a listener, so their number may exceed the default limit.
     setMaxListeners(0, disposal.signal);
-    const work = new Set<Promise<void>>();
+    const workInProgress = new Set<Promise<void>>();
     const sets = new Map<ManifestDigest, WeightSetState>();
     const forgotten = new Map<ManifestDigest, ForgottenSet>();
     let target: WeightSetState | undefined;
     let tickRequested = false;
     let manifestRetryAt: Milliseconds = 0;
     let manifestFailures = 0;
-    let manifestReading: ManifestDigest | undefined;
+    let manifestBeingRead: ManifestDigest | undefined;
 
     const options = resolveDistributionOptions(input.options);
     const context: TransferContext = {
         ...input,
         settings: resolveTransferSettings(input.options),
         options,
-        incomingGate: createByteGate(options.maximumBytesInFlight * incomingShare),
+        incomingSemaphore: createByteSemaphore(options.maximumBytesInFlight * incomingShare),
         calls: createPeerCalls(),
         sets,
         signal: disposal.signal,
         counters: { originBytes: 0, peerReceivedBytes: 0, peerSentBytes: 0 },
         isTarget: set => set === target && !disposal.signal.aborted,
         track: promise => {
-            work.add(promise);
-            void promise.finally(() => work.delete(promise));
+            workInProgress.add(promise);
+            void promise.finally(() => workInProgress.delete(promise));
         },
         requestTransfers: () => {
             if (tickRequested || disposal.signal.aborted) {
@@ -106,7 +106,7 @@
     function recreateSet(wanted: TransferTarget): WeightSetState {
         const now = context.clock.monotonic();
         for (const [digest, { forgottenAt }] of forgotten) {
-            if (now - forgottenAt >= rememberSentBytesFor) {
+            if (now - forgottenAt >= sentBytesRetention) {
                 forgotten.delete(digest);
             }
         }
@@ -135,7 +135,7 @@
             manifestFailures = 0;
         }
         dropInactiveSets();
-        engineSync.expire();
+        engineSync.requestRead();
     }
 
     async function readManifest(set: WeightSetState): Promise<void> {
@@ -150,20 +150,20 @@
             return;
         }
         applyManifest(set, manifest.value, context.self, context.options.neighbours);
-        engineSync.expire();
-        // What peers reported before the manifest was known could not be decoded.
+        engineSync.requestRead();
+        // Bitfields that peers sent earlier could not be decoded without the manifest, so all peers are asked again.
         set.exchangeAt.clear();
         set.neighboursAsked.clear();
     }
 
     function requestManifest(set: WeightSetState): void {
-        if (manifestReading === set.manifestDigest || context.clock.monotonic() < manifestRetryAt) {
+        if (manifestBeingRead === set.manifestDigest || context.clock.monotonic() < manifestRetryAt) {
             return;
         }
-        manifestReading = set.manifestDigest;
+        manifestBeingRead = set.manifestDigest;
         context.track(
             readManifest(set).finally(() => {
-                manifestReading = undefined;
+                manifestBeingRead = undefined;
             }),
         );
     }
@@ -211,7 +211,7 @@
             abandonTransfers(set);
         }
         context.calls[Symbol.dispose]();
-        await Promise.all(work);
+        await Promise.all(workInProgress);
     }
 
     const upload = createUploadHandler({
@@ -219,7 +219,7 @@
         backend: input.backend,
         linkBudget: input.linkBudget,
         clock: input.clock,
-        gate: createByteGate(options.maximumBytesInFlight * (1 - incomingShare)),
+        semaphore: createByteSemaphore(options.maximumBytesInFlight * (1 - incomingShare)),
         settings: context.settings,
         options,
         signal: disposal.signal,
--- a/src/node/agent/transfer/settings.ts
+++ b/src/node/agent/transfer/settings.ts
@@ -4,7 +4,7 @@
  * Completes the options of the transfer service with their defaults.
  *
  * @param options - options that differ from the defaults
- * @returns all options that the decision does not use
+ * @returns all options of the service, without those of the distribution decision
  */
 export function resolveTransferSettings(options: TransferServiceOptions = {}): TransferServiceSettings {
     return {
--- a/src/node/agent/transfer/types.ts
+++ b/src/node/agent/transfer/types.ts
@@ -30,15 +30,15 @@
     readonly address: string;
 }
 
-/** Weight set that an agent has to hold, and the instances that it is exchanged with. */
+/** Weight set that an agent has to hold, and the instances that it exchanges the set with. */
 export interface TransferTarget {
     readonly weights: WeightSet;
-    /** Assigned instances; whether the agent itself is listed makes no difference. */
+    /** Assigned instances, with or without this agent's own. */
     readonly members: readonly TransferMember[];
     readonly objective: Objective;
-    /** Availability zone of the origin, whose members read from it first. Default: not known. */
+    /** Availability zone of the origin; members in this zone read from the origin first. Default: not known. */
     readonly originZone?: AvailabilityZone | undefined;
-    /** Other sets that the agent keeps and passes on. Default: none. */
+    /** Other sets that the agent keeps and sends to other agents. Default: none. */
     readonly retained?: ReadonlySet<ManifestDigest> | undefined;
 }
 
@@ -49,7 +49,7 @@
     readonly chunksComplete: number;
     /** 0 until the manifest has been read. */
     readonly chunksTotal: number;
-    /** True if every chunk is staged and verified under the manifest digest. */
+    /** True if every chunk of the manifest is staged and verified. */
     readonly complete: boolean;
 }
 
@@ -68,17 +68,17 @@
     /**
      * Waits until bytes may be transferred.
      *
-     * @param direction - which half of the link they use
+     * @param direction - direction of the transfer
      * @param bytes - number of bytes
-     * @param signal - ends the wait
-     * @returns true once the bytes may be transferred; false if the wait was ended
+     * @param signal - aborts the wait
+     * @returns true once the bytes may be transferred; false if the wait was aborted
      */
     take(direction: TransferDirection, bytes: number, signal?: AbortSignal): Promise<boolean>;
     /**
-     * Reads how many bytes can be requested without exceeding the budget soon.
+     * Reads how many bytes may be requested in advance within the budget.
      *
-     * @param direction - which half of the link they use
-     * @returns bytes
+     * @param direction - direction of the transfer
+     * @returns number of bytes
      */
     available(direction: TransferDirection): number;
 }
@@ -88,32 +88,32 @@
     info(fields: Readonly<Record<string, unknown>>, message: string): void;
 }
 
-/** Options of the transfer service beyond those of the decision. */
+/** Options of the transfer service, without those of the distribution decision. */
 export interface TransferServiceSettings {
-    /** True if the service calls its own `tick`. Default: true. */
+    /** True if the service calls `tick` itself, at `tickInterval`. Default: true. */
     readonly selfScheduled: boolean;
     /** Time between two ticks of the self-scheduled service. Default: 100 ms. */
     readonly tickInterval: Milliseconds;
     /** Time between two exchanges with the same neighbour. Default: 500 ms. */
     readonly exchangeInterval: Milliseconds;
-    /** Time after which an exchange without an answer has failed. Default: 2,000 ms. */
+    /** Time after which an exchange without an answer counts as failed. Default: 2,000 ms. */
     readonly exchangeTimeLimit: Milliseconds;
     /** Time between two reads of the engine's state. Default: 1,000 ms. */
     readonly engineReadInterval: Milliseconds;
-    /** The same while the engine does not list the set yet. Default: 200 ms. */
+    /** Time between two reads of the engine's state while a set is not prepared. Default: 200 ms. */
     readonly engineReadIntervalUnprepared: Milliseconds;
-    /** Time for which a peer that refused a chunk as choked is not asked again, plus up to as much. Default: 200 ms. */
+    /** Time before a peer that refused a chunk as choked is asked again; jitter up to doubles it. Default: 200 ms. */
     readonly retryChokedAfter: Milliseconds;
-    /** First delay after a failure of origin or engine; it doubles up to 16 times, with jitter. Default: 250 ms. */
+    /** First delay after a failure of origin or engine; doubles up to a factor of 16, with jitter. Default: 250 ms. */
     readonly retryFailedAfter: Milliseconds;
     /** Largest part of a chunk in one message. Default: 65,536 bytes. */
     readonly partBytes: number;
     /**
-     * True if chunks are requested only when the engine lists the set as staged, that is after the order `prepare`.
+     * True if chunks are requested only once the engine lists the set as staged, that is after the order `prepare`.
      * Default: true.
      */
     readonly waitForPreparedSet: boolean;
-    /** False if an agent that holds the whole set only answers and does not ask. Default: true. */
+    /** False if an agent that holds the whole set answers exchanges but starts none. Default: true. */
     readonly exchangeWhenComplete: boolean;
 }
 
@@ -127,8 +127,8 @@
     readonly backend: BackendServerPort;
     readonly origin: OriginPort;
     /**
-     * Checks a manifest that was read for a set. Default: its digest must be the set's; where sets are named otherwise,
-     * only the chunks that fit prove a manifest.
+     * Verifies a manifest that was read for a set. Default: its digest must be the set's. Where sets are not named by
+     * the digest, a manifest is confirmed only by chunks that match it.
      */
     readonly verifyManifest?:
         | ((manifest: Manifest, set: ManifestDigest) => Result<Manifest, GoldcrestpointError>)
@@ -142,18 +142,18 @@
 
 /** Exchange of weights with the other agents of the same set. */
 export interface TransferService extends AsyncDisposable {
-    /** Handler for the agent's gRPC server. */
+    /** gRPC handler of `ExchangeAvailability`. */
     readonly exchangeAvailability: handleUnaryCall<AvailabilityRequest, AvailabilityResponse>;
-    /** Handler for the agent's gRPC server. */
+    /** gRPC handler of `FetchChunk`. */
     readonly fetchChunk: handleServerStreamingCall<FetchChunkRequest, ChunkPart>;
     /**
-     * Sets what the agent has to hold. A changed manifest digest abandons the transfers of the old set and forgets its
-     * chunks, unless the engine has it active; a change of members or objective keeps everything.
+     * Sets the weight set that the agent has to hold. A new manifest digest abandons the transfers of the old set, and
+     * removes it unless it is retained or active in the engine; a change of members or objective keeps everything.
      *
      * @param target - the set and its members; undefined if nothing is assigned
      */
     setTarget(target: TransferTarget | undefined): void;
-    /** Starts what is due: reading the manifest and the engine's state, exchanges, transfers. */
+    /** Starts the operations that are due: reads of the manifest and of the engine's state, exchanges and transfers. */
     tick(): void;
     /** @returns progress of the target; undefined if there is none */
     progress(): TransferProgress | undefined;
--- a/src/node/agent/transfer/uploads.ts
+++ b/src/node/agent/transfer/uploads.ts
@@ -10,7 +10,7 @@
     recordAvailability,
 } from "../../../runtime/distribution/index.js";
 import type { BackendServerPort, Clock, ManifestDigest } from "../../../types/index.js";
-import type { ByteGate } from "./byteGate.js";
+import type { ByteSemaphore } from "./byteSemaphore.js";
 import type { LinkBudget, TransferServiceSettings } from "./types.js";
 import { findPeer, type WeightSetState } from "./weightSetState.js";
 
@@ -20,13 +20,13 @@
     readonly backend: BackendServerPort;
     readonly linkBudget: LinkBudget;
     readonly clock: Clock;
-    /** Bounds the bytes of chunks that are being sent. */
-    readonly gate: ByteGate;
+    /** Limits the bytes of chunks that are being sent. */
+    readonly semaphore: ByteSemaphore;
     readonly settings: TransferServiceSettings;
     readonly options: DistributionOptions;
     /** Called with the number of bytes of each part sent. */
     readonly countSent: (bytes: number) => void;
-    /** Ends all uploads. */
+    /** Aborts all uploads. */
     readonly signal: AbortSignal;
 }
 
@@ -35,8 +35,8 @@
 /**
  * Creates the handler of `FetchChunk`.
  *
- * @param input - sets, engine and budget
- * @returns handler that sends the chunk in parts, or refuses it
+ * @param input - sets, backend server and budgets
+ * @returns handler that sends the chunk in parts or refuses it
  */
 export function createUploadHandler(input: UploadInput): (call: FetchCall) => Promise<void> {
     return async call => {
@@ -65,7 +65,7 @@
         set.sentBytes += chunkBytes;
         let unsent = chunkBytes;
         try {
-            unsent -= await sendInTurn(input, call, set, index, chunkBytes);
+            unsent -= await waitAndSend(input, call, set, index, chunkBytes);
         }
         finally {
             set.uploadsInProgress--;
@@ -74,7 +74,7 @@
     };
 }
 
-/** Each request tells what its sender holds, so that both sides know more than the last exchange said. */
+/** Records the bitfield that a request carries, which is more recent than the last exchange. */
 function recordRequester(input: UploadInput, set: WeightSetState, { bitfield, instance }: FetchChunkRequest): void {
     const chunks = set.manifest?.chunks.length ?? 0;
     const now = input.clock.monotonic();
@@ -93,28 +93,28 @@
     call.end();
 }
 
-/** Reads the chunk from the engine only when its turn has come, so that waiting requests keep no bytes. */
-async function sendInTurn(
+/** Reads the chunk only once memory is granted, so that waiting requests hold none. Returns the bytes sent. */
+async function waitAndSend(
     input: UploadInput,
     call: FetchCall,
     set: WeightSetState,
     index: number,
     chunkBytes: number,
 ): Promise<number> {
-    const ended = new AbortController();
+    const controller = new AbortController();
     const end = () => {
-        ended.abort();
+        controller.abort();
     };
     call.once("cancelled", end);
     call.once("error", end);
     input.signal.addEventListener("abort", end, { once: true });
-    const release = await input.gate.acquire(chunkBytes, ended.signal);
+    const release = await input.semaphore.acquire(chunkBytes, controller.signal);
     try {
         if (release === undefined) {
             endWithError(call);
             return 0;
         }
-        return await sendChunk(input, call, set, index, ended.signal);
+        return await sendChunk(input, call, set, index, controller.signal);
     }
     finally {
         release?.();
@@ -124,7 +124,7 @@
 
 /** Ends the stream with an error status, so that the requester does not wait for the rest. */
 function endWithError(call: FetchCall): void {
-    call.emit("error", new Error("the upload was ended"));
+    call.emit("error", new Error("the upload was aborted"));
 }
 
 async function sendChunk(
--- a/src/node/agent/transfer/weightSetState.ts
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -12,7 +12,7 @@
 import { createTable, type Table } from "../../../utils/index.js";
 import type { TransferTarget } from "./types.js";
 
-/** What the service knows of one weight set. */
+/** State of the transfer service for one weight set. */
 export interface WeightSetState {
     readonly manifestDigest: ManifestDigest;
     readonly startedAt: Milliseconds;
@@ -20,7 +20,7 @@
     manifest: Manifest | undefined;
     /** Chunks that are staged in the engine and were verified by this process. */
     held: Uint8Array;
-    /** Grows when `held` is taken back, so that work begun before does not count. */
+    /** Incremented when `held` is reset, so that results of operations started before are discarded. */
     generation: number;
     /** True once the engine lists the set and its staged chunks have been verified. */
     prepared: boolean;
@@ -33,13 +33,13 @@
     /** Monotonic time of the next exchange with each instance. */
     readonly exchangeAt: Map<InstanceId, Milliseconds>;
     originReaders: OriginReaders;
-    /** Ranks of the members of the own availability zone. */
+    /** Ranks of the origin readers among the members in this agent's availability zone. */
     zoneReaders: OriginReaders;
-    /** Monotonic times at which the first holder of a chunk became known, by position. */
+    /** Monotonic time at which the first holder of each chunk became known, by position of the chunk. */
     readonly availableSince: Map<number, Milliseconds>;
     originAvoidedUntil: Milliseconds;
     originFailures: number;
-    /** Bytes sent, and those reserved for uploads in progress. */
+    /** Bytes sent, including those reserved for uploads in progress. */
     sentBytes: number;
     uploadsInProgress: number;
 }
@@ -87,7 +87,7 @@
 }
 
 /**
- * Applies changed members to a set; peers that are no member any more are forgotten.
+ * Applies changed members to a set; peers that are no longer members are removed.
  *
  * @param state - changed in place
  * @param target - the set with its new members
@@ -110,14 +110,15 @@
     state.neighbours = selectNeighbours(state.manifestDigest, self, members, neighbours);
     const chunks = state.manifest?.chunks.length ?? 0;
     const zones = new Map(target.members.map(({ instance, zone }) => [instance, zone]));
-    const isNear = (member: InstanceId) => target.originZone !== undefined && zones.get(member) === target.originZone;
-    const neighboursInZone = members.filter(member => zones.get(member) === zones.get(self));
-    state.originReaders = createOriginReaders(state.manifestDigest, chunks, members, self, isNear);
-    state.zoneReaders = createOriginReaders(state.manifestDigest, chunks, neighboursInZone, self);
+    const isInOriginZone = (member: InstanceId) =>
+        target.originZone !== undefined && zones.get(member) === target.originZone;
+    const zoneMembers = members.filter(member => zones.get(member) === zones.get(self));
+    state.originReaders = createOriginReaders(state.manifestDigest, chunks, members, self, isInOriginZone);
+    state.zoneReaders = createOriginReaders(state.manifestDigest, chunks, zoneMembers, self);
 }
 
 /**
- * Applies the manifest that was read for a set. Chunks that peers have reported before count from now on.
+ * Applies the manifest that was read for a set; the bitfields of known peers get its number of chunks.
  *
  * @param state - changed in place
  * @param manifest - verified manifest
@@ -134,12 +135,12 @@
 }
 
 /**
- * Notes which chunks can be read from a peer by now.
+ * Records the time for chunks that have become available from a peer.
  *
  * @param state - changed in place
  * @param now - monotonic time
  */
-export function noteAvailability(state: WeightSetState, now: Milliseconds): void {
+export function recordFirstAvailability(state: WeightSetState, now: Milliseconds): void {
     const chunks = state.manifest?.chunks.length ?? 0;
     const peers = [...state.peers.rows()];
     for (let index = 0; index < chunks; index++) {
@@ -150,7 +151,7 @@
 }
 
 /**
- * Takes back what counts as held, since the engine lost it or was started again.
+ * Resets the held chunks, since the engine has lost them or has restarted.
  *
  * @param state - changed in place
  */
@@ -167,7 +168,7 @@
  * @param state - the set
  * @param instance - the peer
  * @param now - monotonic time
- * @returns the row; undefined if the instance is no member
+ * @returns the row; undefined if the instance is not a member
  */
 export function findPeer(state: WeightSetState, instance: InstanceId, now: Milliseconds): PeerRow | undefined {
     const known = state.peers.get(instance);
--- a/test/node/agent/copySystem.test.ts
+++ b/test/node/agent/copyController.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import { err } from "true-myth/result";
 import type { AgentContext } from "../../../src/node/agent/context.js";
-import { createCopySystem } from "../../../src/node/agent/copySystem.js";
-import { createHoldKeeper } from "../../../src/node/agent/holdKeeper.js";
+import { createCopyController } from "../../../src/node/agent/copyController.js";
+import { createHoldEvaluator } from "../../../src/node/agent/holdEvaluator.js";
 import type { TransferService } from "../../../src/node/agent/transfer/index.js";
 import { createStateStore } from "../../../src/node/relay/index.js";
 import { createInstanceTable } from "../../../src/runtime/placement/index.js";
@@ -25,8 +25,8 @@
 const scribe = createWeights("scribe", "v1");
 const token = { epoch: 0, agentStart: 0, sequence: 0 };
 
-/** Copy system over the real orders and hold, whose transfer is complete when `complete` says so. */
-function createSystem() {
+/** Creates a copy controller with the real orders and hold; `progress` sets the progress of its transfer. */
+function createAgent() {
     const clock = createManualClock();
     const engine = createMemoryEngine();
     const store = createStateStore();
@@ -53,9 +53,9 @@
         decisions: { record: () => undefined },
         settings: { backendServer: { kind: "model", orderTimeLimit, stateInterval: 0 } },
     };
-    const system = createCopySystem({
+    const controller = createCopyController({
         context: context as unknown as AgentContext,
-        hold: createHoldKeeper(store, clock, 0, 20_000),
+        hold: createHoldEvaluator(store, clock, 0, 20_000),
         transfer: { setTarget: () => undefined, progress: () => progress } as unknown as TransferService,
         readRunning: () => 0,
         onServingChange: () => undefined,
@@ -69,19 +69,19 @@
         lost,
         progress,
         store,
-        system,
+        controller,
         place: (changes: Partial<PlacementRecord>) => {
             offset += 1;
             store.applyEntries([{ offset, previousOffset: offset - 1, record: createPlacement(offset, changes) }]);
-            system.refreshAssignment();
+            controller.refreshAssignment();
         },
         tick: async (count: number) => {
             for (let round = 0; round < count; round++) {
-                await system.tick();
+                await controller.tick();
             }
         },
         stage: () => engine.stageChunk(scribe.manifestDigest, 0, new Uint8Array([1])),
-        readPhases: () => system.readStatuses().map(({ deployment, phase }) => `${deployment} ${phase}`),
+        readPhases: () => controller.readStatuses().map(({ deployment, phase }) => `${deployment} ${phase}`),
     };
 }
 
@@ -89,8 +89,8 @@
     return createCopy("agent-1", { weights: scribe, ...changes });
 }
 
-async function createServing() {
-    const agent = createSystem();
+async function createServingAgent() {
+    const agent = createAgent();
     agent.place({ copies: [createScribeCopy()] });
     await agent.tick(2);
     await agent.stage();
@@ -105,14 +105,14 @@
     for (const lost of [[], ["prepare", "activate"]] as const) {
         // Guards against an order that is repeated or given up because its answer was lost.
         it(`loads and serves once with ${lost.length} lost answers`, async () => {
-            const agent = createSystem();
+            const agent = createAgent();
             agent.lost.push(...lost);
             agent.place({ copies: [createScribeCopy()] });
             await agent.tick(3);
             await agent.stage();
             agent.progress.complete = true;
             if (lost.length > 0) {
-                // The order whose answer was lost may still be on its way, so no other one may follow it yet.
+                // The order whose answer was lost may still take effect, so no other order may follow it yet.
                 expect(agent.engine.orders.map(({ kind }) => kind)).toEqual(["prepare"]);
                 await agent.tick(3);
                 expect(agent.engine.orders.map(({ kind }) => kind)).toEqual(["prepare"]);
@@ -122,13 +122,13 @@
             agent.clock.advance(lost.length > 0 ? orderTimeLimit : 0);
             await agent.tick(3);
             expect(agent.engine.orders.map(({ kind }) => kind)).toEqual(["prepare", "activate"]);
-            expect([agent.system.readServing().serving, agent.readPhases()]).toEqual([true, ["scribe serving"]]);
+            expect([agent.controller.readServing().serving, agent.readPhases()]).toEqual([true, ["scribe serving"]]);
         });
     }
 
-    // Guards against chunks that are dropped although the new agent process could go on with them.
-    it("keeps chunks that were staged before the agent started again", async () => {
-        const agent = createSystem();
+    // Guards against chunks that are dropped although the new agent process could continue with them.
+    it("keeps chunks that were staged before the agent restarted", async () => {
+        const agent = createAgent();
         await agent.engine.order({ kind: "prepare", token, manifestDigest: scribe.manifestDigest, chunksTotal: 1 });
         await agent.stage();
         agent.place({ copies: [createScribeCopy()] });
@@ -140,7 +140,7 @@
 
     // Guards against a revocation that is never confirmed, since there was nothing to unload.
     it("reports a revoked copy that was never loaded as released", async () => {
-        const agent = createSystem();
+        const agent = createAgent();
         agent.place({ copies: [createScribeCopy()] });
         agent.place({ base: 1, copies: [createScribeCopy({ epoch: 1, state: "revoked" })] });
         await agent.tick(1);
@@ -148,20 +148,20 @@
     });
 
     // Guards against two copies on one instance.
-    it("takes the copy with the smaller epoch of two deployments", async () => {
-        const agent = await createServing();
+    it("follows the copy with the smaller epoch if two deployments assign one", async () => {
+        const agent = await createServingAgent();
         agent.place({ deployment: "archive", copies: [createScribeCopy({ weights: createWeights("archive", "v1") })] });
         await agent.tick(2);
         expect(agent.readPhases()).toEqual(["scribe serving", "archive released"]);
-        expect(agent.system.readServing().deployment).toEqual("scribe");
+        expect(agent.controller.readServing().deployment).toEqual("scribe");
     });
 
-    // Guards against a holder that serves without a renewal of its hold, and that keeps its copy.
+    // Guards against a holder that serves without a renewal of its hold, or that keeps its copy loaded.
     it("stops serving and unloads when the hold lapses", async () => {
-        const agent = await createServing();
+        const agent = await createServingAgent();
         agent.clock.advance(20_000);
         await agent.tick(2);
-        expect([agent.system.readServing().serving, agent.readPhases()]).toEqual([false, ["scribe lapsed"]]);
+        expect([agent.controller.readServing().serving, agent.readPhases()]).toEqual([false, ["scribe lapsed"]]);
         expect([agent.engine.staged.size, agent.engine.orders.slice(2).map(({ kind }) => kind)])
             .toEqual([0, ["deactivate", "drop"]]);
     });
@@ -172,19 +172,19 @@
         ["the weights of another deployment", "archive", createWeights("archive", "v1"), false],
     ];
     for (const [name, deployment, weights, serving] of changes) {
-        // Guards against answers from the weights of a deployment that the instance no longer belongs to, as after a
-        // pause in which its copy was replaced.
+        // Guards against answers from the weights of a deployment that the instance no longer belongs to, because its
+        // copy was replaced while the process was paused.
         it(`${serving ? "serves" : "does not serve"} ${name} until the new set is complete`, async () => {
-            const agent = await createServing();
+            const agent = await createServingAgent();
             agent.progress.complete = false;
             agent.place({ base: 1, copies: deployment === "scribe" ? [createScribeCopy({ epoch: 1, weights })] : [] });
             if (deployment !== "scribe") {
                 agent.place({ deployment, copies: [createScribeCopy({ weights })] });
             }
             await agent.tick(1);
-            expect(agent.system.readServing().deployment).toEqual(deployment);
-            expect(agent.system.readServing().serving).toEqual(serving);
-            expect(agent.system.readServedStatuses().length).toEqual(serving ? 1 : 0);
+            expect(agent.controller.readServing().deployment).toEqual(deployment);
+            expect(agent.controller.readServing().serving).toEqual(serving);
+            expect(agent.controller.readServedStatuses().length).toEqual(serving ? 1 : 0);
         });
     }
 });
--- a/test/node/agent/executor.test.ts
+++ b/test/node/agent/executor.test.ts
@@ -30,9 +30,9 @@
     fail(mayHaveTakenEffect: boolean): void;
 }
 
-const served = "a".repeat(64);
+const servedDigest = "a".repeat(64);
 
-function createBroken(mayHaveTakenEffect: boolean): GoldcrestpointError {
+function createBrokenStreamError(mayHaveTakenEffect: boolean): GoldcrestpointError {
     return createError("STREAM_BROKEN", "execute", "engine", "the connection broke", { mayHaveTakenEffect });
 }
 
@@ -43,7 +43,7 @@
     const execute = (request: BackendRequest, signal: AbortSignal) =>
         new Promise<Awaited<ReturnType<typeof engine.execute>>>(resolve => {
             const { requestId, manifestDigest = "" } = request;
-            signal.addEventListener("abort", () => resolve(err(createBroken(true))));
+            signal.addEventListener("abort", () => resolve(err(createBrokenStreamError(true))));
             running.push({
                 request,
                 signal,
@@ -59,7 +59,7 @@
                         body: createBody([`answer to ${requestId}`]),
                         ...changes,
                     })),
-                fail: mayHaveTakenEffect => resolve(err(createBroken(mayHaveTakenEffect))),
+                fail: mayHaveTakenEffect => resolve(err(createBrokenStreamError(mayHaveTakenEffect))),
             });
         });
     return { ...engine, execute, running };
@@ -84,7 +84,7 @@
     const serving: { -readonly [Key in keyof ServingState]: ServingState[Key]; } = {
         deployment: "scribe",
         serving: true,
-        manifestDigest: served,
+        manifestDigest: servedDigest,
         holdValidUntil: 1_000_000,
         draining: false,
         incarnation: "engine-1",
@@ -156,16 +156,16 @@
     ];
     for (const [name, state, expected] of states) {
         for (const queued of [false, true]) {
-            // Guards against a request that runs without a valid hold, on other weights or on an instance that leaves; the
-            // state may change while the request waits.
+            // Guards against a request that runs without a valid hold, on other weights or on an instance that drains;
+            // the state may change while the request waits.
             it(`refuses at an agent ${name}, ${queued ? "after the wait" : "at once"}`, async () => {
                 await using agent = await startAgent(1);
-                const first = queued ? agent.send("r1", { manifestDigest: served }) : undefined;
+                const first = queued ? agent.send("r1", { manifestDigest: servedDigest }) : undefined;
                 await waitFor(() => agent.executor.running === (queued ? 1 : 0));
                 if (!queued) {
                     Object.assign(agent.serving, state);
                 }
-                const second = agent.send("r2", { manifestDigest: served });
+                const second = agent.send("r2", { manifestDigest: servedDigest });
                 if (queued) {
                     await waitFor(() => agent.executor.queued === 1);
                     Object.assign(agent.serving, state);
@@ -186,13 +186,13 @@
         ["a connection that broke", running => running.fail(true), "unknown: connection-lost"],
         [
             "an answer that breaks off",
-            running => running.answer({ body: createBody(["part"], createBroken(true)) }),
+            running => running.answer({ body: createBody(["part"], createBrokenStreamError(true)) }),
             "unknown: connection-lost",
         ],
     ];
     for (const [name, reply, expected] of answers) {
-        // Guards against a foreign or partial answer that reaches the caller as complete, and against a request that is
-        // reported as not run, or run again under its key, although it may have run.
+        // Guards against an answer to another request or a partial one that reaches the caller as complete, and against
+        // a request that is reported as not run, or is run again under its key, although it may have run.
         it(`reports "${expected}" for a backend server with ${name}`, async () => {
             await using agent = await startAgent();
             const key = { idempotent: false, idempotencyKey: agent.createKey(), fingerprint: "f" };
@@ -217,8 +217,8 @@
         });
     }
 
-    // Guards against a request that takes a place or runs although nobody waits for its answer.
-    it("frees the place of an idempotent request whose caller is gone, waiting or in progress", async () => {
+    // Guards against a request that stays queued or runs although its caller has canceled it.
+    it("removes an idempotent request whose caller has canceled it, queued or in progress", async () => {
         await using agent = await startAgent(1);
         const callers = [new AbortController(), new AbortController()];
         const first = agent.send("r1", {}, callers[0]!.signal);
@@ -235,8 +235,8 @@
             .toEqual(["unknown: canceled", "unknown: canceled"]);
     });
 
-    // Guards against a call that is cut off halfway, whose effect is then unknown and whose answer is lost.
-    it("runs a non-idempotent request to its end for a caller that is gone, and keeps its answer", async () => {
+    // Guards against a request that is aborted midway, so that its effect is unknown and its answer is lost.
+    it("runs a non-idempotent request to its end after its caller has canceled it, and keeps its answer", async () => {
         await using agent = await startAgent();
         const caller = new AbortController();
         const key = { idempotent: false, idempotencyKey: agent.createKey(), fingerprint: "f" };
@@ -255,8 +255,8 @@
         expect(agent.backend.running.length).toEqual(1);
     });
 
-    // Guards against a crash that counts once for each request that it broke or that leaves one of them out.
-    it("reports one crash with all requests for those that a crash broke", async () => {
+    // Guards against a crash that counts once for each request that it broke off, or that omits one of them.
+    it("reports the same crash, with all requests in progress, for each request that it broke off", async () => {
         await using agent = await startAgent();
         const sent = ["r1", "r2", "r3"].map(requestId => agent.send(requestId));
         await waitFor(() => agent.backend.running.length === 3);
@@ -271,7 +271,7 @@
     });
 
     // Guards against crashes of two engines that count as one.
-    it("tells crashes of two engines at the same time apart", async () => {
+    it("distinguishes simultaneous crashes of two engines", async () => {
         await using first = await startAgent(4, "agent-1");
         await using second = await startAgent(4, "agent-2");
         const agents = [first, second];
@@ -288,11 +288,11 @@
     const observations: readonly [name: string, incarnation: string | undefined][] = [
         ["before the agent has read the state again", "engine-1"],
         ["after the agent could not read the state", undefined],
-        ["after the agent has read the state of the new start", "engine-2"],
+        ["after the agent has read the state of the new incarnation", "engine-2"],
     ];
     for (const [name, incarnation] of observations) {
-        // Guards against a crash that is taken for a lost connection, or under an identifier that all crashes share.
-        it(`names a crash by the start that the request ran on, noticed ${name}`, async () => {
+        // Guards against a crash that is reported as a lost connection, or with an identifier that all crashes share.
+        it(`identifies a crash by the incarnation that the request ran on, if noticed ${name}`, async () => {
             await using agent = await startAgent();
             const sent = agent.send("r1");
             await waitFor(() => agent.backend.running.length === 1);
@@ -303,8 +303,9 @@
         });
     }
 
-    // Guards against a second crash shortly after the first that counts as the same, or not as one of a request alone.
-    it("tells two crashes of one engine in short order apart", async () => {
+    // Guards against a second crash shortly after the first that counts as the same crash, or whose request does not
+    // count as the only one in progress.
+    it("distinguishes two crashes of one engine in quick succession", async () => {
         await using agent = await startAgent();
         const crashes = [];
         for (const [index, requestId] of ["r1", "r2"].entries()) {
--- a/test/node/agent/ownershipRecorder.test.ts
+++ b/test/node/agent/ownershipRecorder.test.ts
@@ -16,7 +16,7 @@
 const owned = { owners: ["agent-1"], copies: [createCopy("agent-1")] };
 const moved = { owners: ["agent-2"], copies: [createCopy("agent-1")] };
 
-describe("record of the owners of keys", () => {
+describe("recorded owners of idempotency keys", () => {
     const cases: readonly [
         name: string,
         way: "records" | "snapshot" | "truncated",
--- a/test/node/agent/transfer/faults.test.ts
+++ b/test/node/agent/transfer/faults.test.ts
@@ -33,7 +33,7 @@
     return service.progress()?.complete === true;
 }
 
-/** Asserts that what counts as complete is staged byte for byte. */
+/** Asserts that the set counts as complete and that its staged bytes are correct. */
 function expectWhole({ engine, service }: SwarmAgent, set: SampleSet): void {
     expect(service.progress()).toEqual({
         manifestDigest: set.weights.manifestDigest,
@@ -52,7 +52,7 @@
     return { promise, resolve };
 }
 
-/** Replaces the answer to `FetchChunk`. */
+/** Options that replace the handler of `FetchChunk`. */
 function answerChunks(answer: Handlers["fetchChunk"]): Pick<AgentOptions, "replaceHandlers"> {
     return { replaceHandlers: handlers => ({ ...handlers, fetchChunk: answer }) };
 }
@@ -103,7 +103,7 @@
 ];
 
 describe("faults during the exchange", () => {
-    // Guards against a fault of one holder that keeps another agent from completing, or gets into its set.
+    // Guards against a fault of one holder that prevents another agent from completing, or corrupts its set.
     for (const [name, answer, event] of holderFaults) {
         it(`completes when a holder ${name}`, async () => {
             const origin = createMemoryOrigin(sets);
@@ -113,18 +113,18 @@
             await prepare(holder.engine, first);
             setTargets([holder], first);
             expect(await swarm.run(() => isComplete(holder))).toEqual(true);
-            const sound = await swarm.startAgent("sound", { origin, options });
+            const healthy = await swarm.startAgent("sound", { origin, options });
             const joining = await swarm.startAgent("joining", { origin, options });
-            for (const { engine } of [sound, joining]) {
+            for (const { engine } of [healthy, joining]) {
                 await prepare(engine, first);
             }
-            setTargets([holder, sound, joining], first);
-            // The sound agent has no other source either: it falls back on the origin when the holder is avoided.
-            expect(await swarm.run(() => isComplete(sound) && isComplete(joining), 8_000)).toEqual(true);
-            for (const agent of [holder, sound, joining]) {
+            setTargets([holder, healthy, joining], first);
+            // The sound agent has no other source either: it reads from the origin once it avoids the holder.
+            expect(await swarm.run(() => isComplete(healthy) && isComplete(joining), 8_000)).toEqual(true);
+            for (const agent of [holder, healthy, joining]) {
                 expectWhole(agent, first);
             }
-            const events = [...sound.events, ...joining.events].map(({ message }) => message);
+            const events = [...healthy.events, ...joining.events].map(({ message }) => message);
             expect(events).toInclude(event);
         });
     }
@@ -147,21 +147,21 @@
                 const agent = await swarm.startAgent("runner", { origin, engine, options });
                 await prepare(engine, first);
                 setTargets([agent], first);
-                const whole = () => {
+                const isAgentComplete = () => {
                     const { chunksComplete } = agent.service.progress()!;
                     const staged = engine.staged.get(first.weights.manifestDigest)!;
                     expect(chunksComplete <= staged.filter(chunk => chunk !== undefined).length).toEqual(true);
                     return isComplete(agent);
                 };
-                expect(await swarm.run(whole, 8_000)).toEqual(true);
+                expect(await swarm.run(isAgentComplete, 8_000)).toEqual(true);
                 expectWhole(agent, first);
             }),
             { numRuns: 5, seed: 7 },
         );
     });
 
-    // Guards against a chunk that is lost with the only agent that had read it.
-    it("completes when a holder dies during the copy", async () => {
+    // Guards against a chunk that is lost because the only agent that had read it stopped.
+    it("completes when a holder stops during the copy", async () => {
         let reads = 0;
         const origin = createMemoryOrigin(sets, content => {
             reads++;
@@ -187,7 +187,7 @@
     });
 
     // Guards against chunks of one version that are staged or counted under another.
-    it("copies only the new set after a change during the copy, and serves the old one while it is active", async () => {
+    it("copies only the new set after a change during the copy, and serves the old one while active", async () => {
         const origin = createMemoryOrigin(sets);
         await using swarm = createSwarm();
         const agents = [await swarm.startAgent("a", { origin }), await swarm.startAgent("b", { origin })];
@@ -196,8 +196,8 @@
             await prepare(engine, second);
         }
         setTargets(agents, first);
-        const begun = () => agents.some(({ service }) => (service.progress()?.chunksComplete ?? 0) > 2);
-        expect(await swarm.run(begun)).toEqual(true);
+        const hasBegun = () => agents.some(({ service }) => (service.progress()?.chunksComplete ?? 0) > 2);
+        expect(await swarm.run(hasBegun)).toEqual(true);
         setTargets(agents, second);
         expect(agents.map(({ service }) => service.progress()?.chunksComplete)).toEqual([0, 0]);
         expect(await swarm.run(() => agents.every(isComplete))).toEqual(true);
@@ -223,8 +223,8 @@
         expect(origin.reads.size >= readBefore).toEqual(true);
     });
 
-    // Guards against a late joiner that draws from the origin what its peers have.
-    it("gives a late joiner everything without the origin", async () => {
+    // Guards against an agent that joins late and reads chunks from the origin although its peers have them.
+    it("sends an agent that joins late the whole set without the origin", async () => {
         const origin = createMemoryOrigin(sets);
         await using swarm = createSwarm();
         const agents = [await swarm.startAgent("a", { origin }), await swarm.startAgent("b", { origin })];
@@ -242,7 +242,7 @@
         expect(agents.every(({ service }) => service.totals().peerSentBytes <= 13_200)).toEqual(true);
     });
 
-    // Guards against chunks that are copied twice, and sources that are avoided, because the own engine is slow.
+    // Guards against chunks copied twice, or sources that are avoided, because the agent's own engine is slow.
     it("does not request a chunk again while the engine stages it", async () => {
         const origin = createMemoryOrigin(sets);
         await using swarm = createSwarm();
@@ -270,7 +270,7 @@
         expect(slow.events.map(({ message }) => message)).not.toInclude("stalled source");
     });
 
-    // Guards against an upload allowance that a lapsed hold renews, which puts more than 2.2 copies on a link.
+    // Guards against a lapsed hold that renews the upload allowance, so that more than 2.2 copies are sent on a link.
     it("counts what was sent of a set before it was forgotten", async () => {
         const origin = createMemoryOrigin(sets);
         await using swarm = createSwarm();
@@ -288,8 +288,8 @@
         expect(agents[0]!.service.totals().peerSentBytes <= 13_200).toEqual(true);
     });
 
-    // Guards against staged chunks that a new agent process takes over unseen, and against copying them again.
-    it("keeps staged chunks after a restart only if their content is right", async () => {
+    // Guards against a new agent process that accepts staged chunks without verification, or copies them all again.
+    it("keeps staged chunks after a restart only if their content is correct", async () => {
         const origin = createMemoryOrigin(sets);
         const engine = createMemoryEngine();
         await prepare(engine, first);
@@ -306,7 +306,7 @@
         expect([...origin.reads.keys()].sort()).toEqual(
             [4, 5, 6, 7, 8, 9, 10, 11].map(index => `${manifestDigest}/${index}`).sort(),
         );
-        // A restarted engine has lost its memory, so the set is complete no more until it is staged again.
+        // A restarted engine has lost its memory, so the set is no longer complete until it is staged again.
         engine.restart();
         expect(await swarm.run(() => !isComplete(agent))).toEqual(true);
         expect(agent.service.progress()?.chunksComplete).toEqual(0);
--- a/test/node/agent/transfer/swarm.test.ts
+++ b/test/node/agent/transfer/swarm.test.ts
@@ -4,7 +4,7 @@
 import { createSampleSet, createSwarm, prepare, type SwarmAgent } from "./swarm.js";
 
 describe("exchange of weights", () => {
-    // Guards against an exchange that does not end, copies wrong bytes, or reads more from the origin than wanted.
+    // Guards against an exchange that never completes, copies wrong bytes, or reads too much from the origin.
     for (
         const { objective, readsPerChunk } of [
             { objective: "origin-bytes", readsPerChunk: 1 },
--- a/test/node/agent/transfer/swarm.ts
+++ b/test/node/agent/transfer/swarm.ts
@@ -20,7 +20,7 @@
     readonly chunks: readonly Uint8Array[];
 }
 
-/** Creates a set of `count` chunks whose content depends on the version. */
+/** Creates a set of `count` chunks whose content depends on the version and the position. */
 export function createSampleSet(version: string, count = 12, chunkBytes = 1_000): SampleSet {
     const chunks = Array.from(
         { length: count },
@@ -31,7 +31,7 @@
     return { weights: { model: "scribe", adapter: "", version, manifestDigest }, manifest, chunks };
 }
 
-/** Handlers of an agent, as the server calls them. */
+/** gRPC handlers of an agent. */
 export type Handlers = Pick<TransferService, "exchangeAvailability" | "fetchChunk">;
 
 /** Agent of a swarm in this process. */
@@ -48,11 +48,11 @@
     readonly origin: OriginPort;
     readonly engine?: MemoryEngine;
     readonly options?: TransferServiceOptions;
-    /** Replaces handlers, to answer wrongly. */
+    /** Replaces handlers to simulate faults. */
     readonly replaceHandlers?: (handlers: Handlers) => Handlers;
 }
 
-/** Agents that share a clock which `run` moves on. */
+/** Creates agents that share a manual clock, which `run` advances. */
 export function createSwarm() {
     const clock = createManualClock();
     const agents: SwarmAgent[] = [];
@@ -87,7 +87,7 @@
         return agent;
     }
 
-    /** Ticks all agents until the condition holds; false if it does not within a bounded number of rounds. */
+    /** Ticks all agents until the condition holds; returns false if it does not hold within the given rounds. */
     async function run(condition: () => boolean, rounds = 4_000): Promise<boolean> {
         for (let round = 0; round < rounds && !condition(); round++) {
             for (const { service } of agents) {
@@ -115,7 +115,7 @@
     };
 }
 
-/** Gives the order `prepare` for a set. */
+/** Gives an engine the order `prepare` for a set. */
 export async function prepare(engine: MemoryEngine, set: SampleSet): Promise<void> {
     await engine.order({
         kind: "prepare",
