Reword the replication of keyed records in plain terms

Names such as sendNews, readOnwards, dropSpares and stated, and comments on "knowledge" did not say what the code does. They now speak of updates, long polls, positions and closed streams.

--- a/src/node/replica/instanceRecords.ts
+++ b/src/node/replica/instanceRecords.ts
@@ -9,7 +9,7 @@
     startedAt: z.number(),
 });
 
-/** Gateway as it registers itself for the others. */
+/** Record with which a gateway registers itself, so that other processes find it. */
 export type InstanceRecord = z.infer<typeof instanceSchema>;
 
 /** Gateway with its instance identifier. */
@@ -17,7 +17,7 @@
     readonly instance: string;
 }
 
-function readInstance({ key, value }: KeyedRecord): KnownInstance | undefined {
+function parseInstance({ key, value }: KeyedRecord): KnownInstance | undefined {
     try {
         const record = instanceSchema.safeParse(JSON.parse(Buffer.from(value ?? []).toString("utf8")));
         return record.success ? { ...record.data, instance: key } : undefined;
@@ -30,11 +30,11 @@
 /**
  * Lists the gateways that have registered themselves.
  *
- * @param store - records of this process
- * @returns the gateways, by instance
+ * @param store - replicated records of this process
+ * @returns the gateways, sorted by instance identifier
  */
 export function listInstances(store: RecordStore): readonly KnownInstance[] {
     return [...store.topic("instances").records.values()]
-        .flatMap(record => readInstance(record) ?? [])
+        .flatMap(record => parseInstance(record) ?? [])
         .sort((left, right) => left.instance < right.instance ? -1 : 1);
 }
--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -14,16 +14,16 @@
 import { sleep } from "../../utils/index.js";
 import type { RecordStore } from "./recordStore.js";
 
-/** How a topic is read: waiting for the next record, or at intervals because records come all the time. */
+/** How a topic is read: by long polling, or at fixed intervals if records arrive all the time. */
 export type ReadMode = "wait" | "poll";
 
 /** Options of {@link followLog}. */
 export interface LogFollowerOptions extends DirectReadOptions {
-    /** Time that a read may wait for a record. */
+    /** Longest time that the log service holds a read open until a record arrives. */
     readonly readWait: Milliseconds;
     /** Time between two reads of a busy topic. */
     readonly pollInterval: Milliseconds;
-    /** Time between two reads after a change, so that a series of changes takes few calls. */
+    /** Time between two reads after a change, so that several changes are read with one call. */
     readonly changeInterval: Milliseconds;
     /** First delay after a failed read; it doubles up to {@link LogFollowerOptions.longestRetry}. */
     readonly retryAfter: Milliseconds;
@@ -44,7 +44,7 @@
     readonly signal: AbortSignal;
 }
 
-/** Interval at which a process that relies on relays checks whether it has to read itself. */
+/** Interval at which a process that receives records from relays checks whether it has to read the log itself. */
 const checkInterval: Milliseconds = 100;
 
 /**
@@ -52,17 +52,17 @@
  *
  * @param input - log, store and options
  * @param topic - topic to follow
- * @param mode - how it is read
+ * @param mode - how the topic is read
  */
 export async function followLog(input: LogFollowerInput, topic: KeyedTopic, mode: ReadMode): Promise<void> {
     const { clock, log, options, random, signal, store } = input;
     const startedAt = clock.monotonic();
     let failures = 0;
-    let known = false;
-    let pending: AbortController | undefined;
-    store.onEra(() => pending?.abort());
+    let hasReadTopic = false;
+    let pendingRead: AbortController | undefined;
+    store.onEra(() => pendingRead?.abort());
 
-    function isDue(): boolean {
+    function shouldRead(): boolean {
         return mode === "wait" || store.topic(topic).currentAt === undefined || mayReadDirectly({
             instances: input.listRelays(),
             self: input.self,
@@ -73,26 +73,28 @@
         });
     }
 
-    /** Reads records after a position; ended early if the position turns out to be of an earlier era. */
-    async function readOnwards(
+    /**
+     * Reads the records from an offset on. The read is aborted if a newer era becomes known, which voids the offset.
+     */
+    async function readFromOffset(
         nextOffset: Offset,
         wait: Milliseconds,
     ): Promise<Result<KeyedPage, GoldcrestpointError>> {
-        pending = new AbortController();
+        pendingRead = new AbortController();
         try {
-            return await log.readSince(topic, nextOffset, wait, pending.signal);
+            return await log.readSince(topic, nextOffset, wait, pendingRead.signal);
         }
         finally {
-            pending = undefined;
+            pendingRead = undefined;
         }
     }
 
     async function readOnce(): Promise<GoldcrestpointError | undefined> {
         const { era, nextOffset } = store.topic(topic);
-        const complete = (!known && nextOffset === 0) || store.newestEra() > era;
+        const complete = (!hasReadTopic && nextOffset === 0) || store.newestEra() > era;
         const requestedAt = clock.monotonic();
         const wait = mode === "wait" ? options.readWait : 0;
-        const page = complete ? await log.readNewest(topic) : await readOnwards(nextOffset, wait);
+        const page = complete ? await log.readNewest(topic) : await readFromOffset(nextOffset, wait);
         if (page.isErr) {
             return page.error;
         }
@@ -101,8 +103,8 @@
             store.noteEra(pageEra);
             return createError("LOG_RESTORED", `read records of ${topic}`, "log", `era ${pageEra}, expected ${era}`);
         }
-        known = true;
-        // A read that waited shows the state at its end; how long the answer travelled is not known.
+        hasReadTopic = true;
+        // The response to a long poll is current when it is sent; its time in the network is unknown and is ignored.
         const age = complete || wait === 0 ? clock.monotonic() - requestedAt : 0;
         store.receive({ topic, page: page.value, complete, age, source: "log", peer: "log" });
         return undefined;
@@ -148,7 +150,7 @@
     }
 
     while (!signal.aborted) {
-        if (isDue()) {
+        if (shouldRead()) {
             await read();
         }
         else {
--- a/src/node/replica/recordRelay.ts
+++ b/src/node/replica/recordRelay.ts
@@ -13,11 +13,14 @@
 /** Options of {@link createRecordRelay}. */
 export interface RecordRelayOptions {
     /**
-     * Delay of a change before it is relayed. A follower that reads the log itself reports its position within this time,
-     * so that it is not sent what it has.
+     * Delay before a change is relayed. A follower that reads the log itself reports its position within this time, so
+     * that it is not sent records that it already has.
      */
     readonly relayDelay: Milliseconds;
-    /** Longest time without a message, by which followers learn how current the knowledge of their first topic is. */
+    /**
+     * Longest time without a message. A heartbeat tells followers how current the relay's records of their first topic
+     * are.
+     */
     readonly relayHeartbeat: Milliseconds;
 }
 
@@ -28,36 +31,38 @@
     readonly options: RecordRelayOptions;
 }
 
-/** Relay of keyed records to other processes. */
+/** Relays keyed records to other processes. */
 export interface RecordRelay extends Disposable {
     /** Handler for the gRPC server. */
     readonly followRecords: (call: ServerDuplexStream<FollowRecordsRequest, RecordBatch>) => void;
-    /** Processes that follow this one. */
+    /** Counts the processes that follow this one. */
     readonly countFollowers: () => number;
 }
 
 /** Position of a follower in one topic. */
 interface FollowerPosition {
+    /** Position that the follower has reported, or has reached with the records that were sent to it. */
     known: ReplicaPosition;
+    /** Monotonic time of the newest message about the topic; `-Infinity` before the first. */
     sentAt: Milliseconds;
 }
 
 interface Follower {
     readonly call: ServerDuplexStream<FollowRecordsRequest, RecordBatch>;
     readonly positions: Map<KeyedTopic, FollowerPosition>;
-    /** True while the transport holds messages that the follower has not taken. */
+    /** True from the time at which the stream's write buffer is full until it has drained. */
     blocked: boolean;
 }
 
-/** Messages may cross, so a position never goes back. */
-function advance(known: ReplicaPosition, next: ReplicaPosition): ReplicaPosition {
+/** Advances a position. A report may cross with a batch that is already sent, so a position never moves back. */
+function advancePosition(known: ReplicaPosition, next: ReplicaPosition): ReplicaPosition {
     if (next.era !== known.era) {
         return next.era > known.era ? next : known;
     }
     return { ...next, nextOffset: Math.max(known.nextOffset, next.nextOffset) };
 }
 
-/** Ages are relayed in whole milliseconds. */
+/** Converts an age to whole milliseconds, as messages state it. */
 function toWholeMilliseconds(duration: Milliseconds): bigint {
     return BigInt(Math.max(0, Math.round(duration)));
 }
@@ -108,21 +113,22 @@
         });
     }
 
-    function sendNews(follower: Follower): void {
+    function sendUpdates(follower: Follower): void {
         const now = clock.monotonic();
         const [firstTopic] = follower.positions.keys();
         for (const [topic, position] of follower.positions) {
             if (follower.blocked) {
                 return;
             }
-            // The first message about a topic tells the follower that this process knows no more of it.
+            // The first message about a topic is sent even without records, as it tells the follower that there are no
+            // newer ones.
             const isHeartbeat = position.sentAt === -Infinity ||
                 (topic === firstTopic && now - position.sentAt >= options.relayHeartbeat);
             const batch = createBatch(topic, position, now, isHeartbeat);
             if (batch === undefined) {
                 continue;
             }
-            position.known = advance(position.known, {
+            position.known = advancePosition(position.known, {
                 era: Number(batch.era),
                 nextOffset: Number(batch.nextOffset),
                 carriedChanges: store.topic(topic).carriedChanges,
@@ -144,26 +150,26 @@
                 continue;
             }
             const position = follower.positions.get(known);
-            const stated = {
+            const reported = {
                 era: Number(era),
                 nextOffset: Number(nextOffset),
                 carriedChanges: position?.known.carriedChanges,
             };
             if (position === undefined) {
-                follower.positions.set(known, { known: stated, sentAt: -Infinity });
+                follower.positions.set(known, { known: reported, sentAt: -Infinity });
             }
             else {
-                position.known = advance(position.known, stated);
+                position.known = advancePosition(position.known, reported);
             }
         }
     }
 
-    const timer = setInterval(() => followers.forEach(sendNews), options.relayHeartbeat);
+    const timer = setInterval(() => followers.forEach(sendUpdates), options.relayHeartbeat);
     let changeTimer: NodeJS.Timeout | undefined;
     store.onChange(() => {
         changeTimer ??= setTimeout(() => {
             changeTimer = undefined;
-            followers.forEach(sendNews);
+            followers.forEach(sendUpdates);
         }, options.relayDelay);
     });
 
@@ -172,20 +178,20 @@
         followRecords: call => {
             const follower: Follower = { call, positions: new Map(), blocked: false };
             followers.add(follower);
-            const forget = (): void => void followers.delete(follower);
+            const removeFollower = (): void => void followers.delete(follower);
             call.on("data", (request: FollowRecordsRequest) => {
                 const isFirst = follower.positions.size === 0;
                 applyPositions(follower, request);
                 if (isFirst) {
-                    sendNews(follower);
+                    sendUpdates(follower);
                 }
             });
             call.on("end", () => {
-                forget();
+                removeFollower();
                 call.end();
             });
-            call.on("error", forget);
-            call.on("cancelled", forget);
+            call.on("error", removeFollower);
+            call.on("cancelled", removeFollower);
         },
         [Symbol.dispose]: () => {
             clearInterval(timer);
--- a/src/node/replica/recordStore.ts
+++ b/src/node/replica/recordStore.ts
@@ -2,15 +2,15 @@
 import { createReplica, mergePage, type ReplicaTopic } from "../../runtime/replica/index.js";
 import type { Clock, KeyedPage, KeyedRecord, KeyedTopic, LogEra, Milliseconds } from "../../types/index.js";
 
-/** Where a page came from. */
+/** Where a page came from: the log, a relay or this process. */
 export type PageSource = "log" | "relay" | "local";
 
-/** Page with what is known of its origin. */
+/** Page of records with its source and age. */
 export interface ReceivedPage {
     readonly topic: KeyedTopic;
     readonly page: KeyedPage;
     readonly complete: boolean;
-    /** Time since the sender's knowledge was current. */
+    /** Time since the sender's records were current. */
     readonly age: Milliseconds;
     readonly source: PageSource;
     /** `host:port` or instance that the page came from. */
@@ -20,56 +20,59 @@
 /** Called with the records that changed. */
 export type RecordListener = (topic: KeyedTopic, records: readonly KeyedRecord[], page: ReceivedPage) => void;
 
-/** Copy of keyed topics with its listeners. */
+/** Replica of keyed topics, which notifies listeners of changes. */
 export interface RecordStore {
     /**
-     * Merges a page and tells the listeners what changed.
+     * Merges a page and notifies the listeners of the changed records.
      *
-     * @param received - the page
+     * @param received - the page and its source
      */
     receive(received: ReceivedPage): void;
     /**
-     * Reads a topic.
+     * Returns a topic.
      *
      * @param topic - one of the topics of this store
-     * @returns what is known of it
+     * @returns its records and position
      */
     topic(topic: KeyedTopic): ReplicaTopic;
     /**
-     * Reads how current the relayed knowledge of a topic is.
+     * Returns the time at which the records that relays have sent for a topic were current.
      *
      * @param topic - one of the topics of this store
-     * @returns monotonic time; undefined if nothing was relayed
+     * @returns monotonic time; undefined if no relay has sent a page
      */
     relayedCurrentAt(topic: KeyedTopic): Milliseconds | undefined;
     /** Registers a listener for changed records. */
     onChange(listener: RecordListener): void;
-    /** Highest era that the log or a relay has named; 0 if none did. */
+    /** Highest era that the log or a relay has stated; 0 if none did. */
     readonly newestEra: () => LogEra;
     /**
-     * Notes the era that an answer or a relay names.
+     * Records the era that a response or a relay states.
      *
-     * @param era - the era; 0 if it names none
+     * @param era - the era; 0 if none is stated
      */
     readonly noteEra: (era: LogEra) => void;
-    /** Registers a listener that is called when a higher era is named. */
+    /** Registers a listener that is called when a higher era is stated. */
     onEra(listener: () => void): void;
-    /** Registers a listener that is called when a topic is taken over from a restored log, before its changes are told. */
+    /**
+     * Registers a listener that is called when a topic was merged with a restored log, before the listeners for changed
+     * records are called.
+     */
     onRestored(listener: (topic: KeyedTopic) => void): void;
     readonly topics: readonly KeyedTopic[];
 }
 
 /**
- * Creates the copy of keyed topics of a process.
+ * Creates the replica of keyed topics of a process.
  *
- * @param topics - topics that it holds
- * @param clock - time
+ * @param topics - topics to replicate
+ * @param clock - time source
  * @param logger - writes a line for each page with changes
  * @returns the store, empty
  */
 export function createRecordStore(topics: readonly KeyedTopic[], clock: Clock, logger: Logger): RecordStore {
     const replica = createReplica(topics);
-    const relayed = new Map<KeyedTopic, Milliseconds>();
+    const relayedCurrentAt = new Map<KeyedTopic, Milliseconds>();
     const listeners: RecordListener[] = [];
     const eraListeners: (() => void)[] = [];
     const restoreListeners: ((topic: KeyedTopic) => void)[] = [];
@@ -82,7 +85,7 @@
         }
     }
 
-    function noteRestored(received: ReceivedPage, previous: LogEra): void {
+    function reportRestore(received: ReceivedPage, previous: LogEra): void {
         const { peer, source, topic } = received;
         const { era, nextOffset, records } = findTopic(topic);
         const carried = [...records.values()].filter(record => record.era < era).length;
@@ -101,7 +104,7 @@
     return {
         topics,
         topic: findTopic,
-        relayedCurrentAt: topic => relayed.get(topic),
+        relayedCurrentAt: topic => relayedCurrentAt.get(topic),
         onChange: listener => void listeners.push(listener),
         newestEra: () => newestEra,
         noteEra,
@@ -116,11 +119,11 @@
                 return;
             }
             if (source === "relay") {
-                relayed.set(topic, Math.max(relayed.get(topic) ?? currentAt, currentAt));
+                relayedCurrentAt.set(topic, Math.max(relayedCurrentAt.get(topic) ?? currentAt, currentAt));
             }
             const changed = mergePage(known, { page, complete, currentAt });
             if (knownAt !== undefined && known.era > era) {
-                noteRestored(received, era);
+                reportRestore(received, era);
             }
             noteEra(page.era ?? 0);
             if (changed.length > 0) {
--- a/src/node/replica/registration.ts
+++ b/src/node/replica/registration.ts
@@ -7,47 +7,51 @@
 /** Dependencies of {@link startRegistration}. */
 export interface RegistrationInput {
     readonly log: KeyedLogPort;
-    /** Records of this process. */
+    /** Replicated records of this process. */
     readonly store: RecordStore;
     readonly self: KnownInstance;
     readonly clock: Clock;
-    /** For the delay between attempts. */
+    /** Randomizes the delay between attempts. */
     readonly random: RandomSource;
     readonly logger: Logger;
     /** Ends the attempts. */
     readonly signal: AbortSignal;
-    /** Time after which the registration counts as settled, whatever has come of it. */
+    /** Time after which the registration counts as settled, even if no attempt has ended. */
     readonly settleWithin: Milliseconds;
 }
 
 /** Registration of a gateway, by which the other processes find it. */
 export interface Registration {
     /**
-     * @returns true once the gateway has read its own record, and so those of all gateways that registered before it; also
-     * once an attempt has failed, or has taken too long, since requests are served without the log, too
+     * Tells whether the registration no longer delays the readiness of the gateway.
+     *
+     * @returns true once the gateway has read its own record, and with it those of all gateways that registered
+     * earlier; also true once an attempt has failed or taken too long, since requests are served without the log, too
      */
     isSettled(): boolean;
 }
 
-/** Longest delay between two attempts to register. */
-const longestRetry: Milliseconds = 2_000;
-const firstRetry: Milliseconds = 150;
-/** Time to wait for the registered instances, since a record of an earlier start may say the same. */
-const longestWait: Milliseconds = 600;
-const waitStep: Milliseconds = 25;
-/** Time over which gateways spread their records after the log was restored. */
-const restoreSpread: Milliseconds = 1_000;
+/** Longest delay between two attempts to register, before jitter. */
+const maximumRetryDelay: Milliseconds = 2_000;
+const initialRetryDelay: Milliseconds = 150;
+/**
+ * Longest wait for the first records of the topic: if one of an earlier start has the same address, none is written.
+ */
+const maximumRecordsWait: Milliseconds = 600;
+const recordsCheckInterval: Milliseconds = 25;
+/** Gateways register again at random times within this period after the log was restored, to spread the load. */
+const registrationSpread: Milliseconds = 1_000;
 
 /**
- * Registers a gateway. A record that says the same stays as it is.
+ * Registers a gateway. Nothing is written if the log already holds a record with the same address.
  *
- * @param input - the gateway, log and limits
- * @returns the registration, which goes on until it succeeds
+ * @param input - gateway, log and time limits
+ * @returns the registration, which is retried until it succeeds
  */
 export function startRegistration(input: RegistrationInput): Registration {
     const { clock, log, logger, random, self, signal, store } = input;
     const settlesAt = clock.monotonic() + input.settleWithin;
-    let hasFailed = false;
+    let hasAttemptFailed = false;
 
     function isListed(): boolean {
         const { era, records } = store.topic("instances");
@@ -56,9 +60,9 @@
     }
 
     async function register(): Promise<void> {
-        const waitsUntil = clock.monotonic() + longestWait;
+        const waitsUntil = clock.monotonic() + maximumRecordsWait;
         while (store.topic("instances").currentAt === undefined && clock.monotonic() < waitsUntil) {
-            await sleep(waitStep, signal);
+            await sleep(recordsCheckInterval, signal);
         }
         const { address, instance, region, startedAt, zone } = self;
         const value = Buffer.from(JSON.stringify({ address, zone, region, startedAt }));
@@ -68,18 +72,18 @@
                 logger.info({ offset: written.value, attempt }, "instance registered");
                 return;
             }
-            hasFailed = true;
+            hasAttemptFailed = true;
             const { code, message, peer, step } = written.error;
             logger.warn({ code, step, peer, detail: message, attempt }, "instance not registered");
-            await sleep(Math.min(longestRetry, firstRetry * 2 ** attempt) * (0.5 + random.next()), signal);
+            await sleep(Math.min(maximumRetryDelay, initialRetryDelay * 2 ** attempt) * (0.5 + random.next()), signal);
         }
     }
 
     let registering = register();
     store.onRestored(topic => {
         if (topic === "instances") {
-            registering = registering.then(() => sleep(random.next() * restoreSpread, signal)).then(register);
+            registering = registering.then(() => sleep(random.next() * registrationSpread, signal)).then(register);
         }
     });
-    return { isSettled: () => hasFailed || clock.monotonic() >= settlesAt || isListed() };
+    return { isSettled: () => hasAttemptFailed || clock.monotonic() >= settlesAt || isListed() };
 }
--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -13,13 +13,13 @@
 
 /** Options of {@link createRelayFollowers}. */
 export interface RelayFollowerOptions {
-    /** Relays that are followed at once. */
+    /** Number of relays that are followed at the same time. */
     readonly parents: number;
-    /** Time without a message after which a stream is given up; relays send heartbeats more often. */
+    /** Time without a message after which a stream is closed; relays send heartbeats more often. */
     readonly silentAfter: Milliseconds;
-    /** Mean time before the next attempt at a relay that was lost. */
+    /** Mean delay before a relay whose stream ended is tried again. */
     readonly reconnectAfter: Milliseconds;
-    /** Delay of the report of the own position after a read of the log; several reads share one report. */
+    /** Delay between a read of the log and the report of the new position; several reads share one report. */
     readonly positionInterval: Milliseconds;
 }
 
@@ -37,7 +37,7 @@
 
 /** Streams from the relays that a process follows. */
 export interface RelayFollowers extends Disposable {
-    /** Relays that have sent a message lately. */
+    /** Counts the relays that have sent a message on their open stream. */
     readonly countConnected: () => number;
 }
 
@@ -45,18 +45,20 @@
     readonly address: string;
     readonly client: ReplicaClient;
     readonly call: ClientDuplexStream<FollowRecordsRequest, RecordBatch>;
+    /** Monotonic time of the newest message; the start of the stream before the first. */
     heardAt: Milliseconds;
+    /** True once the relay has sent a message. */
     connected: boolean;
 }
 
-/** Relays that are tried beyond those that are wanted. */
-const spareAttempts = 2;
+/** Relays that are tried in addition to the wanted number, since addresses may be stale. */
+const extraAttempts = 2;
 
-/** Interval at which lost streams are replaced. */
+/** Interval at which closed streams are replaced. */
 const checkInterval: Milliseconds = 200;
 
 /**
- * Follows relays and merges what they send.
+ * Follows relays and merges the records that they send.
  *
  * @param input - store, relays to choose from and options
  * @returns the streams; disposing of them closes the connections
@@ -71,16 +73,18 @@
         return [...streams.values()].filter(({ connected }) => connected).length;
     }
 
-    /** Ends the streams that were tried beside those that have answered. */
-    function dropSpares(): void {
+    /** Closes the remaining streams once enough relays have sent a message. */
+    function closeSurplusStreams(): void {
         const connected = [...streams.values()].filter(stream => stream.connected);
         if (connected.length >= options.parents) {
             const kept = new Set(connected.slice(0, options.parents));
-            [...streams.values()].filter(stream => !kept.has(stream)).forEach(stream => drop(stream, "not needed"));
+            [...streams.values()].filter(stream => !kept.has(stream)).forEach(stream =>
+                closeStream(stream, "not needed")
+            );
         }
     }
 
-    function describePositions(): FollowRecordsRequest {
+    function createPositionsRequest(): FollowRecordsRequest {
         return create(FollowRecordsRequestSchema, {
             instance: input.self,
             positions: store.topics.map(topic =>
@@ -93,7 +97,7 @@
         });
     }
 
-    function drop(stream: Stream, reason: string): void {
+    function closeStream(stream: Stream, reason: string): void {
         if (streams.get(stream.address) !== stream) {
             return;
         }
@@ -142,14 +146,14 @@
         const stream: Stream = { address, client, call, heardAt: clock.monotonic(), connected: false };
         streams.set(address, stream);
         call.on("data", (batch: RecordBatch) => receive(stream, batch));
-        call.on("error", error => drop(stream, error.message));
-        call.on("end", () => drop(stream, "the relay ended the stream"));
-        call.write(describePositions());
+        call.on("error", error => closeStream(stream, error.message));
+        call.on("end", () => closeStream(stream, "the relay ended the stream"));
+        call.write(createPositionsRequest());
     }
 
     function sendPositions(): void {
         positionTimer = undefined;
-        const positions = describePositions();
+        const positions = createPositionsRequest();
         for (const { call, connected } of streams.values()) {
             if (connected) {
                 call.write(positions);
@@ -161,19 +165,19 @@
         const now = clock.monotonic();
         for (const stream of [...streams.values()]) {
             if (now - stream.heardAt > options.silentAfter) {
-                drop(stream, "no message");
+                closeStream(stream, "no message");
             }
         }
-        dropSpares();
+        closeSurplusStreams();
         const addresses = input.listAddresses();
         for (const stream of [...streams.values()]) {
             if (!addresses.includes(stream.address)) {
-                drop(stream, "no longer listed");
+                closeStream(stream, "no longer listed");
             }
         }
         for (const address of addresses) {
-            // Addresses may be stale, so a few more are tried at the same time until enough have answered.
-            if (countConnected() >= options.parents || streams.size >= options.parents + spareAttempts) {
+            // Addresses may be stale, so a few more are tried at the same time until enough relays have responded.
+            if (countConnected() >= options.parents || streams.size >= options.parents + extraAttempts) {
                 break;
             }
             if (!streams.has(address) && (retryAt.get(address) ?? 0) <= now) {
@@ -182,7 +186,7 @@
         }
     }
 
-    // Relays learn what was read from the log, so that they do not send it; what they sent they know.
+    // Relays are told what was read from the log, so that they do not send it; they know what they sent themselves.
     store.onChange((...[, , { source }]) => {
         if (source === "log") {
             positionTimer ??= setTimeout(sendPositions, options.positionInterval);
@@ -196,7 +200,7 @@
             clearInterval(timer);
             clearTimeout(positionTimer);
             for (const stream of [...streams.values()]) {
-                drop(stream, "the process ends");
+                closeStream(stream, "the process ends");
             }
         },
     };
