Reword the relay of the log in plain terms

The limits of the entries kept for followers, the heads of tests and the comments on freshness were hard to follow. They now say what is bounded, what a reader or follower receives and when it is disconnected. stateFigures.ts registers metrics and is now stateMetrics.ts; keptEntries.test.ts is now recentEntries.test.ts.

--- a/src/node/relay/follower.ts
+++ b/src/node/relay/follower.ts
@@ -26,7 +26,7 @@
     readonly transfers?: TransferTotals;
 }
 
-/** Answer of a relay to a heartbeat. */
+/** Response of a relay to a heartbeat. */
 export interface RelayAnswer {
     readonly instance: InstanceId;
     /** Monotonic time at which the heartbeat was sent. */
@@ -55,31 +55,32 @@
     readonly target: RelayTarget;
     /** Sends a heartbeat now. */
     sendHeartbeat(): void;
-    /** Monotonic time of the newest message. */
+    /** Monotonic time at which the newest message arrived; the start before the first message. */
     readonly heardAt: Milliseconds;
 }
 
-interface MessageContent {
+interface FollowContent {
     readonly snapshot: StateSnapshot | undefined;
     readonly entries: readonly LogEntry[];
     readonly instances: readonly InstanceRow[] | undefined;
 }
 
-/** Age that a relay states before it has read the log for the first time. */
+/** Age that a relay states until its state has been complete once. */
 const unknownAge = BigInt(Number.MAX_SAFE_INTEGER);
-/** Unanswered heartbeats that are remembered. */
+/** Heartbeats without a response whose send time is kept. */
 const maximumPendingHeartbeats = 32;
 
 /**
- * Follows one relay: receives records and freshness, sends heartbeats.
+ * Follows one relay: receives log records with their age, and sends heartbeats.
  *
- * @param options - relay, store and what to report
- * @returns the stream; it ends with `onEnd` and is not reopened
+ * @param options - relay, store, content of the heartbeats and callbacks
+ * @returns the stream; `onEnd` is called when it ends, and it is not reopened
  */
 export function createFollower(options: FollowerOptions): Follower {
     const { store, clock, target } = options;
     const client = createRelayClient(target.address);
     const stream: ClientDuplexStream<FollowRequest, FollowResponse> = client.follow();
+    // Monotonic send times of the heartbeats without a response, by number of the heartbeat.
     const sentAt = new Map<number, Milliseconds>();
     let heartbeat = 0;
     let heardAt = clock.monotonic();
@@ -95,8 +96,8 @@
         options.onEnd(reason);
     }
 
-    /** Returns why the stream is of no further use; undefined if the message was applied. */
-    function applyContent({ snapshot, entries, instances }: MessageContent, appliedOffset: Offset): string | undefined {
+    /** Returns why the stream has to be closed; undefined if the message was applied. */
+    function applyContent({ snapshot, entries, instances }: FollowContent, appliedOffset: Offset): string | undefined {
         if (snapshot !== undefined) {
             store.adoptSnapshot(snapshot);
         }
@@ -106,7 +107,8 @@
         if (instances !== undefined) {
             options.onInstances(instances);
         }
-        // A relay sends its state once on each stream, so what was refused comes only with a new stream.
+        // A relay sends each part of its state once on a stream, so state that was rejected arrives only on a new
+        // stream.
         return appliedOffset > store.state.appliedOffset ? "the relay's state was refused" : undefined;
     }
 
@@ -175,8 +177,8 @@
     };
 }
 
-/** Returns undefined if a part of the message is no JSON text. */
-function parseContent(message: FollowResponse): MessageContent | undefined {
+/** Parses the JSON parts of a message; returns undefined if one of them is not valid JSON. */
+function parseContent(message: FollowResponse): FollowContent | undefined {
     const { instances, records, snapshot } = message;
     try {
         return {
--- a/src/node/relay/followerSet.ts
+++ b/src/node/relay/followerSet.ts
@@ -7,11 +7,11 @@
 export interface FollowerSetOptions extends Omit<FollowerOptions, "target" | "onEnd"> {
     /** Lists the entry instances that may be followed now. */
     readonly listTargets: () => readonly RelayTarget[];
-    /** Key by which entry instances are ranked; processes with the same key follow the same ones. */
+    /** Key of the rendezvous hashing; processes with the same key follow the same entry instances. */
     readonly rankKey: string;
-    /** Lists entry instances that are followed whatever their rank, such as the witnesses of a copy. */
+    /** Lists entry instances that are followed regardless of their rank, such as the witnesses of a copy. */
     readonly listRequired: () => Iterable<InstanceId>;
-    /** Entry instances followed by rank. Default: 3. */
+    /** Number of entry instances that are followed because of their rank. Default: 3. */
     readonly maximumFollowed?: number;
     /** Time between heartbeats. Default: 2,000 ms. */
     readonly heartbeatMilliseconds?: Milliseconds;
@@ -20,22 +20,22 @@
 
 /** Streams to the relays that a process follows. */
 export interface FollowerSet extends Disposable {
-    /** Monotonic time of the newest message of any relay; undefined before the first. */
+    /** Monotonic time of the newest response of any relay to a heartbeat; undefined before the first. */
     readonly heardAt: Milliseconds | undefined;
     /** Sends a heartbeat on each stream now. */
     sendHeartbeats(): void;
 }
 
-/** Time after which a relay that was lost is asked again. */
-const reconnectAfter: Milliseconds = 1_000;
-/** Heartbeat intervals without a message after which a stream is given up. */
+/** Delay before a relay whose stream ended is tried again. */
+const reconnectDelay: Milliseconds = 1_000;
+/** Heartbeat intervals without a message after which a stream is closed. */
 const silentIntervals = 4;
 
 /**
- * Follows a few entry instances, chosen by rendezvous hashing, and those that are required, and replaces those that fail
- * or leave.
+ * Follows the required entry instances and a few others, chosen by rendezvous hashing, and replaces those that fail or
+ * leave.
  *
- * @param options - what to follow and report
+ * @param options - entry instances to choose from, content of the heartbeats and callbacks
  * @returns the running set
  */
 export function startFollowerSet(options: FollowerSetOptions): FollowerSet {
@@ -54,7 +54,7 @@
             },
             onEnd: reason => {
                 followers.delete(target.instance);
-                retryAt.set(target.instance, options.clock.monotonic() + reconnectAfter);
+                retryAt.set(target.instance, options.clock.monotonic() + reconnectDelay);
                 options.logger.debug({ peer: target.instance, reason }, "relay stream ended");
             },
         });
--- a/src/node/relay/logReader.ts
+++ b/src/node/relay/logReader.ts
@@ -11,28 +11,28 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: Logger;
-    /** Whether this process reads the log itself now; asked before each read. */
+    /** Whether this process reads the log itself now; called before each read. */
     readonly shouldRead: () => boolean;
     /** Time for which the log keeps records. */
     readonly retention: Milliseconds;
-    /** Time that the log service may wait for a new record. Default: 2,000 ms. */
+    /** Longest time that the log service holds a read open until a record arrives. Default: 2,000 ms. */
     readonly waitMilliseconds?: Milliseconds;
-    /** Time between reads that fail, at first; doubled up to eight times, with jitter. Default: 500 ms. */
+    /** Base of the delay after a failed read: 2, 4 and then 8 times this, with jitter. Default: 500 ms. */
     readonly retryMilliseconds?: Milliseconds;
 }
 
-/** Reader of the log; disposing of it ends the reads. */
+/** Reads the log; disposing of it ends the reads. */
 export interface LogReader extends AsyncDisposable {
     /** False after a failed read, until the next one succeeds. */
     readonly reachable: boolean;
 }
 
 /** Time between two checks whether this process should read. */
-const idleMilliseconds: Milliseconds = 250;
+const idleCheckInterval: Milliseconds = 250;
 const maximumBackoffDoublings = 3;
 
 /**
- * Reads the log and applies its records for as long as this process is one of the readers.
+ * Reads the log and applies its records while this process is one of the readers.
  *
  * @param options - log, store and conditions
  * @returns the running reader
@@ -41,7 +41,7 @@
     const abort = new AbortController();
     let reachable = true;
     let failures = 0;
-    // Set when the records after the applied offset have expired, so that the next read starts at the first one held.
+    // Set when the records after the applied offset have expired; the next read then starts at the oldest record left.
     let truncated = false;
 
     async function readOnce(): Promise<Milliseconds> {
@@ -69,7 +69,7 @@
             return options.retryMilliseconds ?? 500;
         }
         if (store.state.appliedOffset >= headOffset) {
-            // The head was read at some time after the request left, so the start of the request is the safe bound.
+            // The log read its head after the request was sent, so the time of sending is the safe lower bound.
             store.noteLogKnown(startedAt);
         }
         return 0;
@@ -77,7 +77,7 @@
 
     async function run(): Promise<void> {
         while (!abort.signal.aborted) {
-            const pause = options.shouldRead() ? await readOnce() : idleMilliseconds;
+            const pause = options.shouldRead() ? await readOnce() : idleCheckInterval;
             if (pause > 0) {
                 await sleep(pause, abort.signal);
             }
--- a/src/node/relay/messages.ts
+++ b/src/node/relay/messages.ts
@@ -3,7 +3,7 @@
 import type { LogEntry, LogRecord } from "../../types/index.js";
 
 /**
- * Converts a log entry to its message.
+ * Converts a log entry to a relay message.
  *
  * @param entry - the entry
  * @returns the message
@@ -17,10 +17,10 @@
 }
 
 /**
- * Converts a message to its log entry.
+ * Converts a relay message to a log entry.
  *
  * @param message - the message
- * @returns the entry
+ * @returns the entry; throws a `SyntaxError` if the record is not valid JSON
  */
 export function readRelayedRecord(message: RelayedRecord): LogEntry {
     return {
--- a/src/node/relay/relayServer.ts
+++ b/src/node/relay/relayServer.ts
@@ -7,12 +7,12 @@
 import type { StateStore } from "./stateStore.js";
 
 /**
- * Share of the hold duration after which the log counts as unreachable. Holders and relays know the log equally late, so
- * the outage has to be confirmed well before the holds lapse.
+ * Fraction of the hold duration after which the log counts as unreachable. Holders learn of log records as late as
+ * relays do, so the outage has to be confirmed well before the holds lapse.
  */
-const unreachableShare = 0.5;
+const unreachableHoldFraction = 0.5;
 
-/** Messages that may wait for one follower. */
+/** Messages that may be queued for one follower. */
 const maximumBufferedMessages = 256;
 
 /** Call of the `Follow` method. */
@@ -34,7 +34,7 @@
 export interface RelayHandler {
     follow(call: FollowCall): void;
     /**
-     * Passes changed rows of the instance list on to the followers that need them.
+     * Sends changed rows of the instance list to the followers that need them.
      *
      * @param rows - changed rows
      */
@@ -44,21 +44,23 @@
     close(): void;
 }
 
-interface FollowerRow {
+interface ConnectedFollower {
     readonly call: FollowCall;
+    /** Undefined until the follower has sent its first message. */
     instance: InstanceId | undefined;
+    /** Offset of the newest entry that the follower has, or that was sent to it. */
     sentOffset: Offset;
 }
 
 /**
  * Creates the handler of the `Follow` method.
  *
- * @param options - state to relay and what to do with heartbeats
+ * @param options - state to relay and callback for heartbeats
  * @returns the handler
  */
 export function createRelayHandler(options: RelayHandlerOptions): RelayHandler {
     const { store, clock, instances } = options;
-    const followers = new Set<FollowerRow>();
+    const followers = new Set<ConnectedFollower>();
 
     function createMessage(heartbeat: bigint): FollowResponse {
         const now = clock.monotonic();
@@ -67,13 +69,13 @@
             instance: options.self,
             appliedOffset: BigInt(store.state.appliedOffset),
             logAgeMilliseconds: BigInt(Math.ceil(age)),
-            logReachable: age < options.holdDuration * unreachableShare,
+            logReachable: age < options.holdDuration * unreachableHoldFraction,
             uptimeMilliseconds: BigInt(Math.floor(now - options.startedAt)),
             heartbeat,
         });
     }
 
-    function attachState(follower: FollowerRow, message: FollowResponse): void {
+    function attachState(follower: ConnectedFollower, message: FollowResponse): void {
         const entries = store.entriesAfter(follower.sentOffset);
         if (entries === undefined) {
             message.snapshot = JSON.stringify(store.takeSnapshot());
@@ -84,7 +86,9 @@
         follower.sentOffset = Math.max(follower.sentOffset, store.state.appliedOffset);
     }
 
-    /** Agents get their own pool and the entry instances; entry instances get every row. */
+    /**
+     * Selects rows for a follower: agents get their own pool and the entry instances; entry instances get every row.
+     */
     function selectRows(instance: InstanceId, rows: Iterable<InstanceRow>): InstanceRow[] {
         const own = instances.get(instance);
         return [...rows].filter(row =>
@@ -92,13 +96,13 @@
         );
     }
 
-    function subscribe(follower: FollowerRow, request: FollowRequest, message: FollowResponse): void {
+    function subscribe(follower: ConnectedFollower, request: FollowRequest, message: FollowResponse): void {
         follower.instance = request.instance;
         follower.sentOffset = Number(request.appliedOffset);
         message.instances = JSON.stringify(selectRows(request.instance, instances.rows()));
     }
 
-    function receive(follower: FollowerRow, request: FollowRequest): void {
+    function receive(follower: ConnectedFollower, request: FollowRequest): void {
         const message = createMessage(request.heartbeat);
         if (follower.instance === undefined) {
             subscribe(follower, request, message);
@@ -108,8 +112,11 @@
         send(follower, message);
     }
 
-    /** A follower that does not keep up is dropped; it comes back with its offset and gets what it lacks at once. */
-    function send(follower: FollowerRow, message: FollowResponse): void {
+    /**
+     * Sends a message. A follower that reads too slowly is disconnected; it reconnects with its offset and then gets
+     * everything that it lacks in one message.
+     */
+    function send(follower: ConnectedFollower, message: FollowResponse): void {
         if (follower.call.writableLength > maximumBufferedMessages) {
             remove(follower);
             follower.call.end();
@@ -118,7 +125,7 @@
         follower.call.write(message);
     }
 
-    function remove(follower: FollowerRow): void {
+    function remove(follower: ConnectedFollower): void {
         followers.delete(follower);
     }
 
@@ -134,7 +141,7 @@
 
     return {
         follow: call => {
-            const follower: FollowerRow = { call, instance: undefined, sentOffset: 0 };
+            const follower: ConnectedFollower = { call, instance: undefined, sentOffset: 0 };
             followers.add(follower);
             call.on("data", (request: FollowRequest) => receive(follower, request));
             call.on("end", () => {
--- a/src/node/relay/stateFigures.ts
+++ b/src/node/relay/stateMetrics.ts
@@ -3,11 +3,12 @@
 import type { StateStore } from "./stateStore.js";
 
 /**
- * Adds what a process knows of the log and since when, so that the time from an append to its effect can be read.
+ * Registers metrics for the applied offset and the time of the last change, which show the delay between an append to
+ * the log and its effect in this process.
  *
  * @param metrics - metrics of the process
  * @param store - state of the process
- * @param clock - time
+ * @param clock - time source
  */
 export function observeState(metrics: Metrics, store: StateStore, clock: Clock): void {
     let changedAt = 0;
--- a/src/node/relay/stateStore.ts
+++ b/src/node/relay/stateStore.ts
@@ -8,38 +8,38 @@
 } from "../../runtime/state/index.js";
 import type { LogEntry, Milliseconds, Offset } from "../../types/index.js";
 
-/** Entries that are kept for followers that lag; older ones are replaced by a snapshot. */
-const keptEntries = 2_000;
-/** Copies in all kept entries together, since a placement record holds every copy: at 305 bytes each about 6 MB. */
-const keptCopies = 20_000;
-/** Newest entries that are kept whatever their size, so that a follower that lags by a few needs no snapshot. */
-const alwaysKeptEntries = 16;
+/** Recent entries that are kept for followers that lag; a follower that lags further gets a snapshot. */
+const maximumRecentEntries = 2_000;
+/** Bound on the copies in all recent entries, since a placement record lists every copy: 305 bytes each, about 6 MB. */
+const maximumRecentCopies = 20_000;
+/** Newest entries that are kept regardless of their size, so that a follower that lags slightly needs no snapshot. */
+const minimumRecentEntries = 16;
 
-/** State that a process has derived from the log, with the age of its knowledge. */
+/** State that a process has derived from the log, and the time at which it was complete. */
 export interface StateStore {
     readonly state: FoldState;
-    /** Monotonic time at which the state was known to be complete; undefined before the first read. */
+    /** Latest monotonic time at which the state was known to include the whole log; undefined until then. */
     readonly logKnownAt: Milliseconds | undefined;
-    /** True once the state was complete at some time since the start. */
+    /** True once the state has included the whole log. */
     readonly ready: boolean;
     /**
-     * Applies entries in offset order; entries that were applied before are skipped.
+     * Applies entries; those that were applied before are skipped.
      *
      * @param entries - entries in offset order
      * @returns `gap` if an entry does not follow the last applied one
      */
     applyEntries(entries: readonly LogEntry[]): "applied" | "gap";
     /**
-     * Replaces the state by a newer one of a peer.
+     * Replaces the state with the newer state of a peer.
      *
      * @param snapshot - the peer's state
      * @returns false if the snapshot is not newer or its digest does not match
      */
     adoptSnapshot(snapshot: StateSnapshot): boolean;
     /**
-     * Notes that the state was complete at a time.
+     * Records that the state included the whole log at a time.
      *
-     * @param at - monotonic time; earlier than the known one is ignored
+     * @param at - monotonic time; ignored if it is not later than the recorded one
      */
     noteLogKnown(at: Milliseconds): void;
     /**
@@ -52,7 +52,7 @@
     /** @returns the state as a snapshot for a peer */
     takeSnapshot(): StateSnapshot;
     /**
-     * Calls a listener for each entry, right after it was folded and before the next one is.
+     * Calls a listener for each entry, right after it was applied and before the next one is applied.
      *
      * @param listener - gets the entry
      */
@@ -69,13 +69,13 @@
     return record.kind === "placement" ? record.copies.length : 0;
 }
 
-/** Counts the oldest entries that exceed the limits. */
+/** Counts the oldest entries that have to be dropped to stay within the limits. */
 function countExcess(entries: readonly LogEntry[]): number {
     let copies = 0;
     let kept = 0;
     for (const entry of [...entries].reverse()) {
         copies += countCopies(entry);
-        if (kept >= keptEntries || (kept >= alwaysKeptEntries && copies > keptCopies)) {
+        if (kept >= maximumRecentEntries || (kept >= minimumRecentEntries && copies > maximumRecentCopies)) {
             break;
         }
         kept += 1;
@@ -92,8 +92,8 @@
     let state = createFoldState();
     let logKnownAt: Milliseconds | undefined;
     let recent: LogEntry[] = [];
-    // The offset before the first kept entry; followers at or after it can be served with entries.
-    let recentBase: Offset = 0;
+    // The offset before the first recent entry; followers at or after it can be served with entries.
+    let recentBaseOffset: Offset = 0;
     const entryListeners: ((entry: LogEntry) => void)[] = [];
     const listeners: ((entries: readonly LogEntry[]) => void)[] = [];
 
@@ -103,17 +103,17 @@
         }
     }
 
-    function keep(entries: readonly LogEntry[]): void {
+    function appendRecent(entries: readonly LogEntry[]): void {
         const { previousOffset } = entries[0]!;
-        if (previousOffset !== (recent.at(-1)?.offset ?? recentBase)) {
+        if (previousOffset !== (recent.at(-1)?.offset ?? recentBaseOffset)) {
             // The log has lost the records in between, so followers from before the gap need a snapshot.
             recent = [];
-            recentBase = previousOffset;
+            recentBaseOffset = previousOffset;
         }
         recent.push(...entries);
         const dropped = countExcess(recent);
         if (dropped > 0) {
-            recentBase = recent[dropped - 1]!.offset;
+            recentBaseOffset = recent[dropped - 1]!.offset;
             recent = recent.slice(dropped);
         }
     }
@@ -143,7 +143,7 @@
                 entryListeners.forEach(listener => listener(entry));
             }
             if (applied.length > 0) {
-                keep(applied);
+                appendRecent(applied);
                 notify(applied);
             }
             return outcome;
@@ -158,7 +158,7 @@
             }
             state = imported.value;
             recent = [];
-            recentBase = state.appliedOffset;
+            recentBaseOffset = state.appliedOffset;
             notify([]);
             return true;
         },
@@ -168,7 +168,7 @@
             }
         },
         entriesAfter: offset => {
-            if (offset < recentBase) {
+            if (offset < recentBaseOffset) {
                 return undefined;
             }
             return recent.filter(entry => entry.offset > offset);
--- a/test/node/relay/follower.test.ts
+++ b/test/node/relay/follower.test.ts
@@ -125,14 +125,14 @@
             ends: true,
         },
         {
-            name: "a record that is no JSON text",
+            name: "a record that is not valid JSON",
             message: { records: createRelayed(1, 1).map(record => ({ ...record, record: "{" })), appliedOffset: 1n },
             applied: 0,
             answered: false,
             ends: true,
         },
         {
-            name: "instances that are no JSON text",
+            name: "instances that are not valid JSON",
             message: { instances: "[{" },
             applied: 0,
             answered: false,
@@ -147,8 +147,9 @@
         },
     ];
     for (const { name, message, known = 0, applied, answered, ends } of faults) {
-        // Guards against a process that fails at a bad message, and against a stream that stays open without its state.
-        it(`${ends ? "gives up the stream after" : "takes"} ${name}`, async () => {
+        // Guards against a process that crashes on an invalid message, and against a stream that stays open although
+        // the relay's state was rejected.
+        it(`${ends ? "closes the stream after" : "accepts"} ${name}`, async () => {
             await using relay = await startScriptedRelay((call, heartbeat) => {
                 call.write(create(FollowResponseSchema, { instance: "entry-1", heartbeat, ...message } as never));
             });
@@ -164,14 +165,14 @@
 
     const breaks: readonly [name: string, script: Script][] = [
         ["before the first message", call => call.emit("error", new Error("broken"))],
-        ["after an answer", (call, heartbeat) => {
+        ["after a response", (call, heartbeat) => {
             call.write(create(FollowResponseSchema, { instance: "entry-1", heartbeat }));
             call.emit("error", new Error("broken"));
         }],
-        ["in order", call => call.end()],
+        ["gracefully", call => call.end()],
     ];
     for (const [name, script] of breaks) {
-        // Guards against a lost stream that nobody reopens, and against one that is reported twice.
+        // Guards against a stream that ends without a report, so that it is not reopened, or with two reports.
         it(`reports once that the relay ended the stream ${name}`, async () => {
             await using relay = await startScriptedRelay(script);
             using following = startFollower(relay.address);
@@ -182,8 +183,8 @@
         });
     }
 
-    // Guards against an answer that waited in a buffer during a pause and makes old knowledge look fresh.
-    it("counts freshness from the time at which the heartbeat was sent", async () => {
+    // Guards against old state that looks fresh because the response was buffered while the process was paused.
+    it("measures freshness from the time at which the heartbeat was sent", async () => {
         let answer: (() => void) | undefined;
         await using relay = await startScriptedRelay((call, heartbeat) => {
             answer = () =>
@@ -205,12 +206,12 @@
         answer!();
         following.follower.sendHeartbeat();
         await waitFor(() => following.ends.length > 0 || following.answers.length > 0);
-        // A repeated answer counts once.
+        // A repeated response counts once.
         expect(following.answers.length).toEqual(1);
     });
 
-    // Guards against followers that lag for good behind a relay that started after the log's oldest records expired,
-    // and against an age that leaves a hop out.
+    // Guards against followers that never catch up with a relay that started after the log's oldest records expired,
+    // and against an age that omits the relay's own age of the log.
     it("follows a real relay with its records, its snapshot and its age", async () => {
         const clock = createManualClock();
         clock.advance(50_000);
--- a/test/node/relay/logReader.test.ts
+++ b/test/node/relay/logReader.test.ts
@@ -8,7 +8,7 @@
 
 type Read = ErrorCode | { readonly first: number; readonly last: number; readonly head: number; };
 
-/** Reads a script of pages; the clock moves by a second in each read, and the last read ends the reader. */
+/** Reads scripted pages; each read advances the clock by a second, and the last one ends the reader. */
 async function readScript(known: number, script: readonly Read[]) {
     const clock = createManualClock();
     const store = createStateStore();
@@ -115,7 +115,8 @@
         },
     ];
     for (const { name, known, script, asked, applied, knownAt } of cases) {
-        // Guards against records that are read twice or left out, and against knowledge that looks newer than the read.
+        // Guards against records that are read twice or skipped, and against a state that looks newer than its last
+        // read.
         it(`reads ${name}`, async () => {
             const result = await readScript(known, script);
             expect(result).toEqual({ asked: [...asked], applied, knownAt, reachable: true });
--- a/test/node/relay/keptEntries.test.ts
+++ b/test/node/relay/recentEntries.test.ts
@@ -28,9 +28,9 @@
     };
 }
 
-describe("entries kept for followers", () => {
-    // Guards against memory that grows with the size of placements, and against followers that are sent a part of the
-    // records they lack: below the kept entries they need a snapshot.
+describe("recent entries kept for followers", () => {
+    // Guards against memory use that grows with the size of placements, and against followers that are sent only some
+    // of the records they lack: a follower that lags behind the kept entries needs a snapshot.
     for (
         const { copies, kept } of [{ copies: 0, kept: 2_000 }, { copies: 430, kept: 46 }, { copies: 3_200, kept: 16 }]
     ) {
--- a/test/node/relay/stateStore.test.ts
+++ b/test/node/relay/stateStore.test.ts
@@ -21,7 +21,7 @@
     ];
     for (const { name, batches: lists, outcome, applied } of batches) {
         // Guards against records that are skipped or applied twice, and against listeners that miss an applied record.
-        it(`takes records ${name} up to ${applied}`, () => {
+        it(`applies records ${name} up to ${applied}`, () => {
             const store = createStateStore();
             const heard: number[] = [];
             store.onEntry(entry => heard.push(entry.offset));
@@ -50,8 +50,8 @@
         },
     ];
     for (const { name, applied, change, taken } of snapshots) {
-        // Guards against a state that goes back or that was changed on its way.
-        it(`${taken ? "adopts" : "refuses"} ${name}`, () => {
+        // Guards against a state that moves back to an older offset or that was corrupted in transit.
+        it(`${taken ? "adopts" : "rejects"} ${name}`, () => {
             const store = createFilledStore(applied);
             const snapshot = JSON.stringify(createFilledStore(5).takeSnapshot());
             expect(store.adoptSnapshot(JSON.parse(change(snapshot)) as never)).toEqual(taken);
@@ -59,8 +59,8 @@
         });
     }
 
-    // Guards against followers that are sent records which they can never apply, once the log has lost the ones before.
-    it("serves followers behind lost records by a snapshot", () => {
+    // Guards against followers that are sent records which they cannot apply because the log has lost earlier ones.
+    it("sends a snapshot to followers that lack lost records", () => {
         for (const known of [0, 3]) {
             const store = createFilledStore(known);
             beginAfterTruncation(store.state, 8);
@@ -72,15 +72,15 @@
         }
     });
 
-    // Guards against memory that grows with the log, and against a lagging follower that is not sent a snapshot.
+    // Guards against memory use that grows with the log, and against a lagging follower that gets no snapshot.
     it("keeps a bounded number of records", () => {
         const store = createFilledStore(2_100);
         expect(store.entriesAfter(99)).toEqual(undefined);
         expect(store.entriesAfter(100)?.length).toEqual(2_000);
     });
 
-    // Guards against an old answer that makes the knowledge of the log look older than it is.
-    it("only moves the time of its knowledge forward", () => {
+    // Guards against a late response that makes the state look older than it is.
+    it("never moves the time at which the log was known back", () => {
         const store = createStateStore();
         expect(store.ready).toEqual(false);
         store.noteLogKnown(100);
