Reword the daemon's support code in plain terms

Comments on looks at a file, settings in force and heard relays were hard to follow, and membership.ts hid the reader of the instance list: it is now instanceListReader.ts.

--- a/src/node/daemon/index.ts
+++ b/src/node/daemon/index.ts
@@ -1,5 +1,5 @@
 export * from "./drain.js";
-export * from "./membership.js";
+export * from "./instanceListReader.js";
 export * from "./platformReaders.js";
 export * from "./relaySilence.js";
 export * from "./runDaemon.js";
--- a/src/node/daemon/membership.ts
+++ b/src/node/daemon/instanceListReader.ts
@@ -19,19 +19,19 @@
     readonly random: RandomSource;
     readonly logger: Logger;
     readonly interval: Milliseconds;
-    /** Successive reads without an instance after which it counts as gone. */
+    /** Successive reads without an instance after which its state becomes `gone`. */
     readonly absentReadsUntilGone: number;
-    /** Whether this process reads the list itself now; asked before each read. */
+    /** Whether this process reads the list itself now; called before each read. */
     readonly shouldRead: () => boolean;
-    /** Gets the rows that a read has changed. */
+    /** Receives the rows that a read has changed. */
     readonly onChange: (rows: readonly InstanceRow[]) => void;
 }
 
-/** Jitter of the interval, so that processes do not read at the same time. */
-const jitterShare = 0.2;
+/** Width of the jitter as a fraction of the interval, so that processes do not all read at the same time. */
+const jitterFraction = 0.2;
 
 /**
- * Reads the platform's instance list into a table, for as long as this process is one of the readers.
+ * Reads the platform's instance list into a table while this process is one of the readers.
  *
  * @param options - list, table and conditions
  * @returns the running reader; disposing of it ends the reads
@@ -56,7 +56,10 @@
             if (options.shouldRead()) {
                 await readOnce();
             }
-            await sleep(options.interval * (1 - jitterShare / 2 + jitterShare * options.random.next()), abort.signal);
+            await sleep(
+                options.interval * (1 - jitterFraction / 2 + jitterFraction * options.random.next()),
+                abort.signal,
+            );
         }
     }
 
@@ -73,8 +76,8 @@
  * Lists the entry instances that can be followed.
  *
  * @param instances - instance table
- * @param fixedAddresses - addresses from the settings; used as long as the table has no entry instance
- * @returns targets; those from the settings carry their address as the instance
+ * @param fixedAddresses - addresses from the settings; used while the table has no live entry instance
+ * @returns targets; those from the settings have their address as the instance identifier
  */
 export function listRelayTargets(
     instances: Table<InstanceId, InstanceRow>,
--- a/src/node/daemon/platformReaders.ts
+++ b/src/node/daemon/platformReaders.ts
@@ -3,7 +3,7 @@
 import type { DisposalStack, Table } from "../../utils/index.js";
 import { startLogReader, type StateStore } from "../relay/index.js";
 import type { AllSettings } from "../settings/index.js";
-import { startInstanceListReader } from "./membership.js";
+import { startInstanceListReader } from "./instanceListReader.js";
 
 /** Options of {@link startPlatformReaders}. */
 export interface PlatformReadersOptions {
@@ -15,11 +15,11 @@
     readonly list: InstanceListPort;
     readonly store: StateStore;
     readonly instances: Table<InstanceId, InstanceRow>;
-    /** Whether this process reads the log itself now; asked before each read. */
+    /** Whether this process reads the log itself now; called before each read. */
     readonly shouldReadLog: () => boolean;
-    /** Whether this process reads the instance list itself now; asked before each read. */
+    /** Whether this process reads the instance list itself now; called before each read. */
     readonly shouldReadList: () => boolean;
-    /** Gets the rows of the instance list that a read has changed. */
+    /** Receives the rows of the instance list that a read has changed. */
     readonly onInstances: (rows: readonly InstanceRow[]) => void;
 }
 
@@ -27,7 +27,7 @@
  * Starts the readers of the platform's log and instance list.
  *
  * @param resources - owner of the readers
- * @param options - ports, tables and when to read
+ * @param options - ports, tables and conditions
  */
 export function startPlatformReaders(resources: DisposalStack, options: PlatformReadersOptions): void {
     const { clock, instances, logger, random, store } = options;
--- a/src/node/daemon/relaySilence.ts
+++ b/src/node/daemon/relaySilence.ts
@@ -4,23 +4,23 @@
 export interface RelaySilenceOptions {
     readonly clock: Clock;
     readonly random: RandomSource;
-    /** Monotonic time of the newest answer of any relay; undefined before the first. */
+    /** Returns the monotonic time of the newest response of any relay; undefined before the first. */
     readonly readHeardAt: () => Milliseconds | undefined;
-    /** Time without an answer after which the relays count as silent. */
+    /** Time without a response after which the relays count as silent. */
     readonly silentAfter: Milliseconds;
     /**
-     * Longest random time that is added, so that processes which lose their relays at the same moment do not turn to the
-     * platform at the same moment.
+     * Longest random delay that is added, so that processes that lose their relays at the same time do not all call the
+     * platform at the same time.
      */
     readonly jitter: Milliseconds;
 }
 
 /**
- * Creates the check whether a process has to read from the platform itself because no relay answers.
+ * Creates the check whether a process has to read from the platform itself because no relay responds.
  *
- * @param options - when a relay was heard, and limits
- * @returns function that tells whether the relays are silent now; before the first answer the jitter alone counts, from
- * the time of this call
+ * @param options - time of the newest response, and limits
+ * @returns function that tells whether the relays are silent now; before the first response only the jitter applies,
+ * counted from this call
  */
 export function createRelaySilence(options: RelaySilenceOptions): () => boolean {
     const { clock, silentAfter } = options;
--- a/src/node/daemon/runDaemon.ts
+++ b/src/node/daemon/runDaemon.ts
@@ -5,9 +5,9 @@
 import type { AllSettings } from "../settings/index.js";
 import { waitForShutdownSignal } from "./signals.js";
 
-/** Daemon that can finish its work before it stops. */
+/** Daemon that can complete its requests before it stops. */
 export interface DrainableDaemon extends AsyncDisposable {
-    /** Refuses new requests and waits for those in progress, up to the drain time limit. */
+    /** Rejects new requests and waits for those in progress, up to the drain time limit. */
     drain(): Promise<void>;
 }
 
--- a/src/node/daemon/settingsWatch.ts
+++ b/src/node/daemon/settingsWatch.ts
@@ -8,17 +8,17 @@
     /** Path of the settings file; undefined if there is none to watch. */
     readonly path: string | undefined;
     readonly initial: Settings;
-    /** Reads and checks the file. */
+    /** Reads and validates the file. */
     readonly resolve: () => Result<Settings, GoldcrestpointError>;
-    /** Time between two looks at the file, which may change without a signal. */
+    /** Interval at which the file is checked, since it may change without a signal. */
     readonly interval: Milliseconds;
     readonly logger: Logger;
 }
 
-/** Settings in force. */
+/** Current settings, which follow the file. */
 export interface SettingsWatch<Settings> extends Disposable {
     readonly current: () => Settings;
-    /** Looks at the file now. */
+    /** Checks the file now. */
     readonly check: () => void;
 }
 
@@ -27,17 +27,17 @@
         return readFileSync(path, "utf8");
     }
     catch {
-        // The file may be replaced at this moment; the next look finds it again.
+        // The file may be missing for a moment while it is replaced; the next check finds it again.
         return undefined;
     }
 }
 
 /**
- * Follows a settings file. SIGHUP makes it look at once, and no longer ends the process. A file with faults is logged and
- * leaves the settings as they are.
+ * Watches a settings file. SIGHUP triggers a check at once instead of ending the process. If the file is invalid, an
+ * error is logged and the settings stay as they are.
  *
- * @param input - file, settings at the start and how to resolve them
- * @returns the settings in force; disposing of it ends the watch
+ * @param input - file, initial settings and how to resolve them
+ * @returns the current settings; disposing of it ends the watch
  */
 export function watchSettings<Settings>(input: SettingsWatchInput<Settings>): SettingsWatch<Settings> {
     const { logger, path } = input;
--- a/src/node/daemon/startOwned.ts
+++ b/src/node/daemon/startOwned.ts
@@ -3,9 +3,9 @@
 import { createDisposalStack, type DisposalStack } from "../../utils/index.js";
 
 /**
- * Starts a daemon that owns what it has acquired. If the start fails, everything is released.
+ * Starts a daemon that owns the resources that it acquires. If the start fails, they are released.
  *
- * @param assemble - acquires resources on the stack and returns what the daemon offers
+ * @param assemble - acquires resources on the stack and returns the daemon's interface
  * @returns the daemon; disposing of it releases its resources
  */
 export async function startOwned<Daemon extends object>(
--- a/test/node/daemon/runDaemon.test.ts
+++ b/test/node/daemon/runDaemon.test.ts
@@ -3,7 +3,7 @@
 import { createInterface } from "node:readline";
 import { describe, it } from "node:test";
 
-/** Daemon that says when it has drained and when it has released what it held. */
+/** Daemon that logs when it has drained and when it has released its resources. */
 const program = `
 import { ok } from "true-myth/result";
 import { runDaemon } from "./src/node/daemon/runDaemon.ts";
@@ -23,8 +23,8 @@
 `;
 
 describe("daemon after the signal to shut down", () => {
-    // Guards against a last line that hides what a process still waits for.
-    it("says that it has stopped once everything is released", async () => {
+    // Guards against a last log line that is written while the process still waits for resources to be released.
+    it("logs that it has stopped once everything is released", async () => {
         const child = spawn(process.execPath, ["--import", "tsx", "--input-type=module", "-e", program], {
             stdio: ["ignore", "pipe", "inherit"],
         });
--- a/test/node/daemon/settingsWatch.test.ts
+++ b/test/node/daemon/settingsWatch.test.ts
@@ -51,7 +51,7 @@
             expect(readSeeds()).toEqual(["10.0.0.3:1"]);
         }));
 
-    it("is left out if it has faults", () =>
+    it("is ignored if it is invalid", () =>
         withWatch(async (write, readSeeds) => {
             write("sprouts = 10.0.0.2:1");
             await new Promise(resolve => setTimeout(resolve, 200));
--- a/test/node/relay/stateStore.test.ts
+++ b/test/node/relay/stateStore.test.ts
@@ -80,7 +80,7 @@
     });
 
     // Guards against a late response that makes the state look older than it is.
-    it("never moves the time at which the log was known back", () => {
+    it("never moves back the time at which the state was complete", () => {
         const store = createStateStore();
         expect(store.ready).toEqual(false);
         store.noteLogKnown(100);
