Reword the clients of the platform in plain terms

What the platform sends back is a response now, as in HTTP, also in the messages of errors; repeats are duplicates, and a message says which part of a response is not valid. No message is matched by a test or by other code.

--- a/src/node/platform/instanceListClient.ts
+++ b/src/node/platform/instanceListClient.ts
@@ -8,7 +8,7 @@
     toReadError,
     toStatusError,
 } from "../httpClient/index.js";
-import { instancesAnswerSchema } from "./schemas.js";
+import { instancesResponseSchema } from "./schemas.js";
 
 const listStep = "list instances";
 
@@ -24,8 +24,8 @@
  * Creates a client of the platform's instance list.
  *
  * @param options - base URL and time limits
- * @returns the client. `list` fails with `INSTANCE_LIST_UNREACHABLE`; of an instance that an answer names more than
- * once, the list keeps one row, and `leaving` wins over `live`
+ * @returns the client. `list` fails with `INSTANCE_LIST_UNREACHABLE`. If a response contains an instance more than
+ * once, one row is kept, and `leaving` takes precedence over `live`
  */
 export function createInstanceListClient(options: InstanceListClientOptions): InstanceListPort & AsyncDisposable {
     const client = createHttpClient(options);
@@ -36,23 +36,23 @@
 }
 
 async function list(client: HttpClient): PortResult<readonly ListedInstance[]> {
-    const answer = await client.send({ method: "GET", path: "/instances" });
-    if (answer.isErr) {
-        return err(toReadError("INSTANCE_LIST_UNREACHABLE", listStep, client.peer, answer.error));
+    const response = await client.send({ method: "GET", path: "/instances" });
+    if (response.isErr) {
+        return err(toReadError("INSTANCE_LIST_UNREACHABLE", listStep, client.peer, response.error));
     }
-    if (answer.value.status !== 200) {
-        const error = toStatusError("INSTANCE_LIST_UNREACHABLE", listStep, client.peer, answer.value);
+    if (response.value.status !== 200) {
+        const error = toStatusError("INSTANCE_LIST_UNREACHABLE", listStep, client.peer, response.value);
         return err({ ...error, mayHaveTakenEffect: false });
     }
-    const parsed = instancesAnswerSchema.safeParse(parseJson(answer.value.body));
+    const parsed = instancesResponseSchema.safeParse(parseJson(response.value.body));
     if (!parsed.success) {
-        const message = "the answer is no list of instances";
+        const message = "the response is not a valid instance list";
         return err(createError("INSTANCE_LIST_UNREACHABLE", listStep, client.peer, message));
     }
-    return ok(dropRepeats(parsed.data.instances));
+    return ok(removeDuplicates(parsed.data.instances));
 }
 
-function dropRepeats(instances: readonly ListedInstance[]): ListedInstance[] {
+function removeDuplicates(instances: readonly ListedInstance[]): ListedInstance[] {
     const rows = new Map<string, ListedInstance>();
     for (const row of instances) {
         if (rows.get(row.instance)?.state !== "leaving") {
--- a/src/node/platform/logClient.ts
+++ b/src/node/platform/logClient.ts
@@ -19,7 +19,7 @@
     toReadError,
     toStatusError,
 } from "../httpClient/index.js";
-import { appendAnswerSchema, readAnswerSchema } from "./schemas.js";
+import { appendResponseSchema, readResponseSchema } from "./schemas.js";
 
 const appendStep = "append record";
 const readStep = "read log";
@@ -28,7 +28,7 @@
 export interface LogClientOptions {
     /** Base URL of the log. */
     readonly baseUrl: string;
-    /** Default: those of {@link HttpTimeouts}; the time that a read may wait is added to its limits. */
+    /** Default: those of {@link HttpTimeouts}; for a read, the time that it waits for a record is added. */
     readonly timeouts?: Partial<HttpTimeouts> | undefined;
 }
 
@@ -36,9 +36,9 @@
  * Creates a client of the platform's log.
  *
  * @param options - base URL and time limits
- * @returns the client. `append` fails with `APPEND_AMBIGUOUS` if the record may have been appended, else with
- * `LOG_UNREACHABLE`. `read` puts entries in order and drops repeats; it fails with `LOG_TRUNCATED` if entries after a
- * positive offset have expired, and with `LOG_UNREACHABLE` for an answer with a gap. A read after offset 0 begins at
+ * @returns the client. `append` fails with `APPEND_AMBIGUOUS` if the record may have been appended, otherwise with
+ * `LOG_UNREACHABLE`. `read` sorts entries and removes duplicates; it fails with `LOG_TRUNCATED` if entries after a
+ * positive offset have expired, and with `LOG_UNREACHABLE` for a response with a gap. A read after offset 0 starts at
  * the first offset that the log still holds.
  */
 export function createLogClient(options: LogClientOptions): LogPort & AsyncDisposable {
@@ -51,23 +51,23 @@
 }
 
 async function append(client: HttpClient, record: LogRecord): PortResult<Offset> {
-    const answer = await client.send({
+    const response = await client.send({
         method: "POST",
         path: "/log/records",
         headers: { "content-type": "application/json" },
         body: JSON.stringify(record),
     });
-    if (answer.isErr) {
-        const code = answer.error.requestWritten ? "APPEND_AMBIGUOUS" : "LOG_UNREACHABLE";
-        return err(toCallError(code, appendStep, client.peer, answer.error));
+    if (response.isErr) {
+        const code = response.error.requestWritten ? "APPEND_AMBIGUOUS" : "LOG_UNREACHABLE";
+        return err(toCallError(code, appendStep, client.peer, response.error));
     }
-    if (answer.value.status !== 201) {
-        const error = toStatusError("LOG_UNREACHABLE", appendStep, client.peer, answer.value);
+    if (response.value.status !== 201) {
+        const error = toStatusError("LOG_UNREACHABLE", appendStep, client.peer, response.value);
         return err(error.mayHaveTakenEffect ? { ...error, code: "APPEND_AMBIGUOUS" } : error);
     }
-    const parsed = appendAnswerSchema.safeParse(parseJson(answer.value.body));
+    const parsed = appendResponseSchema.safeParse(parseJson(response.value.body));
     if (!parsed.success || parsed.data.id !== record.id) {
-        const message = "the answer does not name the record that was appended";
+        const message = "the response does not contain the identifier of the appended record";
         return err(createError("APPEND_AMBIGUOUS", appendStep, client.peer, message, { mayHaveTakenEffect: true }));
     }
     return ok(parsed.data.offset);
@@ -79,29 +79,31 @@
     afterOffset: Offset,
     wait: Milliseconds,
 ): PortResult<LogPage> {
-    const answer = await client.send({
+    const response = await client.send({
         method: "GET",
         path: `/log/records?after=${afterOffset}&wait=${wait}`,
         timeouts: { head: (timeouts?.head ?? 5_000) + wait, total: (timeouts?.total ?? 10_000) + wait },
     });
-    if (answer.isErr) {
-        return err(toReadError("LOG_UNREACHABLE", readStep, client.peer, answer.error));
+    if (response.isErr) {
+        return err(toReadError("LOG_UNREACHABLE", readStep, client.peer, response.error));
     }
-    if (answer.value.status !== 200) {
-        const error = toStatusError("LOG_UNREACHABLE", readStep, client.peer, answer.value);
+    if (response.value.status !== 200) {
+        const error = toStatusError("LOG_UNREACHABLE", readStep, client.peer, response.value);
         return err({ ...error, mayHaveTakenEffect: false });
     }
-    const parsed = readAnswerSchema.safeParse(parseJson(answer.value.body));
+    const parsed = readResponseSchema.safeParse(parseJson(response.value.body));
     if (!parsed.success) {
-        return err(createError("LOG_UNREACHABLE", readStep, client.peer, "the answer is no page of the log"));
+        return err(
+            createError("LOG_UNREACHABLE", readStep, client.peer, "the response is not a valid page of the log"),
+        );
     }
     return checkPage(parsed.data, afterOffset, client.peer);
 }
 
 function checkPage(page: LogPage, afterOffset: Offset, peer: string): Result<LogPage, GoldcrestpointError> {
-    const entries = orderEntries(page.entries, afterOffset);
+    const entries = sortEntries(page.entries, afterOffset);
     const oldest = entries[0];
-    // Everything between the offset asked for and the oldest entry of the log has expired.
+    // All entries between the requested offset and the oldest entry of the log have expired.
     const expired = oldest === undefined ?
         page.firstOffset > page.headOffset :
         oldest.offset <= page.firstOffset && oldest.previousOffset > afterOffset;
@@ -110,14 +112,16 @@
         const message = `entries after offset ${afterOffset} have expired; the log begins at ${page.firstOffset}`;
         return err(createError("LOG_TRUNCATED", readStep, peer, message));
     }
-    const linked = entries.every((entry, index) => index === 0 || entry.previousOffset === entries[index - 1]!.offset);
-    if (!linked || (!complete && !expired)) {
+    const isContiguous = entries.every((entry, index) =>
+        index === 0 || entry.previousOffset === entries[index - 1]!.offset
+    );
+    if (!isContiguous || (!complete && !expired)) {
         return err(createError("LOG_UNREACHABLE", readStep, peer, `the entries after ${afterOffset} have a gap`));
     }
     return ok({ firstOffset: page.firstOffset, headOffset: page.headOffset, entries });
 }
 
-function orderEntries(entries: readonly LogEntry[], afterOffset: Offset): LogEntry[] {
+function sortEntries(entries: readonly LogEntry[], afterOffset: Offset): LogEntry[] {
     const byOffset = new Map(entries.map(entry => [entry.offset, entry]));
     return [...byOffset.values()]
         .filter(entry => entry.offset > afterOffset)
--- a/src/node/platform/originClient.ts
+++ b/src/node/platform/originClient.ts
@@ -17,7 +17,7 @@
     toReadError,
     toStatusError,
 } from "../httpClient/index.js";
-import { manifestAnswerSchema } from "./schemas.js";
+import { manifestResponseSchema } from "./schemas.js";
 
 const resolveStep = "resolve manifest";
 const manifestStep = "read manifest";
@@ -37,9 +37,9 @@
  * Creates a client of the weight store and the origin.
  *
  * @param options - base URLs and time limits
- * @returns the client. Failures: `ORIGIN_UNREACHABLE` if there is no usable answer, `MANIFEST_INVALID` for an unknown
- * set or a manifest that does not match its digest or name, `CHUNK_REFUSED` for an unknown chunk, `TRANSFER_STALLED`
- * for a chunk that began and did not arrive completely
+ * @returns the client. Failures: `ORIGIN_UNREACHABLE` if there is no usable response, `MANIFEST_INVALID` for an unknown
+ * weight set or a manifest that does not match its digest or name, `CHUNK_REFUSED` for an unknown chunk,
+ * `TRANSFER_STALLED` for a chunk whose transfer started but did not complete
  */
 export function createOriginClient(options: OriginClientOptions): OriginPort & AsyncDisposable {
     const timeouts = { total: 30_000, ...options.timeouts };
@@ -62,12 +62,14 @@
     version: string,
 ): PortResult<Manifest> {
     const query = new URLSearchParams({ model, adapter, version });
-    const answer = await readAnswer(client, `/manifests?${query.toString()}`, resolveStep);
-    return answer.andThen(found => {
-        const manifest = parseManifest(found, resolveStep, client.peer, found.headers["x-manifest-digest"] ?? "");
+    const response = await getResponse(client, `/manifests?${query.toString()}`, resolveStep);
+    return response.andThen(received => {
+        const manifest = parseManifest(received, resolveStep, client.peer, received.headers["x-manifest-digest"] ?? "");
         return manifest.andThen(value => {
-            const named = value.model === model && value.adapter === adapter && value.version === version;
-            return named ? ok(value) : refuseManifest(resolveStep, client.peer, "it names another set");
+            const matchesRequest = value.model === model && value.adapter === adapter && value.version === version;
+            return matchesRequest ?
+                ok(value) :
+                rejectManifest(resolveStep, client.peer, "it belongs to another weight set");
         });
     });
 }
@@ -77,47 +79,49 @@
     digest: ManifestDigest,
     signal: AbortSignal | undefined,
 ): PortResult<Manifest> {
-    const answer = await readAnswer(client, `/manifests/${digest}`, manifestStep, signal);
-    return answer.andThen(found => parseManifest(found, manifestStep, client.peer, digest));
+    const response = await getResponse(client, `/manifests/${digest}`, manifestStep, signal);
+    return response.andThen(received => parseManifest(received, manifestStep, client.peer, digest));
 }
 
-async function readAnswer(
+async function getResponse(
     client: HttpClient,
     path: string,
     step: string,
     signal?: AbortSignal,
 ): PortResult<HttpAnswer> {
-    const answer = await client.send({ method: "GET", path, ...(signal === undefined ? {} : { signal }) });
-    if (answer.isErr) {
-        return err(toReadError("ORIGIN_UNREACHABLE", step, client.peer, answer.error));
+    const response = await client.send({ method: "GET", path, ...(signal === undefined ? {} : { signal }) });
+    if (response.isErr) {
+        return err(toReadError("ORIGIN_UNREACHABLE", step, client.peer, response.error));
     }
-    const { status } = answer.value;
+    const { status } = response.value;
     if (status === 200) {
-        return ok(answer.value);
+        return ok(response.value);
     }
     const code = status === 404 ? "MANIFEST_INVALID" : "ORIGIN_UNREACHABLE";
-    return err({ ...toStatusError(code, step, client.peer, answer.value), mayHaveTakenEffect: false });
+    return err({ ...toStatusError(code, step, client.peer, response.value), mayHaveTakenEffect: false });
 }
 
 function parseManifest(
-    answer: HttpAnswer,
+    response: HttpAnswer,
     step: string,
     peer: string,
     digest: ManifestDigest,
 ): Result<Manifest, GoldcrestpointError> {
-    const parsed = manifestAnswerSchema.safeParse(parseJson(answer.body));
+    const parsed = manifestResponseSchema.safeParse(parseJson(response.body));
     if (!parsed.success) {
-        return refuseManifest(step, peer, "the answer is no manifest");
+        return rejectManifest(step, peer, "the response is not a valid manifest");
     }
     const manifest = parsed.data;
     if (computeManifestDigest(manifest) !== digest) {
-        return refuseManifest(step, peer, `it does not match the digest ${digest}`);
+        return rejectManifest(step, peer, `it does not match the digest ${digest}`);
     }
     const bytes = manifest.chunks.reduce((sum, chunk) => sum + chunk.bytes, 0);
-    return bytes === manifest.totalBytes ? ok(manifest) : refuseManifest(step, peer, "its sizes do not add up");
+    return bytes === manifest.totalBytes ?
+        ok(manifest) :
+        rejectManifest(step, peer, "the chunk sizes do not add up to the total size");
 }
 
-function refuseManifest<Value>(step: string, peer: string, reason: string): Result<Value, GoldcrestpointError> {
+function rejectManifest<Value>(step: string, peer: string, reason: string): Result<Value, GoldcrestpointError> {
     return err(createError("MANIFEST_INVALID", step, peer, `the manifest is not usable: ${reason}`));
 }
 
@@ -127,15 +131,15 @@
     index: number,
     signal: AbortSignal | undefined,
 ): PortResult<Uint8Array> {
-    const answer = await client.send({ method: "GET", path: `/weights/${digest}/chunks/${index}`, signal });
-    if (answer.isErr) {
-        const code = answer.error.headReceived ? "TRANSFER_STALLED" : "ORIGIN_UNREACHABLE";
-        return err(toReadError(code, chunkStep, client.peer, answer.error));
+    const response = await client.send({ method: "GET", path: `/weights/${digest}/chunks/${index}`, signal });
+    if (response.isErr) {
+        const code = response.error.headReceived ? "TRANSFER_STALLED" : "ORIGIN_UNREACHABLE";
+        return err(toReadError(code, chunkStep, client.peer, response.error));
     }
-    const { status, body } = answer.value;
+    const { status, body } = response.value;
     if (status === 200) {
         return ok(body);
     }
     const code = status === 404 ? "CHUNK_REFUSED" : "ORIGIN_UNREACHABLE";
-    return err({ ...toStatusError(code, chunkStep, client.peer, answer.value), mayHaveTakenEffect: false });
+    return err({ ...toStatusError(code, chunkStep, client.peer, response.value), mayHaveTakenEffect: false });
 }
--- a/src/node/platform/schemas.ts
+++ b/src/node/platform/schemas.ts
@@ -13,18 +13,18 @@
     writer: z.string(),
 });
 
-/** Answer to an append. */
-export const appendAnswerSchema = z.object({ id: z.string(), offset: offset.positive() });
+/** Response to an append. */
+export const appendResponseSchema = z.object({ id: z.string(), offset: offset.positive() });
 
-/** Answer to a read; the bodies of the records are left to the fold. */
-export const readAnswerSchema = z.object({
+/** Response to a read. Only the fields that all records share are validated; the others are passed on unchecked. */
+export const readResponseSchema = z.object({
     firstOffset: offset,
     headOffset: offset,
     entries: z.array(z.object({ offset: offset.positive(), previousOffset: offset, record: header })),
 }).transform(page => ({ ...page, entries: page.entries as unknown as readonly LogEntry[] }));
 
-/** Answer of the instance list. */
-export const instancesAnswerSchema = z.object({
+/** Response of the instance list. */
+export const instancesResponseSchema = z.object({
     instances: z.array(z.object({
         instance: z.string(),
         role: z.enum(["entry", "backend-server"]),
@@ -36,8 +36,8 @@
     })),
 });
 
-/** Answer of the weight store. */
-export const manifestAnswerSchema = z.object({
+/** Response of the weight store. */
+export const manifestResponseSchema = z.object({
     model: z.string(),
     adapter: z.string(),
     version: z.string(),
