Reword the HTTP client in plain terms

Answers, holds, and answers that are given up for others made the limits on memory hard to follow: the code now speaks of responses, memory reservations and responses that are aborted, and an Interruption has setTimeLimit and clearTimeLimit. The comments on undici and Node keep their reasons.

--- a/src/node/httpClient/bodyReader.ts
+++ b/src/node/httpClient/bodyReader.ts
@@ -1,37 +1,37 @@
 import { on } from "node:events";
 import type { Readable } from "node:stream";
-import type { AnswerHold, HeldBytes } from "./heldBytes.js";
+import type { HeldBytes, MemoryReservation } from "./heldBytes.js";
 
-/** More bytes of an answer have arrived than are kept. */
-export class AnswerTooLargeError extends Error {}
+/** Thrown if the unread bytes of a response body, or of all response bodies together, exceed their limit. */
+export class ResponseTooLargeError extends Error {}
 
-/** Message for an answer that is given up for others. */
-export const neededElsewhere = "the answer takes memory that other answers need";
+/** Message for a response that is aborted to free memory for others. */
+export const memoryExceededMessage = "the response was aborted to free memory for other responses";
 
 /** Limits of {@link readAhead}. */
 export interface ReadAheadLimits {
-    /** Bytes that are kept of the body; it is given up if more arrive. */
+    /** Unread bytes of the body that are kept; the response is aborted if there are more. */
     readonly maximumUnreadBytes: number;
-    /** Bound on the bytes of all bodies. */
+    /** Limit on the bytes of all bodies together. */
     readonly heldBytes: HeldBytes | undefined;
 }
 
-/** Counts the bytes of a body, which is destroyed when it has to be given up. */
-function holdBody(body: Readable, heldBytes: HeldBytes | undefined): AnswerHold | undefined {
-    return heldBytes?.open(() => body.destroy(new AnswerTooLargeError(neededElsewhere)));
+/** Reserves memory for the bytes of a body, which is destroyed when its memory is needed for other responses. */
+function reserveMemory(body: Readable, heldBytes: HeldBytes | undefined): MemoryReservation | undefined {
+    return heldBytes?.open(() => body.destroy(new ResponseTooLargeError(memoryExceededMessage)));
 }
 
 /**
- * Reads a body as it arrives, and keeps what its consumer has not asked for. The body is never paused, since undici
- * throws outside of any call if the connection of a paused answer ends.
+ * Reads a body as it arrives, and buffers what its consumer has not read. The body is never paused: if the connection
+ * of a paused response ends, undici throws an error that no caller can catch.
  *
- * @param body - body of an answer
- * @param limits - bytes that are kept
- * @returns parts of the body, to be read once; throws the error that ended the body early
+ * @param body - body of a response
+ * @param limits - limits on the buffered bytes
+ * @returns parts of the body, to be iterated once; throws the error that ended the body early
  */
 export function readAhead(body: Readable, limits: ReadAheadLimits): AsyncIterable<Uint8Array> {
     const { heldBytes, maximumUnreadBytes } = limits;
-    const hold = holdBody(body, heldBytes);
+    const reservation = reserveMemory(body, heldBytes);
     let unread = 0;
     let started = false;
     let ended = false;
@@ -41,16 +41,16 @@
     const arrivals = on(body, "data", { close: ["end", "close"] }) as AsyncIterable<[Uint8Array]>;
     body.on("data", (part: Uint8Array) => {
         unread += part.byteLength;
-        hold?.add(part.byteLength);
+        reservation?.add(part.byteLength);
         if (unread > maximumUnreadBytes) {
             body.destroy(
-                new AnswerTooLargeError(`more than ${maximumUnreadBytes} bytes of the answer wait to be read`),
+                new ResponseTooLargeError(`more than ${maximumUnreadBytes} bytes of the response are unread`),
             );
         }
     });
     body.once("close", () => {
         if (!started) {
-            hold?.close();
+            reservation?.close();
         }
     });
 
@@ -59,15 +59,15 @@
         try {
             for await (const [part] of arrivals) {
                 unread -= part.byteLength;
-                hold?.add(-part.byteLength);
+                reservation?.add(-part.byteLength);
                 yield part;
             }
             if (!ended) {
-                throw new Error("the answer was given up before its end");
+                throw new Error("the response was aborted before its end");
             }
         }
         finally {
-            hold?.close();
+            reservation?.close();
             if (!ended) {
                 body.destroy();
             }
--- a/src/node/httpClient/framing.ts
+++ b/src/node/httpClient/framing.ts
@@ -1,14 +1,14 @@
 import type { HeaderTable } from "../../types/index.js";
 import type { BodyFraming, HttpHead, HttpRequest } from "./types.js";
 
-/** Statuses whose answers have no body. */
+/** Statuses whose responses have no body. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /**
- * Tells how the end of an answer's body is recognized.
+ * Determines how the end of a response body is recognized.
  *
- * @param request - request that is answered
- * @param head - head of the answer
+ * @param request - request to which the response belongs
+ * @param head - head of the response
  * @returns the framing of the body
  */
 export function resolveFraming(request: Pick<HttpRequest, "method">, head: HttpHead): BodyFraming {
@@ -17,18 +17,18 @@
     }
     const codings = head.headers["transfer-encoding"];
     if (codings !== undefined) {
-        // A body ends with a last chunk only if the chunks are its outermost coding.
+        // A body ends with a last chunk only if `chunked` is the last coding that was applied.
         return codings.split(",").at(-1)!.trim().toLowerCase() === "chunked" ? "chunked" : "connection";
     }
     return head.headers["content-length"] === undefined ? "connection" : "length";
 }
 
 /**
- * Tells whether a body has transfer codings besides chunks. Node and undici remove the chunks and leave the other
- * codings, so the bytes that they deliver are not the sender's body.
+ * Tells whether a body has transfer codings other than `chunked`. Node and undici decode only `chunked`, so the bytes
+ * that they deliver are not the sender's body.
  *
  * @param headers - headers of the message by lower-case name
- * @returns true if the delivered bytes are still coded
+ * @returns true if the delivered bytes are still encoded
  */
 export function hasUndecodedTransferCoding(headers: HeaderTable): boolean {
     const codings = headers["transfer-encoding"];
--- a/src/node/httpClient/heldBytes.ts
+++ b/src/node/httpClient/heldBytes.ts
@@ -1,74 +1,74 @@
-/** Bytes of one answer that are kept in memory. */
-export interface AnswerHold {
+/** Memory that is reserved for one response. */
+export interface MemoryReservation {
     /**
-     * Changes the number of bytes.
+     * Grows or shrinks the reservation.
      *
-     * @param bytes - bytes that are kept from now on, or no longer if negative
+     * @param bytes - bytes to add; negative to release some
      */
     add(bytes: number): void;
     /** Releases all bytes. */
     close(): void;
 }
 
-/** Bound on the bytes of all answers that a process keeps in memory. */
+/** Limit on the bytes of all responses that a process buffers in memory. */
 export interface HeldBytes {
-    /** @returns bytes of all answers that are kept */
+    /** @returns bytes that are reserved for all responses together */
     readonly total: () => number;
     /**
-     * Adds an answer that keeps nothing yet.
+     * Opens an empty reservation for a response.
      *
-     * @param giveUp - gives the answer up; called at most once, after which the answer is no longer counted
-     * @returns the answer's part
+     * @param evict - aborts the response; called at most once, after its bytes were released
+     * @returns the reservation
      */
-    open(giveUp: () => void): AnswerHold;
+    open(evict: () => void): MemoryReservation;
 }
 
-interface HoldRow {
+interface TrackedReservation {
     bytes: number;
-    readonly giveUp: () => void;
+    readonly evict: () => void;
 }
 
 /**
- * Creates a bound. When it is exceeded, the largest answers are given up, so that answers without end do not cost the
- * others their memory.
+ * Creates a limit. When it is exceeded, the largest responses are aborted, so that endless responses do not use up the
+ * memory of the others.
  *
- * @param maximumBytes - bytes that are kept at most
- * @returns the bound
+ * @param maximumBytes - most bytes of all responses together
+ * @returns the limit
  */
 export function createHeldBytes(maximumBytes: number): HeldBytes {
-    const rows = new Set<HoldRow>();
+    const reservations = new Set<TrackedReservation>();
     let total = 0;
 
-    function release(row: HoldRow): void {
-        if (rows.delete(row)) {
-            total -= row.bytes;
+    function release(reservation: TrackedReservation): void {
+        if (reservations.delete(reservation)) {
+            total -= reservation.bytes;
         }
     }
 
-    function giveUpLargest(): void {
-        const [first, ...others] = rows;
+    function evictLargest(): void {
+        const [first, ...others] = reservations;
         const largest = others.reduce((left, right) => right.bytes > left.bytes ? right : left, first!);
         release(largest);
-        largest.giveUp();
+        largest.evict();
     }
 
     return {
         total: () => total,
-        open: giveUp => {
-            const row: HoldRow = { bytes: 0, giveUp };
-            rows.add(row);
+        open: evict => {
+            const reservation: TrackedReservation = { bytes: 0, evict };
+            reservations.add(reservation);
             return {
                 add: bytes => {
-                    if (!rows.has(row)) {
+                    if (!reservations.has(reservation)) {
                         return;
                     }
-                    row.bytes += bytes;
+                    reservation.bytes += bytes;
                     total += bytes;
                     while (total > maximumBytes) {
-                        giveUpLargest();
+                        evictLargest();
                     }
                 },
-                close: () => release(row),
+                close: () => release(reservation),
             };
         },
     };
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../../types/index.js";
-import { AnswerTooLargeError, neededElsewhere, readAhead, type ReadAheadLimits } from "./bodyReader.js";
+import { memoryExceededMessage, readAhead, type ReadAheadLimits, ResponseTooLargeError } from "./bodyReader.js";
 import { resolveFraming } from "./framing.js";
 import { createInterruption, type Interruption } from "./interruption.js";
 import { watchOverhead } from "./overheadWatch.js";
@@ -47,7 +47,7 @@
 }
 
 /**
- * Creates a client that knows of each failed call whether its request was written.
+ * Creates a client that reports for each failed call whether its request was written.
  *
  * @param options - peer and limits
  * @returns the client; disposing of it ends all calls
@@ -67,11 +67,11 @@
     async function open(request: HttpRequest): Promise<Result<HttpStream, HttpFailure>> {
         const limits = { ...timeouts, ...request.timeouts };
         const call = startCall(request.signal);
-        call.interruption.limit(limits.head);
+        call.interruption.setTimeLimit(limits.head);
         try {
-            const answer = await awaitHead(dispatcher.request(toOptions(request, call, limits.idle)), call);
-            call.interruption.unlimit();
-            return ok(toStream(request, answer, call, { maximumUnreadBytes: maximumBodyBytes, heldBytes }));
+            const response = await awaitHead(dispatcher.request(toOptions(request, call, limits.idle)), call);
+            call.interruption.clearTimeLimit();
+            return ok(toStream(request, response, call, { maximumUnreadBytes: maximumBodyBytes, heldBytes }));
         }
         catch (cause) {
             endCall(call);
@@ -94,14 +94,14 @@
 
     async function send(request: HttpRequest): Promise<Result<HttpAnswer, HttpFailure>> {
         const total = request.timeouts?.total ?? timeouts.total;
-        const limit = createInterruption(request.signal);
-        limit.limit(total);
-        const opened = await open({ ...request, signal: limit.signal });
-        const answer = opened.isOk ?
+        const totalLimit = createInterruption(request.signal);
+        totalLimit.setTimeLimit(total);
+        const opened = await open({ ...request, signal: totalLimit.signal });
+        const response = opened.isOk ?
             await readWholeBody(opened.value, maximumBodyBytes) :
             err<HttpAnswer, HttpFailure>(opened.error);
-        limit.dispose();
-        return answer.mapErr(failure => limit.timedOut() ? { ...failure, reason: "timeout" } : failure);
+        totalLimit.dispose();
+        return response.mapErr(failure => totalLimit.timedOut() ? { ...failure, reason: "timeout" } : failure);
     }
 
     return {
@@ -112,7 +112,7 @@
     };
 }
 
-/** A call that is interrupted while it waits for a connection ends at once; undici then never writes it. */
+/** Waits for the head. A call that is aborted while it waits for a connection ends at once, and is never written. */
 async function awaitHead(
     pending: Promise<Dispatcher.ResponseData<CallState>>,
     call: Call,
@@ -122,7 +122,7 @@
         pending.then(resolve, reject);
         signal.addEventListener("abort", () => {
             if (!call.state.written) {
-                reject(new Error("interrupted before the request was written"));
+                reject(new Error("aborted before the request was written"));
             }
         });
     });
@@ -130,14 +130,14 @@
 
 function toStream(
     request: HttpRequest,
-    answer: Dispatcher.ResponseData<CallState>,
+    response: Dispatcher.ResponseData<CallState>,
     call: Call,
     limits: ReadAheadLimits,
 ): HttpStream {
-    const { body } = answer;
-    const head: HttpHead = { status: answer.statusCode, headers: flattenHeaders(answer.headers) };
+    const { body } = response;
+    const head: HttpHead = { status: response.statusCode, headers: flattenHeaders(response.headers) };
     const framing = resolveFraming(request, head);
-    // Without a listener, an error that arrives before the body is read would end the process.
+    // Without a listener, an error before the body is read would be uncaught and end the process.
     body.on("error", () => {});
     body.once("close", () => endCall(call));
     body.on("data", (part: Uint8Array) => {
@@ -154,8 +154,8 @@
     };
 }
 
-/** Undici also takes other ends of a connection for the end of an answer without a length. */
-function endedInOrder(connection: ConnectionState | undefined): boolean {
+/** Tells whether the peer closed the connection; for undici, any end of it completes a response without a length. */
+function closedGracefully(connection: ConnectionState | undefined): boolean {
     return connection?.ended === true && !connection.failed;
 }
 
@@ -170,8 +170,8 @@
             bytes += part.byteLength;
             yield part;
         }
-        if (framing === "connection" && !endedInOrder(call.state.connection)) {
-            throw new Error("the connection failed before the answer was known to be complete");
+        if (framing === "connection" && !closedGracefully(call.state.connection)) {
+            throw new Error("the connection failed before the response was known to be complete");
         }
     }
     catch (cause) {
@@ -181,11 +181,11 @@
 }
 
 /**
- * Reads the whole body of an answer.
+ * Reads the whole body of a response.
  *
- * @param stream - answer whose body has not been read
- * @param maximumBytes - largest body that is kept in memory
- * @returns the answer; a failure if its body broke off or is too large
+ * @param stream - response whose body has not been read
+ * @param maximumBytes - size of the largest body that is read
+ * @returns the response; a failure if its body is incomplete or too large
  */
 export async function readWholeBody(
     stream: HttpStream,
@@ -193,31 +193,31 @@
 ): Promise<Result<HttpAnswer, HttpFailure>> {
     if (stream.framing === "length" && Number(stream.headers["content-length"]) > maximumBytes) {
         stream.discard();
-        return err(describeTooLarge(`the answer is larger than ${maximumBytes} bytes`));
+        return err(describeTooLarge(`the response is larger than ${maximumBytes} bytes`));
     }
     const parts: Uint8Array[] = [];
     let bytes = 0;
-    let isGivenUp = false;
-    const hold = stream.heldBytes?.open(() => {
-        isGivenUp = true;
+    let isEvicted = false;
+    const reservation = stream.heldBytes?.open(() => {
+        isEvicted = true;
         stream.discard();
     });
     try {
         for await (const part of stream.body) {
             bytes += part.byteLength;
-            hold?.add(part.byteLength);
+            reservation?.add(part.byteLength);
             if (bytes > maximumBytes) {
                 stream.discard();
-                return err(describeTooLarge(`the answer is larger than ${maximumBytes} bytes`));
+                return err(describeTooLarge(`the response is larger than ${maximumBytes} bytes`));
             }
             parts.push(part);
         }
     }
     catch (error) {
-        return err(isGivenUp ? describeTooLarge(neededElsewhere) : (error as Error).cause as HttpFailure);
+        return err(isEvicted ? describeTooLarge(memoryExceededMessage) : (error as Error).cause as HttpFailure);
     }
     finally {
-        hold?.close();
+        reservation?.close();
     }
     return ok({ status: stream.status, headers: stream.headers, body: Buffer.concat(parts) });
 }
@@ -228,16 +228,16 @@
 
 function describeFailure(cause: unknown, call: Call, received?: ReceivedBody): HttpFailure {
     const headReceived = received !== undefined;
-    const reason = readReason(cause, call.interruption);
+    const reason = classifyFailure(cause, call.interruption);
     const message = cause instanceof Error && cause.message !== "" ? cause.message : String(cause);
     return { reason, headReceived, requestWritten: headReceived || call.state.written, received, message, cause };
 }
 
-function readReason(cause: unknown, interruption: Interruption): HttpFailure["reason"] {
+function classifyFailure(cause: unknown, interruption: Interruption): HttpFailure["reason"] {
     if (interruption.canceled()) {
         return "canceled";
     }
-    if (interruption.stopped() || cause instanceof AnswerTooLargeError) {
+    if (interruption.stopped() || cause instanceof ResponseTooLargeError) {
         return "too-large";
     }
     const code = (cause as { readonly code?: unknown; } | undefined)?.code;
--- a/src/node/httpClient/interruption.ts
+++ b/src/node/httpClient/interruption.ts
@@ -1,31 +1,31 @@
 import type { Milliseconds } from "../../types/index.js";
 
-/** Signal of one call that its caller's signal or a time limit aborts. */
+/** Signal of one call, which is aborted by the caller's signal, a time limit or a stop of the call. */
 export interface Interruption {
     readonly signal: AbortSignal;
-    /** @returns whether the caller's signal was aborted */
+    /** @returns true if the caller's signal was aborted */
     canceled(): boolean;
-    /** @returns whether the time limit was exceeded */
+    /** @returns true if the time limit was exceeded */
     timedOut(): boolean;
-    /** @returns whether the call was stopped */
+    /** @returns true if the call was ended by `stop` */
     stopped(): boolean;
-    /** Ends the call. */
+    /** Ends the call, for example because the response is too large. */
     stop(): void;
     /**
-     * Sets the time limit.
+     * Sets the time limit, which replaces an earlier one.
      *
      * @param duration - time from now; `Infinity` for none
      */
-    limit(duration: Milliseconds): void;
+    setTimeLimit(duration: Milliseconds): void;
     /** Removes the time limit. */
-    unlimit(): void;
+    clearTimeLimit(): void;
     /** Removes the time limit and the listener on the caller's signal. */
     dispose(): void;
 }
 
 /**
- * Creates the interruption of one call. `AbortSignal.any` is not used, since on Node 20 its signals stay referenced by
- * a long-lived source.
+ * Creates the interruption of one call. It doesn't use `AbortSignal.any`, because a long-lived source keeps references
+ * to such signals on Node 20.
  *
  * @param source - the caller's signal
  * @returns the interruption
@@ -33,8 +33,8 @@
 export function createInterruption(source: AbortSignal | undefined): Interruption {
     const controller = new AbortController();
     let timer: NodeJS.Timeout | undefined;
-    let polled: NodeJS.Immediate | undefined;
-    let exceeded = false;
+    let pendingAbort: NodeJS.Immediate | undefined;
+    let hasTimedOut = false;
     let stopped = false;
     let canceled = source?.aborted ?? false;
     const cancel = (): void => {
@@ -42,20 +42,20 @@
         controller.abort();
     };
 
-    function unlimit(): void {
+    function clearTimeLimit(): void {
         clearTimeout(timer);
-        clearImmediate(polled);
+        clearImmediate(pendingAbort);
     }
 
-    function limit(duration: Milliseconds): void {
-        unlimit();
+    function setTimeLimit(duration: Milliseconds): void {
+        clearTimeLimit();
         if (duration === Infinity) {
             return;
         }
         timer = setTimeout(() => {
-            // After a delay of this process, what has arrived in time is read only now.
-            polled = setImmediate(() => {
-                exceeded = true;
+            // If the event loop was blocked, data that arrived in time is read before this callback runs.
+            pendingAbort = setImmediate(() => {
+                hasTimedOut = true;
                 controller.abort();
             });
         }, duration);
@@ -68,16 +68,16 @@
     return {
         signal: controller.signal,
         canceled: () => canceled,
-        timedOut: () => exceeded,
+        timedOut: () => hasTimedOut,
         stopped: () => stopped,
         stop: () => {
             stopped = true;
             controller.abort();
         },
-        limit,
-        unlimit,
+        setTimeLimit,
+        clearTimeLimit,
         dispose: () => {
-            unlimit();
+            clearTimeLimit();
             source?.removeEventListener("abort", cancel);
         },
     };
--- a/src/node/httpClient/outcome.ts
+++ b/src/node/httpClient/outcome.ts
@@ -1,17 +1,17 @@
 import { createError, type ErrorCode, type GoldcrestpointError } from "../../types/index.js";
 import type { HttpAnswer, HttpFailure, HttpHead } from "./types.js";
 
-/** Answer header by which an outside system states that it did not carry out the action: `x-executed: no`. */
+/** Response header with which an outside system states that it did not carry out the action: `x-executed: no`. */
 export const executedHeader = "x-executed";
 
 /**
- * Tells whether an answer states that the action was not carried out.
+ * Tells whether a response states that the action was not carried out.
  *
- * @param answer - head of the answer
- * @returns true for client errors and for answers with `x-executed: no`
+ * @param response - head of the response
+ * @returns true for client errors other than 408 (request timeout), and for responses with `x-executed: no`
  */
-export function wasNotExecuted(answer: HttpHead): boolean {
-    const { status, headers } = answer;
+export function wasNotExecuted(response: HttpHead): boolean {
+    const { status, headers } = response;
     return headers[executedHeader] === "no" || (status >= 400 && status < 500 && status !== 408);
 }
 
@@ -22,7 +22,7 @@
  * @param step - operation in progress
  * @param peer - other side
  * @param failure - what happened to the call
- * @returns the error; it may have taken effect if the request was written
+ * @returns the error; the call may have taken effect if the request was written
  */
 export function toCallError(code: ErrorCode, step: string, peer: string, failure: HttpFailure): GoldcrestpointError {
     return createError(code, step, peer, `${failure.reason}: ${failure.message}`, {
@@ -38,25 +38,25 @@
  * @param step - operation in progress
  * @param peer - other side
  * @param failure - what happened to the call
- * @returns the error, which never may have taken effect
+ * @returns the error, with `mayHaveTakenEffect` false
  */
 export function toReadError(code: ErrorCode, step: string, peer: string, failure: HttpFailure): GoldcrestpointError {
     return { ...toCallError(code, step, peer, failure), mayHaveTakenEffect: false };
 }
 
 /**
- * Creates the error value of an answer with a status other than the expected one.
+ * Creates the error value of a response with an unexpected status.
  *
  * @param code - kind of failure
  * @param step - operation in progress
  * @param peer - other side
- * @param answer - the answer
- * @returns the error; its message holds the beginning of the body
+ * @param response - the response
+ * @returns the error; its message contains the beginning of the body
  */
-export function toStatusError(code: ErrorCode, step: string, peer: string, answer: HttpAnswer): GoldcrestpointError {
-    const text = Buffer.from(answer.body).toString("utf8").slice(0, 200);
-    return createError(code, step, peer, `answered with status ${answer.status}: ${text}`, {
-        mayHaveTakenEffect: !wasNotExecuted(answer),
+export function toStatusError(code: ErrorCode, step: string, peer: string, response: HttpAnswer): GoldcrestpointError {
+    const text = Buffer.from(response.body).toString("utf8").slice(0, 200);
+    return createError(code, step, peer, `answered with status ${response.status}: ${text}`, {
+        mayHaveTakenEffect: !wasNotExecuted(response),
     });
 }
 
@@ -64,7 +64,7 @@
  * Parses a JSON body.
  *
  * @param body - bytes of the body
- * @returns the value; undefined if the body is no JSON text
+ * @returns the value; undefined if the body is not valid JSON
  */
 export function parseJson(body: Uint8Array): unknown {
     try {
--- a/src/node/httpClient/overheadWatch.ts
+++ b/src/node/httpClient/overheadWatch.ts
@@ -1,34 +1,35 @@
 import type { Milliseconds } from "../../types/index.js";
 import type { CallState } from "./trackedClient.js";
 
-/** Most bytes of an answer beside its body: head, sizes and extensions of chunks, trailers. */
+/** Most bytes of a response besides its body: head, sizes and extensions of chunks, trailers. */
 const maximumOverheadBytes = 65_536;
-/** Further such bytes for each byte of the body, which may come in chunks of one byte. */
+/** Additional overhead bytes that are allowed for each byte of the body, which may come in chunks of one byte. */
 const overheadPerBodyByte = 8;
 const checkInterval: Milliseconds = 100;
 
 /**
- * Tells whether more of an answer has arrived than can belong to it. Undici bounds its fields only.
+ * Tells whether a response has more overhead than a valid one can have. Undici limits only the size of the header
+ * fields.
  *
  * @param receivedBytes - bytes that the connection has received since the request was written
- * @param bodyBytes - bytes of the body among them
- * @returns true if the rest is too much for a head and a framing
+ * @param bodyBytes - how many of them belong to the body
+ * @returns true if the other bytes exceed the limit for head and framing
  */
 export function hasExcessiveOverhead(receivedBytes: number, bodyBytes: number): boolean {
     return receivedBytes - bodyBytes > maximumOverheadBytes + overheadPerBodyByte * bodyBytes;
 }
 
 /**
- * Watches the overhead of an answer.
+ * Checks the overhead of a response at intervals.
  *
- * @param call - call that waits for the answer or reads it
- * @param onExcess - called once if there is too much
- * @returns ends the watch
+ * @param call - call that waits for the response or reads it
+ * @param onExcess - called once if the overhead is excessive
+ * @returns function that ends the checks
  */
 export function watchOverhead(call: CallState, onExcess: () => void): () => void {
     const timer = setInterval(() => {
-        const received = call.connection?.readBytes() ?? 0;
-        if (hasExcessiveOverhead(received - call.readBefore, call.bodyBytes)) {
+        const received = call.connection?.countReceivedBytes() ?? 0;
+        if (hasExcessiveOverhead(received - call.receivedBeforeCall, call.bodyBytes)) {
             clearInterval(timer);
             onExcess();
         }
--- a/src/node/httpClient/trackedClient.ts
+++ b/src/node/httpClient/trackedClient.ts
@@ -2,16 +2,16 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Milliseconds } from "../../types/index.js";
 
-/** What is known about the connection of one call. */
+/** State of a connection. */
 export interface ConnectionState {
-    /** True once the peer has closed the connection in order and all that it sent was read. */
+    /** True once the peer has closed the connection gracefully and everything that it sent was read. */
     ended: boolean;
     /** True once the connection has failed. */
     failed: boolean;
-    /** Call whose request was written last. */
+    /** Call whose request was the last one written to the connection. */
     lastCall: CallState | undefined;
-    /** @returns bytes that were received in all */
-    readonly readBytes: () => number;
+    /** @returns bytes that the connection has received in total */
+    readonly countReceivedBytes: () => number;
     /** Closes the connection at once. */
     readonly close: () => void;
 }
@@ -25,43 +25,43 @@
     /** Connection that carries the call; undefined before the request is written. */
     connection: ConnectionState | undefined;
     /** Bytes that the connection had received before the request was written. */
-    readBefore: number;
-    /** Bytes of the answer's body that have arrived. */
+    receivedBeforeCall: number;
+    /** Bytes of the response body that have arrived. */
     bodyBytes: number;
 }
 
 /**
  * Creates the state of a call.
  *
- * @returns state of a call that has not begun
+ * @returns state of a call that has not started
  */
 export function createCallState(): CallState {
-    return { written: false, findConnection: undefined, connection: undefined, readBefore: 0, bodyBytes: 0 };
+    return { written: false, findConnection: undefined, connection: undefined, receivedBeforeCall: 0, bodyBytes: 0 };
 }
 
-function followConnection(socket: Socket): ConnectionState {
+function trackConnection(socket: Socket): ConnectionState {
     const state: ConnectionState = {
         ended: false,
         failed: false,
         lastCall: undefined,
-        readBytes: () => socket.bytesRead,
+        countReceivedBytes: () => socket.bytesRead,
         close: () => {
             socket.destroy();
         },
     };
     socket.once("end", () => {
-        // Node reports a reset that arrives together with the last bytes as an end, but the socket has no peer then. It
-        // keeps the peer's address from the first read on, so nothing else may read it before.
+        // Node reports a reset that arrives together with the last bytes as `end`, but then `remoteAddress` is
+        // undefined. The socket caches the address at its first use, so no other code may read it before this listener.
         state.ended = socket.remoteAddress !== undefined;
     });
     socket.once("error", (error: NodeJS.ErrnoException) => {
-        // Undici ends its connections with errors of its own, also after an orderly close.
+        // Undici destroys its sockets with errors of its own, also after the peer closed the connection gracefully.
         state.failed ||= error.code?.startsWith("UND_ERR_") !== true;
     });
     return state;
 }
 
-/** Client of one connection at a time that lets each of its calls find this connection. */
+/** Client with one connection at a time, which gives each of its calls access to the state of this connection. */
 class TrackedClient extends Client {
     private connection: ConnectionState | undefined;
 
@@ -71,8 +71,8 @@
             ...options,
             connect: (target, callback) => {
                 connect(target, (...parameters) => {
-                    // The listeners precede those of undici, which end the answer.
-                    this.connection = parameters[1] ? followConnection(parameters[1]) : undefined;
+                    // These listeners have to run before those of undici, which end the response.
+                    this.connection = parameters[1] ? trackConnection(parameters[1]) : undefined;
                     callback(...parameters);
                 });
             },
@@ -87,20 +87,20 @@
 }
 
 /**
- * Creates a client for one connection at a time to a peer.
+ * Creates a client with one connection at a time to a peer.
  *
  * @param origin - peer
- * @param options - options of undici; its `connect` is not used
- * @param connectTimeout - time in which a connection must be established
- * @returns client whose calls state a {@link CallState} as `opaque`
+ * @param options - options of undici; `connect` is replaced
+ * @param connectTimeout - time limit for opening a connection
+ * @returns client whose calls have to pass a {@link CallState} as `opaque`
  */
 export function createTrackedClient(origin: URL, options: Client.Options, connectTimeout: Milliseconds): Client {
     return new TrackedClient(origin, options, connectTimeout);
 }
 
 /**
- * Undici ignores an abort after the last byte of an answer has arrived and keeps the connection. Bytes that follow such
- * an answer would be taken for the answer to the next request.
+ * Closes the connection when a call is aborted. Undici ignores an abort after the last byte of a response has arrived
+ * and keeps the connection; further bytes would be taken for the response to the next request.
  */
 function closeWhenAborted(controller: Dispatcher.DispatchController, call: CallState): Dispatcher.DispatchController {
     return {
@@ -115,7 +115,7 @@
         },
         abort: reason => {
             controller.abort(reason);
-            // The connection may carry another call by now, which must not be cut off.
+            // The connection may already carry another call, which must not be interrupted.
             if (call.connection?.lastCall === call) {
                 call.connection.close();
             }
@@ -126,12 +126,12 @@
 }
 
 /**
- * Interceptor that completes the state of a call immediately before undici writes the request to an open connection, and
- * closes the connection of a call that is aborted, also if its answer has arrived completely but was not read.
- * After a refused or timed-out connection attempt, the request counts as not written.
+ * Interceptor that updates the state of a call immediately before undici writes the request to an open connection, and
+ * closes the connection of a call that is aborted, even if its response has arrived completely but was not read. After
+ * a connection attempt that was refused or timed out, the request counts as not written.
  *
  * @param dispatch - next dispatch function
- * @returns dispatch function that completes call states
+ * @returns dispatch function that updates call states
  */
 export function trackWrittenRequests(dispatch: Dispatcher["dispatch"]): Dispatcher["dispatch"] {
     return (options, handler) => {
@@ -143,7 +143,7 @@
                 opaque.connection = opaque.findConnection?.();
                 if (opaque.connection !== undefined && opaque.written) {
                     opaque.connection.lastCall = opaque;
-                    opaque.readBefore = opaque.connection.readBytes();
+                    opaque.receivedBeforeCall = opaque.connection.countReceivedBytes();
                 }
             },
             onRequestUpgrade: (...parameters) => handler.onRequestUpgrade?.(...parameters),
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -6,11 +6,13 @@
 export interface HttpTimeouts {
     /** Time to open a connection. Default: 1,000 ms. */
     readonly connect: Milliseconds;
-    /** Time from the call to the head, including the time to open a connection; `Infinity` for none. Default: 5,000 ms. */
+    /**
+     * Time from the call to the head, including the time to open a connection; `Infinity` for none. Default: 5,000 ms.
+     */
     readonly head: Milliseconds;
     /** Longest time between two parts of the body; `Infinity` for none. Default: 5,000 ms. */
     readonly idle: Milliseconds;
-    /** Time for the whole of an answer that is read into memory. Default: 10,000 ms. */
+    /** Time from the call to the end of a response that is read into memory. Default: 10,000 ms. */
     readonly total: Milliseconds;
 }
 
@@ -20,11 +22,11 @@
     readonly baseUrl: string;
     /** Default: the defaults of each time limit. */
     readonly timeouts?: Partial<HttpTimeouts> | undefined;
-    /** Largest number of connections; further calls wait for a free one. Default: 64. */
+    /** Maximum number of connections; further calls wait for a free one. Default: 64. */
     readonly connections?: number | undefined;
-    /** Most bytes of an answer that are kept in memory, read or not yet read. Default: 67,108,864 bytes (64 MiB). */
+    /** Most bytes of one response that are buffered, unread or as a whole body. Default: 67,108,864 bytes (64 MiB). */
     readonly maximumBodyBytes?: number | undefined;
-    /** Bound that the answers share with those of other clients. Default: none. */
+    /** Memory limit that the responses share with those of other clients. Default: none. */
     readonly heldBytes?: HeldBytes | undefined;
 }
 
@@ -43,17 +45,17 @@
 /** How the end of a body is recognized: there is none, or by a length, a last chunk or the end of the connection. */
 export type BodyFraming = "none" | "length" | "chunked" | "connection";
 
-/** How far the body of an answer has come. */
+/** Part of a response body that has arrived. */
 export interface ReceivedBody {
     readonly framing: BodyFraming;
     /** Bytes that have arrived, without those of the framing. */
     readonly bytes: number;
 }
 
-/** Why a call got no complete answer. */
+/** Why a call got no complete response. */
 export interface HttpFailure {
     readonly reason: "canceled" | "timeout" | "connection" | "too-large";
-    /** True if the head of the answer arrived and its body did not arrive completely. */
+    /** True if the head of the response arrived, but not its complete body. */
     readonly headReceived: boolean;
     /** False only if no byte of the request was written. */
     readonly requestWritten: boolean;
@@ -63,29 +65,29 @@
     readonly cause?: unknown;
 }
 
-/** Head of an answer. */
+/** Status and headers of a response. */
 export interface HttpHead {
     readonly status: number;
     /** Values by lower-case name. */
     readonly headers: Readonly<Record<string, string>>;
 }
 
-/** Answer whose body was read into memory. */
+/** Response whose body was read into memory. */
 export interface HttpAnswer extends HttpHead {
     readonly body: Uint8Array;
 }
 
-/** Answer whose body has not been read. */
+/** Response whose body has not been read. */
 export interface HttpStream extends HttpHead {
     readonly framing: BodyFraming;
-    /** Bound on the bytes of this and other answers; undefined if there is none. */
+    /** Memory limit that this response shares with others; undefined if there is none. */
     readonly heldBytes: HeldBytes | undefined;
     /**
-     * Parts of the body, to be read once. They arrive whether they are read or not. Throws an `Error` whose `cause` is an
-     * {@link HttpFailure}.
+     * Parts of the body, to be iterated once. They are received even if they are not read. Throws an `Error` whose
+     * `cause` is an {@link HttpFailure}.
      */
     readonly body: AsyncIterable<Uint8Array>;
-    /** Gives the body up and closes its connection. */
+    /** Aborts the body and closes its connection. */
     discard(): void;
 }
 
@@ -94,17 +96,17 @@
     /** `host:port` of the peer. */
     readonly peer: string;
     /**
-     * Sends a request and reads the answer into memory.
+     * Sends a request and reads the response into memory.
      *
      * @param request - the request
-     * @returns the complete answer, of any status
+     * @returns the complete response, whatever its status
      */
     send(request: HttpRequest): Promise<Result<HttpAnswer, HttpFailure>>;
     /**
-     * Sends a request and returns the answer once its head has arrived.
+     * Sends a request and returns the response once its head has arrived.
      *
      * @param request - the request; its signal also ends the body
-     * @returns the answer, of any status
+     * @returns the response, whatever its status
      */
     open(request: HttpRequest): Promise<Result<HttpStream, HttpFailure>>;
 }
--- a/test/node/heldBytes.test.ts
+++ b/test/node/heldBytes.test.ts
@@ -5,9 +5,9 @@
 import { createDisposalStack } from "../../src/utils/index.js";
 
 const maximumBytes = 1_000_000;
-const sound = "sound";
+const completeBody = "complete";
 
-/** Answers `/sound` after a while and anything else with a body without end. */
+/** Sends a complete body for `/complete` after 300 ms, and an endless body for any other path. */
 async function startServer(): Promise<AsyncDisposable & { readonly baseUrl: string; }> {
     const stack = createDisposalStack();
     const server = createServer(socket => {
@@ -18,9 +18,9 @@
         });
         socket.once("data", request => {
             socket.write("HTTP/1.1 200 OK\r\n");
-            if (request.toString().startsWith("GET /sound ")) {
-                socket.write(`content-length: ${sound.length}\r\n\r\n${sound.slice(0, 2)}`);
-                setTimeout(() => socket.write(sound.slice(2)), 300);
+            if (request.toString().startsWith("GET /complete ")) {
+                socket.write(`content-length: ${completeBody.length}\r\n\r\n${completeBody.slice(0, 2)}`);
+                setTimeout(() => socket.write(completeBody.slice(2)), 300);
                 return;
             }
             socket.write("\r\n");
@@ -39,8 +39,8 @@
     };
 }
 
-describe("bound on the bytes of all answers", () => {
-    it("gives up the largest answer when it is exceeded", () => {
+describe("limit on the bytes of all responses", () => {
+    it("aborts the largest response when it is exceeded", () => {
         const held = createHeldBytes(100);
         const givenUp: string[] = [];
         const small = held.open(() => givenUp.push("small"));
@@ -57,8 +57,8 @@
         expect(held.total()).toEqual(0);
     });
 
-    // Guards against a process that runs out of memory while each of its answers is within the limit of one answer.
-    it("is kept by answers without end, and does not cost a sound one", async () => {
+    // Guards against a process that runs out of memory although each response is within the limit for a single one.
+    it("aborts endless responses, but not a complete one", async () => {
         await using server = await startServer();
         const heldBytes = createHeldBytes(maximumBytes);
         await using client = createHttpClient({ baseUrl: server.baseUrl, heldBytes });
@@ -71,15 +71,15 @@
             const whole = opened.isOk ? await readWholeBody(opened.value, 10 * maximumBytes) : opened;
             return whole.isOk ? Buffer.from(whole.value.body).toString() : whole.error.reason;
         };
-        const answers = await Promise.all([read("/a"), read("/sound"), read("/b"), read("/c")]);
+        const outcomes = await Promise.all([read("/a"), read("/complete"), read("/b"), read("/c")]);
         clearInterval(timer);
-        expect(answers).toEqual(["too-large", sound, "too-large", "too-large"]);
+        expect(outcomes).toEqual(["too-large", completeBody, "too-large", "too-large"]);
         expect(most).toBeLessThanOrEqual(maximumBytes);
         expect(most).toBeGreaterThan(maximumBytes / 2);
         expect(heldBytes.total()).toEqual(0);
     });
 
-    it("counts what no one reads", async () => {
+    it("counts bytes that are not read", async () => {
         await using server = await startServer();
         const heldBytes = createHeldBytes(maximumBytes);
         await using client = createHttpClient({ baseUrl: server.baseUrl, heldBytes });
--- a/test/node/httpClientBackpressure.test.ts
+++ b/test/node/httpClientBackpressure.test.ts
@@ -3,15 +3,15 @@
 import { describe, it } from "node:test";
 import { createHttpClient, type HttpFailure } from "../../src/node/httpClient/index.js";
 
-const pause = 30;
-/** Two of them exceed what undici buffers before it pauses its parser. */
+const pauseMilliseconds = 30;
+/** Two parts of this size exceed what undici buffers before it pauses its parser. */
 const part = "x".repeat(40_000);
 
 function wait(milliseconds: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
 
-/** Reads an answer of two parts only after its connection has ended. */
+/** Reads a response of two parts only after its connection has ended. */
 async function readLate(
     head: string,
     end: (socket: Socket) => void,
@@ -21,11 +21,11 @@
         socket.on("error", () => {});
         socket.once("data", () => {
             socket.write(head + part);
-            setTimeout(() => socket.write(part), pause);
-            setTimeout(() => end(socket), 2 * pause);
+            setTimeout(() => socket.write(part), pauseMilliseconds);
+            setTimeout(() => end(socket), 2 * pauseMilliseconds);
         });
     });
-    // A call that never ends must not keep the process of the tests.
+    // A call that never ends must not keep the test process alive.
     server.unref();
     await new Promise<void>(resolve => {
         server.listen(0, "127.0.0.1", resolve);
@@ -41,7 +41,7 @@
         if (opened.isErr) {
             return opened.error.reason;
         }
-        await wait(5 * pause);
+        await wait(5 * pauseMilliseconds);
         let bytes = 0;
         try {
             for await (const { length } of opened.value.body) {
@@ -50,7 +50,7 @@
         }
         catch (error) {
             const { reason } = (error as Error).cause as HttpFailure;
-            return reason === "connection" ? "broken off" : reason;
+            return reason === "connection" ? "incomplete" : reason;
         }
         return bytes;
     }
@@ -59,7 +59,7 @@
     }
 }
 
-describe("answer that is read after its connection has ended", () => {
+describe("response that is read after its connection has ended", () => {
     const bytes = 2 * part.length;
     const unframed = "HTTP/1.1 200 OK\r\n\r\n";
     const closing = `HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: ${bytes}\r\n\r\n`;
@@ -76,11 +76,11 @@
         expect(await readLate(closing.replace("close", "keep-alive"), socket => socket.end())).toEqual(bytes);
     });
 
-    it("is broken off without a length after a reset, and does not end the process", async () => {
-        expect(await readLate(unframed, socket => socket.resetAndDestroy())).toEqual("broken off");
+    it("is incomplete without a length after a reset, and does not end the process", async () => {
+        expect(await readLate(unframed, socket => socket.resetAndDestroy())).toEqual("incomplete");
     });
 
-    it("is given up when more of it waits than may be kept", async () => {
+    it("is aborted when more of it is unread than the limit allows", async () => {
         expect(await readLate(closing, socket => socket.end(), part.length)).toEqual("too-large");
     });
 });
--- a/test/node/httpClientReset.test.ts
+++ b/test/node/httpClientReset.test.ts
@@ -3,12 +3,12 @@
 import { describe, it } from "node:test";
 import { createHttpClient } from "../../src/node/httpClient/index.js";
 
-/** How the server ends the connections of requests by path, in order of the requests. */
+/** How the server ends the connection of a request, by path. */
 type Endings = Readonly<Record<string, (socket: Socket) => void>>;
 
-/** Sends the same bytes as the answer to a request for each path, and ends its connection as told. */
+/** Requests each path, sends the same bytes as the response, and ends each connection as specified. */
 async function receiveAll(
-    answer: string,
+    response: string,
     endings: Endings,
     method = "GET",
 ): Promise<Readonly<Record<string, string>>> {
@@ -16,7 +16,7 @@
         socket.on("error", () => {});
         socket.once("data", (bytes: Buffer) => {
             const path = bytes.toString().split(" ")[1]!;
-            socket.write(answer, () => endings[path]!(socket));
+            socket.write(response, () => endings[path]!(socket));
         });
     });
     await new Promise<void>(resolve => {
@@ -34,29 +34,29 @@
     return Object.fromEntries(received);
 }
 
-/** Sends bytes as the answer to a request, then ends the connection. */
-async function receive(answer: string, end: (socket: Socket) => void): Promise<string> {
-    const received = await receiveAll(answer, { "/": socket => setTimeout(() => end(socket), 20) });
+/** Sends bytes as the response to a request, then ends the connection. */
+async function receive(response: string, end: (socket: Socket) => void): Promise<string> {
+    const received = await receiveAll(response, { "/": socket => setTimeout(() => end(socket), 20) });
     return received["/"]!;
 }
 
-describe("answer whose end is the end of its connection", () => {
+describe("response that ends with its connection", () => {
     const unframed = "HTTP/1.1 200 OK\r\n\r\npart";
     const closing = "HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
 
-    it("is complete when the connection is closed in order", async () => {
+    it("is complete when the connection is closed gracefully", async () => {
         expect(await receive(unframed, socket => socket.end())).toEqual("part");
     });
 
-    it("is broken off when the connection is reset", async () => {
+    it("is incomplete when the connection is reset", async () => {
         expect(await receive(unframed, socket => socket.resetAndDestroy())).toEqual("connection");
     });
 
-    it("is broken off when it is reset before the last chunk", async () => {
+    it("is incomplete when the connection is reset before the last chunk", async () => {
         expect(await receive(closing, socket => socket.resetAndDestroy())).toEqual("connection");
     });
 
-    it("is broken off when the reset comes with its bytes", async () => {
+    it("is incomplete when the reset arrives together with its bytes", async () => {
         const endings: Record<string, (socket: Socket) => void> = {};
         for (let index = 0; index < 50; index++) {
             endings[`/${index}`] = socket => socket.resetAndDestroy();
@@ -66,9 +66,9 @@
     });
 
     for (const codings of ["chunked, gzip", "xchunked", "chunked;q=1"]) {
-        it(`is broken off by a reset when its transfer codings are not framed by chunks: ${codings}`, async () => {
-            const answer = `HTTP/1.1 200 OK\r\ntransfer-encoding: ${codings}\r\n\r\npart`;
-            expect(await receive(answer, socket => socket.resetAndDestroy())).toEqual("connection");
+        it(`is incomplete after a reset when its last transfer coding is not chunked: ${codings}`, async () => {
+            const response = `HTTP/1.1 200 OK\r\ntransfer-encoding: ${codings}\r\n\r\npart`;
+            expect(await receive(response, socket => socket.resetAndDestroy())).toEqual("connection");
         });
     }
 
@@ -81,8 +81,8 @@
     });
 });
 
-describe("answer without a body", () => {
-    it("is complete on an open connection when it answers a HEAD request without naming a length", async () => {
+describe("response without a body", () => {
+    it("is complete on an open connection when it has no length and belongs to a HEAD request", async () => {
         const received = await receiveAll("HTTP/1.1 200 OK\r\n\r\n", { "/": socket => socket.unref() }, "HEAD");
         expect(received).toEqual({ "/": "" });
     });
--- a/test/node/overheadWatch.test.ts
+++ b/test/node/overheadWatch.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import { hasExcessiveOverhead } from "../../src/node/httpClient/overheadWatch.js";
 
-describe("overhead of an answer", () => {
-    it("is not excessive for a head of the largest size", () => {
+describe("overhead of a response", () => {
+    it("is not excessive for a head of the maximum size", () => {
         expect(hasExcessiveOverhead(16_384, 0)).toEqual(false);
     });
 
@@ -12,7 +12,7 @@
         expect(hasExcessiveOverhead(1_000_000 * chunk.length, 1_000_000)).toEqual(false);
     });
 
-    it("is excessive for bytes that become neither head nor body", () => {
+    it("is excessive for bytes that belong neither to the head nor to the body", () => {
         expect(hasExcessiveOverhead(100_000, 0)).toEqual(true);
         expect(hasExcessiveOverhead(100_000, 5)).toEqual(true);
     });
--- a/test/platform/endlessReads.test.ts
+++ b/test/platform/endlessReads.test.ts
@@ -9,7 +9,7 @@
 
 const maximumBytes = 1_000_000;
 
-/** Answers each request with a body without end. */
+/** Responds to each request with an endless body. */
 async function startEndlessServer(): Promise<AsyncDisposable & { readonly address: string; }> {
     const sockets = new Set<Socket>();
     const server = createServer(socket => {
@@ -32,9 +32,9 @@
     };
 }
 
-describe("answers without end to an agent", () => {
-    // Guards against an agent that runs out of memory while it reads from several of them.
-    it("are given up within the bound on the memory of all answers", async () => {
+describe("endless responses to an agent", () => {
+    // Guards against an agent that runs out of memory while it reads several endless responses at the same time.
+    it("are aborted within the memory limit for all responses", async () => {
         await using server = await startEndlessServer();
         const { address } = server;
         const heldBytes = createHeldBytes(maximumBytes);
--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -5,7 +5,7 @@
 import { startStoreStandIn, type StoreFault } from "./standIn/storeStandIn.js";
 
 describe("client of the platform's store", () => {
-    it("reads every page of the newest records, and goes on from the first page's end", async () => {
+    it("reads every page of the newest records, and continues at the end offset of the first page", async () => {
         await using store = await startStoreStandIn();
         await using client = createStoreClient({ address: store.address });
         for (let index = 0; index < 7; index++) {
@@ -29,7 +29,7 @@
         expect(expectOk(await waiting).records.map(({ offset }) => offset)).toEqual([2]);
     });
 
-    it("tells that records have expired", async () => {
+    it("reports that records have expired", async () => {
         await using store = await startStoreStandIn();
         await using client = createStoreClient({ address: store.address });
         store.write("keyed.op", "config", { version: 1 });
@@ -49,7 +49,7 @@
         expect(Buffer.compare(records[0]!.value!, records[1]!.value!)).toEqual(0);
     });
 
-    it("passes on records of other writers that are no JSON", async () => {
+    it("passes on records of other writers that are not valid JSON", async () => {
         await using store = await startStoreStandIn();
         await using client = createStoreClient({ address: store.address });
         store.writeBytes("keyed.servers", "i-1", Buffer.of(0xFF, 0x00, 0x7B));
@@ -83,7 +83,7 @@
         });
     }
 
-    it("calls a write whose answer is lost ambiguous, since it may have been done", async () => {
+    it("reports a write whose response is lost as ambiguous, since it may have taken effect", async () => {
         await using store = await startStoreStandIn();
         await using client = createStoreClient({ address: store.address });
         store.setFault("lost");
