Reword the HTTP server in plain terms

Headers that concern one connection are hop-by-hop headers, and an answer that is broken off is an aborted response; the comments say why the connection is reset and which connections are closed at shutdown.

--- a/src/node/httpServer/endToEndHeaders.ts
+++ b/src/node/httpServer/endToEndHeaders.ts
@@ -1,6 +1,6 @@
 import type { HeaderTable } from "../../types/index.js";
 
-/** Headers that concern one connection, or the framing of a message on it. */
+/** Hop-by-hop headers, which apply to one connection only, and headers for the framing of a message. */
 const connectionHeaders: ReadonlySet<string> = new Set([
     "connection",
     "content-length",
@@ -16,11 +16,11 @@
 ]);
 
 /**
- * Copies headers that are passed on.
+ * Copies the headers that a proxy forwards.
  *
  * @param headers - headers by lower-case name
- * @param omitted - further names to leave out
- * @returns the headers without those that concern one connection, or that `connection` names
+ * @param omitted - names of further headers to leave out
+ * @returns the headers without hop-by-hop headers and those that the `connection` header lists
  */
 export function copyEndToEndHeaders(
     headers: HeaderTable,
--- a/src/node/httpServer/httpServer.ts
+++ b/src/node/httpServer/httpServer.ts
@@ -17,9 +17,9 @@
 /**
  * Starts an HTTP server.
  *
- * @param address - `host:port`; port 0 takes a free one
+ * @param address - `host:port`; port 0 selects a free one
  * @param router - routes to serve
- * @param shutdownTimeLimit - time that connections have to end once the server is disposed of
+ * @param shutdownTimeLimit - time after the disposal at which open connections are closed
  * @returns the server, or an error if the address cannot be bound
  */
 export function startHttpServer(
@@ -47,7 +47,7 @@
 
 function stopServer(server: Server, timeLimit: Milliseconds): Promise<void> {
     return new Promise(resolve => {
-        // A connection that has not sent a request yet does not count as idle.
+        // `closeIdleConnections` doesn't close a connection that has not sent a request yet.
         const timer = setTimeout(() => server.closeAllConnections(), timeLimit);
         server.close(() => {
             clearTimeout(timer);
--- a/src/node/httpServer/responses.ts
+++ b/src/node/httpServer/responses.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
 /**
- * Answers with JSON.
+ * Sends a JSON response.
  *
  * @param response - response to end
  * @param status - HTTP status
@@ -19,10 +19,10 @@
 }
 
 /**
- * Ends an answer before it is complete, so that the caller notices. Without chunks, the orderly end of the connection
- * would pass for the end of the answer.
+ * Aborts a response in a way that the caller detects. Without chunked encoding, a graceful end of the connection could
+ * be taken for the end of the response, so the connection is reset.
  *
- * @param response - response that is given up
+ * @param response - response that cannot be completed
  */
 export function breakOffAnswer(response: ServerResponse): void {
     if (response.headersSent && !response.chunkedEncoding) {
@@ -35,8 +35,8 @@
  * Reads the body of a request.
  *
  * @param request - the request
- * @param maximumBytes - most bytes that are read
- * @returns the body, or undefined if it is too large or the caller broke the connection
+ * @param maximumBytes - size of the largest body that is accepted
+ * @returns the body, or undefined if it is too large or the connection failed
  */
 export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Buffer | undefined> {
     const parts: Buffer[] = [];
--- a/src/node/httpServer/statusRoutes.ts
+++ b/src/node/httpServer/statusRoutes.ts
@@ -1,7 +1,7 @@
 import type { HttpRouter } from "./httpServer.js";
 import { sendJson } from "./responses.js";
 
-/** What the status routes of a daemon answer with. */
+/** Source of the responses of a daemon's status routes. */
 export interface StatusSource {
     /** Reasons why the daemon is not ready; empty if it is. */
     readonly readUnreadiness: () => readonly string[];
@@ -10,8 +10,8 @@
 }
 
 /**
- * Adds the routes `/health` (the process runs), `/ready` (it can do its work; 503 with reasons otherwise) and
- * `/metrics`.
+ * Adds the routes `/health` (the process is running), `/ready` (200 if it is ready to serve, otherwise 503 with the
+ * reasons) and `/metrics`.
  *
  * @param router - router of the daemon
  * @param source - readiness and metrics
--- a/test/node/httpServer/breakOffAnswer.test.ts
+++ b/test/node/httpServer/breakOffAnswer.test.ts
@@ -6,7 +6,7 @@
 
 type Version = "1.0" | "1.1";
 
-/** Requests an answer and tells what was received until the connection ended, and whether it was reset. */
+/** Sends a request; returns the text that was received until the connection ended, and whether it was reset. */
 async function receive(version: Version, answer: (response: ServerResponse) => void): Promise<[string, boolean]> {
     const server = createServer((...[, response]) => answer(response));
     await new Promise<void>(resolve => {
@@ -32,22 +32,22 @@
     response.write("part", () => setTimeout(then, 20));
 }
 
-describe("answer that is given up", () => {
-    it("resets the connection if nothing but its end shows where the answer ends", async () => {
+describe("aborted response", () => {
+    it("resets the connection if only its end marks the end of the response", async () => {
         const [text, wasReset] = await receive("1.0", response => sendPart(response, () => breakOffAnswer(response)));
         expect([text.endsWith("part"), wasReset]).toEqual([true, true]);
     });
 
-    it("closes the connection in order if the last chunk is missing", async () => {
+    it("closes the connection gracefully if the last chunk is missing", async () => {
         const [text, wasReset] = await receive("1.1", response => sendPart(response, () => breakOffAnswer(response)));
         expect([text.endsWith("part\r\n"), wasReset]).toEqual([true, false]);
     });
 
-    it("closes the connection in order if no head was sent", async () => {
+    it("closes the connection gracefully if no head was sent", async () => {
         expect(await receive("1.0", breakOffAnswer)).toEqual(["", false]);
     });
 
-    it("is told apart from one that is complete", async () => {
+    it("differs from a complete response, which does not reset the connection", async () => {
         const [text, wasReset] = await receive("1.0", response => sendPart(response, () => response.end()));
         expect([text.endsWith("part"), wasReset]).toEqual([true, false]);
     });
