--- a/src/node/grpc/channelOptions.ts
+++ b/src/node/grpc/channelOptions.ts
@@ -1,13 +1,14 @@
 import type { ChannelOptions } from "@grpc/grpc-js";
 
-/** Largest message of our own protocols, in bytes. */
+/** Maximum size of a gRPC message, in bytes. */
 export const maximumMessageBytes = 16 * 1024 * 1024;
 
-/** Options of every client and server of our own protocols. */
+/** Options of all gRPC clients and servers. */
 export const channelOptions: ChannelOptions = {
     "grpc.max_receive_message_length": maximumMessageBytes,
     "grpc.max_send_message_length": maximumMessageBytes,
-    // Two processes of one machine would otherwise share connections and hide a cut link from each other.
+    // Clients with the same target would otherwise share a connection, and a link that is cut for one would go
+    // unnoticed.
     "grpc.use_local_subchannel_pool": 1,
     "grpc.keepalive_time_ms": 10_000,
     "grpc.keepalive_timeout_ms": 5_000,
--- a/src/node/grpc/clients.ts
+++ b/src/node/grpc/clients.ts
@@ -74,7 +74,7 @@
 export const agentServiceDefinition = createServiceDefinition(Agent);
 /** Definition of the service that entry instances serve. */
 export const relayServiceDefinition = createServiceDefinition(Relay);
-/** Definition of the service that relays keyed records. */
+/** Definition of the service that processes serve to relay keyed records. */
 export const replicaServiceDefinition = createServiceDefinition(Replica);
 
 const AgentClientConstructor = makeClientConstructor(agentServiceDefinition, Agent.typeName);
--- a/src/node/grpc/server.ts
+++ b/src/node/grpc/server.ts
@@ -20,9 +20,9 @@
 /**
  * Starts a gRPC server.
  *
- * @param address - `host:port`; port 0 takes a free one
+ * @param address - `host:port`; port 0 selects a free one
  * @param services - services to serve
- * @param shutdownTimeLimit - time that calls in progress have to end once the server is disposed of
+ * @param shutdownTimeLimit - time after the disposal at which calls in progress are canceled
  * @returns the server, or an error if the address cannot be bound
  */
 export function startRpcServer(
--- a/src/node/grpc/serviceDefinition.ts
+++ b/src/node/grpc/serviceDefinition.ts
@@ -5,7 +5,7 @@
  * Derives the definition that `@grpc/grpc-js` needs from a generated service.
  *
  * @param service - generated service descriptor
- * @returns definition with the method names of the schema, first letter in lower case
+ * @returns definition with the method names of the schema in lower camel case
  */
 export function createServiceDefinition(service: DescService): ServiceDefinition {
     const definition: Record<string, MethodDefinition<unknown, unknown>> = {};
