Reword the backend server client in plain terms

Answers are responses, also in the messages of errors, and brokenBody.ts is bodyError.ts; names of functions say what they check or convert. No message is matched by a test or by other code. The steps "read answer" and "match answer to request" stay, since log lines carry them.

--- a/src/node/backendServer/backendServerClient.ts
+++ b/src/node/backendServer/backendServerClient.ts
@@ -12,7 +12,7 @@
     /**
      * Runs a request.
      *
-     * @param request - the request, with the idempotency key to pass on
+     * @param request - the request, with the idempotency key that is sent along
      * @param signal - cancels the request
      * @returns see `BackendServerPort.execute`
      */
@@ -20,8 +20,8 @@
 }
 
 /**
- * Creates a client of a model engine or plain service. State, orders and chunks have connections of their own, so that
- * requests that occupy all connections do not delay them.
+ * Creates a client of a model engine or a plain service. Reads of state, orders and chunks use separate connections, so
+ * that requests that occupy all of theirs do not delay them.
  *
  * @param options - base URL, kind and limits
  * @returns the client
@@ -34,14 +34,19 @@
         timeouts: { head: 120_000, idle: 30_000, ...options.requestTimeouts },
         connections: options.requestConnections ?? 256,
     });
-    const withWeights = kind === "engine";
+    const supportsWeights = kind === "engine";
     return {
-        readState: () => withWeights ? readEngineState(control) : readServiceHealth(control, healthPath),
-        order: order => withWeights ? sendOrder(control, order) : refuse(`order ${order.kind}`, control.peer),
+        readState: () => supportsWeights ? readEngineState(control) : readServiceHealth(control, healthPath),
+        order: order =>
+            supportsWeights ? sendOrder(control, order) : rejectUnsupported(`order ${order.kind}`, control.peer),
         stageChunk: (digest, index, content) =>
-            withWeights ? stageChunk(control, digest, index, content) : refuse("stage chunk", control.peer),
+            supportsWeights ?
+                stageChunk(control, digest, index, content) :
+                rejectUnsupported("stage chunk", control.peer),
         readChunk: (digest, index) =>
-            withWeights ? readStagedChunk(control, digest, index) : refuse("read staged chunk", control.peer),
+            supportsWeights ?
+                readStagedChunk(control, digest, index) :
+                rejectUnsupported("read staged chunk", control.peer),
         execute: (request, signal) => executeRequest(requests, kind, request, signal),
         [Symbol.asyncDispose]: async () => {
             await Promise.all([control[Symbol.asyncDispose](), requests[Symbol.asyncDispose]()]);
@@ -49,7 +54,7 @@
     };
 }
 
-function refuse<Value>(step: string, peer: string): PortResult<Value> {
+function rejectUnsupported<Value>(step: string, peer: string): PortResult<Value> {
     const error = createError("ENGINE_REFUSED", step, peer, "a plain service has no weights");
     return Promise.resolve(err<Value, GoldcrestpointError>(error));
 }
--- a/src/node/backendServer/chunks.ts
+++ b/src/node/backendServer/chunks.ts
@@ -6,13 +6,13 @@
 const readStep = "read staged chunk";
 
 /**
- * Stages a chunk in the engine host's memory; staging the same chunk again changes nothing.
+ * Stages a chunk in the engine host's memory; staging the same chunk again has no effect.
  *
  * @param client - client of the engine
- * @param digest - manifest digest of the set
+ * @param digest - manifest digest of the weight set
  * @param index - position of the chunk
  * @param content - verified bytes
- * @returns nothing; `ENGINE_REFUSED` if the engine does not take the chunk, `ENGINE_UNREACHABLE` otherwise
+ * @returns nothing; `ENGINE_REFUSED` if the engine rejects the chunk, `ENGINE_UNREACHABLE` for other failures
  */
 export async function stageChunk(
     client: HttpClient,
@@ -20,19 +20,19 @@
     index: number,
     content: Uint8Array,
 ): PortResult<void> {
-    const answer = await client.send({
+    const response = await client.send({
         method: "PUT",
         path: `/sets/${digest}/chunks/${index}`,
         headers: { "content-type": "application/octet-stream" },
         body: content,
     });
-    if (answer.isErr) {
-        return err(toCallError("ENGINE_UNREACHABLE", stageStep, client.peer, answer.error));
+    if (response.isErr) {
+        return err(toCallError("ENGINE_UNREACHABLE", stageStep, client.peer, response.error));
     }
-    if (answer.value.status === 204) {
+    if (response.value.status === 204) {
         return ok(undefined);
     }
-    const error = toStatusError("ENGINE_REFUSED", stageStep, client.peer, answer.value);
+    const error = toStatusError("ENGINE_REFUSED", stageStep, client.peer, response.value);
     return err(error.mayHaveTakenEffect ? { ...error, code: "ENGINE_UNREACHABLE" } : error);
 }
 
@@ -40,24 +40,24 @@
  * Reads a staged chunk back.
  *
  * @param client - client of the engine
- * @param digest - manifest digest of the set
+ * @param digest - manifest digest of the weight set
  * @param index - position of the chunk
- * @returns its bytes; `CHUNK_REFUSED` if the engine lacks it, `TRANSFER_STALLED` if it began and did not arrive
- * completely, `ENGINE_UNREACHABLE` otherwise
+ * @returns its bytes; `CHUNK_REFUSED` if the engine doesn't have it, `TRANSFER_STALLED` if the transfer started but did
+ * not complete, `ENGINE_UNREACHABLE` for other failures
  */
 export async function readStagedChunk(
     client: HttpClient,
     digest: ManifestDigest,
     index: number,
 ): PortResult<Uint8Array> {
-    const answer = await client.send({ method: "GET", path: `/sets/${digest}/chunks/${index}` });
-    if (answer.isErr) {
-        const code = answer.error.headReceived ? "TRANSFER_STALLED" : "ENGINE_UNREACHABLE";
-        return err(toReadError(code, readStep, client.peer, answer.error));
+    const response = await client.send({ method: "GET", path: `/sets/${digest}/chunks/${index}` });
+    if (response.isErr) {
+        const code = response.error.headReceived ? "TRANSFER_STALLED" : "ENGINE_UNREACHABLE";
+        return err(toReadError(code, readStep, client.peer, response.error));
     }
-    if (answer.value.status === 200) {
-        return ok(answer.value.body);
+    if (response.value.status === 200) {
+        return ok(response.value.body);
     }
-    const code = answer.value.status === 404 ? "CHUNK_REFUSED" : "ENGINE_UNREACHABLE";
-    return err({ ...toStatusError(code, readStep, client.peer, answer.value), mayHaveTakenEffect: false });
+    const code = response.value.status === 404 ? "CHUNK_REFUSED" : "ENGINE_UNREACHABLE";
+    return err({ ...toStatusError(code, readStep, client.peer, response.value), mayHaveTakenEffect: false });
 }
--- a/src/node/backendServer/endMarker.ts
+++ b/src/node/backendServer/endMarker.ts
@@ -1,12 +1,12 @@
 import type { HttpFailure } from "../httpClient/index.js";
 
 const marker = Buffer.from("data: [DONE]");
-/** The marker and the line ends after it. */
+/** Bytes at the end of the stream that are kept: the marker with the line ends after it fits in them. */
 const keptBytes = 32;
 
 /**
- * Passes an event stream on and checks that it ends with the event `data: [DONE]`. An engine that dies may close its
- * connection in an orderly way, so the end of the connection alone does not show that an answer is complete.
+ * Passes an event stream through and checks that it ends with the event `data: [DONE]`. An engine that crashes may
+ * close its connection gracefully, so the end of the connection alone does not show that a response is complete.
  *
  * @param body - parts of the stream
  * @returns the same parts; throws an `Error` whose `cause` is an {@link HttpFailure} if the marker is missing
--- a/src/node/backendServer/execute.ts
+++ b/src/node/backendServer/execute.ts
@@ -19,7 +19,7 @@
 const matchStep = "match answer to request";
 const streamStep = "read answer";
 
-/** Request with the caller's idempotency key, which is passed on as `idempotency-key`. */
+/** Request with the caller's idempotency key, which is sent as the header `idempotency-key`. */
 export type KeyedBackendRequest = BackendRequest & { readonly idempotencyKey?: string | undefined; };
 
 /**
@@ -28,11 +28,11 @@
  * @param client - client of the backend server
  * @param kind - whether the server is a model engine, whose event streams end with `data: [DONE]`
  * @param request - the request
- * @param signal - cancels the request and its answer
- * @returns the answer, of any status but a refusal. Failures: `ENGINE_UNREACHABLE` if nothing was written,
- * `REQUEST_REFUSED` if the answer states that the request did not run, `STREAM_BROKEN` if it may have run, also for an
- * answer that belongs to another request or to other weights. The body throws an `Error` whose `cause` is a
- * `STREAM_BROKEN` error if it ends before it is complete
+ * @param signal - cancels the request and its response
+ * @returns the response, whatever its status. Failures: `ENGINE_UNREACHABLE` if nothing was written, `REQUEST_REFUSED`
+ * if the response states that the request did not run, `STREAM_BROKEN` if it may have run, also for a response that
+ * belongs to another request or to other weights. The body throws an `Error` whose `cause` is a `STREAM_BROKEN` error
+ * if it ends before it is complete
  */
 export async function executeRequest(
     client: HttpClient,
@@ -40,23 +40,23 @@
     request: KeyedBackendRequest,
     signal: AbortSignal,
 ): PortResult<BackendResponse> {
-    const answer = await client.open({
+    const response = await client.open({
         method: request.method,
         path: request.path,
         headers: createHeaders(request),
         signal,
         ...(request.body.byteLength === 0 ? {} : { body: request.body }),
     });
-    if (answer.isErr) {
-        const code = answer.error.requestWritten ? "STREAM_BROKEN" : "ENGINE_UNREACHABLE";
-        return err(toCallError(code, executeStep, client.peer, answer.error));
+    if (response.isErr) {
+        const code = response.error.requestWritten ? "STREAM_BROKEN" : "ENGINE_UNREACHABLE";
+        return err(toCallError(code, executeStep, client.peer, response.error));
     }
-    const checked = checkAnswer(answer.value, request, client.peer);
+    const checked = validateResponse(response.value, request, client.peer);
     if (checked.isErr) {
-        answer.value.discard();
+        response.value.discard();
         return err(checked.error);
     }
-    return ok(toResponse(answer.value, kind, client.peer));
+    return ok(toBackendResponse(response.value, kind, client.peer));
 }
 
 function createHeaders(request: KeyedBackendRequest): Record<string, string> {
@@ -69,34 +69,40 @@
     };
 }
 
-function checkAnswer(
-    answer: HttpStream,
+function validateResponse(
+    response: HttpStream,
     request: BackendRequest,
     peer: string,
 ): Result<undefined, GoldcrestpointError> {
-    const { status, headers } = answer;
+    const { status, headers } = response;
     if (headers[executedHeader] === "no") {
         return err(createError("REQUEST_REFUSED", executeStep, peer, `refused with status ${status}, not run`));
     }
     const requestId = headers["x-request-id"] ?? "";
     if (requestId !== request.requestId) {
-        return refuseAnswer(peer, `the answer names request "${requestId}" instead of "${request.requestId}"`);
+        return createMismatchError(
+            peer,
+            `the response belongs to request "${requestId}" instead of "${request.requestId}"`,
+        );
     }
     const digest = headers["x-manifest-digest"] ?? "";
     if (request.manifestDigest !== undefined && status < 300 && digest !== request.manifestDigest) {
-        return refuseAnswer(peer, `the answer names weights "${digest}" instead of "${request.manifestDigest}"`);
+        return createMismatchError(
+            peer,
+            `the response comes from weights "${digest}" instead of "${request.manifestDigest}"`,
+        );
     }
     return ok(undefined);
 }
 
-function refuseAnswer(peer: string, message: string): Result<undefined, GoldcrestpointError> {
+function createMismatchError(peer: string, message: string): Result<undefined, GoldcrestpointError> {
     return err(createError("STREAM_BROKEN", matchStep, peer, message, { mayHaveTakenEffect: true }));
 }
 
-function toResponse(answer: HttpStream, kind: "engine" | "service", peer: string): BackendResponse {
-    const { status, headers, body } = answer;
+function toBackendResponse(response: HttpStream, kind: "engine" | "service", peer: string): BackendResponse {
+    const { status, headers, body } = response;
     const contentType = headers["content-type"] ?? "application/octet-stream";
-    const marked = kind === "engine" && status < 300 && contentType.startsWith("text/event-stream");
+    const hasEndMarker = kind === "engine" && status < 300 && contentType.startsWith("text/event-stream");
     return {
         status,
         contentType,
@@ -105,11 +111,11 @@
         adapter: headers["x-adapter"] ?? "",
         version: headers["x-version"] ?? "",
         manifestDigest: headers["x-manifest-digest"] ?? "",
-        body: reportBrokenBody(marked ? checkEndMarker(body) : body, peer),
+        body: convertBodyErrors(hasEndMarker ? checkEndMarker(body) : body, peer),
     };
 }
 
-async function* reportBrokenBody(body: AsyncIterable<Uint8Array>, peer: string): AsyncGenerator<Uint8Array> {
+async function* convertBodyErrors(body: AsyncIterable<Uint8Array>, peer: string): AsyncGenerator<Uint8Array> {
     try {
         yield* body;
     }
--- a/src/node/backendServer/index.ts
+++ b/src/node/backendServer/index.ts
@@ -1,4 +1,4 @@
 export * from "./backendServerClient.js";
-export * from "./brokenBody.js";
+export * from "./bodyError.js";
 export { type KeyedBackendRequest } from "./execute.js";
 export * from "./types.js";
--- a/src/node/backendServer/schemas.ts
+++ b/src/node/backendServer/schemas.ts
@@ -11,7 +11,7 @@
     manifestDigest: z.string(),
 });
 
-/** State of an engine; absent optional fields stand for none. */
+/** State of an engine; an absent `active` or `highestToken` means that there is none. */
 export const engineStateSchema = z.object({
     incarnation: z.string(),
     active: activeSet.optional(),
@@ -31,5 +31,5 @@
     capacity: count,
 });
 
-/** Answer to an order: repeats what was carried out. */
-export const orderAnswerSchema = z.object({ kind: z.string(), token });
+/** Response to an order; repeats the kind and token of the order that was carried out. */
+export const orderResponseSchema = z.object({ kind: z.string(), token });
--- a/src/node/backendServer/state.ts
+++ b/src/node/backendServer/state.ts
@@ -18,7 +18,7 @@
         const parsed = engineStateSchema.safeParse(value);
         return parsed.success ?
             ok(parsed.data) :
-            err(createError("ENGINE_UNREACHABLE", engineStep, client.peer, "the answer is no engine state"));
+            err(createError("ENGINE_UNREACHABLE", engineStep, client.peer, "the response is not a valid engine state"));
     });
 }
 
@@ -26,7 +26,7 @@
  * Reads the health of a plain service.
  *
  * @param client - client of the service
- * @param healthPath - path of its health
+ * @param healthPath - path of the health endpoint
  * @returns a state without weights, or `ENGINE_UNREACHABLE`
  */
 export async function readServiceHealth(client: HttpClient, healthPath: string): PortResult<EngineState> {
@@ -35,18 +35,23 @@
         const parsed = serviceHealthSchema.safeParse(value);
         return parsed.success ?
             ok({ ...parsed.data, active: undefined, staged: [], cachedPrefixes: [], highestToken: undefined }) :
-            err(createError("ENGINE_UNREACHABLE", serviceStep, client.peer, "the answer is no service health"));
+            err(createError(
+                "ENGINE_UNREACHABLE",
+                serviceStep,
+                client.peer,
+                "the response is not a valid service health",
+            ));
     });
 }
 
 async function readJson(client: HttpClient, path: string, step: string): PortResult<unknown> {
-    const answer = await client.send({ method: "GET", path });
-    if (answer.isErr) {
-        return err(toReadError("ENGINE_UNREACHABLE", step, client.peer, answer.error));
+    const response = await client.send({ method: "GET", path });
+    if (response.isErr) {
+        return err(toReadError("ENGINE_UNREACHABLE", step, client.peer, response.error));
     }
-    if (answer.value.status !== 200) {
-        const error = toStatusError("ENGINE_UNREACHABLE", step, client.peer, answer.value);
+    if (response.value.status !== 200) {
+        const error = toStatusError("ENGINE_UNREACHABLE", step, client.peer, response.value);
         return err({ ...error, mayHaveTakenEffect: false });
     }
-    return ok(parseJson(answer.value.body));
+    return ok(parseJson(response.value.body));
 }
--- a/src/node/backendServer/types.ts
+++ b/src/node/backendServer/types.ts
@@ -4,20 +4,20 @@
 export interface BackendServerClientOptions {
     /** Base URL of the model engine or plain service. */
     readonly baseUrl: string;
-    /** Whether orders and weights are supported. Default: `engine`. */
+    /** Kind of backend server; only an engine supports orders and weights. Default: `engine`. */
     readonly kind?: "engine" | "service" | undefined;
     /**
-     * Time limits of state, orders and chunks. Default: those of {@link HttpTimeouts}; a longer time for orders would
+     * Time limits of calls for state, orders and chunks. Default: those of {@link HttpTimeouts}; a longer limit would
      * exceed the order time limit of 5 s.
      */
     readonly timeouts?: Partial<HttpTimeouts> | undefined;
     /**
      * Time limits of requests. Default: connect 1,000 ms; head 120,000 ms, since the caller's deadline ends a request
-     * through its signal; idle 30,000 ms, after which a stalled answer counts as broken.
+     * through its signal; idle 30,000 ms, after which a stalled response counts as incomplete.
      */
     readonly requestTimeouts?: Partial<Omit<HttpTimeouts, "total">> | undefined;
-    /** Largest number of connections for requests. Default: 256. */
+    /** Maximum number of connections for requests. Default: 256. */
     readonly requestConnections?: number | undefined;
-    /** Path that a plain service's state is read from. Default: `/health`. */
+    /** Path of a plain service's health endpoint. Default: `/health`. */
     readonly healthPath?: string | undefined;
 }
--- a/test/contract/engineOrders.test.ts
+++ b/test/contract/engineOrders.test.ts
@@ -11,7 +11,7 @@
     weights,
     weightSet,
 } from "./engineSupport.js";
-import { type Condition, type ContractCase, expectOutcome, impose, type Outcome, unwrap } from "./support.js";
+import { applyCondition, type Condition, type ContractCase, expectOutcome, type Outcome, unwrap } from "./support.js";
 
 const orderCases: readonly ContractCase[] = [
     { condition: "healthy", outcome: "ok", effects: 1 },
@@ -38,10 +38,10 @@
 
 describe("orders to an engine", { concurrency: true }, () => {
     for (const { condition, outcome, effects } of orderCases) {
-        // Guards against an order that counts as refused although it took effect, or the reverse.
+        // Guards against an order that is reported as refused although it took effect, and the reverse.
         it(`reports ${String(outcome)} for ${condition}`, async () => {
             await using engine = await startEngine();
-            await impose(engine, "engine-order", condition);
+            await applyCondition(engine, "engine-order", condition);
             await using client = createClient(engine.baseUrl, condition);
             const result = await client.order(createPrepareOrder(createToken(1)));
             expectOutcome(result, outcome, "order prepare", engine);
@@ -58,8 +58,8 @@
             { oldTokens: "ignore", sequence: 1, outcome: "ok", active: false },
         ];
     for (const { oldTokens, sequence, outcome, active } of tokens) {
-        // Guards against an agent that trusts every engine to refuse orders of its predecessor.
-        it(`reports ${String(outcome)} for sequence ${sequence} after 2 where old tokens are met with ${oldTokens}`, async () => {
+        // Guards against an agent that relies on every engine to refuse orders of the agent's earlier process.
+        it(`reports ${String(outcome)} for sequence ${sequence} after 2 if the engine handles old tokens with ${oldTokens}`, async () => {
             await using engine = await startEngine({ oldTokens });
             await using client = createClient(engine.baseUrl);
             unwrap(await activate(client));
@@ -69,8 +69,8 @@
         });
     }
 
-    // Guards against a late answer to another order that is taken for the answer to this one.
-    it("does not take the answer to another order", async () => {
+    // Guards against a late response to another order that is taken for the response to this one.
+    it("does not accept the response to another order", async () => {
         await using server = await startStandInServer({}, () => [{
             operation: "engine-order",
             method: "POST",
@@ -87,7 +87,7 @@
         { refusesIncompleteSets: false, outcome: "ok" },
     ];
     for (const { refusesIncompleteSets, outcome } of incomplete) {
-        // Guards against an agent that trusts every engine to refuse a set with missing chunks.
+        // Guards against an agent that relies on every engine to refuse a set with missing chunks.
         it(`reports ${String(outcome)} for an incomplete set, refused: ${refusesIncompleteSets}`, async () => {
             await using engine = await startEngine({ refusesIncompleteSets });
             await using client = createClient(engine.baseUrl);
@@ -100,16 +100,16 @@
 
 describe("staged chunks", { concurrency: true }, () => {
     for (const { condition, stage, read } of chunkCases) {
-        // Guards against a chunk that counts as staged, or as read, although it is not known to be whole.
+        // Guards against a chunk that counts as staged or read although it may be incomplete.
         it(`reports ${String(stage)} and ${String(read)} for ${condition}`, async () => {
             await using engine = await startEngine();
             await using preparing = createClient(engine.baseUrl);
             unwrap(await preparing.order(createPrepareOrder(createToken(1))));
             const content = weightSet.readChunk(0)!;
             unwrap(await preparing.stageChunk(weightSet.digest, 0, content));
-            // An answer without a body cannot be cut off; its loss is the same fault.
-            await impose(engine, "chunk-stage", condition === "truncate" ? "lose-answer" : condition);
-            await impose(engine, "chunk-read", condition);
+            // A response without a body cannot be truncated, so it is lost instead.
+            await applyCondition(engine, "chunk-stage", condition === "truncate" ? "lose-answer" : condition);
+            await applyCondition(engine, "chunk-read", condition);
             await using client = createClient(engine.baseUrl, condition);
             const staged = await client.stageChunk(weightSet.digest, 0, content);
             expectOutcome(staged, stage, "stage chunk", engine);
@@ -120,7 +120,7 @@
         });
     }
 
-    // Guards against chunks that are staged into a set that the engine does not hold, and their silent loss.
+    // Guards against chunks that the engine cannot store and that are lost without an error.
     it("refuses chunks of a set that is not prepared, outside the set, or beyond the memory", async () => {
         await using engine = await startEngine({ memoryBytes: 1_500 });
         await using client = createClient(engine.baseUrl);
--- a/test/contract/engineSupport.ts
+++ b/test/contract/engineSupport.ts
@@ -6,7 +6,7 @@
     startEngineStandIn,
 } from "../../src/standIn/index.js";
 import type { EngineOrder, FencingToken, GoldcrestpointError } from "../../src/types/index.js";
-import { briefTimeouts, type Condition, selectTimeouts, unwrap } from "./support.js";
+import { type Condition, selectTimeouts, shortTimeouts, unwrap } from "./support.js";
 
 /** Weight set of the tests, with three chunks. */
 export const weightSet = generateWeightSet({
@@ -17,7 +17,7 @@
     chunkBytes: 1_000,
 });
 
-/** Name of the set as orders and answers carry it. */
+/** Identity of the weight set, as orders and responses contain it. */
 export const weights = { model: "scribe", adapter: "kin", version: "7", manifestDigest: weightSet.digest };
 
 /**
@@ -32,9 +32,9 @@
 }
 
 /**
- * Starts an engine whose tokens take no time.
+ * Starts an engine that generates tokens without delay.
  *
- * @param behaviour - settings that differ
+ * @param behaviour - settings that differ from the defaults
  * @returns the engine
  */
 export function startEngine(behaviour: Partial<EngineBehaviour> = {}): Promise<EngineStandIn> {
@@ -58,7 +58,7 @@
     return createBackendServerClient({
         baseUrl,
         kind,
-        ...(limited ? { timeouts: briefTimeouts, requestTimeouts: briefTimeouts } : {}),
+        ...(limited ? { timeouts: shortTimeouts, requestTimeouts: shortTimeouts } : {}),
     });
 }
 
@@ -81,7 +81,7 @@
 }
 
 /**
- * Creates the order that makes room for the weight set.
+ * Creates the order that prepares the engine for the chunks of the weight set.
  *
  * @param token - fencing token
  * @returns the order
@@ -90,8 +90,8 @@
     return { kind: "prepare", token, manifestDigest: weightSet.digest, chunksTotal: 3 };
 }
 
-/** Answer of a request, read to its end. */
-export interface ReadAnswer {
+/** Body of a response that was read to its end. */
+export interface ReadBody {
     readonly text: string;
     /** Set if the body ended before it was complete. */
     readonly failure: GoldcrestpointError | undefined;
@@ -104,7 +104,7 @@
  * @param onPart - called after each part
  * @returns the text, and the failure with which the body ended
  */
-export async function readAnswer(body: AsyncIterable<Uint8Array>, onPart?: () => void): Promise<ReadAnswer> {
+export async function readBody(body: AsyncIterable<Uint8Array>, onPart?: () => void): Promise<ReadBody> {
     let text = "";
     try {
         for await (const part of body) {
--- a/test/contract/execute.test.ts
+++ b/test/contract/execute.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import type { KeyedBackendRequest } from "../../src/node/backendServer/index.js";
 import { computeTokens, startServiceStandIn } from "../../src/standIn/index.js";
-import { activate, createClient, readAnswer, startEngine, weights } from "./engineSupport.js";
-import { type Condition, type ContractCase, expectOutcome, impose, type Outcome, unwrap } from "./support.js";
+import { activate, createClient, readBody, startEngine, weights } from "./engineSupport.js";
+import { applyCondition, type Condition, type ContractCase, expectOutcome, type Outcome, unwrap } from "./support.js";
 
 const prompt = "Who were the parents of Ana?";
 
@@ -29,16 +29,17 @@
 
 describe("requests to a plain service", { concurrency: true }, () => {
     for (const { condition, outcome, effects, step = "execute request" } of serviceCases) {
-        // Guards against a request that is sent again although it may have run, and against another caller's answer.
+        // Guards against a request that is retried although it may have run, and against the response of another
+        // request.
         it(`reports ${String(outcome)} for ${condition}`, async () => {
             await using service = await startServiceStandIn();
-            await impose(service, "execute", condition);
+            await applyCondition(service, "execute", condition);
             await using client = createClient(service.baseUrl, condition, "service");
             const result = await client.execute(createServiceRequest("r1"), new AbortController().signal);
             expectOutcome(result, outcome, step, service);
             expect(service.journal.countEffects("key-1")).toEqual(effects);
             if (result.isOk) {
-                const { text, failure } = await readAnswer(result.value.body);
+                const { text, failure } = await readBody(result.value.body);
                 expect(failure).toEqual(undefined);
                 expect(JSON.parse(text)).toEqual({
                     requestId: "r1",
@@ -52,15 +53,17 @@
         });
     }
 
-    // Guards against answers that are assigned by their order of arrival.
-    it("keeps answers apart that arrive in another order than their requests", async () => {
+    // Guards against responses that are matched to requests by their order of arrival.
+    it("matches responses that arrive in another order than their requests", async () => {
         await using service = await startServiceStandIn();
         service.faults.add({ operation: "execute", kind: "out-of-order", times: 1, delayMilliseconds: 600_000 });
         await using client = createClient(service.baseUrl, "healthy", "service");
         const order: string[] = [];
         await Promise.all(["r1", "r2"].map(async requestId => {
-            const answer = unwrap(await client.execute(createServiceRequest(requestId), new AbortController().signal));
-            const { text } = await readAnswer(answer.body);
+            const response = unwrap(
+                await client.execute(createServiceRequest(requestId), new AbortController().signal),
+            );
+            const { text } = await readBody(response.body);
             expect((JSON.parse(text) as { requestId: string; }).requestId).toEqual(requestId);
             order.push(requestId);
         }));
@@ -77,7 +80,7 @@
         expect(service.journal.list().map(({ requestId }) => requestId)).toEqual(["r2"]);
     });
 
-    // Guards against a crash that is not recognized as a new start of the service.
+    // Guards against a restart after a crash that is not detected.
     it("reports a request that crashes the service as possibly run, and a new incarnation afterwards", async () => {
         await using service = await startServiceStandIn({ behaviour: { restartMilliseconds: 0 } });
         await using client = createClient(service.baseUrl, "healthy", "service");
@@ -95,23 +98,23 @@
 describe("requests to an engine", { concurrency: true }, () => {
     for (const { condition, complete } of streamCases) {
         for (const stream of [true, false]) {
-            // The transport and the content length cannot show that a JSON text was cut short by the engine itself.
+            // Neither the transport nor the content length shows that the engine itself truncated a JSON response.
             if (condition === "clean-truncate" && !stream) {
                 continue;
             }
-            // Guards against a partial answer that ends like a complete one.
-            it(`${complete ? "completes" : "breaks"} ${stream ? "a stream" : "an answer"} for ${condition}`, async () => {
+            // Guards against a partial response that is taken for a complete one.
+            it(`${complete ? "completes" : "breaks"} ${stream ? "a stream" : "a response"} for ${condition}`, async () => {
                 await using engine = await startEngine();
                 await using client = createClient(engine.baseUrl, condition);
                 unwrap(await activate(client));
-                await impose(engine, "execute", condition);
-                const answer = unwrap(
+                await applyCondition(engine, "execute", condition);
+                const response = unwrap(
                     await client.execute(createCompletion("r1", stream), new AbortController().signal),
                 );
-                const { text, failure } = await readAnswer(answer.body);
+                const { text, failure } = await readBody(response.body);
                 expect([failure?.code, failure?.step, failure?.mayHaveTakenEffect])
                     .toEqual(complete ? [undefined, undefined, undefined] : ["STREAM_BROKEN", "read answer", true]);
-                const { model, adapter, version, manifestDigest, requestId } = answer;
+                const { model, adapter, version, manifestDigest, requestId } = response;
                 expect({ model, adapter, version, manifestDigest, requestId }).toEqual({ ...weights, requestId: "r1" });
                 if (complete) {
                     expect(readTokens(text, stream)).toEqual(computeTokens({ ...weights, complete: true }, prompt, 4));
@@ -120,13 +123,13 @@
         }
     }
 
-    // Guards against an answer from partial weights that looks like one from the complete set.
+    // Guards against a response from incomplete weights that looks like one from the complete set.
     it("generates other tokens from an incomplete set", async () => {
         await using engine = await startEngine();
         await using client = createClient(engine.baseUrl);
         unwrap(await activate(client, [0]));
-        const answer = unwrap(await client.execute(createCompletion("r1", false), new AbortController().signal));
-        const tokens = readTokens((await readAnswer(answer.body)).text, false);
+        const response = unwrap(await client.execute(createCompletion("r1", false), new AbortController().signal));
+        const tokens = readTokens((await readBody(response.body)).text, false);
         expect(tokens).not.toEqual(computeTokens({ ...weights, complete: true }, prompt, 4));
         expect(tokens).toEqual(computeTokens({ ...weights, complete: false }, prompt, 4));
     });
@@ -142,7 +145,7 @@
             },
         ];
     for (const { checksRequestedWeights, outcome, step, runs } of otherWeights) {
-        // Guards against an answer from other weights than those that have to answer.
+        // Guards against a response from weights other than the requested ones.
         it(`reports ${String(outcome)} for other weights, checked by the engine: ${checksRequestedWeights}`, async () => {
             await using engine = await startEngine({ checksRequestedWeights });
             await using client = createClient(engine.baseUrl);
@@ -154,17 +157,18 @@
         });
     }
 
-    // Guards against a canceled request that keeps its place in the batch, and against a full queue that counts as run.
-    it("frees the place of a canceled stream and refuses requests beyond the queue", async () => {
+    // Guards against a canceled request that keeps its slot in the batch, and against a request that a full queue
+    // refused and that counts as run.
+    it("frees the slot of a canceled stream and refuses requests beyond the queue", async () => {
         await using engine = await startEngine({ capacity: 1, queueLimit: 0, tokenMilliseconds: 1 });
         await using client = createClient(engine.baseUrl);
         unwrap(await activate(client));
         const controller = new AbortController();
         const long = createCompletion("r1", true, 4_096);
-        const answer = unwrap(await client.execute(long, controller.signal));
+        const response = unwrap(await client.execute(long, controller.signal));
         const refused = await client.execute(createCompletion("r2", true), new AbortController().signal);
         expectOutcome(refused, ["REQUEST_REFUSED", false], "execute request", engine);
-        const { failure } = await readAnswer(answer.body, () => controller.abort());
+        const { failure } = await readBody(response.body, () => controller.abort());
         expect(failure?.code).toEqual("STREAM_BROKEN");
         while (engine.journal.list()[0]?.state === "running") {
             await new Promise(resolve => setImmediate(resolve));
@@ -173,8 +177,8 @@
         unwrap(await client.execute(createCompletion("r3", true), new AbortController().signal));
     });
 
-    // Guards against a stream that is given up before it begins and keeps its place in the batch.
-    it("frees the place of a stream that was canceled before its answer began", async () => {
+    // Guards against a stream that is canceled before it starts and keeps its slot in the batch.
+    it("frees the slot of a stream that was canceled before its response started", async () => {
         await using engine = await startEngine({ capacity: 1, queueLimit: 0 });
         await using client = createClient(engine.baseUrl);
         unwrap(await activate(client));
@@ -192,7 +196,7 @@
         unwrap(await client.execute(createCompletion("r2", true), new AbortController().signal));
     });
 
-    // Guards against sets and requests that seem to survive a crash of the engine.
+    // Guards against weight sets and requests that appear to survive a crash of the engine.
     it("loses sets and requests in a crash", async () => {
         await using engine = await startEngine({ restartMilliseconds: 0, tokenMilliseconds: 1 });
         await using client = createClient(engine.baseUrl);
@@ -200,7 +204,7 @@
         const before = unwrap(await client.readState());
         const signal = new AbortController().signal;
         const beside = unwrap(await client.execute(createCompletion("r1", true, 4_096), signal));
-        const reading = readAnswer(beside.body);
+        const reading = readBody(beside.body);
         const body = Buffer.from(JSON.stringify({ prompt: "crash-backend-server" }));
         const result = await client.execute({ ...createCompletion("r2", true), body }, signal);
         expectOutcome(result, ["STREAM_BROKEN", true], "execute request", engine);
--- a/test/contract/httpClient.test.ts
+++ b/test/contract/httpClient.test.ts
@@ -18,7 +18,7 @@
 
 const cases: readonly ClientCase[] = [
     {
-        name: "an answer larger than the limit",
+        name: "a response larger than the limit",
         answer: () => ({ status: 200, body: Buffer.alloc(1_001) }),
         options: { maximumBodyBytes: 1_000 },
         failure: ["too-large", true, true],
@@ -54,7 +54,7 @@
 
 describe("HTTP calls", { concurrency: true }, () => {
     for (const { name, answer, options, request, failure } of cases) {
-        // Guards against a call without a bound, and against a wrong statement on whether its request was written.
+        // Guards against a call that never ends, and against a wrong report on whether its request was written.
         it(`ends ${name}`, async () => {
             await using server = await startStandInServer({}, () => [
                 { operation: "any", method: "*", path: "*", handle: ({ signal }) => answer(signal) },
@@ -71,7 +71,8 @@
         });
     }
 
-    // Guards against a call that waits for a free connection, is canceled, and is written or reported as written.
+    // Guards against a call that is canceled while it waits for a free connection, but is written or reported as
+    // written.
     it("never writes a request that is canceled while all connections are taken", async () => {
         const paths: string[] = [];
         await using server = await startStandInServer({}, () => [{
--- a/test/contract/instanceList.test.ts
+++ b/test/contract/instanceList.test.ts
@@ -3,7 +3,7 @@
 import { createInstanceListClient } from "../../src/node/platform/index.js";
 import { startPlatformStandIn } from "../../src/standIn/index.js";
 import { createManualClock } from "../../src/utils/index.js";
-import { type ContractCase, expectOutcome, impose, selectTimeouts, unwrap } from "./support.js";
+import { applyCondition, type ContractCase, expectOutcome, selectTimeouts, unwrap } from "./support.js";
 
 const row = { role: "backend-server", pool: "scribe", zone: "sando-hall", region: "south-tt", address: "x:1" } as const;
 
@@ -27,7 +27,7 @@
             await using platform = await startPlatformStandIn();
             platform.instances.register({ ...row, instance: "a" });
             platform.instances.register({ ...row, instance: "b" });
-            await impose(platform, "instance-list", condition);
+            await applyCondition(platform, "instance-list", condition);
             const timeouts = selectTimeouts(condition);
             await using client = createInstanceListClient({ baseUrl: platform.baseUrl, timeouts });
             const result = await client.list();
@@ -36,7 +36,7 @@
         });
     }
 
-    // Guards against code that expects the list to show a change at once.
+    // Guards against code that expects the list to show a change immediately.
     it("shows live, leaving and removed instances after the lag", async () => {
         const clock = createManualClock();
         await using platform = await startPlatformStandIn({ clock, instances: { lagMilliseconds: 100 } });
--- a/test/contract/log.test.ts
+++ b/test/contract/log.test.ts
@@ -4,10 +4,10 @@
 import { answerJson, startStandInServer } from "../../src/standIn/http/index.js";
 import { type PlatformStandIn, startPlatformStandIn } from "../../src/standIn/index.js";
 import {
+    applyCondition,
     type ContractCase,
     createRecord,
     expectOutcome,
-    impose,
     type Outcome,
     selectTimeouts,
     unwrap,
@@ -41,10 +41,10 @@
 
 describe("appending to the log", { concurrency: true }, () => {
     for (const { condition, outcome, effects } of appendCases) {
-        // Guards against an append that is taken for failed, or for done, although the answer does not tell.
+        // Guards against an append that is reported as failed, or as done, although its outcome is unknown.
         it(`reports ${String(outcome)} for ${condition}`, async () => {
             await using platform = await startPlatformStandIn();
-            await impose(platform, "log-append", condition);
+            await applyCondition(platform, "log-append", condition);
             await using client = createLogClient({ baseUrl: platform.baseUrl, timeouts: selectTimeouts(condition) });
             expectOutcome(await client.append(createRecord("a")), outcome, "append record", platform);
             expect(platform.log.read(0, 10).entries.map(({ record }) => record.id)).toEqual(
@@ -53,15 +53,15 @@
         });
     }
 
-    // Guards against a refusal by the rate limit that counts as ambiguous and makes the writer read the log.
+    // Guards against a rejection by the rate limit that counts as ambiguous and makes the writer read the log.
     it("reports an append above the rate limit as not done", async () => {
         await using platform = await startPlatformStandIn({ log: { appendsPerSecond: 0.5 } });
         await using client = createLogClient({ baseUrl: platform.baseUrl });
         expectOutcome(await client.append(createRecord("a")), ["LOG_UNREACHABLE", false], "append record", platform);
     });
 
-    // Guards against a late answer to another append that is taken for the answer to this one.
-    it("does not take the answer to another append", async () => {
+    // Guards against a late response to another append that is taken for the response to this one.
+    it("does not accept the response to another append", async () => {
         await using server = await startStandInServer({}, () => [{
             operation: "log-append",
             method: "POST",
@@ -78,7 +78,7 @@
         // Guards against entries that are applied twice, out of order or in part.
         it(`reports ${String(outcome)} for ${condition}`, async () => {
             await using platform = await createFilledPlatform();
-            await impose(platform, "log-read", condition);
+            await applyCondition(platform, "log-read", condition);
             await using client = createLogClient({ baseUrl: platform.baseUrl, timeouts: selectTimeouts(condition) });
             const result = await client.read(0, 0);
             expectOutcome(result, outcome, "read log", platform);
@@ -113,8 +113,8 @@
         { name: "in place of all entries", firstOffset: 1, offsets: [] },
     ];
     for (const { name, firstOffset, offsets } of gaps) {
-        // Guards against an answer that lacks entries and moves the reader past them.
-        it(`refuses an answer with a gap ${name}`, async () => {
+        // Guards against a response that lacks entries and makes the reader skip them.
+        it(`rejects a response with a gap ${name}`, async () => {
             const entries = offsets.map(([offset, previousOffset]) => ({
                 offset,
                 previousOffset,
@@ -131,7 +131,7 @@
         });
     }
 
-    // Guards against a waiting read that misses a record appended meanwhile.
+    // Guards against a waiting read that misses a record that is appended during the wait.
     it("returns a record that is appended while the read waits", async () => {
         await using platform = await startPlatformStandIn();
         await using client = createLogClient({ baseUrl: platform.baseUrl });
--- a/test/contract/origin.test.ts
+++ b/test/contract/origin.test.ts
@@ -4,7 +4,7 @@
 import { answerJson, startStandInServer } from "../../src/standIn/http/index.js";
 import { generateWeightSet, type PlatformStandIn, startPlatformStandIn } from "../../src/standIn/index.js";
 import { computeDigest } from "../../src/utils/index.js";
-import { type Condition, expectOutcome, impose, type Outcome, selectTimeouts, unwrap } from "./support.js";
+import { applyCondition, type Condition, expectOutcome, type Outcome, selectTimeouts, unwrap } from "./support.js";
 
 const declaration = { model: "scribe", adapter: "kin", version: "7", totalBytes: 250_000, chunkBytes: 100_000 };
 const { digest, manifest } = generateWeightSet(declaration);
@@ -45,7 +45,7 @@
         // Guards against a manifest that is used although it is damaged or belongs to another digest.
         it(`reports ${String(outcome)} for ${condition}`, async () => {
             await using platform = await startPlatform();
-            await impose(platform, "manifest-read", condition);
+            await applyCondition(platform, "manifest-read", condition);
             await using client = createClient(platform, condition);
             const resolved = await client.resolveManifest("scribe", "kin", "7");
             expectOutcome(resolved, outcome, "resolve manifest", platform);
@@ -56,8 +56,8 @@
         });
     }
 
-    // Guards against weights of another version under the name or digest that was asked for.
-    it("refuses the manifest of another set", async () => {
+    // Guards against weights of another version under the requested name or digest.
+    it("rejects the manifest of another set", async () => {
         await using server = await startStandInServer({}, () => [{
             operation: "manifest-read",
             method: "GET",
@@ -74,10 +74,10 @@
 
 describe("reading chunks from the origin", { concurrency: true }, () => {
     for (const { condition, outcome, intact } of chunkCases) {
-        // Guards against an incomplete transfer that is handed on as a chunk without a chance to notice.
+        // Guards against an incomplete transfer that a caller can detect neither by an error nor by the digest.
         it(`reports ${String(outcome)} for ${condition}`, async () => {
             await using platform = await startPlatform();
-            await impose(platform, "chunk-read", condition);
+            await applyCondition(platform, "chunk-read", condition);
             await using client = createClient(platform, condition);
             const result = await client.readChunk(digest, 2);
             expectOutcome(result, outcome, "read chunk from origin", platform);
@@ -86,8 +86,8 @@
         });
     }
 
-    // Guards against an origin meter that counts other bytes than those that passed the link.
-    it("counts the bytes that were drawn, and refuses unknown chunks", async () => {
+    // Guards against a byte counter of the origin that differs from the bytes sent over its link.
+    it("counts the bytes that were read, and refuses unknown chunks", async () => {
         await using platform = await startPlatform();
         await using client = createClient(platform, "healthy");
         await Promise.all([0, 1, 2].map(async index => unwrap(await client.readChunk(digest, index))));
@@ -96,7 +96,7 @@
         expect(platform.originLink.sentBytes).toEqual(250_000);
     });
 
-    // Guards against a transfer that goes on drawing bytes after it was abandoned.
+    // Guards against a transfer that continues after it was canceled.
     it("ends a canceled transfer", async () => {
         await using platform = await startPlatform();
         platform.faults.add({ operation: "chunk-read", kind: "stall-stream" });
--- a/test/contract/support.ts
+++ b/test/contract/support.ts
@@ -3,13 +3,13 @@
 import type { FaultKind, FaultRule, StandInServer } from "../../src/standIn/index.js";
 import type { ErrorCode, GoldcrestpointError, PlacementRecord } from "../../src/types/index.js";
 
-/** Outcome that a port promises: `ok`, or an error code and whether the operation may have taken effect. */
+/** Expected outcome of a port's operation: `ok`, or an error code and whether the operation may have taken effect. */
 export type Outcome = "ok" | readonly [code: ErrorCode, mayHaveTakenEffect: boolean];
 
-/** Condition of the outside system during one call. */
+/** Condition of the outside system during a call. */
 export type Condition = FaultKind | "healthy" | "clean-truncate" | "not-listening";
 
-/** Case of a contract table. */
+/** Test case: a condition and what the port has to report. */
 export interface ContractCase {
     readonly condition: Condition;
     readonly outcome: Outcome;
@@ -17,8 +17,8 @@
     readonly effects: number;
 }
 
-/** Time limits for the conditions in which no answer arrives; the other ones keep the defaults. */
-export const briefTimeouts = { connect: 5_000, head: 3_000, idle: 1_000, total: 4_000 };
+/** Time limits for the conditions in which no complete response arrives; the other conditions use the defaults. */
+export const shortTimeouts = { connect: 5_000, head: 3_000, idle: 1_000, total: 4_000 };
 
 /** Longer than any test. */
 const endlessDelay = 600_000;
@@ -27,20 +27,20 @@
  * Chooses the time limits for a condition.
  *
  * @param condition - condition of the outside system
- * @returns short limits where the call has to end by a limit
+ * @returns short limits if only a time limit ends the call
  */
-export function selectTimeouts(condition: Condition): typeof briefTimeouts | undefined {
-    return condition === "slow" || condition === "stall-stream" ? briefTimeouts : undefined;
+export function selectTimeouts(condition: Condition): typeof shortTimeouts | undefined {
+    return condition === "slow" || condition === "stall-stream" ? shortTimeouts : undefined;
 }
 
 /**
- * Brings a stand-in into a condition.
+ * Applies a condition to a stand-in.
  *
  * @param server - the stand-in
  * @param operation - operation that the condition applies to
  * @param condition - the condition
  */
-export async function impose(server: StandInServer, operation: string, condition: Condition): Promise<void> {
+export async function applyCondition(server: StandInServer, operation: string, condition: Condition): Promise<void> {
     if (condition === "not-listening") {
         await server.suspend();
     }
@@ -57,12 +57,12 @@
 }
 
 /**
- * Checks a result against what the port promises.
+ * Checks that a result has the expected outcome.
  *
  * @param result - result of the call
- * @param outcome - promised outcome
- * @param step - step that an error has to name
- * @param server - stand-in whose address an error has to name
+ * @param outcome - expected outcome
+ * @param step - expected step of an error
+ * @param server - stand-in whose address is the expected peer of an error
  */
 export function expectOutcome(
     result: Result<unknown, GoldcrestpointError>,
@@ -81,10 +81,10 @@
 }
 
 /**
- * Takes the value of a result that has to be a success.
+ * Returns the value of a successful result.
  *
  * @param result - the result
- * @returns its value
+ * @returns its value; throws an error for a failure
  */
 export function unwrap<Value>(result: Result<Value, GoldcrestpointError>): Value {
     if (result.isErr) {
