Reword the routing rules of gateways

What read badly: entries that were "taken over", notices that "go before" the list, a log that was "away", places and demand without a definition, and test titles such as "does not stay closed on an old report". Changed: comments and test titles in plain terms; place, lifetime, patience and the decaying arrival count are defined where they are declared; 16 names (judgePaceAfter is computePaceCheckDelay, readBeginLimit is readHeadDeadline, playPlainService is simulatePlainService, ...). The field elsewhere of PlaceShareInput, now inProgressElsewhere, is only an argument of computePlaceShare and never leaves the process.

--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "true-myth/result";
-import { type BackendServerRow, judgePaceAfter, nameLifetime } from "../../runtime/gateway/index.js";
+import { type BackendServerRow, computePaceCheckDelay, nameLifetime } from "../../runtime/gateway/index.js";
 import { applyLoadReport } from "../../runtime/routing/index.js";
 import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../types/index.js";
 import { hasUndecodedTransferCoding, type HttpClient, type HttpFailure, type HttpStream } from "../httpClient/index.js";
@@ -165,7 +165,11 @@
     }
     const fault = findFault(attempt, stream, head);
     if (fault === undefined) {
-        return ok({ ...stream, server, limits: { ...limits, judgePaceAfter: judgePaceAfter(request.endsAt - now) } });
+        return ok({
+            ...stream,
+            server,
+            limits: { ...limits, judgePaceAfter: computePaceCheckDelay(request.endsAt - now) },
+        });
     }
     if (fault.ran === "no") {
         // The refusal is known, so the request does not wait for the rest of it.
--- a/src/node/gateway/gatewayState.ts
+++ b/src/node/gateway/gatewayState.ts
@@ -14,7 +14,7 @@
     nameLifetime,
     nameWeights,
     readAllowedVersions,
-    readBeginLimit,
+    readHeadDeadline,
     recordDeclaredVersion,
     type RouteTable,
     splitWeights,
@@ -220,7 +220,7 @@
         routes: () => routes,
         servers,
         listServers: service => [...servers.lookup("service", service)].map(instance => servers.get(instance)!),
-        readBeginLimit: (model, version) => readBeginLimit(versions, model, version, input.versions),
+        readBeginLimit: (model, version) => readHeadDeadline(versions, model, version, input.versions),
         readVersions: model => readAllowedVersions(versions, model, clock.monotonic(), input.versions),
         expire: () => {
             const now = clock.monotonic();
--- a/src/node/gateway/serverChoice.ts
+++ b/src/node/gateway/serverChoice.ts
@@ -148,7 +148,7 @@
             const { candidates, leftOut, resumesAt } = findCandidates(described);
             const here = candidates.reduce((sum, { outstanding }) => sum + outstanding, 0);
             const share = computePlaceShare({
-                elsewhere: (inProgress.get(service.name) ?? 0) - here,
+                inProgressElsewhere: (inProgress.get(service.name) ?? 0) - here,
                 runners: candidates.map(runner => ({
                     runner,
                     isFollowed: state.servers.get(runner.instance)?.reportedAt !== undefined,
--- a/src/runtime/gateway/answerPace.ts
+++ b/src/runtime/gateway/answerPace.ts
@@ -1,25 +1,29 @@
 import type { Milliseconds } from "../../types/index.js";
 
-/** Share of the time left at the head of an answer after which its pace is judged. */
-const judgedShare = 0.5;
+/**
+ * Share of the remaining time, counted from the head of an answer, after which its pace is checked. The same share of
+ * the body must have arrived by then.
+ */
+const paceCheckShare = 0.5;
 
 /**
- * Computes when the pace of an answer is judged.
+ * Computes when the pace of an answer is checked.
  *
- * @param remaining - time that its request has left at its head
- * @returns time from the head on
+ * @param remaining - time that the request has left when the head arrives
+ * @returns time after the arrival of the head
  */
-export function judgePaceAfter(remaining: Milliseconds): Milliseconds {
-    return remaining * judgedShare;
+export function computePaceCheckDelay(remaining: Milliseconds): Milliseconds {
+    return remaining * paceCheckShare;
 }
 
 /**
- * Tells whether an answer that is not complete when its pace is judged will be complete in time.
+ * Tells whether an answer that is still incomplete at the pace check is expected to complete in time.
  *
  * @param received - bytes of the body that have arrived
- * @param length - bytes of the whole body; undefined if they are not known, as when it goes on until its connection ends
- * @returns true if the rest arrives in time at the pace so far
+ * @param length - length of the body in bytes; undefined if it is unknown, for example if the body ends with its
+ * connection
+ * @returns true if the rest arrives in time at the rate so far
  */
 export function isOnPace(received: number, length: number | undefined): boolean {
-    return length !== undefined && received >= length * judgedShare;
+    return length !== undefined && received >= length * paceCheckShare;
 }
--- a/src/runtime/gateway/backendServers.ts
+++ b/src/runtime/gateway/backendServers.ts
@@ -4,25 +4,26 @@
 import type { ServerNotice } from "./serverNotices.js";
 import { nameWeights } from "./weightNames.js";
 
-/** Backend server that requests may be sent to. */
+/** Backend server of the list, with its routing state. */
 export interface BackendServerRow {
     listed: ListedBackendServer;
     readonly runner: RunnerRow;
-    /** Monotonic time of the newest report of its agent; undefined if none came. */
+    /** Monotonic time of the newest report of its agent; undefined if there is none or it has expired. */
     reportedAt: Milliseconds | undefined;
-    /** Monotonic time at which the entry was removed while the list was not reliable; undefined if it is listed. */
+    /** Monotonic time at which the entry was removed while the list was unreliable; undefined if it is listed. */
     removedAt: Milliseconds | undefined;
 }
 
 /** Options of the membership of backend servers. */
 export interface MembershipOptions {
     /**
-     * Time for which an entry may be missing once the log answers again: entries that lapsed meanwhile come back in it.
+     * Time for which a removed entry is kept after the log has become available again. Backend servers whose entries
+     * expired during the outage write them again within this time.
      */
     readonly returnTime: Milliseconds;
-    /** Age of the list from which on the log counts as away. */
+    /** Age of the list above which the log counts as unavailable. */
     readonly outageAfter: Milliseconds;
-    /** Time after which a report of an agent no longer goes before the list. */
+    /** Age above which a report of an agent no longer takes precedence over the list. */
     readonly reportExpiry: Milliseconds;
 }
 
@@ -41,14 +42,14 @@
     return createTable<string, BackendServerRow>({ service: ({ listed }) => listed.service });
 }
 
-function nameLoaded(weights: LoadedWeights | undefined): string | undefined {
+function nameCompleteWeights(weights: LoadedWeights | undefined): string | undefined {
     return weights?.complete === true ? nameWeights(weights.model, weights.version) : undefined;
 }
 
 function createRow(listed: ListedBackendServer, region: Region, now: Milliseconds): BackendServerRow {
     const { instance, service, slots, state, weights, zone } = listed;
     const runner = Object.assign(createRunnerRow(service, { instance, zone, region }), {
-        manifestDigest: nameLoaded(weights),
+        manifestDigest: nameCompleteWeights(weights),
         phase: "serving",
         draining: state === "draining",
         capacity: slots,
@@ -69,13 +70,13 @@
 }
 
 /**
- * Takes an entry of the list over.
+ * Applies an entry of the list.
  *
  * @param table - table to change
  * @param listed - the entry
  * @param region - region of its availability zone
  * @param now - monotonic time
- * @param options - how long reports go before the list
+ * @param options - how long reports take precedence over the list
  * @returns what changed
  */
 export function applyListed(
@@ -86,8 +87,8 @@
     options: MembershipOptions,
 ): MembershipChange {
     const row = table.get(listed.instance);
-    const isSamePlace = row?.listed.address === listed.address && row.listed.service === listed.service;
-    if (row === undefined || !isSamePlace) {
+    const isSameEndpoint = row?.listed.address === listed.address && row.listed.service === listed.service;
+    if (row === undefined || !isSameEndpoint) {
         table.set(listed.instance, createRow(listed, region, now));
         return "added";
     }
@@ -105,17 +106,17 @@
     row.runner.draining = listed.state === "draining";
     row.runner.capacity = listed.slots;
     if (!isReportFresh(row, now, options)) {
-        row.runner.manifestDigest = nameLoaded(listed.weights);
+        row.runner.manifestDigest = nameCompleteWeights(listed.weights);
         row.runner.phase = "serving";
     }
     return change;
 }
 
 /**
- * Applies what a backend server has said of itself, which goes before what the list says.
+ * Applies what a backend server has announced in its answers, which takes precedence over the list.
  *
  * @param row - row to change
- * @param notice - notice of its lifetime; undefined if it has said nothing
+ * @param notice - notice of its lifetime; undefined if it has announced nothing
  */
 export function applyNotice({ runner }: BackendServerRow, notice: ServerNotice | undefined): void {
     runner.draining ||= notice?.leavingSince !== undefined;
@@ -126,14 +127,14 @@
 }
 
 /**
- * Takes the removal of an entry over. While the list is not reliable, the backend server stays for a time, since entries
- * lapse when the log is away.
+ * Applies the removal of an entry. While the list is unreliable, the backend server is kept for a time, since entries
+ * also expire when the log is unavailable.
  *
  * @param table - table to change
  * @param instance - backend server whose entry was removed
- * @param isReliable - false while the log is away and shortly after
+ * @param isReliable - false while the log is unavailable and shortly afterwards
  * @param now - monotonic time
- * @returns what changed; undefined if the backend server is not known
+ * @returns what changed; undefined if the backend server is unknown
  */
 export function applyRemoved(
     table: BackendServerTable,
@@ -154,12 +155,12 @@
 }
 
 /**
- * Removes the backend servers whose entries did not come back in time.
+ * Removes the backend servers whose entries were not written again in time.
  *
  * @param table - table to change
- * @param currentSince - monotonic time since which the list has been current; undefined while the log is away
+ * @param currentSince - monotonic time since which the list has been current; undefined while the log is unavailable
  * @param now - monotonic time
- * @param options - time in which entries come back
+ * @param options - time within which entries are written again
  * @returns the removed backend servers
  */
 export function expireRemoved(
@@ -179,27 +180,27 @@
 }
 
 /**
- * Takes a report of the agent beside a backend server over.
+ * Applies a report of the agent that runs beside a backend server.
  *
  * @param row - row to change
  * @param report - load and weights
- * @param now - monotonic time at which it arrived
+ * @param now - monotonic time at which the report arrived
  */
 export function applyAgentReport(row: BackendServerRow, report: RunnerLoadReport, now: Milliseconds): void {
     const { capacity, draining } = row.runner;
     applyLoadReport(row.runner, report, now);
     row.reportedAt = now;
-    // An agent knows its backend server's load and weights; whether it leaves, the list says first.
+    // The agent knows load and weights best, but the list is the first to show that a backend server is draining.
     row.runner.draining = draining || report.draining;
     row.runner.capacity = report.capacity > 0 ? report.capacity : capacity;
 }
 
 /**
- * Falls back to what the list says of backend servers whose agents have fallen silent.
+ * Falls back to the list for backend servers whose agents have stopped reporting.
  *
  * @param table - table to change
  * @param now - monotonic time
- * @param options - time after which a report no longer counts
+ * @param options - age at which a report expires
  * @returns backend servers whose reports expired
  */
 export function expireReports(
@@ -211,7 +212,7 @@
     for (const row of table.rows()) {
         if (row.reportedAt !== undefined && !isReportFresh(row, now, options)) {
             row.reportedAt = undefined;
-            row.runner.manifestDigest = nameLoaded(row.listed.weights);
+            row.runner.manifestDigest = nameCompleteWeights(row.listed.weights);
             row.runner.phase = "serving";
             expired.push(row.listed.instance);
         }
--- a/src/runtime/gateway/declaredVersions.ts
+++ b/src/runtime/gateway/declaredVersions.ts
@@ -1,47 +1,47 @@
 import type { DeclaredVersion, Milliseconds } from "../../types/index.js";
 
-/** Options of the change from one version of weights to the next. */
+/** Options of the switch from one version of the weights to the next. */
 export interface VersionOptions {
-    /** Time after a version was declared from which on no request is sent to an older one. */
+    /** Time after the declaration of a version from which on older versions receive no requests. */
     readonly cutoverAfter: Milliseconds;
     /**
-     * Age assumed for a version that was already declared when this process started, since the record does not tell
-     * when it was written.
+     * Age assumed for a version that was already declared when this process started, since its record has no time of
+     * writing.
      */
     readonly assumedAge: Milliseconds;
-    /** Time after a declaration by which an answer of an older version must have begun. */
+    /** Time after the declaration of a version within which an answer of an older version must have begun. */
     readonly abandonAfter: Milliseconds;
 }
 
-/** Version with the time at which it was declared, as far as this process knows. */
+/** Version with the estimated monotonic time of its declaration. */
 interface KnownVersion {
     readonly version: number;
     readonly declaredAt: Milliseconds;
 }
 
-/** Versions of each model, newest first; those before the newest one that is due are left out. */
+/** Versions by model, newest first. Versions older than the newest one whose cutover time has passed are left out. */
 export type VersionTable = Map<string, readonly KnownVersion[]>;
 
-/** Versions that may answer. */
+/** Versions of a model that may answer requests. */
 export interface AllowedVersions {
     /** Newest declared version; undefined if none was declared. */
     readonly newest: number | undefined;
-    /** Oldest version that may still answer. */
+    /** Oldest version that may still answer; 0 if any may. */
     readonly oldest: number;
     /** Monotonic time at which the newest version was declared. */
     readonly declaredAt: Milliseconds | undefined;
 }
 
-/** Version that backend servers hold before any is declared. */
+/** Version that backend servers hold before one is declared. */
 export const initialVersion = 1;
 
 /**
- * Takes a declared version over. A version that is not newer than the known ones changes nothing.
+ * Records a declared version. A version that is not newer than the known ones is ignored.
  *
  * @param table - table to change
  * @param declared - model and version
- * @param declaredAt - monotonic time at which it was declared
- * @param options - time of the change
+ * @param declaredAt - monotonic time of the declaration
+ * @param options - times of the switch
  * @returns true if the version is new
  */
 export function recordDeclaredVersion(
@@ -61,12 +61,12 @@
 }
 
 /**
- * Reads which versions of a model may answer.
+ * Determines which versions of a model may answer.
  *
  * @param table - declared versions
  * @param model - the model
  * @param now - monotonic time
- * @param options - time of the change
+ * @param options - times of the switch
  * @returns the newest version and the oldest one that may still answer
  */
 export function readAllowedVersions(
@@ -85,15 +85,15 @@
 }
 
 /**
- * Reads by when an answer of a version must have begun.
+ * Determines when the head of an answer of a version must have arrived.
  *
  * @param table - declared versions
  * @param model - the model
  * @param version - version that a backend server holds
- * @param options - time of the change
- * @returns monotonic time; undefined if no newer version is known
+ * @param options - times of the switch
+ * @returns monotonic time of the deadline; undefined if no newer version is known
  */
-export function readBeginLimit(
+export function readHeadDeadline(
     table: VersionTable,
     model: string,
     version: number,
--- a/src/runtime/gateway/demand.ts
+++ b/src/runtime/gateway/demand.ts
@@ -1,56 +1,56 @@
 import type { Milliseconds } from "../../types/index.js";
 
-/** Time in which the weight of an arrival halves. */
+/** Half-life of the weight of an arrival. */
 const halfLife: Milliseconds = 1_000;
 
-/** Newest arrivals of requests for a service; created by {@link createArrivals}. */
+/** Exponentially decaying count of the requests for a service; created by {@link createArrivals}. */
 export interface Arrivals {
-    /** Number of arrivals, each with a weight that halves in the course of time. */
+    /** Sum of the weights of all arrivals; the weight of each begins at 1 and decays. */
     weighted: number;
-    /** Monotonic time to which the weights refer. */
+    /** Monotonic time at which the sum was computed. */
     updatedAt: Milliseconds;
 }
 
-/** How busy a gateway is with a service. */
+/** Demand for a service at a gateway. */
 export interface ServiceDemand {
-    /** Requests for the service that have lately come in a millisecond. */
+    /** Recent arrival rate in requests per millisecond. */
     readonly arrivalRate: number;
-    /** Mean time for which a request has its place. */
+    /** Mean time for which a request is in progress. */
     readonly serviceTime: Milliseconds;
 }
 
 /**
- * Creates the arrivals of a service that has had no request yet.
+ * Creates the count for a service that has had no requests yet.
  *
  * @param now - monotonic time
- * @returns the arrivals
+ * @returns the count, 0
  */
 export function createArrivals(now: Milliseconds): Arrivals {
     return { weighted: 0, updatedAt: now };
 }
 
-function weigh(arrivals: Arrivals, now: Milliseconds): number {
+function decayCount(arrivals: Arrivals, now: Milliseconds): number {
     return arrivals.weighted * 2 ** (-Math.max(0, now - arrivals.updatedAt) / halfLife);
 }
 
 /**
- * Adds a request.
+ * Counts the arrival of a request.
  *
- * @param arrivals - arrivals to change
+ * @param arrivals - count to change
  * @param now - monotonic time
  */
 export function recordArrival(arrivals: Arrivals, now: Milliseconds): void {
-    arrivals.weighted = weigh(arrivals, now) + 1;
+    arrivals.weighted = decayCount(arrivals, now) + 1;
     arrivals.updatedAt = now;
 }
 
 /**
- * Computes how many requests have lately come in a millisecond.
+ * Computes the recent arrival rate of requests.
  *
- * @param arrivals - the arrivals
+ * @param arrivals - the count
  * @param now - monotonic time
- * @returns requests a millisecond, of which half have come within the half-life
+ * @returns exponentially weighted rate in requests per millisecond
  */
 export function readArrivalRate(arrivals: Arrivals, now: Milliseconds): number {
-    return weigh(arrivals, now) * Math.LN2 / halfLife;
+    return decayCount(arrivals, now) * Math.LN2 / halfLife;
 }
--- a/src/runtime/gateway/lifetime.ts
+++ b/src/runtime/gateway/lifetime.ts
@@ -1,10 +1,11 @@
 import type { ListedBackendServer } from "../../types/index.js";
 
 /**
- * Names a lifetime of a backend server, which may start again under the same instance.
+ * Names the lifetime of a backend server: the time from one start of its process to the end. A backend server may
+ * restart under the same instance, which begins another lifetime.
  *
- * @param server - the backend server as it is listed
- * @returns the same text for the same start
+ * @param server - entry of the backend server
+ * @returns identifier of the lifetime
  */
 export function nameLifetime({ instance, startedAt }: Pick<ListedBackendServer, "instance" | "startedAt">): string {
     return `${instance}/${startedAt ?? ""}`;
--- a/src/runtime/gateway/patience.ts
+++ b/src/runtime/gateway/patience.ts
@@ -1,18 +1,23 @@
 import type { Milliseconds } from "../../types/index.js";
 
-/** Newest requests of a route whose patience is kept; enough to tell its usual value from that of callers who return. */
+/**
+ * Number of the newest requests of a route whose patience is kept; enough to tell the typical value from that of
+ * callers who retry.
+ */
 const keptRequests = 64;
-/** Share of the requests that are less patient than the usual one; callers who return are hardly ever three in four. */
-const usualQuantile = 0.75;
-/** Routes of which patience is kept; the one that was added first is forgotten. */
+/** Quantile that is taken as the typical patience; callers who retry are hardly ever three in four. */
+const typicalQuantile = 0.75;
+/** Maximum number of routes in the table; the one that was added first is evicted. */
 const keptRoutes = 4_096;
 
+/** Ring buffer of the patience of the newest requests. */
 interface RoutePatience {
     readonly newest: Milliseconds[];
+    /** Index of the next value to be replaced. */
     next: number;
 }
 
-/** Patience of the newest callers, by route. */
+/** Patience of recent callers by route: the time for which each stated that it will wait for its answer. */
 export interface PatienceTable {
     readonly routes: Map<string, RoutePatience>;
 }
@@ -26,7 +31,7 @@
     return { routes: new Map() };
 }
 
-function findRoute(table: PatienceTable, route: string): RoutePatience {
+function findOrCreateRoute(table: PatienceTable, route: string): RoutePatience {
     const known = table.routes.get(route);
     if (known !== undefined) {
         return known;
@@ -43,19 +48,19 @@
 }
 
 /**
- * Estimates for how long a caller has waited before this attempt, from the time that it will still wait: the callers of
- * a route are usually equally patient, and one that was refused elsewhere has less time left when it returns.
+ * Estimates how long a caller has already waited before this attempt. The callers of a route usually start with the
+ * same timeout, and one that was refused elsewhere has less time left when it retries.
  *
  * @param table - table to which the caller is added
  * @param route - name of the route
- * @param patience - time that the caller will still wait
- * @returns time since the caller's first attempt; 0 if it is as patient as usual
+ * @param patience - time for which the caller will still wait
+ * @returns time since the caller's first attempt; 0 if its patience is typical or longer
  */
 export function estimateWaited(table: PatienceTable, route: string, patience: Milliseconds): Milliseconds {
-    const row = findRoute(table, route);
+    const row = findOrCreateRoute(table, route);
     row.newest[row.next] = patience;
     row.next = (row.next + 1) % keptRequests;
     const sorted = [...row.newest].sort((left, right) => left - right);
-    const usual = sorted[Math.floor((sorted.length - 1) * usualQuantile)]!;
-    return Math.max(0, usual - patience);
+    const typical = sorted[Math.floor((sorted.length - 1) * typicalQuantile)]!;
+    return Math.max(0, typical - patience);
 }
--- a/src/runtime/gateway/requestFingerprint.ts
+++ b/src/runtime/gateway/requestFingerprint.ts
@@ -1,7 +1,7 @@
 import type { ClientAccount, Fingerprint } from "../../types/index.js";
 import { computeDigest } from "../../utils/index.js";
 
-/** Content by which requests of a caller are the same, whatever their identifiers and deadlines. */
+/** Content that identifies equal requests of a client account, regardless of request identifiers and deadlines. */
 export interface RequestContent {
     readonly method: string;
     /** Path with query. */
@@ -10,13 +10,13 @@
     readonly body: Uint8Array;
 }
 
-/** Hexadecimal digits of a fingerprint: 128 bits, so that no two requests share one by chance. */
+/** Hexadecimal digits of a fingerprint: 128 bits, which makes accidental collisions negligible. */
 const fingerprintDigits = 32;
 
 /**
  * Computes the fingerprint of a request.
  *
- * @param content - what a backend server runs
+ * @param content - content of the request
  * @returns lower-case hexadecimal digest; it does not reveal the content
  */
 export function computeFingerprint({ account, body, method, path }: RequestContent): Fingerprint {
--- a/src/runtime/gateway/routeTable.ts
+++ b/src/runtime/gateway/routeTable.ts
@@ -1,7 +1,7 @@
 import type { AccountRow, ClientAccount, GatewayConfiguration, RouteRow, ServiceRow } from "../../types/index.js";
 import { scoreRendezvous } from "../../utils/index.js";
 
-/** Configuration with the indexes that requests are looked up by. */
+/** Configuration with the indexes that serve to find the route and the account of a request. */
 export interface RouteTable {
     readonly configuration: GatewayConfiguration;
     /** Routes of each host, longest prefix first. */
@@ -10,7 +10,7 @@
     readonly services: ReadonlyMap<string, ServiceRow>;
 }
 
-/** What a request is looked up by. */
+/** Properties of a request that determine its route and account. */
 export interface RouteQuery {
     /** Value of the `host` header; undefined if the request has none. */
     readonly host: string | undefined;
@@ -30,7 +30,7 @@
     | { readonly kind: "no-route"; }
     | { readonly kind: "unknown-key"; };
 
-/** Account name under which requests without an account are counted. */
+/** Account name for requests without an account. */
 export const anonymousAccount: ClientAccount = "anonymous";
 
 /**
@@ -67,7 +67,7 @@
  *
  * @param table - indexed configuration
  * @param query - host, path and key
- * @returns route and account, or why the request is not allowed
+ * @returns route and account, or the reason why the request is not allowed
  */
 export function resolveRoute(table: RouteTable, query: RouteQuery): RouteResolution {
     const routes = table.routesByHost.get(normalizeHost(query.host ?? "")) ?? [];
@@ -84,8 +84,8 @@
 }
 
 /**
- * Chooses the service of a request by the weights of its route. The same request finds the same service at every
- * gateway.
+ * Chooses the service of a request by the weights of its route. All gateways choose the same service for the same
+ * request.
  *
  * @param route - route of the request
  * @param requestId - identifier of the request
--- a/src/runtime/gateway/serverNotices.ts
+++ b/src/runtime/gateway/serverNotices.ts
@@ -1,26 +1,26 @@
 import type { Milliseconds } from "../../types/index.js";
 
-/** What a backend server has said of itself in its answers. It holds for one lifetime. */
+/** What a backend server has announced in its answers. A notice applies to one lifetime of the backend server. */
 export interface ServerNotice {
-    /** Monotonic time at which it first said that it leaves; undefined if it did not. */
+    /** Monotonic time at which it first announced that it is shutting down; undefined if it did not. */
     leavingSince: Milliseconds | undefined;
-    /** Monotonic time until which it wants no requests of this gateway; in the past if it has not said so. */
+    /** Monotonic time until which it asks this gateway to send no requests; in the past if it does not ask so. */
     pausedUntil: Milliseconds;
-    /** Monotonic time at which it was heard last. */
+    /** Monotonic time at which the lifetime was last listed or mentioned. */
     heardAt: Milliseconds;
 }
 
-/** Notices by lifetime of the backend server, the one heard last at the end. */
+/** Notices by lifetime of the backend server, the most recently mentioned one last. */
 export type ServerNoticeTable = Map<string, ServerNotice>;
 
-/** Backend server that leaves, as gateways tell each other. */
+/** Notice that a backend server is shutting down, as gateways exchange it. */
 export interface SharedLeaving {
     readonly lifetime: string;
-    /** Time since it first said so. */
+    /** Time since the backend server first announced it. */
     readonly age: Milliseconds;
 }
 
-/** Most lifetimes that are remembered; those that were heard of the longest time ago are forgotten first. */
+/** Maximum number of notices; the least recently mentioned ones are evicted first. */
 const maximumNotices = 10_000;
 
 function touch(table: ServerNoticeTable, lifetime: string, now: Milliseconds): ServerNotice {
@@ -35,13 +35,13 @@
 }
 
 /**
- * Records that a backend server leaves.
+ * Records that a backend server is shutting down.
  *
  * @param table - table to change
  * @param lifetime - lifetime of the backend server
- * @param age - time since it said so
+ * @param age - time since the announcement
  * @param now - monotonic time
- * @returns true if that was not known
+ * @returns true if this was not known before
  */
 export function recordLeaving(
     table: ServerNoticeTable,
@@ -56,13 +56,13 @@
 }
 
 /**
- * Records that a backend server wants no requests for a while.
+ * Records that a backend server asks for no requests for a while.
  *
  * @param table - table to change
  * @param lifetime - lifetime of the backend server
- * @param duration - time for which it wants none
+ * @param duration - length of the pause
  * @param now - monotonic time
- * @returns true if it did not pause already
+ * @returns true if the backend server was not paused already
  */
 export function recordPause(
     table: ServerNoticeTable,
@@ -77,11 +77,11 @@
 }
 
 /**
- * Lists the backend servers that leave.
+ * Lists the backend servers that are shutting down.
  *
  * @param table - notices
  * @param now - monotonic time
- * @returns what other gateways are to know
+ * @returns notices to share with other gateways
  */
 export function listLeaving(table: ServerNoticeTable, now: Milliseconds): readonly SharedLeaving[] {
     return [...table].flatMap(([lifetime, { leavingSince }]) =>
@@ -90,12 +90,12 @@
 }
 
 /**
- * Forgets the notices of lifetimes that have ended. A lifetime that is no longer listed may come back, so it is
- * remembered for a while.
+ * Removes the notices of lifetimes that have ended. An entry that is gone from the list may reappear, so its notice is
+ * kept for a while.
  *
  * @param table - table to change
  * @param isListed - tells whether a lifetime is listed
- * @param memory - time for which a lifetime is remembered after it was listed or heard of last
+ * @param memory - time for which a notice is kept after its lifetime was last listed or mentioned
  * @param now - monotonic time
  */
 export function expireNotices(
--- a/src/runtime/gateway/weightNames.ts
+++ b/src/runtime/gateway/weightNames.ts
@@ -1,4 +1,4 @@
-/** Model and version that the identifier of a weight set stands for. */
+/** Model and version of a weight set. */
 export interface WeightName {
     readonly model: string;
     readonly version: number;
@@ -7,11 +7,11 @@
 const separator = "@";
 
 /**
- * Names the weights of a version, as routing and transfers compare them.
+ * Creates the identifier of the weight set of a version, which routing and transfers compare.
  *
  * @param model - name of the model
- * @param version - its version
- * @returns identifier of the set
+ * @param version - version of the weights
+ * @returns identifier of the weight set
  */
 export function nameWeights(model: string, version: number): string {
     return `${model}${separator}${version}`;
@@ -20,7 +20,7 @@
 /**
  * Splits the identifier of a weight set.
  *
- * @param set - identifier as {@link nameWeights} makes it
+ * @param set - identifier created by {@link nameWeights}
  * @returns model and version
  */
 export function splitWeights(set: string): WeightName {
--- a/test/runtime/gateway/answerPace.test.ts
+++ b/test/runtime/gateway/answerPace.test.ts
@@ -1,10 +1,10 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { isOnPace, judgePaceAfter } from "../../../src/runtime/gateway/index.js";
+import { computePaceCheckDelay, isOnPace } from "../../../src/runtime/gateway/index.js";
 
 describe("pace of an answer", () => {
-    it("is judged when half of the time that was left at its head is over", () => {
-        expect(judgePaceAfter(1_200)).toEqual(600);
+    it("is checked after half of the time that remained when the head arrived", () => {
+        expect(computePaceCheckDelay(1_200)).toEqual(600);
     });
 
     it("suffices if half of a body of known length has arrived by then", () => {
@@ -12,7 +12,7 @@
         expect(isOnPace(499, 1_000)).toEqual(false);
     });
 
-    it("never suffices for a body that may go on without end", () => {
+    it("never suffices for a body of unknown length", () => {
         expect(isOnPace(1_000_000, undefined)).toEqual(false);
     });
 });
--- a/test/runtime/gateway/backendServers.test.ts
+++ b/test/runtime/gateway/backendServers.test.ts
@@ -29,7 +29,7 @@
         expect(table.size).toEqual(0);
     });
 
-    it("keeps an entry that lapsed during an outage until it had time to come back", () => {
+    it("keeps an entry that expired during an outage until there was time to write it again", () => {
         const table = createBackendServerTable();
         applyListed(table, createListed(), "south", 0, options);
         applyListed(table, createListed({ instance: "i-2", address: "10.0.0.2:8000" }), "south", 0, options);
@@ -42,7 +42,7 @@
         expect([...table.keys()]).toEqual(["i-2"]);
     });
 
-    it("forgets load and ejection of a backend server that started again under its id", () => {
+    it("resets load and ejection of a backend server that restarted under the same instance", () => {
         const table = createBackendServerTable();
         applyListed(table, createListed(), "south", 0, options);
         const { runner } = table.get("i-1")!;
@@ -52,7 +52,7 @@
         expect([runner.reportedLoad, runner.ejectedUntil]).toEqual([0, 0]);
     });
 
-    it("makes a new row for an address that serves another service now", () => {
+    it("creates a new row when an address now serves another service", () => {
         const table = createBackendServerTable();
         applyListed(table, createListed(), "south", 0, options);
         const before = table.get("i-1")!.runner;
@@ -61,7 +61,7 @@
         expect([...table.lookup("service", "archive")]).toEqual([]);
     });
 
-    it("believes a fresh report of the agent rather than the list, and the list once reports stop", () => {
+    it("prefers a fresh report of the agent to the list, and returns to the list once reports stop", () => {
         const table = createBackendServerTable();
         applyListed(table, createListed({ weights }), "south", 0, options);
         const row = table.get("i-1")!;
@@ -82,7 +82,7 @@
         expect(row.runner.manifestDigest).toEqual("quill@1");
     });
 
-    it("does not let a report bring a draining backend server back", () => {
+    it("keeps a backend server draining when a report says otherwise", () => {
         const table = createBackendServerTable();
         applyListed(table, createListed({ state: "draining" }), "south", 0, options);
         const row = table.get("i-1")!;
@@ -100,7 +100,7 @@
     });
 });
 
-describe("capacity of a gateway", () => {
+describe("places of a gateway", () => {
     const capacityOptions = { queuedPerServer: 1, loadHalfLife: 1_000 };
     const measure = (load: number, outstanding: number, gateways: number, reportedAt = 0, isFollowed = false) => {
         const table = createBackendServerTable();
@@ -112,18 +112,18 @@
         return computePlaceShare({ runners, gateways, demand, draw: 1, now: 0, options: capacityOptions }).places;
     };
 
-    it("is what the gateway has and its share of the free places", () => {
+    it("are its requests in progress plus its share of the free places", () => {
         expect(measure(0, 0, 1)).toEqual(5);
         expect(measure(0, 2, 1)).toEqual(5);
         expect(measure(1, 0, 3)).toEqual(1);
         expect(measure(5, 0, 3)).toEqual(0);
     });
 
-    it("trusts the last report of an agent, which reports each change", () => {
+    it("follow the last report of an agent whatever its age, since agents report each change", () => {
         expect(measure(5, 0, 1, -1_000, true)).toEqual(0);
     });
 
-    it("does not stay closed on an old report", () => {
+    it("do not stay at 0 because of an old load that an answer stated", () => {
         expect(measure(5, 0, 1, -100_000)).toEqual(5);
     });
 });
--- a/test/runtime/gateway/declaredVersions.test.ts
+++ b/test/runtime/gateway/declaredVersions.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import {
     readAllowedVersions,
-    readBeginLimit,
+    readHeadDeadline,
     recordDeclaredVersion,
     type VersionTable,
 } from "../../../src/runtime/gateway/index.js";
@@ -10,18 +10,18 @@
 const options = { cutoverAfter: 7_000, assumedAge: 4_000, abandonAfter: 7_600 };
 
 describe("versions that may answer", () => {
-    it("are all until one is declared", () => {
+    it("are all versions until one is declared", () => {
         expect(readAllowedVersions(new Map(), "quill", 0, options).oldest).toEqual(0);
     });
 
-    it("keep the older one until the newer one is due", () => {
+    it("include the older one until the cutover time of the newer one", () => {
         const table: VersionTable = new Map();
         recordDeclaredVersion(table, { model: "quill", version: 2 }, 1_000, options);
         expect(readAllowedVersions(table, "quill", 7_999, options).oldest).toEqual(0);
         expect(readAllowedVersions(table, "quill", 8_000, options).oldest).toEqual(2);
     });
 
-    it("judge each of two quick declarations by its own time", () => {
+    it("follow the time of each declaration when two come in quick succession", () => {
         const table: VersionTable = new Map();
         recordDeclaredVersion(table, { model: "quill", version: 2 }, 1_000, options);
         recordDeclaredVersion(table, { model: "quill", version: 3 }, 3_000, options);
@@ -33,16 +33,16 @@
         expect(readAllowedVersions(table, "quill", 10_000, options).oldest).toEqual(3);
     });
 
-    it("limit the time in which an older one may begin to answer, by the oldest declaration after it", () => {
+    it("must have begun to answer within a time that counts from the oldest later declaration", () => {
         const table: VersionTable = new Map();
         recordDeclaredVersion(table, { model: "quill", version: 2 }, 1_000, options);
         recordDeclaredVersion(table, { model: "quill", version: 3 }, 3_000, options);
-        expect(readBeginLimit(table, "quill", 1, options)).toEqual(8_600);
-        expect(readBeginLimit(table, "quill", 2, options)).toEqual(10_600);
-        expect(readBeginLimit(table, "quill", 3, options)).toEqual(undefined);
+        expect(readHeadDeadline(table, "quill", 1, options)).toEqual(8_600);
+        expect(readHeadDeadline(table, "quill", 2, options)).toEqual(10_600);
+        expect(readHeadDeadline(table, "quill", 3, options)).toEqual(undefined);
     });
 
-    it("never go back to an older declaration", () => {
+    it("do not change when an older version is declared", () => {
         const table: VersionTable = new Map();
         expect(recordDeclaredVersion(table, { model: "quill", version: 3 }, 0, options)).toEqual(true);
         expect(recordDeclaredVersion(table, { model: "quill", version: 2 }, 9_000, options)).toEqual(false);
--- a/test/runtime/gateway/patience.test.ts
+++ b/test/runtime/gateway/patience.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import { createPatienceTable, estimateWaited } from "../../../src/runtime/gateway/index.js";
 
-describe("time that a caller has waited before", () => {
-    it("is nothing for callers that are as patient as usual", () => {
+describe("estimated time that a caller has already waited", () => {
+    it("is close to 0 for callers with the typical patience", () => {
         const table = createPatienceTable();
         expect([6_000, 6_001, 5_999, 6_000].map(patience => estimateWaited(table, "a", patience) > 10)).toEqual([
             false,
@@ -13,7 +13,7 @@
         ]);
     });
 
-    it("is what a caller who returns has less than the others", () => {
+    it("is the difference between the typical patience and that of a caller who retries", () => {
         const table = createPatienceTable();
         for (let index = 0; index < 20; index++) {
             estimateWaited(table, "a", 6_000);
@@ -22,7 +22,7 @@
         expect(estimateWaited(table, "a", 6_000)).toEqual(0);
     });
 
-    it("is known while most callers return, up to three in four", () => {
+    it("is known even if up to three in four callers retry", () => {
         const table = createPatienceTable();
         for (let index = 0; index < 200; index++) {
             estimateWaited(table, "a", index % 3 === 0 ? 6_000 : 4_000);
@@ -30,7 +30,7 @@
         expect(estimateWaited(table, "a", 4_000)).toEqual(2_000);
     });
 
-    it("follows callers that become less patient, and keeps routes apart", () => {
+    it("adapts when callers become less patient, and keeps routes separate", () => {
         const table = createPatienceTable();
         for (let index = 0; index < 64; index++) {
             estimateWaited(table, "a", 6_000);
--- a/test/runtime/gateway/pausedServers.test.ts
+++ b/test/runtime/gateway/pausedServers.test.ts
@@ -20,15 +20,15 @@
 const options = { returnTime: 2_000, outageAfter: 1_600, reportExpiry: 1_500 };
 
 describe("pause of a backend server", () => {
-    it("lasts as long as the longest of several refusals asks for", () => {
+    it("lasts as long as the longest pause that several refusals ask for", () => {
         const table: ServerNoticeTable = new Map();
         const isNew = [recordPause(table, "i-1/1", 2_000, 0), recordPause(table, "i-1/1", 500, 100)];
         expect(isNew).toEqual([true, false]);
         expect(table.get("i-1/1")!.pausedUntil).toEqual(2_000);
     });
 
-    // Guards against a pause that a change of the entry ends, and one that outlives the backend server.
-    it("outlasts changes of the entry and ends with the lifetime", () => {
+    // Guards against a pause that ends with a change of the entry, and one that still applies after a restart.
+    it("survives changes of the entry and ends with the lifetime", () => {
         const notices: ServerNoticeTable = new Map();
         const table = createBackendServerTable();
         applyListed(table, createListed(), "south", 0, options);
@@ -42,15 +42,15 @@
     });
 });
 
-describe("refusal while every backend server pauses", () => {
+describe("refusal while every backend server is paused", () => {
     const admission = resolveAdmissionOptions({
         maximumInProgress: 1,
         maximumRetryAfterSeconds: 2,
         retryAfterStepSeconds: 0.05,
     });
 
-    // Guards against callers who return before a backend server takes requests, or all at the same time.
-    it("names times after the end of the pause, each a different one", () => {
+    // Guards against callers who retry before a backend server accepts requests, or all at the same time.
+    it("spreads the retry times over the time after the end of the pause", () => {
         const table = createAdmissionTable(admission);
         const times = Array.from({ length: 20 }, () => refuseUntil(table, createRequest(), 30_000, 1_000))
             .map(({ retryAfterSeconds }) => retryAfterSeconds);
@@ -58,7 +58,7 @@
         expect(new Set(times).size > 5).toEqual(true);
     });
 
-    it("ends the wait of all queued requests", () => {
+    it("is sent to all queued requests", () => {
         const table = createAdmissionTable(admission);
         const queued = [1, 2, 3].map(() => createRequest({ deadline: 60_000 }));
         queued.forEach(request => offerRequest(table, request, 0));
--- a/test/runtime/gateway/placeShare.test.ts
+++ b/test/runtime/gateway/placeShare.test.ts
@@ -8,12 +8,12 @@
     type ServiceDemand,
 } from "../../../src/runtime/gateway/index.js";
 import { createRunnerRow } from "../../../src/runtime/routing/index.js";
-import { playPlainService } from "./plainService.js";
+import { simulatePlainService } from "./plainService.js";
 
 const busy: ServiceDemand = { arrivalRate: 0.1, serviceTime: 1_000 };
 const hardlyBusy: ServiceDemand = { arrivalRate: 0.001, serviceTime: 40 };
 
-/** Share in a service of one backend server with 6 slots. */
+/** Computes the share of a gateway in a service that has one backend server with 6 slots. */
 function share(gateways: number, demand: ServiceDemand, draw: number, taken: { own?: number; others?: number; } = {}) {
     const runner = Object.assign(createRunnerRow("archive", { instance: "i-1", zone: "zone-a", region: "south" }), {
         capacity: 6,
@@ -31,13 +31,13 @@
 }
 
 describe("share of a gateway in the places of a service", () => {
-    it("is a place for a gateway that is hardly busy, though there are more gateways than places", () => {
+    it("is at least one place for a gateway with little demand, even if there are more gateways than places", () => {
         for (const gateways of [7, 13, 360]) {
             expect(share(gateways, hardlyBusy, 0.99).places).toBeGreaterThanOrEqual(1);
         }
     });
 
-    it("adds up to the free places over gateways that are all busy and have nothing in progress", () => {
+    it("adds up to the free places over busy gateways that have no requests in progress", () => {
         const gateways = 24;
         const draws = Array.from({ length: gateways }, (...[, index]) => index / gateways);
         const sum = (others: number) =>
@@ -49,17 +49,17 @@
         expect(share(13, busy, 0, { own: 2 }).places).toEqual(2);
     });
 
-    // Guards against an idle backend server that gets no request while streams go on at one that leaves.
-    it("does not count requests at backend servers that take no further ones", () => {
+    // Guards against an idle backend server that gets no requests while streams are still running at a draining one.
+    it("does not count requests at backend servers that accept no further ones", () => {
         const runner = Object.assign(createRunnerRow("archive", { instance: "i-1", zone: "zone-a", region: "south" }), {
             capacity: 4,
         });
         const options = { queuedPerServer: 0, loadHalfLife: 1_000 };
         const input = { runners: [{ runner, isFollowed: true }], gateways: 1, demand: busy, draw: 1, now: 0, options };
-        expect(computePlaceShare({ ...input, elsewhere: 5 }).places).toEqual(5 + 4);
+        expect(computePlaceShare({ ...input, inProgressElsewhere: 5 }).places).toEqual(5 + 4);
     });
 
-    it("names what it follows from", () => {
+    it("comes with the values that it was computed from", () => {
         expect(share(13, busy, 1, { own: 1, others: 2 })).toEqual({
             places: 1,
             own: 1,
@@ -70,8 +70,8 @@
     });
 });
 
-describe("arrivals at a gateway", () => {
-    it("follow a change of the rate within seconds", () => {
+describe("arrival rate at a gateway", () => {
+    it("follows a change within seconds", () => {
         const arrivals = createArrivals(0);
         for (let now = 0; now < 10_000; now += 10) {
             recordArrival(arrivals, now);
@@ -81,22 +81,27 @@
     });
 });
 
-describe("plain service before many gateways", () => {
+describe("plain service behind many gateways", () => {
     const light = { servers: 3, slots: 6, requestsPerSecond: 40, target: 200 };
 
-    // Guards against requests that are refused, or wait, at every gateway while most places are free.
+    // Guards against requests that are refused or queued at every gateway while most places are free.
     for (const [gateways, servers] of [[13, 3], [13, 2], [13, 1], [20, 3], [100, 3], [360, 3]] as const) {
-        it(`answers in time with ${servers} backend servers and ${gateways} gateways while it is calm`, () => {
-            const { inTimeShare, worstGatewayShare } = playPlainService({ ...light, gateways, servers, seed: 1 });
+        it(`answers in time with ${servers} backend servers and ${gateways} gateways under light load`, () => {
+            const { inTimeShare, worstGatewayShare } = simulatePlainService({ ...light, gateways, servers, seed: 1 });
             expect(inTimeShare).toBeGreaterThan(0.97);
             expect(gateways > 20 || worstGatewayShare > 0.9).toEqual(true);
         });
     }
 
-    // Guards against places that stay free while callers are refused.
+    // Guards against places that stay free while requests are refused.
     for (const gateways of [13, 100, 360]) {
-        it(`is in use nearly whole with ${gateways} gateways while twice as many requests come as it can answer`, () => {
-            const { shedShare, usedShare } = playPlainService({ ...light, gateways, requestsPerSecond: 800, seed: 1 });
+        it(`is almost fully used with ${gateways} gateways at twice the load that it can answer`, () => {
+            const { shedShare, usedShare } = simulatePlainService({
+                ...light,
+                gateways,
+                requestsPerSecond: 800,
+                seed: 1,
+            });
             expect(usedShare).toBeGreaterThan(0.8);
             expect(shedShare).toBeLessThan(0.1);
         });
--- a/test/runtime/gateway/plainService.ts
+++ b/test/runtime/gateway/plainService.ts
@@ -25,21 +25,21 @@
 import { createSeededRandom } from "../../../src/utils/index.js";
 import { createRequest } from "../admission/requests.js";
 
-/** Load of a plain service. */
+/** Simulated load of a plain service, which is a service without an engine. */
 export interface PlainServiceLoad {
     readonly gateways: number;
     readonly servers: number;
     readonly slots: number;
     readonly requestsPerSecond: number;
-    /** Milliseconds within which an answer is on time. */
+    /** Target latency in milliseconds; an answer within it is in time. */
     readonly target: number;
     readonly seed: number;
 }
 
-/** What callers got. */
+/** Results of the simulation. */
 export interface PlainServiceResult {
     readonly inTimeShare: number;
-    /** Smallest share of the requests of one gateway that were answered. */
+    /** Answered share of the requests, at the gateway where it is smallest. */
     readonly worstGatewayShare: number;
     /** Share of the slots that were in use. */
     readonly usedShare: number;
@@ -61,15 +61,15 @@
     readonly queue: (() => void)[];
 }
 
-const playedTime = 20_000;
-const meanWork = 43;
+const simulatedTime = 20_000;
+const meanServiceTime = 43;
 const serverQueue = 24;
 const tickInterval = 100;
 const drawInterval = 250;
 const loadHalfLife = 1_000;
 
-/** Plays the decisions of gateways whose only news of the load are the answers of the backend servers. */
-export function playPlainService(load: PlainServiceLoad): PlainServiceResult {
+/** Simulates the decisions of gateways that learn the load only from the answers of the backend servers. */
+export function simulatePlainService(load: PlainServiceLoad): PlainServiceResult {
     const random = createSeededRandom(load.seed);
     const routing = resolveRoutingOptions({ comparedCandidates: 6, reportExpiry: Infinity });
     const servers: Server[] = Array.from({ length: load.servers }, () => ({ running: 0, queue: [] }));
@@ -92,7 +92,7 @@
     const counts = { sent: 0, inTime: 0, shed: 0, used: 0 };
     let now = 0;
 
-    function adapt(gateway: Gateway): void {
+    function updateCapacity(gateway: Gateway): void {
         const { places } = computePlaceShare({
             runners: gateway.runners.map(runner => ({ runner, isFollowed: false })),
             gateways: load.gateways,
@@ -113,7 +113,7 @@
 
     function run(server: Server, finish: () => void): void {
         server.running++;
-        finishes.push({ at: now - Math.log(1 - random.next()) * meanWork, finish });
+        finishes.push({ at: now - Math.log(1 - random.next()) * meanServiceTime, finish });
     }
 
     function send(gateway: Gateway, requestId: string): void {
@@ -146,7 +146,7 @@
             gateway.answered++;
             counts.inTime += now - receivedAt.get(requestId)! <= load.target ? 1 : 0;
             apply(gateway, finishRequest(gateway.table, requestId, now));
-            adapt(gateway);
+            updateCapacity(gateway);
         };
         if (server.running < load.slots) {
             runner.outstanding++;
@@ -168,14 +168,14 @@
         gateway.received++;
         receivedAt.set(request.requestId, now);
         recordArrival(gateway.arrivals, now);
-        adapt(gateway);
+        updateCapacity(gateway);
         if (offerRequest(gateway.table, request, now).kind === "start") {
             send(gateway, request.requestId);
         }
     }
 
     let nextArrival = 0;
-    for (now = 0; now < playedTime; now++) {
+    for (now = 0; now < simulatedTime; now++) {
         finishes.sort((left, right) => left.at - right.at);
         while (finishes[0] !== undefined && finishes[0].at <= now) {
             finishes.shift()!.finish();
@@ -185,7 +185,7 @@
         }
         for (const gateway of now % tickInterval === 0 ? gateways : []) {
             gateway.draw = now % drawInterval === 0 ? random.next() : gateway.draw;
-            adapt(gateway);
+            updateCapacity(gateway);
             apply(gateway, expireRequests(gateway.table, now));
         }
         counts.used += servers.reduce((sum, { running }) => sum + running, 0);
@@ -194,7 +194,7 @@
     return {
         inTimeShare: counts.inTime / counts.sent,
         worstGatewayShare: Math.min(...shares),
-        usedShare: counts.used / (playedTime * load.servers * load.slots),
+        usedShare: counts.used / (simulatedTime * load.servers * load.slots),
         shedShare: counts.shed / counts.sent,
     };
 }
