Reword the detection of ended backend servers

What read badly: a process that was "held up", crashes "as a broken connection suggests", and a function named change that adjusts a count.

--- a/src/node/crashes/checkListening.ts
+++ b/src/node/crashes/checkListening.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "../../types/index.js";
 import { splitAddress } from "../httpServer/index.js";
 
-/** Whether a process listens at an address; `unknown` if neither it nor its host has answered. */
+/** Whether a process listens at an address; `unknown` if neither the process nor its host answered. */
 export type ListeningState = "listening" | "refused" | "unknown";
 
 /**
@@ -20,7 +20,7 @@
             socket.destroy();
             resolve(state);
         };
-        // A process that was held up sees the time limit before the answer that has arrived meanwhile.
+        // After a blocked event loop, timers run before the poll that delivers an answer which arrived meanwhile.
         const timer = setTimeout(() => setImmediate(() => finish("unknown")), timeLimit);
         socket.once("connect", () => finish("listening"));
         socket.on("error", (error: NodeJS.ErrnoException) => {
--- a/src/node/crashes/lossTracker.ts
+++ b/src/node/crashes/lossTracker.ts
@@ -1,31 +1,31 @@
 import type { Clock, Fingerprint, InstanceId, Milliseconds } from "../../types/index.js";
 
-/** Crash of a backend server, as its agent reported it or as a broken connection suggests. */
+/** Crash of a backend server, either reported by its agent or inferred from broken connections. */
 export interface CrashReport {
     readonly crashId: string;
-    /** Requests that were in progress on the backend server, as far as they are known. */
+    /** Known requests that were in progress on the backend server. */
     readonly fingerprints: readonly Fingerprint[];
-    /** True if it is certain that a single request was in progress. */
+    /** True if certainly no other request was in progress. */
     readonly alone: boolean;
 }
 
-/** Groups requests whose connections break together, when no agent is left to report a crash. */
+/** Groups requests whose connections break together, which suggests a crash that no agent is left to report. */
 export interface LossTracker {
     /**
-     * Notes a request in progress.
+     * Records a request in progress.
      *
-     * @param instance - where it runs
+     * @param instance - backend server that runs it
      * @param fingerprint - the request
      * @returns function to call when the request has ended
      */
     begin(instance: InstanceId, fingerprint: Fingerprint): () => void;
     /**
-     * Notes a broken connection.
+     * Records a broken connection.
      *
-     * @param instance - where the request ran
+     * @param instance - backend server that ran the request
      * @param fingerprint - the request
-     * @param alone - true if the agent ran the request with no other beside it
-     * @returns the crash that this suggests; the same identifier for all requests that broke together
+     * @param alone - true if the backend server ran no other request at the same time
+     * @returns the suspected crash, with the same identifier for all requests whose connections broke together
      */
     noteLoss(instance: InstanceId, fingerprint: Fingerprint, alone: boolean): CrashReport;
 }
@@ -35,20 +35,20 @@
     readonly fingerprints: Set<Fingerprint>;
 }
 
-/** Time in which connections that break one after the other count as broken by the same loss. */
+/** Time within which broken connections to the same backend server count as one loss. */
 const lossWindow: Milliseconds = 1_000;
 
 /**
  * Creates the tracker.
  *
- * @param clock - time
- * @returns the tracker
+ * @param clock - source of the monotonic time
+ * @returns the tracker, empty
  */
 export function createLossTracker(clock: Clock): LossTracker {
     const inProgress = new Map<InstanceId, Map<Fingerprint, number>>();
     const losses = new Map<InstanceId, Loss>();
 
-    function change(instance: InstanceId, fingerprint: Fingerprint, difference: 1 | -1): void {
+    function adjustCount(instance: InstanceId, fingerprint: Fingerprint, difference: 1 | -1): void {
         const counts = inProgress.get(instance) ?? new Map<Fingerprint, number>();
         const count = (counts.get(fingerprint) ?? 0) + difference;
         if (count === 0) {
@@ -83,8 +83,8 @@
 
     return {
         begin: (instance, fingerprint) => {
-            change(instance, fingerprint, 1);
-            return () => change(instance, fingerprint, -1);
+            adjustCount(instance, fingerprint, 1);
+            return () => adjustCount(instance, fingerprint, -1);
         },
         noteLoss: (instance, fingerprint, alone) => {
             const { fingerprints, startedAt } = findLoss(instance);
