Reword the platform tests of the gateway

What read badly: titles such as "may come back twice in a row" or "gateway before a backend server that ...", callers that "leave", copies and backups of the store under one word, and stories at the head of tests. Changed: comments and titles, each with the failure that the test guards against, and 12 local names. No check, number or input changed.

--- a/test/platform/answerFraming.test.ts
+++ b/test/platform/answerFraming.test.ts
@@ -43,17 +43,17 @@
     return exchanges;
 }
 
-function isOwnAndWhole({ answer, plan, requestId }: Exchange): boolean {
+function isOwnAndComplete({ answer, plan, requestId }: Exchange): boolean {
     return answer.complete && answer.body === makeBody(requestId, plan.bodyBytes);
 }
 
 describe("answers of backend servers that break off or answer twice", () => {
     for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
-        it(`reach callers whole and as their own, or as a failure (seed ${seed})`, async () => {
+        it(`reach the right caller complete, or as a failure (seed ${seed})`, async () => {
             await using deployment = await startPlannedDeployment();
             const exchanges = await exchange(deployment, createSeededRandom(seed), true);
             const succeeded = exchanges.filter(({ answer }) => answer.status === 200);
-            expect(succeeded.filter(row => !isOwnAndWhole(row))).toEqual([]);
+            expect(succeeded.filter(row => !isOwnAndComplete(row))).toEqual([]);
             expect(succeeded.filter(({ plan }) => plan.ending === "reset" && plan.framing === "connection")).toEqual(
                 [],
             );
@@ -61,9 +61,9 @@
         });
     }
 
-    it("all succeed when none breaks off, whatever their framing", async () => {
+    it("all succeed if none breaks off, regardless of their framing", async () => {
         await using deployment = await startPlannedDeployment();
         const exchanges = await exchange(deployment, createSeededRandom(firstSeed), false);
-        expect(exchanges.filter(row => row.answer.status !== 200 || !isOwnAndWhole(row))).toEqual([]);
+        expect(exchanges.filter(row => row.answer.status !== 200 || !isOwnAndComplete(row))).toEqual([]);
     });
 });
--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -15,28 +15,28 @@
 } from "./standIn/fatalRequests.js";
 import type { TestGateway } from "./standIn/gateway.js";
 
-describe("gateways before a request that ends its backend servers", () => {
+describe("gateways that receive a request which crashes backend servers", () => {
     const routes: readonly { readonly path: string; readonly answers: Partial<CrashingFleetOptions>; }[] = [
         { path: "/unsafe/", answers: {} },
         { path: "/stream/", answers: { events: 5, eventMilliseconds: 10 } },
         { path: "/safe/", answers: {} },
     ];
     for (const { answers, path } of routes) {
-        // Guards against a request that ends one backend server after the other, whichever gateway it comes to.
-        it(`stop sending it on: ${path}`, async () => {
+        // Guards against a request that crashes one backend server after another through different gateways.
+        it(`stop forwarding it: ${path}`, async () => {
             await using deployment = await startDeployment();
             const fleet = await startFleet(deployment, answers);
             const gateways = await addGateways(deployment, path);
             const stop = startCallers(gateways, path);
             await sendFatal(gateways, path, 32, 250);
-            const sound = await stop();
+            const answersToOthers = await stop();
             expect(countLateRuns(fleet)).toBeLessThanOrEqual(allowedRepeats);
-            expect(listCondemned(sound)).toEqual([]);
+            expect(listCondemned(answersToOthers)).toEqual([]);
         });
     }
 
-    // Guards against gateways that learn of each other's crashes from the store alone, or not from it.
-    it("know it while the store is away, and after all of them have started anew", async () => {
+    // Guards against gateways that learn of crashes at other gateways only from the store, or not from it.
+    it("refuse it while the store is unavailable, and after all of them have restarted", async () => {
         await using deployment = await startDeployment();
         const fleet = await startFleet(deployment);
         const gateways = await addGateways(deployment, "/unsafe/");
@@ -56,8 +56,8 @@
         expect(fleet.ends.length).toEqual(ends);
     });
 
-    // Guards against a popular request that is refused because backend servers ended for other reasons.
-    it("go on to send a popular one whose backend servers end under other requests or none", async () => {
+    // Guards against a frequent request that is refused because backend servers crashed for other reasons.
+    it("keep forwarding a frequent one whose backend servers crash for other reasons", async () => {
         await using deployment = await startDeployment();
         const fleet = await startFleet(deployment);
         const gateways = await addGateways(deployment, "/unsafe/");
@@ -71,8 +71,8 @@
         expect(answers.filter(({ status }) => status === 200).length).toBeGreaterThan(answers.length / 2);
     });
 
-    // Guards against a request that is refused because connections broke while their backend servers went on.
-    it("go on to send one whose connections break", async () => {
+    // Guards against a request that is refused because its connections broke although the backend servers kept running.
+    it("keep forwarding one whose connections break", async () => {
         await using deployment = await startDeployment({ "routing.failuresUntilEjected": "100" });
         const runners = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
         runners.forEach(runner => runner.behave("reset"));
--- a/test/platform/crashingSoak.test.ts
+++ b/test/platform/crashingSoak.test.ts
@@ -37,7 +37,7 @@
 }
 
 function send({ gateways, path, random }: Soak, body: string): Promise<Answer | undefined> {
-    // The connection to a gateway that ends meanwhile may be refused or reset.
+    // The connection may be refused or reset if the gateway shuts down.
     return call(pick(random, [...gateways]), path, { method: "POST", body }).catch(() => undefined);
 }
 
@@ -80,7 +80,7 @@
     return { ...soak, path: pick(random, paths) };
 }
 
-/** Sends sound requests until it is stopped; what it draws does not change what happens beside it. */
+/** Sends harmless requests until it is stopped, with its own random numbers, so that a seed keeps its actions. */
 function startCaller(all: Soak, index: number): () => Promise<(readonly [string, Answer | undefined])[]> {
     const answers: (readonly [string, Answer | undefined])[] = [];
     const soak = { ...all, random: createSeededRandom(index) };
@@ -99,7 +99,7 @@
     };
 }
 
-/** Runs of a fatal request after all gateways have to know of the third backend server that it ended. */
+/** Counts the runs of a fatal request after all gateways must know of the third backend server that it crashed. */
 function countLateRuns({ ends, runs }: CrashingFleet, fatal: string): number {
     const third = ends.filter(({ body }) => body === fatal)[2];
     return third === undefined ?
@@ -107,15 +107,15 @@
         runs.filter(({ at, body }) => body === fatal && at > third.at + settleMilliseconds).length;
 }
 
-async function isServed(soak: Soak): Promise<boolean> {
+async function isServing(soak: Soak): Promise<boolean> {
     const answers = await Promise.all(Array.from({ length: 8 }, (...[, index]) => send(soak, `last-${index}`)));
     return answers.every(answer => answer?.status === 200);
 }
 
-describe("gateways before requests that end backend servers, among other faults", () => {
+describe("gateways that receive requests which crash backend servers, among other faults", () => {
     for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
         // Guards against containment that fails when gateways, store or other backend servers fail at the same time.
-        it(`stop sending them on and serve the others (seed ${seed})`, async () => {
+        it(`stop forwarding them and serve all other requests (seed ${seed})`, async () => {
             const soak = await startSoak(createSeededRandom(seed));
             await using deployment = soak.deployment;
             const stops = Array.from({ length: callers }, (...[, index]) => startCaller(soak, index));
@@ -123,15 +123,15 @@
                 await pick(soak.random, actions)(soak);
                 await pause(soak.random.next() * 500);
             }
-            const sound = (await Promise.all(stops.map(stop => stop()))).flat();
+            const answersToOthers = (await Promise.all(stops.map(stop => stop()))).flat();
             expect(fatalBodies.filter(body => countLateRuns(soak.fleet, body) > allowedRepeats)).toEqual([]);
-            const received = sound.filter(([, answer]) => answer !== undefined);
+            const received = answersToOthers.filter(([, answer]) => answer !== undefined);
             expect(received.filter(([, answer]) => answer!.body.includes("crashes-backend-servers"))).toEqual([]);
             const served = received.filter(([, answer]) => answer!.status === 200);
             expect(served.filter(([body, answer]) => !answer!.body.endsWith(`:${body}`))).toEqual([]);
             deployment.store.setFault("none");
             deployment.store.drop("keyed.servers", "endless");
-            await waitUntil("sound requests are served", () => isServed(soak));
+            await waitUntil("harmless requests are served", () => isServing(soak));
         });
     }
 });
--- a/test/platform/endlessCallers.test.ts
+++ b/test/platform/endlessCallers.test.ts
@@ -41,7 +41,7 @@
 
 describe("callers that send without end", { concurrency: true }, () => {
     for (const variant of variants) {
-        // Guards against connections that are held for as long as a caller goes on sending.
+        // Guards against connections that stay open as long as a caller keeps sending.
         it(`are cut off: ${variant.name}`, async () => {
             await using deployment = await startDeployment();
             await deployment.addRunner({ id: "i-1" });
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -8,7 +8,7 @@
 import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
 
 /** Sends a request and closes the connection before the gateway has read it. */
-async function leaveAtOnce({ gatewayUrl }: TestDeployment, method: string, path: string): Promise<void> {
+async function disconnectAtOnce({ gatewayUrl }: TestDeployment, method: string, path: string): Promise<void> {
     const { hostname, port } = new URL(gatewayUrl);
     const socket = connect({ host: hostname, port: Number(port) });
     await once(socket, "connect");
@@ -24,7 +24,7 @@
 }
 
 describe("gateway on the platform", () => {
-    it("passes a request on with the account in place of the key, and the answer back unchanged", async () => {
+    it("forwards a request with the account in place of the key, and returns the answer unchanged", async () => {
         await using deployment = await startDeployment();
         const runner = await deployment.addRunner({ id: "i-1" });
         const answer = await call(deployment, "/unsafe/x?y=1", {
@@ -92,7 +92,7 @@
             "silent",
         ] as const
     ) {
-        it(`repeats a safe request at another runner when the first answer is: ${behaviour}`, async () => {
+        it(`retries a safe request at another runner when the first answer is: ${behaviour}`, async () => {
             await using deployment = await startDeployment();
             const [bad, good] = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
             bad.behave(behaviour);
@@ -104,7 +104,7 @@
         });
     }
 
-    it("goes on with a broken stream at another runner, without losing or repeating an event", async () => {
+    it("resumes a broken stream at another runner without losing or repeating an event", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1", events: 6, breakAfter: 3 }, { slots: 100 });
         await deployment.addRunner({ id: "i-2", events: 6 }, { state: "draining" });
@@ -122,7 +122,7 @@
         expect(second.runs.some(run => run.headers["last-event-id"] === "3")).toEqual(resumed > 0);
     });
 
-    it("ends a stream in order for a caller that does not understand chunks only if it is whole", async () => {
+    it("closes an unchunked stream in order only if it is complete", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1", events: 3 });
         const whole = await callPlainly(deployment, "/stream/");
@@ -134,7 +134,7 @@
         expect(broken.ending).toEqual("reset");
     });
 
-    it("resets a stream that it cuts at its own end, for a caller that does not understand chunks", async () => {
+    it("resets an unchunked stream that it cuts off at its own shutdown", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1", events: 500, eventMilliseconds: 10 });
         const cut = callPlainly(deployment, "/stream/");
@@ -144,7 +144,7 @@
         expect([text.startsWith("HTTP/1.1 200"), ending]).toEqual([true, "reset"]);
     });
 
-    it("resumes a stream that breaks after the time in which it had to begin", async () => {
+    it("resumes a stream that breaks after the time within which it had to begin", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1", events: 5, breakAfter: 3, eventMilliseconds: 250 }, { slots: 100 });
         await deployment.addRunner({ id: "i-2", events: 5 });
@@ -154,7 +154,7 @@
         }
     });
 
-    it("cancels at the runner when the caller leaves", async () => {
+    it("cancels the request at the runner when the caller disconnects", async () => {
         await using deployment = await startDeployment();
         const runner = await deployment.addRunner({ id: "i-1", events: 1_000, eventMilliseconds: 20 });
         const request = sendRequest(`${deployment.gatewayUrl}/stream/`, {
@@ -168,13 +168,14 @@
     });
 
     for (const [method, path] of [["GET", "/safe/"], ["POST", "/unsafe/"], ["GET", "/stream/"]] as const) {
-        it(`sends nothing to a runner for a caller that left before its request was read: ${method} ${path}`, async () => {
+        it(`does not forward a request whose caller disconnected before it was read: ${method} ${path}`, async () => {
             await using deployment = await startDeployment();
             const runner = await deployment.addRunner({ id: "i-1" });
-            // A new connection takes longer than the end of the caller's; only a kept one shows the fault.
+            // Opens the connection to the runner. Opening it later takes longer than noticing the disconnect, which
+            // would hide the fault.
             await call(deployment, "/safe/");
             for (let index = 0; index < 5; index++) {
-                await leaveAtOnce(deployment, method, path);
+                await disconnectAtOnce(deployment, method, path);
                 await call(deployment, "/safe/");
             }
             expect(runner.runs.filter(({ attemptId }) => attemptId === "left").length).toEqual(0);
@@ -184,7 +185,7 @@
         });
     }
 
-    it("sends nothing to a runner that is draining, gone, or replaced at its address", async () => {
+    it("sends no requests to a runner that is draining or no longer listed", async () => {
         await using deployment = await startDeployment();
         const [first, second] = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
         deployment.store.write("keyed.servers", "i-1", {
@@ -216,7 +217,7 @@
         expect((await call(deployment, "/safe/")).status).toEqual(200);
     });
 
-    it("puts a new configuration in force, and does not go back to an older one", async () => {
+    it("applies a new configuration, and does not return to an older one", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1" });
         const moved = operatorConfiguration.routes.map(route => ({ ...route, host: "moved.example" }));
@@ -229,7 +230,7 @@
     });
 
     for (const fault of ["busy", "many", "reset", "silent"] as const) {
-        it(`serves on what it knows while the store is ${fault}, and follows it again`, async () => {
+        it(`keeps serving while the store fails, and then follows it again: ${fault}`, async () => {
             await using deployment = await startDeployment();
             await deployment.addRunner({ id: "i-1" });
             deployment.store.setFault(fault);
@@ -241,7 +242,7 @@
         });
     }
 
-    it("follows the store after its history was dropped", async () => {
+    it("follows the store after its history was compacted", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1" });
         deployment.store.write("keyed.op", "version/x", { model: "x", version: 1 });
@@ -251,7 +252,7 @@
         await waitUntil("the key is refused", async () => (await call(deployment, "/safe/")).status === 401);
     });
 
-    it("tells that it is not ready, and finishes what it has, when it shuts down", async () => {
+    it("reports that it is not ready, and finishes requests in progress, when it shuts down", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1", events: 30, eventMilliseconds: 20 });
         const running = call(deployment, "/stream/");
--- a/test/platform/gatewayDeadServers.test.ts
+++ b/test/platform/gatewayDeadServers.test.ts
@@ -5,8 +5,8 @@
 import { startDeployment } from "./standIn/deployment.js";
 
 describe("gateway without retry budget", () => {
-    // Guards against requests that fail at a dead backend server which never saw them, while another one is idle.
-    it("goes on to another backend server when the connection to one is refused", async () => {
+    // Guards against requests that fail at a dead backend server, which never received them, while another one is idle.
+    it("tries another backend server when the connection to one is refused", async () => {
         await using deployment = await startDeployment({
             "retry.budgetShare": "0",
             "retry.budgetPerSecond": "0",
--- a/test/platform/gatewayEndlessAnswers.test.ts
+++ b/test/platform/gatewayEndlessAnswers.test.ts
@@ -6,7 +6,7 @@
 import { startHttpStandIn } from "./standIn/httpStandIn.js";
 import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
 
-describe("gateway before a backend server that sends bytes without end", () => {
+describe("gateway with a backend server that sends an endless refusal or event", () => {
     // Guards against requests that wait for the end of such an answer while another backend server is idle.
     const cases: readonly (readonly [RunnerBehaviour, string])[] = [
         ["endless-refusal", "/safe/"],
@@ -14,7 +14,7 @@
         ["endless-event", "/stream/"],
     ];
     for (const [behaviour, path] of cases) {
-        it(`goes on to a sound one: ${behaviour} on ${path}`, async () => {
+        it(`retries at a healthy one: ${behaviour} on ${path}`, async () => {
             await using deployment = await startDeployment({ "routing.failuresUntilEjected": "100" });
             const events = path === "/stream/" ? { events: 2 } : {};
             const endless = await deployment.addRunner({ id: "i-1", ...events });
@@ -30,8 +30,8 @@
     }
 });
 
-describe("gateway before a backend server whose answers do not end", () => {
-    // Guards against requests that wait until the time of their route is over for the rest of such an answer.
+describe("gateway with a backend server whose answers do not end", () => {
+    // Guards against requests that wait for the rest of such an answer until the timeout of their route.
     const cases: readonly (readonly [EndlessPart, string])[] = [
         ["status-line", "/safe/"],
         ["fields", "/safe/"],
@@ -46,7 +46,7 @@
         ["slow-trailers", "/stream/"],
     ];
     for (const [part, path] of cases) {
-        it(`answers from a sound one within the time of the route: ${part} on ${path}`, async () => {
+        it(`returns the answer of a healthy one within the route timeout: ${part} on ${path}`, async () => {
             await using deployment = await startDeployment();
             const endless = deployment.stack.use(await startEndlessRunner(part));
             await deployment.listRunner("i-1", endless.address);
@@ -58,9 +58,9 @@
     }
 });
 
-describe("gateway before a backend server whose answer takes most of the time of the route", () => {
-    // Guards against sound answers that are given up although no other backend server can answer.
-    it("reads it to its end if there is no other", async () => {
+describe("gateway with a backend server whose answer takes most of the route timeout", () => {
+    // Guards against valid answers that are abandoned although no other backend server can answer.
+    it("reads the answer to its end if there is no other backend server", async () => {
         await using deployment = await startDeployment();
         const slow = deployment.stack.use(
             await startHttpStandIn(async (request, response) => {
@@ -81,10 +81,10 @@
     });
 });
 
-describe("gateway before a backend server whose answers never begin or never go on", () => {
-    // Guards against requests that wait until the time of their route is over for bytes that cannot become an answer.
+describe("gateway with a backend server whose answers never begin or never continue", () => {
+    // Guards against requests that wait until the timeout of their route for bytes that cannot become an answer.
     for (const part of ["status-line", "interim-answers", "chunk-extension", "trailers"] as const) {
-        it(`fails a request that may not be repeated at once: ${part}`, async () => {
+        it(`immediately fails a request that must not be retried: ${part}`, async () => {
             await using deployment = await startDeployment({ "routing.failuresUntilEjected": "100" });
             const endless = deployment.stack.use(await startEndlessRunner(part));
             await deployment.listRunner("i-1", endless.address);
@@ -97,10 +97,10 @@
     }
 });
 
-describe("gateway before a backend server that sends events without end", () => {
-    // Guards against events that are passed on after the end of the request, and hold up all others meanwhile.
+describe("gateway with a backend server that sends events without end", () => {
+    // Guards against events that are relayed after the deadline of the request and delay all other requests.
     for (const part of ["events", "comments"] as const) {
-        it(`ends the stream with the time of its route: ${part}`, async () => {
+        it(`ends the stream at the route timeout: ${part}`, async () => {
             await using deployment = await startDeployment();
             const endless = deployment.stack.use(await startEndlessRunner(part));
             await deployment.listRunner("i-1", endless.address);
--- a/test/platform/gatewayFraming.test.ts
+++ b/test/platform/gatewayFraming.test.ts
@@ -6,10 +6,10 @@
 
 const proof = "response-seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n";
 
-/** Answers the request with an identifier; requests of a connection count from 1. */
+/** Answers the request with the given identifier; `count` numbers the requests of a connection from 1. */
 type RawAnswer = (socket: Socket, requestId: string, count: number) => void;
 
-/** Lists a runner that writes its answers byte by byte, and returns the requests that it received. */
+/** Adds a runner whose answers are written to the socket as raw bytes, and returns the requests that it received. */
 async function addRawRunner(deployment: TestDeployment, answer: RawAnswer): Promise<readonly string[]> {
     const received: string[] = [];
     const sockets = new Set<Socket>();
@@ -42,8 +42,8 @@
     socket.write(`HTTP/1.1 200 OK\r\nattempt-id: ${requestId}\r\n${proof}content-length: 3\r\n\r\nown`);
 }
 
-/** Writes a late answer that names no request in place of the second answer on each connection. */
-function answerLate(late: string): RawAnswer {
+/** Writes a late answer without an identifier before the answers to all but the first request of each connection. */
+function precedeWithLateAnswer(late: string): RawAnswer {
     return (socket, requestId, count) => {
         if (count > 1) {
             socket.write(late);
@@ -52,27 +52,30 @@
     };
 }
 
-describe("gateway and messages that do not belong to a request", () => {
+describe("gateway that receives late answers to other requests", () => {
     for (const status of ["404 Not Found", "500 Internal Server Error"]) {
-        it(`does not pass on a late answer without an identifier: ${status}`, async () => {
+        it(`does not relay a late answer without an identifier: ${status}`, async () => {
             await using deployment = await startDeployment();
-            await addRawRunner(deployment, answerLate(`HTTP/1.1 ${status}\r\ncontent-length: 7\r\n\r\nforeign`));
+            await addRawRunner(
+                deployment,
+                precedeWithLateAnswer(`HTTP/1.1 ${status}\r\ncontent-length: 7\r\n\r\nforeign`),
+            );
             const answer = await call(deployment, "/unsafe/", { method: "POST" });
             expect([answer.status, answer.body.includes("foreign")]).toEqual([502, false]);
         });
     }
 
     for (const head of ["503 Service Unavailable\r\nnot-executed: 1", "421 Misdirected Request"]) {
-        it(`does not promise that a request has not run after a late answer without an identifier: ${head}`, async () => {
+        it(`does not report a request as not run after a late answer without an identifier: ${head}`, async () => {
             await using deployment = await startDeployment();
             const late = `HTTP/1.1 ${head}\r\ncontent-length: 0\r\n\r\n`;
-            const received = await addRawRunner(deployment, answerLate(late));
+            const received = await addRawRunner(deployment, precedeWithLateAnswer(late));
             const answer = await call(deployment, "/unsafe/", { method: "POST" });
             expect([answer.status, received.length]).toEqual([502, 1]);
         });
     }
 
-    it("does not take the answer that follows a late one for the next request's", async () => {
+    it("does not use the answer that follows a late one as the answer to the next request", async () => {
         await using deployment = await startDeployment();
         let first: Socket | undefined;
         await addRawRunner(deployment, (socket, requestId, count) => {
@@ -90,11 +93,11 @@
     });
 });
 
-describe("gateway and transfer codings that it does not decode", () => {
+describe("gateway that receives transfer codings which it does not decode", () => {
     const coded = "transfer-encoding: gzip, chunked\r\n\r\n4\r\nGZIP\r\n0\r\n\r\n";
 
     for (const status of ["200 OK", "404 Not Found"]) {
-        it(`does not pass on the bytes of an answer as if they were not coded: ${status}`, async () => {
+        it(`does not relay an encoded answer as if it were not encoded: ${status}`, async () => {
             await using deployment = await startDeployment();
             await addRawRunner(deployment, (socket, requestId, count) => {
                 if (count === 1) {
@@ -108,7 +111,7 @@
         });
     }
 
-    it("does not pass on the bytes of a request as if they were not coded", async () => {
+    it("does not forward an encoded request as if it were not encoded", async () => {
         await using deployment = await startDeployment();
         const received = await addRawRunner(deployment, writeAnswer);
         const headers = { "attempt-id": "coded", "transfer-encoding": "gzip, chunked" };
--- a/test/platform/gatewayLeavingServers.test.ts
+++ b/test/platform/gatewayLeavingServers.test.ts
@@ -6,16 +6,16 @@
 import { callAtRate } from "./standIn/pacedCalls.js";
 import type { RunnerStandIn } from "./standIn/runnerStandIn.js";
 
-/** Time that answers which are on their way when the first one is read take to arrive. */
+/** Time in milliseconds after the first request within which further requests may already be on their way. */
 const inFlight = 100;
 
 function countLaterThan(runner: RunnerStandIn, time: number): number {
     return runner.arrivedAt.filter(at => at > time + inFlight).length;
 }
 
-describe("backend server that says in its answers that it leaves", () => {
+describe("backend server that announces its shutdown in its answers", () => {
     for (const path of ["/safe/", "/unsafe/", "/stream/"]) {
-        // Guards against requests to a backend server whose entry in the list does not say yet that it leaves.
+        // Guards against requests to a backend server whose entry in the list does not show the shutdown yet.
         it(`gets no further requests to ${path}`, async () => {
             await using deployment = await startDeployment();
             const events = path === "/stream/" ? { events: 3 } : {};
@@ -30,8 +30,8 @@
         });
     }
 
-    // Guards against knowledge that the next heartbeat in the list, or a lapsed entry that comes back, undoes.
-    it("stays out of use when its entry changes, lapses and comes back", async () => {
+    // Guards against a notice that is undone by the next heartbeat in the list, or by an expired entry that reappears.
+    it("stays out of use when its entry changes, expires and reappears", async () => {
         await using deployment = await startDeployment();
         const leaving = await deployment.addRunner({ id: "i-1" });
         leaving.leave();
@@ -46,8 +46,8 @@
         expect(leaving.countArrivals() - before).toEqual(0);
     });
 
-    // Guards against a backend server that is left idle because the one before it at the same instance has left.
-    it("is used again once it has started anew", async () => {
+    // Guards against a backend server that stays idle because an earlier process of the same instance shut down.
+    it("is used again after a restart", async () => {
         await using deployment = await startDeployment();
         const leaving = await deployment.addRunner({ id: "i-1" });
         leaving.leave();
@@ -55,13 +55,13 @@
         expect((await call(deployment, "/safe/")).status).toEqual(503);
         leaving.crash();
         const port = Number(leaving.address.split(":")[1]);
-        const renewed = await deployment.addRunner({ id: "i-1", port }, { born: 2 });
+        const restarted = await deployment.addRunner({ id: "i-1", port }, { born: 2 });
         expect((await call(deployment, "/safe/")).status).toEqual(200);
-        expect(renewed.countArrivals()).toEqual(1);
+        expect(restarted.countArrivals()).toEqual(1);
     });
 
-    // Guards against a gateway that is cut from the log and learns of the end of a backend server by its first failure.
-    it("gets no requests from other gateways that were told", async () => {
+    // Guards against a gateway that cannot read the log and learns of the shutdown only from its first failure.
+    it("gets no requests from other gateways that received the notice", async () => {
         await using deployment = await startDeployment();
         const leaving = await deployment.addRunner({ id: "i-1" });
         const other = await deployment.addGateway("gateway-2");
--- a/test/platform/gatewayPlaces.test.ts
+++ b/test/platform/gatewayPlaces.test.ts
@@ -4,10 +4,11 @@
 import { call } from "./standIn/caller.js";
 import { operatorConfiguration, startDeployment, waitUntil } from "./standIn/deployment.js";
 
-describe("gateway with streams at a backend server that takes no further requests", () => {
+describe("gateway with streams at a backend server that accepts no further requests", () => {
     for (const ending of ["leaves", "is gone from the list"]) {
-        // Guards against callers who are refused beside an idle backend server because of work at one that ends.
-        it(`has the places of the other one when it ${ending}`, async () => {
+        // Guards against requests that are refused because streams at a draining backend server use up the places of
+        // an idle one.
+        it(`uses the places of an idle backend server when the first one ${ending}`, async () => {
             await using deployment = await startDeployment();
             const routes = operatorConfiguration.routes.map(route => ({ ...route, timeout_ms: 20_000 }));
             deployment.configure({ version: 2, routes });
--- a/test/platform/gatewayRegistration.test.ts
+++ b/test/platform/gatewayRegistration.test.ts
@@ -4,8 +4,8 @@
 import { addGateways, endThree, listCondemned, sendFatal, startFleet } from "./standIn/fatalRequests.js";
 
 describe("gateways that have just become ready", () => {
-    // Guards against a request that crashes more backend servers at a gateway that no other one knows of.
-    it("share what crashes backend servers, although the store goes away then", async () => {
+    // Guards against a request that crashes further backend servers at a gateway that is unknown to the others.
+    it("exchange crash evidence even if the store becomes unavailable then", async () => {
         await using deployment = await startDeployment();
         const fleet = await startFleet(deployment);
         deployment.store.slow("keyed.goldcrestpoint-instances", 400);
--- a/test/platform/gatewayRouteTimeout.test.ts
+++ b/test/platform/gatewayRouteTimeout.test.ts
@@ -4,17 +4,17 @@
 import { startDeployment, waitUntil } from "./standIn/deployment.js";
 import { startTestGateway } from "./standIn/gateway.js";
 
-/** Holds up the process until its clock shows a fraction of a millisecond. */
+/** Blocks the event loop until the clock shows the given fraction of a millisecond. */
 function awaitFraction(fraction: number): void {
     while (Math.abs(performance.now() % 1 - fraction) > 0.02) {
-        // The clock goes on by itself.
+        // Busy wait.
     }
 }
 
 describe("gateway whose backend server stays silent", () => {
     for (const path of ["/unsafe/", "/stream/"]) {
-        // Guards against a time limit of the attempt that ends up to a millisecond before that of its request.
-        it(`answers 504 at the end of the request's time: ${path}`, async () => {
+        // Guards against a time limit of the attempt that expires up to a millisecond before that of its request.
+        it(`answers 504 at the deadline of the request: ${path}`, async () => {
             await using deployment = await startDeployment();
             const ids = Array.from({ length: 16 }, (...[, index]) => `i-${index}`);
             const runners = await Promise.all(ids.map(id => deployment.addRunner({ id })));
--- a/test/platform/gatewayShutdown.test.ts
+++ b/test/platform/gatewayShutdown.test.ts
@@ -13,13 +13,13 @@
 
 const drainTimeLimit = drainTimeLimitSeconds * 1_000;
 
-/** Peers whose connections are open when the gateway ends. */
+/** Peer whose connection is open when the gateway shuts down. */
 interface OpenPeer extends AsyncDisposable {
-    /** Cuts the peer off, so that it learns nothing of the end. */
-    cut(): void;
+    /** Interrupts the link without a reset, so that the peer does not notice the shutdown. */
+    interrupt(): void;
 }
 
-/** Follows the records of a gateway, on a link that can be cut without a reset. */
+/** Follows the records of a gateway through a proxy whose link can be interrupted without a reset. */
 async function followRecords(address: string): Promise<OpenPeer> {
     const stack = createDisposalStack();
     const sockets: Socket[] = [];
@@ -52,7 +52,7 @@
     await received;
     stream.resume();
     return {
-        cut: () =>
+        interrupt: () =>
             sockets.forEach(socket => {
                 socket.unpipe();
                 socket.pause();
@@ -61,14 +61,14 @@
     };
 }
 
-/** Opens a connection and sends no request. */
-async function openSilently(url: string): Promise<OpenPeer> {
+/** Opens a connection without sending a request. */
+async function openIdleConnection(url: string): Promise<OpenPeer> {
     const { hostname, port } = new URL(url);
     const socket = connect(Number(port), hostname);
     socket.on("error", () => {});
     await once(socket, "connect");
     return {
-        cut: () => {},
+        interrupt: () => {},
         [Symbol.asyncDispose]: () => {
             socket.destroy();
             return Promise.resolve();
@@ -76,16 +76,16 @@
     };
 }
 
-describe("end of a gateway whose requests outlast the drain", () => {
+describe("shutdown of a gateway whose requests outlast the drain time limit", () => {
     const cases = [
-        { peer: "a process that follows its records", open: followRecords, at: "relayAddress", isCut: false },
-        { peer: "a follower behind a cut link", open: followRecords, at: "relayAddress", isCut: true },
-        { peer: "a connection without a request", open: openSilently, at: "readyUrl", isCut: false },
+        { peer: "a process that follows its records", open: followRecords, at: "relayAddress", isInterrupted: false },
+        { peer: "a follower behind an interrupted link", open: followRecords, at: "relayAddress", isInterrupted: true },
+        { peer: "a connection without a request", open: openIdleConnection, at: "readyUrl", isInterrupted: false },
     ] as const;
 
-    for (const { at, isCut, open, peer } of cases) {
-        // Guards against a process that is killed because it waits for its peers after the drain has ended.
-        it(`comes within the time limit beside ${peer}`, async () => {
+    for (const { at, isInterrupted, open, peer } of cases) {
+        // Guards against a process that is killed because it waits for its peers after the drain.
+        it(`completes within the time limit with ${peer}`, async () => {
             await using deployment = await startDeployment();
             const routes = operatorConfiguration.routes.map(route => ({ ...route, timeout_ms: 20_000 }));
             deployment.configure({ version: 2, routes });
@@ -93,8 +93,8 @@
             await using connection = await open(deployment[at]);
             const running = call(deployment, "/stream/", { headers: { "deadline-ms": "20000" } });
             await sleep(200);
-            if (isCut) {
-                connection.cut();
+            if (isInterrupted) {
+                connection.interrupt();
             }
             const startedAt = performance.now();
             const ended = new AbortController();
@@ -111,8 +111,8 @@
 });
 
 describe("gateway that shuts down", () => {
-    // Guards against a request that is taken on a kept connection late in the drain and broken off at its end.
-    it("runs no request after a stream that began before the signal", async () => {
+    // Guards against a request that arrives on a kept-alive connection late in the drain and is broken off at its end.
+    it("runs no request on the connection of a stream that began before the signal", async () => {
         await using deployment = await startDeployment();
         const routes = operatorConfiguration.routes.map(route => ({ ...route, timeout_ms: 20_000 }));
         deployment.configure({ version: 2, routes });
--- a/test/platform/gatewayTurnedAway.test.ts
+++ b/test/platform/gatewayTurnedAway.test.ts
@@ -6,17 +6,17 @@
 import { callAtRate } from "./standIn/pacedCalls.js";
 import type { RunnerStandIn } from "./standIn/runnerStandIn.js";
 
-/** Time after a refusal in which requests that were on their way may still arrive. */
+/** Time in milliseconds after a refusal within which requests that were on their way may still arrive. */
 const inFlight = 500;
 
 function countBetween({ arrivedAt }: RunnerStandIn, from: number, to: number): number {
     return arrivedAt.filter(at => at > from && at < to).length;
 }
 
-describe("backend server that turns requests away and says for how long", () => {
+describe("backend server that turns requests away and states for how long", () => {
     for (const path of ["/safe/", "/unsafe/", "/stream/"]) {
-        // Guards against callers who are refused, and a backend server that is asked again, beside one that is idle.
-        it(`gets no requests to ${path} in that time, and another one answers`, async () => {
+        // Guards against refused requests, and further requests to the busy backend server, while another one is idle.
+        it(`gets no requests to ${path} during that time, and another one answers`, async () => {
             await using deployment = await startDeployment();
             const events = path === "/stream/" ? { events: 3 } : {};
             const busy = await deployment.addRunner({ id: "i-1", ...events });
@@ -30,8 +30,8 @@
         });
     }
 
-    // Guards against a crowd that meets a backend server whose time is over, and is turned away as a whole.
-    it("is tried with one request when the time is over", async () => {
+    // Guards against many requests that are sent at the end of the pause and are all turned away again.
+    it("gets a single trial request when the time is over", async () => {
         await using deployment = await startDeployment();
         const busy = await deployment.addRunner({ id: "i-1" });
         await deployment.addRunner({ id: "i-2" });
@@ -48,8 +48,8 @@
         expect(busy.countArrivals() - before > 5).toEqual(true);
     });
 
-    // Guards against callers who are told to come back while their backend servers still want nothing.
-    it("leaves callers with the time to come back if it is the only one", async () => {
+    // Guards against callers who are asked to retry while their backend servers still accept no requests.
+    it("makes callers retry after that time if it is the only one", async () => {
         await using deployment = await startDeployment({ "admission.maximumRetryAfterSeconds": "2" });
         const busy = await deployment.addRunner({ id: "i-1" });
         busy.behave("turn-away");
@@ -66,8 +66,8 @@
     });
 
     for (const text of ["-3", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "NaN", "", "0"]) {
-        // Guards against a backend server that is given up for a header that names no time.
-        it(`is asked again if the time is "${text}"`, async () => {
+        // Guards against a backend server that gets no more requests because of a header without a valid time.
+        it(`gets requests again if the time is "${text}"`, async () => {
             await using deployment = await startDeployment();
             const busy = await deployment.addRunner({ id: "i-1" });
             busy.behave("turn-away");
@@ -78,8 +78,8 @@
         });
     }
 
-    // Guards against a backend server that is lost for hours to one absurd header.
-    it("is asked again after the longest time that is believed", async () => {
+    // Guards against a backend server that gets no requests for hours because of one header with an absurd time.
+    it("gets requests again after the maximum pause", async () => {
         await using deployment = await startDeployment({ "gateway.maximumPauseMilliseconds": "1000" });
         const busy = await deployment.addRunner({ id: "i-1" });
         busy.behave("turn-away");
@@ -91,7 +91,7 @@
         expect((await call(deployment, "/safe/")).status).toEqual(200);
     });
 
-    it("is used at once when it has started anew", async () => {
+    it("gets requests immediately after a restart", async () => {
         await using deployment = await startDeployment();
         const busy = await deployment.addRunner({ id: "i-1" });
         busy.behave("turn-away");
--- a/test/platform/restoredStore.test.ts
+++ b/test/platform/restoredStore.test.ts
@@ -6,12 +6,12 @@
 import type { TestGateway } from "./standIn/gateway.js";
 import { createServerRecord } from "./standIn/serverRecord.js";
 
-/** Time in which a configuration has to be in force everywhere. */
+/** Time in milliseconds within which all gateways must apply a configuration. */
 const configurationDeadline = 2_000;
 
 const [safeRoute] = operatorConfiguration.routes;
 
-/** Writes a configuration with a route of its own beside the safe one. */
+/** Writes a configuration that has the safe route and one route whose path contains the version. */
 function configure({ store }: TestDeployment, version: number, accounts = operatorConfiguration.tenants): void {
     const routes = [safeRoute, { ...safeRoute, name: `route-${version}`, path_prefix: `/v${version}/` }];
     store.write("keyed.op", "config", { ...operatorConfiguration, version, routes, tenants: accounts });
@@ -21,10 +21,10 @@
     return call(gateway, `/v${version}/`).then(({ status }) => status === 200);
 }
 
-/** Lets the store go back to its copy, as it does in a drill. */
-async function restore({ store }: TestDeployment, away = 300): Promise<void> {
+/** Restores the store from its backup after an outage, as in a disaster recovery drill. */
+async function restore({ store }: TestDeployment, outageMilliseconds = 300): Promise<void> {
     store.setFault("reset");
-    await sleep(away);
+    await sleep(outageMilliseconds);
     store.restore();
     store.setFault("none");
 }
@@ -37,7 +37,7 @@
     return performance.now() - startedAt;
 }
 
-/** Brings configuration 3 into force, which has one key less than the copy of the store. */
+/** Applies configuration 3, which lacks a key that the backup of the store contains. */
 async function withdrawKeyAfterCopy(deployment: TestDeployment): Promise<void> {
     await deployment.addRunner({ id: "i-1" });
     configure(deployment, 2, [{ name: "family", api_keys: ["key-1", "key-2"] }]);
@@ -47,21 +47,21 @@
     await awaitInForce([deployment], 3);
 }
 
-/** Reads what a gateway makes of configuration 3. */
+/** Reads whether a gateway applies configuration 3, and the status that it returns for the withdrawn key. */
 async function readNewer(gateway: TestGateway): Promise<{ isInForce: boolean; withdrawnKey: number; }> {
     const { status } = await call(gateway, "/safe/", { headers: { authorization: "Token key-2" } });
     return { isInForce: await isInForce(gateway, 3), withdrawnKey: status };
 }
 
-describe("store that comes back from an older copy", () => {
+describe("store that is restored from an older backup", () => {
     const ends = [
         { end: "behind", written: 0 },
         { end: "at", written: 3 },
         { end: "ahead of", written: 12 },
     ];
     for (const { end, written } of ends) {
-        // Guards against a reader that waits for offsets which are given out again.
-        it(`brings the next configuration into force, its end ${end} the position of the gateways`, async () => {
+        // Guards against a reader that waits at its old offset although the restored store assigns offsets anew.
+        it(`delivers the next configuration with its end ${end} the position of the gateways`, async () => {
             await using deployment = await startDeployment();
             await deployment.addRunner({ id: "i-1" });
             const other = await deployment.addGateway("gateway-2");
@@ -77,8 +77,8 @@
         });
     }
 
-    // Guards against a configuration that reverts, and a key that was withdrawn and is accepted again.
-    it("reverts nothing that is newer than the copy", async () => {
+    // Guards against a return to an older configuration, in which a withdrawn key is accepted again.
+    it("does not revert a configuration that is newer than the backup", async () => {
         await using deployment = await startDeployment();
         await withdrawKeyAfterCopy(deployment);
         await restore(deployment);
@@ -89,25 +89,25 @@
         }
     });
 
-    it("lets no backend server that has left come back into use", async () => {
+    it("does not bring draining or removed backend servers back into use", async () => {
         await using deployment = await startDeployment();
-        const left = await deployment.addRunner({ id: "i-1" });
+        const removed = await deployment.addRunner({ id: "i-1" });
         const draining = await deployment.addRunner({ id: "i-2" }, { sequence: 4 });
         await deployment.addRunner({ id: "i-3" });
         deployment.store.backUp();
         deployment.store.drop("keyed.servers", "i-1");
         await deployment.listRunner("i-2", draining.address, { sequence: 5, state: "draining" });
-        const before = left.countArrivals() + draining.countArrivals();
+        const before = removed.countArrivals() + draining.countArrivals();
         await restore(deployment);
         const endsAt = performance.now() + 1_500;
         while (performance.now() < endsAt) {
             expect((await call(deployment, "/safe/")).status).toEqual(200);
             await sleep(20);
         }
-        expect(left.countArrivals() + draining.countArrivals() - before).toEqual(0);
+        expect(removed.countArrivals() + draining.countArrivals() - before).toEqual(0);
     });
 
-    it("keeps a backend server that is newer than the copy in use until it has written its entry again", async () => {
+    it("keeps a backend server that is newer than the backup in use until it has written its entry again", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1" });
         deployment.store.backUp();
@@ -127,8 +127,8 @@
         await check();
     });
 
-    // Guards against a gateway that starts just then and acts on the copy.
-    it("leaves a gateway that starts just then no older configuration than the others", async () => {
+    // Guards against a gateway that starts during the restore and uses the configuration of the backup.
+    it("gives a gateway that starts then no older configuration than the others have", async () => {
         await using deployment = await startDeployment();
         await withdrawKeyAfterCopy(deployment);
         await restore(deployment);
@@ -137,7 +137,7 @@
     });
 
     // Guards against gateways that no longer know each other.
-    it("gets the registrations that it has lost again", async () => {
+    it("receives lost registrations again", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1" });
         deployment.store.backUp();
@@ -151,8 +151,8 @@
         expect(registered()).toEqual(1);
     });
 
-    // Guards against readers that are still catching up with one copy when the next one comes.
-    it("may come back twice in a row", async () => {
+    // Guards against readers that are still catching up after one restore when the next one happens.
+    it("may be restored twice in a row", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1" });
         const other = await deployment.addGateway("gateway-2");
