--- a/demo/burst.ts
+++ b/demo/burst.ts
@@ -4,44 +4,45 @@
 import { countWantedCopies, declareModel, modelBytes, type Topology } from "./topologies.js";
 import { compareTotals, type TransferFigures, type TransferMeter } from "./transferMeter.js";
 
-/** Measures of one burst. */
+/** Measurements of one burst: the rollout of a version of the model to all wanted copies at once. */
 export interface BurstFigures extends TransferFigures {
     readonly version: string;
-    /** From the start of `goldcrestpoint apply` until all wanted copies serve the version. */
+    /** Time from the start of `goldcrestpoint apply` until all wanted copies serve the version. */
     readonly timeToAllCopies: Milliseconds;
     readonly startedAt: Milliseconds;
     readonly endedAt: Milliseconds;
 }
 
-/** What a burst needs of the run. */
+/** Dependencies of {@link runBurst}. */
 export interface BurstContext {
     readonly cluster: Cluster;
     readonly topology: Topology;
     readonly meter: TransferMeter;
+    /** Prints one line of progress. */
     readonly report: (line: string) => void;
 }
 
-/** Far above the expected seconds, so that a busy machine does not end the demo. */
+/** Far above the expected few seconds, so that the demo does not fail on a busy machine. */
 const burstTimeLimit: Milliseconds = 60_000;
 const reportInterval: Milliseconds = 1_000;
 
 /**
  * Applies a version of the model and waits until all wanted copies serve it.
  *
- * @param context - the running cluster
+ * @param context - the cluster and its topology
  * @param version - version to apply
- * @param disturb - runs once when the first chunks have arrived; the burst ends after it
- * @returns the measures; rejects if the version does not serve within a minute
+ * @param injectFailures - called once when the first chunks have arrived; the burst does not end before it resolves
+ * @returns the measurements; rejects if not all copies serve the version within a minute
  */
 export async function runBurst(
     context: BurstContext,
     version: string,
-    disturb: () => Promise<void> = () => Promise.resolve(),
+    injectFailures: () => Promise<void> = () => Promise.resolve(),
 ): Promise<BurstFigures> {
     const { cluster, topology, meter, report } = context;
     const before = await meter.read();
     const startedAt = performance.now();
-    report(`applies ${topology.model} version ${version} for ${countWantedCopies(topology)} copies`);
+    report(`applying ${topology.model} version ${version} for ${countWantedCopies(topology)} copies`);
     await apply(cluster, declareModel(topology, version));
     const reportProgress = createProgressReport(report);
     const waitFor = (isReached: (row: DeploymentStatus) => boolean): Promise<void> =>
@@ -50,7 +51,7 @@
             return isReached(row);
         });
     await waitFor(row => countChunks(row).complete > 0);
-    await Promise.all([disturb(), waitFor(isServing)]);
+    await Promise.all([injectFailures(), waitFor(isServing)]);
     const endedAt = performance.now();
     const figures = compareTotals(before, await meter.read(), modelBytes);
     return { version, timeToAllCopies: endedAt - startedAt, startedAt, endedAt, ...figures };
@@ -61,12 +62,12 @@
  *
  * @param cluster - the cluster
  * @param declaration - INI text
- * @returns resolves once it is accepted; rejects if it is not
+ * @returns resolves when it is accepted; rejects if it is not
  */
 export async function apply(cluster: Cluster, declaration: string): Promise<void> {
     const { exitCode, lines } = await applyDeclaration(cluster, declaration);
     if (exitCode !== 0) {
-        throw new Error(`apply ended with ${exitCode}: ${lines.join(" ")}`);
+        throw new Error(`apply exited with code ${exitCode}: ${lines.join(" ")}`);
     }
 }
 
@@ -108,5 +109,7 @@
     const share = total === 0 ? 0 : Math.floor(100 * complete / total);
     const serving = row.zones.reduce((sum, zone) => sum + zone.serving, 0);
     const wanted = row.zones.reduce((sum, zone) => sum + zone.wanted, 0);
-    return `weights of version ${row.version ?? ""}: ${share} % arrived, ${serving} of ${wanted} copies serve it`;
+    return `version ${
+        row.version ?? ""
+    }: ${share} % of the weights transferred, ${serving} of ${wanted} copies are serving`;
 }
--- a/demo/cluster/cluster.ts
+++ b/demo/cluster/cluster.ts
@@ -4,32 +4,33 @@
 import { type ProcessSettings, type ProgramProcess, startProgram } from "./programProcess.js";
 import { sendJsonRequest, waitUntil } from "./requests.js";
 
-/** Availability zone with its region. */
+/** Availability zone and its region. */
 export interface ClusterZone {
     readonly zone: AvailabilityZone;
     readonly region: Region;
 }
 
-/** Pool of like backend servers. */
+/** Pool of backend servers of the same kind. */
 export interface ClusterPool {
     readonly pool: string;
     readonly kind: "model" | "service";
-    /** Backend servers in each availability zone, in the order of the zones. */
+    /** Number of backend servers in each availability zone, in the order of the zones. */
     readonly runners: readonly number[];
 }
 
 /** Options of {@link startCluster}. */
 export interface ClusterOptions {
     readonly zones: readonly ClusterZone[];
+    /** Number of entry instances, which are spread over the availability zones in turn. */
     readonly entries: number;
     readonly pools: readonly ClusterPool[];
-    /** Weight sets of the origin, each as MODEL:ADAPTER:VERSION. */
+    /** Weight sets that the origin offers, each as MODEL:ADAPTER:VERSION. */
     readonly weightSets: readonly string[];
-    /** Settings of all processes, as environment variables. */
+    /** Environment variables for all processes. They override the short timeouts of the cluster. */
     readonly settings?: ProcessSettings;
 }
 
-/** Backend server with its agent. */
+/** Backend server and its agent. */
 export interface ClusterRunner extends ClusterZone {
     readonly instance: InstanceId;
     readonly pool: string;
@@ -49,36 +50,36 @@
     process: ProgramProcess;
 }
 
-/** Running processes of a small deployment of the whole system on loopback. */
+/** All processes of a small installation of the system, running on the loopback interface. */
 export interface Cluster extends AsyncDisposable {
     readonly platformUrl: string;
     readonly platform: ProgramProcess;
     readonly entries: readonly ClusterEntry[];
     readonly runners: readonly ClusterRunner[];
-    /** Environment variables with which operator commands reach this cluster. */
+    /** Environment variables that connect operator commands to this cluster. */
     readonly operatorSettings: ProcessSettings;
     /**
-     * Starts the agent of a runner again.
+     * Starts a new agent process for a runner. The old process must have ended.
      *
      * @param runner - the runner
      */
     restartAgent(runner: ClusterRunner): void;
     /**
-     * Starts the backend server of a runner again.
+     * Starts a new backend server process for a runner. The old process must have ended.
      *
      * @param runner - the runner
      */
     restartBackend(runner: ClusterRunner): void;
     /**
-     * Starts the process of an entry instance again.
+     * Starts a new process for an entry instance. The old process must have ended.
      *
      * @param entry - the entry instance
      */
     restartEntry(entry: ClusterEntry): void;
 }
 
-/** Times that let failures take effect within seconds; production defaults are longer. */
-const quickSettings: ProcessSettings = {
+/** Timeouts that let the system react to failures within seconds; the production defaults are longer. */
+const shortTimeoutSettings: ProcessSettings = {
     GOLDCRESTPOINT_HOLD_HOLD_SECONDS: "4",
     GOLDCRESTPOINT_HOLD_MARGIN_SECONDS: "1",
     GOLDCRESTPOINT_PLACEMENT_UNREACHABLE_AFTER_MILLISECONDS: "2500",
@@ -90,21 +91,21 @@
     GOLDCRESTPOINT_BACKEND_SERVER_ORDER_TIME_LIMIT_MILLISECONDS: "500",
     GOLDCRESTPOINT_STAND_IN_PLATFORM_INSTANCE_LIST_LAG_MILLISECONDS: "500",
 };
-/** Far above the usual few seconds, so that a busy machine does not fail the start. */
+/** Far above the usual few seconds, so that the start does not fail on a busy machine. In milliseconds. */
 const startTimeLimit = 60_000;
 
 /**
- * Starts stand-ins, agents and entry instances as processes on loopback and waits until they answer.
+ * Starts stand-ins, agents and entry instances as processes on the loopback interface and waits until they respond.
  *
  * @param options - topology, weights and settings
- * @returns the cluster; disposing of it ends every process that it started
+ * @returns the cluster; disposing of it ends all its processes
  */
 export async function startCluster(options: ClusterOptions): Promise<Cluster> {
     await using resources = createDisposalStack();
-    const settings = { ...quickSettings, ...options.settings };
+    const settings = { ...shortTimeoutSettings, ...options.settings };
     const platformPort = (await findFreePorts(1))[0]!;
     const platformUrl = `http://127.0.0.1:${platformPort}`;
-    const common = {
+    const clientSettings = {
         ...settings,
         GOLDCRESTPOINT_PLATFORM_LOG_URL: platformUrl,
         GOLDCRESTPOINT_PLATFORM_INSTANCE_LIST_URL: platformUrl,
@@ -116,19 +117,19 @@
         GOLDCRESTPOINT_STAND_IN_PLATFORM_HTTP_ADDRESS: `127.0.0.1:${platformPort}`,
         GOLDCRESTPOINT_STAND_IN_PLATFORM_WEIGHT_SETS: options.weightSets.join(","),
     }));
-    await waitUntil("the platform answers", startTimeLimit, () => answers(`${platformUrl}/instances`));
+    await waitUntil("the platform responds", startTimeLimit, () => isAnswering(`${platformUrl}/instances`));
 
     const entries = await planEntries(options);
     const runners = await planRunners(options);
     const startEntryProcess = (entry: Omit<ClusterEntry, "process">) =>
-        startProgram(entry.instance, ["entry"], { ...common, ...createEntryEnvironment(entry) });
+        startProgram(entry.instance, ["entry"], { ...clientSettings, ...createEntryEnvironment(entry) });
     const startBackendProcess = (runner: PlannedRunner) =>
         startProgram(`${runner.instance} backend`, ["stand-in", runner.kind === "model" ? "engine" : "service"], {
             ...settings,
             ...createBackendEnvironment(runner),
         });
     const startAgentProcess = (runner: PlannedRunner) =>
-        startProgram(runner.instance, ["agent"], { ...common, ...createAgentEnvironment(runner) });
+        startProgram(runner.instance, ["agent"], { ...clientSettings, ...createAgentEnvironment(runner) });
 
     for (const { instance, zone, region, grpcAddress } of entries) {
         await register(platformUrl, { instance, role: "entry", pool: "entry", zone, region, address: grpcAddress });
@@ -157,13 +158,16 @@
         ...startedRunners.map(({ backend, backendUrl }) => waitForHealth(backend, backendUrl)),
     ]);
 
-    const owned = resources.move();
+    const ownedResources = resources.move();
     return {
         platformUrl,
         platform,
         entries: startedEntries,
         runners: startedRunners,
-        operatorSettings: { ...common, GOLDCRESTPOINT_OPERATOR_ENTRY_URLS: entries.map(({ url }) => url).join(",") },
+        operatorSettings: {
+            ...clientSettings,
+            GOLDCRESTPOINT_OPERATOR_ENTRY_URLS: entries.map(({ url }) => url).join(","),
+        },
         restartAgent: runner => {
             runner.agent = startAgentProcess(runner);
         },
@@ -173,7 +177,7 @@
         restartEntry: entry => {
             entry.process = startEntryProcess(entry);
         },
-        [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
+        [Symbol.asyncDispose]: () => ownedResources[Symbol.asyncDispose](),
     };
 }
 
@@ -251,16 +255,18 @@
     await sendJsonRequest("POST", `${platformUrl}/instances`, row);
 }
 
-async function answers(url: string): Promise<boolean> {
+async function isAnswering(url: string): Promise<boolean> {
     const { status } = await sendJsonRequest("GET", url);
     return status === 200;
 }
 
 async function waitForHealth(program: ProgramProcess, url: string): Promise<void> {
-    await waitUntil(`${program.name} answers`, startTimeLimit, () => {
+    await waitUntil(`${program.name} responds`, startTimeLimit, () => {
         if (program.exitCode !== undefined) {
-            throw new Error(`${program.name} ended with ${program.exitCode}: ${program.lines.slice(-3).join(" ")}`);
+            throw new Error(
+                `${program.name} exited with code ${program.exitCode}: ${program.lines.slice(-3).join(" ")}`,
+            );
         }
-        return answers(`${url}/health`);
+        return isAnswering(`${url}/health`);
     });
 }
--- a/demo/cluster/promises.ts
+++ b/demo/cluster/executions.ts
@@ -2,39 +2,40 @@
 import type { LoadRecord } from "./load.js";
 import { sendJsonRequest } from "./requests.js";
 
-/** Execution that a backend server has recorded. */
+/** Execution of a request, as recorded in the journal of a backend server. */
 export interface Execution {
     readonly instance: string;
     readonly requestId: string;
     readonly idempotencyKey?: string;
     readonly state: string;
+    /** Number of requests in progress when this one started, including itself. */
     readonly concurrent: number;
     readonly incarnation: string;
     /** Manifest digest of the weights; empty for plain services. */
     readonly manifestDigest?: string;
 }
 
-/** Broken guarantees; all lists are empty if none was broken. */
+/** Violations of guarantees. All lists are empty if there were none. */
 export interface BrokenGuarantees {
-    /** Answers that were not the whole answer to their own request. */
+    /** Requests with a successful response that is incomplete or belongs to another request. */
     readonly wrongAnswers: readonly LoadRecord[];
-    /** Requests that were refused as not run and did run. */
+    /** Requests that were refused as not run, but ran. */
     readonly refusedButRun: readonly LoadRecord[];
     /** Idempotency keys that were executed more than once. */
     readonly executedTwice: readonly string[];
 }
 
 /**
- * Reads what the backend servers have executed. Journals of processes that were killed are lost.
+ * Reads the executions of all backend servers. Killed processes lose theirs, because journals are held in memory.
  *
  * @param cluster - the cluster
- * @returns executions of all backend servers
+ * @returns the executions of all backend servers that respond
  */
 export async function readExecutions(cluster: Cluster): Promise<readonly Execution[]> {
     const journals = await Promise.all(cluster.runners.map(async ({ instance, backendUrl }) => {
-        const answer = await sendJsonRequest("GET", `${backendUrl}/journal`);
-        const entries = answer.status === 200 ?
-            (answer.body as { entries: Omit<Execution, "instance">[]; }).entries :
+        const response = await sendJsonRequest("GET", `${backendUrl}/journal`);
+        const entries = response.status === 200 ?
+            (response.body as { entries: Omit<Execution, "instance">[]; }).entries :
             [];
         return entries.map(entry => ({ ...entry, instance }));
     }));
@@ -42,11 +43,11 @@
 }
 
 /**
- * Compares what callers saw with what backend servers executed.
+ * Compares the results that callers saw with the executions of the backend servers.
  *
  * @param records - requests of the load
  * @param executions - executions of all backend servers
- * @returns the guarantees that were broken
+ * @returns the violations
  */
 export function findBrokenGuarantees(
     records: readonly LoadRecord[],
@@ -70,7 +71,7 @@
  * Counts records by result.
  *
  * @param records - requests of the load
- * @returns number of records for each result that occurs
+ * @returns number of records by result
  */
 export function countResults(records: readonly LoadRecord[]): Readonly<Record<string, number>> {
     const counts: Record<string, number> = {};
--- a/demo/cluster/load.ts
+++ b/demo/cluster/load.ts
@@ -5,52 +5,71 @@
 import { createSystemRandom, sleep } from "../../src/utils/index.js";
 import type { Cluster } from "./cluster.js";
 
-/** How a request of the load ended; `unreached` if no entry instance took it, as when its process has ended. */
+/**
+ * How a request ended, as its caller saw it:
+ *
+ * - `answered`: the response is complete and belongs to the request.
+ * - `wrong`: the response claims success, but is incomplete or belongs to another request.
+ * - `refused`: the request was refused as not run.
+ * - `unknown`: the request failed and may have run.
+ * - `unreached`: the connection was refused, for example because the process of the entry instance has ended.
+ * - `broken`: the connection failed in another way, so that the request may have run.
+ */
 export type LoadResult = "answered" | "refused" | "unknown" | "broken" | "wrong" | "unreached";
 
-/** One request of the load, as its caller saw it. */
+/** One request, as its caller saw it. */
 export interface LoadRecord {
     readonly deployment: string;
     readonly result: LoadResult;
-    /** Request id that the entry instance gave; empty if there was no answer. */
+    /** Request id that the entry instance assigned; empty if there was no response. */
     readonly requestId: string;
     readonly idempotencyKey: string | undefined;
-    /** What the refusal said; undefined for other results. */
+    /** Whether the request ran, according to the refusal; undefined if it was not refused. */
     readonly ran: RanState | undefined;
+    /** Reason of the refusal or connection error; empty for other results. */
     readonly reason: string;
+    /** Version of the weights that the response names; empty without one. */
     readonly version: string;
+    /** Time to first byte; 0 without a response. */
     readonly firstByteAfter: Milliseconds;
     readonly endedAfter: Milliseconds;
+    /** Time on the monotonic clock of `performance`, in milliseconds. */
     readonly startedAt: number;
 }
 
-/** What callers send. */
+/** Options of {@link startLoad}. */
 export interface LoadOptions {
-    /** Model deployments that get completions. */
+    /** Model deployments to which completions are sent. */
     readonly models: readonly string[];
-    /** Plain services that get non-idempotent calls. */
+    /** Plain services to which non-idempotent calls are sent. */
     readonly services: readonly string[];
-    /** Callers that each send one request at a time. */
+    /** Number of callers. Each sends one request at a time. */
     readonly callers: number;
-    /** Pause of a caller between two requests. */
+    /** Pause of each caller between two requests. */
     readonly pause: Milliseconds;
+    /** Time allowed for each request. Default: 10 s. */
     readonly deadline?: Milliseconds;
-    /** Times that a non-idempotent call without an answer is sent again, through the next entry instance. */
+    /** Number of times that an unsuccessful call to a service is sent again, to the next entry instance. Default: 2. */
     readonly resends?: number;
-    /** Client account of each caller, repeated if there are more callers. Default: ten accounts of equal size. */
+    /** Client account of each caller; used in turn if there are more callers. Default: ten accounts. */
     readonly accounts?: readonly ClientAccount[];
-    /** Chooses deployments and prompts. Default: an unpredictable sequence. */
+    /** Source of the random choice of deployments and prompts. Default: an unseeded one. */
     readonly random?: RandomSource;
 }
 
 /** Running load. */
 export interface Load {
     readonly records: readonly LoadRecord[];
-    /** @returns all records, once the requests in progress have ended */
+    /**
+     * Stops sending requests.
+     *
+     * @returns all records, after the requests in progress have ended
+     */
     stop(): Promise<readonly LoadRecord[]>;
 }
 
 interface CallResult extends LoadRecord {
+    /** Time that the refusal asks the caller to wait; 0 for other results. */
     readonly retryAfter: Milliseconds;
 }
 
@@ -60,7 +79,7 @@
 const defaultAccounts: readonly ClientAccount[] = [...Array(10).keys()].map(index => `account-${index}`);
 
 /**
- * Starts callers that send requests through the entry instances in turn.
+ * Starts callers that send requests to the entry instances in turn.
  *
  * @param cluster - the cluster
  * @param options - deployments, number of callers and pauses
@@ -70,15 +89,15 @@
     const records: LoadRecord[] = [];
     const { accounts = defaultAccounts, random = createSystemRandom() } = options;
     let stopped = false;
-    let turn = 0;
+    let requestCount = 0;
 
     function nextUrl(): string {
-        turn += 1;
-        return cluster.entries[turn % cluster.entries.length]!.url;
+        requestCount += 1;
+        return cluster.entries[requestCount % cluster.entries.length]!.url;
     }
 
     async function callModel(account: string): Promise<void> {
-        const deployment = choose(random, options.models);
+        const deployment = chooseAny(random, options.models);
         const result = await sendCompletion(
             nextUrl(),
             deployment,
@@ -91,7 +110,7 @@
     }
 
     async function callService(account: string): Promise<void> {
-        const deployment = choose(random, options.services);
+        const deployment = chooseAny(random, options.services);
         const key = createIdempotencyKey(Date.now(), createSystemRandom());
         for (let attempt = 0; attempt <= (options.resends ?? 2); attempt++) {
             const result = await sendServiceCall(
@@ -111,12 +130,12 @@
 
     async function runCaller(index: number): Promise<void> {
         const account = accounts[index % accounts.length]!;
-        const kinds = [
+        const calls = [
             ...options.models.map(() => callModel),
             ...options.services.map(() => callService),
         ];
         while (!stopped) {
-            await choose(random, kinds)(account);
+            await chooseAny(random, calls)(account);
             await sleep(options.pause);
         }
     }
@@ -133,14 +152,15 @@
 }
 
 /**
- * Sends one streamed completion and checks every token of its answer.
+ * Sends one streaming completion request and checks every token of the response.
  *
- * @param url - entry instance
- * @param deployment - deployment to ask
+ * @param url - URL of the entry instance
+ * @param deployment - deployment that the request addresses
  * @param account - client account
- * @param deadline - time for the whole answer
- * @param prompt - prompt; default: one of a thousand
- * @returns how it ended; `wrong` if the answer does not belong to the request or is not complete although it says so
+ * @param deadline - time allowed for the whole response
+ * @param prompt - prompt; default: a random one out of a thousand
+ * @returns how it ended; `wrong` if the response does not have exactly the expected tokens, or ends early without an
+ * error
  */
 export async function sendCompletion(
     url: string,
@@ -150,20 +170,20 @@
     prompt = choosePrompt(createSystemRandom()),
 ): Promise<CallResult> {
     const body = JSON.stringify({ model: deployment, prompt, max_tokens: tokens, stream: true });
-    return call(`${url}/v1/completions`, deployment, undefined, body, {
+    return sendCall(`${url}/v1/completions`, deployment, undefined, body, {
         "x-client-account": account,
         "x-deadline-milliseconds": String(deadline),
     }, (text, headers) => checkCompletion(text, headers, prompt));
 }
 
 /**
- * Sends one non-idempotent call to a plain service and checks that the answer repeats its content.
+ * Sends one non-idempotent call to a plain service and checks that the response contains the idempotency key.
  *
- * @param url - entry instance
- * @param deployment - deployment to ask
+ * @param url - URL of the entry instance
+ * @param deployment - deployment that the request addresses
  * @param account - client account
  * @param key - idempotency key
- * @param deadline - time for the whole answer
+ * @param deadline - time allowed for the whole response
  * @returns how it ended
  */
 export async function sendServiceCall(
@@ -174,14 +194,14 @@
     deadline: Milliseconds,
 ): Promise<CallResult> {
     const body = JSON.stringify({ order: key });
-    return call(`${url}/services/${deployment}/orders`, deployment, key, body, {
+    return sendCall(`${url}/services/${deployment}/orders`, deployment, key, body, {
         "x-client-account": account,
         "x-deadline-milliseconds": String(deadline),
         "idempotency-key": key,
     }, text => text.includes(key) ? "answered" : "wrong");
 }
 
-function choose<Item>(random: RandomSource, items: readonly Item[]): Item {
+function chooseAny<Item>(random: RandomSource, items: readonly Item[]): Item {
     return items[Math.floor(random.next() * items.length)]!;
 }
 
@@ -191,7 +211,7 @@
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
-async function call(
+async function sendCall(
     url: string,
     deployment: string,
     idempotencyKey: string | undefined,
@@ -201,37 +221,37 @@
 ): Promise<CallResult> {
     const startedAt = performance.now();
     let firstByteAfter = 0;
-    const describe = (result: LoadResult, answer: Headers, refusal?: RefusalBody): CallResult => ({
+    const createResult = (result: LoadResult, response: Headers, refusal?: RefusalBody): CallResult => ({
         deployment,
         result,
         idempotencyKey,
-        requestId: String(answer["x-request-id"] ?? ""),
+        requestId: String(response["x-request-id"] ?? ""),
         ran: refusal?.ran,
         reason: refusal?.reason ?? "",
-        version: String(answer["x-version"] ?? ""),
+        version: String(response["x-version"] ?? ""),
         firstByteAfter,
         endedAfter: performance.now() - startedAt,
         startedAt,
         retryAfter: (refusal?.retryAfterSeconds ?? 0) * 1_000,
     });
     try {
-        const answer = await request(url, {
+        const response = await request(url, {
             method: "POST",
             headers: { "content-type": "application/json", ...headers },
             body,
             headersTimeout: 60_000,
         });
         firstByteAfter = performance.now() - startedAt;
-        const text = await answer.body.text();
+        const text = await response.body.text();
         const refusal = readRefusal(text);
         if (refusal !== undefined) {
-            return describe(refusal.ran === "no" ? "refused" : "unknown", answer.headers, refusal);
+            return createResult(refusal.ran === "no" ? "refused" : "unknown", response.headers, refusal);
         }
-        return describe(answer.statusCode === 200 ? check(text, answer.headers) : "unknown", answer.headers);
+        return createResult(response.statusCode === 200 ? check(text, response.headers) : "unknown", response.headers);
     }
     catch (error) {
         const reason = String(error);
-        return { ...describe(reason.includes("ECONNREFUSED") ? "unreached" : "broken", {}), reason };
+        return { ...createResult(reason.includes("ECONNREFUSED") ? "unreached" : "broken", {}), reason };
     }
 }
 
@@ -241,7 +261,7 @@
     readonly retryAfterSeconds: number;
 }
 
-/** Finds a refusal, as a JSON answer or as the last event of a broken stream. */
+/** Finds a refusal, which is either the whole JSON response or the last event of a stream that broke off. */
 function readRefusal(text: string): RefusalBody | undefined {
     const found = /\{"error":(\{"ran":.*\})\}\s*$/.exec(text);
     return found?.[1] === undefined ? undefined : JSON.parse(found[1]) as RefusalBody;
--- a/demo/cluster/operator.ts
+++ b/demo/cluster/operator.ts
@@ -10,6 +10,7 @@
 /** Result of an operator command. */
 export interface CommandResult {
     readonly exitCode: number;
+    /** Lines of standard output and standard error. */
     readonly lines: readonly string[];
 }
 
@@ -17,33 +18,36 @@
  * Runs an operator command against a cluster.
  *
  * @param cluster - the cluster
- * @param words - words of the command line
+ * @param commandArguments - command-line arguments
  * @returns exit code and output
  */
-export async function runOperatorCommand(cluster: Cluster, words: readonly string[]): Promise<CommandResult> {
-    const program = startProgram(words.join(" "), words, cluster.operatorSettings);
+export async function runOperatorCommand(
+    cluster: Cluster,
+    commandArguments: readonly string[],
+): Promise<CommandResult> {
+    const program = startProgram(commandArguments.join(" "), commandArguments, cluster.operatorSettings);
     const exitCode = await program.waitForExit();
     return { exitCode, lines: program.lines };
 }
 
 /**
- * Applies a declaration.
+ * Writes a declaration to a temporary file and runs the command `apply` with it.
  *
  * @param cluster - the cluster
- * @param declaration - INI text
- * @param words - further words of the command line
+ * @param declaration - INI text of the declaration
+ * @param commandArguments - further command-line arguments
  * @returns exit code and output
  */
 export async function applyDeclaration(
     cluster: Cluster,
     declaration: string,
-    words: readonly string[] = [],
+    commandArguments: readonly string[] = [],
 ): Promise<CommandResult> {
     const folder = await mkdtemp(join(tmpdir(), "goldcrestpoint-"));
     const file = join(folder, "deployment.ini");
     await writeFile(file, declaration);
     try {
-        return await runOperatorCommand(cluster, ["apply", file, ...words]);
+        return await runOperatorCommand(cluster, ["apply", file, ...commandArguments]);
     }
     finally {
         await rm(folder, { recursive: true });
@@ -51,27 +55,27 @@
 }
 
 /**
- * Reads the status from the first entry instance that answers.
+ * Reads the status from the first entry instance that responds.
  *
  * @param cluster - the cluster
- * @returns the report; undefined if none answers
+ * @returns the status; undefined if none responds
  */
 export async function readStatus(cluster: Cluster): Promise<StatusReport | undefined> {
     for (const { url } of cluster.entries) {
-        const answer = await sendJsonRequest("GET", `${url}/operations/status`);
-        if (answer.status === 200) {
-            return answer.body as StatusReport;
+        const response = await sendJsonRequest("GET", `${url}/operations/status`);
+        if (response.status === 200) {
+            return response.body as StatusReport;
         }
     }
     return undefined;
 }
 
 /**
- * Waits until a deployment serves the wanted number of copies in each availability zone.
+ * Waits until a deployment has exactly the wanted number of serving copies in each availability zone.
  *
  * @param cluster - the cluster
  * @param deployment - name of the deployment
- * @param timeLimit - time after which the wait has failed
+ * @param timeLimit - time after which the wait fails
  */
 export async function waitUntilServing(cluster: Cluster, deployment: string, timeLimit: Milliseconds): Promise<void> {
     let last: unknown;
--- a/demo/cluster/presets.ts
+++ b/demo/cluster/presets.ts
@@ -2,7 +2,7 @@
 import { applyDeclaration, waitUntilServing } from "./operator.js";
 import { sendJsonRequest } from "./requests.js";
 
-/** Topology of Lone Star at a small size: three availability zones in three regions. */
+/** Availability zones of the user Lone Star, each in its own region. */
 export const loneStarZones = [
     { zone: "dfw-hall-a", region: "dallas" },
     { zone: "hou-hall-b", region: "houston" },
@@ -17,12 +17,12 @@
     readonly version?: number;
     /** Copies in each availability zone of Lone Star. */
     readonly replicas: readonly number[];
-    /** Further lines of the section `deployment`. */
+    /** Additional lines of the section `deployment`. */
     readonly lines?: readonly string[];
 }
 
 /**
- * Writes a declaration for Lone Star's availability zones.
+ * Creates a declaration for Lone Star's availability zones.
  *
  * @param content - what to declare
  * @returns INI text
@@ -47,7 +47,7 @@
 /**
  * Starts a cluster in Lone Star's availability zones with versions 1 and 2 of its weights.
  *
- * @param options - what differs from three entry instances without backend servers
+ * @param options - options that override the defaults: three entry instances and no backend servers
  * @returns the cluster
  */
 export function startLoneStar(options: Partial<ClusterOptions>): Promise<Cluster> {
@@ -61,7 +61,7 @@
 }
 
 /**
- * Applies a declaration and waits until it is served.
+ * Applies a declaration and waits until the deployment serves all wanted copies.
  *
  * @param cluster - the cluster
  * @param content - what to declare
@@ -69,50 +69,50 @@
 export async function deploy(cluster: Cluster, content: DeclarationContent): Promise<void> {
     const { exitCode, lines } = await applyDeclaration(cluster, createDeclaration(content));
     if (exitCode !== 0) {
-        throw new Error(`apply ended with ${exitCode}: ${lines.join("; ")}`);
+        throw new Error(`apply exited with code ${exitCode}: ${lines.join("; ")}`);
     }
     await waitUntilServing(cluster, content.name, 30_000);
 }
 
 /**
- * Counts the runners of a pool whose agents are ready to serve.
+ * Lists the runners of a pool whose agents are ready to serve.
  *
  * @param cluster - the cluster
  * @param pool - the pool
- * @returns instances that are ready
+ * @returns instance ids of the runners that are ready
  */
 export async function listReady(cluster: Cluster, pool: string): Promise<string[]> {
     const runners = cluster.runners.filter(runner => runner.pool === pool);
-    const answers = await Promise.all(runners.map(({ agentUrl }) => isReady(agentUrl)));
-    return runners.filter((...[, index]) => answers[index]).map(({ instance }) => instance);
+    const responses = await Promise.all(runners.map(({ agentUrl }) => isReady(agentUrl)));
+    return runners.filter((...[, index]) => responses[index]).map(({ instance }) => instance);
 }
 
-/** A frozen process does not answer, so the wait is short. */
+/** Waits only 500 ms, because a suspended process does not respond. */
 async function isReady(agentUrl: string): Promise<boolean> {
-    const answer = await Promise.race([
+    const response = await Promise.race([
         sendJsonRequest("GET", `${agentUrl}/ready`),
         new Promise<undefined>(resolve => setTimeout(() => resolve(undefined), 500)),
     ]);
-    return answer?.status === 200;
+    return response?.status === 200;
 }
 
 /**
- * Adds a fault to a stand-in.
+ * Makes a stand-in inject a fault.
  *
- * @param url - the stand-in
- * @param rule - operation, kind and bounds of the fault
+ * @param url - URL of the stand-in
+ * @param rule - operation, kind and limits of the fault
  */
 export async function addFault(url: string, rule: Readonly<Record<string, unknown>>): Promise<void> {
     const { status } = await sendJsonRequest("POST", `${url}/control/faults`, rule);
     if (status !== 204) {
-        throw new Error(`fault was not accepted: status ${status}`);
+        throw new Error(`fault was rejected with status ${status}`);
     }
 }
 
 /**
- * Removes all faults of a stand-in.
+ * Removes all injected faults of a stand-in.
  *
- * @param url - the stand-in
+ * @param url - URL of the stand-in
  */
 export async function clearFaults(url: string): Promise<void> {
     await sendJsonRequest("DELETE", `${url}/control/faults`);
--- a/demo/cluster/programProcess.ts
+++ b/demo/cluster/programProcess.ts
@@ -5,13 +5,14 @@
 /** Environment variables of a process. */
 export type ProcessSettings = Readonly<Record<string, string>>;
 
-/** Process of the executable `goldcrestpoint`. */
+/** Process that runs the executable `goldcrestpoint`. */
 export interface ProgramProcess extends AsyncDisposable {
+    /** Name for messages. */
     readonly name: string;
     readonly pid: number;
     /** Undefined while the process runs; -1 if a signal ended it. */
     readonly exitCode: number | undefined;
-    /** JSON lines that the process has logged, newest last; bounded. */
+    /** Newest lines of standard output and standard error, newest last; the log is written as JSON lines. */
     readonly lines: readonly string[];
     /**
      * Sends a signal.
@@ -19,28 +20,32 @@
      * @param signal - for example `SIGKILL` or `SIGSTOP`
      */
     signal(signal: NodeJS.Signals): void;
-    /** @returns resolves with the exit code once the process has ended */
+    /** @returns the exit code, when the process has ended */
     waitForExit(): Promise<number>;
 }
 
 const executable = fileURLToPath(new URL("../../dist/node/cli/main.js", import.meta.url));
-const keptLines = 5_000;
+const maximumLines = 5_000;
 const stopTimeLimit: Milliseconds = 5_000;
 const running = new Set<ChildProcess>();
 
-// No process outlives this one, also if it ends without disposing of its resources.
+// Child processes must not outlive this process, even if it exits without disposing of them.
 process.once("exit", () => running.forEach(child => child.kill("SIGKILL")));
 
 /**
  * Starts a process of the built executable.
  *
  * @param name - name for messages
- * @param words - words of the command line
- * @param settings - environment variables beside those of this process
+ * @param commandArguments - command-line arguments
+ * @param settings - environment variables in addition to those of this process
  * @returns the running process
  */
-export function startProgram(name: string, words: readonly string[], settings: ProcessSettings): ProgramProcess {
-    const child = spawn(process.execPath, [executable, ...words], {
+export function startProgram(
+    name: string,
+    commandArguments: readonly string[],
+    settings: ProcessSettings,
+): ProgramProcess {
+    const child = spawn(process.execPath, [executable, ...commandArguments], {
         env: { ...process.env, ...settings },
         stdio: ["ignore", "pipe", "pipe"],
     });
@@ -79,13 +84,13 @@
 
 function collectLines(child: ChildProcess, lines: string[]): void {
     for (const stream of [child.stdout, child.stderr]) {
-        let rest = "";
+        let incompleteLine = "";
         stream?.setEncoding("utf8");
         stream?.on("data", (text: string) => {
-            const parts = (rest + text).split("\n");
-            rest = parts.pop() ?? "";
+            const parts = (incompleteLine + text).split("\n");
+            incompleteLine = parts.pop() ?? "";
             lines.push(...parts);
-            lines.splice(0, Math.max(0, lines.length - keptLines));
+            lines.splice(0, Math.max(0, lines.length - maximumLines));
         });
     }
 }
--- a/demo/cluster/requests.ts
+++ b/demo/cluster/requests.ts
@@ -2,11 +2,11 @@
 import type { Milliseconds } from "../../src/types/index.js";
 import { sleep } from "../../src/utils/index.js";
 
-/** Answer to a JSON request; status 0 if there was none. */
-export interface JsonAnswer {
+/** Response to a JSON request; status 0 if the request failed without a response. */
+export interface JsonResponse {
     readonly status: number;
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-    /** Parsed JSON, or the text if it is none. */
+    /** Parsed JSON; the text itself if it is not JSON, or the error if there was no response. */
     readonly body: unknown;
 }
 
@@ -16,25 +16,25 @@
  * Sends a request with JSON content.
  *
  * @param method - HTTP method
- * @param url - address
+ * @param url - URL
  * @param content - value to send as JSON; undefined for no body
- * @param headers - further headers
- * @returns the answer; never rejects
+ * @param headers - additional headers
+ * @returns the response; never rejects
  */
 export async function sendJsonRequest(
     method: "GET" | "POST" | "DELETE",
     url: string,
     content?: unknown,
     headers: Readonly<Record<string, string>> = {},
-): Promise<JsonAnswer> {
+): Promise<JsonResponse> {
     try {
-        const answer = await request(url, {
+        const response = await request(url, {
             method,
             headers: { "content-type": "application/json", ...headers },
             ...(content === undefined ? {} : { body: JSON.stringify(content) }),
         });
-        const text = await answer.body.text();
-        return { status: answer.statusCode, headers: answer.headers, body: parseJson(text) };
+        const text = await response.body.text();
+        return { status: response.statusCode, headers: response.headers, body: parseJson(text) };
     }
     catch (error) {
         return { status: 0, headers: {}, body: String(error) };
@@ -42,10 +42,10 @@
 }
 
 /**
- * Waits for a condition.
+ * Polls until a condition holds.
  *
- * @param condition - what is waited for, for the message
- * @param timeLimit - time after which the wait has failed
+ * @param condition - description of the condition, for the error message
+ * @param timeLimit - time after which the wait fails
  * @param check - tells whether the condition holds
  * @returns resolves when it holds; rejects after the time limit
  */
@@ -57,7 +57,7 @@
     const endsAt = Date.now() + timeLimit;
     while (!await check()) {
         if (Date.now() > endsAt) {
-            throw new Error(`${condition}: not within ${timeLimit} ms`);
+            throw new Error(`${condition}: timed out after ${timeLimit} ms`);
         }
         await sleep(pollInterval);
     }
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -19,17 +19,21 @@
 
 const command = new Command("demo")
     .description(
-        "Runs both users' topologies small, as processes on this machine, and measures a burst of a first version and " +
-            "a version change during live requests. Exit code 1 if a guarantee was broken.",
+        "Runs small copies of both users' topologies as processes on this machine, and measures the rollout of a " +
+            "first version and a version change under load. Exits with code 1 if a guarantee is violated.",
     )
     .option("--kill", "kill an agent, an engine and an entry instance during the version change", false)
     .addOption(new Option("--user <name>", "topology to run").choices(Object.keys(users)).default("both"))
-    .option("--seed <number>", "seed of requests and kills", parseSeed, 1)
-    .option("--json", "print one JSON document to standard output and progress to standard error", false)
-    .option("--logs <folder>", "write the log lines of entry instances and agents to files in this folder")
+    .option("--seed <number>", "seed of the random choices of requests and of processes to kill", parseSeed, 1)
+    .option(
+        "--json",
+        "print the results as one JSON document to standard output, and progress to standard error",
+        false,
+    )
+    .option("--logs <folder>", "write the log of each entry instance and agent to a file in this folder")
     .parse();
 
-// Exiting here lets the exit listener of the harness end the processes that were started.
+// A signal would end this process without the exit listener that kills the started processes; process.exit runs it.
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
     process.once(signal, () => process.exit(1));
 }
@@ -55,9 +59,9 @@
     }
     else {
         print(reports.map(report => `\n${renderReport(report)}`).join("\n"));
-        print(`\nended after ${seconds.toFixed(1)} s`);
+        print(`\nfinished after ${seconds.toFixed(1)} s`);
     }
-    failures.forEach(failure => print(`a run did not finish: ${failure}`));
+    failures.forEach(failure => print(`run failed: ${failure}`));
     return failures.length > 0 || reports.some(isBroken) ? 1 : 0;
 }
 
@@ -68,7 +72,7 @@
 function parseSeed(text: string): number {
     const seed = Number(text);
     if (!Number.isInteger(seed)) {
-        throw new InvalidArgumentError("a whole number is needed");
+        throw new InvalidArgumentError("must be a whole number");
     }
     return seed;
 }
--- a/demo/report.ts
+++ b/demo/report.ts
@@ -6,10 +6,10 @@
 const valueWidth = 16;
 
 /**
- * Renders the table of one user.
+ * Renders the results of one user's run as a table.
  *
  * @param report - result of the run
- * @returns lines without a line break at the end
+ * @returns the lines, without a trailing line break
  */
 export function renderReport(report: UserReport): string {
     const { firstVersion, versionChange, firstByteP95 } = report;
@@ -39,7 +39,7 @@
     return time === undefined ? "no answers" : `${time.toFixed(0)} ms`;
 }
 
-/** An answer that broke off leaves its outcome unknown to the caller. */
+/** Broken responses count as unknown, because the caller does not learn whether the request ran. */
 function renderRequests(requests: UserReport["requests"]): string {
     const { answered = 0, refused = 0, unknown = 0, broken = 0, unreached = 0 } = requests;
     return [answered, refused, unknown + broken, unreached].join(" / ");
--- a/demo/stateWatch.ts
+++ b/demo/stateSampler.ts
@@ -3,31 +3,35 @@
 import { sleep } from "../src/utils/index.js";
 import { type Cluster, type ClusterRunner, sendJsonRequest } from "./cluster/index.js";
 
-/** Samples of copies and configurations while the demo runs. */
-export interface StateWatch {
-    /** @returns number of samples and what was seen that must not be; ends the sampling */
+/** Running sampling of copies and configurations. */
+export interface StateSampler {
+    /**
+     * Ends the sampling.
+     *
+     * @returns number of samples, and the violations that they showed, one line each
+     */
     stop(): Promise<{ readonly samples: number; readonly broken: readonly string[]; }>;
 }
 
 const sampleInterval: Milliseconds = 500;
 
-/** Tells from an engine's state whether it counts as a copy. */
-type Holding = (state: EngineState) => boolean;
+/** Tells from an engine's state whether the engine counts as a copy. */
+type CopyPredicate = (state: EngineState) => boolean;
 
-const kinds: readonly (readonly [name: string, holds: Holding])[] = [
+const copyStates: readonly (readonly [name: string, holds: CopyPredicate])[] = [
     ["serving", state => state.active !== undefined],
     ["held", state => state.active !== undefined || state.staged.length > 0],
 ];
 
 /**
- * Samples all engines and entry instances until it is stopped: in no availability zone may more engines serve or hold
- * weights than copies are wanted, and no entry instance may show an older revision than before.
+ * Samples all engines and entry instances until it is stopped, and checks two guarantees: no availability zone has more
+ * engines that serve or hold weights than copies are wanted, and no entry instance goes back to an older revision.
  *
  * @param cluster - the cluster
  * @param wanted - wanted copies by availability zone
- * @returns the running watch
+ * @returns the running sampler
  */
-export function startStateWatch(cluster: Cluster, wanted: ReadonlyMap<string, number>): StateWatch {
+export function startStateSampler(cluster: Cluster, wanted: ReadonlyMap<string, number>): StateSampler {
     const engines = cluster.runners.filter(({ kind }) => kind === "model");
     const broken = new Set<string>();
     const revisions = new Map<string, number>();
@@ -35,28 +39,28 @@
     let samples = 0;
 
     async function sampleCopies(): Promise<void> {
-        const first = await readEngines(engines);
-        if (findSurplus(engines, first, wanted).length === 0) {
+        const first = await readCopyFlags(engines);
+        if (findExcessCopies(engines, first, wanted).length === 0) {
             return;
         }
-        // Engines are read at different moments, so a copy that moves may be seen twice. Engines that hold weights in
-        // two readings, one after the other, held them at the same time in between.
-        const second = await readEngines(engines);
-        const both = new Map([...first].filter(([instance]) => second.has(instance)));
+        // Engines are read at different times, so one read may see a copy on two engines while it moves. Engines that
+        // hold weights in both of two successive reads held them at the same time in between.
+        const second = await readCopyFlags(engines);
+        const answeredTwice = new Map([...first].filter(([instance]) => second.has(instance)));
         const states = new Map(
-            [...both].map(([instance, state]) => [instance, intersect(state, second.get(instance)!)]),
+            [...answeredTwice].map(([instance, state]) => [instance, intersectFlags(state, second.get(instance)!)]),
         );
-        findSurplus(engines, states, wanted).forEach(problem => broken.add(problem));
+        findExcessCopies(engines, states, wanted).forEach(problem => broken.add(problem));
     }
 
     async function sampleRevisions(): Promise<void> {
         for (const { instance, url } of cluster.entries) {
-            const answer = await sendJsonRequest("GET", `${url}/operations/status`);
-            const rows = answer.status === 200 ? (answer.body as StatusReport).deployments : [];
+            const response = await sendJsonRequest("GET", `${url}/operations/status`);
+            const rows = response.status === 200 ? (response.body as StatusReport).deployments : [];
             for (const { deployment, revision } of rows) {
                 const name = `${instance} ${deployment}`;
                 if (revision < (revisions.get(name) ?? 0)) {
-                    broken.add(`${name}: revision ${revision} in force after ${revisions.get(name)}`);
+                    broken.add(`${name}: revision ${revision} in force after revision ${revisions.get(name)}`);
                 }
                 revisions.set(name, Math.max(revision, revisions.get(name) ?? 0));
             }
@@ -81,44 +85,45 @@
     };
 }
 
-type Held = Readonly<Record<string, boolean>>;
+/** Whether an engine counts as a copy, by the names of {@link copyStates}. */
+type CopyFlags = Readonly<Record<string, boolean>>;
 
 /**
- * Reads the state of engines.
+ * Reads the states of engines.
  *
  * @param engines - runners of a model
- * @returns state of each engine that answered
+ * @returns state of each engine that responded
  */
 export async function readEngineStates(
     engines: readonly ClusterRunner[],
 ): Promise<ReadonlyMap<InstanceId, EngineState>> {
     const states = await Promise.all(engines.map(async ({ instance, backendUrl }) => {
-        const answer = await sendJsonRequest("GET", `${backendUrl}/state`);
-        return answer.status === 200 ? [[instance, answer.body as EngineState] as const] : [];
+        const response = await sendJsonRequest("GET", `${backendUrl}/state`);
+        return response.status === 200 ? [[instance, response.body as EngineState] as const] : [];
     }));
     return new Map(states.flat());
 }
 
-async function readEngines(engines: readonly ClusterRunner[]): Promise<ReadonlyMap<InstanceId, Held>> {
+async function readCopyFlags(engines: readonly ClusterRunner[]): Promise<ReadonlyMap<InstanceId, CopyFlags>> {
     const states = await readEngineStates(engines);
     return new Map(
         [...states].map(([instance, state]) =>
-            [instance, Object.fromEntries(kinds.map(([name, holds]) => [name, holds(state)]))] as const
+            [instance, Object.fromEntries(copyStates.map(([name, holds]) => [name, holds(state)]))] as const
         ),
     );
 }
 
-function intersect(left: Held, right: Held): Held {
-    return Object.fromEntries(kinds.map(([name]) => [name, left[name] === true && right[name] === true]));
+function intersectFlags(left: CopyFlags, right: CopyFlags): CopyFlags {
+    return Object.fromEntries(copyStates.map(([name]) => [name, left[name] === true && right[name] === true]));
 }
 
-function findSurplus(
+function findExcessCopies(
     engines: readonly ClusterRunner[],
-    states: ReadonlyMap<InstanceId, Held>,
+    states: ReadonlyMap<InstanceId, CopyFlags>,
     wanted: ReadonlyMap<string, number>,
 ): string[] {
     return [...wanted].flatMap(([zone, limit]) =>
-        kinds.flatMap(([name]) => {
+        copyStates.flatMap(([name]) => {
             const holders = engines.filter(engine =>
                 engine.zone === zone && states.get(engine.instance)?.[name] === true
             );
--- a/demo/topologies.ts
+++ b/demo/topologies.ts
@@ -4,13 +4,13 @@
 /** Name of a user on the command line. */
 export type UserName = "lone-star" | "roots-and-branches";
 
-/** Small copy of a user's topology. */
+/** A user's topology at a small size. */
 export interface Topology {
     readonly name: UserName;
     readonly title: string;
     readonly zones: readonly ClusterZone[];
     readonly entries: number;
-    /** Backend servers; the model's pool has one more than is wanted, which must stay without a copy. */
+    /** Pools of backend servers. The model's pool has one more than copies are wanted; that one must get no copy. */
     readonly pools: readonly ClusterPool[];
     /** Model deployment; its pool has the same name. */
     readonly model: string;
@@ -22,23 +22,24 @@
     readonly settings: ProcessSettings;
 }
 
-/** Bytes of a weight set; small enough for a burst of seconds at the throttled rates. */
+/** Size of a weight set in bytes: small enough to reach all copies within seconds at the limited rates below. */
 export const modelBytes = 8 * 1024 * 1024;
 const originBytesPerSecond = 3 * 1024 * 1024;
 const linkBytesPerSecond = 6 * 1024 * 1024;
 const chunkBytes = 128 * 1024;
 
 /**
- * Times of the harness let a silent process count as failed after 2.5 s. With about fifty processes on one busy machine
- * a process may be silent for that long without a failure, and its copy would be replaced.
+ * By default, a cluster treats a process that has been silent for 2.5 s as failed. With about fifty processes on one
+ * busy machine a healthy process may be silent for that long, and its copy would be replaced.
  */
-const patientSettings: ProcessSettings = {
+const longTimeoutSettings: ProcessSettings = {
     GOLDCRESTPOINT_HOLD_HOLD_SECONDS: "10",
     GOLDCRESTPOINT_HOLD_MARGIN_SECONDS: "2",
     GOLDCRESTPOINT_PLACEMENT_UNREACHABLE_AFTER_MILLISECONDS: "10000",
 };
 
-const throttledSettings: ProcessSettings = {
+/** Sizes of the weights and rate limits of their transfer. */
+const transferSettings: ProcessSettings = {
     GOLDCRESTPOINT_STAND_IN_PLATFORM_MODEL_BYTES: String(modelBytes),
     GOLDCRESTPOINT_STAND_IN_PLATFORM_CHUNK_BYTES: String(chunkBytes),
     GOLDCRESTPOINT_STAND_IN_PLATFORM_ORIGIN_BYTES_PER_SECOND: String(originBytesPerSecond),
@@ -64,8 +65,8 @@
     services: ["field-app", "accounts"],
     objective: "time",
     settings: {
-        ...patientSettings,
-        ...throttledSettings,
+        ...longTimeoutSettings,
+        ...transferSettings,
         GOLDCRESTPOINT_ROUTING_REGION_PENALTY_REQUESTS: "2",
     },
 };
@@ -89,13 +90,13 @@
     services: ["archive", "members"],
     objective: "origin-bytes",
     settings: {
-        ...patientSettings,
-        ...throttledSettings,
+        ...longTimeoutSettings,
+        ...transferSettings,
         GOLDCRESTPOINT_ROUTING_REGION_PENALTY_REQUESTS: "1",
     },
 };
 
-/** The two users' topologies by name. */
+/** Topologies of both users, by name. */
 export const topologies: Readonly<Record<UserName, Topology>> = {
     "lone-star": loneStar,
     "roots-and-branches": rootsAndBranches,
@@ -105,14 +106,14 @@
  * Counts the wanted copies of the model.
  *
  * @param topology - the user's topology
- * @returns number of copies in all availability zones
+ * @returns total number of copies over all availability zones
  */
 export function countWantedCopies(topology: Topology): number {
     return topology.replicas.reduce((sum, count) => sum + count, 0);
 }
 
 /**
- * Lists the wanted copies of the model.
+ * Lists the wanted copies of the model for each availability zone.
  *
  * @param topology - the user's topology
  * @returns number of copies by availability zone
@@ -122,10 +123,10 @@
 }
 
 /**
- * Writes the declaration of the model.
+ * Creates the declaration of the model.
  *
  * @param topology - the user's topology
- * @param version - version that should be live
+ * @param version - version to serve
  * @returns INI text
  */
 export function declareModel(topology: Topology, version: string): string {
@@ -134,7 +135,7 @@
 }
 
 /**
- * Writes the declaration of a plain service.
+ * Creates the declaration of a plain service.
  *
  * @param topology - the user's topology
  * @param service - name of the service
--- a/demo/transferMeter.ts
+++ b/demo/transferMeter.ts
@@ -3,29 +3,30 @@
 import type { Cluster, ClusterRunner } from "./cluster/index.js";
 import { sendJsonRequest } from "./cluster/index.js";
 
-/** Bytes of weights since the start of the cluster. */
+/** Bytes of weights transferred since the start of the cluster. */
 export interface TransferTotals {
-    /** Bytes that the origin sent, as the platform counts them. */
+    /** Bytes sent by the origin, as counted by the platform. */
     readonly originBytes: number;
-    /** Bytes of each agent, received and sent together. */
+    /** Sum of the bytes received and sent, for each agent. */
     readonly linkBytes: ReadonlyMap<InstanceId, number>;
 }
 
-/** Transfers between two readings, in copies of the weight set. */
+/** Transfers between two readings, in multiples of the size of the weight set. */
 export interface TransferFigures {
     readonly originCopies: number;
+    /** Mean over the links, which counts bytes in both directions. */
     readonly meanLinkCopies: number;
     readonly maximumLinkCopies: number;
 }
 
-/** Reads the transfer figures of a cluster. */
+/** Reads how much a cluster has transferred. */
 export interface TransferMeter {
-    /** @returns the totals at this moment */
+    /** @returns the current totals */
     read(): Promise<TransferTotals>;
     /**
-     * Keeps what an agent has counted, since its counters begin at zero after its restart.
+     * Saves the byte counts of an agent before its process ends, because a restarted agent counts from zero again.
      *
-     * @param runner - runner whose agent is about to end
+     * @param runner - runner whose agent is about to be ended
      */
     keep(runner: ClusterRunner): Promise<void>;
 }
@@ -33,21 +34,21 @@
 const linkMetrics = ["origin_received_bytes", "peer_received_bytes", "peer_sent_bytes"];
 
 /**
- * Creates a meter.
+ * Creates a transfer meter.
  *
  * @param cluster - the cluster
  * @returns the meter
  */
 export function createTransferMeter(cluster: Cluster): TransferMeter {
-    const models = cluster.runners.filter(({ kind }) => kind === "model");
-    const kept = new Map<InstanceId, number>();
+    const modelRunners = cluster.runners.filter(({ kind }) => kind === "model");
+    const bytesBeforeRestart = new Map<InstanceId, number>();
     return {
         read: async () => {
             const statistics = await sendJsonRequest("GET", `${cluster.platformUrl}/control/statistics`);
-            const links = await Promise.all(models.map(async runner =>
+            const links = await Promise.all(modelRunners.map(async runner =>
                 [
                     runner.instance,
-                    await readLinkBytes(runner) + (kept.get(runner.instance) ?? 0),
+                    await readLinkBytes(runner) + (bytesBeforeRestart.get(runner.instance) ?? 0),
                 ] as const
             ));
             return {
@@ -56,18 +57,21 @@
             };
         },
         keep: async runner => {
-            kept.set(runner.instance, (kept.get(runner.instance) ?? 0) + await readLinkBytes(runner));
+            bytesBeforeRestart.set(
+                runner.instance,
+                (bytesBeforeRestart.get(runner.instance) ?? 0) + await readLinkBytes(runner),
+            );
         },
     };
 }
 
 /**
- * Expresses the transfers between two readings in copies. Links without any transfer do not count in the mean.
+ * Computes the transfers between two readings. Links without any transfer are left out of the mean.
  *
  * @param before - first reading
  * @param after - second reading
- * @param copyBytes - size of the weight set
- * @returns the figures
+ * @param copyBytes - size of the weight set in bytes
+ * @returns the transfers in multiples of that size
  */
 export function compareTotals(before: TransferTotals, after: TransferTotals, copyBytes: number): TransferFigures {
     const copies = [...after.linkBytes]
@@ -81,8 +85,8 @@
 }
 
 async function readLinkBytes({ agentUrl, instance }: ClusterRunner): Promise<number> {
-    const answer = await request(`${agentUrl}/metrics`);
-    const text = await answer.body.text();
+    const response = await request(`${agentUrl}/metrics`);
+    const text = await response.body.text();
     return linkMetrics
         .map(name => {
             const found = new RegExp(`^goldcrestpoint_${name}(?:\\{[^}]*\\})? (\\S+)$`, "m").exec(text);
--- a/demo/userRun.ts
+++ b/demo/userRun.ts
@@ -14,10 +14,10 @@
     waitUntilServing,
 } from "./cluster/index.js";
 import { killAndRestart } from "./failures.js";
-import { startStateWatch } from "./stateWatch.js";
+import { describeBrokenGuarantees, findLeftoverCopies, readDigests } from "./guarantees.js";
+import { startStateSampler } from "./stateSampler.js";
 import { countWantedCopies, declareService, listWantedCopies, type Topology } from "./topologies.js";
 import { createTransferMeter } from "./transferMeter.js";
-import { describeBrokenGuarantees, findLeftoverCopies, readDigests } from "./verdict.js";
 
 /** Options of {@link runUser}. */
 export interface RunOptions {
@@ -25,35 +25,40 @@
     /** Kills an agent, an engine and an entry instance during the version change. */
     readonly kill: boolean;
     readonly seed: number;
-    /** Folder that receives the log lines of each process in a file; default: none. */
+    /** Folder to which the log of each entry instance and agent is written, one file each. Default: no files. */
     readonly logFolder?: string | undefined;
-    /** Receives lines for people while the run goes on. */
+    /** Prints one line of progress. */
     readonly report: (line: string) => void;
 }
 
-/** Result of the run of one user. */
+/** Result of one run of a user's topology. */
 export interface UserReport {
     readonly user: string;
     readonly title: string;
     readonly model: string;
     readonly objective: string;
+    /** Wanted copies of the model. */
     readonly copies: number;
     readonly firstVersion: BurstFigures;
     readonly versionChange: BurstFigures;
-    /** Number of requests by result; a retry of a caller counts as a request. */
+    /** Number of requests by result. Each retry by a caller counts as a request of its own. */
     readonly requests: Readonly<Record<string, number>>;
-    /** 95th percentile of the time to the first byte of answered completions; undefined without any. */
+    /**
+     * 95th percentile of the time to first byte of successful completions, before (`quiet`) and since (`burst`) the
+     * start of the version change; undefined if there were none.
+     */
     readonly firstByteP95: { readonly quiet: Milliseconds | undefined; readonly burst: Milliseconds | undefined; };
+    /** Number of times that the copies and configurations were sampled. */
     readonly samples: number;
-    /** What was broken, one line each. */
+    /** Violations of guarantees, one line each. */
     readonly broken: readonly string[];
 }
 
 const firstVersion = "2026-11";
 const secondVersion = "2026-12";
 const serviceTimeLimit: Milliseconds = 60_000;
-const quietTime: Milliseconds = 3_000;
-const callerPause: Milliseconds = 200;
+const timeBeforeChange: Milliseconds = 3_000;
+const pauseBetweenRequests: Milliseconds = 200;
 
 /** Two large client accounts with four callers each, and eight small ones with one. */
 const accounts: readonly ClientAccount[] = [
@@ -63,64 +68,69 @@
 ];
 
 /**
- * Runs one user's topology through the first burst, live requests and a version change.
+ * Runs one user's topology: rolls out the first version, sends requests and changes the version under load.
  *
  * @param options - topology, seed and whether processes are killed
- * @returns measures and what was broken; rejects if a step does not finish
+ * @returns the measurements and the violations; rejects if a step does not finish in time
  */
 export async function runUser(options: RunOptions): Promise<UserReport> {
     const { topology, report } = options;
     const random = createSeededRandom(options.seed);
-    report(`starts ${countProcesses(topology)} processes in ${topology.zones.map(({ zone }) => zone).join(", ")}`);
+    report(`starting ${countProcesses(topology)} processes in ${topology.zones.map(({ zone }) => zone).join(", ")}`);
     await using cluster = await startCluster({
         ...topology,
         weightSets: [firstVersion, secondVersion].map(version => `${topology.model}::${version}`),
     });
-    const watch = startStateWatch(cluster, listWantedCopies(topology));
+    const sampler = startStateSampler(cluster, listWantedCopies(topology));
     const meter = createTransferMeter(cluster);
     const context = { cluster, topology, meter, report };
 
-    const [, first] = await Promise.all([startServices(cluster, topology, report), runBurst(context, firstVersion)]);
-    report(describeBurst(topology, first));
+    const [, firstBurst] = await Promise.all([
+        startServices(cluster, topology, report),
+        runBurst(context, firstVersion),
+    ]);
+    report(describeBurst(topology, firstBurst));
     const load = startLoad(cluster, {
         models: [topology.model],
         services: topology.services,
         callers: accounts.length,
         accounts,
-        pause: callerPause,
+        pause: pauseBetweenRequests,
         random,
     });
-    report(`ten client accounts, two of them large, send requests through ${topology.entries} entry instances`);
-    await sleep(quietTime);
+    report(`ten client accounts, two of them large, are sending requests through ${topology.entries} entry instances`);
+    await sleep(timeBeforeChange);
 
-    const journals: Execution[] = [];
-    const change = await runBurst(context, secondVersion, async () => {
+    const executionsBeforeKill: Execution[] = [];
+    const secondBurst = await runBurst(context, secondVersion, async () => {
         if (options.kill) {
-            journals.push(...await killAndRestart({ cluster, meter, random, report }));
+            executionsBeforeKill.push(...await killAndRestart({ cluster, meter, random, report }));
         }
     });
-    report(describeBurst(topology, change));
+    report(describeBurst(topology, secondBurst));
     const records = await load.stop();
     const digests = await readDigests(cluster, topology.model, [firstVersion, secondVersion]);
     const leftovers = await findLeftoverCopies(cluster, topology, digests.get(secondVersion) ?? "");
-    const executions = [...journals, ...await readExecutions(cluster)];
-    const { samples, broken } = await watch.stop();
+    const executions = [...executionsBeforeKill, ...await readExecutions(cluster)];
+    const { samples, broken } = await sampler.stop();
     if (options.logFolder !== undefined) {
         await writeLogs(cluster, join(options.logFolder, topology.name));
     }
-    report(`${records.length} requests sent; compares them with what the backend servers ran and stops all processes`);
+    report(
+        `${records.length} requests sent; comparing them with what the backend servers ran and stopping all processes`,
+    );
     return {
         user: topology.name,
         title: topology.title,
         model: topology.model,
         objective: topology.objective,
         copies: countWantedCopies(topology),
-        firstVersion: first,
-        versionChange: change,
+        firstVersion: firstBurst,
+        versionChange: secondBurst,
         requests: countResults(records),
         firstByteP95: {
-            quiet: computeFirstByteP95(records.filter(({ startedAt }) => startedAt < change.startedAt)),
-            burst: computeFirstByteP95(records.filter(({ startedAt }) => startedAt >= change.startedAt)),
+            quiet: computeFirstByteP95(records.filter(({ startedAt }) => startedAt < secondBurst.startedAt)),
+            burst: computeFirstByteP95(records.filter(({ startedAt }) => startedAt >= secondBurst.startedAt)),
         },
         samples,
         broken: [...broken, ...leftovers, ...describeBrokenGuarantees(records, executions, digests)],
@@ -128,7 +138,7 @@
 }
 
 async function startServices(cluster: Cluster, topology: Topology, report: (line: string) => void): Promise<void> {
-    report(`applies the plain services ${topology.services.join(" and ")}`);
+    report(`applying the plain services ${topology.services.join(" and ")}`);
     await Promise.all(topology.services.map(async service => {
         await apply(cluster, declareService(topology, service));
         await waitUntilServing(cluster, service, serviceTimeLimit);
@@ -139,7 +149,7 @@
     return [...Array(count).keys()].map(name);
 }
 
-/** The platform, two processes for each backend server and one for each entry instance. */
+/** One process for the platform, one for each entry instance, and two for each backend server: itself and its agent. */
 function countProcesses({ entries, pools }: Topology): number {
     const runners = pools.flatMap(pool => pool.runners).reduce((sum, count) => sum + count, 0);
     return 1 + entries + 2 * runners;
