--- a/src/standIn/engine/completions.ts
+++ b/src/standIn/engine/completions.ts
@@ -2,14 +2,14 @@
 import { readHeader } from "../execution/index.js";
 import {
     answerJson,
-    answerRefusal,
+    createRefusal,
     parseJsonObject,
     type StandInAnswer,
     type StandInRequest,
     wait,
 } from "../http/index.js";
 import type { EngineCore } from "./core.js";
-import { type AnsweringWeights, computePrefixDigest, computeTokens } from "./tokens.js";
+import { type ActiveWeights, computePrefixDigest, computeTokens } from "./tokens.js";
 
 const completionSchema = z.object({
     prompt: z.string(),
@@ -19,46 +19,48 @@
 
 type Completion = z.infer<typeof completionSchema>;
 
-interface RunningCompletion {
+interface CompletionRun {
     readonly requestId: string;
     readonly completion: Completion;
-    readonly weights: AnsweringWeights;
+    readonly weights: ActiveWeights;
     readonly headers: Readonly<Record<string, string>>;
     readonly signal: AbortSignal;
     readonly finish: (state: "finished" | "canceled") => void;
 }
 
 /**
- * Answers `POST /v1/completions` with `{ prompt, max_tokens, stream }`.
+ * Handles `POST /v1/completions` with the body `{ prompt, max_tokens, stream }`.
  *
  * @param core - state of the engine
  * @param request - the request
- * @returns a JSON answer with all tokens, or an event stream with one event for each token and `data: [DONE]` at the
+ * @returns a JSON response with all tokens, or an event stream with one event for each token and `data: [DONE]` at the
  * end
  */
-export async function answerCompletion(core: EngineCore, request: StandInRequest): Promise<StandInAnswer> {
+export async function handleCompletion(core: EngineCore, request: StandInRequest): Promise<StandInAnswer> {
     const requestId = readHeader(request, "x-request-id") ?? "";
-    const refused = (status: number, reason: string): StandInAnswer =>
-        answerRefusal(status, reason, { "x-request-id": requestId, "retry-after": "1" });
+    const refuse = (status: number, reason: string): StandInAnswer =>
+        createRefusal(status, reason, { "x-request-id": requestId, "retry-after": "1" });
     const parsed = completionSchema.safeParse(parseJsonObject(request.body));
     if (!parsed.success) {
         return answerJson(400, { error: z.prettifyError(parsed.error) }, { "x-request-id": requestId });
     }
     if (core.batch.isFull()) {
-        return refused(429, "queue-full");
+        return refuse(429, "queue-full");
     }
-    const canceled = core.trackRequest(requestId, request.signal);
-    const leave = await core.batch.enter(Number(readHeader(request, "x-priority") ?? 5), canceled.signal);
-    if (leave === undefined) {
-        canceled.release();
-        return refused(499, "canceled");
+    const tracked = core.trackRequest(requestId, request.signal);
+    const releaseSlot = await core.batch.acquireSlot(Number(readHeader(request, "x-priority") ?? 5), tracked.signal);
+    if (releaseSlot === undefined) {
+        tracked.release();
+        return refuse(499, "canceled");
     }
     const weights = core.target.active;
-    const wanted = readHeader(request, "x-manifest-digest") ?? weights?.manifestDigest;
-    if (weights === undefined || (core.behaviour.checksRequestedWeights && weights.manifestDigest !== wanted)) {
-        leave();
-        canceled.release();
-        return refused(409, "not-serving");
+    const requestedDigest = readHeader(request, "x-manifest-digest") ?? weights?.manifestDigest;
+    if (
+        weights === undefined || (core.behaviour.checksRequestedWeights && weights.manifestDigest !== requestedDigest)
+    ) {
+        releaseSlot();
+        tracked.release();
+        return refuse(409, "not-serving");
     }
     const entry = core.journal.begin({
         requestId,
@@ -70,30 +72,37 @@
     });
     const finish = (state: "finished" | "canceled"): void => {
         entry.state = entry.state === "running" ? state : entry.state;
-        leave();
-        canceled.release();
+        releaseSlot();
+        tracked.release();
     };
     const { prompt } = parsed.data;
     if (prompt.includes(core.behaviour.crashMarker)) {
         await core.crash();
         finish("canceled");
-        return refused(500, "crashed");
+        return refuse(500, "crashed");
     }
     const headers = createHeaders(requestId, weights);
-    return answer(core, { requestId, completion: parsed.data, weights, headers, signal: canceled.signal, finish });
+    return createCompletionResponse(core, {
+        requestId,
+        completion: parsed.data,
+        weights,
+        headers,
+        signal: tracked.signal,
+        finish,
+    });
 }
 
-async function answer(core: EngineCore, running: RunningCompletion): Promise<StandInAnswer> {
-    const { requestId, completion, weights, headers } = running;
+async function createCompletionResponse(core: EngineCore, run: CompletionRun): Promise<StandInAnswer> {
+    const { requestId, completion, weights, headers } = run;
     if (completion.stream) {
         return {
             status: 200,
             headers: { ...headers, "content-type": "text/event-stream" },
-            body: streamEvents(core, running),
+            body: streamEvents(core, run),
         };
     }
     const tokens: string[] = [];
-    for await (const token of generate(core, running)) {
+    for await (const token of generateTokens(core, run)) {
         tokens.push(token);
     }
     const { model, adapter, version, manifestDigest } = weights;
@@ -101,23 +110,23 @@
     return answerJson(200, { ...identity, text: tokens.join(" "), tokens, finish_reason: "length" }, headers);
 }
 
-async function* streamEvents(core: EngineCore, running: RunningCompletion): AsyncGenerator<Uint8Array> {
-    const { requestId } = running;
+async function* streamEvents(core: EngineCore, run: CompletionRun): AsyncGenerator<Uint8Array> {
+    const { requestId } = run;
     let index = 0;
-    for await (const token of generate(core, running)) {
+    for await (const token of generateTokens(core, run)) {
         yield encodeEvent(JSON.stringify({ id: requestId, index, token }));
         index += 1;
     }
-    if (running.signal.aborted) {
+    if (run.signal.aborted) {
         throw new Error("the request was canceled");
     }
     yield encodeEvent(JSON.stringify({ id: requestId, finish_reason: "length", tokens: index }));
     yield encodeEvent("[DONE]");
 }
 
-/** Generates tokens at the pace of the batch; the place in the batch is freed in every case. */
-async function* generate(core: EngineCore, running: RunningCompletion): AsyncGenerator<string> {
-    const { completion, weights, signal } = running;
+/** Generates tokens, more slowly the more requests run; releases the slot in the batch in every case. */
+async function* generateTokens(core: EngineCore, run: CompletionRun): AsyncGenerator<string> {
+    const { completion, weights, signal } = run;
     const { behaviour, batch } = core;
     try {
         const prefix = computePrefixDigest(completion.prompt, behaviour.prefixCharacters);
@@ -134,7 +143,7 @@
         }
     }
     finally {
-        running.finish(signal.aborted ? "canceled" : "finished");
+        run.finish(signal.aborted ? "canceled" : "finished");
     }
 }
 
@@ -144,7 +153,7 @@
     }
 }
 
-function createHeaders(requestId: string, weights: AnsweringWeights): Record<string, string> {
+function createHeaders(requestId: string, weights: ActiveWeights): Record<string, string> {
     return {
         "x-request-id": requestId,
         "x-model": weights.model,
--- a/src/standIn/engine/core.ts
+++ b/src/standIn/engine/core.ts
@@ -4,12 +4,12 @@
 import type { EngineBehaviour } from "./options.js";
 import type { OrderTarget } from "./orders.js";
 import { createPrefixCache, type PrefixCache } from "./prefixCache.js";
-import { createStagedSets } from "./sets.js";
+import { createStagedSets } from "./stagedSets.js";
 
-/** Signal of one request, which its connection and the cancel operation abort. */
+/** Request that its connection, `cancel` or a crash can abort. */
 export interface TrackedRequest {
     readonly signal: AbortSignal;
-    /** Forgets the request. */
+    /** Unregisters the request. */
     release(): void;
 }
 
@@ -22,23 +22,23 @@
     readonly journal: Journal;
     readonly incarnation: string;
     /**
-     * Makes a request known to `cancel`.
+     * Registers a request, so that `cancel` can abort it.
      *
      * @param requestId - identifier of the request
      * @param connection - aborted when the connection closes
-     * @returns its signal
+     * @returns the registered request, with its signal
      */
     trackRequest(requestId: string, connection: AbortSignal): TrackedRequest;
     /**
-     * Cancels a request.
+     * Aborts all requests with an identifier.
      *
      * @param requestId - identifier of the request
-     * @returns whether it was waiting or running
+     * @returns whether there was one that was waiting or running
      */
     cancel(requestId: string): boolean;
-    /** Drops all connections, loses all sets and starts again after the restart delay. */
+    /** Simulates a crash: discards all weight sets, closes all connections, and restarts after the restart delay. */
     crash(): Promise<void>;
-    /** @returns the state as the engine reports it */
+    /** @returns the state that the engine reports */
     readState(): EngineState;
 }
 
@@ -112,7 +112,7 @@
             const { running, queued } = batch.readLoad(behaviour.loadLagMilliseconds);
             return {
                 incarnation,
-                active: reportActive(target),
+                active: describeActive(target),
                 staged: target.sets.report(),
                 running,
                 queued,
@@ -124,7 +124,7 @@
     };
 }
 
-function reportActive({ active }: OrderTarget): EngineState["active"] {
+function describeActive({ active }: OrderTarget): EngineState["active"] {
     if (active === undefined) {
         return undefined;
     }
--- a/src/standIn/engine/engineStandIn.ts
+++ b/src/standIn/engine/engineStandIn.ts
@@ -4,7 +4,7 @@
 import type { Journal } from "../execution/index.js";
 import {
     answerJson,
-    answerRefusal,
+    createRefusal,
     parseJsonObject,
     restartServer,
     type StandInAnswer,
@@ -14,25 +14,28 @@
     startStandInServer,
     wait,
 } from "../http/index.js";
-import { answerCompletion } from "./completions.js";
+import { handleCompletion } from "./completions.js";
 import { createEngineCore, type EngineCore } from "./core.js";
 import { type EngineStandInOptions, resolveEngineBehaviour } from "./options.js";
-import { carryOutOrder, orderSchema } from "./orders.js";
-import type { StageOutcome } from "./sets.js";
+import { applyOrder, orderSchema } from "./orders.js";
+import type { StageOutcome } from "./stagedSets.js";
 
-/** Running stand-in of a model engine. */
+/** Running stand-in for a model engine. */
 export interface EngineStandIn extends StandInServer {
     readonly journal: Journal;
-    /** Drops all connections, loses all sets and listens again, as a new incarnation, after the restart delay. */
+    /**
+     * Simulates a crash: discards all weight sets, closes all connections, and listens again as a new incarnation after
+     * the restart delay.
+     */
     crash(): Promise<void>;
 }
 
 /**
- * Starts the stand-in of a model engine.
+ * Starts the stand-in for a model engine.
  *
  * Operations: `engine-state` (`GET /state`), `engine-order` (`POST /orders`), `chunk-stage` and `chunk-read`
  * (`PUT` and `GET /sets/DIGEST/chunks/INDEX`), `execute` (`POST /v1/completions`), `cancel`
- * (`POST /requests/ID/cancel`). `GET /journal`, `GET /health` and `POST /control/crash` serve tests.
+ * (`POST /requests/ID/cancel`). `health` (`GET /health`). `GET /journal` and `POST /control/crash` are for tests.
  *
  * @param options - address, behaviour and faults
  * @returns the stand-in once it listens; rejects if the address cannot be bound
@@ -59,16 +62,16 @@
     ): StandInRoute => ({ operation, method, path, handle });
     return [
         route("engine-state", "GET", "/state", () => answerJson(200, core.readState())),
-        route("engine-order", "POST", "/orders", request => answerOrder(core, request, stopped)),
-        route("chunk-stage", "PUT", chunkPath, request => answerStage(core, request)),
-        route("chunk-read", "GET", chunkPath, request => answerRead(core, request)),
-        route("execute", "POST", "/v1/completions", request => answerCompletion(core, request)),
+        route("engine-order", "POST", "/orders", request => handleOrder(core, request, stopped)),
+        route("chunk-stage", "PUT", chunkPath, request => handleStage(core, request)),
+        route("chunk-read", "GET", chunkPath, request => handleRead(core, request)),
+        route("execute", "POST", "/v1/completions", request => handleCompletion(core, request)),
         route(
             "cancel",
             "POST",
             "/requests/:request/cancel",
             ({ parameters }) =>
-                core.cancel(parameters["request"] ?? "") ? { status: 204 } : answerRefusal(404, "no such request"),
+                core.cancel(parameters["request"] ?? "") ? { status: 204 } : createRefusal(404, "no such request"),
         ),
         route("health", "GET", "/health", () => answerJson(200, { status: "ok", incarnation: core.incarnation })),
         route("control", "GET", "/journal", () => answerJson(200, { entries: core.journal.list() })),
@@ -79,18 +82,18 @@
     ];
 }
 
-async function answerOrder(core: EngineCore, { body }: StandInRequest, stopped: AbortSignal): Promise<StandInAnswer> {
+async function handleOrder(core: EngineCore, { body }: StandInRequest, stopped: AbortSignal): Promise<StandInAnswer> {
     const parsed = orderSchema.safeParse(parseJsonObject(body));
     if (!parsed.success) {
-        return answerRefusal(400, z.prettifyError(parsed.error));
+        return createRefusal(400, z.prettifyError(parsed.error));
     }
     const order: EngineOrder = parsed.data;
     if (order.kind === "activate" && core.behaviour.activationMilliseconds > 0) {
-        // The activation takes effect also if the agent gives up waiting.
+        // Not aborted with the request: the activation takes effect even if the agent has stopped waiting.
         await wait(core.behaviour.activationMilliseconds, stopped);
     }
-    const refused = carryOutOrder(order, core.target, core.behaviour);
-    return refused === undefined ? answerJson(200, order) : answerRefusal(409, refused);
+    const refusal = applyOrder(order, core.target, core.behaviour);
+    return refusal === undefined ? answerJson(200, order) : createRefusal(409, refusal);
 }
 
 const stageStatuses: Readonly<Record<StageOutcome, number>> = {
@@ -100,15 +103,15 @@
     "out-of-memory": 413,
 };
 
-function answerStage(core: EngineCore, { parameters, body }: StandInRequest): StandInAnswer {
+function handleStage(core: EngineCore, { parameters, body }: StandInRequest): StandInAnswer {
     const outcome = core.target.sets.stage(parameters["digest"] ?? "", Number(parameters["index"]), body);
     const status = stageStatuses[outcome];
-    return outcome === "staged" ? { status } : answerRefusal(status, outcome);
+    return outcome === "staged" ? { status } : createRefusal(status, outcome);
 }
 
-function answerRead(core: EngineCore, { parameters }: StandInRequest): StandInAnswer {
+function handleRead(core: EngineCore, { parameters }: StandInRequest): StandInAnswer {
     const chunk = core.target.sets.read(parameters["digest"] ?? "", Number(parameters["index"]));
     return chunk === undefined ?
-        answerRefusal(404, "no such chunk") :
+        createRefusal(404, "no such chunk") :
         { status: 200, headers: { "content-type": "application/octet-stream" }, body: chunk };
 }
--- a/src/standIn/engine/options.ts
+++ b/src/standIn/engine/options.ts
@@ -3,25 +3,25 @@
 
 /** Behaviour of the engine stand-in. */
 export interface EngineBehaviour {
-    /** Requests that one batch runs at a time. Default: 8. */
+    /** Requests that run at the same time in a batch. Default: 8. */
     readonly capacity: number;
     /** Requests that may wait; further ones are refused. Default: 64. */
     readonly queueLimit: number;
-    /** Time between two tokens of a request that runs alone. Default: 2 ms. */
+    /** Time per token of a request that runs alone. Default: 2 ms. */
     readonly tokenMilliseconds: Milliseconds;
-    /** Share by which each further request of the batch lengthens the time between tokens. Default: 0.05. */
+    /** Share by which each further request in the batch lengthens the time per token. Default: 0.05. */
     readonly batchSlowdown: number;
-    /** Time that 1,000 characters of prompt without a cached prefix take before the first token. Default: 4 ms. */
+    /** Time before the first token, per 1,000 characters of the prompt outside of a cached prefix. Default: 4 ms. */
     readonly prefillMilliseconds: Milliseconds;
-    /** Prefixes that the cache holds; the least recently used one is dropped. Default: 64. */
+    /** Prefixes that the cache holds; the least recently used one is evicted. Default: 64. */
     readonly cachedPrefixes: number;
-    /** Characters of a prompt that count as its prefix. Default: 64. */
+    /** Length of the prefix of a prompt in characters. Default: 64. */
     readonly prefixCharacters: number;
-    /** Whether an order with an older fencing token is refused or carried out. Default: `refuse`. */
+    /** Whether to refuse orders with an older fencing token, or to ignore fencing tokens. Default: `refuse`. */
     readonly oldTokens: "refuse" | "ignore";
     /** Whether the activation of a set with missing chunks is refused. Default: false. */
     readonly refusesIncompleteSets: boolean;
-    /** Whether a request that names other weights than the active ones is refused. Default: true. */
+    /** Whether a request that asks for other weights than the active ones is refused. Default: true. */
     readonly checksRequestedWeights: boolean;
     /** Duration of an activation. Default: 0 ms. */
     readonly activationMilliseconds: Milliseconds;
@@ -29,20 +29,20 @@
     readonly crashMarker: string;
     /** Time from a crash until the engine listens again. Default: 200 ms. */
     readonly restartMilliseconds: Milliseconds;
-    /** Age of the running and queued counts that the state reports. Default: 0 ms. */
+    /** Age of the counts of running and queued requests in the reported state. Default: 0 ms. */
     readonly loadLagMilliseconds: Milliseconds;
-    /** Memory for staged chunks; a chunk beyond it is refused. Default: 1,073,741,824 bytes (1 GiB). */
+    /** Memory for staged chunks; chunks that exceed it are refused. Default: 1,073,741,824 bytes (1 GiB). */
     readonly memoryBytes: number;
 }
 
-/** Options of `startEngineStandIn`. */
+/** Options of {@link startEngineStandIn}. */
 export interface EngineStandInOptions extends StandInServerOptions {
-    /** Default: the defaults of each setting. */
+    /** Settings that differ from their defaults. */
     readonly behaviour?: Partial<EngineBehaviour> | undefined;
 }
 
 /**
- * Fills in the defaults.
+ * Fills in the defaults of the settings that are not given.
  *
  * @param partial - settings that differ from the defaults
  * @returns all settings
--- a/src/standIn/engine/orders.ts
+++ b/src/standIn/engine/orders.ts
@@ -1,13 +1,13 @@
 import { z } from "zod";
 import type { EngineOrder, FencingToken } from "../../types/index.js";
 import type { EngineBehaviour } from "./options.js";
-import type { StagedSets } from "./sets.js";
-import type { AnsweringWeights } from "./tokens.js";
+import type { StagedSets } from "./stagedSets.js";
+import type { ActiveWeights } from "./tokens.js";
 
 const count = z.number().int().nonnegative();
 const token = z.object({ epoch: count, agentStart: z.number(), sequence: count });
 
-/** Order as it arrives. */
+/** Schema of an order in a request body. */
 export const orderSchema = z.discriminatedUnion("kind", [
     z.object({
         kind: z.literal("prepare"),
@@ -27,10 +27,12 @@
     z.object({ kind: z.literal("drop"), token, manifestDigest: z.string() }),
 ]);
 
-/** What orders act on. */
+/** State of the engine that orders read and change. */
 export interface OrderTarget {
     readonly sets: StagedSets;
-    active: AnsweringWeights | undefined;
+    /** Undefined if no weights are active. */
+    active: ActiveWeights | undefined;
+    /** Largest fencing token of an order; undefined before the first order, or if tokens are ignored. */
     highestToken: FencingToken | undefined;
 }
 
@@ -42,6 +44,7 @@
     ) => string | undefined;
 };
 
+/** Apply the orders of each kind; a returned text is the reason for which the order is refused. */
 const handlers: OrderHandlers = {
     prepare: ({ sets }, { manifestDigest, chunksTotal }) => {
         sets.prepare(manifestDigest, chunksTotal);
@@ -69,14 +72,14 @@
 };
 
 /**
- * Carries an order out.
+ * Applies an order, unless it is refused.
  *
  * @param order - the order
- * @param target - what it acts on
+ * @param target - state that the order changes
  * @param behaviour - settings of the engine
- * @returns why it was refused; undefined if it was carried out
+ * @returns reason for which the order is refused; undefined if it was applied
  */
-export function carryOutOrder(order: EngineOrder, target: OrderTarget, behaviour: EngineBehaviour): string | undefined {
+export function applyOrder(order: EngineOrder, target: OrderTarget, behaviour: EngineBehaviour): string | undefined {
     if (behaviour.oldTokens === "refuse") {
         if (target.highestToken !== undefined && isOlder(order.token, target.highestToken)) {
             return "old-token";
--- a/src/standIn/engine/prefixCache.ts
+++ b/src/standIn/engine/prefixCache.ts
@@ -1,11 +1,11 @@
 /** Cache of computed prompt prefixes. */
 export interface PrefixCache {
     /**
-     * Looks a prefix up and keeps it as the most recently used one.
+     * Looks a prefix up, and adds it or marks it as the most recently used one.
      *
-     * @param manifestDigest - weights that the cached values were computed with
+     * @param manifestDigest - manifest digest of the weights that the cached values are computed with
      * @param prefix - digest of the beginning of the prompt
-     * @returns whether it was cached
+     * @returns whether the prefix was cached before
      */
     touch(manifestDigest: string, prefix: string): boolean;
     /** Empties the cache. */
@@ -17,7 +17,7 @@
 /**
  * Creates an empty cache.
  *
- * @param limit - number of prefixes that it holds
+ * @param limit - number of prefixes that the cache holds; the least recently used one is evicted
  * @returns the cache
  */
 export function createPrefixCache(limit: number): PrefixCache {
--- a/src/standIn/engine/sets.ts
+++ b/src/standIn/engine/stagedSets.ts
@@ -1,66 +1,66 @@
 import type { EngineState, ManifestDigest, StagedSet } from "../../types/index.js";
 
-/** Outcome of an attempt to stage a chunk. */
+/** Outcome of staging a chunk. */
 export type StageOutcome = "staged" | "not-prepared" | "out-of-range" | "out-of-memory";
 
-/** Staged sets in the engine host's memory. */
+/** Weight sets that are staged in the memory of the engine's host. */
 export interface StagedSets {
     /**
-     * Makes room for a set; a set that is there stays as it is.
+     * Adds a set without chunks. A set that exists already is kept, unless its number of chunks differs.
      *
-     * @param digest - manifest digest
-     * @param chunksTotal - number of its chunks
+     * @param digest - manifest digest of the set
+     * @param chunksTotal - number of chunks of the set
      */
     prepare(digest: ManifestDigest, chunksTotal: number): void;
     /**
-     * Stores a chunk, in the place of one that is there.
+     * Stores a chunk; replaces an earlier chunk with the same index.
      *
-     * @param digest - manifest digest
+     * @param digest - manifest digest of the set
      * @param index - position of the chunk
-     * @param content - its bytes
-     * @returns whether it was stored
+     * @param content - content of the chunk
+     * @returns `staged`, or why the chunk was not stored
      */
     stage(digest: ManifestDigest, index: number, content: Uint8Array): StageOutcome;
     /**
      * Reads a chunk.
      *
-     * @param digest - manifest digest
+     * @param digest - manifest digest of the set
      * @param index - position of the chunk
-     * @returns its bytes; undefined if it is not held
+     * @returns content of the chunk; undefined if it is not stored
      */
     read(digest: ManifestDigest, index: number): Uint8Array | undefined;
     /**
-     * Tells how much of a set is held.
+     * Checks whether a set is complete.
      *
-     * @param digest - manifest digest
-     * @returns whether all chunks are held; undefined for a set that is not prepared
+     * @param digest - manifest digest of the set
+     * @returns whether all chunks are stored; undefined for a set that is not prepared
      */
     isComplete(digest: ManifestDigest): boolean | undefined;
     /**
-     * Drops a set.
+     * Removes a set and its chunks.
      *
-     * @param digest - manifest digest
+     * @param digest - manifest digest of the set
      */
     drop(digest: ManifestDigest): void;
-    /** Drops all sets. */
+    /** Removes all sets. */
     clear(): void;
-    /** @returns the sets for the engine's state */
+    /** @returns the sets as the engine's state reports them */
     report(): EngineState["staged"];
 }
 
-interface HeldSet {
+interface StoredSet {
     readonly chunksTotal: number;
     readonly chunks: Map<number, Uint8Array>;
 }
 
 /**
- * Creates empty memory.
+ * Creates a store without sets.
  *
- * @param memoryBytes - memory for chunks
- * @returns the sets
+ * @param memoryBytes - memory for the chunks of all sets, in bytes
+ * @returns the store
  */
 export function createStagedSets(memoryBytes: number): StagedSets {
-    const sets = new Map<ManifestDigest, HeldSet>();
+    const sets = new Map<ManifestDigest, StoredSet>();
     let usedBytes = 0;
 
     function drop(digest: ManifestDigest): void {
@@ -106,7 +106,7 @@
     };
 }
 
-function reportSet(manifestDigest: ManifestDigest, { chunksTotal, chunks }: HeldSet): StagedSet {
+function reportSet(manifestDigest: ManifestDigest, { chunksTotal, chunks }: StoredSet): StagedSet {
     const bitfield = Buffer.alloc(Math.ceil(chunksTotal / 8));
     for (const index of chunks.keys()) {
         bitfield[index >> 3]! |= 1 << (index & 7);
--- a/src/standIn/execution/batch.ts
+++ b/src/standIn/execution/batch.ts
@@ -1,29 +1,29 @@
 import type { Clock, Milliseconds } from "../../types/index.js";
 
-/** Requests that run at the same time, and those that wait for a place. */
+/** Limits the requests that run at the same time; further requests wait in a queue for a slot. */
 export interface Batch {
     readonly running: number;
     readonly queued: number;
     /**
-     * Waits for a place: higher priority first, then the order of arrival.
+     * Waits for a slot. Requests with a higher priority get one first, then those that arrived first.
      *
      * @param priority - priority of the request
-     * @param signal - gives the place in the queue up
-     * @returns a function that frees the place; undefined if the request was canceled or the queue is full
+     * @param signal - removes the request from the queue
+     * @returns a function that releases the slot; undefined if the request was canceled or the queue is full
      */
-    enter(priority: number, signal: AbortSignal): Promise<(() => void) | undefined>;
-    /** @returns whether a further request would find the batch and the queue full */
+    acquireSlot(priority: number, signal: AbortSignal): Promise<(() => void) | undefined>;
+    /** @returns whether all slots are taken and the queue is full */
     isFull(): boolean;
     /**
-     * Reads the counts as they were.
+     * Reads the counts of running and queued requests at an earlier time.
      *
-     * @param age - how long ago
-     * @returns counts at that time
+     * @param age - how long ago in milliseconds
+     * @returns the counts at that time; zero if no change that old is recorded
      */
     readLoad(age: Milliseconds): { readonly running: number; readonly queued: number; };
 }
 
-interface Waiting {
+interface WaitingRequest {
     readonly priority: number;
     readonly admit: () => void;
 }
@@ -34,29 +34,30 @@
     readonly queued: number;
 }
 
-const sampleLimit = 1_000;
+/** Newest samples that are kept when older ones are discarded. */
+const keptSamples = 1_000;
 
 /**
  * Creates an empty batch.
  *
  * @param clock - source of time
- * @param capacity - requests that run at a time
+ * @param capacity - requests that may run at the same time
  * @param queueLimit - requests that may wait
  * @returns the batch
  */
 export function createBatch(clock: Clock, capacity: number, queueLimit: number): Batch {
     let running = 0;
-    let queue: Waiting[] = [];
+    let queue: WaitingRequest[] = [];
     let samples: LoadSample[] = [];
 
     function recordLoad(): void {
         samples.push({ at: clock.monotonic(), running, queued: queue.length });
-        if (samples.length > 2 * sampleLimit) {
-            samples = samples.slice(-sampleLimit);
+        if (samples.length > 2 * keptSamples) {
+            samples = samples.slice(-keptSamples);
         }
     }
 
-    function leave(): void {
+    function releaseSlot(): void {
         running -= 1;
         const next = queue.shift();
         if (next !== undefined) {
@@ -66,12 +67,13 @@
         recordLoad();
     }
 
-    function createLeave(): () => void {
-        let left = false;
+    /** Creates a function that releases a slot on its first call only. */
+    function createRelease(): () => void {
+        let released = false;
         return () => {
-            if (!left) {
-                left = true;
-                leave();
+            if (!released) {
+                released = true;
+                releaseSlot();
             }
         };
     }
@@ -80,22 +82,22 @@
         return running >= capacity && queue.length >= queueLimit;
     }
 
-    function waitForPlace(priority: number, signal: AbortSignal): Promise<(() => void) | undefined> {
+    function waitForSlot(priority: number, signal: AbortSignal): Promise<(() => void) | undefined> {
         return new Promise(resolve => {
             const cancel = (): void => {
                 queue = queue.filter(candidate => candidate !== waiting);
                 recordLoad();
                 resolve(undefined);
             };
-            const waiting: Waiting = {
+            const waiting: WaitingRequest = {
                 priority,
                 admit: () => {
                     signal.removeEventListener("abort", cancel);
-                    resolve(createLeave());
+                    resolve(createRelease());
                 },
             };
-            const place = queue.findIndex(candidate => candidate.priority < priority);
-            queue.splice(place === -1 ? queue.length : place, 0, waiting);
+            const position = queue.findIndex(candidate => candidate.priority < priority);
+            queue.splice(position === -1 ? queue.length : position, 0, waiting);
             signal.addEventListener("abort", cancel, { once: true });
             recordLoad();
         });
@@ -108,16 +110,16 @@
         get queued() {
             return queue.length;
         },
-        enter: async (priority, signal) => {
+        acquireSlot: async (priority, signal) => {
             if (signal.aborted || isFull()) {
                 return undefined;
             }
             if (running >= capacity) {
-                return waitForPlace(priority, signal);
+                return waitForSlot(priority, signal);
             }
             running += 1;
             recordLoad();
-            return createLeave();
+            return createRelease();
         },
         isFull,
         readLoad: age => {
--- a/src/standIn/execution/journal.ts
+++ b/src/standIn/execution/journal.ts
@@ -1,43 +1,43 @@
-/** State of a request that a backend server began to run. */
+/** State of a request that a stand-in began to execute. */
 export type JournalState = "running" | "finished" | "canceled" | "crashed";
 
-/** Request that a backend server began to run. */
+/** Request that a stand-in began to execute. */
 export interface JournalEntry {
     readonly requestId: string;
     readonly idempotencyKey: string | undefined;
     readonly path: string;
-    /** Incarnation of the server that ran the request. */
+    /** Incarnation of the stand-in that executed the request. */
     readonly incarnation: string;
-    /** Manifest digest of the weights; empty for none. */
+    /** Manifest digest of the weights that the request was executed with; empty for a plain service. */
     readonly manifestDigest: string;
-    /** Requests that ran at the same time when this one began, itself included. */
+    /** Number of running requests when this one began, including itself. */
     readonly concurrent: number;
     state: JournalState;
 }
 
-/** Record of the executions, kept across crashes. */
+/** Record of the executed requests; it outlives simulated crashes. */
 export interface Journal {
     /**
-     * Records that a request begins to run.
+     * Records that the execution of a request begins.
      *
      * @param entry - the request
-     * @returns the entry, whose state changes as it ends
+     * @returns the entry in the state `running`; the caller changes the state when the execution ends
      */
     begin(entry: Omit<JournalEntry, "state">): JournalEntry;
     /** Marks all running requests as crashed. */
     crash(): void;
-    /** @returns the entries in the order in which they began */
+    /** @returns the newest entries, in the order in which the requests began */
     list(): readonly JournalEntry[];
     /**
-     * Counts executions.
+     * Counts the executions with an idempotency key.
      *
-     * @param idempotencyKey - key to look for
-     * @returns number of entries with the key
+     * @param idempotencyKey - the key
+     * @returns number of executions since the start, including those whose entries have been discarded
      */
     countEffects(idempotencyKey: string): number;
 }
 
-/** Bounds the memory of a stand-in that runs for long. */
+/** Number of entries that are kept, which bounds the memory of a long-running stand-in. */
 const entryLimit = 100_000;
 
 /**
--- a/src/standIn/http/controlRoutes.ts
+++ b/src/standIn/http/controlRoutes.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { answerJson, parseJsonObject } from "./answers.js";
+import { answerJson, parseJsonObject } from "./responses.js";
 import { restartServer } from "./restart.js";
 import type { StandInRoute, StandInServer } from "./types.js";
 
@@ -29,12 +29,12 @@
 const suspendSchema = z.strictObject({ milliseconds: z.number().positive().max(3_600_000) });
 
 /**
- * Creates the routes of fault control: `POST /control/faults` adds the rule in its body, `GET` lists the rules,
- * `DELETE` removes those of the query parameter `operation`, or all. `POST /control/suspend` with `{ milliseconds }`
- * closes all connections and refuses new ones for that time.
+ * Creates the routes by which tests inject faults: `POST /control/faults` adds the rule in its body, `GET` lists the
+ * rules, `DELETE` removes the rules for the operation in the query parameter `operation`, or all rules.
+ * `POST /control/suspend` with `{ milliseconds }` closes all connections and refuses new ones for that time.
  *
- * @param server - server that is controlled
- * @returns the routes; no fault rule applies to them
+ * @param server - server that the routes control
+ * @returns the routes; fault rules do not apply to them
  */
 export function createControlRoutes(server: StandInServer): StandInRoute[] {
     const { faults } = server;
@@ -72,7 +72,7 @@
                 if (!parsed.success) {
                     return answerJson(400, { error: z.prettifyError(parsed.error) });
                 }
-                // The answer leaves before the connections are closed.
+                // Sends the response before the connections are closed.
                 setImmediate(() => void restartServer(server, parsed.data.milliseconds));
                 return { status: 204 };
             },
--- a/src/standIn/http/faultEffects.ts
+++ b/src/standIn/http/faultEffects.ts
@@ -1,117 +1,124 @@
 import type { ServerResponse } from "node:http";
-import { answerRefusal, collectParts } from "./answers.js";
-import { sendAnswer } from "./sendAnswer.js";
+import { createRefusal, readBodyParts } from "./responses.js";
+import { sendResponse } from "./sendResponse.js";
 import type { FaultKind, FaultRule, StandInAnswer, StandInRequest, StandInRoute } from "./types.js";
 import { wait, waitForAbort } from "./wait.js";
 
-/** Exchange that a fault is applied to. */
+/** Request that a fault is applied to, with what is needed to respond to it. */
 export interface FaultyExchange {
     readonly rule: FaultRule;
     readonly route: StandInRoute;
     readonly request: StandInRequest;
-    readonly response: ServerResponse;
-    /** Carries the action out. */
+    readonly serverResponse: ServerResponse;
+    /** Executes the request with the handler of its route. */
     readonly run: () => Promise<StandInAnswer>;
-    /** Aborted when the server stops for good. */
+    /** Aborted when the server is disposed of. */
     readonly stopped: AbortSignal;
-    /** Ends when a later request of the same operation was answered. */
-    readonly overtaken: () => Promise<void>;
+    /** Resolves once a later request for the same operation has been answered without a fault. */
+    readonly waitForLaterResponse: () => Promise<void>;
 }
 
-const defaultDelay = 200;
+const defaultDelayMilliseconds = 200;
 
-/** Effects of the faults by kind. */
+/** Applies the fault of each kind to a request; see `FaultKind` for the effects. */
 export const faultEffects: Readonly<Record<FaultKind, (exchange: FaultyExchange) => Promise<void>>> = {
-    outage: ({ response }) => {
-        response.socket?.destroy();
+    outage: ({ serverResponse }) => {
+        serverResponse.socket?.destroy();
         return Promise.resolve();
     },
-    reset: ({ response }) => {
-        response.socket?.resetAndDestroy();
+    reset: ({ serverResponse }) => {
+        serverResponse.socket?.resetAndDestroy();
         return Promise.resolve();
     },
-    refuse: ({ response, request }) =>
-        sendAnswer(response, answerRefusal(503, "refused by a fault rule", { "retry-after": "1" }), request.signal),
-    // A late action takes place although its caller has given up, like an order that was held up in the network.
+    refuse: ({ serverResponse, request }) =>
+        sendResponse(
+            serverResponse,
+            createRefusal(503, "refused by a fault rule", { "retry-after": "1" }),
+            request.signal,
+        ),
+    // Executes the request even if the caller has disconnected, like an order that was delayed in the network.
     slow: async exchange => {
-        if (await wait(readDelay(exchange), exchange.stopped)) {
+        if (await wait(getDelay(exchange), exchange.stopped)) {
             await sendNormally(exchange);
         }
     },
-    "lose-answer": async ({ run, response }) => {
-        await collectParts(await run());
-        response.socket?.destroy();
+    "lose-answer": async ({ run, serverResponse }) => {
+        await readBodyParts(await run());
+        serverResponse.socket?.destroy();
     },
-    truncate: truncateAnswer,
+    truncate: truncateResponse,
     corrupt: async exchange => {
-        const answer = await exchange.run();
-        const body = Buffer.concat(await collectParts(answer));
+        const response = await exchange.run();
+        const body = Buffer.concat(await readBodyParts(response));
         const position = body.length >> 1;
         if (body.length > 0) {
             body[position] = body[position]! ^ 0x01;
         }
-        await sendAnswer(exchange.response, { ...answer, body }, exchange.request.signal);
+        await sendResponse(exchange.serverResponse, { ...response, body }, exchange.request.signal);
     },
     duplicate: async exchange => {
-        if (exchange.route.rearrange?.duplicate === undefined) {
-            await collectParts(await exchange.run());
+        if (exchange.route.transforms?.duplicate === undefined) {
+            await readBodyParts(await exchange.run());
         }
         await sendNormally(exchange);
     },
     "out-of-order": async exchange => {
-        if (exchange.route.rearrange?.["out-of-order"] !== undefined) {
+        if (exchange.route.transforms?.["out-of-order"] !== undefined) {
             await sendNormally(exchange);
             return;
         }
-        const overtaken = exchange.overtaken();
-        const answer = await exchange.run();
-        const sent = new AbortController();
-        const limit = AbortSignal.any([exchange.request.signal, sent.signal]);
-        await Promise.race([overtaken, wait(readDelay(exchange), limit)]);
-        sent.abort();
-        await sendAnswer(exchange.response, answer, exchange.request.signal);
+        const laterResponse = exchange.waitForLaterResponse();
+        const response = await exchange.run();
+        const raceEnded = new AbortController();
+        const timerSignal = AbortSignal.any([exchange.request.signal, raceEnded.signal]);
+        await Promise.race([laterResponse, wait(getDelay(exchange), timerSignal)]);
+        raceEnded.abort();
+        await sendResponse(exchange.serverResponse, response, exchange.request.signal);
     },
     "cross-answer": async exchange => {
-        const answer = await exchange.run();
-        const headers = { ...answer.headers, "x-request-id": `other-than-${answer.headers?.["x-request-id"] ?? ""}` };
-        await sendAnswer(exchange.response, { ...answer, headers }, exchange.request.signal);
+        const response = await exchange.run();
+        const headers = {
+            ...response.headers,
+            "x-request-id": `other-than-${response.headers?.["x-request-id"] ?? ""}`,
+        };
+        await sendResponse(exchange.serverResponse, { ...response, headers }, exchange.request.signal);
     },
     "slow-stream": async exchange => {
-        const answer = await exchange.run();
-        const body = delayParts(answer, readDelay(exchange), exchange.request.signal);
-        await sendAnswer(exchange.response, { ...answer, body }, exchange.request.signal);
+        const response = await exchange.run();
+        const body = delayParts(response, getDelay(exchange), exchange.request.signal);
+        await sendResponse(exchange.serverResponse, { ...response, body }, exchange.request.signal);
     },
     "stall-stream": async exchange => {
-        const answer = await exchange.run();
-        const body = stallAfterHalf(answer, exchange.request.signal);
-        await sendAnswer(exchange.response, { ...answer, body }, exchange.request.signal);
+        const response = await exchange.run();
+        const body = stallAfterHalf(response, exchange.request.signal);
+        await sendResponse(exchange.serverResponse, { ...response, body }, exchange.request.signal);
     },
 };
 
-function readDelay({ rule }: FaultyExchange): number {
-    return rule.delayMilliseconds ?? defaultDelay;
+function getDelay({ rule }: FaultyExchange): number {
+    return rule.delayMilliseconds ?? defaultDelayMilliseconds;
 }
 
 async function sendNormally(exchange: FaultyExchange): Promise<void> {
-    const answer = await exchange.run();
-    const rearrange = exchange.route.rearrange?.[exchange.rule.kind];
-    await sendAnswer(exchange.response, rearrange?.(answer) ?? answer, exchange.request.signal);
+    const response = await exchange.run();
+    const transform = exchange.route.transforms?.[exchange.rule.kind];
+    await sendResponse(exchange.serverResponse, transform?.(response) ?? response, exchange.request.signal);
 }
 
-async function truncateAnswer({ rule, run, response, request }: FaultyExchange): Promise<void> {
-    const answer = await run();
-    const parts = await collectParts(answer);
+async function truncateResponse({ rule, run, serverResponse, request }: FaultyExchange): Promise<void> {
+    const response = await run();
+    const parts = await readBodyParts(response);
     const half = takeHalf(parts);
     if (rule.clean === true) {
-        await sendAnswer(response, { ...answer, body: half }, request.signal);
+        await sendResponse(serverResponse, { ...response, body: half }, request.signal);
         return;
     }
     const length = Buffer.concat(parts).byteLength;
-    response.writeHead(answer.status, { ...answer.headers, "content-length": String(length) });
-    response.write(half, () => response.socket?.destroy());
+    serverResponse.writeHead(response.status, { ...response.headers, "content-length": String(length) });
+    serverResponse.write(half, () => serverResponse.socket?.destroy());
 }
 
-/** Half of the parts of a stream, or half of the bytes of a single part. */
+/** Returns the first half of the parts of a stream, or of the bytes of a single part. */
 function takeHalf(parts: readonly Buffer[]): Buffer {
     const [first] = parts;
     if (parts.length === 1 && first !== undefined) {
@@ -120,10 +127,10 @@
     return Buffer.concat(parts.slice(0, parts.length >> 1));
 }
 
-async function* delayParts(answer: StandInAnswer, delay: number, signal: AbortSignal): AsyncGenerator<Uint8Array> {
-    const { body } = answer;
+async function* delayParts(response: StandInAnswer, delay: number, signal: AbortSignal): AsyncGenerator<Uint8Array> {
+    const { body } = response;
     const isStream = typeof body === "object" && !(body instanceof Uint8Array);
-    for await (const part of isStream ? body : await collectParts(answer)) {
+    for await (const part of isStream ? body : await readBodyParts(response)) {
         if (!await wait(delay, signal)) {
             return;
         }
@@ -131,7 +138,7 @@
     }
 }
 
-async function* stallAfterHalf(answer: StandInAnswer, signal: AbortSignal): AsyncGenerator<Uint8Array> {
-    yield takeHalf(await collectParts(answer));
+async function* stallAfterHalf(response: StandInAnswer, signal: AbortSignal): AsyncGenerator<Uint8Array> {
+    yield takeHalf(await readBodyParts(response));
     await waitForAbort(signal);
 }
--- a/src/standIn/http/faultTable.ts
+++ b/src/standIn/http/faultTable.ts
@@ -7,13 +7,13 @@
     applied: number;
 }
 
-/** Rules with a count of the requests that they matched. */
+/** Fault rules, each with the numbers of requests that it matched and was applied to. */
 export interface FaultTable extends FaultControl {
     /**
-     * Selects the rule for a request and counts it.
+     * Selects the first rule that applies to a request, and updates the counts of the rules.
      *
      * @param operation - operation of the request
-     * @returns the rule; undefined if the request is to be answered normally
+     * @returns the rule; undefined if the request is handled without a fault
      */
     select(operation: string): FaultRule | undefined;
 }
@@ -21,8 +21,8 @@
 /**
  * Creates a table of fault rules.
  *
- * @param rules - rules from the start
- * @param random - source of the choices of rules with a probability
+ * @param rules - initial rules
+ * @param random - random source for rules with a probability
  * @returns the table
  */
 export function createFaultTable(rules: readonly FaultRule[], random: RandomSource): FaultTable {
@@ -32,7 +32,7 @@
     };
     rules.forEach(add);
 
-    function applies(state: RuleState, operation: string): boolean {
+    function matchRule(state: RuleState, operation: string): boolean {
         const { rule } = state;
         if (rule.operation !== operation && rule.operation !== "*") {
             return false;
@@ -51,7 +51,7 @@
         },
         list: () => states.map(({ rule }) => rule),
         select: operation => {
-            const state = states.find(candidate => applies(candidate, operation));
+            const state = states.find(candidate => matchRule(candidate, operation));
             if (state !== undefined) {
                 state.applied += 1;
             }
--- a/src/standIn/http/freePorts.ts
+++ b/src/standIn/http/freePorts.ts
@@ -1,13 +1,14 @@
 import { createServer, type Server } from "node:net";
 
 const host = "127.0.0.1";
-// Below the ports that systems assign to sockets by themselves, from 32768 on Linux and from 49152 elsewhere.
+// All blocks lie below the ephemeral ports, which begin at 32768 on Linux and at 49152 on other systems.
 const firstPort = 12_000;
 const blockSize = 200;
-const blocks = 100;
-/** Ports of a block but its first. */
-const usedOfBlock = blockSize - 1;
+const blockCount = 100;
+/** The first port of a block marks the block as claimed. */
+const usablePortsPerBlock = blockSize - 1;
 
+/** Listens on a port; resolves to undefined if the port is in use. */
 function listen(port: number): Promise<Server | undefined> {
     return new Promise((resolve, reject) => {
         const server = createServer();
@@ -27,8 +28,8 @@
 
 /** Claims a block of ports for this process by listening on its first port until the process ends. */
 async function claimBlock(): Promise<void> {
-    while (triedBlocks < blocks) {
-        const first = firstPort + (process.pid + triedBlocks++) % blocks * blockSize;
+    while (triedBlocks < blockCount) {
+        const first = firstPort + (process.pid + triedBlocks++) % blockCount * blockSize;
         const server = await listen(first);
         if (server !== undefined) {
             server.unref();
@@ -37,27 +38,27 @@
         }
     }
     if (claimedBlocks.length === 0) {
-        throw new Error(`All ${blocks} blocks of ports from ${firstPort} are claimed.`);
+        throw new Error(`all ${blockCount} blocks of ports from port ${firstPort} are claimed by other processes`);
     }
 }
 
 let nextPort = 0;
 
-/** Takes each port once, and begins again when no block is left. */
+/** Returns the next port of the claimed blocks; starts over once no further block can be claimed. */
 async function takePort(): Promise<number> {
     const index = nextPort++;
-    const block = Math.floor(index / usedOfBlock);
+    const block = Math.floor(index / usablePortsPerBlock);
     if (block >= claimedBlocks.length) {
         await claimBlock();
     }
-    return claimedBlocks[block % claimedBlocks.length]! + 1 + index % usedOfBlock;
+    return claimedBlocks[block % claimedBlocks.length]! + 1 + index % usablePortsPerBlock;
 }
 
 async function findPorts(count: number): Promise<number[]> {
     const found: number[] = [];
     for (let tried = 0; found.length < count; tried++) {
-        if (tried === blocks * blockSize) {
-            throw new Error(`Fewer than ${count} ports from ${firstPort} are free.`);
+        if (tried === blockCount * blockSize) {
+            throw new Error(`fewer than ${count} ports from port ${firstPort} are free`);
         }
         const port = await takePort();
         const server = await listen(port);
@@ -69,17 +70,18 @@
     return found;
 }
 
-let last: Promise<unknown> = Promise.resolve();
+let lastSearch: Promise<unknown> = Promise.resolve();
 
 /**
- * Finds ports on 127.0.0.1 that nothing listens on. Neither another process that calls this nor a socket whose port the
- * system assigns comes to use them, so a test may end a listener, find its port refusing and listen on it again.
+ * Finds ports on 127.0.0.1 that nothing listens on. They are not returned to another process that calls this function,
+ * and the system does not assign them to sockets. A test can therefore close a listener, rely on connections to its
+ * port being refused, and listen on the port again.
  *
  * @param count - number of ports
- * @returns the ports; rejects if too few are left
+ * @returns the ports; rejects if too few are free
  */
 export function findFreePorts(count: number): Promise<number[]> {
-    const result = last.then(() => findPorts(count));
-    last = result.catch(() => undefined);
+    const result = lastSearch.then(() => findPorts(count));
+    lastSearch = result.catch(() => undefined);
     return result;
 }
--- a/src/standIn/http/index.ts
+++ b/src/standIn/http/index.ts
@@ -1,5 +1,5 @@
-export * from "./answers.js";
 export * from "./freePorts.js";
+export * from "./responses.js";
 export * from "./restart.js";
 export * from "./server.js";
 export * from "./types.js";
--- a/src/standIn/http/overtaking.ts
+++ b/src/standIn/http/responseWaiters.ts
@@ -1,26 +1,26 @@
-/** Order of the answers of each operation. */
-export interface Overtaking {
+/** Lets the response to a request wait until a later request for the same operation has been answered. */
+export interface ResponseWaiters {
     /**
-     * Reports that a request was answered.
+     * Reports that a request was answered, which ends all waits for its operation.
      *
      * @param operation - operation of the request
      */
     report(operation: string): void;
     /**
-     * Waits for the next answer.
+     * Waits for the next response.
      *
      * @param operation - operation to wait for
-     * @returns once another request of the operation was answered
+     * @returns resolves once another request for the operation has been answered
      */
     wait(operation: string): Promise<void>;
 }
 
 /**
- * Creates the record of answers that lets an earlier answer wait for a later one.
+ * Creates the waiters of all operations.
  *
- * @returns the record
+ * @returns the waiters, none at first
  */
-export function createOvertaking(): Overtaking {
+export function createResponseWaiters(): ResponseWaiters {
     const waiting = new Map<string, (() => void)[]>();
     return {
         report: operation => {
--- a/src/standIn/http/answers.ts
+++ b/src/standIn/http/responses.ts
@@ -4,12 +4,12 @@
 const objectSchema = z.record(z.string(), z.unknown());
 
 /**
- * Creates an answer with a JSON body.
+ * Creates a response with a JSON body.
  *
  * @param status - HTTP status
  * @param value - value of the body
  * @param headers - further headers
- * @returns the answer
+ * @returns the response
  */
 export function answerJson(
     status: number,
@@ -20,14 +20,14 @@
 }
 
 /**
- * Creates the answer to a request that was not carried out.
+ * Creates the response to a request that was not executed.
  *
  * @param status - HTTP status
- * @param reason - why
+ * @param reason - why the request was not executed
  * @param headers - further headers
- * @returns the answer, with `x-executed: no`
+ * @returns the response, with the header `x-executed: no`
  */
-export function answerRefusal(
+export function createRefusal(
     status: number,
     reason: string,
     headers: Readonly<Record<string, string>> = {},
@@ -39,7 +39,7 @@
  * Parses a JSON request body.
  *
  * @param body - bytes of the body
- * @returns the object; undefined if the body is no JSON object
+ * @returns the object; undefined if the body is not a JSON object
  */
 export function parseJsonObject(body: Uint8Array): Readonly<Record<string, unknown>> | undefined {
     try {
@@ -51,13 +51,13 @@
 }
 
 /**
- * Reads the parts of an answer's body.
+ * Reads the body of a response to its end.
  *
- * @param answer - the answer
- * @returns the parts; one part for a body that is no stream
+ * @param response - the response
+ * @returns the parts of a streamed body; otherwise the body as one part, and no part if there is no body
  */
-export async function collectParts(answer: StandInAnswer): Promise<Buffer[]> {
-    const { body } = answer;
+export async function readBodyParts(response: StandInAnswer): Promise<Buffer[]> {
+    const { body } = response;
     if (body === undefined) {
         return [];
     }
--- a/src/standIn/http/restart.ts
+++ b/src/standIn/http/restart.ts
@@ -2,22 +2,22 @@
 import type { StandInServer } from "./types.js";
 import { wait } from "./wait.js";
 
-const retryDelay: Milliseconds = 50;
+const retryDelayMilliseconds: Milliseconds = 50;
 
 /**
  * Closes all connections, and listens again after a delay.
  *
  * @param server - server of the stand-in
- * @param delay - time until it listens again
- * @returns once the connections are closed
+ * @param delay - time until the server listens again
+ * @returns resolves once the connections are closed
  */
 export async function restartServer(server: StandInServer, delay: Milliseconds): Promise<void> {
     await server.suspend();
-    void resumeAfter(server, delay);
+    void resumeAfterDelay(server, delay);
 }
 
-/** Another process may hold the port for a moment. */
-async function resumeAfter(server: StandInServer, delay: Milliseconds): Promise<void> {
+/** Listens again after a delay; retries, since another process may briefly use the port. */
+async function resumeAfterDelay(server: StandInServer, delay: Milliseconds): Promise<void> {
     let pause = delay;
     while (await wait(pause, server.stopped)) {
         try {
@@ -25,7 +25,7 @@
             return;
         }
         catch {
-            pause = retryDelay;
+            pause = retryDelayMilliseconds;
         }
     }
 }
--- a/src/standIn/http/server.ts
+++ b/src/standIn/http/server.ts
@@ -2,13 +2,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createSeededRandom } from "../../utils/index.js";
-import { answerJson } from "./answers.js";
 import { createControlRoutes } from "./controlRoutes.js";
 import { faultEffects } from "./faultEffects.js";
 import { createFaultTable, type FaultTable } from "./faultTable.js";
 import { findFreePorts } from "./freePorts.js";
-import { createOvertaking } from "./overtaking.js";
-import { sendAnswer } from "./sendAnswer.js";
+import { answerJson } from "./responses.js";
+import { createResponseWaiters } from "./responseWaiters.js";
+import { sendResponse } from "./sendResponse.js";
 import type { StandInAnswer, StandInRequest, StandInRoute, StandInServer, StandInServerOptions } from "./types.js";
 
 const maximumBodyBytes = 64 * 1_048_576;
@@ -18,7 +18,7 @@
  * Starts the HTTP server of a stand-in.
  *
  * @param options - address, clock and faults
- * @param createRoutes - creates the operations; a route with method `*` takes every method
+ * @param createRoutes - creates the routes; a route with the method `*` accepts every method
  * @returns the server once it listens; rejects if the address cannot be bound
  */
 export async function startStandInServer(
@@ -28,67 +28,70 @@
     const host = options.host ?? "127.0.0.1";
     const faults = createFaultTable(options.faults ?? [], options.random ?? createSeededRandom(1));
     const lifetime = new AbortController();
-    const exchange = createExchange(faults, lifetime.signal);
+    const handleRequest = createRequestHandler(faults, lifetime.signal);
     const router = createRouter({
-        defaultRoute: (request, response) => {
+        defaultRoute: (request, serverResponse) => {
             request.resume();
-            answerNotFound(response);
+            sendNotFound(serverResponse);
         },
     });
-    const server = createServer((request, response) => {
-        router.lookup(request, response);
+    const server = createServer((request, serverResponse) => {
+        router.lookup(request, serverResponse);
     });
     await listen(server, host, options.port ?? (await findFreePorts(1))[0]!);
     const { port } = server.address() as AddressInfo;
 
-    const inOrder = createSequence();
+    const enqueue = createSerialQueue();
     const standIn: StandInServer = {
         host,
         port,
         baseUrl: `http://${host}:${port}`,
         faults,
         stopped: lifetime.signal,
-        suspend: () => inOrder(() => close(server)),
+        suspend: () => enqueue(() => close(server)),
         resume: () =>
-            inOrder(() => server.listening || lifetime.signal.aborted ? undefined : listen(server, host, port)),
+            enqueue(() => server.listening || lifetime.signal.aborted ? undefined : listen(server, host, port)),
         [Symbol.asyncDispose]: () => {
             lifetime.abort();
-            return inOrder(() => close(server));
+            return enqueue(() => close(server));
         },
     };
     for (const route of [...createControlRoutes(standIn), ...createRoutes(standIn)]) {
         const methods = route.method === "*" ? [...allMethods] : [route.method as HTTPMethod];
-        router.on(methods, route.path, (request, response, parameters) => {
-            void exchange(route, request, response, parameters);
+        router.on(methods, route.path, (request, serverResponse, parameters) => {
+            void handleRequest(route, request, serverResponse, parameters);
         });
     }
     return standIn;
 }
 
-/** Node reports the end of a server only if it does not listen again before, so each change waits for the last one. */
-function createSequence(): (change: () => Promise<void> | undefined) => Promise<void> {
+/**
+ * Creates a queue that runs tasks one after the other. The callback of `Server.close` is not called if the server listens
+ * again in the meantime, so closing and listening must not overlap.
+ */
+function createSerialQueue(): (task: () => Promise<void> | undefined) => Promise<void> {
     let last = Promise.resolve();
-    return change => {
-        const result = last.then(change);
+    return task => {
+        const result = last.then(task);
         last = result.catch(() => undefined);
         return result;
     };
 }
 
-type Exchange = (
+type RequestHandler = (
     route: StandInRoute,
     message: IncomingMessage,
-    response: ServerResponse,
+    serverResponse: ServerResponse,
     parameters: Readonly<Record<string, string | undefined>>,
 ) => Promise<void>;
 
-function createExchange(faults: FaultTable, stopped: AbortSignal): Exchange {
-    const overtaking = createOvertaking();
-    return async (route, message, response, parameters) => {
-        const connection = watchConnection(response, stopped);
+function createRequestHandler(faults: FaultTable, stopped: AbortSignal): RequestHandler {
+    const responseWaiters = createResponseWaiters();
+    return async (route, message, serverResponse, parameters) => {
+        const connection = createConnectionSignal(serverResponse, stopped);
         const body = await readBody(message);
         if (body === undefined) {
-            response.socket?.destroy();
+            serverResponse.socket?.destroy();
             return;
         }
         const request = toRequest(message, body, parameters, connection);
@@ -96,16 +99,16 @@
         const run = async (): Promise<StandInAnswer> => route.handle(request);
         try {
             if (rule === undefined) {
-                await sendAnswer(response, await run(), connection);
-                overtaking.report(route.operation);
+                await sendResponse(serverResponse, await run(), connection);
+                responseWaiters.report(route.operation);
                 return;
             }
-            const overtaken = (): Promise<void> => overtaking.wait(route.operation);
-            await faultEffects[rule.kind]({ rule, route, request, response, run, overtaken, stopped });
+            const waitForLaterResponse = (): Promise<void> => responseWaiters.wait(route.operation);
+            await faultEffects[rule.kind]({ rule, route, request, serverResponse, run, waitForLaterResponse, stopped });
         }
         catch (cause) {
             const message = cause instanceof Error ? cause.message : String(cause);
-            await sendAnswer(response, answerJson(500, { error: message }), connection);
+            await sendResponse(serverResponse, answerJson(500, { error: message }), connection);
         }
     };
 }
@@ -128,19 +131,21 @@
     };
 }
 
-function watchConnection(response: ServerResponse, stopped: AbortSignal): AbortSignal {
+/** Creates a signal that is aborted when the connection closes before the response is complete, or the server stops. */
+function createConnectionSignal(serverResponse: ServerResponse, stopped: AbortSignal): AbortSignal {
     const controller = new AbortController();
     const abort = (): void => controller.abort();
     stopped.addEventListener("abort", abort);
-    response.once("close", () => {
+    serverResponse.once("close", () => {
         stopped.removeEventListener("abort", abort);
-        if (!response.writableFinished) {
+        if (!serverResponse.writableFinished) {
             abort();
         }
     });
     return controller.signal;
 }
 
+/** Returns undefined for a body that is too long or incomplete. */
 async function readBody(message: IncomingMessage): Promise<Buffer | undefined> {
     const parts: Buffer[] = [];
     let bytes = 0;
@@ -159,9 +164,9 @@
     return Buffer.concat(parts);
 }
 
-function answerNotFound(response: ServerResponse): void {
-    response.writeHead(404, { "content-type": "application/json", "x-executed": "no" });
-    response.end(JSON.stringify({ error: "no such route" }));
+function sendNotFound(serverResponse: ServerResponse): void {
+    serverResponse.writeHead(404, { "content-type": "application/json", "x-executed": "no" });
+    serverResponse.end(JSON.stringify({ error: "no such route" }));
 }
 
 function listen(server: Server, host: string, port: number): Promise<void> {
--- a/src/standIn/http/wait.ts
+++ b/src/standIn/http/wait.ts
@@ -25,7 +25,7 @@
  * Waits until a signal is aborted.
  *
  * @param signal - the signal
- * @returns once it is aborted
+ * @returns resolves once the signal is aborted
  */
 export function waitForAbort(signal: AbortSignal): Promise<void> {
     return new Promise(resolve => {
--- a/src/standIn/platform/instanceRoutes.ts
+++ b/src/standIn/platform/instanceRoutes.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { answerJson, answerRefusal, parseJsonObject, type StandInAnswer, type StandInRoute } from "../http/index.js";
+import { answerJson, createRefusal, parseJsonObject, type StandInAnswer, type StandInRoute } from "../http/index.js";
 import type { InstanceStore } from "./instanceStore.js";
 
 const registrationSchema = z.object({
@@ -15,10 +15,10 @@
 
 /**
  * Creates the routes of the instance list: `GET /instances` (operation `instance-list`), `POST /instances` (operation
- * `instance-register`), `POST /instances/ID/heartbeat` (operation `instance-heartbeat`) and, for control,
+ * `instance-register`), `POST /instances/ID/heartbeat` (operation `instance-heartbeat`) and, for tests,
  * `POST /control/instances/ID/state` with `{ "state": "live" | "leaving" | "removed" }`.
  *
- * @param instances - the list
+ * @param instances - instance list
  * @returns the routes
  */
 export function createInstanceRoutes(instances: InstanceStore): StandInRoute[] {
@@ -27,9 +27,9 @@
             operation: "instance-list",
             method: "GET",
             path: "/instances",
-            rearrange: {
-                duplicate: answer => changeRows(answer, rows => [...rows, ...rows]),
-                "out-of-order": answer => changeRows(answer, rows => [...rows].reverse()),
+            transforms: {
+                duplicate: response => transformRows(response, rows => [...rows, ...rows]),
+                "out-of-order": response => transformRows(response, rows => [...rows].reverse()),
             },
             handle: () => answerJson(200, { instances: instances.list() }),
         },
@@ -40,7 +40,7 @@
             handle: ({ body }) => {
                 const parsed = registrationSchema.safeParse(parseJsonObject(body));
                 if (!parsed.success) {
-                    return answerRefusal(400, z.prettifyError(parsed.error));
+                    return createRefusal(400, z.prettifyError(parsed.error));
                 }
                 instances.register(parsed.data);
                 return { status: 204 };
@@ -50,7 +50,7 @@
             operation: "instance-heartbeat",
             method: "POST",
             path: "/instances/:instance/heartbeat",
-            handle: ({ parameters }) => answerKnown(instances.heartbeat(parameters["instance"] ?? "")),
+            handle: ({ parameters }) => createAcknowledgement(instances.heartbeat(parameters["instance"] ?? "")),
         },
         {
             operation: "control",
@@ -59,18 +59,21 @@
             handle: ({ parameters, body }) => {
                 const parsed = stateSchema.safeParse(parseJsonObject(body));
                 return parsed.success ?
-                    answerKnown(instances.setState(parameters["instance"] ?? "", parsed.data.state)) :
-                    answerRefusal(400, z.prettifyError(parsed.error));
+                    createAcknowledgement(instances.setState(parameters["instance"] ?? "", parsed.data.state)) :
+                    createRefusal(400, z.prettifyError(parsed.error));
             },
         },
     ];
 }
 
-function answerKnown(known: boolean): StandInAnswer {
-    return known ? { status: 204 } : answerRefusal(404, "no such instance");
+function createAcknowledgement(known: boolean): StandInAnswer {
+    return known ? { status: 204 } : createRefusal(404, "no such instance");
 }
 
-function changeRows(answer: StandInAnswer, change: (rows: readonly unknown[]) => readonly unknown[]): StandInAnswer {
-    const { instances } = JSON.parse(answer.body as string) as { readonly instances: readonly unknown[]; };
-    return { ...answer, body: JSON.stringify({ instances: change(instances) }) };
+function transformRows(
+    response: StandInAnswer,
+    transform: (rows: readonly unknown[]) => readonly unknown[],
+): StandInAnswer {
+    const { instances } = JSON.parse(response.body as string) as { readonly instances: readonly unknown[]; };
+    return { ...response, body: JSON.stringify({ instances: transform(instances) }) };
 }
--- a/src/standIn/platform/instanceStore.ts
+++ b/src/standIn/platform/instanceStore.ts
@@ -1,20 +1,23 @@
 import type { Clock, ListedInstance, Milliseconds } from "../../types/index.js";
 
-/** State that the platform gives an instance. */
+/** State of an instance in the platform's instance list. */
 export type PlatformInstanceState = "live" | "leaving" | "removed";
 
-/** Row of an instance without its state. */
+/** Row of an instance in the list, without its state. */
 export type InstanceRegistration = Omit<ListedInstance, "state">;
 
-/** Behaviour of the list. */
+/** Options of the instance list. */
 export interface InstanceStoreOptions {
-    /** Time after which a change shows in the list. Default: 0 ms. */
+    /** Time until a change becomes visible in the list. Default: 0 ms. */
     readonly lagMilliseconds?: Milliseconds | undefined;
-    /** Time without a heartbeat after which an instance that sent one is removed. Default: never. */
+    /**
+     * Time since its last heartbeat after which an instance is left out of the list. Instances that have never sent a
+     * heartbeat stay listed. Default: no limit.
+     */
     readonly heartbeatTimeoutMilliseconds?: Milliseconds | undefined;
 }
 
-/** Instance list in memory. */
+/** Instance list that is kept in memory. */
 export interface InstanceStore {
     /**
      * Adds an instance or replaces its row; its state becomes `live`.
@@ -23,7 +26,7 @@
      */
     register(registration: InstanceRegistration): void;
     /**
-     * Counts a heartbeat.
+     * Records a heartbeat.
      *
      * @param instance - identifier of the instance
      * @returns whether the instance is known
@@ -37,7 +40,7 @@
      * @returns whether the instance is known
      */
     setState(instance: string, state: PlatformInstanceState): boolean;
-    /** @returns the list as it was before the lag */
+    /** @returns the list as it was `lagMilliseconds` ago */
     list(): ListedInstance[];
 }
 
@@ -53,7 +56,7 @@
 }
 
 /**
- * Creates an empty list.
+ * Creates an empty instance list.
  *
  * @param clock - source of time
  * @param options - lag and heartbeat timeout
@@ -63,10 +66,11 @@
     const { lagMilliseconds = 0, heartbeatTimeoutMilliseconds = Infinity } = options;
     const histories = new Map<string, InstanceHistory>();
 
-    function record(registration: InstanceRegistration, state: PlatformInstanceState): void {
+    /** Adds a change, and discards those that are older than the visible one. */
+    function recordChange(registration: InstanceRegistration, state: PlatformInstanceState): void {
         const history = histories.get(registration.instance) ?? { changes: [], heartbeats: [] };
-        const visible = clock.monotonic() - lagMilliseconds;
-        const shown = history.changes.findLastIndex(change => change.at <= visible);
+        const visibleUntil = clock.monotonic() - lagMilliseconds;
+        const shown = history.changes.findLastIndex(change => change.at <= visibleUntil);
         history.changes = [...history.changes.slice(Math.max(0, shown)), {
             at: clock.monotonic(),
             registration,
@@ -75,21 +79,21 @@
         histories.set(registration.instance, history);
     }
 
-    function isAlive(history: InstanceHistory, visible: Milliseconds): boolean {
-        const heard = history.heartbeats.filter(at => at <= visible);
-        return history.heartbeats.length === 0 || heard.length === 0 ||
-            heard.at(-1)! >= visible - heartbeatTimeoutMilliseconds;
+    function isAlive(history: InstanceHistory, visibleUntil: Milliseconds): boolean {
+        const visibleHeartbeats = history.heartbeats.filter(at => at <= visibleUntil);
+        return history.heartbeats.length === 0 || visibleHeartbeats.length === 0 ||
+            visibleHeartbeats.at(-1)! >= visibleUntil - heartbeatTimeoutMilliseconds;
     }
 
     return {
-        register: registration => record(registration, "live"),
+        register: registration => recordChange(registration, "live"),
         heartbeat: instance => {
             const history = histories.get(instance);
             if (history === undefined) {
                 return false;
             }
-            const visible = clock.monotonic() - lagMilliseconds;
-            const shown = history.heartbeats.findLastIndex(at => at <= visible);
+            const visibleUntil = clock.monotonic() - lagMilliseconds;
+            const shown = history.heartbeats.findLastIndex(at => at <= visibleUntil);
             history.heartbeats = [...history.heartbeats.slice(Math.max(0, shown)), clock.monotonic()];
             return true;
         },
@@ -98,14 +102,14 @@
             if (newest === undefined) {
                 return false;
             }
-            record(newest.registration, state);
+            recordChange(newest.registration, state);
             return true;
         },
         list: () => {
-            const visible = clock.monotonic() - lagMilliseconds;
+            const visibleUntil = clock.monotonic() - lagMilliseconds;
             return [...histories.values()].flatMap(history => {
-                const shown = history.changes.findLast(change => change.at <= visible);
-                if (shown === undefined || shown.state === "removed" || !isAlive(history, visible)) {
+                const shown = history.changes.findLast(change => change.at <= visibleUntil);
+                if (shown === undefined || shown.state === "removed" || !isAlive(history, visibleUntil)) {
                     return [];
                 }
                 return [{ ...shown.registration, state: shown.state }];
--- a/src/standIn/platform/link.ts
+++ b/src/standIn/platform/link.ts
@@ -1,16 +1,16 @@
 import type { Clock, Milliseconds } from "../../types/index.js";
 import { wait } from "../http/index.js";
 
-/** Link that its transfers share. */
+/** Simulated network link with a limited rate, which all transfers share. */
 export interface Link {
     /** Bytes sent so far. */
     readonly sentBytes: number;
     /**
-     * Sends content at the rate of the link; transfers in progress take turns part by part.
+     * Sends content at the rate of the link; concurrent transfers take turns, one part at a time.
      *
      * @param content - bytes to send
-     * @param signal - ends the transfer
-     * @returns the parts as they pass the link
+     * @param signal - ends the transfer early
+     * @returns the parts, each once it has been sent
      */
     send(content: Uint8Array, signal: AbortSignal): AsyncGenerator<Uint8Array>;
 }
--- a/src/standIn/platform/logStore.ts
+++ b/src/standIn/platform/logStore.ts
@@ -1,19 +1,19 @@
 import type { Clock, LogEntry, LogPage, LogRecord, Milliseconds, Offset } from "../../types/index.js";
-import { createRequestRate } from "./requestRate.js";
+import { createRateLimiter } from "./rateLimiter.js";
 
-/** Limits of the log. */
+/** Options of the log. */
 export interface LogStoreOptions {
-    /** Age after which a record expires. Default: no limit. */
+    /** Age after which a record is removed. Default: no limit. */
     readonly retentionMilliseconds?: Milliseconds | undefined;
-    /** Number of records that are kept. Default: no limit. */
+    /** Number of newest records that are kept. Default: no limit. */
     readonly retentionCount?: number | undefined;
-    /** Appends a second that the log takes, also as a burst. Default: 300. */
+    /** Appends that the log accepts per second, and the size of a burst. Default: 300. */
     readonly appendsPerSecond?: number | undefined;
-    /** Difference between successive offsets. Default: 1; others show code that expects no gaps. */
+    /** Difference between successive offsets. Default: 1; a larger one reveals code that expects offsets without gaps. */
     readonly offsetStep?: number | undefined;
 }
 
-/** Append-only log in memory. */
+/** Append-only log that is kept in memory. */
 export interface LogStore {
     /**
      * Appends a record.
@@ -25,15 +25,15 @@
     /**
      * Reads entries.
      *
-     * @param afterOffset - offset after which to begin
-     * @param limit - largest number of entries
-     * @returns the page; an empty log's first offset is the next one
+     * @param afterOffset - only entries with larger offsets are read
+     * @param limit - maximum number of entries
+     * @returns the page; the first offset of an empty log is the one that the next record gets
      */
     read(afterOffset: Offset, limit: number): LogPage;
     /**
-     * Removes records as retention does.
+     * Removes the oldest records, as retention does.
      *
-     * @param beforeOffset - records below it are removed
+     * @param beforeOffset - records with smaller offsets are removed
      */
     truncate(beforeOffset: Offset): void;
 }
@@ -46,7 +46,7 @@
  * Creates an empty log.
  *
  * @param clock - source of time
- * @param options - limits
+ * @param options - retention, rate limit and offset step
  * @returns the log
  */
 export function createLogStore(clock: Clock, options: LogStoreOptions = {}): LogStore {
@@ -54,7 +54,7 @@
     const { appendsPerSecond = 300, offsetStep = 1 } = options;
     let entries: StoredEntry[] = [];
     let headOffset = 0;
-    const rate = createRequestRate(clock, appendsPerSecond);
+    const rateLimiter = createRateLimiter(clock, appendsPerSecond);
 
     function expire(): void {
         const oldest = clock.monotonic() - retentionMilliseconds;
@@ -71,7 +71,7 @@
 
     return {
         append: record => {
-            if (!rate.take()) {
+            if (!rateLimiter.take()) {
                 return undefined;
             }
             const offset = headOffset + offsetStep;
@@ -94,7 +94,7 @@
     };
 }
 
-/** Binary search, since hundreds of readers poll a log of up to a day's records. */
+/** Binary search, since hundreds of readers poll a log that holds up to a day of records. */
 function countLeading(entries: readonly StoredEntry[], isLeading: (entry: StoredEntry) => boolean): number {
     let low = 0;
     let high = entries.length;
--- a/src/standIn/platform/platformStandIn.ts
+++ b/src/standIn/platform/platformStandIn.ts
@@ -17,30 +17,30 @@
 export interface PlatformStandInOptions extends StandInServerOptions {
     readonly log?: LogStoreOptions | undefined;
     readonly instances?: InstanceStoreOptions | undefined;
-    /** Weight sets from the start. Default: none. */
+    /** Weight sets that are published at the start. Default: none. */
     readonly weightSets?: readonly WeightSetDeclaration[] | undefined;
-    /** Sizes of the sets that exist for any other name, generated when they are resolved. Default: none exist. */
+    /** Sizes of the sets that are generated when a name that was not published is resolved. Default: none are generated. */
     readonly generatedWeightSets?: GeneratedSizes | undefined;
-    /** Rate of the origin's link. Default: no limit. */
+    /** Rate of the origin's network link. Default: no limit. */
     readonly originBytesPerSecond?: number | undefined;
-    /** Rate limit of the weight store. Default: 200 manifests a second. */
+    /** Rate limit of the weight store. Default: 200 manifests per second. */
     readonly manifestReadsPerSecond?: number | undefined;
 }
 
-/** Running stand-in of the platform. */
+/** Running stand-in for the platform. */
 export interface PlatformStandIn extends StandInServer {
     readonly log: LogStore;
     readonly instances: InstanceStore;
     readonly weights: WeightCatalogue;
-    /** Link of the origin; its `sentBytes` are the bytes drawn. */
+    /** Network link of the origin; `sentBytes` counts the bytes that were read from the origin. */
     readonly originLink: Link;
 }
 
 /**
- * Starts the stand-in of the platform: log, instance list, weight store and origin behind one address.
+ * Starts the stand-in for the platform: log, instance list, weight store and origin at one address.
  * `GET /control/statistics` returns `{ originBytes, logHead }`.
  *
- * @param options - address, limits and faults
+ * @param options - address, limits, weight sets and faults
  * @returns the stand-in once it listens; rejects if the address cannot be bound
  */
 export async function startPlatformStandIn(options: PlatformStandInOptions = {}): Promise<PlatformStandIn> {
--- a/src/standIn/platform/requestRate.ts
+++ b/src/standIn/platform/rateLimiter.ts
@@ -1,19 +1,19 @@
 import type { Clock } from "../../types/index.js";
 
-/** Rate limit. */
-export interface RequestRate {
-    /** @returns whether a request is within the limit; it is counted if so */
+/** Limits the rate of requests. */
+export interface RateLimiter {
+    /** @returns whether a request is within the limit; only such a request is counted */
     take(): boolean;
 }
 
 /**
- * Creates a rate limit that lets one second's worth of requests pass as a burst.
+ * Creates a rate limiter that allows a burst of as many requests as the limit allows per second.
  *
  * @param clock - source of time
- * @param requestsPerSecond - the limit; `Infinity` for none
- * @returns the rate limit
+ * @param requestsPerSecond - the limit; `Infinity` for no limit
+ * @returns the rate limiter
  */
-export function createRequestRate(clock: Clock, requestsPerSecond: number): RequestRate {
+export function createRateLimiter(clock: Clock, requestsPerSecond: number): RateLimiter {
     let allowance = requestsPerSecond;
     let updatedAt = clock.monotonic();
     return {
--- a/src/standIn/platform/weightRoutes.ts
+++ b/src/standIn/platform/weightRoutes.ts
@@ -1,30 +1,30 @@
 import { z } from "zod";
 import type { Clock, ManifestDigest } from "../../types/index.js";
-import { answerJson, answerRefusal, parseJsonObject, type StandInAnswer, type StandInRoute } from "../http/index.js";
+import { answerJson, createRefusal, parseJsonObject, type StandInAnswer, type StandInRoute } from "../http/index.js";
 import type { Link } from "./link.js";
-import { createRequestRate } from "./requestRate.js";
+import { createRateLimiter } from "./rateLimiter.js";
 import { type GeneratedWeightSet, generateWeightSet, type WeightSetDeclaration } from "./weightSets.js";
 
-/** Weight sets of the weight store, and what the origin sent of them. */
+/** Weight sets of the weight store and the origin. */
 export interface WeightCatalogue {
     /**
-     * Publishes a set, or replaces the set of the same name.
+     * Publishes a set; replaces an earlier set with the same name.
      *
      * @param declaration - name, sizes and seed
      * @returns the set
      */
     publish(declaration: WeightSetDeclaration): GeneratedWeightSet;
     /**
-     * Finds the newest set with a name.
+     * Finds the newest set with a name, and generates one if the catalogue is set up to do so.
      *
      * @param model - model name
-     * @param adapter - adapter name
+     * @param adapter - adapter name; empty for none
      * @param version - version name
      * @returns the set; undefined if there is none
      */
     resolve(model: string, adapter: string, version: string): GeneratedWeightSet | undefined;
     /**
-     * Finds a set by its manifest digest; a replaced set stays readable.
+     * Finds a set by its manifest digest, also one that has been replaced.
      *
      * @param digest - manifest digest
      * @returns the set; undefined if there is none
@@ -38,18 +38,18 @@
 /**
  * Creates an empty catalogue.
  *
- * @param generated - sizes of the set of any other name; undefined if only published sets exist
+ * @param generated - sizes of the sets for names that were not published; undefined if none are generated
  * @returns the catalogue
  */
 export function createWeightCatalogue(generated?: GeneratedSizes): WeightCatalogue {
     const byName = new Map<string, GeneratedWeightSet>();
     const byDigest = new Map<ManifestDigest, GeneratedWeightSet>();
-    const createName = (model: string, adapter: string, version: string): string =>
+    const createKey = (model: string, adapter: string, version: string): string =>
         JSON.stringify([model, adapter, version]);
 
     function publish(declaration: WeightSetDeclaration): GeneratedWeightSet {
         const set = generateWeightSet(declaration);
-        byName.set(createName(declaration.model, declaration.adapter, declaration.version), set);
+        byName.set(createKey(declaration.model, declaration.adapter, declaration.version), set);
         byDigest.set(set.digest, set);
         return set;
     }
@@ -57,9 +57,9 @@
     return {
         publish,
         resolve: (model, adapter, version) => {
-            const known = byName.get(createName(model, adapter, version));
-            const named = model !== "" && version !== "";
-            return known === undefined && generated !== undefined && named ?
+            const known = byName.get(createKey(model, adapter, version));
+            const isNamed = model !== "" && version !== "";
+            return known === undefined && generated !== undefined && isNamed ?
                 publish({ model, adapter, version, ...generated }) :
                 known;
         },
@@ -82,7 +82,7 @@
  * `POST /control/weights` to publish a set.
  *
  * @param catalogue - weight sets
- * @param link - link of the origin
+ * @param link - network link of the origin
  * @param clock - source of time
  * @param manifestReadsPerSecond - rate limit of the weight store
  * @returns the routes
@@ -93,13 +93,13 @@
     clock: Clock,
     manifestReadsPerSecond: number,
 ): StandInRoute[] {
-    const rate = createRequestRate(clock, manifestReadsPerSecond);
-    const answerManifest = (set: GeneratedWeightSet | undefined): StandInAnswer => {
-        if (!rate.take()) {
-            return answerRefusal(429, "too many requests", { "retry-after": "1" });
+    const rateLimiter = createRateLimiter(clock, manifestReadsPerSecond);
+    const createManifestResponse = (set: GeneratedWeightSet | undefined): StandInAnswer => {
+        if (!rateLimiter.take()) {
+            return createRefusal(429, "too many requests", { "retry-after": "1" });
         }
         return set === undefined ?
-            answerRefusal(404, "no such weight set") :
+            createRefusal(404, "no such weight set") :
             answerJson(200, set.manifest, { "x-manifest-digest": set.digest });
     };
     return [
@@ -110,14 +110,14 @@
             handle: ({ query }) => {
                 const [model = "", adapter = "", version = ""] = ["model", "adapter", "version"]
                     .map(name => query.get(name) ?? "");
-                return answerManifest(catalogue.resolve(model, adapter, version));
+                return createManifestResponse(catalogue.resolve(model, adapter, version));
             },
         },
         {
             operation: "manifest-read",
             method: "GET",
             path: "/manifests/:digest",
-            handle: ({ parameters }) => answerManifest(catalogue.find(parameters["digest"] ?? "")),
+            handle: ({ parameters }) => createManifestResponse(catalogue.find(parameters["digest"] ?? "")),
         },
         {
             operation: "chunk-read",
@@ -126,7 +126,7 @@
             handle: ({ parameters, signal }) => {
                 const content = catalogue.find(parameters["digest"] ?? "")?.readChunk(Number(parameters["index"]));
                 if (content === undefined) {
-                    return answerRefusal(404, "no such chunk");
+                    return createRefusal(404, "no such chunk");
                 }
                 const headers = {
                     "content-type": "application/octet-stream",
@@ -143,7 +143,7 @@
                 const parsed = declarationSchema.safeParse(parseJsonObject(body));
                 return parsed.success ?
                     answerJson(201, { digest: catalogue.publish(parsed.data).digest }) :
-                    answerRefusal(400, z.prettifyError(parsed.error));
+                    createRefusal(400, z.prettifyError(parsed.error));
             },
         },
     ];
--- a/src/standIn/platform/weightSets.ts
+++ b/src/standIn/platform/weightSets.ts
@@ -11,7 +11,7 @@
     readonly version: string;
     readonly totalBytes: number;
     readonly chunkBytes: number;
-    /** Default: 1. */
+    /** Changes the content of the set. Default: 1. */
     readonly seed?: number | undefined;
 }
 
@@ -23,13 +23,13 @@
      * Generates the content of a chunk.
      *
      * @param index - position of the chunk
-     * @returns its bytes; undefined if there is no such chunk
+     * @returns content of the chunk; undefined if there is no such chunk
      */
     readChunk(index: number): Uint8Array | undefined;
 }
 
 /**
- * Generates a weight set. Its content follows from the declaration alone and is not kept in memory.
+ * Generates a weight set. Its content depends only on the declaration and is not kept in memory.
  *
  * @param declaration - name, sizes and seed
  * @returns the set
@@ -38,9 +38,9 @@
     const { model, adapter, version, totalBytes, chunkBytes, seed = 1 } = declaration;
     const identity = JSON.stringify([model, adapter, version, seed]);
     const count = Math.ceil(totalBytes / chunkBytes);
-    const readSize = (index: number): number => Math.min(chunkBytes, totalBytes - index * chunkBytes);
+    const computeChunkSize = (index: number): number => Math.min(chunkBytes, totalBytes - index * chunkBytes);
     const chunks = [...Array(count).keys()].map(index => {
-        const bytes = readSize(index);
+        const bytes = computeChunkSize(index);
         return { bytes, digest: computeDigest(generateContent(identity, index, bytes)) };
     });
     const manifest = { model, adapter, version, totalBytes, chunks };
@@ -49,12 +49,12 @@
         manifest,
         readChunk: index =>
             Number.isInteger(index) && index >= 0 && index < count ?
-                generateContent(identity, index, readSize(index)) :
+                generateContent(identity, index, computeChunkSize(index)) :
                 undefined,
     };
 }
 
-/** A cipher's key stream is the fastest repeatable source of bytes that do not compress. */
+/** Uses the key stream of a cipher, the fastest reproducible source of bytes that do not compress. */
 function generateContent(identity: string, index: number, bytes: number): Uint8Array {
     const key = createHash("sha256").update(identity).update(`/${index}`).digest();
     const cipher = createCipheriv("aes-128-ctr", key.subarray(0, 16), key.subarray(16, 32));
--- a/src/standIn/service/serviceStandIn.ts
+++ b/src/standIn/service/serviceStandIn.ts
@@ -3,7 +3,7 @@
 import { type Batch, createBatch, createJournal, type Journal, readHeader } from "../execution/index.js";
 import {
     answerJson,
-    answerRefusal,
+    createRefusal,
     restartServer,
     type StandInAnswer,
     type StandInRequest,
@@ -14,10 +14,10 @@
 } from "../http/index.js";
 import { resolveServiceBehaviour, type ServiceBehaviour, type ServiceStandInOptions } from "./options.js";
 
-/** Running stand-in of a plain service. */
+/** Running stand-in for a plain service, a backend server without a model. */
 export interface ServiceStandIn extends StandInServer {
     readonly journal: Journal;
-    /** Drops all connections and listens again, as a new incarnation, after the restart delay. */
+    /** Simulates a crash: closes all connections, and listens again as a new incarnation after the restart delay. */
     crash(): Promise<void>;
 }
 
@@ -30,10 +30,10 @@
 }
 
 /**
- * Starts the stand-in of a plain service. It answers every request (operation `execute`) with
- * `{ requestId, method, path, idempotencyKey, effects, body }`, where `effects` counts the executions with the
- * idempotency key and `body` repeats the request's body. `GET /health` is operation `health`; `GET /journal` and
- * `POST /control/crash` serve tests.
+ * Starts the stand-in for a plain service. It answers every request (operation `execute`) with
+ * `{ requestId, method, path, idempotencyKey, effects, body }`, where `effects` is the number of executions with the
+ * idempotency key and `body` is the body of the request. `GET /health` has the operation `health`; `GET /journal` and
+ * `POST /control/crash` are for tests.
  *
  * @param options - address, behaviour and faults
  * @returns the stand-in once it listens; rejects if the address cannot be bound
@@ -82,16 +82,16 @@
                 return { status: 204 };
             },
         },
-        { operation: "execute", method: "*", path: "*", handle: request => answerRequest(core, request) },
+        { operation: "execute", method: "*", path: "*", handle: request => handleRequest(core, request) },
     ];
 }
 
-async function answerRequest(core: ServiceCore, request: StandInRequest): Promise<StandInAnswer> {
+async function handleRequest(core: ServiceCore, request: StandInRequest): Promise<StandInAnswer> {
     const requestId = readHeader(request, "x-request-id") ?? "";
     const headers = { "x-request-id": requestId };
-    const leave = await core.batch.enter(Number(readHeader(request, "x-priority") ?? 5), request.signal);
-    if (leave === undefined) {
-        return answerRefusal(503, "queue-full", { ...headers, "retry-after": "1" });
+    const releaseSlot = await core.batch.acquireSlot(Number(readHeader(request, "x-priority") ?? 5), request.signal);
+    if (releaseSlot === undefined) {
+        return createRefusal(503, "queue-full", { ...headers, "retry-after": "1" });
     }
     const idempotencyKey = readHeader(request, "idempotency-key");
     const entry = core.journal.begin({
@@ -107,7 +107,7 @@
         await core.crash();
     }
     const finished = await wait(core.behaviour.workMilliseconds, request.signal);
-    leave();
+    releaseSlot();
     if (entry.state === "running") {
         entry.state = finished ? "finished" : "canceled";
     }
--- a/test/standIn/control.test.ts
+++ b/test/standIn/control.test.ts
@@ -4,8 +4,8 @@
 import { startPlatformStandIn, startServiceStandIn } from "../../src/standIn/index.js";
 import { createSystemClock } from "../../src/utils/index.js";
 
-describe("control of a stand-in", () => {
-    // Guards against a demo or a test of processes that cannot cause, or cannot end, a fault.
+describe("the control interface of a stand-in", () => {
+    // Guards against fault rules that have no effect, apply to other requests than configured, or cannot be removed.
     it("applies fault rules that arrive over HTTP, skips and counts requests, and removes them", async () => {
         await using service = await startServiceStandIn();
         await using client = createHttpClient({ baseUrl: service.baseUrl });
@@ -22,7 +22,7 @@
         expect(await send(client, "GET", "/links")).toEqual(200);
     });
 
-    // Guards against a misspelled rule that is taken and has no effect.
+    // Guards against misspelled rules that are accepted and have no effect.
     it("refuses an unknown fault", async () => {
         await using service = await startServiceStandIn();
         await using client = createHttpClient({ baseUrl: service.baseUrl });
@@ -36,13 +36,13 @@
         }
     });
 
-    // Guards against an outage that only closes connections, and against one that cannot be ended.
+    // Guards against an outage in which new connections are still accepted, and against one that cannot be ended.
     it("refuses connections during an outage", async () => {
         await using service = await startServiceStandIn();
         await using client = createHttpClient({ baseUrl: service.baseUrl });
         await send(client, "POST", "/control/suspend", JSON.stringify({ milliseconds: 3_600_000 }));
         while (await send(client, "GET", "/health") !== undefined) {
-            // The outage begins once the answer to the control request has left.
+            // The outage begins only after the response to the control request has been sent.
         }
         const refused = await client.send({ method: "GET", path: "/health" });
         expect(refused.isErr && refused.error.requestWritten).toEqual(false);
@@ -50,7 +50,7 @@
         expect(await send(client, "GET", "/health")).toEqual(200);
     });
 
-    // Guards against an origin whose link is faster than its rate when several transfers share it.
+    // Guards against concurrent transfers that together exceed the rate of the origin's link.
     it("sends chunks no faster than the origin's link", async () => {
         const set = { model: "m", adapter: "", version: "1", totalBytes: 300_000, chunkBytes: 100_000 };
         await using platform = await startPlatformStandIn({ originBytesPerSecond: 1_000_000, weightSets: [set] });
--- a/test/standIn/freePorts.test.ts
+++ b/test/standIn/freePorts.test.ts
@@ -7,8 +7,8 @@
 import { findFreePorts } from "../../src/standIn/index.js";
 
 const run = promisify(execFile);
-// Linux assigns ports from here on, other systems from higher ones.
-const firstAssignedPort = 32_768;
+// First ephemeral port on Linux; on other systems the range begins higher.
+const firstEphemeralPort = 32_768;
 
 async function findInAnotherProcess(count: number): Promise<number[]> {
     const program = `const { findFreePorts } = await import("${import.meta.resolve("../../src/standIn/index.ts")}");` +
@@ -17,24 +17,24 @@
     return JSON.parse(stdout) as number[];
 }
 
-// Guards against a test whose refusing address is taken by a stand-in of another test file, which then gets its requests.
-describe("free ports of a test", () => {
-    it("are none that the system assigns", async () => {
-        expect((await findFreePorts(20)).filter(port => port >= firstAssignedPort)).toEqual([]);
+// Guards against a test that expects its requests to be refused at a port that a stand-in of another test file uses by then.
+describe("free ports", () => {
+    it("are outside of the range that the system assigns", async () => {
+        expect((await findFreePorts(20)).filter(port => port >= firstEphemeralPort)).toEqual([]);
     });
 
-    it("are given to stand-ins, which may be suspended", async () => {
+    it("are the default ports of stand-ins, which may be suspended", async () => {
         await using server = await startStandInServer({}, () => []);
-        expect(server.port < firstAssignedPort).toEqual(true);
+        expect(server.port < firstEphemeralPort).toEqual(true);
     });
 
-    it("are found by no other process meanwhile", async () => {
+    it("are not returned to other processes at the same time", async () => {
         const own = await findFreePorts(20);
         const others = (await Promise.all([findInAnotherProcess(150), findInAnotherProcess(150)])).flat();
         expect(new Set([...own, ...others]).size).toEqual(own.length + others.length);
     });
 
-    it("are none on which something listens", async () => {
+    it("exclude ports that something listens on", async () => {
         const [port] = await findFreePorts(1);
         const server = await new Promise<Server>(resolve => {
             const started = createServer().listen(port, "127.0.0.1", () => resolve(started));
--- a/test/standIn/logStore.test.ts
+++ b/test/standIn/logStore.test.ts
@@ -11,8 +11,8 @@
 );
 
 describe("the log's retention", () => {
-    // Guards against a log that loses or keeps other records than those that its limits name, or breaks its links.
-    it("holds exactly the records within age and count, linked by their previous offsets", () => {
+    // Guards against a log that removes too many or too few records, or returns wrong previous offsets.
+    it("keeps exactly the records within the limits on age and count, linked by their previous offsets", () => {
         const limits = { retentionMilliseconds: 100, retentionCount: 5, offsetStep: 3, appendsPerSecond: 1e9 };
         fastCheck.assert(fastCheck.property(fastCheck.array(action, { maxLength: 60 }), actions => {
             const clock = createManualClock();
@@ -35,8 +35,8 @@
         }));
     });
 
-    // Guards against a limit that never lets appends through again, or that saves up more than a second's worth.
-    it("lets the configured number of appends a second through", () => {
+    // Guards against a rate limit that refuses all appends once reached, or allows larger bursts after an idle time.
+    it("accepts the configured number of appends per second", () => {
         const clock = createManualClock();
         const log = createLogStore(clock, { appendsPerSecond: 10 });
         const appendMany = (): number =>
