Reword the stand-ins of the platform's tests

Comments spoke of runners that end, entries that lapse and pieces that turn bad, and left the kinds of runner behaviour and store faults out.

--- a/test/platform/standIn/caller.ts
+++ b/test/platform/standIn/caller.ts
@@ -2,24 +2,24 @@
 import { connect } from "node:net";
 import type { TestDeployment } from "./deployment.js";
 
-/** Answer that a caller has received. */
+/** Response that a caller has received. */
 export interface Answer {
     readonly status: number;
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
     readonly body: string;
-    /** False if the connection ended within the body. */
+    /** False if the connection ended before the end of the body. */
     readonly complete: boolean;
 }
 
 let attempts = 0;
 
 /**
- * Sends a request to the gateway, as a caller with a key does.
+ * Sends a request with an API key to the gateway.
  *
- * @param deployment - the gateway
+ * @param deployment - deployment of the gateway
  * @param path - path and query
- * @param options - method, further headers, body and connections
- * @returns the answer
+ * @param options - method, further headers, body and connection pool
+ * @returns the response; rejects if the connection ends before its headers
  */
 export function call(
     { gatewayUrl }: Pick<TestDeployment, "gatewayUrl">,
@@ -28,7 +28,7 @@
         readonly method?: string;
         readonly headers?: Record<string, string>;
         readonly body?: string;
-        /** Connections to use. Default: those of the process. */
+        /** Connection pool to use. Default: the global one of the process. */
         readonly agent?: Agent;
     } = {},
 ): Promise<Answer> {
@@ -62,23 +62,24 @@
     });
 }
 
-/** Answer on a connection of HTTP/1.0, which ends with the connection. */
-export interface PlainAnswer {
+/** Response to an HTTP/1.0 request, which ends when the connection ends. */
+export interface Http10Response {
+    /** Status line, headers and body as they were received. */
     readonly text: string;
     readonly ending: "closed" | "reset";
 }
 
 /**
- * Sends a request of HTTP/1.0 to the gateway, as a caller that does not understand chunks does.
+ * Sends an HTTP/1.0 request to the gateway, as a caller without support for chunked transfer encoding does.
  *
- * @param deployment - the gateway
+ * @param deployment - deployment of the gateway
  * @param path - path and query
- * @returns what was received until the connection ended
+ * @returns what was received, and how the connection ended
  */
 export function callPlainly(
     { gatewayUrl }: Pick<TestDeployment, "gatewayUrl">,
     path: string,
-): Promise<PlainAnswer> {
+): Promise<Http10Response> {
     attempts++;
     const { hostname, port } = new URL(gatewayUrl);
     const lines = [
@@ -91,14 +92,14 @@
     return new Promise(resolve => {
         const socket = connect({ host: hostname, port: Number(port) });
         let text = "";
-        const finish = (ending: PlainAnswer["ending"]): void => {
+        const finish = (ending: Http10Response["ending"]): void => {
             socket.destroy();
             resolve({ text, ending });
         };
         socket.on("data", part => {
             text += part.toString();
         });
-        // A reset that arrives together with the last bytes is reported as an end, but leaves the socket without a peer.
+        // Node reports a reset that arrives together with the last bytes as an end, but the socket then has no remote address.
         socket.on("end", () => finish(socket.remoteAddress === undefined ? "reset" : "closed"));
         socket.on("error", () => finish("reset"));
         socket.write(`${lines.join("\r\n")}\r\n\r\n`);
--- a/test/platform/standIn/closeServer.ts
+++ b/test/platform/standIn/closeServer.ts
@@ -1,10 +1,10 @@
 import type { Server, Socket } from "node:net";
 
 /**
- * Stops a server and closes the connections that it still has.
+ * Stops a server and closes its open connections.
  *
  * @param server - the server
- * @param sockets - its open connections
+ * @param sockets - open connections of the server
  * @returns resolves once the server has stopped
  */
 export function closeServer(server: Server, sockets: ReadonlySet<Socket>): Promise<void> {
--- a/test/platform/standIn/crashingFleet.ts
+++ b/test/platform/standIn/crashingFleet.ts
@@ -3,60 +3,66 @@
 import { type RunnerRun, type RunnerStandIn, type RunnerStandInOptions, startRunnerStandIn } from "./runnerStandIn.js";
 import { createServerRecord } from "./serverRecord.js";
 
-/** End of a runner. */
-export interface RunnerEnd {
+/** Crash of a runner. */
+export interface RunnerCrash {
+    /** Time of the crash in milliseconds since the epoch. */
     readonly at: number;
     readonly instance: string;
-    /** Body of the request under which it ended. */
+    /** Body of the request that caused the crash; empty if no request did. */
     readonly body: string;
 }
 
-/** Run of a request at one of the runners. */
+/** Request that one of the runners began to execute. */
 export interface FleetRun extends RunnerRun {
+    /** Time at which the execution began, in milliseconds since the epoch. */
     readonly at: number;
     readonly instance: string;
 }
 
-/** Runners that end under some requests and come back, each time as another instance at the same address. */
+/** Runners that crash on some requests and restart at the same address, each time as another instance. */
 export interface CrashingFleet {
-    readonly ends: readonly RunnerEnd[];
+    /** Crashes in the order in which they occurred. */
+    readonly ends: readonly RunnerCrash[];
+    /** Executed requests in the order in which they began. */
     readonly runs: readonly FleetRun[];
-    /** Ends a runner that is up, under no request. */
+    /** Crashes a running runner without a request that causes it; does nothing if none is running. */
     crashOne(): void;
 }
 
 /** Options of {@link startCrashingFleet}. */
 export interface CrashingFleetOptions extends Pick<RunnerStandInOptions, "events" | "eventMilliseconds"> {
+    /** Number of runners. */
     readonly count: number;
-    /** Tells whether a body ends the runner that begins to run it. */
+    /** Returns whether the request with a body crashes the runner that begins to execute it. */
     readonly isFatal: (body: string) => boolean;
+    /** Time until the response to a request begins. */
     readonly workMilliseconds: number;
-    /** Time until a runner that has ended is back. */
+    /** Time from the crash of a runner to its restart. */
     readonly downMilliseconds: number;
-    /** Time after which the entry of a runner that has ended lapses. */
+    /** Time from the crash of a runner to the removal of its record from the store. */
     readonly lapseMilliseconds: number;
 }
 
 /**
- * Starts runners of the plain service and lists them.
+ * Starts runners of the plain service and writes their records to the store.
  *
- * @param deployment - store and gateways
- * @param options - number of runners and what ends them
- * @returns the runners, which end with the deployment
+ * @param deployment - deployment that the runners belong to
+ * @param options - number of runners, the requests that crash them, and times
+ * @returns the runners, which are stopped when the deployment is disposed of
  */
 export async function startCrashingFleet(
     deployment: TestDeployment,
     options: CrashingFleetOptions,
 ): Promise<CrashingFleet> {
-    const ends: RunnerEnd[] = [];
+    const ends: RunnerCrash[] = [];
     const runs: FleetRun[] = [];
-    const up = new Map<number, RunnerStandIn>();
+    const running = new Map<number, RunnerStandIn>();
     const timers = new Set<NodeJS.Timeout>();
     const ports = await findFreePorts(options.count);
     let starts = 0;
     let stopped = false;
 
-    function after(milliseconds: number, action: () => void): void {
+    function schedule(milliseconds: number, action: () => void): void {
         const timer = setTimeout(() => {
             timers.delete(timer);
             action();
@@ -64,11 +70,11 @@
         timers.add(timer);
     }
 
-    function end(port: number, instance: string, body: string): void {
+    function recordCrash(port: number, instance: string, body: string): void {
         ends.push({ at: Date.now(), instance, body });
-        up.delete(port);
-        after(options.lapseMilliseconds, () => deployment.store.drop("keyed.servers", instance));
-        after(options.downMilliseconds, () => void start(port));
+        running.delete(port);
+        schedule(options.lapseMilliseconds, () => deployment.store.drop("keyed.servers", instance));
+        schedule(options.downMilliseconds, () => void start(port));
     }
 
     async function start(port: number): Promise<void> {
@@ -77,11 +83,11 @@
             ...options,
             id: instance,
             port,
-            crashesOn: run => {
+            shouldCrash: run => {
                 runs.push({ ...run, at: Date.now(), instance });
                 const fatal = options.isFatal(run.body);
                 if (fatal) {
-                    end(port, instance, run.body);
+                    recordCrash(port, instance, run.body);
                 }
                 return fatal;
             },
@@ -90,25 +96,25 @@
             await runner[Symbol.asyncDispose]();
             return;
         }
-        up.set(port, runner);
+        running.set(port, runner);
         deployment.store.write("keyed.servers", instance, createServerRecord(runner.address, { born: Date.now() }));
     }
 
     deployment.stack.defer(async () => {
         stopped = true;
         timers.forEach(timer => clearTimeout(timer));
-        await Promise.all([...up.values()].map(runner => runner[Symbol.asyncDispose]()));
+        await Promise.all([...running.values()].map(runner => runner[Symbol.asyncDispose]()));
     });
     await Promise.all(ports.map(start));
     return {
         ends,
         runs,
         crashOne: () => {
-            const [first] = up;
+            const [first] = running;
             if (first !== undefined) {
                 const [port, runner] = first;
                 runner.crash();
-                end(port, runner.id, "");
+                recordCrash(port, runner.id, "");
             }
         },
     };
--- a/test/platform/standIn/deployment.ts
+++ b/test/platform/standIn/deployment.ts
@@ -4,19 +4,20 @@
 import { createServerRecord } from "./serverRecord.js";
 import { startStoreStandIn, type StoreStandIn } from "./storeStandIn.js";
 
-/** Gateway before stand-ins of store and runners. */
+/** Gateway together with stand-ins for the store and the runners. */
 export interface TestDeployment extends TestGateway {
     readonly store: StoreStandIn;
+    /** Resources that are released when the deployment is disposed of. */
     readonly stack: DisposalStack;
-    /** Starts one more gateway, and waits until it is ready. */
+    /** Starts another gateway and waits until it is ready. */
     addGateway(instance: string, flags?: Readonly<Record<string, string>>): Promise<TestGateway>;
-    /** Starts a runner of the plain service and lists it. */
+    /** Starts a runner of the plain service and lists it; see `listRunner`. */
     addRunner(options: RunnerStandInOptions, entry?: Readonly<Record<string, unknown>>): Promise<RunnerStandIn>;
-    /** Lists a runner that runs already, and waits until the gateway has read the list. */
+    /** Writes the record of a running runner to the store, and waits until the gateway has read it. */
     listRunner(id: string, address: string, entry?: Readonly<Record<string, unknown>>): Promise<void>;
-    /** Writes the configuration with changed fields. */
+    /** Writes the operator's configuration to the store, with some fields changed. */
     configure(changes?: Readonly<Record<string, unknown>>): void;
-    /** Drains the gateway and releases what it holds, as its process does after the signal to shut down. */
+    /** Drains the gateway and releases its resources, as its process does after the signal to shut down. */
     stop(): Promise<void>;
 }
 
@@ -32,7 +33,7 @@
     public: false,
 };
 
-/** Configuration as an operator writes it. */
+/** Default configuration of the tests, in the operator's format. */
 export const operatorConfiguration = {
     version: 1,
     routes: [
@@ -45,10 +46,10 @@
     tenants: [{ name: "family", api_keys: ["key-1"] }],
 };
 
-/** Waits until a condition holds. */
-export async function waitUntil(description: string, holds: () => boolean | Promise<boolean>): Promise<void> {
+/** Waits until a condition is met; fails with its description after 10 seconds. */
+export async function waitUntil(description: string, isMet: () => boolean | Promise<boolean>): Promise<void> {
     const endsAt = Date.now() + 10_000;
-    while (!await holds()) {
+    while (!await isMet()) {
         if (Date.now() > endsAt) {
             throw new Error(`timed out: ${description}`);
         }
@@ -57,9 +58,9 @@
 }
 
 /**
- * Starts a store and a gateway that follows it.
+ * Starts a stand-in for the store, and a gateway that follows it.
  *
- * @param flags - settings that differ from those of the tests, by key
+ * @param flags - settings that differ from the defaults of the tests, by key
  * @returns the deployment, with a configuration and no runner
  */
 export async function startDeployment(flags: Readonly<Record<string, string>> = {}): Promise<TestDeployment> {
@@ -70,7 +71,7 @@
         await startTestGateway({ instance: "gateway-1", storeAddress: store.address, flags }),
     );
 
-    async function awaitReady({ readyUrl }: TestGateway): Promise<void> {
+    async function waitUntilReady({ readyUrl }: TestGateway): Promise<void> {
         await waitUntil("the gateway is ready", async () => (await fetch(readyUrl)).status === 200);
     }
 
@@ -80,8 +81,8 @@
         entry: Readonly<Record<string, unknown>> = {},
     ): Promise<void> {
         store.write("keyed.servers", id, createServerRecord(address, entry));
-        await awaitReady(gateway);
-        // The list is read at intervals.
+        await waitUntilReady(gateway);
+        // The gateway polls the records of the runners.
         await new Promise(resolve => setTimeout(resolve, 600));
     }
 
@@ -91,11 +92,11 @@
         stack,
         listRunner,
         addGateway: async (instance, added = flags) => {
-            const further = stack.use(
+            const addedGateway = stack.use(
                 await startTestGateway({ instance, storeAddress: store.address, flags: added }),
             );
-            await awaitReady(further);
-            return further;
+            await waitUntilReady(addedGateway);
+            return addedGateway;
         },
         addRunner: async (options, entry) => {
             const runner = stack.use(await startRunnerStandIn(options));
--- a/test/platform/standIn/endlessCaller.ts
+++ b/test/platform/standIn/endlessCaller.ts
@@ -1,48 +1,49 @@
 import { connect } from "node:net";
 import type { TestDeployment } from "./deployment.js";
 
-/** Time in which a connection that is due to end has ended. */
+/** Tolerance in milliseconds for closing a connection whose time limit has passed. */
 export const closingMargin = 1_000;
 
-/** Request that does not end. */
+/** Request without an end. */
 export interface EndlessRequest {
+    /** Bytes that are sent once, at the beginning. */
     readonly first: string;
-    /** Sent again and again. */
+    /** Bytes that are then sent repeatedly. */
     readonly part: string;
-    /** Milliseconds between two parts. */
+    /** Time between two parts in milliseconds. */
     readonly interval: number;
-    /** Longest time for which the gateway may let it go on, in milliseconds. */
+    /** Time within which the gateway has to close the connection, in milliseconds. */
     readonly allowed: number;
 }
 
-/** How a request without end was cut off. */
-export interface Cut {
-    /** Milliseconds until the gateway, or a while later this side, closed the connection. */
+/** How the gateway ended an endless request. */
+export interface EndlessRequestResult {
+    /** Time until the connection was closed in milliseconds; the caller closes it `closingMargin` after the allowed time. */
     readonly duration: number;
-    /** Status of the answer; undefined if there was none. */
+    /** Status of the response; undefined if there was none. */
     readonly status: number | undefined;
 }
 
-/** Sends a request without end. */
+/** Sends an endless request until its connection is closed. */
 export function sendWithoutEnd(
     { gatewayUrl }: TestDeployment,
     { allowed, first, interval, part }: EndlessRequest,
-): Promise<Cut> {
+): Promise<EndlessRequestResult> {
     const startedAt = Date.now();
     const socket = connect(Number(new URL(gatewayUrl).port), "127.0.0.1");
     socket.write(first);
-    let answer = "";
+    let received = "";
     socket.on("data", part => {
-        answer += part.toString("latin1");
+        received += part.toString("latin1");
     });
     const timer = setInterval(() => socket.write(part), interval);
-    const limit = setTimeout(() => socket.destroy(), allowed + closingMargin);
+    const endTimer = setTimeout(() => socket.destroy(), allowed + closingMargin);
     socket.on("error", () => {});
     return new Promise(resolve =>
         socket.once("close", () => {
             clearInterval(timer);
-            clearTimeout(limit);
-            const status = /^HTTP\/1.1 (\d+)/.exec(answer)?.[1];
+            clearTimeout(endTimer);
+            const status = /^HTTP\/1.1 (\d+)/.exec(received)?.[1];
             resolve({ duration: Date.now() - startedAt, status: status === undefined ? undefined : Number(status) });
         })
     );
--- a/test/platform/standIn/engineStandIn.ts
+++ b/test/platform/standIn/engineStandIn.ts
@@ -1,23 +1,25 @@
 import { type HttpStandIn, sendJson, startHttpStandIn } from "./httpStandIn.js";
 
-/** Stand-in of an engine with its stage. */
+/** Stand-in for an engine and its staging area. */
 export interface EngineStandIn extends HttpStandIn {
-    /** Staged pieces by position. */
+    /** Staged pieces by index. */
     readonly stage: Map<number, Buffer>;
+    /** Orders that were received, including refused ones. */
     readonly orders: unknown[];
     /** Loaded version; 0 for none. */
     loaded: number;
+    /** Number of running requests that the engine reports. */
     running: number;
-    /** Orders are carried out, but their answers are lost. */
+    /** Whether the connection is closed without a response once an order has been applied. */
     loseAnswers: boolean;
-    /** Pieces that turn bad when they are written, as often as the number says. */
+    /** Number of further writes that store zeros in place of the content, by index of the piece. */
     readonly spoilt: Map<number, number>;
 }
 
 /**
  * Starts an engine that speaks the platform's protocol.
  *
- * @param model - model that it can load
+ * @param model - name of the model that the engine can load
  * @returns the engine, without weights
  */
 export async function startEngineStandIn(model: string): Promise<EngineStandIn> {
@@ -50,9 +52,9 @@
         }
         else if (url.pathname === `/api/stage-put/${model}` && request.method === "PUT") {
             const position = Number(index);
-            const left = state.spoilt.get(position) ?? 0;
-            state.spoilt.set(position, left - 1);
-            state.stage.set(position, left > 0 ? Buffer.alloc(body.length) : body);
+            const corruptWritesLeft = state.spoilt.get(position) ?? 0;
+            state.spoilt.set(position, corruptWritesLeft - 1);
+            state.stage.set(position, corruptWritesLeft > 0 ? Buffer.alloc(body.length) : body);
             sendJson(response, 200, {});
         }
         else if (url.pathname === "/api/order") {
--- a/test/platform/standIn/fatalRequests.ts
+++ b/test/platform/standIn/fatalRequests.ts
@@ -3,25 +3,30 @@
 import { type TestDeployment, waitUntil } from "./deployment.js";
 import type { TestGateway } from "./gateway.js";
 
-/** Time in which all gateways have to know what one of them has seen. */
+/** Time in milliseconds within which all gateways have to know of crashes that one of them has seen. */
 export const settleMilliseconds = 3_000;
-/** Times that a request may be sent on once they know that three backend servers ended under it. */
+/** How often a request may still be forwarded once the gateways know that it has crashed three backend servers. */
 export const allowedRepeats = 3;
 
+/** Body of requests that crash the backend server. */
 export const fatalBody = "fatal";
+/** Body that many harmless requests have in common. */
 export const popularBody = "popular";
 
+/** Waits for a time. */
 export function pause(milliseconds: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
 
+/** Counts the executions of the fatal request after all gateways have to know of its third crash. */
 export function countLateRuns({ ends, runs }: CrashingFleet): number {
-    const third = ends.filter(({ body }) => body === fatalBody)[2];
-    return third === undefined ?
+    const thirdCrash = ends.filter(({ body }) => body === fatalBody)[2];
+    return thirdCrash === undefined ?
         0 :
-        runs.filter(({ at, body }) => body === fatalBody && at > third.at + settleMilliseconds).length;
+        runs.filter(({ at, body }) => body === fatalBody && at > thirdCrash.at + settleMilliseconds).length;
 }
 
+/** Starts eight runners that crash on the fatal request. */
 export function startFleet(
     deployment: TestDeployment,
     options: Partial<CrashingFleetOptions> = {},
@@ -36,7 +41,7 @@
     });
 }
 
-/** Starts two more gateways, and waits until all of them know the backend servers. */
+/** Starts two more gateways, and waits until all three forward requests to the backend servers. */
 export async function addGateways(deployment: TestDeployment, path: string): Promise<readonly TestGateway[]> {
     const gateways = [
         deployment,
@@ -44,60 +49,68 @@
         await deployment.addGateway("gateway-3"),
     ];
     for (const gateway of gateways) {
-        await waitUntil("the list is read", async () => (await call(gateway, path)).status === 200);
+        await waitUntil(
+            "the gateway knows the backend servers",
+            async () => (await call(gateway, path)).status === 200,
+        );
     }
     return gateways;
 }
 
-/** Sends the fatal request several times, through the gateways in turn. */
+/** Sends the fatal request several times, to the gateways in turn. */
 export async function sendFatal(
     gateways: readonly TestGateway[],
     path: string,
     count: number,
     interval: number,
 ): Promise<readonly (Answer | undefined)[]> {
-    const answers: (Answer | undefined)[] = [];
+    const responses: (Answer | undefined)[] = [];
     for (let index = 0; index < count; index++) {
         const options = { method: "POST", body: fatalBody };
-        answers.push(await call(gateways[index % gateways.length]!, path, options).catch(() => undefined));
+        responses.push(await call(gateways[index % gateways.length]!, path, options).catch(() => undefined));
         await pause(interval);
     }
-    return answers;
+    return responses;
 }
 
-/** Sends the fatal request until three backend servers have ended under it and all gateways have to know. */
+/** Sends the fatal request until three backend servers have crashed and all gateways have to know of it. */
 export async function endThree(fleet: CrashingFleet, gateways: readonly TestGateway[], path: string): Promise<void> {
-    await waitUntil("three backend servers have ended", async () => {
+    await waitUntil("three backend servers have crashed", async () => {
         await sendFatal(gateways, path, gateways.length, 100);
         return fleet.ends.length >= 3;
     });
     await pause(settleMilliseconds);
 }
 
-/** Sends sound requests one after the other until it is stopped; each second one has a body that no other has. */
+/**
+ * Sends harmless requests one after the other until the returned function is called. Every second request has a body
+ * that no other request has.
+ */
 export function startCaller(gateways: readonly TestGateway[], path: string, name: string): () => Promise<Answer[]> {
-    const answers: Answer[] = [];
+    const responses: Answer[] = [];
     let stopped = false;
     const finished = (async () => {
         for (let count = 0; !stopped; count++) {
             const body = count % 2 === 0 ? popularBody : `${name}-${count}`;
             const gateway = gateways[count % gateways.length]!;
-            answers.push(await call(gateway, path, { method: "POST", body }));
+            responses.push(await call(gateway, path, { method: "POST", body }));
             await pause(10);
         }
     })();
     return async () => {
         stopped = true;
         await finished;
-        return answers;
+        return responses;
     };
 }
 
+/** Starts twelve callers; the returned function stops them and returns all responses. */
 export function startCallers(gateways: readonly TestGateway[], path: string): () => Promise<Answer[]> {
     const stops = Array.from({ length: 12 }, (...[, index]) => startCaller(gateways, path, `caller-${index}`));
     return async () => (await Promise.all(stops.map(stop => stop()))).flat();
 }
 
-export function listCondemned(answers: readonly (Answer | undefined)[]): readonly (Answer | undefined)[] {
-    return answers.filter(answer => answer?.body.includes("crashes-backend-servers"));
+/** Lists the responses that refuse a request because it crashes backend servers. */
+export function listCondemned(responses: readonly (Answer | undefined)[]): readonly (Answer | undefined)[] {
+    return responses.filter(response => response?.body.includes("crashes-backend-servers"));
 }
--- a/test/platform/standIn/gateway.ts
+++ b/test/platform/standIn/gateway.ts
@@ -8,10 +8,10 @@
 import { createDisposalStack, createSystemClock } from "../../../src/utils/index.js";
 import { expectOk } from "../../node/support.js";
 
-/** Time within which the gateway ends by itself after the signal to shut down. */
+/** Time within which the gateway finishes its shutdown. */
 export const drainTimeLimitSeconds = 3;
 
-/** Gateway of a test, within the process of the test. */
+/** Gateway that runs in the process of the test. */
 export interface TestGateway extends AsyncDisposable {
     readonly gatewayUrl: string;
     readonly readyUrl: string;
@@ -29,15 +29,15 @@
     readonly instance: string;
     /** `host:port` of the store. */
     readonly storeAddress: string;
-    /** Settings that differ from those of the tests, by key. */
+    /** Settings that differ from the defaults of the tests, by key. */
     readonly flags?: Readonly<Record<string, string>>;
-    /** Called with each line that the gateway logs, at that time. */
+    /** Called with each line when the gateway logs it. */
     readonly onLogLine?: (line: string) => void;
 }
 
 /** Starts a gateway that follows a store. */
 export async function startTestGateway(options: TestGatewayOptions): Promise<TestGateway> {
-    await using starting = createDisposalStack();
+    await using startedParts = createDisposalStack();
     const { instance } = options;
     const [relayPort, callerPort, readyPort, metricsPort] = await findFreePorts(4);
     const settings = expectOk(resolveGatewaySettings({
@@ -61,7 +61,7 @@
             ...options.flags,
         },
     }));
-    const log = starting.use(createStoreClient({ address: options.storeAddress }));
+    const log = startedParts.use(createStoreClient({ address: options.storeAddress }));
     const logLines: string[] = [];
     const destination = {
         write: (line: string) => {
@@ -69,7 +69,7 @@
             options.onLogLine?.(line);
         },
     };
-    const gateway = starting.use(expectOk(
+    const gateway = startedParts.use(expectOk(
         await startGateway(settings, {
             log,
             decoder: createRecordDecoder(),
@@ -79,7 +79,7 @@
             readyPath: "/api/ready",
         }, createLogger({ level: "info", program: "gateway", instance, destination })),
     ));
-    const stack = starting.move();
+    const stack = startedParts.move();
     return {
         gatewayUrl: `http://127.0.0.1:${callerPort}`,
         readyUrl: `http://127.0.0.1:${readyPort}/api/ready`,
--- a/test/platform/standIn/httpStandIn.ts
+++ b/test/platform/standIn/httpStandIn.ts
@@ -10,11 +10,11 @@
     body: Buffer,
 ) => void | Promise<void>;
 
-/** Running stand-in. */
+/** Running HTTP server of a stand-in. */
 export interface HttpStandIn extends AsyncDisposable {
     /** `host:port` */
     readonly address: string;
-    /** Stops listening and resets all connections, as the end of the process does. */
+    /** Stops listening and resets all connections, as when the process crashes. */
     crash(): void;
 }
 
@@ -30,7 +30,7 @@
  * Starts an HTTP server on the loopback address.
  *
  * @param handle - handles each request, whose body has been read
- * @param port - port to listen on; by default a free one, which refuses connections once the server has ended
+ * @param port - port to listen on; default: a free port, which refuses connections once the server has stopped
  * @returns the server; disposing of it closes all connections
  */
 export async function startHttpStandIn(handle: StandInHandler, port?: number): Promise<HttpStandIn> {
@@ -63,7 +63,7 @@
     };
 }
 
-/** Sends JSON. */
+/** Sends a response with a JSON body. */
 export function sendJson(response: ServerResponse, status: number, content: unknown): void {
     response.writeHead(status, { "content-type": "application/json" });
     response.end(JSON.stringify(content));
--- a/test/platform/standIn/pacedCalls.ts
+++ b/test/platform/standIn/pacedCalls.ts
@@ -2,30 +2,30 @@
 import { type Answer, call } from "./caller.js";
 import type { TestDeployment } from "./deployment.js";
 
-/** Requests that are sent one after the other, whether or not the earlier ones are answered. */
+/** Requests that are sent at a fixed rate, without waiting for the responses to earlier ones. */
 export interface PacedCalls {
     readonly path: string;
-    /** Requests a second. */
+    /** Requests per second. */
     readonly rate: number;
-    /** Time for which requests are sent, in milliseconds. */
+    /** Time during which requests are sent, in milliseconds. */
     readonly duration: number;
 }
 
 /**
- * Sends requests at a steady rate.
+ * Sends requests to the gateway at a fixed rate.
  *
- * @param deployment - the gateway
+ * @param deployment - deployment of the gateway
  * @param calls - path, rate and duration
- * @returns all answers
+ * @returns all responses, in the order of the requests
  */
 export async function callAtRate(
     deployment: Pick<TestDeployment, "gatewayUrl">,
     { duration, path, rate }: PacedCalls,
 ): Promise<readonly Answer[]> {
-    const answers: Promise<Answer>[] = [];
+    const responses: Promise<Answer>[] = [];
     for (let sent = 0; sent < rate * duration / 1_000; sent++) {
-        answers.push(call(deployment, path));
+        responses.push(call(deployment, path));
         await sleep(1_000 / rate);
     }
-    return Promise.all(answers);
+    return Promise.all(responses);
 }
--- a/test/platform/standIn/plannedAnswer.ts
+++ b/test/platform/standIn/plannedAnswer.ts
@@ -3,41 +3,41 @@
 import type { RandomSource } from "../../../src/types/index.js";
 import { closeServer } from "./closeServer.js";
 
-/** How a planned answer ends: whole, or with its connection closed or reset after `sentBytes`. */
+/** How a planned response ends: whole, or with its connection closed or reset after a part of its bytes. */
 export type AnswerEnding = "whole" | "closed" | "reset";
 
-/** Answer that a {@link PlannedRunner} is to give. */
+/** Response that a {@link PlannedRunner} is to send. */
 export interface AnswerPlan {
     readonly framing: Exclude<BodyFraming, "none">;
     readonly bodyBytes: number;
     readonly ending: AnswerEnding;
-    /** Share of the bytes that are sent, unless the answer is whole. */
+    /** Share of the bytes that are sent, unless the response is whole. */
     readonly sentShare: number;
-    /** Number of writes. */
+    /** Number of writes in which the response is sent. */
     readonly writes: number;
-    /** True if the connection ends in the same turn of the event loop as the last write. */
-    readonly endsAtOnce: boolean;
-    /** Time after which the same answer is sent once more on the connection; undefined if it is not. */
+    /** Whether the connection ends right after the last write; otherwise it ends 5 ms later. */
+    readonly endsImmediately: boolean;
+    /** Time in milliseconds after which the same response is sent again on the connection; undefined for never. */
     readonly repeatAfter: number | undefined;
 }
 
-/** Header by which a caller tells a {@link PlannedRunner} what to answer. */
+/** Header with the {@link AnswerPlan} for a request, as JSON. */
 export const planHeader = "x-plan";
 
 const framings = ["length", "chunked", "connection"] as const;
 const maximumBodyBytes = 20_000;
 
 /**
- * Draws a plan.
+ * Creates a random plan.
  *
  * @param random - source of randomness
- * @param faults - whether answers may break off or be repeated
+ * @param faults - whether responses may be incomplete or be sent again
  * @returns the plan
  */
 export function drawPlan(random: RandomSource, faults: boolean): AnswerPlan {
     const framing = framings[Math.floor(random.next() * framings.length)]!;
     const isWhole = !faults || random.next() < 0.4;
-    // A connection that is closed in order ends an answer without a length, however short it is.
+    // Closing the connection completes a response without a length, so only a reset can make it incomplete.
     const ending = isWhole ? "whole" : framing === "connection" || random.next() < 0.5 ? "reset" : "closed";
     return {
         framing,
@@ -45,35 +45,36 @@
         bodyBytes: Math.floor(random.next() ** 3 * maximumBodyBytes),
         sentShare: random.next() < 0.3 ? 1 : random.next(),
         writes: 1 + Math.floor(random.next() * 4),
-        endsAtOnce: random.next() < 0.7,
+        endsImmediately: random.next() < 0.7,
         repeatAfter: faults && random.next() < 0.2 ? Math.floor(random.next() * 60) : undefined,
     };
 }
 
 /**
- * Makes the body of an answer.
+ * Creates the body of a response.
  *
- * @param requestId - request that is answered
- * @param bytes - length
+ * @param requestId - identifier of the request
+ * @param bytes - length of the body
  * @returns text that differs between requests
  */
 export function makeBody(requestId: string, bytes: number): string {
     return `${requestId};`.repeat(Math.ceil(bytes / (requestId.length + 1))).slice(0, bytes);
 }
 
-const framers: Readonly<Record<AnswerPlan["framing"], (body: string) => readonly [headers: string[], body: string]>> = {
-    length: body => [[`content-length: ${body.length}`], body],
-    chunked: body => {
-        const half = Math.floor(body.length / 2);
-        const chunks = [body.slice(0, half), body.slice(half)].filter(({ length }) => length > 0);
-        const framed = chunks.map(chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`);
-        return [["transfer-encoding: chunked"], `${framed.join("")}0\r\n\r\n`];
-    },
-    connection: body => [[], body],
-};
+const frameBody: Readonly<Record<AnswerPlan["framing"], (body: string) => readonly [headers: string[], body: string]>> =
+    {
+        length: body => [[`content-length: ${body.length}`], body],
+        chunked: body => {
+            const half = Math.floor(body.length / 2);
+            const chunks = [body.slice(0, half), body.slice(half)].filter(({ length }) => length > 0);
+            const framed = chunks.map(chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`);
+            return [["transfer-encoding: chunked"], `${framed.join("")}0\r\n\r\n`];
+        },
+        connection: body => [[], body],
+    };
 
 function encode(requestId: string, plan: AnswerPlan): Buffer {
-    const [headers, body] = framers[plan.framing](makeBody(requestId, plan.bodyBytes));
+    const [headers, body] = frameBody[plan.framing](makeBody(requestId, plan.bodyBytes));
     const head = [
         "HTTP/1.1 200 OK",
         `attempt-id: ${requestId}`,
@@ -83,7 +84,7 @@
     return Buffer.from(`${head.join("\r\n")}\r\n\r\n${body}`);
 }
 
-/** Connection of a caller; a repeated answer waits until the answer in progress is written. */
+/** Connection from the gateway; a repeated response waits until the response in progress has been written. */
 interface Connection {
     readonly socket: Socket;
     isWriting: boolean;
@@ -109,13 +110,13 @@
     }
 }
 
-async function answer(connection: Connection, requestId: string, plan: AnswerPlan): Promise<void> {
+async function sendResponse(connection: Connection, requestId: string, plan: AnswerPlan): Promise<void> {
     const { repeats, socket } = connection;
     const whole = encode(requestId, plan);
     const isWhole = plan.ending === "whole";
-    // A reset after the last byte still leaves an answer open whose end is the end of its connection.
-    const most = plan.framing === "connection" ? whole.length : whole.length - 1;
-    const sent = isWhole ? whole : whole.subarray(0, Math.min(most, Math.ceil(whole.length * plan.sentShare)));
+    // Without a length, a response is incomplete even if the connection is reset after its last byte.
+    const maximumBytes = plan.framing === "connection" ? whole.length : whole.length - 1;
+    const sent = isWhole ? whole : whole.subarray(0, Math.min(maximumBytes, Math.ceil(whole.length * plan.sentShare)));
     connection.isWriting = true;
     await write(socket, sent, plan.writes);
     if (isWhole && plan.framing !== "connection") {
@@ -126,7 +127,7 @@
         }
         return;
     }
-    if (!plan.endsAtOnce) {
+    if (!plan.endsImmediately) {
         await new Promise(resolve => setTimeout(resolve, 5));
     }
     if (plan.ending === "reset") {
@@ -137,14 +138,14 @@
     }
 }
 
-/** Runner whose answers their requests prescribe. */
+/** Runner that sends the responses that its requests specify. */
 export interface PlannedRunner extends AsyncDisposable {
     /** `host:port` */
     readonly address: string;
 }
 
 /**
- * Starts a runner that answers each request as its header `x-plan` says.
+ * Starts a runner that responds to each request as the plan in its header `x-plan` specifies.
  *
  * @returns the runner
  */
@@ -153,7 +154,7 @@
     const server = createServer({ noDelay: true }, socket => {
         sockets.add(socket);
         socket.on("close", () => sockets.delete(socket));
-        // Gateways close connections on which surplus bytes arrive.
+        // The gateway closes connections on which it receives surplus bytes.
         socket.on("error", () => {});
         const connection: Connection = { socket, isWriting: false, repeats: [] };
         let received = "";
@@ -169,7 +170,11 @@
                 }),
             );
             received = "";
-            void answer(connection, headers.get("attempt-id")!, JSON.parse(headers.get(planHeader)!) as AnswerPlan);
+            void sendResponse(
+                connection,
+                headers.get("attempt-id")!,
+                JSON.parse(headers.get(planHeader)!) as AnswerPlan,
+            );
         });
     });
     await new Promise<void>(resolve => {
--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -1,7 +1,24 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type HttpStandIn, sendJson, startHttpStandIn } from "./httpStandIn.js";
 
-/** How a runner treats a request. */
+/**
+ * How a runner handles its requests:
+ *
+ * - `answer`: executes the request and responds in full;
+ * - `shed`: refuses the request as not executed;
+ * - `error`: executes the request and responds with status 500;
+ * - `reset`: executes the request and closes the connection without a response;
+ * - `silent`: executes the request and does not respond;
+ * - `truncate`: closes the connection within the body;
+ * - `unframed`: responds without a length, and closes the connection at the end of the body;
+ * - `unframed-reset`: like `unframed`, but sends a part of the body and resets the connection;
+ * - `foreign`: responds with the `attempt-id` of another request;
+ * - `unsealed`: responds without the header `response-seal`;
+ * - `unexplained-503`: responds with status 503 without saying that the request was not executed;
+ * - `endless-refusal`: refuses the request as not executed, with a body that does not end;
+ * - `endless-event`: responds with an event stream whose first event does not end;
+ * - `turn-away`: refuses the request as not executed, with the header `retry-after`.
+ */
 export type RunnerBehaviour =
     | "answer"
     | "shed"
@@ -18,52 +35,56 @@
     | "endless-event"
     | "turn-away";
 
-/** Request that a runner began to work on. */
+/** Request that a runner began to execute. */
 export interface RunnerRun {
     readonly attemptId: string;
     readonly headers: IncomingMessage["headers"];
     readonly path: string;
     readonly body: string;
+    /** Whether the connection was closed before the response was complete. */
     canceled: boolean;
 }
 
-/** Stand-in of a runner. */
+/** Stand-in for a runner. */
 export interface RunnerStandIn extends HttpStandIn {
     readonly id: string;
+    /** Requests that the runner began to execute. */
     readonly runs: RunnerRun[];
-    /** Requests that arrived, including those that did not run. */
+    /** Counts the requests that arrived, including refused ones. */
     readonly countArrivals: () => number;
-    /** Monotonic times of the arrivals. */
+    /** Monotonic times at which requests arrived, in milliseconds. */
     readonly arrivedAt: readonly number[];
+    /** Sets how further requests are handled. */
     behave(behaviour: RunnerBehaviour): void;
-    /** Says in all answers from now on that the runner leaves. */
+    /** Adds the header `server-leaving` to all further responses. */
     leave(): void;
-    /** Text of the header `retry-after` of refusals by `turn-away`. */
+    /** Sets the header `retry-after` of the responses to requests that are turned away. */
     setRetryAfter(text: string): void;
 }
 
 /** Options of {@link startRunnerStandIn}. */
 export interface RunnerStandInOptions {
     readonly id: string;
-    /** Events of a stream; undefined for whole answers. */
+    /** Number of events of a streamed response; undefined for responses that are no stream. */
     readonly events?: number;
-    /** Events after which a stream breaks off within the next one. */
+    /** Number of events after which the connection is closed within the next event. */
     readonly breakAfter?: number;
+    /** Time between two events. Default: 1 ms. */
     readonly eventMilliseconds?: number;
-    /** Time that a request takes until its answer begins. Default: none. */
+    /** Time until the response to a request begins. Default: none. */
     readonly workMilliseconds?: number;
     /** Port to listen on. Default: a free one. */
     readonly port?: number;
-    /** Called for each request that begins to run; the runner ends if it returns true. */
-    readonly crashesOn?: (run: RunnerRun) => boolean;
+    /** Called for each request that the runner begins to execute; the runner crashes if it returns true. */
+    readonly shouldCrash?: (recordRun: RunnerRun) => boolean;
 }
 
-const proof = "3e1b.07.5a2.600.0.c9f2a4d1";
+const responseSeal = "3e1b.07.5a2.600.0.c9f2a4d1";
 
 /**
  * Starts a runner that speaks the platform's protocol.
  *
- * @param options - identifier and kind of answers
+ * @param options - identifier, kind of responses and times
  * @returns the runner
  */
 export async function startRunnerStandIn(options: RunnerStandInOptions): Promise<RunnerStandIn> {
@@ -73,21 +94,25 @@
     let retryAfter = "2";
     const arrivedAt: number[] = [];
 
-    async function answer(request: IncomingMessage, response: ServerResponse, row: RunnerRun): Promise<void> {
+    async function sendResponse(
+        request: IncomingMessage,
+        response: ServerResponse,
+        runnerRun: RunnerRun,
+    ): Promise<void> {
         if (options.workMilliseconds !== undefined) {
             await new Promise(resolve => setTimeout(resolve, options.workMilliseconds));
         }
-        const head = { "attempt-id": row.attemptId, "response-seal": proof, "runner-load": "1,0,4" };
+        const head = { "attempt-id": runnerRun.attemptId, "response-seal": responseSeal, "runner-load": "1,0,4" };
         if (options.events === undefined) {
             response.writeHead(200, { ...head, "content-type": "text/plain" });
-            response.end(`${options.id}:${row.body}`);
+            response.end(`${options.id}:${runnerRun.body}`);
             return;
         }
         response.writeHead(200, { ...head, "content-type": "text/event-stream" });
-        await stream(request, response, options.events);
+        await sendEvents(request, response, options.events);
     }
 
-    async function stream(request: IncomingMessage, response: ServerResponse, events: number): Promise<void> {
+    async function sendEvents(request: IncomingMessage, response: ServerResponse, events: number): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         for (let id = first; id <= events; id++) {
             if (options.breakAfter !== undefined && id > options.breakAfter) {
@@ -101,101 +126,101 @@
         response.end();
     }
 
-    /** Sends an answer that has no length; its end is the end of the connection. */
+    /** Sends a response without a length, which ends when the connection ends. */
     function sendUnframed(request: IncomingMessage, response: ServerResponse, body: string, end: () => void): void {
         const head = [
             "HTTP/1.1 200 OK",
             `attempt-id: ${String(request.headers["attempt-id"])}`,
-            `response-seal: ${proof}`,
+            `response-seal: ${responseSeal}`,
         ];
         response.socket!.write(`${head.join("\r\n")}\r\n\r\n${body}`, end);
     }
 
-    /** Sends bytes that end no event until the peer closes. */
-    function sendWithoutEnd(response: ServerResponse): void {
+    /** Sends bytes without the end of an event until the connection is closed. */
+    function sendEndlessly(response: ServerResponse): void {
         const part = Buffer.alloc(16_384, "x");
         const timer = setInterval(() => response.write(part), 1);
         response.once("close", () => clearInterval(timer));
     }
 
-    function run(request: IncomingMessage, response: ServerResponse, url: URL, body: Buffer): RunnerRun {
-        const row: RunnerRun = {
+    function recordRun(request: IncomingMessage, response: ServerResponse, url: URL, body: Buffer): RunnerRun {
+        const runnerRun: RunnerRun = {
             attemptId: String(request.headers["attempt-id"]),
             headers: request.headers,
             path: url.pathname + url.search,
             body: body.toString(),
             canceled: false,
         };
-        runs.push(row);
+        runs.push(runnerRun);
         response.once("close", () => {
-            row.canceled = !response.writableFinished;
+            runnerRun.canceled = !response.writableFinished;
         });
-        return row;
+        return runnerRun;
     }
 
     const handlers: Readonly<
         Record<RunnerBehaviour, (request: IncomingMessage, response: ServerResponse, url: URL, body: Buffer) => void>
     > = {
         answer: (request, response, url, body) => {
-            const row = run(request, response, url, body);
-            if (options.crashesOn?.(row) === true) {
+            const runnerRun = recordRun(request, response, url, body);
+            if (options.shouldCrash?.(runnerRun) === true) {
                 server.crash();
                 return;
             }
-            void answer(request, response, row);
+            void sendResponse(request, response, runnerRun);
         },
         shed: (request, response) => {
             response.writeHead(503, { "attempt-id": String(request.headers["attempt-id"]), "not-executed": "1" });
             response.end();
         },
         error: (request, response, url, body) => {
-            const { attemptId } = run(request, response, url, body);
-            response.writeHead(500, { "attempt-id": attemptId, "response-seal": proof });
+            const { attemptId } = recordRun(request, response, url, body);
+            response.writeHead(500, { "attempt-id": attemptId, "response-seal": responseSeal });
             response.end("fault");
         },
         reset: (request, response, url, body) => {
-            run(request, response, url, body);
+            recordRun(request, response, url, body);
             response.destroy();
         },
         silent: (request, response, url, body) => {
-            run(request, response, url, body);
+            recordRun(request, response, url, body);
         },
         truncate: (request, response, url, body) => {
-            const { attemptId } = run(request, response, url, body);
-            response.writeHead(200, { "attempt-id": attemptId, "response-seal": proof, "content-length": 100 });
+            const { attemptId } = recordRun(request, response, url, body);
+            response.writeHead(200, { "attempt-id": attemptId, "response-seal": responseSeal, "content-length": 100 });
             response.write("half");
             setTimeout(() => response.destroy(), 5);
         },
         unframed: (request, response, url, body) => {
-            run(request, response, url, body);
+            recordRun(request, response, url, body);
             sendUnframed(request, response, `${options.id}:${body.toString()}`, () => response.socket!.end());
         },
         "unframed-reset": (request, response, url, body) => {
-            run(request, response, url, body);
+            recordRun(request, response, url, body);
             sendUnframed(request, response, "half", () => response.socket!.resetAndDestroy());
         },
         foreign: (request, response, url, body) => {
-            run(request, response, url, body);
-            response.writeHead(200, { "attempt-id": "another-request", "response-seal": proof });
+            recordRun(request, response, url, body);
+            response.writeHead(200, { "attempt-id": "another-request", "response-seal": responseSeal });
             response.end("another caller's answer");
         },
         unsealed: (request, response, url, body) => {
-            const { attemptId } = run(request, response, url, body);
+            const { attemptId } = recordRun(request, response, url, body);
             response.writeHead(200, { "attempt-id": attemptId });
             response.end("no proof");
         },
         "endless-refusal": (request, response) => {
             response.writeHead(503, { "attempt-id": String(request.headers["attempt-id"]), "not-executed": "1" });
-            sendWithoutEnd(response);
+            sendEndlessly(response);
         },
         "endless-event": (request, response, url, body) => {
-            const { attemptId } = run(request, response, url, body);
+            const { attemptId } = recordRun(request, response, url, body);
             response.writeHead(200, {
                 "attempt-id": attemptId,
-                "response-seal": proof,
+                "response-seal": responseSeal,
                 "content-type": "text/event-stream",
             });
-            sendWithoutEnd(response);
+            sendEndlessly(response);
         },
         "turn-away": (request, response) => {
             const attemptId = String(request.headers["attempt-id"]);
@@ -203,7 +228,7 @@
             response.end();
         },
         "unexplained-503": (request, response, url, body) => {
-            const { attemptId } = run(request, response, url, body);
+            const { attemptId } = recordRun(request, response, url, body);
             response.writeHead(503, { "attempt-id": attemptId });
             response.end();
         },
--- a/test/platform/standIn/serverRecord.ts
+++ b/test/platform/standIn/serverRecord.ts
@@ -1,8 +1,8 @@
 /**
- * Makes the record by which a runner of the plain service is listed.
+ * Creates the record in the store that lists a runner of the plain service.
  *
  * @param address - `host:port` of the runner
- * @param entry - fields that differ
+ * @param entry - fields that differ from the defaults
  * @returns the record
  */
 export function createServerRecord(
--- a/test/platform/standIn/storeStandIn.ts
+++ b/test/platform/standIn/storeStandIn.ts
@@ -1,7 +1,15 @@
 import type { ServerResponse } from "node:http";
 import { type HttpStandIn, sendJson, startHttpStandIn } from "./httpStandIn.js";
 
-/** What the store does with calls: answer, refuse, close the connection, stay silent, or act and lose the answer. */
+/**
+ * Faults of the store:
+ *
+ * - `busy`: calls are refused with status 503;
+ * - `many`: calls are refused with status 429;
+ * - `reset`: the connection is closed without a response;
+ * - `silent`: calls get no response;
+ * - `lost`: records are appended, and the connection is closed without a response.
+ */
 export type StoreFault = "none" | "busy" | "many" | "reset" | "silent" | "lost";
 
 interface StoredRecord {
@@ -12,39 +20,43 @@
 
 interface StoredTopic {
     records: StoredRecord[];
+    /** Newest record of each key. */
     readonly newest: Map<string, StoredRecord>;
+    /** Offset of the next record. */
     end: number;
 }
 
-/** Stand-in of the platform's store. */
+/** Stand-in for the platform's store. */
 export interface StoreStandIn extends HttpStandIn {
-    /** Writes a record as the operator or a backend server does. */
+    /** Writes a record with JSON content, as the operator or a backend server does. */
     write(topic: string, key: string, content: unknown): void;
-    /** Writes bytes that may be no JSON. */
+    /** Writes a record with any content, which need not be JSON. */
     writeBytes(topic: string, key: string, value: Buffer): void;
-    /** Drops a key. */
+    /** Deletes a key by writing an empty record. */
     drop(topic: string, key: string): void;
-    /** Forgets all records but the newest of each key. */
+    /** Removes all records from the log of a topic; the newest record of each key can still be read. */
     compact(topic: string): void;
+    /** Sets the fault of all further calls. */
     setFault(fault: StoreFault): void;
-    /** Copies all topics, as they are now. */
+    /** Makes a backup of all topics. */
     backUp(): void;
-    /** Goes back to the copy; offsets are given out again, and the era rises. */
+    /** Restores the backup; offsets after it are assigned again, and the era increases. */
     restore(): void;
-    /** Lets all calls of a topic wait before they are carried out. */
+    /** Delays all further calls for a topic before they are executed. */
     slow(topic: string, milliseconds: number): void;
+    /** Counts all calls. */
     readonly countCalls: () => number;
-    /** Counts the records of a key that the log holds. */
+    /** Counts the records of a key in the log of a topic. */
     countRecords(topic: string, key: string): number;
 }
 
-/** Most keys on one page of the newest records. */
-const pageSize = 3;
+/** Limit of the keys on one page of the newest records. */
+const maximumPageKeys = 3;
 
 /**
  * Starts a store with keyed topics that speaks the platform's protocol.
  *
- * @returns the store, empty
+ * @returns the store, without records
  */
 export async function startStoreStandIn(): Promise<StoreStandIn> {
     const topics = new Map<string, StoredTopic>();
@@ -52,7 +64,7 @@
     let fault: StoreFault = "none";
     let calls = 0;
     let era = 1;
-    let copy = new Map<string, StoredTopic>();
+    let backup = new Map<string, StoredTopic>();
     const delays = new Map<string, number>();
 
     function copyTopics(from: ReadonlyMap<string, StoredTopic>): Map<string, StoredTopic> {
@@ -62,14 +74,14 @@
         ]));
     }
 
-    function findTopic(name: string): StoredTopic {
+    function getOrCreateTopic(name: string): StoredTopic {
         const topic = topics.get(name) ?? { records: [], newest: new Map<string, StoredRecord>(), end: 0 };
         topics.set(name, topic);
         return topic;
     }
 
     function append(name: string, key: string, value: Buffer): number {
-        const topic = findTopic(name);
+        const topic = getOrCreateTopic(name);
         const record = { offset: topic.end, key, value };
         topic.end++;
         topic.records.push(record);
@@ -100,7 +112,7 @@
     async function read(url: URL, response: ServerResponse): Promise<void> {
         const name = url.searchParams.get("topic") ?? "";
         const startedIn = era;
-        const topic = findTopic(name);
+        const topic = getOrCreateTopic(name);
         const from = Number(url.searchParams.get("from"));
         if (from < (topic.records[0]?.offset ?? topic.end) || from > topic.end) {
             sendJson(response, 410, { first: topic.records[0]?.offset ?? topic.end });
@@ -127,16 +139,16 @@
     }
 
     function readNewest(url: URL, response: ServerResponse): void {
-        const topic = findTopic(url.searchParams.get("topic") ?? "");
+        const topic = getOrCreateTopic(url.searchParams.get("topic") ?? "");
         const after = url.searchParams.get("after") ?? "";
         const rows = [...topic.newest.values()].filter(({ key }) => key > after)
             .sort((left, right) => left.key < right.key ? -1 : 1);
-        const items = rows.slice(0, pageSize).map(({ key, offset, value }) => ({
+        const items = rows.slice(0, maximumPageKeys).map(({ key, offset, value }) => ({
             key,
             value: value.toString("base64"),
             offset,
         }));
-        sendJson(response, 200, { items, has_more: rows.length > pageSize, end: topic.end });
+        sendJson(response, 200, { items, has_more: rows.length > maximumPageKeys, end: topic.end });
     }
 
     function write(url: URL, body: Buffer, response: ServerResponse): void {
@@ -166,9 +178,9 @@
             await new Promise(resolve => setTimeout(resolve, delay));
         }
         response.setHeader("store-era", String(era));
-        const inject = faults[fault];
-        if (inject !== undefined) {
-            inject(response);
+        const applyFault = faults[fault];
+        if (applyFault !== undefined) {
+            applyFault(response);
             return;
         }
         switch (url.pathname) {
@@ -191,24 +203,24 @@
         writeBytes: (topic, key, value) => void append(topic, key, value),
         drop: (topic, key) => void append(topic, key, Buffer.alloc(0)),
         compact: name => {
-            findTopic(name).records = [];
+            getOrCreateTopic(name).records = [];
         },
         setFault: next => {
             fault = next;
             waiting.forEach(wake => wake());
         },
         backUp: () => {
-            copy = copyTopics(topics);
+            backup = copyTopics(topics);
         },
         restore: () => {
             topics.clear();
-            copyTopics(copy).forEach((topic, name) => topics.set(name, topic));
+            copyTopics(backup).forEach((topic, name) => topics.set(name, topic));
             era++;
             waiting.forEach(wake => wake());
         },
         slow: (topic, milliseconds) => void delays.set(topic, milliseconds),
         countCalls: () => calls,
-        countRecords: (topic, key) => findTopic(topic).records.filter(record => record.key === key).length,
+        countRecords: (topic, key) => getOrCreateTopic(topic).records.filter(record => record.key === key).length,
         [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
     };
 }
