--- a/test/support/memoryPorts.ts
+++ b/test/support/memoryPorts.ts
@@ -10,22 +10,23 @@
     type OriginPort,
 } from "../../src/types/index.js";
 
-/** Engine that keeps staged chunks in memory. */
+/** Engine that keeps its staged chunks in memory. */
 export interface MemoryEngine extends BackendServerPort {
-    /** Chunks of each staged set by index; undefined where none is staged. */
+    /** Chunks of each staged set by index; undefined for a chunk that is not staged. */
     readonly staged: Map<ManifestDigest, (Uint8Array | undefined)[]>;
+    /** Orders in the sequence in which they were applied. */
     readonly orders: EngineOrder[];
-    /** Starts the engine again without its memory. */
+    /** Restarts the engine as a new incarnation; it loses its staged sets and active weights. */
     restart(): void;
 }
 
 /**
  * Creates an engine.
  *
- * @param onStage - called before a chunk is staged; an error code makes staging fail
- * @returns the engine without any set
+ * @param acceptsChunk - called before a chunk is staged; staging fails if it returns false
+ * @returns the engine, without staged sets
  */
-export function createMemoryEngine(onStage?: (digest: ManifestDigest, index: number) => boolean): MemoryEngine {
+export function createMemoryEngine(acceptsChunk?: (digest: ManifestDigest, index: number) => boolean): MemoryEngine {
     const staged = new Map<ManifestDigest, (Uint8Array | undefined)[]>();
     const orders: EngineOrder[] = [];
     let incarnation = 1;
@@ -85,7 +86,7 @@
         },
         stageChunk: (digest, index, content) => {
             const chunks = staged.get(digest);
-            if (chunks === undefined || onStage?.(digest, index) === false) {
+            if (chunks === undefined || acceptsChunk?.(digest, index) === false) {
                 return Promise.resolve(refuse(`stage chunk ${index}`));
             }
             chunks[index] = Uint8Array.from(content);
@@ -99,9 +100,9 @@
     };
 }
 
-/** Origin that counts its reads. */
+/** Origin that serves sets from memory and counts the reads of chunks. */
 export interface MemoryOrigin extends OriginPort {
-    /** Reads of each chunk, keyed by digest and index. */
+    /** Number of reads of each chunk, by `digest/index`. */
     readonly reads: Map<string, number>;
 }
 
@@ -109,12 +110,12 @@
  * Creates an origin.
  *
  * @param sets - manifest and chunks by manifest digest
- * @param change - may replace the content of a read or, by returning undefined, make it fail; default: the content
+ * @param transform - changes the content of a chunk that is read, or makes the read fail by returning undefined; default: no change
  * @returns the origin
  */
 export function createMemoryOrigin(
     sets: ReadonlyMap<ManifestDigest, { readonly manifest: Manifest; readonly chunks: readonly Uint8Array[]; }>,
-    change: (content: Uint8Array, index: number) => Uint8Array | undefined = content => content,
+    transform: (content: Uint8Array, index: number) => Uint8Array | undefined = content => content,
 ): MemoryOrigin {
     const reads = new Map<string, number>();
     const fail = (step: string) => err(createError("ORIGIN_UNREACHABLE", step, "origin", "no such content"));
@@ -129,7 +130,7 @@
             const key = `${digest}/${index}`;
             reads.set(key, (reads.get(key) ?? 0) + 1);
             const stored = sets.get(digest)?.chunks[index];
-            const content = stored === undefined ? undefined : change(stored, index);
+            const content = stored === undefined ? undefined : transform(stored, index);
             return Promise.resolve(content === undefined ? fail(`read chunk ${index}`) : ok(content));
         },
     };
