--- a/src/node/entry/attempt.ts
+++ b/src/node/entry/attempt.ts
@@ -11,10 +11,10 @@
 import type { CrashReport } from "../crashes/index.js";
 import type { AgentClient } from "../grpc/index.js";
 
-/** Receives the answer of one attempt. */
-export interface AnswerSink {
+/** Receives the answer of one attempt, part by part. */
+export interface AttemptSink {
     start(start: ResponseStart): void;
-    /** @returns resolves when more data can be taken */
+    /** @returns a promise that resolves when more data can be taken; undefined if it can be taken at once */
     data(content: Uint8Array): Promise<void> | undefined;
 }
 
@@ -25,7 +25,7 @@
         readonly kind: "failed";
         readonly refusal: Refusal;
         readonly crash: CrashReport | undefined;
-        /** True if the connection broke after the request was sent, so that no agent could report a crash. */
+        /** True if the connection broke after the request was sent, so that the agent could not report a crash. */
         readonly connectionBroke: boolean;
     };
 
@@ -33,15 +33,16 @@
 export interface AttemptInput {
     readonly client: AgentClient;
     readonly request: Omit<ExecuteRequest, "$typeName" | "$unknown">;
-    readonly sink: AnswerSink;
+    readonly sink: AttemptSink;
     readonly signal: AbortSignal;
-    /** Time that the agent has for the whole answer. */
+    /** Time within which the agent has to complete the answer. */
     readonly timeLimit: Milliseconds;
 }
 
 /**
- * Sends a request to an agent and passes its answer on. Frames must name the request and follow each other without
- * a gap, from one start to one end; otherwise the answer counts as broken.
+ * Sends a request to an agent and forwards the answer to the sink. Frames must carry the request's identifier and
+ * consecutive sequence numbers, from one start frame to one end frame; otherwise the attempt fails with
+ * `answer-mismatched`.
  *
  * @param input - agent, request and receiver of the answer
  * @returns how the attempt ended; never rejects
@@ -57,9 +58,9 @@
     const progress: Progress = { start: undefined, sequence: 0, dataFrames: 0 };
     try {
         for await (const message of call) {
-            const outcome = await takeFrame(input, progress, message as ExecuteFrame);
+            const outcome = await processFrame(input, progress, message as ExecuteFrame);
             if (outcome === "mismatched") {
-                // The agent may go on with an answer that nobody reads.
+                // Otherwise the agent would go on sending an answer that nobody reads.
                 call.cancel();
                 return createFailure("unknown", "answer-mismatched");
             }
@@ -72,7 +73,7 @@
     catch (error) {
         return signal.aborted ?
             createFailure("unknown", "canceled") :
-            explainFailure(error as ServiceError, progress.sequence);
+            classifyCallError(error as ServiceError, progress.sequence);
     }
     finally {
         signal.removeEventListener("abort", abort);
@@ -81,13 +82,13 @@
 
 interface Progress {
     start: ResponseStart | undefined;
-    /** Frames received. */
+    /** Number of frames received, which is the sequence number expected next. */
     sequence: number;
     dataFrames: number;
 }
 
-/** Returns the outcome if the frame is the last one; undefined if more have to follow. */
-async function takeFrame(
+/** Returns the outcome if the frame ends the attempt; undefined if more frames have to follow. */
+async function processFrame(
     { request, sink }: AttemptInput,
     progress: Progress,
     { content, requestId, sequence }: ExecuteFrame,
@@ -98,7 +99,7 @@
     progress.sequence += 1;
     const { start } = progress;
     if (content.case === "refusal") {
-        return readRefusal(content.value);
+        return convertRefusal(content.value);
     }
     if (content.case === "start" && start === undefined) {
         progress.start = content.value;
@@ -118,7 +119,7 @@
     return { kind: "failed", refusal: { ran, reason, retryAfterSeconds: 1 }, crash: undefined, connectionBroke };
 }
 
-function readRefusal(message: RefusalMessage): AttemptOutcome {
+function convertRefusal(message: RefusalMessage): AttemptOutcome {
     return {
         kind: "failed",
         refusal: {
@@ -139,10 +140,10 @@
 }
 
 /**
- * A connection that could not be made has carried no request. Everything else may have reached the agent; grpc-js says
- * `No connection established` only in the first case.
+ * If the connection could not be established, the request was not sent. After any other error the agent may have
+ * received it. grpc-js reports `No connection established` only in the first case.
  */
-function explainFailure(error: ServiceError, framesReceived: number): AttemptOutcome {
+function classifyCallError(error: ServiceError, framesReceived: number): AttemptOutcome {
     const notSent = framesReceived === 0 && error.code === status.UNAVAILABLE &&
         error.details.startsWith("No connection established");
     if (notSent) {
--- a/src/node/entry/callerRequest.ts
+++ b/src/node/entry/callerRequest.ts
@@ -8,14 +8,14 @@
 import type { EntryContext } from "./context.js";
 import type { CallerRequest } from "./requestPipeline.js";
 
-/** Time in which the answer must be complete if the caller states none. */
+/** Time within which the answer must be complete if the caller states no deadline. */
 export const defaultDeadline: Milliseconds = 30_000;
 const maximumDeadline: Milliseconds = 3_600_000;
 const defaultPriority = 5;
-/** Client account of callers that name none. */
+/** Client account of callers that state none. */
 const defaultClientAccount = "default";
-/** Length of the prompt prefix that decides on affinity, in characters. */
-const prefixCharacters = 256;
+/** Length of the prompt prefix by which requests are routed to the same runner, in characters. */
+const affinityPrefixCharacters = 256;
 
 const headersSchema = z.object({
     "x-deadline-milliseconds": z.coerce.number().int().min(1).max(maximumDeadline).default(defaultDeadline),
@@ -34,10 +34,11 @@
 /** HTTP methods that are idempotent unless the caller says otherwise. */
 const idempotentMethods: ReadonlySet<string> = new Set(["GET", "HEAD", "PUT", "DELETE", "OPTIONS"]);
 
-type Parsed = Result<CallerRequest, Refusal>;
+type ParsedRequest = Result<CallerRequest, Refusal>;
 
 /**
- * Reads a completion request; `model` names the deployment. Completions are idempotent unless `X-Idempotent: false`.
+ * Parses a completion request; `model` names the deployment. Completions are idempotent unless the caller sends
+ * `X-Idempotent: false`.
  *
  * @param context - the entry instance
  * @param message - HTTP request
@@ -45,18 +46,18 @@
  * @param signal - aborted when the caller is gone
  * @returns the request, or its refusal if it is malformed
  */
-export function readCompletion(
+export function parseCompletionRequest(
     context: EntryContext,
     message: IncomingMessage,
     body: Uint8Array,
     signal: AbortSignal,
-): Parsed {
+): ParsedRequest {
     const content = completionSchema.safeParse(parseJson(body));
     if (!content.success) {
-        return err(createInvalid(z.prettifyError(content.error)));
+        return err(createInvalidRefusal(z.prettifyError(content.error)));
     }
     const { model, prompt, stream } = content.data;
-    const prefix = computeDigest(prompt.slice(0, prefixCharacters)).slice(0, 16);
+    const prefix = computeDigest(prompt.slice(0, affinityPrefixCharacters)).slice(0, 16);
     return createRequest(context, message, body, signal, {
         deployment: model,
         path: "/v1/completions",
@@ -67,25 +68,25 @@
 }
 
 /**
- * Reads a request to a plain service. GET, HEAD, PUT, DELETE and OPTIONS are idempotent, POST and PATCH are not, unless
- * `X-Idempotent` says otherwise.
+ * Parses a request to a plain service. GET, HEAD, PUT, DELETE and OPTIONS are idempotent, POST and PATCH are not,
+ * unless `X-Idempotent` says otherwise.
  *
  * @param context - the entry instance
  * @param message - HTTP request
  * @param body - its body
  * @param signal - aborted when the caller is gone
  * @param deployment - deployment of the service
- * @param path - path and query at the service
+ * @param path - path and query that are sent to the service
  * @returns the request, or its refusal if it is malformed
  */
-export function readServiceCall(
+export function parseServiceRequest(
     context: EntryContext,
     message: IncomingMessage,
     body: Uint8Array,
     signal: AbortSignal,
     deployment: DeploymentName,
     path: string,
-): Parsed {
+): ParsedRequest {
     return createRequest(context, message, body, signal, {
         deployment,
         path,
@@ -109,17 +110,17 @@
     body: Uint8Array,
     signal: AbortSignal,
     target: RequestTarget,
-): Parsed {
+): ParsedRequest {
     const headers = headersSchema.safeParse(message.headers);
     if (!headers.success) {
-        return err(createInvalid(z.prettifyError(headers.error)));
+        return err(createInvalidRefusal(z.prettifyError(headers.error)));
     }
     const { clock } = context;
     const now = clock.monotonic();
     const method = message.method ?? "GET";
     const clientAccount = headers.data["x-client-account"];
-    const stated = headers.data["x-idempotent"];
-    const idempotent = stated === undefined ? target.idempotentByDefault : stated === "true";
+    const idempotentHeader = headers.data["x-idempotent"];
+    const idempotent = idempotentHeader === undefined ? target.idempotentByDefault : idempotentHeader === "true";
     const key = headers.data["idempotency-key"];
     return ok({
         row: {
@@ -130,13 +131,13 @@
             deadline: now + headers.data["x-deadline-milliseconds"],
             receivedAt: now,
             idempotent,
-            // A request without a key gets one, so that at least its own attempts are recognized.
+            // A non-idempotent request without a key gets one, by which the agent recognizes its repeated attempts.
             idempotencyKey: idempotent ? key : key ?? createIdempotencyKey(clock.now().getTime(), context.random),
             fingerprint: computeDigest(method, "\n", target.deployment, "\n", target.path, "\n", body),
             prefix: target.prefix,
         },
         method,
-        ownKey: !idempotent && key === undefined,
+        hasGeneratedKey: !idempotent && key === undefined,
         path: target.path,
         contentType: message.headers["content-type"] ?? "application/octet-stream",
         body,
@@ -145,7 +146,7 @@
     });
 }
 
-function createInvalid(detail: string): Refusal {
+function createInvalidRefusal(detail: string): Refusal {
     return { ran: "no", reason: "invalid-request", retryAfterSeconds: 0, detail };
 }
 
--- a/src/node/entry/context.ts
+++ b/src/node/entry/context.ts
@@ -17,7 +17,7 @@
 import type { EntrySettings } from "../settings/index.js";
 import type { EntryMetrics } from "./entryMetrics.js";
 
-/** Tables and services that the parts of an entry instance share. */
+/** State, clients and settings that the modules of an entry instance share. */
 export interface EntryContext {
     readonly self: InstanceId;
     readonly settings: EntrySettings;
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -22,12 +22,12 @@
 import type { EntrySettings } from "../settings/index.js";
 import type { EntryContext } from "./context.js";
 import { createEntryMetrics } from "./entryMetrics.js";
-import { noteHeartbeat } from "./heartbeats.js";
+import { recordHeartbeat } from "./heartbeats.js";
 import { createEntryRouter } from "./httpRoutes.js";
-import { listJudgedWitnesses } from "./judgedWitnesses.js";
 import { isLogReader } from "./logReaders.js";
-import { createProposerDuty } from "./proposerDuty.js";
+import { createPlacementProposer } from "./proposerDuty.js";
 import { createRequestPipeline } from "./requestPipeline.js";
+import { listRequiredWitnesses } from "./requiredWitnesses.js";
 import { createRunnerDirectory } from "./runnerDirectory.js";
 import { createSuspicionSharing, type ShareCall, type ShareCallback } from "./suspicionSharing.js";
 
@@ -35,19 +35,19 @@
 export interface EntryDaemon extends AsyncDisposable {
     readonly grpcPort: number;
     readonly httpPort: number;
-    /** Refuses new requests and waits for those in progress, up to the drain time limit. */
+    /** Refuses new requests and waits until those in progress have ended, at most for the drain time limit. */
     drain(): Promise<void>;
 }
 
-/** Time between two runs of the systems that look at every deployment, unless the state has changed. */
-const slowTickInterval = 500;
+/** Milliseconds between ticks that process every deployment; the next tick does so as well if the state has changed. */
+const fullTickInterval = 500;
 
 /**
  * Starts an entry instance.
  *
  * @param settings - resolved settings
  * @param logger - logger of the process
- * @returns the daemon once it listens, or an error if an address cannot be bound
+ * @returns the daemon once its servers listen, or an error if an address cannot be bound
  */
 export async function startEntry(
     settings: EntrySettings,
@@ -69,7 +69,7 @@
         clock,
         startedAt: context.startedAt,
         holdDuration: settings.hold.duration,
-        onHeartbeat: request => noteHeartbeat(context, request),
+        onHeartbeat: request => recordHeartbeat(context, request),
     });
     const sharing = resources.use(createSuspicionSharing(context));
     const rpc = await startRpcServer(settings.instance.grpcAddress, [{
@@ -103,7 +103,7 @@
         startedAt: context.startedAt,
         listTargets: () => listRelayTargets(instances, settings.relay.entryAddresses),
         rankKey: context.self,
-        listRequired: () => listJudgedWitnesses(context),
+        listRequired: () => listRequiredWitnesses(context),
         maximumFollowed: settings.relay.parents,
         heartbeatMilliseconds: settings.relay.heartbeat,
         readContent: () => ({ copies: [], draining }),
@@ -113,7 +113,7 @@
         },
         onInstances: () => undefined,
     }));
-    const relaysSilent = createRelaySilence({
+    const areRelaysSilent = createRelaySilence({
         clock,
         random,
         readHeardAt: () => followers.heardAt,
@@ -129,10 +129,10 @@
         list,
         store,
         instances,
-        shouldReadLog: () => isLogReader(context) || relaysSilent(),
+        shouldReadLog: () => isLogReader(context) || areRelaysSilent(),
         shouldReadList: () => true,
         onInstances: rows => {
-            logLeaving(logger, rows);
+            logNonLiveInstances(logger, rows);
             relay.publishInstances(rows);
             directory.refresh();
         },
@@ -140,24 +140,24 @@
 
     observeProcess(context.metrics.registry);
     observeState(context.metrics.registry, store, clock);
-    const proposer = createProposerDuty(context);
-    let changed = true;
+    const proposer = createPlacementProposer(context);
+    let stateChanged = true;
     store.onChange(() => {
-        changed = true;
+        stateChanged = true;
     });
-    let slowTickAt = 0;
+    let nextFullTickAt = 0;
     const timer = setInterval(() => {
         pipeline.expire();
-        if (changed || clock.monotonic() >= slowTickAt) {
-            changed = false;
-            slowTickAt = clock.monotonic() + slowTickInterval;
+        if (stateChanged || clock.monotonic() >= nextFullTickAt) {
+            stateChanged = false;
+            nextFullTickAt = clock.monotonic() + fullTickInterval;
             directory.refresh();
             proposer.tick();
         }
     }, settings.relay.tick);
     resources.defer(() => clearInterval(timer));
 
-    const owned = resources.move();
+    const ownedResources = resources.move();
     logger.info({ grpcPort: rpc.value.port, httpPort: http.value.port }, "entry instance started");
     return ok({
         grpcPort: rpc.value.port,
@@ -166,7 +166,7 @@
             draining = true;
             await waitUntilIdle(clock, settings.instance.drainTimeLimit, () => pipeline.open);
         },
-        [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
+        [Symbol.asyncDispose]: () => ownedResources[Symbol.asyncDispose](),
     });
 }
 
@@ -199,7 +199,7 @@
     };
 }
 
-function logLeaving(logger: Logger, rows: readonly InstanceRow[]): void {
+function logNonLiveInstances(logger: Logger, rows: readonly InstanceRow[]): void {
     for (const { instance, state } of rows) {
         if (state !== "live") {
             logger.info({ peer: instance, state }, "instance is no longer live");
--- a/src/node/entry/entryMetrics.ts
+++ b/src/node/entry/entryMetrics.ts
@@ -14,7 +14,7 @@
 /**
  * Creates the metrics.
  *
- * @param clock - time
+ * @param clock - source of the time
  * @returns the metrics
  */
 export function createEntryMetrics(clock: Clock): EntryMetrics {
--- a/src/node/entry/heartbeats.ts
+++ b/src/node/entry/heartbeats.ts
@@ -3,12 +3,12 @@
 import type { EntryContext } from "./context.js";
 
 /**
- * Takes the heartbeat of a follower into the tables.
+ * Records the heartbeat of a follower: as an observation of an agent, or of an entry instance as a witness.
  *
- * @param context - the entry instance
+ * @param context - the entry instance; its tables are changed
  * @param request - the heartbeat of an agent or of another entry instance
  */
-export function noteHeartbeat(context: EntryContext, request: FollowRequest): void {
+export function recordHeartbeat(context: EntryContext, request: FollowRequest): void {
     const { instance } = request;
     const heardAt = context.clock.monotonic();
     const appliedOffset = Number(request.appliedOffset);
--- a/src/node/entry/httpRoutes.ts
+++ b/src/node/entry/httpRoutes.ts
@@ -4,27 +4,28 @@
 import type { Refusal } from "../../types/index.js";
 import { breakOffAnswer, type HttpRouter, readBody, registerStatusRoutes, sendJson } from "../httpServer/index.js";
 import { registerDecisionRoute } from "../logging/index.js";
-import { readCompletion, readServiceCall } from "./callerRequest.js";
+import { parseCompletionRequest, parseServiceRequest } from "./callerRequest.js";
 import type { EntryContext } from "./context.js";
 import { createHttpSink } from "./httpSink.js";
 import type { CallerRequest, RequestPipeline } from "./requestPipeline.js";
 import { createStatusReport } from "./statusReport.js";
 
-/** Largest body of a caller's request, in bytes. */
+/** Size of the largest request body that is accepted, in bytes. */
 const maximumBodyBytes = 8 * 1024 * 1024;
-/** Seconds after which callers of a draining entry instance come back, through the load balancer to another one. */
+/** `Retry-After` of a draining entry instance, in seconds; the load balancer sends the retry to another one. */
 const drainingRetrySeconds = 1;
 
-/** What the routes need besides the context. */
+/** Options of {@link createEntryRouter}. */
 export interface RouteOptions {
     readonly pipeline: RequestPipeline;
     readonly isDraining: () => boolean;
 }
 
-type ReadRequest = (body: Uint8Array, signal: AbortSignal) => Result<CallerRequest, Refusal>;
+type ParseRequest = (body: Uint8Array, signal: AbortSignal) => Result<CallerRequest, Refusal>;
 
 /**
- * Creates the router of an entry instance: callers' requests, operators' reads, health, readiness and metrics.
+ * Creates the HTTP router of an entry instance, with routes for callers' requests, operators' queries, health,
+ * readiness and metrics.
  *
  * @param context - the entry instance
  * @param options - pipeline and drain state
@@ -35,7 +36,11 @@
         defaultRoute: (...[, response]) => sendJson(response, 404, { error: "no route" }),
     });
 
-    async function serve(message: IncomingMessage, response: ServerResponse, read: ReadRequest): Promise<void> {
+    async function handleRequest(
+        message: IncomingMessage,
+        response: ServerResponse,
+        parseRequest: ParseRequest,
+    ): Promise<void> {
         const abort = new AbortController();
         response.on("close", () => {
             if (!response.writableFinished) {
@@ -55,7 +60,7 @@
             });
             return;
         }
-        const request = read(body, abort.signal);
+        const request = parseRequest(body, abort.signal);
         if (request.isErr) {
             createHttpSink(response, "", () => undefined).refuse(request.error);
             return;
@@ -67,33 +72,37 @@
         await options.pipeline.handle(request.value, sink);
     }
 
-    function start(message: IncomingMessage, response: ServerResponse, read: ReadRequest): void {
-        serve(message, response, read).catch((error: unknown) => {
+    function startRequest(message: IncomingMessage, response: ServerResponse, parseRequest: ParseRequest): void {
+        handleRequest(message, response, parseRequest).catch((error: unknown) => {
             context.logger.error({ error: String(error) }, "request failed unexpectedly");
             breakOffAnswer(response);
         });
     }
 
     router.on("POST", "/v1/completions", (message, response) => {
-        start(message, response, (body, signal) => readCompletion(context, message, body, signal));
+        startRequest(message, response, (body, signal) => parseCompletionRequest(context, message, body, signal));
     });
     router.all("/services/:deployment/*", (message, response, parameters) => {
         const deployment = parameters["deployment"] ?? "";
         const path = (message.url ?? "").slice(`/services/${deployment}`.length);
-        start(message, response, (body, signal) => readServiceCall(context, message, body, signal, deployment, path));
+        startRequest(
+            message,
+            response,
+            (body, signal) => parseServiceRequest(context, message, body, signal, deployment, path),
+        );
     });
     router.on("GET", "/operations/status", (...[, response]) => {
         sendJson(response, 200, createStatusReport(context));
     });
     registerDecisionRoute(router, context.decisions);
     registerStatusRoutes(router, {
-        readUnreadiness: () => readUnreadiness(context, options),
+        readUnreadiness: () => listUnreadyReasons(context, options),
         renderMetrics: () => context.metrics.registry.render(),
     });
     return router;
 }
 
-function readUnreadiness(context: EntryContext, options: RouteOptions): readonly string[] {
+function listUnreadyReasons(context: EntryContext, options: RouteOptions): readonly string[] {
     const reasons: string[] = [];
     if (options.isDraining()) {
         reasons.push("draining");
--- a/src/node/entry/httpSink.ts
+++ b/src/node/entry/httpSink.ts
@@ -2,10 +2,10 @@
 import type { ResponseStart } from "../../generated/goldcrestpoint_pb.js";
 import type { Refusal, RefusalReason } from "../../types/index.js";
 import { breakOffAnswer, sendJson } from "../httpServer/index.js";
-import type { AnswerSink } from "./attempt.js";
+import type { AttemptSink } from "./attempt.js";
 import type { ResponseSink } from "./requestPipeline.js";
 
-/** HTTP status of each refusal; 409 for keys, 429 for shares, 504 for deadlines, else 503. */
+/** HTTP status by refusal reason, for reasons that are not answered with the default status. */
 const statusByReason: Partial<Readonly<Record<RefusalReason, number>>> = {
     "no-deployment": 404,
     "queue-full": 429,
@@ -23,20 +23,20 @@
 };
 const defaultStatus = 503;
 
-/** Largest plain answer that is held back until it is complete, in bytes. */
+/** Bytes of a non-streaming answer that are held back at most; a larger one is sent as it arrives. */
 const maximumHeldBytes = 32 * 1024 * 1024;
 
 /**
- * Creates the receiver that answers an HTTP request. A plain answer is sent when it is complete, so that a broken one
- * can be repeated or refused; an event stream is passed on as it arrives.
+ * Creates the sink that writes the answer to an HTTP response. A non-streaming answer is sent once it is complete, so
+ * that the request can be retried or refused if an attempt breaks; an event stream is forwarded as it arrives.
  *
  * @param response - response to the caller
- * @param requestId - identifier that is sent as `x-request-id`
+ * @param requestId - request identifier that is sent as `x-request-id`
  * @param onFirstByte - called when the first byte of the answer is sent
- * @returns the receiver
+ * @returns the sink
  */
 export function createHttpSink(response: ServerResponse, requestId: string, onFirstByte: () => void): ResponseSink {
-    let held: Uint8Array[] = [];
+    let heldParts: Uint8Array[] = [];
     let heldBytes = 0;
     let heldStart: ResponseStart | undefined;
     let begun = false;
@@ -58,15 +58,15 @@
         if (!begun) {
             sendHead(start);
         }
-        for (const part of held) {
+        for (const part of heldParts) {
             response.write(part);
         }
-        held = [];
+        heldParts = [];
         heldBytes = 0;
     }
 
-    function beginAttempt(): AnswerSink {
-        held = [];
+    function beginAttempt(): AttemptSink {
+        heldParts = [];
         heldBytes = 0;
         heldStart = undefined;
         return {
@@ -74,7 +74,7 @@
                 heldStart = start;
             },
             data: content => {
-                held.push(content);
+                heldParts.push(content);
                 heldBytes += content.length;
                 const streamed = heldStart!.contentType.startsWith("text/event-stream");
                 if (!streamed && heldBytes <= maximumHeldBytes) {
@@ -86,7 +86,7 @@
         };
     }
 
-    function reportBroken(refusal: Refusal): void {
+    function endBrokenAnswer(refusal: Refusal): void {
         if (heldStart?.contentType.startsWith("text/event-stream") === true) {
             response.end(`event: error\ndata: ${JSON.stringify({ error: describeRefusal(refusal, requestId) })}\n\n`);
             return;
@@ -105,7 +105,7 @@
         },
         refuse: refusal => {
             if (begun) {
-                reportBroken(refusal);
+                endBrokenAnswer(refusal);
                 return;
             }
             sendJson(
--- a/src/node/entry/logReaders.ts
+++ b/src/node/entry/logReaders.ts
@@ -1,11 +1,11 @@
 import { rankByRendezvous } from "../../utils/index.js";
 import type { EntryContext } from "./context.js";
 
-/** Entry instances of an availability zone that read the log themselves. */
+/** Entry instances in each availability zone that read the log from the platform; the others use relays. */
 const readersPerZone = 2;
 
 /**
- * Tells whether this entry instance is one of the log's readers of its availability zone.
+ * Tells whether this entry instance is one of those in its availability zone that read the log from the platform.
  *
  * @param context - the entry instance
  * @returns true if it ranks first or second among the live entry instances of its availability zone
--- a/src/node/entry/outcomes.ts
+++ b/src/node/entry/outcomes.ts
@@ -2,7 +2,7 @@
 import type { Refusal, RefusalReason } from "../../types/index.js";
 import type { AttemptOutcome } from "./attempt.js";
 
-/** Reasons that are no fault of the runner. */
+/** Refusals that do not count as a failure of the runner. */
 const neutralReasons: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
     "canceled",
     "queue-full",
@@ -20,35 +20,35 @@
     "not-key-owner",
 ]);
 
-/** Refusals by which an owner says that it has not run a key itself, but an earlier owner may have. */
-const notRunByOwner: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
+/** Refusals by which an owner reports that it has not run the request itself, but that an earlier owner may have. */
+const earlierOwnerReasons: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
     "key-predates-owner",
     "not-key-owner",
     "hold-lapsed",
 ]);
-/** Seconds after which a fresh key is accepted by an owner that has just begun. */
-const freshOwnerRetrySeconds = 3;
+/** Seconds after which an instance that has just become an owner accepts a new key. */
+const newOwnerRetrySeconds = 3;
 
 /**
- * Refines what an owner says about a key. A key that was created for this very request cannot have run under an earlier
- * owner.
+ * Changes an owner's refusal from `unknown` to `no` where the request cannot have run: no earlier owner can have seen a
+ * key that was created for this request.
  *
  * @param refusal - the owner's refusal of the first attempt
- * @param ownKey - true if the entry instance created the key
+ * @param hasGeneratedKey - true if the entry instance created the key for this request
  * @returns the refusal for the caller
  */
-export function refineRefusal(refusal: Refusal, ownKey: boolean): Refusal {
-    if (!ownKey || refusal.ran === "no" || !notRunByOwner.has(refusal.reason)) {
+export function refineRefusal(refusal: Refusal, hasGeneratedKey: boolean): Refusal {
+    if (!hasGeneratedKey || refusal.ran === "no" || !earlierOwnerReasons.has(refusal.reason)) {
         return refusal;
     }
-    return { ...refusal, ran: "no", retryAfterSeconds: Math.max(refusal.retryAfterSeconds, freshOwnerRetrySeconds) };
+    return { ...refusal, ran: "no", retryAfterSeconds: Math.max(refusal.retryAfterSeconds, newOwnerRetrySeconds) };
 }
 
 /**
- * Classifies an attempt for the ejection of its runner.
+ * Classifies the outcome of an attempt, since successive failures eject a runner.
  *
  * @param outcome - how the attempt ended
- * @returns `neutral` for refusals that are no fault of the runner
+ * @returns `neutral` for refusals that do not count as a failure of the runner
  */
 export function classifyOutcome(outcome: AttemptOutcome): RunnerOutcome {
     if (outcome.kind === "complete") {
--- a/src/node/entry/proposerDuty.ts
+++ b/src/node/entry/proposerDuty.ts
@@ -2,30 +2,33 @@
 import type { DeploymentName, Milliseconds, Offset } from "../../types/index.js";
 import type { EntryContext } from "./context.js";
 
-/** Proposes placements and appends them to the log. */
-export interface ProposerDuty {
-    /** Runs the proposer once and starts the appends that it asks for. */
+/** Runs the proposer of an entry instance and appends the proposed records to the log. */
+export interface PlacementProposer {
+    /** Runs the proposer once and starts the appends that it requests. */
     tick(): void;
 }
 
-/** Append whose record has not been read back. */
+/** Append whose record has not been read back from the log. */
 interface PendingAppend {
-    /** Offset of the record; undefined while the outcome is not known. */
+    /** Offset of the record; undefined while the outcome of the append is not known. */
     offset: Offset | undefined;
     /** Monotonic time at which the append ended; undefined while it is in progress. */
     endedAt: Milliseconds | undefined;
 }
 
-/** Age of the knowledge of the log from which nothing is proposed, since the append would most likely fail too. */
+/**
+ * Age of the state above which nothing is proposed: if the log has not been read for that long, an append would most
+ * likely fail as well.
+ */
 const maximumLogAge: Milliseconds = 10_000;
 
 /**
- * Creates the duty.
+ * Creates the proposer of an entry instance.
  *
  * @param context - the entry instance
- * @returns the duty
+ * @returns the proposer; `tick` has to be called regularly
  */
-export function createProposerDuty(context: EntryContext): ProposerDuty {
+export function createPlacementProposer(context: EntryContext): PlacementProposer {
     const { clock, store } = context;
     const memory = createProposerMemory();
     const pending = new Map<DeploymentName, PendingAppend>();
@@ -35,7 +38,7 @@
         if (append === undefined) {
             return false;
         }
-        // An ambiguous append is settled once the log has been read completely after it ended.
+        // The outcome of an ambiguous append is known once the whole log has been read after the append ended.
         const settled = append.offset === undefined ?
             append.endedAt !== undefined && (store.logKnownAt ?? 0) > append.endedAt :
             store.state.appliedOffset >= append.offset;
--- a/src/node/entry/requestPipeline.ts
+++ b/src/node/entry/requestPipeline.ts
@@ -10,24 +10,24 @@
 import { recordOutcome } from "../../runtime/routing/index.js";
 import type { Refusal, RequestId, RequestRow } from "../../types/index.js";
 import { createLossTracker } from "../crashes/index.js";
-import { type AnswerSink, type AttemptOutcome, executeAttempt } from "./attempt.js";
+import { type AttemptOutcome, type AttemptSink, executeAttempt } from "./attempt.js";
 import type { EntryContext } from "./context.js";
 import { classifyOutcome, refineRefusal } from "./outcomes.js";
 import { chooseRunner, type RunnerChoice } from "./runnerChoice.js";
 import type { RunnerDirectory } from "./runnerDirectory.js";
 import type { SuspicionSharing } from "./suspicionSharing.js";
 
-/** Request of a caller with its content. */
+/** Request of a caller, with its body. */
 export interface CallerRequest {
     readonly row: RequestRow;
     readonly method: string;
-    /** Path and query at the backend server. */
+    /** Path and query that are sent to the backend server. */
     readonly path: string;
     readonly contentType: string;
     readonly body: Uint8Array;
-    /** True if the entry instance created the key, so that nobody can have sent the request with it before. */
-    readonly ownKey: boolean;
-    /** True if the answer is passed on while it is generated. */
+    /** True if the entry instance created the key, so that no earlier request can have used it. */
+    readonly hasGeneratedKey: boolean;
+    /** True if the answer is forwarded while it is generated. */
     readonly stream: boolean;
     /** Aborted when the caller is gone. */
     readonly signal: AbortSignal;
@@ -37,41 +37,41 @@
 export interface ResponseSink {
     /** True once a part of the answer has reached the caller. */
     readonly begun: boolean;
-    /** Receiver of one attempt; what an earlier attempt left unsent is dropped. */
-    beginAttempt(): AnswerSink;
-    /** Ends a complete answer. */
+    /** Returns the sink of a new attempt; the unsent part of an earlier attempt's answer is discarded. */
+    beginAttempt(): AttemptSink;
+    /** Sends what was held back of the complete answer, and ends the response. */
     complete(start: ResponseStart): void;
-    /** Answers with a refusal, or reports a begun answer as broken. */
+    /** Answers with a refusal; if a part of the answer was sent already, ends it so that it is recognized as broken. */
     refuse(refusal: Refusal): void;
 }
 
-/** Takes requests from admission to their final answer. */
+/** Handles requests from admission through routing and retries to the final answer. */
 export interface RequestPipeline {
     /**
      * Handles a request.
      *
      * @param request - the request
      * @param sink - receiver of the answer
-     * @returns resolves when the final answer has been given
+     * @returns a promise that resolves when the final answer has been given
      */
     handle(request: CallerRequest, sink: ResponseSink): Promise<void>;
-    /** Refuses waiting requests that can no longer meet their deadline. */
+    /** Refuses queued requests that can no longer meet their deadline. */
     expire(): void;
-    /** Requests that have not had their final answer. */
+    /** Number of requests without a final answer. */
     readonly open: number;
 }
 
-interface Waiting {
+interface QueuedRequest {
     readonly begin: () => void;
     readonly refuse: (refusal: Refusal) => void;
 }
 
-interface Attempts {
+interface AttemptHistory {
     count: number;
     mayHaveRun: boolean;
     alone: boolean;
     readonly excluded: Set<string>;
-    /** Set that earlier attempts were made with; a repeat of what may have run uses no other one. */
+    /** Weight set that a retry has to use; undefined as long as the request cannot have run. */
     pinnedDigest: string | undefined;
 }
 
@@ -80,7 +80,7 @@
  *
  * @param context - the entry instance
  * @param directory - runners and connections
- * @param sharing - suspect requests
+ * @param sharing - sharing of suspect requests with other entry instances
  * @returns the pipeline
  */
 export function createRequestPipeline(
@@ -89,26 +89,26 @@
     sharing: SuspicionSharing,
 ): RequestPipeline {
     const { admission, clock, decisions, metrics, settings, suspects } = context;
-    const waiting = new Map<RequestId, Waiting>();
+    const queuedRequests = new Map<RequestId, QueuedRequest>();
     const losses = createLossTracker(clock);
     let open = 0;
 
-    function advance(progress: AdmissionProgress): void {
+    function applyProgress(progress: AdmissionProgress): void {
         for (const { request, refusal } of progress.refuse) {
-            const entry = waiting.get(request.requestId);
-            waiting.delete(request.requestId);
-            entry?.refuse(refusal);
+            const queuedRequest = queuedRequests.get(request.requestId);
+            queuedRequests.delete(request.requestId);
+            queuedRequest?.refuse(refusal);
         }
         for (const { requestId } of progress.start) {
-            const entry = waiting.get(requestId);
-            waiting.delete(requestId);
-            entry?.begin();
+            const queuedRequest = queuedRequests.get(requestId);
+            queuedRequests.delete(requestId);
+            queuedRequest?.begin();
         }
     }
 
-    /** Resolves with undefined when the request may start, else with its refusal. */
-    function admit({ row, signal }: CallerRequest): Promise<Refusal | undefined> {
-        // A signal that was aborted before reports nothing later.
+    /** Resolves to undefined when the request may start, or to its refusal. */
+    function waitForAdmission({ row, signal }: CallerRequest): Promise<Refusal | undefined> {
+        // A signal that is already aborted dispatches no further event.
         if (signal.aborted) {
             return Promise.resolve({ ran: "no", reason: "canceled", retryAfterSeconds: 0 });
         }
@@ -120,14 +120,14 @@
             return Promise.resolve(undefined);
         }
         return new Promise(resolve => {
-            waiting.set(row.requestId, { begin: () => resolve(undefined), refuse: resolve });
+            queuedRequests.set(row.requestId, { begin: () => resolve(undefined), refuse: resolve });
             signal.addEventListener("abort", () => {
-                if (waiting.has(row.requestId)) {
-                    advance(cancelRequest(admission, row.requestId, clock.monotonic()));
+                if (queuedRequests.has(row.requestId)) {
+                    applyProgress(cancelRequest(admission, row.requestId, clock.monotonic()));
                 }
             });
-            // A request that lost its place to this one is refused now, not with the next tick.
-            advance(expireRequests(admission, clock.monotonic()));
+            // Refuses the queued request that this one may have displaced now instead of at the next tick.
+            applyProgress(expireRequests(admission, clock.monotonic()));
         });
     }
 
@@ -150,7 +150,7 @@
         open += 1;
         try {
             creditRequest(context.retryBudget, clock.monotonic(), settings.retry);
-            const refusal = await admit(request);
+            const refusal = await waitForAdmission(request);
             if (refusal !== undefined) {
                 refuse(request, sink, refusal);
                 return;
@@ -159,7 +159,7 @@
                 await runAttempts(request, sink);
             }
             finally {
-                advance(finishRequest(admission, request.row.requestId, clock.monotonic()));
+                applyProgress(finishRequest(admission, request.row.requestId, clock.monotonic()));
             }
         }
         finally {
@@ -177,7 +177,7 @@
             });
             return;
         }
-        const attempts: Attempts = {
+        const attempts: AttemptHistory = {
             count: 0,
             mayHaveRun: false,
             alone: standing === "suspect",
@@ -190,7 +190,7 @@
     }
 
     /** Returns true if another attempt follows. */
-    async function runAttempt(request: CallerRequest, sink: ResponseSink, attempts: Attempts): Promise<boolean> {
+    async function runAttempt(request: CallerRequest, sink: ResponseSink, attempts: AttemptHistory): Promise<boolean> {
         const { row } = request;
         const choice = chooseRunner(context, directory, request, attempts.excluded, attempts.pinnedDigest);
         attempts.count += 1;
@@ -202,13 +202,13 @@
         const outcome = await execute(request, sink, choice, attempts.alone);
         if (outcome.kind === "complete") {
             if (attempts.alone) {
-                sharing.noteSuccessAlone(row.fingerprint);
+                sharing.recordSuccessAlone(row.fingerprint);
             }
             metrics.requests.add(1, { deployment: row.deployment, result: "answered" });
             sink.complete(outcome.start);
             return false;
         }
-        return decideNext(request, sink, choice, attempts, outcome);
+        return handleFailure(request, sink, choice, attempts, outcome);
     }
 
     async function execute(
@@ -258,20 +258,20 @@
         return outcome;
     }
 
-    function decideNext(
+    function handleFailure(
         request: CallerRequest,
         sink: ResponseSink,
         choice: Extract<RunnerChoice, { kind: "chosen"; }>,
-        attempts: Attempts,
+        attempts: AttemptHistory,
         outcome: Extract<AttemptOutcome, { kind: "failed"; }>,
     ): boolean {
         const { row } = request;
-        const refusal = attempts.mayHaveRun ? outcome.refusal : refineRefusal(outcome.refusal, request.ownKey);
+        const refusal = attempts.mayHaveRun ? outcome.refusal : refineRefusal(outcome.refusal, request.hasGeneratedKey);
         if (outcome.crash !== undefined) {
-            sharing.noteCrash(outcome.crash);
+            sharing.recordCrash(outcome.crash);
         }
         else if (outcome.connectionBroke) {
-            sharing.noteCrash(losses.noteLoss(choice.instance, row.fingerprint, attempts.alone));
+            sharing.recordCrash(losses.noteLoss(choice.instance, row.fingerprint, attempts.alone));
         }
         attempts.mayHaveRun ||= refusal.ran === "unknown";
         attempts.pinnedDigest = attempts.mayHaveRun ? choice.manifestDigest : undefined;
@@ -309,7 +309,7 @@
 
     return {
         handle,
-        expire: () => advance(expireRequests(admission, clock.monotonic())),
+        expire: () => applyProgress(expireRequests(admission, clock.monotonic())),
         get open() {
             return open;
         },
--- a/src/node/entry/judgedWitnesses.ts
+++ b/src/node/entry/requiredWitnesses.ts
@@ -3,13 +3,13 @@
 import type { EntryContext } from "./context.js";
 
 /**
- * Lists the witnesses that this entry instance has to hear as a proposer: those of the copies in the deployments for
- * whose pools it ranks among the entry instances that agents follow.
+ * Lists the witnesses that this entry instance has to follow as a proposer: those of the copies of each deployment for
+ * whose pool it ranks among the first `relay.parents` entry instances, which agents follow.
  *
  * @param context - the entry instance
- * @returns witnesses, this entry instance possibly included
+ * @returns the witnesses; they may include this entry instance
  */
-export function listJudgedWitnesses(context: EntryContext): ReadonlySet<InstanceId> {
+export function listRequiredWitnesses(context: EntryContext): ReadonlySet<InstanceId> {
     const { instances, self, settings, store } = context;
     const entries = [...instances.lookup("role", "entry")].filter(entry => instances.get(entry)?.state === "live");
     const witnesses = new Set<InstanceId>();
--- a/src/node/entry/runnerChoice.ts
+++ b/src/node/entry/runnerChoice.ts
@@ -6,21 +6,21 @@
 import type { CallerRequest } from "./requestPipeline.js";
 import type { RunnerDirectory } from "./runnerDirectory.js";
 
-/** Where a request is sent. */
+/** Runner to which a request is sent, or the reason why there is none. */
 export type RunnerChoice =
     | {
         readonly kind: "chosen";
         readonly instance: InstanceId;
-        /** Undefined if the instance is not in the subset that this entry instance follows. */
+        /** Undefined if the instance is not in the subset of runners that this entry instance follows. */
         readonly runner: RunnerRow | undefined;
         readonly client: AgentClient;
-        /** Undefined for plain services and when the agent names the set itself. */
+        /** Undefined for plain services, and if the runner may answer with any weight set that it serves. */
         readonly manifestDigest: ManifestDigest | undefined;
         readonly placementOffset: Offset;
     }
     | { readonly kind: "none"; readonly reason: RefusalReason; readonly retryAfterSeconds: number; };
 
-type Location =
+type Selection =
     | {
         readonly kind: "found";
         readonly runner: RunnerRow;
@@ -33,14 +33,15 @@
 const noOwnerRetrySeconds = 2;
 
 /**
- * Chooses the runner of a request: the owner of its key for a non-idempotent one, else by load and prefix.
+ * Chooses the runner of a request: the owner of the key if the request is not idempotent, otherwise a runner by load
+ * and prompt prefix.
  *
  * @param context - the entry instance
  * @param directory - runners and connections
  * @param request - the request
  * @param excluded - instances on which earlier attempts failed
- * @param pinnedDigest - set that has to answer; undefined for any set that is served
- * @returns the choice; it has been written to the decision log
+ * @param pinnedDigest - weight set that has to answer; undefined for any weight set that is served
+ * @returns the choice; the choice of a runner has been written to the decision log
  */
 export function chooseRunner(
     context: EntryContext,
@@ -59,17 +60,17 @@
         return chooseKeyOwner(context, directory, request, placement.offset, placement.owners);
     }
     const startedAt = context.clock.monotonic();
-    const location = locate(context, subset, request, excluded, pinnedDigest);
+    const selection = selectFromSubset(context, subset, request, excluded, pinnedDigest);
     context.metrics.routingMicroseconds.record((context.clock.monotonic() - startedAt) * 1_000);
-    if (location.kind === "none") {
-        return location;
+    if (selection.kind === "none") {
+        return selection;
     }
-    const { runner } = location;
+    const { runner } = selection;
     const client = directory.connect(runner.instance);
     if (client === undefined) {
         return { kind: "none", reason: "no-runner", retryAfterSeconds: noDeploymentRetrySeconds };
     }
-    recordChoice(context, request, runner.instance, location.reason, location.candidates);
+    recordChoice(context, request, runner.instance, selection.reason, selection.candidates);
     return {
         kind: "chosen",
         instance: runner.instance,
@@ -80,19 +81,19 @@
     };
 }
 
-function locate(
+function selectFromSubset(
     context: EntryContext,
     subset: RunnerSubset,
     request: CallerRequest,
     excluded: ReadonlySet<InstanceId>,
     pinnedDigest: ManifestDigest | undefined,
-): Location {
+): Selection {
     const { instance, routing } = context.settings;
     const decision = selectRunner({
         subset,
         zone: instance.zone,
         region: instance.region,
-        manifestDigest: pinnedDigest ?? drawServedSet(context, subset),
+        manifestDigest: pinnedDigest ?? drawServedDigest(context, subset),
         prefix: request.row.prefix,
         excluded,
         now: context.clock.monotonic(),
@@ -106,10 +107,10 @@
 }
 
 /**
- * Draws one of the sets that are being served, in proportion to the runners that serve it. While a deployment moves to
- * a new version, both versions get their share of the requests.
+ * Draws one of the weight sets that are being served at random, in proportion to the number of runners that serve it.
+ * While a deployment changes to a new version, both versions thus get their share of the requests.
  */
-function drawServedSet(context: EntryContext, subset: RunnerSubset): ManifestDigest | undefined {
+function drawServedDigest(context: EntryContext, subset: RunnerSubset): ManifestDigest | undefined {
     const serving = subset.runners.filter(({ phase, draining }) => phase === "serving" && !draining);
     return serving[Math.floor(context.random.next() * serving.length)]?.manifestDigest;
 }
@@ -128,7 +129,7 @@
     }
     const runner = directory.findSubset(request.row.deployment)?.runners.find(({ instance }) => instance === owner);
     recordChoice(context, request, owner, "key-owner", owners.length);
-    // The owner answers with the set that it serves, so no other instance can be asked instead.
+    // Only the owner may answer, so the request does not demand a weight set that the owner may not serve.
     return { kind: "chosen", instance: owner, runner, client, manifestDigest: undefined, placementOffset };
 }
 
--- a/src/node/entry/runnerDirectory.ts
+++ b/src/node/entry/runnerDirectory.ts
@@ -13,23 +13,23 @@
 import { type AgentClient, createAgentClient } from "../grpc/index.js";
 import type { EntryContext } from "./context.js";
 
-/** Runners that this entry instance follows, and connections to agents. */
+/** Runners whose load reports this entry instance follows, and connections to their agents. */
 export interface RunnerDirectory extends Disposable {
     /**
      * Finds the runners of a deployment.
      *
      * @param deployment - name of the deployment
-     * @returns the subset; undefined if no placement is known
+     * @returns the subset that this entry instance follows; undefined if no placement is known
      */
     findSubset(deployment: DeploymentName): RunnerSubset | undefined;
     /**
-     * Finds the connection to an agent.
+     * Returns the client of an agent, and creates it if there is none.
      *
      * @param instance - the agent's instance
-     * @returns the client; undefined if the instance is not listed
+     * @returns the client; undefined if the instance is neither listed nor connected
      */
     connect(instance: InstanceId): AgentClient | undefined;
-    /** Brings subsets and streams in line with placements and the instance list. */
+    /** Updates subsets, load report streams and connections to the current placements and instance list. */
     refresh(): void;
 }
 
@@ -40,7 +40,7 @@
     retryAt: Milliseconds;
 }
 
-/** Time after which a lost stream of load reports is opened again. */
+/** Time after which a stream of load reports that ended is opened again. */
 const reconnectAfter: Milliseconds = 500;
 
 /**
@@ -56,12 +56,12 @@
 
     function connect(instance: InstanceId): AgentConnection | undefined {
         const address = instances.get(instance)?.address;
-        const known = connections.get(instance);
-        if (known !== undefined && (address === undefined || known.address === address)) {
-            return known;
+        const existing = connections.get(instance);
+        if (existing !== undefined && (address === undefined || existing.address === address)) {
+            return existing;
         }
-        if (known !== undefined) {
-            close(instance, known);
+        if (existing !== undefined) {
+            close(instance, existing);
         }
         if (address === undefined) {
             return undefined;
@@ -77,7 +77,7 @@
         connections.delete(instance);
     }
 
-    function watch(instance: InstanceId): void {
+    function watchLoad(instance: InstanceId): void {
         const connection = connect(instance);
         if (connection === undefined || connection.stream !== undefined || clock.monotonic() < connection.retryAt) {
             return;
@@ -99,7 +99,7 @@
         for (const subset of subsets.values()) {
             const runner = subset.runners.find(candidate => candidate.instance === instance);
             if (runner !== undefined) {
-                applyLoadReport(runner, readReport(subset.deployment, report), clock.monotonic());
+                applyLoadReport(runner, convertReport(subset.deployment, report), clock.monotonic());
             }
         }
     }
@@ -127,7 +127,7 @@
         for (const placement of store.state.placements.rows()) {
             for (const instance of refreshSubset(placement)) {
                 followed.add(instance);
-                watch(instance);
+                watchLoad(instance);
             }
         }
         for (const [instance, connection] of connections) {
@@ -166,7 +166,7 @@
     return candidates;
 }
 
-function readReport(deployment: DeploymentName, report: LoadReport): RunnerLoadReport {
+function convertReport(deployment: DeploymentName, report: LoadReport): RunnerLoadReport {
     const copy = report.copies.find(status => status.deployment === deployment);
     return {
         manifestDigest: copy === undefined || copy.manifestDigest === "" ? undefined : copy.manifestDigest,
--- a/src/node/entry/statusReport.ts
+++ b/src/node/entry/statusReport.ts
@@ -9,7 +9,7 @@
 } from "../../types/index.js";
 import type { EntryContext } from "./context.js";
 
-/** State of one deployment in one availability zone. */
+/** State of one deployment in one availability zone, as numbers of copies and of their chunks. */
 export interface ZoneStatus {
     readonly zone: AvailabilityZone;
     readonly wanted: number;
@@ -39,7 +39,7 @@
  * Reports the state of all deployments.
  *
  * @param context - the entry instance
- * @returns the report, with deployments and availability zones in order of their names
+ * @returns the report, with deployments and availability zones ordered by name
  */
 export function createStatusReport(context: EntryContext): StatusReport {
     const { configurations, placements, appliedOffset } = context.store.state;
@@ -86,7 +86,7 @@
     };
 }
 
-/** A report under another manifest digest concerns weights that are being replaced and does not count. */
+/** Finds the report of a copy. A report with another manifest digest is ignored: those weights are being replaced. */
 function findReport(
     context: EntryContext,
     configuration: ConfigurationRow,
--- a/src/node/entry/suspicionSharing.ts
+++ b/src/node/entry/suspicionSharing.ts
@@ -17,40 +17,41 @@
 /** Callback of the `ShareSuspicion` method. */
 export type ShareCallback = sendUnaryData<ShareSuspicionResponse>;
 
-/** Shares suspect requests between entry instances. */
+/** Shares with other entry instances which requests are suspected to crash backend servers. */
 export interface SuspicionSharing extends Disposable {
     /**
-     * Notes a crash; each crash counts once, however many requests it broke.
+     * Records a crash; each crash counts once, however many requests it interrupted.
      *
      * @param crash - the crash
      */
-    noteCrash(crash: CrashReport): void;
+    recordCrash(crash: CrashReport): void;
     /**
-     * Notes that a suspect request has finished alone.
+     * Records that a suspect request has finished while it ran alone on its backend server.
      *
      * @param fingerprint - the request
      */
-    noteSuccessAlone(fingerprint: Fingerprint): void;
+    recordSuccessAlone(fingerprint: Fingerprint): void;
     /** Handler of the `ShareSuspicion` method. */
     shareSuspicion(call: ShareCall, callback: ShareCallback): void;
 }
 
-/** Entry instances to which a change is sent at once; they pass it on as long as it is new to them. */
-const fanOut = 8;
+/** Most entry instances to which a change is sent; each forwards it if it is new to it. */
+const maximumPeers = 8;
+/** Time limit of one call of `ShareSuspicion`, in milliseconds. */
 const shareTimeLimit = 2_000;
-/** Crashes that are remembered, so that further requests that they broke do not count again. */
-const rememberedCrashes = 1_000;
+/** Most crashes that are remembered, so that further requests which they interrupted do not count again. */
+const maximumKnownCrashes = 1_000;
 
 /**
- * Creates the sharing.
+ * Creates the sharing of suspect requests.
  *
  * @param context - the entry instance
- * @returns the sharing
+ * @returns the sharing; it has to be registered as the handler of `ShareSuspicion`
  */
 export function createSuspicionSharing(context: EntryContext): SuspicionSharing {
     const { clock, instances, suspects } = context;
     const clients = new Map<string, RelayClient>();
-    const crashes = new Set<string>();
+    const knownCrashIds = new Set<string>();
 
     function findClient(address: string): RelayClient {
         const client = clients.get(address) ?? createRelayClient(address);
@@ -66,7 +67,7 @@
                 addresses.push(row.address);
             }
         }
-        while (addresses.length > fanOut) {
+        while (addresses.length > maximumPeers) {
             addresses.splice(Math.floor(context.random.next() * addresses.length), 1);
         }
         return addresses;
@@ -103,18 +104,18 @@
     }
 
     return {
-        noteCrash: ({ crashId, fingerprints, alone }) => {
-            if (crashes.has(crashId)) {
+        recordCrash: ({ crashId, fingerprints, alone }) => {
+            if (knownCrashIds.has(crashId)) {
                 return;
             }
-            crashes.add(crashId);
-            if (crashes.size > rememberedCrashes) {
-                crashes.delete(crashes.values().next().value!);
+            knownCrashIds.add(crashId);
+            if (knownCrashIds.size > maximumKnownCrashes) {
+                knownCrashIds.delete(knownCrashIds.values().next().value!);
             }
             context.logger.warn({ crashId, requests: fingerprints.length }, "backend server crashed");
             send(reportCrash(suspects, fingerprints, clock.monotonic(), alone));
         },
-        noteSuccessAlone: fingerprint => send(reportSuccessAlone(suspects, fingerprint, clock.monotonic())),
+        recordSuccessAlone: fingerprint => send(reportSuccessAlone(suspects, fingerprint, clock.monotonic())),
         shareSuspicion: (call, callback) => {
             const now = clock.monotonic();
             const rows = call.request.suspicions.map(suspicion => ({
--- a/test/node/entry/attempt.test.ts
+++ b/test/node/entry/attempt.test.ts
@@ -27,8 +27,8 @@
     content: { case: "refusal", value: { ran, reason: "draining" } },
 });
 
-/** Runs one attempt at an agent that writes frames and then ends its stream, breaks it or keeps it open. */
-async function runScript(frames: readonly Frame[], after: "end" | "break" | "hold") {
+/** Executes one attempt at an agent that sends the frames and then ends the stream, breaks it or keeps it open. */
+async function runAttempt(frames: readonly Frame[], after: "end" | "break" | "hold") {
     const canceled: boolean[] = [];
     const execute = (call: ExecuteCall): void => {
         call.on("cancelled", () => canceled.push(true));
@@ -76,7 +76,7 @@
     const broken = "unknown: connection-lost, connection broke";
     const cases: readonly [name: string, frames: readonly Frame[], after: "end" | "break" | "hold", outcome: string][] =
         [
-            ["a whole answer", [start, data(1), data(2), end(3, 2)], "end", "complete"],
+            ["a complete answer", [start, data(1), data(2), end(3, 2)], "end", "complete"],
             ["an answer without data", [start, end(1, 0)], "end", "complete"],
             ["a refusal", [refusal(0, "no")], "end", "no: draining"],
             [
@@ -85,7 +85,7 @@
                 "end",
                 "unknown: draining",
             ],
-            ["a refusal that says neither", [refusal(0, "maybe")], "end", "unknown: draining"],
+            ["a refusal with an unknown value of `ran`", [refusal(0, "maybe")], "end", "unknown: draining"],
             ["no frame", [], "end", broken],
             ["a break before the first frame", [], "break", broken],
             ["a break after the start", [start], "break", broken],
@@ -93,7 +93,7 @@
             ["an end without an end frame", [start, data(1)], "end", broken],
             ["an end frame with too few frames", [start, data(1), end(2, 2)], "hold", mismatched],
             ["an end frame with too many frames", [start, data(1), end(2, 0)], "hold", mismatched],
-            ["a frame that was left out", [start, data(2)], "hold", mismatched],
+            ["a missing frame", [start, data(2)], "hold", mismatched],
             ["a repeated frame", [start, data(1), data(1)], "hold", mismatched],
             ["frames out of order", [start, data(2), data(1)], "hold", mismatched],
             ["a frame of another request", [start, { ...data(1), requestId: "r2" }], "hold", mismatched],
@@ -104,29 +104,29 @@
             ["a frame without content", [{ requestId: "r1", sequence: 0 }], "hold", mismatched],
         ];
     for (const [name, frames, after, expected] of cases) {
-        // Guards against a partial or foreign answer that counts as complete, and against an agent that goes on with an
-        // answer that nobody reads.
+        // Guards against an answer that counts as complete although it is partial or belongs to another request, and
+        // against an agent that goes on sending an answer that nobody reads.
         it(`reports "${expected}" for ${name}`, async () => {
-            const { outcome, received } = await runScript(frames, after);
+            const { outcome, received } = await runAttempt(frames, after);
             expect(describeOutcome(outcome)).toEqual(expected);
             expect(received.filter(part => part === "start").length <= 1).toEqual(true);
         });
     }
 
-    // Guards against a request that is not repeated although it never left, and against one that is repeated although
-    // it did: only a refused connection is certain.
+    // Guards against a request that is not retried although it was never sent. Only a refused connection proves that it
+    // was not; a retry after any other error could run the request twice.
     it("reports a refused connection as not run, and no crash", async () => {
         const server = await startLoopbackServer({
             definition: agentServiceDefinition,
             implementation: { execute: (call: ExecuteCall) => call.end() },
         });
         await server[Symbol.asyncDispose]();
-        const outcome = await attemptAt(server.address, new AbortController().signal);
+        const outcome = await executeAttemptAt(server.address, new AbortController().signal);
         expect(describeOutcome(outcome)).toEqual("no: connection-lost");
     });
 
-    // Guards against a request that is sent although its caller has gone before.
-    it("sends nothing for a caller that is gone", async () => {
+    // Guards against a request that is sent although its caller has already disconnected.
+    it("sends nothing for a caller that has disconnected", async () => {
         let calls = 0;
         await using server = await startLoopbackServer({
             definition: agentServiceDefinition,
@@ -137,12 +137,12 @@
                 },
             },
         });
-        const outcome = await attemptAt(server.address, AbortSignal.abort());
+        const outcome = await executeAttemptAt(server.address, AbortSignal.abort());
         expect([describeOutcome(outcome), calls]).toEqual(["no: canceled", 0]);
     });
 
-    // Guards against a request that goes on although its caller is gone.
-    it("cancels the call when the caller goes", async () => {
+    // Guards against a request that goes on running although its caller has disconnected.
+    it("cancels the call when the caller disconnects", async () => {
         const caller = new AbortController();
         let canceled = 0;
         await using server = await startLoopbackServer({
@@ -156,13 +156,13 @@
                 },
             },
         });
-        const outcome = await attemptAt(server.address, caller.signal);
+        const outcome = await executeAttemptAt(server.address, caller.signal);
         expect(describeOutcome(outcome)).toEqual("unknown: canceled");
         await waitFor(() => canceled === 1);
     });
 });
 
-async function attemptAt(address: string, signal: AbortSignal): Promise<AttemptOutcome> {
+async function executeAttemptAt(address: string, signal: AbortSignal): Promise<AttemptOutcome> {
     const client = createAgentClient(address);
     const sink = { start: () => undefined, data: () => undefined };
     const request = createAttemptRequest("r1");
--- a/test/node/entry/httpSink.test.ts
+++ b/test/node/entry/httpSink.test.ts
@@ -6,11 +6,13 @@
 import { ResponseStartSchema } from "../../../src/generated/goldcrestpoint_pb.js";
 import { createHttpSink } from "../../../src/node/entry/httpSink.js";
 
-/** More than the sink holds back. */
+/** Larger than the 32 MiB that the sink holds back. */
 const content = Buffer.alloc(33 * 1024 * 1024, "a");
 
-/** Calls a server whose answer breaks off after its head was sent, and tells how the connection ended. */
-async function receiveBroken(version: "1.0" | "1.1"): Promise<{ readonly ended: string; readonly text: string; }> {
+/** Calls a server whose answer breaks off after its headers were sent, and returns how the connection ended. */
+async function receiveBrokenAnswer(
+    version: "1.0" | "1.1",
+): Promise<{ readonly ended: string; readonly text: string; }> {
     const server = createServer((...[, response]) => {
         const sink = createHttpSink(response, "request-1", () => {});
         const attempt = sink.beginAttempt();
@@ -32,18 +34,20 @@
         socket.on("data", (bytes: Buffer) => {
             text = (text + bytes.toString("latin1")).slice(-100);
         });
-        // A reset that arrives together with the last bytes is reported as an end, but leaves the socket without a peer.
+        // A reset that arrives together with the last bytes is reported as `end`, but the socket then has no peer.
         socket.on("end", () => finish(socket.remoteAddress === undefined ? "by a reset" : "in order"));
         socket.on("error", () => finish("by a reset"));
     });
 }
 
-describe("HTTP answer that breaks off after its head was sent", () => {
-    it("has no last chunk for a caller that speaks HTTP/1.1", async () => {
-        expect((await receiveBroken("1.1")).text.endsWith("0\r\n\r\n")).toEqual(false);
+describe("HTTP answer that breaks off after its headers were sent", () => {
+    // Guards against a broken answer that the caller takes for a complete one.
+    it("has no last chunk for an HTTP/1.1 caller", async () => {
+        expect((await receiveBrokenAnswer("1.1")).text.endsWith("0\r\n\r\n")).toEqual(false);
     });
 
-    it("does not look complete to a caller that speaks HTTP/1.0", async () => {
-        expect((await receiveBroken("1.0")).ended).toEqual("by a reset");
+    // HTTP/1.0 has no chunked encoding, so the end of the connection is the end of the answer unless it is a reset.
+    it("ends with a reset for an HTTP/1.0 caller", async () => {
+        expect((await receiveBrokenAnswer("1.0")).ended).toEqual("by a reset");
     });
 });
--- a/test/node/entry/requestPipeline.test.ts
+++ b/test/node/entry/requestPipeline.test.ts
@@ -24,7 +24,7 @@
 
 type Reply = "answer" | "break" | "hold" | Partial<RefusalMessage>;
 
-/** Entry instance in front of agents on loopback that all serve one set; each call takes the next reply. */
+/** Starts an entry instance with loopback agents that all serve one weight set; each call gets the next reply. */
 async function startEntry(
     replies: readonly Reply[],
     owners: readonly string[] = [],
@@ -61,7 +61,7 @@
         const { instance } = runner;
         const execute = (call: ExecuteCall): void => {
             calls.push({ instance, call });
-            writeReply(call, remaining.shift() ?? "answer");
+            sendReply(call, remaining.shift() ?? "answer");
         };
         const server = await startLoopbackServer({ definition: agentServiceDefinition, implementation: { execute } });
         resources.use(server);
@@ -78,12 +78,12 @@
         context,
         calls,
         pipeline,
-        send: async (row: Partial<RequestRow> = {}, signal = new AbortController().signal, ownKey = false) => {
+        send: async (row: Partial<RequestRow> = {}, signal = new AbortController().signal, hasGeneratedKey = false) => {
             let result = "none";
             const request: CallerRequest = {
                 row: createRequest({ deadline: 600_000, ...row }),
                 method: "POST",
-                ownKey,
+                hasGeneratedKey,
                 path: "/links",
                 contentType: "text/plain",
                 body: Buffer.from("body"),
@@ -106,7 +106,7 @@
     };
 }
 
-function writeReply(call: ExecuteCall, reply: Reply): void {
+function sendReply(call: ExecuteCall, reply: Reply): void {
     const { requestId } = call.request;
     if (reply === "break") {
         call.emit("error", { code: status.INTERNAL, details: "broken" });
@@ -146,12 +146,18 @@
         ["a refusal as not run", [refuseWith("no", "draining")], {}, "complete", 2],
         ["two refusals as not run", [refuseWith("no", "draining"), refuseWith("no", "queue-full")], {}, "complete", 3],
         ["a broken stream", ["break"], {}, "complete", 2],
-        ["a broken stream without idempotence", ["break"], key, "unknown: connection-lost", 1],
-        ["a refusal without idempotence", [refuseWith("no", "draining")], key, "complete", 2],
+        ["a broken stream of a non-idempotent request", ["break"], key, "unknown: connection-lost", 1],
+        ["a refusal of a non-idempotent request", [refuseWith("no", "draining")], key, "complete", 2],
         ["a final refusal", [refuseWith("no", "key-invalid")], {}, "no: key-invalid", 1],
-        ["a broken stream, and another one alone", ["break", "break"], {}, "unknown: crashes-backend-servers", 2],
         [
-            "a refusal after a break",
+            "a broken stream, and another one while the request runs alone",
+            ["break", "break"],
+            {},
+            "unknown: crashes-backend-servers",
+            2,
+        ],
+        [
+            "refusals after a broken stream",
             ["break", refuseWith("no", "draining"), refuseWith("no", "draining")],
             {},
             "unknown: draining",
@@ -159,8 +165,8 @@
         ],
     ];
     for (const [name, replies, row, result, attempts] of cases) {
-        // Guards against a repeat of what may have run, a repeat on the same runner or on other weights, and a refusal as
-        // not run after an attempt that may have run.
+        // Guards against a retry of a non-idempotent request that may have run, a retry on the same runner or with
+        // another weight set, and a refusal as not run after an attempt that may have run.
         it(`ends "${result}" after ${attempts} attempts for ${name}`, async () => {
             await using entry = await startEntry(replies, ["agent-2"]);
             expect(await entry.send(row)).toEqual(result);
@@ -173,17 +179,18 @@
         });
     }
 
-    // Guards against "unknown" for a request that nobody can have sent before, and "not run" for one that may have run.
-    for (const [ownKey, expected] of [[true, "no"], [false, "unknown"]] as const) {
-        it(`says "${expected}" for a key ${ownKey ? "of its own" : "of the caller"} that predates its owner`, async () => {
+    // Guards against "unknown" for a request that cannot have been sent before, and "no" for one that may have run.
+    for (const [hasGeneratedKey, expected] of [[true, "no"], [false, "unknown"]] as const) {
+        it(`says ${expected} for ${hasGeneratedKey ? "its own" : "a caller's"} key older than its owner`, async () => {
             await using entry = await startEntry([refuseWith("unknown", "key-predates-owner")], ["agent-2"]);
-            const result = await entry.send(key, undefined, ownKey);
+            const result = await entry.send(key, undefined, hasGeneratedKey);
             expect(result).toEqual(`${expected}: key-predates-owner`);
         });
     }
 
-    // Guards against a request that crashes more servers than the bound, and against bystanders that are refused.
-    it("runs a request alone after a crash, and refuses it after a crash alone", async () => {
+    // Guards against a request that crashes more backend servers than the bound, and against the refusal of requests
+    // that were only in progress at the same time.
+    it("runs a request alone after a crash, and refuses it after a crash while it ran alone", async () => {
         await using entry = await startEntry([crash("c1", ["f", "g"]), crash("c2", ["f"])]);
         expect(await entry.send({ fingerprint: "f" })).toEqual("unknown: crashes-backend-servers");
         expect(entry.calls.map(({ call }) => call.request.alone)).toEqual([false, true]);
@@ -193,16 +200,16 @@
         expect(readStanding(entry.context.suspects, "g", entry.context.clock.monotonic())).toEqual("clear");
     });
 
-    // Guards against one crash that counts once for each request that it broke.
-    it("counts a crash once that broke several requests", async () => {
+    // Guards against one crash that counts once for each request that it interrupted.
+    it("counts a crash that interrupted several requests once", async () => {
         await using entry = await startEntry([crash("c1", ["f", "g"]), "answer", crash("c1", ["f", "g"]), "answer"]);
         await entry.send({ fingerprint: "f" });
         await entry.send({ fingerprint: "g" });
         expect(entry.context.suspects.rows.get("g")?.crashes).toEqual(1);
     });
 
-    // Guards against callers that are gone and keep a place, in the queue or on a runner.
-    it("ends requests whose caller is gone, before, in the queue and in progress", async () => {
+    // Guards against requests that stay in the queue or on a runner after their caller has disconnected.
+    it("ends requests whose caller disconnects before admission, in the queue or in progress", async () => {
         const settings = expectOk(resolveEntrySettings({ file: undefined, environment: {}, flags: {} }));
         const admission = createAdmissionTable({ ...settings.admission, maximumInProgress: 1, maximumAccountShare: 1 });
         await using entry = await startEntry(["hold"], [], { admission });
--- a/test/node/entry/tables.test.ts
+++ b/test/node/entry/tables.test.ts
@@ -6,8 +6,8 @@
 import { createLossTracker } from "../../../src/node/crashes/index.js";
 import type { EntryContext } from "../../../src/node/entry/context.js";
 import { createEntryMetrics } from "../../../src/node/entry/entryMetrics.js";
-import { noteHeartbeat } from "../../../src/node/entry/heartbeats.js";
-import { createProposerDuty } from "../../../src/node/entry/proposerDuty.js";
+import { recordHeartbeat } from "../../../src/node/entry/heartbeats.js";
+import { createPlacementProposer } from "../../../src/node/entry/proposerDuty.js";
 import { createStateStore } from "../../../src/node/relay/index.js";
 import { resolveEntrySettings } from "../../../src/node/settings/index.js";
 import { createInstanceTable } from "../../../src/runtime/placement/index.js";
@@ -30,7 +30,7 @@
     return { instance, role, pool, zone: "a", region: "r", address: "", state: "live", absentReads: 0 };
 }
 
-/** Entry instance that wants one copy of a plain service and has a free instance for it. */
+/** Creates an entry instance with a configuration for one copy of a plain service, and a free instance for it. */
 function createEntry(append: (record: LogRecord) => Append) {
     const clock = createManualClock();
     const store = createStateStore();
@@ -62,33 +62,33 @@
     const declaration = { schemaVersion: 1, kind: "service", replicas: { a: 1 } } as const;
     const header = { id: "c", deployment: "archive", base: 0, writtenAt: clock.now().toISOString(), writer: "cli" };
     store.applyEntries([{ offset: 1, previousOffset: 0, record: { ...header, kind: "configuration", declaration } }]);
-    const duty = createProposerDuty(context);
+    const proposer = createPlacementProposer(context);
     return {
         context,
         appended,
-        /** Hears the agent, knows the log from now on if it was read, and runs the proposer. */
+        /** Receives a heartbeat of the agent, records that the whole log was read if it was, and runs the proposer. */
         tick: async (isLogRead: boolean) => {
             clock.advance(5_000);
-            noteHeartbeat(context, create(FollowRequestSchema, { instance: "agent-1", appliedOffset: 1n }));
+            recordHeartbeat(context, create(FollowRequestSchema, { instance: "agent-1", appliedOffset: 1n }));
             if (isLogRead) {
                 store.noteLogKnown(clock.monotonic());
             }
-            duty.tick();
+            proposer.tick();
             await new Promise(resolve => setImmediate(resolve));
         },
     };
 }
 
-describe("proposer duty", () => {
-    const lost = (mayHaveTakenEffect: boolean): Append =>
+describe("placement proposer", () => {
+    const createAppendError = (mayHaveTakenEffect: boolean): Append =>
         err(createError("APPEND_AMBIGUOUS", "append", "log", "lost", { mayHaveTakenEffect }));
     const cases: readonly [name: string, append: Append, whileUnread: number, afterRead: number][] = [
-        ["an ambiguous append, only once the log was read", lost(true), 1, 2],
-        ["an append without effect, at once", lost(false), 2, 3],
+        ["an ambiguous append, only once the log was read", createAppendError(true), 1, 2],
+        ["an append without effect, at once", createAppendError(false), 2, 3],
         ["an appended record, not before it is read back", ok(2), 1, 1],
     ];
     for (const [name, append, whileUnread, afterRead] of cases) {
-        // Guards against a proposal that is repeated while its first append may still take effect.
+        // Guards against a proposal that is appended again while its first append may still take effect.
         it(`proposes again after ${name}`, async () => {
             const entry = createEntry(() => append);
             await entry.tick(true);
@@ -100,8 +100,8 @@
         });
     }
 
-    // Guards against proposals from old knowledge.
-    it("proposes nothing from knowledge of the log that is old or missing", async () => {
+    // Guards against proposals that are based on an outdated state.
+    it("proposes nothing if the log was never read or not recently", async () => {
         const entry = createEntry(() => ok(2));
         await entry.tick(false);
         entry.context.store.noteLogKnown(0);
@@ -112,8 +112,8 @@
 });
 
 describe("loss tracker", () => {
-    // Guards against a lost agent that counts once for each request, and against two lost agents that count as one.
-    it("groups requests that one agent lost within the window", () => {
+    // Guards against a lost agent that counts as one crash per request, and two lost agents that count as one crash.
+    it("groups requests whose connections to one agent broke within the window", () => {
         const clock = createManualClock();
         const losses = createLossTracker(clock);
         const ends = ["f", "g"].map(fingerprint => losses.begin("agent-1", fingerprint));
