--- a/src/node/declaration/declarationFile.ts
+++ b/src/node/declaration/declarationFile.ts
@@ -8,7 +8,7 @@
     readonly updateStrategy: UpdateStrategy;
 }
 
-/** Declaration as an operator's file gives it, before the manifest digest is known. */
+/** Content of an operator's declaration file, which does not contain the manifest digest. */
 export interface DeclarationFile {
     readonly deployment: DeploymentName;
     readonly schemaVersion: SchemaVersion;
@@ -25,10 +25,10 @@
 export const version2Defaults: Version2Fields = { objective: "time", priority: 5, updateStrategy: "in-place" };
 
 /**
- * Pins the manifest digest, which turns a file's content into the declaration that is written to the log.
+ * Adds the manifest digest to the content of a file, which makes it the declaration that is written to the log.
  *
  * @param file - content of the file
- * @param manifestDigest - digest of the model, adapter and version; undefined for plain services
+ * @param manifestDigest - manifest digest of the model, adapter and version; undefined for plain services
  * @returns the declaration
  */
 export function pinDeclaration(
--- a/src/node/declaration/parseDeclaration.ts
+++ b/src/node/declaration/parseDeclaration.ts
@@ -12,31 +12,36 @@
     adapter: defineText("name", "", "Name of the adapter; empty for none."),
     version: defineText("name", "unnamed", "Version of model and adapter."),
     pool: defineText("name", "unnamed", "Pool of instances. Default: the deployment's name."),
-    objective: defineChoice(["time", "origin-bytes"], "Measure that the distribution of weights favours."),
+    objective: defineChoice(["time", "origin-bytes"], "What the distribution of weights minimizes."),
     priority: defineInteger({ minimum: 0, maximum: 9, initial: 5, documentation: "0 (lowest) to 9 (highest)." }),
     updateStrategy: defineChoice(["in-place", "rolling"], "How instances move to a new version."),
 } as const;
 
 type DeploymentKey = keyof typeof deploymentKeys;
-type DeploymentTexts = ReadonlyMap<string, string>;
+type DeploymentValues = ReadonlyMap<string, string>;
 
-const replicaCount = defineInteger({ minimum: 0, maximum: 10_000, initial: 0, documentation: "Wanted count." });
-const zoneName = defineText("name", "unnamed", "Name of an availability zone.");
+const replicaCountDefinition = defineInteger({
+    minimum: 0,
+    maximum: 10_000,
+    initial: 0,
+    documentation: "Wanted number of copies.",
+});
+const zoneNameDefinition = defineText("name", "unnamed", "Name of an availability zone.");
 const version2Keys: readonly DeploymentKey[] = ["objective", "priority", "updateStrategy"];
 const weightKeys: readonly DeploymentKey[] = ["model", "adapter", "version"];
 
-/** Collects the faults of one file. */
-interface Report {
+/** Collects the problems of one file. */
+interface ProblemReport {
     add(section: string, key: string, value: string | undefined, allowed: string): void;
 }
 
 function readKey<Value>(
-    texts: DeploymentTexts,
+    values: DeploymentValues,
     key: DeploymentKey,
     definition: KeyDefinition<Value>,
-    report: Report,
+    report: ProblemReport,
 ): Value | undefined {
-    const text = texts.get(key);
+    const text = values.get(key);
     if (text === undefined) {
         return undefined;
     }
@@ -48,73 +53,78 @@
 }
 
 function readRequired<Value>(
-    texts: DeploymentTexts,
+    values: DeploymentValues,
     key: DeploymentKey,
     definition: KeyDefinition<Value>,
-    report: Report,
+    report: ProblemReport,
 ): Value | undefined {
-    if (!texts.has(key)) {
+    if (!values.has(key)) {
         report.add("deployment", key, undefined, definition.allowed);
     }
-    return readKey(texts, key, definition, report);
+    return readKey(values, key, definition, report);
 }
 
-function refuseKeys(texts: DeploymentTexts, keys: readonly DeploymentKey[], allowed: string, report: Report): void {
+function rejectKeys(
+    values: DeploymentValues,
+    keys: readonly DeploymentKey[],
+    allowed: string,
+    report: ProblemReport,
+): void {
     for (const key of keys) {
-        if (texts.has(key)) {
-            report.add("deployment", key, texts.get(key), allowed);
+        if (values.has(key)) {
+            report.add("deployment", key, values.get(key), allowed);
         }
     }
 }
 
-function readVersion2Fields(texts: DeploymentTexts, schema: number | undefined, report: Report) {
+function readVersion2Fields(values: DeploymentValues, schema: number | undefined, report: ProblemReport) {
     if (schema === 1) {
-        refuseKeys(texts, version2Keys, "this key only with schema = 2", report);
+        rejectKeys(values, version2Keys, "this key only with schema = 2", report);
         return undefined;
     }
     const fields: Version2Fields = {
-        objective: readKey(texts, "objective", deploymentKeys.objective, report) ?? version2Defaults.objective,
-        priority: readKey(texts, "priority", deploymentKeys.priority, report) ?? version2Defaults.priority,
-        updateStrategy: readKey(texts, "updateStrategy", deploymentKeys.updateStrategy, report) ??
+        objective: readKey(values, "objective", deploymentKeys.objective, report) ?? version2Defaults.objective,
+        priority: readKey(values, "priority", deploymentKeys.priority, report) ?? version2Defaults.priority,
+        updateStrategy: readKey(values, "updateStrategy", deploymentKeys.updateStrategy, report) ??
             version2Defaults.updateStrategy,
     };
     return fields;
 }
 
-function readWeights(texts: DeploymentTexts, kind: string, report: Report) {
+function readWeights(values: DeploymentValues, kind: string, report: ProblemReport) {
     if (kind === "service") {
-        refuseKeys(texts, weightKeys, "this key only with kind = model", report);
+        rejectKeys(values, weightKeys, "this key only with kind = model", report);
         return undefined;
     }
     return {
-        model: readRequired(texts, "model", deploymentKeys.model, report) ?? "",
-        adapter: readKey(texts, "adapter", deploymentKeys.adapter, report) ?? "",
-        version: readRequired(texts, "version", deploymentKeys.version, report) ?? "",
+        model: readRequired(values, "model", deploymentKeys.model, report) ?? "",
+        adapter: readKey(values, "adapter", deploymentKeys.adapter, report) ?? "",
+        version: readRequired(values, "version", deploymentKeys.version, report) ?? "",
     };
 }
 
-function readReplicas(texts: ReadonlyMap<string, string>, report: Report): Record<string, number> {
+function readReplicas(values: ReadonlyMap<string, string>, report: ProblemReport): Record<string, number> {
     const replicas: Record<string, number> = {};
-    for (const [zone, text] of texts) {
-        const count = replicaCount.schema.safeParse(text);
-        if (!zoneName.schema.safeParse(zone).success) {
-            report.add("replicas", zone, text, `an availability zone as the key (${zoneName.allowed})`);
+    for (const [zone, text] of values) {
+        const count = replicaCountDefinition.schema.safeParse(text);
+        if (!zoneNameDefinition.schema.safeParse(zone).success) {
+            report.add("replicas", zone, text, `an availability zone as the key (${zoneNameDefinition.allowed})`);
         }
         else if (!count.success) {
-            report.add("replicas", zone, text, `${replicaCount.allowed} backend servers`);
+            report.add("replicas", zone, text, `${replicaCountDefinition.allowed} backend servers`);
         }
         else {
             replicas[zone] = count.data;
         }
     }
-    if (texts.size === 0) {
+    if (values.size === 0) {
         report.add("replicas", "ZONE", undefined, "at least one availability zone with a count");
     }
     return replicas;
 }
 
-function sortTexts(file: IniFile, report: Report): Record<"deployment" | "replicas", Map<string, string>> {
-    const texts = { deployment: new Map<string, string>(), replicas: new Map<string, string>() };
+function groupBySection(file: IniFile, report: ProblemReport): Record<"deployment" | "replicas", Map<string, string>> {
+    const values = { deployment: new Map<string, string>(), replicas: new Map<string, string>() };
     for (const { section, key, text } of listIniValues(file.content)) {
         if (section !== "deployment" && section !== "replicas") {
             report.add(section, key, text, "the sections deployment and replicas");
@@ -123,24 +133,24 @@
             report.add(section, key, text, `the keys ${Object.keys(deploymentKeys).join(", ")}`);
         }
         else {
-            texts[section].set(key, text);
+            values[section].set(key, text);
         }
     }
-    return texts;
+    return values;
 }
 
 /**
- * Reads a declaration.
+ * Parses a declaration file.
  *
- * @param file - content of the INI file
- * @returns the declaration; `DECLARATION_INVALID` with one line for each fault
+ * @param file - name and content of the INI file
+ * @returns the content; `DECLARATION_INVALID` with one line for each problem
  */
 export function parseDeclaration(file: IniFile): Result<DeclarationFile, GoldcrestpointError> {
     const problems: SettingsProblem[] = [];
-    const report: Report = {
+    const report: ProblemReport = {
         add: (section, key, value, allowed) => problems.push({ source: file.name, section, key, value, allowed }),
     };
-    const { deployment, replicas } = sortTexts(file, report);
+    const { deployment, replicas } = groupBySection(file, report);
     const schema = readRequired(deployment, "schema", deploymentKeys.schema, report);
     const kind = readKey(deployment, "kind", deploymentKeys.kind, report) ?? "model";
     const declaration: DeclarationFile = {
--- a/test/node/declaration/declarations.test.ts
+++ b/test/node/declaration/declarations.test.ts
@@ -9,8 +9,8 @@
 const replicas = "[replicas]\nsando-hall = 3\npos-hall = 2\n";
 
 describe("declarations", () => {
-    // Guards against fields that get lost between the file and the log record.
-    it("of both schema versions and of plain services become records", () => {
+    // Guards against fields that are lost between the file and the log record.
+    it("of both schema versions and of plain services are converted to records", () => {
         const parse = (content: string) => expectOk(parseDeclaration({ name: "scribe.ini", content }));
         const base = { kind: "model", replicas: { "sando-hall": 3, "pos-hall": 2 } } as const;
         const weights = { model: "quill", adapter: "kin", version: "7", manifestDigest: "d1" };
@@ -30,7 +30,7 @@
         expect(pinDeclaration(service, undefined)).toEqual({ schemaVersion: 1, ...base, kind: "service" });
     });
 
-    // Guards against a faulty declaration that is applied, or an error that leaves out where it is and what is allowed.
+    // Guards against an invalid declaration that is applied, or an error without its place and the allowed values.
     const cases: [string, string, Partial<SettingsProblem>, string][] = [
         [
             "no schema",
