Reword the command line

Comments such as "what the commands use of the outside" and messages such as "lines are not of these programs, or are cut" were hard to understand. Comments use the usual terms (query, response, render, revision in force). The renamed field skippedCount never leaves the process.

--- a/src/node/cli/appendConfiguration.ts
+++ b/src/node/cli/appendConfiguration.ts
@@ -14,13 +14,14 @@
 /** Change of a deployment's configuration. */
 export interface ConfigurationChange {
     readonly deployment: DeploymentName;
-    /** Revision on which the change is based; 0 for a new deployment. */
+    /** Revision on which the change is based; 0 for a new deployment. The change is refused if a newer one exists. */
     readonly revision: number;
     readonly declaration: DeploymentDeclaration;
 }
 
 const step = "append configuration record";
-const firstPause = 200;
+/** Pause after the first failed attempt; doubled after each further one. */
+const firstPauseMilliseconds = 200;
 
 function createRecord(context: OperatorContext, reader: LogReader, change: ConfigurationChange): ConfigurationRecord {
     return {
@@ -37,9 +38,9 @@
 /**
  * Checks that a change is still based on the newest revision.
  *
- * @param row - newest row of the deployment
+ * @param row - newest row of the deployment; undefined if it has none
  * @param change - the change
- * @returns nothing; `CONFIGURATION_CONFLICT` that names the newer revision
+ * @returns nothing; otherwise `CONFIGURATION_CONFLICT` with the revision in force in the message
  */
 export function checkRevision(
     row: ConfigurationRow | undefined,
@@ -53,11 +54,11 @@
         "there is no configuration yet (revision 0)" :
         `revision ${row.revision}, written by ${row.writer} at ${row.writtenAt}, is in force`;
     const message = `${deployment}: the change is based on revision ${revision}, but ${found}. ` +
-        `Nothing was changed; look at it with plan and apply again on revision ${row?.revision ?? 0}.`;
+        `Nothing was changed. Review the change with plan and apply it again with --base ${row?.revision ?? 0}.`;
     return err(createError("CONFIGURATION_CONFLICT", step, "log", message));
 }
 
-type Attempt =
+type AppendOutcome =
     | { readonly kind: "accepted"; readonly row: ConfigurationRow; }
     | { readonly kind: "rebase"; }
     | { readonly kind: "again"; readonly error: GoldcrestpointError; }
@@ -70,13 +71,13 @@
     return createError("APPEND_AMBIGUOUS", step, "log", message, { mayHaveTakenEffect: true, cause });
 }
 
-/** Learns the outcome of an append from the log, whatever the append itself answered. */
+/** Reads the outcome of an append from the log, regardless of what the append itself returned. */
 async function readOutcome(
     reader: LogReader,
     record: ConfigurationRecord,
     change: ConfigurationChange,
     appendError: GoldcrestpointError | undefined,
-): Promise<Attempt> {
+): Promise<AppendOutcome> {
     const read = await reader.readToHead();
     if (read.isErr) {
         return { kind: "again", error: describeUnknownOutcome(change, read.error) };
@@ -87,11 +88,12 @@
     }
     const row = reader.state.configurations.get(change.deployment);
     if ((row?.offset ?? 0) === record.base) {
-        const missing = createError("LOG_UNREACHABLE", step, "log", "the record is not in the log yet");
-        return { kind: "again", error: describeUnknownOutcome(change, appendError ?? missing) };
+        const notInLog = createError("LOG_UNREACHABLE", step, "log", "the record is not in the log yet");
+        return { kind: "again", error: describeUnknownOutcome(change, appendError ?? notInLog) };
     }
     const checked = checkRevision(row, change);
-    // Only a refresh moves the offset and leaves the revision; the record with the old base can no longer be accepted.
+    // A refresh changes the offset of the row but not its revision. The record still has the old offset as its base, so
+    // it can no longer be accepted.
     return checked.isErr ? { kind: "failed", error: checked.error } : { kind: "rebase" };
 }
 
@@ -101,7 +103,7 @@
     record: ConfigurationRecord,
     change: ConfigurationChange,
     mayBeInLog: boolean,
-): Promise<Attempt> {
+): Promise<AppendOutcome> {
     const appended = await context.ports.log.append(record);
     if (appended.isErr && !appended.error.mayHaveTakenEffect && !mayBeInLog) {
         return { kind: "again", error: appended.error };
@@ -110,14 +112,14 @@
 }
 
 /**
- * Appends a change of configuration and finds out whether it was accepted. A repeated attempt uses the same record id
+ * Appends a change of configuration and determines whether it was accepted. A repeated attempt uses the same record id
  * and base, so that at most one of the appends is accepted.
  *
  * @param context - ports and settings
  * @param reader - reader of the log, at the state on which the change is based
  * @param change - the change
  * @returns the accepted row; `CONFIGURATION_CONFLICT` if another change was accepted first, `LOG_UNREACHABLE` if
- * nothing was appended, `APPEND_AMBIGUOUS` if the outcome could not be found out
+ * nothing was appended, `APPEND_AMBIGUOUS` if the outcome could not be determined
  */
 export async function appendConfiguration(
     context: OperatorContext,
@@ -139,12 +141,17 @@
         if (outcome.kind === "rebase") {
             record = createRecord(context, reader, change);
             mayBeInLog = false;
-            lastError = createError("LOG_UNREACHABLE", step, "log", "refreshes of the log got ahead of each attempt");
+            lastError = createError(
+                "LOG_UNREACHABLE",
+                step,
+                "log",
+                "the configuration was refreshed during each attempt",
+            );
             continue;
         }
         lastError = outcome.error;
         mayBeInLog ||= outcome.error.mayHaveTakenEffect;
-        if (attempt + 1 < appendAttempts && !await context.ports.pause(firstPause * 2 ** attempt)) {
+        if (attempt + 1 < appendAttempts && !await context.ports.pause(firstPauseMilliseconds * 2 ** attempt)) {
             break;
         }
     }
--- a/src/node/cli/commandLine.ts
+++ b/src/node/cli/commandLine.ts
@@ -15,16 +15,16 @@
 import type { CommandLineDependencies, CommandOptions, OperatorContext } from "./types.js";
 
 /** Receives the exit code of the command that was run. */
-type Finish = (code: ExitCode) => void;
+type ExitCodeReceiver = (code: ExitCode) => void;
 
-function collect(value: string, previous: readonly string[] = []): readonly string[] {
+function collectValues(value: string, previous: readonly string[] = []): readonly string[] {
     return [...previous, value];
 }
 
 function addCommonOptions(command: Command, example: string): Command {
     return command
         .option("--settings <file>", "settings file (INI)")
-        .option("--set <section.key=value>", "one setting; may be given more than once", collect)
+        .option("--set <section.key=value>", "one setting; may be given more than once", collectValues)
         .addHelpText("after", `\nExample:\n  ${example}\n\n${exitCodesHelp}`);
 }
 
@@ -72,7 +72,7 @@
     parent: Command,
     dependencies: CommandLineDependencies,
     definition: OperatorCommand,
-    finish: Finish,
+    finish: ExitCodeReceiver,
 ): void {
     const command = addCommonOptions(parent.command(definition.usage), definition.example)
         .description(definition.description)
@@ -91,7 +91,7 @@
     parent: Command,
     dependencies: CommandLineDependencies,
     { name, description, example }: ProgramCommand,
-    finish: Finish,
+    finish: ExitCodeReceiver,
 ): void {
     const command = addCommonOptions(parent.command(name), example).description(description);
     command.action(async () => {
@@ -108,7 +108,7 @@
     });
 }
 
-function createProgram(dependencies: CommandLineDependencies, finish: Finish): Command {
+function createProgram(dependencies: CommandLineDependencies, finish: ExitCodeReceiver): Command {
     const program = new Command("goldcrestpoint")
         .description("distributes model weights in bursts and routes live requests")
         .exitOverride()
@@ -130,12 +130,12 @@
 /**
  * Runs one command.
  *
- * @param words - words of the command line after the program's name
- * @param dependencies - environment, output and what commands work with
+ * @param commandArguments - command line arguments after the program's name
+ * @param dependencies - environment variables, output, clients and programs
  * @returns the exit code
  */
 export async function runCommandLine(
-    words: readonly string[],
+    commandArguments: readonly string[],
     dependencies: CommandLineDependencies,
 ): Promise<ExitCode> {
     let exitCode: ExitCode = exitCodes.success;
@@ -143,7 +143,7 @@
         exitCode = code;
     });
     try {
-        await program.parseAsync(words, { from: "user" });
+        await program.parseAsync(commandArguments, { from: "user" });
         return exitCode;
     }
     catch (error) {
--- a/src/node/cli/commandTable.ts
+++ b/src/node/cli/commandTable.ts
@@ -6,12 +6,12 @@
 import { validate } from "./commands/validate.js";
 import type { CommandHandler } from "./types.js";
 
-/** Operator command as the help shows it and as it is run. */
+/** Operator command, with its help texts and its handler. */
 export interface OperatorCommand {
-    /** Name with the argument, as commander takes it. */
+    /** Name and argument in commander's syntax. */
     readonly usage: string;
     readonly description: string;
-    /** Options by flags, with their description. */
+    /** Descriptions of the options, by their flags in commander's syntax. */
     readonly options: Readonly<Record<string, string>>;
     readonly example: string;
     readonly run: CommandHandler;
@@ -67,7 +67,7 @@
     },
 ];
 
-/** Daemon or stand-in as the help shows it. */
+/** Daemon or stand-in, with its help texts. */
 export interface ProgramCommand {
     readonly name: "entry" | "agent" | "platform" | "engine" | "service";
     readonly description: string;
--- a/src/node/cli/commands/apply.ts
+++ b/src/node/cli/commands/apply.ts
@@ -8,7 +8,7 @@
 import { prepareChange } from "./prepareChange.js";
 
 /**
- * Reports an accepted revision, or that nothing had to change.
+ * Reports an accepted revision, or that nothing had to be changed.
  *
  * @param context - output
  * @param row - the revision in force
--- a/src/node/cli/commands/explain.ts
+++ b/src/node/cli/commands/explain.ts
@@ -19,20 +19,20 @@
 
 const answerSchema = z.object({ decisions: z.array(decisionSchema) });
 
-type DecisionAnswer = z.infer<typeof decisionSchema>;
+type ReportedDecision = z.infer<typeof decisionSchema>;
 
-function renderDecision(decision: DecisionAnswer): string {
+function renderDecision(decision: ReportedDecision): string {
     const { decidedAt, instance, kind, outcome, choice, reason, candidates, details = {} } = decision;
     const values = Object.entries(details).map(([name, value]) => `${name}=${String(value)}`);
     return [`${decidedAt} ${instance} ${kind} ${outcome}: ${choice} (${reason}; candidates=${candidates})`, ...values]
         .join(" ");
 }
 
-async function askEntries(context: OperatorContext, id: string) {
+async function queryEntries(context: OperatorContext, id: string) {
     const path = `/operations/decisions/${encodeURIComponent(id)}`;
     const urls = context.settings.operator.entryUrls;
     const answers = await Promise.all(urls.map(url => context.ports.entries.get(url, path)));
-    const decisions: DecisionAnswer[] = [];
+    const decisions: ReportedDecision[] = [];
     const silent: string[] = [];
     answers.forEach((answer, index) => {
         const parsed = answer.isOk ? answerSchema.safeParse(answer.value.body) : undefined;
@@ -52,16 +52,16 @@
  *
  * @param context - ports and output
  * @param id - request id or name of a deployment
- * @param options - log files to read instead of asking entry instances
- * @returns exit code 1 if no instance keeps a decision; `PEER_UNREACHABLE` if instances that may know the request did
- * not answer
+ * @param options - options of the command; `logs` lists log files to read instead of querying entry instances
+ * @returns exit code 1 if all entry instances answered but none keeps a decision; `PEER_UNREACHABLE` if no decision was
+ * found and some did not answer
  */
 export const explain: CommandHandler = async (context, id, options) => {
     const files = options["logs"];
     if (Array.isArray(files)) {
         return explainFromLogs(context, id, files as readonly string[]);
     }
-    const { decisions, silent } = await askEntries(context, id);
+    const { decisions, silent } = await queryEntries(context, id);
     if (silent.length > 0 && decisions.length > 0) {
         context.warn(`no answer from ${silent.join(", ")}; decisions may be missing`);
     }
--- a/src/node/cli/commands/explainLogs.ts
+++ b/src/node/cli/commands/explainLogs.ts
@@ -12,27 +12,27 @@
 import { type ExitCode, exitCodes } from "../exitCodes.js";
 import type { OperatorContext } from "../types.js";
 
-/** Clock differences below this are those of the moment at which a line was collected, in milliseconds. */
-const shownClockDifference = 20;
+/** Smaller clock differences, in milliseconds, are not shown: the collection of log lines alone may cause them. */
+const minimumShownClockDifference = 20;
 
-/** Fields that a rendered line shows elsewhere. */
-const shownElsewhere: ReadonlySet<string> = new Set(["level", "time", "instance", "program", "msg", "requestId"]);
+/** Fields that are not listed at the end of a rendered line, since it shows them elsewhere or not at all. */
+const fieldsShownElsewhere: ReadonlySet<string> = new Set(["level", "time", "instance", "program", "msg", "requestId"]);
 
 interface LogFiles {
     readonly lines: readonly LogLine[];
-    /** Lines that are none of ours, or are cut. */
-    readonly skipped: number;
+    /** Number of lines that are truncated or were not written by one of this project's programs. */
+    readonly skippedCount: number;
 }
 
 async function readLogFiles(files: readonly string[]): Promise<Result<LogFiles, GoldcrestpointError>> {
     const lines: LogLine[] = [];
-    let skipped = 0;
+    let skippedCount = 0;
     for (const file of files) {
         try {
             for await (const text of createInterface({ input: createReadStream(file), crlfDelay: Infinity })) {
                 const line = parseLogLine(text, lines.length);
                 if (line === undefined) {
-                    skipped += text === "" ? 0 : 1;
+                    skippedCount += text === "" ? 0 : 1;
                 }
                 else {
                     lines.push(line);
@@ -44,16 +44,16 @@
             return err(createError("USAGE_INVALID", "read log file", file, message));
         }
     }
-    return ok({ lines, skipped });
+    return ok({ lines, skippedCount });
 }
 
 function renderEntry({ after, clockAhead, line, relation }: TimelineEntry): string {
     const difference = Math.round(clockAhead ?? 0);
-    const clock = Math.abs(difference) >= shownClockDifference ?
+    const clock = Math.abs(difference) >= minimumShownClockDifference ?
         ` (its clock is ${Math.abs(difference)} ms ${difference > 0 ? "ahead" : "behind"})` :
         "";
     const values = Object.entries(line.fields)
-        .filter(([name]) => !shownElsewhere.has(name))
+        .filter(([name]) => !fieldsShownElsewhere.has(name))
         .map(([name, value]) => `${name}=${typeof value === "string" ? value : JSON.stringify(value)}`);
     const mark = relation === "request" ? "*" : " ";
     return `${mark} ${after.toFixed(1).padStart(9)} ms ${line.instance}${clock} ${line.message} ${values.join(" ")}`;
@@ -63,13 +63,13 @@
     const { causes, clocksCompared, instances, requestId, timeline } = explanation;
     return [
         `request ${requestId}`,
-        ...(causes.length === 0 ? ["no line refuses it or tells of a failure"] : causes.map(cause => `- ${cause}`)),
+        ...(causes.length === 0 ? ["no line reports a refusal or a failure"] : causes.map(cause => `- ${cause}`)),
         "",
         ...timeline.map(renderEntry),
         "",
         clocksCompared || instances.length === 1 ?
             `lines of ${instances.length} processes, marked * if they name the request` :
-            `lines of ${instances.length} processes in the order of their own clocks, which were not compared`,
+            `lines of ${instances.length} processes, ordered by their own clocks, whose differences are unknown`,
     ].join("\n");
 }
 
@@ -90,14 +90,14 @@
     if (read.isErr) {
         return err(read.error);
     }
-    const { lines, skipped } = read.value;
-    if (skipped > 0) {
-        context.warn(`${skipped} lines are not of these programs, or are cut`);
+    const { lines, skippedCount } = read.value;
+    if (skippedCount > 0) {
+        context.warn(`skipped ${skippedCount} lines that are truncated or were written by other programs`);
     }
     const explanation = explainRequest(lines, requestId);
     if (explanation === undefined) {
         const text =
-            `no line is about ${requestId}; decisions that let a request go on are written for a share of them`;
+            `no line is about ${requestId}; successful routing decisions may be logged for a share of requests only`;
         context.emit({ text, json: { requestId, causes: [], timeline: [], lines: lines.length } });
         return ok(exitCodes.failure);
     }
--- a/src/node/cli/commands/plan.ts
+++ b/src/node/cli/commands/plan.ts
@@ -5,10 +5,10 @@
 import { prepareChange, type PreparedChange } from "./prepareChange.js";
 
 /**
- * Writes the fields that change, one a line.
+ * Renders the fields that change, one per line.
  *
  * @param differences - the fields
- * @returns the lines, indented
+ * @returns the indented lines
  */
 export function renderDifferences(differences: readonly FieldChange[]): string {
     const width = Math.max(0, ...differences.map(({ field }) => field.length));
@@ -19,17 +19,17 @@
 
 function renderPlan(path: string, prepared: PreparedChange): string {
     const { change, row, content, differences, manifest } = prepared;
-    const origin = row === undefined ?
+    const base = row === undefined ?
         "new deployment" :
         `revision ${row.revision} by ${row.writer} at ${row.writtenAt}`;
     if (differences.length === 0) {
-        return `${change.deployment}: no change (${origin})`;
+        return `${change.deployment}: no change (${base})`;
     }
     const weights = manifest === undefined ?
         [] :
         [`weights: ${manifest.totalBytes} bytes in ${manifest.chunks.length} chunks`];
     return [
-        `${change.deployment}: based on ${origin}`,
+        `${change.deployment}: based on ${base}`,
         renderDifferences(differences),
         `copies: ${countReplicas(row)} -> ${countReplicas(content)}`,
         ...weights,
--- a/src/node/cli/commands/prepareChange.ts
+++ b/src/node/cli/commands/prepareChange.ts
@@ -14,11 +14,13 @@
 import { createLogReader, type LogReader } from "../logReader.js";
 import type { CommandOptions, OperatorContext } from "../types.js";
 
-/** Change that a declaration stands for, compared with the revision in force. */
+/** Change that a declaration describes, compared with the revision in force. */
 export interface PreparedChange {
     readonly change: ConfigurationChange;
     readonly reader: LogReader;
+    /** Revision in force; undefined for a new deployment. */
     readonly row: ConfigurationRow | undefined;
+    /** Content of the next revision. */
     readonly content: ConfigurationContent;
     readonly differences: readonly FieldChange[];
     /** Undefined for plain services. */
@@ -30,7 +32,7 @@
  *
  * @param options - options of the command
  * @param name - name of the option without dashes
- * @returns the revision, undefined if the option is not given; `USAGE_INVALID` if it is no whole number
+ * @returns the revision; undefined if the option is not given; `USAGE_INVALID` if it is not a whole number
  */
 export function readRevisionOption(
     options: CommandOptions,
@@ -63,19 +65,19 @@
             {
                 ...error,
                 message:
-                    `${path}: [deployment] ${values}: allowed is a set that the weight store holds (${error.message})`,
+                    `${path}: [deployment] ${values}: allowed is a weight set of the weight store (${error.message})`,
             } :
             error
     );
 }
 
 /**
- * Reads a declaration, pins the digest of its manifest and compares it with the revision in force.
+ * Reads a declaration, adds the manifest digest of its weights and compares it with the revision in force.
  *
  * @param context - ports and settings
  * @param path - path of the declaration
- * @param options - options of the command; `base` names the revision on which the change is based
- * @returns the change; nothing is appended
+ * @param options - options of the command; `base` is the revision on which the change is based
+ * @returns the change; nothing is appended to the log
  */
 export async function prepareChange(
     context: OperatorContext,
--- a/src/node/cli/commands/rollback.ts
+++ b/src/node/cli/commands/rollback.ts
@@ -23,21 +23,21 @@
     const row = reader.state.configurations.get(deployment);
     if (row === undefined) {
         const names = [...reader.state.configurations.keys()].sort().join(", ");
-        const message = `${deployment} is no deployment; there are: ${names === "" ? "none" : names}`;
+        const message = `deployment ${deployment} does not exist; existing ones: ${names === "" ? "none" : names}`;
         return err(createError("USAGE_INVALID", step, "log", message));
     }
     const older = reader.listRevisions(deployment).filter(({ revision }) => revision < row.revision);
     const target = wanted === undefined ? older.at(-1) : older.find(({ revision }) => revision === wanted);
     if (target === undefined) {
         const known = older.map(({ revision }) => revision).join(", ");
-        const asked = wanted === undefined ? "no earlier revision" : `no earlier revision ${wanted}`;
-        const message = `${deployment}: the log holds ${asked}; it holds: ${known === "" ? "none" : known}`;
+        const missing = wanted === undefined ? "no earlier revision" : `no earlier revision ${wanted}`;
+        const message = `${deployment}: the log holds ${missing}; it holds: ${known === "" ? "none" : known}`;
         return err(createError("USAGE_INVALID", step, "log", message));
     }
     return ok({ row, target });
 }
 
-/** Version 2 carries the whole content, so that a rollback brings back every field. */
+/** Creates a declaration of schema version 2, which contains every field, so that a rollback restores all of them. */
 function restoreDeclaration(target: ConfigurationRow): DeploymentDeclarationVersion2 {
     const { kind, weights, replicas, pool, objective, priority, updateStrategy } = target;
     return { schemaVersion: 2, kind, weights, replicas, pool, objective, priority, updateStrategy };
@@ -48,7 +48,7 @@
  *
  * @param context - ports and output
  * @param deployment - the deployment
- * @param options - options of the command; `to` names the revision, default: the one before the newest
+ * @param options - options of the command; `to` is the revision to restore, default: the one before the newest
  * @returns the exit code; `CONFIGURATION_CONFLICT` if another operator's change was accepted first
  */
 export const rollback: CommandHandler = async (context, deployment, options) => {
--- a/src/node/cli/commands/status.ts
+++ b/src/node/cli/commands/status.ts
@@ -4,12 +4,12 @@
 import { exitCodes } from "../exitCodes.js";
 import type { CommandHandler, OperatorContext } from "../types.js";
 
-/** Path of an entry instance's view of all deployments. */
+/** Path at which an entry instance reports the status of all deployments. */
 export const statusPath = "/operations/status";
 
 const count = z.number().int().min(0);
 
-/** Answer to `GET /operations/status`. */
+/** Schema of the response to `GET /operations/status`. */
 export const statusSchema = z.object({
     appliedOffset: count,
     deployments: z.array(z.object({
@@ -28,7 +28,7 @@
     })),
 });
 
-/** Deployments as one entry instance sees them. */
+/** Status of all deployments, as reported by one entry instance. */
 export type StatusAnswer = z.infer<typeof statusSchema>;
 
 const headings = ["DEPLOYMENT", "REVISION", "VERSION", "ZONE", "WANTED", "ASSIGNED", "COMPLETE", "SERVING", "PROGRESS"];
@@ -38,10 +38,10 @@
 }
 
 /**
- * Writes the status as a table.
+ * Renders the status as a table.
  *
- * @param status - answer of an entry instance
- * @returns the table with one line for each deployment and availability zone
+ * @param status - response of an entry instance
+ * @returns the table, with one line for each deployment and availability zone
  */
 export function renderStatus(status: StatusAnswer): string {
     const rows = status.deployments.flatMap(({ deployment, revision, version, zones }) =>
--- a/src/node/cli/compareContent.ts
+++ b/src/node/cli/compareContent.ts
@@ -1,7 +1,7 @@
 import type { ConfigurationRow, DeploymentDeclaration, DeploymentName } from "../../types/index.js";
 import { version2Defaults } from "../declaration/index.js";
 
-/** What a revision says, without its place in the log. */
+/** Content of a revision, without its number, offset, writer and time. */
 export type ConfigurationContent = Pick<
     ConfigurationRow,
     "kind" | "weights" | "replicas" | "pool" | "objective" | "priority" | "updateStrategy"
@@ -10,14 +10,15 @@
 /** Difference between two revisions in one field. */
 export interface FieldChange {
     readonly field: string;
-    /** Undefined if the field was not there. */
+    /** Undefined if the older revision does not have the field. */
     readonly from: string | undefined;
-    /** Undefined if the field is not there any more. */
+    /** Undefined if the newer revision does not have the field. */
     readonly to: string | undefined;
 }
 
 /**
- * Predicts what a declaration leads to. Version 1 leaves the fields of version 2 as they are.
+ * Computes the content of the revision that a declaration would create. Schema version 1 leaves the fields of schema
+ * version 2 as they are.
  *
  * @param row - row in force; undefined for a new deployment
  * @param deployment - the deployment
@@ -57,8 +58,8 @@
         updateStrategy: content.updateStrategy,
     };
     const counts = Object.keys(replicas).sort().map(zone => [`replicas.${zone}`, String(replicas[zone])] as const);
-    const texts = Object.entries(fields).filter((field): field is [string, string] => field[1] !== undefined);
-    return new Map([...texts, ...counts]);
+    const presentFields = Object.entries(fields).filter((field): field is [string, string] => field[1] !== undefined);
+    return new Map([...presentFields, ...counts]);
 }
 
 /**
--- a/src/node/cli/entryQuery.ts
+++ b/src/node/cli/entryQuery.ts
@@ -4,9 +4,9 @@
 import type { EntryQueryPort } from "./types.js";
 
 /**
- * Creates the HTTP client with which operator commands ask entry instances.
+ * Creates the HTTP client with which operator commands query entry instances.
  *
- * @param timeLimit - time after which an answer has failed to arrive
+ * @param timeLimit - time within which the complete response must arrive
  * @returns the client
  */
 export function createEntryQuery(timeLimit: Milliseconds): EntryQueryPort & AsyncDisposable {
@@ -15,9 +15,9 @@
         get: async (baseUrl, path) => {
             const url = baseUrl.replace(/\/+$/, "") + path;
             try {
-                const answer = await request(url, { dispatcher, signal: AbortSignal.timeout(timeLimit) });
-                const text = await answer.body.text();
-                return ok({ status: answer.statusCode, body: parseJson(text) });
+                const response = await request(url, { dispatcher, signal: AbortSignal.timeout(timeLimit) });
+                const text = await response.body.text();
+                return ok({ status: response.statusCode, body: parseJson(text) });
             }
             catch (cause) {
                 const message = `${url}: ${cause instanceof Error ? cause.message : String(cause)}`;
--- a/src/node/cli/exitCodes.ts
+++ b/src/node/cli/exitCodes.ts
@@ -25,13 +25,13 @@
   1  failure
   2  wrong settings, declaration or usage
   3  conflict: another operator's change was accepted first
-  4  platform or entry instances unreachable, or the outcome could not be found out`;
+  4  platform or entry instances unreachable, or the outcome is unknown`;
 
 /**
  * Chooses the exit code for an error.
  *
  * @param code - code of the error
- * @returns the exit code; 1 for errors without one of their own
+ * @returns the exit code; 1 for errors without a specific one
  */
 export function chooseExitCode(code: ErrorCode): ExitCode {
     return exitCodesByError[code] ?? exitCodes.failure;
--- a/src/node/cli/implementations.ts
+++ b/src/node/cli/implementations.ts
@@ -1,4 +1,4 @@
-/** Modules that are loaded when a command needs them, so that an agent loads only what it uses. */
+/** Modules that are imported dynamically when a command needs them, so that an agent loads only what it uses. */
 export const implementations = {
     state: () => import("../../runtime/state/index.js"),
     distribution: () => import("../../runtime/distribution/index.js"),
--- a/src/node/cli/logReader.ts
+++ b/src/node/cli/logReader.ts
@@ -3,12 +3,12 @@
 import type { ConfigurationRow, DeploymentName, LogEntry, LogPage, LogPort, PortResult } from "../../types/index.js";
 import type { FoldPort } from "./types.js";
 
-/** State of the log as an operator command reads it. */
+/** Reads the log for an operator command and derives the state from it. */
 export interface LogReader {
     readonly state: FoldState;
-    /** Reads on to the newest record. */
+    /** Reads from where the last read ended to the newest record. */
     readToHead(): PortResult<void>;
-    /** Returns the row that a record led to; undefined if it was not accepted or is not in the log. */
+    /** Returns the row that a record created; undefined if the record was not accepted or is not in the log. */
     findAccepted(recordId: string): ConfigurationRow | undefined;
     /** Lists the revisions of a deployment that the log still holds, oldest first. */
     listRevisions(deployment: DeploymentName): readonly ConfigurationRow[];
@@ -18,7 +18,7 @@
  * Creates a reader that starts at the beginning of the log.
  *
  * @param log - the platform's log
- * @param fold - the fold of log records
+ * @param fold - functions that apply log records to the state
  * @returns the reader; nothing is read yet
  */
 export function createLogReader(log: LogPort, fold: FoldPort): LogReader {
--- a/src/node/cli/operatorPorts.ts
+++ b/src/node/cli/operatorPorts.ts
@@ -26,7 +26,7 @@
         timeouts,
     });
     const entries = createEntryQuery(platform.requestTimeLimit);
-    const interrupt = createInterrupt();
+    const interruptiblePause = createInterruptiblePause();
     return {
         log,
         origin,
@@ -40,16 +40,16 @@
         computeManifestDigest: distribution.computeManifestDigest,
         clock: createSystemClock(),
         createId: randomUUID,
-        pause: interrupt.pause,
+        pause: interruptiblePause.pause,
         [Symbol.asyncDispose]: async () => {
-            interrupt.dispose();
+            interruptiblePause.dispose();
             await Promise.all([log, origin, entries].map(client => client[Symbol.asyncDispose]()));
         },
     };
 }
 
-/** Waits that end early on SIGINT or SIGTERM. */
-function createInterrupt() {
+/** Creates a pause function that returns early on SIGINT or SIGTERM. */
+function createInterruptiblePause() {
     const abort = new AbortController();
     const stop = () => abort.abort();
     process.once("SIGINT", stop);
--- a/src/node/cli/programs.ts
+++ b/src/node/cli/programs.ts
@@ -62,9 +62,9 @@
 function createStandInProgram(start: StandInStarter): ProgramStarter {
     return sources =>
         runWithSettings(resolveStandInSettings, sources, async settings => {
-            const running = await start(await implementations.standIn(), settings);
+            const standIn = await start(await implementations.standIn(), settings);
             await waitForSignal();
-            await running[Symbol.asyncDispose]();
+            await standIn[Symbol.asyncDispose]();
             return ok(undefined);
         });
 }
--- a/src/node/cli/settingsFlags.ts
+++ b/src/node/cli/settingsFlags.ts
@@ -19,7 +19,7 @@
 }
 
 /**
- * Collects the sources of settings that the flags name.
+ * Collects the sources of settings: the settings file, environment variables and flags.
  *
  * @param environment - environment variables
  * @param options - parsed flags
--- a/src/node/cli/types.ts
+++ b/src/node/cli/types.ts
@@ -15,7 +15,7 @@
 import type { OperatorSettings, SettingsSources } from "../settings/index.js";
 import type { ExitCode } from "./exitCodes.js";
 
-/** The ordered fold of log records. */
+/** Functions that derive the state from log records, applied in the order of the log. */
 export interface FoldPort {
     createFoldState(): FoldState;
     foldEntry(state: FoldState, entry: LogEntry): FoldOutcome;
@@ -23,32 +23,32 @@
     beginAfterTruncation(state: FoldState, firstOffset: Offset): void;
 }
 
-/** Answer of an entry instance to an operator's question. */
+/** HTTP response of an entry instance to an operator's query. */
 export interface EntryAnswer {
     readonly status: number;
-    /** Parsed JSON; undefined if the answer is none. */
+    /** Parsed JSON; undefined if the body is not JSON. */
     readonly body: unknown;
 }
 
 /** HTTP requests of operators to entry instances. */
 export interface EntryQueryPort {
     /**
-     * Reads a path of an entry instance.
+     * Sends a GET request to an entry instance.
      *
-     * @param baseUrl - HTTP address of the entry instance
-     * @param path - path from `/`
-     * @returns the answer; `PEER_UNREACHABLE` if there is none
+     * @param baseUrl - base URL of the entry instance
+     * @param path - path that begins with `/`
+     * @returns the response; `PEER_UNREACHABLE` if there is none
      */
     get(baseUrl: string, path: string): PortResult<EntryAnswer>;
 }
 
-/** What the operator commands use of the outside. */
+/** External services and functions that the operator commands use. */
 export interface OperatorPorts {
     readonly log: LogPort;
     readonly origin: OriginPort;
     readonly entries: EntryQueryPort;
     readonly fold: FoldPort;
-    /** Computes the digest that a configuration record pins. */
+    /** Computes the manifest digest that is written to a configuration record. */
     computeManifestDigest(manifest: Manifest): ManifestDigest;
     readonly clock: Clock;
     /** Creates a UUID. */
@@ -57,7 +57,7 @@
      * Waits.
      *
      * @param duration - time to wait
-     * @returns false if the program is to end
+     * @returns false if the program was interrupted and has to end
      */
     pause(duration: Milliseconds): Promise<boolean>;
 }
@@ -68,13 +68,13 @@
     readonly json: unknown;
 }
 
-/** What an operator command works with. */
+/** Ports, settings and output of an operator command. */
 export interface OperatorContext {
     readonly ports: OperatorPorts;
     readonly settings: OperatorSettings;
-    /** Writes a report in the form that the operator asked for. */
+    /** Writes a report to standard output, as JSON or text as the operator requested. */
     emit(report: CommandReport): void;
-    /** Writes a line for people to standard error. */
+    /** Writes a line of text to standard error. */
     warn(line: string): void;
 }
 
@@ -88,10 +88,10 @@
     options: CommandOptions,
 ) => Promise<Result<ExitCode, GoldcrestpointError>>;
 
-/** Starts a daemon or stand-in and returns when it has ended. */
+/** Runs a daemon or stand-in and returns when it has ended. */
 export type ProgramStarter = (sources: SettingsSources) => Promise<Result<void, GoldcrestpointError>>;
 
-/** What the command line needs of the process that it runs in. */
+/** Environment, output and implementations that the command line uses. */
 export interface CommandLineDependencies {
     readonly environment: Readonly<Record<string, string | undefined>>;
     readonly writeOutput: (text: string) => void;
--- a/test/node/cli/apply.test.ts
+++ b/test/node/cli/apply.test.ts
@@ -22,7 +22,7 @@
 const version8 = writeDeclaration("8");
 const version9 = writeDeclaration("9");
 
-function createScene() {
+function createFixture() {
     const log = createMemoryLog();
     return { log, run: createCommandRunner(log, fold) };
 }
@@ -34,7 +34,7 @@
 }
 
 /** Another operator's record that is based on the newest accepted one. */
-function createRival(log: MemoryLog): ConfigurationRecord {
+function createRivalRecord(log: MemoryLog): ConfigurationRecord {
     return {
         kind: "configuration",
         id: `rival-${log.entries.length}`,
@@ -46,19 +46,19 @@
     };
 }
 
-/** Refresh as a proposer appends it: the whole row again, based on its record. */
-function createRefresh(log: MemoryLog): LogRecord {
+/** Refresh as a proposer appends it: a record with the complete row, based on the row's record. */
+function createRefreshRecord(log: MemoryLog): LogRecord {
     const { schemaVersion, kind, weights, replicas } = readRow(log)!;
     const declaration = schemaVersion === 1 ?
         { schemaVersion, kind, weights, replicas } :
         { ...readRow(log)!, schemaVersion };
-    return { ...createRival(log), id: "refresh", writer: "proposer", declaration, refreshOf: readRow(log) };
+    return { ...createRivalRecord(log), id: "refresh", writer: "proposer", declaration, refreshOf: readRow(log) };
 }
 
 describe("apply", () => {
-    // Guards against an accepted configuration without the pinned digest, and against a change that is appended twice.
-    it("pins the manifest digest, and appends nothing when the declaration is in force already", async () => {
-        const { log, run } = createScene();
+    // Guards against an accepted configuration without the manifest digest, and a change that is appended twice.
+    it("adds the manifest digest, and appends nothing when the declaration is already in force", async () => {
+        const { log, run } = createFixture();
         const first = await run("apply", version7, "--json");
         expect(first.exitCode).toEqual(0);
         expect(first.json).toEqual(expect.subset({ deployment: "scribe", revision: 1, changed: true }));
@@ -68,11 +68,11 @@
         expect(log.entries).toHaveLength(1);
     });
 
-    // Guards against two operators who both believe that their change is in force, and a loser who changed something.
-    it("gives the loser of a race a conflict that names the newer revision", async () => {
-        const { log, run } = createScene();
+    // Guards against two concurrent changes that are both reported as accepted, and a rejected one that has an effect.
+    it("reports a conflict with the newer revision if another operator's change was accepted first", async () => {
+        const { log, run } = createFixture();
         await run("apply", version7);
-        log.appendFaults.push(() => log.write(createRival(log)));
+        log.appendFaults.push(() => log.write(createRivalRecord(log)));
         const loser = await run("apply", version8, "--json");
         expect(loser.exitCode).toEqual(3);
         expect(loser.errors).toEqual(expect.includes("based on revision 1, but revision 2, written by rival"));
@@ -82,9 +82,9 @@
         expect(readRow(log)).toEqual(expect.subset({ revision: 3, writer: "operator" }));
     });
 
-    // Guards against a change on a revision that the operator has not seen.
-    it("refuses a base that is not in force, before it appends", async () => {
-        const { log, run } = createScene();
+    // Guards against a change of a revision that the operator has not seen.
+    it("refuses a base that is not in force without an append", async () => {
+        const { log, run } = createFixture();
         await run("apply", version7);
         await run("apply", version8);
         expect((await run("apply", version9, "--base", "1")).exitCode).toEqual(3);
@@ -92,18 +92,18 @@
         expect(log.entries).toHaveLength(2);
     });
 
-    // Guards against a lost answer that is taken for a failure or for a success, and against a second revision.
+    // Guards against a lost response that is taken for a failure or a success, and against a second revision.
     const faults: [string, AppendFault[], ExitCode, number, number | undefined][] = [
-        ["appended, answer lost", ["answer-lost"], 0, 1, 1],
+        ["appended, response lost", ["answer-lost"], 0, 1, 1],
         ["request lost", ["lost"], 0, 1, 1],
-        ["both, one after the other", ["lost", "answer-lost"], 0, 1, 1],
-        ["refused, then taken", ["refused", "none"], 0, 1, 1],
+        ["request lost, then response lost", ["lost", "answer-lost"], 0, 1, 1],
+        ["refused, then appended", ["refused", "none"], 0, 1, 1],
         ["refused each time", ["refused", "refused", "refused", "refused"], 4, 0, undefined],
         ["lost each time", ["lost", "lost", "lost", "lost"], 4, 0, undefined],
     ];
     for (const [name, appendFaults, exitCode, entries, revision] of faults) {
-        it(`reads the log to learn the outcome: ${name}`, async () => {
-            const { log, run } = createScene();
+        it(`reads the outcome of an append from the log: ${name}`, async () => {
+            const { log, run } = createFixture();
             log.appendFaults.push(...appendFaults);
             expect((await run("apply", version7)).exitCode).toEqual(exitCode);
             expect(log.entries).toHaveLength(entries);
@@ -111,9 +111,9 @@
         });
     }
 
-    // Guards against an append that is repeated although it succeeded, and changes the configuration a second time.
-    it("repeats an append under the same id while the log cannot be read", async () => {
-        const { log, run } = createScene();
+    // Guards against a successful append that is repeated and changes the configuration a second time.
+    it("repeats an append with the same id while the log cannot be read", async () => {
+        const { log, run } = createFixture();
         log.appendFaults.push(() => {
             log.failingReads = 1;
         });
@@ -122,18 +122,18 @@
         expect(readRow(log)?.revision).toEqual(1);
     });
 
-    // Guards against a conflict although no operator changed anything: a refresh moves the offset, not the revision.
-    it("bases the change on a refresh that came in between", async () => {
-        const { log, run } = createScene();
+    // Guards against a conflict although no operator changed anything: a refresh changes the offset, not the revision.
+    it("bases the change on a refresh that was appended in the meantime", async () => {
+        const { log, run } = createFixture();
         await run("apply", version7);
-        log.appendFaults.push(() => log.write(createRefresh(log)));
+        log.appendFaults.push(() => log.write(createRefreshRecord(log)));
         expect((await run("apply", version8)).exitCode).toEqual(0);
         expect(readRow(log)).toEqual(expect.subset({ revision: 2, writer: "operator" }));
     });
 
-    // Guards against an old client that erases fields which only the new schema has.
-    it("of version 1 keeps the version 2 fields of the row in force", async () => {
-        const { log, run } = createScene();
+    // Guards against an old client that erases fields which only the new schema version defines.
+    it("keeps the fields of schema version 2 when a declaration of version 1 follows", async () => {
+        const { log, run } = createFixture();
         await run("apply", writeDeclaration("7", "objective = origin-bytes\npriority = 8\nupdateStrategy = rolling"));
         const planned = await run("plan", writeDeclaration("8", "", 1), "--json");
         expect((planned.json["changes"] as { field: string; }[]).map(({ field }) => field))
@@ -146,9 +146,9 @@
 });
 
 describe("rollback", () => {
-    // Guards against a rollback that rewinds the history or brings back only a part of the old content.
-    it("writes a new revision with the whole content of an earlier one", async () => {
-        const { log, run } = createScene();
+    // Guards against a rollback that reuses an old revision or restores only a part of its content.
+    it("writes a new revision with the complete content of an earlier one", async () => {
+        const { log, run } = createFixture();
         await run("apply", writeDeclaration("7", "priority = 8"));
         await run("apply", writeDeclaration("8", "priority = 2"));
         await run("apply", version9);
@@ -162,9 +162,9 @@
         expect(readRow(log)!.offset > offset && readRow(log)!.writtenAt >= writtenAt).toEqual(true);
     });
 
-    // Guards against a rollback to a revision that does not exist or is in force, and a wrong default.
-    it("takes the revision before the newest by default and refuses unknown ones", async () => {
-        const { log, run } = createScene();
+    // Guards against a rollback to a revision that does not exist or is in force, and against a wrong default.
+    it("restores the revision before the newest by default and refuses unknown revisions", async () => {
+        const { log, run } = createFixture();
         expect((await run("rollback", "scribe")).exitCode).toEqual(2);
         await run("apply", version7);
         expect((await run("rollback", "scribe")).exitCode).toEqual(2);
@@ -176,11 +176,11 @@
     });
 
     // Guards against a rollback that overwrites a change that was accepted in the meantime.
-    it("loses a race with a conflict", async () => {
-        const { log, run } = createScene();
+    it("reports a conflict if another change was accepted first", async () => {
+        const { log, run } = createFixture();
         await run("apply", version7);
         await run("apply", version8);
-        log.appendFaults.push(() => log.write(createRival(log)));
+        log.appendFaults.push(() => log.write(createRivalRecord(log)));
         expect((await run("rollback", "scribe")).exitCode).toEqual(3);
         expect(readRow(log)?.writer).toEqual("rival");
     });
--- a/test/node/cli/commandLine.test.ts
+++ b/test/node/cli/commandLine.test.ts
@@ -37,10 +37,10 @@
     return { status: 200, body: { decisions: [{ ...decision, decidedAt, choice, instance: "entry-1" }] } };
 }
 
-const ask = (answers: Record<string, EntryAnswer>) => createCommandRunner(createMemoryLog(), fold, answers);
+const createRunner = (answers: Record<string, EntryAnswer>) => createCommandRunner(createMemoryLog(), fold, answers);
 
 describe("exit codes and output of the command line", () => {
-    // Guards against scripts that take a usage error or a failure for success, and against --json that is no JSON.
+    // Guards against scripts that take a usage error or a failure for a success, and against invalid JSON with --json.
     const cases: [string, string[], Record<string, EntryAnswer>, ExitCode, string][] = [
         ["help", ["--help"], {}, 0, "Exit codes"],
         ["help of each command with an example", ["apply", "--help"], {}, 0, "goldcrestpoint apply examples/"],
@@ -67,7 +67,7 @@
             JSON.stringify(statusAnswer.body),
         ],
         [
-            "decisions of several instances in the order of time",
+            "decisions of several instances, ordered by time",
             ["explain", "r1", ...setEntries],
             {
                 "http://a:1/operations/decisions/r1": decisionsAnswer("2026-01-02T00:00:00.000Z", "later"),
@@ -84,25 +84,25 @@
             "no decision on r1 is kept",
         ],
         [
-            "no decision from a part of the instances",
+            "no decision, and no answer from some of the instances",
             ["explain", "r1", ...setEntries],
             { "http://a:1/operations/decisions/r1": { status: 404, body: {} } },
             4,
             "",
         ],
     ];
-    for (const [name, words, answers, exitCode, output] of cases) {
+    for (const [name, commandArguments, answers, exitCode, output] of cases) {
         it(name, async () => {
-            const result = await ask(answers)(...words);
+            const result = await createRunner(answers)(...commandArguments);
             expect(result.exitCode).toEqual(exitCode);
             expect(result.output).toEqual(expect.includes(output));
             expect(result.errors === "").toEqual(exitCode < 2);
         });
     }
 
-    // Guards against a watch that ends at the first answer or hides an instance that stopped answering.
+    // Guards against a watch that ends after the first answer or hides an entry instance that stopped answering.
     it("status --watch repeats until interrupted", async () => {
-        const { exitCode, output } = await ask({ "http://a:1/operations/status": statusAnswer })(
+        const { exitCode, output } = await createRunner({ "http://a:1/operations/status": statusAnswer })(
             "status",
             "--watch",
             "--json",
@@ -112,11 +112,11 @@
         expect(output.trim().split("\n")).toHaveLength(10);
     });
 
-    // Guards against a daemon that starts with settings that it has not understood.
-    it("daemons and stand-ins refuse wrong settings", async () => {
-        for (const words of [["entry"], ["agent"], ["stand-in", "platform"], ["stand-in", "engine"]]) {
+    // Guards against a daemon that starts despite invalid settings.
+    it("daemons and stand-ins refuse invalid settings", async () => {
+        for (const commandArguments of [["entry"], ["agent"], ["stand-in", "platform"], ["stand-in", "engine"]]) {
             let errors = "";
-            const exitCode = await runCommandLine([...words, "--set", "hold.holdSeconds=20s"], {
+            const exitCode = await runCommandLine([...commandArguments, "--set", "hold.holdSeconds=20s"], {
                 environment: {},
                 writeOutput: () => undefined,
                 writeError: text => {
@@ -132,14 +132,14 @@
 });
 
 describe("documentation", () => {
-    // Guards against a reference that lags behind the settings.
+    // Guards against a settings reference that is out of date.
     it("of the settings is generated from their definitions", () => {
         const page = new URL("../../../docs/settings.md", import.meta.url);
         expect(readFileSync(page, "utf8")).toEqual(renderSettingsDocumentation());
     });
 
-    // Guards against durations whose key does not name the unit, and defaults that are not allowed.
-    it("names the unit of each duration, and each default is allowed", () => {
+    // Guards against durations whose key does not end with the unit, and defaults that are not allowed.
+    it("of each duration has a key with its unit, and each default is allowed", () => {
         const faulty = Object.values<SectionTable[string]>(allSections).flatMap(keys =>
             Object.entries(keys).filter(([key, { allowed, defaultText, schema }]) => {
                 const unit = /^a number of (seconds|milliseconds)/.exec(allowed)?.[1] ?? "";
--- a/test/node/cli/entryQuery.test.ts
+++ b/test/node/cli/entryQuery.test.ts
@@ -21,8 +21,8 @@
     };
 }
 
-describe("questions of operator commands to entry instances", () => {
-    // Guards against a route and a client that do not fit, and a request id that is not found because of its characters.
+describe("queries of operator commands to entry instances", () => {
+    // Guards against a client that does not match the route, and a request id that is not found due to its characters.
     it("read the kept decisions of a request", async () => {
         const logger = createLogger({
             level: "error",
@@ -43,12 +43,12 @@
         expect(expectOk(await query.get(server.url, "/operations/decisions/r2")).status).toEqual(404);
     });
 
-    // Guards against a command that hangs or crashes on a faulty entry instance.
+    // Guards against a command that hangs or crashes because of a faulty entry instance.
     const faults: [string, RequestListener, number, string][] = [
-        ["no answer in time", () => undefined, 50, "PEER_UNREACHABLE"],
+        ["no response in time", () => undefined, 50, "PEER_UNREACHABLE"],
         ["connection closed", request => request.socket.destroy(), 10_000, "PEER_UNREACHABLE"],
         [
-            "answer cut off",
+            "truncated response",
             (...[, response]) => {
                 response.writeHead(200, { "content-length": "100" });
                 response.write("{", () => response.destroy());
@@ -56,10 +56,10 @@
             10_000,
             "PEER_UNREACHABLE",
         ],
-        ["answer that is no JSON", (...[, response]) => response.end("<html>"), 10_000, "no body"],
+        ["response that is not JSON", (...[, response]) => response.end("<html>"), 10_000, "no body"],
     ];
     for (const [name, listener, timeLimit, expected] of faults) {
-        it(`end with an error or without a body: ${name}`, async () => {
+        it(`return an error or no body: ${name}`, async () => {
             await using server = await listen(listener);
             await using query = createEntryQuery(timeLimit);
             const answer = await query.get(server.url, "/operations/status");
--- a/test/node/cli/examples.test.ts
+++ b/test/node/cli/examples.test.ts
@@ -14,7 +14,7 @@
 const run = createCommandRunner(createMemoryLog(), fold);
 
 describe("examples", () => {
-    // Guards against examples that lag behind the settings and declarations.
+    // Guards against examples that are no longer valid settings or declarations.
     for (const file of files) {
         it(`${file} is valid`, async () => {
             const { exitCode, errors } = await run("validate", folder + file);
@@ -23,7 +23,7 @@
         });
     }
 
-    // Guards against examples that do not show the sizes of the users.
+    // Guards against examples whose sizes differ from the users' deployments.
     it("declare the users' numbers of runners", () => {
         const declarations = files
             .map(file => expectOk(readIniFile(folder + file, "DECLARATION_INVALID")))
@@ -44,7 +44,7 @@
     });
 
     // Guards against a help text that names a file which does not exist.
-    it("are named in the help as they are in the folder", () => {
+    it("that the help texts name exist", () => {
         const named = operatorCommands.flatMap(({ example }) => /examples\/(\S+)/.exec(example)?.[1] ?? []);
         expect(named.filter(name => !files.includes(name))).toEqual([]);
     });
--- a/test/node/cli/logReader.test.ts
+++ b/test/node/cli/logReader.test.ts
@@ -20,7 +20,7 @@
 
 describe("log reader of the operator commands", () => {
     // Guards against a state that lacks the records after the first page or the first read.
-    it("reads all pages, and goes on where it stopped", async () => {
+    it("reads all pages, and continues where the last read ended", async () => {
         const log = createMemoryLog();
         let base = 0;
         for (const id of ["a", "b", "c", "d", "e"]) {
@@ -36,8 +36,8 @@
         expect(["a", "f", "late"].map(id => reader.findAccepted(id)?.revision)).toEqual([1, 6, undefined]);
     });
 
-    // Guards against a log without its first entries that is folded as if it were whole.
-    it("tells the fold where a truncated log begins, once", async () => {
+    // Guards against a truncated log whose remaining entries are applied as if none were missing.
+    it("passes the first offset of a truncated log to the fold once", async () => {
         const log = createMemoryLog();
         log.write(createRecord("expired", 0));
         log.write(createRecord("a", 3));
@@ -55,7 +55,7 @@
         expect(begins).toEqual([6]);
     });
 
-    // Guards against a partial state that passes for the whole one.
+    // Guards against a partial state that is taken for a complete one.
     it("reports a failed read", async () => {
         const log = createMemoryLog();
         log.failingReads = 1;
--- a/test/node/cli/support.ts
+++ b/test/node/cli/support.ts
@@ -4,15 +4,15 @@
 import { createError, type LogEntry, type LogPort, type LogRecord, type Manifest } from "../../../src/types/index.js";
 import { computeDigest, createManualClock } from "../../../src/utils/index.js";
 
-/** What happens to one append. */
+/** Fault of one append; a function is called before the record is appended. */
 export type AppendFault = "none" | "answer-lost" | "refused" | "lost" | ((log: MemoryLog) => void);
 
-/** Log in memory whose appends fail as told. */
+/** In-memory log whose appends and reads fail as specified. */
 export interface MemoryLog extends LogPort {
     readonly entries: LogEntry[];
-    /** Faults of the next appends, in order; no fault when empty. */
+    /** Faults of the next appends, in order; none if empty. */
     readonly appendFaults: AppendFault[];
-    /** Reads that fail before the next one succeeds. */
+    /** Number of reads that fail before the next one succeeds. */
     failingReads: number;
     write(record: LogRecord): number;
 }
@@ -28,7 +28,7 @@
         failingReads: 0,
         write: record => {
             const previousOffset = entries.at(-1)?.offset ?? 0;
-            // Offsets have gaps, as after the expiry of other records.
+            // Leaves gaps between offsets, as the expiry of other records does.
             entries.push({ offset: previousOffset + 3, previousOffset, record });
             return previousOffset + 3;
         },
@@ -70,7 +70,7 @@
     chunks: [{ bytes: 10, digest: "c" }],
 };
 
-/** Runs commands against ports in memory and collects their output. */
+/** Creates a function that runs a command with in-memory ports and collects its output. */
 export function createCommandRunner(log: MemoryLog, fold: FoldPort, answers: Record<string, EntryAnswer> = {}) {
     let nextId = 1;
     let pauses = 0;
@@ -102,10 +102,10 @@
         [Symbol.asyncDispose]: () => Promise.resolve(),
     };
     const program = () => Promise.resolve(ok(undefined));
-    return async (...words: string[]) => {
+    return async (...commandArguments: string[]) => {
         let output = "";
         let errors = "";
-        const exitCode = await runCommandLine(words, {
+        const exitCode = await runCommandLine(commandArguments, {
             environment: {},
             writeOutput: text => {
                 output += text;
