Reword the system tests and the test of the library

They now name the fault that each test guards against in the usual terms, and durations have a unit.

--- a/test/library.test.ts
+++ b/test/library.test.ts
@@ -17,8 +17,8 @@
 } from "../src/index.js";
 
 describe("the package as a library", () => {
-    // Guards against decisions that cannot be driven by another program's events and time.
-    it("takes a configuration to a placement without a daemon", () => {
+    // Guards against decisions that another program cannot drive with its own events and time.
+    it("derives a placement from a configuration without a daemon", () => {
         const clock = createManualClock();
         const state = createFoldState();
         const instances = createInstanceTable();
--- a/test/system/atMostOnce.test.ts
+++ b/test/system/atMostOnce.test.ts
@@ -13,8 +13,8 @@
 import { createIdempotencyKey } from "../../src/runtime/idempotency/index.js";
 import { createSystemRandom, sleep } from "../../src/utils/index.js";
 
-/** Clock skew that owners allow for; younger owners refuse keys. */
-const ownerAge = 3_000;
+/** Time for which a new owner refuses keys, in milliseconds: the clock skew that it allows for. */
+const minimumOwnerAge = 3_000;
 
 async function sendThroughAll(cluster: Cluster, key: string): Promise<LoadRecord[]> {
     const records: LoadRecord[] = [];
@@ -25,14 +25,14 @@
 }
 
 describe("a non-idempotent request that is sent again", () => {
-    // Guards against a second execution through another entry instance, after a lost answer, and after the restart of
-    // the agent that knew the key.
-    it("runs at most once, and a stored answer is returned again", async () => {
+    // Guards against a second execution: through another entry instance, after a lost answer, and after a restart of
+    // the agent that stored the key.
+    it("runs at most once, and its stored answer is returned again", async () => {
         await using cluster = await startLoneStar({
             pools: [{ pool: "accounts", kind: "service", runners: [1, 0, 0] }],
         });
         await deploy(cluster, { name: "accounts", kind: "service", replicas: [1, 0, 0] });
-        await sleep(ownerAge);
+        await sleep(minimumOwnerAge);
         const random = createSystemRandom();
         const [runner] = cluster.runners;
 
@@ -49,7 +49,7 @@
         runner!.agent.signal("SIGKILL");
         await runner!.agent.waitForExit();
         cluster.restartAgent(runner!);
-        await sleep(ownerAge);
+        await sleep(minimumOwnerAge);
         const restarted = await sendThroughAll(cluster, before);
         expect(restarted.some(({ result }) => result === "answered")).toEqual(false);
 
--- a/test/system/crashingRequest.test.ts
+++ b/test/system/crashingRequest.test.ts
@@ -5,13 +5,13 @@
 
 /** Prompt that crashes the stand-in engine. */
 const crashingPrompt = "summary of crash-backend-server";
-/** Two crashes for each of the two entry instances that may not have heard of the first one. */
+/** Two crashes for each of the two entry instances, since one may not yet know of the other's first crash. */
 const maximumCrashes = 4;
 
 describe("a request that crashes each backend server that runs it", () => {
-    // Guards against a caller that takes down one backend server after the other, and against innocent requests of the
-    // same batch that are refused for good.
-    it("is refused after a small number of crashes while its neighbours are answered", async () => {
+    // Guards against a caller that crashes one backend server after the other, and against the permanent refusal of
+    // requests that were only in progress on the same backend server.
+    it("is refused after a small number of crashes while other requests are answered", async () => {
         await using cluster = await startLoneStar({
             entries: 2,
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [2, 2, 2] }],
--- a/test/system/drain.test.ts
+++ b/test/system/drain.test.ts
@@ -13,9 +13,9 @@
 } from "../../demo/cluster/index.js";
 import { sleep } from "../../src/utils/index.js";
 
-/** Time after which a leaving backend server must get no new work. */
-const noticeTime = 3_000;
-/** Answers of 16 tokens take longer than the time in which servers close connections that are in use. */
+/** Time within which a leaving backend server stops getting new requests, in milliseconds. */
+const noticeTimeLimit = 3_000;
+/** An answer of 16 tokens then takes longer than servers keep connections that are in use open during shutdown. */
 const slowEngine = { GOLDCRESTPOINT_STAND_IN_ENGINE_TOKENS_PER_SECOND: "4" };
 
 describe("a graceful shutdown", () => {
@@ -41,8 +41,8 @@
 });
 
 describe("a leaving instance", () => {
-    // Guards against new work for an instance that the platform is about to end.
-    it("gets no new work after a few seconds and is replaced", async () => {
+    // Guards against new requests for an instance that the platform is about to end.
+    it("gets no new requests after a few seconds and is replaced", async () => {
         await using cluster = await startLoneStar({
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [3, 0, 0] }],
         });
@@ -54,11 +54,11 @@
         await sendJsonRequest("POST", `${cluster.platformUrl}/control/instances/${leaving}/state`, {
             state: "leaving",
         });
-        await sleep(noticeTime);
+        await sleep(noticeTimeLimit);
 
-        const countOf = async (instance: string): Promise<number> =>
+        const countExecutions = async (instance: string): Promise<number> =>
             (await readExecutions(cluster)).filter(execution => execution.instance === instance).length;
-        const countAfterNotice = await countOf(leaving);
+        const countAfterNotice = await countExecutions(leaving);
         await waitUntil("two other runners serve", 30_000, async () => {
             const status = await sendJsonRequest("GET", `${cluster.entries[0]!.url}/operations/status`);
             return JSON.stringify(status.body).includes("\"serving\":2");
@@ -66,7 +66,7 @@
         await waitUntilServing(cluster, "goldcrest-llm", 30_000);
         await sleep(1_000);
         const records = await load.stop();
-        expect(await countOf(leaving)).toEqual(countAfterNotice);
+        expect(await countExecutions(leaving)).toEqual(countAfterNotice);
         expect(findBrokenGuarantees(records, await readExecutions(cluster)).wrongAnswers).toEqual([]);
         expect(countResults(records)["broken"] ?? 0).toEqual(0);
     });
--- a/test/system/logOutage.test.ts
+++ b/test/system/logOutage.test.ts
@@ -15,13 +15,13 @@
 } from "../../demo/cluster/index.js";
 import { sleep } from "../../src/utils/index.js";
 
-/** Three times the hold duration of the test clusters. */
+/** Three times the hold duration of the test clusters, in milliseconds. */
 const outage = 12_000;
 
 describe("an outage of the platform's log", () => {
-    // Guards against holders that unload although only the log is unreachable, and against processes that start with
-    // an older configuration or serve without one.
-    it("leaves copies serving, gives starting processes the state of peers, and lets changes in afterwards", async () => {
+    // Guards against holders that unload their weights although only the log is unreachable, and against processes that
+    // start with an older configuration or without one.
+    it("leaves copies serving, lets processes start with the state of peers, and accepts changes later", async () => {
         await using cluster = await startLoneStar({
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [1, 1, 1] }],
         });
@@ -48,8 +48,8 @@
         await waitUntilServing(cluster, "goldcrest-llm", 30_000);
     });
 
-    // Guards against an entry instance that takes requests without any configuration.
-    it("keeps an entry instance without peers not ready", async () => {
+    // Guards against an entry instance that accepts requests without any configuration.
+    it("keeps a restarted entry instance unready if it has no peers", async () => {
         await using cluster = await startLoneStar({ entries: 1 });
         const entry = cluster.entries[0]!;
         await waitUntil("the entry instance is ready", 10_000, async () => {
--- a/test/system/manyEntries.test.ts
+++ b/test/system/manyEntries.test.ts
@@ -3,12 +3,12 @@
 import { deploy, readStatus, startLoneStar } from "../../demo/cluster/index.js";
 import { sleep } from "../../src/utils/index.js";
 
-/** Several times the time after which an agent that is not heard counts as unreachable in the test clusters. */
+/** Milliseconds, several times those without a heartbeat after which an agent counts as unreachable in this cluster. */
 const observationTime = 12_000;
 
 describe("more entry instances than an agent follows", () => {
-    // Guards against a proposer that takes agents for unreachable because they report to other entry instances.
-    it("leave a placement as it is", async () => {
+    // Guards against a proposer that considers agents unreachable because they follow other entry instances.
+    it("append no record while nothing changes", async () => {
         await using cluster = await startLoneStar({
             entries: 6,
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [3, 3, 3] }],
--- a/test/system/servesEndToEnd.test.ts
+++ b/test/system/servesEndToEnd.test.ts
@@ -16,8 +16,8 @@
 hou-hall-b = 2
 `;
 
-describe("the whole path as processes", () => {
-    // Guards against any break between a declaration in a file and an answered request.
+describe("a cluster of separate processes", () => {
+    // Guards against any missing link between a declaration file and an answered request.
     it("answers through each entry instance with the declared model, adapter and version", async () => {
         await using cluster = await startCluster({
             zones: [{ zone: "dfw-hall-a", region: "dallas" }, { zone: "hou-hall-b", region: "houston" }],
--- a/test/system/survivesKills.test.ts
+++ b/test/system/survivesKills.test.ts
@@ -13,7 +13,8 @@
 import { sleep } from "../../src/utils/index.js";
 
 describe("processes that are killed during live requests", () => {
-    // Guards against wrong or incomplete answers, requests refused as not run that ran, and keys executed twice.
+    // Guards against wrong or incomplete answers, requests that ran although they were refused as not run, and keys
+    // that were executed twice.
     it("break no guarantee", async () => {
         await using cluster = await startLoneStar({
             pools: [
--- a/test/system/versionChange.test.ts
+++ b/test/system/versionChange.test.ts
@@ -15,8 +15,8 @@
 import { sleep } from "../../src/utils/index.js";
 
 describe("a version that changes during live requests", () => {
-    // Guards against answers from partial or mixed weights, also when chunks are corrupted and the version changes
-    // again while copies are still moving.
+    // Guards against answers from partial or mixed weights, even if chunks are corrupted and the version changes again
+    // while copies are still being replaced.
     it("answers every request from one complete version", async () => {
         await using cluster = await startLoneStar({
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [2, 2, 0] }],
