Use simulation terms in the scenario benchmark

They now say scenario, disturbance, caller retry and on time; the keys of the JSON output and the names in it are unchanged. sizes.ts, which holds the parameters, is now parameters.ts.

--- a/bench/days.ts
+++ b/bench/days.ts
@@ -1,8 +1,8 @@
 import { parseArgs } from "node:util";
 import { policies } from "./days/policies.js";
 import { scenarios } from "./days/scenarios.js";
-import { playDay } from "./days/simulation.js";
-import type { DayResult } from "./days/summary.js";
+import { simulateScenario } from "./days/simulation.js";
+import type { ScenarioResult } from "./days/summary.js";
 
 const { values } = parseArgs({
     options: { json: { type: "boolean", default: false }, seed: { type: "string", default: "1" } },
@@ -12,7 +12,7 @@
     return (share * 100).toFixed(1).padStart(5);
 }
 
-function formatResult(result: DayResult): string {
+function formatResult(result: ScenarioResult): string {
     const { inAimByClass, timeToReplicas } = result;
     return [
         result.policy.padEnd(18),
@@ -33,8 +33,10 @@
 }
 
 const seed = Number(values.seed);
-const results = Object.entries(scenarios).flatMap(([day, createScenario]) =>
-    Object.entries(policies).map(([name, createPolicy]) => playDay(day, createScenario(), name, createPolicy, seed))
+const results = Object.entries(scenarios).flatMap(([scenario, createScenario]) =>
+    Object.entries(policies).map(([name, createPolicy]) =>
+        simulateScenario(scenario, createScenario(), name, createPolicy, seed)
+    )
 );
 
 if (values.json) {
@@ -42,11 +44,11 @@
 }
 else {
     const header =
-        "in aim /s, then %: worth, in aim, answered, worst second, urgent, other, worst account, refused, resent, returned; " +
-        "p95 first token ms; s to replicas";
+        "first tokens on time /s; then %: worth, on time, answered, worst second, urgent, other, worst account, " +
+        "refused, resent, returned; p95 time to first token in ms; s until all replicas hold the version";
     console.log(`seed ${seed}: ${header}`);
-    for (const day of Object.keys(scenarios)) {
-        console.log(`\n${day}`);
-        console.log(results.filter(result => result.day === day).map(formatResult).join("\n"));
+    for (const scenario of Object.keys(scenarios)) {
+        console.log(`\n${scenario}`);
+        console.log(results.filter(result => result.day === scenario).map(formatResult).join("\n"));
     }
 }
--- a/bench/days/engine.ts
+++ b/bench/days/engine.ts
@@ -1,13 +1,13 @@
 import type { RunnerLoadReport } from "../../src/runtime/routing/index.js";
 import type { Milliseconds } from "../../src/types/index.js";
 
-/** Times of an engine that reads prompts one after the other and writes all answers in one batch. */
+/** Sizes and speeds of an engine that processes prompts one after the other and generates all answers in one batch. */
 export const engineModel = {
     slots: 16,
     queue: 32,
     promptTokensPerMillisecond: 20.7,
     tokenMilliseconds: 9.27,
-    /** Further time of a token for each answer that is written beside it. */
+    /** Additional time per token for each answer in the batch. */
     tokenMillisecondsPerAnswer: 0.0232,
     loadMilliseconds: 300,
 } as const;
@@ -19,35 +19,35 @@
     readonly answerTokens: number;
 }
 
-/** What an engine tells of its requests. */
+/** Callbacks for the progress of an engine's requests. */
 export interface EngineEvents {
     firstToken(requestId: string, now: Milliseconds): void;
     finished(requestId: string, now: Milliseconds): void;
-    /** The request was cut off, since the engine stopped or began to load. */
+    /** The request was aborted because the engine stopped or began to load weights. */
     broken(requestId: string, now: Milliseconds): void;
 }
 
 interface RunningWork {
     readonly work: EngineWork;
-    promptLeft: number;
-    answerLeft: number;
+    promptTokensLeft: number;
+    answerTokensLeft: number;
 }
 
-/** Model of one engine in virtual time. */
+/** Simulated engine in virtual time. */
 export interface Engine {
     readonly instance: string;
     readonly zone: string;
-    /** Loaded version; 0 for none. */
+    /** Version of the loaded weights; 0 for none. */
     version: number;
     /** Factor on all times; 1 for a healthy engine. */
     slowness: number;
-    /** Takes no requests while its agent says so. */
+    /** True while the engine drains before it loads a new version; its reports then say that it takes no requests. */
     draining: boolean;
-    /** @returns false if the queue is full, or nothing is loaded: the request did not run */
+    /** @returns false if the request was not accepted: the queue is full, or no weights are loaded */
     offer(work: EngineWork): boolean;
     cancel(requestId: string): void;
     load(version: number, now: Milliseconds): void;
-    /** Ends the process; all requests break, and the weights are gone. */
+    /** Simulates the end of the process: all requests are aborted, and the weights are unloaded. */
     stop(now: Milliseconds): void;
     advance(now: Milliseconds, duration: Milliseconds): void;
     report(): RunnerLoadReport;
@@ -55,9 +55,9 @@
 }
 
 /**
- * Creates an engine.
+ * Creates a simulated engine.
  *
- * @param instance - its name
+ * @param instance - name of its instance
  * @param zone - availability zone
  * @param events - called when requests progress
  * @returns the engine, with version 1 loaded
@@ -67,9 +67,9 @@
     const queued: EngineWork[] = [];
     let loading: { readonly version: number; readonly until: Milliseconds; } | undefined;
 
-    function breakAll(now: Milliseconds): void {
-        const open = [...running.splice(0).map(({ work }) => work), ...queued.splice(0)];
-        for (const { requestId } of open) {
+    function abortAll(now: Milliseconds): void {
+        const unfinished = [...running.splice(0).map(({ work }) => work), ...queued.splice(0)];
+        for (const { requestId } of unfinished) {
             events.broken(requestId, now);
         }
     }
@@ -77,32 +77,32 @@
     function startQueued(): void {
         while (running.length < engineModel.slots && queued.length > 0) {
             const work = queued.shift()!;
-            running.push({ work, promptLeft: work.promptTokens, answerLeft: work.answerTokens });
+            running.push({ work, promptTokensLeft: work.promptTokens, answerTokensLeft: work.answerTokens });
         }
     }
 
-    /** Reads prompts in order; returns the time that is left for answers. */
+    /** Processes prompts in the order in which their requests started, as many tokens as fit into the duration. */
     function readPrompts(now: Milliseconds, duration: Milliseconds): void {
         let tokens = duration * engineModel.promptTokensPerMillisecond / engine.slowness;
         for (const row of running) {
-            if (row.promptLeft <= 0 || tokens <= 0) {
+            if (row.promptTokensLeft <= 0 || tokens <= 0) {
                 continue;
             }
-            const read = Math.min(tokens, row.promptLeft);
-            row.promptLeft -= read;
+            const read = Math.min(tokens, row.promptTokensLeft);
+            row.promptTokensLeft -= read;
             tokens -= read;
-            if (row.promptLeft <= 0) {
+            if (row.promptTokensLeft <= 0) {
                 events.firstToken(row.work.requestId, now);
             }
         }
     }
 
     function writeAnswers(now: Milliseconds, duration: Milliseconds): void {
-        const writers = running.filter(({ promptLeft }) => promptLeft <= 0);
-        const step = engineModel.tokenMilliseconds + engineModel.tokenMillisecondsPerAnswer * writers.length;
+        const writers = running.filter(({ promptTokensLeft }) => promptTokensLeft <= 0);
+        const timePerToken = engineModel.tokenMilliseconds + engineModel.tokenMillisecondsPerAnswer * writers.length;
         for (const row of writers) {
-            row.answerLeft -= duration / (step * engine.slowness);
-            if (row.answerLeft <= 0) {
+            row.answerTokensLeft -= duration / (timePerToken * engine.slowness);
+            if (row.answerTokensLeft <= 0) {
                 running.splice(running.indexOf(row), 1);
                 events.finished(row.work.requestId, now);
             }
@@ -132,11 +132,11 @@
             }
         },
         load: (version, now) => {
-            breakAll(now);
+            abortAll(now);
             loading = { version, until: now + engineModel.loadMilliseconds };
         },
         stop: now => {
-            breakAll(now);
+            abortAll(now);
             loading = undefined;
             engine.version = 0;
         },
--- a/bench/days/gateways.ts
+++ b/bench/days/gateways.ts
@@ -9,41 +9,43 @@
 import { createRunnerRow, type RunnerRow } from "../../src/runtime/routing/index.js";
 import type { RequestRow } from "../../src/types/index.js";
 import type { Engine } from "./engine.js";
+import { gatewaysPerZone, zones } from "./parameters.js";
 import type { Policy } from "./policies.js";
-import { gatewaysPerZone, zones } from "./sizes.js";
 import type { Caller } from "./summary.js";
 
-/** State of one gateway, with the tables of the product. */
+/** State of one simulated gateway; the tables are those of the real gateway. */
 export interface Gateway {
     readonly zone: string;
     readonly runners: RunnerRow[];
-    readonly table: AdmissionTable;
+    readonly admissionTable: AdmissionTable;
     readonly budget: RetryBudget;
     readonly policy: Policy;
     readonly patience: PatienceTable;
     readonly arrivals: Arrivals;
-    /** Decides whether the gateway gets a place for a fraction of one. */
+    /** Random number from 0 to 1; a gateway whose fraction of a place is larger gets a whole one. */
     draw: number;
 }
 
-/** Request of a caller at a gateway. */
+/** One try of a caller at a gateway; the gateway may send it to several engines in turn. */
 export interface Attempt {
     readonly caller: Caller;
     readonly gateway: Gateway;
     readonly request: RequestRow;
     readonly excluded: Set<string>;
-    attempts: number;
+    /** Number of engines that have failed or refused the request. */
+    attemptCount: number;
     runner: RunnerRow | undefined;
+    /** True once the first token has arrived. */
     begun: boolean;
 }
 
 /**
  * Creates the gateways of all zones.
  *
- * @param engines - engines that they know, without a report yet
+ * @param engines - engines that every gateway knows; they have not reported yet
  * @param createPolicy - creates the policy of one gateway
- * @param admission - bounds of their queues
- * @param retry - bounds of their retries
+ * @param admission - limits of the queues
+ * @param retry - limits of the retries
  * @returns the gateways
  */
 export function createGateways(
@@ -58,7 +60,7 @@
             runners: engines.map(engine =>
                 createRunnerRow("model", { instance: engine.instance, zone: engine.zone, region: engine.zone })
             ),
-            table: createAdmissionTable(admission),
+            admissionTable: createAdmissionTable(admission),
             budget: createRetryBudget(0, retry),
             policy: createPolicy(),
             patience: createPatienceTable(),
--- a/bench/days/sizes.ts
+++ b/bench/days/parameters.ts
@@ -6,22 +6,26 @@
 export const enginesPerZone = 4;
 export const tick: Milliseconds = 5;
 export const reportInterval: Milliseconds = 250;
-/** Time for which the draw of a gateway holds. */
+/** Time after which each gateway draws a new random number; see `Gateway.draw`. */
 export const drawInterval: Milliseconds = 250;
 export const reportDelay: Milliseconds = 20;
-/** First token within this time counts as in aim. */
-export const target: Milliseconds = 410;
-export const patience: Milliseconds = 6_000;
-/** Share of the target that a request may wait in a gateway. */
-export const waitShare = 0.5;
-export const callerTries = 2;
+/** Largest time to the first token that meets the target. */
+export const firstTokenTarget: Milliseconds = 410;
+export const callerTimeout: Milliseconds = 6_000;
+/** Longest wait of a request in a gateway's queue, as a share of the target. */
+export const maximumWaitShare = 0.5;
+export const maximumCallerTries = 2;
 export const meanPromptTokens = 800;
 export const meanAnswerTokens = 110;
 export const accountWeights = [50, 20, 10, 10, 5, 5];
 export const urgentShare = 0.2;
 
-/** Requests a second that all engines answer when their slots are full. */
-export function measureCapacity(): number {
+/**
+ * Computes the throughput of all engines with full slots.
+ *
+ * @returns requests per second
+ */
+export function computeCapacity(): number {
     const answer = meanAnswerTokens *
         (engineModel.tokenMilliseconds + engineModel.tokenMillisecondsPerAnswer * engineModel.slots);
     const prompt = meanPromptTokens / engineModel.promptTokensPerMillisecond;
@@ -29,13 +33,25 @@
     return perEngine * enginesPerZone * zones.length;
 }
 
-/** Draws an index by weight. */
+/**
+ * Picks an index at random, with a probability in proportion to its weight.
+ *
+ * @param weights - weight of each index
+ * @param random - source of randomness
+ * @returns the index
+ */
 export function pickWeighted(weights: readonly number[], random: RandomSource): number {
-    let left = random.next() * weights.reduce((sum, weight) => sum + weight, 0);
-    return Math.max(0, weights.findIndex(weight => (left -= weight) < 0));
+    let remaining = random.next() * weights.reduce((sum, weight) => sum + weight, 0);
+    return Math.max(0, weights.findIndex(weight => (remaining -= weight) < 0));
 }
 
-/** Samples an exponential distribution. */
+/**
+ * Draws a sample from an exponential distribution.
+ *
+ * @param mean - mean of the distribution
+ * @param random - source of randomness
+ * @returns the sample
+ */
 export function sampleExponential(mean: number, random: RandomSource): number {
     return -Math.log(1 - random.next()) * mean;
 }
--- a/bench/days/policies.ts
+++ b/bench/days/policies.ts
@@ -6,7 +6,7 @@
 } from "../../src/runtime/routing/index.js";
 import type { Milliseconds, RandomSource } from "../../src/types/index.js";
 
-/** What a policy chooses from. */
+/** Input of a routing policy. */
 export interface ChoiceInput {
     readonly runners: RunnerRow[];
     readonly zone: string;
@@ -15,16 +15,16 @@
     readonly random: RandomSource;
 }
 
-/** Policy of a gateway. */
+/** Queueing and routing policy of a gateway. */
 export interface Policy {
-    /** True if requests wait in the gateway for a free place; else they go to an engine at once. */
-    readonly queues: boolean;
-    /** True if requests that have missed their target start after those that have not. */
-    readonly ranksLate: boolean;
+    /** True if requests wait in the gateway for a free place; otherwise they are sent to an engine at once. */
+    readonly queuesRequests: boolean;
+    /** True if requests that can no longer meet their target start after those that can. */
+    readonly deprioritizesLate: boolean;
     choose(input: ChoiceInput): RunnerRow | undefined;
 }
 
-/** As the gateways of the users' platform are set. */
+/** Settings of the gateways on the users' platform. */
 const routing: RoutingOptions = resolveRoutingOptions({
     comparedCandidates: 6,
     waitingWeight: 5,
@@ -42,8 +42,8 @@
 function createRoundRobin(): Policy {
     let position = 0;
     return {
-        queues: false,
-        ranksLate: false,
+        queuesRequests: false,
+        deprioritizesLate: false,
         choose: input => {
             const serving = listServing(input);
             return serving[position++ % Math.max(1, serving.length)];
@@ -51,10 +51,10 @@
     };
 }
 
-function createOwn(queues: boolean, ranksLate: boolean): Policy {
+function createProductPolicy(queuesRequests: boolean, deprioritizesLate: boolean): Policy {
     return {
-        queues,
-        ranksLate,
+        queuesRequests,
+        deprioritizesLate,
         choose: ({ excluded, now, random, runners, zone }) => {
             const decision = selectRunner({
                 subset: { deployment: "model", runners },
@@ -73,15 +73,15 @@
     };
 }
 
-/** Policies by name; each gateway has its own. */
+/** Creates a policy, by name; "own" is the routing of this project. Each gateway has an instance of its own. */
 export const policies: Readonly<Record<string, () => Policy>> = {
-    own: () => createOwn(true, true),
-    "own by arrival": () => createOwn(true, false),
-    "own without queue": () => createOwn(false, false),
+    own: () => createProductPolicy(true, true),
+    "own by arrival": () => createProductPolicy(true, false),
+    "own without queue": () => createProductPolicy(false, false),
     "round robin": createRoundRobin,
     "least outstanding": () => ({
-        queues: false,
-        ranksLate: false,
+        queuesRequests: false,
+        deprioritizesLate: false,
         choose: input =>
             listServing(input).reduce<RunnerRow | undefined>(
                 (best, row) => best === undefined || row.outstanding < best.outstanding ? row : best,
--- a/bench/days/scenarios.ts
+++ b/bench/days/scenarios.ts
@@ -2,25 +2,25 @@
 import type { Milliseconds, RandomSource } from "../../src/types/index.js";
 import type { Engine } from "./engine.js";
 
-/** Length of a day in virtual time. */
-export const dayLength: Milliseconds = 30_000;
+/** Duration of a scenario in virtual time. */
+export const scenarioDuration: Milliseconds = 30_000;
 
-/** Second at which the trouble of a day begins. */
-const troubleAt: Milliseconds = 10_000;
+/** Time at which the disturbance of a scenario begins. */
+const disturbanceStart: Milliseconds = 10_000;
 
-/** What a day can change. */
-export interface DayWorld {
+/** State that a scenario can change. */
+export interface ScenarioContext {
     readonly engines: readonly Engine[];
     readonly random: RandomSource;
 }
 
-/** Day of the emulator. */
+/** Load and disturbances of a simulated period; the output of the benchmark calls it a day. */
 export interface Scenario {
-    /** Requests that arrive, as a share of what the engines can answer. */
+    /** Offered load as a share of the engines' capacity. */
     load(now: Milliseconds): number;
-    /** Brings trouble about. */
-    act(world: DayWorld, now: Milliseconds): void;
-    /** Version that all engines are to hold at the end; time to N replicas counts from its declaration. */
+    /** Applies the disturbance to the engines; called in every tick. */
+    updateEngines(context: ScenarioContext, now: Milliseconds): void;
+    /** Version that all engines should hold at the end; the time to replicas is counted from its declaration. */
     readonly wanted?: { readonly version: number; readonly declaredAt: Milliseconds; } | undefined;
 }
 
@@ -30,7 +30,7 @@
     return now >= from && now < from + duration;
 }
 
-/** Time from the declaration to the last chunk, on the links of the users' sites. */
+/** Time from the declaration of a version until its last chunk has arrived, on the links of the users' sites. */
 const transferTime: Milliseconds = 4_300;
 
 const rollout: RolloutOptions = {
@@ -42,19 +42,19 @@
     drainBeforeLoad: 1_000,
 };
 
-interface AgentRow {
+interface AgentState {
     drainingSince: Milliseconds | undefined;
     orderedAt: Milliseconds | undefined;
 }
 
-/** Rollout of version 2 by the decision of the agents; the transfer is taken to be even. */
-function createRollout(): Scenario {
-    const rows = new Map<string, AgentRow>();
-    const declaredAt = troubleAt;
+/** All engines change to version 2, as the agents decide; the transfer is assumed to progress at a constant rate. */
+function createVersionChange(): Scenario {
+    const states = new Map<string, AgentState>();
+    const declaredAt = disturbanceStart;
 
-    function decide(engine: Engine, members: readonly string[], now: Milliseconds): void {
-        const row = rows.get(engine.instance) ?? { drainingSince: undefined, orderedAt: undefined };
-        rows.set(engine.instance, row);
+    function advanceRollout(engine: Engine, members: readonly string[], now: Milliseconds): void {
+        const state = states.get(engine.instance) ?? { drainingSince: undefined, orderedAt: undefined };
+        states.set(engine.instance, state);
         const share = Math.min(1, (now - declaredAt) / transferTime);
         const decision = planLoad({
             report: {
@@ -70,21 +70,21 @@
             target: share === 1 ? 2 : 1,
             completedAt: share === 1 ? declaredAt + transferTime : undefined,
             transfer: share === 1 ? undefined : { version: 2, share },
-            drainingSince: row.drainingSince,
+            drainingSince: state.drainingSince,
             self: engine.instance,
             members,
-            orderedAt: row.orderedAt,
+            orderedAt: state.orderedAt,
             now,
             options: rollout,
         });
         if (decision.kind === "wait") {
             return;
         }
-        row.drainingSince ??= now;
+        state.drainingSince ??= now;
         engine.draining = true;
-        const isDrained = engine.countOpen() === 0 || now - row.drainingSince >= rollout.drainBeforeLoad;
+        const isDrained = engine.countOpen() === 0 || now - state.drainingSince >= rollout.drainBeforeLoad;
         if (decision.kind === "load" && isDrained) {
-            row.orderedAt = now;
+            state.orderedAt = now;
             engine.load(2, now);
         }
     }
@@ -92,31 +92,31 @@
     return {
         load: () => calmLoad,
         wanted: { version: 2, declaredAt },
-        act: ({ engines }, now) => {
+        updateEngines: ({ engines }, now) => {
             const members = engines.map(({ instance }) => instance);
             for (const engine of now < declaredAt ? [] : engines) {
                 if (engine.version < 2) {
-                    decide(engine, members, now);
+                    advanceRollout(engine, members, now);
                 }
             }
         },
     };
 }
 
-/** All engines lose their weights at once and have them back one after the other. */
+/** All engines stop at the same time, lose their weights and reload them one after the other. */
 function createMassRestart(): Scenario {
     let stopped = false;
-    const backAfter = 4_000;
+    const reloadAfter = 4_000;
     return {
         load: () => calmLoad,
-        wanted: { version: 1, declaredAt: troubleAt },
-        act: ({ engines }, now) => {
-            if (!stopped && now >= troubleAt) {
+        wanted: { version: 1, declaredAt: disturbanceStart },
+        updateEngines: ({ engines }, now) => {
+            if (!stopped && now >= disturbanceStart) {
                 stopped = true;
                 engines.forEach(engine => engine.stop(now));
             }
             engines.forEach((engine, index) => {
-                const loadAt = troubleAt + backAfter + index * 100;
+                const loadAt = disturbanceStart + reloadAfter + index * 100;
                 if (stopped && engine.version === 0 && now >= loadAt && now < loadAt + 10) {
                     engine.load(1, now);
                 }
@@ -125,19 +125,22 @@
     };
 }
 
-const nothing = (): void => {};
+const doNothing = (): void => {};
 
-/** Days by name; each call creates a fresh one. */
+/** Creates a scenario with its initial state, by name. */
 export const scenarios: Readonly<Record<string, () => Scenario>> = {
-    calm: () => ({ load: () => calmLoad, act: nothing }),
-    burst: () => ({ load: now => isDuring(now, troubleAt, 3_000) ? 1.6 : calmLoad, act: nothing }),
-    overload: () => ({ load: now => isDuring(now, troubleAt, 12_000) ? 1.3 : calmLoad, act: nothing }),
+    calm: () => ({ load: () => calmLoad, updateEngines: doNothing }),
+    burst: () => ({ load: now => isDuring(now, disturbanceStart, 3_000) ? 1.6 : calmLoad, updateEngines: doNothing }),
+    overload: () => ({
+        load: now => isDuring(now, disturbanceStart, 12_000) ? 1.3 : calmLoad,
+        updateEngines: doNothing,
+    }),
     "slow server": () => ({
         load: () => calmLoad,
-        act: ({ engines }, now) => {
-            engines[0]!.slowness = isDuring(now, troubleAt, 10_000) ? 8 : 1;
+        updateEngines: ({ engines }, now) => {
+            engines[0]!.slowness = isDuring(now, disturbanceStart, 10_000) ? 8 : 1;
         },
     }),
-    "version change": createRollout,
+    "version change": createVersionChange,
     "mass restart": createMassRestart,
 };
--- a/bench/days/simulation.ts
+++ b/bench/days/simulation.ts
@@ -14,49 +14,49 @@
 import { createSeededRandom } from "../../src/utils/index.js";
 import { createEngine, type Engine } from "./engine.js";
 import { type Attempt, createGateways, type Gateway } from "./gateways.js";
-import { type Policy, routingOptions } from "./policies.js";
-import { dayLength, type Scenario } from "./scenarios.js";
 import {
     accountWeights,
-    callerTries,
+    callerTimeout,
+    computeCapacity,
     drawInterval,
     enginesPerZone,
+    firstTokenTarget,
+    maximumCallerTries,
+    maximumWaitShare,
     meanAnswerTokens,
     meanPromptTokens,
-    measureCapacity,
-    patience,
     pickWeighted,
     reportDelay,
     reportInterval,
     sampleExponential,
-    target,
     tick,
     urgentShare,
-    waitShare,
     zones,
-} from "./sizes.js";
-import { type Caller, type DayResult, summarizeDay } from "./summary.js";
+} from "./parameters.js";
+import { type Policy, routingOptions } from "./policies.js";
+import { type Scenario, scenarioDuration } from "./scenarios.js";
+import { type Caller, type ScenarioResult, summarizeScenario } from "./summary.js";
 
 /**
- * Plays one day in virtual time.
+ * Simulates one scenario under one policy in virtual time.
  *
- * @param day - name of the day
- * @param scenario - the day
+ * @param day - name of the scenario
+ * @param scenario - load and disturbances
  * @param policyName - name of the policy
  * @param createPolicy - creates the policy of one gateway
- * @param seed - seed of arrivals, sizes and choices
- * @returns what callers saw
+ * @param seed - seed of the arrivals, request sizes and random choices
+ * @returns latency, answers, refusals and retries as the callers saw them
  */
-export function playDay(
+export function simulateScenario(
     day: string,
     scenario: Scenario,
     policyName: string,
     createPolicy: () => Policy,
     seed: number,
-): DayResult {
-    const arrivals = createSeededRandom(seed);
-    const choices = createSeededRandom(seed + 1);
-    const draws = createSeededRandom(seed + 2);
+): ScenarioResult {
+    const arrivalRandom = createSeededRandom(seed);
+    const choiceRandom = createSeededRandom(seed + 1);
+    const drawRandom = createSeededRandom(seed + 2);
     const retryOptions = resolveRetryOptions({ budgetShare: 0.1, budgetPerSecond: 0.5, budgetMaximum: 10 });
     const admissionOptions = resolveAdmissionOptions({
         maximumInProgress: 1_000,
@@ -65,18 +65,18 @@
     });
     const attempts = new Map<string, Attempt>();
     const callers: Caller[] = [];
-    const returns: { readonly at: Milliseconds; readonly caller: Caller; readonly gateway: Gateway; }[] = [];
+    const callerRetries: { readonly at: Milliseconds; readonly caller: Caller; readonly gateway: Gateway; }[] = [];
     const reports: { readonly at: Milliseconds; readonly instance: string; readonly report: RunnerLoadReport; }[] = [];
     const firstTokens: Histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: 100_000 });
     const counts = { refused: 0, resent: 0, returned: 0 };
     let now: Milliseconds = 0;
     let nextArrival = 0;
-    let replicasAt: Milliseconds | undefined;
+    let rolloutDuration: Milliseconds | undefined;
 
     const engines: Engine[] = zones.flatMap(zone =>
         [...Array(enginesPerZone).keys()].map(index =>
             createEngine(`${zone}-${index}`, zone, {
-                firstToken: (requestId, at) => noteFirstToken(requestId, at),
+                firstToken: (requestId, at) => recordFirstToken(requestId, at),
                 finished: requestId => release(requestId, "succeeded"),
                 broken: requestId => fail(requestId, "connection-lost", "unknown"),
             })
@@ -84,7 +84,7 @@
     );
     const gateways = createGateways(engines, createPolicy, admissionOptions, retryOptions);
 
-    function noteFirstToken(requestId: string, at: Milliseconds): void {
+    function recordFirstToken(requestId: string, at: Milliseconds): void {
         const attempt = attempts.get(requestId);
         if (attempt === undefined || attempt.begun) {
             return;
@@ -94,8 +94,8 @@
             attempt.runner.awaitingFirst--;
         }
         const { caller } = attempt;
-        caller.inAim = at - caller.begunAt <= target;
-        caller.answered = at - caller.begunAt <= patience;
+        caller.metTarget = at - caller.begunAt <= firstTokenTarget;
+        caller.answered = at - caller.begunAt <= callerTimeout;
         firstTokens.recordValue(Math.max(1, Math.round(at - caller.begunAt)));
     }
 
@@ -117,8 +117,8 @@
         }
         attempts.delete(requestId);
         detach(attempt, outcome);
-        if (attempt.gateway.policy.queues) {
-            apply(attempt.gateway, finishRequest(attempt.gateway.table, requestId, now));
+        if (attempt.gateway.policy.queuesRequests) {
+            handleDequeued(attempt.gateway, finishRequest(attempt.gateway.admissionTable, requestId, now));
         }
     }
 
@@ -131,13 +131,13 @@
             attempt.excluded.add(attempt.runner.instance);
         }
         detach(attempt, reason === "queue-full" ? "neutral" : "failed");
-        attempt.attempts++;
+        attempt.attemptCount++;
         const decision = decideRetry({
             request: attempt.request,
             refusal: { ran, reason, retryAfterSeconds: 0.2 },
             backendServerCrashed: false,
-            attempts: attempt.attempts,
-            // Streams of the users' sites are resumed.
+            attempts: attempt.attemptCount,
+            // The users' sites resume streams, so a retry is allowed after the answer has begun.
             answerBegun: false,
             mayHaveRun: ran === "unknown",
             standing: "clear",
@@ -158,11 +158,11 @@
 
     function refuse(caller: Caller, gateway: Gateway, retryAfterSeconds: number): void {
         counts.refused++;
-        const left = caller.begunAt + patience - now;
-        const wait = Math.min(retryAfterSeconds * 1_000, left / 3);
-        if (caller.tries < callerTries && left > wait + 50) {
+        const remainingTime = caller.begunAt + callerTimeout - now;
+        const wait = Math.min(retryAfterSeconds * 1_000, remainingTime / 3);
+        if (caller.tries < maximumCallerTries && remainingTime > wait + 50) {
             counts.returned++;
-            returns.push({ at: now + wait, caller, gateway });
+            callerRetries.push({ at: now + wait, caller, gateway });
         }
     }
 
@@ -173,7 +173,7 @@
             zone: gateway.zone,
             excluded,
             now,
-            random: choices,
+            random: choiceRandom,
         });
         if (runner === undefined) {
             release(request.requestId, "neutral");
@@ -190,7 +190,7 @@
         }
     }
 
-    function apply(gateway: Gateway, progress: AdmissionProgress): void {
+    function handleDequeued(gateway: Gateway, progress: AdmissionProgress): void {
         for (const { requestId } of progress.start) {
             send(attempts.get(requestId)!);
         }
@@ -201,58 +201,60 @@
         }
     }
 
-    function adapt(gateway: Gateway): void {
+    function updateCapacity(gateway: Gateway): void {
         const serving = gateway.runners.filter(({ ejectedUntil, phase }) => phase === "serving" && ejectedUntil <= now);
         const { places } = computePlaceShare({
             runners: serving.map(runner => ({ runner, isFollowed: true })),
             gateways: gateways.length,
             demand: {
                 arrivalRate: readArrivalRate(gateway.arrivals, now),
-                serviceTime: gateway.table.averageServiceTime,
+                serviceTime: gateway.admissionTable.averageServiceTime,
             },
             draw: gateway.draw,
             now,
             options: { queuedPerServer: 0, loadHalfLife: routingOptions.loadHalfLife },
         });
-        apply(gateway, setCapacity(gateway.table, places, now));
-        apply(gateway, expireRequests(gateway.table, now));
+        handleDequeued(gateway, setCapacity(gateway.admissionTable, places, now));
+        handleDequeued(gateway, expireRequests(gateway.admissionTable, now));
     }
 
-    function arrive(caller: Caller, gateway: Gateway): void {
+    function receiveRequest(caller: Caller, gateway: Gateway): void {
         caller.tries++;
-        const left = caller.begunAt + patience - now;
-        const missedTarget = estimateWaited(gateway.patience, "route", left) > target;
+        const remainingTime = caller.begunAt + callerTimeout - now;
+        const missedTarget = estimateWaited(gateway.patience, "route", remainingTime) > firstTokenTarget;
         const request: RequestRow = {
             requestId: `${caller.id}-${caller.tries}`,
             deployment: "model",
             clientAccount: caller.account,
             priority: caller.urgent ? 8 : 5,
-            deadline: gateway.policy.queues ? now + target * waitShare : caller.begunAt + patience,
+            deadline: gateway.policy.queuesRequests ?
+                now + firstTokenTarget * maximumWaitShare :
+                caller.begunAt + callerTimeout,
             receivedAt: now,
             idempotent: true,
             idempotencyKey: undefined,
             fingerprint: "",
             prefix: undefined,
-            missedTarget: gateway.policy.ranksLate && missedTarget,
+            missedTarget: gateway.policy.deprioritizesLate && missedTarget,
         };
         const attempt: Attempt = {
             caller,
             gateway,
             request,
             excluded: new Set(),
-            attempts: 0,
+            attemptCount: 0,
             runner: undefined,
             begun: false,
         };
         attempts.set(request.requestId, attempt);
         creditRequest(gateway.budget, now, retryOptions);
-        if (!gateway.policy.queues) {
+        if (!gateway.policy.queuesRequests) {
             send(attempt);
             return;
         }
         recordArrival(gateway.arrivals, now);
-        adapt(gateway);
-        const decision = offerRequest(gateway.table, request, now);
+        updateCapacity(gateway);
+        const decision = offerRequest(gateway.admissionTable, request, now);
         if (decision.kind === "start") {
             send(attempt);
         }
@@ -262,23 +264,23 @@
         }
     }
 
-    function createArrivals(): void {
-        const perMillisecond = measureCapacity() * scenario.load(now) / 1_000;
+    function generateArrivals(): void {
+        const arrivalsPerMillisecond = computeCapacity() * scenario.load(now) / 1_000;
         while (nextArrival <= now) {
             const caller: Caller = {
                 id: callers.length,
-                account: `account-${pickWeighted(accountWeights, arrivals)}`,
-                urgent: arrivals.next() < urgentShare,
+                account: `account-${pickWeighted(accountWeights, arrivalRandom)}`,
+                urgent: arrivalRandom.next() < urgentShare,
                 begunAt: now,
-                promptTokens: Math.ceil(sampleExponential(meanPromptTokens, arrivals)),
-                answerTokens: Math.ceil(sampleExponential(meanAnswerTokens, arrivals)),
+                promptTokens: Math.ceil(sampleExponential(meanPromptTokens, arrivalRandom)),
+                answerTokens: Math.ceil(sampleExponential(meanAnswerTokens, arrivalRandom)),
                 tries: 0,
-                inAim: false,
+                metTarget: false,
                 answered: false,
             };
             callers.push(caller);
-            arrive(caller, gateways[Math.floor(arrivals.next() * gateways.length)]!);
-            nextArrival += sampleExponential(1 / perMillisecond, arrivals);
+            receiveRequest(caller, gateways[Math.floor(arrivalRandom.next() * gateways.length)]!);
+            nextArrival += sampleExponential(1 / arrivalsPerMillisecond, arrivalRandom);
         }
     }
 
@@ -304,36 +306,36 @@
         }
     }
 
-    for (now = 0; now <= dayLength + patience; now += tick) {
+    for (now = 0; now <= scenarioDuration + callerTimeout; now += tick) {
         for (const gateway of now % drawInterval === 0 ? gateways : []) {
-            gateway.draw = draws.next();
+            gateway.draw = drawRandom.next();
         }
-        scenario.act({ engines, random: choices }, now);
+        scenario.updateEngines({ engines, random: choiceRandom }, now);
         deliverReports();
         engines.forEach(engine => engine.advance(now, tick));
-        for (const due of returns.filter(({ at }) => at <= now)) {
-            returns.splice(returns.indexOf(due), 1);
-            arrive(due.caller, due.gateway);
+        for (const due of callerRetries.filter(({ at }) => at <= now)) {
+            callerRetries.splice(callerRetries.indexOf(due), 1);
+            receiveRequest(due.caller, due.gateway);
         }
-        if (now <= dayLength) {
-            createArrivals();
+        if (now <= scenarioDuration) {
+            generateArrivals();
         }
-        gateways.filter(({ policy }) => policy.queues).forEach(adapt);
+        gateways.filter(({ policy }) => policy.queuesRequests).forEach(updateCapacity);
         const { wanted } = scenario;
         if (
             wanted !== undefined && now > wanted.declaredAt && engines.every(({ version }) => version >= wanted.version)
         ) {
-            replicasAt ??= now - wanted.declaredAt;
+            rolloutDuration ??= now - wanted.declaredAt;
         }
     }
 
-    return summarizeDay({
+    return summarizeScenario({
         day,
         policy: policyName,
-        seconds: dayLength / 1_000,
+        seconds: scenarioDuration / 1_000,
         callers,
         ...counts,
         firstTokenP95: firstTokens.getValueAtPercentile(95),
-        timeToReplicas: replicasAt,
+        timeToReplicas: rolloutDuration,
     });
 }
--- a/bench/days/summary.ts
+++ b/bench/days/summary.ts
@@ -1,32 +1,39 @@
 import type { Milliseconds } from "../../src/types/index.js";
 
-/** Sums of one day under one policy. */
-export interface DayResult {
+/**
+ * Results of one scenario under one policy, as written to the JSON output. "In aim" means that the first token arrived
+ * within the target.
+ */
+export interface ScenarioResult {
+    /** Name of the scenario. */
     readonly day: string;
     readonly policy: string;
     readonly requests: number;
-    /** Answers whose first token came in time, for each second. */
+    /** Answers per second whose first token arrived within the target. */
     readonly goodput: number;
+    /** Share of the callers whose first token arrived within the target. */
     readonly inAimShare: number;
-    /** Share of the callers that got an answer, in time or late. */
+    /** Share of the callers that got a first token before their timeout, within the target or later. */
     readonly answeredShare: number;
-    /** Mean worth of an answer: one in time, a quarter late. */
+    /** Mean value of a request: 1 for a first token within the target, 0.25 for a later one, 0 for none. */
     readonly worth: number;
-    /** In-aim share of the second with the lowest one. */
+    /** Lowest in-aim share of the callers that arrived in the same second. */
     readonly worstSecond: number;
     readonly inAimByClass: Readonly<Record<"urgent" | "other", number>>;
     /** Lowest in-aim share of a client account. */
     readonly worstAccount: number;
+    /** Refusals that callers got, per request; a caller that tries again can be refused more than once. */
     readonly refusedShare: number;
-    /** Further attempts of gateways, and returns of callers, for each request. */
+    /** Retries by gateways, per request. */
     readonly resent: number;
+    /** Retries by callers, per request. */
     readonly returned: number;
     readonly firstTokenP95: Milliseconds;
-    /** Time from the declaration until every engine holds the version; undefined if the day has none or it never did. */
+    /** Time from the declaration until every engine holds the version; undefined if this never happens. */
     readonly timeToReplicas: Milliseconds | undefined;
 }
 
-/** Caller with all its tries at one request. */
+/** Caller of one request, with all its tries. */
 export interface Caller {
     readonly id: number;
     readonly account: string;
@@ -35,14 +42,15 @@
     readonly promptTokens: number;
     readonly answerTokens: number;
     tries: number;
-    /** The first token came in time. */
-    inAim: boolean;
-    /** The first token came while the caller still waited. */
+    /** True if the first token arrived within the target. */
+    metTarget: boolean;
+    /** True if the first token arrived before the caller's timeout. */
     answered: boolean;
 }
 
-/** What one day has left behind. */
-export interface DayOutcome {
+/** Callers and counts of one simulated scenario. */
+export interface ScenarioOutcome {
+    /** Name of the scenario. */
     readonly day: string;
     readonly policy: string;
     readonly seconds: number;
@@ -54,44 +62,44 @@
     readonly timeToReplicas: Milliseconds | undefined;
 }
 
-/** Worth of a late answer, as the users state it for streams. */
-const lateWorth = 0.25;
+/** Value of a late answer relative to one within the target, as the users state it for streams. */
+const lateAnswerWorth = 0.25;
 
-function shareInAim(rows: readonly Caller[]): number {
-    return rows.length === 0 ? 1 : rows.filter(({ inAim }) => inAim).length / rows.length;
+function computeOnTimeShare(callers: readonly Caller[]): number {
+    return callers.length === 0 ? 1 : callers.filter(({ metTarget }) => metTarget).length / callers.length;
 }
 
-/** Lowest in-aim share of any group of callers. */
+/** Finds the lowest share of callers within the target among all groups. */
 function findLowestShare(callers: readonly Caller[], readGroup: (caller: Caller) => string): number {
     const groups = new Map<string, Caller[]>();
     for (const caller of callers) {
         const group = readGroup(caller);
         groups.set(group, [...groups.get(group) ?? [], caller]);
     }
-    return Math.min(...[...groups.values()].map(shareInAim));
+    return Math.min(...[...groups.values()].map(computeOnTimeShare));
 }
 
 /**
- * Sums up a day.
+ * Summarizes a simulated scenario.
  *
  * @param outcome - callers and counts
- * @returns shares of all callers, and of the worst second, class and account
+ * @returns shares over all callers, by class, and for the worst second and client account
  */
-export function summarizeDay(outcome: DayOutcome): DayResult {
+export function summarizeScenario(outcome: ScenarioOutcome): ScenarioResult {
     const { callers, day, firstTokenP95, policy, refused, resent, returned, seconds, timeToReplicas } = outcome;
     const answeredShare = callers.filter(({ answered }) => answered).length / Math.max(1, callers.length);
     return {
         day,
         policy,
         requests: callers.length,
-        goodput: callers.filter(({ inAim }) => inAim).length / seconds,
-        inAimShare: shareInAim(callers),
+        goodput: callers.filter(({ metTarget }) => metTarget).length / seconds,
+        inAimShare: computeOnTimeShare(callers),
         answeredShare,
-        worth: shareInAim(callers) * (1 - lateWorth) + answeredShare * lateWorth,
+        worth: computeOnTimeShare(callers) * (1 - lateAnswerWorth) + answeredShare * lateAnswerWorth,
         worstSecond: findLowestShare(callers, ({ begunAt }) => String(Math.floor(begunAt / 1_000))),
         inAimByClass: {
-            urgent: shareInAim(callers.filter(({ urgent }) => urgent)),
-            other: shareInAim(callers.filter(({ urgent }) => !urgent)),
+            urgent: computeOnTimeShare(callers.filter(({ urgent }) => urgent)),
+            other: computeOnTimeShare(callers.filter(({ urgent }) => !urgent)),
         },
         worstAccount: findLowestShare(callers, ({ account }) => account),
         refusedShare: refused / callers.length,
--- a/test/bench/days.test.ts
+++ b/test/bench/days.test.ts
@@ -2,50 +2,50 @@
 import { describe, it } from "node:test";
 import { policies } from "../../bench/days/policies.js";
 import { scenarios } from "../../bench/days/scenarios.js";
-import { playDay } from "../../bench/days/simulation.js";
+import { simulateScenario } from "../../bench/days/simulation.js";
 
 const seeds = [1, 2, 3];
 
-function play(day: string, policy: string, seed = 1) {
-    return playDay(day, scenarios[day]!(), policy, policies[policy]!, seed);
+function simulate(scenario: string, policy: string, seed = 1) {
+    return simulateScenario(scenario, scenarios[scenario]!(), policy, policies[policy]!, seed);
 }
 
-function average(day: string, policy: string, read: (result: ReturnType<typeof play>) => number): number {
-    return seeds.reduce((sum, seed) => sum + read(play(day, policy, seed)), 0) / seeds.length;
+function average(scenario: string, policy: string, read: (result: ReturnType<typeof simulate>) => number): number {
+    return seeds.reduce((sum, seed) => sum + read(simulate(scenario, policy, seed)), 0) / seeds.length;
 }
 
-describe("days of the emulator", () => {
-    it("repeat with the same seed", () => {
-        expect(play("burst", "own")).toEqual(play("burst", "own"));
+describe("simulated scenarios", () => {
+    it("give the same result with the same seed", () => {
+        expect(simulate("burst", "own")).toEqual(simulate("burst", "own"));
     });
 
-    it("are answered in time while it is calm", () => {
-        expect(play("calm", "own").inAimShare).toBeGreaterThan(0.99);
+    it("have more than 99 % of the first tokens on time under calm load", () => {
+        expect(simulate("calm", "own").inAimShare).toBeGreaterThan(0.99);
     });
 
-    for (const day of ["burst", "overload"]) {
-        it(`are worth more with a queue at the gateway during ${day} than with any baseline`, () => {
-            const own = average(day, "own", ({ worth }) => worth);
+    for (const scenario of ["burst", "overload"]) {
+        it(`give answers of a higher value with a queue at the gateway in ${scenario} than with any baseline`, () => {
+            const own = average(scenario, "own", ({ worth }) => worth);
             for (const baseline of ["own without queue", "round robin", "least outstanding"]) {
-                expect(own).toBeGreaterThan(average(day, baseline, ({ worth }) => worth));
+                expect(own).toBeGreaterThan(average(scenario, baseline, ({ worth }) => worth));
             }
         });
     }
 
-    it("have more answers in time under overload if late requests start last, for at most two in a hundred fewer answers", () => {
+    it("have more answers on time under overload if late requests start last, while at most 2 % lose theirs", () => {
         expect(average("overload", "own", ({ inAimShare }) => inAimShare))
             .toBeGreaterThan(average("overload", "own by arrival", ({ inAimShare }) => inAimShare));
         expect(average("overload", "own", ({ answeredShare }) => answeredShare) + 0.02)
             .toBeGreaterThan(average("overload", "own by arrival", ({ answeredShare }) => answeredShare));
     });
 
-    it("leave no client account behind", () => {
-        const { inAimShare, worstAccount } = play("overload", "own");
+    it("have an on-time share above 0.8 times the mean for every client account under overload", () => {
+        const { inAimShare, worstAccount } = simulate("overload", "own");
         expect(worstAccount).toBeGreaterThan(inAimShare * 0.8);
     });
 
-    it("bring a new version to every engine within 8 s, without a second in which most callers wait", () => {
-        const { timeToReplicas, worstSecond } = play("version change", "own");
+    it("roll out a version to all engines within 8 s, with over 90 % of the first tokens on time per second", () => {
+        const { timeToReplicas, worstSecond } = simulate("version change", "own");
         expect(timeToReplicas! < 8_000).toEqual(true);
         expect(worstSecond).toBeGreaterThan(0.9);
     });
