Say what the routing benchmark simulates

The server was called fake, a doc comment listed several sizes in one sentence, and constants such as measured, due and deadline did not say what they hold. They now have the names of what they are, and the comments say what is simulated. The folder has no tests.

--- a/bench/routing.ts
+++ b/bench/routing.ts
@@ -11,7 +11,7 @@
 });
 
 const loads = [0.7, 1.3];
-const ownPolicy = "two choices with affinity";
+const testedPolicy = "two choices with affinity";
 const baselines = ["round robin", "least reported load"];
 
 function formatResult(result: SimulationResult): string {
@@ -24,20 +24,20 @@
     ].join(" ");
 }
 
-/** Measures in which a baseline is better than our policy at the same load. */
-function listMissed(results: readonly SimulationResult[]): string[] {
+/** Lists the measures in which a baseline is better than the tested policy at the same load. */
+function listMissedTargets(results: readonly SimulationResult[]): string[] {
     const missed: string[] = [];
-    for (const own of results.filter(({ policy }) => policy === ownPolicy)) {
-        for (const other of results.filter(row => row.load === own.load && baselines.includes(row.policy))) {
-            const place = `at ${own.load} of capacity than ${other.policy}`;
-            if (own.timeToFirstTokenP95 > other.timeToFirstTokenP95) {
-                missed.push(`p95 time to first token is longer ${place}`);
+    for (const tested of results.filter(({ policy }) => policy === testedPolicy)) {
+        for (const baseline of results.filter(row => row.load === tested.load && baselines.includes(row.policy))) {
+            const comparison = `at ${tested.load} of capacity than ${baseline.policy}`;
+            if (tested.timeToFirstTokenP95 > baseline.timeToFirstTokenP95) {
+                missed.push(`p95 time to first token is longer ${comparison}`);
             }
-            if (own.prefixHitShare < other.prefixHitShare) {
-                missed.push(`prefix hit rate is lower ${place}`);
+            if (tested.prefixHitShare < baseline.prefixHitShare) {
+                missed.push(`prefix hit rate is lower ${comparison}`);
             }
-            if (own.refusedShare > other.refusedShare) {
-                missed.push(`refused share is higher ${place}`);
+            if (tested.refusedShare > baseline.refusedShare) {
+                missed.push(`refused share is higher ${comparison}`);
             }
         }
     }
@@ -48,7 +48,7 @@
 const results = loads.flatMap(load =>
     Object.entries(policies).map(([name, createPolicy]) => simulate(name, createPolicy, load, seed))
 );
-const missed = listMissed(results);
+const missed = listMissedTargets(results);
 
 if (values.json) {
     console.log(JSON.stringify({ seed, results, missed }));
--- a/bench/routing/policies.ts
+++ b/bench/routing/policies.ts
@@ -7,10 +7,10 @@
 } from "../../src/runtime/routing/index.js";
 import type { Milliseconds, RandomSource } from "../../src/types/index.js";
 
-/** What a policy chooses from. */
-export interface PolicyInput {
+/** Input of a routing policy. */
+export interface ChoiceInput {
     readonly subset: RunnerSubset;
-    /** Load of each runner as last reported, without any correction. */
+    /** Load of each runner from its last report, without a correction for requests sent since. */
     readonly reported: ReadonlyMap<string, number>;
     readonly zone: string;
     readonly prefix: string;
@@ -19,8 +19,8 @@
     readonly random: RandomSource;
 }
 
-/** Chooses a runner for a request; one instance for each entry instance. */
-export type Policy = (input: PolicyInput) => RunnerRow | undefined;
+/** Chooses a runner for a request; each entry instance has a policy with its own state. */
+export type Policy = (input: ChoiceInput) => RunnerRow | undefined;
 
 function createRoundRobin(): Policy {
     let position = 0;
@@ -31,7 +31,7 @@
     };
 }
 
-function createLeastReported(): Policy {
+function createLeastReportedLoad(): Policy {
     return ({ subset, reported, excluded }) => {
         let best: RunnerRow | undefined;
         let lowest = Number.POSITIVE_INFINITY;
@@ -63,10 +63,10 @@
     };
 }
 
-/** Policies that are compared; each is created once for each entry instance. */
+/** Creates the policies that are compared, by name; one is created for each entry instance. */
 export const policies: Readonly<Record<string, () => Policy>> = {
     "round robin": createRoundRobin,
-    "least reported load": createLeastReported,
+    "least reported load": createLeastReportedLoad,
     "two choices without affinity": () => createTwoChoices(resolveRoutingOptions(), false),
     "two choices with affinity": () => createTwoChoices(resolveRoutingOptions()),
 };
--- a/bench/routing/server.ts
+++ b/bench/routing/server.ts
@@ -9,25 +9,25 @@
 import type { RunnerLoadReport } from "../../src/runtime/routing/index.js";
 import type { Milliseconds, Refusal, RequestRow } from "../../src/types/index.js";
 
-/** Time to the first token without a cached prefix, with one, and for each further token. */
-export const timing = { coldPrefill: 240, warmPrefill: 40, token: 20, tokens: 40 };
-/** Requests that one server runs in its batch, that its agent queues, and prefixes that its cache holds. */
-export const size = { batch: 8, queue: 32, cachedPrefixes: 24 };
+/** Milliseconds to the first token without and with a cached prefix, and per token; `tokens` is the answer's length. */
+export const timings = { coldPrefill: 240, warmPrefill: 40, token: 20, tokens: 40 };
+/** Largest number of requests in a server's batch and in its agent's queue, and of prefixes in its cache. */
+export const limits = { batch: 8, queue: 32, cachedPrefixes: 24 };
 
 interface RunningRequest {
     readonly requestId: string;
     readonly finishesAt: Milliseconds;
 }
 
-/** What became of requests on a server. */
+/** Callbacks for the progress of a server's requests. */
 export interface ServerEvents {
     readonly firstToken: (request: RequestRow, at: Milliseconds, cached: boolean) => void;
     readonly refused: (request: RequestRow, refusal: Refusal) => void;
     readonly finished: (request: RequestRow) => void;
 }
 
-/** In-process stand-in of an agent with a batching backend server and a limited prefix cache. */
-export interface FakeServer {
+/** Simulated agent with a batching backend server and a limited prefix cache. */
+export interface SimulatedServer {
     readonly instance: string;
     readonly admission: AdmissionTable;
     offer(request: RequestRow, now: Milliseconds): void;
@@ -36,18 +36,18 @@
 }
 
 /**
- * Creates a server.
+ * Creates a simulated server.
  *
- * @param instance - its instance
+ * @param instance - name of its instance
  * @param slowness - factor on all times; 1 for a healthy server
  * @param events - called when requests progress
  * @returns the server
  */
-export function createFakeServer(instance: string, slowness: number, events: ServerEvents): FakeServer {
-    const serviceTime = timing.coldPrefill + timing.token * timing.tokens;
+export function createSimulatedServer(instance: string, slowness: number, events: ServerEvents): SimulatedServer {
+    const serviceTime = timings.coldPrefill + timings.token * timings.tokens;
     const admission = createAdmissionTable(resolveAdmissionOptions({
-        maximumInProgress: size.batch,
-        maximumQueued: size.queue,
+        maximumInProgress: limits.batch,
+        maximumQueued: limits.queue,
         initialServiceTime: serviceTime,
     }));
     const running: RunningRequest[] = [];
@@ -58,18 +58,18 @@
         const cached = cache.delete(request.prefix!);
         cache.add(request.prefix!);
         for (const oldest of cache) {
-            if (cache.size <= size.cachedPrefixes) {
+            if (cache.size <= limits.cachedPrefixes) {
                 break;
             }
             cache.delete(oldest);
         }
-        const prefill = slowness * (cached ? timing.warmPrefill : timing.coldPrefill);
+        const prefill = slowness * (cached ? timings.warmPrefill : timings.coldPrefill);
         events.firstToken(request, now + prefill, cached);
-        const finishesAt = now + prefill + slowness * timing.token * timing.tokens;
+        const finishesAt = now + prefill + slowness * timings.token * timings.tokens;
         running.push({ requestId: request.requestId, finishesAt });
     }
 
-    function apply(progress: ReturnType<typeof expireRequests>, now: Milliseconds): void {
+    function applyProgress(progress: ReturnType<typeof expireRequests>, now: Milliseconds): void {
         for (const request of progress.start) {
             start(request, now);
         }
@@ -94,9 +94,9 @@
             for (const { requestId } of running.filter(({ finishesAt }) => finishesAt <= now)) {
                 running.splice(running.findIndex(row => row.requestId === requestId), 1);
                 events.finished(admission.inProgress.get(requestId)!.request);
-                apply(finishRequest(admission, requestId, now), now);
+                applyProgress(finishRequest(admission, requestId, now), now);
             }
-            apply(expireRequests(admission, now), now);
+            applyProgress(expireRequests(admission, now), now);
         },
         report: () => ({
             manifestDigest: "digest",
@@ -104,7 +104,7 @@
             draining: false,
             running: admission.inProgress.size,
             queued: admission.queued.size,
-            capacity: size.batch,
+            capacity: limits.batch,
             cachedPrefixes: [...cache].reverse(),
             age: 0,
         }),
--- a/bench/routing/simulation.ts
+++ b/bench/routing/simulation.ts
@@ -10,21 +10,21 @@
 import type { Milliseconds, RandomSource, Refusal, RequestRow } from "../../src/types/index.js";
 import { createManualClock, createSeededRandom } from "../../src/utils/index.js";
 import type { Policy } from "./policies.js";
-import { createFakeServer, type FakeServer, type ServerEvents, size, timing } from "./server.js";
+import { createSimulatedServer, limits, type ServerEvents, type SimulatedServer, timings } from "./server.js";
 
-/** Sizes of today: about 10 runners, 3 entry instances, 10 client accounts, 3 of them large. */
-const runners = 10;
+/** Sizes of a current installation: about 10 runners, 3 entry instances, 10 client accounts, 3 of them large. */
+const runnerCount = 10;
 const zones = ["dfw-hall-a", "hou-hall-b", "sat-hall-c"];
 const accountWeights = [30, 20, 15, 5, 5, 5, 5, 5, 5, 5];
 const prefixesPerAccount = 30;
-const slowServer = 4;
+const slowServerIndex = 4;
 const slowness = 3;
 const tick = 5;
 const reportInterval = 100;
 const reportDelay = 1_000;
-const deadline = 2_000;
-const warmUp = 10_000;
-const measured = 60_000;
+const requestTimeout = 2_000;
+const warmUpDuration = 10_000;
+const measuredDuration = 60_000;
 
 /** Result of one policy at one load. */
 export interface SimulationResult {
@@ -52,10 +52,14 @@
     runner: RunnerRow | undefined;
 }
 
-/** Requests a second that the servers finish when half of the prefixes are cached. */
+/**
+ * Computes the throughput of all servers if half of the prefixes are cached.
+ *
+ * @returns requests per second
+ */
 export function computeCapacity(): number {
-    const serviceTime = (timing.coldPrefill + timing.warmPrefill) / 2 + timing.token * timing.tokens;
-    return (runners - 1 + 1 / slowness) * size.batch * 1_000 / serviceTime;
+    const serviceTime = (timings.coldPrefill + timings.warmPrefill) / 2 + timings.token * timings.tokens;
+    return (runnerCount - 1 + 1 / slowness) * limits.batch * 1_000 / serviceTime;
 }
 
 function pickWeighted(weights: readonly number[], random: RandomSource): number {
@@ -64,7 +68,7 @@
 }
 
 function createEntry(index: number, createPolicy: () => Policy): EntryState {
-    const candidates = [...Array(runners).keys()].map(number => {
+    const candidates = [...Array(runnerCount).keys()].map(number => {
         const zone = zones[number % zones.length]!;
         return { instance: `runner-${number}`, zone, region: zone };
     });
@@ -77,41 +81,44 @@
 }
 
 /**
- * Runs one policy against servers, one of which is slow, with load reports that arrive 1 s late.
+ * Simulates one policy with servers of which one is slow, and with load reports that arrive 1 s late.
  *
  * @param name - name of the policy
  * @param createPolicy - creates the policy of one entry instance
  * @param load - offered load as a share of the capacity
  * @param seed - seed of arrivals, accounts, prefixes and choices
- * @returns latency, cache hits and refusals after a warm-up
+ * @returns latency, cache hits and refusals of the requests after the warm-up
  */
 export function simulate(name: string, createPolicy: () => Policy, load: number, seed: number): SimulationResult {
     const clock = createManualClock();
     const random = createSeededRandom(seed);
-    const choices = createSeededRandom(seed + 1);
+    const choiceRandom = createSeededRandom(seed + 1);
     const retryOptions = resolveRetryOptions();
     const entries = [...zones.keys()].map(index => createEntry(index, createPolicy));
     const attempts = new Map<string, Attempt>();
-    const times = build({ lowestDiscernibleValue: 1, highestTrackableValue: 1_000_000 });
+    const firstTokenTimes = build({ lowestDiscernibleValue: 1, highestTrackableValue: 1_000_000 });
     const counts = { requests: 0, answered: 0, hits: 0, refused: 0 };
-    const reports: { readonly arrivesAt: Milliseconds; readonly index: number; readonly report: RunnerLoadReport; }[] =
-        [];
+    const delayedReports: {
+        readonly arrivesAt: Milliseconds;
+        readonly index: number;
+        readonly report: RunnerLoadReport;
+    }[] = [];
     const reported = new Map<string, number>();
     let sequence = 0;
 
     const events: ServerEvents = {
         firstToken: (request, at, cached) => {
-            if (request.receivedAt >= warmUp) {
+            if (request.receivedAt >= warmUpDuration) {
                 counts.answered += 1;
                 counts.hits += cached ? 1 : 0;
-                times.recordValue(Math.max(1, Math.round(at - request.receivedAt)));
+                firstTokenTimes.recordValue(Math.max(1, Math.round(at - request.receivedAt)));
             }
         },
         finished: request => release(request.requestId),
         refused: (request, refusal) => retry(request, refusal),
     };
-    const servers: FakeServer[] = [...Array(runners).keys()].map(index =>
-        createFakeServer(`runner-${index}`, index === slowServer ? slowness : 1, events)
+    const servers: SimulatedServer[] = [...Array(runnerCount).keys()].map(index =>
+        createSimulatedServer(`runner-${index}`, index === slowServerIndex ? slowness : 1, events)
     );
 
     function release(requestId: string): Attempt {
@@ -128,7 +135,7 @@
         const prefix = request.prefix!;
         const now = clock.monotonic();
         const { subset, zone } = entry;
-        const runner = entry.policy({ subset, reported, zone, prefix, excluded, now, random: choices });
+        const runner = entry.policy({ subset, reported, zone, prefix, excluded, now, random: choiceRandom });
         if (runner === undefined) {
             countRefusal(request);
             return;
@@ -140,7 +147,7 @@
     }
 
     function countRefusal(request: RequestRow): void {
-        counts.refused += request.receivedAt >= warmUp ? 1 : 0;
+        counts.refused += request.receivedAt >= warmUpDuration ? 1 : 0;
     }
 
     function retry(request: RequestRow, refusal: Refusal): void {
@@ -167,14 +174,14 @@
     function createRequest(now: Milliseconds): RequestRow {
         sequence += 1;
         const account = pickWeighted(accountWeights, random);
-        // Few prefixes of an account are frequent: the square of a uniform number favours the first.
+        // Squaring a uniform random number makes the prefixes with low numbers more frequent than the others.
         const prefix = Math.floor(random.next() ** 2 * prefixesPerAccount);
         return {
             requestId: `request-${sequence}`,
             deployment: "llm",
             clientAccount: `account-${account}`,
             priority: 5,
-            deadline: now + deadline,
+            deadline: now + requestTimeout,
             receivedAt: now,
             idempotent: true,
             idempotencyKey: undefined,
@@ -186,11 +193,11 @@
     function exchangeReports(now: Milliseconds): void {
         if (now % reportInterval === 0) {
             servers.forEach((server, index) =>
-                reports.push({ arrivesAt: now + reportDelay, index, report: server.report() })
+                delayedReports.push({ arrivesAt: now + reportDelay, index, report: server.report() })
             );
         }
-        while (reports[0] !== undefined && reports[0].arrivesAt <= now) {
-            const { index, report } = reports.shift()!;
+        while (delayedReports[0] !== undefined && delayedReports[0].arrivesAt <= now) {
+            const { index, report } = delayedReports.shift()!;
             reported.set(`runner-${index}`, report.running + report.queued);
             for (const { subset } of entries) {
                 applyLoadReport(subset.runners[index]!, { ...report, age: reportDelay }, now);
@@ -198,16 +205,16 @@
         }
     }
 
-    const arrivalShare = computeCapacity() * load * tick / 1_000;
-    for (let now = 0; now < warmUp + measured; now += tick) {
+    const arrivalsPerTick = computeCapacity() * load * tick / 1_000;
+    for (let now = 0; now < warmUpDuration + measuredDuration; now += tick) {
         exchangeReports(now);
         servers.forEach(server => server.advance(now));
-        // Requests begin once the first reports have arrived.
-        for (let due = arrivalShare; now > reportDelay && due > 0; due--) {
-            if (random.next() < due) {
+        // No requests are sent before the first reports have arrived.
+        for (let remainingArrivals = arrivalsPerTick; now > reportDelay && remainingArrivals > 0; remainingArrivals--) {
+            if (random.next() < remainingArrivals) {
                 const entry = entries[Math.floor(random.next() * entries.length)]!;
                 const request = createRequest(now);
-                counts.requests += now >= warmUp ? 1 : 0;
+                counts.requests += now >= warmUpDuration ? 1 : 0;
                 creditRequest(entry.budget, now, retryOptions);
                 send(request, { entry, attempts: 1, excluded: new Set(), runner: undefined });
             }
@@ -218,8 +225,8 @@
         policy: name,
         load,
         requests: counts.requests,
-        timeToFirstTokenP50: times.getValueAtPercentile(50),
-        timeToFirstTokenP95: times.getValueAtPercentile(95),
+        timeToFirstTokenP50: firstTokenTimes.getValueAtPercentile(50),
+        timeToFirstTokenP95: firstTokenTimes.getValueAtPercentile(95),
         prefixHitShare: counts.hits / counts.answered,
         refusedShare: counts.refused / counts.requests,
     };
