Say what each part of the decision benchmark measures

Several doc comments named "figures" without saying which, a function that feeds heartbeats to the proposer was called hear, and one that measures the duration of a call was called time. Both have the name of what they do, and each part says what it measures and returns. No tests here.

--- a/bench/decisions/admission.ts
+++ b/bench/decisions/admission.ts
@@ -27,10 +27,10 @@
 }
 
 /**
- * Measures admission with 256 requests in progress and a queue that is full (512).
+ * Measures admission with 256 requests in progress and a full queue of 512.
  *
  * @param seed - seed of the priorities
- * @returns figures
+ * @returns times of an offer, a finished request and an expiry tick, and bytes for a queued request
  */
 export function measureAdmission(seed: number): readonly Measurement[] {
     const random = createSeededRandom(seed);
--- a/bench/decisions/idempotency.ts
+++ b/bench/decisions/idempotency.ts
@@ -17,7 +17,7 @@
     return [...Array(count).keys()].map(index => `agent-${index}`);
 }
 
-/** Ownership of all keys, with an owner change by a restart of the newest owner in each of the last 20 seconds. */
+/** Creates an ownership history that changes once a second for 20 s, as repeated restarts of the newest owner cause. */
 function createHistory(count: number): ReturnType<typeof createOwnershipHistory> {
     const history = createOwnershipHistory("agent-0", start);
     const owners = listOwners(count);
@@ -39,10 +39,10 @@
 }
 
 /**
- * Measures the decision on keys with 10 and 430 owners and the rows of the ledger.
+ * Measures how long it takes to find the owner of a key and to decide on a key, with 10 and 430 owners.
  *
  * @param seed - seed of the keys
- * @returns figures
+ * @returns times of both, and bytes for each row of the ledger
  */
 export function measureIdempotency(seed: number): readonly Measurement[] {
     const random = createSeededRandom(seed);
--- a/bench/decisions/measurement.ts
+++ b/bench/decisions/measurement.ts
@@ -2,7 +2,7 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 
-/** One measured figure; a missed target makes `--check` fail. */
+/** One measured value; with `--check`, a value above its target makes the benchmark fail. */
 export interface Measurement {
     readonly name: string;
     readonly value: number;
@@ -11,7 +11,7 @@
     readonly target?: number | undefined;
 }
 
-/** Part of the benchmark; listed in `modules.ts`. */
+/** Measures one module of the decisions; `modules.ts` lists all of them. */
 export type MeasurementModule = (seed: number) => readonly Measurement[];
 
 const warmUpCalls = 5_000;
@@ -39,7 +39,7 @@
 /**
  * Summarizes times of single calls.
  *
- * @param name - what was called
+ * @param name - name of the measured call
  * @param histogram - times in nanoseconds
  * @param target - largest p99 in microseconds; undefined for none
  * @returns median and p99 in microseconds
@@ -57,7 +57,7 @@
 }
 
 /**
- * Measures the heap that each row of a table takes.
+ * Measures the heap that a row of a table takes on average.
  *
  * @param rows - number of rows that `fill` creates
  * @param fill - creates and returns the table
@@ -69,6 +69,6 @@
     const table = fill();
     collectGarbage();
     const after = process.memoryUsage().heapUsed;
-    // The table must stay reachable until the second reading.
+    // The table is used after the second reading, so that it is not garbage-collected before.
     return table === undefined ? 0 : (after - before) / rows;
 }
--- a/bench/decisions/modules.ts
+++ b/bench/decisions/modules.ts
@@ -5,7 +5,7 @@
 import { measureRouting } from "./routing.js";
 import { measureState } from "./state.js";
 
-/** Parts of the benchmark in the order in which they run. */
+/** Measured modules in the order in which they run. */
 export const modules: readonly MeasurementModule[] = [
     measureRouting,
     measureAdmission,
--- a/bench/decisions/retry.ts
+++ b/bench/decisions/retry.ts
@@ -33,9 +33,9 @@
 }
 
 /**
- * Measures the retry decision and the suspect table at its bound of 10,000 rows.
+ * Measures the retry decision and the look-up in a suspect table that holds its maximum of 10,000 rows.
  *
- * @returns figures
+ * @returns times of both, and bytes for each row of the suspect table
  */
 export function measureRetry(): readonly Measurement[] {
     const budget = createRetryBudget(0, options);
--- a/bench/decisions/routing.ts
+++ b/bench/decisions/routing.ts
@@ -14,7 +14,7 @@
 const prefixes = [...Array(500).keys()].map(index => computeDigest(String(index)));
 const cachedPrefixes = 50;
 const fleetSizes = [10, 100, 1_000, 3_200];
-const selectionTarget = 20;
+const selectionTargetMicroseconds = 20;
 
 function createFleet(size: number): SubsetCandidate[] {
     return [...Array(size).keys()].map(index => ({
@@ -65,23 +65,24 @@
 }
 
 /**
- * Measures the routing decision and the choice of the subset for growing fleets, and the size of a runner's row.
+ * Measures the routing decision and the selection of the subset at several fleet sizes.
  *
  * @param seed - seed of the random choices
- * @returns figures; the target is 20 microseconds at p99 for a decision
+ * @returns times of both, growth of the decision with the fleet and bytes for each runner's row; the target of a
+ *     decision is 20 microseconds at p99
  */
 export function measureRouting(seed: number): readonly Measurement[] {
     const measurements: Measurement[] = [];
     const medians: number[] = [];
     for (const size of fleetSizes) {
         const fleet = createFleet(size);
-        const choice = timeCalls(50, index => selectFrom(fleet, index));
+        const subsetSelection = timeCalls(50, index => selectFrom(fleet, index));
         const runners = selectFrom(fleet, 0).map(createServingRow);
         const selection = timeSelection(runners, seed);
         medians.push(selection.getValueAtPercentile(50));
         const name = `routing decision, fleet of ${size}, ${runners.length} candidates`;
-        measurements.push(...summarizeCalls(name, selection, selectionTarget));
-        measurements.push(...summarizeCalls(`choice of the subset, fleet of ${size}`, choice));
+        measurements.push(...summarizeCalls(name, selection, selectionTargetMicroseconds));
+        measurements.push(...summarizeCalls(`choice of the subset, fleet of ${size}`, subsetSelection));
     }
     const growth = (from: number, to: number) => medians[fleetSizes.indexOf(to)]! / medians[fleetSizes.indexOf(from)]!;
     const rows = 3_200;
--- a/bench/decisions/state.ts
+++ b/bench/decisions/state.ts
@@ -24,14 +24,14 @@
 const runnerCount = 3_200;
 const entryCount = 360;
 const repetitions = 15;
-const foldedRecords = 100_000;
+const foldedRecordCount = 100_000;
 const writtenAt = "2026-01-01T00:00:00.000Z";
 const weights = { model: "goldcrest-llm", adapter: "", version: "1", manifestDigest: "0".repeat(64) };
 
 /**
- * Measures a tick of the proposer and the fold at the design size, and the memory for each row of their tables.
+ * Measures a tick of the proposer at the design size, the fold of log records into the state, and table rows.
  *
- * @returns the figures; times are medians
+ * @returns times, most of them medians, and bytes for each row of the tables
  */
 export function measureState(): readonly Measurement[] {
     return [...measureProposer(), measureFold(), ...measureRows()];
@@ -71,7 +71,7 @@
         random: createSeededRandom(1),
         options: resolvePlacementOptions({ rankDelay: 0 }),
     };
-    hear(input);
+    updateObservations(input);
     return { input, clock };
 }
 
@@ -93,7 +93,8 @@
     };
 }
 
-function hear({ instances, observations, state, clock }: ProposerInput): void {
+/** Updates the observations as if each agent had just sent a heartbeat, with all of its copies serving. */
+function updateObservations({ instances, observations, state, clock }: ProposerInput): void {
     for (const { instance, role } of instances.rows()) {
         if (role === "backend-server") {
             const heardAt = clock.monotonic();
@@ -115,22 +116,22 @@
     const times: Record<"first" | "steady" | "replacing", number[]> = { first: [], steady: [], replacing: [] };
     for (let repetition = 0; repetition < repetitions; repetition++) {
         const { input, clock } = createFleet();
-        times.first.push(time(() => applyCommands(input)));
+        times.first.push(measureMilliseconds(() => applyCommands(input)));
         for (let round = 0; round < 4; round++) {
             clock.advance(1_000);
-            hear(input);
+            updateObservations(input);
             applyCommands(input);
         }
         clock.advance(1_000);
-        times.steady.push(time(() => applyCommands(input)));
+        times.steady.push(measureMilliseconds(() => applyCommands(input)));
         for (let index = 0; index < 80; index++) {
             const row = input.instances.get(`runner-${index % deploymentCount}-${index}`)!;
             input.instances.set(row.instance, { ...row, state: "leaving" });
         }
         clock.advance(1_000);
-        times.replacing.push(time(() => applyCommands(input)));
+        times.replacing.push(measureMilliseconds(() => applyCommands(input)));
     }
-    const ranked = measureRanked();
+    const ranked = measureRankedTick();
     return [
         {
             name: "proposer tick, first placement of 2,880 copies",
@@ -154,21 +155,24 @@
     ];
 }
 
-/** Measures an entry instance among 360, of which few deployments are at the early ranks. */
-function measureRanked(): number {
+/**
+ * Measures the mean tick of one of 360 entry instances at the default rank delay. It ranks early among the proposers of
+ * few deployments only.
+ */
+function measureRankedTick(): number {
     const { input, clock } = createFleet();
     const ticks = 120;
     for (let round = 0; round < 4; round++) {
         clock.advance(1_000);
         applyCommands(input);
-        hear(input);
+        updateObservations(input);
     }
     const ranked = { ...input, memory: createProposerMemory(), options: resolvePlacementOptions() };
     let elapsed = 0;
     for (let tick = 0; tick < ticks; tick++) {
         clock.advance(1_000);
-        hear(ranked);
-        elapsed += time(() => applyCommands(ranked));
+        updateObservations(ranked);
+        elapsed += measureMilliseconds(() => applyCommands(ranked));
     }
     return elapsed / ticks;
 }
@@ -223,7 +227,7 @@
 function measureFold(): Measurement {
     const records: LogRecord[] = [];
     const bases = new Map<string, number>();
-    for (let index = 0; index < foldedRecords; index++) {
+    for (let index = 0; index < foldedRecordCount; index++) {
         const deployment = `deployment-${index % 50}`;
         const chain = `${index % 3 === 0 ? "configuration" : "placement"}/${deployment}`;
         const base = bases.get(chain) ?? 0;
@@ -233,7 +237,7 @@
         bases.set(chain, index + 1);
     }
     const state = createFoldState();
-    const elapsed = time(() => records.forEach(record => append(state, record)));
+    const elapsed = measureMilliseconds(() => records.forEach(record => append(state, record)));
     return { name: "fold of 100,000 records, 40 copies each", value: elapsed, unit: "milliseconds" };
 }
 
@@ -283,7 +287,7 @@
     return { name: `table row: ${name}`, value: Math.round(value), unit: "bytes" };
 }
 
-function time(run: () => void): number {
+function measureMilliseconds(run: () => void): number {
     const start = process.hrtime.bigint();
     run();
     return Number(process.hrtime.bigint() - start) / 1e6;
