--- a/bench/capacity/countingForwarder.ts
+++ b/bench/capacity/countingForwarder.ts
@@ -1,6 +1,6 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 
-/** Forwarder that counts the bytes of the connections through it, with the framing of HTTP and HTTP/2. */
+/** TCP forwarder that counts the bytes of its connections, including the framing of HTTP and HTTP/2. */
 export interface CountingForwarder extends AsyncDisposable {
     readonly address: string;
     /** Bytes in both directions since the start. */
@@ -11,14 +11,14 @@
  * Starts a forwarder on loopback.
  *
  * @param listenPort - port to listen on
- * @param targetPort - port to which connections go on
+ * @param targetPort - port to which connections are forwarded
  * @returns the running forwarder
  */
 export async function startCountingForwarder(listenPort: number, targetPort: number): Promise<CountingForwarder> {
     const sockets = new Set<Socket>();
     let bytes = 0;
 
-    function pass(from: Socket, to: Socket): void {
+    function forward(from: Socket, to: Socket): void {
         sockets.add(from);
         from.setNoDelay(true);
         from.on("data", (chunk: Buffer) => {
@@ -34,8 +34,8 @@
 
     const server: Server = createServer(incoming => {
         const outgoing = connect(targetPort, "127.0.0.1");
-        pass(incoming, outgoing);
-        pass(outgoing, incoming);
+        forward(incoming, outgoing);
+        forward(outgoing, incoming);
     });
     await new Promise<void>(resolve => server.listen(listenPort, "127.0.0.1", resolve));
     return {
--- a/bench/capacity/designSize.ts
+++ b/bench/capacity/designSize.ts
@@ -13,21 +13,21 @@
     replacementsPerDay: 320,
 } as const;
 
-/** Budget for control on one node, and times that users see. */
+/** Resource limits for the control processes on one node, and limits for the latencies that users see. */
 export const budgets = {
     controlCores: 0.013,
     controlResidentBytes: 64_000_000,
     controlBytesPerSecond: 3_000,
     inForceSeconds: 17,
-    /** For 95 in 100. */
+    /** At the 95th percentile. */
     firstTokenMilliseconds: 410,
-    /** For 95 in 100. */
+    /** At the 95th percentile. */
     betweenTokensMilliseconds: 47,
     /** Lower end of "several hundred a second". */
     logAppendsPerSecond: 300,
 } as const;
 
-/** Values of settings that decide how often messages are sent; the defaults of the daemons. */
+/** Defaults of the daemons' settings that determine how many messages are sent. */
 export const rates = {
     followedRelays: 3,
     heartbeatsPerSecond: 1,
--- a/bench/capacity/followers.ts
+++ b/bench/capacity/followers.ts
@@ -13,17 +13,17 @@
 const heartbeatRates = [1, 5, 20];
 const recordFollowers = [0, 10, 30];
 const appendsPerSecond = 50;
-const windowMilliseconds = 6_000;
-/** A process that has just started compiles its code, which takes processor time that is not used later. */
+const sampleMilliseconds = 6_000;
+/** Lets a process that has just started compile its code, since that takes processor time that is not used later. */
 const warmUpMilliseconds = 8_000;
 
-/** Streams of stand-ins for agents, in this process. */
-interface Followers extends Disposable {
-    /** Sends heartbeats on every stream until the next call. */
+/** Streams of simulated agents, which run in this process. */
+interface SimulatedFollowers extends Disposable {
+    /** Sets the rate of the heartbeats on every stream; 0 stops them. */
     setRate(heartbeatsPerSecond: number): void;
 }
 
-function openFollowers(address: string, count: number): Followers {
+function openFollowers(address: string, count: number): SimulatedFollowers {
     let timer: NodeJS.Timeout | undefined;
     let heartbeat = 0n;
     const rows = [...Array(count).keys()].map(index => {
@@ -34,7 +34,7 @@
         return { client, stream, instance: `agent-${index}` };
     });
 
-    function beat(): void {
+    function sendHeartbeats(): void {
         heartbeat += 1n;
         for (const { stream, instance } of rows) {
             stream.write(create(FollowRequestSchema, {
@@ -59,7 +59,7 @@
     return {
         setRate: rate => {
             clearInterval(timer);
-            timer = rate === 0 ? undefined : setInterval(beat, 1_000 / rate);
+            timer = rate === 0 ? undefined : setInterval(sendHeartbeats, 1_000 / rate);
         },
         [Symbol.dispose]: () => {
             clearInterval(timer);
@@ -72,9 +72,9 @@
 }
 
 /**
- * Measures an entry instance as a relay: heartbeats at several rates, and records with several numbers of followers.
+ * Measures an entry instance as a relay, with heartbeats at several rates and with records to several followers.
  *
- * @returns figures
+ * @returns bytes and processor time for each heartbeat and for each record that is relayed
  */
 export async function measureFollowers(): Promise<CapacityFigure[]> {
     await using platform = await startPlatform();
@@ -96,7 +96,7 @@
     for (const rate of heartbeatRates) {
         followers.setRate(rate);
         await sleep(2_000);
-        const sample = await sampleUsage(entry, forwarder, windowMilliseconds);
+        const sample = await sampleUsage(entry, forwarder, sampleMilliseconds);
         cores.push([rate * followerCount, sample.cores]);
         bytes.push([rate * followerCount, sample.bytesPerSecond]);
     }
@@ -133,8 +133,8 @@
         followers.setRate(0);
         const before = appended;
         const startedAt = performance.now();
-        const sampling = sampleUsage(entry, forwarder, windowMilliseconds);
-        for (let next = 0; next < appendsPerSecond * windowMilliseconds / 1_000; next++) {
+        const sampling = sampleUsage(entry, forwarder, sampleMilliseconds);
+        for (let next = 0; next < appendsPerSecond * sampleMilliseconds / 1_000; next++) {
             const record = createConfigurationRecord("measured", base);
             recordBytes = JSON.stringify(record).length;
             base = await appendRecord(platform.url, record);
@@ -142,7 +142,7 @@
             await sleep(Math.max(0, startedAt + (next + 1) * 1_000 / appendsPerSecond - performance.now()));
         }
         const sample = await sampling;
-        const rate = (appended - before) / (windowMilliseconds / 1_000);
+        const rate = (appended - before) / (sampleMilliseconds / 1_000);
         cores.push([count, sample.cores / rate]);
         bytes.push([count, sample.bytesPerSecond / rate]);
     }
@@ -155,7 +155,7 @@
 }
 
 /**
- * Creates a declaration of a service that wants no copies, so that it has no effect beyond the relay.
+ * Creates a configuration record that declares a service without copies; it is relayed but has no other effect.
  *
  * @param deployment - name of the deployment
  * @param base - offset of the preceding record of the chain; 0 for none
--- a/bench/capacity/idleMemory.ts
+++ b/bench/capacity/idleMemory.ts
@@ -7,16 +7,16 @@
 import { readMemory, readMetric, registerInstance, startNode, startPlatform } from "./nodes.js";
 
 const settleMilliseconds = 8_000;
-const windowMilliseconds = 6_000;
+const sampleMilliseconds = 6_000;
 
-/** Heap limits that are compared. */
-const limits = {
+/** Node options that limit the heap, by the name of the compared variant. */
+const heapOptions = {
     "default heap": "",
     "semi-space 1 MB": "--max-semi-space-size=1",
     "semi-space 1 MB, old space 24 MB": "--max-semi-space-size=1 --max-old-space-size=24",
 } as const;
 
-/** Modules whose share of the memory is measured; each is loaded by a process that does nothing else. */
+/** Sets of modules whose memory is measured; a process loads one set and does nothing else. */
 const moduleSets: Readonly<Record<string, readonly string[]>> = {
     nothing: [],
     undici: ["undici"],
@@ -29,7 +29,7 @@
 /**
  * Measures the memory of idle processes: bare Node, the libraries, an entry instance and an agent.
  *
- * @returns figures
+ * @returns resident memory of each, and processor time and further memory figures of the daemons
  */
 export async function measureIdleMemory(): Promise<CapacityFigure[]> {
     const figures: CapacityFigure[] = [];
@@ -40,7 +40,7 @@
             unit: "bytes",
         });
     }
-    for (const [name, options] of Object.entries(limits)) {
+    for (const [name, options] of Object.entries(heapOptions)) {
         figures.push(...await measureDaemons(name, options));
     }
     return figures;
@@ -63,7 +63,7 @@
 async function measureDaemons(name: string, options: string): Promise<CapacityFigure[]> {
     await using platform = await startPlatform();
     const [servicePort] = await findFreePorts(1);
-    // Without a backend server, an agent spends its time on failed connections.
+    // Without a backend server, the agent would use processor time for connections that fail.
     await using resources = createDisposalStack();
     resources.use(startProgram("service", ["stand-in", "service"], {
         GOLDCRESTPOINT_STAND_IN_SERVICE_HTTP_ADDRESS: `127.0.0.1:${servicePort}`,
@@ -81,14 +81,14 @@
     const figures: CapacityFigure[] = [];
     for (const [role, node] of Object.entries({ "entry instance": entry, agent: agent })) {
         const before = await readMetric(node, "process_cpu_seconds_total");
-        await sleep(windowMilliseconds);
+        await sleep(sampleMilliseconds);
         const seconds = await readMetric(node, "process_cpu_seconds_total") - before;
         const { proportional, resident, residentFile } = await readMemory(node.process.pid);
         const budget = name === "default heap" ? budgets.controlResidentBytes : undefined;
         figures.push(
             {
                 name: `processor, idle ${role}, ${name}`,
-                value: seconds * 100_000 / windowMilliseconds,
+                value: seconds * 100_000 / sampleMilliseconds,
                 unit: "% of a core",
                 budget: budget && budgets.controlCores * 100,
             },
--- a/bench/capacity/inForce.ts
+++ b/bench/capacity/inForce.ts
@@ -3,18 +3,18 @@
 import { sleep } from "../../src/utils/index.js";
 import { budgets } from "./designSize.js";
 import { createConfigurationRecord } from "./followers.js";
-import { type CapacityFigure, readQuantile } from "./measurement.js";
+import { type CapacityFigure, computeQuantile } from "./measurement.js";
 import { appendRecord, type MeasuredNode, readMetric, registerInstance, startNode, startPlatform } from "./nodes.js";
 
 const entryCount = 12;
 const agentCount = 44;
-const startedAtOnce = 6;
-const changes = 15;
+const concurrentStarts = 6;
+const changeCount = 15;
 const zones = ["zone-a", "zone-b", "zone-c"];
 const followedRelays = [1, 3, 5];
 
 /**
- * Measures the time from an append to its effect on every one of 56 processes.
+ * Measures the time from the append of a configuration until each of 56 processes has applied it.
  *
  * @returns figures for each number of followed relays
  */
@@ -29,24 +29,29 @@
 async function measureWithParents(parents: number): Promise<CapacityFigure[]> {
     await using platform = await startPlatform();
     await using nodes = await startFleet(platform, { GOLDCRESTPOINT_RELAY_PARENTS: String(parents) });
-    const times: number[] = [];
-    const slowest: number[] = [];
+    const allDelays: number[] = [];
+    const slowestDelays: number[] = [];
     let base = 0;
     let unfinished = 0;
-    for (let change = 0; change < changes; change++) {
+    for (let change = 0; change < changeCount; change++) {
         const appendedAt = Date.now() / 1_000;
         base = await appendRecord(platform.url, createConfigurationRecord("in-force", base));
         unfinished += await waitUntilApplied(nodes.list, base) ? 0 : 1;
         const changedAt = await Promise.all(nodes.list.map(node => readMetric(node, "state_changed_seconds")));
         const delays = changedAt.map(time => time - appendedAt);
-        times.push(...delays);
-        slowest.push(Math.max(...delays));
+        allDelays.push(...delays);
+        slowestDelays.push(Math.max(...delays));
     }
     const name = `in force on ${nodes.list.length} processes, ${parents} followed relays`;
     return [
-        { name: `${name}, p50 of a process`, value: readQuantile(times, 0.5), unit: "s" },
-        { name: `${name}, p95 of a process`, value: readQuantile(times, 0.95), unit: "s" },
-        { name: `${name}, slowest process`, value: Math.max(...slowest), unit: "s", budget: budgets.inForceSeconds },
+        { name: `${name}, p50 of a process`, value: computeQuantile(allDelays, 0.5), unit: "s" },
+        { name: `${name}, p95 of a process`, value: computeQuantile(allDelays, 0.95), unit: "s" },
+        {
+            name: `${name}, slowest process`,
+            value: Math.max(...slowestDelays),
+            unit: "s",
+            budget: budgets.inForceSeconds,
+        },
         { name: `${name}, changes not everywhere within 30 s`, value: unfinished, unit: "changes", budget: 0 },
     ];
 }
@@ -75,10 +80,10 @@
         zone: zones[index % zones.length]!,
     }));
     const list: MeasuredNode[] = [];
-    for (let first = 0; first < plan.length; first += startedAtOnce) {
+    for (let first = 0; first < plan.length; first += concurrentStarts) {
         list.push(
             ...await Promise.all(
-                plan.slice(first, first + startedAtOnce).map(async ({ instance, role, zone }) => {
+                plan.slice(first, first + concurrentStarts).map(async ({ instance, role, zone }) => {
                     const zoneSettings = { ...settings, GOLDCRESTPOINT_INSTANCE_ZONE: zone };
                     const node = await startNode(role, instance, platform.url, zoneSettings);
                     const listedRole = role === "entry" ? "entry" : "backend-server";
--- a/bench/capacity/instanceRows.ts
+++ b/bench/capacity/instanceRows.ts
@@ -7,15 +7,15 @@
 import { sampleUsage, type UsageSample } from "./sampling.js";
 
 const sizes = [10, 100, 1_000, 3_200];
-const registrationsAtOnce = 40;
-/** A process that has just started compiles its code, which takes processor time that is not used later. */
+const concurrentRegistrations = 40;
+/** Lets a process that has just started compile its code, since that takes processor time that is not used later. */
 const settleMilliseconds = 8_000;
-const windowMilliseconds = 6_000;
+const sampleMilliseconds = 6_000;
 
 /**
- * Measures an entry instance that reads the platform's instance list, at several lengths of the list.
+ * Measures an entry instance that reads the platform's instance list, with lists of several lengths.
  *
- * @returns figures, with those at the design size fitted to the samples
+ * @returns figures of each sample, and figures at the design size from a line fitted to the samples
  */
 export async function measureInstanceRows(): Promise<CapacityFigure[]> {
     await using platform = await startPlatform();
@@ -27,7 +27,7 @@
     let registered = 0;
     for (const size of sizes) {
         while (registered < size) {
-            const count = Math.min(registrationsAtOnce, size - registered);
+            const count = Math.min(concurrentRegistrations, size - registered);
             const first = registered;
             await Promise.all(
                 [...Array(count).keys()].map(index =>
@@ -37,12 +37,12 @@
             registered += count;
         }
         await sleep(settleMilliseconds);
-        samples.push([size, await sampleUsage(entry, forwarder, windowMilliseconds)]);
+        samples.push([size, await sampleUsage(entry, forwarder, sampleMilliseconds)]);
     }
-    return [...samples.flatMap(([size, sample]) => listSample(size, sample)), ...listSlopes(samples)];
+    return [...samples.flatMap(([size, sample]) => listSampleFigures(size, sample)), ...listFittedFigures(samples)];
 }
 
-function listSample(rows: number, { bytesPerSecond, cores, resident }: UsageSample): CapacityFigure[] {
+function listSampleFigures(rows: number, { bytesPerSecond, cores, resident }: UsageSample): CapacityFigure[] {
     const name = `entry instance with ${rows} instance rows`;
     return [
         { name: `${name}, list and log reads`, value: bytesPerSecond, unit: "bytes/s" },
@@ -51,7 +51,7 @@
     ];
 }
 
-function listSlopes(samples: readonly (readonly [number, UsageSample])[]): CapacityFigure[] {
+function listFittedFigures(samples: readonly (readonly [number, UsageSample])[]): CapacityFigure[] {
     const total = designSize.runners + designSize.entries;
     const bytes = fitLine(samples.map(([size, { bytesPerSecond }]) => [size, bytesPerSecond]));
     const cores = fitLine(samples.map(([size, sample]) => [size, sample.cores * 100]));
--- a/bench/capacity/loadReports.ts
+++ b/bench/capacity/loadReports.ts
@@ -19,9 +19,9 @@
 const reportRates = [1, 5, 20];
 const watcherCounts = [0, 8, 32];
 const watchedHeartbeatsPerSecond = 10;
-const windowMilliseconds = 6_000;
+const sampleMilliseconds = 6_000;
 
-/** Prefixes have the length that entry instances give them. */
+/** Creates a load report whose prefixes are as long as those that entry instances compute. */
 function createReport(instance: string, prefixes: number): LoadReport {
     return create(LoadReportSchema, {
         instance,
@@ -43,9 +43,9 @@
 }
 
 /**
- * Measures load reports: an entry instance that gets them, and an agent that sends them.
+ * Measures load reports at the entry instance that receives them and at the agent that sends them.
  *
- * @returns figures
+ * @returns bytes and processor time for each report
  */
 export async function measureLoadReports(): Promise<CapacityFigure[]> {
     return [
@@ -87,7 +87,7 @@
         const report = createReport("runner-0", prefixes);
         const timer = setInterval(() => calls.forEach(call => call.write(report)), 1_000 / rate);
         await sleep(3_000);
-        const sample = await sampleUsage(entry, forwarder, windowMilliseconds);
+        const sample = await sampleUsage(entry, forwarder, sampleMilliseconds);
         clearInterval(timer);
         cores.push([rate * calls.size, sample.cores]);
         bytes.push([rate * calls.size, sample.bytesPerSecond]);
@@ -132,7 +132,7 @@
             return { client, stream };
         });
         await sleep(2_000);
-        const sample = await sampleUsage(agent, forwarder, windowMilliseconds);
+        const sample = await sampleUsage(agent, forwarder, sampleMilliseconds);
         cores.push([count * watchedHeartbeatsPerSecond, sample.cores]);
         clients.forEach(({ client, stream }) => {
             stream.cancel();
--- a/bench/capacity/measurement.ts
+++ b/bench/capacity/measurement.ts
@@ -1,4 +1,4 @@
-/** One measured or calculated figure. */
+/** One measured or calculated value. */
 export interface CapacityFigure {
     readonly name: string;
     readonly value: number;
@@ -23,13 +23,13 @@
 }
 
 /**
- * Reads a share of a list of values.
+ * Computes a quantile.
  *
  * @param values - values in any order; at least one
- * @param share - from 0 to 1, for example 0.95
- * @returns the value below which that share lies
+ * @param share - quantile from 0 to 1, for example 0.95
+ * @returns the value below which that share of the values lies
  */
-export function readQuantile(values: readonly number[], share: number): number {
+export function computeQuantile(values: readonly number[], share: number): number {
     const sorted = [...values].sort((left, right) => left - right);
     return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))]!;
 }
--- a/bench/capacity/nodes.ts
+++ b/bench/capacity/nodes.ts
@@ -15,9 +15,10 @@
     readonly grpcPort: number;
 }
 
-/** What `/proc` says of the memory of a process; file pages are those of the executable and its libraries. */
+/** Memory of a process in bytes, as `/proc` reports it. */
 export interface MemoryFigures {
     readonly resident: number;
+    /** Part of the resident memory that is mapped from files: the executable and its libraries. */
     readonly residentFile: number;
     /** Resident memory with each shared page divided by the number of processes that share it. */
     readonly proportional: number;
@@ -30,7 +31,7 @@
  * Starts the platform stand-in.
  *
  * @param settings - environment variables
- * @returns the node; `grpcPort` is that of its HTTP server
+ * @returns the platform once it answers; its `grpcPort` is the port of its HTTP server
  */
 export async function startPlatform(settings: ProcessSettings = {}): Promise<MeasuredNode> {
     const [port] = await findFreePorts(1);
@@ -48,7 +49,7 @@
 /**
  * Starts an entry instance or an agent.
  *
- * @param role - program
+ * @param role - program to start
  * @param instance - identifier
  * @param platformUrl - address of the platform, or of a forwarder to it
  * @param settings - further environment variables
@@ -87,7 +88,7 @@
  *
  * @param platformUrl - the platform
  * @param instance - identifier
- * @param role - role in the list
+ * @param role - role in the instance list
  * @param port - port at which others reach it
  * @param zone - availability zone
  */
@@ -122,7 +123,7 @@
 }
 
 /**
- * Reads one figure of a daemon's metrics.
+ * Reads one metric of a daemon.
  *
  * @param node - the daemon
  * @param name - name without the prefix `goldcrestpoint_`
@@ -137,7 +138,7 @@
  * Reads the memory of a process that the benchmark started.
  *
  * @param pid - process id
- * @returns bytes
+ * @returns its memory in bytes
  */
 export async function readMemory(pid: number): Promise<MemoryFigures> {
     const [status, rollup] = await Promise.all([
--- a/bench/capacity/streams.ts
+++ b/bench/capacity/streams.ts
@@ -1,18 +1,18 @@
 import { request } from "undici";
 import { type Cluster, deploy, sendJsonRequest, startLoneStar } from "../../demo/cluster/index.js";
 import { budgets, designSize } from "./designSize.js";
-import { type CapacityFigure, fitLine, readQuantile } from "./measurement.js";
+import { type CapacityFigure, computeQuantile, fitLine } from "./measurement.js";
 
-const lengths = [8, 128, 384];
+const answerLengths = [8, 128, 384];
 const callers = 4;
-const requestsOfCaller = 15;
+const requestsPerCaller = 15;
 const tokensPerSecond = 200;
 
 interface StreamSample {
     readonly requests: number;
     readonly tokens: number;
-    readonly entrySeconds: number;
-    readonly agentSeconds: number;
+    readonly entryCpuSeconds: number;
+    readonly agentCpuSeconds: number;
     readonly firstTokens: readonly number[];
     readonly gaps: readonly number[];
 }
@@ -20,7 +20,8 @@
 /**
  * Measures streamed completions through one entry instance, one agent and one engine stand-in.
  *
- * @returns figures; the slope over the length of the answers separates tokens from requests
+ * @returns latencies, and processor time for each token and each request: the slope and the intercept of a line fitted
+ *     over the length of the answers
  */
 export async function measureStreams(): Promise<CapacityFigure[]> {
     await using cluster = await startLoneStar({
@@ -29,22 +30,22 @@
         settings: { GOLDCRESTPOINT_STAND_IN_ENGINE_TOKENS_PER_SECOND: String(tokensPerSecond) },
     });
     await deploy(cluster, { name: "scribe", kind: "model", replicas: [1] });
-    await sampleStreams(cluster, lengths[0]!);
+    await sampleStreams(cluster, answerLengths[0]!);
     const samples: StreamSample[] = [];
-    for (const length of lengths) {
+    for (const length of answerLengths) {
         samples.push(await sampleStreams(cluster, length));
     }
-    return [...listSlopes(samples), ...listTimes(samples)];
+    return [...listFittedFigures(samples), ...listLatencies(samples)];
 }
 
-function listSlopes(samples: readonly StreamSample[]): CapacityFigure[] {
+function listFittedFigures(samples: readonly StreamSample[]): CapacityFigure[] {
     const fit = (read: (sample: StreamSample) => number) =>
         fitLine(samples.map(sample => [sample.tokens / sample.requests, read(sample) / sample.requests * 1_000_000]));
-    const entry = fit(({ entrySeconds }) => entrySeconds);
-    const agent = fit(({ agentSeconds }) => agentSeconds);
-    const tokensOfEntry = designSize.tokensPerSecond / designSize.entries;
-    const requestsOfEntry = designSize.requestsPerSecond / designSize.entries;
-    const tokensOfAgent = designSize.tokensPerSecond / designSize.runners;
+    const entry = fit(({ entryCpuSeconds }) => entryCpuSeconds);
+    const agent = fit(({ agentCpuSeconds }) => agentCpuSeconds);
+    const tokensPerEntry = designSize.tokensPerSecond / designSize.entries;
+    const requestsPerEntry = designSize.requestsPerSecond / designSize.entries;
+    const tokensPerAgent = designSize.tokensPerSecond / designSize.runners;
     return [
         { name: "entry instance, processor for each streamed token", value: entry.slope, unit: "us" },
         { name: "entry instance, processor for each request", value: entry.intercept, unit: "us" },
@@ -52,33 +53,37 @@
         { name: "agent, processor for each request", value: agent.intercept, unit: "us" },
         {
             name: "calculated: entry instance, serving",
-            value: (entry.slope * tokensOfEntry + entry.intercept * requestsOfEntry) / 10_000,
+            value: (entry.slope * tokensPerEntry + entry.intercept * requestsPerEntry) / 10_000,
+            unit: "% of a core",
+        },
+        {
+            name: "calculated: agent, serving tokens",
+            value: agent.slope * tokensPerAgent / 10_000,
             unit: "% of a core",
         },
-        { name: "calculated: agent, serving tokens", value: agent.slope * tokensOfAgent / 10_000, unit: "% of a core" },
     ];
 }
 
-function listTimes(samples: readonly StreamSample[]): CapacityFigure[] {
+function listLatencies(samples: readonly StreamSample[]): CapacityFigure[] {
     const firstTokens = samples.flatMap(sample => sample.firstTokens);
     const gaps = samples.flatMap(sample => sample.gaps);
     return [
         {
             name: "time to first token, p95",
-            value: readQuantile(firstTokens, 0.95),
+            value: computeQuantile(firstTokens, 0.95),
             unit: "ms",
             budget: budgets.firstTokenMilliseconds,
         },
         {
             name: "time between tokens, p95",
-            value: readQuantile(gaps, 0.95),
+            value: computeQuantile(gaps, 0.95),
             unit: "ms",
             budget: budgets.betweenTokensMilliseconds,
         },
     ];
 }
 
-async function readProcessor(url: string): Promise<number> {
+async function readCpuSeconds(url: string): Promise<number> {
     const { body } = await sendJsonRequest("GET", `${url}/metrics`);
     return Number(/^goldcrestpoint_process_cpu_seconds_total (.+)$/m.exec(String(body))?.[1]);
 }
@@ -86,13 +91,13 @@
 async function sampleStreams(cluster: Cluster, length: number): Promise<StreamSample> {
     const entryUrl = cluster.entries[0]!.url;
     const { agentUrl } = cluster.runners[0]!;
-    const entryBefore = await readProcessor(entryUrl);
-    const agentBefore = await readProcessor(agentUrl);
+    const entryBefore = await readCpuSeconds(entryUrl);
+    const agentBefore = await readCpuSeconds(agentUrl);
     const firstTokens: number[] = [];
     const gaps: number[] = [];
     let tokens = 0;
     await Promise.all([...Array(callers).keys()].map(async caller => {
-        for (let index = 0; index < requestsOfCaller; index++) {
+        for (let index = 0; index < requestsPerCaller; index++) {
             const arrivals = await readStream(entryUrl, length, `prompt ${caller} ${index}`);
             firstTokens.push(arrivals[0]!);
             arrivals.slice(1).forEach((arrival, position) => gaps.push(arrival - arrivals[position]!));
@@ -100,10 +105,10 @@
         }
     }));
     return {
-        requests: callers * requestsOfCaller,
+        requests: callers * requestsPerCaller,
         tokens,
-        entrySeconds: await readProcessor(entryUrl) - entryBefore,
-        agentSeconds: await readProcessor(agentUrl) - agentBefore,
+        entryCpuSeconds: await readCpuSeconds(entryUrl) - entryBefore,
+        agentCpuSeconds: await readCpuSeconds(agentUrl) - agentBefore,
         firstTokens,
         gaps,
     };
--- a/bench/capacity/subsets.ts
+++ b/bench/capacity/subsets.ts
@@ -3,13 +3,13 @@
 import { designSize, rates } from "./designSize.js";
 import type { CapacityFigure } from "./measurement.js";
 
-interface Location {
+interface InstanceLocation {
     readonly instance: string;
     readonly zone: string;
     readonly region: string;
 }
 
-function createFleet(name: string, size: number): Location[] {
+function createFleet(name: string, size: number): InstanceLocation[] {
     return [...Array(size).keys()].map(index => ({
         instance: `${name}-${index}`,
         zone: `zone-${index % designSize.zones}`,
@@ -18,7 +18,7 @@
 }
 
 /** Counts the entry instances that follow each runner of one deployment. */
-function countWatchers(entries: readonly Location[], candidates: readonly SubsetCandidate[]): number[] {
+function countWatchers(entries: readonly InstanceLocation[], candidates: readonly SubsetCandidate[]): number[] {
     const watchers = new Map(candidates.map(({ instance }) => [instance, 0]));
     for (const { instance: entry, region, zone } of entries) {
         const input = { entry, deployment: "goldcrest-llm", zone, region, candidates, size: rates.subsetSize };
@@ -29,8 +29,8 @@
     return [...watchers.values()];
 }
 
-/** Counts the agents whose heartbeats each entry instance gets. */
-function countFollowers(entries: readonly Location[], agents: readonly Location[]): number[] {
+/** Counts the agents from which each entry instance receives heartbeats. */
+function countFollowers(entries: readonly InstanceLocation[], agents: readonly InstanceLocation[]): number[] {
     const names = entries.map(({ instance }) => instance);
     const followers = new Map(names.map(name => [name, 0]));
     for (const { instance } of agents) {
@@ -42,9 +42,9 @@
 }
 
 /**
- * Counts who follows whom at the design size, with the real choices.
+ * Selects subsets and relays at the design size as the daemons do, and counts the connections that result.
  *
- * @returns figures
+ * @returns entry instances that follow each runner, and agents whose heartbeats an entry instance receives
  */
 export function measureSubsets(): CapacityFigure[] {
     const entries = createFleet("entry", designSize.entries);
--- a/bench/capacity/tableRows.ts
+++ b/bench/capacity/tableRows.ts
@@ -6,11 +6,11 @@
 import type { CapacityFigure } from "./measurement.js";
 
 const sizes = [10, 100, 1_000, 3_200];
-/** Copies of each table, so that tables of ten rows are larger than the noise of the heap. */
-const rowsMeasured = 32_000;
+/** Rows at each table size; small tables are created several times, so that they exceed the noise of the heap. */
+const measuredRowCount = 32_000;
 
-/** Parsed from text, as rows are that arrive in messages, so that no strings are shared. */
-function parse<Row>(row: Row): Row {
+/** Copies a row through JSON, so that it shares no strings with other rows, like a row that arrives in a message. */
+function parseCopy<Row>(row: Row): Row {
     return JSON.parse(JSON.stringify(row)) as Row;
 }
 
@@ -20,7 +20,7 @@
         const row = { instance: `runner-${index}`, role: "backend-server", pool: "goldcrest-llm", zone: "dfw-hall-a" };
         table.set(
             row.instance,
-            parse({
+            parseCopy({
                 ...row,
                 role: "backend-server" as const,
                 region: "dallas",
@@ -35,7 +35,7 @@
 
 function createCopies(size: number): unknown {
     return [...Array(size).keys()].map(index =>
-        parse<CopyAssignment>({
+        parseCopy<CopyAssignment>({
             instance: `runner-${index}`,
             zone: "dfw-hall-a",
             epoch: 12_345,
@@ -52,7 +52,7 @@
         const instance = `runner-${index}`;
         table.set(
             instance,
-            parse({
+            parseCopy({
                 instance,
                 incarnation: "0190aaaa-bbbb-7ccc-8ddd-eeeeeeeeeeee",
                 heardAt: 1_000.5,
@@ -76,8 +76,10 @@
 function createRunners(size: number): unknown {
     return [...Array(size).keys()].map(index => {
         const location = { instance: `runner-${index}`, zone: "dfw-hall-a", region: "dallas" };
-        const row = createRunnerRow("goldcrest-llm", parse(location));
-        row.cachedPrefixes = new Set([...Array(32).keys()].map(prefix => parse(`${index}-${prefix}`.padEnd(16, "0"))));
+        const row = createRunnerRow("goldcrest-llm", parseCopy(location));
+        row.cachedPrefixes = new Set(
+            [...Array(32).keys()].map(prefix => parseCopy(`${index}-${prefix}`.padEnd(16, "0"))),
+        );
         return row;
     });
 }
@@ -90,17 +92,17 @@
 } as const;
 
 /**
- * Measures the heap that rows of the tables take.
+ * Measures the heap that a row of each table takes.
  *
  * @returns bytes for each row at 10, 100, 1,000 and 3,200 rows
  */
 export function measureTableRows(): CapacityFigure[] {
-    return Object.entries(tables).flatMap(([name, createTableOf]) =>
+    return Object.entries(tables).flatMap(([name, createFilledTable]) =>
         sizes.map(size => ({
             name: `${name}, table of ${size}`,
             value: measureBytesPerRow(
-                rowsMeasured,
-                () => [...Array(rowsMeasured / size).keys()].map(() => createTableOf(size)),
+                measuredRowCount,
+                () => [...Array(measuredRowCount / size).keys()].map(() => createFilledTable(size)),
             ),
             unit: "bytes",
         }))
