Use transfer terms in the distribution benchmark

The simulation named its steps move, end and kill, spoke of turns, ups and downs, and the results had no description. Names now say which transfer or agent they act on, each result says what it is, and times have a unit. turns.ts is now activeTransfers.ts.

--- a/bench/distribution.ts
+++ b/bench/distribution.ts
@@ -3,7 +3,7 @@
 import type { TransferServiceOptions } from "../src/node/agent/transfer/index.js";
 import type { Objective } from "../src/types/index.js";
 import type { Method } from "./distribution/messages.js";
-import { computeBound, measureRun, type RunPlan, type RunResult, simulateRun } from "./distribution/run.js";
+import { computeLowerBound, measureRun, type RunPlan, type RunResult, simulateRun } from "./distribution/run.js";
 import { listMissedTargets } from "./distribution/targets.js";
 
 const { values: flags } = parseArgs({
@@ -17,14 +17,14 @@
         simulate: { type: "boolean", default: false },
         /** Runs only the runs whose label contains the text. */
         only: { type: "string", default: "" },
-        /** Options of the transfer service as JSON, to try variants of the policy. */
+        /** Options of the transfer service as JSON, which override those of the benchmark. */
         options: { type: "string", default: "{}" },
     },
 });
 
 const agents = Number(flags.agents);
 const mebibyte = 1024 * 1024;
-/** More agents get slower links, so that the machine's processors are not what is measured. */
+/** With more agents, links are slower, so that the links and not the machine's processors limit the transfer. */
 const linkBytesPerSecond = Math.min(mebibyte / 2, Math.round(16 * mebibyte / agents));
 const scale = {
     totalBytes: linkBytesPerSecond * 24,
@@ -34,8 +34,8 @@
 };
 
 /**
- * Times are about a fifth of the service's defaults, since the set is transferred in 24 s here and in minutes in
- * operation. Parts are a few milliseconds long on the slow link.
+ * Times are about a fifth of the service's defaults, since the transfer of a set takes 24 s here and minutes in
+ * operation. Parts are so small that the slow link transfers one in a few milliseconds.
  */
 const scaledOptions: TransferServiceOptions = {
     stallAfter: 3_000,
@@ -63,7 +63,7 @@
     { method: "binary-tree", objective: "time", faulty: true },
 ];
 
-function describe({ faulty, method, objective }: Pick<RunPlan, "faulty" | "method" | "objective">): string {
+function describeRun({ faulty, method, objective }: Pick<RunPlan, "faulty" | "method" | "objective">): string {
     const detail = method === "swarm" ? ` ${objective}` : "";
     return `${method}${detail} ${faulty ? "faults" : "clean"}`;
 }
@@ -71,7 +71,7 @@
 function formatResult(result: RunResult): string {
     const seconds = result.seconds === undefined ? "unfinished" : `${result.seconds.toFixed(1)} s`;
     return [
-        describe(result).padEnd(30),
+        describeRun(result).padEnd(30),
         `${result.completed}/${result.expected}`.padStart(8),
         seconds.padStart(11),
         (result.ratio?.toFixed(2) ?? "-").padStart(7),
@@ -97,10 +97,10 @@
     "ratio".padStart(7),
 ].join(" ");
 
-/** The baselines do not use the decisions that are simulated. */
+/** Selects the scenarios to run; only the swarm can be simulated, since the baselines don't use its decisions. */
 function selectScenarios() {
     return scenarios.filter(scenario =>
-        describe(scenario).includes(flags.only) && (!flags.simulate || scenario.method === "swarm")
+        describeRun(scenario).includes(flags.only) && (!flags.simulate || scenario.method === "swarm")
     );
 }
 
@@ -108,7 +108,7 @@
     const options = { ...scaledOptions, ...JSON.parse(flags.options) as TransferServiceOptions };
     const results: RunResult[] = [];
     if (!flags.json) {
-        const bound = computeBound(scale, agents);
+        const bound = computeLowerBound(scale, agents);
         console.log(
             `${agents} agents in 3 availability zones, ${scale.totalBytes} bytes in chunks of ${scale.chunkBytes}, ` +
                 `links ${linkBytesPerSecond} B/s each way, origin ${scale.originBytesPerSecond} B/s, bound ${
@@ -128,7 +128,7 @@
         }
     }
     const missed = listMissedTargets(results);
-    // On an overloaded machine the times show waits for a processor rather than for a link.
+    // On an overloaded machine, the times include waits for a processor; the load average tells.
     const machine = { processors: availableParallelism(), loadAverage: loadavg()[0] };
     console.log(
         flags.json ?
--- a/bench/distribution/turns.ts
+++ b/bench/distribution/activeTransfers.ts
@@ -1,5 +1,5 @@
 /** Transfer of a simulated swarm. */
-export interface WaitingTransfer<Agent> {
+export interface SimulatedTransfer<Agent> {
     readonly receiver: Agent;
     /** Undefined for the origin. */
     readonly sender: Agent | undefined;
@@ -7,14 +7,15 @@
 }
 
 /**
- * Lists the transfers whose turn it is, since sender and receiver keep a bounded number of chunks in memory.
+ * Selects the transfers that make progress. The others wait, since senders and receivers keep a limited number of
+ * chunks in memory.
  *
  * @param transfers - all transfers in progress
- * @param slots - chunks that a sender keeps; a receiver keeps twice as many
+ * @param slots - chunks that a sender keeps in memory; a receiver keeps twice as many
  * @param isStopped - true for an agent that sends nothing
- * @returns those that move, oldest first
+ * @returns the transfers that make progress, oldest first
  */
-export function listMoving<Agent, Transfer extends WaitingTransfer<Agent>>(
+export function selectActiveTransfers<Agent, Transfer extends SimulatedTransfer<Agent>>(
     transfers: readonly Transfer[],
     slots: number,
     isStopped: (agent: Agent) => boolean,
--- a/bench/distribution/agentProcess.ts
+++ b/bench/distribution/agentProcess.ts
@@ -18,17 +18,17 @@
 type StartMessage = Extract<ToChild, { kind: "start-agents"; }>;
 type BeginMessage = Extract<ToChild, { kind: "begin"; }>;
 
-/** Time that a live request takes on an idle instance, besides the transfer of its bytes. */
+/** Milliseconds that a live request takes on an idle instance, without the transfer of its bytes. */
 const liveServiceTime = 20;
 const liveRequestBytes = 2_048;
 const liveResponse = Buffer.alloc(8_192, "response");
-/** Time between two looks at the progress; it bounds the error of the measured times. */
+/** Milliseconds between two checks of the progress; the error of the measured times is at most as large. */
 const progressInterval = 5;
 
 const clock = createSystemClock();
 const eventCounts: Record<string, number> = {};
 
-/** Waits of live requests for the link since the transfer began. */
+/** Times of the live requests since the transfer began. */
 const liveWaits: LiveWaits = { incoming: [], outgoing: [], serverTime: [] };
 const eventLoop = monitorEventLoopDelay({ resolution: 1 });
 
@@ -42,6 +42,7 @@
 interface LocalAgent {
     readonly agent: BenchAgent;
     readonly service: TransferService;
+    /** Stops all data that leaves the agent. */
     readonly stall: () => void;
 }
 
@@ -49,8 +50,8 @@
     process.send?.(message);
 }
 
-/** The baselines run the same service: with nobody to exchange with, or with its parent in the tree only. */
-function readMethodOptions(method: Method, isRoot: boolean): TransferServiceOptions {
+/** The baselines run the same service, either without peers or with the agent's parent in the tree as the only peer. */
+function resolveMethodOptions(method: Method, isRoot: boolean): TransferServiceOptions {
     if (method !== "binary-tree") {
         return method === "origin-only" ? { maximumOriginTransfers: 8 } : {};
     }
@@ -96,7 +97,7 @@
         linkBudget: chainBudgets(budget, link, () => stalled),
         clock,
         random,
-        options: { ...message.options, ...readMethodOptions(message.method, isRoot) },
+        options: { ...message.options, ...resolveMethodOptions(message.method, isRoot) },
         log: {
             info: (...[, text]) => {
                 eventCounts[text] = (eventCounts[text] ?? 0) + 1;
@@ -147,12 +148,12 @@
     send({ kind: "complete", instance: agent.instance, at: clock.monotonic() });
 }
 
-function begin(start: StartMessage, message: BeginMessage, local: readonly LocalAgent[]): void {
+function beginTransfers(start: StartMessage, message: BeginMessage, localAgents: readonly LocalAgent[]): void {
     liveWaits.incoming.length = 0;
     liveWaits.outgoing.length = 0;
     liveWaits.serverTime.length = 0;
     eventLoop.enable();
-    for (const running of local) {
+    for (const running of localAgents) {
         const { agent, service, stall } = running;
         const members = selectMembers(start.method, message.agents, agent.instance);
         service.setTarget({ weights: start.weights, members, objective: message.objective });
@@ -163,8 +164,8 @@
     }
 }
 
-function reportTotals(local: readonly LocalAgent[]): void {
-    const totals = local.map(({ agent: { instance }, service }) => {
+function reportTotals(localAgents: readonly LocalAgent[]): void {
+    const totals = localAgents.map(({ agent: { instance }, service }) => {
         const { originBytes, peerReceivedBytes, peerSentBytes } = service.totals();
         return { instance, receivedBytes: originBytes + peerReceivedBytes, sentBytes: peerSentBytes };
     });
@@ -175,17 +176,17 @@
 }
 
 async function startAgents(message: StartMessage): Promise<void> {
-    const local: LocalAgent[] = [];
+    const localAgents: LocalAgent[] = [];
     for (const planned of message.agents) {
-        local.push(await startAgent(message, planned, planned.instance === "agent-0"));
+        localAgents.push(await startAgent(message, planned, planned.instance === "agent-0"));
     }
-    send({ kind: "agents-listening", agents: local.map(({ agent }) => agent) });
-    process.on("message", (later: ToChild) => {
-        if (later.kind === "begin") {
-            begin(message, later, local);
+    send({ kind: "agents-listening", agents: localAgents.map(({ agent }) => agent) });
+    process.on("message", (nextMessage: ToChild) => {
+        if (nextMessage.kind === "begin") {
+            beginTransfers(message, nextMessage, localAgents);
         }
-        if (later.kind === "finish") {
-            reportTotals(local);
+        if (nextMessage.kind === "finish") {
+            reportTotals(localAgents);
         }
     });
 }
@@ -196,5 +197,5 @@
     }
 });
 
-// The parent may end without ending its children, for example on a signal.
+// The parent process can exit without terminating its children, for example on a signal.
 process.once("disconnect", () => process.exit());
--- a/bench/distribution/benchPorts.ts
+++ b/bench/distribution/benchPorts.ts
@@ -45,10 +45,10 @@
 }
 
 /**
- * Creates an engine that returns a share of its chunks corrupt when they are read for an upload.
+ * Creates an engine that corrupts a share of the chunks that are read for an upload.
  *
- * @param corruptShare - probability of a corrupt chunk
- * @param random - decides which
+ * @param corruptShare - probability that a chunk is corrupted
+ * @param random - source of randomness
  * @returns the engine
  */
 export function createCorruptingEngine(corruptShare: number, random: RandomSource): MemoryEngine {
@@ -68,8 +68,9 @@
 }
 
 /**
- * Bytes of a transfer between which a live request's bytes may pass; 2 ms of the link. A link interleaves packets, not
- * whole messages: a message of 4 KiB would hold this slow link for 8 ms, as 1 MiB would one of 125 MB/s.
+ * Size of the packets between which the bytes of live requests are sent; a packet takes 2 ms on the link. A link
+ * interleaves packets, not whole messages: a message of 4 KiB would occupy this slow link for 8 ms, as 1 MiB would
+ * occupy a link of 125 MB/s.
  */
 const packetBytes = 1_024;
 
@@ -88,12 +89,12 @@
 }
 
 /**
- * Puts the byte budget for transfers in front of the simulated link that live requests also use.
+ * Combines the byte budget for transfers with the simulated link, which live requests also use.
  *
  * @param budget - budget for transfers
  * @param link - the instance's link
- * @param isStalled - true while nothing leaves the instance
- * @returns budget that waits for both
+ * @param isStalled - true while the instance's outgoing link is stalled
+ * @returns a budget that waits first for the transfer budget and then for the link
  */
 export function chainBudgets(budget: LinkBudget, link: LinkBudget, isStalled: () => boolean): LinkBudget {
     return {
--- a/bench/distribution/clientProcess.ts
+++ b/bench/distribution/clientProcess.ts
@@ -3,7 +3,7 @@
 import { createSeededRandom, createSystemClock } from "../../src/utils/index.js";
 import type { FromChild, ToChild } from "./messages.js";
 
-/** Mean time between two live requests to one agent. */
+/** Mean milliseconds between two live requests to one agent. */
 const meanInterval = 200;
 
 const requestBody = Buffer.alloc(2_048, "request");
@@ -31,7 +31,7 @@
     async function sendRequests(port: number): Promise<void> {
         while (running) {
             await delay(-Math.log(1 - random.next()) * meanInterval);
-            // An agent that was killed answers no more; its failures are no latencies.
+            // A request to an agent that was killed fails; such failures are left out of the latencies.
             void sendRequest(port).catch(() => undefined);
         }
     }
@@ -40,11 +40,11 @@
         void sendRequests(port);
     }
     send({ kind: "client-started" });
-    process.on("message", (later: ToChild) => {
-        if (later.kind === "mark-burst") {
+    process.on("message", (nextMessage: ToChild) => {
+        if (nextMessage.kind === "mark-burst") {
             phase = "burst";
         }
-        if (later.kind === "finish") {
+        if (nextMessage.kind === "finish") {
             running = false;
             send({ kind: "latencies", ...latencies });
         }
@@ -57,5 +57,5 @@
     }
 });
 
-// The parent may end without ending its children, for example on a signal.
+// The parent process can exit without terminating its children, for example on a signal.
 process.once("disconnect", () => process.exit());
--- a/bench/distribution/messages.ts
+++ b/bench/distribution/messages.ts
@@ -4,7 +4,7 @@
 /** How an agent obtains the weights. */
 export type Method = "swarm" | "origin-only" | "binary-tree";
 
-/** Agent of a run. */
+/** Agent that takes part in a run. */
 export interface BenchAgent {
     readonly instance: string;
     readonly zone: string;
@@ -18,7 +18,7 @@
 export interface RunScale {
     readonly totalBytes: number;
     readonly chunkBytes: number;
-    /** Speed of each direction of an agent's link. */
+    /** Speed of an agent's link in each direction. */
     readonly linkBytesPerSecond: number;
     readonly originBytesPerSecond: number;
 }
@@ -28,21 +28,21 @@
     /** Probability that a chunk arrives corrupt. */
     readonly corruptShare: number;
     /** Instances that are killed. */
-    readonly dying: readonly string[];
+    readonly killed: readonly string[];
     /** Instance whose outgoing link stalls; undefined for none. */
     readonly stalled: string | undefined;
-    /** Time after the start at which links stall and instances die. */
+    /** Milliseconds from the start until the link stalls and instances are killed. */
     readonly after: number;
 }
 
-/** Milliseconds that live requests took during the transfer: waits for the link, and from arrival to answer. */
+/** Milliseconds of each live request during the transfer: waits for the link, and time from arrival to response. */
 export interface LiveWaits {
     readonly incoming: number[];
     readonly outgoing: number[];
     readonly serverTime: number[];
 }
 
-/** What a child process is told. */
+/** Message to a child process. */
 export type ToChild =
     | {
         readonly kind: "start-agents";
@@ -61,14 +61,14 @@
     | { readonly kind: "mark-burst"; }
     | { readonly kind: "finish"; };
 
-/** Bytes that crossed an agent's link for weights. */
+/** Bytes of weights that an agent received and sent. */
 export interface AgentTotals {
     readonly instance: string;
     readonly receivedBytes: number;
     readonly sentBytes: number;
 }
 
-/** What a child process reports. */
+/** Message from a child process. */
 export type FromChild =
     | { readonly kind: "agents-listening"; readonly agents: readonly BenchAgent[]; }
     | { readonly kind: "origin-listening"; readonly port: number; readonly weights: WeightSet; }
@@ -79,7 +79,7 @@
         readonly totals: readonly AgentTotals[];
         readonly eventCounts: EventCounts;
         readonly liveWaits: LiveWaits;
-        /** 95th percentile of the process, in milliseconds. */
+        /** 95th percentile of the event loop delay of the process, in milliseconds. */
         readonly eventLoopDelay: number;
         /** Processor time of the process since its start. */
         readonly processorSeconds: number;
@@ -87,5 +87,5 @@
     | { readonly kind: "origin-totals"; readonly sentBytes: number; }
     | { readonly kind: "latencies"; readonly quiet: readonly number[]; readonly burst: readonly number[]; };
 
-/** Number of log lines of each kind. */
+/** Number of log lines by message; in the results also the figures of `summarizeWaits`. */
 export type EventCounts = Readonly<Record<string, number>>;
--- a/bench/distribution/originProcess.ts
+++ b/bench/distribution/originProcess.ts
@@ -5,7 +5,7 @@
 import { createSeededRandom, createSystemClock } from "../../src/utils/index.js";
 import type { FromChild, ToChild } from "./messages.js";
 
-/** Bytes that the origin sends for one answer before the next answer's turn. */
+/** Bytes of one response that the origin sends before it continues with another response. */
 const partBytes = 16_384;
 
 const names = { model: "scribe", adapter: "", version: "v1" };
@@ -61,8 +61,8 @@
         const { port } = server.address() as AddressInfo;
         send({ kind: "origin-listening", port, weights: { ...names, manifestDigest } });
     });
-    process.on("message", (later: ToChild) => {
-        if (later.kind === "finish") {
+    process.on("message", (nextMessage: ToChild) => {
+        if (nextMessage.kind === "finish") {
             send({ kind: "origin-totals", sentBytes });
         }
     });
@@ -74,5 +74,5 @@
     }
 });
 
-// The parent may end without ending its children, for example on a signal.
+// The parent process can exit without terminating its children, for example on a signal.
 process.once("disconnect", () => process.exit());
--- a/bench/distribution/percentiles.ts
+++ b/bench/distribution/percentiles.ts
@@ -1,32 +1,32 @@
 import type { EventCounts, FromChild } from "./messages.js";
 
 /**
- * Reads a percentile.
+ * Computes a percentile.
  *
- * @param values - in any order
+ * @param values - values in any order
  * @param share - percentile as a share, for example 0.95
  * @returns the value, or NaN if there are none
  */
-export function readPercentile(values: readonly number[], share: number): number {
+export function computePercentile(values: readonly number[], share: number): number {
     const sorted = [...values].sort((left, right) => left - right);
     return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? NaN;
 }
 
 /**
- * Summarizes what live requests waited for during the transfer, and what the processes used.
+ * Summarizes the waits of live requests during the transfer, the event loop delays and the processor time.
  *
- * @param answers - totals of each process
- * @returns milliseconds, and seconds of processor time of all agents
+ * @param answers - totals of each agent process
+ * @returns waits and delays in milliseconds, and the processor time of all agent processes in seconds
  */
 export function summarizeWaits(answers: readonly Extract<FromChild, { kind: "agent-totals"; }>[]): EventCounts {
     const round = (value: number) => Math.round(value * 10) / 10;
     const readWait = (part: "incoming" | "outgoing" | "serverTime") =>
-        round(readPercentile(answers.flatMap(({ liveWaits }) => liveWaits[part]), 0.95));
+        round(computePercentile(answers.flatMap(({ liveWaits }) => liveWaits[part]), 0.95));
     return {
         liveIncomingWaitP95: readWait("incoming"),
         liveOutgoingWaitP95: readWait("outgoing"),
         liveServerTimeP95: readWait("serverTime"),
-        eventLoopDelayP95Median: round(readPercentile(answers.map(({ eventLoopDelay }) => eventLoopDelay), 0.5)),
+        eventLoopDelayP95Median: round(computePercentile(answers.map(({ eventLoopDelay }) => eventLoopDelay), 0.5)),
         eventLoopDelayP95Maximum: round(Math.max(...answers.map(({ eventLoopDelay }) => eventLoopDelay))),
         processorSeconds: round(answers.reduce((sum, { processorSeconds }) => sum + processorSeconds, 0)),
     };
--- a/bench/distribution/run.ts
+++ b/bench/distribution/run.ts
@@ -14,10 +14,10 @@
     RunScale,
     ToChild,
 } from "./messages.js";
-import { readPercentile, summarizeWaits } from "./percentiles.js";
+import { computePercentile, summarizeWaits } from "./percentiles.js";
 import { simulateSwarm } from "./simulation.js";
 
-/** Run to measure. */
+/** Parameters of a run. */
 export interface RunPlan {
     readonly method: Method;
     readonly objective: Objective;
@@ -28,34 +28,38 @@
     readonly seed: number;
 }
 
-/** Measured figures of a run. */
+/** Results of a run, as written to the JSON output. */
 export interface RunResult {
     readonly method: Method;
     readonly objective: Objective;
     readonly faulty: boolean;
-    /** Agents that completed the set, and those that were not killed. */
+    /** Numbers of agents that completed the set and of agents that were not killed. */
     readonly completed: number;
     readonly expected: number;
-    /** Time until the last of them had the set; undefined if some had not within the time limit. */
+    /** Time until all expected agents had the set; undefined if some did not complete it within the time limit. */
     readonly seconds: number | undefined;
+    /** Shortest possible time; `ratio` is the measured time as a multiple of it. */
     readonly boundSeconds: number;
     readonly ratio: number | undefined;
+    /** Bytes that the origin sent, as a multiple of the size of the set. */
     readonly originCopies: number;
+    /** Bytes that an agent received and sent, as a multiple of the size of the set; killed agents are left out. */
     readonly linkCopiesMean: number;
     readonly linkCopiesMaximum: number;
+    /** 95th percentiles of the latency of live requests, before and during the transfer. */
     readonly liveQuietMilliseconds: number;
     readonly liveBurstMilliseconds: number;
-    /** Undefined for simulated runs. */
+    /** Latency during the transfer as a multiple of that before it; undefined for simulated runs. */
     readonly liveRatio: number | undefined;
     readonly events: EventCounts;
 }
 
 const zones = ["sando-hall", "pos-hall", "scarb-hall"];
-/** Agents that share a process; those that are killed have their own. */
+/** Agents that share a process; each agent that will be killed has a process of its own. */
 const agentsPerProcess = 2;
-/** Time over which live requests are measured before the transfer. */
+/** Duration for which live requests are measured before the transfer. */
 const quietMilliseconds = 3_000;
-/** Multiple of the bound after which a run counts as not finished. */
+/** Multiple of the shortest possible time after which a run counts as unfinished. */
 const timeLimitFactor = 5;
 
 function planAgents(count: number): BenchAgent[] {
@@ -67,7 +71,7 @@
     }));
 }
 
-/** Child processes of a run. */
+/** Creates the set of the child processes of a run, which are killed when it is disposed of. */
 function createChildren() {
     const children: ChildProcess[] = [];
     return {
@@ -85,13 +89,13 @@
     };
 }
 
-function tell(child: ChildProcess, message: ToChild): void {
+function sendMessage(child: ChildProcess, message: ToChild): void {
     if (child.connected) {
         child.send(message);
     }
 }
 
-function waitFor<Kind extends FromChild["kind"]>(
+function waitForMessage<Kind extends FromChild["kind"]>(
     child: ChildProcess,
     kind: Kind,
 ): Promise<Extract<FromChild, { kind: Kind; }>> {
@@ -104,19 +108,19 @@
         };
         child.on("message", receive);
         child.once("exit", code => {
-            reject(new Error(`a child process ended with ${code} before it sent ${kind}`));
+            reject(new Error(`child process exited with code ${code} before it sent the message "${kind}"`));
         });
     });
 }
 
 /**
- * Computes the shortest possible time to N copies.
+ * Computes the shortest possible time until all agents have a copy, given the speeds of the links and of the origin.
  *
  * @param scale - sizes and speeds
  * @param agents - number of copies
  * @returns seconds
  */
-export function computeBound(scale: RunScale, agents: number): number {
+export function computeLowerBound(scale: RunScale, agents: number): number {
     const { linkBytesPerSecond, originBytesPerSecond, totalBytes } = scale;
     return Math.max(
         totalBytes / originBytesPerSecond,
@@ -127,33 +131,33 @@
 
 function planFaults(plan: RunPlan, agents: readonly BenchAgent[]): RunFaults {
     if (!plan.faulty) {
-        return { corruptShare: 0, dying: [], stalled: undefined, after: 0 };
+        return { corruptShare: 0, killed: [], stalled: undefined, after: 0 };
     }
-    const dying = Math.ceil(agents.length * 0.05);
-    const after = computeBound(plan.scale, agents.length) * 300;
+    const killedCount = Math.ceil(agents.length * 0.05);
+    const after = computeLowerBound(plan.scale, agents.length) * 300;
     return {
         corruptShare: 0.01,
-        // Neither the tree's root nor its next nodes die, since no node of the tree looks for another parent.
-        dying: agents.slice(-dying).map(({ instance }) => instance),
-        stalled: agents.at(-dying - 1)!.instance,
+        // Neither the tree's root nor its next nodes are killed, since no node of the tree looks for another parent.
+        killed: agents.slice(-killedCount).map(({ instance }) => instance),
+        stalled: agents.at(-killedCount - 1)!.instance,
         after,
     };
 }
 
-function groupAgents(agents: readonly BenchAgent[], dying: readonly string[]): BenchAgent[][] {
-    const groups = agents.filter(({ instance }) => dying.includes(instance)).map(agent => [agent]);
-    const rest = agents.filter(({ instance }) => !dying.includes(instance));
-    for (let first = 0; first < rest.length; first += agentsPerProcess) {
-        groups.push(rest.slice(first, first + agentsPerProcess));
+function groupAgents(agents: readonly BenchAgent[], killed: readonly string[]): BenchAgent[][] {
+    const groups = agents.filter(({ instance }) => killed.includes(instance)).map(agent => [agent]);
+    const others = agents.filter(({ instance }) => !killed.includes(instance));
+    for (let first = 0; first < others.length; first += agentsPerProcess) {
+        groups.push(others.slice(first, first + agentsPerProcess));
     }
     return groups;
 }
 
 /**
- * Runs the decisions against simulated links; live requests are not simulated.
+ * Runs the decisions with simulated links; live requests are not simulated.
  *
- * @param plan - what to run
- * @returns the figures
+ * @param plan - parameters of the run
+ * @returns the results
  */
 export function simulateRun(plan: RunPlan): RunResult {
     const { agents, faulty, method, objective, scale, seed } = plan;
@@ -168,8 +172,8 @@
         retryChokedAfter: plan.options.retryChokedAfter ?? 200,
         seed,
     });
-    const boundSeconds = computeBound(scale, agents);
-    const expected = agents - faults.dying.length;
+    const boundSeconds = computeLowerBound(scale, agents);
+    const expected = agents - faults.killed.length;
     return {
         method,
         objective,
@@ -186,44 +190,44 @@
 }
 
 /**
- * Measures one run with its own processes.
+ * Measures one run, for which it starts an origin, agents and a client as child processes.
  *
- * @param plan - what to run
- * @returns the figures
+ * @param plan - parameters of the run
+ * @returns the results
  */
 export async function measureRun(plan: RunPlan): Promise<RunResult> {
     const planned = planAgents(plan.agents);
     const faults = planFaults(plan, planned);
     using children = createChildren();
     const origin = children.start("./originProcess.ts");
-    const listening = waitFor(origin, "origin-listening");
-    tell(origin, {
+    const listening = waitForMessage(origin, "origin-listening");
+    sendMessage(origin, {
         kind: "start-origin",
         scale: plan.scale,
         corruptShare: faults.corruptShare,
         seed: plan.seed,
     });
     const { port, weights } = await listening;
-    const groups = groupAgents(planned, faults.dying);
+    const groups = groupAgents(planned, faults.killed);
     const workers = await Promise.all(
         groups.map(group => startWorker(plan, children.start("./agentProcess.ts"), group, faults, port, weights)),
     );
     const running = workers.flatMap(worker => worker.agents);
     const agents = planned.map(({ instance }) => running.find(agent => agent.instance === instance)!);
     const client = children.start("./clientProcess.ts");
-    const clientStarted = waitFor(client, "client-started");
-    const livePorts = agents.filter(({ instance }) => instance !== faults.stalled && !faults.dying.includes(instance))
+    const clientStarted = waitForMessage(client, "client-started");
+    const livePorts = agents.filter(({ instance }) => instance !== faults.stalled && !faults.killed.includes(instance))
         .map(({ livePort }) => livePort);
-    tell(client, { kind: "start-client", ports: livePorts, seed: plan.seed });
+    sendMessage(client, { kind: "start-client", ports: livePorts, seed: plan.seed });
     await clientStarted;
     await delay(quietMilliseconds);
-    tell(client, { kind: "mark-burst" });
-    const times = await runBurst(plan, workers, agents, faults);
-    const latencies = waitFor(client, "latencies");
-    tell(client, { kind: "finish" });
+    sendMessage(client, { kind: "mark-burst" });
+    const times = await runTransfer(plan, workers, agents, faults);
+    const latencies = waitForMessage(client, "latencies");
+    sendMessage(client, { kind: "finish" });
     const { burst, quiet } = await latencies;
-    const originTotals = waitFor(origin, "origin-totals");
-    tell(origin, { kind: "finish" });
+    const originTotals = waitForMessage(origin, "origin-totals");
+    sendMessage(origin, { kind: "finish" });
     const { sentBytes } = await originTotals;
     const totals = await collectTotals(workers, faults);
     return summarize(plan, faults, times, sentBytes, totals, quiet, burst);
@@ -242,14 +246,14 @@
     originPort: number,
     weights: WeightSet,
 ): Promise<Worker> {
-    const listening = waitFor(child, "agents-listening");
+    const listening = waitForMessage(child, "agents-listening");
     const { method, options, scale, seed } = plan;
-    tell(child, { kind: "start-agents", agents, scale, faults, method, options, originPort, weights, seed });
+    sendMessage(child, { kind: "start-agents", agents, scale, faults, method, options, originPort, weights, seed });
     return { child, agents: (await listening).agents };
 }
 
-/** Starts the transfer and returns the time that each agent took; killed agents take none. */
-async function runBurst(
+/** Runs the transfer and returns the time that each agent took to complete the set; killed agents are left out. */
+async function runTransfer(
     plan: RunPlan,
     workers: readonly Worker[],
     agents: readonly BenchAgent[],
@@ -257,14 +261,14 @@
 ): Promise<ReadonlyMap<string, number>> {
     const startedAt = Number(process.hrtime.bigint()) / 1e6;
     const times = new Map<string, number>();
-    const expected = agents.length - faults.dying.length;
-    const limit = computeBound(plan.scale, agents.length) * 1_000 *
+    const expected = agents.length - faults.killed.length;
+    const limit = computeLowerBound(plan.scale, agents.length) * 1_000 *
         (plan.method === "origin-only" ? agents.length : timeLimitFactor);
-    const ended = new Promise<void>(resolve => {
+    const allComplete = new Promise<void>(resolve => {
         for (const { child } of workers) {
             child.on("message", (message: FromChild) => {
-                if (message.kind === "complete" && !faults.dying.includes(message.instance)) {
-                    // Both processes read the same monotonic clock.
+                if (message.kind === "complete" && !faults.killed.includes(message.instance)) {
+                    // The monotonic clock is the same in all processes of the machine.
                     times.set(message.instance, message.at - startedAt);
                 }
                 if (times.size === expected) {
@@ -274,15 +278,15 @@
         }
     });
     for (const { child } of workers) {
-        tell(child, { kind: "begin", agents, objective: plan.objective });
+        sendMessage(child, { kind: "begin", agents, objective: plan.objective });
     }
-    const killer = setTimeout(() => {
-        for (const worker of workers.filter(({ agents: [first] }) => faults.dying.includes(first!.instance))) {
+    const killTimer = setTimeout(() => {
+        for (const worker of workers.filter(({ agents: [first] }) => faults.killed.includes(first!.instance))) {
             worker.child.kill("SIGKILL");
         }
     }, faults.after);
-    await Promise.race([ended, delay(limit, undefined, { ref: false })]);
-    clearTimeout(killer);
+    await Promise.race([allComplete, delay(limit, undefined, { ref: false })]);
+    clearTimeout(killTimer);
     return times;
 }
 
@@ -294,11 +298,11 @@
     const events: Record<string, number> = {};
     const answers: Extract<FromChild, { kind: "agent-totals"; }>[] = [];
     for (const { agents, child } of workers) {
-        if (faults.dying.includes(agents[0]!.instance)) {
+        if (faults.killed.includes(agents[0]!.instance)) {
             continue;
         }
-        const answer = waitFor(child, "agent-totals");
-        tell(child, { kind: "finish" });
+        const answer = waitForMessage(child, "agent-totals");
+        sendMessage(child, { kind: "finish" });
         const message = await answer;
         totals.push(...message.totals);
         answers.push(message);
@@ -320,12 +324,12 @@
     burst: readonly number[],
 ): RunResult {
     const { totalBytes } = plan.scale;
-    const expected = plan.agents - faults.dying.length;
-    const boundSeconds = computeBound(plan.scale, plan.agents);
+    const expected = plan.agents - faults.killed.length;
+    const boundSeconds = computeLowerBound(plan.scale, plan.agents);
     const seconds = times.size === expected ? Math.max(...times.values()) / 1_000 : undefined;
     const copies = totals.map(({ receivedBytes, sentBytes }) => (receivedBytes + sentBytes) / totalBytes);
-    const liveQuietMilliseconds = readPercentile(quiet, 0.95);
-    const liveBurstMilliseconds = readPercentile(burst, 0.95);
+    const liveQuietMilliseconds = computePercentile(quiet, 0.95);
+    const liveBurstMilliseconds = computePercentile(burst, 0.95);
     return {
         method: plan.method,
         objective: plan.objective,
--- a/bench/distribution/simulation.ts
+++ b/bench/distribution/simulation.ts
@@ -20,17 +20,17 @@
 } from "../../src/runtime/distribution/index.js";
 import type { Manifest, Objective } from "../../src/types/index.js";
 import { createSeededRandom, createTable, type Table } from "../../src/utils/index.js";
+import { selectActiveTransfers } from "./activeTransfers.js";
 import type { RunFaults, RunScale } from "./messages.js";
-import { listMoving } from "./turns.js";
 
 /** Simulated time between two steps, in milliseconds. */
-const step = 10;
-/** Share of a link that transfers use; the rest is left to live requests, which are not simulated. */
+const stepMilliseconds = 10;
+/** Share of a link that transfers use; the rest is reserved for live requests, which are not simulated. */
 const transferShare = resolveBudgetOptions({ bytesPerSecond: 1 }).idleShare;
-/** Simulated times, in steps, between two decisions without an event. */
-const decisionSteps = 5;
+/** Steps after which an agent decides even without an event. */
+const stepsPerDecision = 5;
 
-/** Swarm to simulate. */
+/** Parameters of a simulated swarm. */
 export interface SimulationPlan {
     readonly agents: number;
     readonly objective: Objective;
@@ -42,9 +42,9 @@
     readonly seed: number;
 }
 
-/** Figures of a simulated swarm. */
+/** Results of a simulated swarm. */
 export interface SimulationResult {
-    /** Undefined if some agent had not completed the set within ten times the time for one copy. */
+    /** Undefined if an agent did not complete the set within ten times the time that its link takes for one copy. */
     readonly seconds: number | undefined;
     readonly completed: number;
     readonly originCopies: number;
@@ -65,22 +65,22 @@
     readonly transfers: Table<number, TransferRow>;
     readonly running: Map<number, Transfer>;
     readonly neighbours: readonly string[];
-    readonly ranks: ReturnType<typeof createOriginReaders>;
-    readonly exchangeAt: Map<string, number>;
+    readonly readerRanks: ReturnType<typeof createOriginReaders>;
+    readonly nextExchangeAt: Map<string, number>;
     uploads: number;
     sentBytes: number;
     receivedBytes: number;
     complete: boolean;
     dead: boolean;
-    decide: boolean;
+    needsDecision: boolean;
 }
 
 /**
- * Runs the decisions of all agents against links that share their capacity evenly. It measures the policy alone: no
- * processor time, no message overhead.
+ * Runs the decisions of all agents with simulated links that share their capacity evenly among transfers. It measures
+ * only the policy, without processor time and message overhead.
  *
- * @param plan - swarm, sizes, faults and options
- * @returns the figures
+ * @param plan - size of the swarm, speeds, faults and options
+ * @returns the results
  */
 export function simulateSwarm(plan: SimulationPlan): SimulationResult {
     const { faults, options, scale } = plan;
@@ -107,14 +107,14 @@
             transfers: createTable<number, TransferRow>(),
             running: new Map(),
             neighbours: selectNeighbours(digest, instance, instances, options.neighbours),
-            ranks: createOriginReaders(digest, chunks, instances, instance),
-            exchangeAt: new Map(),
+            readerRanks: createOriginReaders(digest, chunks, instances, instance),
+            nextExchangeAt: new Map(),
             uploads: 0,
             sentBytes: 0,
             receivedBytes: 0,
             complete: false,
             dead: false,
-            decide: true,
+            needsDecision: true,
         };
     }
 
@@ -140,7 +140,7 @@
             chunks,
             held: agent.held,
             peers: agent.peers,
-            originReaders: agent.ranks,
+            originReaders: agent.readerRanks,
             startedAt: 0,
             now,
             random,
@@ -151,10 +151,10 @@
             intervals.set(instance, plan.exchangeInterval);
         }
         for (const [instance, interval] of intervals) {
-            if ((agent.exchangeAt.get(instance) ?? 0) > now) {
+            if ((agent.nextExchangeAt.get(instance) ?? 0) > now) {
                 continue;
             }
-            agent.exchangeAt.set(instance, now + interval * (0.75 + random.next() / 2));
+            agent.nextExchangeAt.set(instance, now + interval * (0.75 + random.next() / 2));
             const other = agents.get(instance)!;
             const peer = findPeer(agent, instance);
             if (other.dead) {
@@ -162,23 +162,23 @@
                 continue;
             }
             recordAvailability(peer, Uint8Array.from(other.held), other.sentBytes, now);
-            const own = findPeer(other, agent.instance);
-            recordAvailability(own, Uint8Array.from(agent.held), own.sentBytes, now);
-            agent.decide = true;
+            const peerOfOther = findPeer(other, agent.instance);
+            recordAvailability(peerOfOther, Uint8Array.from(agent.held), peerOfOther.sentBytes, now);
+            agent.needsDecision = true;
         }
     }
 
-    function end(transfer: Transfer): void {
+    function removeTransfer(transfer: Transfer): void {
         transfer.receiver.running.delete(transfer.index);
         transfer.receiver.transfers.delete(transfer.index);
-        transfer.receiver.decide = true;
+        transfer.receiver.needsDecision = true;
         if (transfer.sender !== undefined) {
             transfer.sender.uploads--;
             transfer.sender.sentBytes -= Math.max(0, transfer.remaining);
         }
     }
 
-    function start(agent: Agent, command: Exclude<TransferCommand, { kind: "abandon"; }>): void {
+    function startTransfer(agent: Agent, command: Exclude<TransferCommand, { kind: "abandon"; }>): void {
         const { index } = command;
         const sender = command.kind === "fetch-from-peer" ? agents.get(command.peer)! : undefined;
         if (sender !== undefined && command.kind === "fetch-from-peer") {
@@ -213,15 +213,15 @@
     }
 
     function decide(agent: Agent): void {
-        agent.decide = false;
+        agent.needsDecision = false;
         const commands = selectTransfers({
             manifest,
             held: agent.held,
             transfers: agent.transfers,
             peers: agent.peers,
-            originReaders: agent.ranks,
+            originReaders: agent.readerRanks,
             zone: "",
-            zoneReaders: agent.ranks,
+            zoneReaders: agent.readerRanks,
             availableSince: new Map(),
             startedAt: 0,
             neighboursAsked: true,
@@ -234,19 +234,19 @@
         });
         for (const command of commands) {
             if (command.kind !== "abandon") {
-                start(agent, command);
+                startTransfer(agent, command);
                 continue;
             }
             const peer = agent.peers.get(command.source);
             if (peer !== undefined) {
                 recordStall(peer, now, options);
             }
-            end(agent.running.get(command.index)!);
+            removeTransfer(agent.running.get(command.index)!);
         }
     }
 
-    function finish(transfer: Transfer): void {
-        end(transfer);
+    function finishTransfer(transfer: Transfer): void {
+        removeTransfer(transfer);
         const { index, receiver, source } = transfer;
         receiver.receivedBytes += scale.chunkBytes;
         originBytes += source === originSource ? scale.chunkBytes : 0;
@@ -261,44 +261,44 @@
         receiver.complete = isComplete(receiver.held, chunks);
     }
 
-    function move(): void {
-        const waiting = [...agents.values()].flatMap(agent => [...agent.running.values()]);
+    function advanceTransfers(): void {
+        const allTransfers = [...agents.values()].flatMap(agent => [...agent.running.values()]);
         const slots = options.maximumBytesInFlight / scale.chunkBytes / 3;
-        const running = listMoving(waiting, slots, isStopped);
-        const left = new Map<Agent | undefined, { up: number; down: number; }>();
-        const rate = scale.linkBytesPerSecond * transferShare * step / 1_000;
-        left.set(undefined, { up: scale.originBytesPerSecond * step / 1_000, down: 0 });
+        const running = selectActiveTransfers(allTransfers, slots, isStopped);
+        const availableBytes = new Map<Agent | undefined, { up: number; down: number; }>();
+        const rate = scale.linkBytesPerSecond * transferShare * stepMilliseconds / 1_000;
+        availableBytes.set(undefined, { up: scale.originBytesPerSecond * stepMilliseconds / 1_000, down: 0 });
         for (const agent of agents.values()) {
-            left.set(agent, { up: rate, down: rate });
+            availableBytes.set(agent, { up: rate, down: rate });
         }
-        // Each round shares out what is left of the links among the transfers that still want more.
+        // Each round divides the remaining capacity of the links among the transfers that have bytes left.
         for (let round = 0; round < 4; round++) {
-            const open = running.filter(({ receiver, remaining, sender }) =>
-                remaining > 0 && left.get(sender)!.up > 1 && left.get(receiver)!.down > 1
+            const active = running.filter(({ receiver, remaining, sender }) =>
+                remaining > 0 && availableBytes.get(sender)!.up > 1 && availableBytes.get(receiver)!.down > 1
             );
-            const ups = new Map<Agent | undefined, number>();
-            const downs = new Map<Agent, number>();
-            for (const { receiver, sender } of open) {
-                ups.set(sender, (ups.get(sender) ?? 0) + 1);
-                downs.set(receiver, (downs.get(receiver) ?? 0) + 1);
+            const uploadCounts = new Map<Agent | undefined, number>();
+            const downloadCounts = new Map<Agent, number>();
+            for (const { receiver, sender } of active) {
+                uploadCounts.set(sender, (uploadCounts.get(sender) ?? 0) + 1);
+                downloadCounts.set(receiver, (downloadCounts.get(receiver) ?? 0) + 1);
             }
-            const shares = open.map(({ receiver, remaining, sender }) =>
+            const shares = active.map(({ receiver, remaining, sender }) =>
                 Math.min(
                     remaining,
-                    left.get(sender)!.up / ups.get(sender)!,
-                    left.get(receiver)!.down / downs.get(receiver)!,
+                    availableBytes.get(sender)!.up / uploadCounts.get(sender)!,
+                    availableBytes.get(receiver)!.down / downloadCounts.get(receiver)!,
                 )
             );
-            open.forEach((transfer, position) => {
+            active.forEach((transfer, position) => {
                 const share = shares[position]!;
                 transfer.remaining -= share;
                 transfer.progressedAt = now;
-                left.get(transfer.sender)!.up -= share;
-                left.get(transfer.receiver)!.down -= share;
+                availableBytes.get(transfer.sender)!.up -= share;
+                availableBytes.get(transfer.receiver)!.down -= share;
             });
         }
         for (const transfer of running.filter(({ remaining }) => remaining <= 0.5)) {
-            finish(transfer);
+            finishTransfer(transfer);
         }
     }
 
@@ -306,18 +306,18 @@
         return agent.dead || (agent.instance === faults.stalled && now >= faults.after);
     }
 
-    function kill(): void {
-        for (const instance of faults.dying) {
+    function killAgents(): void {
+        for (const instance of faults.killed) {
             const agent = agents.get(instance)!;
             agent.dead = true;
-            [...agent.running.values()].forEach(end);
+            [...agent.running.values()].forEach(removeTransfer);
         }
     }
 
     const limit = scale.totalBytes / scale.linkBytesPerSecond * 10_000;
-    for (let count = 0; now < limit; count++, now += step) {
-        if (count > 0 && now - step < faults.after && now >= faults.after) {
-            kill();
+    for (let stepCount = 0; now < limit; stepCount++, now += stepMilliseconds) {
+        if (stepCount > 0 && now - stepMilliseconds < faults.after && now >= faults.after) {
+            killAgents();
         }
         const alive = [...agents.values()].filter(({ dead }) => !dead);
         if (alive.every(({ complete }) => complete)) {
@@ -325,11 +325,11 @@
         }
         for (const agent of alive.filter(({ complete }) => !complete)) {
             exchange(agent);
-            if (agent.decide || count % decisionSteps === 0) {
+            if (agent.needsDecision || stepCount % stepsPerDecision === 0) {
                 decide(agent);
             }
         }
-        move();
+        advanceTransfers();
     }
     const alive = [...agents.values()].filter(({ dead }) => !dead);
     const copies = alive.map(({ receivedBytes, sentBytes }) => (receivedBytes + sentBytes) / scale.totalBytes);
--- a/bench/distribution/targets.ts
+++ b/bench/distribution/targets.ts
@@ -1,11 +1,11 @@
 import type { RunResult } from "./run.js";
 
-/** Largest allowed figure of a run. */
+/** Largest value that is allowed for a result of a run. */
 interface Target {
     readonly name: string;
     readonly limit: number;
     readonly applies: (result: RunResult) => boolean;
-    /** Measured figure; infinite if the run did not finish. */
+    /** Returns the measured value; infinite if the run did not finish. */
     readonly read: (result: RunResult) => number;
 }
 
