Reword the settings

The texts called a group of backend servers a group and a wave, a slot a place, and said "most", "away" or "longest" where a limit, an outage or a timeout was meant. Some named no subject at all. They now use the terms of the options that they set. No key, default, bound or unit changed.

--- a/src/node/settings/daemonSections.ts
+++ b/src/node/settings/daemonSections.ts
@@ -8,7 +8,7 @@
     defineText,
 } from "./keyDefinitions.js";
 
-/** Sections that describe a process and its surroundings. */
+/** Sections of a process and of the services that it uses: instance, platform, relays, backend server, log output. */
 export const daemonSections = {
     instance: {
         id: defineText(
@@ -19,7 +19,11 @@
         zone: defineText("name", "zone-a", "Availability zone of the instance."),
         region: defineText("name", "region-a", "Region of the instance."),
         pool: defineText("name", "entry", "Pool of the instance: `entry`, or the pool that its deployments name."),
-        grpcAddress: defineText("address", "127.0.0.1:7401", "Address at which our other processes reach this one."),
+        grpcAddress: defineText(
+            "address",
+            "127.0.0.1:7401",
+            "Address of the gRPC server, at which other goldcrestpoint processes reach this one.",
+        ),
         httpAddress: defineText(
             "address",
             "127.0.0.1:7402",
@@ -29,31 +33,31 @@
             minimum: 0,
             maximum: 3_600,
             initial: 120,
-            documentation: "Longest time after SIGTERM in which requests in progress may finish.",
+            documentation: "Maximum time after SIGTERM for requests in progress to finish.",
         }),
     },
     platform: {
-        logUrl: defineText("url", "http://127.0.0.1:7400", "Base address of the platform's append-only log."),
-        instanceListUrl: defineText("url", "http://127.0.0.1:7400", "Base address of the platform's instance list."),
-        weightStoreUrl: defineText("url", "http://127.0.0.1:7400", "Base address of the weight store (manifests)."),
-        originUrl: defineText("url", "http://127.0.0.1:7400", "Base address of the origin (chunks)."),
+        logUrl: defineText("url", "http://127.0.0.1:7400", "Base URL of the platform's append-only log."),
+        instanceListUrl: defineText("url", "http://127.0.0.1:7400", "Base URL of the platform's instance list."),
+        weightStoreUrl: defineText("url", "http://127.0.0.1:7400", "Base URL of the weight store (manifests)."),
+        originUrl: defineText("url", "http://127.0.0.1:7400", "Base URL of the origin (chunks)."),
         requestTimeLimitMilliseconds: defineDuration("requestTimeLimit", "Milliseconds", {
             minimum: 10,
             maximum: 60_000,
             initial: 3_000,
-            documentation: "Time after which a call to the log, the instance list or the weight store has failed.",
+            documentation: "Timeout of a call to the log, the instance list or the weight store.",
         }),
         chunkTimeLimitMilliseconds: defineDuration("chunkTimeLimit", "Milliseconds", {
             minimum: 10,
             maximum: 600_000,
             initial: 30_000,
-            documentation: "Time after which the transfer of a chunk from the origin has failed.",
+            documentation: "Timeout of the transfer of a chunk from the origin.",
         }),
         logWaitMilliseconds: defineDuration("logWait", "Milliseconds", {
             minimum: 0,
             maximum: 60_000,
             initial: 1_000,
-            documentation: "Time that a read of the log may wait for a new record.",
+            documentation: "Maximum time that a read of the log waits for a new record.",
         }),
         instanceListIntervalMilliseconds: defineDuration("instanceListInterval", "Milliseconds", {
             minimum: 50,
@@ -66,43 +70,45 @@
         entryAddresses: defineList(
             "address",
             "",
-            "Entry instances to follow. If empty, they are taken from the instance list.",
+            "Entry instances whose relays are followed. If empty, they are taken from the instance list.",
         ),
         parents: defineInteger({
             minimum: 1,
             maximum: 8,
             initial: 3,
-            documentation: "Entry instances that a process follows at once.",
+            documentation: "Number of entry instances that a process follows at the same time.",
         }),
         tickMilliseconds: defineDuration("tick", "Milliseconds", {
             minimum: 5,
             maximum: 5_000,
             initial: 100,
-            documentation: "Time between two runs of the systems of a daemon.",
+            documentation: "Time between two ticks: runs of the periodic tasks of a daemon.",
         }),
         heartbeatMilliseconds: defineDuration("heartbeat", "Milliseconds", {
             minimum: 10,
             maximum: 10_000,
             initial: 1_000,
-            documentation: "Time between two reports of an agent, and between two messages of a relay without news.",
+            documentation:
+                "Time between two reports of an agent, and between two messages of a relay while no record changes.",
         }),
         silentAfterMilliseconds: defineDuration("silentAfter", "Milliseconds", {
             minimum: 50,
             maximum: 60_000,
             initial: 4_000,
-            documentation: "Time without a message after which a relay is replaced by another one or a direct read.",
+            documentation:
+                "Time without a message after which another relay, or the log itself, is read instead of a relay.",
         }),
         reconnectMilliseconds: defineDuration("reconnect", "Milliseconds", {
             minimum: 10,
             maximum: 60_000,
             initial: 500,
-            documentation: "Mean time before the next attempt at a lost connection; the actual time has jitter.",
+            documentation: "Mean delay before a lost connection is opened again; the actual delay has jitter.",
         }),
         directReadJitterMilliseconds: defineDuration("directReadJitter", "Milliseconds", {
             minimum: 0,
             maximum: 60_000,
             initial: 3_000,
-            documentation: "Longest random wait before a direct read of the log when no relay answers.",
+            documentation: "Maximum random delay before the log is read directly when no relay responds.",
         }),
     },
     hold: {
@@ -116,11 +122,12 @@
             minimum: 0.1,
             maximum: 120,
             initial: 5,
-            documentation: "Time added to the hold before a replacement, for clocks that run at different rates.",
+            documentation:
+                "Time added to the hold duration before a copy is replaced, since clocks run at different rates.",
         }),
     },
     backendServer: {
-        url: defineText("url", "http://127.0.0.1:7500", "Address of the backend server beside the agent."),
+        url: defineText("url", "http://127.0.0.1:7500", "Base URL of the backend server on the agent's instance."),
         kind: defineChoice(["model", "service"], "A model engine that needs weights, or a plain service."),
         checksFencing: defineBoolean(
             false,
@@ -130,13 +137,13 @@
             minimum: 50,
             maximum: 120_000,
             initial: 5_000,
-            documentation: "Longest time that an order to the engine may be on its way.",
+            documentation: "Maximum time between sending an order and its arrival at the engine.",
         }),
         requestTimeLimitMilliseconds: defineDuration("requestTimeLimit", "Milliseconds", {
             minimum: 50,
             maximum: 3_600_000,
             initial: 300_000,
-            documentation: "Time after which a request without a further byte from the backend server has failed.",
+            documentation: "Time without a byte from the backend server after which a request has failed.",
         }),
         stateIntervalMilliseconds: defineDuration("stateInterval", "Milliseconds", {
             minimum: 10,
@@ -152,8 +159,8 @@
             maximum: 1,
             initial: 1,
             documentation:
-                "Share of the requests whose successful routing decisions are written. Refusals, failures and placement " +
-                "decisions are always written.",
+                "Share of the requests whose successful routing decisions are written. Refusals, failures and " +
+                "placement decisions are always written.",
         }),
         recentDecisions: defineInteger({
             minimum: 0,
@@ -166,21 +173,21 @@
         entryUrls: defineList(
             "url",
             "http://127.0.0.1:7402",
-            "HTTP addresses of entry instances that `status` and `explain` ask.",
+            "Base URLs of the entry instances that `status` and `explain` query.",
         ),
         name: defineText("name", "operator", "Name that is written into the records of this operator."),
         watchIntervalMilliseconds: defineDuration("watchInterval", "Milliseconds", {
             minimum: 100,
             maximum: 60_000,
             initial: 1_000,
-            documentation: "Time between two answers of `status --watch`.",
+            documentation: "Time between two outputs of `status --watch`.",
         }),
         appendAttempts: defineInteger({
             minimum: 1,
             maximum: 20,
             initial: 4,
             documentation:
-                "Attempts at an append whose outcome was ambiguous or that failed, reads in between included.",
+                "Maximum number of attempts at an append; each includes the read of the log that checks its outcome.",
         }),
     },
 } as const;
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -1,14 +1,14 @@
 import { distributionSection } from "./distributionSection.js";
 import { defineDuration, defineInteger, defineNumber, renameKey } from "./keyDefinitions.js";
 
-/** Sections with the options of the decision functions. */
+/** Sections with the options of the decision functions in `src/runtime`. */
 export const decisionSections = {
     placement: {
         unreachableAfterMilliseconds: defineDuration("unreachableAfter", "Milliseconds", {
             minimum: 100,
             maximum: 600_000,
             initial: 10_000,
-            documentation: "Time after which an agent that was not heard counts as unreachable.",
+            documentation: "Time without a message after which an instance counts as unreachable.",
         }),
         rankDelayMilliseconds: defineDuration("rankDelay", "Milliseconds", {
             minimum: 0,
@@ -20,19 +20,20 @@
             minimum: 0,
             maximum: 1,
             initial: 0.1,
-            documentation: "Share of the copies in an availability zone under replacement at once; at least one copy.",
+            documentation:
+                "Share of the copies in an availability zone that may be replaced at once; at least one copy.",
         }),
         absentReadsUntilGone: defineInteger({
             minimum: 1,
             maximum: 100,
             initial: 3,
-            documentation: "Successive reads of the instance list without an instance after which it counts as gone.",
+            documentation: "Consecutive reads of the instance list without an instance after which it counts as gone.",
         }),
         maximumWitnesses: defineInteger({
             minimum: 1,
             maximum: 15,
             initial: 5,
-            documentation: "Most witnesses of a copy.",
+            documentation: "Maximum number of witnesses of a copy.",
         }),
         retentionSeconds: defineDuration("retention", "Seconds", {
             minimum: 10,
@@ -49,7 +50,8 @@
                 minimum: 1,
                 maximum: 1_024,
                 initial: 32,
-                documentation: "Most runners of a deployment that one entry instance follows.",
+                documentation:
+                    "Maximum number of runners of a deployment whose load reports one entry instance follows.",
             }),
         ),
         loadHalfLifeMilliseconds: defineDuration("loadHalfLife", "Milliseconds", {
@@ -62,13 +64,14 @@
             minimum: 50,
             maximum: 600_000,
             initial: 5_000,
-            documentation: "Time after which a runner without a load report is no candidate.",
+            documentation: "Time after its last load report from which on a runner is not a candidate.",
         }),
         affinityLoadFactor: defineNumber({
             minimum: 1,
             maximum: 100,
             initial: 1.25,
-            documentation: "Load above the subset's mean, as a factor, up to which prefix affinity wins.",
+            documentation:
+                "Affinity bound, as a multiple of the subset's mean load, below which a prefix keeps its runner.",
         }),
         affinityLoadSlackRequests: renameKey(
             "affinityLoadSlack",
@@ -76,7 +79,7 @@
                 minimum: 0,
                 maximum: 1_000,
                 initial: 1,
-                documentation: "Load added to the affinity bound, in requests.",
+                documentation: "Number of requests added to the affinity bound.",
             }),
         ),
         zonePenaltyRequests: renameKey(
@@ -101,13 +104,14 @@
             minimum: 1,
             maximum: 100,
             initial: 3,
-            documentation: "Successive failures after which a runner is ejected.",
+            documentation: "Consecutive failures after which a runner is ejected.",
         }),
         ejectionMilliseconds: defineDuration("ejectionDuration", "Milliseconds", {
             minimum: 10,
             maximum: 600_000,
             initial: 2_000,
-            documentation: "Time for which a runner is ejected; doubled with each ejection up to eight times.",
+            documentation:
+                "Time for which a runner is ejected; doubled with each successive ejection up to eight times this.",
         }),
         panicShare: defineNumber({
             minimum: 0,
@@ -139,31 +143,31 @@
             minimum: 1,
             maximum: 100_000,
             initial: 256,
-            documentation: "Requests in progress at once.",
+            documentation: "Maximum number of requests in progress.",
         }),
         maximumQueued: defineInteger({
             minimum: 0,
             maximum: 100_000,
             initial: 512,
-            documentation: "Requests waiting at once.",
+            documentation: "Maximum number of requests in the queue.",
         }),
         maximumAccountShare: defineNumber({
             minimum: 0.01,
             maximum: 1,
             initial: 0.5,
-            documentation: "Share of the places that one client account may take while others wait.",
+            documentation: "Share of the slots that one client account may use while others wait.",
         }),
         lateShare: defineNumber({
             minimum: 0.01,
             maximum: 1,
             initial: 0.9,
-            documentation: "Share of the places that are filled before a request that has missed its target may start.",
+            documentation: "Share of the slots below which a request that has missed its target may start.",
         }),
         serviceTimeWeight: defineNumber({
             minimum: 0.001,
             maximum: 1,
             initial: 0.1,
-            documentation: "Weight of the newest service time in the moving average.",
+            documentation: "Weight of the newest service time in the exponential moving average.",
         }),
         initialServiceTimeMilliseconds: defineDuration("initialServiceTime", "Milliseconds", {
             minimum: 1,
@@ -175,13 +179,13 @@
             minimum: 1,
             maximum: 3_600,
             initial: 30,
-            documentation: "Largest time after which a refusal tells the caller to retry.",
+            documentation: "Largest retry time that a refusal tells the caller.",
         }),
         retryAfterStepSeconds: defineNumber({
             minimum: 0.01,
             maximum: 60,
             initial: 1,
-            documentation: "Step to which that time is rounded up; 1 for callers that take whole seconds only.",
+            documentation: "Step to which the retry time is rounded up; 1 for callers that take whole seconds only.",
         }),
     },
     retry: {
@@ -201,43 +205,44 @@
             minimum: 0,
             maximum: 100_000,
             initial: 100,
-            documentation: "Most retries that the budget holds.",
+            documentation: "Largest balance of the budget, in retries.",
         }),
         maximumAttempts: defineInteger({
             minimum: 1,
             maximum: 20,
             initial: 3,
-            documentation: "Attempts at one request, the first included.",
+            documentation: "Maximum number of attempts at one request, the first included.",
         }),
         maximumCrashes: defineInteger({
             minimum: 1,
             maximum: 10,
             initial: 2,
-            documentation: "Crashes of backend servers that one request may cause before it is refused for good.",
+            documentation:
+                "Crashes of backend servers after which a request is condemned: it is refused without an attempt.",
         }),
         condemnedSeconds: defineDuration("condemnedDuration", "Seconds", {
             minimum: 1,
             maximum: 86_400,
             initial: 600,
-            documentation: "Time for which a refused fingerprint stays refused.",
+            documentation: "Time for which a request stays condemned after its last crash or attempt to send it.",
         }),
         suspicionSeconds: defineDuration("suspicionDuration", "Seconds", {
             minimum: 1,
             maximum: 86_400,
             initial: 60,
-            documentation: "Time after which an unproved suspicion is forgotten.",
+            documentation: "Time after which a suspect that was not condemned is forgotten.",
         }),
         maximumSuspects: defineInteger({
             minimum: 1,
             maximum: 1_000_000,
             initial: 10_000,
-            documentation: "Most fingerprints under suspicion; the oldest are dropped.",
+            documentation: "Maximum number of fingerprints of suspects; the oldest are dropped.",
         }),
         answerMemorySeconds: defineDuration("answerMemory", "Seconds", {
             minimum: 1,
             maximum: 86_400,
             initial: 30,
-            documentation: "Time for which the answer to a request tells that it does not crash backend servers.",
+            documentation: "Time for which an answer to a request rules it out as the cause of later crashes.",
         }),
     },
     idempotency: {
@@ -251,19 +256,21 @@
             minimum: 0,
             maximum: 60_000,
             initial: 2_000,
-            documentation: "Difference between a caller's clock and ours that is allowed for.",
+            documentation: "Largest assumed difference between the clocks of a caller and of this process.",
         }),
         maximumEntries: defineInteger({
             minimum: 1,
             maximum: 10_000_000,
             initial: 100_000,
-            documentation: "Most entries of the ledger; when full, further keys are refused as not run.",
+            documentation:
+                "Maximum number of entries of the ledger; when it is full, further keys are refused as not run.",
         }),
         maximumAnswerBytes: defineInteger({
             minimum: 0,
             maximum: 1_073_741_824,
             initial: 8_388_608,
-            documentation: "Most bytes of stored answers; older answers are dropped first, their keys are kept.",
+            documentation:
+                "Maximum bytes of stored answers; the oldest answers are dropped first, but their keys are kept.",
         }),
     },
 } as const;
--- a/src/node/settings/distributionSection.ts
+++ b/src/node/settings/distributionSection.ts
@@ -6,37 +6,38 @@
         minimum: 1,
         maximum: 256,
         initial: 12,
-        documentation: "Transfers that one agent runs at once.",
+        documentation: "Maximum number of concurrent transfers of one agent.",
     }),
     maximumTransfersFromPeer: defineInteger({
         minimum: 1,
         maximum: 256,
         initial: 1,
-        documentation: "Transfers that one agent runs from the same peer at once.",
+        documentation: "Maximum number of concurrent transfers of one agent from the same peer.",
     }),
     maximumOriginTransfers: defineInteger({
         minimum: 1,
         maximum: 256,
         initial: 2,
-        documentation: "Transfers that one agent runs from the origin at once.",
+        documentation: "Maximum number of concurrent transfers of one agent from the origin.",
     }),
     maximumUploads: defineInteger({
         minimum: 1,
         maximum: 1024,
         initial: 8,
-        documentation: "Requests for chunks that one agent accepts at once; further ones are refused as choked.",
+        documentation:
+            "Maximum number of requests for chunks that one agent serves at once; further ones are refused as choked.",
     }),
     maximumBytesInFlight: defineInteger({
         minimum: 4_096,
         maximum: 1_073_741_824,
         initial: 12 * 1024 * 1024,
-        documentation: "Bytes of chunks that one agent keeps in memory at once for transfers in both directions.",
+        documentation: "Maximum bytes of chunks that one agent keeps in memory for transfers in both directions.",
     }),
     uploadAllowanceCopies: defineNumber({
         minimum: 0,
         maximum: 100,
         initial: 1.1,
-        documentation: "Copies that an agent sends before it refuses chunks to requesters with other sources.",
+        documentation: "Copies of a set that an agent sends before it refuses requesters that have other sources.",
     }),
     stallAfterMilliseconds: defineDuration("stallAfter", "Milliseconds", {
         minimum: 50,
@@ -48,7 +49,8 @@
         minimum: 50,
         maximum: 600_000,
         initial: 30_000,
-        documentation: "Time after which a read from the origin is abandoned; the origin may queue it.",
+        documentation:
+            "Time after which a read from the origin is abandoned; includes the time for which the origin queues it.",
     }),
     avoidSourceForMilliseconds: defineDuration("avoidSourceFor", "Milliseconds", {
         minimum: 0,
@@ -72,7 +74,8 @@
         minimum: 1,
         maximum: 64,
         initial: 8,
-        documentation: "Sources of a chunk from which on the origin is no longer read with the objective `time`.",
+        documentation:
+            "Holders of a chunk from which on no more agents read it from the origin with the objective `time`.",
     }),
     corruptChunksUntilAvoided: defineInteger({
         minimum: 1,
@@ -90,22 +93,23 @@
         minimum: 0,
         maximum: 64,
         initial: 8,
-        documentation: "Origin readers with which an agent exchanges bitfields besides its neighbours, at most.",
+        documentation:
+            "Maximum number of origin readers with which an agent exchanges bitfields besides its neighbours.",
     }),
     preferOwnZone: defineBoolean(
         false,
-        "Whether one member of each zone reads a chunk across the zone's border and the others read it from there.",
+        "Whether only one member of each zone reads a chunk from another zone and the others read it from that member.",
     ),
     zoneTakeoverAfterMilliseconds: defineDuration("zoneTakeoverAfter", "Milliseconds", {
         minimum: 10,
         maximum: 600_000,
         initial: 1_000,
-        documentation: "Time after which the next member of a zone may read a chunk across its border.",
+        documentation: "Time after which the next member of a zone may read a chunk from another zone.",
     }),
     linkBytesPerSecond: defineInteger({
         minimum: 1_000,
         maximum: 100_000_000_000,
         initial: 125_000_000,
-        documentation: "Bytes a second that transfers may use of the machine's link while no request is in progress.",
+        documentation: "Bytes per second of the network link that transfers may use while no request is in progress.",
     }),
 } as const;
--- a/src/node/settings/documentation.ts
+++ b/src/node/settings/documentation.ts
@@ -6,11 +6,11 @@
 This page is generated from the definitions in \`src/node/settings\` by \`goldcrestpoint settings > docs/settings.md\`;
 a test compares the two.
 
-A setting is taken from the strongest source that has it: the flag \`--set SECTION.KEY=VALUE\`, the environment variable
-\`GOLDCRESTPOINT_SECTION_KEY\`, the INI file (\`--settings FILE\`), the default. The unit is part of the key's name, so
-values are written without one. A wrong setting ends the program with exit code 2 and a line with source, section, key,
-value and what is allowed. \`GOLDCRESTPOINT_CONFIG\` holds the path of the file if no flag names one. One file may serve several programs: a program checks all sections and uses those that it
-needs.
+A setting is taken from the first of these sources that contains it: the flag \`--set SECTION.KEY=VALUE\`, the
+environment variable \`GOLDCRESTPOINT_SECTION_KEY\`, the INI file (\`--settings FILE\`), the default. The unit is part
+of the key's name, so values are written without one. An invalid setting ends the program with exit code 2 and a line
+with source, section, key, value and what is allowed. \`GOLDCRESTPOINT_CONFIG\` holds the path of the file if no flag names
+one. Several programs can share a file: each program checks all sections and uses those that it needs.
 
 | Program | Sections |
 | --- | --- |
@@ -27,16 +27,16 @@
 }
 
 /**
- * Writes the reference of all settings.
+ * Renders the reference of all settings as Markdown.
  *
- * @returns Markdown text of docs/settings.md
+ * @returns the page docs/settings.md
  */
 export function renderSettingsDocumentation(): string {
     const sections = Object.entries<SectionTable[string]>(allSections).map(([section, definition]) => {
         const rows = Object.entries(definition).map(([key, { allowed, defaultText, documentation }]) => {
-            const initial = defaultText === "" ? "(empty)" : `\`${defaultText}\``;
+            const defaultCell = defaultText === "" ? "(empty)" : `\`${defaultText}\``;
             const variable = nameEnvironmentVariable(section, key);
-            return `| \`${key}\` | ${initial} | ${escapeCell(allowed)} | ${
+            return `| \`${key}\` | ${defaultCell} | ${escapeCell(allowed)} | ${
                 escapeCell(documentation)
             } \`${variable}\` |`;
         });
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -4,8 +4,12 @@
 /** Sections of gateways and of the agents that work with them. */
 export const gatewaySections = {
     gateway: {
-        readyAddress: defineText("address", "127.0.0.1:7403", "Address of the HTTP server that tells readiness."),
-        metricsAddress: defineText("address", "127.0.0.1:7404", "Address of the HTTP server of metrics and decisions."),
+        readyAddress: defineText("address", "127.0.0.1:7403", "Address of the HTTP server for readiness checks."),
+        metricsAddress: defineText(
+            "address",
+            "127.0.0.1:7404",
+            "Address of the HTTP server for metrics and decisions.",
+        ),
         relayPort: defineInteger({
             minimum: 1,
             maximum: 65_535,
@@ -21,87 +25,88 @@
         seeds: defineList(
             "address",
             "",
-            "Instances that may run gateways, of which only the hosts are used. They may be gone.",
+            "Instances that may run gateways; only their hosts are used. They need not exist any more.",
         ),
         zoneRegions: defineList("name", "", "Region of each availability zone, each as ZONE:REGION."),
         cutoverAfterMilliseconds: defineDuration("cutoverAfter", "Milliseconds", {
             minimum: 100,
             maximum: 3_600_000,
             initial: 7_300,
-            documentation: "Time after a version was declared from which on no request goes to an older one.",
+            documentation:
+                "Time after the declaration of a version from which on no request is sent to an older version.",
         }),
         abandonAfterMilliseconds: defineDuration("abandonAfter", "Milliseconds", {
             minimum: 100,
             maximum: 3_600_000,
             initial: 7_700,
             documentation:
-                "Time after a version was declared at which a request that an older one has not begun to answer is taken " +
-                "back from its backend server.",
+                "Time after the declaration of a version within which an answer of an older version must have begun; " +
+                "after it, the attempt is aborted.",
         }),
         assumedAgeMilliseconds: defineDuration("assumedAge", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
             initial: 4_000,
-            documentation: "Age assumed for a version that was declared before the process started.",
+            documentation: "Assumed age of a version that was declared before the process started.",
         }),
         returnTimeMilliseconds: defineDuration("returnTime", "Milliseconds", {
             minimum: 0,
             maximum: 60_000,
             initial: 2_200,
-            documentation: "Time after an outage of the log in which lapsed entries of backend servers come back.",
+            documentation:
+                "Time after an outage of the log within which backend servers write their expired entries again.",
         }),
         outageAfterMilliseconds: defineDuration("outageAfter", "Milliseconds", {
             minimum: 100,
             maximum: 600_000,
             initial: 1_600,
-            documentation: "Age of the list of backend servers from which on the log counts as away.",
+            documentation: "Age of the list of backend servers above which the log counts as unavailable.",
         }),
         noticeMemoryMilliseconds: defineDuration("noticeMemory", "Milliseconds", {
             minimum: 1_000,
             maximum: 86_400_000,
             initial: 600_000,
-            documentation:
-                "Time for which a gateway remembers what a backend server has said of itself after its entry is gone.",
+            documentation: "Time for which the notices of a backend server are kept after the removal of its entry.",
         }),
         maximumPauseMilliseconds: defineDuration("maximumPause", "Milliseconds", {
             minimum: 100,
             maximum: 86_400_000,
             initial: 300_000,
             documentation:
-                "Longest time for which a backend server that turns requests away is left alone, whatever it asks for.",
+                "Maximum pause of a backend server that turns requests away, even if it asks for a longer one.",
         }),
         reportExpiryMilliseconds: defineDuration("reportExpiry", "Milliseconds", {
             minimum: 100,
             maximum: 60_000,
             initial: 2_500,
-            documentation: "Time after which the report of an agent no longer goes before the list.",
+            documentation: "Age above which a report of an agent no longer takes precedence over the list.",
         }),
         queuedPerServer: defineInteger({
             minimum: -1_000,
             maximum: 1_000,
             initial: 0,
-            documentation: "Requests beyond its slots that a backend server is given; negative to leave slots free.",
+            documentation: "Requests that a backend server is given beyond its slots; negative to leave slots free.",
         }),
         connectTimeLimitMilliseconds: defineDuration("connectTimeLimit", "Milliseconds", {
             minimum: 10,
             maximum: 60_000,
             initial: 400,
-            documentation: "Time in which a connection to a backend server must be open.",
+            documentation: "Time within which a connection to a backend server must be established.",
         }),
         maximumHeldAnswerBytes: defineInteger({
             minimum: 1_048_576,
             maximum: 1_099_511_627_776,
             initial: 67_108_864,
             documentation:
-                "Bytes of all answers that a gateway keeps of backend servers, or an agent of engine, origin and log; the " +
-                "largest are given up if there are more.",
+                "Maximum bytes in memory of all answers: of backend servers at a gateway, of engine, origin and log " +
+                "at an agent. Beyond it, the largest answers are abandoned.",
         }),
         switchAfterMilliseconds: defineDuration("switchAfter", "Milliseconds", {
             minimum: 50,
             maximum: 600_000,
             initial: 1_500,
             documentation:
-                "Time without a byte after which a request that may be repeated goes on at another backend server.",
+                "Time without a byte after which an idempotent request is retried at another backend server.",
         }),
         waitForEarlyAnswerShare: defineNumber({
             minimum: 0,
@@ -113,60 +118,60 @@
             minimum: 0,
             maximum: 600_000,
             initial: 2_700,
-            documentation: "Time after the signal to shut down in which new connections are still accepted.",
+            documentation: "Time after SIGTERM or SIGINT for which new connections are still accepted.",
         }),
         shutdownMarginMilliseconds: defineDuration("shutdownMargin", "Milliseconds", {
             minimum: 0,
             maximum: 600_000,
             initial: 700,
             documentation:
-                "Time before the end of instance.drainTimeLimitSeconds at which the drain ends, to release everything and end.",
+                "Time before the end of instance.drainTimeLimitSeconds at which the drain ends, to release resources.",
         }),
         settleTimeMilliseconds: defineDuration("settleTime", "Milliseconds", {
             minimum: 100,
             maximum: 600_000,
             initial: 3_000,
-            documentation: "Time in which every gateway has to know of the crashes that one of them has seen.",
+            documentation: "Time within which evidence of a crash must reach all gateways.",
         }),
         registrationLimitMilliseconds: defineDuration("registrationLimit", "Milliseconds", {
             minimum: 0,
             maximum: 600_000,
             initial: 800,
             documentation:
-                "Time after which a gateway counts as ready although the others may not know it, since the log does not answer.",
+                "Time after which a gateway is ready even if the log is unavailable, so that others may not know it.",
         }),
         peerWaitMilliseconds: defineDuration("peerWait", "Milliseconds", {
             minimum: 0,
             maximum: 600_000,
             initial: 1_200,
             documentation:
-                "Time after which a gateway counts as ready although no other one has told it what a restored log may lack.",
+                "Maximum time for which readiness waits for other gateways' records that a restored log may have lost.",
         }),
         fleetRetryShare: defineNumber({
             minimum: 0,
             maximum: 1,
             initial: 0,
-            documentation: "Retries that all gateways together may make for each request at a service.",
+            documentation: "Retries per request that all gateways together may make at a service.",
         }),
         fleetRetries: defineNumber({
             minimum: 0,
             maximum: 1_000_000,
             initial: 0,
             documentation:
-                "Retries that all gateways together may make at a service in a window beside that share; replaces " +
-                "budgetPerSecond and budgetMaximum of [retry]. 0 leaves each process the budget of [retry].",
+                "Retries per window that all gateways together may make at a service in addition to fleetRetryShare; " +
+                "replaces budgetPerSecond and budgetMaximum of [retry]. 0 leaves each process the budget of [retry].",
         }),
         fleetRetryWindowSeconds: defineDuration("fleetRetryWindow", "Seconds", {
             minimum: 1,
             maximum: 3_600,
             initial: 10,
-            documentation: "Window of fleetRetries.",
+            documentation: "Length of a window of fleetRetries.",
         }),
         settingsCheckIntervalMilliseconds: defineDuration("settingsCheckInterval", "Milliseconds", {
             minimum: 100,
             maximum: 3_600_000,
             initial: 1_000,
-            documentation: "Time between two looks at the settings file, which may change without a signal.",
+            documentation: "Time between two checks of the settings file, which may change without a signal.",
         }),
     },
     weightAgent: {
@@ -174,25 +179,25 @@
         service: defineText("name", "", "Service that the engine belongs to."),
         objective: defineChoice(
             ["origin-bytes", "time"],
-            "Whether the transfer of weights favours few bytes from the origin or a short time.",
+            "Whether the transfer of weights minimizes the bytes read from the origin or the transfer time.",
         ),
         linkMegabitsPerSecond: defineNumber({
             minimum: 0.01,
             maximum: 1_000_000,
             initial: 1_000,
-            documentation: "Speed of the instance's link, which transfers of weights share with live requests.",
+            documentation: "Bandwidth of the instance's network link, which transfers of weights share with requests.",
         }),
         linkShare: defineNumber({
             minimum: 0.01,
             maximum: 1,
             initial: 0.9,
-            documentation: "Share of the link that transfers of weights may use; the rest is left to live requests.",
+            documentation: "Share of the link that transfers of weights may use; the rest is left to requests.",
         }),
         relays: defineInteger({
             minimum: 1,
             maximum: 16,
             initial: 2,
-            documentation: "Gateways that the agent follows at once.",
+            documentation: "Number of gateways whose relays the agent follows at the same time.",
         }),
         reportIntervalMilliseconds: defineDuration("reportInterval", "Milliseconds", {
             minimum: 20,
@@ -204,71 +209,71 @@
             minimum: 20,
             maximum: 60_000,
             initial: 1_000,
-            documentation: "Longest time after which gateways are sent a report although it has hardly changed.",
+            documentation: "Time after which a report is sent to gateways even if it has hardly changed.",
         }),
         reportedLoadChange: defineInteger({
             minimum: 1,
             maximum: 1_000,
             initial: 2,
-            documentation: "Change of the number of requests at the engine that is reported at once.",
+            documentation: "Change in the number of requests at the engine that is reported immediately.",
         }),
         waves: defineInteger({
             minimum: 1,
             maximum: 100,
             initial: 3,
-            documentation: "Groups of backend servers that load a new version one after the other.",
+            documentation: "Number of waves: groups of backend servers that load a new version one after the other.",
         }),
         firstWaveAfterMilliseconds: defineDuration("firstWaveAfter", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
             initial: 3_300,
             documentation:
-                "Time after the declaration at which the first group may stop serving to load, if it is nearly complete.",
+                "Time after the declaration at which the first wave may stop serving to load, with nearly every chunk.",
         }),
         waveIntervalMilliseconds: defineDuration("waveInterval", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
             initial: 1_300,
-            documentation: "Time by which each group loads later than the one before.",
+            documentation: "Time between the starts of two successive waves.",
         }),
         lastWaveAfterMilliseconds: defineDuration("lastWaveAfter", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
             initial: 6_200,
             documentation:
-                "Time after the declaration at which every group may stop serving; gateways ask for the new version soon.",
+                "Time after the declaration at which all waves may load; gateways soon require the new version.",
         }),
         drainBeforeLoadMilliseconds: defineDuration("drainBeforeLoad", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
             initial: 1_000,
-            documentation: "Longest time in which requests in progress may finish before the engine loads a version.",
+            documentation: "Maximum time for requests in progress to finish before the engine loads a version.",
         }),
         copyTimeMilliseconds: defineDuration("copyTime", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
             initial: 5_000,
             documentation:
-                "Time that transfer and load of a version take. A newer version takes the place of one that is not loaded " +
-                "yet only if it is there before the older one falls due.",
+                "Time that the transfer and the load of a version take. A newer version is transferred instead of an " +
+                "older one that is not held yet only if it can be loaded before the cutover to the older one.",
         }),
         repeatAfterMilliseconds: defineDuration("repeatAfter", "Milliseconds", {
             minimum: 100,
             maximum: 600_000,
             initial: 3_000,
-            documentation: "Time after which a load order without effect is given again.",
+            documentation: "Time after which a load order that had no effect is given again.",
         }),
         exchangeIntervalMilliseconds: defineDuration("exchangeInterval", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
             initial: 400,
-            documentation: "Time between two exchanges of what is held with the same neighbour.",
+            documentation: "Time between two exchanges of bitfields with the same neighbour.",
         }),
         exchangeTimeLimitMilliseconds: defineDuration("exchangeTimeLimit", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
             initial: 400,
-            documentation: "Time after which such an exchange has failed.",
+            documentation: "Timeout of an exchange of bitfields.",
         }),
     },
     replica: replicaSection,
--- a/src/node/settings/keyDefinitions.ts
+++ b/src/node/settings/keyDefinitions.ts
@@ -1,22 +1,22 @@
 import { z } from "zod";
 import type { Milliseconds } from "../../types/index.js";
 
-/** One key of a section: how its text is checked, what it stands for and where its value goes. */
+/** One key of a section: its validation, default, documentation and the name of its resolved value. */
 export interface KeyDefinition<Value, Property extends string | undefined = string | undefined> {
-    /** Converts the text to the value. */
+    /** Validates the text and converts it to the value. */
     readonly schema: z.ZodType<Value, string>;
-    /** What the text may be, in words, for error messages and documentation. */
+    /** Description of the allowed texts for error messages and documentation. */
     readonly allowed: string;
     readonly defaultText: string;
     readonly documentation: string;
-    /** Name of the value in the resolved settings; undefined for the key's own name. */
+    /** Name of the value in the resolved settings; undefined if it is the name of the key. */
     readonly property: Property;
 }
 
 /** Keys of one section. */
 export type SectionDefinition = Readonly<Record<string, KeyDefinition<unknown>>>;
 
-/** Values of one section, by the names that the resolved settings use. */
+/** Values of one section by their names in the resolved settings. */
 export type SectionValues<Section extends SectionDefinition> = {
     readonly [
         Key in keyof Section as Section[Key] extends KeyDefinition<unknown, infer Property extends string> ? Property :
@@ -55,7 +55,7 @@
 }
 
 /**
- * Defines a key that takes a number with or without decimals.
+ * Defines a key that takes a decimal number.
  *
  * @param details - bounds, default and documentation
  * @returns the definition
@@ -72,11 +72,11 @@
 
 const millisecondsByUnit = { Milliseconds: 1, Seconds: 1_000 } as const;
 
-/** Unit at the end of a key that takes a length of time. */
+/** Unit of a duration, which is the suffix of its key. */
 export type DurationUnit = keyof typeof millisecondsByUnit;
 
 /**
- * Defines a key that takes a length of time. The key ends in the unit; the value is in milliseconds.
+ * Defines a key that takes a duration. The key ends with the unit; the resolved value is in milliseconds.
  *
  * @param property - name of the value in the resolved settings
  * @param unit - unit of the text and of the bounds
@@ -99,10 +99,10 @@
 }
 
 /**
- * Defines a key that takes one of a few words.
+ * Defines a key that takes one of several words.
  *
  * @param choices - the words; the first one is the default
- * @param documentation - what the key does
+ * @param documentation - meaning of the key
  * @returns the definition
  */
 export function defineChoice<const Choice extends string>(
@@ -121,21 +121,21 @@
 /**
  * Defines a key that is true or false.
  *
- * @param initial - the default
- * @param documentation - what the key does
+ * @param defaultValue - the default
+ * @param documentation - meaning of the key
  * @returns the definition
  */
-export function defineBoolean(initial: boolean, documentation: string): KeyDefinition<boolean, undefined> {
+export function defineBoolean(defaultValue: boolean, documentation: string): KeyDefinition<boolean, undefined> {
     return {
         schema: z.string().regex(/^(true|false)$/).transform(text => text === "true"),
         allowed: "true or false",
-        defaultText: String(initial),
+        defaultText: String(defaultValue),
         documentation,
         property: undefined,
     };
 }
 
-/** Kinds of text that settings know, with the pattern and the wording of errors. */
+/** Kinds of text, with the pattern to match and its description. */
 const textKinds = {
     name: {
         pattern: /^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$/,
@@ -145,7 +145,7 @@
         pattern: /^(\[[0-9a-fA-F:]+\]|[A-Za-z0-9.-]+):\d{1,5}$/,
         allowed: "host:port, for example 10.0.3.7:7401",
     },
-    url: { pattern: /^https?:\/\/[^\s/]+(\/\S*)?$/, allowed: "an http or https address without spaces" },
+    url: { pattern: /^https?:\/\/[^\s/]+(\/\S*)?$/, allowed: "an http or https URL without spaces" },
 } as const;
 
 /** Kind of text that a key takes. */
@@ -155,16 +155,20 @@
  * Defines a key that takes a text.
  *
  * @param kind - kind of text
- * @param initial - the default; empty if the key may be left out
- * @param documentation - what the key does
+ * @param defaultValue - the default; empty if the key may be left out
+ * @param documentation - meaning of the key
  * @returns the definition
  */
-export function defineText(kind: TextKind, initial: string, documentation: string): KeyDefinition<string, undefined> {
+export function defineText(
+    kind: TextKind,
+    defaultValue: string,
+    documentation: string,
+): KeyDefinition<string, undefined> {
     const { pattern, allowed } = textKinds[kind];
     return {
-        schema: z.string().refine(text => pattern.test(text) || (text === "" && initial === "")),
-        allowed: initial === "" ? `${allowed}, or nothing` : allowed,
-        defaultText: initial,
+        schema: z.string().refine(text => pattern.test(text) || (text === "" && defaultValue === "")),
+        allowed: defaultValue === "" ? `${allowed}, or nothing` : allowed,
+        defaultText: defaultValue,
         documentation,
         property: undefined,
     };
@@ -174,13 +178,13 @@
  * Defines a key that takes texts separated by commas.
  *
  * @param kind - kind of each text
- * @param initial - the default, as written in a file
- * @param documentation - what the key does
+ * @param defaultValue - the default, as written in a file
+ * @param documentation - meaning of the key
  * @returns the definition
  */
 export function defineList(
     kind: TextKind,
-    initial: string,
+    defaultValue: string,
     documentation: string,
 ): KeyDefinition<readonly string[], undefined> {
     const { pattern, allowed } = textKinds[kind];
@@ -189,18 +193,18 @@
             .transform(text => text === "" ? [] : text.split(",").map(part => part.trim()))
             .pipe(z.array(z.string().regex(pattern))),
         allowed: `values separated by commas, each: ${allowed}`,
-        defaultText: initial,
+        defaultText: defaultValue,
         documentation,
         property: undefined,
     };
 }
 
 /**
- * Gives a value another name in the resolved settings than its key has, because the key names the unit.
+ * Gives a value a name of its own in the resolved settings, for example because its key ends with a unit.
  *
  * @param property - name of the value in the resolved settings
  * @param definition - the definition
- * @returns the definition with the name
+ * @returns the definition with that name
  */
 export function renameKey<Value, const Property extends string>(
     property: Property,
--- a/src/node/settings/problems.ts
+++ b/src/node/settings/problems.ts
@@ -1,6 +1,6 @@
 import { createError, type ErrorCode, type GoldcrestpointError } from "../../types/index.js";
 
-/** One fault of a settings or declaration file. */
+/** Invalid, unknown or missing key of a settings or declaration file, an environment variable or a flag. */
 export interface SettingsProblem {
     /** File name, `environment variable NAME` or `flag NAME`. */
     readonly source: string;
@@ -8,14 +8,14 @@
     readonly key: string;
     /** Text that was found; undefined if the key is missing. */
     readonly value: string | undefined;
-    /** What is allowed, in words. */
+    /** Description of what is allowed. */
     readonly allowed: string;
 }
 
 /**
- * Describes a fault in one line.
+ * Describes a problem in one line.
  *
- * @param problem - the fault
+ * @param problem - the problem
  * @returns source, section, key, value and what is allowed
  */
 export function describeProblem(problem: SettingsProblem): string {
@@ -24,12 +24,12 @@
 }
 
 /**
- * Creates the error for a file with faults.
+ * Creates the error for invalid settings or an invalid declaration.
  *
  * @param code - `SETTINGS_INVALID` or `DECLARATION_INVALID`
  * @param step - operation in progress
- * @param problems - the faults; at least one
- * @returns the error; its message has one line for each fault and its cause is the list of faults
+ * @param problems - the problems; at least one
+ * @returns the error; its message has one line for each problem and its cause is the list of problems
  */
 export function createProblemError(
     code: ErrorCode,
--- a/src/node/settings/readSources.ts
+++ b/src/node/settings/readSources.ts
@@ -10,7 +10,7 @@
     readonly content: string;
 }
 
-/** One key with its text and where it came from. */
+/** One key of an INI file with its text. */
 export interface IniValue {
     readonly section: string;
     readonly key: string;
@@ -50,7 +50,7 @@
     return Object.entries(values).flatMap(([key, value]) =>
         typeof value === "object" && value !== undefined && Boolean(value) ?
             flattenSection(section === "" ? key : `${section}.${key}`, value as Record<string, unknown>) :
-            // The library turns `true`, `false` and `null` into values of the language.
+            // The parser converts `true`, `false` and `null` to JavaScript values.
             [{ section, key, text: String(value).trim() }]
     );
 }
--- a/src/node/settings/resolveSections.ts
+++ b/src/node/settings/resolveSections.ts
@@ -2,7 +2,7 @@
 import type { SettingsProblem } from "./problems.js";
 import { type IniFile, type IniValue, listIniValues } from "./readSources.js";
 
-/** Where settings come from, weakest last: flags, environment, file, defaults. */
+/** Sources of settings. A flag takes precedence over the environment, the environment over the file. */
 export interface SettingsSources {
     /** Default: no file. */
     readonly file?: IniFile | undefined;
@@ -114,14 +114,14 @@
     );
 }
 
-/** Values of all sections, by section and by the names that the resolved settings use. */
+/** Values by section and by their names in the resolved settings. */
 export type ResolvedSections<Sections extends SectionTable> = {
     readonly [Name in keyof Sections]: SectionValues<Sections[Name]>;
 };
 
 /**
- * Resolves each key from the strongest source that has it. Keys of sections that a program does not use are checked
- * too, so that one file can serve several programs.
+ * Resolves each key from the source with the highest precedence that contains it, or from its default. Keys of sections
+ * that a program does not use are checked too, so that several programs can share a file.
  *
  * @param sections - all known sections
  * @param sources - flags, environment and file
--- a/src/node/settings/settings.ts
+++ b/src/node/settings/settings.ts
@@ -11,7 +11,7 @@
 /** All sections of the settings, in the order of the documentation. */
 export const allSections = { ...daemonSections, ...decisionSections, ...gatewaySections, ...standInSections } as const;
 
-/** All values of the settings. */
+/** Resolved values of all sections. */
 export type AllSettings = ResolvedSections<typeof allSections>;
 
 /** Settings of an entry instance. Durations are in milliseconds. */
@@ -21,7 +21,7 @@
         "instance" | "platform" | "relay" | "hold" | "routing" | "admission" | "retry" | "idempotency" | "log"
     >
 {
-    /** Options of the proposer, with the hold's duration and margin from `[hold]`. */
+    /** Options of the proposer; the duration and the margin of a hold come from `[hold]`. */
     readonly placement: PlacementOptions;
 }
 
@@ -46,7 +46,7 @@
     "instance" | "platform" | "gateway" | "replica" | "routing" | "admission" | "retry" | "log"
 >;
 
-/** Settings of an agent that works with gateways. Durations are in milliseconds. */
+/** Settings of an agent on the platform, where gateways route the requests. Durations are in milliseconds. */
 export type WeightAgentSettings = Pick<
     AllSettings,
     "instance" | "platform" | "gateway" | "replica" | "weightAgent" | "distribution" | "log"
@@ -60,7 +60,7 @@
 
 type Check = (values: AllSettings) => Omit<SettingsProblem, "source"> | undefined;
 
-/** Relations between keys that a process needs to work as designed. */
+/** Constraints between keys. */
 const checks: readonly Check[] = [
     ({ hold, relay }) =>
         hold.duration >= 2 * relay.heartbeat ? undefined : {
@@ -109,7 +109,7 @@
  * Resolves the settings of an entry instance.
  *
  * @param sources - flags, environment and file
- * @returns the settings; `SETTINGS_INVALID` with one line for each fault
+ * @returns the settings; `SETTINGS_INVALID` with one line for each problem
  */
 export function resolveEntrySettings(sources: SettingsSources): Result<EntrySettings, GoldcrestpointError> {
     return resolveAll(sources).map(all => ({
@@ -130,7 +130,7 @@
  * Resolves the settings of an agent.
  *
  * @param sources - flags, environment and file
- * @returns the settings; `SETTINGS_INVALID` with one line for each fault
+ * @returns the settings; `SETTINGS_INVALID` with one line for each problem
  */
 export function resolveAgentSettings(sources: SettingsSources): Result<AgentSettings, GoldcrestpointError> {
     return resolveAll(sources).map(all => ({
@@ -151,17 +151,17 @@
  * Resolves the settings of a gateway.
  *
  * @param sources - flags, environment and file
- * @returns the settings; `SETTINGS_INVALID` with one line for each fault
+ * @returns the settings; `SETTINGS_INVALID` with one line for each problem
  */
 export function resolveGatewaySettings(sources: SettingsSources): Result<GatewaySettings, GoldcrestpointError> {
     return resolveAll(sources);
 }
 
 /**
- * Resolves the settings of an agent that works with gateways.
+ * Resolves the settings of an agent on the platform, where gateways route the requests.
  *
  * @param sources - flags, environment and file
- * @returns the settings; `SETTINGS_INVALID` with one line for each fault
+ * @returns the settings; `SETTINGS_INVALID` with one line for each problem
  */
 export function resolveWeightAgentSettings(
     sources: SettingsSources,
@@ -173,7 +173,7 @@
  * Resolves the settings of the stand-ins.
  *
  * @param sources - flags, environment and file
- * @returns the settings; `SETTINGS_INVALID` with one line for each fault
+ * @returns the settings; `SETTINGS_INVALID` with one line for each problem
  */
 export function resolveStandInSettings(sources: SettingsSources): Result<StandInSettings, GoldcrestpointError> {
     return resolveAll(sources).map(all => ({
@@ -188,7 +188,7 @@
  * Resolves the settings of the operator commands.
  *
  * @param sources - flags, environment and file
- * @returns the settings; `SETTINGS_INVALID` with one line for each fault
+ * @returns the settings; `SETTINGS_INVALID` with one line for each problem
  */
 export function resolveOperatorSettings(sources: SettingsSources): Result<OperatorSettings, GoldcrestpointError> {
     return resolveAll(sources).map(all => ({
--- a/src/node/settings/standInSections.ts
+++ b/src/node/settings/standInSections.ts
@@ -1,6 +1,6 @@
 import { defineBoolean, defineDuration, defineInteger, defineList, defineText } from "./keyDefinitions.js";
 
-/** Sections of the stand-ins, which only tests and the demo use. */
+/** Sections of the stand-ins: simulated platform, engine and service for tests and the demo. */
 export const standInSections = {
     standInPlatform: {
         httpAddress: defineText(
@@ -29,25 +29,25 @@
             minimum: 1_000,
             maximum: 100_000_000_000,
             initial: 16_777_216,
-            documentation: "Rate of the origin's link.",
+            documentation: "Bandwidth of the origin.",
         }),
         manifestReadsPerSecond: defineInteger({
             minimum: 1,
             maximum: 100_000,
             initial: 200,
-            documentation: "Requests a second that the weight store answers before it refuses with 429.",
+            documentation: "Requests per second above which the weight store answers with status 429.",
         }),
         appendsPerSecond: defineInteger({
             minimum: 1,
             maximum: 100_000,
             initial: 300,
-            documentation: "Appends a second that the log takes before it refuses with 429.",
+            documentation: "Appends per second above which the log answers with status 429.",
         }),
         instanceListLagMilliseconds: defineDuration("instanceListLag", "Milliseconds", {
             minimum: 0,
             maximum: 600_000,
             initial: 2_000,
-            documentation: "Time by which the instance list is behind.",
+            documentation: "Delay with which the instance list shows changes.",
         }),
         retentionSeconds: defineDuration("retention", "Seconds", {
             minimum: 1,
@@ -62,26 +62,26 @@
             minimum: 1,
             maximum: 10_000,
             initial: 8,
-            documentation: "Requests that run at once; further ones are queued.",
+            documentation: "Maximum number of requests that run at once; further ones are queued.",
         }),
         tokensPerSecond: defineInteger({
             minimum: 1,
             maximum: 1_000_000,
             initial: 200,
-            documentation: "Tokens a second that one request generates.",
+            documentation: "Tokens per second that one request generates.",
         }),
         cachePrefixes: defineInteger({
             minimum: 0,
             maximum: 100_000,
             initial: 32,
-            documentation: "Prefixes that the prefix cache holds.",
+            documentation: "Capacity of the prefix cache, in prefixes.",
         }),
         checksFencing: defineBoolean(true, "Whether the engine refuses an order with an old fencing token."),
         reportLagMilliseconds: defineDuration("reportLag", "Milliseconds", {
             minimum: 0,
             maximum: 60_000,
             initial: 200,
-            documentation: "Time by which the engine's load report is behind.",
+            documentation: "Delay with which the engine's load report shows changes.",
         }),
     },
     standInService: {
@@ -90,13 +90,13 @@
             minimum: 1,
             maximum: 10_000,
             initial: 16,
-            documentation: "Requests that run at once; further ones are queued.",
+            documentation: "Maximum number of requests that run at once; further ones are queued.",
         }),
         serviceTimeMilliseconds: defineDuration("serviceTime", "Milliseconds", {
             minimum: 0,
             maximum: 600_000,
             initial: 20,
-            documentation: "Time that a request takes.",
+            documentation: "Service time of a request.",
         }),
     },
 } as const;
--- a/test/node/settings/settings.test.ts
+++ b/test/node/settings/settings.test.ts
@@ -26,7 +26,7 @@
 const variable = "GOLDCRESTPOINT_HOLD_HOLD_SECONDS";
 
 describe("precedence of settings", () => {
-    // Guards against a weaker source that overrides a stronger one.
+    // Guards against a source that overrides one with a higher precedence.
     const cases: [string, SettingsSources, number][] = [
         ["default", createSources(), 20_000],
         ["file", createSources("[hold]\nholdSeconds = 11"), 11_000],
@@ -47,8 +47,8 @@
     }
 });
 
-describe("faults in settings", () => {
-    // Guards against a fault that passes unnoticed or an error that leaves out where it is and what is allowed.
+describe("invalid settings", () => {
+    // Guards against an invalid setting that is accepted, and against an error without its place or what is allowed.
     const cases: [string, SettingsSources, Partial<SettingsProblem>, string][] = [
         [
             "unknown key with another unit",
@@ -100,7 +100,7 @@
             "model or service",
         ],
         [
-            "keys that do not fit together",
+            "keys that contradict each other",
             createSources("[hold]\nholdSeconds = 1"),
             { section: "hold", key: "holdSeconds", value: "1" },
             "at least two heartbeats",
@@ -115,7 +115,7 @@
         });
     }
 
-    // Guards against an operator who has to start a daemon once for each fault.
+    // Guards against an operator who has to start a daemon once for each invalid setting.
     it("are reported together, one a line", () => {
         const resolved = resolveEntrySettings(createSources("[hold]\nholdSeconds = a\n[log]\nlevel = b"));
         expect(resolved.isErr && resolved.error.message.split("\n").length).toEqual(2);
@@ -126,7 +126,7 @@
 });
 
 describe("resolved settings", () => {
-    // Guards against options that a decision function does not know, and against a shared default identity.
+    // Guards against undefined options of the decision functions, and against a default id that instances share.
     it("fit the decision functions and name the instance by its address", () => {
         const entry = expectOk(resolveEntrySettings(createSources()));
         const agent = expectOk(resolveAgentSettings(createSources()));
@@ -143,7 +143,7 @@
         expect(agent.instance.id).toEqual(agent.instance.grpcAddress);
     });
 
-    // Guards against a process that runs with other defaults than the decision functions and their tests.
+    // Guards against defaults of the settings that differ from those of the decision functions and their tests.
     const entry = expectOk(resolveEntrySettings(createSources()));
     const agent = expectOk(resolveAgentSettings(createSources()));
     const { linkBytesPerSecond } = agent.distribution;
