Reword the types

Comments of the types told what "becomes" of requests, what an engine "took" or what a backend server "says of itself". They now name the state, limit or header that a field holds, and say which response an engine or the log gives. The kinds of routes name the requests that may be repeated.

--- a/src/types/deployment.ts
+++ b/src/types/deployment.ts
@@ -1,15 +1,15 @@
 import type { AvailabilityZone, DeploymentName, ManifestDigest, Offset } from "./identifiers.js";
 
-/** What a deployment runs on: a model engine that needs weights, or a plain service that needs none. */
+/** Kind of the backend servers of a deployment: a model engine, which needs weights, or a plain service. */
 export type DeploymentKind = "model" | "service";
-/** Which measure the distribution of weights favours. */
+/** What the distribution of weights minimizes: its duration, or the bytes read from the origin. */
 export type Objective = "time" | "origin-bytes";
 /** How instances move to a new version: all at once, or a few in each availability zone at a time. */
 export type UpdateStrategy = "in-place" | "rolling";
 /** Schema version of a deployment declaration. */
 export type SchemaVersion = 1 | 2;
 
-/** Model, adapter and version that are activated together or not at all. */
+/** Model, adapter and version, which are activated atomically. */
 export interface WeightSet {
     readonly model: string;
     readonly adapter: string;
@@ -22,7 +22,7 @@
     readonly kind: DeploymentKind;
     /** Undefined for plain services. */
     readonly weights?: WeightSet | undefined;
-    /** Wanted number of backend servers in each availability zone. */
+    /** Desired number of backend servers in each availability zone. */
     readonly replicas: Readonly<Record<AvailabilityZone, number>>;
     /** Pool of instances that may serve the deployment. Default: the deployment's name. */
     readonly pool?: string | undefined;
@@ -50,7 +50,7 @@
     readonly deployment: DeploymentName;
     /** Offset of the newest accepted configuration record. */
     readonly offset: Offset;
-    /** Counts the operators' accepted changes, from 1; refresh records leave it as it is. */
+    /** Number of accepted changes by operators, from 1; refresh records do not increase it. */
     readonly revision: number;
     readonly writer: string;
     readonly writtenAt: string;
--- a/src/types/engineControl.ts
+++ b/src/types/engineControl.ts
@@ -10,19 +10,19 @@
     readonly weights: LoadedWeights | undefined;
     /** True while an order is carried out. */
     readonly busy: boolean;
-    /** Orders that have begun since the engine started. */
+    /** Number of orders that the engine has accepted since it started. */
     readonly orderSequence: number;
     readonly running: number;
     readonly queued: number;
 }
 
-/** What becomes of requests in progress when an engine loads: it waits for them, or ends their streams. */
+/** How an engine that loads weights treats requests in progress: it waits for them, or ends their streams. */
 export type RunningRequests = "finish" | "cut-off";
 
-/** How an engine took an order. */
+/** Response of an engine to an order: it has begun to carry it out, it has already done so, or it refuses. */
 export type OrderOutcome = "begun" | "in-effect" | "refused";
 
-/** Engine whose orders name a model and a version, with room to stage the chunks of one version of each model. */
+/** Engine whose orders name a model and a version, and which can stage the chunks of one version of each model. */
 export interface EngineControlPort {
     /** @returns the engine's report; `ENGINE_UNREACHABLE` if it does not answer */
     readReport(): PortResult<EngineReport>;
@@ -30,21 +30,21 @@
      * Lists the chunks that are staged.
      *
      * @param model - name of the model
-     * @returns positions of the chunks, whose content may be of any version and spoilt
+     * @returns indexes of the chunks, whose content may be corrupt or belong to any version
      */
     listStaged(model: string): PortResult<readonly number[]>;
-    /** Reads a staged chunk; undefined if none is staged at the position. */
+    /** Reads a staged chunk; undefined if none is staged at the index. */
     readStaged(model: string, index: number): PortResult<Uint8Array | undefined>;
-    /** Stages a chunk in place of the one at its position. */
+    /** Stages a chunk; it replaces the one at its index. */
     stage(model: string, index: number, content: Uint8Array): PortResult<void>;
     /**
-     * Orders the engine to load what is staged. It accepts nothing new until it has.
+     * Orders the engine to load the staged chunks. The engine accepts no new requests until it has loaded them.
      *
      * @param model - name of the model
      * @param version - its version
-     * @param expectedSequence - the order counts only if the engine has begun this many orders
-     * @param running - what becomes of requests in progress
-     * @returns how the engine took it; `ORDER_AMBIGUOUS` if the answer was lost
+     * @param expectedSequence - the engine refuses the order unless it has accepted this number of orders
+     * @param running - treatment of requests in progress
+     * @returns the engine's response; `ORDER_AMBIGUOUS` if the response was lost
      */
     load(
         model: string,
@@ -54,10 +54,10 @@
     ): PortResult<OrderOutcome>;
 }
 
-/** Origin of weights that are found by model and version. */
+/** Origin whose weights are identified by model and version. */
 export interface VersionOriginPort {
     /**
-     * Reads the manifest of a version. Nothing proves it but the chunks that fit.
+     * Reads the manifest of a version. It has no digest of its own: only chunks that match it confirm it.
      *
      * @param model - name of the model
      * @param version - its version
@@ -70,7 +70,7 @@
      *
      * @param model - name of the model
      * @param version - its version
-     * @param index - position of the chunk
+     * @param index - index of the chunk
      * @param signal - aborts the transfer
      * @returns the chunk's bytes
      */
--- a/src/types/errors.ts
+++ b/src/types/errors.ts
@@ -22,12 +22,12 @@
     | "REQUEST_REFUSED"
     | "USAGE_INVALID";
 
-/** Failure with the step and the peer at which it arose. */
+/** Failure with the operation and the peer at which it occurred. */
 export interface GoldcrestpointError {
     readonly code: ErrorCode;
     /** Operation in progress, for example `append configuration record`. */
     readonly step: string;
-    /** `host:port`, instance id or file name of the other side; `local` if there is none. */
+    /** `host:port`, instance id or file name that the operation used; `local` if there is none. */
     readonly peer: string;
     readonly message: string;
     /** True if the operation may have taken effect although it failed. */
@@ -47,7 +47,7 @@
  *
  * @param code - kind of failure
  * @param step - operation in progress
- * @param peer - other side of the operation
+ * @param peer - address, instance or file that the operation used
  * @param message - what went wrong, in one sentence
  * @param details - further details
  * @returns the error value
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -1,9 +1,12 @@
 import type { AvailabilityZone, ClientAccount, InstanceId, Milliseconds, RequestId } from "./identifiers.js";
 
-/** What may be repeated: everything, nothing, or a stream of events. */
+/**
+ * Kind of the requests of a route: `safe` requests may be repeated, `unsafe` ones may not. `streaming` ones get a
+ * stream of events; they may be repeated if the route is resumable.
+ */
 export type RouteKind = "safe" | "unsafe" | "streaming";
 
-/** Service that a share of a route's requests goes to. */
+/** Service that receives a share of a route's requests. */
 export interface RouteDestination {
     readonly service: string;
     readonly weight: number;
@@ -18,37 +21,37 @@
     readonly pathPrefix: string;
     readonly kind: RouteKind;
     readonly destinations: readonly RouteDestination[];
-    /** Longest time for which a request may be kept waiting. */
+    /** Maximum timeout of a request; its caller may state a shorter one. */
     readonly timeout: Milliseconds;
     /** Time within which an answer, or the first event of a stream, is on time. */
     readonly targetLatency: Milliseconds;
-    /** Longest pause between two events that is on time; undefined for other kinds. */
+    /** Target for the longest pause between two events; undefined for routes without streams. */
     readonly targetGap: Milliseconds | undefined;
     /** 0 is the most urgent. */
     readonly urgency: number;
-    /** Backend servers that one request may be sent to. */
+    /** Maximum number of backend servers that one request is sent to, one after the other. */
     readonly maximumAttempts: number;
     /** True if no API key is needed. */
     readonly isPublic: boolean;
-    /** True if a broken stream may go on at another backend server. */
+    /** True if a broken stream may be resumed at another backend server. */
     readonly resumable: boolean;
 }
 
-/** Engine of a service: how its backend servers hold weights. */
+/** Engine of a service: the model and the layout of its weights. */
 export interface EngineRow {
     /** Model that every backend server of the service holds. */
     readonly model: string;
     readonly layers: number;
     readonly chunks: number;
     readonly chunkBytes: number;
-    /** Requests that run at once. */
+    /** Maximum number of requests that run at once. */
     readonly slots: number;
 }
 
 /** Service of a gateway configuration. */
 export interface ServiceRow {
     readonly name: string;
-    /** Connections that one backend server accepts from all callers together. */
+    /** Maximum number of connections that one backend server accepts in total. */
     readonly maximumConnections: number;
     /** Undefined for plain services. */
     readonly engine: EngineRow | undefined;
@@ -75,7 +78,7 @@
 
 /** Configuration that gateways act on. */
 export interface GatewayConfiguration {
-    /** Grows with each change, not always by one. */
+    /** Increases with each change, not always by one. */
     readonly revision: number;
     readonly routes: readonly RouteRow[];
     readonly services: readonly ServiceRow[];
@@ -116,27 +119,27 @@
     readonly version: number;
 }
 
-/** Request as a caller protocol describes it. */
+/** Fields of a caller's request that a caller protocol decodes from its headers. */
 export interface CallerCall {
     readonly requestId: RequestId;
-    /** Time that the caller will wait from the moment at which it sent the request; undefined if it did not say. */
+    /** Timeout that the caller states, counted from when it sent the request; undefined if it states none. */
     readonly patience: Milliseconds | undefined;
-    /** Identifier of the last event that the caller has; undefined at the start of a stream. */
+    /** Identifier of the last event that the caller has received; undefined at the start of a stream. */
     readonly resumeAfter: string | undefined;
     readonly apiKey: string | undefined;
     readonly model: string | undefined;
-    /** Prompt tokens, and the largest number of output tokens; undefined for plain services. */
+    /** Number of prompt tokens, and maximum number of output tokens; undefined for plain services. */
     readonly promptTokens: number | undefined;
     readonly maximumOutputTokens: number | undefined;
 }
 
-/** What a gateway adds to a request that it passes on. */
+/** Fields that a gateway adds to a request that it forwards. */
 export interface ForwardedCall {
-    /** Only this instance runs the request. */
+    /** Only instance that may run the request. */
     readonly instance: InstanceId;
     readonly remaining: Milliseconds;
     readonly clientAccount: ClientAccount | undefined;
-    /** Identifier of the last event that has reached the caller. */
+    /** Identifier of the last event that was sent to the caller. */
     readonly resumeAfter: string | undefined;
     /** Version of the weights that must answer; undefined if any may. */
     readonly version: number | undefined;
@@ -151,49 +154,49 @@
 
 /** Head of a backend server's answer. */
 export interface BackendServerHead {
-    /** Request that the answer belongs to; undefined if the head does not name one. */
+    /** Request that the answer belongs to; undefined if its head does not name one. */
     readonly requestId: RequestId | undefined;
     /** True if the backend server states that it did not run the request. */
     readonly notRun: boolean;
-    /** True if the answer bears the backend server's proof of origin. */
+    /** True if the answer has the header that proves that the backend server created it. */
     readonly proven: boolean;
-    /** True if the body is encoded, so that it is not the backend server's own. */
+    /** True if the body has a content encoding, which backend servers do not apply. */
     readonly encoded: boolean;
     readonly load: StatedLoad | undefined;
-    /** True if the backend server closes the connection, as one that is leaving does. */
+    /** True if the backend server closes the connection, for example because it leaves. */
     readonly closing: boolean;
-    /** True if the backend server states that it leaves. */
+    /** True if the backend server states that it is leaving. */
     readonly leaving: boolean;
-    /** Time for which a backend server that turned the request away wants no further ones; undefined if it names none. */
+    /** Time for which a backend server that turns the request away wants no others; undefined if it states none. */
     readonly pause: Milliseconds | undefined;
 }
 
 /** Headers by lower-case name. */
 export type HeaderTable = Readonly<Record<string, string>>;
 
-/** How callers and backend servers name things in the heads of requests and answers. */
+/** Translation of the headers of requests and answers between callers, the gateway and backend servers. */
 export interface CallerProtocol {
     /**
-     * Reads a caller's request.
+     * Decodes the headers of a caller's request.
      *
      * @param headers - headers by lower-case name
-     * @returns what the request says; undefined if it names no request identifier
+     * @returns the fields of the request; undefined if it has no request identifier
      */
     decodeCall(headers: HeaderTable): CallerCall | undefined;
     /**
-     * Writes the head of a request to a backend server.
+     * Encodes the headers of a request to a backend server.
      *
      * @param headers - the caller's headers by lower-case name
-     * @param forwarded - what the gateway adds
-     * @returns the headers to send, without those of one connection
+     * @param forwarded - fields that the gateway adds
+     * @returns the headers to send, without those that apply to a single connection
      */
     encodeForwarded(headers: HeaderTable, forwarded: ForwardedCall): Record<string, string>;
     /**
-     * Reads the head of a backend server's answer.
+     * Decodes the head of a backend server's answer.
      *
      * @param status - HTTP status
      * @param headers - headers by lower-case name
-     * @returns what the head says
+     * @returns the fields of the head
      */
     decodeHead(status: number, headers: HeaderTable): BackendServerHead;
 }
@@ -203,6 +206,6 @@
     decodeConfiguration(key: string, value: Uint8Array): GatewayConfiguration | undefined;
     decodeDeclaredVersion(key: string, value: Uint8Array): DeclaredVersion | undefined;
     decodeBackendServer(key: string, value: Uint8Array): ListedBackendServer | undefined;
-    /** Tells what a key of the operator's topic holds. */
+    /** Returns the kind of the record at a key of the operator's topic. */
     classifyOperatorKey(key: string): "configuration" | "declared-version" | "other";
 }
--- a/src/types/identifiers.ts
+++ b/src/types/identifiers.ts
@@ -6,7 +6,7 @@
 export type Region = string;
 /** Name of a deployment, unique within the system. */
 export type DeploymentName = string;
-/** Account that a caller's requests are counted against. */
+/** Account of a caller, to which the limits on its requests apply. */
 export type ClientAccount = string;
 /** Identifier of a caller's request, chosen by the entry instance. */
 export type RequestId = string;
--- a/src/types/keyedLog.ts
+++ b/src/types/keyedLog.ts
@@ -2,14 +2,14 @@
 import type { PortResult } from "./ports.js";
 
 /**
- * Topics of keyed records: the operator's records, the list of backend servers, the entry instances that relay records,
- * the requests that crash backend servers, and the weight sources, which gateways derive from the configuration for agents.
+ * Topics of keyed records: the operator's records, the list of backend servers, the instances that relay records, the
+ * requests that crash backend servers, and the weight sources, which gateways derive from the configuration for agents.
  */
 export type KeyedTopic = "operator" | "backend-servers" | "instances" | "condemned-requests" | "weight-sources";
 
 /**
- * Number of times that the log was restored from an older copy, and 0 while that is not known. Offsets are given out again
- * after a restore, so that they only compare within one era.
+ * Number of times that the log was restored from a backup; 0 while it is not known. Offsets are reused after a restore,
+ * so they can only be compared within one era.
  */
 export type LogEra = number;
 
@@ -22,8 +22,8 @@
     /** Era in which the record was read. Default: that of its page. */
     readonly era?: LogEra | undefined;
     /**
-     * Numbers that grow with each newer content of the key, compared one after the other; undefined if contents cannot be
-     * compared.
+     * Numbers that show which of two contents of the key is newer, compared lexicographically; undefined if contents
+     * cannot be compared.
      */
     readonly order?: readonly number[] | undefined;
 }
@@ -37,22 +37,22 @@
     readonly era?: LogEra | undefined;
 }
 
-/** Log that keeps the newest record of each key for good and older records for a limited time. */
+/** Log that keeps the newest record of each key indefinitely and older records for a limited time. */
 export interface KeyedLogPort {
     /**
      * Reads the newest record of each key.
      *
      * @param topic - topic to read
-     * @returns all keys; the next offset is not later than the oldest state that the records show
+     * @returns records of all keys; reading from the next offset returns every change made since the read began
      */
     readNewest(topic: KeyedTopic): PortResult<KeyedPage>;
     /**
-     * Reads records in their order.
+     * Reads records in the order of their offsets.
      *
      * @param topic - topic to read
-     * @param nextOffset - offset of the first record that is wanted
-     * @param wait - time that the service may wait for a record
-     * @param signal - ends the read
+     * @param nextOffset - offset of the first record to read
+     * @param wait - maximum time that the service waits for a record
+     * @param signal - aborts the read
      * @returns the records; `LOG_TRUNCATED` if the first one has expired, or lies behind the end of a restored log
      */
     readSince(
@@ -62,18 +62,18 @@
         signal?: AbortSignal,
     ): PortResult<KeyedPage>;
     /**
-     * Writes a record; one without content drops its key.
+     * Writes a record; an empty value drops its key.
      *
      * @param topic - topic to write to
      * @param key - key of the record
-     * @param value - content
-     * @returns its offset; `APPEND_AMBIGUOUS` if the answer was lost
+     * @param value - content of the record
+     * @returns its offset; `APPEND_AMBIGUOUS` if the response was lost
      */
     put(topic: KeyedTopic, key: string, value: Uint8Array): PortResult<Offset>;
     /**
-     * Registers a listener for the era that answers of the log name, refusals included.
+     * Registers a listener for the eras that responses of the log state, error responses included.
      *
-     * @param listener - called for each answer that names one
+     * @param listener - called for each response that states an era
      */
     onEra?(listener: (era: LogEra) => void): void;
 }
--- a/src/types/manifest.ts
+++ b/src/types/manifest.ts
@@ -1,11 +1,11 @@
-/** One verifiable piece of a weight set. */
+/** One chunk of a weight set, which its digest verifies. */
 export interface ManifestChunk {
     readonly bytes: number;
     /** Lower-case hexadecimal SHA-256 digest of the content. */
     readonly digest: string;
 }
 
-/** Content of one weight set: model, adapter and version together. */
+/** List of the chunks of one weight set. */
 export interface Manifest {
     readonly model: string;
     readonly adapter: string;
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -5,12 +5,12 @@
 import type { LogEntry, LogRecord } from "./records.js";
 import type { InstanceRole, InstanceState } from "./tables.js";
 
-/** Result of an operation on an outside system. */
+/** Result of an operation on an external system. */
 export type PortResult<Value> = Promise<Result<Value, GoldcrestpointError>>;
 
 /** Part of the log that a read returned. */
 export interface LogPage {
-    /** Smallest offset that the log still holds; entries below it have expired. */
+    /** Smallest offset that the log still contains; entries below it have expired. */
     readonly firstOffset: Offset;
     /** Offset of the newest record; 0 for an empty log. */
     readonly headOffset: Offset;
@@ -24,14 +24,14 @@
      * Appends a record.
      *
      * @param record - the record
-     * @returns its offset; `APPEND_AMBIGUOUS` if the answer was lost and the record may have been appended
+     * @returns its offset; `APPEND_AMBIGUOUS` if the response was lost and the record may have been appended
      */
     append(record: LogRecord): PortResult<Offset>;
     /**
      * Reads entries after an offset.
      *
      * @param afterOffset - the last offset that the caller knows
-     * @param waitMilliseconds - time that the service may wait for a new record
+     * @param waitMilliseconds - maximum time that the service waits for a new record
      * @returns the entries; at most 500
      */
     read(afterOffset: Offset, waitMilliseconds: Milliseconds): PortResult<LogPage>;
@@ -48,7 +48,7 @@
     readonly state: Exclude<InstanceState, "gone">;
 }
 
-/** The platform's lagging list of instances. */
+/** The platform's list of instances, which shows changes with a delay. */
 export interface InstanceListPort {
     /**
      * Reads the list.
@@ -58,7 +58,7 @@
     list(): PortResult<readonly ListedInstance[]>;
 }
 
-/** The origin of weights behind the platform's rate-limited weight store. */
+/** The platform's origin of weights, and its weight store with the manifests, whose reads are rate-limited. */
 export interface OriginPort {
     /**
      * Finds the manifest of a weight set.
@@ -81,7 +81,7 @@
      * Reads one chunk. The content is not verified.
      *
      * @param digest - manifest digest
-     * @param index - position of the chunk in the manifest
+     * @param index - index of the chunk in the manifest
      * @param signal - aborts the transfer
      * @returns the chunk's bytes
      */
@@ -96,11 +96,11 @@
     readonly sequence: number;
 }
 
-/** State of one staged set in the engine host's memory. */
+/** State of one weight set that is staged in the memory of the engine's host. */
 export interface StagedSet {
     readonly manifestDigest: ManifestDigest;
     readonly chunksTotal: number;
-    /** Indexes of the chunks held, as a bitfield in base64, least significant bit first. */
+    /** Bitfield of the staged chunks in base64, least significant bit first. */
     readonly bitfield: string;
 }
 
@@ -150,9 +150,9 @@
     readonly contentType: string;
     readonly body: Uint8Array;
     readonly priority: number;
-    /** Weights that must answer; undefined for plain services. */
+    /** Weights that must compute the answer; undefined for plain services. */
     readonly manifestDigest: ManifestDigest | undefined;
-    /** Key that the backend server may use to recognize a repeat; undefined for none. */
+    /** Key by which the backend server may recognize a repeated request; undefined for none. */
     readonly idempotencyKey?: string | undefined;
 }
 
@@ -168,31 +168,31 @@
     readonly body: AsyncIterable<Uint8Array>;
 }
 
-/** Model engine or plain service beside an agent. */
+/** Model engine or plain service on the instance of an agent. */
 export interface BackendServerPort {
     /** @returns the engine's state; plain services report no active set */
     readState(): PortResult<EngineState>;
     /**
-     * Gives an order.
+     * Sends an order.
      *
      * @param order - the order
-     * @returns nothing; `ENGINE_REFUSED` for an old fencing token, `ORDER_AMBIGUOUS` if the answer was lost
+     * @returns nothing; `ENGINE_REFUSED` for an old fencing token, `ORDER_AMBIGUOUS` if the response was lost
      */
     order(order: EngineOrder): PortResult<void>;
     /**
-     * Stages a verified chunk in the engine host's memory.
+     * Stages a verified chunk in the memory of the engine's host.
      *
      * @param digest - manifest digest of the set
-     * @param index - position of the chunk
+     * @param index - index of the chunk
      * @param content - verified bytes
      * @returns nothing
      */
     stageChunk(digest: ManifestDigest, index: number, content: Uint8Array): PortResult<void>;
     /**
-     * Reads a staged chunk back, to pass it on to another agent.
+     * Reads a staged chunk, to send it to another agent.
      *
      * @param digest - manifest digest of the set
-     * @param index - position of the chunk
+     * @param index - index of the chunk
      * @returns the chunk's bytes
      */
     readChunk(digest: ManifestDigest, index: number): PortResult<Uint8Array>;
@@ -201,7 +201,7 @@
      *
      * @param request - the request
      * @param signal - cancels the request
-     * @returns the answer; on error `mayHaveTakenEffect` tells whether the request may have run
+     * @returns the answer; `mayHaveTakenEffect` of an error states whether the request may have run
      */
     execute(request: BackendRequest, signal: AbortSignal): PortResult<BackendResponse>;
 }
--- a/src/types/records.ts
+++ b/src/types/records.ts
@@ -4,23 +4,23 @@
 /** Chains of records in the platform's log; each deployment has one chain of each kind. */
 export type RecordKind = "configuration" | "placement";
 
-/** Whether a copy counts as wanted or has to be given up. */
+/** Whether an instance is to hold a copy or must release it. */
 export type CopyState = "assigned" | "revoked";
 
 /** One copy of a deployment's weights on one instance. */
 export interface CopyAssignment {
     readonly instance: InstanceId;
     readonly zone: AvailabilityZone;
-    /** Offset of the placement record that first assigned this copy; 0 in that record itself, set by the fold. */
+    /** Offset of the placement record that first assigned this copy; 0 in that record, until the fold sets it. */
     readonly epoch: Offset;
     /** Undefined for plain services. */
     readonly weights: WeightSet | undefined;
     readonly state: CopyState;
-    /** Offset of the placement record that revoked the copy; 0 in that record itself, set by the fold. */
+    /** Offset of the placement record that revoked the copy; 0 in that record, until the fold sets it. */
     readonly revokedAt?: Offset | undefined;
     /** Entry instances that may confirm the copy's hold while the log is unreachable. */
     readonly witnesses: readonly InstanceId[];
-    /** Witnesses that the holder may still know until it has applied the newest record. */
+    /** Previous witnesses, which the holder may still ask until it has applied the newest record. */
     readonly previousWitnesses?: readonly InstanceId[] | undefined;
 }
 
@@ -40,7 +40,7 @@
 export interface ConfigurationRecord extends RecordHeader {
     readonly kind: "configuration";
     readonly declaration: DeploymentDeclaration;
-    /** Set by refreshes: the whole row, so that retention ends no configuration. */
+    /** Set by refreshes: the whole row, so that a configuration outlives the retention of its older records. */
     readonly refreshOf?: ConfigurationRow | undefined;
 }
 
@@ -49,16 +49,16 @@
     readonly kind: "placement";
     readonly configurationOffset: Offset;
     readonly copies: readonly CopyAssignment[];
-    /** Instances among which idempotency keys are shared out. */
+    /** Instances among which idempotency keys are partitioned. */
     readonly owners: readonly InstanceId[];
-    /** Owners after the change in progress; keys whose owner differs are accepted by nobody meanwhile. */
+    /** Owners after the change in progress; until it ends, no instance accepts keys whose owner changes. */
     readonly nextOwners?: readonly InstanceId[] | undefined;
 }
 
 /** Record of the platform's log. */
 export type LogRecord = ConfigurationRecord | PlacementRecord;
 
-/** Record with its place in the log. */
+/** Record with its position in the log. */
 export interface LogEntry {
     readonly offset: Offset;
     /** Offset of the record before this one in the log; 0 for the first. */
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -39,7 +39,7 @@
     | "invalid-request"
     | "canceled";
 
-/** Final answer to a request that is not carried out. */
+/** Final answer to a request that was not answered by a backend server. */
 export interface Refusal {
     readonly ran: RanState;
     readonly reason: RefusalReason;
@@ -48,22 +48,22 @@
     readonly detail?: string | undefined;
 }
 
-/** Request of a caller, as the decisions see it. */
+/** Caller's request, as input of the decision functions. */
 export interface RequestRow {
     readonly requestId: RequestId;
     readonly deployment: DeploymentName;
     readonly clientAccount: ClientAccount;
     /** 0 (lowest) to 9 (highest). */
     readonly priority: number;
-    /** Monotonic time of the process by which the answer must begin. */
+    /** Time by which the answer must begin, on the monotonic clock of the process. */
     readonly deadline: Milliseconds;
-    /** Monotonic time at which the process received the request. */
+    /** Time at which the process received the request, on its monotonic clock. */
     readonly receivedAt: Milliseconds;
     readonly idempotent: boolean;
     /** UUIDv7; undefined for idempotent requests without a key. */
     readonly idempotencyKey: string | undefined;
     readonly fingerprint: Fingerprint;
-    /** Digest of the beginning of the prompt; undefined for plain services. */
+    /** Digest of the prefix of the prompt; undefined for plain services. */
     readonly prefix: string | undefined;
     /** True if the answer can no longer come within the target of its route. Default: false. */
     readonly missedTarget?: boolean | undefined;
--- a/src/types/tables.ts
+++ b/src/types/tables.ts
@@ -8,23 +8,23 @@
     Region,
 } from "./identifiers.js";
 
-/** What an instance is for. */
+/** Role of an instance. */
 export type InstanceRole = "entry" | "backend-server";
-/** State of an instance in the platform's list; `gone` stands for listed before and absent now. */
+/** State of an instance in the platform's list; `gone` if it was listed before and no longer is. */
 export type InstanceState = "live" | "leaving" | "gone";
 
-/** Instance as the platform's lagging list shows it. */
+/** Instance in the platform's list, which shows changes with a delay. */
 export interface InstanceRow {
     readonly instance: InstanceId;
     readonly role: InstanceRole;
-    /** Pool of like backend servers, for example `scribe`; `entry` for entry instances. */
+    /** Pool of interchangeable backend servers, for example `scribe`; `entry` for entry instances. */
     readonly pool: string;
     readonly zone: AvailabilityZone;
     readonly region: Region;
     /** `host:port` of the gRPC endpoint of the instance's entry or agent process. */
     readonly address: string;
     readonly state: InstanceState;
-    /** Successive list reads in which the instance was absent. */
+    /** Number of consecutive reads of the list in which the instance was absent. */
     readonly absentReads: number;
 }
 
@@ -59,7 +59,7 @@
 export interface AgentObservation {
     readonly instance: InstanceId;
     readonly incarnation: string;
-    /** Monotonic time of the receiving process. */
+    /** Time of receipt, on the monotonic clock of the receiving process. */
     readonly heardAt: Milliseconds;
     readonly appliedOffset: Offset;
     readonly draining: boolean;
