Reword the utilities

The parameters of runParallel were called width and work; they are now concurrency and processItem. Comments of rendezvous hashing, of disposal and of the tables use the usual terms.

--- a/src/utils/clock.ts
+++ b/src/utils/clock.ts
@@ -12,10 +12,10 @@
     };
 }
 
-/** Clock that only moves when it is told to. */
+/** Clock that only advances on request. */
 export interface ManualClock extends Clock {
     /**
-     * Moves both clocks forward.
+     * Advances the wall-clock time and the monotonic time.
      *
      * @param duration - milliseconds to add
      */
@@ -23,7 +23,7 @@
 }
 
 /**
- * Creates a clock for tests, explorations and benchmarks.
+ * Creates a clock for tests, state explorations and benchmarks.
  *
  * @param start - wall-clock time at which the clock starts; default: 2026-01-01T00:00:00Z
  * @returns the clock
@@ -40,7 +40,7 @@
 }
 
 /**
- * Creates a random source that repeats its sequence for a seed (mulberry32).
+ * Creates a pseudorandom source (mulberry32), which returns the same sequence for the same seed.
  *
  * @param seed - any 32-bit integer
  * @returns the random source
--- a/src/utils/digest.ts
+++ b/src/utils/digest.ts
@@ -25,30 +25,30 @@
     return extended;
 }
 
-/** FNV-1a alone mixes the last characters too little to rank candidates that differ only there. */
-function finishHash(hash: number): number {
+/** Final mixing; FNV-1a alone mixes the last characters too weakly to rank candidates that differ only there. */
+function finalizeHash(hash: number): number {
     let mixed = Math.imul(hash ^ (hash >>> 16), 0x85EBCA6B);
     mixed = Math.imul(mixed ^ (mixed >>> 13), 0xC2B2AE35);
     return (mixed ^ (mixed >>> 16)) >>> 0;
 }
 
 /**
- * Creates the scores of candidates for rendezvous hashing: each key ranks all candidates by descending score, and a
- * change of the candidates moves only the keys of those that came or went. The key is hashed once.
+ * Creates a score function for rendezvous hashing: each key ranks all candidates by descending score, so that an added
+ * or removed candidate moves only its own keys. The key is hashed once.
  *
- * @param key - what is assigned
- * @returns function from a candidate to its unsigned 32-bit score
+ * @param key - key to assign to a candidate
+ * @returns function that returns the unsigned 32-bit score of a candidate
  */
 export function createRendezvousScore(key: string): (candidate: string) => number {
     const keyHash = extendHash(extendHash(fnvOffsetBasis, key), "\u0000");
-    return candidate => finishHash(extendHash(keyHash, candidate));
+    return candidate => finalizeHash(extendHash(keyHash, candidate));
 }
 
 /**
  * Scores one candidate for rendezvous hashing; see {@link createRendezvousScore}.
  *
- * @param key - what is assigned
- * @param candidate - whom it may be assigned to
+ * @param key - key to assign to a candidate
+ * @param candidate - identifier of the candidate
  * @returns unsigned 32-bit score
  */
 export function scoreRendezvous(key: string, candidate: string): number {
@@ -58,8 +58,8 @@
 /**
  * Ranks candidates by rendezvous hashing.
  *
- * @param key - what is assigned
- * @param candidates - identifiers, without repeats
+ * @param key - key to assign to a candidate
+ * @param candidates - identifiers, without duplicates
  * @returns the candidates, best first; ties go to the smaller identifier
  */
 export function rankByRendezvous(key: string, candidates: readonly string[]): string[] {
--- a/src/utils/disposal.ts
+++ b/src/utils/disposal.ts
@@ -1,20 +1,20 @@
 /** Owner of resources that are released together, in the reverse order of their acquisition. */
 export interface DisposalStack extends AsyncDisposable {
     /**
-     * Takes a resource over.
+     * Takes ownership of a resource.
      *
-     * @param resource - what to release later
+     * @param resource - resource to release
      * @returns the resource
      */
     use<Resource extends Disposable | AsyncDisposable>(resource: Resource): Resource;
     /**
-     * Registers an action to run on release.
+     * Registers an action that runs when the resources are released.
      *
      * @param action - the action
      */
     defer(action: () => void | Promise<void>): void;
     /**
-     * Hands the resources to a new stack, so that this one releases nothing.
+     * Moves the resources to a new stack, so that this one no longer releases them.
      *
      * @returns the new owner
      */
--- a/src/utils/parallel.ts
+++ b/src/utils/parallel.ts
@@ -1,22 +1,22 @@
 /**
- * Does work for each item, several at the same time, in the order of the items.
+ * Processes items concurrently; they are started in their order.
  *
- * @param items - what to work on
- * @param width - items that are worked on at the same time
- * @param work - does one; resolves to false if no further item shall be begun
+ * @param items - items to process
+ * @param concurrency - maximum number of items in progress
+ * @param processItem - processes one item; resolves to false to start no further items
  */
 export async function runParallel<Item>(
     items: Iterable<Item>,
-    width: number,
-    work: (item: Item) => Promise<boolean>,
+    concurrency: number,
+    processItem: (item: Item) => Promise<boolean>,
 ): Promise<void> {
-    const waiting = [...items];
-    const takeNext = async (): Promise<void> => {
-        for (let item = waiting.shift(); item !== undefined; item = waiting.shift()) {
-            if (!await work(item)) {
-                waiting.length = 0;
+    const pending = [...items];
+    const runWorker = async (): Promise<void> => {
+        for (let item = pending.shift(); item !== undefined; item = pending.shift()) {
+            if (!await processItem(item)) {
+                pending.length = 0;
             }
         }
     };
-    await Promise.all(Array.from({ length: width }, takeNext));
+    await Promise.all(Array.from({ length: concurrency }, runWorker));
 }
--- a/src/utils/sleep.ts
+++ b/src/utils/sleep.ts
@@ -1,11 +1,11 @@
 import type { Milliseconds } from "../types/index.js";
 
 /**
- * Waits.
+ * Waits for a given time.
  *
  * @param duration - time to wait
  * @param signal - ends the wait early
- * @returns resolves after the time or when the signal is aborted; never rejects
+ * @returns promise that resolves after the time or when the signal is aborted; it never rejects
  */
 export function sleep(duration: Milliseconds, signal?: AbortSignal): Promise<void> {
     return new Promise(resolve => {
--- a/src/utils/table.ts
+++ b/src/utils/table.ts
@@ -1,4 +1,4 @@
-/** Rows by key, with secondary indexes that are kept up to date by each change. */
+/** Rows by key, with secondary indexes that each change updates. */
 export interface Table<Key extends string | number, Row> {
     readonly size: number;
     get(key: Key): Row | undefined;
@@ -8,7 +8,7 @@
     keys(): IterableIterator<Key>;
     rows(): IterableIterator<Row>;
     /**
-     * Lists rows by a secondary index.
+     * Looks up rows by a secondary index.
      *
      * @param index - name of the index
      * @param value - value to look up
@@ -22,7 +22,7 @@
 /**
  * Creates an empty table.
  *
- * @param indexes - for each secondary index, how to read its value from a row; undefined leaves the row out
+ * @param indexes - for each secondary index, a function that returns its value for a row; undefined omits the row
  * @returns the table
  */
 export function createTable<Key extends string | number, Row>(
