Reword the metrics and the support of tests

The file of the process metrics was called figures, and the comments described counters and histograms by what they forget. The files are now called processMetrics, and the comments give windows, totals and limits. The error of waitFor says that the condition was not met in time.

--- a/src/node/metrics/index.ts
+++ b/src/node/metrics/index.ts
@@ -1,2 +1,2 @@
 export * from "./metrics.js";
-export * from "./processFigures.js";
+export * from "./processMetrics.js";
--- a/src/node/metrics/metrics.ts
+++ b/src/node/metrics/metrics.ts
@@ -11,16 +11,16 @@
     readonly documentation: string;
 }
 
-/** Number that only grows. */
+/** Metric whose value only increases. */
 export interface Counter {
     /** Adds to the counter; default: 1. */
     add(amount?: number, labels?: Labels): void;
 }
 
-/** Number that rises and falls. */
+/** Metric whose value can increase and decrease. */
 export interface Gauge {
     set(value: number, labels?: Labels): void;
-    /** Removes a series, for example that of a deployment that is gone. */
+    /** Removes a series, for example that of a removed deployment. */
     remove(labels: Labels): void;
 }
 
@@ -35,10 +35,10 @@
     createCounter(description: MetricDescription): Counter;
     createGauge(description: MetricDescription): Gauge;
     /**
-     * Adds a gauge whose value is read whenever the metrics are rendered.
+     * Adds a gauge whose value is read each time the metrics are rendered.
      *
      * @param description - name and meaning
-     * @param read - reads the value
+     * @param read - returns the value
      */
     observe(description: MetricDescription, read: () => number): void;
     createHistogram(description: MetricDescription): Histogram;
@@ -49,9 +49,9 @@
 /** Options of the metrics. */
 export interface MetricsOptions {
     readonly clock: Clock;
-    /** Time over which quantiles are taken: between one and two windows. Default: 60,000 ms. */
+    /** Length of a window; quantiles cover between one and two windows. Default: 60,000 ms. */
     readonly window?: Milliseconds | undefined;
-    /** Most series of one metric; further label values are counted under `other`. Default: 200. */
+    /** Maximum number of series of one metric; further label values are counted under `other`. Default: 200. */
     readonly maximumSeries?: number | undefined;
 }
 
@@ -116,11 +116,11 @@
     const lines = [...series.list()].flatMap(({ labels, value }) => {
         const { name } = description;
         const values = value.readQuantiles(quantiles);
-        const shares = quantiles.map((quantile, index) =>
+        const quantileLines = quantiles.map((quantile, index) =>
             `${name}${renderLabels({ ...labels, quantile: String(quantile) })} ${values[index]}`
         );
         const suffix = renderLabels(labels);
-        return [...shares, `${name}_sum${suffix} ${value.sum}`, `${name}_count${suffix} ${value.count}`];
+        return [...quantileLines, `${name}_sum${suffix} ${value.sum}`, `${name}_count${suffix} ${value.count}`];
     });
     return [...renderHeader(description, "summary"), ...lines];
 }
@@ -128,7 +128,7 @@
 /**
  * Creates the metrics of a process.
  *
- * @param options - clock and bounds
+ * @param options - clock and limits
  * @returns the metrics, empty
  */
 export function createMetrics(options: MetricsOptions): Metrics {
--- a/src/node/metrics/processMetrics.ts
+++ b/src/node/metrics/processMetrics.ts
@@ -3,7 +3,7 @@
 const microsecondsPerSecond = 1_000_000;
 
 /**
- * Adds the processor time and the resident memory of this process.
+ * Registers metrics of the processor time and the resident memory of this process.
  *
  * @param metrics - metrics of the process
  */
--- a/src/node/metrics/windowedHistogram.ts
+++ b/src/node/metrics/windowedHistogram.ts
@@ -2,7 +2,7 @@
 import { createRequire } from "node:module";
 import type { Clock, Milliseconds } from "../../types/index.js";
 
-/** Histogram that forgets old values, with totals that do not. */
+/** Histogram whose quantiles cover recent values only, with totals of all values. */
 export interface WindowedHistogram {
     /** Number of values since the start. */
     readonly count: number;
@@ -10,7 +10,7 @@
     readonly sum: number;
     record(value: number): void;
     /**
-     * Reads quantiles of the newest values.
+     * Computes quantiles of the recent values.
      *
      * @param quantiles - shares from 0 to 1
      * @returns the values, `NaN` while there are none
@@ -18,8 +18,8 @@
     readQuantiles(quantiles: readonly number[]): number[];
 }
 
-// Values are kept in thousandths, since the library counts whole numbers. With two significant digits and 32-bit
-// counts a histogram takes 14 KB and a record about 0.4 microseconds; packed counts take 8 KB, but four times as long.
+// Values are stored in thousandths, since the library counts integers. With two significant digits and 32-bit counts, a
+// histogram takes 14 KB, and a record about 0.4 microseconds; packed counts take 8 KB, but four times as long.
 const resolution = 1_000;
 const highestValue = 3_600_000;
 
--- a/test/node/daemonSupport.ts
+++ b/test/node/daemonSupport.ts
@@ -9,7 +9,7 @@
 /** Logger that writes nothing. */
 export const silentLogger = pino({ level: "silent" });
 
-/** Waits until a condition holds. The limit only ends a test that has failed. */
+/** Waits until a condition holds. The limit is only reached if the test fails. */
 export async function waitFor(condition: () => boolean): Promise<void> {
     for (let round = 0; round < 10_000; round++) {
         if (condition()) {
@@ -17,7 +17,7 @@
         }
         await delay(1);
     }
-    throw new Error("the condition has not come true");
+    throw new Error("the condition was not met in time");
 }
 
 /** Server of one gRPC service on a free loopback port. */
@@ -51,7 +51,7 @@
     };
 }
 
-/** Creates a copy without weights, as plain services have it. */
+/** Creates a copy without weights, as for a plain service. */
 export function createCopy(instance: string, changes: Partial<CopyAssignment> = {}): CopyAssignment {
     return {
         instance,
@@ -64,7 +64,7 @@
     };
 }
 
-/** Creates log entries that follow each other from one offset to another, each based on the one before. */
+/** Creates log entries with consecutive offsets, each based on the one before. */
 export function createEntries(first: number, last: number, changes: Partial<PlacementRecord> = {}): LogEntry[] {
     return Array.from({ length: last - first + 1 }, (...[, index]) => {
         const offset = first + index;
--- a/test/node/metrics/metrics.test.ts
+++ b/test/node/metrics/metrics.test.ts
@@ -29,8 +29,8 @@
         );
     });
 
-    // Guards against quantiles that hide a change behind hours of old values, and against totals that shrink.
-    it("take quantiles over the newest windows and totals since the start", () => {
+    // Guards against quantiles in which hours of old values hide a change, and against totals that decrease.
+    it("compute quantiles over the newest windows and totals since the start", () => {
         const clock = createManualClock();
         const metrics = createMetrics({ clock, window: 1_000 });
         const duration = metrics.createHistogram({ name: "duration", documentation: "Duration." });
@@ -50,7 +50,7 @@
     });
 
     // Guards against memory that grows with label values that callers choose.
-    it("count label values beyond the bound under one series", () => {
+    it("count label values beyond the limit in one series", () => {
         const metrics = createMetrics({ clock: createManualClock(), maximumSeries: 2 });
         const requests = metrics.createCounter({ name: "requests_total", documentation: "Requests." });
         for (const account of ["a", "b", "c", "d", "a"]) {
--- a/test/node/metrics/processMetrics.test.ts
+++ b/test/node/metrics/processMetrics.test.ts
@@ -3,8 +3,8 @@
 import { createMetrics, observeProcess } from "../../../src/node/metrics/index.js";
 import { createManualClock } from "../../../src/utils/index.js";
 
-describe("process figures", () => {
-    // Guards against a wrong unit: the capacity figures are derived from seconds and bytes.
+describe("process metrics", () => {
+    // Guards against a wrong unit: capacity planning computes with seconds and bytes.
     it("state processor time in seconds and memory in bytes", () => {
         const metrics = createMetrics({ clock: createManualClock() });
         observeProcess(metrics);
--- a/test/node/support.ts
+++ b/test/node/support.ts
@@ -2,10 +2,10 @@
 import type { GoldcrestpointError } from "../../src/types/index.js";
 
 /**
- * Reads the value of a result that has to be a success.
+ * Returns the value of a successful result.
  *
  * @param result - the result
- * @returns its value; a failure fails the test
+ * @returns its value; throws for a failure, so that the test fails
  */
 export function expectOk<Value>(result: Result<Value, GoldcrestpointError>): Value {
     if (result.isErr) {
