Rename two types of the engine and the caller

The option that tells an engine how to treat requests in progress was named after the requests. The time that a caller states was called its patience. RunningRequests is now RunningRequestsPolicy, and the field is callerTimeout.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -162,11 +162,12 @@
     }
 
     function hasMissedTarget(call: CallerCall, route: RouteRow): boolean {
-        return call.patience !== undefined && estimateWaited(patience, route.name, call.patience) > route.targetLatency;
+        return call.callerTimeout !== undefined &&
+            estimateWaited(patience, route.name, call.callerTimeout) > route.targetLatency;
     }
 
     function computeTimeLimit(call: CallerCall, route: RouteRow): Milliseconds {
-        return Math.min(call.patience ?? route.timeout, route.timeout);
+        return Math.min(call.callerTimeout ?? route.timeout, route.timeout);
     }
 
     async function handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/types/engineControl.ts
+++ b/src/types/engineControl.ts
@@ -17,7 +17,7 @@
 }
 
 /** How an engine that loads weights treats requests in progress: it waits for them, or ends their streams. */
-export type RunningRequests = "finish" | "cut-off";
+export type RunningRequestsPolicy = "finish" | "cut-off";
 
 /** Response of an engine to an order: it has begun to carry it out, it has already done so, or it refuses. */
 export type OrderOutcome = "begun" | "in-effect" | "refused";
@@ -50,7 +50,7 @@
         model: string,
         version: number,
         expectedSequence: number,
-        running: RunningRequests,
+        running: RunningRequestsPolicy,
     ): PortResult<OrderOutcome>;
 }
 
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -123,7 +123,7 @@
 export interface CallerCall {
     readonly requestId: RequestId;
     /** Timeout that the caller states, counted from when it sent the request; undefined if it states none. */
-    readonly patience: Milliseconds | undefined;
+    readonly callerTimeout: Milliseconds | undefined;
     /** Identifier of the last event that the caller has received; undefined at the start of a stream. */
     readonly resumeAfter: string | undefined;
     readonly apiKey: string | undefined;
