Rename the shared part of the crash evidence

"News" is no term for the part of the evidence that other gateways lack, and what mergeSuspicion merges are rows of suspects. They are now EvidenceDelta and mergeSuspects. The compiler renamed every use; the syntax trees differ only in these names.

--- a/src/node/entry/suspicionSharing.ts
+++ b/src/node/entry/suspicionSharing.ts
@@ -6,7 +6,7 @@
     type ShareSuspicionResponse,
     ShareSuspicionResponseSchema,
 } from "../../generated/goldcrestpoint_pb.js";
-import { mergeSuspicion, reportCrash, reportSuccessAlone, type SuspectRow } from "../../runtime/retry/index.js";
+import { mergeSuspects, reportCrash, reportSuccessAlone, type SuspectRow } from "../../runtime/retry/index.js";
 import type { Fingerprint } from "../../types/index.js";
 import type { CrashReport } from "../crashes/index.js";
 import { createRelayClient, type RelayClient } from "../grpc/index.js";
@@ -126,7 +126,7 @@
                 cleared: suspicion.cleared,
                 changedAt: now - Number(suspicion.ageMilliseconds),
             }));
-            send(mergeSuspicion(suspects, rows, now));
+            send(mergeSuspects(suspects, rows, now));
             callback(undefined as never, create(ShareSuspicionResponseSchema));
         },
         [Symbol.dispose]: () => {
--- a/src/node/gateway/crashEvidenceStore.ts
+++ b/src/node/gateway/crashEvidenceStore.ts
@@ -4,7 +4,7 @@
     type CrashRow,
     createCrashEvidence,
     digestEvidence,
-    type EvidenceNews,
+    type EvidenceDelta,
     expireEvidence,
     exportEvidence,
     mayRepeatAfterCrash,
@@ -114,7 +114,7 @@
         }
     }
 
-    function apply({ answered, crashIds }: EvidenceNews, source: EvidenceSource): void {
+    function apply({ answered, crashIds }: EvidenceDelta, source: EvidenceSource): void {
         if (answered.length === 0 && crashIds.length === 0) {
             return;
         }
--- a/src/runtime/retry/crashEvidence.ts
+++ b/src/runtime/retry/crashEvidence.ts
@@ -5,13 +5,13 @@
     CrashEvidence,
     CrashEvidenceOptions,
     CrashRow,
-    EvidenceNews,
+    EvidenceDelta,
     SharedCrash,
     SharedEvidence,
     SuspectStanding,
 } from "./types.js";
 
-const nothingToShare: EvidenceNews = { crashIds: [], answered: [] };
+const nothingToShare: EvidenceDelta = { crashIds: [], answered: [] };
 /** Most crashes in one message to another process. */
 const maximumSharedCrashes = 256;
 
@@ -122,7 +122,7 @@
     crashId: string,
     fingerprints: readonly Fingerprint[],
     now: Milliseconds,
-): EvidenceNews {
+): EvidenceDelta {
     const isNew = mergeCrash(evidence, { crashId, fingerprints: new Set(fingerprints), at: now, touchedAt: now });
     if (!isNew) {
         return nothingToShare;
@@ -140,7 +140,7 @@
  * @param now - monotonic time
  * @returns the part of the evidence to share with other processes: the answer, if the request was a suspect
  */
-export function recordAnswer(evidence: CrashEvidence, fingerprint: Fingerprint, now: Milliseconds): EvidenceNews {
+export function recordAnswer(evidence: CrashEvidence, fingerprint: Fingerprint, now: Milliseconds): EvidenceDelta {
     storeAnswer(evidence, fingerprint, now);
     if (evidence.answers.size > evidence.options.maximumSuspects) {
         forgetAnswers(evidence, now);
@@ -202,7 +202,7 @@
  * @param toShare - the part to export. Default: all crashes, and the answers to requests that were in progress in them.
  * @returns the crashes, most recently used first, and the answers, with ages instead of times
  */
-export function exportEvidence(evidence: CrashEvidence, now: Milliseconds, toShare?: EvidenceNews): SharedEvidence {
+export function exportEvidence(evidence: CrashEvidence, now: Milliseconds, toShare?: EvidenceDelta): SharedEvidence {
     const { answers, crashes } = evidence;
     const rows = [...crashes.values()]
         .filter(({ crashId }) => toShare === undefined || toShare.crashIds.includes(crashId))
@@ -247,7 +247,7 @@
  * @returns the part of the evidence to share with other processes: what was not known here, and the answers known here
  * to the requests of new crashes
  */
-export function mergeEvidence(evidence: CrashEvidence, shared: SharedEvidence, now: Milliseconds): EvidenceNews {
+export function mergeEvidence(evidence: CrashEvidence, shared: SharedEvidence, now: Milliseconds): EvidenceDelta {
     const crashIds: string[] = [];
     const answered = new Set<Fingerprint>();
     for (const { age, crashId, fingerprints, touchedAge } of shared.crashes) {
--- a/src/runtime/retry/suspects.ts
+++ b/src/runtime/retry/suspects.ts
@@ -146,7 +146,7 @@
  * @param now - monotonic time
  * @returns the rows whose crashes or standing changed, to be passed on to further entry instances
  */
-export function mergeSuspicion(
+export function mergeSuspects(
     table: SuspectTable,
     rows: readonly SuspectRow[],
     now: Milliseconds,
--- a/src/runtime/retry/types.ts
+++ b/src/runtime/retry/types.ts
@@ -102,7 +102,7 @@
 }
 
 /** Part of the evidence that other processes may not know yet. */
-export interface EvidenceNews {
+export interface EvidenceDelta {
     readonly crashIds: readonly string[];
     /** Requests whose answers have to be shared. */
     readonly answered: readonly Fingerprint[];
--- a/test/runtime/retry/suspects.test.ts
+++ b/test/runtime/retry/suspects.test.ts
@@ -5,7 +5,7 @@
     createRetryBudget,
     createSuspectTable,
     decideRetry,
-    mergeSuspicion,
+    mergeSuspects,
     readStanding,
     reportCrash,
     reportSuccessAlone,
@@ -63,7 +63,7 @@
         for (const { round, from, rows } of this.gossip) {
             for (let entry = 0; round === this.round && entry < this.entries; entry++) {
                 if (entry !== from) {
-                    mergeSuspicion(this.tables[entry]!, rows, this.round * 100);
+                    mergeSuspects(this.tables[entry]!, rows, this.round * 100);
                 }
             }
         }
@@ -221,7 +221,7 @@
         const read = (rows: readonly SuspectRow[]) => {
             const table = createSuspectTable(options);
             for (const part of rows) {
-                mergeSuspicion(table, [part], 100);
+                mergeSuspects(table, [part], 100);
             }
             return Object.fromEntries(table.rows);
         };
