Say consecutive failures in routing

Failures in a row were called successive here and consecutive elsewhere. The field is consecutiveFailures now, and a comment follows.

--- a/src/node/entry/outcomes.ts
+++ b/src/node/entry/outcomes.ts
@@ -45,7 +45,7 @@
 }
 
 /**
- * Classifies the outcome of an attempt, since successive failures eject a runner.
+ * Classifies the outcome of an attempt, since consecutive failures eject a runner.
  *
  * @param outcome - how the attempt ended
  * @returns `neutral` for refusals that do not count as a failure of the runner
--- a/src/runtime/gateway/backendServers.ts
+++ b/src/runtime/gateway/backendServers.ts
@@ -97,7 +97,7 @@
         row.reportedAt = undefined;
         row.runner.reportedLoad = 0;
         row.runner.ejectedUntil = 0;
-        row.runner.successiveFailures = 0;
+        row.runner.consecutiveFailures = 0;
         row.runner.pausedUntil = Number.NEGATIVE_INFINITY;
         row.runner.trial = "none";
     }
--- a/src/runtime/routing/load.ts
+++ b/src/runtime/routing/load.ts
@@ -82,15 +82,15 @@
     options: RoutingOptions,
 ): void {
     if (outcome === "succeeded") {
-        runner.successiveFailures = 0;
+        runner.consecutiveFailures = 0;
         runner.ejections = 0;
         return;
     }
     if (outcome !== "failed") {
         return;
     }
-    runner.successiveFailures += 1;
-    if (runner.successiveFailures < options.failuresUntilEjected || now < runner.ejectedUntil) {
+    runner.consecutiveFailures += 1;
+    if (runner.consecutiveFailures < options.failuresUntilEjected || now < runner.ejectedUntil) {
         return;
     }
     const factor = Math.min(maximumEjectionFactor, 2 ** runner.ejections);
--- a/src/runtime/routing/subset.ts
+++ b/src/runtime/routing/subset.ts
@@ -87,7 +87,7 @@
         capacity: 1,
         reportedAt: Number.NEGATIVE_INFINITY,
         cachedPrefixes: new Set(),
-        successiveFailures: 0,
+        consecutiveFailures: 0,
         ejections: 0,
         ejectedUntil: Number.NEGATIVE_INFINITY,
         pausedUntil: Number.NEGATIVE_INFINITY,
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -80,7 +80,7 @@
     /** Monotonic time at which the last report was made. */
     reportedAt: Milliseconds;
     cachedPrefixes: Set<string>;
-    successiveFailures: number;
+    consecutiveFailures: number;
     ejections: number;
     ejectedUntil: Milliseconds;
     /** Monotonic time until which the runner has asked this process to send it no requests. */
--- a/test/runtime/routing/routing.test.ts
+++ b/test/runtime/routing/routing.test.ts
@@ -92,7 +92,7 @@
         recordOutcome(runners[0]!, "failed", now + options.ejectionDuration, options);
         expect(runners[0]!.ejectedUntil).toEqual(now + 3 * options.ejectionDuration);
         recordOutcome(runners[0]!, "succeeded", now, options);
-        expect(runners[0]!.successiveFailures).toEqual(0);
+        expect(runners[0]!.consecutiveFailures).toEqual(0);
     });
 
     // Guards against requests that cross zones or regions without need, and against requests that never cross them.
