Rename the result of admission steps

AdmissionProgress did not say that it holds the requests that leave the queue, to be started or refused. It is now DequeuedRequests.

--- a/bench/days/simulation.ts
+++ b/bench/days/simulation.ts
@@ -1,6 +1,6 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import {
-    type AdmissionProgress,
+    type DequeuedRequests,
     expireRequests,
     finishRequest,
     offerRequest,
@@ -190,11 +190,11 @@
         }
     }
 
-    function handleDequeued(gateway: Gateway, progress: AdmissionProgress): void {
-        for (const { requestId } of progress.start) {
+    function handleDequeued(gateway: Gateway, dequeued: DequeuedRequests): void {
+        for (const { requestId } of dequeued.start) {
             send(attempts.get(requestId)!);
         }
-        for (const { refusal, request } of progress.refuse) {
+        for (const { refusal, request } of dequeued.refuse) {
             const { caller } = attempts.get(request.requestId)!;
             attempts.delete(request.requestId);
             refuse(caller, gateway, refusal.retryAfterSeconds);
--- a/bench/routing/server.ts
+++ b/bench/routing/server.ts
@@ -69,11 +69,11 @@
         running.push({ requestId: request.requestId, finishesAt });
     }
 
-    function applyProgress(progress: ReturnType<typeof expireRequests>, now: Milliseconds): void {
-        for (const request of progress.start) {
+    function handleDequeued(dequeued: ReturnType<typeof expireRequests>, now: Milliseconds): void {
+        for (const request of dequeued.start) {
             start(request, now);
         }
-        for (const { request, refusal } of progress.refuse) {
+        for (const { request, refusal } of dequeued.refuse) {
             events.refused(request, refusal);
         }
     }
@@ -94,9 +94,9 @@
             for (const { requestId } of running.filter(({ finishesAt }) => finishesAt <= now)) {
                 running.splice(running.findIndex(row => row.requestId === requestId), 1);
                 events.finished(admission.inProgress.get(requestId)!.request);
-                applyProgress(finishRequest(admission, requestId, now), now);
+                handleDequeued(finishRequest(admission, requestId, now), now);
             }
-            applyProgress(expireRequests(admission, now), now);
+            handleDequeued(expireRequests(admission, now), now);
         },
         report: () => ({
             manifestDigest: "digest",
--- a/src/node/agent/executor.ts
+++ b/src/node/agent/executor.ts
@@ -1,8 +1,8 @@
 import type { Logger } from "pino";
 import {
-    type AdmissionProgress,
     type AdmissionTable,
     cancelRequest,
+    type DequeuedRequests,
     expireRequests,
     finishRequest,
     offerRequest,
@@ -143,14 +143,14 @@
         }
         else {
             // A request that this one displaced from the queue is refused now rather than at the next tick.
-            applyProgress(expireRequests(admission, clock.monotonic()));
+            handleDequeued(expireRequests(admission, clock.monotonic()));
         }
     }
 
     function cancel(execution: Execution): void {
         const { requestId, idempotent } = execution.row;
         if (waiting.delete(requestId)) {
-            applyProgress(cancelRequest(admission, requestId, clock.monotonic()));
+            handleDequeued(cancelRequest(admission, requestId, clock.monotonic()));
         }
         // A non-idempotent request runs to its end, so that a repeated request with its key gets the answer.
         else if (idempotent) {
@@ -168,16 +168,16 @@
                 );
                 execution.writer.refuse(createRefusal("unknown", "connection-lost"));
             })
-            .finally(() => applyProgress(finishRequest(admission, execution.row.requestId, clock.monotonic())));
+            .finally(() => handleDequeued(finishRequest(admission, execution.row.requestId, clock.monotonic())));
     }
 
-    function applyProgress(progress: AdmissionProgress): void {
-        for (const { request, refusal } of progress.refuse) {
+    function handleDequeued(dequeued: DequeuedRequests): void {
+        for (const { request, refusal } of dequeued.refuse) {
             const execution = waiting.get(request.requestId);
             waiting.delete(request.requestId);
             execution?.writer.refuse(refusal);
         }
-        for (const request of progress.start) {
+        for (const request of dequeued.start) {
             const execution = waiting.get(request.requestId);
             if (execution !== undefined) {
                 startExecution(execution);
@@ -323,7 +323,7 @@
         get queued() {
             return admission.queued.size;
         },
-        expire: () => applyProgress(expireRequests(admission, clock.monotonic())),
+        expire: () => handleDequeued(expireRequests(admission, clock.monotonic())),
     };
 }
 
--- a/src/node/entry/requestPipeline.ts
+++ b/src/node/entry/requestPipeline.ts
@@ -1,7 +1,7 @@
 import type { ResponseStart } from "../../generated/goldcrestpoint_pb.js";
 import {
-    type AdmissionProgress,
     cancelRequest,
+    type DequeuedRequests,
     expireRequests,
     finishRequest,
     offerRequest,
@@ -93,13 +93,13 @@
     const losses = createLossTracker(clock);
     let open = 0;
 
-    function applyProgress(progress: AdmissionProgress): void {
-        for (const { request, refusal } of progress.refuse) {
+    function handleDequeued(dequeued: DequeuedRequests): void {
+        for (const { request, refusal } of dequeued.refuse) {
             const queuedRequest = queuedRequests.get(request.requestId);
             queuedRequests.delete(request.requestId);
             queuedRequest?.refuse(refusal);
         }
-        for (const { requestId } of progress.start) {
+        for (const { requestId } of dequeued.start) {
             const queuedRequest = queuedRequests.get(requestId);
             queuedRequests.delete(requestId);
             queuedRequest?.begin();
@@ -123,11 +123,11 @@
             queuedRequests.set(row.requestId, { begin: () => resolve(undefined), refuse: resolve });
             signal.addEventListener("abort", () => {
                 if (queuedRequests.has(row.requestId)) {
-                    applyProgress(cancelRequest(admission, row.requestId, clock.monotonic()));
+                    handleDequeued(cancelRequest(admission, row.requestId, clock.monotonic()));
                 }
             });
             // Refuses the queued request that this one may have displaced now instead of at the next tick.
-            applyProgress(expireRequests(admission, clock.monotonic()));
+            handleDequeued(expireRequests(admission, clock.monotonic()));
         });
     }
 
@@ -159,7 +159,7 @@
                 await runAttempts(request, sink);
             }
             finally {
-                applyProgress(finishRequest(admission, request.row.requestId, clock.monotonic()));
+                handleDequeued(finishRequest(admission, request.row.requestId, clock.monotonic()));
             }
         }
         finally {
@@ -309,7 +309,7 @@
 
     return {
         handle,
-        expire: () => applyProgress(expireRequests(admission, clock.monotonic())),
+        expire: () => handleDequeued(expireRequests(admission, clock.monotonic())),
         get open() {
             return open;
         },
--- a/src/node/gateway/admissionQueues.ts
+++ b/src/node/gateway/admissionQueues.ts
@@ -1,9 +1,9 @@
 import {
     type AdmissionOptions,
-    type AdmissionProgress,
     type AdmissionTable,
     cancelRequest,
     createAdmissionTable,
+    type DequeuedRequests,
     expireRequests,
     finishRequest,
     offerRequest,
@@ -94,12 +94,12 @@
         resolve?.(outcome);
     }
 
-    function apply(queue: ServiceQueue, progress: AdmissionProgress): void {
+    function apply(queue: ServiceQueue, dequeued: DequeuedRequests): void {
         const now = clock.monotonic();
-        for (const { requestId, receivedAt } of progress.start) {
+        for (const { requestId, receivedAt } of dequeued.start) {
             settle(queue, requestId, { kind: "started", waited: now - receivedAt });
         }
-        for (const { request, refusal } of progress.refuse) {
+        for (const { request, refusal } of dequeued.refuse) {
             settle(queue, request.requestId, { kind: "refused", refusal });
         }
     }
--- a/src/runtime/admission/admission.ts
+++ b/src/runtime/admission/admission.ts
@@ -1,9 +1,9 @@
 import type { ClientAccount, Milliseconds, Refusal, RefusalReason, RequestId, RequestRow } from "../../types/index.js";
 import { compareUrgency, computeExpectedWait, countAhead, dequeue, enqueue, findNext, mayStartLate } from "./queue.js";
 import { createRefusal } from "./refusals.js";
-import type { AdmissionDecision, AdmissionProgress, AdmissionTable } from "./types.js";
+import type { AdmissionDecision, AdmissionTable, DequeuedRequests } from "./types.js";
 
-type RefusedRequest = AdmissionProgress["refuse"][number];
+type RefusedRequest = DequeuedRequests["refuse"][number];
 
 function changeCount(counts: Map<string, number>, account: string, change: 1 | -1): void {
     const count = (counts.get(account) ?? 0) + change;
@@ -112,7 +112,7 @@
 
 /**
  * Decides whether a new request starts, waits or is refused. In a full queue it may displace a queued request, which is
- * then added to `displaced` and returned as refused by the next call that returns an {@link AdmissionProgress}; call
+ * then added to `displaced` and returned as refused by the next call that returns an {@link DequeuedRequests}; call
  * `expireRequests` right after this function, so that it is refused without delay.
  *
  * @param table - table to change
@@ -172,7 +172,7 @@
  * @param now - monotonic time
  * @returns requests to start, and requests that were displaced from the queue
  */
-export function finishRequest(table: AdmissionTable, requestId: RequestId, now: Milliseconds): AdmissionProgress {
+export function finishRequest(table: AdmissionTable, requestId: RequestId, now: Milliseconds): DequeuedRequests {
     const startedAt = release(table, requestId);
     if (startedAt !== undefined) {
         const weight = table.options.serviceTimeWeight;
@@ -189,7 +189,7 @@
  * @param now - monotonic time
  * @returns requests to start, displaced requests, and the canceled request with `ran: "no"` if it had not started
  */
-export function cancelRequest(table: AdmissionTable, requestId: RequestId, now: Milliseconds): AdmissionProgress {
+export function cancelRequest(table: AdmissionTable, requestId: RequestId, now: Milliseconds): DequeuedRequests {
     const refused = takeDisplaced(table);
     const queued = table.queued.get(requestId);
     if (queued !== undefined) {
@@ -209,7 +209,7 @@
  * @param now - monotonic time
  * @returns refused requests with `ran: "no"`, and requests to start in free slots
  */
-export function expireRequests(table: AdmissionTable, now: Milliseconds): AdmissionProgress {
+export function expireRequests(table: AdmissionTable, now: Milliseconds): DequeuedRequests {
     const refused = takeDisplaced(table);
     const longestWait = computeExpectedWait(table, table.queued.size);
     const atRisk = [...table.queued.values()].filter(({ deadline }) => deadline <= now || deadline < now + longestWait);
@@ -256,7 +256,7 @@
     table: AdmissionTable,
     resumesAt: Milliseconds,
     now: Milliseconds,
-): AdmissionProgress {
+): DequeuedRequests {
     const refused = takeDisplaced(table);
     for (const request of [...table.queued.values()].sort(compareUrgency)) {
         dequeue(table, request);
@@ -274,7 +274,7 @@
  * @param now - monotonic time
  * @returns requests to start in free slots, and requests that were displaced from the queue
  */
-export function setCapacity(table: AdmissionTable, capacity: number, now: Milliseconds): AdmissionProgress {
+export function setCapacity(table: AdmissionTable, capacity: number, now: Milliseconds): DequeuedRequests {
     table.capacity = capacity;
     return { start: startQueued(table, now), refuse: takeDisplaced(table) };
 }
--- a/src/runtime/admission/types.ts
+++ b/src/runtime/admission/types.ts
@@ -30,7 +30,7 @@
     | { readonly kind: "refuse"; readonly refusal: Refusal; };
 
 /** Requests that leave the queue, to be started or refused by the caller of the function that returns it. */
-export interface AdmissionProgress {
+export interface DequeuedRequests {
     readonly start: readonly RequestRow[];
     readonly refuse: readonly { readonly request: RequestRow; readonly refusal: Refusal; }[];
 }
@@ -47,7 +47,7 @@
     readonly queuedByAccount: Map<ClientAccount, RequestRow[]>;
     /** Requests, queued or in progress, beside which no other request may be in progress. */
     readonly alone: Set<RequestId>;
-    /** Requests that were displaced from the full queue; part of the next {@link AdmissionProgress} as refused. */
+    /** Requests that were displaced from the full queue; part of the next {@link DequeuedRequests} as refused. */
     readonly displaced: { readonly request: RequestRow; readonly refusal: Refusal; }[];
     averageServiceTime: Milliseconds;
     /** Monotonic time at which the newest refused caller was told to retry; each one is told a later time. */
--- a/test/runtime/gateway/plainService.ts
+++ b/test/runtime/gateway/plainService.ts
@@ -1,7 +1,7 @@
 import {
-    type AdmissionProgress,
     type AdmissionTable,
     createAdmissionTable,
+    type DequeuedRequests,
     expireRequests,
     finishRequest,
     offerRequest,
@@ -107,7 +107,7 @@
         apply(gateway, setCapacity(gateway.table, places, now));
     }
 
-    function apply(gateway: Gateway, { start }: AdmissionProgress): void {
+    function apply(gateway: Gateway, { start }: DequeuedRequests): void {
         start.forEach(({ requestId }) => send(gateway, requestId));
     }
 
