Name what the active set belongs to

activeBelongs did not say to what the set belongs; the field is activeBelongsToDeployment now. It is input of planOrders only.

--- a/src/node/agent/orderController.ts
+++ b/src/node/agent/orderController.ts
@@ -84,7 +84,7 @@
             ...input,
             engine,
             engineReadAt,
-            activeBelongs: engine?.active === undefined || input.belongsToDeployment(engine.active),
+            activeBelongsToDeployment: engine?.active === undefined || input.belongsToDeployment(engine.active),
             startedAt: options.startedAt,
             orderTimeLimit: options.orderTimeLimit,
             lastToken,
--- a/src/runtime/activation/planOrders.ts
+++ b/src/runtime/activation/planOrders.ts
@@ -105,7 +105,7 @@
 ): ActivationDecision {
     const active = matchesActiveSet(engine.active, wanted);
     const phase = active ? "serving" : selectLoadingPhase(input);
-    if (!input.activeBelongs) {
+    if (!input.activeBelongsToDeployment) {
         return input.requestsInProgress > 0 ?
             createDecision(phase, "requests are in progress") :
             createDecision(phase, "the active set is another deployment's", { kind: "deactivate", token });
--- a/src/runtime/activation/types.ts
+++ b/src/runtime/activation/types.ts
@@ -22,7 +22,7 @@
      * False if the active weight set of the engine belongs to another deployment, as after a pause of the process in
      * which its copy was replaced.
      */
-    readonly activeBelongs: boolean;
+    readonly activeBelongsToDeployment: boolean;
     /** True if this agent process has verified and staged every chunk of the assigned weight set. */
     readonly setComplete: boolean;
     /** Number of chunks of the assigned weight set; 0 until its manifest is read. */
--- a/test/runtime/activation/planOrders.test.ts
+++ b/test/runtime/activation/planOrders.test.ts
@@ -36,7 +36,7 @@
         held: true,
         engine: createEngine(),
         engineReadAt: 9_000,
-        activeBelongs: true,
+        activeBelongsToDeployment: true,
         setComplete: false,
         chunksTotal: 8,
         requestsInProgress: 0,
@@ -69,12 +69,12 @@
     ],
     [
         "unloads the set of another deployment before the assigned one is complete",
-        { engine: createEngine(replacing), activeBelongs: false },
+        { engine: createEngine(replacing), activeBelongsToDeployment: false },
         { phase: "staging", order: "deactivate" },
     ],
     [
         "lets requests on the set of another deployment finish",
-        { engine: createEngine(replacing), activeBelongs: false, requestsInProgress: 1 },
+        { engine: createEngine(replacing), activeBelongsToDeployment: false, requestsInProgress: 1 },
         { phase: "staging", order: "" },
     ],
     [
