Say that the time of a key is parsed

readKeyTime parses the time out of the text of a key, so it is parseKeyTime. The compiler renamed every use; the syntax trees differ only in this name.

--- a/src/runtime/idempotency/keys.ts
+++ b/src/runtime/idempotency/keys.ts
@@ -24,12 +24,12 @@
 }
 
 /**
- * Reads the time at which a key was created.
+ * Parses the time at which a key was created.
  *
  * @param key - text that a caller sent as its key
  * @returns milliseconds since 1970 by the caller's clock; undefined if the text is no UUIDv7 in lower case
  */
-export function readKeyTime(key: string): Milliseconds | undefined {
+export function parseKeyTime(key: string): Milliseconds | undefined {
     if (!keyPattern.test(key)) {
         return undefined;
     }
--- a/src/runtime/idempotency/ledger.ts
+++ b/src/runtime/idempotency/ledger.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds, RanState, Refusal, RefusalReason } from "../../types/index.js";
-import { readKeyTime } from "./keys.js";
+import { parseKeyTime } from "./keys.js";
 import { evaluateOwnership, recordInterruption } from "./ownership.js";
 import type {
     KeyDecision,
@@ -85,7 +85,7 @@
 
 function decideNewKey(ledger: Ledger, history: OwnershipHistory, offer: KeyOffer): KeyDecision {
     const { clockSkew, maximumEntries, maximumKeyAge } = ledger.options;
-    const createdAt = readKeyTime(offer.key);
+    const createdAt = parseKeyTime(offer.key);
     if (createdAt === undefined) {
         return refuse("no", "key-invalid", 0, "the key is no UUIDv7 in lower case");
     }
--- a/test/runtime/idempotency/ledger.test.ts
+++ b/test/runtime/idempotency/ledger.test.ts
@@ -8,7 +8,7 @@
     finishKey,
     type KeyOffer,
     offerKey,
-    readKeyTime,
+    parseKeyTime,
     recordInterruption,
     recordOwners,
     resolveKeyOwner,
@@ -133,13 +133,13 @@
         fastCheck.assert(
             fastCheck.property(fastCheck.integer({ min: 0, max: 2 ** 47 }), fastCheck.integer(), (time, seed) => {
                 const key = createIdempotencyKey(time, createSeededRandom(seed));
-                expect(readKeyTime(key)).toEqual(time);
+                expect(parseKeyTime(key)).toEqual(time);
                 expect(resolveKeyOwner(owners, key)).toEqual(rankByRendezvous(key, owners)[0]);
             }),
             { seed: 11, numRuns: 200 },
         );
         for (const text of ["", "x", "01890a5d-ac96-4b7e-8f3a-0123456789ab", "01890A5D-AC96-7B7E-8F3A-0123456789AB"]) {
-            expect(readKeyTime(text)).toEqual(undefined);
+            expect(parseKeyTime(text)).toEqual(undefined);
         }
     });
 });
