Use the verb select for the version to transfer

The runtime selects runners, transfers and subsets, but chose a target. chooseTarget is selectTarget now.

--- a/src/node/weightAgent/versionPlan.ts
+++ b/src/node/weightAgent/versionPlan.ts
@@ -1,7 +1,7 @@
 import type { Logger } from "pino";
 import { initialVersion, nameWeights, splitWeights } from "../../runtime/gateway/index.js";
 import {
-    chooseTarget,
+    selectTarget,
     type TargetOptions,
     type VersionTransfer,
     type WantedVersion,
@@ -81,7 +81,7 @@
     function chooseVersion(): WantedVersion | undefined {
         return wanted.length === 0 ?
             undefined :
-            chooseTarget({ wanted, held: Math.max(readLoaded(), ...complete.keys()), now: clock.monotonic(), options });
+            selectTarget({ wanted, held: Math.max(readLoaded(), ...complete.keys()), now: clock.monotonic(), options });
     }
 
     function readTransfer(newestComplete: number): VersionTransfer | undefined {
--- a/src/runtime/rollout/chooseTarget.ts
+++ b/src/runtime/rollout/chooseTarget.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "../../types/index.js";
 import type { WantedVersion } from "./planLoad.js";
 
-/** Options of {@link chooseTarget}. */
+/** Options of {@link selectTarget}. */
 export interface TargetOptions {
     /** Time that the transfer and the load of a version take over the network links of the agents. */
     readonly copyTime: Milliseconds;
@@ -9,7 +9,7 @@
     readonly cutoverAfter: Milliseconds;
 }
 
-/** Input of {@link chooseTarget}. */
+/** Input of {@link selectTarget}. */
 export interface TargetInput {
     /** Declared versions, newest first; at least one. */
     readonly wanted: readonly WantedVersion[];
@@ -20,14 +20,14 @@
 }
 
 /**
- * Chooses the version to transfer when several versions are declared in quick succession. It is the newest one, unless
+ * Selects the version to transfer when several versions are declared in quick succession. It is the newest one, unless
  * requests stop going to the held version before the newest one can be loaded. The oldest version that bridges that gap
  * is transferred first then, since requests would otherwise find no backend server.
  *
  * @param input - declared versions, held version, time and options
  * @returns the version to transfer
  */
-export function chooseTarget({ held, now, options, wanted }: TargetInput): WantedVersion {
+export function selectTarget({ held, now, options, wanted }: TargetInput): WantedVersion {
     const newest = wanted[0]!;
     if (held === 0) {
         return newest;
--- a/test/runtime/rollout/rollout.test.ts
+++ b/test/runtime/rollout/rollout.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { assignWave, chooseTarget, type LoadInput, planLoad } from "../../../src/runtime/rollout/index.js";
+import { assignWave, type LoadInput, planLoad, selectTarget } from "../../../src/runtime/rollout/index.js";
 
 const members = ["a", "b", "c", "d", "e", "f"];
 
@@ -129,18 +129,18 @@
 
     it("is the newest if it can be loaded before requests stop going to the held version", () => {
         const wanted = [{ version: 3, declaredAt: 2_000 }, { version: 2, declaredAt: 0 }];
-        expect(chooseTarget({ wanted, held: 1, now: 2_000, options }).version).toEqual(3);
+        expect(selectTarget({ wanted, held: 1, now: 2_000, options }).version).toEqual(3);
     });
 
     it("is the older one first if requests would otherwise find no backend server", () => {
         const wanted = [{ version: 3, declaredAt: 4_000 }, { version: 2, declaredAt: 0 }];
-        expect(chooseTarget({ wanted, held: 1, now: 4_000, options }).version).toEqual(2);
-        expect(chooseTarget({ wanted, held: 2, now: 5_000, options }).version).toEqual(3);
-        expect(chooseTarget({ wanted, held: 1, now: 7_000, options }).version).toEqual(3);
+        expect(selectTarget({ wanted, held: 1, now: 4_000, options }).version).toEqual(2);
+        expect(selectTarget({ wanted, held: 2, now: 5_000, options }).version).toEqual(3);
+        expect(selectTarget({ wanted, held: 1, now: 7_000, options }).version).toEqual(3);
     });
 
     it("is the newest for an engine without weights", () => {
         const wanted = [{ version: 3, declaredAt: 4_000 }, { version: 2, declaredAt: 0 }];
-        expect(chooseTarget({ wanted, held: 0, now: 4_000, options }).version).toEqual(3);
+        expect(selectTarget({ wanted, held: 0, now: 4_000, options }).version).toEqual(3);
     });
 });
