Rename the transfer rate and the answered neighbours

readTransferRate computes the rate, and neighboursAsked was set only once a neighbour had answered or failed. They are now computeTransferRate and neighboursAnswered, the latter also in the state of the agent's transfers.

--- a/bench/distribution/simulation.ts
+++ b/bench/distribution/simulation.ts
@@ -224,7 +224,7 @@
             zoneReaders: agent.readerRanks,
             availableSince: new Map(),
             startedAt: 0,
-            neighboursAsked: true,
+            neighboursAnswered: true,
             objective: plan.objective,
             budgetBytes: Infinity,
             originAvoidedUntil: 0,
--- a/src/node/agent/transfer/downloads.ts
+++ b/src/node/agent/transfer/downloads.ts
@@ -53,7 +53,7 @@
         zoneReaders: set.zoneReaders,
         availableSince: set.availableSince,
         startedAt: set.startedAt,
-        neighboursAsked: set.neighbours.every(neighbour => set.neighboursAsked.has(neighbour)),
+        neighboursAnswered: set.neighbours.every(neighbour => set.neighboursAnswered.has(neighbour)),
         objective: set.target.objective,
         budgetBytes: context.linkBudget.available("incoming") - requestedBytes,
         originAvoidedUntil: set.originAvoidedUntil,
--- a/src/node/agent/transfer/exchanges.ts
+++ b/src/node/agent/transfer/exchanges.ts
@@ -48,7 +48,7 @@
 }
 
 function listWatchedReaders(context: TransferContext, set: WeightSetState): InstanceId[] {
-    if (set.manifest === undefined || !set.neighbours.every(neighbour => set.neighboursAsked.has(neighbour))) {
+    if (set.manifest === undefined || !set.neighbours.every(neighbour => set.neighboursAnswered.has(neighbour))) {
         return [];
     }
     return selectWatchedReaders({
@@ -72,7 +72,7 @@
     const request = { instance: context.self, manifestDigest: set.manifestDigest, bitfield: set.held };
     const answer = await context.calls.exchange(address, request, context.settings.exchangeTimeLimit);
     const now = context.clock.monotonic();
-    set.neighboursAsked.add(instance);
+    set.neighboursAnswered.add(instance);
     if (answer.isErr) {
         peer.avoidedUntil = Math.max(peer.avoidedUntil, now + context.settings.exchangeTimeLimit);
         return;
--- a/src/node/agent/transfer/linkBudget.ts
+++ b/src/node/agent/transfer/linkBudget.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import {
     type BudgetOptions,
-    readTransferRate,
+    computeTransferRate,
     refillBucket,
     resolveBudgetOptions,
     takeFromBucket,
@@ -46,7 +46,7 @@
         incoming: createDirectionBudget(),
         outgoing: createDirectionBudget(),
     };
-    const readRate = () => readTransferRate(options, input.requestsInProgress?.() ?? 0);
+    const readRate = () => computeTransferRate(options, input.requestsInProgress?.() ?? 0);
 
     async function takeInTurn(
         budget: DirectionBudget,
--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -153,7 +153,7 @@
         engineSync.requestRead();
         // Bitfields that peers sent earlier could not be decoded without the manifest, so all peers are asked again.
         set.exchangeAt.clear();
-        set.neighboursAsked.clear();
+        set.neighboursAnswered.clear();
     }
 
     function requestManifest(set: WeightSetState): void {
--- a/src/node/agent/transfer/weightSetState.ts
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -29,7 +29,7 @@
     readonly transfers: Table<number, TransferRow>;
     readonly controllers: Map<number, AbortController>;
     neighbours: readonly InstanceId[];
-    readonly neighboursAsked: Set<InstanceId>;
+    readonly neighboursAnswered: Set<InstanceId>;
     /** Monotonic time of the next exchange with each instance. */
     readonly exchangeAt: Map<InstanceId, Milliseconds>;
     originReaders: OriginReaders;
@@ -72,7 +72,7 @@
         transfers: createTable<number, TransferRow>(),
         controllers: new Map(),
         neighbours: [],
-        neighboursAsked: new Set(),
+        neighboursAnswered: new Set(),
         exchangeAt: new Map(),
         originReaders: createOriginReaders(target.weights.manifestDigest, 0, [], self),
         zoneReaders: createOriginReaders(target.weights.manifestDigest, 0, [], self),
--- a/src/runtime/distribution/budget.ts
+++ b/src/runtime/distribution/budget.ts
@@ -44,7 +44,7 @@
  * @param requestsInProgress - number of live requests of the instance
  * @returns bytes per second
  */
-export function readTransferRate(options: BudgetOptions, requestsInProgress: number): number {
+export function computeTransferRate(options: BudgetOptions, requestsInProgress: number): number {
     return options.bytesPerSecond * (requestsInProgress > 0 ? options.busyShare : options.idleShare);
 }
 
--- a/src/runtime/distribution/selectTransfers.ts
+++ b/src/runtime/distribution/selectTransfers.ts
@@ -102,7 +102,7 @@
 }
 
 function mayReadOrigin(input: TransferInput, capacity: Capacity): boolean {
-    return capacity.originTransfers > 0 && input.originAvoidedUntil <= input.now && input.neighboursAsked;
+    return capacity.originTransfers > 0 && input.originAvoidedUntil <= input.now && input.neighboursAnswered;
 }
 
 /** Selects chunks that no known agent holds and for which this agent is the first origin reader. */
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -132,7 +132,7 @@
     /** Monotonic time at which this agent learned of the set. */
     readonly startedAt: Milliseconds;
     /** True if every neighbour has answered or failed once, so that no chunk is read that a neighbour already holds. */
-    readonly neighboursAsked: boolean;
+    readonly neighboursAnswered: boolean;
     readonly objective: Objective;
     /** Bytes that may be requested now, after live traffic has been served. */
     readonly budgetBytes: number;
--- a/test/runtime/distribution/selectTransfers.test.ts
+++ b/test/runtime/distribution/selectTransfers.test.ts
@@ -76,7 +76,7 @@
         zoneReaders: createOriginReaders("aa", chunkCount, [], situation.self ?? "a"),
         availableSince: new Map(),
         startedAt: 0,
-        neighboursAsked: true,
+        neighboursAnswered: true,
         objective: situation.objective ?? "origin-bytes",
         budgetBytes: Infinity,
         originAvoidedUntil: 0,
@@ -187,7 +187,7 @@
 
     // Guards against reading from the origin what a neighbour already holds, and a failing origin without a pause.
     it("reads from the origin only after the neighbours' answers, and pauses after a failure", () => {
-        expect(describeCommands({ changes: { neighboursAsked: false } }, "fetch-from-origin")).toEqual([]);
+        expect(describeCommands({ changes: { neighboursAnswered: false } }, "fetch-from-origin")).toEqual([]);
         expect(describeCommands({ changes: { originAvoidedUntil: 1_001 } }, "fetch-from-origin")).toEqual([]);
         expect(describeCommands({ peers: [createPeer("b", all)] }, "fetch-from-origin")).toEqual([]);
     });
