Call changes of a placement changes

PlacementMove and the field moves listed assignments, revocations and changes of witnesses or owners; nothing moves. They are PlacementChange and changes now; chooseWitnesses is selectWitnesses. The decision log writes kind and reason of each change as before.

--- a/src/node/entry/proposerDuty.ts
+++ b/src/node/entry/proposerDuty.ts
@@ -64,17 +64,17 @@
         }
     }
 
-    function recordMoves(command: ProposerCommand): void {
+    function recordChanges(command: ProposerCommand): void {
         if (command.kind !== "append-placement") {
             return;
         }
-        for (const move of command.moves) {
+        for (const change of command.changes) {
             context.decisions.record({
                 kind: "placement",
                 outcome: "chosen",
                 deployment: command.deployment,
-                choice: `${move.kind} ${move.instance}`.trim(),
-                reason: move.reason,
+                choice: `${change.kind} ${change.instance}`.trim(),
+                reason: change.reason,
                 candidates: command.candidates,
             });
         }
@@ -105,7 +105,7 @@
             });
             for (const command of commands) {
                 if (!isPending(command.deployment)) {
-                    recordMoves(command);
+                    recordChanges(command);
                     void append(command);
                 }
             }
--- a/src/runtime/placement/copies.ts
+++ b/src/runtime/placement/copies.ts
@@ -4,13 +4,13 @@
 import type { AssessedCopy, CopyCondition } from "./assess.js";
 import { isReachable } from "./tick.js";
 import type { Tick } from "./tick.js";
-import type { PlacementMove } from "./types.js";
-import { chooseWitnesses } from "./witnesses.js";
+import type { PlacementChange } from "./types.js";
+import { selectWitnesses } from "./witnesses.js";
 
 /** Copies of a deployment as the next placement record is to list them, and the changes that lead to them. */
 export interface CopyPlan {
     readonly copies: CopyAssignment[];
-    readonly moves: PlacementMove[];
+    readonly changes: PlacementChange[];
     /** Number of instances that could take a new copy, in all availability zones. */
     readonly candidates: number;
 }
@@ -30,10 +30,10 @@
     configuration: ConfigurationRow,
     assessed: readonly AssessedCopy[],
 ): CopyPlan {
-    const moves: PlacementMove[] = [];
+    const changes: PlacementChange[] = [];
     const kept = assessed.filter(entry => {
         if (entry.releaseReason !== undefined) {
-            moves.push({ kind: "release", instance: entry.copy.instance, reason: entry.releaseReason });
+            changes.push({ kind: "release", instance: entry.copy.instance, reason: entry.releaseReason });
         }
         return entry.releaseReason === undefined;
     });
@@ -54,15 +54,15 @@
         if (reason === undefined) {
             return copy;
         }
-        moves.push({ kind: "revoke", instance: copy.instance, reason });
+        changes.push({ kind: "revoke", instance: copy.instance, reason });
         return { ...copy, state: "revoked" as const, revokedAt: 0 };
     });
     const assigned = planAssignments(tick, configuration, copies, candidatesByZone);
     for (const { instance, zone } of assigned) {
-        moves.push({ kind: "assign", instance, reason: `fewer copies than wanted in ${zone}` });
+        changes.push({ kind: "assign", instance, reason: `fewer copies than wanted in ${zone}` });
     }
     const candidates = [...candidatesByZone.values()].reduce((sum, list) => sum + list.length, 0);
-    return { copies: [...copies, ...assigned], moves, candidates };
+    return { copies: [...copies, ...assigned], changes, candidates };
 }
 
 function groupByZone(
@@ -173,7 +173,7 @@
         if (missing <= 0 || candidates.length === 0) {
             continue;
         }
-        const witnesses = chooseWitnesses(tick, configuration.deployment, zone, []);
+        const witnesses = selectWitnesses(tick, configuration.deployment, zone, []);
         for (const instance of rankByRendezvous(configuration.deployment, candidates).slice(0, missing)) {
             const { weights } = configuration;
             assigned.push({ instance, zone, epoch: 0, weights, state: "assigned", witnesses });
--- a/src/runtime/placement/runProposer.ts
+++ b/src/runtime/placement/runProposer.ts
@@ -10,7 +10,7 @@
 import type { RefreshHeader } from "./refreshRecords.js";
 import { beginTick, endTick } from "./tick.js";
 import type { Tick } from "./tick.js";
-import type { PlacementMove, ProposerCommand, ProposerInput } from "./types.js";
+import type { PlacementChange, ProposerCommand, ProposerInput } from "./types.js";
 import { planUpdates } from "./updates.js";
 import { planWitnesses } from "./witnesses.js";
 
@@ -99,11 +99,13 @@
     const assessed = assessCopies(tick, placement);
     const copied = planCopies(tick, configuration, assessed);
     const updated = planUpdates(tick, configuration, assessed, copied);
-    const { copies, moves, candidates } = planWitnesses(tick, placement, updated);
+    const { copies, changes, candidates } = planWitnesses(tick, placement, updated);
     const { owners, nextOwners, reason } = planOwners(tick, placement, assessed, copies);
-    const ownersMove: PlacementMove[] = reason === undefined ? [] : [{ kind: "owners-change", instance: "", reason }];
-    const allMoves = [...moves, ...ownersMove];
-    if (allMoves.length === 0) {
+    const ownersChange: PlacementChange[] = reason === undefined ?
+        [] :
+        [{ kind: "owners-change", instance: "", reason }];
+    const allChanges = [...changes, ...ownersChange];
+    if (allChanges.length === 0) {
         return undefined;
     }
     const create = (): ProposerCommand => {
@@ -117,7 +119,7 @@
             owners,
             nextOwners,
         };
-        return { kind: "append-placement", deployment, record, moves: allMoves, candidates };
+        return { kind: "append-placement", deployment, record, changes: allChanges, candidates };
     };
     return { deployment, chain, base: placement.offset, create };
 }
--- a/src/runtime/placement/types.ts
+++ b/src/runtime/placement/types.ts
@@ -48,11 +48,11 @@
 }
 
 /** Kind of a change within a placement proposal; `owners-change` concerns all owners, so its instance is empty. */
-export type PlacementMoveKind = "assign" | "revoke" | "release" | "update" | "witness-change" | "owners-change";
+export type PlacementChangeKind = "assign" | "revoke" | "release" | "update" | "witness-change" | "owners-change";
 
 /** Change of one copy with its reason, for the decision log. */
-export interface PlacementMove {
-    readonly kind: PlacementMoveKind;
+export interface PlacementChange {
+    readonly kind: PlacementChangeKind;
     readonly instance: InstanceId;
     readonly reason: string;
 }
@@ -63,7 +63,7 @@
         readonly kind: "append-placement";
         readonly deployment: DeploymentName;
         readonly record: PlacementRecord;
-        readonly moves: readonly PlacementMove[];
+        readonly changes: readonly PlacementChange[];
         /** Number of instances that could have taken a new copy. */
         readonly candidates: number;
     }
--- a/src/runtime/placement/updates.ts
+++ b/src/runtime/placement/updates.ts
@@ -28,15 +28,15 @@
     }
     const serving = new Set(assessed.filter(({ isServing }) => isServing).map(({ copy }) => copy.instance));
     const updatableByZone = countUpdatable(tick, configuration, plan.copies, serving);
-    const moves = [...plan.moves];
+    const changes = [...plan.changes];
     const copies = plan.copies.map(copy => {
         if (!isOutdated(copy) || !reserveUpdate(configuration, copy, serving, updatableByZone)) {
             return copy;
         }
-        moves.push({ kind: "update", instance: copy.instance, reason: "weights of the deployment have changed" });
+        changes.push({ kind: "update", instance: copy.instance, reason: "weights of the deployment have changed" });
         return { ...copy, weights: configuration.weights };
     });
-    return { ...plan, copies, moves };
+    return { ...plan, copies, changes };
 }
 
 /** Computes for each availability zone how many serving copies may be updated now. */
--- a/src/runtime/placement/witnesses.ts
+++ b/src/runtime/placement/witnesses.ts
@@ -3,10 +3,10 @@
 import type { CopyPlan } from "./copies.js";
 import { isReachable, measureSilence } from "./tick.js";
 import type { Tick } from "./tick.js";
-import type { PlacementMove } from "./types.js";
+import type { PlacementChange } from "./types.js";
 
 /**
- * Chooses the witnesses of copies: entry instances that can confirm an outage of the log to the copies' agents and a
+ * Selects the witnesses of copies: entry instances that can confirm an outage of the log to the copies' agents and a
  * revocation to the proposers. Reachable ones come first, ordered by same availability zone, same region and others.
  * Copies of one deployment and availability zone have the same witnesses, so the loss of an entry instance changes few
  * placements.
@@ -17,7 +17,7 @@
  * @param keep - entry instances that come first if they are live
  * @returns up to `maximumWitnesses` entry instances
  */
-export function chooseWitnesses(
+export function selectWitnesses(
     tick: Tick,
     deployment: string,
     zone: string,
@@ -77,7 +77,7 @@
     );
     const witnessesByKey = new Map<string, readonly InstanceId[]>();
     const lossByWitness = new Map<InstanceId, boolean>();
-    const moves: PlacementMove[] = [...plan.moves];
+    const changes: PlacementChange[] = [...plan.changes];
     const copies = plan.copies.map(copy => {
         if (copy.state !== "assigned" || copy.epoch === 0) {
             return copy;
@@ -87,7 +87,7 @@
             if (!canRemovePrevious || !hasAppliedPlacement(tick, placement, copy)) {
                 return copy;
             }
-            moves.push({ kind: "witness-change", instance: copy.instance, reason: "holder knows the new witnesses" });
+            changes.push({ kind: "witness-change", instance: copy.instance, reason: "holder knows the new witnesses" });
             return settled;
         }
         if (!needsNewWitnesses(tick, copy, lossByWitness)) {
@@ -95,15 +95,15 @@
         }
         const key = `${copy.zone}/${copy.witnesses.join()}`;
         const witnesses = witnessesByKey.get(key) ??
-            chooseWitnesses(tick, placement.deployment, copy.zone, copy.witnesses);
+            selectWitnesses(tick, placement.deployment, copy.zone, copy.witnesses);
         witnessesByKey.set(key, witnesses);
         if (witnesses.length === 0) {
             return copy;
         }
-        moves.push({ kind: "witness-change", instance: copy.instance, reason: "a witness is gone or was missing" });
+        changes.push({ kind: "witness-change", instance: copy.instance, reason: "a witness is gone or was missing" });
         return { ...copy, witnesses, previousWitnesses: copy.witnesses };
     });
-    return { ...plan, copies, moves };
+    return { ...plan, copies, changes };
 }
 
 function hasAppliedPlacement(tick: Tick, placement: PlacementRow, copy: CopyAssignment): boolean {
