Use terms of the field in the runtime of the gateway

Caller timeouts were called patience, a count was called arrivals, and identifiers were "named" and "split". Functions that compute were read...(). They are CallerTimeoutTable, estimatePriorWait, ArrivalCount, createLifetimeId, formatWeightName, parseWeightName, selectService and compute...() now.

--- a/bench/days/gateways.ts
+++ b/bench/days/gateways.ts
@@ -1,9 +1,9 @@
 import { type AdmissionOptions, type AdmissionTable, createAdmissionTable } from "../../src/runtime/admission/index.js";
 import {
-    type Arrivals,
-    createArrivals,
-    createPatienceTable,
-    type PatienceTable,
+    type ArrivalCount,
+    type CallerTimeoutTable,
+    createArrivalCount,
+    createCallerTimeoutTable,
 } from "../../src/runtime/gateway/index.js";
 import { createRetryBudget, type RetryBudget, type RetryOptions } from "../../src/runtime/retry/index.js";
 import { createRunnerRow, type RunnerRow } from "../../src/runtime/routing/index.js";
@@ -20,8 +20,8 @@
     readonly admissionTable: AdmissionTable;
     readonly budget: RetryBudget;
     readonly policy: Policy;
-    readonly patience: PatienceTable;
-    readonly arrivals: Arrivals;
+    readonly callerTimeouts: CallerTimeoutTable;
+    readonly arrivals: ArrivalCount;
     /** Random number from 0 to 1; a gateway whose fraction of a place is larger gets a whole one. */
     draw: number;
 }
@@ -63,8 +63,8 @@
             admissionTable: createAdmissionTable(admission),
             budget: createRetryBudget(0, retry),
             policy: createPolicy(),
-            patience: createPatienceTable(),
-            arrivals: createArrivals(0),
+            callerTimeouts: createCallerTimeoutTable(),
+            arrivals: createArrivalCount(0),
             draw: 0,
         }))
     );
--- a/bench/days/simulation.ts
+++ b/bench/days/simulation.ts
@@ -7,7 +7,12 @@
     resolveAdmissionOptions,
     setCapacity,
 } from "../../src/runtime/admission/index.js";
-import { computePlaceShare, estimateWaited, readArrivalRate, recordArrival } from "../../src/runtime/gateway/index.js";
+import {
+    computeArrivalRate,
+    computePlaceShare,
+    estimatePriorWait,
+    recordArrival,
+} from "../../src/runtime/gateway/index.js";
 import { creditRequest, decideRetry, resolveRetryOptions } from "../../src/runtime/retry/index.js";
 import { applyLoadReport, recordOutcome, type RunnerLoadReport } from "../../src/runtime/routing/index.js";
 import type { Milliseconds, Refusal, RequestRow } from "../../src/types/index.js";
@@ -207,7 +212,7 @@
             runners: serving.map(runner => ({ runner, isFollowed: true })),
             gateways: gateways.length,
             demand: {
-                arrivalRate: readArrivalRate(gateway.arrivals, now),
+                arrivalRate: computeArrivalRate(gateway.arrivals, now),
                 serviceTime: gateway.admissionTable.averageServiceTime,
             },
             draw: gateway.draw,
@@ -221,7 +226,7 @@
     function receiveRequest(caller: Caller, gateway: Gateway): void {
         caller.tries++;
         const remainingTime = caller.begunAt + callerTimeout - now;
-        const missedTarget = estimateWaited(gateway.patience, "route", remainingTime) > firstTokenTarget;
+        const missedTarget = estimatePriorWait(gateway.callerTimeouts, "route", remainingTime) > firstTokenTarget;
         const request: RequestRow = {
             requestId: `${caller.id}-${caller.tries}`,
             deployment: "model",
--- a/src/node/gateway/admissionQueues.ts
+++ b/src/node/gateway/admissionQueues.ts
@@ -12,9 +12,9 @@
     setCapacity,
 } from "../../runtime/admission/index.js";
 import {
-    type Arrivals,
-    createArrivals,
-    readArrivalRate,
+    type ArrivalCount,
+    computeArrivalRate,
+    createArrivalCount,
     recordArrival,
     type ServiceDemand,
 } from "../../runtime/gateway/index.js";
@@ -59,7 +59,7 @@
 interface ServiceQueue {
     service: ServiceRow;
     readonly table: AdmissionTable;
-    readonly arrivals: Arrivals;
+    readonly arrivals: ArrivalCount;
     readonly waiting: Map<RequestId, (outcome: AdmissionOutcome) => void>;
 }
 
@@ -79,7 +79,7 @@
             queue = {
                 service,
                 table: createAdmissionTable(options),
-                arrivals: createArrivals(clock.monotonic()),
+                arrivals: createArrivalCount(clock.monotonic()),
                 waiting: new Map(),
             };
             queues.set(service.name, queue);
@@ -105,7 +105,7 @@
     }
 
     function computeServiceShare({ arrivals, service, table }: ServiceQueue): ServiceShare {
-        const arrivalRate = readArrivalRate(arrivals, clock.monotonic());
+        const arrivalRate = computeArrivalRate(arrivals, clock.monotonic());
         return input.computeServiceShare(service, { arrivalRate, serviceTime: table.averageServiceTime });
     }
 
--- a/src/node/gateway/agentWatch.ts
+++ b/src/node/gateway/agentWatch.ts
@@ -2,7 +2,7 @@
 import type { ClientReadableStream } from "@grpc/grpc-js";
 import type { Logger } from "pino";
 import { type LoadReport, WatchLoadRequestSchema } from "../../generated/goldcrestpoint_pb.js";
-import { applyAgentReport, type BackendServerRow, nameWeights } from "../../runtime/gateway/index.js";
+import { applyAgentReport, type BackendServerRow, formatWeightName } from "../../runtime/gateway/index.js";
 import type { Clock, CopyPhase, Milliseconds, RandomSource } from "../../types/index.js";
 import { type AgentClient, createAgentClient } from "../grpc/index.js";
 import { splitAddress } from "../httpServer/index.js";
@@ -97,7 +97,7 @@
             }
             const phase = copy === undefined ? "waiting" : toPhase(copy.phase);
             const version = Number(copy?.version ?? "");
-            const manifestDigest = copy === undefined ? undefined : nameWeights(copy.deployment, version);
+            const manifestDigest = copy === undefined ? undefined : formatWeightName(copy.deployment, version);
             const { runner } = row;
             if (runner.phase !== phase || runner.manifestDigest !== manifestDigest) {
                 logger.info(
--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "true-myth/result";
-import { type BackendServerRow, computePaceCheckDelay, nameLifetime } from "../../runtime/gateway/index.js";
+import { type BackendServerRow, computePaceCheckDelay, createLifetimeId } from "../../runtime/gateway/index.js";
 import { applyLoadReport } from "../../runtime/routing/index.js";
 import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../types/index.js";
 import { hasUndecodedTransferCoding, type HttpClient, type HttpFailure, type HttpStream } from "../httpClient/index.js";
@@ -143,7 +143,7 @@
 ): Promise<Result<OpenedAnswer, AttemptFailure>> {
     const { headTimeout, client, forwarded, limits, request, server, signal } = attempt;
     const { silentAfter } = limits;
-    const lifetime = nameLifetime(server.listed);
+    const lifetime = createLifetimeId(server.listed);
     const opened = await client.open({
         method: request.method,
         path: request.path,
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -2,12 +2,12 @@
 import { err, ok, type Result } from "true-myth/result";
 import {
     anonymousAccount,
-    chooseService,
     computeFingerprint,
-    createPatienceTable,
-    estimateWaited,
+    createCallerTimeoutTable,
+    estimatePriorWait,
     resolveRoute,
     type RouteTable,
+    selectService,
 } from "../../runtime/gateway/index.js";
 import {
     type CallerCall,
@@ -130,7 +130,7 @@
     const open = new Set<ServerResponse>();
     let closing = false;
     let stopped = false;
-    const patience = createPatienceTable();
+    const callerTimeouts = createCallerTimeoutTable();
     const pollQueue = createPollQueue();
 
     function reject(
@@ -163,7 +163,7 @@
 
     function hasMissedTarget(call: CallerCall, route: RouteRow): boolean {
         return call.callerTimeout !== undefined &&
-            estimateWaited(patience, route.name, call.callerTimeout) > route.targetLatency;
+            estimatePriorWait(callerTimeouts, route.name, call.callerTimeout) > route.targetLatency;
     }
 
     function computeTimeLimit(call: CallerCall, route: RouteRow): Milliseconds {
@@ -196,7 +196,7 @@
         }
         const { account, route } = resolution;
         const clientAccount = account?.name ?? anonymousAccount;
-        const service = routes.services.get(chooseService(route, call.requestId) ?? "");
+        const service = routes.services.get(selectService(route, call.requestId) ?? "");
         if (service === undefined) {
             reject(incoming, response, 503, "no-service", unconfiguredRetryAfterSeconds);
             return;
--- a/src/node/gateway/crashWatch.ts
+++ b/src/node/gateway/crashWatch.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "pino";
-import { nameLifetime } from "../../runtime/gateway/index.js";
+import { createLifetimeId } from "../../runtime/gateway/index.js";
 import type { Clock, Fingerprint, ListedBackendServer, Milliseconds } from "../../types/index.js";
 import { sleep } from "../../utils/index.js";
 import { checkListening, createLossTracker, type ListeningState } from "../crashes/index.js";
@@ -98,7 +98,7 @@
 
     return {
         trackAttempt: (server, fingerprint) => {
-            const crashId = nameLifetime(server);
+            const crashId = createLifetimeId(server);
             const endProgress = losses.begin(crashId, fingerprint);
             let inProgress = true;
             const stopTracking = (): boolean => {
--- a/src/node/gateway/gatewayState.ts
+++ b/src/node/gateway/gatewayState.ts
@@ -6,18 +6,18 @@
     applyRemoved,
     type BackendServerRow,
     type BackendServerTable,
+    computeAllowedVersions,
+    computeHeadDeadline,
     createBackendServerTable,
+    createLifetimeId,
     createRouteTable,
     expireRemoved,
     expireReports,
+    formatWeightName,
     type MembershipOptions,
-    nameLifetime,
-    nameWeights,
-    readAllowedVersions,
-    readHeadDeadline,
+    parseWeightName,
     recordDeclaredVersion,
     type RouteTable,
-    splitWeights,
     type VersionOptions,
     type VersionTable,
 } from "../../runtime/gateway/index.js";
@@ -54,7 +54,7 @@
     readonly listServers: (service: string) => readonly BackendServerRow[];
     readonly readVersions: (model: string) => AllowedVersions;
     /** Reads the monotonic time by which the head of an answer must have arrived; undefined for the newest version. */
-    readonly readHeadDeadline: (model: string, version: number) => Milliseconds | undefined;
+    readonly computeHeadDeadline: (model: string, version: number) => Milliseconds | undefined;
     /** Checks whether the list is current, and removes expired state; called at short intervals. */
     readonly expire: () => void;
     /** Registers a listener for changes of configuration and declared versions, once there is a configuration. */
@@ -165,13 +165,13 @@
         }
         const region = input.regions.get(listed.zone) ?? listed.zone;
         const change = applyListed(servers, listed, region, now, input.membership);
-        applyNotice(servers.get(instance)!, notices.find(nameLifetime(listed)));
+        applyNotice(servers.get(instance)!, notices.find(createLifetimeId(listed)));
         const { address, service, state, weights, zone } = listed;
         logger.info({ ...fields, change, service, address, zone, state, weights }, "backend server changed");
     }
 
     function findByLifetime(lifetime: string): BackendServerRow | undefined {
-        return [...servers.rows()].find(({ listed }) => nameLifetime(listed) === lifetime);
+        return [...servers.rows()].find(({ listed }) => createLifetimeId(listed) === lifetime);
     }
 
     notices.onChange(lifetime => {
@@ -220,8 +220,8 @@
         routes: () => routes,
         servers,
         listServers: service => [...servers.lookup("service", service)].map(instance => servers.get(instance)!),
-        readHeadDeadline: (model, version) => readHeadDeadline(versions, model, version, input.versions),
-        readVersions: model => readAllowedVersions(versions, model, clock.monotonic(), input.versions),
+        computeHeadDeadline: (model, version) => computeHeadDeadline(versions, model, version, input.versions),
+        readVersions: model => computeAllowedVersions(versions, model, clock.monotonic(), input.versions),
         expire: () => {
             const now = clock.monotonic();
             updateFreshness(now);
@@ -253,10 +253,10 @@
 ): { readonly newest: string | undefined; readonly accepted: ReadonlySet<string>; } {
     const accepted = new Set<string>();
     for (const { runner: { manifestDigest } } of rows) {
-        const held = manifestDigest === undefined ? undefined : splitWeights(manifestDigest);
+        const held = manifestDigest === undefined ? undefined : parseWeightName(manifestDigest);
         if (manifestDigest !== undefined && held?.model === model && held.version >= allowed.oldest) {
             accepted.add(manifestDigest);
         }
     }
-    return { newest: allowed.newest === undefined ? undefined : nameWeights(model, allowed.newest), accepted };
+    return { newest: allowed.newest === undefined ? undefined : formatWeightName(model, allowed.newest), accepted };
 }
--- a/src/node/gateway/serverSelector.ts
+++ b/src/node/gateway/serverSelector.ts
@@ -1,10 +1,10 @@
 import {
     type BackendServerRow,
     computePlaceShare,
-    nameWeights,
+    formatWeightName,
+    parseWeightName,
     type PlaceShare,
     type ServiceDemand,
-    splitWeights,
 } from "../../runtime/gateway/index.js";
 import {
     type CandidateInput,
@@ -113,7 +113,7 @@
         const { model } = service.engine;
         const { accepted, newest } = listAcceptedWeights(model, state.readVersions(model), rows);
         // Version 0 stands for no declared version, since undefined would mean a plain service.
-        return { ...common, manifestDigest: newest ?? nameWeights(model, 0), acceptedDigests: accepted };
+        return { ...common, manifestDigest: newest ?? formatWeightName(model, 0), acceptedDigests: accepted };
     }
 
     return {
@@ -135,11 +135,11 @@
             });
             const server = decision.kind === "selected" ? state.servers.get(decision.runner.instance) : undefined;
             const digest = server?.runner.manifestDigest;
-            const version = digest === undefined ? undefined : splitWeights(digest).version;
+            const version = digest === undefined ? undefined : parseWeightName(digest).version;
             const model = service.engine?.model;
             const headDeadline = model === undefined || version === undefined ?
                 undefined :
-                state.readHeadDeadline(model, version);
+                state.computeHeadDeadline(model, version);
             return { decision, server, version, headDeadline };
         },
         computeServiceShare: (service, demand) => {
--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "pino";
-import { nameWeights } from "../../runtime/gateway/index.js";
+import { formatWeightName } from "../../runtime/gateway/index.js";
 import {
     planLoad,
     type RolloutOptions,
@@ -105,7 +105,7 @@
         if (weights?.complete === true && weights.version >= orderedVersion) {
             orderedAt = undefined;
         }
-        memory.setActive(weights?.complete === true ? nameWeights(weights.model, weights.version) : undefined);
+        memory.setActive(weights?.complete === true ? formatWeightName(weights.model, weights.version) : undefined);
     }
 
     async function load(target: EngineTarget, version: number, reason: string): Promise<void> {
@@ -114,7 +114,7 @@
             return;
         }
         const startedAt = clock.monotonic();
-        const set = nameWeights(model, version);
+        const set = formatWeightName(model, version);
         const staged = await stageWeights(engine, manifest, index => memory.read(set, index));
         if (staged.isErr) {
             const { code, message, peer, step } = staged.error;
--- a/src/node/weightAgent/importStaged.ts
+++ b/src/node/weightAgent/importStaged.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "pino";
-import { initialVersion, nameWeights } from "../../runtime/gateway/index.js";
+import { formatWeightName, initialVersion } from "../../runtime/gateway/index.js";
 import type { EngineControlPort, EngineReport } from "../../types/index.js";
 import { runParallel } from "../../utils/index.js";
 import type { WeightSource } from "../gateway/weightSources.js";
@@ -39,6 +39,6 @@
         }
         return true;
     });
-    memory.import(nameWeights(source.model, version), source.chunks, chunks);
+    memory.import(formatWeightName(source.model, version), source.chunks, chunks);
     logger.info({ model: source.model, version, chunks: chunks.size }, "staged chunks imported");
 }
--- a/src/node/weightAgent/versionPlan.ts
+++ b/src/node/weightAgent/versionPlan.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "pino";
-import { initialVersion, nameWeights, splitWeights } from "../../runtime/gateway/index.js";
+import { formatWeightName, initialVersion, parseWeightName } from "../../runtime/gateway/index.js";
 import {
     selectTarget,
     type TargetOptions,
@@ -89,7 +89,7 @@
         if (progress === undefined || progress.chunksTotal === 0) {
             return undefined;
         }
-        const { version } = splitWeights(progress.manifestDigest);
+        const { version } = parseWeightName(progress.manifestDigest);
         const share = progress.chunksComplete / progress.chunksTotal;
         return version <= newestComplete ? undefined : { version, share };
     }
@@ -115,7 +115,7 @@
         },
         recordProgress: () => {
             const progress = readProgress();
-            const version = progress?.complete === true ? splitWeights(progress.manifestDigest).version : undefined;
+            const version = progress?.complete === true ? parseWeightName(progress.manifestDigest).version : undefined;
             if (version !== undefined && !complete.has(version)) {
                 complete.set(version, clock.monotonic());
             }
@@ -129,7 +129,7 @@
             return {
                 model: source.model,
                 wanted,
-                complete: manifests.get(nameWeights(source.model, newestComplete)),
+                complete: manifests.get(formatWeightName(source.model, newestComplete)),
                 completedAt: complete.get(newestComplete),
                 transfer: readTransfer(newestComplete),
                 members,
@@ -142,7 +142,7 @@
                 return undefined;
             }
             const loaded = readLoaded();
-            const set = nameWeights(source.model, target.version);
+            const set = formatWeightName(source.model, target.version);
             const manifest = manifests.get(set);
             const isStagingAreaReserved = [...complete.keys()].some(version =>
                 version > loaded && version !== target.version
@@ -159,7 +159,7 @@
                 }
             }
             const model = source?.model ?? "";
-            return new Set([loaded, ...complete.keys()].map(version => nameWeights(model, version)));
+            return new Set([loaded, ...complete.keys()].map(version => formatWeightName(model, version)));
         },
     };
 }
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "pino";
 import { err, ok, type Result } from "true-myth/result";
-import { nameWeights } from "../../runtime/gateway/index.js";
+import { formatWeightName } from "../../runtime/gateway/index.js";
 import {
     type BackendServerPort,
     type Clock,
@@ -132,7 +132,7 @@
             return;
         }
         const { model, originZone } = source;
-        const set = nameWeights(model, target.version);
+        const set = formatWeightName(model, target.version);
         const retained = plan.listRetained();
         service.setTarget({
             weights: { model, adapter: "", version: String(target.version), manifestDigest: set },
--- a/src/node/weightAgent/weightSetOrigin.ts
+++ b/src/node/weightAgent/weightSetOrigin.ts
@@ -1,5 +1,5 @@
 import { err, type Result } from "true-myth/result";
-import { splitWeights } from "../../runtime/gateway/index.js";
+import { parseWeightName } from "../../runtime/gateway/index.js";
 import {
     createError,
     type GoldcrestpointError,
@@ -61,7 +61,7 @@
         resolveManifest: () =>
             Promise.resolve(err(createError("MANIFEST_INVALID", step, "origin", "sets are identified by version"))),
         readManifest: async (set, signal) => {
-            const { model, version } = splitWeights(set);
+            const { model, version } = parseWeightName(set);
             const manifest = await readConfirmedManifest(origin, model, version, signal);
             if (manifest.isOk) {
                 keepManifest(set, manifest.value);
@@ -69,7 +69,7 @@
             return manifest;
         },
         readChunk: (set, index, signal) => {
-            const { model, version } = splitWeights(set);
+            const { model, version } = parseWeightName(set);
             return origin.readChunk(model, version, index, signal);
         },
     };
--- a/src/runtime/gateway/backendServers.ts
+++ b/src/runtime/gateway/backendServers.ts
@@ -2,7 +2,7 @@
 import { createTable, type Table } from "../../utils/index.js";
 import { applyLoadReport, createRunnerRow, type RunnerLoadReport, type RunnerRow } from "../routing/index.js";
 import type { ServerNotice } from "./serverNotices.js";
-import { nameWeights } from "./weightNames.js";
+import { formatWeightName } from "./weightNames.js";
 
 /** Backend server of the list, with its routing state. */
 export interface BackendServerRow {
@@ -43,7 +43,7 @@
 }
 
 function nameCompleteWeights(weights: LoadedWeights | undefined): string | undefined {
-    return weights?.complete === true ? nameWeights(weights.model, weights.version) : undefined;
+    return weights?.complete === true ? formatWeightName(weights.model, weights.version) : undefined;
 }
 
 function createRow(listed: ListedBackendServer, region: Region, now: Milliseconds): BackendServerRow {
--- a/src/runtime/gateway/declaredVersions.ts
+++ b/src/runtime/gateway/declaredVersions.ts
@@ -61,7 +61,7 @@
 }
 
 /**
- * Determines which versions of a model may answer.
+ * Computes which versions of a model may answer.
  *
  * @param table - declared versions
  * @param model - the model
@@ -69,7 +69,7 @@
  * @param options - times of the switch
  * @returns the newest version and the oldest one that may still answer
  */
-export function readAllowedVersions(
+export function computeAllowedVersions(
     table: VersionTable,
     model: string,
     now: Milliseconds,
@@ -85,7 +85,7 @@
 }
 
 /**
- * Determines when the head of an answer of a version must have arrived.
+ * Computes when the head of an answer of a version must have arrived.
  *
  * @param table - declared versions
  * @param model - the model
@@ -93,7 +93,7 @@
  * @param options - times of the switch
  * @returns monotonic time of the deadline; undefined if no newer version is known
  */
-export function readHeadDeadline(
+export function computeHeadDeadline(
     table: VersionTable,
     model: string,
     version: number,
--- a/src/runtime/gateway/demand.ts
+++ b/src/runtime/gateway/demand.ts
@@ -3,8 +3,8 @@
 /** Half-life of the weight of an arrival. */
 const halfLife: Milliseconds = 1_000;
 
-/** Exponentially decaying count of the requests for a service; created by {@link createArrivals}. */
-export interface Arrivals {
+/** Exponentially decaying count of the requests for a service; created by {@link createArrivalCount}. */
+export interface ArrivalCount {
     /** Sum of the weights of all arrivals; the weight of each begins at 1 and decays. */
     weighted: number;
     /** Monotonic time at which the sum was computed. */
@@ -25,32 +25,32 @@
  * @param now - monotonic time
  * @returns the count, 0
  */
-export function createArrivals(now: Milliseconds): Arrivals {
+export function createArrivalCount(now: Milliseconds): ArrivalCount {
     return { weighted: 0, updatedAt: now };
 }
 
-function decayCount(arrivals: Arrivals, now: Milliseconds): number {
-    return arrivals.weighted * 2 ** (-Math.max(0, now - arrivals.updatedAt) / halfLife);
+function decayCount(count: ArrivalCount, now: Milliseconds): number {
+    return count.weighted * 2 ** (-Math.max(0, now - count.updatedAt) / halfLife);
 }
 
 /**
  * Counts the arrival of a request.
  *
- * @param arrivals - count to change
+ * @param count - count to change
  * @param now - monotonic time
  */
-export function recordArrival(arrivals: Arrivals, now: Milliseconds): void {
-    arrivals.weighted = decayCount(arrivals, now) + 1;
-    arrivals.updatedAt = now;
+export function recordArrival(count: ArrivalCount, now: Milliseconds): void {
+    count.weighted = decayCount(count, now) + 1;
+    count.updatedAt = now;
 }
 
 /**
  * Computes the recent arrival rate of requests.
  *
- * @param arrivals - the count
+ * @param count - the count
  * @param now - monotonic time
  * @returns exponentially weighted rate in requests per millisecond
  */
-export function readArrivalRate(arrivals: Arrivals, now: Milliseconds): number {
-    return decayCount(arrivals, now) * Math.LN2 / halfLife;
+export function computeArrivalRate(count: ArrivalCount, now: Milliseconds): number {
+    return decayCount(count, now) * Math.LN2 / halfLife;
 }
--- a/src/runtime/gateway/patience.ts
+++ b/src/runtime/gateway/patience.ts
@@ -1,25 +1,25 @@
 import type { Milliseconds } from "../../types/index.js";
 
 /**
- * Number of the newest requests of a route whose patience is kept; enough to tell the typical value from that of
+ * Number of the newest requests of a route whose timeouts are kept; enough to tell the typical value from that of
  * callers who retry.
  */
 const keptRequests = 64;
-/** Quantile that is taken as the typical patience; callers who retry are hardly ever three in four. */
+/** Quantile that is taken as the typical timeout; callers who retry are hardly ever three in four. */
 const typicalQuantile = 0.75;
 /** Maximum number of routes in the table; the one that was added first is evicted. */
 const keptRoutes = 4_096;
 
-/** Ring buffer of the patience of the newest requests. */
-interface RoutePatience {
+/** Ring buffer of the timeouts of the newest requests. */
+interface RouteTimeouts {
     readonly newest: Milliseconds[];
     /** Index of the next value to be replaced. */
     next: number;
 }
 
-/** Patience of recent callers by route: the time for which each stated that it will wait for its answer. */
-export interface PatienceTable {
-    readonly routes: Map<string, RoutePatience>;
+/** Timeouts of recent callers by route: the time for which each stated that it will wait for its answer. */
+export interface CallerTimeoutTable {
+    readonly routes: Map<string, RouteTimeouts>;
 }
 
 /**
@@ -27,11 +27,11 @@
  *
  * @returns the table
  */
-export function createPatienceTable(): PatienceTable {
+export function createCallerTimeoutTable(): CallerTimeoutTable {
     return { routes: new Map() };
 }
 
-function findOrCreateRoute(table: PatienceTable, route: string): RoutePatience {
+function findOrCreateRoute(table: CallerTimeoutTable, route: string): RouteTimeouts {
     const known = table.routes.get(route);
     if (known !== undefined) {
         return known;
@@ -42,7 +42,7 @@
             break;
         }
     }
-    const row: RoutePatience = { newest: [], next: 0 };
+    const row: RouteTimeouts = { newest: [], next: 0 };
     table.routes.set(route, row);
     return row;
 }
@@ -53,14 +53,14 @@
  *
  * @param table - table to which the caller is added
  * @param route - name of the route
- * @param patience - time for which the caller will still wait
- * @returns time since the caller's first attempt; 0 if its patience is typical or longer
+ * @param callerTimeout - time for which the caller will still wait
+ * @returns time since the caller's first attempt; 0 if its timeout is typical or longer
  */
-export function estimateWaited(table: PatienceTable, route: string, patience: Milliseconds): Milliseconds {
+export function estimatePriorWait(table: CallerTimeoutTable, route: string, callerTimeout: Milliseconds): Milliseconds {
     const row = findOrCreateRoute(table, route);
-    row.newest[row.next] = patience;
+    row.newest[row.next] = callerTimeout;
     row.next = (row.next + 1) % keptRequests;
     const sorted = [...row.newest].sort((left, right) => left - right);
     const typical = sorted[Math.floor((sorted.length - 1) * typicalQuantile)]!;
-    return Math.max(0, typical - patience);
+    return Math.max(0, typical - callerTimeout);
 }
--- a/src/runtime/gateway/routeTable.ts
+++ b/src/runtime/gateway/routeTable.ts
@@ -84,14 +84,14 @@
 }
 
 /**
- * Chooses the service of a request by the weights of its route. All gateways choose the same service for the same
+ * Selects the service of a request by the weights of its route. All gateways select the same service for the same
  * request.
  *
  * @param route - route of the request
  * @param requestId - identifier of the request
  * @returns name of the service; undefined if the route has none with a weight
  */
-export function chooseService(route: RouteRow, requestId: string): string | undefined {
+export function selectService(route: RouteRow, requestId: string): string | undefined {
     const total = route.destinations.reduce((sum, { weight }) => sum + weight, 0);
     let point = scoreRendezvous(route.name, requestId) / 2 ** 32 * total;
     for (const { service, weight } of route.destinations) {
--- a/src/runtime/gateway/weightNames.ts
+++ b/src/runtime/gateway/weightNames.ts
@@ -13,17 +13,17 @@
  * @param version - version of the weights
  * @returns identifier of the weight set
  */
-export function nameWeights(model: string, version: number): string {
+export function formatWeightName(model: string, version: number): string {
     return `${model}${separator}${version}`;
 }
 
 /**
- * Splits the identifier of a weight set.
+ * Parses the identifier of a weight set.
  *
- * @param set - identifier created by {@link nameWeights}
+ * @param set - identifier created by {@link formatWeightName}
  * @returns model and version
  */
-export function splitWeights(set: string): WeightName {
+export function parseWeightName(set: string): WeightName {
     const end = set.lastIndexOf(separator);
     return { model: set.slice(0, end), version: Number(set.slice(end + 1)) };
 }
--- a/test/runtime/gateway/declaredVersions.test.ts
+++ b/test/runtime/gateway/declaredVersions.test.ts
@@ -1,8 +1,8 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import {
-    readAllowedVersions,
-    readHeadDeadline,
+    computeAllowedVersions,
+    computeHeadDeadline,
     recordDeclaredVersion,
     type VersionTable,
 } from "../../../src/runtime/gateway/index.js";
@@ -11,41 +11,41 @@
 
 describe("versions that may answer", () => {
     it("are all versions until one is declared", () => {
-        expect(readAllowedVersions(new Map(), "quill", 0, options).oldest).toEqual(0);
+        expect(computeAllowedVersions(new Map(), "quill", 0, options).oldest).toEqual(0);
     });
 
     it("include the older one until the cutover time of the newer one", () => {
         const table: VersionTable = new Map();
         recordDeclaredVersion(table, { model: "quill", version: 2 }, 1_000, options);
-        expect(readAllowedVersions(table, "quill", 7_999, options).oldest).toEqual(0);
-        expect(readAllowedVersions(table, "quill", 8_000, options).oldest).toEqual(2);
+        expect(computeAllowedVersions(table, "quill", 7_999, options).oldest).toEqual(0);
+        expect(computeAllowedVersions(table, "quill", 8_000, options).oldest).toEqual(2);
     });
 
     it("follow the time of each declaration when two come in quick succession", () => {
         const table: VersionTable = new Map();
         recordDeclaredVersion(table, { model: "quill", version: 2 }, 1_000, options);
         recordDeclaredVersion(table, { model: "quill", version: 3 }, 3_000, options);
-        expect(readAllowedVersions(table, "quill", 8_500, options)).toEqual({
+        expect(computeAllowedVersions(table, "quill", 8_500, options)).toEqual({
             newest: 3,
             oldest: 2,
             declaredAt: 3_000,
         });
-        expect(readAllowedVersions(table, "quill", 10_000, options).oldest).toEqual(3);
+        expect(computeAllowedVersions(table, "quill", 10_000, options).oldest).toEqual(3);
     });
 
     it("must have begun to answer within a time that counts from the oldest later declaration", () => {
         const table: VersionTable = new Map();
         recordDeclaredVersion(table, { model: "quill", version: 2 }, 1_000, options);
         recordDeclaredVersion(table, { model: "quill", version: 3 }, 3_000, options);
-        expect(readHeadDeadline(table, "quill", 1, options)).toEqual(8_600);
-        expect(readHeadDeadline(table, "quill", 2, options)).toEqual(10_600);
-        expect(readHeadDeadline(table, "quill", 3, options)).toEqual(undefined);
+        expect(computeHeadDeadline(table, "quill", 1, options)).toEqual(8_600);
+        expect(computeHeadDeadline(table, "quill", 2, options)).toEqual(10_600);
+        expect(computeHeadDeadline(table, "quill", 3, options)).toEqual(undefined);
     });
 
     it("do not change when an older version is declared", () => {
         const table: VersionTable = new Map();
         expect(recordDeclaredVersion(table, { model: "quill", version: 3 }, 0, options)).toEqual(true);
         expect(recordDeclaredVersion(table, { model: "quill", version: 2 }, 9_000, options)).toEqual(false);
-        expect(readAllowedVersions(table, "quill", 9_000, options).newest).toEqual(3);
+        expect(computeAllowedVersions(table, "quill", 9_000, options).newest).toEqual(3);
     });
 });
--- a/test/runtime/gateway/placeShare.test.ts
+++ b/test/runtime/gateway/placeShare.test.ts
@@ -1,9 +1,9 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import {
+    computeArrivalRate,
     computePlaceShare,
-    createArrivals,
-    readArrivalRate,
+    createArrivalCount,
     recordArrival,
     type ServiceDemand,
 } from "../../../src/runtime/gateway/index.js";
@@ -72,12 +72,12 @@
 
 describe("arrival rate at a gateway", () => {
     it("follows a change within seconds", () => {
-        const arrivals = createArrivals(0);
+        const arrivals = createArrivalCount(0);
         for (let now = 0; now < 10_000; now += 10) {
             recordArrival(arrivals, now);
         }
-        expect(Math.round(readArrivalRate(arrivals, 10_000) * 1_000)).toEqual(100);
-        expect(readArrivalRate(arrivals, 14_000) * 1_000).toBeLessThan(7);
+        expect(Math.round(computeArrivalRate(arrivals, 10_000) * 1_000)).toEqual(100);
+        expect(computeArrivalRate(arrivals, 14_000) * 1_000).toBeLessThan(7);
     });
 });
 
--- a/test/runtime/gateway/plainService.ts
+++ b/test/runtime/gateway/plainService.ts
@@ -9,10 +9,10 @@
     setCapacity,
 } from "../../../src/runtime/admission/index.js";
 import {
-    type Arrivals,
+    type ArrivalCount,
+    computeArrivalRate,
     computePlaceShare,
-    createArrivals,
-    readArrivalRate,
+    createArrivalCount,
     recordArrival,
 } from "../../../src/runtime/gateway/index.js";
 import {
@@ -50,7 +50,7 @@
 interface Gateway {
     readonly runners: readonly RunnerRow[];
     readonly table: AdmissionTable;
-    readonly arrivals: Arrivals;
+    readonly arrivals: ArrivalCount;
     draw: number;
     received: number;
     answered: number;
@@ -82,7 +82,7 @@
             })
         ),
         table: createAdmissionTable(resolveAdmissionOptions({ maximumInProgress: 1_000 })),
-        arrivals: createArrivals(0),
+        arrivals: createArrivalCount(0),
         draw: random.next(),
         received: 0,
         answered: 0,
@@ -97,7 +97,7 @@
             runners: gateway.runners.map(runner => ({ runner, isFollowed: false })),
             gateways: load.gateways,
             demand: {
-                arrivalRate: readArrivalRate(gateway.arrivals, now),
+                arrivalRate: computeArrivalRate(gateway.arrivals, now),
                 serviceTime: gateway.table.averageServiceTime,
             },
             draw: gateway.draw,
--- a/test/runtime/gateway/routeTable.test.ts
+++ b/test/runtime/gateway/routeTable.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { chooseService, createRouteTable, resolveRoute } from "../../../src/runtime/gateway/index.js";
+import { createRouteTable, resolveRoute, selectService } from "../../../src/runtime/gateway/index.js";
 import { createConfiguration, createRoute } from "./configuration.js";
 
 describe("resolution of routes", () => {
@@ -47,14 +47,14 @@
         const route = createRoute({ destinations: [{ service: "a", weight: 90 }, { service: "b", weight: 10 }] });
         const counts: Record<string, number> = {};
         for (let index = 0; index < 2_000; index++) {
-            const service = chooseService(route, `request-${index}`)!;
-            expect(chooseService(route, `request-${index}`)).toEqual(service);
+            const service = selectService(route, `request-${index}`)!;
+            expect(selectService(route, `request-${index}`)).toEqual(service);
             counts[service] = (counts[service] ?? 0) + 1;
         }
         expect(counts["b"]! > 140 && counts["b"]! < 260).toEqual(true);
     });
 
     it("finds none without a weight", () => {
-        expect(chooseService(createRoute({ destinations: [{ service: "a", weight: 0 }] }), "x")).toEqual(undefined);
+        expect(selectService(createRoute({ destinations: [{ service: "a", weight: 0 }] }), "x")).toEqual(undefined);
     });
 });
