Say that a lost connection is recorded

noteLoss records a loss; the other functions of this kind say record. It is recordLoss now. The compiler renamed every use; the syntax trees differ only in this name.

--- a/src/node/crashes/lossTracker.ts
+++ b/src/node/crashes/lossTracker.ts
@@ -27,7 +27,7 @@
      * @param alone - true if the backend server ran no other request at the same time
      * @returns the suspected crash, with the same identifier for all requests whose connections broke together
      */
-    noteLoss(instance: InstanceId, fingerprint: Fingerprint, alone: boolean): CrashReport;
+    recordLoss(instance: InstanceId, fingerprint: Fingerprint, alone: boolean): CrashReport;
 }
 
 interface Loss {
@@ -86,7 +86,7 @@
             adjustCount(instance, fingerprint, 1);
             return () => adjustCount(instance, fingerprint, -1);
         },
-        noteLoss: (instance, fingerprint, alone) => {
+        recordLoss: (instance, fingerprint, alone) => {
             const { fingerprints, startedAt } = findLoss(instance);
             fingerprints.add(fingerprint);
             return { crashId: `${instance}/lost-${startedAt}`, fingerprints: [...fingerprints], alone };
--- a/src/node/entry/requestPipeline.ts
+++ b/src/node/entry/requestPipeline.ts
@@ -271,7 +271,7 @@
             sharing.recordCrash(outcome.crash);
         }
         else if (outcome.connectionBroke) {
-            sharing.recordCrash(losses.noteLoss(choice.instance, row.fingerprint, attempts.alone));
+            sharing.recordCrash(losses.recordLoss(choice.instance, row.fingerprint, attempts.alone));
         }
         attempts.mayHaveRun ||= refusal.ran === "unknown";
         attempts.pinnedDigest = attempts.mayHaveRun ? choice.manifestDigest : undefined;
--- a/src/node/gateway/crashWatch.ts
+++ b/src/node/gateway/crashWatch.ts
@@ -121,7 +121,7 @@
                         return;
                     }
                     const known = brokenRequests.get(crashId) ?? new Set<Fingerprint>();
-                    losses.noteLoss(crashId, fingerprint, false).fingerprints.forEach(lost => known.add(lost));
+                    losses.recordLoss(crashId, fingerprint, false).fingerprints.forEach(lost => known.add(lost));
                     brokenRequests.set(crashId, known);
                     await Promise.race([checkOnce(server, crashId), sleep(maximumCheckWait)]);
                 },
--- a/test/node/entry/tables.test.ts
+++ b/test/node/entry/tables.test.ts
@@ -117,16 +117,16 @@
         const clock = createManualClock();
         const losses = createLossTracker(clock);
         const ends = ["f", "g"].map(fingerprint => losses.begin("agent-1", fingerprint));
-        const first = losses.noteLoss("agent-1", "f", false);
+        const first = losses.recordLoss("agent-1", "f", false);
         ends[0]!();
         clock.advance(1_000);
-        const second = losses.noteLoss("agent-1", "g", false);
+        const second = losses.recordLoss("agent-1", "g", false);
         expect([first.crashId === second.crashId, first.fingerprints, second.fingerprints])
             .toEqual([true, ["f", "g"], ["f", "g"]]);
-        expect(losses.noteLoss("agent-2", "f", true).crashId === first.crashId).toEqual(false);
+        expect(losses.recordLoss("agent-2", "f", true).crashId === first.crashId).toEqual(false);
         ends[1]!();
         clock.advance(1_001);
-        const later = losses.noteLoss("agent-1", "h", true);
+        const later = losses.recordLoss("agent-1", "h", true);
         expect([later.crashId === first.crashId, later.fingerprints, later.alone]).toEqual([false, ["h"], true]);
     });
 });
