Rename parts of the gateway after what they do

"News" stood for evidence that other gateways lack, keepCondemnedRecords did not say that it starts a writer, and the router read an "unreadiness". They are takeDelta, onDelta, startCondemnedRecordWriter, listUnreadyReasons and abort now. The field news of the message between gateways stays.

--- a/src/node/gateway/callerAnswer.ts
+++ b/src/node/gateway/callerAnswer.ts
@@ -67,7 +67,7 @@
     /** Marks the answer as complete. */
     end(): void;
     /** Closes or resets the connection, so that the caller can tell that the answer is incomplete. */
-    breakOff(): void;
+    abort(): void;
 }
 
 /**
@@ -93,7 +93,7 @@
         end: () => {
             response.end();
         },
-        breakOff: () => {
+        abort: () => {
             breakOffAnswer(response);
         },
     };
--- a/src/node/gateway/condemnedRecords.ts
+++ b/src/node/gateway/condemnedRecords.ts
@@ -19,7 +19,7 @@
 
 type CondemnedRecord = z.infer<typeof recordSchema>;
 
-/** Dependencies of {@link keepCondemnedRecords}. */
+/** Dependencies of {@link startCondemnedRecordWriter}. */
 export interface CondemnedRecordsInput {
     readonly crashEvidence: CrashEvidenceStore;
     readonly log: KeyedLogPort;
@@ -57,7 +57,7 @@
  * @param input - crash evidence, log and times
  * @returns the writer; disposing of it ends the writing
  */
-export function keepCondemnedRecords(input: CondemnedRecordsInput): Disposable {
+export function startCondemnedRecordWriter(input: CondemnedRecordsInput): Disposable {
     const { clock, condemnedDuration, crashEvidence, log, logger, store } = input;
     const kept = new Map<Fingerprint, KeptRecord>();
     /** Records that this gateway has dropped. */
--- a/src/node/gateway/crashContainment.ts
+++ b/src/node/gateway/crashContainment.ts
@@ -3,7 +3,7 @@
 import type { Clock, KeyedLogPort, Milliseconds, RandomSource } from "../../types/index.js";
 import type { Metrics } from "../metrics/index.js";
 import type { RecordStore } from "../replica/index.js";
-import { keepCondemnedRecords } from "./condemnedRecords.js";
+import { startCondemnedRecordWriter } from "./condemnedRecords.js";
 import { type CrashEvidenceStore, createCrashEvidenceStore } from "./crashEvidenceStore.js";
 import { type CrashExchange, createCrashExchange } from "./crashExchange.js";
 import { type CrashWatch, createCrashWatch } from "./crashWatch.js";
@@ -72,7 +72,7 @@
         logger,
         settleTime,
     });
-    const records = keepCondemnedRecords({
+    const records = startCondemnedRecordWriter({
         crashEvidence,
         log,
         store,
--- a/src/node/gateway/crashEvidenceStore.ts
+++ b/src/node/gateway/crashEvidenceStore.ts
@@ -42,7 +42,7 @@
     /** Exports all evidence for other gateways. */
     share(): SharedEvidence;
     /** Exports the evidence that is new since the last call. */
-    takeNews(): SharedEvidence;
+    takeDelta(): SharedEvidence;
     /** Computes the digest by which two gateways detect that they differ; empty if no crash is known. */
     digest(): string;
     /** Lists the crashes during which a request was in progress. */
@@ -50,8 +50,8 @@
     listCondemned(): readonly Fingerprint[];
     /** Removes expired evidence; called at short intervals. */
     expire(): void;
-    /** Registers a listener that is called when there is news for other gateways. */
-    onNews(listener: () => void): void;
+    /** Registers a listener that is called when there is new evidence for other gateways. */
+    onDelta(listener: () => void): void;
     onStandingChange(listener: (change: StandingChange) => void): void;
 }
 
@@ -70,9 +70,9 @@
  */
 export function createCrashEvidenceStore({ clock, logger, options }: CrashEvidenceStoreInput): CrashEvidenceStore {
     const evidence = createCrashEvidence(options);
-    const newsListeners: (() => void)[] = [];
+    const deltaListeners: (() => void)[] = [];
     const changeListeners: ((change: StandingChange) => void)[] = [];
-    const news = { crashIds: new Set<string>(), answered: new Set<Fingerprint>() };
+    const delta = { crashIds: new Set<string>(), answered: new Set<Fingerprint>() };
     const witnessedCrashIds = new Set<string>();
     let condemned: ReadonlySet<Fingerprint> = new Set();
 
@@ -118,10 +118,10 @@
         if (answered.length === 0 && crashIds.length === 0) {
             return;
         }
-        answered.forEach(fingerprint => news.answered.add(fingerprint));
-        crashIds.forEach(crashId => news.crashIds.add(crashId));
+        answered.forEach(fingerprint => delta.answered.add(fingerprint));
+        crashIds.forEach(crashId => delta.crashIds.add(crashId));
         detectChanges(source);
-        newsListeners.forEach(listener => listener());
+        deltaListeners.forEach(listener => listener());
     }
 
     return {
@@ -134,10 +134,10 @@
         recordAnswer: fingerprint => apply(recordAnswer(evidence, fingerprint, clock.monotonic()), "local"),
         merge: (shared, source) => apply(mergeEvidence(evidence, shared, clock.monotonic()), source),
         share: () => exportEvidence(evidence, clock.monotonic()),
-        takeNews: () => {
-            const taken = { crashIds: [...news.crashIds], answered: [...news.answered] };
-            news.crashIds.clear();
-            news.answered.clear();
+        takeDelta: () => {
+            const taken = { crashIds: [...delta.crashIds], answered: [...delta.answered] };
+            delta.crashIds.clear();
+            delta.answered.clear();
             return exportEvidence(evidence, clock.monotonic(), taken);
         },
         digest: () => digestEvidence(evidence),
@@ -151,7 +151,7 @@
                 detectChanges("expiry");
             }
         },
-        onNews: listener => void newsListeners.push(listener),
+        onDelta: listener => void deltaListeners.push(listener),
         onStandingChange: listener => void changeListeners.push(listener),
     };
 }
--- a/src/node/gateway/crashExchange.ts
+++ b/src/node/gateway/crashExchange.ts
@@ -42,14 +42,14 @@
     ) => void;
 }
 
-/** Number of gateways to which news is sent; each of them forwards what is new to it. */
+/** Number of gateways to which new evidence is sent; each of them forwards what is new to it. */
 const fanOut = 8;
-/** Queries to other gateways per settle time; they recover lost news in time. */
+/** Queries to other gateways per settle time; they recover lost evidence in time. */
 const queriesPerSettleTime = 4;
 /** Maximum number of open connections to other gateways; the oldest is closed first. */
 const maximumClients = 64;
-/** Share of the settle time for which news is collected before it is sent, since many requests break together. */
-const newsDelayShare = 0.03;
+/** Share of the settle time for which new evidence is collected before it is sent: many requests break together. */
+const deltaDelayShare = 0.03;
 
 function encode({ answers, crashes }: SharedEvidence, leaving: readonly SharedLeaving[]): CrashEvidence {
     return create(CrashEvidenceSchema, {
@@ -83,8 +83,8 @@
 }
 
 /**
- * Creates the exchange. News is sent to several gateways at once. In addition, each gateway queries another one at
- * intervals, which recovers lost news; a gateway that has just started queries several.
+ * Creates the exchange. New evidence is sent to several gateways at once. In addition, each gateway queries another one
+ * at intervals, which recovers lost evidence; a gateway that has just started queries several.
  *
  * @param input - crash evidence, other gateways and times
  * @returns the exchange; disposing of it closes the connections
@@ -93,7 +93,7 @@
     const { clock, crashEvidence, logger, notices, random, settleTime } = input;
     const clients = new Map<string, ReplicaClient>();
     const queriedAddresses = new Set<string>();
-    let newsTimer: NodeJS.Timeout | undefined;
+    let deltaTimer: NodeJS.Timeout | undefined;
     const startedAt = clock.monotonic();
     const interval = settleTime / queriesPerSettleTime;
 
@@ -145,10 +145,10 @@
         send(address, create(CrashEvidenceRequestSchema, { asks: true, digest: digest() }));
     }
 
-    function sendNews(): void {
-        newsTimer = undefined;
+    function sendDelta(): void {
+        deltaTimer = undefined;
         const message = create(CrashEvidenceRequestSchema, {
-            news: encode(crashEvidence.takeNews(), notices.listLeaving()),
+            news: encode(crashEvidence.takeDelta(), notices.listLeaving()),
         });
         pickRandom(input.listAddresses(), fanOut).forEach(address => send(address, message));
     }
@@ -174,12 +174,12 @@
         pickRandom(addresses, 1).forEach(query);
     }
 
-    function scheduleNews(): void {
-        newsTimer ??= setTimeout(sendNews, settleTime * newsDelayShare);
+    function scheduleDelta(): void {
+        deltaTimer ??= setTimeout(sendDelta, settleTime * deltaDelayShare);
     }
 
-    crashEvidence.onNews(scheduleNews);
-    notices.onLeaving(scheduleNews);
+    crashEvidence.onDelta(scheduleDelta);
+    notices.onLeaving(scheduleDelta);
     const timer = setInterval(tick, interval);
     return {
         queryNewGateways,
@@ -196,7 +196,7 @@
         },
         [Symbol.dispose]: () => {
             clearInterval(timer);
-            clearTimeout(newsTimer);
+            clearTimeout(deltaTimer);
             [...clients.keys()].forEach(closeClient);
         },
     };
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -287,7 +287,7 @@
     let draining = false;
     const router = createRouter({
         readyPath: ports.readyPath,
-        readUnreadiness: () => [
+        listUnreadyReasons: () => [
             ...(draining ? ["draining"] : []),
             ...(state.routes() === undefined ? ["no configuration"] : []),
             ...(state.servers.size === 0 ? ["no backend server is known"] : []),
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -261,7 +261,7 @@
         const reason = request.readAbortReason();
         if (reason === "caller-gone" || progress.writer.headSent()) {
             metrics.countOutcome(request, reason === "caller-gone" ? "canceled" : "broken-off");
-            progress.writer.breakOff();
+            progress.writer.abort();
             return;
         }
         if (failure?.answer !== undefined) {
--- a/src/node/gateway/statusRouter.ts
+++ b/src/node/gateway/statusRouter.ts
@@ -8,7 +8,7 @@
     /** Path at which the platform checks readiness. */
     readonly readyPath: string;
     /** Reasons why the daemon is not ready; empty if it is. */
-    readonly readUnreadiness: () => readonly string[];
+    readonly listUnreadyReasons: () => readonly string[];
     readonly renderMetrics: () => string;
     readonly decisions: DecisionLog;
 }
@@ -25,7 +25,7 @@
     registerDecisionRoute(router, input.decisions);
     if (input.readyPath !== "/ready") {
         router.on("GET", input.readyPath, (...[, response]) => {
-            const reasons = input.readUnreadiness();
+            const reasons = input.listUnreadyReasons();
             sendJson(response, reasons.length === 0 ? 200 : 503, { ready: reasons.length === 0, reasons });
         });
     }
