Name the memory limit and the responses of the HTTP client

HeldBytes is a limit on the memory of all responses, and HTTP calls an answer a response. They are ResponseMemoryLimit, memoryLimit, HttpResponse and HttpStreamingResponse now, also in the platform's clients and the tests.

--- a/src/node/backendServer/execute.ts
+++ b/src/node/backendServer/execute.ts
@@ -10,7 +10,7 @@
     executedHeader,
     type HttpClient,
     type HttpFailure,
-    type HttpStream,
+    type HttpStreamingResponse,
     toCallError,
 } from "../httpClient/index.js";
 import { checkEndMarker } from "./endMarker.js";
@@ -70,7 +70,7 @@
 }
 
 function validateResponse(
-    response: HttpStream,
+    response: HttpStreamingResponse,
     request: BackendRequest,
     peer: string,
 ): Result<undefined, GoldcrestpointError> {
@@ -99,7 +99,7 @@
     return err(createError("STREAM_BROKEN", matchStep, peer, message, { mayHaveTakenEffect: true }));
 }
 
-function toBackendResponse(response: HttpStream, kind: "engine" | "service", peer: string): BackendResponse {
+function toBackendResponse(response: HttpStreamingResponse, kind: "engine" | "service", peer: string): BackendResponse {
     const { status, headers, body } = response;
     const contentType = headers["content-type"] ?? "application/octet-stream";
     const hasEndMarker = kind === "engine" && status < 300 && contentType.startsWith("text/event-stream");
--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -2,7 +2,12 @@
 import { type BackendServerRow, computePaceCheckDelay, createLifetimeId } from "../../runtime/gateway/index.js";
 import { applyLoadReport } from "../../runtime/routing/index.js";
 import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../types/index.js";
-import { hasUndecodedTransferCoding, type HttpClient, type HttpFailure, type HttpStream } from "../httpClient/index.js";
+import {
+    hasUndecodedTransferCoding,
+    type HttpClient,
+    type HttpFailure,
+    type HttpStreamingResponse,
+} from "../httpClient/index.js";
 import type { ServerNotices } from "./serverNotices.js";
 import type { AttemptFailure, BodyLimits, GatewayRequest, OpenedAnswer } from "./types.js";
 
@@ -71,7 +76,7 @@
 /** Finds the reason why an answer cannot be used; undefined if it can. */
 function findHeadFault(
     attempt: Attempt,
-    { framing, headers, status }: Pick<HttpStream, "framing" | "headers" | "status">,
+    { framing, headers, status }: Pick<HttpStreamingResponse, "framing" | "headers" | "status">,
     head: BackendServerHead,
 ): AttemptFailure | undefined {
     const { requestId } = attempt.request.row;
@@ -110,7 +115,7 @@
 const maximumRefusalTime: Milliseconds = 250;
 
 /** Reads the rest of a refusal, so that the connection can be reused; closes the connection at either limit. */
-async function readRemainder(stream: HttpStream): Promise<void> {
+async function readRemainder(stream: HttpStreamingResponse): Promise<void> {
     const timer = setTimeout(() => stream.discard(), maximumRefusalTime);
     let bytes = 0;
     try {
--- a/src/node/gateway/backendClients.ts
+++ b/src/node/gateway/backendClients.ts
@@ -1,5 +1,5 @@
 import type { ListedBackendServer, Milliseconds } from "../../types/index.js";
-import { createHeldBytes, createHttpClient, type HttpClient } from "../httpClient/index.js";
+import { createHttpClient, createResponseMemoryLimit, type HttpClient } from "../httpClient/index.js";
 
 /** Options of the connections to backend servers. */
 export interface BackendClientOptions {
@@ -47,7 +47,7 @@
  */
 export function createBackendClients(options: BackendClientOptions): BackendClients {
     const rows = new Map<string, ClientRow>();
-    const heldBytes = createHeldBytes(options.maximumHeldBytes);
+    const memoryLimit = createResponseMemoryLimit(options.maximumHeldBytes);
 
     function retire(instance: string, { client }: ClientRow): void {
         rows.delete(instance);
@@ -70,7 +70,7 @@
                 connections: options.connections(listed),
                 timeouts: { connect: options.connectTimeLimit },
                 maximumBodyBytes: maximumAnswerBytes,
-                heldBytes,
+                memoryLimit,
             });
             rows.set(instance, { address, startedAt, client });
             return client;
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -11,7 +11,7 @@
     RouteRow,
     ServiceRow,
 } from "../../types/index.js";
-import type { HttpStream, ReceivedBody } from "../httpClient/index.js";
+import type { HttpStreamingResponse, ReceivedBody } from "../httpClient/index.js";
 
 /** Reason why this gateway aborted a request in progress. */
 export type AbortReason = "caller-gone" | "route-timeout" | "shutdown";
@@ -54,7 +54,7 @@
 }
 
 /** Answer of a backend server whose head was checked. */
-export interface OpenedAnswer extends HttpStream {
+export interface OpenedAnswer extends HttpStreamingResponse {
     readonly server: BackendServerRow;
     readonly limits: BodyLimits;
 }
--- a/src/node/gateway/wholeAnswer.ts
+++ b/src/node/gateway/wholeAnswer.ts
@@ -1,12 +1,12 @@
 import type { Result } from "true-myth/result";
 import { isOnPace } from "../../runtime/gateway/index.js";
 import type { Milliseconds } from "../../types/index.js";
-import { type HttpFailure, type HttpStream, readWholeBody } from "../httpClient/index.js";
+import { type HttpFailure, type HttpStreamingResponse, readWholeBody } from "../httpClient/index.js";
 import { describeFailure } from "./attempt.js";
 import { maximumAnswerBytes } from "./backendClients.js";
 import type { AttemptFailure, BufferedAnswer, OpenedAnswer } from "./types.js";
 
-function readLength({ framing, headers }: HttpStream): number | undefined {
+function readLength({ framing, headers }: HttpStreamingResponse): number | undefined {
     return framing === "length" ? Number(headers["content-length"]) : undefined;
 }
 
--- a/src/node/httpClient/bodyReader.ts
+++ b/src/node/httpClient/bodyReader.ts
@@ -1,6 +1,6 @@
 import { on } from "node:events";
 import type { Readable } from "node:stream";
-import type { HeldBytes, MemoryReservation } from "./heldBytes.js";
+import type { MemoryReservation, ResponseMemoryLimit } from "./heldBytes.js";
 
 /** Thrown if the unread bytes of a response body, or of all response bodies together, exceed their limit. */
 export class ResponseTooLargeError extends Error {}
@@ -13,12 +13,12 @@
     /** Unread bytes of the body that are kept; the response is aborted if there are more. */
     readonly maximumUnreadBytes: number;
     /** Limit on the bytes of all bodies together. */
-    readonly heldBytes: HeldBytes | undefined;
+    readonly memoryLimit: ResponseMemoryLimit | undefined;
 }
 
 /** Reserves memory for the bytes of a body, which is destroyed when its memory is needed for other responses. */
-function reserveMemory(body: Readable, heldBytes: HeldBytes | undefined): MemoryReservation | undefined {
-    return heldBytes?.open(() => body.destroy(new ResponseTooLargeError(memoryExceededMessage)));
+function reserveMemory(body: Readable, memoryLimit: ResponseMemoryLimit | undefined): MemoryReservation | undefined {
+    return memoryLimit?.open(() => body.destroy(new ResponseTooLargeError(memoryExceededMessage)));
 }
 
 /**
@@ -30,8 +30,8 @@
  * @returns parts of the body, to be iterated once; throws the error that ended the body early
  */
 export function readAhead(body: Readable, limits: ReadAheadLimits): AsyncIterable<Uint8Array> {
-    const { heldBytes, maximumUnreadBytes } = limits;
-    const reservation = reserveMemory(body, heldBytes);
+    const { memoryLimit, maximumUnreadBytes } = limits;
+    const reservation = reserveMemory(body, memoryLimit);
     let unread = 0;
     let started = false;
     let ended = false;
--- a/src/node/httpClient/heldBytes.ts
+++ b/src/node/httpClient/heldBytes.ts
@@ -11,7 +11,7 @@
 }
 
 /** Limit on the bytes of all responses that a process buffers in memory. */
-export interface HeldBytes {
+export interface ResponseMemoryLimit {
     /** @returns bytes that are reserved for all responses together */
     readonly total: () => number;
     /**
@@ -35,7 +35,7 @@
  * @param maximumBytes - most bytes of all responses together
  * @returns the limit
  */
-export function createHeldBytes(maximumBytes: number): HeldBytes {
+export function createResponseMemoryLimit(maximumBytes: number): ResponseMemoryLimit {
     const reservations = new Set<TrackedReservation>();
     let total = 0;
 
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -14,13 +14,13 @@
 } from "./trackedClient.js";
 import type {
     BodyFraming,
-    HttpAnswer,
     HttpClient,
     HttpClientOptions,
     HttpFailure,
     HttpHead,
     HttpRequest,
-    HttpStream,
+    HttpResponse,
+    HttpStreamingResponse,
     HttpTimeouts,
     ReceivedBody,
 } from "./types.js";
@@ -61,17 +61,17 @@
     });
     const dispatcher = pool.compose(trackWrittenRequests);
     const maximumBodyBytes = options.maximumBodyBytes ?? defaultMaximumBodyBytes;
-    const { heldBytes } = options;
+    const { memoryLimit } = options;
     const pathPrefix = url.pathname.replace(/\/$/, "");
 
-    async function open(request: HttpRequest): Promise<Result<HttpStream, HttpFailure>> {
+    async function open(request: HttpRequest): Promise<Result<HttpStreamingResponse, HttpFailure>> {
         const limits = { ...timeouts, ...request.timeouts };
         const call = startCall(request.signal);
         call.interruption.setTimeLimit(limits.head);
         try {
             const response = await awaitHead(dispatcher.request(toOptions(request, call, limits.idle)), call);
             call.interruption.clearTimeLimit();
-            return ok(toStream(request, response, call, { maximumUnreadBytes: maximumBodyBytes, heldBytes }));
+            return ok(toStream(request, response, call, { maximumUnreadBytes: maximumBodyBytes, memoryLimit }));
         }
         catch (cause) {
             endCall(call);
@@ -92,14 +92,14 @@
         };
     }
 
-    async function send(request: HttpRequest): Promise<Result<HttpAnswer, HttpFailure>> {
+    async function send(request: HttpRequest): Promise<Result<HttpResponse, HttpFailure>> {
         const total = request.timeouts?.total ?? timeouts.total;
         const totalLimit = createInterruption(request.signal);
         totalLimit.setTimeLimit(total);
         const opened = await open({ ...request, signal: totalLimit.signal });
         const response = opened.isOk ?
             await readWholeBody(opened.value, maximumBodyBytes) :
-            err<HttpAnswer, HttpFailure>(opened.error);
+            err<HttpResponse, HttpFailure>(opened.error);
         totalLimit.dispose();
         return response.mapErr(failure => totalLimit.timedOut() ? { ...failure, reason: "timeout" } : failure);
     }
@@ -133,7 +133,7 @@
     response: Dispatcher.ResponseData<CallState>,
     call: Call,
     limits: ReadAheadLimits,
-): HttpStream {
+): HttpStreamingResponse {
     const { body } = response;
     const head: HttpHead = { status: response.statusCode, headers: flattenHeaders(response.headers) };
     const framing = resolveFraming(request, head);
@@ -146,7 +146,7 @@
     return {
         ...head,
         framing,
-        heldBytes: limits.heldBytes,
+        memoryLimit: limits.memoryLimit,
         body: readParts(readAhead(body, limits), call, framing),
         discard: () => {
             body.destroy();
@@ -188,9 +188,9 @@
  * @returns the response; a failure if its body is incomplete or too large
  */
 export async function readWholeBody(
-    stream: HttpStream,
+    stream: HttpStreamingResponse,
     maximumBytes: number,
-): Promise<Result<HttpAnswer, HttpFailure>> {
+): Promise<Result<HttpResponse, HttpFailure>> {
     if (stream.framing === "length" && Number(stream.headers["content-length"]) > maximumBytes) {
         stream.discard();
         return err(describeTooLarge(`the response is larger than ${maximumBytes} bytes`));
@@ -198,7 +198,7 @@
     const parts: Uint8Array[] = [];
     let bytes = 0;
     let isEvicted = false;
-    const reservation = stream.heldBytes?.open(() => {
+    const reservation = stream.memoryLimit?.open(() => {
         isEvicted = true;
         stream.discard();
     });
--- a/src/node/httpClient/outcome.ts
+++ b/src/node/httpClient/outcome.ts
@@ -1,5 +1,5 @@
 import { createError, type ErrorCode, type GoldcrestpointError } from "../../types/index.js";
-import type { HttpAnswer, HttpFailure, HttpHead } from "./types.js";
+import type { HttpFailure, HttpHead, HttpResponse } from "./types.js";
 
 /** Response header with which an outside system states that it did not carry out the action: `x-executed: no`. */
 export const executedHeader = "x-executed";
@@ -53,7 +53,12 @@
  * @param response - the response
  * @returns the error; its message contains the beginning of the body
  */
-export function toStatusError(code: ErrorCode, step: string, peer: string, response: HttpAnswer): GoldcrestpointError {
+export function toStatusError(
+    code: ErrorCode,
+    step: string,
+    peer: string,
+    response: HttpResponse,
+): GoldcrestpointError {
     const text = Buffer.from(response.body).toString("utf8").slice(0, 200);
     return createError(code, step, peer, `answered with status ${response.status}: ${text}`, {
         mayHaveTakenEffect: !wasNotExecuted(response),
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -1,6 +1,6 @@
 import type { Result } from "true-myth/result";
 import type { Milliseconds } from "../../types/index.js";
-import type { HeldBytes } from "./heldBytes.js";
+import type { ResponseMemoryLimit } from "./heldBytes.js";
 
 /** Time limits of HTTP calls. */
 export interface HttpTimeouts {
@@ -27,7 +27,7 @@
     /** Most bytes of one response that are buffered, unread or as a whole body. Default: 67,108,864 bytes (64 MiB). */
     readonly maximumBodyBytes?: number | undefined;
     /** Memory limit that the responses share with those of other clients. Default: none. */
-    readonly heldBytes?: HeldBytes | undefined;
+    readonly memoryLimit?: ResponseMemoryLimit | undefined;
 }
 
 /** HTTP request. */
@@ -73,15 +73,15 @@
 }
 
 /** Response whose body was read into memory. */
-export interface HttpAnswer extends HttpHead {
+export interface HttpResponse extends HttpHead {
     readonly body: Uint8Array;
 }
 
 /** Response whose body has not been read. */
-export interface HttpStream extends HttpHead {
+export interface HttpStreamingResponse extends HttpHead {
     readonly framing: BodyFraming;
     /** Memory limit that this response shares with others; undefined if there is none. */
-    readonly heldBytes: HeldBytes | undefined;
+    readonly memoryLimit: ResponseMemoryLimit | undefined;
     /**
      * Parts of the body, to be iterated once. They are received even if they are not read. Throws an `Error` whose
      * `cause` is an {@link HttpFailure}.
@@ -101,12 +101,12 @@
      * @param request - the request
      * @returns the complete response, whatever its status
      */
-    send(request: HttpRequest): Promise<Result<HttpAnswer, HttpFailure>>;
+    send(request: HttpRequest): Promise<Result<HttpResponse, HttpFailure>>;
     /**
      * Sends a request and returns the response once its head has arrived.
      *
      * @param request - the request; its signal also ends the body
      * @returns the response, whatever its status
      */
-    open(request: HttpRequest): Promise<Result<HttpStream, HttpFailure>>;
+    open(request: HttpRequest): Promise<Result<HttpStreamingResponse, HttpFailure>>;
 }
--- a/src/node/platform/originClient.ts
+++ b/src/node/platform/originClient.ts
@@ -10,8 +10,8 @@
 } from "../../types/index.js";
 import {
     createHttpClient,
-    type HttpAnswer,
     type HttpClient,
+    type HttpResponse,
     type HttpTimeouts,
     parseJson,
     toReadError,
@@ -88,7 +88,7 @@
     path: string,
     step: string,
     signal?: AbortSignal,
-): PortResult<HttpAnswer> {
+): PortResult<HttpResponse> {
     const response = await client.send({ method: "GET", path, ...(signal === undefined ? {} : { signal }) });
     if (response.isErr) {
         return err(toReadError("ORIGIN_UNREACHABLE", step, client.peer, response.error));
@@ -102,7 +102,7 @@
 }
 
 function parseManifest(
-    response: HttpAnswer,
+    response: HttpResponse,
     step: string,
     peer: string,
     digest: ManifestDigest,
--- a/test/node/heldBytes.test.ts
+++ b/test/node/heldBytes.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { createServer } from "node:net";
 import { describe, it } from "node:test";
-import { createHeldBytes, createHttpClient, readWholeBody } from "../../src/node/httpClient/index.js";
+import { createHttpClient, createResponseMemoryLimit, readWholeBody } from "../../src/node/httpClient/index.js";
 import { createDisposalStack } from "../../src/utils/index.js";
 
 const maximumBytes = 1_000_000;
@@ -41,30 +41,30 @@
 
 describe("limit on the bytes of all responses", () => {
     it("aborts the largest response when it is exceeded", () => {
-        const held = createHeldBytes(100);
+        const limit = createResponseMemoryLimit(100);
         const givenUp: string[] = [];
-        const small = held.open(() => givenUp.push("small"));
-        const large = held.open(() => givenUp.push("large"));
+        const small = limit.open(() => givenUp.push("small"));
+        const large = limit.open(() => givenUp.push("large"));
         large.add(70);
         small.add(30);
         expect(givenUp).toEqual([]);
         small.add(1);
         expect(givenUp).toEqual(["large"]);
-        expect(held.total()).toEqual(31);
+        expect(limit.total()).toEqual(31);
         large.add(1_000);
         large.close();
         small.add(-31);
-        expect(held.total()).toEqual(0);
+        expect(limit.total()).toEqual(0);
     });
 
     // Guards against a process that runs out of memory although each response is within the limit for a single one.
     it("aborts endless responses, but not a complete one", async () => {
         await using server = await startServer();
-        const heldBytes = createHeldBytes(maximumBytes);
-        await using client = createHttpClient({ baseUrl: server.baseUrl, heldBytes });
+        const memoryLimit = createResponseMemoryLimit(maximumBytes);
+        await using client = createHttpClient({ baseUrl: server.baseUrl, memoryLimit });
         let most = 0;
         const timer = setInterval(() => {
-            most = Math.max(most, heldBytes.total());
+            most = Math.max(most, memoryLimit.total());
         }, 1);
         const read = async (path: string): Promise<string> => {
             const opened = await client.open({ method: "GET", path });
@@ -76,21 +76,21 @@
         expect(outcomes).toEqual(["too-large", completeBody, "too-large", "too-large"]);
         expect(most).toBeLessThanOrEqual(maximumBytes);
         expect(most).toBeGreaterThan(maximumBytes / 2);
-        expect(heldBytes.total()).toEqual(0);
+        expect(memoryLimit.total()).toEqual(0);
     });
 
     it("counts bytes that are not read", async () => {
         await using server = await startServer();
-        const heldBytes = createHeldBytes(maximumBytes);
-        await using client = createHttpClient({ baseUrl: server.baseUrl, heldBytes });
+        const memoryLimit = createResponseMemoryLimit(maximumBytes);
+        await using client = createHttpClient({ baseUrl: server.baseUrl, memoryLimit });
         const opened = await client.open({ method: "GET", path: "/unread" });
-        while (heldBytes.total() < maximumBytes / 2) {
+        while (memoryLimit.total() < maximumBytes / 2) {
             await new Promise(resolve => setTimeout(resolve, 1));
         }
         if (opened.isOk) {
             opened.value.discard();
         }
         await new Promise(resolve => setTimeout(resolve, 50));
-        expect(heldBytes.total()).toEqual(0);
+        expect(memoryLimit.total()).toEqual(0);
     });
 });
--- a/test/platform/endlessReads.test.ts
+++ b/test/platform/endlessReads.test.ts
@@ -4,7 +4,7 @@
 import { createEngineClient } from "../../platform/engineClient.js";
 import { createOriginClient } from "../../platform/originClient.js";
 import { createStoreClient } from "../../platform/storeClient.js";
-import { createHeldBytes } from "../../src/node/httpClient/index.js";
+import { createResponseMemoryLimit } from "../../src/node/httpClient/index.js";
 import { closeServer } from "./standIn/closeServer.js";
 
 const maximumBytes = 1_000_000;
@@ -37,14 +37,14 @@
     it("are aborted within the memory limit for all responses", async () => {
         await using server = await startEndlessServer();
         const { address } = server;
-        const heldBytes = createHeldBytes(maximumBytes);
-        await using engine = createEngineClient(address, heldBytes);
-        await using origin = createOriginClient(heldBytes);
-        await using store = createStoreClient({ address, heldBytes });
+        const memoryLimit = createResponseMemoryLimit(maximumBytes);
+        await using engine = createEngineClient(address, memoryLimit);
+        await using origin = createOriginClient(memoryLimit);
+        await using store = createStoreClient({ address, memoryLimit });
         origin.useAddress(address);
         let most = 0;
         const timer = setInterval(() => {
-            most = Math.max(most, heldBytes.total());
+            most = Math.max(most, memoryLimit.total());
         }, 1);
         const reads = await Promise.all([
             engine.readReport(),
@@ -56,6 +56,6 @@
         expect(reads.filter(({ isOk }) => isOk)).toEqual([]);
         expect(most).toBeLessThanOrEqual(maximumBytes);
         expect(most).toBeGreaterThan(0);
-        expect(heldBytes.total()).toEqual(0);
+        expect(memoryLimit.total()).toEqual(0);
     });
 });
