Rename the response to a heartbeat

RelayAnswer and onAnswer did not say what is answered; observeState registers metrics, and noteLogKnown records a time. They are HeartbeatResponse, onHeartbeatResponse, registerStateMetrics and recordLogKnown now. The compiler renamed every use; the syntax trees differ only in these names.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -16,7 +16,7 @@
 import { createDecisionLog, registerDecisionRoute } from "../logging/index.js";
 import { createMetrics, observeProcess } from "../metrics/index.js";
 import { createInstanceListClient, createLogClient, createOriginClient } from "../platform/index.js";
-import { createStateStore, observeState, startFollowerSet } from "../relay/index.js";
+import { createStateStore, registerStateMetrics, startFollowerSet } from "../relay/index.js";
 import type { AgentSettings } from "../settings/index.js";
 import { observeAgent } from "./agentMetrics.js";
 import type { AgentContext } from "./context.js";
@@ -131,7 +131,7 @@
             draining: copyController.draining,
             transfers: readTotals(transfer),
         }),
-        onAnswer: answer => hold.recordAnswer(answer),
+        onHeartbeatResponse: answer => hold.recordAnswer(answer),
         onInstances: rows => {
             rows.forEach(row => instances.set(row.instance, row));
             copyController.refreshAssignment();
@@ -172,7 +172,7 @@
     resources.use(httpServer.value);
     observeAgent(context.metrics, { executor, transfer, reports });
     observeProcess(context.metrics);
-    observeState(context.metrics, store, clock);
+    registerStateMetrics(context.metrics, store, clock);
 
     followOwnership(context);
     store.onChange(() => copyController.refreshAssignment());
--- a/src/node/agent/holdEvaluator.ts
+++ b/src/node/agent/holdEvaluator.ts
@@ -1,6 +1,6 @@
 import { evaluateHold, type HoldDecision, type WitnessAnswer } from "../../runtime/hold/index.js";
 import type { Clock, CopyAssignment, InstanceId, Milliseconds, Offset } from "../../types/index.js";
-import type { RelayAnswer, StateStore } from "../relay/index.js";
+import type { HeartbeatResponse, StateStore } from "../relay/index.js";
 
 /** Records the answers of witnesses and evaluates this instance's hold. */
 export interface HoldEvaluator {
@@ -9,7 +9,7 @@
      *
      * @param answer - the answer, whose records have been applied
      */
-    recordAnswer(answer: RelayAnswer): void;
+    recordAnswer(answer: HeartbeatResponse): void;
     /**
      * Evaluates the hold at the current time.
      *
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -16,7 +16,7 @@
     createRelayHandler,
     createStateStore,
     type FollowCall,
-    observeState,
+    registerStateMetrics,
     startFollowerSet,
 } from "../relay/index.js";
 import type { EntrySettings } from "../settings/index.js";
@@ -107,8 +107,8 @@
         maximumFollowed: settings.relay.parents,
         heartbeatMilliseconds: settings.relay.heartbeat,
         readContent: () => ({ copies: [], draining }),
-        onAnswer: answer => {
-            const { instance, sentAt, appliedOffset, uptime } = answer;
+        onHeartbeatResponse: response => {
+            const { instance, sentAt, appliedOffset, uptime } = response;
             context.witnesses.set(instance, { instance, heardAt: sentAt, appliedOffset, uptime });
         },
         onInstances: () => undefined,
@@ -139,7 +139,7 @@
     });
 
     observeProcess(context.metrics.registry);
-    observeState(context.metrics.registry, store, clock);
+    registerStateMetrics(context.metrics.registry, store, clock);
     const proposer = createPlacementProposer(context);
     let stateChanged = true;
     store.onChange(() => {
--- a/src/node/relay/follower.ts
+++ b/src/node/relay/follower.ts
@@ -27,7 +27,7 @@
 }
 
 /** Response of a relay to a heartbeat. */
-export interface RelayAnswer {
+export interface HeartbeatResponse {
     readonly instance: InstanceId;
     /** Monotonic time at which the heartbeat was sent. */
     readonly sentAt: Milliseconds;
@@ -45,7 +45,7 @@
     readonly clock: Clock;
     readonly startedAt: Milliseconds;
     readonly readContent: () => HeartbeatContent;
-    readonly onAnswer: (answer: RelayAnswer) => void;
+    readonly onHeartbeatResponse: (response: HeartbeatResponse) => void;
     readonly onInstances: (rows: readonly InstanceRow[]) => void;
     readonly onEnd: (reason: string) => void;
 }
@@ -129,9 +129,9 @@
         }
         sentAt.delete(answered);
         if (message.logAgeMilliseconds < unknownAge) {
-            store.noteLogKnown(answeredSentAt - Number(message.logAgeMilliseconds));
+            store.recordLogKnown(answeredSentAt - Number(message.logAgeMilliseconds));
         }
-        options.onAnswer({
+        options.onHeartbeatResponse({
             instance: message.instance,
             sentAt: answeredSentAt,
             appliedOffset: Number(message.appliedOffset),
--- a/src/node/relay/followerSet.ts
+++ b/src/node/relay/followerSet.ts
@@ -48,9 +48,9 @@
         const follower = createFollower({
             ...options,
             target,
-            onAnswer: answer => {
+            onHeartbeatResponse: response => {
                 heardAt = options.clock.monotonic();
-                options.onAnswer(answer);
+                options.onHeartbeatResponse(response);
             },
             onEnd: reason => {
                 followers.delete(target.instance);
--- a/src/node/relay/logReader.ts
+++ b/src/node/relay/logReader.ts
@@ -70,7 +70,7 @@
         }
         if (store.state.appliedOffset >= headOffset) {
             // The log read its head after the request was sent, so the time of sending is the safe lower bound.
-            store.noteLogKnown(startedAt);
+            store.recordLogKnown(startedAt);
         }
         return 0;
     }
--- a/src/node/relay/stateMetrics.ts
+++ b/src/node/relay/stateMetrics.ts
@@ -10,7 +10,7 @@
  * @param store - state of the process
  * @param clock - time source
  */
-export function observeState(metrics: Metrics, store: StateStore, clock: Clock): void {
+export function registerStateMetrics(metrics: Metrics, store: StateStore, clock: Clock): void {
     let changedAt = 0;
     store.onChange(() => {
         changedAt = clock.now().getTime();
--- a/src/node/relay/stateStore.ts
+++ b/src/node/relay/stateStore.ts
@@ -41,7 +41,7 @@
      *
      * @param at - monotonic time; ignored if it is not later than the recorded one
      */
-    noteLogKnown(at: Milliseconds): void;
+    recordLogKnown(at: Milliseconds): void;
     /**
      * Lists entries for a follower.
      *
@@ -162,7 +162,7 @@
             notify([]);
             return true;
         },
-        noteLogKnown: at => {
+        recordLogKnown: at => {
             if (logKnownAt === undefined || at > logKnownAt) {
                 logKnownAt = at;
             }
--- a/test/node/agent/copyController.test.ts
+++ b/test/node/agent/copyController.test.ts
@@ -62,7 +62,7 @@
     });
     let offset = 0;
     clock.advance(6_000);
-    store.noteLogKnown(6_000);
+    store.recordLogKnown(6_000);
     return {
         clock,
         engine,
--- a/test/node/entry/tables.test.ts
+++ b/test/node/entry/tables.test.ts
@@ -71,7 +71,7 @@
             clock.advance(5_000);
             recordHeartbeat(context, create(FollowRequestSchema, { instance: "agent-1", appliedOffset: 1n }));
             if (isLogRead) {
-                store.noteLogKnown(clock.monotonic());
+                store.recordLogKnown(clock.monotonic());
             }
             proposer.tick();
             await new Promise(resolve => setImmediate(resolve));
@@ -104,7 +104,7 @@
     it("proposes nothing if the log was never read or not recently", async () => {
         const entry = createEntry(() => ok(2));
         await entry.tick(false);
-        entry.context.store.noteLogKnown(0);
+        entry.context.store.recordLogKnown(0);
         await entry.tick(false);
         await entry.tick(false);
         expect(entry.appended.length).toEqual(1);
--- a/test/node/relay/follower.test.ts
+++ b/test/node/relay/follower.test.ts
@@ -9,7 +9,7 @@
     createStateStore,
     type FollowCall,
     type Follower,
-    type RelayAnswer,
+    type HeartbeatResponse,
     type StateStore,
 } from "../../../src/node/relay/index.js";
 import { createInstanceTable } from "../../../src/runtime/placement/index.js";
@@ -30,7 +30,7 @@
 function startFollower(address: string, store: StateStore = createStateStore()) {
     const clock = createManualClock();
     clock.advance(100_000);
-    const answers: RelayAnswer[] = [];
+    const answers: HeartbeatResponse[] = [];
     const ends: string[] = [];
     const follower: Follower = createFollower({
         self: "agent-1",
@@ -40,7 +40,7 @@
         clock,
         startedAt: 0,
         readContent: () => ({ copies: [], draining: false }),
-        onAnswer: answer => answers.push(answer),
+        onHeartbeatResponse: answer => answers.push(answer),
         onInstances: () => undefined,
         onEnd: reason => ends.push(reason),
     });
@@ -217,7 +217,7 @@
         clock.advance(50_000);
         const source = createStateStore();
         source.applyEntries(createEntries(1, 2));
-        source.noteLogKnown(49_000);
+        source.recordLogKnown(49_000);
         const heard: string[] = [];
         const relay = createRelayHandler({
             self: "entry-1",
--- a/test/node/relay/stateStore.test.ts
+++ b/test/node/relay/stateStore.test.ts
@@ -83,8 +83,8 @@
     it("never moves back the time at which the state was complete", () => {
         const store = createStateStore();
         expect(store.ready).toEqual(false);
-        store.noteLogKnown(100);
-        store.noteLogKnown(50);
+        store.recordLogKnown(100);
+        store.recordLogKnown(50);
         expect([store.ready, store.logKnownAt]).toEqual([true, 100]);
     });
 });
