Say that the era of the log is recorded

noteEra records the era; the other functions of this kind say record. It is recordEra now. The compiler renamed every use; the syntax trees differ only in this name.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -109,7 +109,7 @@
         clock,
         logger,
     );
-    log.onEra?.(store.noteEra);
+    log.onEra?.(store.recordEra);
     const notices = createServerNotices({
         clock,
         logger,
--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -100,7 +100,7 @@
         }
         const pageEra = page.value.era ?? 0;
         if (pageEra < store.newestEra() || (!complete && pageEra !== era)) {
-            store.noteEra(pageEra);
+            store.recordEra(pageEra);
             return createError("LOG_RESTORED", `read records of ${topic}`, "log", `era ${pageEra}, expected ${era}`);
         }
         hasReadTopic = true;
--- a/src/node/replica/recordStore.ts
+++ b/src/node/replica/recordStore.ts
@@ -51,7 +51,7 @@
      *
      * @param era - the era; 0 if none is stated
      */
-    readonly noteEra: (era: LogEra) => void;
+    readonly recordEra: (era: LogEra) => void;
     /** Registers a listener that is called when a higher era is stated. */
     onEra(listener: () => void): void;
     /**
@@ -78,7 +78,7 @@
     const restoreListeners: ((topic: KeyedTopic) => void)[] = [];
     let newestEra: LogEra = 0;
 
-    function noteEra(era: LogEra): void {
+    function recordEra(era: LogEra): void {
         if (era > newestEra) {
             newestEra = era;
             eraListeners.forEach(listener => listener());
@@ -107,7 +107,7 @@
         relayedCurrentAt: topic => relayedCurrentAt.get(topic),
         onChange: listener => void listeners.push(listener),
         newestEra: () => newestEra,
-        noteEra,
+        recordEra,
         onEra: listener => void eraListeners.push(listener),
         onRestored: listener => void restoreListeners.push(listener),
         receive: received => {
@@ -125,7 +125,7 @@
             if (knownAt !== undefined && known.era > era) {
                 reportRestore(received, era);
             }
-            noteEra(page.era ?? 0);
+            recordEra(page.era ?? 0);
             if (changed.length > 0) {
                 logger.info(
                     {
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -82,7 +82,7 @@
     const { clock, decoder, random } = ports;
     const { gateway, instance, replica, weightAgent } = settings;
     const store = createRecordStore(["backend-servers", "instances", "weight-sources"], clock, logger);
-    ports.log.onEra?.(store.noteEra);
+    ports.log.onEra?.(store.recordEra);
     const servers = new Map<string, ListedBackendServer>();
     let imported = false;
 
