Rename two functions that start or check a daemon

createRelaySilence returns a check, and "owned" did not say that disposing of the daemon releases its resources. They are createRelaySilenceCheck and startDisposableDaemon now.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -10,7 +10,7 @@
 import type { BackendServerPort, GoldcrestpointError } from "../../types/index.js";
 import { createDisposalStack, createSystemClock, createSystemRandom } from "../../utils/index.js";
 import { createBackendServerClient } from "../backendServer/index.js";
-import { createRelaySilence, listRelayTargets, startPlatformReaders, waitUntilIdle } from "../daemon/index.js";
+import { createRelaySilenceCheck, listRelayTargets, startPlatformReaders, waitUntilIdle } from "../daemon/index.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { registerStatusRoutes, sendJson, startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog, registerDecisionRoute } from "../logging/index.js";
@@ -147,8 +147,8 @@
         list,
         store,
         instances,
-        shouldReadLog: createRelaySilence({ ...silence, jitter: relay.directReadJitter }),
-        shouldReadList: createRelaySilence({ ...silence, jitter: 0 }),
+        shouldReadLog: createRelaySilenceCheck({ ...silence, jitter: relay.directReadJitter }),
+        shouldReadList: createRelaySilenceCheck({ ...silence, jitter: 0 }),
         onInstances: () => copyController.refreshAssignment(),
     });
 
--- a/src/node/daemon/relaySilence.ts
+++ b/src/node/daemon/relaySilence.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds, RandomSource } from "../../types/index.js";
 
-/** Options of {@link createRelaySilence}. */
+/** Options of {@link createRelaySilenceCheck}. */
 export interface RelaySilenceOptions {
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -22,7 +22,7 @@
  * @returns function that tells whether the relays are silent now; before the first response only the jitter applies,
  * counted from this call
  */
-export function createRelaySilence(options: RelaySilenceOptions): () => boolean {
+export function createRelaySilenceCheck(options: RelaySilenceOptions): () => boolean {
     const { clock, silentAfter } = options;
     const startedAt = clock.monotonic();
     const delay = options.random.next() * options.jitter;
--- a/src/node/daemon/startOwned.ts
+++ b/src/node/daemon/startOwned.ts
@@ -8,7 +8,7 @@
  * @param assemble - acquires resources on the stack and returns the daemon's interface
  * @returns the daemon; disposing of it releases its resources
  */
-export async function startOwned<Daemon extends object>(
+export async function startDisposableDaemon<Daemon extends object>(
     assemble: (stack: DisposalStack) => Promise<Result<Daemon, GoldcrestpointError>>,
 ): Promise<Result<Daemon & AsyncDisposable, GoldcrestpointError>> {
     await using stack = createDisposalStack();
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -6,7 +6,7 @@
 import { createRetryBudget, createSuspectTable } from "../../runtime/retry/index.js";
 import type { GoldcrestpointError, InstanceRow } from "../../types/index.js";
 import { createDisposalStack, createSystemClock, createSystemRandom, createTable } from "../../utils/index.js";
-import { createRelaySilence, listRelayTargets, startPlatformReaders, waitUntilIdle } from "../daemon/index.js";
+import { createRelaySilenceCheck, listRelayTargets, startPlatformReaders, waitUntilIdle } from "../daemon/index.js";
 import { relayServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
@@ -113,7 +113,7 @@
         },
         onInstances: () => undefined,
     }));
-    const areRelaysSilent = createRelaySilence({
+    const areRelaysSilent = createRelaySilenceCheck({
         clock,
         random,
         readHeardAt: () => followers.heardAt,
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -10,7 +10,7 @@
 } from "../../types/index.js";
 import { type DisposalStack, sleep } from "../../utils/index.js";
 import type { DrainableDaemon } from "../daemon/runDaemon.js";
-import { startOwned } from "../daemon/startOwned.js";
+import { startDisposableDaemon } from "../daemon/startOwned.js";
 import { replicaServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
@@ -80,7 +80,7 @@
     ports: GatewayPorts,
     logger: Logger,
 ): Promise<Result<Gateway, GoldcrestpointError>> {
-    return startOwned(stack => assemble(settings, ports, logger, stack));
+    return startDisposableDaemon(stack => assemble(settings, ports, logger, stack));
 }
 
 async function assemble(
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -15,7 +15,7 @@
 import { type DisposalStack, sleep } from "../../utils/index.js";
 import { createLinkBudget, createTransferService } from "../agent/transfer/index.js";
 import type { DrainableDaemon } from "../daemon/runDaemon.js";
-import { startOwned } from "../daemon/startOwned.js";
+import { startDisposableDaemon } from "../daemon/startOwned.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { splitAddress } from "../httpServer/index.js";
 import { createRecordStore, createRelayFollowers } from "../replica/index.js";
@@ -70,7 +70,7 @@
     ports: WeightAgentPorts,
     logger: Logger,
 ): Promise<Result<DrainableDaemon, GoldcrestpointError>> {
-    return startOwned(stack => assemble(settings, ports, logger, stack));
+    return startDisposableDaemon(stack => assemble(settings, ports, logger, stack));
 }
 
 async function assemble(
--- a/test/node/daemon/relaySilence.test.ts
+++ b/test/node/daemon/relaySilence.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { createRelaySilence } from "../../../src/node/daemon/index.js";
+import { createRelaySilenceCheck } from "../../../src/node/daemon/index.js";
 import { createManualClock } from "../../../src/utils/index.js";
 
 describe("silence of the relays", () => {
@@ -14,7 +14,7 @@
         // Guards against agents that all start to read the log at the moment at which their relays fail.
         it(`begins at ${silentFrom} ms ${name}`, () => {
             const clock = createManualClock();
-            const isSilent = createRelaySilence({
+            const isSilent = createRelaySilenceCheck({
                 clock,
                 random: { next: () => random },
                 readHeardAt: () => heardAt,
