Use the usual terms in the HTTP server

A response is aborted, not broken off, and the status routes list the reasons why a process is not ready. The names are abortResponse and listUnreadyReasons now. The compiler renamed every use; the syntax trees differ only in these names.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -237,7 +237,7 @@
     });
     registerDecisionRoute(router, context.decisions);
     registerStatusRoutes(router, {
-        readUnreadiness: () => copyController.readServing().serving ? [] : [`the copy is ${copyController.phase}`],
+        listUnreadyReasons: () => copyController.readServing().serving ? [] : [`the copy is ${copyController.phase}`],
         renderMetrics: () => context.metrics.render(),
     });
     return router;
--- a/src/node/entry/httpRoutes.ts
+++ b/src/node/entry/httpRoutes.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Result } from "true-myth/result";
 import type { Refusal } from "../../types/index.js";
-import { breakOffAnswer, type HttpRouter, readBody, registerStatusRoutes, sendJson } from "../httpServer/index.js";
+import { abortResponse, type HttpRouter, readBody, registerStatusRoutes, sendJson } from "../httpServer/index.js";
 import { registerDecisionRoute } from "../logging/index.js";
 import { parseCompletionRequest, parseServiceRequest } from "./callerRequest.js";
 import type { EntryContext } from "./context.js";
@@ -75,7 +75,7 @@
     function startRequest(message: IncomingMessage, response: ServerResponse, parseRequest: ParseRequest): void {
         handleRequest(message, response, parseRequest).catch((error: unknown) => {
             context.logger.error({ error: String(error) }, "request failed unexpectedly");
-            breakOffAnswer(response);
+            abortResponse(response);
         });
     }
 
@@ -96,7 +96,7 @@
     });
     registerDecisionRoute(router, context.decisions);
     registerStatusRoutes(router, {
-        readUnreadiness: () => listUnreadyReasons(context, options),
+        listUnreadyReasons: () => listUnreadyReasons(context, options),
         renderMetrics: () => context.metrics.registry.render(),
     });
     return router;
--- a/src/node/entry/httpSink.ts
+++ b/src/node/entry/httpSink.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { ResponseStart } from "../../generated/goldcrestpoint_pb.js";
 import type { Refusal, RefusalReason } from "../../types/index.js";
-import { breakOffAnswer, sendJson } from "../httpServer/index.js";
+import { abortResponse, sendJson } from "../httpServer/index.js";
 import type { AttemptSink } from "./attempt.js";
 import type { ResponseSink } from "./requestPipeline.js";
 
@@ -91,7 +91,7 @@
             response.end(`event: error\ndata: ${JSON.stringify({ error: describeRefusal(refusal, requestId) })}\n\n`);
             return;
         }
-        breakOffAnswer(response);
+        abortResponse(response);
     }
 
     return {
--- a/src/node/gateway/callerAnswer.ts
+++ b/src/node/gateway/callerAnswer.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { HeaderTable, Refusal } from "../../types/index.js";
-import { breakOffAnswer, copyEndToEndHeaders } from "../httpServer/index.js";
+import { abortResponse, copyEndToEndHeaders } from "../httpServer/index.js";
 import type { BufferedAnswer } from "./types.js";
 
 /** Headers that the gateway sets itself instead of copying them from the backend server. */
@@ -94,7 +94,7 @@
             response.end();
         },
         abort: () => {
-            breakOffAnswer(response);
+            abortResponse(response);
         },
     };
 }
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -21,7 +21,7 @@
     type RouteRow,
 } from "../../types/index.js";
 import { hasUndecodedTransferCoding } from "../httpClient/index.js";
-import { breakOffAnswer, readBody, splitAddress } from "../httpServer/index.js";
+import { abortResponse, readBody, splitAddress } from "../httpServer/index.js";
 import { type GatewayStatus, sendGatewayAnswer } from "./callerAnswer.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { createPollQueue } from "./pollQueue.js";
@@ -283,7 +283,7 @@
             handle(incoming, response).catch((error: unknown) => {
                 const detail = error instanceof Error ? error.stack ?? error.message : String(error);
                 input.logRejected({ reason: "internal", detail, path: incoming.url });
-                breakOffAnswer(response);
+                abortResponse(response);
             });
         },
     );
@@ -311,7 +311,7 @@
                 countOpen: () => open.size,
                 [Symbol.asyncDispose]: () => {
                     server.close();
-                    open.forEach(breakOffAnswer);
+                    open.forEach(abortResponse);
                     server.closeAllConnections();
                     return Promise.resolve();
                 },
--- a/src/node/httpServer/responses.ts
+++ b/src/node/httpServer/responses.ts
@@ -24,7 +24,7 @@
  *
  * @param response - response that cannot be completed
  */
-export function breakOffAnswer(response: ServerResponse): void {
+export function abortResponse(response: ServerResponse): void {
     if (response.headersSent && !response.chunkedEncoding) {
         response.socket?.resetAndDestroy();
     }
--- a/src/node/httpServer/statusRoutes.ts
+++ b/src/node/httpServer/statusRoutes.ts
@@ -4,7 +4,7 @@
 /** Source of the responses of a daemon's status routes. */
 export interface StatusSource {
     /** Reasons why the daemon is not ready; empty if it is. */
-    readonly readUnreadiness: () => readonly string[];
+    readonly listUnreadyReasons: () => readonly string[];
     /** Metrics in the Prometheus text format. */
     readonly renderMetrics: () => string;
 }
@@ -19,7 +19,7 @@
 export function registerStatusRoutes(router: HttpRouter, source: StatusSource): void {
     router.on("GET", "/health", (...[, response]) => sendJson(response, 200, { healthy: true }));
     router.on("GET", "/ready", (...[, response]) => {
-        const reasons = source.readUnreadiness();
+        const reasons = source.listUnreadyReasons();
         sendJson(response, reasons.length === 0 ? 200 : 503, { ready: reasons.length === 0, reasons });
     });
     router.on("GET", "/metrics", (...[, response]) => {
--- a/test/node/httpServer/breakOffAnswer.test.ts
+++ b/test/node/httpServer/breakOffAnswer.test.ts
@@ -2,7 +2,7 @@
 import { createServer, type ServerResponse } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { describe, it } from "node:test";
-import { breakOffAnswer } from "../../../src/node/httpServer/index.js";
+import { abortResponse } from "../../../src/node/httpServer/index.js";
 
 type Version = "1.0" | "1.1";
 
@@ -34,17 +34,17 @@
 
 describe("aborted response", () => {
     it("resets the connection if only its end marks the end of the response", async () => {
-        const [text, wasReset] = await receive("1.0", response => sendPart(response, () => breakOffAnswer(response)));
+        const [text, wasReset] = await receive("1.0", response => sendPart(response, () => abortResponse(response)));
         expect([text.endsWith("part"), wasReset]).toEqual([true, true]);
     });
 
     it("closes the connection gracefully if the last chunk is missing", async () => {
-        const [text, wasReset] = await receive("1.1", response => sendPart(response, () => breakOffAnswer(response)));
+        const [text, wasReset] = await receive("1.1", response => sendPart(response, () => abortResponse(response)));
         expect([text.endsWith("part\r\n"), wasReset]).toEqual([true, false]);
     });
 
     it("closes the connection gracefully if no head was sent", async () => {
-        expect(await receive("1.0", breakOffAnswer)).toEqual(["", false]);
+        expect(await receive("1.0", abortResponse)).toEqual(["", false]);
     });
 
     it("differs from a complete response, which does not reset the connection", async () => {
