Say that gauges are registered

In Prometheus clients "observe" records a value of a histogram; here it registered a gauge that a callback reads. The names are registerGauge and registerProcessMetrics now; names and texts of the metrics stay. The compiler renamed every use; the syntax trees differ only in these names.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -14,7 +14,7 @@
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { registerStatusRoutes, sendJson, startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog, registerDecisionRoute } from "../logging/index.js";
-import { createMetrics, observeProcess } from "../metrics/index.js";
+import { createMetrics, registerProcessMetrics } from "../metrics/index.js";
 import { createInstanceListClient, createLogClient, createOriginClient } from "../platform/index.js";
 import { createStateStore, registerStateMetrics, startFollowerSet } from "../relay/index.js";
 import type { AgentSettings } from "../settings/index.js";
@@ -171,7 +171,7 @@
     }
     resources.use(httpServer.value);
     observeAgent(context.metrics, { executor, transfer, reports });
-    observeProcess(context.metrics);
+    registerProcessMetrics(context.metrics);
     registerStateMetrics(context.metrics, store, clock);
 
     followOwnership(context);
--- a/src/node/agent/agentMetrics.ts
+++ b/src/node/agent/agentMetrics.ts
@@ -29,6 +29,6 @@
         ["chunks_total", "Chunks of the assigned set.", () => transfer.progress()?.chunksTotal ?? 0],
     ];
     for (const [name, documentation, read] of gauges) {
-        metrics.observe({ name: `goldcrestpoint_${name}`, documentation }, read);
+        metrics.registerGauge({ name: `goldcrestpoint_${name}`, documentation }, read);
     }
 }
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -10,7 +10,7 @@
 import { relayServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
-import { observeProcess } from "../metrics/index.js";
+import { registerProcessMetrics } from "../metrics/index.js";
 import { createInstanceListClient, createLogClient } from "../platform/index.js";
 import {
     createRelayHandler,
@@ -138,7 +138,7 @@
         },
     });
 
-    observeProcess(context.metrics.registry);
+    registerProcessMetrics(context.metrics.registry);
     registerStateMetrics(context.metrics.registry, store, clock);
     const proposer = createPlacementProposer(context);
     let stateChanged = true;
--- a/src/node/gateway/crashContainment.ts
+++ b/src/node/gateway/crashContainment.ts
@@ -48,7 +48,7 @@
 export function createCrashContainment(input: CrashContainmentInput): CrashContainment {
     const { clock, gatewayMetrics, log, logger, options, settleTime, store } = input;
     const crashEvidence = createCrashEvidenceStore({ options, clock, logger });
-    input.metrics.observe(
+    input.metrics.registerGauge(
         {
             name: "goldcrestpoint_gateway_condemned_requests",
             documentation: "Requests that are refused because they crash backend servers.",
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -14,7 +14,7 @@
 import { replicaServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
-import { createMetrics, observeProcess } from "../metrics/index.js";
+import { createMetrics, registerProcessMetrics } from "../metrics/index.js";
 import {
     createRecordRelay,
     createRecordStore,
@@ -95,7 +95,7 @@
     const ended = new AbortController();
     stack.defer(() => ended.abort());
     const metrics = createMetrics({ clock });
-    observeProcess(metrics);
+    registerProcessMetrics(metrics);
     const gatewayMetrics = createGatewayMetrics(metrics);
     const decisions = createDecisionLog({
         logger,
--- a/src/node/metrics/metrics.ts
+++ b/src/node/metrics/metrics.ts
@@ -40,7 +40,7 @@
      * @param description - name and meaning
      * @param read - returns the value
      */
-    observe(description: MetricDescription, read: () => number): void;
+    registerGauge(description: MetricDescription, read: () => number): void;
     createHistogram(description: MetricDescription): Histogram;
     /** @returns all metrics in the Prometheus text format, version 0.0.4 */
     render(): string;
@@ -159,7 +159,7 @@
                 remove: labels => series.remove(labels),
             };
         },
-        observe: (description, read) => {
+        registerGauge: (description, read) => {
             renderers.push(() => [...renderHeader(description, "gauge"), `${description.name} ${read()}`]);
         },
         createHistogram: description => {
--- a/src/node/metrics/processMetrics.ts
+++ b/src/node/metrics/processMetrics.ts
@@ -7,8 +7,8 @@
  *
  * @param metrics - metrics of the process
  */
-export function observeProcess(metrics: Metrics): void {
-    metrics.observe(
+export function registerProcessMetrics(metrics: Metrics): void {
+    metrics.registerGauge(
         {
             name: "goldcrestpoint_process_cpu_seconds_total",
             documentation: "Processor time of the process, user and system.",
@@ -18,7 +18,7 @@
             return (user + system) / microsecondsPerSecond;
         },
     );
-    metrics.observe(
+    metrics.registerGauge(
         { name: "goldcrestpoint_process_resident_bytes", documentation: "Resident memory of the process." },
         () => process.memoryUsage.rss(),
     );
--- a/src/node/relay/stateMetrics.ts
+++ b/src/node/relay/stateMetrics.ts
@@ -15,11 +15,11 @@
     store.onChange(() => {
         changedAt = clock.now().getTime();
     });
-    metrics.observe(
+    metrics.registerGauge(
         { name: "goldcrestpoint_applied_offset", documentation: "Offset of the newest applied log record." },
         () => store.state.appliedOffset,
     );
-    metrics.observe(
+    metrics.registerGauge(
         {
             name: "goldcrestpoint_state_changed_seconds",
             documentation: "Unix time of the newest change of the state that the log describes.",
--- a/test/node/metrics/metrics.test.ts
+++ b/test/node/metrics/metrics.test.ts
@@ -11,7 +11,7 @@
         requests.add(2, { deployment: "say \"hi\"\\" });
         requests.add();
         metrics.createGauge({ name: "copies", documentation: "Copies." }).set(3, { zone: "a", deployment: "b" });
-        metrics.observe({ name: "log_age_seconds", documentation: "Age of the log." }, () => 1.5);
+        metrics.registerGauge({ name: "log_age_seconds", documentation: "Age of the log." }, () => 1.5);
         expect(metrics.render()).toEqual(
             [
                 "# HELP requests_total Requests.\\nAll of them.",
