Rename three functions of the agent after what they do

observeAgent registers metrics, followOwnership records changes of owners, and discardHeld resets the held chunks. They are registerAgentMetrics, recordOwnershipChanges and resetHeldChunks now; ObservedParts is AgentMetricsSources. The compiler renamed every use; the syntax trees differ only in these names.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -18,14 +18,14 @@
 import { createInstanceListClient, createLogClient, createOriginClient } from "../platform/index.js";
 import { createStateStore, registerStateMetrics, startFollowerSet } from "../relay/index.js";
 import type { AgentSettings } from "../settings/index.js";
-import { observeAgent } from "./agentMetrics.js";
+import { registerAgentMetrics } from "./agentMetrics.js";
 import type { AgentContext } from "./context.js";
 import { type CopyController, createCopyController } from "./copyController.js";
 import { createExecutor, type Executor } from "./executor.js";
 import type { ExecuteCall } from "./frames.js";
 import { createHoldEvaluator } from "./holdEvaluator.js";
 import { startLoadReports, type WatchLoadCall } from "./loadReports.js";
-import { followOwnership } from "./ownershipRecorder.js";
+import { recordOwnershipChanges } from "./ownershipRecorder.js";
 import { createLinkBudget, createTransferService, type TransferService } from "./transfer/index.js";
 
 /** Running agent. */
@@ -170,11 +170,11 @@
         return err(httpServer.error);
     }
     resources.use(httpServer.value);
-    observeAgent(context.metrics, { executor, transfer, reports });
+    registerAgentMetrics(context.metrics, { executor, transfer, reports });
     registerProcessMetrics(context.metrics);
     registerStateMetrics(context.metrics, store, clock);
 
-    followOwnership(context);
+    recordOwnershipChanges(context);
     store.onChange(() => copyController.refreshAssignment());
     const timer = setInterval(() => {
         executor.expire();
--- a/src/node/agent/agentMetrics.ts
+++ b/src/node/agent/agentMetrics.ts
@@ -4,7 +4,7 @@
 import type { TransferService } from "./transfer/index.js";
 
 /** Parts of an agent that its metrics are read from. */
-export interface ObservedParts {
+export interface AgentMetricsSources {
     readonly executor: Executor;
     readonly transfer: TransferService;
     readonly reports: LoadReports;
@@ -16,7 +16,7 @@
  * @param metrics - metrics of the process
  * @param parts - parts that the values are read from
  */
-export function observeAgent(metrics: Metrics, parts: ObservedParts): void {
+export function registerAgentMetrics(metrics: Metrics, parts: AgentMetricsSources): void {
     const { executor, reports, transfer } = parts;
     const gauges: readonly (readonly [name: string, documentation: string, read: () => number])[] = [
         ["requests_in_progress", "Requests in progress on the backend server.", () => executor.running],
--- a/src/node/agent/ownershipRecorder.ts
+++ b/src/node/agent/ownershipRecorder.ts
@@ -7,7 +7,7 @@
  *
  * @param context - state of the agent; its `ownership` is updated
  */
-export function followOwnership(context: AgentContext): void {
+export function recordOwnershipChanges(context: AgentContext): void {
     const { clock, ownership, self, startedAt, store } = context;
     let { appliedOffset } = store.state;
 
--- a/src/node/agent/transfer/engineSync.ts
+++ b/src/node/agent/transfer/engineSync.ts
@@ -2,7 +2,7 @@
 import type { EngineState, ManifestDigest, Milliseconds, StagedSet } from "../../../types/index.js";
 import { computeBackoff, type TransferContext } from "./context.js";
 import { logCompletion } from "./downloads.js";
-import { discardHeld, type WeightSetState } from "./weightSetState.js";
+import { resetHeldChunks, type WeightSetState } from "./weightSetState.js";
 
 /** Synchronizes the bitfields of the sets with the chunks that are staged in the engine. */
 export interface EngineSync {
@@ -41,7 +41,7 @@
         if (incarnation !== state.value.incarnation) {
             incarnation = state.value.incarnation;
             for (const set of context.sets.values()) {
-                discardHeld(set);
+                resetHeldChunks(set);
             }
         }
         for (const [set, held] of heldBefore) {
@@ -61,7 +61,7 @@
         const staged = state.staged.find(({ manifestDigest }) => manifestDigest === set.manifestDigest);
         if (staged === undefined) {
             if (set.prepared) {
-                discardHeld(set);
+                resetHeldChunks(set);
             }
             set.prepared = !context.settings.waitForPreparedSet;
             return;
--- a/src/node/agent/transfer/weightSetState.ts
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -155,7 +155,7 @@
  *
  * @param state - changed in place
  */
-export function discardHeld(state: WeightSetState): void {
+export function resetHeldChunks(state: WeightSetState): void {
     state.generation++;
     state.prepared = false;
     state.completeLogged = false;
--- a/test/node/agent/ownershipRecorder.test.ts
+++ b/test/node/agent/ownershipRecorder.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { AgentContext } from "../../../src/node/agent/context.js";
-import { followOwnership } from "../../../src/node/agent/ownershipRecorder.js";
+import { recordOwnershipChanges } from "../../../src/node/agent/ownershipRecorder.js";
 import { createStateStore } from "../../../src/node/relay/index.js";
 import {
     createIdempotencyKey,
@@ -35,7 +35,7 @@
             const store = createStateStore();
             const peer = createStateStore();
             const context = { self: "agent-1", clock, startedAt: 0, store, ownership: new Map() };
-            followOwnership(context as unknown as AgentContext);
+            recordOwnershipChanges(context as unknown as AgentContext);
             const entries = [
                 ...createEntries(1, 1, owned),
                 ...createEntries(2, 3, between),
