Call the default of a setting its default value

The field initial holds the default of a key, which the other functions call defaultValue; nameEnvironmentVariable returns a name. They are defaultValue and getEnvironmentVariableName now. Keys, defaults and the generated documentation stay.

--- a/src/node/declaration/parseDeclaration.ts
+++ b/src/node/declaration/parseDeclaration.ts
@@ -5,7 +5,7 @@
 import { type DeclarationFile, version2Defaults, type Version2Fields } from "./declarationFile.js";
 
 const deploymentKeys = {
-    schema: defineInteger({ minimum: 1, maximum: 2, initial: 2, documentation: "Schema version of the file." }),
+    schema: defineInteger({ minimum: 1, maximum: 2, defaultValue: 2, documentation: "Schema version of the file." }),
     name: defineText("name", "unnamed", "Name of the deployment."),
     kind: defineChoice(["model", "service"], "A model that needs weights, or a plain service."),
     model: defineText("name", "unnamed", "Name of the model."),
@@ -13,7 +13,7 @@
     version: defineText("name", "unnamed", "Version of model and adapter."),
     pool: defineText("name", "unnamed", "Pool of instances. Default: the deployment's name."),
     objective: defineChoice(["time", "origin-bytes"], "What the distribution of weights minimizes."),
-    priority: defineInteger({ minimum: 0, maximum: 9, initial: 5, documentation: "0 (lowest) to 9 (highest)." }),
+    priority: defineInteger({ minimum: 0, maximum: 9, defaultValue: 5, documentation: "0 (lowest) to 9 (highest)." }),
     updateStrategy: defineChoice(["in-place", "rolling"], "How instances move to a new version."),
 } as const;
 
@@ -23,7 +23,7 @@
 const replicaCountDefinition = defineInteger({
     minimum: 0,
     maximum: 10_000,
-    initial: 0,
+    defaultValue: 0,
     documentation: "Wanted number of copies.",
 });
 const zoneNameDefinition = defineText("name", "unnamed", "Name of an availability zone.");
--- a/src/node/settings/daemonSections.ts
+++ b/src/node/settings/daemonSections.ts
@@ -32,7 +32,7 @@
         drainTimeLimitSeconds: defineDuration("drainTimeLimit", "Seconds", {
             minimum: 0,
             maximum: 3_600,
-            initial: 120,
+            defaultValue: 120,
             documentation: "Maximum time after SIGTERM for requests in progress to finish.",
         }),
     },
@@ -44,25 +44,25 @@
         requestTimeLimitMilliseconds: defineDuration("requestTimeLimit", "Milliseconds", {
             minimum: 10,
             maximum: 60_000,
-            initial: 3_000,
+            defaultValue: 3_000,
             documentation: "Timeout of a call to the log, the instance list or the weight store.",
         }),
         chunkTimeLimitMilliseconds: defineDuration("chunkTimeLimit", "Milliseconds", {
             minimum: 10,
             maximum: 600_000,
-            initial: 30_000,
+            defaultValue: 30_000,
             documentation: "Timeout of the transfer of a chunk from the origin.",
         }),
         logWaitMilliseconds: defineDuration("logWait", "Milliseconds", {
             minimum: 0,
             maximum: 60_000,
-            initial: 1_000,
+            defaultValue: 1_000,
             documentation: "Maximum time that a read of the log waits for a new record.",
         }),
         instanceListIntervalMilliseconds: defineDuration("instanceListInterval", "Milliseconds", {
             minimum: 50,
             maximum: 60_000,
-            initial: 1_000,
+            defaultValue: 1_000,
             documentation: "Time between two reads of the instance list.",
         }),
     },
@@ -75,39 +75,39 @@
         parents: defineInteger({
             minimum: 1,
             maximum: 8,
-            initial: 3,
+            defaultValue: 3,
             documentation: "Number of entry instances that a process follows at the same time.",
         }),
         tickMilliseconds: defineDuration("tick", "Milliseconds", {
             minimum: 5,
             maximum: 5_000,
-            initial: 100,
+            defaultValue: 100,
             documentation: "Time between two ticks: runs of the periodic tasks of a daemon.",
         }),
         heartbeatMilliseconds: defineDuration("heartbeat", "Milliseconds", {
             minimum: 10,
             maximum: 10_000,
-            initial: 1_000,
+            defaultValue: 1_000,
             documentation:
                 "Time between two reports of an agent, and between two messages of a relay while no record changes.",
         }),
         silentAfterMilliseconds: defineDuration("silentAfter", "Milliseconds", {
             minimum: 50,
             maximum: 60_000,
-            initial: 4_000,
+            defaultValue: 4_000,
             documentation:
                 "Time without a message after which another relay, or the log itself, is read instead of a relay.",
         }),
         reconnectMilliseconds: defineDuration("reconnect", "Milliseconds", {
             minimum: 10,
             maximum: 60_000,
-            initial: 500,
+            defaultValue: 500,
             documentation: "Mean delay before a lost connection is opened again; the actual delay has jitter.",
         }),
         directReadJitterMilliseconds: defineDuration("directReadJitter", "Milliseconds", {
             minimum: 0,
             maximum: 60_000,
-            initial: 3_000,
+            defaultValue: 3_000,
             documentation: "Maximum random delay before the log is read directly when no relay responds.",
         }),
     },
@@ -115,13 +115,13 @@
         holdSeconds: defineDuration("duration", "Seconds", {
             minimum: 0.5,
             maximum: 600,
-            initial: 20,
+            defaultValue: 20,
             documentation: "Time for which a hold on a copy lasts without renewal.",
         }),
         marginSeconds: defineDuration("margin", "Seconds", {
             minimum: 0.1,
             maximum: 120,
-            initial: 5,
+            defaultValue: 5,
             documentation:
                 "Time added to the hold duration before a copy is replaced, since clocks run at different rates.",
         }),
@@ -136,19 +136,19 @@
         orderTimeLimitMilliseconds: defineDuration("orderTimeLimit", "Milliseconds", {
             minimum: 50,
             maximum: 120_000,
-            initial: 5_000,
+            defaultValue: 5_000,
             documentation: "Maximum time between sending an order and its arrival at the engine.",
         }),
         requestTimeLimitMilliseconds: defineDuration("requestTimeLimit", "Milliseconds", {
             minimum: 50,
             maximum: 3_600_000,
-            initial: 300_000,
+            defaultValue: 300_000,
             documentation: "Time without a byte from the backend server after which a request has failed.",
         }),
         stateIntervalMilliseconds: defineDuration("stateInterval", "Milliseconds", {
             minimum: 10,
             maximum: 60_000,
-            initial: 250,
+            defaultValue: 250,
             documentation: "Time between two reads of the backend server's state.",
         }),
     },
@@ -157,7 +157,7 @@
         decisionSampleShare: defineNumber({
             minimum: 0,
             maximum: 1,
-            initial: 1,
+            defaultValue: 1,
             documentation:
                 "Share of the requests whose successful routing decisions are written. Refusals, failures and " +
                 "placement decisions are always written.",
@@ -165,7 +165,7 @@
         recentDecisions: defineInteger({
             minimum: 0,
             maximum: 100_000,
-            initial: 2_000,
+            defaultValue: 2_000,
             documentation: "Decisions that a daemon keeps in memory for `explain`, whether they were written or not.",
         }),
     },
@@ -179,13 +179,13 @@
         watchIntervalMilliseconds: defineDuration("watchInterval", "Milliseconds", {
             minimum: 100,
             maximum: 60_000,
-            initial: 1_000,
+            defaultValue: 1_000,
             documentation: "Time between two outputs of `status --watch`.",
         }),
         appendAttempts: defineInteger({
             minimum: 1,
             maximum: 20,
-            initial: 4,
+            defaultValue: 4,
             documentation:
                 "Maximum number of attempts at an append; each includes the read of the log that checks its outcome.",
         }),
--- a/src/node/settings/documentation.ts
+++ b/src/node/settings/documentation.ts
@@ -1,4 +1,4 @@
-import { nameEnvironmentVariable, type SectionTable } from "./resolveSections.js";
+import { getEnvironmentVariableName, type SectionTable } from "./resolveSections.js";
 import { allSections } from "./settings.js";
 
 const introduction = `# Settings
@@ -35,7 +35,7 @@
     const sections = Object.entries<SectionTable[string]>(allSections).map(([section, definition]) => {
         const rows = Object.entries(definition).map(([key, { allowed, defaultText, documentation }]) => {
             const defaultCell = defaultText === "" ? "(empty)" : `\`${defaultText}\``;
-            const variable = nameEnvironmentVariable(section, key);
+            const variable = getEnvironmentVariableName(section, key);
             return `| \`${key}\` | ${defaultCell} | ${escapeCell(allowed)} | ${
                 escapeCell(documentation)
             } \`${variable}\` |`;
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -13,13 +13,13 @@
         relayPort: defineInteger({
             minimum: 1,
             maximum: 65_535,
-            initial: 7_401,
+            defaultValue: 7_401,
             documentation: "Port at which every gateway relays records to gateways and agents.",
         }),
         agentPort: defineInteger({
             minimum: 1,
             maximum: 65_535,
-            initial: 7_401,
+            defaultValue: 7_401,
             documentation: "Port of the agent on the instance of each backend server that holds weights.",
         }),
         seeds: defineList(
@@ -31,14 +31,14 @@
         cutoverAfterMilliseconds: defineDuration("cutoverAfter", "Milliseconds", {
             minimum: 100,
             maximum: 3_600_000,
-            initial: 7_300,
+            defaultValue: 7_300,
             documentation:
                 "Time after the declaration of a version from which on no request is sent to an older version.",
         }),
         abandonAfterMilliseconds: defineDuration("abandonAfter", "Milliseconds", {
             minimum: 100,
             maximum: 3_600_000,
-            initial: 7_700,
+            defaultValue: 7_700,
             documentation:
                 "Time after the declaration of a version within which an answer of an older version must have begun; " +
                 "after it, the attempt is aborted.",
@@ -46,57 +46,57 @@
         assumedAgeMilliseconds: defineDuration("assumedAge", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 4_000,
+            defaultValue: 4_000,
             documentation: "Assumed age of a version that was declared before the process started.",
         }),
         returnTimeMilliseconds: defineDuration("returnTime", "Milliseconds", {
             minimum: 0,
             maximum: 60_000,
-            initial: 2_200,
+            defaultValue: 2_200,
             documentation:
                 "Time after an outage of the log within which backend servers write their expired entries again.",
         }),
         outageAfterMilliseconds: defineDuration("outageAfter", "Milliseconds", {
             minimum: 100,
             maximum: 600_000,
-            initial: 1_600,
+            defaultValue: 1_600,
             documentation: "Age of the list of backend servers above which the log counts as unavailable.",
         }),
         noticeMemoryMilliseconds: defineDuration("noticeMemory", "Milliseconds", {
             minimum: 1_000,
             maximum: 86_400_000,
-            initial: 600_000,
+            defaultValue: 600_000,
             documentation: "Time for which the notices of a backend server are kept after the removal of its entry.",
         }),
         maximumPauseMilliseconds: defineDuration("maximumPause", "Milliseconds", {
             minimum: 100,
             maximum: 86_400_000,
-            initial: 300_000,
+            defaultValue: 300_000,
             documentation:
                 "Maximum pause of a backend server that turns requests away, even if it asks for a longer one.",
         }),
         reportExpiryMilliseconds: defineDuration("reportExpiry", "Milliseconds", {
             minimum: 100,
             maximum: 60_000,
-            initial: 2_500,
+            defaultValue: 2_500,
             documentation: "Age above which a report of an agent no longer takes precedence over the list.",
         }),
         queuedPerServer: defineInteger({
             minimum: -1_000,
             maximum: 1_000,
-            initial: 0,
+            defaultValue: 0,
             documentation: "Requests that a backend server is given beyond its slots; negative to leave slots free.",
         }),
         connectTimeLimitMilliseconds: defineDuration("connectTimeLimit", "Milliseconds", {
             minimum: 10,
             maximum: 60_000,
-            initial: 400,
+            defaultValue: 400,
             documentation: "Time within which a connection to a backend server must be established.",
         }),
         maximumHeldAnswerBytes: defineInteger({
             minimum: 1_048_576,
             maximum: 1_099_511_627_776,
-            initial: 67_108_864,
+            defaultValue: 67_108_864,
             documentation:
                 "Maximum bytes in memory of all answers: of backend servers at a gateway, of engine, origin and log " +
                 "at an agent. Beyond it, the largest answers are abandoned.",
@@ -104,59 +104,59 @@
         switchAfterMilliseconds: defineDuration("switchAfter", "Milliseconds", {
             minimum: 50,
             maximum: 600_000,
-            initial: 1_500,
+            defaultValue: 1_500,
             documentation:
                 "Time without a byte after which an idempotent request is retried at another backend server.",
         }),
         waitForEarlyAnswerShare: defineNumber({
             minimum: 0,
             maximum: 1,
-            initial: 0.5,
+            defaultValue: 0.5,
             documentation: "Share of a route's target latency that a request may wait in the queue of a gateway.",
         }),
         acceptAfterShutdownMilliseconds: defineDuration("acceptAfterShutdown", "Milliseconds", {
             minimum: 0,
             maximum: 600_000,
-            initial: 2_700,
+            defaultValue: 2_700,
             documentation: "Time after SIGTERM or SIGINT for which new connections are still accepted.",
         }),
         shutdownMarginMilliseconds: defineDuration("shutdownMargin", "Milliseconds", {
             minimum: 0,
             maximum: 600_000,
-            initial: 700,
+            defaultValue: 700,
             documentation:
                 "Time before the end of instance.drainTimeLimitSeconds at which the drain ends, to release resources.",
         }),
         settleTimeMilliseconds: defineDuration("settleTime", "Milliseconds", {
             minimum: 100,
             maximum: 600_000,
-            initial: 3_000,
+            defaultValue: 3_000,
             documentation: "Time within which evidence of a crash must reach all gateways.",
         }),
         registrationLimitMilliseconds: defineDuration("registrationLimit", "Milliseconds", {
             minimum: 0,
             maximum: 600_000,
-            initial: 800,
+            defaultValue: 800,
             documentation:
                 "Time after which a gateway is ready even if the log is unavailable, so that others may not know it.",
         }),
         peerWaitMilliseconds: defineDuration("peerWait", "Milliseconds", {
             minimum: 0,
             maximum: 600_000,
-            initial: 1_200,
+            defaultValue: 1_200,
             documentation:
                 "Maximum time for which readiness waits for other gateways' records that a restored log may have lost.",
         }),
         fleetRetryShare: defineNumber({
             minimum: 0,
             maximum: 1,
-            initial: 0,
+            defaultValue: 0,
             documentation: "Retries per request that all gateways together may make at a service.",
         }),
         fleetRetries: defineNumber({
             minimum: 0,
             maximum: 1_000_000,
-            initial: 0,
+            defaultValue: 0,
             documentation:
                 "Retries per window that all gateways together may make at a service in addition to fleetRetryShare; " +
                 "replaces budgetPerSecond and budgetMaximum of [retry]. 0 leaves each process the budget of [retry].",
@@ -164,13 +164,13 @@
         fleetRetryWindowSeconds: defineDuration("fleetRetryWindow", "Seconds", {
             minimum: 1,
             maximum: 3_600,
-            initial: 10,
+            defaultValue: 10,
             documentation: "Length of a window of fleetRetries.",
         }),
         settingsCheckIntervalMilliseconds: defineDuration("settingsCheckInterval", "Milliseconds", {
             minimum: 100,
             maximum: 3_600_000,
-            initial: 1_000,
+            defaultValue: 1_000,
             documentation: "Time between two checks of the settings file, which may change without a signal.",
         }),
     },
@@ -184,75 +184,75 @@
         linkMegabitsPerSecond: defineNumber({
             minimum: 0.01,
             maximum: 1_000_000,
-            initial: 1_000,
+            defaultValue: 1_000,
             documentation: "Bandwidth of the instance's network link, which transfers of weights share with requests.",
         }),
         linkShare: defineNumber({
             minimum: 0.01,
             maximum: 1,
-            initial: 0.9,
+            defaultValue: 0.9,
             documentation: "Share of the link that transfers of weights may use; the rest is left to requests.",
         }),
         relays: defineInteger({
             minimum: 1,
             maximum: 16,
-            initial: 2,
+            defaultValue: 2,
             documentation: "Number of gateways whose relays the agent follows at the same time.",
         }),
         reportIntervalMilliseconds: defineDuration("reportInterval", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
-            initial: 250,
+            defaultValue: 250,
             documentation: "Time between two reads of the engine's report.",
         }),
         unchangedReportMilliseconds: defineDuration("unchangedReport", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
-            initial: 1_000,
+            defaultValue: 1_000,
             documentation: "Time after which a report is sent to gateways even if it has hardly changed.",
         }),
         reportedLoadChange: defineInteger({
             minimum: 1,
             maximum: 1_000,
-            initial: 2,
+            defaultValue: 2,
             documentation: "Change in the number of requests at the engine that is reported immediately.",
         }),
         waves: defineInteger({
             minimum: 1,
             maximum: 100,
-            initial: 3,
+            defaultValue: 3,
             documentation: "Number of waves: groups of backend servers that load a new version one after the other.",
         }),
         firstWaveAfterMilliseconds: defineDuration("firstWaveAfter", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 3_300,
+            defaultValue: 3_300,
             documentation:
                 "Time after the declaration at which the first wave may stop serving to load, with nearly every chunk.",
         }),
         waveIntervalMilliseconds: defineDuration("waveInterval", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 1_300,
+            defaultValue: 1_300,
             documentation: "Time between the starts of two successive waves.",
         }),
         lastWaveAfterMilliseconds: defineDuration("lastWaveAfter", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 6_200,
+            defaultValue: 6_200,
             documentation:
                 "Time after the declaration at which all waves may load; gateways soon require the new version.",
         }),
         drainBeforeLoadMilliseconds: defineDuration("drainBeforeLoad", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 1_000,
+            defaultValue: 1_000,
             documentation: "Maximum time for requests in progress to finish before the engine loads a version.",
         }),
         copyTimeMilliseconds: defineDuration("copyTime", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
-            initial: 5_000,
+            defaultValue: 5_000,
             documentation:
                 "Time that the transfer and the load of a version take. A newer version is transferred instead of an " +
                 "older one that is not held yet only if it can be loaded before the cutover to the older one.",
@@ -260,19 +260,19 @@
         repeatAfterMilliseconds: defineDuration("repeatAfter", "Milliseconds", {
             minimum: 100,
             maximum: 600_000,
-            initial: 3_000,
+            defaultValue: 3_000,
             documentation: "Time after which a load order that had no effect is given again.",
         }),
         exchangeIntervalMilliseconds: defineDuration("exchangeInterval", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
-            initial: 400,
+            defaultValue: 400,
             documentation: "Time between two exchanges of bitfields with the same neighbour.",
         }),
         exchangeTimeLimitMilliseconds: defineDuration("exchangeTimeLimit", "Milliseconds", {
             minimum: 20,
             maximum: 60_000,
-            initial: 400,
+            defaultValue: 400,
             documentation: "Timeout of an exchange of bitfields.",
         }),
     },
--- a/src/node/settings/index.ts
+++ b/src/node/settings/index.ts
@@ -1,5 +1,5 @@
 export { renderSettingsDocumentation } from "./documentation.js";
 export * from "./problems.js";
 export * from "./readSources.js";
-export { nameEnvironmentVariable, settingsFileVariable, type SettingsSources } from "./resolveSections.js";
+export { getEnvironmentVariableName, settingsFileVariable, type SettingsSources } from "./resolveSections.js";
 export * from "./settings.js";
--- a/src/node/settings/keyDefinitions.ts
+++ b/src/node/settings/keyDefinitions.ts
@@ -28,7 +28,7 @@
 export interface NumberDetails {
     readonly minimum: number;
     readonly maximum: number;
-    readonly initial: number;
+    readonly defaultValue: number;
     readonly documentation: string;
 }
 
@@ -48,7 +48,7 @@
     return {
         schema: createNumberSchema(details.minimum, details.maximum).pipe(z.number().int()),
         allowed: `a whole number from ${details.minimum} to ${details.maximum}`,
-        defaultText: String(details.initial),
+        defaultText: String(details.defaultValue),
         documentation: details.documentation,
         property: undefined,
     };
@@ -64,7 +64,7 @@
     return {
         schema: createNumberSchema(details.minimum, details.maximum),
         allowed: `a number from ${details.minimum} to ${details.maximum}`,
-        defaultText: String(details.initial),
+        defaultText: String(details.defaultValue),
         documentation: details.documentation,
         property: undefined,
     };
@@ -92,7 +92,7 @@
         schema: createNumberSchema(details.minimum, details.maximum)
             .transform(amount => amount * millisecondsByUnit[unit]),
         allowed: `a number of ${unit.toLowerCase()} from ${details.minimum} to ${details.maximum}, without a unit`,
-        defaultText: String(details.initial),
+        defaultText: String(details.defaultValue),
         documentation: details.documentation,
         property,
     };
--- a/src/node/settings/resolveSections.ts
+++ b/src/node/settings/resolveSections.ts
@@ -25,13 +25,13 @@
 export const settingsFileVariable = "GOLDCRESTPOINT_CONFIG";
 
 /**
- * Names the environment variable of a key.
+ * Returns the name of the environment variable of a key.
  *
  * @param section - section name
  * @param key - key name
  * @returns for example `GOLDCRESTPOINT_BACKEND_SERVER_CHECKS_FENCING`
  */
-export function nameEnvironmentVariable(section: string, key: string): string {
+export function getEnvironmentVariableName(section: string, key: string): string {
     const words = `${section}_${key}`.replace(/([a-z0-9])([A-Z])/g, "$1_$2");
     return environmentPrefix + words.toUpperCase();
 }
@@ -72,7 +72,7 @@
     const texts = new Map<string, SourcedText>();
     const known = new Set<string>([settingsFileVariable]);
     for (const { section, key } of listKeys(sections)) {
-        const name = nameEnvironmentVariable(section, key);
+        const name = getEnvironmentVariableName(section, key);
         const text = environment[name];
         known.add(name);
         if (text !== undefined) {
