--- a/src/node/logging/decisionLog.ts
+++ b/src/node/logging/decisionLog.ts
@@ -60,7 +60,7 @@
      * @param id - request id, or the name of a deployment for decisions that concern the deployment as a whole
      * @returns the decisions; empty if none is kept
      */
-    recall(id: string): readonly RecordedDecision[];
+    listRecent(id: string): readonly RecordedDecision[];
 }
 
 /** Kinds that are always written: they are rare, and nothing else shows the decision. */
@@ -126,6 +126,6 @@
             }
             write(recorded, false);
         },
-        recall: id => [...deployments.list(id), ...requests.list(id)],
+        listRecent: id => [...deployments.list(id), ...requests.list(id)],
     };
 }
--- a/src/node/logging/decisionRoute.ts
+++ b/src/node/logging/decisionRoute.ts
@@ -13,7 +13,7 @@
  */
 export function registerDecisionRoute(router: Router<HTTPVersion.V1>, decisionLog: DecisionLog): void {
     router.on("GET", decisionsPath, (...[, response, parameters]) => {
-        const decisions = decisionLog.recall(parameters["id"] ?? "");
+        const decisions = decisionLog.listRecent(parameters["id"] ?? "");
         response.writeHead(decisions.length === 0 ? 404 : 200, { "content-type": "application/json" });
         response.end(JSON.stringify({ decisions }));
     });
--- a/test/node/cli/entryQuery.test.ts
+++ b/test/node/cli/entryQuery.test.ts
@@ -39,7 +39,7 @@
         await using query = createEntryQuery(10_000);
         const found = expectOk(await query.get(`${server.url}/`, "/operations/decisions/r%201%2F2"));
         expect(found.status).toEqual(200);
-        expect(found.body).toEqual({ decisions: [...decisions.recall("r 1/2")] });
+        expect(found.body).toEqual({ decisions: [...decisions.listRecent("r 1/2")] });
         expect(expectOk(await query.get(server.url, "/operations/decisions/r2")).status).toEqual(404);
     });
 
--- a/test/node/logging/decisionLog.test.ts
+++ b/test/node/logging/decisionLog.test.ts
@@ -60,8 +60,8 @@
         log.record(placement);
         const levels = lines.map(line => (JSON.parse(line) as { level: string; }).level);
         expect(levels).toEqual(["info", "warn", "error", "info"]);
-        expect(log.recall("r1")).toHaveLength(3);
-        expect(log.recall("scribe").map(({ choice }) => choice)).toEqual(["assign agent-9"]);
+        expect(log.listRecent("r1")).toHaveLength(3);
+        expect(log.listRecent("scribe").map(({ choice }) => choice)).toEqual(["assign agent-9"]);
     });
 
     // Guards against a request that failed at its caller while the logs do not show which backend server answered it.
@@ -96,8 +96,8 @@
         for (const requestId of ["r1", "r1", "r2", "r3"]) {
             log.record({ ...routing, requestId });
         }
-        expect(["r1", "r2", "r3"].map(id => log.recall(id).length)).toEqual([1, 1, 1]);
+        expect(["r1", "r2", "r3"].map(id => log.listRecent(id).length)).toEqual([1, 1, 1]);
         log.record({ ...routing, requestId: "r4" });
-        expect(["r1", "r4", "scribe"].map(id => log.recall(id).length)).toEqual([0, 1, 1]);
+        expect(["r1", "r4", "scribe"].map(id => log.listRecent(id).length)).toEqual([0, 1, 1]);
     });
 });
