Say what the presets of the demo do

startLoneStar read as if it started a user, listReady did not say that it lists instances, and deploy waits until all wanted copies serve. They are startLoneStarCluster, listReadyInstances and deployAndWait now.

--- a/bench/capacity/streams.ts
+++ b/bench/capacity/streams.ts
@@ -1,5 +1,5 @@
 import { request } from "undici";
-import { type Cluster, deploy, sendJsonRequest, startLoneStar } from "../../demo/cluster/index.js";
+import { type Cluster, deployAndWait, sendJsonRequest, startLoneStarCluster } from "../../demo/cluster/index.js";
 import { budgets, designSize } from "./designSize.js";
 import { type CapacityFigure, computeQuantile, fitLine } from "./measurement.js";
 
@@ -24,12 +24,12 @@
  *     over the length of the answers
  */
 export async function measureStreams(): Promise<CapacityFigure[]> {
-    await using cluster = await startLoneStar({
+    await using cluster = await startLoneStarCluster({
         entries: 1,
         pools: [{ pool: "scribe", kind: "model", runners: [1] }],
         settings: { GOLDCRESTPOINT_STAND_IN_ENGINE_TOKENS_PER_SECOND: String(tokensPerSecond) },
     });
-    await deploy(cluster, { name: "scribe", kind: "model", replicas: [1] });
+    await deployAndWait(cluster, { name: "scribe", kind: "model", replicas: [1] });
     await sampleStreams(cluster, answerLengths[0]!);
     const samples: StreamSample[] = [];
     for (const length of answerLengths) {
--- a/demo/cluster/presets.ts
+++ b/demo/cluster/presets.ts
@@ -50,7 +50,7 @@
  * @param options - options that override the defaults: three entry instances and no backend servers
  * @returns the cluster
  */
-export function startLoneStar(options: Partial<ClusterOptions>): Promise<Cluster> {
+export function startLoneStarCluster(options: Partial<ClusterOptions>): Promise<Cluster> {
     return startCluster({
         zones: loneStarZones,
         entries: 3,
@@ -66,7 +66,7 @@
  * @param cluster - the cluster
  * @param content - what to declare
  */
-export async function deploy(cluster: Cluster, content: DeclarationContent): Promise<void> {
+export async function deployAndWait(cluster: Cluster, content: DeclarationContent): Promise<void> {
     const { exitCode, lines } = await applyDeclaration(cluster, createDeclaration(content));
     if (exitCode !== 0) {
         throw new Error(`apply exited with code ${exitCode}: ${lines.join("; ")}`);
@@ -81,7 +81,7 @@
  * @param pool - the pool
  * @returns instance ids of the runners that are ready
  */
-export async function listReady(cluster: Cluster, pool: string): Promise<string[]> {
+export async function listReadyInstances(cluster: Cluster, pool: string): Promise<string[]> {
     const runners = cluster.runners.filter(runner => runner.pool === pool);
     const responses = await Promise.all(runners.map(({ agentUrl }) => isReady(agentUrl)));
     return runners.filter((...[, index]) => responses[index]).map(({ instance }) => instance);
--- a/test/system/atMostOnce.test.ts
+++ b/test/system/atMostOnce.test.ts
@@ -3,12 +3,12 @@
 import {
     addFault,
     type Cluster,
-    deploy,
+    deployAndWait,
     findBrokenGuarantees,
     type LoadRecord,
     readExecutions,
     sendServiceCall,
-    startLoneStar,
+    startLoneStarCluster,
 } from "../../demo/cluster/index.js";
 import { createIdempotencyKey } from "../../src/runtime/idempotency/index.js";
 import { createSystemRandom, sleep } from "../../src/utils/index.js";
@@ -28,10 +28,10 @@
     // Guards against a second execution: through another entry instance, after a lost answer, and after a restart of
     // the agent that stored the key.
     it("runs at most once, and its stored answer is returned again", async () => {
-        await using cluster = await startLoneStar({
+        await using cluster = await startLoneStarCluster({
             pools: [{ pool: "accounts", kind: "service", runners: [1, 0, 0] }],
         });
-        await deploy(cluster, { name: "accounts", kind: "service", replicas: [1, 0, 0] });
+        await deployAndWait(cluster, { name: "accounts", kind: "service", replicas: [1, 0, 0] });
         await sleep(minimumOwnerAge);
         const random = createSystemRandom();
         const [runner] = cluster.runners;
--- a/test/system/crashingRequest.test.ts
+++ b/test/system/crashingRequest.test.ts
@@ -1,6 +1,12 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { deploy, readExecutions, sendCompletion, startLoad, startLoneStar } from "../../demo/cluster/index.js";
+import {
+    deployAndWait,
+    readExecutions,
+    sendCompletion,
+    startLoad,
+    startLoneStarCluster,
+} from "../../demo/cluster/index.js";
 import { sleep } from "../../src/utils/index.js";
 
 /** Prompt that crashes the stand-in engine. */
@@ -12,12 +18,12 @@
     // Guards against a caller that crashes one backend server after the other, and against the permanent refusal of
     // requests that were only in progress on the same backend server.
     it("is refused after a small number of crashes while other requests are answered", async () => {
-        await using cluster = await startLoneStar({
+        await using cluster = await startLoneStarCluster({
             entries: 2,
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [2, 2, 2] }],
             settings: { GOLDCRESTPOINT_STAND_IN_ENGINE_TOKENS_PER_SECOND: "50" },
         });
-        await deploy(cluster, { name: "goldcrest-llm", kind: "model", replicas: [2, 2, 2] });
+        await deployAndWait(cluster, { name: "goldcrest-llm", kind: "model", replicas: [2, 2, 2] });
         const load = startLoad(cluster, { models: ["goldcrest-llm"], services: [], callers: 6, pause: 10 });
         await sleep(1_000);
         for (let attempt = 0; attempt < 8; attempt++) {
--- a/test/system/drain.test.ts
+++ b/test/system/drain.test.ts
@@ -2,12 +2,12 @@
 import { describe, it } from "node:test";
 import {
     countResults,
-    deploy,
+    deployAndWait,
     findBrokenGuarantees,
     readExecutions,
     sendJsonRequest,
     startLoad,
-    startLoneStar,
+    startLoneStarCluster,
     waitUntil,
     waitUntilServing,
 } from "../../demo/cluster/index.js";
@@ -21,11 +21,11 @@
 describe("a graceful shutdown", () => {
     // Guards against answers that are cut off when a process is asked to stop.
     it("of an agent and of an entry instance cuts off no answer in progress", async () => {
-        await using cluster = await startLoneStar({
+        await using cluster = await startLoneStarCluster({
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [1, 1, 0] }],
             settings: slowEngine,
         });
-        await deploy(cluster, { name: "goldcrest-llm", kind: "model", replicas: [1, 1, 0] });
+        await deployAndWait(cluster, { name: "goldcrest-llm", kind: "model", replicas: [1, 1, 0] });
         const load = startLoad(cluster, { models: ["goldcrest-llm"], services: [], callers: 8, pause: 10 });
         await sleep(6_000);
         cluster.runners[0]!.agent.signal("SIGTERM");
@@ -43,10 +43,10 @@
 describe("a leaving instance", () => {
     // Guards against new requests for an instance that the platform is about to end.
     it("gets no new requests after a few seconds and is replaced", async () => {
-        await using cluster = await startLoneStar({
+        await using cluster = await startLoneStarCluster({
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [3, 0, 0] }],
         });
-        await deploy(cluster, { name: "goldcrest-llm", kind: "model", replicas: [2, 0, 0] });
+        await deployAndWait(cluster, { name: "goldcrest-llm", kind: "model", replicas: [2, 0, 0] });
         const load = startLoad(cluster, { models: ["goldcrest-llm"], services: [], callers: 6, pause: 10 });
         await sleep(500);
         const executions = await readExecutions(cluster);
--- a/test/system/logOutage.test.ts
+++ b/test/system/logOutage.test.ts
@@ -5,11 +5,11 @@
     applyDeclaration,
     clearFaults,
     createDeclaration,
-    deploy,
-    listReady,
+    deployAndWait,
+    listReadyInstances,
     sendCompletion,
     sendJsonRequest,
-    startLoneStar,
+    startLoneStarCluster,
     waitUntil,
     waitUntilServing,
 } from "../../demo/cluster/index.js";
@@ -22,10 +22,10 @@
     // Guards against holders that unload their weights although only the log is unreachable, and against processes that
     // start with an older configuration or without one.
     it("leaves copies serving, lets processes start with the state of peers, and accepts changes later", async () => {
-        await using cluster = await startLoneStar({
+        await using cluster = await startLoneStarCluster({
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [1, 1, 1] }],
         });
-        await deploy(cluster, { name: "goldcrest-llm", kind: "model", replicas: [1, 1, 0] });
+        await deployAndWait(cluster, { name: "goldcrest-llm", kind: "model", replicas: [1, 1, 0] });
         await addFault(cluster.platformUrl, { operation: "log-read", kind: "outage" });
         await addFault(cluster.platformUrl, { operation: "log-append", kind: "outage" });
 
@@ -36,7 +36,7 @@
         cluster.restartEntry(restartedEntry);
         await sleep(outage / 2);
 
-        expect((await listReady(cluster, "goldcrest-llm")).length).toEqual(2);
+        expect((await listReadyInstances(cluster, "goldcrest-llm")).length).toEqual(2);
         for (const { url } of cluster.entries) {
             const answer = await sendCompletion(url, "goldcrest-llm", "crew", 10_000);
             expect(answer.result).toEqual("answered");
@@ -50,7 +50,7 @@
 
     // Guards against an entry instance that accepts requests without any configuration.
     it("keeps a restarted entry instance unready if it has no peers", async () => {
-        await using cluster = await startLoneStar({ entries: 1 });
+        await using cluster = await startLoneStarCluster({ entries: 1 });
         const entry = cluster.entries[0]!;
         await waitUntil("the entry instance is ready", 10_000, async () => {
             return (await sendJsonRequest("GET", `${entry.url}/ready`)).status === 200;
--- a/test/system/operatorRace.test.ts
+++ b/test/system/operatorRace.test.ts
@@ -5,9 +5,9 @@
     applyDeclaration,
     clearFaults,
     createDeclaration,
-    deploy,
+    deployAndWait,
     sendJsonRequest,
-    startLoneStar,
+    startLoneStarCluster,
     waitUntil,
 } from "../../demo/cluster/index.js";
 import type { StatusReport } from "../../src/node/entry/index.js";
@@ -15,10 +15,10 @@
 describe("concurrent changes by several operators", () => {
     // Guards against a change that is silently overwritten, and against entry instances that disagree on the winner.
     it("lead to one accepted change and conflicts, and every entry instance shows the winner", async () => {
-        await using cluster = await startLoneStar({
+        await using cluster = await startLoneStarCluster({
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [2, 2, 0] }],
         });
-        await deploy(cluster, { name: "goldcrest-llm", kind: "model", replicas: [1, 1, 0] });
+        await deployAndWait(cluster, { name: "goldcrest-llm", kind: "model", replicas: [1, 1, 0] });
         // Slow appends let every operator read revision 1 before the first change is accepted.
         await addFault(cluster.platformUrl, { operation: "log-append", kind: "slow", delayMilliseconds: 2_000 });
         const competingReplicas = [[2, 0, 0], [0, 2, 0], [2, 1, 0], [1, 2, 0]];
--- a/test/system/survivesKills.test.ts
+++ b/test/system/survivesKills.test.ts
@@ -2,12 +2,12 @@
 import { describe, it } from "node:test";
 import {
     countResults,
-    deploy,
+    deployAndWait,
     findBrokenGuarantees,
     readExecutions,
     sendJsonRequest,
     startLoad,
-    startLoneStar,
+    startLoneStarCluster,
     waitUntilServing,
 } from "../../demo/cluster/index.js";
 import { sleep } from "../../src/utils/index.js";
@@ -16,14 +16,14 @@
     // Guards against wrong or incomplete answers, requests that ran although they were refused as not run, and keys
     // that were executed twice.
     it("break no guarantee", async () => {
-        await using cluster = await startLoneStar({
+        await using cluster = await startLoneStarCluster({
             pools: [
                 { pool: "goldcrest-llm", kind: "model", runners: [2, 1, 1] },
                 { pool: "field-app", kind: "service", runners: [1, 1, 0] },
             ],
         });
-        await deploy(cluster, { name: "goldcrest-llm", kind: "model", replicas: [2, 1, 1] });
-        await deploy(cluster, { name: "field-app", kind: "service", replicas: [1, 1, 0] });
+        await deployAndWait(cluster, { name: "goldcrest-llm", kind: "model", replicas: [2, 1, 1] });
+        await deployAndWait(cluster, { name: "field-app", kind: "service", replicas: [1, 1, 0] });
         const load = startLoad(cluster, { models: ["goldcrest-llm"], services: ["field-app"], callers: 10, pause: 20 });
         await sleep(3_000);
 
--- a/test/system/versionChange.test.ts
+++ b/test/system/versionChange.test.ts
@@ -5,11 +5,11 @@
     applyDeclaration,
     countResults,
     createDeclaration,
-    deploy,
+    deployAndWait,
     findBrokenGuarantees,
     readExecutions,
     startLoad,
-    startLoneStar,
+    startLoneStarCluster,
     waitUntilServing,
 } from "../../demo/cluster/index.js";
 import { sleep } from "../../src/utils/index.js";
@@ -18,12 +18,12 @@
     // Guards against answers from partial or mixed weights, even if chunks are corrupted and the version changes again
     // while copies are still being replaced.
     it("answers every request from one complete version", async () => {
-        await using cluster = await startLoneStar({
+        await using cluster = await startLoneStarCluster({
             pools: [{ pool: "goldcrest-llm", kind: "model", runners: [2, 2, 0] }],
             weightSets: ["goldcrest:signs:1", "goldcrest:signs:2", "goldcrest:signs:3"],
             settings: { GOLDCRESTPOINT_STAND_IN_PLATFORM_ORIGIN_BYTES_PER_SECOND: "8000000" },
         });
-        await deploy(cluster, { name: "goldcrest-llm", kind: "model", replicas: [2, 2, 0] });
+        await deployAndWait(cluster, { name: "goldcrest-llm", kind: "model", replicas: [2, 2, 0] });
         await addFault(cluster.platformUrl, { operation: "chunk-read", kind: "corrupt", probability: 0.05 });
         const load = startLoad(cluster, { models: ["goldcrest-llm"], services: [], callers: 8, pause: 10 });
         await sleep(500);
