Call the responses of the stand-ins responses

HTTP calls an answer a response; answerJson creates one and sends nothing. The names are StandInResponse and createJsonResponse now. The compiler renamed every use; the syntax trees differ only in these names.

--- a/src/standIn/engine/completions.ts
+++ b/src/standIn/engine/completions.ts
@@ -1,11 +1,11 @@
 import { z } from "zod";
 import { readHeader } from "../execution/index.js";
 import {
-    answerJson,
+    createJsonResponse,
     createRefusal,
     parseJsonObject,
-    type StandInAnswer,
     type StandInRequest,
+    type StandInResponse,
     wait,
 } from "../http/index.js";
 import type { EngineCore } from "./core.js";
@@ -36,13 +36,13 @@
  * @returns a JSON response with all tokens, or an event stream with one event for each token and `data: [DONE]` at the
  * end
  */
-export async function handleCompletion(core: EngineCore, request: StandInRequest): Promise<StandInAnswer> {
+export async function handleCompletion(core: EngineCore, request: StandInRequest): Promise<StandInResponse> {
     const requestId = readHeader(request, "x-request-id") ?? "";
-    const refuse = (status: number, reason: string): StandInAnswer =>
+    const refuse = (status: number, reason: string): StandInResponse =>
         createRefusal(status, reason, { "x-request-id": requestId, "retry-after": "1" });
     const parsed = completionSchema.safeParse(parseJsonObject(request.body));
     if (!parsed.success) {
-        return answerJson(400, { error: z.prettifyError(parsed.error) }, { "x-request-id": requestId });
+        return createJsonResponse(400, { error: z.prettifyError(parsed.error) }, { "x-request-id": requestId });
     }
     if (core.batch.isFull()) {
         return refuse(429, "queue-full");
@@ -92,7 +92,7 @@
     });
 }
 
-async function createCompletionResponse(core: EngineCore, run: CompletionRun): Promise<StandInAnswer> {
+async function createCompletionResponse(core: EngineCore, run: CompletionRun): Promise<StandInResponse> {
     const { requestId, completion, weights, headers } = run;
     if (completion.stream) {
         return {
@@ -107,7 +107,7 @@
     }
     const { model, adapter, version, manifestDigest } = weights;
     const identity = { id: requestId, model, adapter, version, manifestDigest };
-    return answerJson(200, { ...identity, text: tokens.join(" "), tokens, finish_reason: "length" }, headers);
+    return createJsonResponse(200, { ...identity, text: tokens.join(" "), tokens, finish_reason: "length" }, headers);
 }
 
 async function* streamEvents(core: EngineCore, run: CompletionRun): AsyncGenerator<Uint8Array> {
--- a/src/standIn/engine/engineStandIn.ts
+++ b/src/standIn/engine/engineStandIn.ts
@@ -3,12 +3,12 @@
 import { createSystemClock } from "../../utils/index.js";
 import type { Journal } from "../execution/index.js";
 import {
-    answerJson,
+    createJsonResponse,
     createRefusal,
     parseJsonObject,
     restartServer,
-    type StandInAnswer,
     type StandInRequest,
+    type StandInResponse,
     type StandInRoute,
     type StandInServer,
     startStandInServer,
@@ -61,7 +61,7 @@
         handle: StandInRoute["handle"],
     ): StandInRoute => ({ operation, method, path, handle });
     return [
-        route("engine-state", "GET", "/state", () => answerJson(200, core.readState())),
+        route("engine-state", "GET", "/state", () => createJsonResponse(200, core.readState())),
         route("engine-order", "POST", "/orders", request => handleOrder(core, request, stopped)),
         route("chunk-stage", "PUT", chunkPath, request => handleStage(core, request)),
         route("chunk-read", "GET", chunkPath, request => handleRead(core, request)),
@@ -73,8 +73,13 @@
             ({ parameters }) =>
                 core.cancel(parameters["request"] ?? "") ? { status: 204 } : createRefusal(404, "no such request"),
         ),
-        route("health", "GET", "/health", () => answerJson(200, { status: "ok", incarnation: core.incarnation })),
-        route("control", "GET", "/journal", () => answerJson(200, { entries: core.journal.list() })),
+        route(
+            "health",
+            "GET",
+            "/health",
+            () => createJsonResponse(200, { status: "ok", incarnation: core.incarnation }),
+        ),
+        route("control", "GET", "/journal", () => createJsonResponse(200, { entries: core.journal.list() })),
         route("control", "POST", "/control/crash", async () => {
             await core.crash();
             return { status: 204 };
@@ -82,7 +87,7 @@
     ];
 }
 
-async function handleOrder(core: EngineCore, { body }: StandInRequest, stopped: AbortSignal): Promise<StandInAnswer> {
+async function handleOrder(core: EngineCore, { body }: StandInRequest, stopped: AbortSignal): Promise<StandInResponse> {
     const parsed = orderSchema.safeParse(parseJsonObject(body));
     if (!parsed.success) {
         return createRefusal(400, z.prettifyError(parsed.error));
@@ -93,7 +98,7 @@
         await wait(core.behaviour.activationMilliseconds, stopped);
     }
     const refusal = applyOrder(order, core.target, core.behaviour);
-    return refusal === undefined ? answerJson(200, order) : createRefusal(409, refusal);
+    return refusal === undefined ? createJsonResponse(200, order) : createRefusal(409, refusal);
 }
 
 const stageStatuses: Readonly<Record<StageOutcome, number>> = {
@@ -103,13 +108,13 @@
     "out-of-memory": 413,
 };
 
-function handleStage(core: EngineCore, { parameters, body }: StandInRequest): StandInAnswer {
+function handleStage(core: EngineCore, { parameters, body }: StandInRequest): StandInResponse {
     const outcome = core.target.sets.stage(parameters["digest"] ?? "", Number(parameters["index"]), body);
     const status = stageStatuses[outcome];
     return outcome === "staged" ? { status } : createRefusal(status, outcome);
 }
 
-function handleRead(core: EngineCore, { parameters }: StandInRequest): StandInAnswer {
+function handleRead(core: EngineCore, { parameters }: StandInRequest): StandInResponse {
     const chunk = core.target.sets.read(parameters["digest"] ?? "", Number(parameters["index"]));
     return chunk === undefined ?
         createRefusal(404, "no such chunk") :
--- a/src/standIn/http/controlRoutes.ts
+++ b/src/standIn/http/controlRoutes.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { answerJson, parseJsonObject } from "./responses.js";
+import { createJsonResponse, parseJsonObject } from "./responses.js";
 import { restartServer } from "./restart.js";
 import type { StandInRoute, StandInServer } from "./types.js";
 
@@ -47,13 +47,13 @@
             handle: ({ body }) => {
                 const parsed = ruleSchema.safeParse(parseJsonObject(body));
                 if (!parsed.success) {
-                    return answerJson(400, { error: z.prettifyError(parsed.error) });
+                    return createJsonResponse(400, { error: z.prettifyError(parsed.error) });
                 }
                 faults.add(parsed.data);
                 return { status: 204 };
             },
         },
-        { operation: "control", method: "GET", path, handle: () => answerJson(200, { faults: faults.list() }) },
+        { operation: "control", method: "GET", path, handle: () => createJsonResponse(200, { faults: faults.list() }) },
         {
             operation: "control",
             method: "DELETE",
@@ -70,7 +70,7 @@
             handle: ({ body }) => {
                 const parsed = suspendSchema.safeParse(parseJsonObject(body));
                 if (!parsed.success) {
-                    return answerJson(400, { error: z.prettifyError(parsed.error) });
+                    return createJsonResponse(400, { error: z.prettifyError(parsed.error) });
                 }
                 // Sends the response before the connections are closed.
                 setImmediate(() => void restartServer(server, parsed.data.milliseconds));
--- a/src/standIn/http/faultEffects.ts
+++ b/src/standIn/http/faultEffects.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
 import { createRefusal, readBodyParts } from "./responses.js";
 import { sendResponse } from "./sendResponse.js";
-import type { FaultKind, FaultRule, StandInAnswer, StandInRequest, StandInRoute } from "./types.js";
+import type { FaultKind, FaultRule, StandInRequest, StandInResponse, StandInRoute } from "./types.js";
 import { wait, waitForAbort } from "./wait.js";
 
 /** Request that a fault is applied to, with what is needed to respond to it. */
@@ -11,7 +11,7 @@
     readonly request: StandInRequest;
     readonly serverResponse: ServerResponse;
     /** Executes the request with the handler of its route. */
-    readonly run: () => Promise<StandInAnswer>;
+    readonly run: () => Promise<StandInResponse>;
     /** Aborted when the server is disposed of. */
     readonly stopped: AbortSignal;
     /** Resolves once a later request for the same operation has been answered without a fault. */
@@ -127,7 +127,7 @@
     return Buffer.concat(parts.slice(0, parts.length >> 1));
 }
 
-async function* delayParts(response: StandInAnswer, delay: number, signal: AbortSignal): AsyncGenerator<Uint8Array> {
+async function* delayParts(response: StandInResponse, delay: number, signal: AbortSignal): AsyncGenerator<Uint8Array> {
     const { body } = response;
     const isStream = typeof body === "object" && !(body instanceof Uint8Array);
     for await (const part of isStream ? body : await readBodyParts(response)) {
@@ -138,7 +138,7 @@
     }
 }
 
-async function* stallAfterHalf(response: StandInAnswer, signal: AbortSignal): AsyncGenerator<Uint8Array> {
+async function* stallAfterHalf(response: StandInResponse, signal: AbortSignal): AsyncGenerator<Uint8Array> {
     yield takeHalf(await readBodyParts(response));
     await waitForAbort(signal);
 }
--- a/src/standIn/http/responses.ts
+++ b/src/standIn/http/responses.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import type { StandInAnswer } from "./types.js";
+import type { StandInResponse } from "./types.js";
 
 const objectSchema = z.record(z.string(), z.unknown());
 
@@ -11,11 +11,11 @@
  * @param headers - further headers
  * @returns the response
  */
-export function answerJson(
+export function createJsonResponse(
     status: number,
     value: unknown,
     headers: Readonly<Record<string, string>> = {},
-): StandInAnswer {
+): StandInResponse {
     return { status, headers: { ...headers, "content-type": "application/json" }, body: JSON.stringify(value) };
 }
 
@@ -31,8 +31,8 @@
     status: number,
     reason: string,
     headers: Readonly<Record<string, string>> = {},
-): StandInAnswer {
-    return answerJson(status, { error: reason }, { ...headers, "x-executed": "no" });
+): StandInResponse {
+    return createJsonResponse(status, { error: reason }, { ...headers, "x-executed": "no" });
 }
 
 /**
@@ -56,7 +56,7 @@
  * @param response - the response
  * @returns the parts of a streamed body; otherwise the body as one part, and no part if there is no body
  */
-export async function readBodyParts(response: StandInAnswer): Promise<Buffer[]> {
+export async function readBodyParts(response: StandInResponse): Promise<Buffer[]> {
     const { body } = response;
     if (body === undefined) {
         return [];
--- a/src/standIn/http/sendResponse.ts
+++ b/src/standIn/http/sendResponse.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import type { StandInAnswer } from "./types.js";
+import type { StandInResponse } from "./types.js";
 
 /**
  * Sends a response.
@@ -11,7 +11,7 @@
  */
 export async function sendResponse(
     serverResponse: ServerResponse,
-    response: StandInAnswer,
+    response: StandInResponse,
     signal: AbortSignal,
 ): Promise<void> {
     const { status, headers = {}, body } = response;
@@ -42,7 +42,7 @@
 }
 
 /** Starts and ends a stream that is not sent: a generator that has not been started does not run its `finally` block. */
-async function releaseUnsentStream(body: StandInAnswer["body"]): Promise<void> {
+async function releaseUnsentStream(body: StandInResponse["body"]): Promise<void> {
     if (typeof body !== "object" || body instanceof Uint8Array) {
         return;
     }
--- a/src/standIn/http/server.ts
+++ b/src/standIn/http/server.ts
@@ -6,10 +6,10 @@
 import { faultEffects } from "./faultEffects.js";
 import { createFaultTable, type FaultTable } from "./faultTable.js";
 import { findFreePorts } from "./freePorts.js";
-import { answerJson } from "./responses.js";
+import { createJsonResponse } from "./responses.js";
 import { createResponseWaiters } from "./responseWaiters.js";
 import { sendResponse } from "./sendResponse.js";
-import type { StandInAnswer, StandInRequest, StandInRoute, StandInServer, StandInServerOptions } from "./types.js";
+import type { StandInRequest, StandInResponse, StandInRoute, StandInServer, StandInServerOptions } from "./types.js";
 
 const maximumBodyBytes = 64 * 1_048_576;
 const allMethods: readonly HTTPMethod[] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
@@ -96,7 +96,7 @@
         }
         const request = toRequest(message, body, parameters, connection);
         const rule = route.operation === "control" ? undefined : faults.select(route.operation);
-        const run = async (): Promise<StandInAnswer> => route.handle(request);
+        const run = async (): Promise<StandInResponse> => route.handle(request);
         try {
             if (rule === undefined) {
                 await sendResponse(serverResponse, await run(), connection);
@@ -108,7 +108,7 @@
         }
         catch (cause) {
             const message = cause instanceof Error ? cause.message : String(cause);
-            await sendResponse(serverResponse, answerJson(500, { error: message }), connection);
+            await sendResponse(serverResponse, createJsonResponse(500, { error: message }), connection);
         }
     };
 }
--- a/src/standIn/http/types.ts
+++ b/src/standIn/http/types.ts
@@ -64,7 +64,7 @@
 }
 
 /** Response of a stand-in. */
-export interface StandInAnswer {
+export interface StandInResponse {
     readonly status: number;
     readonly headers?: Readonly<Record<string, string>> | undefined;
     readonly body?: Uint8Array | string | AsyncIterable<Uint8Array> | undefined;
@@ -81,8 +81,8 @@
      * Functions that change the response for some kinds of faults: `duplicate` and `out-of-order` of a read of a list.
      * Default: the general effect of the fault.
      */
-    readonly transforms?: Partial<Record<FaultKind, (response: StandInAnswer) => StandInAnswer>> | undefined;
-    readonly handle: (request: StandInRequest) => StandInAnswer | Promise<StandInAnswer>;
+    readonly transforms?: Partial<Record<FaultKind, (response: StandInResponse) => StandInResponse>> | undefined;
+    readonly handle: (request: StandInRequest) => StandInResponse | Promise<StandInResponse>;
 }
 
 /** Options of the HTTP server, common to all stand-ins. */
--- a/src/standIn/platform/instanceRoutes.ts
+++ b/src/standIn/platform/instanceRoutes.ts
@@ -1,5 +1,11 @@
 import { z } from "zod";
-import { answerJson, createRefusal, parseJsonObject, type StandInAnswer, type StandInRoute } from "../http/index.js";
+import {
+    createJsonResponse,
+    createRefusal,
+    parseJsonObject,
+    type StandInResponse,
+    type StandInRoute,
+} from "../http/index.js";
 import type { InstanceStore } from "./instanceStore.js";
 
 const registrationSchema = z.object({
@@ -31,7 +37,7 @@
                 duplicate: response => transformRows(response, rows => [...rows, ...rows]),
                 "out-of-order": response => transformRows(response, rows => [...rows].reverse()),
             },
-            handle: () => answerJson(200, { instances: instances.list() }),
+            handle: () => createJsonResponse(200, { instances: instances.list() }),
         },
         {
             operation: "instance-register",
@@ -66,14 +72,14 @@
     ];
 }
 
-function createAcknowledgement(known: boolean): StandInAnswer {
+function createAcknowledgement(known: boolean): StandInResponse {
     return known ? { status: 204 } : createRefusal(404, "no such instance");
 }
 
 function transformRows(
-    response: StandInAnswer,
+    response: StandInResponse,
     transform: (rows: readonly unknown[]) => readonly unknown[],
-): StandInAnswer {
+): StandInResponse {
     const { instances } = JSON.parse(response.body as string) as { readonly instances: readonly unknown[]; };
     return { ...response, body: JSON.stringify({ instances: transform(instances) }) };
 }
--- a/src/standIn/platform/logRoutes.ts
+++ b/src/standIn/platform/logRoutes.ts
@@ -1,6 +1,12 @@
 import { EventEmitter, once } from "node:events";
 import type { LogEntry, LogPage, LogRecord } from "../../types/index.js";
-import { answerJson, createRefusal, parseJsonObject, type StandInAnswer, type StandInRoute } from "../http/index.js";
+import {
+    createJsonResponse,
+    createRefusal,
+    parseJsonObject,
+    type StandInResponse,
+    type StandInRoute,
+} from "../http/index.js";
 import type { LogStore } from "./logStore.js";
 
 /** Limit of the entries in one response. */
@@ -55,7 +61,7 @@
                     return createRefusal(429, "too many appends", { "retry-after": "1" });
                 }
                 appended.emit("appended");
-                return answerJson(201, { id: record["id"], offset });
+                return createJsonResponse(201, { id: record["id"], offset });
             },
         },
         {
@@ -68,16 +74,16 @@
             },
             handle: async ({ query, signal }) => {
                 const after = Number(query.get("after") ?? 0);
-                return answerJson(200, await read(after, Number(query.get("wait") ?? 0), signal));
+                return createJsonResponse(200, await read(after, Number(query.get("wait") ?? 0), signal));
             },
         },
     ];
 }
 
 function transformEntries(
-    response: StandInAnswer,
+    response: StandInResponse,
     transform: (entries: readonly LogEntry[]) => readonly LogEntry[],
-): StandInAnswer {
+): StandInResponse {
     const page = JSON.parse(response.body as string) as LogPage;
     return { ...response, body: JSON.stringify({ ...page, entries: transform(page.entries) }) };
 }
--- a/src/standIn/platform/platformStandIn.ts
+++ b/src/standIn/platform/platformStandIn.ts
@@ -1,5 +1,10 @@
 import { createSystemClock } from "../../utils/index.js";
-import { answerJson, type StandInServer, type StandInServerOptions, startStandInServer } from "../http/index.js";
+import {
+    createJsonResponse,
+    type StandInServer,
+    type StandInServerOptions,
+    startStandInServer,
+} from "../http/index.js";
 import { createInstanceRoutes } from "./instanceRoutes.js";
 import { createInstanceStore, type InstanceStore, type InstanceStoreOptions } from "./instanceStore.js";
 import { createLink, type Link } from "./link.js";
@@ -58,7 +63,8 @@
             operation: "control",
             method: "GET",
             path: "/control/statistics",
-            handle: () => answerJson(200, { originBytes: originLink.sentBytes, logHead: log.read(0, 0).headOffset }),
+            handle: () =>
+                createJsonResponse(200, { originBytes: originLink.sentBytes, logHead: log.read(0, 0).headOffset }),
         },
     ]);
     return { ...server, log, instances, weights, originLink };
--- a/src/standIn/platform/weightRoutes.ts
+++ b/src/standIn/platform/weightRoutes.ts
@@ -1,6 +1,12 @@
 import { z } from "zod";
 import type { Clock, ManifestDigest } from "../../types/index.js";
-import { answerJson, createRefusal, parseJsonObject, type StandInAnswer, type StandInRoute } from "../http/index.js";
+import {
+    createJsonResponse,
+    createRefusal,
+    parseJsonObject,
+    type StandInResponse,
+    type StandInRoute,
+} from "../http/index.js";
 import type { Link } from "./link.js";
 import { createRateLimiter } from "./rateLimiter.js";
 import { type GeneratedWeightSet, generateWeightSet, type WeightSetDeclaration } from "./weightSets.js";
@@ -94,13 +100,13 @@
     manifestReadsPerSecond: number,
 ): StandInRoute[] {
     const rateLimiter = createRateLimiter(clock, manifestReadsPerSecond);
-    const createManifestResponse = (set: GeneratedWeightSet | undefined): StandInAnswer => {
+    const createManifestResponse = (set: GeneratedWeightSet | undefined): StandInResponse => {
         if (!rateLimiter.take()) {
             return createRefusal(429, "too many requests", { "retry-after": "1" });
         }
         return set === undefined ?
             createRefusal(404, "no such weight set") :
-            answerJson(200, set.manifest, { "x-manifest-digest": set.digest });
+            createJsonResponse(200, set.manifest, { "x-manifest-digest": set.digest });
     };
     return [
         {
@@ -142,7 +148,7 @@
             handle: ({ body }) => {
                 const parsed = declarationSchema.safeParse(parseJsonObject(body));
                 return parsed.success ?
-                    answerJson(201, { digest: catalogue.publish(parsed.data).digest }) :
+                    createJsonResponse(201, { digest: catalogue.publish(parsed.data).digest }) :
                     createRefusal(400, z.prettifyError(parsed.error));
             },
         },
--- a/src/standIn/service/serviceStandIn.ts
+++ b/src/standIn/service/serviceStandIn.ts
@@ -2,11 +2,11 @@
 import { createSystemClock } from "../../utils/index.js";
 import { type Batch, createBatch, createJournal, type Journal, readHeader } from "../execution/index.js";
 import {
-    answerJson,
+    createJsonResponse,
     createRefusal,
     restartServer,
-    type StandInAnswer,
     type StandInRequest,
+    type StandInResponse,
     type StandInRoute,
     type StandInServer,
     startStandInServer,
@@ -64,14 +64,14 @@
             handle: () => {
                 const { incarnation, batch, behaviour } = core;
                 const load = { running: batch.running, queued: batch.queued, capacity: behaviour.capacity };
-                return answerJson(200, { status: "ok", incarnation, ...load });
+                return createJsonResponse(200, { status: "ok", incarnation, ...load });
             },
         },
         {
             operation: "control",
             method: "GET",
             path: "/journal",
-            handle: () => answerJson(200, { entries: core.journal.list() }),
+            handle: () => createJsonResponse(200, { entries: core.journal.list() }),
         },
         {
             operation: "control",
@@ -86,7 +86,7 @@
     ];
 }
 
-async function handleRequest(core: ServiceCore, request: StandInRequest): Promise<StandInAnswer> {
+async function handleRequest(core: ServiceCore, request: StandInRequest): Promise<StandInResponse> {
     const requestId = readHeader(request, "x-request-id") ?? "";
     const headers = { "x-request-id": requestId };
     const releaseSlot = await core.batch.acquireSlot(Number(readHeader(request, "x-priority") ?? 5), request.signal);
@@ -113,5 +113,5 @@
     }
     const effects = idempotencyKey === undefined ? 1 : core.journal.countEffects(idempotencyKey);
     const { method, path } = request;
-    return answerJson(200, { requestId, method, path, idempotencyKey, effects, body }, headers);
+    return createJsonResponse(200, { requestId, method, path, idempotencyKey, effects, body }, headers);
 }
--- a/test/contract/engineOrders.test.ts
+++ b/test/contract/engineOrders.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { answerJson, startStandInServer } from "../../src/standIn/http/index.js";
+import { createJsonResponse, startStandInServer } from "../../src/standIn/http/index.js";
 import { computeDigest } from "../../src/utils/index.js";
 import {
     activate,
@@ -75,7 +75,7 @@
             operation: "engine-order",
             method: "POST",
             path: "/orders",
-            handle: () => answerJson(200, { kind: "prepare", token: createToken(1) }),
+            handle: () => createJsonResponse(200, { kind: "prepare", token: createToken(1) }),
         }]);
         await using client = createClient(server.baseUrl);
         const result = await client.order(createPrepareOrder(createToken(2)));
--- a/test/contract/httpClient.test.ts
+++ b/test/contract/httpClient.test.ts
@@ -6,11 +6,11 @@
     type HttpFailure,
     type HttpRequest,
 } from "../../src/node/httpClient/index.js";
-import { type StandInAnswer, startStandInServer, wait } from "../../src/standIn/http/index.js";
+import { type StandInResponse, startStandInServer, wait } from "../../src/standIn/http/index.js";
 
 interface ClientCase {
     readonly name: string;
-    readonly answer: (signal: AbortSignal) => StandInAnswer | Promise<StandInAnswer>;
+    readonly answer: (signal: AbortSignal) => StandInResponse | Promise<StandInResponse>;
     readonly options?: Partial<HttpClientOptions>;
     readonly request?: Partial<HttpRequest>;
     readonly failure: readonly [reason: HttpFailure["reason"], requestWritten: boolean, headReceived: boolean];
--- a/test/contract/log.test.ts
+++ b/test/contract/log.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { createLogClient } from "../../src/node/platform/index.js";
-import { answerJson, startStandInServer } from "../../src/standIn/http/index.js";
+import { createJsonResponse, startStandInServer } from "../../src/standIn/http/index.js";
 import { type PlatformStandIn, startPlatformStandIn } from "../../src/standIn/index.js";
 import {
     applyCondition,
@@ -66,7 +66,7 @@
             operation: "log-append",
             method: "POST",
             path: "/log/records",
-            handle: () => answerJson(201, { id: "other", offset: 7 }),
+            handle: () => createJsonResponse(201, { id: "other", offset: 7 }),
         }]);
         await using client = createLogClient({ baseUrl: server.baseUrl });
         expectOutcome(await client.append(createRecord("a")), ["APPEND_AMBIGUOUS", true], "append record", server);
@@ -124,7 +124,7 @@
                 operation: "log-read",
                 method: "GET",
                 path: "/log/records",
-                handle: () => answerJson(200, { firstOffset, headOffset: 3, entries }),
+                handle: () => createJsonResponse(200, { firstOffset, headOffset: 3, entries }),
             }]);
             await using client = createLogClient({ baseUrl: server.baseUrl });
             expectOutcome(await client.read(0, 0), ["LOG_UNREACHABLE", false], "read log", server);
--- a/test/contract/origin.test.ts
+++ b/test/contract/origin.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { createOriginClient } from "../../src/node/platform/index.js";
-import { answerJson, startStandInServer } from "../../src/standIn/http/index.js";
+import { createJsonResponse, startStandInServer } from "../../src/standIn/http/index.js";
 import { generateWeightSet, type PlatformStandIn, startPlatformStandIn } from "../../src/standIn/index.js";
 import { computeDigest } from "../../src/utils/index.js";
 import { applyCondition, type Condition, expectOutcome, type Outcome, selectTimeouts, unwrap } from "./support.js";
@@ -62,7 +62,7 @@
             operation: "manifest-read",
             method: "GET",
             path: "*",
-            handle: () => answerJson(200, manifest, { "x-manifest-digest": digest }),
+            handle: () => createJsonResponse(200, manifest, { "x-manifest-digest": digest }),
         }]);
         await using client = createOriginClient({ weightStoreBaseUrl: server.baseUrl });
         const result = await client.resolveManifest("scribe", "kin", "8");
