Use clear names in the platform's test support

Crashes were called ends, times had no unit, and several functions did not say what they do, such as behave, endThree, callPlainly and listRunner. They are crashes, ...Milliseconds, setBehaviour, crashThreeServers, callWithHttp10 and addRunnerRecord now; Answer is GatewayResponse. What the tests check is the same.

--- a/test/platform/answerFraming.test.ts
+++ b/test/platform/answerFraming.test.ts
@@ -2,9 +2,9 @@
 import { describe, it } from "node:test";
 import type { RandomSource } from "../../src/types/index.js";
 import { createSeededRandom } from "../../src/utils/index.js";
-import { type Answer, call } from "./standIn/caller.js";
+import { call, type GatewayResponse } from "./standIn/caller.js";
 import { startDeployment, type TestDeployment } from "./standIn/deployment.js";
-import { type AnswerPlan, drawPlan, makeBody, planHeader, startPlannedRunner } from "./standIn/plannedAnswer.js";
+import { drawPlan, makeBody, planHeader, type ResponsePlan, startPlannedRunner } from "./standIn/plannedAnswer.js";
 
 const firstSeed = Number(process.env["ANSWER_FIRST_SEED"] ?? 1);
 const seeds = Number(process.env["ANSWER_SEEDS"] ?? 2);
@@ -14,15 +14,15 @@
 
 interface Exchange {
     readonly requestId: string;
-    readonly plan: AnswerPlan;
-    readonly answer: Answer;
+    readonly plan: ResponsePlan;
+    readonly answer: GatewayResponse;
 }
 
 async function startPlannedDeployment(): Promise<TestDeployment> {
     const deployment = await startDeployment({ "routing.failuresUntilEjected": "100" });
     for (const id of instances) {
         const { address } = deployment.stack.use(await startPlannedRunner());
-        await deployment.listRunner(id, address, { slots: 100 });
+        await deployment.addRunnerRecord(id, address, { slots: 100 });
     }
     return deployment;
 }
--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -6,7 +6,7 @@
     addGateways,
     allowedRepeats,
     countLateRuns,
-    endThree,
+    crashThreeServers,
     listCondemned,
     pause,
     sendFatal,
@@ -41,7 +41,7 @@
         const fleet = await startFleet(deployment);
         const gateways = await addGateways(deployment, "/unsafe/");
         deployment.store.setFault("busy");
-        await endThree(fleet, gateways, "/unsafe/");
+        await crashThreeServers(fleet, gateways, "/unsafe/");
         const answers = await sendFatal(gateways, "/unsafe/", 6, 0);
         expect(answers.map(answer => [answer?.status, answer?.headers["retry-after"], answer?.body]))
             .toEqual(answers.map(() => [502, undefined, expect.includes("crashes-backend-servers")]));
@@ -50,10 +50,10 @@
             logLines.some(line => line.includes("condemned request written"));
         await waitUntil("the request is in the log", () => gateways.some(isWritten));
         await Promise.all([deployment.stop(), ...gateways.slice(1).map(gateway => gateway[Symbol.asyncDispose]())]);
-        const ends = fleet.ends.length;
+        const crashes = fleet.crashes.length;
         const restarted = await deployment.addGateway("gateway-4");
         expect(listCondemned(await sendFatal([restarted], "/unsafe/", 1, 0)).length).toEqual(1);
-        expect(fleet.ends.length).toEqual(ends);
+        expect(fleet.crashes.length).toEqual(crashes);
     });
 
     // Guards against a frequent request that is refused because backend servers crashed for other reasons.
@@ -75,7 +75,7 @@
     it("keep forwarding one whose connections break", async () => {
         await using deployment = await startDeployment({ "routing.failuresUntilEjected": "100" });
         const runners = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
-        runners.forEach(runner => runner.behave("reset"));
+        runners.forEach(runner => runner.setBehaviour("reset"));
         const answers = await sendFatal([deployment], "/unsafe/", 10, 0);
         expect(answers.map(answer => answer?.status)).toEqual(answers.map(() => 502));
         expect(runners.reduce((sum, { countArrivals }) => sum + countArrivals(), 0)).toEqual(answers.length);
--- a/test/platform/crashingSoak.test.ts
+++ b/test/platform/crashingSoak.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import type { RandomSource } from "../../src/types/index.js";
 import { createSeededRandom } from "../../src/utils/index.js";
-import { type Answer, call } from "./standIn/caller.js";
+import { call, type GatewayResponse } from "./standIn/caller.js";
 import { type CrashingFleet, startCrashingFleet } from "./standIn/crashingFleet.js";
 import { startDeployment, type TestDeployment, waitUntil } from "./standIn/deployment.js";
 import { type EndlessPart, startEndlessRunner } from "./standIn/endlessRunner.js";
@@ -36,7 +36,7 @@
     return items[Math.floor(random.next() * items.length)]!;
 }
 
-function send({ gateways, path, random }: Soak, body: string): Promise<Answer | undefined> {
+function send({ gateways, path, random }: Soak, body: string): Promise<GatewayResponse | undefined> {
     // The connection may be refused or reset if the gateway shuts down.
     return call(pick(random, [...gateways]), path, { method: "POST", body }).catch(() => undefined);
 }
@@ -73,7 +73,7 @@
         isFatal: body => fatalBodies.includes(body),
         workMilliseconds: 30,
         downMilliseconds: 1_500,
-        lapseMilliseconds: 3_600,
+        recordRemovalMilliseconds: 3_600,
     });
     const soak = { random, deployment, fleet, gateways: new Set<TestGateway>([deployment]), path: "", started: 2 };
     soak.gateways.add(await deployment.addGateway("gateway-2"));
@@ -81,8 +81,8 @@
 }
 
 /** Sends harmless requests until it is stopped, with its own random numbers, so that a seed keeps its actions. */
-function startCaller(all: Soak, index: number): () => Promise<(readonly [string, Answer | undefined])[]> {
-    const answers: (readonly [string, Answer | undefined])[] = [];
+function startCaller(all: Soak, index: number): () => Promise<(readonly [string, GatewayResponse | undefined])[]> {
+    const answers: (readonly [string, GatewayResponse | undefined])[] = [];
     const soak = { ...all, random: createSeededRandom(index) };
     let stopped = false;
     const finished = (async () => {
@@ -100,8 +100,8 @@
 }
 
 /** Counts the runs of a fatal request after all gateways must know of the third backend server that it crashed. */
-function countLateRuns({ ends, runs }: CrashingFleet, fatal: string): number {
-    const third = ends.filter(({ body }) => body === fatal)[2];
+function countLateRuns({ crashes, runs }: CrashingFleet, fatal: string): number {
+    const third = crashes.filter(({ body }) => body === fatal)[2];
     return third === undefined ?
         0 :
         runs.filter(({ at, body }) => body === fatal && at > third.at + settleMilliseconds).length;
--- a/test/platform/explain.test.ts
+++ b/test/platform/explain.test.ts
@@ -13,7 +13,7 @@
     it("is found for one that was refused as overloaded", async () => {
         await using deployment = await startDeployment();
         const runner = await deployment.addRunner({ id: "i-1" });
-        runner.behave("silent");
+        runner.setBehaviour("silent");
         const answers = await Promise.all([...Array(60).keys()].map(async index => {
             const requestId = `crowd-${index}`;
             const { status } = await call(deployment, "/safe/", { headers: { "attempt-id": requestId } });
@@ -30,7 +30,7 @@
     it("is found for one whose backend server reset the connection", async () => {
         await using deployment = await startDeployment();
         const runner = await deployment.addRunner({ id: "i-1" });
-        runner.behave("reset");
+        runner.setBehaviour("reset");
         const answer = await call(deployment, "/unsafe/", { method: "POST", headers: { "attempt-id": "broken" } });
         expect(answer.status).toEqual(502);
         const { causes, timeline } = explain(deployment, "broken");
@@ -45,7 +45,7 @@
     it("is found for one whose answer was reset before its end was known", async () => {
         await using deployment = await startDeployment();
         const runner = await deployment.addRunner({ id: "i-1" });
-        runner.behave("unframed-reset");
+        runner.setBehaviour("unframed-reset");
         await call(deployment, "/unsafe/", { method: "POST", headers: { "attempt-id": "short" } });
         const { causes, timeline } = explain(deployment, "short");
         expect(causes.length).toEqual(1);
@@ -57,7 +57,7 @@
     it("is empty for an answer that the end of the connection completed, and the log states this framing", async () => {
         await using deployment = await startDeployment();
         const runner = await deployment.addRunner({ id: "i-1" });
-        runner.behave("unframed");
+        runner.setBehaviour("unframed");
         await call(deployment, "/unsafe/", { method: "POST", body: "text", headers: { "attempt-id": "whole" } });
         const { causes, timeline } = explain(deployment, "whole");
         expect(causes).toEqual([]);
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -3,7 +3,7 @@
 import { request as sendRequest } from "node:http";
 import { connect } from "node:net";
 import { describe, it } from "node:test";
-import { call, callPlainly } from "./standIn/caller.js";
+import { call, callWithHttp10 } from "./standIn/caller.js";
 import { operatorConfiguration, startDeployment, type TestDeployment, waitUntil } from "./standIn/deployment.js";
 import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
 
@@ -72,7 +72,7 @@
         it(`answers ${status} to an unsafe request when the runner's answer is: ${behaviour}`, async () => {
             await using deployment = await startDeployment();
             const runners = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
-            runners.forEach(runner => runner.behave(behaviour));
+            runners.forEach(runner => runner.setBehaviour(behaviour));
             const answer = await call(deployment, "/unsafe/", { method: "POST" });
             expect(answer.status).toEqual(status);
             expect(runners.reduce((sum, runner) => sum + runner.countArrivals(), 0)).toEqual(1);
@@ -95,7 +95,7 @@
         it(`retries a safe request at another runner when the first answer is: ${behaviour}`, async () => {
             await using deployment = await startDeployment();
             const [bad, good] = [await deployment.addRunner({ id: "i-1" }), await deployment.addRunner({ id: "i-2" })];
-            bad.behave(behaviour);
+            bad.setBehaviour(behaviour);
             for (let index = 0; index < 4; index++) {
                 const answer = await call(deployment, "/safe/");
                 expect([answer.status, answer.body]).toEqual([200, "i-2:"]);
@@ -125,11 +125,11 @@
     it("closes an unchunked stream in order only if it is complete", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1", events: 3 });
-        const whole = await callPlainly(deployment, "/stream/");
+        const whole = await callWithHttp10(deployment, "/stream/");
         expect([whole.ending, whole.text.endsWith("id: 3\ndata: i-1\n\n")]).toEqual(["closed", true]);
         await using breaking = await startDeployment();
         await breaking.addRunner({ id: "i-1", events: 6, breakAfter: 3 });
-        const broken = await callPlainly(breaking, "/stream/");
+        const broken = await callWithHttp10(breaking, "/stream/");
         expect(broken.text.startsWith("HTTP/1.1 200")).toEqual(true);
         expect(broken.ending).toEqual("reset");
     });
@@ -137,7 +137,7 @@
     it("resets an unchunked stream that it cuts off at its own shutdown", async () => {
         await using deployment = await startDeployment();
         await deployment.addRunner({ id: "i-1", events: 500, eventMilliseconds: 10 });
-        const cut = callPlainly(deployment, "/stream/");
+        const cut = callWithHttp10(deployment, "/stream/");
         await new Promise(resolve => setTimeout(resolve, 200));
         await deployment[Symbol.asyncDispose]();
         const { ending, text } = await cut;
--- a/test/platform/gatewayDeadServers.test.ts
+++ b/test/platform/gatewayDeadServers.test.ts
@@ -14,7 +14,7 @@
         });
         const [port] = await findFreePorts(1);
         await deployment.addRunner({ id: "i-1" });
-        await deployment.listRunner("i-2", `127.0.0.1:${port}`);
+        await deployment.addRunnerRecord("i-2", `127.0.0.1:${port}`);
         const answers = await Promise.all(Array.from({ length: 8 }, () => call(deployment, "/unsafe/")));
         expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 200));
     });
--- a/test/platform/gatewayEjection.test.ts
+++ b/test/platform/gatewayEjection.test.ts
@@ -11,9 +11,9 @@
             "routing.ejectionMilliseconds": "60000",
         });
         const runner = await deployment.addRunner({ id: "i-1" });
-        runner.behave("reset");
+        runner.setBehaviour("reset");
         const broken = [await call(deployment, "/unsafe/"), await call(deployment, "/unsafe/")];
-        runner.behave("answer");
+        runner.setBehaviour("answer");
         const answer = await call(deployment, "/unsafe/");
         expect([...broken, answer].map(({ status }) => status)).toEqual([502, 502, 200]);
     });
--- a/test/platform/gatewayEndlessAnswers.test.ts
+++ b/test/platform/gatewayEndlessAnswers.test.ts
@@ -19,7 +19,7 @@
             const events = path === "/stream/" ? { events: 2 } : {};
             const endless = await deployment.addRunner({ id: "i-1", ...events });
             await deployment.addRunner({ id: "i-2", ...events });
-            endless.behave(behaviour);
+            endless.setBehaviour(behaviour);
             const startedAt = Date.now();
             const answers = await Promise.all(Array.from({ length: 8 }, () => call(deployment, path)));
             expect(answers.map(({ complete, status }) => [status, complete])).toEqual(answers.map(() => [200, true]));
@@ -49,7 +49,7 @@
         it(`returns the answer of a healthy one within the route timeout: ${part} on ${path}`, async () => {
             await using deployment = await startDeployment();
             const endless = deployment.stack.use(await startEndlessRunner(part));
-            await deployment.listRunner("i-1", endless.address);
+            await deployment.addRunnerRecord("i-1", endless.address);
             await deployment.addRunner({ id: "i-2", ...(path === "/stream/" ? { events: 2 } : {}) });
             const answers = await Promise.all(Array.from({ length: 8 }, () => call(deployment, path)));
             expect(answers.map(({ complete, status }) => [status, complete])).toEqual(answers.map(() => [200, true]));
@@ -75,7 +75,7 @@
                 response.end();
             }),
         );
-        await deployment.listRunner("i-1", slow.address);
+        await deployment.addRunnerRecord("i-1", slow.address);
         const { body, complete, status } = await call(deployment, "/safe/");
         expect([status, complete, body]).toEqual([200, true, "part;".repeat(10)]);
     });
@@ -87,7 +87,7 @@
         it(`immediately fails a request that must not be retried: ${part}`, async () => {
             await using deployment = await startDeployment({ "routing.failuresUntilEjected": "100" });
             const endless = deployment.stack.use(await startEndlessRunner(part));
-            await deployment.listRunner("i-1", endless.address);
+            await deployment.addRunnerRecord("i-1", endless.address);
             const startedAt = Date.now();
             const answers = await Promise.all(Array.from({ length: 4 }, () => call(deployment, "/unsafe/")));
             expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 502));
@@ -103,7 +103,7 @@
         it(`ends the stream at the route timeout: ${part}`, async () => {
             await using deployment = await startDeployment();
             const endless = deployment.stack.use(await startEndlessRunner(part));
-            await deployment.listRunner("i-1", endless.address);
+            await deployment.addRunnerRecord("i-1", endless.address);
             const startedAt = Date.now();
             const answers = await Promise.all(Array.from({ length: 4 }, () => call(deployment, "/stream/")));
             expect(answers.map(({ complete }) => complete)).toEqual(answers.map(() => false));
--- a/test/platform/gatewayFraming.test.ts
+++ b/test/platform/gatewayFraming.test.ts
@@ -32,7 +32,7 @@
         server.listen(0, "127.0.0.1", resolve);
     });
     const { port } = server.address() as { readonly port: number; };
-    await deployment.listRunner("i-1", `127.0.0.1:${port}`);
+    await deployment.addRunnerRecord("i-1", `127.0.0.1:${port}`);
     await waitUntil("the runner is listed", async () => (await call(deployment, "/safe/")).status === 200);
     received.length = 0;
     return received;
--- a/test/platform/gatewayLeavingServers.test.ts
+++ b/test/platform/gatewayLeavingServers.test.ts
@@ -37,10 +37,10 @@
         leaving.leave();
         await call(deployment, "/safe/");
         await deployment.addRunner({ id: "i-2" });
-        await deployment.listRunner("i-1", leaving.address, { cold_remaining_ms: 5 });
+        await deployment.addRunnerRecord("i-1", leaving.address, { cold_remaining_ms: 5 });
         deployment.store.drop("keyed.servers", "i-1");
         await sleep(600);
-        await deployment.listRunner("i-1", leaving.address);
+        await deployment.addRunnerRecord("i-1", leaving.address);
         const before = leaving.countArrivals();
         await callAtRate(deployment, { path: "/safe/", rate: 40, duration: 500 });
         expect(leaving.countArrivals() - before).toEqual(0);
--- a/test/platform/gatewayPlaces.test.ts
+++ b/test/platform/gatewayPlaces.test.ts
@@ -18,7 +18,7 @@
             await waitUntil("all streams run", () => first.runs.length === 4);
             const second = await deployment.addRunner({ id: "i-2" });
             if (ending === "leaves") {
-                await deployment.listRunner("i-1", first.address, { state: "draining" });
+                await deployment.addRunnerRecord("i-1", first.address, { state: "draining" });
             }
             else {
                 deployment.store.drop("keyed.servers", "i-1");
--- a/test/platform/gatewayRegistration.test.ts
+++ b/test/platform/gatewayRegistration.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { startDeployment } from "./standIn/deployment.js";
-import { addGateways, endThree, listCondemned, sendFatal, startFleet } from "./standIn/fatalRequests.js";
+import { addGateways, crashThreeServers, listCondemned, sendFatal, startFleet } from "./standIn/fatalRequests.js";
 
 describe("gateways that have just become ready", () => {
     // Guards against a request that crashes further backend servers at a gateway that is unknown to the others.
@@ -11,7 +11,7 @@
         deployment.store.slow("keyed.goldcrestpoint-instances", 400);
         const gateways = await addGateways(deployment, "/unsafe/");
         deployment.store.setFault("busy");
-        await endThree(fleet, gateways, "/unsafe/");
+        await crashThreeServers(fleet, gateways, "/unsafe/");
         const answers = await sendFatal(gateways, "/unsafe/", 6, 0);
         expect(listCondemned(answers).length).toEqual(6);
     });
--- a/test/platform/gatewayRouteTimeout.test.ts
+++ b/test/platform/gatewayRouteTimeout.test.ts
@@ -18,7 +18,7 @@
             await using deployment = await startDeployment();
             const ids = Array.from({ length: 16 }, (...[, index]) => `i-${index}`);
             const runners = await Promise.all(ids.map(id => deployment.addRunner({ id })));
-            runners.forEach(runner => runner.behave("silent"));
+            runners.forEach(runner => runner.setBehaviour("silent"));
             let decisions = 0;
             await using gateway = await startTestGateway({
                 instance: "gateway-2",
--- a/test/platform/gatewayTurnedAway.test.ts
+++ b/test/platform/gatewayTurnedAway.test.ts
@@ -21,7 +21,7 @@
             const events = path === "/stream/" ? { events: 3 } : {};
             const busy = await deployment.addRunner({ id: "i-1", ...events });
             await deployment.addRunner({ id: "i-2", ...events });
-            busy.behave("turn-away");
+            busy.setBehaviour("turn-away");
             const startedAt = performance.now();
             const answers = await callAtRate(deployment, { path, rate: 40, duration: 2_000 });
             const firstAt = busy.arrivedAt.find(at => at >= startedAt)!;
@@ -35,13 +35,13 @@
         await using deployment = await startDeployment();
         const busy = await deployment.addRunner({ id: "i-1" });
         await deployment.addRunner({ id: "i-2" });
-        busy.behave("turn-away");
+        busy.setBehaviour("turn-away");
         busy.setRetryAfter("0.6");
         const startedAt = performance.now();
         await callAtRate(deployment, { path: "/safe/", rate: 60, duration: 1_100 });
         const first = busy.arrivedAt.find(at => at >= startedAt)!;
         expect(countBetween(busy, first + inFlight, first + 1_100)).toEqual(1);
-        busy.behave("answer");
+        busy.setBehaviour("answer");
         await sleep(700);
         const before = busy.countArrivals();
         await callAtRate(deployment, { path: "/safe/", rate: 60, duration: 500 });
@@ -52,7 +52,7 @@
     it("makes callers retry after that time if it is the only one", async () => {
         await using deployment = await startDeployment({ "admission.maximumRetryAfterSeconds": "2" });
         const busy = await deployment.addRunner({ id: "i-1" });
-        busy.behave("turn-away");
+        busy.setBehaviour("turn-away");
         busy.setRetryAfter("3");
         await call(deployment, "/safe/");
         const toldAt = performance.now();
@@ -70,10 +70,10 @@
         it(`gets requests again if the time is "${text}"`, async () => {
             await using deployment = await startDeployment();
             const busy = await deployment.addRunner({ id: "i-1" });
-            busy.behave("turn-away");
+            busy.setBehaviour("turn-away");
             busy.setRetryAfter(text);
             await call(deployment, "/unsafe/");
-            busy.behave("answer");
+            busy.setBehaviour("answer");
             expect((await call(deployment, "/unsafe/")).status).toEqual(200);
         });
     }
@@ -82,10 +82,10 @@
     it("gets requests again after the maximum pause", async () => {
         await using deployment = await startDeployment({ "gateway.maximumPauseMilliseconds": "1000" });
         const busy = await deployment.addRunner({ id: "i-1" });
-        busy.behave("turn-away");
+        busy.setBehaviour("turn-away");
         busy.setRetryAfter("100000000000");
         await call(deployment, "/safe/");
-        busy.behave("answer");
+        busy.setBehaviour("answer");
         expect((await call(deployment, "/safe/")).status).toEqual(503);
         await sleep(1_100);
         expect((await call(deployment, "/safe/")).status).toEqual(200);
@@ -94,11 +94,11 @@
     it("gets requests immediately after a restart", async () => {
         await using deployment = await startDeployment();
         const busy = await deployment.addRunner({ id: "i-1" });
-        busy.behave("turn-away");
+        busy.setBehaviour("turn-away");
         busy.setRetryAfter("60");
         await call(deployment, "/safe/");
-        busy.behave("answer");
-        await deployment.listRunner("i-1", busy.address, { born: 2 });
+        busy.setBehaviour("answer");
+        await deployment.addRunnerRecord("i-1", busy.address, { born: 2 });
         expect((await call(deployment, "/safe/")).status).toEqual(200);
     });
 });
--- a/test/platform/restoredStore.test.ts
+++ b/test/platform/restoredStore.test.ts
@@ -96,7 +96,7 @@
         await deployment.addRunner({ id: "i-3" });
         deployment.store.backUp();
         deployment.store.drop("keyed.servers", "i-1");
-        await deployment.listRunner("i-2", draining.address, { sequence: 5, state: "draining" });
+        await deployment.addRunnerRecord("i-2", draining.address, { sequence: 5, state: "draining" });
         const before = removed.countArrivals() + draining.countArrivals();
         await restore(deployment);
         const endsAt = performance.now() + 1_500;
--- a/test/platform/standIn/caller.ts
+++ b/test/platform/standIn/caller.ts
@@ -3,7 +3,7 @@
 import type { TestDeployment } from "./deployment.js";
 
 /** Response that a caller has received. */
-export interface Answer {
+export interface GatewayResponse {
     readonly status: number;
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
     readonly body: string;
@@ -31,7 +31,7 @@
         /** Connection pool to use. Default: the global one of the process. */
         readonly agent?: Agent;
     } = {},
-): Promise<Answer> {
+): Promise<GatewayResponse> {
     attempts++;
     return new Promise((resolve, reject) => {
         const request = sendRequest(gatewayUrl + path, {
@@ -76,7 +76,7 @@
  * @param path - path and query
  * @returns what was received, and how the connection ended
  */
-export function callPlainly(
+export function callWithHttp10(
     { gatewayUrl }: Pick<TestDeployment, "gatewayUrl">,
     path: string,
 ): Promise<Http10Response> {
--- a/test/platform/standIn/crashingFleet.ts
+++ b/test/platform/standIn/crashingFleet.ts
@@ -22,7 +22,7 @@
 /** Runners that crash on some requests and restart at the same address, each time as another instance. */
 export interface CrashingFleet {
     /** Crashes in the order in which they occurred. */
-    readonly ends: readonly RunnerCrash[];
+    readonly crashes: readonly RunnerCrash[];
     /** Executed requests in the order in which they began. */
     readonly runs: readonly FleetRun[];
     /** Crashes a running runner without a request that causes it; does nothing if none is running. */
@@ -40,7 +40,7 @@
     /** Time from the crash of a runner to its restart. */
     readonly downMilliseconds: number;
     /** Time from the crash of a runner to the removal of its record from the store. */
-    readonly lapseMilliseconds: number;
+    readonly recordRemovalMilliseconds: number;
 }
 
 /**
@@ -54,7 +54,7 @@
     deployment: TestDeployment,
     options: CrashingFleetOptions,
 ): Promise<CrashingFleet> {
-    const ends: RunnerCrash[] = [];
+    const crashes: RunnerCrash[] = [];
     const runs: FleetRun[] = [];
     const running = new Map<number, RunnerStandIn>();
     const timers = new Set<NodeJS.Timeout>();
@@ -71,9 +71,9 @@
     }
 
     function recordCrash(port: number, instance: string, body: string): void {
-        ends.push({ at: Date.now(), instance, body });
+        crashes.push({ at: Date.now(), instance, body });
         running.delete(port);
-        schedule(options.lapseMilliseconds, () => deployment.store.drop("keyed.servers", instance));
+        schedule(options.recordRemovalMilliseconds, () => deployment.store.drop("keyed.servers", instance));
         schedule(options.downMilliseconds, () => void start(port));
     }
 
@@ -107,7 +107,7 @@
     });
     await Promise.all(ports.map(start));
     return {
-        ends,
+        crashes,
         runs,
         crashOne: () => {
             const [first] = running;
--- a/test/platform/standIn/deployment.ts
+++ b/test/platform/standIn/deployment.ts
@@ -11,10 +11,10 @@
     readonly stack: DisposalStack;
     /** Starts another gateway and waits until it is ready. */
     addGateway(instance: string, flags?: Readonly<Record<string, string>>): Promise<TestGateway>;
-    /** Starts a runner of the plain service and lists it; see `listRunner`. */
+    /** Starts a runner of the plain service and lists it; see `addRunnerRecord`. */
     addRunner(options: RunnerStandInOptions, entry?: Readonly<Record<string, unknown>>): Promise<RunnerStandIn>;
     /** Writes the record of a running runner to the store, and waits until the gateway has read it. */
-    listRunner(id: string, address: string, entry?: Readonly<Record<string, unknown>>): Promise<void>;
+    addRunnerRecord(id: string, address: string, entry?: Readonly<Record<string, unknown>>): Promise<void>;
     /** Writes the operator's configuration to the store, with some fields changed. */
     configure(changes?: Readonly<Record<string, unknown>>): void;
     /** Drains the gateway and releases its resources, as its process does after the signal to shut down. */
@@ -75,7 +75,7 @@
         await waitUntil("the gateway is ready", async () => (await fetch(readyUrl)).status === 200);
     }
 
-    async function listRunner(
+    async function addRunnerRecord(
         id: string,
         address: string,
         entry: Readonly<Record<string, unknown>> = {},
@@ -90,7 +90,7 @@
         ...gateway,
         store,
         stack,
-        listRunner,
+        addRunnerRecord,
         addGateway: async (instance, added = flags) => {
             const addedGateway = stack.use(
                 await startTestGateway({ instance, storeAddress: store.address, flags: added }),
@@ -100,7 +100,7 @@
         },
         addRunner: async (options, entry) => {
             const runner = stack.use(await startRunnerStandIn(options));
-            await listRunner(options.id, runner.address, entry);
+            await addRunnerRecord(options.id, runner.address, entry);
             return runner;
         },
         configure: (changes = {}) => store.write("keyed.op", "config", { ...operatorConfiguration, ...changes }),
--- a/test/platform/standIn/engineStandIn.ts
+++ b/test/platform/standIn/engineStandIn.ts
@@ -13,7 +13,7 @@
     /** Whether the connection is closed without a response once an order has been applied. */
     loseAnswers: boolean;
     /** Number of further writes that store zeros in place of the content, by index of the piece. */
-    readonly spoilt: Map<number, number>;
+    readonly corruptWrites: Map<number, number>;
 }
 
 /**
@@ -30,7 +30,7 @@
         loaded: 0,
         running: 0,
         loseAnswers: false,
-        spoilt: new Map<number, number>(),
+        corruptWrites: new Map<number, number>(),
     };
     const server = await startHttpStandIn((request, response, url, body) => {
         const index = url.searchParams.get("digest_count");
@@ -52,8 +52,8 @@
         }
         else if (url.pathname === `/api/stage-put/${model}` && request.method === "PUT") {
             const position = Number(index);
-            const corruptWritesLeft = state.spoilt.get(position) ?? 0;
-            state.spoilt.set(position, corruptWritesLeft - 1);
+            const corruptWritesLeft = state.corruptWrites.get(position) ?? 0;
+            state.corruptWrites.set(position, corruptWritesLeft - 1);
             state.stage.set(position, corruptWritesLeft > 0 ? Buffer.alloc(body.length) : body);
             sendJson(response, 200, {});
         }
--- a/test/platform/standIn/fatalRequests.ts
+++ b/test/platform/standIn/fatalRequests.ts
@@ -1,4 +1,4 @@
-import { type Answer, call } from "./caller.js";
+import { call, type GatewayResponse } from "./caller.js";
 import { type CrashingFleet, type CrashingFleetOptions, startCrashingFleet } from "./crashingFleet.js";
 import { type TestDeployment, waitUntil } from "./deployment.js";
 import type { TestGateway } from "./gateway.js";
@@ -19,8 +19,8 @@
 }
 
 /** Counts the executions of the fatal request after all gateways have to know of its third crash. */
-export function countLateRuns({ ends, runs }: CrashingFleet): number {
-    const thirdCrash = ends.filter(({ body }) => body === fatalBody)[2];
+export function countLateRuns({ crashes, runs }: CrashingFleet): number {
+    const thirdCrash = crashes.filter(({ body }) => body === fatalBody)[2];
     return thirdCrash === undefined ?
         0 :
         runs.filter(({ at, body }) => body === fatalBody && at > thirdCrash.at + settleMilliseconds).length;
@@ -36,7 +36,7 @@
         isFatal: body => body === fatalBody,
         workMilliseconds: 30,
         downMilliseconds: 1_500,
-        lapseMilliseconds: 3_600,
+        recordRemovalMilliseconds: 3_600,
         ...options,
     });
 }
@@ -63,8 +63,8 @@
     path: string,
     count: number,
     interval: number,
-): Promise<readonly (Answer | undefined)[]> {
-    const responses: (Answer | undefined)[] = [];
+): Promise<readonly (GatewayResponse | undefined)[]> {
+    const responses: (GatewayResponse | undefined)[] = [];
     for (let index = 0; index < count; index++) {
         const options = { method: "POST", body: fatalBody };
         responses.push(await call(gateways[index % gateways.length]!, path, options).catch(() => undefined));
@@ -74,10 +74,14 @@
 }
 
 /** Sends the fatal request until three backend servers have crashed and all gateways have to know of it. */
-export async function endThree(fleet: CrashingFleet, gateways: readonly TestGateway[], path: string): Promise<void> {
+export async function crashThreeServers(
+    fleet: CrashingFleet,
+    gateways: readonly TestGateway[],
+    path: string,
+): Promise<void> {
     await waitUntil("three backend servers have crashed", async () => {
         await sendFatal(gateways, path, gateways.length, 100);
-        return fleet.ends.length >= 3;
+        return fleet.crashes.length >= 3;
     });
     await pause(settleMilliseconds);
 }
@@ -86,8 +90,12 @@
  * Sends harmless requests one after the other until the returned function is called. Every second request has a body
  * that no other request has.
  */
-export function startCaller(gateways: readonly TestGateway[], path: string, name: string): () => Promise<Answer[]> {
-    const responses: Answer[] = [];
+export function startCaller(
+    gateways: readonly TestGateway[],
+    path: string,
+    name: string,
+): () => Promise<GatewayResponse[]> {
+    const responses: GatewayResponse[] = [];
     let stopped = false;
     const finished = (async () => {
         for (let count = 0; !stopped; count++) {
@@ -105,12 +113,14 @@
 }
 
 /** Starts twelve callers; the returned function stops them and returns all responses. */
-export function startCallers(gateways: readonly TestGateway[], path: string): () => Promise<Answer[]> {
+export function startCallers(gateways: readonly TestGateway[], path: string): () => Promise<GatewayResponse[]> {
     const stops = Array.from({ length: 12 }, (...[, index]) => startCaller(gateways, path, `caller-${index}`));
     return async () => (await Promise.all(stops.map(stop => stop()))).flat();
 }
 
 /** Lists the responses that refuse a request because it crashes backend servers. */
-export function listCondemned(responses: readonly (Answer | undefined)[]): readonly (Answer | undefined)[] {
+export function listCondemned(
+    responses: readonly (GatewayResponse | undefined)[],
+): readonly (GatewayResponse | undefined)[] {
     return responses.filter(response => response?.body.includes("crashes-backend-servers"));
 }
--- a/test/platform/standIn/pacedCalls.ts
+++ b/test/platform/standIn/pacedCalls.ts
@@ -1,5 +1,5 @@
 import { sleep } from "../../../src/utils/index.js";
-import { type Answer, call } from "./caller.js";
+import { call, type GatewayResponse } from "./caller.js";
 import type { TestDeployment } from "./deployment.js";
 
 /** Requests that are sent at a fixed rate, without waiting for the responses to earlier ones. */
@@ -21,8 +21,8 @@
 export async function callAtRate(
     deployment: Pick<TestDeployment, "gatewayUrl">,
     { duration, path, rate }: PacedCalls,
-): Promise<readonly Answer[]> {
-    const responses: Promise<Answer>[] = [];
+): Promise<readonly GatewayResponse[]> {
+    const responses: Promise<GatewayResponse>[] = [];
     for (let sent = 0; sent < rate * duration / 1_000; sent++) {
         responses.push(call(deployment, path));
         await sleep(1_000 / rate);
--- a/test/platform/standIn/plannedAnswer.ts
+++ b/test/platform/standIn/plannedAnswer.ts
@@ -4,13 +4,13 @@
 import { closeServer } from "./closeServer.js";
 
 /** How a planned response ends: whole, or with its connection closed or reset after a part of its bytes. */
-export type AnswerEnding = "whole" | "closed" | "reset";
+export type ResponseEnding = "whole" | "closed" | "reset";
 
 /** Response that a {@link PlannedRunner} is to send. */
-export interface AnswerPlan {
+export interface ResponsePlan {
     readonly framing: Exclude<BodyFraming, "none">;
     readonly bodyBytes: number;
-    readonly ending: AnswerEnding;
+    readonly ending: ResponseEnding;
     /** Share of the bytes that are sent, unless the response is whole. */
     readonly sentShare: number;
     /** Number of writes in which the response is sent. */
@@ -21,7 +21,7 @@
     readonly repeatAfter: number | undefined;
 }
 
-/** Header with the {@link AnswerPlan} for a request, as JSON. */
+/** Header with the {@link ResponsePlan} for a request, as JSON. */
 export const planHeader = "x-plan";
 
 const framings = ["length", "chunked", "connection"] as const;
@@ -34,7 +34,7 @@
  * @param faults - whether responses may be incomplete or be sent again
  * @returns the plan
  */
-export function drawPlan(random: RandomSource, faults: boolean): AnswerPlan {
+export function drawPlan(random: RandomSource, faults: boolean): ResponsePlan {
     const framing = framings[Math.floor(random.next() * framings.length)]!;
     const isWhole = !faults || random.next() < 0.4;
     // Closing the connection completes a response without a length, so only a reset can make it incomplete.
@@ -61,19 +61,20 @@
     return `${requestId};`.repeat(Math.ceil(bytes / (requestId.length + 1))).slice(0, bytes);
 }
 
-const frameBody: Readonly<Record<AnswerPlan["framing"], (body: string) => readonly [headers: string[], body: string]>> =
-    {
-        length: body => [[`content-length: ${body.length}`], body],
-        chunked: body => {
-            const half = Math.floor(body.length / 2);
-            const chunks = [body.slice(0, half), body.slice(half)].filter(({ length }) => length > 0);
-            const framed = chunks.map(chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`);
-            return [["transfer-encoding: chunked"], `${framed.join("")}0\r\n\r\n`];
-        },
-        connection: body => [[], body],
-    };
+const frameBody: Readonly<
+    Record<ResponsePlan["framing"], (body: string) => readonly [headers: string[], body: string]>
+> = {
+    length: body => [[`content-length: ${body.length}`], body],
+    chunked: body => {
+        const half = Math.floor(body.length / 2);
+        const chunks = [body.slice(0, half), body.slice(half)].filter(({ length }) => length > 0);
+        const framed = chunks.map(chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`);
+        return [["transfer-encoding: chunked"], `${framed.join("")}0\r\n\r\n`];
+    },
+    connection: body => [[], body],
+};
 
-function encode(requestId: string, plan: AnswerPlan): Buffer {
+function encode(requestId: string, plan: ResponsePlan): Buffer {
     const [headers, body] = frameBody[plan.framing](makeBody(requestId, plan.bodyBytes));
     const head = [
         "HTTP/1.1 200 OK",
@@ -110,7 +111,7 @@
     }
 }
 
-async function sendResponse(connection: Connection, requestId: string, plan: AnswerPlan): Promise<void> {
+async function sendResponse(connection: Connection, requestId: string, plan: ResponsePlan): Promise<void> {
     const { repeats, socket } = connection;
     const whole = encode(requestId, plan);
     const isWhole = plan.ending === "whole";
@@ -173,7 +174,7 @@
             void sendResponse(
                 connection,
                 headers.get("attempt-id")!,
-                JSON.parse(headers.get(planHeader)!) as AnswerPlan,
+                JSON.parse(headers.get(planHeader)!) as ResponsePlan,
             );
         });
     });
--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -55,7 +55,7 @@
     /** Monotonic times at which requests arrived, in milliseconds. */
     readonly arrivedAt: readonly number[];
     /** Sets how further requests are handled. */
-    behave(behaviour: RunnerBehaviour): void;
+    setBehaviour(behaviour: RunnerBehaviour): void;
     /** Adds the header `server-leaving` to all further responses. */
     leave(): void;
     /** Sets the header `retry-after` of the responses to requests that are turned away. */
@@ -253,7 +253,7 @@
         runs,
         countArrivals: () => arrivedAt.length,
         arrivedAt,
-        behave: next => {
+        setBehaviour: next => {
             behaviour = next;
         },
         leave: () => {
--- a/test/platform/weights.test.ts
+++ b/test/platform/weights.test.ts
@@ -26,10 +26,10 @@
     it("writes a corrupted chunk again, and gives up after several rounds", async () => {
         await using engine = await startEngineStandIn("quill");
         await using client = createEngineClient(engine.address);
-        engine.spoilt.set(2, 1);
+        engine.corruptWrites.set(2, 1);
         expect(expectOk(await stageWeights(client, manifest, read)).written).toEqual(5);
         engine.stage.clear();
-        engine.spoilt.set(2, 9);
+        engine.corruptWrites.set(2, 9);
         const staged = await stageWeights(client, manifest, read);
         expect(staged.isErr && staged.error.code).toEqual("CHUNK_CORRUPT");
     });
--- a/test/red/endlessHead.test.ts
+++ b/test/red/endlessHead.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { startDeployment } from "../platform/standIn/deployment.js";
-import { closingMargin, sendWithoutEnd } from "../platform/standIn/endlessCaller.js";
+import { closingMarginMilliseconds, sendEndlessRequest } from "../platform/standIn/endlessCaller.js";
 
 const headTimeLimitMilliseconds = 3_000;
 
@@ -9,8 +9,13 @@
     // Guards against connections that are held for as long as a caller goes on sending fields.
     it("are cut off: slow fields", async () => {
         await using deployment = await startDeployment();
-        const allowed = headTimeLimitMilliseconds + closingMargin;
-        const request = { first: "POST /unsafe/ HTTP/1.1\r\n", part: "x: y\r\n", interval: 100, allowed };
-        expect((await sendWithoutEnd(deployment, request)).duration).toBeLessThan(allowed);
+        const allowedMilliseconds = headTimeLimitMilliseconds + closingMarginMilliseconds;
+        const request = {
+            first: "POST /unsafe/ HTTP/1.1\r\n",
+            part: "x: y\r\n",
+            intervalMilliseconds: 100,
+            allowedMilliseconds,
+        };
+        expect((await sendEndlessRequest(deployment, request)).duration).toBeLessThan(allowedMilliseconds);
     });
 });
