Call the simulated fleet of the placement tests a fleet

World is a simulated fleet with one log and partitions, cuts are the instances that a partition isolates, and pass lets time elapse. The names are SimulatedFleet, isolated and elapse now, also in the bench.

--- a/bench/capacity/appends.ts
+++ b/bench/capacity/appends.ts
@@ -1,5 +1,5 @@
 import { createSeededRandom } from "../../src/utils/index.js";
-import { createWorld, type World } from "../../test/runtime/placement/world.js";
+import { createSimulatedFleet, type SimulatedFleet } from "../../test/runtime/placement/world.js";
 import { budgets, designSize } from "./designSize.js";
 import type { CapacityFigure } from "./measurement.js";
 
@@ -23,24 +23,28 @@
 }
 
 /** Runs the proposers for `maximumSeconds`, or until nothing was appended for `quietSeconds`; counts the records. */
-function countAppends(world: World, maximumSeconds: number, quietSeconds = Number.POSITIVE_INFINITY): AppendStatistics {
-    const first = world.log.length;
+function countAppends(
+    fleet: SimulatedFleet,
+    maximumSeconds: number,
+    quietSeconds = Number.POSITIVE_INFINITY,
+): AppendStatistics {
+    const first = fleet.log.length;
     const appendsBySecond: number[] = [];
     let lastAppend = 0;
     let elapsed = 0;
     while (elapsed < maximumSeconds && elapsed - lastAppend < quietSeconds) {
-        const before = world.log.length;
-        world.run(1, stepMilliseconds);
-        appendsBySecond.push(world.log.length - before);
+        const before = fleet.log.length;
+        fleet.run(1, stepMilliseconds);
+        appendsBySecond.push(fleet.log.length - before);
         elapsed += 1;
-        lastAppend = world.log.length > before ? elapsed : lastAppend;
+        lastAppend = fleet.log.length > before ? elapsed : lastAppend;
     }
-    const bytes = world.log.slice(first).reduce((sum, { record }) => sum + JSON.stringify(record).length, 0);
+    const bytes = fleet.log.slice(first).reduce((sum, { record }) => sum + JSON.stringify(record).length, 0);
     const minutes = appendsBySecond.map((...[, start]) =>
         appendsBySecond.slice(start, start + worstWindowSeconds).reduce((sum, count) => sum + count, 0)
     );
     return {
-        records: world.log.length - first,
+        records: fleet.log.length - first,
         bytes,
         worstMinuteAppends: Math.max(0, ...minutes),
         lastAppendSeconds: lastAppend,
@@ -65,16 +69,16 @@
 }
 
 /** Ends the instances and adds a new one in the availability zone of each. */
-function replaceFailedInstances(world: World, instances: readonly string[]): void {
-    for (const agent of world.agents.filter(({ listed }) => instances.includes(listed.instance))) {
+function replaceFailedInstances(fleet: SimulatedFleet, instances: readonly string[]): void {
+    for (const agent of fleet.agents.filter(({ listed }) => instances.includes(listed.instance))) {
         agent.alive = false;
-        world.listing.delete(agent.listed.instance);
-        world.addAgent(`${agent.listed.instance}-next`, agent.listed.zone);
+        fleet.listing.delete(agent.listed.instance);
+        fleet.addAgent(`${agent.listed.instance}-next`, agent.listed.zone);
     }
 }
 
-function listZone(world: World, zone: string): string[] {
-    return world.agents.filter(({ alive, listed }) => alive && listed.zone === zone)
+function listZone(fleet: SimulatedFleet, zone: string): string[] {
+    return fleet.agents.filter(({ alive, listed }) => alive && listed.zone === zone)
         .map(({ listed }) => listed.instance);
 }
 
@@ -85,27 +89,27 @@
  * @returns figures for a first placement, a new version with the loss of a rack, network partitions and single failures
  */
 export function measureAppends(seed: number): CapacityFigure[] {
-    const world = createWorld(
+    const fleet = createSimulatedFleet(
         Object.fromEntries(Object.entries(zones).map(([zone, count]) => [zone, count + sparesPerZone])),
     );
-    world.pass(stepMilliseconds);
-    world.run(30);
-    world.apply(deployment, zones);
-    const placed = countAppends(world, 240, 40);
-    world.apply(deployment, zones, "2");
-    const started = countAppends(world, 5);
-    replaceFailedInstances(world, listZone(world, "zone-3").slice(0, rackInstances));
-    const burst = countAppends(world, 900, 60);
+    fleet.elapse(stepMilliseconds);
+    fleet.run(30);
+    fleet.apply(deployment, zones);
+    const placed = countAppends(fleet, 240, 40);
+    fleet.apply(deployment, zones, "2");
+    const started = countAppends(fleet, 5);
+    replaceFailedInstances(fleet, listZone(fleet, "zone-3").slice(0, rackInstances));
+    const burst = countAppends(fleet, 900, 60);
     for (const zone of ["zone-0", "zone-1"]) {
-        listZone(world, zone).forEach(instance => world.cuts.add(instance));
+        listZone(fleet, zone).forEach(instance => fleet.isolated.add(instance));
     }
-    const partitioned = countAppends(world, 240);
-    world.cuts.clear();
-    const healed = countAppends(world, 300, 60);
-    listZone(world, "zone-5").slice(0, rackInstances).forEach(instance => world.cuts.add(instance));
-    const rackIsolated = countAppends(world, 240);
-    world.cuts.clear();
-    const rackHealed = countAppends(world, 300, 60);
+    const partitioned = countAppends(fleet, 240);
+    fleet.isolated.clear();
+    const healed = countAppends(fleet, 300, 60);
+    listZone(fleet, "zone-5").slice(0, rackInstances).forEach(instance => fleet.isolated.add(instance));
+    const rackIsolated = countAppends(fleet, 240);
+    fleet.isolated.clear();
+    const rackHealed = countAppends(fleet, 300, 60);
     return [
         ...listFigures("first placement of 430 copies", placed),
         ...listFigures("new version for 430 copies, first 5 s", started),
@@ -114,29 +118,29 @@
         ...listFigures("partition of a region, after it has healed", healed),
         ...listFigures("switch of 16 instances cut off", rackIsolated),
         ...listFigures("switch of 16 instances, after it is back", rackHealed),
-        ...measureOrdinaryDay(world, seed),
+        ...measureOrdinaryDay(fleet, seed),
     ];
 }
 
-function measureOrdinaryDay(world: World, seed: number): CapacityFigure[] {
+function measureOrdinaryDay(fleet: SimulatedFleet, seed: number): CapacityFigure[] {
     const random = createSeededRandom(seed);
     const chooseRunning = (): string => {
-        const running = world.agents.filter(({ alive }) => alive);
+        const running = fleet.agents.filter(({ alive }) => alive);
         return running[Math.floor(random.next() * running.length)]!.listed.instance;
     };
     const samples = 5;
     let failures = 0;
     let replacements = 0;
     for (let sample = 0; sample < samples; sample++) {
-        replaceFailedInstances(world, [chooseRunning()]);
-        failures += countAppends(world, 180, 45).records;
+        replaceFailedInstances(fleet, [chooseRunning()]);
+        failures += countAppends(fleet, 180, 45).records;
         const leaving = chooseRunning();
-        world.listing.set(leaving, { ...world.listing.get(leaving)!, state: "leaving" });
-        const agent = world.agents.find(({ listed }) => listed.instance === leaving)!;
-        world.addAgent(`${leaving}-next`, agent.listed.zone);
-        replacements += countAppends(world, 180, 45).records;
+        fleet.listing.set(leaving, { ...fleet.listing.get(leaving)!, state: "leaving" });
+        const agent = fleet.agents.find(({ listed }) => listed.instance === leaving)!;
+        fleet.addAgent(`${leaving}-next`, agent.listed.zone);
+        replacements += countAppends(fleet, 180, 45).records;
         agent.alive = false;
-        world.listing.delete(leaving);
+        fleet.listing.delete(leaving);
     }
     const recordsPerDay = failures / samples * designSize.failuresPerDay +
         replacements / samples * designSize.replacementsPerDay;
--- a/test/runtime/placement/exploration.test.ts
+++ b/test/runtime/placement/exploration.test.ts
@@ -6,8 +6,8 @@
 import type { FoldState } from "../../../src/runtime/state/index.js";
 import type { LogEntry, LogRecord } from "../../../src/types/index.js";
 import { computeDigest, createSeededRandom } from "../../../src/utils/index.js";
-import { createWorld, sampleKeys } from "./world.js";
-import type { World } from "./world.js";
+import { createSimulatedFleet, sampleKeys } from "./world.js";
+import type { SimulatedFleet } from "./world.js";
 
 const zones = { "zone-a": 3 };
 const wanted = 2;
@@ -17,9 +17,9 @@
 
 interface ExplorationNode {
     /** State of the processes after the last tick; not changed afterwards. */
-    readonly fleet: World;
+    readonly fleet: SimulatedFleet;
     readonly log: readonly LogEntry[];
-    readonly cuts: readonly string[];
+    readonly isolated: readonly string[];
     readonly logUp: boolean;
     /** Newest record that each of the two proposers wants to append. */
     readonly pending: readonly (LogRecord | undefined)[];
@@ -64,11 +64,11 @@
     return { ...target, state: copyState(source.state), memory, random };
 }
 
-function copyFleet({ fleet: source, log, cuts, logUp }: ExplorationNode): World {
-    const fleet = createWorld(zones, options);
+function copyFleet({ fleet: source, log, isolated, logUp }: ExplorationNode): SimulatedFleet {
+    const fleet = createSimulatedFleet(zones, options);
     fleet.clock.advance(source.clock.monotonic());
     fleet.log.push(...log);
-    cuts.forEach(instance => fleet.cuts.add(instance));
+    isolated.forEach(instance => fleet.isolated.add(instance));
     fleet.logUp = logUp;
     for (const [index, entry] of fleet.entries.entries()) {
         const { input, startedAt, logKnownAt } = source.entries[index]!;
@@ -85,9 +85,9 @@
     return record?.kind === "placement" && [record.base, record.copies, record.owners, record.nextOwners];
 }
 
-const fleetDescriptions = new WeakMap<World, string>();
+const fleetDescriptions = new WeakMap<SimulatedFleet, string>();
 
-function describeFleet(fleet: World): string {
+function describeFleet(fleet: SimulatedFleet): string {
     const text = fleetDescriptions.get(fleet) ?? JSON.stringify([
         fleet.agents.map(({ state, loaded, hold, logKnownAt, answers }) => [
             state.appliedOffset,
@@ -107,16 +107,16 @@
     return text;
 }
 
-function identify({ fleet, log, cuts, logUp, pending, late, ticks, partitions, outages }: ExplorationNode): string {
+function identify({ fleet, log, isolated, logUp, pending, late, ticks, partitions, outages }: ExplorationNode): string {
     const records = [log.map(({ record }) => summarize(record)), pending.map(summarize), summarize(late)];
-    return computeDigest(JSON.stringify([ticks, partitions, outages, logUp, cuts, records]), describeFleet(fleet));
+    return computeDigest(JSON.stringify([ticks, partitions, outages, logUp, isolated, records]), describeFleet(fleet));
 }
 
 type Action = (node: ExplorationNode) => Partial<ExplorationNode> | undefined;
 
 function tick(node: ExplorationNode): Partial<ExplorationNode> {
     const fleet = copyFleet(node);
-    fleet.pass(tickDuration);
+    fleet.elapse(tickDuration);
     const pending = fleet.entries.slice(0, 2).map(entry => fleet.propose(entry)[0]?.record);
     fleet.propose(fleet.entries[2]!);
     return { fleet, ticks: node.ticks + 1, pending, late: node.late ?? node.pending[0] };
@@ -127,9 +127,9 @@
 }
 
 function appendOf(index: number): Action {
-    return ({ fleet, log, cuts, logUp, pending }) => {
+    return ({ fleet, log, isolated, logUp, pending }) => {
         const record = pending[index];
-        if (record === undefined || !logUp || cuts.includes(fleet.entries[index]!.id)) {
+        if (record === undefined || !logUp || isolated.includes(fleet.entries[index]!.id)) {
             return undefined;
         }
         // The record stays pending, so that it can be appended again as after a lost response.
@@ -141,11 +141,11 @@
     return late === undefined || !logUp ? undefined : { log: appendTo(log, late), late: undefined };
 }
 
-function partition(cuts: readonly string[]): Action {
+function partition(isolated: readonly string[]): Action {
     return node =>
-        node.partitions >= bounds.partitions || node.cuts.join() === cuts.join() ?
+        node.partitions >= bounds.partitions || node.isolated.join() === isolated.join() ?
             undefined :
-            { cuts, partitions: node.partitions + 1 };
+            { isolated, partitions: node.partitions + 1 };
 }
 
 function toggleLog({ outages, logUp }: ExplorationNode): Partial<ExplorationNode> | undefined {
@@ -177,19 +177,19 @@
     }
 }
 
-function isReplaced(fleet: World, holder: string): boolean {
+function isReplaced(fleet: SimulatedFleet, holder: string): boolean {
     const { copies } = fleet.entries[0]!.input.state.placements.get("scribe")!;
     return copies.every(({ instance }) => instance !== holder) && fleet.countHeld().get("scribe/zone-a") === wanted;
 }
 
 /** Creates a fleet in which two copies serve and own the keys, and a third instance has no copy. */
 function createSettled(): ExplorationNode {
-    const fleet = createWorld(zones, options);
+    const fleet = createSimulatedFleet(zones, options);
     fleet.run(3);
     fleet.apply("scribe", { "zone-a": wanted });
     fleet.run(8);
     const counts = { ticks: 0, partitions: 0, outages: 0 };
-    return { fleet, log: fleet.log, cuts: [], logUp: true, pending: [], late: undefined, ...counts, path: [] };
+    return { fleet, log: fleet.log, isolated: [], logUp: true, pending: [], late: undefined, ...counts, path: [] };
 }
 
 function follow(root: ExplorationNode, actions: Record<string, Action>, path: readonly string[]): ExplorationNode {
--- a/test/runtime/placement/rules.test.ts
+++ b/test/runtime/placement/rules.test.ts
@@ -1,22 +1,26 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { createWorld } from "./world.js";
-import type { World } from "./world.js";
+import { createSimulatedFleet } from "./world.js";
+import type { SimulatedFleet } from "./world.js";
 
-function listInstances(fleet: World, deployment: string, state: "assigned" | "revoked" = "assigned"): string[] {
+function listInstances(
+    fleet: SimulatedFleet,
+    deployment: string,
+    state: "assigned" | "revoked" = "assigned",
+): string[] {
     const copies = fleet.readPlacement(deployment)?.copies ?? [];
     return copies.filter(copy => copy.state === state).map(({ instance }) => instance).sort();
 }
 
-function createServing(zones: Record<string, number>, replicas: Record<string, number>): World {
-    const fleet = createWorld(zones);
+function createServing(zones: Record<string, number>, replicas: Record<string, number>): SimulatedFleet {
+    const fleet = createSimulatedFleet(zones);
     fleet.run(3);
     fleet.apply("scribe", replicas);
     fleet.run(20);
     return fleet;
 }
 
-function markAsLeaving(fleet: World, instance: string): void {
+function markAsLeaving(fleet: SimulatedFleet, instance: string): void {
     fleet.listing.set(instance, { ...fleet.listing.get(instance)!, state: "leaving" });
 }
 
@@ -37,7 +41,7 @@
 
     // Guards against a placement that waits for a timer, needs several records or keeps changing.
     it("places all wanted copies in one record and then changes nothing", () => {
-        const fleet = createWorld({ "zone-a": 4, "zone-b": 3 });
+        const fleet = createSimulatedFleet({ "zone-a": 4, "zone-b": 3 });
         fleet.run(3);
         fleet.apply("scribe", { "zone-a": 3, "zone-b": 2 });
         fleet.run(1);
@@ -58,7 +62,7 @@
         fleet.apply("scribe", { "zone-a": 6 });
         fleet.run(20);
         const cases: { readonly fault: () => void; readonly revoked: string; }[] = [
-            { fault: () => fleet.cuts.add(second!), revoked: second! },
+            { fault: () => fleet.isolated.add(second!), revoked: second! },
             { fault: () => markAsLeaving(fleet, third!), revoked: third! },
             { fault: () => undefined, revoked: first! },
         ];
@@ -84,7 +88,7 @@
     // Guards against more copies than declared while they are moved between zones.
     it("assigns in one zone only what another zone has released", () => {
         const fleet = createServing({ "zone-a": 2, "zone-b": 2 }, { "zone-a": 2, "zone-b": 0 });
-        fleet.cuts.add(listInstances(fleet, "scribe")[0]!);
+        fleet.isolated.add(listInstances(fleet, "scribe")[0]!);
         fleet.apply("scribe", { "zone-a": 0, "zone-b": 2 });
         fleet.run(8);
         expect(fleet.readPlacement("scribe")!.copies.length).toEqual(2);
@@ -95,9 +99,9 @@
     // Guards against mass replacement when many agents become unreachable at the same time.
     it("replaces no more copies than the limit at once, and none in a zone without a reachable instance", () => {
         const fleet = createServing({ "zone-a": 8, "zone-b": 3 }, { "zone-a": 4, "zone-b": 2 });
-        listInstances(fleet, "scribe").slice(0, 3).forEach(instance => fleet.cuts.add(instance));
+        listInstances(fleet, "scribe").slice(0, 3).forEach(instance => fleet.isolated.add(instance));
         fleet.agents.filter(({ listed }) => listed.zone === "zone-b")
-            .forEach(({ listed }) => fleet.cuts.add(listed.instance));
+            .forEach(({ listed }) => fleet.isolated.add(listed.instance));
         for (let step = 0; step < 30; step++) {
             fleet.run(1);
             const revoked = listInstances(fleet, "scribe", "revoked");
@@ -111,7 +115,7 @@
         const fleet = createServing({ "zone-a": 3 }, { "zone-a": 2 });
         const [lost] = listInstances(fleet, "scribe");
         const cutAt = fleet.clock.monotonic();
-        fleet.cuts.add(lost!);
+        fleet.isolated.add(lost!);
         fleet.run(10);
         expect(listInstances(fleet, "scribe", "revoked")).toEqual([lost!]);
         while (fleet.readPlacement("scribe")!.copies.some(({ instance }) => instance === lost)) {
@@ -150,10 +154,10 @@
         fleet.run(5);
         fleet.clock.advance(60_000);
         // After the pause, only heartbeats of instances without a copy arrive.
-        listInstances(fleet, "scribe").forEach(instance => fleet.cuts.add(instance));
-        fleet.pass(1_000);
+        listInstances(fleet, "scribe").forEach(instance => fleet.isolated.add(instance));
+        fleet.elapse(1_000);
         commands.push(...fleet.entries.flatMap(entry => fleet.propose(entry)));
-        fleet.cuts.clear();
+        fleet.isolated.clear();
         fleet.run(20);
         expect(commands).toEqual([]);
         expect(fleet.log.length).toEqual(settled);
@@ -161,7 +165,7 @@
 
     // Guards against plain services that wait for weights, or that own no keys.
     it("places plain services without weights", () => {
-        const fleet = createWorld({ "zone-a": 2 });
+        const fleet = createSimulatedFleet({ "zone-a": 2 });
         fleet.run(3);
         const declaration = { schemaVersion: 1, kind: "service", replicas: { "zone-a": 1 }, pool: "scribe" } as const;
         const header = {
@@ -208,7 +212,7 @@
 
     // Guards against two deployments that keep the same instance after they were placed at the same time.
     it("revokes the later of two assignments of one instance", () => {
-        const fleet = createWorld({ "zone-a": 2 });
+        const fleet = createSimulatedFleet({ "zone-a": 2 });
         fleet.run(3);
         fleet.apply("archive", { "zone-a": 1 });
         fleet.apply("scribe", { "zone-a": 2 });
@@ -239,7 +243,7 @@
 
     // Guards against configurations that are lost when the log's retention expires.
     it("refreshes and confirms old records, by the first-ranked proposer only", () => {
-        const fleet = createWorld({ "zone-a": 2 }, { retention: 400_000 });
+        const fleet = createSimulatedFleet({ "zone-a": 2 }, { retention: 400_000 });
         fleet.run(3);
         fleet.apply("scribe", { "zone-a": 2 });
         fleet.run(20);
--- a/test/runtime/placement/schedules.test.ts
+++ b/test/runtime/placement/schedules.test.ts
@@ -10,8 +10,8 @@
 } from "../../../src/runtime/state/index.js";
 import type { FoldState } from "../../../src/runtime/state/index.js";
 import type { LogRecord } from "../../../src/types/index.js";
-import { createWorld, sampleKeys } from "./world.js";
-import type { World } from "./world.js";
+import { createSimulatedFleet, sampleKeys } from "./world.js";
+import type { SimulatedFleet } from "./world.js";
 
 const zones = { "zone-a": 4, "zone-b": 3 };
 const deployments = ["scribe", "archive"];
@@ -36,12 +36,12 @@
     readonly steps: number;
 }
 
-const handlers: Readonly<Record<Kind, (fleet: World, step: Step, late: LogRecord[]) => void>> = {
+const handlers: Readonly<Record<Kind, (fleet: SimulatedFleet, step: Step, late: LogRecord[]) => void>> = {
     cut: (fleet, { pick }) => {
         const ids = [...fleet.entries.map(entry => entry.id), ...fleet.agents.map(({ listed }) => listed.instance)];
-        ids.filter(id => (pick >> ids.indexOf(id)) & 1).forEach(id => fleet.cuts.add(id));
+        ids.filter(id => (pick >> ids.indexOf(id)) & 1).forEach(id => fleet.isolated.add(id));
     },
-    heal: fleet => fleet.cuts.clear(),
+    heal: fleet => fleet.isolated.clear(),
     logDown: fleet => {
         fleet.logUp = false;
     },
@@ -80,14 +80,14 @@
         declare(fleet, pick + 2, base);
     },
     late: (fleet, { pick }, late) => {
-        fleet.pass(1_000);
+        fleet.elapse(1_000);
         late.push(...fleet.propose(fleet.entries[pick % fleet.entries.length]!).map(({ record }) => record));
     },
     wait: () => undefined,
     waitLong: fleet => fleet.run(60),
 };
 
-function declare(fleet: World, pick: number, base?: number): void {
+function declare(fleet: SimulatedFleet, pick: number, base?: number): void {
     const replicas = { "zone-a": (pick >> 1) % 3, "zone-b": (pick >> 3) % 3 };
     fleet.apply(deployments[pick % 2]!, replicas, String(1 + ((pick >> 5) % 3)), base);
 }
@@ -96,7 +96,7 @@
 function createReference() {
     const state = createFoldState();
     const digests = [exportSnapshot(state).digest];
-    return (fleet: World, offset: number) => {
+    return (fleet: SimulatedFleet, offset: number) => {
         fleet.log.slice(state.appliedOffset).forEach(entry => {
             foldEntry(state, entry);
             digests.push(exportSnapshot(state).digest);
@@ -107,7 +107,7 @@
 
 type Reference = ReturnType<typeof createReference>;
 
-function checkFleet(fleet: World, reference: Reference): void {
+function checkFleet(fleet: SimulatedFleet, reference: Reference): void {
     const { state } = reference(fleet, 0);
     for (const { id, input } of fleet.entries) {
         if (exportSnapshot(input.state).digest !== reference(fleet, input.state.appliedOffset).digest) {
@@ -130,7 +130,7 @@
 }
 
 /** Checks that no accepted record adds a copy beyond the wanted number, in a zone or in total. */
-function checkCopyCounts(fleet: World): void {
+function checkCopyCounts(fleet: SimulatedFleet): void {
     const state = createFoldState();
     for (const entry of fleet.log) {
         const { deployment } = entry.record;
@@ -152,7 +152,7 @@
     }
 }
 
-function checkSettled(fleet: World): void {
+function checkSettled(fleet: SimulatedFleet): void {
     for (const zone of Object.keys(zones)) {
         const usable = fleet.agents.filter(({ listed, alive }) =>
             alive && listed.zone === zone && fleet.listing.get(listed.instance)?.state === "live"
@@ -171,13 +171,13 @@
     }
 }
 
-function readCopies(fleet: World): string {
+function readCopies(fleet: SimulatedFleet): string {
     return deployments.flatMap(deployment => fleet.readPlacement(deployment)?.copies ?? [])
         .map(({ instance, epoch, state }) => `${instance} ${epoch} ${state}`).join();
 }
 
-function runSchedule(schedule: readonly Step[], listLag: number): World {
-    const fleet = createWorld(zones, { retention: 400_000 });
+function runSchedule(schedule: readonly Step[], listLag: number): SimulatedFleet {
+    const fleet = createSimulatedFleet(zones, { retention: 400_000 });
     const reference = createReference();
     const late: LogRecord[] = [];
     fleet.listLag = listLag;
@@ -191,7 +191,7 @@
         }
         late.splice(0).forEach(record => fleet.append(record));
     }
-    fleet.cuts.clear();
+    fleet.isolated.clear();
     fleet.frozen.clear();
     fleet.logUp = true;
     for (let count = 0; count < 150; count++) {
@@ -206,13 +206,13 @@
     return fleet;
 }
 
-function foldAll(fleet: World, state: FoldState, from: number): FoldState {
+function foldAll(fleet: SimulatedFleet, state: FoldState, from: number): FoldState {
     fleet.log.slice(from).forEach(entry => foldEntry(state, entry));
     return state;
 }
 
 /** Checks that a state built from a snapshot or a truncated log has no rows that differ from those of the whole log. */
-function checkRestarts(fleet: World): void {
+function checkRestarts(fleet: SimulatedFleet): void {
     const full = foldAll(fleet, createFoldState(), 0);
     for (let offset = 1; offset < fleet.log.length; offset++) {
         const before = createFoldState();
--- a/test/runtime/placement/world.ts
+++ b/test/runtime/placement/world.ts
@@ -47,19 +47,22 @@
 }
 
 /** Simulates a small fleet with one log, a shared clock and network partitions. */
-export function createWorld(zones: Readonly<Record<string, number>>, overrides: Partial<PlacementOptions> = {}) {
+export function createSimulatedFleet(
+    zones: Readonly<Record<string, number>>,
+    overrides: Partial<PlacementOptions> = {},
+) {
     const clock = createManualClock();
     const options = resolvePlacementOptions(overrides);
     const log: LogEntry[] = [];
     const listing = new Map<string, ListedInstance>();
-    const cuts = new Set<string>();
+    const isolated = new Set<string>();
     const fleet = {
         clock,
         options,
         log,
         listing,
         /** Instances cut off by a partition; they reach each other, but neither the log nor the other instances. */
-        cuts,
+        isolated,
         /** Backend server instances that still finish requests on a revoked copy. */
         busy: new Set<string>(),
         logUp: true,
@@ -107,11 +110,11 @@
     }
 
     function isConnected(left: string, right: string): boolean {
-        return cuts.has(left) === cuts.has(right);
+        return isolated.has(left) === isolated.has(right);
     }
 
     function isLogReachable(id: string): boolean {
-        return fleet.logUp && !cuts.has(id);
+        return fleet.logUp && !isolated.has(id);
     }
 
     function catchUp(state: FoldState, offset: number): void {
@@ -225,7 +228,7 @@
     }
 
     /** Advances the clock, then lets all processes exchange messages with those that they reach. */
-    function pass(duration: number): void {
+    function elapse(duration: number): void {
         clock.advance(duration);
         // Two rounds, since a peer may relay what it reads in the same step.
         [...fleet.entries, ...fleet.entries].forEach(stepEntry);
@@ -242,7 +245,7 @@
     /** Advances the clock step by step; in each step, the proposers that reach the log append their records. */
     function run(steps: number, duration = 1_000): void {
         for (let step = 0; step < steps; step++) {
-            pass(duration);
+            elapse(duration);
             const commands = fleet.entries.filter(entry => isLogReachable(entry.id)).flatMap(propose);
             commands.forEach(({ record }) => append(record));
         }
@@ -306,7 +309,7 @@
         countHeld,
         findAcceptors,
         isConnected,
-        pass,
+        elapse,
         propose,
         readPlacement,
         restartEntry,
@@ -314,4 +317,4 @@
     });
 }
 
-export type World = ReturnType<typeof createWorld>;
+export type SimulatedFleet = ReturnType<typeof createSimulatedFleet>;
