--- a/src/runtime/retry/crashEvidence.ts
+++ b/src/runtime/retry/crashEvidence.ts
@@ -1,6 +1,6 @@
 import type { Fingerprint, Milliseconds } from "../../types/index.js";
 import { computeDigest } from "../../utils/index.js";
-import { findCrashSuspects } from "./judgeCrashes.js";
+import { findCrashSuspects } from "./findCrashSuspects.js";
 import type {
     CrashEvidence,
     CrashEvidenceOptions,
--- a/src/runtime/rollout/index.ts
+++ b/src/runtime/rollout/index.ts
@@ -1,2 +1,2 @@
-export * from "./chooseTarget.js";
 export * from "./planLoad.js";
+export * from "./selectTarget.js";
