Move files of the daemons after what they export

Three files and two tests were named after functions that have other names. They are httpClient/responseMemoryLimit.ts, daemon/startDisposableDaemon.ts and entry/placementProposer.ts, with the tests responseMemoryLimit and abortResponse. Only paths of imports and the order of exports differ.

--- a/src/node/daemon/index.ts
+++ b/src/node/daemon/index.ts
@@ -5,4 +5,4 @@
 export * from "./runDaemon.js";
 export * from "./settingsWatch.js";
 export * from "./signals.js";
-export * from "./startOwned.js";
+export * from "./startDisposableDaemon.js";
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -25,7 +25,7 @@
 import { recordHeartbeat } from "./heartbeats.js";
 import { createEntryRouter } from "./httpRoutes.js";
 import { isLogReader } from "./logReaders.js";
-import { createPlacementProposer } from "./proposerDuty.js";
+import { createPlacementProposer } from "./placementProposer.js";
 import { createRequestPipeline } from "./requestPipeline.js";
 import { listRequiredWitnesses } from "./requiredWitnesses.js";
 import { createRunnerDirectory } from "./runnerDirectory.js";
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -10,7 +10,7 @@
 } from "../../types/index.js";
 import { type DisposalStack, sleep } from "../../utils/index.js";
 import type { DrainableDaemon } from "../daemon/runDaemon.js";
-import { startDisposableDaemon } from "../daemon/startOwned.js";
+import { startDisposableDaemon } from "../daemon/startDisposableDaemon.js";
 import { replicaServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
--- a/src/node/httpClient/bodyReader.ts
+++ b/src/node/httpClient/bodyReader.ts
@@ -1,6 +1,6 @@
 import { on } from "node:events";
 import type { Readable } from "node:stream";
-import type { MemoryReservation, ResponseMemoryLimit } from "./heldBytes.js";
+import type { MemoryReservation, ResponseMemoryLimit } from "./responseMemoryLimit.js";
 
 /** Thrown if the unread bytes of a response body, or of all response bodies together, exceed their limit. */
 export class ResponseTooLargeError extends Error {}
--- a/src/node/httpClient/index.ts
+++ b/src/node/httpClient/index.ts
@@ -1,5 +1,5 @@
 export * from "./framing.js";
-export * from "./heldBytes.js";
 export * from "./httpClient.js";
 export * from "./outcome.js";
+export * from "./responseMemoryLimit.js";
 export * from "./types.js";
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -1,6 +1,6 @@
 import type { Result } from "true-myth/result";
 import type { Milliseconds } from "../../types/index.js";
-import type { ResponseMemoryLimit } from "./heldBytes.js";
+import type { ResponseMemoryLimit } from "./responseMemoryLimit.js";
 
 /** Time limits of HTTP calls. */
 export interface HttpTimeouts {
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -15,7 +15,7 @@
 import { type DisposalStack, sleep } from "../../utils/index.js";
 import { createLinkBudget, createTransferService } from "../agent/transfer/index.js";
 import type { DrainableDaemon } from "../daemon/runDaemon.js";
-import { startDisposableDaemon } from "../daemon/startOwned.js";
+import { startDisposableDaemon } from "../daemon/startDisposableDaemon.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { splitAddress } from "../httpServer/index.js";
 import { createRecordStore, createRelayFollowers } from "../replica/index.js";
--- a/test/node/entry/tables.test.ts
+++ b/test/node/entry/tables.test.ts
@@ -7,7 +7,7 @@
 import type { EntryContext } from "../../../src/node/entry/context.js";
 import { createEntryMetrics } from "../../../src/node/entry/entryMetrics.js";
 import { recordHeartbeat } from "../../../src/node/entry/heartbeats.js";
-import { createPlacementProposer } from "../../../src/node/entry/proposerDuty.js";
+import { createPlacementProposer } from "../../../src/node/entry/placementProposer.js";
 import { createStateStore } from "../../../src/node/relay/index.js";
 import { resolveEntrySettings } from "../../../src/node/settings/index.js";
 import { createInstanceTable } from "../../../src/runtime/placement/index.js";
