--- a/bench/capacity/appends.ts
+++ b/bench/capacity/appends.ts
@@ -1,5 +1,5 @@
 import { createSeededRandom } from "../../src/utils/index.js";
-import { createSimulatedFleet, type SimulatedFleet } from "../../test/runtime/placement/world.js";
+import { createSimulatedFleet, type SimulatedFleet } from "../../test/runtime/placement/simulatedFleet.js";
 import { budgets, designSize } from "./designSize.js";
 import type { CapacityFigure } from "./measurement.js";
 
--- a/test/platform/answerFraming.test.ts
+++ b/test/platform/answerFraming.test.ts
@@ -4,7 +4,7 @@
 import { createSeededRandom } from "../../src/utils/index.js";
 import { call, type GatewayResponse } from "./standIn/caller.js";
 import { startDeployment, type TestDeployment } from "./standIn/deployment.js";
-import { drawPlan, makeBody, planHeader, type ResponsePlan, startPlannedRunner } from "./standIn/plannedAnswer.js";
+import { drawPlan, makeBody, planHeader, type ResponsePlan, startPlannedRunner } from "./standIn/plannedResponse.js";
 
 const firstSeed = Number(process.env["ANSWER_FIRST_SEED"] ?? 1);
 const seeds = Number(process.env["ANSWER_SEEDS"] ?? 2);
--- a/test/runtime/placement/exploration.test.ts
+++ b/test/runtime/placement/exploration.test.ts
@@ -6,8 +6,8 @@
 import type { FoldState } from "../../../src/runtime/state/index.js";
 import type { LogEntry, LogRecord } from "../../../src/types/index.js";
 import { computeDigest, createSeededRandom } from "../../../src/utils/index.js";
-import { createSimulatedFleet, sampleKeys } from "./world.js";
-import type { SimulatedFleet } from "./world.js";
+import { createSimulatedFleet, sampleKeys } from "./simulatedFleet.js";
+import type { SimulatedFleet } from "./simulatedFleet.js";
 
 const zones = { "zone-a": 3 };
 const wanted = 2;
--- a/test/runtime/placement/rules.test.ts
+++ b/test/runtime/placement/rules.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { createSimulatedFleet } from "./world.js";
-import type { SimulatedFleet } from "./world.js";
+import { createSimulatedFleet } from "./simulatedFleet.js";
+import type { SimulatedFleet } from "./simulatedFleet.js";
 
 function listInstances(
     fleet: SimulatedFleet,
--- a/test/runtime/placement/schedules.test.ts
+++ b/test/runtime/placement/schedules.test.ts
@@ -10,8 +10,8 @@
 } from "../../../src/runtime/state/index.js";
 import type { FoldState } from "../../../src/runtime/state/index.js";
 import type { LogRecord } from "../../../src/types/index.js";
-import { createSimulatedFleet, sampleKeys } from "./world.js";
-import type { SimulatedFleet } from "./world.js";
+import { createSimulatedFleet, sampleKeys } from "./simulatedFleet.js";
+import type { SimulatedFleet } from "./simulatedFleet.js";
 
 const zones = { "zone-a": 4, "zone-b": 3 };
 const deployments = ["scribe", "archive"];
--- a/test/runtime/state/fold.test.ts
+++ b/test/runtime/state/fold.test.ts
@@ -10,7 +10,7 @@
 } from "../../../src/runtime/state/index.js";
 import type { FoldOutcome, FoldState } from "../../../src/runtime/state/index.js";
 import type { ConfigurationRecord, ConfigurationRow, LogEntry, PlacementRecord } from "../../../src/types/index.js";
-import { createWeights } from "../placement/world.js";
+import { createWeights } from "../placement/simulatedFleet.js";
 
 const hour = 3_600_000;
 
