--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -10,22 +10,22 @@
 import type { BackendServerPort, GoldcrestpointError } from "../../types/index.js";
 import { createDisposalStack, createSystemClock, createSystemRandom } from "../../utils/index.js";
 import { createBackendServerClient } from "../backendServer/index.js";
-import { createRelaySilence, listRelayTargets, startPlatformReaders, waitUntilIdle } from "../daemon/index.js";
+import { createRelaySilenceCheck, listRelayTargets, startPlatformReaders, waitUntilIdle } from "../daemon/index.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { registerStatusRoutes, sendJson, startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog, registerDecisionRoute } from "../logging/index.js";
-import { createMetrics, observeProcess } from "../metrics/index.js";
+import { createMetrics, registerProcessMetrics } from "../metrics/index.js";
 import { createInstanceListClient, createLogClient, createOriginClient } from "../platform/index.js";
-import { createStateStore, observeState, startFollowerSet } from "../relay/index.js";
+import { createStateStore, registerStateMetrics, startFollowerSet } from "../relay/index.js";
 import type { AgentSettings } from "../settings/index.js";
-import { observeAgent } from "./agentMetrics.js";
+import { registerAgentMetrics } from "./agentMetrics.js";
 import type { AgentContext } from "./context.js";
 import { type CopyController, createCopyController } from "./copyController.js";
 import { createExecutor, type Executor } from "./executor.js";
 import type { ExecuteCall } from "./frames.js";
 import { createHoldEvaluator } from "./holdEvaluator.js";
 import { startLoadReports, type WatchLoadCall } from "./loadReports.js";
-import { followOwnership } from "./ownershipRecorder.js";
+import { recordOwnershipChanges } from "./ownershipRecorder.js";
 import { createLinkBudget, createTransferService, type TransferService } from "./transfer/index.js";
 
 /** Running agent. */
@@ -131,7 +131,7 @@
             draining: copyController.draining,
             transfers: readTotals(transfer),
         }),
-        onAnswer: answer => hold.recordAnswer(answer),
+        onHeartbeatResponse: answer => hold.recordAnswer(answer),
         onInstances: rows => {
             rows.forEach(row => instances.set(row.instance, row));
             copyController.refreshAssignment();
@@ -147,8 +147,8 @@
         list,
         store,
         instances,
-        shouldReadLog: createRelaySilence({ ...silence, jitter: relay.directReadJitter }),
-        shouldReadList: createRelaySilence({ ...silence, jitter: 0 }),
+        shouldReadLog: createRelaySilenceCheck({ ...silence, jitter: relay.directReadJitter }),
+        shouldReadList: createRelaySilenceCheck({ ...silence, jitter: 0 }),
         onInstances: () => copyController.refreshAssignment(),
     });
 
@@ -170,11 +170,11 @@
         return err(httpServer.error);
     }
     resources.use(httpServer.value);
-    observeAgent(context.metrics, { executor, transfer, reports });
-    observeProcess(context.metrics);
-    observeState(context.metrics, store, clock);
+    registerAgentMetrics(context.metrics, { executor, transfer, reports });
+    registerProcessMetrics(context.metrics);
+    registerStateMetrics(context.metrics, store, clock);
 
-    followOwnership(context);
+    recordOwnershipChanges(context);
     store.onChange(() => copyController.refreshAssignment());
     const timer = setInterval(() => {
         executor.expire();
@@ -237,7 +237,7 @@
     });
     registerDecisionRoute(router, context.decisions);
     registerStatusRoutes(router, {
-        readUnreadiness: () => copyController.readServing().serving ? [] : [`the copy is ${copyController.phase}`],
+        listUnreadyReasons: () => copyController.readServing().serving ? [] : [`the copy is ${copyController.phase}`],
         renderMetrics: () => context.metrics.render(),
     });
     return router;
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -6,17 +6,17 @@
 import { createRetryBudget, createSuspectTable } from "../../runtime/retry/index.js";
 import type { GoldcrestpointError, InstanceRow } from "../../types/index.js";
 import { createDisposalStack, createSystemClock, createSystemRandom, createTable } from "../../utils/index.js";
-import { createRelaySilence, listRelayTargets, startPlatformReaders, waitUntilIdle } from "../daemon/index.js";
+import { createRelaySilenceCheck, listRelayTargets, startPlatformReaders, waitUntilIdle } from "../daemon/index.js";
 import { relayServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
-import { observeProcess } from "../metrics/index.js";
+import { registerProcessMetrics } from "../metrics/index.js";
 import { createInstanceListClient, createLogClient } from "../platform/index.js";
 import {
     createRelayHandler,
     createStateStore,
     type FollowCall,
-    observeState,
+    registerStateMetrics,
     startFollowerSet,
 } from "../relay/index.js";
 import type { EntrySettings } from "../settings/index.js";
@@ -25,7 +25,7 @@
 import { recordHeartbeat } from "./heartbeats.js";
 import { createEntryRouter } from "./httpRoutes.js";
 import { isLogReader } from "./logReaders.js";
-import { createPlacementProposer } from "./proposerDuty.js";
+import { createPlacementProposer } from "./placementProposer.js";
 import { createRequestPipeline } from "./requestPipeline.js";
 import { listRequiredWitnesses } from "./requiredWitnesses.js";
 import { createRunnerDirectory } from "./runnerDirectory.js";
@@ -107,13 +107,13 @@
         maximumFollowed: settings.relay.parents,
         heartbeatMilliseconds: settings.relay.heartbeat,
         readContent: () => ({ copies: [], draining }),
-        onAnswer: answer => {
-            const { instance, sentAt, appliedOffset, uptime } = answer;
+        onHeartbeatResponse: response => {
+            const { instance, sentAt, appliedOffset, uptime } = response;
             context.witnesses.set(instance, { instance, heardAt: sentAt, appliedOffset, uptime });
         },
         onInstances: () => undefined,
     }));
-    const areRelaysSilent = createRelaySilence({
+    const areRelaysSilent = createRelaySilenceCheck({
         clock,
         random,
         readHeardAt: () => followers.heardAt,
@@ -138,8 +138,8 @@
         },
     });
 
-    observeProcess(context.metrics.registry);
-    observeState(context.metrics.registry, store, clock);
+    registerProcessMetrics(context.metrics.registry);
+    registerStateMetrics(context.metrics.registry, store, clock);
     const proposer = createPlacementProposer(context);
     let stateChanged = true;
     store.onChange(() => {
--- a/src/node/gateway/admissionQueues.ts
+++ b/src/node/gateway/admissionQueues.ts
@@ -1,9 +1,9 @@
 import {
     type AdmissionOptions,
-    type AdmissionProgress,
     type AdmissionTable,
     cancelRequest,
     createAdmissionTable,
+    type DequeuedRequests,
     expireRequests,
     finishRequest,
     offerRequest,
@@ -12,9 +12,9 @@
     setCapacity,
 } from "../../runtime/admission/index.js";
 import {
-    type Arrivals,
-    createArrivals,
-    readArrivalRate,
+    type ArrivalCount,
+    computeArrivalRate,
+    createArrivalCount,
     recordArrival,
     type ServiceDemand,
 } from "../../runtime/gateway/index.js";
@@ -59,7 +59,7 @@
 interface ServiceQueue {
     service: ServiceRow;
     readonly table: AdmissionTable;
-    readonly arrivals: Arrivals;
+    readonly arrivals: ArrivalCount;
     readonly waiting: Map<RequestId, (outcome: AdmissionOutcome) => void>;
 }
 
@@ -79,7 +79,7 @@
             queue = {
                 service,
                 table: createAdmissionTable(options),
-                arrivals: createArrivals(clock.monotonic()),
+                arrivals: createArrivalCount(clock.monotonic()),
                 waiting: new Map(),
             };
             queues.set(service.name, queue);
@@ -94,18 +94,18 @@
         resolve?.(outcome);
     }
 
-    function apply(queue: ServiceQueue, progress: AdmissionProgress): void {
+    function apply(queue: ServiceQueue, dequeued: DequeuedRequests): void {
         const now = clock.monotonic();
-        for (const { requestId, receivedAt } of progress.start) {
+        for (const { requestId, receivedAt } of dequeued.start) {
             settle(queue, requestId, { kind: "started", waited: now - receivedAt });
         }
-        for (const { request, refusal } of progress.refuse) {
+        for (const { request, refusal } of dequeued.refuse) {
             settle(queue, request.requestId, { kind: "refused", refusal });
         }
     }
 
     function computeServiceShare({ arrivals, service, table }: ServiceQueue): ServiceShare {
-        const arrivalRate = readArrivalRate(arrivals, clock.monotonic());
+        const arrivalRate = computeArrivalRate(arrivals, clock.monotonic());
         return input.computeServiceShare(service, { arrivalRate, serviceTime: table.averageServiceTime });
     }
 
--- a/src/node/gateway/callerAnswer.ts
+++ b/src/node/gateway/callerAnswer.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { HeaderTable, Refusal } from "../../types/index.js";
-import { breakOffAnswer, copyEndToEndHeaders } from "../httpServer/index.js";
+import { abortResponse, copyEndToEndHeaders } from "../httpServer/index.js";
 import type { BufferedAnswer } from "./types.js";
 
 /** Headers that the gateway sets itself instead of copying them from the backend server. */
@@ -67,7 +67,7 @@
     /** Marks the answer as complete. */
     end(): void;
     /** Closes or resets the connection, so that the caller can tell that the answer is incomplete. */
-    breakOff(): void;
+    abort(): void;
 }
 
 /**
@@ -93,8 +93,8 @@
         end: () => {
             response.end();
         },
-        breakOff: () => {
-            breakOffAnswer(response);
+        abort: () => {
+            abortResponse(response);
         },
     };
 }
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -2,12 +2,12 @@
 import { err, ok, type Result } from "true-myth/result";
 import {
     anonymousAccount,
-    chooseService,
     computeFingerprint,
-    createPatienceTable,
-    estimateWaited,
+    createCallerTimeoutTable,
+    estimatePriorWait,
     resolveRoute,
     type RouteTable,
+    selectService,
 } from "../../runtime/gateway/index.js";
 import {
     type CallerCall,
@@ -21,7 +21,7 @@
     type RouteRow,
 } from "../../types/index.js";
 import { hasUndecodedTransferCoding } from "../httpClient/index.js";
-import { breakOffAnswer, readBody, splitAddress } from "../httpServer/index.js";
+import { abortResponse, readBody, splitAddress } from "../httpServer/index.js";
 import { type GatewayStatus, sendGatewayAnswer } from "./callerAnswer.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { createPollQueue } from "./pollQueue.js";
@@ -130,7 +130,7 @@
     const open = new Set<ServerResponse>();
     let closing = false;
     let stopped = false;
-    const patience = createPatienceTable();
+    const callerTimeouts = createCallerTimeoutTable();
     const pollQueue = createPollQueue();
 
     function reject(
@@ -162,11 +162,12 @@
     }
 
     function hasMissedTarget(call: CallerCall, route: RouteRow): boolean {
-        return call.patience !== undefined && estimateWaited(patience, route.name, call.patience) > route.targetLatency;
+        return call.callerTimeout !== undefined &&
+            estimatePriorWait(callerTimeouts, route.name, call.callerTimeout) > route.targetLatency;
     }
 
     function computeTimeLimit(call: CallerCall, route: RouteRow): Milliseconds {
-        return Math.min(call.patience ?? route.timeout, route.timeout);
+        return Math.min(call.callerTimeout ?? route.timeout, route.timeout);
     }
 
     async function handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -195,7 +196,7 @@
         }
         const { account, route } = resolution;
         const clientAccount = account?.name ?? anonymousAccount;
-        const service = routes.services.get(chooseService(route, call.requestId) ?? "");
+        const service = routes.services.get(selectService(route, call.requestId) ?? "");
         if (service === undefined) {
             reject(incoming, response, 503, "no-service", unconfiguredRetryAfterSeconds);
             return;
@@ -282,7 +283,7 @@
             handle(incoming, response).catch((error: unknown) => {
                 const detail = error instanceof Error ? error.stack ?? error.message : String(error);
                 input.logRejected({ reason: "internal", detail, path: incoming.url });
-                breakOffAnswer(response);
+                abortResponse(response);
             });
         },
     );
@@ -310,7 +311,7 @@
                 countOpen: () => open.size,
                 [Symbol.asyncDispose]: () => {
                     server.close();
-                    open.forEach(breakOffAnswer);
+                    open.forEach(abortResponse);
                     server.closeAllConnections();
                     return Promise.resolve();
                 },
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -10,11 +10,11 @@
 } from "../../types/index.js";
 import { type DisposalStack, sleep } from "../../utils/index.js";
 import type { DrainableDaemon } from "../daemon/runDaemon.js";
-import { startOwned } from "../daemon/startOwned.js";
+import { startDisposableDaemon } from "../daemon/startDisposableDaemon.js";
 import { replicaServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
-import { createMetrics, observeProcess } from "../metrics/index.js";
+import { createMetrics, registerProcessMetrics } from "../metrics/index.js";
 import {
     createRecordRelay,
     createRecordStore,
@@ -80,7 +80,7 @@
     ports: GatewayPorts,
     logger: Logger,
 ): Promise<Result<Gateway, GoldcrestpointError>> {
-    return startOwned(stack => assemble(settings, ports, logger, stack));
+    return startDisposableDaemon(stack => assemble(settings, ports, logger, stack));
 }
 
 async function assemble(
@@ -95,7 +95,7 @@
     const ended = new AbortController();
     stack.defer(() => ended.abort());
     const metrics = createMetrics({ clock });
-    observeProcess(metrics);
+    registerProcessMetrics(metrics);
     const gatewayMetrics = createGatewayMetrics(metrics);
     const decisions = createDecisionLog({
         logger,
@@ -109,7 +109,7 @@
         clock,
         logger,
     );
-    log.onEra?.(store.noteEra);
+    log.onEra?.(store.recordEra);
     const notices = createServerNotices({
         clock,
         logger,
@@ -287,7 +287,7 @@
     let draining = false;
     const router = createRouter({
         readyPath: ports.readyPath,
-        readUnreadiness: () => [
+        listUnreadyReasons: () => [
             ...(draining ? ["draining"] : []),
             ...(state.routes() === undefined ? ["no configuration"] : []),
             ...(state.servers.size === 0 ? ["no backend server is known"] : []),
--- a/src/node/relay/stateMetrics.ts
+++ b/src/node/relay/stateMetrics.ts
@@ -10,16 +10,16 @@
  * @param store - state of the process
  * @param clock - time source
  */
-export function observeState(metrics: Metrics, store: StateStore, clock: Clock): void {
+export function registerStateMetrics(metrics: Metrics, store: StateStore, clock: Clock): void {
     let changedAt = 0;
     store.onChange(() => {
         changedAt = clock.now().getTime();
     });
-    metrics.observe(
+    metrics.registerGauge(
         { name: "goldcrestpoint_applied_offset", documentation: "Offset of the newest applied log record." },
         () => store.state.appliedOffset,
     );
-    metrics.observe(
+    metrics.registerGauge(
         {
             name: "goldcrestpoint_state_changed_seconds",
             documentation: "Unix time of the newest change of the state that the log describes.",
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "pino";
 import { err, ok, type Result } from "true-myth/result";
-import { nameWeights } from "../../runtime/gateway/index.js";
+import { formatWeightName } from "../../runtime/gateway/index.js";
 import {
     type BackendServerPort,
     type Clock,
@@ -15,7 +15,7 @@
 import { type DisposalStack, sleep } from "../../utils/index.js";
 import { createLinkBudget, createTransferService } from "../agent/transfer/index.js";
 import type { DrainableDaemon } from "../daemon/runDaemon.js";
-import { startOwned } from "../daemon/startOwned.js";
+import { startDisposableDaemon } from "../daemon/startDisposableDaemon.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { splitAddress } from "../httpServer/index.js";
 import { createRecordStore, createRelayFollowers } from "../replica/index.js";
@@ -70,7 +70,7 @@
     ports: WeightAgentPorts,
     logger: Logger,
 ): Promise<Result<DrainableDaemon, GoldcrestpointError>> {
-    return startOwned(stack => assemble(settings, ports, logger, stack));
+    return startDisposableDaemon(stack => assemble(settings, ports, logger, stack));
 }
 
 async function assemble(
@@ -82,7 +82,7 @@
     const { clock, decoder, random } = ports;
     const { gateway, instance, replica, weightAgent } = settings;
     const store = createRecordStore(["backend-servers", "instances", "weight-sources"], clock, logger);
-    ports.log.onEra?.(store.noteEra);
+    ports.log.onEra?.(store.recordEra);
     const servers = new Map<string, ListedBackendServer>();
     let imported = false;
 
@@ -132,7 +132,7 @@
             return;
         }
         const { model, originZone } = source;
-        const set = nameWeights(model, target.version);
+        const set = formatWeightName(model, target.version);
         const retained = plan.listRetained();
         service.setTarget({
             weights: { model, adapter: "", version: String(target.version), manifestDigest: set },
--- a/test/node/entry/tables.test.ts
+++ b/test/node/entry/tables.test.ts
@@ -7,7 +7,7 @@
 import type { EntryContext } from "../../../src/node/entry/context.js";
 import { createEntryMetrics } from "../../../src/node/entry/entryMetrics.js";
 import { recordHeartbeat } from "../../../src/node/entry/heartbeats.js";
-import { createPlacementProposer } from "../../../src/node/entry/proposerDuty.js";
+import { createPlacementProposer } from "../../../src/node/entry/placementProposer.js";
 import { createStateStore } from "../../../src/node/relay/index.js";
 import { resolveEntrySettings } from "../../../src/node/settings/index.js";
 import { createInstanceTable } from "../../../src/runtime/placement/index.js";
@@ -71,7 +71,7 @@
             clock.advance(5_000);
             recordHeartbeat(context, create(FollowRequestSchema, { instance: "agent-1", appliedOffset: 1n }));
             if (isLogRead) {
-                store.noteLogKnown(clock.monotonic());
+                store.recordLogKnown(clock.monotonic());
             }
             proposer.tick();
             await new Promise(resolve => setImmediate(resolve));
@@ -104,7 +104,7 @@
     it("proposes nothing if the log was never read or not recently", async () => {
         const entry = createEntry(() => ok(2));
         await entry.tick(false);
-        entry.context.store.noteLogKnown(0);
+        entry.context.store.recordLogKnown(0);
         await entry.tick(false);
         await entry.tick(false);
         expect(entry.appended.length).toEqual(1);
@@ -117,16 +117,16 @@
         const clock = createManualClock();
         const losses = createLossTracker(clock);
         const ends = ["f", "g"].map(fingerprint => losses.begin("agent-1", fingerprint));
-        const first = losses.noteLoss("agent-1", "f", false);
+        const first = losses.recordLoss("agent-1", "f", false);
         ends[0]!();
         clock.advance(1_000);
-        const second = losses.noteLoss("agent-1", "g", false);
+        const second = losses.recordLoss("agent-1", "g", false);
         expect([first.crashId === second.crashId, first.fingerprints, second.fingerprints])
             .toEqual([true, ["f", "g"], ["f", "g"]]);
-        expect(losses.noteLoss("agent-2", "f", true).crashId === first.crashId).toEqual(false);
+        expect(losses.recordLoss("agent-2", "f", true).crashId === first.crashId).toEqual(false);
         ends[1]!();
         clock.advance(1_001);
-        const later = losses.noteLoss("agent-1", "h", true);
+        const later = losses.recordLoss("agent-1", "h", true);
         expect([later.crashId === first.crashId, later.fingerprints, later.alone]).toEqual([false, ["h"], true]);
     });
 });
