Name what the constants of src/runtime bound

Constants such as keptRequests, halfLife, shareSteps and maximumPeriods did not say of what; they now name the bounded thing and its unit. Comments on timeouts of callers, pauses, evicted suspects and witnesses are plainer. The syntax trees before and after differ in local names and comments only, and the tests of test/runtime pass.

--- a/src/runtime/admission/refusals.ts
+++ b/src/runtime/admission/refusals.ts
@@ -8,7 +8,7 @@
  * Largest extension of the retry-after time, as a share of it; a hash of the request decides how much of it is added.
  * Without it, callers whose times are rounded to the same step would retry together.
  */
-const maximumSpreadShare = 0.25;
+const maximumRetryAfterSpreadShare = 0.25;
 
 /**
  * Creates the refusal of a request that has not started. Each refusal is given a later retry time than the one before,
@@ -38,7 +38,7 @@
     const spread = scoreRendezvous(request.requestId, "return") / 2 ** 32;
     const blockedSeconds = Math.max(0, notBefore - now) / 1_000;
     const remainingSeconds = (retryAt - now) / 1_000 - blockedSeconds;
-    const duration = remainingSeconds * (1 + spread * maximumSpreadShare) + spread * retryAfterStepSeconds;
+    const duration = remainingSeconds * (1 + spread * maximumRetryAfterSpreadShare) + spread * retryAfterStepSeconds;
     // Times beyond the maximum are spread over its second half, so that these callers do not all retry at its end.
     const spreadDuration = duration >= maximumRetryAfterSeconds ?
         maximumRetryAfterSeconds * (1 + spread) / 2 :
--- a/src/runtime/admission/types.ts
+++ b/src/runtime/admission/types.ts
@@ -50,6 +50,6 @@
     /** Requests that were displaced from the full queue; part of the next {@link DequeuedRequests} as refused. */
     readonly displaced: { readonly request: RequestRow; readonly refusal: Refusal; }[];
     averageServiceTime: Milliseconds;
-    /** Monotonic time at which the newest refused caller was told to retry; each one is told a later time. */
+    /** Monotonic time of the latest retry-after that was sent; the next refused caller gets a later one. */
     nextRetryAt: Milliseconds;
 }
--- a/src/runtime/distribution/originReaders.ts
+++ b/src/runtime/distribution/originReaders.ts
@@ -5,7 +5,7 @@
 /**
  * Number of characters of the manifest digest in the key of a chunk; enough to rank members differently for each set.
  */
-const keyDigestLength = 8;
+const keyDigestCharacters = 8;
 
 /**
  * Ranks the members as origin readers of each chunk by rendezvous hash, so that every agent computes the same ranks and
@@ -28,7 +28,7 @@
     const isSelfNear = isNear(self);
     const others = members.filter(member => member !== self);
     const ranks: (number | undefined)[] = new Array<number | undefined>(chunks).fill(undefined);
-    const createKey = (index: number) => `${manifestDigest.slice(0, keyDigestLength)}/${index}`;
+    const createKey = (index: number) => `${manifestDigest.slice(0, keyDigestCharacters)}/${index}`;
 
     function computeRank(index: number): number {
         const key = createKey(index);
@@ -60,7 +60,7 @@
 }
 
 /** Factor by which a preceding reader's time for a chunk is extended while it gains other chunks. */
-const progressingReaderFactor = 2;
+const progressingReaderTimeFactor = 2;
 
 /** Input of `mayReadAcross`. */
 export interface CrossZoneReadInput {
@@ -77,7 +77,7 @@
  * Decides whether this agent may read a chunk from another zone in place of the members of its zone that rank before
  * it. The time of each of them starts when the chunk becomes available, and is extended while the member gains chunks.
  *
- * @param input - readers of the chunk and what is known of them
+ * @param input - readers of the chunk and the progress that they reported
  * @returns true if the time of every preceding reader has passed
  */
 export function mayReadFromOtherZones(input: CrossZoneReadInput): boolean {
@@ -87,7 +87,7 @@
         const limit = rankDistance * options.zoneTakeoverAfter;
         const progressedAt = peers.get(reader)?.progressedAt ?? availableSince;
         return now - Math.max(availableSince, progressedAt) >= limit ||
-            now - availableSince >= progressingReaderFactor * limit;
+            now - availableSince >= progressingReaderTimeFactor * limit;
     });
 }
 
@@ -104,7 +104,7 @@
  * Decides whether this agent may read a chunk from the origin in place of those ranked before it. A reader counts as
  * failed when it has gained no chunk for the takeover time. Each further rank gets the same time for its own attempt.
  *
- * @param input - readers of the chunk, best first, and what is known of them
+ * @param input - readers of the chunk, best first, and the progress that they reported
  * @returns true if all preceding readers have failed; false while one of them is not yet known
  */
 export function mayTakeOver(input: TakeoverInput): boolean {
--- a/src/runtime/distribution/selectTransfers.ts
+++ b/src/runtime/distribution/selectTransfers.ts
@@ -6,8 +6,8 @@
 /** Name of the origin as the source of a transfer. */
 export const originSource = "origin";
 
-/** Number of steps per copy in which the bytes sent by holders are compared. */
-const shareSteps = 10;
+/** Steps per copy of the set to which the bytes sent by a holder are rounded down when holders are compared. */
+const sentBytesStepsPerCopy = 10;
 
 /** Chunk that is neither held nor being transferred. */
 interface MissingChunk {
@@ -224,8 +224,9 @@
 }
 
 /**
- * Chooses the holder that has sent the least, including what this agent is receiving from it. Reports are somewhat old,
- * and by exact numbers all agents would ask the same holder, so numbers are rounded to steps and ties broken at random.
+ * Chooses the holder that has sent the least, including what this agent is receiving from it. Reports are
+ * slightly outdated, so with exact numbers all agents would choose the same holder; numbers are rounded to steps and
+ * ties broken at random.
  */
 function choosePeer(
     input: TransferInput,
@@ -240,7 +241,7 @@
         if (peer.chokedUntil > input.now || running >= input.options.maximumTransfersFromPeer) {
             continue;
         }
-        const steps = Math.floor(peer.sentBytes / totalBytes * shareSteps);
+        const steps = Math.floor(peer.sentBytes / totalBytes * sentBytesStepsPerCopy);
         const share = steps + running + input.random.next();
         if (share < bestShare) {
             best = peer;
--- a/src/runtime/distribution/sources.ts
+++ b/src/runtime/distribution/sources.ts
@@ -2,7 +2,7 @@
 import type { DistributionOptions, PeerRow } from "./types.js";
 
 /** Number of consecutive failed transfers after which a source is avoided. */
-const failuresUntilAvoided = 2;
+const consecutiveFailuresUntilAvoided = 2;
 
 /**
  * Counts a corrupt chunk from a source. Once the limit is reached, each corrupt chunk makes the source avoided for a
@@ -32,7 +32,7 @@
  */
 export function recordFailedTransfer(peer: PeerRow, now: Milliseconds, options: DistributionOptions): void {
     peer.failedTransfers++;
-    if (peer.failedTransfers >= failuresUntilAvoided) {
+    if (peer.failedTransfers >= consecutiveFailuresUntilAvoided) {
         peer.failedTransfers = 0;
         recordStall(peer, now, options);
     }
--- a/src/runtime/gateway/callerTimeouts.ts
+++ b/src/runtime/gateway/callerTimeouts.ts
@@ -1,14 +1,14 @@
 import type { Milliseconds } from "../../types/index.js";
 
 /**
- * Number of the newest requests of a route whose timeouts are kept; enough to tell the typical value from that of
- * callers who retry.
+ * Maximum number of timeouts kept for each route, those of its newest requests; enough to distinguish the typical
+ * timeout from the shorter ones of retries.
  */
-const keptRequests = 64;
-/** Quantile that is taken as the typical timeout; callers who retry are hardly ever three in four. */
-const typicalQuantile = 0.75;
+const maximumTimeoutsPerRoute = 64;
+/** Quantile that serves as the typical timeout; retries, which have shorter ones, are rarely three quarters of all. */
+const typicalTimeoutQuantile = 0.75;
 /** Maximum number of routes in the table; the one that was added first is evicted. */
-const keptRoutes = 4_096;
+const maximumRoutes = 4_096;
 
 /** Ring buffer of the timeouts of the newest requests. */
 interface RouteTimeouts {
@@ -23,9 +23,9 @@
 }
 
 /**
- * Creates an empty table.
+ * Creates an empty table of timeouts.
  *
- * @returns the table
+ * @returns the table, without routes
  */
 export function createCallerTimeoutTable(): CallerTimeoutTable {
     return { routes: new Map() };
@@ -36,7 +36,7 @@
     if (known !== undefined) {
         return known;
     }
-    if (table.routes.size >= keptRoutes) {
+    if (table.routes.size >= maximumRoutes) {
         for (const oldest of table.routes.keys()) {
             table.routes.delete(oldest);
             break;
@@ -59,8 +59,8 @@
 export function estimatePriorWait(table: CallerTimeoutTable, route: string, callerTimeout: Milliseconds): Milliseconds {
     const row = findOrCreateRoute(table, route);
     row.newest[row.next] = callerTimeout;
-    row.next = (row.next + 1) % keptRequests;
+    row.next = (row.next + 1) % maximumTimeoutsPerRoute;
     const sorted = [...row.newest].sort((left, right) => left - right);
-    const typical = sorted[Math.floor((sorted.length - 1) * typicalQuantile)]!;
+    const typical = sorted[Math.floor((sorted.length - 1) * typicalTimeoutQuantile)]!;
     return Math.max(0, typical - callerTimeout);
 }
--- a/src/runtime/gateway/demand.ts
+++ b/src/runtime/gateway/demand.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "../../types/index.js";
 
-/** Half-life of the weight of an arrival. */
-const halfLife: Milliseconds = 1_000;
+/** Time in which the weight of an arrival in the count halves. */
+const arrivalHalfLife: Milliseconds = 1_000;
 
 /** Exponentially decaying count of the requests for a service; created by {@link createArrivalCount}. */
 export interface ArrivalCount {
@@ -30,7 +30,7 @@
 }
 
 function decayCount(count: ArrivalCount, now: Milliseconds): number {
-    return count.weighted * 2 ** (-Math.max(0, now - count.updatedAt) / halfLife);
+    return count.weighted * 2 ** (-Math.max(0, now - count.updatedAt) / arrivalHalfLife);
 }
 
 /**
@@ -52,5 +52,5 @@
  * @returns exponentially weighted rate in requests per millisecond
  */
 export function computeArrivalRate(count: ArrivalCount, now: Milliseconds): number {
-    return decayCount(count, now) * Math.LN2 / halfLife;
+    return decayCount(count, now) * Math.LN2 / arrivalHalfLife;
 }
--- a/src/runtime/gateway/placeShare.ts
+++ b/src/runtime/gateway/placeShare.ts
@@ -13,7 +13,7 @@
      * negative.
      */
     readonly queuedPerServer: number;
-    /** Half-life of the weight of a load that an answer stated; a server without answers must not look full forever. */
+    /** Time in which the weight of a load from an answer halves; a server that stops answering must not stay full. */
     readonly loadHalfLife: Milliseconds;
 }
 
--- a/src/runtime/gateway/serverNotices.ts
+++ b/src/runtime/gateway/serverNotices.ts
@@ -4,7 +4,7 @@
 export interface ServerNotice {
     /** Monotonic time at which it first announced that it is shutting down; undefined if it did not. */
     leavingSince: Milliseconds | undefined;
-    /** Monotonic time until which it asks this gateway to send no requests; in the past if it does not ask so. */
+    /** Monotonic time until which this gateway must not send it requests; in the past if it asked for no pause. */
     pausedUntil: Milliseconds;
     /** Monotonic time at which the lifetime was last listed or mentioned. */
     heardAt: Milliseconds;
@@ -56,7 +56,7 @@
 }
 
 /**
- * Records that a backend server asks for no requests for a while.
+ * Records that a backend server has asked for a pause, during which it is sent no requests.
  *
  * @param table - table to change
  * @param lifetime - lifetime of the backend server
--- a/src/runtime/hold/evaluateReplacement.ts
+++ b/src/runtime/hold/evaluateReplacement.ts
@@ -2,12 +2,12 @@
 import type { ReplacementDecision, ReplacementInput, WitnessKnowledge } from "./types.js";
 
 /** Share of the hold duration; a witness whose newest message is at least this old cannot start a confirmation. */
-const maximumSilenceShare = 0.5;
+const maximumWitnessSilenceShare = 0.5;
 /**
- * Minimum uptime of a witness at the start of the confirmation, as a share of the hold duration; a process that was
- * younger is not the one that confirmed.
+ * Minimum uptime of a witness at the start of the confirmation, as a share of the hold duration. If the uptime was
+ * shorter, the witness has restarted since it confirmed.
  */
-const minimumUptimeShare = 0.75;
+const minimumWitnessUptimeShare = 0.75;
 
 /**
  * Decides whether the hold on a revoked copy has certainly expired although its agent has not confirmed the release.
@@ -47,7 +47,7 @@
 
 function hasConfirmed(input: ReplacementInput, witness: InstanceId): boolean {
     const knowledge = input.witnesses.get(witness);
-    if (knowledge === undefined || input.now - knowledge.heardAt >= input.holdDuration * maximumSilenceShare) {
+    if (knowledge === undefined || input.now - knowledge.heardAt >= input.holdDuration * maximumWitnessSilenceShare) {
         return false;
     }
     return knowsRevocation(input, knowledge);
@@ -64,7 +64,7 @@
     }
     // The difference between the two shares of the hold duration allows for delays of the witness's messages.
     const startedAt = knowledge.heardAt - knowledge.uptime;
-    return knowledge.heardAt < since || startedAt <= since - input.holdDuration * minimumUptimeShare;
+    return knowledge.heardAt < since || startedAt <= since - input.holdDuration * minimumWitnessUptimeShare;
 }
 
 function hasMajorityOfEachSet(input: ReplacementInput, confirmed: readonly InstanceId[]): boolean {
--- a/src/runtime/idempotency/ownership.ts
+++ b/src/runtime/idempotency/ownership.ts
@@ -6,7 +6,7 @@
  * Most periods that are kept. If an older one would be needed to prove ownership of a key, the key is refused as
  * `unknown`, which is safe.
  */
-const maximumPeriods = 64;
+const maximumOwnershipPeriods = 64;
 
 /**
  * Creates the ownership history of a process that knows no owners yet.
@@ -57,7 +57,7 @@
         history.periods.pop();
     }
     history.periods.push(period);
-    if (history.periods.length > maximumPeriods) {
+    if (history.periods.length > maximumOwnershipPeriods) {
         history.periods.shift();
     }
 }
--- a/src/runtime/placement/assess.ts
+++ b/src/runtime/placement/assess.ts
@@ -52,7 +52,7 @@
 }
 
 /**
- * Returns how many copies a configuration wants in an availability zone.
+ * Returns the number of copies that a configuration requires in an availability zone.
  *
  * @param configuration - the configuration in force
  * @param zone - availability zone
--- a/src/runtime/placement/instanceList.ts
+++ b/src/runtime/placement/instanceList.ts
@@ -2,7 +2,7 @@
 import { createTable } from "../../utils/index.js";
 import type { Table } from "../../utils/index.js";
 
-/** Absent reads after which a row is deleted, which bounds the table; with one read a second, one day. */
+/** Reads without an instance after which its row is deleted, which bounds the table; one day at one read a second. */
 const absentReadsUntilForgotten = 86_400;
 
 /**
--- a/src/runtime/placement/owners.ts
+++ b/src/runtime/placement/owners.ts
@@ -14,7 +14,7 @@
  * Share of the remaining owners that new owners must amount to before they are added while more copies are still being
  * loaded. They are added in groups, since requests with some keys are refused during each change.
  */
-const additionShare = 0.25;
+const minimumOwnerAdditionShare = 0.25;
 
 /**
  * Plans the owners of idempotency keys. Copies become owners once they serve and stay owners while they are assigned to
@@ -87,7 +87,7 @@
     const added = usable.filter(({ copy, isServing }) => isServing && !isOwner.has(copy.instance));
     const pending = usable.filter(({ copy, condition }) => condition === "incomplete" && !isOwner.has(copy.instance));
     const isWorthwhile = added.length > 0 &&
-        (added.length >= pending.length || added.length >= staying.length * additionShare);
+        (added.length >= pending.length || added.length >= staying.length * minimumOwnerAdditionShare);
     const all = [...staying, ...added.map(({ copy }) => copy.instance)].sort();
     return { staying, all, isWorthwhile };
 }
--- a/src/runtime/retry/suspects.ts
+++ b/src/runtime/retry/suspects.ts
@@ -17,8 +17,8 @@
 }
 
 /**
- * Finds the row to evict: the oldest one that is not condemned, since a forgotten condemned request crashes servers
- * again.
+ * Finds the row to evict: the oldest one that is not condemned, since a condemned request whose row is evicted would
+ * crash servers again. If all are condemned, the oldest one is evicted.
  */
 function findEvictable(table: SuspectTable): Fingerprint | undefined {
     let oldest: Fingerprint | undefined;
--- a/src/runtime/routing/load.ts
+++ b/src/runtime/routing/load.ts
@@ -5,7 +5,7 @@
 const maximumEjectionFactor = 8;
 
 /** Most past values of `outstanding` that are kept for each runner; older ones are dropped. */
-const maximumSamples = 64;
+const maximumOutstandingSamples = 64;
 
 /**
  * Returns how many requests this process had in progress on the runner when the report was made, and records how many
@@ -14,7 +14,7 @@
 function readOutstandingAt(runner: RunnerRow, reportedAt: Milliseconds, now: Milliseconds): number {
     const { samples } = runner;
     samples.push({ at: now, outstanding: runner.outstanding });
-    while (samples.length > maximumSamples || (samples[1] !== undefined && samples[1].at <= reportedAt)) {
+    while (samples.length > maximumOutstandingSamples || (samples[1] !== undefined && samples[1].at <= reportedAt)) {
         samples.shift();
     }
     return samples[0]!.at <= reportedAt ? samples[0]!.outstanding : runner.outstanding;
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -9,7 +9,7 @@
 type UnavailableReason = keyof typeof retryAfterSeconds;
 
 /** Seconds until the outcome of a trial request is expected; see {@link TrialState}. */
-const trialSeconds = 0.2;
+const expectedTrialSeconds = 0.2;
 
 function isServing(runner: RunnerRow, input: CandidateInput): boolean {
     const { manifestDigest, phase } = runner;
@@ -24,7 +24,7 @@
 
 function explainNoCandidate(input: RoutingInput, { leftOut, resumesAt }: Candidates): RoutingDecision {
     if (leftOut.paused > 0 && resumesAt !== undefined) {
-        const seconds = Math.max(trialSeconds, (resumesAt - input.now) / 1_000);
+        const seconds = Math.max(expectedTrialSeconds, (resumesAt - input.now) / 1_000);
         return { kind: "none", reason: "turned-away", candidates: 0, retryAfterSeconds: seconds };
     }
     let reason: UnavailableReason = input.subset.runners.length === 0 ? "no-runner" : "not-serving";
--- a/src/runtime/routing/subset.ts
+++ b/src/runtime/routing/subset.ts
@@ -6,7 +6,7 @@
  * Share of the subset that is reserved for other availability zones, so that the loss of the own zone leaves
  * candidates.
  */
-const remoteShare = 0.25;
+const remoteZoneShare = 0.25;
 
 interface RankedCandidate {
     readonly candidate: SubsetCandidate;
@@ -52,7 +52,7 @@
     const usable = rankCandidates(input, false);
     const ownCount = usable.filter(({ distance }) => distance === 0).length;
     const remoteCount = usable.length - ownCount;
-    const remotePlaces = Math.min(remoteCount, Math.floor(input.size * remoteShare));
+    const remotePlaces = Math.min(remoteCount, Math.floor(input.size * remoteZoneShare));
     const ownPlaces = Math.min(ownCount, input.size - remotePlaces);
     const chosen = [
         ...usable.slice(0, ownPlaces),
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -45,7 +45,7 @@
     /**
      * Additional load of a request whose answer has not begun, in requests. Default: 0. An engine processes prompts one
      * after the other, so a new answer begins only after those of the waiting requests, while requests that are being
-     * answered hardly delay it.
+     * answered delay it only slightly.
      */
     readonly waitingWeight: number;
     /** Time in which the weight of reported waiting requests halves. Default: 200 ms. */
--- a/src/runtime/state/fold.ts
+++ b/src/runtime/state/fold.ts
@@ -4,10 +4,10 @@
 import { createConfigurationRow, createPlacementRow, isSelfContained, measureRetainedTime } from "./rows.js";
 import type { FoldOutcome, FoldState, UnresolvedChain } from "./types.js";
 
-/** Identifiers in each of the two sets that detect duplicates; later repeats are still ignored due to their base. */
+/** Identifiers in each of the two sets that detect duplicates; later repeats are ignored due to their old base. */
 const maximumRecentIds = 1_024;
 /** Share of the retention after which rows are refreshed; a chain that has no record for longer does not exist. */
-const refreshShare = 0.5;
+const rowRefreshShare = 0.5;
 
 /**
  * Applies the next entry of the log to the state. Entries are applied in order only, and none twice.
@@ -91,7 +91,7 @@
     if (entry.record.base !== 0 || head !== 0 || state.unresolved.has(key) || truncation?.windowStart === undefined) {
         return false;
     }
-    return measureRetainedTime(entry, truncation.windowStart) > truncation.retention * refreshShare;
+    return measureRetainedTime(entry, truncation.windowStart) > truncation.retention * rowRefreshShare;
 }
 
 /** Accepts a candidate once a later record is based on it or names it. */
