Name units and subjects of the constants of src/node

Several constants were called checkInterval, maximumClients or fanOut, and plain numbers held milliseconds without saying so. They now say what is checked, counted or kept, and in which unit. Doc comments such as "Creates the tracker." say of what. The syntax trees differ in local names only, the pages of settings and events are unchanged, and the tests of test/node pass.

--- a/src/node/agent/crashTracker.ts
+++ b/src/node/agent/crashTracker.ts
@@ -31,7 +31,7 @@
 const crashWindow: Milliseconds = 1_000;
 
 /**
- * Creates the tracker.
+ * Creates the tracker of crashes of the agent's backend server.
  *
  * @param options - backend server and requests in progress
  * @returns the tracker
--- a/src/node/agent/executor.ts
+++ b/src/node/agent/executor.ts
@@ -85,7 +85,7 @@
 const shortRetrySeconds = 1;
 
 /**
- * Creates the executor.
+ * Creates the executor that runs the requests of entry instances on the backend server.
  *
  * @param options - backend server, tables and serving state
  * @returns the executor
--- a/src/node/agent/recentPrefixes.ts
+++ b/src/node/agent/recentPrefixes.ts
@@ -13,8 +13,8 @@
     list(): readonly string[];
 }
 
-/** Number of prefixes kept. They are guessed from requests, since engines report cache events late and with gaps. */
-const maximumPrefixes = 32;
+/** Maximum number of prefixes. They come from requests, since engines report cache events late and with gaps. */
+const maximumRecentPrefixes = 32;
 
 /**
  * Creates the list of recent prefixes.
@@ -31,7 +31,7 @@
                 currentDigest = manifestDigest;
             }
             if (prefix !== undefined) {
-                prefixes = [prefix, ...prefixes.filter(known => known !== prefix)].slice(0, maximumPrefixes);
+                prefixes = [prefix, ...prefixes.filter(known => known !== prefix)].slice(0, maximumRecentPrefixes);
             }
         },
         list: () => prefixes,
--- a/src/node/agent/transfer/exchanges.ts
+++ b/src/node/agent/transfer/exchanges.ts
@@ -15,7 +15,7 @@
 import { findAddress, type TransferContext } from "./context.js";
 import { findPeer, type WeightSetState } from "./weightSetState.js";
 
-/** Factor on the exchange interval for peers that are only asked back, to learn how much they have sent. */
+/** Multiple of the exchange interval for peers that are only queried for the amount that they have sent. */
 const askBackIntervalFactor = 4;
 
 /**
--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -21,13 +21,13 @@
  * Share of the memory limit for chunks that are received; the rest is for chunks that are sent. Reads from the origin
  * are slow and hold their memory for long, while sending two chunks at a time is enough to keep the link busy.
  */
-const incomingShare = 2 / 3;
+const incomingMemoryShare = 2 / 3;
 
 /**
- * Milliseconds for which the bytes sent of a removed set still count against its upload allowance. Otherwise, a hold
+ * Time for which the bytes sent of a removed set still count against its upload allowance. Otherwise, a hold
  * that lapses for a few seconds would renew the allowance in the middle of a burst.
  */
-const sentBytesRetention = 600_000;
+const sentBytesRetentionMilliseconds = 600_000;
 
 interface ForgottenSet {
     readonly sentBytes: number;
@@ -58,7 +58,7 @@
         ...input,
         settings: resolveTransferSettings(input.options),
         options,
-        incomingSemaphore: createByteSemaphore(options.maximumBytesInFlight * incomingShare),
+        incomingSemaphore: createByteSemaphore(options.maximumBytesInFlight * incomingMemoryShare),
         calls: createPeerCalls(),
         sets,
         signal: disposal.signal,
@@ -106,7 +106,7 @@
     function recreateSet(wanted: TransferTarget): WeightSetState {
         const now = context.clock.monotonic();
         for (const [digest, { forgottenAt }] of forgotten) {
-            if (now - forgottenAt >= sentBytesRetention) {
+            if (now - forgottenAt >= sentBytesRetentionMilliseconds) {
                 forgotten.delete(digest);
             }
         }
@@ -219,7 +219,7 @@
         backend: input.backend,
         linkBudget: input.linkBudget,
         clock: input.clock,
-        semaphore: createByteSemaphore(options.maximumBytesInFlight * (1 - incomingShare)),
+        semaphore: createByteSemaphore(options.maximumBytesInFlight * (1 - incomingMemoryShare)),
         settings: context.settings,
         options,
         signal: disposal.signal,
--- a/src/node/backendServer/endMarker.ts
+++ b/src/node/backendServer/endMarker.ts
@@ -2,7 +2,7 @@
 
 const marker = Buffer.from("data: [DONE]");
 /** Bytes at the end of the stream that are kept: the marker with the line ends after it fits in them. */
-const keptBytes = 32;
+const keptTailBytes = 32;
 
 /**
  * Passes an event stream through and checks that it ends with the event `data: [DONE]`. An engine that crashes may
@@ -14,7 +14,7 @@
 export async function* checkEndMarker(body: AsyncIterable<Uint8Array>): AsyncGenerator<Uint8Array> {
     let tail: Buffer = Buffer.alloc(0);
     for await (const part of body) {
-        tail = Buffer.concat([tail, part.subarray(-keptBytes)]).subarray(-keptBytes);
+        tail = Buffer.concat([tail, part.subarray(-keptTailBytes)]).subarray(-keptTailBytes);
         yield part;
     }
     if (!tail.toString("latin1").trimEnd().endsWith(marker.toString("latin1"))) {
--- a/src/node/cli/appendConfiguration.ts
+++ b/src/node/cli/appendConfiguration.ts
@@ -21,7 +21,7 @@
 
 const step = "append configuration record";
 /** Pause after the first failed attempt; doubled after each further one. */
-const firstPauseMilliseconds = 200;
+const firstRetryPauseMilliseconds = 200;
 
 function createRecord(context: OperatorContext, reader: LogReader, change: ConfigurationChange): ConfigurationRecord {
     return {
@@ -151,7 +151,7 @@
         }
         lastError = outcome.error;
         mayBeInLog ||= outcome.error.mayHaveTakenEffect;
-        if (attempt + 1 < appendAttempts && !await context.ports.pause(firstPauseMilliseconds * 2 ** attempt)) {
+        if (attempt + 1 < appendAttempts && !await context.ports.pause(firstRetryPauseMilliseconds * 2 ** attempt)) {
             break;
         }
     }
--- a/src/node/cli/commands/explainLogs.ts
+++ b/src/node/cli/commands/explainLogs.ts
@@ -12,8 +12,8 @@
 import { type ExitCode, exitCodes } from "../exitCodes.js";
 import type { OperatorContext } from "../types.js";
 
-/** Smaller clock differences, in milliseconds, are not shown: the collection of log lines alone may cause them. */
-const minimumShownClockDifference = 20;
+/** Smallest clock difference that is shown; smaller ones may come from the collection of log lines alone. */
+const minimumShownClockDifferenceMilliseconds = 20;
 
 /** Fields that are not listed at the end of a rendered line, since it shows them elsewhere or not at all. */
 const fieldsShownElsewhere: ReadonlySet<string> = new Set(["level", "time", "instance", "program", "msg", "requestId"]);
@@ -49,7 +49,7 @@
 
 function renderEntry({ after, clockAhead, line, relation }: TimelineEntry): string {
     const difference = Math.round(clockAhead ?? 0);
-    const clock = Math.abs(difference) >= minimumShownClockDifference ?
+    const clock = Math.abs(difference) >= minimumShownClockDifferenceMilliseconds ?
         ` (its clock is ${Math.abs(difference)} ms ${difference > 0 ? "ahead" : "behind"})` :
         "";
     const values = Object.entries(line.fields)
--- a/src/node/crashes/lossTracker.ts
+++ b/src/node/crashes/lossTracker.ts
@@ -39,7 +39,7 @@
 const lossWindow: Milliseconds = 1_000;
 
 /**
- * Creates the tracker.
+ * Creates the tracker of broken connections to backend servers.
  *
  * @param clock - source of the monotonic time
  * @returns the tracker, empty
--- a/src/node/daemon/drain.ts
+++ b/src/node/daemon/drain.ts
@@ -2,7 +2,7 @@
 import { sleep } from "../../utils/index.js";
 
 /** Interval at which the requests in progress are counted. */
-const checkInterval: Milliseconds = 50;
+const requestCountInterval: Milliseconds = 50;
 
 /**
  * Waits until no request is in progress.
@@ -14,6 +14,6 @@
 export async function waitUntilIdle(clock: Clock, timeLimit: Milliseconds, countPending: () => number): Promise<void> {
     const endsAt = clock.monotonic() + timeLimit;
     while (countPending() > 0 && clock.monotonic() < endsAt) {
-        await sleep(checkInterval);
+        await sleep(requestCountInterval);
     }
 }
--- a/src/node/entry/attempt.ts
+++ b/src/node/entry/attempt.ts
@@ -60,7 +60,7 @@
         for await (const message of call) {
             const outcome = await processFrame(input, progress, message as ExecuteFrame);
             if (outcome === "mismatched") {
-                // Otherwise the agent would go on sending an answer that nobody reads.
+                // Otherwise the agent would continue to send an answer that is discarded.
                 call.cancel();
                 return createFailure("unknown", "answer-mismatched");
             }
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -39,8 +39,8 @@
     drain(): Promise<void>;
 }
 
-/** Milliseconds between ticks that process every deployment; the next tick does so as well if the state has changed. */
-const fullTickInterval = 500;
+/** Interval of the ticks that process every deployment; the next tick does so as well if the state has changed. */
+const fullTickIntervalMilliseconds = 500;
 
 /**
  * Starts an entry instance.
@@ -150,7 +150,7 @@
         pipeline.expire();
         if (stateChanged || clock.monotonic() >= nextFullTickAt) {
             stateChanged = false;
-            nextFullTickAt = clock.monotonic() + fullTickInterval;
+            nextFullTickAt = clock.monotonic() + fullTickIntervalMilliseconds;
             directory.refresh();
             proposer.tick();
         }
--- a/src/node/entry/entryMetrics.ts
+++ b/src/node/entry/entryMetrics.ts
@@ -12,7 +12,7 @@
 }
 
 /**
- * Creates the metrics.
+ * Creates the metrics of an entry instance.
  *
  * @param clock - source of the time
  * @returns the metrics
--- a/src/node/entry/httpSink.ts
+++ b/src/node/entry/httpSink.ts
@@ -21,10 +21,10 @@
     "crashes-backend-servers": 422,
     "invalid-request": 400,
 };
-const defaultStatus = 503;
+const defaultHttpStatus = 503;
 
 /** Bytes of a non-streaming answer that are held back at most; a larger one is sent as it arrives. */
-const maximumHeldBytes = 32 * 1024 * 1024;
+const maximumHeldBodyBytes = 32 * 1024 * 1024;
 
 /**
  * Creates the sink that writes the answer to an HTTP response. A non-streaming answer is sent once it is complete, so
@@ -77,7 +77,7 @@
                 heldParts.push(content);
                 heldBytes += content.length;
                 const streamed = heldStart!.contentType.startsWith("text/event-stream");
-                if (!streamed && heldBytes <= maximumHeldBytes) {
+                if (!streamed && heldBytes <= maximumHeldBodyBytes) {
                     return undefined;
                 }
                 flush(heldStart!);
@@ -110,7 +110,7 @@
             }
             sendJson(
                 response,
-                statusByReason[refusal.reason] ?? defaultStatus,
+                statusByReason[refusal.reason] ?? defaultHttpStatus,
                 { error: describeRefusal(refusal, requestId) },
                 {
                     "x-request-id": requestId,
--- a/src/node/entry/requestPipeline.ts
+++ b/src/node/entry/requestPipeline.ts
@@ -76,7 +76,7 @@
 }
 
 /**
- * Creates the pipeline.
+ * Creates the pipeline that queues, routes and retries the requests of an entry instance.
  *
  * @param context - the entry instance
  * @param directory - runners and connections
--- a/src/node/entry/runnerDirectory.ts
+++ b/src/node/entry/runnerDirectory.ts
@@ -40,11 +40,11 @@
     retryAt: Milliseconds;
 }
 
-/** Time after which a stream of load reports that ended is opened again. */
-const reconnectAfter: Milliseconds = 500;
+/** Delay before a stream of load reports that ended is opened again. */
+const streamReconnectDelay: Milliseconds = 500;
 
 /**
- * Creates the directory.
+ * Creates the directory of the runners that an entry instance follows.
  *
  * @param context - the entry instance
  * @returns the directory; `refresh` has to be called regularly
@@ -88,7 +88,7 @@
         const end = (): void => {
             if (connection.stream === stream) {
                 connection.stream = undefined;
-                connection.retryAt = clock.monotonic() + reconnectAfter;
+                connection.retryAt = clock.monotonic() + streamReconnectDelay;
             }
         };
         stream.on("error", end);
--- a/src/node/entry/suspicionSharing.ts
+++ b/src/node/entry/suspicionSharing.ts
@@ -35,11 +35,11 @@
     shareSuspicion(call: ShareCall, callback: ShareCallback): void;
 }
 
-/** Most entry instances to which a change is sent; each forwards it if it is new to it. */
-const maximumPeers = 8;
-/** Time limit of one call of `ShareSuspicion`, in milliseconds. */
-const shareTimeLimit = 2_000;
-/** Most crashes that are remembered, so that further requests which they interrupted do not count again. */
+/** Maximum number of entry instances to which a change is sent; each forwards a change that is new to it. */
+const maximumPeersPerChange = 8;
+/** Time limit of one call of `ShareSuspicion`. */
+const shareTimeLimitMilliseconds = 2_000;
+/** Maximum number of crashes kept, so that further requests which they interrupted do not count again. */
 const maximumKnownCrashes = 1_000;
 
 /**
@@ -67,7 +67,7 @@
                 addresses.push(row.address);
             }
         }
-        while (addresses.length > maximumPeers) {
+        while (addresses.length > maximumPeersPerChange) {
             addresses.splice(Math.floor(context.random.next() * addresses.length), 1);
         }
         return addresses;
@@ -93,7 +93,7 @@
             findClient(address).shareSuspicion(
                 request,
                 new Metadata(),
-                { deadline: Date.now() + shareTimeLimit },
+                { deadline: Date.now() + shareTimeLimitMilliseconds },
                 error => {
                     if (error instanceof Error) {
                         context.logger.debug({ peer: address, error: error.message }, "suspicion could not be shared");
--- a/src/node/gateway/answerRelay.ts
+++ b/src/node/gateway/answerRelay.ts
@@ -83,7 +83,7 @@
 }
 
 /**
- * Creates the relay of answers.
+ * Creates the relay that passes answers of backend servers on to callers.
  *
  * @param input - clock, log and metrics
  * @returns the relay
--- a/src/node/gateway/backendClients.ts
+++ b/src/node/gateway/backendClients.ts
@@ -36,8 +36,8 @@
 /** Maximum bytes of one answer that are held in memory; an answer with more unread bytes is abandoned. */
 export const maximumAnswerBytes = 16 * 1024 * 1024;
 
-/** Time that a retired client has to finish its calls; longer than the timeouts of the routes, which end streams. */
-const retireAfter: Milliseconds = 30_000;
+/** Time in which a retired client must finish its calls; longer than the timeouts of routes, which also end streams. */
+const retiredClientTimeLimit: Milliseconds = 30_000;
 
 /**
  * Creates the connections to backend servers.
@@ -52,7 +52,7 @@
     function retire(instance: string, { client }: ClientRow): void {
         rows.delete(instance);
         // Calls in progress continue, since a backend server that is shutting down finishes its work.
-        setTimeout(() => void client[Symbol.asyncDispose](), retireAfter).unref();
+        setTimeout(() => void client[Symbol.asyncDispose](), retiredClientTimeLimit).unref();
     }
 
     return {
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -57,8 +57,8 @@
 const highestPriority = 9;
 /** Retry time in seconds while the gateway has no configuration or no service for the route. */
 const unconfiguredRetryAfterSeconds = 0.5;
-/** Header limit before a configuration is known, in bytes. */
-const initialHeaderBytes = 16_384;
+/** Maximum size of the headers until a configuration is known. */
+const initialMaximumHeaderBytes = 16_384;
 
 function joinHeaders(incoming: IncomingMessage): Record<string, string> {
     const headers: Record<string, string> = {};
@@ -264,7 +264,7 @@
     }
 
     const server: Server = createServer(
-        { maxHeaderSize: initialHeaderBytes, requireHostHeader: false },
+        { maxHeaderSize: initialMaximumHeaderBytes, requireHostHeader: false },
         (incoming, response) => {
             if (incoming.socket.writableEnded) {
                 // The request arrived after this side had closed the connection, so it is not served.
@@ -276,7 +276,7 @@
             });
             response.once("finish", () => {
                 if (stopped) {
-                    // A head that was sent before the shutdown did not ask the caller to close the connection.
+                    // If the head was sent before the shutdown, it has no `Connection: close`.
                     incoming.socket.end();
                 }
             });
--- a/src/node/gateway/condemnedRecords.ts
+++ b/src/node/gateway/condemnedRecords.ts
@@ -15,7 +15,7 @@
  * Maximum number of dropped records that are remembered, to drop them again if the log is restored from a backup; the
  * oldest are forgotten first.
  */
-const maximumDropped = 1_000;
+const maximumDroppedRecords = 1_000;
 
 type CondemnedRecord = z.infer<typeof recordSchema>;
 
@@ -90,7 +90,7 @@
         if (!isCondemned) {
             kept.delete(fingerprint);
             dropped.add(fingerprint);
-            if (dropped.size > maximumDropped) {
+            if (dropped.size > maximumDroppedRecords) {
                 dropped.delete(dropped.keys().next().value!);
             }
         }
--- a/src/node/gateway/crashExchange.ts
+++ b/src/node/gateway/crashExchange.ts
@@ -42,12 +42,12 @@
     ) => void;
 }
 
-/** Number of gateways to which new evidence is sent; each of them forwards what is new to it. */
-const fanOut = 8;
+/** Gateways that are sent new evidence, or queried after the start, at a time; each forwards what is new to it. */
+const gatewaysPerRound = 8;
 /** Queries to other gateways per settle time; they recover lost evidence in time. */
 const queriesPerSettleTime = 4;
 /** Maximum number of open connections to other gateways; the oldest is closed first. */
-const maximumClients = 64;
+const maximumGatewayClients = 64;
 /** Share of the settle time for which new evidence is collected before it is sent: many requests break together. */
 const deltaDelayShare = 0.03;
 
@@ -121,7 +121,7 @@
     function send(address: string, message: CrashEvidenceRequest): void {
         const client = clients.get(address) ?? createReplicaClient(address);
         clients.set(address, client);
-        if (clients.size > maximumClients) {
+        if (clients.size > maximumGatewayClients) {
             closeClient(clients.keys().next().value!);
         }
         const deadline = Date.now() + settleTime / 2;
@@ -150,7 +150,7 @@
         const message = create(CrashEvidenceRequestSchema, {
             news: encode(crashEvidence.takeDelta(), notices.listLeaving()),
         });
-        pickRandom(input.listAddresses(), fanOut).forEach(address => send(address, message));
+        pickRandom(input.listAddresses(), gatewaysPerRound).forEach(address => send(address, message));
     }
 
     function pickRandom(addresses: readonly string[], count: number): string[] {
@@ -163,7 +163,8 @@
 
     function queryNewGateways(): void {
         if (clock.monotonic() - startedAt < settleTime) {
-            pickRandom(input.listAddresses().filter(address => !queriedAddresses.has(address)), fanOut).forEach(query);
+            pickRandom(input.listAddresses().filter(address => !queriedAddresses.has(address)), gatewaysPerRound)
+                .forEach(query);
         }
     }
 
--- a/src/node/gateway/crashWatch.ts
+++ b/src/node/gateway/crashWatch.ts
@@ -52,7 +52,7 @@
 /** Maximum time for which a failed attempt waits for the check; a host that is up answers within a round trip. */
 const maximumCheckWait: Milliseconds = 50;
 /** Maximum number of fingerprints in a log line. */
-const loggedFingerprints = 8;
+const maximumLoggedFingerprints = 8;
 
 /**
  * Creates the crash detection. A broken connection alone proves no crash, since links and single answers break too; a
@@ -83,7 +83,7 @@
             crashId,
             outcome: state,
             requests: fingerprints.length,
-            fingerprints: fingerprints.slice(0, loggedFingerprints).join(","),
+            fingerprints: fingerprints.slice(0, maximumLoggedFingerprints).join(","),
         }, "backend server checked");
         if (state === "refused") {
             input.onCrash({ crashId, service, fingerprints });
--- a/src/node/gateway/eventStream.ts
+++ b/src/node/gateway/eventStream.ts
@@ -41,8 +41,8 @@
 /** Maximum bytes of one event, which is held in memory until it is complete. */
 export const maximumEventBytes = 262_144;
 
-/** Bytes at the end of the pending ones that may be the beginning of an empty line. */
-const emptyLineBytes = 3;
+/** Maximum bytes at the end of the pending data that may be the beginning of an empty line. */
+const emptyLinePrefixBytes = 3;
 
 /**
  * Creates a splitter for the stream of one attempt.
@@ -55,7 +55,7 @@
     return {
         pendingBytes: () => pending.length,
         push: part => {
-            let searched = Math.max(0, pending.length - emptyLineBytes);
+            let searched = Math.max(0, pending.length - emptyLinePrefixBytes);
             pending = pending.length === 0 ? Buffer.from(part) : Buffer.concat([pending, part]);
             const events: StreamEvent[] = [];
             for (;;) {
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -60,12 +60,12 @@
     drain(): Promise<void>;
 }
 
-/** Interval in milliseconds at which expired state is removed. */
-const tickInterval = 100;
+/** Interval at which expired state is removed and, during a drain, open requests are counted. */
+const maintenanceIntervalMilliseconds = 100;
 /** Number of servers for readiness, metrics and relayed records, which stop in turn within the shutdown margin. */
-const internalServers = 3;
+const internalServerCount = 3;
 /** Share of the connections of a backend server that the gateways divide among them; the rest is left for others. */
-const connectionShare = 0.8;
+const gatewayConnectionShare = 0.8;
 
 /**
  * Starts a gateway: an entry instance that sends requests directly to backend servers.
@@ -148,7 +148,7 @@
         maximumHeldBytes: gateway.maximumHeldAnswerBytes,
         connections: ({ service }) => {
             const maximum = state.routes()?.services.get(service)?.maximumConnections ?? 1;
-            return Math.max(1, Math.floor(maximum * connectionShare / gateways.count()));
+            return Math.max(1, Math.floor(maximum * gatewayConnectionShare / gateways.count()));
         },
     }));
     const containment = stack.use(createCrashContainment({
@@ -190,7 +190,7 @@
     });
 
     // One share of the margin is left for the exit of the process.
-    const serverShutdownLimit = gateway.shutdownMargin / (internalServers + 1);
+    const serverShutdownLimit = gateway.shutdownMargin / (internalServerCount + 1);
     const relay = stack.use(createRecordRelay({ store, clock, options: replica }));
     const rpcServer = await startRpcServer(instance.grpcAddress, [
         {
@@ -326,7 +326,7 @@
         containment.crashEvidence.expire();
         agentWatch.tick();
         queues.update();
-    }, tickInterval);
+    }, maintenanceIntervalMilliseconds);
     stack.defer(() => clearInterval(timer));
     logger.info({ address: instance.httpAddress, zone: instance.zone }, "gateway started");
 
@@ -339,7 +339,7 @@
             await sleep(Math.min(gateway.acceptAfterShutdown, limit));
             callerServer.stopAccepting();
             while (callerServer.countOpen() > 0 && clock.monotonic() < endsAt) {
-                await sleep(tickInterval);
+                await sleep(maintenanceIntervalMilliseconds);
                 callerServer.stopAccepting();
             }
             logger.info({ open: callerServer.countOpen() }, "drained");
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -68,7 +68,7 @@
 const maximumTotalAttempts = 4;
 
 /** Remaining time below which a request is not retried. */
-const minimumRemaining: Milliseconds = 20;
+const minimumRemainingTime: Milliseconds = 20;
 
 /** Retry time in seconds for callers when no backend server can answer at the moment. */
 const unavailableRetryAfterSeconds = 1;
@@ -169,7 +169,7 @@
                     version: undefined,
                 },
                 limits: { silentAfter, canSwitch: () => repeatable && canSwitch(request, progress, runner.instance) },
-                headTimeout: Math.max(minimumRemaining, (selection.headDeadline ?? Infinity) - now),
+                headTimeout: Math.max(minimumRemainingTime, (selection.headDeadline ?? Infinity) - now),
                 signal: request.signal,
             });
             begin();
@@ -209,7 +209,7 @@
         budget: RetryBudget,
     ): RetryDecision {
         const canRepeat = progress.attempts < maximumTotalAttempts &&
-            request.endsAt - clock.monotonic() > minimumRemaining && !request.signal.aborted;
+            request.endsAt - clock.monotonic() > minimumRemainingTime && !request.signal.aborted;
         return decideRetry({
             request: request.row,
             refusal: { ran: failure.ran, reason: failure.reason, retryAfterSeconds: unavailableRetryAfterSeconds },
--- a/src/node/gateway/serverNotices.ts
+++ b/src/node/gateway/serverNotices.ts
@@ -96,7 +96,7 @@
             }
         },
         mergeLeaving: leaving =>
-            // Gateways remove notices at slightly different times and must not send them back and forth forever.
+            // Gateways remove notices at slightly different times and must not exchange them endlessly.
             leaving.filter(({ age }) => age <= memory)
                 .forEach(({ age, lifetime }) => handleLeaving(lifetime, age, "gateway")),
         listLeaving: () => listLeaving(table, clock.monotonic()),
--- a/src/node/gateway/serverSelector.ts
+++ b/src/node/gateway/serverSelector.ts
@@ -79,8 +79,8 @@
     trackRequest(service: ServiceRow, server: BackendServerRow): () => void;
 }
 
-/** Time for which a draw of {@link computePlaceShare} is used, in which gateways learn what the others have taken. */
-const drawInterval: Milliseconds = 250;
+/** Time between random draws for {@link computePlaceShare}; meanwhile, reports show which places others have taken. */
+const placeDrawInterval: Milliseconds = 250;
 
 /**
  * Creates the selector of backend servers.
@@ -90,14 +90,14 @@
  */
 export function createServerSelector(input: ServerSelectorInput): ServerSelector {
     const { clock, options, state } = input;
-    let draw = { value: input.random.next(), until: clock.monotonic() + drawInterval };
+    let draw = { value: input.random.next(), until: clock.monotonic() + placeDrawInterval };
 
     /** Requests in progress by service, including those whose backend server is no longer in the table. */
     const inProgress = new Map<string, number>();
 
     function readDraw(now: Milliseconds): number {
         if (now >= draw.until) {
-            draw = { value: input.random.next(), until: now + drawInterval };
+            draw = { value: input.random.next(), until: now + placeDrawInterval };
         }
         return draw.value;
     }
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -26,7 +26,7 @@
 } from "./types.js";
 
 const defaultTimeouts: HttpTimeouts = { connect: 1_000, head: 5_000, idle: 5_000, total: 10_000 };
-const defaultConnections = 64;
+const defaultMaximumConnections = 64;
 const defaultMaximumBodyBytes = 64 * 1_048_576;
 
 interface Call {
@@ -56,7 +56,7 @@
     const timeouts = { ...defaultTimeouts, ...options.timeouts };
     const url = new URL(options.baseUrl);
     const pool = new Pool(url.origin, {
-        connections: options.connections ?? defaultConnections,
+        connections: options.connections ?? defaultMaximumConnections,
         factory: (origin, clientOptions) => createTrackedClient(origin, clientOptions, timeouts.connect),
     });
     const dispatcher = pool.compose(trackWrittenRequests);
--- a/src/node/httpClient/overheadWatch.ts
+++ b/src/node/httpClient/overheadWatch.ts
@@ -1,11 +1,11 @@
 import type { Milliseconds } from "../../types/index.js";
 import type { CallState } from "./trackedClient.js";
 
-/** Most bytes of a response besides its body: head, sizes and extensions of chunks, trailers. */
+/** Maximum bytes of a response besides its body: head, sizes and extensions of chunks, trailers. */
 const maximumOverheadBytes = 65_536;
 /** Additional overhead bytes that are allowed for each byte of the body, which may come in chunks of one byte. */
-const overheadPerBodyByte = 8;
-const checkInterval: Milliseconds = 100;
+const overheadBytesPerBodyByte = 8;
+const overheadCheckInterval: Milliseconds = 100;
 
 /**
  * Tells whether a response has more overhead than a valid one can have. Undici limits only the size of the header
@@ -16,7 +16,7 @@
  * @returns true if the other bytes exceed the limit for head and framing
  */
 export function hasExcessiveOverhead(receivedBytes: number, bodyBytes: number): boolean {
-    return receivedBytes - bodyBytes > maximumOverheadBytes + overheadPerBodyByte * bodyBytes;
+    return receivedBytes - bodyBytes > maximumOverheadBytes + overheadBytesPerBodyByte * bodyBytes;
 }
 
 /**
@@ -33,6 +33,6 @@
             clearInterval(timer);
             onExcess();
         }
-    }, checkInterval);
+    }, overheadCheckInterval);
     return () => clearInterval(timer);
 }
--- a/src/node/httpClient/trackedClient.ts
+++ b/src/node/httpClient/trackedClient.ts
@@ -100,7 +100,7 @@
 
 /**
  * Closes the connection when a call is aborted. Undici ignores an abort after the last byte of a response has arrived
- * and keeps the connection; further bytes would be taken for the response to the next request.
+ * and keeps the connection; further bytes would be parsed as the response to the next request.
  */
 function closeWhenAborted(controller: Dispatcher.DispatchController, call: CallState): Dispatcher.DispatchController {
     return {
--- a/src/node/httpServer/responses.ts
+++ b/src/node/httpServer/responses.ts
@@ -19,8 +19,8 @@
 }
 
 /**
- * Aborts a response in a way that the caller detects. Without chunked encoding, a graceful end of the connection could
- * be taken for the end of the response, so the connection is reset.
+ * Aborts a response in a way that the caller detects. Without chunked encoding, a graceful end of the connection can
+ * mark the end of the response, so the connection is reset.
  *
  * @param response - response that cannot be completed
  */
--- a/src/node/logging/boundedDestination.ts
+++ b/src/node/logging/boundedDestination.ts
@@ -25,7 +25,7 @@
     flush(): void;
 }
 
-const defaultWaitingBytes = 1_048_576;
+const defaultMaximumWaitingBytes = 1_048_576;
 
 /** Creates the writer for a pipe or socket. Buffered lines that are not read do not delay the exit of the process. */
 function createPipeWriter(descriptor: number, maximumWaitingBytes: number): LineWriter {
@@ -100,7 +100,7 @@
  * @returns the destination
  */
 export function createBoundedDestination(options: BoundedDestinationOptions = {}): BoundedDestination {
-    const { descriptor = 1, maximumWaitingBytes = defaultWaitingBytes } = options;
+    const { descriptor = 1, maximumWaitingBytes = defaultMaximumWaitingBytes } = options;
     const createWriter = isPipe(descriptor) ? createPipeWriter : createFileWriter;
     const writer = createWriter(descriptor, maximumWaitingBytes);
     let dropped = 0;
--- a/src/node/metrics/windowedHistogram.ts
+++ b/src/node/metrics/windowedHistogram.ts
@@ -20,8 +20,8 @@
 
 // Values are stored in thousandths, since the library counts integers. With two significant digits and 32-bit counts, a
 // histogram takes 14 KB, and a record about 0.4 microseconds; packed counts take 8 KB, but four times as long.
-const resolution = 1_000;
-const highestValue = 3_600_000;
+const stepsPerUnit = 1_000;
+const maximumRecordableValue = 3_600_000;
 
 const require = createRequire(import.meta.url);
 
@@ -34,7 +34,7 @@
     return loadLibrary().build({
         bitBucketSize: 32,
         lowestDiscernibleValue: 1,
-        highestTrackableValue: highestValue * resolution,
+        highestTrackableValue: maximumRecordableValue * stepsPerUnit,
         numberOfSignificantValueDigits: 2,
         useWebAssembly: false,
     });
@@ -76,8 +76,8 @@
         },
         record: value => {
             advance();
-            const bounded = Math.min(Math.max(value, 0), highestValue);
-            current.recordValue(Math.round(bounded * resolution));
+            const bounded = Math.min(Math.max(value, 0), maximumRecordableValue);
+            current.recordValue(Math.round(bounded * stepsPerUnit));
             count += 1;
             sum += bounded;
         },
@@ -87,7 +87,7 @@
             merged.add(previous);
             merged.add(current);
             return quantiles.map(quantile =>
-                merged.totalCount === 0 ? NaN : merged.getValueAtPercentile(quantile * 100) / resolution
+                merged.totalCount === 0 ? NaN : merged.getValueAtPercentile(quantile * 100) / stepsPerUnit
             );
         },
     };
--- a/src/node/relay/followerSet.ts
+++ b/src/node/relay/followerSet.ts
@@ -29,7 +29,7 @@
 /** Delay before a relay whose stream ended is tried again. */
 const reconnectDelay: Milliseconds = 1_000;
 /** Heartbeat intervals without a message after which a stream is closed. */
-const silentIntervals = 4;
+const maximumSilentHeartbeatIntervals = 4;
 
 /**
  * Follows the required entry instances and a few others, chosen by rendezvous hashing, and replaces those that fail or
@@ -77,7 +77,7 @@
             }
         }
         for (const [instance, follower] of [...followers]) {
-            const silent = now - follower.heardAt > silentIntervals * interval;
+            const silent = now - follower.heardAt > maximumSilentHeartbeatIntervals * interval;
             if (silent || !wanted.has(instance) || targets.get(instance)?.address !== follower.target.address) {
                 follower[Symbol.dispose]();
             }
--- a/src/node/relay/logReader.ts
+++ b/src/node/relay/logReader.ts
@@ -27,7 +27,7 @@
     readonly reachable: boolean;
 }
 
-/** Time between two checks whether this process should read. */
+/** Interval at which a process that does not read the log checks whether it should. */
 const idleCheckInterval: Milliseconds = 250;
 const maximumBackoffDoublings = 3;
 
--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -45,7 +45,7 @@
 }
 
 /** Interval at which a process that receives records from relays checks whether it has to read the log itself. */
-const checkInterval: Milliseconds = 100;
+const directReadCheckInterval: Milliseconds = 100;
 
 /**
  * Follows a topic of the log until the signal is aborted.
@@ -154,7 +154,7 @@
             await read();
         }
         else {
-            await sleep(checkInterval, signal);
+            await sleep(directReadCheckInterval, signal);
         }
     }
 }
--- a/src/node/replica/recordRelay.ts
+++ b/src/node/replica/recordRelay.ts
@@ -68,7 +68,7 @@
 }
 
 /**
- * Creates the relay of a process.
+ * Creates the relay that sends the records of a process to its followers.
  *
  * @param input - records, clock and intervals
  * @returns the relay; disposing of it ends the streams
--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -52,10 +52,10 @@
 }
 
 /** Relays that are tried in addition to the wanted number, since addresses may be stale. */
-const extraAttempts = 2;
+const extraRelayAttempts = 2;
 
 /** Interval at which closed streams are replaced. */
-const checkInterval: Milliseconds = 200;
+const streamCheckInterval: Milliseconds = 200;
 
 /**
  * Follows relays and merges the records that they send.
@@ -177,7 +177,7 @@
         }
         for (const address of addresses) {
             // Addresses may be stale, so a few more are tried at the same time until enough relays have responded.
-            if (countConnected() >= options.parents || streams.size >= options.parents + extraAttempts) {
+            if (countConnected() >= options.parents || streams.size >= options.parents + extraRelayAttempts) {
                 break;
             }
             if (!streams.has(address) && (retryAt.get(address) ?? 0) <= now) {
@@ -186,13 +186,14 @@
         }
     }
 
-    // Relays are told what was read from the log, so that they do not send it; they know what they sent themselves.
+    // Sends the position to the relays after records were read from the log, so that they skip these records. A relay
+    // needs no position after its own records, since it knows what it sent.
     store.onChange((...[, , { source }]) => {
         if (source === "log") {
             positionTimer ??= setTimeout(sendPositions, options.positionInterval);
         }
     });
-    const timer = setInterval(tick, checkInterval);
+    const timer = setInterval(tick, streamCheckInterval);
     tick();
     return {
         countConnected,
--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -97,7 +97,7 @@
         }
         report = answer.unwrapOr(undefined as never);
         if (report !== undefined && report.startedAt !== orderedEngineStart) {
-            // The engine has restarted, so orders from before have no effect any more.
+            // The engine has restarted, so earlier orders no longer have an effect.
             orderedEngineStart = report.startedAt;
             orderedAt = undefined;
         }
--- a/src/node/weightAgent/loadFeed.ts
+++ b/src/node/weightAgent/loadFeed.ts
@@ -19,7 +19,7 @@
 
 /** Options of {@link createLoadFeed}. */
 export interface LoadFeedOptions {
-    /** Time after which a report is sent even if it has hardly changed. */
+    /** Time after which a report is sent even if it has changed only slightly or not at all. */
     readonly unchangedReport: Milliseconds;
     /** Change in the number of requests that is reported immediately. */
     readonly reportedLoadChange: number;
--- a/src/node/weightAgent/stageWeights.ts
+++ b/src/node/weightAgent/stageWeights.ts
@@ -4,7 +4,7 @@
 import { runParallel } from "../../utils/index.js";
 
 /** Rounds in which chunks are read back and staged; corrupt ones are staged again in the next round. */
-const maximumRounds = 3;
+const maximumStagingRounds = 3;
 
 /** Chunks that are read or written at the same time; the engine is on the same instance and answers quickly. */
 export const parallelChunks = 4;
@@ -69,7 +69,7 @@
     };
 
     let written = 0;
-    for (let round = 1; round <= maximumRounds; round++) {
+    for (let round = 1; round <= maximumStagingRounds; round++) {
         const outcome = await forEachChunk(manifest.chunks.length, ensureStaged);
         if (outcome.isErr) {
             return err(outcome.error);
@@ -84,7 +84,7 @@
             "CHUNK_CORRUPT",
             step,
             "engine",
-            `staged chunks were corrupt or of another version in ${maximumRounds} rounds`,
+            `staged chunks were corrupt or of another version in ${maximumStagingRounds} rounds`,
         ),
     );
 }
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -46,11 +46,11 @@
     readonly readSeeds?: (() => readonly string[]) | undefined;
 }
 
-/** Milliseconds between ticks of the transfer service; the agents' links take about as long for one chunk. */
-const transferTickInterval = 100;
+/** Interval of the ticks of the transfer service; the agents' links take about as long for one chunk. */
+const transferTickIntervalMilliseconds = 100;
 
-/** Milliseconds between reads of the report of an engine that drains or loads, short so that it soon serves again. */
-const loadingReportInterval = 60;
+/** Interval at which the report of an engine that drains or loads is read; short, so that it soon serves again. */
+const loadingReportIntervalMilliseconds = 60;
 
 const bytesPerMegabit = 125_000;
 
@@ -190,9 +190,9 @@
             ...settings.distribution,
             exchangeInterval: weightAgent.exchangeInterval,
             exchangeTimeLimit: weightAgent.exchangeTimeLimit,
-            tickInterval: transferTickInterval,
+            tickInterval: transferTickIntervalMilliseconds,
             partBytes: transferPartBytes,
-            retryChokedAfter: transferTickInterval,
+            retryChokedAfter: transferTickIntervalMilliseconds,
             waitForPreparedSet: false,
             exchangeWhenComplete: false,
         },
@@ -251,7 +251,7 @@
             applyTarget();
             void earlyStager.run();
             const isChanging = engineController.isLoading() || engineController.isDraining();
-            await sleep(isChanging ? loadingReportInterval : weightAgent.reportInterval, disposal.signal);
+            await sleep(isChanging ? loadingReportIntervalMilliseconds : weightAgent.reportInterval, disposal.signal);
         }
     }
 }
