--- a/src/standIn/execution/batch.ts
+++ b/src/standIn/execution/batch.ts
@@ -34,8 +34,8 @@
     readonly queued: number;
 }
 
-/** Newest samples that are kept when older ones are discarded. */
-const keptSamples = 1_000;
+/** Number of the newest load samples that remain when older ones are discarded. */
+const minimumKeptSamples = 1_000;
 
 /**
  * Creates an empty batch.
@@ -52,8 +52,8 @@
 
     function recordLoad(): void {
         samples.push({ at: clock.monotonic(), running, queued: queue.length });
-        if (samples.length > 2 * keptSamples) {
-            samples = samples.slice(-keptSamples);
+        if (samples.length > 2 * minimumKeptSamples) {
+            samples = samples.slice(-minimumKeptSamples);
         }
     }
 
--- a/src/standIn/execution/journal.ts
+++ b/src/standIn/execution/journal.ts
@@ -37,8 +37,8 @@
     countEffects(idempotencyKey: string): number;
 }
 
-/** Number of entries that are kept, which bounds the memory of a long-running stand-in. */
-const entryLimit = 100_000;
+/** Maximum number of entries kept, which bounds the memory of a long-running stand-in. */
+const maximumJournalEntries = 100_000;
 
 /**
  * Creates an empty journal.
@@ -52,8 +52,8 @@
         begin: fields => {
             const entry: JournalEntry = { ...fields, state: "running" };
             entries.push(entry);
-            if (entries.length > 2 * entryLimit) {
-                entries = entries.slice(-entryLimit);
+            if (entries.length > 2 * maximumJournalEntries) {
+                entries = entries.slice(-maximumJournalEntries);
             }
             if (entry.idempotencyKey !== undefined) {
                 effects.set(entry.idempotencyKey, (effects.get(entry.idempotencyKey) ?? 0) + 1);
@@ -65,7 +65,7 @@
                 entry.state = "crashed";
             });
         },
-        list: () => entries.slice(-entryLimit),
+        list: () => entries.slice(-maximumJournalEntries),
         countEffects: idempotencyKey => effects.get(idempotencyKey) ?? 0,
     };
 }
--- a/src/standIn/http/freePorts.ts
+++ b/src/standIn/http/freePorts.ts
@@ -3,10 +3,10 @@
 const host = "127.0.0.1";
 // All blocks lie below the ephemeral ports, which begin at 32768 on Linux and at 49152 on other systems.
 const firstPort = 12_000;
-const blockSize = 200;
-const blockCount = 100;
+const portsPerBlock = 200;
+const portBlockCount = 100;
 /** The first port of a block marks the block as claimed. */
-const usablePortsPerBlock = blockSize - 1;
+const usablePortsPerBlock = portsPerBlock - 1;
 
 /** Listens on a port; resolves to undefined if the port is in use. */
 function listen(port: number): Promise<Server | undefined> {
@@ -28,8 +28,8 @@
 
 /** Claims a block of ports for this process by listening on its first port until the process ends. */
 async function claimBlock(): Promise<void> {
-    while (triedBlocks < blockCount) {
-        const first = firstPort + (process.pid + triedBlocks++) % blockCount * blockSize;
+    while (triedBlocks < portBlockCount) {
+        const first = firstPort + (process.pid + triedBlocks++) % portBlockCount * portsPerBlock;
         const server = await listen(first);
         if (server !== undefined) {
             server.unref();
@@ -38,7 +38,7 @@
         }
     }
     if (claimedBlocks.length === 0) {
-        throw new Error(`all ${blockCount} blocks of ports from port ${firstPort} are claimed by other processes`);
+        throw new Error(`all ${portBlockCount} blocks of ports from port ${firstPort} are claimed by other processes`);
     }
 }
 
@@ -57,7 +57,7 @@
 async function findPorts(count: number): Promise<number[]> {
     const found: number[] = [];
     for (let tried = 0; found.length < count; tried++) {
-        if (tried === blockCount * blockSize) {
+        if (tried === portBlockCount * portsPerBlock) {
             throw new Error(`fewer than ${count} ports from port ${firstPort} are free`);
         }
         const port = await takePort();
