Name units of the constants of bench and demo

Plain numbers such as tick, reportDelay, meanInterval and startTimeLimit held milliseconds without saying so, and slowness, callers and accounts did not say that they are a factor and counts. The syntax trees differ in local names and comments only; compiler and linter pass. The programs have not been run.

--- a/bench/capacity/appends.ts
+++ b/bench/capacity/appends.ts
@@ -11,7 +11,7 @@
 /** Spare instances in each availability zone, which hold no copy; without them, no copy could be replaced. */
 const sparesPerZone = 8;
 /** Instances of a rack; all are in one availability zone. */
-const rackInstances = 16;
+const instancesPerRack = 16;
 const worstWindowSeconds = 60;
 const stepMilliseconds = 1_000;
 
@@ -98,7 +98,7 @@
     const placed = countAppends(fleet, 240, 40);
     fleet.apply(deployment, zones, "2");
     const started = countAppends(fleet, 5);
-    replaceFailedInstances(fleet, listZone(fleet, "zone-3").slice(0, rackInstances));
+    replaceFailedInstances(fleet, listZone(fleet, "zone-3").slice(0, instancesPerRack));
     const burst = countAppends(fleet, 900, 60);
     for (const zone of ["zone-0", "zone-1"]) {
         listZone(fleet, zone).forEach(instance => fleet.isolated.add(instance));
@@ -106,7 +106,7 @@
     const partitioned = countAppends(fleet, 240);
     fleet.isolated.clear();
     const healed = countAppends(fleet, 300, 60);
-    listZone(fleet, "zone-5").slice(0, rackInstances).forEach(instance => fleet.isolated.add(instance));
+    listZone(fleet, "zone-5").slice(0, instancesPerRack).forEach(instance => fleet.isolated.add(instance));
     const rackIsolated = countAppends(fleet, 240);
     fleet.isolated.clear();
     const rackHealed = countAppends(fleet, 300, 60);
--- a/bench/capacity/nodes.ts
+++ b/bench/capacity/nodes.ts
@@ -24,7 +24,7 @@
     readonly proportional: number;
 }
 
-const startTimeLimit = 120_000;
+const startTimeLimitMilliseconds = 120_000;
 const kibibyte = 1_024;
 
 /**
@@ -80,7 +80,11 @@
 }
 
 async function waitForAnswer(name: string, url: string): Promise<void> {
-    await waitUntil(`${name} answers`, startTimeLimit, async () => (await sendJsonRequest("GET", url)).status === 200);
+    await waitUntil(
+        `${name} answers`,
+        startTimeLimitMilliseconds,
+        async () => (await sendJsonRequest("GET", url)).status === 200,
+    );
 }
 
 /**
--- a/bench/capacity/streams.ts
+++ b/bench/capacity/streams.ts
@@ -4,7 +4,7 @@
 import { type CapacityFigure, computeQuantile, fitLine } from "./measurement.js";
 
 const answerLengths = [8, 128, 384];
-const callers = 4;
+const callerCount = 4;
 const requestsPerCaller = 15;
 const tokensPerSecond = 200;
 
@@ -96,7 +96,7 @@
     const firstTokens: number[] = [];
     const gaps: number[] = [];
     let tokens = 0;
-    await Promise.all([...Array(callers).keys()].map(async caller => {
+    await Promise.all([...Array(callerCount).keys()].map(async caller => {
         for (let index = 0; index < requestsPerCaller; index++) {
             const arrivals = await readStream(entryUrl, length, `prompt ${caller} ${index}`);
             firstTokens.push(arrivals[0]!);
@@ -105,7 +105,7 @@
         }
     }));
     return {
-        requests: callers * requestsPerCaller,
+        requests: callerCount * requestsPerCaller,
         tokens,
         entryCpuSeconds: await readCpuSeconds(entryUrl) - entryBefore,
         agentCpuSeconds: await readCpuSeconds(agentUrl) - agentBefore,
--- a/bench/decisions/admission.ts
+++ b/bench/decisions/admission.ts
@@ -9,13 +9,13 @@
 import { createSeededRandom } from "../../src/utils/index.js";
 import { measureBytesPerRow, type Measurement, summarizeCalls, timeCalls } from "./measurement.js";
 
-const accounts = 10;
+const accountCount = 10;
 
 function createRequest(index: number, priority: number, now: number): RequestRow {
     return {
         requestId: `request-${index}`,
         deployment: "scribe",
-        clientAccount: `account-${index % accounts}`,
+        clientAccount: `account-${index % accountCount}`,
         priority,
         deadline: now + 60_000 + index % 1_000,
         receivedAt: now,
--- a/bench/distribution/agentProcess.ts
+++ b/bench/distribution/agentProcess.ts
@@ -18,12 +18,12 @@
 type StartMessage = Extract<ToChild, { kind: "start-agents"; }>;
 type BeginMessage = Extract<ToChild, { kind: "begin"; }>;
 
-/** Milliseconds that a live request takes on an idle instance, without the transfer of its bytes. */
-const liveServiceTime = 20;
+/** Time that a live request takes on an idle instance, without the transfer of its bytes. */
+const liveServiceMilliseconds = 20;
 const liveRequestBytes = 2_048;
 const liveResponse = Buffer.alloc(8_192, "response");
-/** Milliseconds between two checks of the progress; the error of the measured times is at most as large. */
-const progressInterval = 5;
+/** Interval at which the progress is checked; the measured times are at most this much too long. */
+const progressIntervalMilliseconds = 5;
 
 const clock = createSystemClock();
 const eventCounts: Record<string, number> = {};
@@ -116,7 +116,7 @@
         request.resume();
         request.once("end", () => {
             void measureWait("incoming", link.take("incoming", liveRequestBytes))
-                .then(() => delay(liveServiceTime))
+                .then(() => delay(liveServiceMilliseconds))
                 .then(() => measureWait("outgoing", link.take("outgoing", liveResponse.length)))
                 .then(() => response.end(liveResponse))
                 .finally(() => requestsInProgress--);
@@ -143,7 +143,7 @@
 
 async function watchProgress({ agent, service }: LocalAgent): Promise<void> {
     while (service.progress()?.complete !== true) {
-        await delay(progressInterval);
+        await delay(progressIntervalMilliseconds);
     }
     send({ kind: "complete", instance: agent.instance, at: clock.monotonic() });
 }
--- a/bench/distribution/clientProcess.ts
+++ b/bench/distribution/clientProcess.ts
@@ -3,8 +3,8 @@
 import { createSeededRandom, createSystemClock } from "../../src/utils/index.js";
 import type { FromChild, ToChild } from "./messages.js";
 
-/** Mean milliseconds between two live requests to one agent. */
-const meanInterval = 200;
+/** Mean time between two live requests to one agent. */
+const meanIntervalMilliseconds = 200;
 
 const requestBody = Buffer.alloc(2_048, "request");
 
@@ -30,7 +30,7 @@
 
     async function sendRequests(port: number): Promise<void> {
         while (running) {
-            await delay(-Math.log(1 - random.next()) * meanInterval);
+            await delay(-Math.log(1 - random.next()) * meanIntervalMilliseconds);
             // A request to an agent that was killed fails; such failures are left out of the latencies.
             void sendRequest(port).catch(() => undefined);
         }
--- a/bench/routing/simulation.ts
+++ b/bench/routing/simulation.ts
@@ -18,13 +18,13 @@
 const accountWeights = [30, 20, 15, 5, 5, 5, 5, 5, 5, 5];
 const prefixesPerAccount = 30;
 const slowServerIndex = 4;
-const slowness = 3;
-const tick = 5;
-const reportInterval = 100;
-const reportDelay = 1_000;
-const requestTimeout = 2_000;
-const warmUpDuration = 10_000;
-const measuredDuration = 60_000;
+const slowServerFactor = 3;
+const tickMilliseconds = 5;
+const reportIntervalMilliseconds = 100;
+const reportDelayMilliseconds = 1_000;
+const requestTimeoutMilliseconds = 2_000;
+const warmUpMilliseconds = 10_000;
+const measuredMilliseconds = 60_000;
 
 /** Result of one policy at one load. */
 export interface SimulationResult {
@@ -59,7 +59,7 @@
  */
 export function computeCapacity(): number {
     const serviceTime = (timings.coldPrefill + timings.warmPrefill) / 2 + timings.token * timings.tokens;
-    return (runnerCount - 1 + 1 / slowness) * limits.batch * 1_000 / serviceTime;
+    return (runnerCount - 1 + 1 / slowServerFactor) * limits.batch * 1_000 / serviceTime;
 }
 
 function pickWeighted(weights: readonly number[], random: RandomSource): number {
@@ -108,7 +108,7 @@
 
     const events: ServerEvents = {
         firstToken: (request, at, cached) => {
-            if (request.receivedAt >= warmUpDuration) {
+            if (request.receivedAt >= warmUpMilliseconds) {
                 counts.answered += 1;
                 counts.hits += cached ? 1 : 0;
                 firstTokenTimes.recordValue(Math.max(1, Math.round(at - request.receivedAt)));
@@ -118,7 +118,7 @@
         refused: (request, refusal) => retry(request, refusal),
     };
     const servers: SimulatedServer[] = [...Array(runnerCount).keys()].map(index =>
-        createSimulatedServer(`runner-${index}`, index === slowServerIndex ? slowness : 1, events)
+        createSimulatedServer(`runner-${index}`, index === slowServerIndex ? slowServerFactor : 1, events)
     );
 
     function release(requestId: string): Attempt {
@@ -147,7 +147,7 @@
     }
 
     function countRefusal(request: RequestRow): void {
-        counts.refused += request.receivedAt >= warmUpDuration ? 1 : 0;
+        counts.refused += request.receivedAt >= warmUpMilliseconds ? 1 : 0;
     }
 
     function retry(request: RequestRow, refusal: Refusal): void {
@@ -181,7 +181,7 @@
             deployment: "llm",
             clientAccount: `account-${account}`,
             priority: 5,
-            deadline: now + requestTimeout,
+            deadline: now + requestTimeoutMilliseconds,
             receivedAt: now,
             idempotent: true,
             idempotencyKey: undefined,
@@ -191,35 +191,39 @@
     }
 
     function exchangeReports(now: Milliseconds): void {
-        if (now % reportInterval === 0) {
+        if (now % reportIntervalMilliseconds === 0) {
             servers.forEach((server, index) =>
-                delayedReports.push({ arrivesAt: now + reportDelay, index, report: server.report() })
+                delayedReports.push({ arrivesAt: now + reportDelayMilliseconds, index, report: server.report() })
             );
         }
         while (delayedReports[0] !== undefined && delayedReports[0].arrivesAt <= now) {
             const { index, report } = delayedReports.shift()!;
             reported.set(`runner-${index}`, report.running + report.queued);
             for (const { subset } of entries) {
-                applyLoadReport(subset.runners[index]!, { ...report, age: reportDelay }, now);
+                applyLoadReport(subset.runners[index]!, { ...report, age: reportDelayMilliseconds }, now);
             }
         }
     }
 
-    const arrivalsPerTick = computeCapacity() * load * tick / 1_000;
-    for (let now = 0; now < warmUpDuration + measuredDuration; now += tick) {
+    const arrivalsPerTick = computeCapacity() * load * tickMilliseconds / 1_000;
+    for (let now = 0; now < warmUpMilliseconds + measuredMilliseconds; now += tickMilliseconds) {
         exchangeReports(now);
         servers.forEach(server => server.advance(now));
         // No requests are sent before the first reports have arrived.
-        for (let remainingArrivals = arrivalsPerTick; now > reportDelay && remainingArrivals > 0; remainingArrivals--) {
+        for (
+            let remainingArrivals = arrivalsPerTick;
+            now > reportDelayMilliseconds && remainingArrivals > 0;
+            remainingArrivals--
+        ) {
             if (random.next() < remainingArrivals) {
                 const entry = entries[Math.floor(random.next() * entries.length)]!;
                 const request = createRequest(now);
-                counts.requests += now >= warmUpDuration ? 1 : 0;
+                counts.requests += now >= warmUpMilliseconds ? 1 : 0;
                 creditRequest(entry.budget, now, retryOptions);
                 send(request, { entry, attempts: 1, excluded: new Set(), runner: undefined });
             }
         }
-        clock.advance(tick);
+        clock.advance(tickMilliseconds);
     }
     return {
         policy: name,
--- a/demo/cluster/cluster.ts
+++ b/demo/cluster/cluster.ts
@@ -92,7 +92,7 @@
     GOLDCRESTPOINT_STAND_IN_PLATFORM_INSTANCE_LIST_LAG_MILLISECONDS: "500",
 };
 /** Far above the usual few seconds, so that the start does not fail on a busy machine. In milliseconds. */
-const startTimeLimit = 60_000;
+const startTimeLimitMilliseconds = 60_000;
 
 /**
  * Starts stand-ins, agents and entry instances as processes on the loopback interface and waits until they respond.
@@ -117,7 +117,7 @@
         GOLDCRESTPOINT_STAND_IN_PLATFORM_HTTP_ADDRESS: `127.0.0.1:${platformPort}`,
         GOLDCRESTPOINT_STAND_IN_PLATFORM_WEIGHT_SETS: options.weightSets.join(","),
     }));
-    await waitUntil("the platform responds", startTimeLimit, () => isAnswering(`${platformUrl}/instances`));
+    await waitUntil("the platform responds", startTimeLimitMilliseconds, () => isAnswering(`${platformUrl}/instances`));
 
     const entries = await planEntries(options);
     const runners = await planRunners(options);
@@ -261,7 +261,7 @@
 }
 
 async function waitForHealth(program: ProgramProcess, url: string): Promise<void> {
-    await waitUntil(`${program.name} responds`, startTimeLimit, () => {
+    await waitUntil(`${program.name} responds`, startTimeLimitMilliseconds, () => {
         if (program.exitCode !== undefined) {
             throw new Error(
                 `${program.name} exited with code ${program.exitCode}: ${program.lines.slice(-3).join(" ")}`,
--- a/demo/cluster/programProcess.ts
+++ b/demo/cluster/programProcess.ts
@@ -25,7 +25,7 @@
 }
 
 const executable = fileURLToPath(new URL("../../dist/node/cli/main.js", import.meta.url));
-const maximumLines = 5_000;
+const maximumOutputLines = 5_000;
 const stopTimeLimit: Milliseconds = 5_000;
 const running = new Set<ChildProcess>();
 
@@ -90,7 +90,7 @@
             const parts = (incompleteLine + text).split("\n");
             incompleteLine = parts.pop() ?? "";
             lines.push(...parts);
-            lines.splice(0, Math.max(0, lines.length - maximumLines));
+            lines.splice(0, Math.max(0, lines.length - maximumOutputLines));
         });
     }
 }
