State condition and result in titles of tests

Titles such as "outlast the entry for a while", "drains after an outage" and "finds none without a weight" named neither condition nor result. They do now, and notes on guarded faults use plainer words. No check has changed.

--- a/test/contract/engineOrders.test.ts
+++ b/test/contract/engineOrders.test.ts
@@ -69,7 +69,7 @@
         });
     }
 
-    // Guards against a late response to another order that is taken for the response to this one.
+    // Guards against a late response to another order that is accepted as the response to this one.
     it("does not accept the response to another order", async () => {
         await using server = await startStandInServer({}, () => [{
             operation: "engine-order",
--- a/test/contract/execute.test.ts
+++ b/test/contract/execute.test.ts
@@ -102,7 +102,7 @@
             if (condition === "clean-truncate" && !stream) {
                 continue;
             }
-            // Guards against a partial response that is taken for a complete one.
+            // Guards against a partial response that is accepted as complete.
             it(`${complete ? "completes" : "breaks"} ${stream ? "a stream" : "a response"} for ${condition}`, async () => {
                 await using engine = await startEngine();
                 await using client = createClient(engine.baseUrl, condition);
--- a/test/contract/log.test.ts
+++ b/test/contract/log.test.ts
@@ -60,7 +60,7 @@
         expectOutcome(await client.append(createRecord("a")), ["LOG_UNREACHABLE", false], "append record", platform);
     });
 
-    // Guards against a late response to another append that is taken for the response to this one.
+    // Guards against a late response to another append that is accepted as the response to this one.
     it("does not accept the response to another append", async () => {
         await using server = await startStandInServer({}, () => [{
             operation: "log-append",
--- a/test/node/agent/copyController.test.ts
+++ b/test/node/agent/copyController.test.ts
@@ -103,7 +103,7 @@
 
 describe("copy on an instance", () => {
     for (const lost of [[], ["prepare", "activate"]] as const) {
-        // Guards against an order that is repeated or given up because its answer was lost.
+        // Guards against an order that is repeated or abandoned because its answer was lost.
         it(`loads and serves once with ${lost.length} lost answers`, async () => {
             const agent = createAgent();
             agent.lost.push(...lost);
--- a/test/node/cli/apply.test.ts
+++ b/test/node/cli/apply.test.ts
@@ -92,7 +92,7 @@
         expect(log.entries).toHaveLength(2);
     });
 
-    // Guards against a lost response that is taken for a failure or a success, and against a second revision.
+    // Guards against a lost response that counts as a failure or a success, and against a second revision.
     const faults: [string, AppendFault[], ExitCode, number, number | undefined][] = [
         ["appended, response lost", ["answer-lost"], 0, 1, 1],
         ["request lost", ["lost"], 0, 1, 1],
--- a/test/node/cli/logReader.test.ts
+++ b/test/node/cli/logReader.test.ts
@@ -55,7 +55,7 @@
         expect(begins).toEqual([6]);
     });
 
-    // Guards against a partial state that is taken for a complete one.
+    // Guards against a partial state that counts as complete.
     it("reports a failed read", async () => {
         const log = createMemoryLog();
         log.failingReads = 1;
--- a/test/node/entry/attempt.test.ts
+++ b/test/node/entry/attempt.test.ts
@@ -105,7 +105,7 @@
         ];
     for (const [name, frames, after, expected] of cases) {
         // Guards against an answer that counts as complete although it is partial or belongs to another request, and
-        // against an agent that goes on sending an answer that nobody reads.
+        // against an agent that continues to send an answer that is discarded.
         it(`reports "${expected}" for ${name}`, async () => {
             const { outcome, received } = await runAttempt(frames, after);
             expect(describeOutcome(outcome)).toEqual(expected);
@@ -141,7 +141,7 @@
         expect([describeOutcome(outcome), calls]).toEqual(["no: canceled", 0]);
     });
 
-    // Guards against a request that goes on running although its caller has disconnected.
+    // Guards against a request that continues to run although its caller has disconnected.
     it("cancels the call when the caller disconnects", async () => {
         const caller = new AbortController();
         let canceled = 0;
--- a/test/node/logging/logDestinationExit.test.ts
+++ b/test/node/logging/logDestinationExit.test.ts
@@ -15,8 +15,8 @@
 process.exit(0);
 `;
 
-describe("process whose log lines nobody reads", () => {
-    it("ends by itself", async () => {
+describe("process whose log output is not read", () => {
+    it("exits without a signal", async () => {
         const child = spawn(process.execPath, ["--import", "tsx", "--input-type=module", "-e", program], {
             stdio: ["ignore", "pipe", "inherit"],
         });
--- a/test/red/endlessHead.test.ts
+++ b/test/red/endlessHead.test.ts
@@ -6,7 +6,7 @@
 const headTimeLimitMilliseconds = 3_000;
 
 describe("callers that send without end", () => {
-    // Guards against connections that are held for as long as a caller goes on sending fields.
+    // Guards against connections that are held for as long as a caller sends further fields.
     it("are cut off: slow fields", async () => {
         await using deployment = await startDeployment();
         const allowedMilliseconds = headTimeLimitMilliseconds + closingMarginMilliseconds;
--- a/test/runtime/admission/load.test.ts
+++ b/test/runtime/admission/load.test.ts
@@ -93,7 +93,7 @@
 
     // Guards against a service that stays overloaded after an outage because of retries and refused callers that
     // return.
-    it("drains after an outage", () => {
+    it("serves all refused callers within twice the shortest possible time after an outage", () => {
         const retryOptions = resolveRetryOptions();
         const server = createServer();
         const budget = createRetryBudget(0, retryOptions);
--- a/test/runtime/gateway/routeTable.test.ts
+++ b/test/runtime/gateway/routeTable.test.ts
@@ -54,7 +54,7 @@
         expect(counts["b"]! > 140 && counts["b"]! < 260).toEqual(true);
     });
 
-    it("finds none without a weight", () => {
+    it("finds no service if all weights are zero", () => {
         expect(selectService(createRoute({ destinations: [{ service: "a", weight: 0 }] }), "x")).toEqual(undefined);
     });
 });
--- a/test/runtime/gateway/serverNotices.test.ts
+++ b/test/runtime/gateway/serverNotices.test.ts
@@ -16,7 +16,7 @@
     });
 
     // Guards against an entry that comes back after a gap and is used although its backend server leaves.
-    it("outlast the entry for a while", () => {
+    it("are kept for the retention time after the entry is gone", () => {
         const table: ServerNoticeTable = new Map();
         recordLeaving(table, "i-1/1", 0, 0);
         recordLeaving(table, "i-2/1", 0, 0);
--- a/test/runtime/idempotency/ledger.test.ts
+++ b/test/runtime/idempotency/ledger.test.ts
@@ -41,8 +41,8 @@
 }
 
 describe("ledger", () => {
-    // Guards against a refusal with a wrong `ran`: the caller would repeat a request that ran, or give up one that did
-    // not.
+    // Guards against a refusal with a wrong `ran`: the caller would repeat a request that ran, or not repeat one that
+    // did not run.
     const newKeys = [
         { name: "a key of this owner", age: 0, expected: "run" },
         { name: "a key from the future", age: -2_001, expected: "key-invalid: no" },
--- a/test/runtime/retry/crashEvidence.test.ts
+++ b/test/runtime/retry/crashEvidence.test.ts
@@ -64,7 +64,7 @@
         ],
     ];
     for (const [name, crashes, expected] of cases) {
-        it(`condemns what the crashes show: ${name}`, () => {
+        it(`condemns only the requests that the crashes identify: ${name}`, () => {
             const evidence = createEvidence(crashes);
             const fingerprints = [...new Set(Object.values(crashes).flat())].sort();
             expect(fingerprints.filter(row => readCrashStanding(evidence, row, 0) === "condemned")).toEqual([
--- a/test/runtime/retry/suspects.test.ts
+++ b/test/runtime/retry/suspects.test.ts
@@ -201,7 +201,7 @@
         ["a crash long ago", table => reportCrash(table, ["a"], -60_000), "clear"],
     ];
     for (const [name, change, expected] of standings) {
-        it(`reads the standing after ${name}`, () => {
+        it(`have the expected standing after ${name}`, () => {
             const table = createSuspectTable(options);
             change(table);
             expect(readStanding(table, "a", 10)).toEqual(expected);
