Show that configurations are late when connections to the store go silent

Callers were served by version 3 of the configuration, and got 404 on the routes of version 5, from 2 s to 16 s after version 5 was confirmed.

Each long poll for the operator's records waits for up to 21 s at its connection. If all open connections to the store go silent for good, no gateway reads a change before that time, although new connections work.

--- a/test/platform/standIn/heldLink.ts
+++ b/test/platform/standIn/heldLink.ts
@@ -15,6 +15,8 @@
     hold(): void;
     /** Delivers the bytes that are held back, then the ends of connections. */
     release(): void;
+    /** Delivers nothing any more, in either direction, on the connections that are open now; new ones work. */
+    silence(): void;
 }
 
 /** Connection through the link. */
@@ -23,6 +25,7 @@
     readonly server: Socket;
     held: Buffer[];
     ending: "open" | "closed" | "reset";
+    isSilent: boolean;
 }
 
 /**
@@ -37,7 +40,10 @@
     const pairs = new Set<LinkedPair>();
     let isHolding = false;
 
-    function deliver({ ending, held, server }: LinkedPair): void {
+    function deliver({ ending, held, isSilent, server }: LinkedPair): void {
+        if (isSilent) {
+            return;
+        }
         held.splice(0).forEach(part => server.write(part));
         if (ending !== "open") {
             server.end();
@@ -45,9 +51,23 @@
     }
 
     const listener = createServer({ allowHalfOpen: true }, client => {
-        const pair: LinkedPair = { client, server: connect(Number(port), host), held: [], ending: "open" };
+        const pair: LinkedPair = {
+            client,
+            server: connect(Number(port), host),
+            held: [],
+            ending: "open",
+            isSilent: false,
+        };
         pairs.add(pair);
-        pair.server.on("error", () => {}).on("data", part => client.write(part)).on("close", () => client.destroy());
+        const answer = (action: () => void): void => {
+            if (!pair.isSilent) {
+                action();
+            }
+        };
+        pair.server.on("error", () => {}).on("data", part => answer(() => client.write(part))).on(
+            "close",
+            () => answer(() => client.destroy()),
+        );
         client.on("data", part => {
             pair.held.push(part);
             if (!isHolding) {
@@ -77,6 +97,11 @@
             isHolding = false;
             pairs.forEach(deliver);
         },
+        silence: () => {
+            pairs.forEach(pair => {
+                pair.isSilent = true;
+            });
+        },
         [Symbol.asyncDispose]: () => {
             listener.close();
             pairs.forEach(({ client, server }) => {
--- /dev/null
+++ b/test/red/silentStoreConnections.test.ts
@@ -0,0 +1,51 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { createDisposalStack, sleep } from "../../src/utils/index.js";
+import { call } from "../platform/standIn/caller.js";
+import { operatorConfiguration, waitUntil } from "../platform/standIn/deployment.js";
+import { startTestGateway, type TestGateway } from "../platform/standIn/gateway.js";
+import { startHeldLink } from "../platform/standIn/heldLink.js";
+import { startRunnerStandIn } from "../platform/standIn/runnerStandIn.js";
+import { createServerRecord } from "../platform/standIn/serverRecord.js";
+import { startStoreStandIn } from "../platform/standIn/storeStandIn.js";
+
+/** `settle_window_ms` and `config_deadline_ms` of the installations, in milliseconds. */
+const bounds = { settleWindow: 3_000, configurationDeadline: 2_000 };
+
+/** Measures the time until all gateways serve a path, in milliseconds. */
+async function measureUntilServed(gateways: readonly TestGateway[], path: string): Promise<number> {
+    const startedAt = performance.now();
+    await Promise.all(
+        gateways.map(gateway => waitUntil(`${path} is served`, async () => (await call(gateway, path)).status === 200)),
+    );
+    return performance.now() - startedAt;
+}
+
+describe("gateways whose connections to the store go silent for good", () => {
+    for (const count of [1, 3]) {
+        // Guards against a long poll that waits at a silent connection for 20 s while new connections work.
+        it(`apply a change of the configuration in time: ${count} of them`, async () => {
+            await using stack = createDisposalStack();
+            const store = stack.use(await startStoreStandIn());
+            const runner = stack.use(await startRunnerStandIn({ id: "i-1" }));
+            store.write("keyed.op", "config", operatorConfiguration);
+            store.write("keyed.servers", "i-1", createServerRecord(runner.address));
+            const link = stack.use(await startHeldLink(store.address, "lost"));
+            const gateways: TestGateway[] = [];
+            for (let index = 1; index <= count; index++) {
+                const gateway = await startTestGateway({ instance: `gateway-${index}`, storeAddress: link.address });
+                gateways.push(stack.use(gateway));
+            }
+            await measureUntilServed(gateways, "/safe/");
+            await sleep(2_500);
+            link.silence();
+            await sleep(bounds.settleWindow);
+            const routes = [
+                ...operatorConfiguration.routes,
+                { ...operatorConfiguration.routes[0], name: "added", path_prefix: "/added/" },
+            ];
+            store.write("keyed.op", "config", { ...operatorConfiguration, version: 2, routes });
+            expect(await measureUntilServed(gateways, "/added/") <= bounds.configurationDeadline).toEqual(true);
+        });
+    }
+});
