Apply changes of the configuration while long polls wait at silent connections

Callers were served by an older configuration, and got 404 on added routes, for up to 21 s after a change was confirmed.

Cause: each gateway learns of a change by a long poll of up to 20 s, and relays it. A connection that goes silent is noticed only by the end of that time. If the long polls of all gateways are affected, there is nobody to relay a change. The class: a wait without a sign of life, as long as the other side may rightly have nothing to say.

One gateway now reads the operator's records without waiting, twice within the limit for a change that the platform's settings state, and relays them; the others step in by rank if these records become too old. That is one call a second for all gateways together, whatever their number. A long poll that does not return within 1 s what has arrived on another way is abandoned and its connection reset.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -21,9 +21,7 @@
     createRecordStore,
     createRelayFollowers,
     createStallMonitor,
-    followLog,
     listInstances,
-    type LogFollowerInput,
     startRegistration,
 } from "../replica/index.js";
 import type { GatewaySettings } from "../settings/index.js";
@@ -35,6 +33,7 @@
 import { createGatewayList } from "./gatewayList.js";
 import { createGatewayMetrics } from "./gatewayMetrics.js";
 import { createGatewayState } from "./gatewayState.js";
+import { startLogFollowers } from "./logFollowers.js";
 import { createRequestLog } from "./requestLog.js";
 import { createRequestPipeline } from "./requestPipeline.js";
 import { createRetryBudgets } from "./retryBudgets.js";
@@ -310,17 +309,12 @@
         stack.use(server.value);
     }
 
-    const followerInput: LogFollowerInput = {
+    startLogFollowers({
         ...following,
         log,
         listRelays: () => listInstances(store).map(row => row.instance),
-        options: replica,
         signal: ended.signal,
-    };
-    void followLog(followerInput, "operator", "wait");
-    void followLog(followerInput, "instances", "wait");
-    void followLog(followerInput, "condemned-requests", "wait");
-    void followLog(followerInput, "backend-servers", "poll");
+    }, settings);
 
     const timer = setInterval(() => {
         stalls.check();
--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -15,14 +15,17 @@
 import type { RecordStore } from "./recordStore.js";
 import type { StallMonitor } from "./stallMonitor.js";
 
-/** How a topic is read: by long polling, or at fixed intervals if records arrive all the time. */
-export type ReadMode = "wait" | "poll";
+/**
+ * How a topic is read: by long polling, or at fixed intervals if records arrive all the time. `check` reads a topic that
+ * is also long-polled, since the connection of a long poll may go silent without being closed.
+ */
+export type ReadMode = "wait" | "poll" | "check";
 
 /** Options of {@link followLog}. */
 export interface LogFollowerOptions extends DirectReadOptions {
     /** Longest time that the log service holds a read open until a record arrives. */
     readonly readWait: Milliseconds;
-    /** Time between two reads of a busy topic. */
+    /** Time between two reads of a topic that is not long-polled, or between two checks. */
     readonly pollInterval: Milliseconds;
     /** Time between two reads after a change, so that several changes are read with one call. */
     readonly changeInterval: Milliseconds;
@@ -54,6 +57,15 @@
 /** Interval at which a process that receives records from relays checks whether it has to read the log itself. */
 const directReadCheckInterval: Milliseconds = 100;
 
+/** Read that the log service has not answered yet. */
+interface PendingRead {
+    readonly controller: AbortController;
+    readonly nextOffset: Offset;
+    /** Abandons the read; undefined until records are known that it has to return. */
+    expectation: NodeJS.Timeout | undefined;
+    isSilent: boolean;
+}
+
 /**
  * Follows a topic of the log until the signal is aborted.
  *
@@ -66,11 +78,36 @@
     const startedAt = clock.monotonic();
     let failures = 0;
     let hasReadTopic = false;
-    let pendingRead: AbortController | undefined;
-    store.onEra(() => pendingRead?.abort());
+    let pendingRead: PendingRead | undefined;
+    store.onEra(() => pendingRead?.controller.abort());
+    if (mode === "wait") {
+        store.onChange(changed => {
+            if (changed === topic) {
+                expectAnswer();
+            }
+        });
+    }
 
-    function shouldRead(): boolean {
-        return mode === "wait" || store.topic(topic).currentAt === undefined || mayReadDirectly({
+    /** Abandons a long poll if its answer does not follow records that have arrived on another way. */
+    function expectAnswer(): void {
+        const read = pendingRead;
+        if (read === undefined || read.expectation !== undefined || store.topic(topic).nextOffset <= read.nextOffset) {
+            return;
+        }
+        read.expectation = setTimeout(() => {
+            read.isSilent = true;
+            read.controller.abort();
+        }, promptAnswerLimit);
+    }
+
+    const shouldRead: Readonly<Record<ReadMode, () => boolean>> = {
+        wait: () => true,
+        poll: () => store.topic(topic).currentAt === undefined || isReader(),
+        check: () => store.topic(topic).currentAt !== undefined && isReader(),
+    };
+
+    function isReader(): boolean {
+        return mayReadDirectly({
             instances: input.listRelays(),
             self: input.self,
             relayedCurrentAt: store.relayedCurrentAt(topic),
@@ -82,16 +119,31 @@
 
     /**
      * Reads the records from an offset on. The read is aborted if a newer era becomes known, which voids the offset.
+     *
+     * @returns the page, or the error; undefined if the read was abandoned at a silent connection
      */
     async function readFromOffset(
         nextOffset: Offset,
         wait: Milliseconds,
-    ): Promise<Result<KeyedPage, GoldcrestpointError>> {
-        pendingRead = new AbortController();
+    ): Promise<Result<KeyedPage, GoldcrestpointError> | undefined> {
+        const read: PendingRead = {
+            controller: new AbortController(),
+            nextOffset,
+            expectation: undefined,
+            isSilent: false,
+        };
+        pendingRead = read;
         try {
-            return await log.readSince(topic, nextOffset, wait, pendingRead.signal);
+            const page = await log.readSince(topic, nextOffset, wait, read.controller.signal);
+            if (page.isErr && read.isSilent) {
+                const { peer, step } = page.error;
+                input.logger.warn({ topic, step, peer, nextOffset }, "silent long poll abandoned");
+                return undefined;
+            }
+            return page;
         }
         finally {
+            clearTimeout(read.expectation);
             pendingRead = undefined;
         }
     }
@@ -102,6 +154,9 @@
         const requestedAt = clock.monotonic();
         const wait = mode === "wait" ? options.readWait : 0;
         const page = complete ? await log.readNewest(topic) : await readFromOffset(nextOffset, wait);
+        if (page === undefined) {
+            return undefined;
+        }
         if (page.isErr) {
             return page.error;
         }
@@ -163,7 +218,7 @@
             }
             failures = 0;
             const changed = store.topic(topic).nextOffset !== before;
-            await sleep(mode === "poll" ? options.pollInterval : changed ? options.changeInterval : 0, signal);
+            await sleep(mode !== "wait" ? options.pollInterval : changed ? options.changeInterval : 0, signal);
             return;
         }
         failures++;
@@ -176,7 +231,7 @@
     }
 
     while (!signal.aborted) {
-        if (shouldRead()) {
+        if (shouldRead[mode]()) {
             await read();
         }
         else {
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -146,6 +146,14 @@
                 "Time within which evidence of a crash must reach all gateways, and after which a gateway that has " +
                 "started sends no request to versions that were outdated before.",
         }),
+        configurationLimitMilliseconds: defineDuration("configurationLimit", "Milliseconds", {
+            minimum: 200,
+            maximum: 600_000,
+            defaultValue: 2_000,
+            documentation:
+                "Time within which a change of the configuration must be in force at all gateways, even if connections " +
+                "to the log go silent without being closed. Reads that check the long polls follow from it.",
+        }),
         registrationLimitMilliseconds: defineDuration("registrationLimit", "Milliseconds", {
             minimum: 0,
             maximum: 600_000,
--- a/test/red/silentStoreConnections.test.ts
+++ b/test/platform/silentStoreConnections.test.ts
@@ -1,13 +1,13 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { createDisposalStack, sleep } from "../../src/utils/index.js";
-import { call } from "../platform/standIn/caller.js";
-import { operatorConfiguration, waitUntil } from "../platform/standIn/deployment.js";
-import { startTestGateway, type TestGateway } from "../platform/standIn/gateway.js";
-import { startHeldLink } from "../platform/standIn/heldLink.js";
-import { startRunnerStandIn } from "../platform/standIn/runnerStandIn.js";
-import { createServerRecord } from "../platform/standIn/serverRecord.js";
-import { startStoreStandIn } from "../platform/standIn/storeStandIn.js";
+import { call } from "./standIn/caller.js";
+import { operatorConfiguration, waitUntil } from "./standIn/deployment.js";
+import { startTestGateway, type TestGateway } from "./standIn/gateway.js";
+import { startHeldLink } from "./standIn/heldLink.js";
+import { startRunnerStandIn } from "./standIn/runnerStandIn.js";
+import { createServerRecord } from "./standIn/serverRecord.js";
+import { startStoreStandIn } from "./standIn/storeStandIn.js";
 
 /** `settle_window_ms` and `config_deadline_ms` of the installations, in milliseconds. */
 const bounds = { settleWindow: 3_000, configurationDeadline: 2_000 };
