Show that the rate limits of backend servers are ignored

A backend server in need states in its answers how many requests a second it takes from all machines together. It went on getting its full share.

Nothing under src/ or platform/ reads the header.

--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -58,6 +58,8 @@
     setBehaviour(behaviour: RunnerBehaviour): void;
     /** Adds the header `server-leaving` to all further responses. */
     leave(): void;
+    /** Sets the header `server-limit` of all further responses, several values as repeated headers; undefined for none. */
+    setRateLimit(text: string | string[] | undefined): void;
     /** Sets the header `retry-after` of the responses to requests that are turned away. */
     setRetryAfter(text: string): void;
 }
@@ -92,6 +94,7 @@
     let behaviour: RunnerBehaviour = "answer";
     let isLeaving = false;
     let retryAfter = "2";
+    let rateLimit: string | string[] | undefined;
     const arrivedAt: number[] = [];
 
     async function sendResponse(
@@ -239,6 +242,9 @@
         if (isLeaving) {
             response.setHeader("server-leaving", "1");
         }
+        if (rateLimit !== undefined) {
+            response.setHeader("server-limit", rateLimit);
+        }
         if (request.headers["expect-instance"] !== options.id) {
             response.setHeader("attempt-id", request.headers["attempt-id"] ?? "");
             response.setHeader("runner-id", options.id);
@@ -259,6 +265,9 @@
         leave: () => {
             isLeaving = true;
         },
+        setRateLimit: text => {
+            rateLimit = text;
+        },
         setRetryAfter: text => {
             retryAfter = text;
         },
