Keep the rate limits that backend servers state

Backend servers in need named in their answers how many requests a second they take from all machines together, and went on getting their full share of the requests. Callers whose requests went there waited.

Cause: the header Server-Limit was not read.

The limit is divided among a bounded number of gateways: one for each request per second and two more, chosen by rendezvous hashing, so that all agree without asking each other. A share for each of many gateways would be less than one request per window, and their first requests alone would exceed a low limit. A holder sends one request, then waits for the interval of its share. The others send trial requests after four settle times without a statement, spread, and rarer if they would add more than a quarter of the limit. Statements are sent to other gateways with the crash evidence, the 32 newest ones, so that those without a share, and those that have just started, learn of a limit and of its end. The limit belongs to one lifetime, ends with a proven answer without it to a request that was sent after the last statement, and is neither begun, changed nor ended by a value that cannot be read; of several values the lowest counts. Each attempt counts, retries too. Requests go to other backend servers; if none is left, they are refused at once, with the reason rate-limited and the time until the next share.

Evidence: test/platform/gatewayRateLimits.test.ts failed before for safe, unsafe and streaming requests, and passes; rateShares.test.ts simulates 1 to 360 gateways with limits from 0 to 40 a second.

--- a/src/node/gateway/admissionQueues.ts
+++ b/src/node/gateway/admissionQueues.ts
@@ -18,7 +18,16 @@
     recordArrival,
     type ServiceDemand,
 } from "../../runtime/gateway/index.js";
-import type { Clock, Milliseconds, Refusal, RequestId, RequestRow, ServiceRow } from "../../types/index.js";
+import { explainBlocked } from "../../runtime/routing/index.js";
+import type {
+    BlockedReason,
+    Clock,
+    Milliseconds,
+    Refusal,
+    RequestId,
+    RequestRow,
+    ServiceRow,
+} from "../../types/index.js";
 import type { ServiceShare } from "./serverSelector.js";
 
 /** Result of waiting for a place, which allows a request to be in progress at its service. */
@@ -56,6 +65,12 @@
     readonly countQueued: () => number;
 }
 
+/** Service whose backend servers accept no requests for a while. */
+interface BlockedService {
+    readonly resumesAt: Milliseconds;
+    readonly reason: BlockedReason;
+}
+
 interface ServiceQueue {
     service: ServiceRow;
     readonly table: AdmissionTable;
@@ -112,17 +127,18 @@
     /**
      * Updates the number of places.
      *
-     * @returns time before which no backend server accepts requests; undefined if one does now
+     * @returns time before which no backend server accepts requests, and why; undefined if one does now
      */
-    function updateCapacity(queue: ServiceQueue): Milliseconds | undefined {
-        const { places, resumesAt, usable } = computeServiceShare(queue);
+    function updateCapacity(queue: ServiceQueue): BlockedService | undefined {
+        const { leftOut, places, resumesAt, usable } = computeServiceShare(queue);
         const now = clock.monotonic();
         apply(queue, setCapacity(queue.table, Math.min(options.maximumInProgress, places), now));
         if (usable > 0 || resumesAt === undefined || resumesAt <= now) {
             return undefined;
         }
-        apply(queue, refuseQueuedUntil(queue.table, resumesAt, now));
-        return resumesAt;
+        const reason = explainBlocked(leftOut);
+        apply(queue, refuseQueuedUntil(queue.table, resumesAt, now, reason));
+        return { resumesAt, reason };
     }
 
     function waitInQueue(queue: ServiceQueue, request: RequestRow, signal: AbortSignal): Promise<AdmissionOutcome> {
@@ -148,9 +164,10 @@
             const queue = findOrCreateQueue(service);
             const now = clock.monotonic();
             recordArrival(queue.arrivals, now);
-            const resumesAt = updateCapacity(queue);
-            if (resumesAt !== undefined) {
-                return Promise.resolve({ kind: "refused", refusal: refuseUntil(queue.table, request, resumesAt, now) });
+            const blocked = updateCapacity(queue);
+            if (blocked !== undefined) {
+                const refusal = refuseUntil(queue.table, request, blocked.resumesAt, now, blocked.reason);
+                return Promise.resolve({ kind: "refused", refusal });
             }
             const decision = offerRequest(queue.table, request, now);
             if (decision.kind === "start") {
--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -8,6 +8,7 @@
     type HttpFailure,
     type HttpStreamingResponse,
 } from "../httpClient/index.js";
+import type { RateLimits } from "./rateLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
 import type { AttemptFailure, BodyLimits, GatewayRequest, OpenedAnswer } from "./types.js";
 
@@ -16,6 +17,7 @@
     readonly protocol: CallerProtocol;
     readonly clock: Clock;
     readonly notices: Pick<ServerNotices, "recordHead">;
+    readonly rateLimits: Pick<RateLimits, "recordHead">;
 }
 
 /** One attempt at a request. */
@@ -149,6 +151,7 @@
     const { headTimeout, client, forwarded, limits, request, server, signal } = attempt;
     const { silentAfter } = limits;
     const lifetime = createLifetimeId(server.listed);
+    const sentAt = context.clock.monotonic();
     const opened = await client.open({
         method: request.method,
         path: request.path,
@@ -167,6 +170,7 @@
     // A 421 comes from another backend server at the same address, so it says nothing about this one.
     if (head.requestId === request.row.requestId && stream.status !== 421) {
         context.notices.recordHead(lifetime, head);
+        context.rateLimits.recordHead(lifetime, head, sentAt);
     }
     const fault = findHeadFault(attempt, stream, head);
     if (fault === undefined) {
--- a/src/node/gateway/crashContainment.ts
+++ b/src/node/gateway/crashContainment.ts
@@ -8,6 +8,7 @@
 import { type CrashExchange, createCrashExchange } from "./crashExchange.js";
 import { type CrashWatch, createCrashWatch } from "./crashWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { RateLimits } from "./rateLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
 
 /** Dependencies of {@link createCrashContainment}. */
@@ -26,6 +27,8 @@
     readonly settleTime: Milliseconds;
     /** Notices of backend servers, which are exchanged together with the crashes. */
     readonly notices: ServerNotices;
+    /** Rate limits of backend servers, which are exchanged together with the crashes. */
+    readonly rateLimits: RateLimits;
     /** Lists `host:port` of the other gateways. */
     readonly listAddresses: () => readonly string[];
 }
@@ -73,6 +76,7 @@
     const exchange = createCrashExchange({
         crashEvidence,
         notices: input.notices,
+        rateLimits: input.rateLimits,
         listAddresses: input.listAddresses,
         clock,
         random: input.random,
--- a/src/node/gateway/crashExchange.ts
+++ b/src/node/gateway/crashExchange.ts
@@ -9,19 +9,23 @@
     CrashEvidenceSchema,
     LeavingServerSchema,
     RequestAnswerSchema,
+    type ServerRateLimit,
+    ServerRateLimitSchema,
 } from "../../generated/goldcrestpoint_pb.js";
-import type { SharedLeaving } from "../../runtime/gateway/index.js";
+import type { SharedLeaving, SharedRateLimit } from "../../runtime/gateway/index.js";
 import type { SharedEvidence } from "../../runtime/retry/index.js";
 import type { Clock, Milliseconds, RandomSource } from "../../types/index.js";
 import { computeDigest } from "../../utils/index.js";
 import { createReplicaClient, type ReplicaClient } from "../grpc/index.js";
 import type { CrashEvidenceStore } from "./crashEvidenceStore.js";
+import type { RateLimits } from "./rateLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
 
 /** Dependencies of {@link createCrashExchange}. */
 export interface CrashExchangeInput {
     readonly crashEvidence: CrashEvidenceStore;
     readonly notices: ServerNotices;
+    readonly rateLimits: RateLimits;
     /** Lists `host:port` of the other gateways; some may no longer run. */
     readonly listAddresses: () => readonly string[];
     readonly clock: Clock;
@@ -56,8 +60,31 @@
     return BigInt(Math.round(Math.min(Math.max(0, age), Number.MAX_SAFE_INTEGER)));
 }
 
-function encode({ answers, crashes }: SharedEvidence, leaving: readonly SharedLeaving[]): CrashEvidence {
+function encodeRateLimits(rateLimits: readonly SharedRateLimit[]): ServerRateLimit[] {
+    return rateLimits.map(({ age, lifetime, requestsPerSecond }) =>
+        create(ServerRateLimitSchema, {
+            lifetime,
+            ageMilliseconds: toWholeMilliseconds(age),
+            ...(requestsPerSecond === undefined ? {} : { requestsPerSecond }),
+        })
+    );
+}
+
+function decodeRateLimits({ rateLimits }: CrashEvidence): SharedRateLimit[] {
+    return rateLimits.map(({ ageMilliseconds, lifetime, requestsPerSecond }) => ({
+        lifetime,
+        requestsPerSecond,
+        age: Number(ageMilliseconds),
+    }));
+}
+
+function encode(
+    { answers, crashes }: SharedEvidence,
+    leaving: readonly SharedLeaving[],
+    rateLimits: readonly SharedRateLimit[],
+): CrashEvidence {
     return create(CrashEvidenceSchema, {
+        rateLimits: encodeRateLimits(rateLimits),
         leaving: leaving.map(({ age, lifetime }) =>
             create(LeavingServerSchema, { lifetime, ageMilliseconds: toWholeMilliseconds(age) })
         ),
@@ -95,7 +122,7 @@
  * @returns the exchange; disposing of it closes the connections
  */
 export function createCrashExchange(input: CrashExchangeInput): CrashExchange {
-    const { clock, crashEvidence, logger, notices, random, settleTime } = input;
+    const { clock, crashEvidence, logger, notices, random, rateLimits, settleTime } = input;
     const clients = new Map<string, ReplicaClient>();
     const queriedAddresses = new Set<string>();
     let deltaTimer: NodeJS.Timeout | undefined;
@@ -108,11 +135,14 @@
             lifetime,
             age: Number(ageMilliseconds),
         })));
+        rateLimits.merge(decodeRateLimits(evidence));
     }
 
     /** Computes the digest by which two gateways detect that they differ; empty if nothing is known. */
     function digest(): string {
-        const lifetimes = notices.listLeaving().map(({ lifetime }) => lifetime).sort();
+        const leaving = notices.listLeaving().map(({ lifetime }) => lifetime).sort();
+        const limited = rateLimits.listLimited().map(lifetime => `limited ${lifetime}`).sort();
+        const lifetimes = [...leaving, ...limited];
         return lifetimes.length === 0 ?
             crashEvidence.digest() :
             computeDigest([crashEvidence.digest(), ...lifetimes].join("\n"));
@@ -147,13 +177,18 @@
     }
 
     function query(address: string): void {
-        send(address, create(CrashEvidenceRequestSchema, { asks: true, digest: digest() }));
+        // Limits are stated anew with each answer, so the newest statements are sent without being asked for.
+        const statements = encodeRateLimits(rateLimits.share());
+        const news = statements.length === 0 ?
+            {} :
+            { news: create(CrashEvidenceSchema, { rateLimits: statements }) };
+        send(address, create(CrashEvidenceRequestSchema, { asks: true, digest: digest(), ...news }));
     }
 
     function sendDelta(): void {
         deltaTimer = undefined;
         const message = create(CrashEvidenceRequestSchema, {
-            news: encode(crashEvidence.takeDelta(), notices.listLeaving()),
+            news: encode(crashEvidence.takeDelta(), notices.listLeaving(), rateLimits.share()),
         });
         pickRandom(input.listAddresses(), gatewaysPerRound).forEach(address => send(address, message));
     }
@@ -186,6 +221,7 @@
 
     crashEvidence.onDelta(scheduleDelta);
     notices.onLeaving(scheduleDelta);
+    rateLimits.onSignificantChange(scheduleDelta);
     const timer = setInterval(tick, interval);
     return {
         queryNewGateways,
@@ -197,7 +233,9 @@
             const differs = asks && peerDigest !== digest();
             callback(
                 undefined as never,
-                differs ? encode(crashEvidence.share(), notices.listLeaving()) : create(CrashEvidenceSchema),
+                differs ?
+                    encode(crashEvidence.share(), notices.listLeaving(), rateLimits.share()) :
+                    create(CrashEvidenceSchema),
             );
         },
         [Symbol.dispose]: () => {
--- /dev/null
+++ b/src/node/gateway/drainCallers.ts
@@ -0,0 +1,31 @@
+import type { Clock, Milliseconds } from "../../types/index.js";
+import { sleep } from "../../utils/index.js";
+import type { GatewaySettings } from "../settings/index.js";
+import type { CallerServer } from "./callerServer.js";
+
+/** Interval at which open requests are counted. */
+const countInterval: Milliseconds = 100;
+
+/**
+ * Accepts new connections for a while, then waits for the requests in progress.
+ *
+ * @param callers - server for callers
+ * @param settings - time limits of the drain
+ * @param clock - time source
+ * @returns resolves when no request is open, or at the time limit
+ */
+export async function drainCallers(
+    callers: Pick<CallerServer, "beginShutdown" | "countOpen" | "stopAccepting">,
+    { gateway, instance }: Pick<GatewaySettings, "gateway" | "instance">,
+    clock: Clock,
+): Promise<void> {
+    callers.beginShutdown();
+    const limit = Math.max(0, instance.drainTimeLimit - gateway.shutdownMargin);
+    const endsAt = clock.monotonic() + limit;
+    await sleep(Math.min(gateway.acceptAfterShutdown, limit));
+    callers.stopAccepting();
+    while (callers.countOpen() > 0 && clock.monotonic() < endsAt) {
+        await sleep(countInterval);
+        callers.stopAccepting();
+    }
+}
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -9,7 +9,7 @@
     RandomSource,
     RecordDecoder,
 } from "../../types/index.js";
-import { type DisposalStack, sleep } from "../../utils/index.js";
+import type { DisposalStack } from "../../utils/index.js";
 import type { DrainableDaemon } from "../daemon/runDaemon.js";
 import { startDisposableDaemon } from "../daemon/startDisposableDaemon.js";
 import { replicaServiceDefinition, startRpcServer } from "../grpc/index.js";
@@ -30,10 +30,12 @@
 import { createBackendClients } from "./backendClients.js";
 import { startCallerServer } from "./callerServer.js";
 import { createCrashContainment } from "./crashContainment.js";
+import { drainCallers } from "./drainCallers.js";
 import { createGatewayList } from "./gatewayList.js";
 import { createGatewayMetrics } from "./gatewayMetrics.js";
 import { createGatewayState } from "./gatewayState.js";
 import { startLogFollowers } from "./logFollowers.js";
+import { createRateLimits } from "./rateLimits.js";
 import { createRequestLog } from "./requestLog.js";
 import { createRequestPipeline } from "./requestPipeline.js";
 import { createRetryBudgets } from "./retryBudgets.js";
@@ -63,7 +65,7 @@
     drain(): Promise<void>;
 }
 
-/** Interval at which expired state is removed and, during a drain, open requests are counted. */
+/** Interval at which expired state is removed. */
 const maintenanceIntervalMilliseconds = 100;
 /** Number of servers for readiness, metrics and relayed records, which stop in turn within the shutdown margin. */
 const internalServerCount = 3;
@@ -121,6 +123,16 @@
         memory: gateway.noticeMemory,
         maximumPause: gateway.maximumPause,
     });
+    const gateways = createGatewayList(store, settings, clock, ports.readSeeds ?? (() => gateway.seeds));
+    const rateLimits = createRateLimits({
+        self: instance.id,
+        listGateways: gateways.listIdentifiers,
+        clock,
+        random,
+        logger,
+        settleTime: gateway.settleTime,
+        memory: gateway.noticeMemory,
+    });
     const state = createGatewayState({
         store,
         decoder: ports.decoder,
@@ -132,9 +144,8 @@
         versions: gateway,
         startedAt: startedAt - (ports.readProcessAge?.() ?? 0),
         notices,
+        rateLimits,
     });
-
-    const gateways = createGatewayList(store, settings, clock, ports.readSeeds ?? (() => gateway.seeds));
     const choice = createServerSelector({
         state,
         zone: instance.zone,
@@ -170,6 +181,7 @@
         connectTimeLimit: gateway.connectTimeLimit,
         settleTime: gateway.settleTime,
         notices,
+        rateLimits,
         listAddresses: gateways.listAddresses,
     }));
     const budgets = createRetryBudgets(settings, store, gateways, clock);
@@ -181,6 +193,7 @@
         clients,
         crashes: containment.watch,
         notices,
+        rateLimits,
         crashEvidence: containment.crashEvidence,
         findBudget: budgets.find,
         readRetry: budgets.readOptions,
@@ -319,6 +332,7 @@
     const timer = setInterval(() => {
         stalls.check();
         state.expire();
+        rateLimits.update();
         containment.crashEvidence.expire();
         agentWatch.tick();
         queues.update();
@@ -329,15 +343,7 @@
     return ok({
         drain: async () => {
             draining = true;
-            callerServer.beginShutdown();
-            const limit = Math.max(0, instance.drainTimeLimit - gateway.shutdownMargin);
-            const endsAt = clock.monotonic() + limit;
-            await sleep(Math.min(gateway.acceptAfterShutdown, limit));
-            callerServer.stopAccepting();
-            while (callerServer.countOpen() > 0 && clock.monotonic() < endsAt) {
-                await sleep(maintenanceIntervalMilliseconds);
-                callerServer.stopAccepting();
-            }
+            await drainCallers(callerServer, settings, clock);
             logger.info({ open: callerServer.countOpen() }, "drained");
         },
     });
--- a/src/node/gateway/gatewayList.ts
+++ b/src/node/gateway/gatewayList.ts
@@ -9,6 +9,8 @@
     readonly self: KnownInstance;
     /** Lists `host:port` of the other gateways; some may no longer run. */
     readonly listAddresses: () => readonly string[];
+    /** Lists the identifiers of the registered gateways. */
+    readonly listIdentifiers: () => readonly string[];
     /** Counts the registered gateways; at least this one. */
     readonly count: () => number;
 }
@@ -43,6 +45,7 @@
             const seeds = readSeeds().map(address => `${splitAddress(address).host}:${relayPort}`);
             return [...new Set([...registered, ...seeds])].filter(address => address !== self.address);
         },
+        listIdentifiers: () => listInstances(store).map(row => row.instance),
         count: () => Math.max(1, listInstances(store).length),
     };
 }
--- a/src/node/gateway/gatewayState.ts
+++ b/src/node/gateway/gatewayState.ts
@@ -34,6 +34,7 @@
     Region,
 } from "../../types/index.js";
 import type { ReceivedPage, RecordStore, StallMonitor } from "../replica/index.js";
+import type { RateLimits } from "./rateLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
 
 /** Dependencies of {@link createGatewayState}. */
@@ -49,6 +50,7 @@
     /** Monotonic time at which the process started. */
     readonly startedAt: Milliseconds;
     readonly notices: ServerNotices;
+    readonly rateLimits: Pick<RateLimits, "find" | "onChange">;
 }
 
 /** State of a gateway: configuration, backend servers and declared versions. */
@@ -79,7 +81,7 @@
  * @returns the state
  */
 export function createGatewayState(input: GatewayStateInput): GatewayState {
-    const { clock, decoder, logger, notices, stalls, store } = input;
+    const { clock, decoder, logger, notices, rateLimits, stalls, store } = input;
     const createdAt = clock.monotonic();
     const servers = createBackendServerTable();
     const versions: VersionTable = new Map();
@@ -210,7 +212,10 @@
         }
         const region = input.regions.get(listed.zone) ?? listed.zone;
         const change = applyListed(servers, listed, region, now, input.membership);
-        applyNotice(servers.get(instance)!, notices.find(createLifetimeId(listed)));
+        const row = servers.get(instance)!;
+        const lifetime = createLifetimeId(listed);
+        applyNotice(row, notices.find(lifetime));
+        row.runner.pace = rateLimits.find(lifetime);
         const { address, service, state, weights, zone } = listed;
         logger.info({ ...fields, change, service, address, zone, state, weights }, "backend server changed");
     }
@@ -227,6 +232,14 @@
         }
     });
 
+    rateLimits.onChange(lifetime => {
+        const row = findByLifetime(lifetime);
+        if (row !== undefined) {
+            row.runner.pace = rateLimits.find(lifetime);
+            serverListeners.forEach(listener => listener());
+        }
+    });
+
     const handlers: Readonly<Record<KeyedTopic, TopicHandler>> = {
         operator: (records, page) => {
             for (const record of records) {
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -132,6 +132,7 @@
                     ejected: leftOut.ejected,
                     notServing: leftOut["not-serving"],
                     paused: leftOut.paused,
+                    rateLimited: leftOut["rate-limited"],
                     waited: Math.round(clock.monotonic() - request.row.receivedAt),
                     retryAfterSeconds: refusal.retryAfterSeconds,
                 },
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -17,6 +17,7 @@
 import type { CrashEvidenceStore } from "./crashEvidenceStore.js";
 import type { CrashWatch, TrackedAttempt } from "./crashWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { RateLimits } from "./rateLimits.js";
 import type { RequestLog } from "./requestLog.js";
 import type { ServerNotices } from "./serverNotices.js";
 import type { ServerSelection, ServerSelector } from "./serverSelector.js";
@@ -32,6 +33,7 @@
     readonly clients: BackendClients;
     readonly crashes: CrashWatch;
     readonly notices: Pick<ServerNotices, "recordHead">;
+    readonly rateLimits: Pick<RateLimits, "recordHead" | "recordSend">;
     /** Evidence about requests that crash backend servers. */
     readonly crashEvidence: Pick<
         CrashEvidenceStore,
@@ -98,7 +100,7 @@
 /** Retry times are spread, so that the callers do not all return as soon as a backend server accepts requests again. */
 function describeUnavailable({ row }: GatewayRequest, { decision }: ServerSelection, ran: RanState): Refusal {
     const reason = decision.kind === "none" ? decision.reason : "no-runner";
-    if (decision.kind === "none" && reason === "turned-away") {
+    if (decision.kind === "none" && (reason === "turned-away" || reason === "rate-limited")) {
         const spread = scoreRendezvous(row.requestId, "turned-away") / 2 ** 32;
         const retryAfterSeconds = Number((decision.retryAfterSeconds + spread).toFixed(3));
         return { ran, reason, retryAfterSeconds };
@@ -121,7 +123,8 @@
  * @returns function that resolves once the caller has the final answer
  */
 export function createRequestPipeline(input: RequestPipelineInput): (request: GatewayRequest) => Promise<void> {
-    const { choice: selector, clock, queues, crashEvidence, log, metrics, notices, protocol, readRetry } = input;
+    const { choice: selector, clock, queues, crashEvidence, log, metrics, notices, protocol, rateLimits, readRetry } =
+        input;
     const relay = createAnswerRelay({ clock, log, metrics });
 
     /** Tells whether an idempotent request would find another backend server and the retry budget for it. */
@@ -147,9 +150,10 @@
         const silentAfter = repeatable && input.switchAfter < remaining ? input.switchAfter : Infinity;
         progress.attempts++;
         const release = selector.trackRequest(request.service, server);
+        rateLimits.recordSend(server);
         const started = startAttempt(server, clock);
         try {
-            const opened = await openAttempt({ protocol, clock, notices }, {
+            const opened = await openAttempt({ protocol, clock, notices, rateLimits }, {
                 request,
                 server,
                 client: input.clients.find(server.listed),
--- a/src/runtime/admission/admission.ts
+++ b/src/runtime/admission/admission.ts
@@ -1,4 +1,12 @@
-import type { ClientAccount, Milliseconds, Refusal, RefusalReason, RequestId, RequestRow } from "../../types/index.js";
+import type {
+    BlockedReason,
+    ClientAccount,
+    Milliseconds,
+    Refusal,
+    RefusalReason,
+    RequestId,
+    RequestRow,
+} from "../../types/index.js";
 import { compareUrgency, computeExpectedWait, countAhead, dequeue, enqueue, findNext, mayStartLate } from "./queue.js";
 import { createRefusal } from "./refusals.js";
 import type { AdmissionDecision, AdmissionTable, DequeuedRequests } from "./types.js";
@@ -233,6 +241,7 @@
  * @param request - request that is neither queued nor in progress
  * @param resumesAt - monotonic time at which the first backend server accepts requests again
  * @param now - monotonic time
+ * @param reason - why it accepts none before. Default: it has turned requests away.
  * @returns the refusal; its `retryAfterSeconds` does not end before `resumesAt`
  */
 export function refuseUntil(
@@ -240,8 +249,9 @@
     request: RequestRow,
     resumesAt: Milliseconds,
     now: Milliseconds,
+    reason: BlockedReason = "turned-away",
 ): Refusal {
-    return createRefusal(table, request, "turned-away", 0, now, resumesAt);
+    return createRefusal(table, request, reason, 0, now, resumesAt);
 }
 
 /**
@@ -250,18 +260,20 @@
  * @param table - table to change
  * @param resumesAt - monotonic time at which the first backend server accepts requests again
  * @param now - monotonic time
+ * @param reason - why it accepts none before. Default: it has turned requests away.
  * @returns the refused requests, the most urgent first
  */
 export function refuseQueuedUntil(
     table: AdmissionTable,
     resumesAt: Milliseconds,
     now: Milliseconds,
+    reason: BlockedReason = "turned-away",
 ): DequeuedRequests {
     const refused = takeDisplaced(table);
     for (const request of [...table.queued.values()].sort(compareUrgency)) {
         dequeue(table, request);
         table.alone.delete(request.requestId);
-        refused.push({ request, refusal: refuseUntil(table, request, resumesAt, now) });
+        refused.push({ request, refusal: refuseUntil(table, request, resumesAt, now, reason) });
     }
     return { start: [], refuse: refused };
 }
--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -6,6 +6,7 @@
 export * from "./demand.js";
 export * from "./lifetime.js";
 export * from "./placeShare.js";
+export * from "./rateLimits.js";
 export * from "./requestFingerprint.js";
 export * from "./routeTable.js";
 export * from "./serverNotices.js";
--- a/src/runtime/gateway/placeShare.ts
+++ b/src/runtime/gateway/placeShare.ts
@@ -76,6 +76,9 @@
  * their requests would queue at the backend server. A gateway with no requests in progress gets a whole place with the
  * probability of its fraction, since otherwise no gateway would ever get the last places.
  *
+ * A candidate with a rate limit adds one whole place: its limit is divided among the gateways already, and leaves this
+ * one a single request before the next pause.
+ *
  * @param input - backend servers, gateways and demand
  * @returns the places, with the values that they were computed from
  */
@@ -83,16 +86,23 @@
     const { draw, inProgressElsewhere = 0, gateways, now, options, runners } = input;
     let own = 0;
     let free = 0;
+    let paced = 0;
     for (const { isFollowed, runner } of runners) {
-        const { capacity, outstanding, reportedAt, reportedLoad, trial } = runner;
+        const { capacity, outstanding, pace, reportedAt, reportedLoad, trial } = runner;
         const weight = isFollowed ? 1 : 2 ** (-Math.max(0, now - reportedAt) / options.loadHalfLife);
         own += outstanding;
         const available = trial === "none" ? capacity + options.queuedPerServer - reportedLoad * weight : 1;
-        free += Math.max(0, available - outstanding);
+        const freeAtRunner = Math.max(0, available - outstanding);
+        if (pace === undefined) {
+            free += freeAtRunner;
+        }
+        else {
+            paced += Math.min(1, Math.ceil(freeAtRunner));
+        }
     }
     const contenders = countContenders(input);
     const share = free / contenders;
-    const wholePlaces = own + Math.floor(share);
+    const wholePlaces = own + Math.floor(share) + paced;
     const places = wholePlaces === 0 && draw < share ? 1 : wholePlaces;
-    return { places: places + inProgressElsewhere, own, free, gateways, contenders };
+    return { places: places + inProgressElsewhere, own, free: free + paced, gateways, contenders };
 }
--- a/src/runtime/retry/decision.ts
+++ b/src/runtime/retry/decision.ts
@@ -12,6 +12,7 @@
     "hold-lapsed": true,
     "queue-full": true,
     "turned-away": true,
+    "rate-limited": true,
     "account-share-exceeded": true,
     "deadline-unreachable": true,
     "deadline-passed": false,
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityZone, Milliseconds, Region } from "../../types/index.js";
+import type { AvailabilityZone, BlockedReason, Milliseconds, Region } from "../../types/index.js";
 import { scoreRendezvous } from "../../utils/index.js";
 import { estimateLoad } from "./load.js";
 import type { CandidateInput, Candidates, RoutingDecision, RoutingInput, RoutingReason, RunnerRow } from "./types.js";
@@ -22,10 +22,21 @@
     return pausedUntil > now || trial === "running";
 }
 
+/**
+ * Explains why runners that could be selected later may not be selected now.
+ *
+ * @param leftOut - number of runners that are left out, by reason
+ * @returns the reason
+ */
+export function explainBlocked(leftOut: Candidates["leftOut"]): BlockedReason {
+    return leftOut["rate-limited"] > 0 ? "rate-limited" : "turned-away";
+}
+
 function explainNoCandidate(input: RoutingInput, { leftOut, resumesAt }: Candidates): RoutingDecision {
-    if (leftOut.paused > 0 && resumesAt !== undefined) {
+    if (resumesAt !== undefined) {
+        const reason = explainBlocked(leftOut);
         const seconds = Math.max(expectedTrialSeconds, (resumesAt - input.now) / 1_000);
-        return { kind: "none", reason: "turned-away", candidates: 0, retryAfterSeconds: seconds };
+        return { kind: "none", reason, candidates: 0, retryAfterSeconds: seconds };
     }
     let reason: UnavailableReason = input.subset.runners.length === 0 ? "no-runner" : "not-serving";
     if (input.subset.runners.some(runner => runner.draining && isServing(runner, input))) {
@@ -44,7 +55,7 @@
 export function findCandidates(input: CandidateInput): Candidates {
     const serving: RunnerRow[] = [];
     const healthy: RunnerRow[] = [];
-    const leftOut = { draining: 0, "not-serving": 0, paused: 0, ejected: 0 };
+    const leftOut = { draining: 0, "not-serving": 0, paused: 0, "rate-limited": 0, ejected: 0 };
     let resumesAt: Milliseconds | undefined;
     for (const runner of input.subset.runners) {
         if (runner.draining) {
@@ -57,6 +68,12 @@
             leftOut.paused++;
             resumesAt = Math.min(resumesAt ?? Infinity, Math.max(input.now, runner.pausedUntil));
         }
+        else if (runner.pace !== undefined && runner.pace.nextAt > input.now) {
+            const { interval, nextAt } = runner.pace;
+            leftOut["rate-limited"]++;
+            // Callers may retry at another process, so they are not asked to wait longer than for a share of the limit.
+            resumesAt = Math.min(resumesAt ?? Infinity, nextAt, input.now + interval);
+        }
         else if (!input.excluded.has(runner.instance)) {
             serving.push(runner);
             if (runner.ejectedUntil <= input.now) {
--- a/src/runtime/routing/subset.ts
+++ b/src/runtime/routing/subset.ts
@@ -92,6 +92,7 @@
         ejectedUntil: Number.NEGATIVE_INFINITY,
         pausedUntil: Number.NEGATIVE_INFINITY,
         trial: "none",
+        pace: undefined,
         affinityHash: scoreRendezvous("", candidate.instance),
         samples: [],
     };
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -1,5 +1,6 @@
 import type {
     AvailabilityZone,
+    BlockedReason,
     CopyPhase,
     DeploymentName,
     InstanceId,
@@ -58,6 +59,14 @@
  */
 export type TrialState = "none" | "due" | "running";
 
+/** Pace at which this process may send requests to a runner that has stated a rate limit. */
+export interface RunnerPace {
+    /** Monotonic time before which this process must send it no request. */
+    nextAt: Milliseconds;
+    /** Time between two requests of a process that holds a share of the limit. */
+    interval: Milliseconds;
+}
+
 /** Runner of a subset, with its last load report and the requests that this process has in progress on it. */
 export interface RunnerRow {
     readonly instance: InstanceId;
@@ -86,6 +95,8 @@
     /** Monotonic time until which the runner has asked this process to send it no requests. */
     pausedUntil: Milliseconds;
     trial: TrialState;
+    /** Undefined if the runner has stated no rate limit. */
+    pace: RunnerPace | undefined;
     /** Hash of the instance, by which all processes choose the same runner for a prefix that no runner has cached. */
     readonly affinityHash: number;
     /** Past values of `outstanding`, oldest first, to correct load reports that arrive late. */
@@ -122,7 +133,7 @@
 >;
 
 /** Why a runner may not be selected. */
-export type LeftOutReason = "draining" | "not-serving" | "paused" | "ejected";
+export type LeftOutReason = "draining" | "not-serving" | "paused" | "rate-limited" | "ejected";
 
 /** Result of `findCandidates`. */
 export interface Candidates {
@@ -131,7 +142,10 @@
     readonly panic: boolean;
     /** Number of runners that are left out, by the first reason that holds. */
     readonly leftOut: Readonly<Record<LeftOutReason, number>>;
-    /** Monotonic time at which the first of the paused runners accepts requests again; undefined if none is paused. */
+    /**
+     * Monotonic time at which the first of the paused and rate-limited runners accepts requests again; undefined if
+     * there are none.
+     */
     readonly resumesAt: Milliseconds | undefined;
 }
 
@@ -149,7 +163,7 @@
     }
     | {
         readonly kind: "none";
-        readonly reason: "no-runner" | "not-serving" | "draining" | "turned-away";
+        readonly reason: "no-runner" | "not-serving" | "draining" | BlockedReason;
         readonly candidates: 0;
         readonly retryAfterSeconds: number;
     };
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -154,6 +154,12 @@
     readonly slots: number;
 }
 
+/**
+ * Rate limit that a backend server states in an answer, in requests per second from all gateways together; undefined if
+ * it states none.
+ */
+export type StatedRateLimit = number | "unreadable" | undefined;
+
 /** Head of a backend server's answer. */
 export interface BackendServerHead {
     /** Request that the answer belongs to; undefined if its head does not name one. */
@@ -171,6 +177,7 @@
     readonly leaving: boolean;
     /** Time for which a backend server that turns the request away wants no others; undefined if it states none. */
     readonly pause: Milliseconds | undefined;
+    readonly rateLimit: StatedRateLimit;
 }
 
 /** Headers by lower-case name. */
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -20,6 +20,7 @@
     | "hold-lapsed"
     | "queue-full"
     | "turned-away"
+    | "rate-limited"
     | "account-share-exceeded"
     | "deadline-unreachable"
     | "deadline-passed"
@@ -40,6 +41,9 @@
     | "invalid-request"
     | "canceled";
 
+/** Reason for which the backend servers of a service accept no requests for a while. */
+export type BlockedReason = Extract<RefusalReason, "turned-away" | "rate-limited">;
+
 /** Final answer to a request that was not answered by a backend server. */
 export interface Refusal {
     readonly ran: RanState;
--- a/test/node/gateway/crashExchange.test.ts
+++ b/test/node/gateway/crashExchange.test.ts
@@ -12,6 +12,7 @@
 import { createCrashExchange } from "../../../src/node/gateway/crashExchange.js";
 import { createServerNotices } from "../../../src/node/gateway/serverNotices.js";
 import { createManualClock } from "../../../src/utils/index.js";
+import { createTestRateLimits } from "./testRateLimits.js";
 
 const logger = pino({ level: "silent" });
 
@@ -34,6 +35,7 @@
             using exchange = createCrashExchange({
                 crashEvidence,
                 notices: createServerNotices({ clock, logger, memory: 60_000, maximumPause: 1_000 }),
+                rateLimits: createTestRateLimits(clock),
                 listAddresses: () => [],
                 clock,
                 random: { next: () => 0 },
--- a/test/node/gateway/gatewayState.test.ts
+++ b/test/node/gateway/gatewayState.test.ts
@@ -7,6 +7,7 @@
 import type { KeyedRecord, RecordDecoder } from "../../../src/types/index.js";
 import { createManualClock } from "../../../src/utils/index.js";
 import { createListed } from "../../runtime/gateway/configuration.js";
+import { createTestRateLimits } from "./testRateLimits.js";
 
 const logger = pino({ level: "silent" });
 
@@ -44,6 +45,7 @@
         versions: { cutoverAfter: 7_000, assumedAge: 0, settleTime: 3_000, abandonAfter: 7_600 },
         startedAt,
         notices: createServerNotices({ clock, logger, memory: 600_000, maximumPause: 60_000 }),
+        rateLimits: createTestRateLimits(clock),
     });
     let offset = 0;
     const receive = (source: PageSource, changes: Readonly<Record<string, "listed" | "removed">>) => {
