Refuse requests that are complete only late in a shutdown

Other operators report that in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

It can happen here too: a request whose head came before the last connections were accepted, and whose body came after, was forwarded at any time until the drain ended. Its connection is not idle, so it is not closed. The request may then run for as long as its route allows, and is broken off at the end of the drain.

Such a request is now answered at once with 503, Retry-After 0 and connection: close, so that another gateway runs it in full. Requests that were complete before go on as they did.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -223,6 +223,12 @@
             }
             return;
         }
+        if (stopped) {
+            // The work could outlast the drain, while another gateway can still do all of it.
+            response.setHeader("connection", "close");
+            reject(incoming, response, 503, "shutting-down", 0);
+            return;
+        }
         // Detects a caller that disconnected before its request was read, so that the request is not forwarded.
         await pollQueue.awaitPoll();
         try {
--- a/test/platform/gatewayShutdown.test.ts
+++ b/test/platform/gatewayShutdown.test.ts
@@ -8,7 +8,7 @@
 import { createReplicaClient } from "../../src/node/grpc/index.js";
 import { createDisposalStack, sleep } from "../../src/utils/index.js";
 import { call } from "./standIn/caller.js";
-import { operatorConfiguration, startDeployment } from "./standIn/deployment.js";
+import { operatorConfiguration, startDeployment, type TestDeployment } from "./standIn/deployment.js";
 import { drainTimeLimitSeconds } from "./standIn/gateway.js";
 
 const drainTimeLimit = drainTimeLimitSeconds * 1_000;
@@ -110,6 +110,39 @@
     }
 });
 
+/** Request whose head was sent, and whose body has not arrived yet. */
+interface LateRequest {
+    sendBody(): void;
+    /** Resolves with all bytes of the answer when the connection has ended. */
+    readonly received: Promise<string>;
+}
+
+/** Sends the head of a request. */
+async function openLateRequest({ gatewayUrl }: TestDeployment, path: string): Promise<LateRequest> {
+    const { hostname, port } = new URL(gatewayUrl);
+    const socket = connect(Number(port), hostname);
+    await once(socket, "connect");
+    const lines = [
+        `POST ${path} HTTP/1.1`,
+        "host: members.example",
+        `attempt-id: late-${path}`,
+        "deadline-ms: 20000",
+        "authorization: Token key-1",
+        "content-length: 4",
+    ];
+    socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+    let text = "";
+    socket.on("data", part => {
+        text += part.toString();
+    });
+    const received = new Promise<string>(resolve => {
+        socket.once("error", () => resolve(text));
+        socket.once("close", () => resolve(text));
+    });
+    await sleep(100);
+    return { sendBody: () => void socket.write("body"), received };
+}
+
 describe("gateway that shuts down", () => {
     // Guards against a request that arrives on a kept-alive connection late in the drain and is broken off at its end.
     it("runs no request on the connection of a stream that began before the signal", async () => {
@@ -128,4 +161,21 @@
         expect((await next)?.status !== 200).toEqual(true);
         expect(runner.runs.length).toEqual(1);
     });
+
+    for (const path of ["/unsafe/", "/stream/"]) {
+        // Guards against a request that is read late in the drain, forwarded, and broken off at its end.
+        it(`refuses a request to ${path} whose body arrives after the last connections were accepted`, async () => {
+            await using deployment = await startDeployment();
+            const runner = await deployment.addRunner({ id: "i-1", workMilliseconds: 4 * drainTimeLimit });
+            const late = await openLateRequest(deployment, path);
+            const stopped = deployment.stop();
+            await sleep(0.4 * drainTimeLimit);
+            late.sendBody();
+            const received = await late.received;
+            await stopped;
+            expect(received.startsWith("HTTP/1.1 503 ")).toEqual(true);
+            expect(received.toLowerCase().includes("connection: close")).toEqual(true);
+            expect(runner.countArrivals()).toEqual(0);
+        });
+    }
 });
