--- a/test/platform/brokenHeads.test.ts
+++ b/test/platform/brokenHeads.test.ts
@@ -51,7 +51,9 @@
                     }
                     sent++;
                     const headBytes = whole.indexOf("\r\n\r\n") + 3;
-                    socket.write((precedence === "interim answer" ? interim : "") + whole.slice(0, Math.min(cut, headBytes)));
+                    socket.write(
+                        (precedence === "interim answer" ? interim : "") + whole.slice(0, Math.min(cut, headBytes)),
+                    );
                     endConnection(socket, cut % 2 === 0 ? "closed" : "reset");
                 };
                 let framing: keyof typeof framings = "length";
