--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -109,6 +109,12 @@
         "the log was restored from a backup; records that it has not confirmed yet stay in force",
         ["topic", "era", "previous", "source", "peer", "nextOffset", "carried"],
     ),
+    "silent long poll abandoned": define(
+        "dependency",
+        ["gateway"],
+        "records arrived that a long poll had to return, and it did not; its connection is reset",
+        ["topic", "step", "peer", "nextOffset"],
+    ),
     "log read failed": define("dependency", ["entry"], "a read of the log failed", error),
     "log has lost records": define("dependency", ["entry"], "records expired before they were read"),
     "instance list read failed": define("dependency", anyProgram, "the list of instances could not be read", error),
@@ -178,13 +184,21 @@
         "state",
         "weights",
     ]),
-    "server notice": define("belief", ["gateway"], "a backend server announced in an answer that it leaves or pauses", [
-        "lifetime",
-        "notice",
-        "source",
-        "ageMilliseconds",
-        "durationMilliseconds",
-    ]),
+    "server notice": define(
+        "belief",
+        ["gateway"],
+        "a backend server announced in an answer that it leaves, pauses or has a rate limit, or stopped stating the limit",
+        [
+            "lifetime",
+            "notice",
+            "source",
+            "ageMilliseconds",
+            "durationMilliseconds",
+            "requestsPerSecond",
+            "intervalMilliseconds",
+            "nextInMilliseconds",
+        ],
+    ),
     "entry of a backend server cannot be read": define("belief", ["gateway"], "an entry of the list was ignored"),
     "backend server reported": define("belief", ["gateway"], "the phase or the weights of a backend server changed", [
         "peer",
@@ -223,7 +237,8 @@
     "request rejected": define(
         "request",
         ["gateway"],
-        "the gateway rejected a request: no route, invalid key, exceeded limit, or unsupported transfer coding",
+        "the gateway rejected a request: no route, invalid key, exceeded limit, unsupported transfer coding, or read too " +
+            "late in a shutdown",
         [
             "requestId",
             "status",
