Divide a rate limit among the gateways from its first statement on

A gateway took the gateways that it knew at its start, mostly none but itself, for the share of the first limit that it heard of, until its next maintenance 100 ms later: it could send at the full limit meanwhile. It now lists them when it hears of the first limit. In the same messages, ends of limits are passed on only until the gateways that missed them have sent trial requests, and limits that are no finite number are left out, so that one of NaN cannot lift a limit.

test/node/gateway/rateLimits.test.ts covers the three; the new tests failed before.

--- a/src/node/gateway/rateLimits.ts
+++ b/src/node/gateway/rateLimits.ts
@@ -73,6 +73,10 @@
 /** Settle times without a statement after which a gateway that holds no share of a limit sends a trial request. */
 const settleTimesBeforeTrial = 4;
 
+function isValid({ requestsPerSecond }: SharedRateLimit): boolean {
+    return requestsPerSecond === undefined || (Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0);
+}
+
 /**
  * Creates the rate limits of a gateway.
  *
@@ -84,7 +88,8 @@
     const entries = new Map<string, Entry>();
     const listeners: ((lifetime: string) => void)[] = [];
     const significantListeners: (() => void)[] = [];
-    let gateways = listGateways();
+    /** Identifiers of all gateways; refreshed while any statement is kept. */
+    let gateways: readonly string[] = [];
 
     function listGateways(): readonly string[] {
         return [...new Set([...input.listGateways(), self])];
@@ -108,6 +113,9 @@
     }
 
     function createEntry(lifetime: string, lastSentAt: Milliseconds): Entry {
+        if (entries.size === 0) {
+            gateways = listGateways();
+        }
         return {
             lifetime,
             requestsPerSecond: undefined,
@@ -119,6 +127,11 @@
         };
     }
 
+    /** The end of a limit is of interest until the gateways that have not heard of it send trial requests anyway. */
+    function isOfInterest({ requestsPerSecond, statedAt }: Entry, now: Milliseconds): boolean {
+        return requestsPerSecond !== undefined || now - statedAt <= 2 * settleTimesBeforeTrial * settleTime;
+    }
+
     function evictOldest(): void {
         while (entries.size > maximumEntries) {
             entries.delete(entries.keys().next().value!);
@@ -179,7 +192,7 @@
         },
         merge: shared => {
             const now = clock.monotonic();
-            for (const { age, lifetime, requestsPerSecond } of shared) {
+            for (const { age, lifetime, requestsPerSecond } of shared.filter(isValid)) {
                 const entry = entries.get(lifetime) ?? createEntry(lifetime, -Infinity);
                 if (age <= memory && now - age > entry.statedAt) {
                     record(entry, requestsPerSecond, now - age, "gateway");
@@ -188,7 +201,7 @@
         },
         share: () => {
             const now = clock.monotonic();
-            return [...entries.values()].slice(-maximumShared).map(({ lifetime, requestsPerSecond, statedAt }) => ({
+            return [...entries.values()].filter(entry => isOfInterest(entry, now)).slice(-maximumShared).map(({ lifetime, requestsPerSecond, statedAt }) => ({
                 lifetime,
                 requestsPerSecond,
                 age: now - statedAt,
--- a/test/node/gateway/rateLimits.test.ts
+++ b/test/node/gateway/rateLimits.test.ts
@@ -74,6 +74,38 @@
         expect(limits.find(lifetime) === undefined).toEqual(false);
     });
 
+    for (const requestsPerSecond of [Number.NaN, -1, Infinity]) {
+        it(`is not replaced by ${requestsPerSecond} from another gateway`, () => {
+            const clock = createManualClock();
+            const limits = createTestRateLimits(clock);
+            limits.recordHead(lifetime, stated(2), 0);
+            clock.advance(100);
+            limits.merge([{ lifetime, requestsPerSecond, age: 0 }]);
+            expect(limits.find(lifetime)?.interval).toEqual(500);
+        });
+    }
+
+    // Guards against messages that state the ends of limits for as long as they are remembered.
+    it("is no longer passed on some time after its end", () => {
+        const clock = createManualClock();
+        const limits = createTestRateLimits(clock);
+        limits.recordHead(lifetime, stated(2), 0);
+        clock.advance(100);
+        limits.recordHead(lifetime, stated(undefined), 50);
+        expect(limits.share().length).toEqual(1);
+        clock.advance(30_000);
+        expect(limits.share().length).toEqual(0);
+    });
+
+    // Guards against a first share that is computed as if there were no other gateway.
+    it("is divided among gateways that registered after the start", () => {
+        const gateways = ["gateway-1"];
+        const limits = createTestRateLimits(createManualClock(), "gateway-1", gateways);
+        gateways.push("gateway-2");
+        limits.recordHead(lifetime, stated(2), 0);
+        expect(limits.find(lifetime)?.interval).toEqual(1_000);
+    });
+
     it("of another lifetime does not apply", () => {
         const limits = createTestRateLimits(createManualClock());
         limits.recordHead(lifetime, stated(2), 0);
