--- a/src/node/gateway/rateLimits.ts
+++ b/src/node/gateway/rateLimits.ts
@@ -201,7 +201,9 @@
         },
         share: () => {
             const now = clock.monotonic();
-            return [...entries.values()].filter(entry => isOfInterest(entry, now)).slice(-maximumShared).map(({ lifetime, requestsPerSecond, statedAt }) => ({
+            return [...entries.values()].filter(entry => isOfInterest(entry, now)).slice(-maximumShared).map((
+                { lifetime, requestsPerSecond, statedAt },
+            ) => ({
                 lifetime,
                 requestsPerSecond,
                 age: now - statedAt,
