Let one gateway check the long polls for all

At 360 gateways it would have been 360 calls a second.

Cause: the gateways elect the reader of a topic by the age of what relays have sent of it, and relays send the age of the list of backend servers only.

--- a/src/node/gateway/logFollowers.ts
+++ b/src/node/gateway/logFollowers.ts
@@ -5,12 +5,12 @@
 const checkIntervalShare = 0.5;
 
 /**
- * Derives the options of the reads that check whether the long polls for the operator's records still work. One gateway
- * reads, and the others step in if the records that it relays are older than a check and a relay can make them.
+ * Derives the options of the reads that check whether the long polls for the operator's records still work. The relayed
+ * list of backend servers is at times just older than its own limit; only the loss of its reader is to start other checks.
  */
 function deriveCheckOptions({ gateway, replica }: GatewaySettings): LogFollowerOptions {
     const pollInterval = gateway.configurationLimit * checkIntervalShare;
-    return { ...replica, pollInterval, relayStaleAfter: replica.relayStaleAfter + pollInterval - replica.pollInterval };
+    return { ...replica, pollInterval, relayStaleAfter: replica.relayStaleAfter + pollInterval / 2 };
 }
 
 /**
--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -54,6 +54,9 @@
  */
 const promptAnswerLimit: Milliseconds = 1_000;
 
+/** Topic whose age relays send with each heartbeat; whoever reads it for the others also checks their long polls. */
+const heartbeatTopic: KeyedTopic = "backend-servers";
+
 /** Interval at which a process that receives records from relays checks whether it has to read the log itself. */
 const directReadCheckInterval: Milliseconds = 100;
 
@@ -110,7 +113,7 @@
         return mayReadDirectly({
             instances: input.listRelays(),
             self: input.self,
-            relayedCurrentAt: store.relayedCurrentAt(topic),
+            relayedCurrentAt: store.relayedCurrentAt(mode === "check" ? heartbeatTopic : topic),
             startedAt,
             now: clock.monotonic(),
             options,
--- a/test/platform/silentStoreConnections.test.ts
+++ b/test/platform/silentStoreConnections.test.ts
@@ -51,4 +51,22 @@
             expect(await measureUntilServed(gateways, "/added/") <= allowed).toEqual(true);
         });
     }
+
+    // Guards against checks of every gateway, which would be hundreds of calls a second at the design size.
+    it("were checked by one of them at a time", async () => {
+        await using stack = createDisposalStack();
+        const store = stack.use(await startStoreStandIn());
+        store.write("keyed.op", "config", operatorConfiguration);
+        store.write("keyed.servers", "i-1", createServerRecord("127.0.0.1:9"));
+        for (let index = 1; index <= 4; index++) {
+            stack.use(await startTestGateway({ instance: `gateway-${index}`, storeAddress: store.address }));
+        }
+        await sleep(2_000);
+        const before = store.countImmediateReads("keyed.op");
+        const seconds = 5;
+        await sleep(seconds * 1_000);
+        const checks = store.countImmediateReads("keyed.op") - before;
+        const interval = bounds.configurationDeadline / 2 / 1_000;
+        expect(checks >= 3 && checks <= seconds / interval + 1).toEqual(true);
+    });
 });
--- a/test/platform/standIn/storeStandIn.ts
+++ b/test/platform/standIn/storeStandIn.ts
@@ -46,6 +46,8 @@
     slow(topic: string, milliseconds: number): void;
     /** Counts all calls. */
     readonly countCalls: () => number;
+    /** Counts the reads of a topic that do not wait for a record. */
+    countImmediateReads(topic: string): number;
     /** Counts the records of a key in the log of a topic. */
     countRecords(topic: string, key: string): number;
 }
@@ -66,6 +68,7 @@
     let era = 1;
     let backup = new Map<string, StoredTopic>();
     const delays = new Map<string, number>();
+    const immediateReads = new Map<string, number>();
 
     function copyTopics(from: ReadonlyMap<string, StoredTopic>): Map<string, StoredTopic> {
         return new Map([...from].map(([name, { end, newest, records }]) => [
@@ -114,6 +117,9 @@
         const startedIn = era;
         const topic = getOrCreateTopic(name);
         const from = Number(url.searchParams.get("from"));
+        if (!url.searchParams.has("wait_ms")) {
+            immediateReads.set(name, (immediateReads.get(name) ?? 0) + 1);
+        }
         if (from < (topic.records[0]?.offset ?? topic.end) || from > topic.end) {
             sendJson(response, 410, { first: topic.records[0]?.offset ?? topic.end });
             return;
@@ -220,6 +226,7 @@
         },
         slow: (topic, milliseconds) => void delays.set(topic, milliseconds),
         countCalls: () => calls,
+        countImmediateReads: topic => immediateReads.get(topic) ?? 0,
         countRecords: (topic, key) => getOrCreateTopic(topic).records.filter(record => record.key === key).length,
         [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
     };
