Word the comments on checks and rate limits in the terms of the field

Readers had to translate turns such as what limits leave a gateway, or asking a backend server from time to time. No logic changes; one function is renamed from isOfInterest to isShareable.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -224,7 +224,7 @@
             return;
         }
         if (stopped) {
-            // The work could outlast the drain, while another gateway can still do all of it.
+            // The request could outlast the drain; another gateway can complete it.
             response.setHeader("connection", "close");
             reject(incoming, response, 503, "shutting-down", 0);
             return;
--- a/src/node/gateway/crashExchange.ts
+++ b/src/node/gateway/crashExchange.ts
@@ -177,7 +177,7 @@
     }
 
     function query(address: string): void {
-        // Limits are stated anew with each answer, so the newest statements are sent without being asked for.
+        // The digest does not cover the values and ages of rate limits, which change with each response.
         const statements = encodeRateLimits(rateLimits.share());
         const news = statements.length === 0 ?
             {} :
--- a/src/node/gateway/logFollowers.ts
+++ b/src/node/gateway/logFollowers.ts
@@ -1,12 +1,12 @@
 import { followLog, type LogFollowerInput, type LogFollowerOptions } from "../replica/index.js";
 import type { GatewaySettings } from "../settings/index.js";
 
-/** Share of the limit for a change of the configuration after which the next check begins; the rest is for relaying. */
+/** Time between two checks as a share of the limit for a configuration change; the rest is left for relaying. */
 const checkIntervalShare = 0.5;
 
 /**
- * Derives the options of the reads that check whether the long polls for the operator's records still work. The relayed
- * list of backend servers is at times just older than its own limit; only the loss of its reader is to start other checks.
+ * Derives the options of the reads that check the long polls for the operator's records. The age limit is above that of
+ * the list of backend servers, so that other gateways check only if the reader of the list has failed.
  */
 function deriveCheckOptions({ gateway, replica }: GatewaySettings): LogFollowerOptions {
     const pollInterval = gateway.configurationLimit * checkIntervalShare;
--- a/src/node/gateway/rateLimits.ts
+++ b/src/node/gateway/rateLimits.ts
@@ -13,7 +13,7 @@
 import type { BackendServerHead, Clock, Milliseconds, RandomSource } from "../../types/index.js";
 import type { NoticeSource } from "./serverNotices.js";
 
-/** Rate limits that backend servers state in their answers, and what they leave this gateway. */
+/** Rate limits that backend servers state in their answers, and the pace of this gateway's requests. */
 export interface RateLimits {
     /**
      * Records what the head of an answer states.
@@ -70,7 +70,7 @@
 const maximumShared = 32;
 /** Maximum number of backend servers whose statements are kept; the oldest statements are evicted first. */
 const maximumEntries = 10_000;
-/** Settle times without a statement after which a gateway that holds no share of a limit sends a trial request. */
+/** Number of settle times without a statement after which a gateway without a share sends a trial request. */
 const settleTimesBeforeTrial = 4;
 
 function isValid({ requestsPerSecond }: SharedRateLimit): boolean {
@@ -127,8 +127,8 @@
         };
     }
 
-    /** The end of a limit is of interest until the gateways that have not heard of it send trial requests anyway. */
-    function isOfInterest({ requestsPerSecond, statedAt }: Entry, now: Milliseconds): boolean {
+    /** Stops sharing the end of a limit once the other gateways have discovered it by trial requests. */
+    function isShareable({ requestsPerSecond, statedAt }: Entry, now: Milliseconds): boolean {
         return requestsPerSecond !== undefined || now - statedAt <= 2 * settleTimesBeforeTrial * settleTime;
     }
 
@@ -201,7 +201,7 @@
         },
         share: () => {
             const now = clock.monotonic();
-            return [...entries.values()].filter(entry => isOfInterest(entry, now)).slice(-maximumShared).map((
+            return [...entries.values()].filter(entry => isShareable(entry, now)).slice(-maximumShared).map((
                 { lifetime, requestsPerSecond, statedAt },
             ) => ({
                 lifetime,
--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -17,7 +17,7 @@
 
 /**
  * How a topic is read: by long polling, or at fixed intervals if records arrive all the time. `check` reads a topic that
- * is also long-polled, since the connection of a long poll may go silent without being closed.
+ * is also long-polled, since the connection of a long poll may stall without being closed.
  */
 export type ReadMode = "wait" | "poll" | "check";
 
@@ -54,7 +54,7 @@
  */
 const promptAnswerLimit: Milliseconds = 1_000;
 
-/** Topic whose age relays send with each heartbeat; whoever reads it for the others also checks their long polls. */
+/** Topic whose age is part of each relay heartbeat; its reader also performs the checks. */
 const heartbeatTopic: KeyedTopic = "backend-servers";
 
 /** Interval at which a process that receives records from relays checks whether it has to read the log itself. */
@@ -64,7 +64,7 @@
 interface PendingRead {
     readonly controller: AbortController;
     readonly nextOffset: Offset;
-    /** Abandons the read; undefined until records are known that it has to return. */
+    /** Timer that aborts the read; undefined until the store has records that the read must return. */
     expectation: NodeJS.Timeout | undefined;
     isSilent: boolean;
 }
@@ -91,7 +91,7 @@
         });
     }
 
-    /** Abandons a long poll if its answer does not follow records that have arrived on another way. */
+    /** Aborts a long poll that does not return records which a relay or a check has already delivered. */
     function expectAnswer(): void {
         const read = pendingRead;
         if (read === undefined || read.expectation !== undefined || store.topic(topic).nextOffset <= read.nextOffset) {
--- a/src/runtime/gateway/rateLimits.ts
+++ b/src/runtime/gateway/rateLimits.ts
@@ -47,13 +47,13 @@
     readonly trialAfter: Milliseconds;
 }
 
-/** Lowest rate that a limit is taken for, so that a backend server which states 0 is asked again from time to time. */
+/** Minimum rate; at a limit of 0, no request would be sent that could reveal a new limit. */
 const minimumRequestsPerSecond = 0.1;
-/** Holders in addition to one for each request per second; a holder that is gone must not leave a low limit unused. */
+/** Additional holders, so that a low limit is used even if one of the holders has failed. */
 const additionalHolders = 2;
-/** Share of the limit that may be added by the trial requests of gateways that are no holders. */
+/** Maximum rate of all trial requests together, as a share of the limit. */
 const trialShare = 0.25;
-/** Factor by which a limit must change to be passed on to other gateways before the next regular exchange. */
+/** Factor by which a limit must change to be sent to other gateways at once. */
 const significantChange = 1.25;
 
 /**
--- a/test/platform/standIn/heldLink.ts
+++ b/test/platform/standIn/heldLink.ts
@@ -15,7 +15,7 @@
     hold(): void;
     /** Delivers the bytes that are held back, then the ends of connections. */
     release(): void;
-    /** Delivers nothing any more, in either direction, on the connections that are open now; new ones work. */
+    /** Drops all further bytes in both directions of the open connections, without closing them; new ones work. */
     silence(): void;
 }
 
