Test rate limits at a started gateway and at all backend servers of a service

Nothing showed by a test that a gateway without memory keeps a limit before it sends a request, or that three gateways keep the limits of all backend servers of a service and still use at least 0.6 of their sum.

--- a/test/platform/gatewayRateLimits.test.ts
+++ b/test/platform/gatewayRateLimits.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { waitUntil } from "./standIn/deployment.js";
 import { callAtRate } from "./standIn/pacedCalls.js";
 import { countInBusiestWindow, startLimitedDeployment } from "./standIn/rateLimits.js";
 
@@ -68,7 +69,7 @@
         const calls = { path: "/safe/", rate: 20, duration: 1_000 };
         await Promise.all(limited.gateways.map(gateway => callAtRate(gateway, calls)));
         server!.setRateLimit(undefined);
-        // Holders hear of the end with their next request, and the others from them.
+        // Gateways with a share detect the end with their next request and notify the others.
         await Promise.all(limited.gateways.map(gateway => callAtRate(gateway, { ...calls, duration: 5_000 })));
         const before = server!.countArrivals();
         await Promise.all(limited.gateways.map(gateway => callAtRate(gateway, calls)));
@@ -104,4 +105,41 @@
         expect(times.every(time => time > 0 && time <= 3)).toEqual(true);
         expect(limited.deployment.logLines.some(line => line.includes("\"reason\":\"rate-limited\""))).toEqual(true);
     });
+
+    // Guards against a gateway that exceeds the limit after a restart until a response states the limit again.
+    it("are limited at a gateway that has just started, before it sends any", async () => {
+        await using limited = await startLimitedDeployment({ gateways: 2, servers: 2, path: "/safe/" });
+        const [server] = limited.servers;
+        server!.setRateLimit("1");
+        await callAtRate(limited.gateways[0]!, { path: "/safe/", rate: 20, duration: 1_000 });
+        const started = await limited.deployment.addGateway("gateway-3");
+        await waitUntil(
+            "the limit is known",
+            () =>
+                started.logLines.some(line =>
+                    line.includes("\"rate limit\"") && line.includes("\"source\":\"gateway\"")
+                ),
+        );
+        const before = server!.countArrivals();
+        await callAtRate(started, { path: "/safe/", rate: 20, duration: 2_000 });
+        expect(server!.countArrivals() - before <= 3).toEqual(true);
+    });
+
+    // Guards against gateways that exceed the limits, or refuse everything, when no unlimited backend server is left.
+    it("are limited by the sum if all backend servers state limits to three gateways", async () => {
+        await using limited = await startLimitedDeployment({ gateways: 3, servers: 2, path: "/unsafe/" });
+        limited.servers.forEach(server => server.setRateLimit("2"));
+        const duration = settleWindow + 6_000;
+        const answers = (await Promise.all(
+            limited.gateways.map(gateway => callAtRate(gateway, { path: "/unsafe/", rate: 10, duration })),
+        )).flat();
+        for (const { arrivedAt } of limited.servers) {
+            const settled = arrivedAt.filter(at => at > arrivedAt[0]! + settleWindow);
+            expect(countInBusiestWindow(settled, 4_000) <= computeAllowed(2)).toEqual(true);
+        }
+        const served = answers.filter(({ status }) => status === 200).length;
+        const refused = answers.filter(({ headers, status }) => status === 503 && Number(headers["retry-after"]) > 0);
+        expect(served + refused.length).toEqual(answers.length);
+        expect(served >= 0.6 * 2 * 2 * duration / 1_000).toEqual(true);
+    });
 });
