--- a/review/lib/system.ts
+++ b/review/lib/system.ts
@@ -19,7 +19,7 @@
     /** Starts an agent beside the engine at `app`. */
     startAgent(number: number, ip: string, fields: Fields): Program;
     /** Lists a backend server, whose entry is written again at each check-in until the returned function is called. */
-    listServer(id: string, entry: Fields): () => void;
+    listServer(id: string, entry: Fields | (() => Fields)): () => void;
     configure(configuration: Fields): void;
 }
 
@@ -98,7 +98,7 @@
                     cold_remaining_ms: 0,
                     born: 1_700_000_000_000,
                     sequence,
-                    ...entry,
+                    ...(typeof entry === "function" ? entry() : entry),
                 });
             };
             beat();
