--- a/review/lib/streamCaller.ts
+++ b/review/lib/streamCaller.ts
@@ -17,6 +17,16 @@
     readonly headers?: readonly string[];
 }
 
+/** Tells whether a text is a whole answer, which has a length or ends with a last chunk. */
+function isWhole(text: string): boolean {
+    const headEnd = text.indexOf("\r\n\r\n");
+    if (headEnd < 0) {
+        return false;
+    }
+    const length = /\r\ncontent-length: (\d+)/i.exec(text.slice(0, headEnd))?.[1];
+    return length === undefined ? text.endsWith("\r\n0\r\n\r\n") : text.length >= headEnd + 4 + Number(length);
+}
+
 /** Sends a request on a channel of its own and reads its chunked or whole answer. */
 export function callStream(call: StreamCall): Promise<StreamAnswer> {
     return new Promise(resolve => {
@@ -27,7 +37,7 @@
         socket.on("error", () => {});
         socket.on("data", part => {
             text += part.toString("latin1");
-            isComplete = text.endsWith("0\r\n\r\n") || /^HTTP\/1\.1 [^2]/.test(text);
+            isComplete = isWhole(text);
             if (isComplete) {
                 socket.end();
             }
