--- a/review/lib/modelRunner.ts
+++ b/review/lib/modelRunner.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { record, sleep } from "./case.js";
 import { seal } from "./runner.js";
 import { digest, layers, makePiece, model, pieces } from "./weights.js";
@@ -31,6 +32,8 @@
     readonly readBackAt: () => number | undefined;
     /** Lets staged pieces turn bad. */
     rot(indexes: readonly number[]): void;
+    /** Loses power and starts again: the runner holds and knows nothing of before, and its counts start anew. */
+    losePower(): void;
     /** Current entry of the list. */
     entry(): Readonly<Record<string, unknown>>;
 }
@@ -50,7 +53,7 @@
 
 /** Starts a model runner that holds version 1, which is also staged. */
 export async function startModelRunner(id: string, ip: string, port: number): Promise<ModelRunner> {
-    const born = Date.now();
+    let born = Date.now();
     const staged = new Map<number, StagedPiece>(
         Array.from({ length: pieces }, (...[, index]) => [index, { content: makePiece(1, index), rottenAt: undefined }]),
     );
@@ -211,6 +214,11 @@
             }
         })().catch(() => response.destroy());
     });
+    const sockets = new Set<Socket>();
+    server.on("connection", (socket: Socket) => {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+    });
     await new Promise<void>(resolve => server.listen(port, ip, resolve));
     return {
         id,
@@ -228,6 +236,16 @@
                 }
             }
         },
+        losePower: () => {
+            [...running].forEach(cut => cut());
+            sockets.forEach(socket => socket.destroy());
+            staged.clear();
+            loaded = undefined;
+            isBusy = false;
+            sequence = 0;
+            born = Date.now();
+            record(`${id} has lost power and starts again without weights`);
+        },
         entry: () => ({ ...describe(), service: "scribe", slots }),
     };
 }
--- a/review/lib/system.ts
+++ b/review/lib/system.ts
@@ -73,7 +73,8 @@
         ports,
         startGateway: number => {
             const ip = `127.0.0.${10 + number}`;
-            const program = startProgram("gateway", describeMachine("gateway", `front-${number}`, ip, ports, shared));
+            const name = `front-${String(number).padStart(2, "0")}`;
+            const program = startProgram("gateway", describeMachine("gateway", name, ip, ports, shared));
             const readyUrl = `http://${ip}:${ready}/api/ready`;
             return {
                 ...program,
