--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -1,72 +1,82 @@
-import { hasTrouble, record, runCase, sleep, waitUntil } from "../lib/case.js";
-import { startModelRunner } from "../lib/modelRunner.js";
+import { hasTrouble, record, runCase, sleep } from "../lib/case.js";
+import { answerHeaders, startRunner } from "../lib/runner.js";
+import { startSilentMachine } from "../lib/silent.js";
 import { callStream } from "../lib/streamCaller.js";
 import { awaitSettled, startSystem } from "../lib/system.js";
-import { createModelConfiguration, model, startOrigin } from "../lib/weights.js";
-import { findFreePorts } from "../../src/standIn/http/freePorts.js";
 
-const freezeTime = 4_000;
-/** Pieces that turn bad: 3 of 64, less than a share of 0.06. */
-const rottenPieces = [7, 23, 48];
+const removedGateways = 7;
+const keptGateways = 2;
+const drainTime = 2_000;
+const exitAfter = 5_000;
+const workTime = 300;
+const drains = 2;
 
 await runCase("review/2/record.txt", async () => {
     const system = await startSystem();
-    system.configure(createModelConfiguration(await startOrigin()));
-    const [port] = await findFreePorts(1) as [number];
-    const runners = [
-        await startModelRunner("i-scribe-1", "127.0.0.31", port),
-        await startModelRunner("i-scribe-2", "127.0.0.32", port),
-    ];
-    runners.forEach(runner => system.listServer(runner.id, () => ({ ...runner.entry(), address: runner.address })));
-    system.store.write("keyed.op", `version/${model}`, { model, version: 1 });
-    const gateway = system.startGateway(1);
-    const agents = runners.map(({ address }, index) =>
-        system.startAgent(index + 1, `127.0.0.${31 + index}`, { app: address, service: "scribe" }));
-    await awaitSettled([gateway]);
+    const sentAt = new Map<string, number>();
+    const start = (id: string, onArrival: (attemptId: string) => void): ReturnType<typeof startRunner> =>
+        startRunner(id, async ({ attemptId }, response) => {
+            onArrival(attemptId);
+            await sleep(workTime);
+            response.writeHead(200, { ...answerHeaders(attemptId), "content-type": "text/plain" });
+            response.end(`${id} has stored ${attemptId}`);
+        });
+    const staying = [await start("i-archive-1", () => {}), await start("i-archive-2", () => {})];
+    staying.forEach((runner, index) => system.listServer(`i-archive-${index + 1}`, { address: runner.address }));
+    const removed = Array.from({ length: removedGateways }, (...[, index]) => system.startGateway(index + 1));
+    const kept = Array.from({ length: keptGateways }, (...[, index]) => system.startGateway(removedGateways + index + 1));
+    await awaitSettled([...removed, ...kept]);
+    if (hasTrouble) {
+        const { control, front, internal, metrics, ready } = system.ports;
+        for (const gateway of removed) {
+            gateway.signal("SIGKILL");
+            await gateway.ended;
+            await startSilentMachine(gateway.ip, [control, front, internal, metrics, ready]);
+            record(`${gateway.name} is removed for good`);
+            await sleep(200);
+        }
+    }
+    await sleep(5_000);
 
     let isPlaying = true;
-    let sent = 0;
-    const callAgain = async (): Promise<void> => {
-        while (isPlaying) {
-            sent++;
-            const attemptId = `attempt-${sent}`;
-            const headers = [`model: ${model}`, "token-usage: 40,80", "prompt-prefix: 5c1e07a2:40,91bd3f06:10"];
-            record(`${attemptId} is sent`);
-            const { complete, status } = await callStream({
-                ...gateway.front,
-                path: "/sketch/",
-                attemptId,
-                deadline: 6_000,
-                headers,
-            });
-            record(`answer to ${attemptId}: status ${status}, complete ${complete}`);
-            await sleep(status === 200 ? 50 : 300);
+    let lost = 0;
+    const callAgain = async (caller: number): Promise<void> => {
+        for (let number = 1; isPlaying; number++) {
+            const attemptId = `attempt-${caller}-${number}`;
+            sentAt.set(attemptId, performance.now());
+            const { front } = kept[caller % keptGateways]!;
+            const { status } = await callStream({ ...front, path: "/unsafe/", attemptId, deadline: 4_000 });
+            record(`answer to ${attemptId}: status ${status}`);
+            lost += status === 200 || status === 503 ? 0 : 1;
+            await sleep(50);
         }
     };
-    const calling = Promise.all(Array.from({ length: 8 }, callAgain));
-    await sleep(2_000);
-    record("version 2 is declared");
-    const declaredAt = performance.now();
-    system.store.write("keyed.op", `version/${model}`, { model, version: 2 });
+    const calling = Promise.all(Array.from({ length: 10 }, (...[, index]) => callAgain(index)));
 
-    if (hasTrouble) {
-        const isReadBack = (index: number): boolean => (runners[index]!.readBackAt() ?? 0) > declaredAt;
-        await waitUntil("a runner's staged set was read back", () => isReadBack(0) || isReadBack(1));
-        const index = isReadBack(0) ? 0 : 1;
-        await sleep(200);
-        record(`${agents[index]!.name} freezes`);
-        agents[index]!.signal("SIGSTOP");
-        await sleep(300);
-        runners[index]!.rot(rottenPieces);
-        await sleep(freezeTime - 300);
-        record(`${agents[index]!.name} wakes again`);
-        agents[index]!.signal("SIGCONT");
+    let late = 0;
+    for (let drain = 1; drain <= drains; drain++) {
+        const id = `i-archive-${drain + 2}`;
+        let drainsAt = Infinity;
+        const leaving = await start(id, attemptId => {
+            if (sentAt.get(attemptId)! > drainsAt + drainTime) {
+                late++;
+                record(`${attemptId} was sent and reached ${id} later than drain_ms after the confirmation`);
+            }
+        });
+        const stopBeats = system.listServer(id, { address: leaving.address });
+        await sleep(4_500);
+        stopBeats();
+        system.store.drop("keyed.servers", id);
+        drainsAt = performance.now();
+        record(`${id} leaves, and its entry is removed`);
+        await sleep(exitAfter);
+        leaving.end();
+        record(`${id} exits`);
     }
-    await waitUntil("both runners hold version 2", () => runners.every(({ version }) => version() === 2), 30_000);
-    await sleep(3_000);
+    await sleep(1_000);
     isPlaying = false;
     await calling;
-    const wrong = runners.reduce((sum, { wrongTokens }) => sum + wrongTokens(), 0);
-    record(`${wrong} tokens were made with layers whose pieces were bad for more than 3 s`);
-    return wrong > 0 ? "broken" : "held";
+    record(`${late} requests were sent and reached a runner later than drain_ms after the confirmation`);
+    record(`${lost} requests were answered neither with success nor with a promise`);
+    return late > 0 ? "broken" : "held";
 });
