--- a/review/lib/template.ts
+++ b/review/lib/template.ts
@@ -24,7 +24,7 @@
     if (Array.isArray(value)) {
         return value.map(String).join(",");
     }
-    return value instanceof Object ? JSON.stringify(value) : String(value as number);
+    return typeof value === "string" ? value : JSON.stringify(value);
 }
 
 function renderIn(template: string, scopes: readonly unknown[], key: string, isLast: boolean): string {
