--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -21,7 +21,11 @@
             response.writeHead(200, { ...answerHeaders(attemptId), "content-type": "text/plain" });
             response.end(`${id} has stored ${attemptId}`);
         });
-    const staying = [await start("i-archive-1", () => {}), await start("i-archive-2", () => {})];
+    const staying = [
+        await start("i-archive-1", () => {}),
+        await start("i-archive-2", () => {}),
+        await start("i-archive-3", () => {}),
+    ];
     staying.forEach((runner, index) => system.listServer(`i-archive-${index + 1}`, { address: runner.address }));
     const removed = Array.from({ length: removedGateways }, (...[, index]) => system.startGateway(index + 1));
     const kept = Array.from({ length: keptGateways }, (...[, index]) => system.startGateway(removedGateways + index + 1));
@@ -55,7 +59,7 @@
 
     let late = 0;
     for (let drain = 1; drain <= drains; drain++) {
-        const id = `i-archive-${drain + 2}`;
+        const id = `i-archive-${drain + 3}`;
         let drainsAt = Infinity;
         const leaving = await start(id, attemptId => {
             if (sentAt.get(attemptId)! > drainsAt + drainTime) {
--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -13,10 +13,9 @@
     const system = await startSystem();
     system.configure(createModelConfiguration(await startOrigin()));
     const [port] = await findFreePorts(1) as [number];
-    const runners = [
-        await startModelRunner("i-scribe-1", "127.0.0.31", port),
-        await startModelRunner("i-scribe-2", "127.0.0.32", port),
-    ];
+    const runners = await Promise.all(
+        [1, 2, 3, 4].map(number => startModelRunner(`i-scribe-${number}`, `127.0.0.${30 + number}`, port)),
+    );
     runners.forEach(runner => system.listServer(runner.id, () => ({ ...runner.entry(), address: runner.address })));
     system.store.write("keyed.op", `version/${model}`, { model, version: 1 });
     const gateway = system.startGateway(1);
@@ -43,16 +42,16 @@
             await sleep(status === 200 ? 50 : 300);
         }
     };
-    const calling = Promise.all(Array.from({ length: 8 }, callAgain));
+    const calling = Promise.all(Array.from({ length: 16 }, callAgain));
     await sleep(2_000);
     record("version 2 is declared");
     const declaredAt = performance.now();
     system.store.write("keyed.op", `version/${model}`, { model, version: 2 });
 
     if (hasTrouble) {
-        const isReadBack = (index: number): boolean => (runners[index]!.readBackAt() ?? 0) > declaredAt;
-        await waitUntil("a runner's staged set was read back", () => isReadBack(0) || isReadBack(1));
-        const index = isReadBack(0) ? 0 : 1;
+        const findReadBack = (): number => runners.findIndex(runner => (runner.readBackAt() ?? 0) > declaredAt);
+        await waitUntil("a runner's staged set was read back", () => findReadBack() >= 0);
+        const index = findReadBack();
         await sleep(200);
         record(`${agents[index]!.name} freezes`);
         agents[index]!.signal("SIGSTOP");
@@ -62,7 +61,7 @@
         record(`${agents[index]!.name} wakes again`);
         agents[index]!.signal("SIGCONT");
     }
-    await waitUntil("both runners hold version 2", () => runners.every(({ version }) => version() === 2), 30_000);
+    await waitUntil("all runners hold version 2", () => runners.every(({ version }) => version() === 2), 30_000);
     await sleep(3_000);
     isPlaying = false;
     await calling;
