--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -1,31 +1,9 @@
 import type { DecisionKind } from "./decisionLog.js";
-
-/** Subject of a log line, by which docs/events.md groups the events. */
-export type EventGroup = "process" | "dependency" | "belief" | "request" | "weights";
-
-/** One kind of log line. */
-export interface EventDefinition {
-    readonly group: EventGroup;
-    /** Programs that write it. */
-    readonly programs: readonly ("entry" | "agent" | "gateway")[];
-    /** When it is written. */
-    readonly meaning: string;
-    /** Fields in addition to those that every line has. */
-    readonly fields: readonly string[];
-}
-
-function define(
-    group: EventGroup,
-    programs: EventDefinition["programs"],
-    meaning: string,
-    fields: readonly string[] = [],
-): EventDefinition {
-    return { group, programs, meaning, fields };
-}
+import { define, errorFields as error, type EventDefinition, type EventGroup } from "./eventDefinition.js";
+import { weightEvents } from "./weightEvents.js";
 
 const both = ["agent", "gateway"] as const;
 const anyProgram = ["entry", "agent", "gateway"] as const;
-const error = ["code", "step", "peer", "detail"] as const;
 const decision = ["requestId", "deployment", "outcome", "choice", "reason", "candidates"] as const;
 
 /** Decisions by kind; the message of their lines is `KIND decision`. */
@@ -250,53 +228,6 @@
     ),
     "request failed unexpectedly": define("request", ["entry", "agent"], "an unexpected exception ended a request"),
     "backend server failed": define("request", ["agent"], "a request failed at the backend server", error),
-    "version wanted": define("weights", ["agent"], "the version to load has changed", ["model", "version"]),
-    "origin read started": define("weights", ["agent"], "a chunk is read from the origin", ["index", "reason"]),
-    "origin read failed": define("weights", ["agent"], "a read from the origin failed", error),
-    "manifest read failed": define("weights", ["agent"], "the manifest of a set could not be read or verified", error),
-    "stalled source": define("weights", ["agent"], "a transfer without progress was abandoned", ["index", "source"]),
-    "transfer failed": define("weights", ["agent"], "a transfer from a peer failed", ["index", "source", "code"]),
-    "transfer window reduced": define(
-        "weights",
-        ["agent"],
-        "fewer bytes are requested in advance, since answers waited too long on the instance's link",
-        ["windowBytes"],
-    ),
-    "corrupt chunk": define("weights", ["agent"], "a chunk did not match its digest", ["index", "source", "avoided"]),
-    "chunk not staged": define("weights", ["agent"], "a verified chunk could not be staged", ["index", "code"]),
-    "chunk not staged ahead": define("weights", ["agent"], "a chunk was not staged before the load", error),
-    "set complete": define("weights", ["agent"], "every chunk of a weight set is held and verified", [
-        "chunks",
-        "durationMilliseconds",
-        "originBytes",
-        "peerReceivedBytes",
-        "peerSentBytes",
-    ]),
-    "set forgotten": define("weights", ["agent"], "the chunks of a weight set are no longer kept"),
-    "staged chunks imported": define("weights", ["agent"], "staged chunks were read from the engine", ["chunks"]),
-    "staged chunks not listed": define("weights", ["agent"], "the staged chunks could not be listed", error),
-    "weights not staged": define("weights", ["agent"], "the version to load could not be staged", error),
-    "load waits": define("weights", ["agent"], "the load of a version is postponed", ["reason", "version"]),
-    "drains before the last chunks": define(
-        "weights",
-        ["agent"],
-        "the engine gets no new requests until it loads",
-        [
-            "version",
-            "reason",
-            "share",
-            "running",
-        ],
-    ),
-    "load ordered": define("weights", ["agent"], "the engine was ordered to load a version", [
-        "version",
-        "reason",
-        "outcome",
-        "running",
-        "sinceDeclared",
-    ]),
-    "load order failed": define("weights", ["agent"], "the order was refused, or its outcome is unknown", error),
-    "order failed": define("weights", ["agent"], "an order to the engine failed", error),
     "log lines dropped": define("process", both, "lines were dropped because the reader fell behind", ["lines"]),
 } satisfies Readonly<Record<string, EventDefinition>>;
 
@@ -304,6 +235,7 @@
 export const events: ReadonlyMap<string, EventDefinition> = new Map([
     ...Object.entries(decisionEvents).map(([kind, event]) => [`${kind} decision`, event] as const),
     ...Object.entries<EventDefinition>(namedEvents),
+    ...Object.entries(weightEvents),
 ]);
 
 const groupTitles: Readonly<Record<EventGroup, string>> = {
