Verify staged chunks again if the load is ordered long after their verification

Cause: the agent verified the staged chunks, waited for requests in progress, and ordered the load. The wait is limited to 1 s by the clock of a process that may stand still in it, and nothing asked afterwards how old the verification was. Nor did anything ask whether the engine had been started again, without its chunks, since then.

Now the load is ordered only if the verification began less than maximumStagedAgeMilliseconds ago, suspensions included, and the engine has the same start as before it. The order is checked once more when a connection is open for it, right before it is written (HttpRequest.mayWrite), since it may have waited for one.

--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -35,9 +35,9 @@
     readonly endWatch: () => void;
 }
 
-function startCall(signal: AbortSignal | undefined): Call {
+function startCall({ mayWrite, signal }: HttpRequest): Call {
     const interruption = createInterruption(signal);
-    const state = createCallState();
+    const state = createCallState(mayWrite);
     return { interruption, state, endWatch: watchOverhead(state, () => interruption.stop()) };
 }
 
@@ -66,7 +66,7 @@
 
     async function open(request: HttpRequest): Promise<Result<HttpStreamingResponse, HttpFailure>> {
         const limits = { ...timeouts, ...request.timeouts };
-        const call = startCall(request.signal);
+        const call = startCall(request);
         call.interruption.setTimeLimit(limits.head);
         try {
             const response = await awaitHead(dispatcher.request(toOptions(request, call, limits.idle)), call);
--- a/src/node/httpClient/trackedClient.ts
+++ b/src/node/httpClient/trackedClient.ts
@@ -29,15 +29,25 @@
     receivedBeforeCall: number;
     /** Bytes of the response body that have arrived. */
     bodyBytes: number;
+    /** Tells, right before the request is written, whether it still may be. */
+    readonly mayWrite: () => boolean;
 }
 
 /**
  * Creates the state of a call.
  *
+ * @param mayWrite - tells, right before the request is written, whether it still may be
  * @returns state of a call that has not started
  */
-export function createCallState(): CallState {
-    return { written: false, findConnection: undefined, connection: undefined, receivedBeforeCall: 0, bodyBytes: 0 };
+export function createCallState(mayWrite: () => boolean = () => true): CallState {
+    return {
+        written: false,
+        findConnection: undefined,
+        connection: undefined,
+        receivedBeforeCall: 0,
+        bodyBytes: 0,
+        mayWrite,
+    };
 }
 
 /**
@@ -154,6 +164,9 @@
         return dispatch(options, {
             onRequestStart: (controller, context) => {
                 handler.onRequestStart?.(resetWhenAborted(controller, opaque), context);
+                if (!controller.aborted && !opaque.mayWrite()) {
+                    controller.abort(new Error("the request must not be written any more"));
+                }
                 opaque.written = !controller.aborted;
                 opaque.connection = opaque.findConnection?.();
                 if (opaque.connection !== undefined && opaque.written) {
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -40,6 +40,11 @@
     readonly signal?: AbortSignal | undefined;
     /** Time limits that differ from those of the client. */
     readonly timeouts?: Partial<HttpTimeouts> | undefined;
+    /**
+     * Called once a connection is open, right before the request is written to it; the call fails without being written
+     * if the result is false. Default: it is written.
+     */
+    readonly mayWrite?: (() => boolean) | undefined;
 }
 
 /** How the end of a body is recognized: there is none, or by a length, a last chunk or the end of the connection. */
--- a/src/node/logging/weightEvents.ts
+++ b/src/node/logging/weightEvents.ts
@@ -27,6 +27,12 @@
     "set forgotten": define("weights", ["agent"], "the chunks of a weight set are no longer kept"),
     "staged chunks imported": define("weights", ["agent"], "staged chunks were read from the engine", ["chunks"]),
     "staged chunks not listed": define("weights", ["agent"], "the staged chunks could not be listed", error),
+    "staged chunks verified too long ago": define(
+        "weights",
+        ["agent"],
+        "the process stood still or the engine restarted before the load, so the staged chunks are verified again",
+        ["model", "version", "ageMilliseconds", "verifications"],
+    ),
     "weights not staged": define("weights", ["agent"], "the version to load could not be staged", error),
     "load waits": define("weights", ["agent"], "the load of a version is postponed", ["reason", "version"]),
     "drains before the last chunks": define(
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -270,6 +270,15 @@
             defaultValue: 1_000,
             documentation: "Maximum time for requests in progress to finish before the engine loads a version.",
         }),
+        maximumStagedAgeMilliseconds: defineDuration("maximumStagedAge", "Milliseconds", {
+            minimum: 100,
+            maximum: 3_600_000,
+            defaultValue: 2_500,
+            documentation:
+                "Maximum age of the verification of the staged chunks when the engine is ordered to load them; older " +
+                "chunks are verified again, since they may have become corrupt. Must be above the time that the " +
+                "verification takes.",
+        }),
         copyTimeMilliseconds: defineDuration("copyTime", "Milliseconds", {
             minimum: 0,
             maximum: 3_600_000,
--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -8,8 +8,9 @@
 } from "../../runtime/rollout/index.js";
 import type { Clock, CopyPhase, EngineControlPort, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
 import { sleep } from "../../utils/index.js";
+import type { StallMonitor } from "../replica/index.js";
 import type { EngineStatus } from "./loadFeed.js";
-import { stageWeights } from "./stageWeights.js";
+import { stageWeights, type StagingSummary } from "./stageWeights.js";
 import type { WeightMemory } from "./weightMemory.js";
 
 /** Versions that the engine should load, and the weights that are available for them. */
@@ -32,6 +33,23 @@
 /** Interval between reads of the requests in progress while the engine drains. */
 const drainCheckInterval: Milliseconds = 60;
 
+/** Number of times that the staged chunks are verified for one load order, since an earlier verification is too old. */
+const maximumVerifications = 4;
+
+/** Options of {@link createEngineController}. */
+export interface EngineControllerOptions extends RolloutOptions {
+    /** Age of the verification of the staged chunks above which they are verified again before the load is ordered. */
+    readonly maximumStagedAge: Milliseconds;
+}
+
+/** Verification of the staged chunks, from the first one to the last one. */
+interface StagedVerification extends StagingSummary {
+    /** Monotonic time at which it began. */
+    readonly startedAt: Milliseconds;
+    /** Start of the engine that holds the chunks, as the last report before the verification states it. */
+    readonly engineStart: number | undefined;
+}
+
 /** Dependencies of {@link createEngineController}. */
 export interface EngineControllerInput {
     readonly engine: EngineControlPort;
@@ -39,8 +57,9 @@
     /** Host of the engine, as it appears in the members of the target. */
     readonly self: string;
     readonly clock: Clock;
+    readonly stalls: Pick<StallMonitor, "measureSince">;
     readonly logger: Logger;
-    readonly options: RolloutOptions;
+    readonly options: EngineControllerOptions;
     /** Called around a drain and a load order, so that gateways send nothing to an engine that is about to load. */
     readonly publish: (status: EngineStatus) => void;
     readonly readTarget: () => EngineTarget | undefined;
@@ -64,7 +83,7 @@
  * @returns the controller
  */
 export function createEngineController(input: EngineControllerInput): EngineController {
-    const { clock, engine, logger, memory } = input;
+    const { clock, engine, logger, memory, options, stalls } = input;
     let report: EngineReport | undefined;
     /** Time of the last order, while no report has shown its effect. */
     let orderedAt: Milliseconds | undefined;
@@ -108,32 +127,75 @@
         memory.setActive(weights?.complete === true ? formatWeightName(weights.model, weights.version) : undefined);
     }
 
-    async function load(target: EngineTarget, version: number, reason: string): Promise<void> {
-        const { complete: manifest, model } = target;
-        if (manifest === undefined || report === undefined) {
-            return;
-        }
+    async function verifyStaged(manifest: Manifest, version: number): Promise<StagedVerification | undefined> {
         const startedAt = clock.monotonic();
-        const set = formatWeightName(model, version);
+        const engineStart = report?.startedAt;
+        const set = formatWeightName(manifest.model, version);
         const staged = await stageWeights(engine, manifest, index => memory.read(set, index));
         if (staged.isErr) {
             const { code, message, peer, step } = staged.error;
-            logger.warn({ code, step, peer, detail: message, model, version }, "weights not staged");
+            logger.warn({ code, step, peer, detail: message, model: manifest.model, version }, "weights not staged");
+            return undefined;
+        }
+        return { ...staged.value, startedAt, engineStart };
+    }
+
+    function isRecent({ startedAt }: StagedVerification): boolean {
+        return stalls.measureSince(startedAt) <= options.maximumStagedAge;
+    }
+
+    /**
+     * Verifies the staged chunks and drains the engine. Chunks can become corrupt, and the engine can restart without
+     * them, while this process waits or stands still; they are then verified again.
+     *
+     * @returns the verification, and the number of requests that have not finished; undefined if the engine cannot load
+     */
+    async function prepareLoad(
+        manifest: Manifest,
+        version: number,
+    ): Promise<{ readonly verified: StagedVerification; readonly running: number; } | undefined> {
+        let drainsUntil: Milliseconds | undefined;
+        for (let verifications = 1; verifications <= maximumVerifications; verifications++) {
+            const verified = await verifyStaged(manifest, version);
+            if (verified === undefined) {
+                return undefined;
+            }
+            loading = true;
+            input.publish(describe());
+            drainsUntil ??= (drainingSince ?? clock.monotonic()) + options.drainBeforeLoad;
+            const running = await drain(drainsUntil);
+            if (report === undefined) {
+                return undefined;
+            }
+            if (isRecent(verified) && report.startedAt === verified.engineStart) {
+                return { verified, running };
+            }
+            const { model } = manifest;
+            const age = Math.round(stalls.measureSince(verified.startedAt));
+            logger.warn({ model, version, ageMilliseconds: age, verifications }, "staged chunks verified too long ago");
+        }
+        return undefined;
+    }
+
+    async function load(target: EngineTarget, version: number, reason: string): Promise<void> {
+        const { complete: manifest, model } = target;
+        if (manifest === undefined || report === undefined) {
             return;
         }
-        loading = true;
-        input.publish(describe());
-        const running = await drain();
-        if (report === undefined) {
+        const startedAt = clock.monotonic();
+        const prepared = await prepareLoad(manifest, version);
+        if (prepared === undefined || report === undefined) {
             loading = false;
             return;
         }
-        const ordered = await engine.load(
+        const { running, verified } = prepared;
+        const ordered = await engine.load({
             model,
             version,
-            report.orderSequence,
-            running === 0 ? "finish" : "cut-off",
-        );
+            expectedSequence: report.orderSequence,
+            running: running === 0 ? "finish" : "cut-off",
+            mayWrite: () => isRecent(verified),
+        });
         orderedVersion = version;
         loading = ordered.isOk && ordered.value === "begun";
         input.publish(describe());
@@ -142,7 +204,8 @@
             model,
             version,
             reason,
-            ...staged.value,
+            written: verified.written,
+            rounds: verified.rounds,
             stagingMilliseconds: Math.round(now - startedAt),
             orderSequence: report.orderSequence,
             running,
@@ -165,8 +228,7 @@
      *
      * @returns number of requests that have not finished
      */
-    async function drain(): Promise<number> {
-        const endsAt = (drainingSince ?? clock.monotonic()) + input.options.drainBeforeLoad;
+    async function drain(endsAt: Milliseconds): Promise<number> {
         for (;;) {
             const answer = await engine.readReport();
             report = answer.unwrapOr(undefined as never);
@@ -200,7 +262,7 @@
             members: target.members,
             orderedAt,
             now: clock.monotonic(),
-            options: input.options,
+            options,
         });
         if (decision.kind === "drain") {
             if (drainingSince === undefined) {
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -84,6 +84,7 @@
     const store = createRecordStore(["backend-servers", "instances", "weight-sources"], clock, logger);
     ports.log.onEra?.(store.recordEra);
     const servers = new Map<string, ListedBackendServer>();
+    const stalls = createStallMonitor({ clock, logger });
     let imported = false;
 
     const memory = createWeightMemory(() => plan.readSource()?.chunks ?? 0);
@@ -118,6 +119,7 @@
         memory,
         self: engineHost,
         clock,
+        stalls,
         logger,
         options: weightAgent,
         publish: status => feed.publish(status, 0),
@@ -222,7 +224,7 @@
         self: instance.id,
         store,
         clock,
-        stalls: createStallMonitor({ clock, logger }),
+        stalls,
         random,
         logger,
         options: { ...replica, parents: weightAgent.relays },
--- a/src/types/engineControl.ts
+++ b/src/types/engineControl.ts
@@ -22,6 +22,18 @@
 /** Response of an engine to an order: it has begun to carry it out, it has already done so, or it refuses. */
 export type OrderOutcome = "begun" | "in-effect" | "refused";
 
+/** Order to load the staged chunks. */
+export interface LoadOrder {
+    readonly model: string;
+    readonly version: number;
+    /** The engine refuses the order unless it has accepted this number of orders. */
+    readonly expectedSequence: number;
+    /** Treatment of requests in progress. */
+    readonly running: RunningRequestsPolicy;
+    /** Called right before the order is written to the engine; it is not sent if the result is false. */
+    readonly mayWrite: () => boolean;
+}
+
 /** Engine whose orders name a model and a version, and which can stage the chunks of one version of each model. */
 export interface EngineControlPort {
     /** @returns the engine's report; `ENGINE_UNREACHABLE` if it does not answer */
@@ -40,18 +52,10 @@
     /**
      * Orders the engine to load the staged chunks. The engine accepts no new requests until it has loaded them.
      *
-     * @param model - name of the model
-     * @param version - its version
-     * @param expectedSequence - the engine refuses the order unless it has accepted this number of orders
-     * @param running - treatment of requests in progress
+     * @param order - what to load, and the conditions of the order
      * @returns the engine's response; `ORDER_AMBIGUOUS` if the response was lost
      */
-    load(
-        model: string,
-        version: number,
-        expectedSequence: number,
-        running: RunningRequestsPolicy,
-    ): PortResult<OrderOutcome>;
+    load(order: LoadOrder): PortResult<OrderOutcome>;
 }
 
 /** Origin whose weights are identified by model and version. */
--- a/test/node/weightAgent/engineController.test.ts
+++ b/test/node/weightAgent/engineController.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { pino } from "pino";
 import { ok } from "true-myth/result";
+import { createStallMonitor } from "../../../src/node/replica/index.js";
 import { createEngineController, type EngineTarget } from "../../../src/node/weightAgent/engineController.js";
 import { createWeightMemory } from "../../../src/node/weightAgent/weightMemory.js";
 import { createManifest } from "../../../src/runtime/distribution/index.js";
@@ -27,6 +28,8 @@
     stage: unused,
 };
 
+const logger = pino({ level: "silent" });
+
 const options = {
     waves: 1,
     firstWaveAfter: 0,
@@ -34,6 +37,7 @@
     lastWaveAfter: 6_000,
     repeatAfter: 3_000,
     drainBeforeLoad: 1_000,
+    maximumStagedAge: 2_500,
 };
 
 describe("engine controller", () => {
@@ -57,7 +61,7 @@
                         running: 0,
                         queued: 0,
                     })),
-                load: (...[, version]) => {
+                load: ({ version }) => {
                     ordered.push(version);
                     return Promise.resolve(ok("begun"));
                 },
@@ -71,7 +75,8 @@
             memory,
             self: "a",
             clock,
-            logger: pino({ level: "silent" }),
+            stalls: createStallMonitor({ clock, logger }),
+            logger,
             options,
             publish: () => {},
             readTarget: () => ({
@@ -115,7 +120,8 @@
             memory: createWeightMemory(() => 4),
             self: "a",
             clock,
-            logger: pino({ level: "silent" }),
+            stalls: createStallMonitor({ clock, logger }),
+            logger,
             options: { ...options, firstWaveAfter: 3_000 },
             publish: ({ phase }) => published.push(phase),
             readTarget,
--- a/test/platform/weights.test.ts
+++ b/test/platform/weights.test.ts
@@ -5,6 +5,7 @@
 import { createOriginClient } from "../../platform/originClient.js";
 import { stageWeights } from "../../src/node/weightAgent/stageWeights.js";
 import { createManifest } from "../../src/runtime/distribution/index.js";
+import type { LoadOrder, RunningRequestsPolicy } from "../../src/types/index.js";
 import { expectOk } from "../node/support.js";
 import { startEngineStandIn } from "./standIn/engineStandIn.js";
 import { sendJson, startHttpStandIn } from "./standIn/httpStandIn.js";
@@ -13,6 +14,10 @@
 const manifest = createManifest({ model: "quill", adapter: "", version: "2" }, chunks);
 const read = (index: number) => chunks[index];
 
+function createOrder(version: number, running: RunningRequestsPolicy): LoadOrder {
+    return { model: "quill", version, expectedSequence: 0, running, mayWrite: () => true };
+}
+
 describe("staging of weights at an engine", () => {
     it("writes what is missing or of another version, and reads everything back", async () => {
         await using engine = await startEngineStandIn("quill");
@@ -47,8 +52,8 @@
     it("carry the order sequence that they are based on", async () => {
         await using engine = await startEngineStandIn("quill");
         await using client = createEngineClient(engine.address);
-        expect(expectOk(await client.load("quill", 2, 0, "finish"))).toEqual("begun");
-        expect(expectOk(await client.load("quill", 3, 0, "cut-off"))).toEqual("refused");
+        expect(expectOk(await client.load(createOrder(2, "finish")))).toEqual("begun");
+        expect(expectOk(await client.load(createOrder(3, "cut-off")))).toEqual("refused");
         expect(engine.orders).toEqual([
             { op: "start", model: "quill", version: 2, mode: "wait", expect: 0 },
             { op: "start", model: "quill", version: 3, mode: "truncate", expect: 0 },
@@ -61,13 +66,23 @@
         await using engine = await startEngineStandIn("quill");
         await using client = createEngineClient(engine.address);
         engine.loseAnswers = true;
-        const ordered = await client.load("quill", 2, 0, "finish");
+        const ordered = await client.load(createOrder(2, "finish"));
         expect(ordered.isErr && [ordered.error.code, ordered.error.mayHaveTakenEffect]).toEqual([
             "ORDER_AMBIGUOUS",
             true,
         ]);
         expect(expectOk(await client.readReport()).weights?.version).toEqual(2);
     });
+
+    // Guards against an order that is sent although its conditions ceased to hold while it waited for a connection.
+    it("are not sent if they must not be written any more", async () => {
+        await using engine = await startEngineStandIn("quill");
+        await using client = createEngineClient(engine.address);
+        const ordered = await client.load({ ...createOrder(2, "finish"), mayWrite: () => false });
+        expect(ordered.isErr && ordered.error.mayHaveTakenEffect).toEqual(false);
+        expect(engine.orders).toEqual([]);
+        expect(expectOk(await client.load(createOrder(2, "finish")))).toEqual("begun");
+    });
 });
 
 describe("origin of weights", () => {
