Give orders by the hold as it is after the engine's state was read

An agent of the own deployment evaluated its hold, waited for the engine's state, and gave the order that followed from the hold of before. A process that stood still in the wait activated a set although its hold had lapsed and another instance could hold the copy.

The input of the decision is now read after the wait; the hold is still evaluated at each tick as well, so that it lapses in time while an order waits. test/node/agent/copyController.test.ts: "does not activate a set if the hold lapses while the state is read" failed before, with prepare and activate; now prepare and drop.

--- a/src/node/agent/copyController.ts
+++ b/src/node/agent/copyController.ts
@@ -7,7 +7,7 @@
 import type { AgentContext } from "./context.js";
 import type { ServingState } from "./executor.js";
 import type { HoldEvaluator } from "./holdEvaluator.js";
-import { type ActiveSet, createOrderController } from "./orderController.js";
+import { type ActiveSet, createOrderController, type OrderInput } from "./orderController.js";
 import type { TransferService, TransferTarget } from "./transfer/index.js";
 
 /** Brings the copy on this instance into the state that the placement requires. */
@@ -121,6 +121,21 @@
         holdDecision = decision;
     }
 
+    function readOrderInput(): OrderInput {
+        evaluateHold();
+        const progress = transfer.progress();
+        const copy = assignment.current?.copy;
+        return {
+            assignment: copy,
+            held: holdDecision.held,
+            setComplete: progress?.complete === true && progress.manifestDigest === copy?.weights?.manifestDigest,
+            chunksTotal: progress?.chunksTotal ?? 0,
+            requestsInProgress: options.readRunning(),
+            belongsToDeployment,
+            newestEpoch: readNewestEpoch(context),
+        };
+    }
+
     /**
      * Reads the engine's active set if it belongs to the deployment. If the copy was replaced while this process was
      * paused, the engine may still have the set of the previous deployment active. A process that has just started
@@ -194,17 +209,7 @@
         refreshAssignment,
         tick: async () => {
             evaluateHold();
-            const progress = transfer.progress();
-            await orders.tick({
-                assignment: assignment.current?.copy,
-                held: holdDecision.held,
-                setComplete: progress?.complete === true &&
-                    progress.manifestDigest === assignment.current?.copy.weights?.manifestDigest,
-                chunksTotal: progress?.chunksTotal ?? 0,
-                requestsInProgress: options.readRunning(),
-                belongsToDeployment,
-                newestEpoch: readNewestEpoch(context),
-            });
+            await orders.tick(readOrderInput);
             notifyServingChange();
         },
         startDraining: () => {
--- a/src/node/agent/orderController.ts
+++ b/src/node/agent/orderController.ts
@@ -37,9 +37,10 @@
     /**
      * Reads the state if that is due and gives the next order. A tick does nothing while an earlier one is in progress.
      *
-     * @param input - assigned copy, hold and progress of the transfer
+     * @param readInput - reads the assigned copy, the hold and the progress of the transfer; called after the state was
+     * read, since the process may have stood still meanwhile
      */
-    tick(input: OrderInput): Promise<void>;
+    tick(readInput: () => OrderInput): Promise<void>;
 }
 
 /** Options of {@link createOrderController}. */
@@ -109,7 +110,7 @@
         await readState();
     }
 
-    async function run(input: OrderInput): Promise<void> {
+    async function run(readInput: () => OrderInput): Promise<void> {
         if (clock.monotonic() < noOrdersUntil) {
             return;
         }
@@ -118,11 +119,11 @@
         if (isDue) {
             await readState();
         }
-        const decision = plan(input);
+        const decision = plan(readInput());
         options.onDecision(decision);
         phase = decision.phase;
         await giveOrder(decision);
-        phase = plan(input).phase;
+        phase = plan(readInput()).phase;
     }
 
     return {
@@ -135,13 +136,13 @@
         get reachable() {
             return reachable;
         },
-        tick: async input => {
+        tick: async readInput => {
             if (isTickRunning) {
                 return;
             }
             isTickRunning = true;
             try {
-                await run(input);
+                await run(readInput);
             }
             finally {
                 isTickRunning = false;
--- a/test/node/agent/copyController.test.ts
+++ b/test/node/agent/copyController.test.ts
@@ -32,8 +32,14 @@
     const store = createStateStore();
     const progress = { manifestDigest: scribe.manifestDigest, chunksComplete: 0, chunksTotal: 1, complete: false };
     const lost: EngineOrder["kind"][] = [];
+    let onNextState = (): void => {};
     const backend = {
         ...engine,
+        readState: () => {
+            onNextState();
+            onNextState = () => {};
+            return engine.readState();
+        },
         order: async (order: EngineOrder) => {
             const result = await engine.order(order);
             const isLost = lost.includes(order.kind);
@@ -70,6 +76,9 @@
         progress,
         store,
         controller,
+        beforeNextState: (action: () => void) => {
+            onNextState = action;
+        },
         place: (changes: Partial<PlacementRecord>) => {
             offset += 1;
             store.applyEntries([{ offset, previousOffset: offset - 1, record: createPlacement(offset, changes) }]);
@@ -166,6 +175,19 @@
             .toEqual([0, ["deactivate", "drop"]]);
     });
 
+    // Guards against an order that follows from a hold which has lapsed while the process read the engine's state.
+    it("does not activate a set if the hold lapses while the state is read", async () => {
+        const agent = createAgent();
+        agent.place({ copies: [createScribeCopy()] });
+        await agent.tick(2);
+        await agent.stage();
+        agent.progress.complete = true;
+        agent.beforeNextState(() => agent.clock.advance(20_000));
+        await agent.tick(1);
+        expect(agent.engine.orders.map(({ kind }) => kind)).toEqual(["prepare", "drop"]);
+        expect(agent.controller.readServing().serving).toEqual(false);
+    });
+
     const changes: readonly [name: string, deployment: string, weights: WeightSet, serving: boolean][] = [
         ["the old version of its deployment", "scribe", createWeights("scribe", "v2"), true],
         ["the old model of its deployment", "scribe", createWeights("archive", "v1"), true],
