Let the gateway that took over reading the list go on, however many of lower rank are gone

Six or more gateways had been removed for good before.

Cause: the rank by which gateways take over the reads of the list counts every gateway that was ever registered, so the first of those that run waits longer than the age at which the list counts as outdated. And it does not go on: other gateways relay its own records back to it, which it takes for those of a reader of lower rank. So the list was outdated once in each cycle, and removals, which are held for a time after an outage, never took effect.

Relayed records now state the instance that has read them; only reads of lower rank keep a process from reading. The delay by rank is limited to 0.3 s, so that the last rank takes over 1.2 s after the last read, before 1.6 s have passed.

--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -113,7 +113,10 @@
         return mayReadDirectly({
             instances: input.listRelays(),
             self: input.self,
-            relayedCurrentAt: store.relayedCurrentAt(mode === "check" ? heartbeatTopic : topic),
+            relayedCurrentAt: store.relayedCurrentAt(
+                mode === "check" ? heartbeatTopic : topic,
+                reader => reader < input.self,
+            ),
             startedAt,
             now: clock.monotonic(),
             options,
@@ -175,7 +178,16 @@
         const age = complete || wait === 0 ? now - requestedAt : now - sentAfter;
         const isHeldOpen = !complete && wait > 0 && sentAfter - requestedAt > promptAnswerLimit;
         const writtenAfter = isHeldOpen ? sentAfter : undefined;
-        store.receive({ topic, page: page.value, complete, age, writtenAfter, source: "log", peer: "log" });
+        store.receive({
+            topic,
+            page: page.value,
+            complete,
+            age,
+            writtenAfter,
+            source: "log",
+            peer: "log",
+            reader: input.self,
+        });
         return undefined;
     }
 
@@ -186,7 +198,15 @@
             return page.error;
         }
         const age = clock.monotonic() - requestedAt;
-        store.receive({ topic, page: page.value, complete: true, age, source: "log", peer: "log" });
+        store.receive({
+            topic,
+            page: page.value,
+            complete: true,
+            age,
+            source: "log",
+            peer: "log",
+            reader: input.self,
+        });
         return undefined;
     }
 
--- a/src/node/replica/recordRelay.ts
+++ b/src/node/replica/recordRelay.ts
@@ -122,6 +122,7 @@
             nextOffset: BigInt(known.nextOffset),
             complete,
             ageMilliseconds: toWholeMilliseconds(stalls.measureSince(known.currentAt)),
+            reader: store.findReader(topic) ?? "",
             records: records.map(({ era: recordEra, key, offset, order, value, writtenAfter }) =>
                 create(RelayedKeyedRecordSchema, {
                     key,
--- a/src/node/replica/recordStore.ts
+++ b/src/node/replica/recordStore.ts
@@ -21,8 +21,13 @@
     readonly source: PageSource;
     /** `host:port` or instance that the page came from. */
     readonly peer: string;
+    /** Instance that read the records from the log. Default: it is not known. */
+    readonly reader?: string | undefined;
 }
 
+/** Maximum number of readers of a topic whose times are kept; the least current one is dropped first. */
+const maximumReaders = 16;
+
 /** Called with the records that changed. */
 export type RecordListener = (topic: KeyedTopic, records: readonly KeyedRecord[], page: ReceivedPage) => void;
 
@@ -46,9 +51,17 @@
      * Returns the time at which the records that relays have sent for a topic were current.
      *
      * @param topic - one of the topics of this store
-     * @returns monotonic time; undefined if no relay has sent a page
+     * @param isCounted - selects the instances whose reads of the log count; empty for an unknown one. Default: all
+     * @returns monotonic time; undefined if no relay has sent such a page
+     */
+    relayedCurrentAt(topic: KeyedTopic, isCounted?: (reader: string) => boolean): Milliseconds | undefined;
+    /**
+     * Returns the instance that read the newest records of a topic from the log.
+     *
+     * @param topic - one of the topics of this store
+     * @returns the instance; undefined if it is not known
      */
-    relayedCurrentAt(topic: KeyedTopic): Milliseconds | undefined;
+    findReader(topic: KeyedTopic): string | undefined;
     /** Registers a listener for changed records. */
     onChange(listener: RecordListener): void;
     /** Registers a listener for known records whose time of writing has become known more exactly. */
@@ -81,7 +94,9 @@
  */
 export function createRecordStore(topics: readonly KeyedTopic[], clock: Clock, logger: Logger): RecordStore {
     const replica = createReplica(topics);
-    const relayedCurrentAt = new Map<KeyedTopic, Milliseconds>();
+    /** Times at which relayed records were current, by the instance that read them; empty if it is not known. */
+    const relayedCurrentAt = new Map(topics.map(topic => [topic, new Map<string, Milliseconds>()]));
+    const readers = new Map<KeyedTopic, string | undefined>();
     const listeners: RecordListener[] = [];
     const datedListeners: ((topic: KeyedTopic, records: readonly KeyedRecord[]) => void)[] = [];
     const eraListeners: (() => void)[] = [];
@@ -122,6 +137,15 @@
         restoreListeners.forEach(listener => listener(topic));
     }
 
+    function recordRelayed(topic: KeyedTopic, reader: string, currentAt: Milliseconds): void {
+        const times = relayedCurrentAt.get(topic)!;
+        times.set(reader, Math.max(times.get(reader) ?? currentAt, currentAt));
+        if (times.size > maximumReaders) {
+            const [oldest] = [...times].sort((left, right) => left[1] - right[1]);
+            times.delete(oldest![0]);
+        }
+    }
+
     function findTopic(topic: KeyedTopic): ReplicaTopic {
         const found = replica.topics.get(topic);
         if (found === undefined) {
@@ -133,7 +157,11 @@
     return {
         topics,
         topic: findTopic,
-        relayedCurrentAt: topic => relayedCurrentAt.get(topic),
+        relayedCurrentAt: (topic, isCounted = () => true) => {
+            const times = [...relayedCurrentAt.get(topic) ?? []].filter(([reader]) => isCounted(reader));
+            return times.length === 0 ? undefined : Math.max(...times.map(([, currentAt]) => currentAt));
+        },
+        findReader: topic => readers.get(topic),
         onChange: listener => void listeners.push(listener),
         onDated: listener => void datedListeners.push(listener),
         newestEra: () => newestEra,
@@ -150,10 +178,13 @@
                 return;
             }
             if (source === "relay") {
-                relayedCurrentAt.set(topic, Math.max(relayedCurrentAt.get(topic) ?? currentAt, currentAt));
+                recordRelayed(topic, received.reader ?? "", currentAt);
             }
             const dated = dateRecords(known, page);
             const changed = mergePage(known, { page, complete, currentAt, writtenAfter });
+            if (known.currentAt === currentAt) {
+                readers.set(topic, received.reader);
+            }
             if (knownAt !== undefined && known.era > era) {
                 reportRestore(received, era);
             }
--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -146,6 +146,7 @@
             topic,
             source: "relay",
             peer: stream.address,
+            reader: batch.reader,
             complete: batch.complete,
             age: now - sentAfter + Number(batch.ageMilliseconds),
             page: {
--- a/src/node/settings/replicaSection.ts
+++ b/src/node/settings/replicaSection.ts
@@ -46,6 +46,14 @@
         defaultValue: 150,
         documentation: "Time by which the reader of each rank waits longer than the one before.",
     }),
+    maximumRankDelayMilliseconds: defineDuration("maximumRankDelay", "Milliseconds", {
+        minimum: 0,
+        maximum: 60_000,
+        defaultValue: 300,
+        documentation:
+            "Longest time by which a reader waits because of its rank. Together with relayStaleAfterMilliseconds, it must " +
+            "stay below outageAfterMilliseconds, or the list of backend servers counts as outdated when many gateways end.",
+    }),
     relayDelayMilliseconds: defineDuration("relayDelay", "Milliseconds", {
         minimum: 0,
         maximum: 60_000,
--- a/src/runtime/replica/directReads.ts
+++ b/src/runtime/replica/directReads.ts
@@ -6,6 +6,8 @@
     readonly relayStaleAfter: Milliseconds;
     /** Time by which the reader of each rank waits longer than the one before. */
     readonly rankDelay: Milliseconds;
+    /** Longest time by which a reader waits because of its rank, however many instances of lower rank have ended. */
+    readonly maximumRankDelay: Milliseconds;
 }
 
 /** Input of {@link mayReadDirectly}. */
@@ -13,7 +15,10 @@
     /** Instances that relay records, this one included. */
     readonly instances: readonly string[];
     readonly self: string;
-    /** Monotonic time at which the relayed records were current; undefined if nothing was relayed yet. */
+    /**
+     * Monotonic time at which the relayed records that an instance of lower rank has read were current; undefined if
+     * there are none. Those that this process or one of higher rank has read must not keep it from reading.
+     */
     readonly relayedCurrentAt: Milliseconds | undefined;
     /** Monotonic time at which this process started. */
     readonly startedAt: Milliseconds;
@@ -23,7 +28,8 @@
 
 /**
  * Decides whether this process reads a topic with many changes from the log itself. The process of rank 0 always does,
- * and relays the records; the others follow, one rank after the other, when the relayed records become too old.
+ * and relays the records; the others follow, one rank after the other, when the relayed records become too old. The one
+ * that follows goes on until an instance of lower rank reads again.
  *
  * @param input - who relays, and the age of what was relayed
  * @returns true if this process is to read now
@@ -33,7 +39,7 @@
     if (rank === 0) {
         return true;
     }
-    const { relayStaleAfter, rankDelay } = input.options;
+    const { maximumRankDelay, rankDelay, relayStaleAfter } = input.options;
     const current = Math.max(input.relayedCurrentAt ?? input.startedAt, input.startedAt);
-    return input.now - current > relayStaleAfter + (rank - 1) * rankDelay;
+    return input.now - current > relayStaleAfter + Math.min((rank - 1) * rankDelay, maximumRankDelay);
 }
--- a/test/node/replica/failingReaders.test.ts
+++ b/test/node/replica/failingReaders.test.ts
@@ -25,6 +25,7 @@
     longestRetry: 1,
     relayStaleAfter: 1,
     rankDelay: 1,
+    maximumRankDelay: 300,
 };
 
 describe("record that makes a listener fail", () => {
--- a/test/node/replica/logFollower.test.ts
+++ b/test/node/replica/logFollower.test.ts
@@ -62,6 +62,7 @@
         longestRetry: 1,
         relayStaleAfter: 1_000,
         rankDelay: 100,
+        maximumRankDelay: 300,
     };
     const random = { next: () => 0.5 };
     const { signal } = ended;
--- a/test/runtime/replica/replica.test.ts
+++ b/test/runtime/replica/replica.test.ts
@@ -112,7 +112,7 @@
 });
 
 describe("direct reads of the log", () => {
-    const options = { relayStaleAfter: 900, rankDelay: 150 };
+    const options = { relayStaleAfter: 900, rankDelay: 150, maximumRankDelay: 300 };
     const input = { instances: ["a", "b", "c"], startedAt: 0, options };
 
     it("are made by the first instance, and by the others once the relayed records are old", () => {
@@ -122,6 +122,15 @@
         expect(mayReadDirectly({ ...input, self: "c", relayedCurrentAt: 5_000, now: 6_000 })).toEqual(false);
         expect(mayReadDirectly({ ...input, self: "c", relayedCurrentAt: 5_000, now: 6_051 })).toEqual(true);
     });
+
+    // Guards against a list that counts as outdated because many instances of lower rank have ended.
+    it("wait no longer than the limit, however many instances have a lower rank", () => {
+        const instances = Array.from({ length: 360 }, (...[, index]) => `g-${String(index).padStart(3, "0")}`);
+        for (const self of ["g-003", "g-004", "g-100", "g-359"]) {
+            expect(mayReadDirectly({ ...input, instances, self, relayedCurrentAt: 5_000, now: 6_200 })).toEqual(false);
+            expect(mayReadDirectly({ ...input, instances, self, relayedCurrentAt: 5_000, now: 6_201 })).toEqual(true);
+        }
+    });
 });
 
 describe("dates of known records", () => {
