Try every relay in turn, so that removed gateways do not hide the ones that run

Eight gateways had been removed before.

Cause: a process that looks for relays tries a few addresses at the same time and began at the head of the list with each choice. An address that does not respond may be tried again long before all others had their turn, so eight of them in front take turns for ever.

Now relays that have not failed come first, in the order of preference, then the one that was tried longest ago; the failures are forgotten once enough relays are connected.

--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -7,7 +7,7 @@
     type RecordBatch,
     TopicPositionSchema,
 } from "../../generated/goldcrestpoint_pb.js";
-import { datedTopics } from "../../runtime/replica/index.js";
+import { chooseRelay, datedTopics, type RelayFailure } from "../../runtime/replica/index.js";
 import type { Clock, KeyedTopic, Milliseconds, RandomSource } from "../../types/index.js";
 import { createReplicaClient, type ReplicaClient } from "../grpc/index.js";
 import type { RecordStore } from "./recordStore.js";
@@ -58,9 +58,6 @@
     readonly topics: Set<KeyedTopic>;
 }
 
-/** Relays that are tried in addition to the wanted number, since addresses may be stale. */
-const extraRelayAttempts = 2;
-
 /** Interval at which closed streams are replaced. */
 const streamCheckInterval: Milliseconds = 200;
 
@@ -73,14 +70,15 @@
 export function createRelayFollowers(input: RelayFollowerInput): RelayFollowers {
     const { clock, logger, options, random, stalls, store } = input;
     const streams = new Map<string, Stream>();
-    const retryAt = new Map<string, Milliseconds>();
+    const failures = new Map<string, RelayFailure>();
+    let disconnectedSince: Milliseconds | undefined = clock.monotonic();
     let positionTimer: NodeJS.Timeout | undefined;
 
     function countConnected(): number {
         return [...streams.values()].filter(({ connected }) => connected).length;
     }
 
-    /** Closes the remaining streams once enough relays have sent a message. */
+    /** Closes the remaining streams once enough relays have sent a message; the next choice starts from the first one. */
     function closeSurplusStreams(): void {
         const connected = [...streams.values()].filter(stream => stream.connected);
         if (connected.length >= options.parents) {
@@ -88,6 +86,7 @@
             [...streams.values()].filter(stream => !kept.has(stream)).forEach(stream =>
                 closeStream(stream, "not needed")
             );
+            failures.clear();
         }
     }
 
@@ -109,7 +108,11 @@
             return;
         }
         streams.delete(stream.address);
-        retryAt.set(stream.address, clock.monotonic() + options.reconnectAfter * (0.5 + random.next()));
+        const now = clock.monotonic();
+        failures.set(stream.address, {
+            failedAt: now,
+            retryAt: now + options.reconnectAfter * (0.5 + random.next()),
+        });
         stream.call.cancel();
         stream.client.close();
         if (stream.connected) {
@@ -133,6 +136,7 @@
         stream.heardAt = clock.monotonic();
         if (!stream.connected) {
             stream.connected = true;
+            failures.delete(stream.address);
             logger.info({ peer: stream.address }, "relay followed");
         }
         const topic = store.topics.find(name => name === batch.topic);
@@ -211,14 +215,23 @@
                 closeStream(stream, "no longer listed");
             }
         }
-        for (const address of addresses) {
-            // Addresses may be stale, so a few more are tried at the same time until enough relays have responded.
-            if (countConnected() >= options.parents || streams.size >= options.parents + extraRelayAttempts) {
-                break;
-            }
-            if (!streams.has(address) && (retryAt.get(address) ?? 0) <= now) {
-                follow(address);
-            }
+        for (const address of [...failures.keys()].filter(known => !addresses.includes(known))) {
+            failures.delete(address);
+        }
+        const connected = countConnected();
+        disconnectedSince = connected > 0 ? undefined : disconnectedSince ?? now;
+        const choose = (): string | undefined =>
+            chooseRelay({
+                addresses,
+                open: new Set(streams.keys()),
+                connected,
+                failures,
+                disconnectedSince,
+                now,
+                options,
+            });
+        for (let address = choose(); address !== undefined; address = choose()) {
+            follow(address);
         }
     }
 
