--- a/src/node/settings/settings.ts
+++ b/src/node/settings/settings.ts
@@ -91,6 +91,13 @@
             value: String(placement.retention / 1_000),
             allowed: "at least four times the sum of [hold] holdSeconds and marginSeconds",
         },
+    ({ gateway, replica }) =>
+        replica.relayStaleAfter + replica.maximumRankDelay < gateway.outageAfter ? undefined : {
+            section: "gateway",
+            key: "outageAfterMilliseconds",
+            value: String(gateway.outageAfter),
+            allowed: "more than the sum of [replica] relayStaleAfterMilliseconds and maximumRankDelayMilliseconds",
+        },
 ];
 
 function resolveAll(sources: SettingsSources): Result<AllSettings, GoldcrestpointError> {
--- a/test/node/settings/settings.test.ts
+++ b/test/node/settings/settings.test.ts
@@ -105,6 +105,12 @@
             { section: "hold", key: "holdSeconds", value: "1" },
             "at least two heartbeats",
         ],
+        [
+            "outage that is noticed before the last gateway takes over",
+            createSources("[gateway]\noutageAfterMilliseconds = 1200"),
+            { section: "gateway", key: "outageAfterMilliseconds", value: "1200" },
+            "more than the sum",
+        ],
     ];
     for (const [name, sources, expected, allowed] of cases) {
         it(name, () => {
