Follow further entry instances if those of the highest ranks do not respond

A process of the own deployment follows three entry instances, the first ones of its ranking, and tried only these again and again. If all three are gone but still listed, as in a fixed list of addresses, it never reaches the others.

Now one more is followed for each that does not respond: the next one that has not failed, or else the one whose last attempt is longest ago. An entry instance of a high rank is tried beside its replacement.

--- a/src/node/relay/followerSet.ts
+++ b/src/node/relay/followerSet.ts
@@ -33,14 +33,15 @@
 
 /**
  * Follows the required entry instances and a few others, chosen by rendezvous hashing, and replaces those that fail or
- * leave.
+ * leave. An entry instance that fails is tried again beside its replacement.
  *
  * @param options - entry instances to choose from, content of the heartbeats and callbacks
  * @returns the running set
  */
 export function startFollowerSet(options: FollowerSetOptions): FollowerSet {
     const followers = new Map<InstanceId, Follower>();
-    const retryAt = new Map<InstanceId, Milliseconds>();
+    /** Monotonic time at which the stream to each entry instance ended that has not responded since then. */
+    const failedAt = new Map<InstanceId, Milliseconds>();
     const interval = options.heartbeatMilliseconds ?? 2_000;
     let heardAt: Milliseconds | undefined;
 
@@ -50,17 +51,34 @@
             target,
             onHeartbeatResponse: response => {
                 heardAt = options.clock.monotonic();
+                failedAt.delete(target.instance);
                 options.onHeartbeatResponse(response);
             },
             onEnd: reason => {
                 followers.delete(target.instance);
-                retryAt.set(target.instance, options.clock.monotonic() + reconnectDelay);
+                failedAt.set(target.instance, options.clock.monotonic());
                 options.logger.debug({ peer: target.instance, reason }, "relay stream ended");
             },
         });
         followers.set(target.instance, follower);
     }
 
+    /**
+     * Chooses the first instances by rank, and one more for each of them that does not respond: the next one that has
+     * not failed, or else the one whose last attempt is longest ago.
+     */
+    function chooseByRank(instances: readonly InstanceId[]): Set<InstanceId> {
+        const ranked = rankByRendezvous(options.rankKey, instances);
+        const count = options.maximumFollowed ?? 3;
+        const preferred = ranked.slice(0, count);
+        const missing = preferred.filter(instance => failedAt.has(instance)).length;
+        const others = ranked.slice(count);
+        const failed = others.filter(instance => failedAt.has(instance))
+            .sort((left, right) => failedAt.get(left)! - failedAt.get(right)!);
+        const replacements = [...others.filter(instance => !failedAt.has(instance)), ...failed];
+        return new Set([...preferred, ...replacements.slice(0, missing)]);
+    }
+
     function reconcile(): void {
         const now = options.clock.monotonic();
         const targets = new Map(
@@ -68,9 +86,10 @@
                 .filter(target => target.instance !== options.self)
                 .map(target => [target.instance, target]),
         );
-        const wanted = new Set(
-            rankByRendezvous(options.rankKey, [...targets.keys()]).slice(0, options.maximumFollowed ?? 3),
-        );
+        for (const instance of [...failedAt.keys()].filter(known => !targets.has(known))) {
+            failedAt.delete(instance);
+        }
+        const wanted = chooseByRank([...targets.keys()]);
         for (const instance of options.listRequired()) {
             if (targets.has(instance)) {
                 wanted.add(instance);
@@ -80,10 +99,13 @@
             const silent = now - follower.heardAt > maximumSilentHeartbeatIntervals * interval;
             if (silent || !wanted.has(instance) || targets.get(instance)?.address !== follower.target.address) {
                 follower[Symbol.dispose]();
+                if (!silent) {
+                    failedAt.delete(instance);
+                }
             }
         }
         for (const instance of wanted) {
-            if (!followers.has(instance) && now >= (retryAt.get(instance) ?? 0)) {
+            if (!followers.has(instance) && now >= (failedAt.get(instance) ?? -Infinity) + reconnectDelay) {
                 open(targets.get(instance)!);
             }
         }
