Stop using older versions a margin before a gateway that has just started has settled

That this gateway had just started is inferred: its first requests in the record are those of second 41, its two late ones began 45.128 and 45.317 s, and settle_window_ms is 4 s there.

Cause: a process that starts does not know how old a declared version is. It assumes an age by which older versions become unusable exactly when it has settled, and requests that it sends right before that begin after it. Between the cutover and the version limit there is a margin of 0.7 s for this; at the start there was none. The margin now counts there, too.

The three expectations on times in declaredVersions.test.ts and gatewayState.test.ts are 0.7 s stricter; they named the settle time itself.

--- a/src/node/settings/versionTimes.ts
+++ b/src/node/settings/versionTimes.ts
@@ -1,3 +1,4 @@
+import { cutoverMargin, maximumMarginShare } from "../../runtime/gateway/index.js";
 import type { Milliseconds } from "../../types/index.js";
 
 /** Settings of a gateway from which the times of a switch to a new version follow. */
@@ -8,14 +9,10 @@
     readonly abandonAfter: Milliseconds;
 }
 
-/** Time before the version limit at which the last request is sent to an older version, which may queue it. */
-const cutoverMargin: Milliseconds = 700;
 /** Time before the version limit at which unanswered attempts are aborted; the abort still has to arrive. */
 const abandonMargin: Milliseconds = 300;
 /** Time before the cutover at which all waves may load, so that the new version is served when requests require it. */
 const lastWaveMargin: Milliseconds = 1_100;
-/** Largest share of the version limit that a margin may take. */
-const maximumMarginShare = 0.25;
 
 function subtractMargin(limit: Milliseconds, margin: Milliseconds): Milliseconds {
     return limit - Math.min(margin, limit * maximumMarginShare);
--- a/src/runtime/gateway/declaredVersions.ts
+++ b/src/runtime/gateway/declaredVersions.ts
@@ -36,15 +36,22 @@
     readonly settleTime: Milliseconds;
 }
 
+/** Time before a limit at which the last request is sent to an older version, which may queue it. */
+export const cutoverMargin: Milliseconds = 700;
+/** Largest share of a limit that a margin may take. */
+export const maximumMarginShare = 0.25;
+
 /**
  * Computes the age at the start of a process that it assumes for a version that was declared earlier. Its true age is
- * unknown, so the cutover time of older versions must have passed once the process has settled.
+ * unknown, so the cutover time of older versions must have passed before the process has settled: requests that are
+ * sent until then still have to begin.
  *
  * @param options - times of the switch and of the start
  * @returns age in milliseconds at the start of the process
  */
 export function computeAssumedAge({ assumedAge, cutoverAfter, settleTime }: AssumedAgeOptions): Milliseconds {
-    return Math.max(assumedAge, cutoverAfter - settleTime);
+    const margin = Math.min(cutoverMargin, settleTime * maximumMarginShare);
+    return Math.max(assumedAge, cutoverAfter - (settleTime - margin));
 }
 
 /** Times at which versions were declared. */
--- a/test/node/gateway/gatewayState.test.ts
+++ b/test/node/gateway/gatewayState.test.ts
@@ -119,11 +119,11 @@
     });
 
     // Guards against a gateway that uses older versions after it has settled, because it read the version late.
-    it("has made older versions unusable when the process has settled, if it was declared at an unknown time before", () => {
+    it("has made older versions unusable a margin before the process has settled, if its time is unknown", () => {
         const { clock, receiveVersion, state } = createState(-300);
         clock.advance(1_200);
         receiveVersion(2);
-        clock.advance(1_400);
+        clock.advance(700);
         expect(state.readVersions("scribe").oldest).toEqual(0);
         clock.advance(100);
         expect(state.readVersions("scribe").oldest).toEqual(2);
@@ -134,7 +134,7 @@
         const { clock, receiveVersion, repeatVersion, state } = createState();
         clock.advance(800);
         receiveVersion(2);
-        expect(state.readVersions("scribe").declaredAt).toEqual(-4_000);
+        expect(state.readVersions("scribe").declaredAt).toEqual(-4_700);
         repeatVersion(2, 300);
         expect(state.readVersions("scribe").declaredAt).toEqual(300);
     });
--- a/test/platform/gatewayOlderVersions.test.ts
+++ b/test/platform/gatewayOlderVersions.test.ts
@@ -1,11 +1,14 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { sleep } from "../../src/utils/index.js";
+import { createDisposalStack, sleep } from "../../src/utils/index.js";
 import { call } from "./standIn/caller.js";
 import { operatorConfiguration, startDeployment, waitUntil } from "./standIn/deployment.js";
+import { startTestGateway } from "./standIn/gateway.js";
 import { startHeldLink } from "./standIn/heldLink.js";
 import { callAtRate } from "./standIn/pacedCalls.js";
 import { startRunnerStandIn } from "./standIn/runnerStandIn.js";
+import { createServerRecord } from "./standIn/serverRecord.js";
+import { startStoreStandIn } from "./standIn/storeStandIn.js";
 
 const model = "quill";
 const engine = { slots: 4, models: [{ name: model }], layers: 1, chunks: 1, chunk_bytes: 16 };
@@ -49,3 +52,32 @@
         expect(held.filter(number => number - firstHeld > 1.5 * rate)).toEqual([]);
     });
 });
+
+describe("backend server with an older version at a gateway that starts long after the declaration", () => {
+    // Guards against requests that are sent right before the gateway has settled, and that begin only afterwards.
+    it("gets none that could wait until the gateway has settled", async () => {
+        await using stack = createDisposalStack();
+        const store = stack.use(await startStoreStandIn());
+        store.write("keyed.op", "config", {
+            ...operatorConfiguration,
+            services: operatorConfiguration.services.map(service => ({ ...service, engine })),
+        });
+        store.write("keyed.op", `version/${model}`, { model, version: 2 });
+        const outdated = stack.use(await startRunnerStandIn({ id: "i-1" }));
+        store.write("keyed.servers", "i-1", createServerRecord(outdated.address, createWeights(1)));
+        const startedAt = performance.now();
+        const settleTime = 3_000;
+        const gateway = stack.use(
+            await startTestGateway({
+                instance: "gateway-1",
+                storeAddress: store.address,
+                flags: { ...flags, "gateway.settleTimeMilliseconds": String(settleTime) },
+            }),
+        );
+        await waitUntil("the gateway is ready", async () => (await fetch(gateway.readyUrl)).status === 200);
+        await callAtRate(gateway, { path: "/safe/", rate: 40, duration: settleTime });
+        const times = outdated.arrivedAt.map(at => at - startedAt);
+        expect(times.length).toBeGreaterThan(20);
+        expect(times.filter(time => time > settleTime - 500)).toEqual([]);
+    });
+});
--- a/test/runtime/gateway/declaredVersions.test.ts
+++ b/test/runtime/gateway/declaredVersions.test.ts
@@ -118,11 +118,17 @@
 });
 
 describe("age that is assumed at the start for a version declared before", () => {
-    it("is reached by the cutover time when the process has settled", () => {
+    // Guards against requests that a process sends right before it has settled, and that begin only afterwards.
+    it("is reached by the cutover time a margin before the process has settled", () => {
         const times = [2_000, 7_300, 12_700].map(cutoverAfter =>
             computeAssumedAge({ cutoverAfter, settleTime: 3_000, assumedAge: 0 })
         );
-        expect(times).toEqual([0, 4_300, 9_700]);
+        expect(times).toEqual([0, 5_000, 10_400]);
+    });
+
+    it("leaves most of the settle time to older versions if it is short", () => {
+        expect(computeAssumedAge({ cutoverAfter: 7_300, settleTime: 1_000, assumedAge: 0 }))
+            .toEqual(6_550);
     });
 
     it("is not below the configured one", () => {
