Drop the registrations of gateways that have not responded for a long time

A gateway registers itself in the log and nothing ever removed the record, so the places of each service, the connections to backend servers, the retry budgets and the stated rate limits were divided among all gateways that ever ran.

A gateway that does not respond to another one for goneAfterMilliseconds (30 s, three calls at least) now loses its registration; the calls are those of the exchange of crash evidence, and one more per quarter of the settle time to a gateway that did not respond. A gateway that runs registers itself again when it sees the drop, and the time doubles with each return. A process that stood still starts its times anew. Cost: one write to the log for each gateway that is gone.

--- a/src/node/gateway/crashContainment.ts
+++ b/src/node/gateway/crashContainment.ts
@@ -9,6 +9,7 @@
 import { type CrashWatch, createCrashWatch } from "./crashWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { RateLimits } from "./rateLimits.js";
+import { createRegistrationCleanup } from "./registrationCleanup.js";
 import type { ServerNotices } from "./serverNotices.js";
 
 /** Dependencies of {@link createCrashContainment}. */
@@ -31,6 +32,8 @@
     readonly rateLimits: RateLimits;
     /** Lists `host:port` of the other gateways. */
     readonly listAddresses: () => readonly string[];
+    /** Time without a response after which the registration of another gateway is dropped. */
+    readonly goneAfter: Milliseconds;
 }
 
 /** Prevents a request that crashes backend servers from reaching further ones. */
@@ -73,7 +76,16 @@
         onCrash: crash => crashEvidence.recordObservedCrash(crash),
         onAnswer: fingerprint => crashEvidence.recordAnswer(fingerprint),
     });
+    const cleanup = createRegistrationCleanup({
+        log,
+        store,
+        clock,
+        random: input.random,
+        logger,
+        goneAfter: input.goneAfter,
+    });
     const exchange = createCrashExchange({
+        cleanup,
         crashEvidence,
         notices: input.notices,
         rateLimits: input.rateLimits,
@@ -103,6 +115,7 @@
         exchangeCrashEvidence: exchange.exchangeCrashEvidence,
         [Symbol.dispose]: () => {
             exchange[Symbol.dispose]();
+            cleanup[Symbol.dispose]();
             records[Symbol.dispose]();
         },
     };
--- a/src/node/gateway/crashExchange.ts
+++ b/src/node/gateway/crashExchange.ts
@@ -1,5 +1,5 @@
 import { create } from "@bufbuild/protobuf";
-import { Metadata, type sendUnaryData, type ServerUnaryCall } from "@grpc/grpc-js";
+import { Metadata, type sendUnaryData, type ServerUnaryCall, type ServiceError, status } from "@grpc/grpc-js";
 import type { Logger } from "pino";
 import {
     BackendServerCrashSchema,
@@ -19,6 +19,7 @@
 import { createReplicaClient, type ReplicaClient } from "../grpc/index.js";
 import type { CrashEvidenceStore } from "./crashEvidenceStore.js";
 import type { RateLimits } from "./rateLimits.js";
+import type { RegistrationCleanup } from "./registrationCleanup.js";
 import type { ServerNotices } from "./serverNotices.js";
 
 /** Dependencies of {@link createCrashExchange}. */
@@ -28,6 +29,8 @@
     readonly rateLimits: RateLimits;
     /** Lists `host:port` of the other gateways; some may no longer run. */
     readonly listAddresses: () => readonly string[];
+    /** Learns which gateways respond. */
+    readonly cleanup: Pick<RegistrationCleanup, "findNextToCall" | "recordCall">;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: Logger;
@@ -55,6 +58,11 @@
 /** Share of the settle time for which new evidence is collected before it is sent: many requests break together. */
 const deltaDelayShare = 0.03;
 
+/** Tells whether a gateway has responded to a call; one that does not know the call has. */
+function hasResponded(error: Pick<ServiceError, "code"> | undefined): boolean {
+    return error === undefined || ![status.UNAVAILABLE, status.DEADLINE_EXCEEDED].includes(error.code);
+}
+
 /** Converts an age to whole milliseconds that a message can state. */
 function toWholeMilliseconds(age: Milliseconds): bigint {
     return BigInt(Math.round(Math.min(Math.max(0, age), Number.MAX_SAFE_INTEGER)));
@@ -161,6 +169,10 @@
         }
         const deadline = Date.now() + settleTime / 2;
         client.exchangeCrashEvidence(message, new Metadata(), { deadline }, (error, answer) => {
+            // A call that this process has ended itself tells nothing of the gateway.
+            if (error?.code !== status.CANCELLED) {
+                input.cleanup.recordCall(address, hasResponded(error ?? undefined));
+            }
             if (answer !== undefined) {
                 if (message.asks) {
                     queriedAddresses.add(address);
@@ -212,7 +224,8 @@
         const addresses = input.listAddresses();
         [...clients.keys()].filter(address => !addresses.includes(address)).forEach(closeClient);
         queryNewGateways();
-        pickRandom(addresses, 1).forEach(query);
+        const unanswered = input.cleanup.findNextToCall();
+        new Set([...pickRandom(addresses, 1), ...(unanswered === undefined ? [] : [unanswered])]).forEach(query);
     }
 
     function scheduleDelta(): void {
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -21,7 +21,6 @@
     createRecordStore,
     createRelayFollowers,
     createStallMonitor,
-    listInstances,
     startRegistration,
 } from "../replica/index.js";
 import type { GatewaySettings } from "../settings/index.js";
@@ -183,6 +182,7 @@
         notices,
         rateLimits,
         listAddresses: gateways.listAddresses,
+        goneAfter: gateway.goneAfter,
     }));
     const budgets = createRetryBudgets(settings, store, gateways, clock);
     const serve = createRequestPipeline({
@@ -325,7 +325,7 @@
     startLogFollowers({
         ...following,
         log,
-        listRelays: () => listInstances(store).map(row => row.instance),
+        listRelays: gateways.listIdentifiers,
         signal: ended.signal,
     }, settings);
 
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -209,6 +209,16 @@
         ...error,
     ]),
     "condemned request cannot be read": define("belief", ["gateway"], "an invalid record was ignored", ["fingerprint"]),
+    "registration dropped": define(
+        "belief",
+        ["gateway"],
+        "a gateway that did not respond for a long time is no longer registered",
+        ["peer", "registered", "offset"],
+    ),
+    "registration not dropped": define("dependency", ["gateway"], "the registration could not be dropped", [
+        ...error,
+        "registered",
+    ]),
     "crashes not exchanged": define("dependency", ["gateway"], "evidence was not exchanged with a gateway", ["peer"]),
     "backend server crashed": define("belief", ["entry"], "an entry instance learned of the crash of a backend server"),
     "instance is no longer live": define("belief", ["entry"], "an instance is leaving, or is gone from the list"),
--- a/src/node/replica/registration.ts
+++ b/src/node/replica/registration.ts
@@ -39,7 +39,7 @@
  */
 const maximumRecordsWait: Milliseconds = 600;
 const recordsCheckInterval: Milliseconds = 25;
-/** Gateways register again at random times within this period after the log was restored, to spread the load. */
+/** Gateways register again at random times within this period after their records were lost, to spread the load. */
 const registrationSpread: Milliseconds = 1_000;
 
 /**
@@ -80,9 +80,18 @@
     }
 
     let registering = register();
+    function registerAgain(): void {
+        registering = registering.then(() => sleep(random.next() * registrationSpread, signal)).then(register);
+    }
     store.onRestored(topic => {
         if (topic === "instances") {
-            registering = registering.then(() => sleep(random.next() * registrationSpread, signal)).then(register);
+            registerAgain();
+        }
+    });
+    // Gateways that cannot reach this one drop its registration.
+    store.onChange((topic, records) => {
+        if (topic === "instances" && records.some(({ key, value }) => key === self.instance && value === undefined)) {
+            registerAgain();
         }
     });
     return { isSettled: () => hasAttemptFailed || clock.monotonic() >= settlesAt || isListed() };
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -73,6 +73,14 @@
             defaultValue: 1_600,
             documentation: "Age of the list of backend servers above which the log counts as unavailable.",
         }),
+        goneAfterMilliseconds: defineDuration("goneAfter", "Milliseconds", {
+            minimum: 1_000,
+            maximum: 86_400_000,
+            defaultValue: 30_000,
+            documentation:
+                "Time for which a gateway must not respond to another one until that one drops its registration. It " +
+                "registers itself again if it still runs.",
+        }),
         noticeMemoryMilliseconds: defineDuration("noticeMemory", "Milliseconds", {
             minimum: 1_000,
             maximum: 86_400_000,
--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -10,4 +10,5 @@
 export * from "./requestFingerprint.js";
 export * from "./routeTable.js";
 export * from "./serverNotices.js";
+export * from "./unreachableGateways.js";
 export * from "./weightNames.js";
--- a/test/node/gateway/crashExchange.test.ts
+++ b/test/node/gateway/crashExchange.test.ts
@@ -37,6 +37,7 @@
                 notices: createServerNotices({ clock, logger, memory: 60_000, maximumPause: 1_000 }),
                 rateLimits: createTestRateLimits(clock),
                 listAddresses: () => [],
+                cleanup: { recordCall: () => {}, findNextToCall: () => undefined },
                 clock,
                 random: { next: () => 0 },
                 logger,
--- a/test/platform/removedGateways.test.ts
+++ b/test/platform/removedGateways.test.ts
@@ -19,7 +19,10 @@
     readonly runners: readonly RunnerStandIn[];
 }
 
-async function startRemaining(removed: number): Promise<RemainingGateways> {
+async function startRemaining(
+    removed: number,
+    flags: Readonly<Record<string, string>> = {},
+): Promise<RemainingGateways> {
     await using started = createDisposalStack();
     const store = started.use(await startStoreStandIn());
     store.write("keyed.op", "config", operatorConfiguration);
@@ -32,7 +35,7 @@
     }
     const gateways: TestGateway[] = [];
     for (const instance of ["gateway-1", "gateway-2"]) {
-        gateways.push(started.use(await startTestGateway({ instance, storeAddress: store.address })));
+        gateways.push(started.use(await startTestGateway({ instance, storeAddress: store.address, flags })));
     }
     for (const { readyUrl } of gateways) {
         await waitUntil("the gateway is ready", async () => (await fetch(readyUrl)).status === 200);
@@ -64,6 +67,25 @@
         });
     }
 
+    // Guards against places and connections that are divided among gateways which no longer exist.
+    it("drop the registrations of the others, and keep their own", async () => {
+        const removed = 5;
+        await using remaining = await startRemaining(removed, {
+            "gateway.goneAfterMilliseconds": "2000",
+            "gateway.settleTimeMilliseconds": "1000",
+        });
+        const { store } = remaining;
+        const topic = "keyed.goldcrestpoint-instances";
+        const countDropped = (): number =>
+            Array.from({ length: removed }, (...[, index]) => `gateway-0-000${index + 1}`)
+                .filter(key => store.countRecords(topic, key) > 1).length;
+        await waitUntil("all of them are dropped", () => countDropped() === removed);
+        await sleep(1_000);
+        expect(["gateway-1", "gateway-2"].map(key => store.countRecords(topic, key))).toEqual([1, 1]);
+        store.drop(topic, "gateway-2");
+        await waitUntil("the gateway has registered itself again", () => store.countRecords(topic, "gateway-2") === 3);
+    });
+
     // Guards against several readers of the list at the same time, which would be hundreds of calls at the design size.
     it("read the list of backend servers from the log one at a time", async () => {
         await using remaining = await startRemaining(7);
