Limit the answers in memory by the memory that the platform states

Reported by operators of systems like ours: a faulty runner sent bytes without end, in a head or in a body, and the machine that had called it kept them all and ran out of memory.

The limit is now a tenth of memory_mb, or maximumHeldAnswerBytes if that is lower.

--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -112,6 +112,14 @@
             defaultValue: 400,
             documentation: "Time within which a connection to a backend server must be established.",
         }),
+        memoryMegabytes: defineNumber({
+            minimum: 0,
+            maximum: 10_000_000,
+            defaultValue: 0,
+            documentation:
+                "Memory that the process may use; 0 if the platform does not limit it. A tenth of it limits the answers " +
+                "that are held, beside maximumHeldAnswerBytes.",
+        }),
         maximumHeldAnswerBytes: defineInteger({
             minimum: 1_048_576,
             maximum: 1_099_511_627_776,
--- a/src/node/settings/settings.ts
+++ b/src/node/settings/settings.ts
@@ -4,6 +4,7 @@
 import { daemonSections } from "./daemonSections.js";
 import { decisionSections } from "./decisionSections.js";
 import { gatewaySections } from "./gatewaySections.js";
+import { limitHeldAnswers } from "./heldAnswers.js";
 import { createProblemError, type SettingsProblem } from "./problems.js";
 import { type ResolvedSections, resolveSections, type SettingsSources } from "./resolveSections.js";
 import { standInSections } from "./standInSections.js";
@@ -110,7 +111,7 @@
         return err(createProblemError("SETTINGS_INVALID", "resolve settings", found));
     }
     const { gateway, instance, weightAgent } = values;
-    const derived = deriveVersionTimes(gateway);
+    const derived = limitHeldAnswers(deriveVersionTimes(gateway));
     return ok({
         ...values,
         gateway: derived,
