Bound the answers that an entry instance and its agents hold for all requests together

Some endless answers at the same time would end the process, and the requests of all other callers with it.

Both now have a limit of 128 MiB for all answers.

--- a/src/node/backendServer/backendServerClient.ts
+++ b/src/node/backendServer/backendServerClient.ts
@@ -1,6 +1,6 @@
 import { err } from "true-myth/result";
 import { type BackendServerPort, createError, type GoldcrestpointError, type PortResult } from "../../types/index.js";
-import { createHttpClient } from "../httpClient/index.js";
+import { createHttpClient, createResponseMemoryLimit } from "../httpClient/index.js";
 import { readStagedChunk, stageChunk } from "./chunks.js";
 import { executeRequest, type KeyedBackendRequest } from "./execute.js";
 import { sendOrder } from "./orders.js";
@@ -19,6 +19,8 @@
     execute(request: KeyedBackendRequest, signal: AbortSignal): ReturnType<BackendServerPort["execute"]>;
 }
 
+const defaultMaximumHeldBytes = 128 * 1_048_576;
+
 /**
  * Creates a client of a model engine or a plain service. Reads of state, orders and chunks use separate connections, so
  * that requests that occupy all of theirs do not delay them.
@@ -28,9 +30,11 @@
  */
 export function createBackendServerClient(options: BackendServerClientOptions): BackendServerClient {
     const { baseUrl, kind = "engine", timeouts, healthPath = "/health" } = options;
-    const control = createHttpClient({ baseUrl, timeouts });
+    const memoryLimit = createResponseMemoryLimit(options.maximumHeldBytes ?? defaultMaximumHeldBytes);
+    const control = createHttpClient({ baseUrl, timeouts, memoryLimit });
     const requests = createHttpClient({
         baseUrl,
+        memoryLimit,
         timeouts: { head: 120_000, idle: 30_000, ...options.requestTimeouts },
         connections: options.requestConnections ?? 256,
     });
--- a/src/node/backendServer/types.ts
+++ b/src/node/backendServer/types.ts
@@ -18,6 +18,8 @@
     readonly requestTimeouts?: Partial<Omit<HttpTimeouts, "total">> | undefined;
     /** Maximum number of connections for requests. Default: 256. */
     readonly requestConnections?: number | undefined;
+    /** Most unread bytes of all responses together; beyond it, the largest ones are aborted. Default: 128 MiB. */
+    readonly maximumHeldBytes?: number | undefined;
     /** Path of a plain service's health endpoint. Default: `/health`. */
     readonly healthPath?: string | undefined;
 }
--- a/src/node/entry/attempt.ts
+++ b/src/node/entry/attempt.ts
@@ -10,6 +10,7 @@
 import type { Milliseconds, RanState, Refusal, RefusalReason } from "../../types/index.js";
 import type { CrashReport } from "../crashes/index.js";
 import type { AgentClient } from "../grpc/index.js";
+import { HeldAnswerEvictedError } from "./httpSink.js";
 
 /** Receives the answer of one attempt, part by part. */
 export interface AttemptSink {
@@ -71,6 +72,10 @@
         return createFailure("unknown", "connection-lost", true);
     }
     catch (error) {
+        if (error instanceof HeldAnswerEvictedError) {
+            call.cancel();
+            return createFailure("unknown", "connection-lost");
+        }
         return signal.aborted ?
             createFailure("unknown", "canceled") :
             classifyCallError(error as ServiceError, progress.sequence);
--- a/src/node/entry/httpRoutes.ts
+++ b/src/node/entry/httpRoutes.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Result } from "true-myth/result";
 import type { Refusal } from "../../types/index.js";
+import { createResponseMemoryLimit } from "../httpClient/index.js";
 import { abortResponse, type HttpRouter, readBody, registerStatusRoutes, sendJson } from "../httpServer/index.js";
 import { registerDecisionRoute } from "../logging/index.js";
 import { parseCompletionRequest, parseServiceRequest } from "./callerRequest.js";
@@ -12,6 +13,8 @@
 
 /** Size of the largest request body that is accepted, in bytes. */
 const maximumBodyBytes = 8 * 1024 * 1024;
+/** Bytes of all answers that are held back until they are complete; beyond it, the largest ones are dropped. */
+const maximumHeldAnswerBytes = 128 * 1024 * 1024;
 /** `Retry-After` of a draining entry instance, in seconds; the load balancer sends the retry to another one. */
 const drainingRetrySeconds = 1;
 
@@ -36,6 +39,8 @@
         defaultRoute: (...[, response]) => sendJson(response, 404, { error: "no route" }),
     });
 
+    const heldAnswers = createResponseMemoryLimit(maximumHeldAnswerBytes);
+
     async function handleRequest(
         message: IncomingMessage,
         response: ServerResponse,
@@ -68,7 +73,7 @@
         const { requestId, receivedAt, deployment } = request.value.row;
         const sink = createHttpSink(response, requestId, () => {
             context.metrics.firstByteMilliseconds.record(context.clock.monotonic() - receivedAt, { deployment });
-        });
+        }, heldAnswers);
         await options.pipeline.handle(request.value, sink);
     }
 
--- a/src/node/entry/httpSink.ts
+++ b/src/node/entry/httpSink.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { ResponseStart } from "../../generated/goldcrestpoint_pb.js";
 import type { Refusal, RefusalReason } from "../../types/index.js";
+import type { MemoryReservation, ResponseMemoryLimit } from "../httpClient/index.js";
 import { abortResponse, sendJson } from "../httpServer/index.js";
 import type { AttemptSink } from "./attempt.js";
 import type { ResponseSink } from "./requestPipeline.js";
@@ -26,6 +27,13 @@
 /** Bytes of a non-streaming answer that are held back at most; a larger one is sent as it arrives. */
 const maximumHeldBodyBytes = 32 * 1024 * 1024;
 
+/** Thrown if an answer can no longer be held back, since all answers together exceed their memory limit. */
+export class HeldAnswerEvictedError extends Error {
+    constructor() {
+        super("the answer was dropped to free memory for others");
+    }
+}
+
 /**
  * Creates the sink that writes the answer to an HTTP response. A non-streaming answer is sent once it is complete, so
  * that the request can be retried or refused if an attempt breaks; an event stream is forwarded as it arrives.
@@ -33,13 +41,21 @@
  * @param response - response to the caller
  * @param requestId - request identifier that is sent as `x-request-id`
  * @param onFirstByte - called when the first byte of the answer is sent
+ * @param memoryLimit - limit on the bytes of all answers that are held back. Default: none
  * @returns the sink
  */
-export function createHttpSink(response: ServerResponse, requestId: string, onFirstByte: () => void): ResponseSink {
+export function createHttpSink(
+    response: ServerResponse,
+    requestId: string,
+    onFirstByte: () => void,
+    memoryLimit?: ResponseMemoryLimit,
+): ResponseSink {
     let heldParts: Uint8Array[] = [];
     let heldBytes = 0;
     let heldStart: ResponseStart | undefined;
     let begun = false;
+    let reservation: MemoryReservation | undefined;
+    response.once("close", () => reservation?.close());
 
     function sendHead(start: ResponseStart): void {
         begun = true;
@@ -61,21 +77,36 @@
         for (const part of heldParts) {
             response.write(part);
         }
+        dropHeld();
+    }
+
+    function dropHeld(): void {
         heldParts = [];
         heldBytes = 0;
+        reservation?.close();
     }
 
     function beginAttempt(): AttemptSink {
-        heldParts = [];
-        heldBytes = 0;
+        dropHeld();
         heldStart = undefined;
+        let isEvicted = false;
+        reservation = memoryLimit?.open(() => {
+            isEvicted = true;
+            dropHeld();
+        });
         return {
             start: start => {
                 heldStart = start;
             },
             data: content => {
-                heldParts.push(content);
-                heldBytes += content.length;
+                if (!isEvicted) {
+                    heldParts.push(content);
+                    heldBytes += content.length;
+                    reservation?.add(content.length);
+                }
+                if (isEvicted) {
+                    throw new HeldAnswerEvictedError();
+                }
                 const streamed = heldStart!.contentType.startsWith("text/event-stream");
                 if (!streamed && heldBytes <= maximumHeldBodyBytes) {
                     return undefined;
--- a/test/node/entry/httpSink.test.ts
+++ b/test/node/entry/httpSink.test.ts
@@ -1,10 +1,12 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "earl";
-import { createServer } from "node:http";
-import { connect } from "node:net";
+import { createServer, IncomingMessage, ServerResponse } from "node:http";
+import { connect, Socket } from "node:net";
 import { describe, it } from "node:test";
 import { ResponseStartSchema } from "../../../src/generated/goldcrestpoint_pb.js";
-import { createHttpSink } from "../../../src/node/entry/httpSink.js";
+import type { AttemptSink } from "../../../src/node/entry/attempt.js";
+import { createHttpSink, HeldAnswerEvictedError } from "../../../src/node/entry/httpSink.js";
+import { createResponseMemoryLimit } from "../../../src/node/httpClient/index.js";
 
 /** Larger than the 32 MiB that the sink holds back. */
 const content = Buffer.alloc(33 * 1024 * 1024, "a");
@@ -51,3 +53,24 @@
         expect((await receiveBrokenAnswer("1.0")).ended).toEqual("by a reset");
     });
 });
+
+describe("HTTP answers that are held back at the same time", () => {
+    // Guards against an entry instance that runs out of memory by the endless answers of a faulty backend server.
+    it("are dropped, the largest one first, once they exceed their memory limit together", () => {
+        const memoryLimit = createResponseMemoryLimit(1_000);
+        const attempts = [0, 1, 2].map(() => {
+            const response = new ServerResponse(new IncomingMessage(new Socket()));
+            const attempt = createHttpSink(response, "request-1", () => {}, memoryLimit).beginAttempt();
+            attempt.start(create(ResponseStartSchema, { status: 200, contentType: "application/json" }));
+            return attempt;
+        });
+        const [endless, other, last] = attempts as [AttemptSink, AttemptSink, AttemptSink];
+        void other.data(Buffer.alloc(300));
+        void endless.data(Buffer.alloc(600));
+        void last.data(Buffer.alloc(200));
+        expect(memoryLimit.total()).toEqual(500);
+        expect(() => endless.data(Buffer.alloc(1))).toThrow(HeldAnswerEvictedError);
+        void other.data(Buffer.alloc(100));
+        expect(memoryLimit.total()).toEqual(600);
+    });
+});
