Try again to drop a registration after the log could not be written

A failed write counted as a drop, which doubled the time until the next one. Now it is tried again after a fifth of the time without a response. removedGateways.test.ts has the log refuse calls while the registrations become due; this was not a separate failure before, since the gateways dropped them 4 s later all the same.

--- a/src/node/gateway/registrationCleanup.ts
+++ b/src/node/gateway/registrationCleanup.ts
@@ -30,7 +30,10 @@
 const checkInterval: Milliseconds = 500;
 /** Time between two checks from which on this process has stood still. */
 const stallThreshold: Milliseconds = 2_000;
-/** Gateways drop a registration at random times within this share of the time without a response. */
+/**
+ * Share of the time without a response within which gateways drop a registration at random times, and after which one
+ * that could not be dropped is tried again.
+ */
 const dropSpreadShare = 0.2;
 
 /**
@@ -45,21 +48,20 @@
     const unreachable = createUnreachableGateways({ goneAfter });
     /** Monotonic time at which this gateway drops the registration of each address that is gone. */
     const dropAt = new Map<string, Milliseconds>();
+    const dropSpread = goneAfter * dropSpreadShare;
     let checkedAt = clock.monotonic();
 
     async function drop(address: string): Promise<void> {
-        const registered = listInstances(store).filter(row => row.address === address);
-        dropAt.delete(address);
-        unreachable.recordDropped(address);
-        for (const { instance } of registered) {
+        for (const { instance } of listInstances(store).filter(row => row.address === address)) {
             const dropped = await log.put("instances", instance, Buffer.alloc(0));
-            if (dropped.isOk) {
-                logger.warn({ peer: address, registered: instance, offset: dropped.value }, "registration dropped");
-                continue;
+            if (dropped.isErr) {
+                const { code, message, peer, step } = dropped.error;
+                logger.warn({ code, step, peer, registered: instance, detail: message }, "registration not dropped");
+                return;
             }
-            const { code, message, peer, step } = dropped.error;
-            logger.warn({ code, step, peer, registered: instance, detail: message }, "registration not dropped");
+            logger.warn({ peer: address, registered: instance, offset: dropped.value }, "registration dropped");
         }
+        unreachable.recordDropped(address);
     }
 
     function check(): void {
@@ -74,8 +76,8 @@
             dropAt.delete(address);
         }
         for (const address of gone) {
-            const due = dropAt.get(address) ?? now + random.next() * goneAfter * dropSpreadShare;
-            dropAt.set(address, due);
+            const due = dropAt.get(address) ?? now + random.next() * dropSpread;
+            dropAt.set(address, now >= due ? now + dropSpread : due);
             if (now >= due) {
                 void drop(address);
             }
--- a/test/platform/removedGateways.test.ts
+++ b/test/platform/removedGateways.test.ts
@@ -76,6 +76,9 @@
         });
         const { store } = remaining;
         const topic = "keyed.goldcrestpoint-instances";
+        store.setFault("busy");
+        await sleep(3_500);
+        store.setFault("none");
         const countDropped = (): number =>
             Array.from({ length: removed }, (...[, index]) => `gateway-0-000${index + 1}`)
                 .filter(key => store.countRecords(topic, key) > 1).length;
