--- a/src/node/gateway/registrationCleanup.ts
+++ b/src/node/gateway/registrationCleanup.ts
@@ -37,8 +37,8 @@
 const dropSpreadShare = 0.2;
 
 /**
- * Creates the cleanup of registrations. A gateway that other gateways cannot reach although it runs registers itself
- * again; the time until it is dropped once more is doubled each time.
+ * Creates the cleanup of registrations. A gateway that still runs registers itself again, and the time until its next
+ * drop doubles.
  *
  * @param input - log, registered gateways and times
  * @returns the cleanup; disposing of it ends the checks
--- a/src/runtime/gateway/unreachableGateways.ts
+++ b/src/runtime/gateway/unreachableGateways.ts
@@ -12,7 +12,7 @@
     recordReached(address: string): void;
     /** Records that a gateway has not responded to a call. */
     recordFailed(address: string, now: Milliseconds): void;
-    /** Starts all times anew, since the calls may have failed because this process stood still. */
+    /** Resets all times, since the calls may have failed because this process was not running. */
     restart(now: Milliseconds): void;
     /** Forgets the gateways that are no longer registered. */
     keepOnly(addresses: ReadonlySet<string>): void;
--- a/src/runtime/replica/directReads.ts
+++ b/src/runtime/replica/directReads.ts
@@ -28,8 +28,8 @@
 
 /**
  * Decides whether this process reads a topic with many changes from the log itself. The process of rank 0 always does,
- * and relays the records; the others follow, one rank after the other, when the relayed records become too old. The one
- * that follows goes on until an instance of lower rank reads again.
+ * and relays the records; the others follow, one rank after the other, when the relayed records become too old. That
+ * process keeps reading until an instance of lower rank reads again.
  *
  * @param input - who relays, and the age of what was relayed
  * @returns true if this process is to read now
