--- a/src/types/keyedLog.ts
+++ b/src/types/keyedLog.ts
@@ -69,7 +69,7 @@
      * @param topic - topic to write to
      * @param key - key of the record
      * @param value - content of the record
-     * @returns its offset; `APPEND_AMBIGUOUS` if the response was lost
+     * @returns its offset; `APPEND_AMBIGUOUS` if the response was lost or does not tell whether the record was appended
      */
     put(topic: KeyedTopic, key: string, value: Uint8Array): PortResult<Offset>;
     /**
--- a/test/platform/standIn/storeStandIn.ts
+++ b/test/platform/standIn/storeStandIn.ts
@@ -8,9 +8,11 @@
  * - `many`: calls are refused with status 429;
  * - `reset`: the connection is closed without a response;
  * - `silent`: calls get no response;
- * - `lost`: records are appended, and the connection is closed without a response.
+ * - `lost`: records are appended, and the connection is closed without a response;
+ * - `failed`: records are appended, and the call is answered with status 500;
+ * - `unreadable`: records are appended, and the call is answered with a body that is no JSON.
  */
-export type StoreFault = "none" | "busy" | "many" | "reset" | "silent" | "lost";
+export type StoreFault = "none" | "busy" | "many" | "reset" | "silent" | "lost" | "failed" | "unreadable";
 
 interface StoredRecord {
     readonly offset: number;
@@ -167,6 +169,14 @@
             response.destroy();
             return;
         }
+        if (fault === "failed") {
+            sendJson(response, 500, {});
+            return;
+        }
+        if (fault === "unreadable") {
+            response.writeHead(200).end("{");
+            return;
+        }
         sendJson(response, 200, { offset, end: offset + 1 });
     }
 
--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -110,13 +110,16 @@
         });
     }
 
-    it("reports a write whose response is lost as ambiguous, since it may have taken effect", async () => {
-        await using store = await startStoreStandIn();
-        await using client = createStoreClient({ address: store.address });
-        store.setFault("lost");
-        const written = await client.put("instances", "gateway-1", Buffer.from("{}"));
-        expect(written.isErr && written.error.mayHaveTakenEffect).toEqual(true);
-        store.setFault("none");
-        expect(expectOk(await client.readNewest("instances")).records.length).toEqual(1);
-    });
+    for (const fault of ["lost", "failed", "unreadable"] as const) {
+        it(`reports a write whose response is ${fault} as ambiguous, since it may have taken effect`, async () => {
+            await using store = await startStoreStandIn();
+            await using client = createStoreClient({ address: store.address });
+            store.setFault(fault);
+            const written = await client.put("instances", "gateway-1", Buffer.from("{}"));
+            expect(written.isErr && written.error.mayHaveTakenEffect).toEqual(true);
+            expect(written.isErr && written.error.code).toEqual("APPEND_AMBIGUOUS");
+            store.setFault("none");
+            expect(expectOk(await client.readNewest("instances")).records.length).toEqual(1);
+        });
+    }
 });
