Read the engine's state while an order of unknown outcome may still take effect

After an order whose answer is lost, an agent of a deployment gives no other order until the order time limit (5 s by default) has passed. It did not read the engine's state in that time either: it went on serving by the state read right after the failed call, as if the order had not happened. If the order took effect within the limit, requests were still sent to the weights before it, and the engine's answers were refused as mismatched, whether or not a request may be repeated. An engine that did not respond to that one read counted as unreachable for the whole limit.

The state is now read at the usual interval in that time, and only orders are withheld. The phase is updated, too, except that a copy does not become `released` then, since the order may still load it.

Evidence: the test of the late order failed before ('The value "scribe v1" is not equal to "scribe v2"'). The test of the released copy passed before; it fails with the exception for `released` taken out.

--- a/src/node/agent/orderController.ts
+++ b/src/node/agent/orderController.ts
@@ -110,13 +110,26 @@
         await readState();
     }
 
+    function isReadDue(): boolean {
+        return engineReadAt === undefined || clock.monotonic() - engineReadAt >= options.stateInterval;
+    }
+
+    /** Reads the state while an order of unknown outcome may still take effect; requests depend on the active set. */
+    async function observe(readInput: () => OrderInput): Promise<void> {
+        if (isReadDue()) {
+            await readState();
+        }
+        const next = plan(readInput()).phase;
+        // The order may still load the copy.
+        phase = next === "released" ? phase : next;
+    }
+
     async function run(readInput: () => OrderInput): Promise<void> {
         if (clock.monotonic() < noOrdersUntil) {
+            await observe(readInput);
             return;
         }
-        const isDue = engineReadAt === undefined || engineReadAt < noOrdersUntil ||
-            clock.monotonic() - engineReadAt >= options.stateInterval;
-        if (isDue) {
+        if (isReadDue() || engineReadAt! < noOrdersUntil) {
             await readState();
         }
         const decision = plan(readInput());
--- a/test/node/agent/copyController.test.ts
+++ b/test/node/agent/copyController.test.ts
@@ -32,6 +32,9 @@
     const store = createStateStore();
     const progress = { manifestDigest: scribe.manifestDigest, chunksComplete: 0, chunksTotal: 1, complete: false };
     const lost: EngineOrder["kind"][] = [];
+    /** Kinds of orders that have not reached the engine when their answer is given up. */
+    const late: EngineOrder["kind"][] = [];
+    const inTransit: EngineOrder[] = [];
     let onNextState = (): void => {};
     const backend = {
         ...engine,
@@ -41,9 +44,12 @@
             return engine.readState();
         },
         order: async (order: EngineOrder) => {
-            const result = await engine.order(order);
-            const isLost = lost.includes(order.kind);
-            return isLost ?
+            const isLate = late.includes(order.kind);
+            const result = isLate ? undefined : await engine.order(order);
+            if (isLate) {
+                inTransit.push(order);
+            }
+            return result === undefined || lost.includes(order.kind) ?
                 err(createError("ORDER_AMBIGUOUS", "order", "engine", "lost", { mayHaveTakenEffect: true })) :
                 result;
         },
@@ -73,6 +79,12 @@
         clock,
         engine,
         lost,
+        late,
+        deliverLateOrders: async () => {
+            for (const order of inTransit.splice(0)) {
+                await engine.order(order);
+            }
+        },
         progress,
         store,
         controller,
@@ -135,6 +147,41 @@
         });
     }
 
+    // Guards against requests that are sent to weights that an order of unknown outcome has replaced meanwhile.
+    it("notices an order that takes effect late before it may give the next one", async () => {
+        const agent = await createServingAgent();
+        const next = createWeights("scribe", "v2");
+        agent.late.push("activate");
+        agent.place({ base: 1, copies: [createScribeCopy({ epoch: 1, weights: next })] });
+        Object.assign(agent.progress, { manifestDigest: next.manifestDigest, complete: false });
+        await agent.tick(2);
+        await agent.engine.stageChunk(next.manifestDigest, 0, new Uint8Array([2]));
+        agent.progress.complete = true;
+        await agent.tick(2);
+        expect(agent.controller.readServing().manifestDigest).toEqual(scribe.manifestDigest);
+        await agent.deliverLateOrders();
+        await agent.tick(1);
+        expect(agent.controller.readServing().manifestDigest).toEqual(next.manifestDigest);
+        expect(agent.readPhases()).toEqual(["scribe serving"]);
+        const given = agent.engine.orders.length;
+        await agent.tick(3);
+        expect(agent.engine.orders.length).toEqual(given);
+    });
+
+    // Guards against a copy that counts as released while an order may still stage or load it.
+    it("does not report a copy as released while an order may still take effect", async () => {
+        const agent = createAgent();
+        agent.late.push("prepare");
+        agent.place({ copies: [createScribeCopy()] });
+        await agent.tick(2);
+        agent.place({ base: 1, copies: [createScribeCopy({ epoch: 1, state: "revoked", revokedAt: 2 })] });
+        await agent.tick(2);
+        expect(agent.readPhases()).not.toEqual(["scribe released"]);
+        agent.clock.advance(orderTimeLimit);
+        await agent.tick(2);
+        expect(agent.readPhases()).toEqual(["scribe released"]);
+    });
+
     // Guards against chunks that are dropped although the new agent process could continue with them.
     it("keeps chunks that were staged before the agent restarted", async () => {
         const agent = createAgent();
