Specify loads of an engine that takes what is staged when it accepts an order

engineOrders.qnt models late orders of agents whose engines have no staging area with one copy per model. Nothing modelled the agent whose engine loads the staged chunks as they are when it accepts an order, so that a late order or write makes tokens with wrong weights.

stagedWeights.qnt models late and repeated orders, late writes, chunks that turn bad, restarts of agent and engine, and the reports to gateways, with the invariant that no token is made with wrong weights. Twelve guards can be disabled, one a module; for each of them a violation was found and is in the test with its seed.

The model showed failures that the design did not cover when it was written: writes of unknown outcome that hide a wrong chunk, a restarted agent that repairs chunks beside the order of its predecessor, an order that reaches an engine that has just restarted, and a gateway that keeps an old verification.

--- a/test/specs/specifications.test.ts
+++ b/test/specs/specifications.test.ts
@@ -55,6 +55,17 @@
 const placement = { file: "placementFencing", invariants: ["noExtraCopy", "neverReverts"], steps: 24 };
 const orders = { file: "engineOrders", invariants: ["predecessorNeverWins", "olderNeverWins"], steps: 20 };
 const slowOrders = { ...orders, invariants: ["olderNeverWins"] };
+const staged = { file: "stagedWeights", invariants: ["noWrongTokens"], steps: 24 };
+/** First states of runs of the design with a staging area. */
+const stagedInits = [
+    "init",
+    "initVerified",
+    "initWritten",
+    "initOrdered",
+    "initRepeated",
+    "initOrderedAfterRestart",
+    "initPredecessor",
+];
 const atMostOnce = { file: "atMostOnce", invariants: ["runsAtMostOnce", "refusalsHold"], steps: 20 };
 
 const restartedWitness = { ...placement, init: "initRestartedWitness" };
@@ -66,6 +77,7 @@
     { ...orders, module: "ignoringEngine", samples: 100, seeds: ["1", "70000000"] },
     { ...orders, module: "checkingEngine", samples: 100, seeds: ["1", "70000000"] },
     { ...slowOrders, module: "checkingEngineSlowOrders", samples: 100, seeds: ["1", "70000000"] },
+    ...stagedInits.map(init => ({ ...staged, module: "stagedWeightsDesign", init, samples: 150, seeds: ["70000000"] })),
 ];
 
 /**
@@ -84,6 +96,18 @@
     { ...orders, module: "checkingWithoutStartWait", seed: "0x921a" },
     { ...orders, module: "ignoringWithoutAnswerWait", seed: "0xdf" },
     { ...slowOrders, module: "ignoringEngineSlowOrders", seed: "0xabc7" },
+    { ...staged, module: "withoutVerification", init: "init", seed: "0x1" },
+    { ...staged, module: "withoutReadBack", init: "initOrdered", seed: "0xf3" },
+    { ...staged, module: "withoutIdentity", init: "initVerified", seed: "0x17ea8" },
+    { ...staged, module: "withoutRecentReports", init: "initVerified", seed: "0x6aff" },
+    { ...staged, module: "withoutFreshKnowledge", init: "initOrdered", seed: "0x1ea" },
+    { ...staged, module: "withoutFrozenStaging", init: "initOrdered", seed: "0x6322" },
+    { ...staged, module: "withoutGivingUp", init: "initOrdered", seed: "0x11355" },
+    { ...staged, module: "withoutAnsweredWrites", init: "initWritten", seed: "0x56dcb" },
+    { ...staged, module: "withoutPredecessorWait", init: "initPredecessor", seed: "0x75f1" },
+    { ...staged, module: "withoutReportAfterWait", init: "initPredecessor", seed: "0xbfa09" },
+    { ...staged, module: "withoutAllAnswers", init: "initRepeated", seed: "0xdc499" },
+    { ...staged, module: "withoutStartOfOrder", init: "initOrderedAfterRestart", seed: "0x8874c" },
     { ...atMostOnce, module: "withoutNextOwners", seed: "0x59041" },
     { ...atMostOnce, module: "withoutStoppedOwners", seed: "0x47e52" },
     { ...atMostOnce, module: "withoutPredateCheck", seed: "0xd18" },
@@ -95,8 +119,9 @@
 describe("specifications", { concurrency: 6 }, () => {
     for (const { seeds, ...design } of designs) {
         for (const seed of seeds) {
+            const from = "init" in design ? ` from ${design.init}` : "";
             // Guards against a design whose rules permit a violation of the invariants.
-            it(`${design.module} satisfies its invariants with seed ${seed}`, async () => {
+            it(`${design.module} satisfies its invariants with seed ${seed}${from}`, async () => {
                 await expectOutcome({ ...design, seed }, "[ok]");
             });
         }
