--- a/test/platform/standIn/storeStandIn.ts
+++ b/test/platform/standIn/storeStandIn.ts
@@ -228,6 +228,9 @@
         countCalls: () => calls,
         countImmediateReads: topic => immediateReads.get(topic) ?? 0,
         countRecords: (topic, key) => getOrCreateTopic(topic).records.filter(record => record.key === key).length,
-        [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
+        [Symbol.asyncDispose]: async () => {
+            await server[Symbol.asyncDispose]();
+            waiting.forEach(wake => wake());
+        },
     };
 }
