Log answers that are cut off during a shutdown

When a gateway shut down, nothing in its log told whether an answer was lost: `drained` counted open responses, and Node reports a response as finished once its connection is destroyed, even if bytes were still waiting.

`answer cut off` is logged for each answer whose connection closes during a shutdown before the last byte has left the process, with the side that closed it and whether the whole answer was waiting. `drained` also gives the unsent bytes and the queued requests. The lines tell a connection taken for idle from a queue at the end of the drain and from an attempt that failed.

The watch of a caller moves to a file of its own without a change.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Logger } from "pino";
 import { err, ok, type Result } from "true-myth/result";
 import {
     anonymousAccount,
@@ -24,9 +25,11 @@
 import { hasUndecodedTransferCoding } from "../httpClient/index.js";
 import { abortResponse, readBody, splitAddress } from "../httpServer/index.js";
 import { type GatewayStatus, sendGatewayAnswer } from "./callerAnswer.js";
+import { watchCaller } from "./callerWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import { createOpenAnswers, type OpenAnswerCounts } from "./openAnswers.js";
 import { createPollQueue } from "./pollQueue.js";
-import type { AbortReason, GatewayRequest } from "./types.js";
+import type { GatewayRequest } from "./types.js";
 
 /** Dependencies of {@link startCallerServer}. */
 export interface CallerServerInput {
@@ -38,8 +41,7 @@
     readonly metrics: GatewayMetrics;
     /** Share of the target latency for which a request may wait in the queue. */
     readonly waitShare: number;
-    /** Logs a request that is rejected before it is served. */
-    readonly logRejected: (fields: Readonly<Record<string, unknown>>) => void;
+    readonly logger: Logger;
 }
 
 /** Running HTTP server for callers. */
@@ -50,8 +52,8 @@
     beginShutdown(): void;
     /** Stops accepting connections, and closes idle ones. */
     stopAccepting(): void;
-    /** Counts the requests whose answer has not ended. */
-    readonly countOpen: () => number;
+    /** Counts the answers that have not been sent completely, including those that have not begun. */
+    readonly countOpen: () => OpenAnswerCounts;
 }
 
 /** Largest priority value. A request's priority is this value minus its urgency, since the two scales are opposite. */
@@ -71,55 +73,6 @@
     return headers;
 }
 
-/** Abort signal of one request, with the reason for the abort. */
-interface CallerWatch {
-    /** Aborted when the caller disconnects or the time limit expires. */
-    readonly signal: AbortSignal;
-    /** Resolves when the signal is aborted. */
-    readonly ended: Promise<undefined>;
-    readonly readReason: () => AbortReason | undefined;
-    /** Sets the time after which the signal is aborted. */
-    setTimeLimit(duration: Milliseconds): void;
-    /** Removes the time limit. */
-    clearTimeLimit(): void;
-}
-
-function watchCaller({ socket }: IncomingMessage, response: ServerResponse): CallerWatch {
-    const controller = new AbortController();
-    let reason: AbortReason | undefined;
-    let timer: NodeJS.Timeout | undefined;
-    const abort = (cause: AbortReason): void => {
-        reason ??= cause;
-        controller.abort();
-    };
-    const handleDisconnect = (): void => {
-        if (!response.writableFinished) {
-            abort("caller-gone");
-        }
-    };
-    // After the caller has ended its half of the connection, the response emits "close" only some event loop iterations
-    // later, once this side has ended its half too.
-    socket.once("end", handleDisconnect);
-    response.once("close", () => {
-        clearTimeout(timer);
-        socket.off("end", handleDisconnect);
-        handleDisconnect();
-    });
-    return {
-        signal: controller.signal,
-        ended: new Promise(resolve => {
-            controller.signal.addEventListener("abort", () => resolve(undefined), { once: true });
-        }),
-        readReason: () => reason,
-        setTimeLimit: duration => {
-            if (!controller.signal.aborted) {
-                timer = setTimeout(() => abort("route-timeout"), Math.max(0, duration));
-            }
-        },
-        clearTimeLimit: () => clearTimeout(timer),
-    };
-}
-
 /**
  * Starts the HTTP server for callers.
  *
@@ -128,12 +81,21 @@
  */
 export function startCallerServer(input: CallerServerInput): Promise<Result<CallerServer, GoldcrestpointError>> {
     const { clock, metrics, protocol } = input;
-    const open = new Set<ServerResponse>();
+    const answers = createOpenAnswers(({ closedBy, ended, incoming }) => {
+        if (closing) {
+            const { requestId } = protocol.decodeCall(joinHeaders(incoming)) ?? {};
+            input.logger.warn({ requestId, path: incoming.url, closedBy, ended }, "answer cut off");
+        }
+    });
     let closing = false;
     let stopped = false;
     const callerTimeouts = createCallerTimeoutTable();
     const pollQueue = createPollQueue();
 
+    function logRejected(fields: Readonly<Record<string, unknown>>): void {
+        input.logger.warn(fields, "request rejected");
+    }
+
     function reject(
         incoming: IncomingMessage,
         response: ServerResponse,
@@ -143,7 +105,7 @@
     ): void {
         const revision = input.routes()?.configuration.revision;
         metrics.countRejected(reason);
-        input.logRejected({
+        logRejected({
             requestId: protocol.decodeCall(joinHeaders(incoming))?.requestId,
             status,
             reason,
@@ -278,10 +240,7 @@
                 // The request arrived after this side had closed the connection, so it is not served.
                 return;
             }
-            open.add(response);
-            response.once("close", () => {
-                open.delete(response);
-            });
+            answers.add(incoming, response);
             response.once("finish", () => {
                 if (stopped) {
                     // If the head was sent before the shutdown, it has no `Connection: close`.
@@ -290,7 +249,7 @@
             });
             handle(incoming, response).catch((error: unknown) => {
                 const detail = error instanceof Error ? error.stack ?? error.message : String(error);
-                input.logRejected({ reason: "internal", detail, path: incoming.url });
+                logRejected({ reason: "internal", detail, path: incoming.url });
                 abortResponse(response);
             });
         },
@@ -316,10 +275,10 @@
                     server.close();
                     server.closeIdleConnections();
                 },
-                countOpen: () => open.size,
+                countOpen: answers.count,
                 [Symbol.asyncDispose]: () => {
                     server.close();
-                    open.forEach(abortResponse);
+                    answers.abort();
                     server.closeAllConnections();
                     return Promise.resolve();
                 },
--- /dev/null
+++ b/src/node/gateway/callerWatch.ts
@@ -0,0 +1,59 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Milliseconds } from "../../types/index.js";
+import type { AbortReason } from "./types.js";
+
+/** Abort signal of one request, with the reason for the abort. */
+export interface CallerWatch {
+    /** Aborted when the caller disconnects or the time limit expires. */
+    readonly signal: AbortSignal;
+    /** Resolves when the signal is aborted. */
+    readonly ended: Promise<undefined>;
+    readonly readReason: () => AbortReason | undefined;
+    /** Sets the time after which the signal is aborted. */
+    setTimeLimit(duration: Milliseconds): void;
+    /** Removes the time limit. */
+    clearTimeLimit(): void;
+}
+
+/**
+ * Watches the caller of a request.
+ *
+ * @param incoming - the request
+ * @param response - response to the caller
+ * @returns signal that is aborted when the caller disconnects or the time limit expires
+ */
+export function watchCaller({ socket }: IncomingMessage, response: ServerResponse): CallerWatch {
+    const controller = new AbortController();
+    let reason: AbortReason | undefined;
+    let timer: NodeJS.Timeout | undefined;
+    const abort = (cause: AbortReason): void => {
+        reason ??= cause;
+        controller.abort();
+    };
+    const handleDisconnect = (): void => {
+        if (!response.writableFinished) {
+            abort("caller-gone");
+        }
+    };
+    // After the caller has ended its half of the connection, the response emits "close" only some event loop iterations
+    // later, once this side has ended its half too.
+    socket.once("end", handleDisconnect);
+    response.once("close", () => {
+        clearTimeout(timer);
+        socket.off("end", handleDisconnect);
+        handleDisconnect();
+    });
+    return {
+        signal: controller.signal,
+        ended: new Promise(resolve => {
+            controller.signal.addEventListener("abort", () => resolve(undefined), { once: true });
+        }),
+        readReason: () => reason,
+        setTimeLimit: duration => {
+            if (!controller.signal.aborted) {
+                timer = setTimeout(() => abort("route-timeout"), Math.max(0, duration));
+            }
+        },
+        clearTimeLimit: () => clearTimeout(timer),
+    };
+}
--- a/src/node/gateway/drainCallers.ts
+++ b/src/node/gateway/drainCallers.ts
@@ -24,7 +24,7 @@
     const endsAt = clock.monotonic() + limit;
     await sleep(Math.min(gateway.acceptAfterShutdown, limit));
     callers.stopAccepting();
-    while (callers.countOpen() > 0 && clock.monotonic() < endsAt) {
+    while (callers.countOpen().open > 0 && clock.monotonic() < endsAt) {
         await sleep(countInterval);
         callers.stopAccepting();
     }
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -262,7 +262,7 @@
         serve,
         metrics: gatewayMetrics,
         waitShare: gateway.waitForEarlyAnswerShare,
-        logRejected: fields => logger.warn(fields, "request rejected"),
+        logger,
     });
     if (callers.isErr) {
         return err(callers.error);
@@ -344,7 +344,7 @@
         drain: async () => {
             draining = true;
             await drainCallers(callerServer, settings, clock);
-            logger.info({ open: callerServer.countOpen() }, "drained");
+            logger.info({ ...callerServer.countOpen(), queued: queues.countQueued() }, "drained");
         },
     });
 }
--- /dev/null
+++ b/src/node/gateway/openAnswers.ts
@@ -0,0 +1,63 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { abortResponse } from "../httpServer/index.js";
+
+/** Answer that ended before it was sent completely. */
+export interface CutAnswer {
+    readonly incoming: IncomingMessage;
+    /** Which side closed the connection. */
+    readonly closedBy: "caller" | "gateway";
+    /** True if the rest of the answer was only waiting to be sent. */
+    readonly ended: boolean;
+}
+
+/** Number and size of the answers that have not been sent completely. */
+export interface OpenAnswerCounts {
+    readonly open: number;
+    /** Bytes of them that wait in the process. */
+    readonly unsentBytes: number;
+}
+
+/** Answers to callers that have not been sent completely. */
+export interface OpenAnswers {
+    /** Adds an answer until it is sent or its connection has closed. */
+    add(incoming: IncomingMessage, response: ServerResponse): void;
+    readonly count: () => OpenAnswerCounts;
+    /** Breaks off all answers. */
+    abort(): void;
+}
+
+/**
+ * Creates an empty set of answers.
+ *
+ * @param onCut - called for each answer whose connection closed before it was sent completely
+ * @returns the set
+ */
+export function createOpenAnswers(onCut: (answer: CutAnswer) => void): OpenAnswers {
+    const open = new Set<ServerResponse>();
+    return {
+        add: (incoming, response) => {
+            const { socket } = incoming;
+            let isSent = false;
+            open.add(response);
+            response.once("finish", () => {
+                // A response whose connection was destroyed emits "finish" too.
+                isSent = !socket.destroyed;
+            });
+            response.once("close", () => {
+                open.delete(response);
+                if (!isSent) {
+                    onCut({
+                        incoming,
+                        closedBy: socket.readableEnded || socket.errored instanceof Error ? "caller" : "gateway",
+                        ended: response.writableEnded,
+                    });
+                }
+            });
+        },
+        count: () => ({
+            open: open.size,
+            unsentBytes: [...open].reduce((sum, { writableLength }) => sum + writableLength, 0),
+        }),
+        abort: () => open.forEach(abortResponse),
+    };
+}
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -72,6 +72,8 @@
     draining: define("process", anyProgram, "the process received SIGTERM or SIGINT", ["signal"]),
     drained: define("process", ["gateway"], "no request is in progress, or the time limit of the drain has passed", [
         "open",
+        "unsentBytes",
+        "queued",
     ]),
     stopped: define("process", anyProgram, "all resources are released, and the process exits"),
     "settings reloaded": define("process", both, "the changed settings file was applied"),
@@ -237,6 +239,12 @@
         ],
     ),
     "request failed unexpectedly": define("request", ["entry", "agent"], "an unexpected exception ended a request"),
+    "answer cut off": define(
+        "request",
+        ["gateway"],
+        "a connection closed during a shutdown before its answer was sent completely",
+        ["requestId", "path", "closedBy", "ended"],
+    ),
     "backend server failed": define("request", ["agent"], "a request failed at the backend server", error),
     "log lines dropped": define("process", both, "lines were dropped because the reader fell behind", ["lines"]),
 } satisfies Readonly<Record<string, EventDefinition>>;
