Keep connections open until their answers have left the process

Callers that read slowly got 4 to 10 of 6 to 13 million bytes when their gateway shut down; the backend server had delivered the whole answer, and an unsafe request cannot be repeated.

Node's `server.close` and `closeIdleConnections` destroy a connection once `end()` was called on its response, even if the rest waits in the process for the caller. A gateway called both when it stopped accepting connections, 2.7 s after SIGTERM, and then every 0.1 s.

`DrainableServer` counts what each connection owes until the response has been handed over to the operating system, and ends a connection instead of destroying it, so that the system sends what it still holds. It also no longer ends a connection whose next answer is in progress. The drain ends when no answer is open, or at its time limit.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Logger } from "pino";
 import { err, ok, type Result } from "true-myth/result";
 import {
@@ -23,7 +23,7 @@
     type RouteRow,
 } from "../../types/index.js";
 import { hasUndecodedTransferCoding } from "../httpClient/index.js";
-import { abortResponse, readBody, splitAddress } from "../httpServer/index.js";
+import { abortResponse, DrainableServer, readBody, splitAddress } from "../httpServer/index.js";
 import { type GatewayStatus, sendGatewayAnswer } from "./callerAnswer.js";
 import { watchCaller } from "./callerWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
@@ -50,7 +50,7 @@
     applyLimits(limits: CallerLimits): void;
     /** Asks callers from now on to close their connections, with `connection: close`. */
     beginShutdown(): void;
-    /** Stops accepting connections, and closes idle ones. */
+    /** Stops accepting connections, and closes each one as soon as no answer is left to send on it. */
     stopAccepting(): void;
     /** Counts the answers that have not been sent completely, including those that have not begun. */
     readonly countOpen: () => OpenAnswerCounts;
@@ -233,20 +233,10 @@
         }
     }
 
-    const server: Server = createServer(
+    const server = new DrainableServer(
         { maxHeaderSize: initialMaximumHeaderBytes, requireHostHeader: false },
         (incoming, response) => {
-            if (incoming.socket.writableEnded) {
-                // The request arrived after this side had closed the connection, so it is not served.
-                return;
-            }
             answers.add(incoming, response);
-            response.once("finish", () => {
-                if (stopped) {
-                    // If the head was sent before the shutdown, it has no `Connection: close`.
-                    incoming.socket.end();
-                }
-            });
             handle(incoming, response).catch((error: unknown) => {
                 const detail = error instanceof Error ? error.stack ?? error.message : String(error);
                 logRejected({ reason: "internal", detail, path: incoming.url });
@@ -273,7 +263,6 @@
                 stopAccepting: () => {
                     stopped = true;
                     server.close();
-                    server.closeIdleConnections();
                 },
                 countOpen: answers.count,
                 [Symbol.asyncDispose]: () => {
--- a/src/node/gateway/drainCallers.ts
+++ b/src/node/gateway/drainCallers.ts
@@ -26,6 +26,5 @@
     callers.stopAccepting();
     while (callers.countOpen().open > 0 && clock.monotonic() < endsAt) {
         await sleep(countInterval);
-        callers.stopAccepting();
     }
 }
--- a/src/node/httpServer/index.ts
+++ b/src/node/httpServer/index.ts
@@ -1,3 +1,4 @@
+export * from "./drainableServer.js";
 export * from "./endToEndHeaders.js";
 export * from "./httpServer.js";
 export * from "./responses.js";
--- a/test/platform/standIn/gateway.ts
+++ b/test/platform/standIn/gateway.ts
@@ -14,6 +14,8 @@
 /** Gateway that runs in the process of the test. */
 export interface TestGateway extends AsyncDisposable {
     readonly gatewayUrl: string;
+    /** Address for callers. */
+    readonly callers: { readonly host: string; readonly port: number; };
     readonly readyUrl: string;
     readonly metricsUrl: string;
     /** `host:port` at which the gateway relays records. */
@@ -82,6 +84,7 @@
     const stack = startedParts.move();
     return {
         gatewayUrl: `http://127.0.0.1:${callerPort}`,
+        callers: { host: "127.0.0.1", port: callerPort! },
         readyUrl: `http://127.0.0.1:${readyPort}/api/ready`,
         metricsUrl: `http://127.0.0.1:${metricsPort}/metrics`,
         relayAddress: `127.0.0.1:${relayPort}`,
--- /dev/null
+++ b/test/platform/standIn/workRunner.ts
@@ -0,0 +1,78 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { sleep } from "../../../src/utils/index.js";
+import { type HttpStandIn, startHttpStandIn } from "./httpStandIn.js";
+
+/** Request that a runner has begun to work on. */
+export interface Work {
+    readonly attemptId: string;
+    /** Monotonic time in milliseconds at which the runner had written its whole answer; undefined before. */
+    answeredAt: number | undefined;
+    /** True if the channel ended before the whole answer was written. */
+    isCanceled: boolean;
+}
+
+/** Runner whose work is described by the query of each request. */
+export interface WorkRunner extends HttpStandIn {
+    readonly work: readonly Work[];
+}
+
+function readNumber(url: URL, name: string, byDefault: number): number {
+    return Number(url.searchParams.get(name) ?? byDefault);
+}
+
+async function sendEvents(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const events = readNumber(url, "events", 1);
+    const filling = "x".repeat(readNumber(url, "eventBytes", 1));
+    const silentAfter = readNumber(url, "silentAfter", 0);
+    const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+    for (let id = first; id <= events && !response.destroyed; id++) {
+        response.write(`id: ${id}\ndata: ${filling}\n\n`);
+        await sleep(readNumber(url, "interval", 1));
+        if (id === silentAfter) {
+            await sleep(readNumber(url, "silence", 0));
+        }
+    }
+    response.end();
+}
+
+/**
+ * Starts a runner that works as the query of a request states, with times in milliseconds: `work` before the answer,
+ * then `bytes` at once, or, if `events` is stated, that many events of `eventBytes` every `interval`, with a pause of
+ * `silence` after the event `silentAfter`.
+ *
+ * @param id - identifier of the runner
+ * @returns the runner
+ */
+export async function startWorkRunner(id: string): Promise<WorkRunner> {
+    const all: Work[] = [];
+    const standIn = await startHttpStandIn(async (request, response, url) => {
+        const attemptId = String(request.headers["attempt-id"]);
+        if (request.headers["expect-instance"] !== id) {
+            response.writeHead(421, { "attempt-id": attemptId }).end();
+            return;
+        }
+        const work: Work = { attemptId, answeredAt: undefined, isCanceled: false };
+        all.push(work);
+        response.once("finish", () => {
+            work.answeredAt = performance.now();
+        });
+        response.once("close", () => {
+            work.isCanceled = !response.writableFinished;
+        });
+        await sleep(readNumber(url, "work", 0));
+        const isStream = url.searchParams.has("events");
+        response.writeHead(200, {
+            "attempt-id": attemptId,
+            "response-seal": "3e1b.07.5a2.600.0.c9f2a4d1",
+            "runner-load": "1,0,6",
+            "content-type": isStream ? "text/event-stream" : "text/plain",
+        });
+        if (isStream) {
+            await sendEvents(url, request, response);
+        }
+        else {
+            response.end(Buffer.alloc(readNumber(url, "bytes", 16), "a"));
+        }
+    });
+    return { ...standIn, work: all };
+}
