Send an order sequence in the load reports of deployment agents

The field was added to the message without a value here, so that the types no longer matched. Deployment agents verify what their engine activates themselves, by its manifest digest, and leave the sequence at 0.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -112,6 +112,7 @@
         draining: copyController.draining,
         ageMilliseconds: 0n,
         cachedPrefixes: [...executor.recentPrefixes],
+        orderSequence: 0n,
     }), relay.heartbeat));
 
     const followers = resources.use(startFollowerSet({
