Log what tells late orders, late writes and corrupt chunks apart

Real processes answered with the weights of several versions, and the logs could not show why. Three hypotheses fit: an order of unknown outcome is accepted after the staging area has changed; a write of unknown outcome is carried out after the chunks were verified; chunks become corrupt while the order is under way.

The agent now reads the staged chunks back after each acceptance and logs which of them do not belong to the loaded version, and to which other known version they do. It logs the orders and writes whose responses were lost, and when an order sequence shows that such an order has ended, with the delay. Nothing that the agent does depends on these lines yet.

--- a/src/node/logging/weightEvents.ts
+++ b/src/node/logging/weightEvents.ts
@@ -33,6 +33,36 @@
         "the process stood still or the engine restarted before the load, so the staged chunks are verified again",
         ["model", "version", "ageMilliseconds", "verifications"],
     ),
+    "outcome of a chunk write unknown": define(
+        "weights",
+        ["agent"],
+        "the response to a write of a staged chunk was lost, so the engine may carry it out later",
+        ["model", "index", "version", ...error],
+    ),
+    "staged chunks differ after the load was accepted": define(
+        "weights",
+        ["agent"],
+        "chunks that were read back after the engine had accepted a load do not belong to the loaded version, or were " +
+            "written meanwhile; `otherVersions` lists those that are right for another version",
+        [
+            "model",
+            "version",
+            "orderSequence",
+            "missing",
+            "corrupt",
+            "otherVersions",
+            "unresolvedWrites",
+            "wasWritten",
+            "sinceFirstReport",
+            "durationMilliseconds",
+        ],
+    ),
+    "loaded weights verified": define(
+        "weights",
+        ["agent"],
+        "every staged chunk was right when it was read back after the engine had accepted the load",
+        ["model", "version", "orderSequence", "durationMilliseconds"],
+    ),
     "weights not staged": define("weights", ["agent"], "the version to load could not be staged", error),
     "load waits": define("weights", ["agent"], "the load of a version is postponed", ["reason", "version"]),
     "drains before the last chunks": define(
@@ -53,6 +83,24 @@
         "running",
         "sinceDeclared",
     ]),
+    "load order outcome unknown": define(
+        "weights",
+        ["agent"],
+        "the response to a load order was lost, so the engine may accept it later",
+        ["model", "version", "expectedSequence", ...error],
+    ),
+    "load accepted after its outcome was unknown": define(
+        "weights",
+        ["agent"],
+        "the order sequence shows that the engine has accepted the order whose response was lost, or another one",
+        ["model", "version", "expectedSequence", "orderSequence", "delayMilliseconds"],
+    ),
+    "load order dropped by a restart of the engine": define(
+        "weights",
+        ["agent"],
+        "the engine restarted before it accepted the order whose response was lost",
+        ["model", "version", "expectedSequence"],
+    ),
     "load order failed": define("weights", ["agent"], "the order was refused, or its outcome is unknown", error),
     "order failed": define("weights", ["agent"], "an order to the engine failed", error),
 };
--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -6,11 +6,15 @@
     type VersionTransfer,
     type WantedVersion,
 } from "../../runtime/rollout/index.js";
-import type { Clock, CopyPhase, EngineControlPort, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
+import type { Clock, CopyPhase, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
 import { sleep } from "../../utils/index.js";
 import type { StallMonitor } from "../replica/index.js";
+import { createEngineReports } from "./engineReports.js";
+import { createLoadedVerification, type OrderedVersion } from "./loadedVerification.js";
 import type { EngineStatus } from "./loadFeed.js";
+import type { FindChunkVersion, StagedWrites } from "./stagedWrites.js";
 import { stageWeights, type StagingSummary } from "./stageWeights.js";
+import { createUnresolvedOrderTracker } from "./unresolvedOrder.js";
 import type { WeightMemory } from "./weightMemory.js";
 
 /** Versions that the engine should load, and the weights that are available for them. */
@@ -52,7 +56,8 @@
 
 /** Dependencies of {@link createEngineController}. */
 export interface EngineControllerInput {
-    readonly engine: EngineControlPort;
+    /** Engine on the same instance; every write to its staging area goes through here. */
+    readonly writes: StagedWrites;
     readonly memory: WeightMemory;
     /** Host of the engine, as it appears in the members of the target. */
     readonly self: string;
@@ -63,6 +68,9 @@
     /** Called around a drain and a load order, so that gateways send nothing to an engine that is about to load. */
     readonly publish: (status: EngineStatus) => void;
     readonly readTarget: () => EngineTarget | undefined;
+    /** Reads the manifest of a version; undefined if it is not known. */
+    readonly readManifest: (model: string, version: number) => Manifest | undefined;
+    readonly findVersion: FindChunkVersion;
 }
 
 /** Reads the engine's report and orders the engine to load versions, one order at a time. */
@@ -83,13 +91,14 @@
  * @returns the controller
  */
 export function createEngineController(input: EngineControllerInput): EngineController {
-    const { clock, engine, logger, memory, options, stalls } = input;
-    let report: EngineReport | undefined;
+    const { clock, logger, memory, options, stalls, writes } = input;
+    const { engine } = writes;
+    const reports = createEngineReports({ engine, clock, logger, onReport: observe });
+    const unresolvedOrder = createUnresolvedOrderTracker(clock, logger);
+    const verification = createLoadedVerification(input);
     /** Time of the last order, while no report has shown its effect. */
     let orderedAt: Milliseconds | undefined;
-    let orderedVersion = 0;
-    let orderedEngineStart: number | undefined;
-    let wasReachable: boolean | undefined;
+    let lastOrder: OrderedVersion | undefined;
     let lastReason = "";
     let isCarryingOutLoad = false;
     /** True from the drain right before a load until a later report shows what the engine does. */
@@ -98,38 +107,29 @@
     /** Version whose last chunks did not arrive during its drain; the engine does not drain early for it again. */
     let timedOutDrainVersion = 0;
 
+    function observe(report: EngineReport, requestedAt: Milliseconds): void {
+        const { weights } = report;
+        const isInEffect = weights?.complete === true && weights.version >= (lastOrder?.version ?? 0);
+        if (report.startedAt !== lastOrder?.engineStart || isInEffect) {
+            orderedAt = undefined;
+        }
+        unresolvedOrder.observe(report);
+        verification.observe(report, requestedAt, lastOrder);
+    }
+
     async function read(): Promise<void> {
         const wasLoading = loading;
-        const answer = await engine.readReport();
+        await reports.read();
         if (wasLoading && !isCarryingOutLoad) {
             loading = false;
         }
-        if (answer.isOk !== wasReachable) {
-            wasReachable = answer.isOk;
-            if (answer.isErr) {
-                const { code, message, peer, step } = answer.error;
-                logger.warn({ code, step, peer, detail: message }, "engine not reachable");
-            }
-            else {
-                logger.info({ ...answer.value }, "engine reachable");
-            }
-        }
-        report = answer.unwrapOr(undefined as never);
-        if (report !== undefined && report.startedAt !== orderedEngineStart) {
-            // The engine has restarted, so earlier orders no longer have an effect.
-            orderedEngineStart = report.startedAt;
-            orderedAt = undefined;
-        }
-        const weights = report?.weights;
-        if (weights?.complete === true && weights.version >= orderedVersion) {
-            orderedAt = undefined;
-        }
+        const weights = reports.newest()?.weights;
         memory.setActive(weights?.complete === true ? formatWeightName(weights.model, weights.version) : undefined);
     }
 
     async function verifyStaged(manifest: Manifest, version: number): Promise<StagedVerification | undefined> {
         const startedAt = clock.monotonic();
-        const engineStart = report?.startedAt;
+        const engineStart = reports.newest()?.startedAt;
         const set = formatWeightName(manifest.model, version);
         const staged = await stageWeights(engine, manifest, index => memory.read(set, index));
         if (staged.isErr) {
@@ -164,6 +164,7 @@
             input.publish(describe());
             drainsUntil ??= (drainingSince ?? clock.monotonic()) + options.drainBeforeLoad;
             const running = await drain(drainsUntil);
+            const report = reports.newest();
             if (report === undefined) {
                 return undefined;
             }
@@ -179,24 +180,27 @@
 
     async function load(target: EngineTarget, version: number, reason: string): Promise<void> {
         const { complete: manifest, model } = target;
-        if (manifest === undefined || report === undefined) {
+        if (manifest === undefined) {
             return;
         }
         const startedAt = clock.monotonic();
         const prepared = await prepareLoad(manifest, version);
+        const report = reports.newest();
         if (prepared === undefined || report === undefined) {
             loading = false;
             return;
         }
         const { running, verified } = prepared;
+        const order = { model, version, engineStart: report.startedAt, expectedSequence: report.orderSequence };
+        lastOrder = order;
+        const sentAt = clock.monotonic();
         const ordered = await engine.load({
             model,
             version,
-            expectedSequence: report.orderSequence,
+            expectedSequence: order.expectedSequence,
             running: running === 0 ? "finish" : "cut-off",
             mayWrite: () => isRecent(verified),
         });
-        orderedVersion = version;
         loading = ordered.isOk && ordered.value === "begun";
         input.publish(describe());
         const now = clock.monotonic();
@@ -213,7 +217,10 @@
         };
         if (ordered.isErr) {
             const { code, message, peer, step } = ordered.error;
-            // The next report shows whether the engine accepted the order.
+            if (ordered.error.mayHaveTakenEffect) {
+                unresolvedOrder.record({ ...order, sentAt }, ordered.error);
+            }
+            // A later report shows whether the engine accepted the order.
             orderedAt = ordered.error.mayHaveTakenEffect ? now : undefined;
             logger.warn({ ...fields, code, step, peer, detail: message }, "load order failed");
             return;
@@ -230,8 +237,8 @@
      */
     async function drain(endsAt: Milliseconds): Promise<number> {
         for (;;) {
-            const answer = await engine.readReport();
-            report = answer.unwrapOr(undefined as never);
+            await reports.read();
+            const report = reports.newest();
             const unfinished = report === undefined ? 0 : report.running + report.queued;
             if (unfinished === 0 || clock.monotonic() >= endsAt) {
                 return unfinished;
@@ -242,6 +249,7 @@
 
     async function decideAndAct(): Promise<void> {
         const target = input.readTarget();
+        const report = reports.newest();
         if (isCarryingOutLoad) {
             return;
         }
@@ -304,6 +312,7 @@
     }
 
     function readPhase(): CopyPhase {
+        const report = reports.newest();
         if (report === undefined) {
             return "lapsed";
         }
@@ -315,12 +324,12 @@
     }
 
     function describe(): EngineStatus {
-        return { report, phase: readPhase(), slots: input.readTarget()?.slots ?? 0 };
+        return { report: reports.newest(), phase: readPhase(), slots: input.readTarget()?.slots ?? 0 };
     }
 
     return {
-        readReport: () => report,
-        isLoading: () => loading || report?.busy === true,
+        readReport: reports.newest,
+        isLoading: () => loading || reports.newest()?.busy === true,
         isDraining: () => drainingSince !== undefined,
         run: async () => {
             await read();
--- /dev/null
+++ b/src/node/weightAgent/stagedWrites.ts
@@ -0,0 +1,79 @@
+import type { Logger } from "pino";
+import type { Clock, EngineControlPort, Milliseconds } from "../../types/index.js";
+
+/** Finds the version whose chunk at an index has this content; undefined if no known version has it. */
+export type FindChunkVersion = (index: number, content: Uint8Array) => number | undefined;
+
+/** Write to the staging area whose response was lost. */
+export interface UnresolvedWrite {
+    readonly index: number;
+    readonly version: number | undefined;
+}
+
+/** Dependencies of {@link trackStagedWrites}. */
+export interface StagedWritesInput {
+    readonly engine: EngineControlPort;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly findVersion: FindChunkVersion;
+}
+
+/** Writes of this process to the engine's staging area. */
+export interface StagedWrites {
+    /** The engine, with its writes recorded. */
+    readonly engine: EngineControlPort;
+    /** @returns monotonic time at which the last write ended, now if one is in progress; -Infinity if there was none */
+    readLastWriteAt(): Milliseconds;
+    /** @returns writes whose response was lost; the engine may still carry them out */
+    listUnresolved(): readonly UnresolvedWrite[];
+    /** Forgets the writes to an engine that has restarted, since it no longer has their connections. */
+    reset(): void;
+}
+
+/**
+ * Records the writes to the engine's staging area.
+ *
+ * @param input - engine to write to
+ * @returns the engine with its record of writes
+ */
+export function trackStagedWrites({ clock, engine, findVersion, logger }: StagedWritesInput): StagedWrites {
+    let inProgress = 0;
+    let lastWriteAt: Milliseconds = -Infinity;
+    const unresolved: UnresolvedWrite[] = [];
+
+    const stage: EngineControlPort["stage"] = async (model, index, content) => {
+        inProgress++;
+        try {
+            const written = await engine.stage(model, index, content);
+            if (written.isErr && written.error.mayHaveTakenEffect) {
+                const { code, message, peer, step } = written.error;
+                const version = findVersion(index, content);
+                unresolved.push({ index, version });
+                logger.warn(
+                    { code, step, peer, detail: message, model, index, version },
+                    "outcome of a chunk write unknown",
+                );
+            }
+            return written;
+        }
+        finally {
+            inProgress--;
+            lastWriteAt = clock.monotonic();
+        }
+    };
+
+    return {
+        engine: {
+            readReport: () => engine.readReport(),
+            listStaged: model => engine.listStaged(model),
+            readStaged: (model, index) => engine.readStaged(model, index),
+            stage,
+            load: order => engine.load(order),
+        },
+        readLastWriteAt: () => inProgress > 0 ? clock.monotonic() : lastWriteAt,
+        listUnresolved: () => unresolved,
+        reset: () => {
+            unresolved.length = 0;
+        },
+    };
+}
--- /dev/null
+++ b/src/node/weightAgent/unresolvedOrder.ts
@@ -0,0 +1,69 @@
+import type { Logger } from "pino";
+import type { Clock, EngineReport, GoldcrestpointError, Milliseconds } from "../../types/index.js";
+
+/** Order whose response was lost, so that the engine may still accept it. */
+export interface UnresolvedOrder {
+    readonly model: string;
+    readonly version: number;
+    readonly expectedSequence: number;
+    /** Start of the engine that got the order. */
+    readonly engineStart: number | undefined;
+    /** Monotonic time at which it was first sent. */
+    readonly sentAt: Milliseconds;
+}
+
+/** Keeps the order whose outcome is unknown until a report of the engine shows that it can no longer be accepted. */
+export interface UnresolvedOrderTracker {
+    /**
+     * Records an order whose response was lost.
+     *
+     * @param order - the order
+     * @param error - why the response was lost
+     */
+    record(order: UnresolvedOrder, error: GoldcrestpointError): void;
+    /** Ends the order if the engine has restarted or has accepted it or another one. */
+    observe(report: EngineReport): void;
+    readonly read: () => UnresolvedOrder | undefined;
+}
+
+/**
+ * Creates the tracker of an engine's unresolved order.
+ *
+ * @param clock - clock of the process
+ * @param logger - logger of the process
+ * @returns the tracker, without an order
+ */
+export function createUnresolvedOrderTracker(clock: Clock, logger: Logger): UnresolvedOrderTracker {
+    let unresolved: UnresolvedOrder | undefined;
+    return {
+        read: () => unresolved,
+        record: (order, error) => {
+            unresolved ??= order;
+            const { expectedSequence, model, version } = order;
+            const { code, message, peer, step } = error;
+            logger.warn(
+                { code, step, peer, detail: message, model, version, expectedSequence },
+                "load order outcome unknown",
+            );
+        },
+        observe: report => {
+            if (unresolved === undefined) {
+                return;
+            }
+            const { engineStart, expectedSequence, model, sentAt, version } = unresolved;
+            if (report.startedAt !== engineStart) {
+                unresolved = undefined;
+                logger.info({ model, version, expectedSequence }, "load order dropped by a restart of the engine");
+                return;
+            }
+            if (report.orderSequence !== expectedSequence) {
+                unresolved = undefined;
+                const delayMilliseconds = Math.round(clock.monotonic() - sentAt);
+                logger.warn(
+                    { model, version, expectedSequence, orderSequence: report.orderSequence, delayMilliseconds },
+                    "load accepted after its outcome was unknown",
+                );
+            }
+        },
+    };
+}
--- a/src/node/weightAgent/versionPlan.ts
+++ b/src/node/weightAgent/versionPlan.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "pino";
+import { verifyChunk } from "../../runtime/distribution/index.js";
 import { formatWeightName, initialVersion, parseWeightName } from "../../runtime/gateway/index.js";
 import {
     selectTarget,
@@ -11,6 +12,7 @@
 import { readWeightSource, type WeightSource } from "../gateway/weightSources.js";
 import type { SetToStage } from "./earlyStager.js";
 import type { EngineTarget } from "./engineController.js";
+import type { FindChunkVersion } from "./stagedWrites.js";
 
 /** Dependencies of {@link createVersionPlan}. */
 export interface VersionPlanInput {
@@ -37,6 +39,10 @@
     updateSource(value: Uint8Array): WeightSource | undefined;
     /** Stores a confirmed manifest. */
     keepManifest(set: ManifestDigest, manifest: Manifest): void;
+    /** @returns the confirmed manifest of a version; undefined if it is not known */
+    readonly readManifest: (model: string, version: number) => Manifest | undefined;
+    /** Finds the version whose chunk at an index has this content, among the versions whose manifests are known. */
+    readonly findVersion: FindChunkVersion;
     /** Records the version of the current transfer as complete if all of its chunks are verified. */
     recordProgress(): void;
     /** @returns the version to transfer; undefined if none is declared */
@@ -113,6 +119,13 @@
         keepManifest: (set, manifest) => {
             manifests.set(set, manifest);
         },
+        readManifest: (model, version) => manifests.get(formatWeightName(model, version)),
+        findVersion: (index, content) => {
+            const manifest = [...manifests.values()].find(candidate =>
+                index < candidate.chunks.length && verifyChunk(candidate, index, content)
+            );
+            return manifest === undefined ? undefined : Number(manifest.version);
+        },
         recordProgress: () => {
             const progress = readProgress();
             const version = progress?.complete === true ? parseWeightName(progress.manifestDigest).version : undefined;
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -25,6 +25,7 @@
 import { importStaged } from "./importStaged.js";
 import { createLoadFeed } from "./loadFeed.js";
 import { listRelays, readGatewaysWhileDisconnected } from "./relays.js";
+import { trackStagedWrites } from "./stagedWrites.js";
 import { createVersionPlan } from "./versionPlan.js";
 import { createWeightMemory } from "./weightMemory.js";
 import { createWeightSetOrigin } from "./weightSetOrigin.js";
@@ -114,8 +115,10 @@
         return plan.readTarget(serving.map(({ address }) => splitAddress(address).host));
     }
 
+    const { findVersion, readManifest } = plan;
+    const writes = trackStagedWrites({ engine: ports.engine, clock, logger, findVersion });
     const engineController = createEngineController({
-        engine: ports.engine,
+        writes,
         memory,
         self: engineHost,
         clock,
@@ -124,6 +127,8 @@
         options: weightAgent,
         publish: status => feed.publish(status, 0),
         readTarget,
+        readManifest,
+        findVersion,
     });
 
     function applyTarget(): void {
@@ -201,7 +206,7 @@
         log: logger,
     }));
     const earlyStager = createEarlyStager({
-        engine: ports.engine,
+        engine: writes.engine,
         readSet: () => engineController.isLoading() ? undefined : plan.readSetToStage(),
         logger,
     });
--- a/test/node/weightAgent/engineController.test.ts
+++ b/test/node/weightAgent/engineController.test.ts
@@ -4,9 +4,10 @@
 import { ok } from "true-myth/result";
 import { createStallMonitor } from "../../../src/node/replica/index.js";
 import { createEngineController, type EngineTarget } from "../../../src/node/weightAgent/engineController.js";
+import { type StagedWrites, trackStagedWrites } from "../../../src/node/weightAgent/stagedWrites.js";
 import { createWeightMemory } from "../../../src/node/weightAgent/weightMemory.js";
 import { createManifest } from "../../../src/runtime/distribution/index.js";
-import type { EngineControlPort } from "../../../src/types/index.js";
+import type { Clock, EngineControlPort } from "../../../src/types/index.js";
 import { createManualClock } from "../../../src/utils/index.js";
 
 const unused = () => Promise.reject(new Error("not expected in this test"));
@@ -30,6 +31,12 @@
 
 const logger = pino({ level: "silent" });
 
+function track(tracked: EngineControlPort, clock: Clock): StagedWrites {
+    return trackStagedWrites({ engine: tracked, clock, logger, findVersion: () => undefined });
+}
+
+const versions = { readManifest: () => undefined, findVersion: () => undefined };
+
 const options = {
     waves: 1,
     firstWaveAfter: 0,
@@ -51,7 +58,7 @@
         const readManifest = (version: number) =>
             createManifest({ model: "scribe", adapter: "", version: String(version) }, [Buffer.from([version])]);
         const controller = createEngineController({
-            engine: {
+            writes: track({
                 readReport: () =>
                     Promise.resolve(ok({
                         startedAt: 1,
@@ -71,7 +78,7 @@
                     staged.set(index, content);
                     return Promise.resolve(ok(undefined));
                 },
-            },
+            }, clock),
             memory,
             self: "a",
             clock,
@@ -88,6 +95,7 @@
                 members: ["a"],
                 slots: 4,
             }),
+            ...versions,
         });
         const runUntilOrdered = async (version: number): Promise<void> => {
             memory.import(`scribe@${version}`, 1, new Map([[0, Buffer.from([version])]]));
@@ -116,7 +124,7 @@
             slots: 4,
         });
         const controller = createEngineController({
-            engine,
+            writes: track(engine, clock),
             memory: createWeightMemory(() => 4),
             self: "a",
             clock,
@@ -125,6 +133,7 @@
             options: { ...options, firstWaveAfter: 3_000 },
             publish: ({ phase }) => published.push(phase),
             readTarget,
+            ...versions,
         });
         clock.advance(4_000);
         expect((await controller.run()).phase).toEqual("serving");
--- /dev/null
+++ b/test/node/weightAgent/engineSupport.ts
@@ -0,0 +1,240 @@
+import { type Logger, pino } from "pino";
+import { err, ok } from "true-myth/result";
+import { createStallMonitor } from "../../../src/node/replica/index.js";
+import { createEngineController, type EngineController } from "../../../src/node/weightAgent/engineController.js";
+import type { EngineStatus } from "../../../src/node/weightAgent/loadFeed.js";
+import { type StagedWrites, trackStagedWrites } from "../../../src/node/weightAgent/stagedWrites.js";
+import { createWeightMemory } from "../../../src/node/weightAgent/weightMemory.js";
+import { createManifest, verifyChunk } from "../../../src/runtime/distribution/index.js";
+import {
+    createError,
+    type EngineControlPort,
+    type EngineReport,
+    type LoadOrder,
+    type Manifest,
+} from "../../../src/types/index.js";
+import { createManualClock, type ManualClock } from "../../../src/utils/index.js";
+
+export const model = "scribe";
+export const chunkCount = 4;
+export const corrupt = Buffer.alloc(8, 255);
+
+/** Content of the chunks of a version. */
+export function createChunks(version: number): Buffer[] {
+    return Array.from({ length: chunkCount }, (...[, index]) => Buffer.alloc(8, version * 16 + index));
+}
+
+const manifests = new Map<number, Manifest>();
+
+export function readManifest(version: number): Manifest {
+    const manifest = manifests.get(version) ??
+        createManifest({ model, adapter: "", version: String(version) }, createChunks(version));
+    manifests.set(version, manifest);
+    return manifest;
+}
+
+function isRight(version: number, chunks: readonly (Uint8Array | undefined)[]): boolean {
+    return chunks.every((chunk, index) => chunk !== undefined && verifyChunk(readManifest(version), index, chunk));
+}
+
+const lost = err(createError("ORDER_AMBIGUOUS", "call engine", "engine", "timed out", { mayHaveTakenEffect: true }));
+
+/** Engine that loads what is staged when it accepts an order, and can carry out calls after their response is lost. */
+export class LateEngine implements EngineControlPort {
+    readonly staged = new Map<number, Uint8Array>();
+    startedAt = 1;
+    sequence = 0;
+    busy = false;
+    isReachable = true;
+    /** While true, the responses of orders are lost, and the orders wait for {@link deliver}. */
+    holdsOrders = false;
+    /** While true, the responses of writes are lost, and the writes wait for {@link deliver}. */
+    holdsWrites = false;
+    /** Loaded version and chunks. */
+    loaded: { readonly version: number; readonly chunks: readonly (Uint8Array | undefined)[]; } | undefined;
+    /** While true, an accepted order keeps the engine busy until {@link finish}. */
+    loadsSlowly = false;
+    readonly held: (() => void)[] = [];
+    readonly accepted: number[] = [];
+    private loading: LateEngine["loaded"];
+
+    constructor(version: number) {
+        createChunks(version).forEach((chunk, index) => this.staged.set(index, chunk));
+        this.loaded = { version, chunks: createChunks(version) };
+    }
+
+    /** Whether the engine reports a version as complete whose chunks are not those of the version. */
+    get isWrong(): boolean {
+        return this.loaded !== undefined && !isRight(this.loaded.version, this.loaded.chunks);
+    }
+
+    /** Carries out the calls whose responses were lost. */
+    deliver(count = this.held.length): void {
+        this.held.splice(0, count).forEach(call => call());
+    }
+
+    finish(): void {
+        this.busy = false;
+        this.loaded = this.loading ?? this.loaded;
+        this.loading = undefined;
+    }
+
+    restart(): void {
+        this.startedAt++;
+        this.sequence = 0;
+        this.held.length = 0;
+        this.loading = undefined;
+        this.loaded = undefined;
+        this.busy = false;
+    }
+
+    readReport(): ReturnType<EngineControlPort["readReport"]> {
+        if (!this.isReachable) {
+            return Promise.resolve(err(createError("ENGINE_UNREACHABLE", "read report", "engine", "timed out")));
+        }
+        const report: EngineReport = {
+            startedAt: this.startedAt,
+            weights: this.loaded === undefined ? undefined : { model, version: this.loaded.version, complete: true },
+            busy: this.busy,
+            orderSequence: this.sequence,
+            running: 0,
+            queued: 0,
+        };
+        return Promise.resolve(ok(report));
+    }
+
+    load(order: LoadOrder): ReturnType<EngineControlPort["load"]> {
+        if (!order.mayWrite()) {
+            return Promise.resolve(ok("refused"));
+        }
+        if (this.holdsOrders || !this.isReachable) {
+            this.held.push(() => this.accept(order));
+            return Promise.resolve(lost);
+        }
+        return Promise.resolve(ok(this.accept(order)));
+    }
+
+    listStaged(): ReturnType<EngineControlPort["listStaged"]> {
+        return Promise.resolve(ok([...this.staged.keys()]));
+    }
+
+    readStaged(...[, index]: Parameters<EngineControlPort["readStaged"]>): ReturnType<EngineControlPort["readStaged"]> {
+        return Promise.resolve(ok(this.staged.get(index)));
+    }
+
+    stage(...[, index, content]: Parameters<EngineControlPort["stage"]>): ReturnType<EngineControlPort["stage"]> {
+        if (this.holdsWrites || !this.isReachable) {
+            this.held.push(() => this.staged.set(index, content));
+            return Promise.resolve(lost);
+        }
+        this.staged.set(index, content);
+        return Promise.resolve(ok(undefined));
+    }
+
+    private accept({ expectedSequence, version }: LoadOrder): "begun" | "in-effect" | "refused" {
+        if (expectedSequence !== this.sequence || this.busy) {
+            return "refused";
+        }
+        if (this.loaded?.version === version) {
+            return "in-effect";
+        }
+        this.sequence++;
+        this.accepted.push(version);
+        this.loading = { version, chunks: createChunks(version).map((...[, index]) => this.staged.get(index)) };
+        this.loaded = undefined;
+        this.busy = true;
+        if (!this.loadsSlowly) {
+            this.finish();
+        }
+        return "begun";
+    }
+}
+
+/** Agent with the chunks of several versions in memory, beside an engine. */
+export interface TestAgent {
+    readonly controller: EngineController;
+    readonly writes: StagedWrites;
+    /** Status that gateways got last. */
+    readonly status: () => EngineStatus | undefined;
+    /** Reads the report, acts on it and waits until the calls to the engine are answered. */
+    run(rounds?: number): Promise<void>;
+    /** Versions with all chunks in memory; the newest one is the declared one. */
+    readonly versions: number[];
+}
+
+export async function settle(): Promise<void> {
+    for (let round = 0; round < 40; round++) {
+        await Promise.resolve();
+    }
+    await new Promise(resolve => setImmediate(resolve));
+}
+
+/** Destination of log lines that keeps them. */
+export function createKeptLogger(): { readonly logger: Logger; readonly lines: Record<string, unknown>[]; } {
+    const lines: Record<string, unknown>[] = [];
+    const logger = pino({}, { write: text => lines.push(JSON.parse(text) as Record<string, unknown>) });
+    return { logger, lines };
+}
+
+export function createAgent(
+    engine: EngineControlPort,
+    versions: number[],
+    clock: ManualClock = createManualClock(),
+    logger: Logger = pino({ level: "silent" }),
+): TestAgent {
+    const memory = createWeightMemory(() => chunkCount);
+    const findVersion = (index: number, content: Uint8Array): number | undefined =>
+        versions.find(version => verifyChunk(readManifest(version), index, content));
+    const writes = trackStagedWrites({ engine, clock, logger, findVersion });
+    let status: EngineStatus | undefined;
+    const controller = createEngineController({
+        writes,
+        memory,
+        self: "a",
+        clock,
+        stalls: createStallMonitor({ clock, logger }),
+        logger,
+        options: {
+            waves: 1,
+            firstWaveAfter: 0,
+            waveInterval: 1_000,
+            lastWaveAfter: 6_000,
+            repeatAfter: 3_000,
+            drainBeforeLoad: 1_000,
+            maximumStagedAge: 2_500,
+        },
+        publish: published => {
+            status = published;
+        },
+        readTarget: () => {
+            const version = Math.max(...versions);
+            return {
+                model,
+                wanted: [{ version, declaredAt: 0 }],
+                complete: readManifest(version),
+                completedAt: 0,
+                transfer: undefined,
+                members: ["a"],
+                slots: 4,
+            };
+        },
+        readManifest: (...[, version]) => readManifest(version),
+        findVersion,
+    });
+    return {
+        controller,
+        writes,
+        versions,
+        status: () => status,
+        run: async (rounds = 1) => {
+            for (let round = 0; round < rounds; round++) {
+                clock.advance(100);
+                for (const version of versions) {
+                    memory.import(`${model}@${version}`, chunkCount, new Map(createChunks(version).entries()));
+                }
+                status = await controller.run();
+                await settle();
+            }
+        },
+    };
+}
--- a/test/node/weightAgent/stagedVerification.test.ts
+++ b/test/node/weightAgent/stagedVerification.test.ts
@@ -4,6 +4,7 @@
 import { ok } from "true-myth/result";
 import { createStallMonitor } from "../../../src/node/replica/index.js";
 import { createEngineController, type EngineController } from "../../../src/node/weightAgent/engineController.js";
+import { trackStagedWrites } from "../../../src/node/weightAgent/stagedWrites.js";
 import { createWeightMemory } from "../../../src/node/weightAgent/weightMemory.js";
 import { createManifest } from "../../../src/runtime/distribution/index.js";
 import type { Clock, EngineControlPort, EngineReport } from "../../../src/types/index.js";
@@ -67,7 +68,7 @@
     const memory = createWeightMemory(() => chunks.length);
     memory.import("scribe@2", chunks.length, new Map(chunks.entries()));
     return createEngineController({
-        engine,
+        writes: trackStagedWrites({ engine, clock, logger, findVersion: () => undefined }),
         memory,
         self: "a",
         clock,
@@ -92,6 +93,8 @@
             members: ["a"],
             slots: 4,
         }),
+        readManifest: () => undefined,
+        findVersion: () => undefined,
     });
 }
 
