Keep what is staged until an order of unknown outcome is resolved

Callers got answers made with the weights of two or three versions from a backend server that reported one version as complete, until its next load.

An order whose response was lost counted as one without effect. The agent staged the next declared version meanwhile, and the engine loaded what it found.

Such an order is now kept until a report shows another order sequence or another start of the engine. Until then every write to the staging area is refused, staging ahead included, and the engine gets no new requests. An order that was not written is no such order.

The preparation of a load moved to a file of its own.

--- a/src/node/logging/weightEvents.ts
+++ b/src/node/logging/weightEvents.ts
@@ -95,6 +95,12 @@
         "the order sequence shows that the engine has accepted the order whose response was lost, or another one",
         ["model", "version", "expectedSequence", "orderSequence", "delayMilliseconds"],
     ),
+    "load order repeated": define(
+        "weights",
+        ["agent"],
+        "an order whose outcome is unknown was given again; the engine accepts at most one of the two",
+        ["model", "version", "expectedSequence", "outcome"],
+    ),
     "load order dropped by a restart of the engine": define(
         "weights",
         ["agent"],
--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -7,14 +7,13 @@
     type WantedVersion,
 } from "../../runtime/rollout/index.js";
 import type { Clock, CopyPhase, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
-import { sleep } from "../../utils/index.js";
 import type { StallMonitor } from "../replica/index.js";
 import { createEngineReports } from "./engineReports.js";
 import { createLoadedVerification, type OrderedVersion } from "./loadedVerification.js";
 import type { EngineStatus } from "./loadFeed.js";
+import { createLoadPreparation } from "./loadPreparation.js";
 import type { FindChunkVersion, StagedWrites } from "./stagedWrites.js";
-import { stageWeights, type StagingSummary } from "./stageWeights.js";
-import { createUnresolvedOrderTracker } from "./unresolvedOrder.js";
+import { createUnresolvedOrderTracker, type UnresolvedOrder } from "./unresolvedOrder.js";
 import type { WeightMemory } from "./weightMemory.js";
 
 /** Versions that the engine should load, and the weights that are available for them. */
@@ -34,26 +33,12 @@
     readonly slots: number;
 }
 
-/** Interval between reads of the requests in progress while the engine drains. */
-const drainCheckInterval: Milliseconds = 60;
-
-/** Number of times that the staged chunks are verified for one load order, since an earlier verification is too old. */
-const maximumVerifications = 4;
-
 /** Options of {@link createEngineController}. */
 export interface EngineControllerOptions extends RolloutOptions {
     /** Age of the verification of the staged chunks above which they are verified again before the load is ordered. */
     readonly maximumStagedAge: Milliseconds;
 }
 
-/** Verification of the staged chunks, from the first one to the last one. */
-interface StagedVerification extends StagingSummary {
-    /** Monotonic time at which it began. */
-    readonly startedAt: Milliseconds;
-    /** Start of the engine that holds the chunks, as the last report before the verification states it. */
-    readonly engineStart: number | undefined;
-}
-
 /** Dependencies of {@link createEngineController}. */
 export interface EngineControllerInput {
     /** Engine on the same instance; every write to its staging area goes through here. */
@@ -82,6 +67,8 @@
     readonly isLoading: () => boolean;
     /** True from a drain that begins before the last chunks have arrived until it times out or the load is ordered. */
     readonly isDraining: () => boolean;
+    /** False while the engine may accept an order whose outcome is unknown: it would load what is staged by then. */
+    readonly mayStage: () => boolean;
 }
 
 /**
@@ -91,9 +78,10 @@
  * @returns the controller
  */
 export function createEngineController(input: EngineControllerInput): EngineController {
-    const { clock, logger, memory, options, stalls, writes } = input;
+    const { clock, logger, memory, options, writes } = input;
     const { engine } = writes;
     const reports = createEngineReports({ engine, clock, logger, onReport: observe });
+    const preparation = createLoadPreparation({ ...input, reports });
     const unresolvedOrder = createUnresolvedOrderTracker(clock, logger);
     const verification = createLoadedVerification(input);
     /** Time of the last order, while no report has shown its effect. */
@@ -103,6 +91,8 @@
     let isCarryingOutLoad = false;
     /** True from the drain right before a load until a later report shows what the engine does. */
     let loading = false;
+    /** True while an order is sent and not answered. */
+    let isOrdering = false;
     let drainingSince: Milliseconds | undefined;
     /** Version whose last chunks did not arrive during its drain; the engine does not drain early for it again. */
     let timedOutDrainVersion = 0;
@@ -127,81 +117,37 @@
         memory.setActive(weights?.complete === true ? formatWeightName(weights.model, weights.version) : undefined);
     }
 
-    async function verifyStaged(manifest: Manifest, version: number): Promise<StagedVerification | undefined> {
-        const startedAt = clock.monotonic();
-        const engineStart = reports.newest()?.startedAt;
-        const set = formatWeightName(manifest.model, version);
-        const staged = await stageWeights(engine, manifest, index => memory.read(set, index));
-        if (staged.isErr) {
-            const { code, message, peer, step } = staged.error;
-            logger.warn({ code, step, peer, detail: message, model: manifest.model, version }, "weights not staged");
-            return undefined;
-        }
-        return { ...staged.value, startedAt, engineStart };
-    }
-
-    function isRecent({ startedAt }: StagedVerification): boolean {
-        return stalls.measureSince(startedAt) <= options.maximumStagedAge;
-    }
-
-    /**
-     * Verifies the staged chunks and drains the engine. Chunks can become corrupt, and the engine can restart without
-     * them, while this process waits or stands still; they are then verified again.
-     *
-     * @returns the verification, and the number of requests that have not finished; undefined if the engine cannot load
-     */
-    async function prepareLoad(
-        manifest: Manifest,
-        version: number,
-    ): Promise<{ readonly verified: StagedVerification; readonly running: number; } | undefined> {
-        let drainsUntil: Milliseconds | undefined;
-        for (let verifications = 1; verifications <= maximumVerifications; verifications++) {
-            const verified = await verifyStaged(manifest, version);
-            if (verified === undefined) {
-                return undefined;
-            }
-            loading = true;
-            input.publish(describe());
-            drainsUntil ??= (drainingSince ?? clock.monotonic()) + options.drainBeforeLoad;
-            const running = await drain(drainsUntil);
-            const report = reports.newest();
-            if (report === undefined) {
-                return undefined;
-            }
-            if (isRecent(verified) && report.startedAt === verified.engineStart) {
-                return { verified, running };
-            }
-            const { model } = manifest;
-            const age = Math.round(stalls.measureSince(verified.startedAt));
-            logger.warn({ model, version, ageMilliseconds: age, verifications }, "staged chunks verified too long ago");
-        }
-        return undefined;
-    }
-
     async function load(target: EngineTarget, version: number, reason: string): Promise<void> {
         const { complete: manifest, model } = target;
         if (manifest === undefined) {
             return;
         }
         const startedAt = clock.monotonic();
-        const prepared = await prepareLoad(manifest, version);
-        const report = reports.newest();
-        if (prepared === undefined || report === undefined) {
+        const prepared = await preparation.prepare(manifest, drainingSince, () => {
+            loading = true;
+            input.publish(describe());
+        });
+        if (prepared === undefined) {
             loading = false;
             return;
         }
-        const { running, verified } = prepared;
+        const { report, running, verified } = prepared;
         const order = { model, version, engineStart: report.startedAt, expectedSequence: report.orderSequence };
         lastOrder = order;
         const sentAt = clock.monotonic();
+        isOrdering = true;
         const ordered = await engine.load({
             model,
             version,
             expectedSequence: order.expectedSequence,
             running: running === 0 ? "finish" : "cut-off",
-            mayWrite: () => isRecent(verified),
+            mayWrite: () => preparation.isRecent(verified),
         });
+        isOrdering = false;
         loading = ordered.isOk && ordered.value === "begun";
+        if (ordered.isErr && ordered.error.mayHaveTakenEffect) {
+            unresolvedOrder.record({ ...order, sentAt }, ordered.error);
+        }
         input.publish(describe());
         const now = clock.monotonic();
         const fields = {
@@ -217,11 +163,7 @@
         };
         if (ordered.isErr) {
             const { code, message, peer, step } = ordered.error;
-            if (ordered.error.mayHaveTakenEffect) {
-                unresolvedOrder.record({ ...order, sentAt }, ordered.error);
-            }
-            // A later report shows whether the engine accepted the order.
-            orderedAt = ordered.error.mayHaveTakenEffect ? now : undefined;
+            orderedAt = undefined;
             logger.warn({ ...fields, code, step, peer, detail: message }, "load order failed");
             return;
         }
@@ -230,20 +172,32 @@
     }
 
     /**
-     * Waits for a bounded time until the requests in progress have finished. Gateways know that the engine is about to
-     * load and send no new requests; the few longest streams are cut off and continue at other backend servers.
-     *
-     * @returns number of requests that have not finished
+     * Repeats an order whose outcome is unknown, until the order sequence shows that neither can be accepted any longer.
+     * Both expect the same sequence, so the engine accepts at most one of them.
      */
-    async function drain(endsAt: Milliseconds): Promise<number> {
-        for (;;) {
-            await reports.read();
-            const report = reports.newest();
-            const unfinished = report === undefined ? 0 : report.running + report.queued;
-            if (unfinished === 0 || clock.monotonic() >= endsAt) {
-                return unfinished;
+    async function repeat(order: UnresolvedOrder, report: EngineReport): Promise<void> {
+        const { expectedSequence, model, version } = order;
+        if (report.busy || clock.monotonic() - order.repeatedAt < options.repeatAfter) {
+            return;
+        }
+        const sentAt = clock.monotonic();
+        const ordered = await engine.load({
+            model,
+            version,
+            expectedSequence,
+            running: "cut-off",
+            mayWrite: () => unresolvedOrder.read() === order,
+        });
+        if (ordered.isErr) {
+            if (ordered.error.mayHaveTakenEffect) {
+                unresolvedOrder.record({ ...order, sentAt }, ordered.error);
             }
-            await sleep(drainCheckInterval);
+            return;
+        }
+        logger.info({ model, version, expectedSequence, outcome: ordered.value }, "load order repeated");
+        loading = ordered.value === "begun";
+        if (ordered.value === "in-effect") {
+            unresolvedOrder.resolve();
         }
     }
 
@@ -257,6 +211,12 @@
             drainingSince = undefined;
             return;
         }
+        const unresolved = unresolvedOrder.read();
+        if (unresolved !== undefined) {
+            drainingSince = undefined;
+            await carryOut(() => repeat(unresolved, report));
+            return;
+        }
         const { transfer } = target;
         const decision = planLoad({
             report,
@@ -301,13 +261,17 @@
             return;
         }
         lastReason = "";
+        await carryOut(() => load(target, decision.version, decision.reason));
+        drainingSince = undefined;
+    }
+
+    async function carryOut(action: () => Promise<void>): Promise<void> {
         isCarryingOutLoad = true;
         try {
-            await load(target, decision.version, decision.reason);
+            await action();
         }
         finally {
             isCarryingOutLoad = false;
-            drainingSince = undefined;
         }
     }
 
@@ -320,7 +284,8 @@
             return "staging";
         }
         // An engine that carries out an order accepts no new requests.
-        return report.busy || loading || drainingSince !== undefined ? "activating" : "serving";
+        const isAboutToLoad = loading || drainingSince !== undefined || unresolvedOrder.read() !== undefined;
+        return report.busy || isAboutToLoad ? "activating" : "serving";
     }
 
     function describe(): EngineStatus {
@@ -329,8 +294,9 @@
 
     return {
         readReport: reports.newest,
-        isLoading: () => loading || reports.newest()?.busy === true,
+        isLoading: () => loading || isCarryingOutLoad || reports.newest()?.busy === true,
         isDraining: () => drainingSince !== undefined,
+        mayStage: () => !isOrdering && unresolvedOrder.read() === undefined,
         run: async () => {
             await read();
             // Runs synchronously up to its first await, so that the returned status includes a drain that begins now.
--- a/src/node/weightAgent/stagedWrites.ts
+++ b/src/node/weightAgent/stagedWrites.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "pino";
-import type { Clock, EngineControlPort, Milliseconds } from "../../types/index.js";
+import { err } from "true-myth/result";
+import { type Clock, createError, type EngineControlPort, type Milliseconds } from "../../types/index.js";
 
 /** Finds the version whose chunk at an index has this content; undefined if no known version has it. */
 export type FindChunkVersion = (index: number, content: Uint8Array) => number | undefined;
@@ -16,6 +17,8 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly findVersion: FindChunkVersion;
+    /** False while nothing may change what is staged; writes are refused then. */
+    readonly mayWrite: () => boolean;
 }
 
 /** Writes of this process to the engine's staging area. */
@@ -26,6 +29,7 @@
     readLastWriteAt(): Milliseconds;
     /** @returns writes whose response was lost; the engine may still carry them out */
     listUnresolved(): readonly UnresolvedWrite[];
+    readonly isWriting: () => boolean;
     /** Forgets the writes to an engine that has restarted, since it no longer has their connections. */
     reset(): void;
 }
@@ -36,12 +40,15 @@
  * @param input - engine to write to
  * @returns the engine with its record of writes
  */
-export function trackStagedWrites({ clock, engine, findVersion, logger }: StagedWritesInput): StagedWrites {
+export function trackStagedWrites({ clock, engine, findVersion, logger, mayWrite }: StagedWritesInput): StagedWrites {
     let inProgress = 0;
     let lastWriteAt: Milliseconds = -Infinity;
     const unresolved: UnresolvedWrite[] = [];
 
     const stage: EngineControlPort["stage"] = async (model, index, content) => {
+        if (!mayWrite()) {
+            return err(createError("CHUNK_REFUSED", "stage chunk", "local", "a load may take what is staged"));
+        }
         inProgress++;
         try {
             const written = await engine.stage(model, index, content);
@@ -72,6 +79,7 @@
         },
         readLastWriteAt: () => inProgress > 0 ? clock.monotonic() : lastWriteAt,
         listUnresolved: () => unresolved,
+        isWriting: () => inProgress > 0,
         reset: () => {
             unresolved.length = 0;
         },
--- a/src/node/weightAgent/unresolvedOrder.ts
+++ b/src/node/weightAgent/unresolvedOrder.ts
@@ -10,17 +10,24 @@
     readonly engineStart: number | undefined;
     /** Monotonic time at which it was first sent. */
     readonly sentAt: Milliseconds;
+    /** Monotonic time at which it was last sent. */
+    readonly repeatedAt: Milliseconds;
 }
 
-/** Keeps the order whose outcome is unknown until a report of the engine shows that it can no longer be accepted. */
+/**
+ * Keeps the order whose outcome is unknown until a report of the engine shows that it can no longer be accepted. What is
+ * staged must not change until then, since the engine loads what is staged when it accepts the order.
+ */
 export interface UnresolvedOrderTracker {
     /**
-     * Records an order whose response was lost.
+     * Records an order whose response was lost, also when it was a repeated one.
      *
      * @param order - the order
      * @param error - why the response was lost
      */
-    record(order: UnresolvedOrder, error: GoldcrestpointError): void;
+    record(order: Omit<UnresolvedOrder, "repeatedAt">, error: GoldcrestpointError): void;
+    /** Ends the order, since the engine has stated that it has nothing left to carry out. */
+    resolve(): void;
     /** Ends the order if the engine has restarted or has accepted it or another one. */
     observe(report: EngineReport): void;
     readonly read: () => UnresolvedOrder | undefined;
@@ -38,7 +45,7 @@
     return {
         read: () => unresolved,
         record: (order, error) => {
-            unresolved ??= order;
+            unresolved = { ...order, sentAt: unresolved?.sentAt ?? order.sentAt, repeatedAt: order.sentAt };
             const { expectedSequence, model, version } = order;
             const { code, message, peer, step } = error;
             logger.warn(
@@ -46,6 +53,9 @@
                 "load order outcome unknown",
             );
         },
+        resolve: () => {
+            unresolved = undefined;
+        },
         observe: report => {
             if (unresolved === undefined) {
                 return;
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -116,7 +116,13 @@
     }
 
     const { findVersion, readManifest } = plan;
-    const writes = trackStagedWrites({ engine: ports.engine, clock, logger, findVersion });
+    const writes = trackStagedWrites({
+        engine: ports.engine,
+        clock,
+        logger,
+        findVersion,
+        mayWrite: () => engineController.mayStage(),
+    });
     const engineController = createEngineController({
         writes,
         memory,
@@ -207,7 +213,7 @@
     }));
     const earlyStager = createEarlyStager({
         engine: writes.engine,
-        readSet: () => engineController.isLoading() ? undefined : plan.readSetToStage(),
+        readSet: () => engineController.isLoading() || !engineController.mayStage() ? undefined : plan.readSetToStage(),
         logger,
     });
     const rpcServer = await startRpcServer(instance.grpcAddress, [{
@@ -258,7 +264,8 @@
             }
             applyTarget();
             void earlyStager.run();
-            const isChanging = engineController.isLoading() || engineController.isDraining();
+            const isChanging = engineController.isLoading() || engineController.isDraining() ||
+                !engineController.mayStage();
             await sleep(isChanging ? loadingReportIntervalMilliseconds : weightAgent.reportInterval, disposal.signal);
         }
     }
--- a/test/node/weightAgent/engineController.test.ts
+++ b/test/node/weightAgent/engineController.test.ts
@@ -32,7 +32,7 @@
 const logger = pino({ level: "silent" });
 
 function track(tracked: EngineControlPort, clock: Clock): StagedWrites {
-    return trackStagedWrites({ engine: tracked, clock, logger, findVersion: () => undefined });
+    return trackStagedWrites({ engine: tracked, clock, logger, findVersion: () => undefined, mayWrite: () => true });
 }
 
 const versions = { readManifest: () => undefined, findVersion: () => undefined };
--- a/test/node/weightAgent/engineSupport.ts
+++ b/test/node/weightAgent/engineSupport.ts
@@ -185,9 +185,9 @@
     const memory = createWeightMemory(() => chunkCount);
     const findVersion = (index: number, content: Uint8Array): number | undefined =>
         versions.find(version => verifyChunk(readManifest(version), index, content));
-    const writes = trackStagedWrites({ engine, clock, logger, findVersion });
+    const writes = trackStagedWrites({ engine, clock, logger, findVersion, mayWrite: () => controller.mayStage() });
     let status: EngineStatus | undefined;
-    const controller = createEngineController({
+    const controller: EngineController = createEngineController({
         writes,
         memory,
         self: "a",
