Verify loaded weights after the engine has accepted the load

Callers got answers made with a corrupt chunk or with a chunk of another version from a backend server whose agent had found every staged chunk right right before the order.

An engine takes what is staged at the moment at which it accepts an order. No check before the order covers the time until then: chunks become corrupt while the order is under way, and a write whose response was lost, or which a killed agent left behind, is carried out after the verification.

The weights are now identified by the start of the engine and its order sequence, and count as verified only once the whole staged set has been read back after a report has shown the acceptance, whoever gave the order. Chunks do not turn right by themselves, so a set that is right then was right when the engine took it, unless this process wrote to the staging area after the last report that still showed the earlier sequence. The reading begins with the first report after the acceptance and runs while the engine loads. Until it has ended, nothing is staged, no order is given, and the engine is reported as activating. Load reports carry the sequence and the result. Weights of an engine that has accepted no order are those of its installation. If the manifest cannot be read for 5 s, the weights count as not verifiable and can be replaced.

--- a/src/node/logging/weightEvents.ts
+++ b/src/node/logging/weightEvents.ts
@@ -53,7 +53,7 @@
             "otherVersions",
             "unresolvedWrites",
             "wasWritten",
-            "sinceFirstReport",
+            "isFromBefore",
             "durationMilliseconds",
         ],
     ),
--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -55,6 +55,8 @@
     readonly readTarget: () => EngineTarget | undefined;
     /** Reads the manifest of a version; undefined if it is not known. */
     readonly readManifest: (model: string, version: number) => Manifest | undefined;
+    /** Starts to read the manifest of a version unless it is being read. */
+    readonly requestManifest: (model: string, version: number) => void;
     readonly findVersion: FindChunkVersion;
 }
 
@@ -67,7 +69,10 @@
     readonly isLoading: () => boolean;
     /** True from a drain that begins before the last chunks have arrived until it times out or the load is ordered. */
     readonly isDraining: () => boolean;
-    /** False while the engine may accept an order whose outcome is unknown: it would load what is staged by then. */
+    /**
+     * False while the engine may accept an order whose outcome is unknown, since it would load what is staged by then, and
+     * until the staged chunks have been read back after a load.
+     */
     readonly mayStage: () => boolean;
 }
 
@@ -80,10 +85,10 @@
 export function createEngineController(input: EngineControllerInput): EngineController {
     const { clock, logger, memory, options, writes } = input;
     const { engine } = writes;
-    const reports = createEngineReports({ engine, clock, logger, onReport: observe });
+    const reports = createEngineReports({ writes, logger, onReport: observe });
     const preparation = createLoadPreparation({ ...input, reports });
     const unresolvedOrder = createUnresolvedOrderTracker(clock, logger);
-    const verification = createLoadedVerification(input);
+    const verification = createLoadedVerification({ ...input, onChange: actOnVerification });
     /** Time of the last order, while no report has shown its effect. */
     let orderedAt: Milliseconds | undefined;
     let lastOrder: OrderedVersion | undefined;
@@ -97,14 +102,19 @@
     /** Version whose last chunks did not arrive during its drain; the engine does not drain early for it again. */
     let timedOutDrainVersion = 0;
 
-    function observe(report: EngineReport, requestedAt: Milliseconds): void {
+    function observe(report: EngineReport, writeEvents: number): void {
         const { weights } = report;
         const isInEffect = weights?.complete === true && weights.version >= (lastOrder?.version ?? 0);
         if (report.startedAt !== lastOrder?.engineStart || isInEffect) {
             orderedAt = undefined;
         }
         unresolvedOrder.observe(report);
-        verification.observe(report, requestedAt, lastOrder);
+        verification.observe(report, writeEvents, lastOrder);
+    }
+
+    function actOnVerification(): void {
+        input.publish(describe());
+        void decideAndAct();
     }
 
     async function read(): Promise<void> {
@@ -201,6 +211,10 @@
         }
     }
 
+    function mayStage(): boolean {
+        return !isOrdering && unresolvedOrder.read() === undefined && verification.readState() !== "unverified";
+    }
+
     async function decideAndAct(): Promise<void> {
         const target = input.readTarget();
         const report = reports.newest();
@@ -217,6 +231,9 @@
             await carryOut(() => repeat(unresolved, report));
             return;
         }
+        if (verification.readState() === "unverified") {
+            return;
+        }
         const { transfer } = target;
         const decision = planLoad({
             report,
@@ -285,18 +302,25 @@
         }
         // An engine that carries out an order accepts no new requests.
         const isAboutToLoad = loading || drainingSince !== undefined || unresolvedOrder.read() !== undefined;
-        return report.busy || isAboutToLoad ? "activating" : "serving";
+        // Gateways may know from an earlier agent that weights which this one cannot verify are right.
+        const isUnusable = !verification.isFromBefore() && verification.readState() !== "verified";
+        return report.busy || isAboutToLoad || isUnusable ? "activating" : "serving";
     }
 
     function describe(): EngineStatus {
-        return { report: reports.newest(), phase: readPhase(), slots: input.readTarget()?.slots ?? 0 };
+        return {
+            report: reports.newest(),
+            phase: readPhase(),
+            weightsVerified: verification.readState() === "verified",
+            slots: input.readTarget()?.slots ?? 0,
+        };
     }
 
     return {
         readReport: reports.newest,
         isLoading: () => loading || isCarryingOutLoad || reports.newest()?.busy === true,
         isDraining: () => drainingSince !== undefined,
-        mayStage: () => !isOrdering && unresolvedOrder.read() === undefined,
+        mayStage,
         run: async () => {
             await read();
             // Runs synchronously up to its first await, so that the returned status includes a drain that begins now.
--- a/src/node/weightAgent/engineReports.ts
+++ b/src/node/weightAgent/engineReports.ts
@@ -1,18 +1,18 @@
 import type { Logger } from "pino";
-import type { Clock, EngineControlPort, EngineReport, Milliseconds } from "../../types/index.js";
+import type { EngineReport } from "../../types/index.js";
+import type { StagedWrites } from "./stagedWrites.js";
 
 /** Dependencies of {@link createEngineReports}. */
 export interface EngineReportsInput {
-    readonly engine: Pick<EngineControlPort, "readReport">;
-    readonly clock: Clock;
+    readonly writes: StagedWrites;
     readonly logger: Logger;
     /**
      * Called with each report, in the order of the reads.
      *
      * @param report - the report
-     * @param requestedAt - monotonic time at which it was requested
+     * @param writeEvents - result of {@link StagedWrites.countEvents} when it was requested
      */
-    readonly onReport: (report: EngineReport, requestedAt: Milliseconds) => void;
+    readonly onReport: (report: EngineReport, writeEvents: number) => void;
 }
 
 /** Reports of the engine. */
@@ -29,21 +29,23 @@
  * @param input - engine and receiver of the reports
  * @returns the reader, without a report
  */
-export function createEngineReports({ clock, engine, logger, onReport }: EngineReportsInput): EngineReports {
+export function createEngineReports({ logger, onReport, writes }: EngineReportsInput): EngineReports {
     let report: EngineReport | undefined;
-    let newestRequestedAt: Milliseconds = -Infinity;
+    let requests = 0;
+    let newestRequest = 0;
     let wasReachable: boolean | undefined;
 
     return {
         newest: () => report,
         read: async () => {
-            const requestedAt = clock.monotonic();
-            const answer = await engine.readReport();
+            const request = ++requests;
+            const writeEvents = writes.countEvents();
+            const answer = await writes.engine.readReport();
             // Reads of a drain overlap with those of the control loop.
-            if (requestedAt < newestRequestedAt) {
+            if (request < newestRequest) {
                 return;
             }
-            newestRequestedAt = requestedAt;
+            newestRequest = request;
             if (answer.isOk !== wasReachable) {
                 wasReachable = answer.isOk;
                 if (answer.isErr) {
@@ -56,7 +58,7 @@
             }
             report = answer.unwrapOr(undefined as never);
             if (report !== undefined) {
-                onReport(report, requestedAt);
+                onReport(report, writeEvents);
             }
         },
     };
--- a/src/node/weightAgent/loadFeed.ts
+++ b/src/node/weightAgent/loadFeed.ts
@@ -13,6 +13,8 @@
     /** Undefined while the engine does not answer. */
     readonly report: EngineReport | undefined;
     readonly phase: CopyPhase;
+    /** Whether the weights that the engine loaded with its last order are known to be right. */
+    readonly weightsVerified: boolean;
     /** Requests that the engine runs at the same time. */
     readonly slots: number;
 }
@@ -39,7 +41,8 @@
     readonly countFollowers: () => number;
 }
 
-function toReport(instance: string, { phase, report, slots }: EngineStatus, age: Milliseconds): LoadReport {
+function toReport(instance: string, status: EngineStatus, age: Milliseconds): LoadReport {
+    const { phase, report, slots, weightsVerified } = status;
     const weights = report?.weights;
     return create(LoadReportSchema, {
         instance,
@@ -51,6 +54,8 @@
         queued: report?.queued ?? 0,
         capacity: slots,
         draining: false,
+        orderSequence: BigInt(report?.orderSequence ?? 0),
+        weightsVerified,
         ageMilliseconds: BigInt(Math.max(0, Math.round(age))),
     });
 }
@@ -80,7 +85,9 @@
         }
         const { report } = sentStatus;
         const isSameState = status.phase === sentStatus.phase && status.slots === sentStatus.slots &&
+            status.weightsVerified === sentStatus.weightsVerified &&
             status.report?.startedAt === report?.startedAt &&
+            status.report?.orderSequence === report?.orderSequence &&
             status.report?.weights?.version === report?.weights?.version;
         const change = Math.abs(countRequests(status) - countRequests(sentStatus));
         return !isSameState || change >= options.reportedLoadChange;
--- a/src/node/weightAgent/loadedVerification.ts
+++ b/src/node/weightAgent/loadedVerification.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "pino";
+import { judgeLoadedWeights, type LoadedWeightsState } from "../../runtime/rollout/index.js";
 import type { Clock, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
 import { countDifferences, readBackStaged } from "./readBackStaged.js";
 import type { FindChunkVersion, StagedWrites } from "./stagedWrites.js";
@@ -10,15 +11,27 @@
     readonly logger: Logger;
     /** Reads the manifest of a version; undefined if it is not known. */
     readonly readManifest: (model: string, version: number) => Manifest | undefined;
+    /** Starts to read the manifest of a version unless it is being read. */
+    readonly requestManifest: (model: string, version: number) => void;
     readonly findVersion: FindChunkVersion;
+    /** Called when the loaded weights have been verified or found to be wrong. */
+    readonly onChange: () => void;
 }
 
+/** Time between two requests for the manifest of the loaded version. */
+const manifestRequestInterval: Milliseconds = 1_000;
+
+/** Time after which weights whose manifest cannot be read count as not verifiable, so that others can replace them. */
+const manifestTimeLimit: Milliseconds = 5_000;
+
 /** Load that the engine has accepted, identified by the start of the engine and its order sequence. */
 interface AcceptedLoad {
     readonly engineStart: number | undefined;
     readonly orderSequence: number;
-    /** Monotonic time before which it was not accepted; undefined if it was accepted before the first report. */
-    readonly acceptedAfter: Milliseconds | undefined;
+    /** Whether it was accepted before the first report that this process read. */
+    readonly isFromBefore: boolean;
+    /** Writes at the request of the last report from before the acceptance; later ones can hide a wrong chunk. */
+    readonly writeEvents: number;
 }
 
 /** Verification of what the engine has loaded. */
@@ -27,10 +40,14 @@
      * Starts to read back the staged chunks if the report shows that the engine has accepted a load.
      *
      * @param report - newest report
-     * @param requestedAt - monotonic time at which it was requested
+     * @param writeEvents - writes to the staging area when it was requested
      * @param orderedVersion - version of the order that this process gave last, if the report shows its effect
      */
-    observe(report: EngineReport, requestedAt: Milliseconds, ordered: OrderedVersion | undefined): void;
+    observe(report: EngineReport, writeEvents: number, ordered: OrderedVersion | undefined): void;
+    /** @returns what is known about the weights that the last observed report names */
+    readonly readState: () => LoadedWeightsState;
+    /** Whether the load was accepted before the first report that this process read. */
+    readonly isFromBefore: () => boolean;
 }
 
 /** Order that this process gave. */
@@ -51,9 +68,13 @@
 export function createLoadedVerification(input: LoadedVerificationInput): LoadedVerification {
     const { clock, findVersion, logger, readManifest, writes } = input;
     let load: AcceptedLoad | undefined;
-    let lastRequestedAt: Milliseconds | undefined;
-    let checkedVersion: number | undefined;
+    let lastReport: EngineReport | undefined;
+    let lastWriteEvents = 0;
+    let checked: { readonly version: number; readonly state: LoadedWeightsState; } | undefined;
     let isChecking = false;
+    /** Monotonic time since which the manifest of the loaded version is missing. */
+    let manifestMissingSince: Milliseconds | undefined;
+    let manifestRequestedAt: Milliseconds = -Infinity;
 
     async function check(accepted: AcceptedLoad, manifest: Manifest, version: number): Promise<void> {
         const startedAt = clock.monotonic();
@@ -62,8 +83,14 @@
         if (differences.isErr || load !== accepted) {
             return;
         }
-        checkedVersion = version;
-        const wasWritten = writes.readLastWriteAt() > (accepted.acceptedAfter ?? -Infinity);
+        const { isFromBefore } = accepted;
+        const wasWritten = writes.countEvents() !== accepted.writeEvents || writes.isWriting();
+        const state = judgeLoadedWeights({
+            differences: countDifferences(differences.value),
+            wasWritten,
+            isFromBefore,
+        });
+        checked = { version, state };
         const fields = {
             model,
             version,
@@ -71,7 +98,8 @@
             wasWritten,
             durationMilliseconds: Math.round(clock.monotonic() - startedAt),
         };
-        if (countDifferences(differences.value) === 0 && !wasWritten) {
+        input.onChange();
+        if (state === "verified") {
             logger.info(fields, "loaded weights verified");
             return;
         }
@@ -80,48 +108,101 @@
                 ...fields,
                 ...differences.value,
                 unresolvedWrites: writes.listUnresolved(),
-                sinceFirstReport: accepted.acceptedAfter === undefined,
+                isFromBefore,
             },
             "staged chunks differ after the load was accepted",
         );
     }
 
     /** Finds the version of the load: the engine reports it at the end, and the order states it before. */
-    function findLoadedVersion(report: EngineReport, ordered: OrderedVersion | undefined): Manifest | undefined {
+    function findLoadedVersion(
+        report: EngineReport,
+        ordered: OrderedVersion | undefined,
+    ): { readonly model: string; readonly version: number; } | undefined {
         const { weights } = report;
         if (weights?.complete === true && !report.busy) {
-            return readManifest(weights.model, weights.version);
+            return weights;
         }
         const isOwn = ordered !== undefined && ordered.engineStart === report.startedAt &&
             ordered.expectedSequence + 1 === report.orderSequence;
-        return isOwn ? readManifest(ordered.model, ordered.version) : undefined;
+        return isOwn ? ordered : undefined;
+    }
+
+    function requireManifest(model: string, version: number): Manifest | undefined {
+        const manifest = readManifest(model, version);
+        if (manifest !== undefined) {
+            manifestMissingSince = undefined;
+            return manifest;
+        }
+        const now = clock.monotonic();
+        manifestMissingSince ??= now;
+        if (now - manifestRequestedAt >= manifestRequestInterval) {
+            manifestRequestedAt = now;
+            input.requestManifest(model, version);
+        }
+        return undefined;
+    }
+
+    function trackLoad(report: EngineReport): AcceptedLoad {
+        if (
+            load !== undefined && load.engineStart === report.startedAt && load.orderSequence === report.orderSequence
+        ) {
+            return load;
+        }
+        if (load !== undefined && load.engineStart !== report.startedAt) {
+            writes.reset();
+        }
+        load = {
+            engineStart: report.startedAt,
+            orderSequence: report.orderSequence,
+            isFromBefore: lastReport === undefined,
+            writeEvents: lastWriteEvents,
+        };
+        checked = undefined;
+        manifestMissingSince = undefined;
+        return load;
+    }
+
+    function readState(): LoadedWeightsState {
+        const weights = lastReport?.weights;
+        if (lastReport === undefined || weights?.complete !== true) {
+            return "none";
+        }
+        // An engine holds the weights of its installation until it accepts its first order.
+        if (lastReport.orderSequence === 0) {
+            return "verified";
+        }
+        if (checked?.version === weights.version) {
+            return checked.state;
+        }
+        const isUnverifiable = manifestMissingSince !== undefined &&
+            clock.monotonic() - manifestMissingSince >= manifestTimeLimit;
+        if (!isUnverifiable) {
+            return "unverified";
+        }
+        return load?.isFromBefore === true ? "unknown" : "wrong";
     }
 
     return {
-        observe: (report, requestedAt, ordered) => {
-            if (load?.engineStart !== report.startedAt || load?.orderSequence !== report.orderSequence) {
-                if (load !== undefined && load.engineStart !== report.startedAt) {
-                    writes.reset();
-                }
-                load = {
-                    engineStart: report.startedAt,
-                    orderSequence: report.orderSequence,
-                    acceptedAfter: lastRequestedAt,
-                };
-                checkedVersion = undefined;
-            }
-            lastRequestedAt = requestedAt;
-            // An engine holds the weights of its installation until it accepts its first order.
+        readState,
+        isFromBefore: () => load?.isFromBefore === true,
+        observe: (report, writeEvents, ordered) => {
+            const accepted = trackLoad(report);
+            lastReport = report;
+            lastWriteEvents = writeEvents;
             if (isChecking || report.orderSequence === 0) {
                 return;
             }
-            const manifest = findLoadedVersion(report, ordered);
-            const version = Number(manifest?.version);
-            if (manifest === undefined || checkedVersion === version) {
+            const loaded = findLoadedVersion(report, ordered);
+            if (loaded === undefined || checked?.version === loaded.version) {
+                return;
+            }
+            const manifest = requireManifest(loaded.model, loaded.version);
+            if (manifest === undefined) {
                 return;
             }
             isChecking = true;
-            void check(load, manifest, version).finally(() => {
+            void check(accepted, manifest, loaded.version).finally(() => {
                 isChecking = false;
             });
         },
--- a/src/node/weightAgent/stagedWrites.ts
+++ b/src/node/weightAgent/stagedWrites.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "pino";
 import { err } from "true-myth/result";
-import { type Clock, createError, type EngineControlPort, type Milliseconds } from "../../types/index.js";
+import { createError, type EngineControlPort } from "../../types/index.js";
 
 /** Finds the version whose chunk at an index has this content; undefined if no known version has it. */
 export type FindChunkVersion = (index: number, content: Uint8Array) => number | undefined;
@@ -14,7 +14,6 @@
 /** Dependencies of {@link trackStagedWrites}. */
 export interface StagedWritesInput {
     readonly engine: EngineControlPort;
-    readonly clock: Clock;
     readonly logger: Logger;
     readonly findVersion: FindChunkVersion;
     /** False while nothing may change what is staged; writes are refused then. */
@@ -25,8 +24,8 @@
 export interface StagedWrites {
     /** The engine, with its writes recorded. */
     readonly engine: EngineControlPort;
-    /** @returns monotonic time at which the last write ended, now if one is in progress; -Infinity if there was none */
-    readLastWriteAt(): Milliseconds;
+    /** @returns number of writes that have begun, plus those that have ended; it changes with each of both */
+    readonly countEvents: () => number;
     /** @returns writes whose response was lost; the engine may still carry them out */
     listUnresolved(): readonly UnresolvedWrite[];
     readonly isWriting: () => boolean;
@@ -40,9 +39,9 @@
  * @param input - engine to write to
  * @returns the engine with its record of writes
  */
-export function trackStagedWrites({ clock, engine, findVersion, logger, mayWrite }: StagedWritesInput): StagedWrites {
+export function trackStagedWrites({ engine, findVersion, logger, mayWrite }: StagedWritesInput): StagedWrites {
     let inProgress = 0;
-    let lastWriteAt: Milliseconds = -Infinity;
+    let events = 0;
     const unresolved: UnresolvedWrite[] = [];
 
     const stage: EngineControlPort["stage"] = async (model, index, content) => {
@@ -50,6 +49,7 @@
             return err(createError("CHUNK_REFUSED", "stage chunk", "local", "a load may take what is staged"));
         }
         inProgress++;
+        events++;
         try {
             const written = await engine.stage(model, index, content);
             if (written.isErr && written.error.mayHaveTakenEffect) {
@@ -65,7 +65,7 @@
         }
         finally {
             inProgress--;
-            lastWriteAt = clock.monotonic();
+            events++;
         }
     };
 
@@ -77,7 +77,7 @@
             stage,
             load: order => engine.load(order),
         },
-        readLastWriteAt: () => inProgress > 0 ? clock.monotonic() : lastWriteAt,
+        countEvents: () => events,
         listUnresolved: () => unresolved,
         isWriting: () => inProgress > 0,
         reset: () => {
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -101,6 +101,7 @@
         readProgress: () => service.progress(),
         readChunk: (set, index) => memory.read(set, index),
     });
+    const weightSetOrigin = createWeightSetOrigin(ports.origin, (set, manifest) => plan.keepManifest(set, manifest));
     const feed = createLoadFeed(instance.id, clock, weightAgent);
     const engineHost = splitAddress(weightAgent.engineAddress).host;
 
@@ -118,7 +119,6 @@
     const { findVersion, readManifest } = plan;
     const writes = trackStagedWrites({
         engine: ports.engine,
-        clock,
         logger,
         findVersion,
         mayWrite: () => engineController.mayStage(),
@@ -134,9 +134,17 @@
         publish: status => feed.publish(status, 0),
         readTarget,
         readManifest,
+        requestManifest,
         findVersion,
     });
 
+    function requestManifest(model: string, version: number): void {
+        // The transfer service reads the manifest of the version that it transfers.
+        if (plan.chooseVersion()?.version !== version) {
+            void weightSetOrigin.readManifest(formatWeightName(model, version));
+        }
+    }
+
     function applyTarget(): void {
         plan.recordProgress();
         const target = plan.chooseVersion();
@@ -190,7 +198,7 @@
         zone: instance.zone,
         // The transfer service uses only the methods that read the state and that stage and read chunks.
         backend: memory.port as BackendServerPort,
-        origin: createWeightSetOrigin(ports.origin, (set, manifest) => plan.keepManifest(set, manifest)),
+        origin: weightSetOrigin,
         verifyManifest: manifest => ok(manifest),
         linkBudget: createLinkBudget({
             bytesPerSecond: weightAgent.linkMegabitsPerSecond * bytesPerMegabit,
--- a/src/runtime/rollout/index.ts
+++ b/src/runtime/rollout/index.ts
@@ -1,2 +1,3 @@
+export * from "./loadedWeights.js";
 export * from "./planLoad.js";
 export * from "./selectTarget.js";
--- a/test/node/weightAgent/engineController.test.ts
+++ b/test/node/weightAgent/engineController.test.ts
@@ -7,7 +7,7 @@
 import { type StagedWrites, trackStagedWrites } from "../../../src/node/weightAgent/stagedWrites.js";
 import { createWeightMemory } from "../../../src/node/weightAgent/weightMemory.js";
 import { createManifest } from "../../../src/runtime/distribution/index.js";
-import type { Clock, EngineControlPort } from "../../../src/types/index.js";
+import type { EngineControlPort } from "../../../src/types/index.js";
 import { createManualClock } from "../../../src/utils/index.js";
 
 const unused = () => Promise.reject(new Error("not expected in this test"));
@@ -31,11 +31,11 @@
 
 const logger = pino({ level: "silent" });
 
-function track(tracked: EngineControlPort, clock: Clock): StagedWrites {
-    return trackStagedWrites({ engine: tracked, clock, logger, findVersion: () => undefined, mayWrite: () => true });
+function track(tracked: EngineControlPort): StagedWrites {
+    return trackStagedWrites({ engine: tracked, logger, findVersion: () => undefined, mayWrite: () => true });
 }
 
-const versions = { readManifest: () => undefined, findVersion: () => undefined };
+const versions = { readManifest: () => undefined, requestManifest: () => {}, findVersion: () => undefined };
 
 const options = {
     waves: 1,
@@ -78,7 +78,7 @@
                     staged.set(index, content);
                     return Promise.resolve(ok(undefined));
                 },
-            }, clock),
+            }),
             memory,
             self: "a",
             clock,
@@ -96,6 +96,7 @@
                 slots: 4,
             }),
             ...versions,
+            readManifest: (...[, version]) => readManifest(version),
         });
         const runUntilOrdered = async (version: number): Promise<void> => {
             memory.import(`scribe@${version}`, 1, new Map([[0, Buffer.from([version])]]));
@@ -124,7 +125,7 @@
             slots: 4,
         });
         const controller = createEngineController({
-            writes: track(engine, clock),
+            writes: track(engine),
             memory: createWeightMemory(() => 4),
             self: "a",
             clock,
--- a/test/node/weightAgent/engineSupport.ts
+++ b/test/node/weightAgent/engineSupport.ts
@@ -55,6 +55,9 @@
     /** While true, an accepted order keeps the engine busy until {@link finish}. */
     loadsSlowly = false;
     readonly held: (() => void)[] = [];
+    /** Called before an order or a write arrives. */
+    beforeOrder: () => void = () => {};
+    beforeWrite: () => void = () => {};
     readonly accepted: number[] = [];
     private loading: LateEngine["loaded"];
 
@@ -107,6 +110,7 @@
         if (!order.mayWrite()) {
             return Promise.resolve(ok("refused"));
         }
+        this.beforeOrder();
         if (this.holdsOrders || !this.isReachable) {
             this.held.push(() => this.accept(order));
             return Promise.resolve(lost);
@@ -123,6 +127,7 @@
     }
 
     stage(...[, index, content]: Parameters<EngineControlPort["stage"]>): ReturnType<EngineControlPort["stage"]> {
+        this.beforeWrite();
         if (this.holdsWrites || !this.isReachable) {
             this.held.push(() => this.staged.set(index, content));
             return Promise.resolve(lost);
@@ -185,7 +190,7 @@
     const memory = createWeightMemory(() => chunkCount);
     const findVersion = (index: number, content: Uint8Array): number | undefined =>
         versions.find(version => verifyChunk(readManifest(version), index, content));
-    const writes = trackStagedWrites({ engine, clock, logger, findVersion, mayWrite: () => controller.mayStage() });
+    const writes = trackStagedWrites({ engine, logger, findVersion, mayWrite: () => controller.mayStage() });
     let status: EngineStatus | undefined;
     const controller: EngineController = createEngineController({
         writes,
@@ -219,6 +224,7 @@
             };
         },
         readManifest: (...[, version]) => readManifest(version),
+        requestManifest: () => {},
         findVersion,
     });
     return {
