Replace weights that were found to be wrong

An engine with wrong weights of the newest version kept them until a newer version was declared: the order to load a version that is loaded has no effect, and repairing the staged chunks changes nothing about what the engine has taken.

An engine whose weights turn out wrong after the acceptance now loads a newer version at once if the agent holds one. Otherwise it is ordered to give up its weights: an order to load an empty range of layers, after which the engine reports no weights and the next order loads all layers again. Only then are the staged chunks repaired, so that an engine that reports a complete version never stands beside chunks that were repaired after it took them. The outcome of this order may be unknown too, and is resolved as that of a load. It also serves as a fence: if chunks change while the outcome of a load order is unknown, the engine is ordered to give up its weights with the same expected sequence in place of a repetition.

--- a/bench/days/scenarios.ts
+++ b/bench/days/scenarios.ts
@@ -65,6 +65,7 @@
                 running: engine.countOpen(),
                 queued: 0,
             },
+            loadedState: "verified",
             model: "model",
             wanted: [{ version: 2, declaredAt }, { version: 1, declaredAt: 0 }],
             target: share === 1 ? 2 : 1,
--- a/src/node/logging/weightEvents.ts
+++ b/src/node/logging/weightEvents.ts
@@ -83,30 +83,37 @@
         "running",
         "sinceDeclared",
     ]),
-    "load order outcome unknown": define(
+    "order outcome unknown": define(
         "weights",
         ["agent"],
-        "the response to a load order was lost, so the engine may accept it later",
-        ["model", "version", "expectedSequence", ...error],
+        "the response to an order was lost, so the engine may accept it later",
+        ["kind", "model", "version", "expectedSequence", ...error],
     ),
-    "load accepted after its outcome was unknown": define(
+    "order accepted after its outcome was unknown": define(
         "weights",
         ["agent"],
         "the order sequence shows that the engine has accepted the order whose response was lost, or another one",
-        ["model", "version", "expectedSequence", "orderSequence", "delayMilliseconds"],
+        ["kind", "model", "version", "expectedSequence", "orderSequence", "delayMilliseconds"],
     ),
-    "load order repeated": define(
+    "order repeated": define(
         "weights",
         ["agent"],
         "an order whose outcome is unknown was given again; the engine accepts at most one of the two",
-        ["model", "version", "expectedSequence", "outcome"],
+        ["kind", "model", "version", "expectedSequence", "outcome"],
     ),
-    "load order dropped by a restart of the engine": define(
+    "order dropped by a restart of the engine": define(
         "weights",
         ["agent"],
         "the engine restarted before it accepted the order whose response was lost",
-        ["model", "version", "expectedSequence"],
+        ["kind", "model", "version", "expectedSequence"],
     ),
+    "unload ordered": define("weights", ["agent"], "the engine was ordered to give up its weights", [
+        "model",
+        "version",
+        "orderSequence",
+        "outcome",
+        "reason",
+    ]),
     "load order failed": define("weights", ["agent"], "the order was refused, or its outcome is unknown", error),
     "order failed": define("weights", ["agent"], "an order to the engine failed", error),
 };
--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -8,12 +8,12 @@
 } from "../../runtime/rollout/index.js";
 import type { Clock, CopyPhase, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
 import type { StallMonitor } from "../replica/index.js";
+import { createEngineOrders } from "./engineOrders.js";
 import { createEngineReports } from "./engineReports.js";
-import { createLoadedVerification, type OrderedVersion } from "./loadedVerification.js";
+import { createLoadedVerification } from "./loadedVerification.js";
 import type { EngineStatus } from "./loadFeed.js";
 import { createLoadPreparation } from "./loadPreparation.js";
 import type { FindChunkVersion, StagedWrites } from "./stagedWrites.js";
-import { createUnresolvedOrderTracker, type UnresolvedOrder } from "./unresolvedOrder.js";
 import type { WeightMemory } from "./weightMemory.js";
 
 /** Versions that the engine should load, and the weights that are available for them. */
@@ -84,32 +84,21 @@
  */
 export function createEngineController(input: EngineControllerInput): EngineController {
     const { clock, logger, memory, options, writes } = input;
-    const { engine } = writes;
     const reports = createEngineReports({ writes, logger, onReport: observe });
     const preparation = createLoadPreparation({ ...input, reports });
-    const unresolvedOrder = createUnresolvedOrderTracker(clock, logger);
+    const orders = createEngineOrders({ ...input, repeatAfter: options.repeatAfter });
     const verification = createLoadedVerification({ ...input, onChange: actOnVerification });
-    /** Time of the last order, while no report has shown its effect. */
-    let orderedAt: Milliseconds | undefined;
-    let lastOrder: OrderedVersion | undefined;
     let lastReason = "";
     let isCarryingOutLoad = false;
     /** True from the drain right before a load until a later report shows what the engine does. */
     let loading = false;
-    /** True while an order is sent and not answered. */
-    let isOrdering = false;
     let drainingSince: Milliseconds | undefined;
     /** Version whose last chunks did not arrive during its drain; the engine does not drain early for it again. */
     let timedOutDrainVersion = 0;
 
     function observe(report: EngineReport, writeEvents: number): void {
-        const { weights } = report;
-        const isInEffect = weights?.complete === true && weights.version >= (lastOrder?.version ?? 0);
-        if (report.startedAt !== lastOrder?.engineStart || isInEffect) {
-            orderedAt = undefined;
-        }
-        unresolvedOrder.observe(report);
-        verification.observe(report, writeEvents, lastOrder);
+        orders.observe(report);
+        verification.observe(report, writeEvents, orders.readLast());
     }
 
     function actOnVerification(): void {
@@ -142,22 +131,13 @@
             return;
         }
         const { report, running, verified } = prepared;
-        const order = { model, version, engineStart: report.startedAt, expectedSequence: report.orderSequence };
-        lastOrder = order;
-        const sentAt = clock.monotonic();
-        isOrdering = true;
-        const ordered = await engine.load({
+        const ordered = await orders.load(report, {
             model,
             version,
-            expectedSequence: order.expectedSequence,
             running: running === 0 ? "finish" : "cut-off",
             mayWrite: () => preparation.isRecent(verified),
         });
-        isOrdering = false;
         loading = ordered.isOk && ordered.value === "begun";
-        if (ordered.isErr && ordered.error.mayHaveTakenEffect) {
-            unresolvedOrder.record({ ...order, sentAt }, ordered.error);
-        }
         input.publish(describe());
         const now = clock.monotonic();
         const fields = {
@@ -173,46 +153,22 @@
         };
         if (ordered.isErr) {
             const { code, message, peer, step } = ordered.error;
-            orderedAt = undefined;
             logger.warn({ ...fields, code, step, peer, detail: message }, "load order failed");
             return;
         }
-        orderedAt = ordered.value === "refused" ? undefined : now;
         logger.info({ ...fields, outcome: ordered.value }, "load ordered");
     }
 
-    /**
-     * Repeats an order whose outcome is unknown, until the order sequence shows that neither can be accepted any longer.
-     * Both expect the same sequence, so the engine accepts at most one of them.
-     */
-    async function repeat(order: UnresolvedOrder, report: EngineReport): Promise<void> {
-        const { expectedSequence, model, version } = order;
-        if (report.busy || clock.monotonic() - order.repeatedAt < options.repeatAfter) {
-            return;
-        }
-        const sentAt = clock.monotonic();
-        const ordered = await engine.load({
-            model,
-            version,
-            expectedSequence,
-            running: "cut-off",
-            mayWrite: () => unresolvedOrder.read() === order,
-        });
-        if (ordered.isErr) {
-            if (ordered.error.mayHaveTakenEffect) {
-                unresolvedOrder.record({ ...order, sentAt }, ordered.error);
-            }
-            return;
-        }
-        logger.info({ model, version, expectedSequence, outcome: ordered.value }, "load order repeated");
-        loading = ordered.value === "begun";
-        if (ordered.value === "in-effect") {
-            unresolvedOrder.resolve();
-        }
+    async function unload(report: EngineReport, reason: string): Promise<void> {
+        loading = true;
+        input.publish(describe());
+        const ordered = await orders.unload(report, reason);
+        loading = ordered?.isOk === true && ordered.value === "begun";
     }
 
     function mayStage(): boolean {
-        return !isOrdering && unresolvedOrder.read() === undefined && verification.readState() !== "unverified";
+        return !orders.isOrdering() && orders.readUnresolved() === undefined &&
+            verification.readState() !== "unverified";
     }
 
     async function decideAndAct(): Promise<void> {
@@ -225,18 +181,21 @@
             drainingSince = undefined;
             return;
         }
-        const unresolved = unresolvedOrder.read();
-        if (unresolved !== undefined) {
+        if (orders.readUnresolved() !== undefined) {
             drainingSince = undefined;
-            await carryOut(() => repeat(unresolved, report));
+            await carryOut(async () => {
+                loading = await orders.repeatUnresolved(report) === "begun";
+            });
             return;
         }
-        if (verification.readState() === "unverified") {
+        const loadedState = verification.readState();
+        if (loadedState === "unverified") {
             return;
         }
         const { transfer } = target;
         const decision = planLoad({
             report,
+            loadedState,
             model: target.model,
             wanted: target.wanted,
             target: target.complete === undefined ? undefined : Number(target.complete.version),
@@ -245,7 +204,7 @@
             drainingSince,
             self: input.self,
             members: target.members,
-            orderedAt,
+            orderedAt: orders.readOrderedAt(),
             now: clock.monotonic(),
             options,
         });
@@ -278,7 +237,11 @@
             return;
         }
         lastReason = "";
-        await carryOut(() => load(target, decision.version, decision.reason));
+        await carryOut(() =>
+            decision.kind === "unload" ?
+                unload(report, decision.reason) :
+                load(target, decision.version, decision.reason)
+        );
         drainingSince = undefined;
     }
 
@@ -301,7 +264,7 @@
             return "staging";
         }
         // An engine that carries out an order accepts no new requests.
-        const isAboutToLoad = loading || drainingSince !== undefined || unresolvedOrder.read() !== undefined;
+        const isAboutToLoad = loading || drainingSince !== undefined || orders.readUnresolved() !== undefined;
         // Gateways may know from an earlier agent that weights which this one cannot verify are right.
         const isUnusable = !verification.isFromBefore() && verification.readState() !== "verified";
         return report.busy || isAboutToLoad || isUnusable ? "activating" : "serving";
--- a/src/node/weightAgent/loadedVerification.ts
+++ b/src/node/weightAgent/loadedVerification.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "pino";
 import { judgeLoadedWeights, type LoadedWeightsState } from "../../runtime/rollout/index.js";
 import type { Clock, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
+import type { OrderedVersion } from "./engineOrders.js";
 import { countDifferences, readBackStaged } from "./readBackStaged.js";
 import type { FindChunkVersion, StagedWrites } from "./stagedWrites.js";
 
@@ -50,14 +51,6 @@
     readonly isFromBefore: () => boolean;
 }
 
-/** Order that this process gave. */
-export interface OrderedVersion {
-    readonly model: string;
-    readonly version: number;
-    readonly engineStart: number | undefined;
-    readonly expectedSequence: number;
-}
-
 /**
  * Creates the verification of what the engine has loaded. An engine takes the chunks that are staged when it accepts an
  * order, which may be seconds after the order was sent, so only chunks that are read back afterwards show what it took.
--- a/src/node/weightAgent/stagedWrites.ts
+++ b/src/node/weightAgent/stagedWrites.ts
@@ -76,6 +76,7 @@
             readStaged: (model, index) => engine.readStaged(model, index),
             stage,
             load: order => engine.load(order),
+            unload: order => engine.unload(order),
         },
         countEvents: () => events,
         listUnresolved: () => unresolved,
--- a/src/node/weightAgent/unresolvedOrder.ts
+++ b/src/node/weightAgent/unresolvedOrder.ts
@@ -1,8 +1,13 @@
 import type { Logger } from "pino";
 import type { Clock, EngineReport, GoldcrestpointError, Milliseconds } from "../../types/index.js";
 
+/** Orders that an engine can be given; `unload` makes it give up its weights. */
+export type OrderKind = "load" | "unload";
+
 /** Order whose response was lost, so that the engine may still accept it. */
 export interface UnresolvedOrder {
+    /** Kind of the first one; a repeated one may be of the other kind. */
+    readonly kind: OrderKind;
     readonly model: string;
     readonly version: number;
     readonly expectedSequence: number;
@@ -45,12 +50,12 @@
     return {
         read: () => unresolved,
         record: (order, error) => {
-            unresolved = { ...order, sentAt: unresolved?.sentAt ?? order.sentAt, repeatedAt: order.sentAt };
-            const { expectedSequence, model, version } = order;
+            unresolved = { ...order, ...unresolved, repeatedAt: order.sentAt };
+            const { expectedSequence, kind, model, version } = order;
             const { code, message, peer, step } = error;
             logger.warn(
-                { code, step, peer, detail: message, model, version, expectedSequence },
-                "load order outcome unknown",
+                { code, step, peer, detail: message, kind, model, version, expectedSequence },
+                "order outcome unknown",
             );
         },
         resolve: () => {
@@ -60,18 +65,18 @@
             if (unresolved === undefined) {
                 return;
             }
-            const { engineStart, expectedSequence, model, sentAt, version } = unresolved;
+            const { engineStart, expectedSequence, kind, model, sentAt, version } = unresolved;
             if (report.startedAt !== engineStart) {
                 unresolved = undefined;
-                logger.info({ model, version, expectedSequence }, "load order dropped by a restart of the engine");
+                logger.info({ kind, model, version, expectedSequence }, "order dropped by a restart of the engine");
                 return;
             }
             if (report.orderSequence !== expectedSequence) {
                 unresolved = undefined;
                 const delayMilliseconds = Math.round(clock.monotonic() - sentAt);
                 logger.warn(
-                    { model, version, expectedSequence, orderSequence: report.orderSequence, delayMilliseconds },
-                    "load accepted after its outcome was unknown",
+                    { kind, model, version, expectedSequence, orderSequence: report.orderSequence, delayMilliseconds },
+                    "order accepted after its outcome was unknown",
                 );
             }
         },
--- a/src/runtime/rollout/planLoad.ts
+++ b/src/runtime/rollout/planLoad.ts
@@ -1,5 +1,6 @@
 import type { EngineReport, Milliseconds } from "../../types/index.js";
 import { rankByRendezvous } from "../../utils/index.js";
+import type { LoadedWeightsState } from "./loadedWeights.js";
 
 /** Options of the rolling update of the backend servers of a service to a new version. */
 export interface RolloutOptions {
@@ -34,6 +35,8 @@
 /** Input of {@link planLoad}. */
 export interface LoadInput {
     readonly report: EngineReport;
+    /** What is known about the loaded weights. */
+    readonly loadedState: LoadedWeightsState;
     readonly model: string;
     /** Declared versions, newest first; at least one. */
     readonly wanted: readonly WantedVersion[];
@@ -60,6 +63,8 @@
 /** Result of {@link planLoad}. */
 export type LoadDecision =
     | { readonly kind: "load"; readonly version: number; readonly reason: string; }
+    /** The engine gives up its weights, so that it can load the same version again. */
+    | { readonly kind: "unload"; readonly version: number; readonly reason: string; }
     /** The engine gets no new requests while the last chunks arrive. */
     | { readonly kind: "drain"; readonly version: number; readonly reason: string; }
     | { readonly kind: "wait"; readonly reason: string; };
@@ -118,6 +123,20 @@
     return isDue ? { kind: "drain", version: transfer.version, reason: `turn of group ${wave}` } : waitForChunks;
 }
 
+/**
+ * Decides how an engine gets rid of wrong weights: it loads a newer version, or gives up its weights first, since an order
+ * to load the same version has no effect and chunks must not be repaired while the engine reports them as loaded.
+ */
+function planReplacement({ report, target }: LoadInput, loaded: number): LoadDecision {
+    const reason = "the loaded weights are wrong";
+    if (report.busy) {
+        return { kind: "wait", reason: "the engine carries out an order" };
+    }
+    return target !== undefined && target > loaded ?
+        { kind: "load", version: target, reason } :
+        { kind: "unload", version: loaded, reason };
+}
+
 /**
  * Decides whether the engine has to load the target version now. An engine without weights loads at once. The others
  * load in waves, timed from the declaration of the oldest version that they have not loaded. An engine whose wave
@@ -130,6 +149,9 @@
     const { model, now, options, orderedAt, report, target, wanted } = input;
     const { weights } = report;
     const loaded = weights?.complete === true && weights.model === model ? weights.version : 0;
+    if (input.loadedState === "wrong") {
+        return planReplacement(input, loaded);
+    }
     if (loaded >= wanted[0]!.version) {
         return { kind: "wait", reason: "the newest version is loaded" };
     }
--- a/src/types/engineControl.ts
+++ b/src/types/engineControl.ts
@@ -22,7 +22,7 @@
 /** Response of an engine to an order: it has begun to carry it out, it has already done so, or it refuses. */
 export type OrderOutcome = "begun" | "in-effect" | "refused";
 
-/** Order to load the staged chunks. */
+/** Order to load the staged chunks, or to give up the weights. */
 export interface LoadOrder {
     readonly model: string;
     readonly version: number;
@@ -56,6 +56,13 @@
      * @returns the engine's response; `ORDER_AMBIGUOUS` if the response was lost
      */
     load(order: LoadOrder): PortResult<OrderOutcome>;
+    /**
+     * Orders the engine to give up its weights. It holds none afterwards, so that the same version can be loaded again.
+     *
+     * @param order - version that is loaded, and the conditions of the order
+     * @returns the engine's response; `ORDER_AMBIGUOUS` if the response was lost
+     */
+    unload(order: LoadOrder): PortResult<OrderOutcome>;
 }
 
 /** Origin whose weights are identified by model and version. */
--- a/test/node/weightAgent/engineController.test.ts
+++ b/test/node/weightAgent/engineController.test.ts
@@ -24,6 +24,7 @@
             queued: 0,
         })),
     load: unused,
+    unload: unused,
     listStaged: unused,
     readStaged: unused,
     stage: unused,
@@ -72,6 +73,7 @@
                     ordered.push(version);
                     return Promise.resolve(ok("begun"));
                 },
+                unload: unused,
                 listStaged: unused,
                 readStaged: (...[, index]) => Promise.resolve(ok(staged.get(index))),
                 stage: (...[, index, content]) => {
--- a/test/node/weightAgent/stagedVerification.test.ts
+++ b/test/node/weightAgent/stagedVerification.test.ts
@@ -49,6 +49,10 @@
         return Promise.resolve(ok("begun"));
     }
 
+    unload(): ReturnType<EngineControlPort["unload"]> {
+        return Promise.resolve(ok("begun"));
+    }
+
     listStaged(): ReturnType<EngineControlPort["listStaged"]> {
         return Promise.resolve(ok([...this.staged.keys()]));
     }
--- a/test/node/weightAgent/staging.test.ts
+++ b/test/node/weightAgent/staging.test.ts
@@ -37,6 +37,7 @@
         writes,
         readReport: unused,
         load: unused,
+        unload: unused,
         listStaged: () => Promise.resolve(ok([...staged.keys()])),
         readStaged: (...[, index]) => Promise.resolve(ok(staged.get(index))),
         stage: (...[, index, content]) => {
--- a/test/platform/weights.test.ts
+++ b/test/platform/weights.test.ts
@@ -62,6 +62,16 @@
         expect([report.weights?.version, report.orderSequence, report.startedAt]).toEqual([2, 1, 5]);
     });
 
+    // Guards against an order that loads the same version again and has no effect, since it is loaded.
+    it("make the engine give up its weights by loading no layers", async () => {
+        await using engine = await startEngineStandIn("quill");
+        await using client = createEngineClient(engine.address);
+        expect(expectOk(await client.unload(createOrder(2, "cut-off")))).toEqual("begun");
+        expect(engine.orders).toEqual([
+            { op: "start", model: "quill", version: 2, mode: "truncate", expect: 0, from: 0, target: 0 },
+        ]);
+    });
+
     it("are ambiguous when the answer is lost", async () => {
         await using engine = await startEngineStandIn("quill");
         await using client = createEngineClient(engine.address);
--- a/test/runtime/rollout/rollout.test.ts
+++ b/test/runtime/rollout/rollout.test.ts
@@ -14,6 +14,7 @@
             running: 3,
             queued: 0,
         },
+        loadedState: "verified",
         model: "quill",
         wanted: [{ version: 2, declaredAt: 1_000 }],
         target: 2,
@@ -36,6 +37,16 @@
     };
 }
 
+describe("replacement of wrong weights", () => {
+    it("loads a newer version at once, and gives up the weights first to load the same version again", () => {
+        const wrong = createInput({ loadedState: "wrong", now: 1_001 });
+        expect(planLoad(wrong)).toEqual({ kind: "load", version: 2, reason: "the loaded weights are wrong" });
+        expect(planLoad({ ...wrong, target: 1 }).kind).toEqual("unload");
+        expect(planLoad({ ...wrong, target: undefined }).kind).toEqual("unload");
+        expect(planLoad({ ...wrong, report: { ...wrong.report, busy: true } }).kind).toEqual("wait");
+    });
+});
+
 describe("order to load a version", () => {
     it("waits for every chunk", () => {
         expect(planLoad(createInput({ target: undefined })).kind).toEqual("wait");
