--- a/test/node/weightAgent/engineController.test.ts
+++ b/test/node/weightAgent/engineController.test.ts
@@ -4,6 +4,7 @@
 import { ok } from "true-myth/result";
 import { createStallMonitor } from "../../../src/node/replica/index.js";
 import { createEngineController, type EngineTarget } from "../../../src/node/weightAgent/engineController.js";
+import { type StagedWrites, trackStagedWrites } from "../../../src/node/weightAgent/stagedWrites.js";
 import { createWeightMemory } from "../../../src/node/weightAgent/weightMemory.js";
 import { createManifest } from "../../../src/runtime/distribution/index.js";
 import type { EngineControlPort } from "../../../src/types/index.js";
@@ -23,6 +24,7 @@
             queued: 0,
         })),
     load: unused,
+    unload: unused,
     listStaged: unused,
     readStaged: unused,
     stage: unused,
@@ -30,6 +32,12 @@
 
 const logger = pino({ level: "silent" });
 
+function track(tracked: EngineControlPort): StagedWrites {
+    return trackStagedWrites({ engine: tracked, logger, findVersion: () => undefined, mayWrite: () => true });
+}
+
+const versions = { readManifest: () => undefined, requestManifest: () => {}, findVersion: () => undefined };
+
 const options = {
     waves: 1,
     firstWaveAfter: 0,
@@ -51,7 +59,7 @@
         const readManifest = (version: number) =>
             createManifest({ model: "scribe", adapter: "", version: String(version) }, [Buffer.from([version])]);
         const controller = createEngineController({
-            engine: {
+            writes: track({
                 readReport: () =>
                     Promise.resolve(ok({
                         startedAt: 1,
@@ -65,13 +73,14 @@
                     ordered.push(version);
                     return Promise.resolve(ok("begun"));
                 },
+                unload: unused,
                 listStaged: unused,
                 readStaged: (...[, index]) => Promise.resolve(ok(staged.get(index))),
                 stage: (...[, index, content]) => {
                     staged.set(index, content);
                     return Promise.resolve(ok(undefined));
                 },
-            },
+            }),
             memory,
             self: "a",
             clock,
@@ -88,6 +97,8 @@
                 members: ["a"],
                 slots: 4,
             }),
+            ...versions,
+            readManifest: (...[, version]) => readManifest(version),
         });
         const runUntilOrdered = async (version: number): Promise<void> => {
             memory.import(`scribe@${version}`, 1, new Map([[0, Buffer.from([version])]]));
@@ -116,7 +127,7 @@
             slots: 4,
         });
         const controller = createEngineController({
-            engine,
+            writes: track(engine),
             memory: createWeightMemory(() => 4),
             self: "a",
             clock,
@@ -125,6 +136,7 @@
             options: { ...options, firstWaveAfter: 3_000 },
             publish: ({ phase }) => published.push(phase),
             readTarget,
+            ...versions,
         });
         clock.advance(4_000);
         expect((await controller.run()).phase).toEqual("serving");
