Log which load order and which verification the weights of a backend server have

`backend server reported` and the lines of routing decisions named the version of the weights only. Whether an engine had loaded them with the order that was expected, and whether anyone had verified what it took, could not be read from the log of a gateway, so that requests that went to wrong weights looked like all others.

A gateway now keeps what agents have reported about the weights of each backend server: the start of the engine, the sequence of the order and the version, which together only change with an accepted order or a restart, and the last such weights that were reported as verified. Both lines state the sequence and whether the weights are verified; the line about a report also states what that report said about it, since an agent that has restarted knows less than the gateway. Nothing decides by this yet.

--- a/src/node/gateway/agentWatch.ts
+++ b/src/node/gateway/agentWatch.ts
@@ -1,8 +1,14 @@
 import { create } from "@bufbuild/protobuf";
 import type { ClientReadableStream } from "@grpc/grpc-js";
+import { isDeepStrictEqual } from "node:util";
 import type { Logger } from "pino";
 import { type LoadReport, WatchLoadRequestSchema } from "../../generated/goldcrestpoint_pb.js";
-import { applyAgentReport, type BackendServerRow, formatWeightName } from "../../runtime/gateway/index.js";
+import {
+    applyAgentReport,
+    areReportedWeightsVerified,
+    type BackendServerRow,
+    formatWeightName,
+} from "../../runtime/gateway/index.js";
 import type { Clock, CopyPhase, Milliseconds, RandomSource } from "../../types/index.js";
 import { type AgentClient, createAgentClient } from "../grpc/index.js";
 import { splitAddress } from "../httpServer/index.js";
@@ -52,6 +58,16 @@
     return phases.has(text) ? text as CopyPhase : "waiting";
 }
 
+/** Describes what the log shows about the weights of a backend server. */
+function describeWeights({ reportedWeights, runner }: BackendServerRow) {
+    return {
+        phase: runner.phase,
+        weights: runner.manifestDigest,
+        orderSequence: reportedWeights.newest?.orderSequence,
+        weightsVerified: areReportedWeightsVerified(reportedWeights),
+    };
+}
+
 /**
  * Follows the load reports of the agents beside backend servers.
  *
@@ -98,20 +114,12 @@
             const phase = copy === undefined ? "waiting" : toPhase(copy.phase);
             const version = Number(copy?.version ?? "");
             const manifestDigest = copy === undefined ? undefined : formatWeightName(copy.deployment, version);
-            const { runner } = row;
-            if (runner.phase !== phase || runner.manifestDigest !== manifestDigest) {
-                logger.info(
-                    {
-                        peer: row.listed.instance,
-                        phase,
-                        weights: manifestDigest,
-                        ageMilliseconds: Number(report.ageMilliseconds),
-                    },
-                    "backend server reported",
-                );
-            }
+            const before = describeWeights(row);
             applyAgentReport(row, {
+                startedAt: report.incarnation === "" ? undefined : Number(report.incarnation),
+                orderSequence: Number(report.orderSequence),
                 manifestDigest,
+                verified: report.weightsVerified,
                 phase,
                 draining: report.draining,
                 running: report.running,
@@ -120,6 +128,18 @@
                 cachedPrefixes: [],
                 age: Number(report.ageMilliseconds),
             }, now);
+            const after = describeWeights(row);
+            if (!isDeepStrictEqual(before, after)) {
+                logger.info(
+                    {
+                        peer: row.listed.instance,
+                        ...after,
+                        verificationReported: report.weightsVerified,
+                        ageMilliseconds: Number(report.ageMilliseconds),
+                    },
+                    "backend server reported",
+                );
+            }
         }
         input.onReport();
     }
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -1,3 +1,4 @@
+import { areReportedWeightsVerified } from "../../runtime/gateway/index.js";
 import type { RequestCauses, RetryDecision } from "../../runtime/retry/index.js";
 import type { Clock, Fingerprint, Refusal, RefusalReason, ServiceRow } from "../../types/index.js";
 import type { DecisionLog } from "../logging/index.js";
@@ -53,7 +54,7 @@
     { clock, computeServiceShare, countOpen, countQueued, decisions, findCrashingPart }: RequestLogInput,
 ): RequestLog {
     return {
-        routing: (request, { decision, version }, attempt) => {
+        routing: (request, { decision, server, version }, attempt) => {
             const { requestId } = request.row;
             const deployment = request.service.name;
             const { candidates } = decision;
@@ -75,6 +76,7 @@
             const { reason, runner } = decision;
             const { awaitingFirst, instance, outstanding, reportedAt, reportedLoad, reportedWaiting } = runner;
             const reportAge = Math.round(clock.monotonic() - reportedAt);
+            const reported = request.service.engine === undefined ? undefined : server?.reportedWeights;
             decisions.record({
                 kind: "routing",
                 outcome: "chosen",
@@ -83,7 +85,17 @@
                 choice: instance,
                 reason,
                 candidates,
-                details: { attempt, version, outstanding, awaitingFirst, reportedLoad, reportedWaiting, reportAge },
+                details: {
+                    attempt,
+                    version,
+                    orderSequence: reported?.newest?.orderSequence,
+                    weightsVerified: reported && areReportedWeightsVerified(reported),
+                    outstanding,
+                    awaitingFirst,
+                    reportedLoad,
+                    reportedWaiting,
+                    reportAge,
+                },
             });
         },
         retry: (request, failure, decision, server, budget) => {
--- a/src/runtime/gateway/backendServers.ts
+++ b/src/runtime/gateway/backendServers.ts
@@ -2,6 +2,7 @@
 import { createTable, type Table } from "../../utils/index.js";
 import { applyLoadReport, createRunnerRow, type RunnerLoadReport, type RunnerRow } from "../routing/index.js";
 import { type AnswerDelay, createAnswerDelay } from "./answerDelay.js";
+import { noReportedWeights, recordWeightsReport, type ReportedWeights, type WeightsReport } from "./reportedWeights.js";
 import type { ServerNotice } from "./serverNotices.js";
 import { formatWeightName } from "./weightNames.js";
 
@@ -13,6 +14,8 @@
     answerDelay: AnswerDelay;
     /** Monotonic time of the newest report of its agent; undefined if there is none or it has expired. */
     reportedAt: Milliseconds | undefined;
+    /** What agents have reported about the weights of the backend server. */
+    reportedWeights: ReportedWeights;
     /** Monotonic time at which the entry was removed while the list was unreliable; undefined if it is listed. */
     removedAt: Milliseconds | undefined;
 }
@@ -30,6 +33,12 @@
     readonly reportExpiry: Milliseconds;
 }
 
+/** Report of the agent beside a backend server. */
+export interface AgentReport extends RunnerLoadReport, Pick<WeightsReport, "orderSequence" | "verified"> {
+    /** Start of the backend server in milliseconds since 1970; undefined if the agent does not know it. */
+    readonly startedAt: number | undefined;
+}
+
 /** Backend servers by instance, with an index by service. */
 export type BackendServerTable = Table<string, BackendServerRow>;
 
@@ -58,7 +67,14 @@
         capacity: slots,
         reportedAt: now,
     });
-    return { listed, runner, answerDelay: createAnswerDelay(), reportedAt: undefined, removedAt: undefined };
+    return {
+        listed,
+        runner,
+        answerDelay: createAnswerDelay(),
+        reportedAt: undefined,
+        reportedWeights: noReportedWeights,
+        removedAt: undefined,
+    };
 }
 
 function isReportFresh(row: BackendServerRow, now: Milliseconds, options: MembershipOptions): boolean {
@@ -190,10 +206,16 @@
  * @param report - load and weights
  * @param now - monotonic time at which the report arrived
  */
-export function applyAgentReport(row: BackendServerRow, report: RunnerLoadReport, now: Milliseconds): void {
+export function applyAgentReport(row: BackendServerRow, report: AgentReport, now: Milliseconds): void {
     const { capacity, draining } = row.runner;
     applyLoadReport(row.runner, report, now);
     row.reportedAt = now;
+    const { manifestDigest: weights, orderSequence, phase, startedAt, verified } = report;
+    row.reportedWeights = recordWeightsReport(
+        row.reportedWeights,
+        { startedAt, orderSequence, weights, serving: phase === "serving", verified },
+        row.listed.startedAt,
+    );
     // The agent knows load and weights best, but the list is the first to show that a backend server is draining.
     row.runner.draining = draining || report.draining;
     row.runner.capacity = report.capacity > 0 ? report.capacity : capacity;
--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -7,6 +7,7 @@
 export * from "./lifetime.js";
 export * from "./placeShare.js";
 export * from "./rateLimits.js";
+export * from "./reportedWeights.js";
 export * from "./requestFingerprint.js";
 export * from "./routeTable.js";
 export * from "./serverNotices.js";
--- a/test/runtime/gateway/backendServers.test.ts
+++ b/test/runtime/gateway/backendServers.test.ts
@@ -66,7 +66,10 @@
         applyListed(table, createListed({ weights }), "south", 0, options);
         const row = table.get("i-1")!;
         const report = {
+            startedAt: 1,
+            orderSequence: 1,
             manifestDigest: "quill@2",
+            verified: undefined,
             phase: "serving",
             draining: false,
             running: 1,
@@ -87,7 +90,10 @@
         applyListed(table, createListed({ state: "draining" }), "south", 0, options);
         const row = table.get("i-1")!;
         applyAgentReport(row, {
+            startedAt: 1,
+            orderSequence: 1,
             manifestDigest: "quill@1",
+            verified: undefined,
             phase: "serving",
             draining: false,
             running: 0,
