Send no requests to weights that are not known to be right

Callers got answers made with wrong weights: an order that reaches an engine seconds after it was sent loads whatever is staged by then. The agent beside the engine finds that out after the acceptance only, and while it was killed, frozen or cut off, gateways fell back to the list, which names the version that the engine believes it has, and sent requests there. They also sent them to engines whose agent they had not heard yet.

What an engine has loaded only changes when it accepts an order or restarts, so it is identified by its start, the order sequence and the version. A gateway now uses an engine only if an agent has reported exactly these weights as verified. It remembers that, so that an agent that has just restarted and knows nothing takes no engine out of service. Without a fresh report, the list counts only where it names the start and the version of the last report, and if that one was serving and verified; otherwise the engine is left out until an agent reports. Agents of earlier releases do not verify: for them, a report of a serving engine counts as before. Plain services list no weights and are not concerned. Refusals and their explanation count such engines as `unverified`.

--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -143,6 +143,7 @@
                     draining: leftOut.draining,
                     ejected: leftOut.ejected,
                     notServing: leftOut["not-serving"],
+                    unverified: leftOut.unverified,
                     paused: leftOut.paused,
                     rateLimited: leftOut["rate-limited"],
                     waited: Math.round(clock.monotonic() - request.row.receivedAt),
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -35,6 +35,7 @@
         "draining",
         "ejected",
         "notServing",
+        "unverified",
         "paused",
         "waited",
         "retryAfterSeconds",
--- a/src/runtime/explain/findCauses.ts
+++ b/src/runtime/explain/findCauses.ts
@@ -37,8 +37,12 @@
     if (line.fields["usable"] === undefined) {
         return "";
     }
+    // Lines of earlier releases do not have the number.
+    const unverified = line.fields["unverified"] === undefined ?
+        "" :
+        `, ${show(line, "unverified")} with unverified weights`;
     const unavailable = `${show(line, "draining")} draining, ${show(line, "ejected")} ejected, ` +
-        `${show(line, "notServing")} not serving, ${show(line, "paused")} paused`;
+        `${show(line, "notServing")} not serving${unverified}, ${show(line, "paused")} paused`;
     return ` (${show(line, "usable")} usable backend servers with ${show(line, "free")} free places, wanted by ` +
         `${show(line, "contenders")} of ${show(line, "gateways")} gateways; left out: ${unavailable})`;
 }
--- a/src/runtime/gateway/backendServers.ts
+++ b/src/runtime/gateway/backendServers.ts
@@ -2,7 +2,14 @@
 import { createTable, type Table } from "../../utils/index.js";
 import { applyLoadReport, createRunnerRow, type RunnerLoadReport, type RunnerRow } from "../routing/index.js";
 import { type AnswerDelay, createAnswerDelay } from "./answerDelay.js";
-import { noReportedWeights, recordWeightsReport, type ReportedWeights, type WeightsReport } from "./reportedWeights.js";
+import {
+    areListedWeightsVerified,
+    areReportedWeightsVerified,
+    noReportedWeights,
+    recordWeightsReport,
+    type ReportedWeights,
+    type WeightsReport,
+} from "./reportedWeights.js";
 import type { ServerNotice } from "./serverNotices.js";
 import { formatWeightName } from "./weightNames.js";
 
@@ -59,15 +66,13 @@
 }
 
 function createRow(listed: ListedBackendServer, region: Region, now: Milliseconds): BackendServerRow {
-    const { instance, service, slots, state, weights, zone } = listed;
+    const { instance, service, slots, state, zone } = listed;
     const runner = Object.assign(createRunnerRow(service, { instance, zone, region }), {
-        manifestDigest: nameCompleteWeights(weights),
-        phase: "serving",
         draining: state === "draining",
         capacity: slots,
         reportedAt: now,
     });
-    return {
+    const row: BackendServerRow = {
         listed,
         runner,
         answerDelay: createAnswerDelay(),
@@ -75,6 +80,19 @@
         reportedWeights: noReportedWeights,
         removedAt: undefined,
     };
+    applyListedWeights(row);
+    return row;
+}
+
+/**
+ * Falls back to the weights that the list names. The list shows neither a load that has just been ordered nor whether
+ * the loaded weights are right.
+ */
+function applyListedWeights({ listed, reportedWeights, runner }: BackendServerRow): void {
+    const weights = nameCompleteWeights(listed.weights);
+    runner.manifestDigest = weights;
+    runner.phase = "serving";
+    runner.unverified = weights !== undefined && !areListedWeightsVerified(reportedWeights, listed.startedAt, weights);
 }
 
 function isReportFresh(row: BackendServerRow, now: Milliseconds, options: MembershipOptions): boolean {
@@ -126,8 +144,7 @@
     row.runner.draining = listed.state === "draining";
     row.runner.capacity = listed.slots;
     if (!isReportFresh(row, now, options)) {
-        row.runner.manifestDigest = nameCompleteWeights(listed.weights);
-        row.runner.phase = "serving";
+        applyListedWeights(row);
     }
     return change;
 }
@@ -216,13 +233,15 @@
         { startedAt, orderSequence, weights, serving: phase === "serving", verified },
         row.listed.startedAt,
     );
+    row.runner.unverified = weights !== undefined && !areReportedWeightsVerified(row.reportedWeights);
     // The agent knows load and weights best, but the list is the first to show that a backend server is draining.
     row.runner.draining = draining || report.draining;
     row.runner.capacity = report.capacity > 0 ? report.capacity : capacity;
 }
 
 /**
- * Falls back to the list for backend servers whose agents have stopped reporting.
+ * Falls back to the list for backend servers whose agents have stopped reporting. Those whose weights are not known to be
+ * right are not used until an agent reports again.
  *
  * @param table - table to change
  * @param now - monotonic time
@@ -238,8 +257,7 @@
     for (const row of table.rows()) {
         if (row.reportedAt !== undefined && !isReportFresh(row, now, options)) {
             row.reportedAt = undefined;
-            row.runner.manifestDigest = nameCompleteWeights(row.listed.weights);
-            row.runner.phase = "serving";
+            applyListedWeights(row);
             expired.push(row.listed.instance);
         }
     }
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -55,7 +55,7 @@
 export function findCandidates(input: CandidateInput): Candidates {
     const serving: RunnerRow[] = [];
     const healthy: RunnerRow[] = [];
-    const leftOut = { draining: 0, "not-serving": 0, paused: 0, "rate-limited": 0, ejected: 0 };
+    const leftOut = { draining: 0, "not-serving": 0, unverified: 0, paused: 0, "rate-limited": 0, ejected: 0 };
     let resumesAt: Milliseconds | undefined;
     for (const runner of input.subset.runners) {
         if (runner.draining) {
@@ -64,6 +64,9 @@
         else if (!isServing(runner, input)) {
             leftOut["not-serving"]++;
         }
+        else if (runner.unverified) {
+            leftOut.unverified++;
+        }
         else if (isPaused(runner, input.now)) {
             leftOut.paused++;
             resumesAt = Math.min(resumesAt ?? Infinity, Math.max(input.now, runner.pausedUntil));
--- a/src/runtime/routing/subset.ts
+++ b/src/runtime/routing/subset.ts
@@ -79,6 +79,7 @@
         region: candidate.region,
         manifestDigest: undefined,
         phase: "waiting",
+        unverified: false,
         draining: false,
         outstanding: 0,
         awaitingFirst: 0,
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -76,6 +76,8 @@
     /** Weight set that the runner serves; undefined for plain services and before the first report. */
     manifestDigest: ManifestDigest | undefined;
     phase: CopyPhase;
+    /** True if it is not known whether the weights that the runner has loaded are right. */
+    unverified: boolean;
     draining: boolean;
     /** Requests that this process has in progress on the runner. */
     outstanding: number;
@@ -133,7 +135,7 @@
 >;
 
 /** Why a runner may not be selected. */
-export type LeftOutReason = "draining" | "not-serving" | "paused" | "rate-limited" | "ejected";
+export type LeftOutReason = "draining" | "not-serving" | "unverified" | "paused" | "rate-limited" | "ejected";
 
 /** Result of `findCandidates`. */
 export interface Candidates {
--- a/test/platform/standIn/httpStandIn.ts
+++ b/test/platform/standIn/httpStandIn.ts
@@ -27,13 +27,18 @@
 }
 
 /**
- * Starts an HTTP server on the loopback address.
+ * Starts an HTTP server on a loopback address.
  *
  * @param handle - handles each request, whose body has been read
  * @param port - port to listen on; default: a free port, which refuses connections once the server has stopped
+ * @param host - loopback address to listen on
  * @returns the server; disposing of it closes all connections
  */
-export async function startHttpStandIn(handle: StandInHandler, port?: number): Promise<HttpStandIn> {
+export async function startHttpStandIn(
+    handle: StandInHandler,
+    port?: number,
+    host = "127.0.0.1",
+): Promise<HttpStandIn> {
     const [listenPort] = port === undefined ? await findFreePorts(1) : [port];
     const server: Server = createServer((request, response) => {
         void (async () => {
@@ -47,10 +52,10 @@
         socket.once("close", () => sockets.delete(socket));
     });
     await new Promise<void>(resolve => {
-        server.listen(listenPort, "127.0.0.1", resolve);
+        server.listen(listenPort, host, resolve);
     });
     return {
-        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        address: `${host}:${(server.address() as AddressInfo).port}`,
         crash: () => {
             server.close();
             sockets.forEach(socket => socket.resetAndDestroy());
--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -60,6 +60,8 @@
     leave(): void;
     /** Sets the header `server-limit` of all further responses, several values as repeated headers; undefined for none. */
     setRateLimit(text: string | string[] | undefined): void;
+    /** Sets the version of the loaded weights. */
+    setVersion(version: number): void;
     /** Sets the header `retry-after` of the responses to requests that are turned away. */
     setRetryAfter(text: string): void;
 }
@@ -77,6 +79,10 @@
     readonly workMilliseconds?: number;
     /** Port to listen on. Default: a free one. */
     readonly port?: number;
+    /** Loopback address to listen on, which tells the agents of several runners apart. Default: 127.0.0.1. */
+    readonly host?: string;
+    /** Version of the weights that the runner has loaded. Default: none, and `expect-version` is ignored. */
+    readonly version?: number;
     /** Called for each request that the runner begins to execute; the runner crashes if it returns true. */
     readonly shouldCrash?: (recordRun: RunnerRun) => boolean;
 }
@@ -93,6 +99,7 @@
     const runs: RunnerRun[] = [];
     let behaviour: RunnerBehaviour = "answer";
     let isLeaving = false;
+    let { version } = options;
     let retryAfter = "2";
     let rateLimit: string | string[] | undefined;
     const arrivedAt: number[] = [];
@@ -237,22 +244,28 @@
         },
     };
 
-    const server = await startHttpStandIn((request, response, url, body) => {
-        arrivedAt.push(performance.now());
-        if (isLeaving) {
-            response.setHeader("server-leaving", "1");
-        }
-        if (rateLimit !== undefined) {
-            response.setHeader("server-limit", rateLimit);
-        }
-        if (request.headers["expect-instance"] !== options.id) {
-            response.setHeader("attempt-id", request.headers["attempt-id"] ?? "");
-            response.setHeader("runner-id", options.id);
-            sendJson(response, 421, {});
-            return;
-        }
-        handlers[behaviour](request, response, url, body);
-    }, options.port);
+    const server = await startHttpStandIn(
+        (request, response, url, body) => {
+            arrivedAt.push(performance.now());
+            if (isLeaving) {
+                response.setHeader("server-leaving", "1");
+            }
+            if (rateLimit !== undefined) {
+                response.setHeader("server-limit", rateLimit);
+            }
+            const expected = request.headers["expect-version"];
+            const isOtherVersion = version !== undefined && expected !== undefined && Number(expected) !== version;
+            if (request.headers["expect-instance"] !== options.id || isOtherVersion) {
+                response.setHeader("attempt-id", request.headers["attempt-id"] ?? "");
+                response.setHeader("runner-id", options.id);
+                sendJson(response, 421, {});
+                return;
+            }
+            handlers[behaviour](request, response, url, body);
+        },
+        options.port,
+        options.host,
+    );
     return {
         ...server,
         id: options.id,
@@ -268,6 +281,9 @@
         setRateLimit: text => {
             rateLimit = text;
         },
+        setVersion: next => {
+            version = next;
+        },
         setRetryAfter: text => {
             retryAfter = text;
         },
--- a/test/runtime/gateway/backendServers.test.ts
+++ b/test/runtime/gateway/backendServers.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import {
+    type AgentReport,
     applyAgentReport,
     applyListed,
     applyRemoved,
@@ -13,6 +14,19 @@
 
 const options = { returnTime: 2_000, outageAfter: 1_600, reportExpiry: 1_500 };
 const weights = { model: "quill", version: 1, complete: true };
+const report: AgentReport = {
+    startedAt: undefined,
+    orderSequence: 1,
+    manifestDigest: "quill@1",
+    verified: true,
+    phase: "serving",
+    draining: false,
+    running: 1,
+    queued: 0,
+    capacity: 4,
+    cachedPrefixes: [],
+    age: 0,
+};
 
 describe("membership of backend servers", () => {
     it("drains a backend server as soon as the list says so", () => {
@@ -85,6 +99,31 @@
         expect(row.runner.manifestDigest).toEqual("quill@1");
     });
 
+    // Guards against requests to weights that an engine loaded while its agent was away.
+    it("uses weights that only the list names if the last report had verified them, and no others", () => {
+        const table = createBackendServerTable();
+        applyListed(table, createListed({ weights }), "south", 0, options);
+        const row = table.get("i-1")!;
+        expect(row.runner.unverified).toEqual(true);
+        applyAgentReport(row, report, 1_000);
+        expect(expireReports(table, 2_501, options)).toEqual(["i-1"]);
+        expect([row.runner.unverified, row.runner.phase]).toEqual([false, "serving"]);
+        applyListed(table, createListed({ weights: { ...weights, version: 2 } }), "south", 2_600, options);
+        expect([row.runner.unverified, row.runner.manifestDigest]).toEqual([true, "quill@2"]);
+    });
+
+    it("uses no weights until an agent has reported them as verified", () => {
+        const table = createBackendServerTable();
+        applyListed(table, createListed({ weights }), "south", 0, options);
+        const row = table.get("i-1")!;
+        applyAgentReport(row, { ...report, verified: false }, 1_000);
+        expect(row.runner.unverified).toEqual(true);
+        applyAgentReport(row, { ...report, verified: true }, 1_100);
+        expect(row.runner.unverified).toEqual(false);
+        applyAgentReport(row, { ...report, orderSequence: 2, verified: false }, 1_200);
+        expect(row.runner.unverified).toEqual(true);
+    });
+
     it("keeps a backend server draining when a report says otherwise", () => {
         const table = createBackendServerTable();
         applyListed(table, createListed({ state: "draining" }), "south", 0, options);
