Send the expected version of the weights with each request to an engine

A gateway chooses an engine by what its agent reported last. An engine that has loaded another version since then ran the request on it: during the time until the next report, a request got an answer made with weights that nobody had verified, and while the agent was away, every request did. The protocol lets a request name the version that it expects, and an engine with another one answers 421 without running it; the adapter could encode it, but the gateway always left it out.

Each attempt, continuations of streams included, now carries the version by which its engine was chosen. A 421 takes the engine out of use until the next report or change of the list, and the request is sent to another engine, as before. A load of the same version by another order is not seen by this; reports of the agent are.

Tests: without the change, the request ran at the engine with the other version (`[200, "i-1:"]` in place of `i-2:`), and no attempt named a version.

--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -167,7 +167,7 @@
     const head = context.protocol.decodeHead(stream.status, stream.headers);
     const now = context.clock.monotonic();
     recordLoad(server, head, now);
-    // A 421 comes from another backend server at the same address, so it says nothing about this one.
+    // A 421 may come from another backend server at the same address, so it says nothing about this one.
     if (head.requestId === request.row.requestId && stream.status !== 421) {
         context.notices.recordHead(lifetime, head);
         context.rateLimits.recordHead(lifetime, head, sentAt);
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -162,7 +162,7 @@
                     remaining,
                     clientAccount: request.account?.name,
                     resumeAfter: progress.lastEvent ?? request.call.resumeAfter,
-                    version: undefined,
+                    version: selection.version,
                 },
                 limits: { silentAfter, canSwitch: () => repeatable && canSwitch(request, progress, runner.instance) },
                 headTimeout: Math.max(minimumRemainingTime, (selection.headDeadline ?? Infinity) - now),
