Do not let late writes hide what an engine has loaded

Reading the staged chunks back after the acceptance shows what the engine took only if nothing repairs a chunk in between. A write whose response was lost can do that: it is carried out after the engine has taken a chunk that is corrupt, or of another version through a second late write to the same chunk, and the set reads back as right.

Writes of unknown outcome are kept until the engine restarts or has answered its reports for 5 s without a gap. While writes of two versions to the same chunk are among them, no load is ordered. While there are any, the weights count as verified only if the engine confirmed the order while the verification before it was still recent; otherwise they are replaced. A write that an engine carries out after it has answered everything else for 5 s would still go unnoticed.

--- a/src/node/logging/weightEvents.ts
+++ b/src/node/logging/weightEvents.ts
@@ -64,6 +64,12 @@
         ["model", "version", "orderSequence", "durationMilliseconds"],
     ),
     "weights not staged": define("weights", ["agent"], "the version to load could not be staged", error),
+    "load waits for late chunk writes": define(
+        "weights",
+        ["agent"],
+        "writes of several versions to the same chunk have unknown outcomes, so that no check shows which one is loaded",
+        ["model", "version"],
+    ),
     "load waits": define("weights", ["agent"], "the load of a version is postponed", ["reason", "version"]),
     "drains before the last chunks": define(
         "weights",
--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -98,7 +98,7 @@
 
     function observe(report: EngineReport, writeEvents: number): void {
         orders.observe(report);
-        verification.observe(report, writeEvents, orders.readLast());
+        verification.observe(report, writeEvents, orders);
     }
 
     function actOnVerification(): void {
@@ -138,6 +138,10 @@
             mayWrite: () => preparation.isRecent(verified),
         });
         loading = ordered.isOk && ordered.value === "begun";
+        const last = orders.readLast();
+        if (loading && last !== undefined && preparation.isRecent(verified)) {
+            verification.recordSoonAccepted(last);
+        }
         input.publish(describe());
         const now = clock.monotonic();
         const fields = {
--- a/src/node/weightAgent/engineReports.ts
+++ b/src/node/weightAgent/engineReports.ts
@@ -56,6 +56,7 @@
                     logger.info({ ...answer.value }, "engine reachable");
                 }
             }
+            writes.observe(answer.isOk);
             report = answer.unwrapOr(undefined as never);
             if (report !== undefined) {
                 onReport(report, writeEvents);
--- a/src/node/weightAgent/loadPreparation.ts
+++ b/src/node/weightAgent/loadPreparation.ts
@@ -63,7 +63,7 @@
         drainingSince: Milliseconds | undefined,
         onDrain: () => void,
     ): Promise<PreparedLoad | undefined>;
-    /** Whether an order may still follow the verification. */
+    /** Whether an order may still follow the verification, or was accepted soon enough after it. */
     readonly isRecent: (verified: StagedVerification) => boolean;
 }
 
@@ -115,6 +115,12 @@
     return {
         isRecent,
         prepare: async (manifest, drainingSince, onDrain) => {
+            const { model } = manifest;
+            const version = Number(manifest.version);
+            if (writes.mayHideEachOther(version)) {
+                logger.info({ model, version }, "load waits for late chunk writes");
+                return undefined;
+            }
             let drainsUntil: Milliseconds | undefined;
             for (let verifications = 1; verifications <= maximumVerifications; verifications++) {
                 const verified = await verifyStaged(manifest);
@@ -133,12 +139,7 @@
                 }
                 const age = Math.round(stalls.measureSince(verified.startedAt));
                 logger.warn(
-                    {
-                        model: manifest.model,
-                        version: Number(manifest.version),
-                        ageMilliseconds: age,
-                        verifications,
-                    },
+                    { model, version, ageMilliseconds: age, verifications },
                     "staged chunks verified too long ago",
                 );
             }
--- a/src/node/weightAgent/loadedVerification.ts
+++ b/src/node/weightAgent/loadedVerification.ts
@@ -1,7 +1,7 @@
 import type { Logger } from "pino";
 import { judgeLoadedWeights, type LoadedWeightsState } from "../../runtime/rollout/index.js";
 import type { Clock, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
-import type { OrderedVersion } from "./engineOrders.js";
+import type { EngineOrders, OrderedVersion } from "./engineOrders.js";
 import { countDifferences, readBackStaged } from "./readBackStaged.js";
 import type { FindChunkVersion, StagedWrites } from "./stagedWrites.js";
 
@@ -42,9 +42,15 @@
      *
      * @param report - newest report
      * @param writeEvents - writes to the staging area when it was requested
-     * @param orderedVersion - version of the order that this process gave last, if the report shows its effect
+     * @param orders - orders that this process gave
      */
-    observe(report: EngineReport, writeEvents: number, ordered: OrderedVersion | undefined): void;
+    observe(report: EngineReport, writeEvents: number, orders: Pick<EngineOrders, "isOrdering" | "readLast">): void;
+    /**
+     * Records an acceptance that the engine has confirmed soon after all staged chunks were verified.
+     *
+     * @param ordered - the order
+     */
+    recordSoonAccepted(ordered: OrderedVersion): void;
     /** @returns what is known about the weights that the last observed report names */
     readonly readState: () => LoadedWeightsState;
     /** Whether the load was accepted before the first report that this process read. */
@@ -64,6 +70,7 @@
     let lastReport: EngineReport | undefined;
     let lastWriteEvents = 0;
     let checked: { readonly version: number; readonly state: LoadedWeightsState; } | undefined;
+    let soonAccepted: OrderedVersion | undefined;
     let isChecking = false;
     /** Monotonic time since which the manifest of the loaded version is missing. */
     let manifestMissingSince: Milliseconds | undefined;
@@ -81,6 +88,9 @@
         const state = judgeLoadedWeights({
             differences: countDifferences(differences.value),
             wasWritten,
+            mayBeWritten: writes.listUnresolved().length > 0,
+            wasAcceptedSoon: soonAccepted !== undefined && soonAccepted.engineStart === accepted.engineStart &&
+                soonAccepted.expectedSequence + 1 === accepted.orderSequence,
             isFromBefore,
         });
         checked = { version, state };
@@ -178,15 +188,18 @@
 
     return {
         readState,
+        recordSoonAccepted: ordered => {
+            soonAccepted = ordered;
+        },
         isFromBefore: () => load?.isFromBefore === true,
-        observe: (report, writeEvents, ordered) => {
+        observe: (report, writeEvents, orders) => {
             const accepted = trackLoad(report);
             lastReport = report;
             lastWriteEvents = writeEvents;
-            if (isChecking || report.orderSequence === 0) {
+            if (isChecking || report.orderSequence === 0 || orders.isOrdering()) {
                 return;
             }
-            const loaded = findLoadedVersion(report, ordered);
+            const loaded = findLoadedVersion(report, orders.readLast());
             if (loaded === undefined || checked?.version === loaded.version) {
                 return;
             }
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -119,6 +119,7 @@
     const { findVersion, readManifest } = plan;
     const writes = trackStagedWrites({
         engine: ports.engine,
+        clock,
         logger,
         findVersion,
         mayWrite: () => engineController.mayStage(),
--- a/src/runtime/rollout/loadedWeights.ts
+++ b/src/runtime/rollout/loadedWeights.ts
@@ -11,6 +11,10 @@
     readonly differences: number;
     /** Whether this process may have written a chunk since the load can have been accepted, which hides a wrong one. */
     readonly wasWritten: boolean;
+    /** Whether a write to the staging area may still be carried out, or was carried out since, and hide a wrong chunk. */
+    readonly mayBeWritten: boolean;
+    /** Whether the engine accepted the load soon after all chunks were verified, so that late writes hide nothing. */
+    readonly wasAcceptedSoon: boolean;
     /** Whether the load was accepted before this process first read the engine's report. */
     readonly isFromBefore: boolean;
 }
@@ -22,8 +26,10 @@
  * @param readBack - staged chunks, read after the load was accepted
  * @returns what is known about the weights
  */
-export function judgeLoadedWeights({ differences, isFromBefore, wasWritten }: StagedReadBack): LoadedWeightsState {
-    if (differences === 0 && !wasWritten) {
+export function judgeLoadedWeights(readBack: StagedReadBack): LoadedWeightsState {
+    const { differences, isFromBefore, mayBeWritten, wasAcceptedSoon, wasWritten } = readBack;
+    const isHidden = wasWritten || (mayBeWritten && !wasAcceptedSoon);
+    if (differences === 0 && !isHidden) {
         return "verified";
     }
     return isFromBefore ? "unknown" : "wrong";
--- a/test/node/weightAgent/engineController.test.ts
+++ b/test/node/weightAgent/engineController.test.ts
@@ -33,7 +33,13 @@
 const logger = pino({ level: "silent" });
 
 function track(tracked: EngineControlPort): StagedWrites {
-    return trackStagedWrites({ engine: tracked, logger, findVersion: () => undefined, mayWrite: () => true });
+    return trackStagedWrites({
+        engine: tracked,
+        clock: createManualClock(),
+        logger,
+        findVersion: () => undefined,
+        mayWrite: () => true,
+    });
 }
 
 const versions = { readManifest: () => undefined, requestManifest: () => {}, findVersion: () => undefined };
--- a/test/node/weightAgent/engineSupport.ts
+++ b/test/node/weightAgent/engineSupport.ts
@@ -20,6 +20,9 @@
 export const chunkCount = 4;
 export const corrupt = Buffer.alloc(8, 255);
 
+/** Time for which a chunk may be corrupt when the engine takes it. */
+const allowedCorruption = 3_000;
+
 /** Content of the chunks of a version. */
 export function createChunks(version: number): Buffer[] {
     return Array.from({ length: chunkCount }, (...[, index]) => Buffer.alloc(8, version * 16 + index));
@@ -56,6 +59,8 @@
     /** While true, an accepted order keeps the engine busy until {@link finish}. */
     loadsSlowly = false;
     readonly held: (() => void)[] = [];
+    /** Called before any call to the engine arrives. */
+    onCall: () => void = () => {};
     /** Called before an order or a write arrives. */
     beforeOrder: () => void = () => {};
     beforeWrite: () => void = () => {};
@@ -64,7 +69,10 @@
     wrongLoads = 0;
     private loading: LateEngine["loaded"];
 
-    constructor(version: number) {
+    private readonly heldWrites = new Set<() => void>();
+    private readonly corrupted = new Map<number, { readonly at: number; readonly content: Uint8Array; }>();
+
+    constructor(version: number, private readonly clock: ManualClock = createManualClock()) {
         createChunks(version).forEach((chunk, index) => this.staged.set(index, chunk));
         this.loaded = { version, chunks: createChunks(version) };
     }
@@ -79,12 +87,36 @@
         this.held.splice(0, count).forEach(call => call());
     }
 
+    /** Carries out the writes whose responses were lost; an engine that answers does not hold them for long. */
+    deliverWrites(): void {
+        const writes = this.held.filter(call => this.heldWrites.has(call));
+        this.held.splice(0, this.held.length, ...this.held.filter(call => !this.heldWrites.has(call)));
+        writes.forEach(call => call());
+    }
+
     finish(): void {
         this.busy = false;
         this.loaded = this.loading ?? this.loaded;
         this.loading = undefined;
     }
 
+    /** Makes a staged chunk corrupt. */
+    corrupt(index: number): void {
+        const content = this.staged.get(index);
+        if (content !== undefined && content !== corrupt) {
+            this.corrupted.set(index, { at: this.clock.monotonic(), content });
+            this.staged.set(index, corrupt);
+        }
+    }
+
+    /** Chunk that the engine loads; a load may take one that has become corrupt a moment ago. */
+    private take(index: number): Uint8Array | undefined {
+        const staged = this.staged.get(index);
+        const corrupted = this.corrupted.get(index);
+        const isNew = corrupted !== undefined && this.clock.monotonic() - corrupted.at <= allowedCorruption;
+        return staged === corrupt && isNew ? corrupted.content : staged;
+    }
+
     restart(): void {
         this.startedAt++;
         this.sequence = 0;
@@ -95,6 +127,7 @@
     }
 
     readReport(): ReturnType<EngineControlPort["readReport"]> {
+        this.onCall();
         if (!this.isReachable) {
             return Promise.resolve(err(createError("ENGINE_UNREACHABLE", "read report", "engine", "timed out")));
         }
@@ -121,6 +154,7 @@
         if (!order.mayWrite()) {
             return Promise.resolve(ok("refused"));
         }
+        this.onCall();
         this.beforeOrder();
         if (this.holdsOrders || !this.isReachable) {
             this.held.push(accept);
@@ -134,13 +168,17 @@
     }
 
     readStaged(...[, index]: Parameters<EngineControlPort["readStaged"]>): ReturnType<EngineControlPort["readStaged"]> {
+        this.onCall();
         return Promise.resolve(ok(this.staged.get(index)));
     }
 
     stage(...[, index, content]: Parameters<EngineControlPort["stage"]>): ReturnType<EngineControlPort["stage"]> {
+        this.onCall();
         this.beforeWrite();
         if (this.holdsWrites || !this.isReachable) {
-            this.held.push(() => this.staged.set(index, content));
+            const write = (): unknown => this.staged.set(index, content);
+            this.held.push(write);
+            this.heldWrites.add(write);
             return Promise.resolve(lost);
         }
         this.staged.set(index, content);
@@ -168,7 +206,7 @@
         }
         this.sequence++;
         this.accepted.push(version);
-        this.loading = { version, chunks: createChunks(version).map((...[, index]) => this.staged.get(index)) };
+        this.loading = { version, chunks: createChunks(version).map((...[, index]) => this.take(index)) };
         this.wrongLoads += isRight(version, this.loading.chunks) ? 0 : 1;
         this.loaded = undefined;
         this.busy = true;
@@ -216,7 +254,7 @@
     const memory = createWeightMemory(() => chunkCount);
     const findVersion = (index: number, content: Uint8Array): number | undefined =>
         versions.find(version => verifyChunk(readManifest(version), index, content));
-    const writes = trackStagedWrites({ engine, logger, findVersion, mayWrite: () => controller.mayStage() });
+    const writes = trackStagedWrites({ engine, clock, logger, findVersion, mayWrite: () => controller.mayStage() });
     let status: EngineStatus | undefined;
     let mistakes = 0;
     const publish = (published: EngineStatus): void => {
--- a/test/node/weightAgent/stagedVerification.test.ts
+++ b/test/node/weightAgent/stagedVerification.test.ts
@@ -72,7 +72,7 @@
     const memory = createWeightMemory(() => chunks.length);
     memory.import("scribe@2", chunks.length, new Map(chunks.entries()));
     return createEngineController({
-        writes: trackStagedWrites({ engine, logger, findVersion: () => undefined, mayWrite: () => true }),
+        writes: trackStagedWrites({ engine, clock, logger, findVersion: () => undefined, mayWrite: () => true }),
         memory,
         self: "a",
         clock,
