Apply the phase of an agent's report that is older than a stated load

While no agent reports, a gateway takes the load of a backend server from its answers, and dates it with their arrival. The first report of the agent afterwards describes the engine some milliseconds before it arrives. If an answer had arrived in between, the report counted as outdated: its phase and weights were dropped, and yet the row counted as followed from then on, so that the list no longer applied either. Until the next report, up to a second later, the gateway sent requests to an engine that had stopped taking them, or had weights that were not verified.

The phase and the weights of a report now always apply; reports of an agent arrive in order, and an answer says nothing about either. Only the load remains that of the newer source.

Test: without the change, the row stayed "serving" with "quill@1" after a report of "activating" with "quill@2".

--- a/src/runtime/gateway/backendServers.ts
+++ b/src/runtime/gateway/backendServers.ts
@@ -233,6 +233,9 @@
         { startedAt, orderSequence, weights, serving: phase === "serving", verified },
         row.listed.startedAt,
     );
+    // A load that an answer stated may be newer than the report, but says nothing about the weights.
+    row.runner.manifestDigest = weights;
+    row.runner.phase = phase;
     row.runner.unverified = weights !== undefined && !areReportedWeightsVerified(row.reportedWeights);
     // The agent knows load and weights best, but the list is the first to show that a backend server is draining.
     row.runner.draining = draining || report.draining;
--- a/test/runtime/gateway/backendServers.test.ts
+++ b/test/runtime/gateway/backendServers.test.ts
@@ -10,6 +10,7 @@
     expireRemoved,
     expireReports,
 } from "../../../src/runtime/gateway/index.js";
+import { applyLoadReport } from "../../../src/runtime/routing/index.js";
 import { createListed } from "./configuration.js";
 
 const options = { returnTime: 2_000, outageAfter: 1_600, reportExpiry: 1_500 };
@@ -124,6 +125,16 @@
         expect(row.runner.unverified).toEqual(true);
     });
 
+    // Guards against a report that is dropped since an answer of a loading engine has stated its load after it.
+    it("applies the phase and the weights of a report that is older than the load that an answer stated", () => {
+        const table = createBackendServerTable();
+        applyListed(table, createListed({ weights }), "south", 0, options);
+        const row = table.get("i-1")!;
+        applyLoadReport(row.runner, { ...report, phase: row.runner.phase, age: 0 }, 1_000);
+        applyAgentReport(row, { ...report, manifestDigest: "quill@2", phase: "activating", age: 20 }, 1_010);
+        expect([row.runner.phase, row.runner.manifestDigest]).toEqual(["activating", "quill@2"]);
+    });
+
     it("keeps a backend server draining when a report says otherwise", () => {
         const table = createBackendServerTable();
         applyListed(table, createListed({ state: "draining" }), "south", 0, options);
