Drop the record of a condemned request again if a late write restores it

A write of the record that got no response counts as not done and is repeated. It may still be in the buffers of a log that stood still, and take effect after the request was cleared and its record dropped. Gateways that know the answer ignore such a record, but no one dropped it: gateways that started afterwards took it for current, and refused a request that crashes nothing until the record had expired.

A gateway that has dropped a record, and for which the request is not condemned once it has read the record again, now drops it again, as it does after the log was restored.

Test: without the change, it ended with "timed out: the record is dropped again".

--- a/src/node/gateway/condemnedRecords.ts
+++ b/src/node/gateway/condemnedRecords.ts
@@ -134,6 +134,10 @@
             answers: [],
         };
         crashEvidence.merge(shared, "log");
+        // A write without a response may take effect after the record was dropped.
+        if (dropped.has(key) && !crashEvidence.listCondemned().includes(key)) {
+            kept.set(key, { writtenAt: undefined, writing: false });
+        }
     }
 
     function isWritten(fingerprint: Fingerprint): boolean {
