Wait for the first reports of agents before a gateway is ready

A gateway sends nothing to an engine before its agent has reported.

Readiness now waits until agents of half of the listed engines of each service have reported, for at most `agentWaitMilliseconds` (1.2 s) after the start, so that agents that cannot be reached delay a start by no more. Gateways without engines are ready as before. The daemon takes the list of engines from the state.

--- a/src/node/gateway/agentWatch.ts
+++ b/src/node/gateway/agentWatch.ts
@@ -25,6 +25,8 @@
     /** Time without a report after which a stream is closed. */
     readonly silentAfter: Milliseconds;
     readonly reconnectAfter: Milliseconds;
+    /** Time after which missing first reports no longer delay the readiness of the gateway. */
+    readonly settleWithin: Milliseconds;
     /** Called after each report. */
     readonly onReport: () => void;
 }
@@ -33,6 +35,12 @@
 export interface AgentWatch extends Disposable {
     /** Opens and closes streams according to the list of backend servers. */
     tick(): void;
+    /**
+     * Tells whether missing reports no longer delay the readiness of the gateway.
+     *
+     * @returns true once the agents of half of the listed engines of each service have reported, or some time has passed
+     */
+    isSettled(): boolean;
 }
 
 interface Watch {
@@ -76,6 +84,7 @@
  */
 export function createAgentWatch(input: AgentWatchInput): AgentWatch {
     const { clock, logger, random } = input;
+    const settlesAt = clock.monotonic() + input.settleWithin;
     const watches = new Map<string, Watch>();
     const retryAt = new Map<string, Milliseconds>();
 
@@ -154,7 +163,17 @@
         call.on("end", () => closeWatch(row, "the agent ended the stream"));
     }
 
+    function hasReports(rows: readonly BackendServerRow[]): boolean {
+        return rows.filter(({ reportedAt }) => reportedAt !== undefined).length >= rows.length / 2;
+    }
+
     return {
+        isSettled: () => {
+            const engines = input.listServers().filter(({ listed }) => listed.weights !== undefined);
+            const services = new Set(engines.map(({ listed }) => listed.service));
+            return clock.monotonic() >= settlesAt ||
+                [...services].every(service => hasReports(engines.filter(({ listed }) => listed.service === service)));
+        },
         tick: () => {
             const now = clock.monotonic();
             const addresses = new Set(input.listServers().map(toAddress));
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -235,16 +235,14 @@
     }));
     const agentWatch = stack.use(createAgentWatch({
         self: instance.id,
-        listServers: () =>
-            [...state.servers.rows()].filter(({ listed }) =>
-                state.routes()?.services.get(listed.service)?.engine !== undefined
-            ),
+        listServers: state.listEngines,
         agentPort: gateway.agentPort,
         clock,
         random,
         logger,
         silentAfter: gateway.reportExpiry,
         reconnectAfter: replica.reconnectAfter,
+        settleWithin: gateway.agentWait,
         onReport: () => queues.update(),
     }));
 
@@ -309,6 +307,7 @@
             ...(state.routes() === undefined ? ["no configuration"] : []),
             ...(state.servers.size === 0 ? ["no backend server is known"] : []),
             ...(registration.isSettled() ? [] : ["not registered"]),
+            ...(agentWatch.isSettled() ? [] : ["agents not heard"]),
             ...(awaitsGateways() ? ["other gateways not heard"] : []),
         ],
         renderMetrics: () => metrics.render(),
--- a/src/node/gateway/gatewayState.ts
+++ b/src/node/gateway/gatewayState.ts
@@ -60,6 +60,8 @@
     readonly servers: BackendServerTable;
     /** Lists the backend servers of a service. */
     readonly listServers: (service: string) => readonly BackendServerRow[];
+    /** Lists the backend servers of all services with an engine. */
+    readonly listEngines: () => readonly BackendServerRow[];
     readonly readVersions: (model: string) => AllowedVersions;
     /** Reads the monotonic time by which the head of an answer must have arrived; undefined for the newest version. */
     readonly computeHeadDeadline: (model: string, version: number) => Milliseconds | undefined;
@@ -283,6 +285,8 @@
         routes: () => routes,
         servers,
         listServers: service => [...servers.lookup("service", service)].map(instance => servers.get(instance)!),
+        listEngines: () =>
+            [...servers.rows()].filter(({ listed }) => routes?.services.get(listed.service)?.engine !== undefined),
         computeHeadDeadline: (model, version) =>
             toMonotonic(computeHeadDeadline(versions, model, version, input.versions)),
         readVersions,
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -184,6 +184,14 @@
             documentation:
                 "Maximum time for which readiness waits for other gateways' records that a restored log may have lost.",
         }),
+        agentWaitMilliseconds: defineDuration("agentWait", "Milliseconds", {
+            minimum: 0,
+            maximum: 600_000,
+            defaultValue: 1_200,
+            documentation:
+                "Maximum time after the start for which readiness waits for the first reports of agents, without which no " +
+                "request is sent to their backend servers.",
+        }),
         fleetRetryShare: defineNumber({
             minimum: 0,
             maximum: 1,
--- a/test/node/gateway/agentWatch.test.ts
+++ b/test/node/gateway/agentWatch.test.ts
@@ -26,6 +26,7 @@
             logger: pino({}, { write: line => void lines.push(JSON.parse(line) as Record<string, unknown>) }),
             silentAfter: 2_500,
             reconnectAfter: 100,
+            settleWithin: 0,
             onReport: () => {},
         });
         watch.tick();
