Let orders of the soak's engines name the layers to hold

The mix of late writes declares versions more often, since only a write of another version can do harm.

--- a/test/platform/standIn/engineLifetime.ts
+++ b/test/platform/standIn/engineLifetime.ts
@@ -1,6 +1,6 @@
 import { sleep } from "../../../src/utils/index.js";
 import { type ChunkFault, formatFaults, type StagingArea } from "./stagingArea.js";
-import { allLayers, layerCount, type LayerRange, testModel } from "./testWeights.js";
+import { allLayers, layerCount, type LayerRange, listChunks, testModel } from "./testWeights.js";
 import { Turnstile } from "./turnstile.js";
 
 const loadMilliseconds = 300;
@@ -43,6 +43,8 @@
     readonly staging: StagingArea;
     readonly counts: EngineCounts;
     readonly record: (event: string) => void;
+    /** Reads the newest declared version. */
+    readonly readDeclared: () => number;
     /** Called when all layers of a version are loaded. */
     readonly onLoaded: (version: number) => void;
 }
@@ -51,12 +53,22 @@
     return from === allLayers.from && target === allLayers.target;
 }
 
-/** Lists the parts of a range that are not held yet. */
-function listAddedLayers({ from, target }: LayerRange, held: LayerRange | undefined): readonly LayerRange[] {
-    if (held === undefined || held.from > target || held.target < from) {
-        return [{ from, target }];
-    }
-    return [{ from, target: held.from }, { from: held.target, target }].filter(part => part.from < part.target);
+/** Returns the layers that two ranges share; empty if there are none. */
+function intersect(left: LayerRange, right: LayerRange): LayerRange {
+    const from = Math.max(left.from, right.from);
+    return { from, target: Math.max(from, Math.min(left.target, right.target)) };
+}
+
+/** Lists the parts of a range that are outside of another one, which it contains. */
+function subtract(range: LayerRange, inner: LayerRange): readonly LayerRange[] {
+    const parts = inner.from === inner.target ?
+        [range] :
+        [{ from: range.from, target: inner.from }, { from: inner.target, target: range.target }];
+    return parts.filter(({ from, target }) => from < target);
+}
+
+function countLayers({ from, target }: LayerRange): number {
+    return target - from;
 }
 
 /** State of an engine from its start to its end, and the orders that it accepts. */
@@ -103,57 +115,62 @@
         return this.loaded !== undefined && hasAllLayers(this.loaded) ? this.loaded.version : 0;
     }
 
-    /** Handles an order; returns the status of its response. */
+    /**
+     * Handles an order, which names the layers that the engine is to hold. Layers of the same version that it holds
+     * already are kept as they are; the others are loaded or given up.
+     *
+     * @param order - the order
+     * @returns status of the response
+     */
     accept(order: EngineOrder): number {
         const { loaded } = this;
-        const { counts, id, record, staging } = this.options;
+        const { counts, id, readDeclared, record, staging } = this.options;
         const range = { from: order.from ?? allLayers.from, target: order.target ?? allLayers.target };
-        if (order.op !== "start") {
+        if (order.op !== "start" || order.version > readDeclared()) {
             return 400;
         }
         if (this.isBusy || (order.expect !== undefined && order.expect !== this.sequence)) {
             return 409;
         }
-        if (loaded?.version === order.version && loaded.from <= range.from && loaded.target >= range.target) {
+        if (loaded?.version === order.version && loaded.from === range.from && loaded.target === range.target) {
             return 200;
         }
         this.sequence++;
         this.isBusy = true;
-        const faults = listAddedLayers(range, loaded?.version === order.version ? loaded : undefined)
-            .flatMap(added => staging.findFaults(order.version, added));
-        counts.loads++;
-        counts.wrongLoads += faults.length > 0 ? 1 : 0;
-        record(`${id} loads version ${order.version}, chunks: ${formatFaults(faults) || "all right"}`);
-        void this.load({ ...range, version: order.version, faults }, order.mode);
+        const kept = loaded?.version === order.version ? intersect(loaded, range) : { from: 0, target: 0 };
+        const added = subtract(range, kept);
+        const faults = added.flatMap(part => staging.findFaults(order.version, part));
+        if (added.length > 0) {
+            counts.loads++;
+            counts.wrongLoads += faults.length > 0 ? 1 : 0;
+            record(`${id} loads version ${order.version}, chunks: ${formatFaults(faults) || "all right"}`);
+        }
+        const keptChunks = listChunks(kept);
+        const keptFaults = loaded?.faults.filter(({ index }) => keptChunks.includes(index)) ?? [];
+        const layers = { ...range, version: order.version, faults: [...keptFaults, ...faults] };
+        void this.change(layers, kept, added.reduce((sum, part) => sum + countLayers(part), 0), order.mode);
         return 202;
     }
 
-    private async load(added: LoadedLayers, mode: string): Promise<void> {
+    private async change(next: LoadedLayers, kept: LayerRange, added: number, mode: string): Promise<void> {
         const { loaded } = this;
-        const extended = loaded?.version === added.version && added.from <= loaded.target &&
-                added.target >= loaded.from ?
-            loaded :
-            undefined;
-        if (extended === undefined) {
+        // Layers that are added to all those that the engine holds are loaded beside its work.
+        if (loaded === undefined || countLayers(kept) < countLayers(loaded)) {
             await this.drain(mode);
-            this.loaded = undefined;
+            this.loaded = loaded === undefined || countLayers(kept) === 0 ? undefined : { ...loaded, ...kept };
         }
-        await sleep(loadMilliseconds * (added.target - added.from) / layerCount);
+        await sleep(loadMilliseconds * added / layerCount);
         await this.requests.pass();
         if (this.hasEnded) {
             return;
         }
-        this.loaded = extended === undefined ? added : {
-            version: added.version,
-            from: Math.min(extended.from, added.from),
-            target: Math.max(extended.target, added.target),
-            faults: [...extended.faults, ...added.faults],
-        };
+        this.loaded = countLayers(next) === 0 ? undefined : next;
         this.isBusy = false;
         this.isDraining = false;
-        this.options.record(`${this.options.id} has loaded version ${added.version}`);
-        if (hasAllLayers(this.loaded) && this.loaded.faults.length === 0) {
-            this.options.onLoaded(added.version);
+        const { id, onLoaded, record } = this.options;
+        record(`${id} holds layers ${next.from} to ${next.target} of version ${next.version}`);
+        if (hasAllLayers(next) && next.faults.length === 0) {
+            onLoaded(next.version);
         }
     }
 
--- a/test/platform/standIn/stagingEngine.ts
+++ b/test/platform/standIn/stagingEngine.ts
@@ -18,6 +18,8 @@
     readonly id: string;
     readonly ip: string;
     readonly port: number;
+    /** Reads the newest declared version. */
+    readonly readDeclared: () => number;
     /** Receives what the engine does. */
     readonly record: (event: string) => void;
     /** Called once all layers of a version are loaded, and at each token. */
@@ -63,7 +65,7 @@
  * @returns the engine
  */
 export async function startStagingEngine(options: StagingEngineOptions): Promise<StagingEngine> {
-    const { id, ip, onProgress, port, record } = options;
+    const { id, ip, onProgress, port, readDeclared, record } = options;
     const staging = new StagingArea();
     for (let index = 0; index < chunkCount; index++) {
         staging.put(index, makeChunk(1, index));
@@ -78,6 +80,7 @@
         staging,
         counts,
         record,
+        readDeclared,
         onLoaded: version => onProgress("loaded", version),
     };
     let life = new EngineLifetime(lifetimeOptions, { ...allLayers, version: 1, faults: [] });
@@ -85,7 +88,8 @@
     async function handleOrder(current: EngineLifetime, body: Buffer, response: ServerResponse): Promise<void> {
         const order = JSON.parse(body.toString()) as EngineOrder;
         const arrivedAt = performance.now();
-        record(`${id} receives an order for version ${order.version}, expect ${order.expect}`);
+        const range = order.from === undefined ? "" : ` (layers ${order.from} to ${order.target})`;
+        record(`${id} receives an order for version ${order.version}${range}, expect ${order.expect}`);
         if (orderStall !== undefined) {
             const { corrupted, duration } = orderStall;
             orderStall = undefined;
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -35,29 +35,42 @@
 }
 
 /** Mean time between two faults of each kind, in milliseconds. */
-export type FaultMix = Readonly<Partial<Record<FaultKind, number>>>;
+export type FaultIntervals = Readonly<Partial<Record<FaultKind, number>>>;
 
-const agentFaults: FaultMix = { "freeze-agent": 9_000, "kill-agent": 9_000, "stop-agent": 12_000 };
-const lateOrders: FaultMix = { "late-orders": 3_000, "stall-at-order": 4_000, "stall-engine": 8_000 };
+/** Faults of a soak. */
+export interface FaultMix {
+    readonly faults: FaultIntervals;
+    /** Shortest and longest time between two versions. Default: 1.5 to 8.5 s */
+    readonly versionInterval?: readonly [number, number];
+}
+
+const agentFaults: FaultIntervals = { "freeze-agent": 9_000, "kill-agent": 9_000, "stop-agent": 12_000 };
+const lateOrders: FaultIntervals = { "late-orders": 3_000, "stall-at-order": 4_000, "stall-engine": 8_000 };
+const lateWrites: FaultIntervals = { "late-writes": 700, "kill-agent": 5_000 };
 
 /** Mixes of faults by name. */
 export const faultMixes: Readonly<Record<string, FaultMix>> = {
-    none: {},
-    "late-orders": { ...lateOrders, "corrupt-chunks": 5_000 },
-    "late-writes": { "late-writes": 2_500, "kill-agent": 4_000 },
-    "corrupt-chunks": { "corrupt-chunks": 1_500, "stall-at-order": 6_000, "freeze-agent": 9_000 },
-    "late-orders-agents": { ...lateOrders, ...agentFaults, "corrupt-chunks": 5_000 },
-    "late-writes-crashes": { "late-writes": 2_500, "kill-agent": 5_000, "crash-engine": 8_000, "power-loss": 20_000 },
+    none: { faults: {} },
+    "late-orders": { faults: { ...lateOrders, "corrupt-chunks": 5_000 } },
+    "late-writes": { faults: lateWrites, versionInterval: [1_500, 4_000] },
+    "corrupt-chunks": { faults: { "corrupt-chunks": 1_500, "stall-at-order": 6_000, "freeze-agent": 9_000 } },
+    "late-orders-agents": { faults: { ...lateOrders, ...agentFaults, "corrupt-chunks": 5_000 } },
+    "late-writes-crashes": {
+        faults: { ...lateWrites, "crash-engine": 8_000, "power-loss": 20_000 },
+        versionInterval: [1_500, 4_000],
+    },
     all: {
-        ...lateOrders,
-        ...agentFaults,
-        "corrupt-chunks": 4_000,
-        "late-writes": 4_000,
-        "freeze-machine": 12_000,
-        "kill-gateway": 15_000,
-        "stop-gateway": 15_000,
-        "crash-engine": 12_000,
-        "power-loss": 20_000,
+        faults: {
+            ...lateOrders,
+            ...agentFaults,
+            "corrupt-chunks": 4_000,
+            "late-writes": 2_000,
+            "freeze-machine": 12_000,
+            "kill-gateway": 15_000,
+            "stop-gateway": 15_000,
+            "crash-engine": 12_000,
+            "power-loss": 20_000,
+        },
     },
 };
 
@@ -106,17 +119,17 @@
 /**
  * Draws faults for a time. Each kind is drawn on its own, so that faults overlap.
  *
- * @param mix - kinds of faults
+ * @param intervals - kinds of faults and how often they occur
  * @param duration - time in milliseconds
  * @param createRandom - creates a random source for a kind and the number of a fault
  * @returns the faults, in the order of their times
  */
 export function planFaults(
-    mix: FaultMix,
+    intervals: FaultIntervals,
     duration: number,
     createRandom: (kind: string, number: number) => RandomSource,
 ): readonly PlannedFault[] {
-    const planned = Object.entries(mix).flatMap(([kind, interval]) => {
+    const planned = Object.entries(intervals).flatMap(([kind, interval]) => {
         const faults: PlannedFault[] = [];
         const times = createRandom(kind, 0);
         for (let at = times.next() * interval; at < duration; at += interval * (0.3 + 1.4 * times.next())) {
--- a/test/soak/soakDeployment.ts
+++ b/test/soak/soakDeployment.ts
@@ -130,6 +130,7 @@
             ip: `127.0.0.${31 + index}`,
             port: enginePort,
             record,
+            readDeclared: () => declared,
             onProgress: (step, version) => versions.update(id, step, version),
         });
         engines.push(stack.use(engine));
--- a/test/soak/weightSoak.ts
+++ b/test/soak/weightSoak.ts
@@ -32,9 +32,15 @@
 /** Time for which callers continue after the engines have converged. */
 const lastCallsMilliseconds = 3_000;
 
-function planVersions(random: RandomSource, duration: number): readonly number[] {
+const defaultVersionInterval = [1_500, 8_500] as const;
+
+function planVersions(
+    random: RandomSource,
+    duration: number,
+    [shortest, longest]: readonly [number, number] = defaultVersionInterval,
+): readonly number[] {
     const times: number[] = [];
-    for (let at = 1_000; at < duration; at += drawDuration(random, 1_500, 8_500)) {
+    for (let at = 1_000; at < duration; at += drawDuration(random, shortest, longest)) {
         times.push(at);
     }
     return times;
@@ -47,17 +53,22 @@
  * @returns what engines and callers have seen
  */
 export async function runWeightSoak(options: WeightSoakOptions): Promise<WeightSoakResult> {
-    const { mix, seed } = options;
+    const { seed } = options;
+    const mix = faultMixes[options.mix];
+    if (mix === undefined) {
+        throw new Error(`unknown mix of faults: ${options.mix}`);
+    }
     await using deployment = await startSoakDeployment(options);
     const { createRandom, declare, hasDeclared, timeline, versions } = deployment;
     const duration = options.duration ?? drawDuration(createRandom("duration"), 30_000, 45_000);
     const acting: Promise<void>[] = [];
     const planned = [
-        ...planFaults(faultMixes[mix] ?? {}, duration, createRandom).map(fault => ({
+        ...planFaults(mix.faults, duration, createRandom).map(fault => ({
             at: fault.at,
             act: () => void acting.push(applyFault(fault, deployment)),
         })),
-        ...planVersions(createRandom("versions"), duration).map((at, index) => ({ at, act: () => declare(index + 2) })),
+        ...planVersions(createRandom("versions"), duration, mix.versionInterval)
+            .map((at, index) => ({ at, act: () => declare(index + 2) })),
     ].sort((left, right) => left.at - right.at);
 
     const stopCallers = deployment.startCallers(callers);
@@ -82,7 +93,7 @@
     }
     return {
         seed,
-        mix,
+        mix: options.mix,
         ...deployment.count(),
         ...calls,
         ...versions.summarize(),
