--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -13,6 +13,7 @@
     readonly gateways: string;
     readonly engines: string;
     readonly timelines?: string;
+    readonly build?: string;
 }
 
 function format(result: WeightSoakResult): string {
@@ -31,7 +32,8 @@
 }
 
 async function run(flags: Flags): Promise<void> {
-    using build = await buildPrograms();
+    using build = flags.build === undefined ? await buildPrograms() : undefined;
+    const folder = flags.build ?? build?.folder ?? "";
     let broken = 0;
     if (flags.timelines !== undefined) {
         mkdirSync(flags.timelines, { recursive: true });
@@ -42,7 +44,7 @@
             const result = await runWeightSoak({
                 seed,
                 mix,
-                build: build.folder,
+                build: folder,
                 duration: flags.duration === undefined ? undefined : Number(flags.duration),
                 gateways: Number(flags.gateways),
                 engines: Number(flags.engines),
@@ -65,5 +67,6 @@
     .option("--gateways <count>", "number of gateways", "2")
     .option("--engines <count>", "number of engines, each with an agent", "4")
     .option("--timelines <folder>", "folder to write the timelines to")
+    .option("--build <folder>", "folder of an earlier build, to compare with. Default: the working tree is built")
     .action(run)
     .parseAsync();
