--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -6,11 +6,14 @@
     type VersionTransfer,
     type WantedVersion,
 } from "../../runtime/rollout/index.js";
-import type { Clock, CopyPhase, EngineControlPort, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
-import { sleep } from "../../utils/index.js";
+import type { Clock, CopyPhase, EngineReport, Manifest, Milliseconds } from "../../types/index.js";
 import type { StallMonitor } from "../replica/index.js";
+import { createEngineOrders } from "./engineOrders.js";
+import { createEngineReports } from "./engineReports.js";
+import { createLoadedVerification } from "./loadedVerification.js";
 import type { EngineStatus } from "./loadFeed.js";
-import { stageWeights, type StagingSummary } from "./stageWeights.js";
+import { createLoadPreparation } from "./loadPreparation.js";
+import type { FindChunkVersion, StagedWrites } from "./stagedWrites.js";
 import type { WeightMemory } from "./weightMemory.js";
 
 /** Versions that the engine should load, and the weights that are available for them. */
@@ -30,29 +33,16 @@
     readonly slots: number;
 }
 
-/** Interval between reads of the requests in progress while the engine drains. */
-const drainCheckInterval: Milliseconds = 60;
-
-/** Number of times that the staged chunks are verified for one load order, since an earlier verification is too old. */
-const maximumVerifications = 4;
-
 /** Options of {@link createEngineController}. */
 export interface EngineControllerOptions extends RolloutOptions {
     /** Age of the verification of the staged chunks above which they are verified again before the load is ordered. */
     readonly maximumStagedAge: Milliseconds;
 }
 
-/** Verification of the staged chunks, from the first one to the last one. */
-interface StagedVerification extends StagingSummary {
-    /** Monotonic time at which it began. */
-    readonly startedAt: Milliseconds;
-    /** Start of the engine that holds the chunks, as the last report before the verification states it. */
-    readonly engineStart: number | undefined;
-}
-
 /** Dependencies of {@link createEngineController}. */
 export interface EngineControllerInput {
-    readonly engine: EngineControlPort;
+    /** Engine on the same instance; every write to its staging area goes through here. */
+    readonly writes: StagedWrites;
     readonly memory: WeightMemory;
     /** Host of the engine, as it appears in the members of the target. */
     readonly self: string;
@@ -63,6 +53,11 @@
     /** Called around a drain and a load order, so that gateways send nothing to an engine that is about to load. */
     readonly publish: (status: EngineStatus) => void;
     readonly readTarget: () => EngineTarget | undefined;
+    /** Reads the manifest of a version; undefined if it is not known. */
+    readonly readManifest: (model: string, version: number) => Manifest | undefined;
+    /** Starts to read the manifest of a version unless it is being read. */
+    readonly requestManifest: (model: string, version: number) => void;
+    readonly findVersion: FindChunkVersion;
 }
 
 /** Reads the engine's report and orders the engine to load versions, one order at a time. */
@@ -74,6 +69,11 @@
     readonly isLoading: () => boolean;
     /** True from a drain that begins before the last chunks have arrived until it times out or the load is ordered. */
     readonly isDraining: () => boolean;
+    /**
+     * False while the engine may accept an order whose outcome is unknown, since it would load what is staged by then, and
+     * until the staged chunks have been read back after a load.
+     */
+    readonly mayStage: () => boolean;
 }
 
 /**
@@ -83,13 +83,11 @@
  * @returns the controller
  */
 export function createEngineController(input: EngineControllerInput): EngineController {
-    const { clock, engine, logger, memory, options, stalls } = input;
-    let report: EngineReport | undefined;
-    /** Time of the last order, while no report has shown its effect. */
-    let orderedAt: Milliseconds | undefined;
-    let orderedVersion = 0;
-    let orderedEngineStart: number | undefined;
-    let wasReachable: boolean | undefined;
+    const { clock, logger, memory, options, writes } = input;
+    const reports = createEngineReports({ writes, logger, onReport: observe });
+    const preparation = createLoadPreparation({ ...input, reports });
+    const orders = createEngineOrders({ ...input, repeatAfter: options.repeatAfter });
+    const verification = createLoadedVerification({ ...input, onChange: actOnVerification });
     let lastReason = "";
     let isCarryingOutLoad = false;
     /** True from the drain right before a load until a later report shows what the engine does. */
@@ -98,105 +96,47 @@
     /** Version whose last chunks did not arrive during its drain; the engine does not drain early for it again. */
     let timedOutDrainVersion = 0;
 
+    function observe(report: EngineReport, writeEvents: number): void {
+        orders.observe(report);
+        verification.observe(report, writeEvents, orders.readLast());
+    }
+
+    function actOnVerification(): void {
+        input.publish(describe());
+        void decideAndAct();
+    }
+
     async function read(): Promise<void> {
         const wasLoading = loading;
-        const answer = await engine.readReport();
+        await reports.read();
         if (wasLoading && !isCarryingOutLoad) {
             loading = false;
         }
-        if (answer.isOk !== wasReachable) {
-            wasReachable = answer.isOk;
-            if (answer.isErr) {
-                const { code, message, peer, step } = answer.error;
-                logger.warn({ code, step, peer, detail: message }, "engine not reachable");
-            }
-            else {
-                logger.info({ ...answer.value }, "engine reachable");
-            }
-        }
-        report = answer.unwrapOr(undefined as never);
-        if (report !== undefined && report.startedAt !== orderedEngineStart) {
-            // The engine has restarted, so earlier orders no longer have an effect.
-            orderedEngineStart = report.startedAt;
-            orderedAt = undefined;
-        }
-        const weights = report?.weights;
-        if (weights?.complete === true && weights.version >= orderedVersion) {
-            orderedAt = undefined;
-        }
+        const weights = reports.newest()?.weights;
         memory.setActive(weights?.complete === true ? formatWeightName(weights.model, weights.version) : undefined);
     }
 
-    async function verifyStaged(manifest: Manifest, version: number): Promise<StagedVerification | undefined> {
-        const startedAt = clock.monotonic();
-        const engineStart = report?.startedAt;
-        const set = formatWeightName(manifest.model, version);
-        const staged = await stageWeights(engine, manifest, index => memory.read(set, index));
-        if (staged.isErr) {
-            const { code, message, peer, step } = staged.error;
-            logger.warn({ code, step, peer, detail: message, model: manifest.model, version }, "weights not staged");
-            return undefined;
-        }
-        return { ...staged.value, startedAt, engineStart };
-    }
-
-    function isRecent({ startedAt }: StagedVerification): boolean {
-        return stalls.measureSince(startedAt) <= options.maximumStagedAge;
-    }
-
-    /**
-     * Verifies the staged chunks and drains the engine. Chunks can become corrupt, and the engine can restart without
-     * them, while this process waits or stands still; they are then verified again.
-     *
-     * @returns the verification, and the number of requests that have not finished; undefined if the engine cannot load
-     */
-    async function prepareLoad(
-        manifest: Manifest,
-        version: number,
-    ): Promise<{ readonly verified: StagedVerification; readonly running: number; } | undefined> {
-        let drainsUntil: Milliseconds | undefined;
-        for (let verifications = 1; verifications <= maximumVerifications; verifications++) {
-            const verified = await verifyStaged(manifest, version);
-            if (verified === undefined) {
-                return undefined;
-            }
-            loading = true;
-            input.publish(describe());
-            drainsUntil ??= (drainingSince ?? clock.monotonic()) + options.drainBeforeLoad;
-            const running = await drain(drainsUntil);
-            if (report === undefined) {
-                return undefined;
-            }
-            if (isRecent(verified) && report.startedAt === verified.engineStart) {
-                return { verified, running };
-            }
-            const { model } = manifest;
-            const age = Math.round(stalls.measureSince(verified.startedAt));
-            logger.warn({ model, version, ageMilliseconds: age, verifications }, "staged chunks verified too long ago");
-        }
-        return undefined;
-    }
-
     async function load(target: EngineTarget, version: number, reason: string): Promise<void> {
         const { complete: manifest, model } = target;
-        if (manifest === undefined || report === undefined) {
+        if (manifest === undefined) {
             return;
         }
         const startedAt = clock.monotonic();
-        const prepared = await prepareLoad(manifest, version);
-        if (prepared === undefined || report === undefined) {
+        const prepared = await preparation.prepare(manifest, drainingSince, () => {
+            loading = true;
+            input.publish(describe());
+        });
+        if (prepared === undefined) {
             loading = false;
             return;
         }
-        const { running, verified } = prepared;
-        const ordered = await engine.load({
+        const { report, running, verified } = prepared;
+        const ordered = await orders.load(report, {
             model,
             version,
-            expectedSequence: report.orderSequence,
             running: running === 0 ? "finish" : "cut-off",
-            mayWrite: () => isRecent(verified),
+            mayWrite: () => preparation.isRecent(verified),
         });
-        orderedVersion = version;
         loading = ordered.isOk && ordered.value === "begun";
         input.publish(describe());
         const now = clock.monotonic();
@@ -213,35 +153,27 @@
         };
         if (ordered.isErr) {
             const { code, message, peer, step } = ordered.error;
-            // The next report shows whether the engine accepted the order.
-            orderedAt = ordered.error.mayHaveTakenEffect ? now : undefined;
             logger.warn({ ...fields, code, step, peer, detail: message }, "load order failed");
             return;
         }
-        orderedAt = ordered.value === "refused" ? undefined : now;
         logger.info({ ...fields, outcome: ordered.value }, "load ordered");
     }
 
-    /**
-     * Waits for a bounded time until the requests in progress have finished. Gateways know that the engine is about to
-     * load and send no new requests; the few longest streams are cut off and continue at other backend servers.
-     *
-     * @returns number of requests that have not finished
-     */
-    async function drain(endsAt: Milliseconds): Promise<number> {
-        for (;;) {
-            const answer = await engine.readReport();
-            report = answer.unwrapOr(undefined as never);
-            const unfinished = report === undefined ? 0 : report.running + report.queued;
-            if (unfinished === 0 || clock.monotonic() >= endsAt) {
-                return unfinished;
-            }
-            await sleep(drainCheckInterval);
-        }
+    async function unload(report: EngineReport, reason: string): Promise<void> {
+        loading = true;
+        input.publish(describe());
+        const ordered = await orders.unload(report, reason);
+        loading = ordered?.isOk === true && ordered.value === "begun";
+    }
+
+    function mayStage(): boolean {
+        return !orders.isOrdering() && orders.readUnresolved() === undefined &&
+            verification.readState() !== "unverified";
     }
 
     async function decideAndAct(): Promise<void> {
         const target = input.readTarget();
+        const report = reports.newest();
         if (isCarryingOutLoad) {
             return;
         }
@@ -249,9 +181,21 @@
             drainingSince = undefined;
             return;
         }
+        if (orders.readUnresolved() !== undefined) {
+            drainingSince = undefined;
+            await carryOut(async () => {
+                loading = await orders.repeatUnresolved(report) === "begun";
+            });
+            return;
+        }
+        const loadedState = verification.readState();
+        if (loadedState === "unverified") {
+            return;
+        }
         const { transfer } = target;
         const decision = planLoad({
             report,
+            loadedState,
             model: target.model,
             wanted: target.wanted,
             target: target.complete === undefined ? undefined : Number(target.complete.version),
@@ -260,7 +204,7 @@
             drainingSince,
             self: input.self,
             members: target.members,
-            orderedAt,
+            orderedAt: orders.readOrderedAt(),
             now: clock.monotonic(),
             options,
         });
@@ -293,17 +237,26 @@
             return;
         }
         lastReason = "";
+        await carryOut(() =>
+            decision.kind === "unload" ?
+                unload(report, decision.reason) :
+                load(target, decision.version, decision.reason)
+        );
+        drainingSince = undefined;
+    }
+
+    async function carryOut(action: () => Promise<void>): Promise<void> {
         isCarryingOutLoad = true;
         try {
-            await load(target, decision.version, decision.reason);
+            await action();
         }
         finally {
             isCarryingOutLoad = false;
-            drainingSince = undefined;
         }
     }
 
     function readPhase(): CopyPhase {
+        const report = reports.newest();
         if (report === undefined) {
             return "lapsed";
         }
@@ -311,17 +264,26 @@
             return "staging";
         }
         // An engine that carries out an order accepts no new requests.
-        return report.busy || loading || drainingSince !== undefined ? "activating" : "serving";
+        const isAboutToLoad = loading || drainingSince !== undefined || orders.readUnresolved() !== undefined;
+        // Gateways may know from an earlier agent that weights which this one cannot verify are right.
+        const isUnusable = !verification.isFromBefore() && verification.readState() !== "verified";
+        return report.busy || isAboutToLoad || isUnusable ? "activating" : "serving";
     }
 
     function describe(): EngineStatus {
-        return { report, phase: readPhase(), slots: input.readTarget()?.slots ?? 0 };
+        return {
+            report: reports.newest(),
+            phase: readPhase(),
+            weightsVerified: verification.readState() === "verified",
+            slots: input.readTarget()?.slots ?? 0,
+        };
     }
 
     return {
-        readReport: () => report,
-        isLoading: () => loading || report?.busy === true,
+        readReport: reports.newest,
+        isLoading: () => loading || isCarryingOutLoad || reports.newest()?.busy === true,
         isDraining: () => drainingSince !== undefined,
+        mayStage,
         run: async () => {
             await read();
             // Runs synchronously up to its first await, so that the returned status includes a drain that begins now.
--- a/src/runtime/gateway/backendServers.ts
+++ b/src/runtime/gateway/backendServers.ts
@@ -2,6 +2,14 @@
 import { createTable, type Table } from "../../utils/index.js";
 import { applyLoadReport, createRunnerRow, type RunnerLoadReport, type RunnerRow } from "../routing/index.js";
 import { type AnswerDelay, createAnswerDelay } from "./answerDelay.js";
+import {
+    areListedWeightsVerified,
+    areReportedWeightsVerified,
+    noReportedWeights,
+    recordWeightsReport,
+    type ReportedWeights,
+    type WeightsReport,
+} from "./reportedWeights.js";
 import type { ServerNotice } from "./serverNotices.js";
 import { formatWeightName } from "./weightNames.js";
 
@@ -13,6 +21,8 @@
     answerDelay: AnswerDelay;
     /** Monotonic time of the newest report of its agent; undefined if there is none or it has expired. */
     reportedAt: Milliseconds | undefined;
+    /** What agents have reported about the weights of the backend server. */
+    reportedWeights: ReportedWeights;
     /** Monotonic time at which the entry was removed while the list was unreliable; undefined if it is listed. */
     removedAt: Milliseconds | undefined;
 }
@@ -30,6 +40,12 @@
     readonly reportExpiry: Milliseconds;
 }
 
+/** Report of the agent beside a backend server. */
+export interface AgentReport extends RunnerLoadReport, Pick<WeightsReport, "orderSequence" | "verified"> {
+    /** Start of the backend server in milliseconds since 1970; undefined if the agent does not know it. */
+    readonly startedAt: number | undefined;
+}
+
 /** Backend servers by instance, with an index by service. */
 export type BackendServerTable = Table<string, BackendServerRow>;
 
@@ -50,15 +66,33 @@
 }
 
 function createRow(listed: ListedBackendServer, region: Region, now: Milliseconds): BackendServerRow {
-    const { instance, service, slots, state, weights, zone } = listed;
+    const { instance, service, slots, state, zone } = listed;
     const runner = Object.assign(createRunnerRow(service, { instance, zone, region }), {
-        manifestDigest: nameCompleteWeights(weights),
-        phase: "serving",
         draining: state === "draining",
         capacity: slots,
         reportedAt: now,
     });
-    return { listed, runner, answerDelay: createAnswerDelay(), reportedAt: undefined, removedAt: undefined };
+    const row: BackendServerRow = {
+        listed,
+        runner,
+        answerDelay: createAnswerDelay(),
+        reportedAt: undefined,
+        reportedWeights: noReportedWeights,
+        removedAt: undefined,
+    };
+    applyListedWeights(row);
+    return row;
+}
+
+/**
+ * Falls back to the weights that the list names. The list shows neither a load that has just been ordered nor whether
+ * the loaded weights are right.
+ */
+function applyListedWeights({ listed, reportedWeights, runner }: BackendServerRow): void {
+    const weights = nameCompleteWeights(listed.weights);
+    runner.manifestDigest = weights;
+    runner.phase = "serving";
+    runner.unverified = weights !== undefined && !areListedWeightsVerified(reportedWeights, listed.startedAt, weights);
 }
 
 function isReportFresh(row: BackendServerRow, now: Milliseconds, options: MembershipOptions): boolean {
@@ -110,8 +144,7 @@
     row.runner.draining = listed.state === "draining";
     row.runner.capacity = listed.slots;
     if (!isReportFresh(row, now, options)) {
-        row.runner.manifestDigest = nameCompleteWeights(listed.weights);
-        row.runner.phase = "serving";
+        applyListedWeights(row);
     }
     return change;
 }
@@ -190,17 +223,25 @@
  * @param report - load and weights
  * @param now - monotonic time at which the report arrived
  */
-export function applyAgentReport(row: BackendServerRow, report: RunnerLoadReport, now: Milliseconds): void {
+export function applyAgentReport(row: BackendServerRow, report: AgentReport, now: Milliseconds): void {
     const { capacity, draining } = row.runner;
     applyLoadReport(row.runner, report, now);
     row.reportedAt = now;
+    const { manifestDigest: weights, orderSequence, phase, startedAt, verified } = report;
+    row.reportedWeights = recordWeightsReport(
+        row.reportedWeights,
+        { startedAt, orderSequence, weights, serving: phase === "serving", verified },
+        row.listed.startedAt,
+    );
+    row.runner.unverified = weights !== undefined && !areReportedWeightsVerified(row.reportedWeights);
     // The agent knows load and weights best, but the list is the first to show that a backend server is draining.
     row.runner.draining = draining || report.draining;
     row.runner.capacity = report.capacity > 0 ? report.capacity : capacity;
 }
 
 /**
- * Falls back to the list for backend servers whose agents have stopped reporting.
+ * Falls back to the list for backend servers whose agents have stopped reporting. Those whose weights are not known to be
+ * right are not used until an agent reports again.
  *
  * @param table - table to change
  * @param now - monotonic time
@@ -216,8 +257,7 @@
     for (const row of table.rows()) {
         if (row.reportedAt !== undefined && !isReportFresh(row, now, options)) {
             row.reportedAt = undefined;
-            row.runner.manifestDigest = nameCompleteWeights(row.listed.weights);
-            row.runner.phase = "serving";
+            applyListedWeights(row);
             expired.push(row.listed.instance);
         }
     }
