--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -58,6 +58,9 @@
     process.exitCode = broken > 0 ? 1 : 0;
 }
 
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => process.exit(1));
+}
 await new Command("weight-soak")
     .description("declares versions while faults act, and counts tokens that were made with wrong weights")
     .option("--mix <names...>", `mixes of faults: ${Object.keys(faultMixes).join(", ")}`, ["all"])
--- a/test/soak/programs.ts
+++ b/test/soak/programs.ts
@@ -34,6 +34,9 @@
 
 const heapMegabytes: Readonly<Record<ProgramRole, number>> = { gateway: 180, agent: 98 };
 
+const children = new Set<ChildProcess>();
+process.on("exit", () => children.forEach(child => child.kill("SIGKILL")));
+
 function wait(milliseconds: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
@@ -89,9 +92,11 @@
         );
         closeSync(log);
         child = started;
+        children.add(started);
         ended = new Promise(resolve => {
             started.once("exit", (code, signal) => {
                 child = undefined;
+                children.delete(started);
                 record(`${name} ended: ${signal ?? code}`);
                 resolve();
             });
