Complete the shutdown when a second signal arrives

The handlers were registered with `once`, so the first SIGTERM removed its handler and the second one had the system's default effect, which ends the process. They are also registered before the daemon starts, since its servers accept requests before the start is complete.

--- a/src/node/daemon/runDaemon.ts
+++ b/src/node/daemon/runDaemon.ts
@@ -27,6 +27,8 @@
     const destination = createBoundedDestination();
     const logger = createLogger({ level: settings.log.level, program, instance: settings.instance.id, destination });
     process.once("exit", destination.flush);
+    // A signal may arrive while the daemon starts, and finds requests in progress then.
+    const signaled = waitForShutdownSignal();
     const started = await start(settings, logger);
     if (started.isErr) {
         logger.error({ error: started.error }, "the daemon could not start");
@@ -34,7 +36,7 @@
     }
     {
         await using daemon = started.value;
-        const signal = await waitForShutdownSignal();
+        const signal = await signaled;
         logger.info({ signal }, "draining");
         await daemon.drain();
     }
