--- a/src/node/gateway/agentWatch.ts
+++ b/src/node/gateway/agentWatch.ts
@@ -1,8 +1,14 @@
 import { create } from "@bufbuild/protobuf";
 import type { ClientReadableStream } from "@grpc/grpc-js";
+import { isDeepStrictEqual } from "node:util";
 import type { Logger } from "pino";
 import { type LoadReport, WatchLoadRequestSchema } from "../../generated/goldcrestpoint_pb.js";
-import { applyAgentReport, type BackendServerRow, formatWeightName } from "../../runtime/gateway/index.js";
+import {
+    applyAgentReport,
+    areReportedWeightsVerified,
+    type BackendServerRow,
+    formatWeightName,
+} from "../../runtime/gateway/index.js";
 import type { Clock, CopyPhase, Milliseconds, RandomSource } from "../../types/index.js";
 import { type AgentClient, createAgentClient } from "../grpc/index.js";
 import { splitAddress } from "../httpServer/index.js";
@@ -19,6 +25,8 @@
     /** Time without a report after which a stream is closed. */
     readonly silentAfter: Milliseconds;
     readonly reconnectAfter: Milliseconds;
+    /** Time after which missing first reports no longer delay the readiness of the gateway. */
+    readonly settleWithin: Milliseconds;
     /** Called after each report. */
     readonly onReport: () => void;
 }
@@ -27,6 +35,12 @@
 export interface AgentWatch extends Disposable {
     /** Opens and closes streams according to the list of backend servers. */
     tick(): void;
+    /**
+     * Tells whether missing reports no longer delay the readiness of the gateway.
+     *
+     * @returns true once the agents of half of the listed engines of each service have reported, or some time has passed
+     */
+    isSettled(): boolean;
 }
 
 interface Watch {
@@ -52,6 +66,16 @@
     return phases.has(text) ? text as CopyPhase : "waiting";
 }
 
+/** Describes what the log shows about the weights of a backend server. */
+function describeWeights({ reportedWeights, runner }: BackendServerRow) {
+    return {
+        phase: runner.phase,
+        weights: runner.manifestDigest,
+        orderSequence: reportedWeights.newest?.orderSequence,
+        weightsVerified: areReportedWeightsVerified(reportedWeights),
+    };
+}
+
 /**
  * Follows the load reports of the agents beside backend servers.
  *
@@ -60,6 +84,7 @@
  */
 export function createAgentWatch(input: AgentWatchInput): AgentWatch {
     const { clock, logger, random } = input;
+    const settlesAt = clock.monotonic() + input.settleWithin;
     const watches = new Map<string, Watch>();
     const retryAt = new Map<string, Milliseconds>();
 
@@ -98,20 +123,12 @@
             const phase = copy === undefined ? "waiting" : toPhase(copy.phase);
             const version = Number(copy?.version ?? "");
             const manifestDigest = copy === undefined ? undefined : formatWeightName(copy.deployment, version);
-            const { runner } = row;
-            if (runner.phase !== phase || runner.manifestDigest !== manifestDigest) {
-                logger.info(
-                    {
-                        peer: row.listed.instance,
-                        phase,
-                        weights: manifestDigest,
-                        ageMilliseconds: Number(report.ageMilliseconds),
-                    },
-                    "backend server reported",
-                );
-            }
+            const before = describeWeights(row);
             applyAgentReport(row, {
+                startedAt: report.incarnation === "" ? undefined : Number(report.incarnation),
+                orderSequence: Number(report.orderSequence),
                 manifestDigest,
+                verified: report.weightsVerified,
                 phase,
                 draining: report.draining,
                 running: report.running,
@@ -120,6 +137,18 @@
                 cachedPrefixes: [],
                 age: Number(report.ageMilliseconds),
             }, now);
+            const after = describeWeights(row);
+            if (!isDeepStrictEqual(before, after)) {
+                logger.info(
+                    {
+                        peer: row.listed.instance,
+                        ...after,
+                        verificationReported: report.weightsVerified,
+                        ageMilliseconds: Number(report.ageMilliseconds),
+                    },
+                    "backend server reported",
+                );
+            }
         }
         input.onReport();
     }
@@ -134,7 +163,17 @@
         call.on("end", () => closeWatch(row, "the agent ended the stream"));
     }
 
+    function hasReports(rows: readonly BackendServerRow[]): boolean {
+        return rows.filter(({ reportedAt }) => reportedAt !== undefined).length >= rows.length / 2;
+    }
+
     return {
+        isSettled: () => {
+            const engines = input.listServers().filter(({ listed }) => listed.weights !== undefined);
+            const services = new Set(engines.map(({ listed }) => listed.service));
+            return clock.monotonic() >= settlesAt ||
+                [...services].every(service => hasReports(engines.filter(({ listed }) => listed.service === service)));
+        },
         tick: () => {
             const now = clock.monotonic();
             const addresses = new Set(input.listServers().map(toAddress));
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -25,6 +25,7 @@
 import { importStaged } from "./importStaged.js";
 import { createLoadFeed } from "./loadFeed.js";
 import { listRelays, readGatewaysWhileDisconnected } from "./relays.js";
+import { trackStagedWrites } from "./stagedWrites.js";
 import { createVersionPlan } from "./versionPlan.js";
 import { createWeightMemory } from "./weightMemory.js";
 import { createWeightSetOrigin } from "./weightSetOrigin.js";
@@ -100,6 +101,7 @@
         readProgress: () => service.progress(),
         readChunk: (set, index) => memory.read(set, index),
     });
+    const weightSetOrigin = createWeightSetOrigin(ports.origin, (set, manifest) => plan.keepManifest(set, manifest));
     const feed = createLoadFeed(instance.id, clock, weightAgent);
     const engineHost = splitAddress(weightAgent.engineAddress).host;
 
@@ -114,8 +116,16 @@
         return plan.readTarget(serving.map(({ address }) => splitAddress(address).host));
     }
 
-    const engineController = createEngineController({
+    const { findVersion, readManifest } = plan;
+    const writes = trackStagedWrites({
         engine: ports.engine,
+        clock,
+        logger,
+        findVersion,
+        mayWrite: () => engineController.mayStage(),
+    });
+    const engineController = createEngineController({
+        writes,
         memory,
         self: engineHost,
         clock,
@@ -124,8 +134,18 @@
         options: weightAgent,
         publish: status => feed.publish(status, 0),
         readTarget,
+        readManifest,
+        requestManifest,
+        findVersion,
     });
 
+    function requestManifest(model: string, version: number): void {
+        // The transfer service reads the manifest of the version that it transfers.
+        if (plan.chooseVersion()?.version !== version) {
+            void weightSetOrigin.readManifest(formatWeightName(model, version));
+        }
+    }
+
     function applyTarget(): void {
         plan.recordProgress();
         const target = plan.chooseVersion();
@@ -179,7 +199,7 @@
         zone: instance.zone,
         // The transfer service uses only the methods that read the state and that stage and read chunks.
         backend: memory.port as BackendServerPort,
-        origin: createWeightSetOrigin(ports.origin, (set, manifest) => plan.keepManifest(set, manifest)),
+        origin: weightSetOrigin,
         verifyManifest: manifest => ok(manifest),
         linkBudget: createLinkBudget({
             bytesPerSecond: weightAgent.linkMegabitsPerSecond * bytesPerMegabit,
@@ -201,8 +221,8 @@
         log: logger,
     }));
     const earlyStager = createEarlyStager({
-        engine: ports.engine,
-        readSet: () => engineController.isLoading() ? undefined : plan.readSetToStage(),
+        engine: writes.engine,
+        readSet: () => engineController.isLoading() || !engineController.mayStage() ? undefined : plan.readSetToStage(),
         logger,
     });
     const rpcServer = await startRpcServer(instance.grpcAddress, [{
@@ -253,7 +273,8 @@
             }
             applyTarget();
             void earlyStager.run();
-            const isChanging = engineController.isLoading() || engineController.isDraining();
+            const isChanging = engineController.isLoading() || engineController.isDraining() ||
+                !engineController.mayStage();
             await sleep(isChanging ? loadingReportIntervalMilliseconds : weightAgent.reportInterval, disposal.signal);
         }
     }
--- a/test/node/weightAgent/stagedVerification.test.ts
+++ b/test/node/weightAgent/stagedVerification.test.ts
@@ -4,6 +4,7 @@
 import { ok } from "true-myth/result";
 import { createStallMonitor } from "../../../src/node/replica/index.js";
 import { createEngineController, type EngineController } from "../../../src/node/weightAgent/engineController.js";
+import { trackStagedWrites } from "../../../src/node/weightAgent/stagedWrites.js";
 import { createWeightMemory } from "../../../src/node/weightAgent/weightMemory.js";
 import { createManifest } from "../../../src/runtime/distribution/index.js";
 import type { Clock, EngineControlPort, EngineReport } from "../../../src/types/index.js";
@@ -48,6 +49,10 @@
         return Promise.resolve(ok("begun"));
     }
 
+    unload(): ReturnType<EngineControlPort["unload"]> {
+        return Promise.resolve(ok("begun"));
+    }
+
     listStaged(): ReturnType<EngineControlPort["listStaged"]> {
         return Promise.resolve(ok([...this.staged.keys()]));
     }
@@ -67,7 +72,7 @@
     const memory = createWeightMemory(() => chunks.length);
     memory.import("scribe@2", chunks.length, new Map(chunks.entries()));
     return createEngineController({
-        engine,
+        writes: trackStagedWrites({ engine, clock, logger, findVersion: () => undefined, mayWrite: () => true }),
         memory,
         self: "a",
         clock,
@@ -92,6 +97,9 @@
             members: ["a"],
             slots: 4,
         }),
+        readManifest: () => undefined,
+        requestManifest: () => {},
+        findVersion: () => undefined,
     });
 }
 
