End a silent attempt only if another backend server can replace it

Streams were broken off and safe requests got 502 after 1.5 s without a byte, although their only backend server was at work: one that reads a long prompt, or an engine that reads a preempted request again, is silent for longer.

An idempotent request was taken from its backend server after `switchAfterMilliseconds` without asking whether another one was left; the retry then found none. The answer was also ended if it had begun and could not be continued elsewhere, because an event had no identifier. The pace of whole answers was checked that way already.

The client for backend servers now asks right before it ends a silent call, and asks again after the same time; the deadline of the request still ends it. The same question covers attempts, remaining time and retry budget, and streams without a complete event.

--- a/src/node/gateway/answerRelay.ts
+++ b/src/node/gateway/answerRelay.ts
@@ -70,8 +70,8 @@
 /**
  * Checks that a stream still delivers complete events.
  *
- * @returns time of the last complete event
- * @throws Error if none was completed for too long
+ * @returns time of the last complete event, or of the last check that left a silent stream running
+ * @throws Error if none was completed for too long, and the request can be retried
  */
 function checkProgress(
     { limits }: OpenedAnswer,
@@ -82,10 +82,13 @@
     if (events > 0) {
         return now;
     }
-    if (now - lastEventAt > limits.silentAfter) {
+    if (now - lastEventAt <= limits.silentAfter) {
+        return lastEventAt;
+    }
+    if (limits.canSwitch()) {
         throw new Error(`no complete event for ${limits.silentAfter} ms`);
     }
-    return lastEventAt;
+    return now;
 }
 
 function readMediaType({ headers }: OpenedAnswer): string | undefined {
--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -157,7 +157,8 @@
         path: request.path,
         headers: context.protocol.encodeForwarded(request.headers, forwarded),
         signal,
-        timeouts: { head: Math.min(silentAfter, headTimeout), idle: silentAfter },
+        timeouts: { head: headTimeout, idle: Infinity },
+        silence: { after: silentAfter, mayEnd: limits.canSwitch },
         ...(request.body.length === 0 ? {} : { body: request.body }),
     });
     if (opened.isErr) {
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -82,6 +82,11 @@
 /** Retry time in seconds for callers when no backend server can answer at the moment. */
 const unavailableRetryAfterSeconds = 1;
 
+/** Tells whether the answer has begun and no other backend server can continue it. */
+function mustComplete({ route }: GatewayRequest, { resumable, writer }: Progress): boolean {
+    return writer.headSent() && !(route.resumable && resumable);
+}
+
 /** A paused backend server gets no further requests, so its refusal does not count as an attempt of the request. */
 function countsAsAttempt(failure: AttemptFailure): boolean {
     return reachedServer(failure) && failure.reason !== "turned-away";
@@ -127,9 +132,17 @@
         input;
     const relay = createAnswerRelay({ clock, log, metrics });
 
+    /** Tells whether the time and the maximum number of attempts allow another one. */
+    function allowsAttempt({ endsAt, signal }: GatewayRequest, { attempts }: Progress): boolean {
+        return attempts < maximumTotalAttempts && endsAt - clock.monotonic() > minimumRemainingTime && !signal.aborted;
+    }
+
     /** Tells whether an idempotent request would find another backend server and the retry budget for it. */
-    function canSwitch({ row, service }: GatewayRequest, { excluded }: Progress, instance: string): boolean {
-        return selector.select(service, new Set([...excluded, instance])).server !== undefined &&
+    function canSwitch(request: GatewayRequest, progress: Progress, instance: string): boolean {
+        const { row, service } = request;
+        const { excluded } = progress;
+        return allowsAttempt(request, progress) && !mustComplete(request, progress) &&
+            selector.select(service, new Set([...excluded, instance])).server !== undefined &&
             input.findBudget(service.name).available >= 1 &&
             crashEvidence.readStanding(row) !== "condemned" &&
             crashEvidence.mayRepeat(row);
@@ -146,7 +159,7 @@
         const now = clock.monotonic();
         const remaining = request.endsAt - now;
         const repeatable = request.row.idempotent && progress.sent + 1 < request.route.maximumAttempts;
-        // Without a possible retry, only the deadline of the request ends the attempt, so that the caller gets 504.
+        // Only a retry is a reason to end a silent attempt; without one, the deadline of the request does.
         const silentAfter = repeatable && input.switchAfter < remaining ? input.switchAfter : Infinity;
         progress.attempts++;
         const release = selector.trackRequest(request.service, server);
@@ -202,15 +215,13 @@
         failure: AttemptFailure,
         budget: RetryBudget,
     ): RetryDecision {
-        const canRepeat = progress.attempts < maximumTotalAttempts &&
-            request.endsAt - clock.monotonic() > minimumRemainingTime && !request.signal.aborted;
         return decideRetry({
             request: request.row,
             refusal: { ran: failure.ran, reason: failure.reason, retryAfterSeconds: unavailableRetryAfterSeconds },
             backendServerCrashed: false,
             reachedServer: reachedServer(failure),
-            attempts: canRepeat ? progress.sent : Infinity,
-            answerBegun: progress.writer.headSent() && !(request.route.resumable && progress.resumable),
+            attempts: allowsAttempt(request, progress) ? progress.sent : Infinity,
+            answerBegun: mustComplete(request, progress),
             mayHaveRun: progress.mayHaveRun,
             standing: crashEvidence.readStanding(request.row),
             mayRepeat: crashEvidence.mayRepeat(request.row),
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -43,8 +43,8 @@
 /** Limits on the body of an answer, in addition to the deadline of its request. */
 export interface BodyLimits {
     /**
-     * Maximum time without a byte, and without a complete event of a stream; `Infinity` if only the deadline of the
-     * request applies.
+     * Time without a byte, or without a complete event of a stream, after which the request is retried if it can be;
+     * `Infinity` if it never can.
      */
     readonly silentAfter: Milliseconds;
     /** Time after the head at which the pace of the body is checked, if the request can be retried elsewhere. */
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -1,10 +1,12 @@
 import { err, ok, type Result } from "true-myth/result";
 import { type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../../types/index.js";
+import { createSystemClock } from "../../utils/index.js";
 import { memoryExceededMessage, readAhead, type ReadAheadLimits, ResponseTooLargeError } from "./bodyReader.js";
 import { isMixedHead, resolveFraming } from "./framing.js";
 import { createInterruption, type Interruption } from "./interruption.js";
 import { watchOverhead } from "./overheadWatch.js";
+import { type SilenceLimit, type SilenceWatch, watchSilence } from "./silenceWatch.js";
 import {
     type CallState,
     type ConnectionState,
@@ -32,17 +34,27 @@
 interface Call {
     readonly interruption: Interruption;
     readonly state: CallState;
+    readonly silence: SilenceWatch;
     readonly endWatch: () => void;
 }
 
-function startCall({ mayWrite, signal }: HttpRequest): Call {
+const clock = createSystemClock();
+const unlimitedSilence: SilenceLimit = { after: Infinity, mayEnd: () => false };
+
+function startCall({ mayWrite, signal, silence = unlimitedSilence }: HttpRequest): Call {
     const interruption = createInterruption(signal);
     const state = createCallState(mayWrite);
-    return { interruption, state, endWatch: watchOverhead(state, () => interruption.stop()) };
+    return {
+        interruption,
+        state,
+        silence: watchSilence(silence, clock, () => interruption.timeOut()),
+        endWatch: watchOverhead(state, () => interruption.stop()),
+    };
 }
 
-function endCall({ endWatch, interruption }: Call): void {
+function endCall({ endWatch, interruption, silence }: Call): void {
     endWatch();
+    silence.end();
     interruption.dispose();
 }
 
@@ -71,6 +83,7 @@
         try {
             const response = await awaitHead(dispatcher.request(toOptions(request, call, limits.idle)), call);
             call.interruption.clearTimeLimit();
+            call.silence.heard();
             if (isMixedHead(response.statusText, flattenHeaders(response.headers))) {
                 response.body.on("error", () => {}).destroy();
                 throw new Error("the head contains the parts of two responses");
@@ -145,6 +158,7 @@
     body.on("error", () => {});
     body.once("close", () => endCall(call));
     body.on("data", (part: Uint8Array) => {
+        call.silence.heard();
         call.state.bodyBytes += part.byteLength;
     });
     return {
--- a/src/node/httpClient/interruption.ts
+++ b/src/node/httpClient/interruption.ts
@@ -17,6 +17,8 @@
      * @param duration - time from now; `Infinity` for none
      */
     setTimeLimit(duration: Milliseconds): void;
+    /** Ends the call as if its time limit had expired. */
+    timeOut(): void;
     /** Removes the time limit. */
     clearTimeLimit(): void;
     /** Removes the time limit and the listener on the caller's signal. */
@@ -47,6 +49,11 @@
         clearImmediate(pendingAbort);
     }
 
+    function timeOut(): void {
+        hasTimedOut = true;
+        controller.abort();
+    }
+
     function setTimeLimit(duration: Milliseconds): void {
         clearTimeLimit();
         if (duration === Infinity) {
@@ -54,10 +61,7 @@
         }
         timer = setTimeout(() => {
             // If the event loop was blocked, data that arrived in time is read before this callback runs.
-            pendingAbort = setImmediate(() => {
-                hasTimedOut = true;
-                controller.abort();
-            });
+            pendingAbort = setImmediate(timeOut);
         }, duration);
     }
 
@@ -75,6 +79,7 @@
             controller.abort();
         },
         setTimeLimit,
+        timeOut,
         clearTimeLimit,
         dispose: () => {
             clearTimeLimit();
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -1,6 +1,7 @@
 import type { Result } from "true-myth/result";
 import type { Milliseconds } from "../../types/index.js";
 import type { ResponseMemoryLimit } from "./responseMemoryLimit.js";
+import type { SilenceLimit } from "./silenceWatch.js";
 
 /** Time limits of HTTP calls. */
 export interface HttpTimeouts {
@@ -40,6 +41,8 @@
     readonly signal?: AbortSignal | undefined;
     /** Time limits that differ from those of the client. */
     readonly timeouts?: Partial<HttpTimeouts> | undefined;
+    /** Limit on the time without a byte, from the call to the end of the body. Default: the time limits only. */
+    readonly silence?: SilenceLimit | undefined;
     /**
      * Called once a connection is open, right before the request is written to it; the call fails without being written
      * if the result is false. Default: it is written.
