Refuse queued requests when a gateway stops accepting connections

Requests that waited in the queue of a gateway got a closed connection at the end of its drain, and some had been sent to a backend server by then: with five of them behind one request of 6 s, on a route with a target latency of 30 s, all five were cut, and the backend server ran all five.

Nothing ended the queue. When a request finished late in the drain, the next one started; when the remaining connections were broken off, each freed place started the next request of the queue, whose connection had not been broken off yet.

The queue now closes together with the listener: its requests get 503 with `Retry-After: 0`, and a request that is read later starts at once or is refused. Another gateway can serve them in time, which this one cannot promise.

Before, the new test printed 'The value [200, undefined, undefined] is not equal to [200, 503, 503]'.

--- a/src/node/gateway/admissionQueues.ts
+++ b/src/node/gateway/admissionQueues.ts
@@ -54,6 +54,8 @@
      * @returns once the request may start, or its refusal
      */
     admit(service: ServiceRow, request: RequestRow, signal: AbortSignal): Promise<AdmissionOutcome>;
+    /** Refuses the requests that are queued, and from now on all that cannot start at once. */
+    close(): void;
     /** Releases the place of a request. */
     finish(service: ServiceRow, requestId: RequestId): void;
     /** Updates the number of places, and refuses requests that can no longer start in time. */
@@ -71,6 +73,9 @@
     readonly reason: BlockedReason;
 }
 
+/** Another gateway can serve the request at once. */
+const shuttingDown: Refusal = { ran: "no", reason: "draining", retryAfterSeconds: 0 };
+
 interface ServiceQueue {
     service: ServiceRow;
     readonly table: AdmissionTable;
@@ -87,6 +92,7 @@
 export function createAdmissionQueues(input: AdmissionQueuesInput): AdmissionQueues {
     const { clock, options } = input;
     const queues = new Map<string, ServiceQueue>();
+    let isClosed = false;
 
     function findOrCreateQueue(service: ServiceRow): ServiceQueue {
         let queue = queues.get(service.name);
@@ -152,7 +158,18 @@
         });
     }
 
+    function refuseQueued(queue: ServiceQueue): void {
+        for (const requestId of [...queue.waiting.keys()]) {
+            settle(queue, requestId, { kind: "refused", refusal: shuttingDown });
+            apply(queue, cancelRequest(queue.table, requestId, clock.monotonic()));
+        }
+    }
+
     return {
+        close: () => {
+            isClosed = true;
+            queues.forEach(refuseQueued);
+        },
         admit: (service, request, signal) => {
             // A signal that is already aborted dispatches no further event.
             if (signal.aborted) {
@@ -177,6 +194,10 @@
                 return Promise.resolve({ kind: "refused", refusal: decision.refusal });
             }
             const waiting = waitInQueue(queue, request, signal);
+            if (isClosed) {
+                refuseQueued(queue);
+                return waiting;
+            }
             apply(queue, expireRequests(queue.table, now));
             return waiting;
         },
--- a/src/node/gateway/drainCallers.ts
+++ b/src/node/gateway/drainCallers.ts
@@ -1,21 +1,24 @@
 import type { Clock, Milliseconds } from "../../types/index.js";
 import { sleep } from "../../utils/index.js";
 import type { GatewaySettings } from "../settings/index.js";
+import type { AdmissionQueues } from "./admissionQueues.js";
 import type { CallerServer } from "./callerServer.js";
 
 /** Interval at which open requests are counted. */
 const countInterval: Milliseconds = 100;
 
 /**
- * Accepts new connections for a while, then waits for the requests in progress.
+ * Accepts new connections and starts queued requests for a while, then waits for the requests in progress.
  *
  * @param callers - server for callers
+ * @param queues - queues of the requests that wait for a backend server
  * @param settings - time limits of the drain
  * @param clock - time source
  * @returns resolves when no request is open, or at the time limit
  */
 export async function drainCallers(
     callers: Pick<CallerServer, "beginShutdown" | "countOpen" | "stopAccepting">,
+    queues: Pick<AdmissionQueues, "close">,
     { gateway, instance }: Pick<GatewaySettings, "gateway" | "instance">,
     clock: Clock,
 ): Promise<void> {
@@ -24,6 +27,7 @@
     const endsAt = clock.monotonic() + limit;
     await sleep(Math.min(gateway.acceptAfterShutdown, limit));
     callers.stopAccepting();
+    queues.close();
     while (callers.countOpen().open > 0 && clock.monotonic() < endsAt) {
         await sleep(countInterval);
     }
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -343,7 +343,7 @@
     return ok({
         drain: async () => {
             draining = true;
-            await drainCallers(callerServer, settings, clock);
+            await drainCallers(callerServer, queues, settings, clock);
             logger.info({ ...callerServer.countOpen(), queued: queues.countQueued() }, "drained");
         },
     });
--- a/test/platform/drainedAnswers.test.ts
+++ b/test/platform/drainedAnswers.test.ts
@@ -37,3 +37,28 @@
         });
     }
 });
+
+describe("queue of a gateway that shuts down", () => {
+    // Guards against queued requests that start, or are cut off, when the time for the drain is over.
+    it("is refused as not run when no further connections are accepted", async () => {
+        await using deployment = await startDeployment();
+        const routes = operatorConfiguration.routes.map(route => ({
+            ...route,
+            timeout_ms: 30_000,
+            target_latency_ms: 30_000,
+        }));
+        deployment.configure({ version: 2, routes });
+        await using runner = await startWorkRunner("i-1");
+        await deployment.addRunnerRecord("i-1", runner.address, { slots: 1 });
+        const calls = ["first", "second", "third"].map(async attemptId => {
+            using channel = await openChannel(deployment.callers);
+            return await channel!.call({ path: "/unsafe/?work=1500", attemptId, deadline: 30_000 });
+        });
+        await sleep(200);
+        await deployment.stop();
+        const answers = await Promise.all(calls);
+        expect(answers.map(({ status }) => status).sort()).toEqual([200, 503, 503]);
+        expect(answers.filter(({ head }) => head.toLowerCase().includes("retry-after: 0")).length).toEqual(2);
+        expect(runner.work.length).toEqual(1);
+    });
+});
