Send the rest of responses before an entry instance stops

An entry instance counted a request as complete when its response was ended, and then closed the connections that Node counts as idle, as gateways did: a slow caller got 5.4 of 12.6 million bytes.

Its server is now a `DrainableServer` too, as are the servers for readiness and metrics, and the drain waits for responses that have not left the process, within the drain time limit.

--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -164,7 +164,7 @@
         httpPort: http.value.port,
         drain: async () => {
             draining = true;
-            await waitUntilIdle(clock, settings.instance.drainTimeLimit, () => pipeline.open);
+            await waitUntilIdle(clock, settings.instance.drainTimeLimit, () => pipeline.open + http.value.countOpen());
         },
         [Symbol.asyncDispose]: () => ownedResources[Symbol.asyncDispose](),
     });
--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -51,6 +51,15 @@
         });
     }
 
+    /**
+     * Counts the responses that have not been handed over to the operating system completely.
+     *
+     * @returns their number
+     */
+    countOwed(): number {
+        return [...this.states.values()].reduce((sum, { owed }) => sum + owed, 0);
+    }
+
     /**
      * Closes the connections that have carried a response and owe none, and from then on each other one as soon as it
      * owes none. Called by `close` too.
--- a/src/node/httpServer/httpServer.ts
+++ b/src/node/httpServer/httpServer.ts
@@ -1,12 +1,15 @@
 import type { HTTPVersion, Instance as Router } from "find-my-way";
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import { err, ok, type Result } from "true-myth/result";
 import { createError, type GoldcrestpointError, type Milliseconds } from "../../types/index.js";
+import { DrainableServer } from "./drainableServer.js";
 
 /** Running HTTP server. */
 export interface HttpServer extends AsyncDisposable {
     /** Port that the server listens on. */
     readonly port: number;
+    /** Counts the responses that have not been sent completely. */
+    readonly countOpen: () => number;
 }
 
 /** Router of a daemon's HTTP server. */
@@ -28,7 +31,7 @@
     shutdownTimeLimit: Milliseconds = defaultShutdownTimeLimit,
 ): Promise<Result<HttpServer, GoldcrestpointError>> {
     const { host, port } = splitAddress(address);
-    const server = createServer((request, response) => {
+    const server = new DrainableServer({}, (request, response) => {
         router.lookup(request, response);
     });
     return new Promise(resolve => {
@@ -39,6 +42,7 @@
             const bound = server.address();
             resolve(ok({
                 port: typeof bound === "object" && bound ? bound.port : port,
+                countOpen: () => server.countOwed(),
                 [Symbol.asyncDispose]: () => stopServer(server, shutdownTimeLimit),
             }));
         });
@@ -47,13 +51,12 @@
 
 function stopServer(server: Server, timeLimit: Milliseconds): Promise<void> {
     return new Promise(resolve => {
-        // `closeIdleConnections` doesn't close a connection that has not sent a request yet.
+        // `close` doesn't close a connection that has not sent a request yet.
         const timer = setTimeout(() => server.closeAllConnections(), timeLimit);
         server.close(() => {
             clearTimeout(timer);
             resolve();
         });
-        server.closeIdleConnections();
     });
 }
 
