--- a/test/platform/standIn/engineLifetime.ts
+++ b/test/platform/standIn/engineLifetime.ts
@@ -110,9 +110,10 @@
         return this.isDraining ? undefined : this.loaded;
     }
 
-    /** Returns the version of which all layers are loaded; 0 if there is none. */
+    /** Returns the version of which all layers are loaded, from the right chunks; 0 if there is none. */
     readVersion(): number {
-        return this.loaded !== undefined && hasAllLayers(this.loaded) ? this.loaded.version : 0;
+        const { loaded } = this;
+        return loaded !== undefined && hasAllLayers(loaded) && loaded.faults.length === 0 ? loaded.version : 0;
     }
 
     /**
--- a/test/platform/standIn/stagingEngine.ts
+++ b/test/platform/standIn/stagingEngine.ts
@@ -32,7 +32,7 @@
     readonly ip: string;
     readonly address: string;
     readonly counts: Readonly<EngineCounts>;
-    /** Version of which all layers are loaded; 0 if there is none. */
+    /** Version of which all layers are loaded, from the right chunks; 0 if there is none. */
     readonly version: () => number;
     /** Entry in the list of backend servers; undefined while the engine cannot write one. */
     readonly entry: () => Readonly<Record<string, unknown>> | undefined;
