--- a/test/soak/soakDeployment.ts
+++ b/test/soak/soakDeployment.ts
@@ -192,7 +192,10 @@
                     port: front,
                     random: createRandom("caller", index),
                 }));
-            return async () => (await Promise.all(stops.map(stop => stop()))).reduce(addCounts);
+            const stopAll = async (): Promise<CallCounts> =>
+                (await Promise.all(stops.map(stop => stop()))).reduce(addCounts);
+            stack.defer(async () => void await stopAll());
+            return stopAll;
         },
         count: () => engines.map(({ counts }): EngineCounts => ({ ...counts })).reduce(addCounts),
         listViolations: () => {
