Load weights again that a restarted agent cannot verify and no gateway uses

An agent that starts beside an engine knows nothing of the orders of its predecessor. If the predecessor was killed between the acceptance of a load and its verification, and what is staged does not show what the engine took, these weights would never be verified: an engine of the newest version would get no requests until the next version is declared.

Such weights are now reported as not verified, with the phase that the engine states, since gateways may know from the earlier agent that they are right. If the engine gets no requests for 5 s, no gateway does, and the weights are replaced like wrong ones. An engine that is in use is never taken out of service by this rule, so that agents which restart at the same time do not unload the engines of a service.

--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -269,8 +269,9 @@
         }
         // An engine that carries out an order accepts no new requests.
         const isAboutToLoad = loading || drainingSince !== undefined || orders.readUnresolved() !== undefined;
+        const state = verification.readState();
         // Gateways may know from an earlier agent that weights which this one cannot verify are right.
-        const isUnusable = !verification.isFromBefore() && verification.readState() !== "verified";
+        const isUnusable = state === "wrong" || (state === "unverified" && !verification.isFromBefore());
         return report.busy || isAboutToLoad || isUnusable ? "activating" : "serving";
     }
 
--- a/src/node/weightAgent/loadedVerification.ts
+++ b/src/node/weightAgent/loadedVerification.ts
@@ -25,6 +25,12 @@
 /** Time after which weights whose manifest cannot be read count as not verifiable, so that others can replace them. */
 const manifestTimeLimit: Milliseconds = 5_000;
 
+/**
+ * Time without requests after which weights that this process cannot verify count as wrong: a gateway that knows from an
+ * earlier agent that they are right would send requests.
+ */
+const unusedTimeLimit: Milliseconds = 5_000;
+
 /** Load that the engine has accepted, identified by the start of the engine and its order sequence. */
 interface AcceptedLoad {
     readonly engineStart: number | undefined;
@@ -71,6 +77,8 @@
     let lastWriteEvents = 0;
     let checked: { readonly version: number; readonly state: LoadedWeightsState; } | undefined;
     let soonAccepted: OrderedVersion | undefined;
+    /** Monotonic time since which the engine has had no requests; undefined while it has some. */
+    let unusedSince: Milliseconds | undefined;
     let isChecking = false;
     /** Monotonic time since which the manifest of the loaded version is missing. */
     let manifestMissingSince: Milliseconds | undefined;
@@ -175,15 +183,17 @@
         if (lastReport.orderSequence === 0) {
             return "verified";
         }
+        const isUnused = unusedSince !== undefined && clock.monotonic() - unusedSince >= unusedTimeLimit;
+        const unknownState = isUnused ? "wrong" : "unknown";
         if (checked?.version === weights.version) {
-            return checked.state;
+            return checked.state === "unknown" ? unknownState : checked.state;
         }
         const isUnverifiable = manifestMissingSince !== undefined &&
             clock.monotonic() - manifestMissingSince >= manifestTimeLimit;
         if (!isUnverifiable) {
             return "unverified";
         }
-        return load?.isFromBefore === true ? "unknown" : "wrong";
+        return load?.isFromBefore === true ? unknownState : "wrong";
     }
 
     return {
@@ -195,6 +205,7 @@
         observe: (report, writeEvents, orders) => {
             const accepted = trackLoad(report);
             lastReport = report;
+            unusedSince = report.running + report.queued > 0 ? undefined : unusedSince ?? clock.monotonic();
             lastWriteEvents = writeEvents;
             if (isChecking || report.orderSequence === 0 || orders.isOrdering()) {
                 return;
--- a/test/node/weightAgent/randomFaults.test.ts
+++ b/test/node/weightAgent/randomFaults.test.ts
@@ -41,6 +41,7 @@
             "deliver-all",
             "corrupt",
             "replace",
+            "restart-agent",
             "restart-engine",
             "load-slowly",
             "finish",
@@ -105,6 +106,10 @@
             this.engine.staged.set(index, createChunks(1)[index]!);
         },
         "restart-agent": () => {
+            if (this.agents.length > 1) {
+                // Not covered: an order that stays held while two agents in a row are killed.
+                return;
+            }
             this.agents.push(createAgent(this.engine, [...this.agent.versions], this.clock));
         },
         "restart-engine": () => this.engine.restart(),
