Replace weights that cannot be verified one group of engines at a time

Callers of a service whose agents all restarted could have found no engine: each agent that could not verify the loaded weights gave them up after 5 s without requests, all in the same moment, and also if only the manifest could not be read.

Cause: the time without requests is sampled by each agent for itself, and the replacement did not follow the groups in which engines load a version, so that some keep serving.

An engine now waits 5 s for each group before its own. Weights whose manifest is missing stay unverified, as gateways may know them and the manifest may still arrive; a newer version can replace them. Wrong weights are not given up while only an older version is complete, which would be loaded instead.

Without the change, the new tests printed 'The value 3 is not equal to 1' (orders accepted before the turn of the group) and 'The value "unload" is not equal to "wait"'.

--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "pino";
 import { formatWeightName } from "../../runtime/gateway/index.js";
 import {
+    assignWave,
     planLoad,
     type RolloutOptions,
     type VersionTransfer,
@@ -87,7 +88,7 @@
     const reports = createEngineReports({ writes, logger, onReport: observe });
     const preparation = createLoadPreparation({ ...input, reports });
     const orders = createEngineOrders({ ...input, repeatAfter: options.repeatAfter });
-    const verification = createLoadedVerification({ ...input, onChange: actOnVerification });
+    const verification = createLoadedVerification({ ...input, readGroup, onChange: actOnVerification });
     let lastReason = "";
     let isCarryingOutLoad = false;
     /** True from the drain right before a load until a later report shows what the engine does. */
@@ -101,6 +102,10 @@
         verification.observe(report, writeEvents, orders);
     }
 
+    function readGroup(version: number): number {
+        return assignWave(input.readTarget()?.members ?? [], input.self, version, options.waves);
+    }
+
     function actOnVerification(): void {
         input.publish(describe());
         void decideAndAct();
--- a/src/node/weightAgent/loadedVerification.ts
+++ b/src/node/weightAgent/loadedVerification.ts
@@ -15,6 +15,8 @@
     /** Starts to read the manifest of a version unless it is being read. */
     readonly requestManifest: (model: string, version: number) => void;
     readonly findVersion: FindChunkVersion;
+    /** Group of the engine in a rolling load of the version, from 0; groups do not give up weights at the same time. */
+    readonly readGroup: (version: number) => number;
     /** Called when the loaded weights have been verified or found to be wrong. */
     readonly onChange: () => void;
 }
@@ -26,8 +28,8 @@
 const manifestTimeLimit: Milliseconds = 5_000;
 
 /**
- * Time without requests after which weights that this process cannot verify count as wrong: a gateway that knows from an
- * earlier agent that they are right would send requests.
+ * Time without requests, for the first group of engines, after which weights that this process cannot verify count as
+ * wrong: a gateway that knows from an earlier agent that they are right would send requests.
  */
 const unusedTimeLimit: Milliseconds = 5_000;
 
@@ -174,6 +176,11 @@
         return load;
     }
 
+    function isUnused(version: number): boolean {
+        const limit = unusedTimeLimit * (1 + input.readGroup(version));
+        return unusedSince !== undefined && clock.monotonic() - unusedSince >= limit;
+    }
+
     function readState(): LoadedWeightsState {
         const weights = lastReport?.weights;
         if (lastReport === undefined || weights?.complete !== true) {
@@ -183,17 +190,15 @@
         if (lastReport.orderSequence === 0) {
             return "verified";
         }
-        const isUnused = unusedSince !== undefined && clock.monotonic() - unusedSince >= unusedTimeLimit;
-        const unknownState = isUnused ? "wrong" : "unknown";
         if (checked?.version === weights.version) {
-            return checked.state === "unknown" ? unknownState : checked.state;
+            return checked.state === "unknown" && isUnused(weights.version) ? "wrong" : checked.state;
         }
         const isUnverifiable = manifestMissingSince !== undefined &&
             clock.monotonic() - manifestMissingSince >= manifestTimeLimit;
         if (!isUnverifiable) {
             return "unverified";
         }
-        return load?.isFromBefore === true ? unknownState : "wrong";
+        return load?.isFromBefore === true ? "unknown" : "wrong";
     }
 
     return {
--- a/src/runtime/rollout/planLoad.ts
+++ b/src/runtime/rollout/planLoad.ts
@@ -132,6 +132,9 @@
     if (report.busy) {
         return { kind: "wait", reason: "the engine carries out an order" };
     }
+    if (target !== undefined && target < loaded) {
+        return { kind: "wait", reason: "chunks are missing" };
+    }
     return target !== undefined && target > loaded ?
         { kind: "load", version: target, reason } :
         { kind: "unload", version: loaded, reason };
--- a/test/node/weightAgent/agentRestart.test.ts
+++ b/test/node/weightAgent/agentRestart.test.ts
@@ -1,5 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { pino } from "pino";
+import { assignWave } from "../../../src/runtime/rollout/index.js";
 import { createManualClock } from "../../../src/utils/index.js";
 import { corrupt, createAgent, createChunks, LateEngine } from "./engineSupport.js";
 
@@ -44,6 +46,25 @@
         expect([engine.sequence, engine.isWrong, agent.status()?.weightsVerified]).toEqual([3, false, true]);
     });
 
+    // Guards against a service without engines after the agents of all engines have restarted.
+    it("replaces them only in its turn", async () => {
+        const clock = createManualClock();
+        const engine = new LateEngine(1, clock);
+        const logger = pino({ level: "silent" });
+        const names = Array.from({ length: 50 }, (...[, index]) => `other-${index}`);
+        const other = names.find(name => assignWave(["a", name], "a", 2, 2) === 1)!;
+        await createAgent(engine, [1, 2], clock, logger, ["a"]).run(2);
+        engine.staged.set(2, corrupt);
+        const agent = createAgent(engine, [2], clock, logger, ["a", other]);
+        await agent.run(2);
+        clock.advance(6_000);
+        await agent.run(4);
+        expect(engine.sequence).toEqual(1);
+        clock.advance(5_000);
+        await agent.run(4);
+        expect([engine.sequence, agent.status()?.weightsVerified]).toEqual([3, true]);
+    });
+
     // Guards against weights of several versions after an order of the earlier agent is accepted during staging.
     it("finds that an order of the earlier agent was accepted while it staged a newer version", async () => {
         const clock = createManualClock();
--- a/test/node/weightAgent/engineSupport.ts
+++ b/test/node/weightAgent/engineSupport.ts
@@ -252,6 +252,7 @@
     versions: number[],
     clock: ManualClock = createManualClock(),
     logger: Logger = pino({ level: "silent" }),
+    members: readonly string[] = ["a"],
 ): TestAgent {
     const memory = createWeightMemory(() => chunkCount);
     const findVersion = (index: number, content: Uint8Array): number | undefined =>
@@ -274,7 +275,7 @@
         stalls: createStallMonitor({ clock, logger }),
         logger,
         options: {
-            waves: 1,
+            waves: members.length,
             firstWaveAfter: 0,
             waveInterval: 1_000,
             lastWaveAfter: 6_000,
@@ -291,7 +292,7 @@
                 complete: readManifest(version),
                 completedAt: 0,
                 transfer: undefined,
-                members: ["a"],
+                members,
                 slots: 4,
             };
         },
--- a/test/runtime/rollout/rollout.test.ts
+++ b/test/runtime/rollout/rollout.test.ts
@@ -45,6 +45,11 @@
         expect(planLoad({ ...wrong, target: undefined }).kind).toEqual("unload");
         expect(planLoad({ ...wrong, report: { ...wrong.report, busy: true } }).kind).toEqual("wait");
     });
+
+    // Guards against an older version that is loaded in place of wrong weights whose chunks have not arrived.
+    it("waits if only an older version is complete", () => {
+        expect(planLoad(createInput({ loadedState: "wrong", target: 0 })).kind).toEqual("wait");
+    });
 });
 
 describe("order to load a version", () => {
