Log why a gateway ends a caller's connection without an answer

Callers saw connections end without an answer beside a change of the configuration, and the logs could not tell why: `answer cut off` was written during a shutdown only, nothing was written when an idle connection was closed, and an exception was a line without the request id.

- `answer cut off` is written whenever the gateway closed the connection, with the reason, whether the head was sent, and revision and age of the configuration; ends by the caller still during a shutdown only.
- `goldcrestpoint_gateway_connections_closed_total` counts connections that are closed while no answer is open, by reason; `crossed` counts requests that arrive after the close, which are a line too.
- `connection closed late` shows that the process stood still past an idle limit.
- `request rejected` with the reason `internal` has the request id and is counted.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -166,7 +166,11 @@
         return err(rpcServer.error);
     }
     resources.use(rpcServer.value);
-    const httpServer = await startHttpServer(settings.instance.httpAddress, createAgentRouter(context, copyController));
+    const httpServer = await startHttpServer(
+        settings.instance.httpAddress,
+        createAgentRouter(context, copyController),
+        context.clock,
+    );
     if (httpServer.isErr) {
         return err(httpServer.error);
     }
--- a/src/node/entry/entryDaemon.ts
+++ b/src/node/entry/entryDaemon.ts
@@ -88,7 +88,7 @@
     const directory = resources.use(createRunnerDirectory(context));
     const pipeline = createRequestPipeline(context, directory, sharing);
     const router = createEntryRouter(context, { pipeline, isDraining: () => draining });
-    const http = await startHttpServer(settings.instance.httpAddress, router);
+    const http = await startHttpServer(settings.instance.httpAddress, router, context.clock);
     if (http.isErr) {
         return err(http.error);
     }
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -23,7 +23,7 @@
     type RouteRow,
 } from "../../types/index.js";
 import { hasUndecodedTransferCoding } from "../httpClient/index.js";
-import { abortResponse, DrainableServer, readBody, splitAddress } from "../httpServer/index.js";
+import { DrainableServer, readBody, splitAddress } from "../httpServer/index.js";
 import { type GatewayStatus, sendGatewayAnswer } from "./callerAnswer.js";
 import { watchCaller } from "./callerWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
@@ -60,6 +60,8 @@
 const highestPriority = 9;
 /** Retry time in seconds while the gateway has no configuration or no service for the route. */
 const unconfiguredRetryAfterSeconds = 0.5;
+/** Lateness of a timer from which on the process must have stood still. */
+const loggedLateness: Milliseconds = 300;
 /** Maximum size of the headers until a configuration is known. */
 const initialMaximumHeaderBytes = 16_384;
 
@@ -81,17 +83,27 @@
  */
 export function startCallerServer(input: CallerServerInput): Promise<Result<CallerServer, GoldcrestpointError>> {
     const { clock, metrics, protocol } = input;
-    const answers = createOpenAnswers(({ closedBy, ended, incoming }) => {
-        if (closing) {
-            const { requestId } = protocol.decodeCall(joinHeaders(incoming)) ?? {};
-            input.logger.warn({ requestId, path: incoming.url, closedBy, ended }, "answer cut off");
+    const answers = createOpenAnswers(({ incoming, ...cut }) => {
+        // A caller that leaves is of interest only in a shutdown.
+        if (closing || cut.closedBy === "gateway") {
+            input.logger.warn({ ...describe(incoming), ...cut }, "answer cut off");
         }
     });
     let closing = false;
+    let configuredAt = clock.monotonic();
     let stopped = false;
     const callerTimeouts = createCallerTimeoutTable();
     const pollQueue = createPollQueue();
 
+    function describe(incoming: IncomingMessage): Readonly<Record<string, unknown>> {
+        return {
+            requestId: protocol.decodeCall(joinHeaders(incoming))?.requestId,
+            path: incoming.url,
+            revision: input.routes()?.configuration.revision,
+            configurationAgeMilliseconds: Math.round(clock.monotonic() - configuredAt),
+        };
+    }
+
     function logRejected(fields: Readonly<Record<string, unknown>>): void {
         input.logger.warn(fields, "request rejected");
     }
@@ -103,16 +115,8 @@
         reason: string,
         retryAfterSeconds?: number,
     ): void {
-        const revision = input.routes()?.configuration.revision;
         metrics.countRejected(reason);
-        logRejected({
-            requestId: protocol.decodeCall(joinHeaders(incoming))?.requestId,
-            status,
-            reason,
-            host: incoming.headers.host,
-            path: incoming.url,
-            revision,
-        });
+        logRejected({ ...describe(incoming), status, reason, host: incoming.headers.host });
         if (!incoming.complete && !incoming.readableEnded) {
             // The rest of the body is not read, so the connection cannot carry another request.
             response.setHeader("connection", "close");
@@ -239,10 +243,25 @@
             answers.add(incoming, response);
             handle(incoming, response).catch((error: unknown) => {
                 const detail = error instanceof Error ? error.stack ?? error.message : String(error);
-                logRejected({ reason: "internal", detail, path: incoming.url });
-                abortResponse(response);
+                metrics.countRejected("internal");
+                logRejected({ ...describe(incoming), reason: "internal", detail, host: incoming.headers.host });
+                answers.breakOff(response, "exception");
             });
         },
+        clock,
+        {
+            onClose: (reason, lateness) => {
+                metrics.countClosedConnection(reason);
+                if (lateness >= loggedLateness) {
+                    const lateMilliseconds = Math.round(lateness);
+                    input.logger.warn({ reason, lateMilliseconds }, "connection closed late");
+                }
+            },
+            onUnanswerable: incoming => {
+                metrics.countClosedConnection("crossed");
+                input.logger.warn(describe(incoming), "request arrived after its connection was closed");
+            },
+        },
     );
     server.requestTimeout = 0;
 
@@ -254,6 +273,7 @@
         server.listen({ host, port, backlog: 1_024 }, () => {
             resolve(ok({
                 applyLimits: limits => {
+                    configuredAt = clock.monotonic();
                     server.headersTimeout = limits.headerTimeout;
                     server.keepAliveTimeout = limits.idleTimeout;
                 },
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -314,7 +314,7 @@
         decisions,
     });
     for (const address of new Set([gateway.readyAddress, gateway.metricsAddress])) {
-        const server = await startHttpServer(address, router, serverShutdownLimit);
+        const server = await startHttpServer(address, router, clock, serverShutdownLimit);
         if (server.isErr) {
             return err(server.error);
         }
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -1,12 +1,16 @@
 import type { Milliseconds, RefusalReason } from "../../types/index.js";
 import type { ListeningState } from "../crashes/index.js";
 import type { BodyFraming } from "../httpClient/index.js";
+import type { ConnectionCloseReason } from "../httpServer/index.js";
 import type { Metrics } from "../metrics/index.js";
 import type { AnswerEnding, GatewayRequest } from "./types.js";
 
 /** Outcome of a request in the counters. */
 export type RequestOutcome = "answered" | "refused" | "failed" | "server-error" | "broken-off" | "canceled";
 
+/** Reason of a closed connection in the counters; `crossed` if a request arrived after the close. */
+export type ClosedConnectionReason = ConnectionCloseReason | "crossed";
+
 /** Counters and latency histograms of a gateway. */
 export interface GatewayMetrics {
     countOutcome(request: GatewayRequest, outcome: RequestOutcome): void;
@@ -21,6 +25,8 @@
     recordFirstByte(request: GatewayRequest, duration: Milliseconds): void;
     /** Counts a request that the configuration does not allow, or that arrived before there was a configuration. */
     countRejected(reason: string): void;
+    /** Counts a connection of a caller that was closed without an answer on it, or a request that crossed the close. */
+    countClosedConnection(reason: ClosedConnectionReason): void;
 }
 
 /**
@@ -54,6 +60,10 @@
         name: "goldcrestpoint_gateway_rejected_total",
         documentation: "Requests rejected before admission, by reason.",
     });
+    const closed = metrics.createCounter({
+        name: "goldcrestpoint_gateway_connections_closed_total",
+        documentation: "Connections of callers that were closed while no answer was open, by reason.",
+    });
     const waits = metrics.createHistogram({
         name: "goldcrestpoint_gateway_admission_wait_milliseconds",
         documentation: "Time in the queue of the gateway, by service.",
@@ -70,6 +80,7 @@
         countAnswer: ({ service }, framing, ending) => answers.add(1, { service: service.name, framing, ending }),
         countCheck: (service, outcome) => checks.add(1, { service, outcome }),
         countRejected: reason => rejected.add(1, { reason }),
+        countClosedConnection: reason => closed.add(1, { reason }),
         recordWait: ({ service }, duration) => waits.record(duration, { service: service.name }),
         recordFirstByte: ({ route, service }, duration) =>
             firstBytes.record(duration, { service: service.name, kind: route.kind }),
--- a/src/node/gateway/openAnswers.ts
+++ b/src/node/gateway/openAnswers.ts
@@ -1,9 +1,14 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { abortResponse } from "../httpServer/index.js";
 
+/** Reason for which the gateway ended an answer; `broken-off` if it could not be completed. */
+export type CutReason = "broken-off" | "exception" | "drain-ended";
+
 /** Answer that ended before it was sent completely. */
 export interface CutAnswer {
     readonly incoming: IncomingMessage;
+    readonly reason: CutReason;
+    readonly headSent: boolean;
     /** Which side closed the connection. */
     readonly closedBy: "caller" | "gateway";
     /** True if the rest of the answer was only waiting to be sent. */
@@ -22,7 +27,9 @@
     /** Adds an answer until it is sent or its connection has closed. */
     add(incoming: IncomingMessage, response: ServerResponse): void;
     readonly count: () => OpenAnswerCounts;
-    /** Breaks off all answers. */
+    /** Breaks off an answer. */
+    breakOff(response: ServerResponse, reason: CutReason): void;
+    /** Breaks off all answers at the end of a drain. */
     abort(): void;
 }
 
@@ -34,6 +41,13 @@
  */
 export function createOpenAnswers(onCut: (answer: CutAnswer) => void): OpenAnswers {
     const open = new Set<ServerResponse>();
+    const reasons = new WeakMap<ServerResponse, CutReason>();
+
+    function breakOff(response: ServerResponse, reason: CutReason): void {
+        reasons.set(response, reason);
+        abortResponse(response);
+    }
+
     return {
         add: (incoming, response) => {
             const { socket } = incoming;
@@ -48,6 +62,8 @@
                 if (!isSent) {
                     onCut({
                         incoming,
+                        reason: reasons.get(response) ?? "broken-off",
+                        headSent: response.headersSent,
                         closedBy: socket.readableEnded || socket.errored instanceof Error ? "caller" : "gateway",
                         ended: response.writableEnded,
                     });
@@ -58,6 +74,7 @@
             open: open.size,
             unsentBytes: [...open].reduce((sum, { writableLength }) => sum + writableLength, 0),
         }),
-        abort: () => open.forEach(abortResponse),
+        breakOff,
+        abort: () => open.forEach(response => breakOff(response, "drain-ended")),
     };
 }
--- a/src/node/httpServer/httpServer.ts
+++ b/src/node/httpServer/httpServer.ts
@@ -1,7 +1,7 @@
 import type { HTTPVersion, Instance as Router } from "find-my-way";
 import type { Server } from "node:http";
 import { err, ok, type Result } from "true-myth/result";
-import { createError, type GoldcrestpointError, type Milliseconds } from "../../types/index.js";
+import { type Clock, createError, type GoldcrestpointError, type Milliseconds } from "../../types/index.js";
 import { DrainableServer } from "./drainableServer.js";
 
 /** Running HTTP server. */
@@ -22,18 +22,20 @@
  *
  * @param address - `host:port`; port 0 selects a free one
  * @param router - routes to serve
+ * @param clock - time source
  * @param shutdownTimeLimit - time after the disposal at which open connections are closed
  * @returns the server, or an error if the address cannot be bound
  */
 export function startHttpServer(
     address: string,
     router: HttpRouter,
+    clock: Pick<Clock, "monotonic">,
     shutdownTimeLimit: Milliseconds = defaultShutdownTimeLimit,
 ): Promise<Result<HttpServer, GoldcrestpointError>> {
     const { host, port } = splitAddress(address);
     const server = new DrainableServer({}, (request, response) => {
         router.lookup(request, response);
-    });
+    }, clock);
     return new Promise(resolve => {
         server.once("error", error => {
             resolve(err(createError("PEER_UNREACHABLE", "bind HTTP server", address, error.message)));
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -234,8 +234,8 @@
     "request rejected": define(
         "request",
         ["gateway"],
-        "the gateway rejected a request: no route, invalid key, exceeded limit, unsupported transfer coding, or read too " +
-            "late in a shutdown",
+        "the gateway rejected a request: no route, invalid key, exceeded limit, unsupported transfer coding, read too " +
+            "late in a shutdown, or an unexpected exception (`internal`)",
         [
             "requestId",
             "status",
@@ -243,14 +243,37 @@
             "host",
             "path",
             "revision",
+            "configurationAgeMilliseconds",
+            "detail",
         ],
     ),
     "request failed unexpectedly": define("request", ["entry", "agent"], "an unexpected exception ended a request"),
     "answer cut off": define(
         "request",
         ["gateway"],
-        "a connection closed during a shutdown before its answer was sent completely",
-        ["requestId", "path", "closedBy", "ended"],
+        "the gateway closed a connection before its answer was sent completely, or the caller did so during a shutdown",
+        [
+            "requestId",
+            "path",
+            "revision",
+            "configurationAgeMilliseconds",
+            "closedBy",
+            "reason",
+            "headSent",
+            "ended",
+        ],
+    ),
+    "connection closed late": define(
+        "request",
+        ["gateway"],
+        "a limit on an idle connection was enforced late, since the process stood still",
+        ["reason", "lateMilliseconds"],
+    ),
+    "request arrived after its connection was closed": define(
+        "request",
+        ["gateway"],
+        "a request crossed the close of its connection by the gateway; it is neither run nor answered",
+        ["requestId", "path", "revision", "configurationAgeMilliseconds"],
     ),
     "backend server failed": define("request", ["agent"], "a request failed at the backend server", error),
     "log lines dropped": define("process", both, "lines were dropped because the reader fell behind", ["lines"]),
--- a/test/node/httpServer/slowReader.test.ts
+++ b/test/node/httpServer/slowReader.test.ts
@@ -2,7 +2,7 @@
 import createRouter from "find-my-way";
 import { describe, it } from "node:test";
 import { startHttpServer } from "../../../src/node/httpServer/index.js";
-import { sleep } from "../../../src/utils/index.js";
+import { createSystemClock, sleep } from "../../../src/utils/index.js";
 import { openChannel } from "../../platform/standIn/channel.js";
 import { expectOk } from "../support.js";
 
@@ -17,7 +17,7 @@
             response.writeHead(200, { "content-length": responseBytes });
             response.end(Buffer.alloc(responseBytes));
         });
-        const server = expectOk(await startHttpServer("127.0.0.1:0", router, 10_000));
+        const server = expectOk(await startHttpServer("127.0.0.1:0", router, createSystemClock(), 10_000));
         using channel = await openChannel({ host: "127.0.0.1", port: server.port });
         const calling = channel!.call({
             path: "/",
