Read what has arrived before a gateway stops listening and closes connections

Callers got neither an answer nor a refusal if their connections were opened while a gateway that shuts down stood still: when it went on, the timer that ends the acceptance of connections ran before the event loop had accepted them, and closing the listening socket reset those in its backlog.

The servers now accept what waits for it before they stop listening; libuv accepts one connection in each iteration here. Idle connections are looked for after that, so requests that have arrived on them are read too and refused with 503. Callers' connections that are left after the drain are ended, and destroyed only after their share of the shutdown margin, which is now divided among four servers instead of three.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -41,6 +41,8 @@
     readonly metrics: GatewayMetrics;
     /** Share of the target latency for which a request may wait in the queue. */
     readonly waitShare: number;
+    /** Time after the disposal at which the connections that are left are destroyed. */
+    readonly closeTimeLimit: Milliseconds;
     readonly logger: Logger;
 }
 
@@ -51,7 +53,7 @@
     /** Asks callers from now on to close their connections, with `connection: close`. */
     beginShutdown(): void;
     /** Stops accepting connections, and closes each one as soon as no answer is left to send on it. */
-    stopAccepting(): void;
+    stopAccepting(): Promise<void>;
     /** Counts the answers that have not been sent completely, including those that have not begun. */
     readonly countOpen: () => OpenAnswerCounts;
 }
@@ -282,14 +284,13 @@
                 },
                 stopAccepting: () => {
                     stopped = true;
-                    server.close();
+                    return server.stopAccepting();
                 },
                 countOpen: answers.count,
-                [Symbol.asyncDispose]: () => {
-                    server.close();
+                [Symbol.asyncDispose]: async () => {
+                    await server.stopAccepting();
                     answers.abort();
-                    server.closeAllConnections();
-                    return Promise.resolve();
+                    await server.stop(input.closeTimeLimit);
                 },
             }));
         });
--- a/src/node/gateway/drainCallers.ts
+++ b/src/node/gateway/drainCallers.ts
@@ -26,7 +26,7 @@
     const limit = Math.max(0, instance.drainTimeLimit - gateway.shutdownMargin);
     const endsAt = clock.monotonic() + limit;
     await sleep(Math.min(gateway.acceptAfterShutdown, limit));
-    callers.stopAccepting();
+    await callers.stopAccepting();
     queues.close();
     while (callers.countOpen().open > 0 && clock.monotonic() < endsAt) {
         await sleep(countInterval);
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -66,8 +66,8 @@
 
 /** Interval at which expired state is removed. */
 const maintenanceIntervalMilliseconds = 100;
-/** Number of servers for readiness, metrics and relayed records, which stop in turn within the shutdown margin. */
-const internalServerCount = 3;
+/** Number of servers for callers, readiness, metrics and relayed records, which stop in turn within the shutdown margin. */
+const serverCount = 4;
 /** Share of the connections of a backend server that the gateways divide among them; the rest is left for others. */
 const gatewayConnectionShare = 0.8;
 
@@ -211,7 +211,7 @@
     });
 
     // One share of the margin is left for the exit of the process.
-    const serverShutdownLimit = gateway.shutdownMargin / (internalServerCount + 1);
+    const serverShutdownLimit = gateway.shutdownMargin / (serverCount + 1);
     const relay = stack.use(createRecordRelay({ store, clock, stalls, options: replica }));
     const rpcServer = await startRpcServer(instance.grpcAddress, [
         {
@@ -260,6 +260,7 @@
         serve,
         metrics: gatewayMetrics,
         waitShare: gateway.waitForEarlyAnswerShare,
+        closeTimeLimit: serverShutdownLimit,
         logger,
     });
     if (callers.isErr) {
--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -1,6 +1,7 @@
 import { type IncomingMessage, type RequestListener, Server, type ServerOptions } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock, Milliseconds } from "../../types/index.js";
+import { awaitPoll } from "../../utils/index.js";
 import { type ConnectionCloseReason, type ConnectionState, decideClose } from "./connectionState.js";
 import { closeLingering } from "./lingeringClose.js";
 
@@ -19,10 +20,14 @@
 
 /** Interval at which idle connections are looked for. */
 const checkInterval: Milliseconds = 250;
+/** The same in a shutdown. */
+const shutdownCheckInterval: Milliseconds = 50;
 /** Delay of a check from which on the process must have stood still. */
 const stallThreshold: Milliseconds = 300;
 /** Time after a standstill in which what was sent meanwhile arrives, after it was sent again. */
 const deliveryTime: Milliseconds = 1_000;
+/** Number of connections that may wait to be accepted when the server stops. */
+const maximumWaiting = 1_024;
 /** Time and bytes for which the rest of a request is discarded after the end of its connection. */
 const lingerLimits = { time: 5_000, bytes: 1_048_576 };
 
@@ -34,6 +39,8 @@
 export class DrainableServer extends Server {
     private readonly states = new Map<Socket, ConnectionState>();
     private isClosing = false;
+    private accepted = 0;
+    private timer: NodeJS.Timeout;
     private checkedAt: Milliseconds;
     private closesIdleFrom: Milliseconds = 0;
 
@@ -53,12 +60,12 @@
     ) {
         super(options);
         this.checkedAt = clock.monotonic();
-        const timer = setInterval(() => this.scheduleCheck(), checkInterval);
-        timer.unref();
-        this.once("close", () => clearInterval(timer));
+        this.timer = this.startChecks(checkInterval);
+        this.once("close", () => clearInterval(this.timer));
         // With a listener, Node leaves it to this class to close idle connections.
         this.on("timeout", () => {});
         this.on("connection", (socket: Socket) => {
+            this.accepted++;
             this.states.set(socket, {
                 owed: 0,
                 hasAnswered: false,
@@ -105,10 +112,54 @@
      * owes none. Called by `close` too.
      */
     override closeIdleConnections(): void {
-        this.isClosing = true;
+        if (!this.isClosing) {
+            this.isClosing = true;
+            clearInterval(this.timer);
+            this.timer = this.startChecks(shutdownCheckInterval);
+        }
         this.scheduleCheck();
     }
 
+    /** Stops listening after accepting the connections that wait for it, which would be reset otherwise. */
+    async stopAccepting(): Promise<void> {
+        await this.acceptWaiting();
+        this.close();
+    }
+
+    /**
+     * Stops listening and closes all connections, as soon as they owe no response.
+     *
+     * @param timeLimit - time after which the connections that are left are destroyed
+     */
+    async stop(timeLimit: Milliseconds): Promise<void> {
+        await this.acceptWaiting();
+        await new Promise<void>(resolve => {
+            const timer = setTimeout(
+                () => setImmediate(() => this.states.forEach((...[, socket]) => socket.destroy())),
+                timeLimit,
+            );
+            this.close(() => {
+                clearTimeout(timer);
+                resolve();
+            });
+        });
+    }
+
+    private async acceptWaiting(): Promise<void> {
+        // The event loop can accept a single connection in each iteration.
+        for (let polls = 0; polls < maximumWaiting; polls++) {
+            const before = this.accepted;
+            await awaitPoll();
+            if (this.accepted === before) {
+                return;
+            }
+        }
+    }
+
+    private startChecks(interval: Milliseconds): NodeJS.Timeout {
+        return setInterval(() => this.scheduleCheck(), interval).unref();
+    }
+
     private scheduleCheck(): void {
         // If the event loop was blocked, requests that arrived in time are read before this callback runs.
         setImmediate(() => this.closeIdle());
--- a/src/node/httpServer/httpServer.ts
+++ b/src/node/httpServer/httpServer.ts
@@ -1,5 +1,4 @@
 import type { HTTPVersion, Instance as Router } from "find-my-way";
-import type { Server } from "node:http";
 import { err, ok, type Result } from "true-myth/result";
 import { type Clock, createError, type GoldcrestpointError, type Milliseconds } from "../../types/index.js";
 import { DrainableServer } from "./drainableServer.js";
@@ -45,23 +44,12 @@
             resolve(ok({
                 port: typeof bound === "object" && bound ? bound.port : port,
                 countOpen: () => server.countOwed(),
-                [Symbol.asyncDispose]: () => stopServer(server, shutdownTimeLimit),
+                [Symbol.asyncDispose]: () => server.stop(shutdownTimeLimit),
             }));
         });
     });
 }
 
-function stopServer(server: Server, timeLimit: Milliseconds): Promise<void> {
-    return new Promise(resolve => {
-        // `close` doesn't close a connection that has not sent a request yet.
-        const timer = setTimeout(() => server.closeAllConnections(), timeLimit);
-        server.close(() => {
-            clearTimeout(timer);
-            resolve();
-        });
-    });
-}
-
 /**
  * Splits an address.
  *
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,4 +1,5 @@
 export * from "./address.js";
+export * from "./awaitPoll.js";
 export * from "./clock.js";
 export * from "./digest.js";
 export * from "./disposal.js";
--- a/test/platform/stalledGateway.test.ts
+++ b/test/platform/stalledGateway.test.ts
@@ -7,65 +7,107 @@
 import { createDisposalStack, sleep } from "../../src/utils/index.js";
 import { type Channel, openChannel } from "./standIn/channel.js";
 import { operatorConfiguration, waitUntil } from "./standIn/deployment.js";
-import { startGatewayProcess } from "./standIn/gatewayProcess.js";
+import { type GatewayProcess, startGatewayProcess } from "./standIn/gatewayProcess.js";
 import { createServerRecord } from "./standIn/serverRecord.js";
 import { startStoreStandIn } from "./standIn/storeStandIn.js";
-import { startWorkRunner } from "./standIn/workRunner.js";
+import { startWorkRunner, type WorkRunner } from "./standIn/workRunner.js";
 
 const idleLimit = 1_000;
 const channelCount = 20;
 const deadline = 8_000;
 
+/** Gateway process with a runner, and calls to it. */
+interface StalledDeployment extends AsyncDisposable {
+    readonly gateway: GatewayProcess;
+    readonly runner: WorkRunner;
+    /** Opens connections and owns them. */
+    open(): Promise<readonly Channel[]>;
+}
+
+async function startProcess(): Promise<StalledDeployment> {
+    await using started = createDisposalStack();
+    const folder = mkdtempSync(join(tmpdir(), "stalled-"));
+    started.defer(() => rmSync(folder, { recursive: true, force: true }));
+    const store = started.use(await startStoreStandIn());
+    store.write("keyed.op", "config", {
+        ...operatorConfiguration,
+        routes: operatorConfiguration.routes.map(route => ({
+            ...route,
+            timeout_ms: deadline,
+            target_latency_ms: deadline,
+        })),
+        limits: { ...operatorConfiguration.limits, idle_timeout_ms: idleLimit },
+    });
+    const runner = started.use(await startWorkRunner("i-1"));
+    store.write("keyed.servers", "i-1", createServerRecord(runner.address, { slots: 2 * channelCount }));
+    const [callers, ready, relay, metrics] = await findFreePorts(4) as [number, number, number, number];
+    const gateway = started.use(startGatewayProcess({
+        instance: "gateway-1",
+        host: "127.0.0.1",
+        ports: { callers, ready, relay, metrics },
+        storeAddress: store.address,
+        drainTimeLimitSeconds: 8,
+        folder,
+    }));
+    await waitUntil("the gateway is ready", () => gateway.isReady());
+    const stack = started.move();
+    return {
+        gateway,
+        runner,
+        open: async () => {
+            const channels = await Promise.all(Array.from({ length: channelCount }, () => openChannel(gateway)));
+            return channels.map(channel => stack.use(channel!));
+        },
+        [Symbol.asyncDispose]: () => stack[Symbol.asyncDispose](),
+    };
+}
+
+async function callAll(channels: readonly Channel[], name: string): Promise<readonly (number | undefined)[]> {
+    const results = await Promise.all(
+        channels.map((channel, index) =>
+            channel.call({ path: "/unsafe/?work=5", attemptId: `${name}-${index}`, deadline })
+        ),
+    );
+    return results.map(({ status }) => status);
+}
+
+function repeat(status: number): readonly number[] {
+    return Array.from({ length: channelCount }, () => status);
+}
+
 describe("gateway process that stands still", () => {
     // Guards against connections that are closed as idle although a request has arrived on them.
     it("answers the requests that arrived on idle connections meanwhile", async () => {
-        await using stack = createDisposalStack();
-        const folder = mkdtempSync(join(tmpdir(), "stalled-"));
-        stack.defer(() => rmSync(folder, { recursive: true, force: true }));
-        const store = stack.use(await startStoreStandIn());
-        store.write("keyed.op", "config", {
-            ...operatorConfiguration,
-            routes: operatorConfiguration.routes.map(route => ({
-                ...route,
-                timeout_ms: deadline,
-                target_latency_ms: deadline,
-            })),
-            limits: { ...operatorConfiguration.limits, idle_timeout_ms: idleLimit },
-        });
-        const runner = stack.use(await startWorkRunner("i-1"));
-        store.write("keyed.servers", "i-1", createServerRecord(runner.address, { slots: 2 * channelCount }));
-        const [callers, ready, relay, metrics] = await findFreePorts(4) as [number, number, number, number];
-        const gateway = stack.use(startGatewayProcess({
-            instance: "gateway-1",
-            host: "127.0.0.1",
-            ports: { callers, ready, relay, metrics },
-            storeAddress: store.address,
-            drainTimeLimitSeconds: 3,
-            folder,
-        }));
-        await waitUntil("the gateway is ready", () => gateway.isReady());
-
-        const channels: Channel[] = [];
-        for (let index = 0; index < channelCount; index++) {
-            channels.push(stack.use((await openChannel(gateway))!));
-        }
-        async function callAll(name: string): Promise<readonly (number | undefined)[]> {
-            const results = await Promise.all(
-                channels.map((channel, index) =>
-                    channel.call({ path: "/unsafe/?work=5", attemptId: `${name}-${index}`, deadline })
-                ),
-            );
-            return results.map(({ status }) => status);
-        }
-        const answered = channels.map(() => 200);
-        expect(await callAll("first")).toEqual(answered);
+        await using deployment = await startProcess();
+        const { gateway, runner } = deployment;
+        const channels = await deployment.open();
+        expect(await callAll(channels, "first")).toEqual(repeat(200));
         await sleep(0.3 * idleLimit);
         gateway.signal("SIGSTOP");
         await sleep(0.3 * idleLimit);
-        const second = callAll("second");
+        const second = callAll(channels, "second");
         await sleep(2.5 * idleLimit);
         gateway.signal("SIGCONT");
-        expect(await second).toEqual(answered);
+        expect(await second).toEqual(repeat(200));
         expect(runner.work.length).toEqual(2 * channelCount);
     });
+
+    // Guards against requests that are dropped because a shutdown continues before what has arrived is read.
+    it("answers the requests that arrived during its shutdown meanwhile", async () => {
+        await using deployment = await startProcess();
+        const { gateway, runner } = deployment;
+        const idle = await deployment.open();
+        expect(await callAll(idle, "first")).toEqual(repeat(200));
+        gateway.signal("SIGTERM");
+        await waitUntil("the shutdown has begun", () => gateway.logLines.some(line => line.includes("\"draining\"")));
+        gateway.signal("SIGSTOP");
+        const calls = [callAll(idle, "idle"), callAll(await deployment.open(), "new")];
+        await sleep(3_500);
+        gateway.signal("SIGCONT");
+        const statuses = (await Promise.all(calls)).flat();
+        const answered = statuses.filter(status => status === 200).length;
+        expect([answered + statuses.filter(status => status === 503).length]).toEqual([2 * channelCount]);
+        expect(runner.work.length).toEqual(channelCount + answered);
+        expect(await gateway.exited).toEqual(0);
+    });
 });
