Enforce the time limit of heads from their first byte, after a poll

Callers could hold a connection with a head that never ends for up to 33 s, since Node looks for slow heads every 30 s only. It counts from the time at which a connection was opened, from a timer: a connection on which a caller sends its first request later than header_timeout_ms, or whose request arrives while the process stands still, could get 408 in place of an answer. The check ended with the first close of the server, so there was no limit during a drain.

DrainableServer enforces the limit with its check for idle connections, from the time at which the first bytes were noticed, after the event loop has polled. A standstill does not count. A connection without any byte gets the idle limit. 408 is followed by a close that does not reset the connection.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -276,7 +276,7 @@
             resolve(ok({
                 applyLimits: limits => {
                     configuredAt = clock.monotonic();
-                    server.headersTimeout = limits.headerTimeout;
+                    server.headTimeLimit = limits.headerTimeout;
                     server.keepAliveTimeout = limits.idleTimeout;
                 },
                 beginShutdown: () => {
--- a/src/node/httpServer/connectionState.ts
+++ b/src/node/httpServer/connectionState.ts
@@ -10,6 +10,8 @@
     receivedAtRest: number;
     /** Monotonic time at which the last response was complete, or at which the connection was accepted. */
     restingSince: Milliseconds;
+    /** Monotonic time at which the first bytes of a request were noticed whose head is not complete; undefined if none. */
+    headSince: Milliseconds | undefined;
     /** Idle limit that the last response stated; 0 before the first. */
     statedIdleLimit: Milliseconds;
 }
@@ -18,12 +20,14 @@
 export interface ConnectionLimits {
     /** Time for which a connection may be idle. */
     readonly idle: Milliseconds;
+    /** Time for which the head of a request may be incomplete. */
+    readonly head: Milliseconds;
     /** True if idle connections that have carried a response are closed. */
     readonly isClosing: boolean;
 }
 
 /** Reason for which a server closes a connection that owes no response. */
-export type ConnectionCloseReason = "idle" | "shutdown";
+export type ConnectionCloseReason = "idle" | "head-timeout" | "shutdown";
 
 /** Connection to close, with the time by which it exceeded its limit. */
 export interface ConnectionClose {
@@ -47,14 +51,18 @@
  * @returns the reason, or undefined if the connection stays open
  */
 export function decideClose(
-    { hasAnswered, owed, receivedAtRest, restingSince, statedIdleLimit }: ConnectionState,
+    { hasAnswered, headSince, owed, receivedAtRest, restingSince, statedIdleLimit }: ConnectionState,
     received: number,
-    { idle, isClosing }: ConnectionLimits,
+    { head, idle, isClosing }: ConnectionLimits,
     now: Milliseconds,
 ): ConnectionClose | undefined {
-    if (owed > 0 || received !== receivedAtRest) {
+    if (owed > 0) {
         return undefined;
     }
+    if (received !== receivedAtRest) {
+        const headLateness = now - (headSince ?? now) - head;
+        return headLateness >= 0 ? { reason: "head-timeout", lateness: headLateness } : undefined;
+    }
     const idleFor = now - restingSince;
     const lateness = idleFor - Math.max(idle, statedIdleLimit) - idleMargin;
     if (lateness >= 0) {
--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -18,7 +18,7 @@
     onUnanswerable?(incoming: IncomingMessage): void;
 }
 
-/** Interval at which idle connections are looked for. */
+/** Interval at which connections to close are looked for. */
 const checkInterval: Milliseconds = 250;
 /** The same in a shutdown. */
 const shutdownCheckInterval: Milliseconds = 50;
@@ -28,6 +28,7 @@
 const deliveryTime: Milliseconds = 1_000;
 /** Number of connections that may wait to be accepted when the server stops. */
 const maximumWaiting = 1_024;
+const headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /** Time and bytes for which the rest of a request is discarded after the end of its connection. */
 const lingerLimits = { time: 5_000, bytes: 1_048_576 };
 
@@ -37,6 +38,8 @@
  * peer, and its timers close idle connections before the event loop has read what arrived on them.
  */
 export class DrainableServer extends Server {
+    /** Time for which the head of a request may be incomplete. */
+    headTimeLimit: Milliseconds = 60_000;
     private readonly states = new Map<Socket, ConnectionState>();
     private isClosing = false;
     private accepted = 0;
@@ -59,6 +62,8 @@
         private readonly observer: ConnectionObserver = {},
     ) {
         super(options);
+        // Node looks for slow heads every 30 s only, and counts from the time at which the connection was opened.
+        this.headersTimeout = 0;
         this.checkedAt = clock.monotonic();
         this.timer = this.startChecks(checkInterval);
         this.once("close", () => clearInterval(this.timer));
@@ -71,6 +76,7 @@
                 hasAnswered: false,
                 receivedAtRest: 0,
                 restingSince: clock.monotonic(),
+                headSince: undefined,
                 statedIdleLimit: 0,
             });
             socket.once("close", () => this.states.delete(socket));
@@ -86,6 +92,7 @@
             const state = this.states.get(socket);
             if (state !== undefined) {
                 state.owed++;
+                state.headSince = undefined;
                 state.statedIdleLimit = this.keepAliveTimeout;
                 response.once("close", () => {
                     state.owed--;
@@ -162,21 +169,34 @@
 
     private scheduleCheck(): void {
         // If the event loop was blocked, requests that arrived in time are read before this callback runs.
-        setImmediate(() => this.closeIdle());
+        setImmediate(() => this.closeExpired());
     }
 
-    private closeIdle(): void {
+    private closeExpired(): void {
         const now = this.clock.monotonic();
-        if (now - this.checkedAt > checkInterval + stallThreshold) {
+        const hasStalled = now - this.checkedAt > checkInterval + stallThreshold;
+        this.checkedAt = now;
+        if (hasStalled) {
             this.closesIdleFrom = now + deliveryTime;
         }
-        this.checkedAt = now;
-        const idle = now < this.closesIdleFrom ? Infinity : this.keepAliveTimeout;
-        const limits = { idle, isClosing: this.isClosing };
+        const limits = {
+            idle: now < this.closesIdleFrom ? Infinity : this.keepAliveTimeout,
+            head: this.headTimeLimit,
+            isClosing: this.isClosing,
+        };
         for (const [socket, state] of this.states) {
-            const close = socket.writableEnded ? undefined : decideClose(state, socket.bytesRead, limits, now);
+            if (socket.writableEnded) {
+                continue;
+            }
+            if (state.owed === 0 && socket.bytesRead !== state.receivedAtRest) {
+                state.headSince = hasStalled ? now : state.headSince ?? now;
+            }
+            const close = decideClose(state, socket.bytesRead, limits, now);
             if (close !== undefined) {
                 this.observer.onClose?.(close.reason, close.lateness);
+                if (close.reason === "head-timeout") {
+                    socket.write(headTimeoutResponse);
+                }
                 closeLingering(socket, lingerLimits, this.clock);
             }
         }
--- a/test/node/httpServer/connectionState.test.ts
+++ b/test/node/httpServer/connectionState.test.ts
@@ -12,9 +12,10 @@
     hasAnswered: true,
     receivedAtRest: 100,
     restingSince: 1_000,
+    headSince: undefined,
     statedIdleLimit: 2_000,
 };
-const limits: ConnectionLimits = { idle: 2_000, isClosing: false };
+const limits: ConnectionLimits = { idle: 2_000, head: 3_000, isClosing: false };
 
 describe("connection without an open response", () => {
     const cases: readonly {
@@ -30,6 +31,14 @@
         { name: "gets a limit that was lengthened while it is idle", limits: { idle: 9_000 }, idleFor: 9_999 },
         { name: "keeps the stated limit when it is shortened", limits: { idle: 500 }, idleFor: 2_999 },
         { name: "stays open once bytes have arrived", received: 101, idleFor: 60_000 },
+        { name: "stays open while a head arrives", state: { headSince: 2_000 }, received: 101, idleFor: 3_999 },
+        {
+            name: "is closed if a head is not complete in time",
+            state: { headSince: 2_000 },
+            received: 101,
+            idleFor: 4_000,
+            closed: "head-timeout",
+        },
         { name: "stays open while it owes a response", state: { owed: 1 }, idleFor: 60_000 },
         { name: "may carry one more request in a shutdown", limits: { isClosing: true }, idleFor: 99 },
         { name: "is closed in a shutdown", limits: { isClosing: true }, idleFor: 100, closed: "shutdown" },
--- a/test/red/endlessHead.test.ts
+++ b/test/platform/endlessHead.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { startDeployment } from "../platform/standIn/deployment.js";
-import { closingMarginMilliseconds, sendEndlessRequest } from "../platform/standIn/endlessCaller.js";
+import { startDeployment } from "./standIn/deployment.js";
+import { closingMarginMilliseconds, sendEndlessRequest } from "./standIn/endlessCaller.js";
 
 const headTimeLimitMilliseconds = 3_000;
 
