--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -1,50 +1,104 @@
-import { type RequestListener, Server, type ServerOptions } from "node:http";
+import { type IncomingMessage, type RequestListener, Server, type ServerOptions } from "node:http";
 import type { Socket } from "node:net";
+import type { Clock, Milliseconds } from "../../types/index.js";
+import { awaitPoll } from "../../utils/index.js";
+import { type ConnectionCloseReason, type ConnectionState, decideClose } from "./connectionState.js";
+import { closeLingering } from "./lingeringClose.js";
 
-/** What a connection has carried. */
-interface ConnectionState {
-    /** Responses that have not been handed over to the operating system completely. */
-    owed: number;
-    /** Bytes received when the last response was complete; undefined before the first. */
-    receivedAtRest: number | undefined;
+/** Observer of a {@link DrainableServer}. */
+export interface ConnectionObserver {
+    /**
+     * Called when the server closes a connection that owes no response.
+     *
+     * @param reason - why it is closed
+     * @param lateness - time by which its idle limit had been exceeded
+     */
+    onClose?(reason: ConnectionCloseReason, lateness: Milliseconds): void;
+    /** Called for a request that arrived after the server had closed its connection, and that gets no response. */
+    onUnanswerable?(incoming: IncomingMessage): void;
 }
 
+/** Interval at which connections to close are looked for. */
+const checkInterval: Milliseconds = 250;
+/** The same in a shutdown. */
+const shutdownCheckInterval: Milliseconds = 50;
+/** Delay of a check from which on the process must have stood still. */
+const stallThreshold: Milliseconds = 300;
+/** Time after a standstill in which what was sent meanwhile arrives, after it was sent again. */
+const deliveryTime: Milliseconds = 1_000;
+/** Number of connections that may wait to be accepted when the server stops. */
+const maximumWaiting = 1_024;
+const headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/** Time and bytes for which the rest of a request is discarded after the end of its connection. */
+const lingerLimits = { time: 5_000, bytes: 1_048_576 };
+
 /**
- * HTTP server that closes no connection on which a response is still being sent. Node's own counts a connection as idle
- * once `end()` was called on the response, even if the rest of it is waiting for a slow peer.
+ * HTTP server that closes no connection on which a response is still being sent, or on which bytes have arrived. Node's
+ * own counts a connection as idle once `end()` was called on the response, even if the rest of it is waiting for a slow
+ * peer, and its timers close idle connections before the event loop has read what arrived on them.
  */
 export class DrainableServer extends Server {
+    /** Time for which the head of a request may be incomplete. */
+    headTimeLimit: Milliseconds = 60_000;
     private readonly states = new Map<Socket, ConnectionState>();
     private isClosing = false;
+    private accepted = 0;
+    private timer: NodeJS.Timeout;
+    private checkedAt: Milliseconds;
+    private closesIdleFrom: Milliseconds = 0;
 
     /**
      * Creates a server that does not listen yet.
      *
      * @param options - options of Node's HTTP server
      * @param handle - handles each request
+     * @param clock - time source
+     * @param observer - called when connections are closed
      */
-    constructor(options: ServerOptions, handle: RequestListener) {
+    constructor(
+        options: ServerOptions,
+        handle: RequestListener,
+        private readonly clock: Pick<Clock, "monotonic">,
+        private readonly observer: ConnectionObserver = {},
+    ) {
         super(options);
-        this.on("connection", socket => {
-            this.states.set(socket, { owed: 0, receivedAtRest: undefined });
+        // Node looks for slow heads every 30 s only, and counts from the time at which the connection was opened.
+        this.headersTimeout = 0;
+        this.checkedAt = clock.monotonic();
+        this.timer = this.startChecks(checkInterval);
+        this.once("close", () => clearInterval(this.timer));
+        // With a listener, Node leaves it to this class to close idle connections.
+        this.on("timeout", () => {});
+        this.on("connection", (socket: Socket) => {
+            this.accepted++;
+            this.states.set(socket, {
+                owed: 0,
+                hasAnswered: false,
+                receivedAtRest: 0,
+                restingSince: clock.monotonic(),
+                headSince: undefined,
+                statedIdleLimit: 0,
+            });
             socket.once("close", () => this.states.delete(socket));
         });
         this.on("request", (incoming, response) => {
             const { socket } = incoming;
             if (socket.writableEnded) {
                 // The request arrived after this side had closed the connection, so it is not served.
+                observer.onUnanswerable?.(incoming);
                 incoming.resume();
                 return;
             }
             const state = this.states.get(socket);
             if (state !== undefined) {
                 state.owed++;
+                state.headSince = undefined;
+                state.statedIdleLimit = this.keepAliveTimeout;
                 response.once("close", () => {
                     state.owed--;
+                    state.hasAnswered = true;
                     state.receivedAtRest = socket.bytesRead;
-                    if (this.isClosing) {
-                        this.closeIfIdle(socket, state);
-                    }
+                    state.restingSince = clock.monotonic();
                 });
             }
             handle(incoming, response);
@@ -65,14 +119,86 @@
      * owes none. Called by `close` too.
      */
     override closeIdleConnections(): void {
-        this.isClosing = true;
-        this.states.forEach((state, socket) => this.closeIfIdle(socket, state));
+        if (!this.isClosing) {
+            this.isClosing = true;
+            clearInterval(this.timer);
+            this.timer = this.startChecks(shutdownCheckInterval);
+        }
+        this.scheduleCheck();
+    }
+
+    /** Stops listening after accepting the connections that wait for it, which would be reset otherwise. */
+    async stopAccepting(): Promise<void> {
+        await this.acceptWaiting();
+        this.close();
     }
 
-    private closeIfIdle(socket: Socket, { owed, receivedAtRest }: ConnectionState): void {
-        if (owed === 0 && socket.bytesRead === receivedAtRest) {
-            // Unlike `destroy`, this lets the peer read what the operating system still holds.
-            socket.end();
+    /**
+     * Stops listening and closes all connections, as soon as they owe no response.
+     *
+     * @param timeLimit - time after which the connections that are left are destroyed
+     */
+    async stop(timeLimit: Milliseconds): Promise<void> {
+        await this.acceptWaiting();
+        await new Promise<void>(resolve => {
+            const timer = setTimeout(
+                () => setImmediate(() => this.states.forEach((...[, socket]) => socket.destroy())),
+                timeLimit,
+            );
+            this.close(() => {
+                clearTimeout(timer);
+                resolve();
+            });
+        });
+    }
+
+    private async acceptWaiting(): Promise<void> {
+        // The event loop can accept a single connection in each iteration.
+        for (let polls = 0; polls < maximumWaiting; polls++) {
+            const before = this.accepted;
+            await awaitPoll();
+            if (this.accepted === before) {
+                return;
+            }
+        }
+    }
+
+    private startChecks(interval: Milliseconds): NodeJS.Timeout {
+        return setInterval(() => this.scheduleCheck(), interval).unref();
+    }
+
+    private scheduleCheck(): void {
+        // If the event loop was blocked, requests that arrived in time are read before this callback runs.
+        setImmediate(() => this.closeExpired());
+    }
+
+    private closeExpired(): void {
+        const now = this.clock.monotonic();
+        const hasStalled = now - this.checkedAt > checkInterval + stallThreshold;
+        this.checkedAt = now;
+        if (hasStalled) {
+            this.closesIdleFrom = now + deliveryTime;
+        }
+        const limits = {
+            idle: now < this.closesIdleFrom ? Infinity : this.keepAliveTimeout,
+            head: this.headTimeLimit,
+            isClosing: this.isClosing,
+        };
+        for (const [socket, state] of this.states) {
+            if (socket.writableEnded) {
+                continue;
+            }
+            if (state.owed === 0 && socket.bytesRead !== state.receivedAtRest) {
+                state.headSince = hasStalled ? now : state.headSince ?? now;
+            }
+            const close = decideClose(state, socket.bytesRead, limits, now);
+            if (close !== undefined) {
+                this.observer.onClose?.(close.reason, close.lateness);
+                if (close.reason === "head-timeout") {
+                    socket.write(headTimeoutResponse);
+                }
+                closeLingering(socket, lingerLimits, this.clock);
+            }
         }
     }
 }
