Let calls to a backend server that has left the list end when their answers do

What callers saw: an answer that was cut off, or a stream that ended, 30 s after the backend server that sends it had left the list, moved to another address or started again, on routes with a longer timeout.

Cause: the client of such a backend server was destroyed by a timer after a fixed time, with the calls in progress and those that waited for a connection. Nothing ties that time to the timeouts of routes, which the configuration sets and changes.

Fix: the client is closed instead. Its pool gives connections to the calls that already wait, and closes each connection when its call has ended; the calls keep their own limits, and nothing else ends them. A client that is being closed is still destroyed when the gateway ends.

--- a/src/node/gateway/backendClients.ts
+++ b/src/node/gateway/backendClients.ts
@@ -20,7 +20,7 @@
      */
     find(listed: ListedBackendServer): HttpClient;
     /**
-     * Closes the connections to backend servers that are no longer listed.
+     * Closes the connections to backend servers that are no longer listed, once their calls have ended.
      *
      * @param instances - backend servers that are still listed
      */
@@ -36,9 +36,6 @@
 /** Maximum bytes of one answer that are held in memory; an answer with more unread bytes is abandoned. */
 export const maximumAnswerBytes = 16 * 1024 * 1024;
 
-/** Time in which a retired client must finish its calls; longer than the timeouts of routes, which also end streams. */
-const retiredClientTimeLimit: Milliseconds = 30_000;
-
 /**
  * Creates the connections to backend servers.
  *
@@ -47,12 +44,15 @@
  */
 export function createBackendClients(options: BackendClientOptions): BackendClients {
     const rows = new Map<string, ClientRow>();
+    /** Clients that are closed once their calls have ended. */
+    const retired = new Set<HttpClient>();
     const memoryLimit = createResponseMemoryLimit(options.maximumHeldBytes);
 
     function retire(instance: string, { client }: ClientRow): void {
         rows.delete(instance);
+        retired.add(client);
         // Calls in progress continue, since a backend server that is shutting down finishes its work.
-        setTimeout(() => void client[Symbol.asyncDispose](), retiredClientTimeLimit).unref();
+        void client.close().finally(() => retired.delete(client));
     }
 
     return {
@@ -83,7 +83,7 @@
             }
         },
         [Symbol.asyncDispose]: async () => {
-            const clients = [...rows.values()].map(({ client }) => client);
+            const clients = [...[...rows.values()].map(({ client }) => client), ...retired];
             rows.clear();
             await Promise.all(clients.map(client => client[Symbol.asyncDispose]()));
         },
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -125,6 +125,7 @@
         peer: url.host,
         open,
         send,
+        close: () => pool.close(),
         [Symbol.asyncDispose]: () => pool.destroy(),
     };
 }
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -117,4 +117,11 @@
      * @returns the response, whatever its status
      */
     open(request: HttpRequest): Promise<Result<HttpStreamingResponse, HttpFailure>>;
+    /**
+     * Closes the connections as the calls in progress end, including those that wait for a connection. Further calls
+     * fail.
+     *
+     * @returns resolves once all calls have ended
+     */
+    close(): Promise<void>;
 }
