Apply changed connection limits to backend servers that are already in use

What callers saw: after max_connections had been raised, or gateways had left, requests waited for a connection although the backend server accepts more, until their time was over. After it had been lowered, or gateways had joined, this process kept opening as many connections as before; a backend server resets those beyond its limit.

Cause: the pool of connections to a backend server was created with the limit at the time of its first request, which was 1 if its service was missing from the configuration at that time, and kept it as long as address and start time stayed the same.

Fix: a client whose limit has changed is replaced, and the previous one is closed as its calls end. If the service is missing from the configuration, the limit stays as it was.

--- a/src/node/gateway/backendClients.ts
+++ b/src/node/gateway/backendClients.ts
@@ -4,8 +4,11 @@
 /** Options of the connections to backend servers. */
 export interface BackendClientOptions {
     readonly connectTimeLimit: Milliseconds;
-    /** Maximum number of connections that this process opens to a backend server. */
-    readonly connections: (listed: ListedBackendServer) => number;
+    /**
+     * Maximum number of connections that this process opens to a backend server; undefined if it is not known, which
+     * leaves it as it was, or 1.
+     */
+    readonly connections: (listed: ListedBackendServer) => number | undefined;
     /** Maximum bytes of all answers that are held in memory; beyond it, the largest answers are abandoned. */
     readonly maximumHeldBytes: number;
 }
@@ -16,7 +19,7 @@
      * Finds the client of a backend server.
      *
      * @param listed - the backend server
-     * @returns its client; the same one as long as instance, address and start time stay the same
+     * @returns its client; the same one as long as instance, address, start time and number of connections stay the same
      */
     find(listed: ListedBackendServer): HttpClient;
     /**
@@ -30,12 +33,27 @@
 interface ClientRow {
     readonly address: string;
     readonly startedAt: number | undefined;
+    readonly connections: number;
     readonly client: HttpClient;
 }
 
 /** Maximum bytes of one answer that are held in memory; an answer with more unread bytes is abandoned. */
 export const maximumAnswerBytes = 16 * 1024 * 1024;
 
+/** Share of the connections of a backend server that the gateways divide among them; the rest is left for others. */
+const gatewayConnectionShare = 0.8;
+
+/**
+ * Computes how many connections one gateway may open to a backend server.
+ *
+ * @param maximum - connections that the backend server accepts in total; undefined if it is not known
+ * @param gateways - number of gateways
+ * @returns the share of this gateway, at least 1; undefined if the maximum is not known
+ */
+export function divideConnections(maximum: number | undefined, gateways: number): number | undefined {
+    return maximum === undefined ? undefined : Math.max(1, Math.floor(maximum * gatewayConnectionShare / gateways));
+}
+
 /**
  * Creates the connections to backend servers.
  *
@@ -59,7 +77,9 @@
         find: listed => {
             const { address, instance, startedAt } = listed;
             const known = rows.get(instance);
-            if (known?.address === address && known.startedAt === startedAt) {
+            const connections = options.connections(listed) ?? known?.connections ?? 1;
+            const isSameServer = known?.address === address && known.startedAt === startedAt;
+            if (isSameServer && known.connections === connections) {
                 return known.client;
             }
             if (known !== undefined) {
@@ -67,12 +87,12 @@
             }
             const client = createHttpClient({
                 baseUrl: `http://${address}`,
-                connections: options.connections(listed),
+                connections,
                 timeouts: { connect: options.connectTimeLimit },
                 maximumBodyBytes: maximumAnswerBytes,
                 memoryLimit,
             });
-            rows.set(instance, { address, startedAt, client });
+            rows.set(instance, { address, startedAt, connections, client });
             return client;
         },
         keepOnly: instances => {
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -26,7 +26,7 @@
 import type { GatewaySettings } from "../settings/index.js";
 import { createAdmissionQueues } from "./admissionQueues.js";
 import { createAgentWatch } from "./agentWatch.js";
-import { createBackendClients } from "./backendClients.js";
+import { createBackendClients, divideConnections } from "./backendClients.js";
 import { startCallerServer } from "./callerServer.js";
 import { createCrashContainment } from "./crashContainment.js";
 import { drainCallers } from "./drainCallers.js";
@@ -68,8 +68,6 @@
 const maintenanceIntervalMilliseconds = 100;
 /** Number of servers for readiness, metrics and relayed records, which stop in turn within the shutdown margin. */
 const internalServerCount = 3;
-/** Share of the connections of a backend server that the gateways divide among them; the rest is left for others. */
-const gatewayConnectionShare = 0.8;
 
 /**
  * Starts a gateway: an entry instance that sends requests directly to backend servers.
@@ -163,10 +161,8 @@
     const clients = stack.use(createBackendClients({
         connectTimeLimit: gateway.connectTimeLimit,
         maximumHeldBytes: gateway.maximumHeldAnswerBytes,
-        connections: ({ service }) => {
-            const maximum = state.routes()?.services.get(service)?.maximumConnections ?? 1;
-            return Math.max(1, Math.floor(maximum * gatewayConnectionShare / gateways.count()));
-        },
+        connections: ({ service }) =>
+            divideConnections(state.routes()?.services.get(service)?.maximumConnections, gateways.count()),
     }));
     const containment = stack.use(createCrashContainment({
         log,
--- a/test/node/gateway/backendClients.test.ts
+++ b/test/node/gateway/backendClients.test.ts
@@ -69,18 +69,24 @@
 }
 
 describe("calls to a backend server that is no longer used as before", () => {
+    let connections = 1;
     const changes: Readonly<Record<string, (clients: BackendClients, listed: ListedBackendServer) => void>> = {
         "left the list": clients => clients.keepOnly(new Set()),
         "has another address": (clients, listed) => void clients.find({ ...listed, address: "127.0.0.1:9" }),
         "started again": (clients, listed) => void clients.find({ ...listed, startedAt: 2 }),
+        "accepts fewer connections": (clients, listed) => {
+            connections = 2;
+            clients.find(listed);
+        },
     };
     for (const [change, apply] of Object.entries(changes)) {
         // Guards against answers that are cut off a fixed time after their backend server has left the list.
         it(`end when their answers do, and then their connections are closed: ${change}`, async () => {
             await using server = await startHeldServer();
+            connections = 1;
             await using clients = createBackendClients({
                 connectTimeLimit: 1_000,
-                connections: () => 1,
+                connections: () => connections,
                 maximumHeldBytes: 1_000_000,
             });
             const client = clients.find(server.listed);
