Keep reading after a refusal, so that callers get it

Callers that were still sending a body when the gateway refused the request, for example since its route or key was removed by a new configuration, lost the refusal and saw a closed connection.

Cause: after a response with `connection: close` Node destroys the socket. Unread bytes, or the next part of the body, then reset the connection, and the refusal is lost with it. A body in chunks that became too large was worse: leaving the loop over its parts destroyed the connection before 413 was sent. The same holds for bodies that are too large at entry instances.

Connections that end with a response are now closed on this side only, and what the peer still sends is discarded until it closes its side, for at most 5 s and 8 MiB. readBody leaves the connection open, and discards the rest.

--- a/src/node/entry/httpRoutes.ts
+++ b/src/node/entry/httpRoutes.ts
@@ -60,6 +60,7 @@
         }
         const body = await readBody(message, maximumBodyBytes);
         if (body === undefined) {
+            response.setHeader("connection", "close");
             sendJson(response, 413, {
                 error: { ran: "no", reason: "invalid-request", detail: "the body is too large" },
             });
--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -30,7 +30,7 @@
 const maximumWaiting = 1_024;
 const headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /** Time and bytes for which the rest of a request is discarded after the end of its connection. */
-const lingerLimits = { time: 5_000, bytes: 1_048_576 };
+const lingerLimits = { time: 5_000, bytes: 8_388_608 };
 
 /**
  * HTTP server that closes no connection on which a response is still being sent, or on which bytes have arrived. Node's
@@ -80,6 +80,8 @@
                 statedIdleLimit: 0,
             });
             socket.once("close", () => this.states.delete(socket));
+            // Node calls this after a response with `connection: close`, while the peer may still send its request.
+            socket.destroySoon = () => closeLingering(socket, lingerLimits, clock);
         });
         this.on("request", (incoming, response) => {
             const { socket } = incoming;
--- a/src/node/httpServer/lingeringClose.ts
+++ b/src/node/httpServer/lingeringClose.ts
@@ -18,6 +18,9 @@
  * @param clock - time source
  */
 export function closeLingering(socket: Socket, limits: LingerLimits, clock: Pick<Clock, "monotonic">): void {
+    if (socket.destroyed) {
+        return;
+    }
     const endsAt = clock.monotonic() + limits.time;
     const maximumReceived = socket.bytesRead + limits.bytes;
     const timer = setInterval(() => {
--- a/src/node/httpServer/responses.ts
+++ b/src/node/httpServer/responses.ts
@@ -32,7 +32,7 @@
 }
 
 /**
- * Reads the body of a request.
+ * Reads the body of a request. The rest of one that is too large is discarded, so that a response can be sent.
  *
  * @param request - the request
  * @param maximumBytes - size of the largest body that is accepted
@@ -42,9 +42,11 @@
     const parts: Buffer[] = [];
     let bytes = 0;
     try {
-        for await (const part of request as AsyncIterable<Buffer>) {
+        // By default, leaving the loop would destroy the connection before a response is sent.
+        for await (const part of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             bytes += part.length;
             if (bytes > maximumBytes) {
+                request.resume();
                 return undefined;
             }
             parts.push(part);
