Answer requests whose handling throws an exception

Callers whose request made the gateway or an entry instance throw an exception saw their connection closed, without an answer or a refusal. If decoding the headers threw, the line about it, which has the request id since, threw too, and the request was never answered.

Such a request now gets 502 with `ran` unknown, or 503 with `ran` no if it had not been handed over, so that no backend server can have it. Only an answer whose head was sent is broken off. The request id is decoded once.

--- a/src/node/entry/httpRoutes.ts
+++ b/src/node/entry/httpRoutes.ts
@@ -81,7 +81,12 @@
     function startRequest(message: IncomingMessage, response: ServerResponse, parseRequest: ParseRequest): void {
         handleRequest(message, response, parseRequest).catch((error: unknown) => {
             context.logger.error({ error: String(error) }, "request failed unexpectedly");
-            abortResponse(response);
+            if (response.headersSent) {
+                abortResponse(response);
+                return;
+            }
+            createHttpSink(response, "", () => undefined)
+                .refuse({ ran: "unknown", reason: "internal-error", retryAfterSeconds: 0 });
         });
     }
 
--- a/src/node/entry/httpSink.ts
+++ b/src/node/entry/httpSink.ts
@@ -21,6 +21,7 @@
     "key-reused-with-other-body": 409,
     "crashes-backend-servers": 422,
     "invalid-request": 400,
+    "internal-error": 502,
 };
 const defaultHttpStatus = 503;
 
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -20,6 +20,7 @@
     type GoldcrestpointError,
     type HeaderTable,
     type Milliseconds,
+    type RequestId,
     type RouteRow,
 } from "../../types/index.js";
 import { hasUndecodedTransferCoding } from "../httpClient/index.js";
@@ -96,10 +97,13 @@
     let stopped = false;
     const callerTimeouts = createCallerTimeoutTable();
     const pollQueue = createPollQueue();
+    const requestIds = new WeakMap<IncomingMessage, RequestId>();
+    /** Requests that a backend server may have. */
+    const handedOver = new WeakSet<IncomingMessage>();
 
     function describe(incoming: IncomingMessage): Readonly<Record<string, unknown>> {
         return {
-            requestId: protocol.decodeCall(joinHeaders(incoming))?.requestId,
+            requestId: requestIds.get(incoming),
             path: incoming.url,
             revision: input.routes()?.configuration.revision,
             configurationAgeMilliseconds: Math.round(clock.monotonic() - configuredAt),
@@ -119,17 +123,39 @@
     ): void {
         metrics.countRejected(reason);
         logRejected({ ...describe(incoming), status, reason, host: incoming.headers.host });
-        if (!incoming.complete && !incoming.readableEnded) {
-            // The rest of the body is not read, so the connection cannot carry another request.
-            response.setHeader("connection", "close");
-        }
-        sendGatewayAnswer(response, status, {
+        sendRefusal(incoming, response, status, {
             ran: "no",
             reason: "invalid-request",
             ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
         });
     }
 
+    function sendRefusal(
+        incoming: IncomingMessage,
+        response: ServerResponse,
+        status: GatewayStatus,
+        refusal: Parameters<typeof sendGatewayAnswer>[2],
+    ): void {
+        if (!incoming.complete && !incoming.readableEnded) {
+            // The rest of the body is not read, so the connection cannot carry another request.
+            response.setHeader("connection", "close");
+        }
+        sendGatewayAnswer(response, status, refusal);
+    }
+
+    function handleException(incoming: IncomingMessage, response: ServerResponse, error: unknown): void {
+        const detail = error instanceof Error ? error.stack ?? error.message : String(error);
+        const ran = handedOver.has(incoming) ? "unknown" : "no";
+        const status = ran === "unknown" ? 502 : 503;
+        metrics.countRejected("internal");
+        logRejected({ ...describe(incoming), status, reason: "internal", detail, host: incoming.headers.host });
+        if (response.headersSent) {
+            answers.breakOff(response, "exception");
+            return;
+        }
+        sendRefusal(incoming, response, status, { ran, reason: "internal-error" });
+    }
+
     function hasMissedTarget(call: CallerCall, route: RouteRow): boolean {
         return call.callerTimeout !== undefined &&
             estimatePriorWait(callerTimeouts, route.name, call.callerTimeout) > route.targetLatency;
@@ -145,13 +171,16 @@
         if (closing) {
             response.setHeader("connection", "close");
         }
+        const headers: HeaderTable = joinHeaders(incoming);
+        const call = protocol.decodeCall(headers);
+        if (call !== undefined) {
+            requestIds.set(incoming, call.requestId);
+        }
         const routes = input.routes();
         if (routes === undefined) {
             reject(incoming, response, 503, "no-configuration", unconfiguredRetryAfterSeconds);
             return;
         }
-        const headers: HeaderTable = joinHeaders(incoming);
-        const call = protocol.decodeCall(headers);
         const method = incoming.method ?? "GET";
         const path = incoming.url ?? "/";
         const resolution = resolveRoute(routes, { host: headers["host"], path, apiKey: call?.apiKey });
@@ -199,6 +228,7 @@
         }
         // Detects a caller that disconnected before its request was read, so that the request is not forwarded.
         await pollQueue.awaitPoll();
+        handedOver.add(incoming);
         try {
             await input.serve({
                 row: {
@@ -243,12 +273,7 @@
         { maxHeaderSize: initialMaximumHeaderBytes, requireHostHeader: false },
         (incoming, response) => {
             answers.add(incoming, response);
-            handle(incoming, response).catch((error: unknown) => {
-                const detail = error instanceof Error ? error.stack ?? error.message : String(error);
-                metrics.countRejected("internal");
-                logRejected({ ...describe(incoming), reason: "internal", detail, host: incoming.headers.host });
-                answers.breakOff(response, "exception");
-            });
+            handle(incoming, response).catch((error: unknown) => handleException(incoming, response, error));
         },
         clock,
         {
--- a/src/runtime/retry/decision.ts
+++ b/src/runtime/retry/decision.ts
@@ -31,6 +31,7 @@
     "connection-lost": true,
     "answer-mismatched": true,
     "invalid-request": false,
+    "internal-error": false,
     canceled: false,
 };
 
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -39,6 +39,7 @@
     | "connection-lost"
     | "answer-mismatched"
     | "invalid-request"
+    | "internal-error"
     | "canceled";
 
 /** Reason for which the backend servers of a service accept no requests for a while. */
