Answer the requests that are open when the time for a drain is over

Callers whose request was still being sent, or had no answer yet, when a gateway that shuts down reached its drain time limit saw their connection closed. They could not tell that a request whose body had not arrived was not run.

Cause: all open answers were broken off at that time, whatever their state.

The gateway now aborts these requests instead, with the reason `shutdown`: one whose body has not arrived is refused with 503, so is one that was not sent to a backend server, and others get 502, which promises nothing. They have `connection: close`, and their share of the shutdown margin to be sent. Answers whose head was sent are broken off as before.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -168,6 +168,12 @@
     async function handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const receivedAt = clock.monotonic();
         const watch = watchCaller(incoming, response);
+        answers.add(incoming, response, () => {
+            if (!response.headersSent) {
+                response.setHeader("connection", "close");
+            }
+            watch.endDrain();
+        });
         if (closing) {
             response.setHeader("connection", "close");
         }
@@ -212,6 +218,9 @@
             if (incoming.errored instanceof Error || watch.readReason() === "caller-gone") {
                 response.destroy();
             }
+            else if (watch.readReason() === "shutdown") {
+                reject(incoming, response, 503, "shutting-down", 0);
+            }
             else if (watch.readReason() === "route-timeout") {
                 reject(incoming, response, 408, "body-too-slow");
             }
@@ -272,7 +281,6 @@
     const server = new DrainableServer(
         { maxHeaderSize: initialMaximumHeaderBytes, requireHostHeader: false },
         (incoming, response) => {
-            answers.add(incoming, response);
             handle(incoming, response).catch((error: unknown) => handleException(incoming, response, error));
         },
         clock,
@@ -314,7 +322,7 @@
                 countOpen: answers.count,
                 [Symbol.asyncDispose]: async () => {
                     await server.stopAccepting();
-                    answers.abort();
+                    answers.endDrain();
                     await server.stop(input.closeTimeLimit);
                 },
             }));
--- a/src/node/gateway/callerWatch.ts
+++ b/src/node/gateway/callerWatch.ts
@@ -4,7 +4,7 @@
 
 /** Abort signal of one request, with the reason for the abort. */
 export interface CallerWatch {
-    /** Aborted when the caller disconnects or the time limit expires. */
+    /** Aborted when the caller disconnects, the time limit expires or the drain ends. */
     readonly signal: AbortSignal;
     /** Resolves when the signal is aborted. */
     readonly ended: Promise<undefined>;
@@ -13,6 +13,8 @@
     setTimeLimit(duration: Milliseconds): void;
     /** Removes the time limit. */
     clearTimeLimit(): void;
+    /** Aborts the signal because the time for the drain is over. */
+    endDrain(): void;
 }
 
 /**
@@ -55,5 +57,6 @@
             }
         },
         clearTimeLimit: () => clearTimeout(timer),
+        endDrain: () => abort("shutdown"),
     };
 }
--- a/src/node/gateway/openAnswers.ts
+++ b/src/node/gateway/openAnswers.ts
@@ -24,13 +24,19 @@
 
 /** Answers to callers that have not been sent completely. */
 export interface OpenAnswers {
-    /** Adds an answer until it is sent or its connection has closed. */
-    add(incoming: IncomingMessage, response: ServerResponse): void;
+    /**
+     * Adds an answer until it is sent or its connection has closed.
+     *
+     * @param incoming - request
+     * @param response - its answer
+     * @param onDrainEnd - called at the end of a drain while the answer is open
+     */
+    add(incoming: IncomingMessage, response: ServerResponse, onDrainEnd: () => void): void;
     readonly count: () => OpenAnswerCounts;
     /** Breaks off an answer. */
     breakOff(response: ServerResponse, reason: CutReason): void;
-    /** Breaks off all answers at the end of a drain. */
-    abort(): void;
+    /** Asks for the end of all open answers at the end of a drain. */
+    endDrain(): void;
 }
 
 /**
@@ -40,7 +46,7 @@
  * @returns the set
  */
 export function createOpenAnswers(onCut: (answer: CutAnswer) => void): OpenAnswers {
-    const open = new Set<ServerResponse>();
+    const open = new Map<ServerResponse, () => void>();
     const reasons = new WeakMap<ServerResponse, CutReason>();
 
     function breakOff(response: ServerResponse, reason: CutReason): void {
@@ -49,10 +55,10 @@
     }
 
     return {
-        add: (incoming, response) => {
+        add: (incoming, response, onDrainEnd) => {
             const { socket } = incoming;
             let isSent = false;
-            open.add(response);
+            open.set(response, onDrainEnd);
             response.once("finish", () => {
                 // A response whose connection was destroyed emits "finish" too.
                 isSent = !socket.destroyed;
@@ -72,9 +78,13 @@
         },
         count: () => ({
             open: open.size,
-            unsentBytes: [...open].reduce((sum, { writableLength }) => sum + writableLength, 0),
+            unsentBytes: [...open.keys()].reduce((sum, { writableLength }) => sum + writableLength, 0),
         }),
         breakOff,
-        abort: () => open.forEach(response => breakOff(response, "drain-ended")),
+        endDrain: () =>
+            open.forEach((onDrainEnd, response) => {
+                reasons.set(response, "drain-ended");
+                onDrainEnd();
+            }),
     };
 }
--- a/test/platform/gatewayShutdown.test.ts
+++ b/test/platform/gatewayShutdown.test.ts
@@ -178,4 +178,28 @@
             expect(runner.countArrivals()).toEqual(0);
         });
     }
+
+    const atTheEnd = [
+        { name: "refuses a request whose body has not arrived", sendsBody: false, status: 503, arrivals: 0 },
+        { name: "answers that it does not know the outcome of a request", sendsBody: true, status: 502, arrivals: 1 },
+    ];
+    for (const { arrivals, name, sendsBody, status } of atTheEnd) {
+        // Guards against a connection that is closed without an answer.
+        it(`${name} when the time for the drain is over`, async () => {
+            await using deployment = await startDeployment();
+            const routes = operatorConfiguration.routes.map(route => ({ ...route, timeout_ms: 20_000 }));
+            deployment.configure({ version: 2, routes });
+            const runner = await deployment.addRunner({ id: "i-1", workMilliseconds: 4 * drainTimeLimit });
+            const late = await openLateRequest(deployment, "/unsafe/");
+            if (sendsBody) {
+                late.sendBody();
+                await sleep(200);
+            }
+            await deployment.stop();
+            const received = await late.received;
+            expect(received.startsWith(`HTTP/1.1 ${status} `)).toEqual(true);
+            expect(received.toLowerCase().includes("connection: close")).toEqual(true);
+            expect(runner.countArrivals()).toEqual(arrivals);
+        });
+    }
 });
