Read what has arrived before the time limit of a request is enforced

Callers got 504 although the backend server had answered in time, if the gateway stood still past the time limit: the timer of the limit ran before the event loop had read the answer from its socket, the call was aborted, and the answer was lost. A body that had arrived was refused with 408 in the same way.

The limit is enforced after a poll, as the ones of calls to backend servers are.

--- a/src/node/gateway/callerWatch.ts
+++ b/src/node/gateway/callerWatch.ts
@@ -28,10 +28,15 @@
     const controller = new AbortController();
     let reason: AbortReason | undefined;
     let timer: NodeJS.Timeout | undefined;
+    let pendingAbort: NodeJS.Immediate | undefined;
     const abort = (cause: AbortReason): void => {
         reason ??= cause;
         controller.abort();
     };
+    const clearTimeLimit = (): void => {
+        clearTimeout(timer);
+        clearImmediate(pendingAbort);
+    };
     const handleDisconnect = (): void => {
         if (!response.writableFinished) {
             abort("caller-gone");
@@ -41,7 +46,7 @@
     // later, once this side has ended its half too.
     socket.once("end", handleDisconnect);
     response.once("close", () => {
-        clearTimeout(timer);
+        clearTimeLimit();
         socket.off("end", handleDisconnect);
         handleDisconnect();
     });
@@ -53,10 +58,13 @@
         readReason: () => reason,
         setTimeLimit: duration => {
             if (!controller.signal.aborted) {
-                timer = setTimeout(() => abort("route-timeout"), Math.max(0, duration));
+                timer = setTimeout(() => {
+                    // If the event loop was blocked, an answer or a body that arrived in time is read before this runs.
+                    pendingAbort = setImmediate(() => abort("route-timeout"));
+                }, Math.max(0, duration));
             }
         },
-        clearTimeLimit: () => clearTimeout(timer),
+        clearTimeLimit,
         endDrain: () => abort("shutdown"),
     };
 }
--- a/test/platform/stalledGateway.test.ts
+++ b/test/platform/stalledGateway.test.ts
@@ -15,6 +15,7 @@
 const idleLimit = 1_000;
 const channelCount = 20;
 const deadline = 8_000;
+const safeTimeout = 1_500;
 
 /** Gateway process with a runner, and calls to it. */
 interface StalledDeployment extends AsyncDisposable {
@@ -33,7 +34,7 @@
         ...operatorConfiguration,
         routes: operatorConfiguration.routes.map(route => ({
             ...route,
-            timeout_ms: deadline,
+            timeout_ms: route.kind === "safe" ? safeTimeout : deadline,
             target_latency_ms: deadline,
         })),
         limits: { ...operatorConfiguration.limits, idle_timeout_ms: idleLimit },
@@ -62,11 +63,13 @@
     };
 }
 
-async function callAll(channels: readonly Channel[], name: string): Promise<readonly (number | undefined)[]> {
+async function callAll(
+    channels: readonly Channel[],
+    name: string,
+    path = "/unsafe/?work=5",
+): Promise<readonly (number | undefined)[]> {
     const results = await Promise.all(
-        channels.map((channel, index) =>
-            channel.call({ path: "/unsafe/?work=5", attemptId: `${name}-${index}`, deadline })
-        ),
+        channels.map((channel, index) => channel.call({ path, attemptId: `${name}-${index}`, deadline })),
     );
     return results.map(({ status }) => status);
 }
@@ -110,4 +113,16 @@
         expect(runner.work.length).toEqual(channelCount + answered);
         expect(await gateway.exited).toEqual(0);
     });
+
+    // Guards against an answer that arrived in time and is dropped because the time limit is enforced first.
+    it("passes on the answers that arrived meanwhile", async () => {
+        await using deployment = await startProcess();
+        const { gateway, runner } = deployment;
+        const calls = callAll(await deployment.open(), "safe", "/safe/?work=400");
+        await waitUntil("the requests are run", () => runner.work.length === channelCount);
+        gateway.signal("SIGSTOP");
+        await sleep(2 * safeTimeout);
+        gateway.signal("SIGCONT");
+        expect(await calls).toEqual(repeat(200));
+    });
 });
