--- a/src/node/entry/httpRoutes.ts
+++ b/src/node/entry/httpRoutes.ts
@@ -60,6 +60,7 @@
         }
         const body = await readBody(message, maximumBodyBytes);
         if (body === undefined) {
+            response.setHeader("connection", "close");
             sendJson(response, 413, {
                 error: { ran: "no", reason: "invalid-request", detail: "the body is too large" },
             });
@@ -80,7 +81,12 @@
     function startRequest(message: IncomingMessage, response: ServerResponse, parseRequest: ParseRequest): void {
         handleRequest(message, response, parseRequest).catch((error: unknown) => {
             context.logger.error({ error: String(error) }, "request failed unexpectedly");
-            abortResponse(response);
+            if (response.headersSent) {
+                abortResponse(response);
+                return;
+            }
+            createHttpSink(response, "", () => undefined)
+                .refuse({ ran: "unknown", reason: "internal-error", retryAfterSeconds: 0 });
         });
     }
 
--- a/src/node/gateway/callerWatch.ts
+++ b/src/node/gateway/callerWatch.ts
@@ -4,7 +4,7 @@
 
 /** Abort signal of one request, with the reason for the abort. */
 export interface CallerWatch {
-    /** Aborted when the caller disconnects or the time limit expires. */
+    /** Aborted when the caller disconnects, the time limit expires or the drain ends. */
     readonly signal: AbortSignal;
     /** Resolves when the signal is aborted. */
     readonly ended: Promise<undefined>;
@@ -13,6 +13,8 @@
     setTimeLimit(duration: Milliseconds): void;
     /** Removes the time limit. */
     clearTimeLimit(): void;
+    /** Aborts the signal because the time for the drain is over. */
+    endDrain(): void;
 }
 
 /**
@@ -26,10 +28,15 @@
     const controller = new AbortController();
     let reason: AbortReason | undefined;
     let timer: NodeJS.Timeout | undefined;
+    let pendingAbort: NodeJS.Immediate | undefined;
     const abort = (cause: AbortReason): void => {
         reason ??= cause;
         controller.abort();
     };
+    const clearTimeLimit = (): void => {
+        clearTimeout(timer);
+        clearImmediate(pendingAbort);
+    };
     const handleDisconnect = (): void => {
         if (!response.writableFinished) {
             abort("caller-gone");
@@ -39,7 +46,7 @@
     // later, once this side has ended its half too.
     socket.once("end", handleDisconnect);
     response.once("close", () => {
-        clearTimeout(timer);
+        clearTimeLimit();
         socket.off("end", handleDisconnect);
         handleDisconnect();
     });
@@ -51,9 +58,13 @@
         readReason: () => reason,
         setTimeLimit: duration => {
             if (!controller.signal.aborted) {
-                timer = setTimeout(() => abort("route-timeout"), Math.max(0, duration));
+                timer = setTimeout(() => {
+                    // If the event loop was blocked, an answer or a body that arrived in time is read before this runs.
+                    pendingAbort = setImmediate(() => abort("route-timeout"));
+                }, Math.max(0, duration));
             }
         },
-        clearTimeLimit: () => clearTimeout(timer),
+        clearTimeLimit,
+        endDrain: () => abort("shutdown"),
     };
 }
