Keep the samples of a route in one table

The timeouts of callers are kept in a bounded ring for each route, of which a quantile is read. The table and the ring are now a module of their own, so that other durations can be kept in the same way.

--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -9,6 +9,7 @@
 export * from "./rateLimits.js";
 export * from "./reportedWeights.js";
 export * from "./requestFingerprint.js";
+export * from "./routeSamples.js";
 export * from "./routeTable.js";
 export * from "./serverNotices.js";
 export * from "./unreachableGateways.js";
