Start another attempt beside a silent one instead of ending it

Callers got 504 after 4 s from safe requests that had run at three backend servers in turn, each ended after 1.5 s without a byte, although the first one would have answered within 2 to 3 s; and streams were cut after a pause, since the attempt was ended before it was known that another backend server would continue the stream.

The cause is that silence was taken as a failure. A sound backend server may be silent, and whether another one answers sooner is only known once it does.

An attempt is no longer ended for silence or pace. Another one is started beside it, if the request is idempotent and can be continued elsewhere, attempts and retry budget are left, no crash evidence is against it, and the time left is worth it. The attempt that first has the whole answer or the next event claims it; all others are canceled in the same step, before anything is written. A failure ends the request only if no other attempt is in flight. Silence counts against a backend server when another attempt is started because of it, as before.

A request has one place at its service, also while it has two attempts: the places that were counted by attempt admitted one request too many for each hedged one.

`retry decision` has the choices `hedge` and `wait` with peer, silence, remaining time and budget, and goldcrestpoint_gateway_hedges_total counts the attempts.

--- a/src/node/gateway/answerRelay.ts
+++ b/src/node/gateway/answerRelay.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import type { Clock, Milliseconds } from "../../types/index.js";
 import type { HttpFailure } from "../httpClient/index.js";
+import type { RacingAttempt } from "./attemptRace.js";
 import { sendAnswer, type StreamWriter } from "./callerAnswer.js";
 import type { TrackedAttempt } from "./crashWatch.js";
 import { createEventSplitter, isLaterEvent } from "./eventStream.js";
@@ -29,32 +30,46 @@
     readonly writer: StreamWriter;
 }
 
+/** Attempt whose answer is relayed. */
+export type RelayedAttempt =
+    & Pick<RacingAttempt, "claim" | "hasRivals" | "signal">
+    & Pick<TrackedAttempt, "answered">;
+
 /** Relays answers of backend servers to callers. */
 export interface AnswerRelay {
     /**
-     * Relays an answer: a stream event by event, any other answer once it is complete.
+     * Relays an answer: a stream event by event, any other answer once it is complete. The attempt claims the answer
+     * before it writes to the caller.
      *
      * @param request - request of the caller
      * @param progress - what earlier attempts have relayed; it is updated
      * @param answer - answer whose head was checked
-     * @param attempt - notified when the answer has begun
+     * @param attempt - attempt that brought the answer; notified when the answer has begun
      * @returns nothing, or the reason why the answer could not be relayed completely
      */
     relayAnswer(
         request: GatewayRequest,
         progress: RelayProgress,
         answer: OpenedAnswer,
-        attempt: Pick<TrackedAttempt, "answered">,
+        attempt: RelayedAttempt,
     ): Promise<Result<void, AttemptFailure>>;
 }
 
-function describeEnding(request: GatewayRequest, relayed: Result<void, AttemptFailure>): AnswerEnding {
+function describeEnding({ signal }: RelayedAttempt, relayed: Result<void, AttemptFailure>): AnswerEnding {
     if (relayed.isOk || relayed.error.answer !== undefined) {
         return "complete";
     }
-    return request.signal.aborted ? "canceled" : "broken-off";
+    return signal.aborted ? "canceled" : "broken-off";
 }
 
+const supersededFailure: AttemptFailure = {
+    ran: "unknown",
+    reason: "canceled",
+    detail: "another attempt was answered first",
+    serverAtFault: false,
+    connectionBroke: false,
+};
+
 function describeInterruption(cause: unknown, { framing }: OpenedAnswer, bytes: number): AttemptFailure {
     const failure = cause instanceof Error ? cause.cause as HttpFailure | undefined : undefined;
     return {
@@ -70,8 +85,7 @@
 /**
  * Checks that a stream still delivers complete events.
  *
- * @returns time of the last complete event, or of the last check that left a silent stream running
- * @throws Error if none was completed for too long, and the request can be retried
+ * @returns time from which on the next silence counts
  */
 function checkProgress(
     { limits }: OpenedAnswer,
@@ -85,9 +99,7 @@
     if (now - lastEventAt <= limits.silentAfter) {
         return lastEventAt;
     }
-    if (limits.canSwitch()) {
-        throw new Error(`no complete event for ${limits.silentAfter} ms`);
-    }
+    limits.onSilent(now - lastEventAt);
     return now;
 }
 
@@ -124,7 +136,7 @@
         request: GatewayRequest,
         progress: RelayProgress,
         answer: OpenedAnswer,
-        attempt: Pick<TrackedAttempt, "answered">,
+        attempt: RelayedAttempt,
     ): Promise<Result<void, AttemptFailure>> {
         const { writer } = progress;
         const splitter = createEventSplitter();
@@ -138,12 +150,14 @@
                 lastEventAt = checkProgress(answer, events.length, lastEventAt, clock.monotonic());
                 for (const event of events) {
                     // The body still yields parts that arrived before the request was aborted.
-                    request.signal.throwIfAborted();
+                    attempt.signal.throwIfAborted();
                     attempt.answered(true);
                     if (isContinuation && event.id === undefined && event.hasData) {
                         throw new Error("an event of a resumed stream has no identifier");
                     }
-                    if (!isLaterEvent(event.id, progress.lastEvent)) {
+                    // A comment is no progress, so it does not end the attempts of others.
+                    const isIdle = !event.hasData && attempt.hasRivals();
+                    if (isIdle || !isLaterEvent(event.id, progress.lastEvent) || !attempt.claim()) {
                         continue;
                     }
                     if (!writer.headSent()) {
@@ -152,7 +166,7 @@
                     sendHead(progress, answer);
                     progress.lastEvent = event.id ?? progress.lastEvent;
                     progress.resumable &&= event.id !== undefined || !event.hasData;
-                    await writer.send(event.bytes, request.signal);
+                    await writer.send(event.bytes, attempt.signal);
                 }
             }
         }
@@ -162,6 +176,9 @@
         if (splitter.pendingBytes() > 0) {
             return err(describeInterruption(new Error("the stream ended within an event"), answer, bytes));
         }
+        if (!attempt.claim()) {
+            return err(supersededFailure);
+        }
         log.completion(request, answer, bytes);
         sendHead(progress, answer);
         writer.end();
@@ -172,11 +189,11 @@
         request: GatewayRequest,
         progress: RelayProgress,
         answer: OpenedAnswer,
-        attempt: Pick<TrackedAttempt, "answered">,
+        attempt: RelayedAttempt,
     ): Promise<Result<void, AttemptFailure>> {
         const relay = isEventStream(request, progress, answer) ? relayStream : relayWhole;
         const relayed = await relay(request, progress, answer, attempt);
-        metrics.countAnswer(request, answer.framing, describeEnding(request, relayed));
+        metrics.countAnswer(request, answer.framing, describeEnding(attempt, relayed));
         return relayed;
     }
 
@@ -184,7 +201,7 @@
         request: GatewayRequest,
         progress: RelayProgress,
         answer: OpenedAnswer,
-        attempt: Pick<TrackedAttempt, "answered">,
+        attempt: RelayedAttempt,
     ): Promise<Result<void, AttemptFailure>> {
         const whole = await readAnswer(answer);
         if (whole.isErr) {
@@ -206,6 +223,9 @@
                 answer: whole.value,
             });
         }
+        if (!attempt.claim()) {
+            return err(supersededFailure);
+        }
         metrics.recordFirstByte(request, clock.monotonic() - request.row.receivedAt);
         sendAnswer(request.response, whole.value);
         return ok(undefined);
--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempt.ts
@@ -10,7 +10,7 @@
 } from "../httpClient/index.js";
 import type { RateLimits } from "./rateLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
-import type { AttemptFailure, BodyLimits, GatewayRequest, OpenedAnswer } from "./types.js";
+import type { AttemptFailure, GatewayRequest, OpenedAnswer, ProgressLimits } from "./types.js";
 
 /** Dependencies of {@link openAttempt}. */
 export interface AttemptContext {
@@ -26,7 +26,7 @@
     readonly server: BackendServerRow;
     readonly client: HttpClient;
     readonly forwarded: ForwardedCall;
-    readonly limits: Pick<BodyLimits, "canSwitch" | "silentAfter">;
+    readonly limits: Omit<ProgressLimits, "paceCheckDelay">;
     /** Time within which the head must arrive; `Infinity` if the backend server holds the newest weights. */
     readonly headTimeout: Milliseconds;
     readonly signal: AbortSignal;
@@ -149,7 +149,6 @@
     attempt: Attempt,
 ): Promise<Result<OpenedAnswer, AttemptFailure>> {
     const { headTimeout, client, forwarded, limits, request, server, signal } = attempt;
-    const { silentAfter } = limits;
     const lifetime = createLifetimeId(server.listed);
     const sentAt = context.clock.monotonic();
     const opened = await client.open({
@@ -158,7 +157,7 @@
         headers: context.protocol.encodeForwarded(request.headers, forwarded),
         signal,
         timeouts: { head: headTimeout, idle: Infinity },
-        silence: { after: silentAfter, mayEnd: limits.canSwitch },
+        silence: { after: limits.silentAfter, onSilent: limits.onSilent },
         ...(request.body.length === 0 ? {} : { body: request.body }),
     });
     if (opened.isErr) {
--- /dev/null
+++ b/src/node/gateway/attemptRunner.ts
@@ -0,0 +1,169 @@
+import { err, type Result } from "true-myth/result";
+import { type AnswerSilenceTable, computeSilenceLimit, recordAnswerSilence } from "../../runtime/gateway/index.js";
+import { recordOutcome, type RoutingOptions, type RunnerOutcome } from "../../runtime/routing/index.js";
+import type { CallerProtocol, Clock, Milliseconds } from "../../types/index.js";
+import type { AnswerRelay } from "./answerRelay.js";
+import { openAttempt } from "./attempt.js";
+import type { RacingAttempt } from "./attemptRace.js";
+import type { BackendClients } from "./backendClients.js";
+import type { CrashWatch, TrackedAttempt } from "./crashWatch.js";
+import type { RateLimits } from "./rateLimits.js";
+import { minimumRemainingTime, type RequestProgress } from "./requestProgress.js";
+import type { ServerNotices } from "./serverNotices.js";
+import type { ServerSelection, ServerSelector } from "./serverSelector.js";
+import { reachedServer, startAttempt } from "./startedAttempt.js";
+import type { AttemptFailure, GatewayRequest } from "./types.js";
+
+/** Dependencies of {@link createAttemptRunner}. */
+export interface AttemptRunnerInput {
+    readonly protocol: CallerProtocol;
+    readonly clock: Clock;
+    readonly choice: ServerSelector;
+    readonly clients: BackendClients;
+    readonly crashes: CrashWatch;
+    readonly notices: Pick<ServerNotices, "recordHead">;
+    readonly rateLimits: Pick<RateLimits, "recordHead" | "recordSend">;
+    readonly routing: RoutingOptions;
+    /** Shortest time without a byte after which an idempotent request is also sent to another backend server. */
+    readonly switchAfter: Milliseconds;
+    readonly relay: AnswerRelay;
+    readonly silences: AnswerSilenceTable;
+}
+
+/** Is notified of an attempt whose backend server makes no progress; the attempt continues. */
+export interface StallHandlers {
+    /**
+     * @param attempt - attempt without a byte, or without a complete event
+     * @param silence - for how long
+     */
+    onSilent(attempt: RacingAttempt, silence: Milliseconds): void;
+    /** @param attempt - attempt whose answer is not expected to be complete in time */
+    onSlow(attempt: RacingAttempt): void;
+}
+
+/** Sends requests to backend servers, and keeps the state of the servers up to date. */
+export interface AttemptRunner {
+    /**
+     * Starts an attempt, which relays its answer if no other attempt has claimed it.
+     *
+     * @param request - the request
+     * @param progress - attempts so far; updated
+     * @param selection - chosen backend server
+     * @param handlers - notified if the backend server makes no progress
+     */
+    start(
+        request: GatewayRequest,
+        progress: RequestProgress,
+        selection: ServerSelection,
+        handlers: StallHandlers,
+    ): void;
+}
+
+/** Attempt that is running. */
+interface AttemptRun {
+    readonly request: GatewayRequest;
+    readonly progress: RequestProgress;
+    readonly selection: ServerSelection;
+    readonly handlers: StallHandlers;
+    readonly attempt: RacingAttempt;
+    readonly tracked: TrackedAttempt;
+}
+
+/** A paused backend server gets no further requests, so its refusal does not count as an attempt of the request. */
+function countsAsAttempt(failure: AttemptFailure): boolean {
+    return reachedServer(failure) && failure.reason !== "turned-away";
+}
+
+function classifyOutcome({ isHedged, signal }: RacingAttempt, outcome: Result<void, AttemptFailure>): RunnerOutcome {
+    if (outcome.isOk) {
+        return "succeeded";
+    }
+    // The failure of a hedged attempt was recorded when it was hedged.
+    return outcome.error.serverAtFault && !signal.aborted && !isHedged ? "failed" : "neutral";
+}
+
+/**
+ * Creates the runner of attempts.
+ *
+ * @param input - protocol, connections and state of the backend servers
+ * @returns the runner
+ */
+export function createAttemptRunner(input: AttemptRunnerInput): AttemptRunner {
+    const { choice: selector, clock, notices, protocol, rateLimits, relay, silences } = input;
+
+    async function send(attemptRun: AttemptRun): Promise<Result<void, AttemptFailure>> {
+        const { attempt, handlers, progress, request, selection, tracked } = attemptRun;
+        const { server } = attempt;
+        const { route } = request;
+        const now = clock.monotonic();
+        const remaining = request.endsAt - now;
+        const bounds = { shortest: input.switchAfter, remaining };
+        const release = selector.trackAttempt(server);
+        rateLimits.recordSend(server);
+        const started = startAttempt(server, clock);
+        try {
+            const opened = await openAttempt({ protocol, clock, notices, rateLimits }, {
+                request,
+                server,
+                client: input.clients.find(server.listed),
+                forwarded: {
+                    instance: server.runner.instance,
+                    remaining,
+                    clientAccount: request.account?.name,
+                    resumeAfter: progress.lastEvent ?? request.call.resumeAfter,
+                    version: selection.version,
+                },
+                limits: {
+                    silentAfter: request.row.idempotent ? computeSilenceLimit(silences, route.name, bounds) : Infinity,
+                    onSilent: silence => handlers.onSilent(attempt, silence),
+                    onSlow: () => handlers.onSlow(attempt),
+                },
+                headTimeout: Math.max(minimumRemainingTime, (selection.headDeadline ?? Infinity) - now),
+                signal: attempt.signal,
+            });
+            started.recordHead(opened);
+            if (opened.isErr) {
+                return err(opened.error);
+            }
+            attempt.silentSince = undefined;
+            const relayed = await relay.relayAnswer(request, progress, opened.value, {
+                ...attempt,
+                answered: succeeded => tracked.answered(succeeded),
+            });
+            if (relayed.isOk) {
+                recordAnswerSilence(silences, route.name, opened.value.readLongestSilence());
+            }
+            return relayed;
+        }
+        finally {
+            started[Symbol.dispose]();
+            release();
+        }
+    }
+
+    async function run(attemptRun: AttemptRun): Promise<Result<void, AttemptFailure>> {
+        const { attempt, progress, tracked } = attemptRun;
+        const { runner } = attempt.server;
+        const outcome = await send(attemptRun);
+        progress.sent += outcome.isOk || countsAsAttempt(outcome.error) ? 1 : 0;
+        if (outcome.isErr && outcome.error.reason === "not-serving") {
+            // Another backend server uses the address now, or the weights have changed. A report or the list resets it.
+            runner.phase = "waiting";
+        }
+        recordOutcome(runner, classifyOutcome(attempt, outcome), clock.monotonic(), input.routing);
+        await tracked.finish(outcome.isErr && outcome.error.connectionBroke);
+        return outcome;
+    }
+
+    return {
+        start: (request, progress, selection, handlers) => {
+            const server = selection.server!;
+            progress.attempts++;
+            progress.excluded.add(server.listed.instance);
+            progress.race.start(server, async attempt => {
+                const tracked = input.crashes.trackAttempt(server.listed, request.row);
+                return run({ request, progress, selection, handlers, attempt, tracked });
+            });
+        },
+    };
+}
--- /dev/null
+++ b/src/node/gateway/finalAnswer.ts
@@ -0,0 +1,108 @@
+import type { RanState, Refusal } from "../../types/index.js";
+import { scoreRendezvous } from "../../utils/index.js";
+import { type GatewayStatus, sendAnswer, sendGatewayAnswer } from "./callerAnswer.js";
+import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { RequestLog } from "./requestLog.js";
+import type { RequestProgress } from "./requestProgress.js";
+import type { ServerSelection } from "./serverSelector.js";
+import type { AbortReason, AttemptFailure, GatewayRequest } from "./types.js";
+
+/** Final answer to a request that no backend server has answered. */
+export interface FinalFailure {
+    readonly refusal: Refusal;
+    readonly failure: AttemptFailure | undefined;
+}
+
+/** Ends requests that no backend server has answered. */
+export interface FinalAnswers {
+    /**
+     * Ends a request after its last attempt.
+     *
+     * @param request - the request
+     * @param progress - what was sent to the caller
+     * @param final - refusal, and how the last attempt failed
+     */
+    fail(request: GatewayRequest, progress: RequestProgress, final: FinalFailure): void;
+    /**
+     * Refuses a request that was not sent to any backend server.
+     *
+     * @param request - the request
+     * @param refusal - the reason
+     */
+    refuse(request: GatewayRequest, refusal: Refusal): void;
+}
+
+/** Retry time in seconds for callers when no backend server can answer at the moment. */
+export const unavailableRetryAfterSeconds = 1;
+
+/**
+ * Describes the refusal of a request for which no backend server can be chosen. Retry times are spread, so that the
+ * callers do not all return as soon as a backend server accepts requests again.
+ *
+ * @param request - the request
+ * @param selection - selection without a backend server
+ * @param ran - whether the request may have run
+ * @returns the refusal
+ */
+export function describeUnavailable(
+    { row }: GatewayRequest,
+    { decision }: ServerSelection,
+    ran: RanState,
+): Refusal {
+    const reason = decision.kind === "none" ? decision.reason : "no-runner";
+    if (decision.kind === "none" && (reason === "turned-away" || reason === "rate-limited")) {
+        const spread = scoreRendezvous(row.requestId, "turned-away") / 2 ** 32;
+        const retryAfterSeconds = Number((decision.retryAfterSeconds + spread).toFixed(3));
+        return { ran, reason, retryAfterSeconds };
+    }
+    return { ran, reason, retryAfterSeconds: unavailableRetryAfterSeconds };
+}
+
+/** Status 503 tells the caller that the request may be retried. */
+function chooseStatus({ ran, reason }: Refusal, abortReason: AbortReason | undefined): GatewayStatus {
+    if (ran === "no" && reason !== "crashes-backend-servers") {
+        return 503;
+    }
+    return abortReason === "route-timeout" ? 504 : 502;
+}
+
+/**
+ * Creates the functions that end unanswered requests.
+ *
+ * @param log - log of decisions
+ * @param metrics - counts of outcomes
+ * @returns the functions
+ */
+export function createFinalAnswers(
+    log: Pick<RequestLog, "refusal">,
+    metrics: Pick<GatewayMetrics, "countOutcome" | "countRefusal">,
+): FinalAnswers {
+    return {
+        fail: (request, progress, { failure, refusal }) => {
+            const reason = request.readAbortReason();
+            if (reason === "caller-gone" || progress.writer.headSent()) {
+                metrics.countOutcome(request, reason === "caller-gone" ? "canceled" : "broken-off");
+                progress.writer.abort();
+                return;
+            }
+            if (failure?.answer !== undefined) {
+                metrics.countOutcome(request, "server-error");
+                sendAnswer(request.response, failure.answer);
+                return;
+            }
+            metrics.countOutcome(request, refusal.ran === "no" ? "refused" : "failed");
+            sendGatewayAnswer(request.response, chooseStatus(refusal, reason), refusal);
+        },
+        refuse: (request, refusal) => {
+            log.refusal(request, refusal);
+            if (request.readAbortReason() === "caller-gone") {
+                metrics.countOutcome(request, "canceled");
+                request.response.destroy();
+                return;
+            }
+            metrics.countOutcome(request, "refused");
+            metrics.countRefusal(request, refusal.reason);
+            sendGatewayAnswer(request.response, chooseStatus(refusal, undefined), refusal);
+        },
+    };
+}
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -13,6 +13,8 @@
     /** Counts a request that was refused before it was sent to a backend server. */
     countRefusal(request: GatewayRequest, reason: RefusalReason): void;
     countRetry(request: GatewayRequest): void;
+    /** Counts a retry that runs beside a silent or slow attempt, in addition to `countRetry`. */
+    countHedge(request: GatewayRequest): void;
     /** Counts an answer of a backend server whose body was read. */
     countAnswer(request: GatewayRequest, framing: BodyFraming, ending: AnswerEnding): void;
     /** Counts a check of a backend server whose connection broke. */
@@ -42,6 +44,10 @@
         name: "goldcrestpoint_gateway_retries_total",
         documentation: "Retries of requests, by service.",
     });
+    const hedges = metrics.createCounter({
+        name: "goldcrestpoint_gateway_hedges_total",
+        documentation: "Retries that run beside a silent or slow attempt, by service.",
+    });
     const answers = metrics.createCounter({
         name: "goldcrestpoint_gateway_answers_total",
         documentation: "Answers of backend servers whose body was read, by service, framing and ending.",
@@ -67,6 +73,7 @@
             outcomes.add(1, { service: service.name, kind: route.kind, outcome }),
         countRefusal: ({ service }, reason) => refusals.add(1, { service: service.name, reason }),
         countRetry: ({ service }) => retries.add(1, { service: service.name }),
+        countHedge: ({ service }) => hedges.add(1, { service: service.name }),
         countAnswer: ({ service }, framing, ending) => answers.add(1, { service: service.name, framing, ending }),
         countCheck: (service, outcome) => checks.add(1, { service, outcome }),
         countRejected: reason => rejected.add(1, { reason }),
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -1,6 +1,6 @@
 import { areReportedWeightsVerified } from "../../runtime/gateway/index.js";
-import type { RequestCauses, RetryDecision } from "../../runtime/retry/index.js";
-import type { Clock, Fingerprint, Refusal, RefusalReason, ServiceRow } from "../../types/index.js";
+import type { HedgeDecision, RequestCauses, RetryBudget, RetryDecision } from "../../runtime/retry/index.js";
+import type { Clock, Fingerprint, Milliseconds, Refusal, RefusalReason, ServiceRow } from "../../types/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { ServerSelection, ServiceShare } from "./serverSelector.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
@@ -17,6 +17,19 @@
     readonly findCrashingPart: (request: RequestCauses) => Fingerprint | undefined;
 }
 
+/** Attempt without progress. */
+export interface StalledAttempt {
+    readonly peer: string;
+    /** Time since the last byte or complete event. */
+    readonly silence: Milliseconds;
+    /** Time that the request has left. */
+    readonly remaining: Milliseconds;
+    readonly budget: Pick<RetryBudget, "available">;
+}
+
+/** Decision on a failed attempt; `wait` if others are in flight. */
+export type FailureDecision = RetryDecision | { readonly kind: "wait"; readonly reason: string; };
+
 /** Logs the decisions on requests. */
 export interface RequestLog {
     routing(request: GatewayRequest, selection: ServerSelection, attempt: number): void;
@@ -25,17 +38,25 @@
      *
      * @param request - the request
      * @param failure - how the attempt failed
-     * @param decision - whether the request is retried
+     * @param decision - what happens to the request
      * @param server - backend server of the attempt
      * @param budget - remaining retry budget of the gateway for the service
      */
     retry(
         request: GatewayRequest,
         failure: AttemptFailure,
-        decision: RetryDecision,
+        decision: FailureDecision,
         server: string,
         budget: number,
     ): void;
+    /**
+     * Logs whether another attempt is started beside one without progress.
+     *
+     * @param request - the request
+     * @param decision - the decision
+     * @param attempt - attempt without progress
+     */
+    hedge(request: GatewayRequest, decision: HedgeDecision, attempt: StalledAttempt): void;
     refusal(request: GatewayRequest, refusal: Refusal): void;
     /** Logs only answers that end with their connection, since nothing in their bytes proves that they are complete. */
     completion(request: GatewayRequest, answer: OpenedAnswer, bytes: number): void;
@@ -101,7 +122,7 @@
         retry: (request, failure, decision, server, budget) => {
             decisions.record({
                 kind: "retry",
-                outcome: decision.kind === "retry" ? "chosen" : "failed",
+                outcome: decision.kind === "give-up" ? "failed" : "chosen",
                 deployment: request.service.name,
                 requestId: request.row.requestId,
                 choice: decision.kind,
@@ -119,6 +140,23 @@
                 },
             });
         },
+        hedge: (request, { kind, reason }, { budget, peer, remaining, silence }) => {
+            decisions.record({
+                kind: "retry",
+                outcome: "chosen",
+                deployment: request.service.name,
+                requestId: request.row.requestId,
+                choice: kind,
+                reason,
+                candidates: 0,
+                details: {
+                    peer,
+                    silence: Math.round(silence),
+                    remaining: Math.round(remaining),
+                    budget: Math.round(budget.available * 10) / 10,
+                },
+            });
+        },
         refusal: (request, refusal) => {
             const { contenders, free, gateways, own, leftOut, places, usable } = computeServiceShare(request.service);
             decisions.record({
--- a/src/node/gateway/serverSelector.ts
+++ b/src/node/gateway/serverSelector.ts
@@ -71,13 +71,19 @@
      */
     readonly computeServiceShare: (service: ServiceRow, demand: ServiceDemand) => ServiceShare;
     /**
-     * Counts a request that is in progress at a backend server.
+     * Counts a request that is in progress. It has one place at the service, also while it has several attempts.
      *
      * @param service - service of the request
-     * @param server - backend server of the request
      * @returns function to call once when the request has ended
      */
-    trackRequest(service: ServiceRow, server: BackendServerRow): () => void;
+    trackRequest(service: ServiceRow): () => void;
+    /**
+     * Counts an attempt that is in progress at a backend server.
+     *
+     * @param server - backend server of the attempt
+     * @returns function to call once when the attempt has ended
+     */
+    trackAttempt(server: BackendServerRow): () => void;
 }
 
 /** Time between random draws for {@link computePlaceShare}; meanwhile, reports show which places others have taken. */
@@ -144,14 +150,18 @@
     }
 
     return {
-        trackRequest: ({ name }, { runner }) => {
-            runner.outstanding++;
+        trackRequest: ({ name }) => {
             inProgress.set(name, (inProgress.get(name) ?? 0) + 1);
             return () => {
-                runner.outstanding--;
                 inProgress.set(name, inProgress.get(name)! - 1);
             };
         },
+        trackAttempt: ({ runner }) => {
+            runner.outstanding++;
+            return () => {
+                runner.outstanding--;
+            };
+        },
         select: (service, excluded) => {
             const decision = selectRunner({
                 ...createCandidateInput(service, excluded),
@@ -173,9 +183,9 @@
             const described = createCandidateInput(service, new Set());
             const { now } = described;
             const { candidates, leftOut, resumesAt } = findCandidates(described);
-            const inProgressAtCandidates = candidates.reduce((sum, { outstanding }) => sum + outstanding, 0);
+            const attemptsAtCandidates = candidates.reduce((sum, { outstanding }) => sum + outstanding, 0);
             const share = computePlaceShare({
-                inProgressElsewhere: (inProgress.get(service.name) ?? 0) - inProgressAtCandidates,
+                inProgressElsewhere: (inProgress.get(service.name) ?? 0) - attemptsAtCandidates,
                 runners: candidates.map(runner => ({
                     runner,
                     isFollowed: state.servers.get(runner.instance)?.reportedAt !== undefined,
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -40,23 +40,22 @@
     readonly readAbortReason: () => AbortReason | undefined;
 }
 
-/** Limits on the body of an answer, in addition to the deadline of its request. */
-export interface BodyLimits {
-    /**
-     * Time without a byte, or without a complete event of a stream, after which the request is retried if it can be;
-     * `Infinity` if it never can.
-     */
+/** When a backend server counts as making no progress on an attempt, which continues in any case. */
+export interface ProgressLimits {
+    /** Time without a byte, or without a complete event of a stream; `Infinity` for no limit. */
     readonly silentAfter: Milliseconds;
-    /** Time after the head at which the pace of the body is checked, if the request can be retried elsewhere. */
+    /** Time after the head at which the pace of the body is checked. */
     readonly paceCheckDelay: Milliseconds;
-    /** Tells whether the request could be retried at another backend server now. */
-    readonly canSwitch: () => boolean;
+    /** Called when the time without progress is exceeded, and again each time it is. */
+    readonly onSilent: (silence: Milliseconds) => void;
+    /** Called if the answer is not expected to be complete in time. */
+    readonly onSlow: () => void;
 }
 
 /** Answer of a backend server whose head was checked. */
 export interface OpenedAnswer extends HttpStreamingResponse {
     readonly server: BackendServerRow;
-    readonly limits: BodyLimits;
+    readonly limits: ProgressLimits;
 }
 
 /** Failed attempt: it brought no usable answer. */
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -39,7 +39,7 @@
 }
 
 const clock = createSystemClock();
-const unlimitedSilence: SilenceLimit = { after: Infinity, mayEnd: () => false };
+const unlimitedSilence: SilenceLimit = { after: Infinity, onSilent: () => {} };
 
 function startCall({ mayWrite, signal, silence = unlimitedSilence }: HttpRequest): Call {
     const interruption = createInterruption(signal);
@@ -47,7 +47,7 @@
     return {
         interruption,
         state,
-        silence: watchSilence(silence, clock, () => interruption.timeOut()),
+        silence: watchSilence(silence, clock),
         endWatch: watchOverhead(state, () => interruption.stop()),
     };
 }
@@ -166,6 +166,7 @@
         framing,
         memoryLimit: limits.memoryLimit,
         body: readParts(readAhead(body, limits), call, framing),
+        readLongestSilence: () => call.silence.readLongest(),
         discard: () => {
             body.destroy();
         },
--- a/src/node/httpClient/interruption.ts
+++ b/src/node/httpClient/interruption.ts
@@ -17,8 +17,6 @@
      * @param duration - time from now; `Infinity` for none
      */
     setTimeLimit(duration: Milliseconds): void;
-    /** Ends the call as if its time limit had expired. */
-    timeOut(): void;
     /** Removes the time limit. */
     clearTimeLimit(): void;
     /** Removes the time limit and the listener on the caller's signal. */
@@ -79,7 +77,6 @@
             controller.abort();
         },
         setTimeLimit,
-        timeOut,
         clearTimeLimit,
         dispose: () => {
             clearTimeLimit();
--- a/src/node/httpClient/silenceWatch.ts
+++ b/src/node/httpClient/silenceWatch.ts
@@ -1,17 +1,24 @@
 import type { Clock, Milliseconds } from "../../types/index.js";
 
-/** When a call ends because its peer is silent. */
+/** When a peer counts as silent during a call. */
 export interface SilenceLimit {
     /** Time without a byte; `Infinity` for no limit. */
     readonly after: Milliseconds;
-    /** Tells whether the call ends; if not, it is asked again after the same time. */
-    readonly mayEnd: () => boolean;
+    /**
+     * Called when the peer has been silent for that time, and again each time it has been for as long again. The call
+     * continues.
+     *
+     * @param silence - time since the last byte
+     */
+    readonly onSilent: (silence: Milliseconds) => void;
 }
 
 /** Running watch of a call. */
 export interface SilenceWatch {
     /** Records that bytes have arrived. */
     heard(): void;
+    /** @returns the longest time without a byte before the last one that arrived */
+    readLongest(): Milliseconds;
     /** Ends the watch. */
     end(): void;
 }
@@ -19,30 +26,24 @@
 /**
  * Watches a call for a time without a byte from its peer.
  *
- * @param limit - when the call ends
+ * @param limit - when the peer counts as silent
  * @param clock - time source
- * @param onSilent - ends the call
  * @returns the running watch
  */
-export function watchSilence(
-    { after, mayEnd }: SilenceLimit,
-    clock: Pick<Clock, "monotonic">,
-    onSilent: () => void,
-): SilenceWatch {
+export function watchSilence({ after, onSilent }: SilenceLimit, clock: Pick<Clock, "monotonic">): SilenceWatch {
     let timer: NodeJS.Timeout | undefined;
     let pendingCheck: NodeJS.Immediate | undefined;
     let heardAt = clock.monotonic();
+    let longest: Milliseconds = 0;
 
     function check(): void {
-        const left = heardAt + after - clock.monotonic();
-        if (left > 0) {
-            schedule(left);
-        }
-        else if (mayEnd()) {
-            onSilent();
+        const silence = clock.monotonic() - heardAt;
+        if (silence < after) {
+            schedule(after - silence);
         }
         else {
             schedule(after);
+            onSilent(silence);
         }
     }
 
@@ -58,8 +59,11 @@
     }
     return {
         heard: () => {
-            heardAt = clock.monotonic();
+            const now = clock.monotonic();
+            longest = Math.max(longest, now - heardAt);
+            heardAt = now;
         },
+        readLongest: () => longest,
         end: () => {
             clearTimeout(timer);
             clearImmediate(pendingCheck);
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -41,7 +41,7 @@
     readonly signal?: AbortSignal | undefined;
     /** Time limits that differ from those of the client. */
     readonly timeouts?: Partial<HttpTimeouts> | undefined;
-    /** Limit on the time without a byte, from the call to the end of the body. Default: the time limits only. */
+    /** When the peer counts as silent, from the call to the end of the body. Default: never. */
     readonly silence?: SilenceLimit | undefined;
     /**
      * Called once a connection is open, right before the request is written to it; the call fails without being written
@@ -95,6 +95,8 @@
      * `cause` is an {@link HttpFailure}.
      */
     readonly body: AsyncIterable<Uint8Array>;
+    /** Reads the longest time without a byte so far, from the start of the call to the last byte. */
+    readonly readLongestSilence: () => Milliseconds;
     /** Aborts the body and closes its connection. */
     discard(): void;
 }
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -133,7 +133,7 @@
             maximum: 600_000,
             defaultValue: 1_500,
             documentation:
-                "Time without a byte after which an idempotent request is retried at another backend server.",
+                "Shortest time without a byte after which an idempotent request is also sent to another backend server.",
         }),
         waitForEarlyAnswerShare: defineNumber({
             minimum: 0,
--- a/src/runtime/explain/findCauses.ts
+++ b/src/runtime/explain/findCauses.ts
@@ -73,14 +73,30 @@
         `no backend server could be chosen (${show(line, "reason")}), of ${show(line, "candidates")} candidates`;
 }
 
-function formatRetry(line: LogLine): string {
-    const canceled = show(line, "detail").startsWith("canceled");
-    const failure = canceled ?
+function formatFailure(line: LogLine): string {
+    return show(line, "detail").startsWith("canceled") ?
         `the caller disconnected or the time limit passed while backend server ${show(line, "peer")} had the request` :
         `backend server ${show(line, "peer")} failed (${show(line, "failure")}: ${show(line, "detail")})`;
-    return line.fields["choice"] === "retry" ?
-        `${failure}; the request was retried` :
-        `${failure}; the request was not retried: ${show(line, "reason")}`;
+}
+
+function formatSilence(line: LogLine): string {
+    return `backend server ${show(line, "peer")} was silent for ${show(line, "silence")} ms with ` +
+        `${show(line, "remaining")} ms left`;
+}
+
+/** What happened to a request after an attempt had failed, or while it was silent. */
+const retryFormatters: Readonly<Record<string, CauseFormatter>> = {
+    retry: line => `${formatFailure(line)}; the request was retried`,
+    hedge: line => `${formatSilence(line)}; the request was sent to another one beside it`,
+    wait: line =>
+        line.fields["silence"] === undefined ?
+            `${formatFailure(line)}; ${show(line, "reason")}` :
+            `${formatSilence(line)}; it was not sent to another one: ${show(line, "reason")}`,
+};
+
+function formatRetry(line: LogLine): string | undefined {
+    const format = findFormatter(retryFormatters, show(line, "choice"));
+    return format?.(line) ?? `${formatFailure(line)}; the request was not retried: ${show(line, "reason")}`;
 }
 
 const causeFormatters: Readonly<Record<string, CauseFormatter>> = {
--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -1,5 +1,6 @@
 export * from "./answerDelay.js";
 export * from "./answerPace.js";
+export * from "./answerSilence.js";
 export * from "./backendServers.js";
 export * from "./callerTimeouts.js";
 export * from "./declaredVersions.js";
--- a/src/runtime/gateway/placeShare.ts
+++ b/src/runtime/gateway/placeShare.ts
@@ -29,8 +29,8 @@
     /** Backend servers that may take requests. */
     readonly runners: readonly SharedRunner[];
     /**
-     * Requests that this gateway has in progress at other backend servers of the service, such as draining ones.
-     * Default: 0.
+     * Requests that this gateway has in progress at other backend servers of the service, such as draining ones, less
+     * the further attempts at requests, which share the place of the first one. Default: 0.
      */
     readonly inProgressElsewhere?: number | undefined;
     /** Gateways that share the free places, this one included. */
--- /dev/null
+++ b/src/runtime/retry/hedge.ts
@@ -0,0 +1,63 @@
+import type { Milliseconds } from "../../types/index.js";
+import { takeRetry } from "./budget.js";
+import type { RetryBudget, RetryOptions } from "./types.js";
+
+/** Input of `decideHedge`. */
+export interface HedgeInput {
+    readonly idempotent: boolean;
+    /** Attempts in flight, and those that have failed at a backend server. */
+    readonly attempts: number;
+    /** True if another attempt is in flight that began later or is not silent. */
+    readonly isOtherResponsive: boolean;
+    /** True if the answer has begun and no other backend server can continue it. */
+    readonly mustComplete: boolean;
+    /** True if the answer waits for its caller to read. */
+    readonly waitsForCaller: boolean;
+    /** True if the request, or a part of its prompt, may crash another backend server. */
+    readonly mayCrash: boolean;
+    /** True if another backend server can be chosen. */
+    readonly hasServer: boolean;
+    /** Requests that wait at that backend server, as far as is known. */
+    readonly waitingThere: number;
+    /** Time that the request has left. */
+    readonly remaining: Milliseconds;
+    /** Least time that another attempt must have. */
+    readonly needed: Milliseconds;
+    readonly budget: RetryBudget;
+    readonly now: Milliseconds;
+    readonly options: RetryOptions;
+}
+
+/** Result of `decideHedge`: start another attempt beside the silent one, or leave that one alone. */
+export interface HedgeDecision {
+    readonly kind: "hedge" | "wait";
+    readonly reason: string;
+}
+
+/** Reasons against another attempt, in the order in which they are checked; the last one takes from the budget. */
+const objections: Readonly<Record<string, (input: HedgeInput) => boolean>> = {
+    "the request is not idempotent": ({ idempotent }) => !idempotent,
+    "another attempt is not silent": ({ isOtherResponsive }) => isOtherResponsive,
+    "no other backend server can continue the answer": ({ mustComplete }) => mustComplete,
+    "the caller has not read what was sent": ({ waitsForCaller }) => waitsForCaller,
+    "the attempts are used up": ({ attempts, options }) => attempts >= options.maximumAttempts,
+    "another attempt may crash its backend server": ({ mayCrash }) => mayCrash,
+    "too little time is left": ({ needed, remaining }) => remaining < needed,
+    "no other backend server can be chosen": ({ hasServer }) => !hasServer,
+    // The attempt would wait behind requests that have no other one.
+    "requests wait at the other backend server": ({ waitingThere }) => waitingThere > 0,
+    "the retry budget is used up": ({ budget, now, options }) => !takeRetry(budget, now, options),
+};
+
+/**
+ * Decides whether another attempt is started beside one that is silent, which continues in any case.
+ *
+ * @param input - attempts, time left and budget; one retry is taken from the budget if the attempt is started
+ * @returns the decision
+ */
+export function decideHedge(input: HedgeInput): HedgeDecision {
+    const objection = Object.entries(objections).find(([, applies]) => applies(input));
+    return objection === undefined ?
+        { kind: "hedge", reason: "the backend server is silent" } :
+        { kind: "wait", reason: objection[0] };
+}
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -29,7 +29,7 @@
     readonly targetGap: Milliseconds | undefined;
     /** 0 is the most urgent. */
     readonly urgency: number;
-    /** Maximum number of backend servers that one request is sent to, one after the other. */
+    /** Maximum number of backend servers that one request is sent to. */
     readonly maximumAttempts: number;
     /** True if no API key is needed. */
     readonly isPublic: boolean;
--- a/test/runtime/explain/explainRequest.test.ts
+++ b/test/runtime/explain/explainRequest.test.ts
@@ -176,6 +176,21 @@
         ]);
     });
 
+    it("tells silent backend servers from those that failed", () => {
+        const silent = { peer: "i-1", silence: 1_500, remaining: 2_400 };
+        const lines = [
+            { ...silent, choice: "hedge", reason: "the backend server is silent" },
+            { peer: "i-2", choice: "wait", failure: "queue-full", detail: "not run", reason: "another is in flight" },
+            { ...silent, choice: "wait", reason: "the retry budget is used up" },
+        ].map(fields => ({ at: 0, instance: "front-1", msg: "retry decision", fields: { requestId, ...fields } }));
+        const described = "backend server i-1 was silent for 1500 ms with 2400 ms left";
+        expect(explainRequest(collect(lines), requestId)!.causes).toEqual([
+            `${described}; the request was sent to another one beside it`,
+            "backend server i-2 failed (queue-full: not run); another is in flight",
+            `${described}; it was not sent to another one: the retry budget is used up`,
+        ]);
+    });
+
     it("names no cause for messages and reasons that are properties of every object", () => {
         const written: readonly Written[] = ["__proto__", "constructor", "toString"].flatMap(name => [
             { at: 0, instance: "front-1", msg: name, fields: { requestId } },
