Count silence against a backend server although the others are busy

A hedged attempt is not started while requests wait at the other backend server. Silence was then not recorded, so a dead backend server was not ejected while all others were busy. It counts as a failure now, once for each attempt, as when the attempt is started. The table of test/runtime/retry/hedge.test.ts states for each decision whether it does.

--- a/src/node/gateway/attemptRace.ts
+++ b/src/node/gateway/attemptRace.ts
@@ -10,8 +10,8 @@
     readonly signal: AbortSignal;
     /** Monotonic time of the last byte before another attempt was considered; undefined if the peer was never silent. */
     silentSince: Milliseconds | undefined;
-    /** True once another attempt was started because this one was silent. */
-    isHedged: boolean;
+    /** True once its silence was recorded as a failure of the backend server. */
+    hasFailed: boolean;
     /** Tells whether other attempts are in flight. */
     hasRivals(): boolean;
     /**
@@ -82,7 +82,7 @@
             server,
             signal,
             silentSince: undefined,
-            isHedged: false,
+            hasFailed: false,
             hasRivals: () => running.size > 1,
             claim: () => {
                 if (!running.has(attempt)) {
--- a/src/node/gateway/attemptRunner.ts
+++ b/src/node/gateway/attemptRunner.ts
@@ -74,12 +74,12 @@
     return reachedServer(failure) && failure.reason !== "turned-away";
 }
 
-function classifyOutcome({ isHedged, signal }: RacingAttempt, outcome: Result<void, AttemptFailure>): RunnerOutcome {
+function classifyOutcome({ hasFailed, signal }: RacingAttempt, outcome: Result<void, AttemptFailure>): RunnerOutcome {
     if (outcome.isOk) {
         return "succeeded";
     }
-    // The failure of a hedged attempt was recorded when it was hedged.
-    return outcome.error.serverAtFault && !signal.aborted && !isHedged ? "failed" : "neutral";
+    // Silence was recorded as a failure when it was noticed.
+    return outcome.error.serverAtFault && !signal.aborted && !hasFailed ? "failed" : "neutral";
 }
 
 /**
--- a/src/node/gateway/hedging.ts
+++ b/src/node/gateway/hedging.ts
@@ -104,13 +104,13 @@
             const { instance } = attempt.server.listed;
             log.hedge(request, decision, { peer: instance, silence: now - attempt.silentSince!, remaining, budget });
         }
+        if (decision.countsAgainstServer && !attempt.hasFailed) {
+            attempt.hasFailed = true;
+            recordOutcome(attempt.server.runner, "failed", now, input.routing);
+        }
         if (decision.kind === "wait") {
             return;
         }
-        if (!attempt.isHedged) {
-            attempt.isHedged = true;
-            recordOutcome(attempt.server.runner, "failed", now, input.routing);
-        }
         metrics.countHedge(request);
         metrics.countRetry(request);
         log.routing(request, selection, progress.attempts + 1);
--- a/src/runtime/retry/hedge.ts
+++ b/src/runtime/retry/hedge.ts
@@ -32,8 +32,12 @@
 export interface HedgeDecision {
     readonly kind: "hedge" | "wait";
     readonly reason: string;
+    /** True if the silence counts as a failure of the backend server. */
+    readonly countsAgainstServer: boolean;
 }
 
+const busyReason = "requests wait at the other backend server";
+
 /** Reasons against another attempt, in the order in which they are checked; the last one takes from the budget. */
 const objections: Readonly<Record<string, (input: HedgeInput) => boolean>> = {
     "the request is not idempotent": ({ idempotent }) => !idempotent,
@@ -45,7 +49,7 @@
     "too little time is left": ({ needed, remaining }) => remaining < needed,
     "no other backend server can be chosen": ({ hasServer }) => !hasServer,
     // The attempt would wait behind requests that have no other one.
-    "requests wait at the other backend server": ({ waitingThere }) => waitingThere > 0,
+    [busyReason]: ({ waitingThere }) => waitingThere > 0,
     "the retry budget is used up": ({ budget, now, options }) => !takeRetry(budget, now, options),
 };
 
@@ -56,8 +60,8 @@
  * @returns the decision
  */
 export function decideHedge(input: HedgeInput): HedgeDecision {
-    const objection = Object.entries(objections).find(([, applies]) => applies(input));
-    return objection === undefined ?
-        { kind: "hedge", reason: "the backend server is silent" } :
-        { kind: "wait", reason: objection[0] };
+    const [reason] = Object.entries(objections).find(([, applies]) => applies(input)) ?? [];
+    return reason === undefined ?
+        { kind: "hedge", reason: "the backend server is silent", countsAgainstServer: true } :
+        { kind: "wait", reason, countsAgainstServer: reason === busyReason };
 }
--- a/test/runtime/retry/hedge.test.ts
+++ b/test/runtime/retry/hedge.test.ts
@@ -12,7 +12,7 @@
 function decide(changes: Partial<HedgeInput>): string {
     const budget = createRetryBudget(0, options);
     const { available } = budget;
-    const { kind, reason } = decideHedge({
+    const { countsAgainstServer, kind, reason } = decideHedge({
         idempotent: true,
         attempts: 1,
         isOtherResponsive: false,
@@ -28,15 +28,15 @@
         options,
         ...changes,
     });
-    return `${kind}: ${reason}; ${available - budget.available} taken`;
+    return `${kind}: ${reason}; ${available - budget.available} taken${countsAgainstServer ? ", failed" : ""}`;
 }
 
 describe("attempt beside one that is silent", () => {
     const empty = { available: 0, updatedAt: 0 };
     // Guards against a second run of a non-idempotent request, mixed answers, and retries beyond a limit.
     const cases: readonly (readonly [Partial<HedgeInput>, string])[] = [
-        [{}, "hedge: the backend server is silent; 1 taken"],
-        [{ remaining: 1_500 }, "hedge: the backend server is silent; 1 taken"],
+        [{}, "hedge: the backend server is silent; 1 taken, failed"],
+        [{ remaining: 1_500 }, "hedge: the backend server is silent; 1 taken, failed"],
         [{ idempotent: false }, "wait: the request is not idempotent; 0 taken"],
         [{ isOtherResponsive: true }, "wait: another attempt is not silent; 0 taken"],
         [{ mustComplete: true }, "wait: no other backend server can continue the answer; 0 taken"],
@@ -45,7 +45,7 @@
         [{ mayCrash: true }, "wait: another attempt may crash its backend server; 0 taken"],
         [{ remaining: 1_499 }, "wait: too little time is left; 0 taken"],
         [{ hasServer: false }, "wait: no other backend server can be chosen; 0 taken"],
-        [{ waitingThere: 1 }, "wait: requests wait at the other backend server; 0 taken"],
+        [{ waitingThere: 1 }, "wait: requests wait at the other backend server; 0 taken, failed"],
         [{ budget: empty }, "wait: the retry budget is used up; 0 taken"],
     ];
     for (const [changes, expected] of cases) {
