--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -1,5 +1,6 @@
 export * from "./answerDelay.js";
 export * from "./answerPace.js";
+export * from "./answerSilence.js";
 export * from "./backendServers.js";
 export * from "./callerTimeouts.js";
 export * from "./declaredVersions.js";
@@ -9,6 +10,7 @@
 export * from "./rateLimits.js";
 export * from "./reportedWeights.js";
 export * from "./requestFingerprint.js";
+export * from "./routeSamples.js";
 export * from "./routeTable.js";
 export * from "./serverNotices.js";
 export * from "./unreachableGateways.js";
