Let requests wait for a connection in the queue of their service

What callers saw: where this gateway may open few connections to each backend server (few are configured, or many gateways share them), a request waited until its time was over for a connection that a stream used, while another backend server was idle, and got 503.

Cause: the places of a service, and the choice of a backend server, counted its slots only. A request for which a slot but no connection was free left the queue, was bound to one backend server, and waited for its connection: without the order, the expected wait and the refusals of the queue.

Fix: a place takes a free connection too, which is this gateway's own, so it is not divided among the gateways. A backend server whose connections are all in use is chosen only if no other one can be.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -5,6 +5,7 @@
     Clock,
     GoldcrestpointError,
     KeyedLogPort,
+    ListedBackendServer,
     Milliseconds,
     RandomSource,
     RecordDecoder,
@@ -143,6 +144,8 @@
         notices,
         rateLimits,
     });
+    const readConnections = ({ service }: ListedBackendServer) =>
+        divideConnections(state.routes()?.services.get(service)?.maximumConnections, gateways.count());
     const choice = createServerSelector({
         state,
         zone: instance.zone,
@@ -152,6 +155,7 @@
         options: settings.routing,
         countGateways: gateways.count,
         queuedPerServer: gateway.queuedPerServer,
+        readConnections,
     });
     const queues = createAdmissionQueues({
         clock,
@@ -161,8 +165,7 @@
     const clients = stack.use(createBackendClients({
         connectTimeLimit: gateway.connectTimeLimit,
         maximumHeldBytes: gateway.maximumHeldAnswerBytes,
-        connections: ({ service }) =>
-            divideConnections(state.routes()?.services.get(service)?.maximumConnections, gateways.count()),
+        connections: readConnections,
     }));
     const containment = stack.use(createCrashContainment({
         log,
--- a/src/node/gateway/serverSelector.ts
+++ b/src/node/gateway/serverSelector.ts
@@ -15,7 +15,15 @@
     type RoutingOptions,
     selectRunner,
 } from "../../runtime/routing/index.js";
-import type { AvailabilityZone, Clock, Milliseconds, RandomSource, Region, ServiceRow } from "../../types/index.js";
+import type {
+    AvailabilityZone,
+    Clock,
+    ListedBackendServer,
+    Milliseconds,
+    RandomSource,
+    Region,
+    ServiceRow,
+} from "../../types/index.js";
 import { type GatewayState, listAcceptedWeights } from "./gatewayState.js";
 
 /** Dependencies of {@link createServerSelector}. */
@@ -29,6 +37,8 @@
     /** Counts the gateways that share the backend servers, this one included. */
     readonly countGateways: () => number;
     readonly queuedPerServer: number;
+    /** Reads how many connections this process may open to a backend server; undefined if that is not known. */
+    readonly readConnections: (listed: ListedBackendServer) => number | undefined;
 }
 
 /** Chosen backend server, with the decision for the log. */
@@ -143,6 +153,23 @@
         return late.length === 0 ? excluded : new Set([...excluded, ...late.map(({ listed }) => listed.instance)]);
     }
 
+    /** Lists the backend servers at which a further request would wait for a connection. */
+    function listFullyConnected(service: ServiceRow): readonly string[] {
+        return state.listServers(service.name)
+            .filter(({ listed, runner }) => runner.outstanding >= (input.readConnections(listed) ?? Infinity))
+            .map(({ listed }) => listed.instance);
+    }
+
+    function decide(service: ServiceRow, excluded: ReadonlySet<string>): RoutingDecision {
+        return selectRunner({
+            ...createCandidateInput(service, excluded),
+            zone: input.zone,
+            region: input.region,
+            prefix: undefined,
+            random: input.random,
+        });
+    }
+
     return {
         trackRequest: ({ name }, { runner }) => {
             runner.outstanding++;
@@ -153,13 +180,11 @@
             };
         },
         select: (service, excluded) => {
-            const decision = selectRunner({
-                ...createCandidateInput(service, excluded),
-                zone: input.zone,
-                region: input.region,
-                prefix: undefined,
-                random: input.random,
-            });
+            const full = listFullyConnected(service);
+            const connectable = decide(service, new Set([...excluded, ...full]));
+            const decision = connectable.kind === "selected" || full.length === 0 ?
+                connectable :
+                decide(service, excluded);
             const server = decision.kind === "selected" ? state.servers.get(decision.runner.instance) : undefined;
             const digest = server?.runner.manifestDigest;
             const version = digest === undefined ? undefined : parseWeightName(digest).version;
@@ -176,10 +201,14 @@
             const inProgressAtCandidates = candidates.reduce((sum, { outstanding }) => sum + outstanding, 0);
             const share = computePlaceShare({
                 inProgressElsewhere: (inProgress.get(service.name) ?? 0) - inProgressAtCandidates,
-                runners: candidates.map(runner => ({
-                    runner,
-                    isFollowed: state.servers.get(runner.instance)?.reportedAt !== undefined,
-                })),
+                runners: candidates.map(runner => {
+                    const row = state.servers.get(runner.instance);
+                    return {
+                        runner,
+                        isFollowed: row?.reportedAt !== undefined,
+                        connections: row && input.readConnections(row.listed),
+                    };
+                }),
                 gateways: input.countGateways(),
                 demand,
                 draw: readDraw(now),
--- a/src/runtime/gateway/placeShare.ts
+++ b/src/runtime/gateway/placeShare.ts
@@ -22,6 +22,8 @@
     readonly runner: RunnerRow;
     /** True if its agent reports each change of the load; a load stated in an answer goes stale unnoticed. */
     readonly isFollowed: boolean;
+    /** Connections that this process may open to it, each of which carries one request. Default: no limit. */
+    readonly connections?: number | undefined;
 }
 
 /** Input of {@link computePlaceShare}. */
@@ -76,6 +78,8 @@
  * their requests would queue at the backend server. A gateway with no requests in progress gets a whole place with the
  * probability of its fraction, since otherwise no gateway would ever get the last places.
  *
+ * A place at a backend server also takes a free connection, which this gateway shares with no other.
+ *
  * A candidate with a rate limit adds one whole place: its limit is divided among the gateways already, and leaves this
  * one a single request before the next pause.
  *
@@ -87,14 +91,17 @@
     let own = 0;
     let free = 0;
     let paced = 0;
-    for (const { isFollowed, runner } of runners) {
+    let connectable = 0;
+    for (const { connections = Infinity, isFollowed, runner } of runners) {
         const { capacity, outstanding, pace, reportedAt, reportedLoad, trial } = runner;
         const weight = isFollowed ? 1 : 2 ** (-Math.max(0, now - reportedAt) / options.loadHalfLife);
         own += outstanding;
         const available = trial === "none" ? capacity + options.queuedPerServer - reportedLoad * weight : 1;
-        const freeAtRunner = Math.max(0, available - outstanding);
+        const freeConnections = Math.max(0, connections - outstanding);
+        const freeAtRunner = freeConnections === 0 ? 0 : Math.max(0, available - outstanding);
         if (pace === undefined) {
             free += freeAtRunner;
+            connectable += Math.min(freeConnections, freeAtRunner);
         }
         else {
             paced += Math.min(1, Math.ceil(freeAtRunner));
@@ -102,7 +109,7 @@
     }
     const contenders = countContenders(input);
     const share = free / contenders;
-    const wholePlaces = own + Math.floor(share) + paced;
+    const wholePlaces = own + Math.floor(Math.min(share, connectable)) + paced;
     const places = wholePlaces === 0 && draw < share ? 1 : wholePlaces;
     return { places: places + inProgressElsewhere, own, free: free + paced, gateways, contenders };
 }
--- a/test/runtime/gateway/placeShare.test.ts
+++ b/test/runtime/gateway/placeShare.test.ts
@@ -59,6 +59,28 @@
         expect(computePlaceShare({ ...input, inProgressElsewhere: 5 }).places).toEqual(5 + 4);
     });
 
+    // Guards against requests that wait for a connection instead of in the queue.
+    for (
+        const { connections, outstanding, places } of [
+            { connections: 1, outstanding: 0, places: 1 },
+            { connections: 2, outstanding: 2, places: 2 },
+            { connections: 2, outstanding: 5, places: 5 },
+            { connections: 9, outstanding: 1, places: 4 },
+            { connections: undefined, outstanding: 1, places: 4 },
+        ]
+    ) {
+        it(`needs a free connection for each further request: ${outstanding} of ${connections} in use`, () => {
+            const runner = Object.assign(
+                createRunnerRow("archive", { instance: "i-1", zone: "zone-a", region: "south" }),
+                { capacity: 4, outstanding },
+            );
+            const options = { queuedPerServer: 0, loadHalfLife: 1_000 };
+            const runners = [{ runner, isFollowed: true, connections }];
+            expect(computePlaceShare({ runners, gateways: 1, demand: busy, draw: 0, now: 0, options }).places)
+                .toEqual(places);
+        });
+    }
+
     it("comes with the values that it was computed from", () => {
         expect(share(13, busy, 1, { own: 1, others: 2 })).toEqual({
             places: 1,
