Read the records of the gateways once for each change instead of several times for each request

What was seen: a gateway parsed the records of all gateways whenever it needed their number: for each place that it computed, so several times for each request, and with the check of free connections for each backend server. With 359 gateways, one of the largest sites, that took 3.2 ms each time, on a machine with other load. Timers of the process run late for as long.

Fix: the list is kept until a record of a gateway changes.

The test of the list states that it follows added, unreadable and removed records; it passes without the change too.

--- a/src/node/gateway/gatewayList.ts
+++ b/src/node/gateway/gatewayList.ts
@@ -38,14 +38,27 @@
         region: instance.region,
         startedAt: clock.now().getTime(),
     };
+    /** Undefined after a change; the records are read for each request otherwise. */
+    let known: readonly KnownInstance[] | undefined;
+    store.onChange(topic => {
+        if (topic === "instances") {
+            known = undefined;
+        }
+    });
+
+    function listRegistered(): readonly KnownInstance[] {
+        known ??= listInstances(store);
+        return known;
+    }
+
     return {
         self,
         listAddresses: () => {
-            const registered = listInstances(store).map(({ address }) => address);
+            const registered = listRegistered().map(({ address }) => address);
             const seeds = readSeeds().map(address => `${splitAddress(address).host}:${relayPort}`);
             return [...new Set([...registered, ...seeds])].filter(address => address !== self.address);
         },
-        listIdentifiers: () => listInstances(store).map(row => row.instance),
-        count: () => Math.max(1, listInstances(store).length),
+        listIdentifiers: () => listRegistered().map(row => row.instance),
+        count: () => Math.max(1, listRegistered().length),
     };
 }
