Record when requests were sent and answers were ready in soaks

Channels tell when a whole request had been sent and which error ended the connection, send bodies in any number of parts or chunks, and finish the body of a request that is answered early before they are used again. Runners record who ran what, and when the whole answer would have been there; they can be made silent for a time.

--- a/test/platform/standIn/channel.ts
+++ b/test/platform/standIn/channel.ts
@@ -13,6 +13,10 @@
     readonly head: string;
     readonly bodyBytes: number;
     readonly milliseconds: number;
+    /** Milliseconds after which the whole request had been handed to the system; undefined if it never was. */
+    readonly sentAfter: number | undefined;
+    /** Code of the error that ended the connection; undefined if there was none. */
+    readonly error: string | undefined;
 }
 
 /** Options of {@link Channel.call}. */
@@ -23,9 +27,14 @@
     readonly deadline: number;
     /** Bytes a second that the caller reads. Default: as many as arrive. */
     readonly bytesPerSecond?: number | undefined;
-    /** Body, whose second half is sent after `bodyPause` milliseconds. Default: none. */
+    /** API key. Default: the one of the operator's configuration. */
+    readonly key?: string | undefined;
+    /** Body, sent in `bodyParts` parts (default: 2) with pauses of `bodyPause` milliseconds between them. Default: none. */
     readonly body?: string | undefined;
+    readonly bodyParts?: number | undefined;
     readonly bodyPause?: number | undefined;
+    /** True if the body is sent in chunks instead of with a length. */
+    readonly isChunked?: boolean | undefined;
 }
 
 /** Connection of a caller that is kept open for several requests. */
@@ -69,27 +78,47 @@
     private kept = 0;
 }
 
-async function sendRequest(socket: Socket, call: ChannelCall): Promise<void> {
-    const { attemptId, body = "", bodyPause = 0, deadline, path } = call;
+function write(socket: Socket, text: string): Promise<void> {
+    return new Promise(resolve => void socket.write(text, () => resolve()));
+}
+
+function encodePart(part: string, isChunked: boolean): string {
+    return isChunked ? `${part.length.toString(16)}\r\n${part}\r\n` : part;
+}
+
+/** Sends a request; tells whether all of it was handed to the system. */
+async function sendRequest(socket: Socket, call: ChannelCall): Promise<boolean> {
+    const { attemptId, body = "", bodyParts = 2, bodyPause = 0, deadline, isChunked = false, key = "key-1", path } =
+        call;
     const head = [
         `POST ${path} HTTP/1.1`,
         "host: members.example",
         `attempt-id: ${attemptId}`,
         `deadline-ms: ${deadline}`,
-        "authorization: Token key-1",
-        `content-length: ${body.length}`,
+        `authorization: Token ${key}`,
+        isChunked ? "transfer-encoding: chunked" : `content-length: ${body.length}`,
     ].join("\r\n");
-    const half = Math.floor(body.length / 2);
-    socket.write(head + headEndMark + body.slice(0, half));
-    if (bodyPause > 0) {
-        await sleep(bodyPause);
+    const size = Math.max(1, Math.ceil(body.length / bodyParts));
+    let sent = write(socket, head + headEndMark + encodePart(body.slice(0, size), isChunked && body !== ""));
+    for (let from = size; from < body.length; from += size) {
+        if (bodyPause > 0) {
+            await sleep(bodyPause);
+        }
+        if (socket.destroyed) {
+            return false;
+        }
+        sent = write(socket, encodePart(body.slice(from, from + size), isChunked));
     }
-    if (body.length > 0 && !socket.destroyed) {
-        socket.write(body.slice(half));
+    if (isChunked) {
+        sent = write(socket, "0\r\n\r\n");
     }
+    await sent;
+    return !socket.destroyed;
 }
 
-function receive(socket: Socket, call: ChannelCall): Promise<CallResult> {
+type ReceivedAnswer = Omit<CallResult, "sentAfter" | "error">;
+
+function receive(socket: Socket, call: ChannelCall): Promise<ReceivedAnswer> {
     return new Promise(resolve => {
         const answer = new Answer();
         const startedAt = performance.now();
@@ -145,14 +174,23 @@
     catch {
         return undefined;
     }
-    socket.on("error", () => {});
+    let error: string | undefined;
+    socket.on("error", ({ code }: NodeJS.ErrnoException) => {
+        error = code;
+    });
     socket.on("end", () => socket.destroy());
     return {
         isOpen: () => !socket.destroyed,
         call: async options => {
+            const startedAt = performance.now();
             const received = receive(socket, options);
-            await Promise.race([sendRequest(socket, options), received]);
-            return received;
+            let sentAfter: number | undefined;
+            const sent = sendRequest(socket, options).then(isWhole => {
+                sentAfter = isWhole ? performance.now() - startedAt : undefined;
+            });
+            const answer = await received;
+            await sent;
+            return { ...answer, sentAfter, error };
         },
         [Symbol.dispose]: () => void socket.destroy(),
     };
--- a/test/platform/standIn/workRunner.ts
+++ b/test/platform/standIn/workRunner.ts
@@ -5,6 +5,12 @@
 /** Request that a runner has begun to work on. */
 export interface Work {
     readonly attemptId: string;
+    /** Identifier of the runner. */
+    readonly instance: string;
+    /** Monotonic time in milliseconds at which the work began. */
+    readonly startedAt: number;
+    /** Monotonic time in milliseconds at which the whole answer was ready, even if its channel had ended before. */
+    readyAt: number | undefined;
     /** Monotonic time in milliseconds at which the runner had written its whole answer; undefined before. */
     answeredAt: number | undefined;
     /** True if the channel ended before the whole answer was written. */
@@ -14,25 +20,36 @@
 /** Runner whose work is described by the query of each request. */
 export interface WorkRunner extends HttpStandIn {
     readonly work: readonly Work[];
+    /** Holds back all bytes of answers for a number of milliseconds, while the work continues. */
+    pause(milliseconds: number): void;
 }
 
 function readNumber(url: URL, name: string, byDefault: number): number {
     return Number(url.searchParams.get(name) ?? byDefault);
 }
 
-async function sendEvents(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
+type WaitWhilePaused = () => Promise<void>;
+
+async function sendEvents(
+    url: URL,
+    request: IncomingMessage,
+    response: ServerResponse,
+    waitWhilePaused: WaitWhilePaused,
+): Promise<void> {
     const events = readNumber(url, "events", 1);
     const filling = "x".repeat(readNumber(url, "eventBytes", 1));
     const silentAfter = readNumber(url, "silentAfter", 0);
     const first = Number(request.headers["last-event-id"] ?? 0) + 1;
-    for (let id = first; id <= events && !response.destroyed; id++) {
-        response.write(`id: ${id}\ndata: ${filling}\n\n`);
+    for (let id = first; id <= events; id++) {
+        await waitWhilePaused();
+        if (!response.destroyed) {
+            response.write(`id: ${id}\ndata: ${filling}\n\n`);
+        }
         await sleep(readNumber(url, "interval", 1));
         if (id === silentAfter) {
             await sleep(readNumber(url, "silence", 0));
         }
     }
-    response.end();
 }
 
 /**
@@ -45,13 +62,28 @@
  */
 export async function startWorkRunner(id: string): Promise<WorkRunner> {
     const all: Work[] = [];
+    let pausedUntil = 0;
+
+    async function waitWhilePaused(): Promise<void> {
+        for (let left = pausedUntil - performance.now(); left > 0; left = pausedUntil - performance.now()) {
+            await sleep(left);
+        }
+    }
+
     const standIn = await startHttpStandIn(async (request, response, url) => {
         const attemptId = String(request.headers["attempt-id"]);
         if (request.headers["expect-instance"] !== id) {
             response.writeHead(421, { "attempt-id": attemptId }).end();
             return;
         }
-        const work: Work = { attemptId, answeredAt: undefined, isCanceled: false };
+        const work: Work = {
+            attemptId,
+            instance: id,
+            startedAt: performance.now(),
+            readyAt: undefined,
+            answeredAt: undefined,
+            isCanceled: false,
+        };
         all.push(work);
         response.once("finish", () => {
             work.answeredAt = performance.now();
@@ -60,6 +92,7 @@
             work.isCanceled = !response.writableFinished;
         });
         await sleep(readNumber(url, "work", 0));
+        await waitWhilePaused();
         const isStream = url.searchParams.has("events");
         response.writeHead(200, {
             "attempt-id": attemptId,
@@ -68,11 +101,18 @@
             "content-type": isStream ? "text/event-stream" : "text/plain",
         });
         if (isStream) {
-            await sendEvents(url, request, response);
+            await sendEvents(url, request, response, waitWhilePaused);
         }
-        else {
-            response.end(Buffer.alloc(readNumber(url, "bytes", 16), "a"));
+        work.readyAt = performance.now();
+        if (!response.destroyed) {
+            response.end(isStream ? undefined : Buffer.alloc(readNumber(url, "bytes", 16), "a"));
         }
     });
-    return { ...standIn, work: all };
+    return {
+        ...standIn,
+        work: all,
+        pause: milliseconds => {
+            pausedUntil = Math.max(pausedUntil, performance.now() + milliseconds);
+        },
+    };
 }
