--- a/test/platform/standIn/workRunner.ts
+++ b/test/platform/standIn/workRunner.ts
@@ -19,6 +19,7 @@
 
 /** Runner whose work is described by the query of each request. */
 export interface WorkRunner extends HttpStandIn {
+    readonly instance: string;
     readonly work: readonly Work[];
     /** Holds back all bytes of answers for a number of milliseconds, while the work continues. */
     pause(milliseconds: number): void;
@@ -110,6 +111,7 @@
     });
     return {
         ...standIn,
+        instance: id,
         work: all,
         pause: milliseconds => {
             pausedUntil = Math.max(pausedUntil, performance.now() + milliseconds);
