Allow for answers on their way before an idle connection is closed

What callers saw: a connection that was closed while its caller still read the answer before, or right after it. A request that crosses the close gets neither an answer nor a refusal.

Cause: the idle limit begins when the operating system has taken the answer, of which it may hold several megabytes for a caller that reads slowly. What the caller has received cannot be seen by the process.

Fix: the margin beyond the stated limit is 5 s instead of 1 s. The limits bound the callers, so a connection may stay open for longer.

A caller that takes longer than the margin to read what the system holds is still affected.

--- a/src/node/httpServer/connectionState.ts
+++ b/src/node/httpServer/connectionState.ts
@@ -35,8 +35,8 @@
     readonly lateness: Milliseconds;
 }
 
-/** Time beyond the stated idle limit for which a request may be on its way. */
-const idleMargin: Milliseconds = 1_000;
+/** Time beyond the stated idle limit for which the last response or the next request may be on its way. */
+const idleMargin: Milliseconds = 5_000;
 /** Time in a shutdown in which the peer may send its next request, which is then answered. */
 const shutdownMargin: Milliseconds = 100;
 
--- a/test/red/idleLimitOfSlowReaders.test.ts
+++ b/test/platform/idleLimitOfSlowReaders.test.ts
@@ -3,8 +3,8 @@
 import { connect } from "node:net";
 import { describe, it } from "node:test";
 import { sleep } from "../../src/utils/index.js";
-import { operatorConfiguration, startDeployment } from "../platform/standIn/deployment.js";
-import { startWorkRunner } from "../platform/standIn/workRunner.js";
+import { operatorConfiguration, startDeployment } from "./standIn/deployment.js";
+import { startWorkRunner } from "./standIn/workRunner.js";
 
 const idleLimit = 500;
 const answerBytes = 2_000_000;
