Start no attempt for one that has lost its request

A notice of silence that was already queued when another attempt claimed the answer could still start a further attempt, after the caller had been answered. An attempt that claims the answer is no longer silent either, so a later failure of another one does not start an attempt beside it at once.

--- a/src/node/gateway/attemptRace.ts
+++ b/src/node/gateway/attemptRace.ts
@@ -8,7 +8,7 @@
     readonly server: BackendServerRow;
     /** Aborted when the request is, or when another attempt has claimed the answer. */
     readonly signal: AbortSignal;
-    /** Monotonic time of the last byte before another attempt was considered; undefined if the peer was never silent. */
+    /** Monotonic time from which on the peer has been silent; undefined if it is not known to be silent. */
     silentSince: Milliseconds | undefined;
     /** True once its silence was recorded as a failure of the backend server. */
     hasFailed: boolean;
@@ -48,11 +48,11 @@
 }
 
 /**
- * Tells whether a peer of an attempt is silent, as far as is known.
+ * Reads how long the peer of an attempt has been silent.
  *
  * @param attempt - the attempt
  * @param clock - time source
- * @returns time since the last byte; 0 if it was not silent for long
+ * @returns time since the last byte; 0 if the peer is not known to be silent
  */
 export function readSilence({ silentSince }: RacingAttempt, clock: Pick<Clock, "monotonic">): Milliseconds {
     return silentSince === undefined ? 0 : clock.monotonic() - silentSince;
@@ -89,6 +89,7 @@
                     return false;
                 }
                 [...running.keys()].filter(other => other !== attempt).forEach(cancel);
+                attempt.silentSince = undefined;
                 return true;
             },
         };
--- a/src/node/gateway/hedging.ts
+++ b/src/node/gateway/hedging.ts
@@ -82,6 +82,9 @@
         const { service } = request;
         const now = clock.monotonic();
         const inFlight = progress.race.listInFlight();
+        if (!inFlight.includes(attempt)) {
+            return;
+        }
         const remaining = request.endsAt - now;
         const budget = input.findBudget(service.name);
         const selection = input.choice.select(service, progress.excluded);
