Limit the time in which a stopping server accepts the connections that wait

What callers would have seen: answers in progress that are cut by SIGKILL, since a gateway to which connections keep coming accepted up to 1,024 more of them, one in each iteration of its event loop, before its drain went on. Queued requests were refused only after that.

Cause: the wait for the accept queue, which added, had no time limit.

Fix: the wait ends after half of what is left of the drain, and after half of their time for the other servers. Queued requests are refused when it begins.

--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -53,8 +53,13 @@
     applyLimits(limits: CallerLimits): void;
     /** Asks callers from now on to close their connections, with `connection: close`. */
     beginShutdown(): void;
-    /** Stops accepting connections, and closes each one as soon as no answer is left to send on it. */
-    stopAccepting(): Promise<void>;
+    /**
+     * Refuses further requests, stops accepting connections, and closes each one as soon as no answer is left to send on
+     * it.
+     *
+     * @param timeLimit - time in which connections that have arrived are accepted
+     */
+    stopAccepting(timeLimit: Milliseconds): Promise<void>;
     /** Counts the answers that have not been sent completely, including those that have not begun. */
     readonly countOpen: () => OpenAnswerCounts;
 }
@@ -315,13 +320,13 @@
                 beginShutdown: () => {
                     closing = true;
                 },
-                stopAccepting: () => {
+                stopAccepting: timeLimit => {
                     stopped = true;
-                    return server.stopAccepting();
+                    return server.stopAccepting(timeLimit);
                 },
                 countOpen: answers.count,
                 [Symbol.asyncDispose]: async () => {
-                    await server.stopAccepting();
+                    await server.stopAccepting(0);
                     answers.endDrain();
                     await server.stop(input.closeTimeLimit);
                 },
--- a/src/node/gateway/drainCallers.ts
+++ b/src/node/gateway/drainCallers.ts
@@ -6,6 +6,8 @@
 
 /** Interval at which open requests are counted. */
 const countInterval: Milliseconds = 100;
+/** Share of the rest of a drain in which connections that have arrived may still be accepted. */
+const acceptShare = 0.5;
 
 /**
  * Accepts new connections and starts queued requests for a while, then waits for the requests in progress.
@@ -26,8 +28,9 @@
     const limit = Math.max(0, instance.drainTimeLimit - gateway.shutdownMargin);
     const endsAt = clock.monotonic() + limit;
     await sleep(Math.min(gateway.acceptAfterShutdown, limit));
-    await callers.stopAccepting();
+    const stopping = callers.stopAccepting((endsAt - clock.monotonic()) * acceptShare);
     queues.close();
+    await stopping;
     while (callers.countOpen().open > 0 && clock.monotonic() < endsAt) {
         await sleep(countInterval);
     }
--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -26,8 +26,6 @@
 const stallThreshold: Milliseconds = 300;
 /** Time after a standstill in which what was sent meanwhile arrives, after it was sent again. */
 const deliveryTime: Milliseconds = 1_000;
-/** Number of connections that may wait to be accepted when the server stops. */
-const maximumWaiting = 1_024;
 const headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /** Time and bytes for which the rest of a request is discarded after the end of its connection. */
 const lingerLimits = { time: 5_000, bytes: 8_388_608 };
@@ -129,9 +127,13 @@
         this.scheduleCheck();
     }
 
-    /** Stops listening after accepting the connections that wait for it, which would be reset otherwise. */
-    async stopAccepting(): Promise<void> {
-        await this.acceptWaiting();
+    /**
+     * Stops listening after accepting the connections that wait for it, which would be reset otherwise.
+     *
+     * @param timeLimit - time in which they are accepted
+     */
+    async stopAccepting(timeLimit: Milliseconds): Promise<void> {
+        await this.acceptWaiting(timeLimit);
         this.close();
     }
 
@@ -141,11 +143,12 @@
      * @param timeLimit - time after which the connections that are left are destroyed
      */
     async stop(timeLimit: Milliseconds): Promise<void> {
-        await this.acceptWaiting();
+        const endsAt = this.clock.monotonic() + timeLimit;
+        await this.acceptWaiting(timeLimit / 2);
         await new Promise<void>(resolve => {
             const timer = setTimeout(
                 () => setImmediate(() => this.states.forEach((...[, socket]) => socket.destroy())),
-                timeLimit,
+                Math.max(0, endsAt - this.clock.monotonic()),
             );
             this.close(() => {
                 clearTimeout(timer);
@@ -154,15 +157,15 @@
         });
     }
 
-    private async acceptWaiting(): Promise<void> {
-        // The event loop can accept a single connection in each iteration.
-        for (let polls = 0; polls < maximumWaiting; polls++) {
-            const before = this.accepted;
+    private async acceptWaiting(timeLimit: Milliseconds): Promise<void> {
+        const endsAt = this.clock.monotonic() + timeLimit;
+        let before: number;
+        // The event loop can accept a single connection in each iteration, and further ones may arrive meanwhile.
+        do {
+            before = this.accepted;
             await awaitPoll();
-            if (this.accepted === before) {
-                return;
-            }
         }
+        while (this.accepted > before && this.clock.monotonic() < endsAt);
     }
 
     private startChecks(interval: Milliseconds): NodeJS.Timeout {
--- a/test/node/gateway/serverSelector.test.ts
+++ b/test/node/gateway/serverSelector.test.ts
@@ -30,6 +30,7 @@
         options: resolveRoutingOptions(),
         countGateways: () => 1,
         queuedPerServer: 0,
+        readConnections: () => undefined,
     });
 }
 
--- a/test/platform/configurationSoak.test.ts
+++ b/test/platform/configurationSoak.test.ts
@@ -9,13 +9,7 @@
 import { startGatewayFleet } from "./standIn/gatewayFleet.js";
 import { between, pick } from "./standIn/seededChoice.js";
 import { makeTrouble, startRunnerPool, type TroubledPlay, troubleKinds } from "./standIn/soakTroubles.js";
-import {
-    describeCall,
-    faultVerdicts,
-    judgeCalls,
-    type JudgedCall,
-    type SoakVerdict,
-} from "./standIn/soakVerdicts.js";
+import { describeCall, faultVerdicts, judgeCalls, type JudgedCall, type SoakVerdict } from "./standIn/soakVerdicts.js";
 import { startStoreStandIn } from "./standIn/storeStandIn.js";
 
 const firstSeed = Number(process.env["CONFIGURATION_FIRST_SEED"] ?? 1);
