--- a/test/platform/configurationSeries.test.ts
+++ b/test/platform/configurationSeries.test.ts
@@ -13,11 +13,11 @@
 import { startStoreStandIn } from "./standIn/storeStandIn.js";
 import { startWorkRunner, type WorkRunner } from "./standIn/workRunner.js";
 
-const firstSeed = Number(process.env["CONFIGURATION_FIRST_SEED"] ?? 1);
-const seeds = Number(process.env["CONFIGURATION_SEEDS"] ?? 1);
-const playMilliseconds = Number(process.env["CONFIGURATION_SECONDS"] ?? 20) * 1_000;
-const longestPause = Number(process.env["CONFIGURATION_PAUSE"] ?? 1_000);
-const logFolder = process.env["CONFIGURATION_LOGS"];
+const firstSeed = Number(process.env["CONFIGURATION_SERIES_FIRST_SEED"] ?? 1);
+const seeds = Number(process.env["CONFIGURATION_SERIES_SEEDS"] ?? 1);
+const playMilliseconds = Number(process.env["CONFIGURATION_SERIES_SECONDS"] ?? 20) * 1_000;
+const longestPause = Number(process.env["CONFIGURATION_SERIES_PAUSE"] ?? 1_000);
+const logFolder = process.env["CONFIGURATION_SERIES_LOGS"];
 
 const callers: Readonly<Record<CallerKind, number>> = {
     ordinary: 14,
