--- a/test/red/skippedRemoval.test.ts
+++ b/test/red/skippedRemoval.test.ts
@@ -21,7 +21,11 @@
             nextOffset: follower.nextOffset,
             carriedChanges: undefined,
         });
-        mergePage(follower, { page: { records: [...records], nextOffset: started.nextOffset }, complete, currentAt: 2 });
+        mergePage(follower, {
+            page: { records: [...records], nextOffset: started.nextOffset },
+            complete,
+            currentAt: 2,
+        });
         const removal = { key: "i-1", value: undefined, offset: 30 };
         mergePage(follower, { page: { records: [removal], nextOffset: 31 }, complete: false, currentAt: 3 });
         expect(follower.records.get("i-1")?.value).toEqual(undefined);
