Send the whole answer that a request has when its time is over

What callers saw: nothing at their deadline, although a backend server had answered with an error, since the attempt beside it was silent until the end. If that one failed, its failure replaced the answer with 502 or 504.

Cause: an attempt that ends while another one is in flight was forgotten.

Fix: the newest whole answer with a server error is kept. It is sent if no attempt brings another one, and 100 ms before the end of the request at the latest.

--- a/src/node/gateway/answerRelay.ts
+++ b/src/node/gateway/answerRelay.ts
@@ -82,25 +82,34 @@
     };
 }
 
+/** Times at which a stream has delivered something. */
+interface StreamProgress {
+    /** Monotonic time of the last complete event, or of the last check that found none for too long. */
+    readonly lastEventAt: Milliseconds;
+    /** Monotonic time of the last bytes. */
+    readonly lastPartAt: Milliseconds;
+}
+
 /**
- * Checks that a stream still delivers complete events.
+ * Checks that a stream that delivers bytes still delivers complete events. The time since the last bytes does not count:
+ * the event loop may have been blocked, and the rest of the event may have arrived meanwhile.
  *
- * @returns time from which on the next silence counts
+ * @returns the progress with the part that has just arrived
  */
 function checkProgress(
     { limits }: OpenedAnswer,
     events: number,
-    lastEventAt: Milliseconds,
+    { lastEventAt, lastPartAt }: StreamProgress,
     now: Milliseconds,
-): Milliseconds {
-    if (events > 0) {
-        return now;
+): StreamProgress {
+    const silence = lastPartAt - lastEventAt;
+    if (events === 0 && silence <= limits.silentAfter) {
+        return { lastEventAt, lastPartAt: now };
     }
-    if (now - lastEventAt <= limits.silentAfter) {
-        return lastEventAt;
+    if (events === 0) {
+        limits.onSilent(silence);
     }
-    limits.onSilent(now - lastEventAt);
-    return now;
+    return { lastEventAt: now, lastPartAt: now };
 }
 
 function readMediaType({ headers }: OpenedAnswer): string | undefined {
@@ -142,12 +151,13 @@
         const splitter = createEventSplitter();
         const isContinuation = writer.headSent();
         let bytes = 0;
-        let lastEventAt = clock.monotonic();
+        const startedAt = clock.monotonic();
+        let delivered: StreamProgress = { lastEventAt: startedAt, lastPartAt: startedAt };
         try {
             for await (const part of answer.body) {
                 bytes += part.byteLength;
                 const events = splitter.push(part);
-                lastEventAt = checkProgress(answer, events.length, lastEventAt, clock.monotonic());
+                delivered = checkProgress(answer, events.length, delivered, clock.monotonic());
                 for (const event of events) {
                     // The body still yields parts that arrived before the request was aborted.
                     attempt.signal.throwIfAborted();
--- a/src/node/gateway/attemptRunner.ts
+++ b/src/node/gateway/attemptRunner.ts
@@ -127,7 +127,9 @@
             }
             attempt.silentSince = undefined;
             const relayed = await relay.relayAnswer(request, progress, opened.value, {
-                ...attempt,
+                signal: attempt.signal,
+                claim: () => attempt.claim(),
+                hasRivals: () => attempt.hasRivals(),
                 answered: succeeded => tracked.answered(succeeded),
             });
             if (relayed.isOk) {
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callerServer.ts
@@ -68,7 +68,7 @@
 const highestPriority = 9;
 /** Retry time in seconds while the gateway has no configuration or no service for the route. */
 const unconfiguredRetryAfterSeconds = 0.5;
-/** Lateness of a timer from which on the process must have stood still. */
+/** Lateness of a check from which on it is logged. */
 const loggedLateness: Milliseconds = 300;
 /** Maximum size of the headers until a configuration is known. */
 const initialMaximumHeaderBytes = 16_384;
--- a/src/node/gateway/finalAnswer.ts
+++ b/src/node/gateway/finalAnswer.ts
@@ -5,13 +5,7 @@
 import type { RequestLog } from "./requestLog.js";
 import type { RequestProgress } from "./requestProgress.js";
 import type { ServerSelection } from "./serverSelector.js";
-import type { AbortReason, AttemptFailure, GatewayRequest } from "./types.js";
-
-/** Final answer to a request that no backend server has answered. */
-export interface FinalFailure {
-    readonly refusal: Refusal;
-    readonly failure: AttemptFailure | undefined;
-}
+import type { AbortReason, GatewayRequest } from "./types.js";
 
 /** Ends requests that no backend server has answered. */
 export interface FinalAnswers {
@@ -19,10 +13,10 @@
      * Ends a request after its last attempt.
      *
      * @param request - the request
-     * @param progress - what was sent to the caller
-     * @param final - refusal, and how the last attempt failed
+     * @param progress - what was sent to the caller, and the answer of a backend server that is left for it
+     * @param refusal - what the caller gets without such an answer
      */
-    fail(request: GatewayRequest, progress: RequestProgress, final: FinalFailure): void;
+    fail(request: GatewayRequest, progress: RequestProgress, refusal: Refusal): void;
     /**
      * Refuses a request that was not sent to any backend server.
      *
@@ -78,16 +72,16 @@
     metrics: Pick<GatewayMetrics, "countOutcome" | "countRefusal">,
 ): FinalAnswers {
     return {
-        fail: (request, progress, { failure, refusal }) => {
+        fail: (request, progress, refusal) => {
             const reason = request.readAbortReason();
             if (reason === "caller-gone" || progress.writer.headSent()) {
                 metrics.countOutcome(request, reason === "caller-gone" ? "canceled" : "broken-off");
                 progress.writer.abort();
                 return;
             }
-            if (failure?.answer !== undefined) {
+            if (progress.answer !== undefined) {
                 metrics.countOutcome(request, "server-error");
-                sendAnswer(request.response, failure.answer);
+                sendAnswer(request.response, progress.answer);
                 return;
             }
             metrics.countOutcome(request, refusal.ran === "no" ? "refused" : "failed");
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -7,21 +7,17 @@
     type RetryOptions,
 } from "../../runtime/retry/index.js";
 import type { RoutingOptions } from "../../runtime/routing/index.js";
-import type { CallerProtocol, Clock, Milliseconds } from "../../types/index.js";
+import type { CallerProtocol, Clock, Milliseconds, Refusal } from "../../types/index.js";
+import { sleep } from "../../utils/index.js";
 import type { AdmissionQueues } from "./admissionQueues.js";
 import { createAnswerRelay } from "./answerRelay.js";
-import { createAttemptRace } from "./attemptRace.js";
+import { createAttemptRace, type EndedAttempt } from "./attemptRace.js";
 import { createAttemptRunner } from "./attemptRunner.js";
 import type { BackendClients } from "./backendClients.js";
 import { createStreamWriter } from "./callerAnswer.js";
 import { type CrashEvidenceReader, createCrashRefusals, describeCondemned } from "./crashRefusals.js";
 import type { CrashWatch } from "./crashWatch.js";
-import {
-    createFinalAnswers,
-    describeUnavailable,
-    type FinalFailure,
-    unavailableRetryAfterSeconds,
-} from "./finalAnswer.js";
+import { createFinalAnswers, describeUnavailable, unavailableRetryAfterSeconds } from "./finalAnswer.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { createHedging } from "./hedging.js";
 import type { RateLimits } from "./rateLimits.js";
@@ -54,6 +50,15 @@
     readonly metrics: GatewayMetrics;
 }
 
+/** Time before the end of a request at which it gets the answer that it has, although other attempts are in flight. */
+const answerMargin: Milliseconds = 100;
+
+const serverError: Refusal = {
+    ran: "unknown",
+    reason: "backend-server-error",
+    retryAfterSeconds: unavailableRetryAfterSeconds,
+};
+
 /**
  * Creates the function that serves allowed requests.
  *
@@ -93,26 +98,44 @@
     }
 
     /** Starts an attempt while none is in flight; returns the reason if none can be started. */
-    function startNext(request: GatewayRequest, progress: RequestProgress): FinalFailure | undefined {
+    function startNext(request: GatewayRequest, progress: RequestProgress): Refusal | undefined {
         const crashRefusal = crashRefusals.find(request, progress);
         if (crashRefusal !== undefined) {
             log.refusal(request, crashRefusal);
             if (progress.attempts === 0) {
                 metrics.countRefusal(request, crashRefusal.reason);
             }
-            return { refusal: crashRefusal, failure: undefined };
+            return crashRefusal;
         }
         const selection = selector.select(request.service, progress.excluded);
         log.routing(request, selection, progress.attempts + 1);
         if (selection.decision.kind === "none" || selection.server === undefined) {
             const ran = progress.mayHaveRun ? "unknown" : "no";
-            return { refusal: describeUnavailable(request, selection, ran), failure: undefined };
+            return describeUnavailable(request, selection, ran);
         }
         hedging.start(request, progress, selection);
         return undefined;
     }
 
-    async function runAttempts(request: GatewayRequest, progress: RequestProgress): Promise<FinalFailure | undefined> {
+    /** Waits until an attempt has ended; undefined if it is time to send the answer of one that has. */
+    async function awaitEnd(
+        request: GatewayRequest,
+        { answer, race }: RequestProgress,
+    ): Promise<EndedAttempt | undefined> {
+        if (answer === undefined) {
+            return race.awaitEnd();
+        }
+        const ended = new AbortController();
+        const left = request.endsAt - clock.monotonic() - answerMargin;
+        try {
+            return await Promise.race([race.awaitEnd(), sleep(left, ended.signal).then(() => undefined)]);
+        }
+        finally {
+            ended.abort();
+        }
+    }
+
+    async function runAttempts(request: GatewayRequest, progress: RequestProgress): Promise<Refusal | undefined> {
         const { race } = progress;
         const budget = input.findBudget(request.service.name);
         for (;;) {
@@ -120,13 +143,18 @@
             if (refused !== undefined) {
                 return refused;
             }
-            const { attempt, outcome } = await race.awaitEnd();
+            const ended = await awaitEnd(request, progress);
+            if (ended === undefined) {
+                return serverError;
+            }
+            const { attempt, outcome } = ended;
             if (outcome.isOk) {
                 return undefined;
             }
             const failure = outcome.error;
             const { instance } = attempt.server.listed;
             progress.mayHaveRun ||= failure.ran === "unknown";
+            progress.answer = failure.answer ?? progress.answer;
             if (race.listInFlight().length > 0) {
                 const reason = "another attempt is in flight";
                 log.retry(request, failure, { kind: "wait", reason }, instance, budget.available);
@@ -136,7 +164,7 @@
             const decision = decide(request, progress, failure, budget);
             log.retry(request, failure, decision, instance, budget.available);
             if (decision.kind === "give-up") {
-                return { refusal: decision.refusal, failure };
+                return decision.refusal;
             }
             metrics.countRetry(request);
         }
@@ -150,6 +178,7 @@
             sent: 0,
             attempts: 0,
             mayHaveRun: false,
+            answer: undefined,
             lastEvent: undefined,
             mediaType: undefined,
             resumable: true,
--- a/src/node/gateway/wholeAnswer.ts
+++ b/src/node/gateway/wholeAnswer.ts
@@ -18,10 +18,14 @@
 export async function readAnswer(answer: OpenedAnswer): Promise<Result<BufferedAnswer, AttemptFailure>> {
     const { limits } = answer;
     let received = 0;
+    let pendingCheck: NodeJS.Immediate | undefined;
     const timer = setTimeout(() => {
-        if (!isOnPace(received, readLength(answer))) {
-            limits.onSlow();
-        }
+        // If the event loop was blocked, data that arrived in time is read before this callback runs.
+        pendingCheck = setImmediate(() => {
+            if (!isOnPace(received, readLength(answer))) {
+                limits.onSlow();
+            }
+        });
     }, limits.paceCheckDelay);
     async function* countBody(): AsyncGenerator<Uint8Array> {
         for await (const part of answer.body) {
@@ -31,5 +35,6 @@
     }
     const whole = await readWholeBody({ ...answer, body: countBody() }, maximumAnswerBytes);
     clearTimeout(timer);
+    clearImmediate(pendingCheck);
     return whole.mapErr(describeFailure);
 }
--- a/src/node/httpServer/connectionState.ts
+++ b/src/node/httpServer/connectionState.ts
@@ -38,7 +38,7 @@
 /** Time beyond the stated idle limit for which the last response or the next request may be on its way. */
 const idleMargin: Milliseconds = 5_000;
 /** Time in a shutdown in which the peer may send its next request, which is then answered. */
-const shutdownMargin: Milliseconds = 100;
+const lastRequestTime: Milliseconds = 100;
 
 /**
  * Decides whether to close a connection. A longer limit applies to connections that are idle already; a shorter one
@@ -68,5 +68,5 @@
     if (lateness >= 0) {
         return { reason: "idle", lateness };
     }
-    return isClosing && hasAnswered && idleFor >= shutdownMargin ? { reason: "shutdown", lateness: 0 } : undefined;
+    return isClosing && hasAnswered && idleFor >= lastRequestTime ? { reason: "shutdown", lateness: 0 } : undefined;
 }
--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -22,9 +22,9 @@
 const checkInterval: Milliseconds = 250;
 /** The same in a shutdown. */
 const shutdownCheckInterval: Milliseconds = 50;
-/** Delay of a check from which on the process must have stood still. */
+/** Delay of a check from which on the event loop was blocked. */
 const stallThreshold: Milliseconds = 300;
-/** Time after a standstill in which what was sent meanwhile arrives, after it was sent again. */
+/** Time after the event loop was blocked in which peers send again what the system could not take. */
 const deliveryTime: Milliseconds = 1_000;
 const headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /** Time and bytes for which the rest of a request is discarded after the end of its connection. */
@@ -43,7 +43,7 @@
     private accepted = 0;
     private timer: NodeJS.Timeout;
     private checkedAt: Milliseconds;
-    private closesIdleFrom: Milliseconds = 0;
+    private idleChecksResumeAt: Milliseconds = 0;
 
     /**
      * Creates a server that does not listen yet.
@@ -182,10 +182,10 @@
         const hasStalled = now - this.checkedAt > checkInterval + stallThreshold;
         this.checkedAt = now;
         if (hasStalled) {
-            this.closesIdleFrom = now + deliveryTime;
+            this.idleChecksResumeAt = now + deliveryTime;
         }
         const limits = {
-            idle: now < this.closesIdleFrom ? Infinity : this.keepAliveTimeout,
+            idle: now < this.idleChecksResumeAt ? Infinity : this.keepAliveTimeout,
             head: this.headTimeLimit,
             isClosing: this.isClosing,
         };
--- a/src/runtime/retry/hedge.ts
+++ b/src/runtime/retry/hedge.ts
@@ -36,22 +36,34 @@
     readonly countsAgainstServer: boolean;
 }
 
-const busyReason = "requests wait at the other backend server";
+/** Reason against another attempt. */
+interface Objection {
+    readonly reason: string;
+    readonly applies: (input: HedgeInput) => boolean;
+    /** True if the backend server counts as failed all the same. */
+    readonly countsAgainstServer?: boolean;
+}
 
-/** Reasons against another attempt, in the order in which they are checked; the last one takes from the budget. */
-const objections: Readonly<Record<string, (input: HedgeInput) => boolean>> = {
-    "the request is not idempotent": ({ idempotent }) => !idempotent,
-    "another attempt is not silent": ({ isOtherResponsive }) => isOtherResponsive,
-    "no other backend server can continue the answer": ({ mustComplete }) => mustComplete,
-    "the caller has not read what was sent": ({ waitsForCaller }) => waitsForCaller,
-    "the attempts are used up": ({ attempts, options }) => attempts >= options.maximumAttempts,
-    "another attempt may crash its backend server": ({ mayCrash }) => mayCrash,
-    "too little time is left": ({ needed, remaining }) => remaining < needed,
-    "no other backend server can be chosen": ({ hasServer }) => !hasServer,
-    // The attempt would wait behind requests that have no other one.
-    [busyReason]: ({ waitingThere }) => waitingThere > 0,
-    "the retry budget is used up": ({ budget, now, options }) => !takeRetry(budget, now, options),
-};
+/** Reasons against another attempt, in the order in which they are checked. */
+const objections: readonly Objection[] = [
+    { reason: "the request is not idempotent", applies: ({ idempotent }) => !idempotent },
+    { reason: "another attempt is not silent", applies: ({ isOtherResponsive }) => isOtherResponsive },
+    { reason: "no other backend server can continue the answer", applies: ({ mustComplete }) => mustComplete },
+    { reason: "the caller has not read what was sent", applies: ({ waitsForCaller }) => waitsForCaller },
+    {
+        reason: "the attempts are used up",
+        applies: ({ attempts, options }) => attempts >= options.maximumAttempts,
+    },
+    { reason: "another attempt may crash its backend server", applies: ({ mayCrash }) => mayCrash },
+    { reason: "too little time is left", applies: ({ needed, remaining }) => remaining < needed },
+    { reason: "no other backend server can be chosen", applies: ({ hasServer }) => !hasServer },
+    {
+        // The attempt would wait behind requests that have no other one.
+        reason: "requests wait at the other backend server",
+        applies: ({ waitingThere }) => waitingThere > 0,
+        countsAgainstServer: true,
+    },
+];
 
 /**
  * Decides whether another attempt is started beside one that is silent, which continues in any case.
@@ -60,8 +72,12 @@
  * @returns the decision
  */
 export function decideHedge(input: HedgeInput): HedgeDecision {
-    const [reason] = Object.entries(objections).find(([, applies]) => applies(input)) ?? [];
-    return reason === undefined ?
+    const objection = objections.find(({ applies }) => applies(input));
+    if (objection !== undefined) {
+        const { countsAgainstServer = false, reason } = objection;
+        return { kind: "wait", reason, countsAgainstServer };
+    }
+    return takeRetry(input.budget, input.now, input.options) ?
         { kind: "hedge", reason: "the backend server is silent", countsAgainstServer: true } :
-        { kind: "wait", reason, countsAgainstServer: reason === busyReason };
+        { kind: "wait", reason: "the retry budget is used up", countsAgainstServer: false };
 }
--- a/test/platform/silentAttempts.test.ts
+++ b/test/platform/silentAttempts.test.ts
@@ -54,6 +54,21 @@
         });
     }
 
+    // Guards against a whole answer that is held back until its caller has left.
+    it("leaves the error of the other one as the answer when the time is over", async () => {
+        await using deployment = await startDeployment();
+        configureRoutes(deployment, { timeout_ms: 8_000, max_attempts: 2 });
+        await using stack = createDisposalStack();
+        for (const [id, behaviour] of [["i-1", "silent"], ["i-2", "error"]] as const) {
+            const runner = stack.use(await startRunnerStandIn({ id }));
+            runner.setBehaviour(behaviour);
+            await deployment.addRunnerRecord(id, runner.address);
+        }
+        using channel = await openChannel(deployment.callers);
+        const { ending, status } = await channel!.call({ path: "/safe/", attemptId: "failed", deadline: 1_500 });
+        expect([ending, status]).toEqual(["whole", 500]);
+    });
+
     // Guards against a stream that contains an event twice, or misses one, since two backend servers wrote to it.
     it("completes its stream once if it continues at the same time as the other one", async () => {
         await using deployment = await startDeployment({
