--- a/src/node/gateway/finalAnswer.ts
+++ b/src/node/gateway/finalAnswer.ts
@@ -30,7 +30,7 @@
 export const unavailableRetryAfterSeconds = 1;
 
 /**
- * Describes the refusal of a request for which no backend server can be chosen. Retry times are spread, so that the
+ * Describes the refusal of a request that no backend server can take. Retry times are spread, so that the
  * callers do not all return as soon as a backend server accepts requests again.
  *
  * @param request - the request
--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -160,7 +160,7 @@
     private async acceptWaiting(timeLimit: Milliseconds): Promise<void> {
         const endsAt = this.clock.monotonic() + timeLimit;
         let before: number;
-        // The event loop can accept a single connection in each iteration, and further ones may arrive meanwhile.
+        // The event loop can accept a single connection in each iteration, while others arrive.
         do {
             before = this.accepted;
             await awaitPoll();
--- a/src/runtime/retry/hedge.ts
+++ b/src/runtime/retry/hedge.ts
@@ -15,7 +15,7 @@
     readonly waitsForCaller: boolean;
     /** True if the request, or a part of its prompt, may crash another backend server. */
     readonly mayCrash: boolean;
-    /** True if another backend server can be chosen. */
+    /** True if another backend server can take the request. */
     readonly hasServer: boolean;
     /** Requests that wait at that backend server, as far as is known. */
     readonly waitingThere: number;
