Wait for the configuration in the test of changed connection limits

The test waited 600 ms for a configuration and 300 ms for requests to begin.

The test now waits until the gateway states that the version is in force, and counts the requests that the backend server has worked on at the same time, over the whole play instead of at one moment.

--- a/test/platform/connectionLimits.test.ts
+++ b/test/platform/connectionLimits.test.ts
@@ -2,12 +2,26 @@
 import { describe, it } from "node:test";
 import { sleep } from "../../src/utils/index.js";
 import { call } from "./standIn/caller.js";
-import { operatorConfiguration, startDeployment } from "./standIn/deployment.js";
-import { startWorkRunner } from "./standIn/workRunner.js";
+import { operatorConfiguration, startDeployment, type TestDeployment, waitUntil } from "./standIn/deployment.js";
+import { startWorkRunner, type Work } from "./standIn/workRunner.js";
 
 /** Routes on which a request may wait for a place until its time is over. */
 const routes = operatorConfiguration.routes.map(route => ({ ...route, timeout_ms: 8_000, target_latency_ms: 8_000 }));
 
+function waitUntilInForce({ logLines }: TestDeployment, version: number): Promise<void> {
+    const isInForce = (line: string): boolean =>
+        line.includes("\"configuration in force\"") && line.includes(`"revision":${version},`);
+    return waitUntil(`version ${version} is in force`, () => logLines.some(isInForce));
+}
+
+/** Counts the requests that were worked on at the same time, at most. */
+function countAtOnce(work: readonly Work[]): number {
+    const counts = work.map(({ startedAt }) =>
+        work.filter(other => other.startedAt <= startedAt && startedAt < (other.readyAt ?? Infinity)).length
+    );
+    return Math.max(...counts);
+}
+
 describe("requests at a backend server whose maximum number of connections has changed", () => {
     const service = operatorConfiguration.services[0]!;
     const cases = [
@@ -25,11 +39,10 @@
             const callWorking = (work: number) => call(deployment, `/unsafe/?work=${work}`);
             expect((await callWorking(1)).status).toEqual(200);
             deployment.configure({ version: 3, routes, services });
-            await sleep(600);
-            const calls = Array.from({ length: 4 }, () => callWorking(400));
-            await sleep(300);
-            expect(runner.work.length).toEqual(1 + atOnce);
-            expect((await Promise.all(calls)).map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+            await waitUntilInForce(deployment, 3);
+            const answers = await Promise.all(Array.from({ length: 4 }, () => callWorking(400)));
+            expect(countAtOnce(runner.work)).toEqual(atOnce);
+            expect(answers.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
         });
     }
 });
