Let no route timeout end the late request in the test of the shutdown

Cause: the test sends the body 1,300 ms after the head, and the route's timeout is 1,500 ms. It is no fault of the gateway.

The route's timeout is 20 s now, as in the tests beside it, so that only the shutdown can end the request. The test still guards: without the refusal in callerServer.ts it fails on both paths.

--- a/test/platform/gatewayShutdown.test.ts
+++ b/test/platform/gatewayShutdown.test.ts
@@ -166,6 +166,8 @@
         // Guards against a request that is read late in the drain, forwarded, and broken off at its end.
         it(`refuses a request to ${path} whose body arrives after the last connections were accepted`, async () => {
             await using deployment = await startDeployment();
+            const routes = operatorConfiguration.routes.map(route => ({ ...route, timeout_ms: 20_000 }));
+            deployment.configure({ version: 2, routes });
             const runner = await deployment.addRunner({ id: "i-1", workMilliseconds: 4 * drainTimeLimit });
             const late = await openLateRequest(deployment, path);
             const stopped = deployment.stop();
