Let a stream continue when the other backend server works, in the test of both at once

"completes its stream once if it continues at the same time as the other one" failed in 1 of 9 runs, three at a time at load averages of 18 to 20: 28 runs at backend servers instead of 32.

Cause: the streams continued 485 to 515 ms after their last event, and the gateway notices a silence after 400 ms. With an event loop that is 85 ms late, an event arrives before the silence is noticed, so no other attempt is started, which is right.

The stream now continues 80 to 110 ms after the other backend server has begun, whose answer begins after 100 ms, so that both always run and their events still arrive at the same time. The checks are unchanged.

--- a/test/platform/silentAttempts.test.ts
+++ b/test/platform/silentAttempts.test.ts
@@ -3,9 +3,9 @@
 import { createDisposalStack, sleep } from "../../src/utils/index.js";
 import { call } from "./standIn/caller.js";
 import { openChannel } from "./standIn/channel.js";
-import { operatorConfiguration, startDeployment, type TestDeployment } from "./standIn/deployment.js";
+import { operatorConfiguration, startDeployment, type TestDeployment, waitUntil } from "./standIn/deployment.js";
 import { type RunnerBehaviour, startRunnerStandIn } from "./standIn/runnerStandIn.js";
-import { startWorkRunner } from "./standIn/workRunner.js";
+import { startWorkRunner, type Work, type WorkRunner } from "./standIn/workRunner.js";
 
 /** Ways in which the other backend server does not give the answer either. */
 const behaviours: readonly RunnerBehaviour[] = ["shed", "error", "reset", "foreign", "silent"];
@@ -75,33 +75,42 @@
             "routing.failuresUntilEjected": "100",
             "gateway.fleetRetries": "1000",
         });
-        const silences = [485, 495, 505, 515];
-        // Each silence has a route of its own, whose answers are not known to take long.
-        const routes = silences.map(silence => ({
+        const runners: WorkRunner[] = [];
+        const listRuns = (): readonly Work[] => runners.flatMap(({ work }) => work);
+        /** The silence ends that many milliseconds after the other one has begun to work. */
+        const awaitOther = async ({ attemptId }: Work, delay: number): Promise<void> => {
+            const countRuns = (): number => listRuns().filter(work => work.attemptId === attemptId).length;
+            await waitUntil("the other one has begun", () => countRuns() === 2);
+            await sleep(delay);
+        };
+        const delays = [80, 90, 100, 110];
+        // Each delay has a route of its own, whose answers are not known to take long.
+        const routes = delays.map(delay => ({
             ...operatorConfiguration.routes[2],
-            name: `stream-${silence}`,
-            path_prefix: `/${silence}/`,
+            name: `stream-${delay}`,
+            path_prefix: `/${delay}/`,
             timeout_ms: 8_000,
+            target_latency_ms: 8_000,
         }));
         deployment.configure({ version: 2, routes });
-        await using first = await startWorkRunner("i-1");
-        await using second = await startWorkRunner("i-2");
-        await deployment.addRunnerRecord("i-1", first.address);
-        await deployment.addRunnerRecord("i-2", second.address);
+        for (const id of ["i-1", "i-2"]) {
+            const runner = deployment.stack.use(await startWorkRunner(id, awaitOther));
+            await deployment.addRunnerRecord(id, runner.address);
+            runners.push(runner);
+        }
         const whole = Array.from({ length: 20 }, (...[, index]) => `id: ${index + 1}\ndata: x\n\n`).join("");
         let requests = 0;
-        // The other one starts 400 ms after the last event, and works for 100 ms.
-        for (const silence of silences) {
-            const path = `/${silence}/?work=100&events=20&interval=3&silentAfter=5&silence=${silence}`;
+        // The other one works for 100 ms.
+        for (const delay of delays) {
+            const path = `/${delay}/?work=100&events=20&interval=3&silentAfter=5&silence=${delay}`;
             const responses = await Promise.all(
                 Array.from({ length: 4 }, async () => call(deployment, path, { headers: { "deadline-ms": "8000" } })),
             );
             expect(responses.map(({ body }) => body)).toEqual(responses.map(() => whole));
             requests += responses.length;
         }
-        const runs = [first, second].flatMap(({ work }) => work);
-        expect(runs.length).toEqual(2 * requests);
-        expect(runs.filter(({ isCanceled }) => isCanceled).length).toEqual(requests);
+        expect(listRuns().length).toEqual(2 * requests);
+        expect(listRuns().filter(({ isCanceled }) => isCanceled).length).toEqual(requests);
     });
 
     // Guards against work that continues for a caller who has left.
--- a/test/platform/standIn/workRunner.ts
+++ b/test/platform/standIn/workRunner.ts
@@ -29,13 +29,18 @@
     return Number(url.searchParams.get(name) ?? byDefault);
 }
 
-type WaitWhilePaused = () => Promise<void>;
+/** Pauses of an answer. */
+interface Pauses {
+    readonly waitWhilePaused: () => Promise<void>;
+    /** Waits until the silence that the query states, in milliseconds, is over. */
+    readonly awaitSilenceEnd: (silence: number) => Promise<void>;
+}
 
 async function sendEvents(
     url: URL,
     request: IncomingMessage,
     response: ServerResponse,
-    waitWhilePaused: WaitWhilePaused,
+    { awaitSilenceEnd, waitWhilePaused }: Pauses,
 ): Promise<void> {
     const events = readNumber(url, "events", 1);
     const filling = "x".repeat(readNumber(url, "eventBytes", 1));
@@ -48,7 +53,7 @@
         }
         await sleep(readNumber(url, "interval", 1));
         if (id === silentAfter) {
-            await sleep(readNumber(url, "silence", 0));
+            await awaitSilenceEnd(readNumber(url, "silence", 0));
         }
     }
 }
@@ -59,9 +64,13 @@
  * `silence` after the event `silentAfter`.
  *
  * @param id - identifier of the runner
+ * @param awaitSilenceEnd - waits for the end of a silence. Default: it lasts as long as the query states
  * @returns the runner
  */
-export async function startWorkRunner(id: string): Promise<WorkRunner> {
+export async function startWorkRunner(
+    id: string,
+    awaitSilenceEnd: (work: Work, silence: number) => Promise<void> = (...[, silence]) => sleep(silence),
+): Promise<WorkRunner> {
     const all: Work[] = [];
     let pausedUntil = 0;
 
@@ -102,7 +111,10 @@
             "content-type": isStream ? "text/event-stream" : "text/plain",
         });
         if (isStream) {
-            await sendEvents(url, request, response, waitWhilePaused);
+            await sendEvents(url, request, response, {
+                waitWhilePaused,
+                awaitSilenceEnd: silence => awaitSilenceEnd(work, silence),
+            });
         }
         work.readyAt = performance.now();
         if (!response.destroyed) {
