Sort the files of the gateway into folders by role

Change: folders callers, selection, attempts, answers, crashes and membership; files were moved and imports follow. Result: types and lint pass; no line of code changed besides imports.

--- a/src/node/entry/callerCalls.ts
+++ b/src/node/entry/callerCalls.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Refusal } from "../../types/index.js";
-import { type CallerWatch, watchCaller } from "../gateway/callerWatch.js";
-import { createOpenAnswers } from "../gateway/openAnswers.js";
+import { type CallerWatch, watchCaller } from "../gateway/callers/callerWatch.js";
+import { createOpenAnswers } from "../gateway/callers/openAnswers.js";
 import { sendJson } from "../httpServer/index.js";
 import type { EntryContext } from "./context.js";
 import { createHttpSink } from "./httpSink.js";
--- a/src/node/gateway/answerRelay.ts
+++ b/src/node/gateway/answers/answerRelay.ts
@@ -1,13 +1,13 @@
 import { err, ok, type Result } from "true-myth/result";
-import type { Clock, Milliseconds } from "../../types/index.js";
-import type { HttpFailure } from "../httpClient/index.js";
-import type { RacingAttempt } from "./attemptRace.js";
+import type { Clock, Milliseconds } from "../../../types/index.js";
+import type { HttpFailure } from "../../httpClient/index.js";
+import type { RacingAttempt } from "../attempts/attemptRace.js";
+import type { TrackedAttempt } from "../crashes/crashWatch.js";
+import type { GatewayMetrics } from "../gatewayMetrics.js";
+import type { RequestLog } from "../requestLog.js";
+import type { AnswerEnding, AttemptFailure, GatewayRequest, OpenedAnswer } from "../types.js";
 import { sendAnswer, type StreamWriter } from "./callerAnswer.js";
-import type { TrackedAttempt } from "./crashWatch.js";
 import { createEventSplitter, isLaterEvent } from "./eventStream.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
-import type { RequestLog } from "./requestLog.js";
-import type { AnswerEnding, AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
 import { readAnswer } from "./wholeAnswer.js";
 
 const eventStreamType = "text/event-stream";
--- a/src/node/gateway/callerAnswer.ts
+++ b/src/node/gateway/answers/callerAnswer.ts
@@ -1,8 +1,8 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import type { HeaderTable, Refusal } from "../../types/index.js";
-import { copyEndToEndHeaders } from "../httpServer/index.js";
-import type { BufferedAnswer } from "./types.js";
+import type { HeaderTable, Refusal } from "../../../types/index.js";
+import { copyEndToEndHeaders } from "../../httpServer/index.js";
+import type { BufferedAnswer } from "../types.js";
 
 /** Headers that the gateway sets itself instead of copying them from the backend server. */
 const gatewayHeaders: ReadonlySet<string> = new Set(["date"]);
--- a/src/node/gateway/finalAnswer.ts
+++ b/src/node/gateway/answers/finalAnswer.ts
@@ -1,12 +1,12 @@
-import type { RanState, Refusal } from "../../types/index.js";
-import { scoreRendezvous } from "../../utils/index.js";
+import type { RanState, Refusal } from "../../../types/index.js";
+import { scoreRendezvous } from "../../../utils/index.js";
+import type { RequestProgress } from "../attempts/requestProgress.js";
+import { isTimeLimit } from "../callers/timeLimit.js";
+import type { GatewayMetrics } from "../gatewayMetrics.js";
+import type { RequestLog } from "../requestLog.js";
+import type { ServerSelection } from "../selection/serverSelector.js";
+import type { AbortReason, GatewayRequest } from "../types.js";
 import { type GatewayStatus, sendAnswer, sendGatewayAnswer } from "./callerAnswer.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
-import type { RequestLog } from "./requestLog.js";
-import type { RequestProgress } from "./requestProgress.js";
-import type { ServerSelection } from "./serverSelector.js";
-import { isTimeLimit } from "./timeLimit.js";
-import type { AbortReason, GatewayRequest } from "./types.js";
 
 /** Ends requests that no backend server has answered. */
 export interface FinalAnswers {
--- a/src/node/gateway/wholeAnswer.ts
+++ b/src/node/gateway/answers/wholeAnswer.ts
@@ -1,9 +1,9 @@
 import type { Result } from "true-myth/result";
-import { isOnPace } from "../../runtime/gateway/index.js";
-import { type HttpStreamingResponse, readWholeBody } from "../httpClient/index.js";
-import { describeFailure } from "./attempt.js";
-import { maximumAnswerBytes } from "./backendClients.js";
-import type { AttemptFailure, BufferedAnswer, OpenedAnswer } from "./types.js";
+import { isOnPace } from "../../../runtime/gateway/index.js";
+import { type HttpStreamingResponse, readWholeBody } from "../../httpClient/index.js";
+import { describeFailure } from "../attempts/attempt.js";
+import { maximumAnswerBytes } from "../attempts/backendClients.js";
+import type { AttemptFailure, BufferedAnswer, OpenedAnswer } from "../types.js";
 
 function readLength({ framing, headers }: HttpStreamingResponse): number | undefined {
     return framing === "length" ? Number(headers["content-length"]) : undefined;
--- a/src/node/gateway/attempt.ts
+++ b/src/node/gateway/attempts/attempt.ts
@@ -1,16 +1,16 @@
 import { err, ok, type Result } from "true-myth/result";
-import { type BackendServerRow, computePaceCheckDelay, createLifetimeId } from "../../runtime/gateway/index.js";
-import { applyLoadReport } from "../../runtime/routing/index.js";
-import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../types/index.js";
+import { type BackendServerRow, computePaceCheckDelay, createLifetimeId } from "../../../runtime/gateway/index.js";
+import { applyLoadReport } from "../../../runtime/routing/index.js";
+import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../../types/index.js";
 import {
     hasUndecodedTransferCoding,
     type HttpClient,
     type HttpFailure,
     type HttpStreamingResponse,
-} from "../httpClient/index.js";
-import type { RateLimits } from "./rateLimits.js";
-import type { ServerNotices } from "./serverNotices.js";
-import type { AttemptFailure, GatewayRequest, OpenedAnswer, ProgressLimits } from "./types.js";
+} from "../../httpClient/index.js";
+import type { RateLimits } from "../membership/rateLimits.js";
+import type { ServerNotices } from "../membership/serverNotices.js";
+import type { AttemptFailure, GatewayRequest, OpenedAnswer, ProgressLimits } from "../types.js";
 
 /** Dependencies of {@link openAttempt}. */
 export interface AttemptContext {
--- a/src/node/gateway/attemptRace.ts
+++ b/src/node/gateway/attempts/attemptRace.ts
@@ -1,7 +1,7 @@
 import type { Result } from "true-myth/result";
-import type { BackendServerRow } from "../../runtime/gateway/index.js";
-import type { Clock, Milliseconds } from "../../types/index.js";
-import type { AttemptFailure } from "./types.js";
+import type { BackendServerRow } from "../../../runtime/gateway/index.js";
+import type { Clock, Milliseconds } from "../../../types/index.js";
+import type { AttemptFailure } from "../types.js";
 
 /** Attempt that runs beside others of the same request. */
 export interface RacingAttempt {
--- a/src/node/gateway/attemptRunner.ts
+++ b/src/node/gateway/attempts/attemptRunner.ts
@@ -1,18 +1,18 @@
 import { err, type Result } from "true-myth/result";
-import { type AnswerSilenceTable, computeSilenceLimit, recordAnswerSilence } from "../../runtime/gateway/index.js";
-import { recordOutcome, type RoutingOptions, type RunnerOutcome } from "../../runtime/routing/index.js";
-import type { CallerProtocol, Clock, Milliseconds } from "../../types/index.js";
-import type { AnswerRelay } from "./answerRelay.js";
+import { type AnswerSilenceTable, computeSilenceLimit, recordAnswerSilence } from "../../../runtime/gateway/index.js";
+import { recordOutcome, type RoutingOptions, type RunnerOutcome } from "../../../runtime/routing/index.js";
+import type { CallerProtocol, Clock, Milliseconds } from "../../../types/index.js";
+import type { AnswerRelay } from "../answers/answerRelay.js";
+import type { CrashWatch, TrackedAttempt } from "../crashes/crashWatch.js";
+import type { RateLimits } from "../membership/rateLimits.js";
+import type { ServerNotices } from "../membership/serverNotices.js";
+import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
+import type { AttemptFailure, GatewayRequest } from "../types.js";
 import { openAttempt } from "./attempt.js";
 import type { RacingAttempt } from "./attemptRace.js";
 import type { BackendClients } from "./backendClients.js";
-import type { CrashWatch, TrackedAttempt } from "./crashWatch.js";
-import type { RateLimits } from "./rateLimits.js";
 import { minimumRemainingTime, type RequestProgress } from "./requestProgress.js";
-import type { ServerNotices } from "./serverNotices.js";
-import type { ServerSelection, ServerSelector } from "./serverSelector.js";
 import { reachedServer, startAttempt } from "./startedAttempt.js";
-import type { AttemptFailure, GatewayRequest } from "./types.js";
 
 /** Dependencies of {@link createAttemptRunner}. */
 export interface AttemptRunnerInput {
--- a/src/node/gateway/backendClients.ts
+++ b/src/node/gateway/attempts/backendClients.ts
@@ -1,5 +1,5 @@
-import type { ListedBackendServer, Milliseconds } from "../../types/index.js";
-import { createHttpClient, createResponseMemoryLimit, type HttpClient } from "../httpClient/index.js";
+import type { ListedBackendServer, Milliseconds } from "../../../types/index.js";
+import { createHttpClient, createResponseMemoryLimit, type HttpClient } from "../../httpClient/index.js";
 
 /** Options of the connections to backend servers. */
 export interface BackendClientOptions {
--- a/src/node/gateway/hedging.ts
+++ b/src/node/gateway/attempts/hedging.ts
@@ -1,15 +1,15 @@
-import { type AnswerSilenceTable, computeNeededTime } from "../../runtime/gateway/index.js";
-import { decideHedge, type RetryBudget, type RetryOptions } from "../../runtime/retry/index.js";
-import { recordOutcome, type RoutingOptions } from "../../runtime/routing/index.js";
-import type { Clock, Milliseconds } from "../../types/index.js";
+import { type AnswerSilenceTable, computeNeededTime } from "../../../runtime/gateway/index.js";
+import { decideHedge, type RetryBudget, type RetryOptions } from "../../../runtime/retry/index.js";
+import { recordOutcome, type RoutingOptions } from "../../../runtime/routing/index.js";
+import type { Clock, Milliseconds } from "../../../types/index.js";
+import type { CrashRefusals } from "../crashes/crashRefusals.js";
+import type { GatewayMetrics } from "../gatewayMetrics.js";
+import type { RequestLog } from "../requestLog.js";
+import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
+import type { GatewayRequest } from "../types.js";
 import { type RacingAttempt, readSilence } from "./attemptRace.js";
 import type { AttemptRunner } from "./attemptRunner.js";
-import type { CrashRefusals } from "./crashRefusals.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
-import type { RequestLog } from "./requestLog.js";
 import { allowsAttempt, mustComplete, type RequestProgress } from "./requestProgress.js";
-import type { ServerSelection, ServerSelector } from "./serverSelector.js";
-import type { GatewayRequest } from "./types.js";
 
 /** Dependencies of {@link createHedging}. */
 export interface HedgingInput {
--- a/src/node/gateway/requestProgress.ts
+++ b/src/node/gateway/attempts/requestProgress.ts
@@ -1,7 +1,7 @@
-import type { Milliseconds } from "../../types/index.js";
-import type { RelayProgress } from "./answerRelay.js";
+import type { Milliseconds } from "../../../types/index.js";
+import type { RelayProgress } from "../answers/answerRelay.js";
+import type { BrokenAttempt, BufferedAnswer, GatewayRequest } from "../types.js";
 import type { AttemptRace } from "./attemptRace.js";
-import type { BrokenAttempt, BufferedAnswer, GatewayRequest } from "./types.js";
 
 /** Progress of a request over all attempts. */
 export interface RequestProgress extends RelayProgress {
--- a/src/node/gateway/retryBudgets.ts
+++ b/src/node/gateway/attempts/retryBudgets.ts
@@ -3,11 +3,11 @@
     divideRetryAllowance,
     type RetryBudget,
     type RetryOptions,
-} from "../../runtime/retry/index.js";
-import type { Clock } from "../../types/index.js";
-import type { RecordStore } from "../replica/index.js";
-import type { GatewaySettings } from "../settings/index.js";
-import type { GatewayList } from "./gatewayList.js";
+} from "../../../runtime/retry/index.js";
+import type { Clock } from "../../../types/index.js";
+import type { RecordStore } from "../../replica/index.js";
+import type { GatewaySettings } from "../../settings/index.js";
+import type { GatewayList } from "../membership/gatewayList.js";
 
 /** Retry budgets of a gateway, one for each service. */
 export interface RetryBudgets {
--- a/src/node/gateway/startedAttempt.ts
+++ b/src/node/gateway/attempts/startedAttempt.ts
@@ -1,7 +1,7 @@
 import { type Result } from "true-myth/result";
-import { abandonAttempt, type BackendServerRow, beginAttempt, endAttempt } from "../../runtime/gateway/index.js";
-import type { Clock } from "../../types/index.js";
-import type { AttemptFailure } from "./types.js";
+import { abandonAttempt, type BackendServerRow, beginAttempt, endAttempt } from "../../../runtime/gateway/index.js";
+import type { Clock } from "../../../types/index.js";
+import type { AttemptFailure } from "../types.js";
 
 /** Attempt in progress, as the routing state of its backend server counts it. */
 export interface StartedAttempt extends Disposable {
--- a/src/node/gateway/arrivedRequests.ts
+++ b/src/node/gateway/callers/arrivedRequests.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
-import type { Clock, Milliseconds, RequestId } from "../../types/index.js";
-import type { BrokenAttempt, TimeLimit } from "./types.js";
+import type { Clock, Milliseconds, RequestId } from "../../../types/index.js";
+import type { BrokenAttempt, TimeLimit } from "../types.js";
 
 /** What is known of a request that has arrived. */
 export interface ArrivedRequest {
--- a/src/node/gateway/callerRejections.ts
+++ b/src/node/gateway/callers/callerRejections.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Logger } from "pino";
+import { type GatewayStatus, sendGatewayAnswer } from "../answers/callerAnswer.js";
+import type { GatewayMetrics } from "../gatewayMetrics.js";
+import type { AbortReason } from "../types.js";
 import type { ArrivedRequests } from "./arrivedRequests.js";
-import { type GatewayStatus, sendGatewayAnswer } from "./callerAnswer.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { OpenAnswers } from "./openAnswers.js";
-import type { AbortReason } from "./types.js";
 
 /** Dependencies of {@link createRejections}. */
 export interface RejectionsInput {
--- a/src/node/gateway/callerServer.ts
+++ b/src/node/gateway/callers/callerServer.ts
@@ -9,8 +9,8 @@
     resolveRoute,
     type RouteTable,
     selectService,
-} from "../../runtime/gateway/index.js";
-import { computePartFingerprints } from "../../runtime/retry/index.js";
+} from "../../../runtime/gateway/index.js";
+import { computePartFingerprints } from "../../../runtime/retry/index.js";
 import {
     type CallerCall,
     type CallerProtocol,
@@ -21,20 +21,20 @@
     type HeaderTable,
     type Milliseconds,
     type RouteRow,
-} from "../../types/index.js";
-import { sleep } from "../../utils/index.js";
-import { hasUndecodedTransferCoding } from "../httpClient/index.js";
-import { DrainableServer, joinHeaders, measureHead, readBody, splitAddress } from "../httpServer/index.js";
+} from "../../../types/index.js";
+import { sleep } from "../../../utils/index.js";
+import { hasUndecodedTransferCoding } from "../../httpClient/index.js";
+import { DrainableServer, joinHeaders, measureHead, readBody, splitAddress } from "../../httpServer/index.js";
+import type { GatewayMetrics } from "../gatewayMetrics.js";
+import type { GatewayRequest } from "../types.js";
 import { type ArrivedRequest, createArrivedRequests } from "./arrivedRequests.js";
 import { createRejections } from "./callerRejections.js";
 import { watchCaller } from "./callerWatch.js";
 import { createConnectionLog } from "./connectionLog.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { createOpenAnswers, type OpenAnswerCounts } from "./openAnswers.js";
 import { createPollQueue } from "./pollQueue.js";
 import { createRequestTurns } from "./requestTurns.js";
 import { chooseTimeLimit } from "./timeLimit.js";
-import type { GatewayRequest } from "./types.js";
 
 /** Dependencies of {@link startCallerServer}. */
 export interface CallerServerInput {
--- a/src/node/gateway/callerWatch.ts
+++ b/src/node/gateway/callers/callerWatch.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Milliseconds } from "../../types/index.js";
-import type { AbortReason, TimeLimitKind } from "./types.js";
+import type { Milliseconds } from "../../../types/index.js";
+import type { AbortReason, TimeLimitKind } from "../types.js";
 
 /** Abort signal of one request, with the reason for the abort. */
 export interface CallerWatch {
--- a/src/node/gateway/connectionLog.ts
+++ b/src/node/gateway/callers/connectionLog.ts
@@ -1,8 +1,8 @@
 import type { Logger } from "pino";
-import type { Milliseconds } from "../../types/index.js";
-import type { ConnectionObserver } from "../httpServer/index.js";
+import type { Milliseconds } from "../../../types/index.js";
+import type { ConnectionObserver } from "../../httpServer/index.js";
+import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { ArrivedRequests } from "./arrivedRequests.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
 
 /** Lateness of a check from which on it is logged. */
 const loggedLateness: Milliseconds = 300;
--- a/src/node/gateway/drainCallers.ts
+++ b/src/node/gateway/callers/drainCallers.ts
@@ -1,7 +1,7 @@
-import type { Clock, Milliseconds } from "../../types/index.js";
-import { sleep } from "../../utils/index.js";
-import type { GatewaySettings } from "../settings/index.js";
-import type { AdmissionQueues } from "./admissionQueues.js";
+import type { Clock, Milliseconds } from "../../../types/index.js";
+import { sleep } from "../../../utils/index.js";
+import type { GatewaySettings } from "../../settings/index.js";
+import type { AdmissionQueues } from "../selection/admissionQueues.js";
 import type { CallerServer } from "./callerServer.js";
 
 /** Interval at which open requests are counted. */
--- a/src/node/gateway/openAnswers.ts
+++ b/src/node/gateway/callers/openAnswers.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { abortResponse } from "../httpServer/index.js";
-import type { AbortReason } from "./types.js";
+import { abortResponse } from "../../httpServer/index.js";
+import type { AbortReason } from "../types.js";
 
 /**
  * Reason for which an answer ended before it was sent completely; `broken-off` if the backend servers could not complete
--- a/src/node/gateway/timeLimit.ts
+++ b/src/node/gateway/callers/timeLimit.ts
@@ -1,5 +1,5 @@
-import type { CallerCall, RouteRow } from "../../types/index.js";
-import type { AbortReason, TimeLimit, TimeLimitKind } from "./types.js";
+import type { CallerCall, RouteRow } from "../../../types/index.js";
+import type { AbortReason, TimeLimit, TimeLimitKind } from "../types.js";
 
 /**
  * Chooses the time limit of a request: the timeout of its route, unless the caller stated a shorter one.
--- a/src/node/gateway/condemnedRecords.ts
+++ b/src/node/gateway/crashes/condemnedRecords.ts
@@ -1,8 +1,8 @@
 import type { Logger } from "pino";
 import { z } from "zod";
-import type { SharedEvidence } from "../../runtime/retry/index.js";
-import type { Clock, Fingerprint, KeyedLogPort, KeyedRecord, Milliseconds } from "../../types/index.js";
-import type { RecordStore } from "../replica/index.js";
+import type { SharedEvidence } from "../../../runtime/retry/index.js";
+import type { Clock, Fingerprint, KeyedLogPort, KeyedRecord, Milliseconds } from "../../../types/index.js";
+import type { RecordStore } from "../../replica/index.js";
 import type { CrashEvidenceStore } from "./crashEvidenceStore.js";
 
 const recordSchema = z.object({
--- a/src/node/gateway/crashContainment.ts
+++ b/src/node/gateway/crashes/crashContainment.ts
@@ -1,16 +1,16 @@
 import type { Logger } from "pino";
-import type { RetryOptions } from "../../runtime/retry/index.js";
-import type { Clock, KeyedLogPort, Milliseconds, RandomSource } from "../../types/index.js";
-import type { Metrics } from "../metrics/index.js";
-import type { RecordStore } from "../replica/index.js";
+import type { RetryOptions } from "../../../runtime/retry/index.js";
+import type { Clock, KeyedLogPort, Milliseconds, RandomSource } from "../../../types/index.js";
+import type { Metrics } from "../../metrics/index.js";
+import type { RecordStore } from "../../replica/index.js";
+import type { GatewayMetrics } from "../gatewayMetrics.js";
+import type { RateLimits } from "../membership/rateLimits.js";
+import { createRegistrationCleanup } from "../membership/registrationCleanup.js";
+import type { ServerNotices } from "../membership/serverNotices.js";
 import { startCondemnedRecordWriter } from "./condemnedRecords.js";
 import { type CrashEvidenceStore, createCrashEvidenceStore, describeCause } from "./crashEvidenceStore.js";
 import { type CrashExchange, createCrashExchange } from "./crashExchange.js";
 import { type CrashWatch, createCrashWatch } from "./crashWatch.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
-import type { RateLimits } from "./rateLimits.js";
-import { createRegistrationCleanup } from "./registrationCleanup.js";
-import type { ServerNotices } from "./serverNotices.js";
 
 /** Dependencies of {@link createCrashContainment}. */
 export interface CrashContainmentInput {
--- a/src/node/gateway/crashEvidenceStore.ts
+++ b/src/node/gateway/crashes/crashEvidenceStore.ts
@@ -17,8 +17,8 @@
     type RequestCauses,
     type SharedEvidence,
     type SuspectStanding,
-} from "../../runtime/retry/index.js";
-import type { Clock, Fingerprint } from "../../types/index.js";
+} from "../../../runtime/retry/index.js";
+import type { Clock, Fingerprint } from "../../../types/index.js";
 import type { ObservedCrash } from "./crashWatch.js";
 
 /** Origin of a change: this gateway, another one, the platform's log, or the expiry of old evidence. */
--- a/src/node/gateway/crashExchange.ts
+++ b/src/node/gateway/crashes/crashExchange.ts
@@ -11,16 +11,16 @@
     RequestAnswerSchema,
     type ServerRateLimit,
     ServerRateLimitSchema,
-} from "../../generated/goldcrestpoint_pb.js";
-import type { SharedLeaving, SharedRateLimit } from "../../runtime/gateway/index.js";
-import type { SharedEvidence } from "../../runtime/retry/index.js";
-import type { Clock, Milliseconds, RandomSource } from "../../types/index.js";
-import { computeDigest } from "../../utils/index.js";
-import { createReplicaClient, type ReplicaClient } from "../grpc/index.js";
+} from "../../../generated/goldcrestpoint_pb.js";
+import type { SharedLeaving, SharedRateLimit } from "../../../runtime/gateway/index.js";
+import type { SharedEvidence } from "../../../runtime/retry/index.js";
+import type { Clock, Milliseconds, RandomSource } from "../../../types/index.js";
+import { computeDigest } from "../../../utils/index.js";
+import { createReplicaClient, type ReplicaClient } from "../../grpc/index.js";
+import type { RateLimits } from "../membership/rateLimits.js";
+import type { RegistrationCleanup } from "../membership/registrationCleanup.js";
+import type { ServerNotices } from "../membership/serverNotices.js";
 import type { CrashEvidenceStore } from "./crashEvidenceStore.js";
-import type { RateLimits } from "./rateLimits.js";
-import type { RegistrationCleanup } from "./registrationCleanup.js";
-import type { ServerNotices } from "./serverNotices.js";
 
 /** Dependencies of {@link createCrashExchange}. */
 export interface CrashExchangeInput {
--- a/src/node/gateway/crashRefusals.ts
+++ b/src/node/gateway/crashes/crashRefusals.ts
@@ -1,8 +1,8 @@
-import type { RanState, Refusal } from "../../types/index.js";
+import type { RanState, Refusal } from "../../../types/index.js";
+import type { RequestProgress } from "../attempts/requestProgress.js";
+import type { GatewayRequest } from "../types.js";
 import type { CrashEvidenceStore } from "./crashEvidenceStore.js";
 import type { CrashWatch } from "./crashWatch.js";
-import type { RequestProgress } from "./requestProgress.js";
-import type { GatewayRequest } from "./types.js";
 
 /** Evidence about requests that crash backend servers. */
 export type CrashEvidenceReader = Pick<
--- a/src/node/gateway/crashWatch.ts
+++ b/src/node/gateway/crashes/crashWatch.ts
@@ -1,9 +1,9 @@
 import type { Logger } from "pino";
-import { createLifetimeId } from "../../runtime/gateway/index.js";
-import { isPartFingerprint, type RequestCauses } from "../../runtime/retry/index.js";
-import type { Clock, Fingerprint, ListedBackendServer, Milliseconds } from "../../types/index.js";
-import { sleep } from "../../utils/index.js";
-import { checkListening, createLossTracker, type ListeningState } from "../crashes/index.js";
+import { createLifetimeId } from "../../../runtime/gateway/index.js";
+import { isPartFingerprint, type RequestCauses } from "../../../runtime/retry/index.js";
+import type { Clock, Fingerprint, ListedBackendServer, Milliseconds } from "../../../types/index.js";
+import { sleep } from "../../../utils/index.js";
+import { checkListening, createLossTracker, type ListeningState } from "../../crashes/index.js";
 
 /** Crash of a backend server that had requests in progress. */
 export interface ObservedCrash {
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -25,24 +25,24 @@
     startRegistration,
 } from "../replica/index.js";
 import type { GatewaySettings } from "../settings/index.js";
-import { createAdmissionQueues } from "./admissionQueues.js";
-import { createAgentWatch } from "./agentWatch.js";
-import { createBackendClients, divideConnections } from "./backendClients.js";
-import { startCallerServer } from "./callerServer.js";
-import { createCrashContainment } from "./crashContainment.js";
-import { drainCallers } from "./drainCallers.js";
-import { createGatewayList } from "./gatewayList.js";
+import { createBackendClients, divideConnections } from "./attempts/backendClients.js";
+import { createRetryBudgets } from "./attempts/retryBudgets.js";
+import { startCallerServer } from "./callers/callerServer.js";
+import { drainCallers } from "./callers/drainCallers.js";
+import { createCrashContainment } from "./crashes/crashContainment.js";
 import { createGatewayMetrics } from "./gatewayMetrics.js";
-import { createGatewayState } from "./gatewayState.js";
-import { startLogFollowers } from "./logFollowers.js";
-import { createRateLimits } from "./rateLimits.js";
+import { createAgentWatch } from "./membership/agentWatch.js";
+import { createGatewayList } from "./membership/gatewayList.js";
+import { createGatewayState } from "./membership/gatewayState.js";
+import { startLogFollowers } from "./membership/logFollowers.js";
+import { createRateLimits } from "./membership/rateLimits.js";
+import { createServerNotices } from "./membership/serverNotices.js";
+import { deriveWeightSources } from "./membership/weightSources.js";
 import { createRequestLog } from "./requestLog.js";
 import { createRequestPipeline } from "./requestPipeline.js";
-import { createRetryBudgets } from "./retryBudgets.js";
-import { createServerNotices } from "./serverNotices.js";
-import { createServerSelector } from "./serverSelector.js";
+import { createAdmissionQueues } from "./selection/admissionQueues.js";
+import { createServerSelector } from "./selection/serverSelector.js";
 import { createRouter } from "./statusRouter.js";
-import { deriveWeightSources } from "./weightSources.js";
 
 /** External systems of a gateway. */
 export interface GatewayPorts {
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -3,7 +3,7 @@
 import type { BodyFraming } from "../httpClient/index.js";
 import type { ConnectionCloseReason } from "../httpServer/index.js";
 import type { Metrics } from "../metrics/index.js";
-import type { AnswerSending } from "./openAnswers.js";
+import type { AnswerSending } from "./callers/openAnswers.js";
 import type { AnswerEnding, GatewayRequest } from "./types.js";
 
 /** Outcome of a request in the counters. */
--- a/src/node/gateway/agentWatch.ts
+++ b/src/node/gateway/membership/agentWatch.ts
@@ -2,16 +2,16 @@
 import type { ClientReadableStream } from "@grpc/grpc-js";
 import { isDeepStrictEqual } from "node:util";
 import type { Logger } from "pino";
-import { type LoadReport, WatchLoadRequestSchema } from "../../generated/goldcrestpoint_pb.js";
+import { type LoadReport, WatchLoadRequestSchema } from "../../../generated/goldcrestpoint_pb.js";
 import {
     applyAgentReport,
     areReportedWeightsVerified,
     type BackendServerRow,
     formatWeightName,
-} from "../../runtime/gateway/index.js";
-import type { Clock, CopyPhase, Milliseconds, RandomSource } from "../../types/index.js";
-import { type AgentClient, createAgentClient } from "../grpc/index.js";
-import { splitAddress } from "../httpServer/index.js";
+} from "../../../runtime/gateway/index.js";
+import type { Clock, CopyPhase, Milliseconds, RandomSource } from "../../../types/index.js";
+import { type AgentClient, createAgentClient } from "../../grpc/index.js";
+import { splitAddress } from "../../httpServer/index.js";
 
 /** Dependencies of {@link createAgentWatch}. */
 export interface AgentWatchInput {
--- a/src/node/gateway/gatewayList.ts
+++ b/src/node/gateway/membership/gatewayList.ts
@@ -1,7 +1,7 @@
-import type { Clock } from "../../types/index.js";
-import { splitAddress } from "../httpServer/index.js";
-import { type KnownInstance, listInstances, type RecordStore } from "../replica/index.js";
-import type { GatewaySettings } from "../settings/index.js";
+import type { Clock } from "../../../types/index.js";
+import { splitAddress } from "../../httpServer/index.js";
+import { type KnownInstance, listInstances, type RecordStore } from "../../replica/index.js";
+import type { GatewaySettings } from "../../settings/index.js";
 
 /** Gateways of the system that one gateway knows. */
 export interface GatewayList {
--- a/src/node/gateway/gatewayState.ts
+++ b/src/node/gateway/membership/gatewayState.ts
@@ -23,7 +23,7 @@
     type RouteTable,
     type VersionOptions,
     type VersionTable,
-} from "../../runtime/gateway/index.js";
+} from "../../../runtime/gateway/index.js";
 import type {
     AvailabilityZone,
     Clock,
@@ -32,8 +32,8 @@
     Milliseconds,
     RecordDecoder,
     Region,
-} from "../../types/index.js";
-import type { ReceivedPage, RecordStore, StallMonitor } from "../replica/index.js";
+} from "../../../types/index.js";
+import type { ReceivedPage, RecordStore, StallMonitor } from "../../replica/index.js";
 import type { RateLimits } from "./rateLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
 
--- a/src/node/gateway/logFollowers.ts
+++ b/src/node/gateway/membership/logFollowers.ts
@@ -1,5 +1,5 @@
-import { followLog, type LogFollowerInput, type LogFollowerOptions } from "../replica/index.js";
-import type { GatewaySettings } from "../settings/index.js";
+import { followLog, type LogFollowerInput, type LogFollowerOptions } from "../../replica/index.js";
+import type { GatewaySettings } from "../../settings/index.js";
 
 /** Time between two checks as a share of the limit for a configuration change; the rest is left for relaying. */
 const checkIntervalShare = 0.5;
--- a/src/node/gateway/rateLimits.ts
+++ b/src/node/gateway/membership/rateLimits.ts
@@ -8,9 +8,9 @@
     type RateLimitRow,
     type RateShare,
     type SharedRateLimit,
-} from "../../runtime/gateway/index.js";
-import type { RunnerPace } from "../../runtime/routing/index.js";
-import type { BackendServerHead, Clock, Milliseconds, RandomSource } from "../../types/index.js";
+} from "../../../runtime/gateway/index.js";
+import type { RunnerPace } from "../../../runtime/routing/index.js";
+import type { BackendServerHead, Clock, Milliseconds, RandomSource } from "../../../types/index.js";
 import type { NoticeSource } from "./serverNotices.js";
 
 /** Rate limits that backend servers state in their answers, and the pace of this gateway's requests. */
--- a/src/node/gateway/registrationCleanup.ts
+++ b/src/node/gateway/membership/registrationCleanup.ts
@@ -1,7 +1,7 @@
 import type { Logger } from "pino";
-import { createUnreachableGateways } from "../../runtime/gateway/index.js";
-import type { Clock, KeyedLogPort, Milliseconds, RandomSource } from "../../types/index.js";
-import { listInstances, type RecordStore } from "../replica/index.js";
+import { createUnreachableGateways } from "../../../runtime/gateway/index.js";
+import type { Clock, KeyedLogPort, Milliseconds, RandomSource } from "../../../types/index.js";
+import { listInstances, type RecordStore } from "../../replica/index.js";
 
 /** Dependencies of {@link createRegistrationCleanup}. */
 export interface RegistrationCleanupInput {
--- a/src/node/gateway/serverNotices.ts
+++ b/src/node/gateway/membership/serverNotices.ts
@@ -7,8 +7,8 @@
     type ServerNotice,
     type ServerNoticeTable,
     type SharedLeaving,
-} from "../../runtime/gateway/index.js";
-import type { BackendServerHead, Clock, Milliseconds } from "../../types/index.js";
+} from "../../../runtime/gateway/index.js";
+import type { BackendServerHead, Clock, Milliseconds } from "../../../types/index.js";
 
 /** Source of a notice: an answer to this gateway, or another gateway. */
 export type NoticeSource = "answer" | "gateway";
--- a/src/node/gateway/weightSources.ts
+++ b/src/node/gateway/membership/weightSources.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
-import type { RouteTable } from "../../runtime/gateway/index.js";
-import type { KeyedRecord } from "../../types/index.js";
+import type { RouteTable } from "../../../runtime/gateway/index.js";
+import type { KeyedRecord } from "../../../types/index.js";
 
 const weightSourceSchema = z.object({
     model: z.string(),
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -2,7 +2,7 @@
 import type { HedgeDecision, RequestCauses, RetryBudget, RetryDecision } from "../../runtime/retry/index.js";
 import type { Clock, Fingerprint, Milliseconds, Refusal, RefusalReason, ServiceRow } from "../../types/index.js";
 import type { DecisionLog } from "../logging/index.js";
-import type { ServerSelection, ServiceShare } from "./serverSelector.js";
+import type { ServerSelection, ServiceShare } from "./selection/serverSelector.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
 
 /** Dependencies of {@link createRequestLog}. */
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -9,23 +9,23 @@
 import type { RoutingOptions } from "../../runtime/routing/index.js";
 import type { CallerProtocol, Clock, Milliseconds, Refusal, RefusalReason } from "../../types/index.js";
 import { sleep } from "../../utils/index.js";
-import type { AdmissionQueues } from "./admissionQueues.js";
-import { createAnswerRelay } from "./answerRelay.js";
-import { createAttemptRace, type EndedAttempt } from "./attemptRace.js";
-import { createAttemptRunner } from "./attemptRunner.js";
-import type { BackendClients } from "./backendClients.js";
-import { createStreamWriter } from "./callerAnswer.js";
-import { type CrashEvidenceReader, createCrashRefusals, describeCondemned } from "./crashRefusals.js";
-import type { CrashWatch } from "./crashWatch.js";
-import { createFinalAnswers, describeUnavailable, unavailableRetryAfterSeconds } from "./finalAnswer.js";
+import { createAnswerRelay } from "./answers/answerRelay.js";
+import { createStreamWriter } from "./answers/callerAnswer.js";
+import { createFinalAnswers, describeUnavailable, unavailableRetryAfterSeconds } from "./answers/finalAnswer.js";
+import { createAttemptRace, type EndedAttempt } from "./attempts/attemptRace.js";
+import { createAttemptRunner } from "./attempts/attemptRunner.js";
+import type { BackendClients } from "./attempts/backendClients.js";
+import { createHedging } from "./attempts/hedging.js";
+import { allowsAttempt, mustComplete, type RequestProgress } from "./attempts/requestProgress.js";
+import { reachedServer } from "./attempts/startedAttempt.js";
+import { type CrashEvidenceReader, createCrashRefusals, describeCondemned } from "./crashes/crashRefusals.js";
+import type { CrashWatch } from "./crashes/crashWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
-import { createHedging } from "./hedging.js";
-import type { RateLimits } from "./rateLimits.js";
+import type { RateLimits } from "./membership/rateLimits.js";
+import type { ServerNotices } from "./membership/serverNotices.js";
 import type { RequestLog } from "./requestLog.js";
-import { allowsAttempt, mustComplete, type RequestProgress } from "./requestProgress.js";
-import type { ServerNotices } from "./serverNotices.js";
-import type { ServerSelector } from "./serverSelector.js";
-import { reachedServer } from "./startedAttempt.js";
+import type { AdmissionQueues } from "./selection/admissionQueues.js";
+import type { ServerSelector } from "./selection/serverSelector.js";
 import type { AbortReason, AttemptFailure, GatewayRequest } from "./types.js";
 
 /** Dependencies of {@link createRequestPipeline}. */
--- a/src/node/gateway/admissionQueues.ts
+++ b/src/node/gateway/selection/admissionQueues.ts
@@ -10,15 +10,15 @@
     refuseQueuedUntil,
     refuseUntil,
     setCapacity,
-} from "../../runtime/admission/index.js";
+} from "../../../runtime/admission/index.js";
 import {
     type ArrivalCount,
     computeArrivalRate,
     createArrivalCount,
     recordArrival,
     type ServiceDemand,
-} from "../../runtime/gateway/index.js";
-import { explainBlocked } from "../../runtime/routing/index.js";
+} from "../../../runtime/gateway/index.js";
+import { explainBlocked } from "../../../runtime/routing/index.js";
 import type {
     BlockedReason,
     Clock,
@@ -27,7 +27,7 @@
     RequestId,
     RequestRow,
     ServiceRow,
-} from "../../types/index.js";
+} from "../../../types/index.js";
 import type { ServiceShare } from "./serverSelector.js";
 
 /** Result of waiting for a place, which allows a request to be in progress at its service. */
--- a/src/node/gateway/serverSelector.ts
+++ b/src/node/gateway/selection/serverSelector.ts
@@ -6,7 +6,7 @@
     parseWeightName,
     type PlaceShare,
     type ServiceDemand,
-} from "../../runtime/gateway/index.js";
+} from "../../../runtime/gateway/index.js";
 import {
     type CandidateInput,
     type Candidates,
@@ -14,7 +14,7 @@
     type RoutingDecision,
     type RoutingOptions,
     selectRunner,
-} from "../../runtime/routing/index.js";
+} from "../../../runtime/routing/index.js";
 import type {
     AvailabilityZone,
     Clock,
@@ -23,8 +23,8 @@
     RandomSource,
     Region,
     ServiceRow,
-} from "../../types/index.js";
-import { type GatewayState, listAcceptedWeights } from "./gatewayState.js";
+} from "../../../types/index.js";
+import { type GatewayState, listAcceptedWeights } from "../membership/gatewayState.js";
 
 /** Dependencies of {@link createServerSelector}. */
 export interface ServerSelectorInput {
--- a/src/node/weightAgent/importStaged.ts
+++ b/src/node/weightAgent/importStaged.ts
@@ -2,7 +2,7 @@
 import { formatWeightName, initialVersion } from "../../runtime/gateway/index.js";
 import type { EngineControlPort, EngineReport } from "../../types/index.js";
 import { runParallel } from "../../utils/index.js";
-import type { WeightSource } from "../gateway/weightSources.js";
+import type { WeightSource } from "../gateway/membership/weightSources.js";
 import { parallelChunks } from "./stageWeights.js";
 import type { WeightMemory } from "./weightMemory.js";
 
--- a/src/node/weightAgent/versionPlan.ts
+++ b/src/node/weightAgent/versionPlan.ts
@@ -9,7 +9,7 @@
 } from "../../runtime/rollout/index.js";
 import type { Clock, EngineReport, Manifest, ManifestDigest, Milliseconds } from "../../types/index.js";
 import type { TransferProgress } from "../agent/transfer/index.js";
-import { readWeightSource, type WeightSource } from "../gateway/weightSources.js";
+import { readWeightSource, type WeightSource } from "../gateway/membership/weightSources.js";
 import type { SetToStage } from "./earlyStager.js";
 import type { EngineTarget } from "./engineController.js";
 import type { FindChunkVersion } from "./stagedWrites.js";
--- a/test/node/gateway/admissionQueues.test.ts
+++ b/test/node/gateway/admissionQueues.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { createAdmissionQueues } from "../../../src/node/gateway/admissionQueues.js";
+import { createAdmissionQueues } from "../../../src/node/gateway/selection/admissionQueues.js";
 import { resolveAdmissionOptions } from "../../../src/runtime/admission/index.js";
 import type { ServiceRow } from "../../../src/types/index.js";
 import { createSystemClock } from "../../../src/utils/index.js";
--- a/test/node/gateway/agentWatch.test.ts
+++ b/test/node/gateway/agentWatch.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { pino } from "pino";
-import { createAgentWatch } from "../../../src/node/gateway/agentWatch.js";
+import { createAgentWatch } from "../../../src/node/gateway/membership/agentWatch.js";
 import { applyListed, createBackendServerTable } from "../../../src/runtime/gateway/index.js";
 import { createSystemClock } from "../../../src/utils/index.js";
 import { waitUntil } from "../../platform/standIn/deployment.js";
--- a/test/node/gateway/arrivedRequests.test.ts
+++ b/test/node/gateway/arrivedRequests.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import type { IncomingMessage } from "node:http";
 import { describe, it } from "node:test";
-import { createArrivedRequests } from "../../../src/node/gateway/arrivedRequests.js";
+import { createArrivedRequests } from "../../../src/node/gateway/callers/arrivedRequests.js";
 import { createManualClock } from "../../../src/utils/index.js";
 
 const configurationLimit = 2_000;
--- a/test/node/gateway/backendClients.test.ts
+++ b/test/node/gateway/backendClients.test.ts
@@ -3,7 +3,7 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { describe, it, mock } from "node:test";
-import { type BackendClients, createBackendClients } from "../../../src/node/gateway/backendClients.js";
+import { type BackendClients, createBackendClients } from "../../../src/node/gateway/attempts/backendClients.js";
 import type { HttpClient } from "../../../src/node/httpClient/index.js";
 import type { ListedBackendServer } from "../../../src/types/index.js";
 import { createListed } from "../../runtime/gateway/configuration.js";
--- a/test/node/gateway/callerServer.test.ts
+++ b/test/node/gateway/callerServer.test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { describe, it } from "node:test";
-import { startCallerServer } from "../../../src/node/gateway/callerServer.js";
+import { startCallerServer } from "../../../src/node/gateway/callers/callerServer.js";
 import { createGatewayMetrics } from "../../../src/node/gateway/gatewayMetrics.js";
 import type { GatewayRequest } from "../../../src/node/gateway/types.js";
 import { createLogger } from "../../../src/node/logging/index.js";
--- a/test/node/gateway/crashExchange.test.ts
+++ b/test/node/gateway/crashExchange.test.ts
@@ -8,9 +8,9 @@
     type CrashEvidenceRequest,
     CrashEvidenceSchema,
 } from "../../../src/generated/goldcrestpoint_pb.js";
-import { createCrashEvidenceStore } from "../../../src/node/gateway/crashEvidenceStore.js";
-import { createCrashExchange } from "../../../src/node/gateway/crashExchange.js";
-import { createServerNotices } from "../../../src/node/gateway/serverNotices.js";
+import { createCrashEvidenceStore } from "../../../src/node/gateway/crashes/crashEvidenceStore.js";
+import { createCrashExchange } from "../../../src/node/gateway/crashes/crashExchange.js";
+import { createServerNotices } from "../../../src/node/gateway/membership/serverNotices.js";
 import { createManualClock } from "../../../src/utils/index.js";
 import { createTestRateLimits } from "./testRateLimits.js";
 
--- a/test/node/gateway/crashWatch.test.ts
+++ b/test/node/gateway/crashWatch.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { pino } from "pino";
-import { createCrashWatch } from "../../../src/node/gateway/crashWatch.js";
+import { createCrashWatch } from "../../../src/node/gateway/crashes/crashWatch.js";
 import { createManualClock } from "../../../src/utils/index.js";
 
 const server = {
--- a/test/node/gateway/eventStream.test.ts
+++ b/test/node/gateway/eventStream.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import fastCheck from "fast-check";
 import { describe, it } from "node:test";
-import { createEventSplitter, isLaterEvent } from "../../../src/node/gateway/eventStream.js";
+import { createEventSplitter, isLaterEvent } from "../../../src/node/gateway/answers/eventStream.js";
 
 describe("splitting of a stream into events", () => {
     const stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight-versions: 3\nid: 10\ndata: c\n\n";
--- a/test/node/gateway/gatewayList.test.ts
+++ b/test/node/gateway/gatewayList.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { pino } from "pino";
-import { createGatewayList } from "../../../src/node/gateway/gatewayList.js";
+import { createGatewayList } from "../../../src/node/gateway/membership/gatewayList.js";
 import { createRecordStore } from "../../../src/node/replica/index.js";
 import { resolveGatewaySettings } from "../../../src/node/settings/index.js";
 import type { KeyedRecord } from "../../../src/types/index.js";
--- a/test/node/gateway/gatewayState.test.ts
+++ b/test/node/gateway/gatewayState.test.ts
@@ -1,8 +1,8 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { pino } from "pino";
-import { createGatewayState } from "../../../src/node/gateway/gatewayState.js";
-import { createServerNotices } from "../../../src/node/gateway/serverNotices.js";
+import { createGatewayState } from "../../../src/node/gateway/membership/gatewayState.js";
+import { createServerNotices } from "../../../src/node/gateway/membership/serverNotices.js";
 import { createRecordStore, createStallMonitor, type PageSource } from "../../../src/node/replica/index.js";
 import type { KeyedRecord, RecordDecoder } from "../../../src/types/index.js";
 import { createManualClock } from "../../../src/utils/index.js";
--- a/test/node/gateway/pollQueue.test.ts
+++ b/test/node/gateway/pollQueue.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { createPollQueue } from "../../../src/node/gateway/pollQueue.js";
+import { createPollQueue } from "../../../src/node/gateway/callers/pollQueue.js";
 
 function nextIteration(): Promise<void> {
     return new Promise(resolve => setImmediate(resolve));
--- a/test/node/gateway/serverNotices.test.ts
+++ b/test/node/gateway/serverNotices.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { pino } from "pino";
-import { createServerNotices } from "../../../src/node/gateway/serverNotices.js";
+import { createServerNotices } from "../../../src/node/gateway/membership/serverNotices.js";
 import { createManualClock } from "../../../src/utils/index.js";
 
 describe("notices that gateways exchange", () => {
--- a/test/node/gateway/serverSelector.test.ts
+++ b/test/node/gateway/serverSelector.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { GatewayState } from "../../../src/node/gateway/gatewayState.js";
-import { createServerSelector, type ServerSelector } from "../../../src/node/gateway/serverSelector.js";
+import type { GatewayState } from "../../../src/node/gateway/membership/gatewayState.js";
+import { createServerSelector, type ServerSelector } from "../../../src/node/gateway/selection/serverSelector.js";
 import type { BackendServerRow } from "../../../src/runtime/gateway/index.js";
 import { createRunnerRow, resolveRoutingOptions } from "../../../src/runtime/routing/index.js";
 import type { ServiceRow } from "../../../src/types/index.js";
--- a/test/node/gateway/testRateLimits.ts
+++ b/test/node/gateway/testRateLimits.ts
@@ -1,5 +1,5 @@
 import { pino } from "pino";
-import { createRateLimits, type RateLimits } from "../../../src/node/gateway/rateLimits.js";
+import { createRateLimits, type RateLimits } from "../../../src/node/gateway/membership/rateLimits.js";
 import type { Clock } from "../../../src/types/index.js";
 
 /**
