Decode slow start, allowed regions, evacuations, speed, expected length and engine ranks

Cause: the records and headers of two new deployments state which backend servers are cold, where requests may be served, which zones are evacuated, how long work takes at a server and how long an answer is expected to be; none was read. Change: the adapter decodes them into fields of the product; figures that are not valid are left out, those of the configuration with a line in its list of problems. Nothing acts on them yet.

--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityZone, ClientAccount, InstanceId, Milliseconds, RequestId } from "./identifiers.js";
+import type { AvailabilityZone, ClientAccount, InstanceId, Milliseconds, Region, RequestId } from "./identifiers.js";
 
 /**
  * Kind of the requests of a route: `safe` requests may be repeated, `unsafe` ones may not. `streaming` ones get a
@@ -35,6 +35,30 @@
     readonly isPublic: boolean;
     /** True if a broken stream may be resumed at another backend server. */
     readonly resumable: boolean;
+    /** Regions in which its requests may be served and stored. Default: any. */
+    readonly allowedRegions?: readonly Region[] | undefined;
+}
+
+/**
+ * How long an engine takes for the work in one pass. A pass reads at most `passTokens` prompt tokens, and writes
+ * `stepsPerPass` tokens of each answer.
+ */
+export interface EngineTiming {
+    /** Time of a step that writes one token of each answer in progress. */
+    readonly stepTime: Milliseconds;
+    /** Further time of a step for each answer in progress. */
+    readonly stepTimePerRequest: Milliseconds;
+    /** Further time of a step for each 1,000 tokens of context of an answer in progress. */
+    readonly stepTimePerThousandTokens: Milliseconds;
+    readonly promptTokensPerSecond: number;
+    /** Time for a million pairs of a prompt token and an earlier token. */
+    readonly timePerMillionPairs: Milliseconds;
+    readonly passTokens: number;
+    readonly stepsPerPass: number;
+    /** Mean number of prompt tokens and of output tokens of a request; undefined if it is not stated. */
+    readonly usual?: { readonly promptTokens: number; readonly outputTokens: number; } | undefined;
+    /** Prompt and output tokens that fit in the memory of an engine. */
+    readonly memoryTokens?: number | undefined;
 }
 
 /** Engine of a service: the model and the layout of its weights. */
@@ -46,6 +70,16 @@
     readonly chunkBytes: number;
     /** Maximum number of requests that run at once. */
     readonly slots: number;
+    /** Undefined if the configuration does not state it completely. */
+    readonly timing?: EngineTiming | undefined;
+}
+
+/** Limit on requests to a backend server that is cold: it has just started, or has lost its caches. */
+export interface SlowStartRow {
+    /** Time for which a backend server is cold after its start. */
+    readonly duration: Milliseconds;
+    /** Requests per second, from all gateways together, that a cold backend server tolerates. */
+    readonly requestsPerSecond: number;
 }
 
 /** Service of a gateway configuration. */
@@ -58,6 +92,8 @@
     /** `host:port` of the origin of weights; undefined for services that run requests. */
     readonly originAddress: string | undefined;
     readonly zone: AvailabilityZone | undefined;
+    /** Undefined if backend servers take their full load from their start. */
+    readonly slowStart?: SlowStartRow | undefined;
 }
 
 /** Limits of what a caller may send. */
@@ -74,6 +110,8 @@
     readonly apiKeys: readonly string[];
     /** 0 is the most urgent; undefined leaves it to the route. */
     readonly urgency: number | undefined;
+    /** Regions in which its requests may be served and stored, in addition to the limits of the route. Default: any. */
+    readonly allowedRegions?: readonly Region[] | undefined;
 }
 
 /** Configuration that gateways act on. */
@@ -85,6 +123,8 @@
     readonly limits: CallerLimits;
     /** Undefined if requests carry no API keys. */
     readonly accounts: readonly AccountRow[] | undefined;
+    /** Fields that were left out because their values are not valid, each with its reason. Default: none. */
+    readonly problems?: readonly string[] | undefined;
 }
 
 /** State of a backend server in the platform's list. */
@@ -111,6 +151,8 @@
     readonly weights: LoadedWeights | undefined;
     /** Start of the backend server in milliseconds since 1970; undefined if it is not known. */
     readonly startedAt: number | undefined;
+    /** Time for which it stays cold, as of when it wrote the entry; undefined if it does not state it. */
+    readonly coldRemaining?: Milliseconds | undefined;
 }
 
 /** Version of a model that the operator has declared. */
@@ -133,6 +175,8 @@
     readonly maximumOutputTokens: number | undefined;
     /** Identifiers of the parts of the prompt that other requests may share, in order; empty for plain services. */
     readonly sharedParts: readonly string[];
+    /** Number of output tokens that the caller expects: right at the median, but often far off. Default: not stated. */
+    readonly expectedOutputTokens?: number | undefined;
 }
 
 /** Fields that a gateway adds to a request that it forwards. */
@@ -145,6 +189,8 @@
     readonly resumeAfter: string | undefined;
     /** Version of the weights that must answer; undefined if any may. */
     readonly version: number | undefined;
+    /** Rank in the queue of the engine, from 0 (first) to 9. Default: not stated, which engines treat as 5. */
+    readonly engineRank?: number | undefined;
 }
 
 /** Load that a backend server states in an answer. */
@@ -152,6 +198,8 @@
     readonly running: number;
     readonly queued: number;
     readonly slots: number;
+    /** How long work takes on its instance at this moment; 1 is as usual, 2 is twice as long. Default: not stated. */
+    readonly slowdown?: number | undefined;
 }
 
 /**
@@ -178,6 +226,8 @@
     /** Time for which a backend server that turns the request away wants no others; undefined if it states none. */
     readonly pause: Milliseconds | undefined;
     readonly rateLimit: StatedRateLimit;
+    /** Time for which it stays cold; undefined if it does not state it. */
+    readonly coldRemaining?: Milliseconds | undefined;
 }
 
 /** Headers by lower-case name. */
@@ -210,11 +260,21 @@
     decodeHead(status: number, headers: HeaderTable): BackendServerHead;
 }
 
+/** Kind of a record of the operator. */
+export type OperatorRecordKind = "configuration" | "declared-version" | "evacuation" | "other";
+
 /** Decodes the platform's records. Each function returns undefined for a record that cannot be read. */
 export interface RecordDecoder {
     decodeConfiguration(key: string, value: Uint8Array): GatewayConfiguration | undefined;
     decodeDeclaredVersion(key: string, value: Uint8Array): DeclaredVersion | undefined;
     decodeBackendServer(key: string, value: Uint8Array): ListedBackendServer | undefined;
     /** Returns the kind of the record at a key of the operator's topic. */
-    classifyOperatorKey(key: string): "configuration" | "declared-version" | "other";
+    classifyOperatorKey(key: string): OperatorRecordKind;
+    /**
+     * Reads the zone of an evacuation. While the key has a record, nothing is sent to the backend servers of the zone.
+     *
+     * @param key - key of the record
+     * @returns the zone; undefined if the key names none
+     */
+    decodeEvacuation(key: string): AvailabilityZone | undefined;
 }
--- a/test/node/gateway/gatewayState.test.ts
+++ b/test/node/gateway/gatewayState.test.ts
@@ -16,6 +16,7 @@
     decodeConfiguration: () => undefined,
     decodeDeclaredVersion: (...[, value]) => ({ model: "scribe", version: Number(Buffer.from(value).toString()) }),
     decodeBackendServer: instance => createListed({ instance }),
+    decodeEvacuation: () => undefined,
 };
 
 interface VersionPage {
--- a/test/platform/callerProtocol.test.ts
+++ b/test/platform/callerProtocol.test.ts
@@ -27,3 +27,46 @@
         });
     }
 });
+
+describe("load in the headers of an answer", () => {
+    const protocol = createCallerProtocol();
+    const cases: readonly (readonly [string, string, number | undefined])[] = [
+        ["as usual", "3,0,8,100", 1],
+        ["one and a half times the usual time", "3,0,8,150", 1.5],
+        ["three figures only", "3,0,8", undefined],
+        ["a fourth figure of 0", "3,0,8,0", undefined],
+        ["a negative fourth figure", "3,0,8,-20", undefined],
+        ["a fourth figure that is no number", "3,0,8,slow", undefined],
+    ];
+    // Guards against a speed that is taken from a figure that states none.
+    for (const [name, header, slowdown] of cases) {
+        it(`is decoded with how long work takes: ${name}`, () => {
+            const { load } = protocol.decodeHead(200, { "runner-load": header });
+            expect(load?.running).toEqual(3);
+            expect(load?.slowdown).toEqual(slowdown);
+        });
+    }
+});
+
+describe("length that a caller expects of its answer", () => {
+    for (const [header, expected] of [["80", 80], ["0", undefined], ["-3", undefined], ["long", undefined]] as const) {
+        it(`is decoded: ${header}`, () => {
+            const call = createCallerProtocol().decodeCall({ "attempt-id": "a", "length-hint": header });
+            expect(call?.expectedOutputTokens).toEqual(expected);
+        });
+    }
+});
+
+describe("rank in the queue of an engine", () => {
+    // Guards against a caller that moves its own request to the front of the queue.
+    for (const [rank, expected] of [[0, "0"], [12, "9"], [undefined, undefined]] as const) {
+        it(`is set by the gateway only: ${rank}`, () => {
+            const forwarded = { instance: "i-1", remaining: 100, clientAccount: undefined, resumeAfter: undefined };
+            const sent = createCallerProtocol().encodeForwarded(
+                { "request-priority": "1" },
+                { ...forwarded, version: undefined, engineRank: rank },
+            );
+            expect(sent["request-priority"]).toEqual(expected);
+        });
+    }
+});
