--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import typescriptEslint from "typescript-eslint";
 
 export default typescriptEslint.config(
-    { ignores: ["dist/**", "target/**", "node_modules/**", "src/generated/**", "eslint.config.js"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "src/generated/**", "eslint.config.js", "platform/undiciParts.cjs"] },
     ...typescriptEslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
