Start requests by rank when there is too little capacity

Cause: findNext put the shares of the accounts before the rank, and a request may wait for a share of its target. A less urgent request with a long target therefore outlasted an urgent one with a short target.

A less urgent request leaves slots to more urgent arrivals that are expected within the time that they may wait and would find no slot. A rank or an account that lacks a whole start to its minimum share (minimumRankShare, 0.5 of its proportional share) starts first.

--- a/bench/days.ts
+++ b/bench/days.ts
@@ -2,7 +2,7 @@
 import { policies } from "./days/policies.js";
 import { scenarios } from "./days/scenarios.js";
 import { simulateScenario } from "./days/simulation.js";
-import type { ScenarioResult } from "./days/summary.js";
+import type { ClassResult, ScenarioResult } from "./days/summary.js";
 
 const { values } = parseArgs({
     options: { json: { type: "boolean", default: false }, seed: { type: "string", default: "1" } },
@@ -13,7 +13,7 @@
 }
 
 function formatResult(result: ScenarioResult): string {
-    const { inAimByClass, timeToReplicas } = result;
+    const { timeToReplicas } = result;
     return [
         result.policy.padEnd(18),
         result.goodput.toFixed(1).padStart(7),
@@ -21,8 +21,6 @@
         formatShare(result.inAimShare),
         formatShare(result.answeredShare),
         formatShare(result.worstSecond),
-        formatShare(inAimByClass.urgent),
-        formatShare(inAimByClass.other),
         formatShare(result.worstAccount),
         formatShare(result.refusedShare),
         formatShare(result.resent),
@@ -32,6 +30,13 @@
     ].join("  ");
 }
 
+function formatClass([name, result]: [string, ClassResult]): string {
+    const { answered, inAim, refused, refusedLate, refusedTwice } = result;
+    return [`    ${name}`.padEnd(20), ...[inAim, answered, refused, refusedTwice, refusedLate].map(formatShare)].join(
+        "  ",
+    );
+}
+
 const seed = Number(values.seed);
 const results = Object.entries(scenarios).flatMap(([scenario, createScenario]) =>
     Object.entries(policies).map(([name, createPolicy]) =>
@@ -43,12 +48,17 @@
     console.log(JSON.stringify({ seed, results }));
 }
 else {
-    const header =
-        "first tokens on time /s; then %: worth, on time, answered, worst second, urgent, other, worst account, " +
-        "refused, resent, returned; p95 time to first token in ms; s until all replicas hold the version";
+    const header = "first tokens on time /s; then %: worth, on time, answered, worst second, worst account, " +
+        "refused, resent, returned; p95 time to first token in ms; s until all replicas hold the version; " +
+        "by class in %: on time, answered, refused, refused twice, refused after a wait of over an eighth of the target";
     console.log(`seed ${seed}: ${header}`);
     for (const scenario of Object.keys(scenarios)) {
         console.log(`\n${scenario}`);
-        console.log(results.filter(result => result.day === scenario).map(formatResult).join("\n"));
+        console.log(
+            results.filter(result => result.day === scenario)
+                .flatMap(result => [formatResult(result), ...Object.entries(result.classes).map(formatClass)]).join(
+                    "\n",
+                ),
+        );
     }
 }
--- a/bench/days/gateways.ts
+++ b/bench/days/gateways.ts
@@ -55,14 +55,14 @@
     retry: RetryOptions,
 ): Gateway[] {
     return zones.flatMap(zone =>
-        [...Array(gatewaysPerZone).keys()].map(() => ({
+        [...Array(gatewaysPerZone).keys()].map(createPolicy).map(policy => ({
             zone,
             runners: engines.map(engine =>
                 createRunnerRow("model", { instance: engine.instance, zone: engine.zone, region: engine.zone })
             ),
-            admissionTable: createAdmissionTable(admission),
+            admissionTable: createAdmissionTable({ ...admission, ...policy.admission }),
             budget: createRetryBudget(0, retry),
-            policy: createPolicy(),
+            policy,
             callerTimeouts: createCallerTimeoutTable(),
             arrivals: createArrivalCount(0),
             draw: 0,
--- a/bench/days/parameters.ts
+++ b/bench/days/parameters.ts
@@ -20,15 +20,49 @@
 export const accountWeights = [50, 20, 10, 10, 5, 5];
 export const urgentShare = 0.2;
 
+/** Requests of one kind in the load of a scenario. */
+export interface RequestClass {
+    readonly name: string;
+    /** Its share of the requests, relative to those of the other classes. */
+    readonly weight: number;
+    /** 0 (lowest) to 9 (highest). */
+    readonly priority: number;
+    /** Largest time to the first token that meets the target. */
+    readonly target: Milliseconds;
+    readonly promptTokens: number;
+    readonly answerTokens: number;
+}
+
+const common = { target: firstTokenTarget, promptTokens: meanPromptTokens, answerTokens: meanAnswerTokens };
+
+/** Classes of a scenario that states none. */
+export const ordinaryClasses: readonly RequestClass[] = [
+    { ...common, name: "urgent", weight: urgentShare, priority: 8 },
+    { ...common, name: "other", weight: 1 - urgentShare, priority: 5 },
+];
+
+/** Classes of the engraving deployment that share its engines; an event has five tokens. */
+export const engravingClasses: readonly RequestClass[] = [
+    { name: "full-engrave", weight: 128, priority: 7, target: 1_003, promptTokens: 1_290, answerTokens: 110 },
+    { name: "fingering-hint", weight: 163, priority: 9, target: 402, promptTokens: 787, answerTokens: 110 },
+    { name: "part-check", weight: 90.8, priority: 8, target: 402, promptTokens: 607, answerTokens: 70 },
+];
+
+function computeMean(classes: readonly RequestClass[], read: (requestClass: RequestClass) => number): number {
+    const weights = classes.reduce((sum, { weight }) => sum + weight, 0);
+    return classes.reduce((sum, requestClass) => sum + requestClass.weight * read(requestClass), 0) / weights;
+}
+
 /**
  * Computes the throughput of all engines with full slots.
  *
+ * @param classes - classes of the load. Default: those of a scenario that states none.
  * @returns requests per second
  */
-export function computeCapacity(): number {
-    const answer = meanAnswerTokens *
+export function computeCapacity(classes: readonly RequestClass[] = ordinaryClasses): number {
+    const answer = computeMean(classes, ({ answerTokens }) => answerTokens) *
         (engineModel.tokenMilliseconds + engineModel.tokenMillisecondsPerAnswer * engineModel.slots);
-    const prompt = meanPromptTokens / engineModel.promptTokensPerMillisecond;
+    const prompt = computeMean(classes, ({ promptTokens }) => promptTokens) / engineModel.promptTokensPerMillisecond;
     const perEngine = Math.min(1_000 / prompt, engineModel.slots * 1_000 / (answer + prompt));
     return perEngine * enginesPerZone * zones.length;
 }
@@ -55,3 +89,18 @@
 export function sampleExponential(mean: number, random: RandomSource): number {
     return -Math.log(1 - random.next()) * mean;
 }
+
+/**
+ * Draws the account, the class and the size of a request.
+ *
+ * @param classes - classes of the load
+ * @param random - source of randomness
+ * @returns the request
+ */
+export function drawRequest(classes: readonly RequestClass[], random: RandomSource) {
+    const account = `account-${pickWeighted(accountWeights, random)}`;
+    const requestClass = classes[pickWeighted(classes.map(({ weight }) => weight), random)]!;
+    const promptTokens = Math.ceil(sampleExponential(requestClass.promptTokens, random));
+    const answerTokens = Math.ceil(sampleExponential(requestClass.answerTokens, random));
+    return { account, requestClass, promptTokens, answerTokens };
+}
--- a/bench/days/policies.ts
+++ b/bench/days/policies.ts
@@ -1,3 +1,4 @@
+import type { AdmissionOptions } from "../../src/runtime/admission/index.js";
 import {
     resolveRoutingOptions,
     type RoutingOptions,
@@ -21,6 +22,8 @@
     readonly queuesRequests: boolean;
     /** True if requests that can no longer meet their target start after those that can. */
     readonly deprioritizesLate: boolean;
+    /** Options of the admission that differ from those of the platform before ranks decided first. */
+    readonly admission?: Partial<AdmissionOptions> | undefined;
     choose(input: ChoiceInput): RunnerRow | undefined;
 }
 
@@ -51,8 +54,13 @@
     };
 }
 
-function createProductPolicy(queuesRequests: boolean, deprioritizesLate: boolean): Policy {
+function createProductPolicy(
+    queuesRequests: boolean,
+    deprioritizesLate: boolean,
+    admission?: Partial<AdmissionOptions>,
+): Policy {
     return {
+        admission,
         queuesRequests,
         deprioritizesLate,
         choose: ({ excluded, now, random, runners, zone }) => {
@@ -76,6 +84,7 @@
 /** Creates a policy, by name; "own" is the routing of this project. Each gateway has an instance of its own. */
 export const policies: Readonly<Record<string, () => Policy>> = {
     own: () => createProductPolicy(true, true),
+    "own by rank": () => createProductPolicy(true, true, { rankReservation: true }),
     "own by arrival": () => createProductPolicy(true, false),
     "own without queue": () => createProductPolicy(false, false),
     "round robin": createRoundRobin,
--- a/bench/days/scenarios.ts
+++ b/bench/days/scenarios.ts
@@ -1,6 +1,7 @@
 import { planLoad, type RolloutOptions } from "../../src/runtime/rollout/index.js";
 import type { Milliseconds, RandomSource } from "../../src/types/index.js";
 import type { Engine } from "./engine.js";
+import { engravingClasses, type RequestClass } from "./parameters.js";
 
 /** Duration of a scenario in virtual time. */
 export const scenarioDuration: Milliseconds = 30_000;
@@ -18,6 +19,8 @@
 export interface Scenario {
     /** Offered load as a share of the engines' capacity. */
     load(now: Milliseconds): number;
+    /** Classes of the load. Default: those of the other scenarios. */
+    readonly classes?: readonly RequestClass[] | undefined;
     /** Applies the disturbance to the engines; called in every tick. */
     updateEngines(context: ScenarioContext, now: Milliseconds): void;
     /** Version that all engines should hold at the end; the time to replicas is counted from its declaration. */
@@ -128,6 +131,15 @@
 
 const doNothing = (): void => {};
 
+/** The mix of the engraving deployment, with more load than its engines can take for some time. */
+function createEngravingLoad(share: number, duration: Milliseconds): Scenario {
+    return {
+        classes: engravingClasses,
+        load: now => isDuring(now, disturbanceStart, duration) ? share : calmLoad,
+        updateEngines: doNothing,
+    };
+}
+
 /** Creates a scenario with its initial state, by name. */
 export const scenarios: Readonly<Record<string, () => Scenario>> = {
     calm: () => ({ load: () => calmLoad, updateEngines: doNothing }),
@@ -144,4 +156,7 @@
     }),
     "version change": createVersionChange,
     "mass restart": createMassRestart,
+    "engraving burst": () => createEngravingLoad(2, 2_000),
+    "engraving at 1.3": () => createEngravingLoad(1.3, 15_000),
+    "engraving at 2": () => createEngravingLoad(2, 15_000),
 };
--- a/bench/days/simulation.ts
+++ b/bench/days/simulation.ts
@@ -20,22 +20,18 @@
 import { createEngine, type Engine } from "./engine.js";
 import { type Attempt, createGateways, type Gateway } from "./gateways.js";
 import {
-    accountWeights,
     callerTimeout,
     computeCapacity,
     drawInterval,
+    drawRequest,
     enginesPerZone,
-    firstTokenTarget,
     maximumCallerTries,
     maximumWaitShare,
-    meanAnswerTokens,
-    meanPromptTokens,
-    pickWeighted,
+    ordinaryClasses,
     reportDelay,
     reportInterval,
     sampleExponential,
     tick,
-    urgentShare,
     zones,
 } from "./parameters.js";
 import { type Policy, routingOptions } from "./policies.js";
@@ -62,6 +58,7 @@
     const arrivalRandom = createSeededRandom(seed);
     const choiceRandom = createSeededRandom(seed + 1);
     const drawRandom = createSeededRandom(seed + 2);
+    const classes = scenario.classes ?? ordinaryClasses;
     const retryOptions = resolveRetryOptions({ budgetShare: 0.1, budgetPerSecond: 0.5, budgetMaximum: 10 });
     const admissionOptions = resolveAdmissionOptions({
         maximumInProgress: 1_000,
@@ -99,7 +96,7 @@
             attempt.runner.awaitingFirst--;
         }
         const { caller } = attempt;
-        caller.metTarget = at - caller.begunAt <= firstTokenTarget;
+        caller.metTarget = at - caller.begunAt <= caller.requestClass.target;
         caller.answered = at - caller.begunAt <= callerTimeout;
         firstTokens.recordValue(Math.max(1, Math.round(at - caller.begunAt)));
     }
@@ -163,6 +160,7 @@
 
     function refuse(caller: Caller, gateway: Gateway, retryAfterSeconds: number): void {
         counts.refused++;
+        caller.refusals++;
         const remainingTime = caller.begunAt + callerTimeout - now;
         const wait = Math.min(retryAfterSeconds * 1_000, remainingTime / 3);
         if (caller.tries < maximumCallerTries && remainingTime > wait + 50) {
@@ -202,6 +200,7 @@
         for (const { refusal, request } of dequeued.refuse) {
             const { caller } = attempts.get(request.requestId)!;
             attempts.delete(request.requestId);
+            caller.refusedLate ||= now - request.receivedAt > caller.requestClass.target / 8;
             refuse(caller, gateway, refusal.retryAfterSeconds);
         }
     }
@@ -225,15 +224,17 @@
 
     function receiveRequest(caller: Caller, gateway: Gateway): void {
         caller.tries++;
+        const { requestClass } = caller;
         const remainingTime = caller.begunAt + callerTimeout - now;
-        const missedTarget = estimatePriorWait(gateway.callerTimeouts, "route", remainingTime) > firstTokenTarget;
+        const missedTarget = estimatePriorWait(gateway.callerTimeouts, requestClass.name, remainingTime) >
+            requestClass.target;
         const request: RequestRow = {
             requestId: `${caller.id}-${caller.tries}`,
             deployment: "model",
             clientAccount: caller.account,
-            priority: caller.urgent ? 8 : 5,
+            priority: requestClass.priority,
             deadline: gateway.policy.queuesRequests ?
-                now + firstTokenTarget * maximumWaitShare :
+                now + requestClass.target * maximumWaitShare :
                 caller.begunAt + callerTimeout,
             receivedAt: now,
             idempotent: true,
@@ -270,16 +271,15 @@
     }
 
     function generateArrivals(): void {
-        const arrivalsPerMillisecond = computeCapacity() * scenario.load(now) / 1_000;
+        const arrivalsPerMillisecond = computeCapacity(classes) * scenario.load(now) / 1_000;
         while (nextArrival <= now) {
             const caller: Caller = {
                 id: callers.length,
-                account: `account-${pickWeighted(accountWeights, arrivalRandom)}`,
-                urgent: arrivalRandom.next() < urgentShare,
+                ...drawRequest(classes, arrivalRandom),
                 begunAt: now,
-                promptTokens: Math.ceil(sampleExponential(meanPromptTokens, arrivalRandom)),
-                answerTokens: Math.ceil(sampleExponential(meanAnswerTokens, arrivalRandom)),
                 tries: 0,
+                refusals: 0,
+                refusedLate: false,
                 metTarget: false,
                 answered: false,
             };
--- a/bench/days/summary.ts
+++ b/bench/days/summary.ts
@@ -1,4 +1,17 @@
 import type { Milliseconds } from "../../src/types/index.js";
+import type { RequestClass } from "./parameters.js";
+
+/** Results of one class of requests, as shares of its callers. */
+export interface ClassResult {
+    readonly inAim: number;
+    readonly answered: number;
+    /** Refused at least once. */
+    readonly refused: number;
+    /** Refused again after they had returned. */
+    readonly refusedTwice: number;
+    /** Refused after they had waited for more than an eighth of the target. */
+    readonly refusedLate: number;
+}
 
 /**
  * Results of one scenario under one policy, as written to the JSON output. "In aim" means that the first token arrived
@@ -19,7 +32,7 @@
     readonly worth: number;
     /** Lowest in-aim share of the callers that arrived in the same second. */
     readonly worstSecond: number;
-    readonly inAimByClass: Readonly<Record<"urgent" | "other", number>>;
+    readonly classes: Readonly<Record<string, ClassResult>>;
     /** Lowest in-aim share of a client account. */
     readonly worstAccount: number;
     /** Refusals that callers got, per request; a caller that tries again can be refused more than once. */
@@ -37,11 +50,15 @@
 export interface Caller {
     readonly id: number;
     readonly account: string;
-    readonly urgent: boolean;
+    readonly requestClass: RequestClass;
     readonly begunAt: Milliseconds;
     readonly promptTokens: number;
     readonly answerTokens: number;
     tries: number;
+    /** Refusals that it got. */
+    refusals: number;
+    /** True if it waited longer than an eighth of its target before a refusal. */
+    refusedLate: boolean;
     /** True if the first token arrived within the target. */
     metTarget: boolean;
     /** True if the first token arrived before the caller's timeout. */
@@ -69,6 +86,23 @@
     return callers.length === 0 ? 1 : callers.filter(({ metTarget }) => metTarget).length / callers.length;
 }
 
+function summarizeClasses(callers: readonly Caller[]): Record<string, ClassResult> {
+    const names = new Set(callers.map(({ requestClass }) => requestClass.name));
+    return Object.fromEntries(
+        [...names].sort().map(name => {
+            const members = callers.filter(({ requestClass }) => requestClass.name === name);
+            const computeShare = (has: (caller: Caller) => boolean) => members.filter(has).length / members.length;
+            return [name, {
+                inAim: computeOnTimeShare(members),
+                answered: computeShare(({ answered }) => answered),
+                refused: computeShare(({ refusals }) => refusals > 0),
+                refusedTwice: computeShare(({ refusals }) => refusals > 1),
+                refusedLate: computeShare(({ refusedLate }) => refusedLate),
+            }];
+        }),
+    );
+}
+
 /** Finds the lowest share of callers within the target among all groups. */
 function findLowestShare(callers: readonly Caller[], readGroup: (caller: Caller) => string): number {
     const groups = new Map<string, Caller[]>();
@@ -97,10 +131,7 @@
         answeredShare,
         worth: computeOnTimeShare(callers) * (1 - lateAnswerWorth) + answeredShare * lateAnswerWorth,
         worstSecond: findLowestShare(callers, ({ begunAt }) => String(Math.floor(begunAt / 1_000))),
-        inAimByClass: {
-            urgent: computeOnTimeShare(callers.filter(({ urgent }) => urgent)),
-            other: computeOnTimeShare(callers.filter(({ urgent }) => !urgent)),
-        },
+        classes: summarizeClasses(callers),
         worstAccount: findLowestShare(callers, ({ account }) => account),
         refusedShare: refused / callers.length,
         resent: resent / callers.length,
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -1,5 +1,5 @@
 import { distributionSection } from "./distributionSection.js";
-import { defineDuration, defineInteger, defineNumber, renameKey } from "./keyDefinitions.js";
+import { defineBoolean, defineDuration, defineInteger, defineNumber, renameKey } from "./keyDefinitions.js";
 
 /** Sections with the options of the decision functions in `src/runtime`. */
 export const decisionSections = {
@@ -187,6 +187,19 @@
             defaultValue: 1,
             documentation: "Step to which the retry time is rounded up; 1 for callers that take whole seconds only.",
         }),
+        rankReservation: defineBoolean(
+            false,
+            "Whether requests start by rank, and slots are reserved for more urgent ones that are expected and would " +
+                "otherwise be refused.",
+        ),
+        minimumRankShare: defineNumber({
+            minimum: 0,
+            maximum: 1,
+            defaultValue: 0.5,
+            documentation:
+                "Starts that each rank and account is granted before more urgent requests, as a share of those in " +
+                "proportion to its demand; applies with rankReservation.",
+        }),
     },
     retry: {
         budgetShare: defineNumber({
--- a/src/runtime/admission/admission.ts
+++ b/src/runtime/admission/admission.ts
@@ -8,6 +8,7 @@
     RequestRow,
 } from "../../types/index.js";
 import { compareUrgency, computeExpectedWait, countAhead, dequeue, enqueue, findNext, mayStartLate } from "./queue.js";
+import { computeReservedSlots, isOwedStart, isRanked, recordDemand, recordStart } from "./rankDemand.js";
 import { createRefusal } from "./refusals.js";
 import type { AdmissionDecision, AdmissionTable, DequeuedRequests } from "./types.js";
 
@@ -26,6 +27,9 @@
 function start(table: AdmissionTable, request: RequestRow, now: Milliseconds): void {
     table.inProgress.set(request.requestId, { request, startedAt: now });
     changeCount(table.inProgressByAccount, request.clientAccount, 1);
+    if (table.options.rankReservation) {
+        recordStart(table.demand, request, now);
+    }
 }
 
 function isAloneInProgress(table: AdmissionTable): boolean {
@@ -46,17 +50,24 @@
     return hasFreeSlot && !isAloneInProgress(table);
 }
 
+/** Tells whether the free slots are reserved for requests that are more urgent. */
+function isReserved(table: AdmissionTable, request: RequestRow, now: Milliseconds): boolean {
+    const free = table.capacity - table.inProgress.size;
+    return isRanked(table, now) && free <= computeReservedSlots(table, request.priority, now) &&
+        !isOwedStart(table, request, now);
+}
+
 /**
  * Starts queued requests while slots are free. A request that has to run alone waits until all others have finished.
  */
 function startQueued(table: AdmissionTable, now: Milliseconds): RequestRow[] {
     const started: RequestRow[] = [];
-    let next = findNext(table);
+    let next = findNext(table, now);
     while (next !== undefined && canStart(table, next)) {
         dequeue(table, next);
         start(table, next, now);
         started.push(next);
-        next = findNext(table);
+        next = findNext(table, now);
     }
     return started;
 }
@@ -135,17 +146,20 @@
     now: Milliseconds,
     alone = false,
 ): AdmissionDecision {
+    if (table.options.rankReservation) {
+        recordDemand(table.demand, request, now);
+    }
     if (request.deadline <= now) {
         return refuse(table, request, "deadline-passed", 0, now);
     }
-    const wait = computeExpectedWait(table, countAhead(table, request));
+    const wait = computeExpectedWait(table, countAhead(table, request, now), request, now);
     if (now + wait > request.deadline) {
         return refuse(table, request, "deadline-unreachable", wait, now);
     }
     if (alone) {
         table.alone.add(request.requestId);
     }
-    if (table.queued.size === 0 && canStart(table, request)) {
+    if (table.queued.size === 0 && canStart(table, request) && !isReserved(table, request, now)) {
         start(table, request, now);
         return { kind: "start" };
     }
@@ -219,14 +233,20 @@
  */
 export function expireRequests(table: AdmissionTable, now: Milliseconds): DequeuedRequests {
     const refused = takeDisplaced(table);
-    const longestWait = computeExpectedWait(table, table.queued.size);
-    const atRisk = [...table.queued.values()].filter(({ deadline }) => deadline <= now || deadline < now + longestWait);
+    const longestWaits = new Map<number, Milliseconds>();
+    function isAtRisk(request: RequestRow): boolean {
+        const longestWait = longestWaits.get(request.priority) ??
+            computeExpectedWait(table, table.queued.size, request, now);
+        longestWaits.set(request.priority, longestWait);
+        return request.deadline <= now || request.deadline < now + longestWait;
+    }
+    const atRisk = [...table.queued.values()].filter(isAtRisk);
     for (const request of atRisk.sort(compareUrgency)) {
         if (request.deadline <= now) {
             refused.push(refuseQueued(table, request, "deadline-passed", 0, now));
             continue;
         }
-        const wait = computeExpectedWait(table, countAhead(table, request));
+        const wait = computeExpectedWait(table, countAhead(table, request, now), request, now);
         if (now + wait > request.deadline) {
             refused.push(refuseQueued(table, request, "deadline-unreachable", wait, now));
         }
--- a/src/runtime/admission/options.ts
+++ b/src/runtime/admission/options.ts
@@ -1,3 +1,4 @@
+import { createDemandTable } from "./rankDemand.js";
 import type { AdmissionOptions, AdmissionTable } from "./types.js";
 
 /**
@@ -16,6 +17,8 @@
         initialServiceTime: 200,
         maximumRetryAfterSeconds: 30,
         retryAfterStepSeconds: 1,
+        rankReservation: false,
+        minimumRankShare: 0.5,
         ...partial,
     };
 }
@@ -38,5 +41,6 @@
         displaced: [],
         averageServiceTime: options.initialServiceTime,
         nextRetryAt: 0,
+        demand: createDemandTable(),
     };
 }
--- a/src/runtime/admission/queue.ts
+++ b/src/runtime/admission/queue.ts
@@ -1,4 +1,11 @@
 import type { ClientAccount, Milliseconds, RequestRow } from "../../types/index.js";
+import {
+    computeDemandShare,
+    computeMoreUrgentRate,
+    computeReservedSlots,
+    isOwedStart,
+    isRanked,
+} from "./rankDemand.js";
 import type { AdmissionTable } from "./types.js";
 
 /**
@@ -65,6 +72,17 @@
     return low;
 }
 
+/** Counts the requests of a list sorted by urgency that have a higher priority than a request. */
+function countOfHigherRank(sorted: readonly RequestRow[], { priority }: RequestRow): number {
+    const index = sorted.findIndex(other => other.priority <= priority);
+    return index < 0 ? sorted.length : index;
+}
+
+function countAtLeastAsHighRank(sorted: readonly RequestRow[], { priority }: RequestRow): number {
+    const index = sorted.findIndex(other => other.priority < priority);
+    return index < 0 ? sorted.length : index;
+}
+
 /**
  * Adds a request to the queue.
  *
@@ -93,14 +111,60 @@
     table.queued.delete(request.requestId);
 }
 
+/** Request that may start next, with what decides among several. */
+interface RankedRequest {
+    readonly request: RequestRow;
+    readonly isOwed: boolean;
+    readonly isWithin: boolean;
+}
+
+function compareRanked(left: RankedRequest, right: RankedRequest): number {
+    return Number(right.isOwed) - Number(left.isOwed) || right.request.priority - left.request.priority ||
+        Number(right.isWithin) - Number(left.isWithin) || compareUrgency(left.request, right.request);
+}
+
+/**
+ * Finds the request to start next by rank: those that are owed a start for their minimum share, then the highest rank;
+ * within a rank, the accounts below their fair share come first.
+ */
+function findNextByRank(table: AdmissionTable, now: Milliseconds): RequestRow | undefined {
+    const share = computeFairShare(table);
+    const lateMayStart = mayStartLate(table);
+    const free = table.capacity - table.inProgress.size;
+    let selected: RankedRequest | undefined;
+    for (const [account, sorted] of table.queuedByAccount) {
+        const isWithin = isWithinShare(table, account, share);
+        let rank: number | undefined;
+        for (const request of sorted) {
+            if (request.priority === rank || (request.missedTarget === true && !lateMayStart)) {
+                continue;
+            }
+            rank = request.priority;
+            const ranked = { request, isOwed: isOwedStart(table, request, now), isWithin };
+            if (selected === undefined || compareRanked(ranked, selected) < 0) {
+                selected = ranked;
+            }
+        }
+    }
+    return selected !== undefined &&
+            (selected.isOwed || free > computeReservedSlots(table, selected.request.priority, now)) ?
+        selected.request :
+        undefined;
+}
+
 /**
  * Finds the request to start next: the most urgent one of the accounts below their fair share or, if none of those
- * wait, the most urgent one of the other accounts. Late requests are skipped while they may not start.
+ * wait, the most urgent one of the other accounts. Late requests are skipped while they may not start. If ranks
+ * compete, the rank decides before the shares of the accounts.
  *
  * @param table - admission table
+ * @param now - monotonic time
  * @returns the request; undefined if no queued request may start
  */
-export function findNext(table: AdmissionTable): RequestRow | undefined {
+export function findNext(table: AdmissionTable, now: Milliseconds): RequestRow | undefined {
+    if (isRanked(table, now)) {
+        return findNextByRank(table, now);
+    }
     const share = computeFairShare(table);
     const lateMayStart = mayStartLate(table);
     let selected: RequestRow | undefined;
@@ -127,10 +191,12 @@
  *
  * @param table - admission table
  * @param request - request that is offered or queued
+ * @param now - monotonic time
  * @returns number of requests
  */
-export function countAhead(table: AdmissionTable, request: RequestRow): number {
+export function countAhead(table: AdmissionTable, request: RequestRow, now: Milliseconds): number {
     const { clientAccount } = request;
+    const byRank = isRanked(table, now);
     const share = computeFairShare(table, clientAccount);
     const isWithin = isWithinShare(table, clientAccount, share);
     const own = table.queuedByAccount.get(clientAccount) ?? [];
@@ -142,28 +208,59 @@
         if (account === clientAccount) {
             continue;
         }
+        const moreUrgent = byRank ? countOfHigherRank(sorted, request) : 0;
+        const competing = (byRank ? countAtLeastAsHighRank(sorted, request) : sorted.length) - moreUrgent;
         if (isWithinShare(table, account, share) === isWithin) {
             aheadByUrgency += countAtLeastAsUrgent(sorted, request);
         }
         else {
-            aheadByUrgency += isWithin ? 0 : sorted.length;
+            aheadByUrgency += moreUrgent + (isWithin ? 0 : competing);
         }
-        aheadByRounds += Math.min(sorted.length, Math.max(0, rounds));
+        aheadByRounds += moreUrgent + Math.min(competing, Math.max(0, rounds));
     }
     return Math.max(aheadByUrgency, aheadByRounds) + ownAhead;
 }
 
+/**
+ * Computes the rate at which requests with the rank of a request start while requests wait. Those that are more urgent
+ * are expected to start first, up to the minimum share of the rank.
+ *
+ * @param table - admission table
+ * @param request - the request
+ * @param now - monotonic time
+ * @returns requests per millisecond
+ */
+export function computeStartRate(table: AdmissionTable, request: RequestRow, now: Milliseconds): number {
+    const throughput = Math.max(1, table.capacity) / table.averageServiceTime;
+    if (!isRanked(table, now)) {
+        return throughput;
+    }
+    if (isOwedStart(table, request, now)) {
+        return throughput;
+    }
+    const granted = table.options.minimumRankShare * computeDemandShare(table, request.priority, now);
+    return Math.max(throughput * granted, throughput - computeMoreUrgentRate(table, request.priority, now));
+}
+
 /**
  * Computes the expected wait of a request.
  *
  * @param table - admission table
  * @param ahead - number of queued requests that start before it
+ * @param request - the request
+ * @param now - monotonic time
  * @returns milliseconds until a slot is free for it
  */
-export function computeExpectedWait(table: AdmissionTable, ahead: number): Milliseconds {
-    const free = table.capacity - table.inProgress.size;
+export function computeExpectedWait(
+    table: AdmissionTable,
+    ahead: number,
+    request: RequestRow,
+    now: Milliseconds,
+): Milliseconds {
+    const reserved = isRanked(table, now) ? computeReservedSlots(table, request.priority, now) : 0;
+    const free = table.capacity - table.inProgress.size - reserved;
     if (ahead < free && table.alone.size === 0) {
         return 0;
     }
-    return (ahead + 1) * table.averageServiceTime / Math.max(1, table.capacity);
+    return (ahead + 1) / computeStartRate(table, request, now);
 }
--- a/src/runtime/admission/types.ts
+++ b/src/runtime/admission/types.ts
@@ -1,4 +1,5 @@
 import type { ClientAccount, Milliseconds, Refusal, RequestId, RequestRow } from "../../types/index.js";
+import type { DemandTable } from "./rankDemand.js";
 
 /** Options of an admission table. */
 export interface AdmissionOptions {
@@ -21,6 +22,16 @@
     readonly maximumRetryAfterSeconds: number;
     /** Step to which `retryAfterSeconds` is rounded up. Default: 1, for callers that take whole seconds only. */
     readonly retryAfterStepSeconds: number;
+    /**
+     * True if requests start by rank, and less urgent ones leave slots to the more urgent ones that are expected and
+     * would otherwise be refused. Otherwise the shares of the accounts come before the rank. Default: false.
+     */
+    readonly rankReservation: boolean;
+    /**
+     * Starts that each rank and account is granted before more urgent requests, as a share of those in proportion to
+     * its demand; applies with `rankReservation`. Default: 0.5.
+     */
+    readonly minimumRankShare: number;
 }
 
 /** Result of `offerRequest`. */
@@ -52,4 +63,5 @@
     averageServiceTime: Milliseconds;
     /** Monotonic time of the latest retry-after that was sent; the next refused caller gets a later one. */
     nextRetryAt: Milliseconds;
+    readonly demand: DemandTable;
 }
--- a/src/runtime/gateway/demand.ts
+++ b/src/runtime/gateway/demand.ts
@@ -7,6 +7,8 @@
 export interface ArrivalCount {
     /** Sum of the weights of all arrivals; the weight of each begins at 1 and decays. */
     weighted: number;
+    /** Time in which the weight of an arrival halves. */
+    readonly halfLife: Milliseconds;
     /** Monotonic time at which the sum was computed. */
     updatedAt: Milliseconds;
 }
@@ -23,14 +25,15 @@
  * Creates the count for a service that has had no requests yet.
  *
  * @param now - monotonic time
+ * @param halfLife - time in which the weight of an arrival halves. Default: 1 s.
  * @returns the count, 0
  */
-export function createArrivalCount(now: Milliseconds): ArrivalCount {
-    return { weighted: 0, updatedAt: now };
+export function createArrivalCount(now: Milliseconds, halfLife: Milliseconds = arrivalHalfLife): ArrivalCount {
+    return { weighted: 0, halfLife, updatedAt: now };
 }
 
 function decayCount(count: ArrivalCount, now: Milliseconds): number {
-    return count.weighted * 2 ** (-Math.max(0, now - count.updatedAt) / arrivalHalfLife);
+    return count.weighted * 2 ** (-Math.max(0, now - count.updatedAt) / count.halfLife);
 }
 
 /**
@@ -52,5 +55,5 @@
  * @returns exponentially weighted rate in requests per millisecond
  */
 export function computeArrivalRate(count: ArrivalCount, now: Milliseconds): number {
-    return decayCount(count, now) * Math.LN2 / arrivalHalfLife;
+    return decayCount(count, now) * Math.LN2 / count.halfLife;
 }
--- a/test/bench/days.test.ts
+++ b/test/bench/days.test.ts
@@ -49,4 +49,15 @@
         expect(timeToReplicas! < 8_000).toEqual(true);
         expect(worstSecond).toBeGreaterThan(0.9);
     });
+
+    // Guards against a most urgent class that loses its slots to a less urgent one which may wait longer.
+    it("serve the most urgent class under overload better by rank than in the order by account", () => {
+        for (const scenario of ["engraving at 1.3", "engraving at 2"]) {
+            const byRank = simulate(scenario, "own by rank").classes;
+            const byAccount = simulate(scenario, "own").classes;
+            expect(byAccount["fingering-hint"]!.inAim).toBeLessThan(byAccount["full-engrave"]!.inAim);
+            expect(byRank["fingering-hint"]!.inAim).toBeGreaterThan(byRank["full-engrave"]!.inAim + 0.1);
+            expect(byRank["part-check"]!.answered + 0.05).toBeGreaterThan(byRank["full-engrave"]!.answered);
+        }
+    });
 });
