Select backend servers by the expected time to the first event

Cause: routing counts requests. A prompt or an answer of four times the mean counts as much as a short one, a server that works half as fast counts as any other, and what a stream has already delivered is not taken into account.

A candidate in whose memory the request does not fit is used only if all others are full, too. For plain services the stated slowdown scales the load.

--- a/src/node/gateway/attempts/attempt.ts
+++ b/src/node/gateway/attempts/attempt.ts
@@ -10,6 +10,7 @@
 } from "../../httpClient/index.js";
 import type { RateLimits } from "../membership/rateLimits.js";
 import type { ServerNotices } from "../membership/serverNotices.js";
+import type { RemainingWork } from "../selection/remainingWork.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer, ProgressLimits } from "../types.js";
 
 /** Dependencies of {@link openAttempt}. */
@@ -18,6 +19,7 @@
     readonly clock: Clock;
     readonly notices: Pick<ServerNotices, "recordHead">;
     readonly rateLimits: Pick<RateLimits, "recordHead">;
+    readonly work: Pick<RemainingWork, "recordSlowdown">;
 }
 
 /** One attempt at a request. */
@@ -170,6 +172,7 @@
     // A 421 may come from another backend server at the same address, so it says nothing about this one.
     if (head.requestId === request.row.requestId && stream.status !== 421) {
         context.notices.recordHead(lifetime, head);
+        context.work.recordSlowdown(server, request.service, head.load?.slowdown);
         context.rateLimits.recordHead(lifetime, head, sentAt);
     }
     const fault = findHeadFault(attempt, stream, head);
--- a/src/node/gateway/attempts/attemptRunner.ts
+++ b/src/node/gateway/attempts/attemptRunner.ts
@@ -6,6 +6,7 @@
 import type { CrashWatch, TrackedAttempt } from "../crashes/crashWatch.js";
 import type { RateLimits } from "../membership/rateLimits.js";
 import type { ServerNotices } from "../membership/serverNotices.js";
+import type { RemainingWork } from "../selection/remainingWork.js";
 import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
 import type { AttemptFailure, GatewayRequest } from "../types.js";
 import { openAttempt } from "./attempt.js";
@@ -20,6 +21,7 @@
     readonly clock: Clock;
     readonly choice: ServerSelector;
     readonly clients: BackendClients;
+    readonly work: RemainingWork;
     readonly crashes: CrashWatch;
     readonly notices: Pick<ServerNotices, "recordHead">;
     readonly rateLimits: Pick<RateLimits, "recordHead" | "recordSend">;
@@ -89,7 +91,7 @@
  * @returns the runner
  */
 export function createAttemptRunner(input: AttemptRunnerInput): AttemptRunner {
-    const { choice: selector, clock, notices, protocol, rateLimits, relay, silences } = input;
+    const { choice: selector, clock, notices, protocol, rateLimits, relay, silences, work } = input;
 
     async function send(attemptRun: AttemptRun): Promise<Result<void, AttemptFailure>> {
         const { attempt, handlers, progress, request, selection, tracked } = attemptRun;
@@ -99,10 +101,16 @@
         const remaining = request.endsAt - now;
         const bounds = { shortest: input.switchAfter, remaining };
         const release = selector.trackAttempt(server);
+        const { decision } = selection;
+        const remainingWork = work.begin(server, request, {
+            cost: selection.cost,
+            expected: decision.kind === "selected" ? decision.expected : undefined,
+            continues: (progress.lastEvent ?? request.call.resumeAfter) !== undefined,
+        });
         rateLimits.recordSend(server);
         const started = startAttempt(server, clock);
         try {
-            const opened = await openAttempt({ protocol, clock, notices, rateLimits }, {
+            const opened = await openAttempt({ protocol, clock, notices, rateLimits, work }, {
                 request,
                 server,
                 client: input.clients.find(server.listed),
@@ -130,15 +138,20 @@
                 signal: attempt.signal,
                 claim: () => attempt.claim(),
                 hasRivals: () => attempt.hasRivals(),
-                answered: succeeded => tracked.answered(succeeded),
+                answered: succeeded => {
+                    remainingWork.recordEvent();
+                    tracked.answered(succeeded);
+                },
             });
             if (relayed.isOk) {
+                remainingWork.end(true);
                 recordAnswerSilence(silences, route.name, opened.value.readLongestSilence());
             }
             return relayed;
         }
         finally {
             started[Symbol.dispose]();
+            remainingWork.end(false);
             release();
         }
     }
--- a/src/node/gateway/attempts/hedging.ts
+++ b/src/node/gateway/attempts/hedging.ts
@@ -5,6 +5,7 @@
 import type { CrashRefusals } from "../crashes/crashRefusals.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { RequestLog } from "../requestLog.js";
+import type { RemainingWork } from "../selection/remainingWork.js";
 import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
 import type { GatewayRequest } from "../types.js";
 import { type RacingAttempt, readSilence } from "./attemptRace.js";
@@ -23,6 +24,7 @@
     readonly metrics: Pick<GatewayMetrics, "countHedge" | "countRetry">;
     readonly runner: AttemptRunner;
     readonly silences: AnswerSilenceTable;
+    readonly work: Pick<RemainingWork, "estimate">;
 }
 
 /** Sends a request to another backend server beside one that is silent or slow; the first answer is used. */
@@ -87,7 +89,7 @@
         }
         const remaining = request.endsAt - now;
         const budget = input.findBudget(service.name);
-        const selection = input.choice.select(service, progress.excluded);
+        const selection = input.choice.select(service, progress.excluded, input.work.estimate(request));
         const decision = decideHedge({
             idempotent: request.row.idempotent,
             attempts: allowsAttempt(request, progress, now) ? progress.sent + inFlight.length : Infinity,
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds, RefusalReason } from "../../types/index.js";
+import type { Milliseconds, RefusalReason, ServiceRow } from "../../types/index.js";
 import type { ListeningState } from "../crashes/index.js";
 import type { BodyFraming } from "../httpClient/index.js";
 import type { ConnectionCloseReason } from "../httpServer/index.js";
@@ -33,6 +33,8 @@
     countCheck(service: string, state: ListeningState): void;
     recordWait(request: GatewayRequest, duration: Milliseconds): void;
     recordFirstByte(request: GatewayRequest, duration: Milliseconds): void;
+    /** Records how long an attempt took to bring its first event, and how long it was expected to. */
+    recordFirstEvent(service: ServiceRow, expected: Milliseconds, observed: Milliseconds): void;
     /** Counts a request that the configuration does not allow, or that arrived before there was a configuration. */
     countRejected(reason: string): void;
     /** Counts a connection of a caller that was closed without an answer on it, or a request that crossed the close. */
@@ -91,6 +93,11 @@
         name: "goldcrestpoint_gateway_first_byte_milliseconds",
         documentation: "Time from the request to the first byte sent to the caller, by service and route kind.",
     });
+    const firstEvents = metrics.createHistogram({
+        name: "goldcrestpoint_gateway_first_event_milliseconds",
+        documentation: "Time from an attempt to its first event where requests are routed by cost, by service: as " +
+            "expected when the backend server was selected (`expected`), and as observed (`observed`).",
+    });
     return {
         countOutcome: ({ route, service }, outcome) =>
             outcomes.add(1, { service: service.name, kind: route.kind, outcome }),
@@ -104,6 +111,10 @@
         countRejected: reason => rejected.add(1, { reason }),
         countClosedConnection: reason => closed.add(1, { reason }),
         recordWait: ({ service }, duration) => waits.record(duration, { service: service.name }),
+        recordFirstEvent: (service, expected, observed) => {
+            firstEvents.record(expected, { service: service.name, time: "expected" });
+            firstEvents.record(observed, { service: service.name, time: "observed" });
+        },
         recordFirstByte: ({ route, service }, duration) =>
             firstBytes.record(duration, { service: service.name, kind: route.kind }),
     };
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -1,3 +1,4 @@
+import { computeSlowdown } from "../../runtime/cost/index.js";
 import { areReportedWeightsVerified } from "../../runtime/gateway/index.js";
 import type { HedgeDecision, RequestCauses, RetryBudget, RetryDecision } from "../../runtime/retry/index.js";
 import type { Clock, Fingerprint, Milliseconds, Refusal, RefusalReason, ServiceRow } from "../../types/index.js";
@@ -75,7 +76,7 @@
     { clock, computeServiceShare, countOpen, countQueued, decisions, findCrashingPart }: RequestLogInput,
 ): RequestLog {
     return {
-        routing: (request, { decision, server, version }, attempt) => {
+        routing: (request, { cost, decision, server, version }, attempt) => {
             const { requestId } = request.row;
             const deployment = request.service.name;
             const { candidates } = decision;
@@ -94,9 +95,11 @@
                 });
                 return;
             }
-            const { reason, runner } = decision;
+            const { expected, reason, runner } = decision;
+            const now = clock.monotonic();
+            const isTimed = expected !== undefined && cost !== undefined;
             const { awaitingFirst, instance, outstanding, reportedAt, reportedLoad, reportedWaiting } = runner;
-            const reportAge = Math.round(clock.monotonic() - reportedAt);
+            const reportAge = Math.round(now - reportedAt);
             const reported = request.service.engine === undefined ? undefined : server?.reportedWeights;
             decisions.record({
                 kind: "routing",
@@ -116,6 +119,13 @@
                     reportedLoad,
                     reportedWaiting,
                     reportAge,
+                    promptTokens: isTimed ? Math.round(cost.promptTokens) : undefined,
+                    expectedTokens: isTimed ? Math.round(cost.outputTokens) : undefined,
+                    expectedCost: isTimed ? Math.round(expected.cost) : undefined,
+                    remainingWork: isTimed ? Math.round(expected.remainingWork) : undefined,
+                    expectedFirstEvent: isTimed ? Math.round(expected.firstEvent) : undefined,
+                    expectedEnd: isTimed ? Math.round(expected.end) : undefined,
+                    slowdown: runner.speed && Math.round(computeSlowdown(runner.speed, now).total * 100) / 100,
                 },
             });
         },
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -25,6 +25,7 @@
 import type { ServerNotices } from "./membership/serverNotices.js";
 import type { RequestLog } from "./requestLog.js";
 import type { AdmissionQueues } from "./selection/admissionQueues.js";
+import { createRemainingWork } from "./selection/remainingWork.js";
 import type { ServerSelector } from "./selection/serverSelector.js";
 import type { AbortReason, AttemptFailure, GatewayRequest } from "./types.js";
 
@@ -84,11 +85,12 @@
  */
 export function createRequestPipeline(input: RequestPipelineInput): (request: GatewayRequest) => Promise<void> {
     const { choice: selector, clock, crashEvidence, log, metrics, queues, readRetry } = input;
+    const work = createRemainingWork({ clock, costAware: input.routing.costAware, metrics });
     const relay = createAnswerRelay({ clock, log, metrics });
     const crashRefusals = createCrashRefusals(crashEvidence, input.crashes);
     const silences = createAnswerSilenceTable();
-    const runner = createAttemptRunner({ ...input, relay, silences });
-    const hedging = createHedging({ ...input, crashRefusals, runner, silences });
+    const runner = createAttemptRunner({ ...input, relay, silences, work });
+    const hedging = createHedging({ ...input, crashRefusals, runner, silences, work });
     const finalAnswers = createFinalAnswers(log, metrics);
 
     function decide(
@@ -125,7 +127,7 @@
             }
             return crashRefusal;
         }
-        const selection = selector.select(request.service, progress.excluded);
+        const selection = selector.select(request.service, progress.excluded, work.estimate(request));
         log.routing(request, selection, progress.attempts + 1);
         if (selection.decision.kind === "none" || selection.server === undefined) {
             const ran = progress.mayHaveRun ? "unknown" : "no";
--- a/src/node/gateway/selection/serverSelector.ts
+++ b/src/node/gateway/selection/serverSelector.ts
@@ -1,3 +1,4 @@
+import type { RequestCost } from "../../../runtime/cost/index.js";
 import {
     type BackendServerRow,
     computePlaceShare,
@@ -50,6 +51,8 @@
     readonly version: number | undefined;
     /** Monotonic time by which the head must have arrived; undefined for the newest version and plain services. */
     readonly headDeadline: Milliseconds | undefined;
+    /** Cost of the request; undefined if it was not known. */
+    readonly cost?: RequestCost | undefined;
 }
 
 /** Places of a gateway at a service, with the state of its backend servers. */
@@ -69,9 +72,10 @@
      *
      * @param service - service of the request
      * @param excluded - instances at which the request has failed
+     * @param cost - expected cost of the request; undefined if it is not known
      * @returns the selection, with the reason if there is none
      */
-    select(service: ServiceRow, excluded: ReadonlySet<string>): ServerSelection;
+    select(service: ServiceRow, excluded: ReadonlySet<string>, cost?: RequestCost): ServerSelection;
     /**
      * Computes how many requests this gateway may have in progress at a service.
      *
@@ -166,13 +170,18 @@
             .map(({ listed }) => listed.instance);
     }
 
-    function decide(service: ServiceRow, excluded: ReadonlySet<string>): RoutingDecision {
+    function decide(
+        service: ServiceRow,
+        excluded: ReadonlySet<string>,
+        cost: RequestCost | undefined,
+    ): RoutingDecision {
         return selectRunner({
             ...createCandidateInput(service, excluded),
             zone: input.zone,
             region: input.region,
             prefix: undefined,
             random: input.random,
+            cost,
         });
     }
 
@@ -189,12 +198,12 @@
                 runner.outstanding--;
             };
         },
-        select: (service, excluded) => {
+        select: (service, excluded, cost) => {
             const full = listFullyConnected(service);
-            const connectable = decide(service, new Set([...excluded, ...full]));
+            const connectable = decide(service, new Set([...excluded, ...full]), cost);
             const decision = connectable.kind === "selected" || full.length === 0 ?
                 connectable :
-                decide(service, excluded);
+                decide(service, excluded, cost);
             const server = decision.kind === "selected" ? state.servers.get(decision.runner.instance) : undefined;
             const digest = server?.runner.manifestDigest;
             const version = digest === undefined ? undefined : parseWeightName(digest).version;
@@ -202,7 +211,7 @@
             const headDeadline = model === undefined || server === undefined ?
                 undefined :
                 readHeadDeadline(model, server);
-            return { decision, server, version, headDeadline };
+            return { decision, server, version, headDeadline, cost };
         },
         computeServiceShare: (service, demand) => {
             const described = createCandidateInput(service, new Set());
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -5,6 +5,15 @@
 const both = ["agent", "gateway"] as const;
 const anyProgram = ["entry", "agent", "gateway"] as const;
 const failedRequest = ["requestId", "path", "durationMilliseconds", "error"] as const;
+const costFields = [
+    "promptTokens",
+    "expectedTokens",
+    "expectedCost",
+    "remainingWork",
+    "expectedFirstEvent",
+    "expectedEnd",
+    "slowdown",
+] as const;
 const decision = ["requestId", "deployment", "outcome", "choice", "reason", "candidates"] as const;
 
 /** Decisions by kind; the message of their lines is `KIND decision`. */
@@ -13,14 +22,7 @@
         "request",
         ["entry", "gateway"],
         "a backend server was chosen for an attempt, or none was available",
-        [
-            ...decision,
-            "attempt",
-            "version",
-            "orderSequence",
-            "weightsVerified",
-            "reportAge",
-        ],
+        [...decision, "attempt", "version", "orderSequence", "weightsVerified", "reportAge", ...costFields],
     ),
     admission: define("request", ["entry", "gateway"], "a request was refused before it ran", [
         ...decision,
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -1,5 +1,5 @@
 import { distributionSection } from "./distributionSection.js";
-import { defineDuration, defineInteger, defineNumber, renameKey } from "./keyDefinitions.js";
+import { defineBoolean, defineDuration, defineInteger, defineNumber, renameKey } from "./keyDefinitions.js";
 
 /** Sections with the options of the decision functions in `src/runtime`. */
 export const decisionSections = {
@@ -137,6 +137,11 @@
             defaultValue: 200,
             documentation: "Time in which the weight of reported waiting requests halves.",
         }),
+        costAware: defineBoolean(
+            false,
+            "Whether requests are sent where the expected time to the first event is shortest, as far as the " +
+                "configuration states the timing of engines, and slowdowns that plain services state scale their load.",
+        ),
     },
     admission: {
         maximumInProgress: defineInteger({
--- a/src/runtime/routing/load.ts
+++ b/src/runtime/routing/load.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "../../types/index.js";
+import { computeSlowdown, type ServerLoad } from "../cost/index.js";
 import type { RoutingOptions, RunnerLoadReport, RunnerOutcome, RunnerRow } from "./types.js";
 
 /** Largest factor by which the ejection duration grows with successive ejections. */
@@ -66,6 +67,33 @@
         options.waitingWeight * waiting;
 }
 
+/**
+ * Estimates what a runner has to do, by the requests that this process sent and by the last report.
+ *
+ * @param runner - the runner
+ * @param meanReported - mean of the reported loads of the candidates, which replaces a report as it ages
+ * @param now - monotonic time
+ * @param options - half-lives of reports
+ * @returns requests, work and speed of the runner
+ */
+export function estimateServerLoad(
+    runner: RunnerRow,
+    meanReported: number,
+    now: Milliseconds,
+    options: RoutingOptions,
+): ServerLoad {
+    const age = Math.max(0, now - runner.reportedAt);
+    const weight = 2 ** (-age / options.loadHalfLife);
+    const others = runner.reportedLoad * weight + meanReported * (1 - weight);
+    return {
+        own: runner.outstanding,
+        work: runner.work,
+        others,
+        othersWaiting: Math.min(others, runner.reportedWaiting * 2 ** (-age / options.waitingHalfLife)),
+        slowdown: computeSlowdown(runner.speed, now).total,
+    };
+}
+
 /**
  * Records how an attempt on a runner ended, and ejects the runner after consecutive failures. Does not change
  * `outstanding`; the calling code counts requests in progress.
--- a/src/runtime/routing/options.ts
+++ b/src/runtime/routing/options.ts
@@ -21,6 +21,7 @@
         comparedCandidates: 2,
         waitingWeight: 0,
         waitingHalfLife: 200,
+        costAware: false,
         ...partial,
     };
 }
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -1,6 +1,7 @@
 import type { AvailabilityZone, BlockedReason, Milliseconds, Region } from "../../types/index.js";
 import { scoreRendezvous } from "../../utils/index.js";
-import { estimateLoad } from "./load.js";
+import { computeExpectedTimes, computeSlowdown, type ExpectedTimes, type RequestCost } from "../cost/index.js";
+import { estimateLoad, estimateServerLoad } from "./load.js";
 import type { CandidateInput, Candidates, RoutingDecision, RoutingInput, RoutingReason, RunnerRow } from "./types.js";
 
 /** Seconds after which a caller may retry when no runner can answer, by reason. */
@@ -121,8 +122,15 @@
     return { loads, mean: sum / candidates.length };
 }
 
+/**
+ * Computes the score of a runner from its load. The request itself is counted too where runners state how slow they are,
+ * so that an idle slow one scores worse than an idle fast one.
+ */
 function computeScore(input: RoutingInput, runner: RunnerRow, load: number): number {
-    return load + readLocationPenalty(runner, input.zone, input.region, input);
+    const penalty = readLocationPenalty(runner, input.zone, input.region, input);
+    return input.options.costAware ?
+        (load + 1) * computeSlowdown(runner.speed, input.now).stated + penalty :
+        load + penalty;
 }
 
 function pickIndex(input: RoutingInput, size: number): number {
@@ -148,6 +156,45 @@
     return best!;
 }
 
+/** Runner with the times that are expected there. */
+interface TimedRunner {
+    readonly runner: RunnerRow;
+    readonly expected: ExpectedTimes;
+}
+
+/** Share of the time to the end in the score. Where a request runs longer, it also delays later ones for longer. */
+const endShare = 0.05;
+
+/**
+ * Draws distinct candidates at random and returns the one with the shortest expected time. Of those that are drawn, one
+ * whose memory would be exceeded is used only if all others would be, too.
+ */
+function selectByTime(input: RoutingInput, cost: RequestCost, candidates: readonly RunnerRow[]): TimedRunner {
+    const { now, options } = input;
+    const meanReported = candidates.reduce((sum, { reportedLoad }) => sum + reportedLoad, 0) / candidates.length;
+    const indexes = Array.from(candidates.keys());
+    const draws = Math.min(candidates.length, Math.max(2, options.comparedCandidates));
+    // A waiting request weighs as much as the reading of the usual prompt, in which the penalties are given.
+    const penaltyUnit = cost.usualPrefill / (1 + options.waitingWeight);
+    let best: TimedRunner | undefined;
+    let bestScore = Infinity;
+    // Further candidates are considered as long as the request fits nowhere.
+    for (let draw = 0; draw < draws || (draw < candidates.length && best?.expected.fits === false); draw++) {
+        const drawn = draw + pickIndex(input, candidates.length - draw);
+        [indexes[draw], indexes[drawn]] = [indexes[drawn]!, indexes[draw]!];
+        const runner = candidates[indexes[draw]!]!;
+        const expected = computeExpectedTimes(cost, estimateServerLoad(runner, meanReported, now, options), now);
+        const score = expected.firstEvent + endShare * (expected.end - expected.firstEvent) +
+            penaltyUnit * readLocationPenalty(runner, input.zone, input.region, input);
+        const isBetterFit = expected.fits && best?.expected.fits === false;
+        if (best === undefined || isBetterFit || (score < bestScore && expected.fits === best.expected.fits)) {
+            best = { runner, expected };
+            bestScore = score;
+        }
+    }
+    return best!;
+}
+
 /**
  * Finds the runner with the lowest score among those that have the prefix cached and a load below the affinity bound.
  * `held` tells whether any candidate has the prefix cached.
@@ -216,14 +263,11 @@
     return held ? runner : findRendezvousRunner(input, input.prefix, candidates, loads);
 }
 
-function selectReason(panic: boolean, count: number, affinity: boolean): RoutingReason {
+function selectReason(panic: boolean, count: number, otherwise: RoutingReason): RoutingReason {
     if (panic) {
         return "panic";
     }
-    if (count === 1) {
-        return "only-candidate";
-    }
-    return affinity ? "prefix-affinity" : "least-loaded";
+    return count === 1 ? "only-candidate" : otherwise;
 }
 
 /**
@@ -238,10 +282,20 @@
     if (candidates.length === 0) {
         return explainNoCandidate(input, found);
     }
+    // Requests with a prefix go where it is cached, which saves more than a shorter queue does.
+    if (input.options.costAware && input.cost !== undefined && input.prefix === undefined) {
+        const { expected, runner } = selectByTime(input, input.cost, candidates);
+        const reason = selectReason(panic, candidates.length, "least-time");
+        return { kind: "selected", runner, reason, candidates: candidates.length, expected };
+    }
     const loads = estimateLoads(input, candidates);
     const affinity = findAffinityRunner(input, candidates, loads);
     const runner = affinity ??
         (candidates.length === 1 ? candidates[0]! : selectOfDrawn(input, candidates, loads.loads));
-    const reason = selectReason(panic, candidates.length, affinity !== undefined);
+    const reason = selectReason(
+        panic,
+        candidates.length,
+        affinity === undefined ? "least-loaded" : "prefix-affinity",
+    );
     return { kind: "selected", runner, reason, candidates: candidates.length };
 }
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -9,6 +9,7 @@
     RandomSource,
     Region,
 } from "../../types/index.js";
+import type { ExpectedTimes, RequestCost, ServerSpeed, ServerWork } from "../cost/index.js";
 
 /** Options of the routing decision. */
 export interface RoutingOptions {
@@ -51,6 +52,11 @@
     readonly waitingWeight: number;
     /** Time in which the weight of reported waiting requests halves. Default: 200 ms. */
     readonly waitingHalfLife: Milliseconds;
+    /**
+     * True if requests are sent where the expected time to the first event is shortest, as far as the timing of engines is
+     * known, and if the slowdown that plain services state scales their load. Default: false.
+     */
+    readonly costAware: boolean;
 }
 
 /**
@@ -103,6 +109,10 @@
     readonly affinityHash: number;
     /** Past values of `outstanding`, oldest first, to correct load reports that arrive late. */
     readonly samples: { readonly at: Milliseconds; readonly outstanding: number; }[];
+    /** Work of the requests in progress. Default: not known. */
+    work?: ServerWork | undefined;
+    /** Speed in comparison with other runners. Default: not known. */
+    speed?: ServerSpeed | undefined;
 }
 
 /** Runners of one deployment whose load reports an entry instance follows. */
@@ -126,6 +136,8 @@
     readonly now: Milliseconds;
     readonly random: RandomSource;
     readonly options: RoutingOptions;
+    /** Expected cost of the request. Default: not known, so the runner is selected by its load. */
+    readonly cost?: RequestCost | undefined;
 }
 
 /** Input of `findCandidates`. */
@@ -152,7 +164,7 @@
 }
 
 /** Why a runner was selected. */
-export type RoutingReason = "least-loaded" | "only-candidate" | "prefix-affinity" | "panic";
+export type RoutingReason = "least-loaded" | "least-time" | "only-candidate" | "prefix-affinity" | "panic";
 
 /** Result of `selectRunner`. */
 export type RoutingDecision =
@@ -162,6 +174,8 @@
         readonly reason: RoutingReason;
         /** Number of runners that could have been selected. */
         readonly candidates: number;
+        /** Times that are expected at the runner; undefined if it was not selected by them. */
+        readonly expected?: ExpectedTimes | undefined;
     }
     | {
         readonly kind: "none";
--- a/test/runtime/routing/routing.test.ts
+++ b/test/runtime/routing/routing.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import fastCheck from "fast-check";
 import { describe, it } from "node:test";
+import { computeRequestCost, createServerSpeed, recordSlowdown } from "../../../src/runtime/cost/index.js";
 import {
     applyLoadReport,
     createRunnerRow,
@@ -282,3 +283,54 @@
         expect(subset.runners[0]).toEqual(stays);
     });
 });
+
+describe("selection by expected time", () => {
+    const timing = {
+        stepTime: 9,
+        stepTimePerRequest: 0,
+        stepTimePerThousandTokens: 0,
+        promptTokensPerSecond: 20_000,
+        timePerMillionPairs: 0,
+        passTokens: 512,
+        stepsPerPass: 5,
+        memoryTokens: 10_000,
+    };
+    const usual = { promptTokens: 800, outputTokens: 110 };
+    const cost = computeRequestCost({ slots: 8, timing }, usual, usual);
+    const costAware = { ...options, costAware: true };
+
+    function createSlow(instance: string, slowdown: number, changes: Partial<RunnerRow> = {}): RunnerRow {
+        const speed = createServerSpeed();
+        recordSlowdown(speed, slowdown, now);
+        return createRunner(instance, { ...changes, speed });
+    }
+
+    // Guards against a server that gets as many requests as others of the same load although it takes twice as long.
+    it("prefers a fast runner to a slow one of less load", () => {
+        const runners = [createSlow("slow", 3), createRunner("fast", { reportedLoad: 3 })];
+        expect(countChoices(createInput(runners, { options: costAware, cost }))).toEqual({ fast: 400 });
+        expect(countChoices(createInput(runners, { cost }))).toEqual({ slow: 400 });
+    });
+
+    // Guards against a request that makes an engine preempt what it runs, and against one that is refused instead.
+    it("leaves out a runner without memory while another one has some", () => {
+        const full = ["a", "b", "c", "d"].map(instance => createRunner(instance, { reportedLoad: 12 }));
+        const runners = [...full, createSlow("roomy", 4)];
+        expect(countChoices(createInput(runners, { options: costAware, cost }))).toEqual({ roomy: 400 });
+        expect(countChoices(createInput(full.slice(0, 1), { options: costAware, cost }), 1)).toEqual({ a: 1 });
+    });
+
+    // Guards against all gateways sending to the same runner between two reports.
+    it("does not send all requests to a single runner", () => {
+        const runners = [...Array(20).keys()].map(index => createRunner(`r${index}`, { reportedLoad: index / 20 }));
+        const counts = countChoices(createInput(runners, { options: costAware, cost }));
+        expect(Math.max(...Object.values(counts))).toBeBetween(20, 60);
+    });
+
+    // Guards against slow servers of plain services, whose timing is not known.
+    it("scales the load by the stated slowdown where the cost is not known", () => {
+        const runners = [createSlow("slow", 3), createRunner("fast", { reportedLoad: 1 })];
+        expect(countChoices(createInput(runners, { options: costAware }))).toEqual({ fast: 400 });
+        expect(countChoices(createInput(runners))).toEqual({ slow: 400 });
+    });
+});
