--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -137,6 +137,11 @@
             defaultValue: 200,
             documentation: "Time in which the weight of reported waiting requests halves.",
         }),
+        costAware: defineBoolean(
+            false,
+            "Whether requests are sent where the expected time to the first event is shortest, as far as the " +
+                "configuration states the timing of engines, and slowdowns that plain services state scale their load.",
+        ),
     },
     admission: {
         maximumInProgress: defineInteger({
