Forward manifests between agents, and log each stage of a version

Cause: every agent read the manifest of a new version from the origin, twice each, at the same moment, over the connections of its chunks. The origin accepts 48 to 74 connections, so the reads blocked each other and were retried in lockstep, and the log line named neither status nor cause.

Agents of older builds are left out. A manifest that intact chunks contradict is dropped and obtained anew. Manifests have a connection of their own. Lines for the manifest, the first chunk, the last chunk, the verification, the drain and the load state the time since the version was named and what the stage took; failed reads name the cause.

Not measured on processes or on the deployments.

--- a/src/node/agent/transfer/context.ts
+++ b/src/node/agent/transfer/context.ts
@@ -33,6 +33,15 @@
     track(work: Promise<void>): void;
     /** Schedules the selection of transfers for the next turn of the event loop, if the target is prepared by then. */
     requestTransfers(): void;
+    /**
+     * Records a chunk that did not match the manifest, which may be wrong.
+     *
+     * @param set - the set
+     * @param index - position of the chunk
+     * @param source - instance, or `origin`
+     * @param content - bytes that were received; empty if the chunk was not received whole
+     */
+    recordMismatch(set: WeightSetState, index: number, source: string, content: Uint8Array): void;
     /**
      * Writes a log line.
      *
--- a/src/node/agent/transfer/downloads.ts
+++ b/src/node/agent/transfer/downloads.ts
@@ -1,9 +1,7 @@
 import type { ChunkPart } from "../../../generated/goldcrestpoint_pb.js";
 import {
     addChunk,
-    countChunks,
     decodeBitfield,
-    isComplete,
     originSource,
     recordAvailability,
     recordCorruptChunk,
@@ -18,6 +16,7 @@
 import type { GoldcrestpointError, Manifest } from "../../../types/index.js";
 import { computeBackoff, findAddress, type TransferContext } from "./context.js";
 import { countRequestedBytes, readAvailableBytes, recordUnreceivedBytes } from "./requestedBytes.js";
+import { logCompletion, logFirstChunk } from "./transferStages.js";
 import { recordFirstAvailability, type WeightSetState } from "./weightSetState.js";
 
 type CommandOf<Kind extends TransferCommand["kind"]> = Extract<TransferCommand, { kind: Kind; }>;
@@ -188,7 +187,8 @@
 function recordOriginFailure(context: TransferContext, set: WeightSetState, error: GoldcrestpointError): void {
     set.originFailures++;
     set.originAvoidedUntil = context.clock.monotonic() + computeBackoff(context, set.originFailures);
-    context.logEvent({ code: error.code, step: error.step, peer: error.peer }, "origin read failed", set);
+    const { code, message, peer, step } = error;
+    context.logEvent({ code, step, peer, detail: message }, "origin read failed", set);
 }
 
 async function fetchFromPeer(
@@ -283,7 +283,7 @@
         return;
     }
     if (!verifyChunk(manifest, row.index, content)) {
-        rejectChunk(context, set, row);
+        rejectChunk(context, set, row, content);
         return;
     }
     const peer = set.peers.get(row.source);
@@ -305,10 +305,16 @@
         return;
     }
     addChunk(set.held, row.index);
+    logFirstChunk(context, set, row);
     logCompletion(context, set, manifest);
 }
 
-function rejectChunk(context: TransferContext, set: WeightSetState, row: TransferRow): void {
+function rejectChunk(
+    context: TransferContext,
+    set: WeightSetState,
+    row: TransferRow,
+    content: Uint8Array,
+): void {
     const now = context.clock.monotonic();
     const peer = set.peers.get(row.source);
     const avoided = peer !== undefined && recordCorruptChunk(peer, now, context.options);
@@ -317,26 +323,5 @@
         set.originAvoidedUntil = now + computeBackoff(context, set.originFailures);
     }
     context.logEvent({ index: row.index, source: row.source, avoided }, "corrupt chunk", set);
-}
-
-/**
- * Writes one log line when a set has become complete.
- *
- * @param context - context of the service
- * @param set - the set
- * @param manifest - manifest of the set
- */
-export function logCompletion(context: TransferContext, set: WeightSetState, manifest: Manifest): void {
-    const chunks = manifest.chunks.length;
-    if (set.completeLogged || !isComplete(set.held, chunks)) {
-        return;
-    }
-    set.completeLogged = true;
-    const duration = Math.round(context.clock.monotonic() - set.startedAt);
-    const chunksComplete = countChunks(set.held, chunks);
-    context.logEvent(
-        { chunks: chunksComplete, durationMilliseconds: duration, ...context.counters },
-        "set complete",
-        set,
-    );
+    context.recordMismatch(set, row.index, row.source, content);
 }
--- a/src/node/agent/transfer/engineSync.ts
+++ b/src/node/agent/transfer/engineSync.ts
@@ -1,7 +1,7 @@
 import { addChunk, decodeBitfield, hasChunk, removeChunk, verifyChunk } from "../../../runtime/distribution/index.js";
 import type { EngineState, ManifestDigest, Milliseconds, StagedSet } from "../../../types/index.js";
 import { computeBackoff, type TransferContext } from "./context.js";
-import { logCompletion } from "./downloads.js";
+import { logCompletion } from "./transferStages.js";
 import { resetHeldChunks, type WeightSetState } from "./weightSetState.js";
 
 /** Synchronizes the bitfields of the sets with the chunks that are staged in the engine. */
--- a/src/node/agent/transfer/exchanges.ts
+++ b/src/node/agent/transfer/exchanges.ts
@@ -13,6 +13,7 @@
 } from "../../../runtime/distribution/index.js";
 import type { InstanceId, Milliseconds } from "../../../types/index.js";
 import { findAddress, type TransferContext } from "./context.js";
+import type { ManifestExchange } from "./manifests.js";
 import { findPeer, type WeightSetState } from "./weightSetState.js";
 
 /** Multiple of the exchange interval for peers that are only queried for the amount that they have sent. */
@@ -99,26 +100,36 @@
  * Creates the handler of `ExchangeAvailability`.
  *
  * @param context - context of the service
+ * @param manifests - manifests, which are sent to requesters that lack them
  * @returns handler that records the requester's bitfield and answers with this agent's
  */
 export function createExchangeHandler(
     context: TransferContext,
+    manifests: ManifestExchange,
 ): (
     call: ServerUnaryCall<AvailabilityRequest, AvailabilityResponse>,
     callback: sendUnaryData<AvailabilityResponse>,
 ) => void {
     return (call, callback) => {
-        const { bitfield, instance, manifestDigest } = call.request;
+        const { bitfield, instance, manifest, manifestDigest, wantsManifest } = call.request;
+        const forwardsManifests = context.options.manifestReaders > 0;
         const set = context.sets.get(manifestDigest);
         if (set === undefined) {
             callback(
                 undefined as never,
-                create(AvailabilityResponseSchema, { holdsSet: false, sentAtMilliseconds: context.clock.monotonic() }),
+                create(AvailabilityResponseSchema, {
+                    holdsSet: false,
+                    sentAtMilliseconds: context.clock.monotonic(),
+                    forwardsManifests,
+                }),
             );
             return;
         }
         const now = context.clock.monotonic();
         const peer = instance === context.self ? undefined : findPeer(set, instance, now);
+        if (peer !== undefined && manifest !== undefined) {
+            manifests.receive(set, instance, manifest);
+        }
         if (peer !== undefined) {
             const chunks = set.manifest?.chunks.length ?? 0;
             recordAvailability(peer, decodeBitfield(bitfield, chunks), peer.sentBytes, now);
@@ -129,6 +140,8 @@
             sentBytes: BigInt(set.sentBytes),
             holdsSet: true,
             sentAtMilliseconds: now,
+            forwardsManifests,
+            manifest: wantsManifest === true ? manifests.answer(set, instance) : undefined,
         });
         callback(undefined as never, response);
     };
--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -4,20 +4,20 @@
     createTransferWindow,
     isComplete,
     resolveDistributionOptions,
-    verifyManifest,
 } from "../../../runtime/distribution/index.js";
 import type { ManifestDigest, Milliseconds } from "../../../types/index.js";
 import { createByteSemaphore } from "./byteSemaphore.js";
-import { computeBackoff, type TransferContext } from "./context.js";
+import type { TransferContext } from "./context.js";
 import { runTransfers } from "./downloads.js";
 import { createEngineSync } from "./engineSync.js";
 import { createExchangeHandler, runExchanges } from "./exchanges.js";
+import { createManifestExchange } from "./manifests.js";
 import { createPeerCalls } from "./peerCalls.js";
 import { abandonTransfers } from "./requestedBytes.js";
 import { resolveTransferSettings } from "./settings.js";
 import type { TransferProgress, TransferService, TransferServiceInput, TransferTarget } from "./types.js";
 import { createUploadHandler } from "./uploads.js";
-import { applyManifest, applyMembers, createWeightSetState, type WeightSetState } from "./weightSetState.js";
+import { applyMembers, createWeightSetState, type WeightSetState } from "./weightSetState.js";
 
 /**
  * Share of the memory limit for chunks that are received; the rest is for chunks that are sent. Reads from the origin
@@ -51,9 +51,6 @@
     const forgotten = new Map<ManifestDigest, ForgottenSet>();
     let target: WeightSetState | undefined;
     let tickRequested = false;
-    let manifestRetryAt: Milliseconds = 0;
-    let manifestFailures = 0;
-    let manifestBeingRead: ManifestDigest | undefined;
 
     const options = resolveDistributionOptions(input.options);
     const context: TransferContext = {
@@ -81,12 +78,14 @@
                 runTargetTransfers();
             });
         },
+        recordMismatch: (set, index, source, content) => manifests.recordMismatch(set, index, source, content),
         logEvent: (fields, message, set) => {
             const { model, version } = set.target.weights;
             input.log?.info({ ...fields, model, version, manifestDigest: set.manifestDigest }, message);
         },
     };
     const engineSync = createEngineSync(context, dropInactiveSets);
+    const manifests = createManifestExchange(context, () => engineSync.requestRead());
 
     function dropInactiveSets(): void {
         for (const [digest, set] of sets) {
@@ -127,6 +126,7 @@
         }
         if (target !== undefined) {
             abandonTransfers(context, target);
+            manifests.abandon(target);
         }
         target = undefined;
         if (wanted !== undefined) {
@@ -134,43 +134,14 @@
             target = kept ?? recreateSet(wanted);
             applyMembers(target, wanted, context.self, neighbours);
             sets.set(target.manifestDigest, target);
-            manifestRetryAt = 0;
-            manifestFailures = 0;
+            if (target.manifest === undefined) {
+                manifests.begin(target);
+            }
         }
         dropInactiveSets();
         engineSync.requestRead();
     }
 
-    async function readManifest(set: WeightSetState): Promise<void> {
-        const { manifestDigest } = set;
-        const read = await input.origin.readManifest(manifestDigest, disposal.signal);
-        const verify = input.verifyManifest ?? ((content, set) => verifyManifest(content, set, "origin"));
-        const manifest = read.andThen(content => verify(content, manifestDigest));
-        if (manifest.isErr) {
-            manifestFailures++;
-            manifestRetryAt = context.clock.monotonic() + computeBackoff(context, manifestFailures);
-            context.logEvent({ code: manifest.error.code, peer: manifest.error.peer }, "manifest read failed", set);
-            return;
-        }
-        applyManifest(set, manifest.value, context.self, context.options.neighbours);
-        engineSync.requestRead();
-        // Bitfields that peers sent earlier could not be decoded without the manifest, so all peers are asked again.
-        set.exchangeAt.clear();
-        set.neighboursAnswered.clear();
-    }
-
-    function requestManifest(set: WeightSetState): void {
-        if (manifestBeingRead === set.manifestDigest || context.clock.monotonic() < manifestRetryAt) {
-            return;
-        }
-        manifestBeingRead = set.manifestDigest;
-        context.track(
-            readManifest(set).finally(() => {
-                manifestBeingRead = undefined;
-            }),
-        );
-    }
-
     function tick(): void {
         if (disposal.signal.aborted) {
             return;
@@ -180,7 +151,7 @@
             return;
         }
         if (target.manifest === undefined) {
-            requestManifest(target);
+            manifests.run(target);
             return;
         }
         runExchanges(context, target);
@@ -232,7 +203,7 @@
     });
     const timer = context.settings.selfScheduled ? setInterval(tick, context.settings.tickInterval) : undefined;
     return {
-        exchangeAvailability: createExchangeHandler(context),
+        exchangeAvailability: createExchangeHandler(context, manifests),
         fetchChunk: call => {
             context.track(upload(call));
         },
--- a/src/node/agent/transfer/types.ts
+++ b/src/node/agent/transfer/types.ts
@@ -39,6 +39,8 @@
     readonly objective: Objective;
     /** Availability zone of the origin; members in this zone read from the origin first. Default: not known. */
     readonly originZone?: AvailabilityZone | undefined;
+    /** Monotonic time at which the version was named, for log lines. Default: the time of the first call with the set. */
+    readonly namedAt?: Milliseconds | undefined;
     /** Other sets that the agent keeps and sends to other agents. Default: none. */
     readonly retained?: ReadonlySet<ManifestDigest> | undefined;
 }
@@ -134,6 +136,8 @@
     readonly verifyManifest?:
         | ((manifest: Manifest, set: ManifestDigest) => Result<Manifest, GoldcrestpointError>)
         | undefined;
+    /** Called with each manifest that is applied, whether it was read from the origin or received. */
+    readonly keepManifest?: ((set: ManifestDigest, manifest: Manifest) => void) | undefined;
     readonly linkBudget: LinkBudget;
     readonly clock: Clock;
     readonly random: RandomSource;
--- a/src/node/agent/transfer/weightSetState.ts
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -18,6 +18,9 @@
     readonly startedAt: Milliseconds;
     target: TransferTarget;
     manifest: Manifest | undefined;
+    /** Monotonic time of the last stage of the transfer that was logged. */
+    stageAt: Milliseconds;
+    firstChunkLogged: boolean;
     /** Chunks that are staged in the engine and were verified by this process. */
     held: Uint8Array;
     /** Incremented when `held` is reset, so that results of operations started before are discarded. */
@@ -64,6 +67,8 @@
         startedAt: now,
         target,
         manifest: undefined,
+        stageAt: now,
+        firstChunkLogged: false,
         held: createBitfield(0),
         generation: 0,
         prepared: false,
@@ -134,6 +139,31 @@
     applyMembers(state, state.target, self, neighbours);
 }
 
+/**
+ * Removes a wrong manifest. Chunks that are staged are compared with the next one; sources that were avoided because of
+ * the wrong one may be asked again.
+ *
+ * @param state - changed in place
+ */
+export function removeManifest(state: WeightSetState): void {
+    for (const controller of state.controllers.values()) {
+        controller.abort();
+    }
+    state.controllers.clear();
+    for (const index of [...state.transfers.keys()]) {
+        state.transfers.delete(index);
+    }
+    state.availableSince.clear();
+    state.manifest = undefined;
+    state.originFailures = 0;
+    state.originAvoidedUntil = 0;
+    for (const peer of state.peers.rows()) {
+        peer.corruptChunks = 0;
+        peer.avoidedUntil = 0;
+    }
+    resetHeldChunks(state);
+}
+
 /**
  * Records the time for chunks that have become available from a peer.
  *
--- a/src/node/logging/weightEvents.ts
+++ b/src/node/logging/weightEvents.ts
@@ -5,7 +5,34 @@
     "version wanted": define("weights", ["agent"], "the version to load has changed", ["model", "version"]),
     "origin read started": define("weights", ["agent"], "a chunk is read from the origin", ["index", "reason"]),
     "origin read failed": define("weights", ["agent"], "a read from the origin failed", error),
-    "manifest read failed": define("weights", ["agent"], "the manifest of a set could not be read or verified", error),
+    "manifest read failed": define("weights", ["agent"], "the manifest of a set could not be read or verified", [
+        ...error,
+        "attempt",
+    ]),
+    "manifest read": define(
+        "weights",
+        ["agent"],
+        "two reads of the manifest from the origin agreed; `rank` tells the agent's position among the readers",
+        ["rank", "readMilliseconds", "attempts", "sinceNamed", "waitedMilliseconds"],
+    ),
+    "manifest received": define(
+        "weights",
+        ["agent"],
+        "another agent sent the manifest, which `reader` has read from the origin",
+        ["peer", "reader", "sinceNamed", "waitedMilliseconds"],
+    ),
+    "manifest from a peer rejected": define(
+        "weights",
+        ["agent"],
+        "another agent sent a manifest that is invalid or that chunks have contradicted",
+        ["peer", "reader"],
+    ),
+    "manifest contradicted by chunks": define(
+        "weights",
+        ["agent"],
+        "copies of a chunk show that the manifest from `peer` is wrong; it is obtained anew",
+        ["peer", "reader", "index", "sources"],
+    ),
     "stalled source": define("weights", ["agent"], "a transfer without progress was abandoned", ["index", "source"]),
     "transfer failed": define("weights", ["agent"], "a transfer from a peer failed", ["index", "source", "code"]),
     "transfer window reduced": define(
@@ -17,9 +44,17 @@
     "corrupt chunk": define("weights", ["agent"], "a chunk did not match its digest", ["index", "source", "avoided"]),
     "chunk not staged": define("weights", ["agent"], "a verified chunk could not be staged", ["index", "code"]),
     "chunk not staged ahead": define("weights", ["agent"], "a chunk was not staged before the load", error),
+    "first chunk held": define(
+        "weights",
+        ["agent"],
+        "the first chunk was verified; `waitedMilliseconds` counts from the manifest",
+        ["index", "source", "sinceNamed", "waitedMilliseconds"],
+    ),
     "set complete": define("weights", ["agent"], "every chunk of a weight set is held and verified", [
         "chunks",
         "durationMilliseconds",
+        "sinceNamed",
+        "waitedMilliseconds",
         "originBytes",
         "peerReceivedBytes",
         "peerSentBytes",
@@ -63,6 +98,24 @@
         "every staged chunk was right when it was read back after the engine had accepted the load",
         ["model", "version", "orderSequence", "durationMilliseconds"],
     ),
+    "staged chunks verified": define(
+        "weights",
+        ["agent"],
+        "every chunk was staged and read back before the load",
+        ["model", "version", "waitedMilliseconds"],
+    ),
+    "engine drained": define(
+        "weights",
+        ["agent"],
+        "the requests in progress have finished, or the time for them has passed; `running` of them have not",
+        ["model", "version", "running", "waitedMilliseconds"],
+    ),
+    "version loaded": define(
+        "weights",
+        ["agent"],
+        "the engine reports the version that it was ordered to load",
+        ["model", "version", "orderSequence", "sinceNamed", "waitedMilliseconds"],
+    ),
     "weights not staged": define("weights", ["agent"], "the version to load could not be staged", error),
     "load waits for late chunk writes": define(
         "weights",
--- a/src/node/settings/distributionSection.ts
+++ b/src/node/settings/distributionSection.ts
@@ -106,6 +106,25 @@
         defaultValue: 1_000,
         documentation: "Time after which the next member of a zone may read a chunk from another zone.",
     }),
+    manifestReaders: defineInteger({
+        minimum: 0,
+        maximum: 64,
+        defaultValue: 0,
+        documentation:
+            "Agents that read a manifest from the origin at once; the others receive it from agents. With 0, every agent reads it.",
+    }),
+    manifestTakeoverAfterMilliseconds: defineDuration("manifestTakeoverAfter", "Milliseconds", {
+        minimum: 50,
+        maximum: 600_000,
+        defaultValue: 1_000,
+        documentation: "Time after which the next agent reads the manifest from the origin if it has not received it.",
+    }),
+    manifestExchangeIntervalMilliseconds: defineDuration("manifestExchangeInterval", "Milliseconds", {
+        minimum: 10,
+        maximum: 600_000,
+        defaultValue: 150,
+        documentation: "Time between two requests for the manifest to the same neighbour.",
+    }),
     linkBytesPerSecond: defineInteger({
         minimum: 1_000,
         maximum: 100_000_000_000,
--- a/src/node/weightAgent/engineController.ts
+++ b/src/node/weightAgent/engineController.ts
@@ -91,13 +91,33 @@
     const verification = createLoadedVerification({ ...input, readGroup, onChange: actOnVerification });
     let lastReason = "";
     let isCarryingOutLoad = false;
+    /** Order whose end has not been seen. */
+    let awaitedLoad: { readonly version: number; readonly orderedAt: Milliseconds; } | undefined;
     /** True from the drain right before a load until a later report shows what the engine does. */
     let loading = false;
     let drainingSince: Milliseconds | undefined;
     /** Version whose last chunks did not arrive during its drain; the engine does not drain early for it again. */
     let timedOutDrainVersion = 0;
 
+    function logLoaded({ busy, orderSequence, weights }: EngineReport): void {
+        if (awaitedLoad === undefined || busy || weights?.complete !== true || weights.version < awaitedLoad.version) {
+            return;
+        }
+        const now = clock.monotonic();
+        const { model, version } = weights;
+        const declaredAt = input.readTarget()?.wanted.find(wanted => wanted.version === version)?.declaredAt;
+        logger.info({
+            model,
+            version,
+            orderSequence,
+            waitedMilliseconds: Math.round(now - awaitedLoad.orderedAt),
+            sinceNamed: declaredAt === undefined ? undefined : Math.round(now - declaredAt),
+        }, "version loaded");
+        awaitedLoad = undefined;
+    }
+
     function observe(report: EngineReport, writeEvents: number): void {
+        logLoaded(report);
         orders.observe(report);
         verification.observe(report, writeEvents, orders);
     }
@@ -166,6 +186,7 @@
             return;
         }
         logger.info({ ...fields, outcome: ordered.value }, "load ordered");
+        awaitedLoad = ordered.value === "begun" ? { version, orderedAt: now } : awaitedLoad;
     }
 
     async function unload(report: EngineReport, reason: string): Promise<void> {
--- a/src/node/weightAgent/loadPreparation.ts
+++ b/src/node/weightAgent/loadPreparation.ts
@@ -128,8 +128,15 @@
                     return undefined;
                 }
                 onDrain();
-                drainsUntil ??= (drainingSince ?? clock.monotonic()) + options.drainBeforeLoad;
+                const drainStartedAt = clock.monotonic();
+                logger.info(
+                    { model, version, waitedMilliseconds: Math.round(drainStartedAt - verified.startedAt) },
+                    "staged chunks verified",
+                );
+                drainsUntil ??= (drainingSince ?? drainStartedAt) + options.drainBeforeLoad;
                 const running = await drain(drainsUntil);
+                const waitedMilliseconds = Math.round(clock.monotonic() - (drainingSince ?? drainStartedAt));
+                logger.info({ model, version, running, waitedMilliseconds }, "engine drained");
                 const report = reports.newest();
                 if (report === undefined) {
                     return undefined;
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -160,6 +160,7 @@
             weights: { model, adapter: "", version: String(target.version), manifestDigest: set },
             objective: weightAgent.objective,
             originZone,
+            namedAt: target.declaredAt,
             retained,
             members: listMembers().map(({ address, zone }) => {
                 const { host } = splitAddress(address);
@@ -201,6 +202,7 @@
         backend: memory.port as BackendServerPort,
         origin: weightSetOrigin,
         verifyManifest: manifest => ok(manifest),
+        keepManifest: (set, manifest) => plan.keepManifest(set, manifest),
         linkBudget: createLinkBudget({
             bytesPerSecond: weightAgent.linkMegabitsPerSecond * bytesPerMegabit,
             idleShare: weightAgent.linkShare,
--- a/src/runtime/distribution/index.ts
+++ b/src/runtime/distribution/index.ts
@@ -2,6 +2,8 @@
 export * from "./budget.js";
 export * from "./decideUpload.js";
 export * from "./manifest.js";
+export * from "./manifestContent.js";
+export * from "./manifestReaders.js";
 export * from "./neighbours.js";
 export * from "./options.js";
 export * from "./originReaders.js";
--- a/src/runtime/distribution/options.ts
+++ b/src/runtime/distribution/options.ts
@@ -25,5 +25,8 @@
         watchedReaders: partial.watchedReaders ?? 8,
         preferOwnZone: partial.preferOwnZone ?? false,
         zoneTakeoverAfter: partial.zoneTakeoverAfter ?? 1_000,
+        manifestReaders: partial.manifestReaders ?? 0,
+        manifestTakeoverAfter: partial.manifestTakeoverAfter ?? 1_000,
+        manifestExchangeInterval: partial.manifestExchangeInterval ?? 150,
     };
 }
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -62,6 +62,15 @@
     readonly preferOwnZone: boolean;
     /** Time after which the next member of a zone may read a chunk from another zone. Default: 1,000 ms. */
     readonly zoneTakeoverAfter: Milliseconds;
+    /**
+     * Agents that read the manifest of a set from the origin at once; the others receive it from them. 0 if every agent
+     * reads it from the origin. Default: 0.
+     */
+    readonly manifestReaders: number;
+    /** Time after which the next rank reads the manifest if it has not received it. Default: 1,000 ms. */
+    readonly manifestTakeoverAfter: Milliseconds;
+    /** Time between two requests for the manifest to the same neighbour. Default: 150 ms. */
+    readonly manifestExchangeInterval: Milliseconds;
 }
 
 /** What an agent knows of another agent of the same set. */
