Serve requests only in the regions that their route and account allow

Cause: 22 requests of routes with allowed regions ran in another region; nothing acted on the field.

Change: findCandidates leaves out backend servers outside the intersection of the regions of route and account, which each attempt resolves in the configuration in force: first attempts, retries, hedges and streams that continue. A request that no server may get is refused at once (503, not run, reason outside-regions), also while it waits when a configuration narrows the regions. Capacity is not counted by regions yet; the share of a service takes the regions as an optional parameter. Regions that do not exist, and each of the problems of a configuration, get one line when it comes into force.

--- a/src/node/gateway/attempts/hedging.ts
+++ b/src/node/gateway/attempts/hedging.ts
@@ -5,6 +5,7 @@
 import type { CrashRefusals } from "../crashes/crashRefusals.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { RequestLog } from "../requestLog.js";
+import type { RegionLimits } from "../selection/regionLimits.js";
 import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
 import type { GatewayRequest } from "../types.js";
 import { type RacingAttempt, readSilence } from "./attemptRace.js";
@@ -15,6 +16,7 @@
 export interface HedgingInput {
     readonly clock: Clock;
     readonly choice: Pick<ServerSelector, "select">;
+    readonly regions: RegionLimits;
     readonly crashRefusals: Pick<CrashRefusals, "mayCrash">;
     readonly findBudget: (service: string) => RetryBudget;
     readonly readRetry: () => RetryOptions;
@@ -87,7 +89,7 @@
         }
         const remaining = request.endsAt - now;
         const budget = input.findBudget(service.name);
-        const selection = input.choice.select(service, progress.excluded);
+        const selection = input.choice.select(service, progress.excluded, input.regions.find(request));
         const decision = decideHedge({
             idempotent: request.row.idempotent,
             attempts: allowsAttempt(request, progress, now) ? progress.sent + inFlight.length : Infinity,
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -32,15 +32,14 @@
 import { createCrashContainment } from "./crashes/crashContainment.js";
 import { createGatewayMetrics } from "./gatewayMetrics.js";
 import { createAgentWatch } from "./membership/agentWatch.js";
-import { createGatewayList } from "./membership/gatewayList.js";
-import { createGatewayState } from "./membership/gatewayState.js";
 import { startLogFollowers } from "./membership/logFollowers.js";
-import { createRateLimits } from "./membership/rateLimits.js";
-import { createServerNotices } from "./membership/serverNotices.js";
+import { createMembership } from "./membership/membership.js";
 import { deriveWeightSources } from "./membership/weightSources.js";
 import { createRequestLog } from "./requestLog.js";
 import { createRequestPipeline } from "./requestPipeline.js";
 import { createAdmissionQueues } from "./selection/admissionQueues.js";
+import { createEligibility } from "./selection/eligibility.js";
+import { createRegionLimits } from "./selection/regionLimits.js";
 import { createServerSelector } from "./selection/serverSelector.js";
 import { createRouter } from "./statusRouter.js";
 
@@ -115,34 +114,13 @@
     log.onEra?.(store.recordEra);
     const stalls = createStallMonitor({ clock, logger });
     const following = { self: instance.id, store, clock, stalls, random, logger };
-    const notices = createServerNotices({
-        clock,
-        logger,
-        memory: gateway.noticeMemory,
-        maximumPause: gateway.maximumPause,
-    });
-    const gateways = createGatewayList(store, settings, clock, ports.readSeeds ?? (() => gateway.seeds));
-    const rateLimits = createRateLimits({
-        self: instance.id,
-        listGateways: gateways.listIdentifiers,
-        clock,
-        random,
-        logger,
-        settleTime: gateway.settleTime,
-        memory: gateway.noticeMemory,
-    });
-    const state = createGatewayState({
+    const { gateways, notices, rateLimits, state } = createMembership({
+        settings,
+        ports,
         store,
-        decoder: ports.decoder,
-        clock,
         stalls,
         logger,
-        regions: new Map(gateway.zoneRegions.map(text => text.split(":") as [string, string])),
-        membership: gateway,
-        versions: gateway,
-        startedAt: startedAt - (ports.readProcessAge?.() ?? 0),
-        notices,
-        rateLimits,
+        startedAt,
     });
     const readConnections = ({ service }: ListedBackendServer) =>
         divideConnections(state.routes()?.services.get(service)?.maximumConnections, gateways.count());
@@ -157,6 +135,8 @@
         queuedPerServer: gateway.queuedPerServer,
         readConnections,
     });
+    const regions = createRegionLimits(state.routes);
+    const eligibility = createEligibility({ regions, explainIneligible: choice.explainIneligible });
     const queues = createAdmissionQueues({
         clock,
         options: settings.admission,
@@ -188,6 +168,8 @@
         protocol: ports.protocol,
         clock,
         choice,
+        regions,
+        eligibility,
         queues,
         clients,
         crashes: containment.watch,
@@ -204,6 +186,7 @@
             countQueued: queues.countQueued,
             countOpen: queues.countOpen,
             computeServiceShare: queues.computeServiceShare,
+            findAllowedRegions: regions.find,
             findCrashingPart: containment.crashEvidence.findCrashingPart,
         }),
         metrics: gatewayMetrics,
@@ -248,6 +231,7 @@
     state.onServers(() => {
         clients.keepOnly(new Set(state.servers.keys()));
         agentWatch.tick();
+        eligibility.update();
         queues.update();
     });
 
@@ -269,6 +253,7 @@
     const callerServer = stack.use(callers.value);
     state.onOperator(routes => {
         callerServer.applyConfiguration(routes.configuration);
+        eligibility.update();
         const { era, nextOffset, records } = store.topic("operator");
         const origin = {
             era: Math.min(era, ...[...records.values()].map(record => record.era)),
--- a/src/node/gateway/membership/gatewayState.ts
+++ b/src/node/gateway/membership/gatewayState.ts
@@ -12,7 +12,6 @@
     computeHeadDeadline,
     createBackendServerTable,
     createLifetimeId,
-    createRouteTable,
     dateDeclaredVersion,
     expireRemoved,
     expireReports,
@@ -34,6 +33,7 @@
     Region,
 } from "../../../types/index.js";
 import type { ReceivedPage, RecordStore, StallMonitor } from "../../replica/index.js";
+import { createConfigurationRecords } from "./configurationRecords.js";
 import type { RateLimits } from "./rateLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
 
@@ -92,7 +92,7 @@
     const versions: VersionTable = new Map();
     const operatorListeners: ((routes: RouteTable) => void)[] = [];
     const serverListeners: (() => void)[] = [];
-    let routes: RouteTable | undefined;
+    const configurations = createConfigurationRecords({ decoder, logger, regions: input.regions });
     /** Monotonic time since which the list has been current; undefined while neither the log nor a relay updates it. */
     let currentSince: Milliseconds | undefined;
     let outagesSeen = false;
@@ -119,32 +119,6 @@
         return { ...allowed, declaredAt: toMonotonic(allowed.declaredAt) };
     }
 
-    function applyConfiguration(record: KeyedRecord, page: ReceivedPage): void {
-        const configuration = record.value && decoder.decodeConfiguration(record.key, record.value);
-        const fields = { key: record.key, offset: record.offset, source: page.source, peer: page.peer };
-        if (configuration === undefined) {
-            logger.warn(fields, "configuration cannot be read");
-            return;
-        }
-        const known = routes?.configuration.revision;
-        if (known !== undefined && configuration.revision <= known) {
-            logger.warn({ ...fields, revision: configuration.revision, known }, "older configuration left out");
-            return;
-        }
-        routes = createRouteTable(configuration);
-        const { revision } = configuration;
-        logger.info(
-            {
-                ...fields,
-                revision,
-                previous: known,
-                ageMilliseconds: Math.round(page.age),
-                routes: configuration.routes.length,
-            },
-            "configuration in force",
-        );
-    }
-
     function applyDeclaredVersion(record: KeyedRecord, page: ReceivedPage): void {
         const declared = record.value && decoder.decodeDeclaredVersion(record.key, record.value);
         if (declared === undefined) {
@@ -260,13 +234,13 @@
             for (const record of records) {
                 const kind = decoder.classifyOperatorKey(record.key);
                 if (kind === "configuration") {
-                    applyConfiguration(record, page);
+                    configurations.apply(record, page);
                 }
                 else if (kind === "declared-version") {
                     applyDeclaredVersion(record, page);
                 }
             }
-            const current = routes;
+            const current = configurations.routes();
             if (current !== undefined) {
                 operatorListeners.forEach(listener => listener(current));
             }
@@ -298,11 +272,13 @@
     store.onChange((topic, records, page) => handlers[topic](records, page));
 
     return {
-        routes: () => routes,
+        routes: configurations.routes,
         servers,
         listServers: service => [...servers.lookup("service", service)].map(instance => servers.get(instance)!),
         listEngines: () =>
-            [...servers.rows()].filter(({ listed }) => routes?.services.get(listed.service)?.engine !== undefined),
+            [...servers.rows()].filter(({ listed }) =>
+                configurations.routes()?.services.get(listed.service)?.engine !== undefined
+            ),
         computeHeadDeadline: (model, version) =>
             toMonotonic(computeHeadDeadline(versions, model, version, input.versions)),
         readVersions,
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -1,4 +1,4 @@
-import { areReportedWeightsVerified } from "../../runtime/gateway/index.js";
+import { type AllowedRegions, areReportedWeightsVerified } from "../../runtime/gateway/index.js";
 import type { HedgeDecision, RequestCauses, RetryBudget, RetryDecision } from "../../runtime/retry/index.js";
 import type { Clock, Fingerprint, Milliseconds, Refusal, RefusalReason, ServiceRow } from "../../types/index.js";
 import type { DecisionLog } from "../logging/index.js";
@@ -12,7 +12,8 @@
     readonly countQueued: () => number;
     readonly countOpen: () => number;
     /** Computes how many requests the gateway may have in progress at a service. */
-    readonly computeServiceShare: (service: ServiceRow) => ServiceShare;
+    readonly computeServiceShare: (service: ServiceRow, allowedRegions: AllowedRegions) => ServiceShare;
+    readonly findAllowedRegions: (request: GatewayRequest) => AllowedRegions;
     /** Finds the condemned or suspect part of a prompt because of which a request is refused. */
     readonly findCrashingPart: (request: RequestCauses) => Fingerprint | undefined;
 }
@@ -72,8 +73,16 @@
  * @returns the log
  */
 export function createRequestLog(
-    { clock, computeServiceShare, countOpen, countQueued, decisions, findCrashingPart }: RequestLogInput,
+    input: RequestLogInput,
 ): RequestLog {
+    const { clock, computeServiceShare, countOpen, countQueued, decisions, findCrashingPart } = input;
+
+    /** Formats the regions for the log; undefined, which leaves the field out, for requests without a limit. */
+    function formatAllowedRegions(request: GatewayRequest): string | undefined {
+        const allowed = input.findAllowedRegions(request);
+        return allowed && [...allowed].join(", ");
+    }
+
     return {
         routing: (request, { decision, server, version }, attempt) => {
             const { requestId } = request.row;
@@ -81,7 +90,7 @@
             const { candidates } = decision;
             if (decision.kind === "none") {
                 const { reason } = decision;
-                const details = { attempt };
+                const details = { attempt, allowedRegions: formatAllowedRegions(request) };
                 decisions.record({
                     kind: "routing",
                     outcome: "refused",
@@ -159,7 +168,10 @@
             });
         },
         refusal: (request, refusal) => {
-            const { contenders, free, gateways, own, leftOut, places, usable } = computeServiceShare(request.service);
+            const { contenders, free, gateways, own, leftOut, places, usable } = computeServiceShare(
+                request.service,
+                input.findAllowedRegions(request),
+            );
             decisions.record({
                 kind: "admission",
                 outcome: "refused",
@@ -185,6 +197,8 @@
                     unverified: leftOut.unverified,
                     paused: leftOut.paused,
                     rateLimited: leftOut["rate-limited"],
+                    outsideRegions: leftOut["outside-regions"],
+                    allowedRegions: formatAllowedRegions(request),
                     waited: Math.round(clock.monotonic() - request.completeAt),
                     retryAfterSeconds: refusal.retryAfterSeconds,
                 },
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -24,7 +24,9 @@
 import type { RateLimits } from "./membership/rateLimits.js";
 import type { ServerNotices } from "./membership/serverNotices.js";
 import type { RequestLog } from "./requestLog.js";
-import type { AdmissionQueues } from "./selection/admissionQueues.js";
+import type { AdmissionOutcome, AdmissionQueues } from "./selection/admissionQueues.js";
+import type { Eligibility } from "./selection/eligibility.js";
+import type { RegionLimits } from "./selection/regionLimits.js";
 import type { ServerSelector } from "./selection/serverSelector.js";
 import type { AbortReason, AttemptFailure, GatewayRequest } from "./types.js";
 
@@ -33,6 +35,8 @@
     readonly protocol: CallerProtocol;
     readonly clock: Clock;
     readonly choice: ServerSelector;
+    readonly regions: RegionLimits;
+    readonly eligibility: Eligibility;
     readonly queues: AdmissionQueues;
     readonly clients: BackendClients;
     readonly crashes: CrashWatch;
@@ -125,7 +129,7 @@
             }
             return crashRefusal;
         }
-        const selection = selector.select(request.service, progress.excluded);
+        const selection = selector.select(request.service, progress.excluded, input.regions.find(request));
         log.routing(request, selection, progress.attempts + 1);
         if (selection.decision.kind === "none" || selection.server === undefined) {
             const ran = progress.mayHaveRun ? "unknown" : "no";
@@ -215,14 +219,26 @@
         }
     }
 
+    /** Waits for a place; refuses the request as soon as no backend server may get it. */
+    async function admit(request: GatewayRequest): Promise<AdmissionOutcome> {
+        const ineligible = input.eligibility.findRefusal(request);
+        if (ineligible !== undefined) {
+            return { kind: "refused", refusal: ineligible };
+        }
+        using wait = input.eligibility.watch(request);
+        const waiting = { ...request.row, deadline: request.latestStart, receivedAt: request.completeAt };
+        const outcome = await queues.admit(request.service, waiting, wait.signal);
+        const refusal = wait.readRefusal();
+        return outcome.kind === "refused" && refusal !== undefined ? { kind: "refused", refusal } : outcome;
+    }
+
     return async request => {
         if (crashEvidence.readStanding(request.row) === "condemned") {
             finalAnswers.refuse(request, describeCondemned("no"));
             return;
         }
         creditRequest(input.findBudget(request.service.name), clock.monotonic(), readRetry());
-        const waiting = { ...request.row, deadline: request.latestStart, receivedAt: request.completeAt };
-        const admitted = await queues.admit(request.service, waiting, request.signal);
+        const admitted = await admit(request);
         if (admitted.kind === "refused") {
             finalAnswers.refuse(request, admitted.refusal);
             return;
--- a/src/node/gateway/selection/admissionQueues.ts
+++ b/src/node/gateway/selection/admissionQueues.ts
@@ -12,6 +12,7 @@
     setCapacity,
 } from "../../../runtime/admission/index.js";
 import {
+    type AllowedRegions,
     type ArrivalCount,
     computeArrivalRate,
     createArrivalCount,
@@ -44,8 +45,12 @@
 export interface AdmissionQueuesInput {
     readonly clock: Clock;
     readonly options: AdmissionOptions;
-    /** Computes how many requests this gateway may have in progress at a service now. */
-    readonly computeServiceShare: (service: ServiceRow, demand: ServiceDemand) => ServiceShare;
+    /** Computes how many requests this gateway may have in progress at a service now, in any of the allowed regions. */
+    readonly computeServiceShare: (
+        service: ServiceRow,
+        demand: ServiceDemand,
+        allowedRegions?: AllowedRegions,
+    ) => ServiceShare;
 }
 
 /** Queues of a gateway, one for each service. */
@@ -63,8 +68,8 @@
     close(): void;
     /** Updates the number of places, and refuses requests that can no longer start in time. */
     update(): void;
-    /** Computes how many requests this gateway may have in progress at a service now. */
-    readonly computeServiceShare: (service: ServiceRow) => ServiceShare;
+    /** Computes how many requests this gateway may have in progress at a service now, in any of the allowed regions. */
+    readonly computeServiceShare: (service: ServiceRow, allowedRegions?: AllowedRegions) => ServiceShare;
     /** Counts the requests that are queued or in progress. */
     readonly countOpen: () => number;
     readonly countQueued: () => number;
@@ -149,9 +154,13 @@
         }
     }
 
-    function computeServiceShare({ arrivals, service, table }: ServiceQueue): ServiceShare {
+    function computeServiceShare(
+        { arrivals, service, table }: ServiceQueue,
+        allowedRegions?: AllowedRegions,
+    ): ServiceShare {
         const arrivalRate = computeArrivalRate(arrivals, clock.monotonic());
-        return input.computeServiceShare(service, { arrivalRate, serviceTime: table.averageServiceTime });
+        const demand = { arrivalRate, serviceTime: table.averageServiceTime };
+        return input.computeServiceShare(service, demand, allowedRegions);
     }
 
     /**
@@ -234,7 +243,8 @@
                 }
             }
         },
-        computeServiceShare: service => computeServiceShare(findOrCreateQueue(service)),
+        computeServiceShare: (service, allowedRegions) =>
+            computeServiceShare(findOrCreateQueue(service), allowedRegions),
         countOpen: () =>
             [...queues.values()].reduce((sum, { table }) => sum + table.inProgress.size + table.queued.size, 0),
         countQueued: () => [...queues.values()].reduce((sum, { table }) => sum + table.queued.size, 0),
--- a/src/node/gateway/selection/serverSelector.ts
+++ b/src/node/gateway/selection/serverSelector.ts
@@ -1,4 +1,5 @@
 import {
+    type AllowedRegions,
     type BackendServerRow,
     computePlaceShare,
     formatWeightName,
@@ -10,9 +11,12 @@
 import {
     type CandidateInput,
     type Candidates,
+    explainIneligible,
     findCandidates,
+    type IneligibleReason,
     type RoutingDecision,
     type RoutingOptions,
+    type RunnerSubset,
     selectRunner,
 } from "../../../runtime/routing/index.js";
 import type {
@@ -69,17 +73,38 @@
      *
      * @param service - service of the request
      * @param excluded - instances at which the request has failed
+     * @param allowedRegions - regions in which the request may be served
      * @returns the selection, with the reason if there is none
      */
-    select(service: ServiceRow, excluded: ReadonlySet<string>): ServerSelection;
+    select(
+        service: ServiceRow,
+        excluded: ReadonlySet<string>,
+        allowedRegions: AllowedRegions,
+    ): ServerSelection;
+    /**
+     * Explains why no backend server of a service may get a request, whatever the state of the backend servers.
+     *
+     * @param service - service of the request
+     * @param allowedRegions - regions in which the request may be served
+     * @returns the reason; undefined if one may get it, or if none is listed
+     */
+    readonly explainIneligible: (
+        service: ServiceRow,
+        allowedRegions: AllowedRegions,
+    ) => IneligibleReason | undefined;
     /**
      * Computes how many requests this gateway may have in progress at a service.
      *
      * @param service - the service
      * @param demand - demand for the service at this gateway
+     * @param allowedRegions - counts the backend servers in these regions only. Default: all.
      * @returns the share, without free places if no backend server can answer
      */
-    readonly computeServiceShare: (service: ServiceRow, demand: ServiceDemand) => ServiceShare;
+    readonly computeServiceShare: (
+        service: ServiceRow,
+        demand: ServiceDemand,
+        allowedRegions?: AllowedRegions,
+    ) => ServiceShare;
     /**
      * Counts a request that is in progress. It has one place at the service, also while it has several attempts.
      *
@@ -119,11 +144,19 @@
         return draw.value;
     }
 
+    function createSubset({ name }: ServiceRow, rows: readonly BackendServerRow[]): RunnerSubset {
+        return { deployment: name, runners: rows.map(({ runner }) => runner) };
+    }
+
     /** Creates the input that decides both how many requests may start and where they are sent. */
-    function createCandidateInput(service: ServiceRow, excluded: ReadonlySet<string>): CandidateInput {
+    function createCandidateInput(
+        service: ServiceRow,
+        excluded: ReadonlySet<string>,
+        allowedRegions: AllowedRegions,
+    ): CandidateInput {
         const rows = state.listServers(service.name);
-        const subset = { deployment: service.name, runners: rows.map(({ runner }) => runner) };
-        const common = { subset, excluded, now: clock.monotonic(), options };
+        const subset = createSubset(service, rows);
+        const common = { subset, excluded, allowedRegions, now: clock.monotonic(), options };
         if (service.engine === undefined) {
             return { ...common, manifestDigest: undefined };
         }
@@ -166,9 +199,13 @@
             .map(({ listed }) => listed.instance);
     }
 
-    function decide(service: ServiceRow, excluded: ReadonlySet<string>): RoutingDecision {
+    function decide(
+        service: ServiceRow,
+        excluded: ReadonlySet<string>,
+        allowedRegions: AllowedRegions,
+    ): RoutingDecision {
         return selectRunner({
-            ...createCandidateInput(service, excluded),
+            ...createCandidateInput(service, excluded, allowedRegions),
             zone: input.zone,
             region: input.region,
             prefix: undefined,
@@ -189,12 +226,14 @@
                 runner.outstanding--;
             };
         },
-        select: (service, excluded) => {
+        explainIneligible: (service, allowedRegions) =>
+            explainIneligible({ subset: createSubset(service, state.listServers(service.name)), allowedRegions }),
+        select: (service, excluded, allowedRegions) => {
             const full = listFullyConnected(service);
-            const connectable = decide(service, new Set([...excluded, ...full]));
+            const connectable = decide(service, new Set([...excluded, ...full]), allowedRegions);
             const decision = connectable.kind === "selected" || full.length === 0 ?
                 connectable :
-                decide(service, excluded);
+                decide(service, excluded, allowedRegions);
             const server = decision.kind === "selected" ? state.servers.get(decision.runner.instance) : undefined;
             const digest = server?.runner.manifestDigest;
             const version = digest === undefined ? undefined : parseWeightName(digest).version;
@@ -204,8 +243,8 @@
                 readHeadDeadline(model, server);
             return { decision, server, version, headDeadline };
         },
-        computeServiceShare: (service, demand) => {
-            const described = createCandidateInput(service, new Set());
+        computeServiceShare: (service, demand, allowedRegions) => {
+            const described = createCandidateInput(service, new Set(), allowedRegions);
             const { now } = described;
             const { candidates, leftOut, resumesAt } = findCandidates(described);
             const attemptsAtCandidates = candidates.reduce((sum, { outstanding }) => sum + outstanding, 0);
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -1,5 +1,6 @@
 import type { DecisionKind } from "./decisionLog.js";
 import { define, errorFields as error, type EventDefinition, type EventGroup } from "./eventDefinition.js";
+import { membershipEvents } from "./membershipEvents.js";
 import { weightEvents } from "./weightEvents.js";
 
 const both = ["agent", "gateway"] as const;
@@ -38,6 +39,8 @@
         "notServing",
         "unverified",
         "paused",
+        "outsideRegions",
+        "allowedRegions",
         "waited",
         "retryAfterSeconds",
     ]),
@@ -142,27 +145,6 @@
         "key",
         "detail",
     ]),
-    "configuration in force": define("belief", ["gateway"], "the gateway applied a newer configuration", [
-        "revision",
-        "source",
-        "peer",
-        "ageMilliseconds",
-        "routes",
-    ]),
-    "configuration cannot be read": define("belief", ["gateway"], "the previous configuration stays in force"),
-    "older configuration left out": define("belief", ["gateway"], "a record was older than the one in force"),
-    "version declared": define("belief", ["gateway"], "a version of weights was declared, at most this long ago", [
-        "version",
-        "source",
-        "peer",
-        "ageMilliseconds",
-        "estimate",
-    ]),
-    "version dated": define("belief", ["gateway"], "a relay knows more exactly when a version was declared", [
-        "version",
-        "ageMilliseconds",
-    ]),
-    "declared version cannot be read": define("belief", ["gateway"], "the previous version stays declared"),
     "process stalled": define("belief", both, "the process did not run for a time, and data waited for it", [
         "durationMilliseconds",
         "suspendedMilliseconds",
@@ -304,6 +286,7 @@
 export const events: ReadonlyMap<string, EventDefinition> = new Map([
     ...Object.entries(decisionEvents).map(([kind, event]) => [`${kind} decision`, event] as const),
     ...Object.entries<EventDefinition>(namedEvents),
+    ...Object.entries(membershipEvents),
     ...Object.entries(weightEvents),
 ]);
 
--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -1,3 +1,4 @@
+export * from "./allowedRegions.js";
 export * from "./answerDelay.js";
 export * from "./answerPace.js";
 export * from "./answerSilence.js";
--- a/src/runtime/retry/decision.ts
+++ b/src/runtime/retry/decision.ts
@@ -13,6 +13,7 @@
     "queue-full": true,
     "turned-away": true,
     "rate-limited": true,
+    "outside-regions": false,
     "account-share-exceeded": true,
     "deadline-unreachable": true,
     "deadline-passed": false,
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -1,10 +1,19 @@
 import type { AvailabilityZone, BlockedReason, Milliseconds, Region } from "../../types/index.js";
 import { scoreRendezvous } from "../../utils/index.js";
 import { estimateLoad } from "./load.js";
-import type { CandidateInput, Candidates, RoutingDecision, RoutingInput, RoutingReason, RunnerRow } from "./types.js";
+import type {
+    CandidateInput,
+    Candidates,
+    EligibilityInput,
+    IneligibleReason,
+    RoutingDecision,
+    RoutingInput,
+    RoutingReason,
+    RunnerRow,
+} from "./types.js";
 
 /** Seconds after which a caller may retry when no runner can answer, by reason. */
-const retryAfterSeconds = { "no-runner": 5, "not-serving": 3, draining: 2 } as const;
+const retryAfterSeconds = { "no-runner": 5, "not-serving": 3, draining: 2, "outside-regions": 5 } as const;
 
 type UnavailableReason = keyof typeof retryAfterSeconds;
 
@@ -18,6 +27,24 @@
     return phase === "serving" && accepted && input.now - runner.reportedAt <= input.options.reportExpiry;
 }
 
+function isAllowed({ region }: RunnerRow, { allowedRegions }: EligibilityInput): boolean {
+    return allowedRegions === undefined || allowedRegions.has(region);
+}
+
+/**
+ * Explains why no runner may get a request, whatever the state of the runners.
+ *
+ * @param input - runners, and the regions in which the request may be served
+ * @returns the reason; undefined if a runner may get it, or if there are no runners
+ */
+export function explainIneligible(input: EligibilityInput): IneligibleReason | undefined {
+    const { allowedRegions, subset: { runners } } = input;
+    if (allowedRegions?.size === 0 || (runners.length > 0 && !runners.some(runner => isAllowed(runner, input)))) {
+        return "outside-regions";
+    }
+    return undefined;
+}
+
 function isPaused({ pausedUntil, trial }: RunnerRow, now: Milliseconds): boolean {
     return pausedUntil > now || trial === "running";
 }
@@ -38,10 +65,12 @@
         const seconds = Math.max(expectedTrialSeconds, (resumesAt - input.now) / 1_000);
         return { kind: "none", reason, candidates: 0, retryAfterSeconds: seconds };
     }
-    let reason: UnavailableReason = input.subset.runners.length === 0 ? "no-runner" : "not-serving";
-    if (input.subset.runners.some(runner => runner.draining && isServing(runner, input))) {
+    const { runners } = input.subset;
+    let reason: UnavailableReason = runners.length === 0 ? "no-runner" : "not-serving";
+    if (runners.some(runner => runner.draining && isAllowed(runner, input) && isServing(runner, input))) {
         reason = "draining";
     }
+    reason = explainIneligible(input) ?? reason;
     return { kind: "none", reason, candidates: 0, retryAfterSeconds: retryAfterSeconds[reason] };
 }
 
@@ -55,10 +84,21 @@
 export function findCandidates(input: CandidateInput): Candidates {
     const serving: RunnerRow[] = [];
     const healthy: RunnerRow[] = [];
-    const leftOut = { draining: 0, "not-serving": 0, unverified: 0, paused: 0, "rate-limited": 0, ejected: 0 };
+    const leftOut = {
+        "outside-regions": 0,
+        draining: 0,
+        "not-serving": 0,
+        unverified: 0,
+        paused: 0,
+        "rate-limited": 0,
+        ejected: 0,
+    };
     let resumesAt: Milliseconds | undefined;
     for (const runner of input.subset.runners) {
-        if (runner.draining) {
+        if (!isAllowed(runner, input)) {
+            leftOut["outside-regions"]++;
+        }
+        else if (runner.draining) {
             leftOut.draining++;
         }
         else if (!isServing(runner, input)) {
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -123,6 +123,8 @@
     readonly prefix: string | undefined;
     /** Runners on which this request has already failed. */
     readonly excluded: ReadonlySet<InstanceId>;
+    /** Regions in which the request may be served. Default: any. */
+    readonly allowedRegions?: ReadonlySet<Region> | undefined;
     readonly now: Milliseconds;
     readonly random: RandomSource;
     readonly options: RoutingOptions;
@@ -131,11 +133,24 @@
 /** Input of `findCandidates`. */
 export type CandidateInput = Pick<
     RoutingInput,
-    "subset" | "manifestDigest" | "acceptedDigests" | "excluded" | "now" | "options"
+    "subset" | "manifestDigest" | "acceptedDigests" | "excluded" | "allowedRegions" | "now" | "options"
 >;
 
+/** Input of `explainIneligible`. */
+export type EligibilityInput = Pick<CandidateInput, "subset" | "allowedRegions">;
+
+/** Why a runner may not get a request, whatever the state of the runner. */
+export type IneligibleReason = "outside-regions";
+
 /** Why a runner may not be selected. */
-export type LeftOutReason = "draining" | "not-serving" | "unverified" | "paused" | "rate-limited" | "ejected";
+export type LeftOutReason =
+    | IneligibleReason
+    | "draining"
+    | "not-serving"
+    | "unverified"
+    | "paused"
+    | "rate-limited"
+    | "ejected";
 
 /** Result of `findCandidates`. */
 export interface Candidates {
@@ -165,7 +180,7 @@
     }
     | {
         readonly kind: "none";
-        readonly reason: "no-runner" | "not-serving" | "draining" | BlockedReason;
+        readonly reason: "no-runner" | "not-serving" | "draining" | IneligibleReason | BlockedReason;
         readonly candidates: 0;
         readonly retryAfterSeconds: number;
     };
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -21,6 +21,7 @@
     | "queue-full"
     | "turned-away"
     | "rate-limited"
+    | "outside-regions"
     | "account-share-exceeded"
     | "deadline-unreachable"
     | "deadline-passed"
--- a/test/node/gateway/admissionQueues.test.ts
+++ b/test/node/gateway/admissionQueues.test.ts
@@ -26,7 +26,15 @@
             gateways: 1,
             contenders: 1,
             usable: 1,
-            leftOut: { draining: 0, "not-serving": 0, unverified: 0, paused: 0, "rate-limited": 0, ejected: 0 },
+            leftOut: {
+                "outside-regions": 0,
+                draining: 0,
+                "not-serving": 0,
+                unverified: 0,
+                paused: 0,
+                "rate-limited": 0,
+                ejected: 0,
+            },
             resumesAt: undefined,
         }),
     });
