--- a/src/node/gateway/attempts/hedging.ts
+++ b/src/node/gateway/attempts/hedging.ts
@@ -5,6 +5,7 @@
 import type { CrashRefusals } from "../crashes/crashRefusals.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { RequestLog } from "../requestLog.js";
+import type { RegionLimits } from "../selection/regionLimits.js";
 import type { RemainingWork } from "../selection/remainingWork.js";
 import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
 import type { GatewayRequest } from "../types.js";
@@ -16,6 +17,7 @@
 export interface HedgingInput {
     readonly clock: Clock;
     readonly choice: Pick<ServerSelector, "select">;
+    readonly regions: RegionLimits;
     readonly crashRefusals: Pick<CrashRefusals, "mayCrash">;
     readonly findBudget: (service: string) => RetryBudget;
     readonly readRetry: () => RetryOptions;
@@ -89,7 +91,12 @@
         }
         const remaining = request.endsAt - now;
         const budget = input.findBudget(service.name);
-        const selection = input.choice.select(service, progress.excluded, input.work.estimate(request));
+        const selection = input.choice.select(
+            service,
+            progress.excluded,
+            input.regions.find(request),
+            input.work.estimate(request),
+        );
         const decision = decideHedge({
             idempotent: request.row.idempotent,
             attempts: allowsAttempt(request, progress, now) ? progress.sent + inFlight.length : Infinity,
