Start three deployments at a time in the tests of regions

In the run of the committed file, and in one of two more, the two cases of requests that are refused at once failed at load averages of 12 to 19: eleven deployments started in one process at the same time, whose event loop was busy for more than 125 ms. Change: three at a time; the limit of 125 ms stays.

--- a/test/platform/gatewayRegions.test.ts
+++ b/test/platform/gatewayRegions.test.ts
@@ -55,7 +55,7 @@
     };
 }
 
-describe("requests that may be served in one region only", { concurrency: true }, () => {
+describe("requests that may be served in one region only", { concurrency: 3 }, () => {
     // Guards against requests that run beside the gateway because the servers of their own region are busy.
     for (const [route, account] of [[["north"], []], [[], ["north"]], [["north", "south"], ["north", "west"]]]) {
         it(`are sent nowhere else: ${JSON.stringify(route)} and ${JSON.stringify(account)}`, async () => {
