Plan the return of refused callers

Cause: Retry-After followed from half of the throughput, whatever new requests take of it, and returning callers had only the slots that were left. Most of what is lost under load are requests that were refused, returned and were refused again.

A returning caller takes the earliest planned return that is due. It may wait for half of the time that it has left, and starts before all others once half of that has passed. One that returns before its time starts after the others of its rank.

Expected waits still use the mean service time, not a measured rate.

--- a/bench/days/policies.ts
+++ b/bench/days/policies.ts
@@ -85,6 +85,7 @@
 export const policies: Readonly<Record<string, () => Policy>> = {
     own: () => createProductPolicy(true, true),
     "own by rank": () => createProductPolicy(true, true, { rankReservation: true }),
+    "own planned": () => createProductPolicy(true, true, { rankReservation: true, plannedRetryAfter: true }),
     "own by arrival": () => createProductPolicy(true, false),
     "own without queue": () => createProductPolicy(false, false),
     "round robin": createRoundRobin,
--- a/bench/days/simulation.ts
+++ b/bench/days/simulation.ts
@@ -241,6 +241,8 @@
             idempotencyKey: undefined,
             fingerprint: "",
             prefix: undefined,
+            endsAt: caller.begunAt + callerTimeout,
+            hasReturned: caller.tries > 1,
             missedTarget: gateway.policy.deprioritizesLate && missedTarget,
         };
         const attempt: Attempt = {
--- a/src/node/gateway/callers/callerServer.ts
+++ b/src/node/gateway/callers/callerServer.ts
@@ -111,11 +111,8 @@
 
     const { endWithoutBody, fail, reject } = createRejections({ arrived, answers, metrics, logger: input.logger });
 
-    function hasMissedTarget({ callerTimeout }: CallerCall, route: RouteRow, bodyTime: Milliseconds): boolean {
-        const priorWait = callerTimeout === undefined ?
-            0 :
-            estimatePriorWait(callerTimeouts, route.name, callerTimeout);
-        return priorWait + bodyTime > route.targetLatency;
+    function readPriorWait({ callerTimeout }: CallerCall, route: RouteRow): Milliseconds {
+        return callerTimeout === undefined ? 0 : estimatePriorWait(callerTimeouts, route.name, callerTimeout);
     }
 
     /** Reads the body of a request that waits for its turn; the end of the connection is not noticed behind an unread one. */
@@ -210,6 +207,9 @@
         // Detects a caller that disconnected before its request was read, so that the request is not forwarded.
         await pollQueue.awaitPoll();
         request.handedOver = true;
+        const priorWait = readPriorWait(call, route);
+        const endsAt = receivedAt + duration;
+        const missedTarget = priorWait + completeAt - receivedAt > route.targetLatency;
         try {
             await input.serve({
                 row: {
@@ -227,7 +227,9 @@
                     fingerprint: computeFingerprint({ method, path, account: clientAccount, body }),
                     partFingerprints: computePartFingerprints(service.name, call.sharedParts),
                     prefix: undefined,
-                    missedTarget: hasMissedTarget(call, route, completeAt - receivedAt),
+                    missedTarget,
+                    hasReturned: priorWait > 0,
+                    endsAt,
                 },
                 call,
                 route,
@@ -238,8 +240,8 @@
                 headers,
                 body,
                 completeAt,
-                latestStart: Math.min(receivedAt + duration, completeAt + route.targetLatency * input.waitShare),
-                endsAt: receivedAt + duration,
+                latestStart: Math.min(endsAt, completeAt + route.targetLatency * input.waitShare),
+                endsAt,
                 response,
                 incoming,
                 signal: watch.signal,
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -200,6 +200,11 @@
                 "Starts that each rank and account is granted before more urgent requests, as a share of those in " +
                 "proportion to its demand; applies with rankReservation.",
         }),
+        plannedRetryAfter: defineBoolean(
+            false,
+            "Whether the retry time of a refusal is planned from the throughput that new requests leave, and callers " +
+                "that return at it are served first.",
+        ),
     },
     retry: {
         budgetShare: defineNumber({
--- a/src/runtime/admission/admission.ts
+++ b/src/runtime/admission/admission.ts
@@ -7,6 +7,7 @@
     RequestId,
     RequestRow,
 } from "../../types/index.js";
+import { adaptReturned, takePlannedReturn } from "./plannedReturns.js";
 import { compareUrgency, computeExpectedWait, countAhead, dequeue, enqueue, findNext, mayStartLate } from "./queue.js";
 import { computeReservedSlots, isOwedStart, isRanked, recordDemand, recordStart } from "./rankDemand.js";
 import { createRefusal } from "./refusals.js";
@@ -27,7 +28,7 @@
 function start(table: AdmissionTable, request: RequestRow, now: Milliseconds): void {
     table.inProgress.set(request.requestId, { request, startedAt: now });
     changeCount(table.inProgressByAccount, request.clientAccount, 1);
-    if (table.options.rankReservation) {
+    if (table.options.rankReservation || table.options.plannedRetryAfter) {
         recordStart(table.demand, request, now);
     }
 }
@@ -46,7 +47,7 @@
         return table.inProgress.size === 0;
     }
     const hasFreeSlot = table.inProgress.size < table.capacity &&
-        (request.missedTarget !== true || mayStartLate(table));
+        (request.missedTarget !== true || table.planned.has(request.requestId) || mayStartLate(table));
     return hasFreeSlot && !isAloneInProgress(table);
 }
 
@@ -135,25 +136,32 @@
  * `expireRequests` right after this function, so that it is refused without delay.
  *
  * @param table - table to change
- * @param request - the request; its identifier must be new
+ * @param arrived - the request; its identifier must be new
  * @param now - monotonic time
  * @param alone - true if no other request may be in progress beside it. Default: false.
  * @returns start, queue with the expected wait, or an immediate refusal with the time after which to retry
  */
 export function offerRequest(
     table: AdmissionTable,
-    request: RequestRow,
+    arrived: RequestRow,
     now: Milliseconds,
     alone = false,
 ): AdmissionDecision {
-    if (table.options.rankReservation) {
+    const isPlanned = table.options.plannedRetryAfter && takePlannedReturn(table, arrived, now);
+    if (isPlanned) {
+        table.planned.add(arrived.requestId);
+    }
+    const request = table.options.plannedRetryAfter ? adaptReturned(arrived, isPlanned, now) : arrived;
+    if (table.options.rankReservation || table.options.plannedRetryAfter) {
         recordDemand(table.demand, request, now);
     }
     if (request.deadline <= now) {
+        table.planned.delete(request.requestId);
         return refuse(table, request, "deadline-passed", 0, now);
     }
     const wait = computeExpectedWait(table, countAhead(table, request, now), request, now);
     if (now + wait > request.deadline) {
+        table.planned.delete(request.requestId);
         return refuse(table, request, "deadline-unreachable", wait, now);
     }
     if (alone) {
@@ -161,12 +169,14 @@
     }
     if (table.queued.size === 0 && canStart(table, request) && !isReserved(table, request, now)) {
         start(table, request, now);
+        table.planned.delete(request.requestId);
         return { kind: "start" };
     }
     if (table.queued.size >= table.options.maximumQueued) {
         const displaced = findDisplaceable(table, request);
         if (displaced === undefined) {
             table.alone.delete(request.requestId);
+            table.planned.delete(request.requestId);
             return refuse(table, request, selectQueueFullReason(table, request), wait, now);
         }
         table.displaced.push(refuseQueued(table, displaced, "account-share-exceeded", wait, now));
@@ -247,7 +257,7 @@
             continue;
         }
         const wait = computeExpectedWait(table, countAhead(table, request, now), request, now);
-        if (now + wait > request.deadline) {
+        if (now + wait > request.deadline && !table.planned.has(request.requestId)) {
             refused.push(refuseQueued(table, request, "deadline-unreachable", wait, now));
         }
     }
--- a/src/runtime/admission/options.ts
+++ b/src/runtime/admission/options.ts
@@ -1,3 +1,4 @@
+import { createReturnPlan } from "./plannedReturns.js";
 import { createDemandTable } from "./rankDemand.js";
 import type { AdmissionOptions, AdmissionTable } from "./types.js";
 
@@ -19,6 +20,7 @@
         retryAfterStepSeconds: 1,
         rankReservation: false,
         minimumRankShare: 0.5,
+        plannedRetryAfter: false,
         ...partial,
     };
 }
@@ -42,5 +44,7 @@
         averageServiceTime: options.initialServiceTime,
         nextRetryAt: 0,
         demand: createDemandTable(),
+        returns: createReturnPlan(),
+        planned: new Set(),
     };
 }
--- a/src/runtime/admission/queue.ts
+++ b/src/runtime/admission/queue.ts
@@ -1,6 +1,7 @@
 import type { ClientAccount, Milliseconds, RequestRow } from "../../types/index.js";
 import {
     computeDemandShare,
+    computeFreshRate,
     computeMoreUrgentRate,
     computeReservedSlots,
     isOwedStart,
@@ -109,6 +110,7 @@
         table.queuedByAccount.delete(request.clientAccount);
     }
     table.queued.delete(request.requestId);
+    table.planned.delete(request.requestId);
 }
 
 /** Request that may start next, with what decides among several. */
@@ -136,7 +138,9 @@
         const isWithin = isWithinShare(table, account, share);
         let rank: number | undefined;
         for (const request of sorted) {
-            if (request.priority === rank || (request.missedTarget === true && !lateMayStart)) {
+            const isPlanned = table.planned.has(request.requestId);
+            const mayStart = isPlanned || request.missedTarget !== true || lateMayStart;
+            if (!mayStart || (request.priority === rank && !isPlanned)) {
                 continue;
             }
             rank = request.priority;
@@ -162,7 +166,7 @@
  * @returns the request; undefined if no queued request may start
  */
 export function findNext(table: AdmissionTable, now: Milliseconds): RequestRow | undefined {
-    if (isRanked(table, now)) {
+    if (isRanked(table, now) || table.planned.size > 0) {
         return findNextByRank(table, now);
     }
     const share = computeFairShare(table);
@@ -239,7 +243,12 @@
         return throughput;
     }
     const granted = table.options.minimumRankShare * computeDemandShare(table, request.priority, now);
-    return Math.max(throughput * granted, throughput - computeMoreUrgentRate(table, request.priority, now));
+    const isLast = table.options.plannedRetryAfter && request.missedTarget === true &&
+        !table.planned.has(request.requestId);
+    const taken = computeMoreUrgentRate(table, request.priority, now) +
+        (isLast ? computeFreshRate(table, request.priority, now) : 0);
+    // No start is granted to late requests, so that those which new requests will delay are refused at once.
+    return Math.max(isLast ? Number.MIN_VALUE : throughput * granted, throughput - taken);
 }
 
 /**
--- a/src/runtime/admission/rankDemand.ts
+++ b/src/runtime/admission/rankDemand.ts
@@ -23,6 +23,8 @@
 export interface RankDemand extends StartShare {
     /** Recent arrivals, for the arrival rate. */
     readonly recent: ArrivalCount;
+    /** Recent arrivals of requests that have not missed their target. */
+    readonly fresh: ArrivalCount;
     /** Moving average of the time that its requests may wait. */
     permittedWait: Milliseconds;
 }
@@ -68,9 +70,10 @@
 export function recordDemand(demand: DemandTable, request: RequestRow, now: Milliseconds): void {
     const permittedWait = Math.max(0, request.deadline - now);
     const rank = demand.ranks.get(request.priority) ??
-        { ...createShare(now), recent: createArrivalCount(now), permittedWait };
+        { ...createShare(now), recent: createArrivalCount(now), fresh: createArrivalCount(now), permittedWait };
     demand.ranks.set(request.priority, rank);
     if (request.missedTarget !== true) {
+        recordArrival(rank.fresh, now);
         rank.permittedWait += permittedWaitWeight * (permittedWait - rank.permittedWait);
     }
     let account = demand.accounts.get(request.clientAccount);
@@ -134,9 +137,18 @@
     return (expected - computeArrivalRate(share.starts, now)) * shareHalfLife / Math.LN2;
 }
 
+/**
+ * Tells whether a returning caller for which capacity was planned would soon be refused again. Before that, it waits
+ * for capacity that new requests leave, since its answer is late in any case.
+ */
+function isPlannedUrgent({ planned }: AdmissionTable, request: RequestRow, now: Milliseconds): boolean {
+    return planned.has(request.requestId) && now - request.receivedAt > (request.deadline - request.receivedAt) / 2;
+}
+
 /**
  * Tells whether a request belongs to a rank or an account that lacks at least one whole start to its minimum share.
- * Less than one would put each request of a small account before more urgent ones.
+ * Less than one would put each request of a small account before more urgent ones. A returning caller for which capacity
+ * was planned is owed a start as well.
  *
  * @param table - admission table
  * @param request - queued request
@@ -145,7 +157,7 @@
  */
 export function isOwedStart(table: AdmissionTable, request: RequestRow, now: Milliseconds): boolean {
     const { accounts, ranks } = table.demand;
-    return computeOwedStarts(table, ranks.get(request.priority), now) >= 1 ||
+    return isPlannedUrgent(table, request, now) || computeOwedStarts(table, ranks.get(request.priority), now) >= 1 ||
         computeOwedStarts(table, accounts.get(request.clientAccount), now) >= 1;
 }
 
@@ -165,6 +177,19 @@
     return rate;
 }
 
+/**
+ * Computes the arrival rate of the requests with a priority that have not missed their target.
+ *
+ * @param table - admission table
+ * @param priority - the priority
+ * @param now - monotonic time
+ * @returns requests per millisecond
+ */
+export function computeFreshRate({ demand }: AdmissionTable, priority: number, now: Milliseconds): number {
+    const rank = demand.ranks.get(priority);
+    return rank === undefined ? 0 : computeArrivalRate(rank.fresh, now);
+}
+
 /**
  * Computes the share of a rank in the arrivals.
  *
--- a/src/runtime/admission/refusals.ts
+++ b/src/runtime/admission/refusals.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds, Refusal, RefusalReason, RequestRow } from "../../types/index.js";
 import { scoreRendezvous } from "../../utils/index.js";
+import { planReturn } from "./plannedReturns.js";
 import type { AdmissionTable } from "./types.js";
 
 /** Share of the throughput that is planned for the retries of refused callers; the rest is left for new requests. */
@@ -30,7 +31,12 @@
     now: Milliseconds,
     notBefore: Milliseconds = now,
 ): Refusal {
-    const { maximumRetryAfterSeconds, retryAfterStepSeconds } = table.options;
+    const { maximumRetryAfterSeconds, plannedRetryAfter, retryAfterStepSeconds } = table.options;
+    if (plannedRetryAfter && notBefore <= now) {
+        const seconds = (planReturn(table, request, now + wait, now) - now) / 1_000;
+        const planned = Math.max(1, Math.ceil(seconds / retryAfterStepSeconds)) * retryAfterStepSeconds;
+        return { ran: "no", reason, retryAfterSeconds: Math.min(maximumRetryAfterSeconds, Number(planned.toFixed(3))) };
+    }
     const step = table.averageServiceTime / Math.max(1, table.capacity) / retryThroughputShare;
     const latest = Math.max(now, notBefore) + maximumRetryAfterSeconds * 1_000;
     const retryAt = Math.min(latest, Math.max(now + wait, notBefore, table.nextRetryAt + step));
--- a/src/runtime/admission/types.ts
+++ b/src/runtime/admission/types.ts
@@ -1,4 +1,5 @@
 import type { ClientAccount, Milliseconds, Refusal, RequestId, RequestRow } from "../../types/index.js";
+import type { ReturnPlan } from "./plannedReturns.js";
 import type { DemandTable } from "./rankDemand.js";
 
 /** Options of an admission table. */
@@ -32,6 +33,11 @@
      * its demand; applies with `rankReservation`. Default: 0.5.
      */
     readonly minimumRankShare: number;
+    /**
+     * True if the retry time of a refusal is planned from the throughput that new requests leave, and callers that
+     * return at it are served before others. Default: false.
+     */
+    readonly plannedRetryAfter: boolean;
 }
 
 /** Result of `offerRequest`. */
@@ -64,4 +70,7 @@
     /** Monotonic time of the latest retry-after that was sent; the next refused caller gets a later one. */
     nextRetryAt: Milliseconds;
     readonly demand: DemandTable;
+    readonly returns: ReturnPlan;
+    /** Queued requests of returning callers for which capacity was planned. */
+    readonly planned: Set<RequestId>;
 }
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -75,6 +75,10 @@
     readonly prefix: string | undefined;
     /** True if the answer can no longer come within the target of its route. Default: false. */
     readonly missedTarget?: boolean | undefined;
+    /** True if its caller has returned after a refusal, as far as its remaining time shows. Default: false. */
+    readonly hasReturned?: boolean | undefined;
+    /** Time until which the caller waits, on the monotonic clock of the process. Default: not known. */
+    readonly endsAt?: Milliseconds | undefined;
 }
 
 /** Identity of the weights that an answer was computed with. */
