Bound what a gateway holds for slow callers and backend servers

Cause: only answers that were being read from backend servers counted towards a limit. Answers that callers did not read, bodies and heads that arrived slowly, and parts kept for blocked streams after their answer was evicted, did not.

Change: one limit of 15 % of [gateway] memoryMegabytes covers heads, bodies, answers and unread bytes. New requests are refused from three quarters of it (503, not run), bodies are not read near it, and above it the arriving or unread bytes that are the most and the oldest are ended. A caller that does not read a stream is cut off, and its backend server is not blamed. Without memoryMegabytes nothing but answers is limited, as before.

--- a/src/node/gateway/answers/answerRelay.ts
+++ b/src/node/gateway/answers/answerRelay.ts
@@ -149,6 +149,8 @@
     ): Promise<Result<void, AttemptFailure>> {
         const { writer } = progress;
         const splitter = createEventSplitter();
+        let pendingBytes = 0;
+        const pending = request.held.open(() => answer.discard());
         const isContinuation = writer.headSent();
         let bytes = 0;
         const startedAt = clock.monotonic();
@@ -157,6 +159,8 @@
             for await (const part of answer.body) {
                 bytes += part.byteLength;
                 const events = splitter.push(part);
+                pending.add(splitter.pendingBytes() - pendingBytes);
+                pendingBytes = splitter.pendingBytes();
                 delivered = checkProgress(answer, events.length, delivered, clock.monotonic());
                 for (const event of events) {
                     // The body still yields parts that arrived before the request was aborted.
@@ -183,6 +187,9 @@
         catch (error) {
             return err(describeInterruption(error, answer, bytes));
         }
+        finally {
+            pending.close();
+        }
         if (splitter.pendingBytes() > 0) {
             return err(describeInterruption(new Error("the stream ended within an event"), answer, bytes));
         }
@@ -224,6 +231,8 @@
         const isServerError = answer.status >= 500;
         if (progress.writer.headSent() || (isServerError && request.row.idempotent)) {
             const detail = `answered with status ${answer.status}`;
+            // It is kept in case no other attempt brings an answer.
+            request.held.add(whole.value.body.byteLength);
             return err({
                 ran: "unknown",
                 reason: "backend-server-error",
@@ -237,7 +246,7 @@
             return err(supersededFailure);
         }
         metrics.recordFirstByte(request, clock.monotonic() - request.row.receivedAt);
-        sendAnswer(request.response, whole.value);
+        sendAnswer(request.response, whole.value, request.held);
         return ok(undefined);
     }
 
--- a/src/node/gateway/answers/callerAnswer.ts
+++ b/src/node/gateway/answers/callerAnswer.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import type { HeaderTable, Refusal } from "../../../types/index.js";
 import { copyEndToEndHeaders } from "../../httpServer/index.js";
+import type { Holding } from "../../memory/index.js";
 import type { BufferedAnswer } from "../types.js";
 
 /** Headers that the gateway sets itself instead of copying them from the backend server. */
@@ -15,8 +16,11 @@
  *
  * @param response - response to end
  * @param answer - the answer
+ * @param held - memory of the request, which takes that of the answer until the caller has read it
  */
-export function sendAnswer(response: ServerResponse, answer: BufferedAnswer): void {
+export function sendAnswer(response: ServerResponse, answer: BufferedAnswer, held: Holding): void {
+    held.block();
+    held.setBytes(answer.body.byteLength);
     response.writeHead(answer.status, {
         ...copyEndToEndHeaders(answer.headers, gatewayHeaders),
         "content-length": answer.body.byteLength,
@@ -72,9 +76,21 @@
  * Creates the writer of a stream.
  *
  * @param response - response to the caller
+ * @param held - memory of the request, which counts what waits to be sent
  * @returns the writer
  */
-export function createStreamWriter(response: ServerResponse): StreamWriter {
+export function createStreamWriter(response: ServerResponse, held: Holding): StreamWriter {
+    async function awaitDrain(signal: AbortSignal): Promise<void> {
+        const waiting = response.writableLength;
+        held.block();
+        held.add(waiting);
+        if (!signal.aborted) {
+            await once(response, "drain", { signal }).catch(() => undefined);
+        }
+        held.run();
+        held.add(-waiting);
+    }
+
     return {
         headSent: () => response.headersSent,
         sendHead: (status, headers) => {
@@ -85,10 +101,12 @@
         },
         send: async (bytes, signal) => {
             if (!response.write(bytes) && !signal.aborted) {
-                await once(response, "drain", { signal }).catch(() => undefined);
+                await awaitDrain(signal);
             }
         },
         end: () => {
+            held.block();
+            held.setBytes(response.writableLength);
             response.end();
         },
     };
--- a/src/node/gateway/answers/finalAnswer.ts
+++ b/src/node/gateway/answers/finalAnswer.ts
@@ -82,7 +82,7 @@
             }
             if (progress.answer !== undefined) {
                 metrics.countOutcome(request, "server-error");
-                sendAnswer(request.response, progress.answer);
+                sendAnswer(request.response, progress.answer, request.held);
                 return;
             }
             metrics.countOutcome(request, refusal.ran === "no" ? "refused" : "failed");
--- a/src/node/gateway/attempts/attempt.ts
+++ b/src/node/gateway/attempts/attempt.ts
@@ -156,6 +156,7 @@
         path: request.path,
         headers: context.protocol.encodeForwarded(request.headers, forwarded),
         signal,
+        memoryLimit: request.held,
         timeouts: { head: headTimeout, idle: Infinity },
         silence: { after: limits.silentAfter, onSilent: limits.onSilent },
         ...(request.body.length === 0 ? {} : { body: request.body }),
--- a/src/node/gateway/attempts/backendClients.ts
+++ b/src/node/gateway/attempts/backendClients.ts
@@ -1,5 +1,5 @@
 import type { ListedBackendServer, Milliseconds } from "../../../types/index.js";
-import { createHttpClient, createResponseMemoryLimit, type HttpClient } from "../../httpClient/index.js";
+import { createHttpClient, type HttpClient } from "../../httpClient/index.js";
 
 /** Options of the connections to backend servers. */
 export interface BackendClientOptions {
@@ -9,8 +9,6 @@
      * leaves it as it was, or 1.
      */
     readonly connections: (listed: ListedBackendServer) => number | undefined;
-    /** Maximum bytes of all answers that are held in memory; beyond it, the largest answers are abandoned. */
-    readonly maximumHeldBytes: number;
 }
 
 /** Connections to backend servers, one pool for each of them. */
@@ -64,7 +62,6 @@
     const rows = new Map<string, ClientRow>();
     /** Clients that are closed once their calls have ended. */
     const retired = new Set<HttpClient>();
-    const memoryLimit = createResponseMemoryLimit(options.maximumHeldBytes);
 
     function retire(instance: string, { client }: ClientRow): void {
         rows.delete(instance);
@@ -90,7 +87,6 @@
                 connections,
                 timeouts: { connect: options.connectTimeLimit },
                 maximumBodyBytes: maximumAnswerBytes,
-                memoryLimit,
             });
             rows.set(instance, { address, startedAt, connections, client });
             return client;
--- a/src/node/gateway/callers/arrivedRequests.ts
+++ b/src/node/gateway/callers/arrivedRequests.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { Clock, Milliseconds, RequestId } from "../../../types/index.js";
+import type { Holding } from "../../memory/index.js";
 import type { BrokenAttempt, TimeLimit } from "../types.js";
 
 /** What is known of a request that has arrived. */
@@ -7,6 +8,10 @@
     /** Monotonic time at which its head was read. */
     readonly receivedAt: Milliseconds;
     requestId: RequestId | undefined;
+    /** Memory that it takes. */
+    held: Holding | undefined;
+    /** Aborted when its memory is needed for others; also when it is refused before its body was read. */
+    readonly dropped: AbortController;
     /** Undefined until its route is known. */
     timeLimit: TimeLimit | undefined;
     /** Body of a request that was read before its turn; undefined if it is read in its turn. */
@@ -60,6 +65,8 @@
         add: incoming => {
             const request: ArrivedRequest = {
                 receivedAt: clock.monotonic(),
+                held: undefined,
+                dropped: new AbortController(),
                 requestId: undefined,
                 timeLimit: undefined,
                 body: undefined,
--- a/src/node/gateway/callers/callerRejections.ts
+++ b/src/node/gateway/callers/callerRejections.ts
@@ -34,12 +34,17 @@
         reason: string,
         retryAfterSeconds?: number,
     ) => void;
+    /** Refuses a request because its memory is needed for others. */
+    readonly rejectForMemory: EndRequest;
     /** Ends a request whose handling threw an exception. */
     readonly fail: (incoming: IncomingMessage, response: ServerResponse, error: unknown) => void;
     /** Ends a request whose body was not read, by the reason. */
     readonly endWithoutBody: Readonly<Record<AbortReason | "too-large", EndRequest>>;
 }
 
+/** Retry time in seconds after a refusal at the memory limit; what is stalled ends after two seconds at most. */
+const memoryRetryAfterSeconds = 1;
+
 function sendRefusal(
     incoming: IncomingMessage,
     response: ServerResponse,
@@ -82,8 +87,12 @@
 
     const rejectSlowBody: EndRequest = (incoming, response) => reject(incoming, response, 408, "body-too-slow");
 
+    const rejectForMemory: EndRequest = (incoming, response) =>
+        reject(incoming, response, 503, "memory-limit", memoryRetryAfterSeconds);
+
     return {
         reject,
+        rejectForMemory,
         fail: (incoming, response, error) => {
             const detail = error instanceof Error ? error.stack ?? error.message : String(error);
             const ran = arrived.find(incoming)?.handedOver === true ? "unknown" : "no";
@@ -99,6 +108,7 @@
         endWithoutBody: {
             "caller-gone": (...[, response]) => void response.destroy(),
             "caller-timeout": rejectSlowBody,
+            "memory-limit": rejectForMemory,
             "route-timeout": rejectSlowBody,
             shutdown: (incoming, response) => reject(incoming, response, 503, "shutting-down", 0),
             "too-large": (incoming, response) => reject(incoming, response, 413, "body-too-large"),
--- a/src/node/gateway/callers/callerServer.ts
+++ b/src/node/gateway/callers/callerServer.ts
@@ -24,13 +24,22 @@
 } from "../../../types/index.js";
 import { sleep } from "../../../utils/index.js";
 import { hasUndecodedTransferCoding } from "../../httpClient/index.js";
-import { DrainableServer, joinHeaders, measureHead, readBody, splitAddress } from "../../httpServer/index.js";
+import {
+    createIncompleteHeads,
+    DrainableServer,
+    joinHeaders,
+    measureHead,
+    readBody,
+    splitAddress,
+} from "../../httpServer/index.js";
+import type { HeldMemory } from "../../memory/index.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { GatewayRequest } from "../types.js";
 import { type ArrivedRequest, createArrivedRequests } from "./arrivedRequests.js";
 import { createRejections } from "./callerRejections.js";
 import { watchCaller } from "./callerWatch.js";
 import { createConnectionLog } from "./connectionLog.js";
+import { createBodyMemory, holdRequest } from "./heldRequests.js";
 import { createOpenAnswers, type OpenAnswerCounts } from "./openAnswers.js";
 import { createPollQueue } from "./pollQueue.js";
 import { createRequestTurns } from "./requestTurns.js";
@@ -44,6 +53,7 @@
     readonly routes: () => RouteTable | undefined;
     readonly serve: (request: GatewayRequest) => Promise<void>;
     readonly metrics: GatewayMetrics;
+    readonly memory: HeldMemory;
     /** Share of the target latency for which a request may wait in the queue. */
     readonly waitShare: number;
     /** Time after the disposal at which the connections that are left are destroyed. */
@@ -109,7 +119,12 @@
     const callerTimeouts = createCallerTimeoutTable();
     const pollQueue = createPollQueue();
 
-    const { endWithoutBody, fail, reject } = createRejections({ arrived, answers, metrics, logger: input.logger });
+    const { endWithoutBody, fail, reject, rejectForMemory } = createRejections({
+        arrived,
+        answers,
+        metrics,
+        logger: input.logger,
+    });
 
     function hasMissedTarget({ callerTimeout }: CallerCall, route: RouteRow, bodyTime: Milliseconds): boolean {
         const priorWait = callerTimeout === undefined ?
@@ -121,7 +136,13 @@
     /** Reads the body of a request that waits for its turn; the end of the connection is not noticed behind an unread one. */
     function readAhead(incoming: IncomingMessage, request: ArrivedRequest): void {
         const limit = input.routes()?.configuration.limits.bodyBytes;
-        request.body = limit === undefined ? undefined : readBody(incoming, limit).then(body => {
+        if (input.memory.isRefusing()) {
+            request.dropped.abort();
+            incoming.resume();
+            return;
+        }
+        const bodyMemory = createBodyMemory(request, input.memory, false);
+        request.body = limit === undefined ? undefined : readBody(incoming, limit, bodyMemory).then(body => {
             request.bodyReadAt = clock.monotonic();
             return body;
         });
@@ -130,7 +151,17 @@
     async function handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const request = arrived.find(incoming) ?? arrived.add(incoming);
         const { receivedAt } = request;
+        const held = request.held ?? holdRequest(request, incoming, response, input.memory);
         const watch = watchCaller(incoming, response);
+        request.dropped.signal.addEventListener("abort", () => {
+            if (response.destroyed) {
+                return;
+            }
+            watch.endForMemory();
+            if (response.headersSent) {
+                answers.breakOff(response, "memory-limit");
+            }
+        }, { once: true });
         answers.add(incoming, response, {
             onDrainEnd: () => {
                 if (!response.headersSent) {
@@ -152,6 +183,10 @@
             reject(incoming, response, 431, "head-too-large");
             return;
         }
+        if (request.dropped.signal.aborted || (input.memory.isRefusing() && request.body === undefined)) {
+            rejectForMemory(incoming, response);
+            return;
+        }
         const headers: HeaderTable = joinHeaders(incoming);
         const call = protocol.decodeCall(headers);
         request.requestId = call?.requestId;
@@ -190,7 +225,10 @@
         watch.setTimeLimit(receivedAt + duration - clock.monotonic(), timeLimit.kind);
         const body = isTooLarge ?
             undefined :
-            await Promise.race([request.body ?? readBody(incoming, limit), watch.ended]);
+            await Promise.race([
+                request.body ?? readBody(incoming, limit, createBodyMemory(request, input.memory, true)),
+                watch.ended,
+            ]);
         if (body === undefined) {
             if (response.headersSent) {
                 // The server has refused the body as malformed.
@@ -206,6 +244,7 @@
             reject(incoming, response, 503, "shutting-down", 0);
             return;
         }
+        held.run();
         const completeAt = clock.monotonic();
         // Detects a caller that disconnected before its request was read, so that the request is not forwarded.
         await pollQueue.awaitPoll();
@@ -242,6 +281,7 @@
                 endsAt: receivedAt + duration,
                 response,
                 incoming,
+                held,
                 signal: watch.signal,
                 readAbortReason: watch.readReason,
                 breakOff: attempt => {
@@ -259,6 +299,7 @@
         { maxHeaderSize: headSizeCeiling, requireHostHeader: false },
         (incoming, response) => {
             const request = arrived.add(incoming);
+            holdRequest(request, incoming, response, input.memory);
             const isServed = turns.take(incoming, response, () => {
                 handle(incoming, response).catch((error: unknown) => fail(incoming, response, error));
             });
@@ -270,6 +311,7 @@
         connectionLog,
     );
     server.requestTimeout = 0;
+    server.heads = createIncompleteHeads(end => input.memory.hold(end));
     server.headSizeLimit = initialHeadSizeLimit;
     // By default, Node leaves out header fields beyond the 2,000th.
     server.maxHeadersCount = 0;
--- a/src/node/gateway/callers/callerWatch.ts
+++ b/src/node/gateway/callers/callerWatch.ts
@@ -18,6 +18,8 @@
     setTimeLimit(duration: Milliseconds, kind: TimeLimitKind): void;
     /** Removes the time limit. */
     clearTimeLimit(): void;
+    /** Aborts the signal because the memory of the request is needed for others. */
+    endForMemory(): void;
     /** Aborts the signal because the time for the drain is over. */
     endDrain(): void;
 }
@@ -70,6 +72,7 @@
             }
         },
         clearTimeLimit,
+        endForMemory: () => abort("memory-limit"),
         endDrain: () => abort("shutdown"),
     };
 }
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -30,6 +30,7 @@
 import { startCallerServer } from "./callers/callerServer.js";
 import { drainCallers } from "./callers/drainCallers.js";
 import { createCrashContainment } from "./crashes/crashContainment.js";
+import { createGatewayMemory } from "./gatewayMemory.js";
 import { createGatewayMetrics } from "./gatewayMetrics.js";
 import { createAgentWatch } from "./membership/agentWatch.js";
 import { createGatewayList } from "./membership/gatewayList.js";
@@ -162,9 +163,9 @@
         options: settings.admission,
         computeServiceShare: choice.computeServiceShare,
     });
+    const memory = createGatewayMemory({ clock, gateway, logger, metrics, gatewayMetrics });
     const clients = stack.use(createBackendClients({
         connectTimeLimit: gateway.connectTimeLimit,
-        maximumHeldBytes: gateway.maximumHeldAnswerBytes,
         connections: readConnections,
     }));
     const containment = stack.use(createCrashContainment({
@@ -227,11 +228,7 @@
     stack.use(rpcServer.value);
     // The server waits for the streams of the relay, so the relay must be disposed of first.
     stack.use(relay);
-    stack.use(createRelayFollowers({
-        ...following,
-        options: replica,
-        listAddresses: gateways.listAddresses,
-    }));
+    stack.use(createRelayFollowers({ ...following, options: replica, listAddresses: gateways.listAddresses }));
     const agentWatch = stack.use(createAgentWatch({
         self: instance.id,
         listServers: state.listEngines,
@@ -258,6 +255,7 @@
         routes: state.routes,
         serve,
         metrics: gatewayMetrics,
+        memory,
         waitShare: gateway.waitForEarlyAnswerShare,
         closeTimeLimit: serverShutdownLimit,
         configurationLimit: gateway.configurationLimit,
@@ -331,6 +329,7 @@
 
     const timer = setInterval(() => {
         stalls.check();
+        memory.check();
         state.expire();
         rateLimits.update();
         containment.crashEvidence.expire();
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -2,6 +2,7 @@
 import type { ListeningState } from "../crashes/index.js";
 import type { BodyFraming } from "../httpClient/index.js";
 import type { ConnectionCloseReason } from "../httpServer/index.js";
+import type { EndedHolding, HeldMemory } from "../memory/index.js";
 import type { Metrics } from "../metrics/index.js";
 import type { AnswerSending } from "./callers/openAnswers.js";
 import type { AnswerEnding, GatewayRequest } from "./types.js";
@@ -35,10 +36,25 @@
     recordFirstByte(request: GatewayRequest, duration: Milliseconds): void;
     /** Counts a request that the configuration does not allow, or that arrived before there was a configuration. */
     countRejected(reason: string): void;
+    /** Counts a request or an answer that was ended to free memory. */
+    countEndedHolding(stage: EndedHolding["stage"]): void;
     /** Counts a connection of a caller that was closed without an answer on it, or a request that crossed the close. */
     countClosedConnection(reason: ClosedConnectionReason): void;
 }
 
+/**
+ * Adds the gauge of the bytes that a gateway holds for callers and backend servers that send or read slowly.
+ *
+ * @param metrics - metrics of the process
+ * @param memory - what is held
+ */
+export function registerHeldBytes(metrics: Metrics, memory: Pick<HeldMemory, "total">): void {
+    metrics.registerGauge({
+        name: "goldcrestpoint_gateway_held_bytes",
+        documentation: "Bytes of requests and answers that are held in memory.",
+    }, memory.total);
+}
+
 /**
  * Creates the metrics of a gateway.
  *
@@ -83,6 +99,11 @@
         name: "goldcrestpoint_gateway_connections_closed_total",
         documentation: "Connections of callers that were closed while no answer was open, by reason.",
     });
+    const ended = metrics.createCounter({
+        name: "goldcrestpoint_gateway_held_ended_total",
+        documentation: "Requests and answers that were ended to free memory, by stage: `arriving`, `unread` by the " +
+            "caller, or `answer` of a backend server.",
+    });
     const waits = metrics.createHistogram({
         name: "goldcrestpoint_gateway_admission_wait_milliseconds",
         documentation: "Time in the queue of the gateway, by service.",
@@ -102,6 +123,7 @@
             sentAnswers.add(1, { ending, configuration: configurationRecent ? "recent" : "settled" }),
         countCheck: (service, outcome) => checks.add(1, { service, outcome }),
         countRejected: reason => rejected.add(1, { reason }),
+        countEndedHolding: stage => ended.add(1, { stage }),
         countClosedConnection: reason => closed.add(1, { reason }),
         recordWait: ({ service }, duration) => waits.record(duration, { service: service.name }),
         recordFirstByte: ({ route, service }, duration) =>
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -63,6 +63,7 @@
 const endReasons: Readonly<Record<AbortReason, RefusalReason>> = {
     "caller-gone": "canceled",
     "caller-timeout": "deadline-passed",
+    "memory-limit": "canceled",
     "route-timeout": "deadline-passed",
     shutdown: "draining",
 };
@@ -204,7 +205,7 @@
             lastEvent: undefined,
             mediaType: undefined,
             resumable: true,
-            writer: createStreamWriter(request.response),
+            writer: createStreamWriter(request.response, request.held),
         };
         const final = await runAttempts(request, progress);
         if (final === undefined) {
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -12,6 +12,7 @@
     ServiceRow,
 } from "../../types/index.js";
 import type { HttpStreamingResponse, ReceivedBody } from "../httpClient/index.js";
+import type { Holding } from "../memory/index.js";
 
 /** Limit on the time of a request: the timeout of its route, or a shorter one that the caller stated. */
 export type TimeLimitKind = "caller-timeout" | "route-timeout";
@@ -26,7 +27,7 @@
 }
 
 /** Reason why this gateway aborted a request in progress. */
-export type AbortReason = TimeLimitKind | "caller-gone" | "shutdown";
+export type AbortReason = TimeLimitKind | "caller-gone" | "memory-limit" | "shutdown";
 
 /** Failure of the attempt after which an answer could not be continued. */
 export interface BrokenAttempt extends Pick<AttemptFailure, "detail"> {
@@ -55,6 +56,8 @@
     readonly endsAt: Milliseconds;
     readonly response: ServerResponse;
     readonly incoming: IncomingMessage;
+    /** Memory that the request and its answers take. */
+    readonly held: Holding;
     /** Aborted when the caller disconnects or the time limit expires. */
     readonly signal: AbortSignal;
     /** Reads the reason for the abort; undefined while the request is not aborted. */
--- a/src/node/httpClient/bodyReader.ts
+++ b/src/node/httpClient/bodyReader.ts
@@ -8,6 +8,9 @@
 /** Message for a response that is aborted to free memory for others. */
 export const memoryExceededMessage = "the response was aborted to free memory for other responses";
 
+/** Memory of a part of a body beside its bytes, which is most of it for a peer that sends a few bytes at a time. */
+export const partOverheadBytes = 512;
+
 /** Limits of {@link readAhead}. */
 export interface ReadAheadLimits {
     /** Unread bytes of the body that are kept; the response is aborted if there are more. */
@@ -41,7 +44,7 @@
     const arrivals = on(body, "data", { close: ["end", "close"] }) as AsyncIterable<[Uint8Array]>;
     body.on("data", (part: Uint8Array) => {
         unread += part.byteLength;
-        reservation?.add(part.byteLength);
+        reservation?.add(part.byteLength + partOverheadBytes);
         if (unread > maximumUnreadBytes) {
             body.destroy(
                 new ResponseTooLargeError(`more than ${maximumUnreadBytes} bytes of the response are unread`),
@@ -59,7 +62,7 @@
         try {
             for await (const [part] of arrivals) {
                 unread -= part.byteLength;
-                reservation?.add(-part.byteLength);
+                reservation?.add(-part.byteLength - partOverheadBytes);
                 yield part;
             }
             if (!ended) {
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -3,7 +3,13 @@
 import { type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../../types/index.js";
 import { createSystemClock } from "../../utils/index.js";
-import { memoryExceededMessage, readAhead, type ReadAheadLimits, ResponseTooLargeError } from "./bodyReader.js";
+import {
+    memoryExceededMessage,
+    partOverheadBytes,
+    readAhead,
+    type ReadAheadLimits,
+    ResponseTooLargeError,
+} from "./bodyReader.js";
 import { isMixedHead, resolveFraming } from "./framing.js";
 import { createInterruption, type Interruption } from "./interruption.js";
 import { watchOverhead } from "./overheadWatch.js";
@@ -90,7 +96,10 @@
                 throw new Error("the head contains the parts of two responses");
             }
             limitIdleTime(response.body, call.interruption, limits.idle);
-            return ok(toStream(request, response, call, { maximumUnreadBytes: maximumBodyBytes, memoryLimit }));
+            return ok(toStream(request, response, call, {
+                maximumUnreadBytes: maximumBodyBytes,
+                memoryLimit: request.memoryLimit ?? memoryLimit,
+            }));
         }
         catch (cause) {
             endCall(call);
@@ -235,7 +244,7 @@
     try {
         for await (const part of stream.body) {
             bytes += part.byteLength;
-            reservation?.add(part.byteLength);
+            reservation?.add(part.byteLength + partOverheadBytes);
             if (bytes > maximumBytes) {
                 stream.discard();
                 return err(describeTooLarge(`the response is larger than ${maximumBytes} bytes`));
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -48,6 +48,8 @@
      * if the result is false. Default: it is written.
      */
     readonly mayWrite?: (() => boolean) | undefined;
+    /** Memory limit for the response. Default: that of the client. */
+    readonly memoryLimit?: ResponseMemoryLimit | undefined;
 }
 
 /** How the end of a body is recognized: there is none, or by a length, a last chunk or the end of the connection. */
--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -2,34 +2,20 @@
 import type { Socket } from "node:net";
 import type { Clock, Milliseconds } from "../../types/index.js";
 import { awaitPoll } from "../../utils/index.js";
-import { type ConnectionCloseReason, type ConnectionState, decideClose } from "./connectionState.js";
+import type { ConnectionObserver } from "./connectionObserver.js";
+import { type ConnectionState, decideClose } from "./connectionState.js";
+import { type IncompleteHeads, measureIncompleteHead } from "./incompleteHeads.js";
 import { closeLingering } from "./lingeringClose.js";
 import { OrderedResponse } from "./orderedResponse.js";
 import { noteReceived, type ReceivedBytes } from "./receivedBytes.js";
-import { findRequestFault, formatRefusal, headTooLarge, type RequestFault, tunnelRequest } from "./requestFault.js";
-
-/** Observer of a {@link DrainableServer}. */
-export interface ConnectionObserver {
-    /**
-     * Called when the server closes a connection that owes no response.
-     *
-     * @param reason - why it is closed
-     * @param lateness - time by which its idle limit had been exceeded
-     */
-    onClose?(reason: ConnectionCloseReason, lateness: Milliseconds): void;
-    /**
-     * Called for a request that arrived after the server had closed its connection, or announced that it would, and
-     * that gets no response.
-     */
-    onUnanswerable?(incoming: IncomingMessage): void;
-    /**
-     * Called when the server itself refuses a request, or closes its connection because of it.
-     *
-     * @param fault - what is wrong with it
-     * @param incoming - the request; undefined if its head was not read completely
-     */
-    onRefuse?(fault: RequestFault, incoming: IncomingMessage | undefined): void;
-}
+import {
+    findRequestFault,
+    formatRefusal,
+    headEndedForMemory,
+    headTooLarge,
+    type RequestFault,
+    tunnelRequest,
+} from "./requestFault.js";
 
 /** Request whose response has not been handed over to the operating system completely. */
 interface Exchange {
@@ -66,6 +52,8 @@
     headTimeLimit: Milliseconds = 60_000;
     /** Bytes that an incomplete head may have. */
     headSizeLimit = Infinity;
+    /** Memory of heads that have not arrived completely; undefined if it is not limited. */
+    heads: IncompleteHeads | undefined;
     private readonly tracked = new Map<Socket, Connection>();
     private isClosing = false;
     private accepted = 0;
@@ -243,12 +231,22 @@
             if (this.hasLargeHead(socket, connection)) {
                 this.refuse(socket, headTooLarge);
             }
+            else {
+                this.heads?.count(socket, connection, () => this.endHead(socket, connection));
+            }
         }
     }
 
-    private hasLargeHead(socket: Socket, { lastIncoming, owed, receivedAtRest }: Connection): boolean {
-        return owed === 0 && lastIncoming?.complete !== false &&
-            socket.bytesRead - receivedAtRest > this.headSizeLimit;
+    /** Refuses a request whose head has not arrived, and frees its memory at once, which a lingering close would not. */
+    private endHead(socket: Socket, connection: Connection): void {
+        connection.fault = headEndedForMemory;
+        this.observer.onRefuse?.(headEndedForMemory, undefined);
+        socket.write(formatRefusal(headEndedForMemory.status), () => socket.destroy());
+        socket.pause();
+    }
+
+    private hasLargeHead(socket: Socket, connection: Connection): boolean {
+        return measureIncompleteHead(socket, connection) > this.headSizeLimit;
     }
 
     /** Refuses the request that arrives on a connection, after the responses to those before it. */
--- a/src/node/httpServer/requestFault.ts
+++ b/src/node/httpServer/requestFault.ts
@@ -4,18 +4,22 @@
     | "head-too-large"
     | "incomplete"
     | "malformed"
+    | "memory-limit"
     | "request-too-slow"
     | "tunnel";
 
 /** Request that a server cannot read, and the status with which it is refused. */
 export interface RequestFault {
     readonly reason: RequestFaultReason;
-    readonly status: 400 | 408 | 413 | 431 | 501;
+    readonly status: 400 | 408 | 413 | 431 | 501 | 503;
 }
 
 /** Head that is larger than the limit. */
 export const headTooLarge: RequestFault = { reason: "head-too-large", status: 431 };
 
+/** Head that arrives slowly, and whose memory is needed for others. */
+export const headEndedForMemory: RequestFault = { reason: "memory-limit", status: 503 };
+
 /** Request to open a tunnel. */
 export const tunnelRequest: RequestFault = { reason: "tunnel", status: 501 };
 
@@ -45,6 +49,7 @@
     413: "Content Too Large",
     431: "Request Header Fields Too Large",
     501: "Not Implemented",
+    503: "Service Unavailable",
 };
 
 /**
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -1,5 +1,6 @@
 import type { DecisionKind } from "./decisionLog.js";
 import { define, errorFields as error, type EventDefinition, type EventGroup } from "./eventDefinition.js";
+import { memoryEvents } from "./memoryEvents.js";
 import { weightEvents } from "./weightEvents.js";
 
 const both = ["agent", "gateway"] as const;
@@ -240,6 +241,7 @@
     "crashes not exchanged": define("dependency", ["gateway"], "evidence was not exchanged with a gateway", ["peer"]),
     "backend server crashed": define("belief", ["entry"], "an entry instance learned of the crash of a backend server"),
     "instance is no longer live": define("belief", ["entry"], "an instance is leaving, or is gone from the list"),
+    ...memoryEvents,
     "request rejected": define(
         "request",
         ["entry", "gateway"],
--- /dev/null
+++ b/src/node/memory/index.ts
@@ -0,0 +1,1 @@
+export * from "./heldMemory.js";
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -117,8 +117,9 @@
             maximum: 10_000_000,
             defaultValue: 0,
             documentation:
-                "Memory that the process may use; 0 if the platform does not limit it. A tenth of it limits the answers " +
-                "that are held, beside maximumHeldAnswerBytes.",
+                "Memory that the process may use; 0 if the platform does not limit it. 15 % of it limits all bytes " +
+                "that a gateway holds for slow callers and backend servers, a tenth the answers among them, beside " +
+                "maximumHeldAnswerBytes.",
         }),
         maximumHeldAnswerBytes: defineInteger({
             minimum: 1_048_576,
--- a/src/node/settings/heldAnswers.ts
+++ b/src/node/settings/heldAnswers.ts
@@ -5,20 +5,37 @@
     readonly maximumHeldAnswerBytes: number;
 }
 
+/** Limits that follow from the memory of the process. */
+export interface DerivedMemoryLimits {
+    /**
+     * Bytes that may be held for callers and backend servers that send or read slowly; `Infinity` if the memory is not
+     * limited.
+     */
+    readonly maximumHeldBytes: number;
+}
+
+/**
+ * Share of the memory for everything that is held. Half of the memory of the smallest gateways is in use when they are
+ * idle, and V8 releases buffers that are not used any more only once they take another 64 MB.
+ */
+const heldShare = 0.15;
 /** Share of the memory for answers; each byte of an answer takes several in buffers that are not released yet. */
 const heldAnswerShare = 0.1;
 const bytesPerMegabyte = 1_048_576;
 
 /**
- * Limits the answers that a process holds by the memory that the platform states.
+ * Limits the answers that a process holds, and everything that it holds, by the memory that the platform states.
  *
  * @param settings - settings of the gateway
- * @returns the settings with the lower one of both limits
+ * @returns the settings with the lower one of both limits on answers, and the limit on everything
  */
-export function limitHeldAnswers<Settings extends HeldAnswerSettings>(settings: Settings): Settings {
+export function limitHeldAnswers<Settings extends HeldAnswerSettings>(
+    settings: Settings,
+): Settings & DerivedMemoryLimits {
     const { maximumHeldAnswerBytes, memoryMegabytes } = settings;
-    return memoryMegabytes === 0 ? settings : {
+    return memoryMegabytes === 0 ? { ...settings, maximumHeldBytes: Infinity } : {
         ...settings,
+        maximumHeldBytes: Math.floor(memoryMegabytes * bytesPerMegabyte * heldShare),
         maximumHeldAnswerBytes: Math.min(
             maximumHeldAnswerBytes,
             Math.floor(memoryMegabytes * bytesPerMegabyte * heldAnswerShare),
--- a/src/node/settings/settings.ts
+++ b/src/node/settings/settings.ts
@@ -4,7 +4,7 @@
 import { daemonSections } from "./daemonSections.js";
 import { decisionSections } from "./decisionSections.js";
 import { gatewaySections } from "./gatewaySections.js";
-import { limitHeldAnswers } from "./heldAnswers.js";
+import { type DerivedMemoryLimits, limitHeldAnswers } from "./heldAnswers.js";
 import { createProblemError, type SettingsProblem } from "./problems.js";
 import { type ResolvedSections, resolveSections, type SettingsSources } from "./resolveSections.js";
 import { standInSections } from "./standInSections.js";
@@ -43,16 +43,20 @@
 >;
 
 /** Settings of a gateway. Durations are in milliseconds. */
-export type GatewaySettings = Pick<
-    AllSettings,
-    "instance" | "platform" | "gateway" | "replica" | "routing" | "admission" | "retry" | "log"
->;
+export type GatewaySettings =
+    & Pick<
+        AllSettings,
+        "instance" | "platform" | "gateway" | "replica" | "routing" | "admission" | "retry" | "log"
+    >
+    & { readonly gateway: DerivedMemoryLimits; };
 
 /** Settings of an agent on the platform, where gateways route the requests. Durations are in milliseconds. */
-export type WeightAgentSettings = Pick<
-    AllSettings,
-    "instance" | "platform" | "gateway" | "replica" | "weightAgent" | "distribution" | "log"
->;
+export type WeightAgentSettings =
+    & Pick<
+        AllSettings,
+        "instance" | "platform" | "gateway" | "replica" | "weightAgent" | "distribution" | "log"
+    >
+    & { readonly gateway: DerivedMemoryLimits; };
 
 /** Settings of the stand-ins. Durations are in milliseconds. */
 export type StandInSettings = Pick<AllSettings, "standInPlatform" | "standInEngine" | "standInService" | "log">;
@@ -101,7 +105,9 @@
         },
 ];
 
-function resolveAll(sources: SettingsSources): Result<AllSettings, GoldcrestpointError> {
+function resolveAll(
+    sources: SettingsSources,
+): Result<AllSettings & { readonly gateway: DerivedMemoryLimits; }, GoldcrestpointError> {
     const { values, problems } = resolveSections(allSections, sources);
     const source = sources.file?.name ?? "settings";
     const found = problems.length > 0 ?
--- /dev/null
+++ b/src/runtime/memory/index.ts
@@ -0,0 +1,1 @@
+export * from "./heldBytes.js";
--- a/test/node/gateway/backendClients.test.ts
+++ b/test/node/gateway/backendClients.test.ts
@@ -87,7 +87,6 @@
             await using clients = createBackendClients({
                 connectTimeLimit: 1_000,
                 connections: () => connections,
-                maximumHeldBytes: 1_000_000,
             });
             const client = clients.find(server.listed);
             const first = readCall(client);
--- a/test/node/gateway/callerServer.test.ts
+++ b/test/node/gateway/callerServer.test.ts
@@ -6,6 +6,7 @@
 import { createGatewayMetrics } from "../../../src/node/gateway/gatewayMetrics.js";
 import type { GatewayRequest } from "../../../src/node/gateway/types.js";
 import { createLogger } from "../../../src/node/logging/index.js";
+import { createHeldMemory } from "../../../src/node/memory/index.js";
 import { createMetrics } from "../../../src/node/metrics/index.js";
 import { createRouteTable } from "../../../src/runtime/gateway/index.js";
 import { findFreePorts } from "../../../src/standIn/index.js";
@@ -41,6 +42,7 @@
                     routes: () => routes,
                     serve: () => Promise.reject(new Error("unexpected")),
                     metrics: createGatewayMetrics(createMetrics({ clock })),
+                    memory: createHeldMemory({ limit: Infinity, answerLimit: Infinity, clock }),
                     waitShare: 0.5,
                     closeTimeLimit: 100,
                     configurationLimit: 2_000,
@@ -90,6 +92,7 @@
                 return Promise.resolve();
             },
             metrics: createGatewayMetrics(createMetrics({ clock })),
+            memory: createHeldMemory({ limit: Infinity, answerLimit: Infinity, clock }),
             waitShare: 0.5,
             closeTimeLimit: 100,
             configurationLimit: 2_000,
--- a/test/platform/standIn/gatewayProcess.ts
+++ b/test/platform/standIn/gatewayProcess.ts
@@ -17,6 +17,8 @@
     readonly instance: string;
     readonly host: string;
     readonly port: number;
+    /** Identifier of the process in the operating system. */
+    readonly processId: number;
     /** Lines that the gateway has logged. */
     readonly logLines: readonly string[];
     /** Monotonic time of the first SIGTERM in milliseconds; undefined before it. */
@@ -39,6 +41,8 @@
     readonly drainTimeLimitSeconds: number;
     /** Folder for the settings file. */
     readonly folder: string;
+    /** Further keys of the section `gateway`, each as `KEY = VALUE`. Default: none. */
+    readonly gatewayKeys?: readonly string[];
 }
 
 /** Time within which a gateway must answer whether it is ready. */
@@ -71,6 +75,7 @@
             `readyAddress = ${host}:${ports.ready}`,
             `metricsAddress = ${host}:${ports.metrics}`,
             `relayPort = ${ports.relay}`,
+            ...(options.gatewayKeys ?? []),
             "[routing]",
             "reportExpiryMilliseconds = 600000",
             "[log]",
@@ -92,6 +97,7 @@
         instance,
         host,
         port: ports.callers,
+        processId: child.pid!,
         logLines,
         exited,
         stoppedAt: () => stoppedAt,
