--- a/bench/days.ts
+++ b/bench/days.ts
@@ -26,6 +26,8 @@
         formatShare(result.resent),
         formatShare(result.returned),
         String(result.firstTokenP95).padStart(6),
+        String(result.firstTokenP99).padStart(6),
+        result.largestTenth.toFixed(2).padStart(5),
         timeToReplicas === undefined ? "    -" : (timeToReplicas / 1_000).toFixed(1).padStart(5),
     ].join("  ");
 }
@@ -49,7 +51,8 @@
 }
 else {
     const header = "first tokens on time /s; then %: worth, on time, answered, worst second, worst account, " +
-        "refused, resent, returned; p95 time to first token in ms; s until all replicas hold the version; " +
+        "refused, resent, returned; p95 and p99 time to first token in ms; on-time share of the largest tenth relative " +
+        "to all; s until all replicas hold the version; " +
         "by class in %: on time, answered, refused, refused twice, refused after a wait of over an eighth of the target";
     console.log(`seed ${seed}: ${header}`);
     for (const scenario of Object.keys(scenarios)) {
--- a/bench/days/policies.ts
+++ b/bench/days/policies.ts
@@ -1,4 +1,5 @@
 import type { AdmissionOptions } from "../../src/runtime/admission/index.js";
+import type { ExpectedTimes, RequestCost } from "../../src/runtime/cost/index.js";
 import {
     resolveRoutingOptions,
     type RoutingOptions,
@@ -14,6 +15,15 @@
     readonly excluded: ReadonlySet<string>;
     readonly now: Milliseconds;
     readonly random: RandomSource;
+    /** Undefined unless the policy routes by cost. */
+    readonly cost: RequestCost | undefined;
+}
+
+/** Chosen runner. */
+export interface Choice {
+    readonly runner: RunnerRow;
+    /** Times that are expected there; undefined unless the policy routes by cost. */
+    readonly expected?: ExpectedTimes | undefined;
 }
 
 /** Queueing and routing policy of a gateway. */
@@ -24,7 +34,9 @@
     readonly deprioritizesLate: boolean;
     /** Options of the admission that differ from those of the platform before ranks decided first. */
     readonly admission?: Partial<AdmissionOptions> | undefined;
-    choose(input: ChoiceInput): RunnerRow | undefined;
+    /** True if requests are routed by their expected cost. Default: false. */
+    readonly costAware?: boolean | undefined;
+    choose(input: ChoiceInput): Choice | undefined;
 }
 
 /** Settings of the gateways on the users' platform. */
@@ -49,7 +61,8 @@
         deprioritizesLate: false,
         choose: input => {
             const serving = listServing(input);
-            return serving[position++ % Math.max(1, serving.length)];
+            const runner = serving[position++ % Math.max(1, serving.length)];
+            return runner && { runner };
         },
     };
 }
@@ -57,13 +70,15 @@
 function createProductPolicy(
     queuesRequests: boolean,
     deprioritizesLate: boolean,
-    admission?: Partial<AdmissionOptions>,
+    { admission, costAware = false }: Pick<Policy, "admission" | "costAware"> = {},
 ): Policy {
+    const options = { ...routing, costAware };
     return {
         admission,
         queuesRequests,
         deprioritizesLate,
-        choose: ({ excluded, now, random, runners, zone }) => {
+        costAware,
+        choose: ({ cost, excluded, now, random, runners, zone }) => {
             const decision = selectRunner({
                 subset: { deployment: "model", runners },
                 zone,
@@ -74,9 +89,10 @@
                 excluded,
                 now,
                 random,
-                options: routing,
+                options,
+                cost,
             });
-            return decision.kind === "selected" ? decision.runner : undefined;
+            return decision.kind === "selected" ? decision : undefined;
         },
     };
 }
@@ -84,8 +100,10 @@
 /** Creates a policy, by name; "own" is the routing of this project. Each gateway has an instance of its own. */
 export const policies: Readonly<Record<string, () => Policy>> = {
     own: () => createProductPolicy(true, true),
-    "own by rank": () => createProductPolicy(true, true, { rankReservation: true }),
-    "own planned": () => createProductPolicy(true, true, { rankReservation: true, plannedRetryAfter: true }),
+    "own by rank": () => createProductPolicy(true, true, { admission: { rankReservation: true } }),
+    "own planned": () =>
+        createProductPolicy(true, true, { admission: { rankReservation: true, plannedRetryAfter: true } }),
+    "own by cost": () => createProductPolicy(true, true, { costAware: true }),
     "own by arrival": () => createProductPolicy(true, false),
     "own without queue": () => createProductPolicy(false, false),
     "round robin": createRoundRobin,
@@ -93,8 +111,9 @@
         queuesRequests: false,
         deprioritizesLate: false,
         choose: input =>
-            listServing(input).reduce<RunnerRow | undefined>(
-                (best, row) => best === undefined || row.outstanding < best.outstanding ? row : best,
+            listServing(input).reduce<Choice | undefined>(
+                (best, runner) =>
+                    best === undefined || runner.outstanding < best.runner.outstanding ? { runner } : best,
                 undefined,
             ),
     }),
--- a/bench/days/simulation.ts
+++ b/bench/days/simulation.ts
@@ -17,13 +17,13 @@
 import { applyLoadReport, recordOutcome, type RunnerLoadReport } from "../../src/runtime/routing/index.js";
 import type { Milliseconds, Refusal, RequestRow } from "../../src/types/index.js";
 import { createSeededRandom } from "../../src/utils/index.js";
+import { createCaller } from "./callers.js";
 import { createEngine, type Engine } from "./engine.js";
-import { type Attempt, createGateways, type Gateway } from "./gateways.js";
+import { type Attempt, createGateways, describeRequest, type Gateway } from "./gateways.js";
 import {
     callerTimeout,
     computeCapacity,
     drawInterval,
-    drawRequest,
     enginesPerZone,
     maximumCallerTries,
     maximumWaitShare,
@@ -79,12 +79,13 @@
         [...Array(enginesPerZone).keys()].map(index =>
             createEngine(`${zone}-${index}`, zone, {
                 firstToken: (requestId, at) => recordFirstToken(requestId, at),
+                token: requestId => attempts.get(requestId)?.work?.recordEvent(),
                 finished: requestId => release(requestId, "succeeded"),
                 broken: requestId => fail(requestId, "connection-lost", "unknown"),
             })
         )
     );
-    const gateways = createGateways(engines, createPolicy, admissionOptions, retryOptions);
+    const gateways = createGateways(engines, createPolicy, admissionOptions, retryOptions, () => now);
 
     function recordFirstToken(requestId: string, at: Milliseconds): void {
         const attempt = attempts.get(requestId);
@@ -109,6 +110,8 @@
         runner.outstanding--;
         runner.awaitingFirst -= attempt.begun ? 0 : 1;
         attempt.runner = undefined;
+        attempt.work?.end(outcome === "succeeded");
+        attempt.work = undefined;
         recordOutcome(runner, outcome, now, routingOptions);
     }
 
@@ -171,21 +174,26 @@
 
     function send(attempt: Attempt): void {
         const { caller, excluded, gateway, request } = attempt;
-        const runner = gateway.policy.choose({
+        const described = describeRequest(caller);
+        const cost = gateway.work.estimate(described);
+        const choice = gateway.policy.choose({
+            cost,
             runners: gateway.runners,
             zone: gateway.zone,
             excluded,
             now,
             random: choiceRandom,
         });
-        if (runner === undefined) {
+        if (choice === undefined) {
             release(request.requestId, "neutral");
             refuse(caller, gateway, 1);
             return;
         }
+        const { expected, runner } = choice;
         runner.outstanding++;
         runner.awaitingFirst += attempt.begun ? 0 : 1;
         attempt.runner = runner;
+        attempt.work = gateway.work.begin({ runner }, described, { cost, expected, continues: false });
         const engine = engines.find(({ instance }) => instance === runner.instance)!;
         const { answerTokens, promptTokens } = caller;
         if (!engine.offer({ requestId: request.requestId, promptTokens, answerTokens })) {
@@ -252,6 +260,7 @@
             excluded: new Set(),
             attemptCount: 0,
             runner: undefined,
+            work: undefined,
             begun: false,
         };
         attempts.set(request.requestId, attempt);
@@ -275,16 +284,7 @@
     function generateArrivals(): void {
         const arrivalsPerMillisecond = computeCapacity(classes) * scenario.load(now) / 1_000;
         while (nextArrival <= now) {
-            const caller: Caller = {
-                id: callers.length,
-                ...drawRequest(classes, arrivalRandom),
-                begunAt: now,
-                tries: 0,
-                refusals: 0,
-                refusedLate: false,
-                metTarget: false,
-                answered: false,
-            };
+            const caller = createCaller(callers.length, scenario, classes, arrivalRandom, now);
             callers.push(caller);
             receiveRequest(caller, gateways[Math.floor(arrivalRandom.next() * gateways.length)]!);
             nextArrival += sampleExponential(1 / arrivalsPerMillisecond, arrivalRandom);
@@ -343,6 +343,7 @@
         callers,
         ...counts,
         firstTokenP95: firstTokens.getValueAtPercentile(95),
+        firstTokenP99: firstTokens.getValueAtPercentile(99),
         timeToReplicas: rolloutDuration,
     });
 }
