Send nothing to evacuated zones

Cause: the operator's records of evacuations were decoded, and nothing acted on them.

Change: gateways keep the evacuated zones (membership/evacuations.ts), and findCandidates leaves out their backend servers with the reason evacuated; streams that run there continue. Region and zone are checked again right before a request is written, since it may have waited for a connection; such an attempt counts as not sent. Requests of a service without a server elsewhere are refused at once, also while they wait. A record that is read twice changes nothing; a zone that the settings do not name gets one line and stays evacuated.

--- a/src/node/gateway/attempts/attempt.ts
+++ b/src/node/gateway/attempts/attempt.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "true-myth/result";
 import { type BackendServerRow, computePaceCheckDelay, createLifetimeId } from "../../../runtime/gateway/index.js";
-import { applyLoadReport } from "../../../runtime/routing/index.js";
+import { applyLoadReport, type IneligibleReason } from "../../../runtime/routing/index.js";
 import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../../types/index.js";
 import {
     hasUndecodedTransferCoding,
@@ -29,6 +29,8 @@
     readonly limits: Omit<ProgressLimits, "paceCheckDelay">;
     /** Time within which the head must arrive; `Infinity` if the backend server holds the newest weights. */
     readonly headTimeout: Milliseconds;
+    /** Explains, right before the request is written, why it may not be; undefined if it may. */
+    readonly findIneligibility: () => IneligibleReason | undefined;
     readonly signal: AbortSignal;
 }
 
@@ -151,6 +153,7 @@
     const { headTimeout, client, forwarded, limits, request, server, signal } = attempt;
     const lifetime = createLifetimeId(server.listed);
     const sentAt = context.clock.monotonic();
+    let withheld: IneligibleReason | undefined;
     const opened = await client.open({
         method: request.method,
         path: request.path,
@@ -158,10 +161,18 @@
         signal,
         timeouts: { head: headTimeout, idle: Infinity },
         silence: { after: limits.silentAfter, onSilent: limits.onSilent },
+        // The request may have waited for a connection since its backend server was selected.
+        mayWrite: () => {
+            withheld = attempt.findIneligibility();
+            return withheld === undefined;
+        },
         ...(request.body.length === 0 ? {} : { body: request.body }),
     });
     if (opened.isErr) {
-        return err(describeFailure(opened.error));
+        const failure = describeFailure(opened.error);
+        return err(
+            withheld === undefined ? failure : { ...failure, detail: `withheld: ${withheld}`, serverAtFault: false },
+        );
     }
     const stream = opened.value;
     const head = context.protocol.decodeHead(stream.status, stream.headers);
--- a/src/node/gateway/attempts/attemptRunner.ts
+++ b/src/node/gateway/attempts/attemptRunner.ts
@@ -6,6 +6,7 @@
 import type { CrashWatch, TrackedAttempt } from "../crashes/crashWatch.js";
 import type { RateLimits } from "../membership/rateLimits.js";
 import type { ServerNotices } from "../membership/serverNotices.js";
+import type { RegionLimits } from "../selection/regionLimits.js";
 import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
 import type { AttemptFailure, GatewayRequest } from "../types.js";
 import { openAttempt } from "./attempt.js";
@@ -19,6 +20,7 @@
     readonly protocol: CallerProtocol;
     readonly clock: Clock;
     readonly choice: ServerSelector;
+    readonly regions: RegionLimits;
     readonly clients: BackendClients;
     readonly crashes: CrashWatch;
     readonly notices: Pick<ServerNotices, "recordHead">;
@@ -118,6 +120,7 @@
                     onSilent: silence => handlers.onSilent(attempt, silence),
                     onSlow: () => handlers.onSlow(attempt),
                 },
+                findIneligibility: () => selector.findIneligibility(server, input.regions.find(request)),
                 headTimeout: Math.max(minimumRemainingTime, (selection.headDeadline ?? Infinity) - now),
                 signal: attempt.signal,
             });
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -114,7 +114,7 @@
     log.onEra?.(store.recordEra);
     const stalls = createStallMonitor({ clock, logger });
     const following = { self: instance.id, store, clock, stalls, random, logger };
-    const { gateways, notices, rateLimits, state } = createMembership({
+    const { evacuations, gateways, notices, rateLimits, state } = createMembership({
         settings,
         ports,
         store,
@@ -131,6 +131,7 @@
         clock,
         random,
         options: settings.routing,
+        isEvacuated: evacuations.isEvacuated,
         countGateways: gateways.count,
         queuedPerServer: gateway.queuedPerServer,
         readConnections,
@@ -254,6 +255,7 @@
     state.onOperator(routes => {
         callerServer.applyConfiguration(routes.configuration);
         eligibility.update();
+        queues.update();
         const { era, nextOffset, records } = store.topic("operator");
         const origin = {
             era: Math.min(era, ...[...records.values()].map(record => record.era)),
--- a/src/node/gateway/membership/gatewayState.ts
+++ b/src/node/gateway/membership/gatewayState.ts
@@ -34,6 +34,7 @@
 } from "../../../types/index.js";
 import type { ReceivedPage, RecordStore, StallMonitor } from "../../replica/index.js";
 import { createConfigurationRecords } from "./configurationRecords.js";
+import type { Evacuations } from "./evacuations.js";
 import type { RateLimits } from "./rateLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
 
@@ -50,6 +51,7 @@
     /** Monotonic time at which the process started. */
     readonly startedAt: Milliseconds;
     readonly notices: ServerNotices;
+    readonly evacuations: Pick<Evacuations, "apply">;
     readonly rateLimits: Pick<RateLimits, "find" | "onChange">;
 }
 
@@ -67,7 +69,7 @@
     readonly computeHeadDeadline: (model: string, version: number) => Milliseconds | undefined;
     /** Checks whether the list is current, and removes expired state; called at short intervals. */
     readonly expire: () => void;
-    /** Registers a listener for changes of configuration and declared versions, once there is a configuration. */
+    /** Registers a listener for changes of configuration, evacuations and declared versions, once there is a configuration. */
     readonly onOperator: (listener: (routes: RouteTable) => void) => void;
     /** Registers a listener for changes of backend servers. */
     readonly onServers: (listener: () => void) => void;
@@ -236,6 +238,9 @@
                 if (kind === "configuration") {
                     configurations.apply(record, page);
                 }
+                else if (kind === "evacuation") {
+                    input.evacuations.apply(record, page);
+                }
                 else if (kind === "declared-version") {
                     applyDeclaredVersion(record, page);
                 }
--- a/src/node/gateway/membership/membership.ts
+++ b/src/node/gateway/membership/membership.ts
@@ -3,6 +3,7 @@
 import type { RecordStore, StallMonitor } from "../../replica/index.js";
 import type { GatewaySettings } from "../../settings/index.js";
 import type { GatewayPorts } from "../gatewayDaemon.js";
+import { createEvacuations, type Evacuations } from "./evacuations.js";
 import { createGatewayList, type GatewayList } from "./gatewayList.js";
 import { createGatewayState, type GatewayState } from "./gatewayState.js";
 import { createRateLimits, type RateLimits } from "./rateLimits.js";
@@ -21,6 +22,7 @@
 
 /** What a gateway knows of the configuration, the backend servers and the other gateways. */
 export interface Membership {
+    readonly evacuations: Evacuations;
     readonly gateways: GatewayList;
     readonly notices: ServerNotices;
     readonly rateLimits: RateLimits;
@@ -53,18 +55,26 @@
         settleTime: gateway.settleTime,
         memory: gateway.noticeMemory,
     });
+    const regions = new Map(gateway.zoneRegions.map(text => text.split(":") as [string, string]));
+    const evacuations = createEvacuations({
+        decoder: ports.decoder,
+        clock,
+        logger,
+        knownZones: new Set(regions.keys()),
+    });
     const state = createGatewayState({
         store,
         decoder: ports.decoder,
         clock,
         stalls,
         logger,
-        regions: new Map(gateway.zoneRegions.map(text => text.split(":") as [string, string])),
+        regions,
         membership: gateway,
         versions: gateway,
         startedAt: input.startedAt - (ports.readProcessAge?.() ?? 0),
         notices,
+        evacuations,
         rateLimits,
     });
-    return { gateways, notices, rateLimits, state };
+    return { evacuations, gateways, notices, rateLimits, state };
 }
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -198,6 +198,7 @@
                     paused: leftOut.paused,
                     rateLimited: leftOut["rate-limited"],
                     outsideRegions: leftOut["outside-regions"],
+                    evacuated: leftOut.evacuated,
                     allowedRegions: formatAllowedRegions(request),
                     waited: Math.round(clock.monotonic() - request.completeAt),
                     retryAfterSeconds: refusal.retryAfterSeconds,
--- a/src/node/gateway/selection/serverSelector.ts
+++ b/src/node/gateway/selection/serverSelector.ts
@@ -13,6 +13,7 @@
     type Candidates,
     explainIneligible,
     findCandidates,
+    findIneligibility,
     type IneligibleReason,
     type RoutingDecision,
     type RoutingOptions,
@@ -38,6 +39,8 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly options: RoutingOptions;
+    /** Tells whether nothing may be sent to a zone. */
+    readonly isEvacuated: (zone: AvailabilityZone) => boolean;
     /** Counts the gateways that share the backend servers, this one included. */
     readonly countGateways: () => number;
     readonly queuedPerServer: number;
@@ -92,6 +95,14 @@
         service: ServiceRow,
         allowedRegions: AllowedRegions,
     ) => IneligibleReason | undefined;
+    /**
+     * Explains why a backend server may not get a request, whatever its state.
+     *
+     * @param server - the backend server
+     * @param allowedRegions - regions in which the request may be served
+     * @returns the reason; undefined if it may get the request
+     */
+    findIneligibility(server: BackendServerRow, allowedRegions: AllowedRegions): IneligibleReason | undefined;
     /**
      * Computes how many requests this gateway may have in progress at a service.
      *
@@ -131,7 +142,7 @@
  * @returns the selector
  */
 export function createServerSelector(input: ServerSelectorInput): ServerSelector {
-    const { clock, options, state } = input;
+    const { clock, isEvacuated, options, state } = input;
     let draw = { value: input.random.next(), until: clock.monotonic() + placeDrawInterval };
 
     /** Requests in progress by service, including those whose backend server is no longer in the table. */
@@ -156,7 +167,7 @@
     ): CandidateInput {
         const rows = state.listServers(service.name);
         const subset = createSubset(service, rows);
-        const common = { subset, excluded, allowedRegions, now: clock.monotonic(), options };
+        const common = { subset, excluded, allowedRegions, isEvacuated, now: clock.monotonic(), options };
         if (service.engine === undefined) {
             return { ...common, manifestDigest: undefined };
         }
@@ -227,7 +238,12 @@
             };
         },
         explainIneligible: (service, allowedRegions) =>
-            explainIneligible({ subset: createSubset(service, state.listServers(service.name)), allowedRegions }),
+            explainIneligible({
+                subset: createSubset(service, state.listServers(service.name)),
+                allowedRegions,
+                isEvacuated,
+            }),
+        findIneligibility: ({ runner }, allowedRegions) => findIneligibility(runner, { allowedRegions, isEvacuated }),
         select: (service, excluded, allowedRegions) => {
             const full = listFullyConnected(service);
             const connectable = decide(service, new Set([...excluded, ...full]), allowedRegions);
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -40,6 +40,7 @@
         "unverified",
         "paused",
         "outsideRegions",
+        "evacuated",
         "allowedRegions",
         "waited",
         "retryAfterSeconds",
--- a/src/node/logging/membershipEvents.ts
+++ b/src/node/logging/membershipEvents.ts
@@ -29,4 +29,23 @@
         "ageMilliseconds",
     ]),
     "declared version cannot be read": define("belief", ["gateway"], "the previous version stays declared"),
+    "evacuation begun": define("belief", ["gateway"], "nothing more is sent to the backend servers of a zone", [
+        "zone",
+        "source",
+        "peer",
+        "ageMilliseconds",
+    ]),
+    "evacuation lifted": define("belief", ["gateway"], "the backend servers of a zone get requests again", [
+        "zone",
+        "source",
+        "peer",
+        "ageMilliseconds",
+    ]),
+    "evacuated zone not known": define(
+        "belief",
+        ["gateway"],
+        "the settings do not name the zone of an evacuation, which is in effect all the same",
+        ["zone"],
+    ),
+    "evacuation cannot be read": define("belief", ["gateway"], "the key of a record names no zone; it is ignored"),
 };
--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -6,6 +6,7 @@
 export * from "./callerTimeouts.js";
 export * from "./declaredVersions.js";
 export * from "./demand.js";
+export * from "./evacuations.js";
 export * from "./lifetime.js";
 export * from "./placeShare.js";
 export * from "./rateLimits.js";
--- a/src/runtime/retry/decision.ts
+++ b/src/runtime/retry/decision.ts
@@ -14,6 +14,7 @@
     "turned-away": true,
     "rate-limited": true,
     "outside-regions": false,
+    evacuated: false,
     "account-share-exceeded": true,
     "deadline-unreachable": true,
     "deadline-passed": false,
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -13,7 +13,13 @@
 } from "./types.js";
 
 /** Seconds after which a caller may retry when no runner can answer, by reason. */
-const retryAfterSeconds = { "no-runner": 5, "not-serving": 3, draining: 2, "outside-regions": 5 } as const;
+const retryAfterSeconds = {
+    "no-runner": 5,
+    "not-serving": 3,
+    draining: 2,
+    "outside-regions": 5,
+    evacuated: 5,
+} as const;
 
 type UnavailableReason = keyof typeof retryAfterSeconds;
 
@@ -27,22 +33,42 @@
     return phase === "serving" && accepted && input.now - runner.reportedAt <= input.options.reportExpiry;
 }
 
-function isAllowed({ region }: RunnerRow, { allowedRegions }: EligibilityInput): boolean {
-    return allowedRegions === undefined || allowedRegions.has(region);
+/**
+ * Explains why a runner may not get a request, whatever its state.
+ *
+ * @param runner - location of the runner
+ * @param input - regions in which the request may be served, and the evacuated zones
+ * @returns the reason; undefined if it may get the request
+ */
+export function findIneligibility(
+    { region, zone }: Pick<RunnerRow, "region" | "zone">,
+    { allowedRegions, isEvacuated }: Pick<EligibilityInput, "allowedRegions" | "isEvacuated">,
+): IneligibleReason | undefined {
+    if (allowedRegions?.has(region) === false) {
+        return "outside-regions";
+    }
+    return isEvacuated?.(zone) === true ? "evacuated" : undefined;
 }
 
 /**
  * Explains why no runner may get a request, whatever the state of the runners.
  *
- * @param input - runners, and the regions in which the request may be served
+ * @param input - runners, the regions in which the request may be served, and the evacuated zones
  * @returns the reason; undefined if a runner may get it, or if there are no runners
  */
 export function explainIneligible(input: EligibilityInput): IneligibleReason | undefined {
-    const { allowedRegions, subset: { runners } } = input;
-    if (allowedRegions?.size === 0 || (runners.length > 0 && !runners.some(runner => isAllowed(runner, input)))) {
+    if (input.allowedRegions?.size === 0) {
         return "outside-regions";
     }
-    return undefined;
+    let found: IneligibleReason | undefined;
+    for (const runner of input.subset.runners) {
+        const reason = findIneligibility(runner, input);
+        if (reason === undefined) {
+            return undefined;
+        }
+        found = found === "evacuated" ? found : reason;
+    }
+    return found;
 }
 
 function isPaused({ pausedUntil, trial }: RunnerRow, now: Milliseconds): boolean {
@@ -67,7 +93,11 @@
     }
     const { runners } = input.subset;
     let reason: UnavailableReason = runners.length === 0 ? "no-runner" : "not-serving";
-    if (runners.some(runner => runner.draining && isAllowed(runner, input) && isServing(runner, input))) {
+    if (
+        runners.some(runner =>
+            runner.draining && findIneligibility(runner, input) === undefined && isServing(runner, input)
+        )
+    ) {
         reason = "draining";
     }
     reason = explainIneligible(input) ?? reason;
@@ -86,6 +116,7 @@
     const healthy: RunnerRow[] = [];
     const leftOut = {
         "outside-regions": 0,
+        evacuated: 0,
         draining: 0,
         "not-serving": 0,
         unverified: 0,
@@ -95,8 +126,9 @@
     };
     let resumesAt: Milliseconds | undefined;
     for (const runner of input.subset.runners) {
-        if (!isAllowed(runner, input)) {
-            leftOut["outside-regions"]++;
+        const ineligible = findIneligibility(runner, input);
+        if (ineligible !== undefined) {
+            leftOut[ineligible]++;
         }
         else if (runner.draining) {
             leftOut.draining++;
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -125,6 +125,8 @@
     readonly excluded: ReadonlySet<InstanceId>;
     /** Regions in which the request may be served. Default: any. */
     readonly allowedRegions?: ReadonlySet<Region> | undefined;
+    /** Tells whether nothing may be sent to a zone. Default: all zones may get requests. */
+    readonly isEvacuated?: ((zone: AvailabilityZone) => boolean) | undefined;
     readonly now: Milliseconds;
     readonly random: RandomSource;
     readonly options: RoutingOptions;
@@ -133,14 +135,14 @@
 /** Input of `findCandidates`. */
 export type CandidateInput = Pick<
     RoutingInput,
-    "subset" | "manifestDigest" | "acceptedDigests" | "excluded" | "allowedRegions" | "now" | "options"
+    "subset" | "manifestDigest" | "acceptedDigests" | "excluded" | "allowedRegions" | "isEvacuated" | "now" | "options"
 >;
 
 /** Input of `explainIneligible`. */
-export type EligibilityInput = Pick<CandidateInput, "subset" | "allowedRegions">;
+export type EligibilityInput = Pick<CandidateInput, "subset" | "allowedRegions" | "isEvacuated">;
 
 /** Why a runner may not get a request, whatever the state of the runner. */
-export type IneligibleReason = "outside-regions";
+export type IneligibleReason = "outside-regions" | "evacuated";
 
 /** Why a runner may not be selected. */
 export type LeftOutReason =
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -22,6 +22,7 @@
     | "turned-away"
     | "rate-limited"
     | "outside-regions"
+    | "evacuated"
     | "account-share-exceeded"
     | "deadline-unreachable"
     | "deadline-passed"
--- a/test/node/gateway/admissionQueues.test.ts
+++ b/test/node/gateway/admissionQueues.test.ts
@@ -28,6 +28,7 @@
             usable: 1,
             leftOut: {
                 "outside-regions": 0,
+                evacuated: 0,
                 draining: 0,
                 "not-serving": 0,
                 unverified: 0,
--- a/test/node/gateway/gatewayState.test.ts
+++ b/test/node/gateway/gatewayState.test.ts
@@ -46,6 +46,7 @@
         versions: { cutoverAfter: 7_000, assumedAge: 0, settleTime: 3_000, abandonAfter: 7_600 },
         startedAt,
         notices: createServerNotices({ clock, logger, memory: 600_000, maximumPause: 60_000 }),
+        evacuations: { apply: () => {} },
         rateLimits: createTestRateLimits(clock),
     });
     let offset = 0;
--- a/test/node/gateway/serverSelector.test.ts
+++ b/test/node/gateway/serverSelector.test.ts
@@ -28,6 +28,7 @@
         clock: { now: () => new Date(0), monotonic: () => 0 },
         random: { next: () => 0.5 },
         options: resolveRoutingOptions(),
+        isEvacuated: () => false,
         countGateways: () => 1,
         queuedPerServer: 0,
         readConnections: () => undefined,
--- a/test/runtime/routing/eligibility.test.ts
+++ b/test/runtime/routing/eligibility.test.ts
@@ -69,3 +69,21 @@
         expect(decision.kind === "none" && decision.reason).toEqual("outside-regions");
     });
 });
+
+describe("evacuated zones in the selection", () => {
+    const isEvacuated = (zone: string): boolean => zone === "zone-a";
+
+    // Guards against requests to an evacuated zone because the servers elsewhere are busy or ejected.
+    it("get no request while another zone has a server, whatever its state", () => {
+        const other = createRunner("zone-b", "south", { ejectedUntil: now + 1_000, reportedLoad: 1_000 });
+        const decision = selectRunner(createInput([createRunner("zone-a", "south"), other], { isEvacuated }));
+        expect(decision.kind === "selected" && decision.runner.zone).toEqual("zone-b");
+    });
+
+    // Guards against a reason that names the regions although the operator only has to lift an evacuation.
+    it("are the reason for a refusal if the only servers in the allowed regions are there", () => {
+        const runners = [createRunner("zone-a", "south"), createRunner("zone-b", "north")];
+        const decision = selectRunner(createInput(runners, { isEvacuated, allowedRegions: new Set(["south"]) }));
+        expect(decision.kind === "none" && decision.reason).toEqual("evacuated");
+    });
+});
