--- a/src/node/gateway/attempts/attemptRunner.ts
+++ b/src/node/gateway/attempts/attemptRunner.ts
@@ -6,6 +6,7 @@
 import type { CrashWatch, TrackedAttempt } from "../crashes/crashWatch.js";
 import type { RateLimits } from "../membership/rateLimits.js";
 import type { ServerNotices } from "../membership/serverNotices.js";
+import type { RegionLimits } from "../selection/regionLimits.js";
 import type { RemainingWork } from "../selection/remainingWork.js";
 import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
 import type { AttemptFailure, GatewayRequest } from "../types.js";
@@ -20,6 +21,7 @@
     readonly protocol: CallerProtocol;
     readonly clock: Clock;
     readonly choice: ServerSelector;
+    readonly regions: RegionLimits;
     readonly clients: BackendClients;
     readonly work: RemainingWork;
     readonly crashes: CrashWatch;
@@ -126,6 +128,7 @@
                     onSilent: silence => handlers.onSilent(attempt, silence),
                     onSlow: () => handlers.onSlow(attempt),
                 },
+                findIneligibility: () => selector.findIneligibility(server, input.regions.find(request)),
                 headTimeout: Math.max(minimumRemainingTime, (selection.headDeadline ?? Infinity) - now),
                 signal: attempt.signal,
             });
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -43,6 +43,7 @@
         "unverified",
         "paused",
         "outsideRegions",
+        "evacuated",
         "allowedRegions",
         "waited",
         "retryAfterSeconds",
