State the rank of a request to engines whose requests differ in rank

Cause: engines admit requests by Request-Priority, but the gateway stated none, so the engine's queue was in the order of arrival.

Change: ForwardedCall.engineRank is set where the configuration lets requests of different ranks reach an engine: by the urgency of the routes with a weight, or of the accounts. Elsewhere nothing is stated. A negative urgency now counts as 0.

The choice of the services and the encoding are tested; no test follows the header from a caller to a backend server.

--- a/src/node/gateway/attempts/attemptRunner.ts
+++ b/src/node/gateway/attempts/attemptRunner.ts
@@ -112,6 +112,7 @@
                     clientAccount: request.account?.name,
                     resumeAfter: progress.lastEvent ?? request.call.resumeAfter,
                     version: selection.version,
+                    engineRank: request.engineRank,
                 },
                 limits: {
                     silentAfter: request.row.idempotent ? computeSilenceLimit(silences, route.name, bounds) : Infinity,
--- a/src/node/gateway/callers/callerServer.ts
+++ b/src/node/gateway/callers/callerServer.ts
@@ -207,6 +207,7 @@
         // Detects a caller that disconnected before its request was read, so that the request is not forwarded.
         await pollQueue.awaitPoll();
         request.handedOver = true;
+        const rank = Math.max(0, Math.min(account?.urgency ?? route.urgency, highestPriority));
         const priorWait = readPriorWait(call, route);
         const endsAt = receivedAt + duration;
         const missedTarget = priorWait + completeAt - receivedAt > route.targetLatency;
@@ -216,10 +217,7 @@
                     requestId: call.requestId,
                     deployment: service.name,
                     clientAccount,
-                    priority: Math.max(
-                        0,
-                        highestPriority - Math.min(account?.urgency ?? route.urgency, highestPriority),
-                    ),
+                    priority: highestPriority - rank,
                     deadline: receivedAt + duration,
                     receivedAt,
                     idempotent: route.kind === "safe" || (route.kind === "streaming" && route.resumable),
@@ -235,6 +233,7 @@
                 route,
                 service,
                 account,
+                engineRank: routes.rankedServices.has(service.name) ? rank : undefined,
                 method,
                 path,
                 headers,
--- a/src/node/gateway/types.ts
+++ b/src/node/gateway/types.ts
@@ -42,6 +42,8 @@
     readonly route: RouteRow;
     readonly service: ServiceRow;
     readonly account: AccountRow | undefined;
+    /** Rank for the queue of the engine, from 0 (first) to 9. Default: not stated to backend servers. */
+    readonly engineRank?: number | undefined;
     readonly method: string;
     /** Path with query, as it was received. */
     readonly path: string;
--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -5,6 +5,7 @@
 export * from "./callerTimeouts.js";
 export * from "./declaredVersions.js";
 export * from "./demand.js";
+export * from "./engineRanks.js";
 export * from "./lifetime.js";
 export * from "./placeShare.js";
 export * from "./rateLimits.js";
--- a/src/runtime/gateway/routeTable.ts
+++ b/src/runtime/gateway/routeTable.ts
@@ -1,5 +1,6 @@
 import type { AccountRow, ClientAccount, GatewayConfiguration, RouteRow, ServiceRow } from "../../types/index.js";
 import { scoreRendezvous } from "../../utils/index.js";
+import { findRankedServices } from "./engineRanks.js";
 
 /** Configuration with the indexes that serve to find the route and the account of a request. */
 export interface RouteTable {
@@ -8,6 +9,8 @@
     readonly routesByHost: ReadonlyMap<string, readonly RouteRow[]>;
     readonly accountsByKey: ReadonlyMap<string, AccountRow>;
     readonly services: ReadonlyMap<string, ServiceRow>;
+    /** Names of the services with an engine whose requests differ in rank. */
+    readonly rankedServices: ReadonlySet<string>;
 }
 
 /** Properties of a request that determine its route and account. */
@@ -55,6 +58,7 @@
         routesByHost,
         accountsByKey: new Map(accounts.flatMap(account => account.apiKeys.map(key => [key, account]))),
         services: new Map(configuration.services.map(service => [service.name, service])),
+        rankedServices: findRankedServices(configuration),
     };
 }
 
