Count admissions by rank

Cause: neither the metrics nor the log showed which ranks start, which are refused, and which callers are refused after they have returned.

Change: goldcrestpoint_gateway_admissions_total counts starts, refusals and repeated refusals by service and rank. The line of a refusal states the priority and whether its caller has returned, as far as the remaining time shows. The reserved places are not exported yet.

Result: 29 tests (admission metrics, callerServer, logging, explain, returningCallers, waitingRequests, gatewayPlaces) passed, and that of the metric after its expected order of labels was corrected.

--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds, RefusalReason } from "../../types/index.js";
+import type { Milliseconds, RefusalReason, RequestRow } from "../../types/index.js";
 import type { ListeningState } from "../crashes/index.js";
 import type { BodyFraming } from "../httpClient/index.js";
 import type { ConnectionCloseReason } from "../httpServer/index.js";
@@ -12,6 +12,9 @@
 /** Reason of a closed connection in the counters; `crossed` if a request arrived after the close. */
 export type ClosedConnectionReason = ConnectionCloseReason | "crossed";
 
+/** Largest priority; its rank is 0. */
+const highestPriority = 9;
+
 /** Counters and latency histograms of a gateway. */
 export interface GatewayMetrics {
     countOutcome(request: GatewayRequest, outcome: RequestOutcome): void;
@@ -39,6 +42,10 @@
     countClosedConnection(reason: ClosedConnectionReason): void;
 }
 
+function formatRank({ priority }: RequestRow): string {
+    return String(highestPriority - priority);
+}
+
 /**
  * Creates the metrics of a gateway.
  *
@@ -54,6 +61,11 @@
         name: "goldcrestpoint_gateway_refusals_total",
         documentation: "Requests refused before they were sent to a backend server, by service and reason.",
     });
+    const admissions = metrics.createCounter({
+        name: "goldcrestpoint_gateway_admissions_total",
+        documentation: "Requests that started or were refused before they were sent to a backend server, by service, " +
+            "rank (0 is the most urgent) and outcome (`started`, `refused`, or `refused-again` after a return).",
+    });
     const retries = metrics.createCounter({
         name: "goldcrestpoint_gateway_retries_total",
         documentation: "Retries of requests, by service.",
@@ -94,7 +106,11 @@
     return {
         countOutcome: ({ route, service }, outcome) =>
             outcomes.add(1, { service: service.name, kind: route.kind, outcome }),
-        countRefusal: ({ service }, reason) => refusals.add(1, { service: service.name, reason }),
+        countRefusal: ({ row, service }, reason) => {
+            refusals.add(1, { service: service.name, reason });
+            const outcome = row.hasReturned === true ? "refused-again" : "refused";
+            admissions.add(1, { service: service.name, rank: formatRank(row), outcome });
+        },
         countRetry: ({ service }) => retries.add(1, { service: service.name }),
         countHedge: ({ service }) => hedges.add(1, { service: service.name }),
         countAnswer: ({ service }, framing, ending) => answers.add(1, { service: service.name, framing, ending }),
@@ -103,7 +119,10 @@
         countCheck: (service, outcome) => checks.add(1, { service, outcome }),
         countRejected: reason => rejected.add(1, { reason }),
         countClosedConnection: reason => closed.add(1, { reason }),
-        recordWait: ({ service }, duration) => waits.record(duration, { service: service.name }),
+        recordWait: ({ row, service }, duration) => {
+            waits.record(duration, { service: service.name });
+            admissions.add(1, { service: service.name, rank: formatRank(row), outcome: "started" });
+        },
         recordFirstByte: ({ route, service }, duration) =>
             firstBytes.record(duration, { service: service.name, kind: route.kind }),
     };
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -186,6 +186,8 @@
                     paused: leftOut.paused,
                     rateLimited: leftOut["rate-limited"],
                     waited: Math.round(clock.monotonic() - request.completeAt),
+                    priority: request.row.priority,
+                    hasReturned: request.row.hasReturned,
                     retryAfterSeconds: refusal.retryAfterSeconds,
                 },
             });
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -39,6 +39,8 @@
         "unverified",
         "paused",
         "waited",
+        "priority",
+        "hasReturned",
         "retryAfterSeconds",
     ]),
     retry: define(
