--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -211,6 +211,8 @@
                     evacuated: leftOut.evacuated,
                     allowedRegions: formatAllowedRegions(request),
                     waited: Math.round(clock.monotonic() - request.completeAt),
+                    priority: request.row.priority,
+                    hasReturned: request.row.hasReturned,
                     retryAfterSeconds: refusal.retryAfterSeconds,
                 },
             });
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -46,6 +46,8 @@
         "evacuated",
         "allowedRegions",
         "waited",
+        "priority",
+        "hasReturned",
         "retryAfterSeconds",
     ]),
     retry: define(
