Correct the expected order of labels in the test of admission metrics

Labels are rendered in the order of their names, and the test expected another one. The counts were right.

Change: the expected lines have their labels in that order. All three lines are still compared whole.

Result: the test passes.

--- a/test/node/gateway/admissionMetrics.test.ts
+++ b/test/node/gateway/admissionMetrics.test.ts
@@ -18,9 +18,9 @@
         gatewayMetrics.countRefusal(describeRequest(7, true), "deadline-unreachable");
         const lines = metrics.render().split("\n").filter(line => line.startsWith("goldcrestpoint_gateway_admissions"));
         expect(lines.map(line => line.replace(/^[^{]*/, "")).sort()).toEqual([
-            "{service=\"scribe\",rank=\"0\",outcome=\"started\"} 1",
-            "{service=\"scribe\",rank=\"2\",outcome=\"refused\"} 1",
-            "{service=\"scribe\",rank=\"2\",outcome=\"refused-again\"} 1",
+            "{outcome=\"refused\",rank=\"2\",service=\"scribe\"} 1",
+            "{outcome=\"refused-again\",rank=\"2\",service=\"scribe\"} 1",
+            "{outcome=\"started\",rank=\"0\",service=\"scribe\"} 1",
         ]);
     });
 });
