Read chunks from the origin in a window, and avoid stalled sources for longer

Change: [distribution] originWindow limits the reads from the origin to the first chunks that an agent does not know to be held; it grows with each takeover time in which nothing becomes available. maximumAvoidFactor doubles the time for which a stalling source is avoided. Both are off by default.

--- a/bench/distribution.ts
+++ b/bench/distribution.ts
@@ -2,8 +2,9 @@
 import { parseArgs } from "node:util";
 import type { TransferServiceOptions } from "../src/node/agent/transfer/index.js";
 import type { Objective } from "../src/types/index.js";
+import { computeLowerBound } from "./distribution/lowerBound.js";
 import type { Method } from "./distribution/messages.js";
-import { computeLowerBound, measureRun, type RunPlan, type RunResult, simulateRun } from "./distribution/run.js";
+import { measureRun, type RunPlan, type RunResult, simulateRun } from "./distribution/run.js";
 import { listMissedTargets } from "./distribution/targets.js";
 
 const { values: flags } = parseArgs({
@@ -17,6 +18,14 @@
         simulate: { type: "boolean", default: false },
         /** Runs only the runs whose label contains the text. */
         only: { type: "string", default: "" },
+        /** Number of chunks of the set. */
+        chunks: { type: "string", default: "240" },
+        /** Time that a link takes for one copy of the set, in seconds. */
+        copySeconds: { type: "string", default: "24" },
+        /** Rate of the origin as a multiple of that of a link. */
+        originLinks: { type: "string", default: "4" },
+        /** Share of the agents that a simulation replaces by empty ones after half of the shortest possible time. */
+        replaced: { type: "string", default: "0" },
         /** Options of the transfer service as JSON, which override those of the benchmark. */
         options: { type: "string", default: "{}" },
     },
@@ -26,11 +35,12 @@
 const mebibyte = 1024 * 1024;
 /** With more agents, links are slower, so that the links and not the machine's processors limit the transfer. */
 const linkBytesPerSecond = Math.min(mebibyte / 2, Math.round(16 * mebibyte / agents));
+const totalBytes = linkBytesPerSecond * Number(flags.copySeconds);
 const scale = {
-    totalBytes: linkBytesPerSecond * 24,
-    chunkBytes: Math.round(linkBytesPerSecond / 10),
+    totalBytes,
+    chunkBytes: Math.round(totalBytes / Number(flags.chunks)),
     linkBytesPerSecond,
-    originBytesPerSecond: linkBytesPerSecond * 4,
+    originBytesPerSecond: linkBytesPerSecond * Number(flags.originLinks),
 };
 
 /**
@@ -119,7 +129,14 @@
     }
     for (let repeat = 0; repeat < Number(flags.repeats); repeat++) {
         for (const scenario of selectScenarios()) {
-            const plan = { ...scenario, agents, scale, options, seed: Number(flags.seed) + repeat };
+            const plan = {
+                ...scenario,
+                agents,
+                scale,
+                options,
+                seed: Number(flags.seed) + repeat,
+                replacedShare: Number(flags.replaced),
+            };
             const result = flags.simulate ? simulateRun(plan) : await measureRun(plan);
             results.push(result);
             if (!flags.json) {
--- a/bench/distribution/run.ts
+++ b/bench/distribution/run.ts
@@ -4,6 +4,7 @@
 import type { TransferServiceOptions } from "../../src/node/agent/transfer/index.js";
 import { resolveDistributionOptions } from "../../src/runtime/distribution/index.js";
 import type { Objective, WeightSet } from "../../src/types/index.js";
+import { computeLowerBound } from "./lowerBound.js";
 import type {
     AgentTotals,
     BenchAgent,
@@ -26,6 +27,8 @@
     readonly scale: RunScale;
     readonly options: TransferServiceOptions;
     readonly seed: number;
+    /** Share of the agents that a simulation replaces by empty ones after half of the shortest possible time. */
+    readonly replacedShare: number;
 }
 
 /** Results of a run, as written to the JSON output. */
@@ -113,22 +116,6 @@
     });
 }
 
-/**
- * Computes the shortest possible time until all agents have a copy, given the speeds of the links and of the origin.
- *
- * @param scale - sizes and speeds
- * @param agents - number of copies
- * @returns seconds
- */
-export function computeLowerBound(scale: RunScale, agents: number): number {
-    const { linkBytesPerSecond, originBytesPerSecond, totalBytes } = scale;
-    return Math.max(
-        totalBytes / originBytesPerSecond,
-        totalBytes / linkBytesPerSecond,
-        agents * totalBytes / (originBytesPerSecond + agents * linkBytesPerSecond),
-    );
-}
-
 function planFaults(plan: RunPlan, agents: readonly BenchAgent[]): RunFaults {
     if (!plan.faulty) {
         return { corruptShare: 0, killed: [], stalled: undefined, after: 0 };
@@ -171,6 +158,8 @@
         exchangeInterval: plan.options.exchangeInterval ?? 500,
         retryChokedAfter: plan.options.retryChokedAfter ?? 200,
         seed,
+        replacedShare: plan.replacedShare,
+        replacedAfter: computeLowerBound(scale, agents) * 500,
     });
     const boundSeconds = computeLowerBound(scale, agents);
     const expected = agents - faults.killed.length;
--- a/bench/distribution/simulation.ts
+++ b/bench/distribution/simulation.ts
@@ -3,7 +3,6 @@
     createBitfield,
     createOriginReaders,
     decideUpload,
-    type DistributionOptions,
     hasChunk,
     isComplete,
     originSource,
@@ -18,10 +17,10 @@
     type TransferCommand,
     type TransferRow,
 } from "../../src/runtime/distribution/index.js";
-import type { Manifest, Objective } from "../../src/types/index.js";
-import { createSeededRandom, createTable, type Table } from "../../src/utils/index.js";
+import type { Manifest } from "../../src/types/index.js";
+import { createSeededRandom, createTable } from "../../src/utils/index.js";
 import { selectActiveTransfers } from "./activeTransfers.js";
-import type { RunFaults, RunScale } from "./messages.js";
+import type { Agent, SimulationPlan, SimulationResult, Transfer } from "./simulationTypes.js";
 
 /** Simulated time between two steps, in milliseconds. */
 const stepMilliseconds = 10;
@@ -30,51 +29,6 @@
 /** Steps after which an agent decides even without an event. */
 const stepsPerDecision = 5;
 
-/** Parameters of a simulated swarm. */
-export interface SimulationPlan {
-    readonly agents: number;
-    readonly objective: Objective;
-    readonly scale: RunScale;
-    readonly faults: RunFaults;
-    readonly options: DistributionOptions;
-    readonly exchangeInterval: number;
-    readonly retryChokedAfter: number;
-    readonly seed: number;
-}
-
-/** Results of a simulated swarm. */
-export interface SimulationResult {
-    /** Undefined if an agent did not complete the set within ten times the time that its link takes for one copy. */
-    readonly seconds: number | undefined;
-    readonly completed: number;
-    readonly originCopies: number;
-    readonly linkCopiesMean: number;
-    readonly linkCopiesMaximum: number;
-}
-
-interface Transfer extends TransferRow {
-    readonly receiver: Agent;
-    readonly sender: Agent | undefined;
-    remaining: number;
-}
-
-interface Agent {
-    readonly instance: string;
-    readonly held: Uint8Array;
-    readonly peers: Table<string, PeerRow>;
-    readonly transfers: Table<number, TransferRow>;
-    readonly running: Map<number, Transfer>;
-    readonly neighbours: readonly string[];
-    readonly readerRanks: ReturnType<typeof createOriginReaders>;
-    readonly nextExchangeAt: Map<string, number>;
-    uploads: number;
-    sentBytes: number;
-    receivedBytes: number;
-    complete: boolean;
-    dead: boolean;
-    needsDecision: boolean;
-}
-
 /**
  * Runs the decisions of all agents with simulated links that share their capacity evenly among transfers. It measures
  * only the policy, without processor time and message overhead.
@@ -109,6 +63,7 @@
             neighbours: selectNeighbours(digest, instance, instances, options.neighbours),
             readerRanks: createOriginReaders(digest, chunks, instances, instance),
             nextExchangeAt: new Map(),
+            availableSince: new Map(),
             uploads: 0,
             sentBytes: 0,
             receivedBytes: 0,
@@ -214,6 +169,12 @@
 
     function decide(agent: Agent): void {
         agent.needsDecision = false;
+        const peers = [...agent.peers.rows()];
+        for (let index = 0; index < chunks; index++) {
+            if (!agent.availableSince.has(index) && peers.some(({ bitfield }) => hasChunk(bitfield, index))) {
+                agent.availableSince.set(index, now);
+            }
+        }
         const commands = selectTransfers({
             manifest,
             held: agent.held,
@@ -222,7 +183,7 @@
             originReaders: agent.readerRanks,
             zone: "",
             zoneReaders: agent.readerRanks,
-            availableSince: new Map(),
+            availableSince: agent.availableSince,
             startedAt: 0,
             neighboursAnswered: true,
             objective: plan.objective,
@@ -259,6 +220,10 @@
             }
             return;
         }
+        const peer = receiver.peers.get(source);
+        if (peer !== undefined) {
+            peer.stalledTransfers = 0;
+        }
         addChunk(receiver.held, index);
         receiver.complete = isComplete(receiver.held, chunks);
     }
@@ -316,11 +281,37 @@
         }
     }
 
+    /** Empties agents as if their machines were replaced under the same name; they learn of their peers anew. */
+    function replaceAgents(): void {
+        const step = Math.max(1, Math.round(1 / plan.replacedShare));
+        for (const agent of [...agents.values()].filter((...[, position]) => position % step === 0)) {
+            const sent = [...agents.values()].flatMap(other =>
+                [...other.running.values()].filter(({ sender }) => sender === agent)
+            );
+            [...agent.running.values(), ...sent].forEach(removeTransfer);
+            agent.held.fill(0);
+            for (const peer of [...agent.peers.keys()]) {
+                agent.peers.delete(peer);
+            }
+            for (const other of agents.values()) {
+                other.peers.get(agent.instance)?.bitfield.fill(0);
+            }
+            agent.nextExchangeAt.clear();
+            agent.availableSince.clear();
+            agent.sentBytes = 0;
+            agent.complete = false;
+            agent.needsDecision = true;
+        }
+    }
+
     const limit = scale.totalBytes / scale.linkBytesPerSecond * 10_000;
     for (let stepCount = 0; now < limit; stepCount++, now += stepMilliseconds) {
         if (stepCount > 0 && now - stepMilliseconds < faults.after && now >= faults.after) {
             killAgents();
         }
+        if (plan.replacedShare > 0 && now - stepMilliseconds < plan.replacedAfter && now >= plan.replacedAfter) {
+            replaceAgents();
+        }
         const alive = [...agents.values()].filter(({ dead }) => !dead);
         if (alive.every(({ complete }) => complete)) {
             break;
--- a/src/node/agent/transfer/downloads.ts
+++ b/src/node/agent/transfer/downloads.ts
@@ -289,6 +289,7 @@
     const peer = set.peers.get(row.source);
     if (peer !== undefined) {
         peer.failedTransfers = 0;
+        peer.stalledTransfers = 0;
     }
     const { generation } = set;
     const staged = await awaitLocalResource(
--- a/src/node/settings/distributionSection.ts
+++ b/src/node/settings/distributionSection.ts
@@ -58,12 +58,26 @@
         defaultValue: 30_000,
         documentation: "Time for which a source is avoided after a stalled transfer or repeated corrupt chunks.",
     }),
+    maximumAvoidFactor: defineInteger({
+        minimum: 1,
+        maximum: 1_024,
+        defaultValue: 1,
+        documentation:
+            "Largest factor by which `avoidSourceForMilliseconds` doubles while transfers from a source stall one after the other.",
+    }),
     originTakeoverAfterMilliseconds: defineDuration("originTakeoverAfter", "Milliseconds", {
         minimum: 50,
         maximum: 600_000,
         defaultValue: 5_000,
         documentation: "Time after which the next rank may read a chunk from the origin.",
     }),
+    originWindow: defineInteger({
+        minimum: 0,
+        maximum: 65_536,
+        defaultValue: 0,
+        documentation:
+            "Chunks that are read from the origin beyond those that an agent knows to be held. With 0, all are read at once.",
+    }),
     originReadersForTime: defineInteger({
         minimum: 1,
         maximum: 64,
--- a/src/runtime/distribution/selectTransfers.ts
+++ b/src/runtime/distribution/selectTransfers.ts
@@ -118,6 +118,29 @@
     return capacity.originTransfers > 0 && input.originAvoidedUntil <= input.now && input.neighboursAnswered;
 }
 
+/**
+ * Computes the number of chunks, in the order of the manifest, that may be read from the origin now: those that are known
+ * to be held somewhere, and `originWindow` more. If all readers began at once, they would share the origin's link, and no
+ * chunk would be forwarded before nearly all have been read. While no further chunk becomes available, the window grows
+ * with each takeover time, so that dead readers delay only the chunks of one window.
+ */
+function countReadableChunks(input: TransferInput): number {
+    const { availableSince, held, manifest, now, options, startedAt } = input;
+    const chunks = manifest.chunks.length;
+    if (options.originWindow === 0) {
+        return chunks;
+    }
+    let known = 0;
+    let newestAt = startedAt;
+    for (let index = 0; index < chunks; index++) {
+        const since = availableSince.get(index);
+        known += since !== undefined || hasChunk(held, index) ? 1 : 0;
+        newestAt = Math.max(newestAt, since ?? startedAt);
+    }
+    const missedTakeovers = Math.floor((now - newestAt) / options.originTakeoverAfter);
+    return known + options.originWindow * (1 + missedTakeovers);
+}
+
 /** Selects chunks that no known agent holds and for which this agent is the first origin reader. */
 function selectFirstOriginReads(
     input: TransferInput,
@@ -125,11 +148,12 @@
     capacity: Capacity,
 ): TransferCommand[] {
     const commands: TransferCommand[] = [];
+    const readable = countReadableChunks(input);
     for (const { holders, index } of missing) {
         if (holders.length > 0 || !mayReadOrigin(input, capacity)) {
             break;
         }
-        if (input.originReaders.rankOf(index) === 0 && reserveCapacity(input, capacity, index)) {
+        if (index < readable && input.originReaders.rankOf(index) === 0 && reserveCapacity(input, capacity, index)) {
             capacity.originTransfers--;
             commands.push({ kind: "fetch-from-origin", index, reason: "first origin reader of the chunk" });
         }
@@ -173,10 +197,14 @@
     if (now - startedAt < options.originTakeoverAfter) {
         return commands;
     }
+    const readable = countReadableChunks(input);
     for (const { holders, index } of missing) {
         if (holders.length > 0 || !mayReadOrigin(input, capacity) || capacity.transfers <= 0) {
             break;
         }
+        if (index >= readable) {
+            continue;
+        }
         const precedingReaders = originReaders.precedingReaders(index);
         if (
             mayTakeOver({ precedingReaders, peers, startedAt, now, options }) && reserveCapacity(input, capacity, index)
--- a/src/runtime/distribution/sources.ts
+++ b/src/runtime/distribution/sources.ts
@@ -39,14 +39,18 @@
 }
 
 /**
- * Records a stalled transfer: the source is avoided for a time.
+ * Records a stalled transfer: the source is avoided for a time, which doubles with each stall up to the largest factor,
+ * until a chunk of the source has been verified. An agent that answers exchanges but sends nothing would otherwise cost
+ * each requester a transfer after each time.
  *
  * @param peer - the source; changed in place
  * @param now - monotonic time
  * @param options - options of the transfer decision
  */
 export function recordStall(peer: PeerRow, now: Milliseconds, options: DistributionOptions): void {
-    peer.avoidedUntil = now + options.avoidSourceFor;
+    const stalls = peer.stalledTransfers ?? 0;
+    peer.stalledTransfers = stalls + 1;
+    peer.avoidedUntil = now + options.avoidSourceFor * Math.min(2 ** stalls, options.maximumAvoidFactor);
 }
 
 /**
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -40,8 +40,18 @@
     readonly originStallAfter: Milliseconds;
     /** Time for which a source is avoided after a stalled transfer or repeated corrupt chunks. Default: 30,000 ms. */
     readonly avoidSourceFor: Milliseconds;
+    /**
+     * Largest factor by which `avoidSourceFor` grows while a source stalls again and again. Default: 1, so that it does
+     * not grow.
+     */
+    readonly maximumAvoidFactor: number;
     /** Time after which the next rank may read a chunk from the origin. Default: 5,000 ms. */
     readonly originTakeoverAfter: Milliseconds;
+    /**
+     * Chunks, in the order of the manifest, that are read from the origin beyond those that are known to be held. 0 if
+     * all chunks are read at once. Default: 0.
+     */
+    readonly originWindow: number;
     /** Origin readers of each chunk with the objective `time`; `origin-bytes` has one. Default: 4. */
     readonly originReadersForTime: number;
     /**
@@ -88,6 +98,8 @@
     corruptChunks: number;
     /** Transfers that failed since the last verified chunk. */
     failedTransfers: number;
+    /** Stalled transfers since the last verified chunk. Default: 0. */
+    stalledTransfers?: number | undefined;
     /** Monotonic time until which the peer is not asked, after stalled, failed or corrupt transfers. */
     avoidedUntil: Milliseconds;
     /** Monotonic time until which the peer is not asked because it refused a chunk. */
--- /dev/null
+++ b/test/runtime/distribution/originWindow.test.ts
@@ -0,0 +1,91 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+    createBitfield,
+    createOriginReaders,
+    type PeerRow,
+    recordStall,
+    resolveDistributionOptions,
+    selectTransfers,
+    type TransferRow,
+} from "../../../src/runtime/distribution/index.js";
+import { createSeededRandom, createTable } from "../../../src/utils/index.js";
+
+const chunkCount = 8;
+const options = resolveDistributionOptions({
+    maximumOriginTransfers: 100,
+    originWindow: 2,
+    originTakeoverAfter: 1_000,
+    avoidSourceFor: 1_000,
+    maximumAvoidFactor: 4,
+});
+
+/** Returns the chunks that the only member reads from the origin, with the times at which others became known. */
+function listReads(now: number, availableSince: ReadonlyMap<number, number> = new Map()): number[] {
+    return selectTransfers({
+        manifest: {
+            model: "scribe",
+            adapter: "",
+            version: "1",
+            totalBytes: chunkCount * 10,
+            chunks: Array.from({ length: chunkCount }, () => ({ bytes: 10, digest: "" })),
+        },
+        held: createBitfield(chunkCount),
+        transfers: createTable<number, TransferRow>(),
+        peers: createTable<string, PeerRow>(),
+        originReaders: createOriginReaders("set", chunkCount, [], "a"),
+        zone: "sando-hall",
+        zoneReaders: createOriginReaders("set", chunkCount, [], "a"),
+        availableSince,
+        startedAt: 0,
+        neighboursAnswered: true,
+        objective: "origin-bytes",
+        budgetBytes: Infinity,
+        arrivedBytes: 0,
+        arrivedAt: -Infinity,
+        originAvoidedUntil: 0,
+        now,
+        random: createSeededRandom(1),
+        options,
+    }).filter(({ kind }) => kind === "fetch-from-origin").map(({ index }) => index).sort();
+}
+
+describe("reads from the origin", () => {
+    // Guards against readers that share the origin's link, so that no chunk is forwarded before all have been read.
+    it("begin with the first chunks, and go on as these become available", () => {
+        expect(listReads(500)).toEqual([0, 1]);
+        expect(listReads(500, new Map([[0, 400], [5, 450]]))).toEqual([0, 1, 2, 3]);
+    });
+
+    // Guards against a version that never arrives, since the readers of the first chunks are dead.
+    it("reach further chunks after each takeover time without a further available one", () => {
+        expect(listReads(1_000)).toEqual([0, 1, 2, 3]);
+        expect(listReads(1_900, new Map([[0, 1_000]]))).toEqual([0, 1, 2]);
+        expect(listReads(3_000)).toEqual([0, 1, 2, 3, 4, 5, 6, 7]);
+    });
+});
+
+describe("a source whose transfers stall", () => {
+    // Guards against an agent that answers exchanges but sends nothing, which each requester asks again and again.
+    it("is avoided for twice as long each time, up to a limit", () => {
+        const peer: PeerRow = {
+            instance: "b",
+            zone: "sando-hall",
+            bitfield: createBitfield(chunkCount),
+            heardAt: 0,
+            progressedAt: 0,
+            sentBytes: 0,
+            corruptChunks: 0,
+            failedTransfers: 0,
+            avoidedUntil: 0,
+            chokedUntil: 0,
+        };
+        const times = Array.from({ length: 4 }, () => {
+            recordStall(peer, 0, options);
+            return peer.avoidedUntil;
+        });
+        expect(times).toEqual([1_000, 2_000, 4_000, 4_000]);
+        recordStall(peer, 0, resolveDistributionOptions({ avoidSourceFor: 1_000 }));
+        expect(peer.avoidedUntil).toEqual(1_000);
+    });
+});
