--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -68,6 +68,8 @@
 
 /** Options of {@link startRunnerStandIn}. */
 export interface RunnerStandInOptions {
+    /** Value of the header `runner-load`. Default: `1,0,4`. */
+    readonly load?: string | undefined;
     readonly id: string;
     /** Number of events of a streamed response; undefined for responses that are no stream. */
     readonly events?: number;
@@ -112,7 +114,11 @@
         if (options.workMilliseconds !== undefined) {
             await new Promise(resolve => setTimeout(resolve, options.workMilliseconds));
         }
-        const head = { "attempt-id": runnerRun.attemptId, "response-seal": responseSeal, "runner-load": "1,0,4" };
+        const head = {
+            "attempt-id": runnerRun.attemptId,
+            "response-seal": responseSeal,
+            "runner-load": options.load ?? "1,0,4",
+        };
         if (options.events === undefined) {
             response.writeHead(200, { ...head, "content-type": "text/plain" });
             response.end(`${options.id}:${runnerRun.body}`);
