Reject answers whose status is no status of HTTP

Cause: the HTTP client accepted any status that its parser could read. What it could not read counted as a broken connection, as if the backend server had crashed, and no line named the status.

An agent named no status in its error.

Change: a status outside 100 to 599, also of an interim answer, and a status line that cannot be read fail the attempt as answer-mismatched. The line `invalid status` names the server and the status. Entry instances also check the status in the frames of agents, but their line names no status.

--- a/src/node/entry/attempt.ts
+++ b/src/node/entry/attempt.ts
@@ -10,9 +10,13 @@
 import type { Milliseconds, RanState, Refusal, RefusalReason } from "../../types/index.js";
 import type { CrashReport } from "../crashes/index.js";
 import type { AgentClient } from "../grpc/index.js";
+import { isHttpStatus } from "../httpClient/index.js";
 import { createInterruption } from "../httpClient/interruption.js";
 import { HeldAnswerEvictedError } from "./httpSink.js";
 
+/** Lowest status of an answer that is not an interim one. */
+const lowestFinalStatus = 200;
+
 /** Receives the answer of one attempt, part by part. */
 export interface AttemptSink {
     start(start: ResponseStart): void;
@@ -98,6 +102,11 @@
     dataFrames: number;
 }
 
+/** Agents of an earlier build forward any status that a backend server sent. */
+function isFinalStatus(status: number): boolean {
+    return isHttpStatus(status) && status >= lowestFinalStatus;
+}
+
 /** Returns the outcome if the frame ends the attempt; undefined if more frames have to follow. */
 async function processFrame(
     { request, signal, sink }: AttemptInput,
@@ -112,6 +121,9 @@
     if (content.case === "refusal") {
         return convertRefusal(content.value);
     }
+    if (content.case === "start" && !isFinalStatus(content.value.status)) {
+        return "mismatched";
+    }
     if (content.case === "start" && start === undefined) {
         progress.start = content.value;
         sink.start(content.value);
--- a/src/node/gateway/attempts/attempt.ts
+++ b/src/node/gateway/attempts/attempt.ts
@@ -10,6 +10,7 @@
 } from "../../httpClient/index.js";
 import type { RateLimits } from "../membership/rateLimits.js";
 import type { ServerNotices } from "../membership/serverNotices.js";
+import type { RequestLog } from "../requestLog.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer, ProgressLimits } from "../types.js";
 
 /** Dependencies of {@link openAttempt}. */
@@ -18,6 +19,7 @@
     readonly clock: Clock;
     readonly notices: Pick<ServerNotices, "recordHead">;
     readonly rateLimits: Pick<RateLimits, "recordHead">;
+    readonly log: Pick<RequestLog, "invalidStatus">;
 }
 
 /** One attempt at a request. */
@@ -44,7 +46,7 @@
 export function describeFailure(failure: HttpFailure): AttemptFailure {
     return {
         ran: failure.requestWritten ? "unknown" : "no",
-        reason: "connection-lost",
+        reason: failure.reason === "invalid-status" ? "answer-mismatched" : "connection-lost",
         detail: `${failure.reason}: ${failure.message}`,
         serverAtFault: failure.reason !== "canceled",
         connectionBroke: failure.reason === "connection" && failure.requestWritten,
@@ -162,6 +164,9 @@
         ...(request.body.length === 0 ? {} : { body: request.body }),
     });
     if (opened.isErr) {
+        if (opened.error.reason === "invalid-status") {
+            context.log.invalidStatus(request, server.listed, opened.error.message);
+        }
         return err(describeFailure(opened.error));
     }
     const stream = opened.value;
--- a/src/node/gateway/attempts/attemptRunner.ts
+++ b/src/node/gateway/attempts/attemptRunner.ts
@@ -6,6 +6,7 @@
 import type { CrashWatch, TrackedAttempt } from "../crashes/crashWatch.js";
 import type { RateLimits } from "../membership/rateLimits.js";
 import type { ServerNotices } from "../membership/serverNotices.js";
+import type { RequestLog } from "../requestLog.js";
 import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
 import type { AttemptFailure, GatewayRequest } from "../types.js";
 import { openAttempt } from "./attempt.js";
@@ -26,6 +27,7 @@
     readonly routing: RoutingOptions;
     /** Shortest time without a byte after which an idempotent request is also sent to another backend server. */
     readonly switchAfter: Milliseconds;
+    readonly log: Pick<RequestLog, "invalidStatus">;
     readonly relay: AnswerRelay;
     readonly silences: AnswerSilenceTable;
 }
@@ -89,7 +91,7 @@
  * @returns the runner
  */
 export function createAttemptRunner(input: AttemptRunnerInput): AttemptRunner {
-    const { choice: selector, clock, notices, protocol, rateLimits, relay, silences } = input;
+    const { choice: selector, clock, log, notices, protocol, rateLimits, relay, silences } = input;
 
     async function send(attemptRun: AttemptRun): Promise<Result<void, AttemptFailure>> {
         const { attempt, handlers, progress, request, selection, tracked } = attemptRun;
@@ -102,7 +104,7 @@
         rateLimits.recordSend(server);
         const started = startAttempt(server, clock);
         try {
-            const opened = await openAttempt({ protocol, clock, notices, rateLimits }, {
+            const opened = await openAttempt({ protocol, clock, notices, rateLimits, log }, {
                 request,
                 server,
                 client: input.clients.find(server.listed),
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -201,6 +201,7 @@
         switchAfter: gateway.switchAfter,
         log: createRequestLog({
             decisions,
+            logger,
             clock,
             countQueued: queues.countQueued,
             countOpen: queues.countOpen,
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -1,6 +1,15 @@
+import type { Logger } from "pino";
 import { areReportedWeightsVerified } from "../../runtime/gateway/index.js";
 import type { HedgeDecision, RequestCauses, RetryBudget, RetryDecision } from "../../runtime/retry/index.js";
-import type { Clock, Fingerprint, Milliseconds, Refusal, RefusalReason, ServiceRow } from "../../types/index.js";
+import type {
+    Clock,
+    Fingerprint,
+    ListedBackendServer,
+    Milliseconds,
+    Refusal,
+    RefusalReason,
+    ServiceRow,
+} from "../../types/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { ServerSelection, ServiceShare } from "./selection/serverSelector.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
@@ -8,6 +17,7 @@
 /** Dependencies of {@link createRequestLog}. */
 export interface RequestLogInput {
     readonly decisions: DecisionLog;
+    readonly logger: Logger;
     readonly clock: Clock;
     readonly countQueued: () => number;
     readonly countOpen: () => number;
@@ -58,6 +68,18 @@
      */
     hedge(request: GatewayRequest, decision: HedgeDecision, attempt: StalledAttempt): void;
     refusal(request: GatewayRequest, refusal: Refusal): void;
+    /**
+     * Logs that the status of an answer is no status of HTTP.
+     *
+     * @param request - the request
+     * @param server - backend server that answered
+     * @param detail - the status, or the status line if it cannot be read
+     */
+    invalidStatus(
+        request: GatewayRequest,
+        server: Pick<ListedBackendServer, "address" | "instance">,
+        detail: string,
+    ): void;
     /** Logs only answers that end with their connection, since nothing in their bytes proves that they are complete. */
     completion(request: GatewayRequest, answer: OpenedAnswer, bytes: number): void;
 }
@@ -72,7 +94,7 @@
  * @returns the log
  */
 export function createRequestLog(
-    { clock, computeServiceShare, countOpen, countQueued, decisions, findCrashingPart }: RequestLogInput,
+    { clock, computeServiceShare, countOpen, countQueued, decisions, findCrashingPart, logger }: RequestLogInput,
 ): RequestLog {
     return {
         routing: (request, { decision, server, version }, attempt) => {
@@ -119,6 +141,8 @@
                 },
             });
         },
+        invalidStatus: ({ row }, { address, instance }, detail) =>
+            logger.warn({ requestId: row.requestId, peer: instance, address, detail }, "invalid status"),
         retry: (request, failure, decision, server, budget) => {
             decisions.record({
                 kind: "retry",
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -13,6 +13,7 @@
 import { isMixedHead, resolveFraming } from "./framing.js";
 import { createInterruption, type Interruption } from "./interruption.js";
 import { watchOverhead } from "./overheadWatch.js";
+import { describeStatusLine, InvalidStatusError, isUnreadableStatus } from "./responseStatus.js";
 import { type SilenceLimit, type SilenceWatch, watchSilence } from "./silenceWatch.js";
 import {
     type CallState,
@@ -268,7 +269,11 @@
 function describeFailure(cause: unknown, call: Call, received?: ReceivedBody): HttpFailure {
     const headReceived = received !== undefined;
     const reason = classifyFailure(cause, call.interruption);
-    const message = cause instanceof Error && cause.message !== "" ? cause.message : String(cause);
+    const message = isUnreadableStatus(cause) ?
+        describeStatusLine(call.state.connection?.quoteLastRead() ?? "") :
+        cause instanceof Error && cause.message !== "" ?
+        cause.message :
+        String(cause);
     return { reason, headReceived, requestWritten: headReceived || call.state.written, received, message, cause };
 }
 
@@ -279,6 +284,9 @@
     if (interruption.stopped() || cause instanceof ResponseTooLargeError) {
         return "too-large";
     }
+    if (cause instanceof InvalidStatusError || isUnreadableStatus(cause)) {
+        return "invalid-status";
+    }
     const code = (cause as { readonly code?: unknown; } | undefined)?.code;
     const timedOut = typeof code === "string" && code.startsWith("UND_ERR_") && code.endsWith("_TIMEOUT");
     return timedOut || interruption.timedOut() ? "timeout" : "connection";
--- a/src/node/httpClient/trackedClient.ts
+++ b/src/node/httpClient/trackedClient.ts
@@ -2,6 +2,7 @@
 import { TLSSocket } from "node:tls";
 import { buildConnector, Client, type Dispatcher, errors } from "undici";
 import type { Milliseconds } from "../../types/index.js";
+import { createStatusError, isHttpStatus } from "./responseStatus.js";
 
 /** State of a connection. */
 export interface ConnectionState {
@@ -11,6 +12,8 @@
     failed: boolean;
     /** Call whose request was the last one written to the connection. */
     lastCall: CallState | undefined;
+    /** @returns the beginning of the bytes that were read last, as text */
+    readonly quoteLastRead: () => string;
     /** @returns bytes that the connection has received in total */
     readonly countReceivedBytes: () => number;
     /** Resets the connection, so that bytes that were written and have not left yet do not reach the peer. */
@@ -65,11 +68,27 @@
     socket.resetAndDestroy();
 }
 
+/** Bytes of each read that are kept for the message of an unreadable status line. */
+const quotedBytes = 256;
+
+/** Notes the beginning of each read of a socket. */
+function trackReads(socket: Socket): () => string {
+    const read = socket.read.bind(socket) as (size?: number) => unknown;
+    let last = "";
+    socket.read = (size?: number) => {
+        const part = read(size);
+        last = Buffer.isBuffer(part) ? part.toString("latin1", 0, quotedBytes) : last;
+        return part;
+    };
+    return () => last;
+}
+
 function trackConnection(socket: Socket): ConnectionState {
     const state: ConnectionState = {
         ended: false,
         failed: false,
         lastCall: undefined,
+        quoteLastRead: trackReads(socket),
         countReceivedBytes: () => socket.bytesRead,
         reset: () => resetSocket(socket),
     };
@@ -175,7 +194,14 @@
                 }
             },
             onRequestUpgrade: (...parameters) => handler.onRequestUpgrade?.(...parameters),
-            onResponseStart: (...parameters) => handler.onResponseStart?.(...parameters),
+            onResponseStart: (controller, status, ...rest) => {
+                if (isHttpStatus(status)) {
+                    handler.onResponseStart?.(controller, status, ...rest);
+                }
+                else {
+                    resetWhenAborted(controller, opaque).abort(createStatusError(status));
+                }
+            },
             onResponseData: (...parameters) => handler.onResponseData?.(...parameters),
             onResponseEnd: (...parameters) => handler.onResponseEnd?.(...parameters),
             onResponseError: (...parameters) => handler.onResponseError?.(...parameters),
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -64,7 +64,7 @@
 
 /** Why a call got no complete response. */
 export interface HttpFailure {
-    readonly reason: "canceled" | "timeout" | "connection" | "too-large";
+    readonly reason: "canceled" | "timeout" | "connection" | "invalid-status" | "too-large";
     /** True if the head of the response arrived, but not its complete body. */
     readonly headReceived: boolean;
     /** False only if no byte of the request was written. */
--- a/src/node/logging/memoryEvents.ts
+++ b/src/node/logging/memoryEvents.ts
@@ -1,6 +1,6 @@
 import { define } from "./eventDefinition.js";
 
-/** Lines about the bytes that a gateway holds. */
+/** Lines about the bytes that a gateway holds, and about answers that it cannot interpret. */
 export const memoryEvents = {
     "requests refused at the memory limit": define(
         "request",
@@ -21,4 +21,10 @@
             "answer of a backend server (`answer`) was ended, since its bytes were the most and the oldest",
         ["stage", "bytes", "ageMilliseconds", "heldBytes"],
     ),
+    "invalid status": define(
+        "request",
+        ["gateway"],
+        "the status of an answer is outside 100 to 599, or its status line cannot be read; the attempt has failed",
+        ["requestId", "peer", "address", "detail"],
+    ),
 } as const;
--- a/test/node/entry/attempt.test.ts
+++ b/test/node/entry/attempt.test.ts
@@ -93,6 +93,15 @@
             ["an end without an end frame", [start, data(1)], "end", broken],
             ["an end frame with too few frames", [start, data(1), end(2, 2)], "hold", mismatched],
             ["an end frame with too many frames", [start, data(1), end(2, 0)], "hold", mismatched],
+            // Guards against an agent of an earlier build that forwards any status of its backend server.
+            ...[0, 99, 103, 600, 999].map(value =>
+                [
+                    `a start with status ${value}`,
+                    [{ ...start, content: { case: "start", value: { status: value } } }],
+                    "hold",
+                    mismatched,
+                ] as [string, readonly Frame[], "hold", string]
+            ),
             ["a missing frame", [start, data(2)], "hold", mismatched],
             ["a repeated frame", [start, data(1), data(1)], "hold", mismatched],
             ["frames out of order", [start, data(2), data(1)], "hold", mismatched],
