--- a/src/node/gateway/attempts/attemptRunner.ts
+++ b/src/node/gateway/attempts/attemptRunner.ts
@@ -6,6 +6,7 @@
 import type { CrashWatch, TrackedAttempt } from "../crashes/crashWatch.js";
 import type { RateLimits } from "../membership/rateLimits.js";
 import type { ServerNotices } from "../membership/serverNotices.js";
+import type { RequestLog } from "../requestLog.js";
 import type { RegionLimits } from "../selection/regionLimits.js";
 import type { RemainingWork } from "../selection/remainingWork.js";
 import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
@@ -30,6 +31,7 @@
     readonly routing: RoutingOptions;
     /** Shortest time without a byte after which an idempotent request is also sent to another backend server. */
     readonly switchAfter: Milliseconds;
+    readonly log: Pick<RequestLog, "invalidStatus">;
     readonly relay: AnswerRelay;
     readonly silences: AnswerSilenceTable;
 }
@@ -93,7 +95,7 @@
  * @returns the runner
  */
 export function createAttemptRunner(input: AttemptRunnerInput): AttemptRunner {
-    const { choice: selector, clock, notices, protocol, rateLimits, relay, silences, work } = input;
+    const { choice: selector, clock, log, notices, protocol, rateLimits, relay, silences, work } = input;
 
     async function send(attemptRun: AttemptRun): Promise<Result<void, AttemptFailure>> {
         const { attempt, handlers, progress, request, selection, tracked } = attemptRun;
@@ -112,7 +114,7 @@
         rateLimits.recordSend(server);
         const started = startAttempt(server, clock);
         try {
-            const opened = await openAttempt({ protocol, clock, notices, rateLimits, work }, {
+            const opened = await openAttempt({ protocol, clock, log, notices, rateLimits, work }, {
                 request,
                 server,
                 client: input.clients.find(server.listed),
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -1,7 +1,16 @@
+import type { Logger } from "pino";
 import { computeSlowdown } from "../../runtime/cost/index.js";
 import { type AllowedRegions, areReportedWeightsVerified } from "../../runtime/gateway/index.js";
 import type { HedgeDecision, RequestCauses, RetryBudget, RetryDecision } from "../../runtime/retry/index.js";
-import type { Clock, Fingerprint, Milliseconds, Refusal, RefusalReason, ServiceRow } from "../../types/index.js";
+import type {
+    Clock,
+    Fingerprint,
+    ListedBackendServer,
+    Milliseconds,
+    Refusal,
+    RefusalReason,
+    ServiceRow,
+} from "../../types/index.js";
 import type { DecisionLog } from "../logging/index.js";
 import type { ServerSelection, ServiceShare } from "./selection/serverSelector.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer } from "./types.js";
@@ -9,6 +18,7 @@
 /** Dependencies of {@link createRequestLog}. */
 export interface RequestLogInput {
     readonly decisions: DecisionLog;
+    readonly logger: Logger;
     readonly clock: Clock;
     readonly countQueued: () => number;
     readonly countOpen: () => number;
@@ -60,6 +70,18 @@
      */
     hedge(request: GatewayRequest, decision: HedgeDecision, attempt: StalledAttempt): void;
     refusal(request: GatewayRequest, refusal: Refusal): void;
+    /**
+     * Logs that the status of an answer is no status of HTTP.
+     *
+     * @param request - the request
+     * @param server - backend server that answered
+     * @param detail - the status, or the status line if it cannot be read
+     */
+    invalidStatus(
+        request: GatewayRequest,
+        server: Pick<ListedBackendServer, "address" | "instance">,
+        detail: string,
+    ): void;
     /** Logs only answers that end with their connection, since nothing in their bytes proves that they are complete. */
     completion(request: GatewayRequest, answer: OpenedAnswer, bytes: number): void;
 }
@@ -76,7 +98,7 @@
 export function createRequestLog(
     input: RequestLogInput,
 ): RequestLog {
-    const { clock, computeServiceShare, countOpen, countQueued, decisions, findCrashingPart } = input;
+    const { clock, computeServiceShare, countOpen, countQueued, decisions, findCrashingPart, logger } = input;
 
     /** Formats the regions for the log; undefined, which leaves the field out, for requests without a limit. */
     function formatAllowedRegions(request: GatewayRequest): string | undefined {
@@ -138,6 +160,8 @@
                 },
             });
         },
+        invalidStatus: ({ row }, { address, instance }, detail) =>
+            logger.warn({ requestId: row.requestId, peer: instance, address, detail }, "invalid status"),
         retry: (request, failure, decision, server, budget) => {
             decisions.record({
                 kind: "retry",
