Test that the read of an abandoned version's manifest is aborted

Cause: the test of a newer version passed without the abort, since each set has a read of its own.

Change: the test checks the signals.

--- a/test/node/agent/transfer/manifests.test.ts
+++ b/test/node/agent/transfer/manifests.test.ts
@@ -257,13 +257,18 @@
 
     // Guards against a manifest of an abandoned version that delays the next one or is taken for it.
     it("of a newer version does not wait for that of an older one", async () => {
-        await using agents = createAgents(
-            createInstances(24),
-            (...[, version, signal]) => version === "2" ? stall(signal) : Promise.resolve(ok(readSample(version))),
-        );
+        const signals: (AbortSignal | undefined)[] = [];
+        await using agents = createAgents(createInstances(24), (...[, version, signal]) => {
+            if (version === "3") {
+                return Promise.resolve(ok(readSample(version)));
+            }
+            signals.push(signal);
+            return stall(signal);
+        });
         agents.setTarget("2");
         await agents.run(() => false, 300);
         agents.setTarget("3");
+        expect(signals.map(signal => signal?.aborted)).toEqual([true, true, true]);
         expect((await agents.run(() => agents.services.every(agents.knows), 2_000))! <= 1_000).toEqual(true);
         expect(agents.services.every(({ service }) => service.progress()?.manifestDigest === nameSet("3")))
             .toEqual(true);
