Limit the requests to cold backend servers, and show evacuations

Cause: a backend server that has just started tolerates a few requests a second from all gateways together; 74 in one second were seen, where 59 are allowed, when all instances came back after a power loss. Operators could not see how many requests still ran in an evacuated zone.

Change: a server is cold after its start, for as long as its entry or an answer says, after an evacuation of its zone, and while its state is not known: for 2.2 s after its entry was first read, a report or an entry showed a restart, or a connection to it was lost. At most half as many gateways as the limit has requests per second, and two, divide half of the limit; seeds that are not registered count as gateways, and first requests are spread over the interval. A request that finds only cold servers waits up to 200 ms for the next share, and is refused with its time otherwise. GET /evacuations at the metrics address lists zones, since when, servers and requests in progress; two gauges count evacuated zones and cold servers.

A gateway that has just started refuses what exceeds its shares for 2.2 s if the limit is low and all servers count as cold.

--- a/src/node/gateway/answers/finalAnswer.ts
+++ b/src/node/gateway/answers/finalAnswer.ts
@@ -1,4 +1,4 @@
-import type { RanState, Refusal } from "../../../types/index.js";
+import type { BlockedReason, RanState, Refusal, RefusalReason } from "../../../types/index.js";
 import { scoreRendezvous } from "../../../utils/index.js";
 import type { RequestProgress } from "../attempts/requestProgress.js";
 import { isTimeLimit } from "../callers/timeLimit.js";
@@ -30,6 +30,13 @@
 /** Retry time in seconds for callers when no backend server can answer at the moment. */
 export const unavailableRetryAfterSeconds = 1;
 
+/** Reasons that end at a time which the decision states. */
+const blockedReasons: ReadonlySet<RefusalReason> = new Set<BlockedReason>([
+    "turned-away",
+    "rate-limited",
+    "slow-start",
+]);
+
 /**
  * Describes the refusal of a request that no backend server can take. Retry times are spread, so that the
  * callers do not all return as soon as a backend server accepts requests again.
@@ -45,7 +52,7 @@
     ran: RanState,
 ): Refusal {
     const reason = decision.kind === "none" ? decision.reason : "no-runner";
-    if (decision.kind === "none" && (reason === "turned-away" || reason === "rate-limited")) {
+    if (decision.kind === "none" && blockedReasons.has(reason)) {
         const spread = scoreRendezvous(row.requestId, "turned-away") / 2 ** 32;
         const retryAfterSeconds = Number((decision.retryAfterSeconds + spread).toFixed(3));
         return { ran, reason, retryAfterSeconds };
--- a/src/node/gateway/attempts/attempt.ts
+++ b/src/node/gateway/attempts/attempt.ts
@@ -10,6 +10,7 @@
 } from "../../httpClient/index.js";
 import type { RateLimits } from "../membership/rateLimits.js";
 import type { ServerNotices } from "../membership/serverNotices.js";
+import type { SlowStarts } from "../membership/slowStarts.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer, ProgressLimits } from "../types.js";
 
 /** Dependencies of {@link openAttempt}. */
@@ -18,6 +19,7 @@
     readonly clock: Clock;
     readonly notices: Pick<ServerNotices, "recordHead">;
     readonly rateLimits: Pick<RateLimits, "recordHead">;
+    readonly slowStarts: Pick<SlowStarts, "recordHead">;
 }
 
 /** One attempt at a request. */
@@ -182,6 +184,7 @@
     if (head.requestId === request.row.requestId && stream.status !== 421) {
         context.notices.recordHead(lifetime, head);
         context.rateLimits.recordHead(lifetime, head, sentAt);
+        context.slowStarts.recordHead(server, head);
     }
     const fault = findHeadFault(attempt, stream, head);
     if (fault === undefined) {
--- a/src/node/gateway/attempts/attemptRunner.ts
+++ b/src/node/gateway/attempts/attemptRunner.ts
@@ -6,6 +6,7 @@
 import type { CrashWatch, TrackedAttempt } from "../crashes/crashWatch.js";
 import type { RateLimits } from "../membership/rateLimits.js";
 import type { ServerNotices } from "../membership/serverNotices.js";
+import type { SlowStarts } from "../membership/slowStarts.js";
 import type { RegionLimits } from "../selection/regionLimits.js";
 import type { ServerSelection, ServerSelector } from "../selection/serverSelector.js";
 import type { AttemptFailure, GatewayRequest } from "../types.js";
@@ -25,6 +26,7 @@
     readonly crashes: CrashWatch;
     readonly notices: Pick<ServerNotices, "recordHead">;
     readonly rateLimits: Pick<RateLimits, "recordHead" | "recordSend">;
+    readonly slowStarts: Pick<SlowStarts, "recordHead" | "recordLoss" | "recordSend">;
     readonly routing: RoutingOptions;
     /** Shortest time without a byte after which an idempotent request is also sent to another backend server. */
     readonly switchAfter: Milliseconds;
@@ -76,6 +78,11 @@
     return reachedServer(failure) && failure.reason !== "turned-away";
 }
 
+/** A backend server that was restarted refuses or resets connections before the list shows the restart. */
+function mayHaveRestarted({ reason, serverAtFault }: AttemptFailure, { signal }: RacingAttempt): boolean {
+    return reason === "connection-lost" && serverAtFault && !signal.aborted;
+}
+
 function classifyOutcome({ hasFailed, signal }: RacingAttempt, outcome: Result<void, AttemptFailure>): RunnerOutcome {
     if (outcome.isOk) {
         return "succeeded";
@@ -91,7 +98,7 @@
  * @returns the runner
  */
 export function createAttemptRunner(input: AttemptRunnerInput): AttemptRunner {
-    const { choice: selector, clock, notices, protocol, rateLimits, relay, silences } = input;
+    const { choice: selector, clock, notices, protocol, rateLimits, relay, silences, slowStarts } = input;
 
     async function send(attemptRun: AttemptRun): Promise<Result<void, AttemptFailure>> {
         const { attempt, handlers, progress, request, selection, tracked } = attemptRun;
@@ -102,9 +109,10 @@
         const bounds = { shortest: input.switchAfter, remaining };
         const release = selector.trackAttempt(server);
         rateLimits.recordSend(server);
+        slowStarts.recordSend(server);
         const started = startAttempt(server, clock);
         try {
-            const opened = await openAttempt({ protocol, clock, notices, rateLimits }, {
+            const opened = await openAttempt({ protocol, clock, notices, rateLimits, slowStarts }, {
                 request,
                 server,
                 client: input.clients.find(server.listed),
@@ -155,6 +163,9 @@
             // Another backend server uses the address now, or the weights have changed. A report or the list resets it.
             runner.phase = "waiting";
         }
+        if (outcome.isErr && mayHaveRestarted(outcome.error, attempt)) {
+            slowStarts.recordLoss(attempt.server);
+        }
         recordOutcome(runner, classifyOutcome(attempt, outcome), clock.monotonic(), input.routing);
         await tracked.finish(outcome.isErr && outcome.error.connectionBroke);
         return outcome;
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -30,8 +30,9 @@
 import { startCallerServer } from "./callers/callerServer.js";
 import { drainCallers } from "./callers/drainCallers.js";
 import { createCrashContainment } from "./crashes/crashContainment.js";
-import { createGatewayMetrics } from "./gatewayMetrics.js";
+import { createGatewayMetrics, registerEligibilityGauges } from "./gatewayMetrics.js";
 import { createAgentWatch } from "./membership/agentWatch.js";
+import { describeEvacuations } from "./membership/evacuationStatus.js";
 import { startLogFollowers } from "./membership/logFollowers.js";
 import { createMembership } from "./membership/membership.js";
 import { deriveWeightSources } from "./membership/weightSources.js";
@@ -114,7 +115,7 @@
     log.onEra?.(store.recordEra);
     const stalls = createStallMonitor({ clock, logger });
     const following = { self: instance.id, store, clock, stalls, random, logger };
-    const { evacuations, gateways, notices, rateLimits, state } = createMembership({
+    const { evacuations, gateways, notices, rateLimits, slowStarts, state } = createMembership({
         settings,
         ports,
         store,
@@ -122,6 +123,10 @@
         logger,
         startedAt,
     });
+    registerEligibilityGauges(metrics, {
+        countEvacuated: () => evacuations.list().length,
+        countCold: slowStarts.countCold,
+    });
     const readConnections = ({ service }: ListedBackendServer) =>
         divideConnections(state.routes()?.services.get(service)?.maximumConnections, gateways.count());
     const choice = createServerSelector({
@@ -176,6 +181,7 @@
         crashes: containment.watch,
         notices,
         rateLimits,
+        slowStarts,
         crashEvidence: containment.crashEvidence,
         findBudget: budgets.find,
         readRetry: budgets.readOptions,
@@ -226,6 +232,7 @@
         silentAfter: gateway.reportExpiry,
         reconnectAfter: replica.reconnectAfter,
         settleWithin: gateway.agentWait,
+        onStarted: slowStarts.recordReport,
         onReport: () => queues.update(),
     }));
 
@@ -254,6 +261,7 @@
     const callerServer = stack.use(callers.value);
     state.onOperator(routes => {
         callerServer.applyConfiguration(routes.configuration);
+        slowStarts.update(state.servers.rows());
         eligibility.update();
         queues.update();
         const { era, nextOffset, records } = store.topic("operator");
@@ -299,6 +307,7 @@
             ...(awaitsGateways() ? ["other gateways not heard"] : []),
         ],
         renderMetrics: () => metrics.render(),
+        describeEvacuations: () => describeEvacuations(evacuations.list(), state.servers.rows(), clock),
         decisions,
     });
     for (const address of new Set([gateway.readyAddress, gateway.metricsAddress])) {
@@ -320,6 +329,7 @@
         stalls.check();
         state.expire();
         rateLimits.update();
+        slowStarts.update(state.servers.rows());
         containment.crashEvidence.expire();
         agentWatch.tick();
         queues.update();
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -108,3 +108,26 @@
             firstBytes.record(duration, { service: service.name, kind: route.kind }),
     };
 }
+
+/** Counts of what makes backend servers ineligible. */
+export interface EligibilityCounts {
+    readonly countEvacuated: () => number;
+    readonly countCold: () => number;
+}
+
+/**
+ * Adds the gauges of evacuated zones and cold backend servers.
+ *
+ * @param metrics - metrics of the process
+ * @param counts - source of the values
+ */
+export function registerEligibilityGauges(metrics: Metrics, { countCold, countEvacuated }: EligibilityCounts): void {
+    metrics.registerGauge({
+        name: "goldcrestpoint_gateway_evacuated_zones",
+        documentation: "Zones to which nothing is sent, since the operator has evacuated them.",
+    }, countEvacuated);
+    metrics.registerGauge({
+        name: "goldcrestpoint_gateway_cold_backend_servers",
+        documentation: "Backend servers that get requests at intervals only, since they are cold or may be.",
+    }, countCold);
+}
--- a/src/node/gateway/membership/agentWatch.ts
+++ b/src/node/gateway/membership/agentWatch.ts
@@ -27,6 +27,8 @@
     readonly reconnectAfter: Milliseconds;
     /** Time after which missing first reports no longer delay the readiness of the gateway. */
     readonly settleWithin: Milliseconds;
+    /** Called with each report before it is applied, with the start of the backend server if the agent knows it. */
+    readonly onStarted: (server: BackendServerRow, startedAt: number | undefined) => void;
     /** Called after each report. */
     readonly onReport: () => void;
 }
@@ -120,6 +122,7 @@
             if (startedAt !== undefined && report.incarnation !== "" && Number(report.incarnation) < startedAt) {
                 continue;
             }
+            input.onStarted(row, report.incarnation === "" ? undefined : Number(report.incarnation));
             const phase = copy === undefined ? "waiting" : toPhase(copy.phase);
             const version = Number(copy?.version ?? "");
             const manifestDigest = copy === undefined ? undefined : formatWeightName(copy.deployment, version);
--- a/src/node/gateway/membership/gatewayState.ts
+++ b/src/node/gateway/membership/gatewayState.ts
@@ -37,6 +37,7 @@
 import type { Evacuations } from "./evacuations.js";
 import type { RateLimits } from "./rateLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
+import type { SlowStarts } from "./slowStarts.js";
 
 /** Dependencies of {@link createGatewayState}. */
 export interface GatewayStateInput {
@@ -52,6 +53,7 @@
     readonly startedAt: Milliseconds;
     readonly notices: ServerNotices;
     readonly evacuations: Pick<Evacuations, "apply">;
+    readonly slowStarts: Pick<SlowStarts, "recordListed">;
     readonly rateLimits: Pick<RateLimits, "find" | "onChange">;
 }
 
@@ -207,6 +209,7 @@
         const lifetime = createLifetimeId(listed);
         applyNotice(row, notices.find(lifetime));
         row.runner.pace = rateLimits.find(lifetime);
+        input.slowStarts.recordListed(row);
         const { address, service, state, weights, zone } = listed;
         logger.info({ ...fields, change, service, address, zone, state, weights }, "backend server changed");
     }
--- a/src/node/gateway/membership/membership.ts
+++ b/src/node/gateway/membership/membership.ts
@@ -8,6 +8,7 @@
 import { createGatewayState, type GatewayState } from "./gatewayState.js";
 import { createRateLimits, type RateLimits } from "./rateLimits.js";
 import { createServerNotices, type ServerNotices } from "./serverNotices.js";
+import { createSlowStarts, type SlowStarts } from "./slowStarts.js";
 
 /** Dependencies of {@link createMembership}. */
 export interface MembershipInput {
@@ -26,6 +27,7 @@
     readonly gateways: GatewayList;
     readonly notices: ServerNotices;
     readonly rateLimits: RateLimits;
+    readonly slowStarts: SlowStarts;
     readonly state: GatewayState;
 }
 
@@ -62,7 +64,20 @@
         logger,
         knownZones: new Set(regions.keys()),
     });
-    const state = createGatewayState({
+    const slowStarts = createSlowStarts({
+        self: instance.id,
+        listGateways: gateways.listIdentifiers,
+        listAddresses: gateways.listAddresses,
+        areGatewaysKnown: () => store.topic("instances").currentAt !== undefined,
+        readSlowStart: service => state.routes()?.services.get(service)?.slowStart,
+        readLiftedAt: evacuations.readLiftedAt,
+        clock,
+        random,
+        logger,
+        confirmWithin: gateway.returnTime,
+        gatewaysWithin: gateway.settleTime,
+    });
+    const state: GatewayState = createGatewayState({
         store,
         decoder: ports.decoder,
         clock,
@@ -74,7 +89,8 @@
         startedAt: input.startedAt - (ports.readProcessAge?.() ?? 0),
         notices,
         evacuations,
+        slowStarts,
         rateLimits,
     });
-    return { evacuations, gateways, notices, rateLimits, state };
+    return { evacuations, gateways, notices, rateLimits, slowStarts, state };
 }
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -199,6 +199,7 @@
                     rateLimited: leftOut["rate-limited"],
                     outsideRegions: leftOut["outside-regions"],
                     evacuated: leftOut.evacuated,
+                    cold: leftOut["slow-start"],
                     allowedRegions: formatAllowedRegions(request),
                     waited: Math.round(clock.monotonic() - request.completeAt),
                     retryAfterSeconds: refusal.retryAfterSeconds,
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -16,18 +16,19 @@
 import { createAttemptRunner } from "./attempts/attemptRunner.js";
 import type { BackendClients } from "./attempts/backendClients.js";
 import { createHedging } from "./attempts/hedging.js";
-import { allowsAttempt, mustComplete, type RequestProgress } from "./attempts/requestProgress.js";
+import { allowsAttempt, minimumRemainingTime, mustComplete, type RequestProgress } from "./attempts/requestProgress.js";
 import { reachedServer } from "./attempts/startedAttempt.js";
 import { type CrashEvidenceReader, createCrashRefusals, describeCondemned } from "./crashes/crashRefusals.js";
 import type { CrashWatch } from "./crashes/crashWatch.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { RateLimits } from "./membership/rateLimits.js";
 import type { ServerNotices } from "./membership/serverNotices.js";
+import type { SlowStarts } from "./membership/slowStarts.js";
 import type { RequestLog } from "./requestLog.js";
 import type { AdmissionOutcome, AdmissionQueues } from "./selection/admissionQueues.js";
 import type { Eligibility } from "./selection/eligibility.js";
 import type { RegionLimits } from "./selection/regionLimits.js";
-import type { ServerSelector } from "./selection/serverSelector.js";
+import type { ServerSelection, ServerSelector } from "./selection/serverSelector.js";
 import type { AbortReason, AttemptFailure, GatewayRequest } from "./types.js";
 
 /** Dependencies of {@link createRequestPipeline}. */
@@ -42,6 +43,7 @@
     readonly crashes: CrashWatch;
     readonly notices: Pick<ServerNotices, "recordHead">;
     readonly rateLimits: Pick<RateLimits, "recordHead" | "recordSend">;
+    readonly slowStarts: Pick<SlowStarts, "recordHead" | "recordLoss" | "recordSend">;
     readonly crashEvidence: CrashEvidenceReader;
     /** Finds the retry budget of a service. */
     readonly findBudget: (service: string) => RetryBudget;
@@ -119,8 +121,28 @@
         });
     }
 
+    /**
+     * Selects a backend server. If only cold ones are left, whose next share of this gateway begins soon, the request
+     * waits for it.
+     */
+    async function select(request: GatewayRequest, progress: RequestProgress): Promise<ServerSelection> {
+        const latest = progress.attempts === 0 ? request.latestStart : request.endsAt - minimumRemainingTime;
+        for (;;) {
+            const selection = selector.select(request.service, progress.excluded, input.regions.find(request));
+            const { decision } = selection;
+            if (decision.kind !== "none" || decision.reason !== "slow-start" || request.signal.aborted) {
+                return selection;
+            }
+            const wait = Math.max(1, decision.retryAfterSeconds * 1_000);
+            if (clock.monotonic() + wait > latest) {
+                return selection;
+            }
+            await sleep(wait, request.signal);
+        }
+    }
+
     /** Starts an attempt while none is in flight; returns the reason if none can be started. */
-    function startNext(request: GatewayRequest, progress: RequestProgress): Refusal | undefined {
+    async function startNext(request: GatewayRequest, progress: RequestProgress): Promise<Refusal | undefined> {
         const crashRefusal = crashRefusals.find(request, progress);
         if (crashRefusal !== undefined) {
             log.refusal(request, crashRefusal);
@@ -129,7 +151,7 @@
             }
             return crashRefusal;
         }
-        const selection = selector.select(request.service, progress.excluded, input.regions.find(request));
+        const selection = await select(request, progress);
         log.routing(request, selection, progress.attempts + 1);
         if (selection.decision.kind === "none" || selection.server === undefined) {
             const ran = progress.mayHaveRun ? "unknown" : "no";
@@ -161,7 +183,7 @@
         const { race } = progress;
         const budget = input.findBudget(request.service.name);
         for (;;) {
-            const refused = race.listInFlight().length === 0 ? startNext(request, progress) : undefined;
+            const refused = race.listInFlight().length === 0 ? await startNext(request, progress) : undefined;
             if (refused !== undefined) {
                 return refused;
             }
--- a/src/node/gateway/selection/serverSelector.ts
+++ b/src/node/gateway/selection/serverSelector.ts
@@ -132,6 +132,12 @@
     trackAttempt(server: BackendServerRow): () => void;
 }
 
+/**
+ * Longest time for which an admitted request waits until a cold backend server accepts it; half of the shortest target
+ * latency that callers of streams have.
+ */
+const longestSlowStartWait: Milliseconds = 200;
+
 /** Time between random draws for {@link computePlaceShare}; meanwhile, reports show which places others have taken. */
 const placeDrawInterval: Milliseconds = 250;
 
@@ -260,7 +266,10 @@
             return { decision, server, version, headDeadline };
         },
         computeServiceShare: (service, demand, allowedRegions) => {
-            const described = createCandidateInput(service, new Set(), allowedRegions);
+            const described = {
+                ...createCandidateInput(service, new Set(), allowedRegions),
+                slowStartAhead: longestSlowStartWait,
+            };
             const { now } = described;
             const { candidates, leftOut, resumesAt } = findCandidates(described);
             const attemptsAtCandidates = candidates.reduce((sum, { outstanding }) => sum + outstanding, 0);
--- a/src/node/gateway/statusRouter.ts
+++ b/src/node/gateway/statusRouter.ts
@@ -2,6 +2,7 @@
 import type { HttpRouter } from "../httpServer/index.js";
 import { registerStatusRoutes, sendJson } from "../httpServer/index.js";
 import { type DecisionLog, registerDecisionRoute } from "../logging/index.js";
+import type { EvacuationStatus } from "./membership/evacuationStatus.js";
 
 /** Dependencies of {@link createRouter}. */
 export interface StatusRouterInput {
@@ -10,11 +11,12 @@
     /** Reasons why the daemon is not ready; empty if it is. */
     readonly listUnreadyReasons: () => readonly string[];
     readonly renderMetrics: () => string;
+    readonly describeEvacuations: () => readonly EvacuationStatus[];
     readonly decisions: DecisionLog;
 }
 
 /**
- * Creates the router of readiness, metrics and recent decisions.
+ * Creates the router of readiness, metrics, evacuated zones and recent decisions.
  *
  * @param input - sources of the answers
  * @returns the router
@@ -23,6 +25,9 @@
     const router: HttpRouter = findMyWay({ defaultRoute: (...[, response]) => sendJson(response, 404, {}) });
     registerStatusRoutes(router, input);
     registerDecisionRoute(router, input.decisions);
+    router.on("GET", "/evacuations", (...[, response]) => {
+        sendJson(response, 200, { evacuations: input.describeEvacuations() });
+    });
     if (input.readyPath !== "/ready") {
         router.on("GET", input.readyPath, (...[, response]) => {
             const reasons = input.listUnreadyReasons();
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -41,6 +41,7 @@
         "paused",
         "outsideRegions",
         "evacuated",
+        "cold",
         "allowedRegions",
         "waited",
         "retryAfterSeconds",
--- a/src/node/logging/membershipEvents.ts
+++ b/src/node/logging/membershipEvents.ts
@@ -48,4 +48,14 @@
         ["zone"],
     ),
     "evacuation cannot be read": define("belief", ["gateway"], "the key of a record names no zone; it is ignored"),
+    "slow start begun": define(
+        "belief",
+        ["gateway"],
+        "a backend server is cold, or may be; this gateway sends it requests at intervals, or none if it is no holder",
+        ["lifetime", "requestsPerSecond", "gateways", "holder", "intervalMilliseconds", "durationMilliseconds"],
+    ),
+    "slow start ended": define("belief", ["gateway"], "a backend server is no longer cold", [
+        "lifetime",
+        "durationMilliseconds",
+    ]),
 };
--- a/src/runtime/gateway/index.ts
+++ b/src/runtime/gateway/index.ts
@@ -15,5 +15,6 @@
 export * from "./routeSamples.js";
 export * from "./routeTable.js";
 export * from "./serverNotices.js";
+export * from "./slowStart.js";
 export * from "./unreachableGateways.js";
 export * from "./weightNames.js";
--- a/src/runtime/gateway/placeShare.ts
+++ b/src/runtime/gateway/placeShare.ts
@@ -80,7 +80,7 @@
  *
  * A place at a backend server also takes a free connection, which this gateway shares with no other.
  *
- * A candidate with a rate limit adds one whole place: its limit is divided among the gateways already, and leaves this
+ * A candidate with a rate limit, or a cold one, adds one whole place: its limit is divided among the gateways already, and leaves this
  * one a single request before the next pause.
  *
  * @param input - backend servers, gateways and demand
@@ -93,13 +93,13 @@
     let paced = 0;
     let connectable = 0;
     for (const { connections = Infinity, isFollowed, runner } of runners) {
-        const { capacity, outstanding, pace, reportedAt, reportedLoad, trial } = runner;
+        const { capacity, outstanding, pace, reportedAt, reportedLoad, slowStart, trial } = runner;
         const weight = isFollowed ? 1 : 2 ** (-Math.max(0, now - reportedAt) / options.loadHalfLife);
         own += outstanding;
         const available = trial === "none" ? capacity + options.queuedPerServer - reportedLoad * weight : 1;
         const freeConnections = Math.max(0, connections - outstanding);
         const freeAtRunner = freeConnections === 0 ? 0 : Math.max(0, available - outstanding);
-        if (pace === undefined) {
+        if (pace === undefined && slowStart === undefined) {
             free += freeAtRunner;
             connectable += Math.min(freeConnections, freeAtRunner);
         }
--- a/src/runtime/retry/decision.ts
+++ b/src/runtime/retry/decision.ts
@@ -13,6 +13,7 @@
     "queue-full": true,
     "turned-away": true,
     "rate-limited": true,
+    "slow-start": true,
     "outside-regions": false,
     evacuated: false,
     "account-share-exceeded": true,
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -9,6 +9,7 @@
     RoutingDecision,
     RoutingInput,
     RoutingReason,
+    RunnerPace,
     RunnerRow,
 } from "./types.js";
 
@@ -71,6 +72,11 @@
     return found;
 }
 
+/** Callers may retry at another process, so they are not asked to wait longer than for one share of the limit. */
+function findNextShare({ interval, nextAt }: RunnerPace, now: Milliseconds): Milliseconds {
+    return Math.min(nextAt, now + interval);
+}
+
 function isPaused({ pausedUntil, trial }: RunnerRow, now: Milliseconds): boolean {
     return pausedUntil > now || trial === "running";
 }
@@ -82,13 +88,17 @@
  * @returns the reason
  */
 export function explainBlocked(leftOut: Candidates["leftOut"]): BlockedReason {
-    return leftOut["rate-limited"] > 0 ? "rate-limited" : "turned-away";
+    if (leftOut["rate-limited"] > 0) {
+        return "rate-limited";
+    }
+    return leftOut["slow-start"] > 0 && leftOut.paused === 0 ? "slow-start" : "turned-away";
 }
 
 function explainNoCandidate(input: RoutingInput, { leftOut, resumesAt }: Candidates): RoutingDecision {
     if (resumesAt !== undefined) {
         const reason = explainBlocked(leftOut);
-        const seconds = Math.max(expectedTrialSeconds, (resumesAt - input.now) / 1_000);
+        const shortest = reason === "slow-start" ? 0 : expectedTrialSeconds;
+        const seconds = Math.max(shortest, (resumesAt - input.now) / 1_000);
         return { kind: "none", reason, candidates: 0, retryAfterSeconds: seconds };
     }
     const { runners } = input.subset;
@@ -122,8 +132,10 @@
         unverified: 0,
         paused: 0,
         "rate-limited": 0,
+        "slow-start": 0,
         ejected: 0,
     };
+    const { slowStartAhead = 0 } = input;
     let resumesAt: Milliseconds | undefined;
     for (const runner of input.subset.runners) {
         const ineligible = findIneligibility(runner, input);
@@ -144,10 +156,12 @@
             resumesAt = Math.min(resumesAt ?? Infinity, Math.max(input.now, runner.pausedUntil));
         }
         else if (runner.pace !== undefined && runner.pace.nextAt > input.now) {
-            const { interval, nextAt } = runner.pace;
             leftOut["rate-limited"]++;
-            // Callers may retry at another process, so they are not asked to wait longer than for a share of the limit.
-            resumesAt = Math.min(resumesAt ?? Infinity, nextAt, input.now + interval);
+            resumesAt = Math.min(resumesAt ?? Infinity, findNextShare(runner.pace, input.now));
+        }
+        else if (runner.slowStart !== undefined && runner.slowStart.nextAt > input.now + slowStartAhead) {
+            leftOut["slow-start"]++;
+            resumesAt = Math.min(resumesAt ?? Infinity, findNextShare(runner.slowStart, input.now));
         }
         else if (!input.excluded.has(runner.instance)) {
             serving.push(runner);
--- a/src/runtime/routing/subset.ts
+++ b/src/runtime/routing/subset.ts
@@ -94,6 +94,7 @@
         pausedUntil: Number.NEGATIVE_INFINITY,
         trial: "none",
         pace: undefined,
+        slowStart: undefined,
         affinityHash: scoreRendezvous("", candidate.instance),
         samples: [],
     };
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -59,7 +59,7 @@
  */
 export type TrialState = "none" | "due" | "running";
 
-/** Pace at which this process may send requests to a runner that has stated a rate limit. */
+/** Pace at which this process may send requests to a runner that has stated a rate limit or is cold. */
 export interface RunnerPace {
     /** Monotonic time before which this process must send it no request. */
     nextAt: Milliseconds;
@@ -99,6 +99,8 @@
     trial: TrialState;
     /** Undefined if the runner has stated no rate limit. */
     pace: RunnerPace | undefined;
+    /** Pace while the runner is cold, in addition to that of a rate limit; undefined if it is not cold. */
+    slowStart: RunnerPace | undefined;
     /** Hash of the instance, by which all processes choose the same runner for a prefix that no runner has cached. */
     readonly affinityHash: number;
     /** Past values of `outstanding`, oldest first, to correct load reports that arrive late. */
@@ -127,6 +129,8 @@
     readonly allowedRegions?: ReadonlySet<Region> | undefined;
     /** Tells whether nothing may be sent to a zone. Default: all zones may get requests. */
     readonly isEvacuated?: ((zone: AvailabilityZone) => boolean) | undefined;
+    /** Includes cold runners that accept a request within this time. Default: 0. */
+    readonly slowStartAhead?: Milliseconds | undefined;
     readonly now: Milliseconds;
     readonly random: RandomSource;
     readonly options: RoutingOptions;
@@ -135,7 +139,15 @@
 /** Input of `findCandidates`. */
 export type CandidateInput = Pick<
     RoutingInput,
-    "subset" | "manifestDigest" | "acceptedDigests" | "excluded" | "allowedRegions" | "isEvacuated" | "now" | "options"
+    | "subset"
+    | "manifestDigest"
+    | "acceptedDigests"
+    | "excluded"
+    | "allowedRegions"
+    | "isEvacuated"
+    | "slowStartAhead"
+    | "now"
+    | "options"
 >;
 
 /** Input of `explainIneligible`. */
@@ -152,6 +164,7 @@
     | "unverified"
     | "paused"
     | "rate-limited"
+    | "slow-start"
     | "ejected";
 
 /** Result of `findCandidates`. */
@@ -162,8 +175,8 @@
     /** Number of runners that are left out, by the first reason that holds. */
     readonly leftOut: Readonly<Record<LeftOutReason, number>>;
     /**
-     * Monotonic time at which the first of the paused and rate-limited runners accepts requests again; undefined if
-     * there are none.
+     * Monotonic time at which the first of the paused, rate-limited and cold runners accepts requests again; undefined
+     * if there are none.
      */
     readonly resumesAt: Milliseconds | undefined;
 }
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -21,6 +21,7 @@
     | "queue-full"
     | "turned-away"
     | "rate-limited"
+    | "slow-start"
     | "outside-regions"
     | "evacuated"
     | "account-share-exceeded"
@@ -45,7 +46,7 @@
     | "canceled";
 
 /** Reason for which the backend servers of a service accept no requests for a while. */
-export type BlockedReason = Extract<RefusalReason, "turned-away" | "rate-limited">;
+export type BlockedReason = Extract<RefusalReason, "turned-away" | "rate-limited" | "slow-start">;
 
 /** Final answer to a request that was not answered by a backend server. */
 export interface Refusal {
--- a/test/node/gateway/admissionQueues.test.ts
+++ b/test/node/gateway/admissionQueues.test.ts
@@ -34,6 +34,7 @@
                 unverified: 0,
                 paused: 0,
                 "rate-limited": 0,
+                "slow-start": 0,
                 ejected: 0,
             },
             resumesAt: undefined,
--- a/test/node/gateway/agentWatch.test.ts
+++ b/test/node/gateway/agentWatch.test.ts
@@ -18,6 +18,7 @@
         const engine = { model: "quill", version: 2, orderSequence: 3 };
         await using agent = await startAgentStandIn({ ...engine, verified: false });
         using watch = createAgentWatch({
+            onStarted: () => {},
             self: "gateway-1",
             listServers: () => [...servers.rows()],
             agentPort: agent.port,
--- a/test/node/gateway/gatewayState.test.ts
+++ b/test/node/gateway/gatewayState.test.ts
@@ -47,6 +47,7 @@
         startedAt,
         notices: createServerNotices({ clock, logger, memory: 600_000, maximumPause: 60_000 }),
         evacuations: { apply: () => {} },
+        slowStarts: { recordListed: () => {} },
         rateLimits: createTestRateLimits(clock),
     });
     let offset = 0;
--- a/test/platform/gatewayEvacuations.test.ts
+++ b/test/platform/gatewayEvacuations.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import type { EvacuationStatus } from "../../src/node/gateway/membership/evacuationStatus.js";
 import { call } from "./standIn/caller.js";
 import { operatorConfiguration, startDeployment, type TestDeployment, waitUntil } from "./standIn/deployment.js";
 import { callAtRate } from "./standIn/pacedCalls.js";
@@ -15,6 +16,11 @@
     readonly other: RunnerStandIn;
 }
 
+/** Answer of the gateway's status address. */
+interface EvacuationList {
+    readonly evacuations: readonly EvacuationStatus[];
+}
+
 async function startZones(options: Partial<RunnerStandInOptions> = {}): Promise<ZoneDeployment> {
     const deployment = await startDeployment({ "gateway.zoneRegions": "zone-a:south,zone-b:south" });
     return {
@@ -67,6 +73,12 @@
         const streams = Array.from({ length: 4 }, () => call(deployment, "/stream/", { headers }));
         await waitUntil("a stream runs there", () => beside.runs.length > 0);
         await evacuate(deployment, "zone-a");
+        // Guards against operators who cannot see whether requests still run in the zone.
+        const status = await (await fetch(new URL("/evacuations", deployment.metricsUrl))).json() as EvacuationList;
+        expect(status.evacuations.map(({ running, servers, zone }) => [zone, servers, running])).toEqual([
+            ["zone-a", 1, beside.runs.length],
+        ]);
+        expect(Math.abs(Date.parse(status.evacuations[0]!.since) - Date.now()) < evacuationLimit).toEqual(true);
         const answers = await Promise.all(streams);
         expect(answers.every(({ body, complete }) => complete && body.includes("id: 20"))).toEqual(true);
         expect(beside.runs.length + other.runs.length).toEqual(4);
