--- a/src/node/gateway/attempts/attempt.ts
+++ b/src/node/gateway/attempts/attempt.ts
@@ -10,6 +10,7 @@
 } from "../../httpClient/index.js";
 import type { RateLimits } from "../membership/rateLimits.js";
 import type { ServerNotices } from "../membership/serverNotices.js";
+import type { SlowStarts } from "../membership/slowStarts.js";
 import type { RequestLog } from "../requestLog.js";
 import type { RemainingWork } from "../selection/remainingWork.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer, ProgressLimits } from "../types.js";
@@ -22,6 +23,7 @@
     readonly rateLimits: Pick<RateLimits, "recordHead">;
     readonly log: Pick<RequestLog, "invalidStatus">;
     readonly work: Pick<RemainingWork, "recordSlowdown">;
+    readonly slowStarts: Pick<SlowStarts, "recordHead">;
 }
 
 /** One attempt at a request. */
@@ -191,6 +193,7 @@
         context.notices.recordHead(lifetime, head);
         context.work.recordSlowdown(server, request.service, head.load?.slowdown);
         context.rateLimits.recordHead(lifetime, head, sentAt);
+        context.slowStarts.recordHead(server, head);
     }
     const fault = findHeadFault(attempt, stream, head);
     if (fault === undefined) {
--- a/src/node/gateway/callers/callerServer.ts
+++ b/src/node/gateway/callers/callerServer.ts
@@ -215,12 +215,11 @@
             return;
         }
         const limit = routes.configuration.limits.bodyBytes;
-        const isTooLarge = Number(headers["content-length"] ?? 0) > limit;
         const timeLimit = chooseTimeLimit(call, route, routes.configuration.revision);
         const { duration } = timeLimit;
         request.timeLimit = timeLimit;
         watch.setTimeLimit(receivedAt + duration - clock.monotonic(), timeLimit.kind);
-        const body = isTooLarge ?
+        const body = Number(headers["content-length"] ?? 0) > limit ?
             undefined :
             await Promise.race([
                 request.body ?? readBody(incoming, limit, createBodyMemory(request, input.memory, true)),
--- a/src/node/gateway/requestLog.ts
+++ b/src/node/gateway/requestLog.ts
@@ -233,6 +233,7 @@
                     rateLimited: leftOut["rate-limited"],
                     outsideRegions: leftOut["outside-regions"],
                     evacuated: leftOut.evacuated,
+                    cold: leftOut["slow-start"],
                     allowedRegions: formatAllowedRegions(request),
                     waited: Math.round(clock.monotonic() - request.completeAt),
                     priority: request.row.priority,
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -44,6 +44,7 @@
         "paused",
         "outsideRegions",
         "evacuated",
+        "cold",
         "allowedRegions",
         "waited",
         "priority",
--- /dev/null
+++ b/src/runtime/routing/candidates.ts
@@ -0,0 +1,183 @@
+import type { BlockedReason, Milliseconds } from "../../types/index.js";
+import type {
+    CandidateInput,
+    Candidates,
+    EligibilityInput,
+    IneligibleReason,
+    RoutingDecision,
+    RoutingInput,
+    RunnerPace,
+    RunnerRow,
+} from "./types.js";
+
+/** Seconds after which a caller may retry when no runner can answer, by reason. */
+const retryAfterSeconds = {
+    "no-runner": 5,
+    "not-serving": 3,
+    draining: 2,
+    "outside-regions": 5,
+    evacuated: 5,
+} as const;
+
+type UnavailableReason = keyof typeof retryAfterSeconds;
+
+/** Seconds until the outcome of a trial request is expected; see {@link TrialState}. */
+const expectedTrialSeconds = 0.2;
+
+function isServing(runner: RunnerRow, input: CandidateInput): boolean {
+    const { manifestDigest, phase } = runner;
+    const accepted = manifestDigest === input.manifestDigest ||
+        (manifestDigest !== undefined && input.acceptedDigests?.has(manifestDigest) === true);
+    return phase === "serving" && accepted && input.now - runner.reportedAt <= input.options.reportExpiry;
+}
+
+/**
+ * Explains why a runner may not get a request, whatever its state.
+ *
+ * @param runner - location of the runner
+ * @param input - regions in which the request may be served, and the evacuated zones
+ * @returns the reason; undefined if it may get the request
+ */
+export function findIneligibility(
+    { region, zone }: Pick<RunnerRow, "region" | "zone">,
+    { allowedRegions, isEvacuated }: Pick<EligibilityInput, "allowedRegions" | "isEvacuated">,
+): IneligibleReason | undefined {
+    if (allowedRegions?.has(region) === false) {
+        return "outside-regions";
+    }
+    return isEvacuated?.(zone) === true ? "evacuated" : undefined;
+}
+
+/**
+ * Explains why no runner may get a request, whatever the state of the runners.
+ *
+ * @param input - runners, the regions in which the request may be served, and the evacuated zones
+ * @returns the reason; undefined if a runner may get it, or if there are no runners
+ */
+export function explainIneligible(input: EligibilityInput): IneligibleReason | undefined {
+    if (input.allowedRegions?.size === 0) {
+        return "outside-regions";
+    }
+    let found: IneligibleReason | undefined;
+    for (const runner of input.subset.runners) {
+        const reason = findIneligibility(runner, input);
+        if (reason === undefined) {
+            return undefined;
+        }
+        found = found === "evacuated" ? found : reason;
+    }
+    return found;
+}
+
+/** Callers may retry at another process, so they are not asked to wait longer than for one share of the limit. */
+function findNextShare({ interval, nextAt }: RunnerPace, now: Milliseconds): Milliseconds {
+    return Math.min(nextAt, now + interval);
+}
+
+function isPaused({ pausedUntil, trial }: RunnerRow, now: Milliseconds): boolean {
+    return pausedUntil > now || trial === "running";
+}
+
+/**
+ * Explains why runners that could be selected later may not be selected now.
+ *
+ * @param leftOut - number of runners that are left out, by reason
+ * @returns the reason
+ */
+export function explainBlocked(leftOut: Candidates["leftOut"]): BlockedReason {
+    if (leftOut["rate-limited"] > 0) {
+        return "rate-limited";
+    }
+    return leftOut["slow-start"] > 0 && leftOut.paused === 0 ? "slow-start" : "turned-away";
+}
+
+/**
+ * Explains why no runner can be selected.
+ *
+ * @param input - subset and accepted weights
+ * @param found - candidates, of which there are none
+ * @returns the decision with the reason and the time after which the caller may retry
+ */
+export function explainNoCandidate(input: RoutingInput, { leftOut, resumesAt }: Candidates): RoutingDecision {
+    if (resumesAt !== undefined) {
+        const reason = explainBlocked(leftOut);
+        const shortest = reason === "slow-start" ? 0 : expectedTrialSeconds;
+        const seconds = Math.max(shortest, (resumesAt - input.now) / 1_000);
+        return { kind: "none", reason, candidates: 0, retryAfterSeconds: seconds };
+    }
+    const { runners } = input.subset;
+    let reason: UnavailableReason = runners.length === 0 ? "no-runner" : "not-serving";
+    if (
+        runners.some(runner =>
+            runner.draining && findIneligibility(runner, input) === undefined && isServing(runner, input)
+        )
+    ) {
+        reason = "draining";
+    }
+    reason = explainIneligible(input) ?? reason;
+    return { kind: "none", reason, candidates: 0, retryAfterSeconds: retryAfterSeconds[reason] };
+}
+
+/**
+ * Lists the runners that may be selected. Ejected ones are left out, unless more than the panic share of the serving
+ * runners is ejected.
+ *
+ * @param input - subset, accepted weights and runners to exclude; not changed
+ * @returns the candidates, and the number of runners that are left out, by reason
+ */
+export function findCandidates(input: CandidateInput): Candidates {
+    const serving: RunnerRow[] = [];
+    const healthy: RunnerRow[] = [];
+    const leftOut = {
+        "outside-regions": 0,
+        evacuated: 0,
+        draining: 0,
+        "not-serving": 0,
+        unverified: 0,
+        paused: 0,
+        "rate-limited": 0,
+        "slow-start": 0,
+        ejected: 0,
+    };
+    const { slowStartAhead = 0 } = input;
+    let resumesAt: Milliseconds | undefined;
+    for (const runner of input.subset.runners) {
+        const ineligible = findIneligibility(runner, input);
+        if (ineligible !== undefined) {
+            leftOut[ineligible]++;
+        }
+        else if (runner.draining) {
+            leftOut.draining++;
+        }
+        else if (!isServing(runner, input)) {
+            leftOut["not-serving"]++;
+        }
+        else if (runner.unverified) {
+            leftOut.unverified++;
+        }
+        else if (isPaused(runner, input.now)) {
+            leftOut.paused++;
+            resumesAt = Math.min(resumesAt ?? Infinity, Math.max(input.now, runner.pausedUntil));
+        }
+        else if (runner.pace !== undefined && runner.pace.nextAt > input.now) {
+            leftOut["rate-limited"]++;
+            resumesAt = Math.min(resumesAt ?? Infinity, findNextShare(runner.pace, input.now));
+        }
+        else if (runner.slowStart !== undefined && runner.slowStart.nextAt > input.now + slowStartAhead) {
+            leftOut["slow-start"]++;
+            resumesAt = Math.min(resumesAt ?? Infinity, findNextShare(runner.slowStart, input.now));
+        }
+        else if (!input.excluded.has(runner.instance)) {
+            serving.push(runner);
+            if (runner.ejectedUntil <= input.now) {
+                healthy.push(runner);
+            }
+        }
+    }
+    const ejected = serving.length - healthy.length;
+    const panic = ejected / Math.max(1, serving.length) > input.options.panicShare;
+    if (panic || healthy.length === 0) {
+        return { candidates: serving, panic, leftOut, resumesAt };
+    }
+    return { candidates: healthy, panic, leftOut: { ...leftOut, ejected }, resumesAt };
+}
--- a/src/runtime/routing/index.ts
+++ b/src/runtime/routing/index.ts
@@ -1,3 +1,4 @@
+export { explainBlocked, explainIneligible, findCandidates, findIneligibility } from "./candidates.js";
 export * from "./load.js";
 export * from "./options.js";
 export * from "./selection.js";
