Explain where a request would go now, without sending it

Cause: an operator could see why a past request was routed as it was, not where one would go now. Change: goldcrestpoint explain-route asks a gateway at its metrics address.

--- a/src/node/cli/commandTable.ts
+++ b/src/node/cli/commandTable.ts
@@ -1,5 +1,6 @@
 import { apply } from "./commands/apply.js";
 import { explain } from "./commands/explain.js";
+import { explainRoute } from "./commands/explainRoute.js";
 import { plan } from "./commands/plan.js";
 import { rollback } from "./commands/rollback.js";
 import { status } from "./commands/status.js";
@@ -65,6 +66,17 @@
         example: "goldcrestpoint explain 0198f2c0-6b1e-7c32-9d1f-0a4b5c6d7e8f",
         run: explain,
     },
+    {
+        usage: "explain-route <path>",
+        description: "show where a gateway would send a request now, and why; the request is not sent",
+        options: {
+            "--gateway <url>": "base URL of the gateway's metrics address",
+            "--header <lines...>": "headers of the request, each as NAME: VALUE",
+            "--headers <file>": "file with the headers of the request, one NAME: VALUE a line",
+        },
+        example: "goldcrestpoint explain-route /scribe/ --gateway http://10.0.1.5:7404 --headers request.txt",
+        run: explainRoute,
+    },
 ];
 
 /** Daemon or stand-in, with its help texts. */
--- a/src/node/cli/commands/status.ts
+++ b/src/node/cli/commands/status.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 import { createError, type PortResult } from "../../../types/index.js";
 import { exitCodes } from "../exitCodes.js";
+import { renderTable } from "../renderTable.js";
 import type { CommandHandler, OperatorContext } from "../types.js";
 
 /** Path at which an entry instance reports the status of all deployments. */
@@ -57,10 +58,7 @@
             renderProgress(zone.chunksComplete, zone.chunksTotal),
         ])
     );
-    const widths = headings.map((heading, column) => Math.max(heading.length, ...rows.map(row => row[column]!.length)));
-    const lines = [headings, ...rows].map(row =>
-        row.map((cell, column) => cell.padEnd(widths[column]!)).join("  ").trimEnd()
-    );
+    const lines = renderTable([headings, ...rows]);
     return [`applied offset ${status.appliedOffset}`, ...lines].join("\n");
 }
 
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -42,6 +42,8 @@
 import { createAdmissionQueues } from "./selection/admissionQueues.js";
 import { createEligibility } from "./selection/eligibility.js";
 import { createRegionLimits } from "./selection/regionLimits.js";
+import { createRemainingWork } from "./selection/remainingWork.js";
+import { createRouteExplainer } from "./selection/routeExplainer.js";
 import { createServerSelector } from "./selection/serverSelector.js";
 import { createRouter } from "./statusRouter.js";
 
@@ -143,12 +145,10 @@
         readConnections,
     });
     const regions = createRegionLimits(state.routes);
+    const work = createRemainingWork({ clock, costAware: settings.routing.costAware, metrics: gatewayMetrics });
     const eligibility = createEligibility({ regions, explainIneligible: choice.explainIneligible });
-    const queues = createAdmissionQueues({
-        clock,
-        options: settings.admission,
-        computeServiceShare: choice.computeServiceShare,
-    });
+    const { computeServiceShare } = choice;
+    const queues = createAdmissionQueues({ clock, options: settings.admission, computeServiceShare });
     const memory = createGatewayMemory({ clock, gateway, logger, metrics, gatewayMetrics });
     const clients = stack.use(createBackendClients({
         connectTimeLimit: gateway.connectTimeLimit,
@@ -178,6 +178,7 @@
         regions,
         eligibility,
         queues,
+        work,
         clients,
         crashes: containment.watch,
         notices,
@@ -308,6 +309,7 @@
         renderMetrics: () => metrics.render(),
         describeEvacuations: () => describeEvacuations(evacuations.list(), state.servers.rows(), clock),
         decisions,
+        explainRoute: createRouteExplainer({ ...ports, ...state, choice, regions, work, options: settings.routing }),
     });
     for (const address of new Set([gateway.readyAddress, gateway.metricsAddress])) {
         const server = await startHttpServer(address, router, clock, serverShutdownLimit, logger);
--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -28,7 +28,7 @@
 import type { AdmissionOutcome, AdmissionQueues } from "./selection/admissionQueues.js";
 import type { Eligibility } from "./selection/eligibility.js";
 import type { RegionLimits } from "./selection/regionLimits.js";
-import { createRemainingWork } from "./selection/remainingWork.js";
+import type { RemainingWork } from "./selection/remainingWork.js";
 import type { ServerSelection, ServerSelector } from "./selection/serverSelector.js";
 import type { AbortReason, AttemptFailure, GatewayRequest } from "./types.js";
 
@@ -40,6 +40,7 @@
     readonly regions: RegionLimits;
     readonly eligibility: Eligibility;
     readonly queues: AdmissionQueues;
+    readonly work: RemainingWork;
     readonly clients: BackendClients;
     readonly crashes: CrashWatch;
     readonly notices: Pick<ServerNotices, "recordHead">;
@@ -91,13 +92,12 @@
  * @returns function that resolves once the caller has the final answer
  */
 export function createRequestPipeline(input: RequestPipelineInput): (request: GatewayRequest) => Promise<void> {
-    const { choice: selector, clock, crashEvidence, log, metrics, queues, readRetry } = input;
-    const work = createRemainingWork({ clock, costAware: input.routing.costAware, metrics });
+    const { choice: selector, clock, crashEvidence, log, metrics, queues, readRetry, work } = input;
     const relay = createAnswerRelay({ clock, log, metrics });
     const crashRefusals = createCrashRefusals(crashEvidence, input.crashes);
     const silences = createAnswerSilenceTable();
-    const runner = createAttemptRunner({ ...input, relay, silences, work });
-    const hedging = createHedging({ ...input, crashRefusals, runner, silences, work });
+    const runner = createAttemptRunner({ ...input, relay, silences });
+    const hedging = createHedging({ ...input, crashRefusals, runner, silences });
     const finalAnswers = createFinalAnswers(log, metrics);
 
     function decide(
--- a/src/node/gateway/selection/serverSelector.ts
+++ b/src/node/gateway/selection/serverSelector.ts
@@ -12,11 +12,14 @@
 import {
     type CandidateInput,
     type Candidates,
+    type ExplainedRunner,
     explainIneligible,
+    explainSelection,
     findCandidates,
     findIneligibility,
     type IneligibleReason,
     type RoutingDecision,
+    type RoutingInput,
     type RoutingOptions,
     type RunnerSubset,
     selectRunner,
@@ -89,6 +92,19 @@
         allowedRegions: AllowedRegions,
         cost?: RequestCost,
     ): ServerSelection;
+    /**
+     * Explains where a request would be sent now, without any effect on later requests.
+     *
+     * @param service - service of the request
+     * @param allowedRegions - regions in which the request may be served
+     * @param cost - expected cost of the request; undefined if it is not known
+     * @returns all backend servers of the service, candidates with the lowest score first
+     */
+    readonly explain: (
+        service: ServiceRow,
+        allowedRegions: AllowedRegions,
+        cost: RequestCost | undefined,
+    ) => readonly ExplainedRunner[];
     /**
      * Explains why no backend server of a service may get a request, whatever the state of the backend servers.
      *
@@ -221,20 +237,20 @@
             .map(({ listed }) => listed.instance);
     }
 
-    function decide(
+    function createRoutingInput(
         service: ServiceRow,
         excluded: ReadonlySet<string>,
         allowedRegions: AllowedRegions,
         cost: RequestCost | undefined,
-    ): RoutingDecision {
-        return selectRunner({
+    ): RoutingInput {
+        return {
             ...createCandidateInput(service, excluded, allowedRegions),
             zone: input.zone,
             region: input.region,
             prefix: undefined,
             random: input.random,
             cost,
-        });
+        };
     }
 
     return {
@@ -257,12 +273,16 @@
                 isEvacuated,
             }),
         findIneligibility: ({ runner }, allowedRegions) => findIneligibility(runner, { allowedRegions, isEvacuated }),
+        explain: (service, allowedRegions, cost) =>
+            explainSelection(createRoutingInput(service, new Set(listFullyConnected(service)), allowedRegions, cost)),
         select: (service, excluded, allowedRegions, cost) => {
             const full = listFullyConnected(service);
-            const connectable = decide(service, new Set([...excluded, ...full]), allowedRegions, cost);
+            const decide = (left: ReadonlySet<string>): RoutingDecision =>
+                selectRunner(createRoutingInput(service, left, allowedRegions, cost));
+            const connectable = decide(new Set([...excluded, ...full]));
             const decision = connectable.kind === "selected" || full.length === 0 ?
                 connectable :
-                decide(service, excluded, allowedRegions, cost);
+                decide(excluded);
             const server = decision.kind === "selected" ? state.servers.get(decision.runner.instance) : undefined;
             const digest = server?.runner.manifestDigest;
             const version = digest === undefined ? undefined : parseWeightName(digest).version;
--- a/src/node/gateway/statusRouter.ts
+++ b/src/node/gateway/statusRouter.ts
@@ -2,7 +2,9 @@
 import type { HttpRouter } from "../httpServer/index.js";
 import { registerStatusRoutes, sendJson } from "../httpServer/index.js";
 import { type DecisionLog, registerDecisionRoute } from "../logging/index.js";
+import { registerExplainRoute } from "./explainRoute.js";
 import type { EvacuationStatus } from "./membership/evacuationStatus.js";
+import type { RouteAnswer, RouteQuestion } from "./selection/routeExplainer.js";
 
 /** Dependencies of {@link createRouter}. */
 export interface StatusRouterInput {
@@ -13,10 +15,11 @@
     readonly renderMetrics: () => string;
     readonly describeEvacuations: () => readonly EvacuationStatus[];
     readonly decisions: DecisionLog;
+    readonly explainRoute: (question: RouteQuestion) => RouteAnswer;
 }
 
 /**
- * Creates the router of readiness, metrics, evacuated zones and recent decisions.
+ * Creates the router of readiness, metrics, evacuated zones, recent decisions and routes.
  *
  * @param input - sources of the answers
  * @returns the router
@@ -25,6 +28,7 @@
     const router: HttpRouter = findMyWay({ defaultRoute: (...[, response]) => sendJson(response, 404, {}) });
     registerStatusRoutes(router, input);
     registerDecisionRoute(router, input.decisions);
+    registerExplainRoute(router, input.explainRoute);
     router.on("GET", "/evacuations", (...[, response]) => {
         sendJson(response, 200, { evacuations: input.describeEvacuations() });
     });
--- a/src/runtime/routing/candidates.ts
+++ b/src/runtime/routing/candidates.ts
@@ -4,6 +4,7 @@
     Candidates,
     EligibilityInput,
     IneligibleReason,
+    LeftOutReason,
     RoutingDecision,
     RoutingInput,
     RunnerPace,
@@ -118,6 +119,50 @@
     return { kind: "none", reason, candidates: 0, retryAfterSeconds: retryAfterSeconds[reason] };
 }
 
+/**
+ * Finds the first reason for which a runner may not be selected. Ejection is left out, since it is ignored when too many
+ * runners are ejected.
+ *
+ * @param runner - the runner
+ * @param input - accepted weights, allowed regions and time
+ * @returns the reason; undefined if the runner may be selected
+ */
+export function findLeftOutReason(
+    runner: RunnerRow,
+    input: CandidateInput,
+): Exclude<LeftOutReason, "ejected"> | undefined {
+    const ineligible = findIneligibility(runner, input);
+    if (ineligible !== undefined) {
+        return ineligible;
+    }
+    if (runner.draining) {
+        return "draining";
+    }
+    if (!isServing(runner, input)) {
+        return "not-serving";
+    }
+    if (runner.unverified) {
+        return "unverified";
+    }
+    if (isPaused(runner, input.now)) {
+        return "paused";
+    }
+    if (runner.pace !== undefined && runner.pace.nextAt > input.now) {
+        return "rate-limited";
+    }
+    const { slowStartAhead = 0 } = input;
+    return runner.slowStart !== undefined && runner.slowStart.nextAt > input.now + slowStartAhead ?
+        "slow-start" :
+        undefined;
+}
+
+/** Times at which runners that are left out accept requests again, by the reasons that end by themselves. */
+const resumptions: Partial<Record<LeftOutReason, (runner: RunnerRow, now: Milliseconds) => Milliseconds>> = {
+    paused: ({ pausedUntil }, now) => Math.max(now, pausedUntil),
+    "rate-limited": ({ pace }, now) => findNextShare(pace!, now),
+    "slow-start": ({ slowStart }, now) => findNextShare(slowStart!, now),
+};
+
 /**
  * Lists the runners that may be selected. Ejected ones are left out, unless more than the panic share of the serving
  * runners is ejected.
@@ -139,33 +184,13 @@
         "slow-start": 0,
         ejected: 0,
     };
-    const { slowStartAhead = 0 } = input;
     let resumesAt: Milliseconds | undefined;
     for (const runner of input.subset.runners) {
-        const ineligible = findIneligibility(runner, input);
-        if (ineligible !== undefined) {
-            leftOut[ineligible]++;
-        }
-        else if (runner.draining) {
-            leftOut.draining++;
-        }
-        else if (!isServing(runner, input)) {
-            leftOut["not-serving"]++;
-        }
-        else if (runner.unverified) {
-            leftOut.unverified++;
-        }
-        else if (isPaused(runner, input.now)) {
-            leftOut.paused++;
-            resumesAt = Math.min(resumesAt ?? Infinity, Math.max(input.now, runner.pausedUntil));
-        }
-        else if (runner.pace !== undefined && runner.pace.nextAt > input.now) {
-            leftOut["rate-limited"]++;
-            resumesAt = Math.min(resumesAt ?? Infinity, findNextShare(runner.pace, input.now));
-        }
-        else if (runner.slowStart !== undefined && runner.slowStart.nextAt > input.now + slowStartAhead) {
-            leftOut["slow-start"]++;
-            resumesAt = Math.min(resumesAt ?? Infinity, findNextShare(runner.slowStart, input.now));
+        const reason = findLeftOutReason(runner, input);
+        if (reason !== undefined) {
+            leftOut[reason]++;
+            const resumption = resumptions[reason]?.(runner, input.now);
+            resumesAt = resumption === undefined ? resumesAt : Math.min(resumesAt ?? Infinity, resumption);
         }
         else if (!input.excluded.has(runner.instance)) {
             serving.push(runner);
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -18,7 +18,13 @@
     readonly mean: number;
 }
 
-function computeMeanReported(candidates: readonly RunnerRow[]): number {
+/**
+ * Computes the mean of the reported loads, which replaces the report of a runner as it ages.
+ *
+ * @param candidates - candidates, at least one
+ * @returns mean number of requests
+ */
+export function computeMeanReported(candidates: readonly RunnerRow[]): number {
     let reported = 0;
     for (const runner of candidates) {
         reported += runner.reportedLoad;
@@ -41,8 +47,13 @@
 /**
  * Computes the score of a runner from its load. The request itself is counted too where runners state how slow they are,
  * so that an idle slow one scores worse than an idle fast one.
+ *
+ * @param input - location of this process and options
+ * @param runner - the runner
+ * @param load - its expected load
+ * @returns the score; the candidate with the lowest one is selected
  */
-function computeScore(input: RoutingInput, runner: RunnerRow, load: number): number {
+export function computeScore(input: RoutingInput, runner: RunnerRow, load: number): number {
     const penalty = readLocationPenalty(runner, input.zone, input.region, input);
     return input.options.costAware ?
         (load + 1) * computeSlowdown(runner.speed, input.now).stated + penalty :
@@ -104,25 +115,43 @@
     return firstEvent - (1 - scoreShares.slotWait) * slotWait + scoreShares.end * (end - firstEvent);
 }
 
+/**
+ * Computes the score of a runner from the times that are expected there.
+ *
+ * @param input - location of this process and options
+ * @param cost - expected cost of the request
+ * @param runner - the runner
+ * @param meanReported - mean of the reported loads of the candidates
+ * @returns the times, and the score; the candidate with the lowest one is selected
+ */
+export function scoreByTime(
+    input: RoutingInput,
+    cost: RequestCost,
+    runner: RunnerRow,
+    meanReported: number,
+): { readonly expected: ExpectedTimes; readonly score: number; } {
+    const { now, options } = input;
+    const expected = computeExpectedTimes(cost, estimateServerLoad(runner, meanReported, now, options));
+    // A waiting request weighs as much as the reading of the usual prompt, in which the penalties are given.
+    const penaltyUnit = cost.usualPrefill / (1 + options.waitingWeight);
+    const penalty = penaltyUnit * readLocationPenalty(runner, input.zone, input.region, input);
+    return { expected, score: computeTimeScore(expected) + penalty };
+}
+
 /**
  * Draws distinct candidates at random and returns the one with the shortest expected time. Of those that are drawn, one
  * whose memory would be exceeded is used only if all others would be, too.
  */
 function selectByTime(input: RoutingInput, cost: RequestCost, candidates: readonly RunnerRow[]): TimedRunner {
-    const { now, options } = input;
     const meanReported = computeMeanReported(candidates);
     const drawIndex = createDraw(input, candidates.length);
-    const draws = Math.min(candidates.length, Math.max(2, options.comparedCandidates));
-    // A waiting request weighs as much as the reading of the usual prompt, in which the penalties are given.
-    const penaltyUnit = cost.usualPrefill / (1 + options.waitingWeight);
+    const draws = Math.min(candidates.length, Math.max(2, input.options.comparedCandidates));
     let best: TimedRunner | undefined;
     let bestScore = Infinity;
     // Further candidates are considered as long as the request fits nowhere.
     for (let draw = 0; draw < draws || (draw < candidates.length && best?.expected.fits === false); draw++) {
         const runner = candidates[drawIndex()]!;
-        const expected = computeExpectedTimes(cost, estimateServerLoad(runner, meanReported, now, options));
-        const score = computeTimeScore(expected) +
-            penaltyUnit * readLocationPenalty(runner, input.zone, input.region, input);
+        const { expected, score } = scoreByTime(input, cost, runner, meanReported);
         const isBetterFit = expected.fits && best?.expected.fits === false;
         if (best === undefined || isBetterFit || (score < bestScore && expected.fits === best.expected.fits)) {
             best = { runner, expected };
--- a/test/node/cli/commandLine.test.ts
+++ b/test/node/cli/commandLine.test.ts
@@ -39,6 +39,24 @@
 
 const createRunner = (answers: Record<string, EntryAnswer>) => createCommandRunner(createMemoryLog(), fold, answers);
 
+const routeUrl = `http://g:1/operations/route?question=${
+    encodeURIComponent(JSON.stringify({ path: "/safe/", headers: { host: "members.example" } }))
+}`;
+const askGateway = ["explain-route", "/safe/", "--gateway", "http://g:1", "--header", "Host: members.example"];
+const idleServer = {
+    instance: "i-1",
+    zone: "a",
+    region: "south",
+    slowdown: 1,
+    outstanding: 0,
+    reportedLoad: 2,
+    reportAge: 8,
+};
+const routeAnswer = (servers: readonly unknown[]): EntryAnswer => ({
+    status: 200,
+    body: { route: "safe", service: "archive", drawn: 6, servers },
+});
+
 describe("exit codes and output of the command line", () => {
     // Guards against scripts that take a usage error or a failure for a success, and against invalid JSON with --json.
     const cases: [string, string[], Record<string, EntryAnswer>, ExitCode, string][] = [
@@ -52,6 +70,24 @@
         ["missing settings file", ["status", "--settings", "/nowhere/a.ini"], {}, 2, ""],
         ["missing declaration", ["validate", "/nowhere/a.ini"], {}, 2, ""],
         ["status without an answer", ["status", ...setEntries], {}, 4, ""],
+        ["route without a gateway", ["explain-route", "/safe/"], {}, 2, ""],
+        ["route with a malformed header", [...askGateway, "no separator"], {}, 2, ""],
+        ["route from a gateway that does not answer", askGateway, {}, 4, ""],
+        [
+            "route that the configuration does not have",
+            [...askGateway, "--json"],
+            { [routeUrl]: { status: 404, body: { problem: "no-route", message: "no route" } } },
+            2,
+            "\"code\":\"USAGE_INVALID\"",
+        ],
+        ["route with a candidate", askGateway, { [routeUrl]: routeAnswer([idleServer]) }, 0, "1 of 1 backend servers"],
+        [
+            "route without a candidate",
+            askGateway,
+            { [routeUrl]: routeAnswer([{ ...idleServer, leftOut: "evacuated" }]) },
+            1,
+            "evacuated",
+        ],
         [
             "status from the second entry instance",
             ["status", ...setEntries],
