--- a/bench/distribution/simulation.ts
+++ b/bench/distribution/simulation.ts
@@ -281,7 +281,7 @@
         }
     }
 
-    /** Empties agents as if their machines were replaced under the same name; they learn of their peers anew. */
+    /** Empties agents as if their machines were replaced under the same name; they learn of their peers again. */
     function replaceAgents(): void {
         const step = Math.max(1, Math.round(1 / plan.replacedShare));
         for (const agent of [...agents.values()].filter((...[, position]) => position % step === 0)) {
--- a/src/node/gateway/selection/eligibility.ts
+++ b/src/node/gateway/selection/eligibility.ts
@@ -16,9 +16,9 @@
 
 /** Request that waits for a place. */
 export interface EligibleWait extends Disposable {
-    /** Aborted when the request is, or when no backend server may get it any more. */
+    /** Aborted when the request is, or when no backend server may get it. */
     readonly signal: AbortSignal;
-    /** Reads why no backend server may get it any more; undefined while one may. */
+    /** Reads why no backend server may get it; undefined while one may. */
     readonly readRefusal: () => Refusal | undefined;
 }
 
--- a/src/node/gateway/selection/remainingWork.ts
+++ b/src/node/gateway/selection/remainingWork.ts
@@ -133,7 +133,7 @@
         return created;
     }
 
-    /** Records the ratio of observed to expected time, by which slow backend servers are told from fast ones. */
+    /** Records the ratio of observed to expected time, which distinguishes slow backend servers from fast ones. */
     function recordFirstEvent(
         { runner }: Pick<BackendServerRow, "runner">,
         service: ServiceRow,
--- a/src/node/logging/weightEvents.ts
+++ b/src/node/logging/weightEvents.ts
@@ -30,7 +30,7 @@
     "manifest contradicted by chunks": define(
         "weights",
         ["agent"],
-        "copies of a chunk show that the manifest from `peer` is wrong; it is obtained anew",
+        "copies of a chunk show that the manifest from `peer` is wrong; it is obtained again",
         ["peer", "reader", "index", "sources"],
     ),
     "stalled source": define("weights", ["agent"], "a transfer without progress was abandoned", ["index", "source"]),
--- a/src/node/settings/heldAnswers.ts
+++ b/src/node/settings/heldAnswers.ts
@@ -16,7 +16,7 @@
 
 /**
  * Share of the memory for everything that is held. Half of the memory of the smallest gateways is in use when they are
- * idle, and V8 releases buffers that are not used any more only once they take another 64 MB.
+ * idle, and V8 releases unused buffers only once they take another 64 MB.
  */
 const heldShare = 0.15;
 /** Share of the memory for answers; each byte of an answer takes several in buffers that are not released yet. */
--- a/src/runtime/distribution/manifestReaders.ts
+++ b/src/runtime/distribution/manifestReaders.ts
@@ -79,7 +79,7 @@
  * ones are intact, also if both come from the origin, which may be the only source.
  *
  * @param mismatches - copies of the chunk that did not match the manifest
- * @returns true if the manifest has to be obtained anew
+ * @returns true if the manifest has to be obtained again
  */
 export function isManifestContradicted(mismatches: readonly ChunkMismatch[]): boolean {
     const digests = mismatches.map(({ digest }) => digest).filter(digest => digest !== undefined);
--- a/test/node/agent/transfer/manifests.test.ts
+++ b/test/node/agent/transfer/manifests.test.ts
@@ -229,7 +229,7 @@
     });
 
     // Guards against a set that never becomes complete, since its chunks are compared with wrong digests.
-    it("is dropped and obtained anew if a peer forwarded a wrong one", async () => {
+    it("is dropped and obtained again if a peer forwarded a wrong one", async () => {
         const instances = createInstances(12);
         const ranked = rankReaders(instances, "2");
         const chunks = createSampleSet("2", chunkCount).chunks.map((chunk, index) =>
@@ -255,7 +255,7 @@
         expect(dropped.every(({ fields }) => (fields as { reader: string; }).reader === ranked[0])).toEqual(true);
     });
 
-    // Guards against a manifest of an abandoned version that delays the next one or is taken for it.
+    // Guards against a manifest of an abandoned version that delays the next one or replaces it.
     it("of a newer version does not wait for that of an older one", async () => {
         const signals: (AbortSignal | undefined)[] = [];
         await using agents = createAgents(createInstances(24), (...[, version, signal]) => {
--- a/test/node/gateway/eligibility.test.ts
+++ b/test/node/gateway/eligibility.test.ts
@@ -40,7 +40,7 @@
 
 describe("configuration that narrows the regions", () => {
     // Guards against a request that runs in a region which was forbidden while it waited, or waits for its deadline.
-    it("refuses the requests that wait, and that no server may get any more", () => {
+    it("refuses the requests that wait, and that no server may get", () => {
         const { eligibility, known } = prepare(createTable({}));
         const request = createRequest(known.routes);
         using wait = eligibility.watch(request);
--- a/test/runtime/admission/plannedReturns.test.ts
+++ b/test/runtime/admission/plannedReturns.test.ts
@@ -127,7 +127,7 @@
         expect(computeServed(true)).toBeLessThanOrEqual(computeServed(false));
     });
 
-    // Guards against a retry time after which the caller does not wait any more, and against one that promises a start
+    // Guards against a retry time after which the caller no longer waits, and against one that promises a start
     // that other callers were promised before.
     it("are told later times in turn, and the longest time of use once no start is left within it", () => {
         const table = prepare({ plannedRetryAfter: true, maximumInProgress: 1, maximumRetryAfterSeconds: 30 });
--- a/test/runtime/gateway/evacuations.test.ts
+++ b/test/runtime/gateway/evacuations.test.ts
@@ -3,7 +3,7 @@
 import { createEvacuationTable, recordEvacuation } from "../../../src/runtime/gateway/index.js";
 
 describe("evacuation of a zone", () => {
-    // Guards against an evacuation that begins anew each time its record is read, which would hide since when it lasts.
+    // Guards against an evacuation that restarts each time its record is read, which would hide since when it lasts.
     it("keeps its beginning when its record is read again", () => {
         const table = createEvacuationTable();
         expect(recordEvacuation(table, "zone-a", true, 1_000)).toEqual("begun");
@@ -26,7 +26,7 @@
         expect(table.lifted.size).toEqual(0);
     });
 
-    // Guards against records for ever new zones that use up the memory of the gateway.
+    // Guards against records of always different zones that exhaust the memory of the gateway.
     it("is forgotten after many others were lifted", () => {
         const table = createEvacuationTable();
         for (let index = 0; index < 1_000; index++) {
--- a/test/runtime/routing/eligibility.test.ts
+++ b/test/runtime/routing/eligibility.test.ts
@@ -51,7 +51,7 @@
         });
     }
 
-    // Guards against callers who are told to return when a paused server of another region accepts requests again.
+    // Guards against callers whose retry time is that at which a paused server of another region accepts requests again.
     it("are the reason for a refusal if all servers are in other regions, whatever their state", () => {
         const paused = createRunner("zone-a", "south", { pausedUntil: now + 1_000 });
         const draining = createRunner("zone-c", "south", { draining: true });
