Relay large records compressed, and only to followers that have not read them themselves

Cause: every gateway reads the operator's records from the log itself, and each of its three relays sends it the same record after 40 ms unless it has reported its position by then. A configuration of 1,640 routes (about 440 KB) takes longer on links of 16 to 28 Mbit/s, so links between regions carried it up to four times for each gateway.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -34,7 +34,7 @@
 import { createGatewayMetrics, registerEligibilityGauges } from "./gatewayMetrics.js";
 import { createAgentWatch } from "./membership/agentWatch.js";
 import { describeEvacuations } from "./membership/evacuationStatus.js";
-import { startLogFollowers } from "./membership/logFollowers.js";
+import { longPolledTopics, startLogFollowers } from "./membership/logFollowers.js";
 import { createMembership } from "./membership/membership.js";
 import { deriveWeightSources } from "./membership/weightSources.js";
 import { createRequestLog } from "./requestLog.js";
@@ -117,7 +117,7 @@
     );
     log.onEra?.(store.recordEra);
     const stalls = createStallMonitor({ clock, logger });
-    const following = { self: instance.id, store, clock, stalls, random, logger };
+    const following = { self: instance.id, store, clock, stalls, random, logger, logTopics: longPolledTopics };
     const { evacuations, gateways, notices, rateLimits, slowStarts, state } = createMembership({
         settings,
         ports,
--- a/src/node/gateway/membership/logFollowers.ts
+++ b/src/node/gateway/membership/logFollowers.ts
@@ -1,3 +1,4 @@
+import type { KeyedTopic } from "../../../types/index.js";
 import { followLog, type LogFollowerInput, type LogFollowerOptions } from "../../replica/index.js";
 import type { GatewaySettings } from "../../settings/index.js";
 
@@ -13,6 +14,13 @@
     return { ...replica, pollInterval, relayStaleAfter: replica.relayStaleAfter + pollInterval / 2 };
 }
 
+/** Topics that each gateway reads from the log as soon as they change. */
+export const longPolledTopics: ReadonlySet<KeyedTopic> = new Set<KeyedTopic>([
+    "operator",
+    "instances",
+    "condemned-requests",
+]);
+
 /**
  * Follows the topics that a gateway reads from the log, until the signal of the input is aborted.
  *
@@ -21,9 +29,9 @@
  */
 export function startLogFollowers(input: Omit<LogFollowerInput, "options">, settings: GatewaySettings): void {
     const followed = { ...input, options: settings.replica };
-    void followLog(followed, "operator", "wait");
+    for (const topic of longPolledTopics) {
+        void followLog(followed, topic, "wait");
+    }
     void followLog({ ...input, options: deriveCheckOptions(settings) }, "operator", "check");
-    void followLog(followed, "instances", "wait");
-    void followLog(followed, "condemned-requests", "wait");
     void followLog(followed, "backend-servers", "poll");
 }
--- a/src/node/replica/recordRelay.ts
+++ b/src/node/replica/recordRelay.ts
@@ -13,9 +13,10 @@
     type ReplicaTopic,
     selectUnknown,
 } from "../../runtime/replica/index.js";
-import type { Clock, KeyedTopic, Milliseconds } from "../../types/index.js";
+import type { Clock, KeyedRecord, KeyedTopic, Milliseconds } from "../../types/index.js";
 import type { RecordStore } from "./recordStore.js";
 import type { StallMonitor } from "./stallMonitor.js";
+import { createValueCompressor, largeValueBytes } from "./valueCompression.js";
 
 /** Options of {@link createRecordRelay}. */
 export interface RecordRelayOptions {
@@ -29,6 +30,11 @@
      * are.
      */
     readonly relayHeartbeat: Milliseconds;
+    /**
+     * Delay before large records are relayed to followers that also read their topic from the log. Several relays would
+     * otherwise send a configuration of many routes while a slow link still carries the follower's own read of it.
+     */
+    readonly largeRecordDelay: Milliseconds;
 }
 
 /** Dependencies of {@link createRecordRelay}. */
@@ -53,11 +59,14 @@
     known: ReplicaPosition;
     /** Monotonic time of the newest message about the topic; `-Infinity` before the first. */
     sentAt: Milliseconds;
+    /** True if the follower also reads the topic from the log. */
+    readonly readsLog: boolean;
 }
 
 interface Follower {
     readonly call: ServerDuplexStream<FollowRecordsRequest, RecordBatch>;
     readonly positions: Map<KeyedTopic, FollowerPosition>;
+    acceptsCompressed: boolean;
     /** True from the time at which the stream's write buffer is full until it has drained. */
     blocked: boolean;
 }
@@ -89,6 +98,9 @@
  */
 export function createRecordRelay({ clock, options, stalls, store }: RecordRelayInput): RecordRelay {
     const followers = new Set<Follower>();
+    const compress = createValueCompressor();
+    /** Monotonic time at which this process learned of each large value. */
+    const learnedAt = new WeakMap<Uint8Array, Milliseconds>();
 
     function selectRecent({ records }: ReplicaTopic): readonly KnownRecord[] {
         return [...records.values()].filter(({ writtenAfter }) =>
@@ -96,10 +108,31 @@
         );
     }
 
+    function isLarge({ value }: KeyedRecord): boolean {
+        return value !== undefined && value.byteLength >= largeValueBytes;
+    }
+
+    /** Tells whether a record is held back, since the follower is expected to read it from the log. */
+    function isHeldBack(record: KeyedRecord, { readsLog, sentAt }: FollowerPosition): boolean {
+        if (!readsLog || sentAt === -Infinity || !isLarge(record)) {
+            return false;
+        }
+        return clock.monotonic() < (learnedAt.get(record.value!) ?? -Infinity) + options.largeRecordDelay;
+    }
+
+    function encodeValue(record: KeyedRecord, acceptsCompressed: boolean) {
+        const { value } = record;
+        if (value === undefined) {
+            return {};
+        }
+        return acceptsCompressed && isLarge(record) ? { value: compress(value), compressed: true } : { value };
+    }
+
     function createBatch(
         topic: KeyedTopic,
         position: FollowerPosition,
         isHeartbeat: boolean,
+        acceptsCompressed: boolean,
     ): RecordBatch | undefined {
         const known = store.topic(topic);
         if (known.currentAt === undefined) {
@@ -116,6 +149,9 @@
         if (records.length === 0 && !isHeartbeat) {
             return undefined;
         }
+        if (records.some(record => isHeldBack(record, position))) {
+            return undefined;
+        }
         return create(RecordBatchSchema, {
             topic,
             era: BigInt(known.era),
@@ -123,19 +159,20 @@
             complete,
             ageMilliseconds: toWholeMilliseconds(stalls.measureSince(known.currentAt)),
             reader: store.findReader(topic) ?? "",
-            records: records.map(({ era: recordEra, key, offset, order, value, writtenAfter }) =>
-                create(RelayedKeyedRecordSchema, {
+            records: records.map(record => {
+                const { era: recordEra, key, offset, order, value, writtenAfter } = record;
+                return create(RelayedKeyedRecordSchema, {
                     key,
                     era: BigInt(recordEra),
                     order: [...order ?? []],
                     offset: BigInt(offset),
                     dropped: value === undefined,
-                    ...(value === undefined ? {} : { value }),
+                    ...encodeValue(record, acceptsCompressed),
                     ...(writtenAfter === undefined || !datedTopics.has(topic) ?
                         {} :
                         { maximumAgeMilliseconds: toWholeMilliseconds(stalls.measureSince(writtenAfter)) }),
-                })
-            ),
+                });
+            }),
         });
     }
 
@@ -150,7 +187,7 @@
             // newer ones.
             const isHeartbeat = position.sentAt === -Infinity ||
                 (topic === firstTopic && now - position.sentAt >= options.relayHeartbeat);
-            const batch = createBatch(topic, position, isHeartbeat);
+            const batch = createBatch(topic, position, isHeartbeat, follower.acceptsCompressed);
             if (batch === undefined) {
                 continue;
             }
@@ -170,7 +207,8 @@
     }
 
     function applyPositions(follower: Follower, request: FollowRecordsRequest): void {
-        for (const { era, nextOffset, topic } of request.positions) {
+        follower.acceptsCompressed = request.acceptsCompressed;
+        for (const { era, nextOffset, readsLog, topic } of request.positions) {
             const known = store.topics.find(name => name === topic);
             if (known === undefined) {
                 continue;
@@ -182,7 +220,7 @@
                 carriedChanges: position?.known.carriedChanges,
             };
             if (position === undefined) {
-                follower.positions.set(known, { known: reported, sentAt: -Infinity });
+                follower.positions.set(known, { known: reported, sentAt: -Infinity, readsLog });
             }
             else {
                 position.known = advancePosition(position.known, reported);
@@ -192,7 +230,9 @@
 
     const timer = setInterval(() => followers.forEach(sendUpdates), options.relayHeartbeat);
     let changeTimer: NodeJS.Timeout | undefined;
-    store.onChange(() => {
+    store.onChange((...[, records]) => {
+        const now = clock.monotonic();
+        records.filter(isLarge).forEach(({ value }) => learnedAt.set(value!, now));
         changeTimer ??= setTimeout(() => {
             changeTimer = undefined;
             followers.forEach(sendUpdates);
@@ -202,7 +242,7 @@
     return {
         countFollowers: () => followers.size,
         followRecords: call => {
-            const follower: Follower = { call, positions: new Map(), blocked: false };
+            const follower: Follower = { call, positions: new Map(), acceptsCompressed: false, blocked: false };
             followers.add(follower);
             const removeFollower = (): void => void followers.delete(follower);
             call.on("data", (request: FollowRecordsRequest) => {
--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -12,6 +12,7 @@
 import { createReplicaClient, type ReplicaClient } from "../grpc/index.js";
 import type { RecordStore } from "./recordStore.js";
 import type { StallMonitor } from "./stallMonitor.js";
+import { createValueDecompressor } from "./valueCompression.js";
 
 /** Options of {@link createRelayFollowers}. */
 export interface RelayFollowerOptions {
@@ -36,6 +37,8 @@
     readonly logger: Logger;
     /** `host:port` of the relays to choose from, most preferred first. */
     readonly listAddresses: () => readonly string[];
+    /** Topics that this process also reads from the log as soon as they change. Default: none. */
+    readonly logTopics?: ReadonlySet<KeyedTopic>;
     readonly options: RelayFollowerOptions;
 }
 
@@ -71,6 +74,7 @@
     const { clock, logger, options, random, stalls, store } = input;
     const streams = new Map<string, Stream>();
     const failures = new Map<string, RelayFailure>();
+    const decompress = createValueDecompressor();
     let disconnectedSince: Milliseconds | undefined = clock.monotonic();
     let positionTimer: NodeJS.Timeout | undefined;
 
@@ -93,11 +97,13 @@
     function createPositionsRequest(): FollowRecordsRequest {
         return create(FollowRecordsRequestSchema, {
             instance: input.self,
+            acceptsCompressed: true,
             positions: store.topics.map(topic =>
                 create(TopicPositionSchema, {
                     topic,
                     nextOffset: BigInt(store.topic(topic).nextOffset),
                     era: BigInt(store.topic(topic).era),
+                    readsLog: input.logTopics?.has(topic) ?? false,
                 })
             ),
         });
@@ -132,6 +138,18 @@
         return stream.topics.has(topic) ? stalls.computeSentAfter() : stream.startedAt;
     }
 
+    /** Decompresses the values of a batch; undefined if one is damaged. */
+    function readValues({ records, topic }: RecordBatch): readonly Uint8Array[] | undefined {
+        try {
+            return records.map(({ compressed, key, value }) =>
+                compressed ? decompress(`${topic} ${key}`, value) : value
+            );
+        }
+        catch {
+            return undefined;
+        }
+    }
+
     function receive(stream: Stream, batch: RecordBatch): void {
         stream.heardAt = clock.monotonic();
         if (!stream.connected) {
@@ -143,6 +161,12 @@
         if (topic === undefined) {
             return;
         }
+        const values = readValues(batch);
+        if (values === undefined) {
+            // The relay sends all records again when the stream is opened the next time.
+            closeStream(stream, `a record of ${topic} could not be decompressed`);
+            return;
+        }
         const now = clock.monotonic();
         const sentAfter = computeSentAfter(stream, topic, now);
         stream.topics.add(topic);
@@ -156,12 +180,12 @@
             page: {
                 era: Number(batch.era),
                 nextOffset: Number(batch.nextOffset),
-                records: batch.records.map(({ dropped, era, key, maximumAgeMilliseconds, offset, order, value }) => ({
+                records: batch.records.map(({ dropped, era, key, maximumAgeMilliseconds, offset, order }, index) => ({
                     key,
                     era: Number(era),
                     order: order.length === 0 ? undefined : order,
                     offset: Number(offset),
-                    value: dropped ? undefined : value,
+                    value: dropped ? undefined : values[index],
                     writtenAfter: maximumAgeMilliseconds === undefined ?
                         undefined :
                         sentAfter - Number(maximumAgeMilliseconds),
--- a/src/node/settings/replicaSection.ts
+++ b/src/node/settings/replicaSection.ts
@@ -61,6 +61,14 @@
         documentation:
             "Delay before a change is relayed; followers that have read it from the log report this within the delay.",
     }),
+    largeRecordDelayMilliseconds: defineDuration("largeRecordDelay", "Milliseconds", {
+        minimum: 0,
+        maximum: 60_000,
+        defaultValue: 0,
+        documentation:
+            "Delay before records of 16 KiB and more are relayed to followers that also read them from the log, so that " +
+            "links do not carry the same configuration several times.",
+    }),
     relayHeartbeatMilliseconds: defineDuration("relayHeartbeat", "Milliseconds", {
         minimum: 50,
         maximum: 60_000,
--- a/test/node/replica/relayedAge.test.ts
+++ b/test/node/replica/relayedAge.test.ts
@@ -52,7 +52,12 @@
     const page = { records: [{ key: "a", value: Buffer.from("{}"), offset: 0, writtenAfter }], nextOffset: 1 };
     store.receive({ topic, page, complete: true, age: 0, source: "log", peer: "log" });
     const relay = stack.use(
-        createRecordRelay({ store, clock, stalls: relayStalls, options: { relayDelay: 1, relayHeartbeat: 50 } }),
+        createRecordRelay({
+            store,
+            clock,
+            stalls: relayStalls,
+            options: { relayDelay: 1, relayHeartbeat: 50, largeRecordDelay: 0 },
+        }),
     );
     const { followRecords } = relay;
     const exchangeCrashEvidence = () => {
