Rank the origin readers of a set once

Each choice of transfers ranked all members anew for each missing chunk, since the preceding readers were not kept, and each read of the engine's report (four a second) replaced all ranks although the members were the same. Choices follow each exchange and each chunk, several hundred in a transfer. The preceding readers are now kept, and members that are the same as before are not applied again. No decision changes.

--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -17,7 +17,7 @@
 import { resolveTransferSettings } from "./settings.js";
 import type { TransferProgress, TransferService, TransferServiceInput, TransferTarget } from "./types.js";
 import { createUploadHandler } from "./uploads.js";
-import { applyMembers, createWeightSetState, type WeightSetState } from "./weightSetState.js";
+import { createWeightSetState, updateMembers, type WeightSetState } from "./weightSetState.js";
 
 /**
  * Share of the memory limit for chunks that are received; the rest is for chunks that are sent. Reads from the origin
@@ -120,8 +120,9 @@
     function setTarget(wanted: TransferTarget | undefined): void {
         const { neighbours } = context.options;
         if (wanted !== undefined && wanted.weights.manifestDigest === target?.manifestDigest) {
-            applyMembers(target, wanted, context.self, neighbours);
-            closeUnneededConnections();
+            if (updateMembers(target, wanted, context.self, neighbours)) {
+                closeUnneededConnections();
+            }
             return;
         }
         if (target !== undefined) {
@@ -132,7 +133,7 @@
         if (wanted !== undefined) {
             const kept = sets.get(wanted.weights.manifestDigest);
             target = kept ?? recreateSet(wanted);
-            applyMembers(target, wanted, context.self, neighbours);
+            updateMembers(target, wanted, context.self, neighbours);
             sets.set(target.manifestDigest, target);
             if (target.manifest === undefined) {
                 manifests.begin(target);
--- a/src/node/agent/transfer/weightSetState.ts
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -91,20 +91,40 @@
     return state;
 }
 
+/** Tells whether two targets of a set have the same members, from which neighbours and ranks are computed. */
+function haveSameMembers(left: TransferTarget, right: TransferTarget): boolean {
+    return left.originZone === right.originZone && left.members.length === right.members.length &&
+        left.members.every(({ address, instance, zone }, position) => {
+            const other = right.members[position]!;
+            return instance === other.instance && zone === other.zone && address === other.address;
+        });
+}
+
 /**
- * Applies changed members to a set; peers that are no longer members are removed.
+ * Applies the members of a target to a set, unless they are the same as before.
  *
  * @param state - changed in place
- * @param target - the set with its new members
+ * @param target - the set with its members
  * @param self - this agent's instance
  * @param neighbours - number of neighbours
+ * @returns true if the members have changed
  */
-export function applyMembers(
+export function updateMembers(
     state: WeightSetState,
     target: TransferTarget,
     self: InstanceId,
     neighbours: number,
-): void {
+): boolean {
+    if (haveSameMembers(state.target, target)) {
+        state.target = target;
+        return false;
+    }
+    applyMembers(state, target, self, neighbours);
+    return true;
+}
+
+/** Applies members to a set; peers that are no longer members are removed. */
+function applyMembers(state: WeightSetState, target: TransferTarget, self: InstanceId, neighbours: number): void {
     state.target = target;
     const members = target.members.map(({ instance }) => instance);
     const known = new Set(members);
@@ -172,6 +192,9 @@
  */
 export function recordFirstAvailability(state: WeightSetState, now: Milliseconds): void {
     const chunks = state.manifest?.chunks.length ?? 0;
+    if (state.availableSince.size >= chunks) {
+        return;
+    }
     const peers = [...state.peers.rows()];
     for (let index = 0; index < chunks; index++) {
         if (!state.availableSince.has(index) && peers.some(({ bitfield }) => hasChunk(bitfield, index))) {
--- a/src/runtime/distribution/originReaders.ts
+++ b/src/runtime/distribution/originReaders.ts
@@ -28,6 +28,7 @@
     const isSelfNear = isNear(self);
     const others = members.filter(member => member !== self);
     const ranks: (number | undefined)[] = new Array<number | undefined>(chunks).fill(undefined);
+    const preceding: (readonly InstanceId[] | undefined)[] = [];
     const createKey = (index: number) => `${manifestDigest.slice(0, keyDigestCharacters)}/${index}`;
 
     function computeRank(index: number): number {
@@ -49,13 +50,16 @@
         return ranks[index] ??= computeRank(index);
     }
 
+    function listPrecedingReaders(index: number): readonly InstanceId[] {
+        const ranked = rankByRendezvous(createKey(index), [...others, self]);
+        const near = ranked.filter(isNear);
+        return [...near, ...ranked.filter(member => !isNear(member))].slice(0, rankOf(index));
+    }
+
     return {
         rankOf,
-        precedingReaders: index => {
-            const ranked = rankByRendezvous(createKey(index), [...others, self]);
-            const near = ranked.filter(isNear);
-            return [...near, ...ranked.filter(member => !isNear(member))].slice(0, rankOf(index));
-        },
+        // Each choice of transfers reads them for all missing chunks; ranking the members takes most of its time.
+        precedingReaders: index => preceding[index] ??= listPrecedingReaders(index),
     };
 }
 
