Exchange bitfields over streams

An agent exchanges bitfields with each neighbour 2.5 times a second during a transfer, which at 52 agents is about 50 calls a second in both directions. Each was a gRPC call of its own, whose headers, status and deadline cost far more than the message. Older agents refuse the stream and get single calls as before. When and with whom agents exchange is unchanged. The statistics that gRPC keeps of each call (channelz), which nothing reads, are off.

--- a/src/node/agent/agentDaemon.ts
+++ b/src/node/agent/agentDaemon.ts
@@ -159,6 +159,7 @@
             watchLoad: (call: WatchLoadCall) => reports.watchLoad(call),
             execute: (call: ExecuteCall) => executor.execute(call),
             exchangeAvailability: transfer.exchangeAvailability,
+            streamAvailability: transfer.streamAvailability,
             fetchChunk: transfer.fetchChunk,
         },
     }]);
--- a/src/node/agent/transfer/exchanges.ts
+++ b/src/node/agent/transfer/exchanges.ts
@@ -1,5 +1,5 @@
 import { create } from "@bufbuild/protobuf";
-import { type sendUnaryData, type ServerUnaryCall } from "@grpc/grpc-js";
+import type { handleBidiStreamingCall, handleUnaryCall } from "@grpc/grpc-js";
 import {
     type AvailabilityRequest,
     type AvailabilityResponse,
@@ -96,36 +96,32 @@
     context.requestTransfers();
 }
 
+/** Handlers of the exchanges that other agents start. */
+export interface ExchangeHandlers {
+    readonly exchangeAvailability: handleUnaryCall<AvailabilityRequest, AvailabilityResponse>;
+    readonly streamAvailability: handleBidiStreamingCall<AvailabilityRequest, AvailabilityResponse>;
+}
+
 /**
- * Creates the handler of `ExchangeAvailability`.
+ * Creates the handlers of `ExchangeAvailability` and `StreamAvailability`.
  *
  * @param context - context of the service
  * @param manifests - manifests, which are sent to requesters that lack them
- * @returns handler that records the requester's bitfield and answers with this agent's
+ * @returns handlers that record the requester's bitfield and answer with this agent's
  */
-export function createExchangeHandler(
-    context: TransferContext,
-    manifests: ManifestExchange,
-): (
-    call: ServerUnaryCall<AvailabilityRequest, AvailabilityResponse>,
-    callback: sendUnaryData<AvailabilityResponse>,
-) => void {
-    return (call, callback) => {
-        const { bitfield, instance, manifest, manifestDigest, wantsManifest } = call.request;
+export function createExchangeHandlers(context: TransferContext, manifests: ManifestExchange): ExchangeHandlers {
+    function answer(request: AvailabilityRequest): AvailabilityResponse {
+        const { bitfield, instance, manifest, manifestDigest, wantsManifest } = request;
         const forwardsManifests = context.options.manifestReaders > 0;
         const set = context.sets.get(manifestDigest);
+        const now = context.clock.monotonic();
         if (set === undefined) {
-            callback(
-                undefined as never,
-                create(AvailabilityResponseSchema, {
-                    holdsSet: false,
-                    sentAtMilliseconds: context.clock.monotonic(),
-                    forwardsManifests,
-                }),
-            );
-            return;
+            return create(AvailabilityResponseSchema, {
+                holdsSet: false,
+                sentAtMilliseconds: now,
+                forwardsManifests,
+            });
         }
-        const now = context.clock.monotonic();
         const peer = instance === context.self ? undefined : findPeer(set, instance, now);
         if (peer !== undefined && manifest !== undefined) {
             manifests.receive(set, instance, manifest);
@@ -135,7 +131,7 @@
             recordAvailability(peer, decodeBitfield(bitfield, chunks), peer.sentBytes, now);
             context.requestTransfers();
         }
-        const response = create(AvailabilityResponseSchema, {
+        return create(AvailabilityResponseSchema, {
             bitfield: set.held,
             sentBytes: BigInt(set.sentBytes),
             holdsSet: true,
@@ -143,6 +139,23 @@
             forwardsManifests,
             manifest: wantsManifest === true ? manifests.answer(set, instance) : undefined,
         });
-        callback(undefined as never, response);
+    }
+
+    return {
+        exchangeAvailability: ({ request }, callback) => callback(undefined as never, answer(request)),
+        streamAvailability: call => {
+            const end = (): void => void call.end();
+            context.signal.addEventListener("abort", end, { once: true });
+            call.on("data", (request: AvailabilityRequest) => {
+                if (!call.write(answer(request))) {
+                    call.pause();
+                    call.once("drain", () => call.resume());
+                }
+            });
+            call.on("end", end);
+            call.on("error", () => {});
+            call.once("close", () => context.signal.removeEventListener("abort", end));
+            call.once("cancelled", () => context.signal.removeEventListener("abort", end));
+        },
     };
 }
--- a/src/node/agent/transfer/peerCalls.ts
+++ b/src/node/agent/transfer/peerCalls.ts
@@ -11,6 +11,7 @@
 } from "../../../generated/goldcrestpoint_pb.js";
 import { createError, type GoldcrestpointError, type Milliseconds, type PortResult } from "../../../types/index.js";
 import { type AgentClient, createAgentClient } from "../../grpc/index.js";
+import { createExchangeStream, type ExchangeStream } from "./exchangeStream.js";
 
 /** Fields of a request, without those that the code generator adds to each message. */
 type Fields<Message> = Omit<Message, "$typeName" | "$unknown">;
@@ -54,39 +55,67 @@
     keepOnly(addresses: ReadonlySet<string>): void;
 }
 
+interface Peer {
+    readonly client: AgentClient;
+    readonly exchanges: ExchangeStream;
+    /** False once the agent has refused a stream of exchanges, since it is older. */
+    servesStreams: boolean;
+}
+
 /**
  * Creates the calls to other agents, with one connection to each agent.
  *
  * @returns the calls
  */
 export function createPeerCalls(): PeerCalls {
-    const clients = new Map<string, AgentClient>();
+    const peers = new Map<string, Peer>();
 
-    function findClient(address: string): AgentClient {
-        const client = clients.get(address) ?? createAgentClient(address);
-        clients.set(address, client);
-        return client;
+    function findPeer(address: string): Peer {
+        const known = peers.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const client = createAgentClient(address);
+        const peer = { client, exchanges: createExchangeStream(address, client), servesStreams: true };
+        peers.set(address, peer);
+        return peer;
     }
 
     function keepOnly(addresses: ReadonlySet<string>): void {
-        for (const [address, client] of clients) {
+        for (const [address, { client, exchanges }] of peers) {
             if (!addresses.has(address)) {
+                exchanges[Symbol.dispose]();
                 client.close();
-                clients.delete(address);
+                peers.delete(address);
             }
         }
     }
 
-    function exchange(
+    async function exchange(
         address: string,
         fields: Fields<AvailabilityRequest>,
         timeLimit: Milliseconds,
+    ): PortResult<AvailabilityResponse> {
+        const peer = findPeer(address);
+        const request = create(AvailabilityRequestSchema, fields);
+        const answer = peer.servesStreams ? await peer.exchanges.exchange(request, timeLimit) : "unsupported";
+        if (answer !== "unsupported") {
+            return answer;
+        }
+        peer.servesStreams = false;
+        return callOnce(address, peer.client, request, timeLimit);
+    }
+
+    function callOnce(
+        address: string,
+        client: AgentClient,
+        request: AvailabilityRequest,
+        timeLimit: Milliseconds,
     ): PortResult<AvailabilityResponse> {
         return new Promise(resolve => {
-            const request = create(AvailabilityRequestSchema, fields);
             // gRPC expects the deadline as a wall-clock time.
             const options = { deadline: Date.now() + timeLimit };
-            findClient(address).exchangeAvailability(request, new Metadata(), options, (error, response) => {
+            client.exchangeAvailability(request, new Metadata(), options, (error, response) => {
                 if (response === undefined) {
                     const message = error?.message ?? "no answer";
                     resolve(err(createError("PEER_UNREACHABLE", "exchange availability", address, message)));
@@ -104,7 +133,7 @@
         receive: (part: ChunkPart) => Promise<void>,
     ): Promise<Result<void, GoldcrestpointError>> {
         const step = `fetch chunk ${fields.index}`;
-        const call = findClient(address).fetchChunk(create(FetchChunkRequestSchema, fields));
+        const call = findPeer(address).client.fetchChunk(create(FetchChunkRequestSchema, fields));
         const cancel = () => {
             call.cancel();
         };
--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -10,7 +10,7 @@
 import type { TransferContext } from "./context.js";
 import { runTransfers } from "./downloads.js";
 import { createEngineSync } from "./engineSync.js";
-import { createExchangeHandler, runExchanges } from "./exchanges.js";
+import { createExchangeHandlers, runExchanges } from "./exchanges.js";
 import { createManifestExchange } from "./manifests.js";
 import { createPeerCalls } from "./peerCalls.js";
 import { abandonTransfers } from "./requestedBytes.js";
@@ -204,7 +204,7 @@
     });
     const timer = context.settings.selfScheduled ? setInterval(tick, context.settings.tickInterval) : undefined;
     return {
-        exchangeAvailability: createExchangeHandler(context, manifests),
+        ...createExchangeHandlers(context, manifests),
         fetchChunk: call => {
             context.track(upload(call));
         },
--- a/src/node/agent/transfer/types.ts
+++ b/src/node/agent/transfer/types.ts
@@ -1,4 +1,4 @@
-import type { handleServerStreamingCall, handleUnaryCall } from "@grpc/grpc-js";
+import type { handleBidiStreamingCall, handleServerStreamingCall, handleUnaryCall } from "@grpc/grpc-js";
 import type { Result } from "true-myth/result";
 import type {
     AvailabilityRequest,
@@ -151,6 +151,8 @@
 export interface TransferService extends AsyncDisposable {
     /** gRPC handler of `ExchangeAvailability`. */
     readonly exchangeAvailability: handleUnaryCall<AvailabilityRequest, AvailabilityResponse>;
+    /** gRPC handler of `StreamAvailability`. */
+    readonly streamAvailability: handleBidiStreamingCall<AvailabilityRequest, AvailabilityResponse>;
     /** gRPC handler of `FetchChunk`. */
     readonly fetchChunk: handleServerStreamingCall<FetchChunkRequest, ChunkPart>;
     /**
--- a/src/node/grpc/channelOptions.ts
+++ b/src/node/grpc/channelOptions.ts
@@ -17,5 +17,7 @@
     "grpc.initial_reconnect_backoff_ms": 200,
     "grpc.max_reconnect_backoff_ms": 2_000,
     "grpc.enable_retries": 0,
+    // Statistics of each channel, connection and call, which nothing reads.
+    "grpc.enable_channelz": 0,
     "grpc.service_config_disable_resolution": 1,
 };
--- a/src/node/grpc/clients.ts
+++ b/src/node/grpc/clients.ts
@@ -42,6 +42,7 @@
         options: CallOptions,
         callback: requestCallback<AvailabilityResponse>,
     ): ClientUnaryCall;
+    streamAvailability(options?: CallOptions): ClientDuplexStream<AvailabilityRequest, AvailabilityResponse>;
     fetchChunk(request: FetchChunkRequest, options?: CallOptions): ClientReadableStream<ChunkPart>;
     close(): void;
 }
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -232,6 +232,7 @@
         implementation: {
             watchLoad: feed.watchLoad,
             exchangeAvailability: service.exchangeAvailability,
+            streamAvailability: service.streamAvailability,
             fetchChunk: service.fetchChunk,
             execute: (call: { emit(event: "error", error: Error): void; }) =>
                 call.emit("error", new Error("gateways send requests directly to backend servers")),
--- a/test/node/agent/transfer/swarm.ts
+++ b/test/node/agent/transfer/swarm.ts
@@ -83,7 +83,14 @@
         const [port] = await findFreePorts(1);
         const started = await startRpcServer(`127.0.0.1:${port}`, [{
             definition: agentServiceDefinition,
-            implementation: { exchangeAvailability: handlers.exchangeAvailability, fetchChunk: handlers.fetchChunk },
+            implementation: {
+                exchangeAvailability: handlers.exchangeAvailability,
+                fetchChunk: handlers.fetchChunk,
+                // An agent whose exchanges a test replaces serves no streams of them, like an older agent.
+                ...(handlers.exchangeAvailability === service.exchangeAvailability ?
+                    { streamAvailability: service.streamAvailability } :
+                    {}),
+            },
         }]);
         if (started.isErr) {
             throw new Error(started.error.message);
