Withhold waiting requests from draining backend servers

A request that waited for a connection was checked for regions and evacuations right before it was written, but not for the state of its backend server. A hedge at a server whose connections were all in use therefore reached the server after the list had shown that it drains.

The check now also withholds a request if the server drains, is no longer listed, or is listed at another address. The request counts as not run there, and another server is tried.

--- a/src/node/gateway/attempts/attempt.ts
+++ b/src/node/gateway/attempts/attempt.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "true-myth/result";
 import { type BackendServerRow, computePaceCheckDelay, createLifetimeId } from "../../../runtime/gateway/index.js";
-import { applyLoadReport, type IneligibleReason } from "../../../runtime/routing/index.js";
+import { applyLoadReport } from "../../../runtime/routing/index.js";
 import type { BackendServerHead, CallerProtocol, Clock, ForwardedCall, Milliseconds } from "../../../types/index.js";
 import {
     hasUndecodedTransferCoding,
@@ -13,6 +13,7 @@
 import type { SlowStarts } from "../membership/slowStarts.js";
 import type { RequestLog } from "../requestLog.js";
 import type { RemainingWork } from "../selection/remainingWork.js";
+import type { WithholdingReason } from "../selection/serverSelector.js";
 import type { AttemptFailure, GatewayRequest, OpenedAnswer, ProgressLimits } from "../types.js";
 
 /** Dependencies of {@link openAttempt}. */
@@ -36,7 +37,7 @@
     /** Time within which the head must arrive; `Infinity` if the backend server holds the newest weights. */
     readonly headTimeout: Milliseconds;
     /** Explains, right before the request is written, why it may not be; undefined if it may. */
-    readonly findIneligibility: () => IneligibleReason | undefined;
+    readonly findWithholding: () => WithholdingReason | undefined;
     readonly signal: AbortSignal;
 }
 
@@ -159,7 +160,7 @@
     const { headTimeout, client, forwarded, limits, request, server, signal } = attempt;
     const lifetime = createLifetimeId(server.listed);
     const sentAt = context.clock.monotonic();
-    let withheld: IneligibleReason | undefined;
+    let withheld: WithholdingReason | undefined;
     const opened = await client.open({
         method: request.method,
         path: request.path,
@@ -170,7 +171,7 @@
         silence: { after: limits.silentAfter, onSilent: limits.onSilent },
         // The request may have waited for a connection since its backend server was selected.
         mayWrite: () => {
-            withheld = attempt.findIneligibility();
+            withheld = attempt.findWithholding();
             return withheld === undefined;
         },
         ...(request.body.length === 0 ? {} : { body: request.body }),
--- a/src/node/gateway/attempts/attemptRunner.ts
+++ b/src/node/gateway/attempts/attemptRunner.ts
@@ -139,7 +139,7 @@
                     onSilent: silence => handlers.onSilent(attempt, silence),
                     onSlow: () => handlers.onSlow(attempt),
                 },
-                findIneligibility: () => selector.findIneligibility(server, input.regions.find(request)),
+                findWithholding: () => selector.findWithholding(server, input.regions.find(request)),
                 headTimeout: Math.max(minimumRemainingTime, (selection.headDeadline ?? Infinity) - now),
                 signal: attempt.signal,
             });
--- a/src/node/gateway/selection/serverSelector.ts
+++ b/src/node/gateway/selection/serverSelector.ts
@@ -75,6 +75,9 @@
     readonly resumesAt: Milliseconds | undefined;
 }
 
+/** Why a request that was assigned to a backend server is not sent to it; `unlisted` if its entry is gone from the list. */
+export type WithholdingReason = IneligibleReason | "draining" | "unlisted";
+
 /** Selects the backend server for each attempt at a request. */
 export interface ServerSelector {
     /**
@@ -117,13 +120,13 @@
         allowedRegions: AllowedRegions,
     ) => IneligibleReason | undefined;
     /**
-     * Explains why a backend server may not get a request, whatever its state.
+     * Explains why a backend server may not get a request any more that was assigned to it earlier.
      *
      * @param server - the backend server
      * @param allowedRegions - regions in which the request may be served
      * @returns the reason; undefined if it may get the request
      */
-    findIneligibility(server: BackendServerRow, allowedRegions: AllowedRegions): IneligibleReason | undefined;
+    findWithholding(server: BackendServerRow, allowedRegions: AllowedRegions): WithholdingReason | undefined;
     /**
      * Computes how many requests this gateway may have in progress at a service.
      *
@@ -272,7 +275,14 @@
                 allowedRegions,
                 isEvacuated,
             }),
-        findIneligibility: ({ runner }, allowedRegions) => findIneligibility(runner, { allowedRegions, isEvacuated }),
+        findWithholding: ({ listed }, allowedRegions) => {
+            const current = state.servers.get(listed.instance);
+            if (current?.listed.address !== listed.address) {
+                return "unlisted";
+            }
+            return findIneligibility(current.runner, { allowedRegions, isEvacuated }) ??
+                (current.runner.draining ? "draining" : undefined);
+        },
         explain: (service, allowedRegions, cost) =>
             explainSelection(createRoutingInput(service, new Set(listFullyConnected(service)), allowedRegions, cost)),
         select: (service, excluded, allowedRegions, cost) => {
--- a/test/platform/gatewayLeavingServers.test.ts
+++ b/test/platform/gatewayLeavingServers.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { sleep } from "../../src/utils/index.js";
 import { call } from "./standIn/caller.js";
-import { startDeployment, waitUntil } from "./standIn/deployment.js";
+import { operatorConfiguration, startDeployment, waitUntil } from "./standIn/deployment.js";
 import { callAtRate } from "./standIn/pacedCalls.js";
 import type { RunnerStandIn } from "./standIn/runnerStandIn.js";
 
@@ -73,3 +73,34 @@
         expect(leaving.countArrivals() - before).toEqual(0);
     });
 });
+
+describe("backend server that the list shows as draining", () => {
+    // Guards against requests that have waited for one of its connections and are sent to it as soon as one is free.
+    it("gets no request that was assigned to it before", async () => {
+        await using deployment = await startDeployment({ "gateway.switchAfterMilliseconds": "300" });
+        const routes = operatorConfiguration.routes.map(route => ({ ...route, timeout_ms: 8_000 }));
+        const services = [{ ...operatorConfiguration.services[0], max_connections: 2 }];
+        deployment.configure({ version: 2, routes, services });
+        const isApplied = () => deployment.logLines.some(line => line.includes("\"revision\":2,"));
+        await waitUntil("each has one connection", isApplied);
+        const leaving = await deployment.addRunner({ id: "i-1", workMilliseconds: 3_000 });
+        const headers = { "deadline-ms": "6000" };
+        // Not idempotent, so that it is not also sent to the other one.
+        const first = call(deployment, "/unsafe/", { headers });
+        await waitUntil("it has a request", () => leaving.countArrivals() === 1);
+        const silent = await deployment.addRunner({ id: "i-2" });
+        silent.setBehaviour("silent");
+        const second = call(deployment, "/safe/", { headers });
+        await waitUntil(
+            "the second request waits for its connection",
+            () =>
+                deployment.logLines.some(line =>
+                    line.includes("routing decision") && line.includes("i-1") && line.includes("\"attempt\":2")
+                ),
+        );
+        await deployment.addRunnerRecord("i-1", leaving.address, { state: "draining" });
+        expect((await first).status).toEqual(200);
+        const { status } = await second;
+        expect([leaving.countArrivals(), status === 200]).toEqual([1, false]);
+    });
+});
