Collect the unused buffers of a gateway before they exceed its memory

V8 collects buffers outside its heap only once they have grown by 64 MB. With bodies of 4 MiB behind a request in progress, it grew by 107 to 130 MB. There, 57 MB were still referenced after a full collection: the listener that drops the parts of a body kept them after they had been joined, so each body was in memory twice.

A gateway whose memory is limited now looks at its buffers each time it has read 2 % of its memory, and collects them when those that are not held exceed 8 % of it. readBody releases the parts of a body that is complete.

--- a/src/node/gateway/callers/callerServer.ts
+++ b/src/node/gateway/callers/callerServer.ts
@@ -114,7 +114,7 @@
     let closing = false;
     let refusalWait: Promise<void> | undefined;
     let stoppedAt: Milliseconds = Infinity;
-    const connectionLog = createConnectionLog(metrics, input.logger, arrived);
+    const connectionLog = createConnectionLog(metrics, input.logger, arrived, input.memory);
     const turns = createRequestTurns(connectionLog.onUnanswerable);
     const callerTimeouts = createCallerTimeoutTable();
     const pollQueue = createPollQueue();
--- a/src/node/gateway/callers/connectionLog.ts
+++ b/src/node/gateway/callers/connectionLog.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "pino";
 import type { Milliseconds } from "../../../types/index.js";
 import type { ConnectionObserver } from "../../httpServer/index.js";
+import type { HeldMemory } from "../../memory/index.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { ArrivedRequests } from "./arrivedRequests.js";
 
@@ -14,14 +15,17 @@
  * @param metrics - counters
  * @param logger - receives the lines
  * @param arrived - describes requests
+ * @param memory - is told what connections receive
  * @returns the observer
  */
 export function createConnectionLog(
     metrics: Pick<GatewayMetrics, "countClosedConnection" | "countRejected">,
     logger: Logger,
     arrived: Pick<ArrivedRequests, "describe">,
+    memory: Pick<HeldMemory, "recordRead">,
 ): Required<ConnectionObserver> {
     return {
+        onReceive: bytes => memory.recordRead(bytes),
         onClose: (reason, lateness) => {
             metrics.countClosedConnection(reason);
             if (lateness >= loggedLateness) {
--- a/src/node/gateway/gatewayMemory.ts
+++ b/src/node/gateway/gatewayMemory.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "pino";
 import type { Clock } from "../../types/index.js";
-import { createHeldMemory, type HeldMemory } from "../memory/index.js";
+import { createBufferCollector, createHeldMemory, type HeldMemory } from "../memory/index.js";
 import type { Metrics } from "../metrics/index.js";
 import type { GatewaySettings } from "../settings/index.js";
 import { type GatewayMetrics, registerHeldBytes } from "./gatewayMetrics.js";
@@ -23,10 +23,12 @@
     { clock, gateway, gatewayMetrics, logger, metrics }: GatewayMemoryInput,
 ): HeldMemory {
     const limitBytes = gateway.maximumHeldBytes;
-    const memory = createHeldMemory({
+    const collector = createBufferCollector({ allowed: gateway.maximumUnusedBytes, countHeld: () => memory.total() });
+    const memory: HeldMemory = createHeldMemory({
         limit: limitBytes,
         answerLimit: gateway.maximumHeldAnswerBytes,
         clock,
+        onRead: bytes => collector.recordRead(bytes),
         onEnded: ({ age, bytes, stage }, heldBytes) => {
             gatewayMetrics.countEndedHolding(stage);
             logger.warn({ stage, bytes, ageMilliseconds: Math.round(age), heldBytes }, "ended to free memory");
--- a/src/node/httpServer/connectionObserver.ts
+++ b/src/node/httpServer/connectionObserver.ts
@@ -12,6 +12,12 @@
      * @param lateness - time by which its idle limit had been exceeded
      */
     onClose?(reason: ConnectionCloseReason, lateness: Milliseconds): void;
+    /**
+     * Called for each part that a connection has received.
+     *
+     * @param bytes - its size
+     */
+    onReceive?(bytes: number): void;
     /**
      * Called for a request that arrived after the server had closed its connection, or announced that it would, and
      * that gets no response.
--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -225,6 +225,7 @@
     }
 
     private handleReceived(socket: Socket, part: Buffer): void {
+        this.observer.onReceive?.(part.length);
         const connection = this.tracked.get(socket);
         if (connection !== undefined && connection.fault === undefined && !socket.writableEnded) {
             noteReceived(connection, part, socket.bytesRead);
--- a/src/node/httpServer/responses.ts
+++ b/src/node/httpServer/responses.ts
@@ -84,5 +84,8 @@
         return undefined;
     }
     memory?.add(-parts.length * partOverheadBytes);
-    return memory?.signal.aborted === true ? undefined : Buffer.concat(parts);
+    const body = memory?.signal.aborted === true ? undefined : Buffer.concat(parts);
+    // The listener above refers to the parts for as long as the request lives.
+    parts = [];
+    return body;
 }
--- a/src/node/memory/heldMemory.ts
+++ b/src/node/memory/heldMemory.ts
@@ -23,6 +23,8 @@
     /** Those of them that may be held for answers of backend servers; the largest answer is ended beyond it. */
     readonly answerLimit: number;
     readonly clock: Pick<Clock, "monotonic">;
+    /** Called with the number of bytes of each part that was read, which may be dropped at once. */
+    readonly onRead?: (bytes: number) => void;
     /** Called when something was ended to free memory. */
     readonly onEnded?: (ended: EndedHolding, total: number) => void;
     /** Called when new requests begin to be refused, and when they are accepted again. */
@@ -53,6 +55,12 @@
     /** @returns bytes that are held */
     readonly total: () => number;
     readonly limit: number;
+    /**
+     * Notes bytes that were read from callers; those of answers are noted as they are held.
+     *
+     * @param bytes - number of bytes
+     */
+    recordRead(bytes: number): void;
     /** Tells whether new requests have to be refused. */
     readonly isRefusing: () => boolean;
     /** Waits until the bodies of requests may be read; undefined if they may be. */
@@ -177,6 +185,9 @@
     function openAnswer(row: Row, evict: () => void): MemoryReservation {
         const answer: AnswerRow = { bytes: 0, evict };
         const addBytes = (bytes: number): void => {
+            if (bytes > 0) {
+                options.onRead?.(bytes);
+            }
             if (row.answers.has(answer)) {
                 answer.bytes += bytes;
                 answerTotal += bytes;
@@ -206,6 +217,7 @@
     return {
         total: () => total,
         limit,
+        recordRead: bytes => options.onRead?.(bytes),
         isRefusing: () => isRefusing,
         awaitRoom: () =>
             total < thresholds.pause ? undefined : new Promise(resolve => {
--- a/src/node/memory/index.ts
+++ b/src/node/memory/index.ts
@@ -1,1 +1,2 @@
+export * from "./bufferCollector.js";
 export * from "./heldMemory.js";
--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -119,7 +119,7 @@
             documentation:
                 "Memory that the process may use; 0 if the platform does not limit it. 15 % of it limits all bytes " +
                 "that a gateway holds for slow callers and backend servers, a tenth the answers among them, beside " +
-                "maximumHeldAnswerBytes.",
+                "maximumHeldAnswerBytes. Buffers that are not used any more are collected beyond 8 % of it.",
         }),
         maximumHeldAnswerBytes: defineInteger({
             minimum: 1_048_576,
--- a/src/node/settings/heldAnswers.ts
+++ b/src/node/settings/heldAnswers.ts
@@ -12,15 +12,19 @@
      * limited.
      */
     readonly maximumHeldBytes: number;
+    /** Bytes of buffers that may wait for their release; `Infinity` if the memory is not limited. */
+    readonly maximumUnusedBytes: number;
 }
 
 /**
  * Share of the memory for everything that is held. Half of the memory of the smallest gateways is in use when they are
- * idle, and V8 releases unused buffers only once they take another 64 MB.
+ * idle.
  */
 const heldShare = 0.15;
 /** Share of the memory for answers; each byte of an answer takes several in buffers that are not released yet. */
 const heldAnswerShare = 0.1;
+/** Share of the memory for buffers that are not released yet. */
+const unusedShare = 0.08;
 const bytesPerMegabyte = 1_048_576;
 
 /**
@@ -33,9 +37,10 @@
     settings: Settings,
 ): Settings & DerivedMemoryLimits {
     const { maximumHeldAnswerBytes, memoryMegabytes } = settings;
-    return memoryMegabytes === 0 ? { ...settings, maximumHeldBytes: Infinity } : {
+    return memoryMegabytes === 0 ? { ...settings, maximumHeldBytes: Infinity, maximumUnusedBytes: Infinity } : {
         ...settings,
         maximumHeldBytes: Math.floor(memoryMegabytes * bytesPerMegabyte * heldShare),
+        maximumUnusedBytes: Math.floor(memoryMegabytes * bytesPerMegabyte * unusedShare),
         maximumHeldAnswerBytes: Math.min(
             maximumHeldAnswerBytes,
             Math.floor(memoryMegabytes * bytesPerMegabyte * heldAnswerShare),
--- a/src/runtime/memory/index.ts
+++ b/src/runtime/memory/index.ts
@@ -1,1 +1,2 @@
+export * from "./bufferGarbage.js";
 export * from "./heldBytes.js";
--- a/test/platform/heldMemory.test.ts
+++ b/test/platform/heldMemory.test.ts
@@ -36,6 +36,15 @@
             socket.write(`GET /safe/small HTTP/1.1\r\nhost: members.example\r\nfield: ${"x".repeat(950_000)}`);
         },
     },
+    {
+        name: "send large bodies behind a request that runs",
+        count: 60,
+        begin: ({ socket }) => {
+            socket.write(formatHead("GET /safe/held"));
+            socket.write(formatHead("POST /safe/small", `content-length: ${largeBody.length}`));
+            socket.write(largeBody);
+        },
+    },
 ];
 
 describe("gateway with slow callers", () => {
