Check the overhead of a response only from its first bytes on

Each call of the HTTP client set an interval of 100 ms at its start, so the three long polls of a gateway woke it about 30 times a second. The interval is now set when the first bytes of the response are read, which is noted where reads of the socket are tracked already.

--- a/src/node/httpClient/overheadWatch.ts
+++ b/src/node/httpClient/overheadWatch.ts
@@ -20,19 +20,30 @@
 }
 
 /**
- * Checks the overhead of a response at intervals.
+ * Checks the overhead of a response at intervals, from its first bytes on. A call that waits for a response, like a long
+ * poll, needs no timer.
  *
  * @param call - call that waits for the response or reads it
  * @param onExcess - called once if the overhead is excessive
  * @returns function that ends the checks
  */
 export function watchOverhead(call: CallState, onExcess: () => void): () => void {
-    const timer = setInterval(() => {
+    let timer: NodeJS.Timeout | undefined;
+
+    function check(): void {
         const received = call.connection?.countReceivedBytes() ?? 0;
         if (hasExcessiveOverhead(received - call.receivedBeforeCall, call.bodyBytes)) {
             clearInterval(timer);
             onExcess();
         }
-    }, overheadCheckInterval);
-    return () => clearInterval(timer);
+    }
+
+    call.onReceived = () => {
+        call.onReceived = undefined;
+        timer = setInterval(check, overheadCheckInterval);
+    };
+    return () => {
+        call.onReceived = undefined;
+        clearInterval(timer);
+    };
 }
--- a/src/node/httpClient/trackedClient.ts
+++ b/src/node/httpClient/trackedClient.ts
@@ -32,6 +32,8 @@
     receivedBeforeCall: number;
     /** Bytes of the response body that have arrived. */
     bodyBytes: number;
+    /** Called when bytes are read from the connection while the call is the last one written to it. */
+    onReceived: (() => void) | undefined;
     /** Tells, right before the request is written, whether it still may be. */
     readonly mayWrite: () => boolean;
 }
@@ -49,6 +51,7 @@
         connection: undefined,
         receivedBeforeCall: 0,
         bodyBytes: 0,
+        onReceived: undefined,
         mayWrite,
     };
 }
@@ -71,13 +74,16 @@
 /** Bytes of each read that are kept for the message of an unreadable status line. */
 const quotedBytes = 256;
 
-/** Notes the beginning of each read of a socket. */
-function trackReads(socket: Socket): () => string {
+/** Notes the beginning of each read of a socket, and calls back before undici parses the bytes. */
+function trackReads(socket: Socket, onReceived: () => void): () => string {
     const read = socket.read.bind(socket) as (size?: number) => unknown;
     let last = "";
     socket.read = (size?: number) => {
         const part = read(size);
-        last = Buffer.isBuffer(part) ? part.toString("latin1", 0, quotedBytes) : last;
+        if (Buffer.isBuffer(part)) {
+            last = part.toString("latin1", 0, quotedBytes);
+            onReceived();
+        }
         return part;
     };
     return () => last;
@@ -88,7 +94,7 @@
         ended: false,
         failed: false,
         lastCall: undefined,
-        quoteLastRead: trackReads(socket),
+        quoteLastRead: trackReads(socket, () => state.lastCall?.onReceived?.()),
         countReceivedBytes: () => socket.bytesRead,
         reset: () => resetSocket(socket),
     };
--- a/test/node/overheadWatch.test.ts
+++ b/test/node/overheadWatch.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
-import { describe, it } from "node:test";
-import { hasExcessiveOverhead } from "../../src/node/httpClient/overheadWatch.js";
+import { describe, it, mock } from "node:test";
+import { hasExcessiveOverhead, watchOverhead } from "../../src/node/httpClient/overheadWatch.js";
+import { createCallState } from "../../src/node/httpClient/trackedClient.js";
 
 describe("overhead of a response", () => {
     it("is not excessive for a head of the maximum size", () => {
@@ -16,4 +17,30 @@
         expect(hasExcessiveOverhead(100_000, 0)).toEqual(true);
         expect(hasExcessiveOverhead(100_000, 5)).toEqual(true);
     });
+
+    // Guards against a timer for each long poll, and against a response that is no longer checked after its first bytes.
+    it("is checked at intervals from the first bytes of the response on", t => {
+        mock.timers.enable({ apis: ["setInterval"] });
+        t.after(() => mock.timers.reset());
+        const countReceivedBytes = mock.fn(() => 100_000);
+        const onExcess = mock.fn();
+        const call = createCallState();
+        call.connection = {
+            ended: false,
+            failed: false,
+            lastCall: call,
+            quoteLastRead: () => "",
+            countReceivedBytes,
+            reset: () => {},
+        };
+        const end = watchOverhead(call, onExcess);
+        mock.timers.tick(1_000);
+        expect(countReceivedBytes.mock.callCount()).toEqual(0);
+        call.onReceived!();
+        mock.timers.tick(100);
+        mock.timers.tick(1_000);
+        expect([countReceivedBytes.mock.callCount(), onExcess.mock.callCount()]).toEqual([1, 1]);
+        end();
+        expect(call.onReceived).toEqual(undefined);
+    });
 });
