Wait until relayed records are too old instead of checking every 100 ms

A gateway that is not the reader of the list of backend servers woke up 20 times a second to see whether it has to read the log itself (two followers). The time at which that may become necessary is known: it now waits until then, and evaluates it again when the registrations change, since ranks follow from them.

--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "pino";
 import type { Result } from "true-myth/result";
-import { type DirectReadOptions, mayReadDirectly } from "../../runtime/replica/index.js";
+import { computeDirectReadTime, type DirectReadOptions } from "../../runtime/replica/index.js";
 import {
     type Clock,
     createError,
@@ -57,8 +57,8 @@
 /** Topic whose age is part of each relay heartbeat; its reader also performs the checks. */
 const heartbeatTopic: KeyedTopic = "backend-servers";
 
-/** Interval at which a process that receives records from relays checks whether it has to read the log itself. */
-const directReadCheckInterval: Milliseconds = 100;
+/** Interval at which a process that does not know a topic yet checks whether it has to read the log itself. */
+const unknownTopicCheckInterval: Milliseconds = 100;
 
 /** Read that the log service has not answered yet. */
 interface PendingRead {
@@ -82,14 +82,17 @@
     let failures = 0;
     let hasReadTopic = false;
     let pendingRead: PendingRead | undefined;
+    /** Ends the wait until the topic may have to be read; undefined while there is none. */
+    let endWait: (() => void) | undefined;
     store.onEra(() => pendingRead?.controller.abort());
-    if (mode === "wait") {
-        store.onChange(changed => {
-            if (changed === topic) {
-                expectAnswer();
-            }
-        });
-    }
+    store.onChange(changed => {
+        if (changed === "instances") {
+            endWait?.();
+        }
+        if (mode === "wait" && changed === topic) {
+            expectAnswer();
+        }
+    });
 
     /** Aborts a long poll that does not return records which a relay or a check has already delivered. */
     function expectAnswer(): void {
@@ -103,14 +106,15 @@
         }, promptAnswerLimit);
     }
 
-    const shouldRead: Readonly<Record<ReadMode, () => boolean>> = {
-        wait: () => true,
-        poll: () => store.topic(topic).currentAt === undefined || isReader(),
-        check: () => store.topic(topic).currentAt !== undefined && isReader(),
+    /** Computes the monotonic time after which the topic is read; `Infinity` while that depends on its first records. */
+    const computeReadTime: Readonly<Record<ReadMode, () => Milliseconds>> = {
+        wait: () => -Infinity,
+        poll: () => store.topic(topic).currentAt === undefined ? -Infinity : computeReaderTime(),
+        check: () => store.topic(topic).currentAt === undefined ? Infinity : computeReaderTime(),
     };
 
-    function isReader(): boolean {
-        return mayReadDirectly({
+    function computeReaderTime(): Milliseconds {
+        return computeDirectReadTime({
             instances: input.listRelays(),
             self: input.self,
             relayedCurrentAt: store.relayedCurrentAt(
@@ -118,11 +122,24 @@
                 reader => reader < input.self,
             ),
             startedAt,
-            now: clock.monotonic(),
             options,
         });
     }
 
+    /** Waits until the topic may have to be read. Relayed records only put this off, but other instances may end. */
+    async function awaitReadTime(readAt: Milliseconds): Promise<void> {
+        const ended = new AbortController();
+        const end = (): void => ended.abort();
+        endWait = end;
+        signal.addEventListener("abort", end);
+        await sleep(
+            readAt === Infinity ? unknownTopicCheckInterval : readAt - clock.monotonic() + 1,
+            ended.signal,
+        );
+        signal.removeEventListener("abort", end);
+        endWait = undefined;
+    }
+
     /**
      * Reads the records from an offset on. The read is aborted if a newer era becomes known, which voids the offset.
      *
@@ -256,11 +273,12 @@
     }
 
     while (!signal.aborted) {
-        if (shouldRead[mode]()) {
+        const readAt = computeReadTime[mode]();
+        if (clock.monotonic() > readAt) {
             await read();
         }
         else {
-            await sleep(directReadCheckInterval, signal);
+            await awaitReadTime(readAt);
         }
     }
 }
--- a/src/runtime/replica/directReads.ts
+++ b/src/runtime/replica/directReads.ts
@@ -27,19 +27,29 @@
 }
 
 /**
- * Decides whether this process reads a topic with many changes from the log itself. The process of rank 0 always does,
- * and relays the records; the others follow, one rank after the other, when the relayed records become too old. That
- * process keeps reading until an instance of lower rank reads again.
+ * Computes from when on this process reads a topic with many changes from the log itself. The process of rank 0 always
+ * does, and relays the records; the others follow, one rank after the other, when the relayed records become too old.
+ * That process keeps reading until an instance of lower rank reads again.
  *
  * @param input - who relays, and the age of what was relayed
- * @returns true if this process is to read now
+ * @returns monotonic time after which this process is to read, until the input changes; `-Infinity` for rank 0
  */
-export function mayReadDirectly(input: DirectReadInput): boolean {
+export function computeDirectReadTime(input: Omit<DirectReadInput, "now">): Milliseconds {
     const rank = input.instances.filter(instance => instance < input.self).length;
     if (rank === 0) {
-        return true;
+        return -Infinity;
     }
     const { maximumRankDelay, rankDelay, relayStaleAfter } = input.options;
     const current = Math.max(input.relayedCurrentAt ?? input.startedAt, input.startedAt);
-    return input.now - current > relayStaleAfter + Math.min((rank - 1) * rankDelay, maximumRankDelay);
+    return current + relayStaleAfter + Math.min((rank - 1) * rankDelay, maximumRankDelay);
+}
+
+/**
+ * Decides whether this process reads a topic with many changes from the log itself.
+ *
+ * @param input - who relays, and the age of what was relayed
+ * @returns true if this process is to read now
+ */
+export function mayReadDirectly(input: DirectReadInput): boolean {
+    return input.now > computeDirectReadTime(input);
 }
--- a/test/node/replica/logFollower.test.ts
+++ b/test/node/replica/logFollower.test.ts
@@ -8,8 +8,14 @@
     followLog,
     type StallMonitor,
 } from "../../../src/node/replica/index.js";
-import { createError, type KeyedLogPort, type KeyedPage, type KeyedRecord } from "../../../src/types/index.js";
-import { createManualClock, type ManualClock } from "../../../src/utils/index.js";
+import {
+    createError,
+    type KeyedLogPort,
+    type KeyedPage,
+    type KeyedRecord,
+    type KeyedTopic,
+} from "../../../src/types/index.js";
+import { createManualClock, createSystemClock, type ManualClock, sleep } from "../../../src/utils/index.js";
 
 const logger = pino({ level: "silent" });
 
@@ -127,3 +133,48 @@
         expect(changed.map(({ writtenAfter }) => writtenAfter)).toEqual([14_000]);
     });
 });
+
+describe("process that follows a topic through relays", () => {
+    // Guards against wake-ups at short intervals while the reader of lower rank reads, and against a late takeover.
+    it("does not wake up until the records are too old, or until the registration of the reader ends", async () => {
+        const clock = createSystemClock();
+        const store = createRecordStore(["backend-servers", "instances"], clock, logger);
+        const ended = new AbortController();
+        const receive = (topic: KeyedTopic, page: KeyedPage): void =>
+            store.receive({ topic, page, complete: true, age: 0, source: "relay", peer: "a", reader: "a" });
+        receive("backend-servers", createPage(1, "i-1"));
+        receive("instances", createPage(1, "a"));
+        let checks = 0;
+        let reads = 0;
+        const readPage: KeyedLogPort["readNewest"] = () => {
+            reads++;
+            ended.abort();
+            return Promise.resolve(ok(createPage(1)));
+        };
+        const times = { readWait: 1, pollInterval: 1, changeInterval: 1, retryAfter: 1, longestRetry: 1 };
+        const following = followLog(
+            {
+                log: { readNewest: readPage, readSince: readPage, put: () => Promise.resolve(ok(0)) },
+                store,
+                self: "b",
+                listRelays: () => {
+                    checks++;
+                    return store.topic("instances").records.get("a")?.value === undefined ? ["b"] : ["a", "b"];
+                },
+                clock,
+                stalls: createStallMonitor({ clock, logger }),
+                random: { next: () => 0.5 },
+                logger,
+                options: { ...times, relayStaleAfter: 60_000, rankDelay: 100, maximumRankDelay: 300 },
+                signal: ended.signal,
+            },
+            "backend-servers",
+            "poll",
+        );
+        await sleep(350);
+        expect([checks, reads]).toEqual([1, 0]);
+        receive("instances", createPage(2));
+        await following;
+        expect(reads).toEqual(1);
+    });
+});
