Check HTTP connections only while there are any

Each of the HTTP servers of a gateway (callers, readiness, metrics) woke it every 250 ms to look for connections to close, 12 times a second together, also without a connection. The interval is now set with the first connection and ended with the last one; intervals and limits are unchanged.

--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -57,7 +57,8 @@
     private readonly tracked = new Map<Socket, Connection>();
     private isClosing = false;
     private accepted = 0;
-    private timer: NodeJS.Timeout;
+    /** Set only while there are connections. */
+    private timer: NodeJS.Timeout | undefined;
     private checkedAt: Milliseconds;
     private idleChecksResumeAt: Milliseconds = 0;
 
@@ -79,8 +80,6 @@
         // Node looks for slow heads every 30 s only, and counts from the time at which the connection was opened.
         this.headersTimeout = 0;
         this.checkedAt = clock.monotonic();
-        this.timer = this.startChecks(checkInterval);
-        this.once("close", () => clearInterval(this.timer));
         // With a listener, Node leaves it to this class to close idle connections.
         this.on("timeout", () => {});
         this.on("connection", (socket: Socket) => {
@@ -98,7 +97,16 @@
                 headSince: undefined,
                 statedIdleLimit: 0,
             });
-            socket.once("close", () => this.tracked.delete(socket));
+            if (this.tracked.size === 1) {
+                this.checkedAt = clock.monotonic();
+                this.updateChecks();
+            }
+            socket.once("close", () => {
+                this.tracked.delete(socket);
+                if (this.tracked.size === 0) {
+                    this.updateChecks();
+                }
+            });
             socket.on("data", (part: Buffer) => this.handleReceived(socket, part));
             // Node calls this after a response with `connection: close`, while the peer may still send its request.
             socket.destroySoon = () => closeLingering(socket, lingerLimits, clock);
@@ -149,8 +157,7 @@
     override closeIdleConnections(): void {
         if (!this.isClosing) {
             this.isClosing = true;
-            clearInterval(this.timer);
-            this.timer = this.startChecks(shutdownCheckInterval);
+            this.updateChecks();
         }
         this.scheduleCheck();
     }
@@ -294,8 +301,11 @@
         closeLingering(socket, lingerLimits, this.clock);
     }
 
-    private startChecks(interval: Milliseconds): NodeJS.Timeout {
-        return setInterval(() => this.scheduleCheck(), interval).unref();
+    /** Starts the checks with the first connection, and ends them with the last one. */
+    private updateChecks(): void {
+        const interval = this.isClosing ? shutdownCheckInterval : checkInterval;
+        clearInterval(this.timer);
+        this.timer = this.tracked.size === 0 ? undefined : setInterval(() => this.scheduleCheck(), interval).unref();
     }
 
     private scheduleCheck(): void {
