Read responses of backend servers directly from the parser

Each part of a response passed through a stream of undici, four listeners, an async iterator of events and two generators, and each call had a timer of 100 ms of its own for the check of the overhead. The HTTP client now hands each part that the parser reports to the reader that waits for it, or buffers it; one timer checks all calls; the beginning of a read is kept as text only while a status line may arrive. What aborts a call, resets its connection and limits its memory is unchanged, except that a part for which the reader waits is no longer counted as buffered for the time of a microtask.

--- a/src/node/httpClient/bodyReader.ts
+++ b/src/node/httpClient/bodyReader.ts
@@ -1,5 +1,3 @@
-import { on } from "node:events";
-import type { Readable } from "node:stream";
 import type { MemoryReservation, ResponseMemoryLimit } from "./responseMemoryLimit.js";
 
 /** Thrown if the unread bytes of a response body, or of all response bodies together, exceed their limit. */
@@ -11,7 +9,7 @@
 /** Memory of a part of a body beside its bytes, which is most of it for a peer that sends a few bytes at a time. */
 export const partOverheadBytes = 512;
 
-/** Limits of {@link readAhead}. */
+/** Limits of {@link createArrivingBody}. */
 export interface ReadAheadLimits {
     /** Unread bytes of the body that are kept; the response is aborted if there are more. */
     readonly maximumUnreadBytes: number;
@@ -19,61 +17,193 @@
     readonly memoryLimit: ResponseMemoryLimit | undefined;
 }
 
-/** Reserves memory for the bytes of a body, which is destroyed when its memory is needed for other responses. */
-function reserveMemory(body: Readable, memoryLimit: ResponseMemoryLimit | undefined): MemoryReservation | undefined {
-    return memoryLimit?.open(() => body.destroy(new ResponseTooLargeError(memoryExceededMessage)));
+/** What a body needs of its call. */
+export interface BodyHandlers {
+    /** Aborts the call, and with it the connection, unless another call has begun on it. */
+    abort(reason: Error): void;
+    /** Called once, when nothing more of the body can arrive. */
+    onClose(): void;
+    /** Checks a body whose end has arrived; throws if it may be incomplete. */
+    checkEnd(): void;
+    /**
+     * Describes why a body ended early, as its reader gets it.
+     *
+     * @param cause - error that ended the body
+     * @param bytes - bytes that were read before
+     */
+    describe(cause: unknown, bytes: number): Error;
 }
 
+/** Body of a response, which buffers what has arrived and was not read. It is never paused. */
+export interface ArrivingBody {
+    /** Adds a part that has arrived. */
+    receive(part: Uint8Array): void;
+    /** Notes that the last part has arrived. */
+    end(): void;
+    /** Ends the body early. Has no effect once it has arrived completely and the event loop has gone on. */
+    destroy(cause: Error): void;
+    /** Parts of the body, to be iterated once; throws the error that ended the body early after the buffered parts. */
+    readonly parts: AsyncIterable<Uint8Array>;
+}
+
+type PartResult = IteratorResult<Uint8Array, undefined>;
+
+interface PendingRead {
+    readonly resolve: (result: PartResult) => void;
+    readonly reject: (cause: unknown) => void;
+}
+
+const done: PartResult = { done: true, value: undefined };
+
 /**
- * Reads a body as it arrives, and buffers what its consumer has not read. The body is never paused: if the connection
- * of a paused response ends, undici throws an error that no caller can catch.
+ * Creates the body of a response whose head has arrived. It takes no stream, whose events and states would cost several
+ * times as much for each part.
  *
- * @param body - body of a response
  * @param limits - limits on the buffered bytes
- * @returns parts of the body, to be iterated once; throws the error that ended the body early
+ * @param handlers - call of the body
+ * @returns the body, without a part
  */
-export function readAhead(body: Readable, limits: ReadAheadLimits): AsyncIterable<Uint8Array> {
-    const { memoryLimit, maximumUnreadBytes } = limits;
-    const reservation = reserveMemory(body, memoryLimit);
+export function createArrivingBody(limits: ReadAheadLimits, handlers: BodyHandlers): ArrivingBody {
+    const { maximumUnreadBytes, memoryLimit } = limits;
+    let buffered: (Uint8Array | undefined)[] = [];
+    let nextBuffered = 0;
     let unread = 0;
+    let readBytes = 0;
     let started = false;
     let ended = false;
-    body.once("end", () => {
-        ended = true;
-    });
-    const arrivals = on(body, "data", { close: ["end", "close"] }) as AsyncIterable<[Uint8Array]>;
-    body.on("data", (part: Uint8Array) => {
-        unread += part.byteLength;
-        reservation?.add(part.byteLength + partOverheadBytes);
-        if (unread > maximumUnreadBytes) {
-            body.destroy(
-                new ResponseTooLargeError(`more than ${maximumUnreadBytes} bytes of the response are unread`),
-            );
+    let closed = false;
+    let finished = false;
+    let failure: Error | undefined;
+    let pending: PendingRead | undefined;
+    const reservation: MemoryReservation | undefined = memoryLimit?.open(() =>
+        destroy(new ResponseTooLargeError(memoryExceededMessage))
+    );
+
+    function close(): void {
+        if (closed) {
+            return;
         }
-    });
-    body.once("close", () => {
+        closed = true;
         if (!started) {
             reservation?.close();
         }
-    });
+        handlers.onClose();
+    }
 
-    return (async function*() {
-        started = true;
-        try {
-            for await (const [part] of arrivals) {
-                unread -= part.byteLength;
-                reservation?.add(-part.byteLength - partOverheadBytes);
-                yield part;
+    function destroy(cause: Error): void {
+        if (closed) {
+            return;
+        }
+        failure = cause;
+        close();
+        handlers.abort(cause);
+        settle();
+    }
+
+    /** Answers the read that waits, once the body has ended. */
+    function settle(): void {
+        if (pending !== undefined) {
+            const { reject, resolve } = pending;
+            pending = undefined;
+            try {
+                resolve(finish());
             }
-            if (!ended) {
-                throw new Error("the response was aborted before its end");
+            catch (cause) {
+                reject(cause);
             }
         }
-        finally {
-            reservation?.close();
-            if (!ended) {
-                body.destroy();
+    }
+
+    /** Ends the iteration after the last buffered part; throws if the body ended early. */
+    function finish(): PartResult {
+        if (finished) {
+            return done;
+        }
+        finished = true;
+        reservation?.close();
+        try {
+            if (failure !== undefined) {
+                throw failure;
             }
+            handlers.checkEnd();
         }
-    })();
+        catch (cause) {
+            throw handlers.describe(cause, readBytes);
+        }
+        return done;
+    }
+
+    function takeBuffered(): Uint8Array | undefined {
+        if (nextBuffered === buffered.length) {
+            return undefined;
+        }
+        const part = buffered[nextBuffered];
+        buffered[nextBuffered] = undefined;
+        nextBuffered++;
+        if (nextBuffered === buffered.length) {
+            buffered = [];
+            nextBuffered = 0;
+        }
+        return part;
+    }
+
+    function read(): Promise<PartResult> {
+        started = true;
+        const part = takeBuffered();
+        if (part !== undefined) {
+            unread -= part.byteLength;
+            readBytes += part.byteLength;
+            reservation?.add(-part.byteLength - partOverheadBytes);
+            return Promise.resolve({ done: false, value: part });
+        }
+        if (finished || ended || failure !== undefined) {
+            return new Promise(resolve => {
+                resolve(finish());
+            });
+        }
+        return new Promise((resolve, reject) => {
+            pending = { resolve, reject };
+        });
+    }
+
+    function stop(): Promise<PartResult> {
+        finished = true;
+        buffered = [];
+        nextBuffered = 0;
+        reservation?.close();
+        if (!ended) {
+            destroy(new Error("the response was aborted by its reader"));
+        }
+        return Promise.resolve(done);
+    }
+
+    return {
+        receive: part => {
+            if (closed) {
+                return;
+            }
+            if (pending !== undefined) {
+                // The reader waits for it, so that it is not buffered.
+                const { resolve } = pending;
+                pending = undefined;
+                readBytes += part.byteLength;
+                resolve({ done: false, value: part });
+                return;
+            }
+            buffered.push(part);
+            unread += part.byteLength;
+            reservation?.add(part.byteLength + partOverheadBytes);
+            if (unread > maximumUnreadBytes) {
+                destroy(new ResponseTooLargeError(`more than ${maximumUnreadBytes} bytes of the response are unread`));
+            }
+        },
+        end: () => {
+            ended = true;
+            settle();
+            // A response that is found to be wrong as soon as its head is read still ends its connection.
+            setImmediate(close);
+        },
+        destroy,
+        parts: { [Symbol.asyncIterator]: () => ({ next: read, return: stop }) },
+    };
 }
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -1,33 +1,18 @@
-import type { Readable } from "node:stream";
 import { err, ok, type Result } from "true-myth/result";
 import { type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../../types/index.js";
 import { createSystemClock } from "../../utils/index.js";
-import {
-    memoryExceededMessage,
-    partOverheadBytes,
-    readAhead,
-    type ReadAheadLimits,
-    ResponseTooLargeError,
-} from "./bodyReader.js";
-import { isMixedHead, resolveFraming } from "./framing.js";
+import { memoryExceededMessage, partOverheadBytes, ResponseTooLargeError } from "./bodyReader.js";
+import { createExchange } from "./exchange.js";
 import { createInterruption, type Interruption } from "./interruption.js";
 import { watchOverhead } from "./overheadWatch.js";
 import { describeStatusLine, InvalidStatusError, isUnreadableStatus } from "./responseStatus.js";
 import { type SilenceLimit, type SilenceWatch, watchSilence } from "./silenceWatch.js";
-import {
-    type CallState,
-    type ConnectionState,
-    createCallState,
-    createTrackedClient,
-    trackWrittenRequests,
-} from "./trackedClient.js";
+import { type CallState, createCallState, createTrackedClient } from "./trackedClient.js";
 import type {
-    BodyFraming,
     HttpClient,
     HttpClientOptions,
     HttpFailure,
-    HttpHead,
     HttpRequest,
     HttpResponse,
     HttpStreamingResponse,
@@ -79,7 +64,6 @@
         connections: options.connections ?? defaultMaximumConnections,
         factory: (origin, clientOptions) => createTrackedClient(origin, clientOptions, timeouts.connect),
     });
-    const dispatcher = pool.compose(trackWrittenRequests);
     const maximumBodyBytes = options.maximumBodyBytes ?? defaultMaximumBodyBytes;
     const { memoryLimit } = options;
     const pathPrefix = url.pathname.replace(/\/$/, "");
@@ -88,19 +72,44 @@
         const limits = { ...timeouts, ...request.timeouts };
         const call = startCall(request);
         call.interruption.setTimeLimit(limits.head);
+        let idleWatch: SilenceWatch | undefined;
+        const bodyLimit = request.memoryLimit ?? memoryLimit;
+        const { handler, opened } = createExchange(request, {
+            ...call,
+            limits: { maximumUnreadBytes: maximumBodyBytes, memoryLimit: bodyLimit },
+            onHead: () => {
+                call.interruption.clearTimeLimit();
+                call.silence.heard();
+                idleWatch = limitIdleTime(call.interruption, limits.idle);
+            },
+            onPart: () => {
+                call.silence.heard();
+                idleWatch?.heard();
+            },
+            onClose: () => {
+                idleWatch?.end();
+                endCall(call);
+            },
+            describe: (cause, received) => {
+                const failure = describeFailure(cause, call, received);
+                return new Error(failure.message, { cause: failure });
+            },
+        });
         try {
-            const response = await awaitHead(dispatcher.request(toOptions(request, call)), call);
-            call.interruption.clearTimeLimit();
-            call.silence.heard();
-            if (isMixedHead(response.statusText, flattenHeaders(response.headers))) {
-                response.body.on("error", () => {}).destroy();
-                throw new Error("the head contains the parts of two responses");
+            if (call.interruption.isInterrupted()) {
+                throw new Error("aborted before the request was written");
             }
-            limitIdleTime(response.body, call.interruption, limits.idle);
-            return ok(toStream(request, response, call, {
-                maximumUnreadBytes: maximumBodyBytes,
-                memoryLimit: request.memoryLimit ?? memoryLimit,
-            }));
+            pool.dispatch(toOptions(request, call), handler);
+            const { body, framing, headers, status } = await opened;
+            return ok({
+                status,
+                headers,
+                framing,
+                memoryLimit: bodyLimit,
+                body: body.parts,
+                readLongestSilence: () => call.silence.readLongest(),
+                discard: () => body.destroy(new Error("the response was discarded")),
+            });
         }
         catch (cause) {
             endCall(call);
@@ -108,12 +117,14 @@
         }
     }
 
-    function toOptions(request: HttpRequest, call: Call): Dispatcher.RequestOptions<CallState> {
+    function toOptions(
+        request: HttpRequest,
+        call: Call,
+    ): Dispatcher.DispatchOptions & { readonly opaque: CallState; } {
         return {
             method: request.method,
             path: pathPrefix + request.path,
             headers: { ...request.headers },
-            signal: call.interruption.signal,
             opaque: call.state,
             // Undici ends calls from timers, which run before the event loop reads what arrived during a standstill.
             headersTimeout: 0,
@@ -143,81 +154,11 @@
     };
 }
 
-/** Waits for the head. A call that is aborted while it waits for a connection ends at once, and is never written. */
-async function awaitHead(
-    pending: Promise<Dispatcher.ResponseData<CallState>>,
-    call: Call,
-): Promise<Dispatcher.ResponseData<CallState>> {
-    const { signal } = call.interruption;
-    return new Promise((resolve, reject) => {
-        pending.then(resolve, reject);
-        signal.addEventListener("abort", () => {
-            if (!call.state.written) {
-                reject(new Error("aborted before the request was written"));
-            }
-        });
-    });
-}
-
-/** Ends a call when no part of its body has arrived for a time. */
-function limitIdleTime(body: Readable, interruption: Interruption, limit: Milliseconds): void {
-    const watch = watchSilence({ after: limit, onSilent: () => interruption.timeOut() }, clock);
-    body.on("data", () => watch.heard());
-    body.once("close", () => watch.end());
-}
-
-function toStream(
-    request: HttpRequest,
-    response: Dispatcher.ResponseData<CallState>,
-    call: Call,
-    limits: ReadAheadLimits,
-): HttpStreamingResponse {
-    const { body } = response;
-    const head: HttpHead = { status: response.statusCode, headers: flattenHeaders(response.headers) };
-    const framing = resolveFraming(request, head);
-    // Without a listener, an error before the body is read would be uncaught and end the process.
-    body.on("error", () => {});
-    body.once("close", () => endCall(call));
-    body.on("data", (part: Uint8Array) => {
-        call.silence.heard();
-        call.state.bodyBytes += part.byteLength;
-    });
-    return {
-        ...head,
-        framing,
-        memoryLimit: limits.memoryLimit,
-        body: readParts(readAhead(body, limits), call, framing),
-        readLongestSilence: () => call.silence.readLongest(),
-        discard: () => {
-            body.destroy();
-        },
-    };
-}
-
-/** Tells whether the peer closed the connection; for undici, any end of it completes a response without a length. */
-function closedGracefully(connection: ConnectionState | undefined): boolean {
-    return connection?.ended === true && !connection.failed;
-}
-
-async function* readParts(
-    body: AsyncIterable<Uint8Array>,
-    call: Call,
-    framing: BodyFraming,
-): AsyncGenerator<Uint8Array> {
-    let bytes = 0;
-    try {
-        for await (const part of body) {
-            bytes += part.byteLength;
-            yield part;
-        }
-        if (framing === "connection" && !closedGracefully(call.state.connection)) {
-            throw new Error("the connection failed before the response was known to be complete");
-        }
-    }
-    catch (cause) {
-        const failure = describeFailure(cause, call, { framing, bytes });
-        throw new Error(failure.message, { cause: failure });
-    }
+/** Ends a call when no part of its body has arrived for a time; undefined if the time is not limited. */
+function limitIdleTime(interruption: Interruption, limit: Milliseconds): SilenceWatch | undefined {
+    return limit === Infinity ?
+        undefined :
+        watchSilence({ after: limit, onSilent: () => interruption.timeOut() }, clock);
 }
 
 /**
@@ -291,13 +232,3 @@
     const timedOut = typeof code === "string" && code.startsWith("UND_ERR_") && code.endsWith("_TIMEOUT");
     return timedOut || interruption.timedOut() ? "timeout" : "connection";
 }
-
-function flattenHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): Record<string, string> {
-    const flat: Record<string, string> = {};
-    for (const [name, value] of Object.entries(headers)) {
-        if (value !== undefined) {
-            flat[name.toLowerCase()] = Array.isArray(value) ? value.join(", ") : value;
-        }
-    }
-    return flat;
-}
--- a/src/node/httpClient/interruption.ts
+++ b/src/node/httpClient/interruption.ts
@@ -3,6 +3,13 @@
 /** Signal of one call, which is aborted by the caller's signal, a time limit or a stop of the call. */
 export interface Interruption {
     readonly signal: AbortSignal;
+    /**
+     * Sets the function that is called at once when the call is interrupted; there is one at most. It costs less than a
+     * listener of the signal, which is created when it is first read.
+     */
+    onInterrupt(listener: () => void): void;
+    /** @returns true if the call was interrupted for any reason */
+    isInterrupted(): boolean;
     /** @returns true if the caller's signal was aborted */
     canceled(): boolean;
     /** @returns true if the time limit was exceeded */
@@ -33,16 +40,37 @@
  * @returns the interruption
  */
 export function createInterruption(source: AbortSignal | undefined): Interruption {
-    const controller = new AbortController();
+    let controller: AbortController | undefined;
+    let interrupt: (() => void) | undefined;
     let timer: NodeJS.Timeout | undefined;
     let pendingAbort: NodeJS.Immediate | undefined;
     let hasTimedOut = false;
     let stopped = false;
     let canceled = source?.aborted ?? false;
-    const cancel = (): void => {
+    let isInterrupted = canceled;
+
+    function end(): void {
+        if (!isInterrupted) {
+            isInterrupted = true;
+            interrupt?.();
+            controller?.abort();
+        }
+    }
+
+    function cancel(): void {
         canceled = true;
-        controller.abort();
-    };
+        end();
+    }
+
+    function readSignal(): AbortSignal {
+        if (controller === undefined) {
+            controller = new AbortController();
+            if (isInterrupted) {
+                controller.abort();
+            }
+        }
+        return controller.signal;
+    }
 
     function clearTimeLimit(): void {
         clearTimeout(timer);
@@ -51,7 +79,7 @@
 
     function timeOut(): void {
         hasTimedOut = true;
-        controller.abort();
+        end();
     }
 
     function setTimeLimit(duration: Milliseconds): void {
@@ -65,19 +93,22 @@
         }, duration);
     }
 
-    if (canceled) {
-        controller.abort();
-    }
     source?.addEventListener("abort", cancel, { once: true });
     return {
-        signal: controller.signal,
+        get signal() {
+            return readSignal();
+        },
+        onInterrupt: listener => {
+            interrupt = listener;
+        },
+        isInterrupted: () => isInterrupted,
         canceled: () => canceled,
         timedOut: () => hasTimedOut,
         stopped: () => stopped,
         timeOut,
         stop: () => {
             stopped = true;
-            controller.abort();
+            end();
         },
         setTimeLimit,
         clearTimeLimit,
--- a/src/node/httpClient/overheadWatch.ts
+++ b/src/node/httpClient/overheadWatch.ts
@@ -19,6 +19,26 @@
     return receivedBytes - bodyBytes > maximumOverheadBytes + overheadBytesPerBodyByte * bodyBytes;
 }
 
+interface WatchedCall {
+    readonly call: CallState;
+    readonly onExcess: () => void;
+}
+
+/** Calls of the process, which share one timer: one for each call would wake the event loop for each of them. */
+const watchedCalls = new Set<WatchedCall>();
+let checks: NodeJS.Timeout | undefined;
+
+function checkCalls(): void {
+    for (const watched of watchedCalls) {
+        const { call, onExcess } = watched;
+        const received = call.connection?.countReceivedBytes() ?? 0;
+        if (hasExcessiveOverhead(received - call.receivedBeforeCall, call.bodyBytes)) {
+            watchedCalls.delete(watched);
+            onExcess();
+        }
+    }
+}
+
 /**
  * Checks the overhead of a response at intervals.
  *
@@ -27,12 +47,14 @@
  * @returns function that ends the checks
  */
 export function watchOverhead(call: CallState, onExcess: () => void): () => void {
-    const timer = setInterval(() => {
-        const received = call.connection?.countReceivedBytes() ?? 0;
-        if (hasExcessiveOverhead(received - call.receivedBeforeCall, call.bodyBytes)) {
-            clearInterval(timer);
-            onExcess();
+    const watched: WatchedCall = { call, onExcess };
+    watchedCalls.add(watched);
+    checks ??= setInterval(checkCalls, overheadCheckInterval);
+    return () => {
+        watchedCalls.delete(watched);
+        if (watchedCalls.size === 0) {
+            clearInterval(checks);
+            checks = undefined;
         }
-    }, overheadCheckInterval);
-    return () => clearInterval(timer);
+    };
 }
--- a/src/node/httpClient/trackedClient.ts
+++ b/src/node/httpClient/trackedClient.ts
@@ -2,7 +2,6 @@
 import { TLSSocket } from "node:tls";
 import { buildConnector, Client, type Dispatcher, errors } from "undici";
 import type { Milliseconds } from "../../types/index.js";
-import { createStatusError, isHttpStatus } from "./responseStatus.js";
 
 /** State of a connection. */
 export interface ConnectionState {
@@ -12,7 +11,9 @@
     failed: boolean;
     /** Call whose request was the last one written to the connection. */
     lastCall: CallState | undefined;
-    /** @returns the beginning of the bytes that were read last, as text */
+    /** True from the write of a request until the head of its response has arrived. */
+    awaitsHead: boolean;
+    /** @returns the beginning of the bytes that were read last while a head was awaited, as text */
     readonly quoteLastRead: () => string;
     /** @returns bytes that the connection has received in total */
     readonly countReceivedBytes: () => number;
@@ -71,13 +72,13 @@
 /** Bytes of each read that are kept for the message of an unreadable status line. */
 const quotedBytes = 256;
 
-/** Notes the beginning of each read of a socket. */
-function trackReads(socket: Socket): () => string {
+/** Notes the beginning of each read of a socket that may bring a status line. */
+function trackReads(socket: Socket, mayBeHead: () => boolean): () => string {
     const read = socket.read.bind(socket) as (size?: number) => unknown;
     let last = "";
     socket.read = (size?: number) => {
         const part = read(size);
-        last = Buffer.isBuffer(part) ? part.toString("latin1", 0, quotedBytes) : last;
+        last = mayBeHead() && Buffer.isBuffer(part) ? part.toString("latin1", 0, quotedBytes) : last;
         return part;
     };
     return () => last;
@@ -88,7 +89,8 @@
         ended: false,
         failed: false,
         lastCall: undefined,
-        quoteLastRead: trackReads(socket),
+        awaitsHead: false,
+        quoteLastRead: trackReads(socket, () => state.awaitsHead),
         countReceivedBytes: () => socket.bytesRead,
         reset: () => resetSocket(socket),
     };
@@ -140,71 +142,3 @@
 export function createTrackedClient(origin: URL, options: Client.Options, connectTimeout: Milliseconds): Client {
     return new TrackedClient(origin, options, connectTimeout);
 }
-
-/**
- * Resets the connection when a call is aborted. Undici would close it gracefully, so that a request that a slow network
- * still holds back would arrive and run. It also ignores an abort after the last byte of a response has arrived and keeps
- * the connection; further bytes would be parsed as the response to the next request.
- */
-function resetWhenAborted(controller: Dispatcher.DispatchController, call: CallState): Dispatcher.DispatchController {
-    return {
-        get aborted() {
-            return controller.aborted;
-        },
-        get paused() {
-            return controller.paused;
-        },
-        get reason() {
-            return controller.reason;
-        },
-        abort: reason => {
-            // The connection may already carry another call, which must not be interrupted.
-            if (call.connection?.lastCall === call) {
-                call.connection.reset();
-            }
-            controller.abort(reason);
-        },
-        pause: () => controller.pause(),
-        resume: () => controller.resume(),
-    };
-}
-
-/**
- * Interceptor that updates the state of a call immediately before undici writes the request to an open connection, and
- * resets the connection of a call that is aborted, even if its response has arrived completely but was not read. After
- * a connection attempt that was refused or timed out, the request counts as not written.
- *
- * @param dispatch - next dispatch function
- * @returns dispatch function that updates call states
- */
-export function trackWrittenRequests(dispatch: Dispatcher["dispatch"]): Dispatcher["dispatch"] {
-    return (options, handler) => {
-        const { opaque } = options as unknown as { readonly opaque: CallState; };
-        return dispatch(options, {
-            onRequestStart: (controller, context) => {
-                handler.onRequestStart?.(resetWhenAborted(controller, opaque), context);
-                if (!controller.aborted && !opaque.mayWrite()) {
-                    controller.abort(new Error("the request must not be written any more"));
-                }
-                opaque.written = !controller.aborted;
-                opaque.connection = opaque.findConnection?.();
-                if (opaque.connection !== undefined && opaque.written) {
-                    opaque.connection.lastCall = opaque;
-                    opaque.receivedBeforeCall = opaque.connection.countReceivedBytes();
-                }
-            },
-            onRequestUpgrade: (...parameters) => handler.onRequestUpgrade?.(...parameters),
-            onResponseStart: (controller, status, ...rest) => {
-                if (isHttpStatus(status)) {
-                    handler.onResponseStart?.(controller, status, ...rest);
-                }
-                else {
-                    resetWhenAborted(controller, opaque).abort(createStatusError(status));
-                }
-            },
-            onResponseData: (...parameters) => handler.onResponseData?.(...parameters),
-            onResponseEnd: (...parameters) => handler.onResponseEnd?.(...parameters),
-            onResponseError: (...parameters) => handler.onResponseError?.(...parameters),
-        });
-    };
-}
