Compute places and candidates with less work for each request

The places of a service were computed over all backend servers when a request arrived and again when it ended, and each decision copied the list of rows, read the limit on connections and parsed the name of the weights for each row. Places are now computed at the end of a request only if others wait, since the next arrival computes them before they are read; the rows of a service and their subset are kept until one of them is added, replaced or removed; the limit on connections is read once for each service. findCandidates creates a second list only if runners are ejected. Decisions are unchanged.

The new test of the admission queues fails without the change (2 computations at the ends instead of 1).

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -130,7 +130,7 @@
         countEvacuated: () => evacuations.list().length,
         countCold: slowStarts.countCold,
     });
-    const readConnections = ({ service }: ListedBackendServer) =>
+    const readConnections = ({ service }: Pick<ListedBackendServer, "service">) =>
         divideConnections(state.routes()?.services.get(service)?.maximumConnections, gateways.count());
     const choice = createServerSelector({
         state,
--- a/src/node/gateway/membership/gatewayState.ts
+++ b/src/node/gateway/membership/gatewayState.ts
@@ -282,7 +282,7 @@
     return {
         routes: configurations.routes,
         servers,
-        listServers: service => [...servers.lookup("service", service)].map(instance => servers.get(instance)!),
+        listServers: service => servers.list("service", service),
         listEngines: () =>
             [...servers.rows()].filter(({ listed }) =>
                 configurations.routes()?.services.get(listed.service)?.engine !== undefined
@@ -323,9 +323,15 @@
     rows: readonly BackendServerRow[],
 ): { readonly newest: string | undefined; readonly accepted: ReadonlySet<string>; } {
     const accepted = new Set<string>();
+    let checked: string | undefined;
     for (const { runner: { manifestDigest } } of rows) {
-        const held = manifestDigest === undefined ? undefined : parseWeightName(manifestDigest);
-        if (manifestDigest !== undefined && held?.model === model && held.version >= allowed.oldest) {
+        // Most backend servers hold the same weights.
+        if (manifestDigest === undefined || manifestDigest === checked) {
+            continue;
+        }
+        checked = manifestDigest;
+        const held = parseWeightName(manifestDigest);
+        if (held.model === model && held.version >= allowed.oldest) {
             accepted.add(manifestDigest);
         }
     }
--- a/src/node/gateway/selection/admissionQueues.ts
+++ b/src/node/gateway/selection/admissionQueues.ts
@@ -132,8 +132,12 @@
             kind: "started",
             waited,
             finish: () => {
+                const hasWaiting = queue.table.queued.size > 0;
                 apply(queue, finishRequest(queue.table, requestId, clock.monotonic()));
-                updateCapacity(queue);
+                // Otherwise nothing reads the number of places until it is computed for the next arrival.
+                if (hasWaiting) {
+                    updateCapacity(queue);
+                }
             },
         };
     }
--- a/src/node/gateway/selection/serverSelector.ts
+++ b/src/node/gateway/selection/serverSelector.ts
@@ -48,8 +48,8 @@
     /** Counts the gateways that share the backend servers, this one included. */
     readonly countGateways: () => number;
     readonly queuedPerServer: number;
-    /** Reads how many connections this process may open to a backend server; undefined if that is not known. */
-    readonly readConnections: (listed: ListedBackendServer) => number | undefined;
+    /** Reads how many connections this process may open to each backend server of a service; undefined if not known. */
+    readonly readConnections: (listed: Pick<ListedBackendServer, "service">) => number | undefined;
 }
 
 /** Chosen backend server, with the decision for the log. */
@@ -182,8 +182,17 @@
         return draw.value;
     }
 
-    function createSubset({ name }: ServiceRow, rows: readonly BackendServerRow[]): RunnerSubset {
-        return { deployment: name, runners: rows.map(({ runner }) => runner) };
+    /** Subsets by the rows of a service, whose list stays the same until one of them is added, replaced or removed. */
+    const subsets = new WeakMap<readonly BackendServerRow[], RunnerSubset>();
+
+    function findOrCreateSubset({ name }: ServiceRow, rows: readonly BackendServerRow[]): RunnerSubset {
+        const known = subsets.get(rows);
+        if (known !== undefined) {
+            return known;
+        }
+        const subset = { deployment: name, runners: rows.map(({ runner }) => runner) };
+        subsets.set(rows, subset);
+        return subset;
     }
 
     /** Creates the input that decides both how many requests may start and where they are sent. */
@@ -193,7 +202,7 @@
         allowedRegions: AllowedRegions,
     ): CandidateInput {
         const rows = state.listServers(service.name);
-        const subset = createSubset(service, rows);
+        const subset = findOrCreateSubset(service, rows);
         const common = { subset, excluded, allowedRegions, isEvacuated, now: clock.monotonic(), options };
         if (service.engine === undefined) {
             return { ...common, manifestDigest: undefined };
@@ -232,8 +241,9 @@
 
     /** Lists the backend servers at which a further request would wait for a connection. */
     function listFullyConnected(service: ServiceRow): readonly string[] {
+        const connections = input.readConnections({ service: service.name }) ?? Infinity;
         return state.listServers(service.name)
-            .filter(({ listed, runner }) => runner.outstanding >= (input.readConnections(listed) ?? Infinity))
+            .filter(({ runner }) => runner.outstanding >= connections)
             .map(({ listed }) => listed.instance);
     }
 
@@ -268,7 +278,7 @@
         },
         explainIneligible: (service, allowedRegions) =>
             explainIneligible({
-                subset: createSubset(service, state.listServers(service.name)),
+                subset: findOrCreateSubset(service, state.listServers(service.name)),
                 allowedRegions,
                 isEvacuated,
             }),
@@ -279,7 +289,7 @@
             const full = listFullyConnected(service);
             const decide = (left: ReadonlySet<string>): RoutingDecision =>
                 selectRunner(createRoutingInput(service, left, allowedRegions, cost));
-            const connectable = decide(new Set([...excluded, ...full]));
+            const connectable = decide(full.length === 0 ? excluded : new Set([...excluded, ...full]));
             const decision = connectable.kind === "selected" || full.length === 0 ?
                 connectable :
                 decide(excluded);
@@ -300,16 +310,14 @@
             const { now } = described;
             const { candidates, leftOut, resumesAt } = findCandidates(described);
             const attemptsAtCandidates = candidates.reduce((sum, { outstanding }) => sum + outstanding, 0);
+            const connections = input.readConnections({ service: service.name });
             const share = computePlaceShare({
                 inProgressElsewhere: (inProgress.get(service.name) ?? 0) - attemptsAtCandidates,
-                runners: candidates.map(runner => {
-                    const row = state.servers.get(runner.instance);
-                    return {
-                        runner,
-                        isFollowed: row?.reportedAt !== undefined,
-                        connections: row && input.readConnections(row.listed),
-                    };
-                }),
+                runners: candidates.map(runner => ({
+                    runner,
+                    isFollowed: state.servers.get(runner.instance)?.reportedAt !== undefined,
+                    connections,
+                })),
                 gateways: input.countGateways(),
                 demand,
                 draw: readDraw(now),
--- a/src/runtime/routing/candidates.ts
+++ b/src/runtime/routing/candidates.ts
@@ -26,10 +26,10 @@
 const expectedTrialSeconds = 0.2;
 
 function isServing(runner: RunnerRow, input: CandidateInput): boolean {
-    const { manifestDigest, phase } = runner;
+    const { manifestDigest } = runner;
     const accepted = manifestDigest === input.manifestDigest ||
         (manifestDigest !== undefined && input.acceptedDigests?.has(manifestDigest) === true);
-    return phase === "serving" && accepted && input.now - runner.reportedAt <= input.options.reportExpiry;
+    return runner.phase === "serving" && accepted && input.now - runner.reportedAt <= input.options.reportExpiry;
 }
 
 /**
@@ -171,8 +171,10 @@
  * @returns the candidates, and the number of runners that are left out, by reason
  */
 export function findCandidates(input: CandidateInput): Candidates {
+    const { excluded, now } = input;
     const serving: RunnerRow[] = [];
-    const healthy: RunnerRow[] = [];
+    /** Number of the serving runners that are ejected. */
+    let ejected = 0;
     const leftOut = {
         "outside-regions": 0,
         evacuated: 0,
@@ -189,20 +191,20 @@
         const reason = findLeftOutReason(runner, input);
         if (reason !== undefined) {
             leftOut[reason]++;
-            const resumption = resumptions[reason]?.(runner, input.now);
+            const resumption = resumptions[reason]?.(runner, now);
             resumesAt = resumption === undefined ? resumesAt : Math.min(resumesAt ?? Infinity, resumption);
         }
-        else if (!input.excluded.has(runner.instance)) {
+        else if (excluded.size === 0 || !excluded.has(runner.instance)) {
             serving.push(runner);
-            if (runner.ejectedUntil <= input.now) {
-                healthy.push(runner);
+            if (runner.ejectedUntil > now) {
+                ejected++;
             }
         }
     }
-    const ejected = serving.length - healthy.length;
     const panic = ejected / Math.max(1, serving.length) > input.options.panicShare;
-    if (panic || healthy.length === 0) {
+    if (panic || ejected === 0 || ejected === serving.length) {
         return { candidates: serving, panic, leftOut, resumesAt };
     }
-    return { candidates: healthy, panic, leftOut: { ...leftOut, ejected }, resumesAt };
+    const candidates = serving.filter(({ ejectedUntil }) => ejectedUntil <= now);
+    return { candidates, panic, leftOut: { ...leftOut, ejected }, resumesAt };
 }
--- a/src/utils/table.ts
+++ b/src/utils/table.ts
@@ -15,6 +15,14 @@
      * @returns keys of the rows that have the value
      */
     lookup(index: string, value: string): ReadonlySet<Key>;
+    /**
+     * Lists rows by a secondary index.
+     *
+     * @param index - name of the index
+     * @param value - value to look up
+     * @returns rows that have the value; the same list until one of them is added, replaced or removed
+     */
+    list(index: string, value: string): readonly Row[];
 }
 
 const emptySet: ReadonlySet<never> = new Set<never>();
@@ -33,12 +41,17 @@
         Object.keys(indexes).map(name => [name, new Map<string, Set<Key>>()]),
     );
 
+    const rowsByIndex = new Map<string, Map<string, readonly Row[]>>(
+        Object.keys(indexes).map(name => [name, new Map<string, readonly Row[]>()]),
+    );
+
     function updateIndexes(key: Key, row: Row, change: "add" | "remove"): void {
         for (const [name, readValue] of Object.entries(indexes)) {
             const value = readValue(row);
             if (value === undefined) {
                 continue;
             }
+            rowsByIndex.get(name)!.delete(value);
             const keysByValue = keysByIndex.get(name)!;
             const keys = keysByValue.get(value) ?? new Set<Key>();
             if (change === "add") {
@@ -53,6 +66,10 @@
         }
     }
 
+    function lookup(index: string, value: string): ReadonlySet<Key> {
+        return keysByIndex.get(index)?.get(value) ?? emptySet;
+    }
+
     return {
         get size() {
             return rowsByKey.size;
@@ -76,6 +93,18 @@
         },
         keys: () => rowsByKey.keys(),
         rows: () => rowsByKey.values(),
-        lookup: (index, value) => keysByIndex.get(index)?.get(value) ?? emptySet,
+        lookup,
+        list: (index, value) => {
+            const known = rowsByIndex.get(index)?.get(value);
+            if (known !== undefined) {
+                return known;
+            }
+            const listed = [...lookup(index, value)].map(key => rowsByKey.get(key)!);
+            // Values that no row has are not kept, since nothing would remove them.
+            if (listed.length > 0) {
+                rowsByIndex.get(index)?.set(value, listed);
+            }
+            return listed;
+        },
     };
 }
--- a/test/node/gateway/admissionQueues.test.ts
+++ b/test/node/gateway/admissionQueues.test.ts
@@ -16,32 +16,40 @@
 
 function prepare() {
     const clock = createSystemClock();
+    let computed = 0;
     const queues = createAdmissionQueues({
         clock,
         options: resolveAdmissionOptions(),
-        computeServiceShare: () => ({
-            places: 1,
-            own: 1,
-            free: 1,
-            gateways: 1,
-            contenders: 1,
-            usable: 1,
-            leftOut: {
-                "outside-regions": 0,
-                evacuated: 0,
-                draining: 0,
-                "not-serving": 0,
-                unverified: 0,
-                paused: 0,
-                "rate-limited": 0,
-                "slow-start": 0,
-                ejected: 0,
-            },
-            resumesAt: undefined,
-        }),
+        computeServiceShare: () => {
+            computed++;
+            return {
+                places: 1,
+                own: 1,
+                free: 1,
+                gateways: 1,
+                contenders: 1,
+                usable: 1,
+                leftOut: {
+                    "outside-regions": 0,
+                    evacuated: 0,
+                    draining: 0,
+                    "not-serving": 0,
+                    unverified: 0,
+                    paused: 0,
+                    "rate-limited": 0,
+                    "slow-start": 0,
+                    ejected: 0,
+                },
+                resumesAt: undefined,
+            };
+        },
     });
     const request = createRequest({ deadline: clock.monotonic() + 60_000 });
-    return { queues, admit: () => queues.admit(service, request, new AbortController().signal) };
+    return {
+        queues,
+        countComputed: () => computed,
+        admit: () => queues.admit(service, request, new AbortController().signal),
+    };
 }
 
 describe("admission queues", () => {
@@ -58,4 +66,20 @@
         }
         expect(queues.countOpen()).toEqual(0);
     });
+
+    // Guards against places that are computed over all backend servers at each end, although no request waits for one.
+    it("compute the places at the end of a request only if others wait", async () => {
+        const { admit, countComputed } = prepare();
+        const [first, second] = [admit(), admit()];
+        const counts: number[] = [];
+        for (const admission of [first, second]) {
+            const outcome = await admission;
+            const before = countComputed();
+            if (outcome.kind === "started") {
+                outcome.finish();
+            }
+            counts.push(countComputed() - before);
+        }
+        expect(counts).toEqual([1, 0]);
+    });
 });
--- a/test/utils/table.test.ts
+++ b/test/utils/table.test.ts
@@ -24,4 +24,21 @@
         expect([...table.lookup("color", "red")]).toEqual([]);
         expect(table.size).toEqual(0);
     });
+
+    // Guards against a kept list that still has rows which were added, replaced or deleted since.
+    it("lists the rows of an index value as they are after each change", () => {
+        const table = createTable<string, Row>({ color: row => row.color });
+        const first: Row = { color: "red" };
+        const changes = [
+            () => table.set("a", first),
+            () => table.set("b", { color: "red" }),
+            () => table.set("a", { color: "blue" }),
+            () => table.delete("b"),
+        ];
+        const listed = changes.map(change => {
+            change();
+            return table.list("color", "red").length;
+        });
+        expect(listed).toEqual([1, 2, 1, 0]);
+    });
 });
