--- a/test/node/overheadWatch.test.ts
+++ b/test/node/overheadWatch.test.ts
@@ -29,6 +29,7 @@
             ended: false,
             failed: false,
             lastCall: call,
+            awaitsHead: false,
             quoteLastRead: () => "",
             countReceivedBytes,
             reset: () => {},
