Count the capacity for each set of allowed regions

Cause: a request that only some regions may serve competed for the capacity of all. With its regions full and others free it took a slot and was sent to a full server; at the head of the queue it could keep others waiting. Change: requests with allowed regions belong to a pool, which has slots and an expected wait of its own; they are skipped while it is full. Without allowed regions nothing changes.

--- a/src/node/gateway/selection/admissionQueues.ts
+++ b/src/node/gateway/selection/admissionQueues.ts
@@ -6,10 +6,12 @@
     type DequeuedRequests,
     expireRequests,
     finishRequest,
+    listQueuedPools,
     offerRequest,
     refuseQueuedUntil,
     refuseUntil,
     setCapacity,
+    setPool,
 } from "../../../runtime/admission/index.js";
 import {
     type AllowedRegions,
@@ -61,9 +63,15 @@
      * @param service - service of the request
      * @param request - the request; its deadline is the latest time at which it may start
      * @param signal - ends the wait
+     * @param allowedRegions - regions in which it may be served. Default: any.
      * @returns once the request may start, with the release of its place, or its refusal
      */
-    admit(service: ServiceRow, request: RequestRow, signal: AbortSignal): Promise<AdmissionOutcome>;
+    admit(
+        service: ServiceRow,
+        request: RequestRow,
+        signal: AbortSignal,
+        allowedRegions?: AllowedRegions,
+    ): Promise<AdmissionOutcome>;
     /** Refuses the requests that are queued, and from now on all that cannot start at once. */
     close(): void;
     /** Updates the number of places, and refuses requests that can no longer start in time. */
@@ -89,6 +97,8 @@
     readonly table: AdmissionTable;
     readonly arrivals: ArrivalCount;
     readonly waiting: Map<RequestId, (outcome: AdmissionOutcome) => void>;
+    /** Regions by the name of their pool, of the requests that wait or have just arrived. */
+    readonly regions: Map<string, AllowedRegions>;
 }
 
 /**
@@ -111,6 +121,7 @@
                 table: createAdmissionTable(options),
                 arrivals: createArrivalCount(clock.monotonic()),
                 waiting: new Map(),
+                regions: new Map(),
             };
             queues.set(service.name, queue);
         }
@@ -167,13 +178,32 @@
         return input.computeServiceShare(service, demand, allowedRegions);
     }
 
+    /** Updates the places in the regions to which waiting requests are confined, and forgets those of no request. */
+    function updatePools(queue: ServiceQueue, usable: number, arriving: string | undefined): void {
+        if (queue.regions.size === 0) {
+            return;
+        }
+        const queued = listQueuedPools(queue.table);
+        for (const [name, allowedRegions] of queue.regions) {
+            if (name !== arriving && !queued.has(name)) {
+                queue.regions.delete(name);
+                setPool(queue.table, name, undefined);
+                continue;
+            }
+            const share = computeServiceShare(queue, allowedRegions);
+            setPool(queue.table, name, { capacity: share.places, share: share.usable / Math.max(1, usable) });
+        }
+    }
+
     /**
      * Updates the number of places.
      *
+     * @param arriving - pool of a request that has just arrived
      * @returns time before which no backend server accepts requests, and why; undefined if one does now
      */
-    function updateCapacity(queue: ServiceQueue): BlockedService | undefined {
+    function updateCapacity(queue: ServiceQueue, arriving?: string): BlockedService | undefined {
         const { leftOut, places, resumesAt, usable } = computeServiceShare(queue);
+        updatePools(queue, usable, arriving);
         const now = clock.monotonic();
         apply(queue, setCapacity(queue.table, Math.min(options.maximumInProgress, places), now));
         if (usable > 0 || resumesAt === undefined || resumesAt <= now) {
@@ -207,7 +237,7 @@
             isClosed = true;
             queues.forEach(refuseQueued);
         },
-        admit: (service, arrived, signal) => {
+        admit: (service, arrived, signal, allowedRegions) => {
             // A signal that is already aborted dispatches no further event.
             if (signal.aborted) {
                 return Promise.resolve({
@@ -216,10 +246,14 @@
                 });
             }
             const queue = findOrCreateQueue(service);
-            const request = makeDistinct(queue, arrived);
+            const capacityPool = allowedRegions && [...allowedRegions].sort().join(" ");
+            const request = makeDistinct(queue, { ...arrived, capacityPool });
+            if (capacityPool !== undefined) {
+                queue.regions.set(capacityPool, allowedRegions);
+            }
             const now = clock.monotonic();
             recordArrival(queue.arrivals, now);
-            const blocked = updateCapacity(queue);
+            const blocked = updateCapacity(queue, capacityPool);
             if (blocked !== undefined) {
                 const refusal = refuseUntil(queue.table, request, blocked.resumesAt, now, blocked.reason);
                 return Promise.resolve({ kind: "refused", refusal });
--- a/src/runtime/admission/admission.ts
+++ b/src/runtime/admission/admission.ts
@@ -7,11 +7,12 @@
     RequestId,
     RequestRow,
 } from "../../types/index.js";
+import { hasSlotInPool } from "./capacityPools.js";
 import { adaptReturned, takePlannedReturn } from "./plannedReturns.js";
 import { compareUrgency, computeExpectedWait, countAhead, dequeue, enqueue, findNext, mayStartLate } from "./queue.js";
 import { computeReservedSlots, isOwedStart, isRanked, recordDemand, recordStart } from "./rankDemand.js";
 import { createRefusal } from "./refusals.js";
-import type { AdmissionDecision, AdmissionTable, DequeuedRequests } from "./types.js";
+import type { AdmissionDecision, AdmissionTable, CapacityPool, DequeuedRequests } from "./types.js";
 
 type RefusedRequest = DequeuedRequests["refuse"][number];
 
@@ -48,7 +49,7 @@
     }
     const hasFreeSlot = table.inProgress.size < table.capacity &&
         (request.missedTarget !== true || table.planned.has(request.requestId) || mayStartLate(table));
-    return hasFreeSlot && !isAloneInProgress(table);
+    return hasFreeSlot && hasSlotInPool(table, request) && !isAloneInProgress(table);
 }
 
 /** Tells whether the free slots are reserved for requests that are more urgent. */
@@ -243,11 +244,12 @@
  */
 export function expireRequests(table: AdmissionTable, now: Milliseconds): DequeuedRequests {
     const refused = takeDisplaced(table);
-    const longestWaits = new Map<number, Milliseconds>();
+    const longestWaits = new Map<number | string, Milliseconds>();
     function isAtRisk(request: RequestRow): boolean {
-        const longestWait = longestWaits.get(request.priority) ??
-            computeExpectedWait(table, table.queued.size, request, now);
-        longestWaits.set(request.priority, longestWait);
+        const { capacityPool, priority } = request;
+        const key = capacityPool === undefined ? priority : `${priority} ${capacityPool}`;
+        const longestWait = longestWaits.get(key) ?? computeExpectedWait(table, table.queued.size, request, now);
+        longestWaits.set(key, longestWait);
         return request.deadline <= now || request.deadline < now + longestWait;
     }
     const atRisk = [...table.queued.values()].filter(isAtRisk);
@@ -308,6 +310,22 @@
     return { start: [], refuse: refused };
 }
 
+/**
+ * Changes the slots of a pool. Call {@link setCapacity} afterwards, which starts the requests that have a slot now.
+ *
+ * @param table - table to change
+ * @param name - name of the pool
+ * @param pool - its slots; undefined to forget it
+ */
+export function setPool(table: AdmissionTable, name: string, pool: CapacityPool | undefined): void {
+    if (pool === undefined) {
+        table.pools.delete(name);
+    }
+    else {
+        table.pools.set(name, pool);
+    }
+}
+
 /**
  * Changes the number of slots. Requests that are in progress beyond the new number are not interrupted.
  *
--- a/src/runtime/admission/options.ts
+++ b/src/runtime/admission/options.ts
@@ -46,5 +46,6 @@
         demand: createDemandTable(),
         returns: createReturnPlan(),
         planned: new Set(),
+        pools: new Map(),
     };
 }
--- a/src/runtime/admission/queue.ts
+++ b/src/runtime/admission/queue.ts
@@ -1,4 +1,5 @@
 import type { ClientAccount, Milliseconds, RequestRow } from "../../types/index.js";
+import { computePoolWait, hasSlotInPool } from "./capacityPools.js";
 import {
     computeDemandShare,
     computeFreshRate,
@@ -139,7 +140,8 @@
         let rank: number | undefined;
         for (const request of sorted) {
             const isPlanned = table.planned.has(request.requestId);
-            const mayStart = isPlanned || request.missedTarget !== true || lateMayStart;
+            const mayStart = (isPlanned || request.missedTarget !== true || lateMayStart) &&
+                hasSlotInPool(table, request);
             if (!mayStart || (request.priority === rank && !isPlanned)) {
                 continue;
             }
@@ -158,7 +160,8 @@
 
 /**
  * Finds the request to start next: the most urgent one of the accounts below their fair share or, if none of those
- * wait, the most urgent one of the other accounts. Late requests are skipped while they may not start. If ranks
+ * wait, the most urgent one of the other accounts. Late requests are skipped while they may not start, and requests
+ * confined to a pool while it has no slot free. If ranks
  * compete, the rank decides before the shares of the accounts.
  *
  * @param table - admission table
@@ -174,7 +177,9 @@
     let selected: RequestRow | undefined;
     let isSelectedWithin = false;
     for (const [account, sorted] of table.queuedByAccount) {
-        const request = lateMayStart ? sorted[0] : sorted.find(({ missedTarget }) => missedTarget !== true);
+        const request = sorted.find(queued =>
+            (lateMayStart || queued.missedTarget !== true) && hasSlotInPool(table, queued)
+        );
         if (request === undefined) {
             continue;
         }
@@ -268,8 +273,7 @@
 ): Milliseconds {
     const reserved = isRanked(table, now) ? computeReservedSlots(table, request.priority, now) : 0;
     const free = table.capacity - table.inProgress.size - reserved;
-    if (ahead < free && table.alone.size === 0) {
-        return 0;
-    }
-    return (ahead + 1) / computeStartRate(table, request, now);
+    const startRate = computeStartRate(table, request, now);
+    const poolWait = computePoolWait(table, request, startRate);
+    return ahead < free && table.alone.size === 0 ? poolWait : Math.max(poolWait, (ahead + 1) / startRate);
 }
--- a/src/runtime/admission/types.ts
+++ b/src/runtime/admission/types.ts
@@ -52,6 +52,14 @@
     readonly refuse: readonly { readonly request: RequestRow; readonly refusal: Refusal; }[];
 }
 
+/** Slots of the part of the backend servers that may serve certain requests. */
+export interface CapacityPool {
+    /** Number of requests in progress, those outside the pool included, below which a request of the pool may start. */
+    readonly capacity: number;
+    /** Backend servers of the pool as a share of all that accept requests. */
+    readonly share: number;
+}
+
 /** Requests in progress and waiting at one process; created by `createAdmissionTable`. */
 export interface AdmissionTable {
     readonly options: AdmissionOptions;
@@ -73,4 +81,6 @@
     readonly returns: ReturnPlan;
     /** Queued requests of returning callers for which capacity was planned. */
     readonly planned: Set<RequestId>;
+    /** Pools by name. */
+    readonly pools: Map<string, CapacityPool>;
 }
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -82,6 +82,8 @@
     readonly hasReturned?: boolean | undefined;
     /** Time until which the caller waits, on the monotonic clock of the process. Default: not known. */
     readonly endsAt?: Milliseconds | undefined;
+    /** Name of the part of the backend servers that may serve it, such as a set of regions. Default: any may. */
+    readonly capacityPool?: string | undefined;
 }
 
 /** Identity of the weights that an answer was computed with. */
