Record metrics and copy headers with less work for each request

Each count sorted, escaped and joined the labels of its series; they are now found by a key in the order in which the caller states them. End-to-end headers are copied without lists of pairs, the monotonic time is read without a bigint (same value, in whole microseconds), quantiles of samples are sorted as numbers without a comparing function, and the abort at the end of each request no longer creates an exception with a stack.

--- a/src/node/gateway/callers/heldRequests.ts
+++ b/src/node/gateway/callers/heldRequests.ts
@@ -5,6 +5,8 @@
 
 /** Memory of a request beside its head and its body, with that of its connection. */
 const requestOverheadBytes = 4_096;
+/** Reason of the abort at the end of each request; without one, an exception with its stack is created each time. */
+const requestClosed = new Error("the request has ended");
 
 /**
  * Counts the memory of a request whose head has arrived, until its answer has ended.
@@ -26,7 +28,7 @@
     response.once("close", () => {
         held.close();
         // What was read of a body that is refused is dropped, although its sender may go on for a while.
-        request.dropped.abort();
+        request.dropped.abort(requestClosed);
     });
     held.add(measureHead(incoming) + requestOverheadBytes);
     return held;
--- a/src/node/httpServer/endToEndHeaders.ts
+++ b/src/node/httpServer/endToEndHeaders.ts
@@ -15,6 +15,8 @@
     "upgrade",
 ]);
 
+const noHeaders: ReadonlySet<string> = new Set();
+
 /**
  * Copies the headers that a proxy forwards.
  *
@@ -24,12 +26,17 @@
  */
 export function copyEndToEndHeaders(
     headers: HeaderTable,
-    omitted: ReadonlySet<string> = new Set(),
+    omitted: ReadonlySet<string> = noHeaders,
 ): Record<string, string> {
-    const named = new Set((headers["connection"] ?? "").split(",").map(name => name.trim().toLowerCase()));
-    return Object.fromEntries(
-        Object.entries(headers).filter(([name]) =>
-            !connectionHeaders.has(name) && !named.has(name) && !omitted.has(name)
-        ),
-    );
+    const { connection } = headers;
+    const named = connection === undefined ?
+        undefined :
+        new Set(connection.split(",").map(name => name.trim().toLowerCase()));
+    const copied: Record<string, string> = {};
+    for (const name of Object.keys(headers)) {
+        if (!connectionHeaders.has(name) && named?.has(name) !== true && !omitted.has(name)) {
+            copied[name] = headers[name]!;
+        }
+    }
+    return copied;
 }
--- a/src/node/metrics/metrics.ts
+++ b/src/node/metrics/metrics.ts
@@ -75,8 +75,24 @@
     list(): Iterable<{ readonly labels: Labels; readonly value: Value; }>;
 }
 
+interface SeriesRow<Value> {
+    readonly labels: Labels;
+    readonly value: Value;
+}
+
+/** Formats labels as a key, in the order in which the caller states them. */
+function formatKey(labels: Labels): string {
+    let key = "";
+    for (const name of Object.keys(labels)) {
+        key += `${name}\0${labels[name]!}\0`;
+    }
+    return key;
+}
+
 function createSeries<Value>(maximum: number, create: () => Value): Series<Value> {
-    const rows = new Map<string, { readonly labels: Labels; readonly value: Value; }>();
+    const rows = new Map<string, SeriesRow<Value>>();
+    /** Rows by {@link formatKey}, which is found with less work than the rendered labels. */
+    const known = new Map<string, SeriesRow<Value>>();
 
     function findRow(labels: Labels): Value {
         const key = renderLabels(labels);
@@ -93,9 +109,27 @@
         return value;
     }
 
+    function find(labels: Labels): Value {
+        const key = formatKey(labels);
+        const row = known.get(key);
+        if (row !== undefined) {
+            return row.value;
+        }
+        const value = findRow(labels);
+        const found = rows.get(renderLabels(labels));
+        // Labels that are counted under `other` are not kept, since their number has no limit.
+        if (found !== undefined) {
+            known.set(key, found);
+        }
+        return value;
+    }
+
     return {
-        find: findRow,
-        remove: labels => void rows.delete(renderLabels(labels)),
+        find,
+        remove: labels => {
+            rows.delete(renderLabels(labels));
+            known.clear();
+        },
         list: () => rows.values(),
     };
 }
--- a/src/runtime/gateway/routeSamples.ts
+++ b/src/runtime/gateway/routeSamples.ts
@@ -62,6 +62,7 @@
     route: string,
     quantile: number,
 ): Milliseconds | undefined {
-    const sorted = [...routes.get(route)?.newest ?? []].sort((left, right) => left - right);
+    // Sorted as numbers without a function that compares them, since each request reads a quantile.
+    const sorted = Float64Array.from(routes.get(route)?.newest ?? []).sort();
     return sorted[Math.floor((sorted.length - 1) * quantile)];
 }
--- a/src/utils/clock.ts
+++ b/src/utils/clock.ts
@@ -8,7 +8,11 @@
 export function createSystemClock(): Clock {
     return {
         now: () => new Date(),
-        monotonic: () => Number(process.hrtime.bigint() / 1_000n) / 1_000,
+        // The time of hrtime in whole microseconds; its form with a bigint costs several times as much.
+        monotonic: () => {
+            const [seconds, nanoseconds] = process.hrtime();
+            return (seconds * 1_000_000 + Math.floor(nanoseconds / 1_000)) / 1_000;
+        },
     };
 }
 
--- a/test/node/metrics/metrics.test.ts
+++ b/test/node/metrics/metrics.test.ts
@@ -29,6 +29,18 @@
         );
     });
 
+    // Guards against values that are added to a series which was removed, or to one of another order of the labels.
+    it("find a series by its labels in any order, and begin a removed one again", () => {
+        const metrics = createMetrics({ clock: createManualClock() });
+        const copies = metrics.createGauge({ name: "copies", documentation: "Copies." });
+        copies.set(3, { zone: "a", deployment: "b" });
+        copies.set(4, { deployment: "b", zone: "a" });
+        expect(metrics.render()).toEqual(expect.includes("copies{deployment=\"b\",zone=\"a\"} 4\n"));
+        copies.remove({ zone: "a", deployment: "b" });
+        copies.set(5, { deployment: "b", zone: "a" });
+        expect(metrics.render()).toEqual(expect.includes("copies{deployment=\"b\",zone=\"a\"} 5\n"));
+    });
+
     // Guards against quantiles in which hours of old values hide a change, and against totals that decrease.
     it("compute quantiles over the newest windows and totals since the start", () => {
         const clock = createManualClock();
