Compute the loads of drawn runners only

A decision without a prefix computed the expected load of each candidate, although it compares only the few that it draws; the loads of all are now computed only for a prefix. The checks of a runner read its properties where they are needed.

--- a/src/runtime/routing/candidates.ts
+++ b/src/runtime/routing/candidates.ts
@@ -40,13 +40,13 @@
  * @returns the reason; undefined if it may get the request
  */
 export function findIneligibility(
-    { region, zone }: Pick<RunnerRow, "region" | "zone">,
+    runner: Pick<RunnerRow, "region" | "zone">,
     { allowedRegions, isEvacuated }: Pick<EligibilityInput, "allowedRegions" | "isEvacuated">,
 ): IneligibleReason | undefined {
-    if (allowedRegions?.has(region) === false) {
+    if (allowedRegions !== undefined && !allowedRegions.has(runner.region)) {
         return "outside-regions";
     }
-    return isEvacuated?.(zone) === true ? "evacuated" : undefined;
+    return isEvacuated?.(runner.zone) === true ? "evacuated" : undefined;
 }
 
 /**
@@ -75,8 +75,8 @@
     return Math.min(nextAt, now + interval);
 }
 
-function isPaused({ pausedUntil, trial }: RunnerRow, now: Milliseconds): boolean {
-    return pausedUntil > now || trial === "running";
+function isPaused(runner: RunnerRow, now: Milliseconds): boolean {
+    return runner.pausedUntil > now || runner.trial === "running";
 }
 
 /**
@@ -131,6 +131,7 @@
     runner: RunnerRow,
     input: CandidateInput,
 ): Exclude<LeftOutReason, "ejected"> | undefined {
+    // Properties are read where they are needed, since this is called for each runner of each decision.
     const ineligible = findIneligibility(runner, input);
     if (ineligible !== undefined) {
         return ineligible;
@@ -150,8 +151,7 @@
     if (runner.pace !== undefined && runner.pace.nextAt > input.now) {
         return "rate-limited";
     }
-    const { slowStartAhead = 0 } = input;
-    return runner.slowStart !== undefined && runner.slowStart.nextAt > input.now + slowStartAhead ?
+    return runner.slowStart !== undefined && runner.slowStart.nextAt > input.now + (input.slowStartAhead ?? 0) ?
         "slow-start" :
         undefined;
 }
--- a/src/runtime/routing/selection.ts
+++ b/src/runtime/routing/selection.ts
@@ -80,17 +80,18 @@
     };
 }
 
-/** Draws distinct candidates at random and returns the one with the lowest score. */
-function selectOfDrawn(input: RoutingInput, candidates: readonly RunnerRow[], loads: readonly number[]): RunnerRow {
+/** Draws distinct candidates at random and returns the one with the lowest score; only their loads are computed. */
+function selectOfDrawn(input: RoutingInput, candidates: readonly RunnerRow[]): RunnerRow {
+    const meanReported = computeMeanReported(candidates);
     const drawIndex = createDraw(input, candidates.length);
     const draws = Math.min(candidates.length, Math.max(2, input.options.comparedCandidates));
     let best: RunnerRow | undefined;
     let bestScore = Infinity;
     for (let draw = 0; draw < draws; draw++) {
-        const index = drawIndex();
-        const score = computeScore(input, candidates[index]!, loads[index]!);
+        const runner = candidates[drawIndex()]!;
+        const score = computeScore(input, runner, estimateLoad(runner, meanReported, input.now, input.options));
         if (best === undefined || score < bestScore) {
-            best = candidates[index]!;
+            best = runner;
             bestScore = score;
         }
     }
@@ -218,11 +219,11 @@
 function findAffinityRunner(
     input: RoutingInput,
     candidates: readonly RunnerRow[],
-    loads: CandidateLoads,
 ): RunnerRow | undefined {
     if (input.prefix === undefined || candidates.length === 1) {
         return undefined;
     }
+    const loads = estimateLoads(input, candidates);
     const { runner, held } = findCachedRunner(input, input.prefix, candidates, loads);
     // Until load reports name a new prefix, rendezvous hashing gives all entry instances the same choice; otherwise
     // each of them would fill the prefix cache of another runner.
@@ -254,10 +255,8 @@
         const reason = selectReason(panic, candidates.length, "least-time");
         return { kind: "selected", runner, reason, candidates: candidates.length, expected };
     }
-    const loads = estimateLoads(input, candidates);
-    const affinity = findAffinityRunner(input, candidates, loads);
-    const runner = affinity ??
-        (candidates.length === 1 ? candidates[0]! : selectOfDrawn(input, candidates, loads.loads));
+    const affinity = findAffinityRunner(input, candidates);
+    const runner = affinity ?? (candidates.length === 1 ? candidates[0]! : selectOfDrawn(input, candidates));
     const reason = selectReason(
         panic,
         candidates.length,
