Let an agent rest while its weights are complete

An agent woke up more than 20 times a second without a reason: the transfer service ticked every 100 ms although its set was complete, a loop looked four times a second whether a relay was connected, each load report was encoded once for each follower, and the list of gateways was parsed anew five times a second. A transfer service that starts no exchanges while complete now ticks only for the next read of the engine's state until the set, the target or what is held changes; exchanges of others no longer make it choose transfers then. Whether a relay is connected is looked up with the check of the streams; the list is read from the log after 1 to 1.25 s without one, as before. A message that is sent again is not encoded again.

--- a/src/node/agent/transfer/engineSync.ts
+++ b/src/node/agent/transfer/engineSync.ts
@@ -10,6 +10,8 @@
     run(): void;
     /** Makes the next `run` read the engine's state. */
     requestRead(): void;
+    /** @returns monotonic time at which the next read is due */
+    readDueAt(): Milliseconds;
     /** @returns digest of the active set at the last successful read; undefined if none was active */
     readActiveDigest(): ManifestDigest | undefined;
 }
@@ -120,6 +122,7 @@
         requestRead: () => {
             nextReadAt = 0;
         },
+        readDueAt: () => nextReadAt,
         readActiveDigest: () => activeDigest,
     };
 }
--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -51,6 +51,9 @@
     const forgotten = new Map<ManifestDigest, ForgottenSet>();
     let target: WeightSetState | undefined;
     let tickRequested = false;
+    let timer: NodeJS.Timeout | undefined;
+    /** True while the next tick is as late as the next read of the engine's state, since nothing else is due. */
+    let isResting = false;
 
     const options = resolveDistributionOptions(input.options);
     const context: TransferContext = {
@@ -69,10 +72,11 @@
             void promise.finally(() => workInProgress.delete(promise));
         },
         requestTransfers: () => {
-            if (tickRequested || disposal.signal.aborted) {
+            if (tickRequested || disposal.signal.aborted || (isResting && mayRest())) {
                 return;
             }
             tickRequested = true;
+            stopResting();
             setImmediate(() => {
                 tickRequested = false;
                 runTargetTransfers();
@@ -141,6 +145,37 @@
         }
         dropInactiveSets();
         engineSync.requestRead();
+        stopResting();
+    }
+
+    /** Tells whether nothing is to be exchanged, requested or prepared, so that only the engine's state is read. */
+    function mayRest(): boolean {
+        if (context.settings.exchangeWhenComplete || [...sets.values()].some(({ prepared }) => !prepared)) {
+            return false;
+        }
+        const chunks = target?.manifest?.chunks.length ?? 0;
+        return target === undefined ||
+            (chunks > 0 && isComplete(target.held, chunks) && target.transfers.size === 0);
+    }
+
+    function scheduleTick(): void {
+        if (!context.settings.selfScheduled || disposal.signal.aborted) {
+            return;
+        }
+        const { tickInterval } = context.settings;
+        isResting = mayRest();
+        const untilRead = engineSync.readDueAt() - context.clock.monotonic();
+        timer = setTimeout(() => {
+            tick();
+            scheduleTick();
+        }, isResting ? Math.max(tickInterval, untilRead) : tickInterval);
+    }
+
+    function stopResting(): void {
+        if (isResting) {
+            clearTimeout(timer);
+            scheduleTick();
+        }
     }
 
     function tick(): void {
@@ -180,7 +215,7 @@
     }
 
     async function dispose(): Promise<void> {
-        clearInterval(timer);
+        clearTimeout(timer);
         disposal.abort();
         for (const set of sets.values()) {
             abandonTransfers(context, set);
@@ -202,7 +237,7 @@
             context.counters.peerSentBytes += bytes;
         },
     });
-    const timer = context.settings.selfScheduled ? setInterval(tick, context.settings.tickInterval) : undefined;
+    scheduleTick();
     return {
         ...createExchangeHandlers(context, manifests),
         fetchChunk: call => {
--- a/src/node/grpc/serviceDefinition.ts
+++ b/src/node/grpc/serviceDefinition.ts
@@ -1,6 +1,20 @@
-import { type DescService, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { type DescMessage, type DescService, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { MethodDefinition, ServiceDefinition } from "@grpc/grpc-js";
 
+/**
+ * Creates a serializer that encodes a message once if it is sent to several receivers in succession, as load reports are.
+ * A message must not be changed after it was sent.
+ */
+function createSerializer(schema: DescMessage): (message: unknown) => Buffer {
+    let last: { readonly message: unknown; readonly bytes: Buffer; } | undefined;
+    return message => {
+        if (last?.message !== message) {
+            last = { message, bytes: Buffer.from(toBinary(schema, message as never)) };
+        }
+        return last!.bytes;
+    };
+}
+
 /**
  * Derives the definition that `@grpc/grpc-js` needs from a generated service.
  *
@@ -16,7 +30,7 @@
             responseStream: method.methodKind === "server_streaming" || method.methodKind === "bidi_streaming",
             requestSerialize: message => Buffer.from(toBinary(method.input, message as never)),
             requestDeserialize: bytes => fromBinary(method.input, bytes),
-            responseSerialize: message => Buffer.from(toBinary(method.output, message as never)),
+            responseSerialize: createSerializer(method.output),
             responseDeserialize: bytes => fromBinary(method.output, bytes),
         };
     }
--- a/src/node/replica/instanceRecords.ts
+++ b/src/node/replica/instanceRecords.ts
@@ -18,16 +18,27 @@
     readonly instance: string;
 }
 
-function parseInstance({ key, value }: KeyedRecord): KnownInstance | undefined {
+/** Parsed records by their bytes, which never change: agents list the gateways five times a second. */
+const parsedRecords = new WeakMap<Uint8Array, { readonly record: InstanceRecord | undefined; }>();
+
+function parseRecord(value: Uint8Array): InstanceRecord | undefined {
     try {
-        const record = instanceSchema.safeParse(JSON.parse(Buffer.from(value ?? []).toString("utf8")));
-        return record.success ? { ...record.data, instance: key } : undefined;
+        return instanceSchema.safeParse(JSON.parse(Buffer.from(value).toString("utf8"))).data;
     }
     catch {
         return undefined;
     }
 }
 
+function parseInstance({ key, value }: KeyedRecord): KnownInstance | undefined {
+    if (value === undefined) {
+        return undefined;
+    }
+    const parsed = parsedRecords.get(value) ?? { record: parseRecord(value) };
+    parsedRecords.set(value, parsed);
+    return parsed.record === undefined ? undefined : { ...parsed.record, instance: key };
+}
+
 /**
  * Lists the gateways that have registered themselves. Records that cannot be read are left out.
  *
--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -36,6 +36,8 @@
     readonly logger: Logger;
     /** `host:port` of the relays to choose from, most preferred first. */
     readonly listAddresses: () => readonly string[];
+    /** Called with the number of connected relays whenever the streams are checked. Default: nothing is called. */
+    readonly onCheck?: ((connected: number) => void) | undefined;
     readonly options: RelayFollowerOptions;
 }
 
@@ -220,6 +222,7 @@
         }
         const connected = countConnected();
         disconnectedSince = connected > 0 ? undefined : disconnectedSince ?? now;
+        input.onCheck?.(connected);
         const choose = (): string | undefined =>
             chooseRelay({
                 addresses,
--- a/src/node/weightAgent/relays.ts
+++ b/src/node/weightAgent/relays.ts
@@ -1,6 +1,5 @@
 import type { Logger } from "pino";
 import type { Clock, KeyedLogPort, Milliseconds, RandomSource } from "../../types/index.js";
-import { sleep } from "../../utils/index.js";
 import { splitAddress } from "../httpServer/index.js";
 import { listInstances, type RecordStore } from "../replica/index.js";
 import type { WeightAgentSettings } from "../settings/index.js";
@@ -31,36 +30,28 @@
     return [...new Set([...registered, ...seedRelays])];
 }
 
-/** Dependencies of {@link readGatewaysWhileDisconnected}. */
+/** Dependencies of {@link createDirectGatewayReader}. */
 export interface GatewayReaderInput {
     readonly log: KeyedLogPort;
     readonly store: RecordStore;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: Logger;
-    /** Counts the relays that the agent is connected to. */
-    readonly countConnected: () => number;
 }
 
 /**
- * Reads the list of gateways from the log while no relay is connected, since the seeds may no longer exist.
+ * Creates the reader of the list of gateways from the log, for the time in which no relay is connected, since the seeds
+ * may no longer exist.
  *
  * @param input - log and records of the agent
- * @param signal - stops the reads
+ * @returns function to be called at short intervals with the number of connected relays; it starts a read that is due
  */
-export async function readGatewaysWhileDisconnected(input: GatewayReaderInput, signal: AbortSignal): Promise<void> {
-    const { clock, countConnected, log, logger, random, store } = input;
-    let disconnectedSince = clock.monotonic();
-    while (!signal.aborted) {
-        await sleep(directReadDelay * (0.5 + random.next()) / 4, signal);
-        if (countConnected() > 0) {
-            disconnectedSince = clock.monotonic();
-            continue;
-        }
-        if (clock.monotonic() - disconnectedSince < directReadDelay) {
-            continue;
-        }
-        disconnectedSince = clock.monotonic();
+export function createDirectGatewayReader(input: GatewayReaderInput): (connected: number) => void {
+    const { clock, log, logger, random, store } = input;
+    let isReading = false;
+    let readDueAt: Milliseconds | undefined;
+
+    async function read(): Promise<void> {
         const page = await log.readNewest("instances");
         if (page.isOk) {
             store.receive({ topic: "instances", page: page.value, complete: true, age: 0, source: "log", peer: "log" });
@@ -70,4 +61,22 @@
             logger.warn({ code, step, peer, detail: message }, "gateways not read");
         }
     }
+
+    return connected => {
+        const now = clock.monotonic();
+        if (connected > 0) {
+            readDueAt = undefined;
+            return;
+        }
+        // The jitter spreads the reads of agents that lost their relays at the same moment.
+        readDueAt ??= now + directReadDelay * (1 + random.next() / 4);
+        if (isReading || now < readDueAt) {
+            return;
+        }
+        isReading = true;
+        readDueAt = undefined;
+        void read().finally(() => {
+            isReading = false;
+        });
+    };
 }
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -24,7 +24,7 @@
 import { createEngineController, type EngineTarget } from "./engineController.js";
 import { importStaged } from "./importStaged.js";
 import { createLoadFeed } from "./loadFeed.js";
-import { listRelays, readGatewaysWhileDisconnected } from "./relays.js";
+import { createDirectGatewayReader, listRelays } from "./relays.js";
 import { trackStagedWrites } from "./stagedWrites.js";
 import { createVersionPlan } from "./versionPlan.js";
 import { createWeightMemory } from "./weightMemory.js";
@@ -243,7 +243,7 @@
     }
     stack.use(rpcServer.value);
 
-    const followers = stack.use(createRelayFollowers({
+    stack.use(createRelayFollowers({
         self: instance.id,
         store,
         clock,
@@ -252,14 +252,11 @@
         logger,
         options: { ...replica, parents: weightAgent.relays },
         listAddresses: () => listRelays(settings, store, ports.readSeeds?.() ?? gateway.seeds),
+        onCheck: createDirectGatewayReader({ ...ports, store, logger }),
     }));
 
     const disposal = new AbortController();
     stack.defer(() => disposal.abort());
-    void readGatewaysWhileDisconnected(
-        { ...ports, store, countConnected: followers.countConnected, logger },
-        disposal.signal,
-    );
     void controlEngine();
     logger.info({ engine: weightAgent.engineAddress, zone: instance.zone }, "agent started");
     return ok({ drain: () => Promise.resolve() });
