--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -39,6 +39,8 @@
     readonly listAddresses: () => readonly string[];
     /** Topics that this process also reads from the log as soon as they change. Default: none. */
     readonly logTopics?: ReadonlySet<KeyedTopic>;
+    /** Called with the number of connected relays whenever the streams are checked. Default: nothing is called. */
+    readonly onCheck?: ((connected: number) => void) | undefined;
     readonly options: RelayFollowerOptions;
 }
 
@@ -244,6 +246,7 @@
         }
         const connected = countConnected();
         disconnectedSince = connected > 0 ? undefined : disconnectedSince ?? now;
+        input.onCheck?.(connected);
         const choose = (): string | undefined =>
             chooseRelay({
                 addresses,
