Log the status of invalid answers at entry instances

An entry instance that got an answer whose status is none of HTTP, or that of an interim answer, failed the attempt with answer-mismatched and wrote no line that names the status.

The attempt states the status, and the pipeline writes the line "invalid status" with request, agent and status, as gateways do. What callers receive is unchanged.

requestPipeline.test.ts: three cases failed without the change and pass with it.

--- a/src/node/entry/attempt.ts
+++ b/src/node/entry/attempt.ts
@@ -33,8 +33,12 @@
         readonly crash: CrashReport | undefined;
         /** True if the connection broke after the request was sent, so that the agent could not report a crash. */
         readonly connectionBroke: boolean;
+        /** Status of the answer if it is none of HTTP, or that of an interim answer. Default: the status is valid. */
+        readonly invalidStatus?: number;
     };
 
+type FailedAttempt = Extract<AttemptOutcome, { kind: "failed"; }>;
+
 /** Input of {@link executeAttempt}. */
 export interface AttemptInput {
     readonly client: AgentClient;
@@ -67,10 +71,11 @@
     try {
         for await (const message of call) {
             const outcome = await processFrame({ ...input, signal: limit.signal }, progress, message as ExecuteFrame);
-            if (outcome === "mismatched") {
+            if (outcome === "mismatched" || typeof outcome === "number") {
                 // Otherwise the agent would continue to send an answer that is discarded.
                 call.cancel();
-                return createFailure("unknown", "answer-mismatched");
+                const failure = createFailure("unknown", "answer-mismatched");
+                return outcome === "mismatched" ? failure : { ...failure, invalidStatus: outcome };
             }
             if (outcome !== undefined) {
                 return outcome;
@@ -107,12 +112,12 @@
     return isHttpStatus(status) && status >= lowestFinalStatus;
 }
 
-/** Returns the outcome if the frame ends the attempt; undefined if more frames have to follow. */
+/** Returns the outcome or the invalid status if the frame ends the attempt; undefined if more frames have to follow. */
 async function processFrame(
     { request, signal, sink }: AttemptInput,
     progress: Progress,
     { content, requestId, sequence }: ExecuteFrame,
-): Promise<AttemptOutcome | "mismatched" | undefined> {
+): Promise<AttemptOutcome | "mismatched" | number | undefined> {
     if (requestId !== request.requestId || sequence !== progress.sequence) {
         return "mismatched";
     }
@@ -122,7 +127,7 @@
         return convertRefusal(content.value);
     }
     if (content.case === "start" && !isFinalStatus(content.value.status)) {
-        return "mismatched";
+        return content.value.status;
     }
     if (content.case === "start" && start === undefined) {
         progress.start = content.value;
@@ -153,7 +158,7 @@
     });
 }
 
-function createFailure(ran: RanState, reason: RefusalReason, connectionBroke = false): AttemptOutcome {
+function createFailure(ran: RanState, reason: RefusalReason, connectionBroke = false): FailedAttempt {
     return { kind: "failed", refusal: { ran, reason, retryAfterSeconds: 1 }, crash: undefined, connectionBroke };
 }
 
--- a/src/node/entry/requestPipeline.ts
+++ b/src/node/entry/requestPipeline.ts
@@ -280,6 +280,10 @@
     ): boolean {
         const { row } = request;
         const refusal = attempts.mayHaveRun ? outcome.refusal : refineRefusal(outcome.refusal, request.hasGeneratedKey);
+        if (outcome.invalidStatus !== undefined) {
+            const detail = `status ${outcome.invalidStatus} is no status of a complete answer`;
+            context.logger.warn({ requestId: row.requestId, peer: choice.instance, detail }, "invalid status");
+        }
         if (outcome.crash !== undefined) {
             sharing.recordCrash(outcome.crash);
         }
--- a/src/node/logging/memoryEvents.ts
+++ b/src/node/logging/memoryEvents.ts
@@ -23,8 +23,9 @@
     ),
     "invalid status": define(
         "request",
-        ["gateway"],
-        "the status of an answer is outside 100 to 599, or its status line cannot be read; the attempt has failed",
+        ["gateway", "entry"],
+        "the status of an answer is outside 100 to 599, or its status line cannot be read; the attempt has failed; an entry " +
+            "instance states the agent as `peer`, and no address",
         ["requestId", "peer", "address", "detail"],
     ),
 } as const;
--- a/test/node/entry/requestPipeline.test.ts
+++ b/test/node/entry/requestPipeline.test.ts
@@ -22,7 +22,8 @@
 import { createEntries, silentLogger, startLoopbackServer, waitFor } from "../daemonSupport.js";
 import { expectOk } from "../support.js";
 
-type Reply = "answer" | "break" | "hold" | Partial<RefusalMessage>;
+/** A number stands for an answer with that status. */
+type Reply = number | "answer" | "break" | "hold" | Partial<RefusalMessage>;
 
 /** Starts an entry instance with loopback agents that all serve one weight set; each call gets the next reply. */
 async function startEntry(
@@ -115,8 +116,9 @@
     if (reply === "hold") {
         return;
     }
-    if (reply === "answer") {
-        call.write(create(ExecuteFrameSchema, { requestId, content: { case: "start", value: { status: 200 } } }));
+    if (reply === "answer" || typeof reply === "number") {
+        const value = { status: reply === "answer" ? 200 : reply };
+        call.write(create(ExecuteFrameSchema, { requestId, content: { case: "start", value } }));
         call.write(create(ExecuteFrameSchema, { requestId, sequence: 1, content: { case: "end", value: {} } }));
     }
     else {
@@ -135,6 +137,20 @@
 const key = { idempotent: false, idempotencyKey: "01000000-0000-7000-8000-000000000000" };
 
 describe("request pipeline", () => {
+    for (const status of [0, 103, 600]) {
+        // Guards against operators who learn from no line which status an agent has forwarded.
+        it(`logs agent and status of an answer whose status is invalid: ${status}`, async () => {
+            const lines: unknown[] = [];
+            const warn = (fields: unknown, message: string) => lines.push([message, fields]);
+            const logger = { ...silentLogger, warn } as unknown as EntryContext["logger"];
+            await using entry = await startEntry([status], [], { logger });
+            await entry.send({ requestId: "r1" });
+            const peer = entry.calls[0]!.instance;
+            const detail = `status ${status} is no status of a complete answer`;
+            expect(lines).toEqual([["invalid status", { requestId: "r1", peer, detail }]]);
+        });
+    }
+
     const cases: readonly [
         name: string,
         replies: Reply[],
