Show evacuated zones in goldcrestpoint status

Operators had to ask the metrics address of each gateway for the evacuated zones and to add up the requests in progress.

The setting [operator] gatewayUrls names the metrics addresses of gateways. If it names any, status asks them and shows each evacuated zone, since when, its listed servers, the requests in progress over all gateways, and how many gateways know of the evacuation. Gateways that give no usable answer are named. With an empty entryUrls, only gateways are asked. Without gatewayUrls, the output is as before.

--- a/src/node/cli/commandTable.ts
+++ b/src/node/cli/commandTable.ts
@@ -47,7 +47,8 @@
     },
     {
         usage: "status",
-        description: "show wanted, complete and serving copies by deployment, version and availability zone",
+        description:
+            "show wanted, complete and serving copies by deployment, version and availability zone, and evacuated zones",
         options: { "--watch": "repeat until interrupted" },
         example: "goldcrestpoint status --watch --set operator.entryUrls=http://10.0.1.5:7402",
         run: status,
--- a/src/node/cli/commands/status.ts
+++ b/src/node/cli/commands/status.ts
@@ -1,9 +1,10 @@
-import { err, ok } from "true-myth/result";
+import { err, ok, type Result } from "true-myth/result";
 import { z } from "zod";
-import { createError, type PortResult } from "../../../types/index.js";
+import { createError, type GoldcrestpointError, type PortResult } from "../../../types/index.js";
 import { exitCodes } from "../exitCodes.js";
 import { renderTable } from "../renderTable.js";
-import type { CommandHandler, OperatorContext } from "../types.js";
+import type { CommandHandler, CommandReport, OperatorContext } from "../types.js";
+import { readEvacuations } from "./evacuations.js";
 
 /** Path at which an entry instance reports the status of all deployments. */
 export const statusPath = "/operations/status";
@@ -82,20 +83,49 @@
     return err(createError("PEER_UNREACHABLE", "read status", "entry instances", message));
 }
 
+/** Reads the deployments, unless the settings name gateways and no entry instance. */
+async function readDeployments(
+    context: OperatorContext,
+): Promise<Result<CommandReport | undefined, GoldcrestpointError>> {
+    const { entryUrls, gatewayUrls } = context.settings.operator;
+    if (entryUrls.length === 0 && gatewayUrls.length > 0) {
+        return ok(undefined);
+    }
+    const answer = await readStatus(context);
+    return answer.map(read => ({ text: renderStatus(read), json: read }));
+}
+
+/** Shows the parts of the status that could be read. */
+function emitStatus(
+    context: OperatorContext,
+    deployments: CommandReport | undefined,
+    evacuations: CommandReport | undefined,
+): void {
+    const parts = [deployments, evacuations].filter(part => part !== undefined);
+    if (parts.length > 0) {
+        context.emit({
+            text: parts.map(({ text }) => text).join("\n"),
+            json: {
+                ...(deployments?.json as StatusAnswer | undefined),
+                ...(evacuations === undefined ? {} : { evacuations: evacuations.json }),
+            },
+        });
+    }
+}
+
 /**
- * Shows wanted, complete and serving copies of each deployment.
+ * Shows wanted, complete and serving copies of each deployment, and the evacuated zones that gateways know.
  *
  * @param context - ports and output
  * @param argument - not used
  * @param options - options of the command; `watch` repeats until the program is interrupted
- * @returns the exit code; `PEER_UNREACHABLE` if no entry instance answers
+ * @returns the exit code; `PEER_UNREACHABLE` if no entry instance or no gateway answers
  */
 export const status: CommandHandler = async (context, ...[, options]) => {
     for (;;) {
-        const answer = await readStatus(context);
-        if (answer.isOk) {
-            context.emit({ text: renderStatus(answer.value), json: answer.value });
-        }
+        const [deployments, evacuations] = await Promise.all([readDeployments(context), readEvacuations(context)]);
+        emitStatus(context, deployments.unwrapOr(undefined), evacuations.unwrapOr(undefined));
+        const answer = deployments.isErr ? deployments : evacuations;
         if (options["watch"] !== true) {
             return answer.map(() => exitCodes.success);
         }
--- a/src/node/settings/daemonSections.ts
+++ b/src/node/settings/daemonSections.ts
@@ -175,6 +175,11 @@
             "http://127.0.0.1:7402",
             "Base URLs of the entry instances that `status` and `explain` query.",
         ),
+        gatewayUrls: defineList(
+            "url",
+            "",
+            "Base URLs of the metrics addresses of the gateways that `status` asks for evacuated zones.",
+        ),
         name: defineText("name", "operator", "Name that is written into the records of this operator."),
         watchIntervalMilliseconds: defineDuration("watchInterval", "Milliseconds", {
             minimum: 100,
--- a/test/node/cli/commandLine.test.ts
+++ b/test/node/cli/commandLine.test.ts
@@ -26,6 +26,12 @@
     body: { appliedOffset: 12, deployments: [{ deployment: "scribe", revision: 4, version: "8", zones: [zone] }] },
 };
 
+const setGateways = ["--set", "operator.gatewayUrls=http://g:1,http://h:1,http://i:1,http://j:1"];
+
+function evacuationsAnswer(since: string, running: number): EntryAnswer {
+    return { status: 200, body: { evacuations: [{ zone: "sando-hall", since, servers: running + 1, running }] } };
+}
+
 function decisionsAnswer(decidedAt: string, choice: string): EntryAnswer {
     const decision = {
         kind: "routing",
@@ -102,6 +108,39 @@
             0,
             JSON.stringify(statusAnswer.body),
         ],
+        [
+            "status with an evacuated zone, of which one of four gateways does not know and one does not answer",
+            ["status", "--set", `operator.entryUrls=${entryUrls[0]!}`, ...setGateways],
+            {
+                "http://a:1/operations/status": statusAnswer,
+                "http://g:1/evacuations": evacuationsAnswer("2026-01-01T00:00:02.000Z", 3),
+                "http://h:1/evacuations": evacuationsAnswer("2026-01-01T00:00:01.000Z", 2),
+                "http://i:1/evacuations": { status: 200, body: { evacuations: [] } },
+            },
+            0,
+            "sando-hall  2026-01-01T00:00:01.000Z  4        5            2 of 3",
+        ],
+        [
+            "status as JSON, of gateways only",
+            ["status", "--json", "--set", "operator.entryUrls=", ...setGateways],
+            { "http://i:1/evacuations": { status: 200, body: { evacuations: [] } } },
+            0,
+            "{\"evacuations\":{\"gatewaysAnswered\":1,\"failures\":[\"http://g:1: no answer\"",
+        ],
+        [
+            "status with evacuated zones although no entry instance answers",
+            ["status", ...setEntries, ...setGateways],
+            { "http://g:1/evacuations": evacuationsAnswer("2026-01-01T00:00:02.000Z", 3) },
+            4,
+            "1 of 4 gateways answered",
+        ],
+        [
+            "status without an answer of a gateway",
+            ["status", ...setEntries, ...setGateways],
+            { "http://a:1/operations/status": statusAnswer, "http://g:1/evacuations": { status: 200, body: {} } },
+            4,
+            "scribe",
+        ],
         [
             "decisions of several instances, ordered by time",
             ["explain", "r1", ...setEntries],
