Look up agents and gateways instead of scanning and parsing them

At each load report, a gateway filtered all listed servers by the address of their agent, which it derived anew, and compared what the log shows of the weights deeply. Rows are now grouped by address in the tick that follows each change of the list, and four fields are compared.

The registrations of the gateways were parsed and validated each time that they were listed: several times a second in the cleanup of registrations, and at each check of the relays. A record is now parsed once, and the addresses of gateways and seeds are derived once per change of either.

--- a/src/node/gateway/membership/agentWatch.ts
+++ b/src/node/gateway/membership/agentWatch.ts
@@ -1,6 +1,5 @@
 import { create } from "@bufbuild/protobuf";
 import type { ClientReadableStream } from "@grpc/grpc-js";
-import { isDeepStrictEqual } from "node:util";
 import type { Logger } from "pino";
 import { type LoadReport, WatchLoadRequestSchema } from "../../../generated/goldcrestpoint_pb.js";
 import {
@@ -9,7 +8,7 @@
     type BackendServerRow,
     formatWeightName,
 } from "../../../runtime/gateway/index.js";
-import type { Clock, CopyPhase, Milliseconds, RandomSource } from "../../../types/index.js";
+import type { Clock, CopyPhase, ListedBackendServer, Milliseconds, RandomSource } from "../../../types/index.js";
 import { type AgentClient, createAgentClient } from "../../grpc/index.js";
 import { splitAddress } from "../../httpServer/index.js";
 
@@ -68,8 +67,20 @@
     return phases.has(text) ? text as CopyPhase : "waiting";
 }
 
-/** Describes what the log shows about the weights of a backend server. */
-function describeWeights({ reportedWeights, runner }: BackendServerRow) {
+/** What the log shows about the weights of a backend server. */
+interface DescribedWeights {
+    readonly phase: CopyPhase;
+    readonly weights: string | undefined;
+    readonly orderSequence: number | undefined;
+    readonly weightsVerified: boolean;
+}
+
+function isSame(left: DescribedWeights, right: DescribedWeights): boolean {
+    return left.phase === right.phase && left.weights === right.weights &&
+        left.orderSequence === right.orderSequence && left.weightsVerified === right.weightsVerified;
+}
+
+function describeWeights({ reportedWeights, runner }: BackendServerRow): DescribedWeights {
     return {
         phase: runner.phase,
         weights: runner.manifestDigest,
@@ -89,9 +100,32 @@
     const settlesAt = clock.monotonic() + input.settleWithin;
     const watches = new Map<string, Watch>();
     const retryAt = new Map<string, Milliseconds>();
+    const addresses = new WeakMap<ListedBackendServer, string>();
+    /** Backend servers by the address of their agent; updated by each tick, which follows each change of the list. */
+    let rowsByAddress: ReadonlyMap<string, readonly BackendServerRow[]> = new Map();
+
+    function findAddress({ listed }: BackendServerRow): string {
+        let address = addresses.get(listed);
+        if (address === undefined) {
+            address = `${splitAddress(listed.address).host}:${input.agentPort}`;
+            addresses.set(listed, address);
+        }
+        return address;
+    }
 
-    function toAddress(row: BackendServerRow): string {
-        return `${splitAddress(row.listed.address).host}:${input.agentPort}`;
+    function groupByAddress(): Map<string, BackendServerRow[]> {
+        const groups = new Map<string, BackendServerRow[]>();
+        for (const row of input.listServers()) {
+            const address = findAddress(row);
+            const group = groups.get(address);
+            if (group === undefined) {
+                groups.set(address, [row]);
+            }
+            else {
+                group.push(row);
+            }
+        }
+        return groups;
     }
 
     function closeWatch(watch: Watch, reason: string): void {
@@ -115,8 +149,7 @@
             logger.info({ peer: watch.address }, "agent followed");
         }
         const copy = report.copies[0];
-        const rows = input.listServers().filter(row => toAddress(row) === watch.address);
-        for (const row of rows) {
+        for (const row of rowsByAddress.get(watch.address) ?? []) {
             // The report is about an earlier process of the backend server.
             const startedAt = row.listed.startedAt;
             if (startedAt !== undefined && report.incarnation !== "" && Number(report.incarnation) < startedAt) {
@@ -141,7 +174,7 @@
                 age: Number(report.ageMilliseconds),
             }, now);
             const after = describeWeights(row);
-            if (!isDeepStrictEqual(before, after)) {
+            if (!isSame(before, after)) {
                 logger.info(
                     {
                         peer: row.listed.instance,
@@ -179,16 +212,16 @@
         },
         tick: () => {
             const now = clock.monotonic();
-            const addresses = new Set(input.listServers().map(toAddress));
+            rowsByAddress = groupByAddress();
             for (const row of [...watches.values()]) {
-                if (!addresses.has(row.address)) {
+                if (!rowsByAddress.has(row.address)) {
                     closeWatch(row, "no longer listed");
                 }
                 else if (now - row.lastReportAt > input.silentAfter) {
                     closeWatch(row, "no report");
                 }
             }
-            for (const address of addresses) {
+            for (const address of rowsByAddress.keys()) {
                 if (!watches.has(address) && (retryAt.get(address) ?? 0) <= now) {
                     openWatch(address);
                 }
--- a/src/node/gateway/membership/gatewayList.ts
+++ b/src/node/gateway/membership/gatewayList.ts
@@ -40,6 +40,12 @@
     };
     /** Undefined after a change; the records are read for each request otherwise. */
     let known: readonly KnownInstance[] | undefined;
+    /** Addresses, with what they were derived from; they are read several times a second. */
+    let derived: {
+        readonly instances: readonly KnownInstance[];
+        readonly seeds: readonly string[];
+        readonly addresses: readonly string[];
+    } | undefined;
     store.onChange(topic => {
         if (topic === "instances") {
             known = undefined;
@@ -51,13 +57,21 @@
         return known;
     }
 
+    function listAddresses(): readonly string[] {
+        const instances = listRegistered();
+        const seeds = readSeeds();
+        if (derived?.instances !== instances || derived.seeds !== seeds) {
+            const registered = instances.map(({ address }) => address);
+            const seeded = seeds.map(address => `${splitAddress(address).host}:${relayPort}`);
+            const addresses = [...new Set([...registered, ...seeded])].filter(address => address !== self.address);
+            derived = { instances, seeds, addresses };
+        }
+        return derived.addresses;
+    }
+
     return {
         self,
-        listAddresses: () => {
-            const registered = listRegistered().map(({ address }) => address);
-            const seeds = readSeeds().map(address => `${splitAddress(address).host}:${relayPort}`);
-            return [...new Set([...registered, ...seeds])].filter(address => address !== self.address);
-        },
+        listAddresses,
         listIdentifiers: () => listRegistered().map(row => row.instance),
         count: () => Math.max(1, listRegistered().length),
     };
--- a/src/node/replica/instanceRecords.ts
+++ b/src/node/replica/instanceRecords.ts
@@ -18,6 +18,18 @@
     readonly instance: string;
 }
 
+/** Parsed records. A store replaces a record that changes, and the list is read several times a second. */
+const parsedInstances = new WeakMap<KeyedRecord, KnownInstance | "unreadable">();
+
+function findInstance(record: KeyedRecord): readonly KnownInstance[] {
+    let parsed = parsedInstances.get(record);
+    if (parsed === undefined) {
+        parsed = parseInstance(record) ?? "unreadable";
+        parsedInstances.set(record, parsed);
+    }
+    return parsed === "unreadable" ? [] : [parsed];
+}
+
 function parseInstance({ key, value }: KeyedRecord): KnownInstance | undefined {
     try {
         const record = instanceSchema.safeParse(JSON.parse(Buffer.from(value ?? []).toString("utf8")));
@@ -36,6 +48,6 @@
  */
 export function listInstances(store: RecordStore): readonly KnownInstance[] {
     return [...store.topic("instances").records.values()]
-        .flatMap(record => parseInstance(record) ?? [])
+        .flatMap(findInstance)
         .sort((left, right) => left.instance < right.instance ? -1 : 1);
 }
--- a/test/node/gateway/agentWatch.test.ts
+++ b/test/node/gateway/agentWatch.test.ts
@@ -42,5 +42,10 @@
             listReports().map(line => [line["orderSequence"], line["weightsVerified"], line["verificationReported"]]),
         )
             .toEqual([[3, false, false], [3, true, true], [4, false, false]]);
+        // Guards against a report that misses a backend server which was listed at the same host after the last report.
+        applyListed(servers, createListed({ instance: "i-2", address: "127.0.0.1:2" }), "south", 0, membership);
+        watch.tick();
+        agent.report({ ...engine, orderSequence: 4, verified: false });
+        await waitUntil("the report covers both", () => servers.get("i-2")?.reportedAt !== undefined);
     });
 });
--- a/test/node/gateway/gatewayList.test.ts
+++ b/test/node/gateway/gatewayList.test.ts
@@ -18,7 +18,8 @@
     it("follows the records of the gateways", () => {
         const clock = createManualClock();
         const store = createRecordStore(["instances"], clock, pino({ level: "silent" }));
-        const gateways = createGatewayList(store, settings, clock, () => []);
+        let seeds: readonly string[] = [];
+        const gateways = createGatewayList(store, settings, clock, () => seeds);
         let nextOffset = 0;
         const receive = (key: string, content: unknown): void => {
             const value = content === undefined ? undefined : Buffer.from(JSON.stringify(content));
@@ -44,5 +45,16 @@
         expect(lists).toEqual([[], ["gateway-2"], ["gateway-1", "gateway-2"], ["gateway-1", "gateway-2"], [
             "gateway-1",
         ]]);
+        // Guards against addresses of seeds or gateways that stay as they were when they were first read.
+        const addresses = [gateways.listAddresses()];
+        seeds = ["10.0.0.9:1"];
+        addresses.push(gateways.listAddresses());
+        receive("gateway-1", { ...record, address: "10.0.0.2:7000" });
+        addresses.push(gateways.listAddresses());
+        const { relayPort } = settings.gateway;
+        expect(addresses).toEqual([["10.0.0.1:7000"], ["10.0.0.1:7000", `10.0.0.9:${relayPort}`], [
+            "10.0.0.2:7000",
+            `10.0.0.9:${relayPort}`,
+        ]]);
     });
 });
