--- a/src/node/replica/instanceRecords.ts
+++ b/src/node/replica/instanceRecords.ts
@@ -1,4 +1,4 @@
-import * as z from "zod";
+import { z } from "zod";
 import type { KeyedRecord } from "../../types/index.js";
 import { isAddress } from "../../utils/index.js";
 import type { RecordStore } from "./recordStore.js";
@@ -18,25 +18,26 @@
     readonly instance: string;
 }
 
-/** Parsed records by their bytes, which never change: agents list the gateways five times a second. */
-const parsedRecords = new WeakMap<Uint8Array, { readonly record: InstanceRecord | undefined; }>();
+/** Parsed records. A store replaces a record that changes, and the list is read several times a second. */
+const parsedInstances = new WeakMap<KeyedRecord, KnownInstance | "unreadable">();
 
-function parseRecord(value: Uint8Array): InstanceRecord | undefined {
-    try {
-        return instanceSchema.safeParse(JSON.parse(Buffer.from(value).toString("utf8"))).data;
-    }
-    catch {
-        return undefined;
+function findInstance(record: KeyedRecord): readonly KnownInstance[] {
+    let parsed = parsedInstances.get(record);
+    if (parsed === undefined) {
+        parsed = parseInstance(record) ?? "unreadable";
+        parsedInstances.set(record, parsed);
     }
+    return parsed === "unreadable" ? [] : [parsed];
 }
 
 function parseInstance({ key, value }: KeyedRecord): KnownInstance | undefined {
-    if (value === undefined) {
+    try {
+        const record = instanceSchema.safeParse(JSON.parse(Buffer.from(value ?? []).toString("utf8")));
+        return record.success ? { ...record.data, instance: key } : undefined;
+    }
+    catch {
         return undefined;
     }
-    const parsed = parsedRecords.get(value) ?? { record: parseRecord(value) };
-    parsedRecords.set(value, parsed);
-    return parsed.record === undefined ? undefined : { ...parsed.record, instance: key };
 }
 
 /**
@@ -47,6 +48,6 @@
  */
 export function listInstances(store: RecordStore): readonly KnownInstance[] {
     return [...store.topic("instances").records.values()]
-        .flatMap(record => parseInstance(record) ?? [])
+        .flatMap(findInstance)
         .sort((left, right) => left.instance < right.instance ? -1 : 1);
 }
