Return to an origin that refused connections within 300 ms

Agents came back to a restarted origin up to two seconds late, since the delay after each failure doubles up to 4 s whatever the failure. The delay after a refused connection now has a limit of 250 ms, which grows by 12.5 ms per member above 20 members, so that the agents together open about a hundred refused connections a second. It ends early when a chunk becomes available after the refusal, since another member has read it by then. A manifest is no longer tried four times in a row at an origin that refuses.

--- a/src/node/agent/transfer/context.ts
+++ b/src/node/agent/transfer/context.ts
@@ -1,4 +1,9 @@
-import type { DistributionOptions, TransferWindow } from "../../../runtime/distribution/index.js";
+import {
+    computeOriginBackoff,
+    type DistributionOptions,
+    type OriginFailureKind,
+    type TransferWindow,
+} from "../../../runtime/distribution/index.js";
 import type { InstanceId, ManifestDigest, Milliseconds } from "../../../types/index.js";
 import type { ByteSemaphore } from "./byteSemaphore.js";
 import type { PeerCalls } from "./peerCalls.js";
@@ -74,3 +79,22 @@
     const longest = context.settings.retryFailedAfter * 2 ** Math.min(failures - 1, 4);
     return longest * (0.5 + context.random.next() / 2);
 }
+
+/**
+ * Computes the time for which the origin is not asked after a failure.
+ *
+ * @param context - settings and random source
+ * @param set - set whose members may all return to the origin
+ * @param failures - number of consecutive failures, from 1
+ * @param kind - kind of the last failure
+ * @returns the delay
+ */
+export function computeBackoffAtOrigin(
+    { random, settings }: Pick<TransferContext, "random" | "settings">,
+    { target }: WeightSetState,
+    failures: number,
+    kind: OriginFailureKind,
+): Milliseconds {
+    const { length: members } = target.members;
+    return computeOriginBackoff({ kind, failures, firstDelay: settings.retryFailedAfter, members, random });
+}
--- a/src/node/agent/transfer/downloads.ts
+++ b/src/node/agent/transfer/downloads.ts
@@ -2,6 +2,7 @@
 import {
     addChunk,
     decodeBitfield,
+    type OriginFailureKind,
     originSource,
     recordAvailability,
     recordCorruptChunk,
@@ -13,8 +14,8 @@
     type TransferRow,
     verifyChunk,
 } from "../../../runtime/distribution/index.js";
-import type { GoldcrestpointError, Manifest } from "../../../types/index.js";
-import { computeBackoff, findAddress, type TransferContext } from "./context.js";
+import { type GoldcrestpointError, isConnectionRefused, type Manifest } from "../../../types/index.js";
+import { computeBackoff, computeBackoffAtOrigin, findAddress, type TransferContext } from "./context.js";
 import { countRequestedBytes, readAvailableBytes, recordUnreceivedBytes } from "./requestedBytes.js";
 import { logCompletion, logFirstChunk } from "./transferStages.js";
 import { recordFirstAvailability, type WeightSetState } from "./weightSetState.js";
@@ -55,6 +56,7 @@
         arrivedBytes: context.window.arrivedBytes,
         arrivedAt: context.window.arrivedAt,
         originAvoidedUntil: set.originAvoidedUntil,
+        originRefusedAt: set.originRefusedAt,
         now,
         random: context.random,
         options: context.options,
@@ -95,8 +97,7 @@
         recordStall(peer, now, context.options);
     }
     if (source === originSource) {
-        set.originFailures++;
-        set.originAvoidedUntil = now + computeBackoff(context, set.originFailures);
+        avoidOrigin(context, set, "other");
     }
     context.logEvent({ index, source, reason }, "stalled source", set);
 }
@@ -184,9 +185,15 @@
     return true;
 }
 
-function recordOriginFailure(context: TransferContext, set: WeightSetState, error: GoldcrestpointError): void {
+function avoidOrigin(context: TransferContext, set: WeightSetState, kind: OriginFailureKind): void {
+    const now = context.clock.monotonic();
     set.originFailures++;
-    set.originAvoidedUntil = context.clock.monotonic() + computeBackoff(context, set.originFailures);
+    set.originAvoidedUntil = now + computeBackoffAtOrigin(context, set, set.originFailures, kind);
+    set.originRefusedAt = kind === "refused" ? now : undefined;
+}
+
+function recordOriginFailure(context: TransferContext, set: WeightSetState, error: GoldcrestpointError): void {
+    avoidOrigin(context, set, isConnectionRefused(error) ? "refused" : "other");
     const { code, message, peer, step } = error;
     context.logEvent({ code, step, peer, detail: message }, "origin read failed", set);
 }
@@ -320,8 +327,7 @@
     const peer = set.peers.get(row.source);
     const avoided = peer !== undefined && recordCorruptChunk(peer, now, context.options);
     if (row.source === originSource) {
-        set.originFailures++;
-        set.originAvoidedUntil = now + computeBackoff(context, set.originFailures);
+        avoidOrigin(context, set, "other");
     }
     context.logEvent({ index: row.index, source: row.source, avoided }, "corrupt chunk", set);
     context.recordMismatch(set, row.index, row.source, content);
--- a/src/node/agent/transfer/manifests.ts
+++ b/src/node/agent/transfer/manifests.ts
@@ -10,9 +10,9 @@
     recordAvailability,
     verifyManifest,
 } from "../../../runtime/distribution/index.js";
-import type { GoldcrestpointError, InstanceId, Manifest } from "../../../types/index.js";
+import { type GoldcrestpointError, type InstanceId, isConnectionRefused, type Manifest } from "../../../types/index.js";
 import { computeDigest } from "../../../utils/index.js";
-import { computeBackoff, findAddress, type TransferContext } from "./context.js";
+import { computeBackoff, computeBackoffAtOrigin, findAddress, type TransferContext } from "./context.js";
 import { createManifestRows, type ManifestOrigin, type ManifestRow, readManifestRank } from "./manifestRows.js";
 import { endStage } from "./transferStages.js";
 import { applyManifest, findPeer, removeManifest, type WeightSetState } from "./weightSetState.js";
@@ -130,7 +130,8 @@
 
     function recordFailure(set: WeightSetState, row: ManifestRow, error: GoldcrestpointError): void {
         row.failures++;
-        row.retryAt = context.clock.monotonic() + computeBackoff(context, row.failures);
+        const kind = isConnectionRefused(error) ? "refused" : "other";
+        row.retryAt = context.clock.monotonic() + computeBackoffAtOrigin(context, set, row.failures, kind);
         const { code, message, peer, step } = error;
         context.logEvent({ code, step, peer, detail: message, attempt: row.failures }, "manifest read failed", set);
     }
--- a/src/node/agent/transfer/weightSetState.ts
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -41,6 +41,8 @@
     /** Monotonic time at which the first holder of each chunk became known, by position of the chunk. */
     readonly availableSince: Map<number, Milliseconds>;
     originAvoidedUntil: Milliseconds;
+    /** Monotonic time of the last failure of the origin if it refused the connection; undefined otherwise. */
+    originRefusedAt: Milliseconds | undefined;
     originFailures: number;
     /** Bytes sent, including those reserved for uploads in progress. */
     sentBytes: number;
@@ -83,6 +85,7 @@
         zoneReaders: createOriginReaders(target.weights.manifestDigest, 0, [], self),
         availableSince: new Map(),
         originAvoidedUntil: 0,
+        originRefusedAt: undefined,
         originFailures: 0,
         sentBytes: 0,
         uploadsInProgress: 0,
@@ -157,6 +160,7 @@
     state.manifest = undefined;
     state.originFailures = 0;
     state.originAvoidedUntil = 0;
+    state.originRefusedAt = undefined;
     for (const peer of state.peers.rows()) {
         peer.corruptChunks = 0;
         peer.avoidedUntil = 0;
--- a/src/node/weightAgent/weightSetOrigin.ts
+++ b/src/node/weightAgent/weightSetOrigin.ts
@@ -3,6 +3,7 @@
 import {
     createError,
     type GoldcrestpointError,
+    isConnectionRefused,
     type Manifest,
     type OriginPort,
     type VersionOriginPort,
@@ -34,6 +35,10 @@
         const manifest = await origin.readManifest(model, version, signal);
         if (manifest.isErr) {
             failure = manifest.error;
+            // Nothing listens at the origin; the caller waits before it tries again.
+            if (isConnectionRefused(failure)) {
+                break;
+            }
         }
         else if (earlier.some(other => sameChunks(other, manifest.value))) {
             return manifest;
--- a/src/runtime/distribution/index.ts
+++ b/src/runtime/distribution/index.ts
@@ -6,6 +6,7 @@
 export * from "./manifestReaders.js";
 export * from "./neighbours.js";
 export * from "./options.js";
+export * from "./originBackoff.js";
 export * from "./originReaders.js";
 export * from "./selectTransfers.js";
 export * from "./sources.js";
--- a/src/runtime/distribution/selectTransfers.ts
+++ b/src/runtime/distribution/selectTransfers.ts
@@ -1,5 +1,6 @@
 import type { InstanceId, Milliseconds } from "../../types/index.js";
 import { hasChunk } from "./bitfield.js";
+import { mayAskOrigin } from "./originBackoff.js";
 import { mayReadFromOtherZones, mayTakeOver } from "./originReaders.js";
 import type { PeerRow, TransferCommand, TransferInput, TransferRow } from "./types.js";
 
@@ -115,7 +116,7 @@
 }
 
 function mayReadOrigin(input: TransferInput, capacity: Capacity): boolean {
-    return capacity.originTransfers > 0 && input.originAvoidedUntil <= input.now && input.neighboursAnswered;
+    return capacity.originTransfers > 0 && input.neighboursAnswered && mayAskOrigin(input);
 }
 
 /**
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -165,6 +165,8 @@
     readonly arrivedAt: Milliseconds;
     /** Monotonic time until which the origin is not asked, after a failure. */
     readonly originAvoidedUntil: Milliseconds;
+    /** Monotonic time of the last failure of the origin if it refused the connection; undefined otherwise. */
+    readonly originRefusedAt?: Milliseconds | undefined;
     readonly now: Milliseconds;
     readonly random: RandomSource;
     readonly options: DistributionOptions;
--- a/src/types/errors.ts
+++ b/src/types/errors.ts
@@ -78,3 +78,13 @@
 export function isPortError(error: unknown): error is GoldcrestpointError {
     return error instanceof Object && "mayHaveTakenEffect" in error;
 }
+
+/**
+ * Tells whether an operation failed because nothing listens at the address of its peer.
+ *
+ * @param error - the failure
+ * @returns true if the connection was refused
+ */
+export function isConnectionRefused({ cause }: GoldcrestpointError): boolean {
+    return (cause as { readonly code?: unknown; } | undefined)?.code === "ECONNREFUSED";
+}
--- a/test/node/weightAgent/weightSetOrigin.test.ts
+++ b/test/node/weightAgent/weightSetOrigin.test.ts
@@ -14,6 +14,9 @@
 const corrupt = ok<Manifest, GoldcrestpointError>(createManifest("corrupt"));
 const otherwiseCorrupt = ok<Manifest, GoldcrestpointError>(createManifest("otherwise corrupt"));
 const unreachable = err<Manifest, GoldcrestpointError>(createError("ORIGIN_UNREACHABLE", "read", "origin", "down"));
+const refused = err<Manifest, GoldcrestpointError>(
+    createError("ORIGIN_UNREACHABLE", "read", "origin", "down", { cause: { code: "ECONNREFUSED" } }),
+);
 
 /** Reads a manifest from an origin with these answers; returns the digest or the error code, and the stored digests. */
 async function readFrom(answers: readonly Answer[]): Promise<{ readonly outcome: string; readonly kept: string[]; }> {
@@ -44,4 +47,9 @@
             kept: [],
         });
     });
+
+    // Guards against four connections in a row, without a delay, to an origin at which nothing listens.
+    it("are not read again at once after a refused connection", async () => {
+        expect(await readFrom([refused, right, right])).toEqual({ outcome: "ORIGIN_UNREACHABLE", kept: [] });
+    });
 });
--- a/test/runtime/distribution/originWindow.test.ts
+++ b/test/runtime/distribution/originWindow.test.ts
@@ -1,12 +1,14 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import {
+    computeOriginBackoff,
     createBitfield,
     createOriginReaders,
     type PeerRow,
     recordStall,
     resolveDistributionOptions,
     selectTransfers,
+    type TransferInput,
     type TransferRow,
 } from "../../../src/runtime/distribution/index.js";
 import { createSeededRandom, createTable } from "../../../src/utils/index.js";
@@ -21,7 +23,11 @@
 });
 
 /** Returns the chunks that the only member reads from the origin, with the times at which others became known. */
-function listReads(now: number, availableSince: ReadonlyMap<number, number> = new Map()): number[] {
+function listReads(
+    now: number,
+    availableSince: ReadonlyMap<number, number> = new Map(),
+    changes: Partial<TransferInput> = {},
+): number[] {
     return selectTransfers({
         manifest: {
             model: "scribe",
@@ -47,6 +53,7 @@
         now,
         random: createSeededRandom(1),
         options,
+        ...changes,
     }).filter(({ kind }) => kind === "fetch-from-origin").map(({ index }) => index).sort();
 }
 
@@ -65,6 +72,37 @@
     });
 });
 
+describe("the delay after a failed read from the origin", () => {
+    const cases = [
+        // Guards against readers that stay away for seconds after a restart of the origin, since their delays doubled.
+        { kind: "refused", failures: 9, members: 14, range: [125, 250] },
+        { kind: "refused", failures: 9, members: 24, range: [150, 300] },
+        // Guards against hundreds of agents that return to the origin at the same time.
+        { kind: "refused", failures: 9, members: 128, range: [800, 1_600] },
+        { kind: "refused", failures: 9, members: 3_200, range: [2_000, 4_000] },
+        // Guards against readers that add to the load of an origin that is too slow for those it has.
+        { kind: "other", failures: 9, members: 14, range: [2_000, 4_000] },
+        { kind: "other", failures: 1, members: 14, range: [125, 250] },
+    ] as const;
+
+    for (const { failures, kind, members, range } of cases) {
+        it(`is ${range[0]} to ${range[1]} ms after ${failures} failures (${kind}) with ${members} members`, () => {
+            const delays = [0, 1].map(next =>
+                computeOriginBackoff({ kind, failures, members, firstDelay: 250, random: { next: () => next } })
+            );
+            expect(delays).toEqual([...range]);
+        });
+    }
+
+    // Guards against agents that wait although another one has already read from the origin again.
+    it("ends when a chunk has become available since the connection was refused", () => {
+        const avoided = { originAvoidedUntil: 5_000, originRefusedAt: 400 };
+        expect(listReads(500, new Map([[0, 300]]), avoided)).toEqual([]);
+        expect(listReads(500, new Map([[0, 450]]), avoided)).toEqual([0, 1, 2]);
+        expect(listReads(500, new Map([[0, 450]]), { originAvoidedUntil: 5_000 })).toEqual([]);
+    });
+});
+
 describe("a source whose transfers stall", () => {
     // Guards against an agent that answers exchanges but sends nothing, which each requester asks again and again.
     it("is avoided for twice as long each time, up to a limit", () => {
