--- a/bench/distribution.ts
+++ b/bench/distribution.ts
@@ -2,9 +2,11 @@
 import { parseArgs } from "node:util";
 import type { TransferServiceOptions } from "../src/node/agent/transfer/index.js";
 import type { Objective } from "../src/types/index.js";
+import type { DeploymentName } from "./distribution/deployments.js";
 import { computeLowerBound } from "./distribution/lowerBound.js";
 import type { Method } from "./distribution/messages.js";
 import { measureRun, type RunPlan, type RunResult, simulateRun } from "./distribution/run.js";
+import { printTable } from "./distribution/table.js";
 import { listMissedTargets } from "./distribution/targets.js";
 
 const { values: flags } = parseArgs({
@@ -28,6 +30,12 @@
         replaced: { type: "string", default: "0" },
         /** Options of the transfer service as JSON, which override those of the benchmark. */
         options: { type: "string", default: "{}" },
+        /** Simulates the two deployments with these numbers of agents and prints a table. */
+        table: { type: "string", default: "" },
+        /** Deployments of the table. */
+        deployments: { type: "string", default: "engraving,catch-up" },
+        /** Named sets of options of the table as JSON, which override those of the platform's template. */
+        variants: { type: "string", default: "{\"template\":{}}" },
     },
 });
 
@@ -115,6 +123,17 @@
 }
 
 async function main(): Promise<void> {
+    if (flags.table !== "") {
+        printTable({
+            deployments: flags.deployments.split(",") as DeploymentName[],
+            sizes: flags.table.split(",").map(Number),
+            seeds: Array.from({ length: Number(flags.repeats) }, (...[, repeat]) => Number(flags.seed) + repeat),
+            only: flags.only,
+            variants: JSON.parse(flags.variants) as Record<string, TransferServiceOptions>,
+        });
+        console.log(JSON.stringify({ processors: availableParallelism(), loadAverage: loadavg()[0] }));
+        return;
+    }
     const options = { ...scaledOptions, ...JSON.parse(flags.options) as TransferServiceOptions };
     const results: RunResult[] = [];
     if (!flags.json) {
--- a/bench/distribution/run.ts
+++ b/bench/distribution/run.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import type { TransferServiceOptions } from "../../src/node/agent/transfer/index.js";
+import { resolveTransferSettings } from "../../src/node/agent/transfer/settings.js";
 import { resolveDistributionOptions } from "../../src/runtime/distribution/index.js";
 import type { Objective, WeightSet } from "../../src/types/index.js";
 import { computeLowerBound } from "./lowerBound.js";
@@ -17,6 +18,7 @@
 } from "./messages.js";
 import { computePercentile, summarizeWaits } from "./percentiles.js";
 import { simulateSwarm } from "./simulation.js";
+import type { SimulationPlan, SimulationResult } from "./simulationTypes.js";
 
 /** Parameters of a run. */
 export interface RunPlan {
@@ -29,6 +31,8 @@
     readonly seed: number;
     /** Share of the agents that a simulation replaces by empty ones after half of the shortest possible time. */
     readonly replacedShare: number;
+    /** What only a simulation takes into account. */
+    readonly simulation?: Partial<Pick<SimulationPlan, "zoneBytesPerSecond" | "outage" | "namedAt" | "target">>;
 }
 
 /** Results of a run, as written to the JSON output. */
@@ -55,6 +59,13 @@
     /** Latency during the transfer as a multiple of that before it; undefined for simulated runs. */
     readonly liveRatio: number | undefined;
     readonly events: EventCounts;
+    /** For each simulated version, the number of agents that completed it, and the time of the last of them. */
+    readonly versions?: SimulationResult["versions"];
+}
+
+interface Worker {
+    readonly child: ChildProcess;
+    readonly agents: readonly BenchAgent[];
 }
 
 const zones = ["sando-hall", "pos-hall", "scarb-hall"];
@@ -155,9 +166,14 @@
         scale,
         faults,
         options: resolveDistributionOptions(plan.options),
-        exchangeInterval: plan.options.exchangeInterval ?? 500,
-        retryChokedAfter: plan.options.retryChokedAfter ?? 200,
+        ...resolveTransferSettings(plan.options),
         seed,
+        zoneBytesPerSecond: Infinity,
+        outage: undefined,
+        namedAt: [0],
+        manifestAfter: 0,
+        target: { copyTime: 5_000, cutoverAfter: Infinity },
+        ...plan.simulation,
         replacedShare: plan.replacedShare,
         replacedAfter: computeLowerBound(scale, agents) * 500,
     });
@@ -222,11 +238,6 @@
     return summarize(plan, faults, times, sentBytes, totals, quiet, burst);
 }
 
-interface Worker {
-    readonly child: ChildProcess;
-    readonly agents: readonly BenchAgent[];
-}
-
 async function startWorker(
     plan: RunPlan,
     child: ChildProcess,
--- a/bench/distribution/simulation.ts
+++ b/bench/distribution/simulation.ts
@@ -1,34 +1,25 @@
 import {
     addChunk,
-    createBitfield,
-    createOriginReaders,
+    computeOriginBackoff,
     decideUpload,
     hasChunk,
     isComplete,
+    type OriginFailureKind,
     originSource,
-    type PeerRow,
-    recordAvailability,
     recordCorruptChunk,
     recordStall,
     resolveBudgetOptions,
-    selectNeighbours,
     selectTransfers,
-    selectWatchedReaders,
     type TransferCommand,
-    type TransferRow,
 } from "../../src/runtime/distribution/index.js";
+import { selectTarget } from "../../src/runtime/rollout/index.js";
 import type { Manifest } from "../../src/types/index.js";
-import { createSeededRandom, createTable } from "../../src/utils/index.js";
-import { selectActiveTransfers } from "./activeTransfers.js";
-import type { Agent, SimulationPlan, SimulationResult, Transfer } from "./simulationTypes.js";
+import { advanceTransfers, stepMilliseconds } from "./links.js";
+import type { Agent, AgentSet, SimulationPlan, SimulationResult, Transfer } from "./simulationTypes.js";
+import { createSwarmState, originZone } from "./swarmState.js";
 
-/** Simulated time between two steps, in milliseconds. */
-const stepMilliseconds = 10;
 /** Share of a link that transfers use; the rest is reserved for live requests, which are not simulated. */
 const transferShare = resolveBudgetOptions({ bytesPerSecond: 1 }).idleShare;
-/** Steps after which an agent decides even without an event. */
-const stepsPerDecision = 5;
-
 /**
  * Runs the decisions of all agents with simulated links that share their capacity evenly among transfers. It measures
  * only the policy, without processor time and message overhead.
@@ -37,9 +28,8 @@
  * @returns the results
  */
 export function simulateSwarm(plan: SimulationPlan): SimulationResult {
-    const { faults, options, scale } = plan;
-    const random = createSeededRandom(plan.seed);
-    const chunks = Math.ceil(scale.totalBytes / scale.chunkBytes);
+    const { faults, options, outage, scale } = plan;
+    const { agents, chunks, createSet, exchange, exchangeBitfields, findPeer, random, time } = createSwarmState(plan);
     const manifest: Manifest = {
         model: "scribe",
         adapter: "",
@@ -47,237 +37,214 @@
         totalBytes: scale.totalBytes,
         chunks: new Array<Manifest["chunks"][number]>(chunks).fill({ bytes: scale.chunkBytes, digest: "" }),
     };
-    const instances = Array.from({ length: plan.agents }, (...[, number]) => `agent-${number}`);
-    const digest = `${plan.seed}/simulated`;
-    const agents = new Map(instances.map(instance => [instance, createAgent(instance)]));
+    const wanted = plan.namedAt.map((declaredAt, index) => ({ version: index + 1, declaredAt })).reverse();
     let originBytes = 0;
-    let now = 0;
 
-    function createAgent(instance: string): Agent {
-        return {
-            instance,
-            held: createBitfield(chunks),
-            peers: createTable<string, PeerRow>(),
-            transfers: createTable<number, TransferRow>(),
-            running: new Map(),
-            neighbours: selectNeighbours(digest, instance, instances, options.neighbours),
-            readerRanks: createOriginReaders(digest, chunks, instances, instance),
-            nextExchangeAt: new Map(),
-            availableSince: new Map(),
-            uploads: 0,
-            sentBytes: 0,
-            receivedBytes: 0,
-            complete: false,
-            dead: false,
-            needsDecision: true,
-        };
+    /** Chooses the version to transfer; an incomplete set that is no longer the target is dropped. */
+    function updateTarget(agent: Agent): void {
+        const known = wanted.filter(({ declaredAt }) => declaredAt + plan.manifestAfter <= time.now);
+        const chosen = known.length === 0 ? undefined : selectTarget({
+            wanted: known,
+            held: agent.newestComplete,
+            now: time.now,
+            options: plan.target,
+        });
+        if (chosen === undefined || chosen.version === agent.target?.version) {
+            return;
+        }
+        if (agent.target !== undefined && !agent.target.complete) {
+            stopTransfers(agent, agent.target);
+            agent.sets.delete(agent.target.version);
+        }
+        agent.target = agent.sets.get(chosen.version) ?? createSet(agent, chosen.version);
+        agent.sets.set(chosen.version, agent.target);
+        agent.needsDecision = true;
     }
 
-    function findPeer(agent: Agent, instance: string): PeerRow {
-        const peer: PeerRow = agent.peers.get(instance) ?? {
-            instance,
-            zone: "",
-            bitfield: createBitfield(chunks),
-            heardAt: now,
-            progressedAt: now,
-            sentBytes: 0,
-            corruptChunks: 0,
-            failedTransfers: 0,
-            avoidedUntil: 0,
-            chokedUntil: 0,
-        };
-        agent.peers.set(instance, peer);
-        return peer;
+    function stopTransfers(agent: Agent, set: AgentSet): void {
+        const sent = [...agents.values()].flatMap(other =>
+            [...other.sets.get(set.version)?.running.values() ?? []].filter(({ sender }) => sender === agent)
+        );
+        [...set.running.values(), ...sent].forEach(removeTransfer);
     }
 
-    function exchange(agent: Agent): void {
-        const watched = selectWatchedReaders({
-            chunks,
-            held: agent.held,
-            peers: agent.peers,
-            originReaders: agent.readerRanks,
-            startedAt: 0,
-            now,
-            random,
-            options,
-        });
-        const intervals = new Map([...agent.peers.keys()].map(peer => [peer, plan.exchangeInterval * 4]));
-        for (const instance of [...agent.neighbours, ...watched]) {
-            intervals.set(instance, plan.exchangeInterval);
-        }
-        for (const [instance, interval] of intervals) {
-            if ((agent.nextExchangeAt.get(instance) ?? 0) > now) {
-                continue;
-            }
-            agent.nextExchangeAt.set(instance, now + interval * (0.75 + random.next() / 2));
-            const other = agents.get(instance)!;
-            const peer = findPeer(agent, instance);
-            if (other.dead) {
-                peer.avoidedUntil = now + 1_000;
-                continue;
+    function removeTransfer(transfer: Transfer): void {
+        const { index, receiver, sender, version } = transfer;
+        const set = receiver.sets.get(version);
+        set?.running.delete(index);
+        set?.transfers.delete(index);
+        receiver.needsDecision = true;
+        if (sender !== undefined) {
+            const unsent = Math.max(0, transfer.remaining);
+            sender.sentBytes -= unsent;
+            const senderSet = sender.sets.get(version);
+            if (senderSet !== undefined) {
+                senderSet.uploads--;
+                senderSet.sentBytes -= unsent;
             }
-            recordAvailability(peer, Uint8Array.from(other.held), other.sentBytes, now);
-            const peerOfOther = findPeer(other, agent.instance);
-            recordAvailability(peerOfOther, Uint8Array.from(agent.held), peerOfOther.sentBytes, now);
-            agent.needsDecision = true;
         }
     }
 
-    function removeTransfer(transfer: Transfer): void {
-        transfer.receiver.running.delete(transfer.index);
-        transfer.receiver.transfers.delete(transfer.index);
-        transfer.receiver.needsDecision = true;
-        if (transfer.sender !== undefined) {
-            transfer.sender.uploads--;
-            transfer.sender.sentBytes -= Math.max(0, transfer.remaining);
+    function avoidOrigin(set: AgentSet, kind: OriginFailureKind): void {
+        set.originFailures++;
+        set.originAvoidedUntil = time.now + computeOriginBackoff({
+            kind,
+            failures: set.originFailures,
+            firstDelay: plan.retryFailedAfter,
+            members: plan.agents,
+            random,
+        });
+        set.originRefusedAt = kind === "refused" ? time.now : undefined;
+    }
+
+    function isOriginAway(): boolean {
+        return outage !== undefined && time.now >= outage.from && time.now < outage.until;
+    }
+
+    /** Requests a chunk from a peer; returns false if the peer refuses it. */
+    function requestUpload(
+        agent: Agent,
+        set: AgentSet,
+        { index, lastResort, peer: instance }: Extract<TransferCommand, { kind: "fetch-from-peer"; }>,
+    ): boolean {
+        const sender = agents.get(instance)!;
+        const senderSet = sender.sets.get(set.version);
+        const decision = decideUpload({
+            held: senderSet !== undefined && hasChunk(senderSet.held, index),
+            chunkBytes: scale.chunkBytes,
+            totalBytes: scale.totalBytes,
+            sentBytes: senderSet?.sentBytes ?? 0,
+            uploadsInProgress: senderSet?.uploads ?? 0,
+            lastResort,
+            options,
+        });
+        if (senderSet === undefined || !decision.allowed) {
+            findPeer(set, instance).chokedUntil = time.now + plan.retryChokedAfter * (1 + random.next());
+            return false;
         }
+        senderSet.uploads++;
+        senderSet.sentBytes += scale.chunkBytes;
+        sender.sentBytes += scale.chunkBytes;
+        exchangeBitfields(agent, set, sender);
+        return true;
     }
 
-    function startTransfer(agent: Agent, command: Exclude<TransferCommand, { kind: "abandon"; }>): void {
+    function startTransfer(
+        agent: Agent,
+        set: AgentSet,
+        command: Exclude<TransferCommand, { kind: "abandon"; }>,
+    ): void {
         const { index } = command;
-        const sender = command.kind === "fetch-from-peer" ? agents.get(command.peer)! : undefined;
-        if (sender !== undefined && command.kind === "fetch-from-peer") {
-            const { allowed } = decideUpload({
-                held: hasChunk(sender.held, index),
-                chunkBytes: scale.chunkBytes,
-                totalBytes: scale.totalBytes,
-                sentBytes: sender.sentBytes,
-                uploadsInProgress: sender.uploads,
-                lastResort: command.lastResort,
-                options,
-            });
-            if (!allowed) {
-                findPeer(agent, sender.instance).chokedUntil = now + plan.retryChokedAfter * (1 + random.next());
-                return;
-            }
-            sender.uploads++;
-            sender.sentBytes += scale.chunkBytes;
+        const isFromPeer = command.kind === "fetch-from-peer";
+        if (!isFromPeer && isOriginAway()) {
+            avoidOrigin(set, "refused");
+            return;
+        }
+        if (isFromPeer && !requestUpload(agent, set, command)) {
+            return;
         }
-        const source = sender?.instance ?? originSource;
         const transfer = {
+            version: set.version,
             index,
-            source,
-            startedAt: now,
-            progressedAt: now,
+            source: isFromPeer ? command.peer : originSource,
+            startedAt: time.now,
+            progressedAt: time.now,
             receiver: agent,
-            sender,
+            sender: isFromPeer ? agents.get(command.peer) : undefined,
             remaining: scale.chunkBytes,
         };
-        agent.running.set(index, transfer);
-        agent.transfers.set(index, transfer);
+        set.running.set(index, transfer);
+        set.transfers.set(index, transfer);
     }
 
-    function decide(agent: Agent): void {
+    function decide(agent: Agent, set: AgentSet): void {
         agent.needsDecision = false;
-        const peers = [...agent.peers.rows()];
-        for (let index = 0; index < chunks; index++) {
-            if (!agent.availableSince.has(index) && peers.some(({ bitfield }) => hasChunk(bitfield, index))) {
-                agent.availableSince.set(index, now);
-            }
-        }
         const commands = selectTransfers({
+            ...set,
             manifest,
-            held: agent.held,
-            transfers: agent.transfers,
-            peers: agent.peers,
-            originReaders: agent.readerRanks,
-            zone: "",
-            zoneReaders: agent.readerRanks,
-            availableSince: agent.availableSince,
-            startedAt: 0,
+            zone: agent.zone,
             neighboursAnswered: true,
             objective: plan.objective,
-            budgetBytes: Infinity,
-            arrivedBytes: 0,
-            arrivedAt: -Infinity,
-            originAvoidedUntil: 0,
-            now,
+            budgetBytes: agent.window.read({
+                chunkBytes: scale.chunkBytes,
+                requestedBytes: set.transfers.size * scale.chunkBytes,
+                maximumBytes: options.maximumBytesInFlight * 2 / 3,
+                now: time.now,
+            }).availableBytes,
+            arrivedBytes: agent.window.arrivedBytes,
+            arrivedAt: agent.window.arrivedAt,
+            now: time.now,
             random,
             options,
         });
         for (const command of commands) {
             if (command.kind !== "abandon") {
-                startTransfer(agent, command);
+                startTransfer(agent, set, command);
                 continue;
             }
-            const peer = agent.peers.get(command.source);
+            const peer = set.peers.get(command.source);
             if (peer !== undefined) {
-                recordStall(peer, now, options);
+                recordStall(peer, time.now, options);
+            }
+            else if (command.source === originSource) {
+                avoidOrigin(set, "other");
             }
-            removeTransfer(agent.running.get(command.index)!);
+            removeTransfer(set.running.get(command.index)!);
         }
     }
 
     function finishTransfer(transfer: Transfer): void {
         removeTransfer(transfer);
-        const { index, receiver, source } = transfer;
+        const { index, receiver, source, version } = transfer;
+        const set = receiver.sets.get(version)!;
         receiver.receivedBytes += scale.chunkBytes;
+        receiver.window.recordArrival(scale.chunkBytes, time.now);
         originBytes += source === originSource ? scale.chunkBytes : 0;
+        const peer = set.peers.get(source);
         if (random.next() < faults.corruptShare) {
-            const peer = receiver.peers.get(source);
             if (peer !== undefined) {
-                recordCorruptChunk(peer, now, options);
+                recordCorruptChunk(peer, time.now, options);
+            }
+            else {
+                avoidOrigin(set, "other");
             }
             return;
         }
-        const peer = receiver.peers.get(source);
         if (peer !== undefined) {
             peer.stalledTransfers = 0;
         }
-        addChunk(receiver.held, index);
-        receiver.complete = isComplete(receiver.held, chunks);
-    }
-
-    function advanceTransfers(): void {
-        const allTransfers = [...agents.values()].flatMap(agent => [...agent.running.values()]);
-        const slots = options.maximumBytesInFlight / scale.chunkBytes / 3;
-        const running = selectActiveTransfers(allTransfers, slots, isStopped);
-        const availableBytes = new Map<Agent | undefined, { up: number; down: number; }>();
-        const rate = scale.linkBytesPerSecond * transferShare * stepMilliseconds / 1_000;
-        availableBytes.set(undefined, { up: scale.originBytesPerSecond * stepMilliseconds / 1_000, down: 0 });
-        for (const agent of agents.values()) {
-            availableBytes.set(agent, { up: rate, down: rate });
-        }
-        // Each round divides the remaining capacity of the links among the transfers that have bytes left.
-        for (let round = 0; round < 4; round++) {
-            const active = running.filter(({ receiver, remaining, sender }) =>
-                remaining > 0 && availableBytes.get(sender)!.up > 1 && availableBytes.get(receiver)!.down > 1
-            );
-            const uploadCounts = new Map<Agent | undefined, number>();
-            const downloadCounts = new Map<Agent, number>();
-            for (const { receiver, sender } of active) {
-                uploadCounts.set(sender, (uploadCounts.get(sender) ?? 0) + 1);
-                downloadCounts.set(receiver, (downloadCounts.get(receiver) ?? 0) + 1);
-            }
-            const shares = active.map(({ receiver, remaining, sender }) =>
-                Math.min(
-                    remaining,
-                    availableBytes.get(sender)!.up / uploadCounts.get(sender)!,
-                    availableBytes.get(receiver)!.down / downloadCounts.get(receiver)!,
-                )
-            );
-            active.forEach((transfer, position) => {
-                const share = shares[position]!;
-                transfer.remaining -= share;
-                transfer.progressedAt = now;
-                availableBytes.get(transfer.sender)!.up -= share;
-                availableBytes.get(transfer.receiver)!.down -= share;
-            });
+        else {
+            set.originFailures = 0;
         }
-        for (const transfer of running.filter(({ remaining }) => remaining <= 0.5)) {
-            finishTransfer(transfer);
+        addChunk(set.held, index);
+        if (isComplete(set.held, chunks)) {
+            set.complete = true;
+            receiver.newestComplete = Math.max(receiver.newestComplete, version);
+            receiver.completedAt.set(version, time.now);
         }
     }
 
+    function listTransfers(): Transfer[] {
+        return [...agents.values()].flatMap(({ sets }) => [...sets.values()].flatMap(set => [...set.running.values()]));
+    }
+
     function isStopped(agent: Agent): boolean {
-        return agent.dead || (agent.instance === faults.stalled && now >= faults.after);
+        return agent.dead || (agent.instance === faults.stalled && time.now >= faults.after);
     }
 
     function killAgents(): void {
         for (const instance of faults.killed) {
             const agent = agents.get(instance)!;
             agent.dead = true;
-            [...agent.running.values()].forEach(removeTransfer);
+            [...agent.sets.values()].flatMap(set => [...set.running.values()]).forEach(removeTransfer);
+        }
+    }
+
+    /** Ends the reads in progress when the origin stops. */
+    function stopOrigin(): void {
+        for (const transfer of listTransfers().filter(({ source }) => source === originSource)) {
+            removeTransfer(transfer);
+            avoidOrigin(transfer.receiver.sets.get(transfer.version)!, "other");
         }
     }
 
@@ -285,52 +252,78 @@
     function replaceAgents(): void {
         const step = Math.max(1, Math.round(1 / plan.replacedShare));
         for (const agent of [...agents.values()].filter((...[, position]) => position % step === 0)) {
-            const sent = [...agents.values()].flatMap(other =>
-                [...other.running.values()].filter(({ sender }) => sender === agent)
-            );
-            [...agent.running.values(), ...sent].forEach(removeTransfer);
-            agent.held.fill(0);
-            for (const peer of [...agent.peers.keys()]) {
-                agent.peers.delete(peer);
+            for (const set of [...agent.sets.values()]) {
+                stopTransfers(agent, set);
+                for (const other of agents.values()) {
+                    other.sets.get(set.version)?.peers.get(agent.instance)?.bitfield.fill(0);
+                }
             }
-            for (const other of agents.values()) {
-                other.peers.get(agent.instance)?.bitfield.fill(0);
-            }
-            agent.nextExchangeAt.clear();
-            agent.availableSince.clear();
-            agent.sentBytes = 0;
-            agent.complete = false;
-            agent.needsDecision = true;
+            agent.sets.clear();
+            agent.target = undefined;
+            agent.newestComplete = 0;
+            agent.completedAt.clear();
         }
     }
 
+    function hasPassed(at: number): boolean {
+        return time.now >= at && time.now - stepMilliseconds < at;
+    }
+
+    const perStep = stepMilliseconds / 1_000;
+    const speeds = {
+        agent: scale.linkBytesPerSecond * transferShare * perStep,
+        origin: scale.originBytesPerSecond * perStep,
+        zones: plan.zoneBytesPerSecond * perStep,
+    };
+    const slots = options.maximumBytesInFlight / scale.chunkBytes / 3;
+    const newest = wanted[0]!.version;
     const limit = scale.totalBytes / scale.linkBytesPerSecond * 10_000;
-    for (let stepCount = 0; now < limit; stepCount++, now += stepMilliseconds) {
-        if (stepCount > 0 && now - stepMilliseconds < faults.after && now >= faults.after) {
+    for (; time.now < limit; time.now += stepMilliseconds) {
+        if (time.now > 0 && hasPassed(faults.after)) {
             killAgents();
         }
-        if (plan.replacedShare > 0 && now - stepMilliseconds < plan.replacedAfter && now >= plan.replacedAfter) {
+        if (plan.replacedShare > 0 && hasPassed(plan.replacedAfter)) {
             replaceAgents();
         }
+        if (outage !== undefined && hasPassed(outage.from)) {
+            stopOrigin();
+        }
         const alive = [...agents.values()].filter(({ dead }) => !dead);
-        if (alive.every(({ complete }) => complete)) {
+        if (alive.every(({ newestComplete }) => newestComplete === newest)) {
             break;
         }
-        for (const agent of alive.filter(({ complete }) => !complete)) {
-            exchange(agent);
-            if (agent.needsDecision || stepCount % stepsPerDecision === 0) {
-                decide(agent);
+        for (const agent of alive) {
+            const isTick = time.now >= agent.nextTickAt;
+            if (isTick) {
+                agent.nextTickAt += plan.tickInterval;
+                updateTarget(agent);
+            }
+            const { target } = agent;
+            if (target === undefined || target.complete) {
+                continue;
+            }
+            if (isTick) {
+                exchange(agent, target);
+            }
+            if (isTick || agent.needsDecision) {
+                decide(agent, target);
             }
         }
-        advanceTransfers();
+        advanceTransfers({ transfers: listTransfers(), slots, originZone, speeds, now: time.now, isStopped })
+            .forEach(finishTransfer);
     }
     const alive = [...agents.values()].filter(({ dead }) => !dead);
     const copies = alive.map(({ receivedBytes, sentBytes }) => (receivedBytes + sentBytes) / scale.totalBytes);
+    const completed = alive.filter(({ newestComplete }) => newestComplete === newest).length;
     return {
-        seconds: alive.every(({ complete }) => complete) ? now / 1_000 : undefined,
-        completed: alive.filter(({ complete }) => complete).length,
+        seconds: completed === alive.length ? time.now / 1_000 : undefined,
+        completed,
         originCopies: originBytes / scale.totalBytes,
         linkCopiesMean: copies.reduce((sum, value) => sum + value, 0) / copies.length,
         linkCopiesMaximum: Math.max(...copies),
+        versions: plan.namedAt.map((...[, index]) => {
+            const times = alive.map(({ completedAt }) => completedAt.get(index + 1)).filter(time => time !== undefined);
+            return { completed: times.length, lastAt: Math.max(...times) };
+        }),
     };
 }
--- a/src/node/agent/transfer/manifests.ts
+++ b/src/node/agent/transfer/manifests.ts
@@ -140,7 +140,7 @@
         row.origin = origin;
         row.reading?.abort();
         row.mismatches.clear();
-        applyManifest(set, manifest, context.self, context.options.neighbours);
+        applyManifest(set, manifest, context.self, context.options);
         context.keepManifest?.(set.manifestDigest, manifest);
         // Bitfields that peers sent earlier could not be decoded without the manifest, so all peers are asked again.
         set.exchangeAt.clear();
--- a/src/node/agent/transfer/service.ts
+++ b/src/node/agent/transfer/service.ts
@@ -112,15 +112,14 @@
                 forgotten.delete(digest);
             }
         }
-        const set = createWeightSetState(wanted, context.self, options.neighbours, now);
+        const set = createWeightSetState(wanted, context.self, options, now);
         set.sentBytes = forgotten.get(set.manifestDigest)?.sentBytes ?? 0;
         return set;
     }
 
     function setTarget(wanted: TransferTarget | undefined): void {
-        const { neighbours } = context.options;
         if (wanted !== undefined && wanted.weights.manifestDigest === target?.manifestDigest) {
-            applyMembers(target, wanted, context.self, neighbours);
+            applyMembers(target, wanted, context.self, options);
             closeUnneededConnections();
             return;
         }
@@ -132,7 +131,7 @@
         if (wanted !== undefined) {
             const kept = sets.get(wanted.weights.manifestDigest);
             target = kept ?? recreateSet(wanted);
-            applyMembers(target, wanted, context.self, neighbours);
+            applyMembers(target, wanted, context.self, options);
             sets.set(target.manifestDigest, target);
             if (target.manifest === undefined) {
                 manifests.begin(target);
--- a/src/node/agent/transfer/weightSetState.ts
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -2,6 +2,7 @@
     createBitfield,
     createOriginReaders,
     decodeBitfield,
+    type DistributionOptions,
     hasChunk,
     type OriginReaders,
     type PeerRow,
@@ -49,19 +50,22 @@
     uploadsInProgress: number;
 }
 
+/** Options of the choice of neighbours. */
+export type NeighbourOptions = Pick<DistributionOptions, "neighbours" | "preferOwnZone">;
+
 /**
  * Creates the state of a weight set.
  *
  * @param target - the set and its members
  * @param self - this agent's instance
- * @param neighbours - number of neighbours
+ * @param neighbours - options of the choice of neighbours
  * @param now - monotonic time
  * @returns state without a manifest
  */
 export function createWeightSetState(
     target: TransferTarget,
     self: InstanceId,
-    neighbours: number,
+    neighbours: NeighbourOptions,
     now: Milliseconds,
 ): WeightSetState {
     const state: WeightSetState = {
@@ -100,13 +104,13 @@
  * @param state - changed in place
  * @param target - the set with its new members
  * @param self - this agent's instance
- * @param neighbours - number of neighbours
+ * @param neighbours - options of the choice of neighbours
  */
 export function applyMembers(
     state: WeightSetState,
     target: TransferTarget,
     self: InstanceId,
-    neighbours: number,
+    neighbours: NeighbourOptions,
 ): void {
     state.target = target;
     const members = target.members.map(({ instance }) => instance);
@@ -115,12 +119,19 @@
         state.peers.delete(instance);
         state.exchangeAt.delete(instance);
     }
-    state.neighbours = selectNeighbours(state.manifestDigest, self, members, neighbours);
     const chunks = state.manifest?.chunks.length ?? 0;
     const zones = new Map(target.members.map(({ instance, zone }) => [instance, zone]));
+    const isInOwnZone = (member: InstanceId) => zones.get(member) === zones.get(self);
+    state.neighbours = selectNeighbours(
+        state.manifestDigest,
+        self,
+        members,
+        neighbours.neighbours,
+        member => neighbours.preferOwnZone && isInOwnZone(member),
+    );
     const isInOriginZone = (member: InstanceId) =>
         target.originZone !== undefined && zones.get(member) === target.originZone;
-    const zoneMembers = members.filter(member => zones.get(member) === zones.get(self));
+    const zoneMembers = members.filter(isInOwnZone);
     state.originReaders = createOriginReaders(state.manifestDigest, chunks, members, self, isInOriginZone);
     state.zoneReaders = createOriginReaders(state.manifestDigest, chunks, zoneMembers, self);
 }
@@ -131,9 +142,14 @@
  * @param state - changed in place
  * @param manifest - verified manifest
  * @param self - this agent's instance
- * @param neighbours - number of neighbours
+ * @param neighbours - options of the choice of neighbours
  */
-export function applyManifest(state: WeightSetState, manifest: Manifest, self: InstanceId, neighbours: number): void {
+export function applyManifest(
+    state: WeightSetState,
+    manifest: Manifest,
+    self: InstanceId,
+    neighbours: NeighbourOptions,
+): void {
     state.manifest = manifest;
     state.held = createBitfield(manifest.chunks.length);
     for (const peer of state.peers.rows()) {
--- a/src/node/settings/distributionSection.ts
+++ b/src/node/settings/distributionSection.ts
@@ -78,6 +78,14 @@
         documentation:
             "Chunks that are read from the origin beyond those that an agent knows to be held. With 0, all are read at once.",
     }),
+    originWindowTimeMilliseconds: defineDuration("originWindowTime", "Milliseconds", {
+        minimum: 0,
+        maximum: 60_000,
+        defaultValue: 0,
+        documentation:
+            "Time from which `originWindow` is derived: the window holds as many chunks as the link receives in it. About " +
+            "the interval of exchanges. With 0, `originWindow` applies.",
+    }),
     originReadersForTime: defineInteger({
         minimum: 1,
         maximum: 64,
@@ -114,6 +122,14 @@
         false,
         "Whether only one member of each zone reads a chunk from another zone and the others read it from that member.",
     ),
+    maximumZoneReaders: defineInteger({
+        minimum: 1,
+        maximum: 64,
+        defaultValue: 1,
+        documentation:
+            "Largest number of members of a zone that read a chunk from another zone at once; a quarter of the members " +
+            "if these are fewer, and at least one.",
+    }),
     zoneTakeoverAfterMilliseconds: defineDuration("zoneTakeoverAfter", "Milliseconds", {
         minimum: 10,
         maximum: 600_000,
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -212,6 +212,7 @@
         random,
         options: {
             ...settings.distribution,
+            linkBytesPerSecond: weightAgent.linkMegabitsPerSecond * bytesPerMegabit,
             exchangeInterval: weightAgent.exchangeInterval,
             exchangeTimeLimit: weightAgent.exchangeTimeLimit,
             tickInterval: transferTickIntervalMilliseconds,
--- a/src/runtime/distribution/index.ts
+++ b/src/runtime/distribution/index.ts
@@ -8,6 +8,7 @@
 export * from "./options.js";
 export * from "./originBackoff.js";
 export * from "./originReaders.js";
+export * from "./originWindow.js";
 export * from "./selectTransfers.js";
 export * from "./sources.js";
 export * from "./transferWindow.js";
--- a/src/runtime/distribution/neighbours.ts
+++ b/src/runtime/distribution/neighbours.ts
@@ -3,13 +3,18 @@
 import { hasChunk } from "./bitfield.js";
 import type { DistributionOptions, OriginReaders, PeerRow } from "./types.js";
 
+/** Share of the neighbours that are chosen in the agent's own availability zone, where it reads most chunks. */
+const ownZoneShare = 0.75;
+
 /**
- * Chooses the agents with which this agent exchanges bitfields.
+ * Chooses the agents with which this agent exchanges bitfields. Where agents read chunks from their own zone, most of
+ * the neighbours are in it: chosen from all zones, they gave some of 64 agents two sources, and these took twice as long.
  *
  * @param manifestDigest - the set
  * @param self - this agent's instance
  * @param members - instances assigned to the set
  * @param count - number of neighbours wanted
+ * @param isPreferred - tells which members are in the own zone; default: there is no preference
  * @returns up to `count` other instances, ranked by rendezvous hash
  */
 export function selectNeighbours(
@@ -17,9 +22,12 @@
     self: InstanceId,
     members: readonly InstanceId[],
     count: number,
+    isPreferred: (member: InstanceId) => boolean = () => false,
 ): InstanceId[] {
     const others = members.filter(member => member !== self);
-    return rankByRendezvous(`${manifestDigest}/${self}`, others).slice(0, count);
+    const ranked = rankByRendezvous(`${manifestDigest}/${self}`, others);
+    const preferred = ranked.filter(isPreferred).slice(0, Math.ceil(count * ownZoneShare));
+    return [...new Set([...preferred, ...ranked.filter(member => !isPreferred(member)), ...ranked])].slice(0, count);
 }
 
 /** Input of `selectWatchedReaders`. */
--- a/src/runtime/distribution/originReaders.ts
+++ b/src/runtime/distribution/originReaders.ts
@@ -1,5 +1,6 @@
 import type { InstanceId, ManifestDigest, Milliseconds } from "../../types/index.js";
 import { rankByRendezvous, scoreRendezvous, type Table } from "../../utils/index.js";
+import { hasChunk } from "./bitfield.js";
 import type { DistributionOptions, OriginReaders, PeerRow } from "./types.js";
 
 /**
@@ -28,6 +29,8 @@
     const isSelfNear = isNear(self);
     const others = members.filter(member => member !== self);
     const ranks: (number | undefined)[] = new Array<number | undefined>(chunks).fill(undefined);
+    /** Members that rank before this agent; they are read several times a second while chunks are missing. */
+    const preceding: (readonly InstanceId[] | undefined)[] = new Array<undefined>(chunks).fill(undefined);
     const createKey = (index: number) => `${manifestDigest.slice(0, keyDigestCharacters)}/${index}`;
 
     function computeRank(index: number): number {
@@ -49,13 +52,16 @@
         return ranks[index] ??= computeRank(index);
     }
 
+    function listPreceding(index: number): readonly InstanceId[] {
+        const ranked = rankByRendezvous(createKey(index), [...others, self]);
+        const near = ranked.filter(isNear);
+        return [...near, ...ranked.filter(member => !isNear(member))].slice(0, rankOf(index));
+    }
+
     return {
+        members: others.length + 1,
         rankOf,
-        precedingReaders: index => {
-            const ranked = rankByRendezvous(createKey(index), [...others, self]);
-            const near = ranked.filter(isNear);
-            return [...near, ...ranked.filter(member => !isNear(member))].slice(0, rankOf(index));
-        },
+        precedingReaders: index => preceding[index] ??= listPreceding(index),
     };
 }
 
@@ -91,8 +97,25 @@
     });
 }
 
+/** Members of a zone for each member that reads a chunk from another zone at once. */
+const membersPerZoneReader = 4;
+
+/**
+ * Computes how many members of a zone read a chunk from another zone at once. With one reader, a chunk reaches the
+ * members of a large zone late; with several in a small zone, they take the uplinks of the first holders from each other.
+ *
+ * @param members - number of members of the zone
+ * @param options - largest number of readers
+ * @returns number of readers, at least 1
+ */
+export function countZoneReaders(members: number, { maximumZoneReaders }: DistributionOptions): number {
+    return Math.max(1, Math.min(maximumZoneReaders, Math.floor(members / membersPerZoneReader)));
+}
+
 /** Input of `mayTakeOver`. */
 export interface TakeoverInput {
+    /** Position of the chunk. */
+    readonly index: number;
     readonly precedingReaders: readonly InstanceId[];
     readonly peers: Table<InstanceId, PeerRow>;
     readonly startedAt: Milliseconds;
@@ -102,18 +125,23 @@
 
 /**
  * Decides whether this agent may read a chunk from the origin in place of those ranked before it. A reader counts as
- * failed when it has gained no chunk for the takeover time. Each further rank gets the same time for its own attempt.
+ * failed when it has gained no chunk for the takeover time, or when it holds this chunk and is avoided: a reader that
+ * receives but cannot send would otherwise keep its chunks for as long as it gains others. Each further rank gets the same
+ * time for its own attempt.
  *
  * @param input - readers of the chunk, best first, and the progress that they reported
  * @returns true if all preceding readers have failed; false while one of them is not yet known
  */
 export function mayTakeOver(input: TakeoverInput): boolean {
-    const { now, options, peers, precedingReaders, startedAt } = input;
+    const { index, now, options, peers, precedingReaders, startedAt } = input;
     return precedingReaders.every((reader, rank) => {
         const peer = peers.get(reader);
         if (peer === undefined) {
             return false;
         }
+        if (peer.avoidedUntil > now && hasChunk(peer.bitfield, index)) {
+            return true;
+        }
         const rankDistance = precedingReaders.length - rank;
         return now - Math.max(startedAt, peer.progressedAt) >= rankDistance * options.originTakeoverAfter;
     });
--- a/src/runtime/distribution/selectTransfers.ts
+++ b/src/runtime/distribution/selectTransfers.ts
@@ -1,7 +1,8 @@
 import type { InstanceId, Milliseconds } from "../../types/index.js";
 import { hasChunk } from "./bitfield.js";
 import { mayAskOrigin } from "./originBackoff.js";
-import { mayReadFromOtherZones, mayTakeOver } from "./originReaders.js";
+import { countZoneReaders, mayReadFromOtherZones, mayTakeOver } from "./originReaders.js";
+import { computeOriginWindow } from "./originWindow.js";
 import type { PeerRow, TransferCommand, TransferInput, TransferRow } from "./types.js";
 
 /** Name of the origin as the source of a transfer. */
@@ -121,14 +122,15 @@
 
 /**
  * Computes the number of chunks, in the order of the manifest, that may be read from the origin now: those that are known
- * to be held somewhere, and `originWindow` more. If all readers began at once, they would share the origin's link, and no
+ * to be held somewhere, and a window of further ones. If all readers began at once, they would share the origin's link, and no
  * chunk would be forwarded before nearly all have been read. While no further chunk becomes available, the window grows
  * with each takeover time, so that dead readers delay only the chunks of one window.
  */
 function countReadableChunks(input: TransferInput): number {
     const { availableSince, held, manifest, now, options, startedAt } = input;
     const chunks = manifest.chunks.length;
-    if (options.originWindow === 0) {
+    const window = computeOriginWindow(manifest, options);
+    if (window === 0) {
         return chunks;
     }
     let known = 0;
@@ -139,7 +141,7 @@
         newestAt = Math.max(newestAt, since ?? startedAt);
     }
     const missedTakeovers = Math.floor((now - newestAt) / options.originTakeoverAfter);
-    return known + options.originWindow * (1 + missedTakeovers);
+    return known + window * (1 + missedTakeovers);
 }
 
 /** Selects chunks that no known agent holds and for which this agent is the first origin reader. */
@@ -208,7 +210,8 @@
         }
         const precedingReaders = originReaders.precedingReaders(index);
         if (
-            mayTakeOver({ precedingReaders, peers, startedAt, now, options }) && reserveCapacity(input, capacity, index)
+            mayTakeOver({ precedingReaders, peers, index, startedAt, now, options }) &&
+            reserveCapacity(input, capacity, index)
         ) {
             capacity.originTransfers--;
             commands.push({ kind: "fetch-from-origin", index, reason: "the readers before have failed" });
@@ -227,13 +230,15 @@
         if (capacity.transfers <= 0 || capacity.budgetBytes <= 0) {
             break;
         }
-        const peer = choosePeer(input, selectHolders(input, index, holders), capacity);
+        const askable = selectHolders(input, index, holders);
+        const peer = choosePeer(input, askable, capacity);
         if (peer === undefined || !reserveCapacity(input, capacity, index)) {
             continue;
         }
         const { instance } = peer;
         capacity.transfersByPeer.set(instance, (capacity.transfersByPeer.get(instance) ?? 0) + 1);
-        const lastResort = holders.every(holder => isAllowanceUsed(input, holder, index));
+        // Holders in other zones are no alternative while this agent may not ask them.
+        const lastResort = askable.every(holder => isAllowanceUsed(input, holder, index));
         commands.push({
             kind: "fetch-from-peer",
             index,
@@ -255,7 +260,9 @@
     if (inOwnZone.length > 0) {
         return inOwnZone;
     }
-    const precedingReaders = zoneReaders.rankOf(index) === 0 ? [] : zoneReaders.precedingReaders(index);
+    const precedingReaders = zoneReaders.rankOf(index) < countZoneReaders(zoneReaders.members, options) ?
+        [] :
+        zoneReaders.precedingReaders(index);
     const availableSince = input.availableSince.get(index) ?? now;
     return mayReadFromOtherZones({ precedingReaders, peers, availableSince, now, options }) ? holders : [];
 }
--- a/src/runtime/distribution/types.ts
+++ b/src/runtime/distribution/types.ts
@@ -52,6 +52,13 @@
      * all chunks are read at once. Default: 0.
      */
     readonly originWindow: number;
+    /**
+     * Time for which an agent's link could receive the chunks that are read from the origin beyond those that are known to
+     * be held; the window is derived from it and from the chunks. 0 if `originWindow` applies. Default: 0.
+     */
+    readonly originWindowTime: Milliseconds;
+    /** Bytes per second of an agent's link, from which the window is derived. Default: 125,000,000. */
+    readonly linkBytesPerSecond: number;
     /** Origin readers of each chunk with the objective `time`; `origin-bytes` has one. Default: 4. */
     readonly originReadersForTime: number;
     /**
@@ -70,6 +77,8 @@
      * from another zone. Default: false; useful where traffic between zones is expensive.
      */
     readonly preferOwnZone: boolean;
+    /** Largest number of members of a zone that read a chunk from another zone at once. Default: 1. */
+    readonly maximumZoneReaders: number;
     /** Time after which the next member of a zone may read a chunk from another zone. Default: 1,000 ms. */
     readonly zoneTakeoverAfter: Milliseconds;
     /**
@@ -122,6 +131,8 @@
 
 /** Ranks of the members as origin readers of each chunk. */
 export interface OriginReaders {
+    /** Number of members, this agent included. */
+    readonly members: number;
     /**
      * Reads this agent's rank.
      *
--- a/test/runtime/distribution/originWindow.test.ts
+++ b/test/runtime/distribution/originWindow.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import {
     computeOriginBackoff,
+    computeOriginWindow,
     createBitfield,
     createOriginReaders,
     type PeerRow,
@@ -72,6 +73,33 @@
     });
 });
 
+describe("the window of reads from the origin", () => {
+    const kibibyte = 1_024;
+    const cases = [
+        // Guards against a window that is too small for the speed of the links, which idles the origin.
+        { time: 500, link: 665_000, bytes: 32 * kibibyte, chunks: 11 },
+        { time: 500, link: 638_750, bytes: 24 * kibibyte, chunks: 13 },
+        { time: 500, link: 125_000_000, bytes: 2_048 * kibibyte, chunks: 30 },
+        // Guards against chunks that no one may read, since the links are slow.
+        { time: 500, link: 1_000, bytes: 32 * kibibyte, chunks: 1 },
+        // Guards against a window where none is set.
+        { time: 0, link: 665_000, bytes: 32 * kibibyte, chunks: 0 },
+    ];
+    for (const { bytes, chunks, link, time } of cases) {
+        it(`holds ${chunks} chunks of ${bytes} bytes at ${link} bytes a second and ${time} ms`, () => {
+            const manifest = {
+                model: "scribe",
+                adapter: "",
+                version: "1",
+                totalBytes: 10 * bytes,
+                chunks: Array.from({ length: 10 }, () => ({ bytes, digest: "" })),
+            };
+            const derived = resolveDistributionOptions({ originWindowTime: time, linkBytesPerSecond: link });
+            expect(computeOriginWindow(manifest, derived)).toEqual(chunks);
+        });
+    }
+});
+
 describe("the delay after a failed read from the origin", () => {
     const cases = [
         // Guards against readers that stay away for seconds after a restart of the origin, since their delays doubled.
--- a/test/runtime/distribution/selectTransfers.test.ts
+++ b/test/runtime/distribution/selectTransfers.test.ts
@@ -8,6 +8,7 @@
     type DistributionOptions,
     type PeerRow,
     resolveDistributionOptions,
+    selectNeighbours,
     selectTransfers,
     type TransferInput,
     type TransferRow,
@@ -187,12 +188,14 @@
         const ranked = members.map(self => ({ self, rank: createOriginReaders("aa", chunkCount, members, self) }))
             .sort((left, right) => left.rank.rankOf(index) - right.rank.rankOf(index));
         const [first, second, third] = ranked.map(({ self }) => self) as [string, string, string];
+        const readBeside = (self: string, now: number, peers: readonly PeerRow[]) =>
+            describeCommands({ self, peers, changes: { now } }, "fetch-from-origin").includes("0");
         const read = (self: string, now: number, progressedAt: readonly [string, number][]) =>
-            describeCommands({
+            readBeside(
                 self,
-                peers: progressedAt.map(([instance, time]) => createPeer(instance, [], { progressedAt: time })),
-                changes: { now },
-            }, "fetch-from-origin").includes("0");
+                now,
+                progressedAt.map(([instance, time]) => createPeer(instance, [], { progressedAt: time })),
+            );
         expect(read(first, 1_000, [])).toEqual(true);
         expect(read(second, 4_999, [[first, 0]])).toEqual(false);
         expect(read(second, 6_000, [[first, 2_000]])).toEqual(false);
@@ -200,6 +203,31 @@
         expect(read(second, 60_000, [])).toEqual(false);
         expect(read(third, 9_000, [[first, 0], [second, 0]])).toEqual(false);
         expect(read(third, 10_000, [[first, 0], [second, 0]])).toEqual(true);
+        // A reader that gains chunks but cannot send them would otherwise keep its chunks until it has all.
+        const stalled = createPeer(first, [index], { progressedAt: 4_990, avoidedUntil: 6_000 });
+        expect(readBeside(second, 5_000, [stalled])).toEqual(true);
+        expect(readBeside(third, 5_000, [stalled, createPeer(second, [], { progressedAt: 4_990 })])).toEqual(false);
+        expect(readBeside(second, 5_000, [{ ...stalled, bitfield: createBitfield(chunkCount) }])).toEqual(false);
+    });
+
+    // Guards against agents whose requests the members of their zone refuse for ever, since those have sent their share.
+    it("calls a request the last resort if all holders that may be asked have used up their allowance", () => {
+        const sender = { sentBytes: 1_000, zone: "zone-a" };
+        const peers = [createPeer("b", all, sender), createPeer("c", all, { zone: "zone-b" })];
+        const options = { maximumTransfers: 1, preferOwnZone: true };
+        expect(describeCommands({ peers, options }, "fetch-from-peer").join()).toMatchRegex(/^\d b last resort$/);
+    });
+
+    // Guards against agents that know two sources, since their neighbours are in zones that they seldom read from.
+    it("chooses most neighbours in the own zone if agents read from it", () => {
+        const instances = Array.from({ length: 60 }, (...[, index]) => `${index % 3}/${index}`);
+        const countOwn = (isPreferred?: (member: string) => boolean) =>
+            selectNeighbours("aa", "0/0", instances, 8, isPreferred).filter(member => member.startsWith("0/")).length;
+        expect(countOwn(member => member.startsWith("0/"))).toEqual(6);
+        expect(countOwn()).toBeLessThan(6);
+        const few = ["a", "b", "c"];
+        expect(selectNeighbours("aa", "a", few, 8, member => member === "b").sort()).toEqual(["b", "c"]);
+        expect(selectNeighbours("aa", "a", few, 8, () => true).sort()).toEqual(["b", "c"]);
     });
 
     // Guards against reading from the origin what a neighbour already holds, and a failing origin without a pause.
--- a/test/runtime/distribution/zoneReaders.test.ts
+++ b/test/runtime/distribution/zoneReaders.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import {
+    countZoneReaders,
     createBitfield,
     mayReadFromOtherZones,
     type PeerRow,
@@ -71,4 +72,13 @@
             expect(mayRead(situation)).toEqual(expected);
         });
     }
+
+    // Guards against small zones whose members take the uplinks of the first holders from each other, and against large
+    // ones that wait for one reader.
+    it("are allowed to a quarter of the zone's members, within a limit", () => {
+        const countReaders = (members: number) =>
+            countZoneReaders(members, resolveDistributionOptions({ maximumZoneReaders: 4 }));
+        expect([1, 5, 8, 15, 16, 143].map(countReaders)).toEqual([1, 1, 2, 3, 4, 4]);
+        expect(countZoneReaders(143, options)).toEqual(1);
+    });
 });
