--- a/src/node/agent/transfer/weightSetState.ts
+++ b/src/node/agent/transfer/weightSetState.ts
@@ -2,6 +2,7 @@
     createBitfield,
     createOriginReaders,
     decodeBitfield,
+    type DistributionOptions,
     hasChunk,
     type OriginReaders,
     type PeerRow,
@@ -41,25 +42,30 @@
     /** Monotonic time at which the first holder of each chunk became known, by position of the chunk. */
     readonly availableSince: Map<number, Milliseconds>;
     originAvoidedUntil: Milliseconds;
+    /** Monotonic time of the last failure of the origin if it refused the connection; undefined otherwise. */
+    originRefusedAt: Milliseconds | undefined;
     originFailures: number;
     /** Bytes sent, including those reserved for uploads in progress. */
     sentBytes: number;
     uploadsInProgress: number;
 }
 
+/** Options of the choice of neighbours. */
+export type NeighbourOptions = Pick<DistributionOptions, "neighbours" | "preferOwnZone">;
+
 /**
  * Creates the state of a weight set.
  *
  * @param target - the set and its members
  * @param self - this agent's instance
- * @param neighbours - number of neighbours
+ * @param neighbours - options of the choice of neighbours
  * @param now - monotonic time
  * @returns state without a manifest
  */
 export function createWeightSetState(
     target: TransferTarget,
     self: InstanceId,
-    neighbours: number,
+    neighbours: NeighbourOptions,
     now: Milliseconds,
 ): WeightSetState {
     const state: WeightSetState = {
@@ -83,6 +89,7 @@
         zoneReaders: createOriginReaders(target.weights.manifestDigest, 0, [], self),
         availableSince: new Map(),
         originAvoidedUntil: 0,
+        originRefusedAt: undefined,
         originFailures: 0,
         sentBytes: 0,
         uploadsInProgress: 0,
@@ -106,14 +113,14 @@
  * @param state - changed in place
  * @param target - the set with its members
  * @param self - this agent's instance
- * @param neighbours - number of neighbours
+ * @param neighbours - options of the choice of neighbours
  * @returns true if the members have changed
  */
 export function updateMembers(
     state: WeightSetState,
     target: TransferTarget,
     self: InstanceId,
-    neighbours: number,
+    neighbours: NeighbourOptions,
 ): boolean {
     if (haveSameMembers(state.target, target)) {
         state.target = target;
@@ -124,7 +131,12 @@
 }
 
 /** Applies members to a set; peers that are no longer members are removed. */
-function applyMembers(state: WeightSetState, target: TransferTarget, self: InstanceId, neighbours: number): void {
+function applyMembers(
+    state: WeightSetState,
+    target: TransferTarget,
+    self: InstanceId,
+    neighbours: NeighbourOptions,
+): void {
     state.target = target;
     const members = target.members.map(({ instance }) => instance);
     const known = new Set(members);
@@ -132,12 +144,19 @@
         state.peers.delete(instance);
         state.exchangeAt.delete(instance);
     }
-    state.neighbours = selectNeighbours(state.manifestDigest, self, members, neighbours);
     const chunks = state.manifest?.chunks.length ?? 0;
     const zones = new Map(target.members.map(({ instance, zone }) => [instance, zone]));
+    const isInOwnZone = (member: InstanceId) => zones.get(member) === zones.get(self);
+    state.neighbours = selectNeighbours(
+        state.manifestDigest,
+        self,
+        members,
+        neighbours.neighbours,
+        member => neighbours.preferOwnZone && isInOwnZone(member),
+    );
     const isInOriginZone = (member: InstanceId) =>
         target.originZone !== undefined && zones.get(member) === target.originZone;
-    const zoneMembers = members.filter(member => zones.get(member) === zones.get(self));
+    const zoneMembers = members.filter(isInOwnZone);
     state.originReaders = createOriginReaders(state.manifestDigest, chunks, members, self, isInOriginZone);
     state.zoneReaders = createOriginReaders(state.manifestDigest, chunks, zoneMembers, self);
 }
@@ -148,9 +167,14 @@
  * @param state - changed in place
  * @param manifest - verified manifest
  * @param self - this agent's instance
- * @param neighbours - number of neighbours
+ * @param neighbours - options of the choice of neighbours
  */
-export function applyManifest(state: WeightSetState, manifest: Manifest, self: InstanceId, neighbours: number): void {
+export function applyManifest(
+    state: WeightSetState,
+    manifest: Manifest,
+    self: InstanceId,
+    neighbours: NeighbourOptions,
+): void {
     state.manifest = manifest;
     state.held = createBitfield(manifest.chunks.length);
     for (const peer of state.peers.rows()) {
@@ -177,6 +201,7 @@
     state.manifest = undefined;
     state.originFailures = 0;
     state.originAvoidedUntil = 0;
+    state.originRefusedAt = undefined;
     for (const peer of state.peers.rows()) {
         peer.corruptChunks = 0;
         peer.avoidedUntil = 0;
