Simulate versions for engines that have loaded an earlier one

The simulation began without a loaded version, for which the choice of the version is always the newest one. Engines now begin with a loaded version.

--- a/bench/distribution/simulation.ts
+++ b/bench/distribution/simulation.ts
@@ -20,6 +20,9 @@
 
 /** Share of a link that transfers use; the rest is reserved for live requests, which are not simulated. */
 const transferShare = resolveBudgetOptions({ bytesPerSecond: 1 }).idleShare;
+/** First version that is named; the engines have loaded the one before. */
+const firstVersion = 2;
+
 /**
  * Runs the decisions of all agents with simulated links that share their capacity evenly among transfers. It measures
  * only the policy, without processor time and message overhead.
@@ -37,7 +40,7 @@
         totalBytes: scale.totalBytes,
         chunks: new Array<Manifest["chunks"][number]>(chunks).fill({ bytes: scale.chunkBytes, digest: "" }),
     };
-    const wanted = plan.namedAt.map((declaredAt, index) => ({ version: index + 1, declaredAt })).reverse();
+    const wanted = plan.namedAt.map((declaredAt, index) => ({ version: firstVersion + index, declaredAt })).reverse();
     let originBytes = 0;
 
     /** Chooses the version to transfer; an incomplete set that is no longer the target is dropped. */
@@ -322,7 +325,9 @@
         linkCopiesMean: copies.reduce((sum, value) => sum + value, 0) / copies.length,
         linkCopiesMaximum: Math.max(...copies),
         versions: plan.namedAt.map((...[, index]) => {
-            const times = alive.map(({ completedAt }) => completedAt.get(index + 1)).filter(time => time !== undefined);
+            const times = alive.map(({ completedAt }) => completedAt.get(firstVersion + index)).filter(time =>
+                time !== undefined
+            );
             return { completed: times.length, lastAt: Math.max(...times) };
         }),
     };
--- a/bench/distribution/simulationTypes.ts
+++ b/bench/distribution/simulationTypes.ts
@@ -90,7 +90,7 @@
     /** Sets by version: the target, and complete ones. */
     readonly sets: Map<number, AgentSet>;
     target: AgentSet | undefined;
-    /** Newest complete version; 0 for none. */
+    /** Newest version that is loaded or complete; 0 for none. */
     newestComplete: number;
     readonly completedAt: Map<number, number>;
     readonly window: TransferWindow;
--- a/bench/distribution/swarmState.ts
+++ b/bench/distribution/swarmState.ts
@@ -44,7 +44,7 @@
             outgoing: {},
             sets: new Map(),
             target: undefined,
-            newestComplete: 0,
+            newestComplete: 1,
             completedAt: new Map(),
             window: createTransferWindow(),
             queueDelay: 0,
