Relay the operator's records in a call of their own

A relay sent all topics in one call, whose messages arrive in their order. An entry of the list of backend servers therefore waited until a configuration that had been written before it was transferred.

A process that follows both topics now opens a second call for the operator's records, on the same connection. Calls share a connection in frames, so a small record overtakes a large one. The heartbeat remains with the call for the list, and a position is reported only to the call whose topics were read. Agents, which do not follow the operator's records, have one call as before.

--- a/src/node/replica/recordRelay.ts
+++ b/src/node/replica/recordRelay.ts
@@ -25,8 +25,8 @@
      */
     readonly relayDelay: Milliseconds;
     /**
-     * Longest time without a message. A heartbeat tells followers how current the relay's records of their first topic
-     * are.
+     * Longest time without a message to a process. A heartbeat tells it how current the relay's records of the list of
+     * backend servers are, or of its first topic if there is no list.
      */
     readonly relayHeartbeat: Milliseconds;
 }
@@ -89,6 +89,7 @@
  */
 export function createRecordRelay({ clock, options, stalls, store }: RecordRelayInput): RecordRelay {
     const followers = new Set<Follower>();
+    const hasList = store.topics.includes("backend-servers");
 
     function selectRecent({ records }: ReplicaTopic): readonly KnownRecord[] {
         return [...records.values()].filter(({ writtenAfter }) =>
@@ -141,7 +142,7 @@
 
     function sendUpdates(follower: Follower): void {
         const now = clock.monotonic();
-        const [firstTopic] = follower.positions.keys();
+        const heartbeatTopic = hasList ? "backend-servers" : [...follower.positions.keys()][0];
         for (const [topic, position] of follower.positions) {
             if (follower.blocked) {
                 return;
@@ -149,7 +150,7 @@
             // The first message about a topic is sent even without records, as it tells the follower that there are no
             // newer ones.
             const isHeartbeat = position.sentAt === -Infinity ||
-                (topic === firstTopic && now - position.sentAt >= options.relayHeartbeat);
+                (topic === heartbeatTopic && now - position.sentAt >= options.relayHeartbeat);
             const batch = createBatch(topic, position, isHeartbeat);
             if (batch === undefined) {
                 continue;
--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -48,7 +48,8 @@
 interface Stream {
     readonly address: string;
     readonly client: ReplicaClient;
-    readonly call: ClientDuplexStream<FollowRecordsRequest, RecordBatch>;
+    /** Calls by the topics that each of them follows; see {@link splitTopics}. */
+    readonly calls: ReadonlyMap<readonly KeyedTopic[], ClientDuplexStream<FollowRecordsRequest, RecordBatch>>;
     /** Monotonic time of the newest message; the start of the stream before the first. */
     heardAt: Milliseconds;
     readonly startedAt: Milliseconds;
@@ -61,6 +62,16 @@
 /** Interval at which closed streams are replaced. */
 const streamCheckInterval: Milliseconds = 200;
 
+/**
+ * Groups topics by the call that follows them. Messages of one call arrive in their order, so the operator's records, one
+ * of which can be as large as the configuration, have a call of their own beside that of the list of backend servers.
+ */
+function splitTopics(topics: readonly KeyedTopic[]): readonly (readonly KeyedTopic[])[] {
+    return topics.includes("operator") && topics.includes("backend-servers") ?
+        [topics.filter(topic => topic !== "operator"), ["operator"]] :
+        [topics];
+}
+
 /**
  * Follows relays and merges the records that they send.
  *
@@ -71,6 +82,9 @@
     const { clock, logger, options, random, stalls, store } = input;
     const streams = new Map<string, Stream>();
     const failures = new Map<string, RelayFailure>();
+    const topicGroups = splitTopics(store.topics);
+    /** Topics that were read from the log since the last report of the position. */
+    const changedTopics = new Set<KeyedTopic>();
     let disconnectedSince: Milliseconds | undefined = clock.monotonic();
     let positionTimer: NodeJS.Timeout | undefined;
 
@@ -90,10 +104,10 @@
         }
     }
 
-    function createPositionsRequest(): FollowRecordsRequest {
+    function createPositionsRequest(topics: readonly KeyedTopic[]): FollowRecordsRequest {
         return create(FollowRecordsRequestSchema, {
             instance: input.self,
-            positions: store.topics.map(topic =>
+            positions: topics.map(topic =>
                 create(TopicPositionSchema, {
                     topic,
                     nextOffset: BigInt(store.topic(topic).nextOffset),
@@ -113,7 +127,7 @@
             failedAt: now,
             retryAt: now + options.reconnectAfter * (0.5 + random.next()),
         });
-        stream.call.cancel();
+        stream.calls.forEach(call => call.cancel());
         stream.client.close();
         if (stream.connected) {
             logger.warn({ peer: stream.address, reason }, "relay lost");
@@ -172,32 +186,37 @@
 
     function follow(address: string): void {
         const client = createReplicaClient(address);
-        const call = client.followRecords();
+        const calls = new Map(topicGroups.map(topics => [topics, client.followRecords()]));
         const startedAt = clock.monotonic();
         const stream: Stream = {
             address,
             client,
-            call,
+            calls,
             startedAt,
             heardAt: startedAt,
             connected: false,
             topics: new Set(),
         };
         streams.set(address, stream);
-        call.on("data", (batch: RecordBatch) => receive(stream, batch));
-        call.on("error", error => closeStream(stream, error.message));
-        call.on("end", () => closeStream(stream, "the relay ended the stream"));
-        call.write(createPositionsRequest());
+        for (const [topics, call] of calls) {
+            call.on("data", (batch: RecordBatch) => receive(stream, batch));
+            call.on("error", error => closeStream(stream, error.message));
+            call.on("end", () => closeStream(stream, "the relay ended the stream"));
+            call.write(createPositionsRequest(topics));
+        }
     }
 
     function sendPositions(): void {
         positionTimer = undefined;
-        const positions = createPositionsRequest();
-        for (const { call, connected } of streams.values()) {
-            if (connected) {
-                call.write(positions);
+        for (const topics of topicGroups.filter(group => group.some(topic => changedTopics.has(topic)))) {
+            const positions = createPositionsRequest(topics);
+            for (const { calls, connected } of streams.values()) {
+                if (connected) {
+                    calls.get(topics)!.write(positions);
+                }
             }
         }
+        changedTopics.clear();
     }
 
     function tick(): void {
@@ -237,8 +256,9 @@
 
     // Sends the position to the relays after records were read from the log, so that they skip these records. A relay
     // needs no position after its own records, since it knows what it sent.
-    store.onChange((...[, , { source }]) => {
+    store.onChange((topic, ...[, { source }]) => {
         if (source === "log") {
+            changedTopics.add(topic);
             positionTimer ??= setTimeout(sendPositions, options.positionInterval);
         }
     });
