--- a/src/node/replica/recordRelay.ts
+++ b/src/node/replica/recordRelay.ts
@@ -26,8 +26,8 @@
      */
     readonly relayDelay: Milliseconds;
     /**
-     * Longest time without a message. A heartbeat tells followers how current the relay's records of their first topic
-     * are.
+     * Longest time without a message to a process. A heartbeat tells it how current the relay's records of the list of
+     * backend servers are, or of its first topic if there is no list.
      */
     readonly relayHeartbeat: Milliseconds;
     /**
@@ -101,6 +101,7 @@
     const compress = createValueCompressor();
     /** Monotonic time at which this process learned of each large value. */
     const learnedAt = new WeakMap<Uint8Array, Milliseconds>();
+    const hasList = store.topics.includes("backend-servers");
 
     function selectRecent({ records }: ReplicaTopic): readonly KnownRecord[] {
         return [...records.values()].filter(({ writtenAfter }) =>
@@ -178,7 +179,7 @@
 
     function sendUpdates(follower: Follower): void {
         const now = clock.monotonic();
-        const [firstTopic] = follower.positions.keys();
+        const heartbeatTopic = hasList ? "backend-servers" : [...follower.positions.keys()][0];
         for (const [topic, position] of follower.positions) {
             if (follower.blocked) {
                 return;
@@ -186,7 +187,7 @@
             // The first message about a topic is sent even without records, as it tells the follower that there are no
             // newer ones.
             const isHeartbeat = position.sentAt === -Infinity ||
-                (topic === firstTopic && now - position.sentAt >= options.relayHeartbeat);
+                (topic === heartbeatTopic && now - position.sentAt >= options.relayHeartbeat);
             const batch = createBatch(topic, position, isHeartbeat, follower.acceptsCompressed);
             if (batch === undefined) {
                 continue;
