Leave the locales of zod and protobufjs out of the bundle

The namespace object that zod exports as `z` kept all of its locales and JSON schema code in the bundle; a namespace import lets esbuild drop them. grpc-js pulls in proto-loader and protobufjs for channelz and ORCA, which no process of the platform serves; a stub takes their place in the bundle.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,6 +10,7 @@
             "src/generated/**",
             "eslint.config.js",
             "platform/undiciParts.cjs",
+            "platform/protoLoader.cjs",
         ],
     },
     ...typescriptEslint.configs.recommendedTypeChecked,
--- a/src/node/backendServer/schemas.ts
+++ b/src/node/backendServer/schemas.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const count = z.number().int().nonnegative();
 
--- a/src/node/cli/commands/explainRoute.ts
+++ b/src/node/cli/commands/explainRoute.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from "node:fs";
 import { err, ok, type Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { createError, type GoldcrestpointError } from "../../../types/index.js";
 import { exitCodes } from "../exitCodes.js";
 import { renderTable } from "../renderTable.js";
--- a/src/node/cli/commands/status.ts
+++ b/src/node/cli/commands/status.ts
@@ -1,5 +1,5 @@
 import { err, ok } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { createError, type PortResult } from "../../../types/index.js";
 import { exitCodes } from "../exitCodes.js";
 import { renderTable } from "../renderTable.js";
--- a/src/node/entry/callerRequest.ts
+++ b/src/node/entry/callerRequest.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { createIdempotencyKey } from "../../runtime/idempotency/index.js";
 import type { DeploymentName, Milliseconds, Refusal } from "../../types/index.js";
 import { computeDigest } from "../../utils/index.js";
--- a/src/node/gateway/crashes/condemnedRecords.ts
+++ b/src/node/gateway/crashes/condemnedRecords.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "pino";
-import { z } from "zod";
+import * as z from "zod";
 import type { SharedEvidence } from "../../../runtime/retry/index.js";
 import type { Clock, Fingerprint, KeyedLogPort, KeyedRecord, Milliseconds } from "../../../types/index.js";
 import type { RecordStore } from "../../replica/index.js";
--- a/src/node/gateway/explainRoute.ts
+++ b/src/node/gateway/explainRoute.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { type HttpRouter, sendJson } from "../httpServer/index.js";
 import type { RouteAnswer, RouteProblem, RouteQuestion } from "./selection/routeExplainer.js";
 
--- a/src/node/gateway/membership/weightSources.ts
+++ b/src/node/gateway/membership/weightSources.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { RouteTable } from "../../../runtime/gateway/index.js";
 import type { KeyedRecord } from "../../../types/index.js";
 
--- a/src/node/platform/schemas.ts
+++ b/src/node/platform/schemas.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { LogEntry } from "../../types/index.js";
 
 const offset = z.number().int().nonnegative();
--- a/src/node/replica/instanceRecords.ts
+++ b/src/node/replica/instanceRecords.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { KeyedRecord } from "../../types/index.js";
 import { isAddress } from "../../utils/index.js";
 import type { RecordStore } from "./recordStore.js";
--- a/src/node/settings/keyDefinitions.ts
+++ b/src/node/settings/keyDefinitions.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { Milliseconds } from "../../types/index.js";
 
 /** One key of a section: its validation, default, documentation and the name of its resolved value. */
--- a/src/standIn/engine/completions.ts
+++ b/src/standIn/engine/completions.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { readHeader } from "../execution/index.js";
 import {
     createJsonResponse,
--- a/src/standIn/engine/engineStandIn.ts
+++ b/src/standIn/engine/engineStandIn.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { EngineOrder } from "../../types/index.js";
 import { createSystemClock } from "../../utils/index.js";
 import type { Journal } from "../execution/index.js";
--- a/src/standIn/engine/orders.ts
+++ b/src/standIn/engine/orders.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { EngineOrder, FencingToken } from "../../types/index.js";
 import type { EngineBehaviour } from "./options.js";
 import type { StagedSets } from "./stagedSets.js";
--- a/src/standIn/http/controlRoutes.ts
+++ b/src/standIn/http/controlRoutes.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { createJsonResponse, parseJsonObject } from "./responses.js";
 import { restartServer } from "./restart.js";
 import type { StandInRoute, StandInServer } from "./types.js";
--- a/src/standIn/http/responses.ts
+++ b/src/standIn/http/responses.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { StandInResponse } from "./types.js";
 
 const objectSchema = z.record(z.string(), z.unknown());
--- a/src/standIn/platform/weightRoutes.ts
+++ b/src/standIn/platform/weightRoutes.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { Clock, ManifestDigest } from "../../types/index.js";
 import {
     createJsonResponse,
