--- a/src/node/cli/commands/status.ts
+++ b/src/node/cli/commands/status.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { createError, type GoldcrestpointError, type PortResult } from "../../../types/index.js";
 import { exitCodes } from "../exitCodes.js";
 import { renderTable } from "../renderTable.js";
