Keep the allowed regions of a request, and open the signal of its wait late

The route of a request was resolved again for each read of its allowed regions: before admission, for each selection, right before it is written, and for log lines. They are now kept with the request until another configuration is in force. The abort signal of the wait for a place is created only for requests that wait. The test of a changed configuration now reads the regions before the change too, and fails if the kept ones are not dropped.

--- a/src/node/gateway/requestPipeline.ts
+++ b/src/node/gateway/requestPipeline.ts
@@ -257,7 +257,7 @@
         }
         using wait = input.eligibility.watch(request);
         const waiting = { ...request.row, deadline: request.latestStart, receivedAt: request.completeAt };
-        const outcome = await queues.admit(request.service, waiting, wait.signal);
+        const outcome = await queues.admit(request.service, waiting, wait);
         const refusal = wait.readRefusal();
         return outcome.kind === "refused" && refusal !== undefined ? { kind: "refused", refusal } : outcome;
     }
--- a/src/node/gateway/selection/admissionQueues.ts
+++ b/src/node/gateway/selection/admissionQueues.ts
@@ -29,6 +29,7 @@
     RequestRow,
     ServiceRow,
 } from "../../../types/index.js";
+import type { EligibleWait } from "./eligibility.js";
 import type { ServiceShare } from "./serverSelector.js";
 
 /** Result of waiting for a place, which allows a request to be in progress at its service. */
@@ -60,10 +61,14 @@
      *
      * @param service - service of the request
      * @param request - the request; its deadline is the latest time at which it may start
-     * @param signal - ends the wait
+     * @param wait - ends the wait
      * @returns once the request may start, with the release of its place, or its refusal
      */
-    admit(service: ServiceRow, request: RequestRow, signal: AbortSignal): Promise<AdmissionOutcome>;
+    admit(
+        service: ServiceRow,
+        request: RequestRow,
+        wait: Pick<EligibleWait, "isAborted" | "signal">,
+    ): Promise<AdmissionOutcome>;
     /** Refuses the requests that are queued, and from now on all that cannot start at once. */
     close(): void;
     /** Updates the number of places, and refuses requests that can no longer start in time. */
@@ -207,9 +212,9 @@
             isClosed = true;
             queues.forEach(refuseQueued);
         },
-        admit: (service, arrived, signal) => {
+        admit: (service, arrived, wait) => {
             // A signal that is already aborted dispatches no further event.
-            if (signal.aborted) {
+            if (wait.isAborted()) {
                 return Promise.resolve({
                     kind: "refused",
                     refusal: { ran: "no", reason: "canceled", retryAfterSeconds: 0 },
@@ -231,7 +236,7 @@
             if (decision.kind === "refuse") {
                 return Promise.resolve({ kind: "refused", refusal: decision.refusal });
             }
-            const waiting = waitInQueue(queue, request, signal);
+            const waiting = waitInQueue(queue, request, wait.signal);
             if (isClosed) {
                 refuseQueued(queue);
                 return waiting;
--- a/src/node/gateway/selection/eligibility.ts
+++ b/src/node/gateway/selection/eligibility.ts
@@ -16,7 +16,9 @@
 
 /** Request that waits for a place. */
 export interface EligibleWait extends Disposable {
-    /** Aborted when the request is, or when no backend server may get it. */
+    /** Tells whether the request was aborted, or no backend server may get it. */
+    readonly isAborted: () => boolean;
+    /** Aborted when {@link isAborted} begins to be true; created when it is first read, since few requests wait. */
     readonly signal: AbortSignal;
     /** Reads why no backend server may get it; undefined while one may. */
     readonly readRefusal: () => Refusal | undefined;
@@ -61,19 +63,31 @@
     return {
         findRefusal: request => refuse(explainIneligible(request.service, regions.find(request))),
         watch: request => {
-            const controller = new AbortController();
-            const abort = (): void => controller.abort();
+            let controller: AbortController | undefined;
             let refusal: Refusal | undefined;
+            const isAborted = (): boolean => refusal !== undefined || request.signal.aborted;
+            const abort = (): void => controller?.abort();
+
+            function openSignal(): AbortSignal {
+                if (controller === undefined) {
+                    controller = new AbortController();
+                    request.signal.addEventListener("abort", abort, { once: true });
+                    if (isAborted()) {
+                        abort();
+                    }
+                }
+                return controller.signal;
+            }
+
             waiting.set(request, found => {
                 refusal = found;
                 abort();
             });
-            request.signal.addEventListener("abort", abort, { once: true });
-            if (request.signal.aborted) {
-                abort();
-            }
             return {
-                signal: controller.signal,
+                isAborted,
+                get signal() {
+                    return openSignal();
+                },
                 readRefusal: () => refusal,
                 [Symbol.dispose]: () => {
                     waiting.delete(request);
--- a/src/node/gateway/selection/regionLimits.ts
+++ b/src/node/gateway/selection/regionLimits.ts
@@ -23,6 +23,9 @@
 /** Regions by account within a route, which can be compared by identity. */
 type RegionCache = Map<object, Map<object | undefined, AllowedRegions>>;
 
+/** Regions of a request, which are read several times while it is served. */
+type RequestRegions = WeakMap<object, { readonly allowed: AllowedRegions; }>;
+
 /**
  * Creates the limits on regions.
  *
@@ -32,14 +35,21 @@
 export function createRegionLimits(readRoutes: () => RouteTable | undefined): RegionLimits {
     let resolvedWith: RouteTable | undefined;
     let cache: RegionCache = new Map();
+    let byRequest: RequestRegions = new WeakMap();
 
     return {
-        find: ({ account: arrivedAccount, call, headers, path, route: arrivedRoute }) => {
+        find: request => {
             const routes = readRoutes();
             if (routes !== resolvedWith) {
                 resolvedWith = routes;
                 cache = new Map();
+                byRequest = new WeakMap();
+            }
+            const known = byRequest.get(request);
+            if (known !== undefined) {
+                return known.allowed;
             }
+            const { account: arrivedAccount, call, headers, path, route: arrivedRoute } = request;
             const resolution = routes && resolveRoute(routes, { host: headers["host"], path, apiKey: call.apiKey });
             const { account, route } = resolution?.kind === "found" ?
                 resolution :
@@ -49,7 +59,9 @@
             if (!byAccount.has(account)) {
                 byAccount.set(account, intersectAllowedRegions([route, account]));
             }
-            return byAccount.get(account);
+            const allowed = byAccount.get(account);
+            byRequest.set(request, { allowed });
+            return allowed;
         },
     };
 }
--- a/test/node/gateway/admissionQueues.test.ts
+++ b/test/node/gateway/admissionQueues.test.ts
@@ -48,7 +48,7 @@
     return {
         queues,
         countComputed: () => computed,
-        admit: () => queues.admit(service, request, new AbortController().signal),
+        admit: () => queues.admit(service, request, { isAborted: () => false, signal: new AbortController().signal }),
     };
 }
 
--- a/test/node/gateway/eligibility.test.ts
+++ b/test/node/gateway/eligibility.test.ts
@@ -52,9 +52,11 @@
         expect(wait.readRefusal()).toEqual({ ran: "no", reason: "outside-regions", retryAfterSeconds: 1 });
     });
 
+    // Guards against regions of a request that are kept although another configuration is in force.
     it("applies to requests that arrived before it, unless it no longer has their route", () => {
         const { known, regions } = prepare(createTable({ allowedRegions: ["south"] }));
         const request = createRequest(known.routes);
+        expect(regions.find(request)).toEqual(new Set(["south"]));
         known.routes = createTable({ allowedRegions: ["north"] });
         expect(regions.find(request)).toEqual(new Set(["north"]));
         known.routes = createTable({ pathPrefix: "/write", allowedRegions: ["north"] });
