--- a/src/node/gateway/selection/admissionQueues.ts
+++ b/src/node/gateway/selection/admissionQueues.ts
@@ -31,6 +31,7 @@
     RequestRow,
     ServiceRow,
 } from "../../../types/index.js";
+import type { EligibleWait } from "./eligibility.js";
 import type { ServiceShare } from "./serverSelector.js";
 
 /** Result of waiting for a place, which allows a request to be in progress at its service. */
@@ -62,14 +63,14 @@
      *
      * @param service - service of the request
      * @param request - the request; its deadline is the latest time at which it may start
-     * @param signal - ends the wait
+     * @param wait - ends the wait
      * @param allowedRegions - regions in which it may be served. Default: any.
      * @returns once the request may start, with the release of its place, or its refusal
      */
     admit(
         service: ServiceRow,
         request: RequestRow,
-        signal: AbortSignal,
+        wait: Pick<EligibleWait, "isAborted" | "signal">,
         allowedRegions?: AllowedRegions,
     ): Promise<AdmissionOutcome>;
     /** Refuses the requests that are queued, and from now on all that cannot start at once. */
@@ -237,9 +238,9 @@
             isClosed = true;
             queues.forEach(refuseQueued);
         },
-        admit: (service, arrived, signal, allowedRegions) => {
+        admit: (service, arrived, wait, allowedRegions) => {
             // A signal that is already aborted dispatches no further event.
-            if (signal.aborted) {
+            if (wait.isAborted()) {
                 return Promise.resolve({
                     kind: "refused",
                     refusal: { ran: "no", reason: "canceled", retryAfterSeconds: 0 },
@@ -265,7 +266,7 @@
             if (decision.kind === "refuse") {
                 return Promise.resolve({ kind: "refused", refusal: decision.refusal });
             }
-            const waiting = waitInQueue(queue, request, signal);
+            const waiting = waitInQueue(queue, request, wait.signal);
             if (isClosed) {
                 refuseQueued(queue);
                 return waiting;
