--- a/src/node/httpServer/drainableServer.ts
+++ b/src/node/httpServer/drainableServer.ts
@@ -204,8 +204,7 @@
     }
 
     private addExchange(connection: Connection, exchange: Exchange): void {
-        const { incoming, response } = exchange;
-        const { socket } = incoming;
+        const { incoming, incoming: { socket }, response } = exchange;
         const previous = connection.exchanges.at(-1);
         if (previous !== undefined) {
             previous.response.isFollowed = true;
