--- a/src/node/agent/transfer/exchangeStream.ts
+++ b/src/node/agent/transfer/exchangeStream.ts
@@ -20,7 +20,7 @@
 }
 
 interface WaitingRequest {
-    /** True once the time limit has passed; its answer may still arrive and must not be taken for that of the next one. */
+    /** True once the time limit has passed; its answer may still arrive and is dropped then. */
     expired: boolean;
     readonly timer: NodeJS.Timeout;
     readonly settle: (answer: StreamedAnswer) => void;
--- a/src/node/gateway/callers/connectionLog.ts
+++ b/src/node/gateway/callers/connectionLog.ts
@@ -15,7 +15,7 @@
  * @param metrics - counters
  * @param logger - receives the lines
  * @param arrived - describes requests
- * @param memory - is told what connections receive
+ * @param memory - notified of what connections receive
  * @returns the observer
  */
 export function createConnectionLog(
--- a/src/node/gateway/selection/serverSelector.ts
+++ b/src/node/gateway/selection/serverSelector.ts
@@ -120,7 +120,7 @@
         allowedRegions: AllowedRegions,
     ) => IneligibleReason | undefined;
     /**
-     * Explains why a backend server may not get a request any more that was assigned to it earlier.
+     * Explains why a request that was assigned to a backend server earlier may no longer be sent to it.
      *
      * @param server - the backend server
      * @param allowedRegions - regions in which the request may be served
--- a/src/node/httpClient/exchange.ts
+++ b/src/node/httpClient/exchange.ts
@@ -33,7 +33,7 @@
 /** Handler of an exchange, with its result. */
 export interface Exchange {
     readonly handler: Dispatcher.DispatchHandler;
-    /** Resolves when the head has arrived; rejects if none can arrive any more. */
+    /** Resolves when the head has arrived; rejects once none can arrive. */
     readonly opened: Promise<OpenedExchange>;
 }
 
--- a/test/runtime/distribution/selectTransfers.test.ts
+++ b/test/runtime/distribution/selectTransfers.test.ts
@@ -210,7 +210,7 @@
         expect(readBeside(second, 5_000, [{ ...stalled, bitfield: createBitfield(chunkCount) }])).toEqual(false);
     });
 
-    // Guards against agents whose requests the members of their zone refuse for ever, since those have sent their share.
+    // Guards against agents whose requests the members of their zone refuse without end, since those have sent their share.
     it("calls a request the last resort if all holders that may be asked have used up their allowance", () => {
         const sender = { sentBytes: 1_000, zone: "zone-a" };
         const peers = [createPeer("b", all, sender), createPeer("c", all, { zone: "zone-b" })];
