Show that a notice of leaving is dropped with the entry of a restart

Cause: the notice is kept under the lifetime that the list showed, which is that of the process before the restart.

--- a/review/lib-2/deployment.ts
+++ b/review/lib-2/deployment.ts
@@ -19,7 +19,8 @@
     readonly isComplete: boolean;
     /** Monotonic times in milliseconds. */
     readonly sentAt: number;
-    readonly answeredAt: number;
+    /** Undefined without a head. */
+    readonly headAt: number | undefined;
 }
 
 /** A gateway in a process of its own, with the project's stand-in for the store. */
@@ -156,16 +157,17 @@
             const id = `attempt-${++sent}`;
             const sentAt = performance.now();
             return new Promise(resolve => {
-                let answer: Omit<Answer, "answeredAt"> = {
+                let answer: Answer = {
                     id,
                     status: undefined,
                     headers: {},
                     body: "",
                     isComplete: false,
                     sentAt,
+                    headAt: undefined,
                 };
                 const finish = (): void => {
-                    resolve({ ...answer, answeredAt: performance.now() });
+                    resolve(answer);
                 };
                 const outgoing = request({
                     host,
@@ -181,6 +183,7 @@
                         "content-length": Buffer.byteLength(body),
                     },
                 }, incoming => {
+                    const headAt = performance.now();
                     const parts: Buffer[] = [];
                     incoming.on("data", (part: Buffer) => parts.push(part));
                     incoming.on("error", () => {});
@@ -193,6 +196,7 @@
                             body: text,
                             isComplete: incoming.complete,
                             sentAt,
+                            headAt,
                         };
                         finish();
                     });
--- a/review/lib-2/runner.ts
+++ b/review/lib-2/runner.ts
@@ -32,11 +32,14 @@
     readonly born: number;
     /** Time in milliseconds for which a request is worked on. */
     readonly work: number;
+    /** Number of events of a streamed answer, one each 150 ms. Default: the answer is no stream. */
+    readonly events?: number;
     /** Port to listen on. Default: a free one. */
     readonly port?: number;
 }
 
 const heartbeat = 1_200;
+const eventInterval = 150;
 
 /**
  * Starts a runner that follows the platform's pages.
@@ -44,7 +47,7 @@
  * @param options - identifier, service and store
  * @returns the runner, without an entry
  */
-export async function startRunner({ born, id, port, service, store, work }: RunnerOptions): Promise<Runner> {
+export async function startRunner({ born, events, id, port, service, store, work }: RunnerOptions): Promise<Runner> {
     const runs: Run[] = [];
     let isLeaving = false;
     let sequence = 0;
@@ -58,16 +61,25 @@
         }
         const run: Run = { id: attempt, path: url.pathname, reachedAt: performance.now(), isAnswered: false };
         runs.push(run);
-        response.once("finish", () => {
-            run.isAnswered = true;
+        response.once("close", () => {
+            run.isAnswered = response.writableFinished;
         });
         await new Promise(resolve => {
             setTimeout(resolve, work);
         });
-        const seal = `${id}.${runs.length}`;
-        response.writeHead(200, { ...head, "response-seal": seal, "runner-load": "1,0,16" }).end(
-            `${service} ${id} ${attempt}`,
-        );
+        const proven = { ...head, "response-seal": `${id}.${runs.length}`, "runner-load": "1,0,16" };
+        if (events === undefined) {
+            response.writeHead(200, proven).end(`${service} ${id} ${attempt}`);
+            return;
+        }
+        response.writeHead(200, { ...proven, "content-type": "text/event-stream" });
+        for (let event = 1; event <= events && !response.destroyed; event++) {
+            response.write(`id: ${event}\ndata: ${attempt}\n\n`);
+            await new Promise(resolve => {
+                setTimeout(resolve, eventInterval);
+            });
+        }
+        response.end();
     }, port);
 
     function register(): void {
