--- a/review/lib-2/deployment.ts
+++ b/review/lib-2/deployment.ts
@@ -59,7 +59,7 @@
 };
 
 /** Bounds of the small deployments in force. */
-const bounds = {
+export const bounds = {
     drain_ms: 2_000,
     grace_s: 8,
     settle_window_ms: 3_000,
