Add metrics of the records that gateways keep and relay

The metrics that exist count only what is held for callers and backend servers, so they do not tell whether the records of the log are kept, relayed, or only read. goldcrestpoint_replica_bytes counts the keys and values that are kept, goldcrestpoint_relay_unsent_bytes those in messages that the connections of followers have not taken yet.

No behaviour changes.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -31,7 +31,7 @@
 import { drainCallers } from "./callers/drainCallers.js";
 import { createCrashContainment } from "./crashes/crashContainment.js";
 import { createGatewayMemory } from "./gatewayMemory.js";
-import { createGatewayMetrics, registerEligibilityGauges } from "./gatewayMetrics.js";
+import { createGatewayMetrics, registerEligibilityGauges, registerReplicaGauges } from "./gatewayMetrics.js";
 import { createAgentWatch } from "./membership/agentWatch.js";
 import { describeEvacuations } from "./membership/evacuationStatus.js";
 import { longPolledTopics, startLogFollowers } from "./membership/logFollowers.js";
@@ -205,6 +205,7 @@
     // One share of the margin is left for the exit of the process.
     const serverShutdownLimit = gateway.shutdownMargin / (serverCount + 1);
     const relay = stack.use(createRecordRelay({ store, clock, stalls, options: replica }));
+    registerReplicaGauges(metrics, store, relay);
     const rpcServer = await startRpcServer(instance.grpcAddress, [
         {
             definition: replicaServiceDefinition,
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -5,6 +5,7 @@
 import type { ConnectionCloseReason } from "../httpServer/index.js";
 import type { EndedHolding, HeldMemory } from "../memory/index.js";
 import type { Metrics } from "../metrics/index.js";
+import type { RecordRelay, RecordStore } from "../replica/index.js";
 import type { AnswerSending } from "./callers/openAnswers.js";
 import type { AnswerEnding, GatewayRequest } from "./types.js";
 
@@ -67,6 +68,28 @@
     }, memory.total);
 }
 
+/**
+ * Adds the gauges of the records of the platform's log that a gateway keeps and relays.
+ *
+ * @param metrics - metrics of the process
+ * @param store - records that are kept
+ * @param relay - records that are sent to followers
+ */
+export function registerReplicaGauges(
+    metrics: Metrics,
+    store: Pick<RecordStore, "countBytes">,
+    relay: Pick<RecordRelay, "countUnsentBytes">,
+): void {
+    metrics.registerGauge({
+        name: "goldcrestpoint_replica_bytes",
+        documentation: "Bytes of the keys and values of the platform's records that are kept.",
+    }, store.countBytes);
+    metrics.registerGauge({
+        name: "goldcrestpoint_relay_unsent_bytes",
+        documentation: "Bytes of records in messages that the connections of followers have not taken yet.",
+    }, relay.countUnsentBytes);
+}
+
 /**
  * Creates the metrics of a gateway.
  *
--- a/src/node/replica/recordRelay.ts
+++ b/src/node/replica/recordRelay.ts
@@ -51,6 +51,8 @@
     readonly followRecords: (call: ServerDuplexStream<FollowRecordsRequest, RecordBatch>) => void;
     /** Counts the processes that follow this one. */
     readonly countFollowers: () => number;
+    /** Counts the bytes of records in messages that the connections of followers have not taken yet. */
+    readonly countUnsentBytes: () => number;
 }
 
 /** Position of a follower in one topic. */
@@ -69,6 +71,8 @@
     acceptsCompressed: boolean;
     /** True from the time at which the stream's write buffer is full until it has drained. */
     blocked: boolean;
+    /** Bytes of records in messages that its connection has not taken yet. */
+    unsentBytes: number;
 }
 
 /** Advances a position. A report may cross with a batch that is already sent, so a position never moves back. */
@@ -85,6 +89,11 @@
  */
 const recentAge: Milliseconds = 60_000;
 
+/** Counts the bytes of the records of a batch, as they are sent. */
+function measureBatch({ records }: RecordBatch): number {
+    return records.reduce((sum, { key, value }) => sum + key.length + value.byteLength, 0);
+}
+
 /** Converts an age to whole milliseconds, as messages state it. */
 function toWholeMilliseconds(duration: Milliseconds): bigint {
     return BigInt(Math.max(0, Math.round(duration)));
@@ -198,7 +207,7 @@
                 carriedChanges: store.topic(topic).carriedChanges,
             });
             position.sentAt = now;
-            if (!follower.call.write(batch)) {
+            if (!writeBatch(follower, batch)) {
                 follower.blocked = true;
                 follower.call.once("drain", () => {
                     follower.blocked = false;
@@ -207,6 +216,15 @@
         }
     }
 
+    /** Writes a batch; returns false if the stream's write buffer is full. */
+    function writeBatch(follower: Follower, batch: RecordBatch): boolean {
+        const bytes = measureBatch(batch);
+        follower.unsentBytes += bytes;
+        return follower.call.write(batch, () => {
+            follower.unsentBytes -= bytes;
+        });
+    }
+
     function applyPositions(follower: Follower, request: FollowRecordsRequest): void {
         follower.acceptsCompressed = request.acceptsCompressed;
         for (const { era, nextOffset, readsLog, topic } of request.positions) {
@@ -242,8 +260,15 @@
 
     return {
         countFollowers: () => followers.size,
+        countUnsentBytes: () => [...followers].reduce((sum, { unsentBytes }) => sum + unsentBytes, 0),
         followRecords: call => {
-            const follower: Follower = { call, positions: new Map(), acceptsCompressed: false, blocked: false };
+            const follower: Follower = {
+                call,
+                positions: new Map(),
+                acceptsCompressed: false,
+                blocked: false,
+                unsentBytes: 0,
+            };
             followers.add(follower);
             const removeFollower = (): void => void followers.delete(follower);
             call.on("data", (request: FollowRecordsRequest) => {
--- a/src/node/replica/recordStore.ts
+++ b/src/node/replica/recordStore.ts
@@ -84,6 +84,13 @@
      */
     onRestored(listener: (topic: KeyedTopic) => void): void;
     readonly topics: readonly KeyedTopic[];
+    /** Counts the bytes of keys and values that are kept of all topics. */
+    readonly countBytes: () => number;
+}
+
+/** Counts the bytes of the key and the value of a record. */
+function measureRecord({ key, value }: KeyedRecord): number {
+    return key.length + (value?.byteLength ?? 0);
 }
 
 /**
@@ -159,6 +166,12 @@
     return {
         topics,
         topic: findTopic,
+        countBytes: () =>
+            [...replica.topics.values()].reduce(
+                (sum, { records }) =>
+                    [...records.values()].reduce((bytes, record) => bytes + measureRecord(record), sum),
+                0,
+            ),
         relayedCurrentAt: (topic, isCounted = () => true) => {
             const times = [...relayedCurrentAt.get(topic) ?? []].filter(([reader]) => isCounted(reader));
             return times.length === 0 ? undefined : Math.max(...times.map(([, currentAt]) => currentAt));
