Keep nothing of records that cannot be read

Cause, one of several: the replica kept the bytes of every record, whether or not any process can read them. A profile of the case on the code before (trial copy with counters, five gateways and eight agents) shows a gateway right before it is killed, at 378 MB: 45 MB of values kept, 45 MB of their compressed copies, which live as long as the values, and 152 MB of messages to followers that their connections had not taken. After the restart, 50 MB of values are kept again 4.5 s after the start. An agent reached 168 MB of its 218: 19 MB of values, and 38 MB in the cache of decompressed ones. Values were also parts of the responses that brought them, so that a small entry kept up to 25 MB of its neighbours.

Change: each topic has a check of whether a value can be read, which is made when the value changes. A record of an unknown key that cannot be read is not kept; its key is reported to the listeners once a minute, 1,000 keys at most. A known key keeps an empty value, which is no removal: an outdated list does not hold it back. Values that are kept are copied.

Why it works: nothing of such a record outlives the page that brought it, so it is neither kept, nor relayed, nor compressed.

--- a/src/node/gateway/crashes/condemnedRecords.ts
+++ b/src/node/gateway/crashes/condemnedRecords.ts
@@ -17,7 +17,8 @@
  */
 const maximumDroppedRecords = 1_000;
 
-type CondemnedRecord = z.infer<typeof recordSchema>;
+/** Record of a condemned request. */
+export type CondemnedRecord = z.infer<typeof recordSchema>;
 
 /** Dependencies of {@link startCondemnedRecordWriter}. */
 export interface CondemnedRecordsInput {
@@ -39,7 +40,13 @@
     writing: boolean;
 }
 
-function readRecord(value: Uint8Array): CondemnedRecord | undefined {
+/**
+ * Reads a record of a condemned request.
+ *
+ * @param value - bytes of the record
+ * @returns the record; undefined if it cannot be read
+ */
+export function readCondemnedRecord(value: Uint8Array): CondemnedRecord | undefined {
     try {
         return recordSchema.safeParse(JSON.parse(Buffer.from(value).toString("utf8"))).data;
     }
@@ -112,7 +119,7 @@
         if (value === undefined) {
             return;
         }
-        const record = readRecord(value);
+        const record = readCondemnedRecord(value);
         if (record === undefined) {
             logger.warn({ fingerprint: key, offset }, "condemned request cannot be read");
             return;
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -17,13 +17,7 @@
 import { startHttpServer } from "../httpServer/index.js";
 import { createDecisionLog } from "../logging/index.js";
 import { createMetrics, registerProcessMetrics } from "../metrics/index.js";
-import {
-    createRecordRelay,
-    createRecordStore,
-    createRelayFollowers,
-    createStallMonitor,
-    startRegistration,
-} from "../replica/index.js";
+import { createRecordRelay, createRelayFollowers, createStallMonitor, startRegistration } from "../replica/index.js";
 import type { GatewaySettings } from "../settings/index.js";
 import { createBackendClients, divideConnections } from "./attempts/backendClients.js";
 import { createRetryBudgets } from "./attempts/retryBudgets.js";
@@ -34,6 +28,7 @@
 import { createGatewayMetrics, registerEligibilityGauges, registerReplicaGauges } from "./gatewayMetrics.js";
 import { createAgentWatch } from "./membership/agentWatch.js";
 import { describeEvacuations } from "./membership/evacuationStatus.js";
+import { createGatewayRecords } from "./membership/gatewayRecords.js";
 import { longPolledTopics, startLogFollowers } from "./membership/logFollowers.js";
 import { createMembership } from "./membership/membership.js";
 import { deriveWeightSources } from "./membership/weightSources.js";
@@ -110,12 +105,7 @@
         sampleShare: settings.log.decisionSampleShare,
         recentDecisions: settings.log.recentDecisions,
     });
-    const store = createRecordStore(
-        ["backend-servers", "operator", "instances", "condemned-requests", "weight-sources"],
-        clock,
-        logger,
-    );
-    log.onEra?.(store.recordEra);
+    const store = createGatewayRecords(ports, logger);
     const stalls = createStallMonitor({ clock, logger });
     const following = { self: instance.id, store, clock, stalls, random, logger, logTopics: longPolledTopics };
     const { evacuations, gateways, notices, rateLimits, slowStarts, state } = createMembership({
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -144,6 +144,7 @@
         "peer",
         "ageMilliseconds",
         "keys",
+        "unreadable",
     ]),
     "record not applied": define("belief", both, "a changed record made its handler fail, and was left out", [
         "topic",
--- a/src/node/replica/index.ts
+++ b/src/node/replica/index.ts
@@ -1,5 +1,6 @@
 export * from "./instanceRecords.js";
 export * from "./logFollower.js";
+export * from "./readableRecords.js";
 export * from "./recordRelay.js";
 export * from "./recordStore.js";
 export * from "./registration.js";
--- a/src/node/replica/instanceRecords.ts
+++ b/src/node/replica/instanceRecords.ts
@@ -24,16 +24,23 @@
 function findInstance(record: KeyedRecord): readonly KnownInstance[] {
     let parsed = parsedInstances.get(record);
     if (parsed === undefined) {
-        parsed = parseInstance(record) ?? "unreadable";
+        parsed = (record.value && readInstance(record.key, record.value)) ?? "unreadable";
         parsedInstances.set(record, parsed);
     }
     return parsed === "unreadable" ? [] : [parsed];
 }
 
-function parseInstance({ key, value }: KeyedRecord): KnownInstance | undefined {
+/**
+ * Reads the record of a gateway.
+ *
+ * @param instance - key of the record
+ * @param value - bytes of the record
+ * @returns the gateway; undefined if the record cannot be read
+ */
+export function readInstance(instance: string, value: Uint8Array): KnownInstance | undefined {
     try {
-        const record = instanceSchema.safeParse(JSON.parse(Buffer.from(value ?? []).toString("utf8")));
-        return record.success ? { ...record.data, instance: key } : undefined;
+        const record = instanceSchema.safeParse(JSON.parse(Buffer.from(value).toString("utf8")));
+        return record.success ? { ...record.data, instance } : undefined;
     }
     catch {
         return undefined;
--- a/src/node/replica/recordStore.ts
+++ b/src/node/replica/recordStore.ts
@@ -1,6 +1,8 @@
 import type { Logger } from "pino";
 import { createReplica, dateRecords, mergePage, type ReplicaTopic, selectLater } from "../../runtime/replica/index.js";
 import type { Clock, KeyedPage, KeyedRecord, KeyedTopic, LogEra, Milliseconds } from "../../types/index.js";
+import { checkRecords, type RecordChecks } from "./readableRecords.js";
+import { createReportedKeys } from "./reportedKeys.js";
 
 /** Where a page came from: the log, a relay or this process. */
 export type PageSource = "log" | "relay" | "local";
@@ -37,7 +39,8 @@
 export interface RecordStore {
     /**
      * Merges a page and notifies the listeners of the changed records. A record that a listener fails to apply is
-     * logged.
+     * logged. A value that cannot be read is replaced by an empty one; if its key is not known, listeners are notified
+     * once a minute, and nothing is kept.
      *
      * @param received - the page and its source
      */
@@ -88,6 +91,12 @@
     readonly countBytes: () => number;
 }
 
+/** Options of {@link createRecordStore}. */
+export interface RecordStoreOptions {
+    /** Decide which values can be read; others are not kept. Default: all can be read. */
+    readonly checks?: RecordChecks | undefined;
+}
+
 /** Counts the bytes of the key and the value of a record. */
 function measureRecord({ key, value }: KeyedRecord): number {
     return key.length + (value?.byteLength ?? 0);
@@ -99,10 +108,17 @@
  * @param topics - topics to replicate
  * @param clock - time source
  * @param logger - writes a line for each page with changes
+ * @param options - which records are kept
  * @returns the store, empty
  */
-export function createRecordStore(topics: readonly KeyedTopic[], clock: Clock, logger: Logger): RecordStore {
+export function createRecordStore(
+    topics: readonly KeyedTopic[],
+    clock: Clock,
+    logger: Logger,
+    { checks = {} }: RecordStoreOptions = {},
+): RecordStore {
     const replica = createReplica(topics);
+    const isReported = new Map(topics.map(topic => [topic, createReportedKeys(clock)]));
     /** Times at which relayed records were current, by the instance that read them; empty if it is not known. */
     const relayedCurrentAt = new Map(topics.map(topic => [topic, new Map<string, Milliseconds>()]));
     const readers = new Map<KeyedTopic, string | undefined>();
@@ -184,14 +200,15 @@
         onEra: listener => void eraListeners.push(listener),
         onRestored: listener => void restoreListeners.push(listener),
         receive: received => {
-            const { age, complete, page, peer, source, topic } = received;
+            const { age, complete, peer, source, topic } = received;
             const currentAt = clock.monotonic() - age;
             const known = findTopic(topic);
             const { currentAt: knownAt, era } = known;
             const writtenAfter = selectLater(knownAt, received.writtenAfter);
-            if ((page.era ?? 0) < era) {
+            if ((received.page.era ?? 0) < era) {
                 return;
             }
+            const { page, unreadable } = checkRecords(known, received.page, checks[topic] ?? (() => true));
             if (source === "relay") {
                 recordRelayed(topic, received.reader ?? "", currentAt);
             }
@@ -213,7 +230,8 @@
             if (dated.length > 0) {
                 datedListeners.forEach(listener => listener(topic, dated));
             }
-            if (changed.length > 0) {
+            const reported = unreadable.filter(({ key }) => isReported.get(topic)!(key));
+            if (changed.length + reported.length > 0) {
                 logger.info(
                     {
                         topic,
@@ -222,10 +240,12 @@
                         ageMilliseconds: Math.round(age),
                         nextOffset: page.nextOffset,
                         keys: changed.length,
+                        unreadable: unreadable.length,
                     },
                     "records changed",
                 );
-                listeners.forEach(listener => notify(listener, changed, { ...received, writtenAfter }));
+                const notified = [...changed, ...reported];
+                listeners.forEach(listener => notify(listener, notified, { ...received, page, writtenAfter }));
             }
         },
     };
--- a/src/node/weightAgent/weightAgentDaemon.ts
+++ b/src/node/weightAgent/weightAgentDaemon.ts
@@ -16,6 +16,7 @@
 import { createLinkBudget, createTransferService } from "../agent/transfer/index.js";
 import type { DrainableDaemon } from "../daemon/runDaemon.js";
 import { startDisposableDaemon } from "../daemon/startDisposableDaemon.js";
+import { createRecordChecks } from "../gateway/membership/recordChecks.js";
 import { agentServiceDefinition, startRpcServer } from "../grpc/index.js";
 import { splitAddress } from "../httpServer/index.js";
 import { createRecordStore, createRelayFollowers, createStallMonitor } from "../replica/index.js";
@@ -82,7 +83,8 @@
 ): Promise<Result<Pick<DrainableDaemon, "drain">, GoldcrestpointError>> {
     const { clock, decoder, random } = ports;
     const { gateway, instance, replica, weightAgent } = settings;
-    const store = createRecordStore(["backend-servers", "instances", "weight-sources"], clock, logger);
+    const topics = ["backend-servers", "instances", "weight-sources"] as const;
+    const store = createRecordStore(topics, clock, logger, { checks: createRecordChecks(decoder) });
     ports.log.onEra?.(store.recordEra);
     const servers = new Map<string, ListedBackendServer>();
     const stalls = createStallMonitor({ clock, logger });
