Limit the records of each topic that a process keeps

But readable ones, with large fields or in large numbers, grew the memory of gateways and agents in the same way, and a gateway above its memory is killed with the requests that it has passed on.

Cause: the replica kept every record that can be read, whatever its size and however many there were.

What exceeds them is removed: from the list of backend servers and the condemned requests what was written longest ago, since their writers repeat them; from the others what became known last, since a gateway registers once and an evacuation is written once. The configuration is always kept. A key that followers may know gets a tombstone, so that they remove it as well.

Why it works: a running backend server repeats its entry every heartbeat, so it is written later than the entries of a writer that only adds; the offset of the last repetition is kept without relaying it. One that is removed by a faster writer is back with its next heartbeat. Followers apply the same limits.

--- a/src/node/gateway/membership/gatewayRecords.ts
+++ b/src/node/gateway/membership/gatewayRecords.ts
@@ -24,8 +24,10 @@
     { clock, decoder, log }: Pick<GatewayPorts, "clock" | "decoder" | "log">,
     logger: Logger,
 ): RecordStore {
+    const isProtected = (topic: KeyedTopic, key: string): boolean =>
+        topic === "operator" && decoder.classifyOperatorKey(key) === "configuration";
     const checks = createRecordChecks(decoder);
-    const store = createRecordStore(gatewayTopics, clock, logger, { checks });
+    const store = createRecordStore(gatewayTopics, clock, logger, { checks, isProtected });
     log.onEra?.(store.recordEra);
     return store;
 }
--- a/src/node/replica/recordStore.ts
+++ b/src/node/replica/recordStore.ts
@@ -1,7 +1,14 @@
 import type { Logger } from "pino";
-import { createReplica, dateRecords, mergePage, type ReplicaTopic, selectLater } from "../../runtime/replica/index.js";
+import {
+    createReplica,
+    dateRecords,
+    mergePage,
+    type ReplicaTopic,
+    selectLater,
+    topicLimits,
+} from "../../runtime/replica/index.js";
 import type { Clock, KeyedPage, KeyedRecord, KeyedTopic, LogEra, Milliseconds } from "../../types/index.js";
-import { checkRecords, type RecordChecks } from "./readableRecords.js";
+import { checkRecords, type RecordCheck, type RecordChecks } from "./readableRecords.js";
 import { createReportedKeys } from "./reportedKeys.js";
 
 /** Where a page came from: the log, a relay or this process. */
@@ -95,6 +102,14 @@
 export interface RecordStoreOptions {
     /** Decide which values can be read; others are not kept. Default: all can be read. */
     readonly checks?: RecordChecks | undefined;
+    /** Selects the records that are kept even if their topic exceeds its limits. Default: none. */
+    readonly isProtected?: ((topic: KeyedTopic, key: string) => boolean) | undefined;
+}
+
+/** Adds the limit on the size of a value to the check of a topic. */
+function limitValues(topic: KeyedTopic, check: RecordCheck = () => true): RecordCheck {
+    const { valueBytes } = topicLimits[topic];
+    return (key, value) => value.byteLength <= valueBytes && check(key, value);
 }
 
 /** Counts the bytes of the key and the value of a record. */
@@ -115,9 +130,10 @@
     topics: readonly KeyedTopic[],
     clock: Clock,
     logger: Logger,
-    { checks = {} }: RecordStoreOptions = {},
+    { checks = {}, isProtected }: RecordStoreOptions = {},
 ): RecordStore {
-    const replica = createReplica(topics);
+    const replica = createReplica(topics, isProtected);
+    const isReadable = new Map(topics.map(topic => [topic, limitValues(topic, checks[topic])]));
     const isReported = new Map(topics.map(topic => [topic, createReportedKeys(clock)]));
     /** Times at which relayed records were current, by the instance that read them; empty if it is not known. */
     const relayedCurrentAt = new Map(topics.map(topic => [topic, new Map<string, Milliseconds>()]));
@@ -208,7 +224,7 @@
             if ((received.page.era ?? 0) < era) {
                 return;
             }
-            const { page, unreadable } = checkRecords(known, received.page, checks[topic] ?? (() => true));
+            const { page, unreadable } = checkRecords(known, received.page, isReadable.get(topic)!);
             if (source === "relay") {
                 recordRelayed(topic, received.reader ?? "", currentAt);
             }
--- a/src/runtime/replica/replica.ts
+++ b/src/runtime/replica/replica.ts
@@ -1,9 +1,12 @@
 import type { KeyedPage, KeyedRecord, KeyedTopic, LogEra, Milliseconds, Offset } from "../../types/index.js";
+import { selectExcess, type TopicLimits, topicLimits } from "./recordLimits.js";
 import { missingKeyPolicies, type MissingKeyPolicy, supersedes } from "./restore.js";
 
 /** Record with the era of its offset; the era of the log grows each time that the log is restored from a backup. */
 export interface KnownRecord extends KeyedRecord {
     readonly era: LogEra;
+    /** Offset at which the value was last written in this era, as far as this process has read it. Default: `offset`. */
+    lastOffset?: Offset | undefined;
 }
 
 /** Records of one topic that a process knows, and up to which position. */
@@ -28,6 +31,9 @@
     carriedChanges: number;
     /** What happens to known keys that a restored log does not list. */
     readonly missingKeyPolicy: MissingKeyPolicy;
+    readonly limits: TopicLimits;
+    /** Selects the keys whose records are kept even if the topic exceeds its limits. */
+    readonly isProtected: (key: string) => boolean;
 }
 
 /** Copy of keyed topics in one process. */
@@ -69,9 +75,13 @@
  * Creates an empty replica.
  *
  * @param topics - topics that it holds
+ * @param isProtected - selects the records that are kept even if their topic exceeds its limits. Default: none
  * @returns the replica
  */
-export function createReplica(topics: readonly KeyedTopic[]): Replica {
+export function createReplica(
+    topics: readonly KeyedTopic[],
+    isProtected: (topic: KeyedTopic, key: string) => boolean = () => false,
+): Replica {
     return {
         topics: new Map(
             topics.map(topic => [topic, {
@@ -82,6 +92,8 @@
                 currentAt: undefined,
                 carriedChanges: 0,
                 missingKeyPolicy: missingKeyPolicies[topic],
+                limits: topicLimits[topic],
+                isProtected: key => isProtected(topic, key),
             }]),
         ),
     };
@@ -130,6 +142,9 @@
     const previous = topic.records.get(record.key);
     const isChanged = !isSameValue(previous?.value, record.value);
     if (!isChanged && (previous === undefined || previous.era >= record.era)) {
+        if (previous !== undefined && previous.era === record.era) {
+            previous.lastOffset = Math.max(previous.lastOffset ?? previous.offset, record.offset);
+        }
         return false;
     }
     // A tombstone keeps the order of the dropped value, by which later records of the key are compared.
@@ -201,6 +216,35 @@
     return [...dropped, ...accepted].filter(record => storeRecord(topic, record));
 }
 
+/**
+ * Removes the records that exceed the limits of the topic. A key that was known before the page gets a tombstone, so that
+ * followers remove it, too; of others, nothing is kept.
+ *
+ * @param topic - topic to change
+ * @param changed - records that the page has changed
+ * @param newKeys - keys that were not known before the page
+ * @returns the changes with the removals
+ */
+function enforceLimits(
+    topic: ReplicaTopic,
+    changed: KnownRecord[],
+    newKeys: ReadonlySet<string>,
+): KnownRecord[] {
+    const kept = [...topic.records.values()].filter(({ value }) => value !== undefined);
+    const excess = selectExcess(kept, topic.limits, topic.isProtected);
+    if (excess.length === 0) {
+        return changed;
+    }
+    const removed = new Set(excess.map(({ key }) => key));
+    const offset = Math.max(0, topic.nextOffset - 1);
+    const tombstones = excess
+        .filter(({ key }) => !newKeys.has(key))
+        .map(({ key, order }): KnownRecord => ({ key, value: undefined, offset, era: topic.era, order }));
+    removed.forEach(key => topic.records.delete(key));
+    tombstones.forEach(tombstone => topic.records.set(tombstone.key, tombstone));
+    return [...changed.filter(({ key }) => !removed.has(key)), ...tombstones];
+}
+
 /**
  * Merges records into a topic. Pages of several senders may arrive in any order: records before the position of the
  * topic are outdated and ignored. A record that repeats the known value leaves it unchanged, so that it is not relayed
@@ -222,6 +266,7 @@
         era: record.era ?? era,
         writtenAfter: selectLater(record.writtenAfter, input.writtenAfter),
     }));
+    const newKeys = new Set(read.map(({ key }) => key).filter(key => !topic.records.has(key)));
     topic.currentAt = Math.max(topic.currentAt ?? currentAt, currentAt);
     let changed: KnownRecord[];
     if (era > topic.era && !isFirst) {
@@ -246,6 +291,7 @@
         }
     }
     if (changed.length > 0 || read.some(({ value }) => value === undefined)) {
+        changed = enforceLimits(topic, changed, newKeys);
         deleteOldestTombstones(topic);
     }
     return changed;
