Read the store in parts of limited size

Cause, another one: a response of the store was read as a whole, whatever its size, and copied to be decoded; the newest records of all pages were collected before any was left out. In the profile of the case, single responses had up to 25.5 MB, and a gateway that started held 50 MB of pages 2.6 s after its start, before it kept any record.

A page states whether the log has more. The HTTP client passes a body on without keeping it if a request states a receiver.

Why it works: what a read holds is bounded by one record and one page, however much the log holds and however large its records are.

--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -139,7 +139,9 @@
         totalLimit.setTimeLimit(total);
         const opened = await open({ ...request, signal: totalLimit.signal });
         const response = opened.isOk ?
-            await readWholeBody(opened.value, maximumBodyBytes) :
+            await (request.receive === undefined ?
+                readWholeBody(opened.value, maximumBodyBytes) :
+                passOnBody(opened.value, request.receive)) :
             err<HttpResponse, HttpFailure>(opened.error);
         totalLimit.dispose();
         return response.mapErr(failure => totalLimit.timedOut() ? { ...failure, reason: "timeout" } : failure);
@@ -203,6 +205,35 @@
     return ok({ status: stream.status, headers: stream.headers, body: Buffer.concat(parts) });
 }
 
+/**
+ * Passes the parts of a body on as they arrive.
+ *
+ * @param stream - response whose body has not been read
+ * @param receive - gets each part; returns false to end the response early
+ * @returns the response without its body; a failure if it broke off
+ */
+async function passOnBody(
+    stream: HttpStreamingResponse,
+    receive: NonNullable<HttpRequest["receive"]>,
+): Promise<Result<HttpResponse, HttpFailure>> {
+    const { headers, status } = stream;
+    try {
+        for await (const part of stream.body) {
+            if (!receive(part, stream)) {
+                break;
+            }
+        }
+    }
+    catch (error) {
+        const failure = (error as Error).cause as HttpFailure | undefined;
+        if (failure === undefined) {
+            throw error;
+        }
+        return err(failure);
+    }
+    return ok({ status, headers, body: new Uint8Array(0) });
+}
+
 function describeTooLarge(message: string): HttpFailure {
     return { reason: "too-large", headReceived: true, requestWritten: true, message };
 }
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -48,6 +48,11 @@
      * if the result is false. Default: it is written.
      */
     readonly mayWrite?: (() => boolean) | undefined;
+    /**
+     * Receives the parts of the body, which are then not kept; the response ends early if the result is false. Only for
+     * `send`. Default: the body is read into memory.
+     */
+    readonly receive?: ((part: Uint8Array, head: HttpHead) => boolean) | undefined;
     /** Memory limit for the response. Default: that of the client. */
     readonly memoryLimit?: ResponseMemoryLimit | undefined;
 }
--- a/src/types/keyedLog.ts
+++ b/src/types/keyedLog.ts
@@ -37,6 +37,8 @@
     readonly nextOffset: Offset;
     /** Era of the offsets. Default: 0. */
     readonly era?: LogEra | undefined;
+    /** True if the log has records from the next offset on, so that the page does not make a reader current. */
+    readonly hasMore?: boolean | undefined;
 }
 
 /** Log that keeps the newest record of each key indefinitely and older records for a limited time. */
