Treat a topic as outdated while a read has not returned all its records

What callers saw: behind many entries of another writer, a list of backend servers that counts as current although its newest records were not read: requests to a server that has left.

Change: a page that ends before the end of the log leaves the topic as current as it was, and the next read follows at once.

Why it works: the end of the log is part of each response, so a page that does not reach it is known not to be current.

--- a/src/node/replica/logFollower.ts
+++ b/src/node/replica/logFollower.ts
@@ -81,6 +81,8 @@
     const startedAt = clock.monotonic();
     let failures = 0;
     let hasReadTopic = false;
+    /** True if the last read did not return all records that the log had. */
+    let hasMore = false;
     let pendingRead: PendingRead | undefined;
     /** Ends the wait until the topic may have to be read; undefined while there is none. */
     let endWait: (() => void) | undefined;
@@ -173,6 +175,7 @@
 
     async function readOnce(): Promise<GoldcrestpointError | undefined> {
         const { era, nextOffset } = store.topic(topic);
+        hasMore = false;
         const complete = (!hasReadTopic && nextOffset === 0) || store.newestEra() > era;
         const requestedAt = clock.monotonic();
         const wait = mode === "wait" ? options.readWait : 0;
@@ -189,10 +192,15 @@
             return createError("LOG_RESTORED", `read records of ${topic}`, "log", `era ${pageEra}, expected ${era}`);
         }
         hasReadTopic = true;
+        hasMore = page.value.hasMore === true && page.value.nextOffset > nextOffset;
         const now = clock.monotonic();
         // The response to a long poll is current when it is sent; its time in the network is unknown and is ignored.
         const sentAfter = stalls.computeSentAfter(requestedAt);
-        const age = complete || wait === 0 ? now - requestedAt : now - sentAfter;
+        const age = page.value.hasMore === true ?
+            now - (store.topic(topic).currentAt ?? requestedAt) :
+            complete || wait === 0 ?
+            now - requestedAt :
+            now - sentAfter;
         const isHeldOpen = !complete && wait > 0 && sentAfter - requestedAt > promptAnswerLimit;
         const writtenAfter = isHeldOpen ? sentAfter : undefined;
         store.receive({
@@ -260,7 +268,10 @@
             }
             failures = 0;
             const changed = store.topic(topic).nextOffset !== before;
-            await sleep(mode !== "wait" ? options.pollInterval : changed ? options.changeInterval : 0, signal);
+            await sleep(
+                hasMore ? 0 : mode !== "wait" ? options.pollInterval : changed ? options.changeInterval : 0,
+                signal,
+            );
             return;
         }
         failures++;
--- a/test/node/replica/logFollower.test.ts
+++ b/test/node/replica/logFollower.test.ts
@@ -34,9 +34,10 @@
  *
  * @param answers - answers to the long polls after the first complete read, which ends at time 0 without records
  * @param newest - answer to the second complete read
+ * @param changeInterval - time between two reads after a change
  * @returns the records that changed, and the time at which the topic was current
  */
-async function follow(answers: readonly Answer[], newest = createPage(0)) {
+async function follow(answers: readonly Answer[], newest = createPage(0), changeInterval = 1) {
     const clock = createManualClock();
     const store = createRecordStore(["operator"], clock, logger);
     const stalls = createStallMonitor({ clock, logger });
@@ -63,7 +64,7 @@
     const options = {
         readWait: 20_000,
         pollInterval: 1,
-        changeInterval: 1,
+        changeInterval,
         retryAfter: 1,
         longestRetry: 1,
         relayStaleAfter: 1_000,
@@ -134,6 +135,28 @@
     });
 });
 
+describe("topic of which a read does not return all records", () => {
+    // Guards against an outdated list of backend servers that counts as current behind many entries of another writer.
+    it("is not current until the rest was read", async () => {
+        const partial = { ...createPage(1, "a"), hasMore: true };
+        const { currentAt } = await follow([after(500, createPage(0)), after(2_000, partial)]);
+        expect(currentAt).toEqual(500);
+        const complete = await follow([after(500, partial), after(50, createPage(2, "b"))]);
+        expect([complete.currentAt, complete.changed.length]).toEqual([550, 2]);
+    });
+
+    // Guards against a list that is read more slowly than another writer adds to it.
+    it("is read on at once", async () => {
+        const startedAt = performance.now();
+        await follow(
+            [after(50, { ...createPage(1, "a"), hasMore: true }), after(50, createPage(2))],
+            createPage(0),
+            10_000,
+        );
+        expect(performance.now() - startedAt).toBeLessThan(5_000);
+    });
+});
+
 describe("process that follows a topic through relays", () => {
     // Guards against wake-ups at short intervals while the reader of lower rank reads, and against a late takeover.
     it("does not wake up until the records are too old, or until the registration of the reader ends", async () => {
