Collect the buffers that reads of the store leave

Cause: what a read does not keep is garbage outside the heap of V8, which collects it only after tens of megabytes. The collector that gateways have for this counted what callers and backend servers send, but not what the store sends.

Change: the store client reports the bytes that it reads, and a gateway passes them to its collector.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -140,6 +140,7 @@
     const { computeServiceShare } = choice;
     const queues = createAdmissionQueues({ clock, options: settings.admission, computeServiceShare });
     const memory = createGatewayMemory({ clock, gateway, logger, metrics, gatewayMetrics });
+    log.onRead?.(bytes => memory.recordRead(bytes));
     const clients = stack.use(createBackendClients({
         connectTimeLimit: gateway.connectTimeLimit,
         connections: readConnections,
--- a/src/types/keyedLog.ts
+++ b/src/types/keyedLog.ts
@@ -80,4 +80,10 @@
      * @param listener - called for each response that states an era
      */
     onEra?(listener: (era: LogEra) => void): void;
+    /**
+     * Registers a listener for the bytes that are read, most of which are not kept.
+     *
+     * @param listener - called with the number of bytes of each part of a response
+     */
+    onRead?(listener: (bytes: number) => void): void;
 }
