Limit the records that a relay has in flight to slow followers

Cause, the largest one: a relay wrote all records that a follower lacks into one message, for each of its followers and whether or not it read the earlier ones. In the profile of the case, messages of up to 26 MB were made, and 152 MB of them were not taken by connections right before the gateway was killed. With 13 processes that follow a relay again after it has started, that repeats itself.

Change: a batch of more than 64 KiB waits until its follower has received the earlier ones, and until what all followers have not received is below a limit, which is 4 % of the memory that the platform states (16 MiB if it states none). A batch that is larger than the limit is written alone. As soon as a message was taken, the next one that waits is made, from the records as they are then.

Why it works: what is in flight does not depend on the number of followers or on how long they do not read. A follower that waits gets the newest records only, so that nothing older is kept for it. The decision is mayWriteBatch.

--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -195,7 +195,12 @@
 
     // One share of the margin is left for the exit of the process.
     const serverShutdownLimit = gateway.shutdownMargin / (serverCount + 1);
-    const relay = stack.use(createRecordRelay({ store, clock, stalls, options: replica }));
+    const relay = stack.use(createRecordRelay({
+        store,
+        clock,
+        stalls,
+        options: { ...replica, maximumUnsentBytes: gateway.maximumRelayedBytes },
+    }));
     registerReplicaGauges(metrics, store, relay);
     const rpcServer = await startRpcServer(instance.grpcAddress, [
         {
--- a/src/node/replica/recordRelay.ts
+++ b/src/node/replica/recordRelay.ts
@@ -9,6 +9,7 @@
 import {
     datedTopics,
     type KnownRecord,
+    mayWriteBatch,
     type ReplicaPosition,
     type ReplicaTopic,
     selectUnknown,
@@ -35,6 +36,8 @@
      * otherwise send a configuration of many routes while a slow link still carries the follower's own read of it.
      */
     readonly largeRecordDelay: Milliseconds;
+    /** Bytes of large batches that the connections of all followers together may not have taken yet. Default: 16 MiB. */
+    readonly maximumUnsentBytes?: number | undefined;
 }
 
 /** Dependencies of {@link createRecordRelay}. */
@@ -55,6 +58,8 @@
     readonly countUnsentBytes: () => number;
 }
 
+const defaultMaximumUnsentBytes = 16_777_216;
+
 /** Position of a follower in one topic. */
 interface FollowerPosition {
     /** Position that the follower has reported, or has reached with the records that were sent to it. */
@@ -89,9 +94,9 @@
  */
 const recentAge: Milliseconds = 60_000;
 
-/** Counts the bytes of the records of a batch, as they are sent. */
-function measureBatch({ records }: RecordBatch): number {
-    return records.reduce((sum, { key, value }) => sum + key.length + value.byteLength, 0);
+/** Counts the bytes of keys and values. */
+function measureRecords(records: readonly Pick<KeyedRecord, "key" | "value">[]): number {
+    return records.reduce((sum, { key, value }) => sum + key.length + (value?.byteLength ?? 0), 0);
 }
 
 /** Converts an age to whole milliseconds, as messages state it. */
@@ -111,6 +116,10 @@
     /** Monotonic time at which this process learned of each large value. */
     const learnedAt = new WeakMap<Uint8Array, Milliseconds>();
     const hasList = store.topics.includes("backend-servers");
+    const maximumUnsentBytes = options.maximumUnsentBytes ?? defaultMaximumUnsentBytes;
+    /** True if a batch waits until followers have received earlier ones. */
+    let isWaiting = false;
+    let changeTimer: NodeJS.Timeout | undefined;
 
     function selectRecent({ records }: ReplicaTopic): readonly KnownRecord[] {
         return [...records.values()].filter(({ writtenAfter }) =>
@@ -138,11 +147,23 @@
         return acceptsCompressed && isLarge(record) ? { value: compress(value), compressed: true } : { value };
     }
 
+    function countUnsentBytes(): number {
+        return [...followers].reduce((sum, { unsentBytes }) => sum + unsentBytes, 0);
+    }
+
+    /** Tells whether records have to wait until followers have received what was written to them. */
+    function mustWait(records: readonly KeyedRecord[], { unsentBytes }: Follower): boolean {
+        const unsent = { follower: unsentBytes, total: countUnsentBytes() };
+        const waits = records.length > 0 && !mayWriteBatch(measureRecords(records), unsent, maximumUnsentBytes);
+        isWaiting ||= waits;
+        return waits;
+    }
+
     function createBatch(
         topic: KeyedTopic,
         position: FollowerPosition,
         isHeartbeat: boolean,
-        acceptsCompressed: boolean,
+        follower: Follower,
     ): RecordBatch | undefined {
         const known = store.topic(topic);
         if (known.currentAt === undefined) {
@@ -159,7 +180,7 @@
         if (records.length === 0 && !isHeartbeat) {
             return undefined;
         }
-        if (records.some(record => isHeldBack(record, position))) {
+        if (records.some(record => isHeldBack(record, position)) || mustWait(records, follower)) {
             return undefined;
         }
         return create(RecordBatchSchema, {
@@ -177,7 +198,7 @@
                     order: [...order ?? []],
                     offset: BigInt(offset),
                     dropped: value === undefined,
-                    ...encodeValue(record, acceptsCompressed),
+                    ...encodeValue(record, follower.acceptsCompressed),
                     ...(writtenAfter === undefined || !datedTopics.has(topic) ?
                         {} :
                         { maximumAgeMilliseconds: toWholeMilliseconds(stalls.measureSince(writtenAfter)) }),
@@ -197,7 +218,7 @@
             // newer ones.
             const isHeartbeat = position.sentAt === -Infinity ||
                 (topic === heartbeatTopic && now - position.sentAt >= options.relayHeartbeat);
-            const batch = createBatch(topic, position, isHeartbeat, follower.acceptsCompressed);
+            const batch = createBatch(topic, position, isHeartbeat, follower);
             if (batch === undefined) {
                 continue;
             }
@@ -216,12 +237,27 @@
         }
     }
 
+    function sendAllUpdates(): void {
+        isWaiting = false;
+        followers.forEach(sendUpdates);
+    }
+
+    function scheduleUpdates(): void {
+        changeTimer ??= setTimeout(() => {
+            changeTimer = undefined;
+            sendAllUpdates();
+        }, options.relayDelay);
+    }
+
     /** Writes a batch; returns false if the stream's write buffer is full. */
     function writeBatch(follower: Follower, batch: RecordBatch): boolean {
-        const bytes = measureBatch(batch);
+        const bytes = measureRecords(batch.records);
         follower.unsentBytes += bytes;
         return follower.call.write(batch, () => {
             follower.unsentBytes -= bytes;
+            if (isWaiting) {
+                scheduleUpdates();
+            }
         });
     }
 
@@ -247,20 +283,16 @@
         }
     }
 
-    const timer = setInterval(() => followers.forEach(sendUpdates), options.relayHeartbeat);
-    let changeTimer: NodeJS.Timeout | undefined;
+    const timer = setInterval(sendAllUpdates, options.relayHeartbeat);
     store.onChange((...[, records]) => {
         const now = clock.monotonic();
         records.filter(isLarge).forEach(({ value }) => learnedAt.set(value!, now));
-        changeTimer ??= setTimeout(() => {
-            changeTimer = undefined;
-            followers.forEach(sendUpdates);
-        }, options.relayDelay);
+        scheduleUpdates();
     });
 
     return {
         countFollowers: () => followers.size,
-        countUnsentBytes: () => [...followers].reduce((sum, { unsentBytes }) => sum + unsentBytes, 0),
+        countUnsentBytes,
         followRecords: call => {
             const follower: Follower = {
                 call,
--- a/src/node/settings/heldAnswers.ts
+++ b/src/node/settings/heldAnswers.ts
@@ -14,6 +14,8 @@
     readonly maximumHeldBytes: number;
     /** Bytes of buffers that may wait for their release; `Infinity` if the memory is not limited. */
     readonly maximumUnusedBytes: number;
+    /** Bytes of records that followers may not have received; undefined if the memory is not limited. */
+    readonly maximumRelayedBytes: number | undefined;
 }
 
 /**
@@ -25,6 +27,8 @@
 const heldAnswerShare = 0.1;
 /** Share of the memory for buffers that are not released yet. */
 const unusedShare = 0.08;
+/** Share of the memory for records that are being sent; each byte takes several while its message is encoded. */
+const relayedShare = 0.04;
 const bytesPerMegabyte = 1_048_576;
 
 /**
@@ -37,8 +41,17 @@
     settings: Settings,
 ): Settings & DerivedMemoryLimits {
     const { maximumHeldAnswerBytes, memoryMegabytes } = settings;
-    return memoryMegabytes === 0 ? { ...settings, maximumHeldBytes: Infinity, maximumUnusedBytes: Infinity } : {
+    if (memoryMegabytes === 0) {
+        return {
+            ...settings,
+            maximumHeldBytes: Infinity,
+            maximumUnusedBytes: Infinity,
+            maximumRelayedBytes: undefined,
+        };
+    }
+    return {
         ...settings,
+        maximumRelayedBytes: Math.floor(memoryMegabytes * bytesPerMegabyte * relayedShare),
         maximumHeldBytes: Math.floor(memoryMegabytes * bytesPerMegabyte * heldShare),
         maximumUnusedBytes: Math.floor(memoryMegabytes * bytesPerMegabyte * unusedShare),
         maximumHeldAnswerBytes: Math.min(
