Limit the decompressed values that followers keep

What callers saw: nothing by this alone; agents are killed for their memory later than gateways.

A compressed value was part of the message that had brought it, and a message of 16 MiB may be many times as large when it is decompressed.

Change: the values that were received last are kept, up to 4 MiB with their compressed form. A batch is decompressed up to the limits of its topic; values beyond them are empty, so the other records of the batch still arrive.

Why it works: only a configuration is worth keeping, as each of a follower's relays sends it; it takes a tenth of the limit.

--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -7,12 +7,12 @@
     type RecordBatch,
     TopicPositionSchema,
 } from "../../generated/goldcrestpoint_pb.js";
-import { chooseRelay, datedTopics, type RelayFailure } from "../../runtime/replica/index.js";
+import { chooseRelay, datedTopics, type RelayFailure, topicLimits } from "../../runtime/replica/index.js";
 import type { Clock, KeyedTopic, Milliseconds, RandomSource } from "../../types/index.js";
 import { createReplicaClient, type ReplicaClient } from "../grpc/index.js";
 import type { RecordStore } from "./recordStore.js";
 import type { StallMonitor } from "./stallMonitor.js";
-import { createValueDecompressor } from "./valueCompression.js";
+import { createValueDecompressor, isTooLargeToDecompress } from "./valueCompression.js";
 
 /** Options of {@link createRelayFollowers}. */
 export interface RelayFollowerOptions {
@@ -154,18 +154,42 @@
         return stream.topics.has(topic) ? stalls.computeSentAfter() : stream.startedAt;
     }
 
-    /** Decompresses the values of a batch; undefined if one is damaged. */
-    function readValues({ records, topic }: RecordBatch): readonly Uint8Array[] | undefined {
+    /**
+     * Decompresses the values of a batch, up to the limit of its topic; others are empty. Relays of earlier versions send
+     * values that nobody can read, which may be many times as large when they are decompressed.
+     *
+     * @returns the values; undefined if one is damaged
+     */
+    function readValues({ records }: RecordBatch, topic: KeyedTopic): readonly Uint8Array[] | undefined {
+        const { bytes, valueBytes } = topicLimits[topic];
+        let left = bytes;
         try {
-            return records.map(({ compressed, key, value }) =>
-                compressed ? decompress(`${topic} ${key}`, value) : value
-            );
+            return records.map(({ compressed, key, value }) => {
+                const content = compressed ?
+                    decompressWithin(`${topic} ${key}`, value, Math.max(1, Math.min(left, valueBytes))) :
+                    value;
+                left -= content.byteLength;
+                return content;
+            });
         }
         catch {
             return undefined;
         }
     }
 
+    /** Decompresses a value; empty if it is larger than the limit. */
+    function decompressWithin(key: string, compressed: Uint8Array, maximumBytes: number): Uint8Array {
+        try {
+            return decompress(key, compressed, maximumBytes);
+        }
+        catch (error) {
+            if (isTooLargeToDecompress(error)) {
+                return new Uint8Array(0);
+            }
+            throw error;
+        }
+    }
+
     function receive(stream: Stream, batch: RecordBatch): void {
         stream.heardAt = clock.monotonic();
         if (!stream.connected) {
@@ -177,7 +201,7 @@
         if (topic === undefined) {
             return;
         }
-        const values = readValues(batch);
+        const values = readValues(batch, topic);
         if (values === undefined) {
             // The relay sends all records again when the stream is opened the next time.
             closeStream(stream, `a record of ${topic} could not be decompressed`);
--- a/src/node/replica/valueCompression.ts
+++ b/src/node/replica/valueCompression.ts
@@ -3,8 +3,8 @@
 /** Size from which on the value of a record is compressed before it is relayed, and counts as large. */
 export const largeValueBytes = 16_384;
 
-/** Largest size of a decompressed value; records of the log are smaller. */
-const maximumValueBytes = 16_777_216;
+/** Size of the decompressed values that are kept; the configuration is a tenth of it or less. */
+const maximumKeptBytes = 4_194_304;
 
 /** Fastest level; a configuration of 1,640 routes still shrinks to a tenth or less. */
 const compressionLevel = 1;
@@ -15,6 +15,15 @@
     readonly value: Uint8Array;
 }
 
+/** Function that decompresses the value of a key; see {@link createValueDecompressor}. */
+export type DecompressValue = (key: string, compressed: Uint8Array, maximumBytes?: number) => Uint8Array;
+
+/** Largest size of a decompressed value for which no limit is stated. */
+const maximumValueBytes = 16_777_216;
+
+/** Error of zlib for a value that is larger than its limit when it is decompressed. */
+const tooLargeCode = "ERR_BUFFER_TOO_LARGE";
+
 /**
  * Creates a function that compresses values. The result is kept as long as the value, since a relay sends the same
  * value to all of its followers.
@@ -34,20 +43,51 @@
 }
 
 /**
- * Creates a function that decompresses values. The newest value of each key is kept, since a follower receives the same
- * value from each of its relays.
+ * Tells whether a value was not decompressed since it is larger than its limit.
  *
- * @returns function that decompresses the value of a key; it throws if the value cannot be decompressed
+ * @param error - what the decompression has thrown
+ * @returns false if the value is damaged
  */
-export function createValueDecompressor(): (key: string, compressed: Uint8Array) => Uint8Array {
+export function isTooLargeToDecompress(error: unknown): boolean {
+    return (error as NodeJS.ErrnoException).code === tooLargeCode;
+}
+
+/**
+ * Creates a function that decompresses values. The newest values are kept, up to 4 MiB with their compressed form, since a
+ * follower receives the same value from each of its relays.
+ *
+ * @returns function that decompresses the value of a key; it throws if the value is damaged, or larger than the limit
+ */
+export function createValueDecompressor(): DecompressValue {
+    /** Values by key, the one that was received last at the end. */
     const newest = new Map<string, DecompressedValue>();
-    return (key, compressed) => {
+    let keptBytes = 0;
+
+    function remove(key: string): void {
+        const { compressed, value } = newest.get(key)!;
+        keptBytes -= compressed.byteLength + value.byteLength;
+        newest.delete(key);
+    }
+
+    function keep(key: string, received: DecompressedValue): void {
+        newest.set(key, received);
+        keptBytes += received.compressed.byteLength + received.value.byteLength;
+        while (keptBytes > maximumKeptBytes) {
+            remove(newest.keys().next().value!);
+        }
+    }
+
+    return (key, compressed, maximumBytes = maximumValueBytes) => {
         const known = newest.get(key);
         if (known !== undefined && Buffer.compare(known.compressed, compressed) === 0) {
             return known.value;
         }
-        const value = inflateRawSync(compressed, { maxOutputLength: maximumValueBytes });
-        newest.set(key, { compressed, value });
+        if (known !== undefined) {
+            remove(key);
+        }
+        const value = inflateRawSync(compressed, { maxOutputLength: maximumBytes });
+        // A copy, since the bytes are part of a message that has other records, too.
+        keep(key, { compressed: new Uint8Array(compressed), value });
         return value;
     };
 }
--- a/test/node/replica/largeRecords.test.ts
+++ b/test/node/replica/largeRecords.test.ts
@@ -109,4 +109,15 @@
         expect(() => decompress("config", Buffer.from("no deflate stream"))).toThrow();
         expect(() => decompress("config", deflateRawSync(Buffer.alloc(17_000_000)))).toThrow();
     });
+
+    // Guards against followers that keep each large value that was ever relayed to them, and its compressed form.
+    it("keeps no more than the newest values", () => {
+        const decompress = createValueDecompressor();
+        const read = (key: string): Uint8Array => decompress(key, deflateRawSync(Buffer.alloc(1_000_000, key)));
+        const config = read("config");
+        expect(read("config") === config).toEqual(true);
+        ["a", "b", "c", "d", "e"].forEach(read);
+        expect(read("config") === config).toEqual(false);
+        expect(Buffer.compare(read("config"), config)).toEqual(0);
+    });
 });
