Limit what records of condemned requests make a gateway hold

Another writer could add any number of records of condemned requests that can be read and are outdated, or state any number of crashes.

Cause: a gateway drops outdated records of requests. It noted each of them and called the log for all of them at once; and it took over every crash that a record states, of which only the fingerprints are limited.

Change: at most 16 such calls are open at a time, no more than 1,000 records wait for one, and the newest 64 crashes of a record count. What this gateway has condemned itself is written in any case.

Why it works: open calls are what such a record costs in memory and in calls to the log; a record that was left out is still in the log, and a gateway that reads it later drops it.

--- a/src/node/gateway/crashes/condemnedRecords.ts
+++ b/src/node/gateway/crashes/condemnedRecords.ts
@@ -16,6 +16,12 @@
  * oldest are forgotten first.
  */
 const maximumDroppedRecords = 1_000;
+/** Number of records from which on no more of others are dropped; another gateway, or a later read, sees to them. */
+const maximumKeptRecords = 1_000;
+/** Maximum number of calls to the log at the same time, which others would otherwise decide by what they write. */
+const maximumConcurrentWrites = 16;
+/** Maximum number of crashes that are taken over from a record; a few condemn a request. */
+const maximumCrashesOfRecord = 64;
 
 /** Record of a condemned request. */
 export type CondemnedRecord = z.infer<typeof recordSchema>;
@@ -104,12 +110,21 @@
         logger.info({ fingerprint, offset: written.value, condemned: isCondemned }, "condemned request written");
     }
 
+    /** Notes that a record of the log has to be dropped. */
+    function keep(fingerprint: Fingerprint): void {
+        if (kept.has(fingerprint) || kept.size < maximumKeptRecords) {
+            kept.set(fingerprint, { writtenAt: undefined, writing: false });
+        }
+    }
+
     function tick(): void {
         const condemned = new Set(crashEvidence.listCondemned());
+        let free = maximumConcurrentWrites - [...kept.values()].filter(({ writing }) => writing).length;
         for (const [fingerprint, row] of kept) {
             const isCondemned = condemned.has(fingerprint);
             const isDue = row.writtenAt === undefined || clock.monotonic() - row.writtenAt > condemnedDuration / 2;
-            if (!row.writing && (!isCondemned || isDue)) {
+            if (free > 0 && !row.writing && (!isCondemned || isDue)) {
+                free--;
                 void write(fingerprint, row, isCondemned);
             }
         }
@@ -126,12 +141,12 @@
         }
         const now = clock.now().getTime();
         if (now - record.touchedAt > condemnedDuration) {
-            kept.set(key, { writtenAt: undefined, writing: false });
+            keep(key);
             return;
         }
         const touchedAge = Math.max(0, now - record.touchedAt);
         const shared: SharedEvidence = {
-            crashes: record.crashes.map(({ crashedAt, crashId }) => ({
+            crashes: record.crashes.slice(-maximumCrashesOfRecord).map(({ crashedAt, crashId }) => ({
                 crashId,
                 fingerprints: [key],
                 // Both times are the writer's, so the time between the crashes is kept if its clock differs.
@@ -143,7 +158,7 @@
         crashEvidence.merge(shared, "log");
         // A write without a response may take effect after the record was dropped.
         if (dropped.has(key) && !crashEvidence.listCondemned().includes(key)) {
-            kept.set(key, { writtenAt: undefined, writing: false });
+            keep(key);
         }
     }
 
@@ -173,7 +188,7 @@
                 row.writtenAt = undefined;
             }
             else if (dropped.has(fingerprint) && value === undefined) {
-                kept.set(fingerprint, { writtenAt: undefined, writing: false });
+                keep(fingerprint);
             }
         }
         tick();
