--- a/src/runtime/replica/recordLimits.ts
+++ b/src/runtime/replica/recordLimits.ts
@@ -32,7 +32,7 @@
     },
     "backend-servers": {
         valueBytes: 8 * bytesPerKibibyte,
-        records: 8_192,
+        records: 4_096,
         bytes: 8 * bytesPerMebibyte,
         evictionOrder: "least-recently-written",
     },
--- a/test/platform/standIn/gatewayProcess.ts
+++ b/test/platform/standIn/gatewayProcess.ts
@@ -43,6 +43,8 @@
     readonly folder: string;
     /** Further keys of the section `gateway`, each as `KEY = VALUE`. Default: none. */
     readonly gatewayKeys?: readonly string[];
+    /** Flags of the runtime. Default: none. */
+    readonly runtimeFlags?: readonly string[];
 }
 
 /** Time within which a gateway must answer whether it is ready. */
@@ -83,7 +85,7 @@
             "",
         ].join("\n"),
     );
-    const child: ChildProcess = spawn(process.execPath, [...program, "gateway"], {
+    const child: ChildProcess = spawn(process.execPath, [...options.runtimeFlags ?? [], ...program, "gateway"], {
         env: { PATH: process.env["PATH"], HOME: process.env["HOME"], GOLDCRESTPOINT_CONFIG: settings },
         stdio: ["ignore", "pipe", "pipe"],
     });
