Let followers that wait for room know that their relay is there

What callers saw: nothing yet; a fault of the limit on records in flight, found by reading it again. A follower that got no message for silentAfterMilliseconds while it waited for others would close its stream and begin again at another relay.

--- a/src/node/replica/recordRelay.ts
+++ b/src/node/replica/recordRelay.ts
@@ -78,6 +78,8 @@
     blocked: boolean;
     /** Bytes of records in messages that its connection has not taken yet. */
     unsentBytes: number;
+    /** Monotonic time of the newest message, or of the start of the stream before the first. */
+    writtenAt: Milliseconds;
 }
 
 /** Advances a position. A report may cross with a batch that is already sent, so a position never moves back. */
@@ -152,13 +154,26 @@
     }
 
     /** Tells whether records have to wait until followers have received what was written to them. */
-    function mustWait(records: readonly KeyedRecord[], { unsentBytes }: Follower): boolean {
-        const unsent = { follower: unsentBytes, total: countUnsentBytes() };
+    function mustWait(records: readonly KeyedRecord[], follower: Follower): boolean {
+        const unsent = { follower: follower.unsentBytes, total: countUnsentBytes() };
         const waits = records.length > 0 && !mayWriteBatch(measureRecords(records), unsent, maximumUnsentBytes);
-        isWaiting ||= waits;
+        if (waits) {
+            isWaiting = true;
+            keepAlive(follower);
+        }
         return waits;
     }
 
+    /**
+     * Writes a message that names no topic to a follower that waits for the others. It would otherwise take the relay for
+     * silent and connect to another one, where it waits again.
+     */
+    function keepAlive(follower: Follower): void {
+        if (follower.unsentBytes === 0 && clock.monotonic() - follower.writtenAt >= options.relayHeartbeat) {
+            writeBatch(follower, create(RecordBatchSchema, {}));
+        }
+    }
+
     function createBatch(
         topic: KeyedTopic,
         position: FollowerPosition,
@@ -252,6 +267,7 @@
     /** Writes a batch; returns false if the stream's write buffer is full. */
     function writeBatch(follower: Follower, batch: RecordBatch): boolean {
         const bytes = measureRecords(batch.records);
+        follower.writtenAt = clock.monotonic();
         follower.unsentBytes += bytes;
         return follower.call.write(batch, () => {
             follower.unsentBytes -= bytes;
@@ -300,6 +316,7 @@
                 acceptsCompressed: false,
                 blocked: false,
                 unsentBytes: 0,
+                writtenAt: clock.monotonic(),
             };
             followers.add(follower);
             const removeFollower = (): void => void followers.delete(follower);
--- a/test/node/replica/slowFollowers.test.ts
+++ b/test/node/replica/slowFollowers.test.ts
@@ -68,6 +68,7 @@
     return {
         takeAll: () => pending.splice(0).forEach(onTaken => onTaken()),
         cancel: () => call.emit("cancelled"),
+        countMessages: () => batches.length,
         countRecords: () => batches.reduce((sum, { records }) => sum + records.length, 0),
     };
 }
@@ -129,6 +130,16 @@
         expect(third.countRecords()).toEqual(entries);
     });
 
+    // Guards against a follower that finds its relay silent, and waits at another one from the start.
+    it("lets a follower that waits know that it is there", async () => {
+        using relaying = startRelay();
+        const { relay } = relaying;
+        const followers = [connectFollower(relay), connectFollower(relay), connectFollower(relay)];
+        await sleep(100);
+        expect(followers[2]!.countRecords()).toEqual(0);
+        expect(followers[2]!.countMessages()).toBeGreaterThan(1);
+    });
+
     // Guards against messages that pile up for a machine that stands still while the list changes.
     it("holds one batch for a connection that is not read, and continues with the newest records", async () => {
         await using stack = createDisposalStack();
