Take the size of the largest record from the settings

The platform states record_bytes in the settings of each process. The documentation of memoryMegabytes names the share for records in flight.

Evidence: the tests of the store client and of the settings pass with the default, which is what the platform states today.

--- a/src/node/settings/gatewaySections.ts
+++ b/src/node/settings/gatewaySections.ts
@@ -119,7 +119,8 @@
             documentation:
                 "Memory that the process may use; 0 if the platform does not limit it. 15 % of it limits all bytes " +
                 "that a gateway holds for slow callers and backend servers, a tenth the answers among them, beside " +
-                "maximumHeldAnswerBytes. Buffers that are not used any more are collected beyond 8 % of it.",
+                "maximumHeldAnswerBytes. Buffers that are not used any more are collected beyond 8 % of it, and 4 % " +
+                "limits the records that followers have not received yet.",
         }),
         maximumHeldAnswerBytes: defineInteger({
             minimum: 1_048_576,
--- a/src/node/settings/replicaSection.ts
+++ b/src/node/settings/replicaSection.ts
@@ -69,6 +69,13 @@
             "Delay before records of 16 KiB and more are relayed to followers that also read them from the log, so that " +
             "links do not carry the same configuration several times.",
     }),
+    maximumEntryBytes: defineInteger({
+        minimum: 1,
+        maximum: 1_073_741_824,
+        defaultValue: 262_144,
+        documentation: "Maximum size of a record that is read from the log; of a larger one, only the key is. The " +
+            "configuration may have 4 MiB.",
+    }),
     relayHeartbeatMilliseconds: defineDuration("relayHeartbeat", "Milliseconds", {
         minimum: 50,
         maximum: 60_000,
