--- a/src/node/replica/readableRecords.ts
+++ b/src/node/replica/readableRecords.ts
@@ -25,7 +25,7 @@
  * @param known - records of the topic
  * @param page - page that was received
  * @param check - check of the topic
- * @returns the page without records that name nothing this process knows or can read
+ * @returns the page without the records that cannot be read and whose keys are not known, and these records
  */
 export function checkRecords(known: ReplicaTopic, page: KeyedPage, check: RecordCheck): CheckedPage {
     const records: KeyedRecord[] = [];
--- a/src/node/replica/relayFollower.ts
+++ b/src/node/replica/relayFollower.ts
@@ -156,7 +156,7 @@
 
     /**
      * Decompresses the values of a batch, up to the limit of its topic; others are empty. Relays of earlier versions send
-     * values that nobody can read, which may be many times as large when they are decompressed.
+     * values that cannot be read, which may be many times as large when they are decompressed.
      *
      * @returns the values; undefined if one is damaged
      */
--- a/test/node/replica/slowFollowers.test.ts
+++ b/test/node/replica/slowFollowers.test.ts
@@ -51,7 +51,7 @@
     acceptsCompressed: true,
 });
 
-/** Follower whose connection takes a message only when it is told to. */
+/** Follower whose connection takes messages only when `takeAll` is called. */
 function connectFollower(relay: RecordRelay) {
     const batches: RecordBatch[] = [];
     const pending: (() => void)[] = [];
--- a/test/platform/configurationSoak.test.ts
+++ b/test/platform/configurationSoak.test.ts
@@ -7,6 +7,7 @@
 import { callerKeys, changeKinds, createConfigurationHistory } from "./standIn/configurationHistory.js";
 import { callUntil, type SoakCall, type SoakCallerKind } from "./standIn/configurationLoad.js";
 import { startGatewayFleet } from "./standIn/gatewayFleet.js";
+import { writeOddRecords } from "./standIn/otherWriter.js";
 import { between, pick } from "./standIn/seededChoice.js";
 import { makeTrouble, startRunnerPool, type TroubledPlay, troubleKinds } from "./standIn/soakTroubles.js";
 import { describeCall, faultVerdicts, judgeCalls, type JudgedCall, type SoakVerdict } from "./standIn/soakVerdicts.js";
@@ -18,6 +19,7 @@
 const gatewayCount = Number(process.env["CONFIGURATION_GATEWAYS"] ?? 3);
 const logFolder = process.env["CONFIGURATION_LOGS"];
 const callerNames = process.env["CONFIGURATION_CALLERS"]?.split(",");
+const isOtherWriterActive = process.env["CONFIGURATION_OTHER_WRITER"] !== "0";
 const troubleNames = process.env["CONFIGURATION_TROUBLES"]?.split(",");
 
 const drainTimeLimitSeconds = 8;
@@ -139,6 +141,10 @@
             await makeTrouble(kind, current, random);
             note(`${kind} has ended`);
         }),
+        repeat(seed + 900_000, isOtherWriterActive ? endsAt : 0, 300, 3_000, random => {
+            note(writeOddRecords(store, random));
+            return Promise.resolve();
+        }),
     ]);
     const calls: readonly SoakCall[] = (await Promise.all(load)).flat();
     const exitCodes = await fleet.close();
--- a/test/platform/largeStores.test.ts
+++ b/test/platform/largeStores.test.ts
@@ -69,7 +69,7 @@
         expect(records.every(({ offset }) => offset < limit)).toEqual(true);
     });
 
-    // Guards against a backend server that is not used because its entry has large fields that nobody reads.
+    // Guards against a backend server that is not used because its entry has large fields that are not read.
     it("lists backend servers whose entries have large fields", async () => {
         await using store = await startStoreStandIn();
         await using client = createStoreClient({ address: store.address });
--- a/test/platform/recordPages.test.ts
+++ b/test/platform/recordPages.test.ts
@@ -54,7 +54,7 @@
         );
     });
 
-    // Guards against large records that are in memory although nobody can read them.
+    // Guards against large records that are in memory although they are too large to be read.
     it("contains only the key of a record that is too large", () => {
         const values: (Uint8Array | undefined)[] = [];
         decode([response], {
--- a/test/platform/recordsOfOtherWriters.test.ts
+++ b/test/platform/recordsOfOtherWriters.test.ts
@@ -46,7 +46,7 @@
 
 describe("records of other writers that cannot be read", () => {
     for (const topic of topics) {
-        // Guards against gateways and agents that exceed their memory by what nobody can use, as often as they start.
+        // Guards against gateways and agents that exceed their memory by unusable records, after each start.
         it(`are not kept, whether few and large or many and small: ${topic}`, () => {
             const { receive, store } = startStore();
             receive(topic, Array.from({ length: 20 }, (...[, index]) => [`large-${index}`, randomBytes(262_000)]));
