--- a/src/node/replica/recordStore.ts
+++ b/src/node/replica/recordStore.ts
@@ -112,8 +112,8 @@
     return (key, value) => value.byteLength <= valueBytes && check(key, value);
 }
 
-/** Counts the bytes of the key and the value of a record. */
-function measureRecord({ key, value }: KeyedRecord): number {
+/** Counts the bytes of the key and the value of a record, without the overhead that limits include. */
+function countContentBytes({ key, value }: KeyedRecord): number {
     return key.length + (value?.byteLength ?? 0);
 }
 
@@ -201,7 +201,7 @@
         countBytes: () =>
             [...replica.topics.values()].reduce(
                 (sum, { records }) =>
-                    [...records.values()].reduce((bytes, record) => bytes + measureRecord(record), sum),
+                    [...records.values()].reduce((bytes, record) => bytes + countContentBytes(record), sum),
                 0,
             ),
         relayedCurrentAt: (topic, isCounted = () => true) => {
