--- a/review/lib-3/installation.ts
+++ b/review/lib-3/installation.ts
@@ -1,9 +1,12 @@
+import { type ChildProcess, fork } from "node:child_process";
+import { once } from "node:events";
 import { createDisposalStack } from "../../src/utils/index.js";
 import { type StoreStandIn, startStoreStandIn } from "../../test/platform/standIn/storeStandIn.js";
 import { sendCall } from "./caller.js";
 import { type Machine, type Machines, prepareMachines } from "./machines.js";
 import { model, type ModelRunner, type ModelRunnerOptions, startModelRunner, startOrigin } from "./modelRunner.js";
 import { type CaseRecord, waitUntil } from "./record.js";
+import type { RunnerMessage, RunnerProcessOptions } from "./runnerProcess.js";
 
 export const zone = "sando-hall";
 export const region = "south-tt";
@@ -29,11 +32,14 @@
 };
 
 /** Creates the first configuration. */
-export function createConfiguration(origin: string): Record<string, unknown> {
+export function createConfiguration(
+    origin: string,
+    { routes = [], services = [] }: Pick<ModelInstallationOptions, "routes" | "services"> = {},
+): Record<string, unknown> {
     const { chunkBytes, chunks, layers, name, warmMilliseconds } = model;
     return {
         version: 1,
-        routes: [streamRoute],
+        routes: [streamRoute, ...routes],
         services: [
             {
                 name: service,
@@ -52,6 +58,7 @@
                 },
             },
             { name: "gowu98c", max_connections: 48, protocol: "h1", tls: false, origin, zone },
+            ...services,
         ],
         limits: {
             max_header_bytes: 16_384,
@@ -63,6 +70,43 @@
     };
 }
 
+/** Route of requests that may run more than once, to a service without an engine. */
+export const safeRoute = {
+    name: "r-safe",
+    host,
+    path_prefix: "/boye614/",
+    kind: "safe",
+    timeout_ms: 1_500,
+    target_latency_ms: 195,
+    priority: 2,
+    service: "kafi81c",
+    max_attempts: 2,
+    public: false,
+};
+
+/** Starts a model runner in a process of its own, which writes its records to the store. */
+export async function forkRunner(
+    store: StoreStandIn,
+    options: RunnerProcessOptions,
+    onMessage: (message: RunnerMessage) => void,
+): Promise<ChildProcess> {
+    const child = fork("target/review-3/runner.mjs", [], { env: { ...process.env, RUNNER: JSON.stringify(options) } });
+    const listed = new Promise<void>(resolve => {
+        child.on("message", (message: RunnerMessage) => {
+            if (message.kind === "write") {
+                store.write(message.topic, message.key, message.content);
+                resolve();
+            }
+            else if (message.kind === "drop") {
+                store.drop(message.topic, message.key);
+            }
+            onMessage(message);
+        });
+    });
+    await Promise.race([listed, once(child, "exit")]);
+    return child;
+}
+
 /** Installation with model runners, and an agent beside each of them. */
 export interface ModelInstallation extends AsyncDisposable {
     readonly store: StoreStandIn;
@@ -70,6 +114,8 @@
     readonly fronts: readonly Machine[];
     readonly sides: readonly Machine[];
     readonly runners: readonly ModelRunner[];
+    /** Processes of the runners, if they have processes of their own. */
+    readonly children: readonly ChildProcess[];
 }
 
 /** Options of {@link startModelInstallation}. */
@@ -80,6 +126,11 @@
         ModelRunnerOptions,
         "downMilliseconds" | "eventMilliseconds" | "events" | "firstMilliseconds" | "onArrival" | "onBegin" | "onCrash"
     >;
+    /** Called with each message of the runners, which have processes of their own then. Default: they have none. */
+    readonly onMessage?: (message: RunnerMessage) => void;
+    /** Further routes and services. Default: none. */
+    readonly routes?: readonly unknown[];
+    readonly services?: readonly unknown[];
 }
 
 function listAddresses(first: number, count: number): string[] {
@@ -96,7 +147,7 @@
     const sideAddresses = listAddresses(41, options.runners);
     const store = stack.use(await startStoreStandIn());
     const origin = stack.use(await startOrigin("127.0.7.2"));
-    store.write("keyed.op", "config", createConfiguration(origin.address));
+    store.write("keyed.op", "config", createConfiguration(origin.address, options));
     const machines = stack.use(
         await prepareMachines(
             () => ({ storeAddress: store.address, zone, region, seeds: frontAddresses.slice(0, 3) }),
@@ -104,10 +155,15 @@
         ),
     );
     const runners: ModelRunner[] = [];
+    const children: ChildProcess[] = [];
+    stack.defer(() => children.forEach(child => child.kill("SIGKILL")));
     for (const ip of sideAddresses) {
-        const { ports } = machines;
-        const started = await startModelRunner({ ...options.runner, ip, port: ports.app, zone, service, store, slots: 16 });
-        runners.push(stack.use(started));
+        const described = { ...options.runner, ip, port: machines.ports.app, zone, service, slots: 16 };
+        if (options.onMessage !== undefined) {
+            children.push(await forkRunner(store, described, options.onMessage));
+            continue;
+        }
+        runners.push(stack.use(await startModelRunner({ ...described, store })));
     }
     const fronts = frontAddresses.map((ip, index) => machines.startFront(`front-${zone}-${index + 1}`, ip));
     const sides = sideAddresses.map((ip, index) => machines.startSide(`side-${zone}-${index + 1}`, ip, service));
@@ -125,6 +181,7 @@
         fronts,
         sides,
         runners,
+        children,
         [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
     };
 }
--- a/review/lib-3/modelRunner.ts
+++ b/review/lib-3/modelRunner.ts
@@ -48,7 +48,7 @@
     readonly port: number;
     readonly zone: string;
     readonly service: string;
-    readonly store: StoreStandIn;
+    readonly store: Pick<StoreStandIn, "drop" | "write">;
     readonly slots: number;
     /** Time until the first event. */
     readonly firstMilliseconds: number;
@@ -61,6 +61,8 @@
     /** Called when a runner begins to write an answer; the runner crashes if it returns true. */
     readonly onBegin?: (request: RunnerRequest) => boolean;
     readonly onCrash?: (runner: string) => void;
+    /** Called with the response to each request that the runner executes; writes it if it returns true. */
+    readonly write?: (request: RunnerRequest, response: ServerResponse, head: Readonly<Record<string, string>>) => boolean;
 }
 
 /** Model runner, which starts again after each crash. */
@@ -173,13 +175,17 @@
             crash();
             return;
         }
-        response.writeHead(200, {
+        const head = {
             "attempt-id": request.attemptId,
             "response-seal": responseSeal,
             "runner-load": `${state.running},0,${slots}`,
             "weight-versions": String(state.loaded),
             "content-type": "text/event-stream",
-        });
+        };
+        if (options.write?.(request, response, head) === true) {
+            return;
+        }
+        response.writeHead(200, head);
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         for (let event = first; event <= options.events && !response.destroyed; event++) {
             response.write(`id: ${event}\ndata: ${request.attemptId} ${event}\n\n`);
@@ -194,7 +200,7 @@
         }
         starts++;
         Object.assign(state, {
-            id: `i-${starts.toString(16).padStart(8, "0")}`,
+            id: `i-${ip.replaceAll(".", "")}${starts.toString(16).padStart(4, "0")}`,
             born: Date.now(),
             loaded,
             sequence: 0,
--- a/review/lib-3/template.ts
+++ b/review/lib-3/template.ts
@@ -17,7 +17,7 @@
     if (Array.isArray(value)) {
         return value.map(String).join(",");
     }
-    return typeof value === "object" ? JSON.stringify(value) : String(value as string | number | boolean);
+    return typeof value === "string" ? value : JSON.stringify(value);
 }
 
 /** Lists the entries of a section, each with its key and whether it is the last one. */
@@ -25,7 +25,7 @@
     if (value === undefined || value === false) {
         return [];
     }
-    return typeof value === "object" ? Object.entries(value!) : [["", value]];
+    return typeof value === "object" ? Object.entries({ ...value }) : [["", value]];
 }
 
 /**
