--- a/review/lib-3/installation.ts
+++ b/review/lib-3/installation.ts
@@ -124,7 +124,14 @@
     readonly runners: number;
     readonly runner: Pick<
         ModelRunnerOptions,
-        "downMilliseconds" | "eventMilliseconds" | "events" | "firstMilliseconds" | "onArrival" | "onBegin" | "onCrash"
+        | "downMilliseconds"
+        | "eventMilliseconds"
+        | "events"
+        | "firstMilliseconds"
+        | "onArrival"
+        | "onBegin"
+        | "onCrash"
+        | "onEvent"
     >;
     /** Called with each message of the runners, which have processes of their own then. Default: they have none. */
     readonly onMessage?: (message: RunnerMessage) => void;
--- a/review/lib-3/modelRunner.ts
+++ b/review/lib-3/modelRunner.ts
@@ -60,6 +60,8 @@
     readonly onArrival?: (request: RunnerRequest) => void;
     /** Called when a runner begins to write an answer; the runner crashes if it returns true. */
     readonly onBegin?: (request: RunnerRequest) => boolean;
+    /** Called when an event of an answer has been written; the runner crashes if it returns true. */
+    readonly onEvent?: (request: RunnerRequest, event: number) => boolean;
     readonly onCrash?: (runner: string) => void;
     /** Called with the response to each request that the runner executes; writes it if it returns true. */
     readonly write?: (request: RunnerRequest, response: ServerResponse, head: Readonly<Record<string, string>>) => boolean;
@@ -190,6 +192,10 @@
         for (let event = first; event <= options.events && !response.destroyed; event++) {
             response.write(`id: ${event}\ndata: ${request.attemptId} ${event}\n\n`);
             await pause(options.eventMilliseconds);
+            if (options.onEvent?.(request, event) === true) {
+                crash();
+                return;
+            }
         }
         response.end();
     }
