--- a/review/11/case.ts
+++ b/review/11/case.ts
@@ -4,7 +4,7 @@
 
 await runCase(join("review", "11", "record.txt"), record =>
     playFatalPart(record, {
-        sharedParts: Number(process.env["SHARED_PARTS"] ?? "17"),
-        crashes: "before-first-event",
-        fatalInterval: 250,
+        sharedParts: 2,
+        crashes: "after-first-event",
+        fatalInterval: 200,
     }));
--- a/review/lib-3/fatalPart.ts
+++ b/review/lib-3/fatalPart.ts
@@ -54,7 +54,7 @@
             firstMilliseconds: 60,
             events: 10,
             eventMilliseconds: 20,
-            downMilliseconds: 2_000,
+            downMilliseconds: 4_000,
             onArrival: ({ attemptId, headers, runner }) => {
                 if (isFatal(headers)) {
                     fatalArrivals.push(record.seconds());
