End the processes of a case that ends by an exception or its time limit

Cause: six processes were left after a trial that ended by an exception. Change: the harness of review 3 kills what it has started when it exits.

--- a/review/lib-3/machines.ts
+++ b/review/lib-3/machines.ts
@@ -147,6 +147,8 @@
             child.stderr!.pipe(output, { end: false });
             exited = once(child, "exit");
         };
+        // A case that ends at its time limit or by an exception disposes of nothing.
+        process.once("exit", () => child.kill("SIGKILL"));
         start();
         const machine: Machine = {
             name,
