--- a/src/node/gateway/answers/answerRelay.ts
+++ b/src/node/gateway/answers/answerRelay.ts
@@ -33,7 +33,11 @@
 /** Attempt whose answer is relayed. */
 export type RelayedAttempt =
     & Pick<RacingAttempt, "claim" | "hasRivals" | "signal">
-    & Pick<TrackedAttempt, "answered">;
+    & Pick<TrackedAttempt, "receivedEvent">
+    & {
+        /** Records that the answer is complete; see {@link TrackedAttempt}. */
+        completed(succeeded: boolean): void;
+    };
 
 /** Relays answers of backend servers to callers. */
 export interface AnswerRelay {
@@ -44,7 +48,7 @@
      * @param request - request of the caller
      * @param progress - what earlier attempts have relayed; it is updated
      * @param answer - answer whose head was checked
-     * @param attempt - attempt that brought the answer; notified when the answer has begun
+     * @param attempt - attempt that brought the answer; notified of each event, and of a complete answer
      * @returns nothing, or the reason why the answer could not be relayed completely
      */
     relayAnswer(
@@ -168,7 +172,7 @@
                 for (const event of events) {
                     // The body still yields parts that arrived before the request was aborted.
                     attempt.signal.throwIfAborted();
-                    attempt.answered(true);
+                    attempt.receivedEvent();
                     if (isContinuation && event.id === undefined && event.hasData) {
                         throw new Error("an event of a resumed stream has no identifier");
                     }
@@ -197,8 +201,10 @@
             pending.close();
         }
         if (splitter.pendingBytes() > 0) {
-            return err(describeInterruption(new Error("the stream ended within an event"), answer, bytes));
+            const failure = describeInterruption(new Error("the stream ended within an event"), answer, bytes);
+            return err({ ...failure, connectionBroke: answer.framing === "connection" });
         }
+        attempt.completed(true);
         if (!attempt.claim()) {
             return err(supersededFailure);
         }
@@ -231,7 +237,8 @@
             return err(whole.error);
         }
         if (answer.status < 500) {
-            attempt.answered(answer.status < 300);
+            attempt.receivedEvent();
+            attempt.completed(answer.status < 300);
         }
         log.completion(request, answer, whole.value.body.byteLength);
         const isServerError = answer.status >= 500;
--- a/src/node/gateway/attempts/attemptRunner.ts
+++ b/src/node/gateway/attempts/attemptRunner.ts
@@ -152,10 +152,11 @@
                 signal: attempt.signal,
                 claim: () => attempt.claim(),
                 hasRivals: () => attempt.hasRivals(),
-                answered: succeeded => {
+                receivedEvent: () => {
                     remainingWork.recordEvent();
-                    tracked.answered(succeeded);
+                    tracked.receivedEvent();
                 },
+                completed: succeeded => tracked.completed(succeeded, opened.value.framing),
             });
             if (relayed.isOk) {
                 remainingWork.end(true);
--- a/src/node/gateway/crashes/crashContainment.ts
+++ b/src/node/gateway/crashes/crashContainment.ts
@@ -74,7 +74,7 @@
         connectTimeLimit: input.connectTimeLimit,
         countCheck: (service, state) => gatewayMetrics.countCheck(service, state),
         onCrash: crash => crashEvidence.recordObservedCrash(crash),
-        onAnswer: fingerprint => crashEvidence.recordAnswer(fingerprint),
+        onAnswer: fingerprints => crashEvidence.recordAnswer(fingerprints),
     });
     const cleanup = createRegistrationCleanup({
         log,
--- a/src/node/gateway/crashes/crashEvidenceStore.ts
+++ b/src/node/gateway/crashes/crashEvidenceStore.ts
@@ -9,6 +9,7 @@
     exportEvidence,
     hasRivalParts,
     isPartFingerprint,
+    mayCrashBeforeAnswer,
     mayRepeatAfterCrash,
     mergeEvidence,
     readCrashStanding,
@@ -44,16 +45,16 @@
     readonly findCrashingPart: (request: RequestCauses) => Fingerprint | undefined;
     /** Returns true if a part of the prompt crashes backend servers, while it is not known which one. */
     hasRivalParts(request: RequestCauses): boolean;
-    /** Lists the parts of a prompt that may have crashed backend servers. */
-    listSuspectParts(request: RequestCauses): readonly Fingerprint[];
+    /** Lists the parts of a prompt that may have crashed backend servers before they began to answer. */
+    listHoldingParts(request: RequestCauses): readonly Fingerprint[];
     /**
      * Returns false if a failed request must not be retried at once, since one more crash would condemn it or a part of
      * its prompt.
      */
     mayRepeat(request: RequestCauses): boolean;
     recordObservedCrash(end: ObservedCrash): void;
-    /** Records that a backend server has begun to answer a request, or one with a part of a prompt. */
-    recordAnswer(fingerprint: Fingerprint): void;
+    /** Records that a backend server has answered a request, or one with each of the parts, completely. */
+    recordAnswer(fingerprints: readonly Fingerprint[]): void;
     merge(shared: SharedEvidence, source: EvidenceSource): void;
     /** Exports all evidence for other gateways. */
     share(): SharedEvidence;
@@ -174,13 +175,13 @@
             return found === request.fingerprint ? undefined : found;
         },
         hasRivalParts: ({ partFingerprints = [] }) => hasRivalParts(evidence, partFingerprints),
-        listSuspectParts,
+        listHoldingParts: request => listSuspectParts(request).filter(part => mayCrashBeforeAnswer(evidence, part)),
         mayRepeat: request => listCauses(request).every(cause => mayRepeatAfterCrash(evidence, cause)),
-        recordObservedCrash: ({ crashId, fingerprints }) => {
+        recordObservedCrash: ({ crashId, events, fingerprints }) => {
             witnessedCrashIds.add(crashId);
-            apply(recordCrash(evidence, crashId, fingerprints, clock.monotonic()), "local");
+            apply(recordCrash(evidence, crashId, fingerprints, clock.monotonic(), events), "local");
         },
-        recordAnswer: fingerprint => apply(recordAnswer(evidence, fingerprint, clock.monotonic()), "local"),
+        recordAnswer: fingerprints => apply(recordAnswer(evidence, fingerprints, clock.monotonic()), "local"),
         merge: (shared, source) => apply(mergeEvidence(evidence, shared, clock.monotonic()), source),
         share: () => exportEvidence(evidence, clock.monotonic()),
         takeDelta: () => {
--- a/src/node/gateway/crashes/crashExchange.ts
+++ b/src/node/gateway/crashes/crashExchange.ts
@@ -13,8 +13,8 @@
     ServerRateLimitSchema,
 } from "../../../generated/goldcrestpoint_pb.js";
 import type { SharedLeaving, SharedRateLimit } from "../../../runtime/gateway/index.js";
-import type { SharedEvidence } from "../../../runtime/retry/index.js";
-import type { Clock, Milliseconds, RandomSource } from "../../../types/index.js";
+import type { SharedCrash, SharedEvidence } from "../../../runtime/retry/index.js";
+import type { Clock, Fingerprint, Milliseconds, RandomSource } from "../../../types/index.js";
 import { computeDigest } from "../../../utils/index.js";
 import { createReplicaClient, type ReplicaClient } from "../../grpc/index.js";
 import type { RateLimits } from "../membership/rateLimits.js";
@@ -86,6 +86,12 @@
     }));
 }
 
+/** Lists the numbers of events in the order of the fingerprints; nothing if no answer had begun. */
+function listEvents(fingerprints: readonly Fingerprint[], events: SharedCrash["events"]): number[] {
+    const counts = fingerprints.map(fingerprint => events?.get(fingerprint) ?? 0);
+    return counts.some(count => count > 0) ? counts : [];
+}
+
 function encode(
     { answers, crashes }: SharedEvidence,
     leaving: readonly SharedLeaving[],
@@ -96,10 +102,11 @@
         leaving: leaving.map(({ age, lifetime }) =>
             create(LeavingServerSchema, { lifetime, ageMilliseconds: toWholeMilliseconds(age) })
         ),
-        crashes: crashes.map(({ age, crashId, fingerprints, touchedAge }) =>
+        crashes: crashes.map(({ age, crashId, events, fingerprints, touchedAge }) =>
             create(BackendServerCrashSchema, {
                 crashId,
                 fingerprints: [...fingerprints],
+                events: listEvents(fingerprints, events),
                 ageMilliseconds: toWholeMilliseconds(age),
                 touchedAgeMilliseconds: toWholeMilliseconds(touchedAge),
             })
@@ -112,9 +119,10 @@
 
 function decode({ answers, crashes }: CrashEvidence): SharedEvidence {
     return {
-        crashes: crashes.map(({ ageMilliseconds, crashId, fingerprints, touchedAgeMilliseconds }) => ({
+        crashes: crashes.map(({ ageMilliseconds, crashId, events, fingerprints, touchedAgeMilliseconds }) => ({
             crashId,
             fingerprints,
+            events: new Map(fingerprints.map((fingerprint, index) => [fingerprint, events[index] ?? 0])),
             age: Number(ageMilliseconds),
             touchedAge: Number(touchedAgeMilliseconds),
         })),
--- a/src/node/gateway/crashes/crashRefusals.ts
+++ b/src/node/gateway/crashes/crashRefusals.ts
@@ -7,7 +7,7 @@
 /** Evidence about requests that crash backend servers. */
 export type CrashEvidenceReader = Pick<
     CrashEvidenceStore,
-    "hasRivalParts" | "listSuspectParts" | "mayRepeat" | "readStanding"
+    "hasRivalParts" | "listHoldingParts" | "mayRepeat" | "readStanding"
 >;
 
 /** Refusals of requests that may crash backend servers. */
@@ -65,9 +65,9 @@
         if (evidence.readStanding(row) === "condemned") {
             return describeCondemned(ran);
         }
-        // An event has shown that no part of the prompt crashes backend servers.
-        const isSuspect = !writer.headSent() &&
-            (evidence.hasRivalParts(row) || crashes.isAwaitingAnswer(evidence.listSuspectParts(row)));
+        // A stream that has begun is resumed beside others with its parts, since the caller would lose it otherwise.
+        const isSuspect = evidence.hasRivalParts(row) ||
+            (!writer.headSent() && crashes.isAwaitingAnswer(evidence.listHoldingParts(row)));
         return isSuspect ? describeSuspect(ran) : undefined;
     }
 
--- a/src/node/gateway/crashes/crashWatch.ts
+++ b/src/node/gateway/crashes/crashWatch.ts
@@ -3,25 +3,33 @@
 import { isPartFingerprint, type RequestCauses } from "../../../runtime/retry/index.js";
 import type { Clock, Fingerprint, ListedBackendServer, Milliseconds } from "../../../types/index.js";
 import { sleep } from "../../../utils/index.js";
-import { checkListening, createLossTracker, type ListeningState } from "../../crashes/index.js";
+import { checkListening, type ListeningState } from "../../crashes/index.js";
+import type { BodyFraming } from "../../httpClient/index.js";
+import { createRunningAttempts, type RunningAttempt } from "./runningAttempts.js";
 
 /** Crash of a backend server that had requests in progress. */
 export interface ObservedCrash {
     /** Lifetime of the backend server, so that its crash counts only once. */
     readonly crashId: string;
     readonly service: string;
-    /** Unanswered requests that this gateway had in progress there, and the shared parts of their prompts. */
+    /** Requests without a complete answer that this gateway had in progress there, and the shared parts of their prompts. */
     readonly fingerprints: readonly Fingerprint[];
+    /** Number of events that had arrived of each answer that had begun, the longest one for a part. */
+    readonly events: ReadonlyMap<Fingerprint, number>;
 }
 
-/** Attempt that is tracked until its backend server has begun to answer. */
+/** Attempt that is tracked until its backend server has answered completely. */
 export interface TrackedAttempt {
+    /** Records an event of the answer; the attempt no longer holds back further requests with its parts. */
+    receivedEvent(): void;
     /**
-     * Records that the answer has begun; a later crash of the backend server does not count against the request.
+     * Records that the answer is complete; a later crash of the backend server does not count against the request. An
+     * answer that ends with its connection may also have been cut off by a crash, so its backend server is checked first.
      *
      * @param succeeded - false if the answer is no success, so that the parts of the prompt may not have been read
+     * @param framing - how the end of the answer is recognized
      */
-    answered(succeeded: boolean): void;
+    completed(succeeded: boolean, framing: BodyFraming): void;
     /**
      * Records the end of the attempt.
      *
@@ -42,7 +50,7 @@
      */
     trackAttempt(server: ListedBackendServer, request: RequestCauses): TrackedAttempt;
     /**
-     * Tells whether an attempt without an answer has a part of its prompt in common with the request.
+     * Tells whether an attempt whose answer has not begun has a part of its prompt in common with the request.
      *
      * @param parts - fingerprints of parts of prompts
      * @returns true if such an attempt began less than two seconds ago at this gateway
@@ -57,7 +65,8 @@
     /** Time within which a connection to a backend server must be established. */
     readonly connectTimeLimit: Milliseconds;
     readonly onCrash: (end: ObservedCrash) => void;
-    readonly onAnswer: (fingerprint: Fingerprint) => void;
+    /** Called with a request that was answered completely, and the shared parts of its prompt. */
+    readonly onAnswer: (fingerprints: readonly Fingerprint[]) => void;
     readonly countCheck: (service: string, state: ListeningState) => void;
 }
 
@@ -68,6 +77,15 @@
 /** Maximum number of fingerprints in a log line. */
 const maximumLoggedFingerprints = 8;
 
+/** Counts the events of the longest answer to each request, or with each part, that has begun. */
+function countEvents(attempts: readonly RunningAttempt[]): ReadonlyMap<Fingerprint, number> {
+    const counts = new Map<Fingerprint, number>();
+    for (const { causes, events } of attempts.filter(attempt => attempt.events > 0)) {
+        causes.forEach(cause => counts.set(cause, Math.max(counts.get(cause) ?? 0, events)));
+    }
+    return counts;
+}
+
 /**
  * Creates the crash detection. A broken connection alone proves no crash, since links and single answers break too; a
  * backend server counts as crashed if its address refuses connections directly afterwards.
@@ -77,38 +95,22 @@
  */
 export function createCrashWatch(input: CrashWatchInput): CrashWatch {
     const { clock, logger } = input;
-    const losses = createLossTracker(clock);
-    const checks = new Map<string, Promise<void>>();
-    const brokenRequests = new Map<string, Set<Fingerprint>>();
-    /** Monotonic times at which the attempts without an answer began, by part of their prompts, the oldest first. */
-    const awaitingAnswer = new Map<Fingerprint, Milliseconds[]>();
-
-    function beginAwaiting(part: Fingerprint, at: Milliseconds): void {
-        awaitingAnswer.set(part, [...awaitingAnswer.get(part) ?? [], at]);
-    }
-
-    function endAwaiting(part: Fingerprint, at: Milliseconds): void {
-        const begun = awaitingAnswer.get(part) ?? [];
-        begun.splice(begun.indexOf(at), 1);
-        if (begun.length === 0) {
-            awaitingAnswer.delete(part);
-        }
-    }
+    const running = createRunningAttempts();
+    const checks = new Map<string, Promise<ListeningState>>();
+    /** Attempts without a complete answer on backend servers that may have crashed. */
+    const brokenAttempts = new Map<string, Set<RunningAttempt>>();
 
-    function isAwaiting(part: Fingerprint): boolean {
-        const newest = awaitingAnswer.get(part)?.at(-1);
-        return newest !== undefined && clock.monotonic() - newest < maximumAnswerWait;
-    }
-
-    async function check(server: ListedBackendServer, crashId: string): Promise<void> {
+    async function check(server: ListedBackendServer, crashId: string): Promise<ListeningState> {
         const { address, instance, service } = server;
         const first = await checkListening(address, input.connectTimeLimit);
         // The check may have failed because a packet was lost, so it is repeated once.
         const state = first === "unknown" ? await checkListening(address, input.connectTimeLimit) : first;
         checks.delete(crashId);
-        const causes = [...brokenRequests.get(crashId) ?? []];
+        const broken = [...brokenAttempts.get(crashId) ?? []];
+        brokenAttempts.delete(crashId);
+        const causes = [...new Set(broken.flatMap(attempt => attempt.causes))];
+        const events = countEvents(broken);
         const fingerprints = causes.filter(cause => !isPartFingerprint(cause));
-        brokenRequests.delete(crashId);
         input.countCheck(service, state);
         logger.info({
             peer: instance,
@@ -117,53 +119,53 @@
             crashId,
             outcome: state,
             requests: fingerprints.length,
+            answering: fingerprints.filter(fingerprint => events.has(fingerprint)).length,
+            parts: causes.length - fingerprints.length,
             fingerprints: fingerprints.slice(0, maximumLoggedFingerprints).join(","),
         }, "backend server checked");
         if (state === "refused") {
-            input.onCrash({ crashId, service, fingerprints: causes });
+            input.onCrash({ crashId, service, fingerprints: causes, events });
         }
+        return state;
     }
 
-    function checkOnce(server: ListedBackendServer, crashId: string): Promise<void> {
-        const running = checks.get(crashId) ?? check(server, crashId);
-        checks.set(crashId, running);
-        return running;
+    /** Checks a backend server on which an attempt has ended early; the others there may have been cut off as well. */
+    function checkAfter(attempt: RunningAttempt, server: ListedBackendServer): Promise<ListeningState> {
+        const { crashId } = attempt;
+        const broken = brokenAttempts.get(crashId) ?? new Set<RunningAttempt>();
+        [attempt, ...running.list(crashId)].forEach(cut => broken.add(cut));
+        brokenAttempts.set(crashId, broken);
+        const current = checks.get(crashId) ?? check(server, crashId);
+        checks.set(crashId, current);
+        return current;
     }
 
     return {
-        isAwaitingAnswer: parts => parts.some(isAwaiting),
-        trackAttempt: (server, { fingerprint, partFingerprints = [] }) => {
-            const crashId = createLifetimeId(server);
-            const causes = [fingerprint, ...partFingerprints];
-            const ends = causes.map(cause => losses.begin(crashId, cause));
-            const begunAt = clock.monotonic();
-            partFingerprints.forEach(part => beginAwaiting(part, begunAt));
-            let inProgress = true;
-            const stopTracking = (): boolean => {
-                const wasTracked = inProgress;
-                inProgress = false;
-                if (wasTracked) {
-                    ends.forEach(end => end());
-                    partFingerprints.forEach(part => endAwaiting(part, begunAt));
-                }
-                return wasTracked;
-            };
+        isAwaitingAnswer: parts => running.isAwaitingAnswer(parts, clock.monotonic() - maximumAnswerWait),
+        trackAttempt: (server, request) => {
+            const attempt = running.begin(createLifetimeId(server), request, clock.monotonic());
             return {
-                answered: succeeded => {
-                    if (stopTracking()) {
-                        (succeeded ? causes : [fingerprint]).forEach(input.onAnswer);
+                receivedEvent: () => running.recordEvent(attempt),
+                completed: (succeeded, framing) => {
+                    if (!running.end(attempt)) {
+                        return;
                     }
+                    const harmless = succeeded ? attempt.causes : [request.fingerprint];
+                    if (framing !== "connection") {
+                        input.onAnswer(harmless);
+                        return;
+                    }
+                    void checkAfter(attempt, server).then(state => {
+                        if (state === "listening") {
+                            input.onAnswer(harmless);
+                        }
+                    });
                 },
                 finish: async connectionBroke => {
-                    const wasInProgress = stopTracking();
-                    if (!wasInProgress || !connectionBroke) {
-                        return;
+                    const wasInProgress = running.end(attempt);
+                    if (wasInProgress && connectionBroke) {
+                        await Promise.race([checkAfter(attempt, server), sleep(maximumCheckWait)]);
                     }
-                    const known = brokenRequests.get(crashId) ?? new Set<Fingerprint>();
-                    causes.flatMap(cause => losses.recordLoss(crashId, cause, false).fingerprints)
-                        .forEach(lost => known.add(lost));
-                    brokenRequests.set(crashId, known);
-                    await Promise.race([checkOnce(server, crashId), sleep(maximumCheckWait)]);
                 },
             };
         },
--- a/src/runtime/retry/condemnParts.ts
+++ b/src/runtime/retry/condemnParts.ts
@@ -1,4 +1,5 @@
 import type { Fingerprint, Milliseconds } from "../../types/index.js";
+import { additionalScatteredCrashes, groupByPlace } from "./crashPlaces.js";
 import type { CrashEvidence, CrashRow } from "./types.js";
 import { condemn, listUnattributed, type PossibleCause, type Verdicts } from "./verdicts.js";
 
@@ -22,6 +23,24 @@
     return left.at - right.at || (left.crashId < right.crashId ? -1 : 1);
 }
 
+/**
+ * Counts the moments at which backend servers crashed.
+ *
+ * @param crashes - the crashes
+ * @returns number of crashes, of which those at the same moment count once
+ */
+export function countMoments(crashes: readonly CrashRow[]): number {
+    let moments = 0;
+    let momentStart = -Infinity;
+    for (const { at } of [...crashes].sort(compareCrashes)) {
+        if (at - momentStart > momentWindow) {
+            moments++;
+            momentStart = at;
+        }
+    }
+    return moments;
+}
+
 /** Lists the requests that each crash is possible for, without those that an answer rules out. */
 function listPossibleRequests(requests: readonly PossibleCause[]): ReadonlyMap<string, ReadonlySet<Fingerprint>> {
     const byCrash = new Map<string, Set<Fingerprint>>();
@@ -35,8 +54,9 @@
 
 /**
  * Condemns parts of prompts by their independent crashes: neither at the same moment as another one nor with one of its
- * requests that has enough crashes to be condemned, since such a request brings all of its parts each time. While another
- * part was in nearly all of the same crashes, the verdict waits for a request that has only one of the two.
+ * requests that has enough crashes to be condemned, since such a request brings all of its parts each time. Crashes at
+ * different places of the answers have to be more. While another part was in nearly all of the same crashes, the verdict
+ * waits for a request that has only one of the two.
  *
  * @param evidence - crashes; not changed
  * @param parts - parts that may have caused crashes
@@ -66,6 +86,16 @@
         return independent;
     }
 
+    function areEnough(fingerprint: Fingerprint, crashes: readonly string[]): boolean {
+        const independent = countIndependent(crashes);
+        if (independent < maximumCrashes || independent >= maximumCrashes + additionalScatteredCrashes) {
+            return independent >= maximumCrashes;
+        }
+        return groupByPlace(crashes.map(crash => rows.get(crash)!), fingerprint).some(group =>
+            countIndependent(group.map(({ crashId }) => crashId)) >= maximumCrashes
+        );
+    }
+
     function isRival(
         fingerprint: Fingerprint,
         crashes: readonly string[],
@@ -75,13 +105,13 @@
         const own = crashes.filter(crash => !otherCrashes.has(crash));
         return other !== fingerprint && countIndependent(common) >= minimumCommonCrashes &&
             countIndependent(own) < rivalMargin &&
-            countIndependent(listUnattributed(verdicts, otherCrashes)) >= maximumCrashes;
+            areEnough(other, listUnattributed(verdicts, otherCrashes));
     }
 
     function judge(candidate: PossibleCause): void {
         const [fingerprint] = candidate;
         const crashes = listUnattributed(verdicts, candidate[1]);
-        if (countIndependent(crashes) < maximumCrashes) {
+        if (!areEnough(fingerprint, crashes)) {
             return;
         }
         const rivals = candidates.filter(other => isRival(fingerprint, crashes, other));
--- a/src/runtime/retry/crashEvidence.ts
+++ b/src/runtime/retry/crashEvidence.ts
@@ -1,6 +1,6 @@
 import type { Fingerprint, Milliseconds } from "../../types/index.js";
 import { computeDigest } from "../../utils/index.js";
-import { findCrashSuspects, isRuledOut, readAnswerMemory } from "./findCrashSuspects.js";
+import { findCrashSuspects, isRuledOut, listPossibleCrashes, readAnswerMemory } from "./findCrashSuspects.js";
 import { isPartFingerprint } from "./promptParts.js";
 import type {
     CrashEvidence,
@@ -9,7 +9,6 @@
     EvidenceDelta,
     SharedCrash,
     SharedEvidence,
-    SuspectStanding,
 } from "./types.js";
 
 const nothingToShare: EvidenceDelta = { crashIds: [], answered: [] };
@@ -61,18 +60,43 @@
     }
 }
 
-/** Merges a crash into the evidence. Returns true if the crash or one of its fingerprints was not known. */
+/** Merges numbers of events. Returns true if an answer had gone further than was known. */
+function mergeEvents(known: Map<Fingerprint, number>, events: ReadonlyMap<Fingerprint, number>): boolean {
+    let isFurther = false;
+    for (const [fingerprint, count] of events) {
+        if (count > (known.get(fingerprint) ?? 0)) {
+            known.set(fingerprint, count);
+            isFurther = true;
+        }
+    }
+    return isFurther;
+}
+
+/** Selects the answers that had begun to one of the fingerprints. */
+function selectEvents(
+    events: ReadonlyMap<Fingerprint, number>,
+    fingerprints: ReadonlySet<Fingerprint>,
+): Map<Fingerprint, number> {
+    return new Map([...events].filter(([fingerprint, count]) => count > 0 && fingerprints.has(fingerprint)));
+}
+
+/** Merges a crash into the evidence. Returns true if the crash or something of it was not known. */
 function mergeCrash({ crashes }: CrashEvidence, row: CrashRow): boolean {
     const known = crashes.get(row.crashId);
     if (known === undefined) {
-        crashes.set(row.crashId, { ...row, fingerprints: new Set(row.fingerprints) });
+        crashes.set(row.crashId, {
+            ...row,
+            fingerprints: new Set(row.fingerprints),
+            events: new Map(row.events),
+        });
         return true;
     }
     const before = known.fingerprints.size;
+    const isFurther = mergeEvents(known.events, row.events);
     row.fingerprints.forEach(fingerprint => known.fingerprints.add(fingerprint));
     known.at = Math.min(known.at, row.at);
     known.touchedAt = Math.max(known.touchedAt, row.touchedAt);
-    return known.fingerprints.size > before;
+    return isFurther || known.fingerprints.size > before;
 }
 
 /** Lists the requests that were in progress in any crash. */
@@ -103,13 +127,6 @@
     answers.set(fingerprint, at);
 }
 
-/** Lists the crashes that a request or part may have caused. */
-function listPossibleCrashes(evidence: CrashEvidence, fingerprint: Fingerprint): CrashRow[] {
-    return [...evidence.crashes.values()].filter(row =>
-        row.fingerprints.has(fingerprint) && !isRuledOut(evidence, fingerprint, row)
-    );
-}
-
 /**
  * Stores an answer that another process reported. Returns true if it has to be shared further. Ages are rounded in
  * transit, so an answer that is only slightly later and rules out nothing more may be the one that is known already.
@@ -131,9 +148,11 @@
  * @param evidence - evidence to change
  * @param crashId - identifier of the server's lifetime, from its start to its crash; a crash that several processes
  * report counts once
- * @param fingerprints - unanswered requests that this process had in progress on the server, and the shared parts of
- * their prompts; parts that an answer rules out are left out
+ * @param fingerprints - requests without a complete answer that this process had in progress on the server, and the
+ * shared parts of their prompts; parts that an answer rules out are left out
  * @param now - monotonic time
+ * @param events - number of events that had arrived of each answer that had begun, the longest one for a part. Default:
+ * none had.
  * @returns the part of the evidence to share with other processes
  */
 export function recordCrash(
@@ -141,11 +160,19 @@
     crashId: string,
     fingerprints: readonly Fingerprint[],
     now: Milliseconds,
+    events: ReadonlyMap<Fingerprint, number> = new Map(),
 ): EvidenceDelta {
     const possible = fingerprints.filter(fingerprint =>
         !isPartFingerprint(fingerprint) || !isRuledOut(evidence, fingerprint, { at: now })
     );
-    const row: CrashRow = { crashId, fingerprints: new Set(possible), at: now, touchedAt: now };
+    const causes = new Set(possible);
+    const row: CrashRow = {
+        crashId,
+        fingerprints: causes,
+        events: selectEvents(events, causes),
+        at: now,
+        touchedAt: now,
+    };
     if (possible.length === 0 || !mergeCrash(evidence, row)) {
         return nothingToShare;
     }
@@ -155,78 +182,29 @@
 }
 
 /**
- * Records that a backend server has begun to answer a request.
+ * Records that a backend server has answered a request completely. The begin of an answer proves nothing: the backend
+ * server may crash at any place of it.
  *
  * @param evidence - evidence to change
- * @param fingerprint - the request, or a shared part of its prompt
+ * @param fingerprints - the request, and the shared parts of its prompt
  * @param now - monotonic time
- * @returns the part of the evidence to share with other processes: the answer, if it was a suspect
+ * @returns the part of the evidence to share with other processes: the answers of those that were suspects
  */
-export function recordAnswer(evidence: CrashEvidence, fingerprint: Fingerprint, now: Milliseconds): EvidenceDelta {
-    storeAnswer(evidence, fingerprint, now);
+export function recordAnswer(
+    evidence: CrashEvidence,
+    fingerprints: readonly Fingerprint[],
+    now: Milliseconds,
+): EvidenceDelta {
+    fingerprints.forEach(fingerprint => storeAnswer(evidence, fingerprint, now));
     if (evidence.answers.size > evidence.options.maximumSuspects) {
         forgetAnswers(evidence, now);
     }
-    if (!evidence.suspects.has(fingerprint)) {
+    const answered = fingerprints.filter(fingerprint => evidence.suspects.has(fingerprint));
+    if (answered.length === 0) {
         return nothingToShare;
     }
     updateSuspects(evidence);
-    return { crashIds: [], answered: [fingerprint] };
-}
-
-/**
- * Reads how a request has to be treated. Each read for a condemned request restarts the time for which its crashes are
- * remembered, so that a caller that keeps sending it causes no further crash. A part of a prompt may be harmless later,
- * so its time counts from its crashes alone.
- *
- * @param evidence - evidence; the crashes of a condemned request are marked as used now
- * @param fingerprint - the request, or a shared part of its prompt
- * @param now - monotonic time
- * @returns the standing
- */
-export function readCrashStanding(
-    evidence: CrashEvidence,
-    fingerprint: Fingerprint,
-    now: Milliseconds,
-): SuspectStanding {
-    const suspect = evidence.suspects.get(fingerprint);
-    if (suspect === undefined) {
-        return "clear";
-    }
-    if (!suspect.condemned) {
-        return "suspect";
-    }
-    for (const row of isPartFingerprint(fingerprint) ? [] : evidence.crashes.values()) {
-        if (row.fingerprints.has(fingerprint)) {
-            row.touchedAt = now;
-        }
-    }
-    return "condemned";
-}
-
-/**
- * Decides whether a request whose backend server has crashed may be retried on another one at once. An attempt whose
- * crash would condemn the request is made only if the caller sends the request again.
- *
- * @param evidence - evidence
- * @param fingerprint - the request, or a shared part of its prompt
- * @returns false if one more crash would condemn the request
- */
-export function mayRepeatAfterCrash({ options, suspects }: CrashEvidence, fingerprint: Fingerprint): boolean {
-    const suspect = suspects.get(fingerprint);
-    return suspect === undefined || (!suspect.condemned && suspect.crashes + 1 < options.maximumCrashes);
-}
-
-/**
- * Tells whether a prompt has parts of which one crashes backend servers, while it is not known which one. Only requests
- * with one of them can show that.
- *
- * @param evidence - evidence
- * @param parts - shared parts of the prompt
- * @returns true if one of the parts would be condemned without another one
- */
-export function hasRivalParts({ suspects }: CrashEvidence, parts: readonly Fingerprint[]): boolean {
-    return parts.some(part => suspects.get(part)?.rivals?.some(rival => parts.includes(rival)) === true);
+    return { crashIds: [], answered };
 }
 
 /**
@@ -244,9 +222,10 @@
         .sort((left, right) => right.touchedAt - left.touchedAt)
         .slice(0, maximumSharedCrashes);
     return {
-        crashes: rows.map(({ at, crashId, fingerprints, touchedAt }): SharedCrash => ({
+        crashes: rows.map(({ at, crashId, events, fingerprints, touchedAt }): SharedCrash => ({
             crashId,
             fingerprints: [...fingerprints],
+            events: new Map(events),
             age: Math.max(0, now - at),
             touchedAge: Math.max(0, now - touchedAt),
         })),
@@ -270,7 +249,8 @@
     }
     const rows = [...evidence.crashes.values()].map(row => {
         const possible = [...row.fingerprints].filter(fingerprint => !isRuledOut(evidence, fingerprint, row));
-        return `${row.crashId}:${row.fingerprints.size}:${possible.length}`;
+        const events = [...row.events.values()].reduce((sum, count) => sum + count, 0);
+        return `${row.crashId}:${row.fingerprints.size}:${events}:${possible.length}`;
     });
     const answered = [...listImplicated(evidence)].filter(fingerprint => evidence.answers.has(fingerprint));
     return computeDigest([...rows, ...answered].sort().join("\n"));
@@ -289,14 +269,21 @@
     const crashIds: string[] = [];
     const answered = new Set<Fingerprint>();
     const { condemnedDuration } = evidence.options;
-    for (const { age, crashId, fingerprints: sharedFingerprints, touchedAge } of shared.crashes) {
+    for (const { age, crashId, events = new Map(), fingerprints: sharedFingerprints, touchedAge } of shared.crashes) {
         const fingerprints = age > condemnedDuration ?
             sharedFingerprints.filter(fingerprint => !isPartFingerprint(fingerprint)) :
             sharedFingerprints;
         if (touchedAge > condemnedDuration || fingerprints.length === 0) {
             continue;
         }
-        const row = { crashId, fingerprints: new Set(fingerprints), at: now - age, touchedAt: now - touchedAge };
+        const causes = new Set(fingerprints);
+        const row: CrashRow = {
+            crashId,
+            fingerprints: causes,
+            events: selectEvents(events, causes),
+            at: now - age,
+            touchedAt: now - touchedAge,
+        };
         if (mergeCrash(evidence, row)) {
             crashIds.push(crashId);
             fingerprints.filter(fingerprint => evidence.answers.has(fingerprint))
@@ -320,7 +307,10 @@
     const oldParts = [...crashes.values()].filter(({ at }) => now - at > options.condemnedDuration).flatMap(row =>
         [...row.fingerprints].filter(isPartFingerprint).map(fingerprint => ({ row, fingerprint }))
     );
-    oldParts.forEach(({ fingerprint, row }) => row.fingerprints.delete(fingerprint));
+    oldParts.forEach(({ fingerprint, row }) => {
+        row.fingerprints.delete(fingerprint);
+        row.events.delete(fingerprint);
+    });
     return oldParts.length > 0;
 }
 
--- a/src/runtime/retry/findCrashSuspects.ts
+++ b/src/runtime/retry/findCrashSuspects.ts
@@ -9,6 +9,7 @@
  * begin to crash backend servers.
  */
 const partAnswerMemory: Milliseconds = 1_000;
+
 /**
  * Reads for how long an answer rules out later crashes.
  *
@@ -22,8 +23,8 @@
 
 /**
  * Tells whether an answer rules a request or a part of its prompt out as the cause of a crash. What crashes each backend
- * server is never answered, so an answer exonerates it from the crashes that were noticed before the answer or at most
- * the answer memory after it.
+ * server is never answered completely, so a complete answer exonerates it from the crashes that were noticed before the
+ * answer or at most the answer memory after it.
  *
  * @param evidence - answers
  * @param fingerprint - the request or part
@@ -39,6 +40,19 @@
     return answeredAt !== undefined && at - answeredAt <= readAnswerMemory(evidence, fingerprint);
 }
 
+/**
+ * Lists the crashes that a request or part may have caused.
+ *
+ * @param evidence - crashes and answers
+ * @param fingerprint - the request or part
+ * @returns the crashes that no answer rules out
+ */
+export function listPossibleCrashes(evidence: CrashEvidence, fingerprint: Fingerprint): CrashRow[] {
+    return [...evidence.crashes.values()].filter(row =>
+        row.fingerprints.has(fingerprint) && !isRuledOut(evidence, fingerprint, row)
+    );
+}
+
 /** Lists the crashes that each request and part may have caused, the one with the most crashes first. */
 function listPossibleCauses(evidence: CrashEvidence): readonly PossibleCause[] {
     const possibleCrashes = new Map<Fingerprint, Set<string>>();
--- a/src/runtime/retry/index.ts
+++ b/src/runtime/retry/index.ts
@@ -1,5 +1,6 @@
 export * from "./budget.js";
 export * from "./crashEvidence.js";
+export * from "./crashStanding.js";
 export * from "./decision.js";
 export * from "./hedge.js";
 export * from "./options.js";
--- a/src/runtime/retry/types.ts
+++ b/src/runtime/retry/types.ts
@@ -18,7 +18,7 @@
     readonly suspicionDuration: Milliseconds;
     /** Most fingerprints of suspects that are stored; the oldest are dropped. Default: 10,000. */
     readonly maximumSuspects: number;
-    /** Time for which an answer to a request rules it out as the cause of later crashes. Default: 30,000 ms. */
+    /** Time for which a complete answer to a request rules it out as the cause of later crashes. Default: 30,000 ms. */
     readonly answerMemory: Milliseconds;
 }
 
@@ -77,8 +77,10 @@
     at: Milliseconds;
     /** Monotonic time of the crash or, if that is later, at which one of its condemned requests was last sent. */
     touchedAt: Milliseconds;
-    /** Unanswered requests that were in progress on the server, and the shared parts of their prompts. */
+    /** Requests without a complete answer that were in progress on the server, and the shared parts of their prompts. */
     readonly fingerprints: Set<Fingerprint>;
+    /** Number of events that had arrived of each answer that had begun, the longest one for a part. */
+    readonly events: Map<Fingerprint, number>;
 }
 
 /** Request, or part of a prompt that requests share, that may have crashed backend servers. */
@@ -101,7 +103,7 @@
  */
 export interface CrashEvidence {
     readonly crashes: Map<string, CrashRow>;
-    /** Monotonic time at which each request was last answered, oldest first. */
+    /** Monotonic time at which the last answer to each request, or to one with the part, was complete, oldest first. */
     readonly answers: Map<Fingerprint, Milliseconds>;
     /** Derived from `crashes` and `answers` whenever they change. */
     readonly suspects: Map<Fingerprint, CrashSuspect>;
@@ -111,7 +113,7 @@
 /** Part of the evidence that other processes may not know yet. */
 export interface EvidenceDelta {
     readonly crashIds: readonly string[];
-    /** Requests whose answers have to be shared. */
+    /** Requests and parts whose answers have to be shared. */
     readonly answered: readonly Fingerprint[];
 }
 
@@ -119,6 +121,8 @@
 export interface SharedCrash {
     readonly crashId: string;
     readonly fingerprints: readonly Fingerprint[];
+    /** Number of events that had arrived of each answer that had begun, the longest one for a part. Default: none had. */
+    readonly events?: ReadonlyMap<Fingerprint, number> | undefined;
     /** Time since the crash was first noticed. */
     readonly age: Milliseconds;
     /** Time since the crash or, if that is shorter, since one of its condemned requests was last sent. */
--- a/test/node/gateway/condemnedRecords.test.ts
+++ b/test/node/gateway/condemnedRecords.test.ts
@@ -110,11 +110,16 @@
         }));
         for (const crashId of ["i-1", "i-2", "i-3"]) {
             clock.advance(1_000);
-            crashEvidence.recordObservedCrash({ crashId, service: "archive", fingerprints: [fingerprint] });
+            crashEvidence.recordObservedCrash({
+                crashId,
+                service: "archive",
+                fingerprints: [fingerprint],
+                events: new Map(),
+            });
         }
         await waitUntil("the record is written", () => puts.length === 2);
         clock.advance(1_000);
-        crashEvidence.recordAnswer(fingerprint);
+        crashEvidence.recordAnswer([fingerprint]);
         await waitUntil("the record is dropped", () => puts.length === 3);
         apply(puts[0]!);
         await waitUntil("the record is dropped again", () => puts.length === 4);
--- a/test/platform/crashingPromptPart.test.ts
+++ b/test/platform/crashingPromptPart.test.ts
@@ -136,33 +136,69 @@
         });
     }
 
+    const places: readonly {
+        readonly place: string;
+        readonly path: string;
+        readonly answers: Partial<CrashingFleetOptions>;
+    }[] = [
+        { place: "the first event", path: "/stream/", answers: { events: 8, crashAfterPart: 1 } },
+        { place: "the third event", path: "/stream/", answers: { events: 8, crashAfterPart: 3 } },
+        { place: "the last event but one", path: "/stream/", answers: { events: 8, crashAfterPart: 7 } },
+        { place: "half of a whole answer", path: "/safe/", answers: { crashAfterPart: 1 } },
+    ];
+    for (const { answers, path, place } of places) {
+        // Guards against the begin of an answer that counts as proof that no part of its prompt crashes backend servers.
+        it(`stop forwarding them, and serve the others: crash after ${place}`, async () => {
+            await using deployment = await startDeployment();
+            const fleet = await startPartFleet(deployment, {
+                ...answers,
+                eventMilliseconds: 20,
+                crashDelayMilliseconds: 0,
+            });
+            const gateways = await addGateways(deployment, path);
+            const stop = startSoundCallers(gateways, path);
+            await pause(1_000);
+            const fatalResponses = await sendFatalPart(gateways, path, 60, 200);
+            const sound = await stop();
+            expect(fleet.crashes.length).toBeGreaterThan(0);
+            expect(countLateRuns(fleet)).toBeLessThanOrEqual(allowedRuns);
+            expect(listCondemned(fatalResponses).length).toBeGreaterThan(30);
+            expect(listCondemned(sound.map(({ response }) => response))).toEqual([]);
+            const late = sound.filter(({ at }) => at > fleet.crashes[0]!.at + 2 * settleMilliseconds);
+            const served = late.filter(({ response }) => response?.status === 200);
+            expect(served.length).toBeGreaterThan(late.length * 0.9);
+        });
+    }
+
     // Guards against a gateway that forwards the part again because it has restarted.
-    it("refuse them after one has restarted, and after all have", async () => {
-        await using deployment = await startDeployment();
-        const fleet = await startPartFleet(deployment);
-        const gateways = await addGateways(deployment, "/unsafe/");
-        const stop = startSoundCallers(gateways, "/unsafe/");
-        await crashUntilCondemned(gateways, "/unsafe/");
-        await stop();
-        const isWritten = ({ logLines }: TestGateway): boolean =>
-            logLines.some(line => line.includes("condemned request written") && line.includes("part-"));
-        await waitUntil("the part is in the log", () => gateways.some(isWritten));
-        const crashes = fleet.crashes.length;
-        await gateways[2]!.drain();
-        await gateways[2]![Symbol.asyncDispose]();
-        const restarted = await deployment.addGateway("gateway-3b");
-        await waitUntil("the gateway serves", async () => (await call(restarted, "/unsafe/")).status === 200);
-        expect(listCondemned(await sendFatalPart([restarted], "/unsafe/", 3, 0)).length).toEqual(3);
-        await Promise.all([
-            deployment.stop(),
-            gateways[1]![Symbol.asyncDispose](),
-            restarted[Symbol.asyncDispose](),
-        ]);
-        const last = await deployment.addGateway("gateway-4");
-        await waitUntil("the gateway serves", async () => (await call(last, "/unsafe/")).status === 200);
-        expect(listCondemned(await sendFatalPart([last], "/unsafe/", 3, 0)).length).toEqual(3);
-        expect(fleet.crashes.length).toEqual(crashes);
-    });
+    for (const { answers, path } of [routes[0]!, places[0]!]) {
+        it(`refuse them after one has restarted, and after all have: ${path}`, async () => {
+            await using deployment = await startDeployment();
+            const fleet = await startPartFleet(deployment, { crashDelayMilliseconds: 0, ...answers });
+            const gateways = await addGateways(deployment, path);
+            const stop = startSoundCallers(gateways, path);
+            await crashUntilCondemned(gateways, path);
+            await stop();
+            const isWritten = ({ logLines }: TestGateway): boolean =>
+                logLines.some(line => line.includes("condemned request written") && line.includes("part-"));
+            await waitUntil("the part is in the log", () => gateways.some(isWritten));
+            const crashes = fleet.crashes.length;
+            await gateways[2]!.drain();
+            await gateways[2]![Symbol.asyncDispose]();
+            const restarted = await deployment.addGateway("gateway-3b");
+            await waitUntil("the gateway serves", async () => (await call(restarted, path)).status === 200);
+            expect(listCondemned(await sendFatalPart([restarted], path, 3, 0)).length).toEqual(3);
+            await Promise.all([
+                deployment.stop(),
+                gateways[1]![Symbol.asyncDispose](),
+                restarted[Symbol.asyncDispose](),
+            ]);
+            const last = await deployment.addGateway("gateway-4");
+            await waitUntil("the gateway serves", async () => (await call(last, path)).status === 200);
+            expect(listCondemned(await sendFatalPart([last], path, 3, 0)).length).toEqual(3);
+            expect(fleet.crashes.length).toEqual(crashes);
+        });
+    }
 
     // Guards against several backend servers that crash at once, and against refusing a part that has become harmless.
     it("forward one request with a suspect part at a time, until one is answered", async () => {
@@ -184,18 +220,21 @@
         expect(later.map(response => response?.status)).toEqual([200, 200, 200]);
     });
 
-    // Guards against refusing popular parts because backend servers crash for other reasons, singly or together.
-    it("keep forwarding popular parts while backend servers crash for other reasons", async () => {
-        await using deployment = await startDeployment();
-        const fleet = await startPartFleet(deployment);
-        const gateways = await addGateways(deployment, "/unsafe/");
-        const stop = startSoundCallers(gateways, "/unsafe/");
-        for (const count of [1, 4, 1, 6, 1, 8]) {
-            Array.from({ length: count }).forEach(() => fleet.crashOne());
-            await pause(800);
-        }
-        const sound = (await stop()).map(({ response }) => response);
-        expect(listCondemned(sound)).toEqual([]);
-        expect(gateways.flatMap(({ logLines }) => logLines.filter(isCondemnation))).toEqual([]);
-    });
+    for (const { answers, path } of routes.slice(0, 2)) {
+        // Guards against refusing popular parts because backend servers crash for other reasons, singly or together.
+        it(`keep forwarding popular parts while backend servers crash for other reasons: ${path}`, async () => {
+            await using deployment = await startDeployment();
+            const fleet = await startPartFleet(deployment, answers);
+            const gateways = await addGateways(deployment, path);
+            const stop = startSoundCallers(gateways, path);
+            for (const count of [1, 4, 1, 6, 1, 8]) {
+                Array.from({ length: count }).forEach(() => fleet.crashOne());
+                await pause(800);
+            }
+            const sound = (await stop()).map(({ response }) => response);
+            expect(listCondemned(sound)).toEqual([]);
+            expect(sound.filter(response => response?.body.includes("may-crash-backend-servers"))).toEqual([]);
+            expect(gateways.flatMap(({ logLines }) => logLines.filter(isCondemnation))).toEqual([]);
+        });
+    }
 });
--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -35,6 +35,30 @@
         });
     }
 
+    // Guards against the begin of an answer that counts as proof that its request crashes no backend server.
+    it("stop forwarding it, crash after the first event: /stream/", async () => {
+        await using deployment = await startDeployment();
+        const fleet = await startFleet(deployment, { events: 8, eventMilliseconds: 20, crashAfterPart: 1 });
+        const gateways = await addGateways(deployment, "/stream/");
+        const stop = startCallers(gateways, "/stream/");
+        const refused = listCondemned(await sendFatal(gateways, "/stream/", 32, 250));
+        const answersToOthers = await stop();
+        expect(countLateRuns(fleet)).toBeLessThanOrEqual(allowedRepeats);
+        expect(refused.length).toBeGreaterThan(20);
+        expect(listCondemned(answersToOthers)).toEqual([]);
+    });
+
+    // Guards against resumptions and retries that each count by themselves, so that one request ends many backend servers.
+    it("end three backend servers at most, resumed streams and all gateways together", async () => {
+        await using deployment = await startDeployment();
+        const fleet = await startFleet(deployment, { events: 8, eventMilliseconds: 20, crashAfterPart: 3 });
+        const gateways = await addGateways(deployment, "/stream/");
+        await sendFatal(gateways.slice(0, 1), "/stream/", 1, 300);
+        expect(fleet.crashes.length).toEqual(2);
+        await sendFatal(gateways, "/stream/", 9, 300);
+        expect(fleet.crashes.length).toEqual(3);
+    });
+
     // Guards against gateways that learn of crashes at other gateways only from the store, or not from it.
     it("refuse it while the store is unavailable, and after all of them have restarted", async () => {
         await using deployment = await startDeployment();
--- a/test/platform/standIn/crashingFleet.ts
+++ b/test/platform/standIn/crashingFleet.ts
@@ -37,6 +37,11 @@
     readonly isFatal: (body: string, headers: RunnerRun["headers"]) => boolean;
     /** Time from the begin of a fatal request to the crash; less than `workMilliseconds`. Default: none. */
     readonly crashDelayMilliseconds?: number;
+    /**
+     * Part of the answer to a fatal request after which the runner crashes, as in `RunnerStandInOptions`; a runner that
+     * resumes a stream after that part crashes at once. Default: it crashes before it begins to answer.
+     */
+    readonly crashAfterPart?: number;
     /** Time until the response to a request begins. */
     readonly workMilliseconds: number;
     /** Time from the crash of a runner to its restart. */
@@ -95,7 +100,9 @@
             port,
             shouldCrash: run => {
                 runs.push({ ...run, at: Date.now(), instance });
-                const fatal = options.isFatal(run.body, run.headers);
+                const { crashAfterPart } = options;
+                const isPastCrash = Number(run.headers["last-event-id"] ?? 0) >= (crashAfterPart ?? 0);
+                const fatal = options.isFatal(run.body, run.headers) && isPastCrash;
                 if (fatal && options.crashDelayMilliseconds !== undefined) {
                     schedule(options.crashDelayMilliseconds, () => crash(port, instance, run.body));
                     return false;
@@ -105,6 +112,15 @@
                 }
                 return fatal;
             },
+            ...(options.crashAfterPart === undefined ? {} : {
+                shouldCrashAfter: (run, part) => {
+                    const fatal = part === options.crashAfterPart && options.isFatal(run.body, run.headers);
+                    if (fatal) {
+                        recordCrash(port, instance, run.body);
+                    }
+                    return fatal;
+                },
+            }),
         });
         if (stopped) {
             await runner[Symbol.asyncDispose]();
--- a/test/platform/standIn/runnerStandIn.ts
+++ b/test/platform/standIn/runnerStandIn.ts
@@ -87,6 +87,11 @@
     readonly version?: number;
     /** Called for each request that the runner begins to execute; the runner crashes if it returns true. */
     readonly shouldCrash?: (recordRun: RunnerRun) => boolean;
+    /**
+     * Called after each event of a stream with its number, and with 1 after the first half of any other body; the runner
+     * crashes if it returns true.
+     */
+    readonly shouldCrashAfter?: (recordRun: RunnerRun, part: number) => boolean;
 }
 
 const responseSeal = "3e1b.07.5a2.600.0.c9f2a4d1";
@@ -121,14 +126,30 @@
         };
         if (options.events === undefined) {
             response.writeHead(200, { ...head, "content-type": "text/plain" });
-            response.end(`${options.id}:${runnerRun.body}`);
+            await sendHalf(response, runnerRun, `${options.id}:`);
+            response.end(runnerRun.body);
             return;
         }
         response.writeHead(200, { ...head, "content-type": "text/event-stream" });
-        await sendEvents(request, response, options.events);
+        await sendEvents(request, response, runnerRun, options.events);
     }
 
-    async function sendEvents(request: IncomingMessage, response: ServerResponse, events: number): Promise<void> {
+    async function sendHalf(response: ServerResponse, runnerRun: RunnerRun, half: string): Promise<void> {
+        response.write(half);
+        if (options.shouldCrashAfter !== undefined) {
+            await new Promise(resolve => setTimeout(resolve, options.eventMilliseconds ?? 1));
+            if (options.shouldCrashAfter(runnerRun, 1)) {
+                server.crash();
+            }
+        }
+    }
+
+    async function sendEvents(
+        request: IncomingMessage,
+        response: ServerResponse,
+        runnerRun: RunnerRun,
+        events: number,
+    ): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         for (let id = first; id <= events; id++) {
             if (options.breakAfter !== undefined && id > options.breakAfter) {
@@ -138,6 +159,10 @@
             }
             response.write(`id: ${id}\ndata: ${options.id}\n\n`);
             await new Promise(resolve => setTimeout(resolve, options.eventMilliseconds ?? 1));
+            if (options.shouldCrashAfter?.(runnerRun, id) === true) {
+                server.crash();
+                return;
+            }
         }
         response.end();
     }
--- a/test/runtime/retry/crashEvidence.test.ts
+++ b/test/runtime/retry/crashEvidence.test.ts
@@ -92,7 +92,7 @@
 
     it("rules out a request that is answered, also long after", () => {
         const evidence = createEvidence({ a: ["popular"], b: ["popular"] });
-        expect(recordAnswer(evidence, "popular", 10)).toEqual({ crashIds: [], answered: ["popular"] });
+        expect(recordAnswer(evidence, ["popular"], 10)).toEqual({ crashIds: [], answered: ["popular"] });
         recordCrash(evidence, "c", ["popular"], 20_000);
         expect(readCrashStanding(evidence, "popular", 20_000)).toEqual("clear");
         expireEvidence(evidence, 45_000);
@@ -102,7 +102,7 @@
     it("clears a condemned request whose answer another process has seen", () => {
         const evidence = createEvidence({ a: ["popular"], b: ["popular"], c: ["popular"] });
         const other = createEvidence();
-        recordAnswer(other, "popular", 0);
+        recordAnswer(other, ["popular"], 0);
         const toShare = mergeEvidence(other, exportEvidence(evidence, 0), 0);
         expect(toShare).toEqual({ crashIds: ["a", "b", "c"], answered: ["popular"] });
         mergeEvidence(evidence, exportEvidence(other, 0, toShare), 0);
@@ -126,7 +126,7 @@
         ["a", "b", "c"].forEach(crashId => recordCrash(evidence, crashId, ["fatal"], 0));
         for (let count = 0; count < 20; count++) {
             recordCrash(evidence, `crash-${count}`, [`x-${count}`, `y-${count}`], 1 + count);
-            recordAnswer(evidence, `answered-${count}`, 1 + count);
+            recordAnswer(evidence, [`answered-${count}`], 1 + count);
         }
         expect([...evidence.crashes.values()].reduce((sum, row) => sum + row.fingerprints.size, 0)).toBeLessThanOrEqual(
             10,
--- a/test/runtime/retry/crashingParts.test.ts
+++ b/test/runtime/retry/crashingParts.test.ts
@@ -163,7 +163,7 @@
                 at,
                 () => void recordCrash(evidence, `server-${at}`, [`request-${at}`, subject], at),
             ]);
-            events.push([answeredAt, () => void recordAnswer(evidence, subject, answeredAt)]);
+            events.push([answeredAt, () => void recordAnswer(evidence, [subject], answeredAt)]);
             events.sort(([left], [right]) => left - right).forEach(([, happen]) => happen());
             expect(listCondemned(evidence)).toEqual([...expected]);
         });
@@ -172,19 +172,19 @@
     // Guards against refusing every request of a route because its common first part was in all crashes.
     it("finds the part among those in the same crashes once an answer rules the others out", () => {
         const evidence = createEvidence([0, 1_000, 2_000].map(at => [at, [`request-${at}`, first, subject, fatal]]));
-        recordAnswer(evidence, subject, 2_100);
+        recordAnswer(evidence, [subject], 2_100);
         expect(listCondemned(evidence)).toEqual([]);
-        expect(recordAnswer(evidence, first, 2_200)).toEqual({ crashIds: [], answered: [first] });
+        expect(recordAnswer(evidence, [first], 2_200)).toEqual({ crashIds: [], answered: [first] });
         expect(listCondemned(evidence)).toEqual(["fatal"]);
     });
 
     it("clears parts whose answer another process has seen, and then tells no more of it", () => {
         const crashes: readonly Crash[] = [0, 1_000, 2_000].map(at => [at, [`request-${at}`, subject]]);
         const evidence = createEvidence();
-        recordAnswer(evidence, subject, -5_000);
+        recordAnswer(evidence, [subject], -5_000);
         crashes.forEach(([at, causes]) => recordCrash(evidence, `server-${at}`, causes, at));
         const witness = createEvidence();
-        recordAnswer(witness, subject, 2_050);
+        recordAnswer(witness, [subject], 2_050);
         const news = mergeEvidence(witness, exportEvidence(evidence, 2_100), 2_100);
         const answer = exportEvidence(witness, 2_100, news);
         expect(mergeEvidence(evidence, answer, 2_100).answered).toEqual([subject]);
@@ -198,10 +198,10 @@
         const crash: Crash = [0, ["a", subject]];
         const [informed, uninformed] = [createEvidence(), createEvidence()];
         for (const evidence of [informed, uninformed]) {
-            recordAnswer(evidence, subject, -5_000);
+            recordAnswer(evidence, [subject], -5_000);
             recordCrash(evidence, "server-0", crash[1], 0);
         }
-        recordAnswer(informed, subject, 100);
+        recordAnswer(informed, [subject], 100);
         expect(digestEvidence(informed) === digestEvidence(uninformed)).toEqual(false);
     });
 
@@ -213,7 +213,7 @@
         expect([[first, fatal], [first, subject], [fatal, subject]].map(parts => hasRivalParts(evidence, parts)))
             .toEqual([true, false, false]);
         const answered = createEvidence(crashes);
-        recordAnswer(answered, first, 2_100);
+        recordAnswer(answered, [first], 2_100);
         expect(listCondemned(answered)).toEqual(["fatal"]);
         recordCrash(evidence, "server", ["x", first], 3_000);
         expect(listCondemned(evidence)).toEqual([]);
@@ -257,7 +257,7 @@
 
     it("leaves parts out of a crash that an answer has ruled out", () => {
         const evidence = createEvidence();
-        recordAnswer(evidence, first, 0);
+        recordAnswer(evidence, [first], 0);
         recordCrash(evidence, "server", ["a", first, fatal], 500);
         expect(exportEvidence(evidence, 500).crashes[0]!.fingerprints).toEqual(["a", fatal]);
     });
@@ -289,7 +289,7 @@
             const causes = [`x-${count}`, ...computePartFingerprints("service", [`part-${count}`])];
             recordCrash(evidence, `crash-${count}`, causes, 3_000 + count);
             computePartFingerprints("service", [`answered-${count}`])
-                .forEach(cause => recordAnswer(evidence, cause, 3_000 + count));
+                .forEach(cause => recordAnswer(evidence, [cause], 3_000 + count));
         }
         const stored = [...evidence.crashes.values()].reduce((sum, row) => sum + row.fingerprints.size, 0);
         expect(stored).toBeLessThanOrEqual(12);
@@ -313,7 +313,7 @@
                     for (const { causes, isAnswer, process, second } of events) {
                         const evidence = processes[process]!;
                         if (isAnswer) {
-                            recordAnswer(evidence, causes[0]!, second * 900);
+                            recordAnswer(evidence, [causes[0]!], second * 900);
                         }
                         else {
                             recordCrash(evidence, `server-${second}`, causes, second * 900);
--- a/test/runtime/retry/crashingPartsFleet.test.ts
+++ b/test/runtime/retry/crashingPartsFleet.test.ts
@@ -36,7 +36,11 @@
     readonly fatal: boolean;
     readonly attempts: number;
     server: number;
+    sentAt: number;
+    /** Time at which the answer is complete, or at which the request crashes its server. */
     answerAt: number;
+    /** Events of the answer that arrive in a second. */
+    eventsPerSecond: number;
 }
 
 interface Scenario {
@@ -47,6 +51,12 @@
     readonly otherCrashMilliseconds: number;
     /** Time between crashes of three servers at once. */
     readonly rackCrashMilliseconds: number;
+    /** Shortest time until an answer is complete; the longest is 500 ms more. Default: 100. */
+    readonly answerMilliseconds?: number;
+    /** Events of each answer. Default: none, as in answers that are no streams. */
+    readonly events?: number;
+    /** Share of that time after which a request with the part crashes its server. Default: 1. */
+    readonly crashPlace?: number;
 }
 
 interface Outcome {
@@ -95,7 +105,10 @@
         );
     }
 
-    function send(request: Omit<SimulatedRequest, "server" | "answerAt">, now: number): void {
+    function send(
+        request: Omit<SimulatedRequest, "answerAt" | "eventsPerSecond" | "sentAt" | "server">,
+        now: number,
+    ): void {
         const evidence = gateways[request.gateway]!;
         const up = upAt.flatMap((at, server) => at <= now ? [server] : []);
         if (
@@ -106,8 +119,10 @@
             return;
         }
         lateFatal += request.fatal && now > fifthCrashAt + settleMilliseconds ? 1 : 0;
-        const answerAt = now + 100 + pick(500);
-        inProgress.push({ ...request, server: up[pick(up.length)]!, answerAt });
+        const duration = (scenario.answerMilliseconds ?? 100) + pick(500);
+        const answerAt = now + duration * (request.fatal ? scenario.crashPlace ?? 1 : 1);
+        const eventsPerSecond = (scenario.events ?? 0) / duration * 1_000;
+        inProgress.push({ ...request, server: up[pick(up.length)]!, sentAt: now, answerAt, eventsPerSecond });
     }
 
     function crash(server: number, now: number): void {
@@ -119,8 +134,15 @@
         const lost = inProgress.filter(request => request.server === server);
         inProgress = inProgress.filter(request => request.server !== server);
         gateways.forEach((evidence, gateway) => {
-            const causes = lost.filter(request => request.gateway === gateway).flatMap(request => request.causes);
-            tell(gateway, recordCrash(evidence, crashId, [...new Set(causes)], now), now);
+            const own = lost.filter(request => request.gateway === gateway);
+            const causes = [...new Set(own.flatMap(request => request.causes))];
+            const events = new Map(causes.map(cause => {
+                const counts = own.filter(request => request.causes.includes(cause)).map(request =>
+                    Math.floor(request.eventsPerSecond * (now - request.sentAt) / 1_000)
+                );
+                return [cause, Math.max(...counts)];
+            }));
+            tell(gateway, recordCrash(evidence, crashId, causes, now, events), now);
         });
         for (const request of lost) {
             const evidence = gateways[request.gateway]!;
@@ -156,9 +178,7 @@
             }
             inProgress = inProgress.filter(row => row !== request);
             soundAnswered++;
-            request.causes.forEach(cause =>
-                tell(request.gateway, recordAnswer(gateways[request.gateway]!, cause, now), now)
-            );
+            tell(request.gateway, recordAnswer(gateways[request.gateway]!, request.causes, now), now);
         }
         if (now % scenario.otherCrashMilliseconds === 0) {
             crash(pick(serverCount), now);
@@ -208,6 +228,32 @@
             otherCrashMilliseconds: 2_500,
             rackCrashMilliseconds: 8_000,
         }],
+        ["often, early in long answers", {
+            requestsPerSecond: 45,
+            fatalShare: 0.3,
+            otherCrashMilliseconds: 6_000,
+            rackCrashMilliseconds: 15_000,
+            answerMilliseconds: 2_500,
+            events: 20,
+            crashPlace: 0.1,
+        }],
+        ["rarely, at the end of long answers", {
+            requestsPerSecond: 45,
+            fatalShare: 0.04,
+            otherCrashMilliseconds: 6_000,
+            rackCrashMilliseconds: 15_000,
+            answerMilliseconds: 1_500,
+            events: 20,
+            crashPlace: 0.9,
+        }],
+        ["never, with long answers", {
+            requestsPerSecond: 45,
+            fatalShare: 0,
+            otherCrashMilliseconds: 6_000,
+            rackCrashMilliseconds: 15_000,
+            answerMilliseconds: 2_500,
+            events: 20,
+        }],
         ["never", { requestsPerSecond: 45, fatalShare: 0, otherCrashMilliseconds: 700, rackCrashMilliseconds: 3_400 }],
         ["never, with little traffic", {
             requestsPerSecond: 8,
