List the fields of the line on checked backend servers in the table of events

Cause: changed docs/events.md, which is rendered from the table, by hand, so that test/node/logging/events.test.ts failed. Change: the table has the new fields. Result: the page is what the table renders to.

--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -196,8 +196,9 @@
     "backend server checked": define(
         "belief",
         ["gateway"],
-        "a connection broke before an answer began; the backend server has crashed if its address refuses connections",
-        ["peer", "outcome", "crashId", "requests", "fingerprints"],
+        "a connection broke before an answer was complete, or an answer ended with its connection; the backend server has " +
+            "crashed if its address refuses connections",
+        ["peer", "outcome", "crashId", "requests", "answering", "parts", "fingerprints"],
     ),
     "standing of a request changed": define(
         "belief",
