Read responses in turns of the event loop, with constant work for each byte

Cause: the splitter of events copied all pending bytes for each part; each chunk was a part for the reader; one poll of the event loop delivers up to 32 reads of a connection, then those of the next, without a turn for anything else, and the check of the overhead was a timer. After its limit on header fields, undici creates an error for each further field. Empty lines and comments are no progress of a stream. A log line and a counter name the backend server. The test of the timer in overheadWatch.test.ts is replaced: the check now runs at each read, which the new test asks for from the first byte on.

--- a/src/node/gateway/answers/answerRelay.ts
+++ b/src/node/gateway/answers/answerRelay.ts
@@ -7,11 +7,21 @@
 import type { RequestLog } from "../requestLog.js";
 import type { AnswerEnding, AttemptFailure, GatewayRequest, OpenedAnswer } from "../types.js";
 import { sendAnswer, type StreamWriter } from "./callerAnswer.js";
-import { createEventSplitter, isLaterEvent } from "./eventStream.js";
+import { createEventSplitter, isLaterEvent, type StreamEvent } from "./eventStream.js";
+import { createRelayTurns } from "./relayTurns.js";
 import { readAnswer } from "./wholeAnswer.js";
 
 const eventStreamType = "text/event-stream";
 
+/** Bytes of a stream that are relayed in one piece, without letting other requests run. */
+const maximumSliceBytes = 16_384;
+
+function* slice(part: Uint8Array): Generator<Uint8Array> {
+    for (let start = 0; start < part.byteLength; start += maximumSliceBytes) {
+        yield part.subarray(start, start + maximumSliceBytes);
+    }
+}
+
 /** Dependencies of {@link createAnswerRelay}. */
 export interface AnswerRelayInput {
     readonly clock: Clock;
@@ -86,31 +96,40 @@
     };
 }
 
+/** Events of one piece of a stream. */
+interface SelectedEvents {
+    /** Events to send to the caller. */
+    readonly selected: readonly StreamEvent[];
+    /** Why the stream cannot be relayed any further; undefined if it can. */
+    readonly fault: Error | undefined;
+}
+
 /** Times at which a stream has delivered something. */
 interface StreamProgress {
-    /** Monotonic time of the last complete event, or of the last check that found none for too long. */
+    /** Monotonic time of the last event with data, or of the last check that found none for too long. */
     readonly lastEventAt: Milliseconds;
     /** Monotonic time of the last bytes. */
     readonly lastPartAt: Milliseconds;
 }
 
 /**
- * Checks that a stream that delivers bytes still delivers complete events. The time since the last bytes does not count:
+ * Checks that a stream that delivers bytes still delivers events with data. Empty lines and comments are none, since a
+ * backend server that is stuck may send them without end. The time since the last bytes does not count:
  * the event loop may have been blocked, and the rest of the event may have arrived meanwhile.
  *
  * @returns the progress with the part that has just arrived
  */
 function checkProgress(
     { limits }: OpenedAnswer,
-    events: number,
+    hasData: boolean,
     { lastEventAt, lastPartAt }: StreamProgress,
     now: Milliseconds,
 ): StreamProgress {
     const silence = lastPartAt - lastEventAt;
-    if (events === 0 && silence <= limits.silentAfter) {
+    if (!hasData && silence <= limits.silentAfter) {
         return { lastEventAt, lastPartAt: now };
     }
-    if (events === 0) {
+    if (!hasData) {
         limits.onSilent(silence);
     }
     return { lastEventAt: now, lastPartAt: now };
@@ -145,6 +164,55 @@
  * @returns the relay
  */
 export function createAnswerRelay({ clock, log, metrics }: AnswerRelayInput): AnswerRelay {
+    const turns = createRelayTurns(clock);
+
+    /** Selects the events to send to the caller, and notes that they are sent. Ends with the first that is invalid. */
+    function selectEvents(
+        progress: RelayProgress,
+        attempt: RelayedAttempt,
+        isContinuation: boolean,
+        events: readonly StreamEvent[],
+    ): SelectedEvents {
+        const selected: StreamEvent[] = [];
+        for (const event of events) {
+            if (event.hasData) {
+                attempt.receivedEvent();
+            }
+            if (isContinuation && event.id === undefined && event.hasData) {
+                return { selected, fault: new Error("an event of a resumed stream has no identifier") };
+            }
+            // A comment is no progress, so it does not end the attempts of others.
+            const isIdle = !event.hasData && attempt.hasRivals();
+            if (isIdle || !isLaterEvent(event.id, progress.lastEvent) || !attempt.claim()) {
+                continue;
+            }
+            progress.lastEvent = event.id ?? progress.lastEvent;
+            progress.resumable &&= event.id !== undefined || !event.hasData;
+            selected.push(event);
+        }
+        return { selected, fault: undefined };
+    }
+
+    /** Sends events in one write. */
+    async function sendEvents(
+        request: GatewayRequest,
+        progress: RelayProgress,
+        answer: OpenedAnswer,
+        attempt: RelayedAttempt,
+        events: readonly StreamEvent[],
+    ): Promise<void> {
+        const { writer } = progress;
+        if (!writer.headSent()) {
+            metrics.recordFirstByte(request, clock.monotonic() - request.row.receivedAt);
+        }
+        sendHead(progress, answer);
+        const bytes = events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(event => event.bytes));
+        const accepted = writer.send(bytes, attempt.signal);
+        if (accepted !== undefined) {
+            await accepted;
+        }
+    }
+
     async function relayStream(
         request: GatewayRequest,
         progress: RelayProgress,
@@ -162,34 +230,31 @@
         try {
             for await (const part of answer.body) {
                 bytes += part.byteLength;
-                const events = splitter.push(part);
-                const left = splitter.pendingBytes();
-                if (left !== pendingBytes) {
-                    pending.add(left - pendingBytes);
-                    pendingBytes = left;
-                }
-                delivered = checkProgress(answer, events.length, delivered, clock.monotonic());
-                for (const event of events) {
+                for (const piece of slice(part)) {
+                    const turn = turns.next();
+                    if (turn !== undefined) {
+                        await turn;
+                    }
                     // The body still yields parts that arrived before the request was aborted.
                     attempt.signal.throwIfAborted();
-                    attempt.receivedEvent();
-                    if (isContinuation && event.id === undefined && event.hasData) {
-                        throw new Error("an event of a resumed stream has no identifier");
-                    }
-                    // A comment is no progress, so it does not end the attempts of others.
-                    const isIdle = !event.hasData && attempt.hasRivals();
-                    if (isIdle || !isLaterEvent(event.id, progress.lastEvent) || !attempt.claim()) {
-                        continue;
+                    const events = splitter.push(piece);
+                    const left = splitter.pendingBytes();
+                    if (left !== pendingBytes) {
+                        pending.add(left - pendingBytes);
+                        pendingBytes = left;
                     }
-                    if (!writer.headSent()) {
-                        metrics.recordFirstByte(request, clock.monotonic() - request.row.receivedAt);
+                    delivered = checkProgress(
+                        answer,
+                        events.some(event => event.hasData),
+                        delivered,
+                        clock.monotonic(),
+                    );
+                    const { fault, selected } = selectEvents(progress, attempt, isContinuation, events);
+                    if (selected.length > 0) {
+                        await sendEvents(request, progress, answer, attempt, selected);
                     }
-                    sendHead(progress, answer);
-                    progress.lastEvent = event.id ?? progress.lastEvent;
-                    progress.resumable &&= event.id !== undefined || !event.hasData;
-                    const accepted = writer.send(event.bytes, attempt.signal);
-                    if (accepted !== undefined) {
-                        await accepted;
+                    if (fault !== undefined) {
+                        throw fault;
                     }
                 }
             }
--- a/src/node/gateway/attempts/backendClients.ts
+++ b/src/node/gateway/attempts/backendClients.ts
@@ -1,5 +1,6 @@
 import type { ListedBackendServer, Milliseconds } from "../../../types/index.js";
 import { createHttpClient, type HttpClient } from "../../httpClient/index.js";
+import type { UsedTurnLog } from "./usedTurnLog.js";
 
 /** Options of the connections to backend servers. */
 export interface BackendClientOptions {
@@ -9,6 +10,8 @@
      * leaves it as it was, or 1.
      */
     readonly connections: (listed: ListedBackendServer) => number | undefined;
+    /** Gets the turns of the event loop that responses have used up. */
+    readonly usedTurns: UsedTurnLog;
 }
 
 /** Connections to backend servers, one pool for each of them. */
@@ -87,6 +90,7 @@
                 connections,
                 timeouts: { connect: options.connectTimeLimit },
                 maximumBodyBytes: maximumAnswerBytes,
+                onTurnUsed: used => options.usedTurns.record(listed, used),
             });
             rows.set(instance, { address, startedAt, connections, client });
             return client;
--- a/src/node/gateway/gatewayDaemon.ts
+++ b/src/node/gateway/gatewayDaemon.ts
@@ -21,6 +21,7 @@
 import type { GatewaySettings } from "../settings/index.js";
 import { createBackendClients, divideConnections } from "./attempts/backendClients.js";
 import { createRetryBudgets } from "./attempts/retryBudgets.js";
+import { createUsedTurnLog } from "./attempts/usedTurnLog.js";
 import { startCallerServer } from "./callers/callerServer.js";
 import { drainCallers } from "./callers/drainCallers.js";
 import { createCrashContainment } from "./crashes/crashContainment.js";
@@ -144,6 +145,7 @@
     const clients = stack.use(createBackendClients({
         connectTimeLimit: gateway.connectTimeLimit,
         connections: readConnections,
+        usedTurns: createUsedTurnLog(clock, logger, gatewayMetrics),
     }));
     const containment = stack.use(createCrashContainment({
         log,
--- a/src/node/gateway/gatewayMetrics.ts
+++ b/src/node/gateway/gatewayMetrics.ts
@@ -26,6 +26,8 @@
     countRetry(request: GatewayRequest): void;
     /** Counts a retry that runs beside a silent or slow attempt, in addition to `countRetry`. */
     countHedge(request: GatewayRequest): void;
+    /** Counts a turn of the event loop that a response of a backend server has used up. */
+    countUsedTurn(service: string): void;
     /** Counts an answer of a backend server whose body was read. */
     countAnswer(request: GatewayRequest, framing: BodyFraming, ending: AnswerEnding): void;
     /**
@@ -131,6 +133,12 @@
         name: "goldcrestpoint_gateway_server_checks_total",
         documentation: "Backend servers that were checked after a connection broke, by service and outcome.",
     });
+    const usedTurns = metrics.createCounter({
+        name: "goldcrestpoint_gateway_used_turns_total",
+        documentation:
+            "Turns of the event loop that a response of a backend server has used up, by service; peers that " +
+            "send a chunk for each byte cause many.",
+    });
     const rejected = metrics.createCounter({
         name: "goldcrestpoint_gateway_rejected_total",
         documentation: "Requests rejected before admission, by reason.",
@@ -170,6 +178,7 @@
             admissions.add(1, { service: service.name, rank: formatRank(row), outcome });
         },
         countRetry: ({ service }) => retries.add(1, { service: service.name }),
+        countUsedTurn: service => usedTurns.add(1, { service }),
         countHedge: ({ service }) => hedges.add(1, { service: service.name }),
         countAnswer: ({ service }, framing, ending) => answers.add(1, { service: service.name, framing, ending }),
         countSentAnswer: (ending, configurationRecent) =>
--- a/src/node/httpClient/bodyReader.ts
+++ b/src/node/httpClient/bodyReader.ts
@@ -9,6 +9,11 @@
 /** Memory of a part of a body beside its bytes, which is most of it for a peer that sends a few bytes at a time. */
 export const partOverheadBytes = 512;
 
+/** Largest part that is copied to the end of the one before it, if that has not been read. */
+const maximumJoinedBytes = 1_024;
+/** Size of the buffer in which small parts are joined. */
+const joinedBufferBytes = 16_384;
+
 /** Limits of {@link createArrivingBody}. */
 export interface ReadAheadLimits {
     /** Unread bytes of the body that are kept; the response is aborted if there are more. */
@@ -34,7 +39,7 @@
     describe(cause: unknown, bytes: number): Error;
 }
 
-/** Body of a response, which buffers what has arrived and was not read. It is never paused. */
+/** Body of a response, which buffers what has arrived and was not read. Its reader never pauses it. */
 export interface ArrivingBody {
     /** Adds a part that has arrived. */
     receive(part: Uint8Array): void;
@@ -67,6 +72,8 @@
     const { maximumUnreadBytes, memoryLimit } = limits;
     let buffered: (Uint8Array | undefined)[] = [];
     let nextBuffered = 0;
+    /** Buffer of the last part that is buffered, if small parts are joined in it. */
+    let joined: Buffer | undefined;
     let unread = 0;
     let readBytes = 0;
     let started = false;
@@ -143,10 +150,39 @@
         if (nextBuffered === buffered.length) {
             buffered = [];
             nextBuffered = 0;
+            joined = undefined;
         }
         return part;
     }
 
+    /** Copies a small part to the end of the last one. Returns false if there is no room for it. */
+    function join(part: Uint8Array): boolean {
+        const last = buffered.at(-1);
+        if (joined === undefined || last === undefined || last.byteLength + part.byteLength > joined.byteLength) {
+            return false;
+        }
+        joined.set(part, last.byteLength);
+        buffered[buffered.length - 1] = joined.subarray(0, last.byteLength + part.byteLength);
+        return true;
+    }
+
+    function addBuffered(part: Uint8Array): void {
+        if (part.byteLength > maximumJoinedBytes) {
+            joined = undefined;
+            buffered.push(part);
+            reservation?.add(part.byteLength + partOverheadBytes);
+        }
+        else if (join(part)) {
+            reservation?.add(part.byteLength);
+        }
+        else {
+            joined = Buffer.allocUnsafeSlow(joinedBufferBytes);
+            joined.set(part);
+            buffered.push(joined.subarray(0, part.byteLength));
+            reservation?.add(part.byteLength + partOverheadBytes);
+        }
+    }
+
     function read(): Promise<PartResult> {
         started = true;
         const part = takeBuffered();
@@ -170,6 +206,7 @@
         finished = true;
         buffered = [];
         nextBuffered = 0;
+        joined = undefined;
         reservation?.close();
         if (!ended) {
             destroy(new Error("the response was aborted by its reader"));
@@ -190,9 +227,8 @@
                 resolve({ done: false, value: part });
                 return;
             }
-            buffered.push(part);
             unread += part.byteLength;
-            reservation?.add(part.byteLength + partOverheadBytes);
+            addBuffered(part);
             if (unread > maximumUnreadBytes) {
                 destroy(new ResponseTooLargeError(`more than ${maximumUnreadBytes} bytes of the response are unread`));
             }
--- a/src/node/httpClient/exchange.ts
+++ b/src/node/httpClient/exchange.ts
@@ -1,8 +1,9 @@
 import type { Dispatcher } from "undici";
-import type { HeaderTable } from "../../types/index.js";
+import type { HeaderTable, Milliseconds } from "../../types/index.js";
 import { type ArrivingBody, createArrivingBody, type ReadAheadLimits } from "./bodyReader.js";
 import { isMixedHead, resolveFraming } from "./framing.js";
 import type { Interruption } from "./interruption.js";
+import type { ReadTurn, ReadTurns } from "./readTurns.js";
 import { createStatusError, isHttpStatus } from "./responseStatus.js";
 import type { SilenceWatch } from "./silenceWatch.js";
 import type { CallState, ConnectionState } from "./trackedClient.js";
@@ -14,6 +15,10 @@
     readonly state: CallState;
     readonly silence: Pick<SilenceWatch, "heard">;
     readonly limits: ReadAheadLimits;
+    /** Turns in which responses are read. */
+    readonly turns: ReadTurns;
+    /** Called when the response has used up its turn, with the time for which its parser has run. */
+    onTurnUsed(busy: Milliseconds): void;
     /** Called when the head of the response has arrived. */
     onHead(): void;
     /** Called when a part of the body has arrived. */
@@ -66,6 +71,7 @@
     const { interruption, state } = call;
     let controller: Dispatcher.DispatchController | undefined;
     let body: ArrivingBody | undefined;
+    let turn: ReadTurn | undefined;
     let resolveHead: (opened: OpenedExchange) => void;
     let rejectHead: (cause: Error) => void;
     const opened = new Promise<OpenedExchange>((resolve, reject) => {
@@ -139,9 +145,17 @@
                 }
                 call.onHead();
                 const framing = resolveFraming(request, { status, headers });
+                turn = call.turns.open({
+                    pause: () => controller?.pause(),
+                    resume: () => controller?.resume(),
+                    onTurnUsed: busy => call.onTurnUsed(busy),
+                });
                 body = createArrivingBody(call.limits, {
                     abort,
-                    onClose: () => call.onClose(),
+                    onClose: () => {
+                        turn?.close();
+                        call.onClose();
+                    },
                     checkEnd: () => {
                         if (framing === "connection" && !closedGracefully(state.connection)) {
                             throw new Error("the connection failed before the response was known to be complete");
@@ -155,6 +169,7 @@
                 state.bodyBytes += part.byteLength;
                 call.onPart();
                 body?.receive(part);
+                turn?.received();
             },
             onResponseEnd: () => body?.end(),
             onResponseError: (...[, cause]) => {
--- a/src/node/httpClient/httpClient.ts
+++ b/src/node/httpClient/httpClient.ts
@@ -6,6 +6,7 @@
 import { createExchange } from "./exchange.js";
 import { createInterruption, type Interruption } from "./interruption.js";
 import { watchOverhead } from "./overheadWatch.js";
+import { createReadTurns } from "./readTurns.js";
 import { describeStatusLine, InvalidStatusError, isUnreadableStatus } from "./responseStatus.js";
 import { type SilenceLimit, type SilenceWatch, watchSilence } from "./silenceWatch.js";
 import { type CallState, createCallState, createTrackedClient } from "./trackedClient.js";
@@ -32,6 +33,8 @@
 }
 
 const clock = createSystemClock();
+/** Turns that the responses to all clients of this process share. */
+const turns = createReadTurns(clock);
 const unlimitedSilence: SilenceLimit = { after: Infinity, onSilent: () => {} };
 
 function startCall({ mayWrite, signal, silence = unlimitedSilence }: HttpRequest): Call {
@@ -77,6 +80,8 @@
         const { handler, opened } = createExchange(request, {
             ...call,
             limits: { maximumUnreadBytes: maximumBodyBytes, memoryLimit: bodyLimit },
+            turns,
+            onTurnUsed: busy => options.onTurnUsed?.({ peer: url.host, busy }),
             onHead: () => {
                 call.interruption.clearTimeLimit();
                 call.silence.heard();
--- a/src/node/httpClient/trackedClient.ts
+++ b/src/node/httpClient/trackedClient.ts
@@ -33,8 +33,11 @@
     receivedBeforeCall: number;
     /** Bytes of the response body that have arrived. */
     bodyBytes: number;
-    /** Called when bytes are read from the connection while the call is the last one written to it. */
-    onReceived: (() => void) | undefined;
+    /**
+     * Called when bytes are read from the connection while the call is the last one written to it, with the bytes that the
+     * connection has received before these.
+     */
+    onReceived: ((parsedBytes: number) => void) | undefined;
     /** Tells, right before the request is written, whether it still may be. */
     readonly mayWrite: () => boolean;
 }
@@ -75,15 +78,23 @@
 /** Bytes of each read that are kept for the message of an unreadable status line. */
 const quotedBytes = 256;
 
+/** Maximum bytes of one read. What is left of it when a response has to wait is copied, so it must not grow. */
+const maximumReadBytes = 65_536;
+/**
+ * Maximum bytes of header fields and trailers for undici, which creates an error for each field after it. The limit on the
+ * overhead of a response applies before.
+ */
+const maximumFieldBytes = 262_144;
+
 /** Notes the beginning of each read that may bring a status line, and calls back before undici parses the bytes. */
-function trackReads(socket: Socket, mayBeHead: () => boolean, onReceived: () => void): () => string {
+function trackReads(socket: Socket, mayBeHead: () => boolean, onReceived: (parsedBytes: number) => void): () => string {
     const read = socket.read.bind(socket) as (size?: number) => unknown;
     let last = "";
     socket.read = (size?: number) => {
-        const part = read(size);
+        const part = read(size ?? (socket.readableLength > maximumReadBytes ? maximumReadBytes : undefined));
         if (Buffer.isBuffer(part)) {
             last = mayBeHead() ? part.toString("latin1", 0, quotedBytes) : last;
-            onReceived();
+            onReceived(socket.bytesRead - socket.readableLength - part.byteLength);
         }
         return part;
     };
@@ -96,7 +107,11 @@
         failed: false,
         lastCall: undefined,
         awaitsHead: false,
-        quoteLastRead: trackReads(socket, () => state.awaitsHead, () => state.lastCall?.onReceived?.()),
+        quoteLastRead: trackReads(
+            socket,
+            () => state.awaitsHead,
+            parsedBytes => state.lastCall?.onReceived?.(parsedBytes),
+        ),
         countReceivedBytes: () => socket.bytesRead,
         reset: () => resetSocket(socket),
     };
@@ -120,6 +135,7 @@
         const connect = buildConnector({ timeout: connectTimeout });
         super(origin, {
             ...options,
+            maxHeaderSize: maximumFieldBytes,
             connect: (target, callback) => {
                 connect(target, (...parameters) => {
                     // These listeners have to run before those of undici, which end the response.
--- a/src/node/httpClient/types.ts
+++ b/src/node/httpClient/types.ts
@@ -29,6 +29,16 @@
     readonly maximumBodyBytes?: number | undefined;
     /** Memory limit that the responses share with those of other clients. Default: none. */
     readonly memoryLimit?: ResponseMemoryLimit | undefined;
+    /** Called when a response had to wait, since it has used up its turn of the event loop. Default: nothing is done. */
+    readonly onTurnUsed?: ((used: UsedTurn) => void) | undefined;
+}
+
+/** Turn of the event loop that a response has used up. */
+export interface UsedTurn {
+    /** `host:port` */
+    readonly peer: string;
+    /** Time for which its bytes were parsed. */
+    readonly busy: Milliseconds;
 }
 
 /** HTTP request. */
--- a/src/node/logging/events.ts
+++ b/src/node/logging/events.ts
@@ -157,6 +157,13 @@
         "durationMilliseconds",
         "suspendedMilliseconds",
     ]),
+    "responses take much of the process": define(
+        "belief",
+        ["gateway"],
+        "the responses of a backend server have used up turns of the event loop for 50 ms or more within a second, as those " +
+            "of a peer that sends a chunk for each byte do",
+        ["peer", "address", "service", "turns", "busyMilliseconds"],
+    ),
     "list of backend servers current": define("belief", ["gateway"], "the list is up to date again"),
     "list of backend servers outdated": define("belief", ["gateway"], "the list was not confirmed in time"),
     "backend server changed": define("belief", ["gateway"], "an entry of the list was added, changed or removed", [
--- a/test/node/gateway/backendClients.test.ts
+++ b/test/node/gateway/backendClients.test.ts
@@ -87,6 +87,7 @@
             await using clients = createBackendClients({
                 connectTimeLimit: 1_000,
                 connections: () => connections,
+                usedTurns: { record: () => {} },
             });
             const client = clients.find(server.listed);
             const first = readCall(client);
--- a/test/node/overheadWatch.test.ts
+++ b/test/node/overheadWatch.test.ts
@@ -3,6 +3,10 @@
 import { hasExcessiveOverhead, watchOverhead } from "../../src/node/httpClient/overheadWatch.js";
 import { createCallState } from "../../src/node/httpClient/trackedClient.js";
 
+function nextTick(): Promise<void> {
+    return new Promise(resolve => process.nextTick(resolve));
+}
+
 describe("overhead of a response", () => {
     it("is not excessive for a head of the maximum size", () => {
         expect(hasExcessiveOverhead(16_384, 0)).toEqual(false);
@@ -18,30 +22,25 @@
         expect(hasExcessiveOverhead(100_000, 5)).toEqual(true);
     });
 
-    // Guards against a timer for each long poll, and against a response that is no longer checked after its first bytes.
-    it("is checked at intervals from the first bytes of the response on", t => {
-        mock.timers.enable({ apis: ["setInterval"] });
-        t.after(() => mock.timers.reset());
-        const countReceivedBytes = mock.fn(() => 100_000);
+    // Guards against responses that are checked only once the event loop runs timers, which many reads can delay.
+    it("is checked at each read, from the first bytes of the response on", async () => {
         const onExcess = mock.fn();
         const call = createCallState();
-        call.connection = {
-            ended: false,
-            failed: false,
-            lastCall: call,
-            awaitsHead: false,
-            quoteLastRead: () => "",
-            countReceivedBytes,
-            reset: () => {},
-        };
+        call.receivedBeforeCall = 50_000;
         const end = watchOverhead(call, onExcess);
-        mock.timers.tick(1_000);
-        expect(countReceivedBytes.mock.callCount()).toEqual(0);
-        call.onReceived!();
-        mock.timers.tick(100);
-        expect([countReceivedBytes.mock.callCount(), onExcess.mock.callCount()]).toEqual([1, 1]);
-        end();
-        mock.timers.tick(1_000);
+        call.onReceived!(100_000);
+        await nextTick();
+        expect(onExcess.mock.callCount()).toEqual(0);
+        call.onReceived!(50_000 + 100_000);
+        expect(call.onReceived).toEqual(undefined);
+        await nextTick();
         expect(onExcess.mock.callCount()).toEqual(1);
+        end();
+    });
+
+    it("is not checked once the response has ended", () => {
+        const call = createCallState();
+        watchOverhead(call, () => {})();
+        expect(call.onReceived).toEqual(undefined);
     });
 });
--- a/test/platform/gatewayEndlessAnswers.test.ts
+++ b/test/platform/gatewayEndlessAnswers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { call } from "./standIn/caller.js";
-import { startDeployment } from "./standIn/deployment.js";
+import { operatorConfiguration, startDeployment } from "./standIn/deployment.js";
 import { type EndlessPart, startEndlessRunner } from "./standIn/endlessRunner.js";
 import { startHttpStandIn } from "./standIn/httpStandIn.js";
 import type { RunnerBehaviour } from "./standIn/runnerStandIn.js";
@@ -44,6 +44,8 @@
         ["chunk-extension", "/safe/"],
         ["trailers", "/safe/"],
         ["slow-trailers", "/stream/"],
+        ["blank-lines", "/stream/"],
+        ["comments", "/stream/"],
     ];
     for (const [part, path] of cases) {
         it(`returns the answer of a healthy one within the route timeout: ${part} on ${path}`, async () => {
@@ -112,3 +114,42 @@
         });
     }
 });
+
+describe("gateway with a backend server that sends a chunk for each byte", () => {
+    // Guards against a process that stands still for seconds, so that requests to other services get no answer in time.
+    for (const part of ["single-byte-chunks", "blank-lines", "comments"] as const) {
+        it(`answers requests to other services meanwhile: ${part}`, async () => {
+            await using deployment = await startDeployment({ "routing.failuresUntilEjected": "100" });
+            const [plain] = operatorConfiguration.services;
+            deployment.configure({
+                version: 2,
+                routes: operatorConfiguration.routes.map(route =>
+                    route.name === "stream" ? { ...route, service: "engine" } : route
+                ),
+                services: [plain, { ...plain, name: "engine" }],
+            });
+            const endless = deployment.stack.use(await startEndlessRunner(part));
+            await deployment.addRunnerRecord("i-1", endless.address, { service: "engine" });
+            await deployment.addRunner({ id: "i-2" });
+            let stopped = false;
+            const streams = Array.from({ length: 4 }, async () => {
+                while (!stopped) {
+                    await call(deployment, "/stream/").catch(() => undefined);
+                }
+            });
+            const slow: number[] = [];
+            const statuses: number[] = [];
+            for (let count = 0; count < 100; count++) {
+                const startedAt = performance.now();
+                const { status } = await call(deployment, "/safe/");
+                statuses.push(status);
+                slow.push(...[performance.now() - startedAt].filter(took => took > 500));
+                await new Promise(resolve => setTimeout(resolve, 20));
+            }
+            stopped = true;
+            await Promise.all(streams);
+            expect(endless.countRequests()).toBeGreaterThan(0);
+            expect([statuses.filter(status => status !== 200), slow]).toEqual([[], []]);
+        });
+    }
+});
--- a/test/platform/standIn/endlessRunner.ts
+++ b/test/platform/standIn/endlessRunner.ts
@@ -17,7 +17,9 @@
     | "slow-fields"
     | "slow-trailers"
     | "events"
-    | "comments";
+    | "comments"
+    | "blank-lines"
+    | "single-byte-chunks";
 
 interface EndlessResponse {
     /** Bytes that are sent once, at the beginning. */
@@ -72,6 +74,8 @@
     }),
     events: id => ({ begin: createEventsHead(id), repeat: toChunk("data: x\n\n".repeat(1_000)) }),
     comments: id => ({ begin: createEventsHead(id), repeat: toChunk(": x\n\n".repeat(1_000)) }),
+    "blank-lines": id => ({ begin: createEventsHead(id), repeat: toChunk("\n".repeat(16_384)) }),
+    "single-byte-chunks": id => ({ begin: createEventsHead(id), repeat: toChunk("x").repeat(8_000) }),
 };
 
 /**
