--- a/src/node/gateway/crashes/crashEvidenceStore.ts
+++ b/src/node/gateway/crashes/crashEvidenceStore.ts
@@ -159,12 +159,15 @@
     }
 
     function findStanding(request: RequestCauses, standing: SuspectStanding): Fingerprint | undefined {
+        if (evidence.suspects.size === 0) {
+            return undefined;
+        }
         const now = clock.monotonic();
         return listCauses(request).find(cause => readCrashStanding(evidence, cause, now) === standing);
     }
 
     function listSuspectParts({ partFingerprints = [] }: RequestCauses): readonly Fingerprint[] {
-        return partFingerprints.filter(part => evidence.suspects.has(part));
+        return evidence.suspects.size === 0 ? [] : partFingerprints.filter(part => evidence.suspects.has(part));
     }
 
     return {
@@ -174,9 +177,10 @@
             const found = findStanding(request, "condemned") ?? listSuspectParts(request)[0];
             return found === request.fingerprint ? undefined : found;
         },
-        hasRivalParts: ({ partFingerprints = [] }) => hasRivalParts(evidence, partFingerprints),
+        hasRivalParts: request => hasRivalParts(evidence, listSuspectParts(request)),
         listHoldingParts: request => listSuspectParts(request).filter(part => mayCrashBeforeAnswer(evidence, part)),
-        mayRepeat: request => listCauses(request).every(cause => mayRepeatAfterCrash(evidence, cause)),
+        mayRepeat: request =>
+            evidence.suspects.size === 0 || listCauses(request).every(cause => mayRepeatAfterCrash(evidence, cause)),
         recordObservedCrash: ({ crashId, events, fingerprints }) => {
             witnessedCrashIds.add(crashId);
             apply(recordCrash(evidence, crashId, fingerprints, clock.monotonic(), events), "local");
--- a/src/node/settings/decisionSections.ts
+++ b/src/node/settings/decisionSections.ts
@@ -259,7 +259,7 @@
         maximumSuspects: defineInteger({
             minimum: 1,
             maximum: 1_000_000,
-            defaultValue: 10_000,
+            defaultValue: 40_000,
             documentation: "Maximum number of fingerprints of suspects; the oldest are dropped.",
         }),
         answerMemorySeconds: defineDuration("answerMemory", "Seconds", {
--- a/src/runtime/retry/condemnParts.ts
+++ b/src/runtime/retry/condemnParts.ts
@@ -10,13 +10,22 @@
 /** Independent crashes that a part must have without another one that also has enough for a verdict. */
 const rivalMargin = 2;
 
-/** Maximum number of parts that are compared with each other, those with the most independent crashes first. */
+/**
+ * Maximum number of groups that are compared with each other, those with the most independent crashes first. Parts that
+ * were in the same crashes are one group, whatever their number.
+ */
 const maximumCandidates = 32;
 
 /** Verdicts on parts of prompts. */
 export interface PartVerdicts extends Verdicts {
     /** Parts with enough crashes that are not condemned yet, each with those that may be the cause in its place. */
-    readonly rivals: Map<Fingerprint, readonly Fingerprint[]>;
+    readonly rivals: Map<Fingerprint, ReadonlySet<Fingerprint>>;
+}
+
+/** Parts that were in the same crashes, at the same places of the answers. */
+interface PartGroup {
+    readonly parts: Fingerprint[];
+    readonly crashes: ReadonlySet<string>;
 }
 
 function compareCrashes(left: CrashRow, right: CrashRow): number {
@@ -41,6 +50,22 @@
     return moments;
 }
 
+/** Groups the parts that nothing tells apart, and leaves out those with too few crashes to be compared. */
+function groupParts(rows: ReadonlyMap<string, CrashRow>, parts: readonly PossibleCause[]): readonly PartGroup[] {
+    const groups = new Map<string, PartGroup>();
+    for (const [fingerprint, crashes] of parts) {
+        if (crashes.size < minimumCommonCrashes) {
+            continue;
+        }
+        const key = [...crashes].map(crash => `${crash}:${rows.get(crash)!.events.get(fingerprint) ?? 0}`).sort()
+            .join();
+        const group = groups.get(key) ?? { parts: [], crashes };
+        group.parts.push(fingerprint);
+        groups.set(key, group);
+    }
+    return [...groups.values()];
+}
+
 /** Lists the requests that each crash is possible for, without those that an answer rules out. */
 function listPossibleRequests(requests: readonly PossibleCause[]): ReadonlyMap<string, ReadonlySet<Fingerprint>> {
     const byCrash = new Map<string, Set<Fingerprint>>();
@@ -96,38 +121,34 @@
         );
     }
 
-    function isRival(
-        fingerprint: Fingerprint,
-        crashes: readonly string[],
-        [other, otherCrashes]: PossibleCause,
-    ): boolean {
-        const common = crashes.filter(crash => otherCrashes.has(crash));
-        const own = crashes.filter(crash => !otherCrashes.has(crash));
-        return other !== fingerprint && countIndependent(common) >= minimumCommonCrashes &&
+    function isRival(group: PartGroup, crashes: readonly string[], other: PartGroup): boolean {
+        const common = crashes.filter(crash => other.crashes.has(crash));
+        const own = crashes.filter(crash => !other.crashes.has(crash));
+        return other !== group && countIndependent(common) >= minimumCommonCrashes &&
             countIndependent(own) < rivalMargin &&
-            areEnough(other, listUnattributed(verdicts, otherCrashes));
+            areEnough(other.parts[0]!, listUnattributed(verdicts, other.crashes));
     }
 
-    function judge(candidate: PossibleCause): void {
-        const [fingerprint] = candidate;
-        const crashes = listUnattributed(verdicts, candidate[1]);
-        if (!areEnough(fingerprint, crashes)) {
+    function judge(group: PartGroup): void {
+        const [first, ...others] = group.parts as [Fingerprint, ...Fingerprint[]];
+        const crashes = listUnattributed(verdicts, group.crashes);
+        if (!areEnough(first, crashes)) {
             return;
         }
-        const rivals = candidates.filter(other => isRival(fingerprint, crashes, other));
-        if (rivals.length === 0) {
-            condemn(verdicts, candidate);
-        }
-        else {
-            verdicts.rivals.set(fingerprint, rivals.map(([rival]) => rival));
+        const rivals = candidates.filter(other => isRival(group, crashes, other)).flatMap(other => other.parts);
+        if (rivals.length === 0 && others.length === 0) {
+            condemn(verdicts, [first, group.crashes]);
+            return;
         }
+        const indistinguishable = new Set([...group.parts, ...rivals]);
+        group.parts.forEach(part => verdicts.rivals.set(part, indistinguishable));
     }
 
-    const candidates = parts.filter(([, crashes]) => crashes.size >= minimumCommonCrashes)
-        .map(cause => ({ cause, independent: countIndependent([...cause[1]]) }))
+    const candidates = groupParts(rows, parts)
+        .map(group => ({ group, independent: countIndependent([...group.crashes]) }))
         .sort((left, right) => right.independent - left.independent)
         .slice(0, maximumCandidates)
-        .map(({ cause }) => cause);
+        .map(({ group }) => group);
     let found: number;
     do {
         found = verdicts.condemned.size;
--- a/src/runtime/retry/crashEvidence.ts
+++ b/src/runtime/retry/crashEvidence.ts
@@ -1,5 +1,6 @@
 import type { Fingerprint, Milliseconds } from "../../types/index.js";
 import { computeDigest } from "../../utils/index.js";
+import { dropSingleParts, sampleParts } from "./excessParts.js";
 import { findCrashSuspects, isRuledOut, listPossibleCrashes, readAnswerMemory } from "./findCrashSuspects.js";
 import { isPartFingerprint } from "./promptParts.js";
 import type {
@@ -39,7 +40,7 @@
 /** Tells whether a crash counts against what is condemned, or against parts that are held back as rivals. */
 function involvesVerdict({ suspects }: CrashEvidence, { fingerprints }: CrashRow): boolean {
     return [...fingerprints].map(fingerprint => suspects.get(fingerprint)).some(suspect =>
-        suspect?.condemned === true || (suspect?.rivals?.length ?? 0) > 0
+        suspect?.condemned === true || suspect?.rivals !== undefined
     );
 }
 
@@ -48,11 +49,15 @@
 }
 
 /**
- * Drops the oldest crashes while more than `maximumSuspects` fingerprints are stored. Crashes that involve a condemned
- * request are dropped last.
+ * Drops parts of prompts that were in one crash only, and then the oldest crashes, while more than `maximumSuspects`
+ * fingerprints are stored. Crashes that involve a condemned request are dropped last.
  */
 function dropExcess(evidence: CrashEvidence): void {
     const { crashes, options } = evidence;
+    const excess = countFingerprints(evidence) - options.maximumSuspects;
+    if (excess > 0) {
+        dropSingleParts([...crashes.values()], excess);
+    }
     while (countFingerprints(evidence) > options.maximumSuspects && crashes.size > 1) {
         const rows = [...crashes.values()].sort((left, right) => left.touchedAt - right.touchedAt);
         const dropped = rows.find(row => !involvesCondemned(evidence, row)) ?? rows[0]!;
@@ -162,9 +167,11 @@
     now: Milliseconds,
     events: ReadonlyMap<Fingerprint, number> = new Map(),
 ): EvidenceDelta {
-    const possible = fingerprints.filter(fingerprint =>
+    const notRuledOut = fingerprints.filter(fingerprint =>
         !isPartFingerprint(fingerprint) || !isRuledOut(evidence, fingerprint, { at: now })
     );
+    const { maximumSuspects } = evidence.options;
+    const possible = sampleParts(crashId, notRuledOut, maximumSuspects, part => evidence.suspects.has(part));
     const causes = new Set(possible);
     const row: CrashRow = {
         crashId,
--- a/src/runtime/retry/crashStanding.ts
+++ b/src/runtime/retry/crashStanding.ts
@@ -81,5 +81,8 @@
  * @returns true if one of the parts would be condemned without another one
  */
 export function hasRivalParts({ suspects }: CrashEvidence, parts: readonly Fingerprint[]): boolean {
-    return parts.some(part => suspects.get(part)?.rivals?.some(rival => parts.includes(rival)) === true);
+    return parts.some(part => {
+        const rivals = suspects.get(part)?.rivals;
+        return rivals !== undefined && parts.some(other => other !== part && rivals.has(other));
+    });
 }
--- a/src/runtime/retry/options.ts
+++ b/src/runtime/retry/options.ts
@@ -15,7 +15,7 @@
         maximumCrashes: 2,
         condemnedDuration: 600_000,
         suspicionDuration: 60_000,
-        maximumSuspects: 10_000,
+        maximumSuspects: 40_000,
         answerMemory: 30_000,
         ...partial,
     };
--- a/src/runtime/retry/types.ts
+++ b/src/runtime/retry/types.ts
@@ -16,7 +16,7 @@
     readonly condemnedDuration: Milliseconds;
     /** Time after which a suspect that was not condemned is forgotten. Default: 60,000 ms. */
     readonly suspicionDuration: Milliseconds;
-    /** Most fingerprints of suspects that are stored; the oldest are dropped. Default: 10,000. */
+    /** Most fingerprints of suspects that are stored; the oldest are dropped. Default: 40,000. */
     readonly maximumSuspects: number;
     /** Time for which a complete answer to a request rules it out as the cause of later crashes. Default: 30,000 ms. */
     readonly answerMemory: Milliseconds;
@@ -91,9 +91,10 @@
     readonly crashes: number;
     readonly condemned: boolean;
     /**
-     * Parts of prompts that were in nearly all of the same crashes; only for a part that would be condemned without them.
+     * Parts of prompts that were in nearly all of the same crashes, this one included; only for a part that would be
+     * condemned without the others.
      */
-    readonly rivals?: readonly Fingerprint[] | undefined;
+    readonly rivals?: ReadonlySet<Fingerprint> | undefined;
 }
 
 /**
