Check the turns of responses only where many parts follow each other

Cause: scheduled a callback of the event loop for each turn in which an event arrived, and read the clock for each part. Both are system calls or wake-ups for each event of ordinary streams. Change: responses are checked at each sixteenth part, by the time between checks; pieces of streams up to 4 KB take no turn.

--- a/src/node/gateway/answers/answerRelay.ts
+++ b/src/node/gateway/answers/answerRelay.ts
@@ -231,7 +231,7 @@
             for await (const part of answer.body) {
                 bytes += part.byteLength;
                 for (const piece of slice(part)) {
-                    const turn = turns.next();
+                    const turn = turns.next(piece.byteLength);
                     if (turn !== undefined) {
                         await turn;
                     }
--- a/src/node/httpClient/readTurns.ts
+++ b/src/node/httpClient/readTurns.ts
@@ -35,12 +35,12 @@
 
 interface ResponseRow {
     readonly response: ReadingResponse;
-    /** Number of the turn of the event loop in which the last part arrived. */
-    turn: number;
-    /** Monotonic time of the first and of the last part in that turn. */
-    firstAt: Milliseconds;
-    lastAt: Milliseconds;
+    /** Parts that have arrived. */
     parts: number;
+    /** Monotonic time of the last check. */
+    checkedAt: Milliseconds;
+    /** Time for which parts have followed each other without a pause. */
+    busy: Milliseconds;
     state: "running" | "waiting" | "closed";
 }
 
@@ -48,8 +48,12 @@
 const maximumResponseTime: Milliseconds = 2;
 /** Time for which all responses are parsed in a turn of the event loop. */
 const maximumTurnTime: Milliseconds = 10;
-/** Number of parts in a turn up to which a response never waits for others that have used up the turn. */
-const minimumParts = 16;
+/** Number of parts between two checks of a response; a stream whose events come one by one needs few. */
+const partsBetweenChecks = 16;
+/** Longest time between two checks in which the parts follow each other without a pause. */
+const maximumGap: Milliseconds = 1;
+/** Time after which what responses have used is forgotten, if none had to wait. */
+const usedMemory: Milliseconds = 20;
 
 /**
  * Creates the turns of the responses of a process. A peer that sends a chunk for each byte makes the parser call back so
@@ -60,23 +64,14 @@
  */
 export function createReadTurns(clock: Pick<Clock, "monotonic">): ReadTurns {
     const waiting: ResponseRow[] = [];
-    let turn = 0;
     let used: Milliseconds = 0;
-    let isScheduled = false;
-
-    function schedule(): void {
-        if (!isScheduled) {
-            isScheduled = true;
-            setImmediate(beginTurn);
-        }
-    }
+    let usedSince: Milliseconds = 0;
 
     /** Starts the next turn with the responses that wait, which get the first share of it. */
     function beginTurn(): void {
-        isScheduled = false;
-        turn++;
-        used = 0;
         const startedAt = clock.monotonic();
+        used = 0;
+        usedSince = startedAt;
         // Those that have to wait again are resumed in the turn after this one.
         for (let count = waiting.length; count > 0; count--) {
             if (clock.monotonic() - startedAt > maximumTurnTime) {
@@ -84,35 +79,51 @@
             }
             const row = waiting.shift()!;
             row.state = "running";
+            row.busy = 0;
+            row.checkedAt = clock.monotonic();
             row.response.resume();
         }
         if (waiting.length > 0) {
-            schedule();
+            setImmediate(beginTurn);
         }
     }
 
+    function wait(row: ResponseRow): void {
+        row.state = "waiting";
+        waiting.push(row);
+        if (waiting.length === 1) {
+            setImmediate(beginTurn);
+        }
+        row.response.pause();
+        row.response.onTurnUsed(row.busy);
+    }
+
     function receive(row: ResponseRow): void {
+        row.parts++;
+        if (row.parts % partsBetweenChecks !== 0) {
+            return;
+        }
         const now = clock.monotonic();
-        if (row.turn !== turn) {
-            Object.assign(row, { turn, firstAt: now, lastAt: now, parts: 0 });
+        const gap = now - row.checkedAt;
+        row.checkedAt = now;
+        if (now - usedSince > usedMemory) {
+            used = 0;
+            usedSince = now;
         }
-        used += now - row.lastAt;
-        row.lastAt = now;
-        row.parts++;
-        schedule();
-        const busy = now - row.firstAt;
-        const isOver = busy > maximumResponseTime || (used > maximumTurnTime && row.parts > minimumParts);
-        if (isOver && row.state === "running") {
-            row.state = "waiting";
-            waiting.push(row);
-            row.response.pause();
-            row.response.onTurnUsed(busy);
+        if (gap > maximumGap) {
+            row.busy = 0;
+            return;
+        }
+        row.busy += gap;
+        used += gap;
+        if ((row.busy > maximumResponseTime || used > maximumTurnTime) && row.state === "running") {
+            wait(row);
         }
     }
 
     return {
         open: response => {
-            const row: ResponseRow = { response, turn: -1, firstAt: 0, lastAt: 0, parts: 0, state: "running" };
+            const row: ResponseRow = { response, parts: 0, checkedAt: -Infinity, busy: 0, state: "running" };
             return {
                 received: () => receive(row),
                 close: () => {
