Relay single events of streams without a generator or a promise for each

Cause: pieces and writes of cost one of each for each event. Change: a part that fits in one piece is relayed as it is; writing waits only if the connection accepts no more. Result: streamContinuation and silentAttempts pass; the gain is not measured.

--- a/src/node/gateway/answers/answerRelay.ts
+++ b/src/node/gateway/answers/answerRelay.ts
@@ -16,10 +16,14 @@
 /** Bytes of a stream that are relayed in one piece, without letting other requests run. */
 const maximumSliceBytes = 16_384;
 
-function* slice(part: Uint8Array): Generator<Uint8Array> {
-    for (let start = 0; start < part.byteLength; start += maximumSliceBytes) {
-        yield part.subarray(start, start + maximumSliceBytes);
-    }
+function slice(part: Uint8Array): readonly Uint8Array[] {
+    const count = Math.ceil(part.byteLength / maximumSliceBytes);
+    return count <= 1 ?
+        [part] :
+        Array.from(
+            { length: count },
+            (...[, index]) => part.subarray(index * maximumSliceBytes, (index + 1) * maximumSliceBytes),
+        );
 }
 
 /** Dependencies of {@link createAnswerRelay}. */
@@ -114,8 +118,8 @@
 
 /**
  * Checks that a stream that delivers bytes still delivers events with data. Empty lines and comments are none, since a
- * backend server that is stuck may send them without end. The time since the last bytes does not count:
- * the event loop may have been blocked, and the rest of the event may have arrived meanwhile.
+ * backend server that is stuck may send them without end. The time since the last bytes does not count: the event loop
+ * may have been blocked, and the rest of the event may have arrived meanwhile.
  *
  * @returns the progress with the part that has just arrived
  */
@@ -193,24 +197,21 @@
         return { selected, fault: undefined };
     }
 
-    /** Sends events in one write. */
-    async function sendEvents(
+    /** Sends events in one write. Resolves once the connection accepts more; undefined if it does already. */
+    function sendEvents(
         request: GatewayRequest,
         progress: RelayProgress,
         answer: OpenedAnswer,
         attempt: RelayedAttempt,
         events: readonly StreamEvent[],
-    ): Promise<void> {
+    ): Promise<void> | undefined {
         const { writer } = progress;
         if (!writer.headSent()) {
             metrics.recordFirstByte(request, clock.monotonic() - request.row.receivedAt);
         }
         sendHead(progress, answer);
         const bytes = events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(event => event.bytes));
-        const accepted = writer.send(bytes, attempt.signal);
-        if (accepted !== undefined) {
-            await accepted;
-        }
+        return writer.send(bytes, attempt.signal);
     }
 
     async function relayStream(
@@ -250,8 +251,11 @@
                         clock.monotonic(),
                     );
                     const { fault, selected } = selectEvents(progress, attempt, isContinuation, events);
-                    if (selected.length > 0) {
-                        await sendEvents(request, progress, answer, attempt, selected);
+                    const accepted = selected.length > 0 ?
+                        sendEvents(request, progress, answer, attempt, selected) :
+                        undefined;
+                    if (accepted !== undefined) {
+                        await accepted;
                     }
                     if (fault !== undefined) {
                         throw fault;
