Hold no requests back for a part that was answered shortly before a crash

Cause: an answer rules a part out for one second; where the process or the caller pauses for longer, a popular part is suspected after the crash of one runner, and a second request with it is refused until the first is answered. Change: a part that was answered in the 10 s before the crash holds no other requests back. Verdicts are as before. Evidence: the new test in crashPlaces.test.ts fails without the change. Why it works: holding back is a precaution against several crashes at a time by a part that is new, and such a part has not been answered.

--- a/src/runtime/retry/crashStanding.ts
+++ b/src/runtime/retry/crashStanding.ts
@@ -61,15 +61,25 @@
         (isPartFingerprint(fingerprint) && countTowardsVerdict(evidence, fingerprint) + 1 < options.maximumCrashes);
 }
 
+/**
+ * Time before a crash in which an answer with a part makes it unlikely that the part is the cause. It is longer than the
+ * time for which an answer rules the part out: holding requests back is a precaution, and a verdict needs none.
+ */
+const soundAnswerMemory: Milliseconds = 10_000;
+
 /**
  * Tells whether a part of a prompt may have crashed a backend server before it began to answer.
  *
  * @param evidence - evidence
  * @param part - fingerprint of the part
- * @returns false if its requests were being answered in each crash that it may have caused
+ * @returns false if for each crash that it may have caused, its requests were being answered there, or one had been
+ * answered a short time before
  */
 export function mayCrashBeforeAnswer(evidence: CrashEvidence, part: Fingerprint): boolean {
-    return listPossibleCrashes(evidence, part).some(({ events }) => !events.has(part));
+    const answeredAt = evidence.answers.get(part) ?? -Infinity;
+    return listPossibleCrashes(evidence, part).some(({ at, events }) =>
+        !events.has(part) && at - answeredAt > soundAnswerMemory
+    );
 }
 
 /**
--- a/test/runtime/retry/crashPlaces.test.ts
+++ b/test/runtime/retry/crashPlaces.test.ts
@@ -64,6 +64,17 @@
         expect(mayCrashBeforeAnswer(createEvidence([3, 0]), part)).toEqual(true);
     });
 
+    // Guards against refusals of sound requests with a popular part whenever a backend server ends for another reason.
+    it("hold other requests back only if the part was not answered shortly before", () => {
+        const isHeld = (answeredAt: number): boolean => {
+            const evidence = createCrashEvidence(options);
+            recordAnswer(evidence, [part], answeredAt);
+            recordCrash(evidence, "server", ["request", part], 20_000);
+            return mayCrashBeforeAnswer(evidence, part);
+        };
+        expect([9_000, 11_000, 18_000].map(isHeld)).toEqual([true, false, false]);
+    });
+
     it("take the furthest answer that any gateway has seen", () => {
         const evidence = createEvidence([1, 1, 1]);
         const crash = {
