Say once what containment of a part of prompts means in its tests

Cause: three tests repeated the same expectations. Change: expectContainment; that there are crashes at all is now expected behind other parts as well.

--- a/test/platform/crashingPromptPart.test.ts
+++ b/test/platform/crashingPromptPart.test.ts
@@ -100,6 +100,26 @@
         runs.filter(({ at, body }) => body.startsWith(fatalBody) && at > known.at + settleMilliseconds).length;
 }
 
+/** Sends requests with the fatal part beside sound ones, and expects that the gateways refuse those and serve these. */
+async function expectContainment(
+    fleet: CrashingFleet,
+    gateways: readonly TestGateway[],
+    path: string,
+    shared: readonly string[] = [],
+): Promise<void> {
+    const stop = startSoundCallers(gateways, path, shared);
+    await pause(1_000);
+    const fatalResponses = await sendFatalPart(gateways, path, 60, 200, shared);
+    const sound = await stop();
+    expect(fleet.crashes.length).toBeGreaterThan(0);
+    expect(countLateRuns(fleet)).toBeLessThanOrEqual(allowedRuns);
+    expect(listCondemned(fatalResponses).length).toBeGreaterThan(30);
+    expect(listCondemned(sound.map(({ response }) => response))).toEqual([]);
+    const late = sound.filter(({ at }) => at > fleet.crashes[0]!.at + 2 * settleMilliseconds);
+    const served = late.filter(({ response }) => response?.status === 200);
+    expect(served.length).toBeGreaterThan(late.length * 0.9);
+}
+
 /** Sends requests with the fatal part until the first gateway has condemned it. */
 async function crashUntilCondemned(gateways: readonly TestGateway[], path: string): Promise<void> {
     await waitUntil("the part is condemned", async () => {
@@ -124,17 +144,7 @@
             await using deployment = await startDeployment();
             const fleet = await startPartFleet(deployment, answers);
             const gateways = await addGateways(deployment, path);
-            const stop = startSoundCallers(gateways, path);
-            await pause(1_000);
-            const fatalResponses = await sendFatalPart(gateways, path, 60, 200);
-            const sound = await stop();
-            expect(fleet.crashes.length).toBeGreaterThan(0);
-            expect(countLateRuns(fleet)).toBeLessThanOrEqual(allowedRuns);
-            expect(listCondemned(fatalResponses).length).toBeGreaterThan(30);
-            expect(listCondemned(sound.map(({ response }) => response))).toEqual([]);
-            const late = sound.filter(({ at }) => at > fleet.crashes[0]!.at + 2 * settleMilliseconds);
-            const served = late.filter(({ response }) => response?.status === 200);
-            expect(served.length).toBeGreaterThan(late.length * 0.9);
+            await expectContainment(fleet, gateways, path);
         });
     }
 
@@ -158,17 +168,7 @@
                 crashDelayMilliseconds: 0,
             });
             const gateways = await addGateways(deployment, path);
-            const stop = startSoundCallers(gateways, path);
-            await pause(1_000);
-            const fatalResponses = await sendFatalPart(gateways, path, 60, 200);
-            const sound = await stop();
-            expect(fleet.crashes.length).toBeGreaterThan(0);
-            expect(countLateRuns(fleet)).toBeLessThanOrEqual(allowedRuns);
-            expect(listCondemned(fatalResponses).length).toBeGreaterThan(30);
-            expect(listCondemned(sound.map(({ response }) => response))).toEqual([]);
-            const late = sound.filter(({ at }) => at > fleet.crashes[0]!.at + 2 * settleMilliseconds);
-            const served = late.filter(({ response }) => response?.status === 200);
-            expect(served.length).toBeGreaterThan(late.length * 0.9);
+            await expectContainment(fleet, gateways, path);
         });
     }
 
@@ -209,16 +209,7 @@
             const fleet = await startPartFleet(deployment);
             const gateways = await addGateways(deployment, "/unsafe/");
             const shared = Array.from({ length: count }, (...[, index]) => index.toString(16));
-            const stop = startSoundCallers(gateways, "/unsafe/", shared);
-            await pause(1_000);
-            const fatalResponses = await sendFatalPart(gateways, "/unsafe/", 60, 200, shared);
-            const sound = await stop();
-            expect(countLateRuns(fleet)).toBeLessThanOrEqual(allowedRuns);
-            expect(listCondemned(fatalResponses).length).toBeGreaterThan(30);
-            expect(listCondemned(sound.map(({ response }) => response))).toEqual([]);
-            const late = sound.filter(({ at }) => at > fleet.crashes[0]!.at + 2 * settleMilliseconds);
-            const served = late.filter(({ response }) => response?.status === 200);
-            expect(served.length).toBeGreaterThan(late.length * 0.9);
+            await expectContainment(fleet, gateways, "/unsafe/", shared);
         });
     }
 
