Keep the platform's names of the flooding callers beside the stand-ins

Cause: bench/callers named headers of the platform; two comments were hard to read. Change: the program lies in test/platform/standIn; the comments are reworded.

--- a/bench/callerBodies.ts
+++ b/bench/callerBodies.ts
@@ -12,7 +12,7 @@
     },
 });
 
-const callersPath = fileURLToPath(new URL("callers/floodingCallers.ts", import.meta.url));
+const callersPath = fileURLToPath(new URL("../test/platform/standIn/floodingCallers.ts", import.meta.url));
 const maximumBodyBytes = 1_000_000;
 const warmUpMilliseconds = 1_500;
 const pauseMilliseconds = 30;
--- a/src/node/httpClient/readTurns.ts
+++ b/src/node/httpClient/readTurns.ts
@@ -22,7 +22,7 @@
     close(): void;
 }
 
-/** Shares the event loop between the responses that are read, and leaves time for everything else. */
+/** Scheduler that limits the time spent parsing responses in one iteration of the event loop. */
 export interface ReadTurns {
     /**
      * Adds a response.
--- a/bench/callers/floodingCallers.ts
+++ b/test/platform/standIn/floodingCallers.ts
@@ -10,7 +10,7 @@
 ];
 const chunks = Buffer.from("1\r\nx\r\n".repeat(10_000));
 
-/** Sends a body in chunks of one byte until the connection is closed, and then begins anew. */
+/** Sends an endless request body in single-byte chunks, and reconnects when the connection is closed. */
 function flood(): void {
     const socket = connect(port, "127.0.0.1");
     const sendNext = (): void => {
