--- a/bench/callerBodies.ts
+++ b/bench/callerBodies.ts
@@ -4,6 +4,7 @@
 import { parseArgs } from "node:util";
 import { call } from "../test/platform/standIn/caller.js";
 import { operatorConfiguration, startDeployment } from "../test/platform/standIn/deployment.js";
+import { formatHead } from "../test/platform/standIn/rawCaller.js";
 
 const { values } = parseArgs({
     options: {
@@ -12,7 +13,7 @@
     },
 });
 
-const callersPath = fileURLToPath(new URL("../test/platform/standIn/floodingCallers.ts", import.meta.url));
+const callersPath = fileURLToPath(new URL("callers/floodingCallers.ts", import.meta.url));
 const maximumBodyBytes = 1_000_000;
 const warmUpMilliseconds = 1_500;
 const pauseMilliseconds = 30;
@@ -20,8 +21,12 @@
 await using deployment = await startDeployment();
 deployment.configure({ version: 2, limits: { ...operatorConfiguration.limits, max_body_bytes: maximumBodyBytes } });
 await deployment.addRunner({ id: "i-1" });
-const { port } = new URL(deployment.gatewayUrl);
-const callers = fork(callersPath, [port, values.callers], { execArgv: ["--import", "tsx"] });
+const callers = fork(callersPath, { execArgv: ["--import", "tsx"] });
+callers.send({
+    port: Number(new URL(deployment.gatewayUrl).port),
+    callers: Number(values.callers),
+    head: formatHead("POST /unsafe/", "transfer-encoding: chunked"),
+});
 await sleep(warmUpMilliseconds);
 const times: number[] = [];
 for (let count = 0; count < Number(values.requests); count++) {
